--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; ``python -m bench`` prints one JSON line a figure."""
--- /dev/null
+++ b/src/gentianwharf/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's tool ``gentianwharf``."""
--- /dev/null
+++ b/src/gentianwharf/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``gentianwharfd``."""
--- /dev/null
+++ b/src/gentianwharf/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load; nothing here knows of a network."""
--- /dev/null
+++ b/src/gentianwharf/loadtool/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool ``gentianwharf-load``."""
--- /dev/null
+++ b/src/gentianwharf/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counting and timing of what callers receive."""
--- /dev/null
+++ b/src/gentianwharf/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Who owns which shard, and how ownership moves."""
--- /dev/null
+++ b/src/gentianwharf/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server each shard should stand on."""
--- /dev/null
+++ b/src/gentianwharf/settings/__init__.py
@@ -0,0 +1,30 @@
+"""Settings in JSON with comments, checked before anything starts."""
+
+from ._load import load_rules, load_settings, parse_jsonc
+from ._models import (
+    BackendServerSettings,
+    ClassSettings,
+    DomainSettings,
+    HostSettings,
+    NumberedServers,
+    PlatformSettings,
+    ServiceSettings,
+    Settings,
+)
+from ._topology import domains_of, services_of
+
+__all__ = [
+    "BackendServerSettings",
+    "ClassSettings",
+    "DomainSettings",
+    "HostSettings",
+    "NumberedServers",
+    "PlatformSettings",
+    "ServiceSettings",
+    "Settings",
+    "domains_of",
+    "load_rules",
+    "load_settings",
+    "parse_jsonc",
+    "services_of",
+]
--- /dev/null
+++ b/src/gentianwharf/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Passing rules and tables on between the entry hosts."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gentianwharf."""
