--- a/src/gentianwharf/ownership/__init__.py
+++ b/src/gentianwharf/ownership/__init__.py
@@ -1,1 +1,27 @@
-"""Who owns which shard, and how ownership moves."""
+"""One owner for each key: assignment table, rights, grants, moves, control."""
+
+from ._messages import Message, decode, encode
+from ._move import MoveState
+from ._protocols import Log, PeerLink, SiteOf
+from ._route import Hold, RefusalReason, Refuse, Route, Send
+from ._system import Assignment, OwnershipState, OwnershipSystem
+from ._timing import TICK_S
+
+__all__ = [
+    "TICK_S",
+    "Assignment",
+    "Hold",
+    "Log",
+    "Message",
+    "MoveState",
+    "OwnershipState",
+    "OwnershipSystem",
+    "PeerLink",
+    "RefusalReason",
+    "Refuse",
+    "Route",
+    "Send",
+    "SiteOf",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/src/gentianwharf/ownership/_context.py
@@ -0,0 +1,73 @@
+"""What every system of this package works on: one host's tables and links."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+from twisted.internet.interfaces import IReactorTime
+
+from gentianwharf.placement import rendezvous_rank
+from gentianwharf.platform import BackendControl, KeyValueStore
+from gentianwharf.topology import BackendServer, Domain, Host, Service
+
+from ._messages import Item, Items, Message
+from ._protocols import Log, PeerLink, SiteOf
+from ._rights import Rights, Witness
+from ._tables import Tables
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Context:
+    """One host's view, shared by its systems."""
+
+    host: Host
+    domains: Mapping[str, Domain]
+    services: Mapping[str, Service]
+    servers: Mapping[str, BackendServer]
+    clock: IReactorTime
+    store: KeyValueStore
+    prefix: str
+    control: BackendControl
+    peers: PeerLink
+    site_of: SiteOf
+    deadline_caps_s: Mapping[str, float]
+    rng: Random
+    log: Log
+    tables: Tables
+    rights: Rights
+    witness: Witness
+    receive: Callable[[str, Message], None]
+
+    @property
+    def now_s(self) -> float:
+        """Return this host's monotonic time."""
+        return self.clock.seconds()
+
+    def send(self, host: str, message: Message) -> None:
+        """Send to a fellow host, or to this one."""
+        if host == self.host.id:
+            self.clock.callLater(0, self.receive, host, message)
+        else:
+            self.peers.send(host, message)
+
+    def live_hosts(self, domain: str) -> list[str]:
+        """Return the hosts of ``domain`` that have been heard lately."""
+        return [one for one in self.peers.hosts_of(domain) if self.peers.is_live(one)]
+
+    def is_among(self, name: str, count: int) -> bool:
+        """Whether this host is one of ``count`` of its domain for a job ``name``."""
+        live = self.live_hosts(self.host.domain)
+        return self.host.id in rendezvous_rank(name, live)[:count]
+
+    def spread(self, item: Item) -> None:
+        """Pass a value that the store has taken on to every host."""
+        for domain in self.domains:
+            for host in self.peers.hosts_of(domain):
+                if host != self.host.id:
+                    self.peers.send(host, Items(items=[item]))
+
+    def relative(self, key: str) -> str:
+        """Return a store key without the customer's prefix."""
+        return key.removeprefix(self.prefix)
--- /dev/null
+++ b/src/gentianwharf/ownership/_messages.py
@@ -0,0 +1,176 @@
+"""Messages between hosts, one tagged union, packed by msgspec."""
+
+from typing import final
+
+import msgspec
+
+from gentianwharf.errors import InputError
+
+MOST_MESSAGE_BYTES = 4_000_000
+
+
+class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    pass
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True):
+    """A store value as read or written: key below the customer's, revision, bytes."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+@final
+class RightAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """May I act on these versions of the tables? To each witness of ``domain``."""
+
+    domain: str
+    round: int
+    versions: dict[str, int]
+
+
+@final
+class RightAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """``good_s`` of right from the moment of asking; 0 when a newer one is known."""
+
+    domain: str
+    round: int
+    good_s: float
+
+
+@final
+class Announce(_Message, frozen=True, kw_only=True, tag=True):
+    """Acknowledge that you know these versions; ``items`` bring them along."""
+
+    domain: str
+    round: int
+    versions: dict[str, int]
+    items: list[Item]
+
+
+@final
+class Acknowledge(_Message, frozen=True, kw_only=True, tag=True):
+    """The witness knows the versions of ``round``, and forgets them only by dying.
+
+    ``incarnation`` changes when it restarts; ``witness_revision`` is the newest
+    revision of its domain's witness list that it knows.
+    """
+
+    domain: str
+    round: int
+    incarnation: int
+    witness_revision: int
+
+
+@final
+class Items(_Message, frozen=True, kw_only=True, tag=True):
+    """Store values that the receiver may not have yet."""
+
+    items: list[Item]
+
+
+@final
+class Pull(_Message, frozen=True, kw_only=True, tag=True):
+    """Send what is newer than these versions."""
+
+    versions: dict[str, int]
+
+
+@final
+class RecoverAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """From a witness that lost its memory, to the other witnesses of its domain."""
+
+    domain: str
+    incarnation: int
+
+
+@final
+class RecoverAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """All that a witness with memory knows."""
+
+    domain: str
+    incarnation: int
+    items: list[Item]
+
+
+@final
+class ControlAlive(_Message, frozen=True, kw_only=True, tag=True):
+    """The sender holds the control lease of ``service`` under ``term``."""
+
+    service: str
+    term: int
+
+
+@final
+class Probe(_Message, frozen=True, kw_only=True, tag=True):
+    """A server did not answer me: try it and tell ``control`` what you see."""
+
+    server: str
+    control: str
+
+
+@final
+class Suspect(_Message, frozen=True, kw_only=True, tag=True):
+    """The sender got no answer from ``server``."""
+
+    server: str
+
+
+@final
+class Leaving(_Message, frozen=True, kw_only=True, tag=True):
+    """``server`` says itself that it is draining."""
+
+    server: str
+
+
+@final
+class Wish(_Message, frozen=True, kw_only=True, tag=True):
+    """For the control holder: move a shard to a server."""
+
+    service: str
+    shard: int
+    server: str
+
+
+Message = (
+    RightAsk
+    | RightAnswer
+    | Announce
+    | Acknowledge
+    | Items
+    | Pull
+    | RecoverAsk
+    | RecoverAnswer
+    | ControlAlive
+    | Probe
+    | Suspect
+    | Leaving
+    | Wish
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Pack a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes, *, peer: str) -> Message:
+    """Unpack a message from ``peer``; raises ``InputError`` when it is none."""
+    if len(data) > MOST_MESSAGE_BYTES:
+        raise InputError(
+            f"expected at most {MOST_MESSAGE_BYTES} bytes, got {len(data)}",
+            step="decode ownership message",
+            peer=peer,
+        )
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InputError(
+            f"expected an ownership message: {error}; is the peer of another version?",
+            step="decode ownership message",
+            peer=peer,
+        ) from error
--- /dev/null
+++ b/src/gentianwharf/ownership/_mover.py
@@ -0,0 +1,296 @@
+"""Carrying out the moves of one service on the host that holds its control.
+
+What to do next follows from the table alone, so another host can go on at any
+point: an entry that moves is cleared of its holders, its target is granted, and
+the store is told to confirm.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import final
+
+from twisted.internet.defer import Deferred
+
+from gentianwharf.errors import GentianwharfError
+from gentianwharf.platform import Grant, GrantOutcome
+from gentianwharf.topology import Service
+
+from ._announce import Announcement
+from ._announcer import Announcer
+from ._context import Context
+from ._lease import ControlLease
+from ._move import Move, MoveInputs, MoveState, build_move_machine
+from ._protocols import answer_within
+from ._table import EntryState
+from ._timing import (
+    ORDER_LIFE_S,
+    ORDER_TIMEOUT_S,
+    RIGHT_WAIT_S,
+    WALL_CLOCK_SKEW_S,
+)
+from ._writer import TableWriter
+
+MOST_RELEASES_PER_SERVER = 16
+"""Releases that wait for one server at a time: each answers when its shard has
+drained, so that one long request does not keep other shards unserved."""
+
+RELEASE_GRACE_S = 1.0
+"""How much longer than the longest deadline a release may take to be answered."""
+
+GRANT_EVERY_S = 0.1
+"""Pause before a grant that was not taken is tried again."""
+
+
+@final
+class Mover:
+    """Moves of one service; ``tick`` and every answer carry them on."""
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        service: Service,
+        lease: ControlLease,
+        announcer: Announcer,
+        writer: TableWriter,
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._lease = lease
+        self._announcer = announcer
+        self._writer = writer
+        self._moves: dict[int, Move] = {}
+        self._machines: dict[int, MoveInputs] = {}
+        self._synced: dict[int, int] = {}
+        self._releasing: set[tuple[str, int, int]] = set()
+        self._granting: set[str] = set()
+
+    @property
+    def moves(self) -> Mapping[int, Move]:
+        """Return the moves under way by shard."""
+        return self._moves
+
+    def tick(self) -> None:
+        """Carry every move on as far as it goes."""
+        if not self._lease.is_held:
+            return
+        self._sync()
+        grants: dict[str, list[Move]] = defaultdict(list)
+        for move in list(self._moves.values()):
+            self._clear(move)
+            if self._machines[move.shard].step() == "granting":
+                grants[move.entry.target].append(move)
+        for target, moves in grants.items():
+            self._grant(target, moves)
+        self._confirm()
+
+    def states(self) -> list[MoveState]:
+        """Return the moves as the admin port shows them."""
+        now_s = self._context.now_s
+        return [
+            MoveState(
+                service=move.service,
+                shard=shard,
+                owner=move.entry.owner,
+                target=move.entry.target,
+                token=move.entry.next_token,
+                step=self._machines[shard].step(),
+                waits_for=tuple(move.uncleared()),
+                age_s=now_s - move.started_s,
+            )
+            for shard, move in self._moves.items()
+        ]
+
+    def clear(self) -> None:
+        """Forget every move, the lease being gone; the table keeps them."""
+        self._moves.clear()
+        self._machines.clear()
+        self._synced.clear()
+
+    def _sync(self) -> None:
+        for number, chunk in self._context.tables.chunks(self._service.name).items():
+            revision = self._writer.revision(number)
+            if self._synced.get(number) == revision:
+                continue
+            self._synced[number] = revision
+            moving = {
+                shard: entry
+                for shard, entry in chunk.entries.items()
+                if entry.state is not EntryState.OWNED
+            }
+            self._drop_ended(number, set(moving))
+            for shard, entry in moving.items():
+                known = self._moves.get(shard)
+                if known is None or known.entry != entry:
+                    self._begin(
+                        Move(
+                            service=self._service.name,
+                            shard=shard,
+                            chunk=number,
+                            revision=revision,
+                            entry=entry,
+                            started_s=self._context.now_s,
+                        )
+                    )
+
+    def _drop_ended(self, number: int, moving: set[int]) -> None:
+        for shard, move in list(self._moves.items()):
+            if move.chunk == number and shard not in moving:
+                del self._machines[shard]
+                del self._moves[shard]
+
+    def _begin(self, move: Move) -> None:
+        self._moves[move.shard] = move
+        self._machines[move.shard] = build_move_machine(move)
+
+    def _clear(self, move: Move) -> None:
+        machine = self._machines[move.shard]
+        if machine.step() != "clearing":
+            return
+        for holder in move.uncleared():
+            announcement = self._announcement(move, holder)
+            if announcement is None or announcement.stands_since_s is None:
+                continue
+            if self._has_lapsed(move, holder, announcement):
+                move.cleared.add(holder)
+            else:
+                self._release(move, holder)
+        if not move.uncleared():
+            machine.holders_cleared()
+
+    def _announcement(self, move: Move, holder: str) -> Announcement | None:
+        domain = self._context.servers[holder].domain
+        known = move.announcements.get(domain)
+        if known is None or known.outdated:
+            known = self._announcer.announcement(
+                self._service.name, move.chunk, move.revision, domain
+            )
+            if known is not None:
+                move.announcements[domain] = known
+        return known
+
+    def _has_lapsed(self, move: Move, holder: str, announcement: Announcement) -> bool:
+        if move.entry.state is not EntryState.LAPSING:
+            return False
+        now_s = self._context.now_s
+        if not announcement.has_lapsed(now_s):
+            return False
+        server = self._context.servers[holder]
+        if holder != move.entry.owner or (server.knows_validity and server.gives_stamp):
+            return True
+        # A server that knows tokens alone may thaw and run what its buffers hold
+        # under the old token; only the requests' own deadlines end that.
+        since_s = announcement.stands_since_s or now_s
+        cap_s = self._context.deadline_caps_s[self._service.name]
+        return now_s >= since_s + RIGHT_WAIT_S + cap_s + WALL_CLOCK_SKEW_S
+
+    def _release(self, move: Move, holder: str) -> None:
+        order = (holder, move.shard, move.entry.next_token)
+        waiting = sum(1 for one in self._releasing if one[0] == holder)
+        if order in self._releasing or waiting >= MOST_RELEASES_PER_SERVER:
+            return
+        self._releasing.add(order)
+        Deferred.fromCoroutine(self._order_release(move, holder, order))
+
+    async def _order_release(
+        self, move: Move, holder: str, order: tuple[str, int, int]
+    ) -> None:
+        context = self._context
+        cap_s = context.deadline_caps_s[self._service.name]
+        try:
+            outcome = await answer_within(
+                context.clock,
+                cap_s + RELEASE_GRACE_S,
+                context.control.release(
+                    context.servers[holder],
+                    self._service.name,
+                    {move.shard: move.entry.next_token},
+                ),
+                step="release",
+                peer=holder,
+            )
+        except GentianwharfError as error:
+            context.log("release-failed", server=holder, error=str(error))
+        else:
+            if outcome is GrantOutcome.ACCEPTED:
+                move.cleared.add(holder)
+        finally:
+            self._releasing.discard(order)
+        self.tick()
+
+    def _grant(self, target: str, moves: list[Move]) -> None:
+        now_s = self._context.now_s
+        due = [one for one in moves if now_s >= one.grant_tried_s + GRANT_EVERY_S]
+        if not due or target in self._granting:
+            return
+        for move in due:
+            move.grant_tried_s = now_s
+        self._granting.add(target)
+        Deferred.fromCoroutine(self._order_grant(target, due))
+
+    async def _order_grant(self, target: str, moves: list[Move]) -> None:
+        try:
+            outcome = await self._send_grant(target, moves)
+        except GentianwharfError as error:
+            self._context.log("grant-failed", server=target, error=str(error))
+        else:
+            if outcome is GrantOutcome.ACCEPTED:
+                self._accepted(moves)
+            else:
+                self._context.log("grant-refused", server=target, outcome=str(outcome))
+        finally:
+            self._granting.discard(target)
+        self.tick()
+
+    async def _send_grant(self, target: str, moves: list[Move]) -> GrantOutcome | None:
+        context = self._context
+        server = context.servers[target]
+        stamp_s = None
+        if server.gives_stamp:
+            report = await answer_within(
+                context.clock,
+                ORDER_TIMEOUT_S,
+                context.control.report(server),
+                step="stamp",
+                peer=target,
+            )
+            stamp_s = report.stamp_s
+        now_s = context.now_s
+        validity_s = context.rights.until_s(server.domain) - now_s
+        # The lease is looked at after every wait: a holder that was paused here
+        # must not send an order that its successor knows nothing of.
+        if validity_s <= 0 or not self._lease.is_held:
+            return None
+        grant = Grant(
+            service=self._service.name,
+            giver=context.host.id,
+            term=self._lease.term,
+            tokens={move.shard: move.entry.next_token for move in moves},
+            validity_s=validity_s,
+            server_stamp_s=stamp_s,
+            void_after_stamp_s=None if stamp_s is None else stamp_s + ORDER_LIFE_S,
+        )
+        return await answer_within(
+            context.clock,
+            ORDER_TIMEOUT_S,
+            context.control.grant(server, grant),
+            step="grant",
+            peer=target,
+        )
+
+    def _accepted(self, moves: list[Move]) -> None:
+        for move in moves:
+            if self._moves.get(move.shard) is move:
+                self._machines[move.shard].target_accepted()
+
+    def _confirm(self) -> None:
+        changes = {
+            move.shard: move.entry.confirm()
+            for move in self._moves.values()
+            if self._machines[move.shard].step() == "confirming"
+        }
+        if changes:
+            self._writer.want(changes, after=self._written)
+
+    def _written(self) -> None:
+        self.tick()
--- /dev/null
+++ b/src/gentianwharf/ownership/_reader.py
@@ -0,0 +1,125 @@
+"""Reading and watching the store's tables and witness lists."""
+
+from collections.abc import Iterable
+from typing import final
+
+from twisted.internet.defer import Deferred
+
+from gentianwharf.errors import GentianwharfError
+from gentianwharf.platform import VersionedValue
+
+from ._context import Context
+from ._messages import Item, Items
+from ._protocols import answer_within
+from ._tables import TABLE, WITNESSES
+from ._timing import STORE_TIMEOUT_S, WATCH_S
+
+WATCHERS = 2
+"""Hosts of a domain that keep a watch open; they pass on what it brings."""
+
+READ_AGAIN_S = 0.5
+"""Pause after a read or a watch that failed, so as not to press a sick store."""
+
+READ_ALL_EVERY_S = 10.0
+"""How often the watchers read the witness lists, which have no watch."""
+
+
+@final
+class Reader:
+    """Reads all at the start; afterwards a few hosts of each domain watch."""
+
+    def __init__(self, *, context: Context) -> None:
+        self._context = context
+        self._reading = False
+        self._watching = False
+        self._read_due_s = float("-inf")
+        self._watch_due_s = float("-inf")
+        self.has_read = False
+
+    def tick(self) -> None:
+        """Start what is due."""
+        now_s = self._context.now_s
+        is_watcher = self._context.is_among("watch", WATCHERS)
+        needs_read = not self.has_read or not self._context.witness.has_memory
+        if (
+            not self._reading
+            and now_s >= self._read_due_s
+            and (needs_read or is_watcher)
+        ):
+            self._reading = True
+            pause_s = READ_AGAIN_S if needs_read else READ_ALL_EVERY_S
+            self._read_due_s = now_s + pause_s
+            Deferred.fromCoroutine(self._read())
+        watch_due = is_watcher and self.has_read and now_s >= self._watch_due_s
+        if watch_due and not self._watching:
+            self._watching = True
+            Deferred.fromCoroutine(self._watch())
+
+    async def _read(self) -> None:
+        context = self._context
+        # Only a read that began when this host was known to be a witness gives it
+        # its memory; see ``Witness``.
+        was_listed = context.witness.is_listed
+        try:
+            tables = await self._get(TABLE)
+            lists = await self._get(WITNESSES)
+        except GentianwharfError as error:
+            context.log("store-read-failed", error=str(error))
+            return
+        finally:
+            self._reading = False
+        self.install([*tables, *lists])
+        context.witness.note_list(context.tables.witnesses(context.host.domain))
+        self.has_read = True
+        if was_listed and context.witness.is_listed:
+            context.witness.store_read()
+        elif context.witness.is_listed:
+            self._read_due_s = context.now_s
+
+    async def _get(self, kind: str) -> list[VersionedValue]:
+        context = self._context
+        prefix = context.prefix + kind
+        return await answer_within(
+            context.clock,
+            STORE_TIMEOUT_S,
+            context.store.get_many(prefix),
+            step="read store",
+            peer=prefix,
+        )
+
+    async def _watch(self) -> None:
+        context = self._context
+        prefix = context.prefix + TABLE
+        versions = context.tables.versions
+        known = [versions[key] for key in versions if key.startswith(TABLE)]
+        try:
+            # A watch may go silent for good; the limit lets it be opened anew.
+            found = await answer_within(
+                context.clock,
+                WATCH_S + STORE_TIMEOUT_S,
+                context.store.watch(
+                    prefix, after_revision=max(known, default=0), wait_s=WATCH_S
+                ),
+                step="watch store",
+                peer=prefix,
+            )
+        except GentianwharfError as error:
+            context.log("watch-failed", error=str(error))
+            self._watch_due_s = context.now_s + READ_AGAIN_S
+        else:
+            self.install(found)
+        finally:
+            self._watching = False
+
+    def install(self, found: Iterable[VersionedValue]) -> None:
+        """Take values read from the store and pass on what is new."""
+        context = self._context
+        new = []
+        for one in found:
+            item = Item(context.relative(one.key), one.revision, one.value)
+            if context.tables.install(item):
+                new.append(item)
+        if new and self.has_read:
+            for host in context.peers.hosts_of(context.host.domain):
+                if host != context.host.id:
+                    context.peers.send(host, Items(items=new))
--- /dev/null
+++ b/src/gentianwharf/ownership/_renewal.py
@@ -0,0 +1,158 @@
+"""Probing the servers of this host's own domain and renewing their grants."""
+
+from collections.abc import Callable
+from typing import final
+
+from twisted.internet.defer import Deferred
+
+from gentianwharf.errors import GentianwharfError
+from gentianwharf.platform import Grant, ServerReport
+from gentianwharf.topology import BackendServer
+
+from ._context import Context
+from ._evidence import OwnEvidence
+from ._messages import Leaving, Probe, Suspect
+from ._protocols import answer_within
+from ._table import EntryState
+from ._timing import ORDER_LIFE_S, ORDER_TIMEOUT_S, RENEW_EVERY_S
+
+RENEWERS = 2
+"""Hosts that renew each server's grants, so that losing one is not felt."""
+
+
+@final
+class Renewal:
+    """Keeps the servers' grants alive for as long as this host's right is.
+
+    Needs no store: it goes on from what the tables say. ``holder_of`` names the
+    control holder of a service, who is told of servers that do not answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        evidence: OwnEvidence,
+        holder_of: Callable[[str], str | None],
+    ) -> None:
+        self._context = context
+        self._evidence = evidence
+        self._holder_of = holder_of
+        self._due_s: dict[str, float] = {}
+        self._busy: set[str] = set()
+        self._missing_s: dict[str, float] = {}
+
+    def tick(self) -> None:
+        """Probe and renew what is due."""
+        now_s = self._context.now_s
+        for server in self._context.servers.values():
+            if server.domain != self._context.host.domain:
+                continue
+            if not self._context.services[server.service].keyed:
+                continue
+            if now_s < self._due_s.get(server.id, 0.0) or server.id in self._busy:
+                continue
+            self._due_s[server.id] = now_s + RENEW_EVERY_S
+            if self._context.is_among(server.id, RENEWERS):
+                self.probe(server, holder=self._holder_of(server.service))
+
+    def probe(self, server: BackendServer, *, holder: str | None) -> None:
+        """Probe ``server`` at once and renew its grants if it answers."""
+        if server.id in self._busy:
+            return
+        self._busy.add(server.id)
+        Deferred.fromCoroutine(self._probe(server, holder))
+
+    async def _probe(self, server: BackendServer, holder: str | None) -> None:
+        context = self._context
+        try:
+            report = await answer_within(
+                context.clock,
+                ORDER_TIMEOUT_S,
+                context.control.report(server),
+                step="probe",
+                peer=server.id,
+            )
+            self._evidence.note(server.id, answered=True)
+            if report.draining and holder is not None:
+                context.send(holder, Leaving(server=server.id))
+            await self._renew(server, report, heard_s=context.now_s)
+        except GentianwharfError as error:
+            if self._evidence.note(server.id, answered=False):
+                self._suspect(server, holder)
+            context.log("probe-failed", server=server.id, error=str(error))
+        finally:
+            self._busy.discard(server.id)
+
+    def _suspect(self, server: BackendServer, holder: str | None) -> None:
+        if holder is None:
+            return
+        self._context.send(holder, Suspect(server=server.id))
+        witnesses = self._context.tables.witnesses(server.domain)
+        for host in witnesses.all() if witnesses else ():
+            if host != self._context.host.id:
+                self._context.send(host, Probe(server=server.id, control=holder))
+
+    async def _renew(
+        self, server: BackendServer, report: ServerReport, *, heard_s: float
+    ) -> None:
+        context = self._context
+        tokens = self._tokens_to_renew(server, report, heard_s)
+        until_s = context.rights.until_s(server.domain)
+        if not tokens or heard_s >= until_s:
+            return
+        missing = any(shard not in report.held for shard in tokens)
+        if not (server.knows_validity or missing):
+            return
+        grant = Grant(
+            service=server.service,
+            giver=context.host.id,
+            term=0,
+            tokens=tokens,
+            # From a stamp read before ``heard_s``, so the grant ends before the
+            # right that it rests on, however late it arrives.
+            validity_s=until_s - heard_s,
+            server_stamp_s=report.stamp_s if server.gives_stamp else None,
+            void_after_stamp_s=(
+                report.stamp_s + ORDER_LIFE_S if server.gives_stamp else None
+            ),
+        )
+        await answer_within(
+            context.clock,
+            ORDER_TIMEOUT_S,
+            context.control.grant(server, grant),
+            step="renew",
+            peer=server.id,
+        )
+
+    def _tokens_to_renew(
+        self, server: BackendServer, report: ServerReport, heard_s: float
+    ) -> dict[int, int]:
+        owned = {
+            shard: entry
+            for shard, entry in self._context.tables.owned_by(
+                server.service, server.id
+            ).items()
+            if entry.state is not EntryState.LAPSING
+        }
+        held = {
+            shard: entry.token
+            for shard, entry in owned.items()
+            if report.held.get(shard) == entry.token
+        }
+        lacking = {
+            shard: entry.token
+            for shard, entry in owned.items()
+            if shard not in report.held and entry.state is EntryState.OWNED
+        }
+        if not lacking:
+            self._missing_s.pop(server.id, None)
+            return held
+        # A server that started cold has forgotten its shards, and also that it
+        # released some. This host's table may be the older one: only a right asked
+        # for after the loss was seen shows that no release was announced before.
+        since_s = self._missing_s.setdefault(server.id, heard_s)
+        if self._context.rights.asked_s(server.domain) < since_s:
+            return held
+        del self._missing_s[server.id]
+        return held | lacking
--- /dev/null
+++ b/src/gentianwharf/ownership/_rights.py
@@ -0,0 +1,144 @@
+"""Rights to send: asked for by every host, given by majorities of witnesses.
+
+A witness that confirms "I know nothing newer than your versions" decides nothing
+and keeps nothing. The majorities of those who confirm and of those who acknowledge
+a newer version share a witness, and that one answered before it acknowledged; so
+every right under the older version was asked for before the acknowledgement and
+ends ``RIGHT_USE_S`` after it at the latest.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import final
+
+from ._messages import RightAnswer, RightAsk
+from ._tables import Tables, WitnessList
+from ._timing import RIGHT_USE_S
+
+MOST_ROUNDS = 8
+"""Open rounds of a domain; a later answer could hardly give any right."""
+
+
+@final
+@dataclass(kw_only=True, slots=True)
+class _Round:
+    asked_s: float
+    witnesses: WitnessList
+    good_s: dict[str, float] = field(default_factory=dict)
+
+
+@final
+class Rights:
+    """The rights of one host, one a domain of backend servers.
+
+    A right for some versions serves newer ones too: whoever knows nothing newer
+    than the older version knows nothing newer than the newer one.
+    """
+
+    def __init__(self) -> None:
+        self._until_s: dict[str, float] = {}
+        self._asked_s: dict[str, float] = {}
+        self._rounds: dict[tuple[str, int], _Round] = {}
+        self._last_round = 0
+
+    def ask(
+        self,
+        *,
+        domain: str,
+        witnesses: WitnessList,
+        versions: Mapping[str, int],
+        now_s: float,
+    ) -> RightAsk:
+        """Open a round and return the question for each of the witnesses."""
+        self._last_round += 1
+        # The stamp is taken before the question leaves: a host that is paused
+        # between asking and hearing must find its right already used up.
+        opened = _Round(asked_s=now_s, witnesses=witnesses)
+        self._rounds[domain, self._last_round] = opened
+        self._drop_old_rounds(domain)
+        return RightAsk(domain=domain, round=self._last_round, versions=dict(versions))
+
+    def _drop_old_rounds(self, domain: str) -> None:
+        opened = [key for key in self._rounds if key[0] == domain]
+        for key in opened[:-MOST_ROUNDS]:
+            del self._rounds[key]
+
+    def hear(self, host: str, answer: RightAnswer) -> None:
+        """Count a witness's answer; a majority extends the right."""
+        opened = self._rounds.get((answer.domain, answer.round))
+        if opened is None or answer.good_s <= 0:
+            return
+        opened.good_s[host] = answer.good_s
+        if not opened.witnesses.is_majority(opened.good_s):
+            return
+        until_s = opened.asked_s + min(*opened.good_s.values(), RIGHT_USE_S)
+        self._until_s[answer.domain] = max(until_s, self.until_s(answer.domain))
+        asked_s = max(opened.asked_s, self.asked_s(answer.domain))
+        self._asked_s[answer.domain] = asked_s
+
+    def asked_s(self, domain: str) -> float:
+        """Return when the newest right for ``domain`` was asked for."""
+        return self._asked_s.get(domain, float("-inf"))
+
+    def until_s(self, domain: str) -> float:
+        """Return until when this host may act on servers of ``domain``."""
+        return self._until_s.get(domain, float("-inf"))
+
+
+@final
+class Witness:
+    """The part of one host as a witness of its domain.
+
+    It confirms nothing until it has a memory: it has read the store since it
+    started, or since it was named a witness, or it heard enough witnesses that
+    have one. Otherwise a restart would make it forget a version that it had
+    acknowledged, and with another stale witness it would revive rights to it.
+    """
+
+    def __init__(self, *, host: str, domain: str, incarnation: int) -> None:
+        self.host = host
+        self.domain = domain
+        self.incarnation = incarnation
+        self._read_store = False
+        self._heard: set[str] = set()
+        self._recovered = False
+        self.is_listed = False
+
+    @property
+    def has_memory(self) -> bool:
+        """Whether it may confirm and acknowledge."""
+        return self._read_store or self._recovered
+
+    def note_list(self, witnesses: WitnessList | None) -> None:
+        """Note the witness list in force."""
+        is_listed = witnesses is not None and self.host in witnesses.all()
+        if is_listed and not self.is_listed:
+            # What it knew as an ordinary host may lack versions that the earlier
+            # witnesses acknowledged: only a read from now on counts.
+            self.forget()
+        self.is_listed = is_listed
+
+    def forget(self) -> None:
+        """Confirm nothing until the store is read or others are heard again."""
+        self._read_store = False
+        self._recovered = False
+        self._heard.clear()
+
+    def store_read(self) -> None:
+        """Note that a read of the store which began while listed has ended."""
+        self._read_store = True
+
+    def recovered_from(self, host: str, witnesses: WitnessList) -> None:
+        """Note the answer of a witness with memory, its values being installed."""
+        self._heard.add(host)
+        if witnesses.can_recover_from(self._heard):
+            self._recovered = True
+
+    def answer(self, ask: RightAsk, tables: Tables) -> RightAnswer:
+        """Confirm the versions asked for, or refuse when a newer one is known."""
+        good = self.has_memory and not tables.is_newer_than(ask.versions)
+        return RightAnswer(
+            domain=ask.domain,
+            round=ask.round,
+            good_s=RIGHT_USE_S if good else 0.0,
+        )
--- /dev/null
+++ b/src/gentianwharf/ownership/_route.py
@@ -0,0 +1,130 @@
+"""Where a request for a key goes, on the hot path."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import final
+
+from ._rights import Rights
+from ._table import Entry, EntryState
+from ._tables import Tables
+from ._timing import HOLD_S, RETRY_AFTER_S
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Send:
+    """Send to ``server_id`` as ``shard`` under ``token``.
+
+    ``shard`` is the number of the key's own entry where it has one. The request's
+    deadline may be at most ``deadline_cap_s`` from now: after a loss, a new owner
+    waits for the last deadline that may still be in the old one's buffers.
+    """
+
+    server_id: str
+    shard: int
+    token: int
+    deadline_cap_s: float
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hold:
+    """Keep the request until ``until_s`` of this host's clock, then ask again."""
+
+    until_s: float
+
+
+class RefusalReason(StrEnum):
+    """Why no server may be sent to; the request was not run."""
+
+    NO_TABLE = "no-table"
+    NO_RIGHT = "no-right"
+    MOVING = "moving"
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refuse:
+    """Refuse as not run; the caller may come back after ``retry_after_s``."""
+
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Route = Send | Hold | Refuse
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Block:
+    token: int
+    since_s: float
+
+
+@final
+class Router:
+    """Decides requests from the tables and this host's rights."""
+
+    def __init__(
+        self,
+        *,
+        tables: Tables,
+        rights: Rights,
+        domain_of: Mapping[str, str],
+        deadline_caps_s: Mapping[str, float],
+    ) -> None:
+        self._tables = tables
+        self._rights = rights
+        self._domain_of = domain_of
+        self._deadline_caps_s = deadline_caps_s
+        self._blocks: dict[tuple[str, int], _Block] = {}
+
+    def route(self, service: str, shard: int, key: str | None, now_s: float) -> Route:
+        """Decide one request."""
+        number = self._tables.shard_for(service, shard, key)
+        entry = self._tables.entry(service, number)
+        if entry is None:
+            return Refuse(reason=RefusalReason.NO_TABLE, retry_after_s=RETRY_AFTER_S)
+        if self._blocks or entry.state is not EntryState.OWNED:
+            waiting = self._wait_for_move(service, number, entry, now_s)
+            if waiting is not None:
+                return waiting
+        server = entry.owner
+        # A host that was paused looks at its clock here, after the pause.
+        if now_s >= self._rights.until_s(self._domain_of.get(server, "")):
+            return Refuse(reason=RefusalReason.NO_RIGHT, retry_after_s=RETRY_AFTER_S)
+        return Send(
+            server_id=server,
+            shard=number,
+            token=entry.token,
+            deadline_cap_s=self._deadline_caps_s[service],
+        )
+
+    def _wait_for_move(
+        self, service: str, shard: int, entry: Entry, now_s: float
+    ) -> Hold | Refuse | None:
+        block = self._blocks.get((service, shard))
+        if block is not None and block.token != entry.token:
+            del self._blocks[service, shard]
+            block = None
+        if block is None and entry.state is EntryState.LAPSING:
+            block = self.block(service, shard, entry.token, now_s)
+        if block is None:
+            return None
+        until_s = block.since_s + HOLD_S
+        if now_s < until_s:
+            return Hold(until_s=until_s)
+        if entry.state is EntryState.OWNED:
+            # A server that started cold is granted the same token again: try it.
+            del self._blocks[service, shard]
+            return None
+        return Refuse(reason=RefusalReason.MOVING, retry_after_s=RETRY_AFTER_S)
+
+    def block(self, service: str, shard: int, token: int, now_s: float) -> _Block:
+        """Note that the owner under ``token`` runs nothing more for ``shard``."""
+        block = self._blocks.get((service, shard))
+        if block is None or block.token != token:
+            block = _Block(token=token, since_s=now_s)
+            self._blocks[service, shard] = block
+        return block
--- /dev/null
+++ b/src/gentianwharf/ownership/_system.py
@@ -0,0 +1,303 @@
+"""One owner for each key: the facade that the daemon ticks and asks."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+from twisted.internet.interfaces import IReactorTime
+
+from gentianwharf.errors import GentianwharfError, InputError
+from gentianwharf.platform import BackendControl, KeyValueStore
+from gentianwharf.topology import Domain, Host, Service
+
+from ._announcer import Announcer
+from ._context import Context
+from ._evidence import OwnEvidence, Suspicions
+from ._messages import (
+    Acknowledge,
+    Announce,
+    ControlAlive,
+    Items,
+    Leaving,
+    Message,
+    Probe,
+    Pull,
+    RecoverAnswer,
+    RecoverAsk,
+    RightAnswer,
+    RightAsk,
+    Suspect,
+    Wish,
+)
+from ._move import MoveState
+from ._protocols import Log, PeerLink, SiteOf
+from ._reader import Reader
+from ._renewal import Renewal
+from ._rights import Rights, Witness
+from ._route import Route, Router
+from ._service_control import ServiceControl
+from ._tables import Tables
+from ._witnessing import Witnessing
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Assignment:
+    """Who owns a key, as far as this host knows the store."""
+
+    service: str
+    shard: int
+    owner: str
+    token: int
+    state: str
+    target: str
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnershipState:
+    """What the admin port shows of ownership."""
+
+    has_read_store: bool
+    is_witness: bool
+    has_memory: bool
+    right_left_s: Mapping[str, float]
+    versions: Mapping[str, int]
+    holders: Mapping[str, str | None]
+    controls: tuple[str, ...]
+    moving: int
+
+
+@final
+class OwnershipSystem:
+    """Rights, grants and moves of one host; every host runs one.
+
+    ``clock`` must be monotonic. ``rng`` must be seeded anew at each start, since
+    the witness's incarnation comes from it. ``deadline_caps_s`` gives for each
+    keyed service the longest deadline of a request.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: Host,
+        domains: Sequence[Domain],
+        services: Sequence[Service],
+        clock: IReactorTime,
+        store: KeyValueStore,
+        prefix: str,
+        servers: BackendControl,
+        peers: PeerLink,
+        site_of: SiteOf,
+        deadline_caps_s: Mapping[str, float],
+        rng: Random,
+        log: Log,
+    ) -> None:
+        keyed = {one.name: one for one in services if one.keyed}
+        tables = Tables(shards={name: one.shards for name, one in keyed.items()})
+        witness = Witness(
+            host=host.id, domain=host.domain, incarnation=rng.getrandbits(63)
+        )
+        self._context = context = Context(
+            host=host,
+            domains={one.name: one for one in domains},
+            services=keyed,
+            servers={
+                server.id: server for one in keyed.values() for server in one.servers
+            },
+            clock=clock,
+            store=store,
+            prefix=prefix,
+            control=servers,
+            peers=peers,
+            site_of=site_of,
+            deadline_caps_s=dict(deadline_caps_s),
+            rng=rng,
+            log=log,
+            tables=tables,
+            rights=Rights(),
+            witness=witness,
+            receive=self.received,
+        )
+        self._evidence = OwnEvidence()
+        self._suspicions = Suspicions()
+        self._announcer = Announcer(context=context)
+        self._reader = Reader(context=context)
+        self._witnessing = Witnessing(context=context)
+        self._controls = {
+            name: ServiceControl(
+                context=context,
+                service=service,
+                announcer=self._announcer,
+                suspicions=self._suspicions,
+            )
+            for name, service in keyed.items()
+        }
+        self._renewal = Renewal(
+            context=context,
+            evidence=self._evidence,
+            holder_of=lambda service: self._controls[service].holder,
+        )
+        self._router = Router(
+            tables=tables,
+            rights=context.rights,
+            domain_of={one.id: one.domain for one in context.servers.values()},
+            deadline_caps_s=context.deadline_caps_s,
+        )
+        self._handlers = self._build_handlers()
+        self._is_stopping = False
+
+    def _build_handlers(self) -> dict[type, Callable[..., None]]:
+        witnessing = self._witnessing
+        return {
+            RightAsk: witnessing.asked,
+            RightAnswer: witnessing.answered,
+            Announce: witnessing.announced,
+            RecoverAsk: witnessing.recovery_asked,
+            RecoverAnswer: witnessing.recovery_answered,
+            Acknowledge: self._acknowledged,
+            Items: self._items,
+            Pull: self._pull,
+            ControlAlive: self._control_alive,
+            Probe: self._probe,
+            Suspect: self._suspect,
+            Leaving: self._leaving,
+            Wish: self._wish,
+        }
+
+    def tick(self) -> None:
+        """Run the systems once; call it every ``TICK_S``."""
+        self._reader.tick()
+        self._witnessing.tick(has_read=self._reader.has_read)
+        self._renewal.tick()
+        self._announcer.tick()
+        if not self._is_stopping:
+            for control in self._controls.values():
+                control.tick()
+
+    def received(self, host: str, message: Message) -> None:
+        """Handle a message from a fellow host."""
+        self._handlers[type(message)](host, message)
+
+    def route(self, service: str, shard: int, key: str | None = None) -> Route:
+        """Decide where a request for a keyed service goes now."""
+        return self._router.route(service, shard, key, self._context.now_s)
+
+    def refused_not_owner(self, service: str, shard: int, token: int) -> None:
+        """Note that a server refused a request as not the shard's owner."""
+        self._router.block(service, shard, token, self._context.now_s)
+
+    def answered(self, server: str, *, ok: bool) -> None:
+        """Note that a request to ``server`` was answered, or never was."""
+        if server not in self._context.servers:
+            return
+        if self._evidence.note(server, answered=ok):
+            found = self._context.servers[server]
+            holder = self._controls[found.service].holder
+            self._renewal.probe(found, holder=holder)
+
+    def set_leaving(self, servers: Iterable[str]) -> None:
+        """Take the servers that the platform or an operator says are leaving."""
+        leaving = set(servers)
+        for name, control in self._controls.items():
+            own = {one.id for one in self._context.services[name].servers}
+            control.listed_leaving = leaving & own
+
+    def move(self, service: str, shard: int, server: str) -> None:
+        """Ask the control holder to move a shard to a server."""
+        if service not in self._controls or server not in self._context.servers:
+            raise InputError(
+                f"expected a keyed service and one of its servers, got {service!r}"
+                f" and {server!r}; see `gentianwharf servers list`",
+                step="move shard",
+                peer=server,
+            )
+        holder = self._controls[service].holder or self._context.host.id
+        self._context.send(holder, Wish(service=service, shard=shard, server=server))
+
+    def _acknowledged(self, host: str, message: Acknowledge) -> None:
+        self._announcer.hear(host, message)
+        for control in self._controls.values():
+            control.mover.tick()
+
+    def _items(self, host: str, message: Items) -> None:
+        for item in message.items:
+            self._context.tables.install(item)
+
+    def _pull(self, host: str, message: Pull) -> None:
+        newer = self._context.tables.newer_than(message.versions)
+        if newer:
+            self._context.send(host, Items(items=newer))
+
+    def _control_alive(self, host: str, message: ControlAlive) -> None:
+        control = self._controls.get(message.service)
+        if control is not None:
+            control.heard(host)
+
+    def _probe(self, host: str, message: Probe) -> None:
+        server = self._context.servers.get(message.server)
+        if server is not None:
+            self._renewal.probe(server, holder=message.control)
+
+    def _suspect(self, host: str, message: Suspect) -> None:
+        self._suspicions.hear(host, message.server, self._context.now_s)
+
+    def _leaving(self, host: str, message: Leaving) -> None:
+        server = self._context.servers.get(message.server)
+        if server is not None:
+            self._controls[server.service].said_leaving(server.id)
+
+    def _wish(self, host: str, message: Wish) -> None:
+        control = self._controls.get(message.service)
+        if control is not None and control.lease.is_held:
+            control.wishes[message.shard] = message.server
+
+    def owner(self, service: str, shard: int, key: str | None = None) -> Assignment:
+        """Return who owns a key, as far as this host knows."""
+        tables = self._context.tables
+        number = tables.shard_for(service, shard, key)
+        entry = tables.entry(service, number)
+        return Assignment(
+            service=service,
+            shard=number,
+            owner=entry.owner if entry else "",
+            token=entry.token if entry else 0,
+            state=entry.state.name.lower() if entry else "unknown",
+            target=entry.target if entry else "",
+        )
+
+    def moves(self) -> list[MoveState]:
+        """Return the moves under way that this host controls."""
+        return [
+            state for control in self._controls.values() for state in control.moves()
+        ]
+
+    def state(self) -> OwnershipState:
+        """Return what the admin port shows."""
+        context = self._context
+        now_s = context.now_s
+        return OwnershipState(
+            has_read_store=self._reader.has_read,
+            is_witness=context.witness.is_listed,
+            has_memory=context.witness.has_memory,
+            right_left_s={
+                name: max(context.rights.until_s(name) - now_s, 0.0)
+                for name in context.domains
+            },
+            versions=dict(context.tables.versions),
+            holders={name: one.holder for name, one in self._controls.items()},
+            controls=tuple(
+                name for name, one in self._controls.items() if one.lease.is_held
+            ),
+            moving=sum(len(one.mover.moves) for one in self._controls.values()),
+        )
+
+    async def stop(self) -> None:
+        """Hand the control over; grants and rights go on from other hosts."""
+        self._is_stopping = True
+        for control in self._controls.values():
+            try:
+                await control.lease.drop()
+            except GentianwharfError as error:
+                self._context.log("hand-over-failed", error=str(error))
--- /dev/null
+++ b/src/gentianwharf/ownership/_table.py
@@ -0,0 +1,205 @@
+"""The assignment table of a service: chunks of shards, packed into store values.
+
+An entry is either owned or moving. While it moves, ``holders`` lists every server
+that may still hold the shard: the old owner, and any target that an earlier intent
+named, since a delayed order could make that one an owner. Tokens come from the
+chunk's ``counter``, which is raised with each intent and never falls, so a token
+of a shard never repeats.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from enum import IntEnum
+from typing import final
+
+import msgspec
+
+from gentianwharf.errors import InputError
+
+CHUNK_SHARDS = 4096
+"""Shards in one store value: some 40 kB packed, far below a megabyte."""
+
+MOST_PINS_PER_CHUNK = 1024
+"""Single keys with an entry of their own in a chunk; keeps the value bounded."""
+
+FORMAT = 1
+
+
+class EntryState(IntEnum):
+    """What the store says of a shard."""
+
+    OWNED = 0
+    RELEASING = 1
+    LAPSING = 2
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Entry:
+    """One shard's assignment; ``owner`` is empty before the first one.
+
+    While RELEASING, hosts may go on sending to ``owner`` under ``token``, which
+    refuses once it has released. While LAPSING, they must not.
+    """
+
+    owner: str
+    token: int
+    state: EntryState = EntryState.OWNED
+    target: str = ""
+    next_token: int = 0
+    holders: tuple[str, ...] = ()
+
+    def intend(self, *, target: str, token: int, state: EntryState) -> "Entry":
+        """Return the entry with a new intent; earlier targets become holders.
+
+        >>> owned = Entry(owner="a", token=1)
+        >>> first = owned.intend(target="b", token=2, state=EntryState.RELEASING)
+        >>> first.intend(target="c", token=3, state=EntryState.RELEASING).holders
+        ('a', 'b')
+        """
+        if self.state is EntryState.OWNED:
+            holders: tuple[str, ...] = (self.owner,) if self.owner else ()
+        else:
+            holders = self.holders
+            if self.target and self.target not in holders:
+                holders = (*holders, self.target)
+        return replace(
+            self, state=state, target=target, next_token=token, holders=holders
+        )
+
+    def confirm(self) -> "Entry":
+        """Return the entry once its target has taken the grant.
+
+        >>> Entry(owner="a", token=1, target="b", next_token=2).confirm().owner
+        'b'
+        """
+        return Entry(owner=self.target, token=self.next_token)
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Chunk:
+    """A range of a service's shards; ``entries`` has real and pinned shards.
+
+    ``pins`` gives a single key the number of its own entry, a shard number that
+    lies beyond the service's real ones.
+    """
+
+    service: str
+    number: int
+    counter: int = 0
+    entries: Mapping[int, Entry] = field(default_factory=dict)
+    pins: Mapping[str, int] = field(default_factory=dict)
+
+    def edit(self, changes: Mapping[int, Entry], *, counter: int) -> "Chunk":
+        """Return the chunk with some entries changed."""
+        return replace(self, entries={**self.entries, **changes}, counter=counter)
+
+
+class _PackedMove(msgspec.Struct, array_like=True, frozen=True):
+    shard: int
+    state: int
+    target: int
+    next_token: int
+    holders: list[int]
+
+
+class _PackedChunk(msgspec.Struct, array_like=True, frozen=True):
+    format: int
+    counter: int
+    servers: list[str]
+    shards: list[int]
+    owners: list[int]
+    tokens: list[int]
+    moves: list[_PackedMove]
+    pins: dict[str, int]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_PackedChunk)
+
+
+def pack_chunk(chunk: Chunk) -> bytes:
+    """Pack ``chunk`` into a store value."""
+    numbers: dict[str, int] = {}
+
+    def number(server: str) -> int:
+        return numbers.setdefault(server, len(numbers))
+
+    shards = sorted(chunk.entries)
+    entries = [chunk.entries[shard] for shard in shards]
+    moves = [
+        _PackedMove(
+            shard=shard,
+            state=int(entry.state),
+            target=number(entry.target),
+            next_token=entry.next_token,
+            holders=[number(holder) for holder in entry.holders],
+        )
+        for shard, entry in zip(shards, entries, strict=True)
+        if entry.state is not EntryState.OWNED
+    ]
+    owners = [number(entry.owner) for entry in entries]
+    packed = _PackedChunk(
+        format=FORMAT,
+        counter=chunk.counter,
+        servers=list(numbers),
+        shards=shards,
+        owners=owners,
+        tokens=[entry.token for entry in entries],
+        moves=moves,
+        pins=dict(chunk.pins),
+    )
+    return _encoder.encode(packed)
+
+
+def unpack_chunk(value: bytes, *, service: str, number: int) -> Chunk:
+    """Unpack a store value; raises ``InputError`` when it is not a chunk."""
+    where = f"table/{service}/{number}"
+    try:
+        packed = _decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise InputError(
+            f"expected a packed chunk, got {len(value)} bytes that are none: {error};"
+            " restore the value or upgrade this host",
+            step="unpack table",
+            peer=where,
+        ) from error
+    if packed.format != FORMAT:
+        raise InputError(
+            f"expected chunk format {FORMAT}, got {packed.format}; upgrade this host",
+            step="unpack table",
+            peer=where,
+        )
+    servers = packed.servers
+    entries = {
+        shard: Entry(owner=servers[owner], token=token)
+        for shard, owner, token in zip(
+            packed.shards, packed.owners, packed.tokens, strict=True
+        )
+    }
+    for move in packed.moves:
+        entries[move.shard] = replace(
+            entries[move.shard],
+            state=EntryState(move.state),
+            target=servers[move.target],
+            next_token=move.next_token,
+            holders=tuple(servers[holder] for holder in move.holders),
+        )
+    return Chunk(
+        service=service,
+        number=number,
+        counter=packed.counter,
+        entries=entries,
+        pins=packed.pins,
+    )
+
+
+def first_chunk(service: str, number: int, targets: Mapping[int, str]) -> Chunk:
+    """Return a chunk that intends ``targets`` for shards that nobody holds."""
+    none = Entry(owner="", token=0)
+    entries = {
+        shard: none.intend(target=target, token=1, state=EntryState.LAPSING)
+        for shard, target in targets.items()
+    }
+    return Chunk(service=service, number=number, counter=1, entries=entries)
--- /dev/null
+++ b/src/gentianwharf/ownership/_timing.py
@@ -0,0 +1,70 @@
+"""Times of the ownership protocol, in seconds, with the grounds for each.
+
+One rule ties them together: a right that was asked for at ``t`` is used until
+``t + RIGHT_USE_S`` on the asking host's clock, and who waits for it to end waits
+``RIGHT_WAIT_S`` on its own clock. Clocks that run apart by less than ``DRIFT``
+each can't make the wait the shorter of the two.
+"""
+
+TICK_S = 0.05
+"""How often the systems run; the daemon's tick."""
+
+DRIFT = 0.01
+"""Largest error of a clock's rate that is allowed for.
+
+Quartz is off by up to 1e-4 and time daemons slew by up to 5e-4; a hundredth
+leaves twenty times that, for virtual machines whose clocks are steered harder.
+"""
+
+RIGHT_USE_S = 0.4
+"""How long a host acts on a right, from the moment before it asked."""
+
+RIGHT_WAIT_S = RIGHT_USE_S * (1 + DRIFT) / (1 - DRIFT)
+"""How long to wait until no right given earlier can be alive anywhere."""
+
+RIGHT_ASK_EVERY_S = 0.1
+"""Three rounds may fail in a row before a right ends."""
+
+RENEW_EVERY_S = 0.1
+"""How often grants to a server are renewed: as often as rights are."""
+
+ORDER_TIMEOUT_S = 0.1
+"""After which an order's or a probe's answer counts as missing.
+
+A hundred times the round trip between domains of today (1 ms), and long enough
+for a pause of a collector; longer would be felt in the time until served again.
+"""
+
+ORDER_LIFE_S = 0.25
+"""Age at which an order is void, on the clock of a server that gives stamps."""
+
+STORE_TIMEOUT_S = 1.0
+"""After which a store call counts as lost; it answers in milliseconds."""
+
+LEASE_S = 2.0
+"""Control lease; four renewals may fail in a row."""
+
+LEASE_RENEW_EVERY_S = 0.5
+"""How often the control lease is renewed."""
+
+CONTROL_SILENT_S = 0.6
+"""Silence of the control holder after which a candidate tries to take over."""
+
+SUSPECT_FRESH_S = 1.0
+"""How long a host's suspicion of a server counts."""
+
+HOLD_S = 0.05
+"""How long a request may wait for a shard that is about to be served again."""
+
+RETRY_AFTER_S = 0.5
+"""What a refused caller is told while a shard has no owner to send to."""
+
+WALL_CLOCK_SKEW_S = 0.05
+"""Largest difference of wall clocks allowed for when deadlines are waited out.
+
+Time daemons keep hosts of one site within some milliseconds; a deployment whose
+servers have no time daemon must not rely on deadlines.
+"""
+
+WATCH_S = 20.0
+"""How long one watch call waits; a silent one is replaced after it."""
--- /dev/null
+++ b/src/gentianwharf/ownership/_writer.py
@@ -0,0 +1,175 @@
+"""Writing a service's chunks to the store, one compare-and-swap at a time."""
+
+from collections.abc import Callable, Iterable
+from typing import final
+
+from twisted.internet.defer import Deferred
+
+from gentianwharf.errors import ConflictError, GentianwharfError
+from gentianwharf.platform import ABSENT_REVISION, VersionedValue
+
+from ._context import Context
+from ._lease import ControlLease
+from ._messages import Item
+from ._protocols import answer_within
+from ._table import CHUNK_SHARDS, Chunk, Entry, EntryState, first_chunk, pack_chunk
+from ._tables import chunk_key
+from ._timing import STORE_TIMEOUT_S
+
+
+@final
+class TableWriter:
+    """Gathers wanted changes of a service and writes them, many to one value."""
+
+    def __init__(
+        self, *, context: Context, service: str, shards: int, lease: ControlLease
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._shards = shards
+        self._lease = lease
+        self._confirms: dict[int, Entry] = {}
+        self._intents: dict[int, tuple[str, EntryState]] = {}
+        self._after: list[Callable[[], None]] = []
+        self._unread: set[int] = set()
+        self._busy = False
+
+    def revision(self, number: int) -> int:
+        """Return the newest known revision of a chunk."""
+        key = chunk_key(self._service, number)
+        return self._context.tables.versions.get(key, ABSENT_REVISION)
+
+    def chunk_of(self, shard: int) -> int:
+        """Return the chunk of a shard, also of a pinned key's."""
+        if shard < self._shards:
+            return shard // CHUNK_SHARDS
+        for number, chunk in self._context.tables.chunks(self._service).items():
+            if shard in chunk.entries:
+                return number
+        return 0
+
+    def want(self, confirms: dict[int, Entry], *, after: Callable[[], None]) -> None:
+        """Ask for moves to be confirmed; ``after`` is called when all is written."""
+        self._confirms.update(confirms)
+        self._after = [after]
+        self.kick()
+
+    def intend(self, intents: dict[int, tuple[str, EntryState]]) -> None:
+        """Ask for intents: by shard, the target and how the holders are cleared."""
+        self._intents.update(intents)
+        self.kick()
+
+    def clear(self) -> None:
+        """Forget what was wanted, the lease being gone."""
+        self._confirms.clear()
+        self._intents.clear()
+
+    def kick(self) -> None:
+        """Start writing unless it is under way."""
+        if not self._busy and (self._confirms or self._intents or self._unread):
+            self._busy = True
+            Deferred.fromCoroutine(self._run())
+
+    async def _run(self) -> None:
+        try:
+            while self._lease.is_held and await self._write_next():
+                pass
+        except GentianwharfError as error:
+            self._context.log("table-write-failed", error=str(error))
+        finally:
+            self._busy = False
+        for after in self._after:
+            after()
+
+    async def _write_next(self) -> bool:
+        if self._unread:
+            await self._read_back(min(self._unread))
+            return True
+        wanted = [*self._confirms, *self._intents]
+        if not wanted:
+            return False
+        number = self.chunk_of(wanted[0])
+        chunk = self._context.tables.chunks(self._service).get(number)
+        if chunk is None:
+            self._confirms.clear()
+            self._intents.clear()
+            return False
+        changed = self._edit(chunk)
+        if changed is not None:
+            await self._write(changed)
+        return True
+
+    def _edit(self, chunk: Chunk) -> Chunk | None:
+        changes: dict[int, Entry] = {}
+        counter = chunk.counter
+        for shard in self._of_chunk(self._confirms, chunk.number):
+            entry = self._confirms.pop(shard)
+            moving = chunk.entries.get(shard)
+            if moving is not None and moving.next_token == entry.token:
+                changes[shard] = entry
+        for shard in self._of_chunk(self._intents, chunk.number):
+            target, state = self._intents.pop(shard)
+            entry_now = changes.get(shard) or chunk.entries.get(shard)
+            if entry_now is None:
+                continue
+            counter += 1
+            changes[shard] = entry_now.intend(target=target, token=counter, state=state)
+        return chunk.edit(changes, counter=counter) if changes else None
+
+    def _of_chunk(self, wanted: Iterable[int], number: int) -> list[int]:
+        return [shard for shard in wanted if self.chunk_of(shard) == number]
+
+    async def _write(self, chunk: Chunk) -> None:
+        context = self._context
+        key = chunk_key(self._service, chunk.number)
+        # Until the answer is here the value may be the old or the new one; what the
+        # table says next must come from the store and not from what was meant.
+        self._unread.add(chunk.number)
+        try:
+            written = await answer_within(
+                context.clock,
+                STORE_TIMEOUT_S,
+                context.store.compare_and_swap(
+                    context.prefix + key,
+                    pack_chunk(chunk),
+                    expected_revision=self.revision(chunk.number),
+                ),
+                step="write table",
+                peer=key,
+            )
+        except ConflictError:
+            return
+        self._unread.discard(chunk.number)
+        self._install(written)
+
+    async def _read_back(self, number: int) -> None:
+        context = self._context
+        key = chunk_key(self._service, number)
+        found = await answer_within(
+            context.clock,
+            STORE_TIMEOUT_S,
+            context.store.get(context.prefix + key),
+            step="read table",
+            peer=key,
+        )
+        self._unread.discard(number)
+        if found is not None:
+            self._install(found)
+
+    def _install(self, found: VersionedValue) -> None:
+        item = Item(self._context.relative(found.key), found.revision, found.value)
+        if self._context.tables.install(item):
+            self._context.spread(item)
+
+    async def write_first(self, targets: dict[int, str]) -> None:
+        """Write the chunks of a service that has none yet."""
+        numbers = sorted({shard // CHUNK_SHARDS for shard in targets})
+        for number in numbers:
+            if self.revision(number) != ABSENT_REVISION:
+                continue
+            of_chunk = {
+                shard: target
+                for shard, target in targets.items()
+                if shard // CHUNK_SHARDS == number
+            }
+            await self._write(first_chunk(self._service, number, of_chunk))
--- /dev/null
+++ b/src/gentianwharf/placement/_place.py
@@ -0,0 +1,89 @@
+"""Where shards should stand: targets for shards without a live owner."""
+
+import heapq
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import final
+
+import xxhash
+
+SiteOfShard = Callable[[int], str | None]
+"""The site that the rules want for a shard; None when any will do."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """A backend server that may take shards; ``slots`` is its share of the load."""
+
+    id: str
+    site: str
+    slots: int
+
+
+def rendezvous_rank(name: str, choices: Iterable[str]) -> list[str]:
+    """Return ``choices`` in an order that depends on ``name`` and nothing else.
+
+    Taking one choice away leaves the order of the others as it was.
+
+    >>> rendezvous_rank("ledger", ["h1", "h2", "h3"])
+    ['h1', 'h3', 'h2']
+    """
+
+    def score(choice: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{name}/{choice}".encode())
+
+    return sorted(choices, key=score, reverse=True)
+
+
+def place(
+    shards: Iterable[int],
+    *,
+    loads: Mapping[int, float],
+    busy: Mapping[str, float],
+    candidates: Sequence[Candidate],
+    site_of: SiteOfShard,
+) -> dict[int, str]:
+    """Return a target for each of ``shards``, heaviest first to the least busy.
+
+    ``busy`` is the load that each candidate carries already. A shard whose site
+    has no candidate is left out: it stays without an owner rather than standing
+    where the operators' rules do not want it.
+
+    >>> two = [Candidate(id=name, site="x", slots=1) for name in ("a", "b")]
+    >>> place([1, 2, 3], loads={1: 5.0, 2: 2.0, 3: 2.0}, busy={}, candidates=two,
+    ...       site_of=lambda shard: None) == {1: "a", 2: "b", 3: "b"}
+    True
+    """
+    heaps: dict[str | None, list[tuple[float, int]]] = {}
+    order = sorted(range(len(candidates)), key=lambda index: candidates[index].id)
+    carried = [busy.get(one.id, 0.0) for one in candidates]
+
+    def share(index: int) -> float:
+        return carried[index] / candidates[index].slots
+
+    def heap_of(site: str | None) -> list[tuple[float, int]]:
+        heap = heaps.get(site)
+        if heap is None:
+            heap = [
+                (share(index), index)
+                for index in order
+                if site is None or candidates[index].site == site
+            ]
+            heapq.heapify(heap)
+            heaps[site] = heap
+        return heap
+
+    targets: dict[int, str] = {}
+    heaviest_first = sorted(shards, key=lambda shard: (-loads.get(shard, 1.0), shard))
+    for shard in heaviest_first:
+        heap = heap_of(site_of(shard))
+        while heap and heap[0][0] != share(heap[0][1]):
+            heapq.heapreplace(heap, (share(heap[0][1]), heap[0][1]))
+        if not heap:
+            continue
+        index = heap[0][1]
+        carried[index] += loads.get(shard, 1.0)
+        heapq.heapreplace(heap, (share(index), index))
+        targets[shard] = candidates[index].id
+    return targets
