--- a/src/gentianwharf/ownership/_announce.py
+++ b/src/gentianwharf/ownership/_announce.py
@@ -36,12 +36,14 @@
         self._heard: dict[str, _Heard] = {}
         self._asked_s: dict[int, float] = {}
         self._last_round = 0
+        self._answered_last: set[str] = set()
         self.stands_since_s: float | None = None
         self.outdated = False
 
     def ask(self, number: int, now_s: float) -> None:
         """Note that round ``number`` is asked now."""
         self._last_round = number
+        self._answered_last.clear()
         self._asked_s[number] = now_s
 
     def hear(self, host: str, answer: Acknowledge, now_s: float) -> None:
@@ -54,6 +56,8 @@
             # no witness with the one that gives rights now.
             self.outdated = True
             return
+        if answer.round == self._last_round:
+            self._answered_last.add(host)
         heard = self._heard.get(host)
         if heard is None or heard.incarnation != answer.incarnation:
             heard = _Heard(
@@ -79,12 +83,10 @@
                 self.stands_since_s = since_s
                 return
 
-    def wants_second_round(self, number: int) -> bool:
-        """Whether a majority has answered round ``number``, but not at one instant."""
-        return (
-            self.stands_since_s is None
-            and number == self._last_round
-            and self.witnesses.is_majority(self._heard)
+    def wants_second_round(self) -> bool:
+        """Whether a majority answered the last round, but not yet at one instant."""
+        return self.stands_since_s is None and self.witnesses.is_majority(
+            self._answered_last
         )
 
     def has_lapsed(self, now_s: float) -> bool:
--- a/src/gentianwharf/ownership/_announcer.py
+++ b/src/gentianwharf/ownership/_announcer.py
@@ -109,5 +109,5 @@
         if which is None or known is None:
             return
         known.hear(host, answer, self._context.now_s)
-        if known.wants_second_round(answer.round):
+        if known.wants_second_round():
             self._ask(which)
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -695,6 +695,22 @@
             )
         }
 
+    def traffic(self, duration_s: float, *, step_s: float = 0.01) -> None:
+        """Let hosts send at random and check for one owner at every step."""
+        end_s = self.clock.seconds() + duration_s
+        while self.clock.seconds() < end_s:
+            for host in list(self.hosts):
+                self.request(host, self.rng.randrange(self.shards))
+            self.check_one_owner()
+            self.advance(step_s, step_s / 2)
+        self.check_one_owner()
+
+    def check_one_owner(self) -> None:
+        """Fail when two servers would run a request for one shard now."""
+        for shard in range(self.shards):
+            owners = self.owners(shard)
+            assert len(owners) <= 1, (self.clock.seconds(), shard, owners)
+
     def owner(self, shard: int) -> str:
         """Return the server that the store names as owner of ``shard``."""
         host = next(iter(self.hosts.values()))
