--- a/src/gentianwharf/ownership/_announce.py
+++ b/src/gentianwharf/ownership/_announce.py
@@ -16,6 +16,7 @@
     last_asked_s: float
 
 
+@final
 @final
 class Announcement:
     """The acknowledgements of one domain's witnesses for one version.
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -378,13 +378,13 @@
         found = world.servers[server.id]
 
         def arrive() -> None:
-            if world.is_cut(self._host, server.domain):
+            if world.is_cut(self._host, server.id):
                 return
             result = act(found)
             self._clock.callLater(ONE_WAY_S, reply, result)
 
         def reply(result: Any) -> None:
-            if not world.is_cut(self._host, server.domain) and not answer.called:
+            if not world.is_cut(self._host, server.id) and not answer.called:
                 answer.callback(result)
 
         for delay_s in world.delays(faulty=faulty):
@@ -559,6 +559,8 @@
         self.servers = {
             one.id: FakeServer(self, one, self.rng.uniform(0, 1000)) for one in entities
         }
+        self._domain_of = {one.id: one.domain for one in self.host_entities}
+        self._domain_of |= {one.id: one.domain for one in entities}
         self.hosts: dict[str, FakeHost] = {}
         for entity in self.host_entities:
             self.start_host(entity.id)
@@ -582,11 +584,8 @@
         self.logged.append((self.clock.seconds(), event, fields))
 
     def domain_of(self, place: str) -> str:
-        """Return the domain of a host, or the name itself for a domain."""
-        for one in self.host_entities:
-            if one.id == place:
-                return one.domain
-        return place
+        """Return the domain of a host or server, or the name itself for a domain."""
+        return self._domain_of.get(place, place)
 
     def cut(self, one: str, other: str) -> None:
         """Cut two places off from each other: hosts, domains or the store."""
@@ -648,7 +647,7 @@
             deadline_s=self.clock.seconds() + route.deadline_cap_s,
         )
         server = self.servers[route.server_id]
-        if self.is_cut(host, server.entity.domain):
+        if self.is_cut(host, server.entity.id):
             return False
         server.requests.append(request)
         self.clock.callLater(ONE_WAY_S, server.arrive, lambda: server.run(request))
@@ -658,7 +657,7 @@
         """Record a run; a run under an older token than one before is a fault."""
         newest = self._newest.get(run.shard)
         if newest is not None and run.token < newest.token:
-            raise AssertionError(f"two owners: {newest} and then {run}")
+            raise AssertionError(f"two owners ran: {newest} and then {run}")
         self._newest[run.shard] = run
         self.runs.append(run)
 
@@ -696,7 +695,7 @@
             if isinstance(route := self.hosts[host].system.route(SERVICE, shard), Send)
             and not self.servers[route.server_id].lost
             and not self.servers[route.server_id].frozen
-            and not self.is_cut(host, self.servers[route.server_id].entity.domain)
+            and not self.is_cut(host, route.server_id)
             and self.servers[route.server_id].table.would_run(
                 shard=shard,
                 token=route.token,
@@ -718,7 +717,13 @@
         """Fail when two servers would run a request for one shard now."""
         for shard in range(self.shards):
             owners = self.owners(shard)
-            assert len(owners) <= 1, (self.clock.seconds(), shard, owners)
+            if len(owners) > 1:
+                now_s = self.clock.seconds()
+                raise AssertionError(f"two owners of {shard} at {now_s}: {owners}")
+
+    def has_logged(self, event: str) -> bool:
+        """Whether any host logged ``event``."""
+        return any(one[1] == event for one in self.logged)
 
     def owner(self, shard: int) -> str:
         """Return the server that the store names as owner of ``shard``."""
--- /dev/null
+++ b/tests/test_ownership_guards.py
@@ -0,0 +1,120 @@
+"""Each guard of the protocol, and the fault that shows when it is taken out."""
+
+from collections.abc import Callable
+
+import pytest
+
+from gentianwharf.ownership import _announce, _mover
+from gentianwharf.ownership._rights import Rights
+from tests.builders_ownership import SERVICE, World
+
+Patch = pytest.MonkeyPatch
+
+
+def no_wait_for_rights(patch: Patch) -> None:
+    patch.setattr(_announce, "RIGHT_WAIT_S", 0.0)
+    patch.setattr(_mover, "RIGHT_WAIT_S", 0.0)
+
+
+def no_wait_for_deadlines(patch: Patch) -> None:
+    patch.setattr(_mover, "RIGHT_WAIT_S", -10.0)
+
+
+def any_right_renews_a_cold_server(patch: Patch) -> None:
+    patch.setattr(Rights, "asked_s", lambda rights, domain: float("inf"))
+
+
+def build(**options: object) -> World:
+    world = World(**options)  # type: ignore[arg-type]
+    world.settle()
+    world.advance(0.5)
+    return world
+
+
+def stale_host_still_sends() -> None:
+    """Cut a server off from all hosts but one, and that host from the others.
+
+    That host has heard of no move and keeps sending for as long as its right lasts.
+    The move must not grant the shard before then.
+    """
+    world = build(deadline_cap_s=0.1, knows_validity=False, gives_stamp=False)
+    server = next(one for one in world.servers if "-lac-" in one)
+    stale = "ariana-1"
+    for host in world.hosts:
+        if host != stale:
+            world.cut(host, server)
+    while not world.has_logged("owners-lost"):
+        world.traffic(0.005, step_s=0.005)
+    for host in world.hosts:
+        if host != stale:
+            world.cut(host, stale)
+    world.cut(stale, "store")
+    world.traffic(3.0)
+    assert world.owner(0) != server
+
+
+def frozen_server_thaws_with_full_buffers() -> None:
+    """Freeze a server that knows tokens alone, with requests in its buffers.
+
+    Its shards move; it thaws and runs what it finds, unless the new owner waited
+    until those requests were past their deadlines.
+    """
+    world = build(deadline_cap_s=2.0, knows_validity=False, gives_stamp=False)
+    world.servers[world.owner(0)].frozen = True
+    world.traffic(4.0)
+
+
+def cold_server_is_granted_what_it_released() -> None:
+    """Restart a server just after it released, with no memory of the release.
+
+    A host that was cut off just before has not heard of the move. It finds the
+    server without the shard and grants it anew under the old token.
+    """
+    world = build(knows_validity=False, gives_stamp=False)
+    old = world.owner(0)
+    domain = world.servers[old].entity.domain
+    stale = next(one for one in world.hosts if one.startswith(domain))
+    new = next(one for one in world.servers if domain not in one)
+    for host in world.hosts:
+        if host != stale:
+            world.cut(host, stale)
+    world.cut(stale, "store")
+    controller = next(h for h in world.hosts.values() if h.system.state().controls)
+    controller.system.move(SERVICE, 0, new)
+    server = world.servers[old]
+    while 0 in server.table.held(now_s=server.now_s()):
+        world.traffic(0.002, step_s=0.002)
+    server.cold_start()
+    world.traffic(1.0, step_s=0.002)
+
+
+GUARDS: list[tuple[str, Callable[[], None], Callable[[Patch], None]]] = [
+    ("wait-for-rights", stale_host_still_sends, no_wait_for_rights),
+    (
+        "wait-for-deadlines",
+        frozen_server_thaws_with_full_buffers,
+        no_wait_for_deadlines,
+    ),
+    (
+        "fresh-right-after-cold-start",
+        cold_server_is_granted_what_it_released,
+        any_right_renews_a_cold_server,
+    ),
+]
+
+
+@pytest.mark.parametrize("case", GUARDS, ids=[one[0] for one in GUARDS])
+def test_guard_keeps_one_owner(
+    case: tuple[str, Callable[[], None], Callable[[Patch], None]],
+) -> None:
+    case[1]()
+
+
+@pytest.mark.parametrize("case", GUARDS, ids=[one[0] for one in GUARDS])
+def test_fault_shows_without_the_guard(
+    case: tuple[str, Callable[[], None], Callable[[Patch], None]],
+    monkeypatch: Patch,
+) -> None:
+    case[2](monkeypatch)
+    with pytest.raises(AssertionError, match="two owners"):
+        case[1]()
