Change a domain's witness list one host at a time

Hosts are replaced under other names at any time; with a fixed list the second replacement of three would end every right of the domain. A change goes through a value with both lists, as joint majorities, until the earlier one has heard.

--- a/src/gentianwharf/ownership/_announcer.py
+++ b/src/gentianwharf/ownership/_announcer.py
@@ -11,7 +11,7 @@
 from ._context import Context
 from ._messages import Acknowledge, Announce, Item
 from ._protocols import answer_within
-from ._tables import chunk_key, witness_key
+from ._tables import WitnessList, chunk_key, witness_key
 from ._timing import STORE_TIMEOUT_S
 
 MOST_KEPT = 256
@@ -40,6 +40,20 @@
             Deferred.fromCoroutine(self._open(which))
         return known
 
+    def announce_list(
+        self, *, domain: str, witnesses: WitnessList, revision: int
+    ) -> Announcement:
+        """Return the announcement of a changed witness list to the earlier one."""
+        which = (witness_key(domain), revision, domain)
+        known = self._known.get(which)
+        if known is None or known.outdated:
+            known = Announcement(
+                domain=domain, witnesses=witnesses, witness_revision=revision
+            )
+            self._known[which] = known
+            self._ask(which)
+        return known
+
     async def _open(self, which: tuple[str, int, str]) -> None:
         context = self._context
         key = witness_key(which[2])
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -38,6 +38,7 @@
 from ._route import Route, Router
 from ._service_control import ServiceControl
 from ._tables import Tables
+from ._witness_list import WitnessListKeeper
 from ._witnessing import Witnessing
 
 
@@ -125,6 +126,9 @@
         self._announcer = Announcer(context=context)
         self._reader = Reader(context=context)
         self._witnessing = Witnessing(context=context)
+        self._witness_list = WitnessListKeeper(
+            context=context, announcer=self._announcer
+        )
         self._controls = {
             name: ServiceControl(
                 context=context,
@@ -169,7 +173,8 @@
     def tick(self) -> None:
         """Run the systems once; call it every ``TICK_S``."""
         self._reader.tick()
-        self._witnessing.tick(has_read=self._reader.has_read)
+        self._witnessing.tick()
+        self._witness_list.tick(has_read=self._reader.has_read)
         self._renewal.tick()
         self._announcer.tick()
         if not self._is_stopping:
--- /dev/null
+++ b/src/gentianwharf/ownership/_witness_list.py
@@ -0,0 +1,147 @@
+"""Keeping a domain's witness list up to date while hosts come and go.
+
+The list changes one host at a time, through a value that holds both lists: rights
+and announcements then need a majority of each. Only when a majority of the earlier
+list knows of the change does the earlier list go; from then on whoever announces
+to it alone is told so by at least one of them.
+"""
+
+from collections.abc import Iterable
+from typing import final
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from gentianwharf.errors import GentianwharfError
+from gentianwharf.placement import rendezvous_rank
+from gentianwharf.platform import ABSENT_REVISION
+
+from ._announcer import Announcer
+from ._context import Context
+from ._messages import Item
+from ._protocols import answer_within
+from ._tables import WitnessList, witness_key
+from ._timing import STORE_TIMEOUT_S
+
+MOST_WITNESSES = 5
+"""Two of them may be lost; more would cost messages without need."""
+
+CHECK_EVERY_S = 1.0
+"""How often one host of the domain looks at the list."""
+
+REPLACE_AFTER_S = 10.0
+"""Silence after which a witness is replaced: longer than a restart takes."""
+
+
+def next_list(
+    witnesses: WitnessList, *, listed: Iterable[str], live: Iterable[str]
+) -> WitnessList | None:
+    """Return the list with one host changed, or None when it can stay.
+
+    ``listed`` are the hosts that the platform names, ``live`` those that have not
+    been silent for ``REPLACE_AFTER_S``.
+
+    >>> now = WitnessList(hosts=("a", "b", "c"))
+    >>> next_list(now, listed=["a", "b", "d"], live=["a", "b", "d"]).hosts
+    ('a', 'b', 'd')
+    >>> next_list(now, listed=["a", "b", "c"], live=["a", "b"]) is None
+    True
+    """
+    usable = [one for one in live if one in set(listed)]
+    spare = [one for one in usable if one not in witnesses.hosts]
+    gone = [one for one in witnesses.hosts if one not in usable]
+    hosts = list(witnesses.hosts)
+    if gone and spare:
+        hosts[hosts.index(gone[0])] = spare[0]
+    elif spare and len(hosts) < MOST_WITNESSES:
+        hosts.append(spare[0])
+    else:
+        return None
+    return WitnessList(hosts=tuple(hosts), leaving=witnesses.hosts)
+
+
+@final
+class WitnessListKeeper:
+    """Writes the first list of this host's domain, and later changes."""
+
+    def __init__(self, *, context: Context, announcer: Announcer) -> None:
+        self._context = context
+        self._announcer = announcer
+        self._key = witness_key(context.host.domain)
+        self._due_s = float("-inf")
+        self._heard_s: dict[str, float] = {}
+        self._busy = False
+
+    def tick(self, *, has_read: bool) -> None:
+        """Look at the list, on one host of the domain."""
+        context = self._context
+        now_s = context.now_s
+        if now_s < self._due_s:
+            return
+        self._due_s = now_s + CHECK_EVERY_S
+        domain = context.host.domain
+        for host in context.peers.hosts_of(domain):
+            if context.peers.is_live(host) or host not in self._heard_s:
+                self._heard_s[host] = now_s
+        if has_read and not self._busy and context.is_among("witness list", 1):
+            self._busy = True
+            Deferred.fromCoroutine(self._check())
+
+    async def _check(self) -> None:
+        try:
+            await self._change()
+        except GentianwharfError as error:
+            self._context.log("witnesses-not-written", error=str(error))
+        finally:
+            self._busy = False
+
+    async def _change(self) -> None:
+        context = self._context
+        domain = context.host.domain
+        listed = context.tables.witnesses(domain)
+        hosts = rendezvous_rank(domain, context.peers.hosts_of(domain))
+        if listed is None:
+            await self._write(WitnessList(hosts=tuple(hosts[:MOST_WITNESSES])))
+            return
+        if listed.leaving:
+            await self._end_change(listed)
+            return
+        now_s = context.now_s
+        live = [
+            one
+            for one in hosts
+            if now_s - self._heard_s.get(one, now_s) < REPLACE_AFTER_S
+        ]
+        changed = next_list(listed, listed=hosts, live=live)
+        if changed is not None:
+            await self._write(changed)
+
+    async def _end_change(self, listed: WitnessList) -> None:
+        revision = self._context.tables.versions[self._key]
+        announcement = self._announcer.announce_list(
+            domain=self._context.host.domain,
+            witnesses=WitnessList(hosts=listed.leaving),
+            revision=revision,
+        )
+        if announcement.stands_since_s is not None:
+            await self._write(WitnessList(hosts=listed.hosts))
+
+    async def _write(self, listed: WitnessList) -> None:
+        context = self._context
+        written = await answer_within(
+            context.clock,
+            STORE_TIMEOUT_S,
+            context.store.compare_and_swap(
+                context.prefix + self._key,
+                msgspec.msgpack.encode(listed),
+                expected_revision=context.tables.versions.get(
+                    self._key, ABSENT_REVISION
+                ),
+            ),
+            step="write witnesses",
+            peer=self._key,
+        )
+        item = Item(self._key, written.revision, written.value)
+        if context.tables.install(item):
+            context.log("witnesses-written", hosts=listed.hosts, revision=item.revision)
+            context.spread(item)
--- a/src/gentianwharf/ownership/_witnessing.py
+++ b/src/gentianwharf/ownership/_witnessing.py
@@ -2,18 +2,10 @@
 
 from typing import final
 
-import msgspec
-from twisted.internet.defer import Deferred
-
-from gentianwharf.errors import GentianwharfError
-from gentianwharf.placement import rendezvous_rank
-from gentianwharf.platform import ABSENT_REVISION
-
 from ._context import Context
 from ._messages import (
     Acknowledge,
     Announce,
-    Item,
     Items,
     Pull,
     RecoverAnswer,
@@ -21,19 +13,12 @@
     RightAnswer,
     RightAsk,
 )
-from ._protocols import answer_within
 from ._tables import WitnessList, witness_key
-from ._timing import RIGHT_ASK_EVERY_S, STORE_TIMEOUT_S
-
-MOST_WITNESSES = 5
-"""Two of them may be lost; more would cost messages without need."""
+from ._timing import RIGHT_ASK_EVERY_S
 
 RECOVER_EVERY_S = 0.2
 """How often a witness without memory asks the others, while the store is down."""
 
-CREATE_EVERY_S = 1.0
-"""Pause between tries to write a domain's first witness list."""
-
 
 @final
 class Witnessing:
@@ -43,10 +28,9 @@
         self._context = context
         self._ask_due_s = float("-inf")
         self._recover_due_s = float("-inf")
-        self._create_due_s = float("-inf")
 
-    def tick(self, *, has_read: bool) -> None:
-        """Ask for rights; recover a lost memory; write a first witness list."""
+    def tick(self) -> None:
+        """Ask for rights; recover a lost memory."""
         context = self._context
         now_s = context.now_s
         own = context.tables.witnesses(context.host.domain)
@@ -54,12 +38,8 @@
         if now_s >= self._ask_due_s:
             self._ask_due_s = now_s + RIGHT_ASK_EVERY_S
             self._ask_all(now_s)
-        if own is None:
-            if has_read and now_s >= self._create_due_s:
-                self._create_due_s = now_s + CREATE_EVERY_S
-                if context.is_among("create witnesses", 1):
-                    Deferred.fromCoroutine(self._create())
-        elif not context.witness.has_memory and now_s >= self._recover_due_s:
+        lacks_memory = own is not None and not context.witness.has_memory
+        if own is not None and lacks_memory and now_s >= self._recover_due_s:
             self._recover_due_s = now_s + RECOVER_EVERY_S
             self._recover(own)
 
@@ -96,31 +76,6 @@
             if host != context.host.id:
                 context.peers.send(host, ask)
 
-    async def _create(self) -> None:
-        context = self._context
-        domain = context.host.domain
-        key = witness_key(domain)
-        hosts = rendezvous_rank(domain, context.peers.hosts_of(domain))
-        listed = WitnessList(hosts=tuple(hosts[:MOST_WITNESSES]))
-        try:
-            written = await answer_within(
-                context.clock,
-                STORE_TIMEOUT_S,
-                context.store.compare_and_swap(
-                    context.prefix + key,
-                    msgspec.msgpack.encode(listed),
-                    expected_revision=ABSENT_REVISION,
-                ),
-                step="write witnesses",
-                peer=key,
-            )
-        except GentianwharfError as error:
-            context.log("witnesses-not-written", error=str(error))
-            return
-        item = Item(key, written.revision, written.value)
-        if context.tables.install(item):
-            context.spread(item)
-
     def asked(self, host: str, ask: RightAsk) -> None:
         """Answer a host that asks for a right, and bring it up to date."""
         context = self._context
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -7,7 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, final
 
@@ -572,6 +572,15 @@
         self.hosts[host] = FakeHost(self, entity, Random(self.rng.getrandbits(64)))
         return self.hosts[host]
 
+    def replace_host(self, gone: str, new: str) -> None:
+        """Replace a host by one with another name, in the host list too."""
+        self.stop_host(gone)
+        index = next(i for i, one in enumerate(self.host_entities) if one.id == gone)
+        entity = replace(self.host_entities[index], id=new)
+        self.host_entities[index] = entity
+        self._domain_of[new] = entity.domain
+        self.start_host(new)
+
     def stop_host(self, host: str) -> None:
         """End a host at once."""
         found = self.hosts.pop(host, None)
--- a/tests/test_ownership_system.py
+++ b/tests/test_ownership_system.py
@@ -222,3 +222,18 @@
         assert {world.owner(shard).split("-")[1] == "lac" for shard in range(6)} == {
             site == "ancien"
         }
+
+
+def test_every_witness_is_replaced_one_after_another() -> None:
+    """All hosts of a domain are replaced by ones with other names in some minutes.
+
+    Were the witness list to stay, the second replacement would end every right.
+    """
+    world = build()
+    for number in (1, 2, 3):
+        world.replace_host(f"lac-{number}", f"lac-{number + 3}")
+        world.advance(0.5)
+        for _ in range(10):
+            world.traffic(1.0)
+            assert len(world.served("ariana-1")) == 12
+    assert world.has_logged("witnesses-written")
