Serve a request from end to end, with bodies streamed both ways

Cause: twisted.web gathers a whole body before a resource sees the request. Ruled out: treq for the data path, since it decodes bodies and keeps cookies; Twisted's HTTP11ClientProtocol, which treq itself stands on, is used instead.

--- /dev/null
+++ b/src/gentianwharf/relay/_answer.py
@@ -0,0 +1,115 @@
+"""A server's answer on its way to the caller."""
+
+from typing import Any, cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol, Response
+from twisted.web.client import ResponseDone
+from twisted.web.iweb import UNKNOWN_LENGTH
+
+from gentianwharf.errors import PeerMismatchError
+
+from ._caller import CallerRequest
+from ._headers import REQUEST_ID, answered_with
+
+# A caller or server that moves no byte for this long is taken for gone: browsers
+# give up on a stalled page far earlier, and each stalled answer holds a slot.
+MOST_STALL_S = 30.0
+
+
+class AnswerBody(Protocol):
+    """Hands an answer's body on, with the caller's pace kept to the server.
+
+    ``done`` fires with True once the whole body was handed on, and with False when
+    the server broke off: the caller's connection is then broken as well, for a
+    short answer must never look whole.
+    """
+
+    def __init__(self, *, request: CallerRequest, clock: IReactorTime) -> None:
+        self.done: Deferred[bool] = Deferred(lambda _: self.abort())
+        self._request = request
+        self._clock = clock
+        self._stall = clock.callLater(MOST_STALL_S, self._stalled)
+        self._finished = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Let the caller's transport pause and resume the server's."""
+        self._request.registerProducer(self.transport, True)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Hand a piece on."""
+        if self._finished:
+            return
+        self._stall.reset(MOST_STALL_S)
+        self._request.write(data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """End the answer, or break it."""
+        whole = reason is not None and cast(Failure, reason).check(ResponseDone)
+        self._end(whole=bool(whole))
+
+    def abort(self) -> None:
+        """Break the answer: the caller is gone or the daemon must stop."""
+        self._end(whole=False)
+
+    def _stalled(self) -> None:
+        self._end(whole=False)
+
+    def _end(self, *, whole: bool) -> None:
+        if self._finished:
+            return
+        self._finished = True
+        if self._stall.active():
+            self._stall.cancel()
+        if not self._request._disconnected:
+            self._request.unregisterProducer()
+            if not whole:
+                self._request.abort()
+        if not self.done.called:
+            self.done.callback(whole)
+
+
+def check_request_id(response: Response, request_id: str, *, peer: str) -> None:
+    """Raise ``PeerMismatchError`` if the answer names another request.
+
+    An answer that arrives crossed would hand one caller's data to another.
+    """
+    echoed = response.headers.getRawHeaders(REQUEST_ID)
+    if echoed and echoed != [request_id.encode()]:
+        raise PeerMismatchError(
+            f"expected the answer to request {request_id}, got"
+            f" {b', '.join(echoed).decode('latin-1')}",
+            step="match-answer",
+            peer=peer,
+        )
+
+
+def has_provable_end(connection: HTTP11ClientProtocol, response: Response) -> bool:
+    """Say whether the end of the answer's body can be told from a break.
+
+    A body that ends with the connection looks whole wherever it is cut.
+    """
+    if response.length is not UNKNOWN_LENGTH:
+        return True
+    parser = connection._parser
+    if parser is None:
+        # Parsed to its end already, so it had one.
+        return True
+    return bool(parser.connHeaders.hasHeader(b"transfer-encoding"))
+
+
+def write_head(request: CallerRequest, response: Response, *, request_id: str) -> None:
+    """Write the answer's status and headers to the caller."""
+    request.setResponseCode(response.code, response.phrase)
+    for name, values in answered_with(response.headers):
+        request.responseHeaders.setRawHeaders(name, values)
+    request.setHeader(REQUEST_ID, request_id.encode())
+    if response.length is not UNKNOWN_LENGTH and not _has_no_body(request, response):
+        request.setHeader(b"Content-Length", str(response.length).encode())
+
+
+def _has_no_body(request: CallerRequest, response: Response) -> bool:
+    return bool(request.method == b"HEAD" or response.code in (204, 304))
--- /dev/null
+++ b/src/gentianwharf/relay/_app.py
@@ -0,0 +1,127 @@
+"""The callers' application: a catch-all route that begins an exchange."""
+
+from random import Random
+from typing import Any, cast
+
+from klein import Klein
+from klein._resource import StandInResource
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web.iweb import IRequest
+
+from gentianwharf.rules import RuleMatch
+
+from ._caller import CallerRequest
+from ._connections import ServerConnections
+from ._exchange import Exchange
+from ._headers import facts_of
+from ._ports import Admission, Observer, Ownership, Rules, Ticket
+from ._problem import Problem, Run, write_problem
+
+DEFAULT_DEADLINE_MS = 10_000
+REQUEST_ID_BITS = 96
+
+
+class RelayApp:
+    """Serves callers by the rules in force.
+
+    ``rules`` may be replaced at any time; each request keeps the rules that it
+    began with.
+    """
+
+    def __init__(
+        self,
+        *,
+        rules: Rules,
+        ownership: Ownership,
+        admission: Admission,
+        connections: dict[str, ServerConnections],
+        observer: Observer,
+        deadlines_ms: dict[str, int],
+        keyed: frozenset[str],
+        reactor: Any,
+        rng: Random,
+    ) -> None:
+        self.rules = rules
+        self.in_flight: set[Exchange] = set()
+        self.stopping = False
+        self._ownership = ownership
+        self._admission = admission
+        self._connections = connections
+        self._observer = observer
+        self._deadlines_ms = deadlines_ms
+        self._keyed = keyed
+        self._reactor = reactor
+        self._rng = rng
+        self.klein = Klein()
+        # Paths belong to the servers: a doubled slash is not ours to redirect.
+        self.klein.url_map.merge_slashes = False
+        self.klein.route("/", branch=True)(self._serve)
+
+    def _serve(self, request: IRequest) -> Any:
+        caller_request = cast(CallerRequest, request)
+        request_id = f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
+        try:
+            exchange = self._begin(caller_request, request_id)
+        except Problem as problem:
+            write_problem(caller_request, problem, request_id=request_id)
+            return StandInResource
+        self.in_flight.add(exchange)
+        done = Deferred.fromCoroutine(exchange.serve())
+        return done.addBoth(self._ended, exchange)
+
+    def _ended(self, result: Any, exchange: Exchange) -> Any:
+        self.in_flight.discard(exchange)
+        # The exchange has finished or broken the answer itself: klein must not
+        # finish it once more, which would make a cut answer look whole.
+        return result if isinstance(result, Failure) else StandInResource
+
+    def _begin(self, request: CallerRequest, request_id: str) -> Exchange:
+        hosts = request.requestHeaders.getRawHeaders(b"host")
+        if not hosts or len(hosts) != 1:
+            raise _bad_request("expected exactly one Host header")
+        facts = facts_of(request.method, request.uri, request.requestHeaders)
+        match = self.rules.match(facts)
+        if match is None:
+            raise Problem(
+                status=404,
+                title="no rule matches",
+                run=Run.NOT_RUN,
+                detail="Ask the operators, or use: gentianwharf rules explain",
+            )
+        if match.service in self._keyed and match.key is None:
+            raise _bad_request(
+                f"service {match.service} is divided by key, and the request has none:"
+                " send Gentianwharf-Key or what the rule names"
+            )
+        return Exchange(
+            request=request,
+            match=match,
+            ticket=self._ticket(request, match, request_id),
+            ownership=self._ownership,
+            admission=self._admission,
+            connections=self._connections,
+            observer=self._observer,
+            reactor=self._reactor,
+        )
+
+    def _ticket(
+        self, request: CallerRequest, match: RuleMatch, request_id: str
+    ) -> Ticket:
+        deadline_ms = match.rule.then.deadline_ms or self._deadlines_ms.get(
+            match.request_class, DEFAULT_DEADLINE_MS
+        )
+        return Ticket(
+            request_id=request_id,
+            service=match.service,
+            request_class=match.request_class,
+            caller=str(request.getClientAddress().host),
+            key=match.key,
+            shard=match.shard,
+            deadline_s=self._reactor.seconds() + deadline_ms / 1000,
+            repeatable=match.repeatable,
+        )
+
+
+def _bad_request(detail: str) -> Problem:
+    return Problem(status=400, title="bad request", run=Run.NOT_RUN, detail=detail)
--- /dev/null
+++ b/src/gentianwharf/relay/_connections.py
@@ -0,0 +1,184 @@
+"""Kept connections to one backend server.
+
+A connection carries one request at a time and is kept only after a whole answer.
+One that timed out, was cancelled or holds an unfinished answer is aborted, so that
+a late answer can never be taken for the answer to another request.
+"""
+
+from collections import deque
+from typing import Any, cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectError
+from twisted.internet.interfaces import IReactorTime, ITCPTransport
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol, Response
+from twisted.web._newclient import Request as ServerRequest
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.topology import BackendServer
+
+__all__ = ["ServerConnection", "ServerConnections"]
+
+# Loopback and rack round trips take well under a millisecond and opening 1 ms; a
+# SYN that is lost is repeated after 1 s, so anything longer waits for a dead host.
+CONNECT_TIMEOUT_S = 0.5
+# Firewalls and balancers commonly forget idle connections after a minute or more; a
+# connection unused for longer than this is closed instead of trusted.
+MOST_IDLE_S = 15.0
+
+
+class ServerConnection(HTTP11ClientProtocol):
+    """One connection to a backend server."""
+
+    def __init__(self, *, pool: "ServerConnections") -> None:
+        super().__init__(pool.put_back)
+        self.pool = pool
+        self.idle_since_s = 0.0
+        self.requests = 0
+        self.retired = False
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Forget the connection, wherever it was."""
+        self.pool.forget(self)
+        super().connectionLost(reason)
+
+    def exchange(
+        self, *, method: bytes, uri: bytes, headers: Headers, body: IBodyProducer | None
+    ) -> Deferred[Response]:
+        """Send a request; fires with the answer once its head is here.
+
+        A server may answer before it has read the whole body; Twisted's client
+        reports such an answer only after the upload, which the server may never
+        read. So the answer is taken from the parser as soon as it has its head.
+        """
+        self.requests += 1
+        request = ServerRequest._construct(method, uri, headers, body, True)
+        answered: Deferred[Response] = Deferred(lambda _: self.abort_now())
+        sent = cast("Deferred[Response]", self.request(request))
+        early = getattr(self, "_responseDeferred", None)
+        if early is not None:
+            early.addCallback(_tee, answered)
+        sent.addCallbacks(
+            lambda response: _fire(answered, response),
+            lambda failure: _fail(answered, failure),
+        )
+        return answered
+
+    def abort_now(self) -> None:
+        """Close at once; whatever answer is still to come is never read."""
+        self.retired = True
+        if self.transport is not None:
+            cast(ITCPTransport, self.transport).abortConnection()
+
+
+def _tee(response: Response, answered: "Deferred[Response]") -> Response:
+    _fire(answered, response)
+    return response
+
+
+def _fire(answered: "Deferred[Response]", response: Response) -> None:
+    if not answered.called:
+        answered.callback(response)
+
+
+def _fail(answered: "Deferred[Response]", failure: Any) -> None:
+    if not answered.called:
+        answered.errback(failure)
+
+
+class ServerConnections:
+    """The connections of this daemon to one backend server."""
+
+    def __init__(self, *, server: BackendServer, reactor: Any, most: int) -> None:
+        self.server = server
+        self.most = most
+        self.opened = 0
+        self._reactor = reactor
+        self._clock: IReactorTime = reactor
+        self._idle: deque[ServerConnection] = deque()
+        self._all: set[ServerConnection] = set()
+        self._connecting = 0
+
+    def __len__(self) -> int:
+        return len(self._all) + self._connecting
+
+    async def acquire(self, *, fresh: bool = False) -> ServerConnection:
+        """Return a connection nobody else uses; ``fresh`` asks for a new one.
+
+        Raises ``PeerUnavailableError``: no byte of any request was sent.
+        """
+        if not fresh:
+            kept = self._take_idle()
+            if kept is not None:
+                return kept
+        if len(self) >= self.most:
+            raise self._unavailable(f"all {self.most} connections are in use")
+        return await self._connect()
+
+    def _take_idle(self) -> ServerConnection | None:
+        oldest_s = self._clock.seconds() - MOST_IDLE_S
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.idle_since_s >= oldest_s:
+                return connection
+            connection.abort_now()
+        return None
+
+    async def _connect(self) -> ServerConnection:
+        host, _, port = self.server.address.rpartition(":")
+        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        endpoint = kind(
+            self._reactor, host.strip("[]"), int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        factory = Factory.forProtocol(lambda: ServerConnection(pool=self))
+        factory.noisy = False
+        self._connecting += 1
+        try:
+            connection = cast(ServerConnection, await endpoint.connect(factory))
+        except (ConnectError, OSError) as error:
+            raise self._unavailable(f"can't connect: {error}") from error
+        finally:
+            self._connecting -= 1
+        self.opened += 1
+        self._all.add(connection)
+        return connection
+
+    def _unavailable(self, message: str) -> PeerUnavailableError:
+        return PeerUnavailableError(message, step="connect", peer=self.server.address)
+
+    def put_back(self, connection: ServerConnection) -> None:
+        """Keep a connection whose answer has come whole."""
+        if connection.retired:
+            connection.abort_now()
+            return
+        connection.idle_since_s = self._clock.seconds()
+        self._idle.append(connection)
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Drop a connection that is closed."""
+        self._all.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def renew(self) -> None:
+        """Close idle connections now and the others after their answers.
+
+        For when one was found silent for good: what lost track of it, a firewall
+        that restarted for instance, has likely lost track of the others as well.
+        """
+        for connection in self._all:
+            connection.retired = True
+        while self._idle:
+            self._idle.popleft().abort_now()
+
+    def close(self) -> None:
+        """Close everything."""
+        for connection in list(self._all):
+            connection.abort_now()
--- /dev/null
+++ b/src/gentianwharf/relay/_headers.py
@@ -0,0 +1,95 @@
+"""Which headers pass between caller and backend server."""
+
+from collections.abc import Sequence
+
+from twisted.web.http_headers import Headers
+
+from gentianwharf.rules import RequestFacts
+
+# RFC 9110, section 7.6.1: these speak of one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# A caller must not be able to pose as the router towards a backend server.
+OWN_PREFIX = b"gentianwharf-"
+KEY_HEADER = b"gentianwharf-key"
+
+REQUEST_ID = b"Gentianwharf-Request-Id"
+SERVICE = b"Gentianwharf-Service"
+SHARD = b"Gentianwharf-Shard"
+TOKEN = b"Gentianwharf-Token"
+KEY = b"Gentianwharf-Key"
+DEADLINE = b"Gentianwharf-Deadline-Unix-Ms"
+RUN = b"Gentianwharf-Run"
+
+
+def passed_on(headers: Headers) -> Headers:
+    """Return the end-to-end headers of a caller's request.
+
+    >>> kept = passed_on(Headers({b"Connection": [b"x-mine"], b"X-Mine": [b"1"],
+    ...                           b"Traceparent": [b"00-1"], b"Te": [b"trailers"]}))
+    >>> sorted(name for name, _ in kept.getAllRawHeaders())
+    [b'Traceparent']
+    """
+    dropped = _named_by_connection(headers)
+    kept = Headers()
+    for name, values in headers.getAllRawHeaders():
+        lower = name.lower()
+        if lower in HOP_BY_HOP or lower in dropped or lower.startswith(OWN_PREFIX):
+            continue
+        if lower == b"content-length":
+            # Written anew from the body's length.
+            continue
+        kept.setRawHeaders(name, values)
+    return kept
+
+
+def answered_with(headers: Headers) -> list[tuple[bytes, Sequence[bytes]]]:
+    """Return the end-to-end headers of a server's answer."""
+    dropped = _named_by_connection(headers)
+    return [
+        (name, values)
+        for name, values in headers.getAllRawHeaders()
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in dropped
+        and not name.lower().startswith(OWN_PREFIX)
+    ]
+
+
+def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+    values = headers.getRawHeaders(b"connection")
+    if not values:
+        return frozenset()
+    return frozenset(
+        token.strip().lower() for value in values for token in value.split(b",")
+    )
+
+
+def facts_of(method: bytes, uri: bytes, headers: Headers) -> RequestFacts:
+    """Return what rules may look at."""
+    path, _, query = uri.partition(b"?")
+    return RequestFacts(
+        method=method.decode("latin-1"),
+        host=_first(headers, b"host").partition(":")[0].lower(),
+        path=path.decode("latin-1"),
+        query=query.decode("latin-1"),
+        headers={
+            name.lower().decode("latin-1"): values[0].decode("latin-1")
+            for name, values in headers.getAllRawHeaders()
+        },
+    )
+
+
+def _first(headers: Headers, name: bytes) -> str:
+    values = headers.getRawHeaders(name)
+    return values[0].decode("latin-1") if values else ""
--- /dev/null
+++ b/src/gentianwharf/relay/_ports.py
@@ -0,0 +1,108 @@
+"""What the relay asks of the parts that decide."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol, final
+
+from gentianwharf.rules import RequestFacts, RuleMatch
+from gentianwharf.topology import BackendServer
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ticket:
+    """A request as the deciding parts see it; ``deadline_s`` is on the loop's clock."""
+
+    request_id: str
+    service: str
+    request_class: str
+    caller: str
+    key: str | None
+    shard: int | None
+    deadline_s: float
+    repeatable: bool
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Owner:
+    """The server that owns a shard, under which token, and until when to send.
+
+    ``deadline_s`` caps the request's own deadline: a server that freezes with the
+    request in its buffers must find it lapsed once the shard may be somebody else's.
+    """
+
+    server: BackendServer
+    token: int
+    deadline_s: float
+
+
+class Outcome(StrEnum):
+    """How an attempt at a server ended."""
+
+    ANSWERED = "answered"
+    NOT_OWNER = "not-owner"
+    SHED = "shed"
+    CONNECT_FAILED = "connect-failed"
+    LOST = "lost"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+
+
+class Rules(Protocol):
+    """The rules in force."""
+
+    def match(self, facts: RequestFacts) -> RuleMatch | None:
+        """Return what the first matching rule says."""
+
+
+class Ownership(Protocol):
+    """Who owns which shard; both calls raise ``Problem`` when nobody may serve."""
+
+    async def owner(self, ticket: Ticket) -> Owner:
+        """Return the owner of the ticket's shard, waiting a bounded time for one."""
+
+    def not_owner(self, ticket: Ticket, owner: Owner) -> None:
+        """Note that a server refused the shard under this token."""
+
+
+class Admission(Protocol):
+    """Who is served now, by which server."""
+
+    async def admit(self, ticket: Ticket, owner: BackendServer | None) -> BackendServer:
+        """Return the server to send to, after waiting if need be.
+
+        ``owner`` is set for a keyed service. Raises ``Problem`` when refused.
+        """
+
+    def finished(
+        self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
+    ) -> None:
+        """Note how the attempt ended, so that others can go."""
+
+    def may_retry(self, ticket: Ticket) -> bool:
+        """Say whether the retry budget of the ticket's service allows one more."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answered:
+    """What a caller received, for metrics and the decisions' record."""
+
+    ticket: Ticket
+    rule: int
+    server: str
+    status: int
+    run: str
+    waited_s: float
+    elapsed_s: float
+    reason: str
+    step: str
+    peer: str
+
+
+class Observer(Protocol):
+    """Told of every answer."""
+
+    def answered(self, answered: Answered) -> None:
+        """Record an answer."""
--- /dev/null
+++ b/src/gentianwharf/relay/_problem.py
@@ -0,0 +1,62 @@
+"""Refusals and failures as ``application/problem+json`` (RFC 9457)."""
+
+import json
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import final
+
+from twisted.web.server import Request
+
+
+class Run(StrEnum):
+    """What is known of whether a request ran.
+
+    ``NOT_RUN`` is said only when no byte was handed to a server, or when the server
+    itself said so; ``UNKNOWN`` whenever a byte may have reached one.
+    """
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RUN = "run"
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Problem(Exception):  # noqa: N818
+    """A request that got no answer from a server, and what its caller is told."""
+
+    status: int
+    title: str
+    run: Run
+    detail: str = ""
+    retry_after_s: float | None = None
+    step: str = ""
+    peer: str = ""
+
+
+def write_problem(request: Request, problem: Problem, *, request_id: str) -> None:
+    """Answer ``request`` with ``problem`` and finish it."""
+    body = json.dumps(_document(problem, request_id)).encode()
+    request.setResponseCode(problem.status)
+    request.setHeader(b"Content-Type", b"application/problem+json")
+    request.setHeader(b"Content-Length", str(len(body)).encode())
+    request.setHeader(b"Gentianwharf-Request-Id", request_id.encode())
+    if problem.retry_after_s is not None:
+        seconds = max(1, math.ceil(problem.retry_after_s))
+        request.setHeader(b"Retry-After", str(seconds).encode())
+    request.write(body)
+    request.finish()
+
+
+def _document(problem: Problem, request_id: str) -> dict[str, object]:
+    document: dict[str, object] = {
+        "title": problem.title,
+        "status": problem.status,
+        "detail": problem.detail,
+        "run": str(problem.run),
+        "request_id": request_id,
+    }
+    if problem.retry_after_s is not None:
+        document["retry_after_s"] = round(problem.retry_after_s, 3)
+    return document
