--- a/src/gentianwharf/load/__init__.py
+++ b/src/gentianwharf/load/__init__.py
@@ -1,1 +1,42 @@
-"""Decisions under load; nothing here knows of a network."""
+"""Decisions under load; nothing here knows of a network.
+
+``Gate`` decides whom to serve, who waits, who is refused and where work goes;
+``IdempotencyMemory`` joins repeated requests. See ``docs/design/load.md``.
+"""
+
+from ._gate import Gate
+from ._requests import (
+    PROVES_NOT_RUN,
+    Decision,
+    Discipline,
+    Outcome,
+    OutcomeKind,
+    Refuse,
+    RefuseReason,
+    RequestClass,
+    Start,
+    Ticket,
+    Wait,
+)
+from ._server_state import Standing
+from ._snapshot import ClassSnapshot, GateSnapshot, PoolSnapshot, ServerSnapshot
+
+__all__ = [
+    "PROVES_NOT_RUN",
+    "ClassSnapshot",
+    "Decision",
+    "Discipline",
+    "Gate",
+    "GateSnapshot",
+    "Outcome",
+    "OutcomeKind",
+    "PoolSnapshot",
+    "Refuse",
+    "RefuseReason",
+    "RequestClass",
+    "ServerSnapshot",
+    "Standing",
+    "Start",
+    "Ticket",
+    "Wait",
+]
--- /dev/null
+++ b/src/gentianwharf/load/_choose.py
@@ -0,0 +1,55 @@
+"""Which server a request goes to when any of its service could run it.
+
+Load pattern: ten to twelve hosts send to the same few servers and none sees what the
+others have in flight. Sending in turn ignores slow servers and long jobs; always
+sending to the one that looks best makes all hosts choose the same.
+
+The least expected delay by this daemon's own counts and timings decides; ties go to
+the own failure domain and then to a random one.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from ._server_state import USUAL_RATIO, ServerState
+
+# A tie between nearly equal servers must not send all hosts to the same one, and in a
+# large service a look at all servers would cost too much: this many are compared.
+MOST_COMPARED = 16
+# A server of another domain is 1 ms farther, of some 10 ms; half a request in flight.
+FAR_COST = 0.5
+
+
+def cost_of(state: ServerState, now_s: float) -> float:
+    """Return the expected delay, in units of one usual answer."""
+    cost = (len(state.flights) + 1.0) * max(1.0, state.ratio / USUAL_RATIO)
+    if state.ramp_from_s is not None:
+        cost /= state.share(now_s)
+    return cost if state.local else cost + FAR_COST
+
+
+def choose_server(
+    states: Sequence[ServerState],
+    *,
+    now_s: float,
+    rng: Random,
+    avoid: str | None = None,
+) -> ServerState | None:
+    """Return the best server that has room, or None.
+
+    ``avoid`` is a server that has just failed this request.
+    """
+    total = len(states)
+    if not total:
+        return None
+    first = int(rng.random() * total)
+    best: ServerState | None = None
+    best_cost = 0.0
+    for step in range(min(total, MOST_COMPARED)):
+        state = states[(first + step) % total]
+        if not state.has_room(now_s) or state.server.id == avoid:
+            continue
+        cost = cost_of(state, now_s)
+        if best is None or cost < best_cost:
+            best, best_cost = state, cost
+    return best
--- /dev/null
+++ b/src/gentianwharf/load/_comeback.py
@@ -0,0 +1,54 @@
+"""When refused callers are asked to come back.
+
+Load pattern: 10 s of five times the load, whose refused callers all come back. If all
+are told the same time they return together and make the next burst; if the time is
+too short the servers stay full of returning callers and never get back to normal.
+
+Every refusal books work for later. The answer is the time in which the service, at
+the rate that it finishes requests now, gets through what is booked, with a spread.
+"""
+
+from random import Random
+from typing import final
+
+# Below one second the header Retry-After can't say it.
+LEAST_RETRY_AFTER_S = 1.0
+# Callers are people and small programs: later than this they come anyway.
+MOST_RETRY_AFTER_S = 30.0
+# Returning callers get this share of the service, new ones the rest.
+SHARE_FOR_RETURNING = 0.5
+SPREAD_LOW, SPREAD_HIGH = 0.7, 1.6
+
+
+@final
+class ComebackBook:
+    """A leaky bucket of refused requests that drains at the service's own rate.
+
+    >>> book = ComebackBook(rng=Random(1))
+    >>> first = book.retry_after_s(backlog=0, rate_per_s=100.0, now_s=0.0)
+    >>> for _ in range(500):
+    ...     later = book.retry_after_s(backlog=0, rate_per_s=100.0, now_s=0.0)
+    >>> first < 2.0 < 7.0 < later
+    True
+    """
+
+    __slots__ = ("_booked", "_drained_s", "_rng")
+
+    def __init__(self, *, rng: Random) -> None:
+        self._rng = rng
+        self._booked = 0.0
+        self._drained_s = 0.0
+
+    def retry_after_s(self, *, backlog: int, rate_per_s: float, now_s: float) -> float:
+        """Book one refused request and return when it should come back.
+
+        ``backlog`` is what waits at the router, ``rate_per_s`` what is finished.
+        """
+        rate = max(rate_per_s * SHARE_FOR_RETURNING, 1.0)
+        gone = max(0.0, now_s - self._drained_s) * rate
+        self._drained_s = now_s
+        most = MOST_RETRY_AFTER_S * rate
+        self._booked = min(most, max(0.0, self._booked - gone) + 1.0)
+        wait_s = (self._booked + backlog) / rate
+        wait_s = min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
+        return wait_s * self._rng.uniform(SPREAD_LOW, SPREAD_HIGH)
--- /dev/null
+++ b/src/gentianwharf/load/_fair_queue.py
@@ -0,0 +1,164 @@
+"""Waiting requests of one class, served in fair rounds over callers and keys.
+
+Load pattern: one caller sends 20 times what the others send, or one key draws half
+of a service's load. First come, first served gives such a flow nearly every turn, and
+everybody else waits behind it or is refused.
+
+Each request is put into a round: one more than the last round in which its caller
+and its key already have a request (start-time fair queueing with unit cost, Goyal
+et al., SIGCOMM 1996, over two flows at once). Rounds are served in order. A flow alone
+is served as fast as there is room; as soon as others come, their first requests are
+in the current round and go before its tenth. When the queue is full, the request in
+the latest round makes way, so the busiest flow pays and nobody else.
+"""
+
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+from itertools import count
+from typing import final
+
+from ._requests import Discipline, Ticket
+
+# Flows behind the current round count as new ones: forgetting them is safe. The
+# table is swept when it outgrows the queue by this much.
+FLOW_TABLE_SLACK = 256
+
+Flow = tuple[str, str]
+Entry = tuple[int, float, int, Ticket]
+
+
+def _order_oldest(ticket: Ticket, sequence: int) -> float:
+    return sequence
+
+
+def _order_newest(ticket: Ticket, sequence: int) -> float:
+    return -sequence
+
+
+def _order_deadline(ticket: Ticket, sequence: int) -> float:
+    return ticket.deadline_s
+
+
+_ORDERS: dict[Discipline, Callable[[Ticket, int], float]] = {
+    Discipline.OLDEST_FIRST: _order_oldest,
+    Discipline.NEWEST_FIRST: _order_newest,
+    Discipline.EARLIEST_DEADLINE: _order_deadline,
+}
+
+
+@final
+class FairQueue:
+    """A priority queue by round, then by the class's discipline.
+
+    >>> queue = FairQueue(discipline=Discipline.OLDEST_FIRST)
+    >>> def ask(id, caller):
+    ...     return Ticket(id=id, service="ledger", request_class="posting",
+    ...                   caller=caller, deadline_s=5.0)
+    >>> for id, caller in [("1", "hot"), ("2", "hot"), ("3", "hot"), ("4", "other")]:
+    ...     queue.push(ask(id, caller))
+    >>> [queue.pop().id for _ in range(4)]
+    ['1', '4', '2', '3']
+    """
+
+    def __init__(self, *, discipline: Discipline) -> None:
+        self._order = _ORDERS[discipline]
+        self._heap: list[Entry] = []
+        # Waiting requests by round, each round in order of arrival.
+        self._rounds: dict[int, dict[str, Ticket]] = {}
+        self._places: dict[str, int] = {}
+        self._sequence = count()
+        self._round = 0
+        self._next_rounds: dict[Flow, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def __contains__(self, ticket_id: str) -> bool:
+        return ticket_id in self._places
+
+    def round_of(self, ticket: Ticket) -> int:
+        """Return the round in which ``ticket`` would be put now."""
+        rounds = self._next_rounds
+        place = max(self._round, rounds.get(("caller", ticket.caller), 0))
+        if ticket.key is not None:
+            place = max(place, rounds.get(("key", ticket.key), 0))
+        return place
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a request."""
+        place = self.round_of(ticket)
+        for flow in _flows_of(ticket):
+            self._next_rounds[flow] = place + 1
+        sequence = next(self._sequence)
+        heappush(self._heap, (place, self._order(ticket, sequence), sequence, ticket))
+        self._places[ticket.id] = place
+        self._rounds.setdefault(place, {})[ticket.id] = ticket
+        if len(self._next_rounds) > 2 * len(self._places) + FLOW_TABLE_SLACK:
+            self._forget_idle_flows()
+
+    def pop(self) -> Ticket:
+        """Remove and return the next request; raises ``IndexError`` when empty."""
+        while True:
+            place, _, _, ticket = heappop(self._heap)
+            if self._places.get(ticket.id) == place:
+                self._round = place
+                self._take_out(ticket.id)
+                return ticket
+
+    def remove(self, ticket_id: str) -> bool:
+        """Remove a request that was cancelled; return whether it waited here."""
+        if ticket_id not in self._places:
+            return False
+        self._take_out(ticket_id)
+        return True
+
+    def evict_for(self, ticket: Ticket) -> Ticket | None:
+        """Remove and return the request that must make way for ``ticket``.
+
+        None when no waiting request stands in a later round than ``ticket`` would:
+        then it is the newcomer's own flow that is busiest.
+        """
+        latest = max(self._rounds, default=0)
+        if latest <= self.round_of(ticket):
+            return None
+        # The newest of that round: it has waited least for its refusal.
+        victim = self._rounds[latest][next(reversed(self._rounds[latest]))]
+        for flow in _flows_of(victim):
+            if self._next_rounds.get(flow) == latest + 1:
+                self._next_rounds[flow] = latest
+        self._take_out(victim.id)
+        return victim
+
+    def waiting(self) -> list[Ticket]:
+        """Return all waiting requests, by round."""
+        return [
+            ticket for tickets in self._rounds.values() for ticket in tickets.values()
+        ]
+
+    def _take_out(self, ticket_id: str) -> None:
+        place = self._places.pop(ticket_id)
+        tickets = self._rounds[place]
+        del tickets[ticket_id]
+        if not tickets:
+            del self._rounds[place]
+        if not self._places:
+            self._heap.clear()
+            self._next_rounds.clear()
+            self._round = 0
+        elif len(self._heap) > 2 * len(self._places) + FLOW_TABLE_SLACK:
+            # Entries of removed requests stay in the heap until they are popped.
+            self._heap = [one for one in self._heap if one[3].id in self._places]
+            heapify(self._heap)
+
+    def _forget_idle_flows(self) -> None:
+        self._next_rounds = {
+            flow: place
+            for flow, place in self._next_rounds.items()
+            if place > self._round
+        }
+
+
+def _flows_of(ticket: Ticket) -> tuple[Flow, ...]:
+    if ticket.key is None:
+        return (("caller", ticket.caller),)
+    return (("caller", ticket.caller), ("key", ticket.key))
--- /dev/null
+++ b/src/gentianwharf/load/_server_state.py
@@ -0,0 +1,177 @@
+"""What this daemon knows of one backend server from its own requests.
+
+Load pattern: one server becomes ten times slower, or freezes, while its health
+endpoint still says that all is well. Servers that are chosen in turn keep getting their
+share, and every request that lands there is late or lost.
+
+A server's answers are compared with the median of its pool, so that overload, which
+slows all of them, accuses none. One that is far slower, or owes an answer for
+far too long, becomes *suspect*: it gets single probes, ever more rarely, until they
+come back in time. Then, and after it joins cold, its share grows over some seconds.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import final
+
+from gentianwharf.topology import BackendServer
+
+from ._requests import Ticket
+
+# An answer counts as at most this many medians: one very long job says no more about
+# its server than one that is eight times too long.
+MOST_RATIO = 8.0
+RATIO_SMOOTHING = 0.25
+# Reached by three answers in a row of eight medians. Exponential service times do
+# that once in some 30 million answers.
+SUSPECT_RATIO = 4.5
+HEALTHY_RATIO = 3.0
+# Means of usual service times lie up to this above their median; no reason to avoid.
+USUAL_RATIO = 1.5
+# An answer owed this long counts as bad before it arrives ...
+OVERDUE_RATIO = 8.0
+# ... but never below this, which loss and repetition of a packet alone can take.
+LEAST_OVERDUE_S = 0.05
+FIRST_PROBE_S = 0.5
+MOST_PROBE_S = 8.0
+GOOD_PROBES = 3
+# A request that must not repeat is no probe unless the server has shown life since.
+BLIND_PROBE_S = 30.0
+RAMP_S = 10.0
+RAMP_FLOOR = 0.15
+# A leaving server's shards need this long to move; other work stops at once.
+LEAVING_GRACE_S = 3.0
+LONGEST_SHED_S = 1.0
+
+
+class Standing(StrEnum):
+    """How a server is treated."""
+
+    ACTIVE = "active"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+
+
+@final
+@dataclass(kw_only=True, slots=True, eq=False)
+class Flight:
+    """A request that was sent and has not ended; ``counted`` against the limit."""
+
+    ticket: Ticket
+    server: str
+    started_s: float
+    long: bool
+    hedge: bool = False
+    counted: bool = True
+    probe: bool = False
+    judged: bool = False
+
+
+@final
+@dataclass(kw_only=True, slots=True, eq=False)
+class ServerState:
+    """One row of the table of servers."""
+
+    server: BackendServer
+    local: bool
+    most_connections: int
+    flights: dict[str, Flight] = field(default_factory=dict)
+    standing: Standing = Standing.ACTIVE
+    ratio: float = USUAL_RATIO
+    ramp_from_s: float | None = None
+    probe_at_s: float = 0.0
+    probe_wait_s: float = FIRST_PROBE_S
+    good_probes: int = 0
+    suspect_since_s: float = 0.0
+    shown_life_s: float = 0.0
+    leaving_since_s: float = 0.0
+    shed_until_s: float = 0.0
+    answers: int = 0
+
+    def share(self, now_s: float) -> float:
+        """Return the part of its usual work that the server gets, above 0 to 1."""
+        if self.ramp_from_s is None:
+            return 1.0
+        part = (now_s - self.ramp_from_s) / RAMP_S
+        if part >= 1.0:
+            self.ramp_from_s = None
+            return 1.0
+        return max(RAMP_FLOOR, part)
+
+    def has_room(self, now_s: float) -> bool:
+        """Whether one more request may be sent, as far as the server goes."""
+        if self.standing is not Standing.ACTIVE or now_s < self.shed_until_s:
+            return False
+        in_flight = len(self.flights)
+        if in_flight >= self.most_connections:
+            return False
+        if self.ramp_from_s is None:
+            return True
+        return in_flight < max(1.0, self.server.slots * self.share(now_s))
+
+    def takes_pinned(self, now_s: float) -> bool:
+        """Whether a request that can go nowhere else may be sent."""
+        if self.standing is Standing.LEAVING:
+            return now_s < self.leaving_since_s + LEAVING_GRACE_S
+        return self.standing is Standing.ACTIVE
+
+    def takes_probe(self, now_s: float, *, repeatable: bool) -> bool:
+        """Whether the next request should find out if a suspect has recovered."""
+        if self.standing is not Standing.SUSPECT or now_s < self.probe_at_s:
+            return False
+        if repeatable or self.shown_life_s > self.suspect_since_s:
+            return True
+        return now_s > self.suspect_since_s + BLIND_PROBE_S
+
+    def note_probe(self, now_s: float) -> None:
+        """Let the next probe wait: one is on its way."""
+        self.probe_at_s = now_s + self.probe_wait_s
+
+    def note_ratio(self, ratio: float, now_s: float, *, probe: bool) -> None:
+        """Judge an answer by how long it took against the pool's median."""
+        ratio = min(ratio, MOST_RATIO)
+        self.answers += 1
+        if self.standing is Standing.SUSPECT:
+            if probe:
+                self._note_probe_answer(ratio, now_s)
+            return
+        self.ratio += (ratio - self.ratio) * RATIO_SMOOTHING
+
+    def is_too_slow(self) -> bool:
+        """Whether its answers make it a suspect."""
+        return self.standing is Standing.ACTIVE and self.ratio > SUSPECT_RATIO
+
+    def suspect(self, now_s: float) -> None:
+        """Stop sending work to it, but for probes."""
+        self.standing = Standing.SUSPECT
+        self.suspect_since_s = now_s
+        self.probe_wait_s = FIRST_PROBE_S
+        self.probe_at_s = now_s + self.probe_wait_s
+        self.good_probes = 0
+
+    def note_shed(self, now_s: float, wait_s: float) -> None:
+        """Believe a server that says it is full, for a bounded time."""
+        self.shed_until_s = now_s + min(wait_s, LONGEST_SHED_S)
+
+    def leave(self, now_s: float) -> None:
+        """No new work from now on."""
+        if self.standing is not Standing.LEAVING:
+            self.standing = Standing.LEAVING
+            self.leaving_since_s = now_s
+
+    def come_back(self, now_s: float) -> None:
+        """Take work again, beginning with little."""
+        self.standing = Standing.ACTIVE
+        self.ratio = USUAL_RATIO
+        self.ramp_from_s = now_s
+
+    def _note_probe_answer(self, ratio: float, now_s: float) -> None:
+        if ratio > HEALTHY_RATIO:
+            self.good_probes = 0
+            self.probe_wait_s = min(MOST_PROBE_S, self.probe_wait_s * 2)
+            self.probe_at_s = now_s + self.probe_wait_s
+            return
+        self.good_probes += 1
+        self.probe_at_s = now_s
+        if self.good_probes >= GOOD_PROBES:
+            self.come_back(now_s)
