--- a/src/gentianwharf/platform/__init__.py
+++ b/src/gentianwharf/platform/__init__.py
@@ -1,17 +1,33 @@
 """What the platform gives, a ``Protocol`` a file; the adapters implement these."""
 
+from ._faults import Fault, FaultKind, FaultyStore
 from ._hosts import HostList, ListedHost
+from ._memory import MemoryHostList, MemoryStore, StoreOperation
 from ._servers import BackendControl, Grant, GrantOutcome, ServerReport
-from ._store import KeyValueStore, StoreLease, VersionedValue
+from ._store import (
+    ABSENT_REVISION,
+    MOST_VALUE_BYTES,
+    KeyValueStore,
+    StoreLease,
+    VersionedValue,
+)
 
 __all__ = [
+    "ABSENT_REVISION",
+    "MOST_VALUE_BYTES",
     "BackendControl",
+    "Fault",
+    "FaultKind",
+    "FaultyStore",
     "Grant",
     "GrantOutcome",
     "HostList",
     "KeyValueStore",
     "ListedHost",
+    "MemoryHostList",
+    "MemoryStore",
     "ServerReport",
     "StoreLease",
+    "StoreOperation",
     "VersionedValue",
 ]
