--- a/src/gentianwharf/settings/__init__.py
+++ b/src/gentianwharf/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from ._load import load_rules, load_settings, parse_jsonc
 from ._models import (
+    Address,
     BackendServerSettings,
     ClassSettings,
     DomainSettings,
@@ -10,10 +11,12 @@
     PlatformSettings,
     ServiceSettings,
     Settings,
+    Url,
 )
 from ._topology import domains_of, services_of
 
 __all__ = [
+    "Address",
     "BackendServerSettings",
     "ClassSettings",
     "DomainSettings",
@@ -22,6 +25,7 @@
     "PlatformSettings",
     "ServiceSettings",
     "Settings",
+    "Url",
     "domains_of",
     "load_rules",
     "load_settings",
