platform: HTTP adapters, stand-in store, contract tests

The same contract table runs against MemoryStore and against HttpStore with the stand-in behind real sockets, with faults in tables (down, slow, answer lost, effect late, answer late, silent connection); a stand-in process is frozen and killed.

Found on the way: treq's body producer runs on the global reactor, and Twisted's default endpoint resolves IP numbers in a thread pool; both are replaced here. Retries by the connection pool are off, since a repeated call may take effect twice.

--- a/src/gentianwharf/platform/__init__.py
+++ b/src/gentianwharf/platform/__init__.py
@@ -2,6 +2,9 @@
 
 from ._faults import Fault, FaultKind, FaultyStore
 from ._hosts import HostList, ListedHost
+from ._http import ip_agent
+from ._http_servers import HttpBackendControl
+from ._http_store import HttpHostList, HttpStore
 from ._memory import MemoryHostList, MemoryStore, StoreOperation
 from ._servers import BackendControl, Grant, GrantOutcome, ServerReport
 from ._store import (
@@ -22,6 +25,9 @@
     "Grant",
     "GrantOutcome",
     "HostList",
+    "HttpBackendControl",
+    "HttpHostList",
+    "HttpStore",
     "KeyValueStore",
     "ListedHost",
     "MemoryHostList",
@@ -30,4 +36,5 @@
     "StoreLease",
     "StoreOperation",
     "VersionedValue",
+    "ip_agent",
 ]
--- /dev/null
+++ b/src/gentianwharf/platform/_http.py
@@ -0,0 +1,232 @@
+"""JSON over HTTP to the platform, with errors that say whether it took effect."""
+
+from dataclasses import dataclass
+from ipaddress import IPv6Address, ip_address
+from typing import Any, TypeVar, cast, final
+
+import treq
+from pydantic import TypeAdapter, ValidationError
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.interfaces import IConsumer, IStreamClientEndpoint
+from twisted.web.client import URI, Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgent, IAgentEndpointFactory, IBodyProducer, IResponse
+from zope.interface import implementer
+
+from gentianwharf.errors import (
+    ConflictError,
+    GentianwharfError,
+    InputError,
+    OutcomeUnknownError,
+    PeerMismatchError,
+    PeerUnavailableError,
+    RefusedError,
+)
+
+from .wire import ErrorName, Problem
+
+Answer = TypeVar("Answer")
+
+Reactor = Any
+"""An ``IReactorTCP`` and ``IReactorTime``: zope interfaces can't be intersected."""
+
+MOST_ANSWER_BYTES = 32_000_000
+"""More than every value of a deployment in one answer; an endless one stops here."""
+
+IDLE_CONNECTION_S = 5
+"""Below the idle limit of usual servers (15 s and more): a connection that the other
+side closed just before a call would cost that call its certainty."""
+
+CONNECTIONS_PER_ADDRESS = 8
+"""Kept idle. Calls at once are few: a watch, a lease renewal, a write, a read."""
+
+ERRORS: dict[ErrorName, type[GentianwharfError]] = {
+    ErrorName.CONFLICT: ConflictError,
+    ErrorName.REFUSED: RefusedError,
+    ErrorName.UNAVAILABLE: PeerUnavailableError,
+}
+
+
+@final
+@implementer(IAgentEndpointFactory)
+class _IpEndpoints:
+    """Connects to IP numbers only.
+
+    Twisted looks names up in a thread pool, and IP numbers too; this project runs one
+    thread, and its settings name addresses by number.
+    """
+
+    def __init__(self, *, reactor: Reactor, connect_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
+
+    def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
+        """Return the endpoint for an address."""
+        host = uri.host.decode("ascii").strip("[]")
+        try:
+            address = ip_address(host)
+        except ValueError:
+            raise InputError(
+                f"expected an IP number, got {host!r}: host names are not looked up",
+                step="connect",
+                peer=host,
+            ) from None
+        version_6 = isinstance(address, IPv6Address)
+        kind = TCP6ClientEndpoint if version_6 else TCP4ClientEndpoint
+        return kind(self._reactor, host, uri.port, timeout=self._connect_timeout_s)
+
+
+def ip_agent(
+    *, reactor: Reactor, pool: HTTPConnectionPool, connect_timeout_s: float
+) -> IAgent:
+    """Return an HTTP agent that connects to IP numbers only and starts no thread."""
+    endpoints = _IpEndpoints(reactor=reactor, connect_timeout_s=connect_timeout_s)
+    return cast(IAgent, Agent.usingEndpointFactory(reactor, endpoints, pool))
+
+
+@final
+@implementer(IBodyProducer)
+class _BytesBody:
+    """Writes a small body in one go.
+
+    treq's own producer takes turns on the global reactor, not on the one given here.
+    """
+
+    def __init__(self, *, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: IConsumer) -> Deferred[None]:  # noqa: N802
+        """Write the body."""
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Nothing is left to pause."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Nothing is left to resume."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Nothing is left to stop."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """One call: ``step`` names it in errors, ``peer`` is the other side's ip:port."""
+
+    step: str
+    peer: str
+    path: str
+    body: bytes
+    timeout_s: float
+
+
+@final
+class JsonCaller:
+    """Posts JSON and reads JSON, each call within its timeout.
+
+    Raises ``PeerUnavailableError`` only when no byte of the call can have been acted
+    on: the connection was refused or never made, or the peer says so itself. Every
+    other failure is ``OutcomeUnknownError``.
+    """
+
+    def __init__(self, *, reactor: Reactor, connect_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = CONNECTIONS_PER_ADDRESS
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        # A repeated call may take effect twice; the callers know which may repeat.
+        self._pool.retryAutomatically = False
+        agent = ip_agent(
+            reactor=reactor, pool=self._pool, connect_timeout_s=connect_timeout_s
+        )
+        self._client = HTTPClient(agent)
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self._pool.closeCachedConnections()
+
+    async def post(self, call: Call, answer: TypeAdapter[Answer]) -> Answer:
+        """Make a call and return its checked answer."""
+        posted = Deferred.fromCoroutine(self._post(call))
+        # Cancelling closes the connection, so a late answer meets nobody's call.
+        posted.addTimeout(call.timeout_s, self._reactor)
+        try:
+            status, body = await posted
+        except (ConnectError, ConnectingCancelledError) as error:
+            raise PeerUnavailableError(
+                f"can't connect ({type(error).__name__}): the call had no effect;"
+                " check that the address answers",
+                step=call.step,
+                peer=call.peer,
+            ) from error
+        except GentianwharfError:
+            raise
+        except Exception as error:
+            raise OutcomeUnknownError(
+                f"expected an answer within {call.timeout_s} s, got"
+                f" {type(error).__name__}: it may have taken effect, read it back",
+                step=call.step,
+                peer=call.peer,
+            ) from error
+        if status != 200:
+            raise _problem(call, status, body)
+        try:
+            return answer.validate_json(body)
+        except ValidationError as error:
+            raise _malformed(call, error) from error
+
+    async def _post(self, call: Call) -> tuple[int, bytes]:
+        response = await self._client.request(
+            "POST",
+            f"http://{call.peer}{call.path}",
+            data=_BytesBody(body=call.body),
+            headers=Headers({"Content-Type": ["application/json"]}),
+            reactor=self._reactor,
+        )
+        return response.code, await _collect(response)
+
+
+async def _collect(response: IResponse) -> bytes:
+    pieces: list[bytes] = []
+    size = 0
+
+    def take(piece: bytes) -> None:
+        nonlocal size
+        size += len(piece)
+        if size > MOST_ANSWER_BYTES:
+            raise ValueError(f"answer is larger than {MOST_ANSWER_BYTES} bytes")
+        pieces.append(piece)
+
+    await treq.collect(response, take)
+    return b"".join(pieces)
+
+
+def _problem(call: Call, status: int, body: bytes) -> GentianwharfError:
+    try:
+        problem = Problem.model_validate_json(body)
+    except ValidationError:
+        # Something between us and the platform answered; the call may have passed it.
+        return OutcomeUnknownError(
+            f"expected an answer of the platform, got status {status} without one",
+            step=call.step,
+            peer=call.peer,
+        )
+    error = ERRORS[problem.error]
+    return error(problem.message, step=call.step, peer=call.peer)
+
+
+def _malformed(call: Call, error: ValidationError) -> PeerMismatchError:
+    detail = error.errors()[0]
+    field = ".".join(str(part) for part in detail["loc"]) or "body"
+    return PeerMismatchError(
+        f"answer does not fit the call: {field}: {detail['msg']};"
+        " compare the versions of both sides",
+        step=call.step,
+        peer=call.peer,
+    )
--- a/src/gentianwharf/standin/__init__.py
+++ b/src/gentianwharf/standin/__init__.py
@@ -1,1 +1,6 @@
 """Stand-ins of the platform and of backend servers, for tests and trials."""
+
+from ._main import hosts_of, listen_store, main
+from ._store import StoreApp
+
+__all__ = ["StoreApp", "hosts_of", "listen_store", "main"]
--- /dev/null
+++ b/src/gentianwharf/standin/_main.py
@@ -0,0 +1,111 @@
+"""``gentianwharf-stand-in``: the stand-ins as processes of their own."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+from cyclopts import App
+from pydantic import TypeAdapter, ValidationError
+from twisted.web.server import Site
+
+from gentianwharf.errors import GentianwharfError, InputError
+from gentianwharf.platform import ListedHost, MemoryHostList, MemoryStore
+from gentianwharf.settings import Address, Settings, load_settings
+
+from ._store import StoreApp
+
+USAGE_EXIT = 2
+
+app = App(name="gentianwharf-stand-in", help="Stand-ins for tests and trials.")
+
+
+def listen_store(
+    *, reactor: Any, address: str, hosts: tuple[ListedHost, ...] = ()
+) -> Any:
+    """Serve an empty store and a host list on ``ip:port``; return the listening port.
+
+    Port 0 takes a free one.
+    """
+    ip, port = _split(address)
+    store = MemoryStore(clock=reactor)
+    host_list = MemoryHostList(clock=reactor, hosts=hosts)
+    site = Site(StoreApp(store=store, hosts=host_list).resource(), reactor=reactor)
+    return reactor.listenTCP(port, site, interface=ip)
+
+
+def hosts_of(settings: Settings) -> tuple[ListedHost, ...]:
+    """Return the host list of a deployment that has the settings' one host."""
+    host = settings.host
+    return (
+        ListedHost(
+            id=host.id, domain=host.domain, address=host.peer_address, leaving=False
+        ),
+    )
+
+
+def _split(address: str) -> tuple[str, int]:
+    try:
+        checked: str = TypeAdapter(Address).validate_python(address)
+    except ValidationError as error:
+        raise InputError(
+            error.errors()[0]["msg"], step="check", peer=address
+        ) from error
+    ip, _, port = checked.rpartition(":")
+    return ip.strip("[]"), int(port)
+
+
+def _serve(address: str, hosts: tuple[ListedHost, ...]) -> None:
+    # Importing it installs it; whoever only imports this module brings his own.
+    from twisted.internet import reactor
+
+    port = listen_store(reactor=reactor, address=address, hosts=hosts)
+    at = port.getHost()
+    print(f"store {at.host}:{at.port}", flush=True)
+    reactor.run()
+
+
+@app.command
+def store(address: str, *, hosts: Path | None = None) -> None:
+    """Serve the store and the host list on IP:PORT.
+
+    Parameters
+    ----------
+    address
+        Where to listen; port 0 takes a free one, which is printed.
+    hosts
+        A JSON file with the host list: id, domain, address and leaving of each.
+
+    """
+    listed: tuple[ListedHost, ...] = ()
+    if hosts is not None:
+        listed = _read_hosts(hosts)
+    _serve(address, listed)
+
+
+def _read_hosts(path: Path) -> tuple[ListedHost, ...]:
+    try:
+        return TypeAdapter(tuple[ListedHost, ...]).validate_json(path.read_bytes())
+    except (OSError, ValidationError) as error:
+        raise InputError(
+            f"{path}: expected a list of hosts with id, domain, address, leaving:"
+            f" {error}",
+            step="read hosts",
+            peer=str(path),
+        ) from error
+
+
+@app.command
+def all(settings: Path) -> None:  # noqa: A001
+    """Serve the store and the host list where a daemon's SETTINGS expect them."""
+    loaded = load_settings(settings)
+    address = loaded.platform.store_url.removeprefix("http://").rstrip("/")
+    _serve(address, hosts_of(loaded))
+
+
+def main() -> None:
+    """Run the command; a mistake in its arguments ends with exit code 2."""
+    try:
+        app()
+    except GentianwharfError as error:
+        print(error, file=sys.stderr)
+        sys.exit(USAGE_EXIT)
