Match rules through an index by host and path prefix

Comparing every rule with every request grows with the list. Keys are read after undoing percent-encoding: two spellings of one key would hash to two shards.

--- /dev/null
+++ b/src/gentianwharf/rules/_explain.py
@@ -0,0 +1,74 @@
+"""Why a request falls to a rule: for operators, not for the path of requests."""
+
+from gentianwharf.keys import shard_of
+
+from ._compile import CompiledRule
+from ._facts import RequestFacts, read_key
+from ._match import RuleSet
+from ._results import Explanation, PassedOver
+
+
+def explain(rules: RuleSet, facts: RequestFacts) -> Explanation:
+    """Say which rule decides ``facts`` and which earlier ones did not, and why."""
+    match = rules.match(facts)
+    deciding = match.number if match is not None else len(rules.compiled) + 1
+    return Explanation(
+        revision=rules.revision,
+        number=match.number if match is not None else None,
+        rule_name=match.rule.name if match is not None else None,
+        service=match.service if match is not None else None,
+        site=match.site if match is not None else None,
+        request_class=match.request_class if match is not None else None,
+        key=match.key if match is not None else None,
+        shard=match.shard if match is not None else None,
+        repeatable=match.repeatable if match is not None else None,
+        passed_over=tuple(
+            PassedOver(
+                number=one.number,
+                rule_name=one.rule.name,
+                reasons=tuple(_reasons(one, facts)),
+            )
+            for one in rules.compiled[: deciding - 1]
+        ),
+    )
+
+
+def _reasons(rule: CompiledRule, facts: RequestFacts) -> list[str]:
+    reasons = []
+    if rule.host is not None and rule.host != facts.host:
+        reasons.append(f"host is {facts.host!r}, the rule asks for {rule.host!r}")
+    if not facts.path.startswith(rule.path_prefix):
+        reasons.append(f"path does not begin with {rule.path_prefix!r}")
+    if rule.methods and facts.method not in rule.methods:
+        asked = ", ".join(sorted(rule.methods))
+        reasons.append(f"method is {facts.method}, the rule asks for {asked}")
+    for name, value in rule.headers:
+        found = facts.headers.get(name)
+        if found != value:
+            reasons.append(
+                f"header {name} is {found!r}, the rule asks for {value!r}"
+                if found is not None
+                else f"header {name} is missing, the rule asks for {value!r}"
+            )
+    if rule.divides:
+        reasons.extend(_key_reasons(rule, facts))
+    return reasons
+
+
+def _key_reasons(rule: CompiledRule, facts: RequestFacts) -> list[str]:
+    key = read_key(rule.source, facts)
+    if key is None:
+        return ["the request has no key where the rule looks for it"]
+    if rule.key is not None:
+        if key == rule.key:
+            return []
+        return [f"key is {key!r}, the rule asks for {rule.key!r}"]
+    if not rule.shards:
+        return [f"service {rule.rule.then.service} has no shards"]
+    shard = shard_of(key, rule.shards)
+    if rule.first_shard <= shard < rule.end_shard:
+        return []
+    return [
+        f"the key's shard is {shard}, the rule holds for shards"
+        f" {rule.first_shard} up to, not including, {rule.end_shard}"
+    ]
--- /dev/null
+++ b/src/gentianwharf/rules/_facts.py
@@ -0,0 +1,90 @@
+"""What rules look at in a request, and what the deciding one says."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import final
+from urllib.parse import parse_qsl, unquote
+
+from ._document import MOST_KEY_CHARACTERS, KeyPlace, KeySource, Rule
+
+KEY_HEADER = "gentianwharf-key"
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+MOST_QUERY_FIELDS = 100
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestFacts:
+    """What a rule may look at.
+
+    Header names and ``host`` are in lower case, ``host`` without its port; ``path``
+    as it came, still percent-encoded. Text is what UTF-8 gives with
+    ``errors="replace"``, so that a key reads the same in every place.
+    """
+
+    method: str
+    host: str
+    path: str
+    query: str = ""
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RuleMatch:
+    """The rule that decides a request, and what follows from it.
+
+    ``key`` is None when the request carries none where the rule looks for it.
+    """
+
+    number: int
+    rule: Rule
+    service: str
+    site: str | None
+    request_class: str
+    key: str | None
+    shard: int | None
+    repeatable: bool
+
+
+def read_key(source: KeySource | None, facts: RequestFacts) -> str | None:
+    """Return the request's key, or None when it has none that can be used.
+
+    The header ``Gentianwharf-Key`` goes before what the rule names. Percent-encoding
+    is undone first: otherwise two spellings of one key would hash to two shards, and
+    one key would have two owners.
+
+    >>> source = KeySource(place=KeyPlace.PATH_SEGMENT, name="1")
+    >>> read_key(source, RequestFacts(method="GET", host="", path="/club/a%62c"))
+    'abc'
+    """
+    key = facts.headers.get(KEY_HEADER)
+    if key is None and source is not None:
+        key = _read_place(source, facts)
+    if not key or len(key) > MOST_KEY_CHARACTERS:
+        return None
+    return key
+
+
+def _read_place(source: KeySource, facts: RequestFacts) -> str | None:
+    if source.place is KeyPlace.HEADER:
+        return facts.headers.get(source.name)
+    if source.place is KeyPlace.QUERY:
+        return _read_query(source.name, facts.query)
+    segments = facts.path.split("/", int(source.name) + 2)
+    index = int(source.name) + 1
+    if index >= len(segments):
+        return None
+    segment = segments[index]
+    return unquote(segment) if "%" in segment else segment
+
+
+def _read_query(name: str, query: str) -> str | None:
+    try:
+        fields = parse_qsl(query, max_num_fields=MOST_QUERY_FIELDS)
+    except ValueError:
+        return None
+    for field_name, value in fields:
+        if field_name == name:
+            return value
+    return None
--- a/src/gentianwharf/rules/_match.py
+++ b/src/gentianwharf/rules/_match.py
@@ -1,108 +1,118 @@
 """Matching of requests against compiled rules."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import final
-from urllib.parse import parse_qs
 
 from gentianwharf.keys import shard_of
 
-from ._document import KeyPlace, KeySource, Rule, RuleDocument
+from ._compile import CompiledRule, RuleIndex, compile_rules, headers_hold
+from ._document import KeySource, RuleDocument
+from ._facts import SAFE_METHODS, RequestFacts, RuleMatch, read_key
+from ._sites import ServiceSites
 
-KEY_HEADER = "gentianwharf-key"
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+_UNREAD = object()
 
 
 @final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RequestFacts:
-    """What a rule may look at; header names are in lower case."""
-
-    method: str
-    host: str
-    path: str
-    query: str = ""
-    headers: Mapping[str, str] = field(default_factory=dict)
-
-
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RuleMatch:
-    """The rule that decides a request, and what follows from it."""
-
-    number: int
-    rule: Rule
-    service: str
-    site: str | None
-    request_class: str
-    key: str | None
-    shard: int | None
-    repeatable: bool
+class _RequestKey:
+    """Reads a request's key at most once for each place where rules look for it."""
+
+    __slots__ = ("_facts", "_read_from", "_shard", "_shards", "key")
+
+    def __init__(self, facts: RequestFacts) -> None:
+        self._facts = facts
+        self._read_from: object = _UNREAD
+        self._shards = 0
+        self._shard = -1
+        self.key: str | None = None
+
+    def read(self, source: KeySource | None) -> str | None:
+        if source is not self._read_from:
+            self._read_from = source
+            self._shards = 0
+            self.key = read_key(source, self._facts)
+        return self.key
+
+    def shard(self, key: str, shards: int) -> int:
+        if shards != self._shards:
+            self._shards = shards
+            self._shard = shard_of(key, shards)
+        return self._shard
+
+    def holds(self, rule: CompiledRule) -> bool:
+        key = self.read(rule.source)
+        if key is None:
+            return False
+        if rule.key is not None:
+            return key == rule.key
+        if not rule.shards:
+            return False
+        return rule.first_shard <= self.shard(key, rule.shards) < rule.end_shard
 
 
 @final
 class RuleSet:
-    """A rule document in force, with the store revision that it came with."""
+    """A rule document in force, with the store revision that it came with.
+
+    ``shards`` gives the number of shards of each keyed service.
+    """
 
     def __init__(
         self, *, document: RuleDocument, revision: int, shards: Mapping[str, int]
     ) -> None:
         self.document = document
         self.revision = revision
-        self._shards = dict(shards)
+        self.compiled = compile_rules(document, shards)
+        self._index = RuleIndex(self.compiled)
+        self._sites = {
+            service: ServiceSites(rules=self.compiled, service=service)
+            for service in shards
+        }
 
     def match(self, facts: RequestFacts) -> RuleMatch | None:
         """Return what the first matching rule says, or None when none matches."""
-        for number, rule in enumerate(self.document.rules, start=1):
-            match = self._apply(number, rule, facts)
-            if match is not None:
-                return match
+        method = facts.method
+        request_key = _RequestKey(facts)
+        for rule in self._index.candidates(facts.host, facts.path):
+            if rule.methods and method not in rule.methods:
+                continue
+            if rule.headers and not headers_hold(rule, facts.headers):
+                continue
+            if rule.divides and not request_key.holds(rule):
+                continue
+            return _answer(rule, facts, request_key)
         return None
 
-    def _apply(self, number: int, rule: Rule, facts: RequestFacts) -> RuleMatch | None:
-        when, then = rule.when, rule.then
-        if when.path_prefix is not None and not facts.path.startswith(when.path_prefix):
-            return None
-        if when.host is not None and when.host != facts.host:
-            return None
-        if when.methods and facts.method not in when.methods:
-            return None
-        for name, value in when.headers.items():
-            if facts.headers.get(name.lower()) != value:
-                return None
-        key = _read_key(then.key, facts)
-        if when.key is not None and when.key != key:
-            return None
-        shards = self._shards.get(then.service, 0)
-        shard = shard_of(key, shards) if key is not None and shards else None
-        if when.shard_share is not None and (
-            shard is None or shard >= when.shard_share * shards
-        ):
-            return None
-        repeatable = then.repeatable
-        if repeatable is None:
-            repeatable = facts.method in SAFE_METHODS
-        return RuleMatch(
-            number=number,
-            rule=rule,
-            service=then.service,
-            site=then.site,
-            request_class=then.request_class,
-            key=key,
-            shard=shard,
-            repeatable=repeatable,
-        )
-
-
-def _read_key(source: KeySource | None, facts: RequestFacts) -> str | None:
-    named = facts.headers.get(KEY_HEADER)
-    if named is not None or source is None:
-        return named
-    if source.place is KeyPlace.HEADER:
-        return facts.headers.get(source.name.lower())
-    if source.place is KeyPlace.QUERY:
-        values = parse_qs(facts.query).get(source.name)
-        return values[0] if values else None
-    segments = facts.path.strip("/").split("/")
-    index = int(source.name)
-    return segments[index] if index < len(segments) else None
+    def site_of(self, service: str, shard: int) -> str | None:
+        """Return the site where ``shard`` should stand; None leaves it open."""
+        sites = self._sites.get(service)
+        return sites.site_of(shard) if sites is not None else None
+
+    def single_key_sites(self, service: str) -> Mapping[str, str | None]:
+        """Return the keys of ``service`` that a rule of their own sends to a site."""
+        sites = self._sites.get(service)
+        return MappingProxyType(sites.single_keys if sites is not None else {})
+
+
+def _answer(
+    rule: CompiledRule, facts: RequestFacts, request_key: _RequestKey
+) -> RuleMatch:
+    key = request_key.read(rule.source)
+    shard = None
+    if key is not None and rule.shards:
+        shard = request_key.shard(key, rule.shards)
+    repeatable = rule.repeatable
+    if repeatable is None:
+        repeatable = facts.method in SAFE_METHODS
+    then = rule.rule.then
+    return RuleMatch(
+        number=rule.number,
+        rule=rule.rule,
+        service=then.service,
+        site=then.site,
+        request_class=then.request_class,
+        key=key,
+        shard=shard,
+        repeatable=repeatable,
+    )
