Add the admin port as a facade over Protocols

AdminApp takes the daemon's parts as Protocols and gives a site to listen with. One guard before all routes checks token and media type, so that no route can forget it. A change goes on when its caller hangs up: klein cancels what a closed connection waited for, and a cancelled write would never be read back. Bodies are bounded, since twisted.web would gather them in memory or a temporary file and the hosts have no disks.

--- /dev/null
+++ b/src/gentianwharf/admin/__init__.py
@@ -0,0 +1,45 @@
+"""The daemon's admin port: health, state and the operator's commands over HTTP."""
+
+from ._access import TokenAccess, read_token
+from ._app import AdminApp
+from ._protocols import (
+    Alarm,
+    BurnView,
+    DaemonState,
+    DecisionsView,
+    DomainLoss,
+    DomainsControl,
+    HostsView,
+    JsonValue,
+    KeyOwner,
+    KeysControl,
+    Measures,
+    RulesControl,
+    ServersControl,
+    ServerStatus,
+    StateView,
+)
+from ._replies import Problem, encode_json
+
+__all__ = [
+    "AdminApp",
+    "Alarm",
+    "BurnView",
+    "DaemonState",
+    "DecisionsView",
+    "DomainLoss",
+    "DomainsControl",
+    "HostsView",
+    "JsonValue",
+    "KeyOwner",
+    "KeysControl",
+    "Measures",
+    "Problem",
+    "RulesControl",
+    "ServerStatus",
+    "ServersControl",
+    "StateView",
+    "TokenAccess",
+    "encode_json",
+    "read_token",
+]
--- /dev/null
+++ b/src/gentianwharf/admin/_app.py
@@ -0,0 +1,353 @@
+"""The admin port's routes.
+
+One guard in front of all of them checks the token, so that a route can't forget it.
+"""
+
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar, final
+
+from klein import Klein
+from logbook import Logger
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.python.failure import Failure
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+from werkzeug.exceptions import HTTPException
+
+from gentianwharf.errors import GentianwharfError, InputError
+from gentianwharf.rules import (
+    ApplyResult,
+    RuleDocument,
+    RulesConflict,
+    RulesRefused,
+    explain,
+)
+
+from ._access import TokenAccess
+from ._protocols import (
+    BurnView,
+    DecisionsView,
+    DomainsControl,
+    HostsView,
+    KeyOwner,
+    KeysControl,
+    RulesControl,
+    ServersControl,
+    StateView,
+)
+from ._replies import Problem, reply_error, reply_json, reply_problem
+from ._requests import (
+    ExplainBody,
+    MoveBody,
+    PinBody,
+    argument,
+    integer_argument,
+    operator_of,
+    read_body,
+)
+from ._site import admin_site
+
+MOST_DECISIONS = 1_000
+OPEN_PATHS = frozenset({b"/livez", b"/readyz"})
+READ_METHODS = frozenset({b"GET", b"HEAD"})
+
+Result = TypeVar("Result")
+log = Logger("gentianwharf.admin")
+
+
+@final
+class AdminApp:
+    """Health, state and the operator's commands, over what the daemon's parts give.
+
+    ``site()`` is what the daemon listens with. ``metrics`` returns Prometheus text.
+    ``token`` None lets everybody in, which the settings allow on loopback alone.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        *,
+        state: StateView,
+        rules: RulesControl,
+        keys: KeysControl,
+        servers: ServersControl,
+        hosts: HostsView,
+        domains: DomainsControl,
+        burn: BurnView,
+        decisions: DecisionsView,
+        metrics: Callable[[], bytes],
+        token: str | None,
+    ) -> None:
+        self._state = state
+        self._rules = rules
+        self._keys = keys
+        self._servers = servers
+        self._hosts = hosts
+        self._domains = domains
+        self._burn = burn
+        self._decisions = decisions
+        self._metrics = metrics
+        self._access = TokenAccess(token=token)
+
+    def resource(self) -> Resource:
+        """Return the guarded routes."""
+        return _GuardedResource(inner=self.app.resource(), access=self._access)
+
+    def site(self) -> Site:
+        """Return the site to listen with; it bounds the size of bodies."""
+        return admin_site(self.resource())
+
+    @app.route("/livez", methods=["GET"])
+    def livez(self, request: Request) -> bytes:
+        """Answer 200 unless only a restart helps."""
+        if self._state.is_live():
+            return reply_json(request, {"live": True})
+        return reply_json(request, {"live": False}, status=503)
+
+    @app.route("/readyz", methods=["GET"])
+    def readyz(self, request: Request) -> bytes:
+        """Answer 200 when the balancer may send requests here."""
+        reasons = list(self._state.why_not_ready())
+        answer = {"ready": not reasons, "reasons": reasons}
+        return reply_json(request, answer, status=503 if reasons else 200)
+
+    @app.route("/metrics", methods=["GET"])
+    def metrics(self, request: Request) -> bytes:
+        """Answer with Prometheus text."""
+        request.setHeader(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+        return self._metrics()
+
+    @app.route("/state", methods=["GET"])
+    def state(self, request: Request) -> bytes:
+        """Answer with this daemon's state."""
+        return reply_json(request, self._state.state())
+
+    @app.route("/rules", methods=["GET"])
+    async def rules(self, request: Request) -> bytes:
+        """Answer with the document in the store, null when there is none yet."""
+        return reply_json(request, await self._rules.read())
+
+    @app.route("/rules/in-force", methods=["GET"])
+    def rules_in_force(self, request: Request) -> bytes:
+        """Answer with what this host matches with; works without the store."""
+        rules = self._rules.in_force()
+        if rules is None:
+            return reply_problem(
+                request, Problem.NOT_FOUND, "no rules are in force on this host yet"
+            )
+        answer = {"revision": rules.revision, "document": rules.document}
+        return reply_json(request, answer)
+
+    @app.route("/rules/history", methods=["GET"])
+    async def rules_history(self, request: Request) -> bytes:
+        """Answer with the documents still kept, newest first."""
+        return reply_json(request, await self._rules.history())
+
+    @app.route("/rules", methods=["PUT"])
+    async def put_rules(self, request: Request) -> bytes:
+        """Put the body's document in force if nobody else was faster."""
+        author = operator_of(request)
+        revision = integer_argument(request, "edited_from_revision", default=None)
+        document = read_body(request, RuleDocument)
+        result = await _to_the_end(
+            self._rules.apply(document, edited_from_revision=revision, author=author)
+        )
+        return _reply_applied(request, result)
+
+    @app.route("/explain", methods=["POST"])
+    def explain(self, request: Request) -> bytes:
+        """Say which rule decides a request, and who owns its key."""
+        body = read_body(request, ExplainBody)
+        rules = self._rules.in_force()
+        if rules is None:
+            return reply_problem(
+                request, Problem.NOT_FOUND, "no rules are in force on this host yet"
+            )
+        explanation = explain(rules, body.facts())
+        owner: KeyOwner | None = None
+        if explanation.service and explanation.key and explanation.shard is not None:
+            owner = self._keys.owner(explanation.service, explanation.key)
+        return reply_json(request, {"explanation": explanation, "owner": owner})
+
+    @app.route("/keys/<service>/owner", methods=["GET"])
+    def key_owner(self, request: Request, service: str) -> bytes:
+        """Say who owns the key in the query field ``key``."""
+        key = argument(request, "key")
+        if not key:
+            raise InputError(
+                "key: expected the key in the query, got none",
+                step="read query",
+                peer="operator",
+            )
+        return reply_json(request, self._keys.owner(service, key))
+
+    @app.route("/keys/<service>/move", methods=["POST"])
+    async def move_key(self, request: Request, service: str) -> bytes:
+        """Begin to move a key's shard."""
+        author = operator_of(request)
+        body = read_body(request, MoveBody)
+        owner = await _to_the_end(
+            self._keys.move(service, body.key, body.server, author)
+        )
+        return reply_json(request, owner, status=202)
+
+    @app.route("/keys/<service>/pin", methods=["POST"])
+    async def pin_key(self, request: Request, service: str) -> bytes:
+        """Give a key an entry of its own, or take it away."""
+        author = operator_of(request)
+        body = read_body(request, PinBody)
+        owner = await _to_the_end(
+            self._keys.pin(service, body.key, body.server, author)
+        )
+        return reply_json(request, owner, status=202)
+
+    @app.route("/servers", methods=["GET"])
+    def servers(self, request: Request) -> bytes:
+        """Answer with every backend server."""
+        return reply_json(request, list(self._servers.servers()))
+
+    @app.route("/servers/<server>/drain", methods=["POST"])
+    async def drain_server(self, request: Request, server: str) -> bytes:
+        """Give a server no new work and move its shards away."""
+        author = operator_of(request)
+        status = await _to_the_end(self._servers.drain(server, author))
+        return reply_json(request, status, status=202)
+
+    @app.route("/hosts", methods=["GET"])
+    async def hosts(self, request: Request) -> bytes:
+        """Answer with the platform's host list."""
+        return reply_json(request, list(await self._hosts.hosts()))
+
+    @app.route("/domains/<domain>/declare-lost", methods=["GET"])
+    def domain_loss(self, request: Request, domain: str) -> bytes:
+        """Say what declaring a failure domain lost would risk."""
+        return reply_json(request, self._domains.loss(domain))
+
+    @app.route("/domains/<domain>/declare-lost", methods=["POST"])
+    async def declare_lost(self, request: Request, domain: str) -> bytes:
+        """Let other domains take over a failure domain's keys."""
+        author = operator_of(request)
+        loss = await _to_the_end(self._domains.declare_lost(domain, author))
+        return reply_json(request, loss, status=202)
+
+    @app.route("/burn", methods=["GET"])
+    def burn(self, request: Request) -> bytes:
+        """Answer with the service-level burn, as a page with ``format=html``."""
+        if argument(request, "format") != "html":
+            return reply_json(request, self._burn.burn())
+        request.setHeader(b"content-type", b"text/html; charset=utf-8")
+        return self._burn.burn_html().encode()
+
+    @app.route("/decisions", methods=["GET"])
+    def decisions(self, request: Request) -> bytes:
+        """Answer with kept decisions, the newest first."""
+        most = min(integer_argument(request, "most", default=100), MOST_DECISIONS)
+        kept = self._decisions.decisions(
+            request_id=argument(request, "request_id"), most=most
+        )
+        return reply_json(request, list(kept))
+
+    @app.handle_errors(GentianwharfError)
+    def on_known_error(self, request: Any, failure: Failure) -> bytes:
+        """Answer with the error's message, step and peer."""
+        error = failure.value
+        assert isinstance(error, GentianwharfError)
+        return reply_error(request, error)
+
+    @app.handle_errors(HTTPException)
+    def on_no_route(self, request: Any, failure: Failure) -> bytes:
+        """Answer for an unknown path or a method that the path does not take."""
+        return reply_problem(
+            request,
+            Problem.NOT_FOUND,
+            f"nothing answers {request.method.decode('latin-1')} on this path;"
+            " docs/OPERATING.md lists what does",
+        )
+
+    @app.handle_errors(Exception)
+    def on_fault(self, request: Any, failure: Failure) -> bytes:
+        """Log a fault of ours; the answer keeps its text back."""
+        log.error("admin request failed: {}", failure.getTraceback())
+        return reply_problem(
+            request, Problem.INTERNAL, "a fault of the daemon; its log has the trace"
+        )
+
+
+def _reply_applied(request: Request, result: ApplyResult) -> bytes:
+    if isinstance(result, RulesRefused):
+        return reply_problem(
+            request,
+            Problem.INPUT,
+            f"the rule document has {len(result.findings)} findings; nothing was"
+            " written",
+            findings=result.findings,
+        )
+    if isinstance(result, RulesConflict):
+        return reply_problem(
+            request,
+            Problem.CONFLICT,
+            f"{result.current.author} was faster: the rules are at revision"
+            f" {result.current.revision}, this document was edited from"
+            f" {result.edited_from_revision}; nothing of it was written",
+            conflict=result,
+        )
+    return reply_json(request, result)
+
+
+def _to_the_end(operation: Coroutine[Any, Any, Result]) -> Deferred[Result]:
+    """Run a change that goes on when its caller hangs up.
+
+    The routes' library cancels what a closed connection waited for. A write to the
+    store that is cancelled half-way would never be read back, and nobody would know
+    whether it took effect.
+    """
+    inner = ensureDeferred(operation)
+    outer: Deferred[Result] = Deferred()
+
+    def pass_on(result: Any) -> None:
+        if not outer.called:
+            outer.callback(result)
+        elif isinstance(result, Failure):
+            log.error("after its caller hung up: {}", result.getErrorMessage())
+
+    inner.addBoth(pass_on)
+    return outer
+
+
+@final
+class _GuardedResource(Resource):
+    """Checks token and media type before any route sees the request."""
+
+    isLeaf = True
+
+    def __init__(self, *, inner: Resource, access: TokenAccess) -> None:
+        super().__init__()
+        self._inner = inner
+        self._access = access
+
+    def render(self, request: Any) -> Any:
+        if request.path not in OPEN_PATHS and not self._access.allows(request):
+            return reply_problem(
+                request,
+                Problem.UNAUTHORIZED,
+                "expected the header Authorization: Bearer TOKEN with the token of"
+                " the daemon's settings",
+            )
+        if request.method not in READ_METHODS and not _is_json(request):
+            return reply_problem(
+                request, Problem.MEDIA_TYPE, "expected content-type application/json"
+            )
+        return self._inner.render(request)
+
+
+def _is_json(request: Request) -> bool:
+    """Guard against a web page that makes its reader's browser send commands.
+
+    A browser sends a form to a loopback address without asking, but JSON only after
+    a question that the admin port does not answer.
+    """
+    media_type = request.getHeader(b"content-type") or b""
+    if isinstance(media_type, str):
+        media_type = media_type.encode()
+    return media_type.split(b";")[0].strip().lower() == b"application/json"
--- /dev/null
+++ b/src/gentianwharf/admin/_protocols.py
@@ -0,0 +1,220 @@
+"""What the admin port asks of the daemon's parts, a ``Protocol`` a part.
+
+Every method that changes something takes the operator's name, for the log and the
+store. Each raises the errors of ``gentianwharf.errors``; the port turns
+``RefusedError`` into 409, ``InputError`` into 422, ``PeerUnavailableError`` into 503
+and ``OutcomeUnknownError`` into 504.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol, final
+
+from gentianwharf.platform import ListedHost
+from gentianwharf.rules import ApplyResult, RuleDocument, RuleSet, RuleVersion
+
+JsonValue = (
+    None | bool | int | float | str | Sequence["JsonValue"] | Mapping[str, "JsonValue"]
+)
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Alarm:
+    """Something that an operator should look at; the name stands in OPERATING.md."""
+
+    name: str
+    since_s: float
+    detail: str
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Measures:
+    """The three measures, over the last ``window_s``.
+
+    ``imbalance`` is the highest over the mean load of a server by service, ``churn``
+    the keys' shards that changed owner by service, ``unavailable_s`` the time for
+    which requests of a class could not be served.
+    """
+
+    window_s: float
+    imbalance: Mapping[str, float]
+    churn: Mapping[str, int]
+    unavailable_s: Mapping[str, float]
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DaemonState:
+    """One daemon's view of itself, for ``/state`` and ``gentianwharf status``.
+
+    ``store_heard_ago_s`` is None when the store has never answered;
+    ``table_versions`` is by service, ``right_to_send`` likewise.
+    """
+
+    customer: str
+    host: str
+    domain: str
+    site: str
+    ready: bool
+    stopping: bool
+    rules_revision: int | None
+    store_heard_ago_s: float | None
+    table_versions: Mapping[str, int]
+    right_to_send: Mapping[str, bool]
+    control_holders: Mapping[str, str | None]
+    measures: Measures | None
+    alarms: tuple[Alarm, ...]
+
+
+class StateView(Protocol):
+    """The daemon's health and state."""
+
+    def is_live(self) -> bool:
+        """Return False when only a restart helps."""
+
+    def why_not_ready(self) -> Sequence[str]:
+        """Return why the balancer should send no request here; empty when ready."""
+
+    def state(self) -> DaemonState:
+        """Return the whole state."""
+
+
+class RulesControl(Protocol):
+    """The rules in force on this host and the operators' document in the store.
+
+    ``gentianwharf.rules.RuleBook`` gives all but ``in_force``.
+    """
+
+    def in_force(self) -> RuleSet | None:
+        """Return what this host matches requests with."""
+
+    async def read(self) -> RuleVersion | None:
+        """Return the document in the store."""
+
+    async def history(self) -> list[RuleVersion]:
+        """Return the documents still kept, newest first."""
+
+    async def apply(
+        self, document: RuleDocument, *, edited_from_revision: int, author: str
+    ) -> ApplyResult:
+        """Put ``document`` in force if nobody else was faster."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyOwner:
+    """Who owns a key; ``moving_to`` and ``step`` tell of a move under way.
+
+    ``single`` says that the key has an entry of its own beside its shard.
+    """
+
+    service: str
+    key: str
+    shard: int
+    single: bool
+    server: str | None
+    site: str | None
+    token: int
+    table_version: int
+    moving_to: str | None = None
+    step: str | None = None
+
+
+class KeysControl(Protocol):
+    """Owners of keys."""
+
+    def owner(self, service: str, key: str) -> KeyOwner:
+        """Return who owns ``key`` as this host knows it."""
+
+    async def move(self, service: str, key: str, server: str, author: str) -> KeyOwner:
+        """Begin to move the key's shard to ``server``; returns at the intent."""
+
+    async def pin(
+        self, service: str, key: str, server: str | None, author: str
+    ) -> KeyOwner:
+        """Give ``key`` an entry of its own on ``server``; None takes it away."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerStatus:
+    """A backend server as this host sees it.
+
+    ``slots_busy`` counts this host's own requests, ``reported_load`` is the server's
+    word and lags; ``shards`` counts those that it owns.
+    """
+
+    id: str
+    service: str
+    domain: str
+    site: str
+    address: str
+    state: str
+    slots: int
+    slots_busy: int
+    reported_load: float | None
+    shards: int
+
+
+class ServersControl(Protocol):
+    """Backend servers."""
+
+    def servers(self) -> Sequence[ServerStatus]:
+        """Return every backend server."""
+
+    async def drain(self, server: str, author: str) -> ServerStatus:
+        """Give ``server`` no new work and move its shards away."""
+
+
+class HostsView(Protocol):
+    """The platform's host list."""
+
+    async def hosts(self) -> Sequence[ListedHost]:
+        """Return the live and leaving hosts as the platform lists them."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DomainLoss:
+    """What declaring a failure domain lost would do, or has done.
+
+    ``shards`` counts by service those that would get new owners, ``heard_ago_s`` the
+    time since a host of that domain was heard, None for never.
+    """
+
+    domain: str
+    shards: Mapping[str, int]
+    heard_ago_s: float | None
+    risks: tuple[str, ...]
+    declared: bool
+
+
+class DomainsControl(Protocol):
+    """Failure domains that an operator may declare lost."""
+
+    def loss(self, domain: str) -> DomainLoss:
+        """Return what it would do and risk, without doing it."""
+
+    async def declare_lost(self, domain: str, author: str) -> DomainLoss:
+        """Let other domains take over the keys of ``domain``."""
+
+
+class BurnView(Protocol):
+    """The service-level burn."""
+
+    def burn(self) -> Mapping[str, JsonValue]:
+        """Return the report as JSON."""
+
+    def burn_html(self) -> str:
+        """Return the report as a self-contained page."""
+
+
+class DecisionsView(Protocol):
+    """Why requests went where they went."""
+
+    def decisions(
+        self, *, request_id: str | None, most: int
+    ) -> Sequence[Mapping[str, JsonValue]]:
+        """Return the newest kept decisions, at most ``most``, or those of a request."""
--- /dev/null
+++ b/src/gentianwharf/admin/_requests.py
@@ -0,0 +1,125 @@
+"""Bodies and headers that operators send, checked at the border."""
+
+from typing import Any, TypeVar
+
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from twisted.web.server import Request
+
+from gentianwharf.errors import InputError
+from gentianwharf.rules import RequestFacts
+
+OPERATOR_HEADER = "gentianwharf-operator"
+MOST_OPERATOR_CHARACTERS = 64
+
+Body = TypeVar("Body", bound=BaseModel)
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class MoveBody(_Body):
+    """The server that shall own the key's shard."""
+
+    key: str = Field(min_length=1)
+    server: str = Field(min_length=1)
+
+
+class PinBody(_Body):
+    """The server that shall own the key by itself; null ends that."""
+
+    key: str = Field(min_length=1)
+    server: str | None
+
+
+class ExplainBody(_Body):
+    """A request to be explained; ``key`` stands for its ``Gentianwharf-Key``."""
+
+    method: str = "GET"
+    host: str = ""
+    path: str = "/"
+    query: str = ""
+    headers: dict[str, str] = Field(default_factory=dict)
+    key: str | None = None
+
+    def facts(self) -> RequestFacts:
+        """Return what the rules look at."""
+        headers = {name.lower(): value for name, value in self.headers.items()}
+        if self.key is not None:
+            headers["gentianwharf-key"] = self.key
+        return RequestFacts(
+            method=self.method.upper(),
+            host=self.host.lower().split(":")[0],
+            path=self.path,
+            query=self.query,
+            headers=headers,
+        )
+
+
+def read_body(request: Request, model: type[Body]) -> Body:
+    """Return the body as ``model``; raises ``InputError`` naming what is wrong."""
+    source = _peer(request)
+    try:
+        data = msgspec.json.decode(_content(request))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InputError(
+            f"the body is not JSON: {error}", step="read body", peer=source
+        ) from error
+    return check_body(data, model, peer=source)
+
+
+def check_body(data: Any, model: type[Body], *, peer: str) -> Body:
+    """Check ``data`` against ``model``; raises ``InputError`` naming each field."""
+    try:
+        return model.model_validate(data)
+    except ValidationError as error:
+        wrong = "; ".join(
+            f"{'.'.join(map(str, one['loc'])) or 'body'}: {one['msg']}"
+            for one in error.errors()
+        )
+        raise InputError(wrong, step="check body", peer=peer) from error
+
+
+def operator_of(request: Request) -> str:
+    """Return who asks for a change; raises ``InputError`` when nobody is named."""
+    value = request.getHeader(OPERATOR_HEADER) or ""
+    name = value if isinstance(value, str) else value.decode("utf-8", "replace")
+    if not name.strip() or len(name) > MOST_OPERATOR_CHARACTERS:
+        raise InputError(
+            f"expected the operator's name, at most {MOST_OPERATOR_CHARACTERS}"
+            f" characters, in the header {OPERATOR_HEADER}, got {name!r}",
+            step="read operator",
+            peer=_peer(request),
+        )
+    return name.strip()
+
+
+def argument(request: Request, name: str) -> str | None:
+    """Return the first query field ``name``, or None."""
+    values = request.args.get(name.encode())
+    return values[0].decode("utf-8", "replace") if values else None
+
+
+def integer_argument(request: Request, name: str, *, default: int | None) -> int:
+    """Return the query field ``name`` as a number from 0."""
+    text = argument(request, name)
+    if text is None and default is not None:
+        return default
+    if text is None or not (text.isascii() and text.isdigit()) or len(text) > 18:
+        raise InputError(
+            f"{name}: expected a number from 0 in the query, got {text!r}",
+            step="read query",
+            peer=_peer(request),
+        )
+    return int(text)
+
+
+def _peer(request: Request) -> str:
+    address: Any = request.getClientAddress()
+    host = getattr(address, "host", None)
+    return f"{host}:{address.port}" if host is not None else "operator"
+
+
+def _content(request: Request) -> bytes:
+    return request.content.read() if request.content is not None else b""
--- /dev/null
+++ b/tests/builders_admin.py
@@ -0,0 +1,286 @@
+"""A daemon made of fakes behind the admin port, and a way to call it in memory."""
+
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from treq.testing import StubTreq
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from gentianwharf.admin import (
+    AdminApp,
+    Alarm,
+    DaemonState,
+    DomainLoss,
+    JsonValue,
+    KeyOwner,
+    Measures,
+    ServerStatus,
+)
+from gentianwharf.errors import RefusedError
+from gentianwharf.platform import ListedHost
+from gentianwharf.rules import (
+    ApplyResult,
+    RuleDocument,
+    RulesApplied,
+    RuleSet,
+    RuleVersion,
+)
+from tests.builders_rules import SHARDS, document, keyed_rule
+
+TOKEN = "a-token-of-some-length"
+JSON_HEADERS = {"content-type": "application/json", "gentianwharf-operator": "amira"}
+
+
+def settled(waited: Any) -> Any:
+    """Return what a coroutine or a Deferred has come to; it must not wait."""
+    deferred = waited if isinstance(waited, Deferred) else ensureDeferred(waited)
+    results: list[Any] = []
+    deferred.addBoth(results.append)
+    assert results, "still waiting"
+    result = results[0]
+    if hasattr(result, "raiseException"):
+        result.raiseException()
+    return result
+
+
+def rule_version(number: int = 1, *, author: str = "amira") -> RuleVersion:
+    """Return a version of the migration's rules."""
+    return RuleVersion(
+        number=number,
+        revision=number * 10,
+        edited_from_revision=(number - 1) * 10,
+        author=author,
+        change_id=f"change-{number}",
+        document=document(keyed_rule(name="all", site="old")),
+    )
+
+
+@dataclass
+class FakeDaemon:
+    """Every part that the admin port asks; ``calls`` records what was changed."""
+
+    live: bool = True
+    reasons: Sequence[str] = ()
+    error: Exception | None = None
+    result: ApplyResult | None = None
+    waiting: Deferred[None] | None = None
+    rule_set: RuleSet | None = field(
+        default_factory=lambda: RuleSet(
+            document=rule_version().document, revision=10, shards=SHARDS
+        )
+    )
+    calls: list[tuple[Any, ...]] = field(default_factory=list)
+
+    def is_live(self) -> bool:
+        """See ``StateView``."""
+        return self.live
+
+    def why_not_ready(self) -> Sequence[str]:
+        """See ``StateView``."""
+        return self.reasons
+
+    def state(self) -> DaemonState:
+        """See ``StateView``."""
+        self._fail()
+        return DaemonState(
+            customer="tunis",
+            host="lac-1",
+            domain="lac",
+            site="old",
+            ready=not self.reasons,
+            stopping=False,
+            rules_revision=10,
+            store_heard_ago_s=0.5,
+            table_versions={"desk": 7},
+            right_to_send={"desk": True},
+            control_holders={"desk": "lac-1"},
+            measures=Measures(
+                window_s=60,
+                imbalance={"desk": 1.05},
+                churn={"desk": 3},
+                unavailable_s={"consultation": 0.0},
+            ),
+            alarms=(Alarm(name="store-silent", since_s=4.0, detail="no answer"),),
+        )
+
+    def in_force(self) -> RuleSet | None:
+        """See ``RulesControl``."""
+        return self.rule_set
+
+    async def read(self) -> RuleVersion | None:
+        """See ``RulesControl``."""
+        self._fail()
+        return rule_version()
+
+    async def history(self) -> list[RuleVersion]:
+        """See ``RulesControl``."""
+        return [rule_version(2, author="karim"), rule_version(1)]
+
+    async def apply(
+        self, document: RuleDocument, *, edited_from_revision: int, author: str
+    ) -> ApplyResult:
+        """See ``RulesControl``."""
+        if self.waiting is not None:
+            await self.waiting
+        self._fail()
+        self.calls.append(("apply", document, edited_from_revision, author))
+        if self.result is not None:
+            return self.result
+        return RulesApplied(version=rule_version(2), read_back=False)
+
+    def owner(self, service: str, key: str) -> KeyOwner:
+        """See ``KeysControl``."""
+        self._fail()
+        return KeyOwner(
+            service=service,
+            key=key,
+            shard=3,
+            single=False,
+            server="desk-1",
+            site="old",
+            token=12,
+            table_version=7,
+        )
+
+    async def move(self, service: str, key: str, server: str, author: str) -> KeyOwner:
+        """See ``KeysControl``."""
+        self.calls.append(("move", service, key, server, author))
+        return self.owner(service, key)
+
+    async def pin(
+        self, service: str, key: str, server: str | None, author: str
+    ) -> KeyOwner:
+        """See ``KeysControl``."""
+        self.calls.append(("pin", service, key, server, author))
+        return self.owner(service, key)
+
+    def servers(self) -> Sequence[ServerStatus]:
+        """See ``ServersControl``."""
+        return [server_status("desk-1"), server_status("desk-2")]
+
+    async def drain(self, server: str, author: str) -> ServerStatus:
+        """See ``ServersControl``."""
+        if server == "nobody":
+            raise RefusedError("no server 'nobody'", step="drain", peer=server)
+        self.calls.append(("drain", server, author))
+        return server_status(server)
+
+    async def hosts(self) -> Sequence[ListedHost]:
+        """See ``HostsView``."""
+        return [
+            ListedHost(id="lac-1", domain="lac", address="127.0.0.1", leaving=False)
+        ]
+
+    def loss(self, domain: str) -> DomainLoss:
+        """See ``DomainsControl``."""
+        return DomainLoss(
+            domain=domain,
+            shards={"desk": 340},
+            heard_ago_s=31.0,
+            risks=("a server there that still runs would own keys twice",),
+            declared=False,
+        )
+
+    async def declare_lost(self, domain: str, author: str) -> DomainLoss:
+        """See ``DomainsControl``."""
+        self.calls.append(("declare-lost", domain, author))
+        return self.loss(domain)
+
+    def burn(self) -> Mapping[str, JsonValue]:
+        """See ``BurnView``."""
+        return {"objectives": [{"class": "consultation", "burn_rate": 0.4}]}
+
+    def burn_html(self) -> str:
+        """See ``BurnView``."""
+        return "<!doctype html><title>burn</title>"
+
+    def decisions(
+        self, *, request_id: str | None, most: int
+    ) -> Sequence[Mapping[str, JsonValue]]:
+        """See ``DecisionsView``."""
+        return [{"request_id": request_id, "most": most}]
+
+    def _fail(self) -> None:
+        if self.error is not None:
+            raise self.error
+
+
+def server_status(server: str) -> ServerStatus:
+    """Return a server of the keyed service."""
+    return ServerStatus(
+        id=server,
+        service="desk",
+        domain="lac",
+        site="old",
+        address="127.0.0.1:9100",
+        state="live",
+        slots=6,
+        slots_busy=2,
+        reported_load=0.4,
+        shards=64,
+    )
+
+
+def admin_app(daemon: FakeDaemon, *, token: str | None = TOKEN) -> AdminApp:
+    """Return the admin port over ``daemon``."""
+    return AdminApp(
+        state=daemon,
+        rules=daemon,
+        keys=daemon,
+        servers=daemon,
+        hosts=daemon,
+        domains=daemon,
+        burn=daemon,
+        decisions=daemon,
+        metrics=lambda: b"# HELP up\n",
+        token=token,
+    )
+
+
+def in_memory(daemon: FakeDaemon) -> StubTreq:
+    """Return a client that calls the admin port without a socket."""
+    return StubTreq(admin_app(daemon).resource())
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An answer as its caller sees it."""
+
+    status: int
+    media_type: str
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def call(
+    http: StubTreq,
+    method: str,
+    path: str,
+    *,
+    headers: Mapping[str, str] | None = None,
+    body: object = None,
+) -> Answer:
+    """Call the admin port with the right token, unless ``headers`` are given."""
+    allowed = {"authorization": f"Bearer {TOKEN}", **JSON_HEADERS}
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    client: Any = http
+    response = settled(
+        client.request(
+            method,
+            f"http://127.0.0.1:8081{path}",
+            headers=dict(allowed if headers is None else headers),
+            data=None if method == "GET" else data,
+        )
+    )
+    http.flush()
+    media_types = response.headers.getRawHeaders("content-type") or [""]
+    return Answer(
+        status=response.code,
+        media_type=media_types[0],
+        body=settled(response.content()),
+    )
