Check whole rule documents, and that only the key chooses its owner's site

A site that hangs on a header, path or method gives one key two owners. Ruled out: refusing every non-key condition on a rule with a site, which also refuses a migration that is written once for each of two paths.

--- a/src/gentianwharf/rules/__init__.py
+++ b/src/gentianwharf/rules/__init__.py
@@ -1,5 +1,7 @@
 """The operators' ordered when-then rules: the first match decides."""
 
+from ._check import MOST_SINGLE_KEYS, RuleChecker
+from ._codec import StoredRules, decode_rules, encode_rules
 from ._document import (
     MOST_DOCUMENT_BYTES,
     MOST_RULES,
@@ -27,10 +29,12 @@
     RuleVersion,
     Severity,
 )
+from ._scope import RuleScope
 
 __all__ = [
     "MOST_DOCUMENT_BYTES",
     "MOST_RULES",
+    "MOST_SINGLE_KEYS",
     "ApplyResult",
     "ChangeKind",
     "Condition",
@@ -42,8 +46,10 @@
     "RequestFacts",
     "Rule",
     "RuleChange",
+    "RuleChecker",
     "RuleDocument",
     "RuleMatch",
+    "RuleScope",
     "RuleSet",
     "RuleVersion",
     "RulesApplied",
@@ -51,6 +57,9 @@
     "RulesRefused",
     "Severity",
     "ShardRange",
+    "StoredRules",
     "Target",
+    "decode_rules",
+    "encode_rules",
     "explain",
 ]
--- a/src/gentianwharf/rules/_compile.py
+++ b/src/gentianwharf/rules/_compile.py
@@ -80,12 +80,20 @@
 
 def _shard_bounds(when: Condition, shards: int) -> tuple[int, int]:
     if when.shard_share is not None:
-        return 0, ceil(when.shard_share * shards)
+        return 0, _shards_in_share(when.shard_share, shards)
     if when.shard_range is not None:
         return when.shard_range.first, when.shard_range.last + 1
     return 0, shards
 
 
+def _shards_in_share(share: float, shards: int) -> int:
+    """Return how many shards a share covers, rounded up.
+
+    Rounding first keeps 0.07 of 100 at 7: the product is 7.000000000000001.
+    """
+    return ceil(round(share * shards, 6))
+
+
 def headers_hold(rule: CompiledRule, headers: Mapping[str, str]) -> bool:
     """Say whether every header that ``rule`` asks for has its value."""
     return all(headers.get(name) == value for name, value in rule.headers)
--- /dev/null
+++ b/src/gentianwharf/rules/_cover.py
@@ -0,0 +1,59 @@
+"""Which rules take every request that a later one asks for."""
+
+from collections.abc import Iterator, Sequence
+
+from gentianwharf.keys import shard_of
+
+from ._compile import CompiledRule
+
+
+def covers(earlier: CompiledRule, later: CompiledRule) -> bool:
+    """Say whether what ``later`` asks of a request, its key aside, implies ``earlier``.
+
+    A key that the two read in different places may differ, so an earlier rule that
+    divides by key covers only rules that read it in the same place.
+    """
+    return (
+        (earlier.host is None or earlier.host == later.host)
+        and later.path_prefix.startswith(earlier.path_prefix)
+        and _methods_cover(earlier.methods, later.methods)
+        and (not earlier.divides or earlier.source == later.source)
+        and (not earlier.headers or set(earlier.headers) <= set(later.headers))
+    )
+
+
+def _methods_cover(earlier: frozenset[str], later: frozenset[str]) -> bool:
+    return not earlier or (bool(later) and later <= earlier)
+
+
+def unreachable(
+    rules: Sequence[CompiledRule],
+) -> Iterator[tuple[CompiledRule, CompiledRule]]:
+    """Return each rule that an earlier one hides entirely, with that earlier one."""
+    for position, later in enumerate(rules):
+        for earlier in rules[:position]:
+            if _keys_cover(earlier, later) and covers(earlier, later):
+                yield later, earlier
+                break
+
+
+def _keys_cover(earlier: CompiledRule, later: CompiledRule) -> bool:
+    if not earlier.divides:
+        return True
+    if not later.divides:
+        return False
+    if earlier.key is not None:
+        return earlier.key == later.key
+    if later.key is not None:
+        return _takes(earlier, later.key)
+    return (
+        earlier.shards == later.shards
+        and earlier.first_shard <= later.first_shard
+        and later.end_shard <= earlier.end_shard
+    )
+
+
+def _takes(rule: CompiledRule, key: str) -> bool:
+    if not rule.shards:
+        return False
+    return rule.first_shard <= shard_of(key, rule.shards) < rule.end_shard
--- a/tests/builders_rules.py
+++ b/tests/builders_rules.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from gentianwharf.rules import RequestFacts, Rule, RuleDocument
+from gentianwharf.rules import RequestFacts, Rule, RuleDocument, RuleScope
 
 SHARDS = {"desk": 100}
 
@@ -51,3 +51,22 @@
         query=query,
         headers={name.replace("_", "-"): value for name, value in headers.items()},
     )
+
+
+def scope(*, most_keyed_deadline_ms: int | None = None) -> RuleScope:
+    """Return a scope with ``desk`` on sites old and new, and ``ledger`` on old."""
+    return RuleScope(
+        shards={"desk": SHARDS["desk"], "ledger": 0},
+        sites={"desk": frozenset({"old", "new"}), "ledger": frozenset({"old"})},
+        classes=frozenset({"consultation", "posting"}),
+        most_keyed_deadline_ms=most_keyed_deadline_ms,
+    )
+
+
+def migration(share: float) -> RuleDocument:
+    """Return the rules that move a share of the keys to the new site."""
+    return document(
+        keyed_rule(name="desk-new", site="new", when={"shard_share": share}),
+        keyed_rule(name="desk-old", site="old"),
+        rule(name="ledger", when={"path_prefix": "/ledger/"}),
+    )
