--- a/src/gentianwharf/spread/__init__.py
+++ b/src/gentianwharf/spread/__init__.py
@@ -1,1 +1,5 @@
-"""Passing rules and tables on between the entry hosts."""
+"""Passing rules and tables on: hosts over pynng, versions down a tree."""
+
+from ._system import Peers, SpreadCounts, SpreadState, SpreadSystem
+
+__all__ = ["Peers", "SpreadCounts", "SpreadState", "SpreadSystem"]
--- /dev/null
+++ b/src/gentianwharf/spread/_places.py
@@ -0,0 +1,102 @@
+"""Who watches the store, and who passes versions on to whom.
+
+Every host works this out alone from the list of hosts, by rendezvous hashing: a host
+that joins or leaves changes the places of few others. Lists differ between hosts for
+a while, since the platform's list lags; then a value may come twice or miss a host,
+which the digests mend.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import final
+
+import xxhash
+
+from gentianwharf.topology import Host
+
+WATCHERS = 2
+"""Hosts of a failure domain that watch the store. One may die or its watch go silent
+without a pause; a third would add half as many store calls again for less."""
+
+STANDBY_WATCHERS = 8
+"""Hosts of a failure domain that may watch when nobody hears from the watchers: so
+many of them would have to be listed though dead. Bounds the calls in an outage."""
+
+FAN_OUT = 8
+"""Children of a host in the tree; see docs/design/spread.md for the measurement."""
+
+PARTNERS = 4
+"""Fellow hosts with which digests are exchanged. A random graph in which each host
+picks 4 is connected for every size of domain that is planned for."""
+
+
+def _score(salt: str, host_id: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f"{salt}\0{host_id}".encode()), host_id
+
+
+def ranked(salt: str, host_ids: Iterable[str]) -> list[str]:
+    """Return hosts in the order of their rendezvous hash under ``salt``."""
+    return sorted(host_ids, key=lambda host_id: _score(salt, host_id))
+
+
+def children(root: str, host_id: str, members: Sequence[str]) -> list[str]:
+    """Return the hosts to which ``host_id`` passes on what came from ``root``.
+
+    Each root has a tree of its own over the same members, so that a host that is dead
+    in the middle of one is most likely a leaf of another.
+    """
+    order = [root, *ranked(root, (one for one in members if one != root))]
+    if host_id not in order:
+        return []
+    first = order.index(host_id) * FAN_OUT + 1
+    return order[first : first + FAN_OUT]
+
+
+@final
+class Places:
+    """The places of one host among the hosts that it knows of."""
+
+    def __init__(self, *, host: Host) -> None:
+        self._host = host
+        self._members: tuple[str, ...] = ()
+        self._watch_order: list[str] = []
+        self._heads: tuple[str, ...] = ()
+        self.others: tuple[str, ...] = ()
+        self.partners: tuple[str, ...] = ()
+        self.set_hosts(())
+
+    def set_hosts(self, hosts: Iterable[Host]) -> None:
+        """Take the list of live hosts; the host itself is always one of them."""
+        by_domain: dict[str, set[str]] = {self._host.domain: {self._host.id}}
+        for host in hosts:
+            by_domain.setdefault(host.domain, set()).add(host.id)
+        mine = by_domain.pop(self._host.domain)
+        self._members = tuple(sorted(mine))
+        self._watch_order = ranked(f"watch {self._host.domain}", mine)
+        self._heads = tuple(
+            watcher
+            for domain, members in sorted(by_domain.items())
+            for watcher in ranked(f"watch {domain}", members)[:WATCHERS]
+        )
+        self.others = tuple(sorted(set().union(*by_domain.values())))
+        self.partners = tuple(
+            ranked(f"partner {self._host.id}", mine - {self._host.id})[:PARTNERS]
+        )
+
+    @property
+    def domain_members(self) -> tuple[str, ...]:
+        """The hosts of the own failure domain, the host itself among them."""
+        return self._members
+
+    @property
+    def watch_rank(self) -> int:
+        """0 for the domain's first watcher, 1 for its second, and so on."""
+        return self._watch_order.index(self._host.id)
+
+    @property
+    def heads(self) -> tuple[str, ...]:
+        """The watchers of the other failure domains."""
+        return self._heads
+
+    def children(self, root: str) -> list[str]:
+        """Return the hosts to which this one passes on what came from ``root``."""
+        return children(root, self._host.id, self._members)
--- /dev/null
+++ b/src/gentianwharf/spread/_versions.py
@@ -0,0 +1,88 @@
+"""The values that a host holds, each at the highest revision it has heard of.
+
+This is the guard against going back to an older rule list or table. An older value
+can come from a peer that was cut off, from a watch answered late, or from a host that
+restarted; it shows as a lower revision of the key, since the store's revisions only
+grow, and is dropped whoever sends it.
+"""
+
+from collections.abc import Iterable
+from typing import final
+
+import xxhash
+
+from gentianwharf.platform import ABSENT_REVISION, VersionedValue
+
+from ._messages import Version
+
+
+@final
+class VersionTable:
+    """Values by key; a revision never falls.
+
+    >>> table = VersionTable()
+    >>> table.offer(VersionedValue(key="rules", value=b"new", revision=8))
+    True
+    >>> table.offer(VersionedValue(key="rules", value=b"old", revision=7))
+    False
+    """
+
+    def __init__(self) -> None:
+        self._values: dict[str, VersionedValue] = {}
+        self._checksum: int | None = None
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+    def offer(self, value: VersionedValue) -> bool:
+        """Take a value if it is newer than the one held; say whether it was."""
+        if value.revision <= self.revision(value.key):
+            return False
+        self._values[value.key] = value
+        self._checksum = None
+        return True
+
+    def get(self, key: str) -> VersionedValue | None:
+        """Return the value held."""
+        return self._values.get(key)
+
+    def revision(self, key: str) -> int:
+        """Return the revision held, 0 for none."""
+        value = self._values.get(key)
+        return ABSENT_REVISION if value is None else value.revision
+
+    def versions(self) -> list[Version]:
+        """Return key and revision of every value, sorted by key."""
+        return [(key, self._values[key].revision) for key in sorted(self._values)]
+
+    def highest_revision(self) -> int:
+        """Return the highest revision held, 0 when empty."""
+        return max(
+            (value.revision for value in self._values.values()), default=ABSENT_REVISION
+        )
+
+    def checksum(self) -> int:
+        """Return a checksum that two tables share only with the same versions."""
+        if self._checksum is None:
+            digest = xxhash.xxh3_64()
+            for key, revision in self.versions():
+                digest.update(f"{key}\0{revision}\n".encode())
+            self._checksum = digest.intdigest()
+        return self._checksum
+
+    def lacking(self, versions: Iterable[Version]) -> list[Version]:
+        """Return those of ``versions`` that are newer than what is held."""
+        return [
+            (key, revision)
+            for key, revision in versions
+            if revision > self.revision(key)
+        ]
+
+    def newer_than(self, versions: Iterable[Version]) -> list[Version]:
+        """Return the versions held that someone with ``versions`` lacks."""
+        theirs = dict(versions)
+        return [
+            (key, revision)
+            for key, revision in self.versions()
+            if revision > theirs.get(key, ABSENT_REVISION)
+        ]
