spread: mesh of hosts over pynng inside the Twisted loop

Without the redial three tests of test_spread_links fail, without the check of the receiver two, without that of the incarnation one (each taken out and run).

Ruled out: Pair1 polyamorous. One socket for all peers would do, but it queues two messages a peer and drops the rest without a sign.

--- a/src/gentianwharf/spread/__init__.py
+++ b/src/gentianwharf/spread/__init__.py
@@ -1,5 +1,19 @@
 """Passing rules and tables on: hosts over pynng, versions down a tree."""
 
+from ._frames import Channel
+from ._links import Link, LinkStats
+from ._mesh import MeshStats, PeerChannel, PeerMesh
 from ._system import Peers, SpreadCounts, SpreadState, SpreadSystem
 
-__all__ = ["Peers", "SpreadCounts", "SpreadState", "SpreadSystem"]
+__all__ = [
+    "Channel",
+    "Link",
+    "LinkStats",
+    "MeshStats",
+    "PeerChannel",
+    "PeerMesh",
+    "Peers",
+    "SpreadCounts",
+    "SpreadState",
+    "SpreadSystem",
+]
--- /dev/null
+++ b/src/gentianwharf/spread/_mesh.py
@@ -0,0 +1,152 @@
+"""Messages between hosts over links that are probed and made anew."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, final
+
+from gentianwharf.errors import InputError, PeerMismatchError
+from gentianwharf.topology import Host
+
+from ._frames import Channel, Frame, FrameKind, decode_frame
+from ._links import Dial, LinkStats, LinkTable
+from ._messages import MOST_MESSAGE_BYTES
+from ._nng import NngListener, dial
+
+INCARNATION_BITS = 53
+"""Random, since a host keeps nothing from which to count on; as wide as JSON takes."""
+
+OnMessage = Callable[[str, bytes], None]
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MeshStats:
+    """What an operator sees of the mesh."""
+
+    received: int
+    malformed: int
+    for_another_host: int
+    unknown_channel: int
+    links: dict[str, LinkStats]
+
+
+@final
+class PeerChannel:
+    """One system's way to its peers over the mesh."""
+
+    def __init__(self, *, mesh: "PeerMesh", channel: Channel) -> None:
+        self._mesh = mesh
+        self._channel = channel
+
+    def send(self, host_id: str, message: bytes) -> bool:
+        """Hand a message over for sending; False when it was dropped at once."""
+        return self._mesh.send(host_id, message, channel=self._channel)
+
+
+@final
+class PeerMesh:
+    """One host's messages to and from its fellow hosts.
+
+    A message may be lost, come late or come twice, as over any network; True from
+    ``send`` says only that it was queued. Call ``tick`` every 50 to 100 ms.
+    """
+
+    def __init__(
+        self, *, reactor: Any, host: Host, rng: Random, dial: Dial = dial
+    ) -> None:
+        self._reactor = reactor
+        self._host = host
+        self._handlers: dict[int, OnMessage] = {}
+        self._links = LinkTable(
+            host_id=host.id,
+            incarnation=rng.getrandbits(INCARNATION_BITS),
+            dial=dial,
+            rng=rng,
+        )
+        self._listener: NngListener | None = None
+        self._received = 0
+        self._malformed = 0
+        self._for_another_host = 0
+        self._unknown_channel = 0
+
+    def channel(self, channel: Channel, on_message: OnMessage) -> PeerChannel:
+        """Return a system's channel; its messages go to ``on_message(host_id, m)``."""
+        self._handlers[channel] = on_message
+        return PeerChannel(mesh=self, channel=channel)
+
+    def listen(self) -> None:
+        """Listen on the host's peer address; raises ``InputError`` when it can't."""
+        self._listener = NngListener(
+            reactor=self._reactor,
+            address=self._host.peer_address,
+            on_data=self.received_frame,
+        )
+
+    def set_peers(self, hosts: Iterable[Host]) -> None:
+        """Take the list of hosts; links open with the first message to a host."""
+        self._links.set_peers(
+            {host.id: host.peer_address for host in hosts if host.id != self._host.id}
+        )
+
+    def send(self, host_id: str, message: bytes, *, channel: Channel) -> bool:
+        """Queue a message; False when the host is unknown or its queue is full."""
+        if len(message) > MOST_MESSAGE_BYTES:
+            raise InputError(
+                f"expected at most {MOST_MESSAGE_BYTES} bytes, got {len(message)}",
+                step="send to peer",
+                peer=host_id,
+            )
+        return self._links.send(
+            host_id, message, channel=channel, now_s=self._reactor.seconds()
+        )
+
+    def is_silent(self, host_id: str) -> bool:
+        """Say whether a host that we talk to left our probes unanswered."""
+        return self._links.is_silent(host_id, self._reactor.seconds())
+
+    def tick(self) -> None:
+        """Probe, make anew or close links that are due."""
+        self._links.tick(self._reactor.seconds())
+
+    def close(self) -> None:
+        """Close the links and stop listening."""
+        self._links.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    def stats(self) -> MeshStats:
+        """Return what an operator sees."""
+        return MeshStats(
+            received=self._received,
+            malformed=self._malformed,
+            for_another_host=self._for_another_host,
+            unknown_channel=self._unknown_channel,
+            links=self._links.stats(self._reactor.seconds()),
+        )
+
+    def received_frame(self, data: bytes) -> None:
+        """Handle a frame that came in; one not meant for us is counted, dropped."""
+        try:
+            frame = decode_frame(data, peer=self._host.peer_address)
+        except PeerMismatchError:
+            self._malformed += 1
+            return
+        if frame.receiver != self._host.id:
+            self._for_another_host += 1
+            return
+        self._received += 1
+        match frame.kind:
+            case FrameKind.PROBE:
+                self._links.answer(frame, self._reactor.seconds())
+            case FrameKind.PROBE_ANSWER:
+                self._links.answered(frame, self._reactor.seconds())
+            case FrameKind.DATA:
+                self._hand_over(frame)
+
+    def _hand_over(self, frame: Frame) -> None:
+        handler = self._handlers.get(frame.channel)
+        if handler is None:
+            self._unknown_channel += 1
+            return
+        handler(frame.sender, frame.body)
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -21,7 +21,8 @@
 
 Result = TypeVar("Result")
 
-MOST_ITERATIONS = 2_000
+MOST_ITERATIONS = 20_000
+"""A hundred seconds when nothing happens: a test that hangs ends."""
 
 
 @final
--- /dev/null
+++ b/tests/test_spread_links.py
@@ -0,0 +1,267 @@
+"""Links between hosts on a virtual clock and fake connections."""
+
+from collections.abc import Callable
+from random import Random
+from typing import final
+
+import pytest
+from twisted.internet.task import Clock
+
+from gentianwharf.errors import InputError
+from gentianwharf.spread import Channel, PeerMesh
+from gentianwharf.spread._frames import (
+    FRAME_VERSION,
+    Frame,
+    FrameKind,
+    decode_frame,
+    encode_frame,
+)
+from gentianwharf.spread._links import IDLE_AFTER_S, PROBE_EVERY_S, SILENT_AFTER_S
+from gentianwharf.spread._messages import MOST_MESSAGE_BYTES
+from gentianwharf.topology import Host
+
+LAC, ARIANA = (
+    Host(id=name, domain=name, peer_address=f"127.0.0.{number}:7000")
+    for number, name in enumerate(("lac", "ariana"), start=1)
+)
+TICK_S = 0.1
+NOTICED_S = SILENT_AFTER_S + 1.2 * PROBE_EVERY_S + TICK_S
+
+
+@final
+class FakeLink:
+    """A connection that delivers at once, or swallows, or is full."""
+
+    def __init__(self, deliver: Callable[[bytes], None]) -> None:
+        self._deliver = deliver
+        self.silent = False
+        self.full = False
+        self.closed = False
+
+    def send(self, data: bytes) -> bool:
+        """Deliver, swallow or refuse."""
+        if not self.silent and not self.full:
+            self._deliver(data)
+        return not self.full
+
+    def close(self) -> None:
+        """Note it."""
+        self.closed = True
+
+
+@final
+class Pair:
+    """Two hosts' meshes, joined by fake links."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.links: dict[str, list[FakeLink]] = {}
+        self.answers = True
+        self.got: list[tuple[str, bytes]] = []
+        self.meshes: dict[str, PeerMesh] = {}
+        for host in (LAC, ARIANA):
+            self.start(host)
+        self.channel = self.meshes["lac"].channel(Channel.SPREAD, self._note)
+
+    def start(self, host: Host, address: str | None = None) -> None:
+        """Start a host with a new incarnation, at ``address`` if it is another's."""
+        mesh = PeerMesh(reactor=self.clock, host=host, rng=Random(), dial=self._dial)
+        mesh.set_peers([LAC, ARIANA])
+        mesh.channel(Channel.SPREAD, self._note)
+        self.meshes = {**self.meshes, host.id: mesh}
+        self.at = {LAC.peer_address: "lac", ARIANA.peer_address: "ariana"}
+        if address is not None:
+            self.at[address] = host.id
+
+    def _note(self, host_id: str, message: bytes) -> None:
+        self.got.append((host_id, message))
+
+    def _dial(self, address: str) -> FakeLink:
+        link = FakeLink(lambda data: self.meshes[self.at[address]].received_frame(data))
+        self.links.setdefault(address, []).append(link)
+        return link
+
+    def to_ariana(self) -> FakeLink:
+        """Return lac's present link to ariana."""
+        return self.links[ARIANA.peer_address][-1]
+
+    def run(self, duration_s: float, *, sending: bool = False) -> None:
+        """Let both hosts tick."""
+        for _ in range(round(duration_s / TICK_S)):
+            self.clock.advance(TICK_S)
+            if sending:
+                self.channel.send("ariana", b"x")
+            for mesh in self.meshes.values():
+                mesh.tick()
+
+
+def test_link_opens_with_the_first_message() -> None:
+    pair = Pair()
+    pair.run(1)
+    assert pair.links == {}
+    assert pair.channel.send("ariana", b"hello")
+    assert pair.got == [("lac", b"hello")]
+
+
+def test_answered_link_stays_as_it_is() -> None:
+    pair = Pair()
+    pair.run(60, sending=True)
+    assert len(pair.links[ARIANA.peer_address]) == 1
+    assert not pair.meshes["lac"].is_silent("ariana")
+
+
+def test_link_gone_silent_is_made_anew() -> None:
+    """A box between two hosts loses track of their connection.
+
+    Both ends keep it open and nng sees nothing; what is sent vanishes. Without probes
+    the rules would stop reaching that host through this peer for good.
+    """
+    pair = Pair()
+    pair.run(1, sending=True)
+    pair.to_ariana().silent = True
+    pair.run(NOTICED_S, sending=True)
+    old, new = pair.links[ARIANA.peer_address]
+    assert old.closed
+    assert not new.closed
+    pair.got.clear()
+    pair.run(1, sending=True)
+    assert len(pair.got) == 10
+    assert len(pair.links[ARIANA.peer_address]) == 2
+    assert not pair.meshes["lac"].is_silent("ariana")
+
+
+def test_frozen_peer_is_silent_until_it_answers_again() -> None:
+    """A peer is paused for a minute and returns.
+
+    It is dialled again at a bounded rate meanwhile, and its return is noticed.
+    """
+    pair = Pair()
+    pair.run(1, sending=True)
+    frozen = pair.meshes.pop("ariana")
+    pair.meshes["ariana"] = PeerMesh(
+        reactor=pair.clock, host=LAC, rng=Random(2), dial=pair._dial
+    )
+    pair.run(60, sending=True)
+    assert pair.meshes["lac"].is_silent("ariana")
+    redials = pair.meshes["lac"].stats().links["ariana"].redials
+    assert 30 <= redials <= 60 / SILENT_AFTER_S
+    pair.meshes["ariana"] = frozen
+    pair.run(1, sending=True)
+    assert not pair.meshes["lac"].is_silent("ariana")
+
+
+def test_other_host_at_the_address_gets_nothing() -> None:
+    """A host is replaced, and its address goes to another one.
+
+    A message meant for the former holder must not be taken for the new one's own, and
+    the sender must notice that the former holder is gone.
+    """
+    pair = Pair()
+    pair.run(1, sending=True)
+    other = Host(id="charguia", domain="charguia", peer_address="127.0.0.9:7000")
+    pair.start(other, address=ARIANA.peer_address)
+    pair.got.clear()
+    pair.run(NOTICED_S, sending=True)
+    assert pair.got == []
+    assert pair.meshes["charguia"].stats().for_another_host > 0
+    assert pair.meshes["lac"].is_silent("ariana")
+
+
+def test_answer_for_a_former_life_is_not_taken() -> None:
+    pair = Pair()
+    pair.run(1, sending=True)
+    pair.to_ariana().silent = True
+    late = Frame(
+        version=FRAME_VERSION,
+        kind=FrameKind.PROBE_ANSWER,
+        sender="ariana",
+        receiver="lac",
+        incarnation=12345,
+    )
+    for _ in range(round(NOTICED_S / TICK_S)):
+        pair.run(TICK_S, sending=True)
+        pair.meshes["lac"].received_frame(encode_frame(late))
+    assert pair.meshes["lac"].stats().links["ariana"].redials == 1
+
+
+def test_idle_links_close_on_both_sides() -> None:
+    pair = Pair()
+    pair.run(1, sending=True)
+    pair.run(3 * IDLE_AFTER_S)
+    for mesh in pair.meshes.values():
+        assert not any(link.open for link in mesh.stats().links.values())
+    assert all(link.closed for links in pair.links.values() for link in links)
+
+
+def test_full_queue_drops_and_counts() -> None:
+    pair = Pair()
+    pair.channel.send("ariana", b"1")
+    pair.to_ariana().full = True
+    assert not pair.channel.send("ariana", b"2")
+    link = pair.meshes["lac"].stats().links["ariana"]
+    assert (link.sent, link.dropped) == (1, 1)
+
+
+def test_unknown_host_is_not_sent_to() -> None:
+    assert not Pair().channel.send("nobody", b"1")
+
+
+def test_peer_that_moved_is_dialled_at_its_new_address() -> None:
+    pair = Pair()
+    pair.channel.send("ariana", b"1")
+    old = pair.to_ariana()
+    moved = Host(id="ariana", domain="ariana", peer_address="127.0.0.3:7000")
+    pair.at[moved.peer_address] = "ariana"
+    pair.meshes["lac"].set_peers([LAC, moved])
+    assert old.closed
+    assert pair.channel.send("ariana", b"2")
+    assert list(pair.links) == [ARIANA.peer_address, moved.peer_address]
+
+
+def test_peer_off_the_list_is_closed() -> None:
+    pair = Pair()
+    pair.channel.send("ariana", b"1")
+    pair.meshes["lac"].set_peers([LAC])
+    assert pair.to_ariana().closed
+    assert not pair.channel.send("ariana", b"2")
+
+
+def test_message_beyond_the_limit_is_an_error_that_says_so() -> None:
+    with pytest.raises(InputError, match=str(MOST_MESSAGE_BYTES)):
+        Pair().channel.send("ariana", b"x" * (MOST_MESSAGE_BYTES + 1))
+
+
+def _frame(**changes: object) -> bytes:
+    known: dict[str, object] = {
+        "version": FRAME_VERSION,
+        "kind": FrameKind.DATA,
+        "sender": "ariana",
+        "receiver": "lac",
+        "incarnation": 1,
+        "channel": Channel.SPREAD,
+    }
+    return encode_frame(Frame(**{**known, **changes}))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("data", "counter"),
+    [
+        pytest.param(b"", "malformed", id="empty"),
+        pytest.param(b"\xff\x00", "malformed", id="not-msgpack"),
+        pytest.param(_frame(version=2), "malformed", id="version"),
+        pytest.param(_frame(kind=9), "malformed", id="kind"),
+        pytest.param(_frame(receiver="other"), "for_another_host", id="receiver"),
+        pytest.param(_frame(channel=99), "unknown_channel", id="channel"),
+    ],
+)
+def test_frame_that_fits_not_is_counted_and_dropped(data: bytes, counter: str) -> None:
+    pair = Pair()
+    pair.meshes["lac"].received_frame(data)
+    assert getattr(pair.meshes["lac"].stats(), counter) == 1
+    assert pair.got == []
+
+
+def test_frame_comes_back_as_sent() -> None:
+    frame = decode_frame(_frame(body=bytes(range(256))), peer="lac")
+    assert frame.body == bytes(range(256))
+    assert frame.kind is FrameKind.DATA
--- /dev/null
+++ b/tests/test_spread_mesh.py
@@ -0,0 +1,254 @@
+"""The mesh on real sockets: restarts, a frozen peer, a half-open connection."""
+
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from random import Random
+from typing import Any, final
+
+import pytest
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+
+from gentianwharf.errors import InputError
+from gentianwharf.spread import Channel, PeerMesh
+from gentianwharf.topology import Host
+
+from .builders_platform import Loop
+
+TICK_S = 0.05
+ECHO = """
+import sys
+from random import Random
+from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
+from gentianwharf.spread import Channel, PeerMesh
+from gentianwharf.topology import Host
+own, other = sys.argv[1:]
+mesh = PeerMesh(
+    reactor=reactor,
+    host=Host(id="ariana", domain="ariana", peer_address=own),
+    rng=Random(),
+)
+mesh.set_peers([Host(id="lac", domain="lac", peer_address=other)])
+channel = mesh.channel(Channel.SPREAD, lambda host_id, m: channel.send(host_id, m))
+mesh.listen()
+LoopingCall(mesh.tick).start(0.05)
+print("listens", flush=True)
+reactor.run()
+"""
+
+
+@final
+class Forwarder(Protocol):
+    """One end of a connection through a box; swallows once the box forgot it."""
+
+    def __init__(self) -> None:
+        self.early: list[bytes] = []
+        self.other: Forwarder | None = None
+        self.forgotten = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Forward, keep until the other end is there, or swallow."""
+        if self.forgotten:
+            return
+        if self.other is None:
+            self.early.append(data)
+            return
+        transport = self.other.transport
+        assert transport is not None
+        transport.write(data)
+
+
+@final
+class Box:
+    """Stands between two hosts and may lose track of the connections through it."""
+
+    def __init__(self, *, loop: Loop, target: str) -> None:
+        self._loop = loop
+        self._target = target
+        self._ends: list[Forwarder] = []
+        self.connections = 0
+        factory = Factory.forProtocol(Forwarder)
+        factory.buildProtocol = self._accept  # type: ignore[method-assign]
+        self.address = loop.listen(factory)
+
+    def lose_track(self) -> None:
+        """Forget every connection of this moment; later ones work."""
+        for end in self._ends:
+            end.forgotten = True
+
+    def _accept(self, _: Any) -> Forwarder:
+        self.connections += 1
+        near = Forwarder()
+        ip, port = self._target.split(":")
+        endpoint = TCP4ClientEndpoint(self._loop.reactor, ip, int(port))
+        connecting = endpoint.connect(Factory.forProtocol(Forwarder))
+        connecting.addCallback(lambda far: self._join(far, near))
+        return near
+
+    def _join(self, far: Any, near: Forwarder) -> None:
+        near.other, far.other = far, near
+        self._ends += [near, far]
+        assert far.transport is not None
+        for data in near.early:
+            far.transport.write(data)
+
+
+@final
+class Meshes:
+    """Meshes in one loop, on free ports."""
+
+    def __init__(self) -> None:
+        self.loop = Loop()
+        self.open: list[PeerMesh] = []
+        self.got: dict[str, list[bytes]] = {}
+        self._next_s = 0.0
+
+    def host(self, name: str, address: str | None = None) -> Host:
+        """Build a host on a free port, or on the address of another."""
+        return Host(id=name, domain=name, peer_address=address or self.free_address())
+
+    def free_address(self) -> str:
+        """Return an address that nobody listens on at the moment."""
+        port = self.loop.reactor.listenTCP(0, Factory(), interface="127.0.0.1")
+        address = f"127.0.0.1:{port.getHost().port}"
+        port.stopListening()
+        self.loop.reactor.iterate(0)
+        return address
+
+    def start(self, host: Host, peers: list[Host]) -> PeerMesh:
+        """Start a host's mesh."""
+        mesh = PeerMesh(reactor=self.loop.reactor, host=host, rng=Random())
+        mesh.set_peers(peers)
+        got = self.got[host.id] = []
+        mesh.channel(Channel.SPREAD, lambda _, message: got.append(message))
+        mesh.listen()
+        self.open.append(mesh)
+        return mesh
+
+    def send_until(self, mesh: PeerMesh, host_id: str, condition: Any) -> None:
+        """Send a message each tick until the condition holds."""
+
+        def holds() -> bool:
+            now_s = self.loop.reactor.seconds()
+            if now_s >= self._next_s:
+                self._next_s = now_s + TICK_S
+                mesh.send(host_id, b"x", channel=Channel.SPREAD)
+                for one in self.open:
+                    one.tick()
+            return bool(condition())
+
+        self.loop.run_until(holds)
+
+    def close(self) -> None:
+        """Close everything."""
+        for mesh in self.open:
+            mesh.close()
+        self.loop.close()
+
+
+@pytest.fixture
+def meshes() -> Iterator[Meshes]:
+    made = Meshes()
+    yield made
+    made.close()
+
+
+def test_large_and_small_messages_arrive_in_order(meshes: Meshes) -> None:
+    hosts = [meshes.host("lac"), meshes.host("ariana")]
+    lac, _ = (meshes.start(host, hosts) for host in hosts)
+    sent = [b"small", b"x" * 1_000_000, b"last"]
+    for message in sent:
+        assert lac.send("ariana", message, channel=Channel.SPREAD)
+    meshes.loop.run_until(lambda: len(meshes.got["ariana"]) == 3)
+    assert meshes.got["ariana"] == sent
+
+
+def test_address_in_use_is_an_error_that_names_it(meshes: Meshes) -> None:
+    host = meshes.host("lac")
+    meshes.start(host, [])
+    with pytest.raises(InputError, match="can't listen") as caught:
+        meshes.start(host, [])
+    assert caught.value.peer == host.peer_address
+
+
+def test_queue_to_a_peer_that_is_away_is_bounded(meshes: Meshes) -> None:
+    hosts = [meshes.host("lac"), meshes.host("ariana")]
+    lac = meshes.start(hosts[0], hosts)
+    taken = sum(
+        lac.send("ariana", b"x" * 1_000, channel=Channel.SPREAD) for _ in range(1_000)
+    )
+    assert taken < 200
+    assert lac.stats().links["ariana"].dropped == 1_000 - taken
+
+
+def test_host_stops_and_starts_again_on_its_address(meshes: Meshes) -> None:
+    """A host's process is restarted; its peers reach it without being told."""
+    hosts = [meshes.host("lac"), meshes.host("ariana")]
+    lac, ariana = (meshes.start(host, hosts) for host in hosts)
+    meshes.send_until(lac, "ariana", lambda: meshes.got["ariana"])
+    meshes.open.remove(ariana)
+    ariana.close()
+    meshes.start(hosts[1], hosts)
+    meshes.send_until(lac, "ariana", lambda: meshes.got["ariana"])
+
+
+def test_another_host_starts_on_the_address_of_a_stopped_one(meshes: Meshes) -> None:
+    """A host is lost and another one gets its address while the list still lags.
+
+    Messages for the lost host reach the new one and must not count as its own.
+    """
+    hosts = [meshes.host("lac"), meshes.host("ariana")]
+    lac, ariana = (meshes.start(host, hosts) for host in hosts)
+    meshes.send_until(lac, "ariana", lambda: meshes.got["ariana"])
+    meshes.open.remove(ariana)
+    ariana.close()
+    other = meshes.start(meshes.host("charguia", hosts[1].peer_address), hosts)
+    meshes.send_until(lac, "ariana", lambda: lac.is_silent("ariana"))
+    assert meshes.got["charguia"] == []
+    assert other.stats().for_another_host > 0
+
+
+def test_peer_frozen_and_continued(meshes: Meshes) -> None:
+    """A peer's process freezes (SIGSTOP) with its connections open, and returns."""
+    hosts = [meshes.host("lac"), meshes.host("ariana")]
+    command = [sys.executable, "-c", ECHO]
+    command += [hosts[1].peer_address, hosts[0].peer_address]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        assert process.stdout is not None
+        assert process.stdout.readline() == b"listens\n"
+        lac = meshes.start(hosts[0], hosts)
+        meshes.send_until(lac, "ariana", lambda: meshes.got["lac"])
+        process.send_signal(signal.SIGSTOP)
+        meshes.send_until(lac, "ariana", lambda: lac.is_silent("ariana"))
+        process.send_signal(signal.SIGCONT)
+        meshes.got["lac"].clear()
+        meshes.send_until(
+            lac,
+            "ariana",
+            lambda: meshes.got["lac"] and not lac.is_silent("ariana"),
+        )
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_half_open_connection_is_replaced(meshes: Meshes) -> None:
+    """A box between two hosts loses track of their connection: no reset, no answer.
+
+    Bytes vanish while both ends think it open; a new connection works.
+    """
+    hosts = [meshes.host("lac"), meshes.host("ariana")]
+    box = Box(loop=meshes.loop, target=hosts[1].peer_address)
+    through_box = meshes.host("ariana", box.address)
+    lac = meshes.start(hosts[0], [hosts[0], through_box])
+    meshes.start(hosts[1], hosts)
+    meshes.send_until(lac, "ariana", lambda: meshes.got["ariana"])
+    box.lose_track()
+    meshes.got["ariana"].clear()
+    meshes.send_until(lac, "ariana", lambda: meshes.got["ariana"])
+    assert lac.stats().links["ariana"].redials == 1
+    assert box.connections == 2
