--- a/tests/test_spread_mesh.py
+++ b/tests/test_spread_mesh.py
@@ -62,7 +62,7 @@
 
 
 @final
-class Box:
+class Box(Factory):
     """Stands between two hosts and may lose track of the connections through it."""
 
     def __init__(self, *, loop: Loop, target: str) -> None:
@@ -70,16 +70,15 @@
         self._target = target
         self._ends: list[Forwarder] = []
         self.connections = 0
-        factory = Factory.forProtocol(Forwarder)
-        factory.buildProtocol = self._accept  # type: ignore[method-assign]
-        self.address = loop.listen(factory)
+        self.address = loop.listen(self)
 
     def lose_track(self) -> None:
         """Forget every connection of this moment; later ones work."""
         for end in self._ends:
             end.forgotten = True
 
-    def _accept(self, _: Any) -> Forwarder:
+    def buildProtocol(self, addr: Any) -> Forwarder:  # noqa: N802
+        """Accept a connection and open the other half."""
         self.connections += 1
         near = Forwarder()
         ip, port = self._target.split(":")
