Wait at a planned stop until written answers have left

Cause: in a run of the process tests under load a caller's connection closed without an answer at SIGTERM: the process saw no request in flight and ended while the answer still waited in the connection's buffer. Ruled out: signal handling and the listening port; six runs by hand passed, so the window is one turn of the loop. Conclusion: the shutdown also waits for the callers' connections to close.

--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -278,6 +278,10 @@
         """Return the ids of the requests that are being served."""
         return [one.ticket.request_id for one in self.relay.in_flight]
 
+    def open_connections(self) -> int:
+        """Return how many callers' connections are open."""
+        return len(self.site.channels)
+
     def hand_over(self, done: Callable[[], None]) -> None:
         """Give up the control work that this host holds."""
         handed_over = Deferred.fromCoroutine(self.ownership.stop())
--- a/src/gentianwharf/daemon/_shutdown.py
+++ b/src/gentianwharf/daemon/_shutdown.py
@@ -39,6 +39,9 @@
     def in_flight(self) -> list[str]:
         """Return the ids of the requests that are being served."""
 
+    def open_connections(self) -> int:
+        """Return how many callers' connections are open."""
+
     def hand_over(self, done: Callable[[], None]) -> None:
         """Give up what other hosts should take, then call ``done``."""
 
@@ -132,7 +135,10 @@
         if self.phase is not Phase.DRAINING:
             return
         self._drained.stop_accepting()
-        if not self._in_flight() and self._handed_over:
+        # An answer that is finished may still wait in its connection's buffer: the
+        # process must not end before the connection has sent it and closed.
+        busy = self._in_flight() or self._drained.open_connections()
+        if not busy and self._handed_over:
             self._machine.emptied()
             return
         self._later(CLOSE_EVERY_S, self._look)
--- a/tests/test_daemon_shutdown.py
+++ b/tests/test_daemon_shutdown.py
@@ -13,6 +13,7 @@
 
     def __init__(self, in_flight: list[str]) -> None:
         self.requests = in_flight
+        self.connections = 0
         self.events: list[str] = []
         self.hand_over_done: Callable[[], None] | None = None
 
@@ -26,6 +27,9 @@
     def in_flight(self) -> list[str]:
         return self.requests
 
+    def open_connections(self) -> int:
+        return self.connections
+
     def hand_over(self, done: Callable[[], None]) -> None:
         self.events.append("hand-over")
         self.hand_over_done = done
@@ -74,6 +78,24 @@
     assert process.events.count("end") == 1
 
 
+def test_process_waits_until_written_answers_have_left() -> None:
+    """A caller's connection ends without an answer at a planned stop.
+
+    The answer is finished and waits in the connection's buffer when the process
+    sees that no request is in flight, and ends.
+    """
+    process, clock, _ = start([])
+    process.connections = 1
+    run_for(clock, 5.1)
+    assert process.hand_over_done is not None
+    process.hand_over_done()
+    run_for(clock, 5)
+    assert "end" not in process.events
+    process.connections = 0
+    run_for(clock, 0.2)
+    assert process.events[-1] == "end"
+
+
 @pytest.mark.parametrize(
     ("again_after_s", "ended_at_s"),
     [
