--- a/bench/load_scenarios.py
+++ b/bench/load_scenarios.py
@@ -50,6 +50,7 @@
     callers: int = 200
     hot_caller: float = 0.0
     keys: int = 0
+    zipf: float = 1.0
     hot_key: float = 0.0
     long_one_in: int = 0
     peak: float = 1.0
@@ -136,7 +137,11 @@
         name="keyed-and-long",
         place=TUNIS,
         servers=16,
-        streams=(_KEYED, replace(_UPLOAD, keys=2000), replace(_ARCHIVE, keys=2000)),
+        streams=(
+            replace(_KEYED, zipf=0.0),
+            replace(_UPLOAD, keys=2000, zipf=0.0),
+            replace(_ARCHIVE, keys=2000, zipf=0.0),
+        ),
     ),
 )
 SCENARIO_NAMES = tuple(one.name for one in SCENARIOS)
--- a/src/gentianwharf/load/_fair_queue.py
+++ b/src/gentianwharf/load/_fair_queue.py
@@ -4,11 +4,14 @@
 of a service's load. First come, first served gives such a flow nearly every turn, and
 everybody else waits behind it or is refused.
 
-Each request is put into a round: one more than the last round in which its caller
-and its key already have a request (start-time fair queueing with unit cost, Goyal
-et al., SIGCOMM 1996, over two flows at once). Rounds are served in order. A flow alone
-is served as fast as there is room; as soon as others come, their first requests are
-in the current round and go before its tenth.
+Each request is put into the next round in which neither its caller nor its key has a
+request yet, and rounds are served in order: round robin over two kinds of flow at
+once. A flow alone is served as fast as there is room; as soon as others come, they are
+in the next round and go before its tenth request.
+
+Nobody joins the round that is being served. With start-time fair queueing, where
+newcomers do, 200 callers under overload kept one round going for a second, and the
+bench showed a p99 of 1.3 s for requests of the next.
 
 Places are shared too: a flow may wait with as many requests as there are free places
 (dynamic thresholds, Choudhury and Hahne, 1998). A hot one holds half of the places, so
@@ -84,7 +87,7 @@
     def round_of(self, ticket: Ticket) -> int:
         """Return the round in which ``ticket`` would be put now."""
         rounds = self._next_rounds
-        place = max(self._round, rounds.get(("caller", ticket.caller), 0))
+        place = max(self._round + 1, rounds.get(("caller", ticket.caller), 0))
         if ticket.key is not None:
             place = max(place, rounds.get(("key", ticket.key), 0))
         return place
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -394,20 +394,19 @@
             if class_state is None:
                 break
             ticket = class_state.queue.peek()
-            if now_s + class_state.mean_s > ticket.deadline_s:
-                self._leave_queue(pool, class_state, ticket)
-                decisions.append(self._refuse(ticket, RefuseReason.DEADLINE, now_s))
-                continue
-            started = self._start(pool, class_state, ticket, now_s)
-            if started is None:
+            late = now_s + class_state.mean_s > ticket.deadline_s
+            started = None if late else self._start(pool, class_state, ticket, now_s)
+            if started is None and not late:
                 blocked.add(class_state.request_class.name)
                 continue
-            self._leave_queue(pool, class_state, ticket)
-            decisions.append(started)
+            class_state.queue.pop()
+            self._note_left(pool, class_state, ticket)
+            decisions.append(
+                started or self._refuse(ticket, RefuseReason.DEADLINE, now_s)
+            )
         return decisions
 
-    def _leave_queue(self, pool: Pool, class_state: ClassState, ticket: Ticket) -> None:
-        class_state.queue.remove(ticket.id)
+    def _note_left(self, pool: Pool, class_state: ClassState, ticket: Ticket) -> None:
         pool.note_left(class_state)
         del self._waiting[ticket.id]
 
@@ -418,7 +417,8 @@
         for class_state in pool.classes.values():
             for ticket in class_state.queue.waiting():
                 if now_s + class_state.mean_s > ticket.deadline_s:
-                    self._leave_queue(pool, class_state, ticket)
+                    class_state.queue.remove(ticket.id)
+                    self._note_left(pool, class_state, ticket)
                     decisions.append(self._refuse(ticket, RefuseReason.DEADLINE, now_s))
         return decisions
 
