--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -1,1 +1,35 @@
 """From a caller's request to a backend server's answer."""
+
+from ._app import RelayApp
+from ._caller import CallerRequest, CallerSite
+from ._connections import ServerConnections
+from ._ports import (
+    Admission,
+    Answered,
+    Hedge,
+    Observer,
+    Outcome,
+    Owner,
+    Ownership,
+    Rules,
+    Ticket,
+)
+from ._problem import Problem, Run
+
+__all__ = [
+    "Admission",
+    "Answered",
+    "CallerRequest",
+    "CallerSite",
+    "Hedge",
+    "Observer",
+    "Outcome",
+    "Owner",
+    "Ownership",
+    "Problem",
+    "RelayApp",
+    "Rules",
+    "Run",
+    "ServerConnections",
+    "Ticket",
+]
