--- a/src/gentianwharf/admin/_app.py
+++ b/src/gentianwharf/admin/_app.py
@@ -151,7 +151,12 @@
         revision = integer_argument(request, "edited_from_revision", default=None)
         document = read_body(request, RuleDocument)
         result = await _to_the_end(
-            self._rules.apply(document, edited_from_revision=revision, author=author)
+            self._rules.apply(
+                document,
+                edited_from_revision=revision,
+                author=author,
+                change_id=argument(request, "change_id"),
+            )
         )
         return _reply_applied(request, result)
 
--- a/src/gentianwharf/admin/_protocols.py
+++ b/src/gentianwharf/admin/_protocols.py
@@ -97,9 +97,17 @@
         """Return the documents still kept, newest first."""
 
     async def apply(
-        self, document: RuleDocument, *, edited_from_revision: int, author: str
+        self,
+        document: RuleDocument,
+        *,
+        edited_from_revision: int,
+        author: str,
+        change_id: str | None = None,
     ) -> ApplyResult:
-        """Put ``document`` in force if nobody else was faster."""
+        """Put ``document`` in force if nobody else was faster.
+
+        Repeating a call with its ``change_id`` is safe.
+        """
 
 
 @final
--- a/src/gentianwharf/rules/__init__.py
+++ b/src/gentianwharf/rules/__init__.py
@@ -1,7 +1,9 @@
 """The operators' ordered when-then rules: the first match decides."""
 
+from ._book import RuleBook
 from ._check import MOST_SINGLE_KEYS, RuleChecker
 from ._codec import StoredRules, decode_rules, encode_rules
+from ._diff import changes
 from ._document import (
     MOST_DOCUMENT_BYTES,
     MOST_RULES,
@@ -45,6 +47,7 @@
     "PassedOver",
     "RequestFacts",
     "Rule",
+    "RuleBook",
     "RuleChange",
     "RuleChecker",
     "RuleDocument",
@@ -59,6 +62,7 @@
     "ShardRange",
     "StoredRules",
     "Target",
+    "changes",
     "decode_rules",
     "encode_rules",
     "explain",
--- a/src/gentianwharf/rules/_results.py
+++ b/src/gentianwharf/rules/_results.py
@@ -45,7 +45,7 @@
 class RuleVersion:
     """A rule document that is or was in force.
 
-    ``number`` counts the changes from 1; ``revision`` is the store's. Both only grow.
+    ``number`` counts the changes from 1; ``revision`` is the store's, which only grows.
     """
 
     number: int
@@ -83,11 +83,13 @@
     """The document is in force in the store.
 
     ``read_back`` tells that the store's answer was lost and the write was found by
-    reading. ``warnings`` did not refuse the document.
+    reading; ``superseded`` that others have edited the rules since. ``warnings`` did
+    not refuse the document.
     """
 
     version: RuleVersion
     read_back: bool
+    superseded: bool = False
     warnings: tuple[Finding, ...] = ()
 
 
--- a/tests/builders_admin.py
+++ b/tests/builders_admin.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from treq.testing import StubTreq
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 
 from gentianwharf.admin import (
     AdminApp,
@@ -27,24 +27,12 @@
     RuleSet,
     RuleVersion,
 )
-from tests.builders_rules import SHARDS, document, keyed_rule
+from tests.builders_rules import SHARDS, document, keyed_rule, settled
 
 TOKEN = "a-token-of-some-length"
 JSON_HEADERS = {"content-type": "application/json", "gentianwharf-operator": "amira"}
 
 
-def settled(waited: Any) -> Any:
-    """Return what a coroutine or a Deferred has come to; it must not wait."""
-    deferred = waited if isinstance(waited, Deferred) else ensureDeferred(waited)
-    results: list[Any] = []
-    deferred.addBoth(results.append)
-    assert results, "still waiting"
-    result = results[0]
-    if hasattr(result, "raiseException"):
-        result.raiseException()
-    return result
-
-
 def rule_version(number: int = 1, *, author: str = "amira") -> RuleVersion:
     """Return a version of the migration's rules."""
     return RuleVersion(
@@ -119,7 +107,12 @@
         return [rule_version(2, author="karim"), rule_version(1)]
 
     async def apply(
-        self, document: RuleDocument, *, edited_from_revision: int, author: str
+        self,
+        document: RuleDocument,
+        *,
+        edited_from_revision: int,
+        author: str,
+        change_id: str | None = None,
     ) -> ApplyResult:
         """See ``RulesControl``."""
         if self.waiting is not None:
--- a/tests/builders_rules.py
+++ b/tests/builders_rules.py
@@ -1,8 +1,25 @@
 """Rules, documents and facts for tests: services ``desk`` (keyed) and ``ledger``."""
 
+from dataclasses import dataclass, field
+from random import Random
 from typing import Any
 
-from gentianwharf.rules import RequestFacts, Rule, RuleDocument, RuleScope
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from gentianwharf.platform import Fault, FaultyStore, KeyValueStore, MemoryStore
+from gentianwharf.rules import (
+    ApplyResult,
+    RequestFacts,
+    Rule,
+    RuleBook,
+    RuleChecker,
+    RuleDocument,
+    RulesApplied,
+    RuleScope,
+    RuleVersion,
+)
 
 SHARDS = {"desk": 100}
 
@@ -70,3 +87,80 @@
         keyed_rule(name="desk-old", site="old"),
         rule(name="ledger", when={"path_prefix": "/ledger/"}),
     )
+
+
+def settled(waited: Any) -> Any:
+    """Return what a coroutine or a Deferred has come to; it must not wait."""
+    deferred = waited if isinstance(waited, Deferred) else ensureDeferred(waited)
+    results: list[Any] = []
+    deferred.addBoth(results.append)
+    assert results, "still waiting"
+    if isinstance(results[0], Failure):
+        results[0].raiseException()
+    return results[0]
+
+
+def settled_in(clock: Clock, waited: Any, *, most_s: float = 60.0) -> Any:
+    """Return what a coroutine comes to within ``most_s`` of a virtual clock."""
+    deferred = ensureDeferred(waited)
+    step_s = 0.05
+    for _ in range(int(most_s / step_s)):
+        if deferred.called:
+            break
+        clock.advance(step_s)
+    return settled(deferred)
+
+
+@dataclass
+class Books:
+    """Two operators' books on two hosts, each with faults of its own, one store."""
+
+    clock: Clock = field(default_factory=Clock)
+    faults: list[Fault] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.store = MemoryStore(clock=self.clock)
+        self.faulty = FaultyStore(
+            store=self.store, clock=self.clock, rng=Random(1), faults=self.faults
+        )
+        self.mine = self._book(self.faulty, seed=1)
+        self.theirs = self._book(self.store, seed=2)
+
+    def _book(self, store: KeyValueStore, *, seed: int) -> RuleBook:
+        return RuleBook(
+            store=store,
+            prefix="gentianwharf/tunis/",
+            checker=RuleChecker(scope=scope()),
+            clock=self.clock,
+            rng=Random(seed),
+        )
+
+    def apply(
+        self,
+        book: RuleBook,
+        share: float,
+        *,
+        edited_from: int,
+        author: str = "amira",
+        change_id: str | None = None,
+    ) -> ApplyResult:
+        """Apply a step of the migration."""
+        call = book.apply(
+            migration(share),
+            edited_from_revision=edited_from,
+            author=author,
+            change_id=change_id,
+        )
+        result: ApplyResult = settled_in(self.clock, call)
+        return result
+
+    def begin(self) -> int:
+        """Apply the first rules and return their revision."""
+        result = self.apply(self.theirs, 0.0, edited_from=0, author="karim")
+        assert isinstance(result, RulesApplied)
+        return result.version.revision
+
+    def stored(self) -> RuleVersion:
+        """Return what the store holds."""
+        version: RuleVersion = settled(self.theirs.read())
+        return version
--- /dev/null
+++ b/tests/test_rules_book.py
@@ -0,0 +1,256 @@
+"""Changes of the rules in the store: two operators, lost answers, a store down."""
+
+import pytest
+from twisted.internet.defer import ensureDeferred
+
+from gentianwharf.errors import (
+    ConflictError,
+    InputError,
+    OutcomeUnknownError,
+    PeerUnavailableError,
+)
+from gentianwharf.platform import Fault, FaultKind, StoreOperation
+from gentianwharf.rules import (
+    RulesApplied,
+    RulesConflict,
+    RulesRefused,
+)
+from tests.builders_rules import Books, document, migration, rule, settled, settled_in
+
+SWAP = frozenset({StoreOperation.COMPARE_AND_SWAP})
+KEY = "gentianwharf/tunis/rules"
+
+
+def fault(kind: FaultKind, **more: float) -> Fault:
+    """Return a fault of writes to the document; its history is kept elsewhere."""
+    return Fault(kind=kind, operations=SWAP, key_prefix=KEY, **more)
+
+
+def test_no_rules_yet() -> None:
+    books = Books()
+    assert settled(books.mine.read()) is None
+    assert settled(books.mine.history()) == []
+
+
+def test_applied_document_is_read_back_with_its_author() -> None:
+    books = Books()
+    revision = books.begin()
+    result = books.apply(books.mine, 0.1, edited_from=revision)
+    assert isinstance(result, RulesApplied)
+    assert not result.read_back
+    assert books.stored() == result.version
+    assert (result.version.author, result.version.number) == ("amira", 2)
+    assert result.version.document == migration(0.1)
+
+
+def test_refused_document_changes_nothing() -> None:
+    books = Books()
+    revision = books.begin()
+    call = books.mine.apply(
+        document(rule(service="nobody")), edited_from_revision=revision, author="amira"
+    )
+    result = settled_in(books.clock, call)
+    assert isinstance(result, RulesRefused)
+    assert books.stored().revision == revision
+
+
+def test_slower_of_two_operators_sees_both_changes() -> None:
+    """Amira and Karim open the same rules; Karim applies first, then Amira does.
+
+    Without a check Amira's list would undo Karim's change, and no one would be told.
+    """
+    books = Books()
+    revision = books.begin()
+    theirs = books.apply(books.theirs, 0.5, edited_from=revision, author="karim")
+    assert isinstance(theirs, RulesApplied)
+    mine = books.apply(books.mine, 0.1, edited_from=revision)
+    assert isinstance(mine, RulesConflict)
+    assert mine.base_known
+    assert (mine.current, mine.edited_from_revision) == (theirs.version, revision)
+    assert [one.details for one in mine.theirs] == [("when.shard_share: 0.0 -> 0.5",)]
+    assert [one.details for one in mine.mine] == [("when.shard_share: 0.0 -> 0.1",)]
+    assert books.stored() == theirs.version
+
+
+def test_two_operators_write_at_the_same_moment() -> None:
+    """Both read the same revision and write before either sees the other's write."""
+    books = Books(faults=[fault(FaultKind.SLOW, delay_s=0.5)])
+    revision = books.begin()
+    mine = books.mine.apply(
+        migration(0.1), edited_from_revision=revision, author="amira"
+    )
+    waiting = ensureDeferred(mine)
+    theirs = books.apply(books.theirs, 0.5, edited_from=revision, author="karim")
+    assert isinstance(theirs, RulesApplied)
+    books.clock.advance(1.0)
+    assert isinstance(settled(waiting), RulesConflict)
+    assert books.stored() == theirs.version
+
+
+@pytest.mark.parametrize(
+    "one",
+    [
+        pytest.param(
+            fault(FaultKind.ANSWER_LOST, until_s=0.1, delay_s=0.2), id="answer-lost"
+        ),
+        pytest.param(
+            fault(FaultKind.EFFECT_LATE, until_s=0.1, delay_s=0.2), id="effect-late"
+        ),
+        pytest.param(
+            fault(FaultKind.EFFECT_LATE, until_s=0.1, delay_s=9.0),
+            id="effect-after-the-second-write",
+        ),
+        pytest.param(
+            fault(FaultKind.ANSWER_LATE, until_s=0.1, delay_s=30.0), id="answer-late"
+        ),
+        pytest.param(fault(FaultKind.HANGS, until_s=0.1), id="connection-silent"),
+    ],
+)
+def test_write_that_took_effect_is_never_reported_as_failed(one: Fault) -> None:
+    """The store takes the new rules, and its answer is lost on the way.
+
+    The operator is told that it failed and edits again from what was there before:
+    a step of the migration is then applied twice or undone.
+    """
+    books = Books(faults=[one])
+    revision = books.begin()
+    result = books.apply(books.mine, 0.1, edited_from=revision)
+    assert isinstance(result, RulesApplied)
+    assert result.read_back
+    books.clock.pump([1.0] * 20)
+    assert books.stored() == result.version
+    assert result.version.document == migration(0.1)
+
+
+def test_lost_answer_and_a_faster_operator_after_it() -> None:
+    """Amira's write lands, its answer is lost, and Karim edits what she wrote.
+
+    The document in the store is then not Amira's, yet hers did take effect.
+    """
+    books = Books(faults=[fault(FaultKind.ANSWER_LOST, delay_s=1.0)])
+    revision = books.begin()
+    waiting = ensureDeferred(
+        books.mine.apply(migration(0.1), edited_from_revision=revision, author="amira")
+    )
+    books.clock.advance(0.1)
+    landed = books.stored()
+    assert landed.author == "amira"
+    theirs = books.apply(books.theirs, 0.5, edited_from=landed.revision, author="karim")
+    assert isinstance(theirs, RulesApplied)
+    books.clock.pump([0.5] * 4)
+    mine = settled(waiting)
+    assert isinstance(mine, RulesApplied)
+    assert (mine.read_back, mine.superseded) == (True, True)
+    assert mine.version == landed
+
+
+def test_lost_write_and_a_faster_operator_is_a_conflict() -> None:
+    """The write is lost on the way there, and Karim's takes its place.
+
+    Were the write repeated with a new revision, it would undo Karim's; were it only
+    called lost, a late arrival could still surprise: the revision rules it out.
+    """
+    books = Books(faults=[fault(FaultKind.EFFECT_LATE, delay_s=2.0)])
+    revision = books.begin()
+    waiting = ensureDeferred(
+        books.mine.apply(migration(0.1), edited_from_revision=revision, author="amira")
+    )
+    theirs = books.apply(books.theirs, 0.5, edited_from=revision, author="karim")
+    assert isinstance(theirs, RulesApplied)
+    books.clock.pump([0.5] * 20)
+    assert isinstance(settled(waiting), RulesConflict)
+    assert books.stored() == theirs.version
+
+
+def test_repeated_command_finds_its_change() -> None:
+    """The daemon's answer to the operator's tool is lost, and the tool asks again."""
+    books = Books()
+    revision = books.begin()
+    first = books.apply(books.mine, 0.1, edited_from=revision, change_id="c-1")
+    again = books.apply(books.mine, 0.1, edited_from=revision, change_id="c-1")
+    assert isinstance(first, RulesApplied)
+    assert isinstance(again, RulesApplied)
+    assert (again.read_back, again.version) == (True, first.version)
+
+
+@pytest.mark.parametrize("operations", [SWAP, frozenset()], ids=["writes", "all"])
+def test_store_down_changes_nothing(operations: frozenset[StoreOperation]) -> None:
+    books = Books()
+    revision = books.begin()
+    books.faulty.faults.append(Fault(kind=FaultKind.DOWN, operations=operations))
+    with pytest.raises(PeerUnavailableError):
+        books.apply(books.mine, 0.1, edited_from=revision)
+    assert books.stored().revision == revision
+
+
+def test_store_that_goes_silent_after_the_write_is_reported_as_unknown() -> None:
+    """The write lands, its answer is lost, and nothing can be read any more."""
+    books = Books()
+    revision = books.begin()
+    now_s = books.clock.seconds()
+    books.faulty.faults += [
+        Fault(kind=FaultKind.DOWN, from_s=now_s + 0.05),
+        fault(FaultKind.ANSWER_LOST, delay_s=0.1),
+    ]
+    with pytest.raises(OutcomeUnknownError, match="rules history"):
+        books.apply(books.mine, 0.1, edited_from=revision)
+    assert books.stored().author == "amira"
+
+
+def test_failure_of_the_history_hinders_no_change() -> None:
+    books = Books()
+    revision = books.begin()
+    books.faulty.faults.append(
+        Fault(kind=FaultKind.HANGS, key_prefix="gentianwharf/tunis/history/")
+    )
+    result = books.apply(books.mine, 0.1, edited_from=revision)
+    assert isinstance(result, RulesApplied)
+    assert not result.read_back
+
+
+def test_history_is_bounded_and_newest_first() -> None:
+    books = Books()
+    revision = books.begin()
+    for step in range(30):
+        result = books.apply(books.mine, step / 100, edited_from=revision)
+        assert isinstance(result, RulesApplied)
+        revision = result.version.revision
+    kept = settled(books.mine.history())
+    assert [one.number for one in kept] == list(range(31, 10, -1))
+    assert kept[1].revision < kept[0].revision == revision
+
+
+def test_base_that_is_no_longer_kept_is_said_so() -> None:
+    books = Books()
+    old = revision = books.begin()
+    for step in range(25):
+        result = books.apply(books.theirs, step / 100, edited_from=revision)
+        assert isinstance(result, RulesApplied)
+        revision = result.version.revision
+    conflict = books.apply(books.mine, 0.9, edited_from=old)
+    assert isinstance(conflict, RulesConflict)
+    assert not conflict.base_known
+
+
+def test_unreadable_record_can_be_replaced() -> None:
+    """A host of a later release wrote a form that this one can't read."""
+    books = Books()
+    written = settled(
+        books.store.compare_and_swap(KEY, b'{"format": 9}', expected_revision=0)
+    )
+    with pytest.raises(InputError, match="rules apply"):
+        settled(books.mine.read())
+    with pytest.raises(ConflictError, match=f"revision {written.revision}"):
+        books.apply(books.mine, 0.1, edited_from=0)
+    result = books.apply(books.mine, 0.1, edited_from=written.revision)
+    assert isinstance(result, RulesApplied)
+
+
+def test_store_calls_of_one_change() -> None:
+    """One read, one read and one write for the history, one write."""
+    books = Books()
+    revision = books.begin()
+    before = books.store.reads(), books.store.writes()
+    books.apply(books.mine, 0.1, edited_from=revision)
+    after = books.store.reads(), books.store.writes()
+    assert (after[0] - before[0], after[1] - before[1]) == (2, 2)
