--- a/src/gentianwharf/daemon/_admission.py
+++ b/src/gentianwharf/daemon/_admission.py
@@ -41,7 +41,7 @@
         """Return the server to send to, after waiting if need be."""
         asked = _ticket(ticket, owner)
         return await self._decided(
-            ticket, hedge, self._gate.submit(asked, self._now_s())
+            ticket, hedge, [self._gate.submit(asked, self._now_s())]
         )
 
     async def admit_again(
@@ -54,10 +54,10 @@
         avoid: BackendServer,
     ) -> BackendServer:
         """Return the server for another try, if the retry budget allows one."""
-        decisions = self._gate.retry(
+        decision = self._gate.retry(
             _ticket(ticket, owner), _KINDS[after], self._now_s(), avoid.id
         )
-        return await self._decided(ticket, hedge, decisions)
+        return await self._decided(ticket, hedge, [decision])
 
     def finished(
         self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
