--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -9,17 +9,19 @@
 from twisted.internet.task import LoopingCall
 
 from gentianwharf import load
+from gentianwharf.admin import AdminApp
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
 from gentianwharf.metrics import Recorder
 from gentianwharf.ownership import TICK_S, OwnershipSystem
 from gentianwharf.platform import HttpBackendControl, HttpHostList, HttpStore
 from gentianwharf.relay import CallerSite, RelayApp, ServerConnections
-from gentianwharf.rules import RuleDocument
+from gentianwharf.rules import RuleBook, RuleChecker, RuleDocument, RuleScope
 from gentianwharf.settings import Settings, domains_of, load_rules, services_of
 from gentianwharf.spread import Channel, PeerMesh, SpreadSystem
 from gentianwharf.topology import Host
 
+from . import _views as views
 from ._admission import GateAdmission
 from ._channels import OwnershipLink
 from ._hosts import HostTable
@@ -173,13 +175,58 @@
             reactor=self.reactor,
             rng=SystemRandom(),
         )
+        self.admin = self._build_admin()
         self.site = CallerSite(
             resource=self.relay.klein.resource(), reactor=self.reactor
         )
         self.site.noisy = False
 
+    def _build_admin(self) -> AdminApp:
+        scope = RuleScope.of(
+            services=self.services.values(),
+            domains=self.domains,
+            classes=[one.name for one in self.settings.classes],
+        )
+        book = RuleBook(
+            store=self.store,
+            prefix=self.prefix,
+            checker=RuleChecker(scope=scope),
+            clock=self.reactor,
+            rng=_seeded(),
+        )
+        return AdminApp(
+            state=views.DaemonStateView(daemon=self),
+            rules=views.RulesView(in_force=self.rules, book=book),
+            keys=views.KeysView(
+                ownership=self.ownership, services=self.services, domains=self.domains
+            ),
+            servers=views.ServersView(
+                servers=self.servers,
+                services=self.services,
+                domains=self.domains,
+                gate=self.gate,
+                control=self.control,
+                ownership=self.ownership,
+            ),
+            hosts=views.HostsView(host_list=self.host_list),
+            domains=views.DomainsView(domains=self.domains, servers=self.servers),
+            burn=views.BurnOfRecorder(recorder=self.recorder),
+            decisions=views.DecisionsOfRecorder(recorder=self.recorder),
+            metrics=lambda: self.recorder.prometheus_text().encode(),
+            token=None,
+        )
+
+    def is_stopping(self) -> bool:
+        """Return whether a shutdown is under way."""
+        return self.relay.stopping
+
+    def store_age_s(self) -> float | None:
+        """Return how long ago the store was heard, None for never."""
+        return self.spread.state().store_age_s
+
     def start(self) -> None:
         """Listen, and begin to tick."""
+        listen(self.reactor, self.settings.host.admin_address, self.admin.site())
         self.mesh.listen()
         self._every(TICK_S, self._tick)
         self._every(GATE_TICK_S, self.admission.tick)
--- a/src/gentianwharf/daemon/_rules.py
+++ b/src/gentianwharf/daemon/_rules.py
@@ -13,6 +13,7 @@
     RuleDocument,
     RuleMatch,
     RuleSet,
+    RuleVersion,
     StoredRules,
     decode_rules,
     encode_rules,
@@ -44,7 +45,7 @@
         A record that can't be read leaves the rules that are in force: a host of an
         older release must go on serving.
         """
-        if self.current is not None and value.revision <= self.current.revision:
+        if not self._is_newer(value.revision):
             return
         try:
             record = decode_rules(value.value, peer=value.key)
@@ -55,10 +56,21 @@
                 extra={"step": error.step, "peer": error.peer},
             )
             return
+        self._put_in_force(record.document, value.revision)
+
+    def take_version(self, version: RuleVersion) -> None:
+        """Put in force what an operator has just applied here."""
+        if self._is_newer(version.revision):
+            self._put_in_force(version.document, version.revision)
+
+    def _is_newer(self, revision: int) -> bool:
+        return self.current is None or revision > self.current.revision
+
+    def _put_in_force(self, document: RuleDocument, revision: int) -> None:
         self.current = RuleSet(
-            document=record.document, revision=value.revision, shards=self._shards
+            document=document, revision=revision, shards=self._shards
         )
-        log.info("rules in force", extra={"revision": value.revision})
+        log.info("rules in force", extra={"revision": revision})
 
     def match(self, facts: RequestFacts) -> RuleMatch | None:
         """Return what the first matching rule says; raises ``Problem`` without rules.
--- /dev/null
+++ b/src/gentianwharf/daemon/_views.py
@@ -0,0 +1,371 @@
+"""What the admin port shows and does, over the daemon's parts."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict
+from typing import Protocol, cast, final
+
+from gentianwharf.admin import (
+    DaemonState,
+    DomainLoss,
+    JsonValue,
+    KeyOwner,
+    Measures,
+    ServerStatus,
+)
+from gentianwharf.errors import InputError, RefusedError
+from gentianwharf.keys import shard_of
+from gentianwharf.load import Gate, ServerSnapshot
+from gentianwharf.metrics import Recorder
+from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
+from gentianwharf.platform import BackendControl, HostList, ListedHost
+from gentianwharf.rules import (
+    ApplyResult,
+    RuleBook,
+    RuleDocument,
+    RulesApplied,
+    RuleSet,
+    RuleVersion,
+)
+from gentianwharf.settings import Settings
+from gentianwharf.topology import BackendServer, Domain, Service
+
+from ._rules import RulesInForce
+
+
+class _StatefulDaemon(Protocol):
+    """What the state page reads of the daemon."""
+
+    settings: Settings
+    domains: tuple[Domain, ...]
+    rules: RulesInForce
+    recorder: Recorder
+    ownership: OwnershipSystem
+
+    def why_not_ready(self) -> list[str]:
+        """Return why callers should not be sent here."""
+
+    def is_stopping(self) -> bool:
+        """Return whether a shutdown is under way."""
+
+    def store_age_s(self) -> float | None:
+        """Return how long ago the store was heard."""
+
+
+@final
+class DaemonStateView:
+    """Health and state."""
+
+    def __init__(self, *, daemon: _StatefulDaemon) -> None:
+        self._daemon = daemon
+
+    def is_live(self) -> bool:
+        """Return True: whoever can answer this needs no restart."""
+        return True
+
+    def why_not_ready(self) -> Sequence[str]:
+        """Return why the balancer should send no request here."""
+        return self._daemon.why_not_ready()
+
+    def state(self) -> DaemonState:
+        """Return the whole state."""
+        daemon = self._daemon
+        host = daemon.settings.host
+        ownership = daemon.ownership.state()
+        sites = {domain.name: domain.site for domain in daemon.domains}
+        rules = daemon.rules.current
+        return DaemonState(
+            customer=daemon.settings.customer,
+            host=host.id,
+            domain=host.domain,
+            site=sites[host.domain],
+            ready=not daemon.why_not_ready(),
+            stopping=daemon.is_stopping(),
+            rules_revision=rules.revision if rules is not None else None,
+            store_heard_ago_s=daemon.store_age_s(),
+            table_versions=ownership.versions,
+            right_to_send={
+                domain: left_s > 0 for domain, left_s in ownership.right_left_s.items()
+            },
+            control_holders=ownership.holders,
+            measures=self._measures(ownership),
+            alarms=(),
+        )
+
+    def _measures(self, ownership: OwnershipState) -> Measures | None:
+        services = self._daemon.recorder.state()["services"]
+        if not services:
+            return None
+        return Measures(
+            window_s=0.0,
+            imbalance={name: one["imbalance"] for name, one in services.items()},
+            churn=dict.fromkeys(ownership.versions, 0),
+            unavailable_s={
+                name: one["unavailable_shard_s"] for name, one in services.items()
+            },
+        )
+
+
+@final
+class RulesView:
+    """The rules in force here and the operators' document in the store."""
+
+    def __init__(self, *, in_force: RulesInForce, book: RuleBook) -> None:
+        self._in_force = in_force
+        self._book = book
+
+    def in_force(self) -> RuleSet | None:
+        """Return what this host matches requests with."""
+        return self._in_force.current
+
+    async def read(self) -> RuleVersion | None:
+        """Return the document in the store."""
+        return await self._book.read()
+
+    async def history(self) -> list[RuleVersion]:
+        """Return the documents still kept, newest first."""
+        return await self._book.history()
+
+    async def apply(
+        self,
+        document: RuleDocument,
+        *,
+        edited_from_revision: int,
+        author: str,
+        change_id: str | None = None,
+    ) -> ApplyResult:
+        """Put ``document`` in force if nobody else was faster."""
+        result = await self._book.apply(
+            document,
+            edited_from_revision=edited_from_revision,
+            author=author,
+            change_id=change_id,
+        )
+        if isinstance(result, RulesApplied):
+            # The watch would bring it too, a little later.
+            self._in_force.take_version(result.version)
+        return result
+
+
+@final
+class KeysView:
+    """Owners of keys."""
+
+    def __init__(
+        self,
+        *,
+        ownership: OwnershipSystem,
+        services: Mapping[str, Service],
+        domains: Sequence[Domain],
+    ) -> None:
+        self._ownership = ownership
+        self._services = services
+        self._sites = {domain.name: domain.site for domain in domains}
+
+    def owner(self, service: str, key: str) -> KeyOwner:
+        """Return who owns ``key`` as this host knows it."""
+        shard = shard_of(key, self._keyed(service).shards)
+        assignment = self._ownership.owner(service, shard, key)
+        return self._owner(service, key, shard, assignment)
+
+    async def move(self, service: str, key: str, server: str, author: str) -> KeyOwner:
+        """Begin to move the key's shard to ``server``."""
+        shard = shard_of(key, self._keyed(service).shards)
+        self._ownership.move(service, shard, server)
+        return self.owner(service, key)
+
+    async def pin(
+        self, service: str, key: str, server: str | None, author: str
+    ) -> KeyOwner:
+        """Refuse: entries of single keys are not kept yet."""
+        raise RefusedError(
+            "single keys can't be pinned yet; move the key's shard instead:"
+            " gentianwharf keys move",
+            step="pin key",
+            peer=service,
+        )
+
+    def _keyed(self, name: str) -> Service:
+        service = self._services.get(name)
+        if service is None or not service.keyed:
+            keyed = ", ".join(one.name for one in self._services.values() if one.keyed)
+            raise InputError(
+                f"expected a service that is divided by key ({keyed}), got {name!r}",
+                step="find service",
+                peer=name,
+            )
+        return service
+
+    def _owner(
+        self, service: str, key: str, shard: int, assignment: Assignment
+    ) -> KeyOwner:
+        servers = {one.id: one for one in self._services[service].servers}
+        found = servers.get(assignment.owner)
+        return KeyOwner(
+            service=service,
+            key=key,
+            shard=shard,
+            single=assignment.shard != shard,
+            server=assignment.owner or None,
+            site=self._sites[found.domain] if found is not None else None,
+            token=assignment.token,
+            table_version=self._ownership.state().versions.get(service, 0),
+            moving_to=assignment.target or None,
+            step=assignment.state,
+        )
+
+
+@final
+class ServersView:
+    """Backend servers."""
+
+    def __init__(
+        self,
+        *,
+        servers: Mapping[str, BackendServer],
+        services: Mapping[str, Service],
+        domains: Sequence[Domain],
+        gate: Gate,
+        control: BackendControl,
+        ownership: OwnershipSystem,
+    ) -> None:
+        self._servers = servers
+        self._services = services
+        self._sites = {domain.name: domain.site for domain in domains}
+        self._gate = gate
+        self._control = control
+        self._ownership = ownership
+
+    def servers(self) -> Sequence[ServerStatus]:
+        """Return every backend server."""
+        snapshots = {one.id: one for one in self._gate.snapshot().servers}
+        shards = self._count_shards()
+        return [
+            self._status(server, snapshots.get(server.id), shards[server.id])
+            for server in self._servers.values()
+        ]
+
+    def _status(
+        self, server: BackendServer, snapshot: ServerSnapshot | None, shards: int
+    ) -> ServerStatus:
+        return ServerStatus(
+            id=server.id,
+            service=server.service,
+            domain=server.domain,
+            site=self._sites[server.domain],
+            address=server.address,
+            state=str(snapshot.standing) if snapshot is not None else "gone",
+            slots=server.slots,
+            slots_busy=snapshot.in_flight if snapshot is not None else 0,
+            reported_load=None,
+            shards=shards,
+        )
+
+    def _count_shards(self) -> Counter[str]:
+        return Counter(
+            self._ownership.owner(service.name, shard).owner
+            for service in self._services.values()
+            for shard in range(service.shards)
+        )
+
+    async def drain(self, server: str, author: str) -> ServerStatus:
+        """Tell ``server`` that it is leaving; its shards move away."""
+        found = self._servers.get(server)
+        if found is None:
+            raise InputError(
+                f"{server!r} is not a backend server; see: gentianwharf servers list",
+                step="drain server",
+                peer=server,
+            )
+        await self._control.drain(found)
+        return next(one for one in self.servers() if one.id == server)
+
+
+@final
+class HostsView:
+    """The platform's host list."""
+
+    def __init__(self, *, host_list: HostList) -> None:
+        self._host_list = host_list
+
+    async def hosts(self) -> Sequence[ListedHost]:
+        """Return the live and leaving hosts as the platform lists them."""
+        return await self._host_list.read()
+
+
+@final
+class DomainsView:
+    """Failure domains that an operator may declare lost."""
+
+    def __init__(
+        self, *, domains: Sequence[Domain], servers: Mapping[str, BackendServer]
+    ) -> None:
+        self._domains = {domain.name: domain for domain in domains}
+        self._servers = servers
+
+    def loss(self, domain: str) -> DomainLoss:
+        """Return what it would do and risk, without doing it."""
+        self._known(domain)
+        return DomainLoss(
+            domain=domain,
+            shards={},
+            heard_ago_s=None,
+            risks=(
+                "if the domain is only cut off, its servers go on serving keys that"
+                " get second owners",
+            ),
+            declared=False,
+        )
+
+    async def declare_lost(self, domain: str, author: str) -> DomainLoss:
+        """Refuse: the ownership system does not take it yet."""
+        self._known(domain)
+        raise RefusedError(
+            "a failure domain can't be declared lost yet",
+            step="declare lost",
+            peer=domain,
+        )
+
+    def _known(self, domain: str) -> None:
+        if domain not in self._domains:
+            raise InputError(
+                f"expected one of {', '.join(sorted(self._domains))}, got {domain!r}",
+                step="find domain",
+                peer=domain,
+            )
+
+
+@final
+class DecisionsOfRecorder:
+    """Why requests went where they went."""
+
+    def __init__(self, *, recorder: Recorder) -> None:
+        self._recorder = recorder
+
+    def decisions(
+        self, *, request_id: str | None, most: int
+    ) -> Sequence[Mapping[str, JsonValue]]:
+        """Return the newest kept decisions, or that of a request."""
+        ring = self._recorder.decisions
+        if request_id is None:
+            kept = ring.latest(most=most)
+        else:
+            one = ring.find(request_id)
+            kept = [one] if one is not None else []
+        return [cast("Mapping[str, JsonValue]", asdict(one)) for one in kept]
+
+
+@final
+class BurnOfRecorder:
+    """The service-level burn."""
+
+    def __init__(self, *, recorder: Recorder) -> None:
+        self._recorder = recorder
+
+    def burn(self) -> Mapping[str, JsonValue]:
+        """Return the last window of every class."""
+        return cast("Mapping[str, JsonValue]", self._recorder.state())
+
+    def burn_html(self) -> str:
+        """Refuse: there is no page yet."""
+        raise RefusedError("there is no page yet", step="burn", peer="operator")
