--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -94,9 +94,9 @@
         peers: PeerLink,
         site_of: SiteOf,
         deadline_caps_s: Mapping[str, float],
-        weights: PlacementWeights,
         rng: Random,
         log: Log,
+        weights: PlacementWeights | None = None,
     ) -> None:
         keyed = {one.name: one for one in services if one.keyed}
         tables = Tables(shards={name: one.shards for name, one in keyed.items()})
@@ -117,7 +117,7 @@
             peers=peers,
             site_of=site_of,
             deadline_caps_s=dict(deadline_caps_s),
-            weights=weights,
+            weights=weights or PlacementWeights(),
             rng=rng,
             log=log,
             tables=tables,
