Give single keys an entry of their own, for rules and operators

A rule on one key may name another site than its shard's: the key is then owned apart. Taking a key out of its shard gives the shard a new token in the same write, and the key is granted only once the shard has it (seen: without that wait, a frozen owner with the key's request in its buffers and the new owner were two owners).

--- a/src/gentianwharf/ownership/_context.py
+++ b/src/gentianwharf/ownership/_context.py
@@ -32,6 +32,7 @@
     control: BackendControl
     peers: PeerLink
     site_of: SiteOf
+    single_key_sites: Callable[[str], Mapping[str, str | None]]
     deadline_caps_s: Mapping[str, float]
     weights: PlacementWeights
     rng: Random
--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -134,11 +134,16 @@
 
 @final
 class Wish(_Message, frozen=True, kw_only=True, tag=True):
-    """For the control holder: move a shard to a server."""
+    """For the control holder: move a shard to a server.
+
+    With a ``key``, that key gets an entry of its own there; an empty ``server`` takes
+    the entry away again.
+    """
 
     service: str
     shard: int
     server: str
+    key: str | None = None
 
 
 Message = (
--- a/src/gentianwharf/ownership/_mover.py
+++ b/src/gentianwharf/ownership/_mover.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from gentianwharf.errors import GentianwharfError
+from gentianwharf.keys import shard_of
 from gentianwharf.platform import Grant, GrantOutcome
 from gentianwharf.topology import Service
 
@@ -158,8 +159,23 @@
                 move.cleared.add(holder)
             else:
                 self._release(move, holder)
-        if not move.uncleared():
+        if not move.uncleared() and self._shard_is_renewed(move):
             machine.holders_cleared()
+            if not move.entry.target:
+                machine.target_accepted()
+
+    def _shard_is_renewed(self, move: Move) -> bool:
+        """Whether the shard of a key that gets its own entry has its new token.
+
+        Until then its owner would run the key's requests under the old one.
+        """
+        if move.entry.owner or move.shard < self._service.shards:
+            return True
+        tables = self._context.tables
+        key = tables.pinned_keys[self._service.name][move.shard]
+        shard = shard_of(key, self._service.shards)
+        entry = tables.entry(self._service.name, shard)
+        return entry is not None and entry.token >= move.entry.token
 
     def _is_declared_lost(self, move: Move, holder: str) -> bool:
         """Whether an operator says that the holder's domain is gone for good.
--- /dev/null
+++ b/src/gentianwharf/ownership/_pinner.py
@@ -0,0 +1,97 @@
+"""Single keys with an entry of their own: wanted by rules or by operators."""
+
+from collections.abc import Iterable, Mapping
+from typing import final
+
+from gentianwharf.keys import shard_of
+from gentianwharf.placement import place
+from gentianwharf.topology import Service
+
+from ._context import Context
+from ._planner import ServerStates
+from ._table import CHUNK_SHARDS, EntryState
+from ._writer import TableWriter
+
+
+@final
+class Pinner:
+    """Compares the keys that should stand alone with those that do."""
+
+    def __init__(
+        self, *, context: Context, service: Service, writer: TableWriter
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._writer = writer
+        self._wishes: dict[str, str] = {}
+
+    def wish(self, key: str, server: str) -> None:
+        """Take an operator's wish; an empty ``server`` takes the entry away."""
+        self._wishes[key] = server
+
+    def _wanted(self) -> Mapping[str, str | None]:
+        return self._context.single_key_sites(self._service.name)
+
+    def site_of(self, shard: int) -> str | None:
+        """Return the site that the rules want for a shard or a single key's entry."""
+        name = self._service.name
+        if shard < self._service.shards:
+            return self._context.site_of(name, shard)
+        key = self._context.tables.pinned_keys[name].get(shard, "")
+        wanted = self._wanted()
+        if key in wanted or self._is_fixed(key):
+            return wanted.get(key)
+        return self._context.site_of(name, shard_of(key, self._service.shards))
+
+    def _is_fixed(self, key: str) -> bool:
+        number = shard_of(key, self._service.shards) // CHUNK_SHARDS
+        chunk = self._context.tables.chunks(self._service.name).get(number)
+        return chunk is not None and key in chunk.fixed
+
+    def plan(self, states: ServerStates) -> None:
+        """Ask the writer for entries that are missing or no longer wanted."""
+        pins = self._context.tables.pins[self._service.name]
+        usable = {one.id for one in states.usable()}
+        for key, server in self._wishes.items():
+            if key not in pins and server in usable:
+                self._writer.pin(key, server, fixed=True)
+            elif key in pins and (server in usable or not server):
+                self._move(pins[key], server)
+        self._wishes.clear()
+        wanted = self._wanted()
+        for key in wanted:
+            if key not in pins:
+                self._pin_for_rules(key, states)
+        for key, shard in pins.items():
+            if key not in wanted and not self._is_fixed(key):
+                self._move(shard, "")
+
+    def _pin_for_rules(self, key: str, states: ServerStates) -> None:
+        site = self._wanted()[key]
+        shard = shard_of(key, self._service.shards)
+        targets = place(
+            [shard],
+            loads={},
+            busy={},
+            candidates=states.usable(),
+            site_of=lambda shard: site,
+        )
+        if targets:
+            self._writer.pin(key, targets[shard], fixed=False)
+
+    def _move(self, shard: int, server: str) -> None:
+        entry = self._context.tables.entry(self._service.name, shard)
+        if entry is None or entry.state is not EntryState.OWNED:
+            return
+        if entry.owner != server:
+            self._writer.intend({shard: (server, EntryState.RELEASING)})
+
+    def off_site(self) -> Iterable[int]:
+        """Return single keys' entries that stand off the site the rules want."""
+        context = self._context
+        for shard, entry in context.tables.pinned[self._service.name].items():
+            site = self.site_of(shard)
+            if site is None or entry.state is not EntryState.OWNED:
+                continue
+            if context.domains[context.servers[entry.owner].domain].site != site:
+                yield shard
--- a/src/gentianwharf/ownership/_protocols.py
+++ b/src/gentianwharf/ownership/_protocols.py
@@ -1,6 +1,6 @@
 """What the ownership system needs from other parts of the daemon."""
 
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from typing import Any, Protocol, TypeVar, cast
 
 from twisted.internet import defer
@@ -37,6 +37,9 @@
 SiteOf = Callable[[str, int], str | None]
 """From a service and a shard to the site where the rules want its owner."""
 
+SingleKeySites = Callable[[str], Mapping[str, str | None]]
+"""From a service to the keys that a rule of their own sends to a site."""
+
 
 async def answer_within(
     clock: IReactorTime,
--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -14,9 +14,10 @@
 from ._evidence import Suspicions
 from ._lease import ControlLease
 from ._loads import SentCounts, ShardLoads
-from ._messages import ControlAlive, Item
+from ._messages import ControlAlive, Item, Wish
 from ._move import MoveState
 from ._mover import Mover
+from ._pinner import Pinner
 from ._planner import (
     MOST_PLANNED_MOVES,
     ServerStates,
@@ -89,7 +90,8 @@
         self._scan_from = 0
         self.listed_leaving: set[str] = set()
         self._said_leaving_s: dict[str, float] = {}
-        self.wishes: dict[int, str] = {}
+        self._wishes: dict[int, str] = {}
+        self._pinner = Pinner(context=context, service=service, writer=self._writer)
         self.sent = SentCounts()
         self.loads = ShardLoads()
         self._rebalanced_s = context.now_s
@@ -204,6 +206,13 @@
         ]
         return ServerStates(candidates=candidates, lost=lost, leaving=self._leaving())
 
+    def wish(self, wish: Wish) -> None:
+        """Take an operator's wish."""
+        if wish.key is None:
+            self._wishes[wish.shard] = wish.server
+        else:
+            self._pinner.wish(wish.key, wish.server)
+
     def said_leaving(self, server: str) -> None:
         """Note that ``server`` itself says it is draining."""
         self._said_leaving_s[server] = self._context.now_s
@@ -222,7 +231,7 @@
         return self._mover.states()
 
     def _site_of(self, shard: int) -> str | None:
-        return self._context.site_of(self._service.name, shard)
+        return self._pinner.site_of(shard)
 
     def _first_targets(self) -> dict[int, str]:
         return place(
@@ -306,7 +315,12 @@
         if room <= 0:
             return
         self._grant_wishes(states)
-        shards = [*self._shards_of_leaving(states), *self._shards_off_site()]
+        self._pinner.plan(states)
+        shards = [
+            *self._shards_of_leaving(states),
+            *self._shards_off_site(),
+            *self._pinner.off_site(),
+        ]
         if not shards:
             return
         name = self._service.name
@@ -330,13 +344,13 @@
     def _grant_wishes(self, states: ServerStates) -> None:
         usable = {one.id for one in states.usable()}
         intents = {}
-        for shard, server in self.wishes.items():
+        for shard, server in self._wishes.items():
             entry = self._context.tables.entry(self._service.name, shard)
             if entry is None or entry.state is not EntryState.OWNED:
                 continue
             if server in usable and server != entry.owner:
                 intents[shard] = (server, EntryState.RELEASING)
-        self.wishes.clear()
+        self._wishes.clear()
         if intents:
             self._writer.intend(intents)
 
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -7,7 +7,8 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from gentianwharf.errors import GentianwharfError, InputError
+from gentianwharf.errors import GentianwharfError, InputError, RefusedError
+from gentianwharf.keys import shard_of
 from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import BackendControl, KeyValueStore
 from gentianwharf.topology import Domain, Host, Service
@@ -33,7 +34,7 @@
     Wish,
 )
 from ._move import MoveState
-from ._protocols import Log, PeerLink, SiteOf
+from ._protocols import Log, PeerLink, SingleKeySites, SiteOf
 from ._reader import Reader
 from ._renewal import Renewal
 from ._rights import Rights, Witness
@@ -97,6 +98,7 @@
         rng: Random,
         log: Log,
         weights: PlacementWeights | None = None,
+        single_key_sites: SingleKeySites = lambda service: {},
     ) -> None:
         keyed = {one.name: one for one in services if one.keyed}
         tables = Tables(shards={name: one.shards for name, one in keyed.items()})
@@ -116,6 +118,7 @@
             control=servers,
             peers=peers,
             site_of=site_of,
+            single_key_sites=single_key_sites,
             deadline_caps_s=dict(deadline_caps_s),
             weights=weights or PlacementWeights(),
             rng=rng,
@@ -225,15 +228,34 @@
 
     def move(self, service: str, shard: int, server: str) -> None:
         """Ask the control holder to move a shard to a server."""
-        if service not in self._controls or server not in self._context.servers:
+        self._wish_for(service, shard, server)
+
+    def pin(self, service: str, key: str, server: str) -> None:
+        """Ask for an entry of its own for ``key`` at ``server``; "" takes it away."""
+        shard = shard_of(key, self._context.services[service].shards)
+        self._wish_for(service, shard, server, key)
+
+    def _wish_for(
+        self, service: str, shard: int, server: str, key: str | None = None
+    ) -> None:
+        known = server in self._context.servers or (key is not None and not server)
+        if service not in self._controls or not known:
             raise InputError(
                 f"expected a keyed service and one of its servers, got {service!r}"
                 f" and {server!r}; see `gentianwharf servers list`",
                 step="move shard",
                 peer=server,
             )
-        holder = self._controls[service].holder or self._context.host.id
-        self._context.send(holder, Wish(service=service, shard=shard, server=server))
+        holder = self._controls[service].holder
+        if holder is None:
+            raise RefusedError(
+                "expected a host that holds the service's control, heard of none yet;"
+                " try again in some seconds",
+                step="move shard",
+                peer=service,
+            )
+        wish = Wish(service=service, shard=shard, server=server, key=key)
+        self._context.send(holder, wish)
 
     def _acknowledged(self, host: str, message: Acknowledge) -> None:
         self._announcer.hear(host, message)
@@ -278,7 +300,7 @@
     def _wish(self, host: str, message: Wish) -> None:
         control = self._controls.get(message.service)
         if control is not None and control.lease.is_held:
-            control.wishes[message.shard] = message.server
+            control.wish(message)
 
     def owner(self, service: str, shard: int, key: str | None = None) -> Assignment:
         """Return who owns a key, as far as this host knows."""
--- a/src/gentianwharf/ownership/_table.py
+++ b/src/gentianwharf/ownership/_table.py
@@ -82,7 +82,8 @@
     """A range of a service's shards; ``entries`` has real and pinned shards.
 
     ``pins`` gives a single key the number of its own entry, a shard number that
-    lies beyond the service's real ones.
+    lies beyond the service's real ones. ``fixed`` are the pins that an operator
+    asked for, which the rules don't take away.
     """
 
     service: str
@@ -90,11 +91,49 @@
     counter: int = 0
     entries: Mapping[int, Entry] = field(default_factory=dict)
     pins: Mapping[str, int] = field(default_factory=dict)
+    fixed: frozenset[str] = frozenset()
 
     def edit(self, changes: Mapping[int, Entry], *, counter: int) -> "Chunk":
         """Return the chunk with some entries changed."""
         return replace(self, entries={**self.entries, **changes}, counter=counter)
 
+    def pin(self, key: str, *, shard: int, number: int, target: str) -> "Chunk":
+        """Return the chunk with an entry of its own for ``key``, numbered ``number``.
+
+        The owner of ``shard`` would go on running the key's requests under the
+        shard's token, so that it gets a new token in the same write. The key's
+        entry waits for it: its ``token`` is the least that the shard must have.
+        """
+        entry = self.entries[shard]
+        token = self.counter + 1
+        renewed = entry.intend(
+            target=entry.owner, token=token, state=EntryState.RELEASING
+        )
+        own = Entry(
+            owner="",
+            token=token,
+            state=EntryState.LAPSING,
+            target=target,
+            next_token=token + 1,
+        )
+        changed = self.edit({shard: renewed, number: own}, counter=token + 1)
+        return replace(changed, pins={**self.pins, key: number})
+
+    def unpin(self, number: int) -> "Chunk":
+        """Return the chunk without a key's own entry, which nobody holds any more."""
+        entries = {shard: one for shard, one in self.entries.items() if shard != number}
+        pins = {key: shard for key, shard in self.pins.items() if shard != number}
+        return replace(
+            self, entries=entries, pins=pins, fixed=self.fixed.intersection(pins)
+        )
+
+    def free_pin(self, shards: int) -> int | None:
+        """Return a number for a key's own entry, or None when there are too many."""
+        first = shards + self.number * MOST_PINS_PER_CHUNK
+        used = set(self.pins.values())
+        numbers = range(first, first + MOST_PINS_PER_CHUNK)
+        return next((one for one in numbers if one not in used), None)
+
 
 class _PackedMove(msgspec.Struct, array_like=True, frozen=True):
     shard: int
@@ -113,6 +152,7 @@
     tokens: list[int]
     moves: list[_PackedMove]
     pins: dict[str, int]
+    fixed: list[str]
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -149,6 +189,7 @@
         tokens=[entry.token for entry in entries],
         moves=moves,
         pins=dict(chunk.pins),
+        fixed=sorted(chunk.fixed),
     )
     return _encoder.encode(packed)
 
@@ -192,6 +233,7 @@
         counter=packed.counter,
         entries=entries,
         pins=packed.pins,
+        fixed=frozenset(packed.fixed),
     )
 
 
--- a/src/gentianwharf/ownership/_tables.py
+++ b/src/gentianwharf/ownership/_tables.py
@@ -79,6 +79,7 @@
             name: [None] * count for name, count in shards.items()
         }
         self.pins: dict[str, dict[str, int]] = {name: {} for name in shards}
+        self.pinned_keys: dict[str, dict[int, str]] = {name: {} for name in shards}
         self.pinned: dict[str, dict[int, Entry]] = {name: {} for name in shards}
         self.versions: dict[str, int] = {}
         self._owned: dict[str, set[int]] = {}
@@ -125,6 +126,9 @@
                 for one in self._chunks[service].values()
                 for key, shard in one.pins.items()
             }
+            self.pinned_keys[service] = {
+                shard: key for key, shard in self.pins[service].items()
+            }
 
     def _index(self, earlier: Chunk | None, chunk: Chunk) -> None:
         old = earlier.entries if earlier else {}
--- a/src/gentianwharf/ownership/_writer.py
+++ b/src/gentianwharf/ownership/_writer.py
@@ -1,11 +1,13 @@
 """Writing a service's chunks to the store, one compare-and-swap at a time."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import final
 
 from twisted.internet.defer import Deferred
 
 from gentianwharf.errors import ConflictError, GentianwharfError
+from gentianwharf.keys import shard_of
 from gentianwharf.platform import ABSENT_REVISION, VersionedValue
 
 from ._context import Context
@@ -30,6 +32,7 @@
         self._lease = lease
         self._confirms: dict[int, Entry] = {}
         self._intents: dict[int, tuple[str, EntryState]] = {}
+        self._pins: dict[str, tuple[str, bool]] = {}
         self._after: list[Callable[[], None]] = []
         self._unread: set[int] = set()
         self._busy = False
@@ -59,14 +62,21 @@
         self._intents.update(intents)
         self.kick()
 
+    def pin(self, key: str, target: str, *, fixed: bool) -> None:
+        """Ask for an entry of its own for ``key``, to be owned by ``target``."""
+        self._pins[key] = (target, fixed)
+        self.kick()
+
     def clear(self) -> None:
         """Forget what was wanted, the lease being gone."""
         self._confirms.clear()
         self._intents.clear()
+        self._pins.clear()
 
     def kick(self) -> None:
         """Start writing unless it is under way."""
-        if not self._busy and (self._confirms or self._intents or self._unread):
+        wanted = self._confirms or self._intents or self._pins or self._unread
+        if wanted and not self._busy:
             self._busy = True
             Deferred.fromCoroutine(self._run())
 
@@ -87,7 +97,7 @@
             return True
         wanted = [*self._confirms, *self._intents]
         if not wanted:
-            return False
+            return await self._write_pin()
         number = self.chunk_of(wanted[0])
         chunk = self._context.tables.chunks(self._service).get(number)
         if chunk is None:
@@ -99,22 +109,50 @@
             await self._write(changed)
         return True
 
+    async def _write_pin(self) -> bool:
+        if not self._pins:
+            return False
+        key, (target, fixed) = self._pins.popitem()
+        shard = shard_of(key, self._shards)
+        chunk = self._context.tables.chunks(self._service).get(shard // CHUNK_SHARDS)
+        if chunk is None or key in chunk.pins:
+            return True
+        number = chunk.free_pin(self._shards)
+        if number is None or chunk.entries[shard].state is not EntryState.OWNED:
+            self._context.log("pin-not-taken", service=self._service, shard=shard)
+            return True
+        changed = chunk.pin(key, shard=shard, number=number, target=target)
+        if fixed:
+            changed = replace(changed, fixed=chunk.fixed | {key})
+        await self._write(changed)
+        return True
+
     def _edit(self, chunk: Chunk) -> Chunk | None:
         changes: dict[int, Entry] = {}
+        ended: list[int] = []
         counter = chunk.counter
         for shard in self._of_chunk(self._confirms, chunk.number):
             entry = self._confirms.pop(shard)
             moving = chunk.entries.get(shard)
-            if moving is not None and moving.next_token == entry.token:
+            if moving is None or moving.next_token != entry.token:
+                continue
+            if entry.owner:
                 changes[shard] = entry
+            else:
+                ended.append(shard)
         for shard in self._of_chunk(self._intents, chunk.number):
             target, state = self._intents.pop(shard)
             entry_now = changes.get(shard) or chunk.entries.get(shard)
-            if entry_now is None:
+            if entry_now is None or shard in ended:
                 continue
             counter += 1
             changes[shard] = entry_now.intend(target=target, token=counter, state=state)
-        return chunk.edit(changes, counter=counter) if changes else None
+        if not (changes or ended):
+            return None
+        changed = chunk.edit(changes, counter=counter)
+        for shard in ended:
+            changed = changed.unpin(shard)
+        return changed
 
     def _of_chunk(self, wanted: Iterable[int], number: int) -> list[int]:
         return [shard for shard in wanted if self.chunk_of(shard) == number]
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -22,6 +22,7 @@
     PeerUnavailableError,
     RefusedError,
 )
+from gentianwharf.keys import shard_of
 from gentianwharf.ownership import TICK_S, Message, OwnershipSystem, Send, decode
 from gentianwharf.ownership import encode as encode_message
 from gentianwharf.placement import PlacementWeights
@@ -260,6 +261,7 @@
     shard: int
     token: int
     deadline_s: float
+    key: str | None = None
 
 
 @final
@@ -487,6 +489,7 @@
             site_of=lambda service, shard: world.sites.get(shard),
             deadline_caps_s={SERVICE: world.deadline_cap_s},
             weights=world.weights,
+            single_key_sites=lambda service: world.single_keys,
             rng=rng,
             log=world.log,
         )
@@ -521,6 +524,7 @@
     double_share: float = 0.0
     weights: PlacementWeights = PlacementWeights(imbalance=0.0)
     sites: dict[int, str] = field(default_factory=dict)
+    single_keys: dict[str, str | None] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
     logged: list[tuple[float, str, dict[str, object]]] = field(default_factory=list)
     refusals: int = 0
@@ -644,12 +648,12 @@
         if found is not None:
             found.clock.callLater(ONE_WAY_S, lambda: act(found.system))
 
-    def request(self, host: str, shard: int) -> bool:
+    def request(self, host: str, shard: int, key: str | None = None) -> bool:
         """Send a request as ``host`` would now; returns whether it was sent."""
         found = self.hosts.get(host)
         if found is None or found.clock.paused:
             return False
-        route = found.system.route(SERVICE, shard)
+        route = found.system.route(SERVICE, shard, key)
         if not isinstance(route, Send):
             return False
         request = Request(
@@ -657,6 +661,7 @@
             shard=route.shard,
             token=route.token,
             deadline_s=self.clock.seconds() + route.deadline_cap_s,
+            key=key,
         )
         server = self.servers[route.server_id]
         if self.is_cut(host, server.entity.id):
@@ -673,29 +678,30 @@
         self._newest[run.shard] = run
         self.runs.append(run)
 
-    def owners(self, shard: int) -> set[str]:
-        """Return the servers that would run a request for ``shard`` now.
+    def owners(self, shard: int, key: str | None = None) -> set[str]:
+        """Return the servers that would run a request for ``shard`` or ``key`` now.
 
         Requests are those that any host would send now, and those that are on
         their way or in a server's buffers before their deadline.
         """
         now_s = self.clock.seconds()
         waiting = {
-            (server.entity.id, request.token)
+            (server.entity.id, request.shard, request.token)
             for server in self.servers.values()
             for request in server.requests
-            if request.shard == shard and now_s <= request.deadline_s
+            if (request.shard == shard if key is None else request.key == key)
+            and now_s <= request.deadline_s
         }
         for host in self.hosts.values():
-            route = host.system.route(SERVICE, shard)
+            route = host.system.route(SERVICE, shard, key)
             if not host.clock.paused and isinstance(route, Send):
-                waiting.add((route.server_id, route.token))
+                waiting.add((route.server_id, route.shard, route.token))
         return {
             server
-            for server, token in waiting
+            for server, number, token in waiting
             if not self.servers[server].lost
             and self.servers[server].table.would_run(
-                shard=shard, token=token, now_s=self.servers[server].now_s()
+                shard=number, token=token, now_s=self.servers[server].now_s()
             )
         }
 
@@ -733,6 +739,18 @@
                 now_s = self.clock.seconds()
                 raise AssertionError(f"two owners of {shard} at {now_s}: {owners}")
 
+    def key_traffic(self, key: str, duration_s: float) -> None:
+        """Let hosts send for one key and check for one owner of it."""
+        shard = shard_of(key, self.shards)
+        end_s = self.clock.seconds() + duration_s
+        while self.clock.seconds() < end_s:
+            for host in list(self.hosts):
+                self.request(host, shard, key)
+            owners = self.owners(shard, key)
+            if len(owners) > 1:
+                raise AssertionError(f"two owners of {key}: {owners}")
+            self.advance(0.002, 0.001)
+
     def has_logged(self, event: str) -> bool:
         """Whether any host logged ``event``."""
         return any(one[1] == event for one in self.logged)
