Pass on what is left of rights, so that witnesses are asked by few hosts

Rounds now begin at a number drawn at each start: a late answer to a host's earlier life counted for a question of its new one (shown by the test without the guard).

--- a/src/gentianwharf/ownership/_announcer.py
+++ b/src/gentianwharf/ownership/_announcer.py
@@ -17,6 +17,10 @@
 MOST_KEPT = 256
 """Announcements kept; one is needed while moves of its version are under way."""
 
+ROUND_BITS = 48
+"""Bits of the first round's number, drawn at each start so that rounds of an
+earlier life are not taken for this one's."""
+
 
 @final
 class Announcer:
@@ -27,7 +31,7 @@
         self._known: dict[tuple[str, int, str], Announcement] = {}
         self._rounds: dict[int, tuple[str, int, str]] = {}
         self._opening: set[tuple[str, int, str]] = set()
-        self._last_round = 0
+        self._last_round = context.rng.getrandbits(ROUND_BITS)
 
     def announcement(
         self, service: str, number: int, revision: int, domain: str
--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -23,7 +23,7 @@
 
 @final
 class RightAsk(_Message, frozen=True, kw_only=True, tag=True):
-    """May I act on these versions of the tables? To each witness of ``domain``."""
+    """Ask each witness of ``domain`` for a right to these versions of the tables."""
 
     domain: str
     round: int
@@ -39,6 +39,22 @@
     good_s: float
 
 
+@final
+class ShareAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """Ask for what is left of another host's rights, with these versions."""
+
+    round: int
+    versions: dict[str, int]
+
+
+@final
+class ShareAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """What is left, by domain, from the moment of asking."""
+
+    round: int
+    good_s: dict[str, float]
+
+
 @final
 class Announce(_Message, frozen=True, kw_only=True, tag=True):
     """Acknowledge that you know these versions; ``items`` bring them along."""
@@ -149,6 +165,8 @@
 Message = (
     RightAsk
     | RightAnswer
+    | ShareAsk
+    | ShareAnswer
     | Announce
     | Acknowledge
     | Items
--- a/src/gentianwharf/ownership/_rights.py
+++ b/src/gentianwharf/ownership/_rights.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, field
 from typing import final
 
-from ._messages import RightAnswer, RightAsk
+from ._messages import RightAnswer, RightAsk, ShareAnswer, ShareAsk
 from ._tables import Tables, WitnessList
-from ._timing import RIGHT_USE_S
+from ._timing import RIGHT_USE_S, RIGHT_WAIT_S
 
 MOST_ROUNDS = 8
 """Open rounds of a domain; a later answer could hardly give any right."""
@@ -32,14 +32,18 @@
     """The rights of one host, one a domain of backend servers.
 
     A right for some versions serves newer ones too: whoever knows nothing newer
-    than the older version knows nothing newer than the newer one.
+    than the older version knows nothing newer than the newer one. ``first_round``
+    is drawn anew at each start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, first_round: int = 0) -> None:
+        # An answer to this host's earlier life, late on its way, must not pass for
+        # one to a question of this life, which would count it from too late.
+        self._last_round = first_round
         self._until_s: dict[str, float] = {}
         self._asked_s: dict[str, float] = {}
         self._rounds: dict[tuple[str, int], _Round] = {}
-        self._last_round = 0
+        self._shares_asked_s: dict[int, float] = {}
 
     def ask(
         self,
@@ -76,6 +80,36 @@
         asked_s = max(opened.asked_s, self.asked_s(answer.domain))
         self._asked_s[answer.domain] = asked_s
 
+    def ask_share(self, *, versions: Mapping[str, int], now_s: float) -> ShareAsk:
+        """Return the question for a host that may pass on what is left."""
+        self._last_round += 1
+        self._shares_asked_s[self._last_round] = now_s
+        for number in list(self._shares_asked_s)[:-MOST_ROUNDS]:
+            del self._shares_asked_s[number]
+        return ShareAsk(round=self._last_round, versions=dict(versions))
+
+    def share(self, ask: ShareAsk, now_s: float) -> ShareAnswer:
+        """Return what is left for a host whose versions are not older than ours."""
+        left = {
+            domain: until_s - now_s
+            for domain, until_s in self._until_s.items()
+            if until_s > now_s
+        }
+        return ShareAnswer(round=ask.round, good_s=left)
+
+    def hear_share(self, answer: ShareAnswer) -> None:
+        """Take what another host passes on, counted from this host's question."""
+        asked_s = self._shares_asked_s.get(answer.round)
+        if asked_s is None:
+            return
+        for domain, good_s in answer.good_s.items():
+            until_s = asked_s + min(good_s, RIGHT_USE_S)
+            self._until_s[domain] = max(until_s, self.until_s(domain))
+            # The majority was asked by the other host before this one asked; this
+            # is the latest moment that is certainly not after it.
+            first_s = until_s - RIGHT_WAIT_S
+            self._asked_s[domain] = max(first_s, self.asked_s(domain))
+
     def asked_s(self, domain: str) -> float:
         """Return when the newest right for ``domain`` was asked for."""
         return self._asked_s.get(domain, float("-inf"))
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -13,7 +13,7 @@
 from gentianwharf.platform import BackendControl, KeyValueStore
 from gentianwharf.topology import Domain, Host, Service
 
-from ._announcer import Announcer
+from ._announcer import ROUND_BITS, Announcer
 from ._context import Context
 from ._evidence import OwnEvidence, Suspicions
 from ._messages import (
@@ -30,6 +30,8 @@
     RecoverAsk,
     RightAnswer,
     RightAsk,
+    ShareAnswer,
+    ShareAsk,
     Suspect,
     Wish,
 )
@@ -124,7 +126,7 @@
             rng=rng,
             log=log,
             tables=tables,
-            rights=Rights(),
+            rights=Rights(first_round=rng.getrandbits(ROUND_BITS)),
             witness=witness,
             receive=self.received,
         )
@@ -165,6 +167,8 @@
         return {
             RightAsk: witnessing.asked,
             RightAnswer: witnessing.answered,
+            ShareAsk: witnessing.share_asked,
+            ShareAnswer: witnessing.share_answered,
             Announce: witnessing.announced,
             RecoverAsk: witnessing.recovery_asked,
             RecoverAnswer: witnessing.recovery_answered,
--- a/src/gentianwharf/ownership/_witnessing.py
+++ b/src/gentianwharf/ownership/_witnessing.py
@@ -2,6 +2,8 @@
 
 from typing import final
 
+from gentianwharf.placement import rendezvous_rank
+
 from ._context import Context
 from ._messages import (
     Acknowledge,
@@ -12,10 +14,22 @@
     RecoverAsk,
     RightAnswer,
     RightAsk,
+    ShareAnswer,
+    ShareAsk,
 )
 from ._tables import WitnessList, witness_key
 from ._timing import RIGHT_ASK_EVERY_S
 
+ASKERS = 2
+"""Hosts of a domain that ask the witnesses; one may be lost without being felt."""
+
+FAN_OUT = 16
+"""Hosts that ask one host for a share, twice that when its neighbour is lost. Two
+steps reach 546 hosts a domain; each step costs up to one round of 100 ms."""
+
+ASK_DIRECTLY_BELOW_S = 0.12
+"""What must be left of a right for a host to rely on shares: one more round."""
+
 RECOVER_EVERY_S = 0.2
 """How often a witness without memory asks the others, while the store is down."""
 
@@ -47,9 +61,17 @@
         context = self._context
         if not context.tables.versions:
             self._pull_from_peers()
+        sharers = self._sharers()
+        if sharers:
+            share_ask = context.rights.ask_share(
+                versions=context.tables.versions, now_s=now_s
+            )
+            for host in sharers:
+                context.send(host, share_ask)
         for domain in context.domains:
             witnesses = context.tables.witnesses(domain)
-            if witnesses is None:
+            left_s = context.rights.until_s(domain) - now_s
+            if witnesses is None or (sharers and left_s > ASK_DIRECTLY_BELOW_S):
                 continue
             ask = context.rights.ask(
                 domain=domain,
@@ -60,6 +82,24 @@
             for host in witnesses.all():
                 context.send(host, ask)
 
+    def _sharers(self) -> list[str]:
+        """Return the hosts that this one asks for what is left of their rights.
+
+        The first ``ASKERS`` of the domain's hosts, by rendezvous order, ask the
+        witnesses; each other one asks two of those ``FAN_OUT`` times nearer to them.
+        So no host is asked by more than a few, however many the domain has.
+        """
+        context = self._context
+        ranked = rendezvous_rank("rights", context.live_hosts(context.host.domain))
+        if context.host.id not in ranked:
+            return []
+        position = ranked.index(context.host.id)
+        if position < ASKERS:
+            return []
+        nearer = (position - ASKERS) // FAN_OUT
+        other = nearer + 1 if nearer % 2 == 0 else nearer - 1
+        return [ranked[one] for one in (nearer, other) if one < position]
+
     def _pull_from_peers(self) -> None:
         for host in self._context.peers.hosts_of(self._context.host.domain):
             if host != self._context.host.id:
@@ -88,6 +128,21 @@
         if not context.tables.knows(ask.versions):
             context.send(host, Pull(versions=dict(context.tables.versions)))
 
+    def share_asked(self, host: str, ask: ShareAsk) -> None:
+        """Pass on what is left, unless the other host's versions are older."""
+        context = self._context
+        newer = context.tables.newer_than(ask.versions)
+        if newer:
+            context.send(host, Items(items=newer))
+        else:
+            context.send(host, context.rights.share(ask, context.now_s))
+        if not context.tables.knows(ask.versions):
+            context.send(host, Pull(versions=dict(context.tables.versions)))
+
+    def share_answered(self, host: str, answer: ShareAnswer) -> None:
+        """Take what another host passes on."""
+        self._context.rights.hear_share(answer)
+
     def answered(self, host: str, answer: RightAnswer) -> None:
         """Count a witness's answer."""
         self._context.rights.hear(host, answer)
--- a/tests/test_ownership_interleavings.py
+++ b/tests/test_ownership_interleavings.py
@@ -16,6 +16,7 @@
 HOSTS = [f"{domain}-{n}" for domain in DOMAINS for n in (1, 2, 3)]
 SERVERS = [f"{SERVICE}-{domain}-{n}" for domain in DOMAINS for n in (1, 2)]
 SHARDS = 4
+KEYS = ["faculte-des-sciences", "round-rock"]
 lasts = st.sampled_from([0.05, 0.3, 0.45, 0.8, 1.5, 4.0])
 shards = st.integers(0, SHARDS - 1)
 hosts = st.sampled_from(HOSTS)
@@ -136,6 +137,18 @@
             if host.system.state().controls and not host.clock.paused:
                 host.system.move(SERVICE, shard, server)
 
+    @rule(key=st.sampled_from(KEYS), server=st.sampled_from(["", *SERVERS]))
+    def pin(self, key: str, server: str) -> None:
+        """Give a key an entry of its own, or take it away."""
+        for host in self.world.hosts.values():
+            if host.system.state().controls and not host.clock.paused:
+                host.system.pin(SERVICE, key, server)
+
+    @rule(key=st.sampled_from(KEYS))
+    def send_for_key(self, key: str) -> None:
+        """Send requests for a key for a while."""
+        self.world.key_traffic(key, 0.1)
+
 
 OwnershipMachine.TestCase.settings = settings(
     max_examples=25,
--- a/tests/test_ownership_rights.py
+++ b/tests/test_ownership_rights.py
@@ -213,3 +213,37 @@
     entry = first_chunk("ledger", 0, {0: "a"}).entries[0]
     assert entry.holders == ()
     assert entry.confirm() == Entry(owner="a", token=1)
+
+
+def ask_once(rights: Rights, now_s: float) -> int:
+    ask = rights.ask(domain="lac", witnesses=LAC, versions={KEY: 1}, now_s=now_s)
+    return ask.round
+
+
+@pytest.mark.parametrize(
+    "guarded", [pytest.param(True, id="guard"), pytest.param(False, id="no-guard")]
+)
+def test_answer_to_an_earlier_life_gives_no_right(guarded: bool) -> None:
+    """A host asks, restarts, and asks again; the first answers come only then.
+
+    The witnesses confirmed a second ago and may have heard of a move since.
+    """
+    seeds = [5, 9] if guarded else [0, 0]
+    first = ask_once(Rights(first_round=seeds[0]), 10.0)
+    rights = Rights(first_round=seeds[1])
+    ask_once(rights, 11.0)
+    for host in LAC.hosts:
+        rights.hear(host, RightAnswer(domain="lac", round=first, good_s=RIGHT_USE_S))
+    assert (rights.until_s("lac") < 11.0) is guarded
+
+
+def test_shared_right_ends_no_later_than_the_one_it_is_a_part_of() -> None:
+    """A host passes on what is left; the receiver counts from its own question."""
+    giver, taker = Rights(), Rights(first_round=100)
+    number = ask_once(giver, 10.0)
+    for host in LAC.hosts:
+        giver.hear(host, RightAnswer(domain="lac", round=number, good_s=RIGHT_USE_S))
+    ask = taker.ask_share(versions={KEY: 1}, now_s=10.2)
+    taker.hear_share(giver.share(ask, 10.25))
+    assert taker.until_s("lac") == pytest.approx(10.35)
+    assert taker.asked_s("lac") <= 10.0
