--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Iterator
 from statistics import median
+from timeit import timeit
 
 from tests.builders_ownership import SERVICE, World
 
@@ -117,18 +118,44 @@
     yield count("all hosts restarted", 5.0)
 
 
+def messages() -> dict[str, object]:
+    """Count messages between 12 idle hosts."""
+    world = build(1, stamps=True, cap_s=2.0)
+    before = dict(world.sent)
+    world.advance(10.0)
+    rates = {
+        name: round((count - before.get(name, 0)) / 10, 1)
+        for name, count in world.sent.items()
+    }
+    return {"figure": "messages a second, idle", "hosts": len(world.hosts), **rates}
+
+
+def route_time() -> dict[str, object]:
+    """Time one decision of the hot path with 65,536 shards."""
+    world = World(shards=65_536, hosts_a_domain=1, servers_a_domain=1)
+    world.settle()
+    system = next(iter(world.hosts.values())).system
+    count = 100_000
+    seconds = timeit(lambda: system.route(SERVICE, 41_234, "club"), number=count)
+    return {"figure": "route", "shards": 65_536, "us": round(seconds / count * 1e6, 2)}
+
+
+def figures(count: int) -> Iterator[dict[str, object]]:
+    """Yield every figure."""
+    yield losses(count, stamps=True, cap_s=2.0)
+    yield losses(count, stamps=False, cap_s=2.0)
+    yield losses(count, stamps=False, cap_s=0.25)
+    yield moves(min(count, MOVES))
+    yield from store_calls()
+    yield messages()
+    yield route_time()
+
+
 def main() -> None:
     """Print the figures; a first argument gives the number of losses."""
     count = int(sys.argv[1]) if len(sys.argv) > 1 else LOSSES
-    figures: list[dict[str, object]] = [
-        losses(count, stamps=True, cap_s=2.0),
-        losses(count, stamps=False, cap_s=2.0),
-        losses(count, stamps=False, cap_s=0.25),
-        moves(min(count, MOVES)),
-        *store_calls(),
-    ]
-    for figure in figures:
-        print(json.dumps({"bench": "ownership", **figure, "seed": "0.."}), flush=True)
+    for figure in figures(count):
+        print(json.dumps({"bench": "ownership", **figure}), flush=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/builders_ownership_servers.py
@@ -0,0 +1,203 @@
+"""The backend servers of the small world for tests of ownership."""
+
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.platform import Grant, GrantOutcome, ServerReport
+from gentianwharf.standin._grants import GrantTable
+from gentianwharf.topology import BackendServer
+from tests.builders_ownership_store import HostClock
+
+if TYPE_CHECKING:
+    from tests.builders_ownership import World
+
+ONE_WAY_S = 0.0005
+RUN_S = 0.002
+SERVICE = "calendrier"
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """A request on its way to a server."""
+
+    host: str
+    shard: int
+    token: int
+    deadline_s: float
+    key: str | None = None
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """A request that a server ran."""
+
+    shard: int
+    token: int
+    server: str
+    start_s: float
+
+
+@final
+class FakeServer:
+    """A backend server: its grants, what it runs, and what waits in its buffers."""
+
+    def __init__(self, world: "World", entity: BackendServer, offset_s: float) -> None:
+        self._world = world
+        self.entity = entity
+        self._offset_s = offset_s
+        self.frozen = False
+        self.lost = False
+        self.draining = False
+        self.buffer: list[Callable[[], None]] = []
+        self.requests: list[Request] = []
+        self._running: dict[int, int] = defaultdict(int)
+        self.cold_start()
+
+    def now_s(self) -> float:
+        """Return the server's own time."""
+        return self._world.clock.seconds() + self._offset_s
+
+    def cold_start(self) -> None:
+        """Start anew, remembering nothing."""
+        self.lost = False
+        self.buffer.clear()
+        self.requests.clear()
+        self._running.clear()
+        self.table = GrantTable(
+            started_s=self.now_s(),
+            knows_validity=self.entity.knows_validity,
+            gives_stamp=self.entity.gives_stamp,
+        )
+
+    def arrive(self, act: Callable[[], None]) -> None:
+        """Take something in, or keep it in the buffers while frozen."""
+        if self.lost:
+            return
+        if self.frozen:
+            self.buffer.append(act)
+        else:
+            act()
+
+    def thaw(self) -> None:
+        """Go on, as though nothing had happened."""
+        self.frozen = False
+        buffer, self.buffer = self.buffer, []
+        for act in buffer:
+            act()
+
+    def run(self, request: Request) -> None:
+        """Run a request, or refuse it as not the owner."""
+        if request not in self.requests:
+            return
+        self.requests.remove(request)
+        world = self._world
+        now_s = world.clock.seconds()
+        accepted = now_s <= request.deadline_s and self.table.would_run(
+            shard=request.shard, token=request.token, now_s=self.now_s()
+        )
+        if not accepted:
+            world.refusals += 1
+            world.reply(
+                request.host,
+                lambda system: system.refused_not_owner(
+                    SERVICE, request.shard, request.token
+                ),
+            )
+            return
+        world.note_run(
+            Run(
+                shard=request.shard,
+                token=request.token,
+                server=self.entity.id,
+                start_s=now_s,
+            )
+        )
+        self._running[request.shard] += 1
+        world.clock.callLater(RUN_S, self._end, request)
+
+    def _end(self, request: Request) -> None:
+        if self._running[request.shard] > 0:
+            self._running[request.shard] -= 1
+        server = self.entity.id
+        self._world.reply(request.host, lambda system: system.answered(server, ok=True))
+
+    def is_running(self, shards: Sequence[int]) -> bool:
+        """Whether anything runs for these shards."""
+        return any(self._running[shard] for shard in shards)
+
+
+@final
+class ServersClient:
+    """One host's way to the backend servers."""
+
+    def __init__(self, world: "World", host: str, clock: HostClock) -> None:
+        self._world = world
+        self._host = host
+        self._clock = clock
+
+    async def _order(
+        self, server: BackendServer, act: Callable[[FakeServer], Any], *, faulty: bool
+    ) -> Any:
+        world = self._world
+        answer: Deferred[Any] = Deferred()
+        found = world.servers[server.id]
+
+        def arrive() -> None:
+            if world.is_cut(self._host, server.id):
+                return
+            result = act(found)
+            self._clock.callLater(ONE_WAY_S, reply, result)
+
+        def reply(result: Any) -> None:
+            if not world.is_cut(self._host, server.id) and not answer.called:
+                answer.callback(result)
+
+        for delay_s in world.delays(faulty=faulty):
+            world.clock.callLater(delay_s, found.arrive, arrive)
+        return await answer
+
+    async def grant(self, server: BackendServer, grant: Grant) -> GrantOutcome:
+        """Grant, at once or as the network lets it."""
+        return await self._order(
+            server, lambda one: one.table.grant(grant, now_s=one.now_s()), faulty=True
+        )
+
+    async def release(
+        self, server: BackendServer, service: str, tokens: dict[int, int]
+    ) -> GrantOutcome:
+        """Release; answers when what ran is done."""
+        outcome = await self._order(
+            server, lambda one: one.table.release(tokens), faulty=True
+        )
+        found = self._world.servers[server.id]
+        while found.is_running(list(tokens)):
+            await deferLater(self._world.clock, RUN_S / 2)
+        return outcome
+
+    async def report(self, server: BackendServer) -> ServerReport:
+        """Report on the server."""
+        return await self._order(server, self._report, faulty=False)
+
+    @staticmethod
+    def _report(server: FakeServer) -> ServerReport:
+        return ServerReport(
+            server=server.entity.id,
+            stamp_s=server.now_s(),
+            healthy=True,
+            draining=server.draining,
+            cold=False,
+            load=0.0,
+            held=server.table.held(now_s=server.now_s()),
+        )
+
+    async def drain(self, server: BackendServer) -> None:
+        """Not used here."""
+        raise PeerUnavailableError("not used", step="drain", peer=server.id)
