spread: failures provoked, readiness and pulls as modules of their own

What failed on the way: with 30% of messages lost a change needed more than 2.4 s. A mend took four messages in a row and waited for the next digest when one was lost; now a pull is repeated after 0.2 s and small values are brought unasked.

Ruled out: ready as soon as one peer's news of the store is some seconds old. A host that restarts faster than that could go back to rules older than it had.

--- a/src/gentianwharf/spread/__init__.py
+++ b/src/gentianwharf/spread/__init__.py
@@ -3,7 +3,8 @@
 from ._frames import Channel
 from ._links import Link, LinkStats
 from ._mesh import MeshStats, PeerChannel, PeerMesh
-from ._system import Peers, SpreadCounts, SpreadState, SpreadSystem
+from ._state import SpreadCounts, SpreadState
+from ._system import Peers, SpreadSystem
 
 __all__ = [
     "Channel",
--- /dev/null
+++ b/src/gentianwharf/spread/_state.py
@@ -0,0 +1,38 @@
+"""What an operator sees of a host's spread."""
+
+from dataclasses import dataclass
+from typing import final
+
+
+@final
+@dataclass(kw_only=True, slots=True)
+class SpreadCounts:
+    """What a host did, as counts since its start."""
+
+    taken: int = 0
+    dropped_older: int = 0
+    malformed: int = 0
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    send_dropped: int = 0
+    passed_on: int = 0
+    pulled: int = 0
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SpreadState:
+    """What an operator sees of a host's spread.
+
+    ``ready`` is False until the values are known to be current enough to act on;
+    ``store_age_s`` is None while the store has not been heard of.
+    """
+
+    ready: bool
+    watching: bool
+    keys: int
+    highest_revision: int
+    checksum: int
+    store_age_s: float | None
+    store_calls: int
+    counts: SpreadCounts
--- a/src/gentianwharf/spread/_system.py
+++ b/src/gentianwharf/spread/_system.py
@@ -1,7 +1,7 @@
 """Passing of changed values from the store to every host, tick by tick."""
 
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, fields
+from dataclasses import replace
 from os.path import commonprefix
 from random import Random
 from typing import Protocol, final
@@ -25,6 +25,9 @@
     encode,
 )
 from ._places import STANDBY_WATCHERS, WATCHERS, Places
+from ._pulls import PULLED_AT_ONCE, Pulls
+from ._readiness import Readiness
+from ._state import SpreadCounts, SpreadState
 from ._versions import VersionTable
 from ._watch import StoreWatch
 
@@ -35,19 +38,20 @@
 """Every fourth digest goes to another failure domain, whose watchers may hear the
 store when ours don't."""
 
-ASK_EVERY_S = 0.1
+ASK_FIRST_S = 0.1
+ASK_LONGEST_S = 2.0
 ASKED_AT_ONCE = 16
-"""A host that starts asks so many others at once, until it is ready."""
+"""A host that starts asks so many of its failure domain at once, or an eighth of them,
+and half as many others, until it is ready; more rarely the longer it takes, since
+after an outage of everything it waits for the store in vain."""
 
-PULL_AGAIN_S = 0.2
-"""A value that was asked for is asked for again after this, of whoever has it."""
+PUSHED_UNASKED_BYTES = 16_000
+"""A value up to this size is sent to a host that lacks it without asking first: two
+messages fewer that can be lost."""
 
-PULLED_AT_ONCE = 16
-"""Values asked for in one message; each may be large, and a peer's queue is bounded."""
-
-FRESH_S = 10.0
-"""How old the news of the store may be. Above a watch's wait and its spread to all
-hosts by digests, below the time in which operators expect to see a host notice."""
+STANDBY_AFTER_S = 10.0
+"""How old the news of the store may be before others step in for the watchers: above
+a watch's wait, its retries and the spread of its news by digests."""
 
 NEVER_MS = -1
 
@@ -59,51 +63,12 @@
         """Hand a message over for sending; False when it was dropped at once."""
 
 
-@final
-@dataclass(kw_only=True, slots=True)
-class SpreadCounts:
-    """What a host did, as counts since its start."""
-
-    taken: int = 0
-    dropped_older: int = 0
-    malformed: int = 0
-    sent_messages: int = 0
-    sent_bytes: int = 0
-    send_dropped: int = 0
-    passed_on: int = 0
-    pulled: int = 0
-
-
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SpreadState:
-    """What an operator sees of a host's spread.
-
-    ``ready`` is False until the values are known to be current enough to act on;
-    ``store_age_s`` is None while the store has not been heard of.
-    """
-
-    ready: bool
-    watching: bool
-    keys: int
-    highest_revision: int
-    checksum: int
-    store_age_s: float | None
-    store_calls: int
-    counts: SpreadCounts
-
-
 @final
 class SpreadSystem:
     """Holds the newest values under ``prefixes`` that this host has heard of.
 
     ``on_value`` is called once for each value that is newer than the one before;
     revisions of a key only grow. Call ``tick`` every 50 to 100 ms.
-
-    A host is ready when it heard the store itself, or holds all that a host does
-    which heard of the store within ``FRESH_S``, or, with the store out of reach,
-    holds all that a majority of its failure domain's hosts or of all hosts does.
-    Hosts that are not ready themselves don't count: they may be as empty.
     """
 
     def __init__(
@@ -133,15 +98,14 @@
             prefix=commonprefix(self._prefixes),
             on_values=self._heard_store,
         )
-        self._ready = False
         self._started_s = clock.seconds()
-        self._store_heard_s: float | None = None
-        self._agreeing: set[str] = set()
-        self._asked: dict[str, float] = {}
+        self._readiness = Readiness(started_s=self._started_s)
+        self._pulls = Pulls(ask=self._ask_for)
         self._beats = 0
         # Hosts that start together must not beat together.
         self._next_beat_s = self._started_s + rng.uniform(0, HEARTBEAT_S)
         self._next_ask_s = self._started_s
+        self._ask_pause_s = ASK_FIRST_S
         self.counts = SpreadCounts()
 
     def set_hosts(self, hosts: Iterable[Host]) -> None:
@@ -155,29 +119,29 @@
     @property
     def ready(self) -> bool:
         """Whether the values are known to be current enough to act on."""
-        return self._ready
+        return self._readiness.ready
 
     def state(self) -> SpreadState:
         """Return what an operator sees."""
         return SpreadState(
-            ready=self._ready,
+            ready=self.ready,
             watching=self._watch.running,
             keys=len(self._table),
             highest_revision=self._table.highest_revision(),
             checksum=self._table.checksum(),
             store_age_s=self._store_age_s(),
             store_calls=self._watch.calls,
-            counts=SpreadCounts(
-                **{one.name: getattr(self.counts, one.name) for one in _COUNT_FIELDS}
-            ),
+            counts=replace(self.counts),
         )
 
     def tick(self) -> None:
         """Start or stop the watch, ask for what is missing, send a digest when due."""
         now_s = self._clock.seconds()
         self._choose_watch(now_s)
-        if not self._ready and now_s >= self._next_ask_s:
-            self._next_ask_s = now_s + ASK_EVERY_S
+        self._pulls.tick(now_s=now_s)
+        if not self.ready and now_s >= self._next_ask_s:
+            self._next_ask_s = now_s + self._ask_pause_s
+            self._ask_pause_s = min(1.5 * self._ask_pause_s, ASK_LONGEST_S)
             self._ask_others()
         if now_s >= self._next_beat_s:
             self._next_beat_s = now_s + HEARTBEAT_S * self._rng.uniform(0.8, 1.2)
@@ -215,12 +179,12 @@
 
     def _choose_watch(self, now_s: float) -> None:
         rank = self._places.watch_rank
-        heard_s = self._store_heard_s
+        heard_s = self._readiness.store_heard_s
         silent_s = now_s - (self._started_s if heard_s is None else heard_s)
         # Watchers that are listed though dead leave their domain deaf; the next in
         # order step in one after the other, and back once the store is heard again.
         due = rank < WATCHERS or (
-            rank < STANDBY_WATCHERS and silent_s > FRESH_S + (rank - WATCHERS)
+            rank < STANDBY_WATCHERS and silent_s > STANDBY_AFTER_S + (rank - WATCHERS)
         )
         if due:
             self._watch.start()
@@ -228,9 +192,9 @@
             self._watch.stop()
 
     def _heard_store(self, values: list[VersionedValue]) -> None:
-        self._store_heard_s = self._clock.seconds()
         changed = [value for value in values if self._take(value)]
-        self._set_ready()
+        self._readiness.heard_store(self._clock.seconds())
+        self._judge()
         self._pass_on(changed)
 
     def _take(self, value: VersionedValue) -> bool:
@@ -239,7 +203,7 @@
         if not self._table.offer(value):
             self.counts.dropped_older += 1
             return False
-        self._asked.pop(value.key, None)
+        self._pulls.came(value.key)
         self.counts.taken += 1
         self._on_value(value)
         return True
@@ -278,7 +242,7 @@
         if self._take(value):
             if push.root:
                 self._push_down(value, push.root)
-            elif self._ready:
+            elif self.ready:
                 # Pulled, so that no tree brought it and fellow hosts may lack it too.
                 # A host that only starts pulls what all others have.
                 self._tell_partners([(value.key, value.revision)])
@@ -287,7 +251,7 @@
 
     def _on_have(self, host_id: str, have: Have) -> None:
         lacking = self._mine(self._table.lacking(have.versions))
-        self._pull(host_id, lacking)
+        self._pulls.announced(host_id, lacking, now_s=self._clock.seconds())
         self._mend_older(host_id, have.versions)
         if have.root:
             self._have_down(have.versions, have.root)
@@ -299,8 +263,20 @@
             for key, revision in versions
             if self._table.revision(key) > revision
         ]
-        if newer:
-            self._send(host_id, Have(versions=newer))
+        self._bring(host_id, newer)
+
+    def _bring(self, host_id: str, newer: list[Version]) -> None:
+        """Bring a host what it lacks: small values at once, of others the version."""
+        announced: list[Version] = []
+        for key, revision in newer:
+            value = self._table.get(key)
+            small = value is not None and len(value.value) <= PUSHED_UNASKED_BYTES
+            if small and len(newer) <= PULLED_AT_ONCE:
+                self._send_value(host_id, key)
+            else:
+                announced.append((key, revision))
+        if announced:
+            self._send(host_id, Have(versions=announced))
 
     def _tell_partners(self, versions: list[Version]) -> None:
         for partner in self._places.partners:
@@ -308,12 +284,13 @@
 
     def _on_pull(self, host_id: str, pull: Pull) -> None:
         for key in pull.keys[:PULLED_AT_ONCE]:
-            value = self._table.get(key)
-            if value is not None:
-                self._send(
-                    host_id,
-                    Push(key=key, value=value.value, revision=value.revision),
-                )
+            self._send_value(host_id, key)
+
+    def _send_value(self, host_id: str, key: str) -> None:
+        value = self._table.get(key)
+        if value is not None:
+            push = Push(key=key, value=value.value, revision=value.revision)
+            self._send(host_id, push)
 
     def _on_digest(self, host_id: str, digest: Digest) -> None:
         if digest.checksum == self._table.checksum():
@@ -325,72 +302,56 @@
         versions = self._mine(vector.versions)
         lacking = self._table.lacking(versions)
         if lacking:
-            self._pull(host_id, lacking)
+            self._pulls.announced(host_id, lacking, now_s=self._clock.seconds())
         else:
             self._agree(host_id, vector.store_age_ms, vector.ready)
-        newer = self._table.newer_than(versions)
-        if newer:
-            self._send(host_id, Have(versions=newer))
+        self._bring(host_id, self._table.newer_than(versions))
 
     def _mine(self, versions: list[Version]) -> list[Version]:
         return [one for one in versions if one[0].startswith(self._prefixes)]
 
-    def _pull(self, host_id: str, lacking: list[Version]) -> None:
-        now_s = self._clock.seconds()
-        keys = [
-            key
-            for key, _ in lacking
-            if now_s >= self._asked.get(key, float("-inf")) + PULL_AGAIN_S
-        ][:PULLED_AT_ONCE]
-        if not keys:
-            return
-        for key in keys:
-            self._asked[key] = now_s
+    def _ask_for(self, host_id: str, keys: list[str]) -> None:
         self.counts.pulled += len(keys)
         self._send(host_id, Pull(keys=keys))
 
     def _agree(self, host_id: str, store_age_ms: int, ready: bool) -> None:
         """Note that this host holds all that another one does."""
+        heard_s = None
         if store_age_ms != NEVER_MS:
-            # Only with equal or newer versions is the other's news of the store ours.
             heard_s = self._clock.seconds() - store_age_ms / 1_000
-            if self._store_heard_s is None or heard_s > self._store_heard_s:
-                self._store_heard_s = heard_s
-            if self._clock.seconds() - self._store_heard_s <= FRESH_S:
-                self._set_ready()
-        if self._ready or not ready:
-            return
-        self._agreeing.add(host_id)
-        mine = set(self._places.domain_members)
-        everyone = mine.union(self._places.others)
-        if _is_majority(self._agreeing, mine) or _is_majority(self._agreeing, everyone):
-            self._set_ready()
+        self._readiness.agreed(host_id, store_heard_s=heard_s, ready=ready)
+        self._judge()
 
-    def _set_ready(self) -> None:
-        self._ready = True
-        self._agreeing.clear()
+    def _judge(self) -> None:
+        if self.ready:
+            return
+        mine = self._places.domain_members
+        if not self._readiness.judge(mine, (*mine, *self._places.others)):
+            return
+        # When many hosts start at once, the few that read the store are hard to find.
+        for partner in self._places.partners:
+            self._send(partner, self._digest())
 
     def _ask_others(self) -> None:
+        members = self._places.domain_members
+        at_once = max(ASKED_AT_ONCE, len(members) // 8)
+        self._ask_some(members, at_once)
+        self._ask_some(self._places.others, at_once // 2)
+
+    def _ask_some(self, host_ids: Sequence[str], at_once: int) -> None:
         waiting = [
             one
-            for one in (*self._places.domain_members, *self._places.others)
-            if one != self._host.id and one not in self._agreeing
+            for one in host_ids
+            if one != self._host.id and not self._readiness.has_agreed(one)
         ]
-        for host_id in self._rng.sample(waiting, min(ASKED_AT_ONCE, len(waiting))):
+        for host_id in self._rng.sample(waiting, min(at_once, len(waiting))):
             self._send(host_id, Ask())
 
     def _beat(self) -> None:
         self._beats += 1
         target = self._beat_target()
         if target is not None:
-            self._send(
-                target,
-                Digest(
-                    checksum=self._table.checksum(),
-                    store_age_ms=self._store_age_ms(),
-                    ready=self._ready,
-                ),
-            )
+            self._send(target, self._digest())
 
     def _beat_target(self) -> str | None:
         others, partners = self._places.others, self._places.partners
@@ -400,17 +361,23 @@
             return None
         return partners[self._beats % len(partners)]
 
+    def _digest(self) -> Digest:
+        return Digest(
+            checksum=self._table.checksum(),
+            store_age_ms=self._store_age_ms(),
+            ready=self.ready,
+        )
+
     def _vector(self) -> Vector:
         return Vector(
             versions=self._table.versions(),
             store_age_ms=self._store_age_ms(),
-            ready=self._ready,
+            ready=self.ready,
         )
 
     def _store_age_s(self) -> float | None:
-        if self._store_heard_s is None:
-            return None
-        return self._clock.seconds() - self._store_heard_s
+        heard_s = self._readiness.store_heard_s
+        return None if heard_s is None else self._clock.seconds() - heard_s
 
     def _store_age_ms(self) -> int:
         age_s = self._store_age_s()
@@ -422,10 +389,3 @@
         self.counts.sent_bytes += len(data)
         if not self._peers.send(host_id, data):
             self.counts.send_dropped += 1
-
-
-_COUNT_FIELDS = fields(SpreadCounts)
-
-
-def _is_majority(some: set[str], everyone: set[str]) -> bool:
-    return 2 * len(some & everyone) > len(everyone)
--- a/tests/builders_spread.py
+++ b/tests/builders_spread.py
@@ -77,8 +77,14 @@
     """Hosts that tick on a virtual clock, a store, and a network that can be cut."""
 
     def __init__(
-        self, *, per_domain: int = 4, seed: int = 1, domains: Iterable[str] = DOMAINS
+        self,
+        *,
+        per_domain: int = 4,
+        seed: int = 1,
+        domains: Iterable[str] = DOMAINS,
+        tick_s: float = TICK_S,
     ) -> None:
+        self._tick_s = tick_s
         self.clock = Clock()
         self.rng = Random(seed)
         self.store = MemoryStore(clock=self.clock)
@@ -102,7 +108,7 @@
         member.store.faults.extend(faults)
         member.spread.set_hosts(self.hosts)
         self.members[host_id] = member
-        self.clock.callLater(self.rng.uniform(0, TICK_S), self._tick, member)
+        self.clock.callLater(self.rng.uniform(0, self._tick_s), self._tick, member)
         return member
 
     def stop(self, host_id: str) -> None:
@@ -187,4 +193,4 @@
     def _tick(self, member: Member) -> None:
         if member.alive:
             member.spread.tick()
-            self.clock.callLater(TICK_S, self._tick, member)
+            self.clock.callLater(self._tick_s, self._tick, member)
--- /dev/null
+++ b/tests/test_spread_readiness.py
@@ -0,0 +1,65 @@
+"""When a host that started empty may act on what it holds."""
+
+import pytest
+
+from gentianwharf.spread._readiness import Readiness
+
+STARTED_S = 100.0
+LAC = [f"lac-{number}" for number in range(1, 5)]
+OTHERS = [f"{name}-{number}" for name in ("ariana", "charguia") for number in range(4)]
+
+
+def _agreed(readiness: Readiness, hosts: list[str], *, ready: bool = True) -> Readiness:
+    for host in hosts:
+        readiness.agreed(host, store_heard_s=None, ready=ready)
+    return readiness
+
+
+@pytest.mark.parametrize(
+    ("agreeing", "ready"),
+    [
+        pytest.param([], False, id="nobody"),
+        pytest.param(LAC[1:3], False, id="half-of-domain"),
+        pytest.param(LAC[1:4], True, id="majority-of-domain"),
+        pytest.param(OTHERS[:6], False, id="half-of-all"),
+        pytest.param(OTHERS[:7], True, id="majority-of-all"),
+        pytest.param([*LAC[1:3], *OTHERS[:4]], False, id="half-of-each"),
+        pytest.param(["stranger-1", "stranger-2", "stranger-3"], False, id="unlisted"),
+    ],
+)
+def test_majority_of_domain_or_of_all_makes_ready(
+    agreeing: list[str], ready: bool
+) -> None:
+    readiness = _agreed(Readiness(started_s=STARTED_S), agreeing)
+    assert readiness.judge(LAC, LAC + OTHERS) is ready
+
+
+def test_hosts_that_are_not_ready_do_not_count() -> None:
+    readiness = _agreed(Readiness(started_s=STARTED_S), LAC + OTHERS, ready=False)
+    assert not readiness.judge(LAC, LAC + OTHERS)
+
+
+@pytest.mark.parametrize(
+    ("heard_s", "ready"),
+    [
+        pytest.param(STARTED_S - 0.1, False, id="before-start"),
+        pytest.param(STARTED_S, True, id="since-start"),
+    ],
+)
+def test_news_of_the_store_counts_from_the_start_on(
+    heard_s: float, ready: bool
+) -> None:
+    """A host had new rules, restarts, and meets a peer that has yet to hear of them.
+
+    The peer's news of the store is fresh but older than the restart: taken for enough,
+    it would put the former rules back in force on this host.
+    """
+    readiness = Readiness(started_s=STARTED_S)
+    readiness.agreed("lac-2", store_heard_s=heard_s, ready=True)
+    assert readiness.judge(LAC, LAC + OTHERS) is ready
+
+
+def test_ready_host_stays_ready_when_the_list_grows() -> None:
+    readiness = _agreed(Readiness(started_s=STARTED_S), LAC[1:])
+    assert readiness.judge(LAC, LAC)
+    assert readiness.judge([*LAC, *OTHERS], [*LAC, *OTHERS])
--- /dev/null
+++ b/tests/test_spread_versions.py
@@ -0,0 +1,158 @@
+"""Versions, places and messages of spread, each by itself."""
+
+import pytest
+
+from gentianwharf.errors import PeerMismatchError
+from gentianwharf.platform import VersionedValue
+from gentianwharf.spread._messages import (
+    MOST_KEYS,
+    MOST_MESSAGE_BYTES,
+    Ask,
+    Digest,
+    Have,
+    Pull,
+    Push,
+    Vector,
+    decode,
+    encode,
+)
+from gentianwharf.spread._places import FAN_OUT, PARTNERS, WATCHERS, Places, children
+from gentianwharf.spread._versions import VersionTable
+
+from .builders_spread import make_hosts
+
+
+def _table(*versions: tuple[str, int]) -> VersionTable:
+    table = VersionTable()
+    for key, revision in versions:
+        table.offer(VersionedValue(key=key, value=b"", revision=revision))
+    return table
+
+
+@pytest.mark.parametrize(
+    ("revision", "taken"),
+    [(4, False), (5, False), (6, True)],
+    ids=["older", "same", "newer"],
+)
+def test_only_a_higher_revision_is_taken(revision: int, taken: bool) -> None:
+    table = _table(("a", 5))
+    offered = VersionedValue(key="a", value=b"x", revision=revision)
+    assert table.offer(offered) is taken
+    assert table.revision("a") == max(5, revision)
+
+
+def test_checksum_depends_on_versions_not_on_their_order() -> None:
+    assert (
+        _table(("a", 1), ("b", 2)).checksum() == _table(("b", 2), ("a", 1)).checksum()
+    )
+    table = _table(("a", 1), ("b", 2))
+    before = table.checksum()
+    table.offer(VersionedValue(key="a", value=b"", revision=3))
+    assert table.checksum() != before
+
+
+def test_differences_are_found_both_ways() -> None:
+    table = _table(("a", 5), ("b", 2), ("c", 3))
+    theirs = [("a", 4), ("b", 6), ("d", 1)]
+    assert table.lacking(theirs) == [("b", 6), ("d", 1)]
+    assert table.newer_than(theirs) == [("a", 5), ("c", 3)]
+
+
+@pytest.mark.parametrize("size", [1, 2, 9, 10, 100, 500])
+def test_tree_reaches_every_host_once(size: int) -> None:
+    members = [f"lac-{number}" for number in range(size)]
+    root = members[size // 2]
+    reached = [root]
+    for host_id in reached:
+        reached += children(root, host_id, members)
+    assert sorted(reached) == sorted(members)
+
+
+def test_trees_of_different_roots_differ_in_their_middle() -> None:
+    members = [f"lac-{number}" for number in range(500)]
+    inner = [set(children(root, root, members)) for root in members[:2]]
+    assert all(len(one) == FAN_OUT for one in inner)
+    assert len(inner[0] & inner[1]) <= 1
+
+
+def _places(hosts_per_domain: int) -> dict[str, Places]:
+    hosts = make_hosts(hosts_per_domain)
+    places = {host.id: Places(host=host) for host in hosts}
+    for one in places.values():
+        one.set_hosts(hosts)
+    return places
+
+
+@pytest.mark.parametrize("per_domain", [1, 4, 12, 100])
+def test_each_domain_has_few_watchers_and_all_agree_on_them(per_domain: int) -> None:
+    places = _places(per_domain)
+    watchers = sorted(name for name, one in places.items() if one.watch_rank < WATCHERS)
+    assert len(watchers) == 3 * min(WATCHERS, per_domain)
+    for name, one in places.items():
+        elsewhere = [w for w in watchers if w.split("-")[0] != name.split("-")[0]]
+        assert sorted(one.heads) == elsewhere
+
+
+def test_host_that_leaves_changes_few_places() -> None:
+    hosts = make_hosts(100, ["lac"])
+    full = Places(host=hosts[0])
+    full.set_hosts(hosts)
+    gone = full.partners[0]
+    smaller = Places(host=hosts[0])
+    smaller.set_hosts([host for host in hosts if host.id != gone])
+    assert set(full.partners) - set(smaller.partners) == {gone}
+
+
+@pytest.mark.parametrize("size", [12, 100, 500])
+def test_partners_connect_the_domain(size: int) -> None:
+    """Digests mend a lost message only where some path of partners leads."""
+    hosts = make_hosts(size, ["lac"])
+    links: dict[str, set[str]] = {host.id: set() for host in hosts}
+    for host in hosts:
+        places = Places(host=host)
+        places.set_hosts(hosts)
+        assert len(places.partners) == PARTNERS
+        for partner in places.partners:
+            links[host.id].add(partner)
+            links[partner].add(host.id)
+    reached = {hosts[0].id}
+    ways = [hosts[0].id]
+    for one in ways:
+        new = links[one] - reached
+        reached |= new
+        ways += new
+    assert len(reached) == size
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Push(key="rules", value=b"\x00\xff", revision=7, root="lac-1"),
+        Have(versions=[("rules", 7)]),
+        Digest(checksum=2**64 - 1, store_age_ms=-1, ready=False),
+        Ask(),
+        Vector(versions=[("rules", 7), ("table", 3)], store_age_ms=12, ready=True),
+        Pull(keys=["rules"]),
+    ],
+    ids=lambda message: type(message).__name__.lower(),
+)
+def test_message_comes_back_as_sent(message: Push) -> None:
+    assert decode(encode(message), peer="lac-1") == message
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        pytest.param(b"", "got 0", id="empty"),
+        pytest.param(b"\x01" * (MOST_MESSAGE_BYTES + 1), "bytes", id="too-large"),
+        pytest.param(b"\x02" + encode(Ask())[1:], "format 1", id="other-format"),
+        pytest.param(b"\x01\xff", "not a message", id="not-msgpack"),
+        pytest.param(
+            encode(Have(versions=[("k", 1)] * (MOST_KEYS + 1))), "4096", id="too-many"
+        ),
+    ],
+)
+def test_malformed_message_names_its_sender(data: bytes, expected: str) -> None:
+    with pytest.raises(PeerMismatchError, match=expected) as caught:
+        decode(data, peer="lac-1")
+    assert caught.value.peer == "lac-1"
