--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -1,11 +1,14 @@
 """From a caller's request to a backend server's answer."""
 
+from gentianwharf.metrics import Run
+
 from ._app import RelayApp
-from ._caller import CallerSite
+from ._caller import CallerRequest, CallerSite
 from ._connections import ServerConnections
 from ._ports import (
     Admission,
     Answered,
+    Hedge,
     Observer,
     Outcome,
     Owner,
@@ -13,12 +16,14 @@
     Rules,
     Ticket,
 )
-from ._problem import Problem, Run
+from ._problem import Problem
 
 __all__ = [
     "Admission",
     "Answered",
+    "CallerRequest",
     "CallerSite",
+    "Hedge",
     "Observer",
     "Outcome",
     "Owner",
