--- a/src/gentianwharf/spread/_places.py
+++ b/src/gentianwharf/spread/_places.py
@@ -82,6 +82,11 @@
             ranked(f"partner {self._host.id}", mine - {self._host.id})[:PARTNERS]
         )
 
+    @property
+    def host_id(self) -> str:
+        """The host whose places these are."""
+        return self._host.id
+
     @property
     def domain_members(self) -> tuple[str, ...]:
         """The hosts of the own failure domain, the host itself among them."""
--- a/src/gentianwharf/spread/_system.py
+++ b/src/gentianwharf/spread/_system.py
@@ -12,6 +12,7 @@
 from gentianwharf.platform import KeyValueStore, VersionedValue
 from gentianwharf.topology import Host
 
+from ._asking import Asking
 from ._messages import (
     AnyMessage,
     Ask,
@@ -38,13 +39,6 @@
 """Every fourth digest goes to another failure domain, whose watchers may hear the
 store when ours don't."""
 
-ASK_FIRST_S = 0.1
-ASK_LONGEST_S = 2.0
-ASKED_AT_ONCE = 16
-"""A host that starts asks so many of its failure domain at once, or an eighth of them,
-and half as many others, until it is ready; more rarely the longer it takes, since
-after an outage of everything it waits for the store in vain."""
-
 PUSHED_UNASKED_BYTES = 16_000
 """A value up to this size is sent to a host that lacks it without asking first: two
 messages fewer that can be lost."""
@@ -53,6 +47,10 @@
 """How old the news of the store may be before others step in for the watchers: above
 a watch's wait, its retries and the spread of its news by digests."""
 
+LIST_WAIT_S = 1.0
+"""How long a host that starts waits for the list of hosts before it takes itself for
+alone: otherwise each host of a fleet that restarts would read the store."""
+
 NEVER_MS = -1
 
 
@@ -67,6 +65,9 @@
 class SpreadSystem:
     """Holds the newest values under ``prefixes`` that this host has heard of.
 
+    A prefix that does not end with a slash is one key: ``rules`` isn't
+    ``rules-history/1``.
+
     ``on_value`` is called once for each value that is newer than the one before;
     revisions of a key only grow. Call ``tick`` every 50 to 100 ms.
     """
@@ -86,6 +87,7 @@
         self._clock = clock
         self._peers = peers
         self._prefixes = tuple(prefixes)
+        self._listed = False
         self._on_value = on_value
         self._rng = rng
         self._table = VersionTable()
@@ -101,16 +103,21 @@
         self._started_s = clock.seconds()
         self._readiness = Readiness(started_s=self._started_s)
         self._pulls = Pulls(ask=self._ask_for)
+        self._asking = Asking(
+            places=self._places,
+            readiness=self._readiness,
+            rng=rng,
+            ask=self._ask,
+        )
         self._beats = 0
         # Hosts that start together must not beat together.
         self._next_beat_s = self._started_s + rng.uniform(0, HEARTBEAT_S)
-        self._next_ask_s = self._started_s
-        self._ask_pause_s = ASK_FIRST_S
         self.counts = SpreadCounts()
 
     def set_hosts(self, hosts: Iterable[Host]) -> None:
         """Take the list of live hosts of all failure domains; call when it changes."""
         self._places.set_hosts(hosts)
+        self._listed = True
 
     def value(self, key: str) -> VersionedValue | None:
         """Return the newest value of ``key`` that this host heard of."""
@@ -139,10 +146,8 @@
         now_s = self._clock.seconds()
         self._choose_watch(now_s)
         self._pulls.tick(now_s=now_s)
-        if not self.ready and now_s >= self._next_ask_s:
-            self._next_ask_s = now_s + self._ask_pause_s
-            self._ask_pause_s = min(1.5 * self._ask_pause_s, ASK_LONGEST_S)
-            self._ask_others()
+        if not self.ready:
+            self._asking.tick(now_s=now_s)
         if now_s >= self._next_beat_s:
             self._next_beat_s = now_s + HEARTBEAT_S * self._rng.uniform(0.8, 1.2)
             self._beat()
@@ -178,6 +183,8 @@
                 self._on_pull(host_id, decoded)
 
     def _choose_watch(self, now_s: float) -> None:
+        if not self._listed and now_s < self._started_s + LIST_WAIT_S:
+            return
         rank = self._places.watch_rank
         heard_s = self._readiness.store_heard_s
         silent_s = now_s - (self._started_s if heard_s is None else heard_s)
@@ -198,7 +205,7 @@
         self._pass_on(changed)
 
     def _take(self, value: VersionedValue) -> bool:
-        if not value.key.startswith(self._prefixes):
+        if not self._carries(value.key):
             return False
         if not self._table.offer(value):
             self.counts.dropped_older += 1
@@ -308,7 +315,13 @@
         self._bring(host_id, self._table.newer_than(versions))
 
     def _mine(self, versions: list[Version]) -> list[Version]:
-        return [one for one in versions if one[0].startswith(self._prefixes)]
+        return [one for one in versions if self._carries(one[0])]
+
+    def _carries(self, key: str) -> bool:
+        return any(
+            key.startswith(prefix) if prefix.endswith("/") else key == prefix
+            for prefix in self._prefixes
+        )
 
     def _ask_for(self, host_id: str, keys: list[str]) -> None:
         self.counts.pulled += len(keys)
@@ -332,20 +345,8 @@
         for partner in self._places.partners:
             self._send(partner, self._digest())
 
-    def _ask_others(self) -> None:
-        members = self._places.domain_members
-        at_once = max(ASKED_AT_ONCE, len(members) // 8)
-        self._ask_some(members, at_once)
-        self._ask_some(self._places.others, at_once // 2)
-
-    def _ask_some(self, host_ids: Sequence[str], at_once: int) -> None:
-        waiting = [
-            one
-            for one in host_ids
-            if one != self._host.id and not self._readiness.has_agreed(one)
-        ]
-        for host_id in self._rng.sample(waiting, min(at_once, len(waiting))):
-            self._send(host_id, Ask())
+    def _ask(self, host_id: str) -> None:
+        self._send(host_id, Ask())
 
     def _beat(self) -> None:
         self._beats += 1
--- a/tests/builders_spread.py
+++ b/tests/builders_spread.py
@@ -1,11 +1,15 @@
 """Builders for tests of spread: hosts of several failure domains on a fake network."""
 
 from collections.abc import Callable, Iterable
+from heapq import heappop, heappush
+from itertools import count
 from random import Random
-from typing import final
+from typing import Any, final
 
+from twisted.internet.base import DelayedCall
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock
+from twisted.internet.interfaces import IReactorTime
+from zope.interface import implementer
 
 from gentianwharf.platform import (
     Fault,
@@ -34,6 +38,61 @@
     ]
 
 
+@final
+@implementer(IReactorTime)
+class EventClock:
+    """A virtual clock for many hosts: a heap where ``task.Clock`` sorts a list."""
+
+    def __init__(self) -> None:
+        self._now_s = 0.0
+        self._numbers = count()
+        self._heap: list[tuple[float, int, DelayedCall]] = []
+
+    def seconds(self) -> float:
+        """Return the virtual time."""
+        return self._now_s
+
+    def callLater(  # noqa: N802
+        self,
+        delay: float,
+        callable: Any,  # noqa: A002
+        *args: object,
+        **kw: object,
+    ) -> DelayedCall:
+        """Call later; the call may be cancelled, not moved."""
+        call = DelayedCall(
+            self._now_s + delay,
+            callable,
+            args,
+            kw,
+            lambda _: None,
+            _not_moved,
+            self.seconds,
+        )
+        heappush(self._heap, (call.getTime(), next(self._numbers), call))
+        return call
+
+    def getDelayedCalls(self) -> list[DelayedCall]:  # noqa: N802
+        """Return the calls that wait."""
+        return [call for _, _, call in self._heap if call.active()]
+
+    def run_next(self, *, end_s: float) -> bool:
+        """Move to the next call and make it; False when there is none by ``end_s``."""
+        while self._heap and not self._heap[0][2].active():
+            heappop(self._heap)
+        if not self._heap or self._heap[0][0] > end_s:
+            self._now_s = end_s
+            return False
+        self._now_s, _, call = heappop(self._heap)
+        call.called = 1
+        call.func(*call.args, **call.kw)
+        return True
+
+
+def _not_moved(_: DelayedCall) -> None:
+    raise NotImplementedError
+
+
 @final
 class Member:
     """One host: its spread, its own view of the store, what it was told."""
@@ -85,10 +144,11 @@
         tick_s: float = TICK_S,
     ) -> None:
         self._tick_s = tick_s
-        self.clock = Clock()
+        self.clock = EventClock()
         self.rng = Random(seed)
         self.store = MemoryStore(clock=self.clock)
         self.hosts = make_hosts(per_domain, domains)
+        self._by_id = {host.id: host for host in self.hosts}
         self.cut_domains: set[str] = set()
         self.cut_hosts: set[str] = set()
         self.loss = 0.0
@@ -103,7 +163,7 @@
         """Start a host, or start it again with nothing in it."""
         self.stop(host_id)
         self._made += 1
-        host = next(one for one in self.hosts if one.id == host_id)
+        host = self._by_id[host_id]
         member = Member(cluster=self, host=host, number=self._made)
         member.store.faults.extend(faults)
         member.spread.set_hosts(self.hosts)
@@ -128,7 +188,7 @@
         """Deliver a message later, unless something is in its way."""
         self.messages += 1
         self.bytes += len(message)
-        receiver = next((one for one in self.hosts if one.id == host_id), None)
+        receiver = self._by_id.get(host_id)
         if receiver is None or self._is_cut(sender, receiver):
             return True
         if self.loss and self.rng.random() < self.loss:
@@ -157,12 +217,8 @@
         start_s = self.clock.seconds()
         end_s = start_s + limit_s
         while not condition():
-            calls = self.clock.getDelayedCalls()
-            next_s = min((call.getTime() for call in calls), default=end_s)
-            if next_s > end_s:
-                self.clock.advance(end_s - self.clock.seconds())
+            if not self.clock.run_next(end_s=end_s):
                 return limit_s
-            self.clock.advance(max(0.0, next_s - self.clock.seconds()))
         return self.clock.seconds() - start_s
 
     def all_at(self, revision: int, members: Iterable[Member] | None = None) -> bool:
