Finish the settings, with every mistake listed at once and its line

The JSON parser gives no places, so a scan of the text, which has parsed before, finds the line of each value.

--- a/src/gentianwharf/rules/_check.py
+++ b/src/gentianwharf/rules/_check.py
@@ -64,15 +64,15 @@
         yield from _check_headers(one)
 
     def _check_deadline(self, one: CompiledRule) -> Iterator[Finding]:
-        most = self._scope.most_keyed_deadline_ms
+        most = self._scope.deadline_caps_ms.get(one.rule.then.service)
         deadline = one.rule.then.deadline_ms
-        if one.shards and most is not None and deadline is not None and deadline > most:
+        if most is not None and deadline is not None and deadline > most:
             yield _error(
                 one,
                 "then.deadline_ms",
                 str(deadline),
-                f"at most {most}, since a lost server's keys wait for the longest"
-                " deadline of a keyed service",
+                f"at most {most}, the service's deadline_cap_ms, since a lost server's"
+                " keys wait for the longest deadline",
             )
 
     def _warn_unused(self, compiled: Sequence[CompiledRule]) -> Iterator[Finding]:
--- a/src/gentianwharf/rules/_scope.py
+++ b/src/gentianwharf/rules/_scope.py
@@ -1,7 +1,7 @@
 """What a rule document may speak of: the services, sites and classes that exist."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Self, final
 
 from gentianwharf.topology import Domain, Service
@@ -12,15 +12,15 @@
 class RuleScope:
     """Services with their shards (0 when not keyed) and sites, and the classes.
 
-    ``most_keyed_deadline_ms`` bounds the deadline of requests to keyed services:
-    after the loss of a server that knows tokens alone, its shards stay unserved until
-    the longest deadline has passed.
+    ``deadline_caps_ms`` bounds the deadline of requests to some keyed services: after
+    the loss of a server that knows tokens alone, its shards stay unserved until the
+    longest deadline has passed.
     """
 
     shards: Mapping[str, int]
     sites: Mapping[str, frozenset[str]]
     classes: frozenset[str]
-    most_keyed_deadline_ms: int | None = None
+    deadline_caps_ms: Mapping[str, int] = field(default_factory=dict)
 
     @classmethod
     def of(
@@ -29,7 +29,7 @@
         services: Iterable[Service],
         domains: Iterable[Domain],
         classes: Iterable[str],
-        most_keyed_deadline_ms: int | None = None,
+        deadline_caps_ms: Mapping[str, int] | None = None,
     ) -> Self:
         """Return the scope of these entities."""
         site_of = {domain.name: domain.site for domain in domains}
@@ -41,5 +41,5 @@
                 for one in kept
             },
             classes=frozenset(classes),
-            most_keyed_deadline_ms=most_keyed_deadline_ms,
+            deadline_caps_ms=deadline_caps_ms or {},
         )
--- a/src/gentianwharf/settings/__init__.py
+++ b/src/gentianwharf/settings/__init__.py
@@ -1,34 +1,62 @@
 """Settings in JSON with comments, checked before anything starts."""
 
-from ._load import load_rules, load_settings, parse_jsonc
+from ._lines import TextLines, find_lines
+from ._load import (
+    load_rules,
+    load_rules_with_lines,
+    load_settings,
+    parse_jsonc,
+    validate,
+)
 from ._models import (
     Address,
     BackendServerSettings,
+    CallerLimits,
     ClassSettings,
     DomainSettings,
     HostSettings,
+    LogLevel,
+    LogSettings,
     NumberedServers,
+    ObjectiveSettings,
     PlatformSettings,
+    ServerCapabilities,
     ServiceSettings,
     Settings,
+    ShutdownSettings,
     Url,
+    WeightSettings,
+    is_loopback,
 )
-from ._topology import domains_of, services_of
+from ._topology import domains_of, rule_scope_of, services_of
 
 __all__ = [
     "Address",
     "BackendServerSettings",
+    "CallerLimits",
     "ClassSettings",
     "DomainSettings",
     "HostSettings",
+    "LogLevel",
+    "LogSettings",
     "NumberedServers",
+    "ObjectiveSettings",
     "PlatformSettings",
+    "ServerCapabilities",
     "ServiceSettings",
     "Settings",
+    "ShutdownSettings",
+    "TextLines",
     "Url",
+    "WeightSettings",
     "domains_of",
+    "find_lines",
+    "is_loopback",
     "load_rules",
+    "load_rules_with_lines",
     "load_settings",
     "parse_jsonc",
+    "rule_scope_of",
     "services_of",
+    "validate",
 ]
--- a/src/gentianwharf/settings/_load.py
+++ b/src/gentianwharf/settings/_load.py
@@ -1,5 +1,6 @@
 """Reading of JSON with comments, with errors that a person can act on."""
 
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -9,21 +10,42 @@
 from gentianwharf.errors import InputError
 from gentianwharf.rules import RuleDocument
 
+from ._lines import TextLines, find_lines
+from ._mistakes import MistakesError
 from ._models import Settings
 
 Model = TypeVar("Model", bound=BaseModel)
 
+MOST_FOUND_CHARACTERS = 80
+
 
 def parse_jsonc(text: str, *, source: str) -> Any:
-    """Parse JSON with comments; an error names ``source`` and the line."""
+    """Parse JSON with comments; an error names ``source`` and the line.
+
+    A key that stands twice in one object is an error too: the parser would keep the
+    second and say nothing of the first.
+    """
     try:
-        return pyjson5.decode(text)
+        data = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
         raise InputError(
             f"{source}: not JSON with comments: {_place(error, text)}",
             step="parse",
             peer=source,
         ) from error
+    except RecursionError as error:
+        raise InputError(
+            f"{source}: nested too deeply", step="parse", peer=source
+        ) from error
+    repeated = find_lines(text).repeated
+    if repeated:
+        name, line = repeated[0]
+        raise InputError(
+            f"{source}: line {line}: {name!r} stands twice in one object; remove one",
+            step="parse",
+            peer=source,
+        )
+    return data
 
 
 def _place(error: pyjson5.Json5Exception, text: str) -> str:
@@ -35,40 +57,66 @@
     return f"line {line}: {message}"
 
 
-def validate(model: type[Model], data: Any, *, source: str) -> Model:
-    """Check ``data`` against ``model``; an error lists every field that is wrong."""
+def validate(
+    model: type[Model], data: Any, *, source: str, lines: TextLines | None = None
+) -> Model:
+    """Check ``data`` against ``model``; an error lists every mistake with its line."""
     try:
         return model.model_validate(data)
     except ValidationError as error:
-        lines = [_describe(detail) for detail in error.errors()]
+        mistakes = [
+            one for detail in error.errors() for one in _describe(detail, lines)
+        ]
+        heading = "1 mistake" if len(mistakes) == 1 else f"{len(mistakes)} mistakes"
         raise InputError(
-            f"{source}: " + "; ".join(lines), step="check", peer=source
+            f"{source}: {heading}:" + "".join(f"\n  {one}" for one in mistakes),
+            step="check",
+            peer=source,
         ) from error
 
 
-def _describe(detail: Any) -> str:
-    field = ".".join(str(part) for part in detail["loc"]) or "document"
+def _describe(detail: Any, lines: TextLines | None) -> Iterator[str]:
+    cause = detail.get("ctx", {}).get("error")
+    if isinstance(cause, MistakesError):
+        for mistake in cause.mistakes:
+            location = (*detail["loc"], *mistake.location)
+            yield _line(location, str(mistake), lines)
+        return
     found = repr(detail.get("input"))
-    if len(found) > 80:
-        found = found[:77] + "..."
-    return f"{field}: {detail['msg']} (found {found})"
+    if len(found) > MOST_FOUND_CHARACTERS:
+        found = found[: MOST_FOUND_CHARACTERS - 3] + "..."
+    yield _line(detail["loc"], f"{detail['msg']} (found {found})", lines)
+
+
+def _line(location: Any, text: str, lines: TextLines | None) -> str:
+    field = ".".join(str(part) for part in location) or "document"
+    where = f"line {lines.line_of(location)}: " if lines is not None else ""
+    return f"{where}{field}: {text}"
 
 
 def load_settings(path: Path) -> Settings:
     """Read and check a settings file."""
-    return _load(Settings, path)
+    return _load(Settings, path)[0]
 
 
 def load_rules(path: Path) -> RuleDocument:
     """Read and check a rule file."""
+    return _load(RuleDocument, path)[0]
+
+
+def load_rules_with_lines(path: Path) -> tuple[RuleDocument, TextLines]:
+    """Read and check a rule file; the lines serve what a later check finds."""
     return _load(RuleDocument, path)
 
 
-def _load(model: type[Model], path: Path) -> Model:
+def _load(model: type[Model], path: Path) -> tuple[Model, TextLines]:
     try:
         text = path.read_text(encoding="utf-8")
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
+        reason = error.strerror if isinstance(error, OSError) else str(error)
         raise InputError(
-            f"{path}: can't be read: {error.strerror}", step="read", peer=str(path)
+            f"{path}: can't be read: {reason}", step="read", peer=str(path)
         ) from error
-    return validate(model, parse_jsonc(text, source=str(path)), source=str(path))
+    data = parse_jsonc(text, source=str(path))
+    lines = find_lines(text)
+    return validate(model, data, source=str(path), lines=lines), lines
--- a/src/gentianwharf/settings/_topology.py
+++ b/src/gentianwharf/settings/_topology.py
@@ -1,5 +1,6 @@
 """From settings to entities."""
 
+from gentianwharf.rules import RuleScope
 from gentianwharf.topology import BackendServer, Domain, Service
 
 from ._models import NumberedServers, ServiceSettings, Settings
@@ -23,6 +24,20 @@
     )
 
 
+def rule_scope_of(settings: Settings) -> RuleScope:
+    """Return what a rule document may speak of."""
+    return RuleScope.of(
+        services=services_of(settings),
+        domains=domains_of(settings),
+        classes=[one.name for one in settings.classes],
+        deadline_caps_ms={
+            one.name: one.deadline_cap_ms
+            for one in settings.services
+            if one.deadline_cap_ms is not None
+        },
+    )
+
+
 def _servers_of(service: ServiceSettings) -> tuple[BackendServer, ...]:
     if isinstance(service.servers, NumberedServers):
         places = _numbered_places(service.name, service.servers)
@@ -36,6 +51,9 @@
             address=address,
             slots=service.slots,
             connections=service.connections,
+            checks_giver=service.capabilities.checks_giver,
+            knows_validity=service.capabilities.knows_validity,
+            gives_stamp=service.capabilities.gives_stamp,
         )
         for server_id, domain, address in places
     )
--- a/tests/builders_rules.py
+++ b/tests/builders_rules.py
@@ -70,13 +70,13 @@
     )
 
 
-def scope(*, most_keyed_deadline_ms: int | None = None) -> RuleScope:
+def scope(**deadline_caps_ms: int) -> RuleScope:
     """Return a scope with ``desk`` on sites old and new, and ``ledger`` on old."""
     return RuleScope(
         shards={"desk": SHARDS["desk"], "ledger": 0},
         sites={"desk": frozenset({"old", "new"}), "ledger": frozenset({"old"})},
         classes=frozenset({"consultation", "posting"}),
-        most_keyed_deadline_ms=most_keyed_deadline_ms,
+        deadline_caps_ms=deadline_caps_ms,
     )
 
 
--- a/tests/test_rules_check.py
+++ b/tests/test_rules_check.py
@@ -17,8 +17,8 @@
 LEDGER = rule(name="ledger", when={"path_prefix": "/ledger/"})
 
 
-def errors(checked: RuleDocument, **scope_options: int) -> list[str]:
-    findings = RuleChecker(scope=scope(**scope_options)).check(checked)
+def errors(checked: RuleDocument, **deadline_caps_ms: int) -> list[str]:
+    findings = RuleChecker(scope=scope(**deadline_caps_ms)).check(checked)
     return [str(one) for one in findings if one.severity is Severity.ERROR]
 
 
@@ -111,7 +111,7 @@
 def test_deadline_of_a_keyed_service_is_bounded() -> None:
     long = document(keyed_rule(deadline_ms=9000))
     assert errors(long) == []
-    found = errors(long, most_keyed_deadline_ms=5000)
+    found = errors(long, desk=5000)
     assert "at most 5000" in found[0]
 
 
