--- /dev/null
+++ b/src/gentianwharf/cli/_app.py
@@ -0,0 +1,233 @@
+"""The command line of ``gentianwharf``; what commands do is in the other modules."""
+
+import sys
+from collections.abc import Callable, Sequence
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, CycloptsError, Parameter
+
+from gentianwharf import __version__
+from gentianwharf.errors import InputError
+
+from . import _files, _fleet, _rules, _status
+from ._exits import Exit
+from ._session import Common, run, terminal
+
+Flag = Annotated[bool, Parameter(negative="")]
+InForce = Annotated[
+    bool,
+    Parameter(
+        negative="",
+        help="Those that the daemon matches with, also while the store is down.",
+    ),
+]
+EditedFrom = Annotated[
+    int | None,
+    Parameter(
+        help="Revision that the file was edited from; `rules show` writes it into the"
+        " file."
+    ),
+]
+Yes = Annotated[
+    bool,
+    Parameter(
+        negative="",
+        help="Don't ask when the file does not say what it was edited from.",
+    ),
+]
+Headers = Annotated[
+    tuple[str, ...], Parameter(help="NAME: VALUE; may be given several times.")
+]
+RequestKey = Annotated[str | None, Parameter(help="The request's Gentianwharf-Key.")]
+Page = Annotated[Path | None, Parameter(help="File for the page.")]
+NO_OPTIONS = Common()
+
+app = App(
+    name="gentianwharf",
+    help="Operate gentianwharf: its rules, keys, servers, hosts and reports.",
+    version=__version__,
+)
+settings_app = App(name="settings", help="Settings files.")
+rules_app = App(name="rules", help="The ordered list of when-then rules.")
+keys_app = App(name="keys", help="Owners of keys.")
+servers_app = App(name="servers", help="Backend servers.")
+hosts_app = App(name="hosts", help="The platform's host list.")
+domains_app = App(name="domains", help="Failure domains.")
+report_app = App(name="report", help="Reports.")
+for _part in (
+    settings_app,
+    rules_app,
+    keys_app,
+    servers_app,
+    hosts_app,
+    domains_app,
+    report_app,
+):
+    app.command(_part)
+
+
+def _locally(work: Callable[[], Exit]) -> int:
+    """Run what needs no daemon; a mistake in a file is refused."""
+    try:
+        return work()
+    except InputError as error:
+        terminal().problem(str(error))
+        return Exit.REFUSED
+
+
+@settings_app.command(name="check")
+def settings_check(file: Path, /, *, json: Flag = False) -> int:
+    """Check a settings file; every mistake is named with its line."""
+    return _locally(partial(_files.check_settings, file, terminal(as_json=json)))
+
+
+@rules_app.command(name="check")
+def rules_check(file: Path, /, *, settings: Path, json: Flag = False) -> int:
+    """Check a rule file against a settings file; asks no daemon."""
+    return _locally(partial(_files.check_rules, file, settings, terminal(as_json=json)))
+
+
+@rules_app.command(name="show")
+def rules_show(*, in_force: InForce = False, common: Common = NO_OPTIONS) -> int:
+    """Print the rules in the store as a file to edit and apply."""
+    return run(common, partial(_rules.show, in_force=in_force))
+
+
+@rules_app.command(name="diff")
+def rules_diff(file: Path, /, *, common: Common = NO_OPTIONS) -> int:
+    """Print what applying a file would change."""
+    return run(common, partial(_rules.diff, file=file))
+
+
+@rules_app.command(name="apply")
+def rules_apply(
+    file: Path,
+    /,
+    *,
+    edited_from: EditedFrom = None,
+    yes: Yes = False,
+    common: Common = NO_OPTIONS,
+) -> int:
+    """Put a rule file in force; exits 4 when another operator was faster."""
+    return run(
+        common,
+        partial(_rules.apply, file=file, edited_from=edited_from, without_asking=yes),
+    )
+
+
+@rules_app.command(name="history")
+def rules_history(*, common: Common = NO_OPTIONS) -> int:
+    """Print the versions of the rules still kept, newest first."""
+    return run(common, _rules.history)
+
+
+@rules_app.command(name="explain")
+def rules_explain(
+    path: str,
+    /,
+    *,
+    method: str = "GET",
+    host: str = "",
+    query: str = "",
+    header: Headers = (),
+    key: RequestKey = None,
+    common: Common = NO_OPTIONS,
+) -> int:
+    """Say which rule decides a request, why others do not, and who owns its key."""
+    try:
+        headers = _rules.parse_headers(header)
+    except InputError as error:
+        terminal().problem(error.message)
+        return Exit.USAGE
+    request = {
+        "method": method,
+        "host": host,
+        "path": path,
+        "query": query,
+        "headers": headers,
+        "key": key,
+    }
+    return run(common, partial(_rules.explain, request=request))
+
+
+@keys_app.command(name="owner")
+def keys_owner(service: str, key: str, /, *, common: Common = NO_OPTIONS) -> int:
+    """Print who owns a key."""
+    return run(common, partial(_fleet.key_owner, service=service, key=key))
+
+
+@keys_app.command(name="move")
+def keys_move(
+    service: str, key: str, server: str, /, *, common: Common = NO_OPTIONS
+) -> int:
+    """Move the key's shard to a server."""
+    return run(
+        common, partial(_fleet.move_key, service=service, key=key, server=server)
+    )
+
+
+@keys_app.command(name="pin")
+def keys_pin(
+    service: str,
+    key: str,
+    server: str | None = None,
+    /,
+    *,
+    off: Flag = False,
+    common: Common = NO_OPTIONS,
+) -> int:
+    """Give a key an entry of its own on a server, or take it away with --off."""
+    if (server is None) != off:
+        terminal().problem("keys pin: expected either a server or --off")
+        return Exit.USAGE
+    return run(common, partial(_fleet.pin_key, service=service, key=key, server=server))
+
+
+@servers_app.command(name="list")
+def servers_list(*, service: str | None = None, common: Common = NO_OPTIONS) -> int:
+    """Print the backend servers as this daemon sees them."""
+    return run(common, partial(_fleet.list_servers, service=service))
+
+
+@servers_app.command(name="drain")
+def servers_drain(server: str, /, *, common: Common = NO_OPTIONS) -> int:
+    """Give a server no new work and move its shards away."""
+    return run(common, partial(_fleet.drain_server, server=server))
+
+
+@hosts_app.command(name="list")
+def hosts_list(*, common: Common = NO_OPTIONS) -> int:
+    """Print the platform's list of live and leaving hosts, which lags."""
+    return run(common, _fleet.list_hosts)
+
+
+@domains_app.command(name="declare-lost")
+def domains_declare_lost(
+    domain: str, /, *, yes: Flag = False, common: Common = NO_OPTIONS
+) -> int:
+    """Let other domains take over a failure domain's keys; says the risk and asks."""
+    return run(common, partial(_fleet.declare_lost, domain=domain, without_asking=yes))
+
+
+@app.command(name="status")
+def status(*, common: Common = NO_OPTIONS) -> int:
+    """Print a daemon's state, the three measures and its alarms."""
+    return run(common, _status.status)
+
+
+@report_app.command(name="burn")
+def report_burn(*, html: Page = None, common: Common = NO_OPTIONS) -> int:
+    """Print the service-level burn, or write it as a self-contained page."""
+    return run(common, partial(_status.burn, html=html))
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command line and exit with one of the documented codes."""
+    tokens = sys.argv[1:] if arguments is None else list(arguments)
+    try:
+        code = app(tokens, exit_on_error=False, result_action="return_value")
+    except CycloptsError:
+        sys.exit(Exit.USAGE)
+    sys.exit(code if isinstance(code, int) else Exit.DONE)
--- /dev/null
+++ b/src/gentianwharf/cli/_client.py
@@ -0,0 +1,177 @@
+"""The operator's side of the admin port."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, Protocol, cast, final
+from urllib.parse import quote
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from treq.client import HTTPClient
+from twisted.internet import error as network
+from twisted.web.client import Agent
+
+from gentianwharf.admin import Problem
+from gentianwharf.errors import (
+    GentianwharfError,
+    OutcomeUnknownError,
+    PeerUnavailableError,
+)
+
+CONNECT_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 10.0
+WRITE_TIMEOUT_S = 35.0
+"""Above the 28 s that a daemon may take to settle a write with a silent store."""
+
+
+class Http(Protocol):
+    """What is used of ``treq``'s client."""
+
+    def request(self, method: str, url: str, **options: Any) -> Any:
+        """Send a request; returns a Deferred of the response."""
+
+
+def treq_http(reactor: Any) -> Http:
+    """Return a client on ``reactor`` that keeps no connection."""
+    agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+    return cast(Http, HTTPClient(agent))
+
+
+class ProblemReply(BaseModel):
+    """A problem as the admin port tells it; other members are kept."""
+
+    model_config = ConfigDict(extra="allow", frozen=True)
+
+    type: str
+    status: int
+    detail: str
+    step: str | None = None
+    peer: str | None = None
+
+    @property
+    def kind(self) -> str:
+        """The last part of the type."""
+        return self.type.rpartition(":")[2]
+
+    def member(self, name: str) -> Any:
+        """Return a member that only some problems have, None when absent."""
+        return (self.model_extra or {}).get(name)
+
+
+@final
+class ProblemError(GentianwharfError):
+    """The daemon understood the request and said no; nothing took effect."""
+
+    def __init__(self, reply: ProblemReply, *, step: str, peer: str) -> None:
+        super().__init__(reply.detail, step=step, peer=peer)
+        self.reply = reply
+
+
+@final
+class AdminClient:
+    """Calls one daemon's admin port."""
+
+    def __init__(
+        self, *, http: Http, url: str, token: str | None, operator: str
+    ) -> None:
+        self._http = http
+        self._url = url.rstrip("/")
+        self._headers = {"gentianwharf-operator": operator}
+        if token is not None:
+            self._headers["authorization"] = f"Bearer {token}"
+
+    async def get(self, *path: str, **query: str | int | None) -> Any:
+        """Read JSON; raises ``PeerUnavailableError`` when nothing can be read."""
+        response, body = await self._exchange(
+            "GET", path, query, timeout_s=READ_TIMEOUT_S
+        )
+        return self._decode(response.code, body, path)
+
+    async def get_text(self, *path: str, **query: str | int | None) -> str:
+        """Read text."""
+        response, body = await self._exchange(
+            "GET", path, query, timeout_s=READ_TIMEOUT_S
+        )
+        if response.code != 200:
+            self._decode(response.code, body, path)
+        return body.decode("utf-8")
+
+    async def send(
+        self, method: str, *path: str, body: Any, **query: str | int | None
+    ) -> Any:
+        """Ask for a change; ``OutcomeUnknownError`` when its answer was lost."""
+        response, answer = await self._exchange(
+            method, path, query, timeout_s=WRITE_TIMEOUT_S, body=body
+        )
+        return self._decode(response.code, answer, path)
+
+    async def _exchange(
+        self,
+        method: str,
+        path: tuple[str, ...],
+        query: Mapping[str, str | int | None],
+        *,
+        timeout_s: float,
+        body: Any = None,
+    ) -> tuple[Any, bytes]:
+        options: dict[str, Any] = {
+            "headers": dict(self._headers),
+            "params": {key: str(one) for key, one in query.items() if one is not None},
+            "timeout": timeout_s,
+        }
+        if method != "GET":
+            options["headers"]["content-type"] = "application/json"
+            options["data"] = json.dumps(body).encode()
+        url = f"{self._url}/{'/'.join(quote(part, safe='') for part in path)}"
+        try:
+            response = await self._http.request(method, url, **options)
+            return response, await response.content()
+        except network.ConnectError as error:
+            raise self._unreachable(path, str(error)) from error
+        except Exception as error:
+            # Whatever the connection died of, a change may have taken effect by then.
+            text = str(error) or type(error).__name__
+            if method == "GET":
+                raise self._unreachable(path, text) from error
+            raise OutcomeUnknownError(
+                f"the daemon's answer was lost ({text}): the change may have taken"
+                " effect",
+                step=_step(path),
+                peer=self._url,
+            ) from error
+
+    def _unreachable(self, path: tuple[str, ...], text: str) -> PeerUnavailableError:
+        return PeerUnavailableError(
+            f"the daemon can't be reached: {text}; check --admin and that the daemon"
+            " runs",
+            step=_step(path),
+            peer=self._url,
+        )
+
+    def _decode(self, status: int, body: bytes, path: tuple[str, ...]) -> Any:
+        try:
+            value = json.loads(body)
+        except ValueError as error:
+            raise self._strange(status, path) from error
+        if status < 400:
+            return value
+        try:
+            reply = ProblemReply.model_validate(value)
+        except ValidationError as error:
+            raise self._strange(status, path) from error
+        step, peer = reply.step or _step(path), reply.peer or self._url
+        if reply.kind == Problem.UNAVAILABLE:
+            raise PeerUnavailableError(reply.detail, step=step, peer=peer)
+        if reply.kind == Problem.OUTCOME_UNKNOWN:
+            raise OutcomeUnknownError(reply.detail, step=step, peer=peer)
+        raise ProblemError(reply, step=step, peer=peer)
+
+    def _strange(self, status: int, path: tuple[str, ...]) -> PeerUnavailableError:
+        return PeerUnavailableError(
+            f"the answer (status {status}) is not a daemon's; check --admin",
+            step=_step(path),
+            peer=self._url,
+        )
+
+
+def _step(path: tuple[str, ...]) -> str:
+    return "/" + "/".join(path)
--- /dev/null
+++ b/src/gentianwharf/cli/_exits.py
@@ -0,0 +1,33 @@
+"""Exit codes of the operator's tool."""
+
+from enum import IntEnum
+
+from gentianwharf.errors import (
+    ConflictError,
+    GentianwharfError,
+    OutcomeUnknownError,
+    PeerUnavailableError,
+)
+
+
+class Exit(IntEnum):
+    """What a script can tell from the exit code.
+
+    ``UNREACHABLE`` also stands for a change whose outcome could not be learned; the
+    message then says how to find out.
+    """
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    CONFLICT = 4
+
+
+def exit_of(error: GentianwharfError) -> Exit:
+    """Return the exit code for ``error``."""
+    if isinstance(error, (PeerUnavailableError, OutcomeUnknownError)):
+        return Exit.UNREACHABLE
+    if isinstance(error, ConflictError):
+        return Exit.CONFLICT
+    return Exit.REFUSED
--- /dev/null
+++ b/src/gentianwharf/cli/_status.py
@@ -0,0 +1,108 @@
+"""``gentianwharf status`` and ``gentianwharf report``."""
+
+from pathlib import Path
+from typing import Any
+
+from gentianwharf.errors import InputError
+
+from ._client import AdminClient
+from ._exits import Exit
+from ._terminal import Terminal
+
+
+async def status(client: AdminClient, shown: Terminal) -> Exit:
+    """Print one daemon's state, the three measures and its alarms."""
+    state = await client.get("state")
+    if shown.as_json:
+        shown.json(state)
+        return Exit.DONE
+    _print_daemon(state, shown)
+    _print_services(state, shown)
+    _print_measures(state["measures"], shown)
+    for alarm in state["alarms"]:
+        shown.line(f"ALARM {alarm['name']}: {alarm['detail']}")
+    return Exit.DONE
+
+
+def _print_daemon(state: dict[str, Any], shown: Terminal) -> None:
+    ready = (
+        "stopping" if state["stopping"] else "ready" if state["ready"] else "unready"
+    )
+    shown.line(
+        f"{state['host']} ({state['customer']}, domain {state['domain']}, site"
+        f" {state['site']}): {ready}"
+    )
+    heard = state["store_heard_ago_s"]
+    age = f"{heard:.1f} s ago" if heard is not None else "never"
+    shown.line(
+        f"rules: revision {state['rules_revision'] or 'none'}; store heard {age}"
+    )
+
+
+def _print_services(state: dict[str, Any], shown: Terminal) -> None:
+    shown.table(
+        ["service", "table version", "right to send", "control holder"],
+        [
+            [
+                service,
+                version,
+                state["right_to_send"].get(service),
+                state["control_holders"].get(service),
+            ]
+            for service, version in sorted(state["table_versions"].items())
+        ],
+    )
+
+
+def _print_measures(measures: dict[str, Any] | None, shown: Terminal) -> None:
+    if measures is None:
+        shown.line("no measures yet")
+        return
+    rows = [
+        *(["imbalance", name, one] for name, one in measures["imbalance"].items()),
+        *(["churn (shards)", name, one] for name, one in measures["churn"].items()),
+        *(
+            ["unavailable time (s)", name, one]
+            for name, one in measures["unavailable_s"].items()
+        ),
+    ]
+    shown.line(f"measures over {measures['window_s']:.0f} s:")
+    shown.table(["measure", "of", "value"], rows)
+
+
+async def burn(client: AdminClient, shown: Terminal, *, html: Path | None) -> Exit:
+    """Print the service-level burn, or write it as a page."""
+    if html is not None:
+        page = await client.get_text("burn", format="html")
+        _write(html, page)
+        shown.line(f"written to {html}")
+        return Exit.DONE
+    report = await client.get("burn")
+    if shown.as_json:
+        shown.json(report)
+        return Exit.DONE
+    for name, value in report.items():
+        _print_part(name, value, shown)
+    return Exit.DONE
+
+
+def _print_part(name: str, value: Any, shown: Terminal) -> None:
+    """Print a part of the report: a list of like objects as a table."""
+    rows = value if isinstance(value, list) else None
+    if not rows or not all(isinstance(one, dict) for one in rows):
+        shown.line(f"{name}: {value}")
+        return
+    columns = list(dict.fromkeys(key for one in rows for key in one))
+    shown.line(f"{name}:")
+    shown.table(columns, [[one.get(key) for key in columns] for one in rows])
+
+
+def _write(path: Path, text: str) -> None:
+    try:
+        path.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise InputError(
+            f"{path}: can't be written: {error.strerror}",
+            step="write report",
+            peer=str(path),
+        ) from error
--- a/tests/builders_admin.py
+++ b/tests/builders_admin.py
@@ -60,6 +60,7 @@
         )
     )
     calls: list[tuple[Any, ...]] = field(default_factory=list)
+    change_ids: list[str | None] = field(default_factory=list)
 
     def is_live(self) -> bool:
         """See ``StateView``."""
@@ -119,6 +120,7 @@
             await self.waiting
         self._fail()
         self.calls.append(("apply", document, edited_from_revision, author))
+        self.change_ids.append(change_id)
         if self.result is not None:
             return self.result
         return RulesApplied(version=rule_version(2), read_back=False)
--- /dev/null
+++ b/tests/builders_cli.py
@@ -0,0 +1,81 @@
+"""The operator's tool against a daemon of fakes, without a socket."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from io import StringIO
+from typing import Any
+
+from treq.testing import StubTreq
+from twisted.internet.defer import Deferred, ensureDeferred, fail
+
+from gentianwharf.cli._client import AdminClient
+from gentianwharf.cli._exits import Exit
+from gentianwharf.cli._session import Command, perform
+from gentianwharf.cli._terminal import Terminal
+from tests.builders_admin import TOKEN, FakeDaemon, admin_app
+from tests.builders_rules import settled
+
+
+@dataclass
+class LossyHttp:
+    """Calls the admin port in memory; answers listed in ``lost`` come to nothing.
+
+    ``lost`` holds an error for each of the next calls, None for one that is well;
+    ``reached`` False keeps a lost call from reaching the daemon at all.
+    """
+
+    stub: StubTreq
+    lost: list[Exception | None] = field(default_factory=list)
+    reached: bool = True
+
+    def request(self, method: str, url: str, **options: Any) -> Deferred[Any]:
+        """Send a request."""
+        error = self.lost.pop(0) if self.lost else None
+        if error is not None and not self.reached:
+            return fail(error)
+        options.pop("timeout", None)
+        client: Any = self.stub
+        answer: Deferred[Any] = client.request(method, url, **options)
+        self.stub.flush()
+        return answer if error is None else fail(error)
+
+
+@dataclass(frozen=True)
+class Ran:
+    """What a command printed and exited with."""
+
+    code: Exit
+    out: str
+    problems: str
+
+
+def ran(
+    command: Command,
+    daemon: FakeDaemon | None = None,
+    *,
+    token: str | None = TOKEN,
+    as_json: bool = False,
+    lost: list[Exception | None] | None = None,
+    reached: bool = True,
+    ask: Callable[[str], str] = lambda question: "",
+) -> Ran:
+    """Run a command against ``daemon``."""
+    shown = Terminal(out=StringIO(), problems=StringIO(), ask=ask, as_json=as_json)
+    http = LossyHttp(
+        stub=StubTreq(admin_app(daemon or FakeDaemon()).resource()),
+        lost=lost or [],
+        reached=reached,
+    )
+    client = AdminClient(
+        http=http, url="http://127.0.0.1:8081", token=token, operator="amira"
+    )
+    code = settled(ensureDeferred(_exit(command, client, shown)))
+    return Ran(
+        code=code,
+        out=shown.out.getvalue(),  # type: ignore[attr-defined]
+        problems=shown.problems.getvalue(),  # type: ignore[attr-defined]
+    )
+
+
+async def _exit(command: Command, client: AdminClient, shown: Terminal) -> Exit:
+    return await perform(command, client, shown)
--- /dev/null
+++ b/tests/test_cli_main.py
@@ -0,0 +1,99 @@
+"""The command line as a process: exit codes, files, and a daemon on a socket."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from gentianwharf.cli import Exit, main
+from tests.builders_admin import TOKEN
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+SETTINGS = str(EXAMPLES / "tunis" / "settings.jsonc")
+RULES = str(EXAMPLES / "tunis" / "rules.jsonc")
+
+
+def code_of(*arguments: str) -> int:
+    with pytest.raises(SystemExit) as ended:
+        main(arguments)
+    assert isinstance(ended.value.code, int)
+    return ended.value.code
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        pytest.param(["settings", "check", SETTINGS], Exit.DONE, id="settings"),
+        pytest.param(["settings", "check", "nowhere"], Exit.REFUSED, id="no-file"),
+        pytest.param(["settings", "check", RULES], Exit.REFUSED, id="wrong-file"),
+        pytest.param(
+            ["rules", "check", RULES, "--settings", SETTINGS], Exit.DONE, id="rules"
+        ),
+        pytest.param(["rules", "check", RULES], Exit.USAGE, id="no-settings"),
+        pytest.param(["rules", "chek"], Exit.USAGE, id="misspelt"),
+        pytest.param(["keys", "pin", "desk", "a"], Exit.USAGE, id="no-server"),
+        pytest.param(["keys", "pin", "desk", "a", "b", "--off"], Exit.USAGE, id="both"),
+        pytest.param(
+            ["rules", "explain", "/a", "--header", "x"], Exit.USAGE, id="bad-header"
+        ),
+        pytest.param(
+            ["status", "--token-file", "nowhere"], Exit.USAGE, id="no-token-file"
+        ),
+        pytest.param(["--version"], Exit.DONE, id="version"),
+    ],
+)
+def test_exit_code_without_a_daemon(arguments: list[str], code: Exit) -> None:
+    assert code_of(*arguments) == code
+
+
+def test_finding_in_a_rule_file_names_its_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    text = Path(RULES).read_text().replace('"service": "ledger"', "")
+    text = text.replace('"service": "inscription"', '"service": "inscripton"')
+    line = text.count("\n", 0, text.index('"service": "inscripton"')) + 1
+    file = tmp_path / "rules.jsonc"
+    file.write_text(text)
+    arguments = ["rules", "check", str(file), "--settings", SETTINGS]
+    assert code_of(*arguments) == Exit.REFUSED
+    assert f"line {line}: error: rule 3 (inscription)" in capsys.readouterr().out
+    assert code_of(*arguments, "--json") == Exit.REFUSED
+    assert json.loads(capsys.readouterr().out)[0]["line"] == line
+
+
+@pytest.fixture
+def admin_port() -> Iterator[int]:
+    command = [sys.executable, "-m", "tests.serve_admin"]
+    with subprocess.Popen(
+        command, stdin=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+    ) as serving:
+        assert serving.stdin is not None
+        assert serving.stderr is not None
+        yield int(serving.stderr.readline())
+        serving.stdin.close()
+
+
+def run_tool(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "gentianwharf.cli", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+def test_tool_talks_to_a_daemon_with_its_token(admin_port: int, tmp_path: Path) -> None:
+    token_file = tmp_path / "token"
+    token_file.write_text(f"{TOKEN}\n")
+    admin = ["--admin", f"http://127.0.0.1:{admin_port}"]
+    done = run_tool("status", *admin, "--token-file", str(token_file), "--json")
+    assert done.returncode == Exit.DONE, done.stderr
+    assert json.loads(done.stdout)["host"] == "lac-1"
+    refused = run_tool("status", *admin)
+    assert refused.returncode == Exit.REFUSED
+    assert "Authorization" in refused.stderr
+
+
+def test_no_daemon_there() -> None:
+    result = run_tool("status", "--admin", "http://127.0.0.1:1")
+    assert result.returncode == Exit.UNREACHABLE
+    assert "can't be reached" in result.stderr
