--- a/src/gentianwharf/admin/__init__.py
+++ b/src/gentianwharf/admin/__init__.py
@@ -1,6 +1,7 @@
 """The daemon's admin port: health, state and the operator's commands over HTTP."""
 
 from ._access import TokenAccess, read_token
+from ._alarms import ALARMS, AlarmRule, AlarmWatch
 from ._app import AdminApp
 from ._protocols import (
     Alarm,
@@ -22,8 +23,11 @@
 from ._replies import Problem, encode_json
 
 __all__ = [
+    "ALARMS",
     "AdminApp",
     "Alarm",
+    "AlarmRule",
+    "AlarmWatch",
     "BurnView",
     "DaemonState",
     "DecisionsView",
--- a/src/gentianwharf/admin/_protocols.py
+++ b/src/gentianwharf/admin/_protocols.py
@@ -21,7 +21,10 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Alarm:
-    """Something that an operator should look at; the name stands in OPERATING.md."""
+    """Something that an operator should look at; the name stands in OPERATING.md.
+
+    ``since_s`` is for how long it has held.
+    """
 
     name: str
     since_s: float
--- a/src/gentianwharf/cli/_rules.py
+++ b/src/gentianwharf/cli/_rules.py
@@ -155,6 +155,9 @@
         shown.json(applied)
         return
     version = applied["version"]
+    if applied["already"]:
+        shown.line(f"in force already, as revision {version['revision']}")
+        return
     shown.line(f"applied as revision {version['revision']}")
     if applied["read_back"]:
         shown.line("an answer was lost; the change was found by reading back")
--- a/src/gentianwharf/rules/_book.py
+++ b/src/gentianwharf/rules/_book.py
@@ -131,7 +131,9 @@
         if change in current.change_ids:
             return await self._found(current, change, findings)
         if current.revision != edited_from_revision:
-            return await self._conflict(current, edited_from_revision, document)
+            return await self._too_late(
+                current, edited_from_revision, document, findings
+            )
         if current.record is not None:
             await self._keep(current.record, current.revision)
         record = _next_record(document, current, author=author, change_id=change)
@@ -173,7 +175,9 @@
             if change in current.change_ids:
                 return await self._found(current, change, findings)
             if current.revision != expected:
-                return await self._conflict(current, expected, record.document)
+                return await self._too_late(
+                    current, expected, record.document, findings
+                )
         raise self._silent(record)
 
     def _silent(self, record: StoredRules) -> OutcomeUnknownError:
@@ -221,6 +225,23 @@
             version=version, read_back=True, superseded=superseded, warnings=findings
         )
 
+    async def _too_late(
+        self,
+        current: _Current,
+        edited_from_revision: int,
+        mine: RuleDocument,
+        findings: tuple[Finding, ...],
+    ) -> ApplyResult:
+        """Tell of the conflict, unless what is in force is the same document."""
+        if current.record is not None and current.record.document == mine:
+            return RulesApplied(
+                version=current.record.version(current.revision),
+                read_back=False,
+                already=True,
+                warnings=findings,
+            )
+        return await self._conflict(current, edited_from_revision, mine)
+
     async def _conflict(
         self, current: _Current, edited_from_revision: int, mine: RuleDocument
     ) -> RulesConflict:
--- a/src/gentianwharf/rules/_results.py
+++ b/src/gentianwharf/rules/_results.py
@@ -83,13 +83,15 @@
     """The document is in force in the store.
 
     ``read_back`` tells that the store's answer was lost and the write was found by
-    reading; ``superseded`` that others have edited the rules since. ``warnings`` did
-    not refuse the document.
+    reading; ``superseded`` that others have edited the rules since; ``already`` that
+    the same document was in force before, whoever applied it, and nothing was written.
+    ``warnings`` did not refuse the document.
     """
 
     version: RuleVersion
     read_back: bool
     superseded: bool = False
+    already: bool = False
     warnings: tuple[Finding, ...] = ()
 
 
--- a/tests/builders_admin.py
+++ b/tests/builders_admin.py
@@ -210,7 +210,7 @@
         domain="lac",
         site="old",
         address="127.0.0.1:9100",
-        state="live",
+        state="active",
         slots=6,
         slots_busy=2,
         reported_load=0.4,
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -258,6 +258,12 @@
     assert "others have changed" in result.out
 
 
+def test_document_in_force_already_says_so(rule_file: Path) -> None:
+    same = RulesApplied(version=rule_version(2), read_back=False, already=True)
+    result = ran(apply(rule_file), FakeDaemon(result=same))
+    assert (result.code, "in force already" in result.out) == (Exit.DONE, True)
+
+
 def test_outcome_that_stays_unknown_names_the_change(rule_file: Path) -> None:
     lost: list[Exception | None] = [ResponseFailed([]) for _ in range(3)]
     daemon = FakeDaemon()
--- a/tests/test_rules_book.py
+++ b/tests/test_rules_book.py
@@ -173,6 +173,17 @@
     assert (again.read_back, again.version) == (True, first.version)
 
 
+def test_document_that_is_in_force_already_is_not_a_conflict() -> None:
+    """A job applies the file from version control once more."""
+    books = Books()
+    revision = books.begin()
+    first = books.apply(books.mine, 0.1, edited_from=revision)
+    again = books.apply(books.theirs, 0.1, edited_from=revision, author="karim")
+    assert isinstance(first, RulesApplied)
+    assert isinstance(again, RulesApplied)
+    assert (again.already, again.version) == (True, first.version)
+
+
 @pytest.mark.parametrize("operations", [SWAP, frozenset()], ids=["writes", "all"])
 def test_store_down_changes_nothing(operations: frozenset[StoreOperation]) -> None:
     books = Books()
