Look up neighbouring rules that differ in a header's value at once

Fuzzed against the naive comparison; keeping the last of two rules with one value instead of the first makes a test fail.

--- a/src/gentianwharf/rules/_match.py
+++ b/src/gentianwharf/rules/_match.py
@@ -10,7 +10,7 @@
 from ._document import KeySource, RuleDocument
 from ._facts import SAFE_METHODS, RequestFacts, RuleMatch, read_key
 from ._index import RuleIndex
-from ._runs import KeyRun, Step
+from ._runs import HeaderRun, KeyRun, Step
 from ._sites import ServiceSites
 
 _UNREAD = object()
@@ -43,10 +43,12 @@
         return self._shard
 
     def first(self, step: Step) -> CompiledRule | None:
-        """Return the rule of ``step`` whose condition on the key holds."""
+        """Return the rule of ``step`` that holds, methods and headers aside."""
         if isinstance(step, KeyRun):
             key = self.read(step.source)
             return step.first(key, self.shard(key, step.shards)) if key else None
+        if isinstance(step, HeaderRun):
+            return step.first(self._facts.headers)
         if not step.divides:
             return step
         key = self.read(step.source)
--- a/src/gentianwharf/rules/_runs.py
+++ b/src/gentianwharf/rules/_runs.py
@@ -1,10 +1,12 @@
-"""Rules that stand together and differ in their keys alone, looked up at once.
+"""Rules that stand together and differ in one thing alone, looked up at once.
 
 A service whose keys are being moved has one rule for each key or range of shards that
-has moved. Testing them one by one would make a match slower with each step.
+has moved, and a service with many callers may have one for each value of a header.
+Testing them one by one would make a match slower with each.
 """
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
 from itertools import groupby
 from typing import final
 
@@ -42,21 +44,69 @@
         return by_key
 
 
-Step = CompiledRule | KeyRun
+@final
+class HeaderRun:
+    """Consecutive rules that agree in all but the value of their only header."""
+
+    __slots__ = ("_name", "_values", "headers", "methods")
+
+    def __init__(self, rules: Sequence[CompiledRule]) -> None:
+        self.methods = rules[0].methods
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self._name = rules[0].headers[0][0]
+        self._values: dict[str, CompiledRule] = {}
+        for one in rules:
+            self._values.setdefault(one.headers[0][1], one)
+
+    def first(self, headers: Mapping[str, str]) -> CompiledRule | None:
+        """Return the first rule of the run that asks for the header's value."""
+        value = headers.get(self._name)
+        return self._values.get(value) if value is not None else None
+
+
+Step = CompiledRule | KeyRun | HeaderRun
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _KeyShape:
+    """What the rules of a run of keys share; path and host were settled before."""
+
+    methods: frozenset[str]
+    headers: frozenset[tuple[str, str]]
+    source: KeySource | None
+    shards: int
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _HeaderShape:
+    """What the rules of a run of header values share."""
+
+    methods: frozenset[str]
+    name: str
 
 
 def gather_runs(rules: Iterable[CompiledRule]) -> Iterator[Step]:
     """Return ``rules`` in order, with runs of at least ``LEAST_RUN`` put together."""
-    for divides, group in groupby(rules, key=_run_shape):
+    for shape, group in groupby(rules, key=_shape):
         members = list(group)
-        if divides is not None and len(members) >= LEAST_RUN:
+        if shape is None or len(members) < LEAST_RUN:
+            yield from members
+        elif isinstance(shape, _KeyShape):
             yield KeyRun(members)
         else:
-            yield from members
+            yield HeaderRun(members)
 
 
-def _run_shape(rule: CompiledRule) -> tuple[object, ...] | None:
-    """Return what the rules of a run share; path and host were settled before."""
-    if not rule.divides or not rule.shards:
-        return None
-    return (rule.methods, rule.header_set, rule.source, rule.shards)
+def _shape(rule: CompiledRule) -> _KeyShape | _HeaderShape | None:
+    if rule.divides and rule.shards:
+        return _KeyShape(
+            methods=rule.methods,
+            headers=rule.header_set,
+            source=rule.source,
+            shards=rule.shards,
+        )
+    if not rule.divides and len(rule.headers) == 1:
+        return _HeaderShape(methods=rule.methods, name=rule.headers[0][0])
+    return None
