Harden the admin port and the tool: hosts by number, change ids, own fault code

The tool connects to IP numbers only, through the platform's agent, since Twisted's own looks addresses up in a thread pool. A crash of the tool exits 70: Python's 1 would say that nothing took effect.

--- a/src/gentianwharf/admin/_app.py
+++ b/src/gentianwharf/admin/_app.py
@@ -24,6 +24,7 @@
 )
 
 from ._access import TokenAccess
+from ._guard import GuardedResource
 from ._protocols import (
     BurnView,
     DecisionsView,
@@ -41,6 +42,7 @@
     MoveBody,
     PinBody,
     argument,
+    change_id_of,
     integer_argument,
     operator_of,
     read_body,
@@ -48,8 +50,6 @@
 from ._site import admin_site
 
 MOST_DECISIONS = 1_000
-OPEN_PATHS = frozenset({b"/livez", b"/readyz"})
-READ_METHODS = frozenset({b"GET", b"HEAD"})
 
 Result = TypeVar("Result")
 log = Logger("gentianwharf.admin")
@@ -92,7 +92,7 @@
 
     def resource(self) -> Resource:
         """Return the guarded routes."""
-        return _GuardedResource(inner=self.app.resource(), access=self._access)
+        return GuardedResource(inner=self.app.resource(), access=self._access)
 
     def site(self) -> Site:
         """Return the site to listen with; it bounds the size of bodies."""
@@ -155,7 +155,7 @@
                 document,
                 edited_from_revision=revision,
                 author=author,
-                change_id=argument(request, "change_id"),
+                change_id=change_id_of(request),
             )
         )
         return _reply_applied(request, result)
@@ -318,41 +318,3 @@
 
     inner.addBoth(pass_on)
     return outer
-
-
-@final
-class _GuardedResource(Resource):
-    """Checks token and media type before any route sees the request."""
-
-    isLeaf = True
-
-    def __init__(self, *, inner: Resource, access: TokenAccess) -> None:
-        super().__init__()
-        self._inner = inner
-        self._access = access
-
-    def render(self, request: Any) -> Any:
-        if request.path not in OPEN_PATHS and not self._access.allows(request):
-            return reply_problem(
-                request,
-                Problem.UNAUTHORIZED,
-                "expected the header Authorization: Bearer TOKEN with the token of"
-                " the daemon's settings",
-            )
-        if request.method not in READ_METHODS and not _is_json(request):
-            return reply_problem(
-                request, Problem.MEDIA_TYPE, "expected content-type application/json"
-            )
-        return self._inner.render(request)
-
-
-def _is_json(request: Request) -> bool:
-    """Guard against a web page that makes its reader's browser send commands.
-
-    A browser sends a form to a loopback address without asking, but JSON only after
-    a question that the admin port does not answer.
-    """
-    media_type = request.getHeader(b"content-type") or b""
-    if isinstance(media_type, str):
-        media_type = media_type.encode()
-    return media_type.split(b";")[0].strip().lower() == b"application/json"
--- a/src/gentianwharf/admin/_requests.py
+++ b/src/gentianwharf/admin/_requests.py
@@ -1,5 +1,6 @@
 """Bodies and headers that operators send, checked at the border."""
 
+import re
 from typing import Any, TypeVar
 
 import msgspec
@@ -11,6 +12,7 @@
 
 OPERATOR_HEADER = "gentianwharf-operator"
 MOST_OPERATOR_CHARACTERS = 64
+CHANGE_ID = re.compile(r"[A-Za-z0-9-]{8,64}")
 
 Body = TypeVar("Body", bound=BaseModel)
 
@@ -95,6 +97,22 @@
     return name.strip()
 
 
+def change_id_of(request: Request) -> str | None:
+    """Return the change's id; raises ``InputError`` when it has another form.
+
+    It is kept in the store's record with those of many other changes.
+    """
+    change_id = argument(request, "change_id")
+    if change_id is not None and not CHANGE_ID.fullmatch(change_id):
+        raise InputError(
+            f"change_id: expected 8 to 64 letters, digits or hyphens, got"
+            f" {change_id[:80]!r}",
+            step="read query",
+            peer=_peer(request),
+        )
+    return change_id
+
+
 def argument(request: Request, name: str) -> str | None:
     """Return the first query field ``name``, or None."""
     values = request.args.get(name.encode())
--- a/src/gentianwharf/cli/_app.py
+++ b/src/gentianwharf/cli/_app.py
@@ -1,6 +1,7 @@
 """The command line of ``gentianwharf``; what commands do is in the other modules."""
 
 import sys
+import traceback
 from collections.abc import Callable, Sequence
 from functools import partial
 from pathlib import Path
@@ -141,11 +142,12 @@
     except InputError as error:
         terminal().problem(error.message)
         return Exit.USAGE
+    bare_path, _, written_query = path.partition("?")
     request = {
         "method": method,
         "host": host,
-        "path": path,
-        "query": query,
+        "path": bare_path,
+        "query": query or written_query,
         "headers": headers,
         "key": key,
     }
@@ -230,4 +232,8 @@
         code = app(tokens, exit_on_error=False, result_action="return_value")
     except CycloptsError:
         sys.exit(Exit.USAGE)
+    except Exception:
+        # Python's own exit code would be 1, which says that nothing took effect.
+        traceback.print_exc()
+        sys.exit(Exit.FAULT)
     sys.exit(code if isinstance(code, int) else Exit.DONE)
--- a/src/gentianwharf/cli/_client.py
+++ b/src/gentianwharf/cli/_client.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 from treq.client import HTTPClient
 from twisted.internet import error as network
-from twisted.web.client import Agent
+from twisted.web.client import HTTPConnectionPool
 
 from gentianwharf.admin import Problem
 from gentianwharf.errors import (
@@ -16,6 +16,7 @@
     OutcomeUnknownError,
     PeerUnavailableError,
 )
+from gentianwharf.platform import ip_agent
 
 CONNECT_TIMEOUT_S = 5.0
 READ_TIMEOUT_S = 10.0
@@ -31,8 +32,12 @@
 
 
 def treq_http(reactor: Any) -> Http:
-    """Return a client on ``reactor`` that keeps no connection."""
-    agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+    """Return a client on ``reactor``; it looks up no host names."""
+    agent = ip_agent(
+        reactor=reactor,
+        pool=HTTPConnectionPool(reactor, persistent=False),
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+    )
     return cast(Http, HTTPClient(agent))
 
 
--- a/src/gentianwharf/cli/_exits.py
+++ b/src/gentianwharf/cli/_exits.py
@@ -14,7 +14,8 @@
     """What a script can tell from the exit code.
 
     ``UNREACHABLE`` also stands for a change whose outcome could not be learned; the
-    message then says how to find out.
+    message then says how to find out. ``FAULT`` is a fault of the tool itself, with a
+    trace; 70 is what ``sysexits.h`` calls an internal software error.
     """
 
     DONE = 0
@@ -22,6 +23,7 @@
     USAGE = 2
     UNREACHABLE = 3
     CONFLICT = 4
+    FAULT = 70
 
 
 def exit_of(error: GentianwharfError) -> Exit:
--- a/src/gentianwharf/cli/_session.py
+++ b/src/gentianwharf/cli/_session.py
@@ -13,6 +13,7 @@
 
 from gentianwharf.admin import read_token
 from gentianwharf.errors import GentianwharfError, InputError
+from gentianwharf.settings import check_ip_url
 
 from ._client import AdminClient, ProblemError, treq_http
 from ._exits import Exit, exit_of
@@ -81,19 +82,20 @@
 
 
 def run(common: Common, command: Command) -> int:
-    """Run ``command`` against the daemon that ``common`` names; never returns None."""
+    """Run ``command`` against the daemon in ``common``; return its exit code."""
     shown = terminal(as_json=common.json)
     try:
+        url = check_ip_url(common.admin)
         token = None if common.token_file is None else read_token(common.token_file)
-    except InputError as error:
+    except (InputError, ValueError) as error:
         shown.problem(str(error))
         return Exit.USAGE
-    codes = [Exit.UNREACHABLE]
+    codes = [Exit.FAULT]
 
     def begin(reactor: Any) -> Deferred[None]:
         client = AdminClient(
             http=treq_http(reactor),
-            url=common.admin,
+            url=url,
             token=token,
             operator=common.operator or getpass.getuser(),
         )
@@ -103,7 +105,7 @@
         react(begin, ())
     except SystemExit as ended:
         if ended.code not in (0, None):
-            return Exit.UNREACHABLE
+            return Exit.FAULT
     return codes[0]
 
 
--- a/src/gentianwharf/settings/__init__.py
+++ b/src/gentianwharf/settings/__init__.py
@@ -26,6 +26,7 @@
     ShutdownSettings,
     Url,
     WeightSettings,
+    check_ip_url,
     is_loopback,
 )
 from ._topology import domains_of, rule_scope_of, services_of
@@ -49,6 +50,7 @@
     "TextLines",
     "Url",
     "WeightSettings",
+    "check_ip_url",
     "domains_of",
     "find_lines",
     "is_loopback",
--- a/tests/test_admin_app.py
+++ b/tests/test_admin_app.py
@@ -176,6 +176,13 @@
         pytest.param(
             "/rules?edited_from_revision=-1", RULES, 422, "number", id="negative"
         ),
+        pytest.param(
+            "/rules?edited_from_revision=1&change_id=a%20b",
+            RULES,
+            422,
+            "change_id",
+            id="change-id",
+        ),
         pytest.param(
             "/rules?edited_from_revision=1", b"{", 422, "not JSON", id="not-json"
         ),
--- a/tests/test_cli_main.py
+++ b/tests/test_cli_main.py
@@ -42,6 +42,8 @@
         pytest.param(
             ["status", "--token-file", "nowhere"], Exit.USAGE, id="no-token-file"
         ),
+        pytest.param(["status", "--admin", "http://gateway:80"], Exit.USAGE, id="name"),
+        pytest.param(["status", "--admin", "127.0.0.1:80"], Exit.USAGE, id="no-scheme"),
         pytest.param(["--version"], Exit.DONE, id="version"),
     ],
 )
@@ -49,6 +51,18 @@
     assert code_of(*arguments) == code
 
 
+def test_fault_of_the_tool_has_a_code_of_its_own(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A script must not take a crash in the middle of a change for a refusal."""
+
+    def crash(*arguments: object) -> None:
+        raise KeyError("inner")
+
+    monkeypatch.setattr("gentianwharf.cli._files.check_settings", crash)
+    assert code_of("settings", "check", SETTINGS) == Exit.FAULT
+
+
 def test_finding_in_a_rule_file_names_its_line(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
