Refuse a request that names two keys

The header Gentianwharf-Key went before what the rule names, so a request could ask the owner of one key to run what its path asks of another. Two different keys are none now, and a keyed service refuses the request. The table's case for the old order was wrong for this reason; three as strict stand in its place. Before the change the new test of two keys fails, since the header's key is taken.

--- a/src/gentianwharf/rules/_explain.py
+++ b/src/gentianwharf/rules/_explain.py
@@ -58,7 +58,7 @@
 def _key_reasons(rule: CompiledRule, facts: RequestFacts) -> list[str]:
     key = read_key(rule.source, facts)
     if key is None:
-        return ["the request has no key where the rule looks for it"]
+        return ["the request has no key where the rule looks for it, or two of them"]
     if rule.key is not None:
         if key == rule.key:
             return []
--- a/src/gentianwharf/rules/_facts.py
+++ b/src/gentianwharf/rules/_facts.py
@@ -50,17 +50,22 @@
 def read_key(source: KeySource | None, facts: RequestFacts) -> str | None:
     """Return the request's key, or None when it has none that can be used.
 
-    The header ``Gentianwharf-Key`` goes before what the rule names. Percent-encoding
-    is undone first: otherwise two spellings of one key would hash to two shards, and
-    one key would have two owners.
+    It stands in the header ``Gentianwharf-Key`` or where the rule says. A request with
+    two different keys has none: a server asked by the header's key would otherwise
+    run what the path asks of a key that another server owns.
+
+    Percent-encoding is undone first: otherwise two spellings of one key would hash to
+    two shards, and one key would have two owners.
 
     >>> source = KeySource(place=KeyPlace.PATH_SEGMENT, name="1")
     >>> read_key(source, RequestFacts(method="GET", host="", path="/club/a%62c"))
     'abc'
     """
-    key = facts.headers.get(KEY_HEADER)
-    if key is None and source is not None:
-        key = _read_place(source, facts)
+    named = facts.headers.get(KEY_HEADER)
+    placed = _read_place(source, facts) if source is not None else None
+    if named and placed and named != placed:
+        return None
+    key = named or placed
     if not key or len(key) > MOST_KEY_CHARACTERS:
         return None
     return key
--- a/tests/test_rules_match.py
+++ b/tests/test_rules_match.py
@@ -99,8 +99,20 @@
         pytest.param(
             {"place": "path_segment", "name": "1"},
             facts("/d/b", gentianwharf_key="named"),
+            None,
+            id="two-keys",
+        ),
+        pytest.param(
+            {"place": "path_segment", "name": "1"},
+            facts("/d/%62", gentianwharf_key="b"),
+            "b",
+            id="same-key-twice",
+        ),
+        pytest.param(
+            {"place": "path_segment", "name": "1"},
+            facts("/d", gentianwharf_key="named"),
             "named",
-            id="named-goes-first",
+            id="header-alone",
         ),
         pytest.param(
             {"place": "path_segment", "name": "1"},
@@ -136,6 +148,19 @@
     assert (encoded.key, encoded.shard) == (plain.key, plain.shard)
 
 
+def test_request_with_two_keys_reaches_no_owner() -> None:
+    """A page asks for one faculty in its path and names another in the header.
+
+    The header's owner would run it and reserve a seat in the path's faculty, whose
+    owner knows nothing of it.
+    """
+    found = rule_set(keyed_rule(when={"shard_share": 1.0}), keyed_rule()).match(
+        facts("/desk/sciences", gentianwharf_key="arts")
+    )
+    assert found is not None
+    assert (found.number, found.key, found.shard) == (2, None, None)
+
+
 @pytest.mark.parametrize(
     ("share", "shards"),
     [(0.0, 0), (0.01, 1), (0.07, 7), (0.1, 10), (0.5, 50), (1.0, 100)],
@@ -346,3 +371,23 @@
     compiled: RuleSet, single: Mapping[str, str | None], key: str, shard: int
 ) -> str | None:
     return single[key] if key in single else compiled.site_of("desk", shard)
+
+
+STEPS = [0.0, 0.01, 0.1, 0.5, 1.0, 0.1]
+
+
+@pytest.mark.parametrize("shards", [100, 1024, 65_536])
+def test_step_of_the_migration_moves_only_the_keys_between_two_shares(
+    shards: int,
+) -> None:
+    """Going back to 10% must not send keys about that never had to move."""
+    stands = [_new_site_shards(share, shards) for share in STEPS]
+    for before, after, share in zip(stands, stands[1:], STEPS[1:], strict=False):
+        assert before <= after or after <= before
+        assert abs(len(after) - share * shards) < 1
+    assert stands[-1] == stands[STEPS.index(0.1)]
+
+
+def _new_site_shards(share: float, shards: int) -> set[int]:
+    rules = RuleSet(document=migration(share), revision=1, shards={"desk": shards})
+    return {shard for shard in range(shards) if rules.site_of("desk", shard) == "new"}
