Check the first rules together with the settings that name them

settings check only parsed the rule file; a list under which one key has two owners would have been found by nobody, since the daemon writes it into an empty store.

--- a/src/gentianwharf/cli/_files.py
+++ b/src/gentianwharf/cli/_files.py
@@ -5,6 +5,7 @@
 from gentianwharf.errors import InputError
 from gentianwharf.rules import Finding, RuleChecker, Severity
 from gentianwharf.settings import (
+    Settings,
     TextLines,
     load_rules_with_lines,
     load_settings,
@@ -16,11 +17,11 @@
 
 
 def check_settings(file: Path, shown: Terminal) -> Exit:
-    """Check a settings file and the rule file that it names."""
+    """Check a settings file, and against it the rule file that it names."""
     try:
         settings = load_settings(file)
         if settings.initial_rules is not None:
-            load_rules_with_lines(file.parent / settings.initial_rules)
+            _check_initial_rules(file.parent / settings.initial_rules, settings)
     except InputError as error:
         if not shown.as_json:
             raise
@@ -36,6 +37,17 @@
     return Exit.DONE
 
 
+def _check_initial_rules(rules: Path, settings: Settings) -> None:
+    document, lines = load_rules_with_lines(rules)
+    findings = RuleChecker(scope=rule_scope_of(settings)).check(document)
+    errors = [one for one in findings if one.severity is Severity.ERROR]
+    if errors:
+        listed = "".join(f"\n  line {_line_of(one, lines)}: {one}" for one in errors)
+        raise InputError(
+            f"{rules}: {len(errors)} mistakes:{listed}", step="check", peer=str(rules)
+        )
+
+
 def check_rules(rules: Path, settings: Path, shown: Terminal) -> Exit:
     """Check a rule file against a settings file, without a daemon."""
     scope = rule_scope_of(load_settings(settings))
--- a/tests/test_cli_main.py
+++ b/tests/test_cli_main.py
@@ -63,6 +63,19 @@
     assert code_of("settings", "check", SETTINGS) == Exit.FAULT
 
 
+def test_settings_are_checked_together_with_their_first_rules(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    settings = tmp_path / "settings.jsonc"
+    settings.write_text(Path(SETTINGS).read_text())
+    rules = Path(RULES).read_text()
+    (tmp_path / "rules.jsonc").write_text(rules.replace('"nouveau"', '"nord"'))
+    assert code_of("settings", "check", str(settings)) == Exit.REFUSED
+    assert "rules.0.then.site: found 'nord'" in capsys.readouterr().err
+    assert code_of("settings", "check", str(settings), "--json") == Exit.REFUSED
+    assert "nord" in json.loads(capsys.readouterr().out)["mistakes"][1]
+
+
 def test_finding_in_a_rule_file_names_its_line(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
