Load first rules checked, read the token by its settings, split the models

load_initial_rules and token_of are what the daemon needs to check its first rules and to protect its admin port; it calls neither yet. A token file of two lines passed as a token with a line break, which no header can carry: refused now.

--- a/src/gentianwharf/admin/__init__.py
+++ b/src/gentianwharf/admin/__init__.py
@@ -1,6 +1,6 @@
 """The daemon's admin port: health, state and the operator's commands over HTTP."""
 
-from ._access import TokenAccess, read_token
+from ._access import TokenAccess, read_token, token_of
 from ._alarms import ALARMS, AlarmRule, AlarmWatch
 from ._app import AdminApp
 from ._protocols import (
@@ -46,4 +46,5 @@
     "TokenAccess",
     "encode_json",
     "read_token",
+    "token_of",
 ]
--- a/src/gentianwharf/admin/_access.py
+++ b/src/gentianwharf/admin/_access.py
@@ -23,7 +23,11 @@
             step="read token",
             peer=str(path),
         ) from error
-    if len(token) < LEAST_TOKEN_CHARACTERS or not token.isascii() or " " in token:
+    if (
+        len(token) < LEAST_TOKEN_CHARACTERS
+        or not token.isascii()
+        or token.split() != [token]
+    ):
         raise InputError(
             f"{path}: expected a token of at least {LEAST_TOKEN_CHARACTERS} ASCII"
             f" characters without blanks, got {len(token)} characters",
@@ -33,6 +37,14 @@
     return token
 
 
+def token_of(*, token_file: str | None, directory: Path) -> str | None:
+    """Return the token that settings in ``directory`` name, None when they name none.
+
+    The settings' own check refuses that on any but a loopback address.
+    """
+    return None if token_file is None else read_token(directory / token_file)
+
+
 @final
 class TokenAccess:
     """Lets in who knows the token; everybody when there is none (loopback only)."""
--- a/src/gentianwharf/settings/__init__.py
+++ b/src/gentianwharf/settings/__init__.py
@@ -8,28 +8,28 @@
     parse_jsonc,
     validate,
 )
-from ._models import (
-    Address,
+from ._models import Settings
+from ._places import (
     BackendServerSettings,
-    CallerLimits,
-    ClassSettings,
     DomainSettings,
     HostSettings,
-    LogLevel,
-    LogSettings,
     NumberedServers,
-    ObjectiveSettings,
     PlatformSettings,
     ServerCapabilities,
     ServiceSettings,
-    Settings,
+)
+from ._policy import (
+    CallerLimits,
+    ClassSettings,
+    LogLevel,
+    LogSettings,
+    ObjectiveSettings,
     ShutdownSettings,
-    Url,
     WeightSettings,
-    check_ip_url,
-    is_loopback,
 )
+from ._rules import line_of_finding, load_initial_rules
 from ._topology import domains_of, rule_scope_of, services_of
+from ._values import Address, Url, check_ip_url, is_loopback
 
 __all__ = [
     "Address",
@@ -54,6 +54,8 @@
     "domains_of",
     "find_lines",
     "is_loopback",
+    "line_of_finding",
+    "load_initial_rules",
     "load_rules",
     "load_rules_with_lines",
     "load_settings",
--- a/src/gentianwharf/settings/_topology.py
+++ b/src/gentianwharf/settings/_topology.py
@@ -3,7 +3,8 @@
 from gentianwharf.rules import RuleScope
 from gentianwharf.topology import BackendServer, Domain, Service
 
-from ._models import NumberedServers, ServiceSettings, Settings
+from ._models import Settings
+from ._places import NumberedServers, ServiceSettings
 
 
 def domains_of(settings: Settings) -> tuple[Domain, ...]:
--- /dev/null
+++ b/src/gentianwharf/settings/_values.py
@@ -0,0 +1,54 @@
+"""Values that settings are made of; every address is an IP number and a port."""
+
+from ipaddress import ip_address
+from typing import Annotated
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+
+def _check_ip_and_port(value: str) -> str:
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"expected IP:PORT, got {value!r}")
+    try:
+        ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError(
+            f"expected an IP number, got {host!r}: host names are not looked up,"
+            " write the address"
+        ) from None
+    return value
+
+
+def check_ip_url(value: str) -> str:
+    """Return ``value`` if it is http://IP:PORT; raises ``ValueError`` saying why not.
+
+    >>> check_ip_url("http://127.0.0.1:8081")
+    'http://127.0.0.1:8081'
+    """
+    parts = urlsplit(value)
+    if parts.scheme != "http" or parts.path not in ("", "/"):
+        raise ValueError(f"expected http://IP:PORT, got {value!r}")
+    _check_ip_and_port(parts.netloc)
+    return value
+
+
+def is_loopback(address: str) -> bool:
+    """Say whether ``IP:PORT`` is reached from its own host alone.
+
+    >>> is_loopback("127.0.0.1:8081"), is_loopback("10.0.0.1:8081")
+    (True, False)
+    """
+    return ip_address(address.rpartition(":")[0].strip("[]")).is_loopback
+
+
+Address = Annotated[str, AfterValidator(_check_ip_and_port)]
+Url = Annotated[str, AfterValidator(check_ip_url)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class StrictModel(BaseModel):
+    """A part of the settings; an unknown field is a mistake."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
