load: places follow the share refused; light callers pass; no yardstick from one answer

The median now begins with nine answers, and at most half of a pool is set apart for slowness alone.

--- a/bench/load_measures.py
+++ b/bench/load_measures.py
@@ -44,6 +44,7 @@
     classes: dict[str, ClassFigures]
     goodput_per_s: float
     others_p99_ms: float
+    others_refused_share: float
     refusals_p99_ms: float
     unserved_caller_s: float
     unserved_key_s: float
@@ -92,6 +93,9 @@
         seed=seed,
         classes=classes,
         goodput_per_s=round(sum(one.goodput_per_s for one in classes.values()), 1),
+        others_refused_share=round(
+            sum(one.result == "refused" for one in others) / max(1, len(others)), 4
+        ),
         others_p99_ms=_latency_ms(others, 0.99, extra_s),
         refusals_p99_ms=round(quantile(refused_ms, 0.99), 2),
         unserved_caller_s=_longest_unserved_s(
--- a/src/gentianwharf/load/_class_state.py
+++ b/src/gentianwharf/load/_class_state.py
@@ -1,7 +1,8 @@
 """One class's waiting requests and timings within a pool."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
+from statistics import median
 from typing import final
 
 from ._comeback import ComebackBook
@@ -10,11 +11,16 @@
 
 # Before the first answer: the class's longest wait, divided by this, stands for the
 # time that a request takes (10 ms for a consultation with a deadline of 2 s).
-UNKNOWN_MEAN_DIVISOR = 20.0
+UNKNOWN_MEAN_DIVISOR = 10.0
 MEAN_SMOOTHING = 0.05
+# Some fifty requests: a quarter of a second of today's load on one host.
+REFUSED_SMOOTHING = 0.02
 # A step of 4 % an answer: the median follows a change to twice the time in some 20
 # answers, and one server of eight that is ten times slower moves it by a fifth.
 MEDIAN_STEP = 0.04
+# The median begins with that many answers and judges none before: when it began with
+# the first, a lucky one of 0.5 ms made all servers look slow to one host for seconds.
+FIRST_ANSWERS = 9
 
 
 @final
@@ -29,15 +35,23 @@
     median_s: float = 0.0
     in_flight: int = 0
     virtual_time: float = 0.0
-    waiting_since_s: float | None = None
+    refused_share: float = 0.0
+    _first_answers: list[float] = field(default_factory=list)
+
+    def note_decision(self, *, refused: bool) -> None:
+        """Follow the share of requests that find no place."""
+        self.refused_share += (refused - self.refused_share) * REFUSED_SMOOTHING
 
     def note_answer(self, elapsed_s: float) -> float:
         """Learn from an answer; return how it compares with the median before it."""
         self.mean_s += (elapsed_s - self.mean_s) * MEAN_SMOOTHING
         if self.median_s == 0.0:
-            self.median_s = elapsed_s
+            self._first_answers.append(elapsed_s)
+            if len(self._first_answers) == FIRST_ANSWERS:
+                self.median_s = median(self._first_answers)
+                self._first_answers.clear()
             return 1.0
-        ratio = elapsed_s / self.median_s if self.median_s else 1.0
+        ratio = elapsed_s / self.median_s
         self.median_s *= 1 + MEDIAN_STEP if ratio > 1.0 else 1 - MEDIAN_STEP
         return ratio
 
--- a/src/gentianwharf/load/_fair_queue.py
+++ b/src/gentianwharf/load/_fair_queue.py
@@ -92,9 +92,12 @@
             place = max(place, rounds.get(("key", ticket.key), 0))
         return place
 
-    def push(self, ticket: Ticket) -> None:
-        """Add a request."""
-        place = self.round_of(ticket)
+    def push(self, ticket: Ticket, *, in_flight: int = 0) -> None:
+        """Add a request of a caller that has ``in_flight`` others at servers.
+
+        Those count as turns that it has had already.
+        """
+        place = self.round_of(ticket) + in_flight
         for flow in _flows_of(ticket):
             self._next_rounds[flow] = place + 1
             self._counts[flow] = self._counts.get(flow, 0) + 1
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -131,7 +131,7 @@
         if pool is not None:
             for class_state in pool.classes.values():
                 if class_state.queue.remove(ticket_id):
-                    pool.note_left(class_state)
+                    pool.waiting -= 1
             return []
         decisions: list[Decision] = []
         for flight in (self._flights.get(ticket_id), self._hedges.get(ticket_id)):
@@ -280,12 +280,21 @@
         class_state = pool.classes[ticket.request_class]
         if now_s + class_state.mean_s > ticket.deadline_s:
             return self._refuse(ticket, RefuseReason.DEADLINE, now_s)
-        if not len(class_state.queue) and pool.has_room(class_state):
+        if self._may_start(pool, class_state, ticket):
             started = self._start(pool, class_state, ticket, now_s, avoid=avoid)
             if started is not None:
+                class_state.note_decision(refused=False)
                 return started
         return self._wait(pool, class_state, ticket, now_s)
 
+    def _may_start(self, pool: Pool, class_state: ClassState, ticket: Ticket) -> bool:
+        light = pool.is_light(ticket)
+        if len(class_state.queue) and (
+            not light or pool.is_light(class_state.queue.peek())
+        ):
+            return False
+        return pool.has_room(class_state, light=light)
+
     def _can_be_served(self, ticket: Ticket, now_s: float) -> bool:
         if ticket.server is None:
             pool = self._pools.get((ticket.service, None))
@@ -304,13 +313,14 @@
     def _wait(
         self, pool: Pool, class_state: ClassState, ticket: Ticket, now_s: float
     ) -> Decision:
-        places = pool.places(class_state, now_s)
-        if not class_state.queue.has_place(ticket, places):
+        has_place = class_state.queue.has_place(ticket, pool.places(class_state))
+        class_state.note_decision(refused=not has_place)
+        if not has_place:
             return self._refuse(ticket, RefuseReason.OVERLOAD, now_s)
         ready_s = now_s + pool.expected_wait_s(class_state) + class_state.mean_s
         if ready_s > ticket.deadline_s:
             return self._refuse(ticket, RefuseReason.DEADLINE, now_s)
-        pool.push(class_state, ticket, now_s)
+        pool.push(class_state, ticket)
         self._waiting[ticket.id] = pool
         return Wait(ticket_id=ticket.id)
 
@@ -407,7 +417,7 @@
         return decisions
 
     def _note_left(self, pool: Pool, class_state: ClassState, ticket: Ticket) -> None:
-        pool.note_left(class_state)
+        pool.waiting -= 1
         del self._waiting[ticket.id]
 
     def _refuse_late(self, pool: Pool, now_s: float) -> list[Decision]:
@@ -469,7 +479,9 @@
         flight.judged = True
         state.note_ratio(ratio, now_s, probe=flight.probe)
         # The only server of a pool: refusing all would be worse than its slowness.
-        if state.is_too_slow() and not pool.pinned and len(pool.states) > 1:
+        if pool.pinned or not state.is_too_slow():
+            return
+        if state.is_silent() or pool.may_suspect_slow():
             self._suspect(state, now_s)
 
     def _suspect(self, state: ServerState, now_s: float) -> None:
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -15,22 +15,27 @@
 """
 
 from collections.abc import Mapping
-from math import ceil
+from math import ceil, log
 from random import Random
 from typing import final
 
 from ._class_state import ClassState, class_state
 from ._limit import AdaptiveLimit
 from ._requests import RequestClass, Ticket
-from ._server_state import Flight, ServerState
+from ._server_state import Flight, ServerState, Standing
 
 # Long work is remembered for about this long, so that its servers stay its own
 # between two uploads.
 LONG_MEMORY_S = 10.0
 # Below this many long requests in flight none needs a server of its own.
 LEAST_LONG_DEMAND = 0.05
-# Service times that a request may wait in a queue that stands.
-STANDING_WAIT = 3.0
+# A caller with nothing in flight may exceed the limit by this factor, so that it need
+# not wait for the slots of a busy one: servers then hold some requests more for a
+# moment, which the limit, being lowered by slower answers, allows for.
+LIGHT_ROOM = 1.5
+# A slot may run empty in 1 % of the time.
+LOG_EMPTY_SHARE = log(0.01)
+LEAST_SERVED = 0.01
 # Answers end at random: without a place or two a slot stays empty until somebody asks.
 LEAST_PLACES = 2
 LEAST_MEAN_S = 1e-6
@@ -58,6 +63,7 @@
         self.short_in_flight = 0
         self.long_in_flight = 0
         self.waiting = 0
+        self._callers: dict[str, int] = {}
         self._daemons = daemons
         self._long_demand = 0.0
         self._long_noted_s = 0.0
@@ -75,59 +81,62 @@
         self.limit.resize(fair=slots / self._daemons, most=float(slots))
         self._divide_servers()
 
-    def has_room(self, state: ClassState) -> bool:
-        """Whether the limits let one more request of this class start."""
+    def has_room(self, state: ClassState, *, light: bool) -> bool:
+        """Whether the limits let one more request of this class start.
+
+        ``light``: see ``is_light``.
+        """
         limit = self.limit.value
         share = state.request_class.slot_share
         if share < 1.0:
             return state.in_flight < max(1.0, limit * share)
         lent_to_long = min(self.long_in_flight, limit / 2)
+        if light:
+            limit *= LIGHT_ROOM
         return self.short_in_flight + lent_to_long < limit
 
+    def is_light(self, ticket: Ticket) -> bool:
+        """Whether the caller has nothing in flight here, or far less than another."""
+        own = self._callers.get(ticket.caller, 0)
+        return own == 0 or own + 1 < max(self._callers.values())
+
     def expected_wait_s(self, state: ClassState) -> float:
         """Return how long a request that came now would wait."""
         return len(state.queue) / self.turn_rate_per_s(state)
 
-    def push(self, state: ClassState, ticket: Ticket, now_s: float) -> None:
+    def push(self, state: ClassState, ticket: Ticket) -> None:
         """Let a request wait."""
         if not len(state.queue):
-            state.waiting_since_s = now_s
             # An idle class gets no credit for the time in which it asked nothing.
             state.virtual_time = max(state.virtual_time, self._virtual_time)
-        state.queue.push(ticket)
+        state.queue.push(ticket, in_flight=self._callers.get(ticket.caller, 0))
         self.waiting += 1
 
-    def note_left(self, state: ClassState) -> None:
-        """Note that a request has left the class's queue."""
-        self.waiting -= 1
-        if not len(state.queue):
-            state.waiting_since_s = None
-
     def next_class(self, blocked: set[str]) -> ClassState | None:
         """Return the class whose turn it is, of those with work, room and a server."""
         best: ClassState | None = None
         for name, state in self.classes.items():
-            if name in blocked or not len(state.queue) or not self.has_room(state):
+            if name in blocked or not len(state.queue):
+                continue
+            if not self.has_room(state, light=self.is_light(state.queue.peek())):
                 continue
             if best is None or state.virtual_time < best.virtual_time:
                 best = state
         return best
 
-    def places(self, state: ClassState, now_s: float) -> int:
+    def places(self, state: ClassState) -> int:
         """Return how many requests of the class may wait at this moment.
 
-        A short burst may fill the class's longest wait. A queue that stands for
-        longer than that is no burst: it only makes everybody late, so it is kept
-        down to a few service times (as in CoDel, RFC 8289).
+        While hardly any is refused, as many as the class's longest wait allows. The
+        more are refused, the fewer are needed so that no slot runs empty, and a
+        longer queue would only make everybody later: at ``r`` times the capacity an
+        M/M/1 queue of K places is empty in about ``r ** -K`` of the time.
         """
-        wait_s = state.request_class.max_wait_ms / 1000
-        if state.waiting_since_s is None:
-            standing_s = 0.0
-        else:
-            standing_s = now_s - state.waiting_since_s
-        if standing_s > wait_s:
-            wait_s = min(wait_s, STANDING_WAIT * state.mean_s)
-        return max(LEAST_PLACES, int(wait_s * self.turn_rate_per_s(state)))
+        most = state.request_class.max_wait_ms / 1000 * self.turn_rate_per_s(state)
+        served = 1.0 - state.refused_share
+        if served < 1.0:
+            most = min(most, LOG_EMPTY_SHARE / log(max(served, LEAST_SERVED)))
+        return max(LEAST_PLACES, int(most))
 
     def turn_rate_per_s(self, state: ClassState) -> float:
         """Return how many of the class can start a second while others wait too."""
@@ -142,6 +151,8 @@
     def note_start(self, state: ClassState, flight: Flight, now_s: float) -> None:
         """Count a request that is sent."""
         state.in_flight += 1
+        caller = flight.ticket.caller
+        self._callers[caller] = self._callers.get(caller, 0) + 1
         if flight.long:
             self.long_in_flight += 1
             self._note_long(now_s)
@@ -156,11 +167,28 @@
             return
         flight.counted = False
         state.in_flight -= 1
+        caller = flight.ticket.caller
+        left = self._callers[caller] - 1
+        if left:
+            self._callers[caller] = left
+        else:
+            del self._callers[caller]
         if flight.long:
             self.long_in_flight -= 1
         else:
             self.short_in_flight -= 1
 
+    def may_suspect_slow(self) -> bool:
+        """Whether one more server may be set apart for being slower than the rest.
+
+        Slowness is judged against the pool's own median. If that is wrong, or the
+        work has become slower everywhere, all servers look slow; a host that then
+        set all apart would refuse everything, and have no answers to learn better
+        from. So at most half; servers that do not answer at all are not counted.
+        """
+        suspects = sum(one.standing is Standing.SUSPECT for one in self.states)
+        return (suspects + 1) * 2 <= len(self.states)
+
     def tick(self, now_s: float) -> None:
         """Follow how much long work there is."""
         self._note_long(now_s)
--- a/src/gentianwharf/load/_requests.py
+++ b/src/gentianwharf/load/_requests.py
@@ -11,9 +11,9 @@
 # Classes with a deadline at least this long are transfers and leisure reads
 # (30 s and 60 s in both examples), the others are looked at by a waiting person.
 LONG_DEADLINE_MS = 10_000
-# Share of the deadline that a request may spend waiting at the router. A tenth of a
-# consultation's 2 s is 200 ms: longer queues add delay without adding answers.
-WAIT_SHARE = 0.1
+# Share of the deadline that a request may spend waiting at the router: 100 ms of a
+# consultation's 2 s. Longer queues add delay and hardly an answer.
+WAIT_SHARE = 0.05
 # Most slots of a service that long requests may hold, so that short ones find one.
 LONG_SLOT_SHARE = 0.5
 
@@ -41,7 +41,7 @@
     deadline_ms: int
     weight: int = 1
     discipline: Discipline = Discipline.OLDEST_FIRST
-    max_wait_ms: float = 200.0
+    max_wait_ms: float = 100.0
     slot_share: float = 1.0
     hedged: bool = False
 
@@ -51,7 +51,7 @@
 
         >>> RequestClass.from_deadline(name="upload", deadline_ms=30_000, weight=4)
         ... # doctest: +ELLIPSIS
-        RequestClass(name='upload', ..., max_wait_ms=3000.0, slot_share=0.5, ...)
+        RequestClass(name='upload', ..., max_wait_ms=1500.0, slot_share=0.5, ...)
         """
         long = deadline_ms >= LONG_DEADLINE_MS
         return cls(
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -37,8 +37,8 @@
 GOOD_PROBES = 3
 # A request that must not repeat is no probe unless the server has shown life since.
 BLIND_PROBE_S = 30.0
-RAMP_S = 10.0
-RAMP_FLOOR = 0.15
+RAMP_S = 5.0
+RAMP_FLOOR = 0.35
 # A leaving server's shards need this long to move; other work stops at once.
 LEAVING_GRACE_S = 3.0
 LONGEST_SHED_S = 1.0
@@ -143,6 +143,11 @@
         """Whether its answers make it a suspect."""
         return self.standing is Standing.ACTIVE and self.ratio > SUSPECT_RATIO
 
+    def is_silent(self) -> bool:
+        """Whether nothing came back since the oldest request that it still owes."""
+        oldest = next(iter(self.flights.values()), None)
+        return oldest is not None and self.shown_life_s < oldest.started_s
+
     def suspect(self, now_s: float) -> None:
         """Stop sending work to it, but for probes."""
         self.standing = Standing.SUSPECT
