--- a/src/gentianwharf/load/_choose.py
+++ b/src/gentianwharf/load/_choose.py
@@ -18,6 +18,8 @@
 MOST_COMPARED = 16
 # A server of another domain is 1 ms farther, of some 10 ms; half a request in flight.
 FAR_COST = 0.5
+# A near server with nothing of ours in flight: no other can be better.
+LEAST_COST = 1.0
 # Whoever owes an answer for long is busy with a long job or stuck: its other slots
 # are used when the other servers have some of our requests in flight too.
 OVERDUE_COST = 2.0
@@ -54,6 +56,8 @@
         if not state.has_room(now_s) or state.server.id == avoid:
             continue
         cost = cost_of(state, now_s)
+        if cost <= LEAST_COST:
+            return state
         if best is None or cost < best_cost:
             best, best_cost = state, cost
     return best
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -396,7 +396,7 @@
             states = pool.long_states or pool.states
         else:
             states = pool.short_states
-            for state in states:
+            for state in pool.suspects:
                 if state.takes_probe(now_s, repeatable=ticket.repeatable):
                     return state
         return choose_server(states, now_s=now_s, rng=self._rng, avoid=avoid)
@@ -487,14 +487,15 @@
         if pool.pinned or not state.is_too_slow():
             return
         if state.is_silent() or pool.may_suspect_slow():
-            self._suspect(state, now_s)
+            self._suspect(pool, state, now_s)
 
-    def _suspect(self, state: ServerState, now_s: float) -> None:
+    def _suspect(self, pool: Pool, state: ServerState, now_s: float) -> None:
         state.suspect(now_s)
+        pool.note_suspects()
         # What it owes must not hold the pool's limit while others are free.
         for flight in state.flights.values():
-            pool = self._pool_of(flight.ticket)
-            pool.note_end(pool.classes[flight.ticket.request_class], flight)
+            own = self._pool_of(flight.ticket)
+            own.note_end(own.classes[flight.ticket.request_class], flight)
 
     def _judge_overdue(self, state: ServerState, now_s: float) -> None:
         for flight in list(state.flights.values()):
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -69,6 +69,7 @@
         self._long_noted_s = 0.0
         self._virtual_time = 0.0
         self.states: list[ServerState] = []
+        self.suspects: list[ServerState] = []
         self.short_states: list[ServerState] = []
         self.long_states: list[ServerState] = []
         self.limit = AdaptiveLimit(fair=1.0, most=1.0)
@@ -79,6 +80,7 @@
         self.states = _in_common_order(states)
         slots = sum(one.server.slots for one in states)
         self.limit.resize(fair=slots / self._daemons, most=float(slots))
+        self.note_suspects()
         self._divide_servers()
 
     def has_room(self, state: ClassState, *, light: bool) -> bool:
@@ -203,11 +205,16 @@
         set all apart would refuse everything, and have no answers to learn better
         from. So at most half; servers that do not answer at all are not counted.
         """
-        suspects = sum(one.standing is Standing.SUSPECT for one in self.states)
-        return (suspects + 1) * 2 <= len(self.states)
+        self.note_suspects()
+        return (len(self.suspects) + 1) * 2 <= len(self.states)
+
+    def note_suspects(self) -> None:
+        """Follow which servers are suspects; most of the time there are none."""
+        self.suspects = [one for one in self.states if one.standing is Standing.SUSPECT]
 
     def tick(self, now_s: float) -> None:
         """Follow how much long work there is."""
+        self.note_suspects()
         self._note_long(now_s)
         self._divide_servers()
 
