--- a/src/gentianwharf/load/_choose.py
+++ b/src/gentianwharf/load/_choose.py
@@ -11,6 +11,9 @@
 from collections.abc import Sequence
 from random import Random
 
+from ._class_state import ClassState
+from ._pool import Pool
+from ._requests import Ticket
 from ._server_state import USUAL_RATIO, ServerState
 
 # A tie between nearly equal servers must not send all hosts to the same one, and in a
@@ -61,3 +64,34 @@
         if best is None or cost < best_cost:
             best, best_cost = state, cost
     return best
+
+
+def place(
+    pool: Pool,
+    class_state: ClassState,
+    ticket: Ticket,
+    *,
+    now_s: float,
+    rng: Random,
+    avoid: str | None,
+) -> ServerState | None:
+    """Return where the pool sends a request now, or None while it must wait."""
+    if pool.pinned:
+        return _place_at_owner(pool.states[0], ticket, now_s)
+    if class_state.request_class.long:
+        states = pool.long_states or pool.states
+        return choose_server(states, now_s=now_s, rng=rng, avoid=avoid)
+    for state in pool.suspects:
+        if state.takes_probe(now_s, repeatable=ticket.repeatable):
+            return state
+    return choose_server(pool.short_states, now_s=now_s, rng=rng, avoid=avoid)
+
+
+def _place_at_owner(
+    state: ServerState, ticket: Ticket, now_s: float
+) -> ServerState | None:
+    if state.takes_probe(now_s, repeatable=ticket.repeatable):
+        return state
+    if not state.takes_pinned(now_s) or now_s < state.shed_until_s:
+        return None
+    return state if len(state.flights) < state.most_connections else None
--- /dev/null
+++ b/src/gentianwharf/load/_health.py
@@ -0,0 +1,112 @@
+"""What outcomes say about servers, and what follows from it."""
+
+from collections.abc import Callable
+
+from ._class_state import ClassState
+from ._pool import Pool
+from ._requests import Outcome, OutcomeKind, Ticket
+from ._server_state import (
+    FROZEN_S,
+    LEAST_OVERDUE_S,
+    MOST_RATIO,
+    OVERDUE_RATIO,
+    Flight,
+    ServerState,
+    Standing,
+)
+
+# What a server that sheds without naming a time is given.
+DEFAULT_SHED_S = 0.05
+
+PoolOf = Callable[[Ticket], Pool]
+
+
+def learn(
+    pool: Pool,
+    class_state: ClassState,
+    state: ServerState,
+    flight: Flight,
+    outcome: Outcome,
+    now_s: float,
+) -> None:
+    """Learn from the end of a request.
+
+    Long classes teach nothing about their server: an upload takes as long as its
+    caller sends.
+    """
+    kind = outcome.kind
+    if kind is OutcomeKind.SHED:
+        pool.limit.note_shed()
+        state.note_shed(now_s, outcome.retry_after_s or DEFAULT_SHED_S)
+    elif kind in (OutcomeKind.CONNECT_FAILED, OutcomeKind.TIMEOUT):
+        _judge(pool, state, flight, MOST_RATIO, now_s)
+    elif kind in (OutcomeKind.OK, OutcomeKind.SLOW):
+        state.answered_s = now_s
+        if pool.pinned and state.standing is Standing.SUSPECT:
+            # Its keys can be served nowhere else, so slow is better than not at all.
+            state.come_back(now_s)
+        ratio = class_state.note_answer(outcome.elapsed_s)
+        if not flight.long:
+            wanted_more = pool.waiting > 0
+            pool.limit.note_answer(elapsed_s=outcome.elapsed_s, wanted_more=wanted_more)
+            _judge(pool, state, flight, ratio, now_s)
+
+
+def judge_overdue(state: ServerState, pool_of: PoolOf, now_s: float) -> None:
+    """Count answers that are owed for too long before they come.
+
+    A frozen server gives no answers that could be judged: its callers would wait for
+    their deadline before anybody noticed.
+    """
+    for flight in list(state.flights.values()):
+        if flight.long:
+            continue
+        pool = pool_of(flight.ticket)
+        if flight.overdue and _is_frozen(state, flight, now_s):
+            _suspect(pool, state, now_s)
+        if flight.judged:
+            continue
+        class_state = pool.classes[flight.ticket.request_class]
+        overdue_s = max(LEAST_OVERDUE_S, OVERDUE_RATIO * class_state.median_s)
+        if not class_state.median_s or now_s - flight.started_s <= overdue_s:
+            continue
+        state.overdue += 1
+        flight.overdue = True
+        # It may never come back and must not hold the limit until then.
+        pool.note_end(class_state, flight)
+        _judge(pool, state, flight, MOST_RATIO, now_s)
+
+
+def _is_frozen(state: ServerState, flight: Flight, now_s: float) -> bool:
+    """Whether a server stopped answering; also for the owner of keys.
+
+    Requests sent to it would be lost or, if they may not repeat, of unknown outcome;
+    refused at once as not run, their callers can come back when the owner does or
+    the keys have moved.
+    """
+    if state.standing is not Standing.ACTIVE or not state.owes_since(flight):
+        return False
+    return now_s - flight.started_s > FROZEN_S
+
+
+def _judge(
+    pool: Pool, state: ServerState, flight: Flight, ratio: float, now_s: float
+) -> None:
+    if flight.judged:
+        return
+    flight.judged = True
+    state.note_ratio(ratio, now_s, probe=flight.probe)
+    # The only server of a pool: refusing all would be worse than its slowness.
+    if pool.pinned or not state.is_too_slow():
+        return
+    if state.is_silent() or pool.may_suspect_slow():
+        _suspect(pool, state, now_s)
+
+
+def _suspect(pool: Pool, state: ServerState, now_s: float) -> None:
+    state.suspect(now_s)
+    pool.note_suspects()
+    # What it owes must not hold the pool's limit while others are free.
+    for flight in state.flights.values():
+        if (flight.ticket.server is None) is not pool.pinned:
+            pool.note_end(pool.classes[flight.ticket.request_class], flight)
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -113,10 +113,6 @@
         waited_s = now_s - state.queue.since_s(ticket)
         return waited_s > longest_s or self.is_light(ticket)
 
-    def expected_wait_s(self, state: ClassState) -> float:
-        """Return how long a request that came now would wait."""
-        return len(state.queue) / self.turn_rate_per_s(state)
-
     def push(self, state: ClassState, ticket: Ticket, now_s: float) -> None:
         """Let a request wait."""
         if not len(state.queue):
@@ -138,12 +134,12 @@
                 best = state
         return best
 
-    def most_places(self, state: ClassState) -> int:
+    def most_places(self, state: ClassState, rate_per_s: float) -> int:
         """Return how many of the class are served within its longest wait."""
         longest_s = state.request_class.max_wait_ms / 1000
-        return max(LEAST_PLACES, int(longest_s * self.turn_rate_per_s(state)))
+        return max(LEAST_PLACES, int(longest_s * rate_per_s))
 
-    def places(self, state: ClassState) -> int:
+    def places(self, state: ClassState, most: int) -> int:
         """Return how many requests of the class may wait at this moment.
 
         While hardly any is refused, as many as the class's longest wait allows. The
@@ -151,20 +147,20 @@
         longer queue would only make everybody later: at ``r`` times the capacity an
         M/M/1 queue of K places is empty in about ``r ** -K`` of the time.
         """
-        most = float(self.most_places(state))
-        served = 1.0 - state.refused_share
-        if served < 1.0:
-            most = min(most, LOG_EMPTY_SHARE / log(max(served, LEAST_SERVED)))
-        return max(LEAST_PLACES, int(most))
+        served = max(LEAST_SERVED, 1.0 - state.refused_share)
+        if served == 1.0:
+            return most
+        return max(LEAST_PLACES, int(min(most, LOG_EMPTY_SHARE / log(served))))
 
     def turn_rate_per_s(self, state: ClassState) -> float:
         """Return how many of the class can start a second while others wait too."""
-        total = sum(
-            one.request_class.weight
-            for one in self.classes.values()
-            if one is state or len(one.queue)
-        )
-        share = min(state.request_class.slot_share, state.request_class.weight / total)
+        weight = state.request_class.weight
+        total = weight
+        if self.waiting > len(state.queue):
+            for one in self.classes.values():
+                if one is not state and len(one.queue):
+                    total += one.request_class.weight
+        share = min(state.request_class.slot_share, weight / total)
         return max(1.0, self.limit.value * share) / max(state.mean_s, LEAST_MEAN_S)
 
     def note_start(self, state: ClassState, flight: Flight, now_s: float) -> None:
@@ -197,6 +193,10 @@
         else:
             self.short_in_flight -= 1
 
+    def is_gone(self, now_s: float) -> bool:
+        """Whether waiting is in vain: the only server is frozen or has left."""
+        return self.pinned and not self.states[0].takes_pinned(now_s)
+
     def may_suspect_slow(self) -> bool:
         """Whether one more server may be set apart for being slower than the rest.
 
--- /dev/null
+++ b/src/gentianwharf/load/_registry.py
@@ -0,0 +1,120 @@
+"""The tables of servers, pools and retry budgets of one daemon."""
+
+from collections.abc import Iterable, Mapping
+from random import Random
+from typing import final
+
+from gentianwharf.topology import BackendServer, Service
+
+from ._budget import RetryBudget
+from ._pool import Pool
+from ._requests import RequestClass, Ticket
+from ._server_state import ServerState
+
+PoolKey = tuple[str, str | None]
+
+
+@final
+class Registry:
+    """Rows are added and dropped here; the systems that run over them are elsewhere.
+
+    A pool's key is its service and, for requests bound to one server, that server.
+    """
+
+    def __init__(
+        self,
+        *,
+        services: Iterable[Service],
+        classes: Iterable[RequestClass],
+        domain: str,
+        rng: Random,
+        daemons: int,
+    ) -> None:
+        self._domain = domain
+        self._rng = rng
+        self._daemons = max(1, daemons)
+        self._classes: Mapping[str, RequestClass] = {one.name: one for one in classes}
+        self.servers: dict[str, ServerState] = {}
+        self.pools: dict[PoolKey, Pool] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        for service in services:
+            self._add_service(service)
+
+    def pool_of(self, ticket: Ticket) -> Pool:
+        """Return the pool of a request whose service or server is known."""
+        pool = self.pools.get((ticket.service, ticket.server))
+        if pool is None:
+            assert ticket.server is not None, "a pool of a whole service always stands"
+            states = [self.servers[ticket.server]]
+            pool = self._make_pool(ticket.service, states, pinned=True)
+            self.pools[ticket.service, ticket.server] = pool
+        return pool
+
+    def set_servers(
+        self, service: str, servers: Iterable[BackendServer], now_s: float
+    ) -> Pool | None:
+        """Follow a service's servers; return the pool that they share, if any."""
+        wanted = {one.id: one for one in servers}
+        for state in self._states_of(service):
+            state.note_listed(state.server.id in wanted, now_s)
+        for server in wanted.values():
+            if server.id not in self.servers:
+                self._add_server(server).ramp_from_s = now_s
+        for state in self._states_of(service):
+            self.drop_if_gone(state)
+        pool = self.pools.get((service, None))
+        if pool is not None:
+            pool.set_states(self._states_of(service))
+        return pool
+
+    def drop_if_gone(self, state: ServerState) -> None:
+        """Drop the row of a server that has left, once nothing is in flight there."""
+        if state.listed or state.flights or state.server.id not in self.servers:
+            return
+        service = state.server.service
+        del self.servers[state.server.id]
+        pool = self.pools.get((service, None))
+        if pool is not None:
+            pool.set_states([one for one in pool.states if one is not state])
+
+    def drop_idle_pools(self) -> None:
+        """Drop pools of single servers that are gone, so that the table is bounded."""
+        idle = [
+            key
+            for key, pool in self.pools.items()
+            if key[1] is not None and key[1] not in self.servers and not pool.waiting
+        ]
+        for key in idle:
+            del self.pools[key]
+
+    def _add_service(self, service: Service) -> None:
+        self.budgets[service.name] = RetryBudget()
+        states = [self._add_server(server) for server in service.servers]
+        if not service.keyed:
+            self.pools[service.name, None] = self._make_pool(service.name, states)
+
+    def _add_server(self, server: BackendServer) -> ServerState:
+        state = ServerState(
+            server=server,
+            local=server.domain == self._domain,
+            # All daemons together must stay within what the server accepts; each
+            # counts its own and asks nobody.
+            most_connections=max(1, server.connections // self._daemons),
+        )
+        self.servers[server.id] = state
+        return state
+
+    def _make_pool(
+        self, service: str, states: list[ServerState], *, pinned: bool = False
+    ) -> Pool:
+        return Pool(
+            service=service,
+            states=states,
+            classes=self._classes,
+            daemons=self._daemons,
+            rng=self._rng,
+            pinned=pinned,
+        )
+
+    def _states_of(self, service: str) -> list[ServerState]:
+        return [one for one in self.servers.values() if one.server.service == service]
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -32,9 +32,14 @@
 OVERDUE_RATIO = 8.0
 # ... but never below this, which loss and repetition of a packet alone can take.
 LEAST_OVERDUE_S = 0.05
+# As long as a busy server takes to collect garbage or to reload.
+MEMORY_S = 5.0
 FIRST_PROBE_S = 0.5
 MOST_PROBE_S = 8.0
 GOOD_PROBES = 3
+# A server that owes an overdue answer and has given none at all for this long is
+# frozen. Longer than any pause of a server that collects garbage or reloads.
+FROZEN_S = 1.0
 # A request that must not repeat is no probe unless the server has shown life since.
 BLIND_PROBE_S = 30.0
 RAMP_S = 5.0
@@ -84,10 +89,14 @@
     probe_wait_s: float = FIRST_PROBE_S
     good_probes: int = 0
     suspect_since_s: float = 0.0
-    shown_life_s: float = 0.0
+    answered_s: float = 0.0
+    reported_s: float = 0.0
     leaving_since_s: float = 0.0
+    listed: bool = True
+    draining: bool = False
     shed_until_s: float = 0.0
     answers: int = 0
+    forgot_s: float = 0.0
     overdue: int = 0
 
     def share(self, now_s: float) -> float:
@@ -121,7 +130,7 @@
         """Whether the next request should find out if a suspect has recovered."""
         if self.standing is not Standing.SUSPECT or now_s < self.probe_at_s:
             return False
-        if repeatable or self.shown_life_s > self.suspect_since_s:
+        if repeatable or max(self.answered_s, self.reported_s) > self.suspect_since_s:
             return True
         return now_s > self.suspect_since_s + BLIND_PROBE_S
 
@@ -139,14 +148,28 @@
             return
         self.ratio += (ratio - self.ratio) * RATIO_SMOOTHING
 
+    def forget(self, now_s: float) -> None:
+        """Let slow answers count for less with time.
+
+        A server that seems slow is passed over while the others have room, and then
+        has no answers that could show that it is well again.
+        """
+        part = min(1.0, (now_s - self.forgot_s) / MEMORY_S)
+        self.ratio += (USUAL_RATIO - self.ratio) * part
+        self.forgot_s = now_s
+
     def is_too_slow(self) -> bool:
         """Whether its answers make it a suspect."""
         return self.standing is Standing.ACTIVE and self.ratio > SUSPECT_RATIO
 
+    def owes_since(self, flight: Flight) -> bool:
+        """Whether nothing came back since this request was sent."""
+        return self.answered_s < flight.started_s
+
     def is_silent(self) -> bool:
         """Whether nothing came back since the oldest request that it still owes."""
         oldest = next(iter(self.flights.values()), None)
-        return oldest is not None and self.shown_life_s < oldest.started_s
+        return oldest is not None and self.owes_since(oldest)
 
     def suspect(self, now_s: float) -> None:
         """Stop sending work to it, but for probes."""
@@ -160,11 +183,27 @@
         """Believe a server that says it is full, for a bounded time."""
         self.shed_until_s = now_s + min(wait_s, LONGEST_SHED_S)
 
-    def leave(self, now_s: float) -> None:
-        """No new work from now on."""
-        if self.standing is not Standing.LEAVING:
+    def note_listed(self, listed: bool, now_s: float) -> None:
+        """Follow the list of the service's servers."""
+        self.listed = listed
+        self._follow_leaving(now_s)
+
+    def note_draining(self, draining: bool, now_s: float) -> None:
+        """Follow the server's own word that it is leaving.
+
+        The list lags behind: it may name the server for long after that, and must
+        not bring it back.
+        """
+        self.draining = draining
+        self._follow_leaving(now_s)
+
+    def _follow_leaving(self, now_s: float) -> None:
+        leaving = self.draining or not self.listed
+        if leaving and self.standing is not Standing.LEAVING:
             self.standing = Standing.LEAVING
             self.leaving_since_s = now_s
+        elif not leaving and self.standing is Standing.LEAVING:
+            self.come_back(now_s)
 
     def come_back(self, now_s: float) -> None:
         """Take work again, beginning with little."""
--- a/src/gentianwharf/load/_snapshot.py
+++ b/src/gentianwharf/load/_snapshot.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 from typing import final
 
+from ._pool import Pool
 from ._requests import RefuseReason
-from ._server_state import Standing
+from ._server_state import ServerState, Standing
 
 
 @final
@@ -57,3 +58,36 @@
     retried: int
     hedged: int
     retries_saved: dict[str, float]
+
+
+def pool_snapshot(key: tuple[str, str | None], pool: Pool) -> PoolSnapshot:
+    """Return a pool as seen from outside."""
+    return PoolSnapshot(
+        service=key[0],
+        server=key[1],
+        limit=pool.limit.value,
+        in_flight=pool.short_in_flight + pool.long_in_flight,
+        long_servers=len(pool.long_states),
+        classes=tuple(
+            ClassSnapshot(
+                name=name,
+                waiting=len(one.queue),
+                in_flight=one.in_flight,
+                mean_ms=one.mean_s * 1000,
+                expected_wait_ms=len(one.queue) / pool.turn_rate_per_s(one) * 1000,
+            )
+            for name, one in pool.classes.items()
+        ),
+    )
+
+
+def server_snapshot(state: ServerState) -> ServerSnapshot:
+    """Return a server as seen from outside."""
+    return ServerSnapshot(
+        id=state.server.id,
+        service=state.server.service,
+        standing=state.standing,
+        in_flight=len(state.flights),
+        slowness=state.ratio,
+        ramping=state.ramp_from_s is not None,
+    )
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -48,6 +48,15 @@
     assert gate.finished("running", build.ok(), 0.7) == []
 
 
+def test_late_waiter_is_not_started_when_a_slot_becomes_free() -> None:
+    gate = build.gate(build.service(servers=1, slots=1))
+    gate.submit(build.ticket("running"), 0.0)
+    gate.submit(build.ticket("late", deadline_s=0.5), 0.0)
+    (refused,) = gate.finished("running", build.ok(), 0.6)
+    assert isinstance(refused, Refuse)
+    assert refused.reason is RefuseReason.DEADLINE
+
+
 def test_cancelled_waiter_leaves_its_place() -> None:
     gate = build.gate(build.service(servers=1, slots=1))
     for name in ("running", "gone", "next"):
