loadtool: open-loop load of both deployments, each answer checked

Ruled out: timing from the moment of sending, which shows a stall once instead of for every request due in it (test_a_stall_counts_for_every_request_that_was_due_in_it compares both); callLater(0) in the pump, under which a virtual clock stands still for ever (the first test run hung on it).

--- a/src/gentianwharf/loadtool/__init__.py
+++ b/src/gentianwharf/loadtool/__init__.py
@@ -1,1 +1,44 @@
-"""The load tool ``gentianwharf-load``."""
+"""The load tool ``gentianwharf-load``.
+
+Open-loop: requests go out at their planned time, whatever the answers do, and are
+timed from that moment. Each answer is checked to be whole and its own request's.
+"""
+
+from ._judge import Judgement, Received, Verdict, judge
+from ._main import app, exit_code, main, run_load
+from ._mix import BRAZOS_BEND, MIXES, TUNIS, Mix, RequestKind
+from ._plan import PlannedRequest, plan, zipf_weights
+from ._report import LoadReport, Times, make_report
+from ._runner import LoadRun
+from ._sender import AgentSender, Sender, SendError
+from ._tally import LoadTally
+from ._target import Bounds, Target
+
+__all__ = [
+    "BRAZOS_BEND",
+    "MIXES",
+    "TUNIS",
+    "AgentSender",
+    "Bounds",
+    "Judgement",
+    "LoadReport",
+    "LoadRun",
+    "LoadTally",
+    "Mix",
+    "PlannedRequest",
+    "Received",
+    "RequestKind",
+    "SendError",
+    "Sender",
+    "Target",
+    "Times",
+    "Verdict",
+    "app",
+    "exit_code",
+    "judge",
+    "main",
+    "make_report",
+    "plan",
+    "run_load",
+    "zipf_weights",
+]
--- /dev/null
+++ b/src/gentianwharf/loadtool/_judge.py
@@ -0,0 +1,104 @@
+"""Whether an answer is whole and belongs to its request."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, final
+
+import msgspec
+
+from ._plan import PlannedRequest
+
+
+class Verdict(StrEnum):
+    """What a caller got."""
+
+    SERVED = "served"
+    NOT_RUN = "refused, not run"
+    UNKNOWN = "unknown whether it ran"
+    FAILED = "failed at the server"
+    WRONG_ANSWER = "another request's answer"
+    BROKEN = "broken answer"
+    RAN_TWICE = "ran twice"
+    TIMEOUT = "no answer within the limit"
+    NOT_CONNECTED = "not connected"
+
+
+# What must never happen, however busy the router is.
+VIOLATIONS = frozenset({Verdict.WRONG_ANSWER, Verdict.RAN_TWICE})
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Received:
+    """An answer as it came; ``whole`` is false when it ended before its length."""
+
+    status: int
+    content_type: str
+    request_id: str
+    body: bytes
+    whole: bool
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Judgement:
+    """The verdict, what was wrong, and the server and id that the answer names."""
+
+    verdict: Verdict
+    reason: str = ""
+    server: str = ""
+    request_id: str = ""
+
+
+def judge(request: PlannedRequest, received: Received) -> Judgement:
+    """Compare an answer with its request."""
+    if not received.whole:
+        return Judgement(verdict=Verdict.BROKEN, reason="ended before its length")
+    if not received.content_type.startswith(("application/json", "application/prob")):
+        return Judgement(
+            verdict=Verdict.BROKEN,
+            reason=f"expected JSON, got {received.content_type or 'no type'}",
+        )
+    try:
+        fields = msgspec.json.decode(received.body)
+    except msgspec.DecodeError as error:
+        return Judgement(verdict=Verdict.BROKEN, reason=f"not JSON: {error}")
+    if not isinstance(fields, dict):
+        return Judgement(verdict=Verdict.BROKEN, reason="not a JSON object")
+    if received.status >= 400:
+        return _judge_refusal(received, fields)
+    return _judge_served(request, received, fields)
+
+
+def _judge_refusal(received: Received, fields: dict[str, Any]) -> Judgement:
+    verdicts = {"not-run": Verdict.NOT_RUN, "unknown": Verdict.UNKNOWN}
+    verdict = verdicts.get(str(fields.get("run")), Verdict.FAILED)
+    return Judgement(
+        verdict=verdict,
+        reason=f"{received.status} {fields.get('title', '')}".strip(),
+        request_id=received.request_id,
+    )
+
+
+def _judge_served(
+    request: PlannedRequest, received: Received, fields: dict[str, Any]
+) -> Judgement:
+    expected = {"service": request.kind.service}
+    if request.kind.keyed:
+        expected["key"] = request.key
+    if received.request_id:
+        expected["request_id"] = received.request_id
+    for name, value in expected.items():
+        if fields.get(name) != value:
+            return Judgement(
+                verdict=Verdict.WRONG_ANSWER,
+                reason=f"{name}: expected {value!r}, got {fields.get(name)!r}",
+            )
+    runs = fields.get("runs", 1)
+    if request.kind.once and isinstance(runs, int) and runs > 1:
+        return Judgement(verdict=Verdict.RAN_TWICE, reason=f"runs is {runs}")
+    return Judgement(
+        verdict=Verdict.SERVED,
+        server=str(fields.get("server", "")),
+        request_id=str(fields.get("request_id", "")),
+    )
--- /dev/null
+++ b/src/gentianwharf/loadtool/_plan.py
@@ -0,0 +1,61 @@
+"""An open-loop plan: when each request starts does not depend on any answer."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import accumulate
+from random import Random
+from typing import final
+
+from ._mix import Mix, RequestKind
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlannedRequest:
+    """One request and when it is due, counted from the start of the run."""
+
+    number: int
+    due_s: float
+    kind: RequestKind
+    key: str
+
+    @property
+    def path(self) -> str:
+        """The path with its key."""
+        return self.kind.path.format(key=self.key)
+
+
+def plan(
+    mix: Mix, *, rate_per_s: float, duration_s: float, random: Random
+) -> Iterator[PlannedRequest]:
+    """Yield requests with exponential gaps, so that arrivals are Poisson.
+
+    >>> from gentianwharf.loadtool import MIXES
+    >>> first = next(plan(MIXES["tunis"], rate_per_s=100, duration_s=1,
+    ...                   random=Random(1)))
+    >>> first.path
+    '/inscription/faculte-574/places'
+    """
+    key_weights = list(accumulate(zipf_weights(mix.keys, mix.zipf_exponent)))
+    kind_weights = list(accumulate(kind.share for kind in mix.kinds))
+    ranks = range(1, mix.keys + 1)
+    due_s = 0.0
+    number = 0
+    while True:
+        due_s += random.expovariate(rate_per_s)
+        if due_s >= duration_s:
+            return
+        (rank,) = random.choices(ranks, cum_weights=key_weights)
+        (kind,) = random.choices(mix.kinds, cum_weights=kind_weights)
+        key = f"{mix.key_prefix}-{rank}"
+        yield PlannedRequest(number=number, due_s=due_s, kind=kind, key=key)
+        number += 1
+
+
+def zipf_weights(count: int, exponent: float) -> list[float]:
+    """Return the weight of each rank, the most wanted first.
+
+    >>> zipf_weights(3, 1.0)
+    [1.0, 0.5, 0.3333333333333333]
+    """
+    return [rank**-exponent for rank in range(1, count + 1)]
--- /dev/null
+++ b/src/gentianwharf/loadtool/_report.py
@@ -0,0 +1,117 @@
+"""The report of a run: data, text and JSON."""
+
+from dataclasses import dataclass
+from typing import final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from gentianwharf.metrics import imbalance, value_at_s
+
+from ._tally import LoadTally
+
+MILLISECONDS = 1_000
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Times:
+    """Percentiles in milliseconds, and the histogram to add to others."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+    encoded: str
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadReport:
+    """What callers received.
+
+    ``classes`` holds the times of served requests from when they were due,
+    ``refused`` those of refusals as not run, ``sent`` those of all from when they
+    were sent. A great gap between ``sent`` and ``classes`` means that the load tool
+    or its connections were the bottleneck.
+    """
+
+    mix: str
+    seed: int
+    offered_per_s: float
+    served_per_s: float
+    duration_s: float
+    verdicts: dict[str, dict[str, int]]
+    classes: dict[str, Times]
+    refused: Times
+    sent: Times
+    imbalance: dict[str, float]
+    examples: dict[str, list[str]]
+    violations: int
+
+    def as_json(self) -> str:
+        """Return the report as one JSON object."""
+        return msgspec.json.encode(self).decode()
+
+    def as_text(self) -> str:
+        """Return the report as lines for a person."""
+        lines = [
+            f"{self.mix}, seed {self.seed}: offered {self.offered_per_s:.0f}/s,"
+            f" served {self.served_per_s:.0f}/s over {self.duration_s:.1f} s",
+            f"{'class':<14}{'served':>9}{'p50 ms':>10}{'p99 ms':>10}"
+            f"{'p99.9 ms':>10}{'max ms':>10}",
+        ]
+        lines += [_row(name, times) for name, times in sorted(self.classes.items())]
+        lines += [_row("(refused)", self.refused), _row("(as sent)", self.sent)]
+        for request_class, counts in sorted(self.verdicts.items()):
+            parts = [f"{name} {count}" for name, count in sorted(counts.items())]
+            lines.append(f"{request_class}: {', '.join(parts)}")
+        for service, value in sorted(self.imbalance.items()):
+            lines.append(f"{service}: imbalance {value:.2f} (max/mean)")
+        for verdict, examples in sorted(self.examples.items()):
+            lines += [f"{verdict}: {example}" for example in examples]
+        lines.append(f"violations: {self.violations}")
+        return "\n".join(lines)
+
+
+def make_report(
+    tally: LoadTally, *, mix: str, seed: int, offered_per_s: float
+) -> LoadReport:
+    """Work the report out of a tally."""
+    verdicts: dict[str, dict[str, int]] = {}
+    for (request_class, verdict), count in tally.verdicts.items():
+        verdicts.setdefault(request_class, {})[str(verdict)] = count
+    served = sum(times.get_total_count() for times in tally.elapsed.values())
+    return LoadReport(
+        mix=mix,
+        seed=seed,
+        offered_per_s=offered_per_s,
+        served_per_s=served / tally.duration_s if tally.duration_s else 0.0,
+        duration_s=tally.duration_s,
+        verdicts=verdicts,
+        classes={name: _times(one) for name, one in tally.elapsed.items()},
+        refused=_times(tally.refused),
+        sent=_times(tally.service_time),
+        imbalance={name: imbalance(counts) for name, counts in tally.servers.items()},
+        examples={str(verdict): lines for verdict, lines in tally.examples.items()},
+        violations=tally.violations,
+    )
+
+
+def _times(histogram: HdrHistogram) -> Times:
+    return Times(
+        count=histogram.get_total_count(),
+        p50_ms=value_at_s(histogram, 50) * MILLISECONDS,
+        p99_ms=value_at_s(histogram, 99) * MILLISECONDS,
+        p999_ms=value_at_s(histogram, 99.9) * MILLISECONDS,
+        max_ms=value_at_s(histogram, 100) * MILLISECONDS,
+        encoded=histogram.encode().decode(),
+    )
+
+
+def _row(name: str, times: Times) -> str:
+    return (
+        f"{name:<14}{times.count:>9}{times.p50_ms:>10.2f}{times.p99_ms:>10.2f}"
+        f"{times.p999_ms:>10.2f}{times.max_ms:>10.2f}"
+    )
--- /dev/null
+++ b/src/gentianwharf/loadtool/_runner.py
@@ -0,0 +1,97 @@
+"""Sending of planned requests at their time, whatever the answers do."""
+
+from collections import deque
+from collections.abc import Iterator
+from typing import final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from ._judge import Judgement, judge
+from ._plan import PlannedRequest
+from ._sender import Sender, SendError
+from ._tally import LoadTally
+
+# The loop's poll rounds a wait up to whole milliseconds, which would make requests
+# up to 1 ms late; for so long before a request is due, the loop turns without wait.
+SPIN_S = 0.002
+# Has passed by the time the loop looks, and lets a test's clock move on; with 0 a
+# virtual clock would stand still for ever.
+SPIN_STEP_S = 1e-6
+
+
+@final
+class LoadRun:
+    """One run: plan in, tally out.
+
+    Elapsed time counts from when a request was *due*. When every connection is
+    busy, a request waits here and the wait counts: timing from the moment of sending
+    would leave out just the requests that a stall held up (coordinated omission).
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        sender: Sender,
+        planned: Iterator[PlannedRequest],
+        connections: int,
+    ) -> None:
+        self._clock = clock
+        self._sender = sender
+        self._planned = planned
+        self._connections = connections
+        self._next = next(planned, None)
+        self._waiting: deque[PlannedRequest] = deque()
+        self._in_flight = 0
+        self._started_s = 0.0
+        self._done: Deferred[None] = Deferred()
+        self.tally = LoadTally()
+
+    async def run(self) -> LoadTally:
+        """Send everything, wait for the last answer and return the tally."""
+        self._started_s = self._clock.seconds()
+        self._pump()
+        await self._done
+        self.tally.duration_s = self._clock.seconds() - self._started_s
+        return self.tally
+
+    def _pump(self) -> None:
+        now_s = self._clock.seconds() - self._started_s
+        while self._next is not None and self._next.due_s <= now_s:
+            self._waiting.append(self._next)
+            self._next = next(self._planned, None)
+        self._send_waiting()
+        if self._next is None:
+            self._finish_if_idle()
+            return
+        wait_s = self._next.due_s - now_s
+        self._clock.callLater(max(wait_s - SPIN_S, SPIN_STEP_S), self._pump)
+
+    def _send_waiting(self) -> None:
+        while self._waiting and self._in_flight < self._connections:
+            self._in_flight += 1
+            sending = Deferred.fromCoroutine(self._send(self._waiting.popleft()))
+            sending.addErrback(self._done.errback)
+
+    async def _send(self, request: PlannedRequest) -> None:
+        sent_s = self._clock.seconds() - self._started_s
+        try:
+            judgement = judge(request, await self._sender.send(request))
+        except SendError as error:
+            judgement = Judgement(verdict=error.verdict, reason=str(error))
+        done_s = self._clock.seconds() - self._started_s
+        self.tally.add(
+            request,
+            judgement,
+            elapsed_s=done_s - request.due_s,
+            service_s=done_s - sent_s,
+        )
+        self._in_flight -= 1
+        self._send_waiting()
+        self._finish_if_idle()
+
+    def _finish_if_idle(self) -> None:
+        idle = self._next is None and not self._waiting and self._in_flight == 0
+        if idle and not self._done.called:
+            self._done.callback(None)
--- /dev/null
+++ b/src/gentianwharf/loadtool/_tally.py
@@ -0,0 +1,85 @@
+"""What callers received, added up."""
+
+from collections import Counter
+from typing import final
+
+from hdrh.histogram import HdrHistogram
+
+from gentianwharf.metrics import new_histogram, record_s
+
+from ._judge import VIOLATIONS, Judgement, Verdict
+from ._plan import PlannedRequest
+
+MOST_EXAMPLES = 5
+
+
+@final
+class LoadTally:
+    """Verdicts, times per class, and load per server of one run."""
+
+    def __init__(self) -> None:
+        self.duration_s = 0.0
+        self.verdicts: Counter[tuple[str, Verdict]] = Counter()
+        self.servers: dict[str, Counter[str]] = {}
+        self.examples: dict[Verdict, list[str]] = {}
+        self.elapsed: dict[str, HdrHistogram] = {}
+        self.refused = new_histogram()
+        self.service_time = new_histogram()
+        self._request_ids: set[str] = set()
+
+    @property
+    def violations(self) -> int:
+        """How many answers were another's, or came of a request that ran twice."""
+        return sum(
+            count
+            for (_, verdict), count in self.verdicts.items()
+            if verdict in VIOLATIONS
+        )
+
+    def add(
+        self,
+        request: PlannedRequest,
+        judgement: Judgement,
+        *,
+        elapsed_s: float,
+        service_s: float,
+    ) -> None:
+        """Take in one outcome; times run from when the request was due and sent."""
+        judgement = self._seen_before(judgement)
+        request_class = request.kind.request_class
+        self.verdicts[request_class, judgement.verdict] += 1
+        record_s(self.service_time, service_s)
+        if judgement.verdict is Verdict.SERVED:
+            self._add_served(request, judgement, elapsed_s)
+            return
+        if judgement.verdict is Verdict.NOT_RUN:
+            record_s(self.refused, elapsed_s)
+        examples = self.examples.setdefault(judgement.verdict, [])
+        if len(examples) < MOST_EXAMPLES:
+            examples.append(f"{request.kind.method} {request.path}: {judgement.reason}")
+
+    def _add_served(
+        self, request: PlannedRequest, judgement: Judgement, elapsed_s: float
+    ) -> None:
+        request_class = request.kind.request_class
+        if request_class not in self.elapsed:
+            self.elapsed[request_class] = new_histogram()
+        record_s(self.elapsed[request_class], elapsed_s)
+        counts = self.servers.setdefault(request.kind.service, Counter())
+        counts[judgement.server] += 1
+
+    def _seen_before(self, judgement: Judgement) -> Judgement:
+        """Return a violation when another answer had the same request id.
+
+        Two requests for one key get bodies that differ in the id alone, so that
+        crossed answers show in nothing else.
+        """
+        if not judgement.request_id:
+            return judgement
+        if judgement.request_id in self._request_ids:
+            return Judgement(
+                verdict=Verdict.WRONG_ANSWER,
+                reason=f"request id {judgement.request_id} came twice",
+            )
+        self._request_ids.add(judgement.request_id)
+        return judgement
--- /dev/null
+++ b/tests/test_loadtool_judge.py
@@ -0,0 +1,78 @@
+"""Judging of answers: whole, and its own request's."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from gentianwharf.loadtool import LoadTally, Verdict, judge
+from tests.builders_loadtool import received, request
+
+
+@pytest.mark.parametrize(
+    ("changes", "verdict"),
+    [
+        pytest.param({}, Verdict.SERVED, id="right"),
+        pytest.param({"whole": False}, Verdict.BROKEN, id="cut-short"),
+        pytest.param({"body": b'{"servi'}, Verdict.BROKEN, id="half-json"),
+        pytest.param({"body": b"[]"}, Verdict.BROKEN, id="not-an-object"),
+        pytest.param({"content_type": "text/html"}, Verdict.BROKEN, id="html"),
+        pytest.param(
+            {"fields": {"key": "faculte-2"}}, Verdict.WRONG_ANSWER, id="other-key"
+        ),
+        pytest.param(
+            {"fields": {"service": "documents"}},
+            Verdict.WRONG_ANSWER,
+            id="other-service",
+        ),
+        pytest.param(
+            {"request_id": "id-2"}, Verdict.WRONG_ANSWER, id="other-request-id"
+        ),
+        pytest.param(
+            {"status": 503, "body": b'{"run":"not-run"}'}, Verdict.NOT_RUN, id="refused"
+        ),
+        pytest.param(
+            {"status": 504, "body": b'{"run":"unknown"}'}, Verdict.UNKNOWN, id="unknown"
+        ),
+        pytest.param({"status": 500, "body": b"{}"}, Verdict.FAILED, id="failed"),
+    ],
+)
+def test_verdict(changes: dict[str, Any], verdict: Verdict) -> None:
+    assert judge(request(), received(**changes)).verdict is verdict
+
+
+@pytest.mark.parametrize(
+    ("kind", "verdict"),
+    [
+        pytest.param(1, Verdict.RAN_TWICE, id="must-run-once"),
+        pytest.param(0, Verdict.SERVED, id="may-repeat"),
+    ],
+)
+def test_second_run_is_a_violation_only_where_it_must_not_be(
+    kind: int, verdict: Verdict
+) -> None:
+    planned = request(kind)
+    fields = {"service": planned.kind.service, "runs": 2}
+    assert judge(planned, received(fields=fields)).verdict is verdict
+
+
+def test_crossed_answers_of_one_key_show_in_the_request_id() -> None:
+    """Two families ask for one faculty and both get the first one's answer.
+
+    The bodies differ in the request id alone, so that service and key look right;
+    only the id that comes a second time tells.
+    """
+    tally = LoadTally()
+    for _ in range(2):
+        judgement = judge(request(), received())
+        tally.add(request(), judgement, elapsed_s=0.01, service_s=0.01)
+    assert tally.violations == 1
+
+
+def test_example_of_a_verdict_names_request_and_reason() -> None:
+    tally = LoadTally()
+    body = msgspec.json.encode({"run": "not-run", "title": "queue full"})
+    judgement = judge(request(), received(status=503, body=body))
+    tally.add(request(), judgement, elapsed_s=0.01, service_s=0.01)
+    expected = "GET /calendrier/faculte-1/seances: 503 queue full"
+    assert tally.examples[Verdict.NOT_RUN] == [expected]
--- /dev/null
+++ b/tests/test_loadtool_plan.py
@@ -0,0 +1,26 @@
+"""The plan: seeded, Poisson, Zipf, in the mix's shares."""
+
+from collections import Counter
+
+import pytest
+
+from tests.builders_loadtool import planned
+
+
+def test_same_seed_gives_the_same_plan() -> None:
+    assert planned(500, 2) == planned(500, 2)
+
+
+def test_plan_keeps_rate_shares_and_zipf_law() -> None:
+    requests = planned(10_000, 2)
+    assert len(requests) == pytest.approx(20_000, rel=0.05)
+    kinds = Counter(request.kind.request_class for request in requests)
+    assert kinds["consultation"] / len(requests) == pytest.approx(0.72, abs=0.02)
+    keys = Counter(request.key for request in requests)
+    assert keys["faculte-1"] / keys["faculte-10"] == pytest.approx(10, rel=0.3)
+
+
+def test_arrivals_do_not_wait_for_answers() -> None:
+    dues_s = [request.due_s for request in planned(1_000, 1)]
+    assert dues_s == sorted(dues_s)
+    assert dues_s[-1] < 1
--- /dev/null
+++ b/tests/test_loadtool_run.py
@@ -0,0 +1,162 @@
+"""Runs: coordinated omission, bounds, and the command against real sockets."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any, final
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from gentianwharf.errors import InputError
+from gentianwharf.loadtool import (
+    Bounds,
+    LoadRun,
+    LoadTally,
+    PlannedRequest,
+    Received,
+    SendError,
+    Target,
+    Verdict,
+    make_report,
+)
+from tests.builders_loadtool import received, request
+
+COMMAND = [sys.executable, "-c", "from gentianwharf.loadtool import main; main()"]
+
+
+@final
+class SlowSender:
+    """Answers after a time; the first request stalls."""
+
+    def __init__(self, *, clock: Clock, stall_s: float, normal_s: float) -> None:
+        self._clock = clock
+        self._times_s = iter([stall_s])
+        self._normal_s = normal_s
+        self._sent = 0
+
+    async def send(self, planned: PlannedRequest) -> Received:
+        """Answer when its time has come."""
+        answered: Deferred[None] = Deferred()
+        delay_s = next(self._times_s, self._normal_s)
+        self._clock.callLater(delay_s, answered.callback, None)
+        await answered
+        self._sent += 1
+        request_id = f"id-{self._sent}"
+        return received(request_id=request_id, fields={"request_id": request_id})
+
+
+@final
+class UnreachableSender:
+    """Reaches nobody."""
+
+    async def send(self, planned: PlannedRequest) -> Received:
+        """Fail at once."""
+        raise SendError("refused", verdict=Verdict.NOT_CONNECTED)
+
+
+def run(clock: Clock, sender: Any, count: int) -> LoadTally:
+    planned = iter([request(due_s=number * 0.01) for number in range(count)])
+    load = LoadRun(clock=clock, sender=sender, planned=planned, connections=1)
+    results: list[LoadTally] = []
+    Deferred.fromCoroutine(load.run()).addCallback(results.append)
+    clock.pump([0.001] * 3_000)
+    (tally,) = results
+    return tally
+
+
+def test_a_stall_counts_for_every_request_that_was_due_in_it() -> None:
+    """A server stalls for a second; the report calls one request in 100 slow.
+
+    One connection is busy, the requests due meanwhile wait for it, and are timed
+    from when they are sent: the stall shows once instead of for all of them.
+    """
+    clock = Clock()
+    tally = run(clock, SlowSender(clock=clock, stall_s=1.0, normal_s=0.001), count=100)
+    report = make_report(tally, mix="tunis", seed=1, offered_per_s=100)
+    assert report.sent.p50_ms < 5
+    assert report.classes["consultation"].p50_ms > 400
+
+
+def test_unreachable_target_ends_the_run() -> None:
+    tally = run(Clock(), UnreachableSender(), count=3)
+    assert tally.verdicts["consultation", Verdict.NOT_CONNECTED] == 3
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["10.0.0.1:8080", "gateway:80", "127.0.0.1", "127.0.0.1:0", "8.8.8.8:80", ""],
+)
+def test_load_goes_to_loopback_only(text: str) -> None:
+    with pytest.raises(InputError, match="loopback"):
+        Target.parse(text)
+
+
+@pytest.mark.parametrize(
+    ("rate_per_s", "duration_s", "connections", "named"),
+    [
+        pytest.param(30_000, 1, 1, "rate_per_s", id="rate"),
+        pytest.param(1, 601, 1, "duration_s", id="duration"),
+        pytest.param(1, 1, 513, "connections", id="connections"),
+        pytest.param(20_000, 600, 1, "rate x duration", id="count"),
+        pytest.param(0, 1, 1, "rate_per_s", id="nothing"),
+    ],
+)
+def test_run_is_bounded(
+    rate_per_s: float, duration_s: float, connections: int, named: str
+) -> None:
+    with pytest.raises(InputError, match=named):
+        Bounds(rate_per_s=rate_per_s, duration_s=duration_s, connections=connections)
+
+
+@contextmanager
+def answering(*arguments: str) -> Iterator[str]:
+    command = [sys.executable, "-m", "tests.builders_loadtool", *arguments]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        assert process.stdout is not None
+        try:
+            yield f"127.0.0.1:{int(process.stdout.readline())}"
+        finally:
+            process.kill()
+
+
+def command(target: str, *options: str) -> subprocess.CompletedProcess[str]:
+    arguments = [*COMMAND, "--target", target, "--rate-per-s", "100", *options]
+    return subprocess.run(
+        [*arguments, "--duration-s", "1"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+def test_command_reports_what_callers_received() -> None:
+    with answering() as target:
+        result = command(target, "--json")
+    assert result.returncode == 0, result.stderr
+    report = json.loads(result.stdout)
+    assert report["violations"] == 0
+    assert set(report["verdicts"]["reservation"]) == {"served"}
+    assert report["imbalance"]["calendrier"] < 2
+
+
+def test_command_finds_crossed_answers() -> None:
+    with answering("crossed") as target:
+        result = command(target)
+    assert result.returncode == 1, result.stderr
+    assert "another request's answer" in result.stdout
+
+
+@pytest.mark.parametrize(
+    ("target", "code"),
+    [
+        pytest.param("127.0.0.1:9", 3, id="unreachable"),
+        pytest.param("192.0.2.1:80", 2, id="not-loopback"),
+    ],
+)
+def test_exit_code_tells_why_nothing_was_sent(target: str, code: int) -> None:
+    assert command(target).returncode == code
