--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -1,1 +1,37 @@
 """From a caller's request to a backend server's answer."""
+
+from gentianwharf.metrics import Run
+
+from ._app import RelayApp
+from ._caller import CallerRequest, CallerSite
+from ._connections import ServerConnections
+from ._ports import (
+    Admission,
+    Answered,
+    Hedge,
+    Observer,
+    Outcome,
+    Owner,
+    Ownership,
+    Rules,
+    Ticket,
+)
+from ._problem import Problem
+
+__all__ = [
+    "Admission",
+    "Answered",
+    "CallerRequest",
+    "CallerSite",
+    "Hedge",
+    "Observer",
+    "Outcome",
+    "Owner",
+    "Ownership",
+    "Problem",
+    "RelayApp",
+    "Rules",
+    "Run",
+    "ServerConnections",
+    "Ticket",
+]
--- a/src/gentianwharf/rules/__init__.py
+++ b/src/gentianwharf/rules/__init__.py
@@ -1,15 +1,69 @@
 """The operators' ordered when-then rules: the first match decides."""
 
-from ._document import Condition, KeySource, Rule, RuleDocument, Target
-from ._match import RequestFacts, RuleMatch, RuleSet
+from ._book import RuleBook
+from ._check import MOST_SINGLE_KEYS, RuleChecker
+from ._codec import StoredRules, decode_rules, encode_rules
+from ._diff import changes
+from ._document import (
+    MOST_DOCUMENT_BYTES,
+    MOST_RULES,
+    Condition,
+    KeyPlace,
+    KeySource,
+    Rule,
+    RuleDocument,
+    ShardRange,
+    Target,
+)
+from ._explain import explain
+from ._facts import RequestFacts, RuleMatch
+from ._match import RuleSet
+from ._results import (
+    ApplyResult,
+    ChangeKind,
+    Explanation,
+    Finding,
+    PassedOver,
+    RuleChange,
+    RulesApplied,
+    RulesConflict,
+    RulesRefused,
+    RuleVersion,
+    Severity,
+)
+from ._scope import RuleScope
 
 __all__ = [
+    "MOST_DOCUMENT_BYTES",
+    "MOST_RULES",
+    "MOST_SINGLE_KEYS",
+    "ApplyResult",
+    "ChangeKind",
     "Condition",
+    "Explanation",
+    "Finding",
+    "KeyPlace",
     "KeySource",
+    "PassedOver",
     "RequestFacts",
     "Rule",
+    "RuleBook",
+    "RuleChange",
+    "RuleChecker",
     "RuleDocument",
     "RuleMatch",
+    "RuleScope",
     "RuleSet",
+    "RuleVersion",
+    "RulesApplied",
+    "RulesConflict",
+    "RulesRefused",
+    "Severity",
+    "ShardRange",
+    "StoredRules",
     "Target",
+    "changes",
+    "decode_rules",
+    "encode_rules",
+    "explain",
 ]
