--- a/src/gentianwharf/daemon/_admission.py
+++ b/src/gentianwharf/daemon/_admission.py
@@ -19,7 +19,12 @@
     Outcome.CANCELLED: load.OutcomeKind.CANCELLED,
 }
 
+# A refusal is as much an answer as any other.
+_SIGNS_OF_LIFE = frozenset({Outcome.ANSWERED, Outcome.NOT_OWNER, Outcome.SHED})
+
 Clock = Callable[[], float]
+Evidence = Callable[[str, bool], None]
+"""Told of a server's id and whether it answered."""
 
 
 @final
@@ -27,11 +32,17 @@
     """Lets the gate decide, and tells waiting exchanges what it decided."""
 
     def __init__(
-        self, *, gate: load.Gate, servers: Mapping[str, BackendServer], now_s: Clock
+        self,
+        *,
+        gate: load.Gate,
+        servers: Mapping[str, BackendServer],
+        now_s: Clock,
+        on_evidence: Evidence,
     ) -> None:
         self.servers = dict(servers)
         self._gate = gate
         self._now_s = now_s
+        self._on_evidence = on_evidence
         self._waiting: dict[str, Deferred[BackendServer]] = {}
         self._hedges: dict[str, Hedge] = {}
 
@@ -63,6 +74,8 @@
         self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
     ) -> None:
         """Note how a leg ended, and let others go."""
+        if outcome is not Outcome.CANCELLED:
+            self._on_evidence(server.id, outcome in _SIGNS_OF_LIFE)
         ended = load.Outcome(kind=_KINDS[outcome], elapsed_s=elapsed_s)
         self._apply(
             self._gate.finished(ticket.request_id, ended, self._now_s(), server.id)
--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -9,15 +9,22 @@
 from twisted.internet.task import LoopingCall
 
 from gentianwharf import load
-from gentianwharf.admin import AdminApp
+from gentianwharf.admin import AdminApp, read_token
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
-from gentianwharf.metrics import Recorder
+from gentianwharf.metrics import Objective, Recorder
 from gentianwharf.ownership import TICK_S, OwnershipSystem
+from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import HttpBackendControl, HttpHostList, HttpStore
 from gentianwharf.relay import CallerSite, RelayApp, ServerConnections
-from gentianwharf.rules import RuleBook, RuleChecker, RuleDocument, RuleScope
-from gentianwharf.settings import Settings, domains_of, load_rules, services_of
+from gentianwharf.rules import RuleBook, RuleChecker
+from gentianwharf.settings import (
+    Settings,
+    domains_of,
+    load_initial_rules,
+    rule_scope_of,
+    services_of,
+)
 from gentianwharf.spread import Channel, PeerMesh, SpreadSystem
 from gentianwharf.topology import Host
 
@@ -40,11 +47,6 @@
 # Until the store has rules, somebody must write the first ones.
 INITIAL_RULES_EVERY_S = 1.0
 
-# How long the balancer may go on sending after readiness turned false, and the whole
-# of a shutdown: above the longest deadline of the examples' classes.
-NOTICE_S = 2.0
-STOP_LIMIT_S = 75.0
-
 
 @final
 class Daemon:
@@ -66,15 +68,16 @@
             domain=settings.host.domain,
             peer_address=settings.host.peer_address,
         )
-        self._initial_rules = _initial_rules(settings, directory)
+        self._initial_rules = load_initial_rules(settings, directory=directory)
+        self._token = _admin_token(settings, directory)
         self._loops: list[LoopingCall] = []
         self._callers_port: Any = None
         self.on_end: Callable[[], None] = lambda: None
         self.shutdown = Shutdown(
             drained=self,
             clock=reactor,
-            notice_s=NOTICE_S,
-            limit_s=STOP_LIMIT_S,
+            notice_s=settings.shutdown.balancer_notice_s,
+            limit_s=settings.shutdown.drain_limit_s,
         )
         self._build_platform()
         self._build_links()
@@ -83,8 +86,13 @@
 
     def _build_platform(self) -> None:
         reactor, platform = self.reactor, self.settings.platform
-        self.store = HttpStore(reactor=reactor, url=platform.store_url)
-        self.host_list = HttpHostList(reactor=reactor, url=platform.hosts_url)
+        timeout_s = platform.call_timeout_s
+        self.store = HttpStore(
+            reactor=reactor, url=platform.store_url, call_timeout_s=timeout_s
+        )
+        self.host_list = HttpHostList(
+            reactor=reactor, url=platform.hosts_url, call_timeout_s=timeout_s
+        )
         self.control = HttpBackendControl(reactor=reactor)
         self.hosts = HostTable(
             own=self.host, servers=self.servers, now_s=reactor.seconds
@@ -127,6 +135,11 @@
             peers=self.link,
             site_of=self.rules.site_of,
             deadline_caps_s=self._deadline_caps_s(),
+            weights=PlacementWeights(
+                imbalance=self.settings.weights.imbalance,
+                churn=self.settings.weights.churn,
+                unavailable_time=self.settings.weights.unavailable_time,
+            ),
             rng=_seeded(),
             log=_log_event,
         )
@@ -144,15 +157,35 @@
             daemons=len(self.domains),
         )
         self.admission = GateAdmission(
-            gate=self.gate, servers=self.servers, now_s=self.reactor.seconds
+            gate=self.gate,
+            servers=self.servers,
+            now_s=self.reactor.seconds,
+            on_evidence=lambda server, ok: self.ownership.answered(server, ok=ok),
         )
 
     def _deadline_caps_s(self) -> dict[str, float]:
-        longest_s = max(one.deadline_ms for one in self.settings.classes) / 1000
-        return {name: longest_s for name, one in self.services.items() if one.keyed}
+        longest_ms = max(one.deadline_ms for one in self.settings.classes)
+        return {
+            one.name: (one.deadline_cap_ms or longest_ms) / 1000
+            for one in self.settings.services
+            if one.keyed
+        }
 
     def _build_relay(self) -> None:
-        self.recorder = Recorder(clock=self.reactor, random=_seeded())
+        self.recorder = Recorder(
+            clock=self.reactor,
+            random=_seeded(),
+            objectives=[
+                Objective(
+                    request_class=one.name,
+                    limit_s=one.objective.limit_ms / 1000,
+                    share=one.objective.share,
+                    unavailable_s=one.objective.unavailable_s,
+                )
+                for one in self.settings.classes
+                if one.objective is not None
+            ],
+        )
         self.relay = RelayApp(
             rules=self.rules,
             ownership=RoutedOwnership(
@@ -182,15 +215,10 @@
         self.site.noisy = False
 
     def _build_admin(self) -> AdminApp:
-        scope = RuleScope.of(
-            services=self.services.values(),
-            domains=self.domains,
-            classes=[one.name for one in self.settings.classes],
-        )
         book = RuleBook(
             store=self.store,
             prefix=self.prefix,
-            checker=RuleChecker(scope=scope),
+            checker=RuleChecker(scope=rule_scope_of(self.settings)),
             clock=self.reactor,
             rng=_seeded(),
         )
@@ -209,11 +237,15 @@
                 ownership=self.ownership,
             ),
             hosts=views.HostsView(host_list=self.host_list),
-            domains=views.DomainsView(domains=self.domains, servers=self.servers),
+            domains=views.DomainsView(
+                ownership=self.ownership,
+                services=self.services,
+                domains=self.domains,
+            ),
             burn=views.BurnOfRecorder(recorder=self.recorder),
             decisions=views.DecisionsOfRecorder(recorder=self.recorder),
             metrics=lambda: self.recorder.prometheus_text().encode(),
-            token=None,
+            token=self._token,
         )
 
     def is_stopping(self) -> bool:
@@ -344,10 +376,9 @@
         self.on_end()
 
 
-def _initial_rules(settings: Settings, directory: Path) -> RuleDocument | None:
-    if settings.initial_rules is None:
-        return None
-    return load_rules(directory / settings.initial_rules)
+def _admin_token(settings: Settings, directory: Path) -> str | None:
+    name = settings.host.admin_token_file
+    return read_token(directory / name) if name is not None else None
 
 
 def _seeded() -> Random:
--- a/src/gentianwharf/daemon/_main.py
+++ b/src/gentianwharf/daemon/_main.py
@@ -39,9 +39,14 @@
         for each of the other failure domains, in this process, for a first look.
 
     """
-    logs.configure(stream=sys.stderr)
     try:
-        _start(load_settings(settings), settings.parent, embedded=embedded)
+        checked = load_settings(settings)
+        logs.configure(
+            stream=sys.stderr,
+            level=checked.log.level.upper(),
+            private_fields=checked.log.keys,
+        )
+        _start(checked, settings.parent, embedded=embedded)
     except InputError as error:
         print(f"gentianwharfd: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -16,6 +16,7 @@
 from gentianwharf.errors import InputError, RefusedError
 from gentianwharf.keys import shard_of
 from gentianwharf.load import Gate, ServerSnapshot
+from gentianwharf.logs import log
 from gentianwharf.metrics import Recorder
 from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
 from gentianwharf.platform import BackendControl, HostList, ListedHost
@@ -298,33 +299,50 @@
     """Failure domains that an operator may declare lost."""
 
     def __init__(
-        self, *, domains: Sequence[Domain], servers: Mapping[str, BackendServer]
+        self,
+        *,
+        ownership: OwnershipSystem,
+        services: Mapping[str, Service],
+        domains: Sequence[Domain],
     ) -> None:
+        self._ownership = ownership
+        self._services = services
         self._domains = {domain.name: domain for domain in domains}
-        self._servers = servers
 
     def loss(self, domain: str) -> DomainLoss:
         """Return what it would do and risk, without doing it."""
+        return self._loss(domain, declared=False)
+
+    async def declare_lost(self, domain: str, author: str) -> DomainLoss:
+        """Write an operator's word that ``domain`` is lost."""
+        loss = self._loss(domain, declared=True)
+        log.warning("domain declared lost", extra={"domain": domain, "author": author})
+        await self._ownership.declare_lost(domain)
+        return loss
+
+    def _loss(self, domain: str, *, declared: bool) -> DomainLoss:
         self._known(domain)
         return DomainLoss(
             domain=domain,
-            shards={},
+            shards=self._count_shards(domain),
             heard_ago_s=None,
             risks=(
                 "if the domain is only cut off, its servers go on serving keys that"
                 " get second owners",
             ),
-            declared=False,
+            declared=declared,
         )
 
-    async def declare_lost(self, domain: str, author: str) -> DomainLoss:
-        """Refuse: the ownership system does not take it yet."""
-        self._known(domain)
-        raise RefusedError(
-            "a failure domain can't be declared lost yet",
-            step="declare lost",
-            peer=domain,
-        )
+    def _count_shards(self, domain: str) -> dict[str, int]:
+        return {
+            service.name: sum(
+                self._ownership.owner(service.name, shard).owner in inside
+                for shard in range(service.shards)
+            )
+            for service in self._services.values()
+            if service.keyed
+            for inside in [{o.id for o in service.servers if o.domain == domain}]
+        }
 
     def _known(self, domain: str) -> None:
         if domain not in self._domains:
