--- a/bench/spread.py
+++ b/bench/spread.py
@@ -10,13 +10,14 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 from random import Random
+from typing import final
 
 from tests.builders_platform import Loop
-from tests.builders_spread import DOMAINS, TICK_S, Cluster
+from tests.builders_spread import DOMAINS, TICK_S, Cluster, EventClock, make_hosts
 
 from bench import Figure
-from gentianwharf.platform import Fault, FaultKind
-from gentianwharf.spread import Channel, PeerMesh, _places
+from gentianwharf.platform import Fault, FaultKind, MemoryStore
+from gentianwharf.spread import Channel, PeerMesh, SpreadSystem, _places
 from gentianwharf.topology import Host
 
 SEED = 1
@@ -204,6 +205,97 @@
     )
 
 
+@final
+class _DelayedLink:
+    """A link on the virtual clock that counts what it carries."""
+
+    frames = 0
+    carried_bytes = 0
+
+    def __init__(self, *, clock: EventClock, mesh: PeerMesh) -> None:
+        self._clock = clock
+        self._mesh = mesh
+
+    def send(self, data: bytes) -> bool:
+        """Deliver later."""
+        _DelayedLink.frames += 1
+        _DelayedLink.carried_bytes += len(data)
+        self._clock.callLater(0.000_5, self._mesh.received_frame, data)
+        return True
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+def _idle_with_mesh(per_domain: int) -> Iterator[Figure]:
+    """Count what an idle host sends with envelopes, probes and their answers."""
+    clock = EventClock()
+    store = MemoryStore(clock=clock)
+    hosts = make_hosts(per_domain)
+    meshes: dict[str, PeerMesh] = {}
+
+    def dial(address: str) -> _DelayedLink:
+        return _DelayedLink(clock=clock, mesh=meshes[address])
+
+    for number, host in enumerate(hosts):
+        rng = Random(number)
+        mesh = PeerMesh(reactor=clock, host=host, rng=rng, dial=dial)
+        meshes[host.peer_address] = mesh
+        mesh.set_peers(hosts)
+        _start_spread(clock, store, mesh, host, hosts, rng)
+    _run(clock, 15)
+    _DelayedLink.frames = _DelayedLink.carried_bytes = 0
+    began_s = time.process_time()
+    _run(clock, IDLE_S)
+    cpu_s = time.process_time() - began_s
+    host_seconds = IDLE_S * len(hosts)
+    links = [one for mesh in meshes.values() for one in mesh.stats().links.values()]
+    size = {"hosts": len(hosts)}
+    for name, value, unit in (
+        ("frames", _DelayedLink.frames / host_seconds, "1/host/s"),
+        ("bytes", _DelayedLink.carried_bytes / host_seconds, "B/host/s"),
+        ("cpu", 1e6 * cpu_s / host_seconds, "us/host/s"),
+        ("links", sum(one.open for one in links) / len(hosts), "1/host"),
+    ):
+        yield _cost_figure(f"mesh_idle_{name}", value, unit, size)
+
+
+def _start_spread(
+    clock: EventClock,
+    store: MemoryStore,
+    mesh: PeerMesh,
+    host: Host,
+    hosts: list[Host],
+    rng: Random,
+) -> None:
+    def received(host_id: str, message: bytes) -> None:
+        spread.received(host_id, message)
+
+    spread = SpreadSystem(
+        host=host,
+        clock=clock,
+        store=store,
+        peers=mesh.channel(Channel.SPREAD, received),
+        prefixes=["rules"],
+        on_value=lambda value: None,
+        rng=rng,
+    )
+    spread.set_hosts(hosts)
+
+    def tick() -> None:
+        mesh.tick()
+        spread.tick()
+        clock.callLater(TICK_S, tick)
+
+    clock.callLater(rng.uniform(0, TICK_S), tick)
+
+
+def _run(clock: EventClock, duration_s: float) -> None:
+    end_s = clock.seconds() + duration_s
+    while clock.run_next(end_s=end_s):
+        pass
+
+
 def _mesh_round_trips() -> Iterator[Figure]:
     """Round trips between two meshes of one process and loop, on loopback."""
     loop = Loop()
@@ -255,4 +347,6 @@
     yield from _fan_outs(500)
     for per_domain in HOSTS_A_DOMAIN:
         yield from _cost(per_domain)
+    for per_domain in (4, 12, 36, 150):
+        yield from _idle_with_mesh(per_domain)
     yield from _mesh_round_trips()
--- a/src/gentianwharf/spread/_links.py
+++ b/src/gentianwharf/spread/_links.py
@@ -58,6 +58,7 @@
 @final
 @dataclass(kw_only=True, slots=True)
 class _Peer:
+    host_id: str
     address: str
     link: Link | None = None
     sequence: int = 0
@@ -84,6 +85,7 @@
         self._dial = dial
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
+        self._open_ids: set[str] = set()
 
     def set_peers(self, addresses: dict[str, str]) -> None:
         """Take the peers' addresses by host id; links to others are closed."""
@@ -92,7 +94,7 @@
         for host_id, address in addresses.items():
             peer = self._peers.get(host_id)
             if peer is None:
-                self._peers[host_id] = _Peer(address=address)
+                self._peers[host_id] = _Peer(host_id=host_id, address=address)
             elif peer.address != address:
                 self._close(peer)
                 peer.waits_since_s = None
@@ -146,9 +148,9 @@
 
     def tick(self, now_s: float) -> None:
         """Probe, make anew or close what is due."""
-        for host_id, peer in self._peers.items():
-            if peer.link is None:
-                continue
+        # Only the open ones: a host knows the fleet and talks to a dozen.
+        for host_id in list(self._open_ids):
+            peer = self._peers[host_id]
             if now_s - peer.used_s > IDLE_AFTER_S:
                 self._tick_idle(peer, now_s)
                 continue
@@ -187,8 +189,7 @@
 
     def _open(self, peer: _Peer, now_s: float) -> None:
         if peer.link is None:
-            peer.link = self._dial(peer.address)
-            peer.dialled_s = now_s
+            self._dial_peer(peer, now_s)
             peer.next_probe_s = now_s + self._probe_pause_s()
 
     def _probe_pause_s(self) -> float:
@@ -204,14 +205,19 @@
     def _redial(self, peer: _Peer, now_s: float) -> None:
         self._close(peer)
         peer.redials += 1
+        self._dial_peer(peer, now_s)
+        peer.next_probe_s = now_s
+
+    def _dial_peer(self, peer: _Peer, now_s: float) -> None:
         peer.link = self._dial(peer.address)
         peer.dialled_s = now_s
-        peer.next_probe_s = now_s
+        self._open_ids.add(peer.host_id)
 
     def _close(self, peer: _Peer) -> None:
         if peer.link is not None:
             peer.link.close()
         peer.link = None
+        self._open_ids.discard(peer.host_id)
 
     def _send_frame(
         self,
--- a/src/gentianwharf/spread/_places.py
+++ b/src/gentianwharf/spread/_places.py
@@ -29,6 +29,12 @@
 picks 4 is connected for every size of domain that is planned for."""
 
 
+PARTNERS_ELSEWHERE = 2
+"""Hosts of other failure domains with which digests are exchanged. Fixed ones, since
+each new one opens a link that is probed: a random one every two seconds kept five
+more links open."""
+
+
 def _score(salt: str, host_id: str) -> tuple[int, str]:
     return xxhash.xxh3_64_intdigest(f"{salt}\0{host_id}".encode()), host_id
 
@@ -66,6 +72,7 @@
         self._heads: tuple[str, ...] = ()
         self.others: tuple[str, ...] = ()
         self.partners: tuple[str, ...] = ()
+        self.partners_elsewhere: tuple[str, ...] = ()
         self.set_hosts(())
 
     def set_hosts(self, hosts: Iterable[Host]) -> None:
@@ -83,6 +90,9 @@
             for watcher in ranked(f"watch {domain}", members)[:WATCHERS]
         )
         self.others = tuple(sorted(set().union(*by_domain.values())))
+        self.partners_elsewhere = tuple(
+            ranked(f"partner {self._host.id}", self.others)[:PARTNERS_ELSEWHERE]
+        )
         self.partners = tuple(
             ranked(f"partner {self._host.id}", mine - {self._host.id})[:PARTNERS]
         )
--- a/src/gentianwharf/spread/_system.py
+++ b/src/gentianwharf/spread/_system.py
@@ -53,6 +53,9 @@
 """How long a host that starts waits for the list of hosts before it takes itself for
 alone: otherwise each host of a fleet that restarts would read the store."""
 
+NEWS_S = 2.0
+"""A digest whose news of the store is older than ours by this is answered by ours."""
+
 NEVER_MS = -1
 
 
@@ -284,10 +287,16 @@
             self._send(host_id, Push(key=key, packed=packed, revision=value.revision))
 
     def _on_digest(self, host_id: str, digest: Digest) -> None:
-        if digest.checksum == self._table.checksum():
-            self._agree(host_id, digest.store_age_ms, digest.ready)
-        else:
+        if digest.checksum != self._table.checksum():
             self._send(host_id, self._vector())
+            return
+        # Few hosts name some host their partner; it hears news by its own digests.
+        age_s = self._store_age_s()
+        if age_s is not None and not 0 <= digest.store_age_ms <= 1_000 * (
+            age_s + NEWS_S
+        ):
+            self._send(host_id, self._digest())
+        self._agree(host_id, digest.store_age_ms, digest.ready)
 
     def _on_vector(self, host_id: str, vector: Vector) -> None:
         versions = self._mine(vector.versions)
@@ -339,12 +348,10 @@
             self._send(target, self._digest())
 
     def _beat_target(self) -> str | None:
-        others, partners = self._places.others, self._places.partners
-        if others and (self._beats % OTHER_DOMAIN_EVERY == 0 or not partners):
-            return self._rng.choice(others)
-        if not partners:
-            return None
-        return partners[self._beats % len(partners)]
+        elsewhere, partners = self._places.partners_elsewhere, self._places.partners
+        if elsewhere and (self._beats % OTHER_DOMAIN_EVERY == 0 or not partners):
+            return self._rng.choice(elsewhere)
+        return partners[self._beats % len(partners)] if partners else None
 
     def _digest(self) -> Digest:
         return Digest(
--- a/tests/builders_spread.py
+++ b/tests/builders_spread.py
@@ -33,8 +33,12 @@
 def make_hosts(per_domain: int, domains: Iterable[str] = DOMAINS) -> list[Host]:
     """Build the hosts of a deployment."""
     return [
-        Host(id=f"{domain}-{number}", domain=domain, peer_address=f"127.0.0.1:{number}")
-        for domain in domains
+        Host(
+            id=f"{domain}-{number}",
+            domain=domain,
+            peer_address=f"127.0.{place}.1:{number}",
+        )
+        for place, domain in enumerate(domains)
         for number in range(1, per_domain + 1)
     ]
 
