--- a/bench/_modules.py
+++ b/bench/_modules.py
@@ -11,6 +11,10 @@
     "bench.placement",
     "bench.spread",
     "bench.ownership",
-    "bench.relay",
-    "bench.capacity",
+    "bench.capacity_memory",
+    "bench.capacity_control",
+    "bench.capacity_spread",
+    "bench.capacity_placement",
+    "bench.capacity_store",
+    "bench.capacity_relay",
 )
--- /dev/null
+++ b/bench/capacity_load_once.py
@@ -0,0 +1,40 @@
+"""One run of the load tool with two services: ``... IP:PORT RATE SECONDS``."""
+
+import sys
+from dataclasses import replace
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import react
+
+from gentianwharf.loadtool import TUNIS, Bounds, Mix, Target, run_load
+
+CONNECTIONS = 64
+SEED = 1
+# The deployment that the tests start has these two services of Tunis.
+SHARES = {"calendrier": 0.85, "inscription": 0.15}
+
+
+def mix() -> Mix:
+    """Return the mix of Tunis without its documents."""
+    kinds = tuple(
+        replace(kind, share=SHARES[kind.service])
+        for kind in TUNIS.kinds
+        if kind.service in SHARES
+    )
+    return replace(TUNIS, kinds=kinds)
+
+
+async def _run(reactor: Any) -> None:
+    target, rate, seconds = sys.argv[1:]
+    bounds = Bounds(
+        rate_per_s=float(rate), duration_s=float(seconds), connections=CONNECTIONS
+    )
+    report = await run_load(
+        reactor, target=Target.parse(target), mix=mix(), bounds=bounds, seed=SEED
+    )
+    print(report.as_json())
+
+
+if __name__ == "__main__":
+    react(lambda reactor: Deferred.fromCoroutine(_run(reactor)))
--- /dev/null
+++ b/bench/capacity_placement.py
@@ -0,0 +1,53 @@
+"""Time to place all shards anew, by shards and by servers."""
+
+from collections.abc import Iterator
+from random import Random
+
+from gentianwharf.placement import Candidate, place
+
+from ._figure import Figure
+from ._timing import time_us
+
+SEED = 1
+SHARD_SIZES = (1_024, 4_096, 16_384, 65_536)
+SERVER_SIZES = (16, 64, 256, 1_024)
+FEW_SERVERS = 64
+FEW_SHARDS = 16_384
+
+
+def _placed_us(shards: int, servers: int) -> float:
+    random = Random(SEED)
+    loads = {shard: random.paretovariate(1.2) for shard in range(shards)}
+    candidates = [
+        Candidate(id=f"server-{number}", site="a", slots=6) for number in range(servers)
+    ]
+    return time_us(
+        lambda: place(
+            range(shards),
+            loads=loads,
+            busy={},
+            candidates=candidates,
+            site_of=lambda shard: None,
+        ),
+        times=1,
+    )
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the time of one placement."""
+    for shards in SHARD_SIZES:
+        yield Figure(
+            name="placement_by_shards",
+            value=_placed_us(shards, FEW_SERVERS),
+            unit="us",
+            size={"shards": shards, "servers": FEW_SERVERS},
+            seed=SEED,
+        )
+    for servers in SERVER_SIZES:
+        yield Figure(
+            name="placement_by_servers",
+            value=_placed_us(FEW_SHARDS, servers),
+            unit="us",
+            size={"shards": FEW_SHARDS, "servers": servers},
+            seed=SEED,
+        )
--- a/src/gentianwharf/loadtool/_main.py
+++ b/src/gentianwharf/loadtool/_main.py
@@ -11,7 +11,7 @@
 from gentianwharf.errors import InputError
 
 from ._judge import Verdict
-from ._mix import MIXES
+from ._mix import MIXES, Mix
 from ._plan import plan
 from ._report import LoadReport, make_report
 from ._runner import LoadRun
@@ -74,7 +74,9 @@
         sys.exit(EXIT_USAGE)
 
     async def run_and_print(reactor: Any) -> None:
-        report = await run_load(reactor, target=to, mix=mix, bounds=bounds, seed=seed)
+        report = await run_load(
+            reactor, target=to, mix=MIXES[mix], bounds=bounds, seed=seed
+        )
         print(report.as_json() if json else report.as_text())
         sys.exit(exit_code(report))
 
@@ -82,7 +84,7 @@
 
 
 async def run_load(
-    reactor: Any, *, target: Target, mix: str, bounds: Bounds, seed: int
+    reactor: Any, *, target: Target, mix: Mix, bounds: Bounds, seed: int
 ) -> LoadReport:
     """Send one run's load and return its report."""
     sender = AgentSender(
@@ -92,7 +94,7 @@
         clock=reactor,
         sender=sender,
         planned=plan(
-            MIXES[mix],
+            mix,
             rate_per_s=bounds.rate_per_s,
             duration_s=bounds.duration_s,
             random=Random(seed),
@@ -101,7 +103,7 @@
     )
     tally = await run.run()
     await sender.close()
-    return make_report(tally, mix=mix, seed=seed, offered_per_s=bounds.rate_per_s)
+    return make_report(tally, mix=mix.name, seed=seed, offered_per_s=bounds.rate_per_s)
 
 
 def exit_code(report: LoadReport) -> int:
