--- a/src/gentianwharf/settings/__init__.py
+++ b/src/gentianwharf/settings/__init__.py
@@ -1,34 +1,66 @@
 """Settings in JSON with comments, checked before anything starts."""
 
-from ._load import load_rules, load_settings, parse_jsonc
-from ._models import (
-    Address,
+from ._lines import TextLines, find_lines
+from ._load import (
+    load_rules,
+    load_rules_with_lines,
+    load_settings,
+    parse_jsonc,
+    validate,
+)
+from ._models import Settings
+from ._places import (
     BackendServerSettings,
-    ClassSettings,
     DomainSettings,
     HostSettings,
     NumberedServers,
     PlatformSettings,
+    ServerCapabilities,
     ServiceSettings,
-    Settings,
-    Url,
 )
-from ._topology import domains_of, services_of
+from ._policy import (
+    CallerLimits,
+    ClassSettings,
+    LogLevel,
+    LogSettings,
+    ObjectiveSettings,
+    ShutdownSettings,
+    WeightSettings,
+)
+from ._rules import line_of_finding, load_initial_rules
+from ._topology import domains_of, rule_scope_of, services_of
+from ._values import Address, Url, check_ip_url, is_loopback
 
 __all__ = [
     "Address",
     "BackendServerSettings",
+    "CallerLimits",
     "ClassSettings",
     "DomainSettings",
     "HostSettings",
+    "LogLevel",
+    "LogSettings",
     "NumberedServers",
+    "ObjectiveSettings",
     "PlatformSettings",
+    "ServerCapabilities",
     "ServiceSettings",
     "Settings",
+    "ShutdownSettings",
+    "TextLines",
     "Url",
+    "WeightSettings",
+    "check_ip_url",
     "domains_of",
+    "find_lines",
+    "is_loopback",
+    "line_of_finding",
+    "load_initial_rules",
     "load_rules",
+    "load_rules_with_lines",
     "load_settings",
     "parse_jsonc",
+    "rule_scope_of",
     "services_of",
+    "validate",
 ]
--- a/src/gentianwharf/settings/_models.py
+++ b/src/gentianwharf/settings/_models.py
@@ -1,113 +1,29 @@
-"""The settings file as validated models; every address is an IP number and a port."""
-
-from ipaddress import ip_address
-from typing import Annotated, Self
-from urllib.parse import urlsplit
-
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
-
-
-def _check_ip_and_port(value: str) -> str:
-    host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"expected IP:PORT, got {value!r}")
-    try:
-        ip_address(host.strip("[]"))
-    except ValueError:
-        raise ValueError(
-            f"expected an IP number, got {host!r}: host names are not looked up,"
-            " write the address"
-        ) from None
-    return value
-
-
-def _check_ip_url(value: str) -> str:
-    parts = urlsplit(value)
-    if parts.scheme != "http" or parts.path not in ("", "/"):
-        raise ValueError(f"expected http://IP:PORT, got {value!r}")
-    _check_ip_and_port(parts.netloc)
-    return value
-
-
-Address = Annotated[str, AfterValidator(_check_ip_and_port)]
-Url = Annotated[str, AfterValidator(_check_ip_url)]
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-
-
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class DomainSettings(_Model):
-    """A failure domain and the data centre that it stands in."""
-
-    name: Name
-    site: Name
-
-
-class HostSettings(_Model):
-    """The daemon itself: who it is and where it listens."""
-
-    id: Name
-    domain: Name
-    callers_address: Address
-    admin_address: Address
-    peer_address: Address
-
-
-class PlatformSettings(_Model):
-    """Where the platform's store and host list answer."""
-
-    store_url: Url
-    hosts_url: Url
-
-
-class BackendServerSettings(_Model):
-    """One backend server."""
-
-    id: Name
-    domain: Name
-    address: Address
-
-
-class NumberedServers(_Model):
-    """A run of backend servers on one IP number, dealt over the failure domains."""
-
-    count: int = Field(gt=0, le=10_000)
-    domains: tuple[Name, ...] = Field(min_length=1)
-    ip: str
-    first_port: int = Field(gt=0, le=65535)
-
-
-class ServiceSettings(_Model):
-    """A service and its backend servers."""
-
-    name: Name
-    keyed: bool = False
-    shards: int = Field(default=0, ge=0, le=65_536)
-    slots: int = Field(gt=0)
-    connections: int = Field(gt=0)
-    servers: tuple[BackendServerSettings, ...] | NumberedServers
-
-    @model_validator(mode="after")
-    def _check_shards(self) -> Self:
-        if self.keyed != (self.shards > 0):
-            raise ValueError(
-                f"service {self.name}: keyed is {self.keyed} and shards is"
-                f" {self.shards}; a keyed service needs shards, others none"
-            )
-        return self
-
-
-class ClassSettings(_Model):
-    """A class of requests: how long it may take and how it is weighed."""
-
-    name: Name
-    deadline_ms: int = Field(gt=0)
-    weight: int = Field(default=1, gt=0)
-
-
-class Settings(_Model):
+"""Everything that one daemon is told, and what must fit together in it."""
+
+from collections.abc import Iterator
+from typing import Self
+
+from pydantic import Field, model_validator
+
+from ._mistakes import Mistake, MistakesError, repeated
+from ._places import (
+    DomainSettings,
+    HostSettings,
+    NumberedServers,
+    PlatformSettings,
+    ServiceSettings,
+)
+from ._policy import (
+    CallerLimits,
+    ClassSettings,
+    LogSettings,
+    ShutdownSettings,
+    WeightSettings,
+)
+from ._values import Name, StrictModel
+
+
+class Settings(StrictModel):
     """Everything that one daemon is told."""
 
     customer: Name
@@ -117,21 +33,72 @@
     services: tuple[ServiceSettings, ...] = Field(min_length=1)
     classes: tuple[ClassSettings, ...] = Field(min_length=1)
     initial_rules: str | None = None
+    weights: WeightSettings = WeightSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+    caller_limits: CallerLimits = CallerLimits()
+    log: LogSettings = LogSettings()
 
     @model_validator(mode="after")
-    def _check_domains(self) -> Self:
+    def _check_together(self) -> Self:
+        mistakes = [
+            *self._unknown_domains(),
+            *self._repeated_names(),
+            *self._short_shutdown(),
+        ]
+        if mistakes:
+            raise MistakesError(mistakes)
+        return self
+
+    def _unknown_domains(self) -> Iterator[Mistake]:
         known = {domain.name for domain in self.domains}
-        named = {("host.domain", self.host.domain)}
-        for service in self.services:
-            servers = service.servers
-            if isinstance(servers, NumberedServers):
-                named |= {(f"service {service.name}", name) for name in servers.domains}
-            else:
-                named |= {(f"server {one.id}", one.domain) for one in servers}
-        for where, name in sorted(named):
+        for location, name in self._named_domains():
             if name not in known:
-                raise ValueError(
-                    f"{where}: failure domain {name!r} is not in domains;"
-                    f" expected one of {', '.join(sorted(known))}"
+                yield Mistake(
+                    location=location,
+                    found=f"failure domain {name!r}",
+                    expected=f"one of domains: {', '.join(sorted(known))}",
                 )
-        return self
+
+    def _named_domains(self) -> Iterator[tuple[tuple[str | int, ...], str]]:
+        yield ("host", "domain"), self.host.domain
+        for number, service in enumerate(self.services):
+            place = ("services", number, "servers")
+            if isinstance(service.servers, NumberedServers):
+                for position, name in enumerate(service.servers.domains):
+                    yield (*place, "domains", position), name
+            else:
+                for position, server in enumerate(service.servers):
+                    yield (*place, position, "domain"), server.domain
+
+    def _repeated_names(self) -> Iterator[Mistake]:
+        for field in ("domains", "services", "classes"):
+            names = [
+                ((field, number, "name"), one.name)
+                for number, one in enumerate(getattr(self, field))
+            ]
+            yield from repeated(names, "name")
+        yield from repeated(self._server_ids(), "server")
+
+    def _server_ids(self) -> Iterator[tuple[tuple[str | int, ...], str]]:
+        for number, service in enumerate(self.services):
+            if not isinstance(service.servers, NumberedServers):
+                for position, server in enumerate(service.servers):
+                    yield ("services", number, "servers", position, "id"), server.id
+
+    def _short_shutdown(self) -> Iterator[Mistake]:
+        """Guard against a planned stop that cuts requests off.
+
+        A limit below the balancer's notice and the longest deadline would end the
+        process under requests that were taken and may still be answered in time.
+        """
+        longest_s = max(one.deadline_ms for one in self.classes) / 1000
+        least_s = self.shutdown.balancer_notice_s + longest_s
+        if self.shutdown.drain_limit_s < least_s:
+            yield Mistake(
+                location=("shutdown", "drain_limit_s"),
+                found=f"{self.shutdown.drain_limit_s}",
+                expected=(
+                    f"at least {least_s}, balancer_notice_s and the longest"
+                    " deadline_ms of the classes, or a stop cuts requests off"
+                ),
+            )
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -7,7 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, final
 
@@ -24,6 +24,7 @@
 )
 from gentianwharf.ownership import TICK_S, Message, OwnershipSystem, Send, decode
 from gentianwharf.ownership import encode as encode_message
+from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import (
     Grant,
     GrantOutcome,
@@ -53,6 +54,7 @@
         self._offset_s = offset_s
         self._queued: list[Callable[[], None]] = []
         self.paused = False
+        self.stopped = False
 
     def seconds(self) -> float:
         """Return the host's monotonic time."""
@@ -172,9 +174,10 @@
 class StoreClient:
     """One host's way to the store."""
 
-    def __init__(self, world: "World", host: str) -> None:
+    def __init__(self, world: "World", host: str, clock: HostClock) -> None:
         self._world = world
         self._host = host
+        self._clock = clock
 
     async def _call(self, name: str, act: Callable[[], Any]) -> Any:
         world, store = self._world, self._world.store
@@ -186,7 +189,7 @@
         result = act()
         if lost:
             store.lose_answers -= 1
-        await deferLater(world.hosts[self._host].clock, STORE_ONE_WAY_S)
+        await deferLater(self._clock, STORE_ONE_WAY_S)
         if store.down or world.is_cut(self._host, STORE):
             await Deferred()
         if lost:
@@ -292,6 +295,10 @@
 
     def cold_start(self) -> None:
         """Start anew, remembering nothing."""
+        self.lost = False
+        self.buffer.clear()
+        self.requests.clear()
+        self._running.clear()
         self.table = GrantTable(
             started_s=self.now_s(),
             knows_validity=self.entity.knows_validity,
@@ -316,6 +323,8 @@
 
     def run(self, request: Request) -> None:
         """Run a request, or refuse it as not the owner."""
+        if request not in self.requests:
+            return
         self.requests.remove(request)
         world = self._world
         now_s = world.clock.seconds()
@@ -343,7 +352,8 @@
         world.clock.callLater(RUN_S, self._end, request)
 
     def _end(self, request: Request) -> None:
-        self._running[request.shard] -= 1
+        if self._running[request.shard] > 0:
+            self._running[request.shard] -= 1
         server = self.entity.id
         self._world.reply(request.host, lambda system: system.answered(server, ok=True))
 
@@ -356,9 +366,10 @@
 class ServersClient:
     """One host's way to the backend servers."""
 
-    def __init__(self, world: "World", host: str) -> None:
+    def __init__(self, world: "World", host: str, clock: HostClock) -> None:
         self._world = world
         self._host = host
+        self._clock = clock
 
     async def _order(
         self, server: BackendServer, act: Callable[[FakeServer], Any], *, faulty: bool
@@ -368,14 +379,13 @@
         found = world.servers[server.id]
 
         def arrive() -> None:
-            if world.is_cut(self._host, server.domain):
+            if world.is_cut(self._host, server.id):
                 return
             result = act(found)
-            clock = world.hosts[self._host].clock
-            clock.callLater(ONE_WAY_S, reply, result)
+            self._clock.callLater(ONE_WAY_S, reply, result)
 
         def reply(result: Any) -> None:
-            if not world.is_cut(self._host, server.domain) and not answer.called:
+            if not world.is_cut(self._host, server.id) and not answer.called:
                 answer.callback(result)
 
         for delay_s in world.delays(faulty=faulty):
@@ -470,12 +480,13 @@
             domains=world.domains,
             services=[world.service],
             clock=self.clock,
-            store=StoreClient(world, entity.id),
+            store=StoreClient(world, entity.id, self.clock),
             prefix=PREFIX,
-            servers=ServersClient(world, entity.id),
+            servers=ServersClient(world, entity.id, self.clock),
             peers=Peers(world, entity.id),
             site_of=lambda service, shard: world.sites.get(shard),
             deadline_caps_s={SERVICE: world.deadline_cap_s},
+            weights=world.weights,
             rng=rng,
             log=world.log,
         )
@@ -508,6 +519,7 @@
     delay_share: float = 0.0
     longest_delay_s: float = 1.0
     double_share: float = 0.0
+    weights: PlacementWeights = PlacementWeights(imbalance=0.0)
     sites: dict[int, str] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
     logged: list[tuple[float, str, dict[str, object]]] = field(default_factory=list)
@@ -550,6 +562,8 @@
         self.servers = {
             one.id: FakeServer(self, one, self.rng.uniform(0, 1000)) for one in entities
         }
+        self._domain_of = {one.id: one.domain for one in self.host_entities}
+        self._domain_of |= {one.id: one.domain for one in entities}
         self.hosts: dict[str, FakeHost] = {}
         for entity in self.host_entities:
             self.start_host(entity.id)
@@ -561,23 +575,29 @@
         self.hosts[host] = FakeHost(self, entity, Random(self.rng.getrandbits(64)))
         return self.hosts[host]
 
+    def replace_host(self, gone: str, new: str) -> None:
+        """Replace a host by one with another name, in the host list too."""
+        self.stop_host(gone)
+        index = next(i for i, one in enumerate(self.host_entities) if one.id == gone)
+        entity = replace(self.host_entities[index], id=new)
+        self.host_entities[index] = entity
+        self._domain_of[new] = entity.domain
+        self.start_host(new)
+
     def stop_host(self, host: str) -> None:
         """End a host at once."""
         found = self.hosts.pop(host, None)
         if found is not None:
             found.stopped = True
-            found.clock.paused = True
+            found.clock.paused = found.clock.stopped = True
 
     def log(self, event: str, **fields: object) -> None:
         """Keep what the systems say."""
         self.logged.append((self.clock.seconds(), event, fields))
 
     def domain_of(self, place: str) -> str:
-        """Return the domain of a host, or the name itself for a domain."""
-        for one in self.host_entities:
-            if one.id == place:
-                return one.domain
-        return place
+        """Return the domain of a host or server, or the name itself for a domain."""
+        return self._domain_of.get(place, place)
 
     def cut(self, one: str, other: str) -> None:
         """Cut two places off from each other: hosts, domains or the store."""
@@ -639,7 +659,7 @@
             deadline_s=self.clock.seconds() + route.deadline_cap_s,
         )
         server = self.servers[route.server_id]
-        if self.is_cut(host, server.entity.domain):
+        if self.is_cut(host, server.entity.id):
             return False
         server.requests.append(request)
         self.clock.callLater(ONE_WAY_S, server.arrive, lambda: server.run(request))
@@ -649,7 +669,7 @@
         """Record a run; a run under an older token than one before is a fault."""
         newest = self._newest.get(run.shard)
         if newest is not None and run.token < newest.token:
-            raise AssertionError(f"two owners: {newest} and then {run}")
+            raise AssertionError(f"two owners ran: {newest} and then {run}")
         self._newest[run.shard] = run
         self.runs.append(run)
 
@@ -687,7 +707,7 @@
             if isinstance(route := self.hosts[host].system.route(SERVICE, shard), Send)
             and not self.servers[route.server_id].lost
             and not self.servers[route.server_id].frozen
-            and not self.is_cut(host, self.servers[route.server_id].entity.domain)
+            and not self.is_cut(host, route.server_id)
             and self.servers[route.server_id].table.would_run(
                 shard=shard,
                 token=route.token,
@@ -695,6 +715,28 @@
             )
         }
 
+    def traffic(self, duration_s: float, *, step_s: float = 0.01) -> None:
+        """Let hosts send at random and check for one owner at every step."""
+        end_s = self.clock.seconds() + duration_s
+        while self.clock.seconds() < end_s:
+            for host in list(self.hosts):
+                self.request(host, self.rng.randrange(self.shards))
+            self.check_one_owner()
+            self.advance(step_s, step_s / 2)
+        self.check_one_owner()
+
+    def check_one_owner(self) -> None:
+        """Fail when two servers would run a request for one shard now."""
+        for shard in range(self.shards):
+            owners = self.owners(shard)
+            if len(owners) > 1:
+                now_s = self.clock.seconds()
+                raise AssertionError(f"two owners of {shard} at {now_s}: {owners}")
+
+    def has_logged(self, event: str) -> bool:
+        """Whether any host logged ``event``."""
+        return any(one[1] == event for one in self.logged)
+
     def owner(self, shard: int) -> str:
         """Return the server that the store names as owner of ``shard``."""
         host = next(iter(self.hosts.values()))
