--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -134,6 +134,7 @@
             servers=self.control,
             peers=self.link,
             site_of=self.rules.site_of,
+            single_key_sites=self.rules.single_key_sites,
             deadline_caps_s=self._deadline_caps_s(),
             weights=PlacementWeights(
                 imbalance=self.settings.weights.imbalance,
--- a/src/gentianwharf/daemon/_rules.py
+++ b/src/gentianwharf/daemon/_rules.py
@@ -88,6 +88,12 @@
             return None
         return self.current.site_of(service, shard)
 
+    def single_key_sites(self, service: str) -> Mapping[str, str | None]:
+        """Return the keys that a rule of their own sends to a site."""
+        if self.current is None:
+            return {}
+        return self.current.single_key_sites(service)
+
 
 async def write_initial_rules(
     store: KeyValueStore, *, key: str, document: RuleDocument
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -178,13 +178,10 @@
     async def pin(
         self, service: str, key: str, server: str | None, author: str
     ) -> KeyOwner:
-        """Refuse: entries of single keys are not kept yet."""
-        raise RefusedError(
-            "single keys can't be pinned yet; move the key's shard instead:"
-            " gentianwharf keys move",
-            step="pin key",
-            peer=service,
-        )
+        """Give ``key`` an entry of its own on ``server``, or take it away."""
+        self._keyed(service)
+        self._ownership.pin(service, key, server or "")
+        return self.owner(service, key)
 
     def _keyed(self, name: str) -> Service:
         service = self._services.get(name)
