Join requests with one idempotency key, and send them to one server

Cause: a caller that lost an answer and posts again was served twice, by another server or by one without a memory of keys. Ruled out: the related paper's second host that holds each request and answer: two more messages a request, and the answer's bytes, for requests whose server's own memory sees the key as well (docs/design/load.md).

--- a/src/gentianwharf/daemon/_admission.py
+++ b/src/gentianwharf/daemon/_admission.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from gentianwharf import load
+from gentianwharf.placement import rendezvous_rank
 from gentianwharf.relay import Hedge, Outcome, Problem, Run, Ticket
 from gentianwharf.topology import BackendServer
 
@@ -43,6 +44,10 @@
         self._gate = gate
         self._now_s = now_s
         self._on_evidence = on_evidence
+        self._listed: dict[str, tuple[BackendServer, ...]] = {}
+        for server in self.servers.values():
+            before = self._listed.get(server.service, ())
+            self._listed[server.service] = (*before, server)
         self._waiting: dict[str, Deferred[BackendServer]] = {}
         self._hedges: dict[str, Hedge] = {}
 
@@ -81,6 +86,15 @@
             self._gate.finished(ticket.request_id, ended, self._now_s(), server.id)
         )
 
+    def server_for_key(self, service: str, key: str) -> BackendServer | None:
+        """Return the server that every daemon sends an idempotency key to.
+
+        The first in rendezvous order of those that are listed: all daemons see the
+        same list within seconds, and a change of it moves only the lost one's keys.
+        """
+        listed = self._listed.get(service, ())
+        return first_in_rendezvous(key, listed)
+
     def tick(self) -> None:
         """Let the gate refuse what has waited too long and hedge what is late."""
         self._apply(self._gate.tick(self._now_s()))
@@ -88,6 +102,7 @@
     def set_servers(self, service: str, servers: Iterable[BackendServer]) -> None:
         """Follow the servers of a service."""
         servers = tuple(servers)
+        self._listed[service] = servers
         self.servers.update({server.id: server for server in servers})
         self._apply(self._gate.set_servers(service, servers, self._now_s()))
 
@@ -137,6 +152,16 @@
             waiting.callback(result)
 
 
+def first_in_rendezvous(
+    key: str, servers: tuple[BackendServer, ...]
+) -> BackendServer | None:
+    """Return the server of ``key`` by rendezvous hashing, None without servers."""
+    if not servers:
+        return None
+    first = rendezvous_rank(key, [server.id for server in servers])[0]
+    return next(server for server in servers if server.id == first)
+
+
 def _ticket(ticket: Ticket, owner: BackendServer | None) -> load.Ticket:
     return load.Ticket(
         id=ticket.request_id,
--- a/src/gentianwharf/relay/_answer.py
+++ b/src/gentianwharf/relay/_answer.py
@@ -18,6 +18,8 @@
 # A caller or server that moves no byte for this long is taken for gone: browsers
 # give up on a stalled page far earlier, and each stalled answer holds a slot.
 MOST_STALL_S = 30.0
+# Confirmations of reservations and postings are a few hundred bytes.
+MOST_KEPT_BYTES = 64 * 1024
 
 
 class AnswerBody(Protocol):
@@ -28,7 +30,10 @@
     short answer must never look whole.
     """
 
-    def __init__(self, *, request: CallerRequest, clock: IReactorTime) -> None:
+    def __init__(
+        self, *, request: CallerRequest, clock: IReactorTime, keep: bool = False
+    ) -> None:
+        self.kept: bytearray | None = bytearray() if keep else None
         self.done: Deferred[bool] = Deferred(lambda _: self.abort())
         self._request = request
         self._clock = clock
@@ -44,8 +49,16 @@
         if self._finished:
             return
         self._stall.reset(MOST_STALL_S)
+        self._keep(data)
         self._request.write(data)
 
+    def _keep(self, data: bytes) -> None:
+        if self.kept is None:
+            return
+        self.kept += data
+        if len(self.kept) > MOST_KEPT_BYTES:
+            self.kept = None
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """End the answer, or break it."""
         whole = reason is not None and cast(Failure, reason).check(ResponseDone)
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -18,9 +18,11 @@
 from ._headers import facts_of
 from ._ports import Admission, Observer, Ownership, Rules, Ticket
 from ._problem import Problem, write_problem
+from ._repeats import RepeatKey, Repeats
 
 DEFAULT_DEADLINE_MS = 10_000
 REQUEST_ID_BITS = 96
+SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
 
 class RelayApp:
@@ -54,6 +56,7 @@
         self._keyed = keyed
         self._reactor = reactor
         self._rng = rng
+        self._repeats = Repeats(now_s=reactor.seconds)
         self.klein = Klein()
         # Paths belong to the servers: a doubled slash is not ours to redirect.
         self.klein.url_map.merge_slashes = False
@@ -105,6 +108,8 @@
             admission=self._admission,
             connections=self._connections,
             observer=self._observer,
+            repeats=self._repeats,
+            repeat=_repeat_key(request, match),
             reactor=self._reactor,
         )
 
@@ -118,7 +123,7 @@
             request_id=request_id,
             service=match.service,
             request_class=match.request_class,
-            caller=str(request.getClientAddress().host),
+            caller=_caller_of(request),
             key=match.key,
             shard=match.shard,
             deadline_s=self._reactor.seconds() + deadline_ms / 1000,
@@ -135,5 +140,29 @@
     )
 
 
+def _caller_of(request: CallerRequest) -> str:
+    """Return the caller's address, as the platform's balancer saw it.
+
+    The balancer adds the address that it saw at the end; what stands before was
+    written by the caller, who could pose as many callers and take many shares.
+    """
+    values = request.requestHeaders.getRawHeaders(b"x-forwarded-for")
+    if values:
+        return values[-1].rpartition(b",")[2].strip().decode("latin-1")
+    return str(request.getClientAddress().host)
+
+
+def _repeat_key(request: CallerRequest, match: RuleMatch) -> RepeatKey | None:
+    values = request.requestHeaders.getRawHeaders(b"idempotency-key")
+    if not values or request.method in SAFE_METHODS:
+        return None
+    target = request.method + b" " + request.uri
+    return RepeatKey(
+        scope=f"{match.service}/{_caller_of(request)}",
+        key=values[0].decode("latin-1"),
+        fingerprint=target.decode("latin-1"),
+    )
+
+
 def _bad_request(detail: str) -> Problem:
     return Problem(status=400, title="bad request", run=Run.NOT_RUN, detail=detail)
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -13,10 +13,12 @@
 from ._answer import AnswerBody, write_head
 from ._caller import CallerRequest
 from ._connections import ServerConnections
+from ._headers import REQUEST_ID, answered_with
 from ._leg import FinalError, Leg, LegError, LostError, NotRunError
 from ._ports import Admission, Answered, Observer, Outcome, Owner, Ownership, Ticket
 from ._problem import Problem, write_problem
 from ._race import Race
+from ._repeats import KeptAnswer, RepeatKey, Repeats
 
 # Each try needs proof that the one before did not run, or a request that may repeat.
 # Three reach a working server past one that is gone and one that sheds.
@@ -39,6 +41,8 @@
         admission: Admission,
         connections: dict[str, ServerConnections],
         observer: Observer,
+        repeats: Repeats,
+        repeat: RepeatKey | None,
         reactor: Any,
     ) -> None:
         self.request = request
@@ -48,6 +52,9 @@
         self._admission = admission
         self._connections = connections
         self._observer = observer
+        self._repeats = repeats
+        self._repeat = repeat
+        self._kept: KeptAnswer | None = None
         self._reactor = reactor
         self._begun_s = reactor.seconds()
         self._waited_s = 0.0
@@ -60,7 +67,10 @@
     async def serve(self) -> None:
         """Serve the request; every way out answers or breaks the connection."""
         try:
-            await self._serve()
+            if self._repeat is None:
+                await self._serve()
+            else:
+                await self._serve_once(self._repeat)
         except Problem as problem:
             self.refuse(problem)
         except CancelledError:
@@ -70,6 +80,36 @@
         finally:
             self._admission.forget(self.ticket)
 
+    async def _serve_once(self, repeat: RepeatKey) -> None:
+        kept = await self._repeats.claim(repeat, self.ticket.request_id)
+        if kept is not None:
+            self._give_again(kept)
+            return
+        try:
+            await self._serve()
+        except Problem as problem:
+            if problem.run is Run.NOT_RUN and not self._may_have_run:
+                self._repeats.forget(repeat)
+            else:
+                self._repeats.settle(repeat, None)
+            raise
+        except BaseException:
+            # The caller went away, or a fault of ours: nobody knows the outcome.
+            self._repeats.settle(repeat, None)
+            raise
+        self._repeats.settle(repeat, self._kept)
+
+    def _give_again(self, kept: KeptAnswer) -> None:
+        request = self.request
+        request.setResponseCode(kept.status, kept.phrase)
+        for name, values in kept.headers:
+            request.responseHeaders.setRawHeaders(name, values)
+        request.setHeader(REQUEST_ID, self.ticket.request_id.encode())
+        request.setHeader(b"Content-Length", str(len(kept.body)).encode())
+        request.write(kept.body)
+        request.finish()
+        self._record(status=kept.status, run=Run.RUN, reason="answer-given-again")
+
     def hedge(self, server: BackendServer) -> None:
         """Send the request a second time, beside the first."""
         race = self._race
@@ -115,7 +155,7 @@
         self._owner = None
         if self.ticket.shard is not None:
             self._owner = await self._ownership.owner(self.ticket)
-        owner = self._owner.server if self._owner else None
+        owner = self._owner.server if self._owner else self._same_server()
         if error is None or self._server is None:
             server = await self._admission.admit(self.ticket, owner, self.hedge)
             self._waited_s = self._reactor.seconds() - self._begun_s
@@ -124,6 +164,16 @@
         self._server = server
         return server
 
+    def _same_server(self) -> BackendServer | None:
+        """Return the one server that may run a repeated request of any daemon.
+
+        Without it a request that is repeated through another daemon would run on
+        another server, which has not seen its idempotency key.
+        """
+        if self._repeat is None:
+            return None
+        return self._admission.server_for_key(self.ticket.service, self._repeat.key)
+
     async def _admit_again(
         self, error: LegError, owner: BackendServer | None, avoid: BackendServer
     ) -> BackendServer:
@@ -182,7 +232,9 @@
             leg.abort()
             return False
         write_head(request, response, request_id=self.ticket.request_id)
-        body = AnswerBody(request=request, clock=self._reactor)
+        body = AnswerBody(
+            request=request, clock=self._reactor, keep=self._repeat is not None
+        )
         response.deliverBody(body)
         try:
             whole = await body.done
@@ -193,6 +245,8 @@
             leg.abort()
             self._record(status=response.code, run=Run.RUN, reason="answer-cut")
             return False
+        if body.kept is not None:
+            self._kept = _kept(response, bytes(body.kept))
         if not request._disconnected:
             request.finish()
         self._record(status=response.code, run=Run.RUN)
@@ -216,3 +270,14 @@
                 peer=peer,
             )
         )
+
+
+def _kept(response: Response, body: bytes) -> KeptAnswer:
+    return KeptAnswer(
+        status=response.code,
+        phrase=response.phrase,
+        headers=tuple(
+            (name, tuple(values)) for name, values in answered_with(response.headers)
+        ),
+        body=body,
+    )
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -97,6 +97,9 @@
     ) -> BackendServer:
         """Return the server for another try, if the retry budget allows one."""
 
+    def server_for_key(self, service: str, key: str) -> BackendServer | None:
+        """Return the server that every daemon sends an idempotency key to."""
+
     def finished(
         self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
     ) -> None:
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -154,6 +154,10 @@
         """Keep the outcome."""
         self.outcomes.append(outcome)
 
+    def server_for_key(self, service: str, key: str) -> BackendServer | None:
+        """Leave it to ``admit``."""
+        return None
+
     def forget(self, ticket: Ticket) -> None:
         """Have nothing to forget."""
 
--- /dev/null
+++ b/tests/test_relay_repeats.py
@@ -0,0 +1,106 @@
+"""A request with an idempotency key runs at most once on a daemon."""
+
+import socket
+import threading
+
+import pytest
+
+from tests.builders_relay import Script, answer, request, running_relay
+
+KEY = "Idempotency-Key: dues-7\r\n"
+
+
+def numbered() -> Script:
+    count = iter(range(1, 100))
+
+    def run(connection: socket.socket, head: bytes) -> None:
+        connection.sendall(answer(b"run %d" % next(count)))
+
+    return run
+
+
+def closing(connection: socket.socket, head: bytes) -> None:
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def shedding(connection: socket.socket, head: bytes) -> None:
+    extra = "Gentianwharf-Run: not-run\r\n"
+    connection.sendall(answer(b"", status="503 Shed", extra=extra))
+
+
+def post(path: str = "/plain/dues", headers: str = KEY) -> bytes:
+    return request("POST", path, headers=headers, body=b"5 USD")
+
+
+def test_repeated_request_gets_the_first_one_s_answer() -> None:
+    """A widow is charged twice.
+
+    A treasurer's client lost the answer to a posting and posts again with the same
+    idempotency key; the server has no memory of keys.
+    """
+    with running_relay([numbered()]) as relay:
+        answers = [relay.ask(post()) for _ in range(3)]
+        assert len(relay.servers[0].heads) == 1
+    assert all(one.endswith(b"run 1") for one in answers)
+
+
+def test_repeated_request_joins_the_one_in_flight() -> None:
+    release = threading.Event()
+
+    def slow(connection: socket.socket, head: bytes) -> None:
+        release.wait(5)
+        connection.sendall(answer(b"once"))
+
+    answers: list[bytes] = []
+    with running_relay([slow]) as relay:
+        callers = [
+            threading.Thread(target=lambda: answers.append(relay.ask(post())))
+            for _ in range(3)
+        ]
+        for caller in callers:
+            caller.start()
+        release.set()
+        for caller in callers:
+            caller.join()
+        assert len(relay.servers[0].heads) == 1
+    assert [one.endswith(b"once") for one in answers] == [True] * 3
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "status", "requests"),
+    [
+        pytest.param(post(), post("/plain/other"), 422, 1, id="key-used-otherwise"),
+        pytest.param(
+            post(), post(headers="Idempotency-Key: dues-8\r\n"), 200, 2, id="other-key"
+        ),
+        pytest.param(
+            post(headers=KEY + "X-Forwarded-For: 1.1.1.1, 7.7.7.7\r\n"),
+            post(headers=KEY + "X-Forwarded-For: 7.7.7.7, 8.8.8.8\r\n"),
+            200,
+            2,
+            id="other-caller",
+        ),
+    ],
+)
+def test_another_request_is_not_taken_for_a_repeated_one(
+    first: bytes, second: bytes, status: int, requests: int
+) -> None:
+    with running_relay([numbered()]) as relay:
+        relay.ask(first)
+        assert relay.ask(second).startswith(b"HTTP/1.1 %d " % status)
+        assert len(relay.servers[0].heads) == requests
+
+
+def test_request_whose_outcome_is_unknown_is_not_sent_again() -> None:
+    with running_relay([closing, numbered()]) as relay:
+        assert b'"unknown"' in relay.ask(post())
+        again = relay.ask(post())
+        assert len(relay.servers[0].heads) == 1
+    assert again.startswith(b"HTTP/1.1 409 ")
+    assert b'"unknown"' in again
+
+
+def test_request_that_was_not_run_may_be_sent_again() -> None:
+    with running_relay([shedding, shedding, shedding, numbered()]) as relay:
+        assert b'"not-run"' in relay.ask(post())
+        assert relay.ask(post()).endswith(b"run 1")
