--- a/bench/_modules.py
+++ b/bench/_modules.py
@@ -17,4 +17,5 @@
     "bench.capacity_placement",
     "bench.capacity_store",
     "bench.capacity_relay",
+    "bench.path",
 )
--- /dev/null
+++ b/bench/path_load.py
@@ -0,0 +1,64 @@
+"""Closed-loop load for the bench of the whole path.
+
+``python -m bench.path_load PORT CONNECTIONS SECONDS PATH`` prints one JSON object.
+"""
+
+import json
+import socket
+import sys
+import threading
+import time
+
+BUFFER_BYTES = 65_536
+
+
+def run(port: int, seconds: float, path: str, latencies_s: list[float]) -> None:
+    """Ask again and again on one connection."""
+    request = f"GET {path} HTTP/1.1\r\nHost: gateway\r\n\r\n".encode()
+    end_s = time.monotonic() + seconds
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        while (begun_s := time.monotonic()) < end_s:
+            connection.sendall(request)
+            answer = connection.recv(BUFFER_BYTES)
+            while not _is_whole(answer):
+                answer += connection.recv(BUFFER_BYTES)
+            assert answer.startswith(b"HTTP/1.1 200"), answer[:300]
+            latencies_s.append(time.monotonic() - begun_s)
+
+
+def _is_whole(answer: bytes) -> bool:
+    head, separator, body = answer.partition(b"\r\n\r\n")
+    if not separator:
+        return False
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            return len(body) >= int(line.partition(b":")[2])
+    return body.endswith(b"0\r\n\r\n")
+
+
+def main() -> None:
+    """Run the load and print what came of it."""
+    port, connections, seconds, path = sys.argv[1:]
+    latencies_s: list[float] = []
+    threads = [
+        threading.Thread(
+            target=run, args=(int(port), float(seconds), path, latencies_s)
+        )
+        for _ in range(int(connections))
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    latencies_s.sort()
+    report = {
+        "answers": len(latencies_s),
+        "p50_ms": latencies_s[len(latencies_s) // 2] * 1000,
+        "p99_ms": latencies_s[int(len(latencies_s) * 0.99)] * 1000,
+    }
+    print(json.dumps(report))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/gentianwharf/standin/_backend.py
+++ b/src/gentianwharf/standin/_backend.py
@@ -8,7 +8,7 @@
 from klein import Klein
 from pydantic import TypeAdapter
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IConsumer, IReactorTime
+from twisted.internet.interfaces import IConsumer, IPullProducer, IReactorTime
 from twisted.web.http import Request
 from twisted.web.iweb import IRequest
 from zope.interface import implementer
@@ -24,6 +24,7 @@
 MOST_WAITING_PER_SLOT = 8
 # A grant of all 65,536 shards is below this.
 MOST_ORDER_BYTES = 2_000_000
+PIECE_BYTES = 65_536
 
 _GRANT = TypeAdapter(Grant)
 _REPORT = TypeAdapter(ServerReport)
@@ -69,12 +70,39 @@
         self.reason = reason
 
 
+@final
+@implementer(IPullProducer)
+class _LargeAnswer:
+    """Writes an answer of any size in pieces, at the reader's pace."""
+
+    def __init__(self, *, request: Request, size_bytes: int) -> None:
+        self.done: Deferred[None] = Deferred(lambda _: self.stopProducing())
+        self._request = request
+        self._left_bytes = size_bytes
+        request.setHeader(b"Content-Length", str(size_bytes).encode())
+        request.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Write the next piece."""
+        piece_bytes = min(PIECE_BYTES, self._left_bytes)
+        self._left_bytes -= piece_bytes
+        self._request.write(bytes(piece_bytes))
+        if not self._left_bytes:
+            self._request.unregisterProducer()
+            self.done.callback(None)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Write no more: the reader is gone."""
+        self._left_bytes = 0
+
+
 @final
 class StandInBackend:
     """One backend server with slots, grants and a memory of idempotency keys.
 
     Answers with JSON that says who ran the request under which token, and how often
-    the server ran the idempotency key (a repeated key is not run again).
+    the server ran the idempotency key (a repeated key is not run again). A query of
+    ``bytes=N`` is answered with that many bytes instead.
     """
 
     def __init__(
@@ -192,8 +220,12 @@
         body_bytes = (await _receive(request)).count
         if self.service_time_s:
             await _sleep(self._clock, self.service_time_s)
-        run_key = _header(request, "idempotency-key")
         self.served += 1
+        size = request.uri.rpartition(b"?bytes=")[2]
+        if size.isdigit():
+            await _LargeAnswer(request=request, size_bytes=int(size)).done
+            return b""
+        run_key = _header(request, "idempotency-key")
         if run_key is not None and self._runs[run_key] == 0:
             self._runs[run_key] += 1
         answer = {
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -127,6 +127,11 @@
         finally:
             connection.close()
 
+    def resident_bytes(self, name: str) -> int:
+        """Return the resident memory of a program."""
+        pages = Path(f"/proc/{self.processes[name].pid}/statm").read_text().split()[1]
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
     def serves(self, host: str, path: str) -> Reply | None:
         """Return the reply if it is a server's, else None."""
         try:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,7 @@
 """The whole path as separate processes: store, servers, daemons."""
 
+import http.client
+import json
 import signal
 import threading
 from collections.abc import Iterator
@@ -147,3 +149,35 @@
     assert replies[0].status == 200
     assert running.processes["lac-1"].wait(30) == 0
     assert "request cut off" not in running.log("lac-1")
+
+
+GIB = 1024**3
+MOST_GROWTH_BYTES = 64 * 1024**2
+PIECE = bytes(1024**2)
+
+
+def test_large_bodies_pass_without_being_gathered(running: Deployment) -> None:
+    """One upload of photos takes all the memory of a small host without a disk."""
+    running.ask("lac-1", "/inscription/a", method="POST", body=b"x")
+    before = running.resident_bytes("lac-1")
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", running.ports["lac-1-callers"], timeout=60
+    )
+    connection.putrequest("POST", "/inscription/upload")
+    connection.putheader("Content-Length", str(GIB))
+    connection.endheaders()
+    highest = before
+    for _ in range(GIB // len(PIECE)):
+        connection.send(PIECE)
+        highest = max(highest, running.resident_bytes("lac-1"))
+    answer = json.loads(connection.getresponse().read())
+    assert answer["body_bytes"] == GIB
+
+    connection.request("GET", f"/inscription/download?bytes={GIB}")
+    download = connection.getresponse()
+    received = 0
+    while piece := download.read(len(PIECE)):
+        received += len(piece)
+        highest = max(highest, running.resident_bytes("lac-1"))
+    assert received == GIB
+    assert highest - before < MOST_GROWTH_BYTES
