--- a/src/gentianwharf/standin/_main.py
+++ b/src/gentianwharf/standin/_main.py
@@ -11,6 +11,7 @@
 from gentianwharf.errors import GentianwharfError, InputError
 from gentianwharf.platform import ListedHost, MemoryHostList, MemoryStore
 from gentianwharf.settings import Address, Settings, load_settings, services_of
+from gentianwharf.topology import BackendServer
 
 from ._backend import StandInBackend
 from ._store import StoreApp
@@ -97,12 +98,31 @@
 
 @app.command
 def all(settings: Path) -> None:  # noqa: A001
-    """Serve the store and the host list where a daemon's SETTINGS expect them."""
+    """Serve everything around a daemon where its SETTINGS expect it.
+
+    That is the store, the host list and every backend server.
+    """
+    from twisted.internet import reactor
+
     loaded = load_settings(settings)
+    for service in services_of(loaded):
+        for server in service.servers:
+            _listen_backend(server, reactor=reactor)
     address = loaded.platform.store_url.removeprefix("http://").rstrip("/")
     _serve(address, hosts_of(loaded))
 
 
+def _listen_backend(
+    server: BackendServer, *, reactor: Any, service_time_s: float = 0.0
+) -> None:
+    ip, port = _split(server.address)
+    stand_in = StandInBackend(
+        server=server, clock=reactor, service_time_s=service_time_s
+    )
+    reactor.listenTCP(port, stand_in.site(), interface=ip)
+    print(f"server {server.id} {server.address}", flush=True)
+
+
 @app.command
 def backend(settings: Path, server: str, *, service_time_s: float = 0.0) -> None:
     """Serve one backend server of a daemon's SETTINGS.
@@ -127,13 +147,7 @@
             step="find server",
             peer=str(settings),
         )
-    ip, port = _split(found[server].address)
-    stand_in = StandInBackend(
-        server=found[server], clock=reactor, service_time_s=service_time_s
-    )
-    site: Any = stand_in.site()
-    reactor.listenTCP(port, site, interface=ip)
-    print(f"server {server} {found[server].address}", flush=True)
+    _listen_backend(found[server], reactor=reactor, service_time_s=service_time_s)
     reactor.run()
 
 
--- a/tests/test_standin_main.py
+++ b/tests/test_standin_main.py
@@ -1,5 +1,6 @@
 """The stand-in as a process of its own, frozen, killed and misused."""
 
+import os
 import signal
 import subprocess
 import sys
@@ -9,10 +10,12 @@
 import pytest
 
 from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
-from gentianwharf.platform import HttpHostList, HttpStore
+from gentianwharf.platform import HttpBackendControl, HttpHostList, HttpStore
+from gentianwharf.settings import load_settings, services_of
 
 from .builders_platform import Loop, listed_host
 
+EXAMPLES = Path(__file__).parent.parent / "examples"
 COMMAND = [sys.executable, "-c", "from gentianwharf.standin import main; main()"]
 
 
@@ -72,6 +75,33 @@
         loop.run(store.get("a"))
 
 
+def test_all_serves_everything_around_a_daemon(loop: Loop, tmp_path: Path) -> None:
+    # The whole of 127/8 is loopback: an address of its own keeps the example's ports.
+    ip = f"127.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250}.1"
+    text = (EXAMPLES / "tunis" / "settings.jsonc").read_text()
+    path = tmp_path / "settings.jsonc"
+    path.write_text(text.replace("127.0.0.1", ip))
+    settings = load_settings(path)
+    process = subprocess.Popen(
+        [*COMMAND, "all", str(path)], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        assert process.stdout is not None
+        lines = iter(process.stdout.readline, "")
+        assert any(line.startswith("store ") for line in lines)
+        store = HttpStore(reactor=loop.reactor, url=settings.platform.store_url)
+        assert loop.run(store.get("a")) is None
+        hosts = HttpHostList(reactor=loop.reactor, url=settings.platform.hosts_url)
+        assert [one.id for one in loop.run(hosts.read())] == [settings.host.id]
+        control = HttpBackendControl(reactor=loop.reactor)
+        for service in services_of(settings):
+            for server in service.servers:
+                assert loop.run(control.report(server)).server == server.id
+    finally:
+        process.kill()
+        process.communicate()
+
+
 @pytest.mark.parametrize(
     ("arguments", "expected"),
     [
