--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -7,7 +7,8 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from gentianwharf.errors import GentianwharfError, InputError
+from gentianwharf.errors import GentianwharfError, InputError, RefusedError
+from gentianwharf.keys import shard_of
 from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import BackendControl, KeyValueStore
 from gentianwharf.topology import Domain, Host, Service
@@ -15,6 +16,7 @@
 from ._announcer import Announcer
 from ._context import Context
 from ._evidence import OwnEvidence, Suspicions
+from ._lag import LoopLag
 from ._messages import (
     Acknowledge,
     Announce,
@@ -33,7 +35,7 @@
     Wish,
 )
 from ._move import MoveState
-from ._protocols import Log, PeerLink, SiteOf
+from ._protocols import Log, PeerLink, SingleKeySites, SiteOf
 from ._reader import Reader
 from ._renewal import Renewal
 from ._rights import Rights, Witness
@@ -94,9 +96,10 @@
         peers: PeerLink,
         site_of: SiteOf,
         deadline_caps_s: Mapping[str, float],
-        weights: PlacementWeights,
         rng: Random,
         log: Log,
+        weights: PlacementWeights | None = None,
+        single_key_sites: SingleKeySites = lambda service: {},
     ) -> None:
         keyed = {one.name: one for one in services if one.keyed}
         tables = Tables(shards={name: one.shards for name, one in keyed.items()})
@@ -116,14 +119,16 @@
             control=servers,
             peers=peers,
             site_of=site_of,
+            single_key_sites=single_key_sites,
             deadline_caps_s=dict(deadline_caps_s),
-            weights=weights,
+            weights=weights or PlacementWeights(),
             rng=rng,
             log=log,
             tables=tables,
             rights=Rights(),
             witness=witness,
             receive=self.received,
+            lag=LoopLag(),
         )
         self._evidence = OwnEvidence()
         self._suspicions = Suspicions()
@@ -178,6 +183,7 @@
 
     def tick(self) -> None:
         """Run the systems once; call it every ``TICK_S``."""
+        self._context.lag.note_tick(self._context.now_s)
         self._reader.tick()
         self._witnessing.tick()
         self._witness_list.tick(has_read=self._reader.has_read)
@@ -225,20 +231,39 @@
 
     def move(self, service: str, shard: int, server: str) -> None:
         """Ask the control holder to move a shard to a server."""
-        if service not in self._controls or server not in self._context.servers:
+        self._wish_for(service, shard, server)
+
+    def pin(self, service: str, key: str, server: str) -> None:
+        """Ask for an entry of its own for ``key`` at ``server``; "" takes it away."""
+        shard = shard_of(key, self._context.services[service].shards)
+        self._wish_for(service, shard, server, key)
+
+    def _wish_for(
+        self, service: str, shard: int, server: str, key: str | None = None
+    ) -> None:
+        known = server in self._context.servers or (key is not None and not server)
+        if service not in self._controls or not known:
             raise InputError(
                 f"expected a keyed service and one of its servers, got {service!r}"
                 f" and {server!r}; see `gentianwharf servers list`",
                 step="move shard",
                 peer=server,
             )
-        holder = self._controls[service].holder or self._context.host.id
-        self._context.send(holder, Wish(service=service, shard=shard, server=server))
+        holder = self._controls[service].holder
+        if holder is None:
+            raise RefusedError(
+                "expected a host that holds the service's control, heard of none yet;"
+                " try again in some seconds",
+                step="move shard",
+                peer=service,
+            )
+        wish = Wish(service=service, shard=shard, server=server, key=key)
+        self._context.send(holder, wish)
 
     def _acknowledged(self, host: str, message: Acknowledge) -> None:
         self._announcer.hear(host, message)
         for control in self._controls.values():
-            control.mover.tick()
+            control.mover.tick_soon()
 
     def _items(self, host: str, message: Items) -> None:
         for item in message.items:
@@ -263,7 +288,7 @@
         self._suspicions.hear(host, message.server, self._context.now_s)
         server = self._context.servers.get(message.server)
         if server is not None:
-            self._controls[server.service].tick()
+            self._controls[server.service].tick_soon()
 
     def _leaving(self, host: str, message: Leaving) -> None:
         server = self._context.servers.get(message.server)
@@ -278,7 +303,7 @@
     def _wish(self, host: str, message: Wish) -> None:
         control = self._controls.get(message.service)
         if control is not None and control.lease.is_held:
-            control.wishes[message.shard] = message.server
+            control.wish(message)
 
     def owner(self, service: str, shard: int, key: str | None = None) -> Assignment:
         """Return who owns a key, as far as this host knows."""
