--- a/bench/spread.py
+++ b/bench/spread.py
@@ -243,10 +243,10 @@
         meshes[host.peer_address] = mesh
         mesh.set_peers(hosts)
         _start_spread(clock, store, mesh, host, hosts, rng)
-    _run(clock, 15)
+    clock.advance(15)
     _DelayedLink.frames = _DelayedLink.carried_bytes = 0
     began_s = time.process_time()
-    _run(clock, IDLE_S)
+    clock.advance(IDLE_S)
     cpu_s = time.process_time() - began_s
     host_seconds = IDLE_S * len(hosts)
     links = [one for mesh in meshes.values() for one in mesh.stats().links.values()]
@@ -290,12 +290,6 @@
     clock.callLater(rng.uniform(0, TICK_S), tick)
 
 
-def _run(clock: EventClock, duration_s: float) -> None:
-    end_s = clock.seconds() + duration_s
-    while clock.run_next(end_s=end_s):
-        pass
-
-
 def _mesh_round_trips() -> Iterator[Figure]:
     """Round trips between two meshes of one process and loop, on loopback."""
     loop = Loop()
--- a/tests/builders_spread.py
+++ b/tests/builders_spread.py
@@ -81,6 +81,12 @@
         """Return the calls that wait."""
         return [call for _, _, call in self._heap if call.active()]
 
+    def advance(self, duration_s: float) -> None:
+        """Let time pass, making each call at its moment."""
+        end_s = self._now_s + duration_s
+        while self.run_next(end_s=end_s):
+            pass
+
     def run_next(self, *, end_s: float) -> bool:
         """Move to the next call and make it; False when there is none by ``end_s``."""
         while self._heap and not self._heap[0][2].active():
