--- a/tests/builders_spread.py
+++ b/tests/builders_spread.py
@@ -33,8 +33,12 @@
 def make_hosts(per_domain: int, domains: Iterable[str] = DOMAINS) -> list[Host]:
     """Build the hosts of a deployment."""
     return [
-        Host(id=f"{domain}-{number}", domain=domain, peer_address=f"127.0.0.1:{number}")
-        for domain in domains
+        Host(
+            id=f"{domain}-{number}",
+            domain=domain,
+            peer_address=f"127.0.{place}.1:{number}",
+        )
+        for place, domain in enumerate(domains)
         for number in range(1, per_domain + 1)
     ]
 
@@ -77,6 +81,12 @@
         """Return the calls that wait."""
         return [call for _, _, call in self._heap if call.active()]
 
+    def advance(self, duration_s: float) -> None:
+        """Run what is due within ``duration_s``."""
+        end_s = self.seconds() + duration_s
+        while self.run_next(end_s=end_s):
+            pass
+
     def run_next(self, *, end_s: float) -> bool:
         """Move to the next call and make it; False when there is none by ``end_s``."""
         while self._heap and not self._heap[0][2].active():
