--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -24,6 +24,7 @@
     RightAsk,
 )
 from gentianwharf.ownership._tables import WitnessList, chunk_key, witness_key
+from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import GrantOutcome, ServerReport, VersionedValue
 from gentianwharf.topology import BackendServer, Domain, Host, Service
 
@@ -160,6 +161,7 @@
             peers=self.link,
             site_of=lambda service, shard: None,
             deadline_caps_s={SERVICE: 1.0},
+            weights=PlacementWeights(),
             rng=Random(SEED),
             log=lambda event, **fields: None,
         )
--- a/bench/capacity_placement.py
+++ b/bench/capacity_placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from random import Random
 
-from gentianwharf.placement import Candidate, place
+from gentianwharf.placement import Candidate, PlacementWeights, place, rebalance
 
 from ._figure import Figure
 from ._timing import time_us
@@ -12,6 +12,7 @@
 SHARD_SIZES = (1_024, 4_096, 16_384, 65_536)
 SERVER_SIZES = (16, 64, 256, 1_024)
 FEW_SERVERS = 64
+MOVES = 8
 FEW_SHARDS = 16_384
 
 
@@ -33,6 +34,27 @@
     )
 
 
+def _rebalanced_us(shards: int) -> float:
+    random = Random(SEED)
+    loads = {shard: random.paretovariate(1.2) for shard in range(shards)}
+    owners = {shard: f"server-{shard % FEW_SERVERS}" for shard in range(shards)}
+    candidates = [
+        Candidate(id=f"server-{number}", site="a", slots=6)
+        for number in range(FEW_SERVERS)
+    ]
+    return time_us(
+        lambda: rebalance(
+            owners,
+            loads=loads,
+            candidates=candidates,
+            site_of=lambda shard: None,
+            weights=PlacementWeights(),
+            room=MOVES,
+        ),
+        times=1,
+    )
+
+
 def figures() -> Iterator[Figure]:
     """Yield the time of one placement."""
     for shards in SHARD_SIZES:
@@ -43,6 +65,14 @@
             size={"shards": shards, "servers": FEW_SERVERS},
             seed=SEED,
         )
+    for shards in SHARD_SIZES:
+        yield Figure(
+            name="rebalance_by_shards",
+            value=_rebalanced_us(shards),
+            unit="us",
+            size={"shards": shards, "servers": FEW_SERVERS},
+            seed=SEED,
+        )
     for servers in SERVER_SIZES:
         yield Figure(
             name="placement_by_servers",
--- a/bench/capacity_record.py
+++ b/bench/capacity_record.py
@@ -34,10 +34,11 @@
 
 def main(names: list[str]) -> None:
     """Run the named modules, or all of them, and record their figures."""
-    results = read_results()
     for name in names or MODULES:
         module = importlib.import_module(f"bench.{name}")
         figures = [msgspec.to_builtins(figure) for figure in module.figures()]
+        # Read only now: another module may have been recorded meanwhile.
+        results = read_results()
         results[name] = [figure | {"machine": machine()} for figure in figures]
         print(f"{name}: {len(figures)} figures", flush=True)
         RESULTS.parent.mkdir(exist_ok=True)
