metrics: the burn report, with alerts in two windows, as data, text and page

Cause: operators asked how fast each class burns its error budget and what burns it.

Importing plotly with the package: only the page loads it.

Not seen: the page in a browser; none is installed.

--- a/src/gentianwharf/metrics/__init__.py
+++ b/src/gentianwharf/metrics/__init__.py
@@ -5,6 +5,18 @@
 """
 
 from ._answer import Answer, Decision, Run
+from ._burn import (
+    ALERT_RULES,
+    WINDOWS_S,
+    AlertRule,
+    BurnAlert,
+    Burner,
+    BurnReport,
+    ClassBurn,
+    UnavailableBurn,
+    burn_report,
+)
+from ._burn_text import burn_text
 from ._decisions import DecisionRing
 from ._histograms import (
     EncodedHistogram,
@@ -20,7 +32,18 @@
 from ._windows import BurnWindows, Place, Tally, WindowCount
 
 __all__ = [
+    "ALERT_RULES",
+    "WINDOWS_S",
+    "AlertRule",
     "Answer",
+    "BurnAlert",
+    "BurnReport",
+    "Burner",
+    "ClassBurn",
+    "UnavailableBurn",
+    "burn_html",
+    "burn_report",
+    "burn_text",
     "BurnWindows",
     "Decision",
     "DecisionRing",
@@ -42,3 +65,14 @@
     "unavailable_s",
     "value_at_s",
 ]
+
+
+def burn_html(report: BurnReport) -> str:
+    """Return the burn report as a self-contained page.
+
+    The plotting library is loaded only here: it takes longer to import and more
+    memory than the rest of a daemon, which mostly never makes a page.
+    """
+    from ._burn_html import burn_html as make
+
+    return make(report)
--- a/src/gentianwharf/metrics/_measures.py
+++ b/src/gentianwharf/metrics/_measures.py
@@ -92,6 +92,11 @@
         self._total_s[service] = self._total_s.get(service, 0.0) + spent_s
         self._longest_s[service] = max(self._longest_s.get(service, 0.0), spent_s)
 
+    def services(self) -> list[str]:
+        """Return the services of which a shard was ever unavailable."""
+        open_now = {name for name, _ in self._since_s}
+        return sorted(open_now | set(self._total_s))
+
     def total_s(self, service: str, *, now_s: float) -> float:
         """Return the shard-seconds of unavailable time, open spans included."""
         return self._total_s.get(service, 0.0) + sum(
--- a/src/gentianwharf/metrics/_objectives.py
+++ b/src/gentianwharf/metrics/_objectives.py
@@ -24,5 +24,9 @@
 
     @property
     def error_budget(self) -> float:
-        """Share of answers that may be bad."""
-        return 1.0 - self.share
+        """Share of answers that may be bad.
+
+        Rounded, since ``1 - 0.99`` is a little more than 0.01 in binary, and a class
+        exactly at its budget would not count as burning at rate 1.
+        """
+        return round(1.0 - self.share, 12)
--- a/src/gentianwharf/metrics/_recorder.py
+++ b/src/gentianwharf/metrics/_recorder.py
@@ -7,6 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ._answer import Answer, Decision, Run
+from ._burn import WINDOWS_S, BurnReport, UnavailableBurn, burn_report
 from ._decisions import DecisionRing
 from ._histograms import EncodedHistogram, WindowedHistogram, record_s, value_at_s
 from ._measures import UnavailableShards, imbalance
@@ -174,6 +175,33 @@
             for count in self._windows.counts(window_s=window_s, now_s=now_s)
         ]
 
+    def burn(self) -> BurnReport:
+        """Return how fast the objectives' error budgets burn, on this daemon."""
+        return burn_report(
+            self.objectives,
+            self.window_counts(WINDOWS_S),
+            unavailable=self._unavailable_burns(),
+        )
+
+    def _unavailable_burns(self) -> list[UnavailableBurn]:
+        if not self.objectives:
+            return []
+        now_s = self._clock.seconds()
+        allowed_s = min(one.unavailable_s for one in self.objectives)
+        burns = []
+        for service in self._unavailable.services():
+            longest_s = self._unavailable.longest_s(service, now_s=now_s)
+            burns.append(
+                UnavailableBurn(
+                    service=service,
+                    shard_s=self._unavailable.total_s(service, now_s=now_s),
+                    longest_s=longest_s,
+                    allowed_s=allowed_s,
+                    within=longest_s <= allowed_s,
+                )
+            )
+        return burns
+
     def imbalance(self, service: str) -> float:
         """Return max/mean of answers per server in the last whole window."""
         return imbalance(self._last_load.get(service, {}))
--- a/src/gentianwharf/metrics/_windows.py
+++ b/src/gentianwharf/metrics/_windows.py
@@ -2,7 +2,7 @@
 
 Burn rates need windows from 5 minutes to 3 days. Half a minute's counts are kept for
 an hour and five minutes' counts for three days: a slow window does not need the fine
-ones, and three days of them would take 24 times the memory.
+ones, and three days of them would take nine times as many buckets.
 """
 
 from collections import deque
--- /dev/null
+++ b/tests/test_metrics_burn.py
@@ -0,0 +1,137 @@
+"""The burn report: rates, alerts, what burns, over hosts, and its page."""
+
+import json
+
+import pytest
+from twisted.internet.task import Clock
+
+from gentianwharf.metrics import (
+    ALERT_RULES,
+    WINDOWS_S,
+    WindowCount,
+    burn_html,
+    burn_report,
+    burn_text,
+)
+from tests.builders_metrics import CONSULTATION, answer, recorder, refusal
+
+
+def count(window_s: float, total: int, bad: int, server: str = "a-1") -> WindowCount:
+    return WindowCount(
+        window_s=window_s,
+        request_class="consultation",
+        service="calendrier",
+        rule=1,
+        domain="lac",
+        server=server,
+        total=total,
+        bad=bad,
+    )
+
+
+def firing(bad_by_window: dict[float, int]) -> list[float]:
+    counts = [count(window_s, 1_000, bad) for window_s, bad in bad_by_window.items()]
+    report = burn_report([CONSULTATION], counts)
+    return [alert.threshold for alert in report.alerts if alert.firing]
+
+
+MINUTE_S, HOUR_S = 60.0, 3_600.0
+
+
+@pytest.mark.parametrize(
+    ("bad_by_window", "thresholds"),
+    [
+        pytest.param(dict.fromkeys(WINDOWS_S, 0), [], id="none-bad"),
+        pytest.param(dict.fromkeys(WINDOWS_S, 9), [], id="within-budget"),
+        pytest.param(dict.fromkeys(WINDOWS_S, 10), [1.0], id="exactly-at-budget"),
+        pytest.param(dict.fromkeys(WINDOWS_S, 200), [14.4, 6.0, 1.0], id="fast-burn"),
+        pytest.param(
+            {5 * MINUTE_S: 0, HOUR_S: 200, 30 * MINUTE_S: 0, 6 * HOUR_S: 100},
+            [],
+            id="over-already",
+        ),
+        pytest.param(
+            {5 * MINUTE_S: 500, HOUR_S: 20, 30 * MINUTE_S: 90, 6 * HOUR_S: 10},
+            [],
+            id="short-spike",
+        ),
+    ],
+)
+def test_alert_needs_long_and_short_window(
+    bad_by_window: dict[float, int], thresholds: list[float]
+) -> None:
+    """An operator is paged at night for a spike that is over, and stops believing.
+
+    With the long window alone an alert goes on for an hour after the trouble; with
+    the short one alone every spike of a minute pages.
+    """
+    assert firing(bad_by_window) == thresholds
+
+
+def test_thresholds_spend_what_the_workbook_says() -> None:
+    spent = [
+        rule.threshold * rule.long_s / CONSULTATION.period_s for rule in ALERT_RULES
+    ]
+    assert spent == pytest.approx([0.02, 0.05, 0.10])
+
+
+def test_hosts_counts_add_up_and_name_the_worst_server() -> None:
+    lac = [count(HOUR_S, 900, 1, server="calendrier-1")]
+    ariana = [count(HOUR_S, 100, 9, server="calendrier-2")]
+    report = burn_report([CONSULTATION], [*lac, *ariana])
+    (hour,) = [one for one in report.classes if one.window_s == HOUR_S]
+    assert (hour.answers, hour.bad) == (1_000, 10)
+    assert hour.burn_rate == pytest.approx(1)
+    servers = [one for one in report.burners if one.kind == "server"]
+    assert [one.name for one in servers] == ["calendrier-2", "calendrier-1"]
+    assert servers[0].share_of_bad == pytest.approx(0.9)
+
+
+def test_recorder_counts_slow_failed_and_refused_answers_as_bad() -> None:
+    metrics = recorder(Clock())
+    for bad in (answer(elapsed_s=0.3), answer(status=502), refusal()):
+        metrics.answered(bad)
+    for good in (answer(elapsed_s=0.1), answer(status=404)):
+        metrics.answered(good)
+    five_minutes = metrics.burn().classes[0]
+    assert (five_minutes.answers, five_minutes.bad) == (5, 3)
+
+
+@pytest.mark.parametrize(
+    ("after_s", "expected"),
+    [
+        pytest.param(60, [1, 1, 1, 1, 1], id="a-minute"),
+        pytest.param(600, [0, 1, 1, 1, 1], id="ten-minutes"),
+        pytest.param(2 * HOUR_S, [0, 0, 0, 1, 1], id="two-hours"),
+        pytest.param(100 * HOUR_S, [0, 0, 0, 0, 0], id="four-days"),
+    ],
+)
+def test_answers_leave_the_windows(after_s: float, expected: list[int]) -> None:
+    clock = Clock()
+    metrics = recorder(clock)
+    metrics.answered(refusal())
+    metrics.tick()
+    clock.advance(6)
+    metrics.tick()
+    clock.advance(after_s)
+    assert [one.bad for one in metrics.burn().classes] == expected
+
+
+def test_unavailable_time_is_held_against_the_objective() -> None:
+    clock = Clock()
+    metrics = recorder(clock)
+    metrics.answered(refusal(shard=3))
+    clock.advance(61)
+    (one,) = metrics.burn().unavailable
+    assert (one.service, one.within) == ("calendrier", False)
+    assert one.longest_s == pytest.approx(61)
+
+
+def test_text_and_page_tell_the_alert_and_need_nothing_from_elsewhere() -> None:
+    counts = [count(window_s, 1_000, 200) for window_s in WINDOWS_S]
+    report = burn_report([CONSULTATION], counts)
+    assert burn_text(report).startswith("PAGE: consultation burns its budget 20.0")
+    page = burn_html(report)
+    assert "PAGE: consultation" in page
+    assert "<script src=" not in page
+    assert json.loads(json.dumps(report.as_builtins()))["alerts"][0]["firing"]
