--- a/src/gentianwharf/daemon/_admission.py
+++ b/src/gentianwharf/daemon/_admission.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from gentianwharf import load
+from gentianwharf.placement import rendezvous_rank
 from gentianwharf.relay import Hedge, Outcome, Problem, Run, Ticket
 from gentianwharf.topology import BackendServer
 
@@ -19,7 +20,12 @@
     Outcome.CANCELLED: load.OutcomeKind.CANCELLED,
 }
 
+# A refusal is as much an answer as any other.
+_SIGNS_OF_LIFE = frozenset({Outcome.ANSWERED, Outcome.NOT_OWNER, Outcome.SHED})
+
 Clock = Callable[[], float]
+Evidence = Callable[[str, bool], None]
+"""Told of a server's id and whether it answered."""
 
 
 @final
@@ -27,11 +33,21 @@
     """Lets the gate decide, and tells waiting exchanges what it decided."""
 
     def __init__(
-        self, *, gate: load.Gate, servers: Mapping[str, BackendServer], now_s: Clock
+        self,
+        *,
+        gate: load.Gate,
+        servers: Mapping[str, BackendServer],
+        now_s: Clock,
+        on_evidence: Evidence,
     ) -> None:
         self.servers = dict(servers)
         self._gate = gate
         self._now_s = now_s
+        self._on_evidence = on_evidence
+        self._listed: dict[str, tuple[BackendServer, ...]] = {}
+        for server in self.servers.values():
+            before = self._listed.get(server.service, ())
+            self._listed[server.service] = (*before, server)
         self._waiting: dict[str, Deferred[BackendServer]] = {}
         self._hedges: dict[str, Hedge] = {}
 
@@ -63,11 +79,22 @@
         self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
     ) -> None:
         """Note how a leg ended, and let others go."""
+        if outcome is not Outcome.CANCELLED:
+            self._on_evidence(server.id, outcome in _SIGNS_OF_LIFE)
         ended = load.Outcome(kind=_KINDS[outcome], elapsed_s=elapsed_s)
         self._apply(
             self._gate.finished(ticket.request_id, ended, self._now_s(), server.id)
         )
 
+    def server_for_key(self, service: str, key: str) -> BackendServer | None:
+        """Return the server that every daemon sends an idempotency key to.
+
+        The first in rendezvous order of those that are listed: all daemons see the
+        same list within seconds, and a change of it moves only the lost one's keys.
+        """
+        listed = self._listed.get(service, ())
+        return first_in_rendezvous(key, listed)
+
     def tick(self) -> None:
         """Let the gate refuse what has waited too long and hedge what is late."""
         self._apply(self._gate.tick(self._now_s()))
@@ -75,6 +102,7 @@
     def set_servers(self, service: str, servers: Iterable[BackendServer]) -> None:
         """Follow the servers of a service."""
         servers = tuple(servers)
+        self._listed[service] = servers
         self.servers.update({server.id: server for server in servers})
         self._apply(self._gate.set_servers(service, servers, self._now_s()))
 
@@ -124,6 +152,16 @@
             waiting.callback(result)
 
 
+def first_in_rendezvous(
+    key: str, servers: tuple[BackendServer, ...]
+) -> BackendServer | None:
+    """Return the server of ``key`` by rendezvous hashing, None without servers."""
+    if not servers:
+        return None
+    first = rendezvous_rank(key, [server.id for server in servers])[0]
+    return next(server for server in servers if server.id == first)
+
+
 def _ticket(ticket: Ticket, owner: BackendServer | None) -> load.Ticket:
     return load.Ticket(
         id=ticket.request_id,
--- a/src/gentianwharf/load/_limit.py
+++ b/src/gentianwharf/load/_limit.py
@@ -22,7 +22,7 @@
 
 # Half a service time of waiting inside the server keeps all slots busy while answers
 # and requests travel, and costs a request at most that.
-TOLERATED_WAIT = 0.5
+TOLERATED_WAIT = 0.12
 WINDOW_ANSWERS = 16
 # Index of the quickest tenth in a sorted window.
 QUICK_INDEX = 1
@@ -74,6 +74,10 @@
         self.most = max(self.fair, most)
         self.value = min(self.most, max(self.fair, self.value))
 
+    def borrow(self, value: float) -> None:
+        """Begin above the fair share, until answers say otherwise."""
+        self.value = min(self.most, max(self.value, value))
+
     def note_answer(self, *, elapsed_s: float, wanted_more: bool) -> None:
         """Count an answer of a short class; adapt at the end of a window."""
         self._window.append(elapsed_s)
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -15,22 +15,31 @@
 """
 
 from collections.abc import Mapping
-from math import ceil
+from math import ceil, log
 from random import Random
 from typing import final
 
 from ._class_state import ClassState, class_state
+from ._flows import FlowCounts
 from ._limit import AdaptiveLimit
 from ._requests import RequestClass, Ticket
-from ._server_state import Flight, ServerState
+from ._server_state import Flight, ServerState, Standing
 
 # Long work is remembered for about this long, so that its servers stay its own
 # between two uploads.
 LONG_MEMORY_S = 10.0
 # Below this many long requests in flight none needs a server of its own.
 LEAST_LONG_DEMAND = 0.05
-# Service times that a request may wait in a queue that stands.
-STANDING_WAIT = 3.0
+# A caller with nothing in flight may exceed the limit by this factor, so that it need
+# not wait for the slots of a busy one: servers then hold some requests more for a
+# moment, which the limit, being lowered by slower answers, allows for.
+LIGHT_ROOM = 2.0
+# With the fair share, one request at a time, a hot owner's queue at the router was
+# full at 60 % load while the owner had free slots.
+FIRST_OWNER_SHARE = 0.5
+# A slot may run empty in 5 % of the time, while the servers hold some requests more.
+LOG_EMPTY_SHARE = log(0.05)
+LEAST_SERVED = 0.01
 # Answers end at random: without a place or two a slot stays empty until somebody asks.
 LEAST_PLACES = 2
 LEAST_MEAN_S = 1e-6
@@ -58,90 +67,124 @@
         self.short_in_flight = 0
         self.long_in_flight = 0
         self.waiting = 0
+        self._callers = FlowCounts()
+        self._keys = FlowCounts()
         self._daemons = daemons
         self._long_demand = 0.0
         self._long_noted_s = 0.0
         self._virtual_time = 0.0
         self.states: list[ServerState] = []
+        self.suspects: list[ServerState] = []
         self.short_states: list[ServerState] = []
         self.long_states: list[ServerState] = []
         self.limit = AdaptiveLimit(fair=1.0, most=1.0)
         self.set_states(states)
+        if pinned:
+            # One owner of many: most of the time the other hosts leave it alone.
+            self.limit.borrow(states[0].server.slots * FIRST_OWNER_SHARE)
 
     def set_states(self, states: list[ServerState]) -> None:
         """Follow servers that join or leave."""
         self.states = _in_common_order(states)
         slots = sum(one.server.slots for one in states)
         self.limit.resize(fair=slots / self._daemons, most=float(slots))
+        self.note_suspects()
         self._divide_servers()
 
-    def has_room(self, state: ClassState) -> bool:
-        """Whether the limits let one more request of this class start."""
+    def has_room(self, state: ClassState, *, light: bool) -> bool:
+        """Whether the limits let one more request of this class start.
+
+        ``light``: see ``is_light``.
+        """
         limit = self.limit.value
         share = state.request_class.slot_share
         if share < 1.0:
             return state.in_flight < max(1.0, limit * share)
         lent_to_long = min(self.long_in_flight, limit / 2)
+        if light:
+            limit *= LIGHT_ROOM
         return self.short_in_flight + lent_to_long < limit
 
-    def expected_wait_s(self, state: ClassState) -> float:
-        """Return how long a request that came now would wait."""
-        return len(state.queue) / self.turn_rate_per_s(state)
+    def is_light(self, ticket: Ticket) -> bool:
+        """Whether both its caller and its key have less in flight than another."""
+        if not self._callers.is_light(ticket.caller):
+            return False
+        return ticket.key is None or self._keys.is_light(ticket.key)
+
+    def passes_first(self, state: ClassState, now_s: float) -> bool:
+        """Whether the first waiting request counts as light, so that none passes it.
+
+        Light newcomers may pass a busy caller's request, but not for ever: they alone
+        can keep the limit exceeded, and it would wait until its deadline.
+        """
+        ticket = state.queue.peek()
+        longest_s = state.request_class.max_wait_ms / 1000
+        waited_s = now_s - state.queue.since_s(ticket)
+        return waited_s > longest_s or self.is_light(ticket)
 
     def push(self, state: ClassState, ticket: Ticket, now_s: float) -> None:
         """Let a request wait."""
         if not len(state.queue):
-            state.waiting_since_s = now_s
             # An idle class gets no credit for the time in which it asked nothing.
             state.virtual_time = max(state.virtual_time, self._virtual_time)
-        state.queue.push(ticket)
+        in_flight = self._callers.count(ticket.caller)
+        if ticket.key is not None:
+            in_flight = max(in_flight, self._keys.count(ticket.key))
+        state.queue.push(ticket, now_s=now_s, in_flight=in_flight)
         self.waiting += 1
 
-    def note_left(self, state: ClassState) -> None:
-        """Note that a request has left the class's queue."""
-        self.waiting -= 1
-        if not len(state.queue):
-            state.waiting_since_s = None
-
-    def next_class(self, blocked: set[str]) -> ClassState | None:
+    def next_class(self, blocked: set[str], now_s: float) -> ClassState | None:
         """Return the class whose turn it is, of those with work, room and a server."""
         best: ClassState | None = None
         for name, state in self.classes.items():
-            if name in blocked or not len(state.queue) or not self.has_room(state):
+            if name in blocked or not len(state.queue):
+                continue
+            if not self.has_room(state, light=self.passes_first(state, now_s)):
                 continue
             if best is None or state.virtual_time < best.virtual_time:
                 best = state
         return best
 
-    def places(self, state: ClassState, now_s: float) -> int:
+    def most_places(self, state: ClassState, rate_per_s: float) -> int:
+        """Return how many of the class are served within its longest wait."""
+        longest_s = state.request_class.max_wait_ms / 1000
+        return max(LEAST_PLACES, int(longest_s * rate_per_s))
+
+    def places(self, state: ClassState, most: int) -> int:
         """Return how many requests of the class may wait at this moment.
 
-        A short burst may fill the class's longest wait. A queue that stands for
-        longer than that is no burst: it only makes everybody late, so it is kept
-        down to a few service times (as in CoDel, RFC 8289).
+        While hardly any is refused, as many as the class's longest wait allows. The
+        more are refused, the fewer are needed so that no slot runs empty, and a
+        longer queue would only make everybody later: at ``r`` times the capacity an
+        M/M/1 queue of K places is empty in about ``r ** -K`` of the time.
         """
-        wait_s = state.request_class.max_wait_ms / 1000
-        if state.waiting_since_s is None:
-            standing_s = 0.0
-        else:
-            standing_s = now_s - state.waiting_since_s
-        if standing_s > wait_s:
-            wait_s = min(wait_s, STANDING_WAIT * state.mean_s)
-        return max(LEAST_PLACES, int(wait_s * self.turn_rate_per_s(state)))
+        served = max(LEAST_SERVED, 1.0 - state.refused_share)
+        if served == 1.0:
+            return most
+        needed = LOG_EMPTY_SHARE / log(served) * self._turn_share(state)
+        return max(LEAST_PLACES, int(min(most, needed)))
 
     def turn_rate_per_s(self, state: ClassState) -> float:
         """Return how many of the class can start a second while others wait too."""
-        total = sum(
-            one.request_class.weight
-            for one in self.classes.values()
-            if one is state or len(one.queue)
-        )
-        share = min(state.request_class.slot_share, state.request_class.weight / total)
+        share = self._turn_share(state)
         return max(1.0, self.limit.value * share) / max(state.mean_s, LEAST_MEAN_S)
 
+    def _turn_share(self, state: ClassState) -> float:
+        """Return the class's part of the limit while the others wait as now."""
+        weight = state.request_class.weight
+        total = weight
+        if self.waiting > len(state.queue):
+            for one in self.classes.values():
+                if one is not state and len(one.queue):
+                    total += one.request_class.weight
+        return min(state.request_class.slot_share, weight / total)
+
     def note_start(self, state: ClassState, flight: Flight, now_s: float) -> None:
         """Count a request that is sent."""
         state.in_flight += 1
+        self._callers.add(flight.ticket.caller)
+        if flight.ticket.key is not None:
+            self._keys.add(flight.ticket.key)
         if flight.long:
             self.long_in_flight += 1
             self._note_long(now_s)
@@ -156,13 +199,36 @@
             return
         flight.counted = False
         state.in_flight -= 1
+        self._callers.remove(flight.ticket.caller)
+        if flight.ticket.key is not None:
+            self._keys.remove(flight.ticket.key)
         if flight.long:
             self.long_in_flight -= 1
         else:
             self.short_in_flight -= 1
 
+    def is_gone(self, now_s: float) -> bool:
+        """Whether waiting is in vain: the only server is frozen or has left."""
+        return self.pinned and not self.states[0].takes_pinned(now_s)
+
+    def may_suspect_slow(self) -> bool:
+        """Whether one more server may be set apart for being slower than the rest.
+
+        Slowness is judged against the pool's own median. If that is wrong, or the
+        work has become slower everywhere, all servers look slow; a host that then
+        set all apart would refuse everything, and have no answers to learn better
+        from. So at most half; servers that do not answer at all are not counted.
+        """
+        self.note_suspects()
+        return (len(self.suspects) + 1) * 2 <= len(self.states)
+
+    def note_suspects(self) -> None:
+        """Follow which servers are suspects; most of the time there are none."""
+        self.suspects = [one for one in self.states if one.standing is Standing.SUSPECT]
+
     def tick(self, now_s: float) -> None:
         """Follow how much long work there is."""
+        self.note_suspects()
         self._note_long(now_s)
         self._divide_servers()
 
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -16,6 +16,7 @@
 from ._announcer import ROUND_BITS, Announcer
 from ._context import Context
 from ._evidence import OwnEvidence, Suspicions
+from ._lag import LoopLag
 from ._messages import (
     Acknowledge,
     Announce,
@@ -129,6 +130,7 @@
             rights=Rights(first_round=rng.getrandbits(ROUND_BITS)),
             witness=witness,
             receive=self.received,
+            lag=LoopLag(),
         )
         self._evidence = OwnEvidence()
         self._suspicions = Suspicions()
@@ -185,6 +187,7 @@
 
     def tick(self) -> None:
         """Run the systems once; call it every ``TICK_S``."""
+        self._context.lag.note_tick(self._context.now_s)
         self._reader.tick()
         self._witnessing.tick()
         self._witness_list.tick(has_read=self._reader.has_read)
@@ -264,7 +267,7 @@
     def _acknowledged(self, host: str, message: Acknowledge) -> None:
         self._announcer.hear(host, message)
         for control in self._controls.values():
-            control.mover.tick()
+            control.mover.tick_soon()
 
     def _items(self, host: str, message: Items) -> None:
         for item in message.items:
@@ -289,7 +292,7 @@
         self._suspicions.hear(host, message.server, self._context.now_s)
         server = self._context.servers.get(message.server)
         if server is not None:
-            self._controls[server.service].tick()
+            self._controls[server.service].tick_soon()
 
     def _leaving(self, host: str, message: Leaving) -> None:
         server = self._context.servers.get(message.server)
--- a/src/gentianwharf/spread/_places.py
+++ b/src/gentianwharf/spread/_places.py
@@ -29,6 +29,12 @@
 picks 4 is connected for every size of domain that is planned for."""
 
 
+PARTNERS_ELSEWHERE = 2
+"""Hosts of other failure domains with which digests are exchanged. Fixed ones, since
+each new one opens a link that is probed: a random one every two seconds kept five
+more links open."""
+
+
 def _score(salt: str, host_id: str) -> tuple[int, str]:
     return xxhash.xxh3_64_intdigest(f"{salt}\0{host_id}".encode()), host_id
 
@@ -53,15 +59,20 @@
 
 @final
 class Places:
-    """The places of one host among the hosts that it knows of."""
+    """The places of one host among the hosts that it knows of.
+
+    ``watch_rank`` is 0 for its failure domain's first watcher, 1 for the second, and
+    so on; ``partners`` are fellow hosts, ``others`` the hosts of other domains.
+    """
 
     def __init__(self, *, host: Host) -> None:
         self._host = host
         self._members: tuple[str, ...] = ()
-        self._watch_order: list[str] = []
+        self.watch_rank = 0
         self._heads: tuple[str, ...] = ()
         self.others: tuple[str, ...] = ()
         self.partners: tuple[str, ...] = ()
+        self.partners_elsewhere: tuple[str, ...] = ()
         self.set_hosts(())
 
     def set_hosts(self, hosts: Iterable[Host]) -> None:
@@ -71,27 +82,31 @@
             by_domain.setdefault(host.domain, set()).add(host.id)
         mine = by_domain.pop(self._host.domain)
         self._members = tuple(sorted(mine))
-        self._watch_order = ranked(f"watch {self._host.domain}", mine)
+        watch_order = ranked(f"watch {self._host.domain}", mine)
+        self.watch_rank = watch_order.index(self._host.id)
         self._heads = tuple(
             watcher
             for domain, members in sorted(by_domain.items())
             for watcher in ranked(f"watch {domain}", members)[:WATCHERS]
         )
         self.others = tuple(sorted(set().union(*by_domain.values())))
+        self.partners_elsewhere = tuple(
+            ranked(f"partner {self._host.id}", self.others)[:PARTNERS_ELSEWHERE]
+        )
         self.partners = tuple(
             ranked(f"partner {self._host.id}", mine - {self._host.id})[:PARTNERS]
         )
 
+    @property
+    def host_id(self) -> str:
+        """The host whose places these are."""
+        return self._host.id
+
     @property
     def domain_members(self) -> tuple[str, ...]:
         """The hosts of the own failure domain, the host itself among them."""
         return self._members
 
-    @property
-    def watch_rank(self) -> int:
-        """0 for the domain's first watcher, 1 for its second, and so on."""
-        return self._watch_order.index(self._host.id)
-
     @property
     def heads(self) -> tuple[str, ...]:
         """The watchers of the other failure domains."""
