Part store values into messages that the links carry

All tables together may be larger than the 1 MB that one message between hosts may have; a restarted host would then never have been brought up to date. A witness now counts another's answer only once all values named in it have arrived.

--- a/src/gentianwharf/ownership/_context.py
+++ b/src/gentianwharf/ownership/_context.py
@@ -1,6 +1,6 @@
 """What every system of this package works on: one host's tables and links."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import final
@@ -12,7 +12,7 @@
 from gentianwharf.topology import BackendServer, Domain, Host, Service
 
 from ._lag import LoopLag
-from ._messages import Item, Items, Message
+from ._messages import Item, Items, Message, batches
 from ._protocols import Log, PeerLink, SiteOf
 from ._rights import Rights, Witness
 from ._tables import Tables
@@ -62,6 +62,11 @@
         else:
             self.peers.send(host, message)
 
+    def send_items(self, host: str, items: Iterable[Item]) -> None:
+        """Send store values to a host, in as many messages as they need."""
+        for batch in batches(items):
+            self.send(host, batch)
+
     def live_hosts(self, domain: str) -> list[str]:
         """Return the hosts of ``domain`` that have been heard lately."""
         return [one for one in self.peers.hosts_of(domain) if self.peers.is_live(one)]
--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -1,12 +1,17 @@
 """Messages between hosts, one tagged union, packed by msgspec."""
 
+from collections.abc import Iterable, Iterator
 from typing import final
 
 import msgspec
 
 from gentianwharf.errors import InputError
 
-MOST_MESSAGE_BYTES = 4_000_000
+MOST_MESSAGE_BYTES = 1_000_000
+"""What the links between hosts carry in one message."""
+
+MOST_ITEMS_BYTES = 500_000
+"""Values in one message, unless a single one is larger."""
 
 
 class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -103,11 +108,11 @@
 
 @final
 class RecoverAnswer(_Message, frozen=True, kw_only=True, tag=True):
-    """All that a witness with memory knows."""
+    """All that a witness with memory knows; the values go ahead as ``Items``."""
 
     domain: str
     incarnation: int
-    items: list[Item]
+    versions: dict[str, int]
 
 
 @final
@@ -162,6 +167,20 @@
     key: str | None = None
 
 
+def batches(items: Iterable[Item]) -> Iterator[Items]:
+    """Part ``items`` into messages of a size that the links carry."""
+    batch: list[Item] = []
+    size = 0
+    for item in items:
+        if batch and size + len(item.value) > MOST_ITEMS_BYTES:
+            yield Items(items=batch)
+            batch, size = [], 0
+        batch.append(item)
+        size += len(item.value)
+    if batch:
+        yield Items(items=batch)
+
+
 Message = (
     RightAsk
     | RightAnswer
--- a/src/gentianwharf/ownership/_reader.py
+++ b/src/gentianwharf/ownership/_reader.py
@@ -9,7 +9,7 @@
 from gentianwharf.platform import VersionedValue
 
 from ._context import Context
-from ._messages import Item, Items
+from ._messages import Item
 from ._protocols import answer_within
 from ._tables import TABLE, WITNESSES
 from ._timing import STORE_TIMEOUT_S, WATCH_S
@@ -121,4 +121,4 @@
         if new and self.has_read:
             for host in context.peers.hosts_of(context.host.domain):
                 if host != context.host.id:
-                    context.peers.send(host, Items(items=new))
+                    context.send_items(host, new)
--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -43,7 +43,7 @@
 REBALANCE_EVERY_S = 10.0
 """How often the load is looked at: several reports of each host come between."""
 
-SCAN_SHARDS = 2048
+SCAN_SHARDS = 512
 """Shards looked at in one tick for a site that the rules changed."""
 
 SOON_S = 0.01
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -275,8 +275,7 @@
 
     def _pull(self, host: str, message: Pull) -> None:
         newer = self._context.tables.newer_than(message.versions)
-        if newer:
-            self._context.send(host, Items(items=newer))
+        self._context.send_items(host, newer)
 
     def _control_alive(self, host: str, message: ControlAlive) -> None:
         control = self._controls.get(message.service)
--- a/src/gentianwharf/ownership/_witnessing.py
+++ b/src/gentianwharf/ownership/_witnessing.py
@@ -8,7 +8,6 @@
 from ._messages import (
     Acknowledge,
     Announce,
-    Items,
     Pull,
     RecoverAnswer,
     RecoverAsk,
@@ -123,8 +122,7 @@
             return
         context.send(host, context.witness.answer(ask, context.tables))
         newer = context.tables.newer_than(ask.versions)
-        if newer:
-            context.send(host, Items(items=newer))
+        context.send_items(host, newer)
         if not context.tables.knows(ask.versions):
             context.send(host, Pull(versions=dict(context.tables.versions)))
 
@@ -133,7 +131,7 @@
         context = self._context
         newer = context.tables.newer_than(ask.versions)
         if newer:
-            context.send(host, Items(items=newer))
+            context.send_items(host, newer)
         else:
             context.send(host, context.rights.share(ask, context.now_s))
         if not context.tables.knows(ask.versions):
@@ -173,19 +171,19 @@
         """Tell a witness that lost its memory all that this one knows."""
         context = self._context
         if ask.domain == context.host.domain and context.witness.has_memory:
-            items = context.tables.newer_than({})
-            context.send(
-                host,
-                RecoverAnswer(
-                    domain=ask.domain, incarnation=ask.incarnation, items=items
-                ),
+            context.send_items(host, context.tables.newer_than({}))
+            answer = RecoverAnswer(
+                domain=ask.domain,
+                incarnation=ask.incarnation,
+                versions=dict(context.tables.versions),
             )
+            context.send(host, answer)
 
     def recovery_answered(self, host: str, answer: RecoverAnswer) -> None:
-        """Take what another witness knows."""
+        """Count a witness whose knowledge has all arrived; ask again otherwise."""
         context = self._context
-        for item in answer.items:
-            context.tables.install(item)
+        if not context.tables.knows(answer.versions):
+            return
         own = context.tables.witnesses(context.host.domain)
         if own is not None and answer.incarnation == context.witness.incarnation:
             context.witness.recovered_from(host, own)
--- a/tests/test_ownership_rights.py
+++ b/tests/test_ownership_rights.py
@@ -6,7 +6,14 @@
 import pytest
 
 from gentianwharf.ownership._announce import Announcement
-from gentianwharf.ownership._messages import Acknowledge, Item, RightAnswer
+from gentianwharf.ownership._messages import (
+    MOST_MESSAGE_BYTES,
+    Acknowledge,
+    Item,
+    RightAnswer,
+    batches,
+    encode,
+)
 from gentianwharf.ownership._rights import Rights, Witness
 from gentianwharf.ownership._table import Entry, first_chunk, pack_chunk
 from gentianwharf.ownership._tables import Tables, WitnessList
@@ -247,3 +254,11 @@
     taker.hear_share(giver.share(ask, 10.25))
     assert taker.until_s("lac") == pytest.approx(10.35)
     assert taker.asked_s("lac") <= 10.0
+
+
+def test_values_are_parted_into_messages_that_the_links_carry() -> None:
+    """A host restarts; all tables together are larger than one message may be."""
+    items = [Item(f"table/ledger/{n}", n, b"x" * 200_000) for n in range(1, 8)]
+    parts = list(batches(items))
+    assert [one for part in parts for one in part.items] == items
+    assert max(len(encode(part)) for part in parts) < MOST_MESSAGE_BYTES
