Show alarms, churn, reported load and burn; know fellow hosts by settings

Cause: a host that restarts while its domain is cut off from the platform had no host list, so it found nobody to learn rules, table and rights from: seen when the process test stopped the host list as well as the store. Ruled out: asking backend servers, whose addresses are known, for fellow hosts; nothing of ours runs there. Conclusion: known_hosts in the settings name fellow hosts; the list replaces them once it has come.

--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -15,8 +15,13 @@
 from gentianwharf.metrics import Objective, Recorder
 from gentianwharf.ownership import TICK_S, OwnershipSystem
 from gentianwharf.placement import PlacementWeights
-from gentianwharf.platform import HttpBackendControl, HttpHostList, HttpStore
-from gentianwharf.relay import CallerSite, RelayApp, ServerConnections
+from gentianwharf.platform import (
+    HttpBackendControl,
+    HttpHostList,
+    HttpStore,
+    ServerReport,
+)
+from gentianwharf.relay import CallerSite, ConnectionLimits, RelayApp, ServerConnections
 from gentianwharf.rules import RuleBook, RuleChecker
 from gentianwharf.settings import (
     Settings,
@@ -26,7 +31,7 @@
     services_of,
 )
 from gentianwharf.spread import Channel, PeerMesh, SpreadSystem
-from gentianwharf.topology import Host
+from gentianwharf.topology import Host, Service
 
 from . import _views as views
 from ._admission import GateAdmission
@@ -35,6 +40,7 @@
 from ._listen import listen
 from ._observer import RecordingObserver
 from ._ownership import RoutedOwnership
+from ._reports import ServerReports
 from ._rules import RulesInForce, write_initial_rules
 from ._shutdown import Shutdown
 
@@ -44,6 +50,8 @@
 # shortest limit that callers notice (a consultation's late answer, tens of ms).
 GATE_TICK_S = 0.02
 RECORDER_TICK_S = 1.0
+REPORTS_TICK_S = 0.1
+ALARMS_EVERY_S = 1.0
 # Until the store has rules, somebody must write the first ones.
 INITIAL_RULES_EVERY_S = 1.0
 
@@ -95,9 +103,24 @@
         )
         self.control = HttpBackendControl(reactor=reactor)
         self.hosts = HostTable(
-            own=self.host, servers=self.servers, now_s=reactor.seconds
+            own=self.host,
+            known=[
+                Host(id=one.id, domain=one.domain, peer_address=one.peer_address)
+                for one in self.settings.known_hosts
+            ],
+            servers=self.servers,
+            now_s=reactor.seconds,
+        )
+        self.reports = ServerReports(
+            control=self.control,
+            clock=reactor,
+            rng=_seeded(),
+            on_report=self._on_report,
         )
 
+    def _on_report(self, server: str, report: ServerReport) -> None:
+        self.gate.report(server, report, self.reactor.seconds())
+
     def _build_links(self) -> None:
         self.mesh = PeerMesh(reactor=self.reactor, host=self.host, rng=_seeded())
         self.link = OwnershipLink(mesh=self.mesh, hosts=self.hosts)
@@ -211,7 +234,9 @@
         )
         self.admin = self._build_admin()
         self.site = CallerSite(
-            resource=self.relay.klein.resource(), reactor=self.reactor
+            resource=self.relay.klein.resource(),
+            reactor=self.reactor,
+            limits=ConnectionLimits(**self.settings.caller_limits.model_dump()),
         )
         self.site.noisy = False
 
@@ -223,20 +248,23 @@
             clock=self.reactor,
             rng=_seeded(),
         )
+        servers = views.ServersView(
+            servers=self.servers,
+            services=self.services,
+            domains=self.domains,
+            gate=self.gate,
+            control=self.control,
+            ownership=self.ownership,
+            reports=self.reports,
+        )
+        self.state_view = views.DaemonStateView(daemon=self, servers=servers)
         return AdminApp(
-            state=views.DaemonStateView(daemon=self),
+            state=self.state_view,
             rules=views.RulesView(in_force=self.rules, book=book),
             keys=views.KeysView(
                 ownership=self.ownership, services=self.services, domains=self.domains
             ),
-            servers=views.ServersView(
-                servers=self.servers,
-                services=self.services,
-                domains=self.domains,
-                gate=self.gate,
-                control=self.control,
-                ownership=self.ownership,
-            ),
+            servers=servers,
             hosts=views.HostsView(host_list=self.host_list),
             domains=views.DomainsView(
                 ownership=self.ownership,
@@ -249,6 +277,10 @@
             token=self._token,
         )
 
+    def keyed_services(self) -> list[Service]:
+        """Return the services that are divided by key."""
+        return [one for one in self.services.values() if one.keyed]
+
     def is_stopping(self) -> bool:
         """Return whether a shutdown is under way."""
         return self.relay.stopping
@@ -264,6 +296,9 @@
         self._every(TICK_S, self._tick)
         self._every(GATE_TICK_S, self.admission.tick)
         self._every(RECORDER_TICK_S, self.recorder.tick)
+        self._every(REPORTS_TICK_S, self.reports.tick)
+        self._every(ALARMS_EVERY_S, self.state_view.update)
+        self._follow_hosts()
         self._every_async(HOSTS_EVERY_S, self._read_hosts)
         self._every_async(INITIAL_RULES_EVERY_S, self._write_initial_rules)
         self._callers_port = listen(
@@ -310,8 +345,10 @@
         except GentianwharfError:
             # The list that is known stays in force; readiness shows its age.
             return
-        if not self.hosts.take(listed):
-            return
+        if self.hosts.take(listed):
+            self._follow_hosts()
+
+    def _follow_hosts(self) -> None:
         self.mesh.set_peers(self.hosts.hosts.values())
         self.spread.set_hosts(self.hosts.hosts.values())
         leaving = self.hosts.leaving_servers
@@ -319,6 +356,11 @@
         for name, service in self.services.items():
             kept = [one for one in service.servers if one.id not in leaving]
             self.admission.set_servers(name, kept)
+        self.reports.set_servers(
+            server
+            for server in self.servers.values()
+            if not self.services[server.service].keyed and server.id not in leaving
+        )
 
     async def _write_initial_rules(self) -> None:
         if self._initial_rules is None or self.rules.current is not None:
--- a/src/gentianwharf/daemon/_hosts.py
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -15,15 +15,21 @@
 class HostTable:
     """Every entry host that is listed, when it was heard, and who is leaving.
 
-    The list lags and may be out of reach: the newest one that came stays in force.
+    The list lags and may be out of reach: the newest one that came stays in force,
+    and until one has come, the hosts that the settings know.
     The own host is always in it.
     """
 
     def __init__(
-        self, *, own: Host, servers: Iterable[str], now_s: Callable[[], float]
+        self,
+        *,
+        own: Host,
+        known: Iterable[Host],
+        servers: Iterable[str],
+        now_s: Callable[[], float],
     ) -> None:
         self.own = own
-        self.hosts: Mapping[str, Host] = {own.id: own}
+        self.hosts: Mapping[str, Host] = {one.id: one for one in (*known, own)}
         self.leaving_servers: frozenset[str] = frozenset()
         self._servers = frozenset(servers)
         self._now_s = now_s
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,11 +1,12 @@
 """What the admin port shows and does, over the daemon's parts."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
-from dataclasses import asdict
-from typing import Protocol, cast, final
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import asdict, replace
+from typing import Any, Protocol, cast, final
 
 from gentianwharf.admin import (
+    AlarmWatch,
     DaemonState,
     DomainLoss,
     JsonValue,
@@ -13,12 +14,12 @@
     Measures,
     ServerStatus,
 )
-from gentianwharf.errors import InputError, RefusedError
+from gentianwharf.errors import InputError
 from gentianwharf.keys import shard_of
 from gentianwharf.load import Gate, ServerSnapshot
 from gentianwharf.logs import log
-from gentianwharf.metrics import Recorder
-from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
+from gentianwharf.metrics import Recorder, burn_html
+from gentianwharf.ownership import Assignment, OwnershipSystem
 from gentianwharf.platform import BackendControl, HostList, ListedHost
 from gentianwharf.rules import (
     ApplyResult,
@@ -31,6 +32,7 @@
 from gentianwharf.settings import Settings
 from gentianwharf.topology import BackendServer, Domain, Service
 
+from ._reports import ServerReports
 from ._rules import RulesInForce
 
 
@@ -42,6 +44,10 @@
     rules: RulesInForce
     recorder: Recorder
     ownership: OwnershipSystem
+    reactor: Any
+
+    def keyed_services(self) -> list[Service]:
+        """Return the services that are divided by key."""
 
     def why_not_ready(self) -> list[str]:
         """Return why callers should not be sent here."""
@@ -53,12 +59,51 @@
         """Return how long ago the store was heard."""
 
 
+@final
+class OwnerChanges:
+    """Counts shards that changed owner, as this host saw it."""
+
+    def __init__(self) -> None:
+        self.changes: Counter[str] = Counter()
+        self._before: dict[str, list[str]] = {}
+
+    def look(self, ownership: OwnershipSystem, services: Iterable[Service]) -> None:
+        """Compare the owners with those of the last look."""
+        for service in services:
+            owners = [
+                ownership.owner(service.name, shard).owner
+                for shard in range(service.shards)
+            ]
+            before = self._before.get(service.name, owners)
+            self.changes[service.name] += sum(
+                old != new for old, new in zip(before, owners, strict=True) if old
+            )
+            self._before[service.name] = owners
+
+
 @final
 class DaemonStateView:
     """Health and state."""
 
-    def __init__(self, *, daemon: _StatefulDaemon) -> None:
+    def __init__(self, *, daemon: _StatefulDaemon, servers: "ServersView") -> None:
         self._daemon = daemon
+        self._servers = servers
+        self._alarms = AlarmWatch()
+        self._owners = OwnerChanges()
+        self._state: DaemonState | None = None
+        self._begun_s = daemon.reactor.seconds()
+
+    def update(self) -> None:
+        """Look at alarms and owners; call it each second or so."""
+        daemon = self._daemon
+        self._owners.look(daemon.ownership, daemon.keyed_services())
+        before = {one.name for one in self._state.alarms} if self._state else set()
+        self._state = self._alarms.update(
+            self._look(), self._servers.servers(), now_s=daemon.reactor.seconds()
+        )
+        for alarm in self._state.alarms:
+            if alarm.name not in before:
+                log.error("alarm: {}", alarm.detail, extra={"alarm": alarm.name})
 
     def is_live(self) -> bool:
         """Return True: whoever can answer this needs no restart."""
@@ -70,6 +115,10 @@
 
     def state(self) -> DaemonState:
         """Return the whole state."""
+        alarms = self._state.alarms if self._state is not None else ()
+        return replace(self._look(), alarms=alarms)
+
+    def _look(self) -> DaemonState:
         daemon = self._daemon
         host = daemon.settings.host
         ownership = daemon.ownership.state()
@@ -89,18 +138,18 @@
                 domain: left_s > 0 for domain, left_s in ownership.right_left_s.items()
             },
             control_holders=ownership.holders,
-            measures=self._measures(ownership),
+            measures=self._measures(),
             alarms=(),
         )
 
-    def _measures(self, ownership: OwnershipState) -> Measures | None:
+    def _measures(self) -> Measures | None:
         services = self._daemon.recorder.state()["services"]
         if not services:
             return None
         return Measures(
-            window_s=0.0,
+            window_s=self._daemon.reactor.seconds() - self._begun_s,
             imbalance={name: one["imbalance"] for name, one in services.items()},
-            churn=dict.fromkeys(ownership.versions, 0),
+            churn=dict(self._owners.changes),
             unavailable_s={
                 name: one["unavailable_shard_s"] for name, one in services.items()
             },
@@ -226,7 +275,9 @@
         gate: Gate,
         control: BackendControl,
         ownership: OwnershipSystem,
+        reports: ServerReports,
     ) -> None:
+        self._reports = reports
         self._servers = servers
         self._services = services
         self._sites = {domain.name: domain.site for domain in domains}
@@ -246,6 +297,7 @@
     def _status(
         self, server: BackendServer, snapshot: ServerSnapshot | None, shards: int
     ) -> ServerStatus:
+        report = self._reports.latest.get(server.id)
         return ServerStatus(
             id=server.id,
             service=server.service,
@@ -255,7 +307,7 @@
             state=str(snapshot.standing) if snapshot is not None else "gone",
             slots=server.slots,
             slots_busy=snapshot.in_flight if snapshot is not None else 0,
-            reported_load=None,
+            reported_load=report.load if report is not None else None,
             shards=shards,
         )
 
@@ -378,9 +430,9 @@
         self._recorder = recorder
 
     def burn(self) -> Mapping[str, JsonValue]:
-        """Return the last window of every class."""
-        return cast("Mapping[str, JsonValue]", self._recorder.state())
+        """Return the report as JSON."""
+        return cast("Mapping[str, JsonValue]", asdict(self._recorder.burn()))
 
     def burn_html(self) -> str:
-        """Refuse: there is no page yet."""
-        raise RefusedError("there is no page yet", step="burn", peer="operator")
+        """Return the report as a self-contained page."""
+        return burn_html(self._recorder.burn())
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -3,7 +3,7 @@
 from gentianwharf.metrics import Run
 
 from ._app import RelayApp
-from ._caller import CallerRequest, CallerSite
+from ._caller import CallerRequest, CallerSite, ConnectionLimits
 from ._connections import ServerConnections
 from ._ports import (
     Admission,
@@ -23,6 +23,7 @@
     "Answered",
     "CallerRequest",
     "CallerSite",
+    "ConnectionLimits",
     "Hedge",
     "Observer",
     "Outcome",
--- a/src/gentianwharf/relay/_answer.py
+++ b/src/gentianwharf/relay/_answer.py
@@ -15,9 +15,6 @@
 from ._caller import CallerRequest
 from ._headers import REQUEST_ID, answered_with
 
-# A caller or server that moves no byte for this long is taken for gone: browsers
-# give up on a stalled page far earlier, and each stalled answer holds a slot.
-MOST_STALL_S = 30.0
 # Confirmations of reservations and postings are a few hundred bytes.
 MOST_KEPT_BYTES = 64 * 1024
 
@@ -37,7 +34,8 @@
         self.done: Deferred[bool] = Deferred(lambda _: self.abort())
         self._request = request
         self._clock = clock
-        self._stall = clock.callLater(MOST_STALL_S, self._stalled)
+        self._stall_timeout_s = cast(Any, request.site).limits.stall_timeout_s
+        self._stall = clock.callLater(self._stall_timeout_s, self._stalled)
         self._finished = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -48,7 +46,7 @@
         """Hand a piece on."""
         if self._finished:
             return
-        self._stall.reset(MOST_STALL_S)
+        self._stall.reset(self._stall_timeout_s)
         self._keep(data)
         self._request.write(data)
 
--- a/src/gentianwharf/relay/_caller.py
+++ b/src/gentianwharf/relay/_caller.py
@@ -7,7 +7,8 @@
 
 import json
 from collections import deque
-from typing import Any, cast
+from dataclasses import dataclass
+from typing import Any, cast, final
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IConsumer, ITCPTransport
@@ -23,17 +24,29 @@
 
 from ._headers import connection_options
 
-# A browser or balancer that keeps a connection idle longer than this has most
-# likely forgotten it; a middlebox drops idle state after a minute or more.
-IDLE_TIMEOUT_S = 60
-MOST_HEAD_BYTES = 16_384
-MOST_HEADERS = 100
 # Bodies up to this size can be sent again to another server after a refusal that
 # proves "not run": reservations and postings are a few hundred bytes. With 1,000
 # requests in flight this is 16 MiB at most.
 MOST_REPLAY_BYTES = 16_384
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionLimits:
+    """What one caller's connection may take.
+
+    A browser or balancer that keeps a connection idle for a minute has most likely
+    forgotten it; a middlebox drops idle state about then. A caller or server that
+    moves no byte for ``stall_timeout_s`` is taken for gone: browsers give up on a
+    stalled page far earlier, and each stalled answer holds a slot.
+    """
+
+    most_head_bytes: int = 16_384
+    most_headers: int = 100
+    idle_timeout_s: float = 60.0
+    stall_timeout_s: float = 30.0
+
+
 @implementer(IBodyProducer)
 class CallerBody:
     """A request's body on its way from the caller to a backend server.
@@ -225,9 +238,6 @@
 class CallerChannel(HTTPChannel):
     """A caller's connection, with problem documents for malformed requests."""
 
-    totalHeadersSize = MOST_HEAD_BYTES  # noqa: N815
-    maxHeaders = MOST_HEADERS  # noqa: N815
-    MAX_LENGTH = MOST_HEAD_BYTES
     requestFactory = CallerRequest  # noqa: N815
     site: "CallerSite"
     _closing = False
@@ -347,11 +357,13 @@
         resource: Resource,
         reactor: Any,
         request_class: type[CallerRequest] = CallerRequest,
+        limits: ConnectionLimits | None = None,
     ) -> None:
+        self.limits = limits or ConnectionLimits()
         super().__init__(
             resource,
             requestFactory=request_class,
-            timeout=IDLE_TIMEOUT_S,
+            timeout=self.limits.idle_timeout_s,
             reactor=reactor,
         )
         self.channels: set[CallerChannel] = set()
@@ -360,6 +372,9 @@
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Make a caller's connection, and remember it."""
         channel = super().buildProtocol(addr)
+        channel.totalHeadersSize = self.limits.most_head_bytes
+        channel.MAX_LENGTH = self.limits.most_head_bytes
+        channel.maxHeaders = self.limits.most_headers
         self.channels.add(channel)
         return channel
 
--- a/src/gentianwharf/settings/_models.py
+++ b/src/gentianwharf/settings/_models.py
@@ -9,6 +9,7 @@
 from ._places import (
     DomainSettings,
     HostSettings,
+    KnownHost,
     NumberedServers,
     PlatformSettings,
     ServiceSettings,
@@ -32,6 +33,7 @@
     domains: tuple[DomainSettings, ...] = Field(min_length=1)
     services: tuple[ServiceSettings, ...] = Field(min_length=1)
     classes: tuple[ClassSettings, ...] = Field(min_length=1)
+    known_hosts: tuple[KnownHost, ...] = ()
     initial_rules: str | None = None
     weights: WeightSettings = WeightSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
@@ -61,6 +63,8 @@
 
     def _named_domains(self) -> Iterator[tuple[tuple[str | int, ...], str]]:
         yield ("host", "domain"), self.host.domain
+        for number, host in enumerate(self.known_hosts):
+            yield ("known_hosts", number, "domain"), host.domain
         for number, service in enumerate(self.services):
             place = ("services", number, "servers")
             if isinstance(service.servers, NumberedServers):
--- a/src/gentianwharf/settings/_places.py
+++ b/src/gentianwharf/settings/_places.py
@@ -48,6 +48,18 @@
         return self
 
 
+class KnownHost(StrictModel):
+    """A fellow host to talk to before the platform's list has come, or without it.
+
+    A host that starts while its failure domain is cut off from the platform learns
+    rules, table and rights from these; the list replaces them once it is there.
+    """
+
+    id: Name
+    domain: Name
+    peer_address: Address
+
+
 class PlatformSettings(StrictModel):
     """Where the platform's store and host list answer, and for how long to wait."""
 
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -208,6 +208,15 @@
             {"name": "consultation", "deadline_ms": 2000, "weight": 8},
             {"name": "reservation", "deadline_ms": 5000, "weight": 8},
         ],
+        "known_hosts": [
+            {
+                "id": other,
+                "domain": domain_of(other),
+                "peer_address": f"127.0.0.1:{ports[f'{other}-peer']}",
+            }
+            for other in hosts
+            if other != host
+        ],
         "initial_rules": "rules.jsonc",
     }
 
--- /dev/null
+++ b/tests/test_daemon_reports.py
@@ -0,0 +1,71 @@
+"""A leaving server is noticed by its own word."""
+
+from random import Random
+
+from twisted.internet.task import Clock
+
+from gentianwharf.daemon._reports import REPORT_EVERY_S, ServerReports
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.platform import Grant, GrantOutcome, ServerReport
+from gentianwharf.topology import BackendServer
+from tests.builders_relay import make_server
+
+
+class Servers:
+    """Servers that report, unless they are silent."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self.silent: set[str] = set()
+        self.draining: set[str] = set()
+
+    async def report(self, server: BackendServer) -> ServerReport:
+        self.asked.append(server.id)
+        if server.id in self.silent:
+            raise PeerUnavailableError("no answer", step="report", peer=server.id)
+        return ServerReport(
+            server=server.id,
+            stamp_s=0.0,
+            healthy=True,
+            draining=server.id in self.draining,
+            cold=False,
+            load=0.0,
+            held={},
+        )
+
+    async def grant(self, server: BackendServer, grant: Grant) -> GrantOutcome:
+        raise AssertionError(server)
+
+    async def release(
+        self, server: BackendServer, service: str, tokens: dict[int, int]
+    ) -> GrantOutcome:
+        raise AssertionError(server)
+
+    async def drain(self, server: BackendServer) -> None:
+        raise AssertionError(server)
+
+
+def test_draining_server_is_heard_within_seconds_and_a_silent_one_stops_nobody() -> (
+    None
+):
+    """A server that leaves goes on getting seats to reserve.
+
+    The platform's list still shows it as live, and a silent server beside it keeps
+    the reports from being asked.
+    """
+    clock, servers = Clock(), Servers()
+    heard: dict[str, bool] = {}
+    reports = ServerReports(
+        control=servers,
+        clock=clock,
+        rng=Random(1),
+        on_report=lambda name, report: heard.__setitem__(name, report.draining),
+    )
+    reports.set_servers([make_server(number, 1) for number in range(3)])
+    servers.silent = {"s0"}
+    servers.draining = {"s2"}
+    for _ in range(30):
+        clock.advance(REPORT_EVERY_S / 10)
+        reports.tick()
+    assert heard == {"s1": False, "s2": True}
+    assert servers.asked.count("s0") >= 2
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -110,14 +110,16 @@
 def test_store_outage_with_a_restart_in_it_loses_no_key(
     one_domain: Deployment,
 ) -> None:
-    """The platform's store is down for hours, and an entry host restarts meanwhile.
+    """A failure domain is cut off from the platform, and an entry host restarts in it.
 
-    The restarted host remembers nothing and can't ask the store; the two others of
-    its failure domain tell it the rules and the table, and confirm them.
+    The restarted host remembers nothing, and neither the store nor the host list
+    answers; the two others of its domain, which its settings name, tell it the rules
+    and the table, and confirm them.
     """
     running = one_domain
     before = {key: owner(running, "lac-2", key) for key in KEYS}
     running.kill("store")
+    running.kill("host-list")
     running.kill("lac-1")
     assert {key: owner(running, "lac-2", key) for key in KEYS} == before
     running.start_daemon("lac-1")
