--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -270,6 +270,7 @@
                 ownership=self.ownership,
                 services=self.services,
                 domains=self.domains,
+                hosts=self.hosts,
             ),
             burn=views.BurnOfRecorder(recorder=self.recorder),
             decisions=views.DecisionsOfRecorder(recorder=self.recorder),
--- a/src/gentianwharf/daemon/_hosts.py
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -62,6 +62,17 @@
         heard_s = self._heard_s.get(host)
         return heard_s is not None and self._now_s() - heard_s < LIVE_S
 
+    def heard_ago_s(self, domain: str) -> float | None:
+        """Return how long ago a host of ``domain`` was heard, None for never."""
+        if domain == self.own.domain:
+            return 0.0
+        heard_s = [
+            self._heard_s[host]
+            for host in self.hosts_of(domain)
+            if host in self._heard_s
+        ]
+        return self._now_s() - max(heard_s) if heard_s else None
+
     def hosts_of(self, domain: str) -> Sequence[str]:
         """Return the ids of a domain's hosts."""
         return sorted(one.id for one in self.hosts.values() if one.domain == domain)
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -19,7 +19,7 @@
 from gentianwharf.load import Gate, ServerSnapshot
 from gentianwharf.logs import log
 from gentianwharf.metrics import Recorder, burn_html
-from gentianwharf.ownership import Assignment, OwnershipSystem
+from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
 from gentianwharf.platform import BackendControl, HostList, ListedHost
 from gentianwharf.rules import (
     ApplyResult,
@@ -32,6 +32,7 @@
 from gentianwharf.settings import Settings
 from gentianwharf.topology import BackendServer, Domain, Service
 
+from ._hosts import HostTable
 from ._reports import ServerReports
 from ._rules import RulesInForce
 
@@ -59,6 +60,23 @@
         """Return how long ago the store was heard."""
 
 
+def _table_version(ownership: OwnershipState, service: str) -> int:
+    """Return the newest store revision of the service's chunks that is known."""
+    prefix = f"table/{service}/"
+    known = [
+        revision
+        for key, revision in ownership.versions.items()
+        if key.startswith(prefix)
+    ]
+    return max(known, default=0)
+
+
+def _may_send(ownership: OwnershipState, service: Service) -> bool:
+    """Return whether this host may send to every server of a keyed service."""
+    domains = {server.domain for server in service.servers}
+    return all(ownership.right_left_s.get(domain, 0.0) > 0 for domain in domains)
+
+
 @final
 class OwnerChanges:
     """Counts shards that changed owner, as this host saw it."""
@@ -133,9 +151,13 @@
             stopping=daemon.is_stopping(),
             rules_revision=rules.revision if rules is not None else None,
             store_heard_ago_s=daemon.store_age_s(),
-            table_versions=ownership.versions,
+            table_versions={
+                service.name: _table_version(ownership, service.name)
+                for service in daemon.keyed_services()
+            },
             right_to_send={
-                domain: left_s > 0 for domain, left_s in ownership.right_left_s.items()
+                service.name: _may_send(ownership, service)
+                for service in daemon.keyed_services()
             },
             control_holders=ownership.holders,
             measures=self._measures(),
@@ -256,7 +278,7 @@
             server=assignment.owner or None,
             site=self._sites[found.domain] if found is not None else None,
             token=assignment.token,
-            table_version=self._ownership.state().versions.get(service, 0),
+            table_version=_table_version(self._ownership.state(), service),
             moving_to=assignment.target or None,
             step=assignment.state,
         )
@@ -353,7 +375,9 @@
         ownership: OwnershipSystem,
         services: Mapping[str, Service],
         domains: Sequence[Domain],
+        hosts: HostTable,
     ) -> None:
+        self._hosts = hosts
         self._ownership = ownership
         self._services = services
         self._domains = {domain.name: domain for domain in domains}
@@ -374,7 +398,7 @@
         return DomainLoss(
             domain=domain,
             shards=self._count_shards(domain),
-            heard_ago_s=None,
+            heard_ago_s=self._hosts.heard_ago_s(domain),
             risks=(
                 "if the domain is only cut off, its servers go on serving keys that"
                 " get second owners",
