--- a/bench/_modules.py
+++ b/bench/_modules.py
@@ -14,5 +14,6 @@
     "bench.capacity_placement",
     "bench.capacity_store",
     "bench.capacity_relay",
+    "bench.path",
 )
 PROGRAMS = ("bench.load", "bench.load_cost", "bench.placement", "bench.ownership")
--- a/tests/builders_spread.py
+++ b/tests/builders_spread.py
@@ -82,8 +82,8 @@
         return [call for _, _, call in self._heap if call.active()]
 
     def advance(self, duration_s: float) -> None:
-        """Run what is due within ``duration_s``."""
-        end_s = self.seconds() + duration_s
+        """Let time pass, making each call at its moment."""
+        end_s = self._now_s + duration_s
         while self.run_next(end_s=end_s):
             pass
 
