Hold requests for a move under way a quarter of a second; answer faults as problems

Cause: with 501 moves at once in one loop, 9 of 1169 requests were refused as moving after 50 ms, and a fault of ours (a wrong name in a trial) reached callers as the framework's HTML page. Ruled out: holding longer for a lost owner, which takes ten times as long.

--- a/src/gentianwharf/ownership/_route.py
+++ b/src/gentianwharf/ownership/_route.py
@@ -9,7 +9,7 @@
 from ._rights import Rights
 from ._table import Entry, EntryState
 from ._tables import Tables
-from ._timing import HOLD_S, RETRY_AFTER_S
+from ._timing import HOLD_S, RETRY_AFTER_S, SHORT_HOLD_S
 
 
 @final
@@ -116,7 +116,8 @@
             block = self.block(service, shard, entry.token, now_s)
         if block is None:
             return None
-        until_s = block.since_s + HOLD_S
+        is_moving = entry.state is EntryState.RELEASING
+        until_s = block.since_s + (HOLD_S if is_moving else SHORT_HOLD_S)
         if now_s < until_s:
             return Hold(until_s=until_s)
         if entry.state is EntryState.OWNED:
--- a/src/gentianwharf/ownership/_timing.py
+++ b/src/gentianwharf/ownership/_timing.py
@@ -53,8 +53,18 @@
 SUSPECT_FRESH_S = 1.0
 """How long a host's suspicion of a server counts."""
 
-HOLD_S = 0.05
-"""How long a request may wait for a shard that is about to be served again."""
+HOLD_S = 0.25
+"""How long a request may wait for a shard whose move is under way.
+
+A move takes some milliseconds; with hundreds under way at once, as when a rule moves
+half of a service, single ones take up to 0.2 s. Who waits longer is refused: beyond a
+quarter of a second a page is felt as slow, and the caller may as well come back.
+"""
+
+SHORT_HOLD_S = 0.05
+"""The same for a shard whose owner is lost, or has refused and no move is known: the
+former takes ten times as long to be served again, so that waiting would only put the
+refusal off; the latter is tried again."""
 
 RETRY_AFTER_S = 0.5
 """What a refused caller is told while a shard has no owner to send to."""
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import CancelledError
 from twisted.web._newclient import Response
 
+from gentianwharf.logs import log
 from gentianwharf.metrics import Run
 from gentianwharf.rules import RuleMatch
 from gentianwharf.topology import BackendServer
@@ -26,6 +27,14 @@
 # What logs and metrics show for a caller that went away before its answer.
 STATUS_CALLER_GONE = 499
 
+FAULT = Problem(
+    status=500,
+    title="a fault of the router",
+    run=Run.UNKNOWN,
+    detail="Its log has the trace under this request's id.",
+    step="serve",
+)
+
 
 @final
 class Exchange:
@@ -77,6 +86,11 @@
             self._record(
                 status=STATUS_CALLER_GONE, run=Run.UNKNOWN, reason="caller-gone"
             )
+        except Exception:
+            # A fault of ours must not look like an answer of the server's, and
+            # nothing is known of what it left behind.
+            log.exception("request failed", extra={"step": "serve", "peer": "self"})
+            self.refuse(FAULT)
         finally:
             self._admission.forget(self.ticket)
 
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -347,3 +347,14 @@
         relay.admission.hedge_after_s = 0.0
         relay.ask(request())
         assert relay.admission.outcomes.count(Outcome.ANSWERED) == 1
+
+
+def test_fault_of_the_router_is_a_problem_document_of_unknown_outcome(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A family sees a page of HTML from the router's framework."""
+    with running_relay([ok]) as relay:
+        monkeypatch.setattr(relay.admission, "admit", None)
+        received = relay.ask(request())
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert body_of(received)["run"] == "unknown"
