--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,11 +1,12 @@
 """What the admin port shows and does, over the daemon's parts."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
-from dataclasses import asdict
-from typing import Protocol, cast, final
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import asdict, replace
+from typing import Any, Protocol, cast, final
 
 from gentianwharf.admin import (
+    AlarmWatch,
     DaemonState,
     DomainLoss,
     JsonValue,
@@ -13,11 +14,11 @@
     Measures,
     ServerStatus,
 )
-from gentianwharf.errors import InputError, RefusedError
+from gentianwharf.errors import InputError
 from gentianwharf.keys import shard_of
 from gentianwharf.load import Gate, ServerSnapshot
 from gentianwharf.logs import log
-from gentianwharf.metrics import Recorder
+from gentianwharf.metrics import Recorder, burn_html
 from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
 from gentianwharf.platform import BackendControl, HostList, ListedHost
 from gentianwharf.rules import (
@@ -31,6 +32,8 @@
 from gentianwharf.settings import Settings
 from gentianwharf.topology import BackendServer, Domain, Service
 
+from ._hosts import HostTable
+from ._reports import ServerReports
 from ._rules import RulesInForce
 
 
@@ -42,6 +45,10 @@
     rules: RulesInForce
     recorder: Recorder
     ownership: OwnershipSystem
+    reactor: Any
+
+    def keyed_services(self) -> list[Service]:
+        """Return the services that are divided by key."""
 
     def why_not_ready(self) -> list[str]:
         """Return why callers should not be sent here."""
@@ -53,12 +60,68 @@
         """Return how long ago the store was heard."""
 
 
+def _table_version(ownership: OwnershipState, service: str) -> int:
+    """Return the newest store revision of the service's chunks that is known."""
+    prefix = f"table/{service}/"
+    known = [
+        revision
+        for key, revision in ownership.versions.items()
+        if key.startswith(prefix)
+    ]
+    return max(known, default=0)
+
+
+def _may_send(ownership: OwnershipState, service: Service) -> bool:
+    """Return whether this host may send to every server of a keyed service."""
+    domains = {server.domain for server in service.servers}
+    return all(ownership.right_left_s.get(domain, 0.0) > 0 for domain in domains)
+
+
+@final
+class OwnerChanges:
+    """Counts shards that changed owner, as this host saw it."""
+
+    def __init__(self) -> None:
+        self.changes: Counter[str] = Counter()
+        self._before: dict[str, list[str]] = {}
+
+    def look(self, ownership: OwnershipSystem, services: Iterable[Service]) -> None:
+        """Compare the owners with those of the last look."""
+        for service in services:
+            owners = [
+                ownership.owner(service.name, shard).owner
+                for shard in range(service.shards)
+            ]
+            before = self._before.get(service.name, owners)
+            self.changes[service.name] += sum(
+                old != new for old, new in zip(before, owners, strict=True) if old
+            )
+            self._before[service.name] = owners
+
+
 @final
 class DaemonStateView:
     """Health and state."""
 
-    def __init__(self, *, daemon: _StatefulDaemon) -> None:
+    def __init__(self, *, daemon: _StatefulDaemon, servers: "ServersView") -> None:
         self._daemon = daemon
+        self._servers = servers
+        self._alarms = AlarmWatch()
+        self._owners = OwnerChanges()
+        self._state: DaemonState | None = None
+        self._begun_s = daemon.reactor.seconds()
+
+    def update(self) -> None:
+        """Look at alarms and owners; call it each second or so."""
+        daemon = self._daemon
+        self._owners.look(daemon.ownership, daemon.keyed_services())
+        before = {one.name for one in self._state.alarms} if self._state else set()
+        self._state = self._alarms.update(
+            self._look(), self._servers.servers(), now_s=daemon.reactor.seconds()
+        )
+        for alarm in self._state.alarms:
+            if alarm.name not in before:
+                log.error("alarm: {}", alarm.detail, extra={"alarm": alarm.name})
 
     def is_live(self) -> bool:
         """Return True: whoever can answer this needs no restart."""
@@ -70,6 +133,10 @@
 
     def state(self) -> DaemonState:
         """Return the whole state."""
+        alarms = self._state.alarms if self._state is not None else ()
+        return replace(self._look(), alarms=alarms)
+
+    def _look(self) -> DaemonState:
         daemon = self._daemon
         host = daemon.settings.host
         ownership = daemon.ownership.state()
@@ -84,23 +151,27 @@
             stopping=daemon.is_stopping(),
             rules_revision=rules.revision if rules is not None else None,
             store_heard_ago_s=daemon.store_age_s(),
-            table_versions=ownership.versions,
+            table_versions={
+                service.name: _table_version(ownership, service.name)
+                for service in daemon.keyed_services()
+            },
             right_to_send={
-                domain: left_s > 0 for domain, left_s in ownership.right_left_s.items()
+                service.name: _may_send(ownership, service)
+                for service in daemon.keyed_services()
             },
             control_holders=ownership.holders,
-            measures=self._measures(ownership),
+            measures=self._measures(),
             alarms=(),
         )
 
-    def _measures(self, ownership: OwnershipState) -> Measures | None:
+    def _measures(self) -> Measures | None:
         services = self._daemon.recorder.state()["services"]
         if not services:
             return None
         return Measures(
-            window_s=0.0,
+            window_s=self._daemon.reactor.seconds() - self._begun_s,
             imbalance={name: one["imbalance"] for name, one in services.items()},
-            churn=dict.fromkeys(ownership.versions, 0),
+            churn=dict(self._owners.changes),
             unavailable_s={
                 name: one["unavailable_shard_s"] for name, one in services.items()
             },
@@ -207,7 +278,7 @@
             server=assignment.owner or None,
             site=self._sites[found.domain] if found is not None else None,
             token=assignment.token,
-            table_version=self._ownership.state().versions.get(service, 0),
+            table_version=_table_version(self._ownership.state(), service),
             moving_to=assignment.target or None,
             step=assignment.state,
         )
@@ -226,7 +297,9 @@
         gate: Gate,
         control: BackendControl,
         ownership: OwnershipSystem,
+        reports: ServerReports,
     ) -> None:
+        self._reports = reports
         self._servers = servers
         self._services = services
         self._sites = {domain.name: domain.site for domain in domains}
@@ -246,6 +319,7 @@
     def _status(
         self, server: BackendServer, snapshot: ServerSnapshot | None, shards: int
     ) -> ServerStatus:
+        report = self._reports.latest.get(server.id)
         return ServerStatus(
             id=server.id,
             service=server.service,
@@ -255,7 +329,7 @@
             state=str(snapshot.standing) if snapshot is not None else "gone",
             slots=server.slots,
             slots_busy=snapshot.in_flight if snapshot is not None else 0,
-            reported_load=None,
+            reported_load=report.load if report is not None else None,
             shards=shards,
         )
 
@@ -301,7 +375,9 @@
         ownership: OwnershipSystem,
         services: Mapping[str, Service],
         domains: Sequence[Domain],
+        hosts: HostTable,
     ) -> None:
+        self._hosts = hosts
         self._ownership = ownership
         self._services = services
         self._domains = {domain.name: domain for domain in domains}
@@ -322,7 +398,7 @@
         return DomainLoss(
             domain=domain,
             shards=self._count_shards(domain),
-            heard_ago_s=None,
+            heard_ago_s=self._hosts.heard_ago_s(domain),
             risks=(
                 "if the domain is only cut off, its servers go on serving keys that"
                 " get second owners",
@@ -378,9 +454,9 @@
         self._recorder = recorder
 
     def burn(self) -> Mapping[str, JsonValue]:
-        """Return the last window of every class."""
-        return cast("Mapping[str, JsonValue]", self._recorder.state())
+        """Return the report as JSON."""
+        return cast("Mapping[str, JsonValue]", asdict(self._recorder.burn()))
 
     def burn_html(self) -> str:
-        """Refuse: there is no page yet."""
-        raise RefusedError("there is no page yet", step="burn", peer="operator")
+        """Return the report as a self-contained page."""
+        return burn_html(self._recorder.burn())
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -127,6 +127,11 @@
         finally:
             connection.close()
 
+    def resident_bytes(self, name: str) -> int:
+        """Return the resident memory of a program."""
+        pages = Path(f"/proc/{self.processes[name].pid}/statm").read_text().split()[1]
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
     def serves(self, host: str, path: str) -> Reply | None:
         """Return the reply if it is a server's, else None."""
         try:
@@ -203,6 +208,15 @@
             {"name": "consultation", "deadline_ms": 2000, "weight": 8},
             {"name": "reservation", "deadline_ms": 5000, "weight": 8},
         ],
+        "known_hosts": [
+            {
+                "id": other,
+                "domain": domain_of(other),
+                "peer_address": f"127.0.0.1:{ports[f'{other}-peer']}",
+            }
+            for other in hosts
+            if other != host
+        ],
         "initial_rules": "rules.jsonc",
     }
 
