--- a/bench/_modules.py
+++ b/bench/_modules.py
@@ -15,5 +15,6 @@
     "bench.capacity_store",
     "bench.capacity_relay",
     "bench.path",
+    "bench.decision",
 )
 PROGRAMS = ("bench.load", "bench.load_cost", "bench.placement", "bench.ownership")
