--- a/bench/capacity_load_once.py
+++ b/bench/capacity_load_once.py
@@ -1,4 +1,4 @@
-"""One run of the load tool with two services: ``... IP:PORT RATE SECONDS``."""
+"""One run of the load tool: ``... IP:PORT RATE SECONDS SERVICE [SERVICE]``."""
 
 import sys
 from dataclasses import replace
@@ -15,23 +15,27 @@
 SHARES = {"calendrier": 0.85, "inscription": 0.15}
 
 
-def mix() -> Mix:
-    """Return the mix of Tunis without its documents."""
+def mix(services: list[str]) -> Mix:
+    """Return the mix of Tunis for some of its services."""
     kinds = tuple(
         replace(kind, share=SHARES[kind.service])
         for kind in TUNIS.kinds
-        if kind.service in SHARES
+        if kind.service in services
     )
     return replace(TUNIS, kinds=kinds)
 
 
 async def _run(reactor: Any) -> None:
-    target, rate, seconds = sys.argv[1:]
+    target, rate, seconds, *services = sys.argv[1:]
     bounds = Bounds(
         rate_per_s=float(rate), duration_s=float(seconds), connections=CONNECTIONS
     )
     report = await run_load(
-        reactor, target=Target.parse(target), mix=mix(), bounds=bounds, seed=SEED
+        reactor,
+        target=Target.parse(target),
+        mix=mix(services),
+        bounds=bounds,
+        seed=SEED,
     )
     print(report.as_json())
 
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -199,7 +199,7 @@
     def memory_bytes(self) -> dict[str, float]:
         """Return what a daemon's memory is made of at the target."""
         return {
-            "process as it starts": self.idle_memory.intercept,
+            "process as it starts": self.idle_memory.at(1),
             "tables": KEYED_SERVICES * self.shards.slope * SHARDS,
             "single-key entries": self.pins.slope * HOT_KEYS,
             "rules": self.rules.slope * RULES,
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -123,7 +123,7 @@
     witness_ms = asks * model.witness.at(model.versions) / MILLISECONDS
     witness_bytes = asks * model.ask.at(model.versions)
     ticks = model.ticks_ms() * model.daemons
-    idle = model.idle.intercept * model.daemons
+    idle = model.idle.at(1) * model.daemons
     messages = model.messages.at(DOMAINS) * model.daemons
     rules_bytes = CHANGES_A_DAY / DAY_S * SPREAD_COPIES * RULES_BYTES
     spread_bytes = model.spread_idle.intercept * model.daemons + rules_bytes
@@ -273,6 +273,7 @@
 def latency(model: Model) -> str:
     """Return the table of waits: estimated and measured."""
     p99 = {one["size"]["requests_per_s"]: one for one in model.figures["relay_p99"]}
+    direct = {one["size"]["requests_per_s"]: one for one in model.figures["direct_p99"]}
     p50 = {one["size"]["requests_per_s"]: one for one in model.figures["relay_p50"]}
     base_ms = float(p50[min(p50)]["value"])
     rows = []
@@ -284,6 +285,7 @@
                 f"{load:.0%}",
                 f"{number(base_ms + model.wait_p99_ms(load))} ms",
                 f"{number(float(p99[rate]['value']))} ms",
+                f"{number(float(direct[rate]['value']))} ms",
             ]
         )
     target_ms = base_ms + model.wait_p99_ms(model.daemon_load)
@@ -293,9 +295,17 @@
             f"{model.daemon_load:.0%}",
             f"{number(target_ms)} ms, {_against(target_ms, LIMIT_MS)} of {LIMIT_MS} ms",
             "not measured",
+            "",
         ]
     )
-    return table(["Rate a daemon", "Busy", "Estimated p99", "Measured p99"], rows)
+    header = [
+        "Rate a daemon",
+        "Busy",
+        "Estimated p99",
+        "Measured p99",
+        "Without router",
+    ]
+    return table(header, rows)
 
 
 def tables() -> dict[str, str]:
--- a/bench/capacity_relay.py
+++ b/bench/capacity_relay.py
@@ -20,6 +20,7 @@
 from ._figure import Figure
 
 HOST = "lac-1"
+DIRECT = "inscription-1"
 RATES = (0, 50, 100, 200, 400, 600)
 LOAD_S = 5.0
 SEED = 1
@@ -40,14 +41,21 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
-def _load(running: Deployment, rate: float, seconds: float) -> dict[str, Any]:
+def _load(
+    running: Deployment,
+    rate: float,
+    seconds: float,
+    *,
+    port: str = f"{HOST}-callers",
+    services: tuple[str, ...] = ("calendrier", "inscription"),
+) -> dict[str, Any]:
     if not rate:
         time.sleep(seconds)
         return {}
-    target = f"127.0.0.1:{running.ports[f'{HOST}-callers']}"
+    target = f"127.0.0.1:{running.ports[port]}"
     result = subprocess.run(
         [sys.executable, "-m", "bench.capacity_load_once", target, str(rate)]
-        + [str(seconds)],
+        + [str(seconds), *services],
         capture_output=True,
         check=True,
     )
@@ -70,6 +78,7 @@
     )
     if not report:
         return
+    yield from _direct_figures(running, rate)
     times = report["classes"]["consultation"]
     served = sum(one.get("served", 0) for one in report["verdicts"].values())
     every = sum(sum(one.values()) for one in report["verdicts"].values())
@@ -82,6 +91,21 @@
         yield Figure(name=name, value=value, unit=unit, size=size, seed=SEED)
 
 
+def _direct_figures(running: Deployment, rate: float) -> Iterator[Figure]:
+    """Yield the same load's latency without the router: what the machine does to it.
+
+    Straight to a server of the service that is not keyed, which needs no grant.
+    """
+    report = _load(running, rate, LOAD_S, port=DIRECT, services=("inscription",))
+    times = report["classes"]["reservation"]
+    size = {"requests_per_s": rate}
+    for name, value in (
+        ("direct_p50", times["p50_ms"]),
+        ("direct_p99", times["p99_ms"]),
+    ):
+        yield Figure(name=name, value=value, unit="ms", size=size, seed=SEED)
+
+
 def _idle_figures(count: int) -> Iterator[Figure]:
     hosts = tuple(f"lac-{number}" for number in range(1, count + 1))
     with deployment(hosts=hosts) as running:
