--- a/src/gentianwharf/daemon/_hosts.py
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -15,15 +15,21 @@
 class HostTable:
     """Every entry host that is listed, when it was heard, and who is leaving.
 
-    The list lags and may be out of reach: the newest one that came stays in force.
+    The list lags and may be out of reach: the newest one that came stays in force,
+    and until one has come, the hosts that the settings know.
     The own host is always in it.
     """
 
     def __init__(
-        self, *, own: Host, servers: Iterable[str], now_s: Callable[[], float]
+        self,
+        *,
+        own: Host,
+        known: Iterable[Host],
+        servers: Iterable[str],
+        now_s: Callable[[], float],
     ) -> None:
         self.own = own
-        self.hosts: Mapping[str, Host] = {own.id: own}
+        self.hosts: Mapping[str, Host] = {one.id: one for one in (*known, own)}
         self.leaving_servers: frozenset[str] = frozenset()
         self._servers = frozenset(servers)
         self._now_s = now_s
@@ -56,6 +62,17 @@
         heard_s = self._heard_s.get(host)
         return heard_s is not None and self._now_s() - heard_s < LIVE_S
 
+    def heard_ago_s(self, domain: str) -> float | None:
+        """Return how long ago a host of ``domain`` was heard, None for never."""
+        if domain == self.own.domain:
+            return 0.0
+        heard_s = [
+            self._heard_s[host]
+            for host in self.hosts_of(domain)
+            if host in self._heard_s
+        ]
+        return self._now_s() - max(heard_s) if heard_s else None
+
     def hosts_of(self, domain: str) -> Sequence[str]:
         """Return the ids of a domain's hosts."""
         return sorted(one.id for one in self.hosts.values() if one.domain == domain)
