Share slots and connections by the number of listed hosts

Cause: the gate took the number of failure domains for the number of daemons, and each daemon's pool allowed all of a server's connections: 12 daemons of a deployment would have opened up to 12 times what a server accepts. Ruled out: asking the store or peers for each request; the host list is there. Conclusion: the parts follow the list; the test fails without set_daemons.

--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -178,7 +178,7 @@
             ],
             domain=self.host.domain,
             rng=_seeded(),
-            daemons=len(self.domains),
+            daemons=len(self.hosts.hosts),
         )
         self.admission = GateAdmission(
             gate=self.gate,
@@ -217,9 +217,7 @@
             ),
             admission=self.admission,
             connections={
-                server.id: ServerConnections(
-                    server=server, reactor=self.reactor, most=server.connections
-                )
+                server.id: ServerConnections(server=server, reactor=self.reactor)
                 for server in self.servers.values()
             },
             observer=RecordingObserver(
@@ -350,6 +348,10 @@
             self._follow_hosts()
 
     def _follow_hosts(self) -> None:
+        daemons = len(self.hosts.hosts)
+        self.gate.set_daemons(daemons)
+        for connections in self.relay.connections.values():
+            connections.share_with(daemons)
         self.mesh.set_peers(self.hosts.hosts.values())
         self.spread.set_hosts(self.hosts.hosts.values())
         leaving = self.hosts.leaving_servers
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -82,6 +82,10 @@
 
     # What the relay calls.
 
+    def set_daemons(self, daemons: int) -> None:
+        """Follow the number of daemons that share the servers with this one."""
+        self._registry.set_daemons(daemons)
+
     def submit(self, ticket: Ticket, now_s: float) -> Decision:
         """Decide on a new request."""
         budget = self._registry.budgets.get(ticket.service)
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -91,6 +91,11 @@
         self.note_suspects()
         self._divide_servers()
 
+    def set_daemons(self, daemons: int) -> None:
+        """Follow the number of daemons, by which slots are shared fairly."""
+        self._daemons = daemons
+        self.set_states(self.states)
+
     def has_room(self, state: ClassState, *, light: bool) -> bool:
         """Whether the limits let one more request of this class start.
 
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -67,6 +67,19 @@
             pool.set_states(self._states_of(service))
         return pool
 
+    def set_daemons(self, daemons: int) -> None:
+        """Follow the number of daemons that share the servers."""
+        self._daemons = max(1, daemons)
+        for state in self.servers.values():
+            state.most_connections = self._share_of_connections(state.server)
+        for pool in self.pools.values():
+            pool.set_daemons(self._daemons)
+
+    def _share_of_connections(self, server: BackendServer) -> int:
+        # All daemons together must stay within what the server accepts; each counts
+        # its own and asks nobody.
+        return max(1, server.connections // self._daemons)
+
     def drop_if_gone(self, state: ServerState) -> None:
         """Drop the row of a server that has left, once nothing is in flight there."""
         if state.listed or state.flights or state.server.id not in self.servers:
@@ -97,9 +110,7 @@
         state = ServerState(
             server=server,
             local=server.domain == self._domain,
-            # All daemons together must stay within what the server accepts; each
-            # counts its own and asks nobody.
-            most_connections=max(1, server.connections // self._daemons),
+            most_connections=self._share_of_connections(server),
         )
         self.servers[server.id] = state
         return state
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -50,7 +50,7 @@
         self.stopping = False
         self._ownership = ownership
         self._admission = admission
-        self._connections = connections
+        self.connections = connections
         self._observer = observer
         self._deadlines_ms = deadlines_ms
         self._keyed = keyed
@@ -106,7 +106,7 @@
             ticket=self._ticket(request, match, request_id),
             ownership=self._ownership,
             admission=self._admission,
-            connections=self._connections,
+            connections=self.connections,
             observer=self._observer,
             repeats=self._repeats,
             repeat=_repeat_key(request, match),
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -96,9 +96,9 @@
 class ServerConnections:
     """The connections of this daemon to one backend server."""
 
-    def __init__(self, *, server: BackendServer, reactor: Any, most: int) -> None:
+    def __init__(self, *, server: BackendServer, reactor: Any) -> None:
         self.server = server
-        self.most = most
+        self.most = server.connections
         self.opened = 0
         self._reactor = reactor
         self._clock: IReactorTime = reactor
@@ -106,6 +106,15 @@
         self._all: set[ServerConnection] = set()
         self._connecting = 0
 
+    def share_with(self, daemons: int) -> None:
+        """Take an equal part of what the server accepts from all daemons.
+
+        The list of hosts tells how many there are, so nobody has to be asked; what
+        one daemon does not use, another can't borrow, since a server that is out of
+        connections refuses everybody.
+        """
+        self.most = max(1, self.server.connections // max(1, daemons))
+
     def __len__(self) -> int:
         return len(self._all) + self._connecting
 
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -295,7 +295,7 @@
         ownership=ownership,
         admission=admission,
         connections={
-            server.id: ServerConnections(server=server, reactor=reactor, most=8)
+            server.id: ServerConnections(server=server, reactor=reactor)
             for server in servers
         },
         observer=records,
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -113,3 +113,21 @@
     started = [gate.submit(build.ticket(str(n)), 1.0) for n in range(6)]
     assert left.id not in {one.server for one in started if isinstance(one, Start)}
     assert len(gate.snapshot().servers) == 2
+
+
+@pytest.mark.parametrize(
+    ("daemons", "started"),
+    [pytest.param(13, 10, id="thirteen"), pytest.param(5, 26, id="five")],
+)
+def test_daemons_together_stay_within_a_server_s_connections(
+    daemons: int, started: int
+) -> None:
+    """A server refuses everybody once it is out of connections.
+
+    Thirteen daemons each opened as many as the server accepts from all of them,
+    since the number of daemons was taken from the start and not from the host list.
+    """
+    gate = build.gate(build.service(servers=1, slots=1_000))
+    gate.set_daemons(daemons)
+    decisions = [gate.submit(build.ticket(str(n)), 0.0) for n in range(100)]
+    assert sum(isinstance(one, Start) for one in decisions) == started
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -338,7 +338,7 @@
         assert relay.servers[0].connections == 2
         relay.admission.hedge_after_s = None
         assert relay.ask(request()).endswith(b"\r\n\r\nok")
-        pools = relay.app._connections["s0"]
+        pools = relay.app.connections["s0"]
         assert len(pools) == 1
 
 
