--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -5,6 +5,7 @@
 a late answer can never be taken for the answer to another request.
 """
 
+import socket
 from collections import deque
 from typing import Any, cast
 
@@ -30,6 +31,13 @@
 # Firewalls and balancers commonly forget idle connections after a minute or more; a
 # connection unused for longer than this is closed instead of trusted.
 MOST_IDLE_S = 15.0
+# Probes begin after 4 s of silence, two seconds apart; two without an answer end the
+# connection, so that one gone silent lives for 8 s at most, within the idle limit.
+KEEPALIVE = {
+    socket.TCP_KEEPIDLE: 4,
+    socket.TCP_KEEPINTVL: 2,
+    socket.TCP_KEEPCNT: 2,
+}
 
 
 class ServerConnection(HTTP11ClientProtocol):
@@ -42,6 +50,18 @@
         self.requests = 0
         self.retired = False
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Let the kernel probe the connection while it is idle.
+
+        A middlebox that has lost track of it answers no probe: the connection is
+        closed while it is idle, and not found silent by a request.
+        """
+        super().connectionMade()
+        handle = cast(Any, self.transport).getHandle()
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in KEEPALIVE.items():
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
     ) -> None:
@@ -176,6 +196,10 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def idle(self) -> tuple[ServerConnection, ...]:
+        """Return the connections that wait for a request."""
+        return tuple(self._idle)
+
     def renew(self) -> None:
         """Close idle connections now and the others after their answers.
 
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -358,3 +358,12 @@
         received = relay.ask(request())
     assert received.startswith(b"HTTP/1.1 500 ")
     assert body_of(received)["run"] == "unknown"
+
+
+def test_idle_connection_is_probed() -> None:
+    with running_relay([ok]) as relay:
+        relay.ask(request())
+        (connection,) = relay.app.connections["s0"].idle()
+        handle = connection.transport.getHandle()
+        assert handle.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 4
