--- /dev/null
+++ b/src/gentianwharf/daemon/_admin.py
@@ -0,0 +1,51 @@
+"""The admin port over the daemon's parts."""
+
+from gentianwharf.admin import AdminApp, StateView
+from gentianwharf.rules import RuleBook, RuleChecker
+from gentianwharf.settings import rule_scope_of
+
+from . import _views as views
+from ._parts import Parts, seeded
+
+
+def servers_view(parts: Parts) -> views.ServersView:
+    """Return the view of backend servers."""
+    return views.ServersView(
+        servers=parts.servers,
+        services=parts.services,
+        domains=parts.domains,
+        gate=parts.gate,
+        control=parts.control,
+        ownership=parts.ownership,
+        reports=parts.reports,
+    )
+
+
+def build_admin(parts: Parts, *, state: StateView, token: str | None) -> AdminApp:
+    """Return the admin port's application."""
+    book = RuleBook(
+        store=parts.store,
+        prefix=parts.prefix,
+        checker=RuleChecker(scope=rule_scope_of(parts.settings)),
+        clock=parts.reactor,
+        rng=seeded(),
+    )
+    return AdminApp(
+        state=state,
+        rules=views.RulesView(in_force=parts.rules, book=book),
+        keys=views.KeysView(
+            ownership=parts.ownership, services=parts.services, domains=parts.domains
+        ),
+        servers=servers_view(parts),
+        hosts=views.HostsView(host_list=parts.host_list),
+        domains=views.DomainsView(
+            ownership=parts.ownership,
+            services=parts.services,
+            domains=parts.domains,
+            hosts=parts.hosts,
+        ),
+        burn=views.BurnOfRecorder(recorder=parts.recorder),
+        decisions=views.DecisionsOfRecorder(recorder=parts.recorder),
+        metrics=lambda: parts.recorder.prometheus_text().encode(),
+        token=token,
+    )
--- /dev/null
+++ b/src/gentianwharf/daemon/_parts.py
@@ -0,0 +1,206 @@
+"""The daemon's parts, put together: what it is told, reaches and decides with."""
+
+from random import Random, SystemRandom
+from typing import Any, final
+
+from gentianwharf import load
+from gentianwharf.logs import log
+from gentianwharf.metrics import Objective, Recorder
+from gentianwharf.ownership import OwnershipSystem
+from gentianwharf.placement import PlacementWeights
+from gentianwharf.platform import (
+    HttpBackendControl,
+    HttpHostList,
+    HttpStore,
+    ServerReport,
+)
+from gentianwharf.relay import RelayApp, ServerConnections
+from gentianwharf.settings import Settings, domains_of, services_of
+from gentianwharf.spread import Channel, PeerMesh, SpreadSystem
+from gentianwharf.topology import Host, Service
+
+from ._admission import GateAdmission
+from ._channels import OwnershipLink
+from ._hosts import HostTable
+from ._observer import RecordingObserver
+from ._ownership import RoutedOwnership
+from ._reports import ServerReports
+from ._rules import RulesInForce
+
+
+@final
+class Parts:
+    """Every part of one daemon; nothing here listens or ticks yet."""
+
+    def __init__(self, *, settings: Settings, reactor: Any) -> None:
+        self.settings = settings
+        self.reactor = reactor
+        self.prefix = f"gentianwharf/{settings.customer}/"
+        self.services = {one.name: one for one in services_of(settings)}
+        self.domains = domains_of(settings)
+        self.servers = {
+            server.id: server
+            for service in self.services.values()
+            for server in service.servers
+        }
+        self.host = Host(
+            id=settings.host.id,
+            domain=settings.host.domain,
+            peer_address=settings.host.peer_address,
+        )
+        self._build_platform()
+        self._build_links()
+        self._build_deciding()
+        self._build_relay()
+
+    def keyed_services(self) -> list[Service]:
+        """Return the services that are divided by key."""
+        return [one for one in self.services.values() if one.keyed]
+
+    @property
+    def rules_key(self) -> str:
+        """The store's key of the rules."""
+        return self.prefix + "rules"
+
+    def _build_platform(self) -> None:
+        reactor, platform = self.reactor, self.settings.platform
+        timeout_s = platform.call_timeout_s
+        self.store = HttpStore(
+            reactor=reactor, url=platform.store_url, call_timeout_s=timeout_s
+        )
+        self.host_list = HttpHostList(
+            reactor=reactor, url=platform.hosts_url, call_timeout_s=timeout_s
+        )
+        self.control = HttpBackendControl(reactor=reactor)
+        self.hosts = HostTable(
+            own=self.host,
+            known=[
+                Host(id=one.id, domain=one.domain, peer_address=one.peer_address)
+                for one in self.settings.known_hosts
+            ],
+            servers=self.servers,
+            now_s=reactor.seconds,
+        )
+        self.reports = ServerReports(
+            control=self.control,
+            clock=reactor,
+            rng=seeded(),
+            on_report=self._on_report,
+        )
+
+    def _on_report(self, server: str, report: ServerReport) -> None:
+        self.gate.report(server, report, self.reactor.seconds())
+
+    def _build_links(self) -> None:
+        self.mesh = PeerMesh(reactor=self.reactor, host=self.host, rng=seeded())
+        self.link = OwnershipLink(mesh=self.mesh, hosts=self.hosts)
+        self.rules = RulesInForce(
+            shards={name: one.shards for name, one in self.services.items()}
+        )
+        self.spread = SpreadSystem(
+            host=self.host,
+            clock=self.reactor,
+            store=self.store,
+            peers=self.mesh.channel(Channel.SPREAD, self._spread_received),
+            prefixes=(self.rules_key,),
+            on_value=self.rules.take,
+            rng=seeded(),
+        )
+
+    def _spread_received(self, host_id: str, message: bytes) -> None:
+        self.hosts.heard(host_id)
+        self.spread.received(host_id, message)
+
+    def _build_deciding(self) -> None:
+        self.ownership = OwnershipSystem(
+            host=self.host,
+            domains=self.domains,
+            services=tuple(self.services.values()),
+            clock=self.reactor,
+            store=self.store,
+            prefix=self.prefix,
+            servers=self.control,
+            peers=self.link,
+            site_of=self.rules.site_of,
+            single_key_sites=self.rules.single_key_sites,
+            deadline_caps_s=self._deadline_caps_s(),
+            weights=PlacementWeights(
+                imbalance=self.settings.weights.imbalance,
+                churn=self.settings.weights.churn,
+                unavailable_time=self.settings.weights.unavailable_time,
+            ),
+            rng=seeded(),
+            log=_log_event,
+        )
+        self.link.on_message = self.ownership.received
+        self.gate = load.Gate(
+            services=self.services.values(),
+            classes=[
+                load.RequestClass.from_deadline(
+                    name=one.name, deadline_ms=one.deadline_ms, weight=one.weight
+                )
+                for one in self.settings.classes
+            ],
+            domain=self.host.domain,
+            rng=seeded(),
+            daemons=len(self.hosts.hosts),
+        )
+        self.admission = GateAdmission(
+            gate=self.gate,
+            servers=self.servers,
+            now_s=self.reactor.seconds,
+            on_evidence=lambda server, ok: self.ownership.answered(server, ok=ok),
+        )
+
+    def _deadline_caps_s(self) -> dict[str, float]:
+        longest_ms = max(one.deadline_ms for one in self.settings.classes)
+        return {
+            one.name: (one.deadline_cap_ms or longest_ms) / 1000
+            for one in self.settings.services
+            if one.keyed
+        }
+
+    def _build_relay(self) -> None:
+        self.recorder = Recorder(
+            clock=self.reactor,
+            random=seeded(),
+            objectives=[
+                Objective(
+                    request_class=one.name,
+                    limit_s=one.objective.limit_ms / 1000,
+                    share=one.objective.share,
+                    unavailable_s=one.objective.unavailable_s,
+                )
+                for one in self.settings.classes
+                if one.objective is not None
+            ],
+        )
+        self.relay = RelayApp(
+            rules=self.rules,
+            ownership=RoutedOwnership(
+                system=self.ownership, servers=self.servers, reactor=self.reactor
+            ),
+            admission=self.admission,
+            connections={
+                server.id: ServerConnections(server=server, reactor=self.reactor)
+                for server in self.servers.values()
+            },
+            observer=RecordingObserver(
+                recorder=self.recorder,
+                domain=self.host.domain,
+                now_s=self.reactor.seconds,
+            ),
+            deadlines_ms={one.name: one.deadline_ms for one in self.settings.classes},
+            keyed=frozenset(name for name, one in self.services.items() if one.keyed),
+            reactor=self.reactor,
+            rng=SystemRandom(),
+        )
+
+
+def seeded() -> Random:
+    """Return a generator with a seed of its own, from the system's entropy."""
+    return Random(SystemRandom().getrandbits(64))
+
+
+def _log_event(event: str, **fields: object) -> None:
+    log.info(event, extra=fields)
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,17 +1,14 @@
 """What the admin port shows and does, over the daemon's parts."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import asdict, replace
-from typing import Any, Protocol, cast, final
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict
+from typing import cast, final
 
 from gentianwharf.admin import (
-    AlarmWatch,
-    DaemonState,
     DomainLoss,
     JsonValue,
     KeyOwner,
-    Measures,
     ServerStatus,
 )
 from gentianwharf.errors import InputError
@@ -29,7 +26,6 @@
     RuleSet,
     RuleVersion,
 )
-from gentianwharf.settings import Settings
 from gentianwharf.topology import BackendServer, Domain, Service
 
 from ._hosts import HostTable
@@ -37,30 +33,7 @@
 from ._rules import RulesInForce
 
 
-class _StatefulDaemon(Protocol):
-    """What the state page reads of the daemon."""
-
-    settings: Settings
-    domains: tuple[Domain, ...]
-    rules: RulesInForce
-    recorder: Recorder
-    ownership: OwnershipSystem
-    reactor: Any
-
-    def keyed_services(self) -> list[Service]:
-        """Return the services that are divided by key."""
-
-    def why_not_ready(self) -> list[str]:
-        """Return why callers should not be sent here."""
-
-    def is_stopping(self) -> bool:
-        """Return whether a shutdown is under way."""
-
-    def store_age_s(self) -> float | None:
-        """Return how long ago the store was heard."""
-
-
-def _table_version(ownership: OwnershipState, service: str) -> int:
+def table_version(ownership: OwnershipState, service: str) -> int:
     """Return the newest store revision of the service's chunks that is known."""
     prefix = f"table/{service}/"
     known = [
@@ -71,113 +44,6 @@
     return max(known, default=0)
 
 
-def _may_send(ownership: OwnershipState, service: Service) -> bool:
-    """Return whether this host may send to every server of a keyed service."""
-    domains = {server.domain for server in service.servers}
-    return all(ownership.right_left_s.get(domain, 0.0) > 0 for domain in domains)
-
-
-@final
-class OwnerChanges:
-    """Counts shards that changed owner, as this host saw it."""
-
-    def __init__(self) -> None:
-        self.changes: Counter[str] = Counter()
-        self._before: dict[str, list[str]] = {}
-
-    def look(self, ownership: OwnershipSystem, services: Iterable[Service]) -> None:
-        """Compare the owners with those of the last look."""
-        for service in services:
-            owners = [
-                ownership.owner(service.name, shard).owner
-                for shard in range(service.shards)
-            ]
-            before = self._before.get(service.name, owners)
-            self.changes[service.name] += sum(
-                old != new for old, new in zip(before, owners, strict=True) if old
-            )
-            self._before[service.name] = owners
-
-
-@final
-class DaemonStateView:
-    """Health and state."""
-
-    def __init__(self, *, daemon: _StatefulDaemon, servers: "ServersView") -> None:
-        self._daemon = daemon
-        self._servers = servers
-        self._alarms = AlarmWatch()
-        self._owners = OwnerChanges()
-        self._state: DaemonState | None = None
-        self._begun_s = daemon.reactor.seconds()
-
-    def update(self) -> None:
-        """Look at alarms and owners; call it each second or so."""
-        daemon = self._daemon
-        self._owners.look(daemon.ownership, daemon.keyed_services())
-        before = {one.name for one in self._state.alarms} if self._state else set()
-        self._state = self._alarms.update(
-            self._look(), self._servers.servers(), now_s=daemon.reactor.seconds()
-        )
-        for alarm in self._state.alarms:
-            if alarm.name not in before:
-                log.error("alarm: {}", alarm.detail, extra={"alarm": alarm.name})
-
-    def is_live(self) -> bool:
-        """Return True: whoever can answer this needs no restart."""
-        return True
-
-    def why_not_ready(self) -> Sequence[str]:
-        """Return why the balancer should send no request here."""
-        return self._daemon.why_not_ready()
-
-    def state(self) -> DaemonState:
-        """Return the whole state."""
-        alarms = self._state.alarms if self._state is not None else ()
-        return replace(self._look(), alarms=alarms)
-
-    def _look(self) -> DaemonState:
-        daemon = self._daemon
-        host = daemon.settings.host
-        ownership = daemon.ownership.state()
-        sites = {domain.name: domain.site for domain in daemon.domains}
-        rules = daemon.rules.current
-        return DaemonState(
-            customer=daemon.settings.customer,
-            host=host.id,
-            domain=host.domain,
-            site=sites[host.domain],
-            ready=not daemon.why_not_ready(),
-            stopping=daemon.is_stopping(),
-            rules_revision=rules.revision if rules is not None else None,
-            store_heard_ago_s=daemon.store_age_s(),
-            table_versions={
-                service.name: _table_version(ownership, service.name)
-                for service in daemon.keyed_services()
-            },
-            right_to_send={
-                service.name: _may_send(ownership, service)
-                for service in daemon.keyed_services()
-            },
-            control_holders=ownership.holders,
-            measures=self._measures(),
-            alarms=(),
-        )
-
-    def _measures(self) -> Measures | None:
-        services = self._daemon.recorder.state()["services"]
-        if not services:
-            return None
-        return Measures(
-            window_s=self._daemon.reactor.seconds() - self._begun_s,
-            imbalance={name: one["imbalance"] for name, one in services.items()},
-            churn=dict(self._owners.changes),
-            unavailable_s={
-                name: one["unavailable_shard_s"] for name, one in services.items()
-            },
-        )
-
-
 @final
 class RulesView:
     """The rules in force here and the operators' document in the store."""
@@ -278,7 +144,7 @@
             server=assignment.owner or None,
             site=self._sites[found.domain] if found is not None else None,
             token=assignment.token,
-            table_version=_table_version(self._ownership.state(), service),
+            table_version=table_version(self._ownership.state(), service),
             moving_to=assignment.target or None,
             step=assignment.state,
         )
