--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -15,7 +15,7 @@
 from ._caller import CallerRequest
 from ._connections import ServerConnections
 from ._exchange import Exchange
-from ._headers import facts_of
+from ._headers import KEY_HEADER, facts_of
 from ._ports import Admission, Observer, Ownership, Rules, Ticket
 from ._problem import Problem, write_problem
 from ._repeats import RepeatKey, Repeats
@@ -86,6 +86,8 @@
             raise _bad_request("expected exactly one Host header")
         if _has_two_lengths(request):
             raise _bad_request("expected Content-Length or Transfer-Encoding, got both")
+        if len(set(request.requestHeaders.getRawHeaders(KEY_HEADER) or ())) > 1:
+            raise _bad_request("expected one Gentianwharf-Key, got two that differ")
         facts = facts_of(request.method, request.uri, request.requestHeaders)
         match = self.rules.match(facts)
         if match is None:
--- a/src/gentianwharf/relay/_headers.py
+++ b/src/gentianwharf/relay/_headers.py
@@ -77,20 +77,41 @@
 
 
 def facts_of(method: bytes, uri: bytes, headers: Headers) -> RequestFacts:
-    """Return what rules may look at."""
+    """Return what rules may look at, as UTF-8 text."""
     path, _, query = uri.partition(b"?")
     return RequestFacts(
-        method=method.decode("latin-1"),
-        host=_first(headers, b"host").partition(":")[0].lower(),
-        path=path.decode("latin-1"),
-        query=query.decode("latin-1"),
+        method=_text(method),
+        host=_host_name(_first(headers, b"host")),
+        path=_text(path),
+        query=_text(query),
         headers={
-            name.lower().decode("latin-1"): values[0].decode("latin-1")
+            _text(name).lower(): _text(values[0])
             for name, values in headers.getAllRawHeaders()
         },
     )
 
 
+def _text(octets: bytes) -> str:
+    """Decode as UTF-8, as percent-encoded keys are: one key must have one shard.
+
+    >>> _text("é".encode()), _text(bytes([233]))
+    ('é', '\ufffd')
+    """
+    return octets.decode("utf-8", "replace")
+
+
+def _host_name(host: str) -> str:
+    """Return a Host header's name without its port.
+
+    >>> _host_name("Gateway:8080"), _host_name("[::1]:8080"), _host_name("10.0.0.1")
+    ('gateway', '[::1]', '10.0.0.1')
+    """
+    name, separator, _ = host.rpartition(":")
+    if separator and not host.endswith("]"):
+        return name.lower()
+    return host.lower()
+
+
 def _first(headers: Headers, name: bytes) -> str:
     values = headers.getRawHeaders(name)
-    return values[0].decode("latin-1") if values else ""
+    return _text(values[0]) if values else ""
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -176,7 +176,7 @@
         headers.setRawHeaders(names.SERVICE, [self.server.service.encode()])
         headers.setRawHeaders(names.DEADLINE, [str(deadline_ms).encode()])
         if self._ticket.key is not None:
-            headers.setRawHeaders(names.KEY, [self._ticket.key.encode("latin-1")])
+            headers.setRawHeaders(names.KEY, [self._ticket.key.encode()])
         if self._owner is not None:
             headers.setRawHeaders(names.SHARD, [str(self._owner.shard).encode()])
             headers.setRawHeaders(names.TOKEN, [str(self._owner.token).encode()])
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
+from itertools import count as count_from
 from pathlib import Path
 from typing import Any
 
@@ -23,12 +24,24 @@
 ONE_DOMAIN = ("lac-1", "lac-2", "lac-3")
 
 
+FIRST_PORT, PORT_COUNT = 20_000, 12_000
+# Test processes that run at a time begin at different places.
+_PORTS = (
+    FIRST_PORT + (os.getpid() * 97 + number) % PORT_COUNT for number in count_from(0)
+)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(one.getsockname()[1]) for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return ports that nobody listens on, each handed out once.
+
+    They lie below the range from which the kernel takes ports of outgoing
+    connections: one of those could take a port before its program listens on it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            ports.append(port)
     return ports
 
 
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -20,6 +20,7 @@
 from gentianwharf.relay import (
     Answered,
     CallerSite,
+    ConnectionLimits,
     Hedge,
     Outcome,
     Owner,
@@ -279,7 +280,11 @@
 
 
 @contextmanager
-def running_relay(*scripts: list[Script], servers_up: bool = True) -> Iterator[Any]:
+def running_relay(
+    *scripts: list[Script],
+    servers_up: bool = True,
+    limits: ConnectionLimits | None = None,
+) -> Iterator[Any]:
     """Run a relay before one scripted server for each list of scripts."""
     scripted = [ScriptedServer(scripts=list(one)) for one in scripts]
     servers = [make_server(n, one.start()) for n, one in enumerate(scripted)]
@@ -304,7 +309,7 @@
         reactor=reactor,
         rng=Random(1),
     )
-    site = CallerSite(resource=app.klein.resource(), reactor=reactor)
+    site = CallerSite(resource=app.klein.resource(), reactor=reactor, limits=limits)
     port = in_reactor(lambda: reactor.listenTCP(0, site, interface="127.0.0.1"))
     yield RunningRelay(
         port=port.getHost().port,
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -73,6 +73,12 @@
         pytest.param(b"GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n", 404, id="no-rule"),
         pytest.param(b"GET /keyed/ HTTP/1.1\r\nHost: a\r\n\r\n", 400, id="no-key"),
         pytest.param(b"rubbish\r\n\r\n", 400, id="rubbish"),
+        pytest.param(
+            b"GET /keyed/ HTTP/1.1\r\nHost: a\r\nGentianwharf-Key: a\r\n"
+            b"Gentianwharf-Key: b\r\n\r\n",
+            400,
+            id="two-keys",
+        ),
     ],
 )
 def test_refused_request_never_reaches_a_server(raw: bytes, status: int) -> None:
@@ -204,3 +210,35 @@
     with running_relay([plain]) as relay:
         received = relay.ask(request(headers=headers, close=False))
     assert received.endswith(b"\r\n\r\nok")
+
+
+def test_one_key_has_one_shard_however_it_is_written() -> None:
+    """A faculty with an accent has two owners, one for its path and one for its header.
+
+    Percent-encoded octets were read as UTF-8, those of a header as Latin-1.
+    """
+    written = [
+        request(path="/keyed/%C3%A9cole"),
+        request(path="/keyed/", headers="Gentianwharf-Key: école\r\n"),
+    ]
+    shards: list[int] = []
+    with running_relay([plain]) as relay:
+        relay.ownership.owner = _noting_shards(relay.ownership.owner, shards)
+        for one in written:
+            assert relay.ask(one).startswith(b"HTTP/1.1 200")
+        keys = [
+            line
+            for head in relay.servers[0].heads
+            for line in head.split(b"\r\n")
+            if line.lower().startswith(b"gentianwharf-key")
+        ]
+    assert len(set(shards)) == 1
+    assert keys == ["Gentianwharf-Key: école".encode()] * 2
+
+
+def _noting_shards(owner, shards):  # type: ignore[no-untyped-def]
+    async def note(ticket):  # type: ignore[no-untyped-def]
+        shards.append(ticket.shard)
+        return await owner(ticket)
+
+    return note
