--- /dev/null
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -0,0 +1,78 @@
+"""The entry hosts and leaving servers, as the platform's list and peers tell."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import final
+
+from gentianwharf.platform import ListedHost
+from gentianwharf.topology import Host
+
+# Peers beat every half second at least; three beats that are missing in a row mean
+# that the peer or the path to it is gone.
+LIVE_S = 1.5
+
+
+@final
+class HostTable:
+    """Every entry host that is listed, when it was heard, and who is leaving.
+
+    The list lags and may be out of reach: the newest one that came stays in force,
+    and until one has come, the hosts that the settings know.
+    The own host is always in it.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Host,
+        known: Iterable[Host],
+        servers: Iterable[str],
+        now_s: Callable[[], float],
+    ) -> None:
+        self.own = own
+        self.hosts: Mapping[str, Host] = {one.id: one for one in (*known, own)}
+        self.leaving_servers: frozenset[str] = frozenset()
+        self._servers = frozenset(servers)
+        self._now_s = now_s
+        self._heard_s: dict[str, float] = {}
+
+    def take(self, listed: Iterable[ListedHost]) -> bool:
+        """Take the platform's list; returns whether anything changed."""
+        listed = tuple(listed)
+        leaving = {one.id for one in listed if one.leaving and one.id in self._servers}
+        hosts = {
+            one.id: Host(id=one.id, domain=one.domain, peer_address=one.address)
+            for one in listed
+            if one.id not in self._servers and not one.leaving
+        }
+        hosts[self.own.id] = self.own
+        if hosts == self.hosts and leaving == self.leaving_servers:
+            return False
+        self.hosts = hosts
+        self.leaving_servers = frozenset(leaving)
+        return True
+
+    def heard(self, host: str) -> None:
+        """Note that a message of ``host`` came."""
+        self._heard_s[host] = self._now_s()
+
+    def is_live(self, host: str) -> bool:
+        """Whether ``host`` has been heard lately."""
+        if host == self.own.id:
+            return True
+        heard_s = self._heard_s.get(host)
+        return heard_s is not None and self._now_s() - heard_s < LIVE_S
+
+    def heard_ago_s(self, domain: str) -> float | None:
+        """Return how long ago a host of ``domain`` was heard, None for never."""
+        if domain == self.own.domain:
+            return 0.0
+        heard_s = [
+            self._heard_s[host]
+            for host in self.hosts_of(domain)
+            if host in self._heard_s
+        ]
+        return self._now_s() - max(heard_s) if heard_s else None
+
+    def hosts_of(self, domain: str) -> Sequence[str]:
+        """Return the ids of a domain's hosts."""
+        return sorted(one.id for one in self.hosts.values() if one.domain == domain)
--- /dev/null
+++ b/src/gentianwharf/ownership/_messages.py
@@ -0,0 +1,227 @@
+"""Messages between hosts, one tagged union, packed by msgspec."""
+
+from collections.abc import Iterable, Iterator
+from typing import final
+
+import msgspec
+
+from gentianwharf.errors import InputError
+
+MOST_MESSAGE_BYTES = 1_000_000
+"""What the links between hosts carry in one message."""
+
+MOST_ITEMS_BYTES = 500_000
+"""Values in one message, unless a single one is larger."""
+
+
+class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    pass
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True):
+    """A store value as read or written: key below the customer's, revision, bytes."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+@final
+class RightAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """Ask each witness of ``domain`` for a right to these versions of the tables."""
+
+    domain: str
+    round: int
+    versions: dict[str, int]
+
+
+@final
+class RightAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """``good_s`` of right from the moment of asking; 0 when a newer one is known."""
+
+    domain: str
+    round: int
+    good_s: float
+
+
+@final
+class ShareAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """Ask for what is left of another host's rights, with these versions."""
+
+    round: int
+    versions: dict[str, int]
+
+
+@final
+class ShareAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """What is left, by domain, from the moment of asking."""
+
+    round: int
+    good_s: dict[str, float]
+
+
+@final
+class Announce(_Message, frozen=True, kw_only=True, tag=True):
+    """Acknowledge that you know these versions; ``items`` bring them along."""
+
+    domain: str
+    round: int
+    versions: dict[str, int]
+    items: list[Item]
+
+
+@final
+class Acknowledge(_Message, frozen=True, kw_only=True, tag=True):
+    """The witness knows the versions of ``round``, and forgets them only by dying.
+
+    ``incarnation`` changes when it restarts; ``witness_revision`` is the newest
+    revision of its domain's witness list that it knows.
+    """
+
+    domain: str
+    round: int
+    incarnation: int
+    witness_revision: int
+
+
+@final
+class Items(_Message, frozen=True, kw_only=True, tag=True):
+    """Store values that the receiver may not have yet."""
+
+    items: list[Item]
+
+
+@final
+class Pull(_Message, frozen=True, kw_only=True, tag=True):
+    """Send what is newer than these versions."""
+
+    versions: dict[str, int]
+
+
+@final
+class RecoverAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """From a witness that lost its memory, to the other witnesses of its domain."""
+
+    domain: str
+    incarnation: int
+
+
+@final
+class RecoverAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """All that a witness with memory knows; the values go ahead as ``Items``."""
+
+    domain: str
+    incarnation: int
+    versions: dict[str, int]
+
+
+@final
+class ControlAlive(_Message, frozen=True, kw_only=True, tag=True):
+    """The sender holds the control lease of ``service`` under ``term``."""
+
+    service: str
+    term: int
+
+
+@final
+class Probe(_Message, frozen=True, kw_only=True, tag=True):
+    """A server did not answer me: try it and tell ``control`` what you see."""
+
+    server: str
+    control: str
+
+
+@final
+class Suspect(_Message, frozen=True, kw_only=True, tag=True):
+    """The sender got no answer from ``server``."""
+
+    server: str
+
+
+@final
+class Leaving(_Message, frozen=True, kw_only=True, tag=True):
+    """``server`` says itself that it is draining."""
+
+    server: str
+
+
+@final
+class Loads(_Message, frozen=True, kw_only=True, tag=True):
+    """Requests per second that the sender sent for its busiest shards."""
+
+    service: str
+    rates: dict[int, float]
+
+
+@final
+class Wish(_Message, frozen=True, kw_only=True, tag=True):
+    """For the control holder: move a shard to a server.
+
+    With a ``key``, that key gets an entry of its own there; an empty ``server`` takes
+    the entry away again.
+    """
+
+    service: str
+    shard: int
+    server: str
+    key: str | None = None
+
+
+def batches(items: Iterable[Item]) -> Iterator[Items]:
+    """Part ``items`` into messages of a size that the links carry."""
+    batch: list[Item] = []
+    size = 0
+    for item in items:
+        if batch and size + len(item.value) > MOST_ITEMS_BYTES:
+            yield Items(items=batch)
+            batch, size = [], 0
+        batch.append(item)
+        size += len(item.value)
+    if batch:
+        yield Items(items=batch)
+
+
+Message = (
+    RightAsk
+    | RightAnswer
+    | ShareAsk
+    | ShareAnswer
+    | Announce
+    | Acknowledge
+    | Items
+    | Pull
+    | RecoverAsk
+    | RecoverAnswer
+    | ControlAlive
+    | Probe
+    | Suspect
+    | Leaving
+    | Loads
+    | Wish
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Pack a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes, *, peer: str) -> Message:
+    """Unpack a message from ``peer``; raises ``InputError`` when it is none."""
+    if len(data) > MOST_MESSAGE_BYTES:
+        raise InputError(
+            f"expected at most {MOST_MESSAGE_BYTES} bytes, got {len(data)}",
+            step="decode ownership message",
+            peer=peer,
+        )
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InputError(
+            f"expected an ownership message: {error}; is the peer of another version?",
+            step="decode ownership message",
+            peer=peer,
+        ) from error
--- /dev/null
+++ b/tests/builders_spread.py
@@ -0,0 +1,275 @@
+"""Builders for tests of spread: hosts of several failure domains on a fake network."""
+
+from collections.abc import Callable, Iterable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import Any, final
+
+from twisted.internet.base import DelayedCall
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from zope.interface import implementer
+
+from gentianwharf.platform import (
+    Fault,
+    FaultKind,
+    FaultyStore,
+    KeyValueStore,
+    MemoryStore,
+    VersionedValue,
+)
+from gentianwharf.spread import SpreadSystem
+from gentianwharf.topology import Host
+
+DOMAINS = ("lac", "charguia", "ariana")
+PREFIX = "gentianwharf/tunis/"
+RULES = PREFIX + "rules"
+TICK_S = 0.05
+SAME_DOMAIN_S = 0.000_2
+OTHER_DOMAIN_S = 0.000_5
+
+
+def make_hosts(per_domain: int, domains: Iterable[str] = DOMAINS) -> list[Host]:
+    """Build the hosts of a deployment."""
+    return [
+        Host(
+            id=f"{domain}-{number}",
+            domain=domain,
+            peer_address=f"127.0.{place}.1:{number}",
+        )
+        for place, domain in enumerate(domains)
+        for number in range(1, per_domain + 1)
+    ]
+
+
+@final
+@implementer(IReactorTime)
+class EventClock:
+    """A virtual clock for many hosts: a heap where ``task.Clock`` sorts a list."""
+
+    def __init__(self) -> None:
+        self._now_s = 0.0
+        self._numbers = count()
+        self._heap: list[tuple[float, int, DelayedCall]] = []
+
+    def seconds(self) -> float:
+        """Return the virtual time."""
+        return self._now_s
+
+    def callLater(  # noqa: N802
+        self,
+        delay: float,
+        callable: Any,  # noqa: A002
+        *args: object,
+        **kw: object,
+    ) -> DelayedCall:
+        """Call later; the call may be cancelled, not moved."""
+        call = DelayedCall(
+            self._now_s + delay,
+            callable,
+            args,
+            kw,
+            lambda _: None,
+            _not_moved,
+            self.seconds,
+        )
+        heappush(self._heap, (call.getTime(), next(self._numbers), call))
+        return call
+
+    def getDelayedCalls(self) -> list[DelayedCall]:  # noqa: N802
+        """Return the calls that wait."""
+        return [call for _, _, call in self._heap if call.active()]
+
+    def advance(self, duration_s: float) -> None:
+        """Let time pass, making each call at its moment."""
+        end_s = self._now_s + duration_s
+        while self.run_next(end_s=end_s):
+            pass
+
+    def run_next(self, *, end_s: float) -> bool:
+        """Move to the next call and make it; False when there is none by ``end_s``."""
+        while self._heap and not self._heap[0][2].active():
+            heappop(self._heap)
+        if not self._heap or self._heap[0][0] > end_s:
+            self._now_s = end_s
+            return False
+        self._now_s, _, call = heappop(self._heap)
+        call.called = 1
+        call.func(*call.args, **call.kw)
+        return True
+
+
+def _not_moved(_: DelayedCall) -> None:
+    raise NotImplementedError
+
+
+@final
+class Member:
+    """One host: its spread, its own view of the store, what it was told."""
+
+    def __init__(self, *, cluster: "Cluster", host: Host, number: int) -> None:
+        self.host = host
+        self.store = FaultyStore(
+            store=cluster.shared, clock=cluster.clock, rng=Random(number)
+        )
+        self.seen: list[VersionedValue] = []
+        self.alive = True
+        self.spread = SpreadSystem(
+            host=host,
+            clock=cluster.clock,
+            store=self.store,
+            peers=_Outbox(cluster=cluster, sender=host),
+            prefixes=[PREFIX + "rules", PREFIX + "table/"],
+            on_value=self.seen.append,
+            rng=Random(number),
+        )
+
+    def revision(self) -> int:
+        """Return the revision of the rules that this host holds."""
+        value = self.spread.value(RULES)
+        return 0 if value is None else value.revision
+
+
+@final
+class _Outbox:
+    def __init__(self, *, cluster: "Cluster", sender: Host) -> None:
+        self._cluster = cluster
+        self._sender = sender
+
+    def send(self, host_id: str, message: bytes) -> bool:
+        """Hand over to the fake network."""
+        return self._cluster.deliver(self._sender, host_id, message)
+
+
+@final
+class Cluster:
+    """Hosts that tick on a virtual clock, a store, and a network that can be cut."""
+
+    def __init__(
+        self,
+        *,
+        per_domain: int = 4,
+        seed: int = 1,
+        domains: Iterable[str] = DOMAINS,
+        tick_s: float = TICK_S,
+        store_s: float = 0.0,
+        busy_s: float = 0.0,
+    ) -> None:
+        self._tick_s = tick_s
+        self._busy_s = busy_s
+        self.clock = EventClock()
+        self.rng = Random(seed)
+        self.store = MemoryStore(clock=self.clock)
+        late = Fault(kind=FaultKind.ANSWER_LATE, delay_s=store_s)
+        self.shared: KeyValueStore = FaultyStore(
+            store=self.store,
+            clock=self.clock,
+            rng=self.rng,
+            faults=[late] if store_s else [],
+        )
+        self.hosts = make_hosts(per_domain, domains)
+        self._by_id = {host.id: host for host in self.hosts}
+        self.cut_domains: set[str] = set()
+        self.cut_hosts: set[str] = set()
+        self.loss = 0.0
+        self.messages = 0
+        self.bytes = 0
+        self._made = seed * 1_000
+        self.members: dict[str, Member] = {}
+        for host in self.hosts:
+            self.start(host.id)
+
+    def start(self, host_id: str, faults: Iterable[Fault] = ()) -> Member:
+        """Start a host, or start it again with nothing in it."""
+        self.stop(host_id)
+        self._made += 1
+        host = self._by_id[host_id]
+        member = Member(cluster=self, host=host, number=self._made)
+        member.store.faults.extend(faults)
+        member.spread.set_hosts(self.hosts)
+        self.members[host_id] = member
+        self.clock.callLater(self.rng.uniform(0, self._tick_s), self._tick, member)
+        return member
+
+    def stop(self, host_id: str) -> None:
+        """Lose a host."""
+        member = self.members.pop(host_id, None)
+        if member is not None:
+            member.alive = False
+            member.spread.close()
+
+    def fault_all(self, *faults: Fault, domain: str | None = None) -> None:
+        """Set the faults of every host's store, or of one failure domain's."""
+        for member in self.members.values():
+            if domain in (None, member.host.domain):
+                member.store.faults[:] = faults
+
+    def deliver(self, sender: Host, host_id: str, message: bytes) -> bool:
+        """Deliver a message later, unless something is in its way."""
+        self.messages += 1
+        self.bytes += len(message)
+        receiver = self._by_id.get(host_id)
+        if receiver is None or self._is_cut(sender, receiver):
+            return True
+        if self.loss and self.rng.random() < self.loss:
+            return True
+        same = sender.domain == receiver.domain
+        latency_s = SAME_DOMAIN_S if same else OTHER_DOMAIN_S
+        # A loop that serves callers gets to a message some time after it came.
+        latency_s += self.rng.uniform(0, self._busy_s) if self._busy_s else 0.0
+        self.clock.callLater(latency_s, self._arrive, sender.id, host_id, message)
+        return True
+
+    def write(self, value: bytes, key: str = RULES) -> VersionedValue:
+        """Write to the store as an operator does."""
+        found = self.store._entries.get(key)
+        revision = 0 if found is None else found.value.revision
+        written: list[VersionedValue] = []
+        Deferred.fromCoroutine(
+            self.store.compare_and_swap(key, value, expected_revision=revision)
+        ).addCallback(written.append)
+        return written[0]
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass, from event to event."""
+        self.run_until(lambda: False, limit_s=duration_s)
+
+    def run_until(self, condition: Callable[[], bool], *, limit_s: float) -> float:
+        """Let time pass until the condition holds; return how long it took."""
+        start_s = self.clock.seconds()
+        end_s = start_s + limit_s
+        while not condition():
+            if not self.clock.run_next(end_s=end_s):
+                return limit_s
+        return self.clock.seconds() - start_s
+
+    def all_at(self, revision: int, members: Iterable[Member] | None = None) -> bool:
+        """Say whether all hosts hold that revision of the rules."""
+        some = self.members.values() if members is None else members
+        return all(member.revision() == revision for member in some)
+
+    def in_domain(self, domain: str) -> list[Member]:
+        """Return the hosts of a failure domain."""
+        return [one for one in self.members.values() if one.host.domain == domain]
+
+    def ready(self) -> list[str]:
+        """Return the hosts that are ready."""
+        return [name for name, one in self.members.items() if one.spread.ready]
+
+    def _is_cut(self, one: Host, other: Host) -> bool:
+        if {one.id, other.id} & self.cut_hosts:
+            return True
+        return one.domain != other.domain and bool(
+            {one.domain, other.domain} & self.cut_domains
+        )
+
+    def _arrive(self, sender_id: str, host_id: str, message: bytes) -> None:
+        member = self.members.get(host_id)
+        if member is not None:
+            member.spread.received(sender_id, message)
+
+    def _tick(self, member: Member) -> None:
+        if member.alive:
+            member.spread.tick()
+            self.clock.callLater(self._tick_s, self._tick, member)
