spread: a host without a list of hosts gets that of a peer

A host that is replaced while the platform is out of reach, store and host list alike, knew no peers: they wrote to it and it had no address to answer to, so that it stayed out of service until the platform was back. Messages now carry the sender's address, and the mesh asks for the sender's list.

--- a/src/gentianwharf/spread/_frames.py
+++ b/src/gentianwharf/spread/_frames.py
@@ -1,11 +1,13 @@
 """The envelope of everything that goes between two hosts."""
 
+from collections.abc import Iterable
 from enum import IntEnum
 from typing import final
 
 import msgspec
 
 from gentianwharf.errors import PeerMismatchError
+from gentianwharf.topology import Host
 
 from ._messages import MOST_MESSAGE_BYTES
 
@@ -29,6 +31,8 @@
     DATA = 0
     PROBE = 1
     PROBE_ANSWER = 2
+    HOSTS_ASK = 3
+    HOSTS = 4
 
 
 @final
@@ -39,6 +43,7 @@
     for its former holder is dropped there, and goes unanswered, so that the sender
     notices. ``incarnation`` is new with each start of ``sender``; an answer to a probe
     carries the prober's, so that one for its former life is not taken for its own.
+    ``address`` is where the sender listens, for a receiver that has no list of hosts.
     """
 
     version: int
@@ -49,9 +54,20 @@
     sequence: int = 0
     channel: int = 0
     body: bytes = b""
+    address: str = ""
+
+
+@final
+class ListedPeer(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """One host in the body of a ``HOSTS`` frame."""
+
+    id: str
+    domain: str
+    address: str
 
 
 _encoder = msgspec.msgpack.Encoder()
+_hosts_decoder = msgspec.msgpack.Decoder(list[ListedPeer])
 _decoder = msgspec.msgpack.Decoder(Frame)
 
 
@@ -75,3 +91,26 @@
             peer=peer,
         )
     return frame
+
+
+def encode_hosts(hosts: Iterable[Host]) -> bytes:
+    """Return a list of hosts as the body of a frame."""
+    return _encoder.encode(
+        [
+            ListedPeer(id=one.id, domain=one.domain, address=one.peer_address)
+            for one in hosts
+        ]
+    )
+
+
+def decode_hosts(body: bytes, *, peer: str) -> tuple[Host, ...]:
+    """Check and return a list of hosts; raises ``PeerMismatchError``."""
+    try:
+        listed = _hosts_decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise PeerMismatchError(
+            f"not a list of hosts: {error}", step="hosts decode", peer=peer
+        ) from error
+    return tuple(
+        Host(id=one.id, domain=one.domain, peer_address=one.address) for one in listed
+    )
--- a/src/gentianwharf/spread/_links.py
+++ b/src/gentianwharf/spread/_links.py
@@ -78,9 +78,16 @@
     """The links of one host to its peers."""
 
     def __init__(
-        self, *, host_id: str, incarnation: int, dial: Dial, rng: Random
+        self,
+        *,
+        host_id: str,
+        address: str,
+        incarnation: int,
+        dial: Dial,
+        rng: Random,
     ) -> None:
         self._host_id = host_id
+        self._address = address
         self._incarnation = incarnation
         self._dial = dial
         self._rng = rng
@@ -116,6 +123,16 @@
             peer.dropped += 1
         return sent
 
+    def send_control(
+        self, host_id: str, kind: FrameKind, body: bytes = b"", *, now_s: float
+    ) -> None:
+        """Send a frame of the mesh's own; like an answer it keeps no link open."""
+        peer = self._peers.get(host_id)
+        if peer is not None:
+            peer.answering_s = now_s
+            self._open(peer, now_s)
+            self._send_frame(host_id, peer, kind, body=body)
+
     def answer(self, probe: Frame, now_s: float) -> None:
         """Answer a peer's probe over the link to it."""
         peer = self._peers.get(probe.sender)
@@ -236,6 +253,8 @@
             sequence=peer.sequence,
             channel=channel,
             body=body,
+            # Probes are the most frequent frames; a host in need gets messages too.
+            address=self._address if kind is FrameKind.DATA else "",
         )
         return self._send(peer, frame)
 
--- a/src/gentianwharf/spread/_mesh.py
+++ b/src/gentianwharf/spread/_mesh.py
@@ -8,7 +8,14 @@
 from gentianwharf.errors import InputError, PeerMismatchError
 from gentianwharf.topology import Host
 
-from ._frames import Channel, Frame, FrameKind, decode_frame
+from ._frames import (
+    Channel,
+    Frame,
+    FrameKind,
+    decode_frame,
+    decode_hosts,
+    encode_hosts,
+)
 from ._links import Dial, LinkStats, LinkTable
 from ._messages import MOST_MESSAGE_BYTES
 from ._nng import NngListener, dial
@@ -16,7 +23,11 @@
 INCARNATION_BITS = 53
 """Random, since a host keeps nothing from which to count on; as wide as JSON takes."""
 
+HOSTS_ASK_EVERY_S = 0.2
+"""A host without a list asks one of those that write to it at a time."""
+
 OnMessage = Callable[[str, bytes], None]
+OnHosts = Callable[[tuple[Host, ...]], None]
 
 
 @final
@@ -50,16 +61,31 @@
 
     A message may be lost, come late or come twice, as over any network; True from
     ``send`` says only that it was queued. Call ``tick`` every 50 to 100 ms.
+
+    A host that starts while the platform's list is out of reach knows no peers, but
+    they know it: ``on_hosts`` is called with the list of one that wrote to it, until
+    ``set_peers`` names a peer.
     """
 
     def __init__(
-        self, *, reactor: Any, host: Host, rng: Random, dial: Dial = dial
+        self,
+        *,
+        reactor: Any,
+        host: Host,
+        rng: Random,
+        dial: Dial = dial,
+        on_hosts: OnHosts | None = None,
     ) -> None:
+        self._on_hosts = on_hosts
+        self._hosts: tuple[Host, ...] = ()
+        self._knows_peers = False
+        self._hosts_asked_s = float("-inf")
         self._reactor = reactor
         self._host = host
         self._handlers: dict[int, OnMessage] = {}
         self._links = LinkTable(
             host_id=host.id,
+            address=host.peer_address,
             incarnation=rng.getrandbits(INCARNATION_BITS),
             dial=dial,
             rng=rng,
@@ -85,9 +111,12 @@
 
     def set_peers(self, hosts: Iterable[Host]) -> None:
         """Take the list of hosts; links open with the first message to a host."""
-        self._links.set_peers(
-            {host.id: host.peer_address for host in hosts if host.id != self._host.id}
-        )
+        self._hosts = tuple(hosts)
+        addresses = {
+            one.id: one.peer_address for one in self._hosts if one.id != self._host.id
+        }
+        self._knows_peers = bool(addresses)
+        self._links.set_peers(addresses)
 
     def send(self, host_id: str, message: bytes, *, channel: Channel) -> bool:
         """Queue a message; False when the host is unknown or its queue is full."""
@@ -136,6 +165,8 @@
             self._for_another_host += 1
             return
         self._received += 1
+        if frame.kind is not FrameKind.HOSTS and not self._knows_peers:
+            self._ask_for_hosts(frame)
         match frame.kind:
             case FrameKind.PROBE:
                 self._links.answer(frame, self._reactor.seconds())
@@ -143,6 +174,10 @@
                 self._links.answered(frame, self._reactor.seconds())
             case FrameKind.DATA:
                 self._hand_over(frame)
+            case FrameKind.HOSTS_ASK:
+                self._tell_hosts(frame.sender)
+            case FrameKind.HOSTS:
+                self._take_hosts(frame)
 
     def _hand_over(self, frame: Frame) -> None:
         handler = self._handlers.get(frame.channel)
@@ -150,3 +185,30 @@
             self._unknown_channel += 1
             return
         handler(frame.sender, frame.body)
+
+    def _ask_for_hosts(self, frame: Frame) -> None:
+        now_s = self._reactor.seconds()
+        is_due = now_s >= self._hosts_asked_s + HOSTS_ASK_EVERY_S
+        if self._on_hosts is None or not frame.address or not is_due:
+            return
+        self._hosts_asked_s = now_s
+        self._links.set_peers({frame.sender: frame.address})
+        self._links.send_control(frame.sender, FrameKind.HOSTS_ASK, now_s=now_s)
+
+    def _tell_hosts(self, host_id: str) -> None:
+        if self._knows_peers:
+            self._links.send_control(
+                host_id,
+                FrameKind.HOSTS,
+                encode_hosts(self._hosts),
+                now_s=self._reactor.seconds(),
+            )
+
+    def _take_hosts(self, frame: Frame) -> None:
+        if self._on_hosts is None or self._knows_peers:
+            # The platform's own list, or an earlier peer's, is there.
+            return
+        try:
+            self._on_hosts(decode_hosts(frame.body, peer=frame.sender))
+        except PeerMismatchError:
+            self._malformed += 1
--- a/tests/test_spread_links.py
+++ b/tests/test_spread_links.py
@@ -15,6 +15,7 @@
     FrameKind,
     decode_frame,
     encode_frame,
+    encode_hosts,
 )
 from gentianwharf.spread._links import IDLE_AFTER_S, PROBE_EVERY_S, SILENT_AFTER_S
 from gentianwharf.spread._messages import MOST_MESSAGE_BYTES
@@ -184,6 +185,40 @@
     assert pair.meshes["lac"].stats().links["ariana"].redials == 1
 
 
+def test_host_without_a_list_gets_that_of_a_peer() -> None:
+    """A host is replaced while the platform is out of reach, its list of hosts too.
+
+    It knows nobody. Its peers still list it and write to it, but it has no address to
+    answer to, and would stay out of service until the platform is back.
+    """
+    pair = Pair()
+    told: list[tuple[Host, ...]] = []
+    alone = PeerMesh(
+        reactor=pair.clock,
+        host=ARIANA,
+        rng=Random(3),
+        dial=pair._dial,
+        on_hosts=told.append,
+    )
+    pair.meshes["ariana"] = alone
+    assert pair.channel.send("ariana", b"hello")
+    assert told == [(LAC, ARIANA)]
+    alone.set_peers(told[0])
+    pair.run(1, sending=True)
+    assert told == [(LAC, ARIANA)]
+    assert alone.send("lac", b"found you", channel=Channel.SPREAD)
+    assert ("ariana", b"found you") in pair.got
+
+
+def test_list_of_a_peer_does_not_replace_the_platforms() -> None:
+    pair = Pair()
+    told: list[tuple[Host, ...]] = []
+    pair.meshes["lac"]._on_hosts = told.append
+    body = encode_hosts([ARIANA])
+    pair.meshes["lac"].received_frame(_frame(kind=FrameKind.HOSTS, body=body))
+    assert told == []
+
+
 def test_idle_links_close_on_both_sides() -> None:
     pair = Pair()
     pair.run(1, sending=True)
