--- a/src/gentianwharf/ownership/_announcer.py
+++ b/src/gentianwharf/ownership/_announcer.py
@@ -15,7 +15,14 @@
 from ._timing import STORE_TIMEOUT_S
 
 MOST_KEPT = 256
-"""Announcements kept; one is needed while moves of its version are under way."""
+"""Announcements kept after they stand, for moves that still ask for them."""
+
+MOST_ROUNDS = 4096
+"""Rounds whose answers still count; later ones are asked anew at each tick."""
+
+ROUND_BITS = 48
+"""Bits of the first round's number, drawn at each start so that rounds of an
+earlier life are not taken for this one's."""
 
 
 @final
@@ -27,7 +34,7 @@
         self._known: dict[tuple[str, int, str], Announcement] = {}
         self._rounds: dict[int, tuple[str, int, str]] = {}
         self._opening: set[tuple[str, int, str]] = set()
-        self._last_round = 0
+        self._last_round = context.rng.getrandbits(ROUND_BITS)
 
     def announcement(
         self, service: str, number: int, revision: int, domain: str
@@ -88,10 +95,22 @@
             witnesses=witnesses,
             witness_revision=self._context.tables.versions[key],
         )
-        while len(self._known) > MOST_KEPT:
-            del self._known[next(iter(self._known))]
+        self._drop_ended()
         self._ask(which)
 
+    def _drop_ended(self) -> None:
+        # Only those that stand: a move waits for its announcement, and one that was
+        # dropped before would never be asked for again.
+        ended = [
+            which
+            for which, known in self._known.items()
+            if known.stands_since_s is not None
+        ]
+        for which in ended[:-MOST_KEPT]:
+            del self._known[which]
+        for number in list(self._rounds)[:-MOST_ROUNDS]:
+            del self._rounds[number]
+
     def tick(self) -> None:
         """Ask again where a majority has not answered yet."""
         for which, known in self._known.items():
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -5,6 +5,7 @@
 a late answer can never be taken for the answer to another request.
 """
 
+import socket
 from collections import deque
 from typing import Any, cast
 
@@ -30,6 +31,13 @@
 # Firewalls and balancers commonly forget idle connections after a minute or more; a
 # connection unused for longer than this is closed instead of trusted.
 MOST_IDLE_S = 15.0
+# Probes begin after 4 s of silence, two seconds apart; two without an answer end the
+# connection, so that one gone silent lives for 8 s at most, within the idle limit.
+KEEPALIVE = {
+    socket.TCP_KEEPIDLE: 4,
+    socket.TCP_KEEPINTVL: 2,
+    socket.TCP_KEEPCNT: 2,
+}
 
 
 class ServerConnection(HTTP11ClientProtocol):
@@ -42,6 +50,18 @@
         self.requests = 0
         self.retired = False
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Let the kernel probe the connection while it is idle.
+
+        A middlebox that has lost track of it answers no probe: the connection is
+        closed while it is idle, and not found silent by a request.
+        """
+        super().connectionMade()
+        handle = cast(Any, self.transport).getHandle()
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in KEEPALIVE.items():
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
     ) -> None:
@@ -96,9 +116,9 @@
 class ServerConnections:
     """The connections of this daemon to one backend server."""
 
-    def __init__(self, *, server: BackendServer, reactor: Any, most: int) -> None:
+    def __init__(self, *, server: BackendServer, reactor: Any) -> None:
         self.server = server
-        self.most = most
+        self.most = server.connections
         self.opened = 0
         self._reactor = reactor
         self._clock: IReactorTime = reactor
@@ -106,6 +126,15 @@
         self._all: set[ServerConnection] = set()
         self._connecting = 0
 
+    def share_with(self, daemons: int) -> None:
+        """Take an equal part of what the server accepts from all daemons.
+
+        The list of hosts tells how many there are, so nobody has to be asked; what
+        one daemon does not use, another can't borrow, since a server that is out of
+        connections refuses everybody.
+        """
+        self.most = max(1, self.server.connections // max(1, daemons))
+
     def __len__(self) -> int:
         return len(self._all) + self._connecting
 
@@ -167,6 +196,10 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def idle(self) -> tuple[ServerConnection, ...]:
+        """Return the connections that wait for a request."""
+        return tuple(self._idle)
+
     def renew(self) -> None:
         """Close idle connections now and the others after their answers.
 
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -154,6 +154,10 @@
         """Keep the outcome."""
         self.outcomes.append(outcome)
 
+    def server_for_key(self, service: str, key: str) -> BackendServer | None:
+        """Leave it to ``admit``."""
+        return None
+
     def forget(self, ticket: Ticket) -> None:
         """Have nothing to forget."""
 
@@ -291,7 +295,7 @@
         ownership=ownership,
         admission=admission,
         connections={
-            server.id: ServerConnections(server=server, reactor=reactor, most=8)
+            server.id: ServerConnections(server=server, reactor=reactor)
             for server in servers
         },
         observer=records,
