Count the loop's time by a clock that nobody can set

Cause: Twisted's reactor reads the wall clock; a step back would let a right or a lease that has ended hold again. Ruled out: a clock of our own beside the reactor's, since timeouts and delayed calls are the reactor's. Conclusion: the daemon sets the reactor's clock before all else; deadlines of requests go on being wall time, since servers compare them.

--- a/src/gentianwharf/daemon/_main.py
+++ b/src/gentianwharf/daemon/_main.py
@@ -12,6 +12,7 @@
 from gentianwharf.errors import InputError
 from gentianwharf.settings import Settings, load_settings
 
+from ._clock import use_monotonic_time
 from ._daemon import Daemon
 from ._embedded import Embedded
 
@@ -39,6 +40,7 @@
         for each of the other failure domains, in this process, for a first look.
 
     """
+    use_monotonic_time(reactor)
     try:
         checked = load_settings(settings)
         logs.configure(
