--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -15,7 +15,7 @@
 from ._caller import CallerRequest
 from ._connections import ServerConnections
 from ._exchange import Exchange
-from ._headers import facts_of
+from ._headers import KEY_HEADER, facts_of
 from ._ports import Admission, Observer, Ownership, Rules, Ticket
 from ._problem import Problem, write_problem
 from ._repeats import RepeatKey, Repeats
@@ -50,7 +50,7 @@
         self.stopping = False
         self._ownership = ownership
         self._admission = admission
-        self._connections = connections
+        self.connections = connections
         self._observer = observer
         self._deadlines_ms = deadlines_ms
         self._keyed = keyed
@@ -86,6 +86,8 @@
             raise _bad_request("expected exactly one Host header")
         if _has_two_lengths(request):
             raise _bad_request("expected Content-Length or Transfer-Encoding, got both")
+        if len(set(request.requestHeaders.getRawHeaders(KEY_HEADER) or ())) > 1:
+            raise _bad_request("expected one Gentianwharf-Key, got two that differ")
         facts = facts_of(request.method, request.uri, request.requestHeaders)
         match = self.rules.match(facts)
         if match is None:
@@ -106,7 +108,7 @@
             ticket=self._ticket(request, match, request_id),
             ownership=self._ownership,
             admission=self._admission,
-            connections=self._connections,
+            connections=self.connections,
             observer=self._observer,
             repeats=self._repeats,
             repeat=_repeat_key(request, match),
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -338,7 +338,7 @@
         assert relay.servers[0].connections == 2
         relay.admission.hedge_after_s = None
         assert relay.ask(request()).endswith(b"\r\n\r\nok")
-        pools = relay.app._connections["s0"]
+        pools = relay.app.connections["s0"]
         assert len(pools) == 1
 
 
@@ -358,3 +358,12 @@
         received = relay.ask(request())
     assert received.startswith(b"HTTP/1.1 500 ")
     assert body_of(received)["run"] == "unknown"
+
+
+def test_idle_connection_is_probed() -> None:
+    with running_relay([ok]) as relay:
+        relay.ask(request())
+        (connection,) = relay.app.connections["s0"].idle()
+        handle = connection.transport.getHandle()
+        assert handle.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 4
