Tell the gate for how long a server that sheds wants no work

Cause: the time that a shedding server names went to the caller only; the gate gave it 50 ms, and a hedge that came too late stayed counted as in flight. Conclusion: both reach the gate; a server that names no time has its default.

--- a/src/gentianwharf/daemon/_admission.py
+++ b/src/gentianwharf/daemon/_admission.py
@@ -76,12 +76,19 @@
         return await self._decided(ticket, hedge, [decision])
 
     def finished(
-        self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
+        self,
+        ticket: Ticket,
+        server: BackendServer,
+        outcome: Outcome,
+        elapsed_s: float,
+        retry_after_s: float | None = None,
     ) -> None:
         """Note how a leg ended, and let others go."""
         if outcome is not Outcome.CANCELLED:
             self._on_evidence(server.id, outcome in _SIGNS_OF_LIFE)
-        ended = load.Outcome(kind=_KINDS[outcome], elapsed_s=elapsed_s)
+        ended = load.Outcome(
+            kind=_KINDS[outcome], elapsed_s=elapsed_s, retry_after_s=retry_after_s
+        )
         self._apply(
             self._gate.finished(ticket.request_id, ended, self._now_s(), server.id)
         )
@@ -141,6 +148,14 @@
         hedge = self._hedges.get(decision.ticket_id)
         if hedge is not None:
             hedge(self.servers[decision.server])
+            return
+        # The request had its answer in this turn; the gate counts the send until told.
+        ended = load.Outcome(kind=load.OutcomeKind.CANCELLED, elapsed_s=0.0)
+        self._apply(
+            self._gate.finished(
+                decision.ticket_id, ended, self._now_s(), decision.server
+            )
+        )
 
     def _fire(self, request_id: str, result: Any) -> None:
         waiting = self._waiting.pop(request_id, None)
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -26,12 +26,19 @@
 
 
 class LegError(Exception):
-    """A leg that brought no answer; ``problem`` is for the caller."""
+    """A leg that brought no answer; ``problem`` is for the caller.
 
-    def __init__(self, *, outcome: Outcome, problem: Problem) -> None:
+    ``shed_s`` is for how long a server that sheds said that it wants no work, None
+    where it named no time.
+    """
+
+    def __init__(
+        self, *, outcome: Outcome, problem: Problem, shed_s: float | None = None
+    ) -> None:
         super().__init__(problem.title)
         self.outcome = outcome
         self.problem = problem
+        self.shed_s = shed_s
 
 
 @final
@@ -212,11 +219,13 @@
 
     def _refused_by_server(self, response: Response) -> NotRunError:
         not_owner = response.code == STATUS_NOT_OWNER
+        named_s = _retry_after_s(response)
         return NotRunError(
+            shed_s=None if not_owner else named_s,
             outcome=Outcome.NOT_OWNER if not_owner else Outcome.SHED,
             problem=self._not_run(
                 "the server refused the request without running it",
-                retry_after_s=_retry_after_s(response),
+                retry_after_s=named_s or DEFAULT_RETRY_AFTER_S,
             ),
         )
 
@@ -249,11 +258,11 @@
         )
 
 
-def _retry_after_s(response: Response) -> float:
+def _retry_after_s(response: Response) -> float | None:
     values = response.headers.getRawHeaders(b"retry-after")
     if values and values[0].isdigit():
         return float(values[0])
-    return DEFAULT_RETRY_AFTER_S
+    return None
 
 
 def run_leg(leg: Leg) -> "Deferred[Response]":
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -101,9 +101,17 @@
         """Return the server that every daemon sends an idempotency key to."""
 
     def finished(
-        self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
+        self,
+        ticket: Ticket,
+        server: BackendServer,
+        outcome: Outcome,
+        elapsed_s: float,
+        retry_after_s: float | None = None,
     ) -> None:
-        """Note how the attempt ended, so that others can go."""
+        """Note how the attempt ended, so that others can go.
+
+        ``retry_after_s`` is for how long a server that sheds wants no work.
+        """
 
     def forget(self, ticket: Ticket) -> None:
         """Forget a request that has had its final answer."""
--- a/src/gentianwharf/relay/_race.py
+++ b/src/gentianwharf/relay/_race.py
@@ -67,8 +67,10 @@
     def _failed(self, failure: Failure, leg: Leg) -> None:
         self._running.pop(leg, None)
         error = failure.value
-        outcome = error.outcome if isinstance(error, LegError) else Outcome.CANCELLED
-        self._finish(leg, outcome)
+        if isinstance(error, LegError):
+            self._finish(leg, error.outcome, error.shed_s)
+        else:
+            self._finish(leg, Outcome.CANCELLED)
         if self.decided or self._running:
             return
         self.decided = True
@@ -76,5 +78,9 @@
             return
         self._won.errback(failure)
 
-    def _finish(self, leg: Leg, outcome: Outcome) -> None:
-        self._admission.finished(self._ticket, leg.server, outcome, leg.elapsed_s)
+    def _finish(
+        self, leg: Leg, outcome: Outcome, retry_after_s: float | None = None
+    ) -> None:
+        self._admission.finished(
+            self._ticket, leg.server, outcome, leg.elapsed_s, retry_after_s
+        )
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -127,6 +127,7 @@
     def __init__(self, *, servers: list[BackendServer]) -> None:
         self.servers = servers
         self.outcomes: list[Outcome] = []
+        self.retry_after_s: list[float] = []
         self.hedge_after_s: float | None = None
 
     async def admit(
@@ -150,10 +151,17 @@
         return owner or self.servers[len(self.outcomes) % len(self.servers)]
 
     def finished(
-        self, ticket: Ticket, server: BackendServer, outcome: Outcome, elapsed_s: float
+        self,
+        ticket: Ticket,
+        server: BackendServer,
+        outcome: Outcome,
+        elapsed_s: float,
+        retry_after_s: float | None = None,
     ) -> None:
         """Keep the outcome."""
         self.outcomes.append(outcome)
+        if retry_after_s is not None:
+            self.retry_after_s.append(retry_after_s)
 
     def server_for_key(self, service: str, key: str) -> BackendServer | None:
         """Leave it to ``admit``."""
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -183,6 +183,7 @@
 def test_shed_answer_carries_the_server_s_retry_after() -> None:
     with running_relay([shedding]) as relay:
         received = relay.ask(request())
+        assert relay.admission.retry_after_s == [3.0] * 3
     assert b"Retry-After: 3\r\n" in received
 
 
