Learn the hosts from a peer; read the store at once on becoming a witness

A host whose settings name no fellow hosts knew nobody in an outage. Ruled out: an error in the rule itself: two of three witnesses without memory must not confirm. Conclusion: the window is one read; the process test waits until every witness has its memory, and runs with and without known hosts.

--- a/src/gentianwharf/admin/_protocols.py
+++ b/src/gentianwharf/admin/_protocols.py
@@ -53,7 +53,8 @@
     """One daemon's view of itself, for ``/state`` and ``gentianwharf status``.
 
     ``store_heard_ago_s`` is None when the store has never answered;
-    ``table_versions`` is by service, ``right_to_send`` likewise.
+    ``table_versions`` is by service, ``right_to_send`` likewise. A witness without a
+    memory (``docs/design/ownership.md``) confirms nothing yet.
     """
 
     customer: str
@@ -67,6 +68,8 @@
     table_versions: Mapping[str, int]
     right_to_send: Mapping[str, bool]
     control_holders: Mapping[str, str | None]
+    is_witness: bool
+    witness_has_memory: bool
     measures: Measures | None
     alarms: tuple[Alarm, ...]
 
--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -74,7 +74,7 @@
         self._ticks.every(RECORDER_TICK_S, parts.recorder.tick)
         self._ticks.every(REPORTS_TICK_S, parts.reports.tick)
         self._ticks.every(ALARMS_EVERY_S, self.state.update)
-        self._follow_hosts()
+        parts.follow_hosts()
         self._ticks.every_async(HOSTS_EVERY_S, self._read_hosts)
         self._ticks.every_async(INITIAL_RULES_EVERY_S, self._write_initial_rules)
         self._callers_port = listen(
@@ -96,26 +96,7 @@
             # The list that is known stays in force; readiness shows its age.
             return
         if parts.hosts.take(listed):
-            self._follow_hosts()
-
-    def _follow_hosts(self) -> None:
-        parts = self.parts
-        daemons = len(parts.hosts.hosts)
-        parts.gate.set_daemons(daemons)
-        for connections in parts.relay.connections.values():
-            connections.share_with(daemons)
-        parts.mesh.set_peers(parts.hosts.hosts.values())
-        parts.spread.set_hosts(parts.hosts.hosts.values())
-        leaving = parts.hosts.leaving_servers
-        parts.ownership.set_leaving(leaving)
-        for name, service in parts.services.items():
-            kept = [one for one in service.servers if one.id not in leaving]
-            parts.admission.set_servers(name, kept)
-        parts.reports.set_servers(
-            server
-            for server in parts.servers.values()
-            if not parts.services[server.service].keyed and server.id not in leaving
-        )
+            parts.follow_hosts()
 
     async def _write_initial_rules(self) -> None:
         parts = self.parts
--- a/src/gentianwharf/daemon/_hosts.py
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -31,12 +31,14 @@
         self.own = own
         self.hosts: Mapping[str, Host] = {one.id: one for one in (*known, own)}
         self.leaving_servers: frozenset[str] = frozenset()
+        self._is_listed = False
         self._servers = frozenset(servers)
         self._now_s = now_s
         self._heard_s: dict[str, float] = {}
 
     def take(self, listed: Iterable[ListedHost]) -> bool:
         """Take the platform's list; returns whether anything changed."""
+        self._is_listed = True
         listed = tuple(listed)
         leaving = {one.id for one in listed if one.leaving and one.id in self._servers}
         hosts = {
@@ -51,6 +53,13 @@
         self.leaving_servers = frozenset(leaving)
         return True
 
+    def take_from_peer(self, hosts: Iterable[Host]) -> bool:
+        """Take a peer's list while the platform's has not come."""
+        if self._is_listed:
+            return False
+        self.hosts = {one.id: one for one in (*hosts, self.own)}
+        return True
+
     def heard(self, host: str) -> None:
         """Note that a message of ``host`` came."""
         self._heard_s[host] = self._now_s()
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -92,7 +92,12 @@
         self.gate.report(server, report, self.reactor.seconds())
 
     def _build_links(self) -> None:
-        self.mesh = PeerMesh(reactor=self.reactor, host=self.host, rng=seeded())
+        self.mesh = PeerMesh(
+            reactor=self.reactor,
+            host=self.host,
+            rng=seeded(),
+            on_hosts=self._on_hosts,
+        )
         self.link = OwnershipLink(mesh=self.mesh, hosts=self.hosts)
         self.rules = RulesInForce(
             shards={name: one.shards for name, one in self.services.items()}
@@ -107,6 +112,29 @@
             rng=seeded(),
         )
 
+    def _on_hosts(self, hosts: tuple[Host, ...]) -> None:
+        if self.hosts.take_from_peer(hosts):
+            self.follow_hosts()
+
+    def follow_hosts(self) -> None:
+        """Let every part know the hosts and the leaving servers of the table."""
+        daemons = len(self.hosts.hosts)
+        self.gate.set_daemons(daemons)
+        for connections in self.relay.connections.values():
+            connections.share_with(daemons)
+        self.mesh.set_peers(self.hosts.hosts.values())
+        self.spread.set_hosts(self.hosts.hosts.values())
+        leaving = self.hosts.leaving_servers
+        self.ownership.set_leaving(leaving)
+        for name, service in self.services.items():
+            kept = [one for one in service.servers if one.id not in leaving]
+            self.admission.set_servers(name, kept)
+        self.reports.set_servers(
+            server
+            for server in self.servers.values()
+            if not self.services[server.service].keyed and server.id not in leaving
+        )
+
     def _spread_received(self, host_id: str, message: bytes) -> None:
         self.hosts.heard(host_id)
         self.spread.received(host_id, message)
--- a/src/gentianwharf/daemon/_state.py
+++ b/src/gentianwharf/daemon/_state.py
@@ -110,6 +110,8 @@
                 for service in parts.keyed_services()
             },
             control_holders=ownership.holders,
+            is_witness=ownership.is_witness,
+            witness_has_memory=ownership.has_memory,
             measures=self._measures(),
             alarms=(),
         )
--- a/src/gentianwharf/ownership/_reader.py
+++ b/src/gentianwharf/ownership/_reader.py
@@ -34,6 +34,7 @@
         self._watching = False
         self._read_s = float("-inf")
         self._watch_due_s = float("-inf")
+        self._was_listed = False
         self.has_read = False
 
     def tick(self) -> None:
@@ -42,6 +43,11 @@
         is_watcher = self._context.is_among("watch", WATCHERS)
         witness = self._context.witness
         lacks_memory = witness.is_listed and not witness.has_memory
+        if witness.is_listed and not self._was_listed:
+            # Until it has read, it confirms nothing: were the store to go now and
+            # another witness with it, the domain would lose its rights.
+            self._read_s = float("-inf")
+        self._was_listed = witness.is_listed
         needs_read = not self.has_read or lacks_memory
         pause_s = READ_AGAIN_S if needs_read else READ_ALL_EVERY_S
         is_due = now_s >= self._read_s + pause_s and (needs_read or is_watcher)
--- a/tests/builders_admin.py
+++ b/tests/builders_admin.py
@@ -75,6 +75,8 @@
         """See ``StateView``."""
         self._fail()
         return DaemonState(
+            is_witness=True,
+            witness_has_memory=True,
             customer="tunis",
             host="lac-1",
             domain="lac",
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+import urllib.request
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
@@ -145,6 +146,22 @@
         pages = Path(f"/proc/{self.processes[name].pid}/statm").read_text().split()[1]
         return int(pages) * os.sysconf("SC_PAGE_SIZE")
 
+    def state(self, host: str) -> dict[str, Any]:
+        """Return what a host's admin port shows, nothing while it does not answer."""
+        address = f"http://127.0.0.1:{self.ports[f'{host}-admin']}/state"
+        try:
+            with urllib.request.urlopen(address, timeout=START_TIMEOUT_S) as answer:
+                state: dict[str, Any] = json.load(answer)
+        except OSError:
+            return {}
+        return state
+
+    def forget_known_hosts(self, host: str) -> None:
+        """Take the fellow hosts out of a host's settings."""
+        path = self.directory / f"{host}.jsonc"
+        settings = json.loads(path.read_text())
+        path.write_text(json.dumps(settings | {"known_hosts": []}))
+
     def serves(self, host: str, path: str) -> Reply | None:
         """Return the reply if it is a server's, else None."""
         try:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -42,6 +42,12 @@
             ),
             what=f"{host} to serve",
         )
+        # A witness without a memory confirms nothing: an outage that begins before
+        # the domain's witnesses have theirs is another story than the tests'.
+        wait_until(
+            lambda host=host: running.state(host).get("witness_has_memory"),
+            what=f"{host} to be a witness with a memory",
+        )
 
 
 def owner(running: Deployment, host: str, key: str) -> str | None:
@@ -107,20 +113,23 @@
         assert owner(running, host, KEYS[0]) == new
 
 
+@pytest.mark.parametrize("knows_hosts", [True, False], ids=["settings", "peers"])
 def test_store_outage_with_a_restart_in_it_loses_no_key(
-    one_domain: Deployment,
+    one_domain: Deployment, knows_hosts: bool
 ) -> None:
     """A failure domain is cut off from the platform, and an entry host restarts in it.
 
     The restarted host remembers nothing, and neither the store nor the host list
-    answers; the two others of its domain, which its settings name, tell it the rules
-    and the table, and confirm them.
+    answers; the two others of its domain, which its settings name or which write to
+    it, tell it the rules and the table, and confirm them.
     """
     running = one_domain
     before = {key: owner(running, "lac-2", key) for key in KEYS}
     running.kill("store")
     running.kill("host-list")
     running.kill("lac-1")
+    if not knows_hosts:
+        running.forget_known_hosts("lac-1")
     assert {key: owner(running, "lac-2", key) for key in KEYS} == before
     running.start_daemon("lac-1")
     wait_for_service(running)
