Split the planning from the control of a service, and the spread's tests by story

Conclusion: ServicePlans says what should move, ServiceControl who decides it; the spread's outages and store calls stand in files of their own.

--- a/src/gentianwharf/daemon/_hosts.py
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -29,7 +29,9 @@
         now_s: Callable[[], float],
     ) -> None:
         self.own = own
-        self.hosts: Mapping[str, Host] = {one.id: one for one in (*known, own)}
+        self.hosts: Mapping[str, Host] = {}
+        self._ids_by_domain: dict[str, tuple[str, ...]] = {}
+        self._set_hosts({one.id: one for one in (*known, own)})
         self.leaving_servers: frozenset[str] = frozenset()
         self._is_listed = False
         self._servers = frozenset(servers)
@@ -49,7 +51,7 @@
         hosts[self.own.id] = self.own
         if hosts == self.hosts and leaving == self.leaving_servers:
             return False
-        self.hosts = hosts
+        self._set_hosts(hosts)
         self.leaving_servers = frozenset(leaving)
         return True
 
@@ -57,7 +59,7 @@
         """Take a peer's list while the platform's has not come."""
         if self._is_listed:
             return False
-        self.hosts = {one.id: one for one in (*hosts, self.own)}
+        self._set_hosts({one.id: one for one in (*hosts, self.own)})
         return True
 
     def heard(self, host: str) -> None:
@@ -84,4 +86,13 @@
 
     def hosts_of(self, domain: str) -> Sequence[str]:
         """Return the ids of a domain's hosts."""
-        return sorted(one.id for one in self.hosts.values() if one.domain == domain)
+        return self._ids_by_domain.get(domain, ())
+
+    def _set_hosts(self, hosts: Mapping[str, Host]) -> None:
+        self.hosts = hosts
+        domains = {one.domain for one in hosts.values()}
+        # Asked for many times a second; the list changes a few times a day.
+        self._ids_by_domain = {
+            domain: tuple(sorted(o.id for o in hosts.values() if o.domain == domain))
+            for domain in domains
+        }
--- a/src/gentianwharf/ownership/_context.py
+++ b/src/gentianwharf/ownership/_context.py
@@ -7,13 +7,14 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from gentianwharf.placement import PlacementWeights, rendezvous_rank
+from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import BackendControl, KeyValueStore
 from gentianwharf.topology import BackendServer, Domain, Host, Service
 
 from ._lag import LoopLag
 from ._messages import Item, Items, Message, batches
 from ._protocols import Log, PeerLink, SiteOf
+from ._ranks import RankCache
 from ._rights import Rights, Witness
 from ._tables import Tables
 from ._timing import ORDER_TIMEOUT_S
@@ -44,6 +45,7 @@
     witness: Witness
     receive: Callable[[str, Message], None]
     lag: LoopLag
+    ranks: RankCache
 
     @property
     def now_s(self) -> float:
@@ -71,10 +73,17 @@
         """Return the hosts of ``domain`` that have been heard lately."""
         return [one for one in self.peers.hosts_of(domain) if self.peers.is_live(one)]
 
-    def is_among(self, name: str, count: int) -> bool:
+    def own_live_hosts(self) -> tuple[str, ...]:
+        """Return the live hosts of this host's own domain."""
+        return tuple(self.live_hosts(self.host.domain))
+
+    def is_among(
+        self, name: str, count: int, live: tuple[str, ...] | None = None
+    ) -> bool:
         """Whether this host is one of ``count`` of its domain for a job ``name``."""
-        live = self.live_hosts(self.host.domain)
-        return self.host.id in rendezvous_rank(name, live)[:count]
+        if live is None:
+            live = self.own_live_hosts()
+        return self.host.id in self.ranks.first(name, live, count=count)
 
     def spread(self, item: Item) -> None:
         """Pass a value that the store has taken on to every host."""
--- /dev/null
+++ b/src/gentianwharf/ownership/_plans.py
@@ -0,0 +1,245 @@
+"""What should move: away from lost and leaving servers, to its site, to less load."""
+
+from collections.abc import Iterable
+from typing import final
+
+from gentianwharf.placement import Candidate, place
+from gentianwharf.topology import Service
+
+from ._context import Context
+from ._evidence import Suspicions
+from ._loads import ShardLoads
+from ._messages import Wish
+from ._mover import Mover
+from ._pinner import Pinner
+from ._planner import (
+    MOST_PLANNED_MOVES,
+    ServerStates,
+    plan_leaving,
+    plan_lost,
+    plan_rebalance,
+)
+from ._table import EntryState
+from ._writer import TableWriter
+
+LEAVING_FRESH_S = 2.0
+"""How long a server's own word that it is draining counts; it repeats it."""
+
+REBALANCE_EVERY_S = 10.0
+"""How often the load is looked at: several reports of each host come between."""
+
+SCAN_SHARDS = 512
+"""Shards looked at in one tick for a site that the rules changed."""
+
+
+@final
+class ServicePlans:
+    """Turns states, wishes and loads of one service into intents.
+
+    Only the holder of the service's control runs it.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        service: Service,
+        suspicions: Suspicions,
+        mover: Mover,
+        writer: TableWriter,
+    ) -> None:
+        self.listed_leaving: set[str] = set()
+        self.loads = ShardLoads()
+        self._context = context
+        self._service = service
+        self._suspicions = suspicions
+        self._mover = mover
+        self._writer = writer
+        self._pinner = Pinner(context=context, service=service, writer=writer)
+        self._said_leaving_s: dict[str, float] = {}
+        self._wishes: dict[int, str] = {}
+        self._scan_from = 0
+        self._rebalanced_s = context.now_s
+
+    def _states(self) -> ServerStates:
+        context = self._context
+        now_s = context.now_s
+        lost = {
+            server.id
+            for server in self._service.servers
+            if context.tables.is_declared_lost(server.domain)
+            or self._suspicions.lost(
+                server.id, context.tables.witnesses(server.domain), now_s
+            )
+        }
+        candidates = [
+            Candidate(
+                id=server.id,
+                site=context.domains[server.domain].site,
+                slots=server.slots,
+            )
+            for server in self._service.servers
+        ]
+        return ServerStates(candidates=candidates, lost=lost, leaving=self._leaving())
+
+    def wish(self, wish: Wish) -> None:
+        """Take an operator's wish."""
+        if wish.key is None:
+            self._wishes[wish.shard] = wish.server
+        else:
+            self._pinner.wish(wish.key, wish.server)
+
+    def said_leaving(self, server: str) -> None:
+        """Note that ``server`` itself says it is draining."""
+        self._said_leaving_s[server] = self._context.now_s
+
+    def _leaving(self) -> set[str]:
+        now_s = self._context.now_s
+        said = {
+            server
+            for server, at_s in self._said_leaving_s.items()
+            if now_s - at_s <= LEAVING_FRESH_S
+        }
+        return said | self.listed_leaving
+
+    def _site_of(self, shard: int) -> str | None:
+        return self._pinner.site_of(shard)
+
+    def first_targets(self) -> dict[int, str]:
+        """Return the owners of a service that has no table yet."""
+        return place(
+            range(self._service.shards),
+            loads={},
+            busy={},
+            candidates=self._states().usable(),
+            site_of=self._site_of,
+        )
+
+    def _busy_loads(self) -> dict[str, float]:
+        tables = self._context.tables
+        busy = {
+            server.id: float(tables.count_owned(server.id))
+            for server in self._service.servers
+        }
+        for move in self._mover.moves.values():
+            busy[move.entry.target] += 1.0
+        return busy
+
+    def run(self) -> None:
+        """Intend what should move now."""
+        states = self._states()
+        if states.lost:
+            self._plan_lost(states)
+        self._plan_leaving(states)
+        self._rebalance(states)
+
+    def _rebalance(self, states: ServerStates) -> None:
+        context = self._context
+        if context.now_s < self._rebalanced_s + REBALANCE_EVERY_S:
+            return
+        self._rebalanced_s = context.now_s
+        # Moves under way change the picture: settle one round before the next.
+        if self._mover.moves:
+            return
+        chunks = context.tables.chunks(self._service.name).values()
+        entries = {
+            shard: entry
+            for chunk in chunks
+            for shard, entry in chunk.entries.items()
+            if shard < self._service.shards
+        }
+        intents = plan_rebalance(
+            entries,
+            states=states,
+            loads=self.loads.rates(self._service.shards),
+            site_of=self._site_of,
+            weights=context.weights,
+            room=MOST_PLANNED_MOVES,
+        )
+        if intents:
+            context.log("rebalance", service=self._service.name, moves=len(intents))
+            self._writer.intend(intents)
+
+    def _plan_lost(self, states: ServerStates) -> None:
+        tables = self._context.tables
+        entries = {
+            shard: entry
+            for server in states.lost
+            for shard, entry in tables.owned_by(self._service.name, server).items()
+        }
+        entries |= {shard: one.entry for shard, one in self._mover.moves.items()}
+        intents = plan_lost(
+            entries,
+            states=states,
+            loads={},
+            busy=self._busy_loads(),
+            site_of=self._site_of,
+        )
+        if intents:
+            self._context.log("owners-lost", servers=sorted(states.lost))
+            self._writer.intend(intents)
+
+    def _plan_leaving(self, states: ServerStates) -> None:
+        room = MOST_PLANNED_MOVES - len(self._mover.moves)
+        if room <= 0:
+            return
+        self._grant_wishes(states)
+        self._pinner.plan(states)
+        shards = [
+            *self._shards_of_leaving(states),
+            *self._shards_off_site(),
+            *self._pinner.off_site(),
+        ]
+        if not shards:
+            return
+        name = self._service.name
+        entries = {
+            shard: entry
+            for shard in shards
+            if (entry := self._context.tables.entry(name, shard)) is not None
+        }
+        intents = plan_leaving(
+            entries,
+            shards=shards,
+            states=states,
+            loads={},
+            busy=self._busy_loads(),
+            site_of=self._site_of,
+            room=room,
+        )
+        if intents:
+            self._writer.intend(intents)
+
+    def _grant_wishes(self, states: ServerStates) -> None:
+        usable = {one.id for one in states.usable()}
+        intents = {}
+        for shard, server in self._wishes.items():
+            entry = self._context.tables.entry(self._service.name, shard)
+            if entry is None or entry.state is not EntryState.OWNED:
+                continue
+            if server in usable and server != entry.owner:
+                intents[shard] = (server, EntryState.RELEASING)
+        self._wishes.clear()
+        if intents:
+            self._writer.intend(intents)
+
+    def _shards_of_leaving(self, states: ServerStates) -> Iterable[int]:
+        for server in states.leaving - states.lost:
+            yield from self._context.tables.owned_by(self._service.name, server)
+
+    def _shards_off_site(self) -> list[int]:
+        """Return shards, of a part of them at a time, that stand off their site."""
+        context = self._context
+        name = self._service.name
+        first = self._scan_from
+        last = min(first + SCAN_SHARDS, self._service.shards)
+        self._scan_from = last % self._service.shards
+        off = []
+        for shard in range(first, last):
+            entry = context.tables.entry(name, shard)
+            site = context.site_of(name, shard)
+            if entry is None or site is None or entry.state is not EntryState.OWNED:
+                continue
+            if context.domains[context.servers[entry.owner].domain].site != site:
+                off.append(shard)
+        return off
--- a/src/gentianwharf/ownership/_renewal.py
+++ b/src/gentianwharf/ownership/_renewal.py
@@ -45,6 +45,7 @@
     def tick(self) -> None:
         """Probe and renew what is due."""
         now_s = self._context.now_s
+        live = self._context.own_live_hosts()
         for server in self._context.servers.values():
             if server.domain != self._context.host.domain:
                 continue
@@ -53,7 +54,7 @@
             if now_s < self._due_s.get(server.id, 0.0) or server.id in self._busy:
                 continue
             self._due_s[server.id] = now_s + RENEW_EVERY_S
-            if self._context.is_among(server.id, RENEWERS):
+            if self._context.is_among(server.id, RENEWERS, live):
                 self.probe(server, holder=self._holder_of(server.service))
 
     def probe(
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -38,6 +38,7 @@
 )
 from ._move import MoveState
 from ._protocols import Log, PeerLink, SingleKeySites, SiteOf
+from ._ranks import RankCache
 from ._reader import Reader
 from ._renewal import Renewal
 from ._rights import Rights, Witness
@@ -131,6 +132,7 @@
             witness=witness,
             receive=self.received,
             lag=LoopLag(),
+            ranks=RankCache(),
         )
         self._evidence = OwnEvidence()
         self._suspicions = Suspicions()
@@ -223,7 +225,7 @@
         leaving = set(servers)
         for name, control in self._controls.items():
             own = {one.id for one in self._context.services[name].servers}
-            control.listed_leaving = leaving & own
+            control.plans.listed_leaving = leaving & own
 
     async def declare_lost(self, domain: str, *, lost: bool = True) -> None:
         """Write an operator's word that a whole failure domain is lost, or is back.
@@ -296,17 +298,17 @@
     def _leaving(self, host: str, message: Leaving) -> None:
         server = self._context.servers.get(message.server)
         if server is not None:
-            self._controls[server.service].said_leaving(server.id)
+            self._controls[server.service].plans.said_leaving(server.id)
 
     def _loads(self, host: str, message: Loads) -> None:
         control = self._controls.get(message.service)
         if control is not None:
-            control.loads.hear(message, self._context.now_s)
+            control.plans.loads.hear(message, self._context.now_s)
 
     def _wish(self, host: str, message: Wish) -> None:
         control = self._controls.get(message.service)
         if control is not None and control.lease.is_held:
-            control.wish(message)
+            control.plans.wish(message)
 
     def owner(self, service: str, shard: int, key: str | None = None) -> Assignment:
         """Return who owns a key, as far as this host knows."""
--- a/tests/builders_spread.py
+++ b/tests/builders_spread.py
@@ -1,6 +1,6 @@
 """Builders for tests of spread: hosts of several failure domains on a fake network."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -273,3 +273,42 @@
         if member.alive:
             member.spread.tick()
             self.clock.callLater(self._tick_s, self._tick, member)
+
+
+WITHIN_S = 2.0
+"""The goal: rules are in force everywhere by then."""
+
+
+def running(cluster: Cluster) -> Cluster:
+    """Return a cluster that has its first rules everywhere."""
+    cluster.write(b"first")
+    cluster.run(2)
+    assert cluster.all_at(1)
+    assert len(cluster.ready()) == len(cluster.hosts)
+    return cluster
+
+
+def assert_monotonic(member: Member) -> None:
+    """Check that no revision that a host was told of ever fell."""
+    revisions = [value.revision for value in member.seen if value.key == RULES]
+    assert revisions == sorted(set(revisions))
+
+
+def watchers_of(cluster: Cluster, domain: str) -> list[Member]:
+    """Return the members of a domain that watch the store."""
+    return [one for one in cluster.in_domain(domain) if one.spread.state().watching]
+
+
+def assert_reaches_all(cluster: Cluster, *, limit_s: float = WITHIN_S) -> None:
+    """Write, and check that every host hears of it in time."""
+    revision = cluster.write(b"next").revision
+    took_s = cluster.run_until(lambda: cluster.all_at(revision), limit_s=limit_s)
+    assert took_s < limit_s
+
+
+def checked_cluster() -> Iterator[Cluster]:
+    """Yield a running cluster, and check at the end that no host went back."""
+    made = running(Cluster())
+    yield made
+    for member in made.members.values():
+        assert_monotonic(member)
--- /dev/null
+++ b/tests/test_spread_store_calls.py
@@ -0,0 +1,66 @@
+"""Store calls are a fixed number a failure domain, whatever the number of hosts."""
+
+import pytest
+
+from gentianwharf.platform import Fault, FaultKind, StoreOperation
+
+from .builders_spread import (
+    DOMAINS,
+    Cluster,
+    running,
+)
+
+DOWN = Fault(kind=FaultKind.DOWN)
+HANGS = Fault(kind=FaultKind.HANGS, operations=frozenset({StoreOperation.WATCH}))
+
+
+IDLE_S = 60.0
+# Each of two watchers a failure domain: at most 13 watches of 5 s touch a minute; one
+# new watch after a change; a read and a watch at the start.
+STORE_CALLS = [
+    pytest.param(4, DOMAINS, 6 * 13, 6, 12, id="12-hosts"),
+    pytest.param(12, DOMAINS, 6 * 13, 6, 12, id="36-hosts"),
+    pytest.param(500, DOMAINS[:1], 2 * 13, 2, 4, id="500-hosts-a-domain"),
+]
+
+
+@pytest.mark.parametrize(
+    ("per_domain", "domains", "idle", "rule_change", "restart"), STORE_CALLS
+)
+def test_store_calls_do_not_grow_with_the_hosts(
+    per_domain: int, domains: tuple[str, ...], idle: int, rule_change: int, restart: int
+) -> None:
+    cluster = running(Cluster(per_domain=per_domain, domains=domains, tick_s=0.4))
+    cluster.run(15)
+
+    before = cluster.store.reads()
+    cluster.run(IDLE_S)
+    assert idle - 12 < cluster.store.reads() - before <= idle
+
+    before = cluster.store.reads()
+    cluster.write(b"next")
+    cluster.run(0.2)
+    assert cluster.store.reads() - before == rule_change
+    assert cluster.all_at(2)
+
+    before = cluster.store.reads()
+    for host in cluster.hosts:
+        cluster.start(host.id)
+    cluster.run(3)
+    assert cluster.store.reads() - before == restart
+    assert len(cluster.ready()) == len(cluster.hosts)
+    assert cluster.all_at(2)
+    assert cluster.store.writes() == 2
+
+
+def test_host_without_a_list_reads_the_store_by_itself() -> None:
+    """The platform's list is out of reach when a host starts: it knows no peers."""
+    cluster = Cluster(per_domain=1, domains=["lac"])
+    cluster.write(b"first")
+    lone = cluster.start("lac-1")
+    lone.spread._listed = False
+    cluster.run(0.9)
+    assert not lone.spread.ready
+    cluster.run(0.3)
+    assert lone.spread.ready
+    assert lone.revision() == 1
