--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -79,8 +79,8 @@
     return lambda size: size[name]
 
 
-def _hosts_squared(size: dict[str, float]) -> float | None:
-    return size["hosts_a_domain"] ** 2 if size["domains"] == 3 else None
+def _hosts(size: dict[str, float]) -> float | None:
+    return size["hosts_a_domain"] if size["domains"] == 3 else None
 
 
 def _domains(size: dict[str, float]) -> float | None:
@@ -106,7 +106,7 @@
         self.hosts = _line(figures, "memory_hosts", _of("hosts"))
         self.ask = _line(figures, "ask", _of("versions"))
         self.witness = _line(figures, "witness_ask", _of("versions"))
-        self.ticks = _line(figures, "control_processor", _hosts_squared)
+        self.ticks = _line(figures, "control_processor", _hosts)
         self.domain_ticks = _line(figures, "control_processor", _domains)
         self.messages = _line(figures, "control_messages", _domains)
         self.sent = _line(figures, "control_sent", _domains_squared)
@@ -146,9 +146,9 @@
             ("its answer, processor", "versions", "µs", self.versions, self.witness),
             (
                 "ownership ticks, processor",
-                "(daemons a domain)²",
+                "daemons a domain",
                 "ms/s",
-                self.members**2,
+                self.members,
                 self.ticks,
             ),
             (
@@ -214,7 +214,7 @@
     def ticks_ms(self) -> float:
         """Return a daemon's processor time for ownership, in ms a second."""
         more_domains = self.domain_ticks.slope * (DOMAINS - 3)
-        return self.ticks.at(self.members**2) + more_domains
+        return self.ticks.at(self.members) + more_domains
 
     def wait_p99_ms(self, load: float) -> float:
         """Return the 99th percentile of the wait in a daemon, as in an M/M/1 queue.
