Leave a pause of the host itself out of what its servers owe

Cause: under a profiler that stopped the daemon for a moment, all eight connections of a closed-loop load were refused for want of a server, although all three servers were well: every answer was overdue at once, and every server taken for silent. Ruled out: raising the overdue limit, by which slow servers are found. Conclusion: a gap of more than 150 ms between ticks is the host's own; requests in flight over it are neither judged nor counted as late.

--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -15,7 +15,7 @@
 
 from ._choose import choose_server, place
 from ._class_state import ClassState
-from ._health import judge_overdue, learn
+from ._health import judge_overdue, learn, note_pause
 from ._pool import Pool
 from ._registry import Registry
 from ._requests import (
@@ -38,6 +38,9 @@
 # hedging those too cost 3 % of the servers' time at 70 % load and gained nothing.
 HEDGE_RATIO = 3.0
 
+# Ticks are due every 10 to 50 ms: a longer gap is this host's own, paused or busy.
+PAUSE_S = 0.15
+
 
 @final
 class Gate:
@@ -72,6 +75,7 @@
         self._registry = Registry(
             services=services, classes=classes, domain=domain, rng=rng, daemons=daemons
         )
+        self._ticked_s: float | None = None
         self._flights: dict[str, Flight] = {}
         self._hedges: dict[str, Flight] = {}
         self._waiting: dict[str, Pool] = {}
@@ -150,7 +154,10 @@
     def tick(self, now_s: float) -> list[Decision]:
         """Refuse waiters that have become too late, find silent servers, hedge."""
         decisions: list[Decision] = []
+        paused_s = self._note_tick(now_s)
         for state in self._registry.servers.values():
+            if paused_s:
+                note_pause(state, paused_s)
             state.forget(now_s)
             judge_overdue(state, self._registry.pool_of, now_s)
         for pool in list(self._registry.pools.values()):
@@ -161,6 +168,12 @@
         self._registry.drop_idle_pools()
         return decisions
 
+    def _note_tick(self, now_s: float) -> float:
+        """Return for how long this host stood still since the last tick."""
+        gap_s = now_s - self._ticked_s if self._ticked_s is not None else 0.0
+        self._ticked_s = now_s
+        return gap_s if gap_s > PAUSE_S else 0.0
+
     # What the daemon tells about servers.
 
     def set_servers(
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -35,6 +35,9 @@
     caller sends.
     """
     kind = outcome.kind
+    if flight.paused and kind is not OutcomeKind.SHED:
+        state.answered_s = now_s
+        return
     if kind is OutcomeKind.SHED:
         pool.limit.note_shed()
         state.note_shed(now_s, outcome.retry_after_s or DEFAULT_SHED_S)
@@ -52,6 +55,18 @@
             _judge(pool, state, flight, ratio, now_s)
 
 
+def note_pause(state: ServerState, paused_s: float) -> None:
+    """Leave the time in which this host stood still out of what its servers owe.
+
+    A host that was paused finds every answer overdue at once, while they wait unread
+    in its sockets. Judged by that, all its servers seem frozen, and it refuses
+    everything although all of them are well.
+    """
+    for flight in state.flights.values():
+        flight.started_s += paused_s
+        flight.paused = True
+
+
 def judge_overdue(state: ServerState, pool_of: PoolOf, now_s: float) -> None:
     """Count answers that are owed for too long before they come.
 
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -62,7 +62,11 @@
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class Flight:
-    """A request that was sent and has not ended; ``counted`` against the limit."""
+    """A request that was sent and has not ended; ``counted`` against the limit.
+
+    ``paused`` says that this host stood still meanwhile: how long the answer took says
+    nothing of its server.
+    """
 
     ticket: Ticket
     server: str
@@ -73,6 +77,7 @@
     probe: bool = False
     judged: bool = False
     overdue: bool = False
+    paused: bool = False
 
 
 @final
