--- a/bench/path.py
+++ b/bench/path.py
@@ -25,10 +25,10 @@
 SEED = 1
 
 
-def _load(port: int, path: str) -> dict[str, Any]:
+def _load(port: int, path: str, connections: int = CONNECTIONS) -> dict[str, Any]:
     command = [sys.executable, "-m", "bench.path_load", str(port)]
     result = subprocess.run(
-        [*command, str(CONNECTIONS), str(SECONDS), path],
+        [*command, str(connections), str(SECONDS), path],
         capture_output=True,
         check=True,
     )
@@ -57,6 +57,28 @@
         )
 
 
+def _added(running: Deployment) -> Iterator[Figure]:
+    """Yield what the daemon adds to one caller's answers, who asks one by one.
+
+    That is about half of the rate that the daemon reaches with eight connections.
+    """
+    direct = _load(running.ports["inscription-1"], PATH, connections=1)
+    through = _load(running.ports[f"{HOST}-callers"], PATH, connections=1)
+    values = {
+        "rate": (through["answers"] / SECONDS, "1/s"),
+        "p50": (through["p50_ms"] - direct["p50_ms"], "ms"),
+        "p99": (through["p99_ms"] - direct["p99_ms"], "ms"),
+    }
+    for what, (value, unit) in values.items():
+        yield Figure(
+            name=f"path.added.{what}",
+            value=value,
+            unit=unit,
+            size={"connections": 1},
+            seed=SEED,
+        )
+
+
 def _start_bare(running: Deployment) -> int:
     (port,) = free_ports(1)
     servers = [str(running.ports[f"inscription-{n}"]) for n in (1, 2, 3)]
@@ -78,3 +100,4 @@
             yield from _measure("bare", bare.pid, bare_port, PATH)
             yield from _measure("daemon", daemon.pid, port, PATH)
             yield from _measure("daemon_keyed", daemon.pid, port, KEYED_PATH)
+            yield from _added(running)
