--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -10,11 +10,13 @@
 
 from gentianwharf.relay import Outcome
 from tests.builders_relay import (
+    DEADLINE_MS,
     Script,
     answer,
     echo_id,
     read_head,
     request,
+    running_reactor,
     running_relay,
 )
 
@@ -368,3 +370,30 @@
         handle = connection.transport.getHandle()
         assert handle.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
         assert handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 4
+
+
+def test_answer_that_came_while_the_host_stood_still_is_handed_on() -> None:
+    """A treasurer is told that a posting's outcome is unknown, though it was answered.
+
+    The host is paused; the answer arrives in its socket meanwhile. When the host goes
+    on, the deadline has passed, and it is looked at before the socket is read.
+    """
+    paused, answered = threading.Event(), threading.Event()
+
+    def while_paused(connection: socket.socket, head: bytes) -> None:
+        paused.wait(5)
+        connection.sendall(answer(b"in time"))
+        answered.set()
+
+    def pause() -> None:
+        paused.set()
+        answered.wait(5)
+        threading.Event().wait(3 * DEADLINE_MS / 1000)
+
+    with running_relay([while_paused]) as relay, relay.connect() as connection:
+        connection.sendall(request("POST", body=b"x"))
+        while not relay.servers[0].heads:
+            threading.Event().wait(0.005)
+        running_reactor().callFromThread(pause)
+        received = connection.recv(65_536)
+    assert received.startswith(b"HTTP/1.1 200 ")
