--- a/src/gentianwharf/load/_class_state.py
+++ b/src/gentianwharf/load/_class_state.py
@@ -5,9 +5,9 @@
 from statistics import median
 from typing import final
 
-from ._comeback import ComebackBook
 from ._fair_queue import FairQueue
 from ._requests import RequestClass
+from ._return_times import ReturnTimes
 
 # Before the first answer: the class's longest wait, divided by this, stands for the
 # time that a request takes (10 ms for a consultation with a deadline of 2 s).
@@ -30,7 +30,7 @@
 
     request_class: RequestClass
     queue: FairQueue
-    comeback: ComebackBook
+    return_times: ReturnTimes
     mean_s: float
     median_s: float = 0.0
     in_flight: int = 0
@@ -61,6 +61,6 @@
     return ClassState(
         request_class=request_class,
         queue=FairQueue(discipline=request_class.discipline),
-        comeback=ComebackBook(rng=rng),
+        return_times=ReturnTimes(rng=rng),
         mean_s=request_class.max_wait_ms / 1000 / UNKNOWN_MEAN_DIVISOR,
     )
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -277,7 +277,7 @@
             retry_after_s = 1.0 + self._rng.random()
         else:
             class_state = pool.classes[ticket.request_class]
-            retry_after_s = class_state.comeback.retry_after_s(
+            retry_after_s = class_state.return_times.retry_after_s(
                 backlog=len(class_state.queue),
                 rate_per_s=pool.turn_rate_per_s(class_state),
                 now_s=now_s,
--- a/src/gentianwharf/load/_comeback.py
+++ b/src/gentianwharf/load/_return_times.py
@@ -23,10 +23,10 @@
 
 
 @final
-class ComebackBook:
+class ReturnTimes:
     """A leaky bucket of refused requests that drains at the service's own rate.
 
-    >>> book = ComebackBook(rng=Random(1))
+    >>> book = ReturnTimes(rng=Random(1))
     >>> first = book.retry_after_s(backlog=0, rate_per_s=100.0, now_s=0.0)
     >>> for _ in range(500):
     ...     later = book.retry_after_s(backlog=0, rate_per_s=100.0, now_s=0.0)
--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -154,7 +154,7 @@
 
 
 @final
-class Wish(_Message, frozen=True, kw_only=True, tag=True):
+class MoveRequest(_Message, frozen=True, kw_only=True, tag=True):
     """For the control holder: move a shard to a server.
 
     With a ``key``, that key gets an entry of its own there; an empty ``server`` takes
@@ -197,7 +197,7 @@
     | Suspect
     | Leaving
     | Loads
-    | Wish
+    | MoveRequest
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/gentianwharf/ownership/_pinner.py
+++ b/src/gentianwharf/ownership/_pinner.py
@@ -23,11 +23,11 @@
         self._context = context
         self._service = service
         self._writer = writer
-        self._wishes: dict[str, str] = {}
+        self._requested: dict[str, str] = {}
 
-    def wish(self, key: str, server: str) -> None:
-        """Take an operator's wish; an empty ``server`` takes the entry away."""
-        self._wishes[key] = server
+    def request(self, key: str, server: str) -> None:
+        """Take an operator's request; an empty ``server`` takes the entry away."""
+        self._requested[key] = server
 
     def _wanted(self) -> Mapping[str, str | None]:
         return self._context.single_key_sites(self._service.name)
@@ -52,12 +52,12 @@
         """Ask the writer for entries that are missing or no longer wanted."""
         pins = self._context.tables.pins[self._service.name]
         usable = {one.id for one in states.usable()}
-        for key, server in self._wishes.items():
+        for key, server in self._requested.items():
             if key not in pins and server in usable:
                 self._writer.pin(key, server, fixed=True)
             elif key in pins and (server in usable or not server):
                 self._move(pins[key], server)
-        self._wishes.clear()
+        self._requested.clear()
         wanted = self._wanted()
         for key in wanted:
             if key not in pins:
--- a/src/gentianwharf/ownership/_plans.py
+++ b/src/gentianwharf/ownership/_plans.py
@@ -9,7 +9,7 @@
 from ._context import Context
 from ._evidence import Suspicions
 from ._loads import ShardLoads
-from ._messages import Wish
+from ._messages import MoveRequest
 from ._mover import Mover
 from ._pinner import Pinner
 from ._planner import (
@@ -34,7 +34,7 @@
 
 @final
 class ServicePlans:
-    """Turns states, wishes and loads of one service into intents.
+    """Turns states, requests and loads of one service into intents.
 
     Only the holder of the service's control runs it.
     """
@@ -57,7 +57,7 @@
         self._writer = writer
         self._pinner = Pinner(context=context, service=service, writer=writer)
         self._said_leaving_s: dict[str, float] = {}
-        self._wishes: dict[int, str] = {}
+        self._requested: dict[int, str] = {}
         self._scan_from = 0
         self._rebalanced_s = context.now_s
 
@@ -82,12 +82,12 @@
         ]
         return ServerStates(candidates=candidates, lost=lost, leaving=self._leaving())
 
-    def wish(self, wish: Wish) -> None:
-        """Take an operator's wish."""
-        if wish.key is None:
-            self._wishes[wish.shard] = wish.server
+    def request(self, request: MoveRequest) -> None:
+        """Take an operator's request."""
+        if request.key is None:
+            self._requested[request.shard] = request.server
         else:
-            self._pinner.wish(wish.key, wish.server)
+            self._pinner.request(request.key, request.server)
 
     def said_leaving(self, server: str) -> None:
         """Note that ``server`` itself says it is draining."""
@@ -183,7 +183,7 @@
         room = MOST_PLANNED_MOVES - len(self._mover.moves)
         if room <= 0:
             return
-        self._grant_wishes(states)
+        self._intend_requested(states)
         self._pinner.plan(states)
         shards = [
             *self._shards_of_leaving(states),
@@ -210,16 +210,16 @@
         if intents:
             self._writer.intend(intents)
 
-    def _grant_wishes(self, states: ServerStates) -> None:
+    def _intend_requested(self, states: ServerStates) -> None:
         usable = {one.id for one in states.usable()}
         intents = {}
-        for shard, server in self._wishes.items():
+        for shard, server in self._requested.items():
             entry = self._context.tables.entry(self._service.name, shard)
             if entry is None or entry.state is not EntryState.OWNED:
                 continue
             if server in usable and server != entry.owner:
                 intents[shard] = (server, EntryState.RELEASING)
-        self._wishes.clear()
+        self._requested.clear()
         if intents:
             self._writer.intend(intents)
 
--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -110,7 +110,7 @@
         self._say_alive()
         self.plans.run()
         self._mover.tick()
-        self._writer.kick()
+        self._writer.flush()
 
     def tick_soon(self) -> None:
         """Tick before the next regular one, once however many suspicions come."""
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -25,6 +25,7 @@
     Leaving,
     Loads,
     Message,
+    MoveRequest,
     Probe,
     Pull,
     RecoverAnswer,
@@ -34,7 +35,6 @@
     ShareAnswer,
     ShareAsk,
     Suspect,
-    Wish,
 )
 from ._move import MoveState
 from ._protocols import Log, PeerLink, SingleKeySites, SiteOf
@@ -184,7 +184,7 @@
             Suspect: self._suspect,
             Leaving: self._leaving,
             Loads: self._loads,
-            Wish: self._wish,
+            MoveRequest: self._move_requested,
         }
 
     def tick(self) -> None:
@@ -237,14 +237,14 @@
 
     def move(self, service: str, shard: int, server: str) -> None:
         """Ask the control holder to move a shard to a server."""
-        self._wish_for(service, shard, server)
+        self._request_move(service, shard, server)
 
     def pin(self, service: str, key: str, server: str) -> None:
         """Ask for an entry of its own for ``key`` at ``server``; "" takes it away."""
         shard = shard_of(key, self._context.services[service].shards)
-        self._wish_for(service, shard, server, key)
+        self._request_move(service, shard, server, key)
 
-    def _wish_for(
+    def _request_move(
         self, service: str, shard: int, server: str, key: str | None = None
     ) -> None:
         known = server in self._context.servers or (key is not None and not server)
@@ -263,8 +263,8 @@
                 step="move shard",
                 peer=service,
             )
-        wish = Wish(service=service, shard=shard, server=server, key=key)
-        self._context.send(holder, wish)
+        request = MoveRequest(service=service, shard=shard, server=server, key=key)
+        self._context.send(holder, request)
 
     def _acknowledged(self, host: str, message: Acknowledge) -> None:
         self._announcer.hear(host, message)
@@ -305,10 +305,10 @@
         if control is not None:
             control.plans.loads.hear(message, self._context.now_s)
 
-    def _wish(self, host: str, message: Wish) -> None:
+    def _move_requested(self, host: str, message: MoveRequest) -> None:
         control = self._controls.get(message.service)
         if control is not None and control.lease.is_held:
-            control.plans.wish(message)
+            control.plans.request(message)
 
     def owner(self, service: str, shard: int, key: str | None = None) -> Assignment:
         """Return who owns a key, as far as this host knows."""
--- a/src/gentianwharf/ownership/_writer.py
+++ b/src/gentianwharf/ownership/_writer.py
@@ -55,17 +55,17 @@
         """Ask for moves to be confirmed; ``after`` is called when all is written."""
         self._confirms.update(confirms)
         self._after = [after]
-        self.kick()
+        self.flush()
 
     def intend(self, intents: dict[int, tuple[str, EntryState]]) -> None:
         """Ask for intents: by shard, the target and how the holders are cleared."""
         self._intents.update(intents)
-        self.kick()
+        self.flush()
 
     def pin(self, key: str, target: str, *, fixed: bool) -> None:
         """Ask for an entry of its own for ``key``, to be owned by ``target``."""
         self._pins[key] = (target, fixed)
-        self.kick()
+        self.flush()
 
     def clear(self) -> None:
         """Forget what was wanted, the lease being gone."""
@@ -73,7 +73,7 @@
         self._intents.clear()
         self._pins.clear()
 
-    def kick(self) -> None:
+    def flush(self) -> None:
         """Start writing unless it is under way."""
         wanted = self._confirms or self._intents or self._pins or self._unread
         if wanted and not self._busy:
