Count owned shards where they are kept, and look for changes only when there are some

Cause: found on reading the whole change again. Each second the daemon asked for the owner of every shard twice, once for the servers' counts, which the tables keep by server already, and once for churn, though mostly nothing had been assigned; with 65,536 shards that would hold the loop. The admin port built a second view of the servers; the gate filtered servers for suspects that its pools keep as a list. Ruled out: Tables.count_owned as it stands, which also counts keys' own entries; the counts shown stay those of shards.

--- a/src/gentianwharf/daemon/_admin.py
+++ b/src/gentianwharf/daemon/_admin.py
@@ -12,7 +12,6 @@
     """Return the view of backend servers."""
     return views.ServersView(
         servers=parts.servers,
-        services=parts.services,
         domains=parts.domains,
         gate=parts.gate,
         control=parts.control,
@@ -21,7 +20,13 @@
     )
 
 
-def build_admin(parts: Parts, *, state: StateView, token: str | None) -> AdminApp:
+def build_admin(
+    parts: Parts,
+    *,
+    state: StateView,
+    servers: views.ServersView,
+    token: str | None,
+) -> AdminApp:
     """Return the admin port's application."""
     book = RuleBook(
         store=parts.store,
@@ -36,7 +41,7 @@
         keys=views.KeysView(
             ownership=parts.ownership, services=parts.services, domains=parts.domains
         ),
-        servers=servers_view(parts),
+        servers=servers,
         hosts=views.HostsView(host_list=parts.host_list),
         domains=views.DomainsView(
             ownership=parts.ownership,
--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -46,13 +46,17 @@
             notice_s=settings.shutdown.balancer_notice_s,
             limit_s=settings.shutdown.drain_limit_s,
         )
+        servers = servers_view(parts)
         self.state = DaemonStateView(
             parts=parts,
-            servers=servers_view(parts),
+            servers=servers,
             why_not_ready=self.why_not_ready,
         )
         self.admin = build_admin(
-            parts, state=self.state, token=_admin_token(settings, directory)
+            parts,
+            state=self.state,
+            servers=servers,
+            token=_admin_token(settings, directory),
         )
         self.site = CallerSite(
             resource=parts.relay.klein.resource(),
--- a/src/gentianwharf/daemon/_state.py
+++ b/src/gentianwharf/daemon/_state.py
@@ -27,9 +27,16 @@
     def __init__(self) -> None:
         self.changes: Counter[str] = Counter()
         self._before: dict[str, list[str]] = {}
+        self._versions: dict[str, int] = {}
 
     def look(self, ownership: OwnershipSystem, services: Iterable[Service]) -> None:
         """Compare the owners with those of the last look."""
+        versions = ownership.state().versions
+        if versions == self._versions:
+            # Nothing was assigned since: a look over all shards of a large service
+            # would hold the loop for nothing.
+            return
+        self._versions = dict(versions)
         for service in services:
             owners = [
                 ownership.owner(service.name, shard).owner
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,6 +1,5 @@
 """What the admin port shows and does, over the daemon's parts."""
 
-from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import asdict
 from typing import cast, final
@@ -158,7 +157,6 @@
         self,
         *,
         servers: Mapping[str, BackendServer],
-        services: Mapping[str, Service],
         domains: Sequence[Domain],
         gate: Gate,
         control: BackendControl,
@@ -167,7 +165,6 @@
     ) -> None:
         self._reports = reports
         self._servers = servers
-        self._services = services
         self._sites = {domain.name: domain.site for domain in domains}
         self._gate = gate
         self._control = control
@@ -176,14 +173,13 @@
     def servers(self) -> Sequence[ServerStatus]:
         """Return every backend server."""
         snapshots = {one.id: one for one in self._gate.snapshot().servers}
-        shards = self._count_shards()
         return [
-            self._status(server, snapshots.get(server.id), shards[server.id])
+            self._status(server, snapshots.get(server.id))
             for server in self._servers.values()
         ]
 
     def _status(
-        self, server: BackendServer, snapshot: ServerSnapshot | None, shards: int
+        self, server: BackendServer, snapshot: ServerSnapshot | None
     ) -> ServerStatus:
         report = self._reports.latest.get(server.id)
         return ServerStatus(
@@ -196,14 +192,7 @@
             slots=server.slots,
             slots_busy=snapshot.in_flight if snapshot is not None else 0,
             reported_load=report.load if report is not None else None,
-            shards=shards,
-        )
-
-    def _count_shards(self) -> Counter[str]:
-        return Counter(
-            self._ownership.owner(service.name, shard).owner
-            for service in self._services.values()
-            for shard in range(service.shards)
+            shards=self._ownership.count_shards(server.id),
         )
 
     async def drain(self, server: str, author: str) -> ServerStatus:
@@ -275,12 +264,12 @@
     def _count_shards(self, domain: str) -> dict[str, int]:
         return {
             service.name: sum(
-                self._ownership.owner(service.name, shard).owner in inside
-                for shard in range(service.shards)
+                self._ownership.count_shards(server.id)
+                for server in service.servers
+                if server.domain == domain
             )
             for service in self._services.values()
             if service.keyed
-            for inside in [{o.id for o in service.servers if o.domain == domain}]
         }
 
     def _known(self, domain: str) -> None:
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -15,7 +15,8 @@
 
 from ._choose import choose_server, place
 from ._class_state import ClassState
-from ._health import judge_overdue, learn, note_pause
+from ._health import judge_all, learn
+from ._pause import TickGap
 from ._pool import Pool
 from ._registry import Registry
 from ._requests import (
@@ -38,9 +39,6 @@
 # hedging those too cost 3 % of the servers' time at 70 % load and gained nothing.
 HEDGE_RATIO = 3.0
 
-# Ticks are due every 10 to 50 ms: a longer gap is this host's own, paused or busy.
-PAUSE_S = 0.15
-
 
 @final
 class Gate:
@@ -75,7 +73,7 @@
         self._registry = Registry(
             services=services, classes=classes, domain=domain, rng=rng, daemons=daemons
         )
-        self._ticked_s: float | None = None
+        self._tick_gap = TickGap()
         self._flights: dict[str, Flight] = {}
         self._hedges: dict[str, Flight] = {}
         self._waiting: dict[str, Pool] = {}
@@ -154,12 +152,10 @@
     def tick(self, now_s: float) -> list[Decision]:
         """Refuse waiters that have become too late, find silent servers, hedge."""
         decisions: list[Decision] = []
-        paused_s = self._note_tick(now_s)
-        for state in self._registry.servers.values():
-            if paused_s:
-                note_pause(state, paused_s)
-            state.forget(now_s)
-            judge_overdue(state, self._registry.pool_of, now_s)
+        paused_s = self._tick_gap.note_tick(now_s)
+        judge_all(
+            self._registry.servers.values(), self._registry.pool_of, paused_s, now_s
+        )
         for pool in list(self._registry.pools.values()):
             pool.tick(now_s)
             decisions += self._refuse_late(pool, now_s)
@@ -168,12 +164,6 @@
         self._registry.drop_idle_pools()
         return decisions
 
-    def _note_tick(self, now_s: float) -> float:
-        """Return for how long this host stood still since the last tick."""
-        gap_s = now_s - self._ticked_s if self._ticked_s is not None else 0.0
-        self._ticked_s = now_s
-        return gap_s if gap_s > PAUSE_S else 0.0
-
     # What the daemon tells about servers.
 
     def set_servers(
@@ -333,13 +323,13 @@
                 blocked.add(class_state.request_class.name)
                 continue
             class_state.queue.pop()
-            self._note_left(pool, class_state, ticket)
+            self._note_left(pool, ticket)
             decisions.append(
                 started or self._refuse(ticket, RefuseReason.DEADLINE, now_s)
             )
         return decisions
 
-    def _note_left(self, pool: Pool, class_state: ClassState, ticket: Ticket) -> None:
+    def _note_left(self, pool: Pool, ticket: Ticket) -> None:
         pool.waiting -= 1
         del self._waiting[ticket.id]
 
@@ -352,7 +342,7 @@
             for ticket in class_state.queue.waiting():
                 if gone or now_s + class_state.mean_s > ticket.deadline_s:
                     class_state.queue.remove(ticket.id)
-                    self._note_left(pool, class_state, ticket)
+                    self._note_left(pool, ticket)
                     reason = RefuseReason.NO_SERVER if gone else RefuseReason.DEADLINE
                     decisions.append(self._refuse(ticket, reason, now_s))
         return decisions
@@ -371,9 +361,7 @@
         if pool.pinned:
             return decisions
         budget = self._registry.budgets[pool.service]
-        for state in pool.states:
-            if state.standing is not Standing.SUSPECT:
-                continue
+        for state in pool.suspects:
             for flight in list(state.flights.values()):
                 if not self._may_hedge(pool, flight, now_s) or not budget.take():
                     continue
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -1,6 +1,6 @@
 """What outcomes say about servers, and what follows from it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ._class_state import ClassState
 from ._pool import Pool
@@ -55,7 +55,18 @@
             _judge(pool, state, flight, ratio, now_s)
 
 
-def note_pause(state: ServerState, paused_s: float) -> None:
+def judge_all(
+    states: Iterable[ServerState], pool_of: PoolOf, paused_s: float, now_s: float
+) -> None:
+    """Judge every server at a tick, after a pause of ``paused_s`` of this host."""
+    for state in states:
+        if paused_s:
+            _note_pause(state, paused_s)
+        state.forget(now_s)
+        _judge_overdue(state, pool_of, now_s)
+
+
+def _note_pause(state: ServerState, paused_s: float) -> None:
     """Leave the time in which this host stood still out of what its servers owe.
 
     A host that was paused finds every answer overdue at once, while they wait unread
@@ -67,7 +78,7 @@
         flight.paused = True
 
 
-def judge_overdue(state: ServerState, pool_of: PoolOf, now_s: float) -> None:
+def _judge_overdue(state: ServerState, pool_of: PoolOf, now_s: float) -> None:
     """Count answers that are owed for too long before they come.
 
     A frozen server gives no answers that could be judged: its callers would wait for
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -324,6 +324,13 @@
             target=entry.target if entry else "",
         )
 
+    def count_shards(self, server: str) -> int:
+        """Return how many shards ``server`` owns, as far as this host knows."""
+        found = self._context.servers.get(server)
+        if found is None:
+            return 0
+        return self._context.tables.count_shards(found.service, server)
+
     def moves(self) -> list[MoveState]:
         """Return the moves under way that this host controls."""
         return [
--- a/src/gentianwharf/ownership/_tables.py
+++ b/src/gentianwharf/ownership/_tables.py
@@ -152,6 +152,11 @@
         """Return how many entries have ``server`` as owner."""
         return len(self._owned.get(server, ()))
 
+    def count_shards(self, service: str, server: str) -> int:
+        """Return how many shards ``server`` owns, without keys' own entries."""
+        shards = self._shards[service]
+        return sum(number < shards for number in self._owned.get(server, ()))
+
     def entry(self, service: str, shard: int) -> Entry | None:
         """Return a shard's entry, pinned ones included."""
         entries = self.entries[service]
