Count leaving hosts while they are listed; tests of the owner's and the busiest's rules

A leaving host was dropped from the number that shares a server's connections when it was marked, with its requests still in flight: 11 hosts of 11 connections and 10 more are 131 of 130. The bound on the others' growth beside a hot caller is 1.2 now, which is the goal, instead of 1.3.

--- a/src/gentianwharf/daemon/_hosts.py
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -33,6 +33,7 @@
         self._ids_by_domain: dict[str, tuple[str, ...]] = {}
         self._set_hosts({one.id: one for one in (*known, own)})
         self.leaving_servers: frozenset[str] = frozenset()
+        self._leaving_hosts = 0
         self._is_listed = False
         self._servers = frozenset(servers)
         self._now_s = now_s
@@ -49,7 +50,13 @@
             if one.id not in self._servers and not one.leaving
         }
         hosts[self.own.id] = self.own
-        if hosts == self.hosts and leaving == self.leaving_servers:
+        daemons = self.daemons
+        self._leaving_hosts = sum(
+            one.leaving and one.id not in hosts and one.id not in self._servers
+            for one in listed
+        )
+        same_hosts = hosts == self.hosts and daemons == self.daemons
+        if same_hosts and leaving == self.leaving_servers:
             return False
         self._set_hosts(hosts)
         self.leaving_servers = frozenset(leaving)
@@ -62,6 +69,16 @@
         self._set_hosts({one.id: one for one in (*hosts, self.own)})
         return True
 
+    @property
+    def daemons(self) -> int:
+        """How many daemons share the servers' slots and connections with this one.
+
+        One that leaves keeps its connections until its last request has ended, and
+        counts while it is listed. One that is not heard counts too: a host cut off
+        from its peers sees none of them, and would take their shares beside them.
+        """
+        return len(self.hosts) + self._leaving_hosts
+
     def heard(self, host: str) -> None:
         """Note that a message of ``host`` came."""
         self._heard_s[host] = self._now_s()
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -118,7 +118,7 @@
 
     def follow_hosts(self) -> None:
         """Let every part know the hosts and the leaving servers of the table."""
-        daemons = len(self.hosts.hosts)
+        daemons = self.hosts.daemons
         self.gate.set_daemons(daemons)
         for connections in self.relay.connections.values():
             connections.share_with(daemons)
@@ -171,7 +171,7 @@
             ],
             domain=self.host.domain,
             rng=seeded(),
-            daemons=len(self.hosts.hosts),
+            daemons=self.hosts.daemons,
         )
         self.admission = GateAdmission(
             gate=self.gate,
--- a/tests/builders_load.py
+++ b/tests/builders_load.py
@@ -2,8 +2,10 @@
 
 from random import Random
 
+from gentianwharf.daemon._hosts import HostTable
 from gentianwharf.load import Gate, Outcome, OutcomeKind, RequestClass, Ticket
-from gentianwharf.topology import BackendServer, Service
+from gentianwharf.platform import ListedHost
+from gentianwharf.topology import BackendServer, Host, Service
 
 CONSULTATION = RequestClass.from_deadline(
     name="consultation", deadline_ms=2000, weight=8
@@ -12,6 +14,7 @@
 UPLOAD = RequestClass.from_deadline(name="upload", deadline_ms=30_000, weight=4)
 ARCHIVE = RequestClass.from_deadline(name="archive", deadline_ms=60_000, weight=1)
 CLASSES = (CONSULTATION, POSTING, UPLOAD, ARCHIVE)
+OWNER = "calendrier-0"
 DOMAINS = ("lac", "charguia", "ariana")
 
 
@@ -76,3 +79,36 @@
 
 def ok(elapsed_s: float = 0.01) -> Outcome:
     return Outcome(kind=OutcomeKind.OK, elapsed_s=elapsed_s)
+
+
+def owned(
+    id_: str, *, request_class: str = "consultation", caller: str = "famille"
+) -> Ticket:
+    """Return a request that only the owner of its key may run."""
+    return ticket(
+        id_,
+        service="calendrier",
+        request_class=request_class,
+        caller=caller,
+        key=caller,
+        server=OWNER,
+    )
+
+
+def host_table() -> HostTable:
+    own = Host(id="lac-1", domain="lac", peer_address="127.0.0.1:9301")
+    return HostTable(own=own, known=(), servers=(), now_s=lambda: 0.0)
+
+
+def listed_hosts(
+    names: tuple[str, ...], *, leaving: tuple[str, ...] = ()
+) -> list[ListedHost]:
+    return [
+        ListedHost(
+            id=name,
+            domain=name.split("-", maxsplit=1)[0],
+            address=f"127.0.0.1:{9300 + number}",
+            leaving=name in leaving,
+        )
+        for number, name in enumerate(names, 1)
+    ]
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -93,7 +93,7 @@
 
 def test_hot_caller_takes_little_from_the_others() -> None:
     figures = run("hot-caller-20x")
-    assert growth(figures) < 1.3
+    assert growth(figures) < 1.2
     assert figures.others_refused_share < 0.05
     baseline = recorded("hot-caller-20x", "round-robin")
     assert baseline["others_refused_share"] > 0.2
@@ -113,9 +113,26 @@
     """
     figures = run("two-busy-hosts")
     assert figures.others_refused_share < 0.005
+    assert figures.gave_up_share < 0.001
     assert growth(figures) < 1.1
 
 
+def test_long_jobs_at_owners_of_keys_are_no_worse_than_beside_a_baseline() -> None:
+    """Uploads and archive reads at the owners that answer look-ups too.
+
+    Twelve hosts sent a long job each, six of them filled an owner, and the gate did
+    worse than no limits at all: p99 714 ms, refusals after 691 ms.
+    """
+    figures = run("keyed-and-long")
+    baselines = [
+        recorded("keyed-and-long", one) for one in ("round-robin", "least-outstanding")
+    ]
+    assert figures.others_p99_ms < min(one["others_p99_ms"] for one in baselines)
+    assert figures.goodput_per_s > max(one["goodput_per_s"] for one in baselines)
+    assert figures.refusals_p99_ms < 5.0
+    assert figures.wrong_runs == 0
+
+
 @pytest.mark.parametrize("fault", ["server-10x-slow", "server-frozen"])
 def test_bad_server_is_hardly_noticed_from_the_second_second_on(fault: str) -> None:
     figures = run(fault)
