Weigh shards by the slots they fill, so that a trickle of requests moves nothing

Cause: the continuous test test_operators_move_every_key_to_the_new_site failed now and then: `keys owner` named another server of the new site than the one that had just answered. Loads were requests a second compared with the mean alone; with a handful of requests for six keys every load is ten times the mean. Nothing was wrong with the answer of `keys owner`: the key had really moved, for nothing, which is the churn that operators mind most.

Now: hosts also report how long answers kept servers busy; rate times mean time is the slots in use (Little's law). A server has to differ from the mean by 2 % of its slots besides the shares of the mean, and each shard counts for its part of a tenth of the slots so that idle shards stay spread.

The test of two hot shards reports 20 ms an answer instead of 2: at 2 ms its hot server had 0.4 of 6 slots in use, which is now no reason to move; what it checks is unchanged.

--- a/bench/capacity_placement.py
+++ b/bench/capacity_placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from random import Random
 
-from gentianwharf.placement import Candidate, PlacementWeights, place, rebalance
+from gentianwharf.placement import Candidate, Demand, PlacementWeights, place, rebalance
 
 from ._figure import Figure
 from ._timing import time_us
@@ -14,18 +14,21 @@
 FEW_SERVERS = 64
 MOVES = 8
 FEW_SHARDS = 16_384
+MOST_MEASURED = 6_144
 
 
 def _placed_us(shards: int, servers: int) -> float:
     random = Random(SEED)
-    loads = {shard: random.paretovariate(1.2) for shard in range(shards)}
+    demand = Demand(
+        measured_slots={shard: random.paretovariate(1.2) for shard in range(shards)}
+    )
     candidates = [
         Candidate(id=f"server-{number}", site="a", slots=6) for number in range(servers)
     ]
     return time_us(
         lambda: place(
             range(shards),
-            loads=loads,
+            demand=demand,
             busy={},
             candidates=candidates,
             site_of=lambda shard: None,
@@ -36,18 +39,22 @@
 
 def _rebalanced_us(shards: int) -> float:
     random = Random(SEED)
-    loads = {shard: random.paretovariate(1.2) for shard in range(shards)}
-    owners = {shard: f"server-{shard % FEW_SERVERS}" for shard in range(shards)}
+    # As many as the reports of a dozen hosts name at the most.
+    busy = random.sample(range(shards), min(MOST_MEASURED, shards))
+    demand = Demand(measured_slots={shard: random.paretovariate(1.2) for shard in busy})
+    owned: dict[str, set[int]] = {}
+    for shard in range(shards):
+        owned.setdefault(f"server-{shard % FEW_SERVERS}", set()).add(shard)
     candidates = [
         Candidate(id=f"server-{number}", site="a", slots=6)
         for number in range(FEW_SERVERS)
     ]
     return time_us(
         lambda: rebalance(
-            owners,
-            loads=loads,
+            owned,
+            demand=demand,
             candidates=candidates,
-            site_of=lambda shard: None,
+            is_bound=False,
             weights=PlacementWeights(),
             room=MOVES,
         ),
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -9,8 +9,11 @@
 from collections.abc import Callable, Iterator, Mapping
 from random import Random
 
+from tests.builders_placement import demand_of, shards_of
+
 from gentianwharf.keys import shard_of
 from gentianwharf.placement import (
+    EVEN,
     Candidate,
     PlacementWeights,
     place,
@@ -24,6 +27,8 @@
 SEED = 7
 ROOM = 64
 MOST_ROUNDS = 100
+SLOTS = 6
+BUSY_SHARE = 0.7
 
 Owners = dict[int, str]
 Assign = Callable[[list[str]], Owners]
@@ -36,7 +41,7 @@
 
 def candidates(servers: list[str]) -> list[Candidate]:
     """Return equal servers of one site."""
-    return [Candidate(id=one, site="x", slots=6) for one in servers]
+    return [Candidate(id=one, site="x", slots=SLOTS) for one in servers]
 
 
 def zipf_loads() -> dict[int, float]:
@@ -80,10 +85,10 @@
     count = 0
     for _ in range(MOST_ROUNDS):
         moves = rebalance(
-            owners,
-            loads=loads,
+            shards_of(owners),
+            demand=demand_of(loads),
             candidates=candidates(servers),
-            site_of=lambda shard: None,
+            is_bound=False,
             weights=PlacementWeights(),
             room=ROOM,
         )
@@ -103,7 +108,7 @@
         busy[owner] += 1
     placed = place(
         [shard for shard in owners if shard not in kept],
-        loads={},
+        demand=EVEN,
         busy=busy,
         candidates=candidates(left),
         site_of=lambda shard: None,
@@ -113,11 +118,14 @@
 
 def figures(count: int) -> Iterator[dict[str, object]]:
     """Yield every figure."""
-    loads = zipf_loads()
+    weights = zipf_loads()
+    busy_slots = BUSY_SHARE * SLOTS * count
+    total = sum(weights.values())
+    loads = {shard: one * busy_slots / total for shard, one in weights.items()}
     servers = names(count)
     first = place(
         range(SHARDS),
-        loads={},
+        demand=EVEN,
         busy={},
         candidates=candidates(servers),
         site_of=lambda shard: None,
--- a/src/gentianwharf/daemon/_admission.py
+++ b/src/gentianwharf/daemon/_admission.py
@@ -24,8 +24,8 @@
 _SIGNS_OF_LIFE = frozenset({Outcome.ANSWERED, Outcome.NOT_OWNER, Outcome.SHED})
 
 Clock = Callable[[], float]
-Evidence = Callable[[str, bool], None]
-"""Told of a server's id and whether it answered."""
+Evidence = Callable[[str, bool, float | None], None]
+"""Told of a server's id, whether it answered, and how long a run kept it busy."""
 
 
 @final
@@ -85,7 +85,8 @@
     ) -> None:
         """Note how a leg ended, and let others go."""
         if outcome is not Outcome.CANCELLED:
-            self._on_evidence(server.id, outcome in _SIGNS_OF_LIFE)
+            busy_s = elapsed_s if outcome is Outcome.ANSWERED else None
+            self._on_evidence(server.id, outcome in _SIGNS_OF_LIFE, busy_s)
         ended = load.Outcome(
             kind=_KINDS[outcome], elapsed_s=elapsed_s, retry_after_s=retry_after_s
         )
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -177,7 +177,9 @@
             gate=self.gate,
             servers=self.servers,
             now_s=self.reactor.seconds,
-            on_evidence=lambda server, ok: self.ownership.answered(server, ok=ok),
+            on_evidence=lambda server, ok, busy_s: self.ownership.answered(
+                server, ok=ok, busy_s=busy_s
+            ),
         )
 
     def _deadline_caps_s(self) -> dict[str, float]:
--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -147,10 +147,15 @@
 
 @final
 class Loads(_Message, frozen=True, kw_only=True, tag=True):
-    """Requests per second that the sender sent for its busiest shards."""
+    """Requests per second that the sender sent for its busiest shards.
+
+    ``busy_s`` is how long servers took over the ``answers`` since the last report.
+    """
 
     service: str
     rates: dict[int, float]
+    answers: int = 0
+    busy_s: float = 0.0
 
 
 @final
--- a/src/gentianwharf/ownership/_pinner.py
+++ b/src/gentianwharf/ownership/_pinner.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from gentianwharf.keys import shard_of
-from gentianwharf.placement import place
+from gentianwharf.placement import EVEN, place
 from gentianwharf.topology import Service
 
 from ._context import Context
@@ -48,6 +48,13 @@
         chunk = self._context.tables.chunks(self._service.name).get(number)
         return chunk is not None and key in chunk.fixed
 
+    def is_movable(self, shard: int) -> bool:
+        """Whether an entry may be moved for the sake of load: no operator placed it."""
+        if shard < self._service.shards:
+            return True
+        key = self._context.tables.pinned_keys[self._service.name].get(shard, "")
+        return not self._is_fixed(key)
+
     def plan(self, states: ServerStates) -> None:
         """Ask the writer for entries that are missing or no longer wanted."""
         pins = self._context.tables.pins[self._service.name]
@@ -71,7 +78,7 @@
         shard = shard_of(key, self._service.shards)
         targets = place(
             [shard],
-            loads={},
+            demand=EVEN,
             busy={},
             candidates=states.usable(),
             site_of=lambda shard: site,
--- a/src/gentianwharf/ownership/_planner.py
+++ b/src/gentianwharf/ownership/_planner.py
@@ -1,12 +1,13 @@
 """Which shards have to move, decided from the table and what is known of servers."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from typing import final
 
 from gentianwharf.placement import (
     Candidate,
+    Demand,
     PlacementWeights,
     SiteOfShard,
     place,
@@ -45,8 +46,8 @@
     entries: Mapping[int, Entry],
     *,
     states: ServerStates,
-    loads: Mapping[int, float],
-    busy: Mapping[str, float],
+    demand: Demand,
+    busy: Callable[[], Mapping[str, float]],
     site_of: SiteOfShard,
 ) -> Intents:
     """Return intents for shards that a lost server owns, holds or should take."""
@@ -66,10 +67,13 @@
         if entry.state is EntryState.LAPSING and entry.target not in lost
     }
     to_place = [shard for shard in touched if shard not in waiting]
+    # Looked for on every tick while a server is lost: the sums cost more than that.
+    if not to_place:
+        return {}
     targets = place(
         to_place,
-        loads=loads,
-        busy=busy,
+        demand=demand,
+        busy=busy(),
         candidates=states.usable(),
         site_of=site_of,
     )
@@ -77,34 +81,28 @@
 
 
 def plan_rebalance(
-    entries: Mapping[int, Entry],
+    owned: Mapping[str, AbstractSet[int]],
     *,
     states: ServerStates,
-    loads: Mapping[int, float],
-    site_of: SiteOfShard,
+    demand: Demand,
+    is_bound: bool,
+    is_movable: Callable[[int], bool],
     weights: PlacementWeights,
     room: int,
 ) -> Intents:
     """Return intents that even out the load, none while servers are lost."""
     if states.lost:
         return {}
-    owners = {
-        shard: entry.owner if entry.state is EntryState.OWNED else entry.target
-        for shard, entry in entries.items()
-    }
     moves = rebalance(
-        owners,
-        loads=loads,
+        owned,
+        demand=demand,
         candidates=states.usable(),
-        site_of=site_of,
+        is_bound=is_bound,
         weights=weights,
         room=room,
+        is_movable=is_movable,
     )
-    return {
-        move.shard: (move.target, EntryState.RELEASING)
-        for move in moves
-        if entries[move.shard].state is EntryState.OWNED
-    }
+    return {move.shard: (move.target, EntryState.RELEASING) for move in moves}
 
 
 def plan_leaving(
@@ -112,7 +110,7 @@
     *,
     shards: Iterable[int],
     states: ServerStates,
-    loads: Mapping[int, float],
+    demand: Demand,
     busy: Mapping[str, float],
     site_of: SiteOfShard,
     room: int,
@@ -128,7 +126,7 @@
     ]
     targets = place(
         owned[: max(room, 0)],
-        loads=loads,
+        demand=demand,
         busy=busy,
         candidates=states.usable(),
         site_of=site_of,
--- a/src/gentianwharf/ownership/_plans.py
+++ b/src/gentianwharf/ownership/_plans.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import final
 
-from gentianwharf.placement import Candidate, place
+from gentianwharf.placement import EVEN, Candidate, Demand, place
 from gentianwharf.topology import Service
 
 from ._context import Context
@@ -59,6 +59,8 @@
         self._said_leaving_s: dict[str, float] = {}
         self._requested: dict[int, str] = {}
         self._scan_from = 0
+        self._has_sites = False
+        self._is_bound = False
         self._rebalanced_s = context.now_s
 
     def _states(self) -> ServerStates:
@@ -109,20 +111,26 @@
         """Return the owners of a service that has no table yet."""
         return place(
             range(self._service.shards),
-            loads={},
+            demand=EVEN,
             busy={},
             candidates=self._states().usable(),
             site_of=self._site_of,
         )
 
-    def _busy_loads(self) -> dict[str, float]:
+    def _demand(self) -> Demand:
+        slots = sum(one.slots for one in self._service.servers)
+        return self.loads.demand(shards=self._service.shards, slots=slots)
+
+    def _busy_slots(self, demand: Demand) -> dict[str, float]:
         tables = self._context.tables
         busy = {
-            server.id: float(tables.count_owned(server.id))
+            server.id: demand.total(tables.numbers_of(server.id))
             for server in self._service.servers
         }
-        for move in self._mover.moves.values():
-            busy[move.entry.target] += 1.0
+        for shard, move in self._mover.moves.items():
+            # A key's own entry that is taken away has no target.
+            if move.entry.target:
+                busy[move.entry.target] += demand.of(shard)
         return busy
 
     def run(self) -> None:
@@ -141,18 +149,16 @@
         # Moves under way change the picture: settle one round before the next.
         if self._mover.moves:
             return
-        chunks = context.tables.chunks(self._service.name).values()
-        entries = {
-            shard: entry
-            for chunk in chunks
-            for shard, entry in chunk.entries.items()
-            if shard < self._service.shards
+        owned = {
+            server.id: context.tables.numbers_of(server.id)
+            for server in self._service.servers
         }
         intents = plan_rebalance(
-            entries,
+            owned,
             states=states,
-            loads=self.loads.rates(self._service.shards),
-            site_of=self._site_of,
+            demand=self._demand(),
+            is_bound=self._is_bound,
+            is_movable=self._pinner.is_movable,
             weights=context.weights,
             room=MOST_PLANNED_MOVES,
         )
@@ -168,11 +174,12 @@
             for shard, entry in tables.owned_by(self._service.name, server).items()
         }
         entries |= {shard: one.entry for shard, one in self._mover.moves.items()}
+        demand = self._demand()
         intents = plan_lost(
             entries,
             states=states,
-            loads={},
-            busy=self._busy_loads(),
+            demand=demand,
+            busy=lambda: self._busy_slots(demand),
             site_of=self._site_of,
         )
         if intents:
@@ -198,12 +205,13 @@
             for shard in shards
             if (entry := self._context.tables.entry(name, shard)) is not None
         }
+        demand = self._demand()
         intents = plan_leaving(
             entries,
             shards=shards,
             states=states,
-            loads={},
-            busy=self._busy_loads(),
+            demand=demand,
+            busy=self._busy_slots(demand),
             site_of=self._site_of,
             room=room,
         )
@@ -232,12 +240,16 @@
         context = self._context
         name = self._service.name
         first = self._scan_from
+        if first == 0:
+            # What the last whole look found: whether the rules bind any shard.
+            self._is_bound, self._has_sites = self._has_sites, False
         last = min(first + SCAN_SHARDS, self._service.shards)
         self._scan_from = last % self._service.shards
         off = []
         for shard in range(first, last):
             entry = context.tables.entry(name, shard)
             site = context.site_of(name, shard)
+            self._has_sites |= site is not None
             if entry is None or site is None or entry.state is not EntryState.OWNED:
                 continue
             if context.domains[context.servers[entry.owner].domain].site != site:
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -211,10 +211,16 @@
         """Note that a server refused a request as not the shard's owner."""
         self._router.block(service, shard, token, self._context.now_s)
 
-    def answered(self, server: str, *, ok: bool) -> None:
-        """Note that a request to ``server`` was answered, or never was."""
+    def answered(self, server: str, *, ok: bool, busy_s: float | None = None) -> None:
+        """Note that a request to ``server`` was answered, or never was.
+
+        ``busy_s`` is how long a request that the server ran took there.
+        """
         if server not in self._context.servers:
             return
+        if busy_s is not None:
+            service = self._context.servers[server].service
+            self._controls[service].sent.answered(busy_s)
         if self._evidence.note(server, answered=ok):
             found = self._context.servers[server]
             holder = self._controls[found.service].holder
--- a/src/gentianwharf/ownership/_tables.py
+++ b/src/gentianwharf/ownership/_tables.py
@@ -1,6 +1,7 @@
 """What a host knows of the store: newest values by key, and the tables in them."""
 
 from collections.abc import Iterable, Mapping
+from collections.abc import Set as AbstractSet
 from typing import final
 
 import msgspec
@@ -148,9 +149,9 @@
                 owned[shard] = entry
         return owned
 
-    def count_owned(self, server: str) -> int:
-        """Return how many entries have ``server`` as owner."""
-        return len(self._owned.get(server, ()))
+    def numbers_of(self, server: str) -> AbstractSet[int]:
+        """Return the numbers of the entries whose owner is ``server``."""
+        return self._owned.get(server, frozenset())
 
     def count_shards(self, service: str, server: str) -> int:
         """Return how many shards ``server`` owns, without keys' own entries."""
--- a/src/gentianwharf/placement/_place.py
+++ b/src/gentianwharf/placement/_place.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from ._demand import Demand
+
 SiteOfShard = Callable[[int], str | None]
 """The site that the rules want for a shard; None when any will do."""
 
@@ -39,19 +41,20 @@
 def place(
     shards: Iterable[int],
     *,
-    loads: Mapping[int, float],
+    demand: Demand,
     busy: Mapping[str, float],
     candidates: Sequence[Candidate],
     site_of: SiteOfShard,
 ) -> dict[int, str]:
     """Return a target for each of ``shards``, heaviest first to the least busy.
 
-    ``busy`` is the load that each candidate carries already. A shard whose site
+    ``busy`` is the demand that each candidate meets already. A shard whose site
     has no candidate is left out: it stays without an owner rather than standing
     where the operators' rules do not want it.
 
     >>> two = [Candidate(id=name, site="x", slots=1) for name in ("a", "b")]
-    >>> place([1, 2, 3], loads={1: 5.0, 2: 2.0, 3: 2.0}, busy={}, candidates=two,
+    >>> demand = Demand(measured_slots={1: 5.0, 2: 2.0, 3: 2.0})
+    >>> place([1, 2, 3], demand=demand, busy={}, candidates=two,
     ...       site_of=lambda shard: None) == {1: "a", 2: "b", 3: "b"}
     True
     """
@@ -75,7 +78,7 @@
         return heap
 
     targets: dict[int, str] = {}
-    heaviest_first = sorted(shards, key=lambda shard: (-loads.get(shard, 1.0), shard))
+    heaviest_first = sorted(shards, key=lambda shard: (-demand.of(shard), shard))
     for shard in heaviest_first:
         heap = heap_of(site_of(shard))
         while heap and heap[0][0] != share(heap[0][1]):
@@ -83,7 +86,7 @@
         if not heap:
             continue
         index = heap[0][1]
-        carried[index] += loads.get(shard, 1.0)
+        carried[index] += demand.of(shard)
         heapq.heapreplace(heap, (share(index), index))
         targets[shard] = candidates[index].id
     return targets
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -20,6 +20,7 @@
 from gentianwharf.topology import BackendServer, Domain, Host, Service
 from tests.builders_ownership_servers import (
     ONE_WAY_S,
+    RUN_S,
     SERVICE,
     FakeServer,
     Request,
@@ -123,6 +124,7 @@
     longest_delay_s: float = 1.0
     double_share: float = 0.0
     weights: PlacementWeights = PlacementWeights(imbalance=0.0)
+    busy_s: float = RUN_S
     sites: dict[int, str] = field(default_factory=dict)
     single_keys: dict[str, str | None] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
--- a/tests/builders_ownership_servers.py
+++ b/tests/builders_ownership_servers.py
@@ -127,7 +127,10 @@
         if self._running[request.shard] > 0:
             self._running[request.shard] -= 1
         server = self.entity.id
-        self._world.reply(request.host, lambda system: system.answered(server, ok=True))
+        self._world.reply(
+            request.host,
+            lambda system: system.answered(server, ok=True, busy_s=self._world.busy_s),
+        )
 
     def is_running(self, shards: Sequence[int]) -> bool:
         """Whether anything runs for these shards."""
--- /dev/null
+++ b/tests/builders_placement.py
@@ -0,0 +1,18 @@
+"""Demands and owners for tests and measurements of placement."""
+
+from collections.abc import Mapping
+
+from gentianwharf.placement import EVEN, Demand
+
+
+def demand_of(loads: Mapping[int, float]) -> Demand:
+    """Return the loads as slots in use, every shard alike when there are none."""
+    return Demand(measured_slots=loads, idle_slots=0.0) if loads else EVEN
+
+
+def shards_of(owners: Mapping[int, str]) -> dict[str, set[int]]:
+    """Return the shards of each server."""
+    owned: dict[str, set[int]] = {}
+    for shard, owner in owners.items():
+        owned.setdefault(owner, set()).add(shard)
+    return owned
--- a/tests/test_ownership_system.py
+++ b/tests/test_ownership_system.py
@@ -271,7 +271,7 @@
 
 def test_hot_shards_are_moved_apart_and_then_stay() -> None:
     """Two faculties on one server become popular; one of them moves, once."""
-    world = build(weights=PlacementWeights())
+    world = build(weights=PlacementWeights(), busy_s=0.02)
     server = world.owner(0)
     hot = [shard for shard in range(12) if world.owner(shard) == server]
     for _ in range(225):
@@ -282,3 +282,17 @@
     rebalanced = [one for one in world.logged if one[1] == "rebalance"]
     assert 1 <= len(rebalanced) <= 2
     assert rebalanced[-1][0] < 30
+
+
+def test_trickle_of_requests_for_one_key_moves_nothing() -> None:
+    """A secretary asks for one club, and nobody for any other.
+
+    Within ten seconds a shard changed owner though no request waited: beside a mean
+    of nearly nothing every load is a hot one.
+    """
+    world = build(weights=PlacementWeights())
+    owners = [world.owner(shard) for shard in range(12)]
+    for _ in range(150):
+        world.request("lac-1", 0)
+        world.advance(0.2, 0.02)
+    assert [world.owner(shard) for shard in range(12)] == owners
--- a/tests/test_placement_rebalance.py
+++ b/tests/test_placement_rebalance.py
@@ -6,12 +6,16 @@
 import pytest
 
 from gentianwharf.placement import (
+    EVEN,
+    IDLE_SHARE,
     Candidate,
+    Demand,
     PlacementWeights,
     place,
     rebalance,
     rendezvous_rank,
 )
+from tests.builders_placement import demand_of, shards_of
 
 SHARDS = 1024
 TUNIS = PlacementWeights(imbalance=1.0, churn=1.0, unavailable_time=10.0)
@@ -27,9 +31,9 @@
     return None
 
 
-def spread(candidates: list[Candidate]) -> Owners:
+def spread(candidates: list[Candidate], shards: int = SHARDS) -> Owners:
     return place(
-        range(SHARDS), loads={}, busy={}, candidates=candidates, site_of=anywhere
+        range(shards), demand=EVEN, busy={}, candidates=candidates, site_of=anywhere
     )
 
 
@@ -42,10 +46,10 @@
     owners, count = dict(owners), 0
     for _ in range(100):
         moves = rebalance(
-            owners,
-            loads=loads,
+            shards_of(owners),
+            demand=demand_of(loads),
             candidates=candidates,
-            site_of=anywhere,
+            is_bound=False,
             weights=weights,
             room=64,
         )
@@ -91,7 +95,7 @@
     left = Counter(owner for owner in owners.values() if owner != "x-0")
     placed = place(
         gone,
-        loads={},
+        demand=EVEN,
         busy={one: float(count) for one, count in left.items()},
         candidates=servers(count)[1:],
         site_of=anywhere,
@@ -139,7 +143,7 @@
     candidates = [*servers(2, site="old")]
     targets = place(
         [1, 2],
-        loads={},
+        demand=EVEN,
         busy={},
         candidates=candidates,
         site_of=lambda shard: "new" if shard == 1 else None,
@@ -151,10 +155,10 @@
     candidates = [*servers(2, site="old"), *servers(2, site="new")]
     owners = dict.fromkeys(range(40), "old-0") | dict.fromkeys(range(40, 80), "new-0")
     moves = rebalance(
-        owners,
-        loads={},
+        shards_of(owners),
+        demand=EVEN,
         candidates=candidates,
-        site_of=lambda shard: "old" if shard < 40 else "new",
+        is_bound=True,
         weights=TUNIS,
         room=100,
     )
@@ -167,3 +171,69 @@
     ranked = rendezvous_rank("ledger", names)
     fewer = [one for one in names if one != ranked[3]]
     assert rendezvous_rank("ledger", fewer) == [o for o in ranked if o != ranked[3]]
+
+
+@pytest.mark.parametrize(
+    ("requests_per_s", "moves"),
+    [
+        pytest.param(0.5, False, id="one-request-in-two-seconds"),
+        pytest.param(50.0, False, id="one-caller-that-asks-as-fast-as-it-can"),
+        pytest.param(1_500.0, True, id="a-third-of-a-server"),
+    ],
+)
+def test_key_moves_other_keys_only_when_it_fills_its_server(
+    requests_per_s: float, moves: bool
+) -> None:
+    """A secretary asks for one club, and nobody for any other.
+
+    Its shard, or one beside it, changed owner though no request waited: measured
+    against a mean of nearly nothing every load is a hot one.
+    """
+    owners = spread(servers(3), shards=64)
+    demand = Demand(
+        measured_slots={5: requests_per_s * 0.002}, idle_slots=IDLE_SHARE * 18 / 64
+    )
+    planned = rebalance(
+        shards_of(owners),
+        demand=demand,
+        candidates=servers(3),
+        is_bound=False,
+        weights=PlacementWeights(),
+        room=64,
+    )
+    assert bool(planned) is moves
+
+
+def test_joining_server_gets_shards_however_small_they_are() -> None:
+    """A service has so many shards that one is a trifle of a server's work.
+
+    Weighed against a whole server's work none was ever worth its move, and the
+    server that joined stayed idle.
+    """
+    shards = 65_536
+    owners = spread(servers(16), shards)
+    planned = rebalance(
+        shards_of(owners),
+        demand=EVEN,
+        candidates=servers(17),
+        is_bound=False,
+        weights=TUNIS,
+        room=shards,
+    )
+    assert len(planned) <= 1.05 * shards / 17
+    assert len(planned) >= 0.8 * shards / 17
+
+
+def test_entry_that_an_operator_placed_stays_but_counts() -> None:
+    candidates = servers(2)
+    owned = {"x-0": {0, 1, 2, 3}, "x-1": {4, 5}}
+    moves = rebalance(
+        owned,
+        demand=EVEN,
+        candidates=candidates,
+        is_bound=False,
+        weights=TUNIS,
+        room=8,
+        is_movable=lambda shard: shard == 3,
+    )
+    assert [move.shard for move in moves] == [3]
