Wait until applied rules are in force everywhere; burn over all hosts

The burn report told of one daemon, whose percentiles are not those of the fleet.

One mechanism for both: PeerQueries asks every listed host over the mesh, 64 at once, bounded in bytes and time, and names each that does not answer with the reason. `rules apply` waits 20 s by default and exits 5 with the hosts' names; `rules status` and `decisions` are new. Ruled out: each host writing its revision to the store (a call a host), digests (they go to one partner at a time), the tool asking each admin port.

--- a/src/gentianwharf/admin/_app.py
+++ b/src/gentianwharf/admin/_app.py
@@ -29,6 +29,7 @@
     BurnView,
     DecisionsView,
     DomainsControl,
+    FleetRules,
     HostsView,
     KeyOwner,
     KeysControl,
@@ -43,14 +44,20 @@
     PinBody,
     argument,
     change_id_of,
+    flag_argument,
     integer_argument,
     operator_of,
+    optional_integer,
     read_body,
 )
 from ._site import admin_site
 
 MOST_DECISIONS = 1_000
 
+MOST_WAIT_S = 60
+"""Longest wait for a revision. Longer ones are asked for again: an answer that takes
+minutes looks like a daemon gone silent."""
+
 Result = TypeVar("Result")
 log = Logger("gentianwharf.admin")
 
@@ -70,6 +77,7 @@
         *,
         state: StateView,
         rules: RulesControl,
+        fleet_rules: FleetRules,
         keys: KeysControl,
         servers: ServersControl,
         hosts: HostsView,
@@ -81,6 +89,7 @@
     ) -> None:
         self._state = state
         self._rules = rules
+        self._fleet_rules = fleet_rules
         self._keys = keys
         self._servers = servers
         self._hosts = hosts
@@ -139,6 +148,20 @@
         answer = {"revision": rules.revision, "document": rules.document}
         return reply_json(request, answer)
 
+    @app.route("/rules/hosts", methods=["GET"])
+    async def rules_hosts(self, request: Request) -> bytes:
+        """Answer with what every listed host matches with.
+
+        With ``revision`` in the query it waits until that is in force everywhere, up
+        to ``wait_s``.
+        """
+        revision = optional_integer(request, "revision")
+        wait_s = min(integer_argument(request, "wait_s", default=0), MOST_WAIT_S)
+        found = await self._fleet_rules.rules_everywhere(
+            revision=revision, wait_s=float(wait_s)
+        )
+        return reply_json(request, found)
+
     @app.route("/rules/history", methods=["GET"])
     async def rules_history(self, request: Request) -> bytes:
         """Answer with the documents still kept, newest first."""
@@ -237,20 +260,24 @@
         return reply_json(request, loss, status=202)
 
     @app.route("/burn", methods=["GET"])
-    def burn(self, request: Request) -> bytes:
-        """Answer with the service-level burn.
+    async def burn(self, request: Request) -> bytes:
+        """Answer with the service-level burn over all hosts, or ``host`` alone.
 
         The page is made by the tool: its plots take a third of a second, in which
         this daemon would answer nobody and its rights would run out.
         """
-        return reply_json(request, self._burn.burn())
+        return reply_json(
+            request, await self._burn.burn(host=argument(request, "host"))
+        )
 
     @app.route("/decisions", methods=["GET"])
     def decisions(self, request: Request) -> bytes:
         """Answer with kept decisions, the newest first."""
         most = min(integer_argument(request, "most", default=100), MOST_DECISIONS)
         kept = self._decisions.decisions(
-            request_id=argument(request, "request_id"), most=most
+            request_id=argument(request, "request_id"),
+            refused_only=flag_argument(request, "refused_only"),
+            most=most,
         )
         return reply_json(request, list(kept))
 
--- a/src/gentianwharf/admin/_protocols.py
+++ b/src/gentianwharf/admin/_protocols.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol, final
 
 from gentianwharf.platform import ListedHost
@@ -116,6 +117,57 @@
         """
 
 
+class RulesAtHost(StrEnum):
+    """How a host stands to a revision of the rules.
+
+    ``UNREADABLE`` is a host that has the revision and can't put it in force: its
+    release is older than the document.
+    """
+
+    IN_FORCE = "in force"
+    OLDER = "older"
+    UNREADABLE = "unreadable"
+    SILENT = "silent"
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostRules:
+    """What a listed host matches requests with.
+
+    ``in_force_revision`` is None for no rules and for a silent host, ``reason`` says
+    why a host is silent.
+    """
+
+    host: str
+    domain: str
+    standing: RulesAtHost
+    in_force_revision: int | None
+    reason: str = ""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RulesEverywhere:
+    """Which listed hosts have ``revision``, or a newer one, in force."""
+
+    revision: int
+    everywhere: bool
+    hosts: tuple[HostRules, ...]
+
+
+class FleetRules(Protocol):
+    """The rules in force on every listed host; they are asked, not the store."""
+
+    async def rules_everywhere(
+        self, *, revision: int | None, wait_s: float
+    ) -> RulesEverywhere:
+        """Return once ``revision`` is in force everywhere, or after ``wait_s``.
+
+        None stands for the newest revision that any host has.
+        """
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class KeyOwner:
@@ -218,14 +270,17 @@
 class BurnView(Protocol):
     """The service-level burn."""
 
-    def burn(self) -> Mapping[str, JsonValue]:
-        """Return the report as JSON."""
+    async def burn(self, *, host: str | None) -> Mapping[str, JsonValue]:
+        """Return the report as JSON, over all listed hosts or one alone."""
 
 
 class DecisionsView(Protocol):
     """Why requests went where they went."""
 
     def decisions(
-        self, *, request_id: str | None, most: int
+        self, *, request_id: str | None, refused_only: bool, most: int
     ) -> Sequence[Mapping[str, JsonValue]]:
-        """Return the newest kept decisions, at most ``most``, or those of a request."""
+        """Return the newest kept decisions, at most ``most``, or those of a request.
+
+        ``refused_only`` leaves out all that were neither refused nor unknown.
+        """
--- a/src/gentianwharf/admin/_requests.py
+++ b/src/gentianwharf/admin/_requests.py
@@ -133,6 +133,25 @@
     return int(text)
 
 
+def optional_integer(request: Request, name: str) -> int | None:
+    """Return the query field ``name`` as a number from 0, None when it is absent."""
+    if argument(request, name) is None:
+        return None
+    return integer_argument(request, name, default=None)
+
+
+def flag_argument(request: Request, name: str) -> bool:
+    """Return the query field ``name``, true or false; false when it is absent."""
+    text = argument(request, name)
+    if text not in (None, "true", "false"):
+        raise InputError(
+            f"{name}: expected true or false in the query, got {text!r}",
+            step="read query",
+            peer=_peer(request),
+        )
+    return text == "true"
+
+
 def _peer(request: Request) -> str:
     address: Any = request.getClientAddress()
     host = getattr(address, "host", None)
--- a/src/gentianwharf/cli/_app.py
+++ b/src/gentianwharf/cli/_app.py
@@ -7,12 +7,12 @@
 from pathlib import Path
 from typing import Annotated
 
-from cyclopts import App, CycloptsError, Parameter
+from cyclopts import App, CycloptsError, Parameter, validators
 
 from gentianwharf import __version__
 from gentianwharf.errors import InputError
 
-from . import _files, _fleet, _rules, _status
+from . import _apply, _decisions, _everywhere, _files, _fleet, _rules, _status
 from ._exits import Exit
 from ._session import Common, run, terminal
 
@@ -38,6 +38,34 @@
         help="Don't ask when the file does not say what it was edited from.",
     ),
 ]
+Wait = Annotated[
+    bool,
+    Parameter(
+        help="Wait until every listed host has the rules in force; exits 5 when some"
+        " have not, and names them."
+    ),
+]
+WaitS = Annotated[
+    int,
+    Parameter(
+        name="--wait-s",
+        validator=validators.Number(gte=1, lte=60),
+        help="Longest wait in seconds.",
+    ),
+]
+Most = Annotated[
+    int,
+    Parameter(
+        validator=validators.Number(gte=1, lte=1000), help="How many at the most."
+    ),
+]
+Refused = Annotated[bool, Parameter(negative="", help="Only those refused or unknown.")]
+RequestId = Annotated[
+    str | None, Parameter(help="Id of a request, from its answer or the log.")
+]
+BurnHost = Annotated[
+    str | None, Parameter(help="One host alone; all listed ones if not given.")
+]
 Headers = Annotated[
     tuple[str, ...], Parameter(help="NAME: VALUE; may be given several times.")
 ]
@@ -109,15 +137,29 @@
     *,
     edited_from: EditedFrom = None,
     yes: Yes = False,
+    wait: Wait = True,
+    wait_s: WaitS = 20,
     common: Common = NO_OPTIONS,
 ) -> int:
     """Put a rule file in force; exits 4 when another operator was faster."""
     return run(
         common,
-        partial(_rules.apply, file=file, edited_from=edited_from, without_asking=yes),
+        partial(
+            _apply.apply,
+            file=file,
+            edited_from=edited_from,
+            without_asking=yes,
+            wait_s=wait_s if wait else 0,
+        ),
     )
 
 
+@rules_app.command(name="status")
+def rules_status(*, common: Common = NO_OPTIONS) -> int:
+    """Print which revision of the rules each listed host has in force."""
+    return run(common, _everywhere.status)
+
+
 @rules_app.command(name="history")
 def rules_history(*, common: Common = NO_OPTIONS) -> int:
     """Print the versions of the rules still kept, newest first."""
@@ -219,10 +261,29 @@
     return run(common, _status.status)
 
 
+@app.command(name="decisions")
+def decisions(
+    *,
+    request_id: RequestId = None,
+    refused: Refused = False,
+    most: Most = 20,
+    common: Common = NO_OPTIONS,
+) -> int:
+    """Print why requests went where they did, waited or were refused."""
+    return run(
+        common,
+        partial(
+            _decisions.decisions, request_id=request_id, refused=refused, most=most
+        ),
+    )
+
+
 @report_app.command(name="burn")
-def report_burn(*, html: Page = None, common: Common = NO_OPTIONS) -> int:
-    """Print the service-level burn, or write it as a self-contained page."""
-    return run(common, partial(_status.burn, html=html))
+def report_burn(
+    *, html: Page = None, host: BurnHost = None, common: Common = NO_OPTIONS
+) -> int:
+    """Print the service-level burn of all hosts, or write it as a page."""
+    return run(common, partial(_status.burn, html=html, host=host))
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
--- a/src/gentianwharf/cli/_client.py
+++ b/src/gentianwharf/cli/_client.py
@@ -84,11 +84,14 @@
         if token is not None:
             self._headers["authorization"] = f"Bearer {token}"
 
-    async def get(self, *path: str, **query: str | int | None) -> Any:
+    async def get(
+        self,
+        *path: str,
+        timeout_s: float = READ_TIMEOUT_S,
+        **query: str | int | None,
+    ) -> Any:
         """Read JSON; raises ``PeerUnavailableError`` when nothing can be read."""
-        response, body = await self._exchange(
-            "GET", path, query, timeout_s=READ_TIMEOUT_S
-        )
+        response, body = await self._exchange("GET", path, query, timeout_s=timeout_s)
         return self._decode(response.code, body, path)
 
     async def send(
--- a/src/gentianwharf/cli/_exits.py
+++ b/src/gentianwharf/cli/_exits.py
@@ -14,8 +14,10 @@
     """What a script can tell from the exit code.
 
     ``UNREACHABLE`` also stands for a change whose outcome could not be learned; the
-    message then says how to find out. ``FAULT`` is a fault of the tool itself, with a
-    trace; 70 is what ``sysexits.h`` calls an internal software error.
+    message then says how to find out. ``INCOMPLETE`` is a change that took effect and
+    is not in force on every host, or a read that lacks some. ``FAULT`` is a fault of
+    the tool itself, with a trace; 70 is what ``sysexits.h`` calls an internal software
+    error.
     """
 
     DONE = 0
@@ -23,6 +25,7 @@
     USAGE = 2
     UNREACHABLE = 3
     CONFLICT = 4
+    INCOMPLETE = 5
     FAULT = 70
 
 
--- a/src/gentianwharf/cli/_status.py
+++ b/src/gentianwharf/cli/_status.py
@@ -71,19 +71,24 @@
     shown.table(["measure", "of", "value"], rows)
 
 
-async def burn(client: AdminClient, shown: Terminal, *, html: Path | None) -> Exit:
-    """Print the service-level burn, or write it as a page."""
-    fields = await client.get("burn")
+async def burn(
+    client: AdminClient, shown: Terminal, *, html: Path | None, host: str | None
+) -> Exit:
+    """Print the service-level burn, or write it as a page.
+
+    Exits 5 when a listed host is missing in it: a script must not take the rest of a
+    fleet for the whole.
+    """
+    fields = await client.get("burn", host=host)
+    report = BurnReport.from_builtins(fields)
+    if html is not None:
+        _write(html, burn_html(report))
+        shown.note(f"written to {html}")
     if shown.as_json:
         shown.json(fields)
-        return Exit.DONE
-    report = BurnReport.from_builtins(fields)
-    if html is None:
+    elif html is None:
         shown.line(burn_text(report))
-        return Exit.DONE
-    _write(html, burn_html(report))
-    shown.line(f"written to {html}")
-    return Exit.DONE
+    return Exit.INCOMPLETE if report.silent else Exit.DONE
 
 
 def _write(path: Path, text: str) -> None:
--- a/src/gentianwharf/daemon/_admin.py
+++ b/src/gentianwharf/daemon/_admin.py
@@ -5,6 +5,7 @@
 from gentianwharf.settings import rule_scope_of
 
 from . import _views as views
+from ._fleet import FleetBurnView, FleetRulesView
 from ._parts import Parts, seeded
 
 
@@ -38,6 +39,14 @@
     return AdminApp(
         state=state,
         rules=views.RulesView(in_force=parts.rules, book=book),
+        fleet_rules=FleetRulesView(
+            clock=parts.reactor,
+            queries=parts.queries,
+            hosts=parts.hosts,
+            rules=parts.rules,
+            spread=parts.spread,
+            rules_key=parts.rules_key,
+        ),
         keys=views.KeysView(
             ownership=parts.ownership, services=parts.services, domains=parts.domains
         ),
@@ -49,7 +58,9 @@
             domains=parts.domains,
             hosts=parts.hosts,
         ),
-        burn=views.BurnOfRecorder(recorder=parts.recorder),
+        burn=FleetBurnView(
+            queries=parts.queries, hosts=parts.hosts, recorder=parts.recorder
+        ),
         decisions=views.DecisionsOfRecorder(recorder=parts.recorder),
         metrics=lambda: parts.recorder.prometheus_text().encode(),
         token=token,
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -16,7 +16,7 @@
 )
 from gentianwharf.relay import RelayApp, ServerConnections
 from gentianwharf.settings import Settings, domains_of, services_of
-from gentianwharf.spread import Channel, PeerMesh, SpreadSystem
+from gentianwharf.spread import Channel, PeerMesh, PeerQueries, SpreadSystem
 from gentianwharf.topology import Host, Service
 
 from ._admission import GateAdmission
@@ -111,6 +111,11 @@
             on_value=self.rules.take,
             rng=seeded(),
         )
+        self.queries = PeerQueries(
+            clock=self.reactor,
+            peers=self.mesh.channel(Channel.QUERIES, self._query_received),
+            rng=seeded(),
+        )
 
     def _on_hosts(self, hosts: tuple[Host, ...]) -> None:
         if self.hosts.take_from_peer(hosts):
@@ -139,6 +144,9 @@
         self.hosts.heard(host_id)
         self.spread.received(host_id, message)
 
+    def _query_received(self, host_id: str, message: bytes) -> None:
+        self.queries.received(host_id, message)
+
     def _build_deciding(self) -> None:
         self.ownership = OwnershipSystem(
             host=self.host,
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -283,31 +283,19 @@
 
 @final
 class DecisionsOfRecorder:
-    """Why requests went where they went."""
+    """Why requests went where they went, on this host."""
 
     def __init__(self, *, recorder: Recorder) -> None:
         self._recorder = recorder
 
     def decisions(
-        self, *, request_id: str | None, most: int
+        self, *, request_id: str | None, refused_only: bool, most: int
     ) -> Sequence[Mapping[str, JsonValue]]:
         """Return the newest kept decisions, or that of a request."""
         ring = self._recorder.decisions
         if request_id is None:
-            kept = ring.latest(most=most)
+            kept = ring.latest(most=most, always_kept_only=refused_only)
         else:
             one = ring.find(request_id)
             kept = [one] if one is not None else []
         return [cast("Mapping[str, JsonValue]", asdict(one)) for one in kept]
-
-
-@final
-class BurnOfRecorder:
-    """The service-level burn."""
-
-    def __init__(self, *, recorder: Recorder) -> None:
-        self._recorder = recorder
-
-    def burn(self) -> Mapping[str, JsonValue]:
-        """Return the report as JSON."""
-        return cast("Mapping[str, JsonValue]", self._recorder.burn().as_builtins())
--- a/src/gentianwharf/metrics/__init__.py
+++ b/src/gentianwharf/metrics/__init__.py
@@ -13,9 +13,12 @@
     Burner,
     BurnReport,
     ClassBurn,
+    LatencyOfClass,
+    SilentHost,
     UnavailableBurn,
     burn_report,
 )
+from ._burn_part import BurnPart, BurnSum, decode_part, encode_part
 from ._burn_text import burn_text
 from ._decisions import DecisionRing
 from ._histograms import (
@@ -37,7 +40,9 @@
     "AlertRule",
     "Answer",
     "BurnAlert",
+    "BurnPart",
     "BurnReport",
+    "BurnSum",
     "Burner",
     "ClassBurn",
     "UnavailableBurn",
@@ -48,16 +53,20 @@
     "Decision",
     "DecisionRing",
     "EncodedHistogram",
+    "LatencyOfClass",
     "Objective",
     "Outcome",
     "Place",
     "Recorder",
     "Run",
+    "SilentHost",
     "Tally",
     "UnavailableShards",
     "WindowCount",
     "WindowedHistogram",
     "churn",
+    "decode_part",
+    "encode_part",
     "imbalance",
     "merged",
     "new_histogram",
--- a/src/gentianwharf/metrics/_burn.py
+++ b/src/gentianwharf/metrics/_burn.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, final
 
 import msgspec
@@ -105,15 +105,45 @@
     within: bool
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LatencyOfClass:
+    """Time from request to whole answer since the hosts started, all hosts together."""
+
+    service: str
+    request_class: str
+    answers: int
+    p50_s: float
+    p99_s: float
+    p999_s: float
+    longest_s: float
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SilentHost:
+    """A listed host whose answers the report lacks, and why."""
+
+    host: str
+    reason: str
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BurnReport:
-    """The whole report; its parts are lists of flat records."""
+    """The whole report; its parts are lists of flat records.
+
+    ``hosts`` are those whose answers it holds, ``silent`` the listed ones that it
+    lacks.
+    """
 
     classes: list[ClassBurn]
     alerts: list[BurnAlert]
     burners: list[Burner]
     unavailable: list[UnavailableBurn]
+    latencies: list[LatencyOfClass] = field(default_factory=list)
+    hosts: list[str] = field(default_factory=list)
+    silent: list[SilentHost] = field(default_factory=list)
 
     def as_builtins(self) -> dict[str, Any]:
         """Return the report as what JSON knows."""
@@ -143,6 +173,9 @@
     counts: Sequence[WindowCount],
     *,
     unavailable: Sequence[UnavailableBurn] = (),
+    latencies: Sequence[LatencyOfClass] = (),
+    hosts: Sequence[str] = (),
+    silent: Sequence[SilentHost] = (),
 ) -> BurnReport:
     """Work the report out of window counts; those of several hosts just add up.
 
@@ -165,6 +198,9 @@
         alerts=[_alert(name, rule, rates) for name in known for rule in ALERT_RULES],
         burners=[burner for name in known for burner in _burners(name, counts)],
         unavailable=list(unavailable),
+        latencies=list(latencies),
+        hosts=list(hosts),
+        silent=list(silent),
     )
 
 
--- a/src/gentianwharf/metrics/_burn_text.py
+++ b/src/gentianwharf/metrics/_burn_text.py
@@ -1,6 +1,9 @@
 """The burn report as lines for a person."""
 
-from ._burn import BurnReport
+from ._burn import BurnReport, LatencyOfClass
+
+NAMED_HOSTS = 24
+"""Two deployments of today's size; a longer list would hide what follows it."""
 
 HOUR_S = 3_600
 MINUTE_S = 60
@@ -19,7 +22,8 @@
 
 def burn_text(report: BurnReport) -> str:
     """Return the report as text: alerts first, then rates, then what burns."""
-    lines = [
+    lines = _coverage(report)
+    firing = [
         f"{one.severity.upper()}: {one.request_class} burns its budget"
         f" {one.long_burn_rate:.1f} times too fast over {span(one.long_s)}"
         f" and {one.short_burn_rate:.1f} times over {span(one.short_s)}"
@@ -27,8 +31,7 @@
         for one in report.alerts
         if one.firing
     ]
-    if not lines:
-        lines = ["No alert fires."]
+    lines += firing or ["No alert fires."]
     for burn in report.classes:
         if burn.answers:
             lines.append(
@@ -49,4 +52,29 @@
             f" {verdict} the {one.allowed_s:g} s allowed;"
             f" {one.shard_s:.2f} shard-seconds in all"
         )
+    lines += [_latency(one) for one in report.latencies]
     return "\n".join(lines)
+
+
+def _coverage(report: BurnReport) -> list[str]:
+    """Say whose answers the report holds, before anything is read out of it."""
+    if not report.hosts and not report.silent:
+        return []
+    listed = len(report.hosts) + len(report.silent)
+    names = ", ".join(report.hosts)
+    whose = f"{names}." if len(report.hosts) <= NAMED_HOSTS else "not named here."
+    lines = [f"Answers of {len(report.hosts)} of {listed} hosts: {whose}"]
+    lines += [f"MISSING {one.host}: {one.reason}" for one in report.silent]
+    return lines
+
+
+def _latency(one: LatencyOfClass) -> str:
+    return (
+        f"{one.service}, {one.request_class}: {one.answers} answers, half within"
+        f" {_milliseconds(one.p50_s)}, 99% within {_milliseconds(one.p99_s)}, 99.9%"
+        f" within {_milliseconds(one.p999_s)}, longest {_milliseconds(one.longest_s)}"
+    )
+
+
+def _milliseconds(time_s: float) -> str:
+    return f"{1_000 * time_s:.3g} ms"
--- a/src/gentianwharf/metrics/_decisions.py
+++ b/src/gentianwharf/metrics/_decisions.py
@@ -58,9 +58,14 @@
         """Keep an ordinary decision that ``wants_ordinary`` has drawn already."""
         self._sampled.append(decision)
 
-    def latest(self, *, most: int = MOST_DECISIONS) -> list[Decision]:
-        """Return the kept decisions, the latest first."""
-        both = [*self._kept, *self._sampled]
+    def latest(
+        self, *, most: int = MOST_DECISIONS, always_kept_only: bool = False
+    ) -> list[Decision]:
+        """Return the kept decisions, the latest first.
+
+        ``always_kept_only`` leaves out the sampled ones: all that were served.
+        """
+        both = [*self._kept, *(() if always_kept_only else self._sampled)]
         both.sort(key=lambda decision: decision.at_s, reverse=True)
         return both[:most]
 
--- a/src/gentianwharf/metrics/_recorder.py
+++ b/src/gentianwharf/metrics/_recorder.py
@@ -7,7 +7,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ._answer import Answer, Decision, Run
-from ._burn import WINDOWS_S, BurnReport, UnavailableBurn, burn_report
+from ._burn import WINDOWS_S, UnavailableBurn
+from ._burn_part import ELAPSED, BurnPart
 from ._decisions import DecisionRing
 from ._histograms import EncodedHistogram, WindowedHistogram, record_s, value_at_s
 from ._measures import UnavailableShards, imbalance
@@ -20,7 +21,6 @@
 WINDOW_S = 60.0
 # A minute, an hour and more are read from counts folded this often.
 FOLD_S = 5.0
-ELAPSED = "gentianwharf_answer_seconds"
 WAITED = "gentianwharf_queue_seconds"
 
 
@@ -175,12 +175,12 @@
             for count in self._windows.counts(window_s=window_s, now_s=now_s)
         ]
 
-    def burn(self) -> BurnReport:
-        """Return how fast the objectives' error budgets burn, on this daemon."""
-        return burn_report(
-            self.objectives,
-            self.window_counts(WINDOWS_S),
+    def burn_part(self) -> BurnPart:
+        """Return what this daemon adds to the burn report."""
+        return BurnPart(
+            counts=self.window_counts(WINDOWS_S),
             unavailable=self._unavailable_burns(),
+            histograms=[one for one in self.encoded() if one.name == ELAPSED],
         )
 
     def _unavailable_burns(self) -> list[UnavailableBurn]:
--- a/src/gentianwharf/spread/_frames.py
+++ b/src/gentianwharf/spread/_frames.py
@@ -23,6 +23,7 @@
     SPREAD = 1
     OWNERSHIP = 2
     LOAD = 3
+    QUERIES = 4
 
 
 class FrameKind(IntEnum):
--- a/tests/builders_metrics.py
+++ b/tests/builders_metrics.py
@@ -5,7 +5,15 @@
 
 from twisted.internet.task import Clock
 
-from gentianwharf.metrics import Answer, Decision, Objective, Recorder, Run
+from gentianwharf.metrics import (
+    Answer,
+    BurnReport,
+    BurnSum,
+    Decision,
+    Objective,
+    Recorder,
+    Run,
+)
 
 CONSULTATION = Objective(
     request_class="consultation", limit_s=0.2, share=0.99, unavailable_s=60.0
@@ -55,3 +63,11 @@
 def recorder(clock: Clock) -> Recorder:
     """Return a recorder with one objective and a fixed seed."""
     return Recorder(clock=clock, random=Random(1), objectives=(CONSULTATION,))
+
+
+def burn_of(*recorders: Recorder) -> BurnReport:
+    """Return the burn of recorders as of one host each."""
+    whole = BurnSum(objectives=[CONSULTATION])
+    for number, one in enumerate(recorders, start=1):
+        whole.add(f"lac-{number}", one.burn_part())
+    return whole.report()
--- /dev/null
+++ b/tests/builders_queries.py
@@ -0,0 +1,118 @@
+"""Builders for questions to many hosts, on a virtual clock and a network of calls."""
+
+from collections.abc import Iterable
+from functools import partial
+from random import Random
+from typing import final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from gentianwharf.spread import PeerQueries
+from gentianwharf.spread._queries import OnAnswer
+
+ASKING = "lac-0"
+LATENCY_S = 0.001
+
+
+@final
+class QueryNetwork:
+    """Carries queries between hosts; ``cut`` hosts get and send nothing."""
+
+    def __init__(self, *, clock: Clock, cut: Iterable[str] = ()) -> None:
+        self.clock = clock
+        self.cut = set(cut)
+        self.lost_first = 0
+        self.sent_to: list[str] = []
+        self.hosts: dict[str, PeerQueries] = {}
+
+    def add(self, host: str) -> PeerQueries:
+        """Return a host's queries on this network."""
+        self.hosts[host] = PeerQueries(
+            clock=self.clock, peers=_Outbox(network=self, sender=host), rng=Random(1)
+        )
+        return self.hosts[host]
+
+    def carry(self, sender: str, receiver: str, message: bytes) -> bool:
+        """Deliver a message soon, unless it is lost."""
+        self.sent_to.append(receiver)
+        if self.lost_first:
+            self.lost_first -= 1
+        elif receiver in self.hosts and not {sender, receiver} & self.cut:
+            self.clock.callLater(
+                LATENCY_S, self.hosts[receiver].received, sender, message
+            )
+        return True
+
+
+@final
+class _Outbox:
+    def __init__(self, *, network: QueryNetwork, sender: str) -> None:
+        self._network = network
+        self._sender = sender
+
+    def send(self, host_id: str, message: bytes) -> bool:
+        """Hand over to the network."""
+        return self._network.carry(self._sender, host_id, message)
+
+
+@final
+class Asked:
+    """A question that ``ASKING`` has put to hosts, and what has come of it."""
+
+    def __init__(self, *, network: QueryNetwork, asking: PeerQueries) -> None:
+        self.clock = network.clock
+        self.sent_to = network.sent_to
+        self.asking = asking
+        self.answers: dict[str, bytes] = {}
+        self.silent: dict[str, str] = {"nobody": "the question is still open"}
+        self.done: Deferred[dict[str, str]] = Deferred()
+        self.number = 0
+
+    def ask(self, hosts: Iterable[str], kind: str, on_answer: OnAnswer | None) -> None:
+        """Put the question."""
+        self.done = Deferred.fromCoroutine(
+            self.asking.gather(
+                kind,
+                hosts,
+                on_answer=on_answer or self._take,
+                host_timeout_s=1.0,
+                timeout_s=3.0,
+            )
+        )
+        self.number = self.asking._last_number
+        self.done.addCallback(self._end)
+
+    def run(self, duration_s: float = 0.5) -> None:
+        """Let time pass."""
+        for _ in range(int(duration_s * 1_000)):
+            self.clock.advance(0.001)
+
+    def _take(self, host: str, answer: bytes) -> None:
+        assert host not in self.answers
+        self.answers[host] = answer
+
+    def _end(self, silent: dict[str, str]) -> dict[str, str]:
+        self.silent = silent
+        return silent
+
+
+def asked_fleet(
+    hosts: Iterable[str],
+    *,
+    cut: Iterable[str] = (),
+    lost_first: int = 0,
+    kind: str = "name",
+    answer: bytes | None = None,
+    on_answer: OnAnswer | None = None,
+) -> Asked:
+    """Return a question put to hosts that answer with ``answer``, or their names."""
+    network = QueryNetwork(clock=Clock(), cut=cut)
+    network.lost_first = lost_first
+    asking = network.add(ASKING)
+    for host in hosts:
+        body = host.encode() if answer is None else answer
+        network.add(host).answer_with("name", partial(bytes, body))
+    asked = Asked(network=network, asking=asking)
+    asked.ask(hosts, kind, on_answer)
+    return asked
