--- a/src/gentianwharf/metrics/_burn.py
+++ b/src/gentianwharf/metrics/_burn.py
@@ -15,7 +15,7 @@
 from gentianwharf.errors import InputError
 
 from ._objectives import Objective
-from ._windows import WindowCount
+from ._windows import OTHER, WindowCount
 
 MINUTE_S = 60.0
 HOUR_S = 3_600.0
@@ -256,13 +256,20 @@
     return burners
 
 
+def _name(count: WindowCount, kind: str) -> str:
+    # Of places that were put together only class and service are known.
+    if count.domain == OTHER and kind != "service":
+        return OTHER
+    return str(getattr(count, kind) or "(none chosen)")
+
+
 def _burners_of(
     kind: str, request_class: str, counts: Sequence[WindowCount]
 ) -> list[Burner]:
     answers: dict[str, int] = {}
     bad: dict[str, int] = {}
     for one in counts:
-        name = str(getattr(one, kind)) or "(none chosen)"
+        name = _name(one, kind)
         answers[name] = answers.get(name, 0) + one.total
         bad[name] = bad.get(name, 0) + one.bad
     whole = sum(bad.values())
--- a/tests/test_metrics_burn.py
+++ b/tests/test_metrics_burn.py
@@ -1,6 +1,7 @@
 """The burn report: rates, alerts, what burns, over hosts, and its page."""
 
 import json
+from dataclasses import replace
 
 import pytest
 from twisted.internet.task import Clock
@@ -10,11 +11,14 @@
     ALERT_RULES,
     WINDOWS_S,
     BurnReport,
+    BurnSum,
+    SilentHost,
     WindowCount,
     burn_html,
     burn_report,
     burn_text,
 )
+from gentianwharf.metrics._windows import OTHER
 from tests.builders_metrics import CONSULTATION, answer, burn_of, recorder, refusal
 
 
@@ -138,6 +142,35 @@
     assert "<script src=" not in page
 
 
+def test_page_without_answers_has_no_empty_plot() -> None:
+    page = burn_html(burn_report([CONSULTATION], []))
+    assert "No answers" in page
+    assert "plotly" not in page
+
+
+def test_page_names_missing_hosts_first_and_shows_the_fleets_latency() -> None:
+    metrics = recorder(Clock())
+    metrics.answered(answer(elapsed_s=0.25))
+    part = metrics.burn_part()
+    whole = BurnSum(objectives=[CONSULTATION])
+    whole.add("lac-1", part)
+    page = burn_html(whole.report(silent=[SilentHost(host="<b>", reason="no answer")]))
+    assert page.index("MISSING &lt;b&gt;: no answer") < page.index("burn rate")
+    assert "Answers within this time" in page
+    assert "<b>:" not in page
+
+
+def test_places_put_together_are_not_taken_for_rule_0() -> None:
+    """With over 128 places the rest was listed as rule 0, which is "no rule matched".
+
+    An operator would look for requests that match no rule.
+    """
+    put_together = replace(count(HOUR_S, 10, 1), domain=OTHER, server=OTHER, rule=0)
+    counts = [put_together]
+    burners = burn_report([CONSULTATION], counts).burners
+    assert {one.name for one in burners if one.kind != "service"} == {OTHER}
+
+
 def test_report_goes_over_json_and_back() -> None:
     report = burn_report([CONSULTATION], [count(HOUR_S, 1_000, 20)])
     sent = json.loads(json.dumps(report.as_builtins()))
