--- a/src/gentianwharf/daemon/_observer.py
+++ b/src/gentianwharf/daemon/_observer.py
@@ -4,7 +4,7 @@
 
 from gentianwharf.logs import log
 from gentianwharf.metrics import Answer, Decision, Recorder, Run
-from gentianwharf.relay import Answered
+from gentianwharf.relay import Answered, Problem
 
 
 class RecordingObserver:
@@ -51,6 +51,23 @@
                 },
             )
 
+    def refused(self, request_id: str, problem: Problem) -> None:
+        """Keep why a request was refused before a rule decided on it."""
+        self._recorder.decide(
+            Decision(
+                request_id=request_id,
+                at_s=self._now_s(),
+                service="",
+                request_class="",
+                rule=0,
+                server="",
+                run=problem.run,
+                waited_s=0.0,
+                refused=problem.title,
+                reasons=(problem.detail,) if problem.detail else (),
+            )
+        )
+
     def _sample(self, answered: Answered) -> None:
         # Building a decision costs as much as counting the answer: draw first.
         ring = self._recorder.decisions
--- a/src/gentianwharf/metrics/_decisions.py
+++ b/src/gentianwharf/metrics/_decisions.py
@@ -17,9 +17,10 @@
 class DecisionRing:
     """The latest decisions: refused and unknown ones always, others sampled.
 
-    The two kinds have a ring each: under overload refusals come by the thousand a
-    second, and in one ring they would push out every ordinary decision that shows
-    what was still being served.
+    The kinds have a ring each: under overload refusals come by the thousand a second,
+    and in one ring they would push out every ordinary decision that shows what was
+    still being served. Requests that no rule decided on have one too: whoever probes
+    the port with them would push out the refusals of real ones.
 
     >>> from gentianwharf.metrics import Decision, Run
     >>> ring = DecisionRing(random=Random(1), most=2, sample_share=0.0)
@@ -42,6 +43,7 @@
         self._sample_share = sample_share
         self._kept: deque[Decision] = deque(maxlen=most)
         self._sampled: deque[Decision] = deque(maxlen=most)
+        self._undecided: deque[Decision] = deque(maxlen=most)
 
     def wants_ordinary(self) -> bool:
         """Return whether the next ordinary decision should be built at all."""
@@ -49,7 +51,9 @@
 
     def add(self, decision: Decision) -> None:
         """Keep a refused or unknown decision; draw for the others."""
-        if decision.always_kept:
+        if decision.always_kept and not decision.rule:
+            self._undecided.append(decision)
+        elif decision.always_kept:
             self._kept.append(decision)
         elif self.wants_ordinary():
             self._sampled.append(decision)
@@ -65,13 +69,15 @@
 
         ``always_kept_only`` leaves out the sampled ones: all that were served.
         """
-        both = [*self._kept, *(() if always_kept_only else self._sampled)]
-        both.sort(key=lambda decision: decision.at_s, reverse=True)
-        return both[:most]
+        found = [*self._kept, *self._undecided]
+        if not always_kept_only:
+            found += self._sampled
+        found.sort(key=lambda decision: decision.at_s, reverse=True)
+        return found[:most]
 
     def find(self, request_id: str) -> Decision | None:
         """Return the decision on a request, or None when it is not kept."""
-        for decision in (*self._kept, *self._sampled):
+        for decision in (*self._kept, *self._undecided, *self._sampled):
             if decision.request_id == request_id:
                 return decision
         return None
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -68,6 +68,7 @@
         try:
             exchange = self._begin(caller_request, request_id)
         except Problem as problem:
+            self._observer.refused(request_id, problem)
             write_problem(caller_request, problem, request_id=request_id)
             return StandInResource
         self.in_flight.add(exchange)
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -9,6 +9,8 @@
 from gentianwharf.rules import RequestFacts, RuleMatch
 from gentianwharf.topology import BackendServer
 
+from ._problem import Problem
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -140,3 +142,6 @@
 
     def answered(self, answered: Answered) -> None:
         """Record an answer."""
+
+    def refused(self, request_id: str, problem: Problem) -> None:
+        """Record a request that was refused before a rule decided on it."""
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -196,14 +196,19 @@
 
 @dataclass
 class Records:
-    """Keeps every answer that was recorded."""
+    """Keeps every answer that was recorded, and every refusal before a rule."""
 
     answers: list[Answered] = field(default_factory=list)
+    refusals: list[tuple[str, Problem]] = field(default_factory=list)
 
     def answered(self, answered: Answered) -> None:
         """Keep it."""
         self.answers.append(answered)
 
+    def refused(self, request_id: str, problem: Problem) -> None:
+        """Keep it."""
+        self.refusals.append((request_id, problem))
+
 
 @dataclass
 class RunningRelay:
--- a/tests/test_metrics_recorder.py
+++ b/tests/test_metrics_recorder.py
@@ -111,3 +111,25 @@
         metrics.decide(decision(request_id=f"r{number}", refused="queue-full"))
     assert metrics.decisions.find("served") is not None
     assert len(metrics.decisions.latest(most=10_000)) == 2_001
+
+
+def test_probes_that_no_rule_matches_push_out_no_refusal_of_a_request() -> None:
+    """Somebody probes the port while a service is overloaded.
+
+    In one ring the thousands of probes push out the refusals that matter.
+    """
+    metrics = recorder(Clock())
+    full = decision(request_id="full", run=Run.NOT_RUN, refused="queue-full")
+    metrics.decide(full)
+    for number in range(3_000):
+        probe = decision(
+            request_id=f"p{number}",
+            rule=0,
+            service="",
+            run=Run.NOT_RUN,
+            refused="no rule matches",
+        )
+        metrics.decide(probe)
+    assert metrics.decisions.find("full") is full
+    assert metrics.decisions.find("p2999") is not None
+    assert len(metrics.decisions.latest(most=10_000, always_kept_only=True)) == 2_001
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gentianwharf.relay import Run
 from tests.builders_relay import answer, request, running_relay
 
 
@@ -97,6 +98,26 @@
         assert relay.servers[0].connections == 0
 
 
+@pytest.mark.parametrize(
+    ("path", "title"),
+    [("/nowhere", "no rule matches"), ("/keyed/", "bad request")],
+    ids=["no-rule", "no-key"],
+)
+def test_request_that_no_rule_decides_on_can_be_asked_for(
+    path: str, title: str
+) -> None:
+    """A caller complains of a 404 and gives its request id; the operator asks for it.
+
+    Only requests with a rule were recorded, so nothing was known of the others.
+    """
+    raw = f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    with running_relay([plain]) as relay:
+        received = relay.ask(raw.encode())
+        ((request_id, problem),) = relay.records.refusals
+    assert f"Gentianwharf-Request-Id: {request_id}".encode() in received
+    assert (problem.title, problem.run) == (title, Run.NOT_RUN)
+
+
 def test_bad_chunk_size_is_answered_and_never_completes_at_a_server() -> None:
     """A chunk size that is no number ends the request with 400 or a break.
 
