Measure imbalance over idle servers too, within a site; churn as a metric

An idle server was left out of the mean: a service whose requests all went to one server was told as even, 1.0, and the alarm could not be raised. With idle servers in the mean, a migration at 1% would raise it for good, which placement can't change, so servers are compared within their site; below 20 answers a server nothing is told. Churn was missing in /metrics.

--- a/src/gentianwharf/admin/_protocols.py
+++ b/src/gentianwharf/admin/_protocols.py
@@ -35,11 +35,11 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Measures:
-    """The three measures, over the last ``window_s``.
+    """The three measures by service; docs/OPERATING.md defines them.
 
-    ``imbalance`` is the highest over the mean load of a server by service, ``churn``
-    the keys' shards that changed owner by service, ``unavailable_s`` the time for
-    which requests of a class could not be served.
+    ``imbalance`` is of the last whole minute and leaves out services with too few
+    answers to tell; ``churn`` in shards and ``unavailable_s`` in shard-seconds are of
+    the last ``window_s``.
     """
 
     window_s: float
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -1,5 +1,6 @@
 """The daemon's parts, put together: what it is told, reaches and decides with."""
 
+from collections.abc import Iterable
 from random import Random, SystemRandom
 from typing import Any, final
 
@@ -17,7 +18,7 @@
 from gentianwharf.relay import RelayApp, ServerConnections
 from gentianwharf.settings import Settings, domains_of, services_of
 from gentianwharf.spread import Channel, PeerMesh, PeerQueries, SpreadSystem
-from gentianwharf.topology import Host, Service
+from gentianwharf.topology import BackendServer, Host, Service
 
 from ._admission import GateAdmission
 from ._channels import OwnershipLink
@@ -38,6 +39,7 @@
         self.prefix = f"gentianwharf/{settings.customer}/"
         self.services = {one.name: one for one in services_of(settings)}
         self.domains = domains_of(settings)
+        self._sites = {domain.name: domain.site for domain in self.domains}
         self.servers = {
             server.id: server
             for service in self.services.values()
@@ -134,12 +136,19 @@
         for name, service in self.services.items():
             kept = [one for one in service.servers if one.id not in leaving]
             self.admission.set_servers(name, kept)
+            self.recorder.loads.set_servers(name, self._by_site(kept))
         self.reports.set_servers(
             server
             for server in self.servers.values()
             if not self.services[server.service].keyed and server.id not in leaving
         )
 
+    def _by_site(self, servers: Iterable[BackendServer]) -> list[list[str]]:
+        sites: dict[str, list[str]] = {}
+        for server in servers:
+            sites.setdefault(self._sites[server.domain], []).append(server.id)
+        return list(sites.values())
+
     def _spread_received(self, host_id: str, message: bytes) -> None:
         self.hosts.heard(host_id)
         self.spread.received(host_id, message)
--- a/src/gentianwharf/daemon/_state.py
+++ b/src/gentianwharf/daemon/_state.py
@@ -24,8 +24,9 @@
 class OwnerChanges:
     """Counts shards that changed owner, as this host saw it."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, on_moved: Callable[[str, int], None]) -> None:
         self.changes: Counter[str] = Counter()
+        self._on_moved = on_moved
         self._before: dict[str, list[str]] = {}
         self._versions: dict[str, int] = {}
 
@@ -43,9 +44,11 @@
                 for shard in range(service.shards)
             ]
             before = self._before.get(service.name, owners)
-            self.changes[service.name] += sum(
+            moved = sum(
                 old != new for old, new in zip(before, owners, strict=True) if old
             )
+            self.changes[service.name] += moved
+            self._on_moved(service.name, moved)
             self._before[service.name] = owners
 
 
@@ -64,7 +67,7 @@
         self._servers = servers
         self._why_not_ready = why_not_ready
         self._alarms = AlarmWatch()
-        self._owners = OwnerChanges()
+        self._owners = OwnerChanges(on_moved=parts.recorder.moved)
         self._state: DaemonState | None = None
         self._begun_s = parts.reactor.seconds()
 
@@ -129,7 +132,11 @@
             return None
         return Measures(
             window_s=self._parts.reactor.seconds() - self._begun_s,
-            imbalance={name: one["imbalance"] for name, one in services.items()},
+            imbalance={
+                name: one["imbalance"]
+                for name, one in services.items()
+                if one["imbalance"] is not None
+            },
             churn=dict(self._owners.changes),
             unavailable_s={
                 name: one["unavailable_shard_s"] for name, one in services.items()
--- a/src/gentianwharf/metrics/_recorder.py
+++ b/src/gentianwharf/metrics/_recorder.py
@@ -11,9 +11,10 @@
 from ._burn_part import ELAPSED, BurnPart
 from ._decisions import DecisionRing
 from ._histograms import EncodedHistogram, WindowedHistogram, record_s, value_at_s
-from ._measures import UnavailableShards, imbalance
+from ._measures import UnavailableShards
 from ._objectives import Objective
 from ._prometheus import HistogramSample, Sample, prometheus_text
+from ._server_loads import ServerLoads
 from ._windows import BurnWindows, Place, Tallies, Tally, WindowCount
 
 # A window of latency for the state page: long enough for a p99 of a quiet class,
@@ -76,8 +77,8 @@
         self._waited: dict[tuple[str, str], WindowedHistogram] = {}
         self._lines: dict[_LineKey, int] = {}
         self._totals: dict[_Total, int] = {}
-        self._server_load: dict[str, dict[str, int]] = {}
-        self._last_load: dict[str, dict[str, int]] = {}
+        self.loads = ServerLoads()
+        self._churn: dict[str, int] = {}
         self._windows = BurnWindows()
         self._unavailable = UnavailableShards()
         self._started_s = clock.seconds()
@@ -120,6 +121,10 @@
             waited = self._waited[kind] = WindowedHistogram()
         record_s(waited.running, waited_s)
 
+    def moved(self, service: str, shards: int) -> None:
+        """Count shards that changed owner."""
+        self._churn[service] = self._churn.get(service, 0) + shards
+
     def decide(self, decision: Decision) -> None:
         """Keep a decision: refused and unknown ones always, others sampled."""
         self.decisions.add(decision)
@@ -148,21 +153,16 @@
                 line.request_class, line.service, line.rule, line.domain, line.server
             )
             tallies.setdefault(place, Tally()).add(count, count if line.bad else 0)
-            self._add_load(place, count)
+            if place.server:
+                self.loads.add(place.service, place.server, count)
         self._lines.clear()
         self._windows.add(tallies, now_s=now_s)
         self._folded_s = now_s
 
-    def _add_load(self, place: Place, count: int) -> None:
-        if not place.server:
-            return
-        loads = self._server_load.setdefault(place.service, {})
-        loads[place.server] = loads.get(place.server, 0) + count
-
     def _turn(self, now_s: float) -> None:
         for windowed in (*self._elapsed.values(), *self._waited.values()):
             windowed.turn()
-        self._last_load, self._server_load = self._server_load, {}
+        self.loads.turn()
         self._turned_s = now_s
 
     def window_counts(self, windows_s: Iterable[float]) -> list[WindowCount]:
@@ -202,10 +202,6 @@
             )
         return burns
 
-    def imbalance(self, service: str) -> float:
-        """Return max/mean of answers per server in the last whole window."""
-        return imbalance(self._last_load.get(service, {}))
-
     def encoded(self) -> list[EncodedHistogram]:
         """Return the histograms since the start, encoded so that hosts' add up."""
         return [
@@ -255,28 +251,31 @@
 
     def _measure_samples(self) -> Iterable[Sample]:
         now_s = self._clock.seconds()
-        for service in sorted({service for service, _ in self._elapsed}):
-            measures = (
-                ("imbalance", "Max/mean answers per server.", self.imbalance(service)),
-                (
-                    "unavailable_shard_seconds",
-                    "Time in which shards could not be served, added up.",
-                    self._unavailable.total_s(service, now_s=now_s),
-                ),
-                (
-                    "unavailable_shards",
-                    "Shards that can't be served now.",
-                    self._unavailable.unavailable_now(service),
-                ),
+        for service, shards in sorted(self._churn.items()):
+            yield _measure(
+                "churn_shards", "Shards that changed owner.", service, shards, True
             )
-            for name, text, value in measures:
-                yield Sample(
-                    name=f"gentianwharf_{name}",
-                    help=text,
-                    labels={"service": service},
-                    value=value,
-                    counter=False,
+        for service in self._services():
+            uneven = self.loads.imbalance(service)
+            if uneven is not None:
+                yield _measure(
+                    "imbalance", "Max/mean answers per server.", service, uneven
                 )
+            yield _measure(
+                "unavailable_shard_seconds",
+                "Time in which shards could not be served, added up.",
+                service,
+                self._unavailable.total_s(service, now_s=now_s),
+            )
+            yield _measure(
+                "unavailable_shards",
+                "Shards that can't be served now.",
+                service,
+                self._unavailable.unavailable_now(service),
+            )
+
+    def _services(self) -> list[str]:
+        return sorted({service for service, _ in self._elapsed})
 
     def state(self) -> dict[str, Any]:
         """Return the last window's latency and the measures, for the state page."""
@@ -289,7 +288,7 @@
             ],
             "services": {
                 service: {
-                    "imbalance": self.imbalance(service),
+                    "imbalance": self.loads.imbalance(service),
                     "unavailable_shard_s": self._unavailable.total_s(
                         service, now_s=now_s
                     ),
@@ -298,7 +297,7 @@
                     ),
                     "unavailable_shards": self._unavailable.unavailable_now(service),
                 }
-                for service in sorted({service for service, _ in self._elapsed})
+                for service in self._services()
             },
         }
 
@@ -315,3 +314,15 @@
         "p99_s": value_at_s(last, 99),
         "p999_s": value_at_s(last, 99.9),
     }
+
+
+def _measure(
+    name: str, text: str, service: str, value: float, counter: bool = False
+) -> Sample:
+    return Sample(
+        name=f"gentianwharf_{name}",
+        help=text,
+        labels={"service": service},
+        value=value,
+        counter=counter,
+    )
