--- a/src/gentianwharf/cli/_decisions.py
+++ b/src/gentianwharf/cli/_decisions.py
@@ -37,9 +37,20 @@
 
 def _print(kept: list[dict[str, Any]], shown: Terminal) -> None:
     shown.table(
-        ["request", "service", "class", "rule", "server", "run", "waited s", "why"],
+        [
+            "ago s",
+            "request",
+            "service",
+            "class",
+            "rule",
+            "server",
+            "run",
+            "waited s",
+            "why",
+        ],
         [
             [
+                round(one["ago_s"], 1),
                 one["request_id"],
                 one["service"] or None,
                 one["request_class"] or None,
--- a/src/gentianwharf/daemon/_admin.py
+++ b/src/gentianwharf/daemon/_admin.py
@@ -61,7 +61,9 @@
         burn=FleetBurnView(
             queries=parts.queries, hosts=parts.hosts, recorder=parts.recorder
         ),
-        decisions=views.DecisionsOfRecorder(recorder=parts.recorder),
+        decisions=views.DecisionsOfRecorder(
+            recorder=parts.recorder, now_s=parts.reactor.seconds
+        ),
         metrics=lambda: parts.recorder.prometheus_text().encode(),
         token=token,
     )
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,6 +1,6 @@
 """What the admin port shows and does, over the daemon's parts."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict
 from typing import cast, final
 
@@ -285,8 +285,9 @@
 class DecisionsOfRecorder:
     """Why requests went where they went, on this host."""
 
-    def __init__(self, *, recorder: Recorder) -> None:
+    def __init__(self, *, recorder: Recorder, now_s: Callable[[], float]) -> None:
         self._recorder = recorder
+        self._now_s = now_s
 
     def decisions(
         self, *, request_id: str | None, refused_only: bool, most: int
@@ -298,4 +299,8 @@
         else:
             one = ring.find(request_id)
             kept = [one] if one is not None else []
-        return [cast("Mapping[str, JsonValue]", asdict(one)) for one in kept]
+        now_s = self._now_s()
+        return [
+            cast("Mapping[str, JsonValue]", asdict(one) | {"ago_s": now_s - one.at_s})
+            for one in kept
+        ]
--- a/tests/builders_admin.py
+++ b/tests/builders_admin.py
@@ -264,7 +264,7 @@
             refused="queue-full",
             reasons=(),
         )
-        return [asdict(decision)]
+        return [asdict(decision) | {"ago_s": 4.2}]
 
     def _fail(self) -> None:
         if self.error is not None:
