--- a/src/gentianwharf/settings/__init__.py
+++ b/src/gentianwharf/settings/__init__.py
@@ -30,7 +30,7 @@
 )
 from ._rules import line_of_finding, load_initial_rules
 from ._topology import domains_of, rule_scope_of, services_of
-from ._values import Address, Url, check_ip_url, is_loopback
+from ._values import Address, Url, check_address, check_ip_url, is_loopback
 
 __all__ = [
     "Address",
@@ -52,6 +52,7 @@
     "TextLines",
     "Url",
     "WeightSettings",
+    "check_address",
     "check_ip_url",
     "domains_of",
     "find_lines",
--- a/src/gentianwharf/settings/_values.py
+++ b/src/gentianwharf/settings/_values.py
@@ -7,20 +7,34 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 
-def _check_ip_and_port(value: str) -> str:
+def check_address(value: str) -> str:
+    """Return ``value`` if it is IP:PORT; raises ``ValueError`` saying why not.
+
+    >>> check_address("127.0.0.1:8081")
+    '127.0.0.1:8081'
+    """
     host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > 65535:
+    if not separator or not _is_port(port):
         raise ValueError(f"expected IP:PORT, got {value!r}")
+    bracketed = host.startswith("[") and host.endswith("]")
     try:
-        ip_address(host.strip("[]"))
+        version = ip_address(host[1:-1] if bracketed else host).version
+        # A scope names a network card of one machine, not an address for all.
+        if bracketed is not (version == 6) or "%" in host:
+            raise ValueError(host)
     except ValueError:
         raise ValueError(
-            f"expected an IP number, got {host!r}: host names are not looked up,"
-            " write the address"
+            f"expected an IP number (version 6 in brackets), got {host!r}: host names"
+            " are not looked up, write the address"
         ) from None
     return value
 
 
+def _is_port(text: str) -> bool:
+    # isdigit() takes superscripts and other scripts' digits, which int() does not.
+    return text.isascii() and text.isdigit() and len(text) < 6 and int(text) <= 65535
+
+
 def check_ip_url(value: str) -> str:
     """Return ``value`` if it is http://IP:PORT; raises ``ValueError`` saying why not.
 
@@ -30,7 +44,7 @@
     parts = urlsplit(value)
     if parts.scheme != "http" or parts.path not in ("", "/"):
         raise ValueError(f"expected http://IP:PORT, got {value!r}")
-    _check_ip_and_port(parts.netloc)
+    check_address(parts.netloc)
     return value
 
 
@@ -43,7 +57,7 @@
     return ip_address(address.rpartition(":")[0].strip("[]")).is_loopback
 
 
-Address = Annotated[str, AfterValidator(_check_ip_and_port)]
+Address = Annotated[str, AfterValidator(check_address)]
 Url = Annotated[str, AfterValidator(check_ip_url)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
--- a/src/gentianwharf/spread/_links.py
+++ b/src/gentianwharf/spread/_links.py
@@ -11,6 +11,9 @@
 from random import Random
 from typing import Protocol, final
 
+from gentianwharf.logs import log
+from gentianwharf.settings import check_address
+
 from ._frames import FRAME_VERSION, Channel, Frame, FrameKind, encode_frame
 
 PROBE_EVERY_S = 0.5
@@ -93,9 +96,19 @@
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
         self._open_ids: set[str] = set()
+        self._refused: dict[str, str] = {}
 
     def set_peers(self, addresses: dict[str, str]) -> None:
-        """Take the peers' addresses by host id; links to others are closed."""
+        """Take the peers' addresses by host id; links to others are closed.
+
+        A peer whose address is no IP:PORT is left out. The list comes from outside,
+        and one bad line in it must not end the tick that renews every right.
+        """
+        addresses = {
+            host_id: address
+            for host_id, address in addresses.items()
+            if self._is_address(host_id, address)
+        }
         for host_id in [one for one in self._peers if one not in addresses]:
             self._close(self._peers.pop(host_id))
         for host_id, address in addresses.items():
@@ -107,6 +120,21 @@
                 peer.waits_since_s = None
                 peer.address = address
 
+    def _is_address(self, host_id: str, address: str) -> bool:
+        try:
+            check_address(address)
+        except ValueError as error:
+            if self._refused.get(host_id) != address:
+                log.error(
+                    "host left out: {}; mend its line in the platform's host list",
+                    error,
+                    extra={"step": "set peers", "peer": host_id},
+                )
+            self._refused[host_id] = address
+            return False
+        self._refused.pop(host_id, None)
+        return True
+
     def send(
         self, host_id: str, body: bytes, *, channel: Channel, now_s: float
     ) -> bool:
--- a/src/gentianwharf/spread/_mesh.py
+++ b/src/gentianwharf/spread/_mesh.py
@@ -6,6 +6,7 @@
 from typing import Any, final
 
 from gentianwharf.errors import InputError, PeerMismatchError
+from gentianwharf.logs import log
 from gentianwharf.topology import Host
 
 from ._frames import (
@@ -39,6 +40,7 @@
     malformed: int
     for_another_host: int
     unknown_channel: int
+    failed: int
     links: dict[str, LinkStats]
 
 
@@ -95,6 +97,7 @@
         self._malformed = 0
         self._for_another_host = 0
         self._unknown_channel = 0
+        self._failed = 0
 
     def channel(self, channel: Channel, on_message: OnMessage) -> PeerChannel:
         """Return a system's channel; its messages go to ``on_message(host_id, m)``."""
@@ -151,6 +154,7 @@
             malformed=self._malformed,
             for_another_host=self._for_another_host,
             unknown_channel=self._unknown_channel,
+            failed=self._failed,
             links=self._links.stats(self._reactor.seconds()),
         )
 
@@ -184,7 +188,15 @@
         if handler is None:
             self._unknown_channel += 1
             return
-        handler(frame.sender, frame.body)
+        try:
+            handler(frame.sender, frame.body)
+        except Exception:
+            # The reactor closes a reader whose reading raises: one message that a
+            # system stumbles over would leave this host deaf to all others for good.
+            self._failed += 1
+            log.exception(
+                "message failed", extra={"step": "hand over", "peer": frame.sender}
+            )
 
     def _ask_for_hosts(self, frame: Frame) -> None:
         now_s = self._reactor.seconds()
--- a/tests/test_spread_links.py
+++ b/tests/test_spread_links.py
@@ -1,6 +1,7 @@
 """Links between hosts on a virtual clock and fake connections."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import final
 
@@ -104,6 +105,54 @@
     assert pair.got == [("lac", b"hello")]
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "",
+        "nonsense",
+        "127.0.0.1",
+        "gateway:80",
+        "::1:80",
+        "127.0.0.1:²",
+        "127.0.0.1:99999",
+    ],
+)
+def test_bad_address_in_the_list_leaves_out_that_host_alone(address: str) -> None:
+    """The platform's list gets a line with an address that is none.
+
+    Dialling it raised, and with it ended each tick, in which all rights are renewed:
+    one line took every host of the fleet out of service.
+    """
+    pair = Pair()
+    mesh = pair.meshes["lac"]
+    bad = Host(id="charguia", domain="charguia", peer_address=address)
+    mesh.set_peers([LAC, bad, ARIANA])
+    assert not pair.channel.send("charguia", b"hello")
+    assert pair.channel.send("ariana", b"hello")
+    pair.run(1)
+    assert pair.got == [("lac", b"hello")]
+    mesh.set_peers([LAC, ARIANA, replace(bad, peer_address=ARIANA.peer_address)])
+    assert pair.channel.send("charguia", b"mended")
+
+
+def test_message_that_a_system_stumbles_over_does_not_end_the_mesh() -> None:
+    """A table from the store makes no sense, and its reader raises.
+
+    The reactor closes a reader that raises: the host would hear no peer again.
+    """
+    pair = Pair()
+
+    def stumble(host_id: str, message: bytes) -> None:
+        raise IndexError(message)
+
+    pair.meshes["ariana"].channel(Channel.OWNERSHIP, stumble)
+    ownership = pair.meshes["lac"].channel(Channel.OWNERSHIP, stumble)
+    assert ownership.send("ariana", b"bad")
+    assert pair.meshes["ariana"].stats().failed == 1
+    pair.channel.send("ariana", b"hello")
+    assert pair.got == [("lac", b"hello")]
+
+
 def test_answered_link_stays_as_it_is() -> None:
     pair = Pair()
     pair.run(60, sending=True)
