Show keyed servers and control holders as they are, and raise their alarms

Run by hand: a killed server of a keyed service stayed "active", a drained one too, and a control holder that fell silent was shown for good. So server-suspect, no-server, leaving-owns-shards and no-control-holder were never raised for keyed services, against docs/OPERATING.md. The gate judges only servers that it chooses; the daemon now remembers what servers made of its orders and requests, and when a holder was heard last.

--- a/src/gentianwharf/daemon/_admin.py
+++ b/src/gentianwharf/daemon/_admin.py
@@ -18,6 +18,8 @@
         control=parts.control,
         ownership=parts.ownership,
         reports=parts.reports,
+        keyed=frozenset(one.name for one in parts.keyed_services()),
+        hosts=parts.hosts,
     )
 
 
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -23,6 +23,7 @@
 from ._admission import GateAdmission
 from ._channels import OwnershipLink
 from ._hosts import HostTable
+from ._keyed_servers import WatchedControl
 from ._observer import RecordingObserver
 from ._ownership import RoutedOwnership
 from ._reports import ServerReports
@@ -73,7 +74,7 @@
         self.host_list = HttpHostList(
             reactor=reactor, url=platform.hosts_url, call_timeout_s=timeout_s
         )
-        self.control = HttpBackendControl(reactor=reactor)
+        self.control = WatchedControl(control=HttpBackendControl(reactor=reactor))
         self.hosts = HostTable(
             own=self.host,
             known=[
@@ -100,7 +101,9 @@
             rng=seeded(),
             on_hosts=self._on_hosts,
         )
-        self.link = OwnershipLink(mesh=self.mesh, hosts=self.hosts)
+        self.link = OwnershipLink(
+            mesh=self.mesh, hosts=self.hosts, now_s=self.reactor.seconds
+        )
         self.rules = RulesInForce(
             shards={name: one.shards for name, one in self.services.items()}
         )
@@ -194,9 +197,13 @@
             gate=self.gate,
             servers=self.servers,
             now_s=self.reactor.seconds,
-            on_evidence=lambda server, ok: self.ownership.answered(server, ok=ok),
+            on_evidence=self._on_evidence,
         )
 
+    def _on_evidence(self, server: str, ok: bool) -> None:
+        self.control.note(server, answered=ok)
+        self.ownership.answered(server, ok=ok)
+
     def _deadline_caps_s(self) -> dict[str, float]:
         longest_ms = max(one.deadline_ms for one in self.settings.classes)
         return {
--- a/src/gentianwharf/daemon/_state.py
+++ b/src/gentianwharf/daemon/_state.py
@@ -119,13 +119,20 @@
                 service.name: _may_send(ownership, service)
                 for service in parts.keyed_services()
             },
-            control_holders=ownership.holders,
+            control_holders={
+                name: holder if self._is_held(ownership, name) else None
+                for name, holder in ownership.holders.items()
+            },
             is_witness=ownership.is_witness,
             witness_has_memory=ownership.has_memory,
             measures=self._measures(),
             alarms=(),
         )
 
+    def _is_held(self, ownership: OwnershipState, service: str) -> bool:
+        """Whether the last holder that was heard of still is one."""
+        return service in ownership.controls or self._parts.link.hears_control(service)
+
     def _measures(self) -> Measures | None:
         services = self._parts.recorder.state()["services"]
         if not services:
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,6 +1,6 @@
 """What the admin port shows and does, over the daemon's parts."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import asdict
 from typing import cast, final
 
@@ -12,11 +12,11 @@
 )
 from gentianwharf.errors import InputError
 from gentianwharf.keys import shard_of
-from gentianwharf.load import Gate, ServerSnapshot
+from gentianwharf.load import Gate, ServerSnapshot, Standing
 from gentianwharf.logs import log
 from gentianwharf.metrics import Recorder
 from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
-from gentianwharf.platform import BackendControl, HostList, ListedHost
+from gentianwharf.platform import HostList, ListedHost
 from gentianwharf.rules import (
     ApplyResult,
     RuleBook,
@@ -28,6 +28,7 @@
 from gentianwharf.topology import BackendServer, Domain, Service
 
 from ._hosts import HostTable
+from ._keyed_servers import WatchedControl
 from ._reports import ServerReports
 from ._rules import RulesInForce
 
@@ -159,10 +160,14 @@
         servers: Mapping[str, BackendServer],
         domains: Sequence[Domain],
         gate: Gate,
-        control: BackendControl,
+        control: WatchedControl,
         ownership: OwnershipSystem,
         reports: ServerReports,
+        keyed: Container[str],
+        hosts: HostTable,
     ) -> None:
+        self._keyed = keyed
+        self._hosts = hosts
         self._reports = reports
         self._servers = servers
         self._sites = {domain.name: domain.site for domain in domains}
@@ -188,13 +193,24 @@
             domain=server.domain,
             site=self._sites[server.domain],
             address=server.address,
-            state=str(snapshot.standing) if snapshot is not None else "gone",
+            state=self._state(server, snapshot),
             slots=server.slots,
             slots_busy=snapshot.in_flight if snapshot is not None else 0,
             reported_load=report.load if report is not None else None,
             shards=self._ownership.count_shards(server.id),
         )
 
+    def _state(self, server: BackendServer, snapshot: ServerSnapshot | None) -> str:
+        if server.id in self._hosts.leaving_servers or self._control.is_draining(
+            server.id
+        ):
+            return str(Standing.LEAVING)
+        if snapshot is None:
+            return "gone"
+        if server.service in self._keyed and self._control.is_suspect(server.id):
+            return str(Standing.SUSPECT)
+        return str(snapshot.standing)
+
     async def drain(self, server: str, author: str) -> ServerStatus:
         """Tell ``server`` that it is leaving; its shards move away."""
         found = self._servers.get(server)
--- a/src/gentianwharf/ownership/__init__.py
+++ b/src/gentianwharf/ownership/__init__.py
@@ -1,6 +1,6 @@
 """One owner for each key: assignment table, rights, grants, moves, control."""
 
-from ._messages import Message, decode, encode
+from ._messages import ControlAlive, Message, decode, encode
 from ._move import MoveState
 from ._protocols import Log, PeerLink, SiteOf
 from ._route import Hold, RefusalReason, Refuse, Route, Send
@@ -10,6 +10,7 @@
 __all__ = [
     "TICK_S",
     "Assignment",
+    "ControlAlive",
     "Hold",
     "Log",
     "Message",
