--- a/src/gentianwharf/admin/_app.py
+++ b/src/gentianwharf/admin/_app.py
@@ -3,27 +3,21 @@
 One guard in front of all of them checks the token, so that a route can't forget it.
 """
 
-from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar, final
+from collections.abc import Callable
+from typing import Any, final
 
 from klein import Klein
 from logbook import Logger
-from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 from werkzeug.exceptions import HTTPException
 
 from gentianwharf.errors import GentianwharfError, InputError
-from gentianwharf.rules import (
-    ApplyResult,
-    RuleDocument,
-    RulesConflict,
-    RulesRefused,
-    explain,
-)
+from gentianwharf.rules import RuleDocument, explain
 
 from ._access import TokenAccess
+from ._changes import reply_applied, to_the_end
 from ._guard import GuardedResource
 from ._protocols import (
     BurnView,
@@ -58,7 +52,6 @@
 """Longest wait for a revision. Longer ones are asked for again: an answer that takes
 minutes looks like a daemon gone silent."""
 
-Result = TypeVar("Result")
 log = Logger("gentianwharf.admin")
 
 
@@ -173,7 +166,7 @@
         author = operator_of(request)
         revision = integer_argument(request, "edited_from_revision", default=None)
         document = read_body(request, RuleDocument)
-        result = await _to_the_end(
+        result = await to_the_end(
             self._rules.apply(
                 document,
                 edited_from_revision=revision,
@@ -181,7 +174,7 @@
                 change_id=change_id_of(request),
             )
         )
-        return _reply_applied(request, result)
+        return reply_applied(request, result)
 
     @app.route("/explain", methods=["POST"])
     def explain(self, request: Request) -> bytes:
@@ -215,7 +208,7 @@
         """Begin to move a key's shard."""
         author = operator_of(request)
         body = read_body(request, MoveBody)
-        owner = await _to_the_end(
+        owner = await to_the_end(
             self._keys.move(service, body.key, body.server, author)
         )
         return reply_json(request, owner, status=202)
@@ -225,9 +218,7 @@
         """Give a key an entry of its own, or take it away."""
         author = operator_of(request)
         body = read_body(request, PinBody)
-        owner = await _to_the_end(
-            self._keys.pin(service, body.key, body.server, author)
-        )
+        owner = await to_the_end(self._keys.pin(service, body.key, body.server, author))
         return reply_json(request, owner, status=202)
 
     @app.route("/servers", methods=["GET"])
@@ -239,7 +230,7 @@
     async def drain_server(self, request: Request, server: str) -> bytes:
         """Give a server no new work and move its shards away."""
         author = operator_of(request)
-        status = await _to_the_end(self._servers.drain(server, author))
+        status = await to_the_end(self._servers.drain(server, author))
         return reply_json(request, status, status=202)
 
     @app.route("/hosts", methods=["GET"])
@@ -256,7 +247,7 @@
     async def declare_lost(self, request: Request, domain: str) -> bytes:
         """Let other domains take over a failure domain's keys."""
         author = operator_of(request)
-        loss = await _to_the_end(self._domains.declare_lost(domain, author))
+        loss = await to_the_end(self._domains.declare_lost(domain, author))
         return reply_json(request, loss, status=202)
 
     @app.route("/burn", methods=["GET"])
@@ -305,44 +296,3 @@
         return reply_problem(
             request, Problem.INTERNAL, "a fault of the daemon; its log has the trace"
         )
-
-
-def _reply_applied(request: Request, result: ApplyResult) -> bytes:
-    if isinstance(result, RulesRefused):
-        return reply_problem(
-            request,
-            Problem.INPUT,
-            f"the rule document has {len(result.findings)} findings; nothing was"
-            " written",
-            findings=result.findings,
-        )
-    if isinstance(result, RulesConflict):
-        return reply_problem(
-            request,
-            Problem.CONFLICT,
-            f"{result.current.author} was faster: the rules are at revision"
-            f" {result.current.revision}, this document was edited from"
-            f" {result.edited_from_revision}; nothing of it was written",
-            conflict=result,
-        )
-    return reply_json(request, result)
-
-
-def _to_the_end(operation: Coroutine[Any, Any, Result]) -> Deferred[Result]:
-    """Run a change that goes on when its caller hangs up.
-
-    The routes' library cancels what a closed connection waited for. A write to the
-    store that is cancelled half-way would never be read back, and nobody would know
-    whether it took effect.
-    """
-    inner = ensureDeferred(operation)
-    outer: Deferred[Result] = Deferred()
-
-    def pass_on(result: Any) -> None:
-        if not outer.called:
-            outer.callback(result)
-        elif isinstance(result, Failure):
-            log.error("after its caller hung up: {}", result.getErrorMessage())
-
-    inner.addBoth(pass_on)
-    return outer
--- a/src/gentianwharf/metrics/_recorder.py
+++ b/src/gentianwharf/metrics/_recorder.py
@@ -10,10 +10,11 @@
 from ._burn import WINDOWS_S, UnavailableBurn
 from ._burn_part import ELAPSED, BurnPart
 from ._decisions import DecisionRing
-from ._histograms import EncodedHistogram, WindowedHistogram, record_s, value_at_s
+from ._histograms import EncodedHistogram, WindowedHistogram, record_s
+from ._latencies import Latencies
 from ._measures import UnavailableShards
 from ._objectives import Objective
-from ._prometheus import HistogramSample, Sample, prometheus_text
+from ._prometheus import Sample, prometheus_text
 from ._server_loads import ServerLoads
 from ._windows import BurnWindows, Place, Tallies, Tally, WindowCount
 
@@ -22,7 +23,6 @@
 WINDOW_S = 60.0
 # A minute, an hour and more are read from counts folded this often.
 FOLD_S = 5.0
-WAITED = "gentianwharf_queue_seconds"
 
 
 class _Line(NamedTuple):
@@ -73,8 +73,7 @@
         self.objectives = tuple(objectives)
         self._limits_s = {one.request_class: one.limit_s for one in self.objectives}
         self.decisions = DecisionRing(random=random)
-        self._elapsed: dict[tuple[str, str], WindowedHistogram] = {}
-        self._waited: dict[tuple[str, str], WindowedHistogram] = {}
+        self._latencies = Latencies()
         self._lines: dict[_LineKey, int] = {}
         self._totals: dict[_Total, int] = {}
         self.loads = ServerLoads()
@@ -90,12 +89,12 @@
         service = answer.service
         request_class = answer.request_class
         kind = (service, request_class)
-        elapsed = self._elapsed.get(kind)
+        elapsed = self._latencies.elapsed.get(kind)
         if elapsed is None:
-            elapsed = self._elapsed[kind] = WindowedHistogram()
+            elapsed = self._latencies.elapsed[kind] = WindowedHistogram()
         record_s(elapsed.running, answer.elapsed_s)
         if answer.waited_s > 0:
-            self._record_wait(kind, answer.waited_s)
+            self._latencies.waited(kind, answer.waited_s)
         served = answer.served
         limit_s = self._limits_s.get(request_class)
         line = (
@@ -115,12 +114,6 @@
                 service, answer.shard, at_s=self._clock.seconds(), served=served
             )
 
-    def _record_wait(self, kind: tuple[str, str], waited_s: float) -> None:
-        waited = self._waited.get(kind)
-        if waited is None:
-            waited = self._waited[kind] = WindowedHistogram()
-        record_s(waited.running, waited_s)
-
     def moved(self, service: str, shards: int) -> None:
         """Count shards that changed owner."""
         self._churn[service] = self._churn.get(service, 0) + shards
@@ -160,8 +153,7 @@
         self._folded_s = now_s
 
     def _turn(self, now_s: float) -> None:
-        for windowed in (*self._elapsed.values(), *self._waited.values()):
-            windowed.turn()
+        self._latencies.turn()
         self.loads.turn()
         self._turned_s = now_s
 
@@ -204,33 +196,12 @@
 
     def encoded(self) -> list[EncodedHistogram]:
         """Return the histograms since the start, encoded so that hosts' add up."""
-        return [
-            EncodedHistogram(
-                name=name,
-                service=service,
-                request_class=request_class,
-                encoded=windowed.whole().encode(),
-            )
-            for name, table in ((ELAPSED, self._elapsed), (WAITED, self._waited))
-            for (service, request_class), windowed in table.items()
-        ]
+        return self._latencies.encoded()
 
     def prometheus_text(self) -> str:
         """Return the metrics in Prometheus' text format."""
         self._fold(self._clock.seconds())
-        return prometheus_text(self._samples(), self._histogram_samples())
-
-    def _histogram_samples(self) -> Iterable[HistogramSample]:
-        names = (
-            (ELAPSED, "Time from request to whole answer.", self._elapsed),
-            (WAITED, "Time in the queue of those that waited.", self._waited),
-        )
-        for name, text, table in names:
-            for (service, request_class), windowed in table.items():
-                labels = {"service": service, "class": request_class}
-                yield HistogramSample(
-                    name=name, help=text, labels=labels, histogram=windowed.whole()
-                )
+        return prometheus_text(self._samples(), self._latencies.samples())
 
     def _samples(self) -> Iterable[Sample]:
         for total, count in self._totals.items():
@@ -255,7 +226,7 @@
             yield _measure(
                 "churn_shards", "Shards that changed owner.", service, shards, True
             )
-        for service in self._services():
+        for service in self._latencies.services():
             uneven = self.loads.imbalance(service)
             if uneven is not None:
                 yield _measure(
@@ -274,18 +245,12 @@
                 self._unavailable.unavailable_now(service),
             )
 
-    def _services(self) -> list[str]:
-        return sorted({service for service, _ in self._elapsed})
-
     def state(self) -> dict[str, Any]:
         """Return the last window's latency and the measures, for the state page."""
         now_s = self._clock.seconds()
         return {
             "window_s": WINDOW_S,
-            "classes": [
-                _class_state(service, request_class, windowed)
-                for (service, request_class), windowed in self._elapsed.items()
-            ],
+            "classes": self._latencies.state(),
             "services": {
                 service: {
                     "imbalance": self.loads.imbalance(service),
@@ -297,25 +262,11 @@
                     ),
                     "unavailable_shards": self._unavailable.unavailable_now(service),
                 }
-                for service in self._services()
+                for service in self._latencies.services()
             },
         }
 
 
-def _class_state(
-    service: str, request_class: str, windowed: WindowedHistogram
-) -> dict[str, Any]:
-    last = windowed.last if windowed.last.get_total_count() else windowed.running
-    return {
-        "service": service,
-        "class": request_class,
-        "answers": last.get_total_count(),
-        "p50_s": value_at_s(last, 50),
-        "p99_s": value_at_s(last, 99),
-        "p999_s": value_at_s(last, 99.9),
-    }
-
-
 def _measure(
     name: str, text: str, service: str, value: float, counter: bool = False
 ) -> Sample:
