--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -200,9 +200,9 @@
             on_evidence=self._on_evidence,
         )
 
-    def _on_evidence(self, server: str, ok: bool) -> None:
+    def _on_evidence(self, server: str, ok: bool, busy_s: float) -> None:
         self.control.note(server, answered=ok)
-        self.ownership.answered(server, ok=ok)
+        self.ownership.answered(server, ok=ok, busy_s=busy_s)
 
     def _deadline_caps_s(self) -> dict[str, float]:
         longest_ms = max(one.deadline_ms for one in self.settings.classes)
