--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -200,7 +200,7 @@
             on_evidence=self._on_evidence,
         )
 
-    def _on_evidence(self, server: str, ok: bool, busy_s: float) -> None:
+    def _on_evidence(self, server: str, ok: bool, busy_s: float | None) -> None:
         self.control.note(server, answered=ok)
         self.ownership.answered(server, ok=ok, busy_s=busy_s)
 
--- a/tests/test_cli_migration.py
+++ b/tests/test_cli_migration.py
@@ -1,6 +1,7 @@
 """The migration by an operator's hands, with every program as a process."""
 
 import json
+import signal
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -90,13 +91,12 @@
     late = rule_file(tmp_path / "late.jsonc", share=0.1)
     assert apply(running, "charguia-1", late, first) == Exit.CONFLICT
     newest = read(running, "lac-1", "rules", "show")["revision"]
+    # ``apply`` has waited for them: no host may still be behind.
     for host in THREE_DOMAINS:
-        wait_until(
-            lambda host=host: (
-                read(running, host, "rules", "show", "--in-force")["revision"] == newest
-            ),
-            what=f"the rules to be in force on {host}",
-        )
+        in_force = read(running, host, "rules", "show", "--in-force")
+        assert in_force["revision"] == newest
+    everywhere = read(running, "ariana-1", "rules", "status")
+    assert {one["host"] for one in everywhere["hosts"]} == set(THREE_DOMAINS)
     servers = read(running, "lac-1", "servers", "list")
     new = {one["id"] for one in servers if one["site"] == NEW}
     for key in KEYS:
@@ -112,3 +112,32 @@
             read(running, "ariana-1", "keys", "owner", "calendrier", key)["server"]
             in owners
         )
+
+
+def test_frozen_host_is_named_and_has_the_rules_when_it_returns(
+    running: Deployment, tmp_path: Path
+) -> None:
+    """A host freezes; an operator applies a step of the migration and asks for burn.
+
+    Told that all is well, the operator would go on while that host's callers are
+    still sent by the old list once it returns.
+    """
+    file = rule_file(tmp_path / "rules.jsonc", share=0.5)
+    first = read(running, "lac-1", "rules", "show")["revision"]
+    running.send("ariana-1", signal.SIGSTOP)
+    applied = run_tool(
+        running,
+        "lac-1",
+        *("rules", "apply", str(file), "--edited-from", str(first), "--wait-s", "2"),
+    )
+    assert applied.returncode == Exit.INCOMPLETE, applied.stderr
+    assert "not yet in force on ariana-1 (ariana): silent" in applied.stderr
+    assert "lac-1" not in applied.stderr
+    burn = run_tool(running, "lac-1", "report", "burn")
+    assert burn.returncode == Exit.INCOMPLETE
+    assert "MISSING ariana-1" in burn.stdout
+    running.send("ariana-1", signal.SIGCONT)
+    wait_until(
+        lambda: run_tool(running, "lac-1", "rules", "status").returncode == Exit.DONE,
+        what="the rules to be in force on the host that returned",
+    )
