--- a/src/gentianwharf/admin/_app.py
+++ b/src/gentianwharf/admin/_app.py
@@ -3,32 +3,27 @@
 One guard in front of all of them checks the token, so that a route can't forget it.
 """
 
-from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar, final
+from collections.abc import Callable
+from typing import Any, final
 
 from klein import Klein
 from logbook import Logger
-from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 from werkzeug.exceptions import HTTPException
 
 from gentianwharf.errors import GentianwharfError, InputError
-from gentianwharf.rules import (
-    ApplyResult,
-    RuleDocument,
-    RulesConflict,
-    RulesRefused,
-    explain,
-)
+from gentianwharf.rules import RuleDocument, explain
 
 from ._access import TokenAccess
+from ._changes import reply_applied, to_the_end
 from ._guard import GuardedResource
 from ._protocols import (
     BurnView,
     DecisionsView,
     DomainsControl,
+    FleetRules,
     HostsView,
     KeyOwner,
     KeysControl,
@@ -43,15 +38,20 @@
     PinBody,
     argument,
     change_id_of,
+    flag_argument,
     integer_argument,
     operator_of,
+    optional_integer,
     read_body,
 )
 from ._site import admin_site
 
 MOST_DECISIONS = 1_000
 
-Result = TypeVar("Result")
+MOST_WAIT_S = 60
+"""Longest wait for a revision. Longer ones are asked for again: an answer that takes
+minutes looks like a daemon gone silent."""
+
 log = Logger("gentianwharf.admin")
 
 
@@ -70,6 +70,7 @@
         *,
         state: StateView,
         rules: RulesControl,
+        fleet_rules: FleetRules,
         keys: KeysControl,
         servers: ServersControl,
         hosts: HostsView,
@@ -81,6 +82,7 @@
     ) -> None:
         self._state = state
         self._rules = rules
+        self._fleet_rules = fleet_rules
         self._keys = keys
         self._servers = servers
         self._hosts = hosts
@@ -139,6 +141,20 @@
         answer = {"revision": rules.revision, "document": rules.document}
         return reply_json(request, answer)
 
+    @app.route("/rules/hosts", methods=["GET"])
+    async def rules_hosts(self, request: Request) -> bytes:
+        """Answer with what every listed host matches with.
+
+        With ``revision`` in the query it waits until that is in force everywhere, up
+        to ``wait_s``.
+        """
+        revision = optional_integer(request, "revision")
+        wait_s = min(integer_argument(request, "wait_s", default=0), MOST_WAIT_S)
+        found = await self._fleet_rules.rules_everywhere(
+            revision=revision, wait_s=float(wait_s)
+        )
+        return reply_json(request, found)
+
     @app.route("/rules/history", methods=["GET"])
     async def rules_history(self, request: Request) -> bytes:
         """Answer with the documents still kept, newest first."""
@@ -150,7 +166,7 @@
         author = operator_of(request)
         revision = integer_argument(request, "edited_from_revision", default=None)
         document = read_body(request, RuleDocument)
-        result = await _to_the_end(
+        result = await to_the_end(
             self._rules.apply(
                 document,
                 edited_from_revision=revision,
@@ -158,7 +174,7 @@
                 change_id=change_id_of(request),
             )
         )
-        return _reply_applied(request, result)
+        return reply_applied(request, result)
 
     @app.route("/explain", methods=["POST"])
     def explain(self, request: Request) -> bytes:
@@ -192,7 +208,7 @@
         """Begin to move a key's shard."""
         author = operator_of(request)
         body = read_body(request, MoveBody)
-        owner = await _to_the_end(
+        owner = await to_the_end(
             self._keys.move(service, body.key, body.server, author)
         )
         return reply_json(request, owner, status=202)
@@ -202,9 +218,7 @@
         """Give a key an entry of its own, or take it away."""
         author = operator_of(request)
         body = read_body(request, PinBody)
-        owner = await _to_the_end(
-            self._keys.pin(service, body.key, body.server, author)
-        )
+        owner = await to_the_end(self._keys.pin(service, body.key, body.server, author))
         return reply_json(request, owner, status=202)
 
     @app.route("/servers", methods=["GET"])
@@ -216,7 +230,7 @@
     async def drain_server(self, request: Request, server: str) -> bytes:
         """Give a server no new work and move its shards away."""
         author = operator_of(request)
-        status = await _to_the_end(self._servers.drain(server, author))
+        status = await to_the_end(self._servers.drain(server, author))
         return reply_json(request, status, status=202)
 
     @app.route("/hosts", methods=["GET"])
@@ -233,24 +247,28 @@
     async def declare_lost(self, request: Request, domain: str) -> bytes:
         """Let other domains take over a failure domain's keys."""
         author = operator_of(request)
-        loss = await _to_the_end(self._domains.declare_lost(domain, author))
+        loss = await to_the_end(self._domains.declare_lost(domain, author))
         return reply_json(request, loss, status=202)
 
     @app.route("/burn", methods=["GET"])
-    def burn(self, request: Request) -> bytes:
-        """Answer with the service-level burn.
+    async def burn(self, request: Request) -> bytes:
+        """Answer with the service-level burn over all hosts, or ``host`` alone.
 
         The page is made by the tool: its plots take a third of a second, in which
         this daemon would answer nobody and its rights would run out.
         """
-        return reply_json(request, self._burn.burn())
+        return reply_json(
+            request, await self._burn.burn(host=argument(request, "host"))
+        )
 
     @app.route("/decisions", methods=["GET"])
     def decisions(self, request: Request) -> bytes:
         """Answer with kept decisions, the newest first."""
         most = min(integer_argument(request, "most", default=100), MOST_DECISIONS)
         kept = self._decisions.decisions(
-            request_id=argument(request, "request_id"), most=most
+            request_id=argument(request, "request_id"),
+            refused_only=flag_argument(request, "refused_only"),
+            most=most,
         )
         return reply_json(request, list(kept))
 
@@ -278,44 +296,3 @@
         return reply_problem(
             request, Problem.INTERNAL, "a fault of the daemon; its log has the trace"
         )
-
-
-def _reply_applied(request: Request, result: ApplyResult) -> bytes:
-    if isinstance(result, RulesRefused):
-        return reply_problem(
-            request,
-            Problem.INPUT,
-            f"the rule document has {len(result.findings)} findings; nothing was"
-            " written",
-            findings=result.findings,
-        )
-    if isinstance(result, RulesConflict):
-        return reply_problem(
-            request,
-            Problem.CONFLICT,
-            f"{result.current.author} was faster: the rules are at revision"
-            f" {result.current.revision}, this document was edited from"
-            f" {result.edited_from_revision}; nothing of it was written",
-            conflict=result,
-        )
-    return reply_json(request, result)
-
-
-def _to_the_end(operation: Coroutine[Any, Any, Result]) -> Deferred[Result]:
-    """Run a change that goes on when its caller hangs up.
-
-    The routes' library cancels what a closed connection waited for. A write to the
-    store that is cancelled half-way would never be read back, and nobody would know
-    whether it took effect.
-    """
-    inner = ensureDeferred(operation)
-    outer: Deferred[Result] = Deferred()
-
-    def pass_on(result: Any) -> None:
-        if not outer.called:
-            outer.callback(result)
-        elif isinstance(result, Failure):
-            log.error("after its caller hung up: {}", result.getErrorMessage())
-
-    inner.addBoth(pass_on)
-    return outer
