Tick by plain timers, and the gate seldom while nothing is in flight

Cause: an idle daemon spent 50 to 59 ms/s. Split by thread time: waking the loop 20, calls to servers' reports 25 (nearly each on a new connection), ownership's ticks 10, the gate's tick 4, links 9 (with 3 daemons), alarms 0.8 ms/s. The stand-in server answered a report before it had read the order's body, so that each report closed its connection; LoopingCall built and fired a Deferred for each of 136 wakes a second; the gate ticked 50 times a second with nothing in flight.

Ruled out: recorder, reports and spread ticks (below 0.5 ms/s together).

--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -26,6 +26,9 @@
 # The gate refuses, hedges and finds silent servers at this step, a fraction of the
 # shortest limit that callers notice (a consultation's late answer, tens of ms).
 GATE_TICK_S = 0.02
+# With no request in flight a tick has nothing to do but to notice the host's own
+# pauses, which it takes gaps of more than 150 ms for.
+IDLE_GATE_TICK_S = 0.1
 RECORDER_TICK_S = 1.0
 REPORTS_TICK_S = 0.1
 ALARMS_EVERY_S = 1.0
@@ -74,7 +77,8 @@
         listen(parts.reactor, parts.settings.host.admin_address, self.admin.site())
         parts.mesh.listen()
         self._ticks.every(TICK_S, self._tick)
-        self._ticks.every(GATE_TICK_S, parts.admission.tick)
+        gate = self._ticks.at(self._gate_interval_s, parts.admission.tick)
+        parts.relay.on_first_in_flight = gate.soon
         self._ticks.every(RECORDER_TICK_S, parts.recorder.tick)
         self._ticks.every(REPORTS_TICK_S, parts.reports.tick)
         self._ticks.every(ALARMS_EVERY_S, self.state.update)
@@ -86,6 +90,9 @@
         )
         log.info("started", extra={"host": parts.host.id, "domain": parts.host.domain})
 
+    def _gate_interval_s(self) -> float:
+        return GATE_TICK_S if self.parts.relay.in_flight else IDLE_GATE_TICK_S
+
     def _tick(self) -> None:
         parts = self.parts
         parts.mesh.tick()
--- a/src/gentianwharf/daemon/_ticks.py
+++ b/src/gentianwharf/daemon/_ticks.py
@@ -9,6 +9,60 @@
 from gentianwharf.logs import log
 
 
+@final
+class Repeated:
+    """One call at its interval, which it is asked for anew each time.
+
+    A plain timer: ``LoopingCall`` builds and fires a ``Deferred`` each time, which
+    costs more than most ticks of an idle daemon do.
+    """
+
+    def __init__(
+        self, *, reactor: Any, interval_s: Callable[[], float], call: Callable[[], None]
+    ) -> None:
+        self._reactor = reactor
+        self._interval_s = interval_s
+        self._call = call
+        self._due_s = float(reactor.seconds())
+        self._timer: Any = None
+
+    def start(self) -> None:
+        """Call now, and at each interval."""
+        self._due_s = self._reactor.seconds()
+        self._run()
+
+    def soon(self) -> None:
+        """Let the next call come within the interval as it is asked for now."""
+        if self._timer is None or not self._timer.active():
+            return
+        due_s = self._reactor.seconds() + self._interval_s()
+        if due_s < self._due_s:
+            self._due_s = due_s
+            self._timer.reset(self._interval_s())
+
+    def stop(self) -> None:
+        """Call no more."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _run(self) -> None:
+        # First the next timer, so that the call itself may stop all.
+        now_s = self._reactor.seconds()
+        interval_s = self._interval_s()
+        # From when this one was due, so that systems in step stay so and wake the
+        # loop once; calls that a busy loop has missed are left out.
+        self._due_s += interval_s
+        if self._due_s <= now_s:
+            self._due_s = now_s + interval_s
+        self._timer = self._reactor.callLater(self._due_s - now_s, self._run)
+        # A fault in one tick must not end the loop that renews every grant.
+        try:
+            self._call()
+        except Exception:
+            log.exception("tick failed")
+
+
 @final
 class Ticks:
     """Runs systems at their intervals on one loop."""
@@ -16,18 +70,20 @@
     def __init__(self, *, reactor: Any) -> None:
         self._reactor = reactor
         self._loops: list[LoopingCall] = []
+        self._repeated: list[Repeated] = []
 
     def every(self, interval_s: float, system: Callable[[], None]) -> None:
         """Call ``system`` now and at each interval."""
+        self.at(lambda: interval_s, system)
 
-        def run() -> None:
-            # A fault in one tick must not end the loop that renews every grant.
-            try:
-                system()
-            except Exception:
-                log.exception("tick failed")
-
-        self._start(interval_s, run)
+    def at(
+        self, interval_s: Callable[[], float], system: Callable[[], None]
+    ) -> Repeated:
+        """Call ``system`` now and at the interval that ``interval_s`` returns."""
+        repeated = Repeated(reactor=self._reactor, interval_s=interval_s, call=system)
+        self._repeated.append(repeated)
+        repeated.start()
+        return repeated
 
     def every_async(
         self, interval_s: float, call: Callable[[], Coroutine[Any, Any, None]]
@@ -41,16 +97,15 @@
             )
             return done
 
-        self._start(interval_s, run)
+        loop = LoopingCall(run)
+        loop.clock = self._reactor
+        loop.start(interval_s)
+        self._loops.append(loop)
 
     def stop(self) -> None:
         """Call nothing any more."""
+        for repeated in self._repeated:
+            repeated.stop()
         for loop in self._loops:
             if loop.running:
                 loop.stop()
-
-    def _start(self, interval_s: float, run: Callable[[], Any]) -> None:
-        loop = LoopingCall(run)
-        loop.clock = self._reactor
-        loop.start(interval_s)
-        self._loops.append(loop)
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -1,5 +1,6 @@
 """The callers' application: a catch-all route that begins an exchange."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any, cast
 
@@ -47,6 +48,7 @@
     ) -> None:
         self.rules = rules
         self.in_flight: set[Exchange] = set()
+        self.on_first_in_flight: Callable[[], None] = lambda: None
         self.stopping = False
         self._ownership = ownership
         self._admission = admission
@@ -71,6 +73,8 @@
             write_problem(caller_request, problem, request_id=request_id)
             return StandInResource
         self.in_flight.add(exchange)
+        if len(self.in_flight) == 1:
+            self.on_first_in_flight()
         done = Deferred.fromCoroutine(exchange.serve())
         return done.addBoth(self._ended, exchange)
 
--- a/src/gentianwharf/standin/_backend.py
+++ b/src/gentianwharf/standin/_backend.py
@@ -155,7 +155,9 @@
         await self._drained(set(order.tokens))
         return _json(request, encode(OutcomeAnswer(outcome=outcome)))
 
-    def _report(self, request: IRequest) -> bytes:
+    async def _report(self, request: IRequest) -> bytes:
+        # An answer before the body is read would close the connection each time.
+        await _receive(request)
         report = ServerReport(
             server=self.server.id,
             stamp_s=self._clock.seconds(),
@@ -167,7 +169,8 @@
         )
         return _json(request, _REPORT.dump_json(report))
 
-    def _drain(self, request: IRequest) -> bytes:
+    async def _drain(self, request: IRequest) -> bytes:
+        await _receive(request)
         self.grants.leaving = True
         return _json(request, encode(Nothing()))
 
