Wait after a loss for the deadlines that were sent, not for the longest allowed

Cause: after the loss of a server that knows tokens alone every shard waited 408 ms + the service's longest deadline + 50 ms, though hardly any request has such a deadline.

Now deadlines of tokens-alone servers end at most 100 ms after the sender's right, which is waited for anyhow. A longer one is sent only after a majority of the witnesses of the server's domain has noted it; once all rights have ended the control holder asks a majority, which shares a witness with the first. A witness that started lately, or whose list changed, says that it vouches for nothing older. Without a majority the old wait stands.

Ruled out: reports of hosts to the control holder (a lost or paused host reports nothing; who may send is known to nobody at 12,000 hosts), a switch in the store (all or nothing, no change in an outage), a lower cap for each class (callers of long requests lose them).

--- a/bench/decision.py
+++ b/bench/decision.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from gentianwharf import load
+from gentianwharf.ownership._deadlines import Allowances
 from gentianwharf.ownership._loads import SentCounts
 from gentianwharf.ownership._rights import Rights
 from gentianwharf.ownership._route import Router, Send
@@ -65,6 +66,14 @@
         return 1e9
 
 
+class _NoAllowances:
+    """No deadline that is longer than the rights allow."""
+
+    def until_s(self, service: str, shard: int, domain: str) -> float:
+        """Return a time long past."""
+        return float("-inf")
+
+
 def _router(service: Service) -> Router:
     tables = Tables(shards={"keyed": SHARDS})
     tables.entries["keyed"] = [
@@ -73,7 +82,8 @@
     return Router(
         tables=tables,
         rights=cast(Rights, _EndlessRights()),
-        domain_of={one.id: one.domain for one in service.servers},
+        servers={one.id: one for one in service.servers},
+        allowances=cast(Allowances, _NoAllowances()),
         deadline_caps_s={"keyed": 0.3},
         sent={"keyed": SentCounts()},
     )
--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -6,7 +6,7 @@
 
 import json
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from statistics import median
 from timeit import timeit
 
@@ -36,30 +36,55 @@
         deadline_cap_s=cap_s,
     )
     world.settle()
-    world.advance(0.5 + world.rng.random())
+    # A witness vouches for no deadline until it has lived as long as the longest.
+    world.advance((0.5 if stamps else 0.5 + cap_s) + world.rng.random())
     return world
 
 
-def unserved_s(world: World, limit_s: float) -> float:
+def send_long(world: World) -> None:
+    """Let each host send a request that wants the longest deadline."""
+    for host in world.hosts:
+        shard = world.rng.randrange(world.shards)
+        world.request(host, shard, wanted_s=world.deadline_cap_s)
+
+
+def nothing(_: World) -> None:
+    """Send nothing."""
+
+
+def unserved_s(
+    world: World, limit_s: float, meanwhile: Callable[[World], None] = nothing
+) -> float:
     """Return how long until every host serves every shard again."""
     start_s = world.clock.seconds()
     everything = set(range(world.shards))
     while any(world.served(host) != everything for host in world.hosts):
         if world.clock.seconds() > start_s + limit_s:
             return float("inf")
+        meanwhile(world)
         world.advance(STEP_S, STEP_S)
     return world.clock.seconds() - start_s
 
 
-def losses(count: int, *, stamps: bool, cap_s: float) -> dict[str, object]:
+def losses(
+    count: int,
+    *,
+    stamps: bool,
+    cap_s: float,
+    meanwhile: Callable[[World], None] = nothing,
+) -> dict[str, object]:
     """Lose a server without warning, ``count`` times."""
     times = []
     for seed in range(count):
         world = build(seed, stamps=stamps, cap_s=cap_s)
+        for _ in range(int(cap_s / STEP_S) if meanwhile is send_long else 0):
+            meanwhile(world)
+            world.advance(STEP_S, STEP_S)
         world.servers[world.owner(seed % world.shards)].lost = True
-        times.append(unserved_s(world, 30.0))
+        times.append(unserved_s(world, 30.0, meanwhile))
     return {
         "figure": "served again after loss",
+        "longest_deadline_in_use": meanwhile is send_long,
         "capability": "validity and stamp" if stamps else "tokens alone",
         "deadline_cap_s": cap_s,
         "losses": count,
@@ -166,6 +191,8 @@
     yield losses(count, stamps=True, cap_s=2.0)
     yield losses(count, stamps=False, cap_s=2.0)
     yield losses(count, stamps=False, cap_s=0.25)
+    few = min(count, MOVES)
+    yield losses(few, stamps=False, cap_s=2.0, meanwhile=send_long)
     yield losses_with_control(min(count, MOVES))
     yield moves(min(count, MOVES))
     yield from store_calls()
--- a/src/gentianwharf/daemon/_ownership.py
+++ b/src/gentianwharf/daemon/_ownership.py
@@ -33,9 +33,17 @@
         """Return the owner of the ticket's shard."""
         assert ticket.shard is not None
         while True:
-            route = self._system.route(ticket.service, ticket.shard, ticket.key)
+            # Read before the decision: were the host paused between the two, the
+            # deadline would reach further than was allowed.
+            now_s = self._reactor.seconds()
+            route = self._system.route(
+                ticket.service,
+                ticket.shard,
+                ticket.key,
+                deadline_s=ticket.deadline_s,
+            )
             if isinstance(route, Send):
-                return self._owner(route)
+                return self._owner(route, now_s)
             if isinstance(route, Refuse):
                 raise _refusal(route)
             await self._wait(route)
@@ -44,12 +52,12 @@
         """Note that a server refused the shard under this token."""
         self._system.refused_not_owner(ticket.service, owner.shard, owner.token)
 
-    def _owner(self, send: Send) -> Owner:
+    def _owner(self, send: Send, now_s: float) -> Owner:
         return Owner(
             server=self._servers[send.server_id],
             shard=send.shard,
             token=send.token,
-            deadline_s=self._reactor.seconds() + send.deadline_cap_s,
+            deadline_s=now_s + send.deadline_cap_s,
         )
 
     def _wait(self, hold: Hold) -> Deferred[None]:
--- /dev/null
+++ b/src/gentianwharf/ownership/_deadlines.py
@@ -0,0 +1,271 @@
+"""Deadlines beyond the sender's right: allowed by witnesses, and remembered by them.
+
+A server that knows tokens alone may thaw and run what its buffers hold, so that after
+its loss a shard waits until the last deadline sent there has passed. A deadline that
+ends soon after the sender's right costs nothing, since that end is waited for anyhow.
+A longer one may be sent only after a majority of the witnesses of the server's domain
+has noted how long it may be. When all rights under the old version have ended, the
+control holder asks a majority in turn. The two share a witness, and that one either
+remembers or says that it started later; so no deadline is overlooked, whatever host
+sent it and whether or not that host still lives.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import final
+
+from ._announcer import ROUND_BITS
+from ._context import Context
+from ._messages import DeadlineAnswer, DeadlineAsk
+from ._tables import WitnessList, witness_key
+from ._timing import (
+    ALLOWANCE_AGAIN_S,
+    ALLOWANCE_REUSE_S,
+    CLOCK_RATIO,
+    HOLD_S,
+    RIGHT_WAIT_S,
+)
+
+MOST_ROUNDS = 1024
+"""Open rounds; the answer to an older one could hardly matter any more."""
+
+PRUNE_EVERY_S = 1.0
+"""How often what has passed is dropped."""
+
+Settled = Callable[[Mapping[int, float]], None]
+"""Called with the end of the longest deadline by shard, on this host's clock."""
+
+
+@final
+class DeadlineMemory:
+    """What one host remembers, as a witness of its domain, of deadlines sent there.
+
+    It keeps nothing over a restart. What was allowed before it started is covered by
+    ``_unknown_until_s``: nothing that was allowed then lasts longer than the service's
+    longest deadline. The same holds each time the domain's witness list changes, since
+    hosts may have asked witnesses of the earlier list alone; they can't have sent under
+    it for longer than a right's length after the new list was written.
+    """
+
+    def __init__(self, *, context: Context) -> None:
+        self._context = context
+        self._since_s = context.now_s
+        self._revision = 0
+        self._until_s: dict[tuple[str, int], float] = {}
+        self._prune_due_s = float("-inf")
+
+    def tick(self) -> None:
+        """Notice a changed witness list; drop what has passed."""
+        self._note_list()
+        now_s = self._context.now_s
+        if now_s < self._prune_due_s:
+            return
+        self._prune_due_s = now_s + PRUNE_EVERY_S
+        self._until_s = {
+            which: until_s
+            for which, until_s in self._until_s.items()
+            if until_s > now_s
+        }
+
+    def _note_list(self) -> None:
+        context = self._context
+        key = witness_key(context.host.domain)
+        revision = context.tables.versions.get(key, 0)
+        if revision != self._revision:
+            self._revision = revision
+            self._since_s = context.now_s
+
+    def _unknown_until_s(self, service: str) -> float:
+        cap_s = self._context.deadline_caps_s[service]
+        return self._since_s + RIGHT_WAIT_S + (cap_s + ALLOWANCE_REUSE_S) * CLOCK_RATIO
+
+    def asked(self, host: str, ask: DeadlineAsk) -> None:
+        """Remember what the asking host may send, and answer."""
+        context = self._context
+        witness = context.witness
+        if ask.domain != context.host.domain or not witness.is_listed:
+            return
+        if not witness.has_memory or ask.service not in context.deadline_caps_s:
+            return
+        self._note_list()
+        now_s = context.now_s
+        unknown_until_s = self._unknown_until_s(ask.service)
+        left_s = {}
+        for shard, wanted_s in ask.wanted_s.items():
+            until_s = self._note(ask.service, shard, wanted_s, now_s)
+            left_s[shard] = max(until_s, unknown_until_s, now_s) - now_s
+        answer = DeadlineAnswer(
+            domain=ask.domain,
+            round=ask.round,
+            witness_revision=self._revision,
+            left_s=left_s,
+        )
+        context.send(host, answer)
+
+    def _note(self, service: str, shard: int, wanted_s: float, now_s: float) -> float:
+        which = (service, shard)
+        until_s = self._until_s.get(which, float("-inf"))
+        if wanted_s > 0:
+            until_s = max(until_s, now_s + wanted_s * CLOCK_RATIO)
+            self._until_s[which] = until_s
+        return until_s
+
+
+@final
+@dataclass(kw_only=True, slots=True)
+class _Round:
+    witnesses: WitnessList
+    revision: int
+    settled: Settled
+    until_s: dict[str, dict[int, float]] = field(default_factory=dict)
+
+
+@final
+class DeadlineAsker:
+    """Asks a domain's witnesses and settles what a majority of them says.
+
+    Any majority will do, so the one that allows the earliest end is taken: a witness
+    that started lately makes no difference while the others answer.
+    """
+
+    def __init__(self, *, context: Context) -> None:
+        self._context = context
+        self._rounds: dict[int, _Round] = {}
+        # Drawn at each start: a late answer to an earlier life knows nothing of what
+        # was allowed since.
+        self._last_round = context.rng.getrandbits(ROUND_BITS)
+
+    def ask(
+        self,
+        *,
+        domain: str,
+        service: str,
+        wanted_s: Mapping[int, float],
+        settled: Settled,
+    ) -> None:
+        """Ask; ``settled`` is called at a majority, and again when more is known."""
+        context = self._context
+        witnesses = context.tables.witnesses(domain)
+        if witnesses is None:
+            return
+        self._last_round += 1
+        self._rounds[self._last_round] = _Round(
+            witnesses=witnesses,
+            revision=context.tables.versions[witness_key(domain)],
+            settled=settled,
+        )
+        self._rounds.pop(self._last_round - MOST_ROUNDS, None)
+        ask = DeadlineAsk(
+            domain=domain,
+            round=self._last_round,
+            service=service,
+            wanted_s=dict(wanted_s),
+        )
+        for host in witnesses.all():
+            context.send(host, ask)
+
+    def hear(self, host: str, answer: DeadlineAnswer) -> None:
+        """Count an answer."""
+        opened = self._rounds.get(answer.round)
+        # A witness of another list than the one asked may share no witness with the
+        # majority that the other side asked.
+        if opened is None or answer.witness_revision != opened.revision:
+            return
+        now_s = self._context.now_s
+        opened.until_s[host] = {
+            shard: now_s + left_s * CLOCK_RATIO
+            for shard, left_s in answer.left_s.items()
+        }
+        if opened.witnesses.is_majority(opened.until_s):
+            opened.settled({shard: _earliest(opened, shard) for shard in answer.left_s})
+
+
+def _earliest(opened: _Round, shard: int) -> float:
+    """Return the earliest end that a majority vouches for."""
+    by_end = sorted((ends[shard], host) for host, ends in opened.until_s.items())
+    members: set[str] = set()
+    for until_s, host in by_end:
+        members.add(host)
+        if opened.witnesses.is_majority(members):
+            return until_s
+    return float("inf")
+
+
+@final
+@dataclass(kw_only=True, slots=True)
+class _Allowance:
+    revision: int
+    until_s: float = float("-inf")
+    asked_s: float = float("-inf")
+    asked_until_s: float = float("-inf")
+    waits_since_s: float | None = None
+
+
+@final
+class Allowances:
+    """The deadlines beyond its rights that this host may send."""
+
+    def __init__(self, *, context: Context, asker: DeadlineAsker) -> None:
+        self._context = context
+        self._asker = asker
+        self._known: dict[tuple[str, int, str], _Allowance] = {}
+
+    def until_s(self, service: str, shard: int, domain: str) -> float:
+        """Return how late a deadline may be that is sent to ``domain`` now."""
+        known = self._known.get((service, shard, domain))
+        # Only under the list that was asked: the witnesses of a newer one need not
+        # know of it.
+        if known is None or known.revision != self._revision(domain):
+            return float("-inf")
+        return known.until_s
+
+    def _revision(self, domain: str) -> int:
+        return self._context.tables.versions.get(witness_key(domain), 0)
+
+    def want(
+        self, service: str, shard: int, domain: str, *, until_s: float, now_s: float
+    ) -> float:
+        """Ask for deadlines up to ``until_s``; returns until when to wait for it."""
+        which = (service, shard, domain)
+        revision = self._revision(domain)
+        known = self._known.get(which)
+        if known is None or known.revision != revision:
+            self._drop_passed(now_s)
+            known = self._known[which] = _Allowance(revision=revision)
+        is_open = now_s < known.asked_s + ALLOWANCE_AGAIN_S
+        if known.waits_since_s is None or now_s >= known.asked_s + HOLD_S:
+            known.waits_since_s = now_s
+        if not is_open or until_s > known.asked_until_s:
+            self._ask(which, known, until_s=until_s, now_s=now_s)
+        return known.waits_since_s + HOLD_S
+
+    def _ask(
+        self,
+        which: tuple[str, int, str],
+        known: _Allowance,
+        *,
+        until_s: float,
+        now_s: float,
+    ) -> None:
+        service, shard, domain = which
+        wanted_s = until_s - now_s + ALLOWANCE_REUSE_S
+        known.asked_s = now_s
+        known.asked_until_s = now_s + wanted_s
+
+        def settled(_: Mapping[int, float]) -> None:
+            # Counted from before the question left, as a right is.
+            known.until_s = max(known.until_s, now_s + wanted_s)
+            known.waits_since_s = None
+
+        self._asker.ask(
+            domain=domain, service=service, wanted_s={shard: wanted_s}, settled=settled
+        )
+
+    def _drop_passed(self, now_s: float) -> None:
+        passed = [
+            which
+            for which, known in self._known.items()
+            if max(known.until_s, known.asked_until_s) < now_s
+        ]
+        for which in passed:
+            del self._known[which]
--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -123,6 +123,33 @@
     term: int
 
 
+@final
+class DeadlineAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """Ask each witness of ``domain`` to remember how long requests may go on.
+
+    Requests for a shard may carry deadlines up to ``wanted_s`` from now; 0 asks only
+    for what the witness remembers.
+    """
+
+    domain: str
+    round: int
+    service: str
+    wanted_s: dict[int, float]
+
+
+@final
+class DeadlineAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """By shard, how far from now the longest deadline may be that it remembers.
+
+    ``witness_revision`` is the revision of the domain's witness list that it knows.
+    """
+
+    domain: str
+    round: int
+    witness_revision: int
+    left_s: dict[int, float]
+
+
 @final
 class Probe(_Message, frozen=True, kw_only=True, tag=True):
     """A server did not answer me: try it and tell ``control`` what you see."""
@@ -193,6 +220,8 @@
     | RecoverAsk
     | RecoverAnswer
     | ControlAlive
+    | DeadlineAsk
+    | DeadlineAnswer
     | Probe
     | Suspect
     | Leaving
--- a/src/gentianwharf/ownership/_move.py
+++ b/src/gentianwharf/ownership/_move.py
@@ -33,7 +33,11 @@
 @final
 @dataclass(kw_only=True, slots=True)
 class Move:
-    """The volatile part of a move: what is known of each holder."""
+    """The volatile part of a move: what is known of each holder.
+
+    ``longest_deadline_s`` is the end of the longest deadline that may have been sent to
+    the lost owner beyond its senders' rights, as far as witnesses were asked.
+    """
 
     service: str
     shard: int
@@ -44,6 +48,7 @@
     cleared: set[str] = field(default_factory=set)
     announcements: dict[str, Announcement] = field(default_factory=dict)
     grant_tried_s: float = float("-inf")
+    longest_deadline_s: float = float("inf")
 
     def uncleared(self) -> list[str]:
         """Return the servers that may still hold the shard."""
--- a/src/gentianwharf/ownership/_mover.py
+++ b/src/gentianwharf/ownership/_mover.py
@@ -19,6 +19,8 @@
 from ._announce import Announcement
 from ._announcer import Announcer
 from ._context import Context
+from ._deadlines import DeadlineAsker
+from ._lapse import Lapses
 from ._lease import ControlLease
 from ._move import Move, MoveInputs, MoveState, build_move_machine
 from ._protocols import answer_within
@@ -53,6 +55,7 @@
         lease: ControlLease,
         announcer: Announcer,
         writer: TableWriter,
+        asker: DeadlineAsker,
     ) -> None:
         self._context = context
         self._service = service
@@ -65,6 +68,9 @@
         self._releasing: set[tuple[str, int, int]] = set()
         self._granting: set[str] = set()
         self._is_tick_due = False
+        self._lapses = Lapses(
+            context=context, service=service.name, asker=asker, wake=self.tick_soon
+        )
 
     @property
     def moves(self) -> Mapping[int, Move]:
@@ -81,6 +87,7 @@
             self._clear(move)
             if self._machines[move.shard].step() == "granting":
                 grants[move.entry.target].append(move)
+        self._lapses.ask()
         for target, moves in grants.items():
             self._grant(target, moves)
         self._confirm()
@@ -224,17 +231,12 @@
     def _has_lapsed(self, move: Move, holder: str, announcement: Announcement) -> bool:
         if move.entry.state is not EntryState.LAPSING:
             return False
-        now_s = self._context.now_s
-        if not announcement.has_lapsed(now_s):
+        since_s = announcement.stands_since_s
+        if since_s is None:
             return False
-        server = self._context.servers[holder]
-        if holder != move.entry.owner or (server.knows_validity and server.gives_stamp):
-            return True
-        # A server that knows tokens alone may thaw and run what its buffers hold
-        # under the old token; only the requests' own deadlines end that.
-        since_s = announcement.stands_since_s or now_s
         cap_s = self._context.deadline_caps_s[self._service.name]
-        return now_s >= since_s + RIGHT_WAIT_S + cap_s + WALL_CLOCK_SKEW_S
+        latest_s = since_s + RIGHT_WAIT_S + cap_s + WALL_CLOCK_SKEW_S
+        return self._lapses.has_lapsed(move, holder, announcement, latest_s=latest_s)
 
     def _release(self, move: Move, holder: str) -> None:
         order = (holder, move.shard, move.entry.next_token)
--- a/src/gentianwharf/ownership/_route.py
+++ b/src/gentianwharf/ownership/_route.py
@@ -5,11 +5,14 @@
 from enum import StrEnum
 from typing import final
 
+from gentianwharf.topology import BackendServer
+
+from ._deadlines import Allowances
 from ._loads import SentCounts
 from ._rights import Rights
 from ._table import Entry, EntryState
 from ._tables import Tables
-from ._timing import HOLD_S, RETRY_AFTER_S, SHORT_HOLD_S
+from ._timing import DEADLINE_PAST_RIGHT_S, HOLD_S, RETRY_AFTER_S, SHORT_HOLD_S
 
 
 @final
@@ -18,8 +21,9 @@
     """Send to ``server_id`` as ``shard`` under ``token``.
 
     ``shard`` is the number of the key's own entry where it has one. The request's
-    deadline may be at most ``deadline_cap_s`` from now: after a loss, a new owner
-    waits for the last deadline that may still be in the old one's buffers.
+    deadline may be at most ``deadline_cap_s`` from the moment of the decision: after a
+    loss, a new owner waits for the last deadline that may still be in the old one's
+    buffers.
     """
 
     server_id: str
@@ -72,19 +76,39 @@
         *,
         tables: Tables,
         rights: Rights,
-        domain_of: Mapping[str, str],
+        servers: Mapping[str, BackendServer],
+        allowances: Allowances,
         deadline_caps_s: Mapping[str, float],
         sent: Mapping[str, SentCounts],
     ) -> None:
         self._tables = tables
         self._rights = rights
-        self._domain_of = domain_of
+        self._domain_of = {one.id: one.domain for one in servers.values()}
+        # Their grants don't end by themselves, only their requests' deadlines do.
+        self._tokens_alone = {
+            one.id
+            for one in servers.values()
+            if not (one.knows_validity and one.gives_stamp)
+        }
+        self._allowances = allowances
         self._deadline_caps_s = deadline_caps_s
         self._sent = sent
         self._blocks: dict[tuple[str, int], _Block] = {}
 
-    def route(self, service: str, shard: int, key: str | None, now_s: float) -> Route:
-        """Decide one request."""
+    def route(
+        self,
+        service: str,
+        shard: int,
+        key: str | None,
+        now_s: float,
+        *,
+        deadline_s: float | None = None,
+    ) -> Route:
+        """Decide one request.
+
+        One that is to run until ``deadline_s`` waits until so long a deadline may be
+        sent; with None it takes what it may have at once.
+        """
         number = self._tables.shard_for(service, shard, key)
         entry = self._tables.entry(service, number)
         if entry is None:
@@ -97,13 +121,38 @@
         # A host that was paused looks at its clock here, after the pause.
         if now_s >= self._rights.until_s(self._domain_of.get(server, "")):
             return Refuse(reason=RefusalReason.NO_RIGHT, retry_after_s=RETRY_AFTER_S)
+        cap_s = self._deadline_caps_s[service]
+        if server in self._tokens_alone:
+            longest_s = self._longest_s(service, number, server, now_s)
+            if deadline_s is not None and longest_s < min(deadline_s - now_s, cap_s):
+                until_s = now_s + min(deadline_s - now_s, cap_s)
+                return self._wait_for_deadline(service, number, server, until_s, now_s)
+            cap_s = min(cap_s, longest_s)
         self._sent[service].add(number)
         return Send(
-            server_id=server,
-            shard=number,
-            token=entry.token,
-            deadline_cap_s=self._deadline_caps_s[service],
+            server_id=server, shard=number, token=entry.token, deadline_cap_s=cap_s
+        )
+
+    def _longest_s(self, service: str, shard: int, server: str, now_s: float) -> float:
+        domain = self._domain_of[server]
+        short_s = self._rights.until_s(domain) + DEADLINE_PAST_RIGHT_S
+        allowed_s = self._allowances.until_s(service, shard, domain)
+        return max(short_s, allowed_s) - now_s
+
+    def _wait_for_deadline(
+        self, service: str, shard: int, server: str, until_s: float, now_s: float
+    ) -> Hold | Refuse:
+        """Ask for a longer deadline; refuse when no majority allows it in time.
+
+        Sent with a shorter one, a request that takes long would be cut off, and nobody
+        knew what became of it.
+        """
+        wait_until_s = self._allowances.want(
+            service, shard, self._domain_of[server], until_s=until_s, now_s=now_s
         )
+        if now_s < wait_until_s:
+            return Hold(until_s=wait_until_s)
+        return Refuse(reason=RefusalReason.NO_RIGHT, retry_after_s=RETRY_AFTER_S)
 
     def _wait_for_move(
         self, service: str, shard: int, entry: Entry, now_s: float
--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -11,6 +11,7 @@
 
 from ._announcer import Announcer
 from ._context import Context
+from ._deadlines import DeadlineAsker
 from ._evidence import Suspicions
 from ._lease import ControlLease
 from ._loads import SentCounts
@@ -45,6 +46,7 @@
         service: Service,
         announcer: Announcer,
         suspicions: Suspicions,
+        asker: DeadlineAsker,
     ) -> None:
         self._context = context
         self._service = service
@@ -67,6 +69,7 @@
             lease=self.lease,
             announcer=announcer,
             writer=self._writer,
+            asker=asker,
         )
         self.holder: str | None = None
         self._heard_s = context.now_s
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -15,12 +15,15 @@
 
 from ._announcer import ROUND_BITS, Announcer
 from ._context import Context
+from ._deadlines import Allowances, DeadlineAsker, DeadlineMemory
 from ._evidence import OwnEvidence, Suspicions
 from ._lag import LoopLag
 from ._messages import (
     Acknowledge,
     Announce,
     ControlAlive,
+    DeadlineAnswer,
+    DeadlineAsk,
     Items,
     Leaving,
     Loads,
@@ -142,12 +145,15 @@
         self._witness_list = WitnessListKeeper(
             context=context, announcer=self._announcer
         )
+        self._deadline_memory = DeadlineMemory(context=context)
+        self._deadline_asker = DeadlineAsker(context=context)
         self._controls = {
             name: ServiceControl(
                 context=context,
                 service=service,
                 announcer=self._announcer,
                 suspicions=self._suspicions,
+                asker=self._deadline_asker,
             )
             for name, service in keyed.items()
         }
@@ -159,7 +165,8 @@
         self._router = Router(
             tables=tables,
             rights=context.rights,
-            domain_of={one.id: one.domain for one in context.servers.values()},
+            servers=context.servers,
+            allowances=Allowances(context=context, asker=self._deadline_asker),
             deadline_caps_s=context.deadline_caps_s,
             sent={name: one.sent for name, one in self._controls.items()},
         )
@@ -180,6 +187,8 @@
             Items: self._items,
             Pull: self._pull,
             ControlAlive: self._control_alive,
+            DeadlineAsk: self._deadline_memory.asked,
+            DeadlineAnswer: self._deadline_asker.hear,
             Probe: self._probe,
             Suspect: self._suspect,
             Leaving: self._leaving,
@@ -192,6 +201,7 @@
         self._context.lag.note_tick(self._context.now_s)
         self._reader.tick()
         self._witnessing.tick()
+        self._deadline_memory.tick()
         self._witness_list.tick(has_read=self._reader.has_read)
         self._renewal.tick()
         self._announcer.tick()
@@ -203,9 +213,23 @@
         """Handle a message from a fellow host."""
         self._handlers[type(message)](host, message)
 
-    def route(self, service: str, shard: int, key: str | None = None) -> Route:
-        """Decide where a request for a keyed service goes now."""
-        return self._router.route(service, shard, key, self._context.now_s)
+    def route(
+        self,
+        service: str,
+        shard: int,
+        key: str | None = None,
+        *,
+        deadline_s: float | None = None,
+    ) -> Route:
+        """Decide where a request for a keyed service goes now.
+
+        ``deadline_s`` is until when, on this host's clock, the request is to run: it
+        is held until so long a deadline may be sent. Without one, ``Send`` says what
+        may be had at once.
+        """
+        return self._router.route(
+            service, shard, key, self._context.now_s, deadline_s=deadline_s
+        )
 
     def refused_not_owner(self, service: str, shard: int, token: int) -> None:
         """Note that a server refused a request as not the shard's owner."""
--- a/src/gentianwharf/ownership/_timing.py
+++ b/src/gentianwharf/ownership/_timing.py
@@ -22,6 +22,24 @@
 RIGHT_WAIT_S = RIGHT_USE_S * (1 + DRIFT) / (1 - DRIFT)
 """How long to wait until no right given earlier can be alive anywhere."""
 
+CLOCK_RATIO = (1 + DRIFT) / (1 - DRIFT)
+"""By how much one clock may run faster than another."""
+
+DEADLINE_PAST_RIGHT_S = 0.1
+"""How far beyond the end of its right a host lets deadlines reach without asking.
+
+300 to 400 ms of a right are left at most moments, so that deadlines of 400 ms need no
+question; each millisecond more is unavailable time after a loss.
+"""
+
+ALLOWANCE_REUSE_S = 0.1
+"""For how long one allowance of a longer deadline serves new requests: a busy shard
+costs each host a question every 100 ms, as often as rights are asked for."""
+
+ALLOWANCE_AGAIN_S = 0.02
+"""After which a question for a longer deadline is sent again: ten times the round
+trip between domains, and a few tries within the time that a request is held."""
+
 RIGHT_ASK_EVERY_S = 0.1
 """Three rounds may fail in a row before a right ends."""
 
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -8,13 +8,15 @@
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
+from math import inf
 from random import Random
 from typing import final
 
 from twisted.internet.task import Clock
 
 from gentianwharf.keys import shard_of
-from gentianwharf.ownership import TICK_S, Message, OwnershipSystem, Send, decode
+from gentianwharf.ownership import TICK_S, Hold, Message, OwnershipSystem, Send, decode
 from gentianwharf.ownership import encode as encode_message
 from gentianwharf.placement import PlacementWeights
 from gentianwharf.topology import BackendServer, Domain, Host, Service
@@ -31,6 +33,7 @@
 __all__ = ["SERVICE", "STORE", "FakeServer", "World"]
 
 PREFIX = "gentianwharf/test/"
+HELD_STEP_S = 0.002
 
 
 @final
@@ -119,6 +122,7 @@
     deadline_cap_s: float = 0.5
     knows_validity: bool = True
     gives_stamp: bool = True
+    long_share: float = 0.0
     delay_share: float = 0.0
     longest_delay_s: float = 1.0
     double_share: float = 0.0
@@ -248,19 +252,34 @@
         if found is not None:
             found.clock.callLater(ONE_WAY_S, lambda: act(found.system))
 
-    def request(self, host: str, shard: int, key: str | None = None) -> bool:
-        """Send a request as ``host`` would now; returns whether it was sent."""
+    def request(
+        self,
+        host: str,
+        shard: int,
+        key: str | None = None,
+        *,
+        wanted_s: float | None = None,
+    ) -> bool:
+        """Send a request as ``host`` would now; returns whether it was sent.
+
+        With ``wanted_s`` it is held until a deadline so far away may be sent.
+        """
         found = self.hosts.get(host)
         if found is None or found.clock.paused:
             return False
-        route = found.system.route(SERVICE, shard, key)
+        deadline_s = None if wanted_s is None else found.clock.seconds() + wanted_s
+        route = found.system.route(SERVICE, shard, key, deadline_s=deadline_s)
+        if isinstance(route, Hold) and wanted_s is not None:
+            again = partial(self.request, host, shard, key, wanted_s=wanted_s)
+            self.clock.callLater(HELD_STEP_S, again)
         if not isinstance(route, Send):
             return False
         request = Request(
             host=host,
             shard=route.shard,
             token=route.token,
-            deadline_s=self.clock.seconds() + route.deadline_cap_s,
+            deadline_s=self.clock.seconds()
+            + min(route.deadline_cap_s, wanted_s or inf),
             key=key,
         )
         server = self.servers[route.server_id]
@@ -326,7 +345,10 @@
         end_s = self.clock.seconds() + duration_s
         while self.clock.seconds() < end_s:
             for host in list(self.hosts):
-                self.request(host, self.rng.randrange(self.shards))
+                shard = self.rng.randrange(self.shards)
+                is_long = self.long_share > 0 and self.rng.random() < self.long_share
+                wanted_s = self.deadline_cap_s if is_long else None
+                self.request(host, shard, wanted_s=wanted_s)
             self.check_one_owner()
             self.advance(step_s, step_s / 2)
         self.check_one_owner()
--- /dev/null
+++ b/tests/test_ownership_deadlines.py
@@ -0,0 +1,202 @@
+"""Deadlines longer than the sender's right, and the wait for them after a loss."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+
+from gentianwharf.ownership import Refuse, Send, _lapse, _route
+from gentianwharf.ownership._deadlines import DeadlineMemory
+from gentianwharf.ownership._messages import DeadlineAsk
+from tests import test_ownership_interleavings as interleavings
+from tests.builders_ownership import SERVICE, World
+
+Patch = pytest.MonkeyPatch
+CAP_S = 2.0
+
+
+def build(**options: object) -> World:
+    world = World(
+        deadline_cap_s=CAP_S,
+        knows_validity=False,
+        gives_stamp=False,
+        **options,  # type: ignore[arg-type]
+    )
+    world.settle()
+    # Until a witness has lived as long as the longest deadline, it vouches for none.
+    world.advance(CAP_S + 1.0)
+    return world
+
+
+def served_again_after_s(world: World, shard: int) -> float:
+    start_s = world.clock.seconds()
+    while any(shard not in world.served(host) for host in world.hosts):
+        assert world.clock.seconds() < start_s + 10.0
+        world.advance(0.005)
+    return world.clock.seconds() - start_s
+
+
+def test_shard_is_served_again_within_a_second_though_long_deadlines_are_allowed() -> (
+    None
+):
+    """A server that knows tokens alone dies; its service allows deadlines of 2 s.
+
+    Nobody sent such a request for its shards, yet families waited 2.9 s for them, as
+    though somebody had.
+    """
+    world = build()
+    world.servers[world.owner(0)].lost = True
+    assert served_again_after_s(world, 0) < 1.0
+
+
+def test_only_the_shard_with_a_long_request_waits_for_it() -> None:
+    """One shard of a lost server had a request of 2 s on its way, the others none."""
+    world = build()
+    lost = world.owner(0)
+    other = next(s for s in range(1, world.shards) if world.owner(s) == lost)
+    assert not world.request("lac-1", 0, wanted_s=CAP_S)
+    world.advance(0.01, 0.001)
+    assert world.servers[lost].requests or world.runs
+    world.servers[lost].lost = True
+    assert served_again_after_s(world, other) < 1.0
+    assert CAP_S - 1.0 < served_again_after_s(world, 0) < CAP_S + 0.3
+
+
+def test_request_gets_the_deadline_that_it_wants() -> None:
+    """A posting may take 2 s; sent with less, it is cut off and nobody knows."""
+    world = build()
+    system = world.hosts["lac-1"].system
+    clock = world.hosts["lac-1"].clock
+    route = system.route(SERVICE, 0, deadline_s=clock.seconds() + CAP_S)
+    assert not isinstance(route, Send)
+    world.advance(0.004, 0.001)
+    route = system.route(SERVICE, 0, deadline_s=clock.seconds() + CAP_S)
+    assert isinstance(route, Send)
+    assert route.deadline_cap_s == pytest.approx(CAP_S)
+
+
+def test_request_is_refused_as_not_run_when_no_majority_allows_its_deadline() -> None:
+    """The witnesses forget to answer; a posting must not be sent and then cut off."""
+    world = build()
+    found = world.hosts["lac-1"]
+    for host in world.hosts.values():
+        host.system._handlers[DeadlineAsk] = lambda *_: None
+    routes = []
+    for _ in range(60):
+        deadline_s = found.clock.seconds() + CAP_S
+        routes.append(found.system.route(SERVICE, 0, deadline_s=deadline_s))
+        world.advance(0.005)
+    assert not [one for one in routes if isinstance(one, Send)]
+    assert isinstance(routes[-1], Refuse)
+
+
+def freeze_with_a_long_request(world: World, *, host: str = "ariana-1") -> str:
+    """Let ``host`` send a long request to a server of lac that freezes first."""
+    shard = next(s for s in range(world.shards) if "-lac-" in world.owner(s))
+    frozen = world.owner(shard)
+    world.request(host, shard, wanted_s=CAP_S)
+    world.servers[frozen].frozen = True
+    world.advance(0.01, 0.001)
+    assert world.servers[frozen].requests
+    return frozen
+
+
+def long_request_in_a_frozen_server() -> None:
+    """Freeze a server with a request of 2 s in its buffers, whose host is then lost.
+
+    Nobody but the witnesses knows of the request when the shard gets a new owner.
+    """
+    world = build()
+    freeze_with_a_long_request(world)
+    world.stop_host("ariana-1")
+    world.traffic(3.5)
+
+
+def witnesses_restart_after_they_allowed_it() -> None:
+    """Restart two of the domain's three witnesses after they allowed 2 s.
+
+    They remember nothing of it when the control holder asks, and must say since when.
+    """
+    world = build()
+    freeze_with_a_long_request(world)
+    world.stop_host("ariana-1")
+    for host in ("lac-1", "lac-2"):
+        world.start_host(host)
+        world.advance(0.1)
+    world.traffic(3.0)
+
+
+def deadline_ends_with_the_right() -> None:
+    """Freeze a server while all hosts go on sending with short deadlines."""
+    world = build()
+    world.servers[world.owner(0)].frozen = True
+    world.traffic(1.5, step_s=0.002)
+
+
+def nothing_is_remembered(patch: Patch) -> None:
+    patch.setattr(DeadlineMemory, "_note", lambda *_: float("-inf"))
+
+
+def restart_is_not_told(patch: Patch) -> None:
+    patch.setattr(DeadlineMemory, "_unknown_until_s", lambda *_: float("-inf"))
+
+
+def right_is_not_waited_for(patch: Patch) -> None:
+    patch.setattr(_lapse, "DEADLINE_PAST_RIGHT_S", -1.0)
+    patch.setattr(_route, "DEADLINE_PAST_RIGHT_S", 1.0)
+
+
+GUARDS: list[tuple[str, Callable[[], None], Callable[[Patch], None]]] = [
+    ("witnesses-remember", long_request_in_a_frozen_server, nothing_is_remembered),
+    ("restart-is-told", witnesses_restart_after_they_allowed_it, restart_is_not_told),
+    ("short-ends-soon", deadline_ends_with_the_right, right_is_not_waited_for),
+]
+
+
+@pytest.mark.parametrize("case", GUARDS, ids=[one[0] for one in GUARDS])
+def test_guard_keeps_one_owner(
+    case: tuple[str, Callable[[], None], Callable[[Patch], None]],
+) -> None:
+    case[1]()
+
+
+@pytest.mark.parametrize("case", GUARDS, ids=[one[0] for one in GUARDS])
+def test_fault_shows_without_the_guard(
+    case: tuple[str, Callable[[], None], Callable[[Patch], None]],
+    monkeypatch: Patch,
+) -> None:
+    case[2](monkeypatch)
+    with pytest.raises(AssertionError, match="two owners"):
+        case[1]()
+
+
+class LongRequestsMachine(interleavings.OwnershipMachine):
+    """The faults of the other machine, with requests that may run for long."""
+
+    @rule(
+        host=interleavings.hosts,
+        shard=interleavings.shards,
+        wanted_s=st.sampled_from([0.6, 1.0, CAP_S]),
+    )
+    def send_long(self, host: str, shard: int, wanted_s: float) -> None:
+        """Send a request that wants a longer deadline than the right allows."""
+        self.world.request(host, shard, wanted_s=wanted_s)
+
+    @rule(wanted_s=st.sampled_from([1.0, CAP_S]))
+    def send_long_from_all(self, wanted_s: float) -> None:
+        """Send long requests from each host for each shard."""
+        for host in interleavings.HOSTS:
+            for shard in range(interleavings.SHARDS):
+                self.world.request(host, shard, wanted_s=wanted_s)
+
+
+LongRequestsMachine.TestCase.settings = settings(
+    max_examples=15,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+test_one_owner_with_long_requests = LongRequestsMachine.TestCase
