Keep the list of the servers that a host renews until the live hosts change

Cause: at each tick every host looked at every server of every service, to find whether it is one of the two that renew its grants (CAPACITY.md, item 1).

CAPACITY.md's tables were not measured again.

--- a/src/gentianwharf/ownership/_renewal.py
+++ b/src/gentianwharf/ownership/_renewal.py
@@ -39,24 +39,35 @@
         self._context = context
         self._evidence = evidence
         self._told_of = told_of
+        self._of_domain = [
+            server
+            for server in context.servers.values()
+            if server.domain == context.host.domain
+            and context.services[server.service].keyed
+        ]
+        self._own: list[BackendServer] = []
+        self._live: tuple[str, ...] = ()
         self._due_s: dict[str, float] = {}
         self._busy: set[str] = set()
         self._missing_s: dict[str, float] = {}
 
     def tick(self) -> None:
         """Probe and renew what is due."""
-        now_s = self._context.now_s
-        live = self._context.own_live_hosts()
-        for server in self._context.servers.values():
-            if server.domain != self._context.host.domain:
-                continue
-            if not self._context.services[server.service].keyed:
-                continue
+        context = self._context
+        live = context.own_live_hosts()
+        if live != self._live:
+            # At each tick it would be a look at every server of the domain, of which
+            # there are about as many as hosts.
+            self._live = live
+            self._own = [
+                one for one in self._of_domain if context.is_among(one.id, RENEWERS)
+            ]
+        now_s = context.now_s
+        for server in self._own:
             if now_s < self._due_s.get(server.id, 0.0) or server.id in self._busy:
                 continue
             self._due_s[server.id] = now_s + RENEW_EVERY_S
-            if self._context.is_among(server.id, RENEWERS, live):
-                self.probe(server)
+            self.probe(server)
 
     def probe(
         self, server: BackendServer, *, asker: str = "", is_second: bool = False
