--- a/src/gentianwharf/ownership/_writer.py
+++ b/src/gentianwharf/ownership/_writer.py
@@ -11,7 +11,6 @@
 from gentianwharf.platform import ABSENT_REVISION, VersionedValue
 
 from ._context import Context
-from ._lease import ControlLease
 from ._messages import Item
 from ._protocols import answer_within
 from ._table import CHUNK_SHARDS, Chunk, Entry, EntryState, first_chunk, pack_chunk
@@ -21,19 +20,28 @@
 
 @final
 class TableWriter:
-    """Gathers wanted changes of a service and writes them, many to one value."""
+    """Gathers wanted changes of a service and writes them, many to one value.
+
+    ``written`` is called when all of them are written, or could not be.
+    """
 
     def __init__(
-        self, *, context: Context, service: str, shards: int, lease: ControlLease
+        self,
+        *,
+        context: Context,
+        service: str,
+        shards: int,
+        may_write: Callable[[], bool],
+        written: Callable[[], None],
     ) -> None:
         self._context = context
         self._service = service
         self._shards = shards
-        self._lease = lease
+        self._may_write = may_write
+        self._written = written
         self._confirms: dict[int, Entry] = {}
         self._intents: dict[int, tuple[str, EntryState]] = {}
         self._pins: dict[str, tuple[str, bool]] = {}
-        self._after: list[Callable[[], None]] = []
         self._unread: set[int] = set()
         self._busy = False
 
@@ -51,10 +59,9 @@
                 return number
         return 0
 
-    def want(self, confirms: dict[int, Entry], *, after: Callable[[], None]) -> None:
-        """Ask for moves to be confirmed; ``after`` is called when all is written."""
+    def want(self, confirms: dict[int, Entry]) -> None:
+        """Ask for moves to be confirmed."""
         self._confirms.update(confirms)
-        self._after = [after]
         self.flush()
 
     def intend(self, intents: dict[int, tuple[str, EntryState]]) -> None:
@@ -68,7 +75,7 @@
         self.flush()
 
     def clear(self) -> None:
-        """Forget what was wanted, the lease being gone."""
+        """Forget what was wanted, this host being no more the one to write."""
         self._confirms.clear()
         self._intents.clear()
         self._pins.clear()
@@ -82,14 +89,13 @@
 
     async def _run(self) -> None:
         try:
-            while self._lease.is_held and await self._write_next():
+            while self._may_write() and await self._write_next():
                 pass
         except GentianwharfError as error:
             self._context.log("table-write-failed", error=str(error))
         finally:
             self._busy = False
-        for after in self._after:
-            after()
+        self._written()
 
     async def _write_next(self) -> bool:
         if self._unread:
@@ -145,6 +151,10 @@
             entry_now = changes.get(shard) or chunk.entries.get(shard)
             if entry_now is None or shard in ended:
                 continue
+            if entry_now.state is state and entry_now.target == target:
+                # Planned once more while the first intent was on its way to the store:
+                # with another token the wait would begin anew.
+                continue
             counter += 1
             changes[shard] = entry_now.intend(target=target, token=counter, state=state)
         if not (changes or ended):
