Measure rights of askers and other hosts apart

Now it answers as a nearer host would, and measures a host that asks the witnesses beside one that does not.

--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -3,6 +3,9 @@
 One real ``OwnershipSystem`` on a virtual clock; its fellow hosts and servers are
 small fakes that answer at once. Messages pass through their real encoding, so that
 bytes and processor time are those of a daemon, without its sockets.
+
+Hosts differ by what they do for rights: two of a domain ask the witnesses (``asker``);
+all others ask a host that is nearer to these (``control`` without more).
 """
 
 from collections.abc import Iterator, Sequence
@@ -22,9 +25,11 @@
     Items,
     RightAnswer,
     RightAsk,
+    ShareAnswer,
+    ShareAsk,
 )
 from gentianwharf.ownership._tables import WitnessList, chunk_key, witness_key
-from gentianwharf.placement import PlacementWeights
+from gentianwharf.placement import PlacementWeights, rendezvous_rank
 from gentianwharf.platform import GrantOutcome, ServerReport, VersionedValue
 from gentianwharf.topology import BackendServer, Domain, Host, Service
 
@@ -44,6 +49,8 @@
 SERVERS_A_HOST = 16 / 12
 MEASURED_S = 1.0
 ROUNDS = 3
+# What a host that asks the witnesses has left on average, one step down the tree.
+SHARED_S = 0.35
 MILLISECONDS = 1_000
 
 
@@ -116,6 +123,10 @@
                 RightAnswer(domain=message.domain, round=message.round, good_s=0.4)
             )
             self._clock.callLater(0.001, self.deliver, host, answer)
+        elif isinstance(message, ShareAsk):
+            left_s = dict.fromkeys(self._hosts, SHARED_S)
+            answer = encode(ShareAnswer(round=message.round, good_s=left_s))
+            self._clock.callLater(0.001, self.deliver, host, answer)
 
     def deliver(self, host: str, data: bytes) -> None:
         """Decode and hand in, as a daemon does."""
@@ -134,10 +145,10 @@
 
 @final
 class MeasuredHost:
-    """One ownership system among fakes; ``is_witness`` lists it as one."""
+    """One ownership system among fakes; ``is_asker`` lets it ask the witnesses."""
 
     def __init__(
-        self, *, hosts_a_domain: int, domains: int, is_witness: bool = False
+        self, *, hosts_a_domain: int, domains: int, is_asker: bool = False
     ) -> None:
         self.clock = Clock()
         names = [f"domain-{number}" for number in range(domains)]
@@ -145,7 +156,7 @@
             name: [f"{name}-host-{number}" for number in range(hosts_a_domain)]
             for name in names
         }
-        own = hosts[names[0]][0 if is_witness else -1]
+        own = rendezvous_rank("rights", hosts[names[0]])[0 if is_asker else -1]
         values = _store_values(hosts)
         self.store = QuietStore(self.clock, values)
         self.link = CountingLink(self.clock, hosts)
@@ -207,8 +218,17 @@
 
 
 def _host_figures(hosts_a_domain: int, domains: int) -> Iterator[Figure]:
-    size = {"hosts_a_domain": hosts_a_domain, "domains": domains}
-    host = MeasuredHost(hosts_a_domain=hosts_a_domain, domains=domains)
+    for is_asker in (False, True):
+        host = MeasuredHost(
+            hosts_a_domain=hosts_a_domain, domains=domains, is_asker=is_asker
+        )
+        size = {"hosts_a_domain": hosts_a_domain, "domains": domains}
+        yield from _measured(host, "asker" if is_asker else "control", size)
+
+
+def _measured(
+    host: MeasuredHost, role: str, size: dict[str, float]
+) -> Iterator[Figure]:
     host.run(MEASURED_S)
     link, store = host.link, host.store
     sent, sent_bytes, calls = link.sent, link.sent_bytes, store.calls
@@ -216,15 +236,15 @@
     spent_s = [host.run(MEASURED_S) for _ in range(ROUNDS)]
     span_s = MEASURED_S * ROUNDS
     rates = (
-        ("control_messages", link.sent - sent, "1/s"),
-        ("control_sent", link.sent_bytes - sent_bytes, "bytes/s"),
-        ("control_received", link.received_bytes - received_bytes, "bytes/s"),
-        ("control_store_calls", store.calls - calls, "1/s"),
+        (f"{role}_messages", link.sent - sent, "1/s"),
+        (f"{role}_sent", link.sent_bytes - sent_bytes, "bytes/s"),
+        (f"{role}_received", link.received_bytes - received_bytes, "bytes/s"),
+        (f"{role}_store_calls", store.calls - calls, "1/s"),
     )
     for name, counted, unit in rates:
         yield Figure(name=name, value=counted / span_s, unit=unit, size=size, seed=SEED)
     yield Figure(
-        name="control_processor",
+        name=f"{role}_processor",
         value=min(spent_s) / MEASURED_S * MILLISECONDS,
         unit="ms/s",
         size=size,
@@ -233,7 +253,7 @@
 
 
 def _witness_figures() -> Iterator[Figure]:
-    host = MeasuredHost(hosts_a_domain=WITNESSES, domains=DOMAINS, is_witness=True)
+    host = MeasuredHost(hosts_a_domain=WITNESSES, domains=DOMAINS)
     host.run(MEASURED_S)
     known = dict(host.system.state().versions)
     for versions in VERSION_SIZES:
