--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -38,10 +38,11 @@
     ShareAnswer,
     ShareAsk,
     Suspect,
+    VersionsWanted,
 )
 from ._move import MoveState
 from ._protocols import Log, PeerLink, SingleKeySites, SiteOf
-from ._ranks import RankCache
+from ._ranks import LiveHosts, RankCache
 from ._reader import Reader
 from ._renewal import Renewal
 from ._rights import Rights, Witness
@@ -135,6 +136,7 @@
             witness=witness,
             receive=self.received,
             lag=LoopLag(),
+            live=LiveHosts(peers=peers),
             ranks=RankCache(),
         )
         self._evidence = OwnEvidence()
@@ -180,6 +182,7 @@
             RightAnswer: witnessing.answered,
             ShareAsk: witnessing.share_asked,
             ShareAnswer: witnessing.share_answered,
+            VersionsWanted: witnessing.versions_wanted,
             Announce: witnessing.announced,
             RecoverAsk: witnessing.recovery_asked,
             RecoverAnswer: witnessing.recovery_answered,
