--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -3,9 +3,12 @@
 One real ``OwnershipSystem`` on a virtual clock; its fellow hosts and servers are
 small fakes that answer at once. Messages pass through their real encoding, so that
 bytes and processor time are those of a daemon, without its sockets.
+
+Hosts differ by what they do for rights: two of a domain ask the witnesses (``asker``);
+all others ask a host that is nearer to these (``control`` without more).
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from functools import partial
 from random import Random
 from time import process_time
@@ -22,9 +25,16 @@
     Items,
     RightAnswer,
     RightAsk,
+    ShareAnswer,
+    ShareAsk,
+)
+from gentianwharf.ownership._tables import (
+    WitnessList,
+    checksum_of,
+    chunk_key,
+    witness_key,
 )
-from gentianwharf.ownership._tables import WitnessList, chunk_key, witness_key
-from gentianwharf.placement import PlacementWeights
+from gentianwharf.placement import PlacementWeights, rendezvous_rank
 from gentianwharf.platform import GrantOutcome, ServerReport, VersionedValue
 from gentianwharf.topology import BackendServer, Domain, Host, Service
 
@@ -43,7 +53,13 @@
 # Calendrier's 16 servers over 12 entry hosts, as Tunis has them.
 SERVERS_A_HOST = 16 / 12
 MEASURED_S = 1.0
+# Rounds are numbered from a number of 48 bits that is drawn at each start.
+ROUND = 1 << 47
 ROUNDS = 3
+# What a host that asks the witnesses has left on average, one step down the tree.
+SHARED_S = 0.35
+# Two ways of 0.5 ms between domains.
+ANSWER_S = 0.001
 MILLISECONDS = 1_000
 
 
@@ -103,6 +119,7 @@
         self._clock = clock
         self._hosts = hosts
         self.system: OwnershipSystem | None = None
+        self._answers: list[tuple[str, bytes]] = []
         self.sent = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -112,10 +129,25 @@
         self.sent += 1
         self.sent_bytes += len(encode(message))
         if isinstance(message, RightAsk):
-            answer = encode(
-                RightAnswer(domain=message.domain, round=message.round, good_s=0.4)
+            self._answer(
+                host,
+                RightAnswer(domain=message.domain, round=message.round, good_s=0.4),
             )
-            self._clock.callLater(0.001, self.deliver, host, answer)
+        elif isinstance(message, ShareAsk):
+            left_s = dict.fromkeys(self._hosts, SHARED_S)
+            self._answer(host, ShareAnswer(round=message.round, good_s=left_s))
+
+    def _answer(self, host: str, message: Message) -> None:
+        # One call of the virtual clock for all: it sorts its calls at each new one,
+        # which a daemon's loop does not.
+        if not self._answers:
+            self._clock.callLater(ANSWER_S, self._deliver_answers)
+        self._answers.append((host, encode(message)))
+
+    def _deliver_answers(self) -> None:
+        answers, self._answers = self._answers, []
+        for host, data in answers:
+            self.deliver(host, data)
 
     def deliver(self, host: str, data: bytes) -> None:
         """Decode and hand in, as a daemon does."""
@@ -134,10 +166,10 @@
 
 @final
 class MeasuredHost:
-    """One ownership system among fakes; ``is_witness`` lists it as one."""
+    """One ownership system among fakes; ``is_asker`` lets it ask the witnesses."""
 
     def __init__(
-        self, *, hosts_a_domain: int, domains: int, is_witness: bool = False
+        self, *, hosts_a_domain: int, domains: int, is_asker: bool = False
     ) -> None:
         self.clock = Clock()
         names = [f"domain-{number}" for number in range(domains)]
@@ -145,7 +177,7 @@
             name: [f"{name}-host-{number}" for number in range(hosts_a_domain)]
             for name in names
         }
-        own = hosts[names[0]][0 if is_witness else -1]
+        own = rendezvous_rank("rights", hosts[names[0]])[0 if is_asker else -1]
         values = _store_values(hosts)
         self.store = QuietStore(self.clock, values)
         self.link = CountingLink(self.clock, hosts)
@@ -207,8 +239,17 @@
 
 
 def _host_figures(hosts_a_domain: int, domains: int) -> Iterator[Figure]:
-    size = {"hosts_a_domain": hosts_a_domain, "domains": domains}
-    host = MeasuredHost(hosts_a_domain=hosts_a_domain, domains=domains)
+    for is_asker in (False, True):
+        host = MeasuredHost(
+            hosts_a_domain=hosts_a_domain, domains=domains, is_asker=is_asker
+        )
+        size = {"hosts_a_domain": hosts_a_domain, "domains": domains}
+        yield from _measured(host, "asker" if is_asker else "control", size)
+
+
+def _measured(
+    host: MeasuredHost, role: str, size: Mapping[str, float]
+) -> Iterator[Figure]:
     host.run(MEASURED_S)
     link, store = host.link, host.store
     sent, sent_bytes, calls = link.sent, link.sent_bytes, store.calls
@@ -216,15 +257,15 @@
     spent_s = [host.run(MEASURED_S) for _ in range(ROUNDS)]
     span_s = MEASURED_S * ROUNDS
     rates = (
-        ("control_messages", link.sent - sent, "1/s"),
-        ("control_sent", link.sent_bytes - sent_bytes, "bytes/s"),
-        ("control_received", link.received_bytes - received_bytes, "bytes/s"),
-        ("control_store_calls", store.calls - calls, "1/s"),
+        (f"{role}_messages", link.sent - sent, "1/s"),
+        (f"{role}_sent", link.sent_bytes - sent_bytes, "bytes/s"),
+        (f"{role}_received", link.received_bytes - received_bytes, "bytes/s"),
+        (f"{role}_store_calls", store.calls - calls, "1/s"),
     )
     for name, counted, unit in rates:
         yield Figure(name=name, value=counted / span_s, unit=unit, size=size, seed=SEED)
     yield Figure(
-        name="control_processor",
+        name=f"{role}_processor",
         value=min(spent_s) / MEASURED_S * MILLISECONDS,
         unit="ms/s",
         size=size,
@@ -233,7 +274,7 @@
 
 
 def _witness_figures() -> Iterator[Figure]:
-    host = MeasuredHost(hosts_a_domain=WITNESSES, domains=DOMAINS, is_witness=True)
+    host = MeasuredHost(hosts_a_domain=WITNESSES, domains=DOMAINS)
     host.run(MEASURED_S)
     known = dict(host.system.state().versions)
     for versions in VERSION_SIZES:
@@ -244,14 +285,20 @@
             for number in range(versions - len(known))
         ]
         host.system.received("other", Items(items=more))
-        versions_known = dict(host.system.state().versions)
-        ask = RightAsk(domain="domain-0", round=1, versions=versions_known)
-        data = encode(ask)
-        size = {"versions": versions}
-        yield Figure(name="ask", value=len(data), unit="bytes", size=size)
-        spent_us = time_us(partial(host.link.deliver, "other", data), times=2_000)
-        yield Figure(name="witness_ask", value=spent_us, unit="us", size=size)
-    answer = RightAnswer(domain="domain-0", round=100_000, good_s=0.4)
+        all_versions = dict(host.system.state().versions)
+        checksum = checksum_of(all_versions)
+        same = RightAsk(domain="domain-0", round=ROUND, checksum=checksum)
+        newer = RightAsk(
+            domain="domain-0", round=ROUND, checksum=0, versions=all_versions
+        )
+        share = ShareAsk(round=ROUND, checksum=checksum)
+        for ask, name in ((same, "ask"), (newer, "ask_fully"), (share, "share_ask")):
+            size = {"versions": versions}
+            data = encode(ask)
+            yield Figure(name=name, value=len(data), unit="bytes", size=size)
+            spent_us = time_us(partial(host.link.deliver, "other", data), times=2_000)
+            yield Figure(name=f"witness_{name}", value=spent_us, unit="us", size=size)
+    answer = RightAnswer(domain="domain-0", round=ROUND, good_s=0.4)
     yield Figure(name="answer", value=len(encode(answer)), unit="bytes", size={})
 
 
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -1,5 +1,6 @@
 """The daemon's parts, put together: what it is told, reaches and decides with."""
 
+from collections.abc import Iterable
 from random import Random, SystemRandom
 from typing import Any, final
 
@@ -16,12 +17,13 @@
 )
 from gentianwharf.relay import RelayApp, ServerConnections
 from gentianwharf.settings import Settings, domains_of, services_of
-from gentianwharf.spread import Channel, PeerMesh, SpreadSystem
-from gentianwharf.topology import Host, Service
+from gentianwharf.spread import Channel, PeerMesh, PeerQueries, SpreadSystem
+from gentianwharf.topology import BackendServer, Host, Service
 
 from ._admission import GateAdmission
 from ._channels import OwnershipLink
 from ._hosts import HostTable
+from ._keyed_servers import WatchedControl
 from ._observer import RecordingObserver
 from ._ownership import RoutedOwnership
 from ._reports import ServerReports
@@ -38,6 +40,7 @@
         self.prefix = f"gentianwharf/{settings.customer}/"
         self.services = {one.name: one for one in services_of(settings)}
         self.domains = domains_of(settings)
+        self._sites = {domain.name: domain.site for domain in self.domains}
         self.servers = {
             server.id: server
             for service in self.services.values()
@@ -71,7 +74,7 @@
         self.host_list = HttpHostList(
             reactor=reactor, url=platform.hosts_url, call_timeout_s=timeout_s
         )
-        self.control = HttpBackendControl(reactor=reactor)
+        self.control = WatchedControl(control=HttpBackendControl(reactor=reactor))
         self.hosts = HostTable(
             own=self.host,
             known=[
@@ -98,7 +101,9 @@
             rng=seeded(),
             on_hosts=self._on_hosts,
         )
-        self.link = OwnershipLink(mesh=self.mesh, hosts=self.hosts)
+        self.link = OwnershipLink(
+            mesh=self.mesh, hosts=self.hosts, now_s=self.reactor.seconds
+        )
         self.rules = RulesInForce(
             shards={name: one.shards for name, one in self.services.items()}
         )
@@ -111,6 +116,11 @@
             on_value=self.rules.take,
             rng=seeded(),
         )
+        self.queries = PeerQueries(
+            clock=self.reactor,
+            peers=self.mesh.channel(Channel.QUERIES, self._query_received),
+            rng=seeded(),
+        )
 
     def _on_hosts(self, hosts: tuple[Host, ...]) -> None:
         if self.hosts.take_from_peer(hosts):
@@ -129,16 +139,26 @@
         for name, service in self.services.items():
             kept = [one for one in service.servers if one.id not in leaving]
             self.admission.set_servers(name, kept)
+            self.recorder.loads.set_servers(name, self._by_site(kept))
         self.reports.set_servers(
             server
             for server in self.servers.values()
             if not self.services[server.service].keyed and server.id not in leaving
         )
 
+    def _by_site(self, servers: Iterable[BackendServer]) -> list[list[str]]:
+        sites: dict[str, list[str]] = {}
+        for server in servers:
+            sites.setdefault(self._sites[server.domain], []).append(server.id)
+        return list(sites.values())
+
     def _spread_received(self, host_id: str, message: bytes) -> None:
         self.hosts.heard(host_id)
         self.spread.received(host_id, message)
 
+    def _query_received(self, host_id: str, message: bytes) -> None:
+        self.queries.received(host_id, message)
+
     def _build_deciding(self) -> None:
         self.ownership = OwnershipSystem(
             host=self.host,
@@ -177,9 +197,13 @@
             gate=self.gate,
             servers=self.servers,
             now_s=self.reactor.seconds,
-            on_evidence=lambda server, ok: self.ownership.answered(server, ok=ok),
+            on_evidence=self._on_evidence,
         )
 
+    def _on_evidence(self, server: str, ok: bool, busy_s: float | None) -> None:
+        self.control.note(server, answered=ok)
+        self.ownership.answered(server, ok=ok, busy_s=busy_s)
+
     def _deadline_caps_s(self) -> dict[str, float]:
         longest_ms = max(one.deadline_ms for one in self.settings.classes)
         return {
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,6 +1,6 @@
 """What the admin port shows and does, over the daemon's parts."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import asdict
 from typing import cast, final
 
@@ -12,7 +12,7 @@
 )
 from gentianwharf.errors import InputError, OutcomeUnknownError
 from gentianwharf.keys import shard_of
-from gentianwharf.load import Gate, ServerSnapshot
+from gentianwharf.load import Gate, ServerSnapshot, Standing
 from gentianwharf.logs import log
 from gentianwharf.metrics import Recorder
 from gentianwharf.ownership import (
@@ -21,7 +21,7 @@
     OwnershipSystem,
     RequestOutcome,
 )
-from gentianwharf.platform import BackendControl, HostList, ListedHost
+from gentianwharf.platform import HostList, ListedHost
 from gentianwharf.rules import (
     ApplyResult,
     RuleBook,
@@ -33,6 +33,7 @@
 from gentianwharf.topology import BackendServer, Domain, Service
 
 from ._hosts import HostTable
+from ._keyed_servers import WatchedControl
 from ._reports import ServerReports
 from ._rules import RulesInForce
 
@@ -183,10 +184,14 @@
         servers: Mapping[str, BackendServer],
         domains: Sequence[Domain],
         gate: Gate,
-        control: BackendControl,
+        control: WatchedControl,
         ownership: OwnershipSystem,
         reports: ServerReports,
+        keyed: Container[str],
+        hosts: HostTable,
     ) -> None:
+        self._keyed = keyed
+        self._hosts = hosts
         self._reports = reports
         self._servers = servers
         self._sites = {domain.name: domain.site for domain in domains}
@@ -212,13 +217,24 @@
             domain=server.domain,
             site=self._sites[server.domain],
             address=server.address,
-            state=str(snapshot.standing) if snapshot is not None else "gone",
+            state=self._state(server, snapshot),
             slots=server.slots,
             slots_busy=snapshot.in_flight if snapshot is not None else 0,
             reported_load=report.load if report is not None else None,
             shards=self._ownership.count_shards(server.id),
         )
 
+    def _state(self, server: BackendServer, snapshot: ServerSnapshot | None) -> str:
+        if server.id in self._hosts.leaving_servers or self._control.is_draining(
+            server.id
+        ):
+            return str(Standing.LEAVING)
+        if snapshot is None:
+            return "gone"
+        if server.service in self._keyed and self._control.is_suspect(server.id):
+            return str(Standing.SUSPECT)
+        return str(snapshot.standing)
+
     async def drain(self, server: str, author: str) -> ServerStatus:
         """Tell ``server`` that it is leaving; its shards move away."""
         found = self._servers.get(server)
@@ -307,31 +323,24 @@
 
 @final
 class DecisionsOfRecorder:
-    """Why requests went where they went."""
+    """Why requests went where they went, on this host."""
 
-    def __init__(self, *, recorder: Recorder) -> None:
+    def __init__(self, *, recorder: Recorder, now_s: Callable[[], float]) -> None:
         self._recorder = recorder
+        self._now_s = now_s
 
     def decisions(
-        self, *, request_id: str | None, most: int
+        self, *, request_id: str | None, refused_only: bool, most: int
     ) -> Sequence[Mapping[str, JsonValue]]:
         """Return the newest kept decisions, or that of a request."""
         ring = self._recorder.decisions
         if request_id is None:
-            kept = ring.latest(most=most)
+            kept = ring.latest(most=most, always_kept_only=refused_only)
         else:
             one = ring.find(request_id)
             kept = [one] if one is not None else []
-        return [cast("Mapping[str, JsonValue]", asdict(one)) for one in kept]
-
-
-@final
-class BurnOfRecorder:
-    """The service-level burn."""
-
-    def __init__(self, *, recorder: Recorder) -> None:
-        self._recorder = recorder
-
-    def burn(self) -> Mapping[str, JsonValue]:
-        """Return the report as JSON."""
-        return cast("Mapping[str, JsonValue]", self._recorder.burn().as_builtins())
+        now_s = self._now_s()
+        return [
+            cast("Mapping[str, JsonValue]", asdict(one) | {"ago_s": now_s - one.at_s})
+            for one in kept
+        ]
--- a/src/gentianwharf/ownership/_route.py
+++ b/src/gentianwharf/ownership/_route.py
@@ -128,7 +128,7 @@
                 until_s = now_s + min(deadline_s - now_s, cap_s)
                 return self._wait_for_deadline(service, number, server, until_s, now_s)
             cap_s = min(cap_s, longest_s)
-        self._sent[service].add(number)
+        self._sent[service].add(number, key)
         return Send(
             server_id=server, shard=number, token=entry.token, deadline_cap_s=cap_s
         )
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -39,10 +39,11 @@
     ShareAnswer,
     ShareAsk,
     Suspect,
+    VersionsWanted,
 )
 from ._move import MoveState
 from ._protocols import Log, PeerLink, SingleKeySites, SiteOf
-from ._ranks import RankCache
+from ._ranks import LiveHosts, RankCache
 from ._reader import Reader
 from ._renewal import Renewal
 from ._requests import OperatorRequests, RequestOutcome
@@ -137,6 +138,7 @@
             witness=witness,
             receive=self.received,
             lag=LoopLag(),
+            live=LiveHosts(peers=peers),
             ranks=RankCache(),
         )
         self._evidence = OwnEvidence()
@@ -185,6 +187,7 @@
             RightAnswer: witnessing.answered,
             ShareAsk: witnessing.share_asked,
             ShareAnswer: witnessing.share_answered,
+            VersionsWanted: witnessing.versions_wanted,
             Announce: witnessing.announced,
             RecoverAsk: witnessing.recovery_asked,
             RecoverAnswer: witnessing.recovery_answered,
@@ -241,10 +244,16 @@
         """Note that a server refused a request as not the shard's owner."""
         self._router.block(service, shard, token, self._context.now_s)
 
-    def answered(self, server: str, *, ok: bool) -> None:
-        """Note that a request to ``server`` was answered, or never was."""
+    def answered(self, server: str, *, ok: bool, busy_s: float | None = None) -> None:
+        """Note that a request to ``server`` was answered, or never was.
+
+        ``busy_s`` is how long a request that the server ran took there.
+        """
         if server not in self._context.servers:
             return
+        if busy_s is not None:
+            service = self._context.servers[server].service
+            self._controls[service].sent.answered(busy_s)
         if self._evidence.note(server, answered=ok):
             self._renewal.probe(self._context.servers[server])
 
@@ -297,6 +306,7 @@
         control = self._controls.get(message.service)
         if control is not None:
             control.heard(host)
+            control.sent.keys.watched = frozenset(message.watched)
 
     def _probe(self, host: str, message: Probe) -> None:
         server = self._context.servers.get(message.server)
--- a/tests/test_placement_rebalance.py
+++ b/tests/test_placement_rebalance.py
@@ -6,12 +6,17 @@
 import pytest
 
 from gentianwharf.placement import (
+    EVEN,
+    IDLE_SHARE,
     Candidate,
+    Demand,
     PlacementWeights,
+    PlannedMove,
     place,
     rebalance,
     rendezvous_rank,
 )
+from tests.builders_placement import demand_of, shards_of
 
 SHARDS = 1024
 TUNIS = PlacementWeights(imbalance=1.0, churn=1.0, unavailable_time=10.0)
@@ -27,9 +32,9 @@
     return None
 
 
-def spread(candidates: list[Candidate]) -> Owners:
+def spread(candidates: list[Candidate], shards: int = SHARDS) -> Owners:
     return place(
-        range(SHARDS), loads={}, busy={}, candidates=candidates, site_of=anywhere
+        range(shards), demand=EVEN, busy={}, candidates=candidates, site_of=anywhere
     )
 
 
@@ -42,10 +47,10 @@
     owners, count = dict(owners), 0
     for _ in range(100):
         moves = rebalance(
-            owners,
-            loads=loads,
+            shards_of(owners),
+            demand=demand_of(loads),
             candidates=candidates,
-            site_of=anywhere,
+            is_bound=False,
             weights=weights,
             room=64,
         )
@@ -91,7 +96,7 @@
     left = Counter(owner for owner in owners.values() if owner != "x-0")
     placed = place(
         gone,
-        loads={},
+        demand=EVEN,
         busy={one: float(count) for one, count in left.items()},
         candidates=servers(count)[1:],
         site_of=anywhere,
@@ -139,7 +144,7 @@
     candidates = [*servers(2, site="old")]
     targets = place(
         [1, 2],
-        loads={},
+        demand=EVEN,
         busy={},
         candidates=candidates,
         site_of=lambda shard: "new" if shard == 1 else None,
@@ -151,10 +156,10 @@
     candidates = [*servers(2, site="old"), *servers(2, site="new")]
     owners = dict.fromkeys(range(40), "old-0") | dict.fromkeys(range(40, 80), "new-0")
     moves = rebalance(
-        owners,
-        loads={},
+        shards_of(owners),
+        demand=EVEN,
         candidates=candidates,
-        site_of=lambda shard: "old" if shard < 40 else "new",
+        is_bound=True,
         weights=TUNIS,
         room=100,
     )
@@ -167,3 +172,83 @@
     ranked = rendezvous_rank("ledger", names)
     fewer = [one for one in names if one != ranked[3]]
     assert rendezvous_rank("ledger", fewer) == [o for o in ranked if o != ranked[3]]
+
+
+BUSY_SHARD = 5
+
+
+def planned_beside(
+    others: dict[int, float], requests_per_s: float
+) -> list[PlannedMove]:
+    """Return the moves of 64 shards on three servers of which one is busy."""
+    measured = others | {BUSY_SHARD: requests_per_s * 0.002}
+    demand = Demand(measured_slots=measured, idle_slots=IDLE_SHARE * 18 / 64)
+    return rebalance(
+        shards_of(spread(servers(3), shards=64)),
+        demand=demand,
+        candidates=servers(3),
+        is_bound=False,
+        weights=PlacementWeights(),
+        room=64,
+    )
+
+
+@pytest.mark.parametrize(
+    "requests_per_s",
+    [
+        pytest.param(0.5, id="one-request-in-two-seconds"),
+        pytest.param(50.0, id="one-caller-that-asks-as-fast-as-it-can"),
+        pytest.param(1_500.0, id="half-of-a-server-and-nobody-else"),
+    ],
+)
+def test_one_busy_key_moves_no_idle_ones(requests_per_s: float) -> None:
+    """A secretary asks for one club, and nobody for any other.
+
+    Its shard, or one beside it, changed owner though no request waited: measured
+    against a mean of nearly nothing every load is a hot one.
+    """
+    assert planned_beside({}, requests_per_s) == []
+
+
+def test_busy_key_moves_busy_ones_from_its_server() -> None:
+    owners = spread(servers(3), shards=64)
+    others = dict.fromkeys(owners, 0.1)
+    moves = planned_beside(others, 1_500.0)
+    assert moves
+    assert {move.source for move in moves} == {owners[BUSY_SHARD]}
+    assert BUSY_SHARD not in {move.shard for move in moves}
+
+
+def test_joining_server_gets_shards_however_small_they_are() -> None:
+    """A service has so many shards that one is a trifle of a server's work.
+
+    Weighed against a whole server's work none was ever worth its move, and the
+    server that joined stayed idle.
+    """
+    shards = 65_536
+    owners = spread(servers(16), shards)
+    planned = rebalance(
+        shards_of(owners),
+        demand=EVEN,
+        candidates=servers(17),
+        is_bound=False,
+        weights=TUNIS,
+        room=shards,
+    )
+    assert len(planned) <= 1.05 * shards / 17
+    assert len(planned) >= 0.8 * shards / 17
+
+
+def test_entry_that_an_operator_placed_stays_but_counts() -> None:
+    candidates = servers(2)
+    owned = {"x-0": {0, 1, 2, 3}, "x-1": {4, 5}}
+    moves = rebalance(
+        owned,
+        demand=EVEN,
+        candidates=candidates,
+        is_bound=False,
+        weights=TUNIS,
+        room=8,
+        is_movable=lambda shard: shard == 3,
+    )
+    assert [move.shard for move in moves] == [3]
