Rank candidates for the control only on hosts that may be one, and keep the order

Cause: while a holder is silent every host ranked all live hosts of all domains, twice in each tick. Now a host first looks at its own domain, whose order is kept, and the order of all is kept while the live hosts stay the same. Not measured as a whole.

--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -88,6 +88,8 @@
         self._loaded_term = 0
         self._is_tick_due = False
         self._is_deputy = False
+        self._candidates_of: tuple[object, ...] = ()
+        self._kept_candidates: list[str] = []
         self.sent = SentCounts()
         self.plans = ServicePlans(
             context=context,
@@ -201,20 +203,32 @@
 
     def _candidates(self) -> list[str]:
         """Return the hosts that may take the control, but for a holder, in order."""
-        candidates = []
+        context = self._context
         # A lost holder may count as live for a while yet; this host itself lives.
-        gone = self.holder if self.holder != self._context.host.id else None
+        gone = self.holder if self.holder != context.host.id else None
+        of = (gone, *(context.live_hosts(domain) for domain in context.domains))
+        if of != self._candidates_of:
+            # Kept, since a silent holder is looked at in each tick.
+            self._candidates_of = of
+            self._kept_candidates = self._find_candidates(gone)
+        return self._kept_candidates
+
+    def _find_candidates(self, gone: str | None) -> list[str]:
+        name = self._service.name
+        candidates: list[str] = []
         for domain in self._context.domains:
-            hosts = self._context.live_hosts(domain)
-            ranked = rendezvous_rank(
-                self._service.name, [one for one in hosts if one != gone]
-            )
-            candidates += ranked[:CANDIDATES_PER_DOMAIN]
-        return list(rendezvous_rank(self._service.name, candidates))
+            live = [one for one in self._context.live_hosts(domain) if one != gone]
+            candidates += rendezvous_rank(name, live)[:CANDIDATES_PER_DOMAIN]
+        return list(rendezvous_rank(name, candidates))
 
     def _rank(self) -> int | None:
+        context = self._context
+        # One more than the candidates, in case that the holder is one of them. Else
+        # every host would rank the whole fleet because one of them is silent.
+        if not context.is_among(self._service.name, CANDIDATES_PER_DOMAIN + 1):
+            return None
         candidates = self._candidates()
-        host = self._context.host.id
+        host = context.host.id
         return candidates.index(host) if host in candidates else None
 
     async def _take(self) -> None:
