--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -22,6 +22,9 @@
     def send_now(self) -> None:
         """Send what was written without waiting for the loop's next turn."""
 
+    def keep_no_longer(self) -> None:
+        """Close once the answer is written; go on reading until then."""
+
     def close_after_answer(self) -> None:
         """Close once the answer is written; read nothing more."""
 
@@ -114,13 +117,27 @@
             self.body.lost()
         super().connectionLost(reason)
 
+    def write(self, data: bytes) -> None:
+        """Write a piece of the answer; its head goes first.
+
+        An answer that begins before the body is read ends with its connection, and
+        has to say so: the caller's next request on it would be closed unanswered.
+        """
+        if not self.startedWriting and self._is_body_unread():
+            self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+            cast(RequestChannel, self.channel).keep_no_longer()
+        super().write(data)
+
+    def _is_body_unread(self) -> bool:
+        return self.body is not None and not self.body.complete
+
     def finish(self) -> None:
         """End the answer; close the connection if the body is not all read.
 
         What is left of an unread body would otherwise be parsed as the caller's
         next request.
         """
-        if self.body is not None and not self.body.complete:
+        if self._is_body_unread():
             self.answered_early = True
             cast(RequestChannel, self.channel).close_after_answer()
         super().finish()
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -86,10 +86,14 @@
         lines.append(b"\r\n")
         self.write(b"".join(lines))
 
+    def keep_no_longer(self) -> None:
+        """Close once the answer is written; go on reading until then."""
+        self.persistent = 0
+
     def close_after_answer(self) -> None:
         """Close once the answer is written; read nothing more."""
         self._closing = True
-        self.persistent = 0
+        self.keep_no_longer()
 
     def abort(self) -> None:
         """Close at once, whatever is still unsent."""
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -263,3 +263,28 @@
         return await owner(ticket)
 
     return note
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(b"PUT /nowhere HTTP/1.1\r\n", id="refused"),
+        pytest.param(b"PUT /keyed/ HTTP/1.1\r\n", id="no-key"),
+    ],
+)
+def test_answer_before_the_body_says_that_the_connection_ends(head: bytes) -> None:
+    """An upload is refused before its body is read, and its connection must end.
+
+    Nothing in the answer said so: the caller sent its next request on the same
+    connection, which was closed without an answer.
+    """
+    with running_relay([plain]) as relay, relay.connect() as connection:
+        connection.sendall(
+            head + b"Host: a\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 9
+        )
+        connection.settimeout(5)
+        received = b""
+        while piece := connection.recv(65_536):
+            received += piece
+    answer_head = received.split(b"\r\n\r\n", 1)[0].lower()
+    assert b"\r\nconnection: close" in answer_head
