One module for pauses of the host itself

The gate and the relay each had their own 150 ms; pauses.py has both guards and the figure once, with tests of the deadline on a virtual clock (the relay's one test of it needs real sockets). The ownership's LoopLag.was_paused judges by one tick (50 ms) and stays: with 150 ms it would take answers held up by shorter pauses for evidence against servers.

--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -10,13 +10,13 @@
 from random import Random
 from typing import final
 
+from gentianwharf.pauses import TickGap
 from gentianwharf.platform import ServerReport
 from gentianwharf.topology import BackendServer, Service
 
 from ._choose import choose_server, place
 from ._class_state import ClassState
 from ._health import judge_all, learn
-from ._pause import TickGap
 from ._pool import Pool
 from ._registry import Registry
 from ._requests import (
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -1,7 +1,6 @@
 """One sending of a request to one server, up to the head of its answer."""
 
 import time
-from collections.abc import Callable
 from typing import Any, cast, final
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -10,6 +9,7 @@
 
 from gentianwharf.errors import PeerMismatchError, PeerUnavailableError
 from gentianwharf.metrics import Run
+from gentianwharf.pauses import Timeout
 from gentianwharf.topology import BackendServer
 
 from . import _headers as names
@@ -57,45 +57,6 @@
     """Another leg would end the same way."""
 
 
-# What reading the answers that wait in the sockets takes at most after a pause.
-GRACE_S = 0.1
-# A timeout that comes this much too late ran out while this host stood still.
-PAUSE_S = 0.15
-
-
-@final
-class _Timeout:
-    """A deadline that is not taken for missed while this host stood still.
-
-    After a pause every timeout is over at once, before the answers that came
-    meanwhile are read: postings that ran well would be called unknown.
-    """
-
-    def __init__(
-        self, *, reactor: Any, delay_s: float, expire: Callable[[], object]
-    ) -> None:
-        self.expired = False
-        self._reactor = reactor
-        self._expire = expire
-        self._due_s = reactor.seconds() + delay_s
-        self._call = reactor.callLater(delay_s, self._is_due)
-
-    def stop(self) -> None:
-        """Let it not expire any more."""
-        if self._call.active():
-            self._call.cancel()
-
-    def _is_due(self) -> None:
-        if self._reactor.seconds() - self._due_s > PAUSE_S:
-            self._call = self._reactor.callLater(GRACE_S, self._end)
-            return
-        self._end()
-
-    def _end(self) -> None:
-        self.expired = True
-        self._expire()
-
-
 class Leg:
     """Sends the request on one connection and checks the answer's head."""
 
@@ -178,8 +139,8 @@
             headers=self._headers(remaining_s),
             body=self._request.body,
         )
-        timeout = _Timeout(
-            reactor=self._reactor, delay_s=remaining_s, expire=answer.cancel
+        timeout = Timeout(
+            clock=self._reactor, delay_s=remaining_s, expire=answer.cancel
         )
         try:
             return await answer
