--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -14,7 +14,9 @@
 """Values in one message, unless a single one is larger."""
 
 
-class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+    # As arrays: the names of the fields would be most of a question for a right,
+    # which is the message that hosts send most.
     pass
 
 
@@ -28,11 +30,16 @@
 
 @final
 class RightAsk(_Message, frozen=True, kw_only=True, tag=True):
-    """Ask each witness of ``domain`` for a right to these versions of the tables."""
+    """Ask each witness of ``domain`` for a right to the versions of the tables.
+
+    ``checksum`` is that of all versions; ``versions`` come along only when the
+    witness wants them.
+    """
 
     domain: str
     round: int
-    versions: dict[str, int]
+    checksum: int
+    versions: dict[str, int] | None = None
 
 
 @final
@@ -46,10 +53,11 @@
 
 @final
 class ShareAsk(_Message, frozen=True, kw_only=True, tag=True):
-    """Ask for what is left of another host's rights, with these versions."""
+    """Ask for what is left of another host's rights; versions as in ``RightAsk``."""
 
     round: int
-    versions: dict[str, int]
+    checksum: int
+    versions: dict[str, int] | None = None
 
 
 @final
@@ -60,6 +68,17 @@
     good_s: dict[str, float]
 
 
+@final
+class VersionsWanted(_Message, frozen=True, kw_only=True, tag=True):
+    """The checksum in your question is not mine: ask again with all versions.
+
+    ``domain`` is that of the question, None when it asked for a share.
+    """
+
+    domain: str | None
+    round: int
+
+
 @final
 class Announce(_Message, frozen=True, kw_only=True, tag=True):
     """Acknowledge that you know these versions; ``items`` bring them along."""
@@ -117,10 +136,41 @@
 
 @final
 class ControlAlive(_Message, frozen=True, kw_only=True, tag=True):
-    """The sender holds the control lease of ``service`` under ``term``."""
+    """The sender holds the control lease of ``service`` under ``term``.
+
+    It asks for the counts of the keys in the ``watched`` shards.
+    """
 
     service: str
     term: int
+    watched: tuple[int, ...] = ()
+
+
+@final
+class DeadlineAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """Ask each witness of ``domain`` to remember how long requests may go on.
+
+    Requests for a shard may carry deadlines up to ``wanted_s`` from now; 0 asks only
+    for what the witness remembers.
+    """
+
+    domain: str
+    round: int
+    service: str
+    wanted_s: dict[int, float]
+
+
+@final
+class DeadlineAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """By shard, how far from now the longest deadline may be that it remembers.
+
+    ``witness_revision`` is the revision of the domain's witness list that it knows.
+    """
+
+    domain: str
+    round: int
+    witness_revision: int
+    left_s: dict[int, float]
 
 
 @final
@@ -147,10 +197,19 @@
 
 @final
 class Loads(_Message, frozen=True, kw_only=True, tag=True):
-    """Requests per second that the sender sent for its busiest shards."""
+    """Requests per second that the sender sent for its busiest shards.
+
+    ``busy_s`` is how long servers took over the ``answers`` since the last report;
+    ``keys`` are counts of the busiest keys in watched shards, and ``watched`` those
+    of the shards since they have been watched.
+    """
 
     service: str
     rates: dict[int, float]
+    keys: dict[str, int] = {}
+    watched: dict[int, int] = {}
+    answers: int = 0
+    busy_s: float = 0.0
 
 
 @final
@@ -186,6 +245,7 @@
     | RightAnswer
     | ShareAsk
     | ShareAnswer
+    | VersionsWanted
     | Announce
     | Acknowledge
     | Items
@@ -193,6 +253,8 @@
     | RecoverAsk
     | RecoverAnswer
     | ControlAlive
+    | DeadlineAsk
+    | DeadlineAnswer
     | Probe
     | Suspect
     | Leaving
--- a/src/gentianwharf/standin/_backend.py
+++ b/src/gentianwharf/standin/_backend.py
@@ -156,7 +156,8 @@
         return _json(request, encode(OutcomeAnswer(outcome=outcome)))
 
     async def _report(self, request: IRequest) -> bytes:
-        # An answer before the body is read would close the connection each time.
+        # A body that is left unread ends the connection with the answer, and the next
+        # order on it would count as of unknown outcome.
         await _receive(request)
         report = ServerReport(
             server=self.server.id,
