Keep no connection that is out of step or about to close; bound heads; refuse upgrades

Stood already: trailers both ways, an over-long line, a wrong answer after an abort, a cut chunked upload, a refused Expect, an early answer with an unfinished upload, a half-closing caller (taken for gone: the end of its stream is all that tells of callers who left).

--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -1,12 +1,13 @@
 """The callers' application: a catch-all route that begins an exchange."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any, cast, final
 
 from klein import Klein
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
+from twisted.web.http_headers import Headers
 from twisted.web.iweb import IRequest
 
 from gentianwharf.logs import log
@@ -16,7 +17,7 @@
 from ._caller_request import CallerRequest, EveryPath
 from ._connections import ServerConnections
 from ._exchange import Exchange
-from ._headers import KEY_HEADER, facts_of
+from ._headers import KEY_HEADER, connection_options, facts_of
 from ._ports import Admission, Observer, Ownership, Rules, Ticket
 from ._problem import Problem, write_problem
 from ._repeats import RepeatKey, Repeats
@@ -24,6 +25,8 @@
 DEFAULT_DEADLINE_MS = 10_000
 REQUEST_ID_BITS = 96
 ENDPOINT = "relay"
+# Of a caller's own words in a problem document.
+MOST_SHOWN_BYTES = 80
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
 
@@ -122,6 +125,7 @@
             raise _bad_request("expected Content-Length or Transfer-Encoding, got both")
         if len(set(request.requestHeaders.getRawHeaders(KEY_HEADER) or ())) > 1:
             raise _bad_request("expected one Gentianwharf-Key, got two that differ")
+        _check_upgrade(request.requestHeaders)
         facts = facts_of(request.method, request.uri, request.requestHeaders)
         match = self.rules.match(facts)
         if match is None:
@@ -176,6 +180,31 @@
     )
 
 
+def _check_upgrade(headers: Headers) -> None:
+    """Refuse a request that asks to leave HTTP on its connection.
+
+    Handed on without its ``Upgrade`` it would be answered as a plain one, and its
+    caller wait for a stream that never opens. Upgrades to HTTP/2 are passed over, as
+    RFC 9110, section 7.8, allows: their callers go on with HTTP/1.1.
+    """
+    values = headers.getRawHeaders(b"upgrade")
+    if not values or b"upgrade" not in connection_options(headers):
+        return
+    wanted = {one.strip().lower() for value in values for one in value.split(b",")}
+    if wanted <= {b"h2c", b""}:
+        return
+    raise Problem(
+        status=501,
+        title="no upgrade is supported",
+        run=Run.NOT_RUN,
+        detail=f"Expected a plain HTTP/1.1 request, got Upgrade: {_shown(values)}",
+    )
+
+
+def _shown(values: Sequence[bytes]) -> str:
+    return b", ".join(values)[:MOST_SHOWN_BYTES].decode("latin-1")
+
+
 def _caller_of(request: CallerRequest) -> str:
     """Return the caller's address, as the platform's balancer saw it.
 
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -20,9 +20,10 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
 
-from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.errors import PeerMismatchError, PeerUnavailableError
 from gentianwharf.topology import BackendServer
 
+from ._headers import connection_options
 from ._transport import JoinedLines, send_now
 
 __all__ = ["ServerConnection", "ServerConnections"]
@@ -42,6 +43,11 @@
 }
 
 
+HTTP_1_0 = (1, 0)
+# Heads of answers are some hundred bytes, with early hints a few thousand.
+MOST_ANSWER_HEAD_BYTES = 65_536
+
+
 class _Sent(ServerRequest):
     """A request whose head is written in one piece."""
 
@@ -58,6 +64,8 @@
         self.idle_since_s = 0.0
         self.requests = 0
         self.retired = False
+        self._answered: Deferred[Response] | None = None
+        self._head_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Let the kernel probe the connection while it is idle.
@@ -78,6 +86,52 @@
         self.pool.forget(self)
         super().connectionLost(reason)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take data, and give up on a server whose answer's head has no end.
+
+        Twisted bounds each line, but neither their number nor that of informational
+        answers: a mad server would fill the memory and keep the loop busy until the
+        request's deadline.
+        """
+        super().dataReceived(data)
+        answered = self._answered
+        if answered is None or answered.called:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MOST_ANSWER_HEAD_BYTES:
+            answered.errback(self._endless_head())
+            self.abort_now()
+
+    def _endless_head(self) -> PeerMismatchError:
+        return PeerMismatchError(
+            f"expected an answer's head within {MOST_ANSWER_HEAD_BYTES} bytes, got"
+            f" {self._head_bytes} without its end",
+            step="read-answer",
+            peer=self.pool.server.address,
+        )
+
+    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        # A server that sends more than its answer is out of step: what follows would
+        # be read as the answer to the next request, and Twisted drops only the part
+        # that is here already.
+        if rest or self._will_close():
+            self.retired = True
+        super()._finishResponse(rest)
+
+    def _will_close(self) -> bool:
+        """Whether the server closes after this answer.
+
+        Twisted knows the word ``close`` alone and in lower case. A request sent on such
+        a connection is lost, and its outcome unknown.
+        """
+        parser = self._parser
+        if parser is None:
+            return False
+        options = connection_options(parser.connHeaders)
+        if parser.response.version[1:] == HTTP_1_0:
+            return b"keep-alive" not in options
+        return b"close" in options
+
     def exchange(
         self, *, method: bytes, uri: bytes, headers: Headers, body: IBodyProducer | None
     ) -> Deferred[Response]:
@@ -90,6 +144,7 @@
         self.requests += 1
         request = _Sent._construct(method, uri, headers, body, True)
         answered: Deferred[Response] = Deferred(lambda _: self.abort_now())
+        self._answered, self._head_bytes = answered, 0
         sent = cast("Deferred[Response]", self.request(request))
         early = getattr(self, "_responseDeferred", None)
         if early is not None:
