--- a/src/gentianwharf/cli/_decisions.py
+++ b/src/gentianwharf/cli/_decisions.py
@@ -26,6 +26,8 @@
         shown.json(kept)
     elif kept:
         _print(kept, shown)
+    else:
+        shown.note("no decision of that kind is kept by this daemon")
     if not kept and request_id is not None:
         shown.problem(
             f"this daemon keeps no decision on {request_id}: another host served it, or"
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -382,4 +382,5 @@
     result = ran(command, daemon)
     assert result.code is Exit.REFUSED
     assert "another host served it" in result.problems
+    assert "no decision of that kind" in result.out
     assert daemon.decision_calls == [("nowhere", False, 20)]
