Ask every host for the decision on a request

A caller knows its request's id, and nobody the host that the balancer chose: the operator had to ask each in turn. A host that can't be asked is named, so that "kept by none" is said only when it is so.

--- a/src/gentianwharf/admin/_app.py
+++ b/src/gentianwharf/admin/_app.py
@@ -262,15 +262,15 @@
         )
 
     @app.route("/decisions", methods=["GET"])
-    def decisions(self, request: Request) -> bytes:
-        """Answer with kept decisions, the newest first."""
+    async def decisions(self, request: Request) -> bytes:
+        """Answer with this host's kept decisions, or any host's on ``request_id``."""
         most = min(integer_argument(request, "most", default=100), MOST_DECISIONS)
-        kept = self._decisions.decisions(
-            request_id=argument(request, "request_id"),
-            refused_only=flag_argument(request, "refused_only"),
-            most=most,
-        )
-        return reply_json(request, list(kept))
+        refused_only = flag_argument(request, "refused_only")
+        request_id = argument(request, "request_id")
+        if request_id is not None:
+            return reply_json(request, await self._decisions.find(request_id))
+        kept = self._decisions.latest(refused_only=refused_only, most=most)
+        return reply_json(request, kept)
 
     @app.handle_errors(GentianwharfError)
     def on_known_error(self, request: Any, failure: Failure) -> bytes:
--- a/src/gentianwharf/admin/_protocols.py
+++ b/src/gentianwharf/admin/_protocols.py
@@ -274,13 +274,26 @@
         """Return the report as JSON, over all listed hosts or one alone."""
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeptDecisions:
+    """Decisions, the newest first, each with its ``host``.
+
+    ``silent`` are the listed hosts that were asked and did not answer, with reasons.
+    """
+
+    decisions: Sequence[Mapping[str, JsonValue]]
+    silent: Mapping[str, str]
+
+
 class DecisionsView(Protocol):
     """Why requests went where they went."""
 
-    def decisions(
-        self, *, request_id: str | None, refused_only: bool, most: int
-    ) -> Sequence[Mapping[str, JsonValue]]:
-        """Return the newest kept decisions, at most ``most``, or those of a request.
+    def latest(self, *, refused_only: bool, most: int) -> KeptDecisions:
+        """Return this host's newest kept decisions, at most ``most``.
 
         ``refused_only`` leaves out all that were neither refused nor unknown.
         """
+
+    async def find(self, request_id: str) -> KeptDecisions:
+        """Return what any listed host keeps on a request."""
--- a/src/gentianwharf/cli/_decisions.py
+++ b/src/gentianwharf/cli/_decisions.py
@@ -15,31 +15,37 @@
     refused: bool,
     most: int,
 ) -> Exit:
-    """Print kept decisions of the asked daemon, the newest first."""
-    kept = await client.get(
+    """Print the asked daemon's kept decisions, or any host's on one request."""
+    found = await client.get(
         "decisions",
         request_id=request_id,
         refused_only="true" if refused else None,
         most=most,
     )
+    kept = found["decisions"]
     if shown.as_json:
-        shown.json(kept)
+        shown.json(found)
     elif kept:
         _print(kept, shown)
     else:
-        shown.note("no decision of that kind is kept by this daemon")
-    if not kept and request_id is not None:
-        shown.problem(
-            f"this daemon keeps no decision on {request_id}: another host served it, or"
-            " it was served and not sampled; see docs/OPERATING.md, Decisions"
-        )
-        return Exit.REFUSED
-    return Exit.DONE
+        shown.note("no such decision is kept")
+    if kept or request_id is None:
+        return Exit.DONE
+    for host, reason in found["silent"].items():
+        shown.problem(f"{host} could not be asked: {reason}")
+    if found["silent"]:
+        return Exit.INCOMPLETE
+    shown.problem(
+        f"no listed host keeps a decision on {request_id}: it was served and not"
+        " sampled, or its host was replaced; see docs/OPERATING.md, Decisions"
+    )
+    return Exit.REFUSED
 
 
 def _print(kept: list[dict[str, Any]], shown: Terminal) -> None:
     shown.table(
         [
+            "host",
             "ago s",
             "request",
             "service",
@@ -52,6 +58,7 @@
         ],
         [
             [
+                one["host"],
                 round(one["ago_s"], 1),
                 one["request_id"],
                 one["service"] or None,
--- a/src/gentianwharf/daemon/_admin.py
+++ b/src/gentianwharf/daemon/_admin.py
@@ -5,6 +5,7 @@
 from gentianwharf.settings import rule_scope_of
 
 from . import _views as views
+from ._decisions import FleetDecisions
 from ._fleet import FleetBurnView, FleetRulesView
 from ._parts import Parts, seeded
 
@@ -66,8 +67,11 @@
             hosts=parts.hosts,
             recorder=parts.recorder,
         ),
-        decisions=views.DecisionsOfRecorder(
-            recorder=parts.recorder, now_s=parts.reactor.seconds
+        decisions=FleetDecisions(
+            queries=parts.queries,
+            hosts=parts.hosts,
+            recorder=parts.recorder,
+            now_s=parts.reactor.seconds,
         ),
         metrics=lambda: parts.recorder.prometheus_text().encode(),
         token=token,
--- /dev/null
+++ b/src/gentianwharf/daemon/_decisions.py
@@ -0,0 +1,91 @@
+"""Why requests went where they went, on this host or whichever served them."""
+
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import Any, cast, final
+
+import msgspec
+
+from gentianwharf.admin import JsonValue, KeptDecisions
+from gentianwharf.errors import InputError
+from gentianwharf.metrics import Decision, Recorder
+from gentianwharf.spread import PeerQueries
+
+from ._hosts import HostTable
+
+DECISION = "decision"
+
+HOST_TIMEOUT_S = 0.5
+TIMEOUT_S = 3.0
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[dict[str, Any]])
+
+
+@final
+class FleetDecisions:
+    """A caller knows its request's id and not the host that the balancer chose."""
+
+    def __init__(
+        self,
+        *,
+        queries: PeerQueries,
+        hosts: HostTable,
+        recorder: Recorder,
+        now_s: Callable[[], float],
+    ) -> None:
+        self._queries = queries
+        self._hosts = hosts
+        self._recorder = recorder
+        self._now_s = now_s
+        queries.answer_with(
+            DECISION, lambda request_id: _encoder.encode(self._own(request_id))
+        )
+
+    def latest(self, *, refused_only: bool, most: int) -> KeptDecisions:
+        """Return this host's newest kept decisions."""
+        kept = self._recorder.decisions.latest(most=most, always_kept_only=refused_only)
+        return KeptDecisions(decisions=[self._told(one) for one in kept], silent={})
+
+    async def find(self, request_id: str) -> KeptDecisions:
+        """Return what this host keeps on a request, else what any other does."""
+        found = self._own(request_id)
+        if found:
+            return KeptDecisions(decisions=found, silent={})
+
+        def take(host: str, answer: bytes) -> None:
+            found.extend(_decode(answer, peer=host))
+
+        silent = await self._queries.gather(
+            DECISION,
+            [one for one in sorted(self._hosts.hosts) if one != self._hosts.own.id],
+            argument=request_id,
+            on_answer=take,
+            host_timeout_s=HOST_TIMEOUT_S,
+            timeout_s=TIMEOUT_S,
+        )
+        return KeptDecisions(
+            decisions=cast("list[dict[str, JsonValue]]", found), silent=silent
+        )
+
+    def _own(self, request_id: str) -> list[dict[str, Any]]:
+        one = self._recorder.decisions.find(request_id)
+        return [self._told(one)] if one is not None else []
+
+    def _told(self, decision: Decision) -> dict[str, Any]:
+        # Of a monotonic clock, which says nothing to another host.
+        ago_s = self._now_s() - decision.at_s
+        fields = asdict(decision) | {"host": self._hosts.own.id, "ago_s": ago_s}
+        del fields["at_s"]
+        return fields
+
+
+def _decode(answer: bytes, *, peer: str) -> list[dict[str, Any]]:
+    try:
+        return _decoder.decode(answer)
+    except msgspec.MsgspecError as error:
+        raise InputError(
+            f"expected a host's decisions: {error}; is it of another version?",
+            step="ask for a decision",
+            peer=peer,
+        ) from error
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,12 +1,10 @@
 """What the admin port shows and does, over the daemon's parts."""
 
-from collections.abc import Callable, Container, Mapping, Sequence
-from dataclasses import asdict
-from typing import cast, final
+from collections.abc import Container, Mapping, Sequence
+from typing import final
 
 from gentianwharf.admin import (
     DomainLoss,
-    JsonValue,
     KeyOwner,
     ServerStatus,
 )
@@ -14,7 +12,6 @@
 from gentianwharf.keys import shard_of
 from gentianwharf.load import Gate, ServerSnapshot, Standing
 from gentianwharf.logs import log
-from gentianwharf.metrics import Recorder
 from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
 from gentianwharf.platform import HostList, ListedHost
 from gentianwharf.rules import (
@@ -295,28 +292,3 @@
                 step="find domain",
                 peer=domain,
             )
-
-
-@final
-class DecisionsOfRecorder:
-    """Why requests went where they went, on this host."""
-
-    def __init__(self, *, recorder: Recorder, now_s: Callable[[], float]) -> None:
-        self._recorder = recorder
-        self._now_s = now_s
-
-    def decisions(
-        self, *, request_id: str | None, refused_only: bool, most: int
-    ) -> Sequence[Mapping[str, JsonValue]]:
-        """Return the newest kept decisions, or that of a request."""
-        ring = self._recorder.decisions
-        if request_id is None:
-            kept = ring.latest(most=most, always_kept_only=refused_only)
-        else:
-            one = ring.find(request_id)
-            kept = [one] if one is not None else []
-        now_s = self._now_s()
-        return [
-            cast("Mapping[str, JsonValue]", asdict(one) | {"ago_s": now_s - one.at_s})
-            for one in kept
-        ]
--- a/src/gentianwharf/spread/_queries.py
+++ b/src/gentianwharf/spread/_queries.py
@@ -40,7 +40,11 @@
 MOST_GATHERED_BYTES = 32_000_000
 """All answers to one question as they travel; hosts beyond it are not asked."""
 
-Answerer = Callable[[], bytes]
+MOST_ARGUMENT_CHARACTERS = 256
+
+Answerer = Callable[[str], bytes]
+"""Gets the question's argument."""
+
 OnAnswer = Callable[[str, bytes], None]
 
 
@@ -50,6 +54,7 @@
 
     number: int
     kind: str
+    argument: str = ""
 
 
 @final
@@ -96,6 +101,7 @@
 
     number: int
     kind: str
+    argument: str
     on_answer: OnAnswer
     host_timeout_s: float
     end_s: float
@@ -133,6 +139,7 @@
         kind: str,
         host_ids: Iterable[str],
         *,
+        argument: str = "",
         on_answer: OnAnswer,
         host_timeout_s: float,
         timeout_s: float,
@@ -146,6 +153,7 @@
         gathering = _Gathering(
             number=self._last_number,
             kind=kind,
+            argument=argument,
             on_answer=on_answer,
             host_timeout_s=host_timeout_s,
             end_s=self._clock.seconds() + timeout_s,
@@ -183,7 +191,13 @@
                 problem=f"the host knows no question {query.kind[:40]!r}; is it of"
                 " another version?",
             )
-        packed = pack(answerer())
+        if len(query.argument) > MOST_ARGUMENT_CHARACTERS:
+            return Reply(
+                number=query.number,
+                problem=f"expected at most {MOST_ARGUMENT_CHARACTERS} characters to ask"
+                f" for, got {len(query.argument)}",
+            )
+        packed = pack(answerer(query.argument))
         if len(packed) > MOST_ANSWER_BYTES:
             return Reply(
                 number=query.number,
@@ -242,7 +256,11 @@
 
     def _ask(self, gathering: _Gathering, host_id: str) -> None:
         gathering.again_s[host_id] = self._clock.seconds() + ASK_AGAIN_S
-        query = Query(number=gathering.number, kind=gathering.kind)
+        query = Query(
+            number=gathering.number,
+            kind=gathering.kind,
+            argument=gathering.argument,
+        )
         self._peers.send(host_id, encode_query(query))
 
     def _forget(self, gathering: _Gathering, host_id: str) -> None:
--- a/tests/test_daemon_fleet.py
+++ b/tests/test_daemon_fleet.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.admin import RulesAtHost, RulesEverywhere
+from gentianwharf.daemon._decisions import FleetDecisions
 from gentianwharf.daemon._fleet import FleetBurnView, FleetRulesView
 from gentianwharf.daemon._hosts import HostTable
 from gentianwharf.daemon._rules import RulesInForce
@@ -18,7 +19,7 @@
 from gentianwharf.rules import StoredRules, encode_rules
 from gentianwharf.spread import SpreadSystem
 from gentianwharf.topology import Host
-from tests.builders_metrics import answer, recorder
+from tests.builders_metrics import answer, decision, recorder
 from tests.builders_platform import result_of
 from tests.builders_queries import QueryNetwork
 from tests.builders_rules import SHARDS, migration
@@ -70,6 +71,9 @@
             spread=self.spread,
             rules_key=RULES_KEY,
         )
+        self.decisions = FleetDecisions(
+            queries=queries, hosts=table, recorder=self.recorder, now_s=clock.seconds
+        )
         self.burn = FleetBurnView(
             clock=clock, queries=queries, hosts=table, recorder=self.recorder
         )
@@ -270,3 +274,25 @@
     assert report["hosts"] == ["charguia-1", "lac-1"]
     assert "expected an encoded histogram" in report["silent"][0]["reason"]
     assert report["latencies"][0]["answers"] == 1
+
+
+@pytest.mark.parametrize("served_by", ["lac-1", "ariana-1"])
+def test_decision_is_found_on_whichever_host_served(served_by: str) -> None:
+    """A caller complains and gives its request id; the balancer chose the host."""
+    fleet = Fleet()
+    fleet.hosts[served_by].recorder.decide(decision(refused="queue-full"))
+    fleet.run(1)
+    asked = fleet.hosts["lac-1"].decisions.find("r1")
+    waiting = Deferred.fromCoroutine(asked)
+    fleet.run(1)
+    (one,) = result_of(waiting).decisions
+    assert (one["host"], one["refused"]) == (served_by, "queue-full")
+    assert one["ago_s"] == pytest.approx(1, abs=0.1)
+
+
+def test_decision_that_a_silent_host_may_keep_is_not_denied() -> None:
+    fleet = Fleet(cut={"ariana-1"})
+    waiting = Deferred.fromCoroutine(fleet.hosts["lac-1"].decisions.find("r1"))
+    fleet.run(1)
+    kept = result_of(waiting)
+    assert (kept.decisions, list(kept.silent)) == ([], ["ariana-1"])
