Print into a closed pipe without a trace

`gentianwharf status | head` ended in BrokenPipeError and exit code 70, which says that the outcome of a change is not known. A line that nobody reads is dropped; the exit code stays that of the command.

--- a/src/gentianwharf/cli/_terminal.py
+++ b/src/gentianwharf/cli/_terminal.py
@@ -1,6 +1,7 @@
 """What the tool prints and asks."""
 
 import json
+import os
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, TextIO, final
@@ -18,19 +19,19 @@
 
     def line(self, text: str) -> None:
         """Print one line."""
-        print(text, file=self.out)
+        _print(text, self.out)
 
     def note(self, text: str) -> None:
         """Print what people read beside a result, never into JSON."""
-        print(text, file=self.problems if self.as_json else self.out)
+        _print(text, self.problems if self.as_json else self.out)
 
     def problem(self, text: str) -> None:
         """Print what went wrong."""
-        print(f"gentianwharf: {text}", file=self.problems)
+        _print(f"gentianwharf: {text}", self.problems)
 
     def json(self, value: Any) -> None:
         """Print a JSON value."""
-        print(json.dumps(value, indent=2, ensure_ascii=False), file=self.out)
+        _print(json.dumps(value, indent=2, ensure_ascii=False), self.out)
 
     def table(self, headings: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
         """Print a table."""
@@ -45,6 +46,19 @@
             return False
 
 
+def _print(text: str, file: TextIO) -> None:
+    """Print a line; one that nobody reads any more is dropped.
+
+    ``gentianwharf status | head`` closes the pipe while the tool prints. It must neither
+    end in a trace nor lose the exit code, which says what became of a change.
+    """
+    try:
+        print(text, file=file, flush=True)
+    except BrokenPipeError:
+        # What is still in the buffer would raise once more when the process ends.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), file.fileno())
+
+
 def table_lines(headings: Sequence[str], rows: Iterable[Sequence[Any]]) -> list[str]:
     """Return the lines of a table; numbers stand to the right.
 
--- a/tests/test_cli_main.py
+++ b/tests/test_cli_main.py
@@ -1,6 +1,7 @@
 """The command line as a process: exit codes, files, and a daemon on a socket."""
 
 import json
+import os
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -124,3 +125,19 @@
     result = run_tool("status", "--admin", "http://127.0.0.1:1")
     assert result.returncode == Exit.UNREACHABLE
     assert "can't be reached" in result.stderr
+
+
+def test_reader_that_goes_away_costs_neither_a_trace_nor_the_exit_code() -> None:
+    """An operator pipes a command into ``head``, which closes the pipe.
+
+    The tool ended with a trace and exit code 70, which says that whether a change took
+    effect is not known.
+    """
+    reading, writing = os.pipe()
+    os.close(reading)
+    command = [sys.executable, "-m", "gentianwharf.cli", "settings", "check", SETTINGS]
+    with os.fdopen(writing, "wb") as closed:
+        done = subprocess.run(
+            command, stdout=closed, stderr=subprocess.PIPE, text=True, check=False
+        )
+    assert (done.returncode, done.stderr) == (Exit.DONE, "")
