--- a/src/gentianwharf/cli/_terminal.py
+++ b/src/gentianwharf/cli/_terminal.py
@@ -49,8 +49,8 @@
 def _print(text: str, file: TextIO) -> None:
     """Print a line; one that nobody reads any more is dropped.
 
-    ``gentianwharf status | head`` closes the pipe while the tool prints. It must neither
-    end in a trace nor lose the exit code, which says what became of a change.
+    ``gentianwharf status | head`` closes the pipe while the tool prints. It must
+    neither end in a trace nor lose the exit code, which says what became of a change.
     """
     try:
         print(text, file=file, flush=True)
