--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -14,7 +14,7 @@
 from ._deadlines import DeadlineAsker
 from ._evidence import Suspicions
 from ._lease import ControlLease
-from ._loads import SentCounts
+from ._loads import SentCounts, sampled
 from ._messages import ControlAlive, Item
 from ._move import MoveState
 from ._mover import Mover
@@ -88,6 +88,8 @@
         self._loaded_term = 0
         self._is_tick_due = False
         self._is_deputy = False
+        self._candidates_of: tuple[object, ...] = ()
+        self._kept_candidates: list[str] = []
         self.sent = SentCounts()
         self.plans = ServicePlans(
             context=context,
@@ -201,20 +203,32 @@
 
     def _candidates(self) -> list[str]:
         """Return the hosts that may take the control, but for a holder, in order."""
-        candidates = []
+        context = self._context
         # A lost holder may count as live for a while yet; this host itself lives.
-        gone = self.holder if self.holder != self._context.host.id else None
+        gone = self.holder if self.holder != context.host.id else None
+        of = (gone, *(context.live_hosts(domain) for domain in context.domains))
+        if of != self._candidates_of:
+            # Kept, since a silent holder is looked at in each tick.
+            self._candidates_of = of
+            self._kept_candidates = self._find_candidates(gone)
+        return self._kept_candidates
+
+    def _find_candidates(self, gone: str | None) -> list[str]:
+        name = self._service.name
+        candidates: list[str] = []
         for domain in self._context.domains:
-            hosts = self._context.live_hosts(domain)
-            ranked = rendezvous_rank(
-                self._service.name, [one for one in hosts if one != gone]
-            )
-            candidates += ranked[:CANDIDATES_PER_DOMAIN]
-        return list(rendezvous_rank(self._service.name, candidates))
+            live = [one for one in self._context.live_hosts(domain) if one != gone]
+            candidates += rendezvous_rank(name, live)[:CANDIDATES_PER_DOMAIN]
+        return list(rendezvous_rank(name, candidates))
 
     def _rank(self) -> int | None:
+        context = self._context
+        # One more than the candidates, in case that the holder is one of them. Else
+        # every host would rank the whole fleet because one of them is silent.
+        if not context.is_among(self._service.name, CANDIDATES_PER_DOMAIN + 1):
+            return None
         candidates = self._candidates()
-        host = self._context.host.id
+        host = context.host.id
         return candidates.index(host) if host in candidates else None
 
     async def _take(self) -> None:
@@ -248,9 +262,14 @@
         return self._mover.states()
 
     def _report_loads(self) -> None:
-        report = self.sent.take(self._service.name, self._context.now_s)
-        if report is not None and self.holder is not None:
-            self._context.send(self.holder, report)
+        context = self._context
+        report = self.sent.take(self._service.name, context.now_s)
+        if report is None or self.holder is None:
+            return
+        hosts = sum(len(context.peers.hosts_of(one)) for one in context.domains)
+        chosen = sampled(report, hosts=hosts, rng=context.rng)
+        if chosen is not None:
+            context.send(self.holder, chosen)
 
     def _say_alive(self) -> None:
         context = self._context
