Answer a host that is listed as leaving until it is gone

Its fellow hosts dropped it from their peers at once, so that its questions for rights went unanswered, while the balancer still sent to it. Roles (witness, watcher, partner) still leave it out; only links to it stay. The new test of processes fails without the change.

--- a/src/gentianwharf/daemon/_hosts.py
+++ b/src/gentianwharf/daemon/_hosts.py
@@ -33,7 +33,7 @@
         self._ids_by_domain: dict[str, tuple[str, ...]] = {}
         self._set_hosts({one.id: one for one in (*known, own)})
         self.leaving_servers: frozenset[str] = frozenset()
-        self._leaving_hosts = 0
+        self.leaving_hosts: Mapping[str, Host] = {}
         self._is_listed = False
         self._servers = frozenset(servers)
         self._now_s = now_s
@@ -44,20 +44,16 @@
         self._is_listed = True
         listed = tuple(listed)
         leaving = {one.id for one in listed if one.leaving and one.id in self._servers}
-        hosts = {
-            one.id: Host(id=one.id, domain=one.domain, peer_address=one.address)
-            for one in listed
-            if one.id not in self._servers and not one.leaving
-        }
+        entry_hosts = [one for one in listed if one.id not in self._servers]
+        hosts = _hosts_of(one for one in entry_hosts if not one.leaving)
         hosts[self.own.id] = self.own
-        daemons = self.daemons
-        self._leaving_hosts = sum(
-            one.leaving and one.id not in hosts and one.id not in self._servers
-            for one in listed
+        leaving_hosts = _hosts_of(
+            one for one in entry_hosts if one.leaving and one.id not in hosts
         )
-        same_hosts = hosts == self.hosts and daemons == self.daemons
+        same_hosts = hosts == self.hosts and leaving_hosts == self.leaving_hosts
         if same_hosts and leaving == self.leaving_servers:
             return False
+        self.leaving_hosts = leaving_hosts
         self._set_hosts(hosts)
         self.leaving_servers = frozenset(leaving)
         return True
@@ -77,7 +73,7 @@
         counts while it is listed. One that is not heard counts too: a host cut off
         from its peers sees none of them, and would take their shares beside them.
         """
-        return len(self.hosts) + self._leaving_hosts
+        return len(self.hosts) + len(self.leaving_hosts)
 
     def heard(self, host: str) -> None:
         """Note that a message of ``host`` came."""
@@ -113,3 +109,10 @@
             domain: tuple(sorted(o.id for o in hosts.values() if o.domain == domain))
             for domain in domains
         }
+
+
+def _hosts_of(listed: Iterable[ListedHost]) -> dict[str, Host]:
+    return {
+        one.id: Host(id=one.id, domain=one.domain, peer_address=one.address)
+        for one in listed
+    }
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -132,7 +132,9 @@
         self.gate.set_daemons(daemons)
         for connections in self.relay.connections.values():
             connections.share_with(daemons)
-        self.mesh.set_peers(self.hosts.hosts.values())
+        self.mesh.set_peers(
+            self.hosts.hosts.values(), leaving=self.hosts.leaving_hosts.values()
+        )
         self.spread.set_hosts(self.hosts.hosts.values())
         leaving = self.hosts.leaving_servers
         self.ownership.set_leaving(leaving)
--- a/src/gentianwharf/spread/_mesh.py
+++ b/src/gentianwharf/spread/_mesh.py
@@ -112,11 +112,18 @@
             on_data=self.received_frame,
         )
 
-    def set_peers(self, hosts: Iterable[Host]) -> None:
-        """Take the list of hosts; links open with the first message to a host."""
+    def set_peers(self, hosts: Iterable[Host], *, leaving: Iterable[Host] = ()) -> None:
+        """Take the list of hosts; links open with the first message to a host.
+
+        ``leaving`` hosts are answered still. The balancer goes on sending to one for
+        some seconds, and without its peers' answers its right to send would lapse: it
+        would refuse every keyed request that it is meant to finish.
+        """
         self._hosts = tuple(hosts)
         addresses = {
-            one.id: one.peer_address for one in self._hosts if one.id != self._host.id
+            one.id: one.peer_address
+            for one in (*leaving, *self._hosts)
+            if one.id != self._host.id
         }
         self._knows_peers = bool(addresses)
         self._links.set_peers(addresses)
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -148,13 +148,20 @@
 
     def state(self, host: str) -> dict[str, Any]:
         """Return what a host's admin port shows, nothing while it does not answer."""
-        address = f"http://127.0.0.1:{self.ports[f'{host}-admin']}/state"
+        return self._admin(host, "/state")
+
+    def hosts_asked_for_rules(self, host: str) -> list[str]:
+        """Return the hosts that one asks when it is to tell who has which rules."""
+        return [one["host"] for one in self._admin(host, "/rules/hosts")["hosts"]]
+
+    def _admin(self, host: str, path: str) -> dict[str, Any]:
+        address = f"http://127.0.0.1:{self.ports[f'{host}-admin']}{path}"
         try:
             with urllib.request.urlopen(address, timeout=START_TIMEOUT_S) as answer:
-                state: dict[str, Any] = json.load(answer)
+                told: dict[str, Any] = json.load(answer)
         except OSError:
             return {}
-        return state
+        return told
 
     def forget_known_hosts(self, host: str) -> None:
         """Take the fellow hosts out of a host's settings."""
@@ -162,6 +169,28 @@
         settings = json.loads(path.read_text())
         path.write_text(json.dumps(settings | {"known_hosts": []}))
 
+    def list_as_leaving(self, host: str) -> None:
+        """Have the platform's list show a host as leaving."""
+        path = self.directory / "hosts.json"
+        listed = json.loads(path.read_text())
+        for one in listed:
+            one["leaving"] = one["leaving"] or one["id"] == host
+        path.write_text(json.dumps(listed))
+        if "host-list" in self.processes:
+            self.kill("host-list")
+        self.start_platform("host-list")
+
+    def start_platform(self, name: str) -> None:
+        """Start a process of the platform: ``store`` or ``host-list``."""
+        self.start(
+            name,
+            "gentianwharf.standin",
+            "store",
+            f"127.0.0.1:{self.ports[name]}",
+            "--hosts",
+            str(self.directory / "hosts.json"),
+        )
+
     def serves(self, host: str, path: str) -> Reply | None:
         """Return the reply if it is a server's, else None."""
         try:
@@ -315,14 +344,7 @@
 def _start_all(running: Deployment) -> None:
     # Apart, so that a test can stop the one and leave the other.
     for name in ("store", "host-list"):
-        running.start(
-            name,
-            "gentianwharf.standin",
-            "store",
-            f"127.0.0.1:{running.ports[name]}",
-            "--hosts",
-            str(running.directory / "hosts.json"),
-        )
+        running.start_platform(name)
     for server in _servers():
         running.start_server(server)
     for host in running.hosts:
--- /dev/null
+++ b/tests/test_daemon_hosts.py
@@ -0,0 +1,48 @@
+"""The table of entry hosts, as the platform's list tells."""
+
+import pytest
+
+from gentianwharf.daemon._hosts import HostTable
+from gentianwharf.platform import ListedHost
+from gentianwharf.topology import Host
+from tests.builders_platform import listed_host
+
+OWN = Host(id="lac-1", domain="lac", peer_address="127.0.0.1:1")
+
+
+def table() -> HostTable:
+    return HostTable(own=OWN, known=(), servers={"calendrier-1"}, now_s=lambda: 0.0)
+
+
+@pytest.mark.parametrize(
+    ("listed", "hosts", "leaving", "servers"),
+    [
+        pytest.param([], ["lac-1"], [], [], id="empty"),
+        pytest.param(
+            [listed_host("lac-2")], ["lac-1", "lac-2"], [], [], id="another-host"
+        ),
+        pytest.param(
+            [listed_host("lac-2", leaving=True)], ["lac-1"], ["lac-2"], [], id="leaving"
+        ),
+        pytest.param(
+            [listed_host("lac-1", leaving=True)], ["lac-1"], [], [], id="own-leaving"
+        ),
+        pytest.param(
+            [listed_host("calendrier-1", leaving=True)],
+            ["lac-1"],
+            [],
+            ["calendrier-1"],
+            id="server-leaving",
+        ),
+    ],
+)
+def test_who_is_live_and_who_leaves(
+    listed: list[ListedHost], hosts: list[str], leaving: list[str], servers: list[str]
+) -> None:
+    made = table()
+    made.take(listed)
+    assert sorted(made.hosts) == hosts
+    assert sorted(made.leaving_hosts) == leaving
+    assert sorted(made.leaving_servers) == servers
+    assert made.daemons == len(hosts) + len(leaving)
+    assert not made.take(listed)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,6 +14,7 @@
     THREE_DOMAINS,
     Deployment,
     deployment,
+    time_to_wait,
     wait_until,
 )
 
@@ -192,3 +193,27 @@
         highest = max(highest, running.resident_bytes("lac-1"))
     assert received == GIB
     assert highest - before < MOST_GROWTH_BYTES
+
+
+def test_host_listed_as_leaving_serves_until_it_is_stopped(
+    one_domain: Deployment,
+) -> None:
+    """The platform lists an entry host as leaving, some seconds before it is stopped.
+
+    The balancer still sends to it. Its fellow hosts closed their links to it, its right
+    to send lapsed unanswered, and it refused every keyed request meanwhile.
+    """
+    leaving, *others = ONE_DOMAIN
+    one_domain.list_as_leaving(leaving)
+    for host in others:
+        wait_until(
+            lambda host=host: leaving not in one_domain.hosts_asked_for_rules(host),
+            what=f"{host} to read the list",
+        )
+    # Longer than a right lasts: what is served now is served under a new one.
+    time_to_wait(1.0)
+    for key in KEYS:
+        wait_until(
+            lambda key=key: one_domain.serves(leaving, f"/calendrier/{key}"),
+            what=f"the leaving host to serve {key}",
+        )
--- a/tests/test_spread_links.py
+++ b/tests/test_spread_links.py
@@ -135,6 +135,21 @@
     assert pair.channel.send("charguia", b"mended")
 
 
+def test_leaving_host_is_answered_and_told_to_nobody() -> None:
+    """The platform lists a host as leaving, and the balancer still sends to it.
+
+    Its peers closed their links to it: its right to send lapsed, and it refused every
+    keyed request until it was stopped.
+    """
+    pair = Pair()
+    ariana = pair.meshes["ariana"]
+    ariana.set_peers([ARIANA], leaving=[LAC])
+    pair.channel.send("ariana", b"may I send?")
+    assert ariana.channel(Channel.SPREAD, pair._note).send("lac", b"yes")
+    assert pair.got == [("lac", b"may I send?"), ("ariana", b"yes")]
+    assert [one.id for one in ariana._hosts] == ["ariana"]
+
+
 def test_message_that_a_system_stumbles_over_does_not_end_the_mesh() -> None:
     """A table from the store makes no sense, and its reader raises.
 
