Ask for all shards at once where many requests want long deadlines

Cause: a question for each shard and host every 100 ms is several messages a request where every rule of a service gives a deadline of more than some 400 ms, and each request waits for a round trip.

A host that asks for more than 16 shards within 0.2 s asks for all of the service at once for a second; an allowance in use is asked for again when half of it is left, so that no request waits for it. The price: after a loss all shards of the service in that domain wait for the longest deadline then.

--- a/src/gentianwharf/ownership/_deadlines.py
+++ b/src/gentianwharf/ownership/_deadlines.py
@@ -10,6 +10,7 @@
 sent it and whether or not that host still lives.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import final
@@ -29,6 +30,20 @@
 MOST_ROUNDS = 1024
 """Open rounds; the answer to an older one could hardly matter any more."""
 
+EVERY_SHARD = -1
+"""Stands in a question for all shards of its service."""
+
+MOST_SINGLE_SHARDS = 16
+"""Shards for which a host asks one by one within ``ALLOWANCE_REUSE_S``.
+
+Where most requests have long deadlines, as when every rule of a service gives one, a
+question for each shard would be several messages a request. Beyond this number one
+question stands for all of them; the price is that after a loss all of them wait.
+"""
+
+ASK_FOR_EVERY_S = 1.0
+"""For how long a host then asks for every shard at once."""
+
 PRUNE_EVERY_S = 1.0
 """How often what has passed is dropped."""
 
@@ -90,10 +105,12 @@
         self._note_list()
         now_s = context.now_s
         unknown_until_s = self._unknown_until_s(ask.service)
+        every_until_s = self._note(ask.service, EVERY_SHARD, 0.0, now_s)
+        least_s = max(every_until_s, unknown_until_s, now_s)
         left_s = {}
         for shard, wanted_s in ask.wanted_s.items():
             until_s = self._note(ask.service, shard, wanted_s, now_s)
-            left_s[shard] = max(until_s, unknown_until_s, now_s) - now_s
+            left_s[shard] = max(until_s, least_s) - now_s
         answer = DeadlineAnswer(
             domain=ask.domain,
             round=ask.round,
@@ -199,6 +216,30 @@
     asked_s: float = float("-inf")
     asked_until_s: float = float("-inf")
     waits_since_s: float | None = None
+    waited_s: float = float("-inf")
+
+
+@final
+@dataclass(kw_only=True, slots=True)
+class _Scope:
+    """Whether a host asks for single shards of a service, or for all at once."""
+
+    since_s: float = float("-inf")
+    every_until_s: float = float("-inf")
+    shards: set[int] = field(default_factory=set)
+
+    def of(self, shard: int, now_s: float) -> int:
+        """Return the shard to ask for."""
+        if now_s < self.every_until_s:
+            return EVERY_SHARD
+        if now_s >= self.since_s + ALLOWANCE_REUSE_S:
+            self.since_s = now_s
+            self.shards.clear()
+        self.shards.add(shard)
+        if len(self.shards) <= MOST_SINGLE_SHARDS:
+            return shard
+        self.every_until_s = now_s + ASK_FOR_EVERY_S
+        return EVERY_SHARD
 
 
 @final
@@ -209,15 +250,20 @@
         self._context = context
         self._asker = asker
         self._known: dict[tuple[str, int, str], _Allowance] = {}
+        self._scopes: dict[tuple[str, str], _Scope] = defaultdict(_Scope)
 
     def until_s(self, service: str, shard: int, domain: str) -> float:
         """Return how late a deadline may be that is sent to ``domain`` now."""
-        known = self._known.get((service, shard, domain))
         # Only under the list that was asked: the witnesses of a newer one need not
         # know of it.
-        if known is None or known.revision != self._revision(domain):
-            return float("-inf")
-        return known.until_s
+        revision = self._revision(domain)
+        ends_s = [
+            known.until_s
+            for one in (shard, EVERY_SHARD)
+            if (known := self._known.get((service, one, domain))) is not None
+            and known.revision == revision
+        ]
+        return max(ends_s, default=float("-inf"))
 
     def _revision(self, domain: str) -> int:
         return self._context.tables.versions.get(witness_key(domain), 0)
@@ -226,18 +272,33 @@
         self, service: str, shard: int, domain: str, *, until_s: float, now_s: float
     ) -> float:
         """Ask for deadlines up to ``until_s``; returns until when to wait for it."""
-        which = (service, shard, domain)
+        known = self._ask_when_due(service, shard, domain, until_s, now_s)
+        if known.waits_since_s is None or now_s >= known.waited_s + HOLD_S:
+            known.waits_since_s = now_s
+        known.waited_s = now_s
+        return known.waits_since_s + HOLD_S
+
+    def renew(
+        self, service: str, shard: int, domain: str, *, until_s: float, now_s: float
+    ) -> None:
+        """Ask again before an allowance that is in use ends, so that nobody waits."""
+        if self.until_s(service, shard, domain) < until_s + ALLOWANCE_REUSE_S / 2:
+            self._ask_when_due(service, shard, domain, until_s, now_s)
+
+    def _ask_when_due(
+        self, service: str, shard: int, domain: str, until_s: float, now_s: float
+    ) -> _Allowance:
+        scope = self._scopes[service, domain].of(shard, now_s)
+        which = (service, scope, domain)
         revision = self._revision(domain)
         known = self._known.get(which)
         if known is None or known.revision != revision:
             self._drop_passed(now_s)
             known = self._known[which] = _Allowance(revision=revision)
         is_open = now_s < known.asked_s + ALLOWANCE_AGAIN_S
-        if known.waits_since_s is None or now_s >= known.asked_s + HOLD_S:
-            known.waits_since_s = now_s
         if not is_open or until_s > known.asked_until_s:
             self._ask(which, known, until_s=until_s, now_s=now_s)
-        return known.waits_since_s + HOLD_S
+        return known
 
     def _ask(
         self,
--- a/src/gentianwharf/ownership/_route.py
+++ b/src/gentianwharf/ownership/_route.py
@@ -123,9 +123,10 @@
             return Refuse(reason=RefusalReason.NO_RIGHT, retry_after_s=RETRY_AFTER_S)
         cap_s = self._deadline_caps_s[service]
         if server in self._tokens_alone:
-            longest_s = self._longest_s(service, number, server, now_s)
-            if deadline_s is not None and longest_s < min(deadline_s - now_s, cap_s):
-                until_s = now_s + min(deadline_s - now_s, cap_s)
+            wanted_s = cap_s if deadline_s is None else min(deadline_s - now_s, cap_s)
+            longest_s = self._longest_s(service, number, server, wanted_s, now_s)
+            if deadline_s is not None and longest_s < wanted_s:
+                until_s = now_s + wanted_s
                 return self._wait_for_deadline(service, number, server, until_s, now_s)
             cap_s = min(cap_s, longest_s)
         self._sent[service].add(number, key)
@@ -133,11 +134,20 @@
             server_id=server, shard=number, token=entry.token, deadline_cap_s=cap_s
         )
 
-    def _longest_s(self, service: str, shard: int, server: str, now_s: float) -> float:
+    def _longest_s(
+        self, service: str, shard: int, server: str, wanted_s: float, now_s: float
+    ) -> float:
+        """Return how far away a deadline may be, as far as it is wanted."""
         domain = self._domain_of[server]
-        short_s = self._rights.until_s(domain) + DEADLINE_PAST_RIGHT_S
-        allowed_s = self._allowances.until_s(service, shard, domain)
-        return max(short_s, allowed_s) - now_s
+        short_s = self._rights.until_s(domain) + DEADLINE_PAST_RIGHT_S - now_s
+        if short_s >= wanted_s:
+            return short_s
+        allowed_s = self._allowances.until_s(service, shard, domain) - now_s
+        if allowed_s >= wanted_s:
+            self._allowances.renew(
+                service, shard, domain, until_s=now_s + wanted_s, now_s=now_s
+            )
+        return max(short_s, allowed_s)
 
     def _wait_for_deadline(
         self, service: str, shard: int, server: str, until_s: float, now_s: float
--- a/src/gentianwharf/ownership/_timing.py
+++ b/src/gentianwharf/ownership/_timing.py
@@ -32,9 +32,9 @@
 question; each millisecond more is unavailable time after a loss.
 """
 
-ALLOWANCE_REUSE_S = 0.1
-"""For how long one allowance of a longer deadline serves new requests: a busy shard
-costs each host a question every 100 ms, as often as rights are asked for."""
+ALLOWANCE_REUSE_S = 0.2
+"""For how long one allowance of a longer deadline serves new requests. It is asked for
+again when half of it is left: ten questions a second, as many as for rights."""
 
 ALLOWANCE_AGAIN_S = 0.02
 """After which a question for a longer deadline is sent again: ten times the round
--- a/tests/test_ownership_deadlines.py
+++ b/tests/test_ownership_deadlines.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 
-from gentianwharf.ownership import Refuse, Send, _lapse, _route
+from gentianwharf.ownership import Refuse, Send, _deadlines, _lapse, _route
 from gentianwharf.ownership._deadlines import DeadlineMemory
 from gentianwharf.ownership._messages import DeadlineAsk
 from tests import test_ownership_interleavings as interleavings
@@ -93,6 +93,24 @@
     assert isinstance(routes[-1], Refuse)
 
 
+def test_many_long_requests_cost_a_bounded_number_of_questions() -> None:
+    """Every rule of a service gives 2 s, and a host serves hundreds of shards.
+
+    A question for each of them would be several messages a request.
+    """
+    world = build(shards=200)
+    before = world.sent["DeadlineAsk"]
+    sent = 0
+    for _ in range(100):
+        for shard in world.rng.sample(range(world.shards), 20):
+            sent += world.request("lac-1", shard, wanted_s=CAP_S)
+        world.advance(0.01)
+    domains, witnesses = 3, 3
+    asked = (world.sent["DeadlineAsk"] - before) / witnesses
+    assert sent > 1500
+    assert asked <= domains * (_deadlines.MOST_SINGLE_SHARDS + 20)
+
+
 def freeze_with_a_long_request(world: World, *, host: str = "ariana-1") -> str:
     """Let ``host`` send a long request to a server of lac that freezes first."""
     shard = next(s for s in range(world.shards) if "-lac-" in world.owner(s))
@@ -115,6 +133,23 @@
     world.traffic(3.5)
 
 
+def long_requests_for_every_shard() -> None:
+    """Let a host send long requests for many shards: it asks for all at once.
+
+    The frozen server's shards come last, when it no longer asks for each.
+    """
+    world = build(shards=96)
+    frozen = next(one for one in world.servers if "-lac-" in one)
+    world.servers[frozen].frozen = True
+    shards = sorted(range(world.shards), key=lambda one: world.owner(one) == frozen)
+    for shard in shards:
+        world.request("ariana-1", shard, wanted_s=CAP_S)
+    world.advance(0.02, 0.001)
+    assert len(world.servers[frozen].requests) == world.shards / len(world.servers)
+    world.stop_host("ariana-1")
+    world.traffic(3.0, step_s=0.05)
+
+
 def witnesses_restart_after_they_allowed_it() -> None:
     """Restart two of the domain's three witnesses after they allowed 2 s.
 
@@ -140,6 +175,19 @@
     patch.setattr(DeadlineMemory, "_note", lambda *_: float("-inf"))
 
 
+def one_by_one_is_remembered(patch: Patch) -> None:
+    note = DeadlineMemory._note
+
+    def forget(
+        memory: DeadlineMemory, service: str, shard: int, wanted_s: float, now_s: float
+    ) -> float:
+        if shard == _deadlines.EVERY_SHARD:
+            return float("-inf")
+        return note(memory, service, shard, wanted_s, now_s)
+
+    patch.setattr(DeadlineMemory, "_note", forget)
+
+
 def restart_is_not_told(patch: Patch) -> None:
     patch.setattr(DeadlineMemory, "_unknown_until_s", lambda *_: float("-inf"))
 
@@ -151,6 +199,7 @@
 
 GUARDS: list[tuple[str, Callable[[], None], Callable[[Patch], None]]] = [
     ("witnesses-remember", long_request_in_a_frozen_server, nothing_is_remembered),
+    ("all-at-once", long_requests_for_every_shard, one_by_one_is_remembered),
     ("restart-is-told", witnesses_restart_after_they_allowed_it, restart_is_not_told),
     ("short-ends-soon", deadline_ends_with_the_right, right_is_not_waited_for),
 ]
