--- a/src/gentianwharf/settings/_places.py
+++ b/src/gentianwharf/settings/_places.py
@@ -103,7 +103,8 @@
 
     ``deadline_cap_ms`` bounds the deadline of requests to a keyed service. When a
     server that knows tokens alone is lost, its keys stay unserved until the longest
-    deadline has passed, so it bounds that time as well.
+    deadline that was sent for them has passed, so it bounds that time as well; up to
+    some 400 ms cost nothing.
     """
 
     name: Name
