--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -6,7 +6,7 @@
 
 import json
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from statistics import median
 from timeit import timeit
 
@@ -15,6 +15,10 @@
 LOSSES = 200
 MOVES = 50
 STEP_S = 0.005
+"""How often it is looked whether all is served."""
+
+CLOCK_STEP_S = 0.001
+"""How far the clock goes at a time; each answer is late by up to one such step."""
 
 
 def percentile(values: list[float], share: float) -> float:
@@ -36,30 +40,55 @@
         deadline_cap_s=cap_s,
     )
     world.settle()
-    world.advance(0.5 + world.rng.random())
+    # A witness vouches for no deadline until it has lived as long as the longest.
+    world.advance((0.5 if stamps else 0.5 + cap_s) + world.rng.random())
     return world
 
 
-def unserved_s(world: World, limit_s: float) -> float:
+def send_long(world: World) -> None:
+    """Let each host send a request that wants the longest deadline."""
+    for host in world.hosts:
+        shard = world.rng.randrange(world.shards)
+        world.request(host, shard, wanted_s=world.deadline_cap_s)
+
+
+def nothing(_: World) -> None:
+    """Send nothing."""
+
+
+def unserved_s(
+    world: World, limit_s: float, meanwhile: Callable[[World], None] = nothing
+) -> float:
     """Return how long until every host serves every shard again."""
     start_s = world.clock.seconds()
     everything = set(range(world.shards))
     while any(world.served(host) != everything for host in world.hosts):
         if world.clock.seconds() > start_s + limit_s:
             return float("inf")
-        world.advance(STEP_S, STEP_S)
+        meanwhile(world)
+        world.advance(STEP_S, CLOCK_STEP_S)
     return world.clock.seconds() - start_s
 
 
-def losses(count: int, *, stamps: bool, cap_s: float) -> dict[str, object]:
+def losses(
+    count: int,
+    *,
+    stamps: bool,
+    cap_s: float,
+    meanwhile: Callable[[World], None] = nothing,
+) -> dict[str, object]:
     """Lose a server without warning, ``count`` times."""
     times = []
     for seed in range(count):
         world = build(seed, stamps=stamps, cap_s=cap_s)
+        for _ in range(int(cap_s / STEP_S) if meanwhile is send_long else 0):
+            meanwhile(world)
+            world.advance(STEP_S, CLOCK_STEP_S)
         world.servers[world.owner(seed % world.shards)].lost = True
-        times.append(unserved_s(world, 30.0))
+        times.append(unserved_s(world, 30.0, meanwhile))
     return {
         "figure": "served again after loss",
+        "longest_deadline_in_use": meanwhile is send_long,
         "capability": "validity and stamp" if stamps else "tokens alone",
         "deadline_cap_s": cap_s,
         "losses": count,
@@ -71,7 +100,10 @@
 
 
 def losses_with_control(count: int) -> dict[str, object]:
-    """Lose a server together with the host that holds its service's control."""
+    """Lose a server together with the host that holds its service's control.
+
+    As a rack is lost: every second time the two are of one domain.
+    """
     times = []
     for seed in range(count):
         world = build(seed, stamps=True, cap_s=2.0)
@@ -79,7 +111,9 @@
             name for name, one in world.hosts.items() if one.system.state().controls
         )
         domain = world.domain_of(holder)
-        lost = next(one for one in world.servers if domain not in one)
+        lost = next(
+            one for one in world.servers if (f"-{domain}-" in one) is (seed % 2 == 0)
+        )
         world.servers[lost].lost = True
         world.stop_host(holder)
         times.append(unserved_s(world, 30.0))
@@ -87,6 +121,7 @@
         "figure": "served again after loss with the control holder",
         "losses": count,
         "p50_s": round(median(times), 3),
+        "p99_s": round(percentile(times, 0.99), 3),
         "max_s": round(max(times), 3),
     }
 
@@ -161,22 +196,28 @@
     return {"figure": "route", "shards": 65_536, "us": round(seconds / count * 1e6, 2)}
 
 
-def figures(count: int) -> Iterator[dict[str, object]]:
-    """Yield every figure."""
-    yield losses(count, stamps=True, cap_s=2.0)
-    yield losses(count, stamps=False, cap_s=2.0)
-    yield losses(count, stamps=False, cap_s=0.25)
-    yield losses_with_control(min(count, MOVES))
-    yield moves(min(count, MOVES))
-    yield from store_calls()
-    yield messages()
-    yield route_time()
+def figures(count: int, names: Sequence[str] = ()) -> Iterator[dict[str, object]]:
+    """Yield every figure, or those of the groups named."""
+    few = min(count, MOVES)
+    groups: dict[str, Callable[[], Iterable[dict[str, object]]]] = {
+        "stamps": lambda: [losses(count, stamps=True, cap_s=2.0)],
+        "tokens": lambda: [losses(count, stamps=False, cap_s=2.0)],
+        "short": lambda: [losses(count, stamps=False, cap_s=0.25)],
+        "long": lambda: [losses(few, stamps=False, cap_s=2.0, meanwhile=send_long)],
+        "rack": lambda: [losses_with_control(count)],
+        "moves": lambda: [moves(few)],
+        "calls": store_calls,
+        "messages": lambda: [messages()],
+        "route": lambda: [route_time()],
+    }
+    for name in names or groups:
+        yield from groups[name]()
 
 
 def main() -> None:
-    """Print the figures; a first argument gives the number of losses."""
+    """Print the figures; arguments give the number of losses, then groups."""
     count = int(sys.argv[1]) if len(sys.argv) > 1 else LOSSES
-    for figure in figures(count):
+    for figure in figures(count, sys.argv[2:]):
         print(json.dumps({"bench": "ownership", **figure}), flush=True)
 
 
--- a/src/gentianwharf/daemon/_admin.py
+++ b/src/gentianwharf/daemon/_admin.py
@@ -5,6 +5,8 @@
 from gentianwharf.settings import rule_scope_of
 
 from . import _views as views
+from ._decisions import FleetDecisions
+from ._fleet import FleetBurnView, FleetRulesView
 from ._parts import Parts, seeded
 
 
@@ -17,6 +19,8 @@
         control=parts.control,
         ownership=parts.ownership,
         reports=parts.reports,
+        keyed=frozenset(one.name for one in parts.keyed_services()),
+        hosts=parts.hosts,
     )
 
 
@@ -38,6 +42,14 @@
     return AdminApp(
         state=state,
         rules=views.RulesView(in_force=parts.rules, book=book),
+        fleet_rules=FleetRulesView(
+            clock=parts.reactor,
+            queries=parts.queries,
+            hosts=parts.hosts,
+            rules=parts.rules,
+            spread=parts.spread,
+            rules_key=parts.rules_key,
+        ),
         keys=views.KeysView(
             ownership=parts.ownership, services=parts.services, domains=parts.domains
         ),
@@ -49,8 +61,18 @@
             domains=parts.domains,
             hosts=parts.hosts,
         ),
-        burn=views.BurnOfRecorder(recorder=parts.recorder),
-        decisions=views.DecisionsOfRecorder(recorder=parts.recorder),
+        burn=FleetBurnView(
+            clock=parts.reactor,
+            queries=parts.queries,
+            hosts=parts.hosts,
+            recorder=parts.recorder,
+        ),
+        decisions=FleetDecisions(
+            queries=parts.queries,
+            hosts=parts.hosts,
+            recorder=parts.recorder,
+            now_s=parts.reactor.seconds,
+        ),
         metrics=lambda: parts.recorder.prometheus_text().encode(),
         token=token,
     )
--- a/src/gentianwharf/daemon/_views.py
+++ b/src/gentianwharf/daemon/_views.py
@@ -1,22 +1,24 @@
 """What the admin port shows and does, over the daemon's parts."""
 
-from collections.abc import Mapping, Sequence
-from dataclasses import asdict
-from typing import cast, final
+from collections.abc import Container, Mapping, Sequence
+from typing import final
 
 from gentianwharf.admin import (
     DomainLoss,
-    JsonValue,
     KeyOwner,
     ServerStatus,
 )
-from gentianwharf.errors import InputError
+from gentianwharf.errors import InputError, OutcomeUnknownError
 from gentianwharf.keys import shard_of
-from gentianwharf.load import Gate, ServerSnapshot
+from gentianwharf.load import Gate, ServerSnapshot, Standing
 from gentianwharf.logs import log
-from gentianwharf.metrics import Recorder
-from gentianwharf.ownership import Assignment, OwnershipState, OwnershipSystem
-from gentianwharf.platform import BackendControl, HostList, ListedHost
+from gentianwharf.ownership import (
+    Assignment,
+    OwnershipState,
+    OwnershipSystem,
+    RequestOutcome,
+)
+from gentianwharf.platform import HostList, ListedHost
 from gentianwharf.rules import (
     ApplyResult,
     RuleBook,
@@ -28,6 +30,7 @@
 from gentianwharf.topology import BackendServer, Domain, Service
 
 from ._hosts import HostTable
+from ._keyed_servers import WatchedControl
 from ._reports import ServerReports
 from ._rules import RulesInForce
 
@@ -84,6 +87,17 @@
         return result
 
 
+def _check_confirmed(outcome: RequestOutcome, *, step: str, peer: str) -> None:
+    if outcome is not RequestOutcome.CONFIRMED:
+        raise OutcomeUnknownError(
+            "expected the store to take the move within some seconds, heard of none:"
+            " the server may be leaving or lost, or the store out of reach. It may"
+            " still come; look with `gentianwharf keys owner`, or ask again",
+            step=step,
+            peer=peer,
+        )
+
+
 @final
 class KeysView:
     """Owners of keys."""
@@ -106,9 +120,13 @@
         return self._owner(service, key, shard, assignment)
 
     async def move(self, service: str, key: str, server: str, author: str) -> KeyOwner:
-        """Begin to move the key's shard to ``server``."""
+        """Begin to move the key's shard; returns once the store has the move."""
         shard = shard_of(key, self._keyed(service).shards)
-        self._ownership.move(service, shard, server)
+        _check_confirmed(
+            await self._ownership.move(service, shard, server),
+            step="move shard",
+            peer=server,
+        )
         return self.owner(service, key)
 
     async def pin(
@@ -116,7 +134,11 @@
     ) -> KeyOwner:
         """Give ``key`` an entry of its own on ``server``, or take it away."""
         self._keyed(service)
-        self._ownership.pin(service, key, server or "")
+        _check_confirmed(
+            await self._ownership.pin(service, key, server or ""),
+            step="pin key",
+            peer=server or service,
+        )
         return self.owner(service, key)
 
     def _keyed(self, name: str) -> Service:
@@ -159,10 +181,14 @@
         servers: Mapping[str, BackendServer],
         domains: Sequence[Domain],
         gate: Gate,
-        control: BackendControl,
+        control: WatchedControl,
         ownership: OwnershipSystem,
         reports: ServerReports,
+        keyed: Container[str],
+        hosts: HostTable,
     ) -> None:
+        self._keyed = keyed
+        self._hosts = hosts
         self._reports = reports
         self._servers = servers
         self._sites = {domain.name: domain.site for domain in domains}
@@ -188,13 +214,24 @@
             domain=server.domain,
             site=self._sites[server.domain],
             address=server.address,
-            state=str(snapshot.standing) if snapshot is not None else "gone",
+            state=self._state(server, snapshot),
             slots=server.slots,
             slots_busy=snapshot.in_flight if snapshot is not None else 0,
             reported_load=report.load if report is not None else None,
             shards=self._ownership.count_shards(server.id),
         )
 
+    def _state(self, server: BackendServer, snapshot: ServerSnapshot | None) -> str:
+        if server.id in self._hosts.leaving_servers or self._control.is_draining(
+            server.id
+        ):
+            return str(Standing.LEAVING)
+        if snapshot is None:
+            return "gone"
+        if server.service in self._keyed and self._control.is_suspect(server.id):
+            return str(Standing.SUSPECT)
+        return str(snapshot.standing)
+
     async def drain(self, server: str, author: str) -> ServerStatus:
         """Tell ``server`` that it is leaving; its shards move away."""
         found = self._servers.get(server)
@@ -279,35 +316,3 @@
                 step="find domain",
                 peer=domain,
             )
-
-
-@final
-class DecisionsOfRecorder:
-    """Why requests went where they went."""
-
-    def __init__(self, *, recorder: Recorder) -> None:
-        self._recorder = recorder
-
-    def decisions(
-        self, *, request_id: str | None, most: int
-    ) -> Sequence[Mapping[str, JsonValue]]:
-        """Return the newest kept decisions, or that of a request."""
-        ring = self._recorder.decisions
-        if request_id is None:
-            kept = ring.latest(most=most)
-        else:
-            one = ring.find(request_id)
-            kept = [one] if one is not None else []
-        return [cast("Mapping[str, JsonValue]", asdict(one)) for one in kept]
-
-
-@final
-class BurnOfRecorder:
-    """The service-level burn."""
-
-    def __init__(self, *, recorder: Recorder) -> None:
-        self._recorder = recorder
-
-    def burn(self) -> Mapping[str, JsonValue]:
-        """Return the report as JSON."""
-        return cast("Mapping[str, JsonValue]", self._recorder.burn().as_builtins())
--- a/src/gentianwharf/metrics/_recorder.py
+++ b/src/gentianwharf/metrics/_recorder.py
@@ -7,12 +7,15 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ._answer import Answer, Decision, Run
-from ._burn import WINDOWS_S, BurnReport, UnavailableBurn, burn_report
+from ._burn import WINDOWS_S, UnavailableBurn
+from ._burn_part import ELAPSED, BurnPart
 from ._decisions import DecisionRing
-from ._histograms import EncodedHistogram, WindowedHistogram, record_s, value_at_s
-from ._measures import UnavailableShards, imbalance
+from ._histograms import EncodedHistogram, WindowedHistogram, record_s
+from ._latencies import Latencies
+from ._measures import UnavailableShards
 from ._objectives import Objective
-from ._prometheus import HistogramSample, Sample, prometheus_text
+from ._prometheus import Sample, prometheus_text
+from ._server_loads import ServerLoads
 from ._windows import BurnWindows, Place, Tallies, Tally, WindowCount
 
 # A window of latency for the state page: long enough for a p99 of a quiet class,
@@ -20,8 +23,6 @@
 WINDOW_S = 60.0
 # A minute, an hour and more are read from counts folded this often.
 FOLD_S = 5.0
-ELAPSED = "gentianwharf_answer_seconds"
-WAITED = "gentianwharf_queue_seconds"
 
 
 class _Line(NamedTuple):
@@ -72,12 +73,11 @@
         self.objectives = tuple(objectives)
         self._limits_s = {one.request_class: one.limit_s for one in self.objectives}
         self.decisions = DecisionRing(random=random)
-        self._elapsed: dict[tuple[str, str], WindowedHistogram] = {}
-        self._waited: dict[tuple[str, str], WindowedHistogram] = {}
+        self._latencies = Latencies()
         self._lines: dict[_LineKey, int] = {}
         self._totals: dict[_Total, int] = {}
-        self._server_load: dict[str, dict[str, int]] = {}
-        self._last_load: dict[str, dict[str, int]] = {}
+        self.loads = ServerLoads()
+        self._churn: dict[str, int] = {}
         self._windows = BurnWindows()
         self._unavailable = UnavailableShards()
         self._started_s = clock.seconds()
@@ -89,12 +89,12 @@
         service = answer.service
         request_class = answer.request_class
         kind = (service, request_class)
-        elapsed = self._elapsed.get(kind)
+        elapsed = self._latencies.elapsed.get(kind)
         if elapsed is None:
-            elapsed = self._elapsed[kind] = WindowedHistogram()
+            elapsed = self._latencies.elapsed[kind] = WindowedHistogram()
         record_s(elapsed.running, answer.elapsed_s)
         if answer.waited_s > 0:
-            self._record_wait(kind, answer.waited_s)
+            self._latencies.waited(kind, answer.waited_s)
         served = answer.served
         limit_s = self._limits_s.get(request_class)
         line = (
@@ -114,11 +114,9 @@
                 service, answer.shard, at_s=self._clock.seconds(), served=served
             )
 
-    def _record_wait(self, kind: tuple[str, str], waited_s: float) -> None:
-        waited = self._waited.get(kind)
-        if waited is None:
-            waited = self._waited[kind] = WindowedHistogram()
-        record_s(waited.running, waited_s)
+    def moved(self, service: str, shards: int) -> None:
+        """Count shards that changed owner."""
+        self._churn[service] = self._churn.get(service, 0) + shards
 
     def decide(self, decision: Decision) -> None:
         """Keep a decision: refused and unknown ones always, others sampled."""
@@ -148,21 +146,15 @@
                 line.request_class, line.service, line.rule, line.domain, line.server
             )
             tallies.setdefault(place, Tally()).add(count, count if line.bad else 0)
-            self._add_load(place, count)
+            if place.server:
+                self.loads.add(place.service, place.server, count)
         self._lines.clear()
         self._windows.add(tallies, now_s=now_s)
         self._folded_s = now_s
 
-    def _add_load(self, place: Place, count: int) -> None:
-        if not place.server:
-            return
-        loads = self._server_load.setdefault(place.service, {})
-        loads[place.server] = loads.get(place.server, 0) + count
-
     def _turn(self, now_s: float) -> None:
-        for windowed in (*self._elapsed.values(), *self._waited.values()):
-            windowed.turn()
-        self._last_load, self._server_load = self._server_load, {}
+        self._latencies.turn()
+        self.loads.turn()
         self._turned_s = now_s
 
     def window_counts(self, windows_s: Iterable[float]) -> list[WindowCount]:
@@ -175,12 +167,12 @@
             for count in self._windows.counts(window_s=window_s, now_s=now_s)
         ]
 
-    def burn(self) -> BurnReport:
-        """Return how fast the objectives' error budgets burn, on this daemon."""
-        return burn_report(
-            self.objectives,
-            self.window_counts(WINDOWS_S),
+    def burn_part(self) -> BurnPart:
+        """Return what this daemon adds to the burn report."""
+        return BurnPart(
+            counts=self.window_counts(WINDOWS_S),
             unavailable=self._unavailable_burns(),
+            histograms=[one for one in self.encoded() if one.name == ELAPSED],
         )
 
     def _unavailable_burns(self) -> list[UnavailableBurn]:
@@ -202,39 +194,14 @@
             )
         return burns
 
-    def imbalance(self, service: str) -> float:
-        """Return max/mean of answers per server in the last whole window."""
-        return imbalance(self._last_load.get(service, {}))
-
     def encoded(self) -> list[EncodedHistogram]:
         """Return the histograms since the start, encoded so that hosts' add up."""
-        return [
-            EncodedHistogram(
-                name=name,
-                service=service,
-                request_class=request_class,
-                encoded=windowed.whole().encode(),
-            )
-            for name, table in ((ELAPSED, self._elapsed), (WAITED, self._waited))
-            for (service, request_class), windowed in table.items()
-        ]
+        return self._latencies.encoded()
 
     def prometheus_text(self) -> str:
         """Return the metrics in Prometheus' text format."""
         self._fold(self._clock.seconds())
-        return prometheus_text(self._samples(), self._histogram_samples())
-
-    def _histogram_samples(self) -> Iterable[HistogramSample]:
-        names = (
-            (ELAPSED, "Time from request to whole answer.", self._elapsed),
-            (WAITED, "Time in the queue of those that waited.", self._waited),
-        )
-        for name, text, table in names:
-            for (service, request_class), windowed in table.items():
-                labels = {"service": service, "class": request_class}
-                yield HistogramSample(
-                    name=name, help=text, labels=labels, histogram=windowed.whole()
-                )
+        return prometheus_text(self._samples(), self._latencies.samples())
 
     def _samples(self) -> Iterable[Sample]:
         for total, count in self._totals.items():
@@ -255,41 +222,38 @@
 
     def _measure_samples(self) -> Iterable[Sample]:
         now_s = self._clock.seconds()
-        for service in sorted({service for service, _ in self._elapsed}):
-            measures = (
-                ("imbalance", "Max/mean answers per server.", self.imbalance(service)),
-                (
-                    "unavailable_shard_seconds",
-                    "Time in which shards could not be served, added up.",
-                    self._unavailable.total_s(service, now_s=now_s),
-                ),
-                (
-                    "unavailable_shards",
-                    "Shards that can't be served now.",
-                    self._unavailable.unavailable_now(service),
-                ),
+        for service, shards in sorted(self._churn.items()):
+            yield _measure(
+                "churn_shards", "Shards that changed owner.", service, shards, True
             )
-            for name, text, value in measures:
-                yield Sample(
-                    name=f"gentianwharf_{name}",
-                    help=text,
-                    labels={"service": service},
-                    value=value,
-                    counter=False,
+        for service in self._latencies.services():
+            uneven = self.loads.imbalance(service)
+            if uneven is not None:
+                yield _measure(
+                    "imbalance", "Max/mean answers per server.", service, uneven
                 )
+            yield _measure(
+                "unavailable_shard_seconds",
+                "Time in which shards could not be served, added up.",
+                service,
+                self._unavailable.total_s(service, now_s=now_s),
+            )
+            yield _measure(
+                "unavailable_shards",
+                "Shards that can't be served now.",
+                service,
+                self._unavailable.unavailable_now(service),
+            )
 
     def state(self) -> dict[str, Any]:
         """Return the last window's latency and the measures, for the state page."""
         now_s = self._clock.seconds()
         return {
             "window_s": WINDOW_S,
-            "classes": [
-                _class_state(service, request_class, windowed)
-                for (service, request_class), windowed in self._elapsed.items()
-            ],
+            "classes": self._latencies.state(),
             "services": {
                 service: {
-                    "imbalance": self.imbalance(service),
+                    "imbalance": self.loads.imbalance(service),
                     "unavailable_shard_s": self._unavailable.total_s(
                         service, now_s=now_s
                     ),
@@ -298,20 +262,18 @@
                     ),
                     "unavailable_shards": self._unavailable.unavailable_now(service),
                 }
-                for service in sorted({service for service, _ in self._elapsed})
+                for service in self._latencies.services()
             },
         }
 
 
-def _class_state(
-    service: str, request_class: str, windowed: WindowedHistogram
-) -> dict[str, Any]:
-    last = windowed.last if windowed.last.get_total_count() else windowed.running
-    return {
-        "service": service,
-        "class": request_class,
-        "answers": last.get_total_count(),
-        "p50_s": value_at_s(last, 50),
-        "p99_s": value_at_s(last, 99),
-        "p999_s": value_at_s(last, 99.9),
-    }
+def _measure(
+    name: str, text: str, service: str, value: float, counter: bool = False
+) -> Sample:
+    return Sample(
+        name=f"gentianwharf_{name}",
+        help=text,
+        labels={"service": service},
+        value=value,
+        counter=counter,
+    )
--- a/src/gentianwharf/ownership/__init__.py
+++ b/src/gentianwharf/ownership/__init__.py
@@ -1,8 +1,9 @@
 """One owner for each key: assignment table, rights, grants, moves, control."""
 
-from ._messages import Message, decode, encode
+from ._messages import ControlAlive, Message, decode, encode
 from ._move import MoveState
 from ._protocols import Log, PeerLink, SiteOf
+from ._requests import RequestOutcome
 from ._route import Hold, RefusalReason, Refuse, Route, Send
 from ._system import Assignment, OwnershipState, OwnershipSystem
 from ._timing import TICK_S
@@ -10,6 +11,7 @@
 __all__ = [
     "TICK_S",
     "Assignment",
+    "ControlAlive",
     "Hold",
     "Log",
     "Message",
@@ -19,6 +21,7 @@
     "PeerLink",
     "RefusalReason",
     "Refuse",
+    "RequestOutcome",
     "Route",
     "Send",
     "SiteOf",
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -5,9 +5,10 @@
 from random import Random
 from typing import final
 
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from gentianwharf.errors import GentianwharfError, InputError, RefusedError
+from gentianwharf.errors import GentianwharfError
 from gentianwharf.keys import shard_of
 from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import BackendControl, KeyValueStore
@@ -15,12 +16,15 @@
 
 from ._announcer import ROUND_BITS, Announcer
 from ._context import Context
+from ._deadlines import Allowances, DeadlineAsker, DeadlineMemory
 from ._evidence import OwnEvidence, Suspicions
 from ._lag import LoopLag
 from ._messages import (
     Acknowledge,
     Announce,
     ControlAlive,
+    DeadlineAnswer,
+    DeadlineAsk,
     Items,
     Leaving,
     Loads,
@@ -35,12 +39,14 @@
     ShareAnswer,
     ShareAsk,
     Suspect,
+    VersionsWanted,
 )
 from ._move import MoveState
 from ._protocols import Log, PeerLink, SingleKeySites, SiteOf
-from ._ranks import RankCache
+from ._ranks import LiveHosts, RankCache
 from ._reader import Reader
 from ._renewal import Renewal
+from ._requests import OperatorRequests, RequestOutcome
 from ._rights import Rights, Witness
 from ._route import Route, Router
 from ._service_control import ServiceControl
@@ -132,6 +138,7 @@
             witness=witness,
             receive=self.received,
             lag=LoopLag(),
+            live=LiveHosts(peers=peers),
             ranks=RankCache(),
         )
         self._evidence = OwnEvidence()
@@ -142,24 +149,31 @@
         self._witness_list = WitnessListKeeper(
             context=context, announcer=self._announcer
         )
+        self._deadline_memory = DeadlineMemory(context=context)
+        self._deadline_asker = DeadlineAsker(context=context)
         self._controls = {
             name: ServiceControl(
                 context=context,
                 service=service,
                 announcer=self._announcer,
                 suspicions=self._suspicions,
+                asker=self._deadline_asker,
             )
             for name, service in keyed.items()
         }
         self._renewal = Renewal(
             context=context,
             evidence=self._evidence,
-            holder_of=lambda service: self._controls[service].holder,
+            told_of=lambda service: self._controls[service].told(),
+        )
+        self._requests = OperatorRequests(
+            context=context, holder_of=lambda service: self._controls[service].holder
         )
         self._router = Router(
             tables=tables,
             rights=context.rights,
-            domain_of={one.id: one.domain for one in context.servers.values()},
+            servers=context.servers,
+            allowances=Allowances(context=context, asker=self._deadline_asker),
             deadline_caps_s=context.deadline_caps_s,
             sent={name: one.sent for name, one in self._controls.items()},
         )
@@ -173,6 +187,7 @@
             RightAnswer: witnessing.answered,
             ShareAsk: witnessing.share_asked,
             ShareAnswer: witnessing.share_answered,
+            VersionsWanted: witnessing.versions_wanted,
             Announce: witnessing.announced,
             RecoverAsk: witnessing.recovery_asked,
             RecoverAnswer: witnessing.recovery_answered,
@@ -180,6 +195,8 @@
             Items: self._items,
             Pull: self._pull,
             ControlAlive: self._control_alive,
+            DeadlineAsk: self._deadline_memory.asked,
+            DeadlineAnswer: self._deadline_asker.hear,
             Probe: self._probe,
             Suspect: self._suspect,
             Leaving: self._leaving,
@@ -192,9 +209,11 @@
         self._context.lag.note_tick(self._context.now_s)
         self._reader.tick()
         self._witnessing.tick()
+        self._deadline_memory.tick()
         self._witness_list.tick(has_read=self._reader.has_read)
         self._renewal.tick()
         self._announcer.tick()
+        self._requests.tick()
         if not self._is_stopping:
             for control in self._controls.values():
                 control.tick()
@@ -203,22 +222,40 @@
         """Handle a message from a fellow host."""
         self._handlers[type(message)](host, message)
 
-    def route(self, service: str, shard: int, key: str | None = None) -> Route:
-        """Decide where a request for a keyed service goes now."""
-        return self._router.route(service, shard, key, self._context.now_s)
+    def route(
+        self,
+        service: str,
+        shard: int,
+        key: str | None = None,
+        *,
+        deadline_s: float | None = None,
+    ) -> Route:
+        """Decide where a request for a keyed service goes now.
+
+        ``deadline_s`` is until when, on this host's clock, the request is to run: it
+        is held until so long a deadline may be sent. Without one, ``Send`` says what
+        may be had at once.
+        """
+        return self._router.route(
+            service, shard, key, self._context.now_s, deadline_s=deadline_s
+        )
 
     def refused_not_owner(self, service: str, shard: int, token: int) -> None:
         """Note that a server refused a request as not the shard's owner."""
         self._router.block(service, shard, token, self._context.now_s)
 
-    def answered(self, server: str, *, ok: bool) -> None:
-        """Note that a request to ``server`` was answered, or never was."""
+    def answered(self, server: str, *, ok: bool, busy_s: float | None = None) -> None:
+        """Note that a request to ``server`` was answered, or never was.
+
+        ``busy_s`` is how long a request that the server ran took there.
+        """
         if server not in self._context.servers:
             return
+        if busy_s is not None:
+            service = self._context.servers[server].service
+            self._controls[service].sent.answered(busy_s)
         if self._evidence.note(server, answered=ok):
-            found = self._context.servers[server]
-            holder = self._controls[found.service].holder
-            self._renewal.probe(found, holder=holder)
+            self._renewal.probe(self._context.servers[server])
 
     def set_leaving(self, servers: Iterable[str]) -> None:
         """Take the servers that the platform or an operator says are leaving."""
@@ -235,36 +272,22 @@
         """
         await declare_lost(self._context, domain, lost=lost)
 
-    def move(self, service: str, shard: int, server: str) -> None:
-        """Ask the control holder to move a shard to a server."""
-        self._request_move(service, shard, server)
+    def move(self, service: str, shard: int, server: str) -> Deferred[RequestOutcome]:
+        """Ask the control holder to move a shard; fires when the store has the move.
 
-    def pin(self, service: str, key: str, server: str) -> None:
-        """Ask for an entry of its own for ``key`` at ``server``; "" takes it away."""
-        shard = shard_of(key, self._context.services[service].shards)
-        self._request_move(service, shard, server, key)
+        Raises ``InputError`` and ``RefusedError`` at once.
+        """
+        return self._requests.ask(
+            MoveRequest(service=service, shard=shard, server=server)
+        )
 
-    def _request_move(
-        self, service: str, shard: int, server: str, key: str | None = None
-    ) -> None:
-        known = server in self._context.servers or (key is not None and not server)
-        if service not in self._controls or not known:
-            raise InputError(
-                f"expected a keyed service and one of its servers, got {service!r}"
-                f" and {server!r}; see `gentianwharf servers list`",
-                step="move shard",
-                peer=server,
-            )
-        holder = self._controls[service].holder
-        if holder is None:
-            raise RefusedError(
-                "expected a host that holds the service's control, heard of none yet;"
-                " try again in some seconds",
-                step="move shard",
-                peer=service,
-            )
-        request = MoveRequest(service=service, shard=shard, server=server, key=key)
-        self._context.send(holder, request)
+    def pin(self, service: str, key: str, server: str) -> Deferred[RequestOutcome]:
+        """Ask for an entry of its own for ``key`` at ``server``; "" takes it away."""
+        keyed = self._context.services.get(service)
+        shard = shard_of(key, keyed.shards) if keyed is not None else 0
+        return self._requests.ask(
+            MoveRequest(service=service, shard=shard, server=server, key=key)
+        )
 
     def _acknowledged(self, host: str, message: Acknowledge) -> None:
         self._announcer.hear(host, message)
@@ -283,11 +306,12 @@
         control = self._controls.get(message.service)
         if control is not None:
             control.heard(host)
+            control.sent.keys.watched = frozenset(message.watched)
 
     def _probe(self, host: str, message: Probe) -> None:
         server = self._context.servers.get(message.server)
         if server is not None:
-            self._renewal.probe(server, holder=message.control, is_second=True)
+            self._renewal.probe(server, asker=message.control, is_second=True)
 
     def _suspect(self, host: str, message: Suspect) -> None:
         self._suspicions.hear(host, message.server, self._context.now_s)
@@ -360,6 +384,7 @@
     async def stop(self) -> None:
         """Hand the control over; grants and rights go on from other hosts."""
         self._is_stopping = True
+        self._requests.stop()
         for control in self._controls.values():
             try:
                 await control.lease.drop()
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -1,30 +1,61 @@
 """The callers' application: a catch-all route that begins an exchange."""
 
+from collections.abc import Callable, Sequence
 from random import Random
-from typing import Any, cast
+from typing import Any, cast, final
 
 from klein import Klein
-from klein._resource import StandInResource
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
+from twisted.web.http_headers import Headers
 from twisted.web.iweb import IRequest
 
+from gentianwharf.logs import log
 from gentianwharf.metrics import Run
 from gentianwharf.rules import RuleMatch
 
-from ._caller import CallerRequest
+from ._caller_request import CallerRequest, EveryPath
 from ._connections import ServerConnections
 from ._exchange import Exchange
-from ._headers import KEY_HEADER, facts_of
+from ._headers import KEY_HEADER, connection_options, facts_of
 from ._ports import Admission, Observer, Ownership, Rules, Ticket
 from ._problem import Problem, write_problem
 from ._repeats import RepeatKey, Repeats
 
 DEFAULT_DEADLINE_MS = 10_000
 REQUEST_ID_BITS = 96
+ENDPOINT = "relay"
+# Of a caller's own words in a problem document.
+MOST_SHOWN_BYTES = 80
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
 
+@final
+class _RelayResource(EveryPath):
+    """Runs klein's one route, without the search for it among one.
+
+    klein takes the target apart, binds its map to the request's host and matches,
+    80 µs of a request's 1 ms, to find the only route there is.
+    """
+
+    def __init__(self, *, klein: Klein) -> None:
+        super().__init__()
+        self._klein = klein
+
+    def serve(self, request: CallerRequest) -> None:
+        """Begin to serve ``request``; it is cancelled when its caller goes."""
+        done = cast(Any, maybeDeferred(self._klein.execute_endpoint, ENDPOINT, request))
+        if not done.called:
+            request.notifyFinish().addErrback(lambda _: done.cancel())
+        done.addErrback(self._failed, request)
+
+    def _failed(self, failure: Failure, request: CallerRequest) -> None:
+        # The exchange answers all that it may: this is a fault before it began.
+        log.error("request failed: {}", failure.getTraceback())
+        if not request.startedWriting and not request._disconnected:
+            request.processingFailed(failure)
+
+
 class RelayApp:
     """Serves callers by the rules in force.
 
@@ -47,6 +78,7 @@
     ) -> None:
         self.rules = rules
         self.in_flight: set[Exchange] = set()
+        self.on_first_in_flight: Callable[[], None] = lambda: None
         self.stopping = False
         self._ownership = ownership
         self._admission = admission
@@ -60,7 +92,11 @@
         self.klein = Klein()
         # Paths belong to the servers: a doubled slash is not ours to redirect.
         self.klein.url_map.merge_slashes = False
-        self.klein.route("/", branch=True)(self._serve)
+        self.klein.route("/", branch=True, endpoint=ENDPOINT)(self._serve)
+
+    def resource(self) -> EveryPath:
+        """Return the root of the callers' site."""
+        return _RelayResource(klein=self.klein)
 
     def _serve(self, request: IRequest) -> Any:
         caller_request = cast(CallerRequest, request)
@@ -68,17 +104,18 @@
         try:
             exchange = self._begin(caller_request, request_id)
         except Problem as problem:
+            self._observer.refused(request_id, problem)
             write_problem(caller_request, problem, request_id=request_id)
-            return StandInResource
+            return None
         self.in_flight.add(exchange)
+        if len(self.in_flight) == 1:
+            self.on_first_in_flight()
         done = Deferred.fromCoroutine(exchange.serve())
         return done.addBoth(self._ended, exchange)
 
     def _ended(self, result: Any, exchange: Exchange) -> Any:
         self.in_flight.discard(exchange)
-        # The exchange has finished or broken the answer itself: klein must not
-        # finish it once more, which would make a cut answer look whole.
-        return result if isinstance(result, Failure) else StandInResource
+        return result
 
     def _begin(self, request: CallerRequest, request_id: str) -> Exchange:
         hosts = request.requestHeaders.getRawHeaders(b"host")
@@ -88,6 +125,7 @@
             raise _bad_request("expected Content-Length or Transfer-Encoding, got both")
         if len(set(request.requestHeaders.getRawHeaders(KEY_HEADER) or ())) > 1:
             raise _bad_request("expected one Gentianwharf-Key, got two that differ")
+        _check_upgrade(request.requestHeaders)
         facts = facts_of(request.method, request.uri, request.requestHeaders)
         match = self.rules.match(facts)
         if match is None:
@@ -142,6 +180,31 @@
     )
 
 
+def _check_upgrade(headers: Headers) -> None:
+    """Refuse a request that asks to leave HTTP on its connection.
+
+    Handed on without its ``Upgrade`` it would be answered as a plain one, and its
+    caller wait for a stream that never opens. Upgrades to HTTP/2 are passed over, as
+    RFC 9110, section 7.8, allows: their callers go on with HTTP/1.1.
+    """
+    values = headers.getRawHeaders(b"upgrade")
+    if not values or b"upgrade" not in connection_options(headers):
+        return
+    wanted = {one.strip().lower() for value in values for one in value.split(b",")}
+    if wanted <= {b"h2c", b""}:
+        return
+    raise Problem(
+        status=501,
+        title="no upgrade is supported",
+        run=Run.NOT_RUN,
+        detail=f"Expected a plain HTTP/1.1 request, got Upgrade: {_shown(values)}",
+    )
+
+
+def _shown(values: Sequence[bytes]) -> str:
+    return b", ".join(values)[:MOST_SHOWN_BYTES].decode("latin-1")
+
+
 def _caller_of(request: CallerRequest) -> str:
     """Return the caller's address, as the platform's balancer saw it.
 
