--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -150,10 +150,41 @@
 
 @final
 class ControlAlive(_Message, frozen=True, kw_only=True, tag=True):
-    """The sender holds the control lease of ``service`` under ``term``."""
+    """The sender holds the control lease of ``service`` under ``term``.
+
+    It asks for the counts of the keys in the ``watched`` shards.
+    """
 
     service: str
     term: int
+    watched: tuple[int, ...] = ()
+
+
+@final
+class DeadlineAsk(_Message, frozen=True, kw_only=True, tag=True):
+    """Ask each witness of ``domain`` to remember how long requests may go on.
+
+    Requests for a shard may carry deadlines up to ``wanted_s`` from now; 0 asks only
+    for what the witness remembers.
+    """
+
+    domain: str
+    round: int
+    service: str
+    wanted_s: dict[int, float]
+
+
+@final
+class DeadlineAnswer(_Message, frozen=True, kw_only=True, tag=True):
+    """By shard, how far from now the longest deadline may be that it remembers.
+
+    ``witness_revision`` is the revision of the domain's witness list that it knows.
+    """
+
+    domain: str
+    round: int
+    witness_revision: int
+    left_s: dict[int, float]
 
 
 @final
@@ -180,10 +211,21 @@
 
 @final
 class Loads(_Message, frozen=True, kw_only=True, tag=True):
-    """Requests per second that the sender sent for its busiest shards."""
+    """Requests per second that the sender sent for its busiest shards.
+
+    ``busy_s`` is how long servers took over the ``answers`` since the last report;
+    ``keys`` are counts of the busiest keys in watched shards, and ``watched`` those
+    of the shards since they have been watched. ``hosts`` is how many hosts the report
+    stands for: in a large fleet a sample of them reports.
+    """
 
     service: str
     rates: dict[int, float]
+    keys: dict[str, int] = {}
+    watched: dict[int, int] = {}
+    hosts: float = 1.0
+    answers: int = 0
+    busy_s: float = 0.0
 
 
 @final
@@ -227,6 +269,8 @@
     | RecoverAsk
     | RecoverAnswer
     | ControlAlive
+    | DeadlineAsk
+    | DeadlineAnswer
     | Probe
     | Suspect
     | Leaving
--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -11,21 +11,31 @@
 
 from ._announcer import Announcer
 from ._context import Context
+from ._deadlines import DeadlineAsker
 from ._evidence import Suspicions
 from ._lease import ControlLease
-from ._loads import SentCounts
+from ._loads import SentCounts, sampled
 from ._messages import ControlAlive, Item
 from ._move import MoveState
 from ._mover import Mover
 from ._plans import ServicePlans
 from ._protocols import answer_within
 from ._tables import TABLE
-from ._timing import CONTROL_SILENT_S, LEASE_S, STORE_TIMEOUT_S
+from ._timing import (
+    CONTROL_SILENT_S,
+    DEPUTY_SILENT_S,
+    STORE_TIMEOUT_S,
+    TAKE_AGAIN_S,
+)
 from ._writer import TableWriter
 
 CANDIDATES_PER_DOMAIN = 2
 """Hosts of each domain that may take a service's control."""
 
+DEPUTIES = 2
+"""Candidates that prepare for a silent holder: the first may be lost with it, and not
+yet be known to be."""
+
 ALIVE_EVERY_S = 0.2
 """How often the holder says that it lives."""
 
@@ -45,6 +55,7 @@
         service: Service,
         announcer: Announcer,
         suspicions: Suspicions,
+        asker: DeadlineAsker,
     ) -> None:
         self._context = context
         self._service = service
@@ -59,7 +70,8 @@
             context=context,
             service=service.name,
             shards=service.shards,
-            lease=self.lease,
+            may_write=lambda: self.lease.is_held or self._is_deputy,
+            written=self._written,
         )
         self._mover = Mover(
             context=context,
@@ -67,6 +79,7 @@
             lease=self.lease,
             announcer=announcer,
             writer=self._writer,
+            asker=asker,
         )
         self.holder: str | None = None
         self._heard_s = context.now_s
@@ -74,6 +87,9 @@
         self._busy = False
         self._loaded_term = 0
         self._is_tick_due = False
+        self._is_deputy = False
+        self._candidates_of: tuple[object, ...] = ()
+        self._kept_candidates: list[str] = []
         self.sent = SentCounts()
         self.plans = ServicePlans(
             context=context,
@@ -97,11 +113,11 @@
         """Keep or take the lease, plan, and carry moves on."""
         self._report_loads()
         if not self.lease.is_held:
-            self._writer.clear()
-            self._mover.clear()
+            self._prepare()
             if self._may_take():
                 self._start(self._take)
             return
+        self._is_deputy = False
         if self.lease.is_renewal_due:
             self._start(self.lease.renew)
         if self._loaded_term != self.lease.term:
@@ -140,29 +156,88 @@
         finally:
             self._busy = False
 
+    def _prepare(self) -> None:
+        """Begin the moves away from lost servers while the holder is silent.
+
+        When a server is lost together with the control holder, the waits for rights
+        to end and for the lease to end go on side by side. No lease is needed for an
+        intent: it is a compare-and-swap, on the evidence of a majority of witnesses,
+        and whoever comes second finds it there. Orders to servers wait for the lease.
+        """
+        silent_s = self._context.now_s - self._heard_s
+        rank = self._rank() if silent_s >= DEPUTY_SILENT_S else None
+        is_deputy = rank is not None and rank < DEPUTIES
+        if not (is_deputy and self._is_deputy):
+            # What was wanted under the lease that has ended is no deputy's business.
+            self._writer.clear()
+            self._mover.clear()
+        self._is_deputy = is_deputy
+        if is_deputy:
+            self.plans.run_lost()
+            self._mover.prepare()
+            self._writer.flush()
+
+    def _written(self) -> None:
+        """Go on at once: until the next tick an intent would wait to be announced."""
+        if self.lease.is_held:
+            self._mover.tick_soon()
+        elif self._is_deputy:
+            self._mover.prepare()
+
     def _may_take(self) -> bool:
         silent_s = self._context.now_s - self._heard_s
         if silent_s < CONTROL_SILENT_S:
             return False
         rank = self._rank()
-        return rank is not None and silent_s >= CONTROL_SILENT_S + rank * ALIVE_EVERY_S
+        return rank is not None and (
+            silent_s >= CONTROL_SILENT_S + rank * ALIVE_EVERY_S
+        )
 
-    def _rank(self) -> int | None:
-        candidates = []
+    def told(self) -> list[str]:
+        """Return the hosts that are told of servers that do not answer.
+
+        The deputies among them, since the holder may be lost at the same moment.
+        """
+        holder = [self.holder] if self.holder is not None else []
+        return list(dict.fromkeys([*holder, *self._candidates()[:DEPUTIES]]))
+
+    def _candidates(self) -> list[str]:
+        """Return the hosts that may take the control, but for a holder, in order."""
+        context = self._context
+        # A lost holder may count as live for a while yet; this host itself lives.
+        gone = self.holder if self.holder != context.host.id else None
+        of = (gone, *(context.live_hosts(domain) for domain in context.domains))
+        if of != self._candidates_of:
+            # Kept, since a silent holder is looked at in each tick.
+            self._candidates_of = of
+            self._kept_candidates = self._find_candidates(gone)
+        return self._kept_candidates
+
+    def _find_candidates(self, gone: str | None) -> list[str]:
+        name = self._service.name
+        candidates: list[str] = []
         for domain in self._context.domains:
-            hosts = self._context.live_hosts(domain)
-            ranked = rendezvous_rank(self._service.name, hosts)
-            candidates += ranked[:CANDIDATES_PER_DOMAIN]
-        ranked = rendezvous_rank(self._service.name, candidates)
-        host = self._context.host.id
-        return ranked.index(host) if host in ranked else None
+            live = [one for one in self._context.live_hosts(domain) if one != gone]
+            candidates += rendezvous_rank(name, live)[:CANDIDATES_PER_DOMAIN]
+        return list(rendezvous_rank(name, candidates))
+
+    def _rank(self) -> int | None:
+        context = self._context
+        # One more than the candidates, in case that the holder is one of them. Else
+        # every host would rank the whole fleet because one of them is silent.
+        if not context.is_among(self._service.name, CANDIDATES_PER_DOMAIN + 1):
+            return None
+        candidates = self._candidates()
+        host = context.host.id
+        return candidates.index(host) if host in candidates else None
 
     async def _take(self) -> None:
         # Also after a failed try the next one waits: the holder may be out of this
         # host's reach, and the store's rate is shared.
-        self._heard_s = self._context.now_s + LEASE_S / 4 - CONTROL_SILENT_S
+        self._heard_s = self._context.now_s + TAKE_AGAIN_S - CONTROL_SILENT_S
         if await self.lease.take():
             await self._load()
+            self.tick_soon()
 
     async def _load(self) -> None:
         context = self._context
@@ -187,9 +262,14 @@
         return self._mover.states()
 
     def _report_loads(self) -> None:
-        report = self.sent.take(self._service.name, self._context.now_s)
-        if report is not None and self.holder is not None:
-            self._context.send(self.holder, report)
+        context = self._context
+        report = self.sent.take(self._service.name, context.now_s)
+        if report is None or self.holder is None:
+            return
+        hosts = sum(len(context.peers.hosts_of(one)) for one in context.domains)
+        chosen = sampled(report, hosts=hosts, rng=context.rng)
+        if chosen is not None:
+            context.send(self.holder, chosen)
 
     def _say_alive(self) -> None:
         context = self._context
@@ -197,7 +277,11 @@
             return
         self._said_s = context.now_s
         self.heard(context.host.id)
-        alive = ControlAlive(service=self._service.name, term=self.lease.term)
+        watched = self.plans.watched
+        self.sent.keys.watched = frozenset(watched)
+        alive = ControlAlive(
+            service=self._service.name, term=self.lease.term, watched=watched
+        )
         for domain in context.domains:
             for host in context.peers.hosts_of(domain):
                 if host != context.host.id:
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -196,14 +196,19 @@
 
 @dataclass
 class Records:
-    """Keeps every answer that was recorded."""
+    """Keeps every answer that was recorded, and every refusal before a rule."""
 
     answers: list[Answered] = field(default_factory=list)
+    refusals: list[tuple[str, Problem]] = field(default_factory=list)
 
     def answered(self, answered: Answered) -> None:
         """Keep it."""
         self.answers.append(answered)
 
+    def refused(self, request_id: str, problem: Problem) -> None:
+        """Keep it."""
+        self.refusals.append((request_id, problem))
+
 
 @dataclass
 class RunningRelay:
@@ -317,7 +322,7 @@
         reactor=reactor,
         rng=Random(1),
     )
-    site = CallerSite(resource=app.klein.resource(), reactor=reactor, limits=limits)
+    site = CallerSite(resource=app.resource(), reactor=reactor, limits=limits)
     port = in_reactor(lambda: reactor.listenTCP(0, site, interface="127.0.0.1"))
     yield RunningRelay(
         port=port.getHost().port,
