--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -15,6 +15,7 @@
 from gentianwharf.topology import Domain, Host, Service
 
 from ._announcer import ROUND_BITS, Announcer
+from ._asking import Asking
 from ._context import Context
 from ._deadlines import Allowances, DeadlineAsker, DeadlineMemory
 from ._evidence import OwnEvidence, Suspicions
@@ -146,6 +147,7 @@
         self._announcer = Announcer(context=context)
         self._reader = Reader(context=context)
         self._witnessing = Witnessing(context=context)
+        self._asking = Asking(context=context)
         self._witness_list = WitnessListKeeper(
             context=context, announcer=self._announcer
         )
@@ -186,7 +188,7 @@
             RightAsk: witnessing.asked,
             RightAnswer: witnessing.answered,
             ShareAsk: witnessing.share_asked,
-            ShareAnswer: witnessing.share_answered,
+            ShareAnswer: self._asking.share_answered,
             VersionsWanted: witnessing.versions_wanted,
             Announce: witnessing.announced,
             RecoverAsk: witnessing.recovery_asked,
@@ -209,6 +211,7 @@
         self._context.lag.note_tick(self._context.now_s)
         self._reader.tick()
         self._witnessing.tick()
+        self._asking.tick()
         self._deadline_memory.tick()
         self._witness_list.tick(has_read=self._reader.has_read)
         self._renewal.tick()
