Let short requests take the deadline that they can have at once

Cause: with a right that was passed on less than 0.2 s may be left, so that requests of 0.3 s asked the witnesses for the rest; the keys of a service of short deadlines then waited for it after a loss, and its requests for an answer.

A request that wants 0.4 s or less now takes what there is, from 0.2 s on.

--- a/src/gentianwharf/ownership/_route.py
+++ b/src/gentianwharf/ownership/_route.py
@@ -12,7 +12,14 @@
 from ._rights import Rights
 from ._table import Entry, EntryState
 from ._tables import Tables
-from ._timing import DEADLINE_PAST_RIGHT_S, HOLD_S, RETRY_AFTER_S, SHORT_HOLD_S
+from ._timing import (
+    DEADLINE_PAST_RIGHT_S,
+    HOLD_S,
+    LEAST_DEADLINE_S,
+    RETRY_AFTER_S,
+    SHORT_DEADLINE_S,
+    SHORT_HOLD_S,
+)
 
 
 @final
@@ -67,6 +74,13 @@
     since_s: float
 
 
+def _enough_s(wanted_s: float) -> float:
+    """Return the least deadline that will do for a request that wants ``wanted_s``."""
+    if wanted_s > SHORT_DEADLINE_S:
+        return wanted_s
+    return min(wanted_s, LEAST_DEADLINE_S)
+
+
 @final
 class Router:
     """Decides requests from the tables and this host's rights."""
@@ -125,7 +139,7 @@
         if server in self._tokens_alone:
             wanted_s = cap_s if deadline_s is None else min(deadline_s - now_s, cap_s)
             longest_s = self._longest_s(service, number, server, wanted_s, now_s)
-            if deadline_s is not None and longest_s < wanted_s:
+            if deadline_s is not None and longest_s < _enough_s(wanted_s):
                 until_s = now_s + wanted_s
                 return self._wait_for_deadline(service, number, server, until_s, now_s)
             cap_s = min(cap_s, longest_s)
@@ -140,7 +154,7 @@
         """Return how far away a deadline may be, as far as it is wanted."""
         domain = self._domain_of[server]
         short_s = self._rights.until_s(domain) + DEADLINE_PAST_RIGHT_S - now_s
-        if short_s >= wanted_s:
+        if short_s >= _enough_s(wanted_s):
             return short_s
         allowed_s = self._allowances.until_s(service, shard, domain) - now_s
         if allowed_s >= wanted_s:
--- a/src/gentianwharf/ownership/_timing.py
+++ b/src/gentianwharf/ownership/_timing.py
@@ -32,6 +32,16 @@
 question; each millisecond more is unavailable time after a loss.
 """
 
+SHORT_DEADLINE_S = 0.4
+"""Requests that want no more than this take what they can have at once, if it is at
+least ``LEAST_DEADLINE_S``: 150 to 400 ms of a right are left, the less the more hosts
+passed it on. Were the rest asked for, services of short deadlines would wait for it
+after a loss as well, and their requests for an answer of the witnesses."""
+
+LEAST_DEADLINE_S = 0.2
+"""Twenty times what a short request takes, and no longer than a right leaves over while
+one round of questions fails."""
+
 ALLOWANCE_REUSE_S = 0.2
 """For how long one allowance of a longer deadline serves new requests. It is asked for
 again when half of it is left: ten questions a second, as many as for rights."""
--- a/tests/test_ownership_deadlines.py
+++ b/tests/test_ownership_deadlines.py
@@ -93,6 +93,26 @@
     assert isinstance(routes[-1], Refuse)
 
 
+@pytest.mark.parametrize("guarded", [True, False], ids=["guard", "no-guard"])
+def test_short_deadlines_are_never_asked_for(
+    guarded: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A service of 0.3 s needs no long deadlines, though rights have less at times.
+
+    Asked for, they would make its keys wait for them after a loss.
+    """
+    if not guarded:
+        monkeypatch.setattr(_route, "LEAST_DEADLINE_S", 0.4)
+    world = build(hosts_a_domain=8)
+    before, sent = world.sent["DeadlineAsk"], 0
+    for _ in range(100):
+        for host in world.hosts:
+            sent += world.request(host, world.rng.randrange(world.shards), wanted_s=0.3)
+        world.advance(0.01, 0.002)
+    assert (sent == 100 * len(world.hosts)) is guarded
+    assert (world.sent["DeadlineAsk"] == before) is guarded
+
+
 def test_many_long_requests_cost_a_bounded_number_of_questions() -> None:
     """Every rule of a service gives 2 s, and a host serves hundreds of shards.
 
