--- a/src/gentianwharf/relay/_headers.py
+++ b/src/gentianwharf/relay/_headers.py
@@ -1,9 +1,10 @@
 """Which headers pass between caller and backend server."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Mapping
 from functools import lru_cache
+from typing import final
 
-from twisted.web.http_headers import Headers
+from twisted.web.http_headers import Headers, InvalidHeaderName
 
 from gentianwharf.rules import RequestFacts
 
@@ -102,13 +103,42 @@
         host=_host_name(_first(headers, b"host")),
         path=_text(path),
         query=_text(query),
-        headers={
-            _text(name).lower(): _text(values[0])
-            for name, values in headers.getAllRawHeaders()
-        },
+        headers=_HeaderText(headers),
     )
 
 
+@final
+class _HeaderText(Mapping[str, str]):
+    """Headers as text by their lower-case names; each is decoded when a rule asks.
+
+    >>> text = _HeaderText(Headers({b"X-Club": [b"lions", b"owls"]}))
+    >>> text["x-club"], text.get("x-other"), text.get("no name"), dict(text)
+    ('lions', None, None, {'x-club': 'lions'})
+    """
+
+    __slots__ = ("_raw",)
+
+    def __init__(self, raw: Headers) -> None:
+        self._raw = raw
+
+    def __getitem__(self, name: str) -> str:
+        try:
+            values = self._raw.getRawHeaders(name.encode())
+        except InvalidHeaderName:
+            # A rule may name what can be no header; no request has it.
+            values = None
+        if values is None:
+            raise KeyError(name)
+        return _text(values[0])
+
+    def __iter__(self) -> Iterator[str]:
+        for name, _ in self._raw.getAllRawHeaders():
+            yield _text(name).lower()
+
+    def __len__(self) -> int:
+        return len(self._raw._rawHeaders)
+
+
 def _text(octets: bytes) -> str:
     """Decode as UTF-8, as percent-encoded keys are: one key must have one shard.
 
