Say that the connection ends when a body is left unread

A refused upload's answer had no Connection: close, and the connection closed after it: the caller's next request on it got no answer at all, seen on a socket.

--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -114,13 +114,18 @@
             self.body.lost()
         super().connectionLost(reason)
 
+    @property
+    def ends_connection(self) -> bool:
+        """Whether an answer now would leave some of the body unread."""
+        return self.body is not None and not self.body.complete
+
     def finish(self) -> None:
         """End the answer; close the connection if the body is not all read.
 
         What is left of an unread body would otherwise be parsed as the caller's
         next request.
         """
-        if self.body is not None and not self.body.complete:
+        if self.ends_connection:
             self.answered_early = True
             cast(RequestChannel, self.channel).close_after_answer()
         super().finish()
--- a/src/gentianwharf/relay/_problem.py
+++ b/src/gentianwharf/relay/_problem.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import final
 
-from twisted.web.server import Request
-
 from gentianwharf.metrics import Run
 
+from ._caller_request import CallerRequest
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,7 +24,7 @@
     peer: str = ""
 
 
-def write_problem(request: Request, problem: Problem, *, request_id: str) -> None:
+def write_problem(request: CallerRequest, problem: Problem, *, request_id: str) -> None:
     """Answer ``request`` with ``problem`` and finish it."""
     body = json.dumps(_document(problem, request_id)).encode()
     request.setResponseCode(problem.status)
@@ -34,6 +34,10 @@
     if problem.retry_after_s is not None:
         seconds = max(1, math.ceil(problem.retry_after_s))
         request.setHeader(b"Retry-After", str(seconds).encode())
+    if request.ends_connection:
+        # A caller that isn't told sends its next request into a connection that
+        # closes, and can't know whether that one was run.
+        request.setHeader(b"Connection", b"close")
     request.write(body)
     request.finish()
 
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -118,6 +118,19 @@
     assert (problem.title, problem.run) == (title, Run.NOT_RUN)
 
 
+def test_refusal_before_the_body_is_read_says_that_the_connection_ends() -> None:
+    """A caller keeps its connection, and sends a reservation after a refused upload.
+
+    The connection closed unannounced, without an answer: whether the reservation was
+    run is not known to the caller, and it may not be repeated.
+    """
+    raw = b"POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
+    with running_relay([plain]) as relay:
+        received = relay.ask(raw)
+    assert received.startswith(b"HTTP/1.1 404 ")
+    assert b"\r\nConnection: close\r\n" in received
+
+
 def test_bad_chunk_size_is_answered_and_never_completes_at_a_server() -> None:
     """A chunk size that is no number ends the request with 400 or a break.
 
