--- a/src/gentianwharf/daemon/_decisions.py
+++ b/src/gentianwharf/daemon/_decisions.py
@@ -7,11 +7,11 @@
 import msgspec
 
 from gentianwharf.admin import JsonValue, KeptDecisions
-from gentianwharf.errors import InputError
 from gentianwharf.metrics import Decision, Recorder
 from gentianwharf.spread import PeerQueries
 
 from ._hosts import HostTable
+from ._peer_answers import read_answer
 
 DECISION = "decision"
 
@@ -54,7 +54,15 @@
             return KeptDecisions(decisions=found, silent={})
 
         def take(host: str, answer: bytes) -> None:
-            found.extend(_decode(answer, peer=host))
+            found.extend(
+                read_answer(
+                    _decoder,
+                    answer,
+                    expected="a host's decisions",
+                    step="ask for a decision",
+                    peer=host,
+                )
+            )
 
         silent = await self._queries.gather(
             DECISION,
@@ -78,14 +86,3 @@
         fields = asdict(decision) | {"host": self._hosts.own.id, "ago_s": ago_s}
         del fields["at_s"]
         return fields
-
-
-def _decode(answer: bytes, *, peer: str) -> list[dict[str, Any]]:
-    try:
-        return _decoder.decode(answer)
-    except msgspec.MsgspecError as error:
-        raise InputError(
-            f"expected a host's decisions: {error}; is it of another version?",
-            step="ask for a decision",
-            peer=peer,
-        ) from error
--- a/src/gentianwharf/daemon/_fleet.py
+++ b/src/gentianwharf/daemon/_fleet.py
@@ -19,6 +19,7 @@
 from gentianwharf.spread import PeerQueries, SpreadSystem
 
 from ._hosts import HostTable
+from ._peer_answers import read_answer
 from ._rules import RulesInForce
 
 RULES = "rules"
@@ -98,7 +99,13 @@
         held[own] = self._own()
 
         def take(host: str, answer: bytes) -> None:
-            held[host] = _decode(answer, peer=host)
+            held[host] = read_answer(
+                _decoder,
+                answer,
+                expected="the rules that a host holds",
+                step="ask for rules",
+                peer=host,
+            )
 
         return await self._queries.gather(
             RULES,
@@ -142,17 +149,6 @@
         )
 
 
-def _decode(answer: bytes, *, peer: str) -> RulesHeld:
-    try:
-        return _decoder.decode(answer)
-    except msgspec.MsgspecError as error:
-        raise InputError(
-            f"expected the rules that a host holds: {error}; is it of another version?",
-            step="ask for rules",
-            peer=peer,
-        ) from error
-
-
 def _has(held: RulesHeld | None, revision: int | None) -> bool:
     """Whether a host needs no asking again; revisions in force never fall."""
     return (
