--- a/src/gentianwharf/daemon/_decisions.py
+++ b/src/gentianwharf/daemon/_decisions.py
@@ -54,15 +54,14 @@
             return KeptDecisions(decisions=found, silent={})
 
         def take(host: str, answer: bytes) -> None:
-            found.extend(
-                read_answer(
-                    _decoder,
-                    answer,
-                    expected="a host's decisions",
-                    step="ask for a decision",
-                    peer=host,
-                )
+            kept = read_answer(
+                _decoder,
+                answer,
+                expected="a host's decisions",
+                step="ask for a decision",
+                peer=host,
             )
+            found.extend(kept)
 
         silent = await self._queries.gather(
             DECISION,
