--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import final
 
+from gentianwharf.pauses import TickGap
 from gentianwharf.platform import ServerReport
 from gentianwharf.topology import BackendServer, Service
 
@@ -18,7 +19,6 @@
 from ._flights import Flights
 from ._health import judge_all, learn
 from ._owner import may_wait
-from ._pause import TickGap
 from ._places import most_places, places
 from ._pool import Pool
 from ._refusals import Refusals
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -118,19 +118,6 @@
     assert (problem.title, problem.run) == (title, Run.NOT_RUN)
 
 
-def test_refusal_before_the_body_is_read_says_that_the_connection_ends() -> None:
-    """A caller keeps its connection, and sends a reservation after a refused upload.
-
-    The connection closed unannounced, without an answer: whether the reservation was
-    run is not known to the caller, and it may not be repeated.
-    """
-    raw = b"POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
-    with running_relay([plain]) as relay:
-        received = relay.ask(raw)
-    assert received.startswith(b"HTTP/1.1 404 ")
-    assert b"\r\nConnection: close\r\n" in received
-
-
 def test_bad_chunk_size_is_answered_and_never_completes_at_a_server() -> None:
     """A chunk size that is no number ends the request with 400 or a break.
 
@@ -276,3 +263,28 @@
         return await owner(ticket)
 
     return note
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(b"PUT /nowhere HTTP/1.1\r\n", id="refused"),
+        pytest.param(b"PUT /keyed/ HTTP/1.1\r\n", id="no-key"),
+    ],
+)
+def test_answer_before_the_body_says_that_the_connection_ends(head: bytes) -> None:
+    """An upload is refused before its body is read, and its connection must end.
+
+    Nothing in the answer said so: the caller sent its next request on the same
+    connection, which was closed without an answer.
+    """
+    with running_relay([plain]) as relay, relay.connect() as connection:
+        connection.sendall(
+            head + b"Host: a\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 9
+        )
+        connection.settimeout(5)
+        received = b""
+        while piece := connection.recv(65_536):
+            received += piece
+    answer_head = received.split(b"\r\n\r\n", 1)[0].lower()
+    assert b"\r\nconnection: close" in answer_head
