--- a/src/gentianwharf/ownership/_messages.py
+++ b/src/gentianwharf/ownership/_messages.py
@@ -53,30 +53,44 @@
 
 @final
 class ShareAsk(_Message, frozen=True, kw_only=True, tag=True):
-    """Ask for what is left of another host's rights; versions as in ``RightAsk``."""
+    """Ask for what is left of another host's rights; versions as in ``RightAsk``.
+
+    Only of the right for ``domain``, unless that is None.
+    """
 
     round: int
     checksum: int
+    domain: str | None = None
     versions: dict[str, int] | None = None
 
 
 @final
 class ShareAnswer(_Message, frozen=True, kw_only=True, tag=True):
-    """What is left, by domain, from the moment of asking."""
+    """What is left, by domain, from the moment of asking.
+
+    ``others_s`` stands for every domain that is not named and has a witness list in the
+    versions of the question: mostly that is all of them.
+    """
 
     round: int
     good_s: dict[str, float]
+    others_s: float = 0.0
+
+    def left_s(self, domain: str) -> float:
+        """Return what is left of the right for ``domain``."""
+        return self.good_s.get(domain, self.others_s)
 
 
 @final
 class VersionsWanted(_Message, frozen=True, kw_only=True, tag=True):
     """The checksum in your question is not mine: ask again with all versions.
 
-    ``domain`` is that of the question, None when it asked for a share.
+    ``domain`` and ``round`` are those of the question, ``is_share`` its kind.
     """
 
     domain: str | None
     round: int
+    is_share: bool
 
 
 @final
