Check that only long jobs are refused after a wait at an owner

So look-ups and postings must all be refused at once, and long jobs after less than a tenth of their time.

--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -146,6 +146,11 @@
     refused = [one for one in trial.requests if one.result == "refused"]
     late = [one for one in refused if one.ended_s - one.submitted_s > 0.005]
     assert len(late) < 0.02 * len(refused)
+    # Long jobs may wait for a while, for a small part of the time that they have.
+    assert {one.ticket.request_class for one in late} <= {"upload", "archive"}
+    for one in late:
+        waited_s = one.ended_s - one.submitted_s
+        assert waited_s < 0.1 * (one.ticket.deadline_s - one.submitted_s)
 
 
 @pytest.mark.parametrize("fault", ["server-10x-slow", "server-frozen"])
