Count places for rights among listed hosts, not those heard

A host takes for live whom it has heard within 1.5 s. In a domain of thousands it hears about a dozen, so that one host of six took itself for one of the two that ask the witnesses and every other domain. Now the first two are live witnesses, and the others follow in the order of the listed hosts; who asks one that is gone asks the next one.

--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -189,7 +189,9 @@
             for name in names
         }
         listed = WitnessList(hosts=tuple(hosts[names[0]][:WITNESSES]))
-        own = tree_order(hosts[names[0]], listed)[0 if is_asker else -1]
+        own = tree_order(hosts[names[0]], listed, hosts[names[0]])[
+            0 if is_asker else -1
+        ]
         values = _store_values(hosts)
         self.store = QuietStore(self.clock, values)
         # Shares come as old as they should be, so that the host keeps its pace.
--- a/src/gentianwharf/ownership/_asking.py
+++ b/src/gentianwharf/ownership/_asking.py
@@ -6,7 +6,7 @@
 questions however many hosts and domains there are, and a witness hears its own domain.
 """
 
-from collections.abc import Sequence
+from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import final
@@ -52,18 +52,28 @@
 """Hosts that one without any tables asks for them at a time; each sends all."""
 
 
-def tree_order(live: Sequence[str], witnesses: WitnessList | None) -> list[str]:
+def tree_order(
+    listed: Iterable[str],
+    witnesses: WitnessList | None,
+    live: Container[str] | None = None,
+) -> list[str]:
     """Return a domain's hosts in the order in which they are near to the witnesses.
 
     Witnesses go first: their own answer needs no message, and hosts of other domains,
-    who know the list, find them.
+    who know the list, find them. Of these the ``live`` ones (None for all), of the
+    others all that are listed: a host of a large domain hears a part of the others
+    only, and would take itself for one of the first. Who asks one that is gone asks
+    the next one.
 
-    >>> tree_order(["a", "b", "c"], WitnessList(hosts=("a", "c")))
-    ['a', 'c', 'b']
+    >>> tree_order(["a", "b", "c"], WitnessList(hosts=("a", "c")), {"c"})
+    ['c', 'a', 'b']
     """
-    ranked = rendezvous_rank("rights", live)
-    listed = set(witnesses.hosts) if witnesses is not None else set()
-    first = [one for one in ranked if one in listed][:ASKERS]
+    ranked = rendezvous_rank("rights", listed)
+    named = set(witnesses.hosts) if witnesses is not None else set()
+    first = [one for one in ranked if one in named]
+    if live is not None:
+        first.sort(key=lambda one: one not in live)
+    del first[ASKERS:]
     return [*first, *(one for one in ranked if one not in first)]
 
 
@@ -113,8 +123,7 @@
         self._direct_due_s: dict[str, float] = {}
         self._sources: dict[str, _Source] = {}
         self._asked: dict[str, str] = {}
-        self._live: tuple[str, ...] = ()
-        self._witnesses: WitnessList | None = None
+        self._place_of: tuple[object, ...] = ()
         self._position = 0
         self._steps = 0
         self._nearer: tuple[str, ...] = ()
@@ -129,12 +138,15 @@
 
     def _find_place(self) -> None:
         context = self._context
-        live = context.own_live_hosts()
+        listed = tuple(context.peers.hosts_of(context.host.domain))
         witnesses = context.tables.witnesses(context.host.domain)
-        if live is self._live and witnesses is self._witnesses:
+        named = witnesses.hosts if witnesses is not None else ()
+        live = frozenset(one for one in named if context.peers.is_live(one))
+        place_of = (listed, witnesses, live)
+        if place_of == self._place_of:
             return
-        self._live, self._witnesses = live, witnesses
-        order = tree_order(live, witnesses)
+        self._place_of = place_of
+        order = tree_order(listed, witnesses, live)
         is_listed = context.host.id in order
         position = order.index(context.host.id) if is_listed else 0
         if position != self._position:
--- a/tests/test_ownership_asking.py
+++ b/tests/test_ownership_asking.py
@@ -8,6 +8,7 @@
 from gentianwharf.ownership import Refuse, _asking, _pace
 from gentianwharf.ownership._asking import tree_order
 from gentianwharf.ownership._pace import ASKERS
+from gentianwharf.ownership._tables import WitnessList
 from gentianwharf.ownership._timing import RIGHT_ASK_EVERY_S, RIGHT_USE_S
 from tests.builders_ownership import SERVICE, FakeHost, World
 
@@ -25,7 +26,7 @@
     system = next(one for one in world.hosts.values()).system
     listed = system._context.tables.witnesses(domain)
     hosts = [one for one in world.hosts if world.domain_of(one) == domain]
-    return tree_order(hosts, listed)[:ASKERS]
+    return tree_order(hosts, listed, hosts)[:ASKERS]
 
 
 def rate(world: World, message: str, span_s: float = 2.0) -> float:
@@ -154,3 +155,17 @@
     world.cuts.clear()
     world.advance(0.5)
     assert shortest_right_s(world, 0.5) > 0
+
+
+def test_host_that_hears_few_others_does_not_take_itself_for_an_asker() -> None:
+    """A domain has thousands of hosts, and each hears a dozen of them.
+
+    Were places counted among the heard ones, one host of six would ask the witnesses
+    and every other domain.
+    """
+    hosts = [f"host-{number}" for number in range(2_000)]
+    witnesses = WitnessList(hosts=tuple(hosts[:5]))
+    own = hosts[700]
+    heard = {own, *hosts[1_000:1_010]}
+    assert own not in tree_order(hosts, witnesses, heard)[:ASKERS]
+    assert set(tree_order(hosts, witnesses, heard)[:ASKERS]) < set(witnesses.hosts)
