--- a/src/gentianwharf/daemon/_fleet.py
+++ b/src/gentianwharf/daemon/_fleet.py
@@ -19,6 +19,7 @@
 from gentianwharf.spread import PeerQueries, SpreadSystem
 
 from ._hosts import HostTable
+from ._peer_answers import read_answer
 from ._rules import RulesInForce
 
 RULES = "rules"
@@ -30,6 +31,8 @@
 BURN_HOST_TIMEOUT_S = 3.0
 """A host's part takes some tens of milliseconds to put together."""
 
+PART_FRESH_S = 1.0
+
 RULES_TIMEOUT_S = 3.0
 BURN_TIMEOUT_S = 8.0
 """For all hosts; below the 10 s that the tool waits for an answer."""
@@ -74,7 +77,7 @@
         self._rules = rules
         self._spread = spread
         self._rules_key = rules_key
-        queries.answer_with(RULES, lambda: _encoder.encode(self._own()))
+        queries.answer_with(RULES, lambda _: _encoder.encode(self._own()))
 
     async def rules_everywhere(
         self, *, revision: int | None, wait_s: float
@@ -96,7 +99,13 @@
         held[own] = self._own()
 
         def take(host: str, answer: bytes) -> None:
-            held[host] = _decode(answer, peer=host)
+            held[host] = read_answer(
+                _decoder,
+                answer,
+                expected="the rules that a host holds",
+                step="ask for rules",
+                peer=host,
+            )
 
         return await self._queries.gather(
             RULES,
@@ -140,17 +149,6 @@
         )
 
 
-def _decode(answer: bytes, *, peer: str) -> RulesHeld:
-    try:
-        return _decoder.decode(answer)
-    except msgspec.MsgspecError as error:
-        raise InputError(
-            f"expected the rules that a host holds: {error}; is it of another version?",
-            step="ask for rules",
-            peer=peer,
-        ) from error
-
-
 def _has(held: RulesHeld | None, revision: int | None) -> bool:
     """Whether a host needs no asking again; revisions in force never fall."""
     return (
@@ -191,12 +189,32 @@
     """The service-level burn over all listed hosts, or of one."""
 
     def __init__(
-        self, *, queries: PeerQueries, hosts: HostTable, recorder: Recorder
+        self,
+        *,
+        clock: IReactorTime,
+        queries: PeerQueries,
+        hosts: HostTable,
+        recorder: Recorder,
     ) -> None:
+        self._clock = clock
         self._queries = queries
         self._hosts = hosts
         self._recorder = recorder
-        queries.answer_with(BURN, lambda: encode_part(recorder.burn_part()))
+        self._part = b""
+        self._part_made_s = float("-inf")
+        queries.answer_with(BURN, lambda _: self._own_part())
+
+    def _own_part(self) -> bytes:
+        """Return this host's part, made anew at most once in ``PART_FRESH_S``.
+
+        A question is repeated while its answer is on the way, and several operators
+        may ask at once; each part holds the loop for some 20 ms.
+        """
+        now_s = self._clock.seconds()
+        if now_s - self._part_made_s >= PART_FRESH_S:
+            self._part = encode_part(self._recorder.burn_part())
+            self._part_made_s = now_s
+        return self._part
 
     async def burn(self, *, host: str | None) -> Mapping[str, JsonValue]:
         """Return the report as JSON; hosts that did not answer are named in it."""
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import final
 
+from gentianwharf.pauses import TickGap
 from gentianwharf.platform import ServerReport
 from gentianwharf.topology import BackendServer, Service
 
@@ -18,7 +19,6 @@
 from ._flights import Flights
 from ._health import judge_all, learn
 from ._owner import may_wait
-from ._pause import TickGap
 from ._places import most_places, places
 from ._pool import Pool
 from ._refusals import Refusals
@@ -35,7 +35,6 @@
     Ticket,
     Wait,
 )
-from ._server_state import Standing
 from ._snapshot import GateSnapshot, pool_snapshot, server_snapshot
 
 
@@ -227,11 +226,7 @@
     def _can_be_served(self, ticket: Ticket, now_s: float) -> bool:
         if ticket.server is None:
             pool = self._registry.pools.get((ticket.service, None))
-            return pool is not None and any(
-                one.standing is Standing.ACTIVE
-                or one.takes_probe(now_s, repeatable=ticket.repeatable)
-                for one in pool.states
-            )
+            return pool is not None and pool.takes_any(ticket, now_s)
         state = self._registry.servers.get(ticket.server)
         if state is None or state.server.service != ticket.service:
             return False
--- a/src/gentianwharf/ownership/_pinner.py
+++ b/src/gentianwharf/ownership/_pinner.py
@@ -77,9 +77,12 @@
                 self._pin_for_rules(key, states)
         # Others are there for their load, as far as this holder knows.
         for key in self._ruled - wanted.keys():
-            self._ruled.discard(key)
             if key in pins and not self._is_fixed(key):
+                # Until it is gone: its entry may be on a move that began first, to
+                # the site that the rules want for its shard.
                 self._move(pins[key], "")
+            else:
+                self._ruled.discard(key)
 
     def follow_load(
         self, demand: Demand, key_slots: Mapping[str, float], states: ServerStates
