Capacity: rights by askers, shares and the holder's news; what was mended

Cause: the page took every daemon for one that asks all witnesses, and had no row for what a control holder sends. The rows now follow the mechanisms: askers, witnesses, the tree of shares, the holder. Figures of `capacity_control` recorded at a load of 25 on 12 cores; they are to be taken again on a quieter machine.

--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -5,6 +5,13 @@
 from math import ceil, log
 from typing import Any, final
 
+from gentianwharf.ownership._loads import MOST_REPORTERS, REPORT_EVERY_S
+from gentianwharf.ownership._pace import ASKERS, FAN_OUT
+from gentianwharf.ownership._service_control import (
+    ALIVE_EVERY_S,
+    CANDIDATES_PER_DOMAIN,
+)
+
 from ._fit import Line, fit
 
 MILLISECONDS = 1_000
@@ -37,8 +44,10 @@
 RACK_SERVERS = 40
 DAEMON_LOAD = 0.6
 ASKS_PER_S = 10
-SPREAD_COPIES = 8
-RULES_BYTES = 100_000
+WITNESSES = 5
+# Bytes that the busiest of 500 hosts sends for a change of one rule in a list of 100 kB
+# (``python -m bench spread``).
+CHANGE_BYTES = 2_641
 
 
 @final
@@ -87,10 +96,6 @@
     return size["domains"] if size["hosts_a_domain"] == 12 else None
 
 
-def _domains_squared(size: dict[str, float]) -> float | None:
-    return size["domains"] ** 2 if size["hosts_a_domain"] == 12 else None
-
-
 @final
 class Model:
     """The target's numbers; ``daemons`` is how many each node needs."""
@@ -106,10 +111,17 @@
         self.hosts = _line(figures, "memory_hosts", _of("hosts"))
         self.ask = _line(figures, "ask", _of("versions"))
         self.witness = _line(figures, "witness_ask", _of("versions"))
+        self.share = _line(figures, "witness_share_ask", _of("versions"))
+        self.share_ask = _line(figures, "share_ask", _of("versions"))
+        self.asker_ticks = _line(figures, "asker_processor", _domains)
+        self.asker_messages = _line(figures, "asker_messages", _domains)
+        self.asker_sent = _line(figures, "asker_sent", _domains)
+        self.asker_received = _line(figures, "asker_received", _domains)
+        self.received = _line(figures, "control_received", _domains)
         self.ticks = _line(figures, "control_processor", _hosts)
         self.domain_ticks = _line(figures, "control_processor", _domains)
         self.messages = _line(figures, "control_messages", _domains)
-        self.sent = _line(figures, "control_sent", _domains_squared)
+        self.sent = _line(figures, "control_sent", _domains)
         self.spread_idle = _line(figures, "spread_idle_sent", _of("hosts_a_domain"))
         self.spread_time = _line(figures, "spread_change_time", _of("hosts_a_domain"))
         self.placing = _line(figures, "placement_by_shards", _of("shards"))
@@ -144,6 +156,7 @@
             ("host in spread", "daemons", "bytes", hosts, self.hosts),
             ("question for a right", "versions", "bytes", self.versions, self.ask),
             ("its answer, processor", "versions", "µs", self.versions, self.witness),
+            ("a share's, processor", "versions", "µs", self.versions, self.share),
             (
                 "ownership ticks, processor",
                 "daemons a domain",
@@ -159,7 +172,10 @@
                 self.domain_ticks,
             ),
             ("ownership, messages", "domains", "1/s", DOMAINS, self.messages),
-            ("ownership, bytes sent", "domains²", "bytes/s", DOMAINS**2, self.sent),
+            ("ownership, bytes sent", "domains", "bytes/s", DOMAINS, self.sent),
+            ("asker, processor", "domains", "ms/s", DOMAINS, self.asker_ticks),
+            ("asker, messages", "domains", "1/s", DOMAINS, self.asker_messages),
+            ("asker, bytes sent", "domains", "bytes/s", DOMAINS, self.asker_sent),
             (
                 "spread idle, bytes sent",
                 "daemons a domain",
@@ -208,13 +224,30 @@
         }
 
     def witness_asks_per_s(self) -> float:
-        """Return how many questions reach each witness: every daemon asks it."""
-        return float(NODES * self.daemons * ASKS_PER_S)
+        """Return how many questions reach each witness: the askers of its domain."""
+        return float(ASKERS * ASKS_PER_S)
+
+    def share_asks_per_s(self) -> float:
+        """Return how many questions reach a host in the middle of the tree."""
+        return float(FAN_OUT * ASKS_PER_S)
+
+    def holder_messages_per_s(self) -> float:
+        """Return what a control holder sends to say that it lives."""
+        told = ASKERS + WITNESSES + CANDIDATES_PER_DOMAIN
+        return DOMAINS * told / ALIVE_EVERY_S
+
+    def holder_reports_per_s(self) -> float:
+        """Return how many reports of load reach a control holder."""
+        return min(MOST_REPORTERS, NODES * self.daemons) / REPORT_EVERY_S
 
     def ticks_ms(self) -> float:
-        """Return a daemon's processor time for ownership, in ms a second."""
-        more_domains = self.domain_ticks.slope * (DOMAINS - 3)
-        return self.ticks.at(self.members) + more_domains
+        """Return a daemon's processor time for ownership, in ms a second.
+
+        A slope below nothing is the noise of a flat line.
+        """
+        more_domains = max(self.domain_ticks.slope, 0.0) * (DOMAINS - 3)
+        more_hosts = max(self.ticks.slope, 0.0) * self.members
+        return self.ticks.intercept + more_hosts + more_domains
 
     def wait_p99_ms(self, load: float) -> float:
         """Return the 99th percentile of the wait in a daemon, as in an M/M/1 queue.
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -8,9 +8,11 @@
 from pathlib import Path
 
 from .capacity_model import (
+    ASKS_PER_S,
     BUDGET_BYTES_PER_S,
     BUDGET_MEMORY_BYTES,
     BUDGET_PROCESSOR_MS,
+    CHANGE_BYTES,
     CHANGES_A_DAY,
     CHUNK_SHARDS,
     DAY_S,
@@ -24,9 +26,7 @@
     NODES,
     RACK_SERVERS,
     RESTARTS_A_DAY,
-    RULES_BYTES,
     SHARDS,
-    SPREAD_COPIES,
     STORE_READS_PER_S,
     STORE_WRITES_PER_S,
     Model,
@@ -118,14 +118,21 @@
 
 def roles(model: Model) -> str:
     """Return the table of roles: messages, processor time, bytes at the target."""
-    sent = model.sent.at(DOMAINS**2) * model.daemons
+    sent = model.sent.at(DOMAINS) * model.daemons
     asks = model.witness_asks_per_s()
     witness_ms = asks * model.witness.at(model.versions) / MILLISECONDS
     witness_bytes = asks * model.ask.at(model.versions)
+    shares = model.share_asks_per_s()
+    share_ms = shares * model.share.at(model.versions) / MILLISECONDS
+    share_bytes = shares * model.received.at(DOMAINS) / ASKS_PER_S
+    asker_bytes = model.asker_sent.at(DOMAINS)
+    asker_ms = model.asker_ticks.at(DOMAINS)
+    holder_sends = model.holder_messages_per_s()
+    holder_hears = model.holder_reports_per_s()
     ticks = model.ticks_ms() * model.daemons
     idle = model.idle.at(1) * model.daemons
     messages = model.messages.at(DOMAINS) * model.daemons
-    rules_bytes = CHANGES_A_DAY / DAY_S * SPREAD_COPIES * RULES_BYTES
+    rules_bytes = CHANGES_A_DAY / DAY_S * CHANGE_BYTES
     spread_bytes = model.spread_idle.intercept * model.daemons + rules_bytes
     rebalance_ms = model.rebalancing.at(SHARDS) / MILLISECONDS
     serving = model.node_rate * model.request_ms
@@ -153,28 +160,43 @@
         ],
         [
             "rights: bytes sent",
-            "questions to the witnesses of all domains",
+            "one question for shares a round",
             f"{number(sent / KILOBYTE)} kB/s",
             "",
             _against(sent, BUDGET_BYTES_PER_S),
         ],
+        [
+            "asker (2 daemons a domain)",
+            "questions to its witnesses and to each other domain",
+            f"{number(model.asker_messages.at(DOMAINS))} messages/s,"
+            f" {number(asker_bytes / KILOBYTE)} kB/s",
+            f"{number(asker_ms)} ms/s",
+            _against(asker_ms, BUDGET_PROCESSOR_MS),
+        ],
         [
             "witness (5 a domain)",
             "`ownership` witnessing",
-            f"{number(asks)} questions/s",
+            f"{number(asks)} questions/s, {number(witness_bytes / KILOBYTE)} kB/s",
             f"{number(witness_ms)} ms/s",
             _against(witness_ms, BUDGET_PROCESSOR_MS),
         ],
         [
-            "witness: bytes received",
-            "the same",
-            f"{number(witness_bytes / KILOBYTE)} kB/s",
-            "",
-            _against(witness_bytes, BUDGET_BYTES_PER_S),
+            "inner host of the tree of shares",
+            "answers to 16 hosts",
+            f"{number(shares)} questions/s, {number(share_bytes / KILOBYTE)} kB/s sent",
+            f"{number(share_ms)} ms/s",
+            _against(share_ms, BUDGET_PROCESSOR_MS),
+        ],
+        [
+            "control holder",
+            "signs of life to the first hosts of each domain; reports of load",
+            f"{number(holder_sends)} sent, {number(holder_hears)} heard a second",
+            "not measured",
+            "by formula",
         ],
         [
             "watching and passing on",
-            "`spread`: digests, trees of 8 children",
+            "`spread`: digests, deltas down trees of 8 children",
             f"{number(spread_bytes / KILOBYTE)} kB/s at a tree's inner node",
             "not measured",
             _against(spread_bytes, BUDGET_BYTES_PER_S),
