Name store values that can't be read, and take the others

Numbers below 0 and shards of another chunk were taken as they were.

Ruled out: noting the revision of such a value, so that it is not brought again: a host that can't read a version must not confirm it.

The watchers' own news now goes down the tree of a large domain as well.

--- a/src/gentianwharf/ownership/_context.py
+++ b/src/gentianwharf/ownership/_context.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from gentianwharf.errors import InputError
 from gentianwharf.placement import PlacementWeights
 from gentianwharf.platform import BackendControl, KeyValueStore
 from gentianwharf.topology import BackendServer, Domain, Host, Service
@@ -70,6 +71,19 @@
         for batch in batches(items):
             self.send(host, batch)
 
+    def take(self, item: Item) -> bool:
+        """Take a value, and say whether it was new.
+
+        One that can't be read is named in the log and left: newer hosts may have
+        written it. No host that can't read a version ever confirms it, and the values
+        that come with it are not lost.
+        """
+        try:
+            return self.tables.install(item)
+        except InputError as error:
+            self.log("value-not-read", value=item.key, error=str(error))
+            return False
+
     def live_hosts(self, domain: str) -> tuple[str, ...]:
         """Return the hosts of ``domain`` that have been heard lately."""
         return self.live.of(domain, self.now_s)
--- a/src/gentianwharf/ownership/_reader.py
+++ b/src/gentianwharf/ownership/_reader.py
@@ -9,6 +9,7 @@
 from gentianwharf.platform import VersionedValue
 
 from ._context import Context
+from ._fanout import Fanout
 from ._messages import Item
 from ._protocols import answer_within
 from ._tables import TABLE, WITNESSES
@@ -28,8 +29,9 @@
 class Reader:
     """Reads all at the start; afterwards a few hosts of each domain watch."""
 
-    def __init__(self, *, context: Context) -> None:
+    def __init__(self, *, context: Context, fanout: Fanout) -> None:
         self._context = context
+        self._fanout = fanout
         self._reading = False
         self._watching = False
         self._read_s = float("-inf")
@@ -122,9 +124,9 @@
         new = []
         for one in found:
             item = Item(context.relative(one.key), one.revision, one.value)
-            if context.tables.install(item):
+            if context.take(item):
                 new.append(item)
         if new and self.has_read:
-            for host in context.peers.hosts_of(context.host.domain):
-                if host != context.host.id:
-                    context.send_items(host, new)
+            for host in self._fanout.first_hosts(context.host.domain):
+                context.send_items(host, new)
+            self._fanout.pass_on_items(new)
--- a/src/gentianwharf/ownership/_system.py
+++ b/src/gentianwharf/ownership/_system.py
@@ -146,10 +146,10 @@
         self._evidence = OwnEvidence()
         self._suspicions = Suspicions()
         self._announcer = Announcer(context=context)
-        self._reader = Reader(context=context)
         self._witnessing = Witnessing(context=context)
         self._asking = Asking(context=context)
         self._fanout = Fanout(context=context)
+        self._reader = Reader(context=context, fanout=self._fanout)
         self._witness_list = WitnessListKeeper(
             context=context, announcer=self._announcer, fanout=self._fanout
         )
@@ -301,8 +301,7 @@
             control.mover.tick_soon()
 
     def _items(self, host: str, message: Items) -> None:
-        tables = self._context.tables
-        new = [item for item in message.items if tables.install(item)]
+        new = [item for item in message.items if self._context.take(item)]
         self._fanout.pass_on_items(new)
 
     def _pull(self, host: str, message: Pull) -> None:
--- a/src/gentianwharf/ownership/_table.py
+++ b/src/gentianwharf/ownership/_table.py
@@ -155,6 +155,8 @@
     fixed: list[str]
 
 
+_MOVING = frozenset({EntryState.RELEASING, EntryState.LAPSING})
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_PackedChunk)
 
@@ -212,6 +214,13 @@
             step="unpack table",
             peer=where,
         )
+    mistake = _mistake(packed, number)
+    if mistake is not None:
+        raise InputError(
+            f"{mistake}; restore the value or upgrade this host",
+            step="unpack table",
+            peer=where,
+        )
     servers = packed.servers
     entries = {
         shard: Entry(owner=servers[owner], token=token)
@@ -237,6 +246,35 @@
     )
 
 
+def _mistake(packed: _PackedChunk, number: int) -> str | None:
+    """Return what contradicts itself in a chunk that could be decoded.
+
+    A value that was damaged or written by hand would give shards of another chunk an
+    owner, or, by a number below 0, the wrong one.
+    """
+    shards, pins = set(packed.shards), set(packed.pins.values())
+    first = number * CHUNK_SHARDS
+    strangers = [
+        one for one in shards - pins if not first <= one < first + CHUNK_SHARDS
+    ]
+    if strangers:
+        last = first + CHUNK_SHARDS - 1
+        return f"expected shards {first} to {last}, got {min(strangers)}"
+    if not len(packed.shards) == len(packed.owners) == len(packed.tokens):
+        return (
+            f"expected an owner and a token for each of {len(packed.shards)} shards,"
+            f" got {len(packed.owners)} and {len(packed.tokens)}"
+        )
+    named = [*packed.owners]
+    for move in packed.moves:
+        named += [move.target, *move.holders]
+        if move.shard not in shards or move.state not in _MOVING:
+            return f"expected a move of a listed shard, got {move.shard}"
+    if named and not 0 <= min(named) <= max(named) < len(packed.servers):
+        return f"expected servers 0 to {len(packed.servers) - 1}, got another number"
+    return None
+
+
 def first_chunk(service: str, number: int, targets: Mapping[int, str]) -> Chunk:
     """Return a chunk that intends ``targets`` for shards that nobody holds."""
     none = Entry(owner="", token=0)
--- a/src/gentianwharf/ownership/_tables.py
+++ b/src/gentianwharf/ownership/_tables.py
@@ -7,6 +7,8 @@
 import msgspec
 import xxhash
 
+from gentianwharf.errors import InputError
+
 from ._messages import Item
 from ._table import CHUNK_SHARDS, Chunk, Entry, unpack_chunk
 
@@ -116,7 +118,10 @@
         self._owned: dict[str, set[int]] = {}
 
     def install(self, item: Item) -> bool:
-        """Take a value unless the same or a newer one is known already."""
+        """Take a value unless the same or a newer one is known already.
+
+        Raises ``InputError`` for one that can't be read, of which nothing is taken.
+        """
         # A peer that was cut off or paused passes on what it knew: an older
         # revision must never come back in force.
         earlier = self.versions.get(item.key, 0)
@@ -126,8 +131,7 @@
             self._install_chunk(item)
         elif item.key.startswith(WITNESSES):
             domain = item.key.removeprefix(WITNESSES)
-            listed = msgspec.msgpack.decode(item.value, type=WitnessList)
-            self._witnesses[domain] = listed
+            self._witnesses[domain] = _read_witness_list(item)
         else:
             return False
         self._items[item.key] = item
@@ -141,6 +145,12 @@
         service, _, number = item.key.removeprefix(TABLE).rpartition("/")
         if service not in self._shards:
             return
+        if not number.isdecimal():
+            raise InputError(
+                f"expected the number of a chunk, got {number!r}; remove the value",
+                step="read table",
+                peer=item.key,
+            )
         chunk = unpack_chunk(item.value, service=service, number=int(number))
         earlier = self._chunks[service].get(chunk.number)
         self._chunks[service][chunk.number] = chunk
@@ -252,3 +262,15 @@
     def item(self, key: str) -> Item | None:
         """Return the newest known value of ``key``."""
         return self._items.get(key)
+
+
+def _read_witness_list(item: Item) -> WitnessList:
+    try:
+        return msgspec.msgpack.decode(item.value, type=WitnessList)
+    except msgspec.MsgspecError as error:
+        raise InputError(
+            f"expected a witness list, got {len(item.value)} bytes that are none:"
+            f" {error}; restore the value or upgrade this host",
+            step="read witnesses",
+            peer=item.key,
+        ) from error
--- a/src/gentianwharf/ownership/_witnessing.py
+++ b/src/gentianwharf/ownership/_witnessing.py
@@ -116,7 +116,7 @@
         """Take the version and acknowledge it, when this host has a memory."""
         context = self._context
         for item in announce.items:
-            context.tables.install(item)
+            context.take(item)
         witness = context.witness
         witness.note_list(context.tables.witnesses(context.host.domain))
         if not witness.is_listed or not witness.has_memory:
