Read the wall clock before a deadline's rest; forget requests with the lease

Causes, both noted while the waits after a loss were shortened: - the deadline that a server is told was the wall clock plus what was left, and what was left was read first. A pause between the two makes the deadline later by the pause, beyond the 50 ms that are waited for: a server that knows tokens alone could run a request beside the shard's new owner. - an operator's move that reached a control holder just before it lost its lease stayed with it, and was carried out when it had the lease again.

--- a/src/gentianwharf/ownership/_pinner.py
+++ b/src/gentianwharf/ownership/_pinner.py
@@ -53,6 +53,10 @@
         chunk = self._context.tables.chunks(self._service.name).get(number)
         return chunk is not None and key in chunk.fixed
 
+    def forget_requests(self) -> None:
+        """Forget what operators asked for, the lease being gone."""
+        self._requested.clear()
+
     def is_movable(self, shard: int) -> bool:
         """Whether an entry may be moved for the sake of load: no operator placed it."""
         if shard < self._service.shards:
--- a/src/gentianwharf/ownership/_plans.py
+++ b/src/gentianwharf/ownership/_plans.py
@@ -92,6 +92,15 @@
         else:
             self._pinner.request(request.key, request.server)
 
+    def forget_requests(self) -> None:
+        """Forget what operators asked for, the lease being gone.
+
+        Who asked sends it to the next holder. Kept, it would be carried out when this
+        host has the lease again, against all that was asked for meanwhile.
+        """
+        self._requested.clear()
+        self._pinner.forget_requests()
+
     def said_leaving(self, server: str) -> None:
         """Note that ``server`` itself says it is draining."""
         self._said_leaving_s[server] = self._context.now_s
--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -175,6 +175,7 @@
         intent: it is a compare-and-swap, on the evidence of a majority of witnesses,
         and whoever comes second finds it there. Orders to servers wait for the lease.
         """
+        self.plans.forget_requests()
         silent_s = self._context.now_s - self._heard_s
         rank = self._rank() if silent_s >= DEPUTY_SILENT_S else None
         is_deputy = rank is not None and rank < DEPUTIES
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -1,6 +1,5 @@
 """One sending of a request to one server, up to the head of its answer."""
 
-import time
 from typing import Any, cast, final
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -16,6 +15,7 @@
 from ._answer import check_request_id, has_provable_end
 from ._caller_request import CallerRequest
 from ._connections import ServerConnection, ServerConnections
+from ._deadline import Remaining, remaining
 from ._ports import Outcome, Owner, Ticket
 from ._problem import Problem
 
@@ -126,8 +126,8 @@
             ) from error
 
     async def _send(self, connection: ServerConnection) -> Response:
-        remaining_s = self._deadline_s() - self._reactor.seconds()
-        if remaining_s <= 0:
+        time_left = remaining(self._deadline_s(), now_s=self._reactor.seconds)
+        if time_left.left_s <= 0:
             self._connections.put_back(connection)
             raise FinalError(
                 outcome=Outcome.CANCELLED,
@@ -136,11 +136,11 @@
         answer = connection.exchange(
             method=self._request.method,
             uri=self._request.uri,
-            headers=self._headers(remaining_s),
+            headers=self._headers(time_left),
             body=self._request.body,
         )
         timeout = Timeout(
-            clock=self._reactor, delay_s=remaining_s, expire=answer.cancel
+            clock=self._reactor, delay_s=time_left.left_s, expire=answer.cancel
         )
         try:
             return await answer
@@ -178,13 +178,12 @@
             return self._ticket.deadline_s
         return min(self._ticket.deadline_s, self._owner.deadline_s)
 
-    def _headers(self, remaining_s: float) -> Headers:
+    def _headers(self, time_left: Remaining) -> Headers:
         headers = names.passed_on(self._request.requestHeaders)
-        deadline_ms = int((time.time() + remaining_s) * 1000)
         fields = {
             names.REQUEST_ID: [self._ticket.request_id.encode()],
             names.SERVICE: [self.server.service.encode()],
-            names.DEADLINE: [b"%d" % deadline_ms],
+            names.DEADLINE: [b"%d" % time_left.ends_unix_ms],
         }
         if self._owner is not None:
             fields[names.SHARD] = [b"%d" % self._owner.shard]
--- a/tests/test_ownership_requests.py
+++ b/tests/test_ownership_requests.py
@@ -8,6 +8,7 @@
 from gentianwharf.errors import InputError
 from gentianwharf.keys import shard_of
 from gentianwharf.ownership import RequestOutcome, _requests
+from gentianwharf.ownership._messages import MoveRequest
 from tests.builders_ownership import SERVICE, World
 
 KEY = "faculte-des-sciences"
@@ -124,3 +125,19 @@
     world = build()
     with pytest.raises(InputError, match="servers list"):
         move(world, operator_host(world), "nobody")
+
+
+def test_request_is_forgotten_with_the_lease() -> None:
+    """A host has a request and loses its lease before it planned it.
+
+    Kept, the request was carried out when the host had the lease again, however much
+    later, and against what operators had asked for meanwhile.
+    """
+    world = build()
+    control = world.hosts[holder(world)].system._controls[SERVICE]
+    before, target = moved_to(world), other_server(world)
+    control.plans.request(MoveRequest(service=SERVICE, shard=3, server=target))
+    Deferred.fromCoroutine(control.lease.drop())
+    world.advance(5.0)
+    assert moved_to(world) == before
+    assert control.plans._requested == {}
