Draw the tree of news from listed hosts, as the tree of shares is

Cause: hosts of a large domain hear a part of the others only, so that trees drawn from the hosts that each had heard differed, and some hosts had no parent.

--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -233,7 +233,7 @@
 
     def holder_messages_per_s(self) -> float:
         """Return what a control holder sends to say that it lives."""
-        told = ASKERS + WITNESSES + CANDIDATES_PER_DOMAIN
+        told = WITNESSES + CANDIDATES_PER_DOMAIN
         return DOMAINS * told / ALIVE_EVERY_S
 
     def holder_reports_per_s(self) -> float:
--- a/src/gentianwharf/ownership/_asking.py
+++ b/src/gentianwharf/ownership/_asking.py
@@ -77,6 +77,29 @@
     return [*first, *(one for one in ranked if one not in first)]
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TreePlace:
+    """What the order of a domain's hosts follows from; equal places, equal order."""
+
+    listed: tuple[str, ...]
+    witnesses: WitnessList | None
+    live_witnesses: frozenset[str]
+
+    def order(self) -> list[str]:
+        """Return the domain's hosts in the order of their tree."""
+        return tree_order(self.listed, self.witnesses, self.live_witnesses)
+
+
+def place_in_tree(context: Context) -> TreePlace:
+    """Return what the order of this host's own domain follows from now."""
+    listed = tuple(context.peers.hosts_of(context.host.domain))
+    witnesses = context.tables.witnesses(context.host.domain)
+    named = witnesses.hosts if witnesses is not None else ()
+    live = frozenset(one for one in named if context.peers.is_live(one))
+    return TreePlace(listed=listed, witnesses=witnesses, live_witnesses=live)
+
+
 @lru_cache(maxsize=256)
 def ranked_witnesses(hosts: tuple[str, ...]) -> tuple[str, ...]:
     """Return another domain's witnesses, those that ask for its rights first."""
@@ -123,7 +146,7 @@
         self._direct_due_s: dict[str, float] = {}
         self._sources: dict[str, _Source] = {}
         self._asked: dict[str, str] = {}
-        self._place_of: tuple[object, ...] = ()
+        self._place: TreePlace | None = None
         self._position = 0
         self._steps = 0
         self._nearer: tuple[str, ...] = ()
@@ -138,15 +161,11 @@
 
     def _find_place(self) -> None:
         context = self._context
-        listed = tuple(context.peers.hosts_of(context.host.domain))
-        witnesses = context.tables.witnesses(context.host.domain)
-        named = witnesses.hosts if witnesses is not None else ()
-        live = frozenset(one for one in named if context.peers.is_live(one))
-        place_of = (listed, witnesses, live)
-        if place_of == self._place_of:
+        place = place_in_tree(context)
+        if place == self._place:
             return
-        self._place_of = place_of
-        order = tree_order(listed, witnesses, live)
+        self._place = place
+        order = place.order()
         is_listed = context.host.id in order
         position = order.index(context.host.id) if is_listed else 0
         if position != self._position:
--- a/src/gentianwharf/ownership/_fanout.py
+++ b/src/gentianwharf/ownership/_fanout.py
@@ -11,11 +11,10 @@
 from collections.abc import Iterable
 from typing import final
 
-from ._asking import tree_order
+from ._asking import TreePlace, place_in_tree
 from ._context import Context
 from ._messages import ControlAlive, Item, Items
 from ._pace import ASKERS, FAN_OUT
-from ._tables import WitnessList
 
 DIRECT_HOSTS = ASKERS + FAN_OUT
 """Hosts of a domain up to which all are told directly: a tree would have one step."""
@@ -31,8 +30,7 @@
 
     def __init__(self, *, context: Context) -> None:
         self._context = context
-        self._live: tuple[str, ...] = ()
-        self._witnesses: WitnessList | None = None
+        self._place: TreePlace | None = None
         self._children: tuple[str, ...] = ()
         self._passed_on: dict[str, tuple[int, int]] = {}
 
@@ -43,36 +41,27 @@
         """
         context = self._context
         hosts = context.peers.hosts_of(domain)
-        if len(hosts) > DIRECT_HOSTS:
-            witnesses = context.tables.witnesses(domain)
-            order = tree_order(context.live_hosts(domain), witnesses)
-            # All witnesses, since two dead hosts may count as live for a while.
-            near = [*order[:ASKERS], *(witnesses.all() if witnesses else ())]
+        witnesses = context.tables.witnesses(domain)
+        if len(hosts) > DIRECT_HOSTS and witnesses is not None:
+            # The tree begins at two of the witnesses; who of them lives is known there.
             known = set(hosts)
-            wanted = dict.fromkeys([*near, *also])
+            wanted = dict.fromkeys([*witnesses.all(), *also])
             hosts = [one for one in wanted if one in known]
         return [one for one in hosts if one != context.host.id]
 
     def children(self) -> tuple[str, ...]:
         """Return the hosts of the own domain to which this one passes news on."""
-        context = self._context
-        live = context.own_live_hosts()
-        witnesses = context.tables.witnesses(context.host.domain)
-        if live is not self._live or witnesses is not self._witnesses:
-            self._live, self._witnesses = live, witnesses
-            self._children = self._find_children(live, witnesses)
+        place = place_in_tree(self._context)
+        if place != self._place:
+            self._place = place
+            self._children = self._find_children(place)
         return self._children
 
-    def _find_children(
-        self, live: tuple[str, ...], witnesses: WitnessList | None
-    ) -> tuple[str, ...]:
-        order = tree_order(live, witnesses)
+    def _find_children(self, place: TreePlace) -> tuple[str, ...]:
         host = self._context.host.id
-        is_large = len(self._context.peers.hosts_of(self._context.host.domain)) > (
-            DIRECT_HOSTS
-        )
-        if not is_large or host not in order:
+        if len(place.listed) <= DIRECT_HOSTS or host not in place.listed:
             return ()
+        order = place.order()
         first = ASKERS + order.index(host) * FAN_OUT
         return tuple(order[first : first + FAN_OUT])
 
