--- a/bench/load_page.py
+++ b/bench/load_page.py
@@ -68,7 +68,7 @@
 def put_tables(page: str, tables: str) -> str:
     r"""Return the page with its tables replaced.
 
-    >>> put_tables(f"a\\n{BEGIN}\\nold\\n{END}\\nb", "new").splitlines()[2]
+    >>> put_tables(f"a\n{BEGIN}\nold\n{END}\nb", "new").splitlines()[2]
     'new'
     """
     head, rest = page.split(BEGIN)
