--- a/src/gentianwharf/ownership/_service_control.py
+++ b/src/gentianwharf/ownership/_service_control.py
@@ -24,7 +24,7 @@
 from ._tables import TABLE
 from ._timing import (
     CONTROL_SILENT_S,
-    DEPUTY_SILENT_S,
+    STANDBY_SILENT_S,
     STORE_TIMEOUT_S,
     TAKE_AGAIN_S,
 )
@@ -33,7 +33,7 @@
 CANDIDATES_PER_DOMAIN = 2
 """Hosts of each domain that may take a service's control."""
 
-DEPUTIES = 2
+STANDBYS = 2
 """Candidates that prepare for a silent holder: the first may be lost with it, and not
 yet be known to be."""
 
@@ -72,7 +72,7 @@
             context=context,
             service=service.name,
             shards=service.shards,
-            may_write=lambda: self.lease.is_held or self._is_deputy,
+            may_write=lambda: self.lease.is_held or self._is_standby,
             written=self._written,
             fanout=fanout,
         )
@@ -92,7 +92,7 @@
         self._busy = False
         self._loaded_term = 0
         self._is_tick_due = False
-        self._is_deputy = False
+        self._is_standby = False
         self._candidates_of: tuple[object, ...] = ()
         self._kept_candidates: list[str] = []
         self.sent = SentCounts()
@@ -128,7 +128,7 @@
             if self._may_take():
                 self._start(self._take)
             return
-        self._is_deputy = False
+        self._is_standby = False
         if self.lease.is_renewal_due:
             self._start(self.lease.renew)
         if self._loaded_term != self.lease.term:
@@ -177,14 +177,14 @@
         """
         self.plans.forget_requests()
         silent_s = self._context.now_s - self._heard_s
-        rank = self._rank() if silent_s >= DEPUTY_SILENT_S else None
-        is_deputy = rank is not None and rank < DEPUTIES
-        if not (is_deputy and self._is_deputy):
-            # What was wanted under the lease that has ended is no deputy's business.
+        rank = self._rank() if silent_s >= STANDBY_SILENT_S else None
+        is_standby = rank is not None and rank < STANDBYS
+        if not (is_standby and self._is_standby):
+            # What was wanted under the lease that has ended is no standby's business.
             self._writer.clear()
             self._mover.clear()
-        self._is_deputy = is_deputy
-        if is_deputy:
+        self._is_standby = is_standby
+        if is_standby:
             self.plans.run_lost()
             self._mover.prepare()
             self._writer.flush()
@@ -193,7 +193,7 @@
         """Go on at once: until the next tick an intent would wait to be announced."""
         if self.lease.is_held:
             self._mover.tick_soon()
-        elif self._is_deputy:
+        elif self._is_standby:
             self._mover.prepare()
 
     def _may_take(self) -> bool:
@@ -208,10 +208,10 @@
     def told(self) -> list[str]:
         """Return the hosts that are told of servers that do not answer.
 
-        The deputies among them, since the holder may be lost at the same moment.
+        The standbys among them, since the holder may be lost at the same moment.
         """
         holder = [self.holder] if self.holder is not None else []
-        return list(dict.fromkeys([*holder, *self._candidates()[:DEPUTIES]]))
+        return list(dict.fromkeys([*holder, *self._candidates()[:STANDBYS]]))
 
     def _candidates(self) -> list[str]:
         """Return the hosts that may take the control, but for a holder, in order."""
--- a/src/gentianwharf/ownership/_timing.py
+++ b/src/gentianwharf/ownership/_timing.py
@@ -86,8 +86,8 @@
 TAKE_AGAIN_S = 0.1
 """Pause after a lease that was not to be had, as the silent holder's goes on."""
 
-DEPUTY_SILENT_S = 0.3
-"""Silence of the control holder after which deputies write intents for lost servers:
+STANDBY_SILENT_S = 0.3
+"""Silence of the control holder after which standbys write intents for lost servers:
 one sign of life is missing. It is as long as evidence against a server takes."""
 
 SUSPECT_FRESH_S = 1.0
--- /dev/null
+++ b/tests/builders_answers.py
@@ -0,0 +1,79 @@
+"""What a backend server does on one connection, right or wrong, for tests."""
+
+import socket
+import struct
+
+from tests.builders_relay import answer, echo_id, read_head
+
+
+def ok(connection: socket.socket, head: bytes) -> None:
+    """Answer whole."""
+    connection.sendall(answer(extra=echo_id(head)))
+
+
+def one_byte_pieces(connection: socket.socket, head: bytes) -> None:
+    """Answer whole, a byte at a time."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for byte in answer(b"in pieces", extra=echo_id(head)):
+        connection.sendall(bytes([byte]))
+
+
+def chunked(connection: socket.socket, head: bytes) -> None:
+    """Answer whole, in chunks."""
+    connection.sendall(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    )
+
+
+def short(connection: socket.socket, head: bytes) -> None:
+    """Close before the stated end."""
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def short_chunked(connection: socket.socket, head: bytes) -> None:
+    """Close before the last chunk."""
+    connection.sendall(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    )
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def endless(connection: socket.socket, head: bytes) -> None:
+    """Answer without an end that can be told from a break."""
+    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nabc")
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def crossed(connection: socket.socket, head: bytes) -> None:
+    """Answer under another request's id."""
+    connection.sendall(answer(b"else's", extra="Gentianwharf-Request-Id: other\r\n"))
+
+
+def closing(connection: socket.socket, head: bytes) -> None:
+    """Close without an answer."""
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def resetting(connection: socket.socket, head: bytes) -> None:
+    """Reset the connection without an answer."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+def silent(connection: socket.socket, head: bytes) -> None:
+    """Never answer."""
+    read_head(connection)
+
+
+def shedding(connection: socket.socket, head: bytes) -> None:
+    """Refuse for want of room."""
+    extra = "Gentianwharf-Run: not-run\r\nRetry-After: 3\r\n"
+    connection.sendall(answer(b"", status="503 Shed", extra=extra))
+
+
+def not_owner(connection: socket.socket, head: bytes) -> None:
+    """Refuse as not the owner."""
+    extra = "Gentianwharf-Run: not-run\r\n"
+    connection.sendall(answer(b"no", status="421 Misdirected", extra=extra))
--- a/tests/test_ownership_system.py
+++ b/tests/test_ownership_system.py
@@ -54,7 +54,7 @@
 
 
 @pytest.mark.parametrize(
-    "guarded", [pytest.param(True, id="deputies"), pytest.param(False, id="none")]
+    "guarded", [pytest.param(True, id="standbys"), pytest.param(False, id="none")]
 )
 @pytest.mark.parametrize("seed", range(1, 5))
 def test_server_lost_with_the_control_holder_is_replaced_within_a_second(
@@ -66,7 +66,7 @@
     the wait for rights to begin, the keys would be unserved for more than a second.
     """
     if not guarded:
-        monkeypatch.setattr(_service_control, "DEPUTIES", 0)
+        monkeypatch.setattr(_service_control, "STANDBYS", 0)
     world = build(seed=seed)
     world.stop_host(holder(world))
     world.servers[world.owner(0)].lost = True
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -2,18 +2,30 @@
 
 import json
 import socket
-import struct
 import threading
 from typing import Any
 
 import pytest
 
 from gentianwharf.relay import Outcome
+from tests.builders_answers import (
+    chunked,
+    closing,
+    crossed,
+    endless,
+    not_owner,
+    ok,
+    one_byte_pieces,
+    resetting,
+    shedding,
+    short,
+    short_chunked,
+    silent,
+)
 from tests.builders_relay import (
     DEADLINE_MS,
     Script,
     answer,
-    echo_id,
     read_head,
     request,
     running_reactor,
@@ -21,67 +33,6 @@
 )
 
 
-def ok(connection: socket.socket, head: bytes) -> None:
-    connection.sendall(answer(extra=echo_id(head)))
-
-
-def one_byte_pieces(connection: socket.socket, head: bytes) -> None:
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    for byte in answer(b"in pieces", extra=echo_id(head)):
-        connection.sendall(bytes([byte]))
-
-
-def chunked(connection: socket.socket, head: bytes) -> None:
-    connection.sendall(
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
-    )
-
-
-def short(connection: socket.socket, head: bytes) -> None:
-    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
-    connection.shutdown(socket.SHUT_RDWR)
-
-
-def short_chunked(connection: socket.socket, head: bytes) -> None:
-    connection.sendall(
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
-    )
-    connection.shutdown(socket.SHUT_RDWR)
-
-
-def endless(connection: socket.socket, head: bytes) -> None:
-    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nabc")
-    connection.shutdown(socket.SHUT_RDWR)
-
-
-def crossed(connection: socket.socket, head: bytes) -> None:
-    connection.sendall(answer(b"else's", extra="Gentianwharf-Request-Id: other\r\n"))
-
-
-def closing(connection: socket.socket, head: bytes) -> None:
-    connection.shutdown(socket.SHUT_RDWR)
-
-
-def resetting(connection: socket.socket, head: bytes) -> None:
-    linger = struct.pack("ii", 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    connection.close()
-
-
-def silent(connection: socket.socket, head: bytes) -> None:
-    read_head(connection)
-
-
-def shedding(connection: socket.socket, head: bytes) -> None:
-    extra = "Gentianwharf-Run: not-run\r\nRetry-After: 3\r\n"
-    connection.sendall(answer(b"", status="503 Shed", extra=extra))
-
-
-def not_owner(connection: socket.socket, head: bytes) -> None:
-    extra = "Gentianwharf-Run: not-run\r\n"
-    connection.sendall(answer(b"no", status="421 Misdirected", extra=extra))
-
-
 def body_of(received: bytes) -> Any:
     return json.loads(received.split(b"\r\n\r\n", 1)[1])
 
