Place shards of lost and of leaving servers by one piece of code

Choosing the shards stays with the planner, placing them stands once, and costs nothing for none. A value told to all hosts is one message instead of one a host; a status that nothing read is gone. Behaviour is the same but that a shard named twice counts once for the room.

--- a/src/gentianwharf/ownership/_fanout.py
+++ b/src/gentianwharf/ownership/_fanout.py
@@ -67,9 +67,10 @@
 
     def tell(self, item: Item) -> None:
         """Tell every domain of a value that the store has taken, and pass it on."""
+        message = Items(items=[item])
         for domain in self._context.domains:
             for host in self.first_hosts(domain):
-                self._context.peers.send(host, Items(items=[item]))
+                self._context.peers.send(host, message)
         self.pass_on_items([item])
 
     def pass_on_items(self, items: list[Item]) -> None:
--- a/src/gentianwharf/ownership/_planner.py
+++ b/src/gentianwharf/ownership/_planner.py
@@ -1,6 +1,6 @@
 """Which shards have to move, decided from the table and what is known of servers."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from typing import final
@@ -9,8 +9,6 @@
     Candidate,
     Demand,
     PlacementWeights,
-    SiteOfShard,
-    place,
     rebalance,
 )
 
@@ -42,42 +40,22 @@
 Intents = dict[int, tuple[str, EntryState]]
 
 
-def plan_lost(
-    entries: Mapping[int, Entry],
-    *,
-    states: ServerStates,
-    demand: Demand,
-    busy: Callable[[], Mapping[str, float]],
-    site_of: SiteOfShard,
-) -> Intents:
-    """Return intents for shards that a lost server owns, holds or should take."""
-    lost = states.lost
-    touched = {
-        shard: entry
-        for shard, entry in entries.items()
-        if entry.owner in lost
-        or entry.target in lost
-        or not lost.isdisjoint(entry.holders)
-    }
-    # A move that already waits for its lost holders to lapse, towards a live
-    # target, must be let alone: a new intent would start the wait again.
-    waiting = {
+def lost_shards(entries: Mapping[int, Entry], lost: AbstractSet[str]) -> list[int]:
+    """Return the shards that a lost server owns, holds or should take.
+
+    A move that already waits for its lost holders to lapse, towards a live target, is
+    let alone: a new intent would start the wait again.
+    """
+    return [
         shard
-        for shard, entry in touched.items()
-        if entry.state is EntryState.LAPSING and entry.target not in lost
-    }
-    to_place = [shard for shard in touched if shard not in waiting]
-    # Looked for on every tick while a server is lost: the sums cost more than that.
-    if not to_place:
-        return {}
-    targets = place(
-        to_place,
-        demand=demand,
-        busy=busy(),
-        candidates=states.usable(),
-        site_of=site_of,
-    )
-    return {shard: (target, EntryState.LAPSING) for shard, target in targets.items()}
+        for shard, entry in entries.items()
+        if (
+            entry.owner in lost
+            or entry.target in lost
+            or not lost.isdisjoint(entry.holders)
+        )
+        and (entry.state is not EntryState.LAPSING or entry.target in lost)
+    ]
 
 
 def plan_rebalance(
@@ -103,36 +81,3 @@
         is_movable=is_movable,
     )
     return {move.shard: (move.target, EntryState.RELEASING) for move in moves}
-
-
-def plan_leaving(
-    entries: Mapping[int, Entry],
-    *,
-    shards: Iterable[int],
-    states: ServerStates,
-    demand: Demand,
-    busy: Mapping[str, float],
-    site_of: SiteOfShard,
-    room: int,
-) -> Intents:
-    """Return intents for those of ``shards`` that should leave a live owner.
-
-    At most ``room`` of them, since each holds requests for a moment.
-    """
-    owned = [
-        shard
-        for shard in shards
-        if (entry := entries.get(shard)) and entry.state is EntryState.OWNED
-    ]
-    targets = place(
-        owned[: max(room, 0)],
-        demand=demand,
-        busy=busy,
-        candidates=states.usable(),
-        site_of=site_of,
-    )
-    return {
-        shard: (target, EntryState.RELEASING)
-        for shard, target in targets.items()
-        if target != entries[shard].owner
-    }
--- a/src/gentianwharf/ownership/_plans.py
+++ b/src/gentianwharf/ownership/_plans.py
@@ -1,6 +1,6 @@
 """What should move: away from lost and leaving servers, to its site, to less load."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import final
 
 from gentianwharf.placement import EVEN, Candidate, Demand, place
@@ -15,8 +15,7 @@
 from ._planner import (
     MOST_PLANNED_MOVES,
     ServerStates,
-    plan_leaving,
-    plan_lost,
+    lost_shards,
     plan_rebalance,
 )
 from ._table import EntryState
@@ -144,6 +143,23 @@
                 busy[move.entry.target] += demand.of(shard)
         return busy
 
+    def _placed(self, shards: Sequence[int], states: ServerStates) -> dict[int, str]:
+        """Return a target for each of ``shards``.
+
+        Asked on every tick while a server is lost or leaves, mostly for none: the
+        load is summed up only for some.
+        """
+        if not shards:
+            return {}
+        demand = self._demand()
+        return place(
+            shards,
+            demand=demand,
+            busy=self._busy_slots(demand),
+            candidates=states.usable(),
+            site_of=self._site_of,
+        )
+
     def run_lost(self) -> ServerStates:
         """Intend what must move away from lost servers; returns all servers' states."""
         states = self._states()
@@ -196,14 +212,8 @@
             for shard, entry in tables.owned_by(self._service.name, server).items()
         }
         entries |= {shard: one.entry for shard, one in self._mover.moves.items()}
-        demand = self._demand()
-        intents = plan_lost(
-            entries,
-            states=states,
-            demand=demand,
-            busy=lambda: self._busy_slots(demand),
-            site_of=self._site_of,
-        )
+        targets = self._placed(lost_shards(entries, states.lost), states)
+        intents = {shard: (one, EntryState.LAPSING) for shard, one in targets.items()}
         if intents:
             self._context.log("owners-lost", servers=sorted(states.lost))
             self._writer.intend(intents)
@@ -219,24 +229,20 @@
             *self._shards_off_site(),
             *self._pinner.off_site(),
         ]
-        if not shards:
-            return
         name = self._service.name
-        entries = {
+        owned = {
             shard: entry
             for shard in shards
             if (entry := self._context.tables.entry(name, shard)) is not None
+            and entry.state is EntryState.OWNED
+        }
+        # Each holds requests for a moment: no more at a time than there is room for.
+        targets = self._placed(list(owned)[:room], states)
+        intents = {
+            shard: (target, EntryState.RELEASING)
+            for shard, target in targets.items()
+            if target != owned[shard].owner
         }
-        demand = self._demand()
-        intents = plan_leaving(
-            entries,
-            shards=shards,
-            states=states,
-            demand=demand,
-            busy=self._busy_slots(demand),
-            site_of=self._site_of,
-            room=room,
-        )
         if intents:
             self._writer.intend(intents)
 
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -19,10 +19,9 @@
 from ._ports import Outcome, Owner, Ticket
 from ._problem import Problem
 
-# Not the owner, and shedding or leaving: the statuses by which a server refuses a
-# request without running it, if it also says so in a header.
+# The status by which a server that is not the owner refuses a request without running
+# it, if it also says so in a header; any other such refusal is shedding or leaving.
 STATUS_NOT_OWNER = 421
-STATUS_SHED = 503
 DEFAULT_RETRY_AFTER_S = 1.0
 
 
