--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -186,7 +186,10 @@
         span = row.span
         release = Release(first=span.first, last=span.last, token=span.token)
         timeout_s = min(
-            MOST_RELEASE_TIMEOUT_S, FIRST_RELEASE_TIMEOUT_S * (1 + row.release_tries)
+            MOST_RELEASE_TIMEOUT_S,
+            FIRST_RELEASE_TIMEOUT_S * (1 + row.release_tries),
+            # Once its grant has run out there is nothing to wait for.
+            self._held_until_s(holder) - self._now_s(),
         )
         row.release_tries += 1
         try:
--- /dev/null
+++ b/tests/test_keyspace_keeper.py
@@ -0,0 +1,176 @@
+"""No shard has two holders, whatever becomes of orders and of those who give them."""
+
+from twisted.internet.task import Clock
+
+from tests.builders_keyspace import (
+    GrantingServer,
+    Servers,
+    keeper_of,
+    run_keeper,
+    span,
+    table,
+)
+
+
+def test_grants_are_renewed_before_they_run_out() -> None:
+    clock = Clock()
+    servers = Servers(clock, 1)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 0.1)
+    run_keeper(keeper, clock, 20.0, look=lambda: _assert_holds(servers[1], 5))
+
+
+def _assert_holds(server: GrantingServer, shard: int) -> None:
+    assert server.holds(shard)
+
+
+def test_move_waits_for_the_work_on_its_shards() -> None:
+    """Two servers change one member's record at the same time.
+
+    The former holder still works on the shard when it is told to release it; it
+    answers when that work has ended. Only then may the next one be granted it.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    servers[1].release_takes_s = 0.5
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 1.0)
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    run_keeper(keeper, clock, 0.4)
+    assert not servers[2].holds(5)
+    run_keeper(keeper, clock, 0.4)
+    assert servers[2].holds(5)
+
+
+def test_handover_goes_to_the_next_holder() -> None:
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 1.0)
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    run_keeper(keeper, clock, 0.2)
+    assert servers[2].orders[0].handover == "handover of 10.0.0.1:80"  # type: ignore[union-attr]
+
+
+def test_silent_holder_is_waited_out() -> None:
+    """A dues posting runs on two servers, each of which thinks that it has the key.
+
+    The holder is cut off from us, but not from others: it goes on until its last
+    grant has run out by its own clock, which is two in a hundred slow.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    servers[1].drift = 1.02
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    # Past the time in which an earlier leader's grants may still hold.
+    run_keeper(keeper, clock, 16.0)
+    servers[1].is_silent = True
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    run_keeper(keeper, clock, 8.0, look=lambda: _assert_one(servers, 5))
+    assert servers[2].holds(5)
+
+
+def _assert_one(servers: Servers, shard: int) -> None:
+    assert len(servers.holders(shard)) <= 1
+
+
+def test_new_leader_waits_for_what_an_earlier_one_may_have_granted() -> None:
+    """The leader is lost together with a server, and the server comes back.
+
+    The next leader knows nothing of the last renewals. The earlier one may go on
+    renewing for a while without the store, for as long as servers take.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    servers[1].is_silent = True
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    run_keeper(keeper, clock, 15.0)
+    assert not servers[2].holds(5)
+    run_keeper(keeper, clock, 1.0)
+    assert servers[2].holds(5)
+
+
+def test_renewal_that_arrives_after_the_release_is_shut_out() -> None:
+    """A renewal overtaken by the release gives the former holder its keys again."""
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 0.1)
+    late = servers[1].orders[0]
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    run_keeper(keeper, clock, 0.2)
+    try:
+        servers[1].take_grant(late)  # type: ignore[arg-type]
+    except Exception as error:
+        assert "higher token" in str(error)
+    assert servers.holders(5) == ["10.0.0.2:80"]
+
+
+def test_leader_without_the_store_stops_renewing_in_time() -> None:
+    """A leader that is cut off from the store renews grants for ever.
+
+    Another host leads by now, and waits until the last of them has run out.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 1.0)
+    run_keeper(keeper, clock, 20.0, heard=False)
+    assert not servers[1].holds(5)
+    renewals = len(servers[1].orders)
+    run_keeper(keeper, clock, 5.0, heard=False)
+    assert len(servers[1].orders) == renewals
+
+
+def test_grants_bridge_an_outage_of_the_store() -> None:
+    """The store is away for ten seconds, and no key is served for most of them."""
+    clock = Clock()
+    servers = Servers(clock, 1)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 3.0)
+    run_keeper(
+        keeper, clock, 12.0, heard=False, look=lambda: _assert_holds(servers[1], 5)
+    )
+
+
+def test_server_that_was_born_again_is_not_waited_for() -> None:
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    servers[1].is_silent = True
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    keeper.forget_lives({"s1": 2})
+    run_keeper(keeper, clock, 0.2)
+    assert servers[2].holds(5)
+
+
+def test_grant_without_an_answer_is_sent_again() -> None:
+    clock = Clock()
+    servers = Servers(clock, 1)
+    servers[1].is_silent = True
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 0.3)
+    servers[1].is_silent = False
+    run_keeper(keeper, clock, 1.0)
+    assert servers[1].holds(5)
+
+
+def test_host_that_leads_no_more_gives_no_orders() -> None:
+    clock = Clock()
+    servers = Servers(clock, 1)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 1.0)
+    keeper.stop()
+    orders = len(servers[1].orders)
+    run_keeper(keeper, clock, 5.0)
+    assert len(servers[1].orders) == orders
--- /dev/null
+++ b/tests/test_keyspace_leadership.py
@@ -0,0 +1,156 @@
+"""One host leads, another follows it soon, and no shard has two holders meanwhile."""
+
+from twisted.internet.task import Clock
+
+from gentianwharf.keyspace import decode_table
+from tests.builders_keyspace import (
+    LEADER_KEY,
+    SERVICE,
+    SHARDS,
+    TABLE_KEY,
+    LeadingHost,
+    Servers,
+    SimpleStore,
+    candidate,
+    run_hosts,
+)
+
+ALL = dict.fromkeys(range(0, SHARDS, 7))
+
+
+def make_hosts(
+    clock: Clock, *names: str, servers: int = 3
+) -> tuple[SimpleStore, Servers, list[LeadingHost]]:
+    store = SimpleStore(clock)
+    granting = Servers(clock, *range(1, servers + 1))
+    hosts = [LeadingHost(name=name, store=store, servers=granting) for name in names]
+    for host in hosts:
+        host.planner.set_candidates(
+            SERVICE, [candidate(number) for number in range(1, servers + 1)]
+        )
+    return store, granting, hosts
+
+
+def served(servers: Servers) -> bool:
+    return all(len(servers.holders(shard)) == 1 for shard in ALL)
+
+
+def one_each(servers: Servers) -> None:
+    assert all(len(servers.holders(shard)) <= 1 for shard in ALL)
+
+
+def test_first_leader_deals_out_all_shards() -> None:
+    clock = Clock()
+    store, servers, hosts = make_hosts(clock, "a", "b")
+    run_hosts(clock, 2.0, *hosts, look=lambda: one_each(servers))
+    assert served(servers)
+    assert [host.leads for host in hosts].count(True) == 1
+    item = store.items_by_key[TABLE_KEY]
+    assert len(decode_table(item.value, peer="test").spans) == 3
+
+
+def test_next_leader_keeps_every_holder_and_every_grant() -> None:
+    """The leader's process is killed, and for a while no key is served.
+
+    The next leader must renew before the grants run out, and move nothing.
+    """
+    clock = Clock()
+    store, servers, (first, second) = make_hosts(clock, "a", "b")
+    run_hosts(clock, 3.0, first, second)
+    leader, other = (first, second) if first.leads else (second, first)
+    before = store.items_by_key[TABLE_KEY].revision
+    leader.hears_store = False
+    run_hosts(clock, 15.0, other, look=lambda: _assert_served(servers))
+    assert other.leads
+    assert store.items_by_key[TABLE_KEY].revision == before
+
+
+def _assert_served(servers: Servers) -> None:
+    assert served(servers)
+
+
+def test_paused_leader_gives_no_order_after_its_lease() -> None:
+    """The leader's machine stands still and wakes after another host has taken over.
+
+    It must not go on where it stopped: its lease has ended, and shards have moved.
+    """
+    clock = Clock()
+    store, servers, (first, second) = make_hosts(clock, "a", "b")
+    run_hosts(clock, 3.0, first, second)
+    leader, other = (first, second) if first.leads else (second, first)
+    leader.hears_store = False
+    run_hosts(clock, 6.0, other, look=lambda: one_each(servers))
+    other.planner.set_candidates(SERVICE, [candidate(2), candidate(3)])
+    run_hosts(clock, 3.0, other, look=lambda: one_each(servers))
+    orders = sum(len(servers[number].orders) for number in (1, 2, 3))
+    leader.tick()
+    assert sum(len(servers[number].orders) for number in (1, 2, 3)) == orders
+    run_hosts(clock, 3.0, leader, other, look=lambda: one_each(servers))
+    assert not leader.leads
+    assert served(servers)
+
+
+def test_leader_steps_down_when_its_item_is_gone() -> None:
+    """The store takes the leader's item away although its lease has not run out."""
+    clock = Clock()
+    store, servers, (first, second) = make_hosts(clock, "a", "b")
+    run_hosts(clock, 3.0, first, second)
+    lease_id = store.items_by_key[LEADER_KEY].lease_id
+    del store.leases[lease_id]
+    run_hosts(clock, 3.0, first, second, look=lambda: one_each(servers))
+    assert [first.leads, second.leads].count(True) == 1
+    assert store.items_by_key[LEADER_KEY].lease_id != lease_id
+    assert served(servers)
+
+
+def test_campaign_whose_answer_was_lost_is_won_all_the_same() -> None:
+    """Nobody leads until the lease of a host that doesn't know that it leads ends."""
+    clock = Clock()
+    store, servers, (host,) = make_hosts(clock, "a")
+    run_hosts(clock, 0.1, host)
+    store.loses_answers = True
+    run_hosts(clock, 0.8, host)
+    store.loses_answers = False
+    run_hosts(clock, 3.0, host)
+    assert host.leads
+    assert served(servers)
+
+
+def test_resigned_leader_is_followed_at_once() -> None:
+    clock = Clock()
+    store, servers, (first, second) = make_hosts(clock, "a", "b")
+    run_hosts(clock, 3.0, first, second)
+    leader, other = (first, second) if first.leads else (second, first)
+    from twisted.internet.defer import Deferred
+
+    Deferred.fromCoroutine(leader.leadership.resign())
+    run_hosts(clock, 0.3, first, second, look=lambda: one_each(servers))
+    assert other.leads
+
+
+def test_write_that_takes_effect_late_does_no_harm() -> None:
+    """A table that was written without an answer appears seconds later.
+
+    The leader has planned anew meanwhile. Only one of both writes meets its condition.
+    """
+    clock = Clock()
+    store, servers, (host,) = make_hosts(clock, "a")
+    run_hosts(clock, 3.0, host)
+    store.loses_answers = True
+    host.planner.set_candidates(SERVICE, [candidate(1), candidate(2)])
+    run_hosts(clock, 2.0, host, look=lambda: one_each(servers))
+    store.loses_answers = False
+    run_hosts(clock, 8.0, host, look=lambda: one_each(servers))
+    assert served(servers)
+    assert not servers[3].holds(0)
+
+
+def test_store_outage_moves_nothing_and_serves_on() -> None:
+    clock = Clock()
+    store, servers, hosts = make_hosts(clock, "a", "b")
+    run_hosts(clock, 3.0, *hosts)
+    store.is_down = True
+    run_hosts(clock, 10.0, *hosts, look=lambda: _assert_served(servers))
+    store.is_down = False
+    run_hosts(clock, 4.0, *hosts, look=lambda: _assert_served(servers))
+    assert [host.leads for host in hosts].count(True) == 1
--- /dev/null
+++ b/tests/test_keyspace_plan.py
@@ -0,0 +1,134 @@
+"""Shards go where there is room, and stay where they are without a reason to move."""
+
+import random
+
+import pytest
+
+from gentianwharf.keyspace import Candidate, KeyTable, ShardLoad, plan
+from tests.builders_keyspace import SHARDS, candidate, span, table
+
+EVEN = ShardLoad(samples=(), shards=SHARDS)
+
+
+def planned(
+    before: KeyTable,
+    *candidates: Candidate,
+    load: ShardLoad = EVEN,
+    even_out: bool = False,
+) -> KeyTable:
+    return plan(before, candidates, load, shards=SHARDS, even_out=even_out)
+
+
+def shards_of(after: KeyTable, number: int) -> int:
+    name = candidate(number).holder.server_id
+    return sum(one.shards for one in after.spans if one.holder.server_id == name)
+
+
+def check_whole(after: KeyTable) -> None:
+    next_first = 0
+    for one in after.spans:
+        assert one.first == next_first
+        next_first = one.last + 1
+    assert next_first == SHARDS
+
+
+def test_first_plan_gives_each_server_by_its_capacity() -> None:
+    after = planned(
+        KeyTable(service="roster"), candidate(1), candidate(2, capacity=3.0)
+    )
+    check_whole(after)
+    assert shards_of(after, 1) == 250
+    assert shards_of(after, 2) == 750
+
+
+def test_nothing_moves_without_a_reason() -> None:
+    before = table(span(0, 499, 1), span(500, 999, 2))
+    assert planned(before, candidate(1), candidate(2), even_out=True) is before
+
+
+def test_nothing_moves_while_no_server_is_listed() -> None:
+    before = table(span(0, 999, 1))
+    assert planned(before) is before
+
+
+def test_lost_server_s_shards_are_dealt_out_to_all() -> None:
+    before = table(span(0, 332, 1), span(333, 665, 2), span(666, 999, 3))
+    after = planned(before, candidate(1), candidate(2))
+    check_whole(after)
+    assert abs(shards_of(after, 1) - shards_of(after, 2)) < 120
+    moved = [one for one in after.spans if one.former]
+    assert all(one.former[0].server_id == "s3" for one in moved)
+    assert all(one.token > before.highest_token for one in moved)
+    kept = [one for one in after.spans if not one.former]
+    assert {one.token for one in kept} == {1}
+
+
+def test_server_lost_in_the_middle_of_a_move_is_former_too() -> None:
+    before = table(
+        span(0, 499, 1), span(500, 999, 2, token=2, former=(3,)), highest_token=2
+    )
+    after = planned(before, candidate(1))
+    moved = after.span_of(700)
+    assert moved is not None
+    assert [one.server_id for one in moved.former] == ["s3", "s2"]
+
+
+def test_server_that_joins_is_sent_its_part() -> None:
+    before = table(span(0, 499, 1), span(500, 999, 2))
+    after = planned(before, candidate(1), candidate(2), candidate(3), even_out=True)
+    check_whole(after)
+    assert 200 < shards_of(after, 3) < 400
+
+
+def test_busy_shards_close_together_are_parted() -> None:
+    """A faculty's open day: two hundred keys side by side get a third of all requests.
+
+    Their server is full and turns families away, while the others have room.
+    """
+    rng = random.Random(3)
+    samples = [rng.randrange(300, 320) for _ in range(100)]
+    samples += [rng.randrange(SHARDS) for _ in range(200)]
+    load = ShardLoad(samples=samples, shards=SHARDS)
+    servers = [candidate(number) for number in range(1, 9)]
+    before = planned(KeyTable(service="roster"), *servers)
+    busiest = max(load.of(one.first, one.last) for one in before.spans)
+    assert busiest > 0.3
+    after = planned(before, *servers, load=load, even_out=True)
+    after = planned(after, *servers, load=load, even_out=True)
+    check_whole(after)
+    loads = {one.holder: 0.0 for one in servers}
+    for one in after.spans:
+        loads[one.holder] += load.of(one.first, one.last)
+    assert max(loads.values()) < 0.2
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_every_plan_is_whole_and_tokens_only_grow(seed: int) -> None:
+    """Servers come and go, some in the middle of moves; keys change their load."""
+    rng = random.Random(seed)
+    current = KeyTable(service="roster")
+    for _ in range(12):
+        servers = [
+            candidate(number, capacity=rng.choice([1.0, 2.0]))
+            for number in rng.sample(range(1, 9), rng.randint(1, 8))
+        ]
+        hot = rng.randrange(SHARDS - 30)
+        samples = [rng.randrange(hot, hot + 30) for _ in range(rng.randint(0, 200))]
+        load = ShardLoad(samples=samples, shards=SHARDS)
+        after = plan(current, servers, load, shards=SHARDS, even_out=rng.random() < 0.7)
+        check_whole(after)
+        holders = {one.holder for one in servers}
+        assert all(one.holder in holders for one in after.spans)
+        _check_moves(current, after)
+        current = after
+
+
+def _check_moves(before: KeyTable, after: KeyTable) -> None:
+    for shard in range(0, SHARDS, 3):
+        old, new = before.span_of(shard), after.span_of(shard)
+        assert new is not None
+        if old is None or old.holder == new.holder:
+            continue
+        assert new.token > old.token
+        # Whoever may still hold the shard is waited for.
+        assert {old.holder, *old.former} - {new.holder} <= set(new.former)
--- /dev/null
+++ b/tests/test_users_platform_decoding.py
@@ -0,0 +1,168 @@
+"""What the platform writes is decoded once; what doesn't fit changes nothing."""
+
+from typing import Any
+
+import pytest
+
+from gentianwharf.errors import InputError
+from gentianwharf.platform import (
+    SHARDS,
+    ServerState,
+    decode_configuration,
+    decode_host_settings,
+    decode_server_entry,
+)
+from gentianwharf.rules import RequestFacts, RuleSet
+from tests.builders_users_platform import (
+    SETTINGS,
+    configuration,
+    route,
+    server_entry,
+)
+
+NO_SUCH = {"calendar": SHARDS, "seats": 0}
+
+
+def rules_of(value: bytes) -> RuleSet:
+    return RuleSet(
+        document=decode_configuration(value).document, revision=1, shards=NO_SUCH
+    )
+
+
+def facts(path: str, host: str = "schedule.example", **headers: str) -> RequestFacts:
+    return RequestFacts(method="GET", host=host, path=path, headers=headers)
+
+
+def test_settings_say_where_to_listen_and_what_was_agreed() -> None:
+    settings = decode_host_settings(SETTINGS, peer="test")
+    assert settings.callers_address == "10.1.0.18:8381"
+    assert settings.domain == "lac"
+    assert settings.domains == ("charguia", "lac")
+    assert settings.heartbeat_interval_s == 0.87
+    assert settings.agreements.longest_grant_s == 10.0
+    assert settings.agreements.retry_budget_extra == 64
+    assert settings.store.least_lease_s == 1.0
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        pytest.param(("zone = ", "zones-of = "), "zone", id="field-missing"),
+        pytest.param(('"870ms"', '"870"'), "870", id="time-without-unit"),
+        pytest.param(('"grace-period=6s", ', ""), "grace-period", id="bound-missing"),
+        pytest.param(("[7200, 7215]", '"7200"'), "internal-port-range", id="type"),
+        pytest.param(("[zones]", "[zones"), "line", id="not-toml"),
+    ],
+)
+def test_bad_settings_name_what_is_wrong(change: tuple[str, str], named: str) -> None:
+    with pytest.raises(InputError, match=named):
+        decode_host_settings(SETTINGS.replace(*change), peer="test")
+
+
+def test_unknown_settings_are_passed_over() -> None:
+    decode_host_settings('novelty = "x"\n' + SETTINGS, peer="test")
+
+
+def test_longest_prefix_of_a_host_decides() -> None:
+    rules = rules_of(
+        configuration(
+            routes={
+                "all": route(prefix="/visits/", service="seats"),
+                "some": route(prefix="/visits/old/"),
+                "elsewhere": route(host="other.example", prefix="/", service="seats"),
+            }
+        )
+    )
+    match = rules.match(facts("/visits/old/3", **{"shard-key": "77"}))
+    assert match is not None
+    assert (match.service, match.shard) == ("calendar", 77)
+    match = rules.match(facts("/visits/3"))
+    assert match is not None
+    assert match.service == "seats"
+    assert rules.match(facts("/visits", host="other.example")) is not None
+    assert rules.match(facts("/other/")) is None
+
+
+def test_rule_carries_how_its_requests_are_treated() -> None:
+    decoded = decode_configuration(
+        configuration(routes={"seats": route(kind="unsafe", service="seats")})
+    )
+    then = decoded.document.rules[0].then
+    assert then.repeatable is False
+    assert then.deadline_ms == 1000
+    assert then.most_tries == 2
+    kind = decoded.kinds[then.request_class]
+    assert (kind.target_latency_ms, kind.priority) == (300, 2)
+    assert decoded.version == 7
+
+
+def test_split_names_every_service_and_reads_the_key_for_those_that_need_it() -> None:
+    parts = [
+        {"service": "seats", "weight": 90},
+        {"service": "calendar", "weight": 10},
+    ]
+    rules = rules_of(
+        configuration(
+            routes={"moving": route(service=None, **{"traffic-split": parts})}
+        )
+    )
+    match = rules.match(facts("/visits/1", **{"shard-key": "65535"}))
+    assert match is not None
+    assert (match.service, match.shard) == ("seats", None)
+    assert rules.sent_to(match, "calendar").shard == 65535
+
+
+@pytest.mark.parametrize("key", ["65536", "-1", "x", "1.5", "٣"])
+def test_number_that_is_no_shard_has_none(key: str) -> None:
+    rules = rules_of(configuration())
+    match = rules.match(facts("/visits/1", **{"shard-key": key}))
+    assert match is not None
+    assert match.shard is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(b"{", id="not-json"),
+        pytest.param(configuration(version="12"), id="version"),
+        pytest.param(configuration(routes={"x": route(timeout="1")}), id="time"),
+        pytest.param(configuration(routes={"x": route(prefix="x")}), id="prefix"),
+        pytest.param(configuration(routes={"x": route(service=None)}), id="nowhere"),
+        pytest.param(configuration(limits={}), id="limits"),
+    ],
+)
+def test_configuration_that_does_not_fit_is_refused_whole(value: bytes) -> None:
+    with pytest.raises(InputError, match="configuration"):
+        decode_configuration(value)
+
+
+def test_server_entry_says_what_a_server_is() -> None:
+    entry = decode_server_entry("servers/i-1", server_entry())
+    assert (entry.id, entry.service, entry.domain) == ("i-1", "calendar", "lac")
+    assert entry.state is ServerState.READY
+    assert entry.born_ms == 1_780_000_000_000
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({"address": None}, id="address-missing"),
+        pytest.param({"address": "server-1:80"}, id="host-name"),
+        pytest.param({"address": "10.0.0.1:0"}, id="port"),
+        pytest.param({"state": "resting"}, id="unknown-state"),
+        pytest.param({"service": 7}, id="service-is-a-number"),
+        pytest.param({"slots": "6"}, id="slots-is-text"),
+        pytest.param({"slots": 0}, id="no-slots"),
+        pytest.param({"born": 1.5}, id="born-is-no-whole-number"),
+        pytest.param({"born": "1780000000000"}, id="born-is-text"),
+        pytest.param({"cold-remaining": "soon"}, id="no-time"),
+    ],
+)
+def test_entry_that_does_not_fit_names_no_server(fields: dict[str, Any]) -> None:
+    with pytest.raises(InputError, match="names no server"):
+        decode_server_entry("servers/i-1", server_entry(**fields))
+
+
+def test_bytes_that_are_no_entry_name_no_server() -> None:
+    with pytest.raises(InputError, match="names no server"):
+        decode_server_entry("servers/i-1", b"\xff\x00")
