Wait less for the keys of lost servers: shorter grants, addresses that have others

Now an address that another server has proves that its former one has ended, and a grant lasts 3.5 s, renewed every 0.8 s, with a leader's lease of 1.5 s renewed every 0.4 s without waiting for the answer before (three lost answers in a row are borne).

Ruled out: taking a refused connection or a 400 alone for an end: cuts answer so too.

--- a/src/gentianwharf/entryhost/_directory.py
+++ b/src/gentianwharf/entryhost/_directory.py
@@ -1,6 +1,6 @@
 """The backend servers as the store lists them."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any, final
 
 from gentianwharf.errors import InputError
@@ -38,9 +38,9 @@
         """Return a server that is listed."""
         return self._entries.get(server_id)
 
-    def births(self) -> Mapping[str, int]:
-        """Return when each listed server was born, in Unix milliseconds."""
-        return {one.id: one.born_ms for one in self._entries.values()}
+    def all(self) -> list[ServerEntry]:
+        """Return every server that is listed."""
+        return list(self._entries.values())
 
     def note_item(self, key: str, item: Item | None) -> None:
         """Follow a server's entry."""
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -267,8 +267,8 @@
                 pool.share_with(HOSTS)
                 self.relay.connections[server.id] = pool
         self._admission.set_servers(service, servers)
+        self._keeper.note_listed(_holder(one) for one in self._directory.all())
         if service in self._keyed:
-            self._keeper.forget_lives(self._directory.births())
             self._planner.set_candidates(service, [_candidate(one) for one in listed])
             self._keys.wake(service)
 
@@ -284,6 +284,9 @@
     )
 
 
+def _holder(entry: ServerEntry) -> Holder:
+    return Holder(server_id=entry.id, born_ms=entry.born_ms, address=entry.address)
+
+
 def _candidate(entry: ServerEntry) -> Candidate:
-    holder = Holder(server_id=entry.id, born_ms=entry.born_ms, address=entry.address)
-    return Candidate(holder=holder, capacity=float(entry.slots))
+    return Candidate(holder=_holder(entry), capacity=float(entry.slots))
--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -6,7 +6,7 @@
 shuts out every older grant that is still on its way, or its last grant has run out.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import final
 
@@ -72,6 +72,7 @@
         self._unknown_until_s = 0.0
         self._heard_s = 0.0
         self._leading = False
+        self._has_ended: Callable[[Holder], bool] = lambda holder: False
         self.on_granted: Callable[[str, Span], None] = lambda service, span: None
 
     def take_over(self, heard_s: float) -> None:
@@ -110,21 +111,27 @@
         for key, span in wanted.items():
             known = self._rows.get(key)
             if known is None or known.span.holder != span.holder:
-                self._rows[key] = _Row(
-                    service=table.service, span=span, former=list(span.former)
-                )
+                former = [one for one in span.former if not self._has_ended(one)]
+                self._rows[key] = _Row(service=table.service, span=span, former=former)
 
-    def forget_lives(self, lives: Mapping[str, int]) -> None:
-        """Take former lives of servers for ended that were born again since.
+    def note_listed(self, listed: Iterable[Holder]) -> None:
+        """Follow which servers are listed: they tell of others that have ended.
 
-        ``lives`` gives the time of birth by a server's id.
+        A server that was born again holds nothing of its former life, and an address
+        goes to another server only after the one that had it has ended.
         """
+        known = list(listed)
+        lives = {one.server_id: one.born_ms for one in known}
+        owners = {one.address: one.server_id for one in known}
+
+        def has_ended(holder: Holder) -> bool:
+            born_ms = lives.get(holder.server_id, holder.born_ms)
+            owner = owners.get(holder.address, holder.server_id)
+            return born_ms != holder.born_ms or owner != holder.server_id
+
         for row in self._rows.values():
-            row.former = [
-                one
-                for one in row.former
-                if lives.get(one.server_id, one.born_ms) == one.born_ms
-            ]
+            row.former = [one for one in row.former if not has_ended(one)]
+        self._has_ended = has_ended
 
     def moved(self, service: str) -> frozenset[SpanKey]:
         """Return the spans whose former holders are out and whose holder has them."""
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -1,9 +1,9 @@
 """Which host leads: the one whose item stands in the store under a lease."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from random import Random
-from typing import final
+from typing import Any, final
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -56,7 +56,7 @@
         self._item: Item | None = None
         self._asking_lease_id = 0
         self._asked_s = 0.0
-        self._busy = False
+        self._campaigning = False
         self._due_s: float | None = None
 
     def may_change(self) -> bool:
@@ -78,12 +78,15 @@
     def tick(self) -> None:
         """Renew the lease or ask for it when that is due."""
         now_s = self._now_s()
-        if self._busy or self._due_s is None or now_s < self._due_s:
+        if self._due_s is None or now_s < self._due_s:
             return
         if self.term is not None:
-            self._start(self._renew(self.term, now_s))
+            _start(self._renew(self.term, now_s))
+        elif self._campaigning:
+            return
         elif self._item is None and self.may_campaign:
-            self._start(self._campaign(now_s))
+            self._campaigning = True
+            _start(self._campaign(now_s)).addCallback(self._end_campaign)
         else:
             self._due_s = None
 
@@ -99,14 +102,8 @@
         except GentianwharfError as error:
             log.info("lease not ended, it will run out: {}", error.message)
 
-    def _start(self, call: object) -> None:
-        self._busy = True
-        running: Deferred[None] = Deferred.fromCoroutine(call)  # type: ignore[arg-type]
-        running.addErrback(_log_fault)
-        running.addCallback(self._end)
-
-    def _end(self, _: object) -> None:
-        self._busy = False
+    def _end_campaign(self, _: object) -> None:
+        self._campaigning = False
 
     async def _campaign(self, now_s: float) -> None:
         self._due_s = now_s + CAMPAIGN_AGAIN_S * (1 + self._rng.random())
@@ -149,7 +146,7 @@
             return
         if self.term is term:
             # The lease runs from the call's arrival, which is not before its sending.
-            self.heard_s = now_s
+            self.heard_s = max(self.heard_s, now_s)
 
     def _gain(self, revision: int) -> None:
         self.term = Term(lease_id=self._asking_lease_id, revision=revision)
@@ -166,5 +163,9 @@
         self.on_lost()
 
 
+def _start(call: Coroutine[Any, Any, None]) -> "Deferred[None]":
+    return Deferred.fromCoroutine(call).addErrback(_log_fault)
+
+
 def _log_fault(failure: Failure) -> None:
     log.error("a call of the leadership failed: {}", failure.getTraceback())
--- a/src/gentianwharf/keyspace/_timing.py
+++ b/src/gentianwharf/keyspace/_timing.py
@@ -3,23 +3,29 @@
 from dataclasses import dataclass
 from typing import final
 
-GRANT_S = 5.0
+GRANT_S = 3.5
 """How long a grant holds while the store answers. A server that is lost keeps its keys
 from being served for so long at the most; a new leader must be found and must have
-renewed all grants within it (lease of 2 s, election and renewal below 1 s)."""
+renewed all grants within it (last renewal 0.8 s, lease 1.5 s, election and renewal
+below 0.5 s)."""
 
-RENEW_EVERY_S = 1.25
-"""A quarter of a grant: three renewals may be lost."""
+RENEW_EVERY_S = 0.8
+"""Between a fifth and a quarter of a grant: three renewals may be lost."""
 
 RETRY_EVERY_S = 0.4
 """When a server did not answer an order: soon enough for a lost packet, and four
 tries before the next renewal is due."""
 
-LEADER_LEASE_S = 2.0
+LEADER_LEASE_S = 1.5
 """The leader's lease in the store. Shorter, and a store that takes half a second for
 an answer would end it; longer, and grants run out before a new leader renews them."""
 
-RENEW_LEASE_EVERY_S = 0.5
+RENEW_LEASE_EVERY_S = 0.4
+"""The next renewal does not wait for an answer to the one before: three answers in a
+row may be lost."""
+
+STORE_SILENT_S = 1.0
+"""Without an answer for so long, grants are given for as long as servers take them."""
 
 LEADER_ALONE_S = 5.0
 """For how long a leader that does not hear from the store goes on renewing grants, each
@@ -50,7 +56,7 @@
 
         While it is not heard, nobody may be able to renew for a while.
         """
-        if store_silent_s > 2 * RENEW_LEASE_EVERY_S:
+        if store_silent_s > STORE_SILENT_S:
             return self.longest_grant_s
         return min(self.grant_s, self.longest_grant_s)
 
--- a/tests/test_keyspace_keeper.py
+++ b/tests/test_keyspace_keeper.py
@@ -2,9 +2,11 @@
 
 from twisted.internet.task import Clock
 
+from gentianwharf.keyspace import Holder
 from tests.builders_keyspace import (
     GrantingServer,
     Servers,
+    holder,
     keeper_of,
     run_keeper,
     span,
@@ -147,7 +149,24 @@
     servers[1].is_silent = True
     keeper = keeper_of(servers)
     keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
-    keeper.forget_lives({"s1": 2})
+    keeper.note_listed([holder(1, born_ms=2)])
+    run_keeper(keeper, clock, 0.2)
+    assert servers[2].holds(5)
+
+
+def test_server_whose_address_another_has_is_not_waited_for() -> None:
+    """A lost server's keys wait for a grant that nobody has any more.
+
+    Its machine was given to a server of another service, which answers orders for keys
+    with an error: so the first one has ended, and its grant with it.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    servers[1].is_silent = True
+    keeper = keeper_of(servers)
+    other = Holder(server_id="other", born_ms=5, address=holder(1).address)
+    keeper.note_listed([other, holder(2)])
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
     run_keeper(keeper, clock, 0.2)
     assert servers[2].holds(5)
 
