Say 503 for what provably did not run, and never for what may have

The other way round a consultation whose first try was lost and whose second was shed got 503, a promise that was not true.

A rule's `most_tries` now bounds the tries that may have run; refusals by servers that don't hold a key (yet) are counted apart, four at most.

--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -22,9 +22,17 @@
 from ._race import Race
 from ._repeats import KeptAnswer, RepeatKey, Repeats
 
+# Tries that may have run, of a request that may repeat, where its rule names no number:
+# three reach a working server past two that fail.
+MOST_RUNS = 3
 # Each try needs proof that the one before did not run, or a request that may repeat.
 # Three reach a working server past one that is gone and one that sheds.
 MOST_TRIES = 3
+# Besides: a key that moves is refused by its former holder, and by the next one until
+# that has its grant.
+MOST_MISDIRECTED = 4
+# What is known of a request without an answer that may have run.
+STATUS_UNKNOWN = 502
 # What logs and metrics show for a caller that went away before its answer.
 STATUS_CALLER_GONE = 499
 
@@ -74,6 +82,9 @@
         self._owner: Owner | None = None
         self._race: Race | None = None
         self._tries = 0
+        self._runs = 0
+        self._misdirected = 0
+        self._most_runs = match.rule.then.most_tries or MOST_RUNS
         self._may_have_run = False
 
     async def serve(self) -> None:
@@ -132,7 +143,13 @@
     def hedge(self, server: BackendServer) -> None:
         """Send the request a second time, beside the first."""
         race = self._race
-        if race is None or race.decided or self.request.body is not None:
+        may_run_twice = self._runs + 2 <= self._most_runs
+        if (
+            race is None
+            or race.decided
+            or self.request.body is not None
+            or not may_run_twice
+        ):
             self._admission.finished(self.ticket, server, Outcome.CANCELLED, 0.0)
             return
         race.start(self._leg(server, fresh=server == self._server))
@@ -141,7 +158,8 @@
         """Answer with a problem document at once."""
         if self._may_have_run and problem.run is Run.NOT_RUN:
             # The last try did not run; an earlier one, of a repeatable request, may.
-            problem = replace(problem, run=Run.UNKNOWN)
+            # Callers take a 503 for a promise that nothing ran.
+            problem = replace(problem, status=STATUS_UNKNOWN, run=Run.UNKNOWN)
         if not self.request._disconnected and not self.request.startedWriting:
             write_problem(
                 self.request,
@@ -229,11 +247,15 @@
     def _learn(self, error: LegError) -> None:
         if isinstance(error, LostError):
             self._may_have_run = True
+            self._runs += 1
         if error.outcome is Outcome.NOT_OWNER and self._owner is not None:
+            self._misdirected += 1
             self._ownership.not_owner(self.ticket, self._owner)
 
     def _may_try_again(self, error: LegError) -> bool:
-        if self._tries >= MOST_TRIES:
+        if self._misdirected > MOST_MISDIRECTED or self._runs >= self._most_runs:
+            return False
+        if self._tries - self._misdirected >= MOST_TRIES:
             return False
         if self._reactor.seconds() >= self.ticket.deadline_s:
             return False
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -113,8 +113,10 @@
         except PeerUnavailableError as error:
             raise NotRunError(
                 outcome=Outcome.CONNECT_FAILED,
+                # 503 and not 502: callers take it for a promise that nothing ran, and
+                # ask again also where a request must not repeat.
                 problem=Problem(
-                    status=502,
+                    status=503,
                     title="the server can't be reached",
                     run=Run.NOT_RUN,
                     detail=error.message,
