Let all hosts tell the leader what is asked for, and the leader what has moved

The leader counted only its own requests, one in twelve, over five seconds; other hosts learnt of a move by refusals.

Every host now reports requests by shard and the load that servers' answers tell, four times a second over pynng; counts fade with a time constant of 2 s. A server's capacity follows from its requests and how many it runs at a time. The leader tells moves and tables to the hosts that report, and how many they are, by which each takes its share of slots and connections.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -7,7 +7,7 @@
 
 from gentianwharf import load
 from gentianwharf.placement import rendezvous_rank
-from gentianwharf.relay import Hedge, Outcome, Problem, Run, Ticket
+from gentianwharf.relay import Hedge, Outcome, Problem, Run, ServerLoad, Ticket
 from gentianwharf.topology import BackendServer
 
 _KINDS = {
@@ -41,6 +41,7 @@
         on_evidence: Evidence,
     ) -> None:
         self.servers = dict(servers)
+        self.on_load: Callable[[BackendServer, ServerLoad], None] = _ignore_load
         self._gate = gate
         self._now_s = now_s
         self._on_evidence = on_evidence
@@ -128,6 +129,10 @@
         finally:
             self._waiting.pop(ticket.request_id, None)
 
+    def note_load(self, server: BackendServer, load: ServerLoad) -> None:
+        """Pass on what a server said of its load."""
+        self.on_load(server, load)
+
     def forget(self, ticket: Ticket) -> None:
         """Forget a request that has had its answer."""
         self._hedges.pop(ticket.request_id, None)
@@ -168,6 +173,10 @@
             waiting.callback(result)
 
 
+def _ignore_load(server: BackendServer, load: ServerLoad) -> None:
+    """Do nothing: where servers report their load elsewhere."""
+
+
 def first_in_rendezvous(
     key: str, servers: tuple[BackendServer, ...]
 ) -> BackendServer | None:
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -1,9 +1,10 @@
 """An entry host: everything it is made of, started and stopped together."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random, SystemRandom
 from typing import Any, final
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from gentianwharf.admission import GateAdmission
@@ -13,7 +14,9 @@
     Holder,
     Keeper,
     Leadership,
+    LoadSeen,
     Planner,
+    Span,
 )
 from gentianwharf.lifecycle import Phase, Shutdown, Ticks
 from gentianwharf.load import Gate
@@ -29,7 +32,13 @@
     ServerEntry,
     ServerOrders,
 )
-from gentianwharf.relay import CallerSite, ConnectionLimits, RelayApp, ServerConnections
+from gentianwharf.relay import (
+    CallerSite,
+    ConnectionLimits,
+    RelayApp,
+    ServerConnections,
+    ServerLoad,
+)
 from gentianwharf.store import Item, Mirror
 from gentianwharf.topology import BackendServer, Service
 
@@ -37,6 +46,7 @@
 from ._directory import Directory, takes_work
 from ._keys import KeyHolders
 from ._observer import AnswerLog
+from ._peers import Peers
 from ._readiness import readiness_site
 from ._rules import RulesInForce
 
@@ -57,7 +67,8 @@
 STOP_MARGIN_S = 0.3
 """Before the platform ends the process by force."""
 
-HOSTS = 12
+FIRST_HOSTS = 10
+"""How many hosts there are, until the leader tells."""
 
 
 @final
@@ -70,6 +81,7 @@
         self._reactor = reactor
         self._rng = Random(SystemRandom().getrandbits(64))
         self._servers: dict[str, BackendServer] = {}
+        self._hosts = FIRST_HOSTS
         self._build_control()
         self._build_relay()
         self._ticks = Ticks(reactor=reactor)
@@ -88,10 +100,15 @@
         self._mirror = Mirror(
             store=self._store, prefix="", reactor=reactor, rng=self._rng
         )
+        self._peers = Peers(
+            host=settings.name,
+            address=f"{settings.ip}:{settings.first_internal_port}",
+            reactor=reactor,
+        )
         self._leadership = Leadership(
             store=self._store,
             key=LEADER_KEY,
-            name=settings.name,
+            value=msgspec.json.encode(self._peers.name),
             now_s=now_s,
             rng=self._rng,
         )
@@ -113,14 +130,26 @@
         self._rules = RulesInForce()
         self._keys = KeyHolders(server_of=self._servers.get, reactor=reactor)
         self._mirror.listen(self._note_item)
-        self._leadership.on_gained = self._planner.note_gained
-        self._leadership.on_lost = self._keeper.stop
-        self._keeper.on_granted = self._keys.open
+        self._leadership.on_gained = self._begin_to_lead
+        self._leadership.on_lost = self._cease_to_lead
+        self._keeper.on_granted = self._note_granted
         self._planner.on_table = self._keys.take
-        self._keys.on_request = self._planner.note_request
+        self._connect_peers()
         self._directory.on_change = self._follow_servers
         self._rules.on_change = self._follow_configuration
 
+    def _connect_peers(self) -> None:
+        peers = self._peers
+        peers.on_requests = self._note_requests
+        peers.on_load = self._note_load
+        peers.on_granted = lambda service, first, last, token: self._keys.open(
+            service, first, token
+        )
+        peers.on_table = lambda item: self._mirror.take(item.key, item)
+        peers.on_hosts = self._note_hosts
+        self._keys.on_request = peers.note_request
+        self._planner.on_written = peers.tell_table
+
     def _build_relay(self) -> None:
         reactor = self._reactor
         self._gate = Gate(
@@ -128,7 +157,7 @@
             classes=(),
             domain=self.settings.domain,
             rng=self._rng,
-            daemons=HOSTS,
+            daemons=self._hosts,
         )
         self._admission = GateAdmission(
             gate=self._gate,
@@ -136,6 +165,7 @@
             now_s=reactor.seconds,
             on_evidence=lambda server, answered, busy_s: None,
         )
+        self._admission.on_load = self._note_server_load
         self._keyed: set[str] = set()
         self.answers = AnswerLog()
         self.relay = RelayApp(
@@ -163,6 +193,7 @@
             self.settings.readiness_address,
             readiness_site(is_ready=self.is_ready, reactor=self._reactor),
         )
+        self._peers.start()
         self._mirror.start()
         self._leadership.note_item(None)
         self._ticks.every(CONTROL_TICK_S, self._control)
@@ -212,6 +243,7 @@
         """Leave the process."""
         self._ticks.stop()
         self._mirror.stop()
+        self._peers.stop()
         self.on_end()
 
     # What the store says.
@@ -222,6 +254,7 @@
         elif key.startswith(SERVERS_PREFIX):
             self._directory.note_item(key, item)
         elif key == LEADER_KEY:
+            self._peers.follow(item)
             self._leadership.note_item(item)
         elif key.startswith(TABLE_PREFIX) and item is not None:
             self._planner.note_table(item)
@@ -230,6 +263,46 @@
         self._leadership.tick()
         self._planner.tick()
         self._keeper.tick()
+        self._peers.tick()
+
+    def _begin_to_lead(self) -> None:
+        self._peers.lead(True)
+        self._planner.note_gained()
+
+    def _cease_to_lead(self) -> None:
+        self._peers.lead(False)
+        self._keeper.stop()
+
+    def _note_granted(self, service: str, span: Span) -> None:
+        self._keys.open(service, span.first, span.token)
+        self._peers.tell_granted(service, span)
+
+    def _note_requests(self, service: str, counts: Mapping[int, float]) -> None:
+        demand = self._planner.demand(service)
+        if demand is not None:
+            demand.note_requests(counts)
+
+    def _note_load(self, service: str, server_id: str, seen: LoadSeen) -> None:
+        demand = self._planner.demand(service)
+        if demand is not None:
+            demand.note_load(server_id, seen)
+
+    def _note_server_load(self, server: BackendServer, load: ServerLoad) -> None:
+        if server.service in self._keyed:
+            self._peers.note_load(
+                server.service,
+                server.id,
+                running=load.running,
+                waiting=load.waiting,
+            )
+
+    def _note_hosts(self, hosts: int) -> None:
+        if hosts == self._hosts:
+            return
+        self._hosts = hosts
+        self._gate.set_daemons(hosts)
+        for pool in self.relay.connections.values():
+            pool.share_with(hosts)
 
     def _follow_configuration(self, configuration: Configuration) -> None:
         keyed = {name for name, one in configuration.services.items() if one.keyed}
@@ -264,7 +337,7 @@
             self._servers[server.id] = server
             if server.id not in self.relay.connections:
                 pool = ServerConnections(server=server, reactor=self._reactor)
-                pool.share_with(HOSTS)
+                pool.share_with(self._hosts)
                 self.relay.connections[server.id] = pool
         self._admission.set_servers(service, servers)
         self._keeper.note_listed(_holder(one) for one in self._directory.all())
--- a/src/gentianwharf/entryhost/_keys.py
+++ b/src/gentianwharf/entryhost/_keys.py
@@ -15,6 +15,10 @@
 has ended, within some tenths of a second; asked much more often, the refusals would use
 up the budget for repeated requests."""
 
+MOVING_S = 0.25
+"""How long the leader's word that a move is done is waited for before the new holder is
+asked without it: most moves take less, and each one asked too early is refused."""
+
 MOST_WAIT_S = 0.4
 """For a new holder of a lost server's keys. Beyond that its last grant has to run out,
 which takes seconds: callers should rather come back then."""
@@ -36,6 +40,7 @@
         self._reactor = reactor
         self._tables: dict[str, KeyTable] = {}
         self._closed_until_s: dict[tuple[str, int, int], float] = {}
+        self._granted: set[tuple[str, int, int]] = set()
         self._waiting: dict[str, list[Deferred[None]]] = {}
 
     def take(self, table: KeyTable) -> None:
@@ -45,11 +50,20 @@
         for key in list(self._closed_until_s):
             if key[0] == table.service and key not in live:
                 del self._closed_until_s[key]
+        self._granted = {
+            key for key in self._granted if key[0] != table.service or key in live
+        }
+        moving_until_s = self._reactor.seconds() + MOVING_S
+        for span in table.spans:
+            key = (table.service, span.first, span.token)
+            if span.former and key not in self._granted:
+                self._closed_until_s.setdefault(key, moving_until_s)
         self.wake(table.service)
 
-    def open(self, service: str, span: Span) -> None:
+    def open(self, service: str, first: int, token: int) -> None:
         """Let requests of a span go: its holder has just been granted it."""
-        self._closed_until_s.pop((service, span.first, span.token), None)
+        self._granted.add((service, first, token))
+        self._closed_until_s.pop((service, first, token), None)
         self.wake(service)
 
     def wake(self, service: str) -> None:
--- a/src/gentianwharf/keyspace/__init__.py
+++ b/src/gentianwharf/keyspace/__init__.py
@@ -1,25 +1,27 @@
 """Who holds which shards where backend servers enforce grants themselves."""
 
+from ._demand import Demand, LoadSeen
 from ._keeper import Keeper
 from ._leadership import Leadership
 from ._orders import Grant, Orders, Release
 from ._plan import Candidate, ShardLoad, plan
-from ._planner import Planner, Samples
+from ._planner import Planner
 from ._table import Holder, KeyTable, Span, decode_table, encode_table
 from ._timing import GrantTiming
 
 __all__ = [
     "Candidate",
+    "Demand",
     "Grant",
     "GrantTiming",
     "Holder",
     "Keeper",
     "KeyTable",
     "Leadership",
+    "LoadSeen",
     "Orders",
     "Planner",
     "Release",
-    "Samples",
     "ShardLoad",
     "Span",
     "decode_table",
--- /dev/null
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -0,0 +1,137 @@
+"""How busy shards and their holders are, from what all hosts saw lately.
+
+Load pattern: a few hundred keys side by side become hot within a second, and others a
+few seconds later. What is counted fades within seconds, so that the hot ones stand out
+soon and are forgotten soon.
+
+How fast a server works follows from its requests and from how many of them it runs at
+a time (Little's law): servers of one service differ by more than two times, and an
+equal part fills the slow ones while the fast ones idle.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from math import exp
+from typing import final
+
+from ._plan import ShardLoad
+from ._table import KeyTable
+
+MEMORY_S = 2.0
+"""Time constant of what is counted: some hundred requests of a service of hundreds a
+second, of which a hot key's part is seen within half a second."""
+
+SPEED_MEMORY_S = 6.0
+"""Time constant of a server's speed, which changes more slowly than keys become hot."""
+
+FORGET_BELOW = 0.02
+"""Counts that have faded to this are dropped, so that the table stays small."""
+
+LEAST_ANSWERS = 8.0
+"""Below this many answers nothing is said of a server's speed."""
+
+MOST_SPEED = 3.0
+"""Times the mean speed of all servers, and its inverse the least: what seems further
+off is chance, or a fault that others deal with."""
+
+Clock = Callable[[], float]
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadSeen:
+    """What answers of one server said of its load, added up."""
+
+    running: float
+    waiting: float
+    answers: float
+
+
+@final
+@dataclass(kw_only=True, slots=True, eq=False)
+class _ServerLoad:
+    running: float = 0.0
+    waiting: float = 0.0
+    answers: float = 0.0
+    speed: float = 1.0
+
+
+@final
+class Demand:
+    """One service's demand, as all hosts report it."""
+
+    def __init__(self, *, now_s: Clock) -> None:
+        self._now_s = now_s
+        self._faded_s = now_s()
+        self._counts: dict[int, float] = {}
+        self._servers: dict[str, _ServerLoad] = {}
+
+    def note_requests(self, counts: Mapping[int, float]) -> None:
+        """Count requests by their shards."""
+        self._fade()
+        known = self._counts
+        for shard, count in counts.items():
+            known[shard] = known.get(shard, 0.0) + count
+
+    def note_load(self, server_id: str, seen: LoadSeen) -> None:
+        """Note what a server said of its load."""
+        self._fade()
+        row = self._servers.setdefault(server_id, _ServerLoad())
+        row.running += seen.running
+        row.waiting += seen.waiting
+        row.answers += seen.answers
+
+    def load(self, shards: int) -> ShardLoad:
+        """Return how busy the shards are."""
+        self._fade()
+        return ShardLoad(counts=self._counts, shards=shards)
+
+    def learn_speeds(self, table: KeyTable, load: ShardLoad) -> None:
+        """Compare how much the holders of a table do with how busy they are."""
+        requests: dict[str, float] = {}
+        for span in table.spans:
+            name = span.holder.server_id
+            counted = load.counted(span.first, span.last)
+            requests[name] = requests.get(name, 0.0) + counted
+        rates: dict[str, float] = {}
+        for name, row in self._servers.items():
+            if row.answers >= LEAST_ANSWERS and requests.get(name, 0.0) > LEAST_ANSWERS:
+                # Below a half the server is idle but for the answer that was counted.
+                busy = max(0.5, row.running / row.answers)
+                rates[name] = requests[name] / busy
+        if not rates:
+            return
+        mean = sum(rates.values()) / len(rates)
+        for name, rate in rates.items():
+            row = self._servers[name]
+            speed = min(MOST_SPEED, max(1 / MOST_SPEED, rate / mean))
+            row.speed += (speed - row.speed) * min(1.0, MEMORY_S / SPEED_MEMORY_S)
+
+    def speed(self, server_id: str) -> float:
+        """Return a server's speed relative to the mean, 1 while nothing is known."""
+        row = self._servers.get(server_id)
+        return row.speed if row is not None else 1.0
+
+    def busy(self, server_id: str) -> float | None:
+        """Return how many requests a server runs and queues on the average."""
+        row = self._servers.get(server_id)
+        if row is None or row.answers < 1.0:
+            return None
+        return (row.running + row.waiting) / row.answers
+
+    def _fade(self) -> None:
+        now_s = self._now_s()
+        passed_s = now_s - self._faded_s
+        if passed_s < 0.1:
+            return
+        self._faded_s = now_s
+        left = exp(-passed_s / MEMORY_S)
+        self._counts = {
+            shard: count * left
+            for shard, count in self._counts.items()
+            if count * left > FORGET_BELOW
+        }
+        for row in self._servers.values():
+            row.running *= left
+            row.waiting *= left
+            row.answers *= left
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -36,12 +36,14 @@
 class Leadership:
     """Gains and keeps the place of the leader; times are of a clock that counts pauses.
 
+    ``value`` is what the others should know of a leader.
+
     A clock that stands still while the host is suspended would let a host act on a
     lease that has ended meanwhile.
     """
 
     def __init__(
-        self, *, store: Store, key: str, name: str, now_s: Clock, rng: Random
+        self, *, store: Store, key: str, value: bytes, now_s: Clock, rng: Random
     ) -> None:
         self.term: Term | None = None
         self.heard_s = float("-inf")
@@ -50,7 +52,7 @@
         self.may_campaign = True
         self._store = store
         self._key = key
-        self._name = name.encode()
+        self._value = value
         self._now_s = now_s
         self._rng = rng
         self._item: Item | None = None
@@ -111,7 +113,7 @@
             self._asking_lease_id = 0
             lease_id = await self._store.open_lease(LEADER_LEASE_S)
             self._asking_lease_id, self._asked_s = lease_id, now_s
-            put = Put(key=self._key, value=self._name, lease_id=lease_id)
+            put = Put(key=self._key, value=self._value, lease_id=lease_id)
             revision = await self._store.change(
                 Change(expected={self._key: 0}, puts=(put,))
             )
--- a/src/gentianwharf/keyspace/_plan.py
+++ b/src/gentianwharf/keyspace/_plan.py
@@ -10,8 +10,10 @@
 """
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
+from itertools import accumulate
+from math import sqrt
 from typing import final
 
 from ._table import Holder, KeyTable, Span, in_order
@@ -21,8 +23,12 @@
 server takes them all."""
 
 START_ABOVE = 1.25
-"""Load above the mean at which a server gives shards away. Samples of some hundred
-requests vary by a tenth; below a quarter too much there is nothing to gain."""
+"""Load above the mean at which a server gives shards away; below a quarter too much
+there is little to gain."""
+
+CHANCE = 1.5
+"""Standard deviations by which a server's count must differ as well: of forty requests
+in sight, every other server has six more or less than its part by chance."""
 
 START_BELOW = 0.6
 """Load below the mean at which a server is sent shards, as after it joined."""
@@ -48,26 +54,32 @@
 class ShardLoad:
     """How busy shards are: part sampled, part even.
 
-    >>> load = ShardLoad(samples=[5, 5, 5, 9], shards=100)
-    >>> round(load.of(0, 99), 3), round(load.of(5, 5), 3)
-    (1.0, 0.565)
+    >>> load = ShardLoad(counts={5: 3, 9: 1}, shards=100)
+    >>> round(load.of(0, 99), 3), round(load.of(5, 5), 3), load.counted(0, 8)
+    (1.0, 0.565, 3.0)
     >>> load.cut(0, 99, 0.5)
     5
     """
 
-    def __init__(self, *, samples: Iterable[int], shards: int) -> None:
-        self._samples = sorted(samples)
-        self._shards = shards
-        idle = IDLE_SHARE if self._samples else 1.0
+    def __init__(self, *, counts: Mapping[int, float], shards: int) -> None:
+        self._counted = sorted(counts)
+        # The sum of all counts before each place.
+        self._sums = [0.0, *accumulate(float(counts[one]) for one in self._counted)]
+        self.total = self._sums[-1]
+        idle = IDLE_SHARE if self.total else 1.0
         self._for_each_shard = idle / shards
-        self._for_each_sample = (1.0 - idle) / max(1, len(self._samples))
+        self._for_each_count = (1.0 - idle) / (self.total or 1.0)
+
+    def counted(self, first: int, last: int) -> float:
+        """Return how many requests for these shards were counted lately."""
+        start = bisect_left(self._counted, first)
+        end = bisect_right(self._counted, last)
+        return self._sums[end] - self._sums[start]
 
     def of(self, first: int, last: int) -> float:
         """Return the part of all load that these shards have, 0 to 1."""
-        sampled = bisect_right(self._samples, last) - bisect_left(self._samples, first)
-        return (last - first + 1) * self._for_each_shard + (
-            sampled * self._for_each_sample
-        )
+        even = (last - first + 1) * self._for_each_shard
+        return even + self.counted(first, last) * self._for_each_count
 
     def cut(self, first: int, last: int, wanted: float) -> int:
         """Return the last shard of the shortest part from ``first`` with that load."""
@@ -119,6 +131,8 @@
         self._spans: list[Span] = list(table.spans)
         self._token = table.highest_token + 1
         self._changed = False
+        for_each = load.total / len(candidates)
+        self._chance = CHANCE / sqrt(for_each) if for_each else 0.0
         self._carried = {one.holder: 0.0 for one in candidates}
         for span in table.spans:
             if span.holder in self._carried:
@@ -215,7 +229,7 @@
             most = max(self._carried, key=self._busyness)
             above = self._busyness(most)
             below = self._busyness(least)
-            if above < START_ABOVE and below > START_BELOW:
+            if above < START_ABOVE + self._chance and below > START_BELOW:
                 return
             if not self._move(most, least, above, below):
                 return
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -1,8 +1,7 @@
 """What the leader writes: plans each service's table and follows what stands."""
 
-from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import final
 
 from twisted.internet.defer import Deferred
@@ -17,9 +16,10 @@
 from gentianwharf.logs import log
 from gentianwharf.store import Change, Item, Put, Store
 
+from ._demand import Demand
 from ._keeper import Keeper, done
 from ._leadership import Leadership
-from ._plan import Candidate, ShardLoad, plan
+from ._plan import Candidate, plan
 from ._table import KeyTable, decode_table, encode_table
 
 SETTLE_S = 1.0
@@ -28,8 +28,8 @@
 
 MOST_SETTLE_S = 3.0
 
-EVEN_OUT_EVERY_S = 2.0
-"""As long as it takes to see what the last moves did."""
+EVEN_OUT_EVERY_S = 1.0
+"""As long as it takes to move shards and to count some requests after that."""
 
 CLEAN_UP_AFTER_S = 1.0
 """Finished moves are noted in the store together; until then a new leader would only
@@ -37,38 +37,9 @@
 
 WRITE_AGAIN_S = 0.3
 
-SAMPLE_S = 5.0
-"""How far back requests count for how busy shards are: hot keys change within seconds,
-and one host of twelve sees some tens of requests a second."""
-
-MOST_SAMPLES = 2000
-
 Clock = Callable[[], float]
 
 
-@final
-class Samples:
-    """The shards that were asked for lately, as this host saw it."""
-
-    def __init__(self, *, now_s: Clock) -> None:
-        self._now_s = now_s
-        self._seen: deque[tuple[float, int]] = deque(maxlen=MOST_SAMPLES)
-
-    def add(self, shard: int) -> None:
-        """Note a request."""
-        self._seen.append((self._now_s(), shard))
-
-    def load(self, shards: int) -> ShardLoad:
-        """Return how busy the shards are."""
-        oldest_s = self._now_s() - SAMPLE_S
-        while self._seen and self._seen[0][0] < oldest_s:
-            self._seen.popleft()
-        return ShardLoad(samples=(shard for _, shard in self._seen), shards=shards)
-
-    def __len__(self) -> int:
-        return len(self._seen)
-
-
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class _Service:
@@ -76,10 +47,11 @@
 
     name: str
     key: str
-    samples: Samples
+    demand: Demand
     table: KeyTable
     revision: int = 0
     candidates: Sequence[Candidate] = ()
+    planned_for: Sequence[Candidate] | None = None
     joined_s: float = 0.0
     evened_s: float = 0.0
     moved_s: float | None = None
@@ -104,6 +76,7 @@
         now_s: Clock,
     ) -> None:
         self.on_table: Callable[[KeyTable], None] = lambda table: None
+        self.on_written: Callable[[Item], None] = lambda item: None
         self._store = store
         self._leadership = leadership
         self._leader_key = leader_key
@@ -120,6 +93,7 @@
         self._keeper.take_over(self._leadership.heard_s)
         for service in self._services.values():
             service.due_s = 0.0
+            service.planned_for = None
             self._keeper.follow(service.table)
 
     def set_services(self, names: Iterable[str]) -> None:
@@ -129,7 +103,7 @@
                 self._services[name] = _Service(
                     name=name,
                     key=self._prefix + name,
-                    samples=Samples(now_s=self._now_s),
+                    demand=Demand(now_s=self._now_s),
                     table=KeyTable(service=name),
                 )
 
@@ -145,11 +119,10 @@
         row.candidates = candidates
         row.due_s = 0.0
 
-    def note_request(self, service: str, shard: int) -> None:
-        """Count a request, as a sample of how busy its shard is."""
+    def demand(self, service: str) -> Demand | None:
+        """Return where to count a service's requests, None if it isn't divided."""
         row = self._services.get(service)
-        if row is not None:
-            row.samples.add(shard)
+        return row.demand if row is not None else None
 
     def note_table(self, item: Item) -> None:
         """Follow a table in the store; one that can't be read changes nothing."""
@@ -191,15 +164,20 @@
 
     def _plan(self, row: _Service, now_s: float) -> None:
         is_even_due = now_s >= row.evened_s + EVEN_OUT_EVERY_S
+        if not is_even_due and not self._is_changed(row):
+            return
+        load = row.demand.load(self._shards)
         if is_even_due:
             row.evened_s = now_s
+            row.demand.learn_speeds(row.table, load)
         planned = plan(
             row.table,
-            row.candidates,
-            row.samples.load(self._shards),
+            [_at_its_speed(one, row.demand) for one in row.candidates],
+            load,
             shards=self._shards,
             even_out=is_even_due,
         )
+        row.planned_for = row.candidates
         cleaned = done(planned, self._keeper.moved(row.name))
         if planned is row.table and (
             cleaned is None or not self._is_clean_up_due(row, now_s)
@@ -208,6 +186,9 @@
         row.moved_s = None
         self._write(row, cleaned or planned)
 
+    def _is_changed(self, row: _Service) -> bool:
+        return row.planned_for is not row.candidates or not row.table.spans
+
     def _is_clean_up_due(self, row: _Service, now_s: float) -> bool:
         if row.moved_s is None:
             row.moved_s = now_s
@@ -237,9 +218,11 @@
             await self._read_back(row)
         else:
             self._take(row, table, revision)
+            self.on_written(Item(key=row.key, value=value, revision=revision))
 
     def _note_failed(self, row: _Service, error: GentianwharfError) -> None:
         row.due_s = self._now_s() + WRITE_AGAIN_S
+        row.planned_for = None
         log.info(
             "table not written: {}",
             error.message,
@@ -268,5 +251,10 @@
         self.on_table(table)
 
 
+def _at_its_speed(candidate: Candidate, demand: Demand) -> Candidate:
+    speed = demand.speed(candidate.holder.server_id)
+    return replace(candidate, capacity=candidate.capacity * speed)
+
+
 def _log_fault(failure: Failure) -> None:
     log.error("planning failed: {}", failure.getTraceback())
--- a/src/gentianwharf/spread/_nng.py
+++ b/src/gentianwharf/links/_nng.py
@@ -16,8 +16,6 @@
 
 from gentianwharf.errors import InputError
 
-from ._frames import MOST_FRAME_BYTES
-
 SEND_QUEUE = 64
 """Frames queued for a peer that is slow or away; later ones are dropped, since every
 message is either sent again by its system or soon stale."""
@@ -67,12 +65,17 @@
     """A Pull socket whose frames are handed on as the reactor finds them."""
 
     def __init__(
-        self, *, reactor: Any, address: str, on_data: Callable[[bytes], None]
+        self,
+        *,
+        reactor: Any,
+        address: str,
+        on_data: Callable[[bytes], None],
+        most_bytes: int,
     ) -> None:
         self._reactor = reactor
         self._on_data = on_data
         self._socket = pynng.Pull0(
-            recv_max_size=MOST_FRAME_BYTES, recv_buffer_size=RECEIVE_QUEUE
+            recv_max_size=most_bytes, recv_buffer_size=RECEIVE_QUEUE
         )
         self._socket.tcp_keepalive = True
         try:
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -7,7 +7,7 @@
 from ._caller_site import CallerSite, ConnectionLimits
 from ._connections import ServerConnections
 from ._deadline import Remaining
-from ._dialect import Dialect, OwnDialect, ServerLoad, ServerRefusal
+from ._dialect import Dialect, OwnDialect, ServerRefusal
 from ._ports import (
     Admission,
     Answered,
@@ -17,6 +17,7 @@
     Owner,
     Ownership,
     Rules,
+    ServerLoad,
     Ticket,
 )
 from ._problem import Problem
--- a/src/gentianwharf/relay/_dialect.py
+++ b/src/gentianwharf/relay/_dialect.py
@@ -14,7 +14,7 @@
 
 from . import _headers as names
 from ._deadline import Remaining
-from ._ports import Owner, Ticket
+from ._ports import Owner, ServerLoad, Ticket
 
 # The status by which a server that is not the owner refuses a request without running
 # it, if it also says so in a header; any other such refusal is shedding or leaving.
@@ -33,16 +33,6 @@
     retry_after_s: float | None = None
 
 
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ServerLoad:
-    """What a server said of its load with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class Dialect(Protocol):
     """The spelling of what the router and its neighbours tell each other."""
 
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -239,6 +239,7 @@
             server=server,
             owner=self._owner,
             connections=self._connections[server.id],
+            admission=self._admission,
             dialect=self._dialect,
             reactor=self._reactor,
             fresh=fresh,
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -17,7 +17,7 @@
 from ._deadline import Remaining, remaining
 from ._dialect import Dialect, ServerRefusal
 from ._headers import passed_on, set_fields
-from ._ports import Outcome, Owner, Ticket
+from ._ports import Admission, Outcome, Owner, Ticket
 from ._problem import Problem
 
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -65,6 +65,7 @@
         server: BackendServer,
         owner: Owner | None,
         connections: ServerConnections,
+        admission: Admission,
         dialect: Dialect,
         reactor: Any,
         fresh: bool = False,
@@ -76,6 +77,7 @@
         self._ticket = ticket
         self._owner = owner
         self._connections = connections
+        self._admission = admission
         self._dialect = dialect
         self._reactor = reactor
         self._fresh = fresh
@@ -95,6 +97,9 @@
         connection = await self._connect()
         self.connection = connection
         response = await self._send(connection)
+        load = self._dialect.load(response.headers)
+        if load is not None:
+            self._admission.note_load(self.server, load)
         self._check(connection, response)
         return response
 
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -44,6 +44,16 @@
     deadline_s: float
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLoad:
+    """What a server said of its load with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 class Outcome(StrEnum):
     """How an attempt at a server ended."""
 
@@ -118,6 +128,9 @@
         ``retry_after_s`` is for how long a server that sheds wants no work.
         """
 
+    def note_load(self, server: BackendServer, load: ServerLoad) -> None:
+        """Note what a server said of its load with an answer or a refusal."""
+
     def forget(self, ticket: Ticket) -> None:
         """Forget a request that has had its final answer."""
 
--- a/src/gentianwharf/spread/_mesh.py
+++ b/src/gentianwharf/spread/_mesh.py
@@ -6,10 +6,12 @@
 from typing import Any, final
 
 from gentianwharf.errors import InputError, PeerMismatchError
+from gentianwharf.links import NngListener, dial
 from gentianwharf.logs import log
 from gentianwharf.topology import Host
 
 from ._frames import (
+    MOST_FRAME_BYTES,
     Channel,
     Frame,
     FrameKind,
@@ -19,7 +21,6 @@
 )
 from ._links import Dial, LinkStats, LinkTable
 from ._messages import MOST_MESSAGE_BYTES
-from ._nng import NngListener, dial
 
 INCARNATION_BITS = 53
 """Random, since a host keeps nothing from which to count on; as wide as JSON takes."""
@@ -110,6 +111,7 @@
             reactor=self._reactor,
             address=self._host.peer_address,
             on_data=self.received_frame,
+            most_bytes=MOST_FRAME_BYTES,
         )
 
     def set_peers(self, hosts: Iterable[Host], *, leaving: Iterable[Host] = ()) -> None:
--- a/tests/builders_keyspace.py
+++ b/tests/builders_keyspace.py
@@ -343,7 +343,7 @@
         self.leadership = Leadership(
             store=self.store,
             key=LEADER_KEY,
-            name=self.name,
+            value=self.name.encode(),
             now_s=clock.seconds,
             rng=Middle(),  # type: ignore[arg-type]
         )
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -28,6 +28,7 @@
     RelayApp,
     Run,
     ServerConnections,
+    ServerLoad,
     Ticket,
 )
 from gentianwharf.rules import RuleDocument, RuleSet
@@ -167,6 +168,9 @@
         """Leave it to ``admit``."""
         return None
 
+    def note_load(self, server: BackendServer, load: ServerLoad) -> None:
+        """Have no use for it."""
+
     def forget(self, ticket: Ticket) -> None:
         """Have nothing to forget."""
 
--- a/tests/test_keyspace_plan.py
+++ b/tests/test_keyspace_plan.py
@@ -1,13 +1,14 @@
 """Shards go where there is room, and stay where they are without a reason to move."""
 
 import random
+from collections import Counter
 
 import pytest
 
 from gentianwharf.keyspace import Candidate, KeyTable, ShardLoad, plan
 from tests.builders_keyspace import SHARDS, candidate, span, table
 
-EVEN = ShardLoad(samples=(), shards=SHARDS)
+EVEN = ShardLoad(counts={}, shards=SHARDS)
 
 
 def planned(
@@ -88,7 +89,7 @@
     rng = random.Random(3)
     samples = [rng.randrange(300, 320) for _ in range(100)]
     samples += [rng.randrange(SHARDS) for _ in range(200)]
-    load = ShardLoad(samples=samples, shards=SHARDS)
+    load = ShardLoad(counts=Counter(samples), shards=SHARDS)
     servers = [candidate(number) for number in range(1, 9)]
     before = planned(KeyTable(service="roster"), *servers)
     busiest = max(load.of(one.first, one.last) for one in before.spans)
@@ -114,7 +115,7 @@
         ]
         hot = rng.randrange(SHARDS - 30)
         samples = [rng.randrange(hot, hot + 30) for _ in range(rng.randint(0, 200))]
-        load = ShardLoad(samples=samples, shards=SHARDS)
+        load = ShardLoad(counts=Counter(samples), shards=SHARDS)
         after = plan(current, servers, load, shards=SHARDS, even_out=rng.random() < 0.7)
         check_whole(after)
         holders = {one.holder for one in servers}
