Give a shard that fills a server to the fastest one, alone

What was measured as speed (requests by those running) said little at low load.

Speeds now come from answers that found nothing waiting. A shard with 0.7 of a server's part goes to the fastest server if that is 1.2 times as fast, and whatever else that has moves off in pieces that fit. A server with nothing to give no longer ends the round.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -24,6 +24,8 @@
 _SIGNS_OF_LIFE = frozenset({Outcome.ANSWERED, Outcome.NOT_OWNER, Outcome.SHED})
 
 Clock = Callable[[], float]
+LoadListener = Callable[[BackendServer, ServerLoad, float | None], None]
+"""Told what a server said of its load, and how long its answer took if it ran one."""
 Evidence = Callable[[str, bool, float | None], None]
 """Told of a server's id, whether it answered, and how long a run kept it busy."""
 
@@ -41,7 +43,7 @@
         on_evidence: Evidence,
     ) -> None:
         self.servers = dict(servers)
-        self.on_load: Callable[[BackendServer, ServerLoad], None] = _ignore_load
+        self.on_load: LoadListener = _ignore_load
         self._gate = gate
         self._now_s = now_s
         self._on_evidence = on_evidence
@@ -129,9 +131,11 @@
         finally:
             self._waiting.pop(ticket.request_id, None)
 
-    def note_load(self, server: BackendServer, load: ServerLoad) -> None:
+    def note_load(
+        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
+    ) -> None:
         """Pass on what a server said of its load."""
-        self.on_load(server, load)
+        self.on_load(server, load, elapsed_s)
 
     def forget(self, ticket: Ticket) -> None:
         """Forget a request that has had its answer."""
@@ -173,7 +177,9 @@
             waiting.callback(result)
 
 
-def _ignore_load(server: BackendServer, load: ServerLoad) -> None:
+def _ignore_load(
+    server: BackendServer, load: ServerLoad, elapsed_s: float | None
+) -> None:
     """Do nothing: where servers report their load elsewhere."""
 
 
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -287,14 +287,11 @@
         if demand is not None:
             demand.note_load(server_id, seen)
 
-    def _note_server_load(self, server: BackendServer, load: ServerLoad) -> None:
+    def _note_server_load(
+        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
+    ) -> None:
         if server.service in self._keyed:
-            self._peers.note_load(
-                server.service,
-                server.id,
-                running=load.running,
-                waiting=load.waiting,
-            )
+            self._peers.note_load(server, load, elapsed_s)
 
     def _note_hosts(self, hosts: int) -> None:
         if hosts == self._hosts:
@@ -326,8 +323,8 @@
         if configuration is None or service not in configuration.services:
             return
         connections = configuration.services[service].connections
-        listed = [one for one in self._directory.entries(service) if takes_work(one)]
-        servers = [_server(one, connections) for one in listed]
+        usable = self._directory.usable(service)
+        servers = [_server(one, connections) for one in usable]
         for name in [
             one.id for one in self._servers.values() if one.service == service
         ]:
@@ -342,7 +339,11 @@
         self._admission.set_servers(service, servers)
         self._keeper.note_listed(_holder(one) for one in self._directory.all())
         if service in self._keyed:
-            self._planner.set_candidates(service, [_candidate(one) for one in listed])
+            # One in doubt keeps its keys until it is sure that it is gone.
+            listed = self._directory.entries(service)
+            self._planner.set_candidates(
+                service, [_candidate(one) for one in listed if takes_work(one)]
+            )
             self._keys.wake(service)
 
 
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -15,7 +15,9 @@
 from gentianwharf.keyspace import LoadSeen, Span
 from gentianwharf.links import NngLink, NngListener, dial
 from gentianwharf.logs import log
+from gentianwharf.relay import ServerLoad
 from gentianwharf.store import Item
+from gentianwharf.topology import BackendServer
 
 REPORT_EVERY_S = 0.25
 """Hot keys are to be seen within a second; a report of an idle host is 60 bytes."""
@@ -36,6 +38,8 @@
     running: float
     waiting: float
     answers: float
+    quick: float
+    quick_s: float
 
 
 class Report(msgspec.Struct, array_like=True, tag="report"):
@@ -136,14 +140,20 @@
         counts[shard] = counts.get(shard, 0) + 1
 
     def note_load(
-        self, service: str, server_id: str, *, running: int, waiting: int
+        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
     ) -> None:
-        """Add what a server said of its load to the next report."""
-        loads = self._loads.setdefault(service, {})
-        row = loads.setdefault(server_id, _Load(0.0, 0.0, 0.0))
-        row.running += running
-        row.waiting += waiting
+        """Add what a server said of its load to the next report.
+
+        ``elapsed_s`` is how long the answer took, None for a refusal.
+        """
+        loads = self._loads.setdefault(server.service, {})
+        row = loads.setdefault(server.id, _Load(0.0, 0.0, 0.0, 0.0, 0.0))
+        row.running += load.running
+        row.waiting += load.waiting
         row.answers += 1
+        if elapsed_s is not None and not load.waiting:
+            row.quick += 1
+            row.quick_s += elapsed_s
 
     # Who leads.
 
@@ -262,7 +272,11 @@
         for service, loads in report.loads.items():
             for server_id, load in loads.items():
                 seen = LoadSeen(
-                    running=load.running, waiting=load.waiting, answers=load.answers
+                    running=load.running,
+                    waiting=load.waiting,
+                    answers=load.answers,
+                    quick=load.quick,
+                    quick_s=load.quick_s,
                 )
                 self.on_load(service, server_id, seen)
 
--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -4,9 +4,9 @@
 few seconds later. What is counted fades within seconds, so that the hot ones stand out
 soon and are forgotten soon.
 
-How fast a server works follows from its requests and from how many of them it runs at
-a time (Little's law): servers of one service differ by more than two times, and an
-equal part fills the slow ones while the fast ones idle.
+How fast a server works follows from how long it took for what it did not let wait:
+servers of one service differ by more than two times, and an equal part fills the slow
+ones while the fast ones idle.
 """
 
 from collections.abc import Callable, Mapping
@@ -15,14 +15,13 @@
 from typing import final
 
 from ._plan import ShardLoad
-from ._table import KeyTable
 
 MEMORY_S = 2.0
 """Time constant of what is counted: some hundred requests of a service of hundreds a
 second, of which a hot key's part is seen within half a second."""
 
-SPEED_MEMORY_S = 6.0
-"""Time constant of a server's speed, which changes more slowly than keys become hot."""
+SPEED_SMOOTHING = 0.4
+"""Of one comparison in a second: speeds change more slowly than keys become hot."""
 
 FORGET_BELOW = 0.02
 """Counts that have faded to this are dropped, so that the table stays small."""
@@ -40,11 +39,17 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadSeen:
-    """What answers of one server said of its load, added up."""
+    """What answers of one server said of its load, added up.
+
+    ``quick`` counts those given while nothing waited there, which took ``quick_s``
+    together.
+    """
 
     running: float
     waiting: float
     answers: float
+    quick: float = 0.0
+    quick_s: float = 0.0
 
 
 @final
@@ -53,6 +58,8 @@
     running: float = 0.0
     waiting: float = 0.0
     answers: float = 0.0
+    quick: float = 0.0
+    quick_s: float = 0.0
     speed: float = 1.0
 
 
@@ -80,32 +87,28 @@
         row.running += seen.running
         row.waiting += seen.waiting
         row.answers += seen.answers
+        row.quick += seen.quick
+        row.quick_s += seen.quick_s
 
     def load(self, shards: int) -> ShardLoad:
         """Return how busy the shards are."""
         self._fade()
         return ShardLoad(counts=self._counts, shards=shards)
 
-    def learn_speeds(self, table: KeyTable, load: ShardLoad) -> None:
-        """Compare how much the holders of a table do with how busy they are."""
-        requests: dict[str, float] = {}
-        for span in table.spans:
-            name = span.holder.server_id
-            counted = load.counted(span.first, span.last)
-            requests[name] = requests.get(name, 0.0) + counted
-        rates: dict[str, float] = {}
-        for name, row in self._servers.items():
-            if row.answers >= LEAST_ANSWERS and requests.get(name, 0.0) > LEAST_ANSWERS:
-                # Below a half the server is idle but for the answer that was counted.
-                busy = max(0.5, row.running / row.answers)
-                rates[name] = requests[name] / busy
-        if not rates:
+    def learn_speeds(self) -> None:
+        """Compare how long the servers take; to be called once in a while."""
+        times = {
+            name: row.quick_s / row.quick
+            for name, row in self._servers.items()
+            if row.quick >= LEAST_ANSWERS
+        }
+        if len(times) < 2:
             return
-        mean = sum(rates.values()) / len(rates)
-        for name, rate in rates.items():
+        mean_s = sum(times.values()) / len(times)
+        for name, time_s in times.items():
             row = self._servers[name]
-            speed = min(MOST_SPEED, max(1 / MOST_SPEED, rate / mean))
-            row.speed += (speed - row.speed) * min(1.0, MEMORY_S / SPEED_MEMORY_S)
+            speed = min(MOST_SPEED, max(1 / MOST_SPEED, mean_s / time_s))
+            row.speed += (speed - row.speed) * SPEED_SMOOTHING
 
     def speed(self, server_id: str) -> float:
         """Return a server's speed relative to the mean, 1 while nothing is known."""
@@ -135,3 +138,5 @@
             row.running *= left
             row.waiting *= left
             row.answers *= left
+            row.quick *= left
+            row.quick_s *= left
--- a/src/gentianwharf/keyspace/_plan.py
+++ b/src/gentianwharf/keyspace/_plan.py
@@ -10,7 +10,7 @@
 """
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from itertools import accumulate
 from math import sqrt
@@ -37,6 +37,19 @@
 """The part of all load that is taken as even over all shards: what was not sampled
 lately may be asked for next."""
 
+FILLS = 0.7
+"""The part of a server's fair load at which one shard counts as filling it."""
+
+FASTER = 1.2
+"""How much more a server must be able to do for a hot shard to move there: speeds are
+known to a tenth or so, and each move keeps the shard from being served for a moment."""
+
+MOST_OVER = 1.2
+"""How much more than wanted a piece may have."""
+
+MOST_PIECES = 12
+"""Of one span that are looked at."""
+
 MOST_MOVES = 8
 """Of one round of evening out; the next one sees what they did."""
 
@@ -65,6 +78,7 @@
         self._counted = sorted(counts)
         # The sum of all counts before each place.
         self._sums = [0.0, *accumulate(float(counts[one]) for one in self._counted)]
+        self._hottest = max(counts, key=lambda one: counts[one], default=None)
         self.total = self._sums[-1]
         idle = IDLE_SHARE if self.total else 1.0
         self._for_each_shard = idle / shards
@@ -81,6 +95,10 @@
         even = (last - first + 1) * self._for_each_shard
         return even + self.counted(first, last) * self._for_each_count
 
+    def hottest(self) -> int | None:
+        """Return the shard that was asked for most often, None if none was."""
+        return self._hottest
+
     def cut(self, first: int, last: int, wanted: float) -> int:
         """Return the last shard of the shortest part from ``first`` with that load."""
         low, high = first, last
@@ -224,36 +242,95 @@
 
     def even_out(self) -> None:
         """Move load from servers with far too much to those with far too little."""
+        self._place_hottest()
+        stuck: set[Holder] = set()
         for _ in range(MOST_MOVES):
             least = self._least_busy()
-            most = max(self._carried, key=self._busyness)
+            busiest = [one for one in self._carried if one not in stuck]
+            if not busiest:
+                return
+            most = max(busiest, key=self._busyness)
             above = self._busyness(most)
             below = self._busyness(least)
             if above < START_ABOVE + self._chance and below > START_BELOW:
                 return
-            if not self._move(most, least, above, below):
-                return
+            if most == least or not self._move(most, least, above, below):
+                stuck.add(most)
+
+    def _place_hottest(self) -> None:
+        """Let the fastest server have a shard that fills a server by itself.
+
+        One shard can't be parted. The faster its holder, the fewer of its requests are
+        turned away; what else that server has moves off by evening out.
+        """
+        found = self._hottest()
+        if found is None:
+            return
+        span, shard = found
+        fastest = max(self._by_holder.values(), key=lambda one: one.capacity)
+        holder = self._by_holder[span.holder]
+        if fastest.capacity < holder.capacity * FASTER:
+            return
+        self._take_out(span, shard, shard)
+        self._give(shard, shard, fastest.holder, former=(span.holder,))
+
+    def _hottest(self) -> tuple[Span, int] | None:
+        shard = self._load.hottest()
+        if shard is None:
+            return None
+        span = next(
+            (one for one in self._spans if one.first <= shard <= one.last), None
+        )
+        if span is None or span.former:
+            return None
+        fair = self._by_holder[span.holder].capacity / self._capacity
+        is_hot = self._load.of(shard, shard) > fair * FILLS
+        return (span, shard) if is_hot else None
 
     def _move(self, most: Holder, least: Holder, above: float, below: float) -> bool:
         fair_most = self._by_holder[most].capacity / self._capacity
         fair_least = self._by_holder[least].capacity / self._capacity
         wanted = min((above - 1.0) * fair_most, (1.0 - below) * fair_least)
-        spans = [one for one in self._spans if one.holder == most and not one.former]
-        if not spans or wanted <= 0:
+        if wanted <= 0:
             return False
-        span = max(spans, key=lambda one: self._load.of(one.first, one.last))
-        end = self._load.cut(span.first, span.last, wanted)
-        moved = self._load.of(span.first, end)
-        # One shard may be all of it: then whoever takes it is as busy as this one.
-        if moved > wanted * 2 and end == span.first:
+        pieces = [
+            (span, first, last)
+            for span in self._spans
+            if span.holder == most and not span.former
+            for first, last in self._pieces(span, wanted)
+        ]
+        if not pieces:
             return False
-        self._spans.remove(span)
-        self._carried[most] -= moved
-        if end < span.last:
-            self._spans.append(replace(span, first=end + 1))
-        self._give(span.first, end, least, former=(span.holder,))
+        span, first, last = max(pieces, key=lambda one: self._load.of(one[1], one[2]))
+        self._take_out(span, first, last)
+        self._give(first, last, least, former=(most,))
         return True
 
+    def _pieces(self, span: Span, wanted: float) -> Iterator[tuple[int, int]]:
+        """Yield parts of a span with about the load that is wanted, or less.
+
+        They end before a shard that has more by itself.
+        """
+        first = span.first
+        for _ in range(MOST_PIECES):
+            if first > span.last:
+                return
+            last = self._load.cut(first, span.last, wanted)
+            if self._load.of(first, last) <= wanted * MOST_OVER:
+                yield first, last
+            elif last > first:
+                yield first, last - 1
+            first = last + 1
+
+    def _take_out(self, span: Span, first: int, last: int) -> None:
+        """Take shards out of a span; what is left keeps its holder and its token."""
+        self._spans.remove(span)
+        self._carried[span.holder] -= self._load.of(first, last)
+        if span.first < first:
+            self._spans.append(replace(span, last=first - 1))
+        if last < span.last:
+            self._spans.append(replace(span, first=last + 1))
+
 
 def _with(former: tuple[Holder, ...], holder: Holder) -> tuple[Holder, ...]:
     return former if holder in former else (*former, holder)
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -169,7 +169,7 @@
         load = row.demand.load(self._shards)
         if is_even_due:
             row.evened_s = now_s
-            row.demand.learn_speeds(row.table, load)
+            row.demand.learn_speeds()
         planned = plan(
             row.table,
             [_at_its_speed(one, row.demand) for one in row.candidates],
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -97,12 +97,17 @@
         connection = await self._connect()
         self.connection = connection
         response = await self._send(connection)
-        load = self._dialect.load(response.headers)
-        if load is not None:
-            self._admission.note_load(self.server, load)
+        self._note_load(response)
         self._check(connection, response)
         return response
 
+    def _note_load(self, response: Response) -> None:
+        load = self._dialect.load(response.headers)
+        if load is not None:
+            has_run = self._dialect.refusal(response) is None
+            elapsed_s = self.elapsed_s if has_run else None
+            self._admission.note_load(self.server, load, elapsed_s)
+
     def abort(self) -> None:
         """Close the connection: that tells the server, and no late answer is read."""
         if self.connection is not None:
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -128,8 +128,13 @@
         ``retry_after_s`` is for how long a server that sheds wants no work.
         """
 
-    def note_load(self, server: BackendServer, load: ServerLoad) -> None:
-        """Note what a server said of its load with an answer or a refusal."""
+    def note_load(
+        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
+    ) -> None:
+        """Note what a server said of its load with an answer.
+
+        ``elapsed_s`` is how long the answer took, None for a refusal.
+        """
 
     def forget(self, ticket: Ticket) -> None:
         """Forget a request that has had its final answer."""
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -168,7 +168,9 @@
         """Leave it to ``admit``."""
         return None
 
-    def note_load(self, server: BackendServer, load: ServerLoad) -> None:
+    def note_load(
+        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
+    ) -> None:
         """Have no use for it."""
 
     def forget(self, ticket: Ticket) -> None:
--- a/tests/test_keyspace_plan.py
+++ b/tests/test_keyspace_plan.py
@@ -133,3 +133,37 @@
         assert new.token > old.token
         # Whoever may still hold the shard is waited for.
         assert {old.holder, *old.former} - {new.holder} <= set(new.former)
+
+
+def test_shard_that_fills_a_server_goes_to_the_fastest_and_has_it_alone() -> None:
+    """One club's roster is asked for by a third of all callers, for some seconds.
+
+    A single key can't be parted. On a slow server, beside the keys that this has anyhow,
+    most of its callers are turned away.
+    """
+    samples = [777] * 120 + list(range(0, SHARDS, 5))
+    load = ShardLoad(counts=Counter(samples), shards=SHARDS)
+    servers = [candidate(1, capacity=1.7), *(candidate(one) for one in range(2, 9))]
+    current = planned(KeyTable(service="roster"), *servers)
+    for _ in range(3):
+        current = planned(current, *servers, load=load, even_out=True)
+    check_whole(current)
+    hot = current.span_of(777)
+    assert hot is not None
+    assert hot.holder.server_id == "s1"
+    assert shards_of(current, 1) < 30
+
+
+def test_hot_shard_does_not_move_between_servers_that_are_alike() -> None:
+    """A hot key moves every second, and each time nobody is served for a moment."""
+    samples = [777] * 120 + list(range(0, SHARDS, 5))
+    load = ShardLoad(counts=Counter(samples), shards=SHARDS)
+    servers = [candidate(one, capacity=1 + one / 50) for one in range(1, 9)]
+    current = planned(KeyTable(service="roster"), *servers)
+    before = current.span_of(777)
+    for _ in range(6):
+        current = planned(current, *servers, load=load, even_out=True)
+    after = current.span_of(777)
+    assert before is not None
+    assert after is not None
+    assert after.holder == before.holder
