--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -45,6 +45,7 @@
 from ._classes import class_of
 from ._directory import Directory, takes_work
 from ._keys import KeyHolders
+from ._metrics import METRICS_PORT, HostMetrics, metrics_site
 from ._observer import AnswerLog
 from ._peers import Peers
 from ._readiness import readiness_site
@@ -169,13 +170,14 @@
         )
         self._admission.on_load = self._note_server_load
         self._keyed: set[str] = set()
-        self.answers = AnswerLog()
+        self.metrics = HostMetrics()
+        self._add_gauges()
         self.relay = RelayApp(
             rules=self._rules,
             ownership=self._keys,
             admission=self._admission,
             connections={},
-            observer=self.answers,
+            observer=AnswerLog(metrics=self.metrics),
             deadlines_ms={},
             keyed=self._keyed,
             reactor=reactor,
@@ -186,6 +188,28 @@
             resource=self.relay.resource(), reactor=reactor, limits=ConnectionLimits()
         )
 
+    def _add_gauges(self) -> None:
+        add = self.metrics.add
+        add(
+            "leads",
+            "Whether this host leads",
+            lambda: self._leadership.term is not None,
+        )
+        add("hosts", "Hosts that report to the leader", lambda: self._hosts)
+        add("store_age_seconds", "Since the store was heard", self._store_age_s)
+        add("rules_version", "Version of the rules in force", self._rules_version)
+        add("in_flight", "Requests being served", lambda: len(self.relay.in_flight))
+        add("callers", "Callers' connections", lambda: len(self._site.channels))
+        add("servers", "Backend servers in use", lambda: len(self._servers))
+
+    def _store_age_s(self) -> float:
+        lost_s = self._mirror.lost_s
+        return 0.0 if lost_s is None else float(self._reactor.seconds() - lost_s)
+
+    def _rules_version(self) -> float:
+        configuration = self._rules.configuration
+        return 0.0 if configuration is None else float(configuration.version)
+
     # Start and stop.
 
     def start(self) -> None:
@@ -196,6 +220,8 @@
             readiness_site(is_ready=self.is_ready, reactor=self._reactor),
         )
         self._peers.start()
+        metrics = metrics_site(metrics=self.metrics, reactor=self._reactor)
+        self._listen(f"{self.settings.ip}:{METRICS_PORT}", metrics)
         self._mirror.start()
         self._leadership.note_item(None)
         self._ticks.every(CONTROL_TICK_S, self._control)
--- a/src/gentianwharf/entryhost/_main.py
+++ b/src/gentianwharf/entryhost/_main.py
@@ -22,7 +22,10 @@
 def main() -> None:
     """Serve until SIGTERM."""
     use_monotonic_time(reactor)
-    logs.configure(stream=sys.stdout)
+    log_writer = logs.BoundedWriter(
+        fileno=sys.stdout.fileno(), now_s=cast(Any, reactor).seconds
+    )
+    logs.configure(stream=log_writer)
     path = Path(os.environ.get(SETTINGS_PATH_VARIABLE, ""))
     try:
         settings = read_host_settings(path)
@@ -30,6 +33,9 @@
         logs.log.error("not started: {}", error)
         sys.exit(EXIT_USAGE)
     host = EntryHost(settings=settings, reactor=reactor)
+    host.metrics.add(
+        "log_lines_dropped", "Lines that the log left out", lambda: log_writer.dropped
+    )
     host.on_end = cast(Any, reactor).stop
     host.start()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/gentianwharf/entryhost/_observer.py
+++ b/src/gentianwharf/entryhost/_observer.py
@@ -1,25 +1,33 @@
 """Counts what callers receive, and logs what they did not."""
 
-from collections import Counter
 from typing import final
 
+import xxhash
+
 from gentianwharf.logs import log
 from gentianwharf.relay import Answered, Problem, Run
 
+from ._metrics import HostMetrics
+
+SUCCESS_EVERY = 50
+"""One of so many successes gets a line, to compare the others with; which ones, follows
+from the request's id."""
+
 
 @final
 class AnswerLog:
-    """Counts every answer; failures and refusals get a line."""
+    """Every failure and refusal gets a line, and some successes do."""
 
-    def __init__(self) -> None:
-        self.counts: Counter[tuple[str, int]] = Counter()
+    def __init__(self, *, metrics: HostMetrics) -> None:
+        self._metrics = metrics
 
     def answered(self, answered: Answered) -> None:
         """Note what a caller received."""
-        ticket = answered.ticket
-        self.counts[ticket.request_class, answered.status] += 1
-        if answered.run is Run.RUN and answered.status < 500:
+        self._metrics.answered(answered)
+        is_success = answered.run is Run.RUN and answered.status < 500
+        if is_success and not _is_sampled(answered.ticket.request_id):
             return
+        ticket = answered.ticket
         log.info(
             answered.reason or "answered",
             extra={
@@ -30,6 +38,7 @@
                 "service": ticket.service,
                 "shard": ticket.shard,
                 "server": answered.server,
+                "tries": answered.tries,
                 "waited_ms": round(answered.waited_s * 1000),
                 "elapsed_ms": round(answered.elapsed_s * 1000),
                 "step": answered.step,
@@ -39,7 +48,7 @@
 
     def refused(self, request_id: str, problem: Problem) -> None:
         """Note a request that no rule decided on."""
-        self.counts["", problem.status] += 1
+        self._metrics.count("", "", problem.status, problem.title)
         log.info(
             problem.title,
             extra={
@@ -48,3 +57,7 @@
                 "step": problem.step,
             },
         )
+
+
+def _is_sampled(request_id: str) -> bool:
+    return xxhash.xxh3_64_intdigest(request_id.encode()) % SUCCESS_EVERY == 0
--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -61,6 +61,7 @@
     quick: float = 0.0
     quick_s: float = 0.0
     speed: float = 1.0
+    is_measured: bool = False
 
 
 @final
@@ -108,7 +109,11 @@
         for name, time_s in times.items():
             row = self._servers[name]
             speed = min(MOST_SPEED, max(1 / MOST_SPEED, mean_s / time_s))
-            row.speed += (speed - row.speed) * SPEED_SMOOTHING
+            # What is measured first replaces a guess: with equal parts, a slow server
+            # is full from the first second on.
+            part = SPEED_SMOOTHING if row.is_measured else 1.0
+            row.speed += (speed - row.speed) * part
+            row.is_measured = True
 
     def speed(self, server_id: str) -> float:
         """Return a server's speed relative to the mean, 1 while nothing is known."""
--- a/src/gentianwharf/logs/_json_lines.py
+++ b/src/gentianwharf/logs/_json_lines.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from datetime import UTC, datetime
 from functools import cache
-from typing import Any, TextIO, final
+from typing import Any, Protocol, final
 
 import logbook
 import msgspec
@@ -33,6 +33,16 @@
 }
 
 
+class LineStream(Protocol):
+    """What lines are written to."""
+
+    def write(self, text: str, /) -> int:
+        """Take one line."""
+
+    def flush(self) -> None:
+        """Hand it on."""
+
+
 @final
 class JsonLinesHandler(logbook.Handler):
     """Writes each record as a JSON object on a line of its own.
@@ -42,7 +52,7 @@
     for the members of an exception group.
     """
 
-    def __init__(self, *, stream: TextIO, level: str, private_fields: bool) -> None:
+    def __init__(self, *, stream: LineStream, level: str, private_fields: bool) -> None:
         super().__init__(level=level, bubble=False)
         self._stream = stream
         self._private_fields = private_fields
@@ -131,7 +141,7 @@
 
 
 def configure(
-    *, stream: TextIO, level: str = "INFO", private_fields: bool = False
+    *, stream: LineStream, level: str = "INFO", private_fields: bool = False
 ) -> LogSetup:
     """Send logbook's and Twisted's logs to ``stream``; call it once, at the start.
 
--- a/src/gentianwharf/metrics/__init__.py
+++ b/src/gentianwharf/metrics/__init__.py
@@ -33,6 +33,7 @@
 )
 from ._measures import Outcome, UnavailableShards, churn, imbalance, unavailable_s
 from ._objectives import Objective
+from ._prometheus import HistogramSample, Sample, prometheus_text
 from ._recorder import Recorder
 from ._windows import BurnWindows, Place, Tally, WindowCount
 
@@ -55,12 +56,14 @@
     "Decision",
     "DecisionRing",
     "EncodedHistogram",
+    "HistogramSample",
     "LatencyOfClass",
     "Objective",
     "Outcome",
     "Place",
     "Recorder",
     "Run",
+    "Sample",
     "SilentHost",
     "Tally",
     "UnavailableShards",
@@ -72,6 +75,7 @@
     "imbalance",
     "merged",
     "new_histogram",
+    "prometheus_text",
     "record_s",
     "unavailable_s",
     "value_at_s",
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -323,6 +323,7 @@
                 reason=reason,
                 step=step,
                 peer=peer,
+                tries=self._tries,
             )
         )
 
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -156,6 +156,7 @@
     reason: str
     step: str
     peer: str
+    tries: int = 1
 
 
 class Observer(Protocol):
--- a/tests/test_keyspace_demand.py
+++ b/tests/test_keyspace_demand.py
@@ -65,3 +65,16 @@
         clock.advance(1.0)
         demand.learn_speeds()
     assert demand.speed("full") == 1.0
+
+
+def test_first_measure_replaces_the_guess_at_once() -> None:
+    """A slow server is full from the first second, and its callers wait.
+
+    Its shards are a part like all others', until its speed is known.
+    """
+    clock = Clock()
+    demand = Demand(now_s=clock.seconds)
+    demand.note_load("fast", quick(10, 0.06))
+    demand.note_load("slow", quick(10, 0.14))
+    demand.learn_speeds()
+    assert demand.speed("slow") < 0.8
