Find lost holders by their silence, and let callers come back at once

A host that the cut separated from most servers went on leading.

A holder that answers no order for 1.2 s is taken out of the plan, and asked for a sign of life while it is listed; a leader that reaches half of the servers or less steps aside and moves nothing. Grants last 2.5 s, renewed every 0.5 s, the lease 1.2 s. A request for a key whose move takes longer than 0.25 s is refused at once while the leader's news come, and waits for its word until then.

A host asked for the lead before it had read the store; the first leader of all waited for grants that nobody can have given.

--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -69,6 +69,10 @@
 STOP_MARGIN_S = 0.3
 """Before the platform ends the process by force."""
 
+STAND_BACK_S = 4.0
+"""For how long a host that could reach few servers leaves the lead to others: about as
+long as they need to find out whether they can."""
+
 FIRST_HOSTS = 10
 """How many hosts there are, until the leader tells."""
 
@@ -133,6 +137,7 @@
         self._rules = RulesInForce()
         self._keys = KeyHolders(server_of=self._servers.get, reactor=reactor)
         self._mirror.listen(self._note_item)
+        self._mirror.on_read = self._note_read
         self._leadership.on_gained = self._begin_to_lead
         self._leadership.on_lost = self._cease_to_lead
         self._keeper.on_granted = self._note_granted
@@ -152,6 +157,8 @@
         peers.on_hosts = self._note_hosts
         self._keys.on_request = peers.note_request
         self._planner.on_written = peers.tell_table
+        self._planner.on_isolated = self._step_aside
+        self._keys.hears_leader = peers.hears_leader
 
     def _build_relay(self) -> None:
         reactor = self._reactor
@@ -223,7 +230,6 @@
         metrics = metrics_site(metrics=self.metrics, reactor=self._reactor)
         self._listen(f"{self.settings.ip}:{METRICS_PORT}", metrics)
         self._mirror.start()
-        self._leadership.note_item(None)
         self._ticks.every(CONTROL_TICK_S, self._control)
         self._ticks.every(GATE_TICK_S, self._admission.tick)
         log.info("started", extra={"host": self.settings.name})
@@ -248,8 +254,19 @@
     def turn_unready(self) -> None:
         """Tell clients to use other hosts; somebody else should lead."""
         self._site.stop_keeping()
+        self._resign(self.settings.agreements.grace_period_s)
+
+    def _resign(self, stand_back_s: float) -> None:
         held_s = self._keeper.held_s()
-        Deferred.fromCoroutine(self._leadership.resign(held_s))
+        done = Deferred.fromCoroutine(
+            self._leadership.resign(held_s, stand_back_s=stand_back_s)
+        )
+        done.addErrback(lambda failure: log.error(failure.getTraceback()))
+
+    def _step_aside(self) -> None:
+        if self._hosts > 1 and self._leadership.term is not None:
+            log.warning("most servers can't be reached from here: no longer leading")
+            self._resign(STAND_BACK_S)
 
     def stop_accepting(self) -> None:
         """Close the callers' port and idle connections."""
@@ -290,6 +307,10 @@
         elif key.startswith(TABLE_PREFIX) and item is not None:
             self._planner.note_table(item)
 
+    def _note_read(self) -> None:
+        if LEADER_KEY not in self._mirror.items:
+            self._leadership.note_item(None)
+
     def _control(self) -> None:
         self._leadership.tick()
         self._planner.tick()
--- a/src/gentianwharf/entryhost/_keys.py
+++ b/src/gentianwharf/entryhost/_keys.py
@@ -27,6 +27,9 @@
 """What a refused caller is told: the keys of a lost server are served again after some
 seconds, those that move after some tenths of one."""
 
+SpanKey = tuple[str, int, int]
+"""A span by its service, first shard and token."""
+
 ServerOf = Callable[[str], BackendServer | None]
 
 
@@ -39,8 +42,10 @@
         self._server_of = server_of
         self._reactor = reactor
         self._tables: dict[str, KeyTable] = {}
-        self._closed_until_s: dict[tuple[str, int, int], float] = {}
-        self._granted: set[tuple[str, int, int]] = set()
+        self._closed_until_s: dict[SpanKey, float] = {}
+        self._granted: set[SpanKey] = set()
+        self._moving_since_s: dict[SpanKey, float] = {}
+        self.hears_leader: Callable[[], bool] = lambda: False
         self._waiting: dict[str, list[Deferred[None]]] = {}
 
     def take(self, table: KeyTable) -> None:
@@ -53,17 +58,28 @@
         self._granted = {
             key for key in self._granted if key[0] != table.service or key in live
         }
-        moving_until_s = self._reactor.seconds() + MOVING_S
-        for span in table.spans:
-            key = (table.service, span.first, span.token)
-            if span.former and key not in self._granted:
-                self._closed_until_s.setdefault(key, moving_until_s)
+        now_s = self._reactor.seconds()
+        moving = {
+            (table.service, span.first, span.token)
+            for span in table.spans
+            if span.former
+        }
+        self._moving_since_s = {
+            key: since_s
+            for key, since_s in self._moving_since_s.items()
+            if key[0] != table.service or key in moving
+        }
+        for key in moving - self._granted:
+            self._moving_since_s.setdefault(key, now_s)
+            self._closed_until_s.setdefault(key, now_s + MOVING_S)
         self.wake(table.service)
 
     def open(self, service: str, first: int, token: int) -> None:
         """Let requests of a span go: its holder has just been granted it."""
-        self._granted.add((service, first, token))
-        self._closed_until_s.pop((service, first, token), None)
+        key = (service, first, token)
+        self._granted.add(key)
+        self._moving_since_s.pop(key, None)
+        self._closed_until_s.pop(key, None)
         self.wake(service)
 
     def wake(self, service: str) -> None:
@@ -79,29 +95,37 @@
     async def owner(self, ticket: Ticket) -> Owner:
         """Return the holder of the ticket's shard, waiting a bounded time for one."""
         assert ticket.shard is not None, "only keyed requests ask for a holder"
-        if ticket.shard is not None:
-            self.on_request(ticket.service, ticket.shard)
+        self.on_request(ticket.service, ticket.shard)
         until_s = min(self._reactor.seconds() + MOST_WAIT_S, ticket.deadline_s)
         while True:
-            table = self._tables.get(ticket.service)
-            span = table.span_of(ticket.shard) if table is not None else None
+            span = self._span(ticket)
             server = self._server_of(span.holder.server_id) if span else None
             now_s = self._reactor.seconds()
+            wait_s = MOST_WAIT_S
             if span is not None and server is not None:
                 wait_s = self._closed_s(ticket.service, span, now_s)
                 if wait_s <= 0:
-                    return Owner(
-                        server=server,
-                        shard=ticket.shard,
-                        token=span.token,
-                        deadline_s=ticket.deadline_s,
-                    )
-            else:
-                wait_s = MOST_WAIT_S
-            left_s = until_s - now_s
-            if left_s <= 0:
+                    return _owner(ticket, server, span)
+            if now_s >= until_s or self._is_long_moving(ticket.service, span, now_s):
                 raise _no_holder(ticket)
-            await self._wait(ticket.service, min(wait_s, left_s))
+            await self._wait(ticket.service, min(wait_s, until_s - now_s))
+
+    def _span(self, ticket: Ticket) -> Span | None:
+        table = self._tables.get(ticket.service)
+        if table is None or ticket.shard is None:
+            return None
+        return table.span_of(ticket.shard)
+
+    def _is_long_moving(self, service: str, span: Span | None, now_s: float) -> bool:
+        """Whether a span waits for a lost holder's grant to run out.
+
+        Most moves are done within ``MOVING_S``; one that is not takes seconds, and the
+        leader will tell when it is done. Until then callers had better come back.
+        """
+        if span is None or not self.hears_leader():
+            return False
+        since_s = self._moving_since_s.get((service, span.first, span.token))
+        return since_s is not None and now_s > since_s + MOVING_S
 
     def not_owner(self, ticket: Ticket, owner: Owner) -> None:
         """Ask no more for a while: the holder does not have its grant yet."""
@@ -137,6 +161,16 @@
             others.remove(waiting)
 
 
+def _owner(ticket: Ticket, server: BackendServer, span: Span) -> Owner:
+    assert ticket.shard is not None, "only keyed requests ask for a holder"
+    return Owner(
+        server=server,
+        shard=ticket.shard,
+        token=span.token,
+        deadline_s=ticket.deadline_s,
+    )
+
+
 def _no_holder(ticket: Ticket) -> Problem:
     return Problem(
         status=503,
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -107,6 +107,7 @@
         self._leader: LeaderItem | None = None
         self._to_leader: NngLink | None = None
         self._heard_s = 0.0
+        self._news_s = float("-inf")
         self._reported_s = 0.0
         self._told_s = 0.0
         self._leads = False
@@ -155,6 +156,13 @@
             row.quick += 1
             row.quick_s += elapsed_s
 
+    def hears_leader(self) -> bool:
+        """Whether the leader's news come: then what it does not tell is not done."""
+        if self._leads:
+            return True
+        age_s = self._reactor.seconds() - self._news_s
+        return self._leader is not None and age_s < 2 * NEWS_EVERY_S
+
     # Who leads.
 
     def follow(self, item: Item | None) -> None:
@@ -169,6 +177,7 @@
             return
         self._close_leader()
         self._leader = leader
+        self._news_s = float("-inf")
 
     def lead(self, leads: bool) -> None:
         """Begin or cease to tell the others."""
@@ -284,7 +293,7 @@
         if self._leader is None or news.leader != self._leader.host:
             # A leader of before: what it tells may be old.
             return
-        self._heard_s = self._reactor.seconds()
+        self._heard_s = self._news_s = self._reactor.seconds()
         self.on_hosts(news.hosts)
         for table in news.tables:
             item = Item(key=table.key, value=table.value, revision=table.revision)
--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -22,9 +22,9 @@
 
 from ._orders import Grant, Orders, Release
 from ._table import Holder, KeyTable, Span
-from ._timing import GrantTiming
+from ._timing import PROBE_EVERY_S, UNREACHABLE_S, GrantTiming
 
-GRANT_TIMEOUT_S = 0.5
+GRANT_TIMEOUT_S = 0.4
 """A server answers a grant in milliseconds; what is lost on the way is sent again."""
 
 FIRST_RELEASE_TIMEOUT_S = 0.8
@@ -63,6 +63,9 @@
     held_until_s: float
     on_their_way_until_s: dict[int, float] = field(default_factory=dict)
     orders: set["Deferred[None]"] = field(default_factory=set)
+    failing_since_s: float | None = None
+    probe: Release | None = None
+    probe_due_s: float = 0.0
 
     def surely_until_s(self) -> float:
         """Return when no grant that was sent can hold any more."""
@@ -103,7 +106,9 @@
     def held_s(self) -> float:
         """Return for how long some grant may still hold, if none is given any more."""
         latest_s = max(
-            (life.surely_until_s() for life in self._lives.values()), default=0.0
+            # What an earlier leader granted may hold longer than this one's grants.
+            [self._unknown_until_s]
+            + [life.surely_until_s() for life in self._lives.values()]
         )
         return max(0.0, latest_s - self._now_s())
 
@@ -155,6 +160,15 @@
             row.former = [one for one in row.former if not has_ended(one)]
         self._has_ended = has_ended
 
+    def unreachable(self) -> frozenset[Holder]:
+        """Return the holders that have left every order without an answer for long."""
+        latest_s = self._now_s() - UNREACHABLE_S
+        return frozenset(
+            holder
+            for holder, life in self._lives.items()
+            if life.failing_since_s is not None and life.failing_since_s <= latest_s
+        )
+
     def moved(self, service: str) -> frozenset[SpanKey]:
         """Return the spans whose former holders are out and whose holder has them."""
         return frozenset(
@@ -179,9 +193,42 @@
         for row in list(self._rows.values()):
             if not row.ordering and now_s >= row.due_s:
                 self._advance(row, now_s)
+        for holder in self.unreachable():
+            self._probe(holder, self._lives[holder], now_s)
+
+    def _probe(self, holder: Holder, life: _Life, now_s: float) -> None:
+        """Ask a holder that lost its shards for a sign of life.
+
+        Without one it would be passed over for ever: nothing else is ordered of it.
+        """
+        if life.probe is None or life.orders or now_s < life.probe_due_s:
+            return
+        life.probe_due_s = now_s + PROBE_EVERY_S
+        order = Deferred.fromCoroutine(self._send_probe(holder, life, life.probe))
+        self._track(life, order)
+
+    async def _send_probe(self, holder: Holder, life: _Life, release: Release) -> None:
+        try:
+            await self._orders.release(
+                holder.address, release, timeout_s=GRANT_TIMEOUT_S
+            )
+        except RefusedError:
+            life.failing_since_s = None
+        except GentianwharfError as error:
+            log.debug("no sign of life: {}", error)
+        else:
+            life.failing_since_s = None
+        if life.failing_since_s is None:
+            log.info("server reached again", extra={"server": holder.server_id})
 
     def _advance(self, row: _Row, now_s: float) -> None:
-        row.former = [one for one in row.former if now_s < self._held_until_s(one)]
+        for one in list(row.former):
+            if now_s >= self._held_until_s(one):
+                row.former.remove(one)
+                span = row.span
+                self._life(one).probe = Release(
+                    first=span.first, last=span.last, token=span.token
+                )
         if row.former:
             self._start(row, row.former[0], self._release(row, row.former[0]))
             return
@@ -194,12 +241,14 @@
 
     def _start(self, row: _Row, holder: Holder, order: Deferred[None]) -> None:
         row.ordering = True
-        life = self._life(holder)
+        self._track(self._life(holder), order)
+        order.addBoth(lambda _: setattr(row, "ordering", False))
+
+    def _track(self, life: _Life, order: "Deferred[None]") -> None:
         life.orders.add(order)
 
         def ended(result: object) -> None:
             life.orders.discard(order)
-            row.ordering = False
             if isinstance(result, Failure) and not result.check(CancelledError):
                 log.error("an order failed: {}", result.getTraceback())
 
@@ -221,14 +270,17 @@
             self._held_until_s(holder) - self._now_s(),
         )
         row.release_tries += 1
+        sent_s = self._now_s()
         try:
             handover = await self._orders.release(
                 holder.address, release, timeout_s=timeout_s
             )
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
+            self._note_unanswered(holder, sent_s)
             self._log(row, holder, "release failed", error=str(error))
             return
+        self._life(holder).failing_since_s = None
         row.handover = handover or row.handover
         if holder in row.former:
             row.former.remove(holder)
@@ -266,16 +318,20 @@
             # It never left: a server that can't be reached runs out of its grants
             # although it is asked again and again.
             row.due_s = self._now_s() + self._timing.retry_every_s
+            self._note_unanswered(holder, sent_s)
             self._note_failed(row, error)
         except RefusedError as error:
             row.refused += 1
+            life.failing_since_s = None
             row.due_s = self._now_s() + self._timing.retry_every_s
             self._log(row, holder, "grant refused", error=str(error))
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
+            self._note_unanswered(holder, sent_s)
             self._note_failed(row, error)
             self._note_held(holder, self._now_s(), duration_s)
         else:
+            life.failing_since_s = None
             row.refused = 0
             row.failing = False
             row.due_s = sent_s + self._timing.renew_every_s
@@ -284,6 +340,11 @@
         finally:
             life.on_their_way_until_s.pop(number, None)
 
+    def _note_unanswered(self, holder: Holder, sent_s: float) -> None:
+        life = self._life(holder)
+        if life.failing_since_s is None:
+            life.failing_since_s = sent_s
+
     def _note_failed(self, row: _Row, error: GentianwharfError) -> None:
         if row.granted and not row.failing:
             row.failing = True
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -57,7 +57,7 @@
         self.heard_s = float("-inf")
         self.on_gained: Callable[[float | None], None] = lambda held_s: None
         self.on_lost: Callable[[], None] = lambda: None
-        self.may_campaign = True
+        self._stands_back_until_s = float("-inf")
         self._store = store
         self._key = key
         self._resigned_key = resigned_key
@@ -95,22 +95,23 @@
             return
         if self.term is not None:
             _start(self._renew(self.term, now_s))
-        elif self._campaigning:
+        elif self._campaigning or now_s < self._stands_back_until_s:
             return
-        elif self._item is None and self.may_campaign:
+        elif self._item is None:
             self._campaigning = True
             _start(self._campaign(now_s)).addCallback(self._end_campaign)
         else:
             self._due_s = None
 
-    async def resign(self, held_s: float) -> None:
+    async def resign(self, held_s: float, *, stand_back_s: float) -> None:
         """Give the place up, so that another host takes it at once.
 
         ``held_s`` is for how long this host's grants may still hold. The next leader
         finds it beside the place, and takes it away when it takes the place: so it
-        is never taken for the word of a leader in between, who was lost.
+        is never taken for the word of a leader in between, who was lost. For
+        ``stand_back_s`` this host does not ask for the place again.
         """
-        self.may_campaign = False
+        self._stands_back_until_s = self._now_s() + stand_back_s
         term = self.term
         if term is None:
             return
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -76,6 +76,7 @@
         now_s: Clock,
     ) -> None:
         self.on_table: Callable[[KeyTable], None] = lambda table: None
+        self.on_isolated: Callable[[], None] = lambda: None
         self.on_written: Callable[[Item], None] = lambda item: None
         self._store = store
         self._leadership = leadership
@@ -93,6 +94,9 @@
         ``held_s`` is what the leader before told of its grants, if it resigned.
         """
         self._gained_s = self._now_s()
+        if not any(row.table.spans for row in self._services.values()):
+            # Nothing is granted without a table in the store.
+            held_s = 0.0
         self._keeper.take_over(self._leadership.heard_s, held_s=held_s)
         for service in self._services.values():
             service.due_s = 0.0
@@ -169,18 +173,19 @@
         is_even_due = now_s >= row.evened_s + EVEN_OUT_EVERY_S
         if not is_even_due and not self._is_changed(row):
             return
+        reached = self._reached(row)
         load = row.demand.load(self._shards)
         if is_even_due:
             row.evened_s = now_s
             row.demand.learn_speeds()
         planned = plan(
             row.table,
-            [_at_its_speed(one, row.demand) for one in row.candidates],
+            [_at_its_speed(one, row.demand) for one in reached],
             load,
             shards=self._shards,
             even_out=is_even_due,
         )
-        row.planned_for = row.candidates
+        row.planned_for = reached
         cleaned = done(planned, self._keeper.moved(row.name))
         if planned is row.table and (
             cleaned is None or not self._is_clean_up_due(row, now_s)
@@ -190,7 +195,21 @@
         self._write(row, cleaned or planned)
 
     def _is_changed(self, row: _Service) -> bool:
-        return row.planned_for is not row.candidates or not row.table.spans
+        return row.planned_for != self._reached(row) or not row.table.spans
+
+    def _reached(self, row: _Service) -> list[Candidate]:
+        """Return the candidates but those that this host can't reach.
+
+        When it can't reach most of them, this host is the one that is cut off: then
+        nothing moves, and somebody else should lead.
+        """
+        lost = self._keeper.unreachable()
+        reached = [one for one in row.candidates if one.holder not in lost]
+        if len(reached) * 2 > len(row.candidates):
+            return reached
+        if row.candidates:
+            self.on_isolated()
+        return list(row.candidates)
 
     def _is_clean_up_due(self, row: _Service, now_s: float) -> bool:
         if row.moved_s is None:
--- a/src/gentianwharf/keyspace/_timing.py
+++ b/src/gentianwharf/keyspace/_timing.py
@@ -3,24 +3,31 @@
 from dataclasses import dataclass
 from typing import final
 
-GRANT_S = 3.5
+GRANT_S = 2.5
 """How long a grant holds while the store answers. A server that is lost keeps its keys
 from being served for so long at the most; a new leader must be found and must have
-renewed all grants within it (last renewal 0.8 s, lease 1.5 s, election and renewal
-below 0.5 s)."""
+renewed all grants within it (last renewal 0.5 s, lease 1.2 s, election and renewal
+below 0.4 s)."""
 
-RENEW_EVERY_S = 0.8
-"""Between a fifth and a quarter of a grant: three renewals may be lost."""
+RENEW_EVERY_S = 0.5
+"""A fifth of a grant: three renewals may be lost."""
 
-RETRY_EVERY_S = 0.4
+UNREACHABLE_S = 1.2
+"""A holder that leaves every order for so long without an answer is taken for lost,
+before its entry lapses: two renewals and a try on a new connection."""
+
+PROBE_EVERY_S = 0.8
+"""An unreachable holder that is still listed is asked for a sign of life so often."""
+
+RETRY_EVERY_S = 0.3
 """When a server did not answer an order: soon enough for a lost packet, and four
 tries before the next renewal is due."""
 
-LEADER_LEASE_S = 1.5
+LEADER_LEASE_S = 1.2
 """The leader's lease in the store. Shorter, and a store that takes half a second for
 an answer would end it; longer, and grants run out before a new leader renews them."""
 
-RENEW_LEASE_EVERY_S = 0.4
+RENEW_LEASE_EVERY_S = 0.3
 """The next renewal does not wait for an answer to the one before: three answers in a
 row may be lost."""
 
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -29,10 +29,13 @@
 class Mirror:
     """Reads everything below a prefix once, then follows its changes.
 
-    Revisions never go back: an item that is older than what is known is passed over.
+    ``on_read`` is called after each reading of everything, when what is not in
+    ``items`` is known not to be there. Revisions never go back: an item that is older
+    than what is known is passed over.
     """
 
     def __init__(self, *, store: Store, prefix: str, reactor: Any, rng: Random) -> None:
+        self.on_read: Callable[[], None] = lambda: None
         self.items: dict[str, Item] = {}
         self.is_current = False
         self.heard_s = float("-inf")
@@ -93,6 +96,7 @@
             self.take(key, item)
         self._revision = page.revision
         self.is_current = True
+        self.on_read()
 
     async def _watch(self) -> None:
         events = await self._store.watch(self._prefix, after_revision=self._revision)
--- a/tests/test_keyspace_keeper.py
+++ b/tests/test_keyspace_keeper.py
@@ -201,6 +201,29 @@
     assert servers[1].holds(5)
 
 
+def test_holder_that_answers_nothing_is_unreachable_until_it_answers() -> None:
+    """A server is cut off, and its keys are served again a second late.
+
+    Its entry lapses only after three heartbeats. When the way is open again it must
+    be asked for a sign of life, or it would never get keys any more.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 16.0)
+    assert not keeper.unreachable()
+    servers[1].is_unreachable = True
+    run_keeper(keeper, clock, 2.0)
+    assert keeper.unreachable() == {holder(1)}
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    run_keeper(keeper, clock, 2.0, look=lambda: _assert_one(servers, 5))
+    assert servers[2].holds(5)
+    servers[1].is_unreachable = False
+    run_keeper(keeper, clock, 1.0)
+    assert not keeper.unreachable()
+
+
 def test_host_that_leads_no_more_gives_no_orders() -> None:
     clock = Clock()
     servers = Servers(clock, 1)
