Move a lost server's shards only as fast as there is room for cold ones

A third of all shards went over at once, and without a handover each takes about four times the work for five seconds.

Room for cold shards now follows from the slots that servers report as free: 0.9 of all less what is used, over three times what is used, at least one server's part of sixteen and at most a half, for as long as the operators' warm-up lasts. Servers that can hand over are emptied at once as before. Evening out comes every 0.5 s.

Ruled out: not moving at all (a dead server's keys would never be served again), and moving only what its own entry's lapse confirms (lapses too in a cut).

--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -356,7 +356,9 @@
     def _follow_configuration(self, configuration: Configuration) -> None:
         keyed = {name for name, one in configuration.services.items() if one.keyed}
         self._keyed.update(keyed)
-        self._planner.set_services(keyed)
+        self._planner.set_services(
+            {name: configuration.services[name].warm_up_s for name in keyed}
+        )
         self._gate.add(
             services=[
                 Service(name=name, keyed=name in keyed, shards=0)
--- a/src/gentianwharf/keyspace/__init__.py
+++ b/src/gentianwharf/keyspace/__init__.py
@@ -4,7 +4,7 @@
 from ._keeper import Keeper
 from ._leadership import Leadership
 from ._orders import Grant, Orders, Release
-from ._plan import Candidate, ShardLoad, plan
+from ._plan import Candidate, Losses, Plan, ShardLoad, plan
 from ._planner import Planner
 from ._table import Holder, KeyTable, Span, decode_table, encode_table
 from ._timing import GrantTiming
@@ -19,7 +19,9 @@
     "KeyTable",
     "Leadership",
     "LoadSeen",
+    "Losses",
     "Orders",
+    "Plan",
     "Planner",
     "Release",
     "ShardLoad",
--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -120,12 +120,12 @@
         row = self._servers.get(server_id)
         return row.speed if row is not None else 1.0
 
-    def busy(self, server_id: str) -> float | None:
-        """Return how many requests a server runs and queues on the average."""
+    def running(self, server_id: str) -> float | None:
+        """Return how many requests a server runs on the average, None if unknown."""
         row = self._servers.get(server_id)
         if row is None or row.answers < 1.0:
             return None
-        return (row.running + row.waiting) / row.answers
+        return row.running / row.answers
 
     def _fade(self) -> None:
         now_s = self._now_s()
--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -169,6 +169,12 @@
             if life.failing_since_s is not None and life.failing_since_s <= latest_s
         )
 
+    def lost(self) -> frozenset[Holder]:
+        """Return the holders that can't hand over what they have."""
+        holders = {row.span.holder for row in self._rows.values()}
+        ended = {one for one in holders if self._has_ended(one)}
+        return self.unreachable() | ended
+
     def moved(self, service: str) -> frozenset[SpanKey]:
         """Return the spans whose former holders are out and whose holder has them."""
         return frozenset(
--- a/src/gentianwharf/keyspace/_plan.py
+++ b/src/gentianwharf/keyspace/_plan.py
@@ -7,6 +7,11 @@
 Shards of a server that leaves are dealt out in pieces to those with the least load for
 their capacity. Beyond that only what evens out a clear difference moves, since each
 move keeps some shards from being served for a moment.
+
+Load pattern: a failure domain is cut off, and a third of all shards with it. They come
+without what their holder knew of them, and take several times the work for some
+seconds; all at once they fill the servers that are left, and nobody is served well.
+Shards of lost servers move only as fast as there is room for that work.
 """
 
 from bisect import bisect_left, bisect_right
@@ -37,6 +42,9 @@
 """The part of all load that is taken as even over all shards: what was not sampled
 lately may be asked for next."""
 
+LEAST_ROOM = 0.01
+"""Of all load: for less a lost server's span is not cut."""
+
 FILLS = 0.7
 """The part of a server's fair load at which one shard counts as filling it."""
 
@@ -111,6 +119,27 @@
         return low
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Losses:
+    """Holders that can't hand over what they have, and how much load may leave them."""
+
+    holders: frozenset[Holder] = frozenset()
+    room: float = 1.0
+
+
+NO_LOSSES = Losses()
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Plan:
+    """A table as it should be, and the load that moves without a handover."""
+
+    table: KeyTable
+    cold_load: float = 0.0
+
+
 def plan(
     table: KeyTable,
     candidates: Sequence[Candidate],
@@ -118,16 +147,17 @@
     *,
     shards: int,
     even_out: bool,
-) -> KeyTable:
+    losses: Losses = NO_LOSSES,
+) -> Plan:
     """Return the table as it should be, the same one where nothing is to change.
 
     Without candidates nothing moves: whoever holds shards may come back.
     """
     if not candidates:
-        return table
+        return Plan(table=table)
     planning = _Planning(table, candidates, load)
     planning.fill_gaps(shards)
-    planning.place_orphans()
+    planning.place_orphans(losses)
     if even_out:
         planning.even_out()
     return planning.result()
@@ -149,6 +179,7 @@
         self._spans: list[Span] = list(table.spans)
         self._token = table.highest_token + 1
         self._changed = False
+        self._cold_load = 0.0
         for_each = load.total / len(candidates)
         self._chance = CHANCE / sqrt(for_each) if for_each else 0.0
         self._carried = {one.holder: 0.0 for one in candidates}
@@ -156,14 +187,15 @@
             if span.holder in self._carried:
                 self._carried[span.holder] += load.of(span.first, span.last)
 
-    def result(self) -> KeyTable:
+    def result(self) -> Plan:
         if not self._changed:
-            return self._table
-        return KeyTable(
+            return Plan(table=self._table)
+        table = KeyTable(
             service=self._table.service,
             highest_token=self._token,
             spans=tuple(in_order(self._spans)),
         )
+        return Plan(table=table, cold_load=self._cold_load)
 
     def fill_gaps(self, shards: int) -> None:
         """Deal out shards that nobody ever held."""
@@ -196,13 +228,29 @@
             self._give(first, end, candidate.holder, former=())
             first = end + 1
 
-    def place_orphans(self) -> None:
+    def place_orphans(self, losses: Losses) -> None:
         """Deal out the shards of servers that no longer take any."""
         orphans = [span for span in self._spans if span.holder not in self._by_holder]
         for span in orphans:
-            self._spans.remove(span)
-            former = _with(span.former, span.holder)
-            self._deal_out(span.first, span.last, former=former)
+            if span.holder in losses.holders:
+                self._place_lost(span, losses.room - self._cold_load)
+            else:
+                self._place(span, span.last)
+
+    def _place_lost(self, span: Span, room: float) -> None:
+        """Deal out as much of a lost server's span as there is room for."""
+        if room < LEAST_ROOM:
+            return
+        last = self._load.cut(span.first, span.last, room)
+        self._cold_load += self._load.of(span.first, last)
+        self._place(span, last)
+
+    def _place(self, span: Span, last: int) -> None:
+        self._spans.remove(span)
+        if last < span.last:
+            self._spans.append(replace(span, first=last + 1))
+        former = _with(span.former, span.holder)
+        self._deal_out(span.first, last, former=former)
 
     def _deal_out(self, first: int, last: int, *, former: tuple[Holder, ...]) -> None:
         most = 1.0 / len(self._by_holder) / PIECES_PER_SERVER
@@ -281,7 +329,7 @@
         span = next(
             (one for one in self._spans if one.first <= shard <= one.last), None
         )
-        if span is None or span.former:
+        if span is None or span.former or span.holder not in self._by_holder:
             return None
         fair = self._by_holder[span.holder].capacity / self._capacity
         is_hot = self._load.of(shard, shard) > fair * FILLS
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -1,6 +1,7 @@
 """What the leader writes: plans each service's table and follows what stands."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import final
 
@@ -19,7 +20,7 @@
 from ._demand import Demand
 from ._keeper import Keeper, done
 from ._leadership import Leadership
-from ._plan import Candidate, plan
+from ._plan import Candidate, Losses, plan
 from ._table import KeyTable, decode_table, encode_table
 
 SETTLE_S = 1.0
@@ -28,8 +29,23 @@
 
 MOST_SETTLE_S = 3.0
 
-EVEN_OUT_EVERY_S = 1.0
-"""As long as it takes to move shards and to count some requests after that."""
+EVEN_OUT_EVERY_S = 0.5
+"""As long as most moves take. What is counted is counted by shards, so that a move in
+between does not make it wrong."""
+
+COLD_COST = 3.0
+"""What a shard without a handover costs more than usual, while it warms up: servers are
+about four times as slow then."""
+
+WARM_UP_S = 5.0
+"""How long that lasts, where the operators don't say."""
+
+FULL = 0.9
+"""Part of all slots in use at which there is no room for cold shards."""
+
+LEAST_COLD, MOST_COLD = 0.06, 0.5
+"""Least and most load that may move without a handover at a time: one server's part of
+sixteen always may, and no more than half ever."""
 
 CLEAN_UP_AFTER_S = 1.0
 """Finished moves are noted in the store together; until then a new leader would only
@@ -58,6 +74,8 @@
     due_s: float = 0.0
     writing: bool = False
     known: set[str] = field(default_factory=set)
+    warm_up_s: float = WARM_UP_S
+    cold: deque[tuple[float, float]] = field(default_factory=deque)
 
 
 @final
@@ -103,15 +121,18 @@
             service.planned_for = None
             self._keeper.follow(service.table)
 
-    def set_services(self, names: Iterable[str]) -> None:
-        """Follow which services are divided by key."""
-        for name in names:
-            if name not in self._services:
+    def set_services(self, warm_ups_s: Mapping[str, float]) -> None:
+        """Follow which services are divided by key, and how long shards warm up."""
+        for name, warm_up_s in warm_ups_s.items():
+            if name in self._services:
+                self._services[name].warm_up_s = warm_up_s
+            else:
                 self._services[name] = _Service(
                     name=name,
                     key=self._prefix + name,
                     demand=Demand(now_s=self._now_s),
                     table=KeyTable(service=name),
+                    warm_up_s=warm_up_s,
                 )
 
     def set_candidates(self, service: str, candidates: Sequence[Candidate]) -> None:
@@ -142,7 +163,8 @@
                 extra={"step": error.step, "peer": error.peer},
             )
             return
-        self.set_services([table.service])
+        if table.service not in self._services:
+            self.set_services({table.service: WARM_UP_S})
         row = self._services[table.service]
         if item.revision > row.revision:
             self._take(row, table, item.revision)
@@ -184,15 +206,27 @@
             load,
             shards=self._shards,
             even_out=is_even_due,
+            losses=self._losses(row, reached, now_s),
         )
         row.planned_for = reached
-        cleaned = done(planned, self._keeper.moved(row.name))
-        if planned is row.table and (
+        if planned.cold_load:
+            row.cold.append((now_s, planned.cold_load))
+        cleaned = done(planned.table, self._keeper.moved(row.name))
+        if planned.table is row.table and (
             cleaned is None or not self._is_clean_up_due(row, now_s)
         ):
             return
         row.moved_s = None
-        self._write(row, cleaned or planned)
+        self._write(row, cleaned or planned.table)
+
+    def _losses(
+        self, row: _Service, reached: Sequence[Candidate], now_s: float
+    ) -> Losses:
+        while row.cold and row.cold[0][0] < now_s - row.warm_up_s:
+            row.cold.popleft()
+        cold = sum(load for _, load in row.cold)
+        room = _room(row.demand, reached) - cold
+        return Losses(holders=self._keeper.lost(), room=room)
 
     def _is_changed(self, row: _Service) -> bool:
         return row.planned_for != self._reached(row) or not row.table.spans
@@ -273,6 +307,31 @@
         self.on_table(table)
 
 
+def _room(demand: Demand, reached: Sequence[Candidate]) -> float:
+    """Return how much of all load may be cold, by the slots that are free.
+
+    >>> from twisted.internet.task import Clock
+    >>> from ._demand import LoadSeen
+    >>> from ._table import Holder
+    >>> demand = Demand(now_s=Clock().seconds)
+    >>> holder = Holder(server_id="s1", born_ms=1, address="10.0.0.1:80")
+    >>> candidates = [Candidate(holder=holder, capacity=6.0)]
+    >>> demand.note_load("s1", LoadSeen(running=30.0, waiting=0.0, answers=10.0))
+    >>> round(_room(demand, candidates), 3)
+    0.267
+    """
+    slots = used = 0.0
+    for one in reached:
+        running = demand.running(one.holder.server_id)
+        if running is not None:
+            slots += one.capacity
+            used += min(one.capacity, running)
+    if not used:
+        return MOST_COLD
+    part = used / slots
+    return min(MOST_COLD, max(LEAST_COLD, (FULL - part) / (COLD_COST * part)))
+
+
 def _at_its_speed(candidate: Candidate, demand: Demand) -> Candidate:
     speed = demand.speed(candidate.holder.server_id)
     return replace(candidate, capacity=candidate.capacity * speed)
