Tell a slow server that is full from a fast one by what it finishes

A server with more than half a request waiting on the average is now judged by what it runs at a time over what it finishes a second. Refusals don't count as finished.

--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -38,6 +38,7 @@
     running: float
     waiting: float
     answers: float
+    ran: float
     quick: float
     quick_s: float
 
@@ -148,11 +149,14 @@
         ``elapsed_s`` is how long the answer took, None for a refusal.
         """
         loads = self._loads.setdefault(server.service, {})
-        row = loads.setdefault(server.id, _Load(0.0, 0.0, 0.0, 0.0, 0.0))
+        row = loads.setdefault(server.id, _Load(0.0, 0.0, 0.0, 0.0, 0.0, 0.0))
         row.running += load.running
         row.waiting += load.waiting
         row.answers += 1
-        if elapsed_s is not None and not load.waiting:
+        if elapsed_s is None:
+            return
+        row.ran += 1
+        if not load.waiting:
             row.quick += 1
             row.quick_s += elapsed_s
 
@@ -284,6 +288,7 @@
                     running=load.running,
                     waiting=load.waiting,
                     answers=load.answers,
+                    ran=load.ran,
                     quick=load.quick,
                     quick_s=load.quick_s,
                 )
--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -4,9 +4,9 @@
 few seconds later. What is counted fades within seconds, so that the hot ones stand out
 soon and are forgotten soon.
 
-How fast a server works follows from how long it took for what it did not let wait:
-servers of one service differ by more than two times, and an equal part fills the slow
-ones while the fast ones idle.
+How fast a server works follows from how long it took for what it did not let wait, and
+for one that is full from how much it finishes: servers of one service differ by more
+than two times, and an equal part fills the slow ones while the fast ones idle.
 """
 
 from collections.abc import Callable, Mapping
@@ -29,6 +29,9 @@
 LEAST_ANSWERS = 8.0
 """Below this many answers nothing is said of a server's speed."""
 
+FULL_WAITING = 0.5
+"""Requests that wait there on the average, from which on a server counts as full."""
+
 MOST_SPEED = 3.0
 """Times the mean speed of all servers, and its inverse the least: what seems further
 off is chance, or a fault that others deal with."""
@@ -41,13 +44,14 @@
 class LoadSeen:
     """What answers of one server said of its load, added up.
 
-    ``quick`` counts those given while nothing waited there, which took ``quick_s``
-    together.
+    ``ran`` counts those of requests that ran, ``quick`` those of them given while
+    nothing waited there, which took ``quick_s`` together.
     """
 
     running: float
     waiting: float
     answers: float
+    ran: float = 0.0
     quick: float = 0.0
     quick_s: float = 0.0
 
@@ -58,11 +62,26 @@
     running: float = 0.0
     waiting: float = 0.0
     answers: float = 0.0
+    ran: float = 0.0
     quick: float = 0.0
     quick_s: float = 0.0
     speed: float = 1.0
     is_measured: bool = False
 
+    def work_s(self) -> float | None:
+        """Return how long a request takes there without waiting, None if unknown.
+
+        A full server lets nearly everything wait; what it runs at a time and how much
+        it finishes tell how long each takes (Little's law). Without that it would be
+        taken for as fast as any, and stay full.
+        """
+        if self.quick >= LEAST_ANSWERS:
+            return self.quick_s / self.quick
+        if self.ran >= LEAST_ANSWERS and self.waiting > self.answers * FULL_WAITING:
+            running = self.running / self.answers
+            return running / (self.ran / MEMORY_S)
+        return None
+
 
 @final
 class Demand:
@@ -88,6 +107,7 @@
         row.running += seen.running
         row.waiting += seen.waiting
         row.answers += seen.answers
+        row.ran += seen.ran
         row.quick += seen.quick
         row.quick_s += seen.quick_s
 
@@ -98,11 +118,8 @@
 
     def learn_speeds(self) -> None:
         """Compare how long the servers take; to be called once in a while."""
-        times = {
-            name: row.quick_s / row.quick
-            for name, row in self._servers.items()
-            if row.quick >= LEAST_ANSWERS
-        }
+        known = {name: row.work_s() for name, row in self._servers.items()}
+        times = {name: time_s for name, time_s in known.items() if time_s is not None}
         if len(times) < 2:
             return
         mean_s = sum(times.values()) / len(times)
@@ -143,5 +160,6 @@
             row.running *= left
             row.waiting *= left
             row.answers *= left
+            row.ran *= left
             row.quick *= left
             row.quick_s *= left
--- a/tests/test_keyspace_demand.py
+++ b/tests/test_keyspace_demand.py
@@ -12,6 +12,7 @@
         running=answers,
         waiting=0,
         answers=answers,
+        ran=answers,
         quick=answers,
         quick_s=answers * each_s,
     )
@@ -54,17 +55,48 @@
     assert demand.speed("unknown") == 1.0
 
 
-def test_answers_that_waited_say_nothing_of_speed() -> None:
-    """A hot key's server is slow because it is full, not because it is slow."""
+def test_server_that_is_full_is_not_taken_for_slow() -> None:
+    """A hot key's server is slow because it is full, not because it is slow.
+
+    It runs six at a time and finishes sixty a second, each within a tenth of a second,
+    though its callers wait for half a second.
+    """
     clock = Clock()
     demand = Demand(now_s=clock.seconds)
-    full = LoadSeen(running=60, waiting=200, answers=10)
-    for _ in range(10):
+    for _ in range(100):
+        demand.note_load("full", LoadSeen(running=36, waiting=120, answers=6, ran=6))
+        demand.note_load("other", quick(6, 0.1))
+        clock.advance(0.1)
+        demand.learn_speeds()
+    assert 0.85 < demand.speed("full") < 1.15
+
+
+def test_slow_server_that_is_full_is_found() -> None:
+    """Families at a slow server wait for a second, and nothing is moved off it.
+
+    All of its answers waited, so none of them says how long the work takes by itself.
+    """
+    clock = Clock()
+    demand = Demand(now_s=clock.seconds)
+    for _ in range(100):
+        demand.note_load("slow", LoadSeen(running=18, waiting=30, answers=3, ran=3))
+        demand.note_load("other", quick(6, 0.1))
+        demand.note_load("another", quick(6, 0.1))
+        clock.advance(0.1)
+        demand.learn_speeds()
+    assert demand.speed("slow") < 0.75
+
+
+def test_refusals_are_no_work() -> None:
+    clock = Clock()
+    demand = Demand(now_s=clock.seconds)
+    for _ in range(100):
+        full = LoadSeen(running=180, waiting=600, answers=30, ran=6)
         demand.note_load("full", full)
-        demand.note_load("other", quick(10, 0.1))
-        clock.advance(1.0)
+        demand.note_load("other", quick(6, 0.1))
+        clock.advance(0.1)
         demand.learn_speeds()
-    assert demand.speed("full") == 1.0
+    assert 0.85 < demand.speed("full") < 1.15
 
 
 def test_first_measure_replaces_the_guess_at_once() -> None:
