Give every order to one life of a server, and to no other

Every grant and release now names the server that is meant (`Expected-Instance`). One that isn't meant answers 421 and does nothing, which also proves that the former one has ended: nobody waits for its grants any more.

Ruled out: a second leader (one term in the log), a token used twice in the table.

--- a/src/gentianwharf/keyspace/__init__.py
+++ b/src/gentianwharf/keyspace/__init__.py
@@ -3,7 +3,7 @@
 from ._demand import Demand, LoadSeen
 from ._keeper import Keeper
 from ._leadership import Leadership
-from ._orders import Grant, Orders, Release
+from ._orders import Grant, HolderEndedError, Orders, Release
 from ._plan import Candidate, Losses, Plan, ShardLoad, plan
 from ._planner import Planner
 from ._table import Holder, KeyTable, Span, decode_table, encode_table
@@ -15,6 +15,7 @@
     "Grant",
     "GrantTiming",
     "Holder",
+    "HolderEndedError",
     "Keeper",
     "KeyTable",
     "Leadership",
--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -20,7 +20,7 @@
 )
 from gentianwharf.logs import log
 
-from ._orders import Grant, Orders, Release
+from ._orders import Grant, HolderEndedError, Orders, Release
 from ._table import Holder, KeyTable, Span
 from ._timing import PROBE_EVERY_S, UNREACHABLE_S, GrantTiming
 
@@ -64,6 +64,7 @@
     on_their_way_until_s: dict[int, float] = field(default_factory=dict)
     orders: set["Deferred[None]"] = field(default_factory=set)
     failing_since_s: float | None = None
+    has_ended: bool = False
     probe: Release | None = None
     probe_due_s: float = 0.0
 
@@ -166,7 +167,8 @@
         return frozenset(
             holder
             for holder, life in self._lives.items()
-            if life.failing_since_s is not None and life.failing_since_s <= latest_s
+            if life.has_ended
+            or (life.failing_since_s is not None and life.failing_since_s <= latest_s)
         )
 
     def lost(self) -> frozenset[Holder]:
@@ -207,7 +209,8 @@
 
         Without one it would be passed over for ever: nothing else is ordered of it.
         """
-        if life.probe is None or life.orders or now_s < life.probe_due_s:
+        is_due = now_s >= life.probe_due_s and not life.orders
+        if life.probe is None or life.has_ended or not is_due:
             return
         life.probe_due_s = now_s + PROBE_EVERY_S
         order = Deferred.fromCoroutine(self._send_probe(holder, life, life.probe))
@@ -215,11 +218,12 @@
 
     async def _send_probe(self, holder: Holder, life: _Life, release: Release) -> None:
         try:
-            await self._orders.release(
-                holder.address, release, timeout_s=GRANT_TIMEOUT_S
-            )
+            await self._orders.release(holder, release, timeout_s=GRANT_TIMEOUT_S)
         except RefusedError:
             life.failing_since_s = None
+        except HolderEndedError:
+            life.has_ended = True
+            return
         except GentianwharfError as error:
             log.debug("no sign of life: {}", error)
         else:
@@ -242,6 +246,8 @@
 
     def _held_until_s(self, holder: Holder) -> float:
         life = self._lives.get(holder)
+        if life is not None and life.has_ended:
+            return 0.0
         known_s = life.surely_until_s() if life is not None else 0.0
         return max(known_s, self._unknown_until_s)
 
@@ -278,9 +284,10 @@
         row.release_tries += 1
         sent_s = self._now_s()
         try:
-            handover = await self._orders.release(
-                holder.address, release, timeout_s=timeout_s
-            )
+            handover = await self._orders.release(holder, release, timeout_s=timeout_s)
+        except HolderEndedError as error:
+            self._note_ended(holder, error)
+            return
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
             self._note_unanswered(holder, sent_s)
@@ -319,7 +326,10 @@
             ended_s=sent_s + GRANT_TIMEOUT_S, duration_s=duration_s
         )
         try:
-            await self._orders.grant(holder.address, grant, timeout_s=GRANT_TIMEOUT_S)
+            await self._orders.grant(holder, grant, timeout_s=GRANT_TIMEOUT_S)
+        except HolderEndedError as error:
+            row.due_s = self._now_s() + self._timing.retry_every_s
+            self._note_ended(holder, error)
         except PeerUnavailableError as error:
             # It never left: a server that can't be reached runs out of its grants
             # although it is asked again and again.
@@ -346,6 +356,12 @@
         finally:
             life.on_their_way_until_s.pop(number, None)
 
+    def _note_ended(self, holder: Holder, error: HolderEndedError) -> None:
+        life = self._life(holder)
+        if not life.has_ended:
+            log.info("server has ended: {}", error, extra={"server": holder.server_id})
+        life.has_ended = True
+
     def _note_unanswered(self, holder: Holder, sent_s: float) -> None:
         life = self._life(holder)
         if life.failing_since_s is None:
--- a/src/gentianwharf/keyspace/_orders.py
+++ b/src/gentianwharf/keyspace/_orders.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass
 from typing import Protocol, final
 
+from gentianwharf.errors import GentianwharfError
+
+from ._table import Holder
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,17 +34,22 @@
     token: int
 
 
+class HolderEndedError(GentianwharfError):
+    """Another server has the holder's address: its grants have ended with it."""
+
+
 class Orders(Protocol):
-    """Gives orders to servers.
+    """Gives orders to servers, each to one life of a server and to no other.
 
     ``PeerUnavailableError``: not received. ``RefusedError``: the server has seen a
-    higher token. ``OutcomeUnknownError``: it may be carried out, perhaps later.
+    higher token. ``HolderEndedError``: another server has the address, and has done
+    nothing. ``OutcomeUnknownError``: it may be carried out, perhaps later.
     """
 
-    async def grant(self, address: str, grant: Grant, *, timeout_s: float) -> None:
+    async def grant(self, holder: Holder, grant: Grant, *, timeout_s: float) -> None:
         """Give shards to a server, or renew its grant."""
 
     async def release(
-        self, address: str, release: Release, *, timeout_s: float
+        self, holder: Holder, release: Release, *, timeout_s: float
     ) -> str | None:
         """Take shards back; returns the handover for their next holder."""
--- a/src/gentianwharf/platform/_orders.py
+++ b/src/gentianwharf/platform/_orders.py
@@ -15,8 +15,9 @@
     RefusedError,
 )
 from gentianwharf.http_agent import BytesBody, ip_agent
-from gentianwharf.keyspace import Grant, Release
+from gentianwharf.keyspace import Grant, Holder, HolderEndedError, Release
 
+from ._dialect import EXPECTED_INSTANCE
 from ._units import encode_time
 
 CONNECT_TIMEOUT_S = 0.5
@@ -27,6 +28,9 @@
 STATUS_STALE = 409
 """The server has seen a higher fencing token on one of the keys."""
 
+STATUS_ANOTHER = 421
+"""Another server than the one that is meant has the address."""
+
 HANDOVER = "handover"
 
 
@@ -35,8 +39,8 @@
     """Gives orders to backend servers over HTTP.
 
     ``PeerUnavailableError``: the server did not get the order. ``RefusedError``: it
-    has seen a higher fencing token. ``OutcomeUnknownError``: it may carry the order
-    out, perhaps seconds later.
+    has seen a higher fencing token. ``HolderEndedError``: another server has the
+    address. ``OutcomeUnknownError``: it may carry the order out, perhaps seconds later.
     """
 
     def __init__(self, *, reactor: Any) -> None:
@@ -49,7 +53,7 @@
             reactor=reactor, pool=pool, connect_timeout_s=CONNECT_TIMEOUT_S
         )
 
-    async def grant(self, address: str, grant: Grant, *, timeout_s: float) -> None:
+    async def grant(self, holder: Holder, grant: Grant, *, timeout_s: float) -> None:
         """Give keys to a server, or renew what it has."""
         body: dict[str, Any] = {
             "from": grant.first,
@@ -59,10 +63,10 @@
         }
         if grant.handover is not None:
             body["handover"] = grant.handover
-        await self._order(address, "grant", body, timeout_s)
+        await self._order(holder, "grant", body, timeout_s)
 
     async def release(
-        self, address: str, release: Release, *, timeout_s: float
+        self, holder: Holder, release: Release, *, timeout_s: float
     ) -> str | None:
         """Take keys back; returns what their next owner needs to serve them fast.
 
@@ -74,14 +78,15 @@
             "target": release.last,
             "fence": release.token,
         }
-        headers = await self._order(address, "release", body, timeout_s)
+        headers = await self._order(holder, "release", body, timeout_s)
         values = headers.getRawHeaders(HANDOVER)
         return values[0] if values else None
 
     async def _order(
-        self, address: str, step: str, body: dict[str, Any], timeout_s: float
+        self, holder: Holder, step: str, body: dict[str, Any], timeout_s: float
     ) -> Headers:
-        asked = Deferred.fromCoroutine(self._ask(address, step, body))
+        address = holder.address
+        asked = Deferred.fromCoroutine(self._ask(holder, step, body))
         # Cancelling resets the connection: what is still on its way is dropped there.
         asked.addTimeout(timeout_s, self._reactor)
         try:
@@ -96,6 +101,12 @@
                 step=step,
                 peer=address,
             ) from error
+        if status == STATUS_ANOTHER:
+            raise HolderEndedError(
+                f"another server has the address of {holder.server_id}",
+                step=step,
+                peer=address,
+            )
         if status == STATUS_STALE:
             raise RefusedError(
                 "the server has seen a higher token", step=step, peer=address
@@ -107,12 +118,19 @@
         return headers
 
     async def _ask(
-        self, address: str, step: str, body: dict[str, Any]
+        self, holder: Holder, step: str, body: dict[str, Any]
     ) -> tuple[int, Headers]:
         response = await self._agent.request(
             b"POST",
-            f"http://{address}/v1/{step}".encode(),
-            Headers({b"Content-Type": [b"application/json"]}),
+            f"http://{holder.address}/v1/{step}".encode(),
+            Headers(
+                {
+                    b"Content-Type": [b"application/json"],
+                    # The address may have passed to another server of the service,
+                    # which must not get its predecessor's keys.
+                    EXPECTED_INSTANCE: [holder.server_id.encode()],
+                }
+            ),
             BytesBody(body=msgspec.json.encode(body)),
         )
         await readBody(response)
--- a/tests/builders_keyspace.py
+++ b/tests/builders_keyspace.py
@@ -17,6 +17,7 @@
     Grant,
     GrantTiming,
     Holder,
+    HolderEndedError,
     Keeper,
     KeyTable,
     Leadership,
@@ -85,6 +86,7 @@
     """
 
     clock: Clock
+    id: str = ""
     drift: float = 1.0
     tokens: dict[int, int] = field(default_factory=dict)
     held: dict[int, tuple[int, float]] = field(default_factory=dict)
@@ -133,9 +135,10 @@
         """Return the addresses of all servers that would run a shard's request."""
         return [name for name, one in self.by_address.items() if one.holds(shard)]
 
-    async def grant(self, address: str, grant: Grant, *, timeout_s: float) -> None:
+    async def grant(self, holder: Holder, grant: Grant, *, timeout_s: float) -> None:
         """Give the order, unless the server is silent."""
-        server = self.by_address[address]
+        address = holder.address
+        server = self._server(holder)
         if server.is_unreachable:
             raise PeerUnavailableError("no way", step="grant", peer=address)
         server.orders.append(grant)
@@ -146,10 +149,11 @@
             await self._lose(timeout_s)
 
     async def release(
-        self, address: str, release: Release, *, timeout_s: float
+        self, holder: Holder, release: Release, *, timeout_s: float
     ) -> str | None:
         """Give the order, unless the server is silent."""
-        server = self.by_address[address]
+        address = holder.address
+        server = self._server(holder)
         if server.is_unreachable:
             raise PeerUnavailableError("no way", step="release", peer=address)
         server.orders.append(release)
@@ -160,6 +164,12 @@
             await self._pause(min(server.release_takes_s, timeout_s))
         return f"handover of {address}"
 
+    def _server(self, holder: Holder) -> GrantingServer:
+        server = self.by_address[holder.address]
+        if server.id and server.id != holder.server_id:
+            raise HolderEndedError("another server", step="order", peer=holder.address)
+        return server
+
     async def _lose(self, timeout_s: float) -> None:
         await self._pause(timeout_s)
         raise OutcomeUnknownError("no answer", step="order", peer="server")
--- a/tests/test_keyspace_keeper.py
+++ b/tests/test_keyspace_keeper.py
@@ -189,6 +189,28 @@
     assert servers[2].holds(5)
 
 
+def test_address_of_an_ended_server_gets_no_grant_for_its_successor() -> None:
+    """Two servers of one service have had the same keys under the same token.
+
+    One ends and another starts at its address before its entry lapses. The renewal
+    meant for the first one goes to the second.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    run_keeper(keeper, clock, 16.0)
+    successor = GrantingServer(clock=clock, id="s9")
+    servers.by_address[holder(1).address] = successor
+    run_keeper(keeper, clock, 2.0)
+    assert not successor.orders
+    assert keeper.unreachable() == {holder(1)}
+    # The first one has ended, and nobody has to wait for its grant.
+    keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
+    run_keeper(keeper, clock, 0.5)
+    assert servers[2].holds(5)
+
+
 def test_grant_without_an_answer_is_sent_again() -> None:
     clock = Clock()
     servers = Servers(clock, 1)
