Follow what servers say of their queues

The limit of a host at an owner followed the times of 24 answers, some seconds at three answers a second.

Now each answer's word on its server's queue lowers that limit by 0.85 above two thirds of the slots and raises it by a quarter of a request below; between servers of a service that is not divided, requests that wait there count half as much as our own.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -134,7 +134,10 @@
     def note_load(
         self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
     ) -> None:
-        """Pass on what a server said of its load."""
+        """Follow what a server said of its load."""
+        self._gate.note_load(
+            server.id, waiting=load.waiting, slots=load.slots, now_s=self._now_s()
+        )
         self.on_load(server, load, elapsed_s)
 
     def forget(self, ticket: Ticket) -> None:
--- a/src/gentianwharf/load/_choose.py
+++ b/src/gentianwharf/load/_choose.py
@@ -44,11 +44,14 @@
 # A cold server comes last among idle ones, but before a second request in flight
 # elsewhere. Dividing by its share instead left it idle while the others refused 10 %.
 COLD_COST = 0.9
+# A request that others have waiting there: whatever is sent now is served after it.
+QUEUE_COST = 0.5
 
 
 def cost_of(state: ServerState, now_s: float) -> float:
     """Return the expected delay, in units of one usual answer."""
     load = len(state.flights) + 1.0 + state.overdue * OVERDUE_COST
+    load += state.queue_now(now_s) * QUEUE_COST
     cost = load * max(1.0, state.ratio / USUAL_RATIO)
     if state.ramp_from_s is not None:
         cost += (1.0 - state.share(now_s)) * COLD_COST
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -179,6 +179,20 @@
         pool = self._registry.set_servers(service, servers, now_s)
         return [] if pool is None else self._serve_waiting(pool, now_s)
 
+    def note_load(
+        self, server_id: str, *, waiting: int, slots: int, now_s: float
+    ) -> None:
+        """Take what a server says of its queue with an answer."""
+        state = self._registry.servers.get(server_id)
+        if state is None:
+            return
+        state.note_queue(waiting, now_s)
+        pool = self._registry.pools.get((state.server.service, server_id))
+        if pool is not None and pool.pinned:
+            pool.limit.note_queue(
+                waiting=waiting, slots=slots, wanted_more=pool.waiting > 0
+            )
+
     def report(self, server_id: str, report: "ServerReport", now_s: float) -> None:
         """Take a server's own word as a hint; only "draining" is believed at once."""
         state = self._registry.servers.get(server_id)
--- a/src/gentianwharf/load/_limit.py
+++ b/src/gentianwharf/load/_limit.py
@@ -34,6 +34,15 @@
 QUICK_SHARE = 0.1
 SLOWER_FACTOR = 0.85
 SHED_FACTOR = 0.7
+FULL_QUEUE = 0.67
+"""A queue of two thirds of the slots is met in two thirds of a service time; a third of
+what callers hope for is left for the work itself."""
+
+QUEUE_FACTOR = 0.85
+QUEUE_GROWTH = 0.25
+"""By answer: ten hosts with a few answers a second each from one server halve what they
+send within half a second, and are back within two."""
+
 GROWTH = 0.1
 # Until answers become slow the limit may double (slow start, as in TCP): two busy hosts
 # of twelve refused some in the second in which they grew by a tenth at a time.
@@ -47,6 +56,9 @@
 class AdaptiveLimit:
     """A limit between the fair share and all slots.
 
+    Servers that tell their queue with each answer need no guess from how long answers
+    take: ``note_queue`` follows them within a few answers.
+
     >>> limit = AdaptiveLimit(fair=4.0, most=48.0)
     >>> def answers(count, elapsed_s):
     ...     for _ in range(count):
@@ -104,6 +116,18 @@
             self._window.clear()
             self._wanted_more = False
 
+    def note_queue(self, *, waiting: int, slots: int, wanted_more: bool) -> None:
+        """Follow what a server says of its queue.
+
+        More than ``FULL_QUEUE`` times its slots waiting there is a wait of about one
+        service time for whatever is sent now, and soon the server turns requests away.
+        """
+        if waiting > slots * FULL_QUEUE:
+            self._growth = GROWTH
+            self.value = max(1.0, self.value * QUEUE_FACTOR)
+        elif not waiting and wanted_more:
+            self.value = min(self.most, self.value + QUEUE_GROWTH)
+
     def note_shed(self) -> None:
         """Lower the limit: a server said that it is full."""
         self.value = max(self.fair / 2, 1.0, self.value * SHED_FACTOR)
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -61,6 +61,8 @@
 # A leaving server's shards need this long to move; other work stops at once.
 LEAVING_GRACE_S = 3.0
 LONGEST_SHED_S = 1.0
+# What a server says of its queue is old after some service times.
+QUEUE_MEMORY_S = 0.5
 
 
 class Standing(StrEnum):
@@ -114,6 +116,8 @@
     listed: bool = True
     draining: bool = False
     shed_until_s: float = 0.0
+    queued: int = 0
+    queued_s: float = 0.0
     answers: int = 0
     forgot_s: float = 0.0
     overdue: int = 0
@@ -200,6 +204,16 @@
         self.probe_at_s = now_s + self.probe_wait_s
         self.good_probes = 0
 
+    def note_queue(self, waiting: int, now_s: float) -> None:
+        """Note how many requests the server said to have waiting."""
+        self.queued = waiting
+        self.queued_s = now_s
+
+    def queue_now(self, now_s: float) -> float:
+        """Return what waits there, as far as its last word still tells."""
+        left = 1.0 - (now_s - self.queued_s) / QUEUE_MEMORY_S
+        return self.queued * left if left > 0 else 0.0
+
     def note_shed(self, now_s: float, wait_s: float) -> None:
         """Believe a server that says it is full, for a bounded time."""
         self.shed_until_s = now_s + min(wait_s, LONGEST_SHED_S)
