Find a key's shard in one place

A rule whose key is the number of its shard was matched by that number and explained, covered and compared by its hash: the same lines stood in five modules. One function serves them all.

--- a/src/gentianwharf/rules/_cover.py
+++ b/src/gentianwharf/rules/_cover.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Iterator, Sequence
 
-from gentianwharf.keys import shard_of
-
 from ._compile import CompiledRule
 from ._index import RuleIndex
+from ._shards import holds, shard_in
 
 
 def covers(earlier: CompiledRule, later: CompiledRule) -> bool:
@@ -60,4 +59,5 @@
 def _takes(rule: CompiledRule, key: str) -> bool:
     if not rule.shards:
         return False
-    return rule.first_shard <= shard_of(key, rule.shards) < rule.end_shard
+    shard = shard_in(rule.source, key, rule.shards)
+    return holds(rule.first_shard, shard, rule.end_shard)
--- a/src/gentianwharf/rules/_explain.py
+++ b/src/gentianwharf/rules/_explain.py
@@ -1,11 +1,10 @@
 """Why a request falls to a rule: for operators, not for the path of requests."""
 
-from gentianwharf.keys import shard_of
-
 from ._compile import CompiledRule
 from ._facts import RequestFacts, read_key
 from ._match import RuleSet
 from ._results import Explanation, PassedOver
+from ._shards import holds, shard_in
 
 
 def explain(rules: RuleSet, facts: RequestFacts) -> Explanation:
@@ -65,8 +64,8 @@
         return [f"key is {key!r}, the rule asks for {rule.key!r}"]
     if not rule.shards:
         return [f"service {rule.rule.then.service} has no shards"]
-    shard = shard_of(key, rule.shards)
-    if rule.first_shard <= shard < rule.end_shard:
+    shard = shard_in(rule.source, key, rule.shards)
+    if holds(rule.first_shard, shard, rule.end_shard):
         return []
     return [
         f"the key's shard is {shard}, the rule holds for shards"
--- a/src/gentianwharf/rules/_match.py
+++ b/src/gentianwharf/rules/_match.py
@@ -5,13 +5,12 @@
 from types import MappingProxyType
 from typing import final
 
-from gentianwharf.keys import shard_of
-
 from ._compile import CompiledRule, compile_rules
 from ._document import KeySource, RuleDocument
 from ._facts import SAFE_METHODS, RequestFacts, RuleMatch, read_key
 from ._index import RuleIndex
 from ._runs import HeaderRun, KeyRun, Step
+from ._shards import holds, shard_in
 from ._sites import ServiceSites
 
 _UNREAD = object()
@@ -41,7 +40,7 @@
     def shard(self, key: str, shards: int) -> int | None:
         if shards != self._shards:
             self._shards = shards
-            self._shard = _shard(self._source, key, shards)
+            self._shard = shard_in(self._source, key, shards)
         return self._shard
 
     def first(self, step: Step) -> CompiledRule | None:
@@ -62,9 +61,7 @@
         if not step.shards:
             return None
         shard = self.shard(key, step.shards)
-        if shard is None:
-            return None
-        return step if step.first_shard <= shard < step.end_shard else None
+        return step if holds(step.first_shard, shard, step.end_shard) else None
 
 
 @final
@@ -108,7 +105,7 @@
         """Return ``match`` with another service of its rule's split."""
         shards = self._shards.get(service, 0)
         source = match.rule.then.key
-        shard = _shard(source, match.key, shards) if match.key and shards else None
+        shard = shard_in(source, match.key, shards) if match.key and shards else None
         return replace(match, service=service, shard=shard)
 
     def site_of(self, service: str, shard: int) -> str | None:
@@ -122,16 +119,6 @@
         return MappingProxyType(sites.single_keys if sites is not None else {})
 
 
-def _shard(source: KeySource | None, key: str, shards: int) -> int | None:
-    """Return the shard of a key; None for a number that is no shard."""
-    if source is None or not source.is_shard:
-        return shard_of(key, shards)
-    if not (key.isascii() and key.isdigit()):
-        return None
-    shard = int(key)
-    return shard if shard < shards else None
-
-
 def _answer(
     rule: CompiledRule, facts: RequestFacts, request_key: _RequestKey
 ) -> RuleMatch:
--- a/src/gentianwharf/rules/_owners.py
+++ b/src/gentianwharf/rules/_owners.py
@@ -10,10 +10,9 @@
 from dataclasses import dataclass
 from typing import final
 
-from gentianwharf.keys import shard_of
-
 from ._compile import CompiledRule
 from ._cover import covers
+from ._shards import holds, shard_in
 
 Shape = tuple[object, ...]
 
@@ -66,17 +65,18 @@
     for start in sorted(edge for edge in {0, *edges} if edge < shards):
         yield f"keys of shard {start}", _holding(rules, start, None)
     for key in dict.fromkeys(one.key for one in rules if one.key is not None):
-        yield f"key {key!r}", _holding(rules, shard_of(key, shards), key)
+        shard = shard_in(rules[0].source, key, shards)
+        yield f"key {key!r}", _holding(rules, shard, key)
 
 
-def _holding(rules: Sequence[CompiledRule], shard: int, key: str | None) -> int:
+def _holding(rules: Sequence[CompiledRule], shard: int | None, key: str | None) -> int:
     holding = 0
     for position, one in enumerate(rules):
         if one.key is None:
-            holds = one.first_shard <= shard < one.end_shard
+            is_held = holds(one.first_shard, shard, one.end_shard)
         else:
-            holds = one.key == key
-        holding |= holds << position
+            is_held = one.key == key
+        holding |= is_held << position
     return holding
 
 
--- /dev/null
+++ b/src/gentianwharf/rules/_shards.py
@@ -0,0 +1,32 @@
+"""The shard that a rule finds a key in."""
+
+from gentianwharf.keys import shard_of
+
+from ._document import KeySource
+
+
+def shard_in(source: KeySource | None, key: str, shards: int) -> int | None:
+    """Return the shard of ``key`` among ``shards``; None for a number that is none.
+
+    >>> shard_in(None, "faculte-des-sciences", 1024)
+    72
+    >>> from ._document import KeyPlace
+    >>> numbered = KeySource(place=KeyPlace.HEADER, name="x-shard", is_shard=True)
+    >>> shard_in(numbered, "72", 1024), shard_in(numbered, "1024", 1024)
+    (72, None)
+    """
+    if source is None or not source.is_shard:
+        return shard_of(key, shards)
+    if not (key.isascii() and key.isdigit()):
+        return None
+    shard = int(key)
+    return shard if shard < shards else None
+
+
+def holds(first_shard: int, shard: int | None, end_shard: int) -> bool:
+    """Say whether there is a shard and it stands from the first up to the end.
+
+    >>> holds(0, 7, 8), holds(0, 8, 8), holds(0, None, 8)
+    (True, False, False)
+    """
+    return shard is not None and first_shard <= shard < end_shard
--- a/src/gentianwharf/rules/_sites.py
+++ b/src/gentianwharf/rules/_sites.py
@@ -7,10 +7,9 @@
 from collections.abc import Sequence
 from typing import final
 
-from gentianwharf.keys import shard_of
-
 from ._compile import CompiledRule
 from ._ranges import ShardRanges
+from ._shards import holds, shard_in
 
 
 @final
@@ -38,10 +37,10 @@
 
 
 def _first_for_key(rules: Sequence[CompiledRule], key: str) -> CompiledRule | None:
-    shard = shard_of(key, rules[0].shards)
+    shard = shard_in(rules[0].source, key, rules[0].shards)
     for one in rules:
         if one.key == key:
             return one
-        if one.key is None and one.first_shard <= shard < one.end_shard:
+        if one.key is None and holds(one.first_shard, shard, one.end_shard):
             return one
     return None
