--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -93,9 +93,7 @@
         ended = load.Outcome(
             kind=_KINDS[outcome], elapsed_s=elapsed_s, retry_after_s=retry_after_s
         )
-        self._apply(
-            self._gate.finished(ticket.request_id, ended, self._now_s(), server.id)
-        )
+        self._apply(self._gate.finished(ticket.id, ended, self._now_s(), server.id))
 
     def server_for_key(self, service: str, key: str) -> BackendServer | None:
         """Return the server that every daemon sends an idempotency key to.
@@ -120,16 +118,14 @@
     async def _decided(
         self, ticket: Ticket, hedge: Hedge, decisions: list[load.Decision]
     ) -> BackendServer:
-        waiting: Deferred[BackendServer] = Deferred(
-            lambda _: self._cancel(ticket.request_id)
-        )
-        self._waiting[ticket.request_id] = waiting
-        self._hedges[ticket.request_id] = hedge
+        waiting: Deferred[BackendServer] = Deferred(lambda _: self._cancel(ticket.id))
+        self._waiting[ticket.id] = waiting
+        self._hedges[ticket.id] = hedge
         self._apply(decisions)
         try:
             return await waiting
         finally:
-            self._waiting.pop(ticket.request_id, None)
+            self._waiting.pop(ticket.id, None)
 
     def note_load(
         self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
@@ -142,11 +138,11 @@
 
     def forget(self, ticket: Ticket) -> None:
         """Forget a request that has had its answer."""
-        self._hedges.pop(ticket.request_id, None)
+        self._hedges.pop(ticket.id, None)
 
-    def _cancel(self, request_id: str) -> None:
-        self._waiting.pop(request_id, None)
-        self._apply(self._gate.cancel(request_id, self._now_s()))
+    def _cancel(self, ticket_id: str) -> None:
+        self._waiting.pop(ticket_id, None)
+        self._apply(self._gate.cancel(ticket_id, self._now_s()))
 
     def _apply(self, decisions: Iterable[load.Decision]) -> None:
         for decision in decisions:
@@ -170,8 +166,8 @@
             )
         )
 
-    def _fire(self, request_id: str, result: Any) -> None:
-        waiting = self._waiting.pop(request_id, None)
+    def _fire(self, ticket_id: str, result: Any) -> None:
+        waiting = self._waiting.pop(ticket_id, None)
         if waiting is None:
             return
         if isinstance(result, Problem):
@@ -198,7 +194,7 @@
 
 def _ticket(ticket: Ticket, owner: BackendServer | None) -> load.Ticket:
     return load.Ticket(
-        id=ticket.request_id,
+        id=ticket.id,
         service=ticket.service,
         request_class=ticket.request_class,
         caller=ticket.caller,
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -47,6 +47,10 @@
 
 # What a server that sheds without naming a time is given.
 DEFAULT_SHED_S = 0.05
+# An answer that is lost sooner was most likely no answer: work takes longer.
+RESET_S = 0.02
+# Some requests end at a full server within this time.
+RESET_SHED_S = 0.1
 
 PoolOf = Callable[[Ticket], Pool]
 
@@ -71,6 +75,11 @@
     if kind is OutcomeKind.SHED:
         pool.limit.note_shed()
         state.note_shed(now_s, outcome.retry_after_s or DEFAULT_SHED_S)
+    elif kind is OutcomeKind.TIMEOUT and outcome.elapsed_s < RESET_S:
+        # Some servers reset connections when they are full. What they reset may have
+        # run: a request that must not repeat is better refused here for a moment.
+        pool.limit.note_shed()
+        state.note_shed(now_s, RESET_SHED_S)
     elif kind in (OutcomeKind.CONNECT_FAILED, OutcomeKind.TIMEOUT):
         _judge(pool, state, flight, MOST_RATIO, now_s)
     elif kind in (OutcomeKind.OK, OutcomeKind.SLOW):
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -127,6 +127,10 @@
             most_connections=self._share_of_connections(server),
         )
         self.servers[server.id] = state
+        pool = self.pools.get((server.service, server.id))
+        if pool is not None:
+            # It was here before, and requests may still wait for it.
+            pool.set_states([state])
         return state
 
     def _make_pool(
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -84,6 +84,7 @@
         self._keyed = keyed
         self._reactor = reactor
         self._rng = rng
+        self._served = 0
         self._dialect = dialect or OwnDialect()
         self.splitter = Splitter()
         self._repeats = Repeats(now_s=reactor.seconds)
@@ -162,8 +163,10 @@
         left_s = self._dialect.time_left_s(request.requestHeaders)
         if left_s is not None:
             deadline_ms = min(deadline_ms, int(left_s * 1000))
+        self._served += 1
         return Ticket(
             request_id=request_id,
+            serial=self._served,
             service=match.service,
             request_class=match.request_class,
             caller=_caller_of(request),
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -25,6 +25,17 @@
     shard: int | None
     deadline_s: float
     repeatable: bool
+    serial: int = 0
+
+    @property
+    def id(self) -> str:
+        """What tells the request from every other one on this host.
+
+        Callers may name their requests themselves, and send one again under its name
+        while the first is still being served: without a number of this host's own, the
+        end of one would be taken for the other's.
+        """
+        return f"{self.request_id}/{self.serial}" if self.serial else self.request_id
 
 
 @final
--- a/tests/test_load_queues.py
+++ b/tests/test_load_queues.py
@@ -86,3 +86,34 @@
     chosen = [gate.submit(ticket(n, owner=None), 11.0) for n in range(2)]
     servers = {one.server for one in chosen if isinstance(one, Start)}
     assert servers == {"s0", "s1"}
+
+
+def test_server_that_resets_at_once_gets_nothing_that_must_not_repeat() -> None:
+    """An editor's issue is sent to a server that is full, and nobody knows its fate.
+
+    The server resets connections when its queue is full. Refused by the router the
+    upload can be sent again, reset by the server it can't.
+    """
+    gate = make_gate(keyed=True)
+    gate.submit(ticket(99, owner="s0"), 5.0)
+    gate.finished("99", Outcome(kind=OutcomeKind.TIMEOUT, elapsed_s=0.003), 5.003)
+    assert not isinstance(gate.submit(ticket(1, owner="s0"), 5.01), Start)
+    assert isinstance(gate.submit(ticket(2, owner="s0"), 5.2), Start)
+
+
+def test_server_that_leaves_the_list_and_returns_is_one_server() -> None:
+    """Every request for some keys gets a fault of the router, until it restarts.
+
+    Their server was gone from the list for a moment, as after an outage of the store,
+    and had nothing in flight. Back on the list it was another row than the one that
+    its requests were still counted in.
+    """
+    gate = make_gate(keyed=True)
+    gate.submit(ticket(1, owner="s0"), 1.0)
+    gate.finished("1", Outcome(kind=OutcomeKind.OK, elapsed_s=0.1), 1.1)
+    gate.set_servers("roster", [], 1.2)
+    gate.set_servers("roster", [server(0)], 1.21)
+    assert isinstance(gate.submit(ticket(2, owner="s0"), 1.3), Start)
+    assert [one.in_flight for one in gate.snapshot().servers] == [1]
+    gate.finished("2", Outcome(kind=OutcomeKind.OK, elapsed_s=0.1), 1.4)
+    assert [one.in_flight for one in gate.snapshot().servers] == [0]
