--- a/src/gentianwharf/logs/_bounded.py
+++ b/src/gentianwharf/logs/_bounded.py
@@ -20,9 +20,29 @@
 MOST_WAITING_BYTES = 256 * 1024
 """Kept for a reader that is slow, some thousand lines; later ones are dropped."""
 
+REQUEST_FIELD = '"request_id":'
+
 Clock = Callable[[], float]
 
 
+@final
+class _Ceiling:
+    """A token bucket of lines."""
+
+    def __init__(self, now_s: float) -> None:
+        self._allowed = BURST_LINES
+        self._counted_s = now_s
+
+    def take(self, now_s: float) -> bool:
+        gained = (now_s - self._counted_s) * LINES_PER_S
+        self._counted_s = now_s
+        self._allowed = min(BURST_LINES, self._allowed + gained)
+        if self._allowed < 1.0:
+            return False
+        self._allowed -= 1.0
+        return True
+
+
 @final
 class BoundedWriter:
     """Writes lines while there is room, counts what it leaves out, and says so.
@@ -36,14 +56,20 @@
         self._fileno = fileno
         self._now_s = now_s
         self._waiting = bytearray()
-        self._allowed = BURST_LINES
-        self._counted_s = now_s()
+        self._requests = _Ceiling(now_s())
+        self._others = _Ceiling(now_s())
         self._told = 0
         os.set_blocking(fileno, False)
 
     def write(self, text: str) -> int:
-        """Take one line."""
-        if not self._is_allowed() or len(self._waiting) > MOST_WAITING_BYTES:
+        """Take one line.
+
+        Lines about requests, which name one, and all others have a ceiling each: in a
+        burst of refusals the one line that tells why must not be left out.
+        """
+        ceiling = self._requests if REQUEST_FIELD in text else self._others
+        is_allowed = ceiling.take(self._now_s())
+        if not is_allowed or len(self._waiting) > MOST_WAITING_BYTES:
             self.dropped += 1
             return len(text)
         if self.dropped > self._told:
@@ -64,16 +90,6 @@
                 return
             del self._waiting[:written]
 
-    def _is_allowed(self) -> bool:
-        now_s = self._now_s()
-        gained = (now_s - self._counted_s) * LINES_PER_S
-        self._counted_s = now_s
-        self._allowed = min(BURST_LINES, self._allowed + gained)
-        if self._allowed < 1.0:
-            return False
-        self._allowed -= 1.0
-        return True
-
     def _told_line(self) -> bytes:
         missing = self.dropped - self._told
         self._told = self.dropped
