--- a/tests/builders_keyspace.py
+++ b/tests/builders_keyspace.py
@@ -1,7 +1,9 @@
 """Servers that enforce grants, a store and a clock, for tests of ``keyspace``."""
 
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import cast
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -31,6 +33,7 @@
     Item,
     LeaseEndedError,
     Page,
+    Store,
 )
 
 SHARDS = 1000
@@ -94,6 +97,7 @@
     is_silent: bool = False
     is_unreachable: bool = False
     loses_answers: bool = False
+    late_s: float = 0.0
     orders: list[Grant | Release] = field(default_factory=list)
 
     def holds(self, shard: int) -> bool:
@@ -101,12 +105,14 @@
         _, until_s = self.held.get(shard, (0, 0.0))
         return self.clock.seconds() < until_s
 
-    def take_grant(self, grant: Grant) -> None:
-        """Carry a grant out, or refuse it."""
+    def take_grant(self, grant: Grant, arrived_s: float | None = None) -> None:
+        """Carry a grant out, or refuse it; its time counts from its arrival."""
         shards = range(grant.first, grant.last + 1)
         if any(self.tokens.get(one, 0) > grant.token for one in shards):
             raise RefusedError("higher token", step="grant", peer="server")
-        until_s = self.clock.seconds() + grant.duration_s * self.drift
+        if arrived_s is None:
+            arrived_s = self.clock.seconds()
+        until_s = arrived_s + grant.duration_s * self.drift
         for one in shards:
             self.tokens[one] = grant.token
             self.held[one] = (grant.token, until_s)
@@ -144,6 +150,11 @@
         server.orders.append(grant)
         if server.is_silent:
             await self._lose(timeout_s)
+        if server.late_s:
+            self.clock.callLater(
+                server.late_s, self._take_late, server, grant, self.clock.seconds()
+            )
+            await self._lose(timeout_s)
         server.take_grant(grant)
         if server.loses_answers:
             await self._lose(timeout_s)
@@ -164,6 +175,12 @@
             await self._pause(min(server.release_takes_s, timeout_s))
         return f"handover of {address}"
 
+    def _take_late(
+        self, server: GrantingServer, grant: Grant, arrived_s: float
+    ) -> None:
+        with suppress(RefusedError):
+            server.take_grant(grant, arrived_s)
+
     def _server(self, holder: Holder) -> GrantingServer:
         server = self.by_address[holder.address]
         if server.id and server.id != holder.server_id:
@@ -345,6 +362,21 @@
         return 0.5
 
 
+class HostStore:
+    """One host's way to the store, which may be cut."""
+
+    def __init__(self, store: SimpleStore) -> None:
+        self.store = store
+        self.is_cut = False
+
+    def __getattr__(self, name: str) -> object:
+        """Return a call of the store's, or one that fails while the way is cut."""
+        return self._refuse if self.is_cut else getattr(self.store, name)
+
+    async def _refuse(self, *args: object, **kwargs: object) -> None:
+        raise PeerUnavailableError("cut off", step="call", peer="store")
+
+
 @dataclass
 class LeadingHost:
     """One host's leadership, planner and keeper, wired as an entry host does it."""
@@ -353,11 +385,13 @@
     store: SimpleStore
     servers: Servers
     hears_store: bool = True
+    way: HostStore | None = None
 
     def __post_init__(self) -> None:
         clock = self.store.clock
+        store = cast(Store, self.way or self.store)
         self.leadership = Leadership(
-            store=self.store,
+            store=store,
             key=LEADER_KEY,
             resigned_key=RESIGNED_KEY,
             value=self.name.encode(),
@@ -366,7 +400,7 @@
         )
         self.keeper = Keeper(orders=self.servers, timing=TIMING, now_s=clock.seconds)
         self.planner = Planner(
-            store=self.store,
+            store=store,
             leadership=self.leadership,
             leader_key=LEADER_KEY,
             table_prefix=TABLE_PREFIX,
@@ -391,6 +425,20 @@
         elif key == TABLE_KEY and item is not None:
             self.planner.note_table(item)
 
+    def cut(self) -> None:
+        """Lose the way to the store."""
+        assert self.way is not None
+        self.way.is_cut = True
+        self.hears_store = False
+
+    def heal(self) -> None:
+        """Find the way again, and learn what is there."""
+        assert self.way is not None
+        self.way.is_cut = False
+        self.hears_store = True
+        for key in (LEADER_KEY, RESIGNED_KEY, TABLE_KEY):
+            self.note_item(key, self.store.items_by_key.get(key))
+
     def tick(self) -> None:
         """Do what is due."""
         self.leadership.tick()
