Move no shards between servers that are far from full

A server gives shards away only when it would use more than 0.6 of its slots, by the slots that servers report in use; one that joined still gets some. Finished moves are noted after 3 s instead of 1 s.

--- a/src/gentianwharf/keyspace/_plan.py
+++ b/src/gentianwharf/keyspace/_plan.py
@@ -35,6 +35,14 @@
 """Standard deviations by which a server's count must differ as well: of forty requests
 in sight, every other server has six more or less than its part by chance."""
 
+FULL = 0.6
+"""Part of its slots that a server may use before it gives shards away: up to there
+hardly anything waits, and each move costs every host a call to the store."""
+
+NEWCOMER = 0.15
+"""Load below the mean at which a server is sent shards though none is full: it joined
+just now, and would be idle when it is needed."""
+
 START_BELOW = 0.6
 """Load below the mean at which a server is sent shards, as after it joined."""
 
@@ -147,15 +155,17 @@
     *,
     shards: int,
     even_out: bool,
+    used: float = 1.0,
     losses: Losses = NO_LOSSES,
 ) -> Plan:
     """Return the table as it should be, the same one where nothing is to change.
 
+    ``used`` is the part of all slots that are in use, 1 where that is not known.
     Without candidates nothing moves: whoever holds shards may come back.
     """
     if not candidates:
         return Plan(table=table)
-    planning = _Planning(table, candidates, load)
+    planning = _Planning(table, candidates, load, used=used)
     planning.fill_gaps(shards)
     planning.place_orphans(losses)
     if even_out:
@@ -168,9 +178,15 @@
     """One round over a service's spans."""
 
     def __init__(
-        self, table: KeyTable, candidates: Sequence[Candidate], load: ShardLoad
+        self,
+        table: KeyTable,
+        candidates: Sequence[Candidate],
+        load: ShardLoad,
+        *,
+        used: float,
     ) -> None:
         self._table = table
+        self._used = used
         self._load = load
         self._by_holder: Mapping[Holder, Candidate] = {
             one.holder: one for one in candidates
@@ -300,11 +316,17 @@
             most = max(busiest, key=self._busyness)
             above = self._busyness(most)
             below = self._busyness(least)
-            if above < START_ABOVE + self._chance and below > START_BELOW:
+            is_uneven = above > START_ABOVE + self._chance
+            is_full = above * self._used > FULL
+            if not (is_uneven and is_full) and below > self._least():
                 return
             if most == least or not self._move(most, least, above, below):
                 stuck.add(most)
 
+    def _least(self) -> float:
+        """Return how little a server may have before it is sent shards."""
+        return START_BELOW if self._used > FULL * START_BELOW else NEWCOMER
+
     def _place_hottest(self) -> None:
         """Let the fastest server have a shard that fills a server by itself.
 
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -43,13 +43,16 @@
 FULL = 0.9
 """Part of all slots in use at which there is no room for cold shards."""
 
+UNKNOWN_USED = 0.5
+LEAST_USED = 0.05
+
 LEAST_COLD, MOST_COLD = 0.06, 0.5
 """Least and most load that may move without a handover at a time: one server's part of
 sixteen always may, and no more than half ever."""
 
-CLEAN_UP_AFTER_S = 1.0
-"""Finished moves are noted in the store together; until then a new leader would only
-release once more what has been released."""
+CLEAN_UP_AFTER_S = 3.0
+"""Finished moves are noted in the store together, each note being a paid call of every
+host; until then a new leader would only release once more what has been released."""
 
 WRITE_AGAIN_S = 0.3
 
@@ -206,6 +209,7 @@
             load,
             shards=self._shards,
             even_out=is_even_due,
+            used=_used_part(row.demand, reached),
             losses=self._losses(row, reached, now_s),
         )
         row.planned_for = reached
@@ -320,16 +324,19 @@
     >>> round(_room(demand, candidates), 3)
     0.267
     """
+    part = _used_part(demand, reached)
+    return min(MOST_COLD, max(LEAST_COLD, (FULL - part) / (COLD_COST * part)))
+
+
+def _used_part(demand: Demand, reached: Sequence[Candidate]) -> float:
+    """Return the part of all slots in use, a half while nothing is known."""
     slots = used = 0.0
     for one in reached:
         running = demand.running(one.holder.server_id)
         if running is not None:
             slots += one.capacity
             used += min(one.capacity, running)
-    if not used:
-        return MOST_COLD
-    part = used / slots
-    return min(MOST_COLD, max(LEAST_COLD, (FULL - part) / (COLD_COST * part)))
+    return max(used / slots, LEAST_USED) if slots else UNKNOWN_USED
 
 
 def _at_its_speed(candidate: Candidate, demand: Demand) -> Candidate:
--- a/tests/test_keyspace_plan.py
+++ b/tests/test_keyspace_plan.py
@@ -16,6 +16,7 @@
     *candidates: Candidate,
     load: ShardLoad = EVEN,
     even_out: bool = False,
+    used: float = 1.0,
     losses: Losses | None = None,
 ) -> KeyTable:
     return plan(
@@ -24,6 +25,7 @@
         load,
         shards=SHARDS,
         even_out=even_out,
+        used=used,
         losses=losses or Losses(),
     ).table
 
@@ -207,3 +209,23 @@
     before = table(span(0, 499, 1), span(500, 999, 2))
     after = planned(before, candidate(2), losses=Losses(room=0.0))
     assert shards_of(after, 2) == SHARDS
+
+
+def test_nothing_is_evened_out_while_no_server_is_full() -> None:
+    """On a calm day shards move every second, and each move costs a call of each host.
+
+    Chance makes some servers busier than others; none of them is full.
+    """
+    before = table(span(0, 699, 1), span(700, 999, 2))
+    servers = [candidate(1), candidate(2)]
+    load = ShardLoad(counts=dict.fromkeys(range(SHARDS), 1.0), shards=SHARDS)
+    assert planned(before, *servers, load=load, even_out=True, used=0.3) is before
+    after = planned(before, *servers, load=load, even_out=True, used=0.8)
+    assert shards_of(after, 1) < 600
+
+
+def test_newcomer_gets_shards_on_a_calm_day_too() -> None:
+    before = table(span(0, 499, 1), span(500, 999, 2))
+    servers = [candidate(1), candidate(2), candidate(3)]
+    after = planned(before, *servers, even_out=True, used=0.2)
+    assert shards_of(after, 3) > 150
