Read settings again on SIGHUP; parts of the new files in rooms of their own

A settings file that doesn't fit leaves the old settings, with a line; one line tells what changed. A watch waits 0.25 s after an answer instead of 0.15: starts and releases bring changes in rows, and each answer is paid by every host.

--- /dev/null
+++ b/src/gentianwharf/entryhost/_entities.py
@@ -0,0 +1,30 @@
+"""A listed server in the words of those who deal with it."""
+
+from gentianwharf.keyspace import Candidate, Holder
+from gentianwharf.platform import ServerEntry
+from gentianwharf.topology import BackendServer
+
+
+def server_of(entry: ServerEntry, connections: int) -> BackendServer:
+    """Return a server as the relay and the gate know it.
+
+    ``connections`` is what it accepts from all hosts together.
+    """
+    return BackendServer(
+        id=entry.id,
+        service=entry.service,
+        domain=entry.domain,
+        address=entry.address,
+        slots=entry.slots,
+        connections=connections,
+    )
+
+
+def holder_of(entry: ServerEntry) -> Holder:
+    """Return the life of a server that an entry tells of."""
+    return Holder(server_id=entry.id, born_ms=entry.born_ms, address=entry.address)
+
+
+def candidate_of(entry: ServerEntry) -> Candidate:
+    """Return a server as one that may hold shards."""
+    return Candidate(holder=holder_of(entry), capacity=float(entry.slots))
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -1,6 +1,7 @@
 """An entry host: everything it is made of, started and stopped together."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import fields
 from random import Random, SystemRandom
 from typing import Any, final
 
@@ -9,9 +10,7 @@
 
 from gentianwharf.admission import GateAdmission
 from gentianwharf.keyspace import (
-    Candidate,
     GrantTiming,
-    Holder,
     Keeper,
     Leadership,
     LoadSeen,
@@ -29,7 +28,6 @@
     HostSettings,
     PlatformDialect,
     PlatformStore,
-    ServerEntry,
     ServerOrders,
 )
 from gentianwharf.relay import (
@@ -44,17 +42,14 @@
 
 from ._classes import class_of
 from ._directory import Directory, takes_work
+from ._entities import candidate_of, holder_of, server_of
 from ._keys import KeyHolders
 from ._metrics import METRICS_PORT, HostMetrics, metrics_site
 from ._observer import AnswerLog
 from ._peers import Peers
 from ._readiness import readiness_site
 from ._rules import RulesInForce
-
-OWN_PREFIX = "gentianwharf/"
-LEADER_KEY = OWN_PREFIX + "leader"
-RESIGNED_KEY = OWN_PREFIX + "resigned"
-TABLE_PREFIX = OWN_PREFIX + "keys/"
+from ._store_keys import LEADER_KEY, RESIGNED_KEY, TABLE_PREFIX
 
 CONTROL_TICK_S = 0.05
 GATE_TICK_S = 0.02
@@ -197,26 +192,15 @@
 
     def _add_gauges(self) -> None:
         add = self.metrics.add
-        add(
-            "leads",
-            "Whether this host leads",
-            lambda: self._leadership.term is not None,
-        )
+        leadership, mirror, rules = self._leadership, self._mirror, self._rules
+        add("leads", "Whether this host leads", lambda: float(leadership.leads))
         add("hosts", "Hosts that report to the leader", lambda: self._hosts)
-        add("store_age_seconds", "Since the store was heard", self._store_age_s)
-        add("rules_version", "Version of the rules in force", self._rules_version)
+        add("store_age_seconds", "Since the store was heard", mirror.silent_s)
+        add("rules_version", "Version of the rules in force", lambda: rules.version)
         add("in_flight", "Requests being served", lambda: len(self.relay.in_flight))
         add("callers", "Callers' connections", lambda: len(self._site.channels))
         add("servers", "Backend servers in use", lambda: len(self._servers))
 
-    def _store_age_s(self) -> float:
-        lost_s = self._mirror.lost_s
-        return 0.0 if lost_s is None else float(self._reactor.seconds() - lost_s)
-
-    def _rules_version(self) -> float:
-        configuration = self._rules.configuration
-        return 0.0 if configuration is None else float(configuration.version)
-
     # Start and stop.
 
     def start(self) -> None:
@@ -238,6 +222,20 @@
         ip, _, port = address.rpartition(":")
         return self._reactor.listenTCP(int(port), site, backlog=BACKLOG, interface=ip)
 
+    def take_settings(self, settings: HostSettings) -> None:
+        """Use settings that were read again.
+
+        Addresses, the failure domain and the store stay as they were at the start:
+        the platform restarts a host for these.
+        """
+        changed = [
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        log.info("settings read again", extra={"changed": changed})
+        self.settings = settings
+
     def is_ready(self) -> bool:
         """Whether a request of each service could be served here."""
         if self.shutdown.phase is not Phase.SERVING:
@@ -378,7 +376,7 @@
             return
         connections = configuration.services[service].connections
         usable = self._directory.usable(service)
-        servers = [_server(one, connections) for one in usable]
+        servers = [server_of(one, connections) for one in usable]
         for name in [
             one.id for one in self._servers.values() if one.service == service
         ]:
@@ -391,30 +389,11 @@
                 pool.share_with(self._hosts)
                 self.relay.connections[server.id] = pool
         self._admission.set_servers(service, servers)
-        self._keeper.note_listed(_holder(one) for one in self._directory.all())
+        self._keeper.note_listed(holder_of(one) for one in self._directory.all())
         if service in self._keyed:
             # One in doubt keeps its keys until it is sure that it is gone.
             listed = self._directory.entries(service)
             self._planner.set_candidates(
-                service, [_candidate(one) for one in listed if takes_work(one)]
+                service, [candidate_of(one) for one in listed if takes_work(one)]
             )
             self._keys.wake(service)
-
-
-def _server(entry: ServerEntry, connections: int) -> BackendServer:
-    return BackendServer(
-        id=entry.id,
-        service=entry.service,
-        domain=entry.domain,
-        address=entry.address,
-        slots=entry.slots,
-        connections=connections,
-    )
-
-
-def _holder(entry: ServerEntry) -> Holder:
-    return Holder(server_id=entry.id, born_ms=entry.born_ms, address=entry.address)
-
-
-def _candidate(entry: ServerEntry) -> Candidate:
-    return Candidate(holder=_holder(entry), capacity=float(entry.slots))
--- a/src/gentianwharf/entryhost/_main.py
+++ b/src/gentianwharf/entryhost/_main.py
@@ -40,11 +40,23 @@
     host.start()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: _ask_to_stop(host))
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.signal(signal.SIGHUP, lambda *_: _ask_to_reload(host, path))
     freeze_objects()
     cast(Any, reactor).run(installSignalHandlers=False)
 
 
+def reload_settings(host: EntryHost, path: Path) -> None:
+    """Read the settings again; those that don't fit change nothing."""
+    try:
+        host.take_settings(read_host_settings(path))
+    except InputError as error:
+        logs.log.error("settings not taken: {}", error)
+
+
+def _ask_to_reload(host: EntryHost, path: Path) -> None:
+    cast(Any, reactor).callFromThread(reload_settings, host, path)
+
+
 def _ask_to_stop(host: EntryHost) -> None:
     # A signal may come in the middle of anything: the loop takes it up.
     cast(Any, reactor).callFromThread(host.shutdown.ask)
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -29,6 +29,11 @@
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
         self._rules: RuleSet | None = None
 
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return self.configuration.version if self.configuration else 0
+
     def note_item(self, item: Item | None) -> None:
         """Follow the configuration in the store; what doesn't fit changes nothing."""
         if item is None:
--- a/src/gentianwharf/keyspace/__init__.py
+++ b/src/gentianwharf/keyspace/__init__.py
@@ -4,8 +4,9 @@
 from ._keeper import Keeper
 from ._leadership import Leadership
 from ._orders import Grant, HolderEndedError, Orders, Release
-from ._plan import Candidate, Losses, Plan, ShardLoad, plan
+from ._plan import Candidate, Losses, Plan, plan
 from ._planner import Planner
+from ._shard_load import ShardLoad
 from ._table import Holder, KeyTable, Span, decode_table, encode_table
 from ._timing import GrantTiming
 
--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -14,7 +14,7 @@
 from math import exp
 from typing import final
 
-from ._plan import ShardLoad
+from ._shard_load import ShardLoad
 
 MEMORY_S = 2.0
 """Time constant of what is counted: some hundred requests of a service of hundreds a
--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import final
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -21,6 +20,7 @@
 from gentianwharf.logs import log
 
 from ._orders import Grant, HolderEndedError, Orders, Release
+from ._rows import Life, Row
 from ._table import Holder, KeyTable, Span
 from ._timing import PROBE_EVERY_S, UNREACHABLE_S, GrantTiming
 
@@ -37,42 +37,6 @@
 SpanKey = tuple[str, int, int, int]
 
 
-@final
-@dataclass(kw_only=True, slots=True, eq=False)
-class _Row:
-    """One span and how far it is granted."""
-
-    service: str
-    span: Span
-    former: list[Holder]
-    handover: str | None = None
-    granted: bool = False
-    due_s: float = 0.0
-    ordering: bool = False
-    release_tries: int = 0
-    refused: int = 0
-    failing: bool = False
-    gone: bool = False
-
-
-@final
-@dataclass(kw_only=True, slots=True)
-class _Life:
-    """What one life of a server may hold, as far as this host knows."""
-
-    held_until_s: float
-    on_their_way_until_s: dict[int, float] = field(default_factory=dict)
-    orders: set["Deferred[None]"] = field(default_factory=set)
-    failing_since_s: float | None = None
-    has_ended: bool = False
-    probe: Release | None = None
-    probe_due_s: float = 0.0
-
-    def surely_until_s(self) -> float:
-        """Return when no grant that was sent can hold any more."""
-        return max([self.held_until_s, *self.on_their_way_until_s.values()])
-
-
 @final
 class Keeper:
     """Grants and renews what the tables say, from taking over until it is stopped."""
@@ -81,8 +45,8 @@
         self._orders = orders
         self._timing = timing
         self._now_s = now_s
-        self._rows: dict[SpanKey, _Row] = {}
-        self._lives: dict[Holder, _Life] = {}
+        self._rows: dict[SpanKey, Row] = {}
+        self._lives: dict[Holder, Life] = {}
         self._unknown_until_s = 0.0
         self._heard_s = 0.0
         self._grants_sent = 0
@@ -140,7 +104,7 @@
             known = self._rows.get(key)
             if known is None or known.span.holder != span.holder:
                 former = [one for one in span.former if not self._has_ended(one)]
-                self._rows[key] = _Row(service=table.service, span=span, former=former)
+                self._rows[key] = Row(service=table.service, span=span, former=former)
 
     def note_listed(self, listed: Iterable[Holder]) -> None:
         """Follow which servers are listed: they tell of others that have ended.
@@ -204,7 +168,7 @@
         for holder in self.unreachable():
             self._probe(holder, self._lives[holder], now_s)
 
-    def _probe(self, holder: Holder, life: _Life, now_s: float) -> None:
+    def _probe(self, holder: Holder, life: Life, now_s: float) -> None:
         """Ask a holder that lost its shards for a sign of life.
 
         Without one it would be passed over for ever: nothing else is ordered of it.
@@ -216,7 +180,7 @@
         order = Deferred.fromCoroutine(self._send_probe(holder, life, life.probe))
         self._track(life, order)
 
-    async def _send_probe(self, holder: Holder, life: _Life, release: Release) -> None:
+    async def _send_probe(self, holder: Holder, life: Life, release: Release) -> None:
         try:
             await self._orders.release(holder, release, timeout_s=GRANT_TIMEOUT_S)
         except RefusedError:
@@ -231,7 +195,7 @@
         if life.failing_since_s is None:
             log.info("server reached again", extra={"server": holder.server_id})
 
-    def _advance(self, row: _Row, now_s: float) -> None:
+    def _advance(self, row: Row, now_s: float) -> None:
         for one in list(row.former):
             if now_s >= self._held_until_s(one):
                 row.former.remove(one)
@@ -251,12 +215,12 @@
         known_s = life.surely_until_s() if life is not None else 0.0
         return max(known_s, self._unknown_until_s)
 
-    def _start(self, row: _Row, holder: Holder, order: Deferred[None]) -> None:
+    def _start(self, row: Row, holder: Holder, order: Deferred[None]) -> None:
         row.ordering = True
         self._track(self._life(holder), order)
         order.addBoth(lambda _: setattr(row, "ordering", False))
 
-    def _track(self, life: _Life, order: "Deferred[None]") -> None:
+    def _track(self, life: Life, order: "Deferred[None]") -> None:
         life.orders.add(order)
 
         def ended(result: object) -> None:
@@ -266,13 +230,13 @@
 
         order.addBoth(ended)
 
-    def _life(self, holder: Holder) -> _Life:
-        return self._lives.setdefault(holder, _Life(held_until_s=0.0))
+    def _life(self, holder: Holder) -> Life:
+        return self._lives.setdefault(holder, Life(held_until_s=0.0))
 
-    def _release(self, row: _Row, holder: Holder) -> "Deferred[None]":
+    def _release(self, row: Row, holder: Holder) -> "Deferred[None]":
         return Deferred.fromCoroutine(self._send_release(row, holder))
 
-    async def _send_release(self, row: _Row, holder: Holder) -> None:
+    async def _send_release(self, row: Row, holder: Holder) -> None:
         span = row.span
         release = Release(first=span.first, last=span.last, token=span.token)
         timeout_s = min(
@@ -303,10 +267,10 @@
         if not row.gone and self._leading:
             self._advance(row, self._now_s())
 
-    def _grant(self, row: _Row) -> "Deferred[None]":
+    def _grant(self, row: Row) -> "Deferred[None]":
         return Deferred.fromCoroutine(self._send_grant(row))
 
-    async def _send_grant(self, row: _Row) -> None:
+    async def _send_grant(self, row: Row) -> None:
         span, holder = row.span, row.span.holder
         sent_s = self._now_s()
         duration_s = self._timing.duration_s(store_silent_s=sent_s - self._heard_s)
@@ -367,7 +331,7 @@
         if life.failing_since_s is None:
             life.failing_since_s = sent_s
 
-    def _note_failed(self, row: _Row, error: GentianwharfError) -> None:
+    def _note_failed(self, row: Row, error: GentianwharfError) -> None:
         if row.granted and not row.failing:
             row.failing = True
             self._log(row, row.span.holder, "renewal failed", error=str(error))
@@ -377,14 +341,14 @@
         until_s = self._timing.held_until_s(ended_s=ended_s, duration_s=duration_s)
         life.held_until_s = max(life.held_until_s, until_s)
 
-    def _note_granted(self, row: _Row) -> None:
+    def _note_granted(self, row: Row) -> None:
         if row.granted or row.gone:
             return
         row.granted = True
         self._log(row, row.span.holder, "granted")
         self.on_granted(row.service, row.span)
 
-    def _log(self, row: _Row, holder: Holder, event: str, **fields: str) -> None:
+    def _log(self, row: Row, holder: Holder, event: str, **fields: str) -> None:
         log.info(
             event,
             extra={
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -72,6 +72,11 @@
         self._campaigning = False
         self._due_s: float | None = None
 
+    @property
+    def leads(self) -> bool:
+        """Whether this host takes itself for the leader."""
+        return self.term is not None
+
     def may_change(self) -> bool:
         """Whether the lease surely holds, so that nobody else leads."""
         return self.term is not None and self._now_s() < self.heard_s + LEADER_LEASE_S
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -12,7 +12,7 @@
 
 from ._types import HistoryGoneError, Item, Store
 
-GATHER_S = 0.15
+GATHER_S = 0.25
 """Pause between a watch's answer and the next watch. Changes come in groups, one entry
 after another; each watch is paid on every host, whatever it brings."""
 
@@ -64,6 +64,12 @@
         if self._running is not None:
             self._running.cancel()
 
+    def silent_s(self) -> float:
+        """Return for how long the store has not been heard, 0 while it is."""
+        if self.lost_s is None:
+            return 0.0
+        return float(self._reactor.seconds() - self.lost_s)
+
     def take(self, key: str, item: Item | None) -> None:
         """Take what this host has itself written or read, ahead of the watch."""
         known = self.items.get(key)
--- /dev/null
+++ b/tests/builders_keyspace_hosts.py
@@ -0,0 +1,283 @@
+"""A store in memory and hosts that lead by it, for tests of ``keyspace``."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from gentianwharf.errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    PeerUnavailableError,
+)
+from gentianwharf.keyspace import (
+    Keeper,
+    Leadership,
+    Planner,
+)
+from gentianwharf.store import (
+    Change,
+    Events,
+    Item,
+    LeaseEndedError,
+    Page,
+    Store,
+)
+from tests.builders_keyspace import (
+    LEADER_KEY,
+    RESIGNED_KEY,
+    SERVICE,
+    SHARDS,
+    TABLE_KEY,
+    TABLE_PREFIX,
+    TIMING,
+    Servers,
+)
+
+
+class SimpleStore:
+    """A store in memory with leases, and faults that tests switch on."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.items_by_key: dict[str, Item] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.revision = 10
+        self.is_down = False
+        self.loses_answers = False
+        self.is_silent = False
+        self.calls: list[str] = []
+        self.listeners: list[Callable[[str, Item | None], None]] = []
+        self._last_lease_id = 100
+
+    async def items(self, prefix: str) -> Page:
+        """Return what stands below a prefix."""
+        await self._begin("items")
+        found = [
+            one for key, one in self.items_by_key.items() if key.startswith(prefix)
+        ]
+        return Page(items=tuple(found), revision=self.revision)
+
+    async def item(self, key: str) -> Item | None:
+        """Return an item."""
+        await self._begin("item")
+        return self.items_by_key.get(key)
+
+    async def watch(self, prefix: str, *, after_revision: int) -> Events:
+        """Bring nothing: tests use ``listeners``."""
+        await self._begin("watch")
+        return Events(changes=(), revision=after_revision)
+
+    async def change(self, change: Change) -> int:
+        """Make a change if its conditions hold."""
+        await self._begin("change")
+        self._expire()
+        for key, revision in change.expected.items():
+            known = self.items_by_key.get(key)
+            if (known.revision if known else 0) != revision:
+                raise ConflictError("condition", step="change", peer="store")
+        self.revision += 1
+        for put in change.puts:
+            item = Item(
+                key=put.key,
+                value=put.value,
+                revision=self.revision,
+                lease_id=put.lease_id,
+            )
+            self._set(put.key, item)
+        for key in change.removals:
+            self._set(key, None)
+        revision = self.revision
+        await self._end("change")
+        return revision
+
+    async def open_lease(self, duration_s: float) -> int:
+        """Open a lease."""
+        await self._begin("open_lease")
+        self._last_lease_id += 1
+        self.leases[self._last_lease_id] = (
+            duration_s,
+            self.clock.seconds() + duration_s,
+        )
+        await self._end("open_lease")
+        return self._last_lease_id
+
+    async def renew_lease(self, lease_id: int) -> float:
+        """Let a lease begin anew."""
+        await self._begin("renew_lease")
+        self._expire()
+        if lease_id not in self.leases:
+            raise LeaseEndedError("no such lease", step="renew", peer="store")
+        duration_s, _ = self.leases[lease_id]
+        self.leases[lease_id] = (duration_s, self.clock.seconds() + duration_s)
+        await self._end("renew_lease")
+        return duration_s
+
+    async def end_lease(self, lease_id: int) -> None:
+        """End a lease and its items."""
+        await self._begin("end_lease")
+        self.leases.pop(lease_id, None)
+        self._drop_unleased()
+
+    def expire(self) -> None:
+        """End the leases whose time is over; hosts hear of it once the store is up."""
+        self._expire()
+
+    def _expire(self) -> None:
+        if self.is_down:
+            return
+        now_s = self.clock.seconds()
+        for lease_id in [one for one, (_, end) in self.leases.items() if end <= now_s]:
+            del self.leases[lease_id]
+        self._drop_unleased()
+
+    def _drop_unleased(self) -> None:
+        for key, item in list(self.items_by_key.items()):
+            if item.lease_id and item.lease_id not in self.leases:
+                self.revision += 1
+                self._set(key, None)
+
+    def _set(self, key: str, item: Item | None) -> None:
+        if item is None:
+            self.items_by_key.pop(key, None)
+        else:
+            self.items_by_key[key] = item
+        for listener in self.listeners:
+            listener(key, item)
+
+    async def _begin(self, call: str) -> None:
+        self.calls.append(call)
+        if self.is_down:
+            raise PeerUnavailableError("down", step=call, peer="store")
+        if self.is_silent:
+            await self._lose(call)
+
+    async def _end(self, call: str) -> None:
+        if self.loses_answers:
+            await self._lose(call)
+
+    async def _lose(self, call: str) -> None:
+        done: Deferred[None] = Deferred()
+        self.clock.callLater(0.7, done.callback, None)
+        await done
+        raise OutcomeUnknownError("no answer", step=call, peer="store")
+
+
+class Middle:
+    """Chooses the middle of every range, where a program would ask for chance."""
+
+    def random(self) -> float:
+        """Return a half."""
+        return 0.5
+
+
+class HostStore:
+    """One host's way to the store, which may be cut."""
+
+    def __init__(self, store: SimpleStore) -> None:
+        self.store = store
+        self.is_cut = False
+
+    def __getattr__(self, name: str) -> object:
+        """Return a call of the store's, or one that fails while the way is cut."""
+        return self._refuse if self.is_cut else getattr(self.store, name)
+
+    async def _refuse(self, *args: object, **kwargs: object) -> None:
+        raise PeerUnavailableError("cut off", step="call", peer="store")
+
+
+@dataclass
+class LeadingHost:
+    """One host's leadership, planner and keeper, wired as an entry host does it."""
+
+    name: str
+    store: SimpleStore
+    servers: Servers
+    hears_store: bool = True
+    way: HostStore | None = None
+
+    def __post_init__(self) -> None:
+        clock = self.store.clock
+        store = cast(Store, self.way or self.store)
+        self.leadership = Leadership(
+            store=store,
+            key=LEADER_KEY,
+            resigned_key=RESIGNED_KEY,
+            value=self.name.encode(),
+            now_s=clock.seconds,
+            rng=Middle(),  # type: ignore[arg-type]
+        )
+        self.keeper = Keeper(orders=self.servers, timing=TIMING, now_s=clock.seconds)
+        self.planner = Planner(
+            store=store,
+            leadership=self.leadership,
+            leader_key=LEADER_KEY,
+            table_prefix=TABLE_PREFIX,
+            keeper=self.keeper,
+            shards=SHARDS,
+            now_s=clock.seconds,
+        )
+        self.leadership.on_gained = self.planner.note_gained
+        self.leadership.on_lost = self.keeper.stop
+        self.planner.set_services({SERVICE: 5.0})
+        self.store.listeners.append(self.note_item)
+        self.leadership.note_item(self.store.items_by_key.get(LEADER_KEY))
+
+    def note_item(self, key: str, item: Item | None) -> None:
+        """Hear of a change in the store, unless the host is cut off from it."""
+        if not self.hears_store:
+            return
+        if key == LEADER_KEY:
+            self.leadership.note_item(item)
+        elif key == RESIGNED_KEY:
+            self.leadership.note_resigned(item)
+        elif key == TABLE_KEY and item is not None:
+            self.planner.note_table(item)
+
+    def cut(self) -> None:
+        """Lose the way to the store."""
+        assert self.way is not None
+        self.way.is_cut = True
+        self.hears_store = False
+
+    def heal(self) -> None:
+        """Find the way again, and learn what is there."""
+        assert self.way is not None
+        self.way.is_cut = False
+        self.hears_store = True
+        for key in (LEADER_KEY, RESIGNED_KEY, TABLE_KEY):
+            self.note_item(key, self.store.items_by_key.get(key))
+
+    def tick(self) -> None:
+        """Do what is due."""
+        self.leadership.tick()
+        self.planner.tick()
+        self.keeper.tick()
+
+    @property
+    def leads(self) -> bool:
+        """Whether this host takes itself for the leader."""
+        return self.leadership.term is not None
+
+
+def run_hosts(
+    clock: Clock,
+    duration_s: float,
+    *hosts: LeadingHost,
+    look: Callable[[], None] = lambda: None,
+) -> None:
+    """Let hosts work side by side."""
+    for _ in range(round(duration_s / 0.05)):
+        for one in hosts:
+            one.store.expire()
+            one.tick()
+        look()
+        clock.advance(0.05)
+
+
+def one_holder_each(servers: Servers, shards: Mapping[int, object]) -> None:
+    """Check that no shard has two holders."""
+    for shard in shards:
+        assert len(servers.holders(shard)) <= 1, f"shard {shard}: two holders"
--- a/tests/test_entryhost_directory.py
+++ b/tests/test_entryhost_directory.py
@@ -7,7 +7,7 @@
 
 from gentianwharf.entryhost._directory import Directory
 from gentianwharf.store import Item, Mirror
-from tests.builders_keyspace import SimpleStore
+from tests.builders_keyspace_hosts import SimpleStore
 from tests.builders_users_platform import server_entry
 
 
--- a/tests/test_keyspace_interleavings.py
+++ b/tests/test_keyspace_interleavings.py
@@ -13,16 +13,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from tests.builders_keyspace import (
-    SERVICE,
-    SHARDS,
-    GrantingServer,
-    HostStore,
-    LeadingHost,
-    Servers,
-    SimpleStore,
-    candidate,
-)
+from tests.builders_keyspace import SERVICE, SHARDS, GrantingServer, Servers, candidate
+from tests.builders_keyspace_hosts import HostStore, LeadingHost, SimpleStore
 
 STEP_S = 0.05
 FAULTY_S = 45.0
--- a/tests/test_keyspace_leadership.py
+++ b/tests/test_keyspace_leadership.py
@@ -11,12 +11,10 @@
     SHARDS,
     TABLE_KEY,
     TIMING,
-    LeadingHost,
     Servers,
-    SimpleStore,
     candidate,
-    run_hosts,
 )
+from tests.builders_keyspace_hosts import LeadingHost, SimpleStore, run_hosts
 
 ALL = dict.fromkeys(range(0, SHARDS, 7))
 
