Drop what nothing calls

Read of the whole change: the keeper's count of refused grants, the planner's access to a table, a bound on mirrored items that nothing applied, and a builder of the tests. No behaviour changes.

--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -149,11 +149,6 @@
             if row.service == service and row.granted and not row.former
         )
 
-    def refused(self, service: str) -> bool:
-        """Whether a holder has seen a higher token, again and again."""
-        rows = self._rows.values()
-        return any(row.refused > 2 for row in rows if row.service == service)
-
     def tick(self) -> None:
         """Give every order that is due; to be called every 50 ms or so."""
         if not self._leading:
@@ -301,7 +296,6 @@
             self._note_unanswered(holder, sent_s)
             self._note_failed(row, error)
         except RefusedError as error:
-            row.refused += 1
             life.failing_since_s = None
             row.due_s = self._now_s() + self._timing.retry_every_s
             self._log(row, holder, "grant refused", error=str(error))
@@ -312,7 +306,6 @@
             self._note_held(holder, self._now_s(), duration_s)
         else:
             life.failing_since_s = None
-            row.refused = 0
             row.failing = False
             row.due_s = sent_s + self._timing.renew_every_s
             self._note_held(holder, self._now_s(), duration_s)
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -172,11 +172,6 @@
         if item.revision > row.revision:
             self._take(row, table, item.revision)
 
-    def table(self, service: str) -> KeyTable | None:
-        """Return the table of a service, None if it isn't divided by key."""
-        row = self._services.get(service)
-        return row.table if row is not None else None
-
     def tick(self) -> None:
         """Plan where that is due; to be called every 50 ms or so."""
         if not self._leadership.may_change():
--- a/src/gentianwharf/keyspace/_rows.py
+++ b/src/gentianwharf/keyspace/_rows.py
@@ -22,7 +22,6 @@
     due_s: float = 0.0
     ordering: bool = False
     release_tries: int = 0
-    refused: int = 0
     failing: bool = False
     gone: bool = False
 
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -65,9 +65,6 @@
     socket.TCP_KEEPCNT: 2,
 }
 
-MOST_ITEMS_BYTES = 8_000_000
-"""Of all items that are mirrored; a page has a megabyte at the most."""
-
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_GONE = 410
--- a/tests/builders_keyspace_hosts.py
+++ b/tests/builders_keyspace_hosts.py
@@ -1,6 +1,6 @@
 """A store in memory and hosts that lead by it, for tests of ``keyspace``."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
 
@@ -275,9 +275,3 @@
             one.tick()
         look()
         clock.advance(0.05)
-
-
-def one_holder_each(servers: Servers, shards: Mapping[int, object]) -> None:
-    """Check that no shard has two holders."""
-    for shard in shards:
-        assert len(servers.holders(shard)) <= 1, f"shard {shard}: two holders"
