Let the leader tell the others what changes in the store

A host that the store turned away heard of configurations and servers not at all.

The leader tells what its own watch brings, with the revision after which it begins; a host that is told lets its watch rest, and takes it up when the leader is silent for a second, says that it does not hear the store, or told of something after a change that never came. Ruled out: watching three prefixes for all but the tables, which leaves twelve watches for each server's entry. Tests of the mirror and of the links between hosts, which had none.

--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -148,10 +148,14 @@
         peers.on_granted = lambda service, first, last, token: self._keys.open(
             service, first, token
         )
-        peers.on_table = lambda item: self._mirror.take(item.key, item)
+        peers.on_events = lambda after_revision, events: self._mirror.feed(
+            events, after_revision=after_revision
+        )
+        peers.known_revision = self._known_revision
         peers.on_hosts = self._note_hosts
         self._keys.on_request = peers.note_request
-        self._planner.on_written = peers.tell_table
+        self._mirror.on_events = peers.tell_events
+        self._mirror.is_fed = peers.is_fed
         self._planner.on_isolated = self._step_aside
         self._keys.hears_leader = peers.hears_leader
 
@@ -309,6 +313,13 @@
         if LEADER_KEY not in self._mirror.items:
             self._leadership.note_item(None)
 
+    def _known_revision(self) -> int | None:
+        """Return up to where this host surely knows the store, None if it may not."""
+        mirror = self._mirror
+        if not self._leadership.may_change() or mirror.silent_s() > 0:
+            return None
+        return mirror.revision if mirror.is_current else None
+
     def _control(self) -> None:
         self._leadership.tick()
         self._planner.tick()
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -2,11 +2,11 @@
 
 Every host sends the leader a few reports a second: what was asked for and how busy
 servers are. The leader sends each host that reports the moves that are done and the
-newest tables, ahead of the store's watch. Nothing is decided by these messages alone:
-a host that gets none acts on what the store says, a moment later.
+changes that its watch of the store brings, so that the others need no watch. Nothing
+is decided by these messages alone: a host that gets none watches the store itself.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, final
 
@@ -16,17 +16,24 @@
 from gentianwharf.links import NngLink, NngListener, dial
 from gentianwharf.logs import log
 from gentianwharf.relay import ServerLoad
-from gentianwharf.store import Item
+from gentianwharf.store import Events, EventsListener, Item, Removal
 from gentianwharf.topology import BackendServer
 
 REPORT_EVERY_S = 0.25
 """Hot keys are to be seen within a second; a report of an idle host is 60 bytes."""
 
-NEWS_EVERY_S = 1.0
+NEWS_EVERY_S = 0.4
 """At rest: tells hosts that the link works, and how many they are."""
 
+FED_S = 1.0
+"""Two pieces of news missed: a host watches the store itself. Just before the lease of
+a lost leader ends, so that the others see that at once."""
+
+HEARS_S = 2.0
+"""News younger than this: what the leader has not told is not done."""
+
 SILENT_S = 3.0
-"""Three pieces of news missed: the link is made anew."""
+"""So long without news, and the link is made anew."""
 
 GONE_S = 4.0
 """A host that has not reported for so long counts no more."""
@@ -62,19 +69,29 @@
     token: int
 
 
-class _Table(msgspec.Struct, array_like=True):
+class _Change(msgspec.Struct, array_like=True):
+    """An item as it was written, or without a value since its removal."""
+
     key: str
-    value: bytes
     revision: int
+    value: bytes | None
+    lease_id: int
 
 
 class News(msgspec.Struct, array_like=True, tag="news"):
-    """What the leader tells: how many hosts there are, moves done, new tables."""
+    """What the leader tells: how many hosts there are, moves done, the store's changes.
+
+    ``changes`` are all between two revisions. ``is_current``: the leader hears the
+    store, so that there are no others.
+    """
 
     leader: str
     hosts: int
     granted: list[_Granted]
-    tables: list[_Table]
+    is_current: bool
+    after_revision: int
+    revision: int
+    changes: list[_Change]
 
 
 class LeaderItem(msgspec.Struct, array_like=True):
@@ -100,8 +117,9 @@
         self.on_requests: Callable[[str, Mapping[int, float]], None]
         self.on_load: Callable[[str, str, LoadSeen], None]
         self.on_granted: Callable[[str, int, int, int], None]
-        self.on_table: Callable[[Item], None]
+        self.on_events: EventsListener
         self.on_hosts: Callable[[int], None]
+        self.known_revision: Callable[[], int | None]
         self.name = LeaderItem(host=host, address=address)
         self._reactor = reactor
         self._listener: NngListener | None = None
@@ -109,6 +127,7 @@
         self._to_leader: NngLink | None = None
         self._heard_s = 0.0
         self._news_s = float("-inf")
+        self._is_fed = False
         self._reported_s = 0.0
         self._told_s = 0.0
         self._leads = False
@@ -164,8 +183,14 @@
         """Whether the leader's news come: then what it does not tell is not done."""
         if self._leads:
             return True
-        age_s = self._reactor.seconds() - self._news_s
-        return self._leader is not None and age_s < 2 * NEWS_EVERY_S
+        return self._leader is not None and self._news_age_s() < HEARS_S
+
+    def is_fed(self) -> bool:
+        """Whether the leader tells all that changes in the store."""
+        return not self._leads and self._is_fed and self._news_age_s() < FED_S
+
+    def _news_age_s(self) -> float:
+        return float(self._reactor.seconds() - self._news_s)
 
     # Who leads.
 
@@ -182,14 +207,14 @@
         self._close_leader()
         self._leader = leader
         self._news_s = float("-inf")
+        self._is_fed = False
 
     def lead(self, leads: bool) -> None:
         """Begin or cease to tell the others."""
+        if self._leads and not leads:
+            # The last news: from now on all watch the store themselves.
+            self._tell()
         self._leads = leads
-        if not leads:
-            for peer in self._peers.values():
-                peer.link.close()
-            self._peers.clear()
 
     def tell_granted(self, service: str, span: Span) -> None:
         """Tell all hosts that a move is done."""
@@ -197,10 +222,10 @@
             granted = _Granted(service, span.first, span.last, span.token)
             self._tell(granted=[granted])
 
-    def tell_table(self, item: Item) -> None:
-        """Tell all hosts of a new table."""
+    def tell_events(self, after_revision: int, events: Events) -> None:
+        """Tell all hosts what changed in the store."""
         if self._leads:
-            self._tell(tables=[_Table(item.key, item.value, item.revision)])
+            self._tell(after_revision=after_revision, events=events)
 
     def tick(self) -> None:
         """Report and tell what is due."""
@@ -208,9 +233,11 @@
         if now_s >= self._reported_s + REPORT_EVERY_S:
             self._reported_s = now_s
             self._report(now_s)
-        if self._leads and now_s >= self._told_s + NEWS_EVERY_S:
+        if now_s >= self._told_s + NEWS_EVERY_S:
+            self._told_s = now_s
             self._drop_gone(now_s)
-            self._tell()
+            if self._leads:
+                self._tell()
 
     def _report(self, now_s: float) -> None:
         requests, self._requests = self._requests, {}
@@ -235,13 +262,23 @@
     def _tell(
         self,
         *,
-        granted: list[_Granted] | None = None,
-        tables: list[_Table] | None = None,
+        granted: Sequence[_Granted] = (),
+        after_revision: int | None = None,
+        events: Events | None = None,
     ) -> None:
-        self._told_s = self._reactor.seconds()
         hosts = len(self._peers) + 1
         self.on_hosts(hosts)
-        news = News(self.name.host, hosts, granted or [], tables or [])
+        known = self.known_revision()
+        revision = events.revision if events is not None else known or 0
+        news = News(
+            self.name.host,
+            hosts,
+            list(granted),
+            known is not None,
+            revision if after_revision is None else after_revision,
+            revision,
+            [_change(one) for one in events.changes] if events is not None else [],
+        )
         data = msgspec.msgpack.encode(news)
         for peer in self._peers.values():
             peer.link.send(data)
@@ -299,9 +336,28 @@
             # A leader of before: what it tells may be old.
             return
         self._heard_s = self._news_s = self._reactor.seconds()
+        self._is_fed = news.is_current
         self.on_hosts(news.hosts)
-        for table in news.tables:
-            item = Item(key=table.key, value=table.value, revision=table.revision)
-            self.on_table(item)
+        if news.is_current:
+            changes = tuple(_decoded(one) for one in news.changes)
+            events = Events(changes=changes, revision=news.revision)
+            self.on_events(news.after_revision, events)
         for one in news.granted:
             self.on_granted(one.service, one.first, one.last, one.token)
+
+
+def _change(change: Item | Removal) -> _Change:
+    if isinstance(change, Removal):
+        return _Change(change.key, change.revision, None, 0)
+    return _Change(change.key, change.revision, change.value, change.lease_id)
+
+
+def _decoded(change: _Change) -> Item | Removal:
+    if change.value is None:
+        return Removal(key=change.key, revision=change.revision)
+    return Item(
+        key=change.key,
+        value=change.value,
+        revision=change.revision,
+        lease_id=change.lease_id,
+    )
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -98,7 +98,6 @@
     ) -> None:
         self.on_table: Callable[[KeyTable], None] = lambda table: None
         self.on_isolated: Callable[[], None] = lambda: None
-        self.on_written: Callable[[Item], None] = lambda item: None
         self._store = store
         self._leadership = leadership
         self._leader_key = leader_key
@@ -273,7 +272,6 @@
             await self._read_back(row)
         else:
             self._take(row, table, revision)
-            self.on_written(Item(key=row.key, value=value, revision=revision))
 
     def _note_failed(self, row: _Service, error: GentianwharfError) -> None:
         row.due_s = self._now_s() + WRITE_AGAIN_S
--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -1,6 +1,6 @@
 """The store in which hosts agree on what must last, and a mirror of it on each host."""
 
-from ._mirror import Mirror
+from ._mirror import EventsListener, Mirror
 from ._types import (
     Change,
     Events,
@@ -16,6 +16,7 @@
 __all__ = [
     "Change",
     "Events",
+    "EventsListener",
     "HistoryGoneError",
     "Item",
     "LeaseEndedError",
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -1,4 +1,9 @@
-"""A host's copy of the store's items, kept current by one watch."""
+"""A host's copy of the store's items, kept current by a watch or by another host's.
+
+Load pattern: every change ends the watch of every host, and each next watch is paid. A
+host that is told the changes by one that watches lets its own watch rest. It goes back
+to it as soon as the other falls silent or has told of something that it never got.
+"""
 
 from collections.abc import Callable
 from random import Random
@@ -10,17 +15,23 @@
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
 
-from ._types import HistoryGoneError, Item, Store
+from ._types import Events, HistoryGoneError, Item, Store
 
-GATHER_S = 0.25
+GATHER_S = 0.1
 """Pause between a watch's answer and the next watch. Changes come in groups, one entry
-after another; each watch is paid on every host, whatever it brings."""
+after another; each watch is paid, whatever it brings."""
+
+REST_S = 0.1
+"""How often a host that is told the changes looks whether it still is."""
 
 FIRST_PAUSE_S = 0.2
 MOST_PAUSE_S = 0.7
 """Between tries while the store fails, since what changed meanwhile has to be in force
 within two seconds of its return."""
 
+EventsListener = Callable[[int, Events], None]
+"""Told what a watch brought, and the revision after which it was asked to begin."""
+
 Listener = Callable[[str, Item | None], None]
 """Told of a key and its item, None when that is gone."""
 
@@ -30,12 +41,15 @@
     """Reads everything below a prefix once, then follows its changes.
 
     ``on_read`` is called after each reading of everything, when what is not in
-    ``items`` is known not to be there. Revisions never go back: an item that is older
-    than what is known is passed over.
+    ``items`` is known not to be there; ``on_events`` after each watch that brought
+    something; ``is_fed`` says whether another host tells the changes now. Revisions
+    never go back: an item that is older than what is known is passed over.
     """
 
     def __init__(self, *, store: Store, prefix: str, reactor: Any, rng: Random) -> None:
         self.on_read: Callable[[], None] = lambda: None
+        self.on_events: EventsListener = lambda after_revision, events: None
+        self.is_fed: Callable[[], bool] = lambda: False
         self.items: dict[str, Item] = {}
         self.is_current = False
         self.heard_s = float("-inf")
@@ -45,7 +59,8 @@
         self._prefix = prefix
         self._reactor = reactor
         self._rng = rng
-        self._revision = 0
+        self.revision = 0
+        self._told_revision = 0
         self._failures = 0
         self._listeners: list[Listener] = []
         self._running: Deferred[None] | None = None
@@ -76,11 +91,23 @@
         if item is not None and (known is None or known.revision < item.revision):
             self._set(key, item)
 
+    def feed(self, events: Events, *, after_revision: int) -> None:
+        """Take the changes that another host's watch brought after a revision.
+
+        If some are missing in between, the next watch fetches them from the store.
+        """
+        self._told_revision = max(self._told_revision, events.revision)
+        if self.is_current and after_revision <= self.revision:
+            self._note_heard()
+            self._apply(events)
+
     async def _follow(self) -> None:
         while True:
             try:
                 if not self.is_current:
                     await self._read()
+                elif self.is_fed() and self._told_revision <= self.revision:
+                    await deferLater(self._reactor, REST_S)
                 else:
                     await self._watch()
             except HistoryGoneError:
@@ -100,21 +127,31 @@
                 self._set(key, None)
         for key, item in found.items():
             self.take(key, item)
-        self._revision = page.revision
+        self.revision = page.revision
         self.is_current = True
         self.on_read()
 
     async def _watch(self) -> None:
-        events = await self._store.watch(self._prefix, after_revision=self._revision)
+        after_revision = self.revision
+        events = await self._store.watch(self._prefix, after_revision=after_revision)
         self._note_heard()
+        self._apply(events)
+        if events.changes:
+            self.on_events(after_revision, events)
+            await deferLater(self._reactor, GATHER_S)
+
+    def _apply(self, events: Events) -> None:
+        known_revision = self.revision
+        self.revision = max(known_revision, events.revision)
         for change in events.changes:
+            if change.revision <= known_revision:
+                # Told twice, by a watch and by another host: an item that was removed
+                # in between would come back.
+                continue
             if isinstance(change, Item):
                 self.take(change.key, change)
             elif self._is_known_before(change.key, change.revision):
                 self._set(change.key, None)
-        self._revision = max(self._revision, events.revision)
-        if events.changes:
-            await deferLater(self._reactor, GATHER_S)
 
     def _is_known_before(self, key: str, revision: int) -> bool:
         known = self.items.get(key)
--- /dev/null
+++ b/tests/builders_store.py
@@ -0,0 +1,102 @@
+"""A store whose watches tests answer by hand, and links between hosts without a net."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.store import Events, Item, Mirror, Page, Removal, Store
+
+
+def item(key: str, revision: int, value: bytes = b"") -> Item:
+    """Return an item as it was written."""
+    return Item(key=key, value=value, revision=revision)
+
+
+def events(revision: int, *changes: Item | Removal) -> Events:
+    """Return what a watch brings."""
+    return Events(changes=changes, revision=revision)
+
+
+@dataclass
+class WatchedStore:
+    """Answers readings at once, and watches when a test says so."""
+
+    page: Page = Page(items=(), revision=10)
+    watches: list[tuple[int, "Deferred[Events]"]] = field(default_factory=list)
+    readings: int = 0
+    is_down: bool = False
+
+    async def items(self, prefix: str) -> Page:
+        """Return what stands in the store."""
+        self.readings += 1
+        if self.is_down:
+            raise PeerUnavailableError("down", step="items", peer="store")
+        return self.page
+
+    async def watch(self, prefix: str, *, after_revision: int) -> Events:
+        """Wait for the test."""
+        waiting: Deferred[Events] = Deferred()
+        self.watches.append((after_revision, waiting))
+        return await waiting
+
+    def bring(self, brought: Events) -> None:
+        """Answer the newest watch."""
+        self.watches[-1][1].callback(brought)
+
+
+def mirror_of(store: WatchedStore, clock: Clock) -> Mirror:
+    """Return a mirror of everything in the store."""
+    return Mirror(store=cast(Store, store), prefix="", reactor=clock, rng=Random(1))
+
+
+class LinkNet:
+    """Links between hosts that hand over at once, unless an address is cut off."""
+
+    def __init__(self) -> None:
+        self.listeners: dict[str, Callable[[bytes], None]] = {}
+        self.cut: set[str] = set()
+
+    def dial(self, address: str) -> "LinkNetLink":
+        """Open a link."""
+        return LinkNetLink(net=self, address=address)
+
+    def listen(
+        self,
+        *,
+        reactor: object,
+        address: str,
+        on_data: Callable[[bytes], None],
+        most_bytes: int,
+    ) -> "LinkNetListener":
+        """Hand what comes for an address to a host."""
+        self.listeners[address] = on_data
+        return LinkNetListener()
+
+
+@dataclass
+class LinkNetLink:
+    """One way to a host."""
+
+    net: LinkNet
+    address: str
+
+    def send(self, data: bytes) -> bool:
+        """Hand over, or lose, what a host sends."""
+        if self.address not in self.net.cut:
+            self.net.listeners[self.address](data)
+        return True
+
+    def close(self) -> None:
+        """Hold nothing."""
+
+
+class LinkNetListener:
+    """Nothing to close."""
+
+    def close(self) -> None:
+        """Close nothing."""
--- /dev/null
+++ b/tests/test_entryhost_peers.py
@@ -0,0 +1,150 @@
+"""What hosts tell each other: reports to the leader, and its news to all."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+from twisted.internet.task import Clock
+
+from gentianwharf.entryhost import _peers
+from gentianwharf.entryhost._peers import FED_S, Peers
+from gentianwharf.keyspace import Span
+from gentianwharf.store import Events, Item, Removal
+from tests.builders_keyspace import span
+from tests.builders_store import LinkNet, events, item
+
+TICK_S = 0.05
+
+
+@dataclass
+class Told:
+    """One host's links, and what it was told."""
+
+    peers: Peers
+    revision: int | None = 10
+    events: list[tuple[int, Events]] = field(default_factory=list)
+    granted: list[tuple[str, int, int, int]] = field(default_factory=list)
+    requests: list[tuple[str, Mapping[int, float]]] = field(default_factory=list)
+    hosts: int = 0
+
+    def __post_init__(self) -> None:
+        peers = self.peers
+        peers.on_events = lambda after, told: self.events.append((after, told))
+        peers.on_granted = lambda *granted: self.granted.append(granted)
+        peers.on_requests = lambda name, counts: self.requests.append((name, counts))
+        peers.on_load = lambda service, server, seen: None
+        peers.on_hosts = lambda hosts: setattr(self, "hosts", hosts)
+        peers.known_revision = lambda: self.revision
+        peers.start()
+
+
+@dataclass
+class Trio:
+    """Three hosts; the first one leads."""
+
+    clock: Clock
+    net: LinkNet
+    hosts: list[Told]
+
+    def run(self, duration_s: float) -> None:
+        """Let all hosts tell what is due."""
+        for _ in range(round(duration_s / TICK_S)):
+            for one in self.hosts:
+                one.peers.tick()
+            self.clock.advance(TICK_S)
+
+
+@pytest.fixture
+def trio(monkeypatch: pytest.MonkeyPatch) -> Trio:
+    clock, net = Clock(), LinkNet()
+    clock.advance(100)
+    monkeypatch.setattr(_peers, "dial", net.dial)
+    monkeypatch.setattr(_peers, "NngListener", net.listen)
+    hosts = [
+        Told(Peers(host=f"h{one}", address=f"10.0.0.{one}:90", reactor=clock))
+        for one in range(3)
+    ]
+    for one in hosts:
+        one.peers.follow(leader_item(hosts[0]))
+    hosts[0].peers.lead(True)
+    trio = Trio(clock=clock, net=net, hosts=hosts)
+    trio.run(1)
+    return trio
+
+
+def leader_item(host: Told) -> Item:
+    return Item(key="leader", value=msgspec.json.encode(host.peers.name), revision=5)
+
+
+def test_changes_are_told_as_the_watch_brought_them(trio: Trio) -> None:
+    leader, follower, _ = trio.hosts
+    brought = events(12, item("a", 11, b"1"), Removal(key="b", revision=12))
+    leader.peers.tell_events(10, brought)
+    assert follower.events[-1] == (10, brought)
+    assert follower.peers.is_fed()
+    assert not leader.peers.is_fed(), "the leader watches"
+
+
+def test_all_know_how_many_hosts_there_are(trio: Trio) -> None:
+    assert [one.hosts for one in trio.hosts] == [3, 3, 3]
+
+
+def test_news_at_rest_tell_up_to_where_nothing_changed(trio: Trio) -> None:
+    leader, follower, _ = trio.hosts
+    leader.revision = 17
+    trio.run(1)
+    assert follower.events[-1] == (17, Events(changes=(), revision=17))
+
+
+def test_a_silent_leader_feeds_nobody(trio: Trio) -> None:
+    # The leader is lost or frozen: its lease runs on for a second, and until somebody
+    # else leads nobody tells what changes in the store.
+    _, follower, _ = trio.hosts
+    trio.net.cut.add(follower.peers.name.address)
+    trio.run(FED_S + 2 * TICK_S)
+    assert not follower.peers.is_fed()
+
+
+def test_a_leader_that_does_not_hear_the_store_feeds_nobody(trio: Trio) -> None:
+    # A cut between the leader and the store, but not between it and the others: they
+    # would go on by rules that the operators have changed.
+    leader, follower, _ = trio.hosts
+    leader.revision = None
+    trio.run(1)
+    assert not follower.peers.is_fed()
+    assert follower.peers.hears_leader(), "what it says of moves still holds"
+
+
+def test_a_leader_that_resigns_says_so(trio: Trio) -> None:
+    # Nobody would see the leader's place empty until its silence is noticed, a second
+    # in which no grant is renewed.
+    leader, follower, _ = trio.hosts
+    leader.revision = None
+    leader.peers.lead(False)
+    assert not follower.peers.is_fed()
+
+
+def test_news_of_a_former_leader_count_for_nothing(trio: Trio) -> None:
+    # It was frozen while another host took its place, and wakes with old news.
+    leader, follower, other = trio.hosts
+    follower.peers.follow(leader_item(other))
+    told = len(follower.events)
+    leader.peers.tell_events(10, events(12, item("a", 11)))
+    assert len(follower.events) == told
+    assert not follower.peers.is_fed()
+
+
+def test_moves_that_are_done_are_told(trio: Trio) -> None:
+    leader, follower, _ = trio.hosts
+    moved: Span = span(3, 9, 1, token=7)
+    leader.peers.tell_granted("roster", moved)
+    assert follower.granted == [("roster", 3, 9, 7)]
+
+
+def test_requests_are_reported(trio: Trio) -> None:
+    leader, follower, _ = trio.hosts
+    follower.peers.note_request("roster", 4)
+    follower.peers.note_request("roster", 4)
+    trio.run(0.5)
+    assert leader.requests == [("roster", {4: 2})]
--- /dev/null
+++ b/tests/test_store_mirror.py
@@ -0,0 +1,149 @@
+"""What a host knows of the store, by its own watch and by another host's."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.store import HistoryGoneError, Item, Mirror, Page, Removal
+from tests.builders_store import WatchedStore, events, item, mirror_of
+
+
+@pytest.fixture
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def store() -> WatchedStore:
+    return WatchedStore(page=Page(items=(item("a", 3),), revision=10))
+
+
+@pytest.fixture
+def mirror(store: WatchedStore, clock: Clock) -> Mirror:
+    mirror = mirror_of(store, clock)
+    mirror.start()
+    return mirror
+
+
+def advance(clock: Clock, duration_s: float) -> None:
+    clock.pump([0.05] * round(duration_s / 0.05))
+
+
+def revisions(mirror: Mirror) -> dict[str, int]:
+    return {key: one.revision for key, one in mirror.items.items()}
+
+
+def test_the_next_watch_goes_on_after_what_was_brought(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    store.bring(events(12, item("b", 12)))
+    advance(clock, 1)
+    assert [after for after, _ in store.watches] == [10, 12]
+    assert revisions(mirror) == {"a": 3, "b": 12}
+
+
+def test_an_item_is_gone_once_it_was_removed(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    heard: list[tuple[str, Item | None]] = []
+    mirror.listen(lambda key, found: heard.append((key, found)))
+    store.bring(events(12, Removal(key="a", revision=12)))
+    assert revisions(mirror) == {}
+    assert heard == [("a", None)]
+
+
+def test_a_gone_history_is_read_again(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    store.page = Page(items=(item("c", 40),), revision=40)
+    store.watches[-1][1].errback(HistoryGoneError("gone", step="watch", peer="store"))
+    assert revisions(mirror) == {"c": 40}
+    assert store.watches[-1][0] == 40
+
+
+def test_a_fed_host_does_not_watch(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    # Twelve hosts that each watched everything paid twelve calls for each change: of
+    # some 700 paid calls of a calm day, five in six were these.
+    mirror.is_fed = lambda: True
+    store.bring(events(11))
+    for revision in range(12, 20):
+        mirror.feed(events(revision, item("b", revision)), after_revision=revision - 1)
+        advance(clock, 0.5)
+    assert len(store.watches) == 1
+    assert revisions(mirror) == {"a": 3, "b": 19}
+    assert mirror.revision == 19
+
+
+def test_a_host_watches_again_when_it_is_fed_no_more(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    # The host that tells the others is lost. What changes after that would never be
+    # heard of by those that rely on it.
+    mirror.is_fed = lambda: True
+    store.bring(events(11))
+    mirror.feed(events(12, item("b", 12)), after_revision=11)
+    advance(clock, 0.5)
+    mirror.is_fed = lambda: False
+    advance(clock, 0.5)
+    assert [after for after, _ in store.watches] == [10, 12]
+
+
+def test_what_was_not_told_is_fetched(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    # A message between hosts is lost. The next one tells of later changes only; taken
+    # alone it would hide the lost ones for ever.
+    mirror.is_fed = lambda: True
+    store.bring(events(11))
+    advance(clock, 0.5)
+    mirror.feed(events(14, item("b", 14)), after_revision=13)
+    assert revisions(mirror) == {"a": 3}
+    advance(clock, 0.5)
+    assert store.watches[-1][0] == 11
+    store.bring(events(14, item("c", 12), item("b", 14)))
+    assert revisions(mirror) == {"a": 3, "c": 12, "b": 14}
+    advance(clock, 2)
+    assert len(store.watches) == 2, "it is fed again, and misses nothing"
+
+
+def test_a_removed_item_does_not_come_back_by_an_older_watch(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    # A watch from before is still on its way when another host tells that an item was
+    # written and removed. The watch's answer brings the writing alone, once more.
+    mirror.feed(
+        events(12, item("b", 11), Removal(key="b", revision=12)), after_revision=10
+    )
+    store.bring(events(11, item("b", 11)))
+    assert revisions(mirror) == {"a": 3}
+    assert mirror.revision == 12
+
+
+def test_what_is_told_counts_as_heard_from_the_store(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    # The store turns one host away and serves the others. It would take itself for cut
+    # off and doubt its servers although the leader tells it everything.
+    error = PeerUnavailableError("turned away", step="watch", peer="store")
+    store.watches[-1][1].errback(error)
+    advance(clock, 0.05)
+    assert mirror.silent_s() > 0
+    mirror.feed(events(11, item("b", 11)), after_revision=10)
+    assert mirror.silent_s() == 0
+    assert revisions(mirror) == {"a": 3, "b": 11}
+
+
+def test_a_host_that_reads_anew_is_not_fed_meanwhile(clock: Clock) -> None:
+    # What is told before a host has read the store is told after changes that it does
+    # not know of.
+    store = WatchedStore(page=Page(items=(item("a", 3),), revision=10), is_down=True)
+    mirror = mirror_of(store, clock)
+    mirror.is_fed = lambda: True
+    mirror.start()
+    mirror.feed(events(12, item("b", 12)), after_revision=11)
+    assert revisions(mirror) == {}
+    store.is_down = False
+    advance(clock, 1)
+    assert store.watches[-1][0] == 10, "it fetches what lies between"
