Pace what is sent to an owner that can't keep up; see servers that owe answers

And without answers the leader knew nothing of its load.

Tried and dropped: a limit below one with multiplicative steps (needs eight seconds to find its level), clearing the pace when a probe comes back (all hosts return at once). The leader now counts requests that were given up after their whole time; a server that owes more than a third of what it ran counts as ever slower, and its shards move off. Ruled out: that the planner was held up by the slow store (its moves of that time were written within 50 ms).

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -44,6 +44,7 @@
     ) -> None:
         self.servers = dict(servers)
         self.on_load: LoadListener = _ignore_load
+        self.on_unanswered: Callable[[BackendServer], None] = lambda server: None
         self._gate = gate
         self._now_s = now_s
         self._on_evidence = on_evidence
@@ -87,6 +88,8 @@
         retry_after_s: float | None = None,
     ) -> None:
         """Note how a leg ended, and let others go."""
+        if outcome is Outcome.TIMED_OUT:
+            self.on_unanswered(server)
         if outcome is not Outcome.CANCELLED:
             busy_s = elapsed_s if outcome is Outcome.ANSWERED else None
             self._on_evidence(server.id, outcome in _SIGNS_OF_LIFE, busy_s)
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -175,6 +175,7 @@
             on_evidence=lambda server, answered, busy_s: None,
         )
         self._admission.on_load = self._note_server_load
+        self._admission.on_unanswered = self._note_unanswered
         self._keyed: set[str] = set()
         self.metrics = HostMetrics()
         self._add_gauges()
@@ -354,6 +355,10 @@
         if server.service in self._keyed:
             self._peers.note_load(server, load, elapsed_s)
 
+    def _note_unanswered(self, server: BackendServer) -> None:
+        if server.service in self._keyed:
+            self._peers.note_unanswered(server)
+
     def _note_hosts(self, hosts: int) -> None:
         if hosts == self._hosts:
             return
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -48,6 +48,7 @@
     ran: float
     quick: float
     quick_s: float
+    unanswered: float
 
 
 class Report(msgspec.Struct, array_like=True, tag="report"):
@@ -167,8 +168,7 @@
 
         ``elapsed_s`` is how long the answer took, None for a refusal.
         """
-        loads = self._loads.setdefault(server.service, {})
-        row = loads.setdefault(server.id, _Load(0.0, 0.0, 0.0, 0.0, 0.0, 0.0))
+        row = self._row(server)
         row.running += load.running
         row.waiting += load.waiting
         row.answers += 1
@@ -179,6 +179,14 @@
             row.quick += 1
             row.quick_s += elapsed_s
 
+    def note_unanswered(self, server: BackendServer) -> None:
+        """Add to the next report that a request was given up after its whole time."""
+        self._row(server).unanswered += 1
+
+    def _row(self, server: BackendServer) -> _Load:
+        loads = self._loads.setdefault(server.service, {})
+        return loads.setdefault(server.id, _Load(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0))
+
     def hears_leader(self) -> bool:
         """Whether the leader's news come: then what it does not tell is not done."""
         if self._leads:
@@ -328,6 +336,7 @@
                     ran=load.ran,
                     quick=load.quick,
                     quick_s=load.quick_s,
+                    unanswered=load.unanswered,
                 )
                 self.on_load(service, server_id, seen)
 
--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -6,7 +6,9 @@
 
 How fast a server works follows from how long it took for what it did not let wait, and
 for one that is full from how much it finishes: servers of one service differ by more
-than two times, and an equal part fills the slow ones while the fast ones idle.
+than two times, and an equal part fills the slow ones while the fast ones idle. One that
+became so slow that nobody waits for its answers says nothing of itself any more; the
+answers that it owes speak for it.
 """
 
 from collections.abc import Callable, Mapping
@@ -29,6 +31,16 @@
 LEAST_ANSWERS = 8.0
 """Below this many answers nothing is said of a server's speed."""
 
+LEAST_UNANSWERED = 3.0
+"""Requests that were given up after their whole time; fewer may be lost packets."""
+
+STUCK_PART = 0.3
+"""Of what ran there in time. Where more is given up than this, a server is stuck; one
+whose answers are lost now and then is not."""
+
+STUCK_FACTOR = 0.6
+"""By comparison, twice a second: a third of the mean speed is reached in one second."""
+
 FULL_WAITING = 0.5
 """Requests that wait there on the average, from which on a server counts as full."""
 
@@ -45,7 +57,8 @@
     """What answers of one server said of its load, added up.
 
     ``ran`` counts those of requests that ran, ``quick`` those of them given while
-    nothing waited there, which took ``quick_s`` together.
+    nothing waited there, which took ``quick_s`` together. ``unanswered`` counts
+    requests that were given up after their whole time.
     """
 
     running: float
@@ -54,6 +67,7 @@
     ran: float = 0.0
     quick: float = 0.0
     quick_s: float = 0.0
+    unanswered: float = 0.0
 
 
 @final
@@ -65,9 +79,16 @@
     ran: float = 0.0
     quick: float = 0.0
     quick_s: float = 0.0
+    unanswered: float = 0.0
     speed: float = 1.0
     is_measured: bool = False
 
+    def is_stuck(self) -> bool:
+        """Whether much of what it was sent was given up."""
+        if self.unanswered < LEAST_UNANSWERED:
+            return False
+        return self.unanswered > self.ran * STUCK_PART
+
     def work_s(self) -> float | None:
         """Return how long a request takes there without waiting, None if unknown.
 
@@ -110,6 +131,7 @@
         row.ran += seen.ran
         row.quick += seen.quick
         row.quick_s += seen.quick_s
+        row.unanswered += seen.unanswered
 
     def load(self, shards: int) -> ShardLoad:
         """Return how busy the shards are."""
@@ -118,7 +140,15 @@
 
     def learn_speeds(self) -> None:
         """Compare how long the servers take; to be called once in a while."""
-        known = {name: row.work_s() for name, row in self._servers.items()}
+        stuck = {name for name, row in self._servers.items() if row.is_stuck()}
+        for name in stuck:
+            row = self._servers[name]
+            row.speed = max(1 / MOST_SPEED, row.speed * STUCK_FACTOR)
+        known = {
+            name: row.work_s()
+            for name, row in self._servers.items()
+            if name not in stuck
+        }
         times = {name: time_s for name, time_s in known.items() if time_s is not None}
         if len(times) < 2:
             return
@@ -163,3 +193,4 @@
             row.ran *= left
             row.quick *= left
             row.quick_s *= left
+            row.unanswered *= left
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -245,7 +245,7 @@
         waiting = len(class_state.queue) > 0
         if waiting and (not light or pool.passes_first(class_state, now_s)):
             return False
-        return pool.has_room(class_state, light=light)
+        return pool.has_room(class_state, now_s, light=light)
 
     def _can_be_served(self, ticket: Ticket, now_s: float) -> bool:
         if ticket.server is None:
@@ -263,7 +263,7 @@
     ) -> Decision:
         share = pool.turn_share(class_state)
         rate_per_s = pool.turn_rate_per_s(class_state, share)
-        has_place = not pool.pinned or may_wait(pool.states[0], class_state, now_s)
+        has_place = not pool.pinned or may_wait(pool, class_state, now_s)
         if has_place:
             most = most_places(class_state.longest_wait_s, rate_per_s)
             now = places(most, class_state.refused_share, share)
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -33,6 +33,7 @@
 from collections.abc import Callable, Iterable
 
 from ._class_state import ClassState
+from ._limit import FULL_QUEUE
 from ._pool import Pool
 from ._requests import Outcome, OutcomeKind, Ticket
 from ._server_state import (
@@ -81,6 +82,8 @@
         pool.limit.note_shed()
         state.note_shed(now_s, RESET_SHED_S)
     elif kind in (OutcomeKind.CONNECT_FAILED, OutcomeKind.TIMEOUT):
+        if kind is OutcomeKind.TIMEOUT:
+            _note_owed(pool, flight, outcome.elapsed_s)
         _judge(pool, state, flight, MOST_RATIO, now_s)
     elif kind in (OutcomeKind.OK, OutcomeKind.SLOW):
         state.answered_s = now_s
@@ -89,6 +92,8 @@
             state.come_back(now_s)
         ratio = class_state.note_answer(outcome.elapsed_s)
         if not flight.long:
+            has_queue = state.queue_now(now_s) > state.server.slots * FULL_QUEUE
+            pool.pace.note_answer(elapsed_s=outcome.elapsed_s, has_queue=has_queue)
             state.short_answers.note(ratio, flight.started_s, now_s)
             wanted_more = pool.waiting > 0
             pool.limit.note_answer(elapsed_s=outcome.elapsed_s, wanted_more=wanted_more)
@@ -137,12 +142,19 @@
         if not class_state.median_s or now_s - flight.started_s <= overdue_s:
             continue
         state.overdue += 1
+        _note_owed(pool, flight, now_s - flight.started_s)
         flight.overdue = True
         # It may never come back and must not hold the limit until then.
         pool.note_end(class_state, flight)
         _judge(pool, state, flight, MOST_RATIO, now_s)
 
 
+def _note_owed(pool: Pool, flight: Flight, waited_s: float) -> None:
+    """Let the owner of keys have less; elsewhere others take the work."""
+    if pool.pinned and not flight.long and not flight.overdue:
+        pool.pace.note_owed(waited_s)
+
+
 def _is_frozen(state: ServerState, flight: Flight, now_s: float) -> bool:
     """Whether a server stopped answering; also for the owner of keys.
 
--- a/src/gentianwharf/load/_owner.py
+++ b/src/gentianwharf/load/_owner.py
@@ -27,10 +27,10 @@
 >>> takes_long(pool, owner, 1.0)  # Nobody looks anything up.
 True
 >>> owner.short_answers.note(ratio=5.0, sent_s=0.9, now_s=1.0)
->>> takes_long(pool, owner, 1.0), may_wait(owner, pool.classes["look-up"], 1.0)
+>>> takes_long(pool, owner, 1.0), may_wait(pool, pool.classes["look-up"], 1.0)
 (False, True)
 >>> owner.note_shed(1.0, wait_s=0.05)
->>> may_wait(owner, pool.classes["look-up"], 1.0)
+>>> may_wait(pool, pool.classes["look-up"], 1.0)
 False
 """
 
@@ -48,12 +48,15 @@
     return flight is None or not _is_slow(pool, flight, now_s)
 
 
-def may_wait(state: ServerState, class_state: ClassState, now_s: float) -> bool:
+def may_wait(pool: Pool, class_state: ClassState, now_s: float) -> bool:
     """Whether waiting for the owner promises an answer within the class's wait."""
     if class_state.request_class.long:
         return True
+    state = pool.states[0]
     if now_s < state.shed_until_s:
         return False
+    if pool.pace.left_s(now_s) > class_state.longest_wait_s:
+        return False
     flight = _oldest_short(state)
     return flight is None or now_s - flight.started_s <= class_state.longest_wait_s
 
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -28,7 +28,7 @@
 ...     pool.note_start(row, sent, 0.0)
 >>> pool.is_light(ask("hot")), pool.is_light(ask("other"))
 (False, True)
->>> pool.has_room(row, light=False), pool.has_room(row, light=True)
+>>> pool.has_room(row, 0.0, light=False), pool.has_room(row, 0.0, light=True)
 (False, True)
 """
 
@@ -40,6 +40,7 @@
 from ._flows import LEAST_BUSY, FlowCounts
 from ._limit import AdaptiveLimit
 from ._long_servers import LongDemand, in_common_order
+from ._pace import Pace
 from ._requests import RequestClass, Ticket
 from ._server_state import Flight, ServerState, Standing
 
@@ -94,6 +95,7 @@
         self.suspects: list[ServerState] = []
         self.short_states: list[ServerState] = []
         self.long_states: list[ServerState] = []
+        self.pace = Pace()
         self.limit = AdaptiveLimit(fair=1.0, most=1.0, owner=pinned)
         self.set_states(states)
         if pinned:
@@ -170,11 +172,13 @@
 
     # Room and turns.
 
-    def has_room(self, state: ClassState, *, light: bool) -> bool:
+    def has_room(self, state: ClassState, now_s: float, *, light: bool) -> bool:
         """Whether the limits let one more request of this class start.
 
         ``light``: see ``is_light``.
         """
+        if not self.pace.is_open(now_s):
+            return False
         limit = self.limit.value
         share = state.request_class.slot_share
         if share < 1.0:
@@ -217,7 +221,8 @@
         for name, state in self.classes.items():
             if name in blocked or not len(state.queue):
                 continue
-            if not self.has_room(state, light=self.passes_first(state, now_s)):
+            light = self.passes_first(state, now_s)
+            if not self.has_room(state, now_s, light=light):
                 continue
             if best is None or state.virtual_time < best.virtual_time:
                 best = state
@@ -225,7 +230,8 @@
 
     def turn_rate_per_s(self, state: ClassState, share: float) -> float:
         """Return how many of the class can start a second with this turn share."""
-        return max(1.0, self.limit.value * share) / max(state.mean_s, LEAST_MEAN_S)
+        each_s = max(state.mean_s, self.pace.gap_s, LEAST_MEAN_S)
+        return max(1.0, self.limit.value * share) / each_s
 
     def turn_share(self, state: ClassState) -> float:
         """Return the class's part of the limit while the others wait as now."""
@@ -274,6 +280,7 @@
     def note_start(self, state: ClassState, flight: Flight, now_s: float) -> None:
         """Count a request that is sent."""
         state.in_flight += 1
+        self.pace.note_start(now_s)
         self._callers.add(flight.ticket.caller)
         if flight.ticket.key is not None:
             self._keys.add(flight.ticket.key)
--- a/tests/test_keyspace_demand.py
+++ b/tests/test_keyspace_demand.py
@@ -110,3 +110,54 @@
     demand.note_load("slow", quick(10, 0.14))
     demand.learn_speeds()
     assert demand.speed("slow") < 0.8
+
+
+def test_server_that_owes_its_answers_counts_as_slow() -> None:
+    """Secretaries wait a second for nothing, and their club's keys stay where they are.
+
+    Its server takes five times as long. Whoever asks has given up before the answer
+    comes, so that no answer tells how long it takes.
+    """
+    clock = Clock()
+    demand = Demand(now_s=clock.seconds)
+    for _ in range(10):
+        demand.note_load(
+            "stuck", LoadSeen(running=0, waiting=0, answers=0, unanswered=1)
+        )
+        demand.note_load("other", quick(6, 0.1))
+        demand.note_load("another", quick(6, 0.1))
+        clock.advance(0.25)
+        demand.learn_speeds()
+    assert demand.speed("stuck") < 0.5
+    assert demand.speed("other") == 1.0
+
+
+def test_answers_that_are_lost_now_and_then_make_no_server_slow() -> None:
+    clock = Clock()
+    demand = Demand(now_s=clock.seconds)
+    for _ in range(20):
+        demand.note_load("lossy", quick(10, 0.1))
+        demand.note_load(
+            "lossy", LoadSeen(running=0, waiting=0, answers=0, unanswered=1)
+        )
+        demand.note_load("other", quick(10, 0.1))
+        clock.advance(0.25)
+        demand.learn_speeds()
+    assert demand.speed("lossy") > 0.9
+
+
+def test_server_that_answers_again_is_taken_for_what_it_is() -> None:
+    clock = Clock()
+    demand = Demand(now_s=clock.seconds)
+    for second in range(60):
+        unanswered = 1.0 if second < 20 else 0.0
+        answers = 0 if second < 20 else 3
+        demand.note_load("once-stuck", quick(answers, 0.1))
+        demand.note_load(
+            "once-stuck",
+            LoadSeen(running=0, waiting=0, answers=0, unanswered=unanswered),
+        )
+        demand.note_load("other", quick(6, 0.1))
+        clock.advance(0.25)
+        demand.learn_speeds()
+    assert demand.speed("once-stuck") > 0.9
