Serve pipelined reads side by side, and answer them in their order

Cause: what a caller sent behind a read waited for its answer before anybody began with it. What may not repeat, or has a body, still waits: sent behind a break it counts as unread, and its caller sends it again. A malformed head behind others is refused after them, not in place of their answer. Ruled out: parsing every head at once, since the end of an earlier request sets a half-read head or body in twisted's parser back.

--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -11,6 +11,7 @@
 from twisted.web.server import Request
 
 from ._caller_body import BodySource, CallerBody
+from ._pipeline import HeldAnswer
 
 
 class RequestChannel(BodySource, Protocol):
@@ -50,6 +51,16 @@
     # An answer without a type is handed on without one: it is the server's.
     defaultContentType = None  # noqa: N815
 
+    def take_turn(self) -> None:
+        """Answer on the connection itself: all earlier answers are written."""
+        if not isinstance(self.channel, HeldAnswer):
+            return
+        held, self.channel = self.channel, self.channel._channel
+        self.queued = False
+        held.hand_over()
+        if self.finished:
+            self._cleanup()
+
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Begin processing now when a body is to follow."""
         if length == 0:
@@ -109,6 +120,9 @@
             self.body.end()
             return
         self.set_head(command, path, version)
+        if self.queued:
+            # Earlier requests of this connection are still being served.
+            self.channel = cast(Any, HeldAnswer(channel=self.channel))
         self.process()
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -14,6 +14,7 @@
 
 from ._caller_request import CallerRequest
 from ._headers import connection_options
+from ._pipeline import MOST_AHEAD, whole_safe_head
 from ._transport import send_now
 
 
@@ -40,6 +41,7 @@
     requestFactory = CallerRequest  # noqa: N815
     site: "CallerSite"
     _closing = False
+    _last_words = b""
 
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
@@ -110,11 +112,42 @@
         """Take a piece of a body, unless the connection is about to be closed."""
         if not self._closing:
             super().rawDataReceived(data)
+            self._begin_next()
 
     def allContentReceived(self) -> None:  # noqa: N802
         """End a body, unless its request was answered before."""
         if not self._closing:
             super().allContentReceived()
+            self._begin_next()
+
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Let the next answer have its turn, or go on reading."""
+        if len(self.requests) == 1 or request is not self.requests[0]:
+            if self._last_words and self.transport is not None:
+                self.transport.write(self._last_words)
+            super().requestDone(request)
+            return
+        del self.requests[0]
+        cast(CallerRequest, self.requests[0]).take_turn()
+        self._begin_next()
+
+    def _begin_next(self) -> None:
+        """Begin with a request that was sent behind others, if it may pass.
+
+        While ``_handlingRequest`` is set the parser only keeps what comes.
+        """
+        may_pass = self._handlingRequest and self.persistent and not self._closing
+        if not may_pass or not self._dataBuffer or len(self.requests) >= MOST_AHEAD:
+            return
+        if self.requests and self.requests[-1].body is not None:
+            return
+        kept = b"".join(self._dataBuffer)
+        length = whole_safe_head(kept)
+        self._dataBuffer = [kept]
+        if length:
+            self._dataBuffer = [kept[length:]] if len(kept) > length else []
+            self._handlingRequest = False
+            self.setLineMode(kept[:length])
 
     def checkPersistence(self, request: Any, version: bytes) -> bool:  # noqa: N802
         """Say whether the connection stays open, by every Connection header.
@@ -143,7 +176,14 @@
         if self._closing or self.transport is None:
             return
         self._closing = True
-        self.transport.write(_malformed(too_large=too_large))
+        refusal = _malformed(too_large=too_large)
+        if len(self.requests) > 1:
+            # Written now, it would be taken for the answer to an earlier request.
+            self.requests.pop()
+            self._last_words = refusal
+            self.keep_no_longer()
+            return
+        self.transport.write(refusal)
         self.loseConnection()
 
 
--- /dev/null
+++ b/tests/test_relay_pipelining.py
@@ -0,0 +1,161 @@
+"""Several requests on one connection, sent before the first is answered."""
+
+import threading
+import time
+
+import pytest
+
+from tests.builders_relay import answer, request, running_relay
+
+LATE_S = 0.2
+
+
+def path_of(head: bytes) -> bytes:
+    return head.split(b" ")[1]
+
+
+def in_order(received: bytes, *paths: bytes) -> bool:
+    places = [received.index(b"body of " + path) for path in paths]
+    return places == sorted(places)
+
+
+def by_path(delays_s):  # type: ignore[no-untyped-def]
+    """Return a server that answers each path after a time of its own."""
+
+    def serve(connection, head):  # type: ignore[no-untyped-def]
+        time.sleep(delays_s.get(path_of(head), 0.0))
+        connection.sendall(answer(b"body of " + path_of(head)))
+
+    return serve
+
+
+def test_later_requests_do_not_wait_for_the_first() -> None:
+    """An archivist's page sends four reads at once, each of which takes a while.
+
+    Served one after another, the fourth is late before a server has seen it.
+    """
+    server = by_path(dict.fromkeys([b"/plain/a", b"/plain/b", b"/plain/c"], LATE_S))
+    begun_s = time.monotonic()
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(
+            request(path="/plain/a", close=False)
+            + request(path="/plain/b", close=False)
+            + request(path="/plain/c")
+        )
+    assert time.monotonic() - begun_s < 2.5 * LATE_S
+    assert in_order(received, b"/plain/a", b"/plain/b", b"/plain/c")
+
+
+def test_quick_answer_waits_for_the_slow_one_before_it() -> None:
+    server = by_path({b"/plain/slow": LATE_S})
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(
+            request(path="/plain/slow", close=False) + request(path="/plain/quick")
+        )
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert in_order(received, b"/plain/slow", b"/plain/quick")
+
+
+def test_large_answer_that_waits_is_whole() -> None:
+    large = b"x" * 500_000
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        if path_of(head) == b"/plain/slow":
+            time.sleep(LATE_S)
+            connection.sendall(answer(b"body of /plain/slow"))
+        else:
+            connection.sendall(answer(large))
+
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(
+            request(path="/plain/slow", close=False) + request(path="/plain/large")
+        )
+    assert received.endswith(large)
+    assert received.index(b"body of /plain/slow") < received.index(b"xxx")
+
+
+def test_what_must_not_repeat_is_not_begun_early() -> None:
+    """A charge is sent behind a read; the connection breaks before it is answered.
+
+    Whoever sent it takes it for unread and sends it again: begun early, it runs twice.
+    """
+    seen: list[bytes] = []
+    first_done = threading.Event()
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        seen.append(path_of(head))
+        if path_of(head) == b"/plain/slow":
+            time.sleep(LATE_S)
+            assert b"/plain/charge" not in seen
+            first_done.set()
+        connection.sendall(answer(b"body of " + path_of(head)))
+
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(
+            request(path="/plain/slow", close=False)
+            + request("POST", "/plain/charge", headers="Content-Length: 0\r\n")
+        )
+    assert first_done.is_set()
+    assert in_order(received, b"/plain/slow", b"/plain/charge")
+
+
+def test_upload_behind_a_read_keeps_its_body() -> None:
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        if path_of(head) == b"/plain/slow":
+            time.sleep(LATE_S)
+            connection.sendall(answer(b"body of /plain/slow"))
+            return
+        body = head.split(b"\r\n\r\n", 1)[1]
+        while len(body) < 5:
+            body += connection.recv(100)
+        connection.sendall(answer(b"body of /plain/upload " + body))
+
+    upload = request("POST", "/plain/upload", headers="Content-Length: 5\r\n")
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(
+            request(path="/plain/slow", close=False) + upload + b"hello"
+        )
+    assert received.endswith(b"/plain/upload hello")
+
+
+def test_malformed_request_behind_another_is_refused_in_its_turn() -> None:
+    """A refusal written at once would be taken for the answer to the first request."""
+    server = by_path({b"/plain/slow": LATE_S})
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(
+            request(path="/plain/slow", close=False)
+            + b"GET /plain/bad HTTP/1.1\r\nHost: x\r\nno colon here\r\n\r\n"
+        )
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"body of /plain/slow" in received
+    assert b"HTTP/1.1 400" in received
+
+
+def test_broken_answer_breaks_the_connection_in_its_turn() -> None:
+    """The second answer is cut short; the first, which is whole, has to arrive."""
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        if path_of(head) == b"/plain/slow":
+            time.sleep(LATE_S)
+            connection.sendall(answer(b"body of /plain/slow"))
+            return
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbegun")
+        connection.close()
+
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(
+            request(path="/plain/slow", close=False) + request(path="/plain/cut")
+        )
+    assert b"body of /plain/slow" in received
+    assert received.endswith(b"begun")
+
+
+@pytest.mark.parametrize("count", [3, 20])
+def test_many_requests_are_all_answered_in_order(count: int) -> None:
+    server = by_path({b"/plain/0": LATE_S, b"/plain/2": LATE_S / 2})
+    paths = [f"/plain/{number}" for number in range(count)]
+    requests = [request(path=path, close=False) for path in paths[:-1]]
+    with running_relay([server], deadline_ms=5000) as relay:
+        received = relay.ask(b"".join(requests) + request(path=paths[-1]))
+    assert received.count(b"HTTP/1.1 200") == count
+    assert in_order(received, *(path.encode() for path in paths))
