Hold callers to the operators' limits: body, slow head, idle time

Cause: the configuration's limits were read and not used: bodies of any length passed, a head could take for ever, connections were kept idle for a minute whatever the operators said. 413 before the body is sent, a break for one in chunks that grows too long, 408 for a slow head, the idle time also for open connections.

--- a/src/gentianwharf/entryhost/_entities.py
+++ b/src/gentianwharf/entryhost/_entities.py
@@ -1,7 +1,8 @@
-"""A listed server in the words of those who deal with it."""
+"""What the platform lists, in the words of those who deal with it."""
 
 from gentianwharf.keyspace import Candidate, Holder
-from gentianwharf.platform import ServerEntry
+from gentianwharf.platform import CallerLimits, ServerEntry
+from gentianwharf.relay import ConnectionLimits
 from gentianwharf.topology import BackendServer
 
 
@@ -28,3 +29,13 @@
 def candidate_of(entry: ServerEntry) -> Candidate:
     """Return a server as one that may hold shards."""
     return Candidate(holder=holder_of(entry), capacity=float(entry.slots))
+
+
+def limits_of(limits: CallerLimits) -> ConnectionLimits:
+    """Return what the operators let a caller's connection take."""
+    return ConnectionLimits(
+        most_head_bytes=limits.most_head_bytes,
+        most_body_bytes=limits.most_body_bytes,
+        head_timeout_s=limits.head_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -31,6 +31,7 @@
     ServerOrders,
 )
 from gentianwharf.relay import (
+    HEAD_SWEEP_S,
     CallerSite,
     ConnectionLimits,
     RelayApp,
@@ -42,7 +43,8 @@
 
 from ._classes import class_of
 from ._directory import Directory, takes_work
-from ._entities import candidate_of, holder_of, server_of
+from ._entities import candidate_of, holder_of, limits_of, server_of
+from ._gauges import add_gauges
 from ._keys import KeyHolders
 from ._metrics import METRICS_PORT, HostMetrics, metrics_site
 from ._observer import AnswerLog
@@ -178,7 +180,6 @@
         self._admission.on_unanswered = self._note_unanswered
         self._keyed: set[str] = set()
         self.metrics = HostMetrics()
-        self._add_gauges()
         self.relay = RelayApp(
             rules=self._rules,
             ownership=self._keys,
@@ -194,17 +195,19 @@
         self._site = CallerSite(
             resource=self.relay.resource(), reactor=reactor, limits=ConnectionLimits()
         )
+        self._add_gauges()
 
     def _add_gauges(self) -> None:
-        add = self.metrics.add
-        leadership, mirror, rules = self._leadership, self._mirror, self._rules
-        add("leads", "Whether this host leads", lambda: float(leadership.leads))
-        add("hosts", "Hosts that report to the leader", lambda: self._hosts)
-        add("store_age_seconds", "Since the store was heard", mirror.silent_s)
-        add("rules_version", "Version of the rules in force", lambda: rules.version)
-        add("in_flight", "Requests being served", lambda: len(self.relay.in_flight))
-        add("callers", "Callers' connections", lambda: len(self._site.channels))
-        add("servers", "Backend servers in use", lambda: len(self._servers))
+        add_gauges(
+            self.metrics,
+            leadership=self._leadership,
+            mirror=self._mirror,
+            rules=self._rules,
+            relay=self.relay,
+            site=self._site,
+            servers=self._servers,
+            hosts=lambda: self._hosts,
+        )
 
     # Start and stop.
 
@@ -221,6 +224,7 @@
         self._mirror.start()
         self._ticks.every(CONTROL_TICK_S, self._control)
         self._ticks.every(GATE_TICK_S, self._admission.tick)
+        self._ticks.every(HEAD_SWEEP_S, self._site.refuse_slow_heads)
         log.info("started", extra={"host": self.settings.name})
 
     def _listen(self, address: str, site: Any) -> Any:
@@ -380,6 +384,7 @@
             ],
             classes=[class_of(kind) for kind in configuration.kinds.values()],
         )
+        self._site.take_limits(limits_of(configuration.limits))
         self.relay.splitter.keep_only(
             frozenset(rule.name for rule in configuration.document.rules)
         )
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -142,7 +142,6 @@
         if not class_state.median_s or now_s - flight.started_s <= overdue_s:
             continue
         state.overdue += 1
-        _note_owed(pool, flight, now_s - flight.started_s)
         flight.overdue = True
         # It may never come back and must not hold the limit until then.
         pool.note_end(class_state, flight)
@@ -151,7 +150,7 @@
 
 def _note_owed(pool: Pool, flight: Flight, waited_s: float) -> None:
     """Let the owner of keys have less; elsewhere others take the work."""
-    if pool.pinned and not flight.long and not flight.overdue:
+    if pool.pinned and not flight.long:
         pool.pace.note_owed(waited_s)
 
 
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -3,8 +3,9 @@
 from gentianwharf.runs import Run
 
 from ._app import RelayApp
+from ._caller_limits import HEAD_SWEEP_S, ConnectionLimits
 from ._caller_request import CallerRequest
-from ._caller_site import CallerSite, ConnectionLimits
+from ._caller_site import CallerSite
 from ._connections import ServerConnections
 from ._deadline import Remaining
 from ._dialect import Dialect, OwnDialect, ServerRefusal
@@ -23,6 +24,7 @@
 from ._problem import Problem
 
 __all__ = [
+    "HEAD_SWEEP_S",
     "Admission",
     "Answered",
     "CallerRequest",
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import UNKNOWN_LENGTH
 
 from gentianwharf.logs import log
 from gentianwharf.rules import RuleMatch, Splitter
@@ -124,6 +125,7 @@
         if len(set(request.requestHeaders.getRawHeaders(KEY_HEADER) or ())) > 1:
             raise _bad_request("expected one Gentianwharf-Key, got two that differ")
         _check_upgrade(request.requestHeaders)
+        _check_length(request)
         facts = facts_of(request.method, request.uri, request.requestHeaders)
         match = self.rules.match(facts)
         if match is None:
@@ -186,6 +188,19 @@
     )
 
 
+def _check_length(request: CallerRequest) -> None:
+    most_bytes = cast(Any, request.site).limits.most_body_bytes
+    if request.body is None or request.body.length is UNKNOWN_LENGTH:
+        return
+    if most_bytes is not None and request.body.length > most_bytes:
+        raise Problem(
+            status=413,
+            title="the request's body is too large",
+            run=Run.NOT_RUN,
+            detail=f"expected at most {most_bytes} bytes, got {request.body.length}",
+        )
+
+
 def _check_upgrade(headers: Headers) -> None:
     """Refuse a request that asks to leave HTTP on its connection.
 
--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -45,6 +45,7 @@
         self.length: Any = UNKNOWN_LENGTH if length is None else length
         self.complete = False
         self.started = False
+        self.received_bytes = 0
         self._channel = channel
         self._waiting: deque[bytes] = deque()
         self._consumer: IConsumer | None = None
@@ -99,14 +100,16 @@
         self._done = None
         self.pauseProducing()
 
-    def received(self, data: bytes) -> None:
-        """Take a piece of the body from the caller."""
+    def received(self, data: bytes) -> int:
+        """Take a piece of the body from the caller; return how many bytes came yet."""
+        self.received_bytes += len(data)
         self._keep(data)
         if self._paused or self._consumer is None:
             self._waiting.append(data)
             self._channel.pause_reading()
-            return
-        self._consumer.write(data)
+        else:
+            self._consumer.write(data)
+        return self.received_bytes
 
     def _keep(self, data: bytes) -> None:
         if self._replay is None:
--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -5,11 +5,14 @@
 begins processing at the end of the head and passes the body on as it comes.
 """
 
+from math import inf
 from typing import Any, Protocol, cast
 
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
+from gentianwharf.logs import log
+
 from ._caller_body import BodySource, CallerBody
 from ._pipeline import HeldAnswer
 
@@ -97,8 +100,13 @@
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Pass a piece of the body on."""
-        if self.body is not None:
-            self.body.received(data)
+        if self.body is None:
+            return
+        most_bytes = cast(Any, self.channel).site.limits.most_body_bytes
+        if self.body.received(data) > (most_bytes or inf):
+            # In chunks, so that its head did not tell. The server sees a break.
+            log.info("request cut: its body is too large", extra={"most": most_bytes})
+            self.abort()
 
     def process(self) -> None:
         """Hand the request to a resource that serves every path, else to the site's.
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -1,8 +1,7 @@
 """The callers' port: HTTP/1.1 connections, their limits and their end."""
 
 import json
-from dataclasses import dataclass
-from typing import Any, cast, final
+from typing import Any, cast
 
 from twisted.internet.interfaces import ITCPTransport
 from twisted.internet.protocol import connectionDone
@@ -12,29 +11,13 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from ._caller_limits import ConnectionLimits
 from ._caller_request import CallerRequest
 from ._headers import connection_options
 from ._pipeline import MOST_AHEAD, whole_safe_head
 from ._transport import send_now
 
 
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConnectionLimits:
-    """What one caller's connection may take.
-
-    A browser or balancer that keeps a connection idle for a minute has most likely
-    forgotten it; a middlebox drops idle state about then. A caller or server that
-    moves no byte for ``stall_timeout_s`` is taken for gone: browsers give up on a
-    stalled page far earlier, and each stalled answer holds a slot.
-    """
-
-    most_head_bytes: int = 16_384
-    most_headers: int = 100
-    idle_timeout_s: float = 60.0
-    stall_timeout_s: float = 30.0
-
-
 class CallerChannel(HTTPChannel):
     """A caller's connection, with problem documents for malformed requests."""
 
@@ -42,6 +25,7 @@
     site: "CallerSite"
     _closing = False
     _last_words = b""
+    _head_since_s: float | None = None
 
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
@@ -50,6 +34,30 @@
         self.site.channels.discard(self)
         super().connectionLost(reason)
 
+    def take_limits(self, limits: ConnectionLimits) -> None:
+        """Follow limits that have changed; what was begun under others goes on."""
+        self.totalHeadersSize = limits.most_head_bytes
+        self.MAX_LENGTH = limits.most_head_bytes
+        self.maxHeaders = limits.most_headers
+        if self.requests:
+            self._savedTimeOut = limits.idle_timeout_s
+        else:
+            self.setTimeout(limits.idle_timeout_s)
+
+    def refuse_slow_head(self, now_s: float, timeout_s: float) -> None:
+        """Refuse a request whose head takes longer than ``timeout_s`` to arrive."""
+        if self._closing or not self._reads_head():
+            self._head_since_s = None
+        elif self._head_since_s is None:
+            self._head_since_s = now_s
+        elif now_s - self._head_since_s > timeout_s:
+            self._refuse(_SLOW_HEAD)
+
+    def _reads_head(self) -> bool:
+        # The parser knows a command from a request's first line to its end.
+        is_begun = "_command" in self.__dict__
+        return is_begun and bool(self.requests) and self.requests[-1].body is None
+
     def close_if_idle(self) -> None:
         """Close unless a request is being received or served."""
         if not self.requests:
@@ -175,21 +183,21 @@
         )
         if self._closing or self.transport is None:
             return
+        self._refuse(_TOO_LARGE if too_large else _MALFORMED)
+
+    def _refuse(self, refusal: bytes) -> None:
         self._closing = True
-        refusal = _malformed(too_large=too_large)
         if len(self.requests) > 1:
             # Written now, it would be taken for the answer to an earlier request.
             self.requests.pop()
             self._last_words = refusal
             self.keep_no_longer()
-            return
-        self.transport.write(refusal)
-        self.loseConnection()
+        elif self.transport is not None:
+            self.transport.write(refusal)
+            self.loseConnection()
 
 
-def _malformed(*, too_large: bool) -> bytes:
-    status = b"431 Request Header Fields Too Large" if too_large else b"400 Bad Request"
-    title = "the request's head is too large" if too_large else "malformed request"
+def _refusal(status: bytes, title: str) -> bytes:
     problem = {"title": title, "status": int(status[:3]), "run": "not-run"}
     body = json.dumps(problem).encode()
     return b"\r\n".join(
@@ -204,6 +212,13 @@
     )
 
 
+_TOO_LARGE = _refusal(
+    b"431 Request Header Fields Too Large", "the request's head is too large"
+)
+_MALFORMED = _refusal(b"400 Bad Request", "malformed request")
+_SLOW_HEAD = _refusal(b"408 Request Timeout", "the request's head came too slowly")
+
+
 class CallerSite(Site):
     """The callers' port."""
 
@@ -224,18 +239,32 @@
             timeout=self.limits.idle_timeout_s,
             reactor=reactor,
         )
+        self._seconds = reactor.seconds
         self.channels: set[CallerChannel] = set()
         self.stopping = False
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Make a caller's connection, and remember it."""
         channel = super().buildProtocol(addr)
-        channel.totalHeadersSize = self.limits.most_head_bytes
-        channel.MAX_LENGTH = self.limits.most_head_bytes
-        channel.maxHeaders = self.limits.most_headers
+        channel.take_limits(self.limits)
         self.channels.add(channel)
         return channel
 
+    def take_limits(self, limits: ConnectionLimits) -> None:
+        """Follow limits that have changed, also for open connections."""
+        if limits == self.limits:
+            return
+        self.limits = limits
+        self.timeOut = limits.idle_timeout_s
+        for channel in self.channels:
+            channel.take_limits(limits)
+
+    def refuse_slow_heads(self) -> None:
+        """Refuse requests whose heads are too slow; due every ``HEAD_SWEEP_S``."""
+        now_s = self._seconds()
+        for channel in list(self.channels):
+            channel.refuse_slow_head(now_s, self.limits.head_timeout_s)
+
     def stop_keeping(self) -> None:
         """Ask for the close of every connection with its next answer."""
         self.stopping = True
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -222,6 +222,7 @@
 
     port: int
     app: RelayApp
+    site: CallerSite
     servers: list[ScriptedServer]
     admission: FirstServer
     ownership: FirstOwner
@@ -334,6 +335,7 @@
     yield RunningRelay(
         port=port.getHost().port,
         app=app,
+        site=site,
         servers=scripted,
         admission=admission,
         ownership=ownership,
--- /dev/null
+++ b/tests/test_relay_limits.py
@@ -0,0 +1,105 @@
+"""What one caller's connection may take, and what it is told beyond that."""
+
+import time
+from dataclasses import replace
+
+import pytest
+
+from gentianwharf.relay import ConnectionLimits
+from tests.builders_relay import (
+    answer,
+    in_reactor,
+    read_to_end,
+    request,
+    running_relay,
+)
+
+LIMITS = ConnectionLimits(most_body_bytes=1000)
+
+
+def plain(connection, head):  # type: ignore[no-untyped-def]
+    connection.sendall(answer(b"ok"))
+
+
+def test_body_that_says_it_is_too_large_is_refused_before_it_is_sent() -> None:
+    raw = request("POST", headers="Content-Length: 1001\r\n")
+    with running_relay([plain], limits=LIMITS) as relay:
+        received = relay.ask(raw + b"x" * 1001)
+        assert received.startswith(b"HTTP/1.1 413")
+        assert b"expected at most 1000 bytes, got 1001" in received
+        assert relay.servers[0].heads == []
+
+
+def test_body_in_chunks_that_is_too_large_never_ends_at_the_server() -> None:
+    """An upload without a length goes on for ever, and fills a server's disk."""
+    raw = request("POST", headers="Transfer-Encoding: chunked\r\n")
+    ends: list[bytes] = []
+
+    def reading(connection, head):  # type: ignore[no-untyped-def]
+        ends.append(read_to_end(connection)[-5:])
+
+    with running_relay([reading], limits=LIMITS, deadline_ms=3000) as relay:
+        received = relay.ask(raw + b"400\r\n" + b"x" * 1024 + b"\r\n0\r\n\r\n")
+        assert b"200" not in received
+        time.sleep(0.2)
+    assert b"0\r\n\r\n" not in ends
+
+
+@pytest.mark.parametrize("size", [0, 1, 1000])
+def test_body_within_the_limit_passes(size: int) -> None:
+    def reading(connection, head):  # type: ignore[no-untyped-def]
+        body = head.split(b"\r\n\r\n", 1)[1]
+        while len(body) < size:
+            body += connection.recv(10_000)
+        connection.sendall(answer(b"%d" % len(body)))
+
+    raw = request("POST", headers=f"Content-Length: {size}\r\n")
+    with running_relay([reading], limits=LIMITS, deadline_ms=3000) as relay:
+        assert relay.ask(raw + b"x" * size).endswith(b"%d" % size)
+
+
+def test_head_that_comes_too_slowly_is_refused() -> None:
+    """Somebody opens connections and sends a byte now and then, to hold them all."""
+    limits = ConnectionLimits(head_timeout_s=0.2)
+    with running_relay([plain], limits=limits) as relay, relay.connect() as connection:
+        connection.sendall(b"GET /plain/1 HTTP/1.1\r\nHost: x\r\n")
+        for _ in range(4):
+            in_reactor(relay.site.refuse_slow_heads)
+            time.sleep(0.1)
+        in_reactor(relay.site.refuse_slow_heads)
+        received = read_to_end(connection)
+    assert received.startswith(b"HTTP/1.1 408")
+    assert b'"run": "not-run"' in received
+
+
+def test_slow_body_is_no_slow_head() -> None:
+    limits = ConnectionLimits(head_timeout_s=0.1)
+
+    def reading(connection, head):  # type: ignore[no-untyped-def]
+        body = head.split(b"\r\n\r\n", 1)[1]
+        while len(body) < 4:
+            body += connection.recv(100)
+        connection.sendall(answer(body))
+
+    with (
+        running_relay([reading], limits=limits, deadline_ms=3000) as relay,
+        relay.connect() as connection,
+    ):
+        connection.sendall(request("POST", headers="Content-Length: 4\r\n") + b"ab")
+        for _ in range(4):
+            in_reactor(relay.site.refuse_slow_heads)
+            time.sleep(0.1)
+        connection.sendall(b"cd")
+        assert read_to_end(connection).endswith(b"abcd")
+
+
+def test_new_limits_hold_for_open_connections() -> None:
+    """Operators shorten the idle time, and old connections stay open for a minute."""
+    with running_relay([plain]) as relay, relay.connect() as connection:
+        connection.sendall(request(close=False))
+        assert connection.recv(1000).startswith(b"HTTP/1.1 200")
+        shorter = replace(relay.site.limits, idle_timeout_s=0.1)
+        in_reactor(lambda: relay.site.take_limits(shorter))
+        begun_s = time.monotonic()
+        assert read_to_end(connection) == b""
+        assert time.monotonic() - begun_s < 2.0
