Part what hosts agree on from what an entry host serves

Control holds the store's mirror, leadership, grants and keys; the host holds the callers' port, the gate and the relay.

--- /dev/null
+++ b/src/gentianwharf/entryhost/_control.py
@@ -0,0 +1,238 @@
+"""What an entry host agrees on with the others: store, leadership, grants, keys."""
+
+from collections.abc import Callable, Iterable, Mapping
+from random import Random
+from typing import Any, final
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from gentianwharf.keyspace import (
+    GrantTiming,
+    Keeper,
+    Leadership,
+    LoadSeen,
+    Planner,
+    Span,
+)
+from gentianwharf.logs import log
+from gentianwharf.platform import (
+    CONFIG_KEY,
+    SERVERS_PREFIX,
+    SHARDS,
+    HostSettings,
+    PlatformStore,
+    ServerEntry,
+    ServerOrders,
+)
+from gentianwharf.relay import ServerLoad
+from gentianwharf.store import Events, Item, Mirror
+from gentianwharf.topology import BackendServer
+
+from ._directory import Directory, takes_work
+from ._entities import candidate_of, holder_of
+from ._keys import KeyHolders, ServerOf
+from ._peers import Peers
+from ._rules import RulesInForce
+from ._store_keys import LEADER_KEY, RESIGNED_KEY, TABLE_PREFIX
+
+STAND_BACK_S = 4.0
+"""For how long a host that could reach few servers leaves the lead to others: about as
+long as they need to find out whether they can."""
+
+FIRST_HOSTS = 10
+"""How many hosts there are, until the leader tells."""
+
+
+@final
+class Control:
+    """One host's part in what all hosts agree on; ``tick`` is due every 50 ms or so."""
+
+    def __init__(
+        self,
+        *,
+        settings: HostSettings,
+        server_of: ServerOf,
+        reactor: Any,
+        rng: Random,
+    ) -> None:
+        self.on_hosts: Callable[[int], None] = lambda hosts: None
+        self.hosts = FIRST_HOSTS
+        self.keyed: set[str] = set()
+        now_s = reactor.seconds
+        store = PlatformStore(reactor=reactor, address=settings.store.address)
+        self.mirror = Mirror(store=store, prefix="", reactor=reactor, rng=rng)
+        self.rules = RulesInForce()
+        self.directory = Directory(mirror=self.mirror, reactor=reactor)
+        self.keys = KeyHolders(server_of=server_of, reactor=reactor)
+        self._peers = Peers(
+            host=settings.name,
+            address=f"{settings.ip}:{settings.first_internal_port}",
+            reactor=reactor,
+        )
+        self.leadership = Leadership(
+            store=store,
+            key=LEADER_KEY,
+            resigned_key=RESIGNED_KEY,
+            value=msgspec.json.encode(self._peers.name),
+            now_s=now_s,
+            rng=rng,
+        )
+        self._keeper = Keeper(
+            orders=ServerOrders(reactor=reactor),
+            timing=GrantTiming(longest_grant_s=settings.agreements.longest_grant_s),
+            now_s=now_s,
+        )
+        self._planner = Planner(
+            store=store,
+            leadership=self.leadership,
+            leader_key=LEADER_KEY,
+            table_prefix=TABLE_PREFIX,
+            keeper=self._keeper,
+            shards=SHARDS,
+            now_s=now_s,
+        )
+        self._connect_store()
+        self._connect_peers()
+
+    def _connect_store(self) -> None:
+        self.mirror.listen(self._note_item)
+        self.mirror.on_read = self._note_read
+        self.mirror.on_events = self._peers.tell_events
+        self.mirror.is_fed = self._peers.is_fed
+        self.leadership.on_gained = self._begin_to_lead
+        self.leadership.on_lost = self._cease_to_lead
+        self._keeper.on_granted = self._note_granted
+        self._planner.on_table = self.keys.take
+        self._planner.on_isolated = self._step_aside
+
+    def _connect_peers(self) -> None:
+        peers = self._peers
+        peers.on_requests = self._note_requests
+        peers.on_load = self._note_load
+        peers.on_granted = self.keys.open
+        peers.on_events = self._note_events
+        peers.on_hosts = self._note_hosts
+        peers.known_revision = self._known_revision
+        self.keys.on_request = peers.note_request
+        self.keys.hears_leader = peers.hears_leader
+
+    def start(self) -> None:
+        """Begin to follow the store, and to hear other hosts."""
+        self._peers.start()
+        self.mirror.start()
+
+    def stop(self) -> None:
+        """Follow nothing any more."""
+        self.mirror.stop()
+        self._peers.stop()
+
+    def tick(self) -> None:
+        """Do what is due."""
+        self.leadership.tick()
+        self._planner.tick()
+        self._keeper.tick()
+        self._peers.tick()
+
+    def resign(self, stand_back_s: float) -> None:
+        """Let another host lead, and do not ask for it for a while."""
+        held_s = self._keeper.held_s()
+        done = Deferred.fromCoroutine(
+            self.leadership.resign(held_s, stand_back_s=stand_back_s)
+        )
+        done.addErrback(lambda failure: log.error(failure.getTraceback()))
+
+    def divide(self, warm_ups_s: Mapping[str, float]) -> None:
+        """Follow which services are divided by key, and how long shards warm up."""
+        self.keyed.update(warm_ups_s)
+        self._planner.set_services(warm_ups_s)
+
+    def note_servers(self, service: str) -> None:
+        """Follow a change in the directory of a service's servers."""
+        self._keeper.note_listed(holder_of(one) for one in self.directory.all())
+        if service in self.keyed:
+            # One in doubt keeps its keys until it is sure that it is gone.
+            self._set_candidates(service, self.directory.entries(service))
+            self.keys.wake(service)
+
+    def _set_candidates(self, service: str, listed: Iterable[ServerEntry]) -> None:
+        candidates = [candidate_of(one) for one in listed if takes_work(one)]
+        self._planner.set_candidates(service, candidates)
+
+    # What this host sees of servers.
+
+    def note_server_load(
+        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
+    ) -> None:
+        """Report what a server said of its load."""
+        if server.service in self.keyed:
+            self._peers.note_load(server, load, elapsed_s)
+
+    def note_unanswered(self, server: BackendServer) -> None:
+        """Report that a server left a request without an answer."""
+        if server.service in self.keyed:
+            self._peers.note_unanswered(server)
+
+    # What the store says.
+
+    def _note_item(self, key: str, item: Item | None) -> None:
+        if key == CONFIG_KEY:
+            self.rules.note_item(item)
+        elif key.startswith(SERVERS_PREFIX):
+            self.directory.note_item(key, item)
+        elif key == LEADER_KEY:
+            self._peers.follow(item)
+            self.leadership.note_item(item)
+        elif key == RESIGNED_KEY:
+            self.leadership.note_resigned(item)
+        elif key.startswith(TABLE_PREFIX) and item is not None:
+            self._planner.note_table(item)
+
+    def _note_read(self) -> None:
+        if LEADER_KEY not in self.mirror.items:
+            self.leadership.note_item(None)
+
+    def _known_revision(self) -> int | None:
+        """Return up to where this host surely knows the store, None if it may not."""
+        if not self.leadership.may_change() or self.mirror.silent_s() > 0:
+            return None
+        return self.mirror.revision if self.mirror.is_current else None
+
+    # What other hosts say.
+
+    def _note_events(self, after_revision: int, events: Events) -> None:
+        self.mirror.feed(events, after_revision=after_revision)
+
+    def _note_hosts(self, hosts: int) -> None:
+        if hosts != self.hosts:
+            self.hosts = hosts
+            self.on_hosts(hosts)
+
+    def _note_requests(self, service: str, counts: Mapping[int, float]) -> None:
+        demand = self._planner.demand(service)
+        if demand is not None:
+            demand.note_requests(counts)
+
+    def _note_load(self, service: str, server_id: str, seen: LoadSeen) -> None:
+        demand = self._planner.demand(service)
+        if demand is not None:
+            demand.note_load(server_id, seen)
+
+    # While this host leads.
+
+    def _begin_to_lead(self, held_s: float | None) -> None:
+        self._peers.lead(True)
+        self._planner.note_gained(held_s)
+
+    def _cease_to_lead(self) -> None:
+        self._peers.lead(False)
+        self._keeper.stop()
+
+    def _note_granted(self, service: str, span: Span) -> None:
+        self.keys.open(service, span.first, span.last, span.token)
+        self._peers.tell_granted(service, span)
+
+    def _step_aside(self) -> None:
+        if self.hosts > 1 and self.leadership.term is not None:
+            log.warning("most servers can't be reached from here: no longer leading")
+            self.resign(STAND_BACK_S)
