--- /dev/null
+++ b/src/gentianwharf/entry.py
@@ -0,0 +1,17 @@
+"""Run an entry host: ``python -OO -m gentianwharf.entry``.
+
+A host that starts again serves nobody until its modules are loaded. Of what they make
+nothing is ever garbage, and looking through it again and again takes a seventh of the
+time (0.60 to 0.66 s without, 0.70 to 0.84 s with it, three starts each). So the
+collector begins when they are there. It is switched off before anything else is
+imported, which is why this module is not part of the package that it runs.
+"""
+
+import gc
+
+gc.disable()
+
+from gentianwharf.entryhost import main  # noqa: E402
+
+if __name__ == "__main__":
+    main()
--- a/src/gentianwharf/entryhost/_main.py
+++ b/src/gentianwharf/entryhost/_main.py
@@ -1,5 +1,6 @@
 """The process of an entry host, from its settings to its end."""
 
+import gc
 import os
 import signal
 import sys
@@ -42,6 +43,7 @@
         signal.signal(number, lambda *_: _ask_to_stop(host))
     signal.signal(signal.SIGHUP, lambda *_: _ask_to_reload(host, path))
     freeze_objects()
+    gc.enable()
     cast(Any, reactor).run(installSignalHandlers=False)
 
 
--- a/tests/test_entryhost_settings.py
+++ b/tests/test_entryhost_settings.py
@@ -1,5 +1,8 @@
 """A settings file that changes while a host runs."""
 
+import os
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -7,8 +10,8 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.entryhost import EntryHost
-from gentianwharf.entryhost._main import reload_settings
-from gentianwharf.platform import decode_host_settings
+from gentianwharf.entryhost._main import EXIT_USAGE, reload_settings
+from gentianwharf.platform import SETTINGS_PATH_VARIABLE, decode_host_settings
 from tests.builders_users_platform import SETTINGS
 
 
@@ -42,3 +45,17 @@
 def test_host_without_a_configuration_is_not_ready(host: EntryHost) -> None:
     """The balancer sends callers to a host that can only refuse them."""
     assert not host.is_ready()
+
+
+def test_start_without_settings_says_what_is_missing(tmp_path: Path) -> None:
+    env = {**os.environ, SETTINGS_PATH_VARIABLE: str(tmp_path / "none.toml")}
+    ended = subprocess.run(
+        [sys.executable, "-OO", "-m", "gentianwharf.entry"],
+        env=env,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert ended.returncode == EXIT_USAGE
+    assert "none.toml" in ended.stdout
