Let idle owners rest between ticks; move the narrowest piece that will do

Cause of the first: a host's tick looked at every pool and server, 178 us with 16 owners, fifty times a second; now 32 us (2,000 ticks, this machine). In the test 200 shards move instead of 358.

--- a/src/gentianwharf/keyspace/_plan.py
+++ b/src/gentianwharf/keyspace/_plan.py
@@ -59,6 +59,10 @@
 MOST_OVER = 1.2
 """How much more than wanted a piece may have."""
 
+ENOUGH = 0.7
+"""Of the load of the busiest piece: among those with so much the narrowest moves. Each
+key that moves has a price of its own, however little it is used."""
+
 MOST_PIECES = 12
 """Of one span that are looked at."""
 
@@ -319,7 +323,12 @@
         ]
         if not pieces:
             return False
-        span, first, last = max(pieces, key=lambda one: self._load.of(one[1], one[2]))
+        loads = [self._load.of(first, last) for _, first, last in pieces]
+        enough = max(loads) * ENOUGH
+        span, first, last = min(
+            (one for one, load in zip(pieces, loads, strict=True) if load >= enough),
+            key=lambda one: one[2] - one[1],
+        )
         self._take_out(span, first, last)
         self._give(first, last, least, former=(most,))
         return True
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -163,6 +163,8 @@
             self._registry.servers.values(), self._registry.pool_of, paused_s, now_s
         )
         for pool in list(self._registry.pools.values()):
+            if pool.rests():
+                continue
             pool.tick(now_s)
             decisions += self._refuse_late(pool, now_s)
             decisions += self._serve_waiting(pool, now_s)
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -105,9 +105,11 @@
 ) -> None:
     """Judge every server at a tick, after a pause of ``paused_s`` of this host."""
     for state in states:
+        state.forget(now_s)
+        if not state.flights:
+            continue
         if paused_s:
             _note_pause(state, paused_s)
-        state.forget(now_s)
         _judge_overdue(state, pool_of, now_s)
 
 
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -149,6 +149,17 @@
         """Follow which servers are suspects; most of the time there are none."""
         self.suspects = [one for one in self.states if one.standing is Standing.SUSPECT]
 
+    def rests(self) -> bool:
+        """Whether nothing happens at an owner of keys, so that no tick is needed.
+
+        A host has a pool for each owner, most of them idle. With 16 of them a tick took
+        178 us, fifty times a second; without those that rest, and without a look at
+        servers that owe nothing, 32 us.
+        """
+        return self.pinned and not (
+            self.waiting or self.short_in_flight or self.long_in_flight
+        )
+
     def tick(self, now_s: float) -> None:
         """Follow how much long work there is."""
         self.note_suspects()
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -48,6 +48,8 @@
 LEAST_OVERDUE_S = 0.05
 # As long as a busy server takes to collect garbage or to reload.
 MEMORY_S = 5.0
+# Every tick would do a hundredth of it at a time.
+FORGET_EVERY_S = 0.1
 FIRST_PROBE_S = 0.5
 MOST_PROBE_S = 8.0
 GOOD_PROBES = 3
@@ -178,6 +180,8 @@
         A server that seems slow is passed over while the others have room, and then
         has no answers that could show that it is well again.
         """
+        if now_s < self.forgot_s + FORGET_EVERY_S:
+            return
         part = min(1.0, (now_s - self.forgot_s) / MEMORY_S)
         self.ratio += (USUAL_RATIO - self.ratio) * part
         self.forgot_s = now_s
--- a/tests/test_keyspace_plan.py
+++ b/tests/test_keyspace_plan.py
@@ -229,3 +229,19 @@
     servers = [candidate(1), candidate(2), candidate(3)]
     after = planned(before, *servers, even_out=True, used=0.2)
     assert shards_of(after, 3) > 150
+
+
+def test_what_moves_is_as_few_shards_as_will_do() -> None:
+    """Half of all keys change hands on a calm day to take a fifth off one server.
+
+    The busy server has as much to do for a hundred shards side by side as for ten
+    somewhere else; what it knows of each key has to be handed over.
+    """
+    counts = dict.fromkeys(range(400), 1.0)
+    counts |= dict.fromkeys(range(700, 740), 10.0)
+    load = ShardLoad(counts=counts, shards=SHARDS)
+    before = table(span(0, 399, 1), span(400, 699, 2), span(700, 999, 1))
+    after = planned(before, candidate(1), candidate(2), load=load, even_out=True)
+    moved = [one for one in after.spans if one.former]
+    assert sum(one.shards for one in moved) <= 200
+    check_whole(after)
