Say once that a grant is refused or a release fails

A refusal that lasts can't come from these hosts: tokens only grow, and grants follow only what stands in the store.

--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -250,7 +250,9 @@
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
             self._note_unanswered(holder, sent_s)
-            self._log(row, holder, "release failed", error=str(error))
+            if row.release_tries == 1:
+                # Said again with each try it would drown what it means.
+                self._log(row, holder, "release failed", error=str(error))
             return
         self._life(holder).failing_since_s = None
         row.handover = handover or row.handover
@@ -298,7 +300,7 @@
         except RefusedError as error:
             life.failing_since_s = None
             row.due_s = self._now_s() + self._timing.retry_every_s
-            self._log(row, holder, "grant refused", error=str(error))
+            self._note_refused(row, error)
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
             self._note_unanswered(holder, sent_s)
@@ -324,6 +326,13 @@
         if life.failing_since_s is None:
             life.failing_since_s = sent_s
 
+    def _note_refused(self, row: Row, error: GentianwharfError) -> None:
+        # A renewal that crosses the release of a part of its span is refused, and the
+        # rest of the span has a row of its own by then.
+        if not row.gone and not row.failing:
+            row.failing = True
+            self._log(row, row.span.holder, "grant refused", error=str(error))
+
     def _note_failed(self, row: Row, error: GentianwharfError) -> None:
         if row.granted and not row.failing:
             row.failing = True
--- a/tests/test_keyspace_keeper.py
+++ b/tests/test_keyspace_keeper.py
@@ -1,5 +1,6 @@
 """No shard has two holders, whatever becomes of orders and of those who give them."""
 
+import logbook
 from twisted.internet.task import Clock
 
 from gentianwharf.keyspace import Holder
@@ -256,3 +257,17 @@
     orders = len(servers[1].orders)
     run_keeper(keeper, clock, 5.0)
     assert len(servers[1].orders) == orders
+
+
+def test_refusal_that_lasts_is_one_line_in_the_log() -> None:
+    """An on-call engineer looks for a cause among a thousand equal lines."""
+    clock = Clock()
+    servers = Servers(clock, 1)
+    servers[1].tokens = dict.fromkeys(range(10), 9)
+    keeper = keeper_of(servers)
+    keeper.follow(table(span(0, 9, 1)))
+    with logbook.TestHandler(level="INFO") as handler:
+        run_keeper(keeper, clock, 10.0)
+    refused = [one for one in handler.records if one.message == "grant refused"]
+    assert len(refused) == 1
+    assert len(servers[1].orders) > 10
