Stand in for the users' platform: its store and its servers, on its own wire

The client's contract is tested against them: conditions, watches, leases, gone history, keys of others, a store that is away, an answer lost.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 EXAMPLE ?= tunis
 BIN := .venv/bin
 
-.PHONY: run test bench format
+.PHONY: run platform test bench format
 
 .venv/installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -14,6 +14,10 @@
 run: .venv/installed
 	$(BIN)/gentianwharfd --embedded examples/$(EXAMPLE)/settings.jsonc
 
+# Entry hosts on a stand-in of the users' platform, in one process.
+platform: .venv/installed
+	$(BIN)/python -m gentianwharf.platform.standin demo
+
 format: .venv/installed
 	$(BIN)/ruff format src tests bench
 	$(BIN)/ruff check --fix src tests bench
--- /dev/null
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -0,0 +1,11 @@
+"""Stand-ins for the users' platform: its store and its backend servers.
+
+For trials and tests on one machine. They speak the users' wire, so that an entry host
+runs there as it runs on the platform.
+"""
+
+from ._items import Items
+from ._server import Run, ServerPlan, StandInServer
+from ._store import StandInStore
+
+__all__ = ["Items", "Run", "ServerPlan", "StandInServer", "StandInStore"]
--- /dev/null
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -0,0 +1,162 @@
+"""Run stand-ins of the users' platform: ``python -m gentianwharf.platform.standin``."""
+
+import sys
+import time
+from random import Random
+from typing import Any
+
+import msgspec
+from cyclopts import App
+from twisted.internet import reactor as installed_reactor
+from twisted.internet.defer import Deferred
+
+from gentianwharf import logs
+from gentianwharf.entryhost import EntryHost
+from gentianwharf.lifecycle import use_monotonic_time
+from gentianwharf.store import Change
+
+from .._settings import decode_host_settings
+from .._store import PlatformStore
+from . import Items, Run, ServerPlan, StandInServer, StandInStore
+from ._rules import KEYED, LOOK_UPS, UNKEYED, configuration
+from ._settings import CALLERS_PORT, settings_text
+from ._store import EXPIRE_EVERY_S
+
+DEMO_STORE, DEMO_OPERATORS = "127.0.0.1:8384", "127.0.0.1:8385"
+DEMO_SERVERS = 6
+DEMO_HOSTS = 3
+
+app = App(name="stand-in", help="Stand-ins of the users' platform, for trials.")
+reactor: Any = installed_reactor
+
+
+def _listen(address: str, site: Any) -> None:
+    ip, _, port = address.rpartition(":")
+    reactor.listenTCP(int(port), site, interface=ip)
+
+
+def _serve_store(address: str, operators: str) -> None:
+    items = Items(now_s=reactor.seconds)
+    for listens_on, is_open in ((address, False), (operators, True)):
+        store = StandInStore(items=items, reactor=reactor, is_open=is_open)
+        _listen(listens_on, store.site())
+
+    def expire() -> None:
+        items.expire()
+        reactor.callLater(EXPIRE_EVERY_S, expire)
+
+    expire()
+    items.change(Change(puts=(configuration(1),)))
+
+
+def _serve_backend(plan: ServerPlan, store: str, seed: int) -> StandInServer:
+    server = StandInServer(plan=plan, reactor=reactor, rng=Random(seed))
+    _listen(plan.address, server.site())
+    client = PlatformStore(reactor=reactor, address=store)
+    Deferred.fromCoroutine(server.keep_listed(client))
+    return server
+
+
+def _print(run: Run) -> None:
+    print(msgspec.json.encode(run).decode(), flush=True)
+
+
+@app.command
+def store(address: str, operators: str) -> None:
+    """Serve the store to hosts on ADDRESS, to operators and servers on OPERATORS."""
+    use_monotonic_time(reactor)
+    _serve_store(address, operators)
+    print("ready", flush=True)
+    reactor.run()
+
+
+@app.command
+def backend(
+    server_id: str,
+    service: str,
+    address: str,
+    *,
+    domain: str = "a",
+    slots: int = 4,
+    work_ms: float = 20.0,
+    store: str = DEMO_OPERATORS,
+    listed_as: str | None = None,
+) -> None:
+    """Serve one backend server, and print a line for each request that it ran.
+
+    Parameters
+    ----------
+    server_id
+        Its id in the store.
+    service
+        What it serves.
+    address
+        Where it listens.
+    domain
+        Its failure domain.
+    slots
+        How many requests it runs at a time.
+    work_ms
+        How long each takes on the average.
+    store
+        Where operators and servers reach the store.
+    listed_as
+        The address in its entry, where a proxy stands before it.
+
+    """
+    use_monotonic_time(reactor)
+    plan = ServerPlan(
+        id=server_id,
+        service=service,
+        address=address,
+        domain=domain,
+        slots=slots,
+        work_s=work_ms / 1000,
+        born_ms=int(time.time() * 1000),
+    )
+    server = _serve_backend(plan, store, seed=plan.born_ms)
+    server.listed_as = listed_as or address
+    server.on_run = _print
+    print("ready", flush=True)
+    reactor.run()
+
+
+@app.command
+def demo() -> None:
+    """Serve a store, some servers and some entry hosts in one process."""
+    use_monotonic_time(reactor)
+    logs.configure(stream=sys.stderr, level="WARNING")
+    _serve_store(DEMO_STORE, DEMO_OPERATORS)
+    for number in range(DEMO_SERVERS):
+        plan = ServerPlan(
+            id=f"s{number}",
+            service=(KEYED, UNKEYED)[number % 2],
+            address=f"127.0.0.1:{8400 + number}",
+            domain="abc"[number % 3],
+            slots=4,
+            work_s=0.02,
+            born_ms=1,
+        )
+        _serve_backend(plan, DEMO_OPERATORS, seed=number)
+    for number in range(DEMO_HOSTS):
+        text = settings_text(
+            name=f"host-{number}",
+            ip=f"127.0.0.{number + 2}",
+            domain="abc"[number],
+            store=DEMO_STORE,
+        )
+        EntryHost(
+            settings=decode_host_settings(text, peer="demo"), reactor=reactor
+        ).start()
+    print(
+        "Ready in a moment. First request:\n"
+        f"  curl -i -H 'Host: {LOOK_UPS}' -H 'Attempt-Id: 1' -H 'Shard-Key: 7'"
+        f" http://127.0.0.2:{CALLERS_PORT}/\n"
+        "Stop: Ctrl-C",
+        flush=True,
+    )
+    reactor.run()
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/src/gentianwharf/platform/standin/_holds.py
@@ -0,0 +1,44 @@
+"""Which keys a stand-in server holds, by the orders that it got."""
+
+from array import array
+from typing import final
+
+from .._config import SHARDS
+
+
+@final
+class Holds:
+    """The highest token of each shard, and until when it is held.
+
+    >>> holds = Holds()
+    >>> holds.grant(0, 9, token=5, until_s=2.0), holds.holds(3, 1.0)
+    (True, True)
+    >>> holds.release(2, 4, token=6)
+    >>> holds.holds(3, 1.0), holds.holds(5, 1.0), holds.holds(5, 2.0)
+    (False, True, False)
+    >>> holds.grant(0, 9, token=5, until_s=4.0)
+    False
+    """
+
+    def __init__(self) -> None:
+        self._tokens = array("q", [0]) * SHARDS
+        self._until_s = array("d", [0.0]) * SHARDS
+
+    def grant(self, first: int, last: int, *, token: int, until_s: float) -> bool:
+        """Take shards, all of them or none; False when a higher token was seen."""
+        if max(self._tokens[first : last + 1]) > token:
+            return False
+        count = last - first + 1
+        self._tokens[first : last + 1] = array("q", [token]) * count
+        self._until_s[first : last + 1] = array("d", [until_s]) * count
+        return True
+
+    def release(self, first: int, last: int, *, token: int) -> None:
+        """Give shards back, and take no lower token for them."""
+        for shard in range(first, last + 1):
+            self._tokens[shard] = max(self._tokens[shard], token)
+            self._until_s[shard] = 0.0
+
+    def holds(self, shard: int, now_s: float) -> bool:
+        """Whether a request of a shard may run."""
+        return now_s < self._until_s[shard]
--- /dev/null
+++ b/src/gentianwharf/platform/standin/_rules.py
@@ -0,0 +1,70 @@
+"""Configurations as operators write them, for trials."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from gentianwharf.store import Put
+
+from .._config import CONFIG_KEY
+
+LOOK_UPS = "look-ups.example"
+POSTINGS = "postings.example"
+UPLOADS = "uploads.example"
+
+KEYED, UNKEYED = "calendar", "seats"
+
+
+def configuration(
+    version: int, *, extra_routes: Mapping[str, str] | None = None
+) -> Put:
+    """Return a configuration with a service of each sort, to be written.
+
+    ``extra_routes`` names paths of the look-ups' host and the services they go to.
+    """
+    routes = {
+        "look-ups": _route(LOOK_UPS, "safe", service=KEYED),
+        "postings": _route(POSTINGS, "unsafe", service=UNKEYED),
+        "uploads": _route(UPLOADS, "upload", service=UNKEYED),
+    }
+    for path, service in (extra_routes or {}).items():
+        name = path.strip("/")
+        routes[name] = _route(LOOK_UPS, "safe", service=service, prefix=path)
+    value = {
+        "version": f"r{version}",
+        "routes": routes,
+        "services": {
+            KEYED: _service(sharded=True),
+            UNKEYED: _service(sharded=False),
+        },
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 1_000_000,
+            "header-timeout": "3000ms",
+            "idle-timeout": "15000ms",
+        },
+    }
+    return Put(key=CONFIG_KEY, value=msgspec.json.encode(value))
+
+
+def _route(host: str, kind: str, *, service: str, prefix: str = "/") -> dict[str, Any]:
+    return {
+        "host": host,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout": "1500ms",
+        "target-latency": "400ms",
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+    }
+
+
+def _service(*, sharded: bool) -> dict[str, Any]:
+    return {
+        "health-check-path": "/health",
+        "max-connections": 120,
+        "sharded": sharded,
+        "warm-up": "2s",
+    }
--- /dev/null
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -0,0 +1,306 @@
+"""A stand-in for a backend server of the platform: slots, a queue and held keys."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, final
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from gentianwharf.logs import log
+from gentianwharf.store import Change, Put, Store
+
+from .._config import SHARD_HEADER
+from .._servers import SERVERS_PREFIX, ServerState
+from .._units import decode_time_s, encode_time
+from ._holds import Holds
+
+HEARTBEAT_S = 0.8
+LEASE_HEARTBEATS = 3
+"""Entries of silent servers go after so many of them."""
+
+QUEUE_PER_SLOT = 4
+
+STATUS_BAD = 400
+STATUS_STALE = 409
+STATUS_ANOTHER = 421
+STATUS_FULL = 503
+STATUS_FAILED = 500
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """One request that a server ran, with its times."""
+
+    server: str
+    request_id: str
+    shard: int | None
+    begun_s: float
+    ended_s: float
+    is_whole: bool
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerPlan:
+    """What a stand-in server is like."""
+
+    id: str
+    service: str
+    address: str
+    domain: str
+    slots: int
+    work_s: float
+    born_ms: int
+
+
+@final
+@dataclass(kw_only=True, slots=True, eq=False)
+class _Work:
+    request: Request
+    request_id: str
+    shard: int | None
+    begun_s: float = 0.0
+    is_gone: bool = False
+    timer: Any = field(default=None)
+
+
+class _Grant(msgspec.Struct, rename={"first": "from", "last": "target"}):
+    first: int
+    last: int
+    fence: int
+    hold_time: str = "0ms"
+    handover: str | None = None
+
+
+@final
+class StandInServer(Resource):
+    """One life of a backend server; ``on_run`` is told of all that it ran."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, *, plan: ServerPlan, reactor: Any, rng: Random) -> None:
+        super().__init__()
+        self.plan = plan
+        self.listed_as = plan.address
+        self.on_run: Callable[[Run], None] = lambda run: None
+        self.state = ServerState.READY
+        self._reactor = reactor
+        self._rng = rng
+        self._holds = Holds()
+        self._running: dict[str, _Work] = {}
+        self._waiting: deque[_Work] = deque()
+        self._releases: list[tuple[_Grant, Request]] = []
+        self._sequence = 0
+
+    def site(self) -> Site:
+        """Return what to listen with."""
+        site = Site(self, reactor=self._reactor)
+        site.noisy = False
+        return site
+
+    # What it says of itself.
+
+    async def keep_listed(self, store: Store) -> None:
+        """Renew its entry in the store for ever, whatever the store does."""
+        lease_id = 0
+        while True:
+            try:
+                if not lease_id:
+                    lease_id = await store.open_lease(HEARTBEAT_S * LEASE_HEARTBEATS)
+                else:
+                    await store.renew_lease(lease_id)
+                await store.change(Change(puts=(self._entry(lease_id),)))
+            except Exception as error:
+                log.info("entry not renewed: {}", error)
+                lease_id = 0
+            await _pause(self._reactor, HEARTBEAT_S)
+
+    def _entry(self, lease_id: int) -> Put:
+        plan = self.plan
+        self._sequence += 1
+        entry = {
+            "service": plan.service,
+            "address": self.listed_as,
+            "zone": plan.domain,
+            "version": "v1",
+            "slots": plan.slots,
+            "state": self.state.value,
+            "cold-remaining": encode_time(0.0),
+            "sequence": self._sequence,
+            "born": plan.born_ms,
+        }
+        value = msgspec.json.encode(entry)
+        return Put(key=SERVERS_PREFIX + plan.id, value=value, lease_id=lease_id)
+
+    # Orders.
+
+    def render(self, request: Request) -> Any:
+        """Carry out an order, or run a request."""
+        path = request.path
+        if path == b"/v1/grant":
+            return self._grant(request)
+        if path == b"/v1/release":
+            return self._release(request)
+        if path == b"/health":
+            request.setHeader(b"Instance-Id", self.plan.id.encode())
+            return b""
+        self._take(request)
+        return NOT_DONE_YET
+
+    def _order(self, request: Request) -> _Grant | None:
+        if self._is_for_another(request):
+            request.setResponseCode(STATUS_ANOTHER)
+            return None
+        try:
+            return msgspec.json.decode(_content(request), type=_Grant)
+        except msgspec.DecodeError:
+            request.setResponseCode(STATUS_BAD)
+            return None
+
+    def _grant(self, request: Request) -> bytes:
+        order = self._order(request)
+        if order is not None:
+            until_s = self._reactor.seconds() + decode_time_s(order.hold_time)
+            if not self._holds.grant(
+                order.first, order.last, token=order.fence, until_s=until_s
+            ):
+                request.setResponseCode(STATUS_STALE)
+        return b""
+
+    def _release(self, request: Request) -> Any:
+        order = self._order(request)
+        if order is None:
+            return b""
+        self._holds.release(order.first, order.last, token=order.fence)
+        request.setHeader(b"Handover", f"{self.plan.id}-{order.fence}".encode())
+        if not self._is_running(order):
+            return b""
+        self._releases.append((order, request))
+        request.notifyFinish().addErrback(lambda _: self._forget(request))
+        return NOT_DONE_YET
+
+    def _forget(self, request: Request) -> None:
+        self._releases = [one for one in self._releases if one[1] is not request]
+
+    def _is_running(self, order: _Grant) -> bool:
+        return any(
+            one.shard is not None and order.first <= one.shard <= order.last
+            for one in self._running.values()
+        )
+
+    def _is_for_another(self, request: Request) -> bool:
+        expected = request.getHeader("expected-instance")
+        return expected is not None and expected != self.plan.id
+
+    # Requests.
+
+    def _take(self, request: Request) -> None:
+        request_id = request.getHeader("attempt-id") or ""
+        shard = request.getHeader(SHARD_HEADER)
+        work = _Work(
+            request=request,
+            request_id=request_id,
+            shard=int(shard) if shard is not None else None,
+        )
+        request.notifyFinish().addErrback(lambda _: self._drop(work))
+        if not request_id:
+            self._refuse(work, STATUS_BAD)
+        elif self._is_for_another(request) or not self._may_run(work):
+            self._refuse(work, STATUS_ANOTHER)
+        elif len(self._running) < self.plan.slots:
+            self._run(work)
+        elif len(self._waiting) < self.plan.slots * QUEUE_PER_SLOT:
+            self._waiting.append(work)
+        else:
+            self._refuse(work, STATUS_FULL)
+
+    def _may_run(self, work: _Work) -> bool:
+        return work.shard is None or self._holds.holds(
+            work.shard, self._reactor.seconds()
+        )
+
+    def _run(self, work: _Work) -> None:
+        work.begun_s = self._reactor.seconds()
+        # A client's attempt that reaches a server twice is run twice, and seen.
+        self._running[f"{work.request_id}/{work.begun_s}"] = work
+        delay_s = self.plan.work_s * self._rng.uniform(0.5, 1.5)
+        work.timer = self._reactor.callLater(delay_s, self._end, work)
+
+    def _end(self, work: _Work) -> None:
+        is_whole = self._may_run(work)
+        self._finish_run(work, is_whole=is_whole)
+        body = work.request_id.encode() + b" " + _content(work.request)[:64]
+        request = self._headed(work)
+        if is_whole:
+            request.setHeader(b"Response-Signature", self.plan.id.encode())
+        else:
+            request.setResponseCode(STATUS_FAILED)
+        request.write(body)
+        request.finish()
+
+    def _finish_run(self, work: _Work, *, is_whole: bool) -> None:
+        del self._running[f"{work.request_id}/{work.begun_s}"]
+        self.on_run(
+            Run(
+                server=self.plan.id,
+                request_id=work.request_id,
+                shard=work.shard,
+                begun_s=work.begun_s,
+                ended_s=self._reactor.seconds(),
+                is_whole=is_whole,
+            )
+        )
+        self._tell_released()
+        self._run_next()
+
+    def _run_next(self) -> None:
+        while self._waiting and len(self._running) < self.plan.slots:
+            work = self._waiting.popleft()
+            if self._may_run(work):
+                self._run(work)
+            else:
+                self._refuse(work, STATUS_ANOTHER)
+
+    def _tell_released(self) -> None:
+        for order, request in list(self._releases):
+            if not self._is_running(order):
+                self._forget(request)
+                request.finish()
+
+    def _drop(self, work: _Work) -> None:
+        """Run no more of what nobody waits for."""
+        work.is_gone = True
+        if work in self._waiting:
+            self._waiting.remove(work)
+        elif work.timer is not None and work.timer.active():
+            work.timer.cancel()
+            self._finish_run(work, is_whole=False)
+
+    def _refuse(self, work: _Work, status: int) -> None:
+        request = self._headed(work)
+        request.setResponseCode(status)
+        request.setHeader(b"Not-Executed", b"1")
+        request.setHeader(b"Content-Length", b"0")
+        request.finish()
+
+    def _headed(self, work: _Work) -> Request:
+        load = f"{len(self._running)},{len(self._waiting)},{self.plan.slots}"
+        work.request.setHeader(b"Attempt-Id", work.request_id.encode())
+        work.request.setHeader(b"Server-Load", load.encode())
+        return work.request
+
+
+def _pause(reactor: Any, delay_s: float) -> "Deferred[None]":
+    done: Deferred[None] = Deferred()
+    reactor.callLater(delay_s, done.callback, None)
+    return done
+
+
+def _content(request: Request) -> bytes:
+    return request.content.read() if request.content is not None else b""
--- /dev/null
+++ b/src/gentianwharf/platform/standin/_settings.py
@@ -0,0 +1,31 @@
+"""A host's settings file as the platform writes it, for trials on one machine."""
+
+CALLERS_PORT = 8381
+READINESS_PORT = 8388
+INTERNAL_PORT = 7200
+
+
+def settings_text(*, name: str, ip: str, domain: str, store: str) -> str:
+    """Return the settings of a host with an IP number of its own."""
+    return f"""\
+node-name = "{name}"
+role = "entry"
+ip = "{ip}"
+zone = "{domain}"
+internal-port-range = [{INTERNAL_PORT}, {INTERNAL_PORT + 15}]
+bootstrap = false
+heartbeat-interval = "800ms"
+bounds = ["drain-timeout=2000ms", "grace-period=6s", "config-apply=2000ms",
+  "retry-budget-ratio=0.2", "budget-window=10s", "budget-extra-retries=64",
+  "max-hold=10000ms"]
+[zones]
+{domain} = "here"
+[listen]
+front = "{ip}:{CALLERS_PORT}"
+ready = "{ip}:{READINESS_PORT}"
+[platform]
+address = "{store}"
+writes-per-s = 400
+reads-per-s = 2000
+min-ttl = "1000ms"
+"""
--- /dev/null
+++ b/tests/test_platform_standin.py
@@ -0,0 +1,169 @@
+"""The client of the platform's store, over the wire, against a stand-in."""
+
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from gentianwharf.errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    PeerUnavailableError,
+    RefusedError,
+)
+from gentianwharf.platform import PlatformStore
+from gentianwharf.platform.standin import Items, StandInStore
+from gentianwharf.store import (
+    Change,
+    HistoryGoneError,
+    LeaseEndedError,
+    Put,
+    Removal,
+    Store,
+)
+from tests.builders_relay import in_reactor, running_reactor
+
+
+class RunningStore:
+    """A stand-in that listens, with a client for hosts and one for operators."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.items = Items(now_s=lambda: self.now_s)
+        self.reactor = running_reactor()
+        self._ports: list[Any] = []
+        self.hosts: Store = in_reactor(lambda: self._client(is_open=False))
+        self.operators: Store = in_reactor(lambda: self._client(is_open=True))
+
+    def _client(self, *, is_open: bool) -> PlatformStore:
+        store = StandInStore(items=self.items, reactor=self.reactor, is_open=is_open)
+        port = self.reactor.listenTCP(0, store.site(), interface="127.0.0.1")
+        self._ports.append(port)
+        address = f"127.0.0.1:{port.getHost().port}"
+        return PlatformStore(reactor=self.reactor, address=address)
+
+    def call(self, call: Callable[[], Awaitable[Any]]) -> Any:
+        """Make a call within the reactor and return its result."""
+        return in_reactor(lambda: Deferred.fromCoroutine(call()))  # type: ignore[arg-type]
+
+    def stop(self) -> None:
+        """Listen no more."""
+        for port in self._ports:
+            in_reactor(port.stopListening)
+
+
+@pytest.fixture
+def store() -> Iterator[RunningStore]:
+    running = RunningStore()
+    yield running
+    running.stop()
+
+
+def put(key: str, value: bytes = b"v", lease_id: int = 0) -> Change:
+    return Change(puts=(Put(key=key, value=value, lease_id=lease_id),))
+
+
+def test_what_is_written_is_read(store: RunningStore) -> None:
+    revision = store.call(lambda: store.hosts.change(put("own/a", b"\x00\xff")))
+    found = store.call(lambda: store.hosts.item("own/a"))
+    assert (found.value, found.revision) == (b"\x00\xff", revision)
+    page = store.call(lambda: store.hosts.items("own/"))
+    assert [one.key for one in page.items] == ["own/a"]
+    assert page.revision == revision
+
+
+def test_an_item_that_is_not_there_is_none(store: RunningStore) -> None:
+    assert store.call(lambda: store.hosts.item("own/none")) is None
+
+
+def test_a_condition_that_does_not_hold_changes_nothing(store: RunningStore) -> None:
+    store.call(lambda: store.hosts.change(put("own/a")))
+    change = Change(expected={"own/a": 0}, puts=(Put(key="own/a", value=b"new"),))
+    with pytest.raises(ConflictError):
+        store.call(lambda: store.hosts.change(change))
+    assert store.call(lambda: store.hosts.item("own/a")).value == b"v"
+
+
+def test_a_watch_brings_what_came_after(store: RunningStore) -> None:
+    first = store.call(lambda: store.hosts.change(put("own/a")))
+    second = store.call(lambda: store.hosts.change(Change(removals=("own/a",))))
+    events = store.call(lambda: store.hosts.watch("own/", after_revision=first))
+    assert events.changes == (Removal(key="own/a", revision=second),)
+    assert events.revision == second
+
+
+def test_a_watch_waits_for_a_change(store: RunningStore) -> None:
+    waiting: list[Any] = []
+
+    def begin() -> None:
+        watch = store.hosts.watch("own/", after_revision=store.items.revision)
+        Deferred.fromCoroutine(watch).addCallback(waiting.append)
+
+    in_reactor(begin)
+    store.call(lambda: store.hosts.change(put("other/b")))
+    store.call(lambda: store.hosts.change(put("own/a")))
+    # Answered in order of arrival: a later call's answer shows that it was sent.
+    store.call(lambda: store.hosts.items("own/"))
+    assert [[one.key for one in events.changes] for events in waiting] == [["own/a"]]
+
+
+def test_history_that_is_gone_says_so(store: RunningStore) -> None:
+    def write_much() -> None:
+        for _ in range(2_100):
+            store.items.change(put("own/a"))
+
+    in_reactor(write_much)
+    with pytest.raises(HistoryGoneError):
+        store.call(lambda: store.hosts.watch("own/", after_revision=5))
+
+
+def test_items_go_with_their_lease(store: RunningStore) -> None:
+    lease_id = store.call(lambda: store.hosts.open_lease(1.2))
+    store.call(lambda: store.hosts.change(put("own/a", lease_id=lease_id)))
+    store.now_s = 1.0
+    assert store.call(lambda: store.hosts.renew_lease(lease_id)) == 1.2
+    store.now_s = 2.0
+    in_reactor(store.items.expire)
+    assert store.call(lambda: store.hosts.item("own/a")) is not None
+    store.now_s = 2.3
+    in_reactor(store.items.expire)
+    assert store.call(lambda: store.hosts.item("own/a")) is None
+    with pytest.raises(LeaseEndedError):
+        store.call(lambda: store.hosts.renew_lease(lease_id))
+
+
+@pytest.mark.parametrize("key", ["op/config", "servers/s1"])
+def test_hosts_may_not_write_for_others(store: RunningStore, key: str) -> None:
+    with pytest.raises(RefusedError, match="403"):
+        store.call(lambda: store.hosts.change(put(key)))
+    store.call(lambda: store.operators.change(put(key)))
+
+
+def test_a_store_that_is_not_there_did_nothing(store: RunningStore) -> None:
+    store.stop()
+    with pytest.raises(PeerUnavailableError):
+        store.call(lambda: store.hosts.change(put("own/a")))
+
+
+def test_an_answer_that_is_lost_leaves_the_outcome_open(store: RunningStore) -> None:
+    """The connection breaks after the store has taken the change."""
+
+    def lose(request: Any) -> bytes:
+        request.transport.abortConnection()
+        return b""
+
+    from twisted.web.resource import Resource
+    from twisted.web.server import Site
+
+    resource = Resource()
+    resource.isLeaf = True
+    resource.render = lose  # type: ignore[method-assign]
+    port = in_reactor(
+        lambda: store.reactor.listenTCP(0, Site(resource), interface="127.0.0.1")
+    )
+    address = f"127.0.0.1:{port.getHost().port}"
+    client = in_reactor(lambda: PlatformStore(reactor=store.reactor, address=address))
+    with pytest.raises(OutcomeUnknownError):
+        store.call(lambda: client.change(put("own/a")))
+    in_reactor(port.stopListening)
