Soak the real programs under random faults from outside

A store, eight servers and four hosts as separate processes, a proxy before each server and on each host's way to the store; processes are paused, killed, ended and started again, connections delayed, reset, refused and silenced, rules changed. Checked: nothing that must not repeat ran twice, refusals are true, answers are the caller's own, no shard ran on two servers at a time, service is back 12 s after the last fault, no own exits. Found on the way, in the soak itself: processes outlived a run that failed at its start.

--- a/Makefile
+++ b/Makefile
@@ -19,12 +19,12 @@
 	$(BIN)/python -m gentianwharf.platform.standin demo
 
 format: .venv/installed
-	$(BIN)/ruff format src tests bench
-	$(BIN)/ruff check --fix src tests bench
+	$(BIN)/ruff format src tests bench soak
+	$(BIN)/ruff check --fix src tests bench soak
 
 test: .venv/installed
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check src tests bench soak
+	$(BIN)/ruff check src tests bench soak
 	$(BIN)/mypy
 	$(BIN)/python -m tests.known_red
 
--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -5,7 +5,23 @@
 """
 
 from ._items import Items
+from ._rules import KEYED, LOOK_UPS, POSTINGS, UNKEYED, UPLOADS, configuration
 from ._server import Run, ServerPlan, StandInServer
+from ._settings import CALLERS_PORT, settings_text
 from ._store import StandInStore
 
-__all__ = ["Items", "Run", "ServerPlan", "StandInServer", "StandInStore"]
+__all__ = [
+    "CALLERS_PORT",
+    "KEYED",
+    "LOOK_UPS",
+    "POSTINGS",
+    "UNKEYED",
+    "UPLOADS",
+    "Items",
+    "Run",
+    "ServerPlan",
+    "StandInServer",
+    "StandInStore",
+    "configuration",
+    "settings_text",
+]
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -17,8 +17,17 @@
 
 from .._settings import decode_host_settings
 from .._store import PlatformStore
-from . import Items, Run, ServerPlan, StandInServer, StandInStore
-from ._rules import KEYED, LOOK_UPS, UNKEYED, configuration
+from . import (
+    KEYED,
+    LOOK_UPS,
+    UNKEYED,
+    Items,
+    Run,
+    ServerPlan,
+    StandInServer,
+    StandInStore,
+    configuration,
+)
 from ._settings import CALLERS_PORT, settings_text
 from ._store import EXPIRE_EVERY_S
 
