--- a/src/gentianwharf/cli/_app.py
+++ b/src/gentianwharf/cli/_app.py
@@ -12,7 +12,7 @@
 from gentianwharf import __version__
 from gentianwharf.errors import InputError
 
-from . import _apply, _decisions, _everywhere, _files, _fleet, _rules, _status
+from . import _apply, _decisions, _everywhere, _files, _fleet, _logs, _rules, _status
 from ._exits import Exit
 from ._session import Common, run, terminal
 
@@ -85,6 +85,7 @@
 hosts_app = App(name="hosts", help="The platform's host list.")
 domains_app = App(name="domains", help="Failure domains.")
 report_app = App(name="report", help="Reports.")
+logs_app = App(name="logs", help="Log files of hosts.")
 for _part in (
     settings_app,
     rules_app,
@@ -93,6 +94,7 @@
     hosts_app,
     domains_app,
     report_app,
+    logs_app,
 ):
     app.command(_part)
 
@@ -278,6 +280,12 @@
     )
 
 
+@logs_app.command(name="explain")
+def logs_explain(request_id: str, /, *files: Path, json: Flag = False) -> int:
+    """Print what log files of hosts tell of a request; asks no daemon."""
+    return _locally(partial(_logs.explain, request_id, files, terminal(as_json=json)))
+
+
 @report_app.command(name="burn")
 def report_burn(
     *, html: Page = None, host: BurnHost = None, common: Common = NO_OPTIONS
--- /dev/null
+++ b/tests/test_logs_story.py
@@ -0,0 +1,86 @@
+"""From a request's id to its cause, by the logs of several hosts."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gentianwharf.errors import InputError
+from gentianwharf.logs import read_log, story_of
+
+
+def line(second: float, message: str, **fields: Any) -> str:
+    at = f"2026-02-19T22:07:{second:06.3f}+00:00"
+    return json.dumps({"at": at, "level": "INFO", "message": message, **fields})
+
+
+@pytest.fixture
+def logs(tmp_path: Path) -> list[Path]:
+    leader = [
+        line(1, "leading", revision=20),
+        line(2, "granted", service="roster", first=0, last=99, token=1, server="s1"),
+        line(3, "granted", service="roster", first=100, last=199, token=1, server="s2"),
+        line(7, "renewal failed", service="roster", first=0, last=99, server="s1"),
+        line(9, "released", service="roster", first=0, last=99, server="s1"),
+    ]
+    host = [
+        line(1, "configuration in force", version=4, revision=12),
+        line(5, "configuration in force", version=6, revision=30),
+        line(6, "server listed", server="s1", service="roster", state="ready"),
+        "Traceback (most recent call last):",
+        line(
+            8,
+            "no server holds the key at the moment",
+            request_id="a1",
+            status=503,
+            service="roster",
+            shard=50,
+            server="s1",
+        ),
+        line(8.5, "answered", request_id="b2", status=200, service="roster", shard=150),
+        '{"at":"2026-02-19T22:07:08.600+00:00","mess',
+    ]
+    paths = [tmp_path / "leader-1.log", tmp_path / "host-2.log"]
+    for path, texts in zip(paths, (leader, host), strict=True):
+        path.write_text("\n".join(texts))
+    return paths
+
+
+def test_story_has_the_request_s_lines_and_what_was_believed(logs: list[Path]) -> None:
+    story = story_of("a1", [one for path in logs for one in read_log(path)])
+    assert [(one.host, one.message) for one in story.lines] == [
+        ("host-2", "no server holds the key at the moment")
+    ]
+    beliefs = {one.about: (one.line.message, one.age_s) for one in story.beliefs}
+    assert beliefs == {
+        "leader": ("leading", 7.0),
+        "holder of its key": ("renewal failed", 1.0),
+        "rules on host-2": ("configuration in force", 3.0),
+        "server s1, from host-2": ("server listed", 2.0),
+    }
+    rules = next(one for one in story.beliefs if one.about.startswith("rules"))
+    assert rules.line.fields["version"] == 6
+
+
+def test_what_came_after_the_request_is_left_out(logs: list[Path]) -> None:
+    story = story_of("a1", [one for path in logs for one in read_log(path)])
+    assert "released" not in [one.line.message for one in story.beliefs]
+
+
+def test_unknown_request_has_no_story(logs: list[Path]) -> None:
+    story = story_of("zz", [one for path in logs for one in read_log(path)])
+    assert not story.lines
+    assert not story.beliefs
+
+
+def test_a_collector_s_words_before_a_line_name_its_host(tmp_path: Path) -> None:
+    path = tmp_path / "all.log"
+    path.write_text("  41.16 front-lac-5 " + line(1, "started", host="front-lac-5"))
+    assert [one.host for one in read_log(path)] == ["front-lac-5"]
+
+
+def test_file_that_can_t_be_read_is_named(tmp_path: Path) -> None:
+    with pytest.raises(InputError, match="readable log file") as caught:
+        read_log(tmp_path / "none.log")
+    assert caught.value.peer.endswith("none.log")
