--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from cyclopts import App
 from twisted.internet import reactor as installed_reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from gentianwharf.lifecycle import use_monotonic_time
 
@@ -36,12 +37,6 @@
 reactor: Any = installed_reactor
 
 
-def _pause(delay_s: float) -> "Deferred[None]":
-    done: Deferred[None] = Deferred()
-    reactor.callLater(delay_s, done.callback, None)
-    return done
-
-
 async def _play(seed: int, net: int, faults_s: float, logs: Path) -> list[str]:
     logs.mkdir(parents=True)
     deployment = Deployment(reactor=reactor, net=net, rng=Random(seed), logs=logs)
@@ -53,21 +48,21 @@
     ending = reactor.addSystemEventTrigger("before", "shutdown", deployment.stop)
     try:
         deployment.start()
-        await _pause(START_S)
+        await deferLater(reactor, START_S)
         callers.start(PER_S)
         faults.start()
-        await _pause(faults_s)
+        await deferLater(reactor, faults_s)
         faults.stop()
-        await _pause(RECOVER_S)
+        await deferLater(reactor, RECOVER_S)
         well_s = reactor.seconds()
-        await _pause(QUIET_S)
+        await deferLater(reactor, QUIET_S)
         callers.is_asking = False
-        await _pause(QUIET_S)
+        await deferLater(reactor, QUIET_S)
     finally:
         deployment.stop()
         reactor.removeSystemEventTrigger(ending)
         # The next run listens on the same addresses.
-        await _pause(END_S)
+        await deferLater(reactor, END_S)
     (logs / "faults.txt").write_text("\n".join(faults.injected) + "\n")
     found = broken(callers.asked, deployment.runs) + deployment.own_exits()
     asked = [one for one in callers.asked if one.asked_s < well_s + QUIET_S]
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -32,7 +32,7 @@
         self._early: list[bytes] = []
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Send what came before this end was there."""
+        """Let the proxy know of this end, so that it can break it."""
         self._proxy.sides.add(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -127,7 +127,7 @@
         peers = self._peers
         peers.on_requests = self._note_requests
         peers.on_load = self._note_load
-        peers.on_granted = self.keys.open
+        peers.on_granted = self._note_told_granted
         peers.on_events = self._note_events
         peers.on_hosts = self._note_hosts
         peers.known = self._known
@@ -228,6 +228,12 @@
     def _note_events(self, after_revision: int, events: Events) -> None:
         self.mirror.feed(events, after_revision=after_revision)
 
+    def _note_told_granted(
+        self, service: str, first: int, last: int, token: int
+    ) -> None:
+        # Its first shard and its token name a span.
+        self.keys.open(service, first, token)
+
     def _note_hosts(self, hosts: int) -> None:
         if hosts != self.hosts:
             self.hosts = hosts
@@ -254,7 +260,7 @@
         self._keeper.stop()
 
     def _note_granted(self, service: str, span: Span) -> None:
-        self.keys.open(service, span.first, span.last, span.token)
+        self.keys.open(service, span.first, span.token)
         self._peers.tell_granted(service, span)
 
     def _step_aside(self) -> None:
--- a/src/gentianwharf/entryhost/_keys.py
+++ b/src/gentianwharf/entryhost/_keys.py
@@ -74,7 +74,7 @@
             self._closed_until_s.setdefault(key, now_s + MOVING_S)
         self.wake(table.service)
 
-    def open(self, service: str, first: int, last: int, token: int) -> None:
+    def open(self, service: str, first: int, token: int) -> None:
         """Let requests of a span go: its holder has just been granted it."""
         key = (service, first, token)
         self._granted.add(key)
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -2,12 +2,12 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Any, final
 
 import msgspec
-from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
@@ -66,8 +66,7 @@
     request_id: str
     shard: int | None
     begun_s: float = 0.0
-    is_gone: bool = False
-    timer: Any = field(default=None)
+    timer: Any = None
 
 
 class _Grant(msgspec.Struct, rename={"first": "from", "last": "target"}):
@@ -119,7 +118,7 @@
             except Exception as error:
                 log.info("entry not renewed: {}", error)
                 lease_id = 0
-            await _pause(self._reactor, HEARTBEAT_S)
+            await deferLater(self._reactor, HEARTBEAT_S)
 
     def _entry(self, lease_id: int) -> Put:
         plan = self.plan
@@ -275,7 +274,6 @@
 
     def _drop(self, work: _Work) -> None:
         """Run no more of what nobody waits for."""
-        work.is_gone = True
         if work in self._waiting:
             self._waiting.remove(work)
         elif work.timer is not None and work.timer.active():
@@ -296,11 +294,5 @@
         return work.request
 
 
-def _pause(reactor: Any, delay_s: float) -> "Deferred[None]":
-    done: Deferred[None] = Deferred()
-    reactor.callLater(delay_s, done.callback, None)
-    return done
-
-
 def _content(request: Request) -> bytes:
     return request.content.read() if request.content is not None else b""
--- a/tests/test_entryhost_keys.py
+++ b/tests/test_entryhost_keys.py
@@ -74,7 +74,7 @@
     asked = ask(keys)
     clock.advance(MOVING_S / 2)
     assert result(asked) is None
-    keys.open(SERVICE, 0, 0, 2)
+    keys.open(SERVICE, 0, 2)
     found = result(asked)
     assert found is not None
     assert found.server.id == "s2"
