Show that newer rules are refused, and what a 404 was about

Metrics showed an old version, as they would on a host that has not heard of the change, and no alarm could be raised; a 404's line named neither path nor version, so that it could not be told from a match that goes wrong.

- gentianwharf_rules_refused_seconds; the refusal's line has its revision and the version that stays in force
- logs explain tells of rules that a host refused

No logic of matching, rules or refusals changes.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -77,7 +77,7 @@
         now_s = self._now_s = reactor.seconds
         store = PlatformStore(reactor=reactor, address=settings.store.address)
         self.mirror = Mirror(store=store, prefix="", reactor=reactor, rng=rng)
-        self.rules = RulesInForce()
+        self.rules = RulesInForce(now_s=now_s)
         self.directory = Directory(mirror=self.mirror, reactor=reactor)
         self.keys = KeyHolders(server_of=server_of, reactor=reactor)
         self._peers = Peers(
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -24,6 +24,11 @@
     add("hosts", "Hosts that report to the leader", lambda: control.hosts)
     add("store_age_seconds", "Since the store was heard", mirror.silent_s)
     add("rules_version", "Version of the rules in force", lambda: rules.version)
+    add(
+        "rules_refused_seconds",
+        "Since a newer configuration than the one in force was refused, 0 if none was",
+        rules.refused_s,
+    )
     add("in_flight", "Requests being served", lambda: len(relay.in_flight))
     add("callers", "Callers' connections", lambda: len(site.channels))
     add("servers", "Backend servers in use", lambda: len(servers))
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -103,7 +103,10 @@
             ownership=self._control.keys,
             admission=self._admission,
             connections={},
-            observer=AnswerLog(metrics=self.metrics),
+            observer=AnswerLog(
+                metrics=self.metrics,
+                rules_version=lambda: self._control.rules.version,
+            ),
             deadlines_ms={},
             keyed=self._control.keyed,
             reactor=reactor,
--- a/src/gentianwharf/entryhost/_observer.py
+++ b/src/gentianwharf/entryhost/_observer.py
@@ -1,5 +1,6 @@
 """Counts what callers receive, and logs what they did not."""
 
+from collections.abc import Callable
 from typing import final
 
 import xxhash
@@ -16,10 +17,17 @@
 
 @final
 class AnswerLog:
-    """Every failure and refusal gets a line, and some successes do."""
+    """Every failure and refusal gets a line, and some successes do.
 
-    def __init__(self, *, metrics: HostMetrics) -> None:
+    ``rules_version`` is that of the rules in force: what no rule matches may be matched
+    by a version that this host does not have.
+    """
+
+    def __init__(
+        self, *, metrics: HostMetrics, rules_version: Callable[[], int]
+    ) -> None:
         self._metrics = metrics
+        self._rules_version = rules_version
 
     def answered(self, answered: Answered) -> None:
         """Note what a caller received."""
@@ -55,6 +63,8 @@
                 "request_id": request_id,
                 "status": problem.status,
                 "step": problem.step,
+                "detail": problem.detail,
+                "version": self._rules_version(),
             },
         )
 
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -24,16 +24,28 @@
 class RulesInForce:
     """Matches with the newest configuration; an older one never replaces it."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, now_s: Callable[[], float]) -> None:
         self.configuration: Configuration | None = None
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
         self._rules: RuleSet | None = None
+        self._now_s = now_s
+        self._refused_since_s: float | None = None
 
     @property
     def version(self) -> int:
         """The version in force, 0 before the first."""
         return self.configuration.version if self.configuration else 0
 
+    def refused_s(self) -> float:
+        """Return since when a newer configuration is known and refused, 0 if none is.
+
+        Without it a host that refuses what all others have in force can't be told from
+        one that has not heard of it.
+        """
+        if self._refused_since_s is None:
+            return 0.0
+        return self._now_s() - self._refused_since_s
+
     def note_item(self, item: Item | None) -> None:
         """Follow the configuration in the store; what doesn't fit changes nothing."""
         if item is None:
@@ -41,12 +53,9 @@
         try:
             configuration = decode_configuration(item.value)
         except InputError as error:
-            log.error(
-                "configuration not taken: {}",
-                error.message,
-                extra={"step": error.step, "peer": error.peer},
-            )
+            self._note_refused(item, error)
             return
+        self._refused_since_s = None
         known = self.configuration
         if known is not None and configuration.version <= known.version:
             return
@@ -62,6 +71,20 @@
         )
         self.on_change(configuration)
 
+    def _note_refused(self, item: Item, error: InputError) -> None:
+        if self._refused_since_s is None:
+            self._refused_since_s = self._now_s()
+        log.error(
+            "configuration not taken: {}",
+            error.message,
+            extra={
+                "step": error.step,
+                "peer": error.peer,
+                "revision": item.revision,
+                "version": self.version,
+            },
+        )
+
     def match(self, facts: RequestFacts) -> RuleMatch | None:
         """Return what the first matching rule says; ``Problem`` without rules.
 
--- a/src/gentianwharf/logs/_story.py
+++ b/src/gentianwharf/logs/_story.py
@@ -124,6 +124,8 @@
         return None
     if message == "configuration in force":
         return f"rules on {line.host}"
+    if message.startswith("configuration not taken"):
+        return f"rules refused on {line.host}"
     if message.startswith(("store lost", "store regained")):
         return f"store, from {line.host}"
     servers = {one.fields.get("server") for one in own} - {"", None}
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -11,7 +11,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from gentianwharf.logs import log
-from gentianwharf.rules import RuleMatch, Splitter
+from gentianwharf.rules import RequestFacts, RuleMatch, Splitter
 from gentianwharf.runs import Run
 
 from ._caller_request import CallerRequest, EveryPath
@@ -133,7 +133,11 @@
                 status=404,
                 title="no rule matches",
                 run=Run.NOT_RUN,
-                detail="Ask the operators, or use: gentianwharf rules explain",
+                detail=(
+                    f"{_shown_target(facts)}: ask the operators, or use: gentianwharf"
+                    " rules explain"
+                ),
+                step="match",
             )
         if match.rule.then.split:
             match = self.rules.sent_to(match, self.splitter.service(match))
@@ -226,6 +230,11 @@
     return b", ".join(values)[:MOST_SHOWN_BYTES].decode("latin-1")
 
 
+def _shown_target(facts: RequestFacts) -> str:
+    """Return what rules decide on, without the query, which may hold a caller's data."""
+    return f"{facts.method} {facts.host}{facts.path}"[:MOST_SHOWN_BYTES]
+
+
 def _caller_of(request: CallerRequest) -> str:
     """Return the caller's address, as the platform's balancer saw it.
 
--- /dev/null
+++ b/tests/test_entryhost_rules.py
@@ -0,0 +1,52 @@
+"""The operators' rules on one host: what is in force, what is refused, what shows it."""
+
+import logbook
+from twisted.internet.task import Clock
+
+from gentianwharf.entryhost._metrics import HostMetrics
+from gentianwharf.entryhost._observer import AnswerLog
+from gentianwharf.entryhost._rules import RulesInForce
+from gentianwharf.platform import CONFIG_KEY
+from gentianwharf.relay import Problem, Run
+from gentianwharf.store import Item
+from tests.builders_users_platform import configuration
+
+
+def item(value: bytes, *, revision: int = 1) -> Item:
+    return Item(key=CONFIG_KEY, value=value, revision=revision, lease_id=0)
+
+
+def test_refused_configuration_shows_until_another_one_is_taken() -> None:
+    """A host refuses the newest rules and goes on with older ones.
+
+    Its metrics were those of a host that has not heard of any change: nothing told the
+    operators, for a minute, that their rules were not in force.
+    """
+    clock = Clock()
+    rules = RulesInForce(now_s=clock.seconds)
+    rules.note_item(item(configuration(version="r7")))
+    assert rules.refused_s() == 0.0
+    with logbook.TestHandler() as handler:
+        rules.note_item(item(b"{}", revision=2))
+    line = handler.records[0].extra
+    clock.advance(3.0)
+    rules.note_item(item(b"{", revision=3))
+    assert rules.refused_s() == 3.0
+    assert (line["version"], line["revision"]) == (7, 2)
+    rules.note_item(item(configuration(version="r8"), revision=4))
+    assert (rules.version, rules.refused_s()) == (8, 0.0)
+
+
+def test_request_that_no_rule_matches_names_what_was_asked_and_by_which_rules() -> None:
+    """A caller complains of a 404, and its line says neither path nor version.
+
+    A wrong rule, a rule that is not in force yet and a wrong address look the same.
+    """
+    observer = AnswerLog(metrics=HostMetrics(), rules_version=lambda: 8)
+    problem = Problem(
+        status=404, title="no rule matches", run=Run.NOT_RUN, detail="GET desk/a/"
+    )
+    with logbook.TestHandler() as handler:
+        observer.refused("a1", problem)
+    line = handler.records[0].extra
+    assert (line["detail"], line["version"]) == ("GET desk/a/", 8)
--- a/tests/test_logs_story.py
+++ b/tests/test_logs_story.py
@@ -63,6 +63,20 @@
     assert rules.line.fields["version"] == 6
 
 
+def test_story_has_the_newer_rules_that_a_host_refused(logs: list[Path]) -> None:
+    """A caller's 404 is explained by the rules in force, which are old.
+
+    Its host had refused newer ones a second before, and the story left that out.
+    """
+    refused = line(
+        7, "configuration not taken: at most 5 rules", version=6, revision=40
+    )
+    logs[1].write_text(refused + "\n" + logs[1].read_text())
+    story = story_of("a1", [one for path in logs for one in read_log(path)])
+    beliefs = {one.about: one.age_s for one in story.beliefs}
+    assert beliefs["rules refused on host-2"] == 1.0
+
+
 def test_what_came_after_the_request_is_left_out(logs: list[Path]) -> None:
     story = story_of("a1", [one for path in logs for one in read_log(path)])
     assert "released" not in [one.line.message for one in story.beliefs]
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -118,6 +118,16 @@
     assert (problem.title, problem.run) == (title, Run.NOT_RUN)
 
 
+def test_request_that_no_rule_matches_is_shown_without_its_query() -> None:
+    """An operator looks for the rule that a 404 should have met, and has only an id."""
+    raw = b"GET /nowhere/7?name=x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    with running_relay([plain]) as relay:
+        relay.ask(raw)
+        ((_, problem),) = relay.records.refusals
+    assert problem.step == "match"
+    assert problem.detail.startswith("GET a/nowhere/7: ")
+
+
 def test_bad_chunk_size_is_answered_and_never_completes_at_a_server() -> None:
     """A chunk size that is no number ends the request with 400 or a break.
 
