A failing test: rules that the store accepted are not in force beyond 500

Seen on all twelve hosts: 'configuration not taken ... at most 500 items after validation, not 819'.

--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -231,7 +231,7 @@
 
 
 def _shown_target(facts: RequestFacts) -> str:
-    """Return what rules decide on, without the query, which may hold a caller's data."""
+    """Return what rules decide on; a query may hold a caller's data and is left out."""
     return f"{facts.method} {facts.host}{facts.path}"[:MOST_SHOWN_BYTES]
 
 
--- a/tests/test_entryhost_rules.py
+++ b/tests/test_entryhost_rules.py
@@ -1,6 +1,7 @@
-"""The operators' rules on one host: what is in force, what is refused, what shows it."""
+"""The operators' rules on one host: what is in force, what is refused, what shows."""
 
 import logbook
+import pytest
 from twisted.internet.task import Clock
 
 from gentianwharf.entryhost._metrics import HostMetrics
@@ -8,14 +9,51 @@
 from gentianwharf.entryhost._rules import RulesInForce
 from gentianwharf.platform import CONFIG_KEY
 from gentianwharf.relay import Problem, Run
+from gentianwharf.rules import RequestFacts
 from gentianwharf.store import Item
-from tests.builders_users_platform import configuration
+from tests.builders_users_platform import configuration, route
 
 
 def item(value: bytes, *, revision: int = 1) -> Item:
     return Item(key=CONFIG_KEY, value=value, revision=revision, lease_id=0)
 
 
+MOST_VALUE_BYTES = 1_048_576
+"""What the users' store takes for one value: the only bound on a configuration."""
+
+
+def many_routes(count: int) -> bytes:
+    routes = {
+        f"r-{number}": route(prefix=f"/part{number}/", service="seats")
+        for number in range(count)
+    }
+    return configuration(version="r11", routes=routes)
+
+
+@pytest.mark.parametrize("count", [500, 501, 819, 4_800])
+def test_as_many_rules_as_the_store_takes_are_in_force(count: int) -> None:
+    """Callers on rules that operators have just added get 404, and go away for good.
+
+    Operators add 400 rules, and the store acknowledges the change. Every host refuses
+    it: "Tuple should have at most 500 items after validation, not 819", on twelve hosts
+    at once, and each later version too. They serve by older rules until they restart;
+    after that they have no rules at all, and refuse everything. The bound was meant for
+    the check of a change that an operator asks for, where it can still be refused.
+    """
+    value = many_routes(count)
+    assert len(value) <= MOST_VALUE_BYTES
+    rules = RulesInForce(now_s=Clock().seconds)
+    rules.note_item(item(configuration(version="r8")))
+    rules.note_item(item(value, revision=2))
+    assert rules.version == 11
+    last = RequestFacts(
+        method="GET", host="schedule.example", path=f"/part{count - 1}/1", headers={}
+    )
+    match = rules.match(last)
+    assert match is not None
+    assert match.rule.name == f"r-{count - 1}"
+
+
 def test_refused_configuration_shows_until_another_one_is_taken() -> None:
     """A host refuses the newest rules and goes on with older ones.
 
