Take lists of rules of any length that the store has accepted

Cause: RuleDocument, the model in which every host reads rules, refused more than 500. That bound belongs to the check of a change that an operator asks for, where rules are compared pairwise and where no is still an answer. Behind the store's acknowledgement it made every host refuse the same version and all that followed, keep older rules, and have none after a restart: 247 proper requests answered 404, 594 handled by an old version and a site that served nobody after its processes had been restarted.

Ruled out: changes told late or never (all twelve hosts named the new value within 30 ms of the leader), a match that goes wrong (the version in force was 8, not 11).

The bound now stands in RuleChecker, which refuses a longer list before it compares anything.

Not mended by this: 4,800 rules take 9.3 s on the host's only thread and 819 take 0.26 s (one run on a busy machine, by hand), nearly all of it in the index of rules.

--- a/src/gentianwharf/rules/_check.py
+++ b/src/gentianwharf/rules/_check.py
@@ -12,6 +12,10 @@
 from ._results import Finding, Severity
 from ._scope import RuleScope
 
+MOST_RULES = 500
+"""Rules are compared pairwise on the daemon's only thread, which must not stand still
+for longer than a right to send lasts (400 ms); see ``bench/rules.py``."""
+
 MOST_SINGLE_KEYS = 200
 """Each takes an entry of its own in the assignment table, which every host holds."""
 
@@ -27,8 +31,11 @@
         """Return every finding, errors first; a document with an error is refused.
 
         The owners of keys are compared only once the rest is right: an unknown
-        service has no shards to compare.
+        service has no shards to compare. A list that is too long is not looked at.
         """
+        if len(document.rules) > MOST_RULES:
+            found, expected = f"{len(document.rules)} rules", f"at most {MOST_RULES}"
+            return (_document_error(found, expected),)
         compiled = compile_rules(document, self._scope.shards)
         findings = [*_check_size(document), *_check_names(compiled)]
         for one in compiled:
--- a/src/gentianwharf/rules/_document.py
+++ b/src/gentianwharf/rules/_document.py
@@ -12,10 +12,6 @@
     model_validator,
 )
 
-MOST_RULES = 500
-"""The check compares rules pairwise on the daemon's only thread, which must not stand
-still for longer than a right to send lasts (400 ms); see ``bench/rules.py``."""
-
 MOST_DOCUMENT_BYTES = 256 * 1024
 """A quarter of what the store takes for a value, so that its record fits beside it."""
 
@@ -200,6 +196,11 @@
 
 
 class RuleDocument(_Model):
-    """The ordered list, as kept in the store."""
+    """The ordered list, as kept in the store.
+
+    Its length has no bound here. Hosts read lists that the store has accepted: one that
+    refused a long list would serve by older rules, and by none after a restart. Who may
+    still say no to an operator is ``RuleChecker``.
+    """
 
-    rules: tuple[Rule, ...] = Field(max_length=MOST_RULES)
+    rules: tuple[Rule, ...]
--- a/tests/test_rules_check.py
+++ b/tests/test_rules_check.py
@@ -6,6 +6,7 @@
 
 from gentianwharf.rules import (
     MOST_DOCUMENT_BYTES,
+    MOST_RULES,
     MOST_SINGLE_KEYS,
     Rule,
     RuleChecker,
@@ -92,6 +93,11 @@
             f"at most {MOST_SINGLE_KEYS}",
             id="single-keys",
         ),
+        pytest.param(
+            document(*(rule(name=f"r-{n}") for n in range(MOST_RULES + 1))),
+            f"{MOST_RULES + 1} rules; expected at most {MOST_RULES}",
+            id="rules",
+        ),
         pytest.param(
             document(
                 *(
