--- /dev/null
+++ b/tests/test_rules_index.py
@@ -0,0 +1,92 @@
+"""What putting a list of rules in force costs a host, as the list grows."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+
+from gentianwharf.rules._compile import CompiledRule, compile_rules
+from gentianwharf.rules._index import RuleIndex
+from tests.builders_rules import document, rule
+
+Shape = Callable[[int], dict[str, Any]]
+
+SHAPES: dict[str, Shape] = {
+    "one-host": lambda number: {"host": "a.example", "path_prefix": f"/p{number}/"},
+    "own-hosts": lambda number: {"host": f"h{number}.example", "path_prefix": "/p/"},
+    "nested": lambda number: {"path_prefix": f"/p{number // 8}/" + "x/" * (number % 8)},
+}
+
+MOST_GROWTH = 2.5
+"""Of the work for twice as many rules: twice, and a little for sorting."""
+
+
+class _Text(str):
+    """Counts how often it is compared with another text."""
+
+    __slots__ = ()
+    compared: Counter[str] = Counter()
+
+    def startswith(self, *args: Any) -> bool:
+        self.compared["startswith"] += 1
+        return super().startswith(*args)
+
+    def __eq__(self, other: object) -> bool:
+        self.compared["equal"] += 1
+        return super().__eq__(other)
+
+    __hash__ = str.__hash__
+
+
+def compiled(shape: Shape, count: int) -> list[CompiledRule]:
+    rules = [rule(name=f"r-{n}", when=shape(n)) for n in range(count)]
+    return [
+        replace(
+            one,
+            host=_Text(one.host) if one.host is not None else None,
+            path_prefix=_Text(one.path_prefix),
+        )
+        for one in compile_rules(document(*rules), {})
+    ]
+
+
+def comparisons(shape: Shape, count: int) -> int:
+    rules = compiled(shape, count)
+    _Text.compared.clear()
+    RuleIndex(rules)
+    return _Text.compared.total()
+
+
+@pytest.mark.parametrize("shape", SHAPES.values(), ids=SHAPES)
+def test_twice_as_many_rules_cost_twice_as_much(shape: Shape) -> None:
+    """A host stands still while it takes new rules, and its callers wait.
+
+    Each rule was compared with every other one: 4,800 rules, as many as the store
+    takes, held a host's only thread for 9 s. A leader lost its lease meanwhile, and
+    the grants of its servers ran out.
+    """
+    few, many = comparisons(shape, 500), comparisons(shape, 1000)
+    assert many <= few * MOST_GROWTH
+
+
+def test_index_finds_what_a_look_at_each_rule_finds() -> None:
+    rng = Random(7)
+    hosts = [None, "a.example", "b.example"]
+    prefixes = ["/", "/p/", "/p/x/", "/p/x/y/", "/px/", "/q/", "/p/x/z/"]
+    rules = [
+        rule(name=f"r-{n}", when={"host": rng.choice(hosts), "path_prefix": prefix})
+        for n, prefix in enumerate(rng.choices(prefixes, k=60))
+    ]
+    index = RuleIndex(compile_rules(document(*rules), {}))
+    for host in ("a.example", "b.example", "c.example"):
+        for path in ("/", "/p/x/y/1", "/p/x/", "/px/3", "/o", "/p", "/q/x/", "/p/x/z/"):
+            found = [one.rule.name for one in index.candidates(host, path)]
+            assert found == [
+                one.name
+                for one in rules
+                if one.when.host in (None, host)
+                and path.startswith(str(one.when.path_prefix))
+            ], (host, path)
