--- a/tests/test_entryhost_rules.py
+++ b/tests/test_entryhost_rules.py
@@ -1,5 +1,8 @@
 """The operators' rules on one host: what is in force, what is refused, what shows."""
 
+import json
+from typing import Any
+
 import logbook
 import pytest
 from twisted.internet.task import Clock
@@ -46,10 +49,7 @@
     rules.note_item(item(configuration(version="r8")))
     rules.note_item(item(value, revision=2))
     assert rules.version == 11
-    last = RequestFacts(
-        method="GET", host="schedule.example", path=f"/part{count - 1}/1", headers={}
-    )
-    match = rules.match(last)
+    match = rules.match(facts(f"/part{count - 1}/1"))
     assert match is not None
     assert match.rule.name == f"r-{count - 1}"
 
@@ -88,3 +88,72 @@
         observer.refused("a1", problem)
     line = handler.records[0].extra
     assert (line["detail"], line["version"]) == ("GET desk/a/", 8)
+
+
+def facts(path: str) -> RequestFacts:
+    return RequestFacts(method="GET", host="schedule.example", path=path, headers={})
+
+
+@pytest.mark.parametrize(
+    ("odd", "services"),
+    [
+        pytest.param(route(timeout="soon"), {}, id="time"),
+        pytest.param(route(priority="high"), {}, id="type"),
+        pytest.param(route(kind=None), {}, id="field-missing"),
+        pytest.param(route(service=None), {}, id="nowhere"),
+        pytest.param(route(service="unheard-of"), {}, id="service-not-listed"),
+        pytest.param(route(service="odd"), {"odd": {"sharded": 7}}, id="service"),
+    ],
+)
+def test_rule_that_can_t_be_read_holds_back_no_other(
+    odd: dict[str, Any], services: dict[str, Any]
+) -> None:
+    """Callers of every new rule get 404 because one other rule can't be read.
+
+    A host of an older release meets a rule with something that it doesn't know. It
+    refuses the whole version, serves by the one before, and by none after a restart.
+    Requests of the one rule must not fall through to a wider one, to a service that
+    they aren't meant for, nor be told for good that they are wrong.
+    """
+    usual = json.loads(configuration())["services"]
+    value = configuration(
+        version="r8",
+        routes={
+            "wide": route(prefix="/", service="seats"),
+            "new": route(prefix="/new/", service="seats"),
+            "odd": odd | {"prefix": "/odd/"},
+        },
+        services=usual | services,
+    )
+    rules = RulesInForce(now_s=Clock().seconds)
+    rules.note_item(item(configuration(version="r7")))
+    with logbook.TestHandler() as handler:
+        rules.note_item(item(value, revision=2))
+    assert rules.version == 8
+    assert any("routes.odd" in (one.message or "") for one in handler.records)
+    match = rules.match(facts("/new/1"))
+    assert match is not None
+    assert match.rule.name == "new"
+    with pytest.raises(Problem) as caught:
+        rules.match(facts("/odd/1"))
+    problem = caught.value
+    assert (problem.status, problem.run) == (503, Run.NOT_RUN)
+    assert problem.retry_after_s is not None
+
+
+def test_limits_that_can_t_be_read_hold_back_no_rule() -> None:
+    """A limit on callers' heads, in a form that is new, keeps new rules from a host."""
+    rules = RulesInForce(now_s=Clock().seconds)
+    rules.note_item(item(configuration(version="r7", limits={})))
+    assert rules.version == 7
+    assert rules.configuration is not None
+    assert rules.configuration.limits is None
+
+
+def test_rule_without_a_place_is_refused_with_its_version() -> None:
+    """Which requests it is for can't be told: any could be sent to a wrong service."""
+    rules = RulesInForce(now_s=Clock().seconds)
+    rules.note_item(item(configuration(version="r7")))
+    routes = {"odd": route(prefix=None), "new": route(prefix="/new/")}
+    rules.note_item(item(configuration(version="r8", routes=routes), revision=2))
+    assert rules.version == 7
