Read a configuration part by part: what can't be read costs only itself

Cause: a configuration was decoded whole or not at all, behind the store's acknowledgement, where nobody can be told no any more. One rule of a form that a release doesn't know left its hosts on the version before, and without rules after a restart.

Each route, service and the limits are decoded by themselves. A rule whose treatment can't be read keeps its place among the others and answers 503 with Retry-After, so that its requests reach no service they aren't meant for; limits that can't be read leave those in force. Refused whole are only values without a version or with a route that doesn't say which requests it is for. Metric gentianwharf_rules_unread and a line name the parts.

Weighed: leave unread rules out (their requests fall through to a wider rule: a wrong service runs them), answer them 404 (callers go away for good), keep the last readable version in the store (an older one would come back after a restart).

--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -29,6 +29,7 @@
         "Since a newer configuration than the one in force was refused, 0 if none was",
         rules.refused_s,
     )
+    add("rules_unread", "Parts of the configuration that can't be read", rules.unread)
     add("in_flight", "Requests being served", lambda: len(relay.in_flight))
     add("callers", "Callers' connections", lambda: len(site.channels))
     add("servers", "Backend servers in use", lambda: len(servers))
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -226,7 +226,8 @@
             ],
             classes=[class_of(kind) for kind in configuration.kinds.values()],
         )
-        self._site.take_limits(limits_of(configuration.limits))
+        if configuration.limits is not None:
+            self._site.take_limits(limits_of(configuration.limits))
         self.relay.splitter.keep_only(
             frozenset(rule.name for rule in configuration.document.rules)
         )
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -19,6 +19,20 @@
     step="match",
 )
 
+UNREAD_RULE = Problem(
+    status=503,
+    title="this host can't read the rule for this request",
+    run=Run.NOT_RUN,
+    detail="The operators have to write it in a form that this release knows.",
+    retry_after_s=5.0,
+    step="match",
+)
+"""Comes back only with another version of the rules, which people have to write; some
+callers come sooner for nothing, none is told for good that its request is wrong."""
+
+MOST_SHOWN_PARTS = 5
+"""Unread parts that one line names; the metric counts them all."""
+
 
 @final
 class RulesInForce:
@@ -28,6 +42,7 @@
         self.configuration: Configuration | None = None
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
         self._rules: RuleSet | None = None
+        self._unread_rules: frozenset[str] = frozenset()
         self._now_s = now_s
         self._refused_since_s: float | None = None
 
@@ -46,6 +61,10 @@
             return 0.0
         return self._now_s() - self._refused_since_s
 
+    def unread(self) -> int:
+        """Return how many parts of the configuration in force can't be read."""
+        return len(self.configuration.unread) if self.configuration else 0
+
     def note_item(self, item: Item | None) -> None:
         """Follow the configuration in the store; what doesn't fit changes nothing."""
         if item is None:
@@ -64,13 +83,29 @@
             revision=item.revision,
             shards=_shards(configuration),
         )
+        self._unread_rules = configuration.unread_rules
         self.configuration = configuration
         log.info(
             "configuration in force",
             extra={"version": configuration.version, "revision": item.revision},
         )
+        self._log_unread(configuration)
         self.on_change(configuration)
 
+    def _log_unread(self, configuration: Configuration) -> None:
+        if not configuration.unread:
+            return
+        shown = "; ".join(
+            f"{one.part}: {one.reason}"
+            for one in configuration.unread[:MOST_SHOWN_PARTS]
+        )
+        log.error(
+            "configuration in force but for {} parts: {}",
+            len(configuration.unread),
+            shown,
+            extra={"version": configuration.version},
+        )
+
     def _note_refused(self, item: Item, error: InputError) -> None:
         if self._refused_since_s is None:
             self._refused_since_s = self._now_s()
@@ -86,14 +121,17 @@
         )
 
     def match(self, facts: RequestFacts) -> RuleMatch | None:
-        """Return what the first matching rule says; ``Problem`` without rules.
+        """Return what the first matching rule says; ``Problem`` without one to go by.
 
         A host that has just started knows no rules yet, which is not the same as
         that no rule matches: its callers should come back.
         """
         if self._rules is None:
             raise NO_RULES_YET
-        return self._rules.match(facts)
+        match = self._rules.match(facts)
+        if match is not None and match.rule.name in self._unread_rules:
+            raise UNREAD_RULE
+        return match
 
     def sent_to(self, match: RuleMatch, service: str) -> RuleMatch:
         """Return ``match`` with another service of its rule's split."""
--- a/src/gentianwharf/platform/__init__.py
+++ b/src/gentianwharf/platform/__init__.py
@@ -7,6 +7,7 @@
     Configuration,
     ConfiguredService,
     RequestKind,
+    Unread,
     decode_configuration,
 )
 from ._dialect import PlatformDialect
@@ -44,6 +45,7 @@
     "ServerOrders",
     "ServerState",
     "StoreLimits",
+    "Unread",
     "decode_configuration",
     "decode_host_settings",
     "decode_server_entry",
--- a/src/gentianwharf/platform/_config.py
+++ b/src/gentianwharf/platform/_config.py
@@ -1,14 +1,15 @@
 """The operators' configuration as it stands in the platform's store."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, final
+from functools import partial
+from typing import Any, TypeVar, final
 
 import msgspec
 from pydantic import ValidationError
 
 from gentianwharf.errors import InputError
-from gentianwharf.rules import RuleDocument
+from gentianwharf.rules import RuleDocument, Target
 
 from ._units import decode_time_s, decode_version
 
@@ -24,6 +25,9 @@
 SAFE_KIND = "safe"
 """Requests of this kind may run more than once; all others at most once."""
 
+UNREAD_SERVICE = "unread"
+"""Stands in a rule whose treatment can't be read; no request is sent there."""
+
 STEP = "read-configuration"
 
 
@@ -63,16 +67,32 @@
     repeatable: bool
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unread:
+    """A part of a configuration that this release can't read, and why."""
+
+    part: str
+    reason: str
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Configuration:
-    """One version of the operators' configuration, as the router's own rules."""
+    """One version of the operators' configuration, as the router's own rules.
+
+    A rule whose treatment can't be read keeps its place in ``document``, so that its
+    requests meet no other rule; its name stands in ``unread_rules``. ``limits`` is
+    None when they can't be read.
+    """
 
     version: int
     document: RuleDocument
     services: Mapping[str, ConfiguredService]
     kinds: Mapping[str, RequestKind]
-    limits: CallerLimits
+    limits: CallerLimits | None
+    unread_rules: frozenset[str]
+    unread: tuple[Unread, ...]
 
 
 class _Share(msgspec.Struct):
@@ -80,6 +100,13 @@
     weight: float
 
 
+class _Place(msgspec.Struct):
+    """Which requests a route is for."""
+
+    host: str
+    prefix: str
+
+
 class _Route(msgspec.Struct, rename="kebab"):
     host: str
     prefix: str
@@ -108,17 +135,27 @@
 
 
 class _Config(msgspec.Struct):
+    """Its parts are decoded one by one, so that each costs only itself."""
+
     version: str
-    routes: dict[str, _Route]
-    services: dict[str, _Service]
-    limits: _Limits
+    routes: dict[str, msgspec.Raw]
+    services: dict[str, msgspec.Raw]
+    limits: msgspec.Raw
+
+
+Part = TypeVar("Part")
 
 
 def decode_configuration(value: bytes) -> Configuration:
-    """Return the configuration in an item's value; raises ``InputError``."""
+    """Return the configuration in an item's value.
+
+    The store has accepted it, so nobody can be told no any more: a part that can't be
+    read leaves all others in force. Raises ``InputError`` where that isn't safe:
+    without a version, or with a route that doesn't say which requests it is for.
+    """
     try:
         config = msgspec.json.decode(value, type=_Config)
-        return _configuration(config)
+        return _Reader(config).configuration()
     except (msgspec.DecodeError, ValidationError, ValueError) as error:
         raise InputError(
             f"the configuration doesn't fit: {error}; the one in force stays",
@@ -127,31 +164,95 @@
         ) from error
 
 
-def _configuration(config: _Config) -> Configuration:
-    # The first matching rule decides; among the routes of a host the platform wants
-    # the longest prefix, so that one stands first.
-    routes = sorted(
-        config.routes.items(), key=lambda one: (-len(one[1].prefix), one[0])
-    )
-    kinds = [_kind(route) for _, route in routes]
-    keyed = frozenset(name for name, one in config.services.items() if one.sharded)
-    rules = [
-        _rule(name, route, kind, keyed)
-        for (name, route), kind in zip(routes, kinds, strict=True)
-    ]
-    return Configuration(
-        version=decode_version(config.version),
-        document=RuleDocument.model_validate({"rules": rules}),
-        services={
-            name: _service(name, service) for name, service in config.services.items()
-        },
-        kinds={kind.name: kind for kind in kinds},
-        limits=CallerLimits(
-            most_head_bytes=config.limits.max_header_bytes,
-            most_body_bytes=config.limits.max_body_bytes,
-            head_timeout_s=decode_time_s(config.limits.header_timeout),
-            idle_timeout_s=decode_time_s(config.limits.idle_timeout),
-        ),
+@final
+class _Reader:
+    """Reads one configuration and collects what it can't read."""
+
+    def __init__(self, config: _Config) -> None:
+        self._config = config
+        self._unread: list[Unread] = []
+        self._unread_rules: set[str] = set()
+
+    def configuration(self) -> Configuration:
+        config = self._config
+        services = self._services()
+        keyed = frozenset(name for name, one in services.items() if one.keyed)
+        kinds: dict[str, RequestKind] = {}
+        rules = [
+            self._rule(name, place, services=services, keyed=keyed, kinds=kinds)
+            for name, place in self._places()
+        ]
+        return Configuration(
+            version=decode_version(config.version),
+            document=RuleDocument.model_validate({"rules": rules}),
+            services=services,
+            kinds=kinds,
+            limits=self._part("limits", config.limits, _limits),
+            unread_rules=frozenset(self._unread_rules),
+            unread=tuple(self._unread),
+        )
+
+    def _places(self) -> list[tuple[str, _Place]]:
+        """Return the routes' names and places, in the order in which they match.
+
+        The first matching rule decides; among the routes of a host the platform wants
+        the longest prefix, so that one stands first.
+        """
+        places = [
+            (name, msgspec.json.decode(raw, type=_Place))
+            for name, raw in self._config.routes.items()
+        ]
+        return sorted(places, key=lambda one: (-len(one[1].prefix), one[0]))
+
+    def _services(self) -> dict[str, ConfiguredService]:
+        services = {}
+        for name, raw in self._config.services.items():
+            service = self._part(f"services.{name}", raw, partial(_service, name))
+            if service is not None:
+                services[name] = service
+        return services
+
+    def _rule(
+        self,
+        name: str,
+        place: _Place,
+        *,
+        services: Mapping[str, ConfiguredService],
+        keyed: frozenset[str],
+        kinds: dict[str, RequestKind],
+    ) -> dict[str, Any]:
+        def decoded(raw: msgspec.Raw) -> Target:
+            route = msgspec.json.decode(raw, type=_Route)
+            kind = _kind(route)
+            then = _target(route, kind, services=services, keyed=keyed)
+            kinds[kind.name] = kind
+            return then
+
+        then = self._part(f"routes.{name}", self._config.routes[name], decoded)
+        if then is None:
+            self._unread_rules.add(name)
+            then = Target(service=UNREAD_SERVICE)
+        when = {"host": place.host.lower(), "path_prefix": place.prefix}
+        return {"name": name, "when": when, "then": then}
+
+    def _part(
+        self, part: str, raw: msgspec.Raw, decode: Callable[[msgspec.Raw], Part]
+    ) -> Part | None:
+        try:
+            return decode(raw)
+        except (msgspec.DecodeError, ValueError, ArithmeticError) as error:
+            # A number too large for a time is an arithmetic error.
+            self._unread.append(Unread(part=part, reason=str(error)))
+            return None
+
+
+def _limits(raw: msgspec.Raw) -> CallerLimits:
+    limits = msgspec.json.decode(raw, type=_Limits)
+    return CallerLimits(
+        most_head_bytes=limits.max_header_bytes,
+        most_body_bytes=limits.max_body_bytes,
+        head_timeout_s=decode_time_s(limits.header_timeout),
+        idle_timeout_s=decode_time_s(limits.idle_timeout),
     )
 
 
@@ -166,16 +267,23 @@
     )
 
 
-def _rule(
-    name: str, route: _Route, kind: RequestKind, keyed: frozenset[str]
-) -> dict[str, Any]:
-    services = [part.service for part in route.traffic_split]
+def _target(
+    route: _Route,
+    kind: RequestKind,
+    *,
+    services: Mapping[str, ConfiguredService],
+    keyed: frozenset[str],
+) -> Target:
+    names = [part.service for part in route.traffic_split]
     if route.service is not None:
-        services.insert(0, route.service)
-    if not services:
-        raise ValueError(f"routes.{name}: expected service or traffic-split")
+        names.insert(0, route.service)
+    if not names:
+        raise ValueError("expected service or traffic-split, got neither")
+    unknown = [name for name in names if name not in services]
+    if unknown:
+        raise ValueError(f"expected services that are listed, got {unknown}")
     then: dict[str, Any] = {
-        "service": services[0],
+        "service": names[0],
         "request_class": kind.name,
         "repeatable": kind.repeatable,
         "deadline_ms": kind.deadline_ms,
@@ -187,13 +295,13 @@
             for part in route.traffic_split
         ],
     }
-    if keyed.intersection(services):
+    if keyed.intersection(names):
         then["key"] = {"place": "header", "name": SHARD_HEADER, "is_shard": True}
-    when = {"host": route.host.lower(), "path_prefix": route.prefix}
-    return {"name": name, "when": when, "then": then}
+    return Target.model_validate(then)
 
 
-def _service(name: str, service: _Service) -> ConfiguredService:
+def _service(name: str, raw: msgspec.Raw) -> ConfiguredService:
+    service = msgspec.json.decode(raw, type=_Service)
     return ConfiguredService(
         name=name,
         keyed=service.sharded,
--- a/tests/test_entryhost_rules.py
+++ b/tests/test_entryhost_rules.py
@@ -95,18 +95,20 @@
 
 
 @pytest.mark.parametrize(
-    ("odd", "services"),
+    ("odd", "services", "unread"),
     [
-        pytest.param(route(timeout="soon"), {}, id="time"),
-        pytest.param(route(priority="high"), {}, id="type"),
-        pytest.param(route(kind=None), {}, id="field-missing"),
-        pytest.param(route(service=None), {}, id="nowhere"),
-        pytest.param(route(service="unheard-of"), {}, id="service-not-listed"),
-        pytest.param(route(service="odd"), {"odd": {"sharded": 7}}, id="service"),
+        pytest.param(route(timeout="soon"), {}, 1, id="time"),
+        pytest.param(route(timeout="9" * 400 + "s"), {}, 1, id="time-without-end"),
+        pytest.param(route(timeout="0ms"), {}, 1, id="no-time"),
+        pytest.param(route(priority="high"), {}, 1, id="type"),
+        pytest.param(route(kind=None), {}, 1, id="field-missing"),
+        pytest.param(route(service=None), {}, 1, id="nowhere"),
+        pytest.param(route(service="unheard-of"), {}, 1, id="service-not-listed"),
+        pytest.param(route(service="odd"), {"odd": {"sharded": 7}}, 2, id="service"),
     ],
 )
 def test_rule_that_can_t_be_read_holds_back_no_other(
-    odd: dict[str, Any], services: dict[str, Any]
+    odd: dict[str, Any], services: dict[str, Any], unread: int
 ) -> None:
     """Callers of every new rule get 404 because one other rule can't be read.
 
@@ -129,7 +131,7 @@
     rules.note_item(item(configuration(version="r7")))
     with logbook.TestHandler() as handler:
         rules.note_item(item(value, revision=2))
-    assert rules.version == 8
+    assert (rules.version, rules.unread()) == (8, unread)
     assert any("routes.odd" in (one.message or "") for one in handler.records)
     match = rules.match(facts("/new/1"))
     assert match is not None
@@ -145,7 +147,7 @@
     """A limit on callers' heads, in a form that is new, keeps new rules from a host."""
     rules = RulesInForce(now_s=Clock().seconds)
     rules.note_item(item(configuration(version="r7", limits={})))
-    assert rules.version == 7
+    assert (rules.version, rules.unread()) == (7, 1)
     assert rules.configuration is not None
     assert rules.configuration.limits is None
 
--- a/tests/test_users_platform_decoding.py
+++ b/tests/test_users_platform_decoding.py
@@ -125,10 +125,9 @@
     [
         pytest.param(b"{", id="not-json"),
         pytest.param(configuration(version="12"), id="version"),
-        pytest.param(configuration(routes={"x": route(timeout="1")}), id="time"),
         pytest.param(configuration(routes={"x": route(prefix="x")}), id="prefix"),
-        pytest.param(configuration(routes={"x": route(service=None)}), id="nowhere"),
-        pytest.param(configuration(limits={}), id="limits"),
+        pytest.param(configuration(routes={"x": route(prefix=7)}), id="prefix-type"),
+        pytest.param(configuration(routes={"x": route(host=None)}), id="no-host"),
     ],
 )
 def test_configuration_that_does_not_fit_is_refused_whole(value: bytes) -> None:
