Raise a copy of a refusal that many requests share

Cause: NO_RULES_YET, UNREAD_RULE and the four outcomes of idempotency keys are one object each; every raise adds to its traceback, which keeps the frames and with them the request and its connection.

Ruled out: callers' connections (counted by a gauge, not growing), series of metrics (bounded).

--- a/src/gentianwharf/daemon/_rules.py
+++ b/src/gentianwharf/daemon/_rules.py
@@ -1,6 +1,7 @@
 """The rules in force on this host: the newest record of the store that was heard."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import final
 
 from gentianwharf.errors import ConflictError, GentianwharfError, InputError
@@ -79,7 +80,7 @@
         that no rule matches: its callers should come back.
         """
         if self.current is None:
-            raise NO_RULES_YET
+            raise replace(NO_RULES_YET)
         return self.current.match(facts)
 
     def sent_to(self, match: RuleMatch, service: str) -> RuleMatch:
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -1,6 +1,7 @@
 """The operators' rules in force on this host."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import final
 
 from gentianwharf.errors import InputError
@@ -127,10 +128,10 @@
         that no rule matches: its callers should come back.
         """
         if self._rules is None:
-            raise NO_RULES_YET
+            raise replace(NO_RULES_YET)
         match = self._rules.match(facts)
         if match is not None and match.rule.name in self._unread_rules:
-            raise UNREAD_RULE
+            raise replace(UNREAD_RULE)
         return match
 
     def sent_to(self, match: RuleMatch, service: str) -> RuleMatch:
--- a/src/gentianwharf/relay/_problem.py
+++ b/src/gentianwharf/relay/_problem.py
@@ -16,7 +16,12 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Problem(Exception):  # noqa: N818
-    """A request that got no answer from a server, and what its caller is told."""
+    """A request that got no answer from a server, and what its caller is told.
+
+    One that many requests share is raised as a copy, by ``dataclasses.replace``: each
+    raise of the same object adds to its traceback, whose frames would keep the requests
+    in memory, 16 kB each.
+    """
 
     status: int
     title: str
--- a/src/gentianwharf/relay/_repeats.py
+++ b/src/gentianwharf/relay/_repeats.py
@@ -1,7 +1,7 @@
 """Requests with an ``Idempotency-Key``: the first runs, the others get its answer."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import final
 
 from twisted.internet.defer import Deferred
@@ -102,7 +102,7 @@
             if claimed.claim is Claim.JOIN:
                 await self._join(repeat)
                 continue
-            raise _PROBLEMS[claimed.claim]
+            raise replace(_PROBLEMS[claimed.claim])
 
     def settle(self, repeat: RepeatKey, answer: KeptAnswer | None) -> None:
         """Note that the request was answered; None when its outcome is unknown."""
