A failing test: a head within the operators' limit is refused for its many headers

The same class as of the refused lists: a bound of our own, narrower than what operators allow, turns proper requests away for good (431).

--- a/tests/test_relay_limits.py
+++ b/tests/test_relay_limits.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from gentianwharf.entryhost._entities import limits_of
+from gentianwharf.platform import CallerLimits
 from gentianwharf.relay import ConnectionLimits
 from tests.builders_relay import (
     answer,
@@ -23,6 +25,31 @@
     connection.sendall(answer(b"ok"))
 
 
+OPERATORS_LIMITS = limits_of(
+    CallerLimits(
+        most_head_bytes=2_000,
+        most_body_bytes=1_000,
+        head_timeout_s=3.0,
+        idle_timeout_s=15.0,
+    )
+)
+
+
+@pytest.mark.parametrize(("headers", "status"), [(400, b"200"), (600, b"431")])
+def test_head_of_many_short_headers_is_measured_in_bytes(
+    headers: int, status: bytes
+) -> None:
+    """A caller's proper request is told for good that it is wrong.
+
+    Operators bound a head in bytes, and a head of 101 short headers is well within. The
+    router had a bound of its own on their number and answered 431, which no caller
+    tries again.
+    """
+    raw = request("GET", headers="a:\r\n" * headers)
+    with running_relay([plain], limits=OPERATORS_LIMITS) as relay:
+        assert relay.ask(raw).startswith(b"HTTP/1.1 " + status)
+
+
 def test_body_that_says_it_is_too_large_is_refused_before_it_is_sent() -> None:
     raw = request("POST", headers="Content-Length: 1001\r\n")
     with running_relay([plain], limits=LIMITS) as relay:
