Bound callers' heads by the operators' bytes alone

The number now follows from the bytes; the failing test passes with 400 headers in 2,000 bytes, and 600 get 431 by their bytes.

--- a/src/gentianwharf/entryhost/_entities.py
+++ b/src/gentianwharf/entryhost/_entities.py
@@ -5,6 +5,8 @@
 from gentianwharf.relay import ConnectionLimits
 from gentianwharf.topology import BackendServer
 
+LEAST_HEADER_BYTES = len(b"a:\r\n")
+
 
 def server_of(entry: ServerEntry, connections: int) -> BackendServer:
     """Return a server as the relay and the gate know it.
@@ -32,9 +34,14 @@
 
 
 def limits_of(limits: CallerLimits) -> ConnectionLimits:
-    """Return what the operators let a caller's connection take."""
+    """Return what the operators let a caller's connection take.
+
+    They bound a head in bytes alone. A bound on the number of headers that is narrower
+    would refuse proper requests with 431, for good.
+    """
     return ConnectionLimits(
         most_head_bytes=limits.most_head_bytes,
+        most_headers=limits.most_head_bytes // LEAST_HEADER_BYTES,
         most_body_bytes=limits.most_body_bytes,
         head_timeout_s=limits.head_timeout_s,
         idle_timeout_s=limits.idle_timeout_s,
