--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -25,11 +25,11 @@
     title="this host can't read the rule for this request",
     run=Run.NOT_RUN,
     detail="The operators have to write it in a form that this release knows.",
-    retry_after_s=5.0,
+    retry_after_s=1.0,
     step="match",
 )
-"""Comes back only with another version of the rules, which people have to write; some
-callers come sooner for nothing, none is told for good that its request is wrong."""
+"""Another host, of a later release, may serve it at once; where none can, callers come
+back for nothing, but are not told for good that their request is wrong."""
 
 MOST_SHOWN_PARTS = 5
 """Unread parts that one line names; the metric counts them all."""
@@ -53,7 +53,7 @@
         return self.configuration.version if self.configuration else 0
 
     def refused_s(self) -> float:
-        """Return since when a newer configuration is known and refused, 0 if none is.
+        """Return for how long a newer configuration has been refused, 0 if none is.
 
         Without it a host that refuses what all others have in force can't be told from
         one that has not heard of it.
--- a/src/gentianwharf/platform/_config.py
+++ b/src/gentianwharf/platform/_config.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from functools import partial
 from typing import Any, TypeVar, final
 
 import msgspec
-from pydantic import ValidationError
 
 from gentianwharf.errors import InputError
 from gentianwharf.rules import RuleDocument, Target
@@ -28,6 +26,8 @@
 UNREAD_SERVICE = "unread"
 """Stands in a rule whose treatment can't be read; no request is sent there."""
 
+MOST_REASON_CHARACTERS = 200
+
 STEP = "read-configuration"
 
 
@@ -143,22 +143,24 @@
     limits: msgspec.Raw
 
 
+Written = TypeVar("Written")
 Part = TypeVar("Part")
 
 
 def decode_configuration(value: bytes) -> Configuration:
     """Return the configuration in an item's value.
 
-    The store has accepted it, so nobody can be told no any more: a part that can't be
-    read leaves all others in force. Raises ``InputError`` where that isn't safe:
+    The store has already acknowledged it to the operators: a part that can't be read
+    leaves all others in force. Raises ``InputError`` where that isn't safe:
     without a version, or with a route that doesn't say which requests it is for.
     """
     try:
         config = msgspec.json.decode(value, type=_Config)
         return _Reader(config).configuration()
-    except (msgspec.DecodeError, ValidationError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        # Values nested too deeply to be read raise the last one.
         raise InputError(
-            f"the configuration doesn't fit: {error}; the one in force stays",
+            f"the configuration doesn't fit: {_reason(error)}; the one in force stays",
             step=STEP,
             peer=CONFIG_KEY,
         ) from error
@@ -207,9 +209,19 @@
     def _services(self) -> dict[str, ConfiguredService]:
         services = {}
         for name, raw in self._config.services.items():
-            service = self._part(f"services.{name}", raw, partial(_service, name))
-            if service is not None:
-                services[name] = service
+            part = f"services.{name}"
+            service = self._part(part, raw, _decode_service)
+            if service is None:
+                continue
+            # It only tunes how soon keys move: no reason to refuse requests.
+            warm_up_s = self._part(f"{part}.warm-up", service.warm_up, decode_time_s)
+            services[name] = ConfiguredService(
+                name=name,
+                keyed=service.sharded,
+                health_path=service.health_check_path,
+                connections=service.max_connections,
+                warm_up_s=warm_up_s or 0.0,
+            )
         return services
 
     def _rule(
@@ -236,16 +248,22 @@
         return {"name": name, "when": when, "then": then}
 
     def _part(
-        self, part: str, raw: msgspec.Raw, decode: Callable[[msgspec.Raw], Part]
+        self, part: str, written: Written, decode: Callable[[Written], Part]
     ) -> Part | None:
+        """Return what a part says, None where it can't be read."""
         try:
-            return decode(raw)
+            return decode(written)
         except (msgspec.DecodeError, ValueError, ArithmeticError) as error:
             # A number too large for a time is an arithmetic error.
-            self._unread.append(Unread(part=part, reason=str(error)))
+            self._unread.append(Unread(part=part, reason=_reason(error)))
             return None
 
 
+def _reason(error: Exception) -> str:
+    """Return on one line, for the log, what a decoder said."""
+    return " ".join(str(error).split())[:MOST_REASON_CHARACTERS]
+
+
 def _limits(raw: msgspec.Raw) -> CallerLimits:
     limits = msgspec.json.decode(raw, type=_Limits)
     return CallerLimits(
@@ -300,12 +318,5 @@
     return Target.model_validate(then)
 
 
-def _service(name: str, raw: msgspec.Raw) -> ConfiguredService:
-    service = msgspec.json.decode(raw, type=_Service)
-    return ConfiguredService(
-        name=name,
-        keyed=service.sharded,
-        health_path=service.health_check_path,
-        connections=service.max_connections,
-        warm_up_s=decode_time_s(service.warm_up),
-    )
+def _decode_service(raw: msgspec.Raw) -> _Service:
+    return msgspec.json.decode(raw, type=_Service)
--- a/src/gentianwharf/rules/_document.py
+++ b/src/gentianwharf/rules/_document.py
@@ -199,8 +199,8 @@
     """The ordered list, as kept in the store.
 
     Its length has no bound here. Hosts read lists that the store has accepted: one that
-    refused a long list would serve by older rules, and by none after a restart. Who may
-    still say no to an operator is ``RuleChecker``.
+    refused a long list would serve by older rules, and by none after a restart. What an
+    operator may apply is bounded by ``RuleChecker``.
     """
 
     rules: tuple[Rule, ...]
--- a/tests/test_entryhost_rules.py
+++ b/tests/test_entryhost_rules.py
@@ -7,14 +7,15 @@
 import pytest
 from twisted.internet.task import Clock
 
+from gentianwharf.entryhost import EntryHost
 from gentianwharf.entryhost._metrics import HostMetrics
 from gentianwharf.entryhost._observer import AnswerLog
 from gentianwharf.entryhost._rules import RulesInForce
-from gentianwharf.platform import CONFIG_KEY
+from gentianwharf.platform import CONFIG_KEY, decode_host_settings
 from gentianwharf.relay import Problem, Run
 from gentianwharf.rules import RequestFacts
 from gentianwharf.store import Item
-from tests.builders_users_platform import configuration, route
+from tests.builders_users_platform import SETTINGS, configuration, route
 
 
 def item(value: bytes, *, revision: int = 1) -> Item:
@@ -141,6 +142,12 @@
     problem = caught.value
     assert (problem.status, problem.run) == (503, Run.NOT_RUN)
     assert problem.retry_after_s is not None
+    mended = configuration(version="r9", routes={"odd": route(prefix="/odd/")})
+    rules.note_item(item(mended, revision=3))
+    assert rules.unread() == 0
+    match = rules.match(facts("/odd/1"))
+    assert match is not None
+    assert match.rule.name == "odd"
 
 
 def test_limits_that_can_t_be_read_hold_back_no_rule() -> None:
@@ -152,6 +159,31 @@
     assert rules.configuration.limits is None
 
 
+def test_limits_that_can_t_be_read_leave_those_in_force() -> None:
+    """Callers of a busy host are cut off while its operators look for a spelling."""
+    clock: Any = Clock()
+    host = EntryHost(
+        settings=decode_host_settings(SETTINGS, peer="test"), reactor=clock
+    )
+    host._control.rules.note_item(item(configuration(version="r7")))
+    limits = host._site.limits
+    assert limits.idle_timeout_s == 15.0
+    unread = item(configuration(version="r8", limits={}), revision=2)
+    host._control.rules.note_item(unread)
+    assert host._control.rules.version == 8
+    assert host._site.limits is limits
+
+
+def test_warm_up_that_can_t_be_read_leaves_its_service_in_force() -> None:
+    """All requests to a service are refused for a time that only tunes its moves."""
+    services = json.loads(configuration())["services"]
+    services["calendar"]["warm-up"] = "1m"
+    rules = RulesInForce(now_s=Clock().seconds)
+    rules.note_item(item(configuration(version="r7", services=services)))
+    assert (rules.version, rules.unread()) == (7, 1)
+    assert rules.match(facts("/visits/1")) is not None
+
+
 def test_rule_without_a_place_is_refused_with_its_version() -> None:
     """Which requests it is for can't be told: any could be sent to a wrong service."""
     rules = RulesInForce(now_s=Clock().seconds)
--- a/tests/test_rules_index.py
+++ b/tests/test_rules_index.py
@@ -72,21 +72,26 @@
     assert many <= few * MOST_GROWTH
 
 
+# The last ones are in sorted order behind prefixes that don't begin them.
+PATHS = ["/", "/p/x/y/1", "/p/x/", "/px/3", "/o", "/p", "/q/x/", "/p/z", "/p/x/yz"]
+
+
 def test_index_finds_what_a_look_at_each_rule_finds() -> None:
+    """A request meets a rule that isn't the first that holds, and a wrong service."""
     rng = Random(7)
     hosts = [None, "a.example", "b.example"]
-    prefixes = ["/", "/p/", "/p/x/", "/p/x/y/", "/px/", "/q/", "/p/x/z/"]
+    prefixes = [None, "/", "/p/", "/p/x/", "/p/x/y/", "/px/", "/q/", "/p/x/z/"]
     rules = [
         rule(name=f"r-{n}", when={"host": rng.choice(hosts), "path_prefix": prefix})
         for n, prefix in enumerate(rng.choices(prefixes, k=60))
     ]
     index = RuleIndex(compile_rules(document(*rules), {}))
     for host in ("a.example", "b.example", "c.example"):
-        for path in ("/", "/p/x/y/1", "/p/x/", "/px/3", "/o", "/p", "/q/x/", "/p/x/z/"):
+        for path in PATHS:
             found = [one.rule.name for one in index.candidates(host, path)]
             assert found == [
                 one.name
                 for one in rules
                 if one.when.host in (None, host)
-                and path.startswith(str(one.when.path_prefix))
+                and path.startswith(one.when.path_prefix or "")
             ], (host, path)
