Failing tests: what a host knows of a listed server never changes

Looking for the same class elsewhere: a server that starts again under its id at another address is listed with the new one, and requests go to the old one on every host that knew it before.

--- /dev/null
+++ b/tests/test_entryhost_servers.py
@@ -0,0 +1,83 @@
+"""What a host knows of a backend server follows what the store says of it."""
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock
+
+from gentianwharf.entryhost import EntryHost
+from gentianwharf.load._registry import Registry
+from gentianwharf.platform import CONFIG_KEY, SERVERS_PREFIX, decode_host_settings
+from gentianwharf.store import Item
+from tests.builders_load import server, service
+from tests.builders_users_platform import SETTINGS, configuration, server_entry
+
+SERVER_ID = "i-1"
+
+
+@pytest.fixture
+def host() -> EntryHost:
+    clock: Any = Clock()
+    made = EntryHost(
+        settings=decode_host_settings(SETTINGS, peer="test"), reactor=clock
+    )
+    note_configuration(made, revision=1)
+    note_entry(made, revision=2)
+    return made
+
+
+def note_configuration(host: EntryHost, *, revision: int, **services: Any) -> None:
+    value = configuration(version=f"r{revision}", **services)
+    item = Item(key=CONFIG_KEY, value=value, revision=revision, lease_id=0)
+    host._control.rules.note_item(item)
+
+
+def note_entry(host: EntryHost, *, revision: int, **fields: Any) -> None:
+    key = SERVERS_PREFIX + SERVER_ID
+    value = server_entry(**({"service": "seats"} | fields))
+    item = Item(key=key, value=value, revision=revision, lease_id=0)
+    host._control.directory.note_item(key, item)
+
+
+def test_server_born_again_at_another_address_is_reached_there(host: EntryHost) -> None:
+    """Every request to one server fails, on all hosts that knew it before.
+
+    It starts again under its id, elsewhere. Hosts list its new address and go on
+    connecting to the one of before; those that have just started reach it.
+    """
+    note_entry(host, revision=3, address="10.128.0.77:8080", born=1_780_000_009_000)
+    assert host.relay.connections[SERVER_ID].server.address == "10.128.0.77:8080"
+
+
+def test_connections_follow_what_operators_allow(host: EntryHost) -> None:
+    """Operators lower a service's connections, and its servers reset what is beyond.
+
+    Hosts that knew a server before go on opening as many as they were allowed then.
+    """
+    host._note_hosts(2)
+    assert host.relay.connections[SERVER_ID].most == 65
+    seats = {"max-connections": 10}
+    note_configuration(host, revision=4, services={"seats": seats, "calendar": seats})
+    assert host.relay.connections[SERVER_ID].most == 5
+
+
+def test_gate_follows_what_a_listed_server_is() -> None:
+    """A server that was born again with more slots gets as little as it did before."""
+    registry = Registry(
+        services=[service(servers=0)],
+        classes=[],
+        domain="lac",
+        rng=Random(1),
+        daemons=2,
+    )
+    before = server(0, slots=2)
+    registry.set_servers(before.service, [before], 0.0)
+    state = registry.servers[before.id]
+    after = replace(before, slots=8, connections=80)
+    pool = registry.set_servers(before.service, [after], 1.0)
+    assert registry.servers[before.id] is state
+    assert (state.server.slots, state.most_connections) == (8, 40)
+    assert pool is not None
+    assert pool.limit.most == 8.0
