Follow what a listed server is, not only that it is listed

Cause: rows of a known server (its pool of connections, its row at the gate) were made when it was first listed and never changed. A server that starts again under its id at another address was asked at the old one by every host that knew it; operators' max-connections and a server's slots reached only servers that came later.

Ruled out: the directory and the leader's orders, which follow the entry's address and life. A pool takes the new server and closes its connections when the address changes; the gate's row is followed in place, so requests in flight keep their counts.

--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -248,9 +248,11 @@
                 del self._servers[name]
         for server in servers:
             self._servers[server.id] = server
-            if server.id not in self.relay.connections:
+            pool = self.relay.connections.get(server.id)
+            if pool is None:
                 pool = ServerConnections(server=server, reactor=self._reactor)
-                pool.share_with(self._control.hosts)
                 self.relay.connections[server.id] = pool
+            pool.follow(server)
+            pool.share_with(self._control.hosts)
         self._admission.set_servers(service, servers)
         self._control.note_servers(service)
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -58,8 +58,11 @@
         for state in self._states_of(service):
             state.note_listed(state.server.id in wanted, now_s)
         for server in wanted.values():
-            if server.id not in self.servers:
+            known = self.servers.get(server.id)
+            if known is None:
                 self._add_server(server).ramp_from_s = now_s
+            elif known.server != server:
+                self._follow_server(known, server)
         for state in self._states_of(service):
             self.drop_if_gone(state)
         pool = self.pools.get((service, None))
@@ -133,6 +136,15 @@
             pool.set_states([state])
         return state
 
+    def _follow_server(self, state: ServerState, server: BackendServer) -> None:
+        """Take what is now known of a server: it may have started again elsewhere."""
+        state.server = server
+        state.local = server.domain == self._domain
+        state.most_connections = self._share_of_connections(server)
+        pool = self.pools.get((server.service, server.id))
+        if pool is not None:
+            pool.set_states([state])
+
     def _make_pool(
         self, service: str, states: list[ServerState], *, pinned: bool = False
     ) -> Pool:
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -191,6 +191,17 @@
         self._all: set[ServerConnection] = set()
         self._connecting = 0
 
+    def follow(self, server: BackendServer) -> None:
+        """Take what is now known of the server; call ``share_with`` after it.
+
+        A server may start again under its id at another address. Connections to the old
+        one are closed: it may be another server's by now.
+        """
+        moved = server.address != self.server.address
+        self.server = server
+        if moved:
+            self.renew()
+
     def share_with(self, daemons: int) -> None:
         """Take an equal part of what the server accepts from all daemons.
 
