Failing tests: one odd value ends a host's copy of all others

A reader that raises on one value, a value that is no base64, a message between hosts that can't be handled: each ends what it came by, for good. An entry of a server is refused for a field that no host reads.

--- a/tests/test_entryhost_directory.py
+++ b/tests/test_entryhost_directory.py
@@ -87,3 +87,15 @@
     clock.advance(20.0)
     directory.note_item("servers/i-1", None)
     assert len(directory.entries("calendar")) == 1
+
+
+def test_entry_that_can_t_be_read_at_all_leaves_no_former_one_in_use() -> None:
+    """Requests go to a server that has written something else since.
+
+    What it wrote makes the reader raise an error that nobody expects, and the entry
+    of before stays in use for good.
+    """
+    directory, _ = make_directory(Clock(), 2)
+    deep = b'{"newer": ' + b"[" * 10_000 + b"]" * 10_000 + b"}"
+    directory.note_item("servers/i-1", Item(key="servers/i-1", value=deep, revision=2))
+    assert usable(directory) == ["i-0"]
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -13,7 +13,7 @@
     RefusedError,
 )
 from gentianwharf.platform import PlatformStore
-from gentianwharf.platform.standin import Items, StandInStore
+from gentianwharf.platform.standin import Items, StandInStore, _store
 from gentianwharf.store import (
     Change,
     HistoryGoneError,
@@ -171,3 +171,30 @@
     with pytest.raises(OutcomeUnknownError):
         store.call(lambda: client.change(put("own/a")))
     in_reactor(port.stopListening)
+
+
+@pytest.mark.parametrize("value", ["no base64!", "YQ", "é"])
+def test_value_that_is_no_base64_costs_its_key_alone(
+    store: RunningStore, monkeypatch: pytest.MonkeyPatch, value: str
+) -> None:
+    """No host learns any change once one key has a value that can't be decoded.
+
+    The whole answer is given up for it, each time that the store is asked.
+    """
+    shown = _store._shown
+    store.call(lambda: store.hosts.change(put("own/a", b"1")))
+    store.call(lambda: store.hosts.change(put("own/odd")))
+    monkeypatch.setattr(
+        _store,
+        "_shown",
+        lambda one: shown(one) | ({"value": value} if one.key == "own/odd" else {}),
+    )
+    page = store.call(lambda: store.hosts.items("own/"))
+    assert [(one.key, one.value) for one in page.items] == [
+        ("own/a", b"1"),
+        ("own/odd", b""),
+    ]
+    events = store.call(
+        lambda: store.hosts.watch("own/", after_revision=page.revision - 2, wait_s=1)
+    )
+    assert [one.value for one in events.changes] == [b"1", b""]
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -3,8 +3,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from gentianwharf.errors import PeerUnavailableError
-from gentianwharf.store import HistoryGoneError, Item, Mirror, Page, Removal
+from gentianwharf.errors import InputError, PeerUnavailableError
+from gentianwharf.store import Events, HistoryGoneError, Item, Mirror, Page, Removal
 from tests.builders_store import WatchedStore, events, item, mirror_of
 
 
@@ -147,3 +147,108 @@
     store.is_down = False
     advance(clock, 1)
     assert store.watches[-1][0] == 10, "it fetches what lies between"
+
+
+def test_value_that_its_reader_can_t_bear_costs_its_key_alone(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """Callers are sent to servers that have left, on every host, until a restart.
+
+    One odd value of any key makes its reader raise. That ends the copy of the store,
+    and of all that is written after it no host learns.
+    """
+    heard: list[str] = []
+
+    def read(key: str, found: Item | None) -> None:
+        if key == "odd":
+            raise OverflowError("cannot convert float infinity to integer")
+        heard.append(key)
+
+    mirror.listen(read)
+    store.bring(events(13, item("b", 11), item("odd", 12), item("c", 13)))
+    advance(clock, 1)
+    store.bring(events(14, item("d", 14)))
+    mirror.feed(events(16, item("odd", 15), item("e", 16)), after_revision=14)
+    assert heard == ["b", "c", "d", "e"]
+    assert revisions(mirror)["odd"] == 15
+
+
+def test_own_error_of_a_reader_is_not_the_store_s(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host drops the rest of what a watch brought, and takes the store for lost.
+
+    A reader refuses one value with an error of the same family as the store's own. The
+    watch goes on after all that it brought, so that the rest is never looked at.
+    """
+    heard: list[str] = []
+
+    def read(key: str, found: Item | None) -> None:
+        if key == "odd":
+            raise InputError("odd", step="read", peer=key)
+        heard.append(key)
+
+    mirror.listen(read)
+    store.bring(events(12, item("odd", 11), item("c", 12)))
+    assert heard == ["c"]
+    assert mirror.silent_s() == 0
+
+
+def test_host_that_starts_beside_an_odd_value_reads_all_others(clock: Clock) -> None:
+    """A host that is started again knows nothing at all, and answers 503.
+
+    An odd value stands in the store; reading everything stops at it each time.
+    """
+    store = WatchedStore(
+        page=Page(items=(item("a", 3), item("odd", 4), item("z", 5)), revision=10)
+    )
+    mirror = mirror_of(store, clock)
+    heard: list[str] = []
+
+    def read(key: str, found: Item | None) -> None:
+        if key == "odd":
+            raise KeyError(key)
+        heard.append(key)
+
+    mirror.listen(read)
+    mirror.start()
+    advance(clock, 1)
+    assert heard == ["a", "z"]
+    assert mirror.is_current
+    assert [after for after, _ in store.watches] == [10]
+
+
+def test_fault_in_reading_an_answer_is_tried_again(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """An answer of the store meets a fault of the host's own, of no expected kind.
+
+    The copy ended with it, and the host kept to what it knew until its end.
+    """
+    store.watches[-1][1].errback(ValueError("expected base64"))
+    advance(clock, 1)
+    assert [after for after, _ in store.watches] == [10, 10]
+    store.bring(events(12, item("b", 12)))
+    assert revisions(mirror) == {"a": 3, "b": 12}
+
+
+def test_fault_in_telling_others_does_not_end_the_copy(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """The leader can't tell one change, and from then on hears no other one itself."""
+
+    def tell(after_revision: int, brought: Events) -> None:
+        raise OverflowError("can't serialize")
+
+    mirror.on_events = tell
+    store.bring(events(12, item("b", 12)))
+    advance(clock, 1)
+    assert [after for after, _ in store.watches] == [10, 12]
+
+
+def test_mirror_that_is_stopped_asks_no_more(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    mirror.stop()
+    advance(clock, 5)
+    assert len(store.watches) == 1
