Let one odd value cost its own key alone

Cause: the mirror called its listeners inside the loop that follows the store, after it had moved its revision on. A reader that raised anything but our own errors ended that loop for good (RecursionError from an entry nested too deep, OverflowError, KeyError); one of our own errors was taken for a lost store, and the other changes of the same watch were never looked at. A value that is no base64 failed the whole answer, at each try. The reactor drops a reader that raises, so one message between hosts closed a host's listener for good.

Now each listener's call is guarded, by key and revision; a fault in reading an answer is tried again after the usual pause; a value that can't be decoded stands without bytes, which the readers of that key refuse in their own ways; the listener of links guards each message.

Entries: cold-remaining was decoded and used nowhere, and an odd one refused the server: it is not read any more. born and slots beyond 64 bits are refused, since the table that names them can't be encoded (OverflowError) and the leader would try again at each tick.

Ruled out: the leader's item (msgspec.ValidationError is a DecodeError and was caught), and tables that can't be read (caught, logged, the former one stays).

--- a/src/gentianwharf/links/_nng.py
+++ b/src/gentianwharf/links/_nng.py
@@ -15,6 +15,7 @@
 from zope.interface import implementer
 
 from gentianwharf.errors import InputError
+from gentianwharf.logs import log
 
 SEND_QUEUE = 64
 """Frames queued for a peer that is slow or away; later ones are dropped, since every
@@ -105,7 +106,15 @@
                 data = self._socket.recv(block=False)
             except pynng.TryAgain:
                 return
+            self._hand_on(data)
+
+    def _hand_on(self, data: bytes) -> None:
+        try:
             self._on_data(data)
+        except Exception:
+            # The reactor drops a reader that raises: one message that can't be handled
+            # would close this host's ear to every other host.
+            log.exception("a message could not be used", extra={"bytes": len(data)})
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Close when the reactor drops its readers."""
--- a/src/gentianwharf/platform/_servers.py
+++ b/src/gentianwharf/platform/_servers.py
@@ -3,14 +3,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from ipaddress import ip_address
-from typing import final
+from typing import Annotated, final
 
 import msgspec
 
 from gentianwharf.errors import InputError
 
-from ._units import decode_time_s
-
 SERVERS_PREFIX = "servers/"
 """Below it each backend server keeps its own entry, by its id."""
 
@@ -40,18 +38,26 @@
     domain: str
     slots: int
     state: ServerState
-    cold_s: float
 
 
-class _Entry(msgspec.Struct, rename="kebab"):
+# What is wider can't be passed on: the table of keys names a server's birth, and one
+# that could not be written would hold up every move of its service.
+_StoredInt = Annotated[int, msgspec.Meta(le=2**63 - 1)]
+
+
+class _Entry(msgspec.Struct):
+    """What hosts use of an entry. A field that none uses must not be read.
+
+    An odd value of it would cost the server all of its requests.
+    """
+
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _StoredInt
     state: ServerState
     # Not every platform of today sends it: then an id has one life only.
-    born: int = 0
-    cold_remaining: str = "0ms"
+    born: _StoredInt = 0
 
 
 def decode_server_entry(key: str, value: bytes) -> ServerEntry:
@@ -75,9 +81,8 @@
             domain=entry.zone,
             slots=entry.slots,
             state=entry.state,
-            cold_s=decode_time_s(entry.cold_remaining),
         )
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise InputError(
             f"entry names no server: {error}", step=STEP, peer=key
         ) from error
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -21,6 +21,7 @@
     RefusedError,
 )
 from gentianwharf.http_agent import BytesBody, ip_agent
+from gentianwharf.logs import log
 from gentianwharf.store import (
     Change,
     Events,
@@ -284,12 +285,26 @@
 def _item(one: _Item) -> Item:
     return Item(
         key=one.key,
-        value=decode_value(one.value or ""),
+        value=_value(one),
         revision=one.revision,
         lease_id=one.lease,
     )
 
 
+def _value(one: _Item) -> bytes:
+    try:
+        return decode_value(one.value or "")
+    except ValueError as error:
+        # Raised from here it would cost every other item of the answer, at each try.
+        # Without bytes the readers of this key refuse it, and use no older value.
+        log.error(
+            "value can't be decoded: {}",
+            error,
+            extra={"step": "read-value", "peer": one.key, "revision": one.revision},
+        )
+        return b""
+
+
 @final
 class _ProbedEndpoint:
     """Lets the kernel probe each connection that an endpoint makes."""
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any, final
 
@@ -136,6 +137,14 @@
             except GentianwharfError as error:
                 self._note_failure(error)
                 await deferLater(self._reactor, self._pause_s())
+            except CancelledError:
+                raise
+            except Exception:
+                # A fault in reading one answer would end the copy: the host would
+                # learn nothing any more and go on as if nothing had changed.
+                log.exception("reading the store failed")
+                self._failures += 1
+                await deferLater(self._reactor, self._pause_s())
 
     async def _read(self) -> None:
         page = await self._store.items(self._prefix)
@@ -149,7 +158,7 @@
             self.take(key, item)
         self.revision = page.revision
         self.is_current = True
-        self.on_read()
+        _guarded(self.on_read, peer=self._prefix, revision=page.revision)
 
     async def _watch(self) -> None:
         after_revision, pace = self.revision, self.pace()
@@ -159,7 +168,11 @@
         self._note_heard()
         self._apply(events)
         if events.changes:
-            self.on_events(after_revision, events)
+            _guarded(
+                lambda: self.on_events(after_revision, events),
+                peer=self._prefix,
+                revision=events.revision,
+            )
             await deferLater(self._reactor, pace.gather_s)
 
     def _apply(self, events: Events) -> None:
@@ -185,7 +198,11 @@
         else:
             self.items[key] = item
         for listener in self._listeners:
-            listener(key, item)
+            _guarded(
+                partial(listener, key, item),
+                peer=key,
+                revision=item.revision if item is not None else None,
+            )
 
     def _note_heard(self) -> None:
         self.heard_s = self._reactor.seconds()
@@ -212,6 +229,21 @@
         return longest_s * (0.5 + self._rng.random() / 2)
 
 
+def _guarded(call: Callable[[], None], *, peer: str, revision: int | None) -> None:
+    """Call a listener; what it can't bear costs it this one call.
+
+    Raised from here, its error would pass over the other changes that came along, which
+    no later watch brings again, and could end the copy of every key.
+    """
+    try:
+        call()
+    except Exception:
+        log.exception(
+            "what the store told could not be used",
+            extra={"step": "note-change", "peer": peer, "revision": revision},
+        )
+
+
 def _log_end(failure: Any) -> None:
     if not failure.check(CancelledError):
         log.error("the mirror of the store ended: {}", failure.getTraceback())
