--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -1,6 +1,13 @@
 """The store in which hosts agree on what must last, and a mirror of it on each host."""
 
-from ._mirror import TELLING_PACE, USUAL_PACE, EventsListener, Mirror, WatchPace
+from ._mirror import (
+    MISSED_S,
+    TELLING_PACE,
+    USUAL_PACE,
+    EventsListener,
+    Mirror,
+    WatchPace,
+)
 from ._types import (
     Change,
     Events,
@@ -14,6 +21,7 @@
 )
 
 __all__ = [
+    "MISSED_S",
     "TELLING_PACE",
     "USUAL_PACE",
     "Change",
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -44,6 +44,10 @@
 REST_S = 0.1
 """How often a host that is told the changes looks whether it still is."""
 
+MISSED_S = 1.0
+"""How long a watch may leave out what another host has told of before it is asked anew:
+a store that is slow takes half a second. As long waits the watch that is asked then."""
+
 FIRST_PAUSE_S = 0.2
 MOST_PAUSE_S = 0.7
 """Between tries while the store fails, since what changed meanwhile has to be in force
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -28,6 +28,7 @@
 
     page: Page = Page(items=(), revision=10)
     watches: list[tuple[int, "Deferred[Events]"]] = field(default_factory=list)
+    waits_s: list[float] = field(default_factory=list)
     readings: int = 0
     is_down: bool = False
 
@@ -41,6 +42,7 @@
     async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
         """Wait for the test."""
         waiting: Deferred[Events] = Deferred()
+        self.waits_s.append(wait_s)
         self.watches.append((after_revision, waiting))
         return await waiting
 
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -4,7 +4,16 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.errors import InputError, PeerUnavailableError
-from gentianwharf.store import Events, HistoryGoneError, Item, Mirror, Page, Removal
+from gentianwharf.store import (
+    MISSED_S,
+    USUAL_PACE,
+    Events,
+    HistoryGoneError,
+    Item,
+    Mirror,
+    Page,
+    Removal,
+)
 from tests.builders_store import WatchedStore, events, item, mirror_of
 
 
@@ -252,3 +261,51 @@
     mirror.stop()
     advance(clock, 5)
     assert len(store.watches) == 1
+
+
+def test_watch_that_does_not_bring_what_was_told_is_asked_anew(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host sends to a server that left up to 20 s ago; all others know of it.
+
+    The host was cut off, and its watch's answer is lost. Back again, it is told of
+    what changes now, after a change that it never got: it has to fetch that one, and
+    waits for the lost watch to run out instead.
+    """
+    mirror.is_fed = lambda: True
+    mirror.feed(events(14, item("b", 14)), after_revision=13)
+    advance(clock, 0.4)
+    mirror.feed(events(15, item("c", 15)), after_revision=14)
+    advance(clock, MISSED_S)
+    assert [after for after, _ in store.watches] == [10, 10]
+    store.bring(events(15, item("a", 12), item("b", 14), item("c", 15)))
+    assert revisions(mirror) == {"a": 12, "b": 14, "c": 15}
+    assert mirror.silent_s() == 0
+
+
+def test_watch_that_was_asked_for_what_was_told_gets_its_time(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host on a slow link never gets a large value: it gives each answer up midway.
+
+    News come every 0.4 s and tell each time that something is missing.
+    """
+    mirror.is_fed = lambda: True
+    for _ in range(20):
+        mirror.feed(events(14, item("b", 14)), after_revision=13)
+        advance(clock, 0.4)
+    assert len(store.watches) == 2
+    assert store.waits_s == [USUAL_PACE.wait_s, MISSED_S], "it has to end by itself"
+
+
+def test_watch_that_brings_what_was_told_is_left_alone(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    # News often come ahead of the host's own watch.
+    mirror.is_fed = lambda: True
+    mirror.feed(events(14, item("b", 14)), after_revision=13)
+    advance(clock, MISSED_S / 2)
+    store.bring(events(14, item("a", 12), item("b", 14)))
+    advance(clock, 2 * MISSED_S)
+    assert len(store.watches) == 1
+    assert revisions(mirror) == {"a": 12, "b": 14}
