Ask anew when a watch leaves out what was told

Cause: a host that another one tells of a change after a gap fetches what lies between by its own watch. One that was already on its way counted as that, and where its answer is lost (a cut, a store that loses answers) it ends after its wait of 20 s and a second more; until then nothing that is told can be taken. Keepalive probes end it only where the connection is dead as well.

A watch that was asked before the gap was told gets one second more, then it is given up and asked anew, with a wait of a second so that it ends by itself when its answer is lost too. That one is not given up from outside: a large value on a slow link would never arrive.

On virtual time, the test's order of events: 21 s before, 1.0 s after. Costs one paid call for each watch that is given up. A shorter wait of every watch would do the same for a price at all times; a host that hears neither leader nor the answer still waits 21 s.

--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -89,6 +89,9 @@
         self._failures = 0
         self._listeners: list[Listener] = []
         self._running: Deferred[None] | None = None
+        self._watching: Deferred[Events] | None = None
+        self._patient: Deferred[Events] | None = None
+        """The watch on its way, while it may wait for as long as it was asked to."""
 
     def listen(self, listener: Listener) -> None:
         """Tell ``listener`` of every change from now on."""
@@ -125,13 +128,26 @@
         if self.is_current and after_revision <= self.revision:
             self._note_heard()
             self._apply(events)
+        if self._lacks_told() and self._patient is not None:
+            # The answer of a watch that was asked before may be lost. This host would
+            # wait for it, and for what it was told of, until that watch runs out.
+            patient, self._patient = self._patient, None
+            self._reactor.callLater(MISSED_S, self._give_up, patient)
+
+    def _lacks_told(self) -> bool:
+        return self._told_revision > self.revision
+
+    def _give_up(self, watching: "Deferred[Events]") -> None:
+        if self._lacks_told() and watching is self._watching:
+            self._watching = None
+            watching.cancel()
 
     async def _follow(self) -> None:
         while True:
             try:
                 if not self.is_current:
                     await self._read()
-                elif self.is_fed() and self._told_revision <= self.revision:
+                elif self.is_fed() and not self._lacks_told():
                     await deferLater(self._reactor, REST_S)
                 else:
                     await self._watch()
@@ -166,9 +182,9 @@
 
     async def _watch(self) -> None:
         after_revision, pace = self.revision, self.pace()
-        events = await self._store.watch(
-            self._prefix, after_revision=after_revision, wait_s=pace.wait_s
-        )
+        events = await self._asked(after_revision, pace)
+        if events is None:
+            return
         self._note_heard()
         self._apply(events)
         if events.changes:
@@ -179,6 +195,25 @@
             )
             await deferLater(self._reactor, pace.gather_s)
 
+    async def _asked(self, after_revision: int, pace: WatchPace) -> Events | None:
+        """Return what a watch brings, None if it was given up to be asked anew."""
+        is_patient = not self._lacks_told()
+        call = self._store.watch(
+            self._prefix,
+            after_revision=after_revision,
+            wait_s=pace.wait_s if is_patient else min(MISSED_S, pace.wait_s),
+        )
+        watching = self._watching = Deferred.fromCoroutine(call)
+        self._patient = watching if is_patient else None
+        try:
+            return await watching
+        except (CancelledError, GentianwharfError):
+            if self._watching is watching:
+                raise
+            return None
+        finally:
+            self._watching = self._patient = None
+
     def _apply(self, events: Events) -> None:
         known_revision = self.revision
         self.revision = max(known_revision, events.revision)
