--- a/tests/test_users_platform_store.py
+++ b/tests/test_users_platform_store.py
@@ -39,7 +39,8 @@
         self.result: Deferred[Any] = Deferred.fromCoroutine(call(store))
         factory: Any = self.reactor.tcpClients[0][2]
         self._protocol: Any = factory.buildProtocol(None)
-        self._protocol.makeConnection(ProbedTransport())
+        self.transport = ProbedTransport()
+        self._protocol.makeConnection(self.transport)
 
     def bring(self, answer: bytes, *, within_s: float, left_out: int = 0) -> None:
         """Hand the answer on, in as many pieces as it takes time, but for its end."""
@@ -101,6 +102,7 @@
     assert not link.result.called
     link.reactor.advance(CALL_TIMEOUT_S)
     assert link.has_given_up()
+    assert link.transport.disconnecting, "its rest would fill the link"
 
 
 def test_answer_that_never_begins_is_given_up_in_time() -> None:
