--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import cast
+from typing import cast, final
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -62,6 +62,12 @@
     def __init__(self) -> None:
         self.listeners: dict[str, Callable[[bytes], None]] = {}
         self.cut: set[str] = set()
+        self.most_bytes = 0
+
+    def hand_over(self, address: str, data: bytes) -> None:
+        """Deliver what was sent to an address, unless it is too large for it."""
+        if len(data) <= self.most_bytes:
+            self.listeners[address](data)
 
     def dial(self, address: str) -> "LinkNetLink":
         """Open a link."""
@@ -77,6 +83,7 @@
     ) -> "LinkNetListener":
         """Hand what comes for an address to a host."""
         self.listeners[address] = on_data
+        self.most_bytes = most_bytes
         return LinkNetListener()
 
 
@@ -90,13 +97,35 @@
     def send(self, data: bytes) -> bool:
         """Hand over, or lose, what a host sends."""
         if self.address not in self.net.cut:
-            self.net.listeners[self.address](data)
+            self.net.hand_over(self.address, data)
         return True
 
     def close(self) -> None:
         """Hold nothing."""
 
 
+@final
+class UplinkNet(LinkNet):
+    """Links that share the way out of their host, which is slow.
+
+    What a host sends waits there behind all that it has sent to others.
+    """
+
+    def __init__(self, *, clock: Clock, bytes_per_s: float) -> None:
+        super().__init__()
+        self._clock = clock
+        self._bytes_per_s = bytes_per_s
+        self._busy_until_s = 0.0
+
+    def hand_over(self, address: str, data: bytes) -> None:
+        """Deliver when all before it has left."""
+        now_s = self._clock.seconds()
+        begun_s = max(self._busy_until_s, now_s)
+        self._busy_until_s = begun_s + len(data) / self._bytes_per_s
+        deliver = super().hand_over
+        self._clock.callLater(self._busy_until_s - now_s, deliver, address, data)
+
+
 class LinkNetListener:
     """Nothing to close."""
 
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from random import Random
 
 import msgspec
 import pytest
 from twisted.internet.task import Clock
 
 from gentianwharf.entryhost import _peers
+from gentianwharf.entryhost._messages import Report
 from gentianwharf.entryhost._peers import FED_S, Known, Peers
 from gentianwharf.keyspace import Span
 from gentianwharf.store import Events, Item, Removal
 from tests.builders_keyspace import span
-from tests.builders_store import LinkNet, events, item
+from tests.builders_store import LinkNet, UplinkNet, events, item
 
 TICK_S = 0.05
 
@@ -66,8 +68,12 @@
 
 @pytest.fixture
 def trio(monkeypatch: pytest.MonkeyPatch) -> Trio:
-    clock, net = Clock(), LinkNet()
+    clock = Clock()
     clock.advance(100)
+    return make_trio(monkeypatch, clock, LinkNet())
+
+
+def make_trio(monkeypatch: pytest.MonkeyPatch, clock: Clock, net: LinkNet) -> Trio:
     monkeypatch.setattr(_peers, "dial", net.dial)
     monkeypatch.setattr(_peers, "NngListener", net.listen)
     hosts = [
@@ -242,3 +248,47 @@
     leader.peers.lead(True)
     leader.peers.tell_events(11, events(12, item("t", 12, large + b"more")))
     assert follower.events[-1] == (11, events(12, item("t", 12, large + b"more")))
+
+
+def random_bytes(size: int) -> bytes:
+    return Random(1).randbytes(size)
+
+
+def test_change_that_is_too_large_to_be_told_is_fetched_at_once(trio: Trio) -> None:
+    """Hosts learn of new rules up to 0.4 s later than they could.
+
+    The rules' message is larger than a host takes; it is dropped and the link made
+    anew. The news at rest are the first to tell that there was one.
+    """
+    leader, follower, _ = trio.hosts
+    large = events(12, item("rules", 12, random_bytes(1_040_000)))
+    leader.peers.tell_events(10, large)
+    assert follower.events[-1] == (12, Events(changes=(), revision=12))
+
+
+def test_large_change_does_not_hold_up_what_is_told_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Callers are sent to a server that said seconds ago that it leaves.
+
+    86 hosts are told of 3,500 new rules, 5 MB over the leader's link of 5 Mbit/s. What
+    it tells next waits behind them, and takes the age that it had at its sending: so
+    hosts think that they know all, and don't watch the store.
+    """
+    clock = Clock()
+    clock.advance(100)
+    net = UplinkNet(clock=clock, bytes_per_s=625_000)
+    trio = make_trio(monkeypatch, clock, net)
+    leader, follower, _ = trio.hosts
+    others = [
+        Report(f"other{number}", f"10.0.1.{number}:90", {}, {}) for number in range(83)
+    ]
+    for one in others:
+        net.listeners[one.address] = lambda data: None
+        net.listeners[leader.peers.name.address](msgspec.msgpack.encode(one))
+    leader.revision = 12
+    leader.peers.tell_events(10, events(12, item("rules", 12, random_bytes(60_000))))
+    leader.revision = 13
+    leader.peers.tell_events(12, events(13, item("servers/i-1", 13, b"leaving")))
+    trio.run(1)
+    assert follower.events[-1][1].revision == 13
