--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -292,3 +292,28 @@
     leader.peers.tell_events(12, events(13, item("servers/i-1", 13, b"leaving")))
     trio.run(1)
     assert follower.events[-1][1].revision == 13
+
+
+def test_change_that_a_host_has_already_needs_no_former_value(trio: Trio) -> None:
+    """A host pays for a watch, and is late with all that came in the same message.
+
+    Its own watch brought the table's change before the leader told it. The change is
+    told against the value of before, which the host no longer has.
+    """
+    leader, follower, _ = trio.hosts
+    large = bytes(range(256)) * 40
+    leader.peers.tell_events(10, events(11, item("t", 11, large)))
+    brought = events(13, item("t", 12, large + b"more"), item("a", 13, b"1"))
+    follower.items["t"] = item("t", 12, large + b"more")
+    leader.peers.tell_events(11, brought)
+    assert follower.events[-1] == (11, brought)
+
+
+def test_change_older_than_what_a_host_has_brings_nothing_back(trio: Trio) -> None:
+    leader, follower, _ = trio.hosts
+    large = bytes(range(256)) * 40
+    leader.peers.tell_events(10, events(11, item("t", 11, large)))
+    newest = item("t", 14, large + b"newest")
+    follower.items["t"] = newest
+    leader.peers.tell_events(11, events(12, item("t", 12, large + b"more")))
+    assert follower.events[-1] == (11, events(12, newest))
