Take a change that a host has already as told in full

Cause of a part of the changes told against values that followers lack: a follower whose own watch was quicker has the new value and no longer the one that the change is told against. It gave up the whole message and fetched all of it by one more paid watch, 0.1 s and a call later. Never for good: the told revision lets the next watch fetch what is missing, and a host that has just started takes nothing until it has read the store.

--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -387,6 +387,11 @@
             return Removal(key=change.key, revision=change.revision)
         value = change.value
         if change.base_revision is not None:
+            known = self.item(change.key)
+            if known is not None and known.revision >= change.revision:
+                # This host's own watch was quicker, and it no longer has the value
+                # that the change is told against.
+                return known
             value = decompressed(value, self._base(change.key, change.base_revision))
         return Item(
             key=change.key,
