Let holders of keys stand in an order that moves don't change

Cause: a table names each holder once, in the order in which spans name them. One move near the front shifts the places of most holders, so that most spans are written anew and what is told of the change is most of the table.

Tables that stand in the store are read as before.

--- a/src/gentianwharf/keyspace/_table.py
+++ b/src/gentianwharf/keyspace/_table.py
@@ -1,7 +1,7 @@
 """Which backend server holds which shards of a keyed service, under which token."""
 
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import final
 
@@ -169,10 +169,11 @@
     )
 
 
-def _holders(table: KeyTable) -> Iterator[Holder]:
-    seen: set[Holder] = set()
-    for span in table.spans:
-        for holder in (span.holder, *span.former):
-            if holder not in seen:
-                seen.add(holder)
-                yield holder
+def _holders(table: KeyTable) -> list[Holder]:
+    """Return the holders in an order that moves between them do not change.
+
+    By the order in which they appear, one move would shift the places in most spans,
+    and the whole table would be told to all hosts as changed.
+    """
+    holders = {one for span in table.spans for one in (span.holder, *span.former)}
+    return sorted(holders, key=lambda one: (one.server_id, one.born_ms, one.address))
