--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -2,6 +2,7 @@
 
 from ._mirror import (
     MISSED_S,
+    MOST_REMOVALS,
     TELLING_PACE,
     USUAL_PACE,
     EventsListener,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "MISSED_S",
+    "MOST_REMOVALS",
     "TELLING_PACE",
     "USUAL_PACE",
     "Change",
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -48,6 +48,9 @@
 """How long a watch may leave out what another host has told of before it is asked anew:
 a store that is slow takes half a second. As long waits the watch that is asked then."""
 
+MOST_REMOVALS = 1_000
+"""Kept to be told to hosts that lack them: an hour and more of servers that leave."""
+
 FIRST_PAUSE_S = 0.2
 MOST_PAUSE_S = 0.7
 """Between tries while the store fails, since what changed meanwhile has to be in force
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -30,6 +30,8 @@
     events: list[tuple[int, Events]] = field(default_factory=list)
     granted: list[tuple[str, int, int, int]] = field(default_factory=list)
     requests: list[tuple[str, Mapping[int, float]]] = field(default_factory=list)
+    changes: dict[int, Events] = field(default_factory=dict)
+    lacks_after: int | None = None
     hosts: int = 0
 
     def __post_init__(self) -> None:
@@ -41,6 +43,8 @@
         peers.on_hosts = lambda hosts: setattr(self, "hosts", hosts)
         peers.known = self.known
         peers.item = self.items.get
+        peers.changes_after = self.changes.get
+        peers.lacks_after = lambda: self.lacks_after
         peers.start()
 
     def known(self) -> Known | None:
@@ -317,3 +321,45 @@
     follower.items["t"] = newest
     leader.peers.tell_events(11, events(12, item("t", 12, large + b"more")))
     assert follower.events[-1] == (11, events(12, newest))
+
+
+def test_host_that_can_t_fetch_what_it_lacks_is_told_by_the_leader(trio: Trio) -> None:
+    """A host goes on by old rules for as long as the store turns it away.
+
+    One message between the hosts is lost, or was too large for all. What the leader
+    tells later it can't take without that one, and the store gives it nothing.
+    """
+    leader, follower, other = trio.hosts
+    lacking = events(13, item("rules", 12, random_bytes(60_000)), item("a", 13))
+    leader.changes[10] = lacking
+    leader.revision = 13
+    follower.lacks_after = 10
+    trio.run(0.5)
+    assert (10, lacking) in follower.events
+    assert (10, lacking) not in other.events
+
+
+def test_leader_that_may_have_missed_something_tells_nobody_what_it_lacks(
+    trio: Trio,
+) -> None:
+    leader, follower, _ = trio.hosts
+    leader.changes[10] = events(13, item("a", 13))
+    leader.revision = None
+    follower.lacks_after = 10
+    trio.run(1)
+    assert (10, leader.changes[10]) not in follower.events
+
+
+def test_hosts_that_lack_much_are_told_one_after_another(trio: Trio) -> None:
+    """News of a server that leaves wait behind what many hosts fetch on slow links."""
+    leader, *followers = trio.hosts
+    lacking = events(12, item("rules", 12, random_bytes(80_000)))
+    leader.changes[10] = lacking
+    leader.revision = 12
+    for one in followers:
+        one.lacks_after = 10
+    trio.run(0.5)
+    told = [one.events.count((10, lacking)) for one in followers]
+    assert sum(told) == 1
+    trio.run(1)
+    assert sum(one.events.count((10, lacking)) for one in followers) == 2
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -6,6 +6,7 @@
 from gentianwharf.errors import InputError, PeerUnavailableError
 from gentianwharf.store import (
     MISSED_S,
+    MOST_REMOVALS,
     USUAL_PACE,
     Events,
     HistoryGoneError,
@@ -309,3 +310,50 @@
     advance(clock, 2 * MISSED_S)
     assert len(store.watches) == 1
     assert revisions(mirror) == {"a": 12, "b": 14}
+
+
+def test_mirror_knows_for_how_long_it_lacks_what_it_was_told_of(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    assert mirror.lacking_s() == 0
+    mirror.feed(events(14, item("b", 14)), after_revision=13)
+    advance(clock, 0.5)
+    mirror.feed(events(15, item("c", 15)), after_revision=14)
+    advance(clock, 0.5)
+    assert mirror.lacking_s() == pytest.approx(1.0)
+    mirror.feed(events(15, item("b", 14), item("c", 15)), after_revision=10)
+    assert mirror.lacking_s() == 0
+
+
+def test_mirror_tells_what_changed_after_a_revision(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    store.bring(events(12, item("b", 11), Removal(key="a", revision=12)))
+    advance(clock, 1)
+    store.bring(events(14, item("c", 13), item("b", 14)))
+    assert mirror.changes_after(10) == events(
+        14, Removal(key="a", revision=12), item("c", 13), item("b", 14)
+    )
+    assert mirror.changes_after(12) == events(14, item("c", 13), item("b", 14))
+
+
+def test_mirror_does_not_tell_of_times_that_it_has_not_seen(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host sends to a server that has left: nobody told it that its entry went.
+
+    The one that tells it has read the store after that, and has no mark of what stood
+    there before.
+    """
+    assert mirror.changes_after(9) is None
+    for number in range(MOST_REMOVALS + 1):
+        revision = 11 + 2 * number
+        added = item("b", revision)
+        mirror.feed(
+            events(revision + 1, added, Removal(key="b", revision=revision + 1)),
+            after_revision=revision - 1,
+        )
+    assert mirror.changes_after(11) is None
+    known = mirror.changes_after(12)
+    assert known is not None
+    assert len(known.changes) == MOST_REMOVALS
