Let the leader tell single hosts what they lack and can't fetch

Cause: what is told goes on from what was told before. A host that missed one message fetches it from the store; while the store turns it away it takes nothing more, however much the leader tells it. A change that is too large to be told to all is such a message.

No call to the store.

What it does not reach: a host that has not read the store once, which knows no leader, and a change of more than 100 kB packed.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -55,6 +55,10 @@
 are small, one of them leads.
 """
 
+LACKING_S = 1.5
+"""After so long a host asks the leader for what it was told of and lacks: its own watch
+has been asked anew by then, and should have brought it."""
+
 FIRST_HOSTS = 10
 """How many hosts there are, until the leader tells."""
 
@@ -132,6 +136,8 @@
         peers.on_hosts = self._note_hosts
         peers.known = self._known
         peers.item = self.mirror.items.get
+        peers.lacks_after = self._lacks_after
+        peers.changes_after = self.mirror.changes_after
         self.keys.on_request = peers.note_request
         self.keys.hears_leader = peers.hears_leader
 
@@ -220,6 +226,11 @@
         age_s = self._now_s() - mirror.heard_s
         return Known(revision=mirror.revision, age_s=age_s)
 
+    def _lacks_after(self) -> int | None:
+        mirror = self.mirror
+        lacks = mirror.is_current and mirror.lacking_s() > LACKING_S
+        return mirror.revision if lacks else None
+
     def _pace(self) -> WatchPace:
         return TELLING_PACE if self.leadership.leads else USUAL_PACE
 
--- a/src/gentianwharf/entryhost/_messages.py
+++ b/src/gentianwharf/entryhost/_messages.py
@@ -18,13 +18,15 @@
 class Report(msgspec.Struct, array_like=True, tag="report"):
     """What one host saw since its last report.
 
-    ``requests`` counts by service and shard, ``loads`` by service and server.
+    ``requests`` counts by service and shard, ``loads`` by service and server. A host
+    that was told of changes and can't get them says after which revision they are.
     """
 
     host: str
     address: str
     requests: dict[str, dict[int, int]]
     loads: dict[str, dict[str, LoadReport]]
+    lacks_after: int | None = None
 
 
 class Granted(msgspec.Struct, array_like=True):
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -43,6 +43,10 @@
 more reaches the others by themselves within half a second more, before a server that
 leaves may get no more work (2 s)."""
 
+CATCH_UP_BYTES_PER_S = 100_000
+"""Told to single hosts that lack something, a sixth of a link of 5 Mbit/s: what all are
+told must not wait behind it."""
+
 SMALL_BYTES = 300
 """Values up to this are sent as they are."""
 
@@ -95,6 +99,8 @@
         self.on_hosts: Callable[[int], None]
         self.known: Callable[[], Known | None]
         self.item: Callable[[str], Item | None]
+        self.lacks_after: Callable[[], int | None] = lambda: None
+        self.changes_after: Callable[[int], Events | None] = lambda revision: None
         self.name = LeaderItem(host=host, address=address)
         self._reactor = reactor
         self._listener: NngListener | None = None
@@ -106,6 +112,7 @@
         self._told: dict[str, Item] = {}
         self._reported_s = 0.0
         self._told_s = 0.0
+        self._catch_up_s = 0.0
         self._granted: list[Granted] = []
         self._granted_s = 0.0
         self._hosts = 1
@@ -248,7 +255,9 @@
     def _report(self, now_s: float) -> None:
         requests, self._requests = self._requests, {}
         loads, self._loads = self._loads, {}
-        report = Report(self.name.host, self.name.address, requests, loads)
+        report = Report(
+            self.name.host, self.name.address, requests, loads, self.lacks_after()
+        )
         if self._leads:
             self._take(report)
             return
@@ -328,6 +337,31 @@
             self._peers[report.host] = peer
         peer.heard_s = now_s
         self._take(report)
+        if report.lacks_after is not None:
+            self._catch_up(peer, report.lacks_after)
+
+    def _catch_up(self, peer: _Peer, revision: int) -> None:
+        """Tell one host what it lacks: the store may give it nothing.
+
+        What is told to all would be of no use to it until the store does.
+        """
+        known, changes = self.known(), self.changes_after(revision)
+        now_s = self._reactor.seconds()
+        if known is None or changes is None or now_s < self._catch_up_s:
+            return
+        news = News(
+            self.name.host,
+            self._hosts,
+            [],
+            known.age_s,
+            revision,
+            changes.revision,
+            [_whole(one) for one in changes.changes],
+        )
+        data = msgspec.msgpack.encode(news)
+        if len(data) <= CATCH_UP_BYTES_PER_S:
+            self._catch_up_s = now_s + len(data) / CATCH_UP_BYTES_PER_S
+            peer.link.send(data)
 
     def _take(self, report: Report) -> None:
         for service, counts in report.requests.items():
@@ -371,7 +405,7 @@
     def _change(self, change: Item | Removal) -> Change:
         if isinstance(change, Removal):
             self._told.pop(change.key, None)
-            return Change(change.key, change.revision, None, 0, None)
+            return _whole(change)
         value, base_revision = change.value, None
         if len(value) > SMALL_BYTES:
             base = self._told.get(change.key)
@@ -408,3 +442,10 @@
             known = item.revision if item is not None else None
             raise _UnknownBaseError(f"{key}: expected revision {revision}, got {known}")
         return item.value
+
+
+def _whole(change: Item | Removal) -> Change:
+    if isinstance(change, Removal):
+        return Change(change.key, change.revision, None, 0, None)
+    value = compressed(change.value, b"")
+    return Change(change.key, change.revision, value, change.lease_id, 0)
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -5,6 +5,7 @@
 to it as soon as the other falls silent or has told of something that it never got.
 """
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -17,7 +18,7 @@
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
 
-from ._types import Events, HistoryGoneError, Item, Store
+from ._types import Events, HistoryGoneError, Item, Removal, Store
 
 
 @final
@@ -89,6 +90,9 @@
         self._rng = rng
         self.revision = 0
         self._told_revision = 0
+        self._lacking_since_s = 0.0
+        self._removals: deque[Removal] = deque()
+        self._removals_after = 0
         self._failures = 0
         self._listeners: list[Listener] = []
         self._running: Deferred[None] | None = None
@@ -127,10 +131,13 @@
 
         If some are missing in between, the next watch fetches them from the store.
         """
+        lacked_before = self._lacks_told()
         self._told_revision = max(self._told_revision, events.revision)
         if self.is_current and after_revision <= self.revision:
             self._note_heard()
             self._apply(events)
+        if not lacked_before:
+            self._lacking_since_s = self._reactor.seconds()
         if self._lacks_told() and self._patient is not None:
             # The answer of a watch that was asked before may be lost. This host would
             # wait for it, and for what it was told of, until that watch runs out.
@@ -145,6 +152,24 @@
             self._watching = None
             watching.cancel()
 
+    def lacking_s(self) -> float:
+        """Return for how long this mirror has lacked what it was told of, 0 if not."""
+        if not self._lacks_told():
+            return 0.0
+        return float(self._reactor.seconds() - self._lacking_since_s)
+
+    def changes_after(self, revision: int) -> Events | None:
+        """Return what a mirror lacks that knows a revision, None if that isn't known.
+
+        Of an item that changed several times only the last change is told.
+        """
+        if not self.is_current or revision < self._removals_after:
+            return None
+        known: list[Item | Removal] = [*self.items.values(), *self._removals]
+        changes = [one for one in known if one.revision > revision]
+        changes.sort(key=lambda one: one.revision)
+        return Events(changes=tuple(changes), revision=self.revision)
+
     async def _follow(self) -> None:
         while True:
             try:
@@ -180,6 +205,9 @@
         for key, item in found.items():
             self.take(key, item)
         self.revision = page.revision
+        # What went before this reading left no mark.
+        self._removals.clear()
+        self._removals_after = page.revision
         self.is_current = True
         _guarded(self.on_read, peer=self._prefix, revision=page.revision)
 
@@ -227,9 +255,16 @@
                 continue
             if isinstance(change, Item):
                 self.take(change.key, change)
-            elif self._is_known_before(change.key, change.revision):
+                continue
+            self._keep_removal(change)
+            if self._is_known_before(change.key, change.revision):
                 self._set(change.key, None)
 
+    def _keep_removal(self, removal: Removal) -> None:
+        if len(self._removals) == MOST_REMOVALS:
+            self._removals_after = self._removals.popleft().revision
+        self._removals.append(removal)
+
     def _is_known_before(self, key: str, revision: int) -> bool:
         known = self.items.get(key)
         return known is not None and known.revision < revision
