Test hosts' controls together on one store whose ways fail

Three hosts' controls on virtual time, a store in memory with a way for each host, and links without a net: the wiring that unit tests of the mirror and of the links leave out.

--- /dev/null
+++ b/tests/builders_entryhost.py
@@ -0,0 +1,151 @@
+"""Entry hosts' controls on one store in memory and links without a net."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock, deferLater
+
+from gentianwharf.entryhost import _control, _peers
+from gentianwharf.entryhost._control import Control
+from gentianwharf.errors import ConflictError, PeerUnavailableError
+from gentianwharf.platform import decode_host_settings
+from gentianwharf.platform.standin import Items
+from gentianwharf.platform.standin._items import ConditionError, UnknownLeaseError
+from gentianwharf.store import Change, Events, LeaseEndedError, Page, Put
+from tests.builders_store import LinkNet
+from tests.builders_users_platform import SETTINGS, server_entry
+
+TICK_S = 0.05
+
+
+@dataclass
+class HostWay:
+    """One host's way to the store, on which a test may let calls fail."""
+
+    items_: Items
+    clock: Clock
+    is_turned_away: bool = False
+    loses_watches: bool = False
+    calls: list[str] = field(default_factory=list)
+
+    async def items(self, prefix: str) -> Page:
+        """Return what stands below a prefix."""
+        self._begin("items")
+        return Page(
+            items=tuple(self.items_.below(prefix)), revision=self.items_.revision
+        )
+
+    async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
+        """Wait for a change; a watch that is lost ends a second after its wait."""
+        self._begin("watch")
+        end_s = self.clock.seconds() + wait_s
+        while not self.loses_watches and self.clock.seconds() < end_s:
+            changes = self.items_.changes_after(prefix, after_revision)
+            if changes:
+                break
+            await deferLater(self.clock, TICK_S / 2)
+        if self.loses_watches:
+            await deferLater(self.clock, end_s + 1 - self.clock.seconds())
+            raise PeerUnavailableError("lost", step="watch", peer="store")
+        found = self.items_.changes_after(prefix, after_revision) or []
+        return Events(changes=tuple(found), revision=self.items_.revision)
+
+    async def change(self, change: Change) -> int:
+        """Make a change."""
+        self._begin("change")
+        try:
+            return self.items_.change(change)
+        except ConditionError as error:
+            raise ConflictError("condition", step="change", peer="store") from error
+
+    async def open_lease(self, duration_s: float) -> int:
+        """Open a lease."""
+        self._begin("open_lease")
+        return self.items_.open_lease(duration_s)
+
+    async def renew_lease(self, lease_id: int) -> float:
+        """Let a lease begin anew."""
+        self._begin("renew_lease")
+        try:
+            return self.items_.renew_lease(lease_id)
+        except UnknownLeaseError as error:
+            raise LeaseEndedError("none", step="renew", peer="store") from error
+
+    def _begin(self, call: str) -> None:
+        self.calls.append(call)
+        if self.is_turned_away:
+            raise PeerUnavailableError("turned away", step=call, peer="store")
+
+
+@dataclass
+class Host:
+    """One host's control, its address between hosts and its way to the store."""
+
+    control: Control
+    address: str
+    way: HostWay
+
+    def servers(self) -> list[str]:
+        """Return the ids of the servers that this host lists."""
+        return sorted(one.id for one in self.control.directory.all())
+
+
+class Fleet:
+    """Hosts that run on one clock."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, hosts: int) -> None:
+        self.clock = Clock()
+        self.clock.advance(100)
+        self.net = LinkNet()
+        self.items = Items(now_s=self.clock.seconds)
+        self.ways: list[HostWay] = []
+        monkeypatch.setattr(_peers, "dial", self.net.dial)
+        monkeypatch.setattr(_peers, "NngListener", self.net.listen)
+        monkeypatch.setattr(_control, "PlatformStore", self._way)
+        self.hosts = [self._host(number) for number in range(hosts)]
+        for one in self.hosts:
+            one.control.start()
+
+    def _way(self, **_: Any) -> HostWay:
+        self.ways.append(HostWay(items_=self.items, clock=self.clock))
+        return self.ways[-1]
+
+    def _host(self, number: int) -> Host:
+        ip = f"10.1.0.{number + 1}"
+        text = SETTINGS.replace("10.1.0.18", ip).replace("lac-1", f"lac-{number}")
+        settings = decode_host_settings(text, peer="test")
+        control = Control(
+            settings=settings,
+            server_of=lambda name: None,
+            reactor=self.clock,
+            rng=Random(number),
+        )
+        address = f"{ip}:{settings.first_internal_port}"
+        return Host(control=control, address=address, way=self.ways[-1])
+
+    def write(self, key: str, value: bytes) -> None:
+        """Write as an operator or a server does."""
+        self.items.change(Change(puts=(Put(key=key, value=value),)))
+
+    def list_server(self, name: str) -> None:
+        """Let a server write its entry."""
+        self.write(f"servers/{name}", server_entry())
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass for all hosts."""
+        for _ in range(round(duration_s / TICK_S)):
+            self.items.expire()
+            for one in self.hosts:
+                one.control.tick()
+            self.clock.advance(TICK_S)
+
+    def leader(self) -> Host:
+        """Return the host that leads."""
+        (leader,) = [one for one in self.hosts if one.control.leadership.leads]
+        return leader
+
+    def follower(self) -> Host:
+        """Return a host that does not lead."""
+        return next(one for one in self.hosts if not one.control.leadership.leads)
