--- a/tests/test_entryhost_directory.py
+++ b/tests/test_entryhost_directory.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import Any
 
+import logbook
 from twisted.internet.task import Clock
 
 from gentianwharf.entryhost._directory import Directory
@@ -99,3 +100,24 @@
     deep = b'{"newer": ' + b"[" * 10_000 + b"]" * 10_000 + b"}"
     directory.note_item("servers/i-1", Item(key="servers/i-1", value=deep, revision=2))
     assert usable(directory) == ["i-0"]
+
+
+def test_entry_that_is_refused_is_named_with_its_revision_in_each_life() -> None:
+    """A server gets no request, and no log says which of its entries was refused.
+
+    It is refused, leaves, and comes back under its id with an entry that is refused
+    as well: only the first one was logged, without the revision to look for.
+    """
+    directory, _ = make_directory(Clock(), 1)
+    with logbook.TestHandler() as logs:
+        for revision in (7, 8):
+            refused = Item(key="servers/i-9", value=b"{}", revision=revision)
+            directory.note_item("servers/i-9", refused)
+            directory.note_item("servers/i-9", refused)
+            directory.note_item("servers/i-9", None)
+    named = [
+        (one.extra["peer"], one.extra["revision"])
+        for one in logs.records
+        if "not taken" in one.message
+    ]
+    assert named == [("servers/i-9", 7), ("servers/i-9", 8)]
