Name what is refused by its key and revision, once in each life

A server that left took no note of its refusal along: the next life's was not logged. Tables and the leader's item that can't be read are named by their revision as well.

--- a/src/gentianwharf/entryhost/_directory.py
+++ b/src/gentianwharf/entryhost/_directory.py
@@ -56,23 +56,26 @@
         if waiting is not None and waiting.active():
             waiting.cancel()
         if item is None:
+            self._unreadable.discard(server_id)
             self._note_lapse(server_id)
             return
         try:
             entry = decode_server_entry(item.key, item.value)
         except InputError as error:
-            self._note_unreadable(server_id, error)
+            self._note_unreadable(server_id, item.revision, error)
             return
         self._unreadable.discard(server_id)
         self._put(entry, was_in_doubt=waiting is not None)
 
-    def _note_unreadable(self, server_id: str, error: InputError) -> None:
+    def _note_unreadable(
+        self, server_id: str, revision: int, error: InputError
+    ) -> None:
         if server_id not in self._unreadable:
             self._unreadable.add(server_id)
             log.warning(
                 "server entry not taken: {}",
                 error.message,
-                extra={"step": error.step, "peer": error.peer},
+                extra={"step": error.step, "peer": error.peer, "revision": revision},
             )
         self._remove(server_id)
 
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -196,7 +196,11 @@
             try:
                 leader = msgspec.json.decode(item.value, type=LeaderItem)
             except msgspec.DecodeError as error:
-                log.warning("the leader's item can't be read: {}", error)
+                log.warning(
+                    "the leader's item can't be read: {}",
+                    error,
+                    extra={"peer": item.key, "revision": item.revision},
+                )
         if leader == self._leader:
             return
         self._close_leader()
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -163,7 +163,11 @@
             log.error(
                 "table not taken: {}",
                 error.message,
-                extra={"step": error.step, "peer": error.peer},
+                extra={
+                    "step": error.step,
+                    "peer": error.peer,
+                    "revision": item.revision,
+                },
             )
             return
         if table.service not in self._services:
