--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -50,7 +50,7 @@
 a store that is slow takes half a second. As long waits the watch that is asked then."""
 
 MOST_REMOVALS = 1_000
-"""Kept to be told to hosts that lack them: an hour and more of servers that leave."""
+"""Kept to be told to hosts that lack them; one that lacks more waits for the store."""
 
 FIRST_PAUSE_S = 0.2
 MOST_PAUSE_S = 0.7
