--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -43,6 +43,10 @@
 more reaches the others by themselves within half a second more, before a server that
 leaves may get no more work (2 s)."""
 
+CATCH_UP_BYTES_PER_S = 100_000
+"""Told to single hosts that lack something, a sixth of a link of 5 Mbit/s: what all are
+told must not wait behind it."""
+
 SMALL_BYTES = 300
 """Values up to this are sent as they are."""
 
@@ -57,6 +61,10 @@
 
 MOST_BYTES = 1_000_000
 
+MOST_TOLD_BYTES = 500_000
+"""Of changes told to all hosts together: 0.8 s of a link of 5 Mbit/s. Larger ones are
+fetched by each host over its own link; a whole table of 85 servers is 350 kB for 86."""
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -91,6 +99,8 @@
         self.on_hosts: Callable[[int], None]
         self.known: Callable[[], Known | None]
         self.item: Callable[[str], Item | None]
+        self.lacks_after: Callable[[], int | None] = lambda: None
+        self.changes_after: Callable[[int], Events | None] = lambda revision: None
         self.name = LeaderItem(host=host, address=address)
         self._reactor = reactor
         self._listener: NngListener | None = None
@@ -102,6 +112,7 @@
         self._told: dict[str, Item] = {}
         self._reported_s = 0.0
         self._told_s = 0.0
+        self._catch_up_s = 0.0
         self._granted: list[Granted] = []
         self._granted_s = 0.0
         self._hosts = 1
@@ -185,7 +196,11 @@
             try:
                 leader = msgspec.json.decode(item.value, type=LeaderItem)
             except msgspec.DecodeError as error:
-                log.warning("the leader's item can't be read: {}", error)
+                log.warning(
+                    "the leader's item can't be read: {}",
+                    error,
+                    extra={"peer": item.key, "revision": item.revision},
+                )
         if leader == self._leader:
             return
         self._close_leader()
@@ -244,7 +259,9 @@
     def _report(self, now_s: float) -> None:
         requests, self._requests = self._requests, {}
         loads, self._loads = self._loads, {}
-        report = Report(self.name.host, self.name.address, requests, loads)
+        report = Report(
+            self.name.host, self.name.address, requests, loads, self.lacks_after()
+        )
         if self._leads:
             self._take(report)
             return
@@ -284,6 +301,11 @@
             [self._change(one) for one in events.changes] if events else [],
         )
         data = msgspec.msgpack.encode(news)
+        if news.changes and len(data) * len(self._peers) > MOST_TOLD_BYTES:
+            # What is told next would wait behind it, and hosts would take it for as new
+            # as it was when it was sent: a server that leaves would get work for long.
+            news.after_revision, news.changes = revision, []
+            data = msgspec.msgpack.encode(news)
         for peer in self._peers.values():
             peer.link.send(data)
 
@@ -319,6 +341,31 @@
             self._peers[report.host] = peer
         peer.heard_s = now_s
         self._take(report)
+        if report.lacks_after is not None:
+            self._catch_up(peer, report.lacks_after)
+
+    def _catch_up(self, peer: _Peer, revision: int) -> None:
+        """Tell one host what it lacks: the store may give it nothing.
+
+        What is told to all would be of no use to it until the store does.
+        """
+        known, changes = self.known(), self.changes_after(revision)
+        now_s = self._reactor.seconds()
+        if known is None or changes is None or now_s < self._catch_up_s:
+            return
+        news = News(
+            self.name.host,
+            self._hosts,
+            [],
+            known.age_s,
+            revision,
+            changes.revision,
+            [_whole(one) for one in changes.changes],
+        )
+        data = msgspec.msgpack.encode(news)
+        if len(data) <= CATCH_UP_BYTES_PER_S:
+            self._catch_up_s = now_s + len(data) / CATCH_UP_BYTES_PER_S
+            peer.link.send(data)
 
     def _take(self, report: Report) -> None:
         for service, counts in report.requests.items():
@@ -362,7 +409,7 @@
     def _change(self, change: Item | Removal) -> Change:
         if isinstance(change, Removal):
             self._told.pop(change.key, None)
-            return Change(change.key, change.revision, None, 0, None)
+            return _whole(change)
         value, base_revision = change.value, None
         if len(value) > SMALL_BYTES:
             base = self._told.get(change.key)
@@ -378,6 +425,11 @@
             return Removal(key=change.key, revision=change.revision)
         value = change.value
         if change.base_revision is not None:
+            known = self.item(change.key)
+            if known is not None and known.revision >= change.revision:
+                # This host's own watch was quicker, and it no longer has the value
+                # that the change is told against.
+                return known
             value = decompressed(value, self._base(change.key, change.base_revision))
         return Item(
             key=change.key,
@@ -394,3 +446,10 @@
             known = item.revision if item is not None else None
             raise _UnknownBaseError(f"{key}: expected revision {revision}, got {known}")
         return item.value
+
+
+def _whole(change: Item | Removal) -> Change:
+    if isinstance(change, Removal):
+        return Change(change.key, change.revision, None, 0, None)
+    value = compressed(change.value, b"")
+    return Change(change.key, change.revision, value, change.lease_id, 0)
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -5,8 +5,10 @@
 to it as soon as the other falls silent or has told of something that it never got.
 """
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any, final
 
@@ -16,7 +18,7 @@
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
 
-from ._types import Events, HistoryGoneError, Item, Store
+from ._types import Events, HistoryGoneError, Item, Removal, Store
 
 
 @final
@@ -43,6 +45,13 @@
 REST_S = 0.1
 """How often a host that is told the changes looks whether it still is."""
 
+MISSED_S = 1.0
+"""How long a watch may leave out what another host has told of before it is asked anew:
+a store that is slow takes half a second. As long waits the watch that is asked then."""
+
+MOST_REMOVALS = 1_000
+"""Kept to be told to hosts that lack them; one that lacks more waits for the store."""
+
 FIRST_PAUSE_S = 0.2
 MOST_PAUSE_S = 0.7
 """Between tries while the store fails, since what changed meanwhile has to be in force
@@ -81,9 +90,15 @@
         self._rng = rng
         self.revision = 0
         self._told_revision = 0
+        self._lacking_since_s = 0.0
+        self._removals: deque[Removal] = deque()
+        self._removals_after = 0
         self._failures = 0
         self._listeners: list[Listener] = []
         self._running: Deferred[None] | None = None
+        self._watching: Deferred[Events] | None = None
+        self._patient: Deferred[Events] | None = None
+        """The watch on its way, while it may wait for as long as it was asked to."""
 
     def listen(self, listener: Listener) -> None:
         """Tell ``listener`` of every change from now on."""
@@ -116,17 +131,51 @@
 
         If some are missing in between, the next watch fetches them from the store.
         """
+        lacked_before = self._lacks_told()
         self._told_revision = max(self._told_revision, events.revision)
         if self.is_current and after_revision <= self.revision:
             self._note_heard()
             self._apply(events)
+        if not lacked_before:
+            self._lacking_since_s = self._reactor.seconds()
+        if self._lacks_told() and self._patient is not None:
+            # The answer of a watch that was asked before may be lost. This host would
+            # wait for it, and for what it was told of, until that watch runs out.
+            patient, self._patient = self._patient, None
+            self._reactor.callLater(MISSED_S, self._give_up, patient)
+
+    def _lacks_told(self) -> bool:
+        return self._told_revision > self.revision
+
+    def _give_up(self, watching: "Deferred[Events]") -> None:
+        if self._lacks_told() and watching is self._watching:
+            self._watching = None
+            watching.cancel()
+
+    def lacking_s(self) -> float:
+        """Return for how long this mirror has lacked what it was told of, 0 if not."""
+        if not self._lacks_told():
+            return 0.0
+        return float(self._reactor.seconds() - self._lacking_since_s)
+
+    def changes_after(self, revision: int) -> Events | None:
+        """Return what a mirror lacks that knows a revision, None if that isn't known.
+
+        Of an item that changed several times only the last change is told.
+        """
+        if not self.is_current or revision < self._removals_after:
+            return None
+        known: list[Item | Removal] = [*self.items.values(), *self._removals]
+        changes = [one for one in known if one.revision > revision]
+        changes.sort(key=lambda one: one.revision)
+        return Events(changes=tuple(changes), revision=self.revision)
 
     async def _follow(self) -> None:
         while True:
             try:
                 if not self.is_current:
                     await self._read()
-                elif self.is_fed() and self._told_revision <= self.revision:
+                elif self.is_fed() and not self._lacks_told():
                     await deferLater(self._reactor, REST_S)
                 else:
                     await self._watch()
@@ -136,6 +185,14 @@
             except GentianwharfError as error:
                 self._note_failure(error)
                 await deferLater(self._reactor, self._pause_s())
+            except CancelledError:
+                raise
+            except Exception:
+                # A fault in reading one answer would end the copy: the host would
+                # learn nothing any more and go on as if nothing had changed.
+                log.exception("reading the store failed")
+                self._failures += 1
+                await deferLater(self._reactor, self._pause_s())
 
     async def _read(self) -> None:
         page = await self._store.items(self._prefix)
@@ -148,20 +205,46 @@
         for key, item in found.items():
             self.take(key, item)
         self.revision = page.revision
+        # What went before this reading left no mark.
+        self._removals.clear()
+        self._removals_after = page.revision
         self.is_current = True
-        self.on_read()
+        _guarded(self.on_read, peer=self._prefix, revision=page.revision)
 
     async def _watch(self) -> None:
         after_revision, pace = self.revision, self.pace()
-        events = await self._store.watch(
-            self._prefix, after_revision=after_revision, wait_s=pace.wait_s
-        )
+        events = await self._asked(after_revision, pace)
+        if events is None:
+            return
         self._note_heard()
         self._apply(events)
         if events.changes:
-            self.on_events(after_revision, events)
+            _guarded(
+                lambda: self.on_events(after_revision, events),
+                peer=self._prefix,
+                revision=events.revision,
+            )
             await deferLater(self._reactor, pace.gather_s)
 
+    async def _asked(self, after_revision: int, pace: WatchPace) -> Events | None:
+        """Return what a watch brings, None if it was given up to be asked anew."""
+        is_patient = not self._lacks_told()
+        call = self._store.watch(
+            self._prefix,
+            after_revision=after_revision,
+            wait_s=pace.wait_s if is_patient else min(MISSED_S, pace.wait_s),
+        )
+        watching = self._watching = Deferred.fromCoroutine(call)
+        self._patient = watching if is_patient else None
+        try:
+            return await watching
+        except (CancelledError, GentianwharfError):
+            if self._watching is watching:
+                raise
+            return None
+        finally:
+            self._watching = self._patient = None
+
     def _apply(self, events: Events) -> None:
         known_revision = self.revision
         self.revision = max(known_revision, events.revision)
@@ -172,9 +255,16 @@
                 continue
             if isinstance(change, Item):
                 self.take(change.key, change)
-            elif self._is_known_before(change.key, change.revision):
+                continue
+            self._keep_removal(change)
+            if self._is_known_before(change.key, change.revision):
                 self._set(change.key, None)
 
+    def _keep_removal(self, removal: Removal) -> None:
+        if len(self._removals) == MOST_REMOVALS:
+            self._removals_after = self._removals.popleft().revision
+        self._removals.append(removal)
+
     def _is_known_before(self, key: str, revision: int) -> bool:
         known = self.items.get(key)
         return known is not None and known.revision < revision
@@ -185,7 +275,11 @@
         else:
             self.items[key] = item
         for listener in self._listeners:
-            listener(key, item)
+            _guarded(
+                partial(listener, key, item),
+                peer=key,
+                revision=item.revision if item is not None else None,
+            )
 
     def _note_heard(self) -> None:
         self.heard_s = self._reactor.seconds()
@@ -212,6 +306,21 @@
         return longest_s * (0.5 + self._rng.random() / 2)
 
 
+def _guarded(call: Callable[[], None], *, peer: str, revision: int | None) -> None:
+    """Call a listener; what it can't bear costs it this one call.
+
+    Raised from here, its error would pass over the other changes that came along, which
+    no later watch brings again, and could end the copy of every key.
+    """
+    try:
+        call()
+    except Exception:
+        log.exception(
+            "what the store told could not be used",
+            extra={"step": "note-change", "peer": peer, "revision": revision},
+        )
+
+
 def _log_end(failure: Any) -> None:
     if not failure.check(CancelledError):
         log.error("the mirror of the store ended: {}", failure.getTraceback())
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from random import Random
 
 import msgspec
 import pytest
 from twisted.internet.task import Clock
 
 from gentianwharf.entryhost import _peers
+from gentianwharf.entryhost._messages import Report
 from gentianwharf.entryhost._peers import FED_S, Known, Peers
 from gentianwharf.keyspace import Span
 from gentianwharf.store import Events, Item, Removal
 from tests.builders_keyspace import span
-from tests.builders_store import LinkNet, events, item
+from tests.builders_store import LinkNet, UplinkNet, events, item
 
 TICK_S = 0.05
 
@@ -28,6 +30,8 @@
     events: list[tuple[int, Events]] = field(default_factory=list)
     granted: list[tuple[str, int, int, int]] = field(default_factory=list)
     requests: list[tuple[str, Mapping[int, float]]] = field(default_factory=list)
+    changes: dict[int, Events] = field(default_factory=dict)
+    lacks_after: int | None = None
     hosts: int = 0
 
     def __post_init__(self) -> None:
@@ -39,6 +43,8 @@
         peers.on_hosts = lambda hosts: setattr(self, "hosts", hosts)
         peers.known = self.known
         peers.item = self.items.get
+        peers.changes_after = self.changes.get
+        peers.lacks_after = lambda: self.lacks_after
         peers.start()
 
     def known(self) -> Known | None:
@@ -66,8 +72,12 @@
 
 @pytest.fixture
 def trio(monkeypatch: pytest.MonkeyPatch) -> Trio:
-    clock, net = Clock(), LinkNet()
+    clock = Clock()
     clock.advance(100)
+    return make_trio(monkeypatch, clock, LinkNet())
+
+
+def make_trio(monkeypatch: pytest.MonkeyPatch, clock: Clock, net: LinkNet) -> Trio:
     monkeypatch.setattr(_peers, "dial", net.dial)
     monkeypatch.setattr(_peers, "NngListener", net.listen)
     hosts = [
@@ -242,3 +252,114 @@
     leader.peers.lead(True)
     leader.peers.tell_events(11, events(12, item("t", 12, large + b"more")))
     assert follower.events[-1] == (11, events(12, item("t", 12, large + b"more")))
+
+
+def random_bytes(size: int) -> bytes:
+    return Random(1).randbytes(size)
+
+
+def test_change_that_is_too_large_to_be_told_is_fetched_at_once(trio: Trio) -> None:
+    """Hosts learn of new rules up to 0.4 s later than they could.
+
+    The rules' message is larger than a host takes; it is dropped and the link made
+    anew. The news at rest are the first to tell that there was one.
+    """
+    leader, follower, _ = trio.hosts
+    large = events(12, item("rules", 12, random_bytes(1_040_000)))
+    leader.peers.tell_events(10, large)
+    assert follower.events[-1] == (12, Events(changes=(), revision=12))
+
+
+def test_large_change_does_not_hold_up_what_is_told_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Callers are sent to a server that said seconds ago that it leaves.
+
+    86 hosts are told of 3,500 new rules, 5 MB over the leader's link of 5 Mbit/s. What
+    it tells next waits behind them, and takes the age that it had at its sending: so
+    hosts think that they know all, and don't watch the store.
+    """
+    clock = Clock()
+    clock.advance(100)
+    net = UplinkNet(clock=clock, bytes_per_s=625_000)
+    trio = make_trio(monkeypatch, clock, net)
+    leader, follower, _ = trio.hosts
+    others = [
+        Report(f"other{number}", f"10.0.1.{number}:90", {}, {}) for number in range(83)
+    ]
+    for one in others:
+        net.listeners[one.address] = lambda data: None
+        net.listeners[leader.peers.name.address](msgspec.msgpack.encode(one))
+    leader.revision = 12
+    leader.peers.tell_events(10, events(12, item("rules", 12, random_bytes(60_000))))
+    leader.revision = 13
+    leader.peers.tell_events(12, events(13, item("servers/i-1", 13, b"leaving")))
+    trio.run(1)
+    assert follower.events[-1][1].revision == 13
+
+
+def test_change_that_a_host_has_already_needs_no_former_value(trio: Trio) -> None:
+    """A host pays for a watch, and is late with all that came in the same message.
+
+    Its own watch brought the table's change before the leader told it. The change is
+    told against the value of before, which the host no longer has.
+    """
+    leader, follower, _ = trio.hosts
+    large = bytes(range(256)) * 40
+    leader.peers.tell_events(10, events(11, item("t", 11, large)))
+    brought = events(13, item("t", 12, large + b"more"), item("a", 13, b"1"))
+    follower.items["t"] = item("t", 12, large + b"more")
+    leader.peers.tell_events(11, brought)
+    assert follower.events[-1] == (11, brought)
+
+
+def test_change_older_than_what_a_host_has_brings_nothing_back(trio: Trio) -> None:
+    leader, follower, _ = trio.hosts
+    large = bytes(range(256)) * 40
+    leader.peers.tell_events(10, events(11, item("t", 11, large)))
+    newest = item("t", 14, large + b"newest")
+    follower.items["t"] = newest
+    leader.peers.tell_events(11, events(12, item("t", 12, large + b"more")))
+    assert follower.events[-1] == (11, events(12, newest))
+
+
+def test_host_that_can_t_fetch_what_it_lacks_is_told_by_the_leader(trio: Trio) -> None:
+    """A host goes on by old rules for as long as the store turns it away.
+
+    One message between the hosts is lost, or was too large for all. What the leader
+    tells later it can't take without that one, and the store gives it nothing.
+    """
+    leader, follower, other = trio.hosts
+    lacking = events(13, item("rules", 12, random_bytes(60_000)), item("a", 13))
+    leader.changes[10] = lacking
+    leader.revision = 13
+    follower.lacks_after = 10
+    trio.run(0.5)
+    assert (10, lacking) in follower.events
+    assert (10, lacking) not in other.events
+
+
+def test_leader_that_may_have_missed_something_tells_nobody_what_it_lacks(
+    trio: Trio,
+) -> None:
+    leader, follower, _ = trio.hosts
+    leader.changes[10] = events(13, item("a", 13))
+    leader.revision = None
+    follower.lacks_after = 10
+    trio.run(1)
+    assert (10, leader.changes[10]) not in follower.events
+
+
+def test_hosts_that_lack_much_are_told_one_after_another(trio: Trio) -> None:
+    """News of a server that leaves wait behind what many hosts fetch on slow links."""
+    leader, *followers = trio.hosts
+    lacking = events(12, item("rules", 12, random_bytes(80_000)))
+    leader.changes[10] = lacking
+    leader.revision = 12
+    for one in followers:
+        one.lacks_after = 10
+    trio.run(0.5)
+    told = [one.events.count((10, lacking)) for one in followers]
+    assert sum(told) == 1
+    trio.run(1)
+    assert sum(one.events.count((10, lacking)) for one in followers) == 2
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -3,8 +3,18 @@
 import pytest
 from twisted.internet.task import Clock
 
-from gentianwharf.errors import PeerUnavailableError
-from gentianwharf.store import HistoryGoneError, Item, Mirror, Page, Removal
+from gentianwharf.errors import InputError, PeerUnavailableError
+from gentianwharf.store import (
+    MISSED_S,
+    MOST_REMOVALS,
+    USUAL_PACE,
+    Events,
+    HistoryGoneError,
+    Item,
+    Mirror,
+    Page,
+    Removal,
+)
 from tests.builders_store import WatchedStore, events, item, mirror_of
 
 
@@ -147,3 +157,203 @@
     store.is_down = False
     advance(clock, 1)
     assert store.watches[-1][0] == 10, "it fetches what lies between"
+
+
+def test_value_that_its_reader_can_t_bear_costs_its_key_alone(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """Callers are sent to servers that have left, on every host, until a restart.
+
+    One odd value of any key makes its reader raise. That ends the copy of the store,
+    and of all that is written after it no host learns.
+    """
+    heard: list[str] = []
+
+    def read(key: str, found: Item | None) -> None:
+        if key == "odd":
+            raise OverflowError("cannot convert float infinity to integer")
+        heard.append(key)
+
+    mirror.listen(read)
+    store.bring(events(13, item("b", 11), item("odd", 12), item("c", 13)))
+    advance(clock, 1)
+    store.bring(events(14, item("d", 14)))
+    mirror.feed(events(16, item("odd", 15), item("e", 16)), after_revision=14)
+    assert heard == ["b", "c", "d", "e"]
+    assert revisions(mirror)["odd"] == 15
+
+
+def test_own_error_of_a_reader_is_not_the_store_s(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host drops the rest of what a watch brought, and takes the store for lost.
+
+    A reader refuses one value with an error of the same family as the store's own. The
+    watch goes on after all that it brought, so that the rest is never looked at.
+    """
+    heard: list[str] = []
+
+    def read(key: str, found: Item | None) -> None:
+        if key == "odd":
+            raise InputError("odd", step="read", peer=key)
+        heard.append(key)
+
+    mirror.listen(read)
+    store.bring(events(12, item("odd", 11), item("c", 12)))
+    assert heard == ["c"]
+    assert mirror.silent_s() == 0
+
+
+def test_host_that_starts_beside_an_odd_value_reads_all_others(clock: Clock) -> None:
+    """A host that is started again knows nothing at all, and answers 503.
+
+    An odd value stands in the store; reading everything stops at it each time.
+    """
+    store = WatchedStore(
+        page=Page(items=(item("a", 3), item("odd", 4), item("z", 5)), revision=10)
+    )
+    mirror = mirror_of(store, clock)
+    heard: list[str] = []
+
+    def read(key: str, found: Item | None) -> None:
+        if key == "odd":
+            raise KeyError(key)
+        heard.append(key)
+
+    mirror.listen(read)
+    mirror.start()
+    advance(clock, 1)
+    assert heard == ["a", "z"]
+    assert mirror.is_current
+    assert [after for after, _ in store.watches] == [10]
+
+
+def test_fault_in_reading_an_answer_is_tried_again(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """An answer of the store meets a fault of the host's own, of no expected kind.
+
+    The copy ended with it, and the host kept to what it knew until its end.
+    """
+    store.watches[-1][1].errback(ValueError("expected base64"))
+    advance(clock, 1)
+    assert [after for after, _ in store.watches] == [10, 10]
+    store.bring(events(12, item("b", 12)))
+    assert revisions(mirror) == {"a": 3, "b": 12}
+
+
+def test_fault_in_telling_others_does_not_end_the_copy(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """The leader can't tell one change, and from then on hears no other one itself."""
+
+    def tell(after_revision: int, brought: Events) -> None:
+        raise OverflowError("can't serialize")
+
+    mirror.on_events = tell
+    store.bring(events(12, item("b", 12)))
+    advance(clock, 1)
+    assert [after for after, _ in store.watches] == [10, 12]
+
+
+def test_mirror_that_is_stopped_asks_no_more(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    mirror.stop()
+    advance(clock, 5)
+    assert len(store.watches) == 1
+
+
+def test_watch_that_does_not_bring_what_was_told_is_asked_anew(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host sends to a server that left up to 20 s ago; all others know of it.
+
+    The host was cut off, and its watch's answer is lost. Back again, it is told of
+    what changes now, after a change that it never got: it has to fetch that one, and
+    waits for the lost watch to run out instead.
+    """
+    mirror.is_fed = lambda: True
+    mirror.feed(events(14, item("b", 14)), after_revision=13)
+    advance(clock, 0.4)
+    mirror.feed(events(15, item("c", 15)), after_revision=14)
+    advance(clock, MISSED_S)
+    assert [after for after, _ in store.watches] == [10, 10]
+    store.bring(events(15, item("a", 12), item("b", 14), item("c", 15)))
+    assert revisions(mirror) == {"a": 12, "b": 14, "c": 15}
+    assert mirror.silent_s() == 0
+
+
+def test_watch_that_was_asked_for_what_was_told_gets_its_time(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host on a slow link never gets a large value: it gives each answer up midway.
+
+    News come every 0.4 s and tell each time that something is missing.
+    """
+    mirror.is_fed = lambda: True
+    for _ in range(20):
+        mirror.feed(events(14, item("b", 14)), after_revision=13)
+        advance(clock, 0.4)
+    assert len(store.watches) == 2
+    assert store.waits_s == [USUAL_PACE.wait_s, MISSED_S], "it has to end by itself"
+
+
+def test_watch_that_brings_what_was_told_is_left_alone(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    # News often come ahead of the host's own watch.
+    mirror.is_fed = lambda: True
+    mirror.feed(events(14, item("b", 14)), after_revision=13)
+    advance(clock, MISSED_S / 2)
+    store.bring(events(14, item("a", 12), item("b", 14)))
+    advance(clock, 2 * MISSED_S)
+    assert len(store.watches) == 1
+    assert revisions(mirror) == {"a": 12, "b": 14}
+
+
+def test_mirror_knows_for_how_long_it_lacks_what_it_was_told_of(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    assert mirror.lacking_s() == 0
+    mirror.feed(events(14, item("b", 14)), after_revision=13)
+    advance(clock, 0.5)
+    mirror.feed(events(15, item("c", 15)), after_revision=14)
+    advance(clock, 0.5)
+    assert mirror.lacking_s() == pytest.approx(1.0)
+    mirror.feed(events(15, item("b", 14), item("c", 15)), after_revision=10)
+    assert mirror.lacking_s() == 0
+
+
+def test_mirror_tells_what_changed_after_a_revision(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    store.bring(events(12, item("b", 11), Removal(key="a", revision=12)))
+    advance(clock, 1)
+    store.bring(events(14, item("c", 13), item("b", 14)))
+    assert mirror.changes_after(10) == events(
+        14, Removal(key="a", revision=12), item("c", 13), item("b", 14)
+    )
+    assert mirror.changes_after(12) == events(14, item("c", 13), item("b", 14))
+
+
+def test_mirror_does_not_tell_of_times_that_it_has_not_seen(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host sends to a server that has left: nobody told it that its entry went.
+
+    The one that tells it has read the store after that, and has no mark of what stood
+    there before.
+    """
+    assert mirror.changes_after(9) is None
+    for number in range(MOST_REMOVALS + 1):
+        revision = 11 + 2 * number
+        added = item("b", revision)
+        mirror.feed(
+            events(revision + 1, added, Removal(key="b", revision=revision + 1)),
+            after_revision=revision - 1,
+        )
+    assert mirror.changes_after(11) is None
+    known = mirror.changes_after(12)
+    assert known is not None
+    assert len(known.changes) == MOST_REMOVALS
