--- a/src/gentianwharf/rules/_match.py
+++ b/src/gentianwharf/rules/_match.py
@@ -11,7 +11,7 @@
 from ._index import RuleIndex
 from ._runs import HeaderRun, KeyRun, Step
 from ._shards import holds, shard_in
-from ._sites import ServiceSites
+from ._sites import sites_by_service
 
 _UNREAD = object()
 
@@ -79,10 +79,7 @@
         self._shards = shards
         self.compiled = compile_rules(document, shards)
         self._index = RuleIndex(self.compiled)
-        self._sites = {
-            service: ServiceSites(rules=self.compiled, service=service)
-            for service in shards
-        }
+        self._sites = sites_by_service(self.compiled)
 
     def match(self, facts: RequestFacts) -> RuleMatch | None:
         """Return what the first matching rule says, or None when none matches."""
