--- /dev/null
+++ b/tests/test_rules_committed.py
@@ -0,0 +1,162 @@
+"""Rules that another party has committed are in force, whatever our own bounds say."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import pytest
+
+from gentianwharf.daemon._rules import RulesInForce
+from gentianwharf.infra import VersionedValue
+from gentianwharf.platform import decode_configuration
+from gentianwharf.rules import (
+    RuleChecker,
+    RuleDocument,
+    RuleSet,
+    Severity,
+    StoredRules,
+    encode_rules,
+)
+from tests.builders_rules import SHARDS, document, facts, rule, scope
+from tests.builders_users_platform import configuration, route
+
+LONG_NAME = "n" * 200
+PARTS = [{"service": f"part-{number}", "weight": 1} for number in range(40)]
+TWICE = [{"service": "seats", "weight": 1}, {"service": "seats", "weight": 2}]
+NOWHERE = [{"service": "seats", "weight": 0}, {"service": "desk", "weight": 0}]
+
+
+@pytest.mark.parametrize(
+    ("name", "fields"),
+    [
+        pytest.param("odd", {"traffic-split": PARTS, "service": None}, id="40-parts"),
+        pytest.param("odd", {"traffic-split": TWICE, "service": None}, id="twice"),
+        pytest.param("odd", {"traffic-split": NOWHERE, "service": None}, id="nowhere"),
+        pytest.param("odd", {"traffic-split": TWICE, "service": "desk"}, id="other"),
+        pytest.param("odd", {"max-attempts": 17}, id="17-tries"),
+        pytest.param("odd", {"timeout": "7200s"}, id="two-hours"),
+        pytest.param("odd", {"target-latency": "7200s"}, id="late-target"),
+        pytest.param("odd", {"priority": 1001}, id="low-priority"),
+        pytest.param("odd", {"kind": "Safe reads"}, id="kind-in-words"),
+        pytest.param("odd", {"prefix": "/séances/"}, id="prefix-in-french"),
+        pytest.param("odd", {"prefix": "/" + "p" * 1100}, id="long-prefix"),
+        pytest.param("odd", {"host": "h" * 300}, id="long-host"),
+        pytest.param("odd", {"host": "schedule.example:8080"}, id="host-with-port"),
+        pytest.param("odd", {"service": "Seats"}, id="service-in-capitals"),
+        pytest.param("Odd route/1", {}, id="name-in-words"),
+        pytest.param(LONG_NAME, {}, id="long-name"),
+    ],
+)
+def test_one_odd_route_holds_back_no_other(name: str, fields: dict[str, Any]) -> None:
+    """Operators change routes; callers of quite other routes get 404.
+
+    The store acknowledges a configuration in which one route goes beyond a bound of
+    our own model of rules. Every host refuses all of it and what follows, serves by
+    older routes, and by none after a restart. The bounds were meant for the check of a
+    change that an operator asks for, where it can still be refused.
+    """
+    routes = {
+        name: route(prefix="/odd/") | fields,
+        "added": route(prefix="/added/", service="seats"),
+    }
+    decoded = decode_configuration(configuration(routes=routes))
+    rules = RuleSet(document=decoded.document, revision=1, shards={})
+    match = rules.match(facts("/added/1", host="schedule.example"))
+    assert match is not None
+    assert match.rule.name == "added"
+
+
+THEN = {"service": "ledger"}
+ODD_RULES = [
+    ("name", {"name": "Odd rule", "then": THEN}),
+    ("when.host", {"name": "odd", "when": {"host": "h:80"}, "then": THEN}),
+    ("when.host", {"name": "odd", "when": {"host": "Desk.example"}, "then": THEN}),
+    ("when.host", {"name": "odd", "when": {"host": ""}, "then": THEN}),
+    ("when.host", {"name": "odd", "when": {"host": "h" * 254}, "then": THEN}),
+    (
+        "when.path_prefix",
+        {"name": "odd", "when": {"path_prefix": "desk"}, "then": THEN},
+    ),
+    ("when.path_prefix", {"name": "odd", "when": {"path_prefix": "/é"}, "then": THEN}),
+    ("when.methods", {"name": "odd", "when": {"methods": ["get"]}, "then": THEN}),
+    ("when.methods", {"name": "odd", "when": {"methods": ["A"] * 17}, "then": THEN}),
+    ("when.headers", {"name": "odd", "when": {"headers": {"X-A": "1"}}, "then": THEN}),
+    (
+        "when.headers",
+        {"name": "odd", "when": {"headers": {"x-a": "1" * 1025}}, "then": THEN},
+    ),
+    (
+        "when.headers",
+        {
+            "name": "odd",
+            "when": {"headers": {f"x-{n}": "1" for n in range(17)}},
+            "then": THEN,
+        },
+    ),
+    ("when.key", {"name": "odd", "when": {"key": "k" * 513}, "then": THEN}),
+    ("when.key", {"name": "odd", "when": {"key": ""}, "then": THEN}),
+    ("then.site", {"name": "odd", "then": {**THEN, "site": "Old"}}),
+    ("then.request_class", {"name": "odd", "then": {**THEN, "request_class": "A b"}}),
+    ("then.deadline_ms", {"name": "odd", "then": {**THEN, "deadline_ms": 3_600_001}}),
+    ("then.most_tries", {"name": "odd", "then": {**THEN, "most_tries": 17}}),
+    (
+        "then.target_latency_ms",
+        {"name": "odd", "then": {**THEN, "target_latency_ms": 3_600_001}},
+    ),
+    ("then.priority", {"name": "odd", "then": {**THEN, "priority": 1001}}),
+    ("then.priority", {"name": "odd", "then": {**THEN, "priority": -1}}),
+    ("then.split", {"name": "odd", "then": {"service": "part-1", "split": PARTS}}),
+    ("then.split", {"name": "odd", "then": {"service": "seats", "split": TWICE}}),
+    ("then.split", {"name": "odd", "then": {"service": "seats", "split": NOWHERE}}),
+    ("then.split", {"name": "odd", "then": {**THEN, "split": NOWHERE}}),
+    (
+        "then.split",
+        {
+            "name": "odd",
+            "then": {
+                "service": "a",
+                "split": [{"service": "a", "weight": 1}, {"service": "B", "weight": 1}],
+            },
+        },
+    ),
+]
+
+
+def record(odd: Mapping[str, Any]) -> bytes:
+    """Return a record of the store with ``odd`` and a rule beside it."""
+    beside = rule(name="added", when={"path_prefix": "/added/"})
+    base = StoredRules(
+        format=1,
+        number=2,
+        edited_from_revision=1,
+        author="karim",
+        recent_change_ids=("change-2",),
+        document=document(beside),
+    )
+    data = json.loads(encode_rules(base))
+    data["document"]["rules"].insert(0, odd)
+    return json.dumps(data).encode()
+
+
+@pytest.mark.parametrize("odd", [one for _, one in ODD_RULES])
+def test_record_that_another_release_wrote_is_in_force(odd: dict[str, Any]) -> None:
+    """Some hosts follow the newest rules and some the ones before, for good.
+
+    A later release lifts a bound, an operator uses that, and hosts of this release
+    refuse the whole record though they could match each of its rules.
+    """
+    rules = RulesInForce(shards=SHARDS)
+    rules.take(VersionedValue(key="rules", value=record(odd), revision=6))
+    assert rules.current is not None
+    assert rules.current.revision == 6
+    match = rules.match(facts("/added/1"))
+    assert match is not None
+
+
+@pytest.mark.parametrize(("location", "odd"), ODD_RULES)
+def test_operator_is_told_no(location: str, odd: dict[str, Any]) -> None:
+    found = RuleChecker(scope=scope()).check(
+        RuleDocument.model_validate({"rules": [odd]})
+    )
+    errors = {one.location for one in found if one.severity is Severity.ERROR}
+    assert any(one.startswith(f"rules.0.{location}") for one in errors), errors
