Keep bounds on rules out of the model that hosts read them in

Cause: the bounds for operators (names, hosts, prefixes, headers, parts of a split, tries, times, priorities) were part of RuleDocument, in which every host reads what the platform's store or our own has accepted. One route beyond one of them kept all hosts from that version and each one after it, as the bound of 500 rules had.

The bounds now stand in _bounds.py and are findings of RuleChecker, through which every change of an operator and the settings' first rules go. The model keeps what matching needs: types, where a key stands, one condition on the key, a prefix that begins with a slash, and no unknown field, since that may be a condition. Keys of more than 512 digits have no shard, which only the bound on keys had kept from raising while rules are put in force.

Ruled out: leaving single rules out (their requests would fall to the next rule, another service); ignoring unknown fields (the same).

--- a/src/gentianwharf/rules/__init__.py
+++ b/src/gentianwharf/rules/__init__.py
@@ -1,11 +1,15 @@
 """The operators' ordered when-then rules: the first match decides."""
 
 from ._book import RuleBook
-from ._check import MOST_RULES, MOST_SINGLE_KEYS, RuleChecker
+from ._check import (
+    MOST_DOCUMENT_BYTES,
+    MOST_RULES,
+    MOST_SINGLE_KEYS,
+    RuleChecker,
+)
 from ._codec import StoredRules, decode_rules, encode_rules
 from ._diff import changes
 from ._document import (
-    MOST_DOCUMENT_BYTES,
     Condition,
     KeyPlace,
     KeySource,
--- a/src/gentianwharf/rules/_check.py
+++ b/src/gentianwharf/rules/_check.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterator, Sequence
 from typing import final
 
+from ._bounds import breaches
 from ._codec import document_size_bytes
 from ._compile import CompiledRule, compile_rules
 from ._cover import unreachable
-from ._document import MOST_DOCUMENT_BYTES, RuleDocument
+from ._document import RuleDocument
 from ._facts import KEY_HEADER
 from ._owners import two_owners
 from ._results import Finding, Severity
@@ -16,6 +17,9 @@
 """Rules are compared pairwise on the daemon's only thread, which must not stand still
 for longer than a right to send lasts (400 ms); see ``bench/rules.py``."""
 
+MOST_DOCUMENT_BYTES = 256 * 1024
+"""A quarter of what the store takes for a value, so that its record fits beside it."""
+
 MOST_SINGLE_KEYS = 200
 """Each takes an entry of its own in the assignment table, which every host holds."""
 
@@ -39,6 +43,7 @@
         compiled = compile_rules(document, self._scope.shards)
         findings = [*_check_size(document), *_check_names(compiled)]
         for one in compiled:
+            findings.extend(_check_bounds(one))
             findings.extend(self._check_rule(one))
         findings.extend(_check_single_keys(compiled))
         if not any(one.severity is Severity.ERROR for one in findings):
@@ -115,6 +120,11 @@
             )
 
 
+def _check_bounds(one: CompiledRule) -> Iterator[Finding]:
+    for breach in breaches(one.rule):
+        yield _error(one, breach.field, breach.found, breach.expected)
+
+
 def _check_key(one: CompiledRule) -> Iterator[Finding]:
     if one.source is not None:
         return
--- a/src/gentianwharf/rules/_document.py
+++ b/src/gentianwharf/rules/_document.py
@@ -1,10 +1,9 @@
-"""The rule document as operators write it, checked at the border."""
+"""The rule document as operators write it and as hosts read it."""
 
 from enum import StrEnum
 from typing import Annotated, Self
 
 from pydantic import (
-    AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
@@ -12,55 +11,16 @@
     model_validator,
 )
 
-MOST_DOCUMENT_BYTES = 256 * 1024
-"""A quarter of what the store takes for a value, so that its record fits beside it."""
-
-MOST_KEY_CHARACTERS = 512
-"""Keys travel in a header; servers commonly take 8 KiB for all headers together."""
-
 DEEPEST_SEGMENT = 31
 
 
 class _Model(BaseModel):
     # Only whole documents are validated: their parts need no validators of their own.
+    # A field that isn't known stays an error: it may be a condition, and a rule that is
+    # matched without one of its conditions takes requests that it isn't meant for.
     model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
-def _check_lower(value: str) -> str:
-    if value != value.lower():
-        raise ValueError(f"expected lower case, write {value.lower()!r}")
-    return value
-
-
-def _check_host(value: str) -> str:
-    if ":" in value:
-        raise ValueError(
-            f"expected a host without a port, write {value.split(':')[0]!r}"
-        )
-    return _check_lower(value)
-
-
-def _check_key(value: str) -> str:
-    if len(value) > MOST_KEY_CHARACTERS:
-        raise ValueError(f"expected a key of at most {MOST_KEY_CHARACTERS} characters")
-    return value
-
-
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,126}$")]
-HeaderName = Annotated[
-    str,
-    AfterValidator(_check_lower),
-    StringConstraints(pattern=r"^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}$"),
-]
-HeaderValue = Annotated[str, StringConstraints(max_length=1024)]
-HostName = Annotated[
-    str, AfterValidator(_check_host), StringConstraints(min_length=1, max_length=253)
-]
-PathPrefix = Annotated[str, StringConstraints(pattern=r"^/[\x21-\x7e]{0,1023}$")]
-Method = Annotated[str, StringConstraints(pattern=r"^[A-Z]{1,20}$")]
-Key = Annotated[str, AfterValidator(_check_key), StringConstraints(min_length=1)]
-
-
 class KeyPlace(StrEnum):
     """Where in a request the key stands."""
 
@@ -85,8 +45,8 @@
     def _check_name(self) -> Self:
         if self.place is KeyPlace.PATH_SEGMENT:
             self._check_segment()
-        if self.place is KeyPlace.HEADER:
-            _check_lower(self.name)
+        if self.place is KeyPlace.HEADER and self.name != self.name.lower():
+            raise ValueError(f"expected lower case, write {self.name.lower()!r}")
         return self
 
     def _check_segment(self) -> None:
@@ -121,11 +81,11 @@
     functions of the key and may choose where its owner stands; the others may not.
     """
 
-    host: HostName | None = None
-    path_prefix: PathPrefix | None = None
-    methods: tuple[Method, ...] = Field(default=(), max_length=16)
-    headers: dict[HeaderName, HeaderValue] = Field(default_factory=dict, max_length=16)
-    key: Key | None = None
+    host: str | None = None
+    path_prefix: Annotated[str, StringConstraints(pattern="^/")] | None = None
+    methods: tuple[str, ...] = ()
+    headers: dict[str, str] = Field(default_factory=dict)
+    key: str | None = None
     shard_share: float | None = Field(default=None, ge=0, le=1)
     shard_range: ShardRange | None = None
 
@@ -147,7 +107,7 @@
 class ServiceShare(_Model):
     """One service of a split and its part, relative to the others' weights."""
 
-    service: Name
+    service: str
     weight: float = Field(ge=0)
 
 
@@ -160,37 +120,22 @@
     caller, and ``priority`` ranks the rule's requests under load, 0 first.
     """
 
-    service: Name
-    split: tuple[ServiceShare, ...] = Field(default=(), max_length=32)
-    site: Name | None = None
-    request_class: Name = "consultation"
+    service: str
+    split: tuple[ServiceShare, ...] = ()
+    site: str | None = None
+    request_class: str = "consultation"
     key: KeySource | None = None
     repeatable: bool | None = None
-    deadline_ms: int | None = Field(default=None, gt=0, le=3_600_000)
-    most_tries: int | None = Field(default=None, gt=0, le=16)
-    target_latency_ms: int | None = Field(default=None, gt=0, le=3_600_000)
-    priority: int = Field(default=0, ge=0, le=1000)
-
-    @model_validator(mode="after")
-    def _check_split(self) -> Self:
-        if not self.split:
-            return self
-        services = [part.service for part in self.split]
-        if len(set(services)) != len(services):
-            raise ValueError("split: expected each service once, write one part for it")
-        if self.service not in services:
-            raise ValueError(
-                f"split: expected {self.service!r}, the rule's service, among its parts"
-            )
-        if not any(part.weight for part in self.split):
-            raise ValueError("split: expected a weight above 0 for at least one part")
-        return self
+    deadline_ms: int | None = Field(default=None, gt=0)
+    most_tries: int | None = Field(default=None, gt=0)
+    target_latency_ms: int | None = Field(default=None, gt=0)
+    priority: int = 0
 
 
 class Rule(_Model):
     """One when-then rule."""
 
-    name: Name
+    name: str
     when: Condition = Condition()
     then: Target
 
@@ -198,9 +143,10 @@
 class RuleDocument(_Model):
     """The ordered list, as kept in the store.
 
-    Its length has no bound here. Hosts read lists that the store has accepted: one that
-    refused a long list would serve by older rules, and by none after a restart. Who may
-    still say no to an operator is ``RuleChecker``.
+    Neither its length nor a rule's values have a bound here, only the form that
+    matching needs. Hosts read lists that the store has accepted: one that refused a
+    list for a rule beyond a bound would serve by older rules, and by none after a
+    restart. Who may still say no to an operator is ``RuleChecker``.
     """
 
     rules: tuple[Rule, ...]
--- a/src/gentianwharf/rules/_facts.py
+++ b/src/gentianwharf/rules/_facts.py
@@ -5,7 +5,8 @@
 from typing import final
 from urllib.parse import parse_qsl, unquote
 
-from ._document import MOST_KEY_CHARACTERS, KeyPlace, KeySource, Rule
+from ._bounds import MOST_KEY_CHARACTERS
+from ._document import KeyPlace, KeySource, Rule
 
 KEY_HEADER = "gentianwharf-key"
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
--- a/src/gentianwharf/rules/_shards.py
+++ b/src/gentianwharf/rules/_shards.py
@@ -2,6 +2,7 @@
 
 from gentianwharf.keys import shard_of
 
+from ._bounds import MOST_KEY_CHARACTERS
 from ._document import KeySource
 
 
@@ -19,6 +20,10 @@
         return shard_of(key, shards)
     if not (key.isascii() and key.isdigit()):
         return None
+    if len(key) > MOST_KEY_CHARACTERS:
+        # No request's key is so long. Python refuses to read thousands of digits: one
+        # rule for such a key would keep its whole list from being put in force.
+        return None
     shard = int(key)
     return shard if shard < shards else None
 
--- a/tests/test_rules_committed.py
+++ b/tests/test_rules_committed.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+from pydantic import ValidationError
 
 from gentianwharf.daemon._rules import RulesInForce
 from gentianwharf.infra import VersionedValue
@@ -73,10 +74,6 @@
     ("when.host", {"name": "odd", "when": {"host": "Desk.example"}, "then": THEN}),
     ("when.host", {"name": "odd", "when": {"host": ""}, "then": THEN}),
     ("when.host", {"name": "odd", "when": {"host": "h" * 254}, "then": THEN}),
-    (
-        "when.path_prefix",
-        {"name": "odd", "when": {"path_prefix": "desk"}, "then": THEN},
-    ),
     ("when.path_prefix", {"name": "odd", "when": {"path_prefix": "/é"}, "then": THEN}),
     ("when.methods", {"name": "odd", "when": {"methods": ["get"]}, "then": THEN}),
     ("when.methods", {"name": "odd", "when": {"methods": ["A"] * 17}, "then": THEN}),
@@ -95,6 +92,17 @@
     ),
     ("when.key", {"name": "odd", "when": {"key": "k" * 513}, "then": THEN}),
     ("when.key", {"name": "odd", "when": {"key": ""}, "then": THEN}),
+    (
+        "when.key",
+        {
+            "name": "odd",
+            "when": {"key": "7" * 5000},
+            "then": {
+                "service": "desk",
+                "key": {"place": "header", "name": "shard", "is_shard": True},
+            },
+        },
+    ),
     ("then.site", {"name": "odd", "then": {**THEN, "site": "Old"}}),
     ("then.request_class", {"name": "odd", "then": {**THEN, "request_class": "A b"}}),
     ("then.deadline_ms", {"name": "odd", "then": {**THEN, "deadline_ms": 3_600_001}}),
@@ -160,3 +168,10 @@
     )
     errors = {one.location for one in found if one.severity is Severity.ERROR}
     assert any(one.startswith(f"rules.0.{location}") for one in errors), errors
+
+
+def test_prefix_that_no_path_begins_with_is_no_prefix() -> None:
+    with pytest.raises(ValidationError, match="path_prefix"):
+        RuleDocument.model_validate(
+            {"rules": [{"name": "odd", "when": {"path_prefix": "desk"}, "then": THEN}]}
+        )
