Keep a host's watch of the store through whatever its news raises

Cause: only the call was guarded; what was raised by the handling of its answer ended the coroutine, and the watch counted as running. A value that a host stumbles over is now logged and counted where it is handed over, so that it is passed on all the same; and nothing that the handling raises ends the watch.

Ruled out: messages of peers (the mesh catches what their handling raises, tests were there); sizes that our own writers make (256 KiB of rules and their record stay below the 1,000,000 bytes of a value, and a message holds a value of that size whole, packed or plain).

The tests of before pass; the asserted log lines are gone from one of them, since logbook's handlers don't reach into a coroutine that began before them: the count is asserted instead. Run against the code before, both still fail (1 and 2 instead of 3).

--- a/src/gentianwharf/spread/_state.py
+++ b/src/gentianwharf/spread/_state.py
@@ -9,7 +9,8 @@
 class SpreadCounts:
     """What a host did, as counts since its start.
 
-    ``deltas_lacking`` counts deltas whose base this host did not hold.
+    ``deltas_lacking`` counts deltas whose base this host did not hold, ``failed``
+    values that this host stumbled over.
     """
 
     taken: int = 0
@@ -21,6 +22,7 @@
     passed_on: int = 0
     pulled: int = 0
     deltas_lacking: int = 0
+    failed: int = 0
 
 
 @final
--- a/src/gentianwharf/spread/_system.py
+++ b/src/gentianwharf/spread/_system.py
@@ -10,6 +10,7 @@
 
 from gentianwharf.errors import PeerMismatchError
 from gentianwharf.infra import KeyValueStore, VersionedValue
+from gentianwharf.logs import log
 from gentianwharf.topology import Host
 
 from ._asking import Asking
@@ -224,7 +225,16 @@
 
     def _taken(self, value: VersionedValue) -> None:
         self._pulls.came(value.key)
-        self._on_value(value)
+        try:
+            self._on_value(value)
+        except Exception:
+            # Other hosts may be able to act on it: raised further, it would keep the
+            # value from those below this host, and this host from the next values.
+            self.counts.failed += 1
+            log.exception(
+                "value failed",
+                extra={"peer": value.key, "revision": value.revision},
+            )
 
     def _ask_for(self, host_id: str, keys: list[str]) -> None:
         self.counts.pulled += len(keys)
--- a/src/gentianwharf/spread/_watch.py
+++ b/src/gentianwharf/spread/_watch.py
@@ -10,6 +10,7 @@
 
 from gentianwharf.errors import GentianwharfError, OutcomeUnknownError
 from gentianwharf.infra import ABSENT_REVISION, KeyValueStore, VersionedValue
+from gentianwharf.logs import log
 
 WATCH_WAIT_S = 5.0
 """One store call in this time for each watcher when nothing changes. A watch that
@@ -92,7 +93,16 @@
                 continue
             retry_s = FIRST_RETRY_S
             self._cursor = max([self._cursor, *(value.revision for value in values)])
+            self._hand_over(values)
+
+    def _hand_over(self, values: list[VersionedValue]) -> None:
+        try:
             self._on_values(values)
+        except Exception:
+            # Raised further, it would end this loop without a word: the host would look
+            # well and hear nothing more of the store until it is restarted.
+            self.failures += 1
+            log.exception("news of the store failed", extra={"peer": self._prefix})
 
     async def _call_once(self) -> list[VersionedValue]:
         self.calls += 1
--- a/tests/test_spread_stumbles.py
+++ b/tests/test_spread_stumbles.py
@@ -2,8 +2,6 @@
 
 from random import Random
 
-import logbook
-
 from gentianwharf.errors import InputError
 from gentianwharf.infra import VersionedValue
 
@@ -24,14 +22,13 @@
         raise ValueError("a fault of ours")
 
     lone.spread._on_value = stumble
-    with logbook.TestHandler() as handler:
-        cluster.write(b"stumbled over")
-        cluster.run(10)
-        assert handler.has_errors
+    cluster.write(b"stumbled over")
+    cluster.run(10)
     lone.spread._on_value = lone.seen.append
     cluster.write(b"good again")
     cluster.run(10)
     assert lone.seen[-1].revision == 3
+    assert lone.spread.counts.failed == 1
 
 
 def test_value_that_can_not_be_sent_leaves_the_watch_running() -> None:
@@ -53,9 +50,8 @@
         return send(host_id, message)
 
     first.spread._peers.send = send_small  # type: ignore[method-assign]
-    with logbook.TestHandler():
-        cluster.write(Random(1).randbytes(2 * most_bytes))
-        cluster.run(1)
+    cluster.write(Random(1).randbytes(2 * most_bytes))
+    cluster.run(1)
     cluster.cut_hosts.add(first.host.id)
     cluster.write(b"next")
     cluster.run(10)
