Show rules that a daemon knows and does not follow

Cause: a refused record left a line in the log and nothing else. /rules/hosts shows such a host as unreadable when somebody asks; no measure, alarm or reason of readiness did, unless the host had no rules at all. /metrics now has the revision in force and for how long a newer one is known that isn't, also when a fault of ours keeps it from being in force.

A record's format is looked at first when it can't be read, so that an operator is not told to apply with an older release what a later one wrote.

Ruled out: readiness (a host with older rules serves better than none); an alarm, which needs a section in OPERATIONS.md, is left to the lead.

Tests changed: RulesInForce needs a clock (test_daemon_fleet, test_inputs_fuzz, test_rules_committed).

--- a/src/gentianwharf/daemon/_admin.py
+++ b/src/gentianwharf/daemon/_admin.py
@@ -7,6 +7,7 @@
 from . import _views as views
 from ._decisions import FleetDecisions
 from ._fleet import FleetBurnView, FleetRulesView
+from ._gauges import rules_text
 from ._parts import Parts, seeded
 
 
@@ -73,6 +74,10 @@
             recorder=parts.recorder,
             now_s=parts.reactor.seconds,
         ),
-        metrics=lambda: parts.recorder.prometheus_text().encode(),
+        metrics=lambda: _metrics_text(parts).encode(),
         token=token,
     )
+
+
+def _metrics_text(parts: Parts) -> str:
+    return parts.recorder.prometheus_text() + rules_text(parts.rules)
--- a/src/gentianwharf/daemon/_parts.py
+++ b/src/gentianwharf/daemon/_parts.py
@@ -105,7 +105,8 @@
             mesh=self.mesh, hosts=self.hosts, now_s=self.reactor.seconds
         )
         self.rules = RulesInForce(
-            shards={name: one.shards for name, one in self.services.items()}
+            shards={name: one.shards for name, one in self.services.items()},
+            now_s=self.reactor.seconds,
         )
         self.spread = SpreadSystem(
             host=self.host,
--- a/src/gentianwharf/daemon/_rules.py
+++ b/src/gentianwharf/daemon/_rules.py
@@ -1,6 +1,6 @@
 """The rules in force on this host: the newest record of the store that was heard."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import final
 
 from gentianwharf.errors import ConflictError, GentianwharfError, InputError
@@ -35,9 +35,28 @@
 class RulesInForce:
     """Matches with the newest rules; a lower revision never replaces a higher one."""
 
-    def __init__(self, *, shards: Mapping[str, int]) -> None:
+    def __init__(
+        self, *, shards: Mapping[str, int], now_s: Callable[[], float]
+    ) -> None:
         self.current: RuleSet | None = None
         self._shards = shards
+        self._now_s = now_s
+        self._behind_since_s: float | None = None
+
+    @property
+    def revision(self) -> int:
+        """The store's revision of the rules in force, 0 before the first."""
+        return self.current.revision if self.current is not None else ABSENT_REVISION
+
+    def refused_s(self) -> float:
+        """Return since when newer rules are known and not in force, 0 if none are.
+
+        Without it a host that refuses what all others have in force looks like them: it
+        is ready and serves, by older rules.
+        """
+        if self._behind_since_s is None:
+            return 0.0
+        return self._now_s() - self._behind_since_s
 
     def take(self, value: VersionedValue) -> None:
         """Put a stored record in force, unless it is older or can't be read.
@@ -47,13 +66,20 @@
         """
         if not self._is_newer(value.revision):
             return
+        if self._behind_since_s is None:
+            self._behind_since_s = self._now_s()
         try:
             record = decode_rules(value.value, peer=value.key)
         except InputError as error:
             log.error(
                 "rules not taken: {}",
                 error.message,
-                extra={"step": error.step, "peer": error.peer},
+                extra={
+                    "step": error.step,
+                    "peer": error.peer,
+                    "revision": value.revision,
+                    "in_force": self.revision,
+                },
             )
             return
         self._put_in_force(record.document, value.revision)
@@ -70,6 +96,7 @@
         self.current = RuleSet(
             document=document, revision=revision, shards=self._shards
         )
+        self._behind_since_s = None
         log.info("rules in force", extra={"revision": revision})
 
     def match(self, facts: RequestFacts) -> RuleMatch | None:
--- a/src/gentianwharf/rules/_codec.py
+++ b/src/gentianwharf/rules/_codec.py
@@ -50,27 +50,53 @@
     return record.model_dump_json(exclude_none=True).encode()
 
 
+class _Format(BaseModel):
+    model_config = ConfigDict(extra="ignore", defer_build=True)
+
+    format: int
+
+
 def decode_rules(value: bytes, *, peer: str) -> StoredRules:
     """Read what the store holds; raises ``InputError`` when it is no rule record."""
     try:
         record = StoredRules.model_validate_json(value)
     except ValidationError as error:
-        raise InputError(
-            f"the stored rules can't be read: {error.errors()[0]['msg']}; apply a"
-            " document again with `gentianwharf rules apply`",
-            step="decode rules",
-            peer=peer,
-        ) from error
+        raise _unreadable(value, error, peer) from error
     if record.format != FORMAT:
-        raise InputError(
-            f"the stored rules have format {record.format}, expected {FORMAT}: this"
-            " host runs an older release than the one that wrote them",
-            step="decode rules",
-            peer=peer,
-        )
+        raise _other_format(record.format, peer)
     return record
 
 
+def _unreadable(value: bytes, error: ValidationError, peer: str) -> InputError:
+    """Return why ``value`` is no record; its format comes first.
+
+    Fields of a later release are unknown here. An operator who was told of these alone
+    would apply the document again, with an older release, and lose what they say.
+    """
+    try:
+        found = _Format.model_validate_json(value).format
+    except ValidationError:
+        found = FORMAT
+    if found != FORMAT:
+        return _other_format(found, peer)
+    return InputError(
+        f"the stored rules can't be read: {error.errors()[0]['msg']}; apply a"
+        " document again with `gentianwharf rules apply`",
+        step="decode rules",
+        peer=peer,
+    )
+
+
+def _other_format(found: int, peer: str) -> InputError:
+    return InputError(
+        f"the stored rules have format {found}, expected {FORMAT}: this host runs an"
+        " older release than the one that wrote them; update it, or replace them"
+        " with `gentianwharf rules apply`",
+        step="decode rules",
+        peer=peer,
+    )
+
+
 def document_size_bytes(document: RuleDocument) -> int:
     """Return how large ``document`` is in the store."""
     return len(document.model_dump_json(exclude_none=True).encode())
--- a/tests/test_daemon_fleet.py
+++ b/tests/test_daemon_fleet.py
@@ -52,7 +52,7 @@
         clock = network.clock
         queries = network.add(host.id)
         table = HostTable(own=host, known=HOSTS, servers=(), now_s=clock.seconds)
-        self.rules = RulesInForce(shards=SHARDS)
+        self.rules = RulesInForce(shards=SHARDS, now_s=clock.seconds)
         self.recorder: Recorder = recorder(clock)
         self.spread = SpreadSystem(
             host=host,
--- a/tests/test_daemon_rules.py
+++ b/tests/test_daemon_rules.py
@@ -5,6 +5,7 @@
 import pytest
 from twisted.internet.task import Clock
 
+from gentianwharf.daemon._gauges import rules_text
 from gentianwharf.daemon._rules import RulesInForce
 from gentianwharf.errors import InputError
 from gentianwharf.infra import VersionedValue
@@ -46,8 +47,8 @@
     """Operators apply rules in the format of a later release; some hosts lag behind.
 
     A host of an older release refuses the record and goes on with the rules before. But
-    for one line of its log it looks as well as all others: it is ready, raises no alarm,
-    and its metrics do not say which rules it follows.
+    for one line of its log it looks as well as all others: it is ready, raises no
+    alarm, and its metrics do not say which rules it follows.
     """
     clock = Clock()
     rules = RulesInForce(shards=SHARDS, now_s=clock.seconds)
@@ -58,6 +59,8 @@
     rules.take(stored(7, b"{"))
     clock.advance(1.0)
     assert (rules.revision, rules.refused_s()) == (5, 3.0)
+    assert "\ngentianwharf_rules_revision 5.0\n" in rules_text(rules)
+    assert "\ngentianwharf_rules_refused_seconds 3.0\n" in rules_text(rules)
     rules.take(stored(4))
     assert rules.refused_s() == 3.0
     rules.take(stored(8))
--- a/tests/test_inputs_fuzz.py
+++ b/tests/test_inputs_fuzz.py
@@ -13,6 +13,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from pydantic import TypeAdapter, ValidationError
+from twisted.internet.task import Clock
 
 from gentianwharf import ownership
 from gentianwharf.daemon._rules import RulesInForce
@@ -179,7 +180,7 @@
 @FIXED
 @given(value=RECORDS)
 def test_stored_rules_that_make_no_sense_leave_those_in_force(value: bytes) -> None:
-    rules = RulesInForce(shards=SHARDS)
+    rules = RulesInForce(shards=SHARDS, now_s=Clock().seconds)
     rules.take(VersionedValue(key="rules", value=stored(migration(0.5)), revision=5))
     before = rules.current
     rules.take(VersionedValue(key="rules", value=value, revision=6))
--- a/tests/test_rules_committed.py
+++ b/tests/test_rules_committed.py
@@ -6,6 +6,7 @@
 
 import pytest
 from pydantic import ValidationError
+from twisted.internet.task import Clock
 
 from gentianwharf.daemon._rules import RulesInForce
 from gentianwharf.infra import VersionedValue
@@ -153,7 +154,7 @@
     A later release lifts a bound, an operator uses that, and hosts of this release
     refuse the whole record though they could match each of its rules.
     """
-    rules = RulesInForce(shards=SHARDS)
+    rules = RulesInForce(shards=SHARDS, now_s=Clock().seconds)
     rules.take(VersionedValue(key="rules", value=record(odd), revision=6))
     assert rules.current is not None
     assert rules.current.revision == 6
