Measure taking and matching lists of up to 4,800 rules, and their memory

The bench had sizes of up to 500 rules, one service and no splits; it missed that a list with a service for each rule was taken in quadratic time. New: what taking a list costs by shape, lists with a service or a split for each rule and with nested prefixes, sizes that hosts take though operators may not apply them, and resident memory in new processes.

--- a/bench/rules.py
+++ b/bench/rules.py
@@ -1,13 +1,22 @@
-"""What rules cost: one match by shape of the list, and the check of a large one."""
+"""What rules cost: a match and taking a list by its shape, the check of a large one.
 
+The check goes up to what operators may apply. Hosts also take longer lists, which
+others have committed: up to 4,800 rules, as many as a store's value of 1 MiB holds.
+"""
+
+import gc
+import os
 import random
 from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
 from functools import partial
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
 
 from gentianwharf.rules import (
     MOST_RULES,
     RequestFacts,
-    Rule,
     RuleChecker,
     RuleDocument,
     RuleScope,
@@ -21,44 +30,66 @@
 SHARDS = 65_536
 MATCHES = 5_000
 SIZES = (25, 50, 100, 200, MOST_RULES)
+COMMITTED_SIZES = (819, 1219, 2400, 4800)
+NESTED = 8
+MEGABYTE = 1_000_000
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+Fields = dict[str, Any]
+Requests = list[RequestFacts]
+Shape = Callable[[int], Fields]
 
 
-def _rule(number: int, when: dict[str, object]) -> Rule:
+def _rule(number: int, when: Fields, **fields: Any) -> Fields:
     then = {
         "service": "desk",
         "site": "old",
         "key": {"place": "path_segment", "name": "1"},
+        **fields,
     }
-    return Rule.model_validate({"name": f"r-{number}", "when": when, "then": then})
+    return {"name": f"r-{number}", "when": when, "then": then}
 
 
-Requests = list[RequestFacts]
-Shape = Callable[[int], dict[str, object]]
+def _nested(number: int) -> Fields:
+    inner = "inner/" * (number % NESTED)
+    return _rule(number, {"path_prefix": f"/part{number // NESTED}/{inner}"})
+
+
+def _split(number: int) -> Fields:
+    parts = [{"service": "desk", "weight": 9}, {"service": "annex", "weight": 1}]
+    return _rule(number, {"path_prefix": f"/part{number}/"}, split=parts)
+
 
 SHAPES: dict[str, Shape] = {
-    "own_prefix_each": lambda number: {"path_prefix": f"/part{number}/"},
-    "own_host_each": lambda number: {"host": f"h{number}.example"},
-    "one_prefix_own_header_each": lambda number: {
-        "path_prefix": "/desk/",
-        "headers": {"x-part": str(number)},
-    },
-    "one_prefix_own_key_each": lambda number: {
-        "path_prefix": "/desk/",
-        "key": f"club-{number}",
-    },
-    "one_prefix_own_shard_each": lambda number: {
-        "path_prefix": "/desk/",
-        "shard_range": {"first": number * 64, "last": number * 64 + 63},
-    },
+    "own_prefix_each": lambda n: _rule(n, {"path_prefix": f"/part{n}/"}),
+    "own_host_each": lambda n: _rule(n, {"host": f"h{n}.example"}),
+    "own_service_each": lambda n: _rule(
+        n, {"path_prefix": f"/part{n}/"}, service=f"s{n}"
+    ),
+    "own_split_each": _split,
+    "nested_prefixes": _nested,
+    "one_prefix_own_header_each": lambda n: _rule(
+        n, {"path_prefix": "/desk/", "headers": {"x-part": str(n)}}
+    ),
+    "one_prefix_own_key_each": lambda n: _rule(
+        n, {"path_prefix": "/desk/", "key": f"club-{n}"}
+    ),
+    "one_prefix_own_shard_each": lambda n: _rule(
+        n,
+        {"path_prefix": "/desk/", "shard_range": {"first": n * 8, "last": n * 8 + 7}},
+    ),
 }
 
+DESK_SHAPES = tuple(name for name in SHAPES if name.startswith("one_prefix"))
+
 
 def _requests(random_numbers: random.Random, *, shape: str, rules: int) -> Requests:
     """Return requests of which each is decided by a random rule of the list."""
     requests = []
     for _ in range(MATCHES):
         number = random_numbers.randrange(rules)
-        first = f"part{number}" if shape == "own_prefix_each" else "desk"
+        part = number // NESTED if shape == "nested_prefixes" else number
+        first = "desk" if shape in DESK_SHAPES else f"part{part}"
         requests.append(
             RequestFacts(
                 method="GET",
@@ -73,24 +104,36 @@
 def figures() -> Iterator[Figure]:
     """Yield the cost of a match by shape and size, then that of a whole list."""
     for name, shape in SHAPES.items():
-        for size in SIZES:
-            rules = RuleSet(
-                document=_document(shape, size), revision=1, shards={"desk": SHARDS}
-            )
-            requests = _requests(random.Random(SEED), shape=name, rules=size)
-            yield Figure(
-                name=f"rules_match_{name}",
-                value=_match_us(rules, requests),
-                unit="us",
-                size={"rules": size, "shards": SHARDS},
-                seed=SEED,
-            )
+        for size in (*SIZES, *COMMITTED_SIZES):
+            yield from _list_figures(name, shape, size)
     yield from _whole_lists()
+    yield from _memory_figures()
+
+
+def _list_figures(name: str, shape: Shape, size: int) -> Iterator[Figure]:
+    document = _document(shape, size)
+    shards = {one.then.service: SHARDS for one in document.rules}
+    take = partial(RuleSet, document=document, revision=1, shards=shards)
+    sizes = {"rules": size, "shards": SHARDS}
+    yield Figure(
+        name=f"rules_take_{name}",
+        value=time_us(take, times=1) / 1000,
+        unit="ms",
+        size=sizes,
+    )
+    requests = _requests(random.Random(SEED), shape=name, rules=size)
+    yield Figure(
+        name=f"rules_match_{name}",
+        value=_match_us(take(), requests),
+        unit="us",
+        size=sizes,
+        seed=SEED,
+    )
 
 
 def _document(shape: Shape, size: int) -> RuleDocument:
-    rules = tuple(_rule(number, shape(number)) for number in range(size))
-    return RuleDocument(rules=rules)
+    rules = [shape(number) for number in range(size)]
+    return RuleDocument.model_validate({"rules": rules})
 
 
 def _match_us(rules: RuleSet, requests: Requests) -> float:
@@ -128,13 +171,49 @@
             )
 
 
-def _worst(size: int, number: int) -> dict[str, object]:
-    return {
+def _worst(size: int, number: int) -> Fields:
+    when = {
         "methods": ["GET"],
         "headers": {"x-part": str(number)},
         "shard_share": (number + 1) / size,
     }
+    return _rule(number, when)
 
 
 def _compile(document: RuleDocument) -> RuleSet:
     return RuleSet(document=document, revision=1, shards={"desk": SHARDS})
+
+
+def _memory_figures() -> Iterator[Figure]:
+    """Yield what lists add to a process's resident memory, each in a new one."""
+    for size in (MOST_RULES, *COMMITTED_SIZES):
+        value = _document(_split, size).model_dump_json(exclude_none=True)
+        for versions in (1, 2):
+            with ProcessPoolExecutor(1, mp_context=get_context("spawn")) as pool:
+                grown_bytes = pool.submit(_grown_bytes, value, versions).result()
+            yield Figure(
+                name="rules_resident",
+                value=grown_bytes / MEGABYTE,
+                unit="MB",
+                size={"rules": size, "versions": versions},
+            )
+
+
+def _grown_bytes(value: str, versions: int) -> int:
+    """Return what ``versions`` of a list add, from their bytes to their rule sets.
+
+    A small list comes before, so that what is built once doesn't count.
+    """
+    _compile(_document(_split, 1))
+    RuleDocument.model_validate_json('{"rules": []}')
+    gc.collect()
+    before_bytes = _resident_bytes()
+    kept = [_compile(RuleDocument.model_validate_json(value)) for _ in range(versions)]
+    gc.collect()
+    grown_bytes = _resident_bytes() - before_bytes
+    assert len(kept) == versions
+    return grown_bytes
+
+
+def _resident_bytes() -> int:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE_BYTES
