Keep ranks below 0 out of rules

A rank is 0 for the highest. A class's weight is four to the power of what the rank leaves, so that a rank far below 0 would make a number that holds the loop: it stays refused where hosts read rules, as before. The tests name what has no meaning, one case each.

--- a/src/gentianwharf/rules/_bounds.py
+++ b/src/gentianwharf/rules/_bounds.py
@@ -102,9 +102,6 @@
     ):
         if value is not None and value > most:
             yield Breach(field=field, found=str(value), expected=f"at most {most}")
-    if then.priority < 0:
-        expected = "0, the highest, or more"
-        yield Breach(field="then.priority", found=str(then.priority), expected=expected)
     if then.split:
         yield from _split_breaches(then.service, then.split)
 
--- a/src/gentianwharf/rules/_document.py
+++ b/src/gentianwharf/rules/_document.py
@@ -129,7 +129,7 @@
     deadline_ms: int | None = Field(default=None, gt=0)
     most_tries: int | None = Field(default=None, gt=0)
     target_latency_ms: int | None = Field(default=None, gt=0)
-    priority: int = 0
+    priority: int = Field(default=0, ge=0)
 
 
 class Rule(_Model):
--- a/tests/test_rules_committed.py
+++ b/tests/test_rules_committed.py
@@ -113,7 +113,6 @@
         {"name": "odd", "then": {**THEN, "target_latency_ms": 3_600_001}},
     ),
     ("then.priority", {"name": "odd", "then": {**THEN, "priority": 1001}}),
-    ("then.priority", {"name": "odd", "then": {**THEN, "priority": -1}}),
     ("then.split", {"name": "odd", "then": {"service": "part-1", "split": PARTS}}),
     ("then.split", {"name": "odd", "then": {"service": "seats", "split": TWICE}}),
     ("then.split", {"name": "odd", "then": {"service": "seats", "split": NOWHERE}}),
@@ -171,8 +170,15 @@
     assert any(one.startswith(f"rules.0.{location}") for one in errors), errors
 
 
-def test_prefix_that_no_path_begins_with_is_no_prefix() -> None:
-    with pytest.raises(ValidationError, match="path_prefix"):
-        RuleDocument.model_validate(
-            {"rules": [{"name": "odd", "when": {"path_prefix": "desk"}, "then": THEN}]}
-        )
+@pytest.mark.parametrize(
+    ("field", "odd"),
+    [
+        ("path_prefix", {"name": "odd", "when": {"path_prefix": "desk"}, "then": THEN}),
+        ("priority", {"name": "odd", "then": {**THEN, "priority": -1}}),
+        ("most_tries", {"name": "odd", "then": {**THEN, "most_tries": 0}}),
+        ("season", {"name": "odd", "when": {"season": "winter"}, "then": THEN}),
+    ],
+)
+def test_what_has_no_meaning_is_no_rule(field: str, odd: dict[str, Any]) -> None:
+    with pytest.raises(ValidationError, match=field):
+        RuleDocument.model_validate({"rules": [odd]})
