--- a/tests/test_relay_problem.py
+++ b/tests/test_relay_problem.py
@@ -26,7 +26,10 @@
 
 @pytest.mark.parametrize(
     "rules",
-    [RulesInForce(now_s=Clock().seconds), DaemonRules(shards={})],
+    [
+        RulesInForce(now_s=Clock().seconds),
+        DaemonRules(shards={}, now_s=Clock().seconds),
+    ],
     ids=["entry-host", "daemon"],
 )
 def test_refusals_leave_nothing_behind(rules: Rules) -> None:
