Let the soak's lists of rules grow, and restart all its hosts at once

Cause: in an incident the store took a list of 819 rules that all hosts refused, since a model of theirs had a bound of 500; callers on new rules got 404, and after a restart of all processes no host had rules. The soak never saw it: its configurations had four rules, none was asked for that '/' did not match as well, and it never restarted everything.

Now operators add 100 to 500 rules at a time, up to 4,000, each change on the condition that the one before is in the store; all hosts are ended at once (SIGKILL, a quarter SIGTERM) and started again; callers ask for paths of a name without other rules. New checks: CONFIG (the bound of 2 s, for hosts that were in touch for 3 s) and OLDER; RECOVER leaves out what may be unknown. The stand-in store refuses values over 1 MiB, as the users' store does.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any, final
 
+from ._added_rules import AddedRule
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Each promises that the request has not run and never will."""
 
@@ -21,12 +23,20 @@
     host: str
     may_repeat: bool
     asked_s: float
+    rule: AddedRule | None = None
+    ended_s: float = 0.0
     status: int = 0
     body: bytes = b""
     signature: str | None = None
     is_whole: bool = False
     error: str = ""
 
+    def is_allowed(self) -> bool:
+        """Whether each version of the rules that may be in force allows it."""
+        if self.rule is None:
+            return True
+        return self.rule.must_be_served(self.asked_s, self.ended_s)
+
 
 def broken(asked: Sequence[Asked], runs: Iterable[Any]) -> list[str]:
     """Return a line for each promise that was broken."""
@@ -71,7 +81,7 @@
 
 def unserved(asked: Sequence[Asked], *, from_s: float) -> list[str]:
     """Return a line if too little is served after everything is well again."""
-    late = [one for one in asked if one.asked_s >= from_s]
+    late = [one for one in asked if one.asked_s >= from_s and one.is_allowed()]
     served = sum(one.status == 200 and one.is_whole for one in late)
     if late and served >= len(late) * LEAST_SERVED:
         return []
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -3,36 +3,34 @@
 import signal
 import tempfile
 from pathlib import Path
-from random import Random
 from typing import Any, final
 
-from gentianwharf.platform import SETTINGS_PATH_VARIABLE, PlatformStore
+from gentianwharf.platform import SETTINGS_PATH_VARIABLE
 from gentianwharf.platform.standin import (
     CALLERS_PORT,
     KEYED,
     UNKEYED,
-    configuration,
     settings_text,
 )
-from gentianwharf.store import Change
 
+from ._disruptions import Disruptions, way_of
 from ._processes import Line, Program
-from ._proxy import Proxy
+from ._proxy import Proxy, Trouble
 
 HOSTS = 4
 KEYED_SERVERS, UNKEYED_SERVERS = 5, 3
 STANDIN = ("-m", "gentianwharf.platform.standin")
 RESTART_S = 0.3
 SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
+DISRUPTIVE_SIGNALS = (signal.SIGSTOP, signal.SIGTERM, signal.SIGKILL)
 
 
 @final
 class Deployment:
     """Processes by name; all listen on IP numbers below ``127.NET``."""
 
-    def __init__(self, *, reactor: Any, net: int, rng: Random, logs: Path) -> None:
+    def __init__(self, *, reactor: Any, net: int, logs: Path) -> None:
         self.reactor = reactor
-        self.rng = rng
         self.logs = logs
         self.net = net
         self.runs: list[Line] = []
@@ -43,12 +41,10 @@
         self.servers = [
             f"server-{number}" for number in range(KEYED_SERVERS + UNKEYED_SERVERS)
         ]
-        self._version = 1
+        self.disruptions = Disruptions(now_s=reactor.seconds)
+        self.operators_address = f"127.{net}.0.1:{OPERATORS_PORT}"
         self._is_stopped = False
         self._settings = Path(tempfile.mkdtemp(prefix="soak-"))
-        self._operators = PlatformStore(
-            reactor=reactor, address=f"127.{net}.0.1:{OPERATORS_PORT}"
-        )
 
     def addresses(self) -> dict[str, str]:
         """Return where callers reach each host."""
@@ -59,7 +55,7 @@
         store = f"127.{self.net}.0.1"
         self._start(
             "store",
-            [*STANDIN, "store", f"{store}:{STORE_PORT}", f"{store}:{OPERATORS_PORT}"],
+            [*STANDIN, "store", f"{store}:{STORE_PORT}", self.operators_address],
         )
         for name in self.servers:
             self._proxy(name, target=f"{self._ip(name)}:{SERVER_PORT}")
@@ -106,7 +102,7 @@
         arguments = [
             *(*STANDIN, "backend", name, service, f"{self._ip(name)}:{SERVER_PORT}"),
             *("--domain", "abc"[number % 3], "--slots", "4", "--work-ms", "30"),
-            *("--store", f"127.{self.net}.0.1:{OPERATORS_PORT}"),
+            *("--store", self.operators_address),
             *("--listed-as", self._proxy_address(name)),
         ]
         self._start(name, arguments)
@@ -121,6 +117,9 @@
         program = Program(name=name, log=self.logs / f"{name}.log", on_line=on_line)
         self.programs[name] = program
         program.start(self.reactor, arguments, env or {})
+        # A program that has just started is as one that was disrupted until now.
+        self.disruptions.begin(name)
+        self.disruptions.end(name)
 
     def _proxy(self, name: str, *, target: str) -> None:
         self.proxies[name] = Proxy(
@@ -134,16 +133,36 @@
         kind, _, number = name.partition("-")
         return f"127.{self.net}.{1 if kind == 'host' else 2}.{int(number) + 1}"
 
-    async def change_rules(self) -> None:
-        """Write a new configuration, with one more path."""
-        self._version += self.rng.randint(1, 3)
-        path = f"/added-{self._version}/"
-        put = configuration(self._version, extra_routes={path: KEYED})
-        await self._operators.change(Change(puts=(put,)))
-
     def send(self, name: str, number: signal.Signals) -> None:
         """Signal a process that this deployment started."""
-        self.programs[name].send(number)
+        program = self.programs[name]
+        program.send(number)
+        if number in DISRUPTIVE_SIGNALS:
+            self.disruptions.begin(name)
+        elif number is signal.SIGCONT and not program.was_asked_to_end:
+            # One that was asked to end is back only when it is started again.
+            self.disruptions.end(name)
+
+    def cut(self, name: str, trouble: Trouble) -> None:
+        """Begin a trouble on the way through a program's proxy."""
+        self.disruptions.begin(way_of(name))
+        self.proxies[name].begin(trouble)
+        if trouble is Trouble.RESET:
+            self.disruptions.end(way_of(name))
+
+    def heal(self, name: str) -> None:
+        """End the trouble on the way through a program's proxy."""
+        self.proxies[name].end()
+        self.disruptions.end(way_of(name))
+
+    def restore(self) -> None:
+        """End all that lasts, and start what does not run."""
+        for name in self.proxies:
+            self.heal(name)
+        for name in ["store", *self.servers, *self.hosts]:
+            self.send(name, signal.SIGCONT)
+        for name in [*self.servers, *self.hosts]:
+            self.restart_ending(name)
 
     def own_exits(self) -> list[str]:
         """Return a line for each host that ended though nobody asked it to."""
--- a/src/gentianwharf/platform/standin/_rules.py
+++ b/src/gentianwharf/platform/standin/_rules.py
@@ -1,6 +1,6 @@
 """Configurations as operators write them, for trials."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -12,25 +12,25 @@
 LOOK_UPS = "look-ups.example"
 POSTINGS = "postings.example"
 UPLOADS = "uploads.example"
+ADDED = "added.example"
+"""Has no rule but for the paths that were added."""
 
 KEYED, UNKEYED = "calendar", "seats"
 
 
-def configuration(
-    version: int, *, extra_routes: Mapping[str, str] | None = None
-) -> Put:
+def configuration(version: int, *, added_paths: Iterable[str] = ()) -> Put:
     """Return a configuration with a service of each sort, to be written.
 
-    ``extra_routes`` names paths of the look-ups' host and the services they go to.
+    ``added_paths`` are served below the name ``ADDED``.
     """
     routes = {
         "look-ups": _route(LOOK_UPS, "safe", service=KEYED),
         "postings": _route(POSTINGS, "unsafe", service=UNKEYED),
         "uploads": _route(UPLOADS, "upload", service=UNKEYED),
     }
-    for path, service in (extra_routes or {}).items():
+    for path in added_paths:
         name = path.strip("/")
-        routes[name] = _route(LOOK_UPS, "safe", service=service, prefix=path)
+        routes[name] = _route(ADDED, "safe", service=UNKEYED, prefix=path)
     value = {
         "version": f"r{version}",
         "routes": routes,
--- a/src/gentianwharf/platform/standin/_store.py
+++ b/src/gentianwharf/platform/standin/_store.py
@@ -17,6 +17,8 @@
 
 EXPIRE_EVERY_S = 0.05
 MOST_WAIT_MS = 30_000
+MOST_VALUE_BYTES = 1 << 20
+"""What the sites of the users' platform set for a value of their stores."""
 
 STATUS_BAD = 400
 STATUS_FORBIDDEN = 403
@@ -124,6 +126,8 @@
             ),
             removals=wish.remove,
         )
+        if any(len(put.value) > MOST_VALUE_BYTES for put in change.puts):
+            raise _Refusal(STATUS_BAD)
         try:
             return self._answer(revision=self._items.change(change))
         except ConditionError:
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -13,7 +13,7 @@
     RefusedError,
 )
 from gentianwharf.platform import PlatformStore
-from gentianwharf.platform.standin import Items, StandInStore
+from gentianwharf.platform.standin import MOST_VALUE_BYTES, Items, StandInStore
 from gentianwharf.store import (
     Change,
     HistoryGoneError,
@@ -144,6 +144,15 @@
     store.call(lambda: store.operators.change(put(key)))
 
 
+def test_a_value_is_taken_up_to_its_bound(store: RunningStore) -> None:
+    longest = b"x" * MOST_VALUE_BYTES
+    store.call(lambda: store.operators.change(put("op/config", longest)))
+    assert store.call(lambda: store.hosts.item("op/config")).value == longest
+    with pytest.raises(RefusedError, match="400"):
+        store.call(lambda: store.operators.change(put("op/config", longest + b"x")))
+    assert store.call(lambda: store.hosts.item("op/config")).value == longest
+
+
 def test_a_store_that_is_not_there_did_nothing(store: RunningStore) -> None:
     store.stop()
     with pytest.raises(PeerUnavailableError):
