--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 from twisted.internet.task import deferLater
 
 from gentianwharf.lifecycle import use_monotonic_time
+from gentianwharf.platform import PlatformStore
 
 from ._callers import Callers
 from ._checks import broken, unserved
@@ -63,7 +64,7 @@
     deployment = Deployment(reactor=reactor, net=net, logs=logs)
     operators = Operators(
         reactor=reactor,
-        address=deployment.operators_address,
+        store=PlatformStore(reactor=reactor, address=deployment.operators_address),
         schedule=schedule,
         rng=Random(seed + 2),
     )
--- a/soak/_operators.py
+++ b/soak/_operators.py
@@ -8,9 +8,9 @@
 
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
-from gentianwharf.platform import CONFIG_KEY, PlatformStore
+from gentianwharf.platform import CONFIG_KEY
 from gentianwharf.platform.standin import configuration
-from gentianwharf.store import Change
+from gentianwharf.store import Change, Store
 
 from ._added_rules import AddedRule, RulesVersion
 from ._schedule import Schedule
@@ -30,7 +30,7 @@
     """Change the rules one version after the other, each until the store has it."""
 
     def __init__(
-        self, *, reactor: Any, address: str, schedule: Schedule, rng: Random
+        self, *, reactor: Any, store: Store, schedule: Schedule, rng: Random
     ) -> None:
         self.rules: list[AddedRule] = []
         self.newest: list[AddedRule] = []
@@ -41,7 +41,7 @@
         self._rng = rng
         self._version = 1
         self._lock = DeferredLock()
-        self._store = PlatformStore(reactor=reactor, address=address)
+        self._store = store
 
     def start(self) -> None:
         """Change the rules after a pause, and go on."""
