--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,7 +23,7 @@
 from ._faults import Faults
 from ._operators import Operators
 from ._restarts import Restarts
-from ._rule_checks import late_rules, older_after_newer
+from ._rule_checks import bound_in_time, late_rules, older_after_newer
 from ._schedule import Schedule
 
 START_S = 5.0
@@ -104,6 +104,7 @@
         await deferLater(reactor, END_S)
     (logs / "faults.txt").write_text("\n".join(schedule.notes) + "\n")
     found = broken(callers.asked, deployment.runs) + deployment.own_exits()
+    bound = bound_in_time(callers.asked, deployment.disruptions)
     found += late_rules(callers.asked, deployment.disruptions)
     found += older_after_newer(callers.asked)
     asked = [one for one in callers.asked if one.asked_s < well_s + QUIET_S]
@@ -111,7 +112,7 @@
     served = sum(one.status == 200 for one in callers.asked)
     print(
         f"seed {seed}: {len(schedule.notes)} faults and changes,"
-        f" {len(operators.rules)} rules,"
+        f" {len(operators.rules)} rules, {len(bound)} requests bound to a version,"
         f" {served} of {len(callers.asked)} served,"
         f" {len(deployment.runs)} runs, {len(found)} broken",
         flush=True,
--- a/soak/_rule_checks.py
+++ b/soak/_rule_checks.py
@@ -12,22 +12,33 @@
 """Hosts answer so where no rule matches; the backend servers never do."""
 
 
+def bound_in_time(asked: Sequence[Asked], disruptions: Disruptions) -> list[Asked]:
+    """Return the requests that only one answer was right for, through hosts in touch.
+
+    Other failures than that a rule is unknown are left to other checks.
+    """
+    return [
+        one
+        for one in asked
+        if one.rule is not None
+        and one.status in (SERVED, NO_RULE)
+        and (one.is_allowed() or one.rule.must_be_unknown(one.asked_s))
+        and disruptions.is_in_touch(one.host, one.asked_s, one.ended_s)
+    ]
+
+
 def late_rules(asked: Sequence[Asked], disruptions: Disruptions) -> list[str]:
     """Return a line for each request that a host in touch handled by an old version."""
     return [
         f"CONFIG: {one.id} through {one.host} at {one.asked_s:.3f} got {one.status}"
         f" for {one.rule.path}, {_story(one.rule)}"
-        for one in asked
-        if one.rule is not None
-        and _is_late(one, one.rule)
-        and disruptions.is_in_touch(one.host, one.asked_s, one.ended_s)
+        for one in bound_in_time(asked, disruptions)
+        if one.rule is not None and one.status != _right_status(one)
     ]
 
 
-def _is_late(asked: Asked, rule: AddedRule) -> bool:
-    if asked.status == NO_RULE:
-        return rule.must_be_served(asked.asked_s, asked.ended_s)
-    return asked.status == SERVED and rule.must_be_unknown(asked.asked_s)
+def _right_status(asked: Asked) -> int:
+    return SERVED if asked.is_allowed() else NO_RULE
 
 
 def older_after_newer(asked: Sequence[Asked]) -> list[str]:
