Keep the seeds that growing rules and restarts have broken

Fresh seeds at, 15 s of faults, two plays at a time: 5001 to 5024, four broken. 5022 (CONFIG, RECOVER), 5018 and 5019: versions came in series and each host took each of them in full, about 0.35 s apiece: 50 to 69, ten versions, in 3.6 s on hosts 2 and 3. One host without faults, five versions of 2,800 to 4,000 rules within 0.3 s: the last four came with one answer of the store and held the host's thread for 1.56, 1.44 and 1.26 s (three runs). Not mended here.

5023 (EXIT): SIGHUP at 18.831 s, 30 ms after the host's start; no third 'started' in its log: the signal came before the program's first line.

Four plays at a time beside other work (run queue 20 to 35 on 16 cores): 5001, 5009, 5025 broken, 5017 not; hosts of 5001 took 12 s from their start to 'started'. 5001 and 5009 passed with two at a time. 5018 and 5019 passed when played again at this commit, three at a time.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,9 +50,12 @@
     rules_grow: bool = True
 
 
+STILL_OPEN = (5001, 5009, 5018, 5019, 5022, 5023, 5025)
+"""Of faults that are not mended: these may pass or fail."""
+
 FAILED = (
     *(Play(seed=seed, rules_grow=False) for seed in (4, 5, 9, 22, 27)),
-    *(Play(seed=seed) for seed in (1, 3)),
+    *(Play(seed=seed) for seed in (1, 3, *STILL_OPEN)),
 )
 """What broke something once, with 15 s of faults: docs/SOAK.md has the causes."""
 
