Take the newest of several versions, and tell it before it is taken

Cause: Mirror handed on every version in an answer of the store, also those that a newer one in the same answer replaces, and told the other hosts when all had been taken.

Ruled out: the store (its answers were there), processor time alone (one version costs 0.27 s).

--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -217,13 +217,17 @@
         if events is None:
             return
         self._note_heard()
-        self._apply(events)
-        if events.changes:
+        newest = _newest(events)
+        if newest.changes:
+            # Before they are put to use here: a long list of rules takes tenths of a
+            # second, and every other host would learn of it that much later.
             _guarded(
-                lambda: self.on_events(after_revision, events),
+                lambda: self.on_events(after_revision, newest),
                 peer=self._prefix,
                 revision=events.revision,
             )
+        self._apply(newest)
+        if newest.changes:
             await deferLater(self._reactor, pace.gather_s)
 
     async def _asked(self, after_revision: int, pace: WatchPace) -> Events | None:
@@ -306,6 +310,17 @@
         return longest_s * (0.5 + self._rng.random() / 2)
 
 
+def _newest(events: Events) -> Events:
+    """Return the last change of each key alone.
+
+    Operators may write many versions within one watch. Each of some thousand rules
+    holds a host for 0.3 s: ten kept it from its callers and its lease for 3.6 s.
+    """
+    latest = {change.key: change for change in events.changes}
+    changes = sorted(latest.values(), key=lambda one: one.revision)
+    return Events(changes=tuple(changes), revision=events.revision)
+
+
 def _guarded(call: Callable[[], None], *, peer: str, revision: int | None) -> None:
     """Call a listener; what it can't bear costs it this one call.
 
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -362,7 +362,7 @@
 def test_versions_that_a_newer_one_replaces_are_passed_over(
     store: WatchedStore, mirror: Mirror, clock: Clock
 ) -> None:
-    """New rules are answered 404 on one host for seconds, and its leader loses its lease.
+    """New rules are answered 404 on a host for seconds, and a leader loses its lease.
 
     Operators write ten versions of long rules, one after the other. They come in one
     answer; a host took each in full, 0.3 s on its only thread, though only the last
