--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -26,7 +26,7 @@
     add("rules_version", "Version of the rules in force", lambda: rules.version)
     add(
         "rules_refused_seconds",
-        "Since a newer configuration than the one in force was refused, 0 if none was",
+        "Since a newer configuration is known and not in force, 0 if none is",
         rules.refused_s,
     )
     add("rules_unread", "Parts of the configuration that can't be read", rules.unread)
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -53,7 +53,7 @@
         return self.configuration.version if self.configuration else 0
 
     def refused_s(self) -> float:
-        """Return for how long a newer configuration has been refused, 0 if none is.
+        """Return for how long a newer configuration is known and not in force.
 
         Without it a host that refuses what all others have in force can't be told from
         one that has not heard of it.
@@ -70,15 +70,20 @@
         """Follow the configuration in the store; what doesn't fit changes nothing."""
         if item is None:
             return
+        if self._refused_since_s is None:
+            # Until it is in force, whatever keeps it from that: a refusal, or a fault.
+            self._refused_since_s = self._now_s()
         try:
             configuration = decode_configuration(item.value)
         except InputError as error:
-            self._note_refused(item, error)
+            self._log_refused(item, error)
             return
-        self._refused_since_s = None
         known = self.configuration
-        if known is not None and configuration.version <= known.version:
-            return
+        if known is None or configuration.version > known.version:
+            self._put_in_force(configuration, item)
+        self._refused_since_s = None
+
+    def _put_in_force(self, configuration: Configuration, item: Item) -> None:
         self._rules = RuleSet(
             document=configuration.document,
             revision=item.revision,
@@ -107,9 +112,7 @@
             extra={"version": configuration.version},
         )
 
-    def _note_refused(self, item: Item, error: InputError) -> None:
-        if self._refused_since_s is None:
-            self._refused_since_s = self._now_s()
+    def _log_refused(self, item: Item, error: InputError) -> None:
         log.error(
             "configuration not taken: {}",
             error.message,
--- a/tests/test_entryhost_rules.py
+++ b/tests/test_entryhost_rules.py
@@ -11,7 +11,7 @@
 from gentianwharf.entryhost._metrics import HostMetrics
 from gentianwharf.entryhost._observer import AnswerLog
 from gentianwharf.entryhost._rules import RulesInForce
-from gentianwharf.platform import CONFIG_KEY, decode_host_settings
+from gentianwharf.platform import CONFIG_KEY, Configuration, decode_host_settings
 from gentianwharf.relay import Problem, Run
 from gentianwharf.rules import RequestFacts
 from gentianwharf.store import Item
@@ -76,6 +76,23 @@
     assert (rules.version, rules.refused_s()) == (8, 0.0)
 
 
+def test_fault_in_putting_rules_in_force_shows(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A host stumbles over rules that it could read, and looks as if it had them."""
+    clock = Clock()
+    rules = RulesInForce(now_s=clock.seconds)
+
+    def stumble(configuration: Configuration) -> None:
+        raise KeyError("seats")
+
+    monkeypatch.setattr(rules, "on_change", stumble)
+    with pytest.raises(KeyError):
+        rules.note_item(item(configuration()))
+    clock.advance(2.0)
+    assert rules.refused_s() == 2.0
+
+
 def test_request_that_no_rule_matches_names_what_was_asked_and_by_which_rules() -> None:
     """A caller complains of a 404, and its line says neither path nor version.
 
