--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -17,11 +17,11 @@
 from gentianwharf.links import NngLink, NngListener, dial
 from gentianwharf.logs import log
 from gentianwharf.relay import ServerLoad
-from gentianwharf.store import Events, EventsListener, Item, Removal
+from gentianwharf.store import Events, EventsListener, Item
 from gentianwharf.topology import BackendServer
 
-from ._compression import compressed, decompressed
-from ._messages import Change, Granted, LeaderItem, LoadReport, News, Report
+from ._messages import Granted, LeaderItem, LoadReport, News, Report
+from ._told_values import ToldValues, UnknownBaseError, decoded, whole
 
 REPORT_EVERY_S = 0.25
 """Hot keys are to be seen within a second; a report of an idle host is 60 bytes."""
@@ -47,9 +47,6 @@
 """Told to single hosts that lack something, a sixth of a link of 5 Mbit/s: what all are
 told must not wait behind it."""
 
-SMALL_BYTES = 300
-"""Values up to this are sent as they are."""
-
 HEARS_S = 2.0
 """News younger than this: what the leader has not told is not done."""
 
@@ -75,10 +72,6 @@
     age_s: float
 
 
-class _UnknownBaseError(Exception):
-    """A change that is told against a value that this host doesn't have."""
-
-
 @final
 @dataclass(kw_only=True, slots=True)
 class _Peer:
@@ -109,7 +102,7 @@
         self._heard_s = 0.0
         self._news_s = float("-inf")
         self._fed_until_s = float("-inf")
-        self._told: dict[str, Item] = {}
+        self._told = ToldValues()
         self._reported_s = 0.0
         self._told_s = 0.0
         self._catch_up_s = 0.0
@@ -214,7 +207,7 @@
             # The last news: from now on all watch the store themselves.
             self._tell()
         self._leads = leads
-        self._told.clear()
+        self._told.forget()
         self._granted.clear()
 
     def tell_granted(self, service: str, span: Span) -> None:
@@ -234,7 +227,7 @@
 
     def forget_told(self) -> None:
         """Tell whole values from now on: this host missed some changes itself."""
-        self._told.clear()
+        self._told.forget()
 
     def tell_events(self, after_revision: int, events: Events) -> None:
         """Tell all hosts what changed in the store."""
@@ -298,7 +291,7 @@
             known.age_s if known is not None else None,
             revision if after_revision is None else after_revision,
             revision,
-            [self._change(one) for one in events.changes] if events else [],
+            [self._told.change(one) for one in events.changes] if events else [],
         )
         data = msgspec.msgpack.encode(news)
         if news.changes and len(data) * len(self._peers) > MOST_TOLD_BYTES:
@@ -360,7 +353,7 @@
             known.age_s,
             revision,
             changes.revision,
-            [_whole(one) for one in changes.changes],
+            [whole(one) for one in changes.changes],
         )
         data = msgspec.msgpack.encode(news)
         if len(data) <= CATCH_UP_BYTES_PER_S:
@@ -399,57 +392,9 @@
 
     def _events(self, news: News) -> tuple[int, Events]:
         try:
-            changes = tuple(self._decoded(one) for one in news.changes)
-        except (_UnknownBaseError, InputError) as error:
+            changes = tuple(decoded(one, item=self.item) for one in news.changes)
+        except (UnknownBaseError, InputError) as error:
             # As if the message had been lost: the store has what it told.
             log.info("changes not told in full: {}", error)
             return news.revision, Events(changes=(), revision=news.revision)
         return news.after_revision, Events(changes=changes, revision=news.revision)
-
-    def _change(self, change: Item | Removal) -> Change:
-        if isinstance(change, Removal):
-            self._told.pop(change.key, None)
-            return _whole(change)
-        value, base_revision = change.value, None
-        if len(value) > SMALL_BYTES:
-            base = self._told.get(change.key)
-            self._told[change.key] = change
-            base_revision = base.revision if base is not None else 0
-            value = compressed(value, base.value if base is not None else b"")
-        return Change(
-            change.key, change.revision, value, change.lease_id, base_revision
-        )
-
-    def _decoded(self, change: Change) -> Item | Removal:
-        if change.value is None:
-            return Removal(key=change.key, revision=change.revision)
-        value = change.value
-        if change.base_revision is not None:
-            known = self.item(change.key)
-            if known is not None and known.revision >= change.revision:
-                # This host's own watch was quicker, and it no longer has the value
-                # that the change is told against.
-                return known
-            value = decompressed(value, self._base(change.key, change.base_revision))
-        return Item(
-            key=change.key,
-            value=value,
-            revision=change.revision,
-            lease_id=change.lease_id,
-        )
-
-    def _base(self, key: str, revision: int) -> bytes:
-        if not revision:
-            return b""
-        item = self.item(key)
-        if item is None or item.revision != revision:
-            known = item.revision if item is not None else None
-            raise _UnknownBaseError(f"{key}: expected revision {revision}, got {known}")
-        return item.value
-
-
-def _whole(change: Item | Removal) -> Change:
-    if isinstance(change, Removal):
-        return Change(change.key, change.revision, None, 0, None)
-    value = compressed(change.value, b"")
-    return Change(change.key, change.revision, value, change.lease_id, 0)
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -1,17 +1,15 @@
 """The platform's store: items, conditions, leases and watches over HTTP."""
 
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any, TypeVar, final
 from urllib.parse import urlencode
 
 import msgspec
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.interfaces import IStreamClientEndpoint
-from twisted.internet.protocol import Protocol, connectionDone
-from twisted.python.failure import Failure
-from twisted.web.client import HTTPConnectionPool, ResponseDone
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IResponse
 
@@ -34,14 +32,11 @@
     Removal,
 )
 
+from ._store_answer import CALL_TIMEOUT_S, BodyReader, TimeLimit
 from ._units import decode_time_s, decode_value, encode_time, encode_value
 
 Body = TypeVar("Body")
 
-CALL_TIMEOUT_S = 2.0
-"""A store that is slow takes some tenths of a second; one that is silent gets another
-try on a new connection while most of what depends on it still holds."""
-
 RENEW_TIMEOUT_S = 0.7
 """Of a lease's renewal: when its answer is lost another one must follow in time, and a
 store that is slow takes a quarter of a second."""
@@ -54,10 +49,6 @@
 """What an answer may take beyond the time that the watch was to wait: a store that is
 slow takes half a second."""
 
-MOST_BODY_S = 20.0
-"""What a body may take that goes on arriving: the largest page, 1.4 MB as it travels,
-over half a megabit a second."""
-
 IDLE_CONNECTION_S = 10.0
 CONNECTIONS = 4
 
@@ -227,7 +218,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> bytes:
         step = path.removeprefix("/v1/").partition("/")[0]
-        limit = _TimeLimit(reactor=self._reactor, timeout_s=timeout_s)
+        limit = TimeLimit(reactor=self._reactor, timeout_s=timeout_s)
         asked = Deferred.fromCoroutine(self._ask(method, path, query, body, limit))
         limit.end(asked)
         try:
@@ -252,7 +243,7 @@
         path: str,
         query: Mapping[str, str] | None,
         body: Mapping[str, Any] | None,
-        limit: "_TimeLimit",
+        limit: TimeLimit,
     ) -> tuple[int, bytes]:
         target = f"http://{self.address}{path}"
         if query:
@@ -264,7 +255,7 @@
         response: IResponse = await self._agent.request(
             method.encode(), target.encode(), headers, producer
         )
-        reader = _BodyReader(on_piece=limit.extend)
+        reader = BodyReader(on_piece=limit.extend)
         response.deliverBody(reader)
         return response.code, await reader.done
 
@@ -314,78 +305,6 @@
         return b""
 
 
-@final
-class _TimeLimit:
-    """Ends a call that is silent for too long, but not one whose answer goes on.
-
-    A large value takes seconds over a slow link. Ended after a fixed time the call
-    would be made again and again, and this host would never have what all others have.
-    """
-
-    def __init__(self, *, reactor: Any, timeout_s: float) -> None:
-        self._reactor = reactor
-        self._timeout_s = timeout_s
-        self._latest_s = reactor.seconds() + timeout_s + MOST_BODY_S
-        self._timer: Any = None
-
-    def end(self, asked: "Deferred[tuple[int, bytes]]") -> None:
-        """Cancel a call when its time is over.
-
-        That closes the connection, so that a late answer meets nobody's call.
-        """
-        if asked.called:
-            return
-        self._timer = self._reactor.callLater(self._timeout_s, asked.cancel)
-        asked.addBoth(self._stop)
-
-    def extend(self) -> None:
-        """Wait for the next piece of the body for as long as for a short answer."""
-        if self._timer is None or not self._timer.active():
-            return
-        now_s = self._reactor.seconds()
-        due_s = min(now_s + min(self._timeout_s, CALL_TIMEOUT_S), self._latest_s)
-        if due_s > self._timer.getTime():
-            self._timer.reset(due_s - now_s)
-
-    def _stop(self, result: Any) -> Any:
-        if self._timer.active():
-            self._timer.cancel()
-        elif isinstance(result, Failure) and result.check(CancelledError):
-            return Failure(TimeoutError())
-        return result
-
-
-@final
-class _BodyReader(Protocol):
-    """Gathers a body that has a length, and tells of each piece."""
-
-    def __init__(self, *, on_piece: Callable[[], None]) -> None:
-        self.done: Deferred[bytes] = Deferred(self._close)
-        self._on_piece = on_piece
-        self._pieces: list[bytes] = []
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Keep a piece."""
-        self._pieces.append(data)
-        self._on_piece()
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Hand the body on, or say why there is none."""
-        if self.done.called:
-            return
-        if reason.check(ResponseDone):
-            self.done.callback(b"".join(self._pieces))
-        else:
-            self.done.errback(reason)
-
-    def _close(self, _: object) -> None:
-        # The rest of an answer that nobody waits for would fill the link beside the
-        # next one. The body's transport offers no abort.
-        transport: Any = self.transport
-        if transport is not None:
-            transport.loseConnection()
-
-
 @final
 class _ProbedEndpoint:
     """Lets the kernel probe each connection that an endpoint makes."""
--- a/tests/builders_rules.py
+++ b/tests/builders_rules.py
@@ -19,6 +19,8 @@
     RulesApplied,
     RuleScope,
     RuleVersion,
+    StoredRules,
+    encode_rules,
 )
 
 SHARDS = {"desk": 100}
@@ -52,6 +54,20 @@
     return RuleDocument(rules=rules)
 
 
+def stored_rules(of: RuleDocument, *, number: int = 1) -> bytes:
+    """Return a document as the store holds it."""
+    return encode_rules(
+        StoredRules(
+            format=1,
+            number=number,
+            edited_from_revision=number - 1,
+            author="amira",
+            recent_change_ids=(f"change-{number}",),
+            document=of,
+        )
+    )
+
+
 def facts(
     path: str = "/desk/sciences",
     *,
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -51,6 +51,16 @@
         self.watches[-1][1].callback(brought)
 
 
+def advance(clock: Clock, duration_s: float) -> None:
+    """Let time pass in steps in which everything gets its turn."""
+    clock.pump([0.05] * round(duration_s / 0.05))
+
+
+def revisions(mirror: Mirror) -> dict[str, int]:
+    """Return the revision of each item that a mirror has."""
+    return {key: one.revision for key, one in mirror.items.items()}
+
+
 def mirror_of(store: WatchedStore, clock: Clock) -> Mirror:
     """Return a mirror of everything in the store."""
     return Mirror(store=cast(Store, store), prefix="", reactor=clock, rng=Random(1))
--- a/tests/test_users_platform_store.py
+++ b/tests/test_users_platform_store.py
@@ -9,7 +9,8 @@
 
 from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.platform import PlatformStore
-from gentianwharf.platform._store import CALL_TIMEOUT_S, RENEW_TIMEOUT_S
+from gentianwharf.platform._store import RENEW_TIMEOUT_S
+from gentianwharf.platform._store_answer import CALL_TIMEOUT_S
 from gentianwharf.store import TELLING_PACE, Events, Page
 
 PIECE_EVERY_S = 0.1
