--- a/tests/test_entryhost_control.py
+++ b/tests/test_entryhost_control.py
@@ -1,5 +1,7 @@
 """What hosts learn together of the store, when one of its ways fails them."""
 
+from random import Random
+
 import pytest
 
 from tests.builders_entryhost import Fleet
@@ -84,3 +86,19 @@
     fleet.list_server("i-2")
     fleet.run(0.5)
     assert [one.servers() for one in fleet.hosts] == [["i-2"]] * 3
+
+
+def test_host_that_lacks_a_large_value_catches_up(fleet: Fleet) -> None:
+    """A host that the store turns away hears of no server that joins or leaves.
+
+    Rules that were too large to be told to all came first. They were too large for one
+    host as well, and what came after them is told with them or not at all.
+    """
+    follower = fleet.follower()
+    follower.way.is_turned_away = True
+    fleet.write("tables/large", Random(1).randbytes(260_000))
+    fleet.run(0.5)
+    fleet.list_server("i-2")
+    fleet.run(10)
+    assert follower.servers() == ["i-1", "i-2"]
+    assert "tables/large" in follower.control.mirror.items
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -363,3 +363,17 @@
     assert sum(told) == 1
     trio.run(1)
     assert sum(one.events.count((10, lacking)) for one in followers) == 2
+
+
+def test_news_of_a_release_that_packs_otherwise_are_not_read(trio: Trio) -> None:
+    """During an update of the hosts some take garbage for the newest rules.
+
+    A leader of another release tells what changed in a value in another form. It must
+    not be read as one that this release knows: a host that can't read its leader's news
+    watches the store.
+    """
+    _, follower, _ = trio.hosts
+    known = list(follower.events)
+    former = ["news", "h0", 3, [], 0.1, 10, 11, [["t", 11, b"x", 0, 0]]]
+    trio.net.listeners[follower.peers.name.address](msgspec.msgpack.encode(former))
+    assert follower.events == known
--- a/tests/test_entryhost_servers.py
+++ b/tests/test_entryhost_servers.py
@@ -5,13 +5,25 @@
 from typing import Any
 
 import pytest
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from gentianwharf.entryhost import EntryHost
+from gentianwharf.errors import PeerUnavailableError
 from gentianwharf.load._registry import Registry
-from gentianwharf.platform import CONFIG_KEY, SERVERS_PREFIX, decode_host_settings
+from gentianwharf.platform import (
+    CONFIG_KEY,
+    SERVERS_PREFIX,
+    ServerEntry,
+    decode_host_settings,
+)
+from gentianwharf.relay import ServerConnections
 from gentianwharf.store import Item
+from gentianwharf.topology import BackendServer
 from tests.builders_load import server, service
+from tests.builders_transport import ProbedTransport
 from tests.builders_users_platform import SETTINGS, configuration, server_entry
 
 SERVER_ID = "i-1"
@@ -81,3 +93,66 @@
     assert (state.server.slots, state.most_connections) == (8, 40)
     assert pool is not None
     assert pool.limit.most == 8.0
+
+
+def at_another_address(server: BackendServer) -> BackendServer:
+    return replace(server, address="10.128.0.77:8080")
+
+
+@pytest.fixture
+def pool() -> ServerConnections:
+    reactor: Any = MemoryReactorClock()
+    return ServerConnections(server=server(0), reactor=reactor)
+
+
+def connected(pool: ServerConnections) -> Any:
+    """Complete the connection that the pool is making."""
+    reactor: Any = pool._reactor
+    protocol = reactor.tcpClients[-1][2].buildProtocol(None)
+    protocol.makeConnection(ProbedTransport())
+    return protocol
+
+
+def test_connections_to_a_former_address_are_closed(pool: ServerConnections) -> None:
+    """A request reaches another server, which has the address by now."""
+    taken = Deferred.fromCoroutine(pool.acquire())
+    connected(pool)
+    taken.addCallback(pool.put_back)
+    assert len(pool.idle()) == 1
+    pool.follow(at_another_address(pool.server))
+    assert pool.idle() == ()
+
+
+def test_connection_that_comes_after_a_move_is_not_used(
+    pool: ServerConnections,
+) -> None:
+    """The same, of a connection that was being made while its server moved."""
+    taken = Deferred.fromCoroutine(pool.acquire())
+    failed: list[Failure] = []
+    taken.addErrback(failed.append)
+    pool.follow(at_another_address(pool.server))
+    connected(pool)
+    assert failed
+    assert failed[0].check(PeerUnavailableError)
+    assert pool.idle() == ()
+
+
+@pytest.mark.parametrize("services", [20, 40])
+def test_new_rules_look_at_each_server_once(host: EntryHost, services: int) -> None:
+    """A host stands still for seconds when a configuration has many services.
+
+    Each of them had all listed servers looked through, those of the others as well:
+    1,219 services with a server each took 4.3 s.
+    """
+    looked = 0
+    all_entries = host._control.directory.all
+
+    def counted() -> list[ServerEntry]:
+        nonlocal looked
+        looked += 1
+        return all_entries()
+
+    host._control.directory.all = counted  # type: ignore[method-assign]
+    many = {f"s{number}": {"max-connections": 10} for number in range(services)}
+    note_configuration(host, revision=5, services=many, routes={})
+    assert looked <= 1
--- a/tests/test_store_mirror_versions.py
+++ b/tests/test_store_mirror_versions.py
@@ -76,3 +76,12 @@
     store.bring(events(13, item("rules", 12), item("rules", 13)))
     advance(clock, 1)
     assert order == ["told 1", "used"]
+
+
+def test_order_of_an_answer_s_changes_decides_nothing(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """A host keeps to an older value for good, and says that it knows the newest."""
+    store.bring(events(15, item("rules", 15), item("rules", 13)))
+    advance(clock, 1)
+    assert revisions(mirror)["rules"] == 15
--- a/tests/test_users_platform_store.py
+++ b/tests/test_users_platform_store.py
@@ -5,31 +5,22 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+from twisted.web.http import PotentialDataLoss
 
 from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.platform import PlatformStore
 from gentianwharf.platform._store import RENEW_TIMEOUT_S
-from gentianwharf.platform._store_answer import CALL_TIMEOUT_S
+from gentianwharf.platform._store_answer import CALL_TIMEOUT_S, BodyReader
 from gentianwharf.store import TELLING_PACE, Events, Page
+from tests.builders_transport import ProbedTransport
 
 PIECE_EVERY_S = 0.1
 SLOW_LINK_S = 6.0
 """What the largest value takes over 2 Mbit/s."""
 
 
-@final
-class ProbedTransport(StringTransport):
-    """A transport whose socket takes every option."""
-
-    def getHandle(self) -> "ProbedTransport":  # noqa: N802
-        """Return its socket."""
-        return self
-
-    def setsockopt(self, *option: int) -> None:
-        """Take an option."""
-
-
 @final
 class SlowLink:
     """One call to the store, whose answer a test hands on in pieces."""
@@ -125,3 +116,33 @@
     link = SlowLink(lambda store: store.items(""))
     link.bring(b" " * 10_000, within_s=1_000.0)
     assert link.has_given_up()
+
+
+def test_watch_that_falls_silent_midway_is_given_up_in_time() -> None:
+    """A host waits for 21 s for the rest of an answer that is lost.
+
+    What a watch brings comes at once when it comes; only its beginning may take long.
+    """
+    link = SlowLink(lambda store: store.watch("", after_revision=3, wait_s=20.0))
+    answer = msgspec.json.encode({"events": [LARGE], "as-of": 9})
+    link.bring(answer, within_s=SLOW_LINK_S, left_out=10)
+    link.reactor.advance(CALL_TIMEOUT_S)
+    assert link.has_given_up()
+
+
+def test_renewal_that_trickles_is_given_up_while_its_lease_holds() -> None:
+    """A leader waits for one answer while its lease runs out, and doesn't ask again."""
+    link = SlowLink(lambda store: store.renew_lease(7))
+    link.bring(b" " * 100, within_s=10.0)
+    assert link.reactor.seconds() <= RENEW_TIMEOUT_S + PIECE_EVERY_S
+    assert link.has_given_up()
+
+
+def test_answer_without_a_length_ends_with_its_connection() -> None:
+    """No host ever knows any rules where something before the store drops lengths."""
+    reader = BodyReader(on_piece=lambda: None)
+    whole: list[bytes] = []
+    reader.done.addCallback(whole.append)
+    reader.dataReceived(b"{}")
+    reader.connectionLost(Failure(PotentialDataLoss()))
+    assert whole == [b"{}"]
