--- a/src/gentianwharf/daemon/_rules.py
+++ b/src/gentianwharf/daemon/_rules.py
@@ -50,7 +50,7 @@
         return self.current.revision if self.current is not None else ABSENT_REVISION
 
     def refused_s(self) -> float:
-        """Return since when newer rules are known and not in force, 0 if none are.
+        """Return for how long newer rules are known and not in force, 0 if none are.
 
         Without it a host that refuses what all others have in force looks like them: it
         is ready and serves, by older rules.
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -303,6 +303,7 @@
         if news.changes and len(data) * len(self._peers) > MOST_TOLD_BYTES:
             # What is told next would wait behind it, and hosts would take it for as new
             # as it was when it was sent: a server that leaves would get work for long.
+            # Told only that there was something, each host fetches it.
             news.after_revision, news.changes = revision, []
             data = msgspec.msgpack.encode(news)
         for peer in self._peers.values():
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -45,7 +45,7 @@
         self._rules: RuleSet | None = None
         self._unread_rules: frozenset[str] = frozenset()
         self._now_s = now_s
-        self._refused_since_s: float | None = None
+        self._behind_since_s: float | None = None
 
     @property
     def version(self) -> int:
@@ -58,9 +58,9 @@
         Without it a host that refuses what all others have in force can't be told from
         one that has not heard of it.
         """
-        if self._refused_since_s is None:
+        if self._behind_since_s is None:
             return 0.0
-        return self._now_s() - self._refused_since_s
+        return self._now_s() - self._behind_since_s
 
     def unread(self) -> int:
         """Return how many parts of the configuration in force can't be read."""
@@ -70,9 +70,9 @@
         """Follow the configuration in the store; what doesn't fit changes nothing."""
         if item is None:
             return
-        if self._refused_since_s is None:
+        if self._behind_since_s is None:
             # Until it is in force, whatever keeps it from that: a refusal, or a fault.
-            self._refused_since_s = self._now_s()
+            self._behind_since_s = self._now_s()
         try:
             configuration = decode_configuration(item.value)
         except InputError as error:
@@ -81,7 +81,7 @@
         known = self.configuration
         if known is None or configuration.version > known.version:
             self._put_in_force(configuration, item)
-        self._refused_since_s = None
+        self._behind_since_s = None
 
     def _put_in_force(self, configuration: Configuration, item: Item) -> None:
         self._rules = RuleSet(
--- a/src/gentianwharf/links/_nng.py
+++ b/src/gentianwharf/links/_nng.py
@@ -118,7 +118,7 @@
             self._on_data(data)
         except Exception:
             # The reactor drops a reader that raises: one message that can't be handled
-            # would close this host's ear to every other host.
+            # would keep this host from hearing any other one.
             log.exception("a message could not be used", extra={"bytes": len(data)})
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -225,7 +225,7 @@
             most_body_s=MOST_BODY_S if method == "GET" else 0.0,
         )
         asked = Deferred.fromCoroutine(self._ask(method, path, query, body, limit))
-        limit.end(asked)
+        limit.start(asked)
         try:
             status, answer = await asked
         except (ConnectError, ConnectingCancelledError) as error:
--- a/src/gentianwharf/platform/_store_answer.py
+++ b/src/gentianwharf/platform/_store_answer.py
@@ -32,8 +32,8 @@
         self._latest_s = reactor.seconds() + timeout_s + most_body_s
         self._timer: Any = None
 
-    def end(self, asked: Deferred[Any]) -> None:
-        """Cancel a call when its time is over.
+    def start(self, asked: Deferred[Any]) -> None:
+        """Begin to count a call's time, and cancel it when that is over.
 
         That closes the connection, so that a late answer meets nobody's call.
         """
--- a/src/gentianwharf/rules/_index.py
+++ b/src/gentianwharf/rules/_index.py
@@ -131,7 +131,7 @@
 
     In sorted order all that begin with a prefix follow it at once, so that the ones
     still open stand in a stack and each is compared a few times, however long the list
-    is: 4,800 rules of one host take 0.02 s on a core, and took 9 s when each prefix was
+    is: 4,800 rules of one host take 0.02 s on a core, and 9 s where each prefix is
     compared with every other one (``bench/rules.py``).
     """
     parents = []
--- a/src/gentianwharf/spread/_state.py
+++ b/src/gentianwharf/spread/_state.py
@@ -10,7 +10,7 @@
     """What a host did, as counts since its start.
 
     ``deltas_lacking`` counts deltas whose base this host did not hold, ``failed``
-    values that this host stumbled over.
+    values that raised an error when this host used them.
     """
 
     taken: int = 0
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -219,7 +219,7 @@
         self._note_heard()
         newest = _newest(events)
         if newest.changes:
-            # Before they are put to use here: a long list of rules takes tenths of a
+            # Before this host uses them itself: a long list of rules takes tenths of a
             # second, and every other host would learn of it that much later.
             _guarded(
                 lambda: self.on_events(after_revision, newest),
@@ -327,7 +327,7 @@
 
 
 def _guarded(call: Callable[[], None], *, peer: str, revision: int | None) -> None:
-    """Call a listener; what it can't bear costs it this one call.
+    """Call a listener; an error of its own costs it this one call.
 
     Raised from here, its error would pass over the other changes that came along, which
     no later watch brings again, and could end the copy of every key.
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -377,3 +377,23 @@
     former = ["news", "h0", 3, [], 0.1, 10, 11, [["t", 11, b"x", 0, 0]]]
     trio.net.listeners[follower.peers.name.address](msgspec.msgpack.encode(former))
     assert follower.events == known
+
+
+def test_much_that_a_host_lacks_is_told_in_parts(trio: Trio) -> None:
+    """What all hosts are told waits for seconds behind what one of them lacks."""
+    leader, follower, _ = trio.hosts
+    lacking = [
+        item("a", 11, random_bytes(60_000)),
+        item("b", 12, random_bytes(60_000)),
+        item("c", 12, random_bytes(60_000)),
+    ]
+    leader.changes[10] = events(13, *lacking)
+    leader.changes[11] = events(13, *lacking[1:])
+    leader.revision = 13
+    follower.lacks_after = 10
+    trio.run(0.5)
+    assert (10, events(11, lacking[0])) in follower.events
+    follower.lacks_after = 11
+    trio.run(1)
+    # Changes of one revision stay together, or it would not be known up to which one.
+    assert (11, events(13, *lacking[1:])) in follower.events
--- a/tests/test_entryhost_servers.py
+++ b/tests/test_entryhost_servers.py
@@ -156,3 +156,26 @@
     many = {f"s{number}": {"max-connections": 10} for number in range(services)}
     note_configuration(host, revision=5, services=many, routes={})
     assert looked <= 1
+
+
+def test_server_that_changes_its_service_serves_the_new_one() -> None:
+    """A service has no server, though one is listed, until something else changes."""
+    registry = Registry(
+        services=[service(servers=0), service(name="documents", servers=0)],
+        classes=[],
+        domain="lac",
+        rng=Random(1),
+        daemons=2,
+    )
+    before = server(0)
+    registry.set_servers(before.service, [before], 0.0)
+    after = replace(before, service="documents", domain="ariana")
+    registry.set_servers(before.service, [], 1.0)
+    pool = registry.set_servers("documents", [after], 1.0)
+    assert pool is not None
+    assert [one.server for one in pool.states] == [after]
+    assert [one.local for one in pool.states] == [False]
+    former = registry.set_servers(before.service, [], 2.0)
+    assert former is not None
+    assert former.states == []
+    assert registry.servers[after.id].listed
