--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -8,8 +8,6 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from itertools import groupby
-from operator import attrgetter
 from typing import Any, final
 
 import msgspec
@@ -22,8 +20,8 @@
 from gentianwharf.store import Events, EventsListener, Item
 from gentianwharf.topology import BackendServer
 
-from ._messages import Change, Granted, LeaderItem, LoadReport, News, Report
-from ._told_values import ToldValues, UnknownBaseError, decoded, whole
+from ._messages import Granted, LeaderItem, LoadReport, News, Report
+from ._told_values import ToldValues, UnknownBaseError, decoded, first_part
 
 REPORT_EVERY_S = 0.25
 """Hot keys are to be seen within a second; a report of an idle host is 60 bytes."""
@@ -58,10 +56,6 @@
 GONE_S = 4.0
 """A host that has not reported for so long counts no more."""
 
-MOST_CAUGHT_UP_BYTES = 100_000
-"""Of several changes told to a single host in one message: a second of what it may be
-told."""
-
 MOST_BYTES = 1_000_000
 
 MOST_TOLD_BYTES = 500_000
@@ -355,9 +349,15 @@
         known, lacking = self.known(), self.changes_after(revision)
         if known is None or lacking is None:
             return
-        until, changes = _first_part(lacking)
+        part = first_part(lacking)
         news = News(
-            self.name.host, self._hosts, [], known.age_s, revision, until, changes
+            self.name.host,
+            self._hosts,
+            [],
+            known.age_s,
+            revision,
+            part.revision,
+            part.changes,
         )
         data = msgspec.msgpack.encode(news)
         self._catch_up_s = now_s + len(data) / CATCH_UP_BYTES_PER_S
@@ -401,21 +401,3 @@
             log.info("changes not told in full: {}", error)
             return news.revision, Events(changes=(), revision=news.revision)
         return news.after_revision, Events(changes=changes, revision=news.revision)
-
-
-def _first_part(lacking: Events) -> tuple[int, list[Change]]:
-    """Return the oldest changes that one message may hold, and up to which revision.
-
-    At least those of one revision, however large: told nothing for its size, a host
-    would lack all that came after it as well.
-    """
-    told: list[Change] = []
-    size = until = 0
-    for revision, changes in groupby(lacking.changes, key=attrgetter("revision")):
-        packed = [whole(one) for one in changes]
-        size += sum(len(one.value or b"") for one in packed)
-        if told and size > MOST_CAUGHT_UP_BYTES:
-            return until, told
-        told += packed
-        until = revision
-    return lacking.revision, told
--- a/src/gentianwharf/entryhost/_told_values.py
+++ b/src/gentianwharf/entryhost/_told_values.py
@@ -1,9 +1,12 @@
 """Changed values as a leader tells them: large ones against what they replace."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import groupby
+from operator import attrgetter
 from typing import final
 
-from gentianwharf.store import Item, Removal
+from gentianwharf.store import Events, Item, Removal
 
 from ._compression import compressed, decompressed
 from ._messages import Change
@@ -12,6 +15,11 @@
 """Values up to this are sent as they are."""
 
 
+MOST_PART_BYTES = 100_000
+"""Of several changes told to a single host in one message: a second of what it may be
+told."""
+
+
 class UnknownBaseError(Exception):
     """A change that is told against a value that this host doesn't have."""
 
@@ -51,6 +59,33 @@
     return Change(change.key, change.revision, value, change.lease_id, 0)
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Part:
+    """Changes for one host, all that there were up to a revision."""
+
+    revision: int
+    changes: list[Change]
+
+
+def first_part(lacking: Events) -> Part:
+    """Return the oldest changes that one message may hold.
+
+    At least those of one revision, however large: told nothing for its size, a host
+    would lack all that came after it as well.
+    """
+    told: list[Change] = []
+    size = until = 0
+    for revision, changes in groupby(lacking.changes, key=attrgetter("revision")):
+        packed = [whole(one) for one in changes]
+        size += sum(len(one.value or b"") for one in packed)
+        if told and size > MOST_PART_BYTES:
+            return Part(revision=until, changes=told)
+        told += packed
+        until = revision
+    return Part(revision=lacking.revision, changes=told)
+
+
 def decoded(change: Change, *, item: Callable[[str], Item | None]) -> Item | Removal:
     """Return what was told; ``item`` finds what this host has.
 
