Read a route in one method; file a server's row in one place

No behaviour changes. _Reader keeps the services and kinds that it has read, where a closure filled a table of its caller's and five arguments were handed down; which services are keyed follows from them. A new row of the gate and one that is followed are filed by the same code. A new pool of connections is no longer told of the server that it was made for.

--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -252,7 +252,8 @@
             if pool is None:
                 pool = ServerConnections(server=server, reactor=self._reactor)
                 self.relay.connections[server.id] = pool
-            pool.follow(server)
+            else:
+                pool.follow(server)
             pool.share_with(self._control.hosts)
         self._admission.set_servers(service, servers)
         self._control.note_servers(service)
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -131,12 +131,17 @@
             most_connections=self._share_of_connections(server),
         )
         self.servers[server.id] = state
+        self._file(state)
+        return state
+
+    def _file(self, state: ServerState) -> None:
+        """Put a row where its service and the server's own pool find it."""
+        server = state.server
         self._by_service.setdefault(server.service, {})[server.id] = state
         pool = self.pools.get((server.service, server.id))
         if pool is not None:
             # It was here before, and requests may still wait for it.
             pool.set_states([state])
-        return state
 
     def _follow_server(
         self, state: ServerState, server: BackendServer, now_s: float
@@ -144,13 +149,10 @@
         """Take what is now known of a server: it may have started again elsewhere."""
         state.note_listed(True, now_s)
         del self._by_service[state.server.service][server.id]
-        self._by_service.setdefault(server.service, {})[server.id] = state
         state.server = server
         state.local = server.domain == self._domain
         state.most_connections = self._share_of_connections(server)
-        pool = self.pools.get((server.service, server.id))
-        if pool is not None:
-            pool.set_states([state])
+        self._file(state)
 
     def _make_pool(
         self, service: str, states: list[ServerState], *, pinned: bool = False
--- a/src/gentianwharf/platform/_config.py
+++ b/src/gentianwharf/platform/_config.py
@@ -174,21 +174,17 @@
         self._config = config
         self._unread: list[Unread] = []
         self._unread_rules: set[str] = set()
+        self._kinds: dict[str, RequestKind] = {}
+        self._services = self._read_services()
 
     def configuration(self) -> Configuration:
         config = self._config
-        services = self._services()
-        keyed = frozenset(name for name, one in services.items() if one.keyed)
-        kinds: dict[str, RequestKind] = {}
-        rules = [
-            self._rule(name, place, services=services, keyed=keyed, kinds=kinds)
-            for name, place in self._places()
-        ]
+        rules = [self._rule(name, place) for name, place in self._places()]
         return Configuration(
             version=decode_version(config.version),
             document=RuleDocument.model_validate({"rules": rules}),
-            services=services,
-            kinds=kinds,
+            services=self._services,
+            kinds=self._kinds,
             limits=self._part("limits", config.limits, _limits),
             unread_rules=frozenset(self._unread_rules),
             unread=tuple(self._unread),
@@ -206,7 +202,7 @@
         ]
         return sorted(places, key=lambda one: (-len(one[1].prefix), one[0]))
 
-    def _services(self) -> dict[str, ConfiguredService]:
+    def _read_services(self) -> dict[str, ConfiguredService]:
         services = {}
         for name, raw in self._config.services.items():
             part = f"services.{name}"
@@ -224,29 +220,21 @@
             )
         return services
 
-    def _rule(
-        self,
-        name: str,
-        place: _Place,
-        *,
-        services: Mapping[str, ConfiguredService],
-        keyed: frozenset[str],
-        kinds: dict[str, RequestKind],
-    ) -> dict[str, Any]:
-        def decoded(raw: msgspec.Raw) -> Target:
-            route = msgspec.json.decode(raw, type=_Route)
-            kind = _kind(route)
-            then = _target(route, kind, services=services, keyed=keyed)
-            kinds[kind.name] = kind
-            return then
-
-        then = self._part(f"routes.{name}", self._config.routes[name], decoded)
+    def _rule(self, name: str, place: _Place) -> dict[str, Any]:
+        then = self._part(f"routes.{name}", self._config.routes[name], self._target)
         if then is None:
             self._unread_rules.add(name)
             then = Target(service=UNREAD_SERVICE)
         when = {"host": place.host.lower(), "path_prefix": place.prefix}
         return {"name": name, "when": when, "then": then}
 
+    def _target(self, raw: msgspec.Raw) -> Target:
+        route = msgspec.json.decode(raw, type=_Route)
+        kind = _kind(route)
+        target = _target(route, kind, self._services)
+        self._kinds[kind.name] = kind
+        return target
+
     def _part(
         self, part: str, written: Written, decode: Callable[[Written], Part]
     ) -> Part | None:
@@ -286,11 +274,7 @@
 
 
 def _target(
-    route: _Route,
-    kind: RequestKind,
-    *,
-    services: Mapping[str, ConfiguredService],
-    keyed: frozenset[str],
+    route: _Route, kind: RequestKind, services: Mapping[str, ConfiguredService]
 ) -> Target:
     names = [part.service for part in route.traffic_split]
     if route.service is not None:
@@ -313,7 +297,7 @@
             for part in route.traffic_split
         ],
     }
-    if keyed.intersection(names):
+    if any(services[name].keyed for name in names):
         then["key"] = {"place": "header", "name": SHARD_HEADER, "is_shard": True}
     return Target.model_validate(then)
 
