--- /dev/null
+++ b/tests/builders_lives.py
@@ -0,0 +1,113 @@
+"""Addresses where one life of a server follows another, for tests of ``keyspace``."""
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from gentianwharf.errors import (
+    OutcomeUnknownError,
+    PeerUnavailableError,
+    RefusedError,
+)
+from gentianwharf.keyspace import Grant, Holder, HolderEndedError, Release
+from tests.builders_keyspace import GrantingServer
+
+SLOW_CLOCK = 1.02
+
+
+@dataclass(kw_only=True)
+class Server:
+    """One life of a server; ``held`` ends with it, and so do the tokens it has seen."""
+
+    holder: Holder
+    grants: GrantingServer
+    release_takes_s: float = 0.0
+    late_s: float = 0.0
+    is_silent: bool = False
+
+
+@dataclass
+class Addresses:
+    """What lives at each address now, and what ever said that it lives there.
+
+    ``entries`` are in the order in which lives began; hosts may hear of them in any.
+    """
+
+    clock: Clock
+    living: dict[str, Server] = field(default_factory=dict)
+    entries: list[Holder] = field(default_factory=list)
+
+    def start(self, server_id: str, address: str, *, born_ms: int = 0) -> Holder:
+        """Begin a life at an address where nobody lives."""
+        assert address not in self.living
+        one = Holder(server_id=server_id, born_ms=born_ms, address=address)
+        self.living[address] = Server(
+            holder=one, grants=GrantingServer(clock=self.clock, drift=SLOW_CLOCK)
+        )
+        self.entries.append(one)
+        return one
+
+    def end(self, address: str) -> None:
+        """End what lives at an address."""
+        del self.living[address]
+
+    def holders(self, shard: int) -> list[Holder]:
+        """Return all lives that would run a request of this shard now."""
+        return [one.holder for one in self.living.values() if one.grants.holds(shard)]
+
+
+@dataclass
+class Way:
+    """One host's way to every address: it may be cut to some of them."""
+
+    addresses: Addresses
+    cut: set[str] = field(default_factory=set)
+
+    async def grant(self, holder: Holder, grant: Grant, *, timeout_s: float) -> None:
+        """Give a grant to the server at the holder's address, if it is the one."""
+        server = self._server(holder)
+        clock = self.addresses.clock
+        if server.is_silent:
+            await self._lose(timeout_s)
+        if server.late_s:
+            clock.callLater(server.late_s, _take_late, server, grant, clock.seconds())
+            await self._lose(timeout_s)
+        server.grants.take_grant(grant)
+
+    async def release(
+        self, holder: Holder, release: Release, *, timeout_s: float
+    ) -> str | None:
+        """Take shards back from the server at the holder's address."""
+        server = self._server(holder)
+        if server.is_silent:
+            await self._lose(timeout_s)
+        server.grants.take_release(release)
+        if server.release_takes_s > timeout_s:
+            await self._lose(timeout_s)
+        if server.release_takes_s:
+            await self._pause(server.release_takes_s)
+        return "handover"
+
+    def _server(self, holder: Holder) -> Server:
+        server = self.addresses.living.get(holder.address)
+        if server is None or holder.address in self.cut:
+            raise PeerUnavailableError("no way", step="order", peer=holder.address)
+        if server.holder.server_id != holder.server_id:
+            raise HolderEndedError("another", step="order", peer=holder.address)
+        return server
+
+    async def _lose(self, timeout_s: float) -> None:
+        await self._pause(timeout_s)
+        raise OutcomeUnknownError("no answer", step="order", peer="server")
+
+    def _pause(self, delay_s: float) -> "Deferred[None]":
+        done: Deferred[None] = Deferred()
+        self.addresses.clock.callLater(delay_s, done.callback, None)
+        return done
+
+
+def _take_late(server: Server, grant: Grant, arrived_s: float) -> None:
+    with suppress(RefusedError):
+        server.grants.take_grant(grant, arrived_s)
