Take nobody for ended but by an answer from the address, or by time

Cause: the keeper took the order of news for the order of things.

Ruled out: ordering entries by birth or by revision. Births are missing on platforms of today, and a revision orders writes, not lives. A next life may even hold what was meant for the former one: it took a renewal, knowing no tokens. So the list proves nothing; a former holder is told to release or waited out, and 421 from its address ends the wait at once, as a newer life's answer to the release does.

--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -23,7 +23,7 @@
 from ._orders import Grant, HolderEndedError, Orders, Release
 from ._rows import Life, Row
 from ._table import Holder, KeyTable, Span
-from ._timing import PROBE_EVERY_S, UNREACHABLE_S, GrantTiming
+from ._timing import LEADER_LEASE_S, PROBE_EVERY_S, UNREACHABLE_S, GrantTiming
 
 GRANT_TIMEOUT_S = 0.4
 """A server answers a grant in milliseconds; what is lost on the way is sent again."""
@@ -58,7 +58,7 @@
         self._grants_sent = 0
         self._on_their_way = 0
         self._leading = False
-        self._has_ended: Callable[[Holder], bool] = lambda holder: False
+        self._listed: frozenset[Holder] = frozenset()
         self.on_granted: Callable[[str, Span], None] = lambda service, span: None
 
     def take_over(self, heard_s: float, *, held_s: float | None = None) -> None:
@@ -110,27 +110,19 @@
         for key, span in wanted.items():
             known = self._rows.get(key)
             if known is None or known.span.holder != span.holder:
-                former = [one for one in span.former if not self._has_ended(one)]
-                self._rows[key] = Row(service=table.service, span=span, former=former)
+                self._rows[key] = Row(
+                    service=table.service, span=span, former=list(span.former)
+                )
 
     def note_listed(self, listed: Iterable[Holder]) -> None:
-        """Follow which servers are listed: they tell of others that have ended.
+        """Follow which servers are listed: only these are asked for a sign of life.
 
-        A server that was born again holds nothing of its former life, and an address
-        goes to another server only after the one that had it has ended.
+        The list tells nobody's end. Entries come late and in any order: that of a
+        server which has ended may appear after that of the next one at its address,
+        and whoever was taken for ended would keep its shards beside their next holder.
+        What a server answers now tells it, and otherwise its last grant is waited out.
         """
-        known = list(listed)
-        lives = {one.server_id: one.born_ms for one in known}
-        owners = {one.address: one.server_id for one in known}
-
-        def has_ended(holder: Holder) -> bool:
-            born_ms = lives.get(holder.server_id, holder.born_ms)
-            owner = owners.get(holder.address, holder.server_id)
-            return born_ms != holder.born_ms or owner != holder.server_id
-
-        for row in self._rows.values():
-            row.former = [one for one in row.former if not has_ended(one)]
-        self._has_ended = has_ended
+        self._listed = frozenset(listed)
 
     def unreachable(self) -> frozenset[Holder]:
         """Return the holders that have left every order without an answer for long."""
@@ -142,12 +134,6 @@
             or (life.failing_since_s is not None and life.failing_since_s <= latest_s)
         )
 
-    def lost(self) -> frozenset[Holder]:
-        """Return the holders that can't hand over what they have."""
-        holders = {row.span.holder for row in self._rows.values()}
-        ended = {one for one in holders if self._has_ended(one)}
-        return self.unreachable() | ended
-
     def moved(self, service: str) -> frozenset[SpanKey]:
         """Return the spans whose former holders are out and whose holder has them."""
         return frozenset(
@@ -185,7 +171,7 @@
         Without one it would be passed over for ever: nothing else is ordered of it.
         """
         is_due = now_s >= life.probe_due_s and not life.orders
-        if life.probe is None or life.has_ended or not is_due:
+        if life.probe is None or holder not in self._listed or not is_due:
             return
         life.probe_due_s = now_s + PROBE_EVERY_S
         order = Deferred.fromCoroutine(self._send_probe(holder, life, life.probe))
@@ -195,25 +181,22 @@
         try:
             await self._orders.release(holder, release, timeout_s=GRANT_TIMEOUT_S)
         except RefusedError:
-            life.failing_since_s = None
-        except HolderEndedError:
-            life.has_ended = True
+            pass
+        except HolderEndedError as error:
+            self._note_ended(holder, error)
             return
         except GentianwharfError as error:
             log.debug("no sign of life: {}", error)
-        else:
-            life.failing_since_s = None
-        if life.failing_since_s is None:
-            log.info("server reached again", extra={"server": holder.server_id})
+            return
+        # Also of one that had ended: it was born again under its id.
+        life.failing_since_s = None
+        life.has_ended = False
+        log.info("server reached again", extra={"server": holder.server_id})
 
     def _advance(self, row: Row, now_s: float) -> None:
         for one in list(row.former):
             if now_s >= self._held_until_s(one):
-                row.former.remove(one)
-                span = row.span
-                self._life(one).probe = Release(
-                    first=span.first, last=span.last, token=span.token
-                )
+                self._leave_out(row, one)
         holder = row.former[0] if row.former else row.span.holder
         if not self._may_order(holder):
             return
@@ -222,18 +205,31 @@
         else:
             self._start(row, holder, self._grant(row))
 
+    def _leave_out(self, row: Row, holder: Holder) -> None:
+        """Wait no more for a former holder; what it is asked first is to release."""
+        row.former.remove(holder)
+        span = row.span
+        self._life(holder).probe = Release(
+            first=span.first, last=span.last, token=span.token
+        )
+
     def _may_order(self, holder: Holder) -> bool:
         life = self._life(holder)
         if life.failing_since_s is not None:
-            # One at a time shows as well whether it answers again.
-            return not life.orders
+            # One at a time shows as well whether it answers again. A host that may lead
+            # no more asks it nothing: who answers then may be the server's next life,
+            # born again under its id, which has seen no tokens. It would take a
+            # renewal of keys that the next leader has given to another server.
+            return not life.orders and not self._is_replaced()
         self._on_their_way += 1
         return self._on_their_way <= MOST_ORDERS
 
+    def _is_replaced(self) -> bool:
+        """Whether another host may lead by now."""
+        return self._now_s() >= self._heard_s + LEADER_LEASE_S
+
     def _held_until_s(self, holder: Holder) -> float:
         life = self._lives.get(holder)
-        if life is not None and life.has_ended:
-            return 0.0
         known_s = life.surely_until_s() if life is not None else 0.0
         return max(known_s, self._unknown_until_s)
 
@@ -272,7 +268,11 @@
         try:
             handover = await self._orders.release(holder, release, timeout_s=timeout_s)
         except HolderEndedError as error:
+            # Another one answers there: this one is no more, nor are its grants.
             self._note_ended(holder, error)
+            if holder in row.former:
+                self._leave_out(row, holder)
+            self._go_on(row)
             return
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
@@ -286,7 +286,10 @@
         if holder in row.former:
             row.former.remove(holder)
         self._log(row, holder, "released")
-        # The next step needs no tick.
+        self._go_on(row)
+
+    def _go_on(self, row: Row) -> None:
+        """Take a row's next step, which needs no tick."""
         row.ordering = False
         if not row.gone and self._leading:
             self._advance(row, self._now_s())
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -229,7 +229,7 @@
             row.cold.popleft()
         cold = sum(load for _, load in row.cold)
         room = _room(row.demand, reached) - cold
-        return Losses(holders=self._keeper.lost(), room=room)
+        return Losses(holders=self._keeper.unreachable(), room=room)
 
     def _is_changed(self, row: _Service) -> bool:
         return row.planned_for != self._reached(row) or not row.table.spans
--- a/tests/test_keyspace_order_of_news.py
+++ b/tests/test_keyspace_order_of_news.py
@@ -109,6 +109,37 @@
     assert addresses.holders(SHARD) == [other]
 
 
+def test_replaced_leader_renews_nothing_of_a_server_that_has_failed() -> None:
+    """A server born again holds keys that the new leader gave to another one.
+
+    The former leader hears the store no more and goes on renewing for a while. The
+    server has released the keys, ends and is born again under its id; it has seen no
+    tokens, and took a renewal that was meant for its former life.
+    """
+    clock = Clock()
+    addresses = Addresses(clock)
+    first_life = addresses.start("a", X)
+    other = addresses.start("c", Y)
+    keepers = [
+        Keeper(orders=Way(addresses), timing=TIMING, now_s=clock.seconds)
+        for _ in range(2)
+    ]
+    former, leader = keepers
+    former.take_over(clock.seconds())
+    former.follow(_table(first_life, 1))
+    run_keeper(former, clock, 20.0)
+    run_keeper(former, clock, 2.0, heard=False)
+    leader.take_over(clock.seconds())
+    leader.follow(_table(first_life, 1))
+    leader.follow(_table(other, 2, former=(first_life,)))
+    run_keeper(leader, clock, 0.2)
+    assert addresses.holders(SHARD) == [other]
+    addresses.end(X)
+    run_keeper(former, clock, 1.0, heard=False)
+    addresses.start("a", X)
+    run_keeper(former, clock, 1.5, heard=False, look=lambda: _assert_one(addresses))
+
+
 @pytest.mark.parametrize("passed_on", [1, 2], ids=["once", "twice"])
 def test_server_whose_address_was_passed_on_is_not_waited_for(passed_on: int) -> None:
     """Keys of a server that has ended stay unserved although its address answers."""
