Watch the store in short turns wherever no leader is heard

The leader was not heard any more from 19.6 s, and each other host began a watch of 20 s, whose answer never came. The store was well again at 27.1 s and another host led at 27.4 s, but the five could not know: they still reported to the former leader, which no longer takes reports, so the new one did not know of them and told them nothing. They would have waited until 40.6 s.

Ruled out: a leader's news that were not taken as a gap (they got none), a rule that could not be read (no line), a lost connection (it was open).

A watch without an answer can't be told from a time without changes, so whoever hears no leader watches in turns of 0.8 s, as the leader does; by the number of hosts longer, 250 turns a second for all. Fed hosts watch as little as before.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -28,11 +28,11 @@
 from gentianwharf.relay import ServerLoad
 from gentianwharf.store import (
     TELLING_PACE,
-    USUAL_PACE,
     Events,
     Item,
     Mirror,
     WatchPace,
+    usual_pace,
 )
 from gentianwharf.topology import BackendServer
 
@@ -244,7 +244,7 @@
         return mirror.revision if lacks else None
 
     def _pace(self) -> WatchPace:
-        return TELLING_PACE if self.leadership.leads else USUAL_PACE
+        return TELLING_PACE if self.leadership.leads else usual_pace(self.hosts)
 
     # What other hosts say.
 
--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -4,10 +4,10 @@
     MISSED_S,
     MOST_REMOVALS,
     TELLING_PACE,
-    USUAL_PACE,
     EventsListener,
     Mirror,
     WatchPace,
+    usual_pace,
 )
 from ._types import (
     Change,
@@ -25,7 +25,6 @@
     "MISSED_S",
     "MOST_REMOVALS",
     "TELLING_PACE",
-    "USUAL_PACE",
     "Change",
     "Events",
     "EventsListener",
@@ -38,4 +37,5 @@
     "Removal",
     "Store",
     "WatchPace",
+    "usual_pace",
 ]
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -34,13 +34,30 @@
     gather_s: float
 
 
-USUAL_PACE = WatchPace(wait_s=20.0, gather_s=0.25)
-"""Of a host that watches for itself alone."""
+WATCH_S = 0.8
+"""A store may leave a watch without an answer for good and still take other calls; only
+answers show that nothing was missed. A host that hears no other, or tells the others,
+is behind by this and by the time of an answer at the most."""
+
+TELLING_PACE = WatchPace(wait_s=WATCH_S, gather_s=0.05)
+"""Of the one that tells the others."""
+
+MOST_WATCHES_PER_S = 250.0
+"""Of all hosts together while none tells the others. The store takes a few thousand
+calls a second, and this is the time when it has most to answer."""
+
+MOST_WATCH_S = 20.0
+
+
+def usual_pace(hosts: int) -> WatchPace:
+    """Return the pace of a host that watches for itself alone, as so many do.
+
+    >>> usual_pace(9).wait_s, usual_pace(2_000).wait_s
+    (0.8, 8.0)
+    """
+    wait_s = min(MOST_WATCH_S, max(WATCH_S, hosts / MOST_WATCHES_PER_S))
+    return WatchPace(wait_s=wait_s, gather_s=0.25)
 
-TELLING_PACE = WatchPace(wait_s=0.8, gather_s=0.05)
-"""Of the one that tells the others. A store may leave a watch without an answer and
-still take other calls; only answers show that nothing was missed. So this one watches
-in short turns, the only host that pays for them."""
 
 REST_S = 0.1
 """How often a host that is told the changes looks whether it still is."""
@@ -78,7 +95,7 @@
         self.on_read: Callable[[], None] = lambda: None
         self.on_events: EventsListener = lambda after_revision, events: None
         self.is_fed: Callable[[], bool] = lambda: False
-        self.pace: Callable[[], WatchPace] = lambda: USUAL_PACE
+        self.pace: Callable[[], WatchPace] = lambda: usual_pace(1)
         self.items: dict[str, Item] = {}
         self.is_current = False
         self.heard_s = float("-inf")
--- a/tests/builders_entryhost.py
+++ b/tests/builders_entryhost.py
@@ -19,6 +19,9 @@
 
 TICK_S = 0.05
 
+ANSWER_S = 1.0
+"""For how long a call waits for its answer, a watch beyond its own wait."""
+
 
 @dataclass
 class HostWay:
@@ -28,18 +31,19 @@
     clock: Clock
     is_turned_away: bool = False
     loses_watches: bool = False
+    is_silent: bool = False
     calls: list[str] = field(default_factory=list)
 
     async def items(self, prefix: str) -> Page:
         """Return what stands below a prefix."""
-        self._begin("items")
+        await self._begin("items")
         return Page(
             items=tuple(self.items_.below(prefix)), revision=self.items_.revision
         )
 
     async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
         """Wait for a change; a watch that is lost ends a second after its wait."""
-        self._begin("watch")
+        await self._begin("watch", wait_s=wait_s)
         end_s = self.clock.seconds() + wait_s
         while not self.loses_watches and self.clock.seconds() < end_s:
             changes = self.items_.changes_after(prefix, after_revision)
@@ -47,14 +51,14 @@
                 break
             await deferLater(self.clock, TICK_S / 2)
         if self.loses_watches:
-            await deferLater(self.clock, end_s + 1 - self.clock.seconds())
+            await deferLater(self.clock, end_s + ANSWER_S - self.clock.seconds())
             raise PeerUnavailableError("lost", step="watch", peer="store")
         found = self.items_.changes_after(prefix, after_revision) or []
         return Events(changes=tuple(found), revision=self.items_.revision)
 
     async def change(self, change: Change) -> int:
         """Make a change."""
-        self._begin("change")
+        await self._begin("change")
         try:
             return self.items_.change(change)
         except ConditionError as error:
@@ -62,21 +66,24 @@
 
     async def open_lease(self, duration_s: float) -> int:
         """Open a lease."""
-        self._begin("open_lease")
+        await self._begin("open_lease")
         return self.items_.open_lease(duration_s)
 
     async def renew_lease(self, lease_id: int) -> float:
         """Let a lease begin anew."""
-        self._begin("renew_lease")
+        await self._begin("renew_lease")
         try:
             return self.items_.renew_lease(lease_id)
         except UnknownLeaseError as error:
             raise LeaseEndedError("none", step="renew", peer="store") from error
 
-    def _begin(self, call: str) -> None:
+    async def _begin(self, call: str, *, wait_s: float = 0.0) -> None:
         self.calls.append(call)
         if self.is_turned_away:
             raise PeerUnavailableError("turned away", step=call, peer="store")
+        if self.is_silent:
+            await deferLater(self.clock, wait_s + ANSWER_S)
+            raise PeerUnavailableError("silent", step=call, peer="store")
 
 
 @dataclass
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -7,13 +7,13 @@
 from gentianwharf.store import (
     MISSED_S,
     MOST_REMOVALS,
-    USUAL_PACE,
     Events,
     HistoryGoneError,
     Item,
     Mirror,
     Page,
     Removal,
+    usual_pace,
 )
 from tests.builders_store import (
     WatchedStore,
@@ -295,7 +295,8 @@
         mirror.feed(events(14, item("b", 14)), after_revision=13)
         advance(clock, 0.4)
     assert len(store.watches) == 2
-    assert store.waits_s == [USUAL_PACE.wait_s, MISSED_S], "it has to end by itself"
+    wait_s = usual_pace(1).wait_s
+    assert store.waits_s == [wait_s, min(wait_s, MISSED_S)], "it has to end by itself"
 
 
 def test_watch_that_brings_what_was_told_is_left_alone(
