Ask the former leader what its grants hold; begin with the tables as they stand

A new leader now asks it, by the word that each leader leaves in the store as it takes the place (so that it is surely the last one's). The answer ends the former one's lead for good and gives the time for each life of a server; a process that runs in the former one's place tells when that one had ended at the latest, and a leader that follows itself forgets nothing.

Found on the way, by reading: a host whose watch was left without an answer could take the lead by tables older than the last term and renew what had been waited out. It now reads the tables once, and waits for that before it gives an order.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from gentianwharf.keyspace import (
+    Former,
     GrantTiming,
     Keeper,
     Leadership,
@@ -38,10 +39,11 @@
 
 from ._directory import Directory, takes_work
 from ._entities import candidate_of, holder_of
+from ._former_leader import FormerLeader
 from ._keys import KeyHolders, ServerOf
 from ._peers import Known, Peers
 from ._rules import RulesInForce
-from ._store_keys import LEADER_KEY, RESIGNED_KEY, TABLE_PREFIX
+from ._store_keys import FORMER_KEY, LEADER_KEY, TABLE_PREFIX
 
 STAND_BACK_S = 4.0
 """For how long a host that could reach few servers leaves the lead to others: about as
@@ -59,6 +61,9 @@
 """After so long a host asks the leader for what it was told of and lacks: its own watch
 has been asked anew by then, and should have brought it."""
 
+PROCESS_BITS = 53
+"""Of the number that tells a host's process from the one before."""
+
 FIRST_HOSTS = 10
 """How many hosts there are, until the leader tells."""
 
@@ -89,20 +94,27 @@
             host=settings.name,
             address=f"{settings.ip}:{settings.first_internal_port}",
             reactor=reactor,
+            process=rng.getrandbits(PROCESS_BITS),
         )
         self.leadership = Leadership(
             store=store,
             key=LEADER_KEY,
-            resigned_key=RESIGNED_KEY,
+            former_key=FORMER_KEY,
             value=msgspec.json.encode(self._peers.name),
             now_s=now_s,
             rng=rng,
             stand_back_s=SMALL_STAND_BACK_S * max(0.0, 1.0 - settings.cores),
         )
+        timing = GrantTiming(longest_grant_s=settings.agreements.longest_grant_s)
         self._keeper = Keeper(
-            orders=ServerOrders(reactor=reactor),
-            timing=GrantTiming(longest_grant_s=settings.agreements.longest_grant_s),
-            now_s=now_s,
+            orders=ServerOrders(reactor=reactor), timing=timing, now_s=now_s
+        )
+        self._former = FormerLeader(
+            name=self._peers.name,
+            keeper=self._keeper,
+            leadership=self.leadership,
+            timing=timing,
+            reactor=reactor,
         )
         self._planner = Planner(
             store=store,
@@ -127,6 +139,7 @@
         self._keeper.on_granted = self._note_granted
         self._planner.on_table = self.keys.take
         self._planner.on_isolated = self._step_aside
+        self._planner.on_former = self._former.ask
 
     def _connect_peers(self) -> None:
         peers = self._peers
@@ -139,6 +152,8 @@
         peers.item = self.mirror.items.get
         peers.lacks_after = self._lacks_after
         peers.changes_after = self.mirror.changes_after
+        peers.on_asked = self._former.note_asked
+        peers.on_told = self._former.note_told
         self.keys.on_request = peers.note_request
         self.keys.hears_leader = peers.hears_leader
 
@@ -151,6 +166,7 @@
         """Follow nothing any more."""
         self.mirror.stop()
         self._peers.stop()
+        self._former.stop()
 
     def tick(self) -> None:
         """Do what is due."""
@@ -158,6 +174,7 @@
         self.leadership.tick()
         self._planner.tick()
         self._keeper.tick()
+        self._former.tick()
         self._peers.tick()
 
     def resign(self, stand_back_s: float) -> None:
@@ -219,8 +236,8 @@
         elif key == LEADER_KEY:
             self._peers.follow(item)
             self.leadership.note_item(item)
-        elif key == RESIGNED_KEY:
-            self.leadership.note_resigned(item)
+        elif key == FORMER_KEY:
+            self.leadership.note_former(item)
         elif key.startswith(TABLE_PREFIX) and item is not None:
             self._planner.note_table(item)
 
@@ -274,9 +291,9 @@
 
     # While this host leads.
 
-    def _begin_to_lead(self, held_s: float | None) -> None:
+    def _begin_to_lead(self, former: Former | None) -> None:
         self._peers.lead(True)
-        self._planner.note_gained(held_s)
+        self._planner.note_gained(former)
 
     def _cease_to_lead(self) -> None:
         self._peers.lead(False)
--- a/src/gentianwharf/entryhost/_messages.py
+++ b/src/gentianwharf/entryhost/_messages.py
@@ -75,7 +75,44 @@
 
 
 class LeaderItem(msgspec.Struct, array_like=True):
-    """What stands in the store of the leader: its name, and where it hears reports."""
+    """What stands in the store of the leader: its name, and where it hears reports.
+
+    ``process`` is drawn at each start: a host that was started again knows nothing.
+    """
 
     host: str
     address: str
+    process: int = 0
+
+
+class AskedHolds(msgspec.Struct, array_like=True, tag="asked-holds"):
+    """A new leader asks the one before for what its grants hold.
+
+    ``revision`` is that of the new leader's term; ``address`` is where it hears.
+    """
+
+    address: str
+    process: int
+    revision: int
+
+
+class HeldFor(msgspec.Struct, array_like=True):
+    """For how long a life of a server may hold something."""
+
+    server_id: str
+    born_ms: int
+    address: str
+    held_s: float
+
+
+class ToldHolds(msgspec.Struct, array_like=True, tag="told-holds"):
+    """The answer: for how long grants hold of ``process``, which gives none any more.
+
+    ``ended_s`` is how long ago that process must have ended, since another one runs in
+    its place; None if it is the one that answers.
+    """
+
+    process: int
+    ended_s: float | None
+    others_s: float = 0.0
+    held: list[HeldFor] = []
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -20,7 +20,15 @@
 from gentianwharf.store import Events, EventsListener, Item
 from gentianwharf.topology import BackendServer
 
-from ._messages import Granted, LeaderItem, LoadReport, News, Report
+from ._messages import (
+    AskedHolds,
+    Granted,
+    LeaderItem,
+    LoadReport,
+    News,
+    Report,
+    ToldHolds,
+)
 from ._told_values import ToldValues, UnknownBaseError, decoded, first_part
 
 REPORT_EVERY_S = 0.25
@@ -84,7 +92,9 @@
 class Peers:
     """One host's links to the leader and, while it leads, to all others."""
 
-    def __init__(self, *, host: str, address: str, reactor: Any) -> None:
+    def __init__(
+        self, *, host: str, address: str, reactor: Any, process: int = 0
+    ) -> None:
         self.on_requests: Callable[[str, Mapping[int, float]], None]
         self.on_load: Callable[[str, str, LoadSeen], None]
         self.on_granted: Callable[[str, int, int, int], None]
@@ -94,7 +104,9 @@
         self.item: Callable[[str], Item | None]
         self.lacks_after: Callable[[], int | None] = lambda: None
         self.changes_after: Callable[[int], Events | None] = lambda revision: None
-        self.name = LeaderItem(host=host, address=address)
+        self.on_asked: Callable[[AskedHolds], None] = lambda question: None
+        self.on_told: Callable[[ToldHolds], None] = lambda answer: None
+        self.name = LeaderItem(host=host, address=address, process=process)
         self._reactor = reactor
         self._listener: NngListener | None = None
         self._leader: LeaderItem | None = None
@@ -311,14 +323,20 @@
 
     def _received(self, data: bytes) -> None:
         try:
-            message = msgspec.msgpack.decode(data, type=Report | News)
+            message = msgspec.msgpack.decode(
+                data, type=Report | News | AskedHolds | ToldHolds
+            )
         except msgspec.DecodeError as error:
             log.warning("a host's message can't be read: {}", error)
             return
         if isinstance(message, Report):
             self._received_report(message)
-        else:
+        elif isinstance(message, News):
             self._received_news(message)
+        elif isinstance(message, AskedHolds):
+            self.on_asked(message)
+        else:
+            self.on_told(message)
 
     def _received_report(self, report: Report) -> None:
         if not self._leads:
--- a/src/gentianwharf/entryhost/_store_keys.py
+++ b/src/gentianwharf/entryhost/_store_keys.py
@@ -5,8 +5,8 @@
 LEADER_KEY = OWN_PREFIX + "leader"
 """Who leads, under its lease."""
 
-RESIGNED_KEY = OWN_PREFIX + "resigned"
-"""For how long the grants of a leader that resigned hold."""
+FORMER_KEY = OWN_PREFIX + "former"
+"""What each leader leaves for the next one to know of its grants."""
 
 TABLE_PREFIX = OWN_PREFIX + "keys/"
 """Below it the table of each keyed service, by the service's name."""
--- a/src/gentianwharf/keyspace/__init__.py
+++ b/src/gentianwharf/keyspace/__init__.py
@@ -1,6 +1,7 @@
 """Who holds which shards where backend servers enforce grants themselves."""
 
 from ._demand import Demand, LoadSeen
+from ._former import Former, Holds
 from ._keeper import Keeper
 from ._leadership import Leadership
 from ._orders import Grant, HolderEndedError, Orders, Release
@@ -13,10 +14,12 @@
 __all__ = [
     "Candidate",
     "Demand",
+    "Former",
     "Grant",
     "GrantTiming",
     "Holder",
     "HolderEndedError",
+    "Holds",
     "Keeper",
     "KeyTable",
     "Leadership",
--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -19,6 +19,7 @@
 )
 from gentianwharf.logs import log
 
+from ._former import Holds
 from ._moves import SpanKey, key_of
 from ._orders import Grant, HolderEndedError, Orders, Release
 from ._rows import Life, Row
@@ -84,6 +85,31 @@
         )
         return max(0.0, latest_s - self._now_s())
 
+    def is_settled(self) -> bool:
+        """Whether no grant of an earlier leader holds any more."""
+        return self._now_s() >= self._unknown_until_s
+
+    def holds(self) -> Holds:
+        """Return for how long each grant may still hold, if none is given any more."""
+        now_s = self._now_s()
+        others_s = max(0.0, self._unknown_until_s - now_s)
+        return Holds(
+            others_s=others_s,
+            of_s={
+                holder: max(others_s, life.surely_until_s() - now_s)
+                for holder, life in self._lives.items()
+                if life.surely_until_s() - now_s > others_s
+            },
+        )
+
+    def note_holds(self, holds: Holds) -> None:
+        """Learn what the leader before had granted, of itself, while this one leads."""
+        now_s = self._now_s()
+        self._unknown_until_s = min(self._unknown_until_s, now_s + holds.others_s)
+        for holder, held_s in holds.of_s.items():
+            life = self._life(holder)
+            life.held_until_s = max(life.held_until_s, now_s + held_s)
+
     def stop(self) -> None:
         """Give no more orders."""
         self._leading = False
@@ -91,6 +117,8 @@
             row.gone = True
         self._rows.clear()
         for life in self._lives.values():
+            # What is cancelled may have left already.
+            life.held_until_s = life.surely_until_s()
             for order in list(life.orders):
                 order.cancel()
 
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -5,7 +5,6 @@
 from random import Random
 from typing import Any, final
 
-import msgspec
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
@@ -13,6 +12,7 @@
 from gentianwharf.logs import log
 from gentianwharf.store import Change, Item, LeaseEndedError, Put, Store
 
+from ._former import Former, decode_former, encode_former
 from ._timing import LEADER_LEASE_S, RENEW_LEASE_EVERY_S
 
 CAMPAIGN_WITHIN_S = 0.15
@@ -49,7 +49,7 @@
         *,
         store: Store,
         key: str,
-        resigned_key: str,
+        former_key: str,
         value: bytes,
         now_s: Clock,
         rng: Random,
@@ -57,15 +57,15 @@
     ) -> None:
         self.term: Term | None = None
         self.heard_s = float("-inf")
-        self.on_gained: Callable[[float | None], None] = lambda held_s: None
+        self.on_gained: Callable[[Former | None], None] = lambda former: None
         self.on_lost: Callable[[], None] = lambda: None
         self._stands_back_until_s = float("-inf")
         self._store = store
         self._key = key
-        self._resigned_key = resigned_key
-        self._resigned: Item | None = None
-        self._held_s: float | None = None
-        self._value = value
+        self._former_key = former_key
+        self._former_item: Item | None = None
+        self._former: Former | None = None
+        self.value = value
         self._now_s = now_s
         self._rng = rng
         self._stand_back_s = stand_back_s
@@ -115,8 +115,8 @@
         """Give the place up, so that another host takes it at once.
 
         ``held_s`` is for how long this host's grants may still hold. The next leader
-        finds it beside the place, and takes it away when it takes the place: so it
-        is never taken for the word of a leader in between, who was lost. For
+        finds it beside the place, and puts its own word there when it takes the place:
+        so it is never taken for the word of a leader in between, who was lost. For
         ``stand_back_s`` this host does not ask for the place again.
         """
         self._stands_back_until_s = self._now_s() + stand_back_s
@@ -124,21 +124,44 @@
         if term is None:
             return
         self._lose("resigned")
-        resigned = Put(key=self._resigned_key, value=msgspec.json.encode(held_s))
         try:
             await self._store.change(
                 Change(
                     expected={self._key: term.revision},
-                    puts=(resigned,),
+                    puts=(self._word(is_settled=True, held_s=held_s),),
                     removals=(self._key,),
                 )
             )
         except GentianwharfError as error:
             log.info("not resigned, the lease will run out: {}", error.message)
 
-    def note_resigned(self, item: Item | None) -> None:
-        """Follow the item that a leader leaves behind when it resigns."""
-        self._resigned = item
+    def give_way(self) -> None:
+        """Lead no more: another host does, and has said so."""
+        if self.term is not None:
+            self._lose("another host leads")
+
+    async def settle(self) -> bool:
+        """Leave word that only grants of this leader may hold; whether that is done."""
+        term = self.term
+        if term is None:
+            return False
+        word = self._word(is_settled=True)
+        try:
+            await self._store.change(
+                Change(expected={self._key: term.revision}, puts=(word,))
+            )
+        except GentianwharfError as error:
+            log.info("no word left for the next leader: {}", error.message)
+            return False
+        return True
+
+    def note_former(self, item: Item | None) -> None:
+        """Follow the item in which each leader leaves its word for the next one."""
+        self._former_item = item
+
+    def _word(self, *, is_settled: bool, held_s: float | None = None) -> Put:
+        former = Former(value=self.value, is_settled=is_settled, held_s=held_s)
+        return Put(key=self._former_key, value=encode_former(former))
 
     def _end_campaign(self, _: object) -> None:
         self._campaigning = False
@@ -149,17 +172,18 @@
             self._asking_lease_id = 0
             lease_id = await self._store.open_lease(LEADER_LEASE_S)
             self._asking_lease_id, self._asked_s = lease_id, now_s
-            resigned = self._resigned
-            self._held_s = _held_s(resigned)
-            put = Put(key=self._key, value=self._value, lease_id=lease_id)
+            former = self._former_item
+            self._former = decode_former(former)
+            put = Put(key=self._key, value=self.value, lease_id=lease_id)
             revision = await self._store.change(
                 Change(
+                    # Its word has to be the last leader's: one that this host has not
+                    # heard of may have granted what an earlier one knows nothing of.
                     expected={
                         self._key: 0,
-                        self._resigned_key: resigned.revision if resigned else 0,
+                        self._former_key: former.revision if former else 0,
                     },
-                    puts=(put,),
-                    removals=(self._resigned_key,) if resigned else (),
+                    puts=(put, self._word(is_settled=False)),
                 )
             )
         except ConflictError:
@@ -200,8 +224,9 @@
         self._asking_lease_id = 0
         self.heard_s = self._asked_s
         self._due_s = self._now_s() + RENEW_LEASE_EVERY_S
-        log.info("leading", extra={"revision": revision, "held_s": self._held_s})
-        self.on_gained(self._held_s)
+        held_s = self._former.held_s if self._former is not None else None
+        log.info("leading", extra={"revision": revision, "held_s": held_s})
+        self.on_gained(self._former)
 
     def _campaign_s(self) -> float:
         within_s = self._rng.random() * CAMPAIGN_WITHIN_S
@@ -214,16 +239,6 @@
         self.on_lost()
 
 
-def _held_s(resigned: Item | None) -> float | None:
-    if resigned is None:
-        return None
-    try:
-        return msgspec.json.decode(resigned.value, type=float)
-    except msgspec.DecodeError as error:
-        log.warning("a leader's word on its grants can't be read: {}", error)
-        return None
-
-
 def _start(call: Coroutine[Any, Any, None]) -> "Deferred[None]":
     return Deferred.fromCoroutine(call).addErrback(_log_fault)
 
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -18,8 +18,9 @@
 from gentianwharf.store import Change, Item, Put, Store
 
 from ._demand import Demand
+from ._former import Former
 from ._keeper import Keeper
-from ._leadership import Leadership
+from ._leadership import Leadership, Term
 from ._moves import done
 from ._plan import Candidate, Losses, plan
 from ._table import KeyTable, decode_table, encode_table
@@ -56,6 +57,7 @@
 host; until then a new leader would only release once more what has been released."""
 
 WRITE_AGAIN_S = 0.3
+READ_AGAIN_S = 0.3
 
 Clock = Callable[[], float]
 
@@ -99,6 +101,7 @@
     ) -> None:
         self.on_table: Callable[[KeyTable], None] = lambda table: None
         self.on_isolated: Callable[[], None] = lambda: None
+        self.on_former: Callable[[Former], None] = lambda former: None
         self._store = store
         self._leadership = leadership
         self._leader_key = leader_key
@@ -108,22 +111,72 @@
         self._now_s = now_s
         self._services: dict[str, _Service] = {}
         self._gained_s = 0.0
+        self._former: Former | None = None
+        self._term: Term | None = None
+        self._read_due_s = 0.0
+        self._has_settled = False
+        self._settle_due_s = 0.0
+
+    def note_gained(self, former: Former | None) -> None:
+        """Begin to lead; ``former`` is the word of the leader before."""
+        self._gained_s = self._now_s()
+        self._former = former
+        self._has_settled = False
+        self._settle_due_s = float("-inf")
+        self._read_tables()
 
-    def note_gained(self, held_s: float | None) -> None:
-        """Begin to carry out the tables: this host leads.
+    def _read_tables(self) -> None:
+        """Read the tables as they stand now, and then carry them out.
 
-        ``held_s`` is what the leader before told of its grants, if it resigned.
+        A host may take the lead without having heard of the last one's term, when its
+        watch was left without an answer. By its older tables it would renew grants of
+        holders that had been waited out.
         """
-        self._gained_s = self._now_s()
+        self._read_due_s = self._now_s() + READ_AGAIN_S
+        running = Deferred.fromCoroutine(self._begin(self._leadership.term))
+        running.addErrback(_log_fault)
+
+    async def _begin(self, term: Term | None) -> None:
+        try:
+            page = await self._store.items(self._prefix)
+        except GentianwharfError as error:
+            log.info("tables not read: {}", error.message)
+            return
+        if term is None or self._leadership.term is not term or self._term is term:
+            return
+        self._term = term
+        for item in page.items:
+            self.note_table(item)
+        self._take_over()
+
+    def _take_over(self) -> None:
+        former = self._former
+        held_s = former.held_s if former is not None else None
         if not any(row.table.spans for row in self._services.values()):
             # Nothing is granted without a table in the store.
             held_s = 0.0
+        own = self._keeper.holds()
         self._keeper.take_over(self._leadership.heard_s, held_s=held_s)
+        if former is not None and held_s is None:
+            if former.value == self._leadership.value:
+                self._keeper.note_holds(own)
+            else:
+                self.on_former(former)
         for service in self._services.values():
             service.due_s = 0.0
             service.planned_for = None
             self._keeper.follow(service.table)
 
+    def _settle(self, now_s: float) -> None:
+        """Leave word for the next leader that it need not know of those before."""
+        if now_s < self._settle_due_s:
+            return
+        self._settle_due_s = now_s + WRITE_AGAIN_S
+        self._has_settled = True
+        running = Deferred.fromCoroutine(self._leadership.settle())
+        running.addErrback(_log_fault)
+        running.addCallback(lambda done: setattr(self, "_has_settled", bool(done)))
+
     def set_services(self, warm_ups_s: Mapping[str, float]) -> None:
         """Follow which services are divided by key, and how long shards warm up."""
         for name, warm_up_s in warm_ups_s.items():
@@ -180,8 +233,14 @@
         """Plan where that is due; to be called every 50 ms or so."""
         if not self._leadership.may_change():
             return
-        self._keeper.note_heard(self._leadership.heard_s)
         now_s = self._now_s()
+        if self._term is not self._leadership.term:
+            if now_s >= self._read_due_s:
+                self._read_tables()
+            return
+        self._keeper.note_heard(self._leadership.heard_s)
+        if not self._has_settled and self._keeper.is_settled():
+            self._settle(now_s)
         for row in self._services.values():
             if not row.writing and now_s >= row.due_s and self._is_settled(row, now_s):
                 self._plan(row, now_s)
--- a/src/gentianwharf/keyspace/_timing.py
+++ b/src/gentianwharf/keyspace/_timing.py
@@ -97,9 +97,10 @@
         """Return when a grant has surely run out whose call ended at ``ended_s``."""
         return ended_s + duration_s * CLOCK_DRIFT + MARGIN_S
 
+    def ended_until_s(self, *, ended_s: float) -> float:
+        """Return when no grant can hold any more of a process that has ended."""
+        return self.held_until_s(ended_s=ended_s, duration_s=self.longest_grant_s)
+
     def unknown_until_s(self, *, took_over_s: float) -> float:
         """Return when no grant of an earlier leader can hold any more."""
-        return self.held_until_s(
-            ended_s=took_over_s + self.leader_alone_s,
-            duration_s=self.longest_grant_s,
-        )
+        return self.ended_until_s(ended_s=took_over_s + self.leader_alone_s)
--- a/tests/builders_entryhost.py
+++ b/tests/builders_entryhost.py
@@ -7,7 +7,7 @@
 import pytest
 from twisted.internet.task import Clock, deferLater
 
-from gentianwharf.entryhost import _control, _peers
+from gentianwharf.entryhost import _control, _former_leader, _peers
 from gentianwharf.entryhost._control import Control
 from gentianwharf.errors import ConflictError, PeerUnavailableError
 from gentianwharf.platform import decode_host_settings
@@ -109,6 +109,7 @@
         self.items = Items(now_s=self.clock.seconds)
         self.ways: list[HostWay] = []
         monkeypatch.setattr(_peers, "dial", self.net.dial)
+        monkeypatch.setattr(_former_leader, "dial", self.net.dial)
         monkeypatch.setattr(_peers, "NngListener", self.net.listen)
         monkeypatch.setattr(_control, "PlatformStore", self._way)
         self.hosts = [self._host(number) for number in range(hosts)]
--- a/tests/builders_keyspace.py
+++ b/tests/builders_keyspace.py
@@ -27,7 +27,7 @@
 SHARDS = 1000
 SERVICE = "roster"
 LEADER_KEY = "leader"
-RESIGNED_KEY = "resigned"
+FORMER_KEY = "former"
 TABLE_PREFIX = "keys/"
 TABLE_KEY = TABLE_PREFIX + SERVICE
 TIMING = GrantTiming(longest_grant_s=10.0)
--- a/tests/builders_keyspace_hosts.py
+++ b/tests/builders_keyspace_hosts.py
@@ -26,8 +26,8 @@
     Store,
 )
 from tests.builders_keyspace import (
+    FORMER_KEY,
     LEADER_KEY,
-    RESIGNED_KEY,
     SERVICE,
     SHARDS,
     TABLE_KEY,
@@ -204,7 +204,7 @@
         self.leadership = Leadership(
             store=store,
             key=LEADER_KEY,
-            resigned_key=RESIGNED_KEY,
+            former_key=FORMER_KEY,
             value=self.name.encode(),
             now_s=clock.seconds,
             rng=Middle(),  # type: ignore[arg-type]
@@ -231,8 +231,8 @@
             return
         if key == LEADER_KEY:
             self.leadership.note_item(item)
-        elif key == RESIGNED_KEY:
-            self.leadership.note_resigned(item)
+        elif key == FORMER_KEY:
+            self.leadership.note_former(item)
         elif key == TABLE_KEY and item is not None:
             self.planner.note_table(item)
 
@@ -247,7 +247,7 @@
         assert self.way is not None
         self.way.is_cut = False
         self.hears_store = True
-        for key in (LEADER_KEY, RESIGNED_KEY, TABLE_KEY):
+        for key in (LEADER_KEY, FORMER_KEY, TABLE_KEY):
             self.note_item(key, self.store.items_by_key.get(key))
 
     def tick(self) -> None:
--- a/tests/test_keyspace_leadership.py
+++ b/tests/test_keyspace_leadership.py
@@ -4,9 +4,10 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.keyspace import decode_table
+from gentianwharf.keyspace._former import decode_former
 from tests.builders_keyspace import (
+    FORMER_KEY,
     LEADER_KEY,
-    RESIGNED_KEY,
     SERVICE,
     SHARDS,
     TABLE_KEY,
@@ -147,7 +148,10 @@
     other.planner.set_candidates(SERVICE, [candidate(2), candidate(3)])
     run_hosts(clock, 5.0, other, look=lambda: one_each(servers))
     assert served(servers)
-    assert RESIGNED_KEY not in store.items_by_key
+    word = decode_former(store.items_by_key[FORMER_KEY])
+    assert word is not None
+    assert word.value == other.leadership.value, "the first one's word is gone"
+    assert word.held_s is None
 
 
 def test_resigning_leader_tells_of_an_earlier_one_s_grants_too() -> None:
--- a/tests/test_keyspace_model.py
+++ b/tests/test_keyspace_model.py
@@ -17,7 +17,7 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
-from gentianwharf.keyspace import Holder, Keeper, KeyTable, Span
+from gentianwharf.keyspace import Holder, Holds, Keeper, KeyTable, Span
 from gentianwharf.keyspace._moves import done
 from gentianwharf.keyspace._timing import LEADER_LEASE_S
 from tests.builders_keyspace import SERVICE, TIMING
@@ -37,10 +37,21 @@
 
     keeper: Keeper
     way: Way
+    started_s: float
     heard_s: float = 0.0
     listed: dict[str, Holder] = field(default_factory=dict)
 
 
+@dataclass
+class Word:
+    """What a leader leaves in the store for the next one: who it was."""
+
+    number: int
+    host: Host
+    is_settled: bool = False
+    held_s: float | None = None
+
+
 class World:
     """Hosts and servers; each step is named by a method and two small numbers."""
 
@@ -54,7 +65,8 @@
         self.hosts = [self._host() for _ in range(HOSTS)]
         self.leader: int | None = 0
         self.lost_s = 0.0
-        self.resigned_s: float | None = None
+        self.word: Word | None = None
+        self.former: Word | None = None
         for number, address in enumerate(ADDRESSES):
             self.addresses.start(f"s{number}", address)
         first = self.addresses.entries[0]
@@ -63,12 +75,14 @@
         for host in self.hosts:
             host.listed.update({one.server_id: one for one in self.addresses.entries})
             host.keeper.note_listed(host.listed.values())
-        self._take_over(0, held_s=0.0)
+        self.hosts[0].keeper.take_over(self.clock.seconds(), held_s=0.0)
+        self.hosts[0].keeper.follow(self.table)
+        self.word = Word(number=0, host=self.hosts[0])
 
     def _host(self) -> Host:
         way = Way(self.addresses)
         keeper = Keeper(orders=way, timing=TIMING, now_s=self.clock.seconds)
-        return Host(keeper=keeper, way=way)
+        return Host(keeper=keeper, way=way, started_s=self.clock.seconds())
 
     # Steps. Each does nothing where it does not fit.
 
@@ -160,12 +174,13 @@
         """Let the leader hear the store no more, nor that it is replaced."""
         if self.leader is not None:
             self.lost_s = self.hosts[self.leader].heard_s + LEADER_LEASE_S
-            self.leader, self.resigned_s = None, None
+            self.leader = None
 
     def resign(self, _: int, __: int) -> None:
         if self.leader is not None:
             keeper = self.hosts[self.leader].keeper
-            self.resigned_s = keeper.held_s()
+            assert self.word is not None
+            self.word.held_s, self.word.is_settled = keeper.held_s(), True
             keeper.stop()
             self.lost_s = self.clock.seconds()
             self.leader = None
@@ -182,15 +197,36 @@
     def lead(self, host: int, _: int) -> None:
         """Let a host take the lead once the lease of the one before is over."""
         if self.leader is None and self.clock.seconds() >= self.lost_s:
-            held_s, self.resigned_s = self.resigned_s, None
-            self._take_over(host % HOSTS, held_s=held_s)
+            self._take_over(host % HOSTS)
 
-    def _take_over(self, number: int, *, held_s: float | None) -> None:
+    def ask_former(self, _: int, __: int) -> None:
+        """Let the leader ask the one before, or who runs in its place now."""
+        word = self.former
+        if self.leader is None or word is None or word.held_s is not None:
+            return
+        keeper, asked = self.hosts[self.leader].keeper, self.hosts[word.number]
+        if asked is word.host:
+            asked.keeper.stop()
+            keeper.note_holds(asked.keeper.holds())
+        elif word.is_settled:
+            ended_s = self.clock.seconds() - asked.started_s
+            left_s = TIMING.ended_until_s(ended_s=0.0) - ended_s
+            keeper.note_holds(Holds(others_s=max(0.0, left_s)))
+        self.former = None
+
+    def _take_over(self, number: int) -> None:
         self.leader = number
         host = self.hosts[number]
+        self.former, self.word = self.word, Word(number=number, host=host)
+        assert self.former is not None
+        held_s = self.former.held_s
         host.keeper.stop()
+        own = host.keeper.holds()
         host.heard_s = self.clock.seconds()
         host.keeper.take_over(host.heard_s, held_s=held_s)
+        if self.former.host is host and held_s is None:
+            host.keeper.note_holds(own)
+            self.former = None
         host.keeper.follow(self.table)
 
     def run(self, duration_s: float) -> None:
@@ -200,6 +236,8 @@
                 if number == self.leader:
                     host.heard_s = self.clock.seconds()
                     host.keeper.note_heard(host.heard_s)
+                    assert self.word is not None
+                    self.word.is_settled |= host.keeper.is_settled()
                 host.keeper.tick()
             self.clock.advance(TICK_S)
             self.look()
@@ -235,6 +273,8 @@
     World.restart,
     World.lead,
     World.lead,
+    World.ask_former,
+    World.ask_former,
 )
 
 numbers = st.integers(min_value=0, max_value=5)
