Open the callers' port before modules are loaded, and let callers in when rules are known

Listened to from the first moment on, a caller waits in the kernel's queue for some tenths of a second instead.

Ruled out: a collector's pass (it is off until the host has started); the store (rules are in force 15 ms after the start).

--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -93,7 +93,10 @@
                 store=self._proxy_address(name),
             )
         )
-        env = {SETTINGS_PATH_VARIABLE: str(path)}
+        env = {
+            SETTINGS_PATH_VARIABLE: str(path),
+            "GENTIANWHARF_LISTEN": f"{self._ip(name)}:{CALLERS_PORT}",
+        }
         self._start(name, ["-OO", "-m", "gentianwharf.entry"], env)
 
     def _start_server(self, name: str) -> None:
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import fields
 from random import Random, SystemRandom
+from socket import socket
 from typing import Any, final
 
 from gentianwharf.admission import GateAdmission
@@ -23,6 +24,7 @@
 )
 from gentianwharf.topology import BackendServer, Service
 
+from ._callers_port import CallersPort
 from ._classes import class_of
 from ._control import Control
 from ._entities import limits_of, server_of
@@ -40,10 +42,6 @@
 """Without a request in flight a tick has nothing to do but to notice the host's own
 pauses, for which it takes gaps of more than 150 ms."""
 
-BACKLOG = 1024
-"""Callers' connections that wait to be accepted: after a loss of hosts the others get
-all of theirs within a moment."""
-
 NOTICE_S = 2.5
 """The balancer asks once a second and takes a host out after two misses."""
 
@@ -55,7 +53,13 @@
 class EntryHost:
     """One process; ``start`` it within a running reactor."""
 
-    def __init__(self, *, settings: HostSettings, reactor: Any) -> None:
+    def __init__(
+        self,
+        *,
+        settings: HostSettings,
+        reactor: Any,
+        callers_port: socket | None = None,
+    ) -> None:
         self.settings = settings
         self.on_end: Callable[[], None] = lambda: None
         self._reactor = reactor
@@ -68,6 +72,13 @@
             rng=self._rng,
         )
         self._build_relay()
+        self._callers_port = CallersPort(
+            address=settings.callers_address,
+            listener=callers_port,
+            site=self._site,
+            can_serve=self.is_ready,
+            reactor=reactor,
+        )
         self._control.on_hosts = self._note_hosts
         self._control.directory.on_change = self._follow_servers
         self._control.rules.on_change = self._follow_configuration
@@ -131,7 +142,6 @@
 
     def start(self) -> None:
         """Listen, and begin to follow the store."""
-        self._callers_port = self._listen(self.settings.callers_address, self._site)
         self._listen(
             self.settings.readiness_address,
             readiness_site(is_ready=self.is_ready, reactor=self._reactor),
@@ -139,6 +149,7 @@
         metrics = metrics_site(metrics=self.metrics, reactor=self._reactor)
         self._listen(f"{self.settings.ip}:{METRICS_PORT}", metrics)
         self._control.start()
+        self._callers_port.start()
         self._ticks.every(CONTROL_TICK_S, self._control.tick)
         gate = self._ticks.at(self._gate_interval_s, self._admission.tick)
         self.relay.on_first_in_flight = gate.soon
@@ -148,9 +159,9 @@
     def _gate_interval_s(self) -> float:
         return GATE_TICK_S if self.relay.in_flight else IDLE_GATE_TICK_S
 
-    def _listen(self, address: str, site: Any) -> Any:
+    def _listen(self, address: str, site: Any) -> None:
         ip, _, port = address.rpartition(":")
-        return self._reactor.listenTCP(int(port), site, backlog=BACKLOG, interface=ip)
+        self._reactor.listenTCP(int(port), site, interface=ip)
 
     def take_settings(self, settings: HostSettings) -> None:
         """Use settings that were read again.
@@ -186,7 +197,7 @@
 
     def stop_accepting(self) -> None:
         """Close the callers' port and idle connections."""
-        self._callers_port.stopListening()
+        self._callers_port.stop()
         self._site.close_idle()
 
     def in_flight(self) -> list[str]:
--- a/src/gentianwharf/entryhost/_main.py
+++ b/src/gentianwharf/entryhost/_main.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from socket import socket
 from typing import Any, cast
 
 from twisted.internet import reactor
@@ -21,9 +22,13 @@
 EXIT_USAGE = 2
 
 
-def main(*, early_reloads: Sequence[int] = ()) -> None:
+def main(
+    *, early_reloads: Sequence[int] = (), callers_port: socket | None = None
+) -> None:
     """Serve until SIGTERM.
 
+    ``callers_port`` is a listener on the callers' address, if there is one already.
+
     ``early_reloads`` grows with each SIGHUP that came before the settings were read;
     one of them may have come just after.
     """
@@ -38,7 +43,7 @@
     except InputError as error:
         logs.log.error("not started: {}", error)
         sys.exit(EXIT_USAGE)
-    host = EntryHost(settings=settings, reactor=reactor)
+    host = EntryHost(settings=settings, reactor=reactor, callers_port=callers_port)
     host.metrics.add(
         "log_lines_dropped", "Lines that the log left out", lambda: log_writer.dropped
     )
--- /dev/null
+++ b/tests/test_entryhost_callers_port.py
@@ -0,0 +1,94 @@
+"""Callers that come while a host starts."""
+
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+from twisted.internet.threads import blockingCallFromThread
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+
+from gentianwharf.early_port import open_port
+from gentianwharf.entryhost._callers_port import CallersPort
+from tests.builders_relay import running_reactor
+
+ASKED = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class _Served(Resource):
+    isLeaf = True  # noqa: N815
+
+    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+        return b"served"
+
+
+@pytest.fixture
+def listener() -> Iterator[socket.socket]:
+    made = open_port("127.0.0.1:0")
+    yield made
+    made.close()
+
+
+def in_reactor(call: Callable[[], Any]) -> Any:
+    return blockingCallFromThread(running_reactor(), call)
+
+
+def callers_port(listener: socket.socket, can_serve: Callable[[], bool]) -> CallersPort:
+    return CallersPort(
+        address="127.0.0.1:0",
+        listener=listener,
+        site=Site(_Served()),
+        can_serve=can_serve,
+        reactor=running_reactor(),
+    )
+
+
+def ask(address: tuple[str, int]) -> socket.socket:
+    caller = socket.create_connection(address, timeout=5.0)
+    caller.sendall(ASKED)
+    return caller
+
+
+def test_caller_that_comes_before_the_host_is_loaded_is_served(
+    listener: socket.socket,
+) -> None:
+    """All hosts lose power, and for two seconds every caller is reset.
+
+    Half a second of that is the loading of modules, with nobody listening.
+    """
+    with ask(listener.getsockname()) as caller:
+        port = callers_port(listener, lambda: True)
+        in_reactor(port.start)
+        assert b"served" in caller.recv(1000)
+        in_reactor(port.stop)
+
+
+@pytest.mark.parametrize("learns", [True, False], ids=["rules-come", "rules-stay-away"])
+def test_callers_wait_for_the_rules_but_not_for_long(
+    listener: socket.socket, learns: bool
+) -> None:
+    """A host has just started and refuses all who come in its first moment."""
+    looked: list[float] = []
+
+    def can_serve() -> bool:
+        looked.append(running_reactor().seconds())
+        return learns and len(looked) > 3
+
+    with ask(listener.getsockname()) as caller:
+        port = callers_port(listener, can_serve)
+        in_reactor(port.start)
+        assert b"served" in caller.recv(1000)
+        in_reactor(port.stop)
+    assert len(looked) > 3
+
+
+def test_host_that_stops_before_it_let_anybody_in_listens_no_more(
+    listener: socket.socket,
+) -> None:
+    address = listener.getsockname()
+    port = callers_port(listener, lambda: False)
+    in_reactor(port.start)
+    in_reactor(port.stop)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address, timeout=5.0)
