--- a/src/gentianwharf/entryhost/_former_leader.py
+++ b/src/gentianwharf/entryhost/_former_leader.py
@@ -78,7 +78,7 @@
         if self._asked is None:
             return
         term = self._leadership.term
-        if term is None or self._keeper.is_settled():
+        if term is None or self._keeper.lives.is_settled():
             self._asked = None
             return
         now_s = self._reactor.seconds()
@@ -101,7 +101,7 @@
             return
         self._leadership.give_way()
         self._keeper.stop()
-        holds = self._keeper.holds()
+        holds = self._keeper.lives.holds()
         held = [
             HeldFor(one.server_id, one.born_ms, one.address, held_s)
             for one, held_s in holds.of_s.items()
@@ -125,7 +125,7 @@
             "former leader has answered",
             extra={"held_s": round(holds.others_s, 3), "servers": len(holds.of_s)},
         )
-        self._keeper.note_holds(holds)
+        self._keeper.lives.note_holds(holds)
 
     def _holds(self, answer: ToldHolds) -> Holds | None:
         if answer.ended_s is None:
--- a/src/gentianwharf/keyspace/_keeper.py
+++ b/src/gentianwharf/keyspace/_keeper.py
@@ -19,12 +19,12 @@
 )
 from gentianwharf.logs import log
 
-from ._former import Holds
+from ._lives import Lives
 from ._moves import SpanKey, key_of
 from ._orders import Grant, HolderEndedError, Orders, Release
 from ._rows import Life, Row
 from ._table import Holder, KeyTable, Span
-from ._timing import LEADER_LEASE_S, PROBE_EVERY_S, UNREACHABLE_S, GrantTiming
+from ._timing import LEADER_LEASE_S, PROBE_EVERY_S, GrantTiming
 
 GRANT_TIMEOUT_S = 0.4
 """A server answers a grant in milliseconds; what is lost on the way is sent again."""
@@ -53,8 +53,7 @@
         self._timing = timing
         self._now_s = now_s
         self._rows: dict[SpanKey, Row] = {}
-        self._lives: dict[Holder, Life] = {}
-        self._unknown_until_s = 0.0
+        self.lives = Lives(timing=timing, now_s=now_s)
         self._heard_s = 0.0
         self._grants_sent = 0
         self._on_their_way = 0
@@ -70,45 +69,11 @@
         """
         self._leading = True
         self._heard_s = heard_s
-        self._lives.clear()
         if held_s is None:
-            self._unknown_until_s = self._timing.unknown_until_s(took_over_s=heard_s)
+            unknown_until_s = self._timing.unknown_until_s(took_over_s=heard_s)
         else:
-            self._unknown_until_s = self._now_s() + held_s
-
-    def held_s(self) -> float:
-        """Return for how long some grant may still hold, if none is given any more."""
-        latest_s = max(
-            # What an earlier leader granted may hold longer than this one's grants.
-            [self._unknown_until_s]
-            + [life.surely_until_s() for life in self._lives.values()]
-        )
-        return max(0.0, latest_s - self._now_s())
-
-    def is_settled(self) -> bool:
-        """Whether no grant of an earlier leader holds any more."""
-        return self._now_s() >= self._unknown_until_s
-
-    def holds(self) -> Holds:
-        """Return for how long each grant may still hold, if none is given any more."""
-        now_s = self._now_s()
-        others_s = max(0.0, self._unknown_until_s - now_s)
-        return Holds(
-            others_s=others_s,
-            of_s={
-                holder: max(others_s, life.surely_until_s() - now_s)
-                for holder, life in self._lives.items()
-                if life.surely_until_s() - now_s > others_s
-            },
-        )
-
-    def note_holds(self, holds: Holds) -> None:
-        """Learn what the leader before had granted, of itself, while this one leads."""
-        now_s = self._now_s()
-        self._unknown_until_s = min(self._unknown_until_s, now_s + holds.others_s)
-        for holder, held_s in holds.of_s.items():
-            life = self._life(holder)
-            life.held_until_s = max(life.held_until_s, now_s + held_s)
+            unknown_until_s = self._now_s() + held_s
+        self.lives.begin(unknown_until_s=unknown_until_s)
 
     def stop(self) -> None:
         """Give no more orders."""
@@ -116,7 +81,7 @@
         for row in self._rows.values():
             row.gone = True
         self._rows.clear()
-        for life in self._lives.values():
+        for life in self.lives:
             # What is cancelled may have left already.
             life.held_until_s = life.surely_until_s()
             for order in list(life.orders):
@@ -152,16 +117,6 @@
         """
         self._listed = frozenset(listed)
 
-    def unreachable(self) -> frozenset[Holder]:
-        """Return the holders that have left every order without an answer for long."""
-        latest_s = self._now_s() - UNREACHABLE_S
-        return frozenset(
-            holder
-            for holder, life in self._lives.items()
-            if life.has_ended
-            or (life.failing_since_s is not None and life.failing_since_s <= latest_s)
-        )
-
     def moved(self, service: str) -> frozenset[SpanKey]:
         """Return the spans whose former holders are out and whose holder has them."""
         return frozenset(
@@ -179,9 +134,7 @@
             # Another host may lead by now and wait for these grants to run out.
             return
         self._on_their_way = sum(
-            len(one.orders)
-            for one in self._lives.values()
-            if one.failing_since_s is None
+            len(one.orders) for one in self.lives if one.failing_since_s is None
         )
         due = [
             row
@@ -190,8 +143,8 @@
         ]
         for row in sorted(due, key=lambda one: one.due_s):
             self._advance(row, now_s)
-        for holder in self.unreachable():
-            self._probe(holder, self._lives[holder], now_s)
+        for holder in self.lives.unreachable():
+            self._probe(holder, self.lives.of(holder), now_s)
 
     def _probe(self, holder: Holder, life: Life, now_s: float) -> None:
         """Ask a holder that lost its shards for a sign of life.
@@ -211,7 +164,7 @@
         except RefusedError:
             pass
         except HolderEndedError as error:
-            self._note_ended(holder, error)
+            self.lives.note_ended(holder, error)
             return
         except GentianwharfError as error:
             log.debug("no sign of life: {}", error)
@@ -223,7 +176,7 @@
 
     def _advance(self, row: Row, now_s: float) -> None:
         for one in list(row.former):
-            if now_s >= self._held_until_s(one):
+            if now_s >= self.lives.held_until_s(one):
                 self._leave_out(row, one)
         if row.former:
             holder = row.former[0]
@@ -240,7 +193,7 @@
         server pays for handshakes, and has fewer connections left for requests.
         """
         holder = row.span.holder
-        life = self._life(holder)
+        life = self.lives.of(holder)
         if life.granting:
             row.waiting = True
             life.waiting.append(row)
@@ -260,12 +213,12 @@
         """Wait no more for a former holder; what it is asked first is to release."""
         row.former.remove(holder)
         span = row.span
-        self._life(holder).probe = Release(
+        self.lives.of(holder).probe = Release(
             first=span.first, last=span.last, token=span.token
         )
 
     def _may_order(self, holder: Holder) -> bool:
-        life = self._life(holder)
+        life = self.lives.of(holder)
         if life.failing_since_s is not None:
             # One at a time shows as well whether it answers again. A host that may lead
             # no more asks it nothing: who answers then may be the server's next life,
@@ -279,14 +232,9 @@
         """Whether another host may lead by now."""
         return self._now_s() >= self._heard_s + LEADER_LEASE_S
 
-    def _held_until_s(self, holder: Holder) -> float:
-        life = self._lives.get(holder)
-        known_s = life.surely_until_s() if life is not None else 0.0
-        return max(known_s, self._unknown_until_s)
-
     def _start(self, row: Row, holder: Holder, order: Deferred[None]) -> None:
         row.ordering = True
-        self._track(self._life(holder), order)
+        self._track(self.lives.of(holder), order)
         order.addBoth(lambda _: setattr(row, "ordering", False))
 
     def _track(self, life: Life, order: "Deferred[None]") -> None:
@@ -299,9 +247,6 @@
 
         order.addBoth(ended)
 
-    def _life(self, holder: Holder) -> Life:
-        return self._lives.setdefault(holder, Life(held_until_s=0.0))
-
     def _release(self, row: Row, holder: Holder) -> "Deferred[None]":
         return Deferred.fromCoroutine(self._send_release(row, holder))
 
@@ -312,7 +257,7 @@
             MOST_RELEASE_TIMEOUT_S,
             FIRST_RELEASE_TIMEOUT_S * (1 + row.release_tries),
             # Once its grant has run out there is nothing to wait for.
-            self._held_until_s(holder) - self._now_s(),
+            self.lives.held_until_s(holder) - self._now_s(),
         )
         row.release_tries += 1
         sent_s = self._now_s()
@@ -320,19 +265,19 @@
             handover = await self._orders.release(holder, release, timeout_s=timeout_s)
         except HolderEndedError as error:
             # Another one answers there: this one is no more, nor are its grants.
-            self._note_ended(holder, error)
+            self.lives.note_ended(holder, error)
             if holder in row.former:
                 self._leave_out(row, holder)
             self._go_on(row)
             return
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
-            self._note_unanswered(holder, sent_s)
+            self.lives.note_unanswered(holder, sent_s)
             if row.release_tries == 1:
                 # Said again with each try it would drown what it means.
                 self._log(row, holder, "release failed", error=str(error))
             return
-        self._life(holder).failing_since_s = None
+        self.lives.of(holder).failing_since_s = None
         row.handover = handover or row.handover
         if holder in row.former:
             row.former.remove(holder)
@@ -363,7 +308,7 @@
             handover=row.handover,
         )
         row.due_s = float("inf")
-        life = self._life(holder)
+        life = self.lives.of(holder)
         self._grants_sent += 1
         number = self._grants_sent
         # Until the call has ended, the grant may arrive at any time.
@@ -374,12 +319,12 @@
             await self._orders.grant(holder, grant, timeout_s=GRANT_TIMEOUT_S)
         except HolderEndedError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
-            self._note_ended(holder, error)
+            self.lives.note_ended(holder, error)
         except PeerUnavailableError as error:
             # It never left: a server that can't be reached runs out of its grants
             # although it is asked again and again.
             row.due_s = self._now_s() + self._timing.retry_every_s
-            self._note_unanswered(holder, sent_s)
+            self.lives.note_unanswered(holder, sent_s)
             self._note_failed(row, error)
         except RefusedError as error:
             life.failing_since_s = None
@@ -387,30 +332,19 @@
             self._note_refused(row, error)
         except GentianwharfError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
-            self._note_unanswered(holder, sent_s)
+            self.lives.note_unanswered(holder, sent_s)
             self._note_failed(row, error)
-            self._note_held(holder, self._now_s(), duration_s)
+            self.lives.note_held(holder, ended_s=self._now_s(), duration_s=duration_s)
         else:
             life.failing_since_s = None
             row.failing = False
             row.due_s = sent_s + self._timing.renew_after_s(spans)
-            self._note_held(holder, self._now_s(), duration_s)
+            self.lives.note_held(holder, ended_s=self._now_s(), duration_s=duration_s)
             self._note_granted(row)
         finally:
             life.on_their_way_until_s.pop(number, None)
             self._grant_next(life)
 
-    def _note_ended(self, holder: Holder, error: HolderEndedError) -> None:
-        life = self._life(holder)
-        if not life.has_ended:
-            log.info("server has ended: {}", error, extra={"server": holder.server_id})
-        life.has_ended = True
-
-    def _note_unanswered(self, holder: Holder, sent_s: float) -> None:
-        life = self._life(holder)
-        if life.failing_since_s is None:
-            life.failing_since_s = sent_s
-
     def _note_refused(self, row: Row, error: GentianwharfError) -> None:
         # A renewal that crosses the release of a part of its span is refused, and the
         # rest of the span has a row of its own by then.
@@ -423,11 +357,6 @@
             row.failing = True
             self._log(row, row.span.holder, "renewal failed", error=str(error))
 
-    def _note_held(self, holder: Holder, ended_s: float, duration_s: float) -> None:
-        life = self._life(holder)
-        until_s = self._timing.held_until_s(ended_s=ended_s, duration_s=duration_s)
-        life.held_until_s = max(life.held_until_s, until_s)
-
     def _note_granted(self, row: Row) -> None:
         if row.granted or row.gone:
             return
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -155,11 +155,11 @@
         if not any(row.table.spans for row in self._services.values()):
             # Nothing is granted without a table in the store.
             held_s = 0.0
-        own = self._keeper.holds()
+        own = self._keeper.lives.holds()
         self._keeper.take_over(self._leadership.heard_s, held_s=held_s)
         if former is not None and held_s is None:
             if former.value == self._leadership.value:
-                self._keeper.note_holds(own)
+                self._keeper.lives.note_holds(own)
             else:
                 self.on_former(former)
         for service in self._services.values():
@@ -239,7 +239,7 @@
                 self._read_tables()
             return
         self._keeper.note_heard(self._leadership.heard_s)
-        if not self._has_settled and self._keeper.is_settled():
+        if not self._has_settled and self._keeper.lives.is_settled():
             self._settle(now_s)
         for row in self._services.values():
             if not row.writing and now_s >= row.due_s and self._is_settled(row, now_s):
@@ -288,7 +288,7 @@
             row.cold.popleft()
         cold = sum(load for _, load in row.cold)
         room = _room(row.demand, reached) - cold
-        return Losses(holders=self._keeper.unreachable(), room=room)
+        return Losses(holders=self._keeper.lives.unreachable(), room=room)
 
     def _is_changed(self, row: _Service) -> bool:
         return row.planned_for != self._reached(row) or not row.table.spans
@@ -299,7 +299,7 @@
         When it can't reach most of them, this host is the one that is cut off: then
         nothing moves, and somebody else should lead.
         """
-        lost = self._keeper.unreachable()
+        lost = self._keeper.lives.unreachable()
         reached = [one for one in row.candidates if one.holder not in lost]
         if len(reached) * 2 > len(row.candidates):
             return reached
--- a/tests/test_keyspace_keeper.py
+++ b/tests/test_keyspace_keeper.py
@@ -204,7 +204,7 @@
     servers.by_address[holder(1).address] = successor
     run_keeper(keeper, clock, 2.0)
     assert not successor.orders
-    assert keeper.unreachable() == {holder(1)}
+    assert keeper.lives.unreachable() == {holder(1)}
     # The first one has ended, and nobody has to wait for its grant.
     keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
     run_keeper(keeper, clock, 0.5)
@@ -235,16 +235,16 @@
     keeper.note_listed([holder(1), holder(2)])
     keeper.follow(table(span(0, 9, 1)))
     run_keeper(keeper, clock, 16.0)
-    assert not keeper.unreachable()
+    assert not keeper.lives.unreachable()
     servers[1].is_unreachable = True
     run_keeper(keeper, clock, 2.0)
-    assert keeper.unreachable() == {holder(1)}
+    assert keeper.lives.unreachable() == {holder(1)}
     keeper.follow(table(span(0, 9, 2, token=2, former=(1,))))
     run_keeper(keeper, clock, 2.0, look=lambda: _assert_one(servers, 5))
     assert servers[2].holds(5)
     servers[1].is_unreachable = False
     run_keeper(keeper, clock, 1.0)
-    assert not keeper.unreachable()
+    assert not keeper.lives.unreachable()
 
 
 def test_host_that_leads_no_more_gives_no_orders() -> None:
--- a/tests/test_keyspace_model.py
+++ b/tests/test_keyspace_model.py
@@ -151,7 +151,7 @@
         host = self.hosts[self.leader]
         if not host.listed or self.clock.seconds() >= host.heard_s + LEADER_LEASE_S:
             return
-        lost = host.keeper.unreachable()
+        lost = host.keeper.lives.unreachable()
         holder = list(host.listed.values())[-1 - entry % len(host.listed)]
         table = done(self.table, host.keeper.moved(SERVICE)) or self.table
         chosen = table.spans[span % len(table.spans)]
@@ -180,7 +180,7 @@
         if self.leader is not None:
             keeper = self.hosts[self.leader].keeper
             assert self.word is not None
-            self.word.held_s, self.word.is_settled = keeper.held_s(), True
+            self.word.held_s, self.word.is_settled = keeper.lives.held_s(), True
             keeper.stop()
             self.lost_s = self.clock.seconds()
             self.leader = None
@@ -207,11 +207,11 @@
         keeper, asked = self.hosts[self.leader].keeper, self.hosts[word.number]
         if asked is word.host:
             asked.keeper.stop()
-            keeper.note_holds(asked.keeper.holds())
+            keeper.lives.note_holds(asked.keeper.lives.holds())
         elif word.is_settled:
             ended_s = self.clock.seconds() - asked.started_s
             left_s = TIMING.ended_until_s(ended_s=0.0) - ended_s
-            keeper.note_holds(Holds(others_s=max(0.0, left_s)))
+            keeper.lives.note_holds(Holds(others_s=max(0.0, left_s)))
         self.former = None
 
     def _take_over(self, number: int) -> None:
@@ -221,11 +221,11 @@
         assert self.former is not None
         held_s = self.former.held_s
         host.keeper.stop()
-        own = host.keeper.holds()
+        own = host.keeper.lives.holds()
         host.heard_s = self.clock.seconds()
         host.keeper.take_over(host.heard_s, held_s=held_s)
         if self.former.host is host and held_s is None:
-            host.keeper.note_holds(own)
+            host.keeper.lives.note_holds(own)
             self.former = None
         host.keeper.follow(self.table)
 
@@ -237,7 +237,7 @@
                     host.heard_s = self.clock.seconds()
                     host.keeper.note_heard(host.heard_s)
                     assert self.word is not None
-                    self.word.is_settled |= host.keeper.is_settled()
+                    self.word.is_settled |= host.keeper.lives.is_settled()
                 host.keeper.tick()
             self.clock.advance(TICK_S)
             self.look()
