Show how old a host's view is: a metric, and a field of each request's line

Five hosts served by old rules for 14 s while gentianwharf_store_age_seconds stood at 0 on them: it counts from the failure of a watch, and theirs could still be answered. The age of what is believed counts from when the store, or the host that tells of it, was heard.

--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -23,6 +23,11 @@
     add("leads", "Whether this host leads", lambda: float(leadership.leads))
     add("hosts", "Hosts that report to the leader", lambda: control.hosts)
     add("store_age_seconds", "Since the store was heard", mirror.silent_s)
+    add(
+        "view_age_seconds",
+        "How old what this host believes may be: rules, servers, holders of keys",
+        mirror.age_s,
+    )
     add("rules_version", "Version of the rules in force", lambda: rules.version)
     add(
         "rules_refused_seconds",
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -117,6 +117,7 @@
             observer=AnswerLog(
                 metrics=self.metrics,
                 rules_version=lambda: self._control.rules.version,
+                view_age_s=self._control.mirror.age_s,
             ),
             deadlines_ms={},
             keyed=self._control.keyed,
--- a/src/gentianwharf/entryhost/_observer.py
+++ b/src/gentianwharf/entryhost/_observer.py
@@ -20,14 +20,20 @@
     """Every failure and refusal gets a line, and some successes do.
 
     ``rules_version`` is that of the rules in force: what no rule matches may be matched
-    by a version that this host does not have.
+    by a version that this host does not have. ``view_age_s`` is how old that may be
+    which decided: a host that hears nobody goes on by what it knew.
     """
 
     def __init__(
-        self, *, metrics: HostMetrics, rules_version: Callable[[], int]
+        self,
+        *,
+        metrics: HostMetrics,
+        rules_version: Callable[[], int],
+        view_age_s: Callable[[], float],
     ) -> None:
         self._metrics = metrics
         self._rules_version = rules_version
+        self._view_age_s = view_age_s
 
     def answered(self, answered: Answered) -> None:
         """Note what a caller received."""
@@ -51,6 +57,7 @@
                 "elapsed_ms": round(answered.elapsed_s * 1000),
                 "step": answered.step,
                 "peer": answered.peer,
+                "view_age_ms": self._view_age_ms(),
             },
         )
 
@@ -65,9 +72,13 @@
                 "step": problem.step,
                 "detail": problem.detail,
                 "version": self._rules_version(),
+                "view_age_ms": self._view_age_ms(),
             },
         )
 
+    def _view_age_ms(self) -> int:
+        return round(self._view_age_s() * 1000)
+
 
 def _is_sampled(request_id: str) -> bool:
     return xxhash.xxh3_64_intdigest(request_id.encode()) % SUCCESS_EVERY == 0
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -99,6 +99,7 @@
         self.items: dict[str, Item] = {}
         self.is_current = False
         self.heard_s = float("-inf")
+        self._began_s = float(reactor.seconds())
         self.lost_s: float | None = reactor.seconds()
         self.regained_s = float("-inf")
         self._store = store
@@ -137,6 +138,14 @@
             return 0.0
         return float(self._reactor.seconds() - self.lost_s)
 
+    def age_s(self) -> float:
+        """Return how old what is known may be: since the store or its teller was heard.
+
+        ``silent_s`` stays 0 for as long as a watch may still be answered.
+        """
+        since_s = max(self.heard_s, self._began_s)
+        return float(self._reactor.seconds() - since_s)
+
     def take(self, key: str, item: Item | None) -> None:
         """Take what this host has itself written or read, ahead of the watch."""
         known = self.items.get(key)
--- a/tests/test_entryhost_behind.py
+++ b/tests/test_entryhost_behind.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.builders_entryhost import Fleet, Host
+from gentianwharf.store import TELLING_PACE
+from tests.builders_entryhost import TICK_S, Fleet, Host
 
 HOSTS = 5
 IN_FORCE_S = 2.0
@@ -112,3 +113,24 @@
     fleet.list_server("i-1")
     fleet.run(IN_FORCE_S)
     assert {len(one.servers()) for one in fleet.hosts} == {1}
+
+
+def test_host_tells_how_old_its_view_is_before_its_watch_has_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing shows for 14 s that a host serves by old rules.
+
+    Its watch may still be answered, so the store is not lost to it.
+    """
+    fleet = Fleet(monkeypatch, hosts=1)
+    fleet.run(4)
+    (host,) = fleet.hosts
+    assert host.control.mirror.age_s() < IN_FORCE_S
+    host.way.is_silent = True
+    fleet.run(1.7)
+    assert host.control.mirror.silent_s() == 0
+    # The watch that was on its way may have been answered after its whole wait.
+    assert host.control.mirror.age_s() > 1.7 - TELLING_PACE.wait_s - 2 * TICK_S
+    host.way.is_silent = False
+    fleet.run(STABLE_S)
+    assert host.control.mirror.age_s() < IN_FORCE_S
--- a/tests/test_entryhost_rules.py
+++ b/tests/test_entryhost_rules.py
@@ -98,7 +98,9 @@
 
     A wrong rule, a rule that is not in force yet and a wrong address look the same.
     """
-    observer = AnswerLog(metrics=HostMetrics(), rules_version=lambda: 8)
+    observer = AnswerLog(
+        metrics=HostMetrics(), rules_version=lambda: 8, view_age_s=lambda: 1.5
+    )
     problem = Problem(
         status=404, title="no rule matches", run=Run.NOT_RUN, detail="GET desk/a/"
     )
