Match rules without loading validated models on entry hosts

Matching now stands in a package of its own, reads rules by protocols, and the adapter decodes into data classes. What the models refused is refused by the adapter as before: a prefix without a slash the whole version, a weight, rank, time or number of tries out of range the one route.

Ruled out: loading the models later (the first configuration needs rules at once).

--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -6,9 +6,9 @@
 
 from gentianwharf.errors import InputError
 from gentianwharf.logs import log
+from gentianwharf.matching import RequestFacts, RuleMatch, RuleSet
 from gentianwharf.platform import SHARDS, Configuration, decode_configuration
 from gentianwharf.relay import Problem
-from gentianwharf.rules import RequestFacts, RuleMatch, RuleSet
 from gentianwharf.runs import Run
 from gentianwharf.store import Item
 
--- a/src/gentianwharf/rules/_compile.py
+++ b/src/gentianwharf/matching/_compile.py
@@ -5,7 +5,7 @@
 from math import ceil
 from typing import final
 
-from ._document import Condition, KeySource, Rule, RuleDocument
+from ._rule import Condition, KeySource, Rule, Rules
 
 
 @final
@@ -34,7 +34,7 @@
 
 
 def compile_rules(
-    document: RuleDocument, shards: Mapping[str, int]
+    document: Rules, shards: Mapping[str, int]
 ) -> tuple[CompiledRule, ...]:
     """Return the rules ready for matching; ``shards`` as for ``RuleSet``.
 
--- a/src/gentianwharf/rules/_facts.py
+++ b/src/gentianwharf/matching/_facts.py
@@ -5,8 +5,8 @@
 from typing import final
 from urllib.parse import parse_qsl, unquote
 
-from ._bounds import MOST_KEY_CHARACTERS
-from ._document import KeyPlace, KeySource, Rule
+from ._rule import KeyPlace, KeySource, Rule
+from ._shards import MOST_KEY_CHARACTERS
 
 KEY_HEADER = "gentianwharf-key"
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -58,7 +58,8 @@
     Percent-encoding is undone first: otherwise two spellings of one key would hash to
     two shards, and one key would have two owners.
 
-    >>> source = KeySource(place=KeyPlace.PATH_SEGMENT, name="1")
+    >>> from ._rule import DecodedKeySource
+    >>> source = DecodedKeySource(place=KeyPlace.PATH_SEGMENT, name="1")
     >>> read_key(source, RequestFacts(method="GET", host="", path="/club/a%62c"))
     'abc'
     """
--- a/src/gentianwharf/rules/_match.py
+++ b/src/gentianwharf/matching/_match.py
@@ -6,9 +6,9 @@
 from typing import final
 
 from ._compile import CompiledRule, compile_rules
-from ._document import KeySource, RuleDocument
 from ._facts import SAFE_METHODS, RequestFacts, RuleMatch, read_key
 from ._index import RuleIndex
+from ._rule import KeySource, Rules
 from ._runs import HeaderRun, KeyRun, Step
 from ._shards import holds, shard_in
 from ._sites import sites_by_service
@@ -72,7 +72,7 @@
     """
 
     def __init__(
-        self, *, document: RuleDocument, revision: int, shards: Mapping[str, int]
+        self, *, document: Rules, revision: int, shards: Mapping[str, int]
     ) -> None:
         self.document = document
         self.revision = revision
--- a/src/gentianwharf/rules/_runs.py
+++ b/src/gentianwharf/matching/_runs.py
@@ -11,8 +11,8 @@
 from typing import final
 
 from ._compile import CompiledRule
-from ._document import KeySource
 from ._ranges import ShardRanges
+from ._rule import KeySource
 
 LEAST_RUN = 4
 """Below this, testing one by one costs no more than two lookups."""
--- a/src/gentianwharf/rules/_shards.py
+++ b/src/gentianwharf/matching/_shards.py
@@ -2,8 +2,10 @@
 
 from gentianwharf.keys import shard_of
 
-from ._bounds import MOST_KEY_CHARACTERS
-from ._document import KeySource
+from ._rule import KeySource
+
+MOST_KEY_CHARACTERS = 512
+"""Keys travel in a header; servers commonly take 8 KiB for all headers together."""
 
 
 def shard_in(source: KeySource | None, key: str, shards: int) -> int | None:
@@ -11,8 +13,9 @@
 
     >>> shard_in(None, "faculte-des-sciences", 1024)
     72
-    >>> from ._document import KeyPlace
-    >>> numbered = KeySource(place=KeyPlace.HEADER, name="x-shard", is_shard=True)
+    >>> from ._rule import DecodedKeySource, KeyPlace
+    >>> numbered = DecodedKeySource(
+    ...     place=KeyPlace.HEADER, name="x-shard", is_shard=True)
     >>> shard_in(numbered, "72", 1024), shard_in(numbered, "1024", 1024)
     (72, None)
     """
--- a/src/gentianwharf/rules/_split.py
+++ b/src/gentianwharf/matching/_split.py
@@ -14,10 +14,11 @@
     request, while random choice would be off by several in a hundred. Each host deals
     out its own requests; their sum is as even as each part.
 
-    >>> from ._document import Rule
-    >>> parts = [{"service": "old", "weight": 3}, {"service": "new", "weight": 1}]
-    >>> rule = Rule.model_validate(
-    ...     {"name": "moving", "then": {"service": "old", "split": parts}})
+    >>> from ._rule import DecodedCondition, DecodedRule, DecodedShare, DecodedTarget
+    >>> parts = (DecodedShare(service="old", weight=3),
+    ...          DecodedShare(service="new", weight=1))
+    >>> rule = DecodedRule(name="moving", when=DecodedCondition(),
+    ...                    then=DecodedTarget(service="old", split=parts))
     >>> match = RuleMatch(number=1, rule=rule, service="old", site=None,
     ...                   request_class="x", key=None, shard=None, repeatable=True)
     >>> splitter = Splitter()
--- a/src/gentianwharf/platform/_config.py
+++ b/src/gentianwharf/platform/_config.py
@@ -2,12 +2,20 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, TypeVar, final
+from typing import Annotated, TypeVar, final
 
 import msgspec
 
 from gentianwharf.errors import InputError
-from gentianwharf.rules import RuleDocument, Target
+from gentianwharf.matching import (
+    DecodedCondition,
+    DecodedKeySource,
+    DecodedRule,
+    DecodedRules,
+    DecodedShare,
+    DecodedTarget,
+    KeyPlace,
+)
 
 from ._units import decode_time_s, decode_version
 
@@ -17,6 +25,8 @@
 SHARD_HEADER = "shard-key"
 """Names the shard of a request to a service that is divided by key."""
 
+SHARD_KEY = DecodedKeySource(place=KeyPlace.HEADER, name=SHARD_HEADER, is_shard=True)
+
 SHARDS = 65_536
 """How many shards the platform divides a service into."""
 
@@ -87,7 +97,7 @@
     """
 
     version: int
-    document: RuleDocument
+    document: DecodedRules
     services: Mapping[str, ConfiguredService]
     kinds: Mapping[str, RequestKind]
     limits: CallerLimits | None
@@ -95,16 +105,23 @@
     unread: tuple[Unread, ...]
 
 
+# Bounds without which a rule can't be followed; the part that breaks one is unread.
+_Weight = Annotated[float, msgspec.Meta(ge=0)]
+_Rank = Annotated[int, msgspec.Meta(ge=0)]
+_Tries = Annotated[int, msgspec.Meta(gt=0)]
+_Prefix = Annotated[str, msgspec.Meta(pattern="^/")]
+
+
 class _Share(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Weight
 
 
 class _Place(msgspec.Struct):
     """Which requests a route is for."""
 
     host: str
-    prefix: str
+    prefix: _Prefix
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -114,8 +131,8 @@
     timeout: str
     target_latency: str
     # The rank of its requests; 0 is the highest.
-    priority: int
-    max_attempts: int
+    priority: _Rank
+    max_attempts: _Tries
     service: str | None = None
     traffic_split: tuple[_Share, ...] = ()
 
@@ -179,10 +196,10 @@
 
     def configuration(self) -> Configuration:
         config = self._config
-        rules = [self._rule(name, place) for name, place in self._places()]
+        rules = tuple(self._rule(name, place) for name, place in self._places())
         return Configuration(
             version=decode_version(config.version),
-            document=RuleDocument.model_validate({"rules": rules}),
+            document=DecodedRules(rules=rules),
             services=self._services,
             kinds=self._kinds,
             limits=self._part("limits", config.limits, _limits),
@@ -220,15 +237,15 @@
             )
         return services
 
-    def _rule(self, name: str, place: _Place) -> dict[str, Any]:
+    def _rule(self, name: str, place: _Place) -> DecodedRule:
         then = self._part(f"routes.{name}", self._config.routes[name], self._target)
         if then is None:
             self._unread_rules.add(name)
-            then = Target(service=UNREAD_SERVICE)
-        when = {"host": place.host.lower(), "path_prefix": place.prefix}
-        return {"name": name, "when": when, "then": then}
+            then = DecodedTarget(service=UNREAD_SERVICE)
+        when = DecodedCondition(host=place.host.lower(), path_prefix=place.prefix)
+        return DecodedRule(name=name, when=when, then=then)
 
-    def _target(self, raw: msgspec.Raw) -> Target:
+    def _target(self, raw: msgspec.Raw) -> DecodedTarget:
         route = msgspec.json.decode(raw, type=_Route)
         kind = _kind(route)
         target = _target(route, kind, self._services)
@@ -263,10 +280,16 @@
 
 
 def _kind(route: _Route) -> RequestKind:
+    deadline_ms = round(decode_time_s(route.timeout) * 1000)
     target_ms = round(decode_time_s(route.target_latency) * 1000)
+    if deadline_ms <= 0 or target_ms <= 0:
+        raise ValueError(
+            f"expected times above 0, got {route.timeout!r} and"
+            f" {route.target_latency!r}"
+        )
     return RequestKind(
         name=f"{route.kind}-{route.priority}-{target_ms}ms",
-        deadline_ms=round(decode_time_s(route.timeout) * 1000),
+        deadline_ms=deadline_ms,
         target_latency_ms=target_ms,
         priority=route.priority,
         repeatable=route.kind == SAFE_KIND,
@@ -275,7 +298,7 @@
 
 def _target(
     route: _Route, kind: RequestKind, services: Mapping[str, ConfiguredService]
-) -> Target:
+) -> DecodedTarget:
     names = [part.service for part in route.traffic_split]
     if route.service is not None:
         names.insert(0, route.service)
@@ -284,22 +307,21 @@
     unknown = [name for name in names if name not in services]
     if unknown:
         raise ValueError(f"expected services that are listed, got {unknown}")
-    then: dict[str, Any] = {
-        "service": names[0],
-        "request_class": kind.name,
-        "repeatable": kind.repeatable,
-        "deadline_ms": kind.deadline_ms,
-        "target_latency_ms": kind.target_latency_ms,
-        "priority": kind.priority,
-        "most_tries": route.max_attempts,
-        "split": [
-            {"service": part.service, "weight": part.weight}
+    keyed = any(services[name].keyed for name in names)
+    return DecodedTarget(
+        service=names[0],
+        request_class=kind.name,
+        repeatable=kind.repeatable,
+        deadline_ms=kind.deadline_ms,
+        target_latency_ms=kind.target_latency_ms,
+        priority=kind.priority,
+        most_tries=route.max_attempts,
+        split=tuple(
+            DecodedShare(service=part.service, weight=part.weight)
             for part in route.traffic_split
-        ],
-    }
-    if any(services[name].keyed for name in names):
-        then["key"] = {"place": "header", "name": SHARD_HEADER, "is_shard": True}
-    return Target.model_validate(then)
+        ),
+        key=SHARD_KEY if keyed else None,
+    )
 
 
 def _time_s(raw: msgspec.Raw) -> float:
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -11,7 +11,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from gentianwharf.logs import log
-from gentianwharf.rules import RequestFacts, RuleMatch, Splitter
+from gentianwharf.matching import RequestFacts, RuleMatch, Splitter
 from gentianwharf.runs import Run
 
 from ._caller_request import CallerRequest, EveryPath
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -7,7 +7,7 @@
 from twisted.web._newclient import Response
 
 from gentianwharf.logs import log
-from gentianwharf.rules import RuleMatch
+from gentianwharf.matching import RuleMatch
 from gentianwharf.runs import Run
 from gentianwharf.topology import BackendServer
 
--- a/src/gentianwharf/relay/_headers.py
+++ b/src/gentianwharf/relay/_headers.py
@@ -6,7 +6,7 @@
 
 from twisted.web.http_headers import Headers, InvalidHeaderName
 
-from gentianwharf.rules import RequestFacts
+from gentianwharf.matching import RequestFacts
 
 # RFC 9110, section 7.6.1: these speak of one connection only.
 HOP_BY_HOP = frozenset(
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Protocol, final
 
-from gentianwharf.rules import RequestFacts, RuleMatch
+from gentianwharf.matching import RequestFacts, RuleMatch
 from gentianwharf.runs import Run
 from gentianwharf.topology import BackendServer
 
--- a/src/gentianwharf/rules/__init__.py
+++ b/src/gentianwharf/rules/__init__.py
@@ -1,5 +1,7 @@
 """The operators' ordered when-then rules: the first match decides."""
 
+from gentianwharf.matching import KeyPlace, RequestFacts, RuleMatch, RuleSet, Splitter
+
 from ._book import RuleBook
 from ._check import (
     MOST_DOCUMENT_BYTES,
@@ -11,7 +13,6 @@
 from ._diff import changes
 from ._document import (
     Condition,
-    KeyPlace,
     KeySource,
     Rule,
     RuleDocument,
@@ -20,8 +21,6 @@
     Target,
 )
 from ._explain import explain
-from ._facts import RequestFacts, RuleMatch
-from ._match import RuleSet
 from ._results import (
     ApplyResult,
     ChangeKind,
@@ -36,7 +35,6 @@
     Severity,
 )
 from ._scope import RuleScope
-from ._split import Splitter
 
 __all__ = [
     "MOST_DOCUMENT_BYTES",
--- a/src/gentianwharf/rules/_bounds.py
+++ b/src/gentianwharf/rules/_bounds.py
@@ -6,14 +6,17 @@
 """
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import final
 
-from ._document import Condition, Rule, ServiceShare, Target
-
-MOST_KEY_CHARACTERS = 512
-"""Keys travel in a header; servers commonly take 8 KiB for all headers together."""
+from gentianwharf.matching import (
+    MOST_KEY_CHARACTERS,
+    Condition,
+    Rule,
+    ServiceShare,
+    Target,
+)
 
 MOST_HOST_CHARACTERS = 253
 MOST_METHODS = 16
@@ -106,7 +109,7 @@
         yield from _split_breaches(then.service, then.split)
 
 
-def _split_breaches(service: str, split: tuple[ServiceShare, ...]) -> Iterator[Breach]:
+def _split_breaches(service: str, split: Sequence[ServiceShare]) -> Iterator[Breach]:
     field = "then.split"
     yield from _most(field, len(split), MOST_PARTS, "parts")
     services = [part.service for part in split]
--- a/src/gentianwharf/rules/_check.py
+++ b/src/gentianwharf/rules/_check.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterator, Sequence
 from typing import final
 
+from gentianwharf.matching import KEY_HEADER, CompiledRule, compile_rules
+
 from ._bounds import breaches
 from ._codec import document_size_bytes
-from ._compile import CompiledRule, compile_rules
 from ._cover import unreachable
 from ._document import RuleDocument
-from ._facts import KEY_HEADER
 from ._owners import two_owners
 from ._results import Finding, Severity
 from ._scope import RuleScope
--- a/src/gentianwharf/rules/_cover.py
+++ b/src/gentianwharf/rules/_cover.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Iterator, Sequence
 
-from ._compile import CompiledRule
-from ._index import RuleIndex
-from ._shards import holds, shard_in
+from gentianwharf.matching import CompiledRule, RuleIndex, holds, shard_in
 
 
 def covers(earlier: CompiledRule, later: CompiledRule) -> bool:
--- a/src/gentianwharf/rules/_document.py
+++ b/src/gentianwharf/rules/_document.py
@@ -1,6 +1,5 @@
 """The rule document as operators write it and as hosts read it."""
 
-from enum import StrEnum
 from typing import Annotated, Self
 
 from pydantic import (
@@ -11,6 +10,8 @@
     model_validator,
 )
 
+from gentianwharf.matching import KeyPlace
+
 DEEPEST_SEGMENT = 31
 
 
@@ -21,14 +22,6 @@
     model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
-class KeyPlace(StrEnum):
-    """Where in a request the key stands."""
-
-    HEADER = "header"
-    PATH_SEGMENT = "path_segment"
-    QUERY = "query"
-
-
 class KeySource(_Model):
     """Where the key is read; ``name`` is a header, a field or a segment's index.
 
--- a/src/gentianwharf/rules/_explain.py
+++ b/src/gentianwharf/rules/_explain.py
@@ -1,10 +1,15 @@
 """Why a request falls to a rule: for operators, not for the path of requests."""
 
-from ._compile import CompiledRule
-from ._facts import RequestFacts, read_key
-from ._match import RuleSet
+from gentianwharf.matching import (
+    CompiledRule,
+    RequestFacts,
+    RuleSet,
+    holds,
+    read_key,
+    shard_in,
+)
+
 from ._results import Explanation, PassedOver
-from ._shards import holds, shard_in
 
 
 def explain(rules: RuleSet, facts: RequestFacts) -> Explanation:
--- a/src/gentianwharf/rules/_owners.py
+++ b/src/gentianwharf/rules/_owners.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from typing import final
 
-from ._compile import CompiledRule
+from gentianwharf.matching import CompiledRule, holds, shard_in
+
 from ._cover import covers
-from ._shards import holds, shard_in
 
 Shape = tuple[object, ...]
 
--- a/tests/test_rules_index.py
+++ b/tests/test_rules_index.py
@@ -7,9 +7,7 @@
 
 import pytest
 
-from gentianwharf.rules import _index
-from gentianwharf.rules._compile import CompiledRule, compile_rules
-from gentianwharf.rules._index import RuleIndex
+from gentianwharf.matching import CompiledRule, RuleIndex, _index, compile_rules
 from tests.builders_counting import MOST_GROWTH, CountedText
 from tests.builders_rules import document, rule
 
