--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -154,7 +154,7 @@
         peers.changes_after = self.mirror.changes_after
         peers.on_asked = self._former.note_asked
         peers.on_told = self._former.note_told
-        self.keys.on_request = peers.note_request
+        self.keys.on_request = peers.seen.note_request
         self.keys.hears_leader = peers.hears_leader
 
     def start(self) -> None:
@@ -219,12 +219,12 @@
     ) -> None:
         """Report what a server said of its load."""
         if server.service in self.keyed:
-            self._peers.note_load(server, load, elapsed_s)
+            self._peers.seen.note_load(server, load, elapsed_s)
 
     def note_unanswered(self, server: BackendServer) -> None:
         """Report that a server left a request without an answer."""
         if server.service in self.keyed:
-            self._peers.note_unanswered(server)
+            self._peers.seen.note_unanswered(server)
 
     # What the store says.
 
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -16,19 +16,17 @@
 from gentianwharf.keyspace import LoadSeen, Span
 from gentianwharf.links import NngLink, NngListener, dial
 from gentianwharf.logs import log
-from gentianwharf.relay import ServerLoad
 from gentianwharf.store import Events, EventsListener, Item
-from gentianwharf.topology import BackendServer
 
 from ._messages import (
     AskedHolds,
     Granted,
     LeaderItem,
-    LoadReport,
     News,
     Report,
     ToldHolds,
 )
+from ._seen_load import SeenLoad
 from ._told_values import ToldValues, UnknownBaseError, decoded, first_part
 
 REPORT_EVERY_S = 0.25
@@ -123,8 +121,7 @@
         self._hosts = 1
         self._leads = False
         self._peers: dict[str, _Peer] = {}
-        self._requests: dict[str, dict[int, int]] = {}
-        self._loads: dict[str, dict[str, LoadReport]] = {}
+        self.seen = SeenLoad()
 
     def start(self) -> None:
         """Listen for the other hosts."""
@@ -144,41 +141,6 @@
             peer.link.close()
         self._peers.clear()
 
-    # What this host sees.
-
-    def note_request(self, service: str, shard: int) -> None:
-        """Count a request for the next report."""
-        counts = self._requests.setdefault(service, {})
-        counts[shard] = counts.get(shard, 0) + 1
-
-    def note_load(
-        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
-    ) -> None:
-        """Add what a server said of its load to the next report.
-
-        ``elapsed_s`` is how long the answer took, None for a refusal.
-        """
-        row = self._row(server)
-        row.running += load.running
-        row.waiting += load.waiting
-        row.answers += 1
-        if elapsed_s is None:
-            return
-        row.ran += 1
-        if not load.waiting:
-            row.quick += 1
-            row.quick_s += elapsed_s
-
-    def note_unanswered(self, server: BackendServer) -> None:
-        """Add to the next report that a request was given up after its whole time."""
-        self._row(server).unanswered += 1
-
-    def _row(self, server: BackendServer) -> LoadReport:
-        loads = self._loads.setdefault(server.service, {})
-        return loads.setdefault(
-            server.id, LoadReport(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
-        )
-
     def hears_leader(self) -> bool:
         """Whether the leader's news come: then what it does not tell is not done."""
         if self._leads:
@@ -262,8 +224,7 @@
                 self._tell()
 
     def _report(self, now_s: float) -> None:
-        requests, self._requests = self._requests, {}
-        loads, self._loads = self._loads, {}
+        requests, loads = self.seen.take()
         report = Report(
             self.name.host, self.name.address, requests, loads, self.lacks_after()
         )
--- /dev/null
+++ b/src/gentianwharf/entryhost/_seen_load.py
@@ -0,0 +1,62 @@
+"""What a host sees of keys and servers, added up until its next report."""
+
+from typing import final
+
+from gentianwharf.relay import ServerLoad
+from gentianwharf.topology import BackendServer
+
+from ._messages import LoadReport
+
+Requests = dict[str, dict[int, int]]
+"""Counts by service and shard."""
+
+Loads = dict[str, dict[str, LoadReport]]
+"""What answers told, by service and server."""
+
+
+@final
+class SeenLoad:
+    """Counts requests of shards, and adds up what servers say of their load."""
+
+    def __init__(self) -> None:
+        self._requests: Requests = {}
+        self._loads: Loads = {}
+
+    def take(self) -> tuple[Requests, Loads]:
+        """Return what was seen since the last time."""
+        seen = self._requests, self._loads
+        self._requests, self._loads = {}, {}
+        return seen
+
+    def note_request(self, service: str, shard: int) -> None:
+        """Count a request for the next report."""
+        counts = self._requests.setdefault(service, {})
+        counts[shard] = counts.get(shard, 0) + 1
+
+    def note_load(
+        self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
+    ) -> None:
+        """Add what a server said of its load to the next report.
+
+        ``elapsed_s`` is how long the answer took, None for a refusal.
+        """
+        row = self._row(server)
+        row.running += load.running
+        row.waiting += load.waiting
+        row.answers += 1
+        if elapsed_s is None:
+            return
+        row.ran += 1
+        if not load.waiting:
+            row.quick += 1
+            row.quick_s += elapsed_s
+
+    def note_unanswered(self, server: BackendServer) -> None:
+        """Add to the next report that a request was given up after its whole time."""
+        self._row(server).unanswered += 1
+
+    def _row(self, server: BackendServer) -> LoadReport:
+        loads = self._loads.setdefault(server.service, {})
+        return loads.setdefault(
+            server.id, LoadReport(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
+        )
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import final
 
 from twisted.internet.defer import Deferred
@@ -23,6 +23,7 @@
 from ._leadership import Leadership, Term
 from ._moves import done
 from ._plan import Candidate, Losses, plan
+from ._room import at_its_speed, cold_room, used_part
 from ._table import KeyTable, decode_table, encode_table
 
 SETTLE_S = 1.0
@@ -35,23 +36,9 @@
 """As long as most moves take. What is counted is counted by shards, so that a move in
 between does not make it wrong."""
 
-COLD_COST = 3.0
-"""What a shard without a handover costs more than usual, while it warms up: servers are
-about four times as slow then."""
-
 WARM_UP_S = 5.0
 """How long that lasts, where the operators don't say."""
 
-FULL = 0.9
-"""Part of all slots in use at which there is no room for cold shards."""
-
-UNKNOWN_USED = 0.5
-LEAST_USED = 0.05
-
-LEAST_COLD, MOST_COLD = 0.06, 0.5
-"""Least and most load that may move without a handover at a time: one server's part of
-sixteen always may, and no more than half ever."""
-
 CLEAN_UP_AFTER_S = 3.0
 """Finished moves are noted in the store together, each note being a paid call of every
 host; until then a new leader would only release once more what has been released."""
@@ -263,11 +250,11 @@
             row.demand.learn_speeds()
         planned = plan(
             row.table,
-            [_at_its_speed(one, row.demand) for one in reached],
+            [at_its_speed(one, row.demand) for one in reached],
             load,
             shards=self._shards,
             even_out=is_even_due,
-            used=_used_part(row.demand, reached),
+            used=used_part(row.demand, reached),
             losses=self._losses(row, reached, now_s),
         )
         row.planned_for = reached
@@ -287,7 +274,7 @@
         while row.cold and row.cold[0][0] < now_s - row.warm_up_s:
             row.cold.popleft()
         cold = sum(load for _, load in row.cold)
-        room = _room(row.demand, reached) - cold
+        room = cold_room(row.demand, reached) - cold
         return Losses(holders=self._keeper.lives.unreachable(), room=room)
 
     def _is_changed(self, row: _Service) -> bool:
@@ -368,38 +355,5 @@
         self.on_table(table)
 
 
-def _room(demand: Demand, reached: Sequence[Candidate]) -> float:
-    """Return how much of all load may be cold, by the slots that are free.
-
-    >>> from twisted.internet.task import Clock
-    >>> from ._demand import LoadSeen
-    >>> from ._table import Holder
-    >>> demand = Demand(now_s=Clock().seconds)
-    >>> holder = Holder(server_id="s1", born_ms=1, address="10.0.0.1:80")
-    >>> candidates = [Candidate(holder=holder, capacity=6.0)]
-    >>> demand.note_load("s1", LoadSeen(running=30.0, waiting=0.0, answers=10.0))
-    >>> round(_room(demand, candidates), 3)
-    0.267
-    """
-    part = _used_part(demand, reached)
-    return min(MOST_COLD, max(LEAST_COLD, (FULL - part) / (COLD_COST * part)))
-
-
-def _used_part(demand: Demand, reached: Sequence[Candidate]) -> float:
-    """Return the part of all slots in use, a half while nothing is known."""
-    slots = used = 0.0
-    for one in reached:
-        running = demand.running(one.holder.server_id)
-        if running is not None:
-            slots += one.capacity
-            used += min(one.capacity, running)
-    return max(used / slots, LEAST_USED) if slots else UNKNOWN_USED
-
-
-def _at_its_speed(candidate: Candidate, demand: Demand) -> Candidate:
-    speed = demand.speed(candidate.holder.server_id)
-    return replace(candidate, capacity=candidate.capacity * speed)
-
-
 def _log_fault(failure: Failure) -> None:
     log.error("planning failed: {}", failure.getTraceback())
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -193,8 +193,8 @@
 
 def test_requests_are_reported(trio: Trio) -> None:
     leader, follower, _ = trio.hosts
-    follower.peers.note_request("roster", 4)
-    follower.peers.note_request("roster", 4)
+    follower.peers.seen.note_request("roster", 4)
+    follower.peers.seen.note_request("roster", 4)
     trio.run(0.5)
     assert leader.requests == [("roster", {4: 2})]
 
