Take a former leader's answer for the question that is asked now alone

By reading: an answer that waited on a cut link could reach a host that leads once more. The one that answered may have led in between, and granted what its answer does not tell: the new leader would wait too short, and two servers own a key. The answer now names the question's term.

--- a/src/gentianwharf/entryhost/_former_leader.py
+++ b/src/gentianwharf/entryhost/_former_leader.py
@@ -93,7 +93,8 @@
         """Answer a new leader, and lead no more."""
         if question.process != self._name.process:
             ended_s = float(self._reactor.seconds()) - self._started_s
-            self._send(question.address, ToldHolds(question.process, ended_s))
+            ended = ToldHolds(question.process, question.revision, ended_s)
+            self._send(question.address, ended)
             return
         term = self._leadership.term
         if term is not None and term.revision > question.revision:
@@ -108,14 +109,17 @@
         ]
         self._send(
             question.address,
-            ToldHolds(question.process, None, holds.others_s, held),
+            ToldHolds(question.process, question.revision, None, holds.others_s, held),
         )
 
     def note_told(self, answer: ToldHolds) -> None:
         """Learn what the former leader's grants hold."""
         if self._asked is None or answer.process != self._asked.process:
             return
-        if self._leadership.term is None:
+        term = self._leadership.term
+        if term is None or answer.revision != term.revision:
+            # To an earlier question, late: since then the one that answered may have
+            # led again, and granted what its answer does not tell of.
             return
         holds = self._holds(answer)
         self._asked = None
--- a/src/gentianwharf/entryhost/_messages.py
+++ b/src/gentianwharf/entryhost/_messages.py
@@ -110,9 +110,11 @@
 
     ``ended_s`` is how long ago that process must have ended, since another one runs in
     its place; None if it is the one that answers.
+    ``revision`` is the question's.
     """
 
     process: int
+    revision: int
     ended_s: float | None
     others_s: float = 0.0
     held: list[HeldFor] = []
--- a/tests/test_entryhost_former_leader.py
+++ b/tests/test_entryhost_former_leader.py
@@ -196,5 +196,19 @@
     place.lead(leader, revision=9)
     place.net.cut.add(former.name.address)
     leader.former.ask(former.word())
-    leader.former.note_told(ToldHolds(7, None))
+    leader.former.note_told(ToldHolds(7, 9, None))
+    assert leader.keeper.lives.held_s() > TIMING.longest_grant_s
+
+
+def test_late_answer_to_an_earlier_question_counts_for_nothing(place: Place) -> None:
+    """Two servers run one key: an answer had waited on a link that was cut.
+
+    Since then the former leader has led again and granted for longer, and was replaced
+    once more by the same host.
+    """
+    former, leader = led_until_replaced(place)
+    place.lead(leader, revision=15)
+    place.net.cut.add(former.name.address)
+    leader.former.ask(former.word())
+    leader.former.note_told(ToldHolds(former.name.process, 9, None))
     assert leader.keeper.lives.held_s() > TIMING.longest_grant_s
