--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -90,7 +90,7 @@
         self.rules = RulesInForce(now_s=now_s)
         self.directory = Directory(mirror=self.mirror, reactor=reactor)
         self.keys = KeyHolders(server_of=server_of, reactor=reactor)
-        self._peers = Peers(
+        self.peers = Peers(
             host=settings.name,
             address=f"{settings.ip}:{settings.first_internal_port}",
             reactor=reactor,
@@ -100,7 +100,7 @@
             store=store,
             key=LEADER_KEY,
             former_key=FORMER_KEY,
-            value=msgspec.json.encode(self._peers.name),
+            value=msgspec.json.encode(self.peers.name),
             now_s=now_s,
             rng=rng,
             stand_back_s=SMALL_STAND_BACK_S * max(0.0, 1.0 - settings.cores),
@@ -110,7 +110,7 @@
             orders=ServerOrders(reactor=reactor), timing=timing, now_s=now_s
         )
         self._former = FormerLeader(
-            name=self._peers.name,
+            name=self.peers.name,
             keeper=self._keeper,
             leadership=self.leadership,
             timing=timing,
@@ -131,8 +131,8 @@
     def _connect_store(self) -> None:
         self.mirror.listen(self._note_item)
         self.mirror.on_read = self._note_read
-        self.mirror.on_events = self._peers.tell_events
-        self.mirror.is_fed = self._peers.is_fed
+        self.mirror.on_events = self.peers.tell_events
+        self.mirror.is_fed = self.peers.is_fed
         self.mirror.pace = self._pace
         self.leadership.on_gained = self._begin_to_lead
         self.leadership.on_lost = self._cease_to_lead
@@ -142,7 +142,7 @@
         self._planner.on_former = self._former.ask
 
     def _connect_peers(self) -> None:
-        peers = self._peers
+        peers = self.peers
         peers.on_requests = self._note_requests
         peers.on_load = self._note_load
         peers.on_granted = self._note_told_granted
@@ -159,13 +159,13 @@
 
     def start(self) -> None:
         """Begin to follow the store, and to hear other hosts."""
-        self._peers.start()
+        self.peers.start()
         self.mirror.start()
 
     def stop(self) -> None:
         """Follow nothing any more."""
         self.mirror.stop()
-        self._peers.stop()
+        self.peers.stop()
         self._former.stop()
 
     def tick(self) -> None:
@@ -175,7 +175,7 @@
         self._planner.tick()
         self._keeper.tick()
         self._former.tick()
-        self._peers.tick()
+        self.peers.tick()
 
     def resign(self, stand_back_s: float) -> None:
         """Let another host lead, and do not ask for it for a while."""
@@ -219,12 +219,12 @@
     ) -> None:
         """Report what a server said of its load."""
         if server.service in self.keyed:
-            self._peers.seen.note_load(server, load, elapsed_s)
+            self.peers.seen.note_load(server, load, elapsed_s)
 
     def note_unanswered(self, server: BackendServer) -> None:
         """Report that a server left a request without an answer."""
         if server.service in self.keyed:
-            self._peers.seen.note_unanswered(server)
+            self.peers.seen.note_unanswered(server)
 
     # What the store says.
 
@@ -234,7 +234,7 @@
         elif key.startswith(SERVERS_PREFIX):
             self.directory.note_item(key, item)
         elif key == LEADER_KEY:
-            self._peers.follow(item)
+            self.peers.follow(item)
             self.leadership.note_item(item)
         elif key == FORMER_KEY:
             self.leadership.note_former(item)
@@ -242,7 +242,7 @@
             self._planner.note_table(item)
 
     def _note_read(self) -> None:
-        self._peers.forget_told()
+        self.peers.forget_told()
         if LEADER_KEY not in self.mirror.items:
             self.leadership.note_item(None)
 
@@ -292,16 +292,16 @@
     # While this host leads.
 
     def _begin_to_lead(self, former: Former | None) -> None:
-        self._peers.lead(True)
+        self.peers.lead(True)
         self._planner.note_gained(former)
 
     def _cease_to_lead(self) -> None:
-        self._peers.lead(False)
+        self.peers.lead(False)
         self._keeper.stop()
 
     def _note_granted(self, service: str, span: Span) -> None:
         self.keys.open(service, span.first, span.token)
-        self._peers.tell_granted(service, span)
+        self.peers.tell_granted(service, span)
 
     def _step_aside(self) -> None:
         if self.hosts > 1 and self.leadership.term is not None:
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -22,6 +22,16 @@
     leadership, mirror, rules = control.leadership, control.mirror, control.rules
     add("leads", "Whether this host leads", lambda: float(leadership.leads))
     add("hosts", "Hosts that report to the leader", lambda: control.hosts)
+    add(
+        "leader_revision",
+        "Revision of the leader's item that this host goes by, 0 without one",
+        lambda: control.peers.followed_revision,
+    )
+    add(
+        "leader_silent_seconds",
+        "Since the leader that this host follows was heard",
+        control.peers.leader_silent_s,
+    )
     add("store_age_seconds", "Since the store was heard", mirror.silent_s)
     add(
         "view_age_seconds",
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -110,6 +110,9 @@
         self._leader: LeaderItem | None = None
         self._to_leader: NngLink | None = None
         self._heard_s = 0.0
+        self._began_s = float(reactor.seconds())
+        self.followed_revision = 0
+        """That of the leader's item in the store which this host goes by."""
         self._news_s = float("-inf")
         self._fed_until_s = float("-inf")
         self._told = ToldValues()
@@ -151,6 +154,12 @@
         """Whether the leader tells all that changes in the store."""
         return not self._leads and self._reactor.seconds() < self._fed_until_s
 
+    def leader_silent_s(self) -> float:
+        """Return how old the leader's last news are, 0 while this host leads."""
+        if self._leads:
+            return 0.0
+        return float(self._reactor.seconds() - max(self._news_s, self._began_s))
+
     def _news_age_s(self) -> float:
         return float(self._reactor.seconds() - self._news_s)
 
@@ -168,6 +177,7 @@
                     error,
                     extra={"peer": item.key, "revision": item.revision},
                 )
+        self.followed_revision = item.revision if item is not None else 0
         if leader == self._leader:
             return
         self._close_leader()
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -221,8 +221,12 @@
                 await deferLater(self._reactor, self._pause_s())
 
     async def _read(self) -> None:
+        silent_s, asked_s = self.silent_s(), self._reactor.seconds()
         page = await self._store.items(self._prefix)
         self._note_heard()
+        if silent_s > 0:
+            events = Events(changes=page.items, revision=page.revision)
+            self._log_caught_up(events, asked_s=asked_s, superseded=0)
         found = {item.key: item for item in page.items}
         for key in [key for key in self.items if key not in found]:
             # An item that was written after the first page is not gone.
@@ -239,11 +243,15 @@
 
     async def _watch(self) -> None:
         after_revision, pace = self.revision, self.pace()
+        silent_s, asked_s = self.silent_s(), self._reactor.seconds()
         events = await self._asked(after_revision, pace)
         if events is None:
             return
         self._note_heard()
         newest = _newest(events)
+        if silent_s > 0:
+            superseded = len(events.changes) - len(newest.changes)
+            self._log_caught_up(events, asked_s=asked_s, superseded=superseded)
         if newest.changes:
             # Before this host uses them itself: a long list of rules takes tenths of a
             # second, and every other host would learn of it that much later.
@@ -256,6 +264,21 @@
         if newest.changes:
             await deferLater(self._reactor, pace.gather_s)
 
+    def _log_caught_up(
+        self, events: Events, *, asked_s: float, superseded: int
+    ) -> None:
+        values = [one.value for one in events.changes if isinstance(one, Item)]
+        log.info(
+            "caught up with the store",
+            extra={
+                "revision": events.revision,
+                "took_s": round(self._reactor.seconds() - asked_s, 3),
+                "changes": len(events.changes),
+                "superseded": superseded,
+                "value_bytes": sum(len(one) for one in values),
+            },
+        )
+
     async def _asked(self, after_revision: int, pace: WatchPace) -> Events | None:
         """Return what a watch brings, None if it was given up to be asked anew."""
         is_patient = not self._lacks_told()
--- a/tests/test_entryhost_behind.py
+++ b/tests/test_entryhost_behind.py
@@ -134,3 +134,20 @@
     host.way.is_silent = False
     fleet.run(STABLE_S)
     assert host.control.mirror.age_s() < IN_FORCE_S
+
+
+def test_host_tells_which_leader_it_follows_and_how_old_its_news_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing shows that a host waits for news of a leader that leads no more."""
+    fleet = Fleet(monkeypatch, hosts=3)
+    fleet.run(4)
+    item = fleet.items.below("gentianwharf/leader")[0]
+    assert {one.control.peers.followed_revision for one in fleet.hosts} == {
+        item.revision
+    }
+    follower, leader = fleet.follower(), fleet.leader()
+    fleet.net.cut.add(follower.address)
+    fleet.run(3)
+    assert follower.control.peers.leader_silent_s() > 2.0
+    assert leader.control.peers.leader_silent_s() == 0.0
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -4,6 +4,7 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.errors import InputError, PeerUnavailableError
+from gentianwharf.logs import log
 from gentianwharf.store import (
     MISSED_S,
     MOST_REMOVALS,
@@ -357,3 +358,27 @@
     known = mirror.changes_after(12)
     assert known is not None
     assert len(known.changes) == MOST_REMOVALS
+
+
+def test_what_a_host_missed_is_logged_once_the_store_is_back(
+    store: WatchedStore,
+    mirror: Mirror,
+    clock: Clock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing tells a host that is told late from one that fetches for long."""
+    lines: list[tuple[str, object]] = []
+    monkeypatch.setattr(log, "info", lambda line, extra: lines.append((line, extra)))
+    store.watches[-1][1].errback(PeerUnavailableError("x", step="watch", peer="store"))
+    advance(clock, 1)
+    store.bring(events(13, item("b", 12, b"123"), item("b", 13, b"4")))
+    assert lines[-1] == (
+        "caught up with the store",
+        {
+            "revision": 13,
+            "took_s": pytest.approx(clock.seconds(), abs=1.0),
+            "changes": 2,
+            "superseded": 1,
+            "value_bytes": 4,
+        },
+    )
