Failing tests: hosts that the store turns away with their leader, and one that comes back

What callers saw: 404 for rules that had been acknowledged seconds before, and refusals of servers that had moved or ended, on a third of the hosts for nine seconds.

The store of these tests takes the time of a link for what it brings, values as base64.

--- a/tests/builders_entryhost.py
+++ b/tests/builders_entryhost.py
@@ -1,5 +1,6 @@
 """Entry hosts' controls on one store in memory and links without a net."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -13,7 +14,15 @@
 from gentianwharf.platform import decode_host_settings
 from gentianwharf.platform.standin import Items
 from gentianwharf.platform.standin._items import ConditionError, UnknownLeaseError
-from gentianwharf.store import Change, Events, LeaseEndedError, Page, Put
+from gentianwharf.store import (
+    Change,
+    Events,
+    Item,
+    LeaseEndedError,
+    Page,
+    Put,
+    Removal,
+)
 from tests.builders_store import LinkNet
 from tests.builders_users_platform import SETTINGS, server_entry
 
@@ -32,14 +41,17 @@
     is_turned_away: bool = False
     loses_watches: bool = False
     is_silent: bool = False
+    bytes_per_s: float = float("inf")
     calls: list[str] = field(default_factory=list)
 
     async def items(self, prefix: str) -> Page:
         """Return what stands below a prefix."""
         await self._begin("items")
-        return Page(
+        page = Page(
             items=tuple(self.items_.below(prefix)), revision=self.items_.revision
         )
+        await self._bring(page.items)
+        return page
 
     async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
         """Wait for a change; a watch that is lost ends a second after its wait."""
@@ -54,7 +66,9 @@
             await deferLater(self.clock, end_s + ANSWER_S - self.clock.seconds())
             raise PeerUnavailableError("lost", step="watch", peer="store")
         found = self.items_.changes_after(prefix, after_revision) or []
-        return Events(changes=tuple(found), revision=self.items_.revision)
+        events = Events(changes=tuple(found), revision=self.items_.revision)
+        await self._bring(events.changes)
+        return events
 
     async def change(self, change: Change) -> int:
         """Make a change."""
@@ -77,6 +91,13 @@
         except UnknownLeaseError as error:
             raise LeaseEndedError("none", step="renew", peer="store") from error
 
+    async def _bring(self, changes: Sequence[Item | Removal]) -> None:
+        """Let the time pass that values, as base64, take on this host's link."""
+        values = [one.value for one in changes if isinstance(one, Item)]
+        transfer_s = sum(len(one) for one in values) * 4 / 3 / self.bytes_per_s
+        if transfer_s > 0:
+            await deferLater(self.clock, transfer_s)
+
     async def _begin(self, call: str, *, wait_s: float = 0.0) -> None:
         self.calls.append(call)
         if self.is_turned_away:
--- /dev/null
+++ b/tests/test_entryhost_turned_away.py
@@ -0,0 +1,81 @@
+"""Hosts that the store turns away, and those that come back to it."""
+
+from collections.abc import Callable
+
+import pytest
+
+from tests.builders_entryhost import Fleet, HostWay
+from tests.builders_users_platform import configuration, route
+
+HOSTS = 7
+IN_FORCE_S = 2.0
+"""After the store took a change it is in force at every host that hears of it."""
+
+ELECTION_S = 4.0
+"""A leader's lease runs out, and all that hear the store know who leads next."""
+
+STABLE_S = 3.0
+"""A host may take so long to find the store again after it was away."""
+
+Ways = Callable[[Fleet], list[HostWay]]
+
+
+def _leader(fleet: Fleet) -> list[HostWay]:
+    return [fleet.leader().way]
+
+
+def _leader_and_one(fleet: Fleet) -> list[HostWay]:
+    return [fleet.leader().way, fleet.follower().way]
+
+
+def _all_but_one(fleet: Fleet) -> list[HostWay]:
+    kept = fleet.follower().way
+    return [one.way for one in fleet.hosts if one.way is not kept]
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
+    fleet = Fleet(monkeypatch, hosts=HOSTS)
+    fleet.run(4)
+    fleet.list_server("i-1")
+    fleet.run(1)
+    return fleet
+
+
+@pytest.mark.parametrize("kind", ["is_turned_away", "is_silent"])
+@pytest.mark.parametrize(
+    "ways",
+    [
+        pytest.param(_leader, id="leader"),
+        pytest.param(_leader_and_one, id="leader-and-one"),
+        pytest.param(_all_but_one, id="all-but-one"),
+    ],
+)
+def test_hosts_turned_away_with_their_leader_hear_of_changes_by_the_next_one(
+    fleet: Fleet, *, ways: Ways, kind: str
+) -> None:
+    """Hosts knew who leads from the store alone, and waited for the former leader."""
+    for way in ways(fleet):
+        setattr(way, kind, True)
+    fleet.run(ELECTION_S)
+    for number in (2, 3):
+        fleet.list_server(f"i-{number}")
+        fleet.run(IN_FORCE_S)
+        assert {len(one.servers()) for one in fleet.hosts} == {number}
+    assert max(one.control.mirror.age_s() for one in fleet.hosts) < IN_FORCE_S
+
+
+def test_host_that_was_cut_off_has_the_newest_rules_soon_after(fleet: Fleet) -> None:
+    """Every version of all values was fetched over a slow link before one was used."""
+    host = fleet.follower()
+    host.way.bytes_per_s = 625_000
+    host.way.is_silent = True
+    fleet.net.cut.add(host.address)
+    for version in range(1, 101):
+        routes = {f"r{one}": route(prefix=f"/{one}/") for one in range(100)}
+        fleet.write("op/config", configuration(version=f"r{version}", routes=routes))
+        fleet.run(0.1)
+    host.way.is_silent = False
+    fleet.net.cut.clear()
+    fleet.run(STABLE_S)
+    assert host.control.rules.version == 100
