Follow the next leader by its own word, not by the store's alone

What callers saw: on a third of the hosts 404 for rules acknowledged seconds before, work sent to servers that had left, refusals for keys that had moved, for as long as the store turned these hosts away and two seconds more.

Cause: who leads was learnt from the store alone. Turned away together with their leader, hosts went on reporting to it, passed over the next leader's news as those of a stranger, and were not known to it. The class: knowledge that every host needs travels by one way only, the one that fails.

Ruled out: the leader told late (57 hosts were at each version within 0.2 s), hosts asked the store too late (28 of 30 were answered within half a second of its return).

Mend: news bear the term, the revision of the leader's item; a host follows the highest it has heard of, by the store or by the leader. The store still decides who leads, and its revisions order the terms, so there is nothing to agree on. A leader that hears of a later one gives way at once. For the next leader to reach hosts that can't hear of it, all hosts know all others: told by the leader to whoever's report bears another digest of the list. A host that the store turns away asks for what it lacks at once, not after 1.5 s.

The leader's side moved to a module of its own (_telling), the hosts that it knows to another (_roster); builders of three hosts to tests/builders_peers.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -41,9 +41,10 @@
 from ._entities import candidate_of, holder_of
 from ._former_leader import FormerLeader
 from ._keys import KeyHolders, ServerOf
-from ._peers import Known, Peers
+from ._peers import Peers
 from ._rules import RulesInForce
 from ._store_keys import FORMER_KEY, LEADER_KEY, TABLE_PREFIX
+from ._telling import Known
 
 STAND_BACK_S = 4.0
 """For how long a host that could reach few servers leaves the lead to others: about as
@@ -152,6 +153,7 @@
         peers.item = self.mirror.items.get
         peers.lacks_after = self._lacks_after
         peers.changes_after = self.mirror.changes_after
+        peers.on_superseded = self.leadership.give_way
         peers.on_asked = self._former.note_asked
         peers.on_told = self._former.note_told
         self.keys.on_request = peers.seen.note_request
@@ -257,7 +259,9 @@
 
     def _lacks_after(self) -> int | None:
         mirror = self.mirror
-        lacks = mirror.is_current and mirror.lacking_s() > LACKING_S
+        # One that the store turns away has nobody else to ask.
+        patience_s = 0.0 if mirror.silent_s() else LACKING_S
+        lacks = mirror.is_current and mirror.lacking_s() > patience_s
         return mirror.revision if lacks else None
 
     def _pace(self) -> WatchPace:
@@ -292,11 +296,13 @@
     # While this host leads.
 
     def _begin_to_lead(self, former: Former | None) -> None:
-        self.peers.lead(True)
+        term = self.leadership.term
+        assert term is not None, "a host that leads has a term"
+        self.peers.begin_to_lead(term.revision)
         self._planner.note_gained(former)
 
     def _cease_to_lead(self) -> None:
-        self.peers.lead(False)
+        self.peers.cease_to_lead()
         self._keeper.stop()
 
     def _note_granted(self, service: str, span: Span) -> None:
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -24,7 +24,7 @@
     add("hosts", "Hosts that report to the leader", lambda: control.hosts)
     add(
         "leader_revision",
-        "Revision of the leader's item that this host goes by, 0 without one",
+        "Revision of the item of the leader that this host follows, or followed last",
         lambda: control.peers.followed_revision,
     )
     add(
--- a/src/gentianwharf/entryhost/_messages.py
+++ b/src/gentianwharf/entryhost/_messages.py
@@ -27,6 +27,7 @@
     requests: dict[str, dict[int, int]]
     loads: dict[str, dict[str, LoadReport]]
     lacks_after: int | None = None
+    roster: int = 0
 
 
 class Granted(msgspec.Struct, array_like=True):
@@ -53,7 +54,18 @@
     base_revision: int | None
 
 
-NEWS_FORM = "news-2"
+class LeaderItem(msgspec.Struct, array_like=True):
+    """What stands in the store of the leader: its name, and where it hears reports.
+
+    ``process`` is drawn at each start: a host that was started again knows nothing.
+    """
+
+    host: str
+    address: str
+    process: int = 0
+
+
+NEWS_FORM = "news-3"
 """Changes whenever the form of what News hold does. Hosts of another release then can't
 read them and watch the store; they must not take one form for the other."""
 
@@ -63,9 +75,12 @@
 
     ``changes`` are all between two revisions, and there were no others until
     ``age_s`` ago, when the leader last heard the store; None if it can't tell.
+    ``term`` is the revision at which the leader's item was written: a host that can't
+    ask the store follows the one with the highest.
     """
 
-    leader: str
+    leader: LeaderItem
+    term: int
     hosts: int
     granted: list[Granted]
     age_s: float | None
@@ -74,15 +89,18 @@
     changes: list[Change]
 
 
-class LeaderItem(msgspec.Struct, array_like=True):
-    """What stands in the store of the leader: its name, and where it hears reports.
-
-    ``process`` is drawn at each start: a host that was started again knows nothing.
-    """
+class HostAddress(msgspec.Struct, array_like=True, frozen=True):
+    """A host, and where it hears the others."""
 
     host: str
     address: str
-    process: int = 0
+
+
+class KnownHosts(msgspec.Struct, array_like=True, tag="hosts"):
+    """All hosts, as the leader of a term knows them."""
+
+    term: int
+    hosts: list[HostAddress]
 
 
 class AskedHolds(msgspec.Struct, array_like=True, tag="asked-holds"):
--- /dev/null
+++ b/src/gentianwharf/entryhost/_telling.py
@@ -0,0 +1,214 @@
+"""What the leader tells: moves done, the store's changes, and which hosts there are.
+
+Load pattern: each message goes to every host over the leader's one link, and hosts that
+lack something ask all at once, after an outage.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, final
+
+import msgspec
+
+from gentianwharf.keyspace import Span
+from gentianwharf.store import Events
+
+from ._messages import Granted, HostAddress, KnownHosts, LeaderItem, News, Report
+from ._roster import Dial, Peer, Roster
+from ._told_values import ToldValues, first_part
+
+GRANTED_EVERY_S = 0.1
+"""Moves that end within this time are told together: a plan moves dozens of spans, and
+each message is sent once for each host."""
+
+NEWS_EVERY_S = 0.4
+"""At rest: tells hosts that the link works, and how many they are."""
+
+CATCH_UP_BYTES_PER_S = 100_000
+"""Told to single hosts that lack something, a sixth of a link of 5 Mbit/s: what all are
+told must not wait behind it."""
+
+HOSTS_EVERY_S = 1.0
+"""Between two tellings of all hosts to one of them, some 40 bytes for each: when many
+start together each of them changes the list."""
+
+MOST_TOLD_BYTES = 500_000
+"""Of changes told to all hosts together: 0.8 s of a link of 5 Mbit/s. Larger ones are
+fetched by each host over its own link; a whole table of 85 servers is 350 kB for 86."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Known:
+    """Up to which revision a host knows the store, and how long ago that was so."""
+
+    revision: int
+    age_s: float
+
+
+@final
+class Telling:
+    """The leader's side of the links between hosts; at rest on all others.
+
+    ``known`` is None while this host can't be sure of the store; ``changes_after`` is
+    what a host lacks that knows a revision.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: LeaderItem,
+        reactor: Any,
+        dial: Dial,
+        known: Callable[[], Known | None],
+        changes_after: Callable[[int], Events | None],
+        on_hosts: Callable[[int], None],
+    ) -> None:
+        self.leads = False
+        self.roster = Roster(
+            own=HostAddress(name.host, name.address), dial=dial, now_s=reactor.seconds
+        )
+        self._name = name
+        self._reactor = reactor
+        self._known = known
+        self._changes_after = changes_after
+        self._on_hosts = on_hosts
+        self._term = 0
+        self._values = ToldValues()
+        self._told_s = 0.0
+        self._catch_up_s = 0.0
+        self._granted: list[Granted] = []
+        self._granted_s = 0.0
+
+    def begin(self, term: int) -> None:
+        """Tell all known hosts: some can't learn from the store who leads."""
+        self.leads = True
+        self._term = term
+        self.forget_told()
+        self._granted.clear()
+        self.roster.begin_to_lead()
+        self._tell()
+
+    def cease(self) -> None:
+        """Tell a last time: from now on all watch the store themselves."""
+        if self.leads:
+            self._tell()
+            self.leads = False
+            self.roster.cease_to_lead()
+
+    def close(self) -> None:
+        """Close every link."""
+        self.roster.cease_to_lead()
+
+    def forget_told(self) -> None:
+        """Tell whole values from now on."""
+        self._values.forget()
+
+    def tick(self, now_s: float) -> None:
+        """Tell what is due."""
+        if not self.leads:
+            return
+        self._tell_granted()
+        if now_s >= self._told_s + NEWS_EVERY_S:
+            self._told_s = now_s
+            self._tell()
+            self._call_gone()
+
+    def note_granted(self, service: str, span: Span) -> None:
+        """Tell all hosts that a move is done."""
+        if not self.leads or not span.former:
+            # Nobody waits for a span that was not moved, and a new leader has hundreds.
+            return
+        self._granted.append(Granted(service, span.first, span.last, span.token))
+        self._tell_granted()
+
+    def _tell_granted(self) -> None:
+        now_s = self._reactor.seconds()
+        if self._granted and now_s >= self._granted_s + GRANTED_EVERY_S:
+            self._granted_s = now_s
+            granted, self._granted = self._granted, []
+            self._tell(granted=granted)
+
+    def tell_events(self, after_revision: int, events: Events) -> None:
+        """Tell all hosts what changed in the store after a revision."""
+        if not self.leads:
+            return
+        news = self._at_rest()
+        news.after_revision, news.revision = after_revision, events.revision
+        news.changes = [self._values.change(one) for one in events.changes]
+        self._send(news)
+
+    def _tell(self, *, granted: Sequence[Granted] = ()) -> None:
+        news = self._at_rest()
+        news.granted = list(granted)
+        self._send(news)
+
+    def _at_rest(self) -> News:
+        """Return the news when nothing has changed since the store was heard."""
+        known = self._known()
+        revision = known.revision if known is not None else 0
+        return News(
+            self._name,
+            self._term,
+            len(self.roster.present()) + 1,
+            [],
+            known.age_s if known is not None else None,
+            revision,
+            revision,
+            [],
+        )
+
+    def _send(self, news: News) -> None:
+        self._on_hosts(news.hosts)
+        present = self.roster.present()
+        data = msgspec.msgpack.encode(news)
+        if news.changes and len(data) * len(present) > MOST_TOLD_BYTES:
+            # What is told next would wait behind it, and hosts would take it for as new
+            # as it was when it was sent: a server that leaves would get work for long.
+            # Told only that there was something, each host fetches it.
+            news.after_revision, news.changes = news.revision, []
+            data = msgspec.msgpack.encode(news)
+        for peer in present:
+            peer.link.send(data)
+
+    def _call_gone(self) -> None:
+        """Tell hosts that fell silent who leads: they may be back, and not know it."""
+        called = [peer.link for peer in self.roster.due_to_call()]
+        if called:
+            data = msgspec.msgpack.encode(self._at_rest())
+            for link in called:
+                link.send(data)
+
+    def answer(self, report: Report) -> None:
+        """Tell a host what it lacks, by its report."""
+        peer = self.roster.hear(report.host, report.address)
+        if report.roster != self.roster.mark:
+            self._tell_hosts(peer)
+        if report.lacks_after is not None:
+            self._catch_up(peer, report.lacks_after)
+
+    def _tell_hosts(self, peer: Peer) -> None:
+        now_s = self._reactor.seconds()
+        if now_s >= peer.told_hosts_s + HOSTS_EVERY_S:
+            peer.told_hosts_s = now_s
+            hosts = KnownHosts(self._term, list(self.roster.hosts()))
+            peer.link.send(msgspec.msgpack.encode(hosts))
+
+    def _catch_up(self, peer: Peer, revision: int) -> None:
+        """Tell one host what it lacks: the store may give it nothing.
+
+        What is told to all would be of no use to it until the store does.
+        """
+        now_s = self._reactor.seconds()
+        if now_s < self._catch_up_s:
+            return
+        lacking = self._changes_after(revision)
+        news = self._at_rest()
+        if news.age_s is None or lacking is None:
+            return
+        part = first_part(lacking)
+        news.after_revision, news.revision = revision, part.revision
+        news.changes = part.changes
+        data = msgspec.msgpack.encode(news)
+        self._catch_up_s = now_s + len(data) / CATCH_UP_BYTES_PER_S
+        peer.link.send(data)
--- /dev/null
+++ b/tests/builders_peers.py
@@ -0,0 +1,92 @@
+"""Three hosts on links without a net, and what each was told."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+from twisted.internet.task import Clock
+
+from gentianwharf.entryhost import _peers
+from gentianwharf.entryhost._peers import Peers
+from gentianwharf.entryhost._telling import Known
+from gentianwharf.store import Events, Item
+from tests.builders_store import LinkNet
+
+TICK_S = 0.05
+
+
+@dataclass
+class Told:
+    """One host's links, and what it was told."""
+
+    peers: Peers
+    revision: int | None = 10
+    age_s: float = 0.0
+    items: dict[str, Item] = field(default_factory=dict)
+    events: list[tuple[int, Events]] = field(default_factory=list)
+    granted: list[tuple[str, int, int, int]] = field(default_factory=list)
+    requests: list[tuple[str, Mapping[int, float]]] = field(default_factory=list)
+    changes: dict[int, Events] = field(default_factory=dict)
+    lacks_after: int | None = None
+    hosts: int = 0
+
+    def __post_init__(self) -> None:
+        peers = self.peers
+        peers.on_events = lambda after, told: self.events.append((after, told))
+        peers.on_granted = lambda *granted: self.granted.append(granted)
+        peers.on_requests = lambda name, counts: self.requests.append((name, counts))
+        peers.on_load = lambda service, server, seen: None
+        peers.on_hosts = lambda hosts: setattr(self, "hosts", hosts)
+        peers.known = self.known
+        peers.item = self.items.get
+        peers.changes_after = self.changes.get
+        peers.lacks_after = lambda: self.lacks_after
+        peers.start()
+
+    def known(self) -> Known | None:
+        """Return up to where this host knows the store."""
+        if self.revision is None:
+            return None
+        return Known(revision=self.revision, age_s=self.age_s)
+
+
+@dataclass
+class Trio:
+    """Three hosts; the first one leads."""
+
+    clock: Clock
+    net: LinkNet
+    hosts: list[Told]
+
+    def run(self, duration_s: float) -> None:
+        """Let all hosts tell what is due."""
+        for _ in range(round(duration_s / TICK_S)):
+            for one in self.hosts:
+                one.peers.tick()
+            self.clock.advance(TICK_S)
+
+
+def make_trio(monkeypatch: pytest.MonkeyPatch, clock: Clock, net: LinkNet) -> Trio:
+    """Return hosts that have followed the first one for a second."""
+    monkeypatch.setattr(_peers, "dial", net.dial)
+    monkeypatch.setattr(_peers, "NngListener", net.listen)
+    hosts = [host_of(clock, number) for number in range(3)]
+    for one in hosts:
+        one.peers.follow(leader_item(hosts[0]))
+    hosts[0].peers.begin_to_lead(5)
+    trio = Trio(clock=clock, net=net, hosts=hosts)
+    trio.run(1)
+    return trio
+
+
+def host_of(clock: Clock, number: int) -> Told:
+    """Return a host that has just started."""
+    address = f"10.0.0.{number}:90"
+    return Told(Peers(host=f"h{number}", address=address, reactor=clock))
+
+
+def leader_item(host: Told, *, revision: int = 5) -> Item:
+    """Return what stands in the store while a host leads."""
+    value = msgspec.json.encode(host.peers.name)
+    return Item(key="leader", value=value, revision=revision)
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -1,74 +1,19 @@
 """What hosts tell each other: reports to the leader, and its news to all."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
 import pytest
 from twisted.internet.task import Clock
 
-from gentianwharf.entryhost import _peers
 from gentianwharf.entryhost._messages import Report
-from gentianwharf.entryhost._peers import FED_S, Known, Peers
+from gentianwharf.entryhost._peers import FED_S
 from gentianwharf.keyspace import Span
-from gentianwharf.store import Events, Item, Removal
+from gentianwharf.store import Events, Removal
 from tests.builders_keyspace import span
+from tests.builders_peers import TICK_S, Trio, leader_item, make_trio
 from tests.builders_store import LinkNet, UplinkNet, events, item
 
-TICK_S = 0.05
-
-
-@dataclass
-class Told:
-    """One host's links, and what it was told."""
-
-    peers: Peers
-    revision: int | None = 10
-    age_s: float = 0.0
-    items: dict[str, Item] = field(default_factory=dict)
-    events: list[tuple[int, Events]] = field(default_factory=list)
-    granted: list[tuple[str, int, int, int]] = field(default_factory=list)
-    requests: list[tuple[str, Mapping[int, float]]] = field(default_factory=list)
-    changes: dict[int, Events] = field(default_factory=dict)
-    lacks_after: int | None = None
-    hosts: int = 0
-
-    def __post_init__(self) -> None:
-        peers = self.peers
-        peers.on_events = lambda after, told: self.events.append((after, told))
-        peers.on_granted = lambda *granted: self.granted.append(granted)
-        peers.on_requests = lambda name, counts: self.requests.append((name, counts))
-        peers.on_load = lambda service, server, seen: None
-        peers.on_hosts = lambda hosts: setattr(self, "hosts", hosts)
-        peers.known = self.known
-        peers.item = self.items.get
-        peers.changes_after = self.changes.get
-        peers.lacks_after = lambda: self.lacks_after
-        peers.start()
-
-    def known(self) -> Known | None:
-        """Return up to where this host knows the store."""
-        if self.revision is None:
-            return None
-        return Known(revision=self.revision, age_s=self.age_s)
-
-
-@dataclass
-class Trio:
-    """Three hosts; the first one leads."""
-
-    clock: Clock
-    net: LinkNet
-    hosts: list[Told]
-
-    def run(self, duration_s: float) -> None:
-        """Let all hosts tell what is due."""
-        for _ in range(round(duration_s / TICK_S)):
-            for one in self.hosts:
-                one.peers.tick()
-            self.clock.advance(TICK_S)
-
 
 @pytest.fixture
 def trio(monkeypatch: pytest.MonkeyPatch) -> Trio:
@@ -77,25 +22,6 @@
     return make_trio(monkeypatch, clock, LinkNet())
 
 
-def make_trio(monkeypatch: pytest.MonkeyPatch, clock: Clock, net: LinkNet) -> Trio:
-    monkeypatch.setattr(_peers, "dial", net.dial)
-    monkeypatch.setattr(_peers, "NngListener", net.listen)
-    hosts = [
-        Told(Peers(host=f"h{one}", address=f"10.0.0.{one}:90", reactor=clock))
-        for one in range(3)
-    ]
-    for one in hosts:
-        one.peers.follow(leader_item(hosts[0]))
-    hosts[0].peers.lead(True)
-    trio = Trio(clock=clock, net=net, hosts=hosts)
-    trio.run(1)
-    return trio
-
-
-def leader_item(host: Told) -> Item:
-    return Item(key="leader", value=msgspec.json.encode(host.peers.name), revision=5)
-
-
 def test_changes_are_told_as_the_watch_brought_them(trio: Trio) -> None:
     leader, follower, _ = trio.hosts
     brought = events(12, item("a", 11, b"1"), Removal(key="b", revision=12))
@@ -140,7 +66,7 @@
     # in which no grant is renewed.
     leader, follower, _ = trio.hosts
     leader.revision = None
-    leader.peers.lead(False)
+    leader.peers.cease_to_lead()
     assert not follower.peers.is_fed()
 
 
@@ -248,8 +174,8 @@
     leader, follower, _ = trio.hosts
     large = bytes(range(256)) * 40
     leader.peers.tell_events(10, events(11, item("t", 11, large)))
-    leader.peers.lead(False)
-    leader.peers.lead(True)
+    leader.peers.cease_to_lead()
+    leader.peers.begin_to_lead(5)
     leader.peers.tell_events(11, events(12, item("t", 12, large + b"more")))
     assert follower.events[-1] == (11, events(12, item("t", 12, large + b"more")))
 
