Read what stands in the store after a long outage, not all that was written meanwhile

What callers saw: 404 for rules acknowledged 2.7 and 2.9 s before, on hosts with 10 Mbit/s that had been out of reach of the store for nine seconds and back for three.

Cause: a host that is back watches from the last revision it knows. The answer brings each version of each value, over the host's own link, and is used when its last byte is there. The class: work that grows with the time of an outage is done at its end, by all at once.

Ruled out: time to take the answer (two hosts with a fast link and the same processor share were done at once); tries too rare (28 of 30 within half a second).

Mend: unheard for 1.5 s longer than a watch waits, a host reads what stands there and watches from then on. What the leader tells while the pages come counts: pages older than that change nothing. A leader always watches, since who is told changes after a revision would not learn what was written and removed again in between. A page is waited for 1.2 s, not 2, so that a host tries as often as with watches.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -134,6 +134,7 @@
         self.mirror.on_read = self._note_read
         self.mirror.on_events = self.peers.tell_events
         self.mirror.is_fed = self.peers.is_fed
+        self.mirror.tells = lambda: self.leadership.leads
         self.mirror.pace = self._pace
         self.leadership.on_gained = self._begin_to_lead
         self.leadership.on_lost = self._cease_to_lead
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -45,6 +45,10 @@
 """A cut-off store does not answer at all; the kernel repeats a lost packet only after
 about a second, and a new try comes sooner."""
 
+PAGE_TIMEOUT_S = 1.2
+"""Until a page of items begins to arrive. A host that is back from an outage reads them
+all, and has to have them within three seconds of its end."""
+
 WATCH_GRACE_S = 1.0
 """What an answer may take beyond the time that the watch was to wait: a store that is
 slow takes half a second."""
@@ -132,7 +136,9 @@
         revision: int | None = None
         while True:
             query = {"prefix": prefix, **({"after": after} if after else {})}
-            body = await self._call("GET", "/v1/kv-range", query=query)
+            body = await self._call(
+                "GET", "/v1/kv-range", query=query, timeout_s=PAGE_TIMEOUT_S
+            )
             page = self._decode("range", body, _Range)
             found += [_item(one) for one in page.items]
             revision = page.as_of if revision is None else revision
--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -2,7 +2,9 @@
 
 from ._mirror import (
     MISSED_S,
+    MOST_PAUSE_S,
     MOST_REMOVALS,
+    READ_AFTER_S,
     TELLING_PACE,
     EventsListener,
     Mirror,
@@ -23,7 +25,9 @@
 
 __all__ = [
     "MISSED_S",
+    "MOST_PAUSE_S",
     "MOST_REMOVALS",
+    "READ_AFTER_S",
     "TELLING_PACE",
     "Change",
     "Events",
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -66,6 +66,11 @@
 """How long a watch may leave out what another host has told of before it is asked anew:
 a store that is slow takes half a second. As long waits the watch that is asked then."""
 
+READ_AFTER_S = 1.5
+"""Beyond a watch's wait. Unheard for so long, a host reads what stands in the store: a
+watch brings every version of each value since then, and none of it can be used before
+its last byte has come over the host's link."""
+
 MOST_REMOVALS = 1_000
 """Kept to be told to hosts that lack them; one that lacks more waits for the store."""
 
@@ -87,14 +92,16 @@
 
     ``on_read`` is called after each reading of everything, when what is not in
     ``items`` is known not to be there; ``on_events`` after each watch that brought
-    something; ``is_fed`` says whether another host tells the changes now. Revisions
-    never go back: an item that is older than what is known is passed over.
+    something; ``is_fed`` says whether another host tells the changes now, ``tells``
+    whether this one tells others what its watch brings, who can't follow a reading.
+    Revisions never go back: an item that is older than what is known is passed over.
     """
 
     def __init__(self, *, store: Store, prefix: str, reactor: Any, rng: Random) -> None:
         self.on_read: Callable[[], None] = lambda: None
         self.on_events: EventsListener = lambda after_revision, events: None
         self.is_fed: Callable[[], bool] = lambda: False
+        self.tells: Callable[[], bool] = lambda: False
         self.pace: Callable[[], WatchPace] = lambda: usual_pace(1)
         self.items: dict[str, Item] = {}
         self.is_current = False
@@ -203,6 +210,8 @@
                     await self._read()
                 elif self.is_fed() and not self._lacks_told():
                     await deferLater(self._reactor, REST_S)
+                elif self._is_long_unheard() and not self.tells():
+                    await self._read()
                 else:
                     await self._watch()
             except HistoryGoneError:
@@ -220,6 +229,9 @@
                 self._failures += 1
                 await deferLater(self._reactor, self._pause_s())
 
+    def _is_long_unheard(self) -> bool:
+        return self.age_s() > self.pace().wait_s + READ_AFTER_S
+
     async def _read(self) -> None:
         silent_s, asked_s = self.silent_s(), self._reactor.seconds()
         page = await self._store.items(self._prefix)
@@ -227,6 +239,9 @@
         if silent_s > 0:
             events = Events(changes=page.items, revision=page.revision)
             self._log_caught_up(events, asked_s=asked_s, superseded=0)
+        if self.is_current and page.revision <= self.revision:
+            # Told meanwhile by another host. What that removed would come back.
+            return
         found = {item.key: item for item in page.items}
         for key in [key for key in self.items if key not in found]:
             # An item that was written after the first page is not gone.
--- /dev/null
+++ b/tests/test_store_mirror_back.py
@@ -0,0 +1,115 @@
+"""A mirror that was out of reach of the store for long."""
+
+from random import Random
+from typing import cast
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.store import (
+    MOST_PAUSE_S,
+    READ_AFTER_S,
+    Mirror,
+    Page,
+    Removal,
+    Store,
+    usual_pace,
+)
+from tests.builders_store import WatchedStore, advance, events, item, revisions
+
+LONG_S = usual_pace(1).wait_s + READ_AFTER_S
+
+
+class SlowPages(WatchedStore):
+    """A store whose pages, after the first one, come when a test says so."""
+
+    coming: "Deferred[Page] | None" = None
+
+    async def items(self, prefix: str) -> Page:
+        """Wait for the test, but for the first page."""
+        page = await super().items(prefix)
+        if self.readings == 1:
+            return page
+        self.coming = Deferred()
+        return await self.coming
+
+
+@pytest.fixture
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def store() -> SlowPages:
+    return SlowPages(page=Page(items=(item("a", 3), item("b", 4)), revision=10))
+
+
+@pytest.fixture
+def mirror(store: SlowPages, clock: Clock) -> Mirror:
+    mirror = Mirror(store=cast(Store, store), prefix="", reactor=clock, rng=Random(1))
+    mirror.start()
+    return mirror
+
+
+def lose(store: SlowPages, clock: Clock, duration_s: float) -> None:
+    """Let watches fail for a while."""
+    end_s = clock.seconds() + duration_s
+    while clock.seconds() < end_s:
+        _, watching = store.watches[-1]
+        if not watching.called:
+            watching.errback(PeerUnavailableError("x", step="watch", peer="store"))
+        advance(clock, 0.1)
+
+
+def test_what_stands_is_read_after_a_long_outage(
+    store: SlowPages, mirror: Mirror, clock: Clock
+) -> None:
+    """Hundreds of versions of tables come over a slow link before the newest rules."""
+    lose(store, clock, LONG_S + MOST_PAUSE_S)
+    assert store.coming is not None
+    store.coming.callback(Page(items=(item("a", 40),), revision=50))
+    assert revisions(mirror) == {"a": 40}
+    assert store.watches[-1][0] == 50
+    assert mirror.silent_s() == 0
+
+
+def test_what_changed_is_watched_for_after_a_short_outage(
+    store: SlowPages, mirror: Mirror, clock: Clock
+) -> None:
+    lose(store, clock, LONG_S / 4)
+    assert store.readings == 1
+
+
+def test_who_tells_others_watches_after_any_outage(
+    store: SlowPages, mirror: Mirror, clock: Clock
+) -> None:
+    """Who is told what changed after a revision doesn't learn what went in between."""
+    mirror.tells = lambda: True
+    lose(store, clock, 2 * LONG_S)
+    assert store.readings == 1
+
+
+def test_host_that_is_told_everything_reads_nothing(
+    store: SlowPages, mirror: Mirror, clock: Clock
+) -> None:
+    mirror.is_fed = lambda: True
+    store.bring(events(11))
+    for revision in range(12, 40):
+        mirror.feed(events(revision), after_revision=revision - 1)
+        advance(clock, 0.4)
+    assert store.readings == 1
+
+
+def test_page_that_is_older_than_what_was_told_changes_nothing(
+    store: SlowPages, mirror: Mirror, clock: Clock
+) -> None:
+    """A server that left is back on one host alone: it was read before, told after."""
+    lose(store, clock, LONG_S + MOST_PAUSE_S)
+    mirror.feed(events(60, Removal(key="b", revision=60)), after_revision=10)
+    assert store.coming is not None
+    store.coming.callback(Page(items=(item("a", 3), item("b", 4)), revision=59))
+    assert revisions(mirror) == {"a": 3}
+    assert mirror.revision == 60
+    assert store.watches[-1][0] == 60
