Tell hosts that lack something as fast as the leader's link allows

Cause: the rate was fixed for a link of 5 Mbit/s, whatever the leader's is; the leaders of this site have 200. What a host lacks grows while it waits.

Mend: a sixth of the leader's own link, as the platform's settings name it; 5 Mbit/s where they don't. The test failed before: 1 of 30 hosts was told in 1.5 s.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -94,6 +94,7 @@
         self.peers = Peers(
             host=settings.name,
             address=f"{settings.ip}:{settings.first_internal_port}",
+            link_bytes_per_s=settings.link_bytes_per_s,
             reactor=reactor,
             process=rng.getrandbits(PROCESS_BITS),
         )
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -49,7 +49,13 @@
     """One host's links to the leader and, while it leads, to all others."""
 
     def __init__(
-        self, *, host: str, address: str, reactor: Any, process: int = 0
+        self,
+        *,
+        host: str,
+        address: str,
+        link_bytes_per_s: float,
+        reactor: Any,
+        process: int = 0,
     ) -> None:
         self.on_requests: Callable[[str, Mapping[int, float]], None]
         self.on_load: Callable[[str, str, LoadSeen], None]
@@ -80,6 +86,7 @@
         self._telling = Telling(
             name=self.name,
             reactor=reactor,
+            link_bytes_per_s=link_bytes_per_s,
             dial=lambda one: dial(one),
             known=lambda: self.known(),
             changes_after=lambda revision: self.changes_after(revision),
--- a/src/gentianwharf/entryhost/_telling.py
+++ b/src/gentianwharf/entryhost/_telling.py
@@ -24,9 +24,9 @@
 NEWS_EVERY_S = 0.4
 """At rest: tells hosts that the link works, and how many they are."""
 
-CATCH_UP_BYTES_PER_S = 100_000
-"""Told to single hosts that lack something, a sixth of a link of 5 Mbit/s: what all are
-told must not wait behind it."""
+CATCH_UP_PART = 1 / 6
+"""Of the leader's link, for what single hosts lack: what all are told must not wait
+behind it."""
 
 HOSTS_EVERY_S = 1.0
 """Between two tellings of all hosts to one of them, some 40 bytes for each: when many
@@ -59,6 +59,7 @@
         *,
         name: LeaderItem,
         reactor: Any,
+        link_bytes_per_s: float,
         dial: Dial,
         known: Callable[[], Known | None],
         changes_after: Callable[[int], Events | None],
@@ -70,6 +71,7 @@
         )
         self._name = name
         self._reactor = reactor
+        self._catch_up_bytes_per_s = link_bytes_per_s * CATCH_UP_PART
         self._known = known
         self._changes_after = changes_after
         self._on_hosts = on_hosts
@@ -210,5 +212,5 @@
         news.after_revision, news.revision = revision, part.revision
         news.changes = part.changes
         data = msgspec.msgpack.encode(news)
-        self._catch_up_s = now_s + len(data) / CATCH_UP_BYTES_PER_S
+        self._catch_up_s = now_s + len(data) / self._catch_up_bytes_per_s
         peer.link.send(data)
--- a/src/gentianwharf/platform/_settings.py
+++ b/src/gentianwharf/platform/_settings.py
@@ -18,6 +18,9 @@
 STEP = "read-settings"
 
 
+BYTES_PER_MEGABIT = 125_000
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreLimits:
@@ -64,6 +67,8 @@
     last_internal_port: int
     cores: float
     """How much processor the host has; the platform takes the rest away."""
+    link_bytes_per_s: float
+    """What the host's own link carries, each way."""
     heartbeat_interval_s: float
     """How often a backend server renews its entry in the store."""
     first_start: bool
@@ -87,6 +92,7 @@
 class _Limits(msgspec.Struct, rename="kebab"):
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
+    link_mbps: float = 5.0
 
 
 class _File(msgspec.Struct, rename="kebab"):
@@ -146,6 +152,7 @@
         first_internal_port=file.internal_port_range[0],
         last_internal_port=file.internal_port_range[1],
         cores=file.limits.cpu_share * file.limits.cpu_cores,
+        link_bytes_per_s=file.limits.link_mbps * BYTES_PER_MEGABIT,
         heartbeat_interval_s=decode_time_s(file.heartbeat_interval),
         first_start=file.bootstrap,
         store=StoreLimits(
--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -14,6 +14,7 @@
 from tests.builders_store import LinkNet
 
 TICK_S = 0.05
+SLOW_LINK_BYTES_PER_S = 625_000
 
 
 @dataclass
@@ -80,10 +81,19 @@
     return trio
 
 
-def host_of(clock: Clock, number: int) -> Told:
+def host_of(
+    clock: Clock, number: int, *, link_bytes_per_s: float = SLOW_LINK_BYTES_PER_S
+) -> Told:
     """Return a host that has just started."""
     address = f"10.0.0.{number}:90"
-    return Told(Peers(host=f"h{number}", address=address, reactor=clock))
+    return Told(
+        Peers(
+            host=f"h{number}",
+            address=address,
+            link_bytes_per_s=link_bytes_per_s,
+            reactor=clock,
+        )
+    )
 
 
 def leader_item(host: Told, *, revision: int = 5) -> Item:
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -11,7 +11,7 @@
 from gentianwharf.keyspace import Span
 from gentianwharf.store import Events, Removal
 from tests.builders_keyspace import span
-from tests.builders_peers import TICK_S, Trio, leader_item, make_trio
+from tests.builders_peers import TICK_S, Trio, host_of, leader_item, make_trio
 from tests.builders_store import LinkNet, UplinkNet, events, item
 
 
@@ -291,6 +291,27 @@
     assert sum(one.events.count((10, lacking)) for one in followers) == 2
 
 
+def test_leader_with_a_fast_link_tells_many_hosts_at_once_what_they_lack(
+    trio: Trio,
+) -> None:
+    """Of 30 hosts that the store turned away half were told nothing for 9 s."""
+    leader = host_of(trio.clock, 0, link_bytes_per_s=25_000_000)
+    leader.peers.begin_to_lead(7)
+    lacking = events(12, item("rules", 12, random_bytes(80_000)))
+    leader.changes[10] = lacking
+    leader.revision = 12
+    told: list[str] = []
+    for number in range(30):
+        address = f"10.0.1.{number}:90"
+        trio.net.listeners[address] = lambda data: told.append(
+            "lacking" if len(data) > 80_000 else "news"
+        )
+        report = Report(f"other{number}", address, {}, {}, 10)
+        trio.net.listeners[leader.peers.name.address](msgspec.msgpack.encode(report))
+        trio.clock.advance(TICK_S)
+    assert told.count("lacking") == 30
+
+
 def test_news_of_a_release_that_packs_otherwise_are_not_read(trio: Trio) -> None:
     """During an update of the hosts some take garbage for the newest rules.
 
