Tell everything to a host that has no copy of the store, or one with gaps

What callers saw: a host that was started again while the store turned it away refused all of them, until the store let it in; one whose history was gone at that moment served by the old rules for as long.

Cause: what the leader tells are changes after a revision, which a host without a copy, or with one of unknown gaps, can't use; and a leader that has itself read the store anew doesn't know what was removed before.

Mend: such a host says that it knows nothing, and is told all that stands in the store in one message, within the part of the link that is kept for catching up.

The pace of watches moved to a module of its own.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -62,6 +62,9 @@
 """After so long a host asks the leader for what it was told of and lacks: its own watch
 has been asked anew by then, and should have brought it."""
 
+KNOWS_NOTHING = 0
+"""The revision of a host that has no copy of the store, or one with gaps."""
+
 PROCESS_BITS = 53
 """Of the number that tells a host's process from the one before."""
 
@@ -155,6 +158,8 @@
         peers.item = self.mirror.items.get
         peers.lacks_after = self._lacks_after
         peers.changes_after = self.mirror.changes_after
+        peers.page = self.mirror.page
+        peers.on_page = self.mirror.feed_page
         peers.on_superseded = self.leadership.give_way
         peers.on_asked = self._former.note_asked
         peers.on_told = self._former.note_told
@@ -261,10 +266,11 @@
 
     def _lacks_after(self) -> int | None:
         mirror = self.mirror
+        if not mirror.is_current:
+            return KNOWS_NOTHING if mirror.silent_s() > LACKING_S else None
         # One that the store turns away has nobody else to ask.
         patience_s = 0.0 if mirror.silent_s() else LACKING_S
-        lacks = mirror.is_current and mirror.lacking_s() > patience_s
-        return mirror.revision if lacks else None
+        return mirror.revision if mirror.lacking_s() > patience_s else None
 
     def _pace(self) -> WatchPace:
         return TELLING_PACE if self.leadership.leads else usual_pace(self.hosts)
--- a/src/gentianwharf/entryhost/_messages.py
+++ b/src/gentianwharf/entryhost/_messages.py
@@ -89,6 +89,19 @@
     changes: list[Change]
 
 
+class Everything(msgspec.Struct, array_like=True, tag="everything"):
+    """All that stands in the store, as the leader of a term knew it ``age_s`` ago.
+
+    For a host that knows nothing, or of which it isn't known what it lacks.
+    """
+
+    leader: LeaderItem
+    term: int
+    age_s: float
+    revision: int
+    items: list[Change]
+
+
 class HostAddress(msgspec.Struct, array_like=True, frozen=True):
     """A host, and where it hears the others."""
 
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -15,11 +15,19 @@
 from gentianwharf.keyspace import LoadSeen, Span
 from gentianwharf.links import NngLink, NngListener, dial
 from gentianwharf.logs import log
-from gentianwharf.store import Events, EventsListener, Item
-
-from ._messages import AskedHolds, KnownHosts, LeaderItem, News, Report, ToldHolds
+from gentianwharf.store import Events, EventsListener, Item, Page
+
+from ._messages import (
+    AskedHolds,
+    Everything,
+    KnownHosts,
+    LeaderItem,
+    News,
+    Report,
+    ToldHolds,
+)
 from ._seen_load import SeenLoad
-from ._telling import Known, Telling
+from ._telling import MOST_BYTES, Known, Telling
 from ._told_values import UnknownBaseError, decoded
 
 REPORT_EVERY_S = 0.25
@@ -41,8 +49,6 @@
 SILENT_S = 3.0
 """So long without news, and the link is made anew."""
 
-MOST_BYTES = 1_000_000
-
 
 @final
 class Peers:
@@ -66,6 +72,8 @@
         self.item: Callable[[str], Item | None]
         self.lacks_after: Callable[[], int | None] = lambda: None
         self.changes_after: Callable[[int], Events | None] = lambda revision: None
+        self.page: Callable[[], Page | None] = lambda: None
+        self.on_page: Callable[[Page], None] = lambda page: None
         self.on_superseded: Callable[[], None] = lambda: None
         self.on_asked: Callable[[AskedHolds], None] = lambda question: None
         self.on_told: Callable[[ToldHolds], None] = lambda answer: None
@@ -90,6 +98,7 @@
             dial=lambda one: dial(one),
             known=lambda: self.known(),
             changes_after=lambda revision: self.changes_after(revision),
+            page=lambda: self.page(),
             on_hosts=self._note_hosts,
         )
         self.seen = SeenLoad()
@@ -222,7 +231,8 @@
     def _received(self, data: bytes) -> None:
         try:
             message = msgspec.msgpack.decode(
-                data, type=Report | News | KnownHosts | AskedHolds | ToldHolds
+                data,
+                type=Report | News | Everything | KnownHosts | AskedHolds | ToldHolds,
             )
         except msgspec.DecodeError as error:
             log.warning("a host's message can't be read: {}", error)
@@ -233,6 +243,8 @@
                 self._telling.answer(message)
         elif isinstance(message, News):
             self._received_news(message)
+        elif isinstance(message, Everything):
+            self._received_everything(message)
         elif isinstance(message, KnownHosts):
             if not self._telling.leads and message.term == self.followed_revision:
                 self._telling.roster.take(message.hosts)
@@ -258,10 +270,7 @@
                 self.on_load(service, server_id, seen)
 
     def _received_news(self, news: News) -> None:
-        if news.term > self.followed_revision:
-            self._follow_told(news)
-        elif news.leader != self._leader or news.term < self.followed_revision:
-            # A leader of before: what it tells may be old.
+        if not self._is_followed(news):
             return
         now_s = self._heard_s = self._news_s = self._reactor.seconds()
         self._fed_until_s = float("-inf")
@@ -276,7 +285,24 @@
         self._hosts = hosts
         self.on_hosts(hosts)
 
-    def _follow_told(self, news: News) -> None:
+    def _received_everything(self, told: Everything) -> None:
+        if not self._is_followed(told):
+            return
+        try:
+            items = [decoded(one, item=lambda key: None) for one in told.items]
+        except (UnknownBaseError, InputError) as error:
+            log.info("all items not taken: {}", error)
+            return
+        found = tuple(one for one in items if isinstance(one, Item))
+        self.on_page(Page(items=found, revision=told.revision))
+
+    def _is_followed(self, news: News | Everything) -> bool:
+        """Whether the latest leader tells this: what a former one tells is old."""
+        if news.term > self.followed_revision:
+            self._follow_told(news)
+        return news.term == self.followed_revision and news.leader == self._leader
+
+    def _follow_told(self, news: News | Everything) -> None:
         """Follow a later leader, of whom the store has not told this host."""
         log.info(
             "following the leader that has told so",
--- a/src/gentianwharf/entryhost/_telling.py
+++ b/src/gentianwharf/entryhost/_telling.py
@@ -11,11 +11,20 @@
 import msgspec
 
 from gentianwharf.keyspace import Span
-from gentianwharf.store import Events
-
-from ._messages import Granted, HostAddress, KnownHosts, LeaderItem, News, Report
+from gentianwharf.logs import log
+from gentianwharf.store import Events, Page
+
+from ._messages import (
+    Everything,
+    Granted,
+    HostAddress,
+    KnownHosts,
+    LeaderItem,
+    News,
+    Report,
+)
 from ._roster import Dial, Peer, Roster
-from ._told_values import ToldValues, first_part
+from ._told_values import ToldValues, first_part, whole
 
 GRANTED_EVERY_S = 0.1
 """Moves that end within this time are told together: a plan moves dozens of spans, and
@@ -32,6 +41,9 @@
 """Between two tellings of all hosts to one of them, some 40 bytes for each: when many
 start together each of them changes the list."""
 
+MOST_BYTES = 1_000_000
+"""Of one message: a host reads no larger one."""
+
 MOST_TOLD_BYTES = 500_000
 """Of changes told to all hosts together: 0.8 s of a link of 5 Mbit/s. Larger ones are
 fetched by each host over its own link; a whole table of 85 servers is 350 kB for 86."""
@@ -51,7 +63,8 @@
     """The leader's side of the links between hosts; at rest on all others.
 
     ``known`` is None while this host can't be sure of the store; ``changes_after`` is
-    what a host lacks that knows a revision.
+    what a host lacks that knows a revision, None if that isn't known; ``page`` is all
+    that stands in the store.
     """
 
     def __init__(
@@ -63,6 +76,7 @@
         dial: Dial,
         known: Callable[[], Known | None],
         changes_after: Callable[[int], Events | None],
+        page: Callable[[], Page | None],
         on_hosts: Callable[[int], None],
     ) -> None:
         self.leads = False
@@ -74,6 +88,7 @@
         self._catch_up_bytes_per_s = link_bytes_per_s * CATCH_UP_PART
         self._known = known
         self._changes_after = changes_after
+        self._page = page
         self._on_hosts = on_hosts
         self._term = 0
         self._values = ToldValues()
@@ -204,13 +219,33 @@
         now_s = self._reactor.seconds()
         if now_s < self._catch_up_s:
             return
-        lacking = self._changes_after(revision)
-        news = self._at_rest()
-        if news.age_s is None or lacking is None:
+        data = self._lacking(revision)
+        if data is None:
             return
+        self._catch_up_s = now_s + len(data) / self._catch_up_bytes_per_s
+        if len(data) > MOST_BYTES:
+            log.warning("a host lacks more than can be told: {} bytes", len(data))
+            return
+        peer.link.send(data)
+
+    def _lacking(self, revision: int) -> bytes | None:
+        """Return what a host lacks that knows a revision, None if that isn't sure."""
+        news = self._at_rest()
+        if news.age_s is None:
+            return None
+        lacking = self._changes_after(revision)
+        if lacking is None:
+            return self._everything(news.age_s)
         part = first_part(lacking)
         news.after_revision, news.revision = revision, part.revision
         news.changes = part.changes
-        data = msgspec.msgpack.encode(news)
-        self._catch_up_s = now_s + len(data) / self._catch_up_bytes_per_s
-        peer.link.send(data)
+        return msgspec.msgpack.encode(news)
+
+    def _everything(self, age_s: float) -> bytes | None:
+        page = self._page()
+        if page is None:
+            return None
+        items = [whole(one) for one in page.items]
+        return msgspec.msgpack.encode(
+            Everything(self._name, self._term, age_s, page.revision, items)
+        )
--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -5,12 +5,10 @@
     MOST_PAUSE_S,
     MOST_REMOVALS,
     READ_AFTER_S,
-    TELLING_PACE,
     EventsListener,
     Mirror,
-    WatchPace,
-    usual_pace,
 )
+from ._pace import TELLING_PACE, WatchPace, usual_pace
 from ._types import (
     Change,
     Events,
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -7,7 +7,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from random import Random
 from typing import Any, final
@@ -18,46 +17,8 @@
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
 
-from ._types import Events, HistoryGoneError, Item, Removal, Store
-
-
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class WatchPace:
-    """For how long a watch waits, and the pause after one that brought something.
-
-    Each watch is paid, whatever it brings; changes come in groups, one entry after
-    another.
-    """
-
-    wait_s: float
-    gather_s: float
-
-
-WATCH_S = 0.8
-"""A store may leave a watch without an answer for good and still take other calls; only
-answers show that nothing was missed. A host that hears no other, or tells the others,
-is behind by this and by the time of an answer at the most."""
-
-TELLING_PACE = WatchPace(wait_s=WATCH_S, gather_s=0.05)
-"""Of the one that tells the others."""
-
-MOST_WATCHES_PER_S = 250.0
-"""Of all hosts together while none tells the others. The store takes a few thousand
-calls a second, and this is the time when it has most to answer."""
-
-MOST_WATCH_S = 20.0
-
-
-def usual_pace(hosts: int) -> WatchPace:
-    """Return the pace of a host that watches for itself alone, as so many do.
-
-    >>> usual_pace(9).wait_s, usual_pace(2_000).wait_s
-    (0.8, 8.0)
-    """
-    wait_s = min(MOST_WATCH_S, max(WATCH_S, hosts / MOST_WATCHES_PER_S))
-    return WatchPace(wait_s=wait_s, gather_s=0.25)
-
+from ._pace import WatchPace, usual_pace
+from ._types import Events, HistoryGoneError, Item, Page, Removal, Store
 
 REST_S = 0.1
 """How often a host that is told the changes looks whether it still is."""
@@ -177,6 +138,18 @@
             patient, self._patient = self._patient, None
             self._reactor.callLater(MISSED_S, self._give_up, patient)
 
+    def feed_page(self, page: Page) -> None:
+        """Take all that stands in the store, as another host has it."""
+        if self._is_news(page):
+            self._note_heard()
+            self._take_page(page)
+
+    def page(self) -> Page | None:
+        """Return all that is known to stand in the store, None if that isn't sure."""
+        if not self.is_current:
+            return None
+        return Page(items=tuple(self.items.values()), revision=self.revision)
+
     def _lacks_told(self) -> bool:
         return self._told_revision > self.revision
 
@@ -196,7 +169,7 @@
 
         Of an item that changed several times only the last change is told.
         """
-        if not self.is_current or revision < self._removals_after:
+        if not self.is_current or revision < self._removals_after or not revision:
             return None
         known: list[Item | Removal] = [*self.items.values(), *self._removals]
         changes = [one for one in known if one.revision > revision]
@@ -239,9 +212,17 @@
         if silent_s > 0:
             events = Events(changes=page.items, revision=page.revision)
             self._log_caught_up(events, asked_s=asked_s, superseded=0)
-        if self.is_current and page.revision <= self.revision:
-            # Told meanwhile by another host. What that removed would come back.
-            return
+        if self._is_news(page):
+            self._take_page(page)
+
+    def _is_news(self, page: Page) -> bool:
+        """Whether a page tells more than what is known.
+
+        What another host has told meanwhile and the page not yet would be undone.
+        """
+        return not self.is_current or page.revision > self.revision
+
+    def _take_page(self, page: Page) -> None:
         found = {item.key: item for item in page.items}
         for key in [key for key in self.items if key not in found]:
             # An item that was written after the first page is not gone.
--- a/tests/builders_entryhost.py
+++ b/tests/builders_entryhost.py
@@ -17,6 +17,7 @@
 from gentianwharf.store import (
     Change,
     Events,
+    HistoryGoneError,
     Item,
     LeaseEndedError,
     Page,
@@ -41,6 +42,7 @@
     is_turned_away: bool = False
     loses_watches: bool = False
     is_silent: bool = False
+    history_is_gone: bool = False
     bytes_per_s: float = float("inf")
     calls: list[str] = field(default_factory=list)
 
@@ -56,6 +58,9 @@
     async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
         """Wait for a change; a watch that is lost ends a second after its wait."""
         await self._begin("watch", wait_s=wait_s)
+        if self.history_is_gone:
+            await deferLater(self.clock, TICK_S)
+            raise HistoryGoneError("gone", step="watch", peer="store")
         end_s = self.clock.seconds() + wait_s
         while not self.loses_watches and self.clock.seconds() < end_s:
             changes = self.items_.changes_after(prefix, after_revision)
@@ -162,6 +167,19 @@
         """Let a server write its entry."""
         self.write(f"servers/{name}", server_entry())
 
+    def remove_server(self, name: str) -> None:
+        """Let a server's entry go."""
+        self.items.change(Change(removals=(f"servers/{name}",)))
+
+    def restart(self, host: Host, *, is_turned_away: bool) -> Host:
+        """End a host's process and start another one in its place."""
+        host.control.stop()
+        number = self.hosts.index(host)
+        self.hosts[number] = fresh = self._host(number)
+        fresh.way.is_turned_away = is_turned_away
+        fresh.control.start()
+        return fresh
+
     def run(self, duration_s: float) -> None:
         """Let time pass for all hosts."""
         for _ in range(round(duration_s / TICK_S)):
--- a/tests/test_entryhost_turned_away.py
+++ b/tests/test_entryhost_turned_away.py
@@ -88,3 +88,50 @@
     fleet.net.cut.clear()
     fleet.run(STABLE_S)
     assert {one.control.rules.version for one in fleet.hosts} == {50}
+
+
+def test_host_that_starts_while_it_is_turned_away_is_told_everything(
+    fleet: Fleet,
+) -> None:
+    """It had no rules and refused everyone until the store let it in."""
+    host = fleet.restart(fleet.follower(), is_turned_away=True)
+    fleet.run(STABLE_S)
+    assert host.servers() == ["i-1"]
+    fleet.list_server("i-2")
+    fleet.remove_server("i-1")
+    fleet.run(IN_FORCE_S)
+    assert host.servers() == ["i-2"]
+
+
+def test_host_whose_history_is_gone_and_that_is_turned_away_is_told_everything(
+    fleet: Fleet,
+) -> None:
+    """It can use no change any more, since it doesn't know what it missed."""
+    host = fleet.follower()
+    fleet.net.cut.add(host.address)
+    host.way.history_is_gone = True
+    fleet.run(2)
+    host.way.is_turned_away = True
+    fleet.list_server("i-2")
+    fleet.remove_server("i-1")
+    fleet.run(1)
+    fleet.net.cut.clear()
+    fleet.run(STABLE_S)
+    assert host.servers() == ["i-2"]
+
+
+def test_host_that_lacks_more_than_its_leader_remembers_is_told_everything(
+    fleet: Fleet,
+) -> None:
+    """The leader doesn't know what was removed before it read the store itself."""
+    host, leader = fleet.follower(), fleet.leader()
+    host.way.is_turned_away = True
+    fleet.net.cut.add(host.address)
+    fleet.list_server("i-2")
+    fleet.remove_server("i-1")
+    leader.way.history_is_gone = True
+    fleet.run(1)
+    leader.way.history_is_gone = False
+    fleet.net.cut.clear()
+    fleet.run(STABLE_S)
+    assert host.servers() == ["i-2"]
