--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -41,6 +41,7 @@
 from ._entities import candidate_of, holder_of
 from ._former_leader import FormerLeader
 from ._keys import KeyHolders, ServerOf
+from ._messages import KNOWS_NOTHING
 from ._peers import Peers
 from ._rules import RulesInForce
 from ._store_keys import FORMER_KEY, LEADER_KEY, TABLE_PREFIX
@@ -62,9 +63,6 @@
 """After so long a host asks the leader for what it was told of and lacks: its own watch
 has been asked anew by then, and should have brought it."""
 
-KNOWS_NOTHING = 0
-"""The revision of a host that has no copy of the store, or one with gaps."""
-
 PROCESS_BITS = 53
 """Of the number that tells a host's process from the one before."""
 
--- a/src/gentianwharf/entryhost/_messages.py
+++ b/src/gentianwharf/entryhost/_messages.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+KNOWS_NOTHING = 0
+"""The revision of a host that has no copy of the store, or one with gaps."""
+
 
 class LoadReport(msgspec.Struct, array_like=True):
     """What answers of one server said of its load, added up."""
--- a/src/gentianwharf/entryhost/_telling.py
+++ b/src/gentianwharf/entryhost/_telling.py
@@ -16,6 +16,7 @@
 from gentianwharf.store import Events, Page
 
 from ._messages import (
+    KNOWS_NOTHING,
     Everything,
     Granted,
     HostAddress,
@@ -245,7 +246,9 @@
         news = self._at_rest()
         if news.age_s is None:
             return None
-        lacking = self._changes_after(revision)
+        lacking = None
+        if revision != KNOWS_NOTHING:
+            lacking = self._changes_after(revision)
         if lacking is None:
             return self._everything()
         part = first_part(lacking)
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -33,7 +33,7 @@
 its last byte has come over the host's link."""
 
 MOST_REMOVALS = 1_000
-"""Kept to be told to hosts that lack them; one that lacks more waits for the store."""
+"""Kept to be told to hosts that lack them; one that lacks more is told everything."""
 
 FIRST_PAUSE_S = 0.2
 MOST_PAUSE_S = 0.7
@@ -169,7 +169,7 @@
 
         Of an item that changed several times only the last change is told.
         """
-        if not self.is_current or revision < self._removals_after or not revision:
+        if not self.is_current or revision < self._removals_after:
             return None
         known: list[Item | Removal] = [*self.items.values(), *self._removals]
         changes = [one for one in known if one.revision > revision]
