Keep the list of hosts in the store, where a host that has just started finds it

Cause: the leader told the list of hosts itself. A host that has just started had not been told yet, and those that it could have asked did not know that it leads.

Ruled out: links (the hosts heard others), a leader that can't tell (others followed it).

Mend: the leader writes the list to the store when a host comes or is gone for a minute, and every host has it by its copy of the store, whoever leads next.

--- a/src/gentianwharf/entryhost/_control.py
+++ b/src/gentianwharf/entryhost/_control.py
@@ -40,11 +40,12 @@
 from ._directory import Directory, takes_work
 from ._entities import candidate_of, holder_of
 from ._former_leader import FormerLeader
+from ._host_list import HostList
 from ._keys import KeyHolders, ServerOf
 from ._messages import KNOWS_NOTHING
 from ._peers import Peers
 from ._rules import RulesInForce
-from ._store_keys import FORMER_KEY, LEADER_KEY, TABLE_PREFIX
+from ._store_keys import FORMER_KEY, HOSTS_KEY, LEADER_KEY, TABLE_PREFIX
 from ._telling import Known
 
 STAND_BACK_S = 4.0
@@ -128,6 +129,12 @@
             shards=SHARDS,
             now_s=now_s,
         )
+        self._host_list = HostList(
+            store=store,
+            leadership=self.leadership,
+            roster=self.peers.roster,
+            now_s=now_s,
+        )
         self._connect_store()
         self._connect_peers()
 
@@ -183,6 +190,7 @@
         self._keeper.tick()
         self._former.tick()
         self.peers.tick()
+        self._host_list.tick()
 
     def resign(self, stand_back_s: float) -> None:
         """Let another host lead, and do not ask for it for a while."""
@@ -243,6 +251,8 @@
         elif key == LEADER_KEY:
             self.peers.follow(item)
             self.leadership.note_item(item)
+        elif key == HOSTS_KEY:
+            self._host_list.note_item(item)
         elif key == FORMER_KEY:
             self.leadership.note_former(item)
         elif key.startswith(TABLE_PREFIX) and item is not None:
--- /dev/null
+++ b/src/gentianwharf/entryhost/_host_list.py
@@ -0,0 +1,84 @@
+"""The list of hosts in the store, which the leader keeps."""
+
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from gentianwharf.errors import GentianwharfError
+from gentianwharf.keyspace import Leadership
+from gentianwharf.logs import log
+from gentianwharf.store import Change, Item, Put, Store
+
+from ._messages import HostAddress
+from ._roster import Roster
+from ._store_keys import HOSTS_KEY, LEADER_KEY
+
+WRITE_EVERY_S = 2.0
+"""Many hosts start together, and each write is told to all of them."""
+
+
+@final
+class HostList:
+    """Writes the list while this host leads, and follows it; ``tick`` is due often."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        leadership: Leadership,
+        roster: Roster,
+        now_s: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._leadership = leadership
+        self._roster = roster
+        self._now_s = now_s
+        self._due_s = float("-inf")
+
+    def note_item(self, item: Item | None) -> None:
+        """Follow the list; one that can't be read counts as empty."""
+        hosts: list[HostAddress] = []
+        if item is not None:
+            try:
+                hosts = msgspec.json.decode(item.value, type=list[HostAddress])
+            except msgspec.DecodeError as error:
+                log.warning(
+                    "the list of hosts can't be read: {}",
+                    error,
+                    extra={"peer": item.key, "revision": item.revision},
+                )
+        self._roster.note_listed(hosts)
+
+    def tick(self) -> None:
+        """Write the list where it is not what this leader knows."""
+        now_s = self._now_s()
+        if now_s < self._due_s or not self._leadership.may_change():
+            return
+        self._due_s = now_s + WRITE_EVERY_S
+        if not self._roster.is_listed():
+            Deferred.fromCoroutine(self._write()).addErrback(_log_fault)
+
+    async def _write(self) -> None:
+        term = self._leadership.term
+        if term is None:
+            return
+        value = msgspec.json.encode(self._roster.hosts())
+        change = Change(
+            expected={LEADER_KEY: term.revision},
+            puts=(Put(key=HOSTS_KEY, value=value),),
+        )
+        try:
+            await self._store.change(change)
+        except GentianwharfError as error:
+            log.info(
+                "list of hosts not written: {}",
+                error.message,
+                extra={"step": error.step, "peer": error.peer},
+            )
+
+
+def _log_fault(failure: Failure) -> None:
+    log.error("writing the list of hosts failed: {}", failure.getTraceback())
--- a/src/gentianwharf/entryhost/_messages.py
+++ b/src/gentianwharf/entryhost/_messages.py
@@ -30,7 +30,6 @@
     requests: dict[str, dict[int, int]]
     loads: dict[str, dict[str, LoadReport]]
     lacks_after: int | None = None
-    roster: int = 0
 
 
 class Granted(msgspec.Struct, array_like=True):
@@ -105,19 +104,12 @@
 
 
 class HostAddress(msgspec.Struct, array_like=True, frozen=True):
-    """A host, and where it hears the others."""
+    """A host, and where it hears the others; a list of them stands in the store."""
 
     host: str
     address: str
 
 
-class KnownHosts(msgspec.Struct, array_like=True, tag="hosts"):
-    """All hosts, as the leader of a term knows them."""
-
-    term: int
-    hosts: list[HostAddress]
-
-
 class AskedHolds(msgspec.Struct, array_like=True, tag="asked-holds"):
     """A new leader asks the one before for what its grants hold.
 
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -20,7 +20,6 @@
 from ._messages import (
     AskedHolds,
     Everything,
-    KnownHosts,
     LeaderItem,
     News,
     Report,
@@ -101,6 +100,7 @@
             page=lambda: self.page(),
             on_hosts=self._note_hosts,
         )
+        self.roster = self._telling.roster
         self.seen = SeenLoad()
 
     def start(self) -> None:
@@ -210,7 +210,6 @@
             requests,
             loads,
             self.lacks_after(),
-            self._telling.roster.mark,
         )
         if self._telling.leads:
             self._take(report)
@@ -232,7 +231,7 @@
         try:
             message = msgspec.msgpack.decode(
                 data,
-                type=Report | News | Everything | KnownHosts | AskedHolds | ToldHolds,
+                type=Report | News | Everything | AskedHolds | ToldHolds,
             )
         except msgspec.DecodeError as error:
             log.warning("a host's message can't be read: {}", error)
@@ -245,9 +244,6 @@
             self._received_news(message)
         elif isinstance(message, Everything):
             self._received_everything(message)
-        elif isinstance(message, KnownHosts):
-            if not self._telling.leads and message.term == self.followed_revision:
-                self._telling.roster.take(message.hosts)
         elif isinstance(message, AskedHolds):
             self.on_asked(message)
         else:
--- a/src/gentianwharf/entryhost/_roster.py
+++ b/src/gentianwharf/entryhost/_roster.py
@@ -1,11 +1,9 @@
 """The hosts that a leader tells, and those that it has not heard for a while."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import final
 
-import xxhash
-
 from gentianwharf.links import NngLink
 
 from ._messages import HostAddress
@@ -33,7 +31,6 @@
     heard_s: float
     called_s: float
     link: NngLink
-    told_hosts_s: float = float("-inf")
     lacks_after: int | None = None
     """The revision after which it lacks changes that it can't get."""
 
@@ -44,10 +41,9 @@
 
 @final
 class Roster:
-    """Known hosts by name.
+    """Known hosts by name, and the list of hosts that stands in the store.
 
-    A host learns the others from its leader while it follows, so that it can tell them
-    when it leads itself: they may not be able to learn it from the store.
+    A new leader has to reach hosts that can't learn from the store that it leads.
     """
 
     def __init__(self, *, own: HostAddress, dial: Dial, now_s: Clock) -> None:
@@ -55,33 +51,40 @@
         self._dial = dial
         self._now_s = now_s
         self._peers: dict[str, Peer] = {}
-        self._told: tuple[HostAddress, ...] = ()
-        self.mark = mark_of(())
-        """A digest of what this host was told, or tells, of all hosts."""
+        self._leads = False
+        self._listed: tuple[HostAddress, ...] = ()
 
     def begin_to_lead(self) -> None:
-        """Take all hosts that were told of for present, until they fall silent."""
-        for one in self._told:
+        """Take all listed hosts for present, until they fall silent."""
+        self._leads = True
+        for one in self._listed:
             if one.host != self._own.host:
                 self.hear(one.host, one.address)
-        self.mark = mark_of(self.hosts())
 
     def cease_to_lead(self) -> None:
-        """Close every link; what is known of the hosts stays."""
-        self._told = self.hosts()
+        """Close every link."""
+        self._leads = False
         for peer in self._peers.values():
             peer.link.close()
         self._peers.clear()
 
     def hosts(self) -> tuple[HostAddress, ...]:
-        """Return all known hosts while this one leads, itself among them."""
+        """Return all hosts that this one knows while it leads, itself among them."""
         known = [HostAddress(one.host, one.address) for one in self._peers.values()]
         return tuple(sorted([self._own, *known], key=lambda one: one.host))
 
-    def take(self, hosts: Iterable[HostAddress]) -> None:
-        """Learn from the leader which hosts there are."""
-        self._told = tuple(hosts)
-        self.mark = mark_of(self._told)
+    def note_listed(self, hosts: Sequence[HostAddress]) -> None:
+        """Follow the list in the store; a leader calls those that it doesn't know."""
+        self._listed = tuple(hosts)
+        if not self._leads:
+            return
+        for one in hosts:
+            if one.host != self._own.host and one.host not in self._peers:
+                self.hear(one.host, one.address)
+
+    def is_listed(self) -> bool:
+        """Whether the list in the store is what this leader knows."""
+        return self._listed == self.hosts()
 
     def hear(self, host: str, address: str) -> Peer:
         """Note a sign of life; return the host, with a link to where it is now."""
@@ -99,7 +102,6 @@
                 called_s=now_s,
                 link=self._dial(address),
             )
-            self.mark = mark_of(self.hosts())
         peer.heard_s = now_s
         return peer
 
@@ -117,19 +119,7 @@
             peer.link.close()
             if now_s > peer.heard_s + FORGOTTEN_S:
                 del self._peers[name]
-                self.mark = mark_of(self.hosts())
                 continue
             peer.called_s = now_s
             peer.link = self._dial(peer.address)
             yield peer
-
-
-def mark_of(hosts: Iterable[HostAddress]) -> int:
-    """Return a digest of hosts and their addresses, in whatever order.
-
-    >>> one, other = HostAddress("a", "10.0.0.1:90"), HostAddress("b", "10.0.0.2:90")
-    >>> mark_of([one, other]) == mark_of([other, one]) != mark_of([one])
-    True
-    """
-    names = sorted(f"{one.host}={one.address}" for one in hosts)
-    return int(xxhash.xxh32_intdigest("\n".join(names).encode()))
--- a/src/gentianwharf/entryhost/_store_keys.py
+++ b/src/gentianwharf/entryhost/_store_keys.py
@@ -8,5 +8,8 @@
 FORMER_KEY = OWN_PREFIX + "former"
 """What each leader leaves for the next one to know of its grants."""
 
+HOSTS_KEY = OWN_PREFIX + "hosts"
+"""All hosts and their addresses, as the leader knows them."""
+
 TABLE_PREFIX = OWN_PREFIX + "keys/"
 """Below it the table of each keyed service, by the service's name."""
--- a/src/gentianwharf/entryhost/_telling.py
+++ b/src/gentianwharf/entryhost/_telling.py
@@ -1,4 +1,4 @@
-"""What the leader tells: moves done, the store's changes, and which hosts there are.
+"""What the leader tells: moves that are done, and the store's changes.
 
 Load pattern: each message goes to every host over the leader's one link, and hosts that
 lack something ask all at once, after an outage.
@@ -20,7 +20,6 @@
     Everything,
     Granted,
     HostAddress,
-    KnownHosts,
     LeaderItem,
     News,
     Report,
@@ -42,10 +41,6 @@
 CATCH_UP_BURST_S = 0.05
 """Of that part, what may be saved up: hosts report all within a moment."""
 
-HOSTS_EVERY_S = 1.0
-"""Between two tellings of all hosts to one of them, some 40 bytes for each: when many
-start together each of them changes the list."""
-
 MOST_BYTES = 1_000_000
 """Of one message: a host reads no larger one."""
 
@@ -208,20 +203,11 @@
     def answer(self, report: Report) -> None:
         """Tell a host what it lacks, by its report."""
         peer = self.roster.hear(report.host, report.address)
-        if report.roster != self.roster.mark:
-            self._tell_hosts(peer)
         if peer.lacks_after is None and report.lacks_after is not None:
             self._lacking.append(peer)
         peer.lacks_after = report.lacks_after
         self._catch_up()
 
-    def _tell_hosts(self, peer: Peer) -> None:
-        now_s = self._reactor.seconds()
-        if now_s >= peer.told_hosts_s + HOSTS_EVERY_S:
-            peer.told_hosts_s = now_s
-            hosts = KnownHosts(self._term, list(self.roster.hosts()))
-            peer.link.send(msgspec.msgpack.encode(hosts))
-
     def _catch_up(self) -> None:
         """Tell hosts one by one, in the order of asking, what each of them lacks.
 
--- /dev/null
+++ b/tests/test_entryhost_host_list.py
@@ -0,0 +1,68 @@
+"""The list of hosts in the store."""
+
+import pytest
+
+from gentianwharf.entryhost._host_list import WRITE_EVERY_S
+from gentianwharf.entryhost._roster import FORGOTTEN_S
+from gentianwharf.entryhost._store_keys import HOSTS_KEY
+from tests.builders_entryhost import Fleet
+
+HOSTS = 4
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
+    fleet = Fleet(monkeypatch, hosts=HOSTS)
+    fleet.run(4 + 2 * WRITE_EVERY_S)
+    return fleet
+
+
+def listed(fleet: Fleet) -> int:
+    item = fleet.items.get(HOSTS_KEY)
+    assert item is not None
+    return item.value.count(b"7200")
+
+
+def test_leader_lists_all_hosts(fleet: Fleet) -> None:
+    assert listed(fleet) == HOSTS
+
+
+def test_list_is_written_only_where_it_changes(fleet: Fleet) -> None:
+    """Each write is paid, and told to all hosts."""
+    for one in fleet.hosts:
+        one.way.calls.clear()
+    fleet.run(10 * WRITE_EVERY_S)
+    assert [one.way.calls.count("change") for one in fleet.hosts] == [0] * HOSTS
+
+
+def test_host_that_is_gone_for_good_is_listed_no_more(fleet: Fleet) -> None:
+    gone = fleet.follower()
+    gone.control.stop()
+    fleet.hosts.remove(gone)
+    fleet.net.cut.add(gone.address)
+    fleet.run(FORGOTTEN_S + 3 * WRITE_EVERY_S)
+    assert listed(fleet) == HOSTS - 1
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b"[[1]]"])
+def test_list_that_can_t_be_read_is_written_anew(fleet: Fleet, value: bytes) -> None:
+    fleet.write(HOSTS_KEY, value)
+    fleet.run(2 * WRITE_EVERY_S)
+    assert listed(fleet) == HOSTS
+
+
+def test_host_that_has_just_started_reaches_all_others_when_it_leads(
+    fleet: Fleet,
+) -> None:
+    """It knew nobody, and hosts that are turned away waited for a former leader."""
+    former = fleet.leader()
+    fresh = fleet.restart(fleet.follower(), is_turned_away=False)
+    fleet.run(0.1)
+    for one in fleet.hosts:
+        one.way.is_turned_away = one is not fresh
+    fleet.net.cut.add(former.address)
+    fleet.run(4)
+    fleet.list_server("i-1")
+    fleet.run(2)
+    others = [one for one in fleet.hosts if one is not former]
+    assert [one.servers() for one in others] == [["i-1"]] * (HOSTS - 1)
--- /dev/null
+++ b/tests/test_entryhost_outages.py
@@ -0,0 +1,110 @@
+"""Random outages of the store and of links: who is told anything knows what is new."""
+
+from random import Random
+
+import pytest
+
+from tests.builders_entryhost import Fleet, Host
+
+HOSTS = 6
+ROUNDS = 5
+SETTLED_S = 6.0
+"""A lease runs out, another host leads, and hosts are told what they lack."""
+
+IN_FORCE_S = 2.0
+"""After the store took a change it is in force at every host that hears of it."""
+
+STABLE_S = 3.0
+"""A host may take so long to find the store again after it was away."""
+
+LEADER_KNEW_NOBODY = (102, 123, 132, 203, 208, 225, 430, 432, 443, 513, 553, 572)
+"""A host that had just started led before anybody had told it of the others."""
+
+
+class Trouble:
+    """Random troubles on a fleet, and what hosts have to know in spite of them."""
+
+    def __init__(self, fleet: Fleet, rng: Random) -> None:
+        self.fleet = fleet
+        self.rng = rng
+        self.listed = 0
+
+    def change(self) -> None:
+        """Let servers come and go."""
+        self.listed += 1
+        self.fleet.list_server(f"i-{self.listed}")
+        if self.listed > 3 and self.rng.random() < 0.5:
+            self.fleet.remove_server(f"i-{self.listed - 3}")
+
+    def begin(self) -> None:
+        """Replace the troubles of before by others."""
+        self.end()
+        rng, fleet = self.rng, self.fleet
+        for host in fleet.hosts:
+            kind = rng.choice(("", "", "is_turned_away", "is_silent"))
+            if kind:
+                setattr(host.way, kind, True)
+            if rng.random() < 0.2:
+                fleet.net.cut.add(host.address)
+        event = rng.choice(("resign", "restart", "history", ""))
+        host = rng.choice(fleet.hosts)
+        if event == "resign":
+            host.control.resign(1.0)
+        elif event == "restart":
+            fleet.restart(host, is_turned_away=rng.random() < 0.5)
+        elif event == "history":
+            host.way.history_is_gone = True
+            fleet.run(0.5)
+            host.way.history_is_gone = False
+
+    def end(self) -> None:
+        """Let everything be well."""
+        self.fleet.net.cut.clear()
+        for host in self.fleet.hosts:
+            host.way.is_turned_away = host.way.is_silent = False
+
+    def reached(self) -> list[Host]:
+        """Return the hosts that reach the store, or a leader that does."""
+        well = [one for one in self.fleet.hosts if is_well(one)]
+        leads = any(
+            one.control.leadership.may_change() and not self.is_cut(one) for one in well
+        )
+        told = [one for one in self.fleet.hosts if leads and not self.is_cut(one)]
+        return [*well, *(one for one in told if not is_well(one))]
+
+    def is_cut(self, host: Host) -> bool:
+        """Whether a host hears no other."""
+        return host.address in self.fleet.net.cut
+
+    def expected(self) -> list[str]:
+        """Return the servers that the store lists."""
+        items = self.fleet.items.below("servers/")
+        return sorted(one.key.removeprefix("servers/") for one in items)
+
+
+def is_well(host: Host) -> bool:
+    """Whether the store answers a host."""
+    return not host.way.is_turned_away and not host.way.is_silent
+
+
+@pytest.mark.parametrize("seed", [*range(30), *LEADER_KNEW_NOBODY])
+def test_who_is_reached_by_the_store_or_by_a_leader_knows_what_is_new(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    rng = Random(seed)
+    trouble = Trouble(Fleet(monkeypatch, hosts=HOSTS), rng)
+    fleet = trouble.fleet
+    fleet.run(4)
+    for _ in range(ROUNDS):
+        trouble.begin()
+        trouble.change()
+        fleet.run(SETTLED_S)
+        trouble.change()
+        fleet.run(IN_FORCE_S)
+        known = {one.address: one.servers() for one in trouble.reached()}
+        assert known == dict.fromkeys(known, trouble.expected())
+    trouble.end()
+    fleet.run(STABLE_S)
+    trouble.change()
+    fleet.run(IN_FORCE_S)
+    assert [one.servers() for one in fleet.hosts] == [trouble.expected()] * HOSTS
