Keep one row for a host that waits in line, wherever it has moved to

What callers saw: nothing yet; found by reading. A host that waits to be told what it lacks and comes back from another address, or after four seconds of silence, got a new row, and the link of the old one was closed. Sent to in its turn, that link raises an error, and the leader's tick, which renews its lease and its grants, would have failed at this point until the line was empty.

Test: test_host_that_moved_while_it_waited_in_line_is_told_where_it_is, failed before; links of tests take nothing once they are closed, as the real ones.

--- a/src/gentianwharf/entryhost/_roster.py
+++ b/src/gentianwharf/entryhost/_roster.py
@@ -90,10 +90,6 @@
         """Note a sign of life; return the host, with a link to where it is now."""
         now_s = self._now_s()
         peer = self._peers.get(host)
-        if peer is not None and (peer.address != address or peer.is_gone(now_s)):
-            # What is queued for a host that was gone is no news any more.
-            peer.link.close()
-            peer = None
         if peer is None:
             peer = self._peers[host] = Peer(
                 host=host,
@@ -102,6 +98,10 @@
                 called_s=now_s,
                 link=self._dial(address),
             )
+        elif peer.address != address or peer.is_gone(now_s):
+            # What is queued for a host that was gone is no news any more.
+            peer.link.close()
+            peer.address, peer.link = address, self._dial(address)
         peer.heard_s = now_s
         return peer
 
@@ -119,6 +119,7 @@
             peer.link.close()
             if now_s > peer.heard_s + FORGOTTEN_S:
                 del self._peers[name]
+                peer.lacks_after = None
                 continue
             peer.called_s = now_s
             peer.link = self._dial(peer.address)
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -103,15 +103,18 @@
 
     net: LinkNet
     address: str
+    is_closed: bool = False
 
     def send(self, data: bytes) -> bool:
-        """Hand over, or lose, what a host sends."""
+        """Hand over, or lose, what a host sends; a closed link takes nothing."""
+        assert not self.is_closed, "the real link raises an error"
         if self.address not in self.net.cut:
             self.net.hand_over(self.address, data)
         return True
 
     def close(self) -> None:
-        """Hold nothing."""
+        """Take no more."""
+        self.is_closed = True
 
 
 @final
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -339,6 +339,27 @@
     assert len(told) == 30
 
 
+def test_host_that_moved_while_it_waited_in_line_is_told_where_it_is(
+    trio: Trio,
+) -> None:
+    """What it lacked went to a closed link, and the leader's tick failed."""
+    leader = trio.hosts[0]
+    lacking = events(12, item("rules", 12, random_bytes(80_000)))
+    leader.changes[10] = lacking
+    leader.revision = 12
+    told: list[str] = []
+
+    def listener(address: str) -> Callable[[bytes], None]:
+        return lambda data: told.append(address) if len(data) > 80_000 else None
+
+    for host, address in (("a", "a:1"), ("b", "b:1"), ("b", "b:2")):
+        trio.net.listeners[address] = listener(address)
+        report = msgspec.msgpack.encode(Report(host, address, {}, {}, 10))
+        trio.net.listeners[leader.peers.name.address](report)
+    trio.run(2)
+    assert told == ["a:1", "b:2"]
+
+
 def test_news_of_a_release_that_packs_otherwise_are_not_read(trio: Trio) -> None:
     """During an update of the hosts some take garbage for the newest rules.
 
