Tell no change that is larger than a host reads, however fast the leader's link

Found by reading, before anybody met it: since what is told to all follows the leader's link, one of 1,000 Mbit/s would have sent a message of more than the 1 MB that a host reads. It is dropped there and its link made anew, and every host waits for the news at rest, up to 0.4 s.

Mend: larger ones are fetched, as before. The test failed before.

--- a/src/gentianwharf/entryhost/_telling.py
+++ b/src/gentianwharf/entryhost/_telling.py
@@ -183,7 +183,8 @@
         self._on_hosts(news.hosts)
         present = self.roster.present()
         data = msgspec.msgpack.encode(news)
-        if news.changes and len(data) * len(present) > self._most_told_bytes:
+        most_bytes = min(MOST_BYTES, self._most_told_bytes / max(1, len(present)))
+        if news.changes and len(data) > most_bytes:
             # What is told next would wait behind it, and hosts would take it for as new
             # as it was when it was sent: a server that leaves would get work for long.
             # Told only that there was something, each host fetches it.
--- a/tests/test_entryhost_peers.py
+++ b/tests/test_entryhost_peers.py
@@ -7,7 +7,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from gentianwharf.entryhost._messages import Report
+from gentianwharf.entryhost._messages import HostAddress, Report
 from gentianwharf.entryhost._peers import FED_S
 from gentianwharf.keyspace import Span
 from gentianwharf.store import Events, Removal
@@ -197,6 +197,19 @@
     assert follower.events[-1] == (12, Events(changes=(), revision=12))
 
 
+def test_change_that_no_host_would_read_is_fetched_however_fast_the_link(
+    trio: Trio,
+) -> None:
+    """A leader with a fast link sent what is larger than a host takes."""
+    former, follower, _ = trio.hosts
+    leader = host_of(trio.clock, 0, link_bytes_per_s=125_000_000)
+    leader.peers.roster.note_listed([HostAddress("h1", follower.peers.name.address)])
+    leader.peers.begin_to_lead(7)
+    large = events(12, item("rules", 12, random_bytes(1_040_000)))
+    leader.peers.tell_events(10, large)
+    assert follower.events[-1] == (12, Events(changes=(), revision=12))
+
+
 def test_large_change_does_not_hold_up_what_is_told_after_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
