Meet the listed hosts in one place

Beginning to lead and a newer list went through the hosts with a loop each. Beginning, no host is known yet, so that passing over known ones changes nothing.

--- a/src/gentianwharf/entryhost/_roster.py
+++ b/src/gentianwharf/entryhost/_roster.py
@@ -57,9 +57,7 @@
     def begin_to_lead(self) -> None:
         """Take all listed hosts for present, until they fall silent."""
         self._leads = True
-        for one in self._listed:
-            if one.host != self._own.host:
-                self.hear(one.host, one.address)
+        self._meet_listed()
 
     def cease_to_lead(self) -> None:
         """Close every link."""
@@ -76,9 +74,11 @@
     def note_listed(self, hosts: Sequence[HostAddress]) -> None:
         """Follow the list in the store; a leader calls those that it doesn't know."""
         self._listed = tuple(hosts)
-        if not self._leads:
-            return
-        for one in hosts:
+        if self._leads:
+            self._meet_listed()
+
+    def _meet_listed(self) -> None:
+        for one in self._listed:
             if one.host != self._own.host and one.host not in self._peers:
                 self.hear(one.host, one.address)
 
