Answer requests in flight before a planned stop ends

Callers saw their connection close without an answer some 5.7 s after a host was asked to stop, although a server had completed their request successfully.

Cause: the answers on a connection are delivered in the order of its requests. When the server had not answered the first request by the time limit, the process ended, and the ready answers queued behind it were lost. The first request got no answer either.

The relay now ends each exchange in flight 0.2 s before the limit: with 503 "not run" if the request was never sent, with 502 "may have run" if it was, and by aborting the connection if an answer had begun. Ready answers queued behind it follow in order, and requests that arrive later are refused as not run. A second request to stop does the same at once.

Ruled out: an answer lost between the server and the host. The answer had reached the host and was waiting there.

A request that waits for another with its idempotency key, or for a further try after one that was lost, may have run: it gets the 502 too. A limit that falls within the balancer's notice hands over as well.

--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -168,6 +168,10 @@
         """Return how many callers' connections are open."""
         return len(self.site.channels)
 
+    def answer_in_flight(self) -> None:
+        """Send a final answer to each request in flight, and refuse new ones."""
+        self.parts.relay.answer_in_flight()
+
     def hand_over(self, done: Callable[[], None]) -> None:
         """Give up the control work that this host holds."""
         parts = self.parts
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -209,6 +209,10 @@
         """Return how many callers' connections are open."""
         return len(self._site.channels)
 
+    def answer_in_flight(self) -> None:
+        """Send a final answer to each request in flight, and refuse new ones."""
+        self.relay.answer_in_flight()
+
     def hand_over(self, done: Callable[[], None]) -> None:
         """Have nothing left to hand over."""
         done()
--- a/src/gentianwharf/lifecycle/_shutdown.py
+++ b/src/gentianwharf/lifecycle/_shutdown.py
@@ -2,7 +2,9 @@
 
 A planned stop cuts no request off. Readiness turns false at once; for the balancer's
 notice time requests are still served, since it goes on sending until it has noticed;
-then nothing new is accepted, and what is in flight gets its whole answer.
+then nothing new is accepted, and what is in flight gets its whole answer. Requests that
+are still in flight shortly before the time limit get a final answer that says whether
+they may have run.
 """
 
 from collections.abc import Callable
@@ -16,6 +18,8 @@
 
 # Connections without a request are closed at this pace until none is left.
 CLOSE_EVERY_S = 0.1
+# Lead time before the limit, so that final answers are sent before the process ends.
+FINAL_ANSWERS_LEAD_S = 0.2
 
 
 class Phase(StrEnum):
@@ -24,6 +28,7 @@
     SERVING = "serving"
     NOTICE = "notice"
     DRAINING = "draining"
+    ANSWERING = "answering"
     ENDED = "ended"
 
 
@@ -42,6 +47,9 @@
     def open_connections(self) -> int:
         """Return how many callers' connections are open."""
 
+    def answer_in_flight(self) -> None:
+        """Send a final answer to each request in flight, and refuse new ones."""
+
     def hand_over(self, done: Callable[[], None]) -> None:
         """Give up what other hosts should take, then call ``done``."""
 
@@ -56,6 +64,9 @@
     def noticed(self) -> None:
         """End the balancer's time."""
 
+    def limit_approaching(self) -> None:
+        """Send final answers: the limit is ``FINAL_ANSWERS_LEAD_S`` away."""
+
     def emptied(self) -> None:
         """End: nothing is in flight and everything is handed over."""
 
@@ -69,7 +80,7 @@
 
     ``notice_s`` is how long the balancer may go on sending after readiness turned
     false, ``limit_s`` how long the whole may take; the log names each request that
-    the limit cuts off.
+    is still in flight when final answers are sent.
     """
 
     def __init__(
@@ -97,22 +108,40 @@
         log.info("shutdown: notice", extra={"notice_s": self._notice_s})
         self._drained.turn_unready()
         self._later(self._notice_s, self._machine.noticed)
+        final_answers_s = self._limit_s - FINAL_ANSWERS_LEAD_S
+        self._later(final_answers_s, self._machine.limit_approaching)
         self._later(self._limit_s, self._machine.cut)
 
     def drain(self) -> None:
         """Accept nothing more, hand over, and wait for what is in flight."""
         self.phase = Phase.DRAINING
         log.info("shutdown: draining", extra={"in_flight": len(self._in_flight())})
-        self._drained.hand_over(self._note_handed_over)
-        self._look()
+        self._hand_over_and_wait()
 
     def finish(self) -> None:
         """Leave: nothing is in flight."""
         log.info("shutdown: done")
         self._end()
 
+    def answer(self) -> None:
+        """Answer the requests in flight, and wait until the answers are sent."""
+        was_draining = self.phase is Phase.DRAINING
+        self.phase = Phase.ANSWERING
+        self._answer_in_flight()
+        if not was_draining:
+            self._hand_over_and_wait()
+
     def abandon(self) -> None:
-        """Leave although requests are in flight, naming each."""
+        """End at once; final answers may not be delivered."""
+        self._answer_in_flight()
+        self._end()
+
+    def _hand_over_and_wait(self) -> None:
+        self._drained.hand_over(self._note_handed_over)
+        self._look()
+
+    def _answer_in_flight(self) -> None:
+        """Log each request in flight as cut off, and send final answers."""
         for request_id in self._in_flight():
             log.error(
                 "request cut off",
@@ -122,7 +151,7 @@
                     "peer": "caller",
                 },
             )
-        self._end()
+        self._drained.answer_in_flight()
 
     def _end(self) -> None:
         self.phase = Phase.ENDED
@@ -132,7 +161,7 @@
         self._drained.end()
 
     def _look(self) -> None:
-        if self.phase is not Phase.DRAINING:
+        if self.phase not in (Phase.DRAINING, Phase.ANSWERING):
             return
         self._drained.stop_accepting()
         # An answer that is finished may still wait in its connection's buffer: the
@@ -158,6 +187,7 @@
     serving = builder.state("serving")
     notice = builder.state("notice")
     draining = builder.state("draining")
+    answering = builder.state("answering")
     ended = builder.state("ended")
 
     @pep614(serving.upon(_Machine.asked).to(notice))
@@ -168,12 +198,19 @@
     def drain(inputs: _Machine, core: Shutdown) -> None:
         core.drain()
 
+    @pep614(notice.upon(_Machine.limit_approaching).to(answering))
+    @pep614(draining.upon(_Machine.limit_approaching).to(answering))
+    def answer(inputs: _Machine, core: Shutdown) -> None:
+        core.answer()
+
     @pep614(draining.upon(_Machine.emptied).to(ended))
+    @pep614(answering.upon(_Machine.emptied).to(ended))
     def finish(inputs: _Machine, core: Shutdown) -> None:
         core.finish()
 
     @pep614(notice.upon(_Machine.cut).to(ended))
     @pep614(draining.upon(_Machine.cut).to(ended))
+    @pep614(answering.upon(_Machine.cut).to(ended))
     def abandon(inputs: _Machine, core: Shutdown) -> None:
         core.abandon()
 
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable, Sequence
 from collections.abc import Set as AbstractSet
+from dataclasses import replace
 from random import Random
 from typing import Any, cast, final
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
@@ -17,7 +18,7 @@
 from ._caller_request import CallerRequest, EveryPath
 from ._connections import ServerConnections
 from ._dialect import Dialect, OwnDialect
-from ._exchange import Exchange
+from ._exchange import STOPPING_NOT_RUN, Exchange
 from ._headers import KEY_HEADER, connection_options, facts_of
 from ._ports import Admission, Observer, Ownership, Rules, Ticket
 from ._problem import Problem, write_problem
@@ -77,6 +78,7 @@
         self.in_flight: set[Exchange] = set()
         self.on_first_in_flight: Callable[[], None] = lambda: None
         self.stopping = False
+        self._accepts_requests = True
         self._ownership = ownership
         self._admission = admission
         self.connections = connections
@@ -109,14 +111,21 @@
         self.in_flight.add(exchange)
         if len(self.in_flight) == 1:
             self.on_first_in_flight()
-        done = Deferred.fromCoroutine(exchange.serve())
-        return done.addBoth(self._ended, exchange)
+        return exchange.start().addBoth(self._ended, exchange)
+
+    def answer_in_flight(self) -> None:
+        """Send a final answer to each request in flight, and refuse new ones."""
+        self._accepts_requests = False
+        for exchange in list(self.in_flight):
+            exchange.cancel_for_shutdown()
 
     def _ended(self, result: Any, exchange: Exchange) -> Any:
         self.in_flight.discard(exchange)
         return result
 
     def _begin(self, request: CallerRequest, request_id: str) -> Exchange:
+        if not self._accepts_requests:
+            raise replace(STOPPING_NOT_RUN)
         hosts = request.requestHeaders.getRawHeaders(b"host")
         if not hosts or len(hosts) != 1:
             raise _bad_request("expected exactly one Host header")
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from typing import Any, final
 
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.web._newclient import Response
 
 from gentianwharf.logs import log
@@ -44,6 +44,26 @@
     step="serve",
 )
 
+STOPPING_NOT_RUN = Problem(
+    status=503,
+    title="the host is stopping",
+    run=Run.NOT_RUN,
+    detail="The request was not run. Another host serves it.",
+    # Short, since other hosts can serve the retry at once.
+    retry_after_s=0.1,
+    step="shutdown",
+)
+STOPPING_UNKNOWN = Problem(
+    status=STATUS_UNKNOWN,
+    title="the host is stopping, and the server has not answered",
+    run=Run.UNKNOWN,
+    detail=(
+        "The request may have run. Ask for its outcome with its idempotency key"
+        " or its request id before sending it again."
+    ),
+    step="shutdown",
+)
+
 
 @final
 class Exchange:
@@ -86,6 +106,23 @@
         self._misdirected = 0
         self._most_runs = match.rule.then.most_tries or MOST_RUNS
         self._may_have_run = False
+        self._awaits_repeat = False
+        self._shutdown_problem: Problem | None = None
+        self._done: Deferred[None] | None = None
+
+    def start(self) -> "Deferred[None]":
+        """Start serving the request; cancelling the result ends it."""
+        self._done = Deferred.fromCoroutine(self.serve())
+        return self._done
+
+    def cancel_for_shutdown(self) -> None:
+        """Stop serving, and send a problem document if no answer has begun."""
+        is_sent = self._race is not None and self._race.is_sent
+        may_have_run = is_sent or self._may_have_run or self._awaits_repeat
+        problem = STOPPING_UNKNOWN if may_have_run else STOPPING_NOT_RUN
+        self._shutdown_problem = replace(problem)
+        if self._done is not None:
+            self._done.cancel()
 
     async def serve(self) -> None:
         """Serve the request; every way out answers or breaks the connection."""
@@ -97,9 +134,7 @@
         except Problem as problem:
             self.refuse(problem)
         except CancelledError:
-            self._record(
-                status=STATUS_CALLER_GONE, run=Run.UNKNOWN, reason="caller-gone"
-            )
+            self._cancelled()
         except Exception:
             # A fault of ours must not look like an answer of the server's, and
             # nothing is known of what it left behind.
@@ -108,8 +143,18 @@
         finally:
             self._admission.forget(self.ticket)
 
+    def _cancelled(self) -> None:
+        if self._shutdown_problem is None:
+            self._record(
+                status=STATUS_CALLER_GONE, run=Run.UNKNOWN, reason="caller-gone"
+            )
+        else:
+            self.refuse(self._shutdown_problem)
+
     async def _serve_once(self, repeat: RepeatKey) -> None:
+        self._awaits_repeat = True
         kept = await self._repeats.claim(repeat, self.ticket.request_id)
+        self._awaits_repeat = False
         if kept is not None:
             self._give_again(kept)
             return
--- a/src/gentianwharf/relay/_leg.py
+++ b/src/gentianwharf/relay/_leg.py
@@ -73,6 +73,7 @@
         self.server = server
         self.connection: ServerConnection | None = None
         self.begun_s = reactor.seconds()
+        self.is_sent = False
         self._request = request
         self._ticket = ticket
         self._owner = owner
@@ -144,6 +145,7 @@
                 outcome=Outcome.CANCELLED,
                 problem=self._not_run("no time was left to run the request"),
             )
+        self.is_sent = True
         answer = connection.exchange(
             method=self._request.method,
             uri=self._request.uri,
--- a/src/gentianwharf/relay/_race.py
+++ b/src/gentianwharf/relay/_race.py
@@ -26,6 +26,11 @@
         self._won: Deferred[tuple[Leg, Response]] = Deferred(lambda _: self.abort())
         self.decided = False
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether a leg that awaits its answer may have sent the request."""
+        return any(leg.is_sent for leg in self._running)
+
     def start(self, leg: Leg) -> None:
         """Begin a leg beside those that run."""
         if self.decided:
--- a/tests/test_daemon_shutdown.py
+++ b/tests/test_daemon_shutdown.py
@@ -30,6 +30,9 @@
     def open_connections(self) -> int:
         return self.connections
 
+    def answer_in_flight(self) -> None:
+        self.events.append("answer")
+
     def hand_over(self, done: Callable[[], None]) -> None:
         self.events.append("hand-over")
         self.hand_over_done = done
@@ -117,3 +120,43 @@
         run_for(clock, 0.4)
     assert process.events[-1] == "end"
     assert clock.seconds() == pytest.approx(ended_at_s, abs=0.3)
+
+
+def test_requests_in_flight_are_answered_before_the_limit() -> None:
+    """Guards against connections closed without an answer at the time limit."""
+    process, clock, shutdown = start(["stuck"])
+    process.connections = 1
+    run_for(clock, 29.7)
+    assert "answer" not in process.events
+    run_for(clock, 0.2)
+    assert process.events[-1] == "answer"
+    assert shutdown.phase is Phase.ANSWERING
+    run_for(clock, 0.2)
+    assert process.events[-1] == "end"
+
+
+def test_process_ends_once_final_answers_are_sent() -> None:
+    process, clock, _ = start(["stuck"])
+    run_for(clock, 29.5)
+    assert process.hand_over_done is not None
+    process.hand_over_done()
+    process.connections = 1
+    run_for(clock, 0.4)
+    process.requests.clear()
+    process.connections = 0
+    clock.advance(0.1)
+    assert process.events[-1] == "end"
+    assert clock.seconds() < 30.05
+
+
+def test_limit_within_the_notice_still_hands_over() -> None:
+    """A limit shorter than the notice must not keep the process until it is killed."""
+    process, clock = Process([]), Clock()
+    shutdown = Shutdown(drained=process, clock=clock, notice_s=5.0, limit_s=1.0)
+    shutdown.ask()
+    run_for(clock, 0.9)
+    assert process.events == ["unready", "answer", "hand-over", "stop-accepting"]
+    assert process.hand_over_done is not None
+    process.hand_over_done()
+    run_for(clock, 0.1)
+    assert process.events[-1] == "end"
--- /dev/null
+++ b/tests/test_relay_shutdown.py
@@ -0,0 +1,213 @@
+"""What callers receive when a planned stop reaches its time limit."""
+
+import threading
+from collections.abc import Callable
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from gentianwharf.daemon import Shutdown
+from tests.builders_relay import (
+    REACTOR,
+    RunningRelay,
+    answer,
+    in_reactor,
+    read_to_end,
+    request,
+    running_relay,
+)
+
+LIMIT_S = 0.6
+HANG_S = 5.0
+DEADLINE_MS = 10_000
+
+
+class DrainedRelay:
+    """Implements ``Drained`` for a relay and its callers' site."""
+
+    def __init__(self, relay: RunningRelay) -> None:
+        self._app, self._site = relay.app, relay.site
+        self.ended = threading.Event()
+
+    def turn_unready(self) -> None:
+        self._site.stop_keeping()
+
+    def stop_accepting(self) -> None:
+        self._site.close_idle()
+
+    def in_flight(self) -> list[str]:
+        return [exchange.ticket.request_id for exchange in self._app.in_flight]
+
+    def open_connections(self) -> int:
+        return len(self._site.channels)
+
+    def answer_in_flight(self) -> None:
+        self._app.answer_in_flight()
+
+    def hand_over(self, done: Callable[[], None]) -> None:
+        done()
+
+    def end(self) -> None:
+        # The end of the process resets the connections that are still open.
+        for channel in list(self._site.channels):
+            channel.abort()
+        self.ended.set()
+
+
+def begin_shutdown(relay: RunningRelay) -> Shutdown:
+    shutdown = Shutdown(
+        drained=DrainedRelay(relay), clock=REACTOR, notice_s=0.1, limit_s=LIMIT_S
+    )
+    in_reactor(shutdown.ask)
+    return shutdown
+
+
+def path_of(head: bytes) -> bytes:
+    return head.split(b" ")[1]
+
+
+def test_ready_answers_behind_an_unanswered_request_are_delivered() -> None:
+    """Guards against the loss of ready answers queued behind a missing one."""
+    release = threading.Event()
+    served = threading.Semaphore(0)
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        served.release()
+        if path_of(head) == b"/plain/silent":
+            release.wait(HANG_S)
+            return
+        connection.sendall(answer(b"body of " + path_of(head)))
+
+    with running_relay([server], deadline_ms=DEADLINE_MS) as relay:
+        with relay.connect() as connection:
+            connection.sendall(
+                request(path="/plain/silent", close=False)
+                + request(path="/plain/a", close=False)
+                + request(path="/plain/b", close=False)
+            )
+            for _ in range(3):
+                assert served.acquire(timeout=HANG_S)
+            begin_shutdown(relay)
+            received = read_to_end(connection)
+        release.set()
+    assert received.startswith(b"HTTP/1.1 502")
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.index(b"body of /plain/a") < received.index(b"body of /plain/b")
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_sent_request_is_not_reported_as_not_run(method: str) -> None:
+    """Guards against retries of a request that the server may have run."""
+    release, begun = threading.Event(), threading.Event()
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        begun.set()
+        release.wait(HANG_S)
+
+    with running_relay([server], deadline_ms=DEADLINE_MS) as relay:
+        with relay.connect() as connection:
+            connection.sendall(
+                request(method, headers="Content-Length: 0\r\n", close=False)
+            )
+            assert begun.wait(HANG_S)
+            begin_shutdown(relay)
+            received = read_to_end(connection)
+        release.set()
+    assert received.startswith(b"HTTP/1.1 502")
+    assert b'"run": "unknown"' in received
+    assert relay.records.answers[-1].status == 502
+
+
+def test_unsent_request_is_refused_as_not_run() -> None:
+    """Guards against closing the connection without a refusal."""
+    with running_relay([], deadline_ms=DEADLINE_MS) as relay:
+        waiting = threading.Event()
+
+        async def admit(*_: object) -> None:
+            waiting.set()
+            await Deferred()
+
+        relay.admission.admit = admit
+        with relay.connect() as connection:
+            connection.sendall(request("POST", headers="Content-Length: 0\r\n"))
+            assert waiting.wait(HANG_S)
+            begin_shutdown(relay)
+            received = read_to_end(connection)
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After" in received
+    assert b'"run": "not-run"' in received
+
+
+def test_partial_answer_is_not_followed_by_a_problem_document() -> None:
+    """Guards against a problem document that is read as the rest of an answer."""
+    release, begun = threading.Event(), threading.Event()
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf")
+        begun.set()
+        release.wait(HANG_S)
+
+    with running_relay([server], deadline_ms=DEADLINE_MS) as relay:
+        with relay.connect() as connection:
+            connection.sendall(request(close=False))
+            assert begun.wait(HANG_S)
+            begin_shutdown(relay)
+            received = read_to_end(connection)
+        release.set()
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"problem" not in received
+
+
+def test_request_after_the_final_answers_is_refused() -> None:
+    """Guards against starting a request in a process that is about to end."""
+    with running_relay([], deadline_ms=DEADLINE_MS) as relay:
+        in_reactor(relay.app.answer_in_flight)
+        received = relay.ask(request())
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b'"run": "not-run"' in received
+    assert relay.records.refusals
+
+
+def test_request_that_joins_another_is_not_reported_as_not_run() -> None:
+    """The first request with its idempotency key may have run."""
+    release, begun = threading.Event(), threading.Event()
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        begun.set()
+        release.wait(HANG_S)
+
+    charge = request(
+        "POST", headers="Content-Length: 0\r\nIdempotency-Key: a\r\n", close=False
+    )
+    with running_relay([server], deadline_ms=DEADLINE_MS) as relay:
+        with relay.connect() as first, relay.connect() as second:
+            first.sendall(charge)
+            assert begun.wait(HANG_S)
+            second.sendall(charge)
+            begin_shutdown(relay)
+            received = read_to_end(second)
+        release.set()
+    assert b'"run": "unknown"' in received
+
+
+def test_request_that_waits_for_another_try_may_have_run() -> None:
+    """A lost try counts as a possible run while the next server is chosen."""
+    waiting = threading.Event()
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        connection.close()
+
+    async def admit_again(*_: object, **__: object) -> None:
+        waiting.set()
+        await Deferred()
+
+    with running_relay([server], deadline_ms=DEADLINE_MS) as relay:
+        relay.admission.admit_again = admit_again
+        with relay.connect() as connection:
+            connection.sendall(request(close=False))
+            assert waiting.wait(HANG_S)
+            begin_shutdown(relay)
+            received = read_to_end(connection)
+    assert received.startswith(b"HTTP/1.1 502")
+    assert b"Retry-After" not in received
+    assert b"not run" not in received
