Avoid importing twisted.web.server on entry hosts

An entry host serves no requests until its modules are loaded, and loading them is the largest part of its processor time at startup. `twisted.web.server` imports an object broker, HTML templates, URLs and XML, none of which a host uses.

The callers' port, readiness and metrics now use `twisted.web.http` alone. An error before an exchange begins now returns a problem document with the request's id instead of an HTML page. The stand-in server, whose requests are routed by klein, keeps the full request class.

An error while a page of the small ports is rendered is logged and answered with 500, as before; the log line of a failed request names its id.

--- a/src/gentianwharf/entryhost/_metrics.py
+++ b/src/gentianwharf/entryhost/_metrics.py
@@ -6,14 +6,15 @@
 from typing import Any, final
 
 from hdrh.histogram import HdrHistogram
-from twisted.web.resource import Resource
-from twisted.web.server import Request, Site
 
 from gentianwharf.relay import Answered
 
+from ._page_site import PageResponse, PageSite
+
 METRICS_PORT = 9464
 """A port that Prometheus' exporters commonly use; `deploy/system.toml` names it too."""
 
+METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4"
 PREFIX = "gentianwharf_"
 MICROSECONDS = 1_000_000
 LONGEST_US = 60 * MICROSECONDS
@@ -23,7 +24,6 @@
 MOST_SERIES = 500
 """Classes come from the operators' configuration, which may change often."""
 
-IDLE_TIMEOUT_S = 60
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 Gauge = Callable[[], float]
@@ -127,22 +127,11 @@
     return float(len(os.listdir("/proc/self/fd")))
 
 
-@final
-class _Page(Resource):
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, metrics: HostMetrics) -> None:
-        super().__init__()
-        self._metrics = metrics
-
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
-        """Answer with the page."""
-        request.setHeader(b"Content-Type", b"text/plain; version=0.0.4")
-        return self._metrics.text().encode()
+def metrics_site(*, metrics: HostMetrics, reactor: Any) -> PageSite:
+    """Return a site that answers every GET with the metrics."""
 
+    def render() -> PageResponse:
+        body = metrics.text().encode()
+        return PageResponse(body=body, content_type=METRICS_CONTENT_TYPE)
 
-def metrics_site(*, metrics: HostMetrics, reactor: Any) -> Site:
-    """Return a site that answers every GET with the metrics."""
-    site = Site(_Page(metrics), timeout=IDLE_TIMEOUT_S, reactor=reactor)
-    site.log = lambda request: None  # type: ignore[method-assign]
-    return site
+    return PageSite(render=render, reactor=reactor)
--- a/src/gentianwharf/relay/_answer.py
+++ b/src/gentianwharf/relay/_answer.py
@@ -6,8 +6,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol, Response
-from twisted.web.client import ResponseDone
+from twisted.web._newclient import HTTP11ClientProtocol, Response, ResponseDone
 from twisted.web.http import datetimeToString
 from twisted.web.iweb import UNKNOWN_LENGTH
 
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -18,7 +18,7 @@
 from ._caller_request import CallerRequest, EveryPath
 from ._connections import ServerConnections
 from ._dialect import Dialect, OwnDialect
-from ._exchange import STOPPING_NOT_RUN, Exchange
+from ._exchange import FAULT, STOPPING_NOT_RUN, Exchange
 from ._headers import KEY_HEADER, connection_options, facts_of
 from ._ports import Admission, Observer, Ownership, Rules, Ticket
 from ._problem import Problem, write_problem
@@ -47,10 +47,10 @@
         done.addErrback(self._failed, request)
 
     def _failed(self, failure: Failure, request: CallerRequest) -> None:
-        # The exchange answers all that it may: this is a fault before it began.
+        # ``_serve`` and ``Exchange`` respond to their own errors. After any other, part
+        # of an answer may have been sent, so the connection is aborted.
         log.error("request failed: {}", failure.getTraceback())
-        if not request.startedWriting and not request._disconnected:
-            request.processingFailed(failure)
+        request.abort()
 
 
 class RelayApp:
@@ -103,10 +103,15 @@
         try:
             exchange = self._begin(caller_request, request_id)
         except Problem as problem:
-            self._observer.refused(request_id, problem)
-            write_problem(
-                caller_request, problem, request_id=request_id, dialect=self._dialect
+            self._refuse(caller_request, request_id, problem)
+            return None
+        except Exception:
+            log.exception(
+                "request failed",
+                extra={"request_id": request_id, "step": "begin", "peer": "self"},
             )
+            fault = replace(FAULT, run=Run.NOT_RUN)
+            self._refuse(caller_request, request_id, fault)
             return None
         self.in_flight.add(exchange)
         if len(self.in_flight) == 1:
@@ -119,6 +124,12 @@
         for exchange in list(self.in_flight):
             exchange.cancel_for_shutdown()
 
+    def _refuse(
+        self, request: CallerRequest, request_id: str, problem: Problem
+    ) -> None:
+        self._observer.refused(request_id, problem)
+        write_problem(request, problem, request_id=request_id, dialect=self._dialect)
+
     def _ended(self, result: Any, exchange: Exchange) -> Any:
         self.in_flight.discard(exchange)
         return result
--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -8,8 +8,8 @@
 from math import inf
 from typing import Any, Protocol, cast
 
+from twisted.web.http import Request
 from twisted.web.resource import Resource
-from twisted.web.server import Request
 
 from gentianwharf.logs import log
 
@@ -51,8 +51,7 @@
 
     body: CallerBody | None = None
     answered_early = False
-    # An answer without a type is handed on without one: it is the server's.
-    defaultContentType = None  # noqa: N815
+    site: Any = None
 
     def take_turn(self) -> None:
         """Answer on the connection itself: all earlier answers are written."""
@@ -111,16 +110,9 @@
             self.abort()
 
     def process(self) -> None:
-        """Hand the request to a resource that serves every path, else to the site's.
-
-        Finding a resource by its path takes 40 µs, and the relay has one only.
-        """
-        site = cast(Any, self.channel).site
-        if not isinstance(site.resource, EveryPath):
-            super().process()
-            return
-        self.site = site
-        site.resource.serve(self)
+        """Pass the request to the site's resource without routing by path."""
+        self.site = cast(Any, self.channel).site
+        self.site.resource.serve(self)
 
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -6,13 +6,11 @@
 from twisted.internet.interfaces import ITCPTransport
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
-from twisted.web.http import HTTPChannel
+from twisted.web.http import HTTPChannel, HTTPFactory
 from twisted.web.http_headers import Headers
-from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from ._caller_limits import ConnectionLimits
-from ._caller_request import CallerRequest
+from ._caller_request import CallerRequest, EveryPath
 from ._headers import connection_options
 from ._pipeline import MOST_AHEAD, whole_safe_head
 from ._transport import send_now
@@ -219,33 +217,36 @@
 _SLOW_HEAD = _refusal(b"408 Request Timeout", "the request's head came too slowly")
 
 
-class CallerSite(Site):
-    """The callers' port."""
+class CallerSite(HTTPFactory):
+    """The callers' port.
+
+    Extends ``HTTPFactory`` instead of ``twisted.web.server.Site``, whose module imports
+    an object broker and HTML templates, which would slow down an entry host's startup.
+    """
 
     protocol = CallerChannel  # type: ignore[assignment]
 
     def __init__(
         self,
         *,
-        resource: Resource,
+        resource: EveryPath,
         reactor: Any,
         request_class: type[CallerRequest] = CallerRequest,
         limits: ConnectionLimits | None = None,
     ) -> None:
         self.limits = limits or ConnectionLimits()
-        super().__init__(
-            resource,
-            requestFactory=request_class,
-            timeout=self.limits.idle_timeout_s,
-            reactor=reactor,
-        )
+        super().__init__(timeout=self.limits.idle_timeout_s, reactor=reactor)
+        self.resource = resource
+        self.requestFactory = request_class  # noqa: N815
         self._seconds = reactor.seconds
         self.channels: set[CallerChannel] = set()
         self.stopping = False
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Make a caller's connection, and remember it."""
-        channel = super().buildProtocol(addr)
+        channel = cast(Any, super().buildProtocol(addr))
+        channel.requestFactory = self.requestFactory
+        channel.site = self
         channel.take_limits(self.limits)
         self.channels.add(channel)
         return channel
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -138,7 +138,14 @@
         except Exception:
             # A fault of ours must not look like an answer of the server's, and
             # nothing is known of what it left behind.
-            log.exception("request failed", extra={"step": "serve", "peer": "self"})
+            log.exception(
+                "request failed",
+                extra={
+                    "request_id": self.ticket.request_id,
+                    "step": "serve",
+                    "peer": "self",
+                },
+            )
             self.refuse(FAULT)
         finally:
             self._admission.forget(self.ticket)
--- a/src/gentianwharf/relay/_problem.py
+++ b/src/gentianwharf/relay/_problem.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
-from twisted.web.server import Request
+from twisted.web.http import Request
 
 from gentianwharf.runs import Run
 
--- a/src/gentianwharf/standin/_backend.py
+++ b/src/gentianwharf/standin/_backend.py
@@ -11,6 +11,8 @@
 from twisted.internet.interfaces import IConsumer, IPullProducer, IReactorTime
 from twisted.web.http import Request
 from twisted.web.iweb import IRequest
+from twisted.web.resource import getChildForRequest
+from twisted.web.server import Request as SiteRequest
 from zope.interface import implementer
 
 from gentianwharf.infra import Grant, ServerReport
@@ -52,15 +54,38 @@
 
 
 @final
-class ServerRequest(CallerRequest):
+class ServerRequest(CallerRequest, SiteRequest):
     """A request whose path klein may route by."""
 
+    # Keeps twisted from adding a Content-Type to responses without one.
+    defaultContentType = None  # noqa: N815
+
+    def process(self) -> None:
+        """Route the request by its path."""
+        SiteRequest.process(self)
+
     def set_head(self, method: bytes, uri: bytes, version: bytes) -> None:
         """Take method, target and version."""
         super().set_head(method, uri, version)
         self.path = uri.split(b"?", 1)[0]
 
 
+@final
+class ServerSite(CallerSite):
+    """A site that routes requests with klein before their bodies have arrived.
+
+    Provides what ``twisted.web.server.Request`` expects of its site.
+    """
+
+    displayTracebacks = False  # noqa: N815
+    _parsePOSTFormSubmission = False
+
+    def getResourceFor(self, request: Any) -> Any:  # noqa: N802
+        """Return the resource that serves ``request``."""
+        request.sitepath = list(request.prepath)
+        return getChildForRequest(cast(Any, self.resource), request)
+
+
 class _RefusedError(Exception):
     """A request that is refused without running it."""
 
@@ -129,8 +154,8 @@
 
     def site(self) -> CallerSite:
         """Return what to listen with; bodies are read as they come."""
-        return CallerSite(
-            resource=self.klein.resource(),
+        return ServerSite(
+            resource=cast(Any, self.klein.resource()),
             reactor=self._clock,
             request_class=ServerRequest,
         )
