Count every lost leg of a hedged request

A caller could be told "not run" although a server may have run its request, and a request could run on more servers than its rule allows.

Cause: when both legs of a hedged request failed, only the error of the last one was examined. If the first leg was lost (its connection ended without an answer) and the second was then shed, the lost leg was ignored: the answer was 503 "not run", and one run too few was counted against the rule's number of tries.

The race now counts its lost legs, and the exchange counts all of them.

--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -16,7 +16,7 @@
 from ._connections import ServerConnections
 from ._dialect import Dialect
 from ._headers import answered_with
-from ._leg import FinalError, Leg, LegError, LostError, NotRunError
+from ._leg import FinalError, Leg, LegError, NotRunError
 from ._ports import Admission, Answered, Observer, Outcome, Owner, Ownership, Ticket
 from ._problem import Problem, write_problem
 from ._race import Race
@@ -234,6 +234,7 @@
             try:
                 leg, response = await self._run(server)
             except FinalError as failed:
+                self._learn(failed)
                 raise failed.problem from failed
             except LegError as failed:
                 self._learn(failed)
@@ -298,9 +299,10 @@
         )
 
     def _learn(self, error: LegError) -> None:
-        if isinstance(error, LostError):
+        lost_legs = self._race.lost_legs if self._race is not None else 0
+        if lost_legs:
             self._may_have_run = True
-            self._runs += 1
+            self._runs += lost_legs
         if error.outcome is Outcome.NOT_OWNER and self._owner is not None:
             self._misdirected += 1
             self._ownership.not_owner(self.ticket, self._owner)
--- a/src/gentianwharf/relay/_race.py
+++ b/src/gentianwharf/relay/_race.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 from twisted.web._newclient import Response
 
-from ._leg import Leg, LegError, run_leg
+from ._leg import Leg, LegError, LostError, run_leg
 from ._ports import Admission, Outcome, Ticket
 
 
@@ -25,11 +25,12 @@
         self._running: dict[Leg, Deferred[Any]] = {}
         self._won: Deferred[tuple[Leg, Response]] = Deferred(lambda _: self.abort())
         self.decided = False
+        self.lost_legs = 0
 
     @property
     def is_sent(self) -> bool:
         """Whether a leg that awaits its answer may have sent the request."""
-        return any(leg.is_sent for leg in self._running)
+        return self.lost_legs > 0 or any(leg.is_sent for leg in self._running)
 
     def start(self, leg: Leg) -> None:
         """Begin a leg beside those that run."""
@@ -72,6 +73,8 @@
     def _failed(self, failure: Failure, leg: Leg) -> None:
         self._running.pop(leg, None)
         error = failure.value
+        if isinstance(error, LostError):
+            self.lost_legs += 1
         if isinstance(error, LegError):
             self._finish(leg, error.outcome, error.shed_s)
         else:
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -130,6 +130,7 @@
         self.outcomes: list[Outcome] = []
         self.retry_after_s: list[float] = []
         self.hedge_after_s: float | None = None
+        self.outcome_events: dict[Outcome, threading.Event] = {}
 
     async def admit(
         self, ticket: Ticket, owner: BackendServer | None, hedge: Hedge
@@ -161,6 +162,8 @@
     ) -> None:
         """Keep the outcome."""
         self.outcomes.append(outcome)
+        if outcome in self.outcome_events:
+            self.outcome_events[outcome].set()
         if retry_after_s is not None:
             self.retry_after_s.append(retry_after_s)
 
