--- /dev/null
+++ b/tests/test_relay_hedging.py
@@ -0,0 +1,51 @@
+"""Requests that are sent to two servers side by side."""
+
+import json
+import socket
+import threading
+
+from gentianwharf.relay import Outcome
+from tests.builders_answers import ok, shedding, silent
+from tests.builders_relay import request, running_relay
+
+HANG_S = 5.0
+
+
+def test_refusal_after_a_lost_hedged_leg_is_not_called_not_run() -> None:
+    """Guards against ignoring a lost leg when the other leg is shed later."""
+    hedge_received, leg_lost = threading.Event(), threading.Event()
+
+    def closing_after_hedge(connection, head):  # type: ignore[no-untyped-def]
+        assert hedge_received.wait(HANG_S)
+        connection.shutdown(socket.SHUT_RDWR)
+
+    def shedding_after_loss(connection, head):  # type: ignore[no-untyped-def]
+        hedge_received.set()
+        assert leg_lost.wait(HANG_S)
+        shedding(connection, head)
+
+    with running_relay(
+        [closing_after_hedge, shedding],
+        [shedding_after_loss, shedding],
+        deadline_ms=10_000,
+    ) as relay:
+        relay.admission.hedge_after_s = 0.02
+        relay.admission.outcome_events = {Outcome.LOST: leg_lost}
+        received = relay.ask(request())
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert json.loads(received.split(b"\r\n\r\n", 1)[1])["run"] == "unknown"
+
+
+def test_late_answer_is_overtaken_by_a_second_server() -> None:
+    with running_relay([silent], [ok]) as relay:
+        relay.admission.hedge_after_s = 0.02
+        received = relay.ask(request())
+        assert received.endswith(b"\r\n\r\nok")
+        assert sorted(relay.admission.outcomes) == ["answered", "cancelled"]
+
+
+def test_hedge_of_a_decided_request_counts_as_finished() -> None:
+    with running_relay([ok], [ok]) as relay:
+        relay.admission.hedge_after_s = 0.0
+        relay.ask(request())
+        assert relay.admission.outcomes.count(Outcome.ANSWERED) == 1
