--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -119,8 +119,7 @@
         """Stop serving, and send a problem document if no answer has begun."""
         is_sent = self._race is not None and self._race.is_sent
         may_have_run = is_sent or self._may_have_run or self._awaits_repeat
-        problem = STOPPING_UNKNOWN if may_have_run else STOPPING_NOT_RUN
-        self._shutdown_problem = replace(problem)
+        self._shutdown_problem = STOPPING_UNKNOWN if may_have_run else STOPPING_NOT_RUN
         if self._done is not None:
             self._done.cancel()
 
--- a/src/gentianwharf/relay/_race.py
+++ b/src/gentianwharf/relay/_race.py
@@ -29,7 +29,7 @@
 
     @property
     def is_sent(self) -> bool:
-        """Whether a leg that awaits its answer may have sent the request."""
+        """Whether a server may have received the request and has not answered it."""
         return self.lost_legs > 0 or any(leg.is_sent for leg in self._running)
 
     def start(self, leg: Leg) -> None:
