Exclude the servers of an evacuated failure domain from all work

Cause: the operators' key op/evacuate/DOMAIN was not read.

The directory of servers now leaves them out, so they get no new work, and the leader moves their keys with a handover, as it does for draining servers. Other than a lapse of most entries at once, an evacuation is applied although no server of a service is left.

Ruled out: a state of its own beside "draining". All that an evacuated server needs is what a draining one gets.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -25,6 +25,7 @@
     PlatformStore,
     ServerEntry,
     ServerOrders,
+    evacuated_domain,
 )
 from gentianwharf.relay import ServerLoad
 from gentianwharf.store import (
@@ -39,7 +40,7 @@
 
 from ._broadcaster import StorePosition
 from ._conversions import candidate_of, holder_of
-from ._directory import Directory, accepts_work
+from ._directory import Directory
 from ._host_list import HostList
 from ._keys import KeyHolders, ServerLookup
 from ._peer_messages import NO_REVISION
@@ -210,9 +211,7 @@
         """Apply a change of a service's servers."""
         self._servers_changed = True
         if service in self.keyed:
-            # Servers whose entry has lapsed keep their keys until the lapse is
-            # confirmed.
-            self._set_candidates(service, self.directory.entries(service))
+            self._set_candidates(service, self.directory.candidates(service))
             self.keys.wake(service)
 
     def _update_listed_servers(self) -> None:
@@ -228,8 +227,7 @@
             )
 
     def _set_candidates(self, service: str, listed: Iterable[ServerEntry]) -> None:
-        candidates = [candidate_of(entry) for entry in listed if accepts_work(entry)]
-        self._planner.set_candidates(service, candidates)
+        self._planner.set_candidates(service, [candidate_of(entry) for entry in listed])
 
     # Observations of servers by this host.
 
@@ -252,6 +250,8 @@
             self.rules.note_item(item)
         elif key.startswith(SERVERS_PREFIX):
             self.directory.note_item(key, item)
+        elif (domain := evacuated_domain(key)) is not None:
+            self.directory.set_evacuated(domain, item is not None)
         elif key == LEADER_KEY:
             self.peers.follow(item)
             self.leadership.note_item(item)
--- a/src/gentianwharf/entryhost/_directory.py
+++ b/src/gentianwharf/entryhost/_directory.py
@@ -29,6 +29,7 @@
         self.on_change: Callable[[str], None] = lambda service: None
         self._entries: dict[str, ServerEntry] = {}
         self._unreadable: set[str] = set()
+        self._evacuated: set[str] = set()
         self._mirror = mirror
         self._reactor = reactor
         self._pending_removals: dict[str, Any] = {}
@@ -47,10 +48,39 @@
         servers would remain: a lapse of most entries at once indicates a fault of the
         store.
         """
-        ready = [entry for entry in self.entries(service) if accepts_work(entry)]
+        ready = self.candidates(service)
         confirmed = [entry for entry in ready if entry.id not in self._pending_removals]
         return confirmed if len(confirmed) * 2 >= len(ready) else ready
 
+    def candidates(self, service: str) -> list[ServerEntry]:
+        """Return the servers of a service that may hold keys.
+
+        They include servers whose entries have lapsed: these keep their keys until the
+        lapse is confirmed.
+        """
+        return [entry for entry in self.entries(service) if self._accepts_work(entry)]
+
+    def set_evacuated(self, domain: str, evacuated: bool) -> None:
+        """Set whether the servers of a failure domain are excluded from all work."""
+        if evacuated is (domain in self._evacuated):
+            return
+        if evacuated:
+            self._evacuated.add(domain)
+        else:
+            self._evacuated.remove(domain)
+        log.info(
+            "evacuation of a failure domain {}",
+            "started" if evacuated else "ended",
+            extra={"domain": domain},
+        )
+        for service in {
+            entry.service for entry in self._entries.values() if entry.domain == domain
+        }:
+            self._coalescer.note(service)
+
+    def _accepts_work(self, entry: ServerEntry) -> bool:
+        return entry.state is ServerState.READY and entry.domain not in self._evacuated
+
     def all(self) -> list[ServerEntry]:
         """Return every listed server."""
         return list(self._entries.values())
@@ -125,8 +155,3 @@
                 extra={"server": entry.id, "service": entry.service},
             )
             self._coalescer.note(entry.service)
-
-
-def accepts_work(entry: ServerEntry) -> bool:
-    """Whether a server accepts new work."""
-    return entry.state is ServerState.READY
--- a/src/gentianwharf/platform/__init__.py
+++ b/src/gentianwharf/platform/__init__.py
@@ -13,6 +13,7 @@
     UnreadablePart,
     decode_configuration,
 )
+from ._evacuations import EVACUATIONS_PREFIX, evacuated_domain
 from ._header_codec import PlatformHeaderCodec
 from ._orders import ServerOrders
 from ._servers import (
@@ -33,6 +34,7 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "EVACUATIONS_PREFIX",
     "SERVERS_PREFIX",
     "SETTINGS_PATH_VARIABLE",
     "SHARDS",
@@ -52,5 +54,6 @@
     "decode_configuration",
     "decode_host_settings",
     "decode_server_entry",
+    "evacuated_domain",
     "read_host_settings",
 ]
--- a/tests/test_entryhost_directory.py
+++ b/tests/test_entryhost_directory.py
@@ -61,6 +61,38 @@
     assert len(directory.entries("calendar")) == 3
 
 
+def test_servers_of_an_evacuated_domain_receive_no_work() -> None:
+    """Guards against sending work to a domain that the operators are emptying."""
+    clock = Clock()
+    directory, _ = make_directory(clock, 1)
+    directory.note_item(*entry(1, zone="charguia"))
+    changed: list[str] = []
+    directory.on_change = changed.append
+    directory.set_evacuated("charguia", True)
+    assert usable(directory) == ["i-0"]
+    assert [server.id for server in directory.candidates("calendar")] == ["i-0"]
+    directory.set_evacuated("charguia", False)
+    assert usable(directory) == ["i-0", "i-1"]
+    assert changed == ["calendar", "calendar"]
+
+
+def test_evacuation_holds_although_no_server_is_left() -> None:
+    """Guards against ignoring the evacuation of the only domain of a service.
+
+    A lapse of most entries at once is not applied, but an evacuation always is.
+    """
+    directory, _ = make_directory(Clock(), 3)
+    directory.set_evacuated("lac", True)
+    assert usable(directory) == []
+
+
+def test_server_that_joins_an_evacuated_domain_receives_no_work() -> None:
+    directory, _ = make_directory(Clock(), 1)
+    directory.set_evacuated("charguia", True)
+    directory.note_item(*entry(1, zone="charguia"))
+    assert usable(directory) == ["i-0"]
+
+
 def test_lapse_of_most_entries_at_once_is_not_applied_at_once() -> None:
     """Guards against refusing all requests after every entry lapsed in an outage.
 
