Limit what all hosts together send to a cold server

Cause: neither cold-per-s of a service nor cold-remaining of a server's entry was read.

Each cold server now gets requests from two hosts, which all hosts choose alike by rendezvous hashing over the list of hosts, at cold-per-s together. The sum needs no message, so hosts that are cut off keep to it too; hosts with different lists add one request a second each. A host that knows no list sends nothing to a cold server. A starting server becomes a candidate for keys once it is warm, unless most of the service's servers are starting. Servers count as cold for two seconds after an evacuation, until their next entries say whether they are.

Ruled out: shares dealt out by the leader, which hosts that are cut off can't receive. Not covered: a server that turns cold while it holds keys; its owner's requests are not limited.

The limit applies only where operators configure cold-per-s; elsewhere nothing changes. Five tests of tests/test_entryhost_directory.py use what did not exist before.

--- a/src/gentianwharf/entryhost/_conversions.py
+++ b/src/gentianwharf/entryhost/_conversions.py
@@ -1,26 +1,23 @@
 """Conversions of the platform's entries to the types of other packages."""
 
 from gentianwharf.keyspace import Candidate, Holder
-from gentianwharf.platform import CallerLimits, ServerEntry
+from gentianwharf.platform import CallerLimits, ConfiguredService, ServerEntry
 from gentianwharf.relay import ConnectionLimits
 from gentianwharf.topology import BackendServer
 
 MIN_HEADER_BYTES = len(b"a:\r\n")
 
 
-def server_of(entry: ServerEntry, connections: int) -> BackendServer:
-    """Return a listed server as the type that the relay and the gate use.
-
-    ``connections`` is the number of connections that it accepts from all hosts
-    together.
-    """
+def server_of(entry: ServerEntry, service: ConfiguredService) -> BackendServer:
+    """Return a listed server as the type that the relay and the gate use."""
     return BackendServer(
         id=entry.id,
         service=entry.service,
         domain=entry.domain,
         address=entry.address,
         slots=entry.slots,
-        connections=connections,
+        connections=service.connections,
+        cold_requests_per_s=service.cold_requests_per_s,
     )
 
 
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -1,6 +1,6 @@
 """The state that all hosts share: store, leadership, grants and key tables."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from random import Random
 from typing import Any, final
 
@@ -85,6 +85,7 @@
         rng: Random,
     ) -> None:
         self.on_host_count: Callable[[int], None] = lambda host_count: None
+        self.on_hosts: Callable[[Sequence[str]], None] = lambda names: None
         self.host_count = INITIAL_HOST_COUNT
         self.keyed: set[str] = set()
         self._servers_changed = False
@@ -211,9 +212,18 @@
         """Apply a change of a service's servers."""
         self._servers_changed = True
         if service in self.keyed:
-            self._set_candidates(service, self.directory.candidates(service))
+            candidates = self.directory.candidates(service)
+            if self._has_cold_limit(service):
+                candidates = self.directory.without_starting(candidates)
+            self._set_candidates(service, candidates)
             self.keys.wake(service)
 
+    def _has_cold_limit(self, service: str) -> bool:
+        """Whether a cold server of the service fails under the requests of its keys."""
+        configuration = self.rules.configuration
+        configured = configuration.services.get(service) if configuration else None
+        return configured is not None and configured.cold_requests_per_s is not None
+
     def _update_listed_servers(self) -> None:
         """Pass all servers to the grant manager, once per tick with changes.
 
@@ -257,6 +267,7 @@
             self.leadership.note_item(item)
         elif key == HOSTS_KEY:
             self._host_list.note_item(item)
+            self.on_hosts(self._host_list.names())
         elif key == PREVIOUS_LEADER_KEY:
             self.leadership.note_previous_leader(item)
         elif key.startswith(TABLE_PREFIX) and item is not None:
--- a/src/gentianwharf/entryhost/_directory.py
+++ b/src/gentianwharf/entryhost/_directory.py
@@ -1,6 +1,7 @@
 """Backend servers that are listed in the store."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, final
 
 from gentianwharf.errors import InputError
@@ -20,6 +21,10 @@
 store, about two seconds. The lapse of an entry is unconfirmed until then. A host that
 was cut off on its own cannot distinguish this from an outage of the store."""
 
+COLD_AFTER_EVACUATION_S = 2.0
+"""Time for which servers count as cold after an evacuation, until their next entries
+state whether they are."""
+
 
 @final
 class Directory:
@@ -27,9 +32,12 @@
 
     def __init__(self, *, mirror: Mirror, reactor: Any) -> None:
         self.on_change: Callable[[str], None] = lambda service: None
+        self.on_cold: Callable[[str], None] = lambda server_id: None
         self._entries: dict[str, ServerEntry] = {}
         self._unreadable: set[str] = set()
         self._evacuated: set[str] = set()
+        self._cold_until_s: dict[str, float] = {}
+        self._starting: set[str] = set()
         self._mirror = mirror
         self._reactor = reactor
         self._pending_removals: dict[str, Any] = {}
@@ -60,6 +68,19 @@
         """
         return [entry for entry in self.entries(service) if self._accepts_work(entry)]
 
+    def without_starting(self, entries: list[ServerEntry]) -> list[ServerEntry]:
+        """Return the entries without servers that started and are still cold.
+
+        If most of the servers are starting, all entries are returned.
+        """
+        warm = [entry for entry in entries if entry.id not in self._starting]
+        return warm if len(warm) * 2 >= len(entries) else entries
+
+    def cold_remaining_s(self, server_id: str) -> float:
+        """Return for how much longer a server is cold, 0 if it is not."""
+        until_s = self._cold_until_s.get(server_id, 0.0)
+        return max(0.0, until_s - float(self._reactor.seconds()))
+
     def set_evacuated(self, domain: str, evacuated: bool) -> None:
         """Set whether the servers of a failure domain are excluded from all work."""
         if evacuated is (domain in self._evacuated):
@@ -73,9 +94,11 @@
             "started" if evacuated else "ended",
             extra={"domain": domain},
         )
-        for service in {
-            entry.service for entry in self._entries.values() if entry.domain == domain
-        }:
+        affected = [entry for entry in self.all() if entry.domain == domain]
+        if not evacuated:
+            for entry in affected:
+                self._note_cold(entry, COLD_AFTER_EVACUATION_S, starting=True)
+        for service in {entry.service for entry in affected}:
             self._coalescer.note(service)
 
     def _accepts_work(self, entry: ServerEntry) -> bool:
@@ -128,6 +151,13 @@
 
     def _put(self, entry: ServerEntry, *, was_pending_removal: bool) -> None:
         former = self._entries.get(entry.id)
+        if entry.cold_remaining_s:
+            self._note_cold(
+                entry, entry.cold_remaining_s, starting=_is_new_instance(former, entry)
+            )
+            # The remaining time differs from entry to entry, which is no change that
+            # the users of the directory have to apply.
+            entry = replace(entry, cold_remaining_s=0.0)
         if former == entry:
             if was_pending_removal:
                 self._coalescer.note(entry.service)
@@ -146,6 +176,28 @@
             self._coalescer.note(former.service)
         self._coalescer.note(entry.service)
 
+    def _note_cold(
+        self, entry: ServerEntry, remaining_s: float, *, starting: bool
+    ) -> None:
+        if starting:
+            self._starting.add(entry.id)
+        until_s = self._reactor.seconds() + remaining_s
+        if until_s <= self._cold_until_s.get(entry.id, 0.0):
+            return
+        self._cold_until_s[entry.id] = until_s
+        self._reactor.callLater(remaining_s, self._end_cold, entry.id)
+        self.on_cold(entry.id)
+
+    def _end_cold(self, server_id: str) -> None:
+        if self.cold_remaining_s(server_id) > 0:
+            return
+        self._cold_until_s.pop(server_id, None)
+        if server_id in self._starting:
+            self._starting.remove(server_id)
+            entry = self._entries.get(server_id)
+            if entry is not None:
+                self._coalescer.note(entry.service)
+
     def _remove(self, server_id: str) -> None:
         self._pending_removals.pop(server_id, None)
         entry = self._entries.pop(server_id, None)
@@ -155,3 +207,8 @@
                 extra={"server": entry.id, "service": entry.service},
             )
             self._coalescer.note(entry.service)
+
+
+def _is_new_instance(former: ServerEntry | None, entry: ServerEntry) -> bool:
+    """Whether the server has started since its former entry, and holds no keys."""
+    return former is None or former.born_ms != entry.born_ms
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -80,7 +80,9 @@
             reactor=reactor,
         )
         self._coordinator.on_host_count = self._set_host_count
+        self._coordinator.on_hosts = self._gate.set_hosts
         self._coordinator.directory.on_change = self._update_servers
+        self._coordinator.directory.on_cold = self._note_cold
         self._coordinator.rules.on_change = self._apply_configuration
         self._ticks = PeriodicCalls(reactor=reactor)
         agreements = settings.agreements
@@ -99,6 +101,7 @@
             domain=self.settings.domain,
             rng=self._rng,
             daemons=self._coordinator.host_count,
+            name=self.settings.name,
         )
         self._admission = GateAdmission(
             gate=self._gate,
@@ -256,9 +259,9 @@
         configuration = self._coordinator.rules.configuration
         if configuration is None or service not in configuration.services:
             return
-        connections = configuration.services[service].connections
+        configured = configuration.services[service]
         usable = self._coordinator.directory.usable(service)
-        servers = [server_of(entry, connections) for entry in usable]
+        servers = [server_of(entry, configured) for entry in usable]
         usable_ids = {server.id for server in servers}
         for current in list(self._servers.values()):
             if current.service == service and current.id not in usable_ids:
@@ -272,5 +275,12 @@
             else:
                 pool.update_server(server)
             pool.set_daemon_count(self._coordinator.host_count)
+            self._note_cold(server.id)
         self._admission.set_servers(service, servers)
         self._coordinator.note_servers(service)
+
+    def _note_cold(self, server_id: str) -> None:
+        remaining_s = self._coordinator.directory.cold_remaining_s(server_id)
+        if remaining_s > 0:
+            until_s = self._reactor.seconds() + remaining_s
+            self._gate.set_cold(server_id, until_s=until_s)
--- a/src/gentianwharf/entryhost/_host_list.py
+++ b/src/gentianwharf/entryhost/_host_list.py
@@ -53,6 +53,10 @@
                 )
         self._membership.note_listed(hosts)
 
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the hosts in the stored list."""
+        return self._membership.listed_names()
+
     def tick(self) -> None:
         """Write the list if it differs from the leader's own membership."""
         now_s = self._now_s()
--- a/src/gentianwharf/entryhost/_membership.py
+++ b/src/gentianwharf/entryhost/_membership.py
@@ -78,6 +78,10 @@
         if self._leads:
             self._add_listed()
 
+    def listed_names(self) -> tuple[str, ...]:
+        """Return the names of the hosts in the list from the store."""
+        return tuple(listed.host for listed in self._listed)
+
     def _add_listed(self) -> None:
         for listed in self._listed:
             if listed.host != self._own.host and listed.host not in self._peers:
--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -49,7 +49,7 @@
             long=class_state.request_class.long,
             probe=probe,
         )
-        state.flights[ticket.id] = flight
+        state.record_sent(flight)
         self._first[ticket.id] = flight
         pool.record_start(class_state, flight, now_s)
         if probe:
@@ -72,7 +72,7 @@
             long=False,
             hedge=True,
         )
-        state.flights[ticket.id] = flight
+        state.record_sent(flight)
         self._second[ticket.id] = flight
         pool.record_start(pool.classes[ticket.request_class], flight, now_s)
         self.hedged += 1
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -7,7 +7,7 @@
 ``tick`` has to be called every 10 to 50 ms.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 from typing import TYPE_CHECKING, final
 
@@ -73,10 +73,16 @@
         domain: str,
         rng: Random,
         daemons: int,
+        name: str = "",
     ) -> None:
         self._rng = rng
         self._registry = Registry(
-            services=services, classes=classes, domain=domain, rng=rng, daemons=daemons
+            services=services,
+            classes=classes,
+            domain=domain,
+            rng=rng,
+            daemons=daemons,
+            name=name,
         )
         self._pause_detector = PauseDetector()
         self._flights = Flights()
@@ -90,6 +96,17 @@
         """Set the number of daemons that share the servers, including this one."""
         self._registry.set_daemons(daemons)
 
+    def set_hosts(self, names: Sequence[str]) -> None:
+        """Set the names of all hosts, including this one.
+
+        They share the few requests that cold servers tolerate.
+        """
+        self._registry.set_hosts(names)
+
+    def set_cold(self, server_id: str, *, until_s: float) -> None:
+        """Record until when a server is cold, also before it is listed."""
+        self._registry.set_cold(server_id, until_s=until_s)
+
     def add(
         self, *, services: Iterable[Service], classes: Iterable[RequestClass]
     ) -> None:
@@ -174,7 +191,7 @@
             decisions += self._refuse_expired(pool, now_s)
             decisions += self._serve_waiting(pool, now_s)
             decisions += self._send_hedges(pool, now_s)
-        self._registry.drop_idle_pools()
+        self._registry.drop_outdated(now_s)
         return decisions
 
     # Updates about servers, called by the daemon.
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -1,12 +1,13 @@
 """The tables of servers, pools and retry budgets of one daemon."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 from typing import final
 
 from gentianwharf.topology import BackendServer, Service
 
 from ._budget import RetryBudget
+from ._cold_servers import ColdServers
 from ._pool import Pool
 from ._requests import RequestClass, Ticket
 from ._server_state import ServerState
@@ -29,7 +30,9 @@
         domain: str,
         rng: Random,
         daemons: int,
+        name: str = "",
     ) -> None:
+        self._cold_servers = ColdServers(name=name)
         self._domain = domain
         self._rng = rng
         self._daemons = max(1, daemons)
@@ -110,8 +113,9 @@
         if pool is not None:
             pool.set_states([other for other in pool.states if other is not state])
 
-    def drop_idle_pools(self) -> None:
-        """Drop pools of removed servers, so that the table is bounded."""
+    def drop_outdated(self, now_s: float) -> None:
+        """Drop pools of removed servers and ended cold times, to bound the tables."""
+        self._cold_servers.drop_ended(now_s)
         idle = [
             key
             for key, pool in self.pools.items()
@@ -133,9 +137,30 @@
             max_connections=self._share_of_connections(server),
         )
         self.servers[server.id] = state
+        self._update_cold(state)
         self._index(state)
         return state
 
+    def set_hosts(self, names: Sequence[str]) -> None:
+        """Set the names of all hosts, which share the requests of cold servers."""
+        self._cold_servers.set_hosts(names)
+        for state in self.servers.values():
+            self._update_cold(state)
+
+    def set_cold(self, server_id: str, *, until_s: float) -> None:
+        """Record until when a server is cold; it need not be listed yet."""
+        self._cold_servers.set_cold(server_id, until_s)
+        state = self.servers.get(server_id)
+        if state is not None:
+            self._update_cold(state)
+
+    def _update_cold(self, state: ServerState) -> None:
+        limit_per_s = state.server.cold_requests_per_s
+        until_s = self._cold_servers.until_s(state.server.id)
+        if limit_per_s is not None and until_s:
+            gap_s = self._cold_servers.gap_s(state.server.id, limit_per_s)
+            state.set_cold(until_s, gap_s)
+
     def _index(self, state: ServerState) -> None:
         """Add a server's state to the index by service and to the server's own pool."""
         server = state.server
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -126,6 +126,10 @@
     answer_count: int = 0
     decayed_s: float = 0.0
     overdue: int = 0
+    cold_until_s: float = 0.0
+    cold_gap_s: float = 0.0
+    """Minimum time between requests of this host while the server is cold."""
+    last_sent_s: float = 0.0
     short_answers: ShortAnswers = field(default_factory=ShortAnswers)
 
     def ramp_share(self, now_s: float) -> float:
@@ -142,6 +146,8 @@
         """Whether the server's own state and limits allow one more request."""
         if self.health is not HealthStatus.ACTIVE or now_s < self.shed_until_s:
             return False
+        if not self._cold_limit_allows(now_s):
+            return False
         in_flight = len(self.flights)
         if in_flight >= self.max_connections:
             return False
@@ -149,6 +155,10 @@
             return True
         return in_flight + 1 <= max(1.0, self.server.slots * self.ramp_share(now_s))
 
+    def _cold_limit_allows(self, now_s: float) -> bool:
+        is_cold = now_s < self.cold_until_s
+        return not is_cold or now_s >= self.last_sent_s + self.cold_gap_s
+
     def accepts_pinned(self, now_s: float) -> bool:
         """Whether a request that no other server may run may be sent."""
         if self.health is HealthStatus.LEAVING:
@@ -159,6 +169,8 @@
         """Whether the next request should probe if a suspect server has recovered."""
         if self.health is not HealthStatus.SUSPECT or now_s < self.next_probe_s:
             return False
+        if not self._cold_limit_allows(now_s):
+            return False
         if (
             repeatable
             or max(self.last_answer_s, self.last_report_s) > self.suspect_since_s
@@ -166,6 +178,16 @@
             return True
         return now_s > self.suspect_since_s + UNSAFE_PROBE_DELAY_S
 
+    def set_cold(self, until_s: float, gap_s: float) -> None:
+        """Send requests at least ``gap_s`` apart while the server is cold."""
+        self.cold_until_s = max(self.cold_until_s, until_s)
+        self.cold_gap_s = gap_s
+
+    def record_sent(self, flight: Flight) -> None:
+        """Count a request that is sent."""
+        self.flights[flight.ticket.id] = flight
+        self.last_sent_s = flight.started_s
+
     def record_probe(self, now_s: float) -> None:
         """Schedule the next probe after one that has just been sent."""
         self.next_probe_s = now_s + self.probe_interval_s
--- a/src/gentianwharf/platform/_config.py
+++ b/src/gentianwharf/platform/_config.py
@@ -52,6 +52,9 @@
     connections: int
     """Maximum number of connections to one server from all hosts together."""
     warm_up_s: float
+    cold_requests_per_s: float | None
+    """How many requests a cold server tolerates from all hosts together, None if it has
+    no such limit."""
 
 
 @final
@@ -107,6 +110,7 @@
 
 # A part with a value outside these ranges can't be applied and counts as unreadable.
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
+_Rate = Annotated[float, msgspec.Meta(ge=0)]
 _Priority = Annotated[int, msgspec.Meta(ge=0)]
 _Attempts = Annotated[int, msgspec.Meta(gt=0)]
 _Prefix = Annotated[str, msgspec.Meta(pattern="^/")]
@@ -142,6 +146,7 @@
     health_check_path: str = "/health"
     sharded: bool = False
     warm_up: msgspec.Raw = msgspec.Raw(b'"0ms"')
+    cold_per_s: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -244,6 +249,9 @@
                 health_path=service.health_check_path,
                 connections=service.max_connections,
                 warm_up_s=warm_up_s or 0.0,
+                cold_requests_per_s=self._decode_part(
+                    f"{part}.cold-per-s", service.cold_per_s, _decode_cold_per_s
+                ),
             )
         return services
 
@@ -340,5 +348,9 @@
     return decode_time_s(msgspec.json.decode(raw, type=str))
 
 
+def _decode_cold_per_s(raw: msgspec.Raw) -> float | None:
+    return msgspec.json.decode(raw, type=_Rate | None) or None
+
+
 def _decode_service(raw: msgspec.Raw) -> _Service:
     return msgspec.json.decode(raw, type=_Service)
--- a/src/gentianwharf/platform/_servers.py
+++ b/src/gentianwharf/platform/_servers.py
@@ -9,6 +9,8 @@
 
 from gentianwharf.errors import InputError
 
+from ._units import decode_time_s
+
 SERVERS_PREFIX = "servers/"
 """Key prefix of the entries; each backend server writes its own, under its id."""
 
@@ -38,6 +40,8 @@
     domain: str
     slots: int
     state: ServerState
+    cold_remaining_s: float = 0.0
+    """How long the server stays cold from the time of its entry."""
 
 
 # Larger integers can't be written to the store again. The key table contains a server's
@@ -59,6 +63,9 @@
     state: ServerState
     # Some platforms don't send it; each id then stands for one instance only.
     born: _StoredInt = 0
+    cold_remaining: msgspec.Raw = msgspec.field(
+        name="cold-remaining", default=msgspec.Raw(b'"0ms"')
+    )
 
 
 def decode_server_entry(key: str, value: bytes) -> ServerEntry:
@@ -83,8 +90,20 @@
             domain=entry.zone,
             slots=entry.slots,
             state=entry.state,
+            cold_remaining_s=_decode_cold_remaining_s(entry.cold_remaining),
         )
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise InputError(
             f"invalid server entry: {error}", step=STEP, peer=key
         ) from error
+
+
+def _decode_cold_remaining_s(raw: msgspec.Raw) -> float:
+    """Return the time in seconds, 0 if it can't be decoded.
+
+    A server with an unreadable time must not become unusable.
+    """
+    try:
+        return decode_time_s(msgspec.json.decode(raw, type=str))
+    except (msgspec.DecodeError, ValueError):
+        return 0.0
--- a/src/gentianwharf/topology/_entities.py
+++ b/src/gentianwharf/topology/_entities.py
@@ -30,6 +30,9 @@
 
     ``checks_giver``, ``knows_validity`` and ``gives_stamp`` are the capabilities that
     its adapter declares. A server with none of them checks fencing tokens only.
+
+    ``cold_requests_per_s`` is how many requests the server tolerates from all hosts
+    together while it is cold, None if it has no such limit.
     """
 
     id: str
@@ -41,6 +44,7 @@
     checks_giver: bool = False
     knows_validity: bool = False
     gives_stamp: bool = False
+    cold_requests_per_s: float | None = None
 
 
 @final
--- a/tests/test_entryhost_directory.py
+++ b/tests/test_entryhost_directory.py
@@ -7,7 +7,7 @@
 import logbook
 from twisted.internet.task import Clock
 
-from gentianwharf.entryhost._directory import Directory
+from gentianwharf.entryhost._directory import COLD_AFTER_EVACUATION_S, Directory
 from gentianwharf.store import Item, Mirror
 from tests.builders_keyspace_hosts import SimpleStore
 from tests.builders_users_platform import server_entry
@@ -31,6 +31,11 @@
     return sorted(server.id for server in directory.usable("calendar"))
 
 
+def holders(directory: Directory) -> list[str]:
+    listed = directory.without_starting(directory.candidates("calendar"))
+    return sorted(server.id for server in listed)
+
+
 def test_leaving_server_receives_no_work() -> None:
     directory, _ = make_directory(Clock(), 3)
     directory.note_item(*entry(1, state="draining"))
@@ -93,6 +98,69 @@
     assert usable(directory) == ["i-0"]
 
 
+def test_starting_servers_hold_no_keys_until_they_are_warm() -> None:
+    clock = Clock()
+    directory, _ = make_directory(clock, 2)
+    directory.note_item(*entry(2, **{"cold-remaining": "3000ms"}))
+    changed: list[str] = []
+    directory.on_change = changed.append
+    assert directory.cold_remaining_s("i-2") == 3.0
+    assert holders(directory) == ["i-0", "i-1"]
+    clock.advance(3.0)
+    assert directory.cold_remaining_s("i-2") == 0.0
+    assert holders(directory) == ["i-0", "i-1", "i-2"]
+    assert changed == ["calendar"]
+
+
+def test_holders_that_turn_cold_keep_their_keys() -> None:
+    """Guards against moving the keys of servers that turn cold while they run."""
+    directory, _ = make_directory(Clock(), 2)
+    directory.note_item(*entry(1, **{"cold-remaining": "3000ms"}))
+    assert directory.cold_remaining_s("i-1") == 3.0
+    assert holders(directory) == ["i-0", "i-1"]
+
+
+def test_servers_that_all_start_hold_keys_at_once() -> None:
+    """Guards against a service without owners while all of its servers are cold."""
+    directory, _ = make_directory(Clock(), 0)
+    for number in range(3):
+        directory.note_item(*entry(number, **{"cold-remaining": "3000ms"}))
+    assert holders(directory) == ["i-0", "i-1", "i-2"]
+
+
+def test_remaining_cold_time_alone_is_no_change() -> None:
+    """Guards against applying all servers again with each entry of a cold one."""
+    clock = Clock()
+    directory, _ = make_directory(clock, 0)
+    directory.note_item(*entry(0, **{"cold-remaining": "3000ms"}))
+    changed: list[str] = []
+    directory.on_change = changed.append
+    clock.advance(1.0)
+    directory.note_item(*entry(0, **{"cold-remaining": "2000ms"}))
+    assert changed == []
+
+
+def test_servers_are_cold_after_an_evacuation() -> None:
+    """Guards against full load on servers whose next entries report that they are cold.
+
+    The evacuation ends before the entries that the servers wrote since are received.
+    """
+    clock = Clock()
+    directory, _ = make_directory(clock, 2)
+    directory.set_evacuated("lac", True)
+    clock.advance(8.0)
+    directory.set_evacuated("lac", False)
+    assert directory.cold_remaining_s("i-0") == COLD_AFTER_EVACUATION_S
+    clock.advance(COLD_AFTER_EVACUATION_S)
+    assert directory.cold_remaining_s("i-0") == 0.0
+
+
+def test_unreadable_cold_time_leaves_the_server_usable() -> None:
+    directory, _ = make_directory(Clock(), 1)
+    directory.note_item(*entry(0, **{"cold-remaining": 7}))
+    assert usable(directory) == ["i-0"]
+
+
 def test_lapse_of_most_entries_at_once_is_not_applied_at_once() -> None:
     """Guards against refusing all requests after every entry lapsed in an outage.
 
