Read load headers with a fourth figure

Cause: on deployments whose servers share their machines, Server-Load has a fourth figure, how long work takes there at the moment. The decoder took three figures or nothing, so every load report of these deployments was thrown away.

It is what placing by fresh reports needs. A cold time that can't be represented counts as none.

The four-figure case of test_load_header_has_three_or_four_figures fails on the code before.

--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -75,13 +75,22 @@
         )
 
     def load(self, headers: Headers) -> ServerLoad | None:
-        """Return the numbers of running requests, queued requests and slots."""
+        """Return the numbers of running requests, queued requests and slots.
+
+        Servers that share their machines add a fourth figure: how long work takes at
+        the moment, in percent of the usual time.
+        """
         values = headers.getRawHeaders(SERVER_LOAD)
         parts = values[0].split(b",") if values else ()
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        if len(parts) not in (3, 4) or not all(
+            part.strip().isdigit() for part in parts
+        ):
             return None
-        running, waiting, slots = (int(part) for part in parts)
-        return ServerLoad(running=running, waiting=waiting, slots=slots)
+        running, waiting, slots = (int(part) for part in parts[:3])
+        slowdown = int(parts[3]) / 100 if len(parts) == 4 else None
+        return ServerLoad(
+            running=running, waiting=waiting, slots=slots, slowdown=slowdown or None
+        )
 
     def retry_after(self, delay_s: float) -> bytes:
         """Return fractional seconds, which the platform's clients can parse."""
--- a/src/gentianwharf/platform/_servers.py
+++ b/src/gentianwharf/platform/_servers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from ipaddress import ip_address
+from math import isfinite
 from typing import Annotated, final
 
 import msgspec
@@ -104,6 +105,7 @@
     A server with an unreadable time must not become unusable.
     """
     try:
-        return decode_time_s(msgspec.json.decode(raw, type=str))
+        remaining_s = decode_time_s(msgspec.json.decode(raw, type=str))
     except (msgspec.DecodeError, ValueError):
         return 0.0
+    return remaining_s if isfinite(remaining_s) else 0.0
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -59,11 +59,16 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerLoad:
-    """The load that a server reported with a response."""
+    """The load that a server reported with a response.
+
+    ``slowdown`` is how long work takes there at the moment, as a multiple of the usual
+    time; None if the server doesn't report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class Outcome(StrEnum):
--- a/tests/test_users_platform_decoding.py
+++ b/tests/test_users_platform_decoding.py
@@ -3,15 +3,18 @@
 from typing import Any
 
 import pytest
+from twisted.web.http_headers import Headers
 
 from gentianwharf.errors import InputError
 from gentianwharf.platform import (
     SHARDS,
+    PlatformHeaderCodec,
     ServerState,
     decode_configuration,
     decode_host_settings,
     decode_server_entry,
 )
+from gentianwharf.relay import ServerLoad
 from gentianwharf.rules import RequestFacts, RuleSet
 from tests.builders_users_platform import (
     SETTINGS,
@@ -170,14 +173,50 @@
 @pytest.mark.parametrize(
     "cold", ["soon", "1e-05s", "-3ms", "", 0, "9" * 400 + "s", {"left": 1}]
 )
-def test_unused_entry_fields_are_not_decoded(cold: Any) -> None:
+def test_unreadable_entry_fields_leave_the_others_usable(cold: Any) -> None:
     """A healthy server gets no requests, and the others of its service are overloaded.
 
-    Its entry has the field ``cold-remaining`` in an unknown format. No host uses that
-    field, but every host rejected the whole entry because of it.
+    Its entry has the field ``cold-remaining`` in an unknown format. Every host rejected
+    the whole entry because of it.
     """
     value = server_entry(**{"cold-remaining": cold, "sequence": "x", "newer": [1]})
-    assert decode_server_entry("servers/i-1", value).slots == 6
+    entry = decode_server_entry("servers/i-1", value)
+    assert (entry.slots, entry.cold_remaining_s) == (6, 0.0)
+
+
+def test_remaining_cold_time_is_decoded() -> None:
+    value = server_entry(**{"cold-remaining": "2130ms"})
+    assert decode_server_entry("servers/i-1", value).cold_remaining_s == 2.13
+
+
+@pytest.mark.parametrize(
+    ("rate", "expected"),
+    [(1.6, 1.6), (0, None), (None, None), ("many", None), (-1, None)],
+)
+def test_limit_of_cold_servers_is_decoded(rate: Any, expected: float | None) -> None:
+    """Guards against a service that an unreadable limit makes unusable."""
+    services = {"calendar": {"max-connections": 130, "cold-per-s": rate}}
+    decoded = decode_configuration(configuration(services=services))
+    assert decoded.services["calendar"].cold_requests_per_s == expected
+
+
+@pytest.mark.parametrize(
+    ("header", "expected"),
+    [
+        (b"1,0,8", ServerLoad(running=1, waiting=0, slots=8)),
+        (b"2, 3, 2, 310", ServerLoad(running=2, waiting=3, slots=2, slowdown=3.1)),
+        (b"1,0,8,0", ServerLoad(running=1, waiting=0, slots=8)),
+        (b"1,0", None),
+        (b"1,0,8,300,1", None),
+        (b"1,x,8", None),
+    ],
+)
+def test_load_header_has_three_or_four_figures(
+    header: bytes, expected: ServerLoad | None
+) -> None:
+    """Guards against discarding every load report that has the fourth figure."""
+    headers = Headers({b"Server-Load": [header]})
+    assert PlatformHeaderCodec().load(headers) == expected
 
 
 @pytest.mark.parametrize(
