Divide the saved retries of a service among all hosts

Cause: each host saved up to ten retries a service, whatever the number of hosts. Operators allow 208 beyond a fifth of the requests for 84 hosts; these could spend 840 at once, and twice that after a restart.

A host saves its share of what operators allow, ten at the most; a share below one is still collected up to one retry. Deployments with 12 hosts and 64 saved retries have five a host in place of ten.

--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -102,6 +102,7 @@
             rng=self._rng,
             daemons=self._coordinator.host_count,
             name=self.settings.name,
+            saved_retries=self.settings.agreements.retry_budget_extra,
         )
         self._admission = GateAdmission(
             gate=self._gate,
--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -15,6 +15,15 @@
 MAX_SAVED_RETRIES = 10.0
 
 
+def saved_retries_per_daemon(saved_retries: float, daemons: int) -> float:
+    """Return a daemon's share of the retries that all daemons may save together.
+
+    >>> saved_retries_per_daemon(210.0, 84), saved_retries_per_daemon(208.0, 10)
+    (2.5, 10.0)
+    """
+    return min(MAX_SAVED_RETRIES, saved_retries / max(1, daemons))
+
+
 @final
 class RetryBudget:
     """A token bucket that is filled by new requests and emptied by retries.
@@ -26,10 +35,18 @@
     (True, False)
     """
 
-    __slots__ = ("_tokens",)
+    __slots__ = ("_max_tokens", "_tokens")
+
+    def __init__(
+        self, *, tokens: float | None = None, max_tokens: float = MAX_SAVED_RETRIES
+    ) -> None:
+        self._tokens = max_tokens if tokens is None else tokens
+        self._max_tokens = max_tokens
 
-    def __init__(self, *, tokens: float = MAX_SAVED_RETRIES) -> None:
-        self._tokens = tokens
+    def resize(self, max_tokens: float) -> None:
+        """Set how many tokens may be saved; surplus tokens are lost."""
+        self._max_tokens = max_tokens
+        self._tokens = min(self._tokens, max_tokens)
 
     @property
     def tokens(self) -> float:
@@ -40,7 +57,8 @@
         """Add a fraction of a token for a new request."""
         # Rounded so that ten additions of 0.1 make exactly 1.
         tokens = round(self._tokens + RETRIES_PER_REQUEST, 9)
-        self._tokens = min(MAX_SAVED_RETRIES, tokens)
+        # A share below one would never allow a retry.
+        self._tokens = min(max(1.0, self._max_tokens), tokens)
 
     def take(self) -> bool:
         """Take a token for a retry; return whether there was one."""
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from math import inf
 from random import Random
 from typing import TYPE_CHECKING, final
 
@@ -48,6 +49,8 @@
     """Admits, queues, refuses and places the requests of one daemon.
 
     The decisions in a returned list are about requests that waited, or are hedges.
+    ``name`` is this daemon's among the names of ``set_hosts``. ``saved_retries`` bounds
+    the burst of retries for one service that all daemons together may start.
 
     >>> server = BackendServer(id="ledger-1", service="ledger", domain="hall-a",
     ...                        address="127.0.0.1:9200", slots=3, connections=120)
@@ -74,6 +77,7 @@
         rng: Random,
         daemons: int,
         name: str = "",
+        saved_retries: float = inf,
     ) -> None:
         self._rng = rng
         self._registry = Registry(
@@ -83,6 +87,7 @@
             rng=rng,
             daemons=daemons,
             name=name,
+            saved_retries=saved_retries,
         )
         self._pause_detector = PauseDetector()
         self._flights = Flights()
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -1,12 +1,13 @@
 """The tables of servers, pools and retry budgets of one daemon."""
 
 from collections.abc import Iterable, Sequence
+from math import inf
 from random import Random
 from typing import final
 
 from gentianwharf.topology import BackendServer, Service
 
-from ._budget import RetryBudget
+from ._budget import RetryBudget, saved_retries_per_daemon
 from ._cold_servers import ColdServers
 from ._pool import Pool
 from ._requests import RequestClass, Ticket
@@ -31,7 +32,9 @@
         rng: Random,
         daemons: int,
         name: str = "",
+        saved_retries: float = inf,
     ) -> None:
+        self._saved_retries = saved_retries
         self._cold_servers = ColdServers(name=name)
         self._domain = domain
         self._rng = rng
@@ -96,12 +99,17 @@
             state.max_connections = self._share_of_connections(state.server)
         for pool in self.pools.values():
             pool.set_daemons(self._daemons)
+        for budget in self.budgets.values():
+            budget.resize(self._share_of_retries())
 
     def _share_of_connections(self, server: BackendServer) -> int:
         # All daemons together must not open more connections than the server accepts.
         # Each stays within its own share without coordination.
         return max(1, server.connections // self._daemons)
 
+    def _share_of_retries(self) -> float:
+        return saved_retries_per_daemon(self._saved_retries, self._daemons)
+
     def drop_if_unlisted(self, state: ServerState) -> None:
         """Drop a server that is not listed and has no requests in flight."""
         if state.listed or state.flights or state.server.id not in self.servers:
@@ -125,7 +133,7 @@
             del self.pools[key]
 
     def _add_service(self, service: Service) -> None:
-        self.budgets[service.name] = RetryBudget()
+        self.budgets[service.name] = RetryBudget(max_tokens=self._share_of_retries())
         states = [self._add_server(server) for server in service.servers]
         if not service.keyed:
             self.pools[service.name, None] = self._make_pool(service.name, states)
