Refuse requests that arrive after the notice time of a planned stop

Cause: from 2.5 s after SIGTERM a host closed idle connections, and went on serving requests on those that were not idle.

Ruled out: to compare a class's usual time with what is left, since the slowest of a class take several times the usual.

--- a/src/gentianwharf/daemon/_daemon.py
+++ b/src/gentianwharf/daemon/_daemon.py
@@ -166,7 +166,8 @@
         self.site.disable_keep_alive()
 
     def stop_accepting(self) -> None:
-        """Close the listening port and idle connections."""
+        """Close the listening port and idle connections, and refuse new requests."""
+        self.components.relay.refuse_new_requests()
         if self._callers_port is not None:
             self._callers_port.stopListening()
             self._callers_port = None
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -201,7 +201,8 @@
         self._coordinator.resign(self.settings.agreements.grace_period_s)
 
     def stop_accepting(self) -> None:
-        """Close the callers' port and idle connections."""
+        """Close the callers' port and idle connections, and refuse new requests."""
+        self.relay.refuse_new_requests()
         self._callers_port.stop()
         self._site.close_idle_connections()
 
--- a/src/gentianwharf/lifecycle/_shutdown.py
+++ b/src/gentianwharf/lifecycle/_shutdown.py
@@ -2,9 +2,11 @@
 
 A planned stop interrupts no request. Readiness turns false immediately. During the
 notice time requests are still served, since the load balancer continues to send until
-its next readiness check. Then no new connection is accepted, and the requests in flight
-are completed. Shortly before the time limit, the remaining requests get a final
-response that states whether they may have run.
+its next readiness check. Then no new connection or request is accepted, and the
+requests in flight are completed. A request accepted late might need longer than the
+time that is left; refused as not run, it is served by another host at once. Shortly
+before the time limit, the remaining requests get a final response that states whether
+they may have run.
 """
 
 from collections.abc import Callable
@@ -40,7 +42,7 @@
         """Report to the load balancer that no new requests should be sent."""
 
     def stop_accepting(self) -> None:
-        """Close the listening port and idle connections."""
+        """Close the listening port and idle connections, and refuse new requests."""
 
     def in_flight(self) -> list[str]:
         """Return the ids of the requests that are being served."""
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -118,9 +118,13 @@
             self.on_first_in_flight()
         return exchange.start().addBoth(self._remove, exchange)
 
+    def refuse_new_requests(self) -> None:
+        """Refuse the requests that arrive from now on as not run."""
+        self._accepts_requests = False
+
     def answer_in_flight(self) -> None:
         """Send a final response to each request in flight, and refuse new ones."""
-        self._accepts_requests = False
+        self.refuse_new_requests()
         for exchange in list(self.in_flight):
             exchange.cancel_for_shutdown()
 
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -158,6 +158,37 @@
     assert b"problem" not in received
 
 
+def test_request_on_an_open_connection_is_refused_while_others_are_served() -> None:
+    """Guards against starting a request that the process can't complete before its end.
+
+    It came on a connection that was open before, long after the stop was requested, and
+    its run was cut off at the limit.
+    """
+    release, begun = threading.Event(), threading.Event()
+    paths: list[bytes] = []
+
+    def server(connection, head):  # type: ignore[no-untyped-def]
+        paths.append(path_of(head))
+        begun.set()
+        release.wait(HANG_S)
+        connection.sendall(response(b"body of " + path_of(head)))
+
+    with (
+        running_relay([server], deadline_ms=DEADLINE_MS) as relay,
+        relay.connect() as connection,
+    ):
+        connection.sendall(request(path="/plain/a", close=False))
+        assert begun.wait(HANG_S)
+        in_reactor(relay.app.refuse_new_requests)
+        connection.sendall(request(path="/plain/b", close=True))
+        release.set()
+        received = read_to_end(connection)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"HTTP/1.1 503" in received
+    assert b'"run": "not-run"' in received
+    assert paths == [b"/plain/a"]
+
+
 def test_request_after_the_final_responses_is_refused() -> None:
     """Guards against starting a request in a process that is about to end."""
     with running_relay([], deadline_ms=DEADLINE_MS) as relay:
