Place requests by load queried at the time of the request

Cause: 84 hosts share servers of two slots, and each chose by its own counts. A host gets an answer of a given server every 18 s, machines slow down for 0.4 s at a time, and the limit of what a host may have in flight held requests back beside free slots.

Servers whose load header has the fourth figure answer their health path at once. A host now queries two servers of its own failure domain and one of the others, and sends to the one that is expected to answer first; while none has a free slot it holds the request for an eighth of its target latency and queries twice as many. A request that would wait for more than half of its target is refused at once. A host finds out by one query of each service whether its servers answer; others are chosen as before. Silence of a server is no sign any more that it is frozen, where queries tell: two in a hundred answers were lost to servers set apart wrongly.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -1,16 +1,19 @@
 """Adapter from the gate's decisions to the relay's admission interface."""
 
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any, final
+from typing import Any, Protocol, final
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred, gatherResults
+from twisted.internet.task import deferLater
 
 from gentianwharf import load
+from gentianwharf.logs import log
 from gentianwharf.placement import rendezvous_rank
 from gentianwharf.relay import (
     HedgeCallback,
     Outcome,
     Problem,
+    QueriedLoad,
     RunStatus,
     ServerLoad,
     Ticket,
@@ -43,6 +46,13 @@
 """
 
 
+class LoadQueries(Protocol):
+    """Queries servers for their load."""
+
+    async def query(self, server: BackendServer) -> QueriedLoad | None:
+        """Return a server's load, None if it doesn't state it in time."""
+
+
 @final
 class GateAdmission:
     """Passes requests to the gate and resumes waiting exchanges with its decisions."""
@@ -58,6 +68,8 @@
         self.servers = dict(servers)
         self.on_load: LoadListener = _ignore_load
         self.on_timeout: Callable[[BackendServer], None] = lambda server: None
+        self._load_queries: LoadQueries | None = None
+        self._reactor: Any = None
         self._gate = gate
         self._now_s = now_s
         self._on_server_outcome = on_server_outcome
@@ -72,10 +84,8 @@
         self, ticket: Ticket, owner: BackendServer | None, hedge: HedgeCallback
     ) -> BackendServer:
         """Return the server to send to, after waiting if necessary."""
-        gate_ticket = _gate_ticket(ticket, owner)
-        return await self._await_decision(
-            ticket, hedge, [self._gate.submit(gate_ticket, self._now_s())]
-        )
+        decision = self._gate.submit(_gate_ticket(ticket, owner), self._now_s())
+        return await self._await_decision(ticket, hedge, decision)
 
     async def admit_retry(
         self,
@@ -93,7 +103,7 @@
             self._now_s(),
             avoid.id,
         )
-        return await self._await_decision(ticket, hedge, [decision])
+        return await self._await_decision(ticket, hedge, decision)
 
     def finished(
         self,
@@ -138,25 +148,76 @@
         self.servers.update({server.id: server for server in servers})
         self._apply(self._gate.set_servers(service, servers, self._now_s()))
 
+    def set_load_queries(self, queries: LoadQueries, *, reactor: Any) -> None:
+        """Query servers for their load before requests are sent to them."""
+        self._load_queries = queries
+        self._reactor = reactor
+
+    def explore(self, server: BackendServer) -> None:
+        """Find out whether the servers of a service answer queries for their load.
+
+        Otherwise the first requests of a starting host would be placed without reports.
+        """
+        query = Deferred.fromCoroutine(self._query_server(server))
+        query.addErrback(lambda failure: log.error(failure.getTraceback()))
+
     async def _await_decision(
-        self, ticket: Ticket, hedge: HedgeCallback, decisions: list[load.Decision]
+        self, ticket: Ticket, hedge: HedgeCallback, decision: load.Decision
     ) -> BackendServer:
+        while isinstance(decision, load.QueryLoad):
+            decision = await self._query_load(decision)
         waiting: Deferred[BackendServer] = Deferred(lambda _: self._cancel(ticket.id))
         self._waiting[ticket.id] = waiting
         self._hedges[ticket.id] = hedge
-        self._apply(decisions)
+        self._apply([decision])
         try:
             return await waiting
         finally:
             self._waiting.pop(ticket.id, None)
 
+    async def _query_load(self, query: load.QueryLoad) -> load.Decision:
+        try:
+            if query.delay_s:
+                await deferLater(self._reactor, query.delay_s)
+            await gatherResults(
+                [
+                    Deferred.fromCoroutine(self._query_server(self.servers[server_id]))
+                    for server_id in query.servers
+                ],
+                consumeErrors=True,
+            )
+        except CancelledError:
+            self._apply(self._gate.cancel(query.ticket_id, self._now_s()))
+            raise
+        return self._gate.place(query.ticket_id, self._now_s())
+
+    async def _query_server(self, server: BackendServer) -> None:
+        queries = self._load_queries
+        queried = await queries.query(server) if queries is not None else None
+        now_s = self._now_s()
+        if queried is None:
+            self._gate.note_unreachable(server.id, now_s)
+            return
+        if queried.cold_remaining_s:
+            until_s = now_s + queried.cold_remaining_s
+            self._gate.set_cold(server.id, until_s=until_s)
+        self._note_load(server, queried.load)
+
+    def _note_load(self, server: BackendServer, load: ServerLoad) -> None:
+        self._gate.note_load(
+            server.id,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            slowdown=load.slowdown,
+            now_s=self._now_s(),
+        )
+
     def note_load(
         self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
     ) -> None:
-        """Record the load that a server reported."""
-        self._gate.note_load(
-            server.id, waiting=load.waiting, slots=load.slots, now_s=self._now_s()
-        )
+        """Record the load that a server reported with a response."""
+        self._note_load(server, load)
         self.on_load(server, load, elapsed_s)
 
     def discard(self, ticket: Ticket) -> None:
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -19,6 +19,7 @@
     SLOW_HEAD_CHECK_INTERVAL_S,
     CallerSite,
     ConnectionLimits,
+    LoadClient,
     RelayApp,
     ServerConnectionPool,
 )
@@ -65,6 +66,8 @@
         self._reactor = reactor
         self._rng = Random(SystemRandom().getrandbits(64))
         self._servers: dict[str, BackendServer] = {}
+        self._explored: set[str] = set()
+        """Services of which one server was queried for its load."""
         self._coordinator = Coordinator(
             settings=settings,
             server_by_id=self._servers.get,
@@ -112,6 +115,7 @@
         )
         self._admission.on_load = self._coordinator.note_server_load
         self._admission.on_timeout = self._coordinator.note_unanswered
+        codec = PlatformHeaderCodec()
         self.metrics = HostMetrics()
         self.relay = RelayApp(
             rules=self._coordinator.rules,
@@ -127,8 +131,16 @@
             keyed=self._coordinator.keyed,
             reactor=reactor,
             rng=self._rng,
-            codec=PlatformHeaderCodec(),
+            codec=codec,
         )
+        self._load_paths: dict[str, str] = {}
+        load_client = LoadClient(
+            connections=self.relay.connections,
+            paths=self._load_paths,
+            codec=codec,
+            reactor=reactor,
+        )
+        self._admission.set_load_queries(load_client, reactor=reactor)
         self._site = CallerSite(
             resource=self.relay.resource(), reactor=reactor, limits=ConnectionLimits()
         )
@@ -249,6 +261,10 @@
             ],
             classes=[request_class_of(kind) for kind in configuration.kinds.values()],
         )
+        self._load_paths.update(
+            (name, service.health_path)
+            for name, service in configuration.services.items()
+        )
         if configuration.limits is not None:
             self._site.apply_limits(limits_of(configuration.limits))
         self.relay.splitter.retain_rules(
@@ -279,6 +295,9 @@
             pool.set_daemon_count(self._coordinator.host_count)
             self._note_cold(server.id)
         self._admission.set_servers(service, servers)
+        if servers and service not in self._explored:
+            self._explored.add(service)
+            self._admission.explore(self._rng.choice(servers))
         self._coordinator.note_servers(service)
 
     def _note_cold(self, server_id: str) -> None:
--- a/src/gentianwharf/load/_class_state.py
+++ b/src/gentianwharf/load/_class_state.py
@@ -37,6 +37,9 @@
 # started from the first answer, an unusually quick one of 0.5 ms made all servers seem
 # slow to one host for seconds.
 MEDIAN_WARM_UP_ANSWERS = 9
+# The usual time of the work is the mean of the first answers, then a moving average.
+MIN_WORKS = 5
+MAX_WORKS = 40
 
 
 @final
@@ -52,13 +55,24 @@
     median_s: float = 0.0
     in_flight: int = 0
     virtual_time: float = 0.0
+    work_s: float = 0.0
     refused_share: float = 0.0
+    _works: int = 0
     _first_answers: list[float] = field(default_factory=list)
 
     def record_decision(self, *, refused: bool) -> None:
         """Update the share of requests that find the queue full."""
         self.refused_share += (refused - self.refused_share) * REFUSED_SMOOTHING
 
+    def record_work(self, elapsed_s: float, slowdown: float) -> None:
+        """Update the usual time of the work from an answer that didn't wait."""
+        self._works = min(self._works + 1, MAX_WORKS)
+        self.work_s += (elapsed_s / slowdown - self.work_s) / self._works
+
+    def usual_work_s(self) -> float:
+        """Return the usual time of the work, a guess before the first answers."""
+        return self.work_s if self._works >= MIN_WORKS else self.max_wait_s / 2
+
     def record_answer(self, elapsed_s: float) -> float:
         """Update the timings; return the answer's time in medians before it."""
         self.mean_s += (elapsed_s - self.mean_s) * MEAN_SMOOTHING
--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -39,8 +39,13 @@
         state: ServerState,
         ticket: Ticket,
         now_s: float,
+        *,
+        slowdown: float | None = None,
     ) -> Start:
-        """Record that a request is sent."""
+        """Record that a request is sent.
+
+        ``slowdown`` is set if the server is known to have a free slot.
+        """
         probe = state.health is HealthStatus.SUSPECT
         flight = Flight(
             ticket=ticket,
@@ -48,6 +53,7 @@
             started_s=now_s,
             long=class_state.request_class.long,
             probe=probe,
+            slowdown=slowdown,
         )
         state.record_sent(flight)
         self._first[ticket.id] = flight
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -1,10 +1,10 @@
 """The gate: admission, queueing and placement decisions for the relay.
 
 The code is sans-I/O: it never blocks, reads a clock or opens a connection. The calls
-for a request are, in this order: ``submit``; after a ``Start``, exactly one
-``finished`` for each server that the request was sent to; after a ``Wait``, a later
-call returns a decision about the request, unless ``cancel`` withdraws it first.
-``tick`` has to be called every 10 to 50 ms.
+for a request are, in this order: ``submit``; after a ``QueryLoad``, ``place``; after a
+``Start``, exactly one ``finished`` for each server that the request was sent to; after
+a ``Wait``, a later call returns a decision about the request, unless ``cancel``
+withdraws it first. ``tick`` has to be called every 10 to 50 ms.
 """
 
 from collections.abc import Iterable, Sequence
@@ -26,6 +26,7 @@
 from ._health import evaluate_servers, record_outcome
 from ._owner import may_queue
 from ._pool import Pool
+from ._queried_placement import QueriedPlacement
 from ._queue_capacity import max_queue_capacity, queue_capacity
 from ._refusals import Refusals
 from ._registry import Registry
@@ -41,7 +42,8 @@
     Ticket,
     Wait,
 )
-from ._snapshot import GateSnapshot, pool_snapshot, server_snapshot
+from ._server_state import LoadReport
+from ._snapshot import GateSnapshot, gate_snapshot
 
 
 @final
@@ -93,6 +95,13 @@
         self._flights = Flights()
         self._refusals = Refusals(rng=rng)
         self._waiting: dict[str, Pool] = {}
+        self._queried = QueriedPlacement(
+            registry=self._registry,
+            flights=self._flights,
+            refusals=self._refusals,
+            rng=rng,
+            admit=self._admit,
+        )
         self._retried = 0
 
     # Calls of the relay.
@@ -124,7 +133,11 @@
         budget = self._registry.budgets.get(ticket.service)
         if budget is not None:
             budget.record_request()
-        return self._admit(ticket, now_s, avoid=None)
+        return self._queried.begin(ticket, now_s, avoid=None)
+
+    def place(self, ticket_id: str, now_s: float) -> Decision:
+        """Decide on a request after the servers of its ``QueryLoad`` were queried."""
+        return self._queried.place(ticket_id, now_s)
 
     def finished(
         self, ticket_id: str, outcome: Outcome, now_s: float, server: str | None = None
@@ -149,6 +162,8 @@
 
     def cancel(self, ticket_id: str, now_s: float) -> list[Decision]:
         """Drop a waiting or in-flight request whose caller has disconnected."""
+        if self._queried.cancel(ticket_id):
+            return []
         pool = self._waiting.pop(ticket_id, None)
         if pool is not None:
             pool.remove(ticket_id)
@@ -180,7 +195,7 @@
         if budget is None or not budget.take():
             return self._refuse(ticket, RefuseReason.RETRY_BUDGET, now_s)
         self._retried += 1
-        return self._admit(ticket, now_s, avoid=avoid)
+        return self._queried.begin(ticket, now_s, avoid=avoid)
 
     def tick(self, now_s: float) -> list[Decision]:
         """Refuse expired requests, detect unresponsive servers and send hedges."""
@@ -209,12 +224,24 @@
         return [] if pool is None else self._serve_waiting(pool, now_s)
 
     def note_load(
-        self, server_id: str, *, waiting: int, slots: int, now_s: float
+        self,
+        server_id: str,
+        *,
+        waiting: int,
+        slots: int,
+        now_s: float,
+        running: int = 0,
+        slowdown: float | None = None,
     ) -> None:
-        """Apply the queue length that a server reported with an answer."""
+        """Apply the load that a server reported with an answer or to a query."""
         state = self._registry.servers.get(server_id)
         if state is None:
             return
+        if slowdown is not None:
+            state.report = LoadReport(
+                running=running, waiting=waiting, slowdown=slowdown, at_s=now_s
+            )
+            self._registry.note_answers_queries(state.server.service)
         state.record_queue(waiting, now_s)
         pool = self._registry.pools.get((state.server.service, server_id))
         if pool is not None and pool.pinned:
@@ -222,6 +249,12 @@
                 waiting=waiting, slots=slots, has_backlog=pool.waiting > 0
             )
 
+    def note_unreachable(self, server_id: str, now_s: float) -> None:
+        """Record that a server left a query for its load unanswered."""
+        state = self._registry.servers.get(server_id)
+        if state is not None:
+            state.note_unreachable(now_s)
+
     def apply_server_report(
         self, server_id: str, report: "ServerReport", now_s: float
     ) -> None:
@@ -242,25 +275,13 @@
 
     def snapshot(self) -> GateSnapshot:
         """Return the state for metrics."""
-        return GateSnapshot(
-            pools=tuple(
-                pool_snapshot(key, pool) for key, pool in self._registry.pools.items()
-            ),
-            servers=tuple(
-                server_snapshot(state) for state in self._registry.servers.values()
-            ),
-            refused=dict(self._refusals.counts),
-            started=self._flights.started,
-            retried=self._retried,
-            hedged=self._flights.hedged,
-            retry_budgets={
-                name: budget.tokens for name, budget in self._registry.budgets.items()
-            },
+        return gate_snapshot(
+            self._registry, self._flights, self._refusals, retried=self._retried
         )
 
     # Admission.
 
-    def _admit(self, ticket: Ticket, now_s: float, *, avoid: str | None) -> Decision:
+    def _admit(self, ticket: Ticket, now_s: float, avoid: str | None) -> Decision:
         if not self._can_be_served(ticket, now_s):
             return self._refuse(ticket, RefuseReason.NO_SERVER, now_s)
         pool = self._registry.pool_of(ticket)
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -93,6 +93,8 @@
         if pool.pinned and state.health is HealthStatus.SUSPECT:
             # No other server can serve its keys: slow answers are better than none.
             state.reactivate(now_s)
+        if flight.slowdown is not None:
+            class_state.record_work(outcome.elapsed_s, flight.slowdown)
         ratio = class_state.record_answer(outcome.elapsed_s)
         if not flight.long:
             has_queue = (
@@ -142,6 +144,10 @@
         if flight.long:
             continue
         pool = pool_of(flight.ticket)
+        if pool.answers_queries:
+            # Silence is no evidence: a host rarely gets answers of a given server, and
+            # a frozen server leaves queries for its load unanswered.
+            continue
         if flight.overdue and _is_frozen(state, flight, now_s):
             _suspect(pool, state, now_s)
         if flight.evaluated:
--- /dev/null
+++ b/src/gentianwharf/load/_load_queries.py
@@ -0,0 +1,117 @@
+"""Placement by load reports that servers give at the time of the request.
+
+Load pattern: 84 hosts share servers with two slots. A host gets an answer of a given
+server every 18 s, and the report in it is outdated after half a second: machines that
+servers share with others slow down and recover within that time. Each host by its own
+counts keeps 0.79 of the answers within their target latency at 0.72 of the capacity.
+
+Before a request is sent, a few servers are queried for their load, and it is sent to
+the one that is expected to answer first (power of d choices, as in Prequal). Requests
+don't queue at the host while any of the queried servers has a free slot. If none has,
+other servers are queried after a pause, and the request then joins the shortest queue
+or, if it would wait there for too long, is refused.
+
+Servers whose load reports include their current slowdown answer queries at once; others
+hold a query until a slot is free, and are not queried.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+from ._server_state import LoadReport, ServerState
+
+LOCAL_QUERIED = 2
+"""Servers of the host's own failure domain that are queried for each request."""
+
+OTHERS_QUERIED = 1
+"""Servers of other failure domains that are queried, for when the own are busy."""
+
+HELD_FACTOR = 2
+"""How many times as many servers are queried again for a request that is held."""
+
+OTHER_DOMAIN_FACTOR = 1.1
+"""Weight of answers from other domains: their bytes are charged, and a round trip is a
+small part of an answer."""
+
+MAX_EXAMINED = 24
+"""Servers that are examined to find those to query."""
+
+MAX_REPORT_AGE_S = 0.1
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Placement:
+    """The server that is expected to answer first.
+
+    ``wait_s`` is the expected wait for a slot, and ``slowdown`` the server's slowdown.
+    """
+
+    state: ServerState
+    wait_s: float
+    slowdown: float
+
+
+def servers_to_query(
+    states: Sequence[ServerState],
+    *,
+    now_s: float,
+    rng: Random,
+    avoid: str | None,
+    held: bool = False,
+) -> tuple[str, ...]:
+    """Return the ids of random servers to query, most of them of the own domain.
+
+    ``avoid`` is the id of a server that has just failed the request. ``held`` means
+    that the servers queried before had no free slot.
+    """
+    factor = HELD_FACTOR if held else 1
+    max_local, max_others = LOCAL_QUERIED * factor, OTHERS_QUERIED * factor
+    local: list[str] = []
+    others: list[str] = []
+    for state in rng.sample(states, min(len(states), MAX_EXAMINED)):
+        if state.server.id == avoid or not state.can_be_queried(now_s):
+            continue
+        (local if state.local else others).append(state.server.id)
+        if len(local) >= max_local and len(others) >= max_others:
+            break
+    total = max_local + max_others
+    queried = local[: max(max_local, total - len(others))]
+    return tuple(queried + others[: total - len(queried)])
+
+
+def choose_by_load(
+    states: Iterable[ServerState], *, work_s: float, now_s: float
+) -> Placement | None:
+    """Return the best of the servers with recent reports, None if there is none.
+
+    ``work_s`` is the usual time of the work, without waiting.
+    """
+    best: Placement | None = None
+    best_s = 0.0
+    for state in states:
+        report = state.report
+        if report is None or now_s > report.at_s + MAX_REPORT_AGE_S:
+            continue
+        if not state.has_capacity(now_s):
+            continue
+        wait_s = _expected_wait_s(state, report, work_s)
+        expected_s = wait_s + work_s * report.slowdown
+        if not state.local:
+            expected_s *= OTHER_DOMAIN_FACTOR
+        if best is None or expected_s < best_s:
+            best_s = expected_s
+            best = Placement(state=state, wait_s=wait_s, slowdown=report.slowdown)
+    return best
+
+
+def _expected_wait_s(state: ServerState, report: LoadReport, work_s: float) -> float:
+    """Return how long a request waits for a slot, 0 if one is free."""
+    slots = state.server.slots
+    sent_since = sum(
+        flight.started_s >= report.at_s for flight in state.flights.values()
+    )
+    ahead = report.running + report.waiting + sent_since + 1 - slots
+    return max(0, ahead) / slots * work_s * report.slowdown
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -82,6 +82,8 @@
     ) -> None:
         self.service = service
         self.pinned = pinned
+        self.answers_queries = False
+        """Whether the servers answer queries for their load at once."""
         self.classes = ClassTable(classes=classes, rng=rng)
         self.short_in_flight = 0
         self.long_in_flight = 0
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -149,6 +149,12 @@
         self._index(state)
         return state
 
+    def note_answers_queries(self, service: str) -> None:
+        """Record that the servers of a service answer queries for their load."""
+        pool = self.pools.get((service, None))
+        if pool is not None:
+            pool.answers_queries = True
+
     def set_hosts(self, names: Sequence[str]) -> None:
         """Set the names of all hosts, which share the requests of cold servers."""
         self._cold_servers.set_hosts(names)
--- a/src/gentianwharf/load/_requests.py
+++ b/src/gentianwharf/load/_requests.py
@@ -160,4 +160,14 @@
     retry_after_s: float
 
 
-Decision = Start | Wait | Refuse
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QueryLoad:
+    """Query ``servers`` for their load after ``delay_s``, then call ``Gate.place``."""
+
+    ticket_id: str
+    servers: tuple[str, ...]
+    delay_s: float = 0.0
+
+
+Decision = Start | Wait | Refuse | QueryLoad
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -66,6 +66,8 @@
 # The shards of a leaving server take this long to move; other work stops at once.
 LEAVING_GRACE_S = 3.0
 MAX_SHED_S = 1.0
+UNREACHABLE_S = 2.0
+"""Time for which a server that left a query for its load unanswered is not queried."""
 # A reported queue length is out of date after several service times.
 QUEUE_REPORT_LIFETIME_S = 0.5
 
@@ -84,7 +86,8 @@
     """A request in flight; ``counted`` while it counts against the pool's limit.
 
     ``paused`` is set when this host was paused while the request was in flight: the
-    time to the answer is then not evidence about the server.
+    time to the answer is then not evidence about the server. ``slowdown`` is that of
+    the server at the start, None if it is unknown or if the request had to wait there.
     """
 
     ticket: Ticket
@@ -97,6 +100,18 @@
     evaluated: bool = False
     overdue: bool = False
     paused: bool = False
+    slowdown: float | None = None
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadReport:
+    """A server's load at a time; ``slowdown`` is a multiple of the usual work time."""
+
+    running: int
+    waiting: int
+    slowdown: float
+    at_s: float
 
 
 @final
@@ -130,6 +145,8 @@
     cold_gap_s: float = 0.0
     """Minimum time between requests of this host while the server is cold."""
     last_sent_s: float = 0.0
+    report: LoadReport | None = None
+    unreachable_until_s: float = 0.0
     short_answers: ShortAnswers = field(default_factory=ShortAnswers)
 
     def ramp_share(self, now_s: float) -> float:
@@ -155,6 +172,14 @@
             return True
         return in_flight + 1 <= max(1.0, self.server.slots * self.ramp_share(now_s))
 
+    def can_be_queried(self, now_s: float) -> bool:
+        """Whether a query for the server's load may lead to a request."""
+        return now_s >= self.unreachable_until_s and self.has_capacity(now_s)
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Record that the server left a query for its load unanswered."""
+        self.unreachable_until_s = now_s + UNREACHABLE_S
+
     def _cold_limit_allows(self, now_s: float) -> bool:
         is_cold = now_s < self.cold_until_s
         return not is_cold or now_s >= self.last_sent_s + self.cold_gap_s
--- a/src/gentianwharf/load/_snapshot.py
+++ b/src/gentianwharf/load/_snapshot.py
@@ -4,7 +4,10 @@
 from typing import final
 
 from ._class_state import ClassState
+from ._flights import Flights
 from ._pool import Pool
+from ._refusals import Refusals
+from ._registry import Registry
 from ._requests import RefuseReason
 from ._server_state import HealthStatus, ServerState
 
@@ -96,3 +99,20 @@
         latency_ratio=state.latency_ratio,
         ramping=state.ramp_started_s is not None,
     )
+
+
+def gate_snapshot(
+    registry: Registry, flights: Flights, refusals: Refusals, *, retried: int
+) -> GateSnapshot:
+    """Return the snapshot of a gate with these parts."""
+    return GateSnapshot(
+        pools=tuple(pool_snapshot(key, pool) for key, pool in registry.pools.items()),
+        servers=tuple(server_snapshot(state) for state in registry.servers.values()),
+        refused=dict(refusals.counts),
+        started=flights.started,
+        retried=retried,
+        hedged=flights.hedged,
+        retry_budgets={
+            name: budget.tokens for name, budget in registry.budgets.items()
+        },
+    )
--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -15,6 +15,8 @@
 NOT_EXECUTED = b"Not-Executed"
 RETRY_AFTER = b"Retry-After"
 SERVER_LOAD = b"Server-Load"
+INSTANCE_ID = b"Instance-Id"
+COLD_REMAINING_MS = b"Cold-Remaining-Ms"
 
 STATUS_NOT_OWNER = 421
 
@@ -92,6 +94,18 @@
             running=running, waiting=waiting, slots=slots, slowdown=slowdown or None
         )
 
+    def instance_id(self, headers: Headers) -> str | None:
+        """Return the id of the server that answered a health check."""
+        values = headers.getRawHeaders(INSTANCE_ID)
+        return values[0].decode("latin-1") if values else None
+
+    def cold_remaining_s(self, headers: Headers) -> float:
+        """Return for how much longer the server is cold, 0 if it is warm."""
+        values = headers.getRawHeaders(COLD_REMAINING_MS)
+        if not values or not values[0].isdigit():
+            return 0.0
+        return int(values[0]) / 1000
+
     def retry_after(self, delay_s: float) -> bytes:
         """Return fractional seconds, which the platform's clients can parse."""
         return b"%.3f" % max(0.0, delay_s)
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -9,6 +9,7 @@
 from ._connections import ServerConnectionPool
 from ._deadline import RemainingTime
 from ._header_codec import DefaultHeaderCodec, HeaderCodec, ServerRefusal
+from ._load_client import LoadClient, LoadQueryCodec, QueriedLoad
 from ._ports import (
     AccessRecord,
     Admission,
@@ -33,11 +34,14 @@
     "DefaultHeaderCodec",
     "HeaderCodec",
     "HedgeCallback",
+    "LoadClient",
+    "LoadQueryCodec",
     "Observer",
     "Outcome",
     "Owner",
     "Ownership",
     "Problem",
+    "QueriedLoad",
     "RelayApp",
     "RemainingTime",
     "Rules",
--- /dev/null
+++ b/src/gentianwharf/relay/_load_client.py
@@ -0,0 +1,117 @@
+"""Queries backend servers for their load at the moment."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol, final
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.protocol import Protocol as StreamProtocol
+from twisted.web.http_headers import Headers
+
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.pauses import Timeout
+from gentianwharf.topology import BackendServer
+
+from ._connections import ServerConnectionPool
+from ._ports import ServerLoad
+
+QUERY_TIMEOUT_S = 0.06
+"""Several round trips between failure domains. A server that doesn't answer within this
+time is left out."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QueriedLoad:
+    """A server's load, and for how much longer it is cold."""
+
+    load: ServerLoad
+    cold_remaining_s: float
+
+
+class LoadQueryCodec(Protocol):
+    """Reads the response to a query."""
+
+    def instance_id(self, headers: Headers) -> str | None:
+        """Return the id of the server that responded, None if it is not stated."""
+
+    def load(self, headers: Headers) -> ServerLoad | None:
+        """Return the server's load, None if it is not stated."""
+
+    def cold_remaining_s(self, headers: Headers) -> float:
+        """Return for how much longer the server is cold."""
+
+
+@final
+class LoadClient:
+    """Queries servers over the connections that requests use too.
+
+    ``paths`` contains the path of the query by service.
+    """
+
+    def __init__(
+        self,
+        *,
+        connections: Mapping[str, ServerConnectionPool],
+        paths: Mapping[str, str],
+        codec: LoadQueryCodec,
+        reactor: Any,
+    ) -> None:
+        self.queries = 0
+        self._connections = connections
+        self._paths = paths
+        self._codec = codec
+        self._reactor = reactor
+
+    async def query(self, server: BackendServer) -> QueriedLoad | None:
+        """Return a server's load, None if it doesn't state it in time."""
+        path = self._paths.get(server.service)
+        connections = self._connections.get(server.id)
+        if path is None or connections is None:
+            return None
+        self.queries += 1
+        pending = Deferred.fromCoroutine(self._query(connections, path, server))
+        timeout = Timeout(
+            clock=self._reactor, delay_s=QUERY_TIMEOUT_S, expire=pending.cancel
+        )
+        try:
+            return await pending
+        except CancelledError:
+            if timeout.expired:
+                return None
+            raise
+        except Exception:
+            # Whatever is wrong with the response, the server's load is not known.
+            return None
+        finally:
+            timeout.stop()
+
+    async def _query(
+        self, connections: ServerConnectionPool, path: str, server: BackendServer
+    ) -> QueriedLoad | None:
+        try:
+            connection = await connections.acquire()
+        except PeerUnavailableError:
+            return None
+        try:
+            response = await connection.send_request(
+                method=b"GET",
+                uri=path.encode(),
+                headers=Headers({b"Host": [server.address.encode()]}),
+                body=None,
+            )
+        except BaseException:
+            connection.abort_now()
+            raise
+        response.deliverBody(_DiscardedBody())
+        headers = response.headers
+        load = self._codec.load(headers)
+        if load is None or self._codec.instance_id(headers) != server.id:
+            return None
+        return QueriedLoad(
+            load=load, cold_remaining_s=self._codec.cold_remaining_s(headers)
+        )
+
+
+class _DiscardedBody(StreamProtocol):
+    """Discards the body of a response; its connection is reused after the end."""
