Count the load of keys for longer where servers get few requests

Cause: the leader's counts decay within 2 s. With 56 servers and 73 requests a second that is 2.6 requests a server; the load of a server had to exceed 2.2 times the mean before keys moved, and eight moves were made in a round whatever the number of servers.

The counts now cover 12 requests a server, within 2 to 8 s, and a round may move one span for four servers, eight at least. Deployments with 12 or more requests a server in 2 s keep the decay they had.

--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -2,7 +2,8 @@
 
 Load pattern: a few hundred adjacent keys become hot within a second, and others a few
 seconds later. Counts decay within seconds, so that hot shards stand out soon and stop
-counting as hot soon after.
+counting as hot soon after. A service with many servers and few requests for each is
+counted for longer.
 
 The speed of a server is derived from the service time of requests that it did not
 queue, and, for a server that is full, from its throughput. Servers of one service
@@ -18,9 +19,15 @@
 
 from ._shard_load import ShardLoad
 
-DECAY_S = 2.0
-"""Time constant of the decay. It covers about a hundred requests of a service with
-hundreds a second, among which a hot key's share shows within half a second."""
+MIN_DECAY_S = 2.0
+"""Minimum time constant of the decay. It covers about a hundred requests of a service
+with hundreds a second, among which a hot key's share shows within half a second."""
+
+MAX_DECAY_S = 8.0
+
+REQUESTS_PER_SERVER = 12
+"""Requests per server that the counts should cover. With fewer, the loads of servers
+differ so much by chance that only multiples of the mean stand out."""
 
 SPEED_SMOOTHING = 0.4
 """Weight of one comparison: speeds change more slowly than keys become hot."""
@@ -91,7 +98,7 @@
             return False
         return self.unanswered > self.executed * STUCK_RATIO
 
-    def service_time_s(self) -> float | None:
+    def service_time_s(self, decay_s: float) -> float | None:
         """Return the service time of a request without queueing, None if unknown.
 
         A full server queues nearly every request. Its service time follows from its
@@ -102,7 +109,7 @@
             return self.unqueued_s / self.unqueued
         if self.executed >= MIN_ANSWERS and self.waiting > self.answers * FULL_QUEUE:
             running = self.running / self.answers
-            return running / (self.executed / DECAY_S)
+            return running / (self.executed / decay_s)
         return None
 
 
@@ -115,6 +122,22 @@
         self._decayed_s = now_s()
         self._counts: dict[int, float] = {}
         self._servers: dict[str, _ServerLoad] = {}
+        self._recent = 0.0
+        """Requests, decayed with ``MIN_DECAY_S`` whatever the time constant is."""
+        self._server_count = 1
+
+    def set_server_count(self, count: int) -> None:
+        """Set how many servers hold the service's shards."""
+        self._server_count = max(1, count)
+
+    @property
+    def decay_s(self) -> float:
+        """The time constant with which counts decay, in seconds."""
+        if not self._recent:
+            return MIN_DECAY_S
+        rate_per_s = self._recent / MIN_DECAY_S
+        wanted_s = REQUESTS_PER_SERVER * self._server_count / rate_per_s
+        return min(MAX_DECAY_S, max(MIN_DECAY_S, wanted_s))
 
     def note_requests(self, counts: Mapping[int, float]) -> None:
         """Count requests by shard."""
@@ -122,6 +145,7 @@
         known = self._counts
         for shard, count in counts.items():
             known[shard] = known.get(shard, 0.0) + count
+            self._recent += count
 
     def note_load(self, server_id: str, observed: ObservedLoad) -> None:
         """Add the load that a server reported."""
@@ -151,7 +175,7 @@
             server = self._servers[server_id]
             server.speed = max(1 / MAX_SPEED, server.speed * STUCK_SLOWDOWN)
         known = {
-            server_id: server.service_time_s()
+            server_id: server.service_time_s(self.decay_s)
             for server_id, server in self._servers.items()
             if server_id not in stuck
         }
@@ -190,7 +214,8 @@
         if elapsed_s < 0.1:
             return
         self._decayed_s = now_s
-        factor = exp(-elapsed_s / DECAY_S)
+        factor = exp(-elapsed_s / self.decay_s)
+        self._recent *= exp(-elapsed_s / MIN_DECAY_S)
         self._counts = {
             shard: count * factor
             for shard, count in self._counts.items()
--- a/src/gentianwharf/keyspace/_plan.py
+++ b/src/gentianwharf/keyspace/_plan.py
@@ -68,8 +68,10 @@
 MAX_PIECES = 12
 """Pieces of one span that are considered."""
 
-MAX_MOVES = 8
-"""Moves in one round of rebalancing; the next round sees their effect."""
+MIN_MOVES = 8
+SERVERS_PER_MOVE = 4
+"""Moves in one round of rebalancing, one for so many servers; the next round sees their
+effect."""
 
 
 @final
@@ -278,7 +280,8 @@
         """Move load from clearly overloaded servers to clearly underloaded ones."""
         self._move_hottest()
         immovable: set[Holder] = set()
-        for _ in range(MAX_MOVES):
+        moves = max(MIN_MOVES, len(self._by_holder) // SERVERS_PER_MOVE)
+        for _ in range(moves):
             least = self._least_loaded()
             movable_from = [
                 holder for holder in self._load_by_holder if holder not in immovable
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -258,6 +258,7 @@
         if not is_rebalance_due and not self._is_changed(service):
             return
         reachable = self._reachable(service)
+        service.demand.set_server_count(len(reachable))
         load = service.demand.load(self._shards)
         if is_rebalance_due:
             service.rebalanced_s = now_s
