Query owners of keys, and share the speeds of servers among hosts

Two parts that use the same placement by queried load.

Owners: requests for a key were held back and let through by what each of 84 hosts saw of an owner with two slots. They now query the owner, go to it at once, and are refused at once if they would wait there for longer than their target latency. Owners that leave queries unanswered get requests as before.

Speeds: servers of a service differ by a factor of three, and a host gets an answer of a given server every 18 s. Hosts report the load of all servers with a slowdown to the leader, which sends estimates of speeds to all hosts every two seconds (some 1 kB a host). A host without them takes all servers as equal. While a request is held, three times as many servers are queried, and the wait that leads to a refusal is 0.9 of the class's maximum.

--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, final
 
@@ -24,6 +24,7 @@
     HostIdentity,
     LeaderUpdate,
     Report,
+    SpeedUpdate,
     StoreSnapshot,
 )
 
@@ -170,6 +171,16 @@
         ]
         self._broadcast(update)
 
+    def broadcast_speeds(self, speeds: Mapping[str, float]) -> None:
+        """Send all hosts the speeds of servers, relative to the mean."""
+        if not self.leads or not speeds:
+            return
+        percent = {server_id: round(speed * 100) for server_id, speed in speeds.items()}
+        update = SpeedUpdate(self._identity, self._term, percent)
+        data = msgspec.msgpack.encode(update)
+        for peer in self.membership.active():
+            peer.link.send(data)
+
     def _send_update(self, *, granted: Sequence[GrantNotice] = ()) -> None:
         update = self._empty_update()
         update.granted = list(granted)
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -47,6 +47,7 @@
 from ._peers import Peers
 from ._previous_leader import RemainingGrantsExchange
 from ._rules import RulesInForce
+from ._server_speeds import ServerSpeeds
 from ._store_keys import HOSTS_KEY, LEADER_KEY, PREVIOUS_LEADER_KEY, TABLE_PREFIX
 
 ISOLATED_CAMPAIGN_PAUSE_S = 4.0
@@ -65,6 +66,9 @@
 """How long changes may be missing before a host requests them from the leader. Within
 this time its own watch has been repeated and should have returned them."""
 
+SPEEDS_INTERVAL_S = 2.0
+"""Interval at which the leader sends the speeds of servers to all hosts."""
+
 INCARNATION_BITS = 53
 """Size of the random number that distinguishes successive processes of a host."""
 
@@ -89,6 +93,7 @@
         self.host_count = INITIAL_HOST_COUNT
         self.keyed: set[str] = set()
         self._servers_changed = False
+        self._speeds_sent_s = 0.0
         now_s = self._now_s = reactor.seconds
         store = PlatformStore(reactor=reactor, address=settings.store.address)
         self.mirror = Mirror(store=store, prefix="", reactor=reactor, rng=rng)
@@ -138,6 +143,7 @@
             membership=self.peers.membership,
             now_s=now_s,
         )
+        self._server_speeds = ServerSpeeds(now_s=now_s)
         self._connect_store()
         self._connect_peers()
 
@@ -194,6 +200,7 @@
         self._grants_exchange.tick()
         self.peers.tick()
         self._host_list.tick()
+        self._broadcast_speeds()
 
     def resign(self, campaign_pause_s: float) -> None:
         """Give up leadership, and do not try to regain it for ``campaign_pause_s``."""
@@ -245,7 +252,8 @@
         self, server: BackendServer, load: ServerLoad, elapsed_s: float | None
     ) -> None:
         """Add a server's load to the next report."""
-        if server.service in self.keyed:
+        # Servers that report their slowdown are chosen by their speeds as well.
+        if server.service in self.keyed or load.slowdown is not None:
             self.peers.observed.note_load(server, load, elapsed_s)
 
     def note_unanswered(self, server: BackendServer) -> None:
@@ -325,9 +333,17 @@
         demand = self._planner.demand(service)
         if demand is not None:
             demand.note_load(server_id, load)
+        else:
+            self._server_speeds.note_load(service, server_id, load)
 
     # Work of the leader.
 
+    def _broadcast_speeds(self) -> None:
+        now_s = self._now_s()
+        if self.leadership.leads and now_s >= self._speeds_sent_s + SPEEDS_INTERVAL_S:
+            self._speeds_sent_s = now_s
+            self.peers.broadcast_speeds(self._server_speeds.estimates())
+
     def _start_leading(self, previous: PreviousLeader | None) -> None:
         term = self.leadership.term
         assert term is not None, "a leading host has a term"
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -84,6 +84,7 @@
         )
         self._coordinator.on_host_count = self._set_host_count
         self._coordinator.on_hosts = self._gate.set_hosts
+        self._coordinator.peers.on_speeds = self._gate.set_speeds
         self._coordinator.directory.on_change = self._update_servers
         self._coordinator.directory.on_cold = self._note_cold
         self._coordinator.rules.on_change = self._apply_configuration
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -93,6 +93,14 @@
     changes: list[EncodedChange]
 
 
+class SpeedUpdate(msgspec.Struct, array_like=True, tag="speeds"):
+    """The leader's estimates of servers' speeds, in percent of the mean, by server."""
+
+    leader: HostIdentity
+    term: int
+    percent: dict[str, int]
+
+
 class StoreSnapshot(msgspec.Struct, array_like=True, tag="everything"):
     """All items of the store at a revision, sent by the leader of a term.
 
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -26,6 +26,7 @@
     RemainingGrantsRequest,
     RemainingGrantsResponse,
     Report,
+    SpeedUpdate,
     StoreSnapshot,
 )
 
@@ -82,6 +83,7 @@
         self.on_grants_response: Callable[[RemainingGrantsResponse], None] = (
             lambda response: None
         )
+        self.on_speeds: Callable[[Mapping[str, float]], None] = lambda speeds: None
         self.identity = HostIdentity(
             host=host, address=address, incarnation=incarnation
         )
@@ -206,6 +208,12 @@
         """Send complete values again: this host may have missed changes."""
         self._broadcaster.reset_deltas()
 
+    def broadcast_speeds(self, speeds: Mapping[str, float]) -> None:
+        """Send all hosts the speeds of servers, and apply them here."""
+        if self._broadcaster.leads:
+            self._broadcaster.broadcast_speeds(speeds)
+            self.on_speeds(speeds)
+
     def broadcast_events(self, after_revision: int, events: Events) -> None:
         """Send all hosts the changes of the store."""
         self._broadcaster.broadcast_events(after_revision, events)
@@ -250,6 +258,7 @@
                 data,
                 type=Report
                 | LeaderUpdate
+                | SpeedUpdate
                 | StoreSnapshot
                 | RemainingGrantsRequest
                 | RemainingGrantsResponse,
@@ -263,6 +272,8 @@
                 self._broadcaster.note_report(message)
         elif isinstance(message, LeaderUpdate):
             self._on_update(message)
+        elif isinstance(message, SpeedUpdate):
+            self._on_speed_update(message)
         elif isinstance(message, StoreSnapshot):
             self._on_snapshot(message)
         elif isinstance(message, RemainingGrantsRequest):
@@ -316,13 +327,23 @@
         stored = tuple(item for item in items if isinstance(item, Item))
         self.on_page(Page(items=stored, revision=snapshot.revision))
 
-    def _is_from_leader(self, update: LeaderUpdate | StoreSnapshot) -> bool:
+    def _on_speed_update(self, update: SpeedUpdate) -> None:
+        if self._is_from_leader(update):
+            self.on_speeds(
+                {name: percent / 100 for name, percent in update.percent.items()}
+            )
+
+    def _is_from_leader(
+        self, update: LeaderUpdate | SpeedUpdate | StoreSnapshot
+    ) -> bool:
         """Whether a message comes from the newest leader."""
         if update.term > self.followed_revision:
             self._follow_sender(update)
         return update.term == self.followed_revision and update.leader == self._leader
 
-    def _follow_sender(self, update: LeaderUpdate | StoreSnapshot) -> None:
+    def _follow_sender(
+        self, update: LeaderUpdate | SpeedUpdate | StoreSnapshot
+    ) -> None:
         """Follow a newer leader that the store has not reported to this host."""
         log.info(
             "following the leader that sent an update",
--- a/src/gentianwharf/load/_class_state.py
+++ b/src/gentianwharf/load/_class_state.py
@@ -64,10 +64,10 @@
         """Update the share of requests that find the queue full."""
         self.refused_share += (refused - self.refused_share) * REFUSED_SMOOTHING
 
-    def record_work(self, elapsed_s: float, slowdown: float) -> None:
+    def record_work(self, elapsed_s: float, work_ratio: float) -> None:
         """Update the usual time of the work from an answer that didn't wait."""
         self._works = min(self._works + 1, MAX_WORKS)
-        self.work_s += (elapsed_s / slowdown - self.work_s) / self._works
+        self.work_s += (elapsed_s / work_ratio - self.work_s) / self._works
 
     def usual_work_s(self) -> float:
         """Return the usual time of the work, a guess before the first answers."""
--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -40,11 +40,11 @@
         ticket: Ticket,
         now_s: float,
         *,
-        slowdown: float | None = None,
+        work_ratio: float | None = None,
     ) -> Start:
         """Record that a request is sent.
 
-        ``slowdown`` is set if the server is known to have a free slot.
+        ``work_ratio`` is set if the server is known to have a free slot.
         """
         probe = state.health is HealthStatus.SUSPECT
         flight = Flight(
@@ -53,7 +53,7 @@
             started_s=now_s,
             long=class_state.request_class.long,
             probe=probe,
-            slowdown=slowdown,
+            work_ratio=work_ratio,
         )
         state.record_sent(flight)
         self._first[ticket.id] = flight
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -7,7 +7,7 @@
 withdraws it first. ``tick`` has to be called every 10 to 50 ms.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from math import inf
 from random import Random
 from typing import TYPE_CHECKING, final
@@ -249,6 +249,10 @@
                 waiting=waiting, slots=slots, has_backlog=pool.waiting > 0
             )
 
+    def set_speeds(self, speeds: Mapping[str, float]) -> None:
+        """Set the speeds of servers by id, relative to the mean of their service."""
+        self._registry.set_speeds(speeds)
+
     def note_unreachable(self, server_id: str, now_s: float) -> None:
         """Record that a server left a query for its load unanswered."""
         state = self._registry.servers.get(server_id)
@@ -282,7 +286,7 @@
     # Admission.
 
     def _admit(self, ticket: Ticket, now_s: float, avoid: str | None) -> Decision:
-        if not self._can_be_served(ticket, now_s):
+        if not self._registry.can_be_served(ticket, now_s):
             return self._refuse(ticket, RefuseReason.NO_SERVER, now_s)
         pool = self._registry.pool_of(ticket)
         class_state = pool.classes[ticket.request_class]
@@ -304,17 +308,6 @@
             return False
         return pool.has_capacity(class_state, now_s, light=light)
 
-    def _can_be_served(self, ticket: Ticket, now_s: float) -> bool:
-        if ticket.server is None:
-            pool = self._registry.pools.get((ticket.service, None))
-            return pool is not None and pool.can_serve(ticket, now_s)
-        state = self._registry.servers.get(ticket.server)
-        if state is None or state.server.service != ticket.service:
-            return False
-        return state.accepts_pinned(now_s) or state.accepts_probe(
-            now_s, repeatable=ticket.repeatable
-        )
-
     def _wait(
         self, pool: Pool, class_state: ClassState, ticket: Ticket, now_s: float
     ) -> Decision:
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -93,8 +93,8 @@
         if pool.pinned and state.health is HealthStatus.SUSPECT:
             # No other server can serve its keys: slow answers are better than none.
             state.reactivate(now_s)
-        if flight.slowdown is not None:
-            class_state.record_work(outcome.elapsed_s, flight.slowdown)
+        if flight.work_ratio is not None:
+            class_state.record_work(outcome.elapsed_s, flight.work_ratio)
         ratio = class_state.record_answer(outcome.elapsed_s)
         if not flight.long:
             has_queue = (
@@ -144,7 +144,7 @@
         if flight.long:
             continue
         pool = pool_of(flight.ticket)
-        if pool.answers_queries:
+        if pool.answers_queries and not pool.pinned:
             # Silence is no evidence: a host rarely gets answers of a given server, and
             # a frozen server leaves queries for its load unanswered.
             continue
--- a/src/gentianwharf/load/_load_queries.py
+++ b/src/gentianwharf/load/_load_queries.py
@@ -28,7 +28,7 @@
 OTHERS_QUERIED = 1
 """Servers of other failure domains that are queried, for when the own are busy."""
 
-HELD_FACTOR = 2
+HELD_FACTOR = 3
 """How many times as many servers are queried again for a request that is held."""
 
 OTHER_DOMAIN_FACTOR = 1.1
@@ -46,12 +46,13 @@
 class Placement:
     """The server that is expected to answer first.
 
-    ``wait_s`` is the expected wait for a slot, and ``slowdown`` the server's slowdown.
+    ``wait_s`` is the expected wait for a slot, and ``work_ratio`` how long work takes
+    there, relative to the mean of the service.
     """
 
     state: ServerState
     wait_s: float
-    slowdown: float
+    work_ratio: float
 
 
 def servers_to_query(
@@ -98,12 +99,13 @@
         if not state.has_capacity(now_s):
             continue
         wait_s = _expected_wait_s(state, report, work_s)
-        expected_s = wait_s + work_s * report.slowdown
+        ratio = state.work_ratio(report)
+        expected_s = wait_s + work_s * ratio
         if not state.local:
             expected_s *= OTHER_DOMAIN_FACTOR
         if best is None or expected_s < best_s:
             best_s = expected_s
-            best = Placement(state=state, wait_s=wait_s, slowdown=report.slowdown)
+            best = Placement(state=state, wait_s=wait_s, work_ratio=ratio)
     return best
 
 
@@ -114,4 +116,4 @@
         flight.started_s >= report.at_s for flight in state.flights.values()
     )
     ahead = report.running + report.waiting + sent_since + 1 - slots
-    return max(0, ahead) / slots * work_s * report.slowdown
+    return max(0, ahead) / slots * work_s * state.work_ratio(report)
--- a/src/gentianwharf/load/_queried_placement.py
+++ b/src/gentianwharf/load/_queried_placement.py
@@ -27,6 +27,14 @@
 MAX_ROUNDS_WITHOUT_REPORT = 2
 """Rounds of queries without any report before a server is chosen without one."""
 
+WAIT_FACTOR = 0.9
+"""Share of the class's maximum wait for which a request may be expected to wait: the
+queues of servers grow until they refuse as many requests as there are too many."""
+
+OWNER_WAIT_FACTOR = 2.0
+"""The same for requests that only one server may run: refused ones come back to the
+same queue."""
+
 Admit = Callable[[Ticket, float, str | None], Decision]
 """Decides without load reports; the last argument is a server to avoid."""
 
@@ -63,8 +71,10 @@
 
     def begin(self, ticket: Ticket, now_s: float, *, avoid: str | None) -> Decision:
         """Decide on a request that arrives, or that ``avoid`` has just failed."""
-        pool = self._registry.pools.get((ticket.service, ticket.server))
-        if pool is None or pool.pinned or not pool.answers_queries:
+        if not self._registry.can_be_served(ticket, now_s):
+            return self._admit(ticket, now_s, avoid)
+        pool = self._registry.pool_of(ticket)
+        if not pool.answers_queries:
             return self._admit(ticket, now_s, avoid)
         querying = _Querying(ticket=ticket, since_s=now_s, avoid=avoid)
         return self._query(querying, pool, now_s)
@@ -90,9 +100,11 @@
         held_s = now_s - querying.since_s
         hold_s = class_state.max_wait_s * HOLD_SHARE
         pause_s = hold_s / ROUNDS_PER_HOLD
-        if placement.wait_s > 0 and held_s + pause_s <= hold_s:
+        may_hold = placement.wait_s > 0 and held_s + pause_s <= hold_s
+        if may_hold and not pool.pinned:
             return self._query(querying, pool, now_s, delay_s=pause_s)
-        is_late = held_s + placement.wait_s > class_state.max_wait_s
+        factor = OWNER_WAIT_FACTOR if pool.pinned else WAIT_FACTOR
+        is_late = held_s + placement.wait_s > class_state.max_wait_s * factor
         class_state.record_decision(refused=is_late)
         if is_late:
             return self._refusals.refuse(ticket, RefuseReason.OVERLOAD, pool, now_s)
@@ -103,10 +115,10 @@
     ) -> Decision:
         ticket = querying.ticket
         querying.servers = servers_to_query(
-            pool.short_states,
+            pool.states if pool.pinned else pool.short_states,
             now_s=now_s,
             rng=self._rng,
-            avoid=querying.avoid,
+            avoid=None if pool.pinned else querying.avoid,
             held=delay_s > 0,
         )
         if not querying.servers or _has_suspect_to_probe(pool, ticket, now_s):
@@ -133,7 +145,7 @@
             placement.state,
             ticket,
             now_s,
-            slowdown=placement.slowdown if placement.wait_s == 0 else None,
+            work_ratio=placement.work_ratio if placement.wait_s == 0 else None,
         )
 
 
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -1,6 +1,6 @@
 """The tables of servers, pools and retry budgets of one daemon."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from math import inf
 from random import Random
 from typing import final
@@ -48,6 +48,8 @@
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self.pools: dict[PoolKey, Pool] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        self._answering: set[str] = set()
+        """Services whose servers answer queries for their load at once."""
         for service in services:
             self._add_service(service)
 
@@ -61,6 +63,18 @@
             self.pools[ticket.service, ticket.server] = pool
         return pool
 
+    def can_be_served(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether some server can run the request, now or after a wait."""
+        if ticket.server is None:
+            pool = self.pools.get((ticket.service, None))
+            return pool is not None and pool.can_serve(ticket, now_s)
+        state = self.servers.get(ticket.server)
+        if state is None or state.server.service != ticket.service:
+            return False
+        return state.accepts_pinned(now_s) or state.accepts_probe(
+            now_s, repeatable=ticket.repeatable
+        )
+
     def set_servers(
         self, service: str, servers: Iterable[BackendServer], now_s: float
     ) -> Pool | None:
@@ -151,9 +165,19 @@
 
     def note_answers_queries(self, service: str) -> None:
         """Record that the servers of a service answer queries for their load."""
-        pool = self.pools.get((service, None))
-        if pool is not None:
-            pool.answers_queries = True
+        if service in self._answering:
+            return
+        self._answering.add(service)
+        for (name, _), pool in self.pools.items():
+            if name == service:
+                pool.answers_queries = True
+
+    def set_speeds(self, speeds: Mapping[str, float]) -> None:
+        """Set the speeds of servers by id, relative to the mean of their service."""
+        for server_id, speed in speeds.items():
+            state = self.servers.get(server_id)
+            if state is not None:
+                state.speed = speed
 
     def set_hosts(self, names: Sequence[str]) -> None:
         """Set the names of all hosts, which share the requests of cold servers."""
@@ -198,7 +222,7 @@
     def _make_pool(
         self, service: str, states: list[ServerState], *, pinned: bool = False
     ) -> Pool:
-        return Pool(
+        pool = Pool(
             service=service,
             states=states,
             classes=self._classes,
@@ -206,6 +230,8 @@
             rng=self._rng,
             pinned=pinned,
         )
+        pool.answers_queries = service in self._answering
+        return pool
 
     def _states_of(self, service: str) -> list[ServerState]:
         return list(self._by_service.get(service, {}).values())
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -86,7 +86,7 @@
     """A request in flight; ``counted`` while it counts against the pool's limit.
 
     ``paused`` is set when this host was paused while the request was in flight: the
-    time to the answer is then not evidence about the server. ``slowdown`` is that of
+    time to the answer is then not evidence about the server. ``work_ratio`` is that of
     the server at the start, None if it is unknown or if the request had to wait there.
     """
 
@@ -100,7 +100,7 @@
     evaluated: bool = False
     overdue: bool = False
     paused: bool = False
-    slowdown: float | None = None
+    work_ratio: float | None = None
 
 
 @final
@@ -146,6 +146,8 @@
     """Minimum time between requests of this host while the server is cold."""
     last_sent_s: float = 0.0
     report: LoadReport | None = None
+    speed: float = 1.0
+    """The server's speed relative to the mean of its service."""
     unreachable_until_s: float = 0.0
     short_answers: ShortAnswers = field(default_factory=ShortAnswers)
 
@@ -172,6 +174,10 @@
             return True
         return in_flight + 1 <= max(1.0, self.server.slots * self.ramp_share(now_s))
 
+    def work_ratio(self, report: LoadReport) -> float:
+        """Return how long work takes now, relative to the mean of the service."""
+        return report.slowdown / self.speed
+
     def can_be_queried(self, now_s: float) -> bool:
         """Whether a query for the server's load may lead to a request."""
         return now_s >= self.unreachable_until_s and self.has_capacity(now_s)
--- a/tests/builders_shared_machines.py
+++ b/tests/builders_shared_machines.py
@@ -13,6 +13,9 @@
 from random import Random
 from typing import Any, Protocol
 
+from gentianwharf.entryhost._coordinator import SPEEDS_INTERVAL_S
+from gentianwharf.entryhost._server_speeds import ServerSpeeds
+from gentianwharf.keyspace import ObservedLoad
 from gentianwharf.load import (
     Decision,
     Gate,
@@ -35,16 +38,42 @@
 EPOCH_S = 0.4
 SLOW_SHARE = 0.2
 SLOWDOWN = 3.0
-WORK_S = 0.224
 WORK_SIGMA = 0.8
-TARGET_S = 1.087
-DEADLINE_S = 3.0
 QUERY_S = 0.0028
 TICK_S = 0.02
 MEAN_SLOWDOWN = 1 + SLOW_SHARE * (SLOWDOWN - 1)
-CAPACITY_PER_S = SERVERS * SLOTS * sum(SPEEDS) / len(SPEEDS) / (WORK_S * MEAN_SLOWDOWN)
-CONSULTATION = RequestClass(
-    name="consultation", deadline_ms=3000, weight=8, max_wait_ms=TARGET_S * 500
+
+
+@dataclass(frozen=True, kw_only=True)
+class Workload:
+    """A kind of request; with ``keyed``, each may run at one server only."""
+
+    name: str
+    work_s: float
+    target_s: float
+    deadline_s: float
+    keyed: bool = False
+
+    @property
+    def capacity_per_s(self) -> float:
+        """How many requests all servers together can run."""
+        slots = SERVERS * SLOTS * sum(SPEEDS) / len(SPEEDS)
+        return slots / (self.work_s * MEAN_SLOWDOWN)
+
+    def request_class(self) -> RequestClass:
+        return RequestClass(
+            name=self.name,
+            deadline_ms=round(self.deadline_s * 1000),
+            weight=8,
+            max_wait_ms=self.target_s * 500,
+        )
+
+
+CONSULTATIONS = Workload(
+    name="consultation", work_s=0.224, target_s=1.087, deadline_s=3.0
+)
+ARCHIVE_READS = Workload(
+    name="archive", work_s=0.88, target_s=3.084, deadline_s=10.0, keyed=True
 )
 
 
@@ -74,6 +103,7 @@
     begun_s: float
     work_s: float
     domain: str
+    server: int
     answered_s: float | None = None
 
 
@@ -134,8 +164,8 @@
         self._waiting: deque[Request] = deque()
 
     def submit(self, request: Request) -> None:
-        wait_s = len(self._waiting) / CAPACITY_PER_S
-        if wait_s > CONSULTATION.max_wait_ms / 1000:
+        wait_s = len(self._waiting) / CONSULTATIONS.capacity_per_s
+        if wait_s > CONSULTATIONS.target_s / 2:
             return
         self._waiting.append(request)
         self._serve()
@@ -166,8 +196,10 @@
         hosts: int,
         seed: int,
         reports_slowdown: bool,
+        workload: Workload = CONSULTATIONS,
     ) -> None:
         self._clock = clock
+        self._workload = workload
         self._servers = {server.server.id: server for server in servers}
         self._rng = Random(f"{seed}/hosts")
         self._reports_slowdown = reports_slowdown
@@ -175,7 +207,7 @@
         self._gates: dict[str, list[Gate]] = {domain: [] for domain in DOMAINS}
         service = Service(
             name=SERVICE,
-            keyed=False,
+            keyed=workload.keyed,
             shards=0,
             servers=tuple(server.server for server in servers),
         )
@@ -183,7 +215,7 @@
             domain = DOMAINS[number % len(DOMAINS)]
             gate = Gate(
                 services=[service],
-                classes=[CONSULTATION],
+                classes=[workload.request_class()],
                 domain=domain,
                 rng=Random(f"{seed}/{number}"),
                 daemons=hosts,
@@ -192,6 +224,9 @@
             # A host queries one server of a service that it learns of.
             self._report(gate, servers[number % len(servers)])
             clock.call_later(number * TICK_S / hosts, self._tick, gate)
+        self._speeds = ServerSpeeds(now_s=lambda: clock.now_s)
+        if reports_slowdown:
+            clock.call_later(SPEEDS_INTERVAL_S, self._broadcast_speeds)
 
     def submit(self, request: Request) -> None:
         gate = self._rng.choice(self._gates[request.domain])
@@ -199,13 +234,35 @@
         ticket = Ticket(
             id=request.id,
             service=SERVICE,
-            request_class=CONSULTATION.name,
+            request_class=self._workload.name,
             caller=request.id,
-            deadline_s=request.begun_s + DEADLINE_S,
+            deadline_s=request.begun_s + self._workload.deadline_s,
             repeatable=True,
+            server=f"{SERVICE}-{request.server}" if self._workload.keyed else None,
         )
         self._apply(gate, [gate.submit(ticket, self._clock.now_s)])
 
+    def _broadcast_speeds(self) -> None:
+        self._clock.call_later(SPEEDS_INTERVAL_S, self._broadcast_speeds)
+        speeds = self._speeds.estimates()
+        for gates in self._gates.values():
+            for gate in gates:
+                gate.set_speeds(speeds)
+
+    def _note_answer(self, server: SharedMachineServer, elapsed_s: float) -> None:
+        """Count an answer for the speeds, as the hosts' reports to the leader do."""
+        unqueued = float(not server.queue)
+        slowdown = server.slowdown(self._clock.now_s)
+        load = ObservedLoad(
+            running=server.running,
+            waiting=len(server.queue),
+            answers=1.0,
+            executed=1.0,
+            unqueued=unqueued,
+            unqueued_s=unqueued * elapsed_s / slowdown,
+        )
+        self._speeds.note_load(SERVICE, server.server.id, load)
+
     def _tick(self, gate: Gate) -> None:
         self._clock.call_later(TICK_S, self._tick, gate)
         self._apply(gate, gate.tick(self._clock.now_s))
@@ -244,6 +301,7 @@
             now_s = self._clock.now_s
             request.answered_s = now_s
             self._report(gate, server)
+            self._note_answer(server, now_s - sent_s)
             outcome = Outcome(kind=OutcomeKind.OK, elapsed_s=now_s - sent_s)
             self._apply(gate, gate.finished(start.ticket_id, outcome, now_s))
 
@@ -257,9 +315,14 @@
 
 
 def share_in_time(
-    make_router: MakeRouter, *, load: float, seed: int, duration_s: float = 20.0
+    make_router: MakeRouter,
+    *,
+    load: float,
+    seed: int,
+    workload: Workload = CONSULTATIONS,
+    duration_s: float = 20.0,
 ) -> float:
-    """Return the share of requests that are answered within ``TARGET_S``."""
+    """Return the share of requests that are answered within the target latency."""
     clock, rng = Clock(), Random(f"{seed}/arrivals")
     servers = [
         SharedMachineServer(
@@ -279,27 +342,29 @@
     ]
     router = make_router(clock, servers, seed)
     requests: list[Request] = []
+    speeds = [server.speed for server in servers]
 
     def arrive() -> None:
-        gap_s = rng.expovariate(load * CAPACITY_PER_S)
+        gap_s = rng.expovariate(load * workload.capacity_per_s)
         if clock.now_s + gap_s < duration_s:
             clock.call_later(gap_s, arrive)
         mu = -(WORK_SIGMA**2) / 2
         request = Request(
             id=str(len(requests)),
             begun_s=clock.now_s,
-            work_s=WORK_S * rng.lognormvariate(mu, WORK_SIGMA),
+            work_s=workload.work_s * rng.lognormvariate(mu, WORK_SIGMA),
             domain=rng.choice(DOMAINS),
+            server=rng.choices(range(SERVERS), speeds)[0],
         )
         requests.append(request)
         router.submit(request)
 
     clock.call_later(0.0, arrive)
-    clock.run_until(duration_s + TARGET_S)
+    clock.run_until(duration_s + workload.target_s)
     in_time = [
         request
         for request in requests
         if request.answered_s is not None
-        and request.answered_s <= request.begun_s + TARGET_S
+        and request.answered_s <= request.begun_s + workload.target_s
     ]
     return len(in_time) / len(requests)
--- a/tests/test_load_queried_placement.py
+++ b/tests/test_load_queried_placement.py
@@ -7,12 +7,15 @@
 from gentianwharf.load import Gate, OutcomeKind, QueryLoad, Refuse, Start, Wait
 from tests import builders_load as build
 from tests.builders_shared_machines import (
+    ARCHIVE_READS,
+    CONSULTATIONS,
     Clock,
     Hosts,
     MakeRouter,
     OneQueue,
     Router,
     SharedMachineServer,
+    Workload,
     share_in_time,
 )
 
@@ -25,7 +28,12 @@
     return OneQueue(clock, servers)
 
 
-def hosts(number: int, *, reports_slowdown: bool = True) -> MakeRouter:
+def hosts(
+    number: int,
+    *,
+    reports_slowdown: bool = True,
+    workload: Workload = CONSULTATIONS,
+) -> MakeRouter:
     def make(clock: Clock, servers: Sequence[SharedMachineServer], seed: int) -> Router:
         return Hosts(
             clock,
@@ -33,6 +41,7 @@
             hosts=number,
             seed=seed,
             reports_slowdown=reports_slowdown,
+            workload=workload,
         )
 
     return make
@@ -184,3 +193,33 @@
         local += int(start.server.rpartition("-")[2]) % 3 == 0
         gate.finished(str(number), build.ok(), 10.0)
     assert local == 30
+
+
+@pytest.mark.parametrize(
+    "load", [pytest.param(1.2, id="overload"), pytest.param(1.7, id="burst")]
+)
+def test_full_owners_serve_more_in_time_when_they_are_queried(load: float) -> None:
+    """Guards against filling the queues of owners until every answer is late."""
+    shares = [
+        share_in_time(
+            hosts(84, workload=ARCHIVE_READS, reports_slowdown=reports_slowdown),
+            load=load,
+            seed=SEED,
+            workload=ARCHIVE_READS,
+        )
+        for reports_slowdown in (False, True)
+    ]
+    assert shares[1] > shares[0]
+
+
+def test_owner_without_an_answer_to_queries_still_gets_requests() -> None:
+    """Guards against refusing all requests for the keys of a slow owner."""
+    gate = build.gate(build.service(servers=2, slots=2, keyed=True), daemons=84)
+    report(gate, 0, running=0, now_s=0.0)
+    owner = build.server(0).id
+    decision = gate.submit(build.ticket("1", server=owner), 10.0)
+    while isinstance(decision, QueryLoad):
+        assert decision.servers == (owner,)
+        gate.note_unreachable(owner, 10.0)
+        decision = gate.place("1", 10.0)
+    assert decision == Start(ticket_id="1", server=owner)
