--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from gentianwharf.relay import CallerSite, RelayApp
+from gentianwharf.relay import CallerSite, LoadClient, RelayApp
 from gentianwharf.topology import BackendServer
 
 from ._coordinator import Coordinator
@@ -16,6 +16,7 @@
     relay: RelayApp,
     site: CallerSite,
     servers: Mapping[str, BackendServer],
+    load_client: LoadClient,
 ) -> None:
     """Add gauges of the state, which are read whenever metrics are requested."""
     add = metrics.add_gauge
@@ -52,3 +53,8 @@
     add("in_flight", "Requests being served", lambda: len(relay.in_flight))
     add("callers", "Callers' connections", lambda: len(site.channels))
     add("servers", "Backend servers in use", lambda: len(servers))
+    add(
+        "load_queries",
+        "Queries to servers for their load since the start",
+        lambda: load_client.queries,
+    )
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -135,13 +135,13 @@
             codec=codec,
         )
         self._load_paths: dict[str, str] = {}
-        load_client = LoadClient(
+        self._load_client = LoadClient(
             connections=self.relay.connections,
             paths=self._load_paths,
             codec=codec,
             reactor=reactor,
         )
-        self._admission.set_load_queries(load_client, reactor=reactor)
+        self._admission.set_load_queries(self._load_client, reactor=reactor)
         self._site = CallerSite(
             resource=self.relay.resource(), reactor=reactor, limits=ConnectionLimits()
         )
@@ -154,6 +154,7 @@
             relay=self.relay,
             site=self._site,
             servers=self._servers,
+            load_client=self._load_client,
         )
 
     # Start and stop.
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -92,6 +92,8 @@
     work_ms: float = 20.0,
     store: str = DEMO_OPERATORS,
     listed_as: str | None = None,
+    reports_slowdown: bool = False,
+    cold_ms: float = 0.0,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -113,6 +115,10 @@
         Where operators and servers reach the store.
     listed_as
         The address in its entry, where a proxy stands before it.
+    reports_slowdown
+        Whether it answers queries for its load at once.
+    cold_ms
+        How long it is cold after its start.
 
     """
     use_monotonic_time(reactor)
@@ -124,6 +130,8 @@
         slots=slots,
         work_s=work_ms / 1000,
         born_ms=int(time.time() * 1000),
+        reports_slowdown=reports_slowdown,
+        cold_s=cold_ms / 1000,
     )
     server = _serve_backend(spec, store, seed=spec.born_ms)
     server.listed_as = listed_as or address
@@ -147,6 +155,7 @@
             slots=4,
             work_s=0.02,
             born_ms=1,
+            reports_slowdown=True,
         )
         _serve_backend(spec, DEMO_OPERATORS, seed=number)
     for number in range(DEMO_HOSTS):
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -24,6 +24,8 @@
 """Number of missed heartbeats after which a server's entry expires."""
 
 QUEUE_PER_SLOT = 4
+USUAL_SPEED_PERCENT = 100
+"""The stand-in shares its machine with nobody, so that it is never slowed down."""
 
 STATUS_BAD_REQUEST = 400
 STATUS_STALE_TOKEN = 409
@@ -48,7 +50,11 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerSpec:
-    """The properties of a stand-in server."""
+    """The properties of a stand-in server.
+
+    With ``reports_slowdown``, its load header has the fourth figure, and it states its
+    load in answers to health checks. ``cold_s`` is how long it is cold after its start.
+    """
 
     id: str
     service: str
@@ -57,6 +63,8 @@
     slots: int
     work_s: float
     born_ms: int
+    reports_slowdown: bool = False
+    cold_s: float = 0.0
 
 
 @final
@@ -96,6 +104,7 @@
         self._waiting: deque[_Work] = deque()
         self._releases: list[tuple[_Order, Request]] = []
         self._sequence = 0
+        self._started_s = reactor.seconds()
 
     def site(self) -> Site:
         """Return the HTTP site of the server."""
@@ -130,7 +139,7 @@
             "version": "v1",
             "slots": spec.slots,
             "state": self.state.value,
-            "cold-remaining": encode_time(0.0),
+            "cold-remaining": encode_time(self._cold_remaining_s()),
             "sequence": self._sequence,
             "born": spec.born_ms,
         }
@@ -148,6 +157,10 @@
             return self._release(request)
         if path == b"/health":
             request.setHeader(b"Instance-Id", self.spec.id.encode())
+            if self.spec.reports_slowdown:
+                cold_ms = b"%d" % round(self._cold_remaining_s() * 1000)
+                request.setHeader(b"Cold-Remaining-Ms", cold_ms)
+                request.setHeader(b"Server-Load", self._load())
             return b""
         self._accept(request)
         return NOT_DONE_YET
@@ -290,11 +303,20 @@
         request.finish()
 
     def _with_headers(self, work: _Work) -> Request:
-        load = f"{len(self._running)},{len(self._waiting)},{self.spec.slots}"
         work.request.setHeader(b"Attempt-Id", work.request_id.encode())
-        work.request.setHeader(b"Server-Load", load.encode())
+        work.request.setHeader(b"Server-Load", self._load())
         return work.request
 
+    def _load(self) -> bytes:
+        load = f"{len(self._running)},{len(self._waiting)},{self.spec.slots}"
+        if self.spec.reports_slowdown:
+            load += f",{USUAL_SPEED_PERCENT}"
+        return load.encode()
+
+    def _cold_remaining_s(self) -> float:
+        started_s = self._reactor.seconds() - self._started_s
+        return max(0.0, self.spec.cold_s - started_s)
+
 
 def _content(request: Request) -> bytes:
     return request.content.read() if request.content is not None else b""
