Query a part of the servers only, and two of them at first

Cause: queries to random servers of all domains cost more than they need to.

A host now queries a subset of the servers, in an order of preference by rendezvous hashing of its name; servers that can't be queried are replaced by the next ones. Two of its own domain are queried at first, four and two of the others while a request is held. With fewer hosts subsets are larger, so that some 20 hosts have each server in theirs.

One test's silent server is now one of the host's own domain, as the others aren't queried at first.

--- a/src/gentianwharf/load/_load_queries.py
+++ b/src/gentianwharf/load/_load_queries.py
@@ -8,36 +8,43 @@
 Before a request is sent, a few servers are queried for their load, and it is sent to
 the one that is expected to answer first (power of d choices, as in Prequal). Requests
 don't queue at the host while any of the queried servers has a free slot. If none has,
-other servers are queried after a pause, and the request then joins the shortest queue
+more servers are queried after a pause, and the request then joins the shortest queue
 or, if it would wait there for too long, is refused.
 
+Each host queries a part of the servers only, which differs from host to host
+(subsetting), so that its connections to them stay open between two queries.
+
 Servers whose load reports include their current slowdown answer queries at once; others
 hold a query until a slot is free, and are not queried.
 """
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 from typing import final
 
 from ._server_state import LoadReport, ServerState
 
-LOCAL_QUERIED = 2
+FIRST_QUERIED = 2
 """Servers of the host's own failure domain that are queried for each request."""
 
-OTHERS_QUERIED = 1
-"""Servers of other failure domains that are queried, for when the own are busy."""
+HELD_LOCAL_QUERIED, HELD_OTHERS_QUERIED = 4, 2
+"""Servers that are queried for a request that is held: more of the own domain, and some
+of the others."""
+
+MIN_LOCAL_SUBSET, MIN_OTHERS_SUBSET = 5, 4
+"""Servers that a host queries at all, so that its connections to them stay open. A
+server closes connections that are idle for some seconds."""
 
-HELD_FACTOR = 3
-"""How many times as many servers are queried again for a request that is held."""
+HOSTS_PER_SERVER = 20
+"""Hosts that should have each server in their subset. With fewer hosts the subsets are
+larger: the servers' shares of the requests would differ too much by chance."""
 
 OTHER_DOMAIN_FACTOR = 1.1
 """Weight of answers from other domains: their bytes are charged, and a round trip is a
 small part of an answer."""
 
-MAX_EXAMINED = 24
-"""Servers that are examined to find those to query."""
-
 MAX_REPORT_AGE_S = 0.1
 
 
@@ -58,29 +65,34 @@
 def servers_to_query(
     states: Sequence[ServerState],
     *,
+    daemons: int,
     now_s: float,
     rng: Random,
     avoid: str | None,
     held: bool = False,
 ) -> tuple[str, ...]:
-    """Return the ids of random servers to query, most of them of the own domain.
+    """Return the ids of random servers of this host's subset.
 
-    ``avoid`` is the id of a server that has just failed the request. ``held`` means
-    that the servers queried before had no free slot.
+    ``states`` are in this host's order of preference, so that a server that can't be
+    queried is replaced by the next one. ``daemons`` is the number of hosts that send to
+    them. ``avoid`` is the id of a server that has just failed the request. ``held``
+    means that the servers queried before had no free slot.
     """
-    factor = HELD_FACTOR if held else 1
-    max_local, max_others = LOCAL_QUERIED * factor, OTHERS_QUERIED * factor
+    share = HOSTS_PER_SERVER / max(1, daemons)
     local: list[str] = []
     others: list[str] = []
-    for state in rng.sample(states, min(len(states), MAX_EXAMINED)):
-        if state.server.id == avoid or not state.can_be_queried(now_s):
-            continue
-        (local if state.local else others).append(state.server.id)
-        if len(local) >= max_local and len(others) >= max_others:
-            break
-    total = max_local + max_others
-    queried = local[: max(max_local, total - len(others))]
-    return tuple(queried + others[: total - len(queried)])
+    for state in states:
+        if state.server.id != avoid and state.can_be_queried(now_s):
+            (local if state.local else others).append(state.server.id)
+    local = local[: max(MIN_LOCAL_SUBSET, ceil(len(local) * share))]
+    others = others[: max(MIN_OTHERS_SUBSET, ceil(len(others) * share))]
+    if not held:
+        queried = rng.sample(local, min(FIRST_QUERIED, len(local)))
+        missing = FIRST_QUERIED - len(queried)
+        return tuple(queried + rng.sample(others, min(missing, len(others))))
+    queried = rng.sample(local, min(HELD_LOCAL_QUERIED, len(local)))
+    missing = HELD_LOCAL_QUERIED - len(queried) + HELD_OTHERS_QUERIED
+    return tuple(queried + rng.sample(others, min(missing, len(others))))
 
 
 def choose_by_load(
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -91,10 +91,12 @@
         min_busy = MIN_BUSY_AT_OWNER if pinned else MIN_BUSY
         self._callers = FlowCounts(min_busy=min_busy)
         self._keys = FlowCounts(min_busy=min_busy)
-        self._daemons = daemons
+        self.daemons = daemons
         self._long_demand = LongDemand()
         self._virtual_time = 0.0
         self.states: list[ServerState] = []
+        self.preferred_states: list[ServerState] = []
+        """The servers in an order that differs from host to host."""
         self.suspects: list[ServerState] = []
         self.short_states: list[ServerState] = []
         self.long_states: list[ServerState] = []
@@ -111,14 +113,15 @@
     def set_states(self, states: list[ServerState]) -> None:
         """Replace the pool's servers when some join or leave."""
         self.states = in_common_order(states)
+        self.preferred_states = sorted(states, key=lambda state: state.preference)
         slots = sum(state.server.slots for state in states)
-        self.limit.resize(fair_share=slots / self._daemons, maximum=float(slots))
+        self.limit.resize(fair_share=slots / self.daemons, maximum=float(slots))
         self.update_suspects()
         self._divide_servers()
 
     def set_daemons(self, daemons: int) -> None:
         """Set the number of daemons among which the slots are divided."""
-        self._daemons = daemons
+        self.daemons = daemons
         self.set_states(self.states)
 
     def is_unavailable(self, now_s: float) -> bool:
@@ -181,7 +184,7 @@
             self._divide_servers()
 
     def _divide_servers(self) -> None:
-        long_servers = self._long_demand.count_servers(self.states, self._daemons)
+        long_servers = self._long_demand.count_servers(self.states, self.daemons)
         # A single server runs both long and short requests.
         self.long_states = self.states[: long_servers or int(len(self.states) == 1)]
         self.short_states = self.states[long_servers:]
--- a/src/gentianwharf/load/_queried_placement.py
+++ b/src/gentianwharf/load/_queried_placement.py
@@ -115,7 +115,8 @@
     ) -> Decision:
         ticket = querying.ticket
         querying.servers = servers_to_query(
-            pool.states if pool.pinned else pool.short_states,
+            pool.preferred_states,
+            daemons=pool.daemons,
             now_s=now_s,
             rng=self._rng,
             avoid=None if pool.pinned else querying.avoid,
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import final
 
+from gentianwharf.placement import rendezvous_score
 from gentianwharf.topology import BackendServer, Service
 
 from ._budget import RetryBudget, saved_retries_per_daemon
@@ -35,6 +36,7 @@
         saved_retries: float = inf,
     ) -> None:
         self._saved_retries = saved_retries
+        self._name = name
         self._cold_servers = ColdServers(name=name)
         self._domain = domain
         self._rng = rng
@@ -157,6 +159,7 @@
             server=server,
             local=server.domain == self._domain,
             max_connections=self._share_of_connections(server),
+            preference=rendezvous_score(self._name, server.id),
         )
         self.servers[server.id] = state
         self._update_cold(state)
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -122,6 +122,8 @@
     server: BackendServer
     local: bool
     max_connections: int
+    preference: int = 0
+    """Position of the server in this host's order of preference."""
     flights: dict[str, Flight] = field(default_factory=dict)
     health: HealthStatus = HealthStatus.ACTIVE
     latency_ratio: float = USUAL_RATIO
--- a/src/gentianwharf/placement/__init__.py
+++ b/src/gentianwharf/placement/__init__.py
@@ -1,7 +1,7 @@
 """Assignment of shards to backend servers."""
 
 from ._demand import IDLE_SHARE, UNIFORM_DEMAND, Demand
-from ._place import Candidate, SiteOfShard, place, rendezvous_rank
+from ._place import Candidate, SiteOfShard, place, rendezvous_rank, rendezvous_score
 from ._rebalance import PlacementWeights, PlannedMove, rebalance
 
 __all__ = [
@@ -15,4 +15,5 @@
     "place",
     "rebalance",
     "rendezvous_rank",
+    "rendezvous_score",
 ]
--- a/src/gentianwharf/placement/_place.py
+++ b/src/gentianwharf/placement/_place.py
@@ -31,11 +31,14 @@
     >>> rendezvous_rank("ledger", ["h1", "h2", "h3"])
     ['h1', 'h3', 'h2']
     """
+    return sorted(
+        choices, key=lambda choice: rendezvous_score(name, choice), reverse=True
+    )
 
-    def score(choice: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{name}/{choice}".encode())
 
-    return sorted(choices, key=score, reverse=True)
+def rendezvous_score(name: str, choice: str) -> int:
+    """Return the rendezvous hash of a choice; the highest one ranks first."""
+    return xxhash.xxh3_64_intdigest(f"{name}/{choice}".encode())
 
 
 def place(
--- a/tests/builders_shared_machines.py
+++ b/tests/builders_shared_machines.py
@@ -219,6 +219,7 @@
                 domain=domain,
                 rng=Random(f"{seed}/{number}"),
                 daemons=hosts,
+                name=f"host-{number}",
             )
             self._gates[domain].append(gate)
             # A host queries one server of a service that it learns of.
--- a/tests/test_load_queried_placement.py
+++ b/tests/test_load_queried_placement.py
@@ -154,7 +154,7 @@
 
 def test_silent_server_is_not_queried_for_a_while() -> None:
     gate = queried_gate()
-    silent = build.server(1).id
+    silent = build.server(0).id
     gate.note_unreachable(silent, 10.0)
     for number in range(20):
         query = gate.submit(build.ticket(str(number)), 10.0 + number / 100)
