Avoid servers that refuse requests in spite of a free slot

Cause: a server that sheds quickly reports free slots, so that placing by reports sends it more than its part.

A host that such a server refuses does not query it for 2 s, for 4 and 8 s when that repeats; a request that it runs takes one step back.

Each of 84 hosts has to find out by itself.

--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -79,6 +79,8 @@
     if kind is OutcomeKind.SHED:
         pool.limit.record_shed()
         state.record_shed(now_s, outcome.retry_after_s or DEFAULT_SHED_S)
+        if flight.work_ratio is not None:
+            state.record_false_report(now_s)
     elif kind is OutcomeKind.TIMEOUT and outcome.elapsed_s < RESET_S:
         # Some servers reset connections when they are full. A reset request may have
         # run, so requests that must not repeat are refused here for a moment instead.
@@ -95,6 +97,7 @@
             state.reactivate(now_s)
         if flight.work_ratio is not None:
             class_state.record_work(outcome.elapsed_s, flight.work_ratio)
+            state.record_true_report()
         ratio = class_state.record_answer(outcome.elapsed_s)
         if not flight.long:
             has_queue = (
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -68,6 +68,8 @@
 MAX_SHED_S = 1.0
 UNREACHABLE_S = 2.0
 """Time for which a server that left a query for its load unanswered is not queried."""
+MAX_AVOID_S = 8.0
+MAX_FALSE_REPORTS = 3
 # A reported queue length is out of date after several service times.
 QUEUE_REPORT_LIFETIME_S = 0.5
 
@@ -151,6 +153,7 @@
     speed: float = 1.0
     """The server's speed relative to the mean of its service."""
     unreachable_until_s: float = 0.0
+    false_reports: int = 0
     short_answers: ShortAnswers = field(default_factory=ShortAnswers)
 
     def ramp_share(self, now_s: float) -> float:
@@ -188,6 +191,19 @@
         """Record that the server left a query for its load unanswered."""
         self.unreachable_until_s = now_s + UNREACHABLE_S
 
+    def record_false_report(self, now_s: float) -> None:
+        """Record that the server refused a request although it reported a free slot.
+
+        Such a server seems to be the least busy one, and would attract requests.
+        """
+        avoid_s = UNREACHABLE_S * 2**self.false_reports
+        self.unreachable_until_s = now_s + min(avoid_s, MAX_AVOID_S)
+        self.false_reports = min(self.false_reports + 1, MAX_FALSE_REPORTS)
+
+    def record_true_report(self) -> None:
+        """Record that the server ran a request for which it reported a free slot."""
+        self.false_reports = max(0, self.false_reports - 1)
+
     def _cold_limit_allows(self, now_s: float) -> bool:
         is_cold = now_s < self.cold_until_s
         return not is_cold or now_s >= self.last_sent_s + self.cold_gap_s
--- a/tests/test_load_queried_placement.py
+++ b/tests/test_load_queried_placement.py
@@ -1,10 +1,11 @@
 """Requests among servers on shared machines, beside one queue that knows them all."""
 
 from collections.abc import Sequence
+from itertools import pairwise
 
 import pytest
 
-from gentianwharf.load import Gate, OutcomeKind, QueryLoad, Refuse, Start, Wait
+from gentianwharf.load import Gate, Outcome, OutcomeKind, QueryLoad, Refuse, Start, Wait
 from tests import builders_load as build
 from tests.builders_shared_machines import (
     ARCHIVE_READS,
@@ -223,3 +224,27 @@
         gate.note_unreachable(owner, 10.0)
         decision = gate.place("1", 10.0)
     assert decision == Start(ticket_id="1", server=owner)
+
+
+def test_server_that_refuses_in_spite_of_a_free_slot_is_avoided() -> None:
+    """Guards against a server that refuses quickly and so attracts all requests."""
+    gate = queried_gate()
+    false = build.server(0).id
+    refused_s: list[float] = []
+    now_s = 10.0
+    for number in range(300):
+        now_s += 0.02
+        query = gate.submit(build.ticket(str(number)), now_s)
+        assert isinstance(query, QueryLoad)
+        for server in range(4):
+            report(gate, server, running=0, now_s=now_s)
+        start = gate.place(str(number), now_s)
+        assert isinstance(start, Start)
+        kind = OutcomeKind.OK
+        if start.server == false:
+            kind = OutcomeKind.SHED
+            refused_s.append(now_s)
+        gate.finished(str(number), Outcome(kind=kind, elapsed_s=0.01), now_s)
+    gaps_s = [later - earlier for earlier, later in pairwise(refused_s)]
+    assert 2 <= len(refused_s) <= 3
+    assert all(gap_s >= 2.0 for gap_s in gaps_s)
