Revert "Let grants last for the work that starts under them"

Likely, not proven: a move waits for the running work, which a grant of 2.5 s cut short.

Work that outlasts its grant remains a finding.

--- a/src/gentianwharf/entryhost/_conversions.py
+++ b/src/gentianwharf/entryhost/_conversions.py
@@ -1,18 +1,10 @@
 """Conversions of the platform's entries to the types of other packages."""
 
 from gentianwharf.keyspace import Candidate, Holder
-from gentianwharf.platform import (
-    CallerLimits,
-    Configuration,
-    ConfiguredService,
-    ServerEntry,
-)
+from gentianwharf.platform import CallerLimits, ConfiguredService, ServerEntry
 from gentianwharf.relay import ConnectionLimits
 from gentianwharf.topology import BackendServer
 
-WORK_PER_TARGET = 1.5
-"""Work time that is allowed for, as a multiple of the target latency."""
-
 MIN_HEADER_BYTES = len(b"a:\r\n")
 
 
@@ -29,21 +21,6 @@
     )
 
 
-def longest_work_s(configuration: Configuration) -> dict[str, float]:
-    """Return how long the work for a request of each service may take.
-
-    The target latencies of the rules are the only indication. Work that takes longer
-    still has some value.
-    """
-    longest: dict[str, float] = {}
-    for rule in configuration.document.rules:
-        target = rule.then
-        work_s = (target.target_latency_ms or 0) / 1000 * WORK_PER_TARGET
-        for name in {target.service, *(share.service for share in target.split)}:
-            longest[name] = max(longest.get(name, 0.0), work_s)
-    return longest
-
-
 def holder_of(entry: ServerEntry) -> Holder:
     """Return the holder of grants for the server process that wrote an entry."""
     return Holder(server_id=entry.id, born_ms=entry.born_ms, address=entry.address)
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -210,18 +210,10 @@
         )
         done.addErrback(lambda failure: log.error(failure.getTraceback()))
 
-    def set_keyed_services(
-        self,
-        warm_ups_s: Mapping[str, float],
-        work_s: Mapping[str, float] | None = None,
-    ) -> None:
-        """Set the services divided by key, and the warm-up time of their shards.
-
-        ``work_s`` is how long the work for their requests may take.
-        """
+    def set_keyed_services(self, warm_ups_s: Mapping[str, float]) -> None:
+        """Set the services divided by key, and the warm-up time of their shards."""
         self.keyed.update(warm_ups_s)
         self._planner.set_services(warm_ups_s)
-        self._grant_manager.set_work(work_s or {})
 
     def note_servers(self, service: str) -> None:
         """Apply a change of a service's servers."""
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -27,7 +27,7 @@
 
 from ._answer_log import AnswerLog
 from ._callers_port import CallersPort
-from ._conversions import limits_of, longest_work_s, server_of
+from ._conversions import limits_of, server_of
 from ._coordinator import Coordinator
 from ._gauges import add_gauges
 from ._metrics import METRICS_PORT, HostMetrics, metrics_site
@@ -254,8 +254,7 @@
             name for name, service in configuration.services.items() if service.keyed
         }
         self._coordinator.set_keyed_services(
-            {name: configuration.services[name].warm_up_s for name in keyed},
-            longest_work_s(configuration),
+            {name: configuration.services[name].warm_up_s for name in keyed}
         )
         self._gate.add(
             services=[
--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -6,7 +6,7 @@
 invalidates every older grant still in transit, or its last grant has expired.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from typing import final
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -56,7 +56,6 @@
         self._rows: dict[SpanKey, Row] = {}
         self.holders = HolderStates(timing=timing, now_s=now_s)
         self._store_contact_s = 0.0
-        self._work_s: dict[str, float] = {}
         self._grants_sent = 0
         self._orders_in_flight = 0
         self._leading = False
@@ -92,10 +91,6 @@
             for order in list(state.orders):
                 order.cancel()
 
-    def set_work(self, work_s: Mapping[str, float]) -> None:
-        """Set how long the work of each service may take, for its grants to last."""
-        self._work_s = dict(work_s)
-
     def note_store_contact(self, store_contact_s: float) -> None:
         """Record a contact with the store, which shows that this host still leads."""
         self._store_contact_s = max(self._store_contact_s, store_contact_s)
@@ -315,9 +310,7 @@
         sent_s = self._now_s()
         spans = len(self._rows)
         duration_s = self._timing.duration_s(
-            store_silent_s=sent_s - self._store_contact_s,
-            spans=spans,
-            work_s=self._work_s.get(row.service, 0.0),
+            store_silent_s=sent_s - self._store_contact_s, spans=spans
         )
         grant = Grant(
             first=span.first,
--- a/src/gentianwharf/keyspace/_timing.py
+++ b/src/gentianwharf/keyspace/_timing.py
@@ -77,28 +77,22 @@
         """
         return max(self.renew_every_s, spans / MAX_RENEWALS_PER_S)
 
-    def duration_s(
-        self, *, store_silent_s: float, spans: int = 0, work_s: float = 0.0
-    ) -> float:
+    def duration_s(self, *, store_silent_s: float, spans: int = 0) -> float:
         """Return the duration of a grant, given the time since contact with the store.
 
-        Without contact to the store, no host may be able to renew for a while. A server
-        fails work that outlasts the grant as it was at the start of the work, so that
-        each grant has to last for ``work_s`` after its renewal is due.
+        Without contact to the store, no host may be able to renew for a while.
 
         >>> timing = GrantTiming(longest_grant_s=10.0)
         >>> timing.duration_s(store_silent_s=0.0, spans=40)
         2.5
         >>> timing.duration_s(store_silent_s=0.0, spans=300)
         3.5
-        >>> timing.duration_s(store_silent_s=0.0, spans=40, work_s=4.5)
-        5.1
         >>> timing.duration_s(store_silent_s=2.0)
         10.0
         """
         if store_silent_s > STORE_SILENT_S:
             return self.longest_grant_s
-        needed_s = self.renew_after_s(spans) + max(NEXT_LEADER_S, work_s + MARGIN_S)
+        needed_s = self.renew_after_s(spans) + NEXT_LEADER_S
         return min(max(self.grant_s, needed_s), self.longest_grant_s)
 
     def grant_expiry_s(self, *, ended_s: float, duration_s: float) -> float:
