End a request that is cancelled while its servers are queried as cancelled

Cause, found by reading the change once more: gatherResults wraps the cancellation of a query in FirstError, which was not caught. A caller that left within the few milliseconds of a query, or a host that stopped then, ended the request as a fault of the router: a traceback in the log, 500 with an unknown outcome to a caller that was still there although nothing was sent, and its entry kept in the gate for good.

test_request_cancelled_while_servers_are_queried_ends_as_cancelled fails before (FirstError in place of CancelledError).

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol, final
 
-from twisted.internet.defer import CancelledError, Deferred, gatherResults
+from twisted.internet.defer import CancelledError, Deferred, FirstError, gatherResults
 from twisted.internet.task import deferLater
 
 from gentianwharf import load
@@ -186,8 +186,11 @@
                 ],
                 consumeErrors=True,
             )
-        except CancelledError:
+        except (CancelledError, FirstError) as error:
             self._apply(self._gate.cancel(query.ticket_id, self._now_s()))
+            if isinstance(error, FirstError):
+                # gatherResults wraps the error of a query, also its cancellation.
+                error.subFailure.raiseException()
             raise
         return self._gate.place(query.ticket_id, self._now_s())
 
--- /dev/null
+++ b/tests/test_admission_queries.py
@@ -0,0 +1,80 @@
+"""Requests that end while the servers are queried for their load."""
+
+import pytest
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from gentianwharf.admission import GateAdmission
+from gentianwharf.load import Gate
+from gentianwharf.relay import QueriedLoad, ServerLoad, Ticket
+from gentianwharf.topology import BackendServer
+from tests import builders_load as build
+
+LOAD = ServerLoad(running=0, waiting=0, slots=2, slowdown=1.0)
+
+
+class SilentServers:
+    """Servers that leave each query unanswered until the test answers it."""
+
+    def __init__(self) -> None:
+        self.pending: list[Deferred[QueriedLoad | None]] = []
+
+    async def query(self, server: BackendServer) -> QueriedLoad | None:
+        self.pending.append(Deferred())
+        return await self.pending[-1]
+
+
+def make_admission() -> tuple[GateAdmission, Gate, SilentServers]:
+    gate = build.gate(build.service(servers=3, slots=2), daemons=84)
+    servers = [build.server(number) for number in range(3)]
+    admission = GateAdmission(
+        gate=gate,
+        servers={server.id: server for server in servers},
+        now_s=lambda: 10.0,
+        on_server_outcome=lambda server, answered, busy_s: None,
+    )
+    queries = SilentServers()
+    admission.set_load_queries(queries, reactor=Clock())
+    admission.note_load(servers[0], LOAD, None)
+    return admission, gate, queries
+
+
+def admit(admission: GateAdmission) -> "Deferred[BackendServer]":
+    ticket = Ticket(
+        request_id="1",
+        service="inscription",
+        request_class="consultation",
+        caller="famille",
+        key=None,
+        shard=None,
+        deadline_s=20.0,
+        repeatable=True,
+    )
+    return Deferred.fromCoroutine(admission.admit(ticket, None, lambda server: None))
+
+
+def test_request_cancelled_while_servers_are_queried_ends_as_cancelled() -> None:
+    """Guards against an internal error when a caller leaves or the host stops.
+
+    The caller of a stopping host must get "not run", as nothing was sent.
+    """
+    admission, gate, queries = make_admission()
+    admitted = admit(admission)
+    failures: list[Failure] = []
+    admitted.addErrback(failures.append)
+    assert queries.pending
+    admitted.cancel()
+    assert [failure.type for failure in failures] == [CancelledError]
+    with pytest.raises(KeyError):
+        gate.place("1", 10.0)
+
+
+def test_request_is_placed_once_all_queried_servers_have_answered() -> None:
+    admission, _, queries = make_admission()
+    placed: list[BackendServer] = []
+    admit(admission).addCallback(placed.append)
+    for pending in list(queries.pending):
+        assert not placed
+        pending.callback(QueriedLoad(load=LOAD, cold_remaining_s=0.0))
+    assert len(placed) == 1
