Apply a limit of cold servers that operators set after a server is listed

Cause, found by reading the change once more: a server's limit was looked at when the server was added, and each update of a service's servers recorded the cold times of all of them again, before the changed limit was known. A limit that came later had no effect until the next update.

The limit is applied where a server's changed data is; the second recording, on every update for every server, goes, since the directory reports each cold time itself. test_cold_server_is_limited_whenever_its_limit_is_set fails before for the limit that comes second.

--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -295,7 +295,6 @@
             else:
                 pool.update_server(server)
             pool.set_daemon_count(self._coordinator.host_count)
-            self._note_cold(server.id)
         self._admission.set_servers(service, servers)
         if servers and service not in self._explored:
             self._explored.add(service)
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -220,6 +220,7 @@
         state.server = server
         state.local = server.domain == self._domain
         state.max_connections = self._share_of_connections(server)
+        self._update_cold(state)
         self._index(state)
 
     def _make_pool(
--- a/tests/test_entryhost_servers.py
+++ b/tests/test_entryhost_servers.py
@@ -76,6 +76,26 @@
     assert host.relay.connections[SERVER_ID].max_connections == 5
 
 
+@pytest.mark.parametrize("limited_first", [True, False])
+def test_cold_server_is_limited_whenever_its_limit_is_set(
+    host: EntryHost, limited_first: bool
+) -> None:
+    """Guards against full load on a cold server whose limit operators set later."""
+    seats = {"max-connections": 10, "cold-per-s": 1.6}
+    changes = [
+        lambda: note_configuration(
+            host, revision=4, services={"seats": seats, "calendar": seats}
+        ),
+        lambda: note_entry(host, revision=5, **{"cold-remaining": "3000ms"}),
+    ]
+    for change in changes if limited_first else reversed(changes):
+        change()
+    state = host._gate._registry.servers[SERVER_ID]
+    assert state.cold_until_s == 3.0
+    assert not state.has_capacity(1.0), "this host knows no other host"
+    assert state.has_capacity(3.0)
+
+
 def test_gate_follows_changes_of_a_listed_server() -> None:
     """Guards against a restarted server that is used with its former slots."""
     registry = Registry(
