--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -1,6 +1,6 @@
 """The state that all hosts share: store, leadership, grants and key tables."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any, final
 
@@ -23,7 +23,6 @@
     SHARDS,
     HostSettings,
     PlatformStore,
-    ServerEntry,
     ServerOrders,
     evacuated_domain,
 )
@@ -222,7 +221,9 @@
             candidates = self.directory.candidates(service)
             if self._has_cold_limit(service):
                 candidates = self.directory.without_starting(candidates)
-            self._set_candidates(service, candidates)
+            self._planner.set_candidates(
+                service, [candidate_of(entry) for entry in candidates]
+            )
             self.keys.wake(service)
 
     def _has_cold_limit(self, service: str) -> bool:
@@ -243,9 +244,6 @@
                 holder_of(entry) for entry in self.directory.all()
             )
 
-    def _set_candidates(self, service: str, listed: Iterable[ServerEntry]) -> None:
-        self._planner.set_candidates(service, [candidate_of(entry) for entry in listed])
-
     # Observations of servers by this host.
 
     def note_server_load(
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -234,20 +234,14 @@
         slowdown: float | None = None,
     ) -> None:
         """Apply the load that a server reported with an answer or to a query."""
-        state = self._registry.servers.get(server_id)
-        if state is None:
-            return
+        report = None
         if slowdown is not None:
-            state.report = LoadReport(
+            report = LoadReport(
                 running=running, waiting=waiting, slowdown=slowdown, at_s=now_s
             )
-            self._registry.note_answers_queries(state.server.service)
-        state.record_queue(waiting, now_s)
-        pool = self._registry.pools.get((state.server.service, server_id))
-        if pool is not None and pool.pinned:
-            pool.limit.record_queue(
-                waiting=waiting, slots=slots, has_backlog=pool.waiting > 0
-            )
+        self._registry.record_load(
+            server_id, waiting=waiting, slots=slots, report=report, now_s=now_s
+        )
 
     def set_speeds(self, speeds: Mapping[str, float]) -> None:
         """Set the speeds of servers by id, relative to the mean of their service."""
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -12,7 +12,7 @@
 from ._cold_servers import ColdServers
 from ._pool import Pool
 from ._requests import RequestClass, Ticket
-from ._server_state import ServerState
+from ._server_state import LoadReport, ServerState
 
 PoolKey = tuple[str, str | None]
 
@@ -166,7 +166,31 @@
         self._index(state)
         return state
 
-    def note_answers_queries(self, service: str) -> None:
+    def record_load(
+        self,
+        server_id: str,
+        *,
+        waiting: int,
+        slots: int,
+        report: LoadReport | None,
+        now_s: float,
+    ) -> None:
+        """Record a server's queue, and its whole load if it reports its slowdown."""
+        state = self.servers.get(server_id)
+        if state is None:
+            return
+        service = state.server.service
+        if report is not None:
+            state.report = report
+            self._note_answers_queries(service)
+        state.record_queue(waiting, now_s)
+        pool = self.pools.get((service, server_id))
+        if pool is not None and pool.pinned:
+            pool.limit.record_queue(
+                waiting=waiting, slots=slots, has_backlog=pool.waiting > 0
+            )
+
+    def _note_answers_queries(self, service: str) -> None:
         """Record that the servers of a service answer queries for their load."""
         if service in self._answering:
             return
--- a/src/gentianwharf/platform/__init__.py
+++ b/src/gentianwharf/platform/__init__.py
@@ -13,7 +13,7 @@
     UnreadablePart,
     decode_configuration,
 )
-from ._evacuations import EVACUATIONS_PREFIX, evacuated_domain
+from ._evacuations import evacuated_domain
 from ._header_codec import PlatformHeaderCodec
 from ._orders import ServerOrders
 from ._servers import (
@@ -34,7 +34,6 @@
 
 __all__ = [
     "CONFIG_KEY",
-    "EVACUATIONS_PREFIX",
     "SERVERS_PREFIX",
     "SETTINGS_PATH_VARIABLE",
     "SHARDS",
--- a/tests/test_load_queried_placement.py
+++ b/tests/test_load_queried_placement.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gentianwharf.load import (
+    Decision,
     Gate,
     Outcome,
     OutcomeKind,
@@ -101,6 +102,21 @@
     )
 
 
+def decide(gate: Gate, *, waiting: int) -> tuple[Decision, float]:
+    """Return the decision on a request that comes at 10 s, and its time.
+
+    All slots are busy, and ``waiting`` requests wait at each server.
+    """
+    now_s = 10.0
+    decision = gate.submit(build.ticket("1"), now_s)
+    while isinstance(decision, QueryLoad):
+        now_s += decision.delay_s
+        for number in range(4):
+            report(gate, number, running=2, waiting=waiting, now_s=now_s)
+        decision = gate.place("1", now_s)
+    return decision, now_s
+
+
 def test_slower_machine_is_avoided() -> None:
     gate = queried_gate()
     query = gate.submit(build.ticket("1"), 10.0)
@@ -114,28 +130,14 @@
 
 def test_request_is_held_briefly_while_no_slot_is_free() -> None:
     """Guards against queueing at one server while others have free slots."""
-    gate = queried_gate()
-    decision = gate.submit(build.ticket("1"), 10.0)
-    now_s = 10.0
-    while isinstance(decision, QueryLoad):
-        now_s += decision.delay_s
-        for number in range(4):
-            report(gate, number, running=2, now_s=now_s)
-        decision = gate.place("1", now_s)
+    decision, now_s = decide(queried_gate(), waiting=0)
     assert isinstance(decision, Start)
     assert 10.0 < now_s < 10.0 + build.CONSULTATION.max_wait_ms / 1000
 
 
 def test_request_that_would_wait_too_long_is_refused() -> None:
     """Guards against holding a request that can't be answered in time."""
-    gate = queried_gate()
-    decision = gate.submit(build.ticket("1"), 10.0)
-    now_s = 10.0
-    while isinstance(decision, QueryLoad):
-        now_s += decision.delay_s
-        for number in range(4):
-            report(gate, number, running=2, waiting=8, now_s=now_s)
-        decision = gate.place("1", now_s)
+    decision, _ = decide(queried_gate(), waiting=8)
     assert isinstance(decision, Refuse)
 
 
