Read the limit that a server names in its answers, and show it

Hosts could not tell whether a server's limit was unread or read and passed by: neither what a server names nor what a host sends to it was counted. The limit is now read from every answer and from queries for the load, logged when it changes, and shown as limited_servers and limited_requests. Nothing is decided by it yet.

A query's answer without a readable load was dropped whole, a limit in it too; it now counts as unreachable for placement, and its limit is kept.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -16,6 +16,7 @@
     QueriedLoad,
     RunStatus,
     ServerLoad,
+    ServerNotice,
     Ticket,
 )
 from gentianwharf.topology import BackendServer
@@ -204,6 +205,11 @@
         if queried.cold_remaining_s:
             until_s = now_s + queried.cold_remaining_s
             self._gate.set_cold(server.id, until_s=until_s)
+        if queried.notice.max_requests_per_s is not None:
+            self.note_notice(server, queried.notice)
+        if queried.load is None:
+            self._gate.note_unreachable(server.id, now_s)
+            return
         self._note_load(server, queried.load)
 
     def _note_load(self, server: BackendServer, load: ServerLoad) -> None:
@@ -223,6 +229,17 @@
         self._note_load(server, load)
         self.on_load(server, load, elapsed_s)
 
+    def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Record what a server stated about the requests that it accepts."""
+        limit_per_s = notice.max_requests_per_s
+        if self._gate.set_limit(server.id, limit_per_s):
+            log.info(
+                "server limits its requests"
+                if limit_per_s is not None
+                else "server no longer limits its requests",
+                extra={"server": server.id, "max_requests_per_s": limit_per_s},
+            )
+
     def discard(self, ticket: Ticket) -> None:
         """Discard the hedge callback of a request that has had its answer."""
         self._hedges.pop(ticket.id, None)
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from gentianwharf.load import Gate
 from gentianwharf.relay import CallerSite, LoadClient, RelayApp
 from gentianwharf.topology import BackendServer
 
@@ -17,6 +18,7 @@
     site: CallerSite,
     servers: Mapping[str, BackendServer],
     load_client: LoadClient,
+    gate: Gate,
 ) -> None:
     """Add gauges of the state, which are read whenever metrics are requested."""
     add = metrics.add_gauge
@@ -53,6 +55,16 @@
     add("in_flight", "Requests being served", lambda: len(relay.in_flight))
     add("callers", "Callers' connections", lambda: len(site.channels))
     add("servers", "Backend servers in use", lambda: len(servers))
+    add(
+        "limited_servers",
+        "Backend servers that name a limit of requests per second",
+        lambda: gate.limited_servers,
+    )
+    add(
+        "limited_requests",
+        "Requests sent to servers that named a limit since the start",
+        lambda: gate.limited_requests,
+    )
     add(
         "load_queries",
         "Queries to servers for their load since the start",
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -155,6 +155,7 @@
             site=self._site,
             servers=self._servers,
             load_client=self._load_client,
+            gate=self._gate,
         )
 
     # Start and stop.
--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -31,6 +31,8 @@
         self._second: dict[str, Flight] = {}
         self.started = 0
         self.hedged = 0
+        self.limited = 0
+        """Sends to servers that name a limit."""
 
     def start(
         self,
@@ -55,7 +57,7 @@
             probe=probe,
             work_ratio=work_ratio,
         )
-        state.record_sent(flight)
+        self._record_sent(state, flight)
         self._first[ticket.id] = flight
         pool.record_start(class_state, flight, now_s)
         if probe:
@@ -78,12 +80,16 @@
             long=False,
             hedge=True,
         )
-        state.record_sent(flight)
+        self._record_sent(state, flight)
         self._second[ticket.id] = flight
         pool.record_start(pool.classes[ticket.request_class], flight, now_s)
         self.hedged += 1
         return Start(ticket_id=ticket.id, server=state.server.id, hedge=True)
 
+    def _record_sent(self, state: ServerState, flight: Flight) -> None:
+        state.record_sent(flight)
+        self.limited += state.max_requests_per_s is not None
+
     def pop(self, ticket_id: str, server: str | None) -> Flight | None:
         """Remove and return the request's send to ``server``, or any if None."""
         for table in (self._first, self._second):
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -243,6 +243,23 @@
             server_id, waiting=waiting, slots=slots, report=report, now_s=now_s
         )
 
+    def set_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
+        """Set how many requests per second a server accepts from all daemons together.
+
+        None ends its limit. Return whether the limit differs from the one before.
+        """
+        return self._registry.set_limit(server_id, max_requests_per_s)
+
+    @property
+    def limited_servers(self) -> int:
+        """The number of servers that name a limit."""
+        return len(self._registry.limits_per_s)
+
+    @property
+    def limited_requests(self) -> int:
+        """The number of requests sent so far to servers that named a limit."""
+        return self._flights.limited
+
     def set_speeds(self, speeds: Mapping[str, float]) -> None:
         """Set the speeds of servers by id, relative to the mean of their service."""
         self._registry.set_speeds(speeds)
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -50,6 +50,8 @@
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self.pools: dict[PoolKey, Pool] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        self.limits_per_s: dict[str, float] = {}
+        """The limits that servers name for all hosts together, by server."""
         self._answering: set[str] = set()
         """Services whose servers answer queries for their load at once."""
         for service in services:
@@ -162,6 +164,7 @@
             preference=rendezvous_score(self._name, server.id),
         )
         self.servers[server.id] = state
+        state.max_requests_per_s = self.limits_per_s.get(server.id)
         self._update_cold(state)
         self._index(state)
         return state
@@ -219,6 +222,19 @@
         if state is not None:
             self._update_cold(state)
 
+    def set_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
+        """Set a server's limit for all hosts together; return whether it is new."""
+        if max_requests_per_s == self.limits_per_s.get(server_id):
+            return False
+        if max_requests_per_s is None:
+            del self.limits_per_s[server_id]
+        else:
+            self.limits_per_s[server_id] = max_requests_per_s
+        state = self.servers.get(server_id)
+        if state is not None:
+            state.max_requests_per_s = max_requests_per_s
+        return True
+
     def _update_cold(self, state: ServerState) -> None:
         limit_per_s = state.server.cold_requests_per_s
         until_s = self._cold_servers.until_s(state.server.id)
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -149,6 +149,8 @@
     cold_gap_s: float = 0.0
     """Minimum time between requests of this host while the server is cold."""
     last_sent_s: float = 0.0
+    max_requests_per_s: float | None = None
+    """The limit for all hosts together that the server names, None for none."""
     report: LoadReport | None = None
     speed: float = 1.0
     """The server's speed relative to the mean of its service."""
--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -1,11 +1,20 @@
 """The request and response headers of the platform's clients, servers and hosts."""
 
+from math import inf
 from typing import final
 
 from twisted.web._newclient import Response
 from twisted.web.http_headers import Headers
 
-from gentianwharf.relay import Owner, RemainingTime, ServerLoad, ServerRefusal, Ticket
+from gentianwharf.relay import (
+    NO_NOTICE,
+    Owner,
+    RemainingTime,
+    ServerLoad,
+    ServerNotice,
+    ServerRefusal,
+    Ticket,
+)
 from gentianwharf.topology import BackendServer
 
 # Capitalized as Twisted sends them.
@@ -15,6 +24,7 @@
 NOT_EXECUTED = b"Not-Executed"
 RETRY_AFTER = b"Retry-After"
 SERVER_LOAD = b"Server-Load"
+SERVER_LIMIT = b"Server-Limit"
 INSTANCE_ID = b"Instance-Id"
 COLD_REMAINING_MS = b"Cold-Remaining-Ms"
 
@@ -94,6 +104,13 @@
             running=running, waiting=waiting, slots=slots, slowdown=slowdown or None
         )
 
+    def notice(self, response: Response) -> ServerNotice:
+        """Return the limit that the server names for all hosts together."""
+        max_requests_per_s = _positive(response.headers, SERVER_LIMIT)
+        if max_requests_per_s is None:
+            return NO_NOTICE
+        return ServerNotice(max_requests_per_s=max_requests_per_s)
+
     def instance_id(self, headers: Headers) -> str | None:
         """Return the id of the server that answered a health check."""
         values = headers.getRawHeaders(INSTANCE_ID)
@@ -111,6 +128,16 @@
         return b"%.3f" % max(0.0, delay_s)
 
 
+def _positive(headers: Headers, name: bytes) -> float | None:
+    """Return a header's number, None if it has none or one that is not above zero."""
+    values = headers.getRawHeaders(name)
+    try:
+        number = float(values[0]) if values else 0.0
+    except ValueError:
+        return None
+    return number if 0.0 < number < inf else None
+
+
 def _retry_after_s(headers: Headers) -> float | None:
     values = headers.getRawHeaders(RETRY_AFTER)
     try:
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -94,6 +94,7 @@
     listed_as: str | None = None,
     reports_slowdown: bool = False,
     cold_ms: float = 0.0,
+    limit_per_s: float | None = None,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -119,6 +120,8 @@
         Whether it answers queries for its load at once.
     cold_ms
         How long it is cold after its start.
+    limit_per_s
+        The requests per second that its answers name as its limit.
 
     """
     use_monotonic_time(reactor)
@@ -135,6 +138,7 @@
     )
     server = _serve_backend(spec, store, seed=spec.born_ms)
     server.listed_as = listed_as or address
+    server.max_requests_per_s = limit_per_s
     server.on_run = _print_run
     print("ready", flush=True)
     reactor.run()
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -97,6 +97,8 @@
         self.listed_as = spec.address
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.state = ServerState.READY
+        self.max_requests_per_s: float | None = None
+        """The limit for all hosts together that each answer names, None for none."""
         self._reactor = reactor
         self._rng = rng
         self._held_shards = HeldShards()
@@ -157,6 +159,7 @@
             return self._release(request)
         if path == b"/health":
             request.setHeader(b"Instance-Id", self.spec.id.encode())
+            self._add_notice(request)
             if self.spec.reports_slowdown:
                 cold_ms = b"%d" % round(self._cold_remaining_s() * 1000)
                 request.setHeader(b"Cold-Remaining-Ms", cold_ms)
@@ -305,8 +308,13 @@
     def _with_headers(self, work: _Work) -> Request:
         work.request.setHeader(b"Attempt-Id", work.request_id.encode())
         work.request.setHeader(b"Server-Load", self._load())
+        self._add_notice(work.request)
         return work.request
 
+    def _add_notice(self, request: Request) -> None:
+        if self.max_requests_per_s is not None:
+            request.setHeader(b"Server-Limit", f"{self.max_requests_per_s}".encode())
+
     def _load(self) -> bytes:
         load = f"{len(self._running)},{len(self._waiting)},{self.spec.slots}"
         if self.spec.reports_slowdown:
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -11,6 +11,7 @@
 from ._header_codec import DefaultHeaderCodec, HeaderCodec, ServerRefusal
 from ._load_client import LoadClient, LoadQueryCodec, QueriedLoad
 from ._ports import (
+    NO_NOTICE,
     AccessRecord,
     Admission,
     HedgeCallback,
@@ -20,11 +21,13 @@
     Ownership,
     Rules,
     ServerLoad,
+    ServerNotice,
     Ticket,
 )
 from ._problem import Problem
 
 __all__ = [
+    "NO_NOTICE",
     "SLOW_HEAD_CHECK_INTERVAL_S",
     "AccessRecord",
     "Admission",
@@ -48,6 +51,7 @@
     "RunStatus",
     "ServerConnectionPool",
     "ServerLoad",
+    "ServerNotice",
     "ServerRefusal",
     "Ticket",
 ]
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -99,6 +99,7 @@
         self.connection = connection
         response = await self._send(connection)
         self._record_load(response)
+        self._admission.note_notice(self.server, self._codec.notice(response))
         self._check(connection, response)
         return response
 
--- a/src/gentianwharf/relay/_header_codec.py
+++ b/src/gentianwharf/relay/_header_codec.py
@@ -14,7 +14,7 @@
 
 from . import _headers as names
 from ._deadline import RemainingTime
-from ._ports import Owner, ServerLoad, Ticket
+from ._ports import NO_NOTICE, Owner, ServerLoad, ServerNotice, Ticket
 
 # Together with the header for "not run", this status means that the server is not the
 # owner. With any other status, the server is shedding load or shutting down.
@@ -66,6 +66,9 @@
     def load(self, headers: Headers) -> ServerLoad | None:
         """Return the server's load as reported in a response, None if it is not."""
 
+    def notice(self, response: Response) -> ServerNotice:
+        """Return what the server states about the requests that it accepts."""
+
     def retry_after(self, delay_s: float) -> bytes:
         """Return the value of ``Retry-After`` for callers."""
 
@@ -127,6 +130,10 @@
         """Return None: servers report their load elsewhere."""
         return None
 
+    def notice(self, response: Response) -> ServerNotice:
+        """Return an empty notice: servers name no limits."""
+        return NO_NOTICE
+
     def retry_after(self, delay_s: float) -> bytes:
         """Round up to whole seconds, the unit of RFC 9110."""
         return b"%d" % max(1, -int(-delay_s // 1))
--- a/src/gentianwharf/relay/_load_client.py
+++ b/src/gentianwharf/relay/_load_client.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.protocol import Protocol as StreamProtocol
+from twisted.web._newclient import Response
 from twisted.web.http_headers import Headers
 
 from gentianwharf.errors import PeerUnavailableError
@@ -13,7 +14,7 @@
 from gentianwharf.topology import BackendServer
 
 from ._connections import ServerConnectionPool
-from ._ports import ServerLoad
+from ._ports import NO_NOTICE, ServerLoad, ServerNotice
 
 QUERY_TIMEOUT_S = 0.06
 """Several round trips between failure domains. A server that doesn't answer within this
@@ -23,10 +24,11 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class QueriedLoad:
-    """A server's load, and for how much longer it is cold."""
+    """What a server states about itself; ``load`` is None if it does not state it."""
 
-    load: ServerLoad
+    load: ServerLoad | None
     cold_remaining_s: float
+    notice: ServerNotice = NO_NOTICE
 
 
 class LoadQueryCodec(Protocol):
@@ -41,6 +43,9 @@
     def cold_remaining_s(self, headers: Headers) -> float:
         """Return for how much longer the server is cold."""
 
+    def notice(self, response: Response) -> ServerNotice:
+        """Return what the server states about the requests that it accepts."""
+
 
 @final
 class LoadClient:
@@ -64,7 +69,7 @@
         self._reactor = reactor
 
     async def query(self, server: BackendServer) -> QueriedLoad | None:
-        """Return a server's load, None if it doesn't state it in time."""
+        """Return what a server states, None if it doesn't respond in time."""
         path = self._paths.get(server.service)
         connections = self._connections.get(server.id)
         if path is None or connections is None:
@@ -105,11 +110,15 @@
             raise
         response.deliverBody(_DiscardedBody())
         headers = response.headers
-        load = self._codec.load(headers)
-        if load is None or self._codec.instance_id(headers) != server.id:
+        if self._codec.instance_id(headers) != server.id:
+            return None
+        load, notice = self._codec.load(headers), self._codec.notice(response)
+        if load is None and notice == NO_NOTICE:
             return None
         return QueriedLoad(
-            load=load, cold_remaining_s=self._codec.cold_remaining_s(headers)
+            load=load,
+            cold_remaining_s=self._codec.cold_remaining_s(headers),
+            notice=notice,
         )
 
 
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -71,6 +71,20 @@
     slowdown: float | None = None
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerNotice:
+    """What a server states in an answer about the requests that it accepts.
+
+    ``max_requests_per_s`` is its limit for all hosts together, None if it has none.
+    """
+
+    max_requests_per_s: float | None = None
+
+
+NO_NOTICE = ServerNotice()
+
+
 class Outcome(StrEnum):
     """How an attempt at a server ended."""
 
@@ -158,6 +172,9 @@
         ``elapsed_s`` is the response time, None for a refusal.
         """
 
+    def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Record what a server stated in a response, whatever its status."""
+
     def discard(self, ticket: Ticket) -> None:
         """Discard the state of a request after its final response."""
 
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -20,6 +20,8 @@
     AccessRecord,
     CallerSite,
     ConnectionLimits,
+    DefaultHeaderCodec,
+    HeaderCodec,
     HedgeCallback,
     Outcome,
     Owner,
@@ -28,6 +30,7 @@
     RunStatus,
     ServerConnectionPool,
     ServerLoad,
+    ServerNotice,
     Ticket,
 )
 from gentianwharf.rules import RuleDocument, RuleSet
@@ -128,6 +131,7 @@
         self.servers = servers
         self.outcomes: list[Outcome] = []
         self.retry_after_s: list[float] = []
+        self.notices: list[tuple[str, ServerNotice]] = []
         self.hedge_after_s: float | None = None
         self.outcome_events: dict[Outcome, threading.Event] = {}
 
@@ -175,6 +179,10 @@
     ) -> None:
         """Ignore the load."""
 
+    def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Record the notice."""
+        self.notices.append((server.id, notice))
+
     def discard(self, ticket: Ticket) -> None:
         """Do nothing, since no state is kept."""
 
@@ -307,6 +315,7 @@
     servers_up: bool = True,
     limits: ConnectionLimits | None = None,
     deadline_ms: int = DEADLINE_MS,
+    codec: HeaderCodec | None = None,
 ) -> Iterator[Any]:
     """Run a relay with one scripted server for each list of scripts."""
     scripted = [ScriptedServer(scripts=list(script)) for script in scripts]
@@ -331,6 +340,7 @@
         keyed=frozenset({"keyed"}),
         reactor=reactor,
         rng=Random(1),
+        codec=codec or DefaultHeaderCodec(),
     )
     site = CallerSite(resource=app.resource(), reactor=reactor, limits=limits)
     port = in_reactor(lambda: reactor.listenTCP(0, site, interface="127.0.0.1"))
--- a/tests/test_relay_load_client.py
+++ b/tests/test_relay_load_client.py
@@ -11,6 +11,7 @@
     QueriedLoad,
     ServerConnectionPool,
     ServerLoad,
+    ServerNotice,
 )
 from gentianwharf.topology import BackendServer
 from tests.builders_relay import (
@@ -91,6 +92,13 @@
     assert results == [QueriedLoad(load=LOAD, cold_remaining_s=1.5)]
 
 
+def test_limit_is_read_although_no_load_is_stated() -> None:
+    """Guards against a limit that is lost with an unreadable load."""
+    results, _ = ask(health(load="busy", extra="Server-Limit: 2.2\r\n"))
+    notice = ServerNotice(max_requests_per_s=2.2)
+    assert results == [QueriedLoad(load=None, cold_remaining_s=0.0, notice=notice)]
+
+
 @pytest.mark.parametrize(
     "script",
     [
--- a/tests/test_users_platform_decoding.py
+++ b/tests/test_users_platform_decoding.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import pytest
+from twisted.web._newclient import Response
 from twisted.web.http_headers import Headers
 
 from gentianwharf.errors import InputError
@@ -14,7 +15,7 @@
     decode_host_settings,
     decode_server_entry,
 )
-from gentianwharf.relay import ServerLoad
+from gentianwharf.relay import NO_NOTICE, ServerLoad
 from gentianwharf.rules import RequestFacts, RuleSet
 from tests.builders_users_platform import (
     SETTINGS,
@@ -26,6 +27,10 @@
 SHARDS_BY_SERVICE = {"calendar": SHARDS, "seats": 0}
 
 
+def response_with(headers: dict[bytes, list[bytes]], *, code: int) -> Response:
+    return Response((b"HTTP", 1, 1), code, b"", Headers(headers), None)
+
+
 def rules_of(value: bytes) -> RuleSet:
     return RuleSet(
         document=decode_configuration(value).document,
@@ -219,6 +224,30 @@
     assert PlatformHeaderCodec().load(headers) == expected
 
 
+@pytest.mark.parametrize(
+    ("header", "expected"),
+    [
+        pytest.param(b"2.2", 2.2, id="decimal"),
+        pytest.param(b"40", 40.0, id="whole"),
+        pytest.param(b" 0.5 ", 0.5, id="spaces"),
+        pytest.param(b"0", None, id="zero"),
+        pytest.param(b"-1", None, id="negative"),
+        pytest.param(b"inf", None, id="infinite"),
+        pytest.param(b"nan", None, id="not-a-number"),
+        pytest.param(b"few", None, id="no-number"),
+    ],
+)
+def test_limit_is_read_from_any_answer(header: bytes, expected: float | None) -> None:
+    for code in (200, 421, 503):
+        response = response_with({b"Server-Limit": [header]}, code=code)
+        notice = PlatformHeaderCodec().notice(response)
+        assert notice.max_requests_per_s == expected
+
+
+def test_answer_without_notices_states_none() -> None:
+    assert PlatformHeaderCodec().notice(response_with({}, code=200)) == NO_NOTICE
+
+
 @pytest.mark.parametrize(
     "value",
     [
