Keep to the limit that a server names, all hosts together

What callers saw: nothing yet; servers in need got four times what they had named (43 requests in 4 s at a limit of 2.2 a second, allowed 18), and some will fail from it.

Cause: no host read the limit, and there was no mechanism that a limit could use. The only one of its kind, for cold servers, knew its share of the hosts, but kept nothing beyond a server's entry and was not asked for owners of keys, the way of both servers of the incident. The class: an answer's word that is dropped, or passed by on another way to the same server. Ruled out as the cause: hosts that each keep to the limit alone; they sent what they had sent before. It would have been the next fault: ten hosts, 22 a second.

Now what servers state outlasts their entries (_server_notices) and holds for every send: any server, owners, queried servers, probes, retries, second sends, a queue that is served later. The limit is shared as for cold servers (_host_shares): at most 4 + 2 x limit hosts take part, chosen alike by all, with a gap between requests. In any 4 s at most 4 + 6 x limit requests arrive, 5 + 6 x limit are allowed, whatever the number of hosts. What can't be sent within the class's longest wait is refused at once.

--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -88,7 +88,7 @@
 
     def _record_sent(self, state: ServerState, flight: Flight) -> None:
         state.record_sent(flight)
-        self.limited += state.max_requests_per_s is not None
+        self.limited += state.notices.max_requests_per_s is not None
 
     def pop(self, ticket_id: str, server: str | None) -> Flight | None:
         """Remove and return the request's send to ``server``, or any if None."""
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -119,7 +119,7 @@
 
     def set_cold(self, server_id: str, *, until_s: float) -> None:
         """Record until when a server is cold, also before it is listed."""
-        self._registry.set_cold(server_id, until_s=until_s)
+        self._registry.notices.set_cold(server_id, until_s=until_s)
 
     def add(
         self, *, services: Iterable[Service], classes: Iterable[RequestClass]
@@ -248,12 +248,12 @@
 
         None ends its limit. Return whether the limit differs from the one before.
         """
-        return self._registry.set_limit(server_id, max_requests_per_s)
+        return self._registry.notices.set_limit(server_id, max_requests_per_s)
 
     @property
     def limited_servers(self) -> int:
         """The number of servers that name a limit."""
-        return len(self._registry.limits_per_s)
+        return self._registry.notices.limited
 
     @property
     def limited_requests(self) -> int:
@@ -324,7 +324,10 @@
     ) -> Decision:
         share = pool.class_share(class_state)
         rate_per_s = pool.service_rate_per_s(class_state, share)
+        wait_s = pool.limit_wait_s(now_s) + len(class_state.queue) / rate_per_s
         can_enqueue = not pool.pinned or may_queue(pool, class_state, now_s)
+        if pool.accepted_per_s() < inf and wait_s > class_state.max_wait_s:
+            can_enqueue = False
         if can_enqueue:
             maximum = max_queue_capacity(class_state.max_wait_s, rate_per_s)
             capacity = queue_capacity(maximum, class_state.refused_share, share)
@@ -338,7 +341,6 @@
             return self._refusals.refuse_overload(
                 ticket, class_state, rate_per_s, now_s
             )
-        wait_s = len(class_state.queue) / rate_per_s
         if now_s + wait_s + class_state.mean_s > ticket.deadline_s:
             return self._refuse(ticket, RefuseReason.DEADLINE, now_s)
         pool.enqueue(class_state, ticket, now_s)
@@ -392,9 +394,10 @@
         if not pool.waiting:
             return decisions
         unavailable = pool.is_unavailable(now_s)
+        start_s = now_s + pool.limit_wait_s(now_s)
         for class_state in pool.classes.values():
             for ticket in class_state.queue.waiting():
-                if unavailable or now_s + class_state.mean_s > ticket.deadline_s:
+                if unavailable or start_s + class_state.mean_s > ticket.deadline_s:
                     pool.remove(ticket.id)
                     del self._waiting[ticket.id]
                     reason = (
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -34,6 +34,7 @@
 """
 
 from collections.abc import Mapping
+from math import inf
 from random import Random
 from typing import final
 
@@ -64,6 +65,7 @@
 # busy with fewer requests.
 MIN_BUSY_AT_OWNER = 1
 MIN_MEAN_S = 1e-6
+MIN_RATE_PER_S = 1e-3
 
 
 @final
@@ -255,7 +257,29 @@
     def service_rate_per_s(self, state: ClassState, share: float) -> float:
         """Return how many requests of the class can start per second."""
         interval_s = max(state.mean_s, self.pacer.gap_s, MIN_MEAN_S)
-        return max(1.0, self.limit.value * share) / interval_s
+        rate_per_s = max(1.0, self.limit.value * share) / interval_s
+        return min(rate_per_s, max(MIN_RATE_PER_S, self.accepted_per_s()))
+
+    def accepted_per_s(self) -> float:
+        """Return what the servers accept from this host, infinite without a limit."""
+        if not self.states:
+            return inf
+        accepted_per_s = 0.0
+        for server in self.states:
+            gap_s = server.notices.limit_gap_s
+            if not gap_s:
+                return inf
+            accepted_per_s += 1 / gap_s
+        return accepted_per_s
+
+    def limit_wait_s(self, now_s: float) -> float:
+        """Return the time until some server's limit allows a request."""
+        wait_s = inf
+        for server in self.states:
+            wait_s = min(wait_s, server.notices.limit_wait_s(now_s))
+            if not wait_s:
+                return 0.0
+        return wait_s if self.states else 0.0
 
     def class_share(self, state: ClassState) -> float:
         """Return the class's share of the limit, given which classes are waiting."""
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -9,9 +9,9 @@
 from gentianwharf.topology import BackendServer, Service
 
 from ._budget import RetryBudget, saved_retries_per_daemon
-from ._cold_servers import ColdServers
 from ._pool import Pool
 from ._requests import RequestClass, Ticket
+from ._server_notices import NoticeTable, ServerNotices
 from ._server_state import LoadReport, ServerState
 
 PoolKey = tuple[str, str | None]
@@ -37,7 +37,7 @@
     ) -> None:
         self._saved_retries = saved_retries
         self._name = name
-        self._cold_servers = ColdServers(name=name)
+        self.notices = NoticeTable(name=name)
         self._domain = domain
         self._rng = rng
         self._daemons = max(1, daemons)
@@ -50,8 +50,6 @@
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self.pools: dict[PoolKey, Pool] = {}
         self.budgets: dict[str, RetryBudget] = {}
-        self.limits_per_s: dict[str, float] = {}
-        """The limits that servers name for all hosts together, by server."""
         self._answering: set[str] = set()
         """Services whose servers answer queries for their load at once."""
         for service in services:
@@ -140,8 +138,8 @@
             pool.set_states([other for other in pool.states if other is not state])
 
     def drop_outdated(self, now_s: float) -> None:
-        """Drop pools of removed servers and ended cold times, to bound the tables."""
-        self._cold_servers.drop_ended(now_s)
+        """Drop the pools and the notices of removed servers, to bound the tables."""
+        self.notices.drop_outdated(now_s, listed=self.servers.keys())
         idle = [
             key
             for key, pool in self.pools.items()
@@ -162,10 +160,9 @@
             local=server.domain == self._domain,
             max_connections=self._share_of_connections(server),
             preference=rendezvous_score(self._name, server.id),
+            notices=self._notices_of(server),
         )
         self.servers[server.id] = state
-        state.max_requests_per_s = self.limits_per_s.get(server.id)
-        self._update_cold(state)
         self._index(state)
         return state
 
@@ -210,37 +207,13 @@
                 state.speed = speed
 
     def set_hosts(self, names: Sequence[str]) -> None:
-        """Set the names of all hosts, which share the requests of cold servers."""
-        self._cold_servers.set_hosts(names)
-        for state in self.servers.values():
-            self._update_cold(state)
-
-    def set_cold(self, server_id: str, *, until_s: float) -> None:
-        """Record until when a server is cold; it need not be listed yet."""
-        self._cold_servers.set_cold(server_id, until_s)
-        state = self.servers.get(server_id)
-        if state is not None:
-            self._update_cold(state)
+        """Set the names of all hosts, which share what servers accept."""
+        self.notices.set_hosts(names)
 
-    def set_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
-        """Set a server's limit for all hosts together; return whether it is new."""
-        if max_requests_per_s == self.limits_per_s.get(server_id):
-            return False
-        if max_requests_per_s is None:
-            del self.limits_per_s[server_id]
-        else:
-            self.limits_per_s[server_id] = max_requests_per_s
-        state = self.servers.get(server_id)
-        if state is not None:
-            state.max_requests_per_s = max_requests_per_s
-        return True
-
-    def _update_cold(self, state: ServerState) -> None:
-        limit_per_s = state.server.cold_requests_per_s
-        until_s = self._cold_servers.until_s(state.server.id)
-        if limit_per_s is not None and until_s:
-            gap_s = self._cold_servers.gap_s(state.server.id, limit_per_s)
-            state.set_cold(until_s, gap_s)
+    def _notices_of(self, server: BackendServer) -> ServerNotices:
+        return self.notices.set_listed(
+            server.id, cold_requests_per_s=server.cold_requests_per_s
+        )
 
     def _index(self, state: ServerState) -> None:
         """Add a server's state to the index by service and to the server's own pool."""
@@ -260,7 +233,7 @@
         state.server = server
         state.local = server.domain == self._domain
         state.max_connections = self._share_of_connections(server)
-        self._update_cold(state)
+        self._notices_of(server)
         self._index(state)
 
     def _make_pool(
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -29,6 +29,7 @@
 from gentianwharf.topology import BackendServer
 
 from ._requests import Ticket
+from ._server_notices import ServerNotices
 from ._short_answers import ShortAnswers
 
 # Cap on an answer's time in medians: a single very long job is no stronger evidence
@@ -145,12 +146,7 @@
     answer_count: int = 0
     decayed_s: float = 0.0
     overdue: int = 0
-    cold_until_s: float = 0.0
-    cold_gap_s: float = 0.0
-    """Minimum time between requests of this host while the server is cold."""
-    last_sent_s: float = 0.0
-    max_requests_per_s: float | None = None
-    """The limit for all hosts together that the server names, None for none."""
+    notices: ServerNotices = field(default_factory=ServerNotices)
     report: LoadReport | None = None
     speed: float = 1.0
     """The server's speed relative to the mean of its service."""
@@ -172,7 +168,7 @@
         """Whether the server's own state and limits allow one more request."""
         if self.health is not HealthStatus.ACTIVE or now_s < self.shed_until_s:
             return False
-        if not self._cold_limit_allows(now_s):
+        if not self.notices.may_send(now_s):
             return False
         in_flight = len(self.flights)
         if in_flight >= self.max_connections:
@@ -206,10 +202,6 @@
         """Record that the server ran a request for which it reported a free slot."""
         self.false_reports = max(0, self.false_reports - 1)
 
-    def _cold_limit_allows(self, now_s: float) -> bool:
-        is_cold = now_s < self.cold_until_s
-        return not is_cold or now_s >= self.last_sent_s + self.cold_gap_s
-
     def accepts_pinned(self, now_s: float) -> bool:
         """Whether a request that no other server may run may be sent."""
         if self.health is HealthStatus.LEAVING:
@@ -220,7 +212,7 @@
         """Whether the next request should probe if a suspect server has recovered."""
         if self.health is not HealthStatus.SUSPECT or now_s < self.next_probe_s:
             return False
-        if not self._cold_limit_allows(now_s):
+        if not self.notices.may_send(now_s):
             return False
         if (
             repeatable
@@ -229,15 +221,10 @@
             return True
         return now_s > self.suspect_since_s + UNSAFE_PROBE_DELAY_S
 
-    def set_cold(self, until_s: float, gap_s: float) -> None:
-        """Send requests at least ``gap_s`` apart while the server is cold."""
-        self.cold_until_s = max(self.cold_until_s, until_s)
-        self.cold_gap_s = gap_s
-
     def record_sent(self, flight: Flight) -> None:
         """Count a request that is sent."""
         self.flights[flight.ticket.id] = flight
-        self.last_sent_s = flight.started_s
+        self.notices.last_sent_s = flight.started_s
 
     def record_probe(self, now_s: float) -> None:
         """Schedule the next probe after one that has just been sent."""
--- a/tests/test_entryhost_servers.py
+++ b/tests/test_entryhost_servers.py
@@ -91,7 +91,7 @@
     for change in changes if limited_first else reversed(changes):
         change()
     state = host._gate._registry.servers[SERVER_ID]
-    assert state.cold_until_s == 3.0
+    assert state.notices.cold_until_s == 3.0
     assert not state.has_capacity(1.0), "this host knows no other host"
     assert state.has_capacity(3.0)
 
