Share saved retries by the same mechanism as the limits of servers

Three counts of what all hosts together may send had two mechanisms: a host's share in cold servers and named limits by the names of hosts, saved retries by their number. Where operators allow fewer saved retries than there are hosts (208 for 300), each share was below one and nobody could make any. Hosts that know each other now share them by _host_shares: 208 of them save one each. With more retries than hosts nothing changes; a daemon that knows only the number of the others takes its part of it as before.

test_hosts_that_know_each_other_share_the_saved_retries failed before: 0 retries.

--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -15,15 +15,6 @@
 MAX_SAVED_RETRIES = 10.0
 
 
-def saved_retries_per_daemon(saved_retries: float, daemons: int) -> float:
-    """Return a daemon's share of the retries that all daemons may save together.
-
-    >>> saved_retries_per_daemon(210.0, 84), saved_retries_per_daemon(208.0, 10)
-    (2.5, 10.0)
-    """
-    return min(MAX_SAVED_RETRIES, saved_retries / max(1, daemons))
-
-
 @final
 class RetryBudget:
     """A token bucket that is filled by new requests and emptied by retries.
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -8,7 +8,7 @@
 from gentianwharf.placement import rendezvous_score
 from gentianwharf.topology import BackendServer, Service
 
-from ._budget import RetryBudget, saved_retries_per_daemon
+from ._budget import MAX_SAVED_RETRIES, RetryBudget
 from ._pool import Pool
 from ._requests import RequestClass, Ticket
 from ._server_notices import NoticeTable, ServerNotices
@@ -115,16 +115,26 @@
             state.max_connections = self._share_of_connections(state.server)
         for pool in self.pools.values():
             pool.set_daemons(self._daemons)
-        for budget in self.budgets.values():
-            budget.resize(self._share_of_retries())
+        self._resize_budgets()
 
     def _share_of_connections(self, server: BackendServer) -> int:
         # All daemons together must not open more connections than the server accepts.
         # Each stays within its own share without coordination.
         return max(1, server.connections // self._daemons)
 
-    def _share_of_retries(self) -> float:
-        return saved_retries_per_daemon(self._saved_retries, self._daemons)
+    def _resize_budgets(self) -> None:
+        for service, budget in self.budgets.items():
+            budget.resize(self._share_of_retries(service))
+
+    def _share_of_retries(self, service: str) -> float:
+        """Return how many retries this daemon may save for a service."""
+        if self._saved_retries == inf:
+            return MAX_SAVED_RETRIES
+        share = 1 / self._daemons
+        if self.notices.shares.are_known:
+            burst = int(self._saved_retries)
+            share = self.notices.shares.share(f"retries/{service}", burst=burst)
+        return min(MAX_SAVED_RETRIES, self._saved_retries * share)
 
     def drop_if_unlisted(self, state: ServerState) -> None:
         """Drop a server that is not listed and has no requests in flight."""
@@ -149,7 +159,9 @@
             del self.pools[key]
 
     def _add_service(self, service: Service) -> None:
-        self.budgets[service.name] = RetryBudget(max_tokens=self._share_of_retries())
+        self.budgets[service.name] = RetryBudget(
+            max_tokens=self._share_of_retries(service.name)
+        )
         states = [self._add_server(server) for server in service.servers]
         if not service.keyed:
             self.pools[service.name, None] = self._make_pool(service.name, states)
@@ -209,6 +221,7 @@
     def set_hosts(self, names: Sequence[str]) -> None:
         """Set the names of all hosts, which share what servers accept."""
         self.notices.set_hosts(names)
+        self._resize_budgets()
 
     def _notices_of(self, server: BackendServer) -> ServerNotices:
         return self.notices.set_listed(
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -225,6 +225,29 @@
     assert retried <= allowed
 
 
+def test_hosts_that_know_each_other_share_the_saved_retries() -> None:
+    """Guards against retries that nobody may make, as each share is below one."""
+    allowed = 208
+    names = [f"host-{number}" for number in range(300)]
+    retried = 0
+    for number, name in enumerate(names):
+        gate = Gate(
+            services=[build.service(servers=2)],
+            classes=build.CLASSES,
+            domain="lac",
+            rng=Random(number),
+            daemons=300,
+            name=name,
+            saved_retries=allowed,
+        )
+        gate.set_hosts(names)
+        for _ in range(3):
+            decision = gate.retry(build.ticket("1"), OutcomeKind.SHED, 1.0)
+            retried += isinstance(decision, Start)
+            gate.finished("1", build.ok(), 1.0)
+    assert allowed * 0.9 <= retried <= allowed
+
+
 def test_small_share_of_the_retry_budget_still_allows_retries() -> None:
     """Guards against hosts that never retry because their share is below one."""
     gate = Gate(
