Tell all hosts about a server's limit by way of the leader

Few hosts send to a server that names a limit.

Hosts report what servers stated four times a second to the leader, which tells all hosts of a change at once and repeats valid notices every 2 s. A host's own answer is newer than a report within a second. Notices of a server are never ended by their absence: a leader that has just begun knows none of them. A host that no leader reaches keeps the limit.

Weighed: each host asks the server itself now and then, which adds up over all hosts just as their requests do.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -40,6 +40,8 @@
 
 The time is in seconds, and None if the server refused the request.
 """
+NoticeListener = Callable[[BackendServer, ServerNotice], None]
+"""Called with what a server stated in an answer, if it is new or limits requests."""
 ServerOutcomeListener = Callable[[str, bool, float | None], None]
 """Called with a server's id, whether it answered, and the time that a run took.
 
@@ -68,6 +70,7 @@
     ) -> None:
         self.servers = dict(servers)
         self.on_load: LoadListener = _ignore_load
+        self.on_notice: NoticeListener = lambda server, notice: None
         self.on_timeout: Callable[[BackendServer], None] = lambda server: None
         self._load_queries: LoadQueries | None = None
         self._reactor: Any = None
@@ -232,13 +235,17 @@
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Record what a server stated about the requests that it accepts."""
         limit_per_s = notice.max_requests_per_s
-        if self._gate.set_limit(server.id, limit_per_s):
-            log.info(
-                "server limits its requests"
-                if limit_per_s is not None
-                else "server no longer limits its requests",
-                extra={"server": server.id, "max_requests_per_s": limit_per_s},
-            )
+        is_new = self._gate.set_limit(server.id, limit_per_s, self._now_s())
+        if is_new:
+            _log_limit(server.id, limit_per_s)
+        if is_new or limit_per_s is not None:
+            self.on_notice(server, notice)
+
+    def note_reported_notice(self, server_id: str, notice: ServerNotice) -> None:
+        """Record what a server stated in an answer to another host."""
+        limit_per_s = notice.max_requests_per_s
+        if self._gate.set_reported_limit(server_id, limit_per_s, self._now_s()):
+            _log_limit(server_id, limit_per_s)
 
     def discard(self, ticket: Ticket) -> None:
         """Discard the hedge callback of a request that has had its answer."""
@@ -287,6 +294,15 @@
     """Do nothing; the default for users that need no load reports."""
 
 
+def _log_limit(server_id: str, limit_per_s: float | None) -> None:
+    log.info(
+        "server limits its requests"
+        if limit_per_s is not None
+        else "server no longer limits its requests",
+        extra={"server": server_id, "max_requests_per_s": limit_per_s},
+    )
+
+
 def rendezvous_server(
     key: str, servers: tuple[BackendServer, ...]
 ) -> BackendServer | None:
--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -16,6 +16,7 @@
 from gentianwharf.store import Events, Page
 
 from ._deltas import DeltaEncoder, encode_whole, first_batch
+from ._load_accumulator import Notices
 from ._membership import Dial, Membership, Peer
 from ._peer_messages import (
     NO_REVISION,
@@ -23,6 +24,7 @@
     HostAddress,
     HostIdentity,
     LeaderUpdate,
+    NoticeUpdate,
     Report,
     SpeedUpdate,
     StoreSnapshot,
@@ -176,7 +178,13 @@
         if not self.leads or not speeds:
             return
         percent = {server_id: round(speed * 100) for server_id, speed in speeds.items()}
-        update = SpeedUpdate(self._identity, self._term, percent)
+        self._send_to_all(SpeedUpdate(self._identity, self._term, percent))
+
+    def broadcast_notices(self, notices: Notices) -> None:
+        """Send all hosts what servers stated in their answers."""
+        self._send_to_all(NoticeUpdate(self._identity, self._term, notices))
+
+    def _send_to_all(self, update: SpeedUpdate | NoticeUpdate) -> None:
         data = msgspec.msgpack.encode(update)
         for peer in self.membership.active():
             peer.link.send(data)
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -26,7 +26,7 @@
     ServerOrders,
     evacuated_domain,
 )
-from gentianwharf.relay import ServerLoad
+from gentianwharf.relay import ServerLoad, ServerNotice
 from gentianwharf.store import (
     FORWARDING_PACE,
     Events,
@@ -40,8 +40,10 @@
 from ._broadcaster import StorePosition
 from ._conversions import candidate_of, holder_of
 from ._directory import Directory
+from ._fleet_notices import FleetNotices
 from ._host_list import HostList
 from ._keys import KeyHolders, ServerLookup
+from ._load_accumulator import Notices
 from ._peer_messages import NO_REVISION
 from ._peers import Peers
 from ._previous_leader import RemainingGrantsExchange
@@ -143,6 +145,7 @@
             now_s=now_s,
         )
         self._server_speeds = ServerSpeeds(now_s=now_s)
+        self._fleet_notices = FleetNotices(now_s=now_s)
         self._connect_store()
         self._connect_peers()
 
@@ -164,6 +167,7 @@
         peers = self.peers
         peers.on_requests = self._add_requests
         peers.on_load = self._add_load
+        peers.on_reported_notices = self._add_notices
         peers.on_granted = self._note_broadcast_grant
         peers.on_events = self._note_events
         peers.on_host_count = self._set_host_count
@@ -200,6 +204,7 @@
         self.peers.tick()
         self._host_list.tick()
         self._broadcast_speeds()
+        self._broadcast_notices()
 
     def resign(self, campaign_pause_s: float) -> None:
         """Give up leadership, and do not try to regain it for ``campaign_pause_s``."""
@@ -254,6 +259,10 @@
         if server.service in self.keyed or load.slowdown is not None:
             self.peers.observed.note_load(server, load, elapsed_s)
 
+    def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Add what a server stated in an answer to the next report."""
+        self.peers.observed.note_notice(server, notice)
+
     def note_unanswered(self, server: BackendServer) -> None:
         """Add to the next report that a server did not answer a request."""
         if server.service in self.keyed:
@@ -334,8 +343,16 @@
         else:
             self._server_speeds.note_load(service, server_id, load)
 
+    def _add_notices(self, notices: Notices) -> None:
+        for server_id, report in notices.items():
+            self._fleet_notices.note(server_id, report)
+
     # Work of the leader.
 
+    def _broadcast_notices(self) -> None:
+        if self.leadership.leads:
+            self.peers.broadcast_notices(self._fleet_notices.due())
+
     def _broadcast_speeds(self) -> None:
         now_s = self._now_s()
         if self.leadership.leads and now_s >= self._speeds_sent_s + SPEEDS_INTERVAL_S:
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -22,6 +22,7 @@
     LoadClient,
     RelayApp,
     ServerConnectionPool,
+    ServerNotice,
 )
 from gentianwharf.topology import BackendServer, Service
 
@@ -30,6 +31,7 @@
 from ._conversions import limits_of, server_of
 from ._coordinator import Coordinator
 from ._gauges import add_gauges
+from ._load_accumulator import Notices
 from ._metrics import METRICS_PORT, HostMetrics, metrics_site
 from ._readiness import readiness_site
 from ._request_classes import request_class_of
@@ -85,6 +87,7 @@
         self._coordinator.on_host_count = self._set_host_count
         self._coordinator.on_hosts = self._gate.set_hosts
         self._coordinator.peers.on_speeds = self._gate.set_speeds
+        self._coordinator.peers.on_notices = self._apply_notices
         self._coordinator.directory.on_change = self._update_servers
         self._coordinator.directory.on_cold = self._note_cold
         self._coordinator.rules.on_change = self._apply_configuration
@@ -115,6 +118,7 @@
             on_server_outcome=lambda server, answered, busy_s: None,
         )
         self._admission.on_load = self._coordinator.note_server_load
+        self._admission.on_notice = self._coordinator.note_notice
         self._admission.on_timeout = self._coordinator.note_unanswered
         codec = PlatformHeaderCodec()
         self.metrics = HostMetrics()
@@ -302,6 +306,11 @@
             self._admission.explore(self._rng.choice(servers))
         self._coordinator.note_servers(service)
 
+    def _apply_notices(self, notices: Notices) -> None:
+        for server_id, report in notices.items():
+            notice = ServerNotice(max_requests_per_s=report.max_requests_per_s)
+            self._admission.note_reported_notice(server_id, notice)
+
     def _note_cold(self, server_id: str) -> None:
         remaining_s = self._coordinator.directory.cold_remaining_s(server_id)
         if remaining_s > 0:
--- a/src/gentianwharf/entryhost/_load_accumulator.py
+++ b/src/gentianwharf/entryhost/_load_accumulator.py
@@ -2,10 +2,10 @@
 
 from typing import final
 
-from gentianwharf.relay import ServerLoad
+from gentianwharf.relay import ServerLoad, ServerNotice
 from gentianwharf.topology import BackendServer
 
-from ._peer_messages import LoadReport
+from ._peer_messages import LoadReport, ServerNoticeReport
 
 Requests = dict[str, dict[int, int]]
 """Number of requests by service and shard."""
@@ -13,6 +13,9 @@
 Loads = dict[str, dict[str, LoadReport]]
 """Load reported in answers, by service and server."""
 
+Notices = dict[str, ServerNoticeReport]
+"""What servers stated in their last answers, by server."""
+
 
 @final
 class LoadAccumulator:
@@ -21,13 +24,18 @@
     def __init__(self) -> None:
         self._requests: Requests = {}
         self._loads: Loads = {}
+        self._notices: Notices = {}
 
-    def collect(self) -> tuple[Requests, Loads]:
+    def collect(self) -> tuple[Requests, Loads, Notices]:
         """Return the observations since the last call."""
-        observed = self._requests, self._loads
-        self._requests, self._loads = {}, {}
+        observed = self._requests, self._loads, self._notices
+        self._requests, self._loads, self._notices = {}, {}, {}
         return observed
 
+    def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Add what a server stated to the next report, in place of earlier notices."""
+        self._notices[server.id] = ServerNoticeReport(notice.max_requests_per_s)
+
     def note_request(self, service: str, shard: int) -> None:
         """Count a request for the next report."""
         counts = self._requests.setdefault(service, {})
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -18,12 +18,21 @@
     unanswered: float
 
 
+class ServerNoticeReport(msgspec.Struct, array_like=True, frozen=True):
+    """What a server stated in its last answer.
+
+    ``max_requests_per_s`` is its limit for all hosts together, None if it has ended.
+    """
+
+    max_requests_per_s: float | None
+
+
 class Report(msgspec.Struct, array_like=True, tag="report"):
     """The observations of one host since its last report.
 
-    ``requests`` counts by service and shard, ``loads`` is by service and server.
-    ``missing_after`` is set on a host that cannot fetch changes: the revision after
-    which they are missing.
+    ``requests`` counts by service and shard, ``loads`` is by service and server,
+    ``notices`` by server. ``missing_after`` is set on a host that cannot fetch changes:
+    the revision after which they are missing.
     """
 
     host: str
@@ -31,6 +40,7 @@
     requests: dict[str, dict[int, int]]
     loads: dict[str, dict[str, LoadReport]]
     missing_after: int | None = None
+    notices: dict[str, ServerNoticeReport] = {}
 
 
 class GrantNotice(msgspec.Struct, array_like=True):
@@ -101,6 +111,14 @@
     percent: dict[str, int]
 
 
+class NoticeUpdate(msgspec.Struct, array_like=True, tag="notices"):
+    """What servers stated in their answers to any host, by server."""
+
+    leader: HostIdentity
+    term: int
+    notices: dict[str, ServerNoticeReport]
+
+
 class StoreSnapshot(msgspec.Struct, array_like=True, tag="everything"):
     """All items of the store at a revision, sent by the leader of a term.
 
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -19,10 +19,11 @@
 
 from ._broadcaster import MAX_MESSAGE_BYTES, Broadcaster, StorePosition
 from ._deltas import UnknownBaseError, decode_change
-from ._load_accumulator import LoadAccumulator
+from ._load_accumulator import LoadAccumulator, Notices
 from ._peer_messages import (
     HostIdentity,
     LeaderUpdate,
+    NoticeUpdate,
     RemainingGrantsRequest,
     RemainingGrantsResponse,
     Report,
@@ -52,6 +53,9 @@
 """The link to the leader is opened again after this time without an update."""
 
 
+FromLeader = LeaderUpdate | SpeedUpdate | NoticeUpdate | StoreSnapshot
+
+
 @final
 class Peers:
     """A host's link to the leader and, while it leads, to all other hosts."""
@@ -84,6 +88,8 @@
             lambda response: None
         )
         self.on_speeds: Callable[[Mapping[str, float]], None] = lambda speeds: None
+        self.on_reported_notices: Callable[[Notices], None] = lambda notices: None
+        self.on_notices: Callable[[Notices], None] = lambda notices: None
         self.identity = HostIdentity(
             host=host, address=address, incarnation=incarnation
         )
@@ -214,6 +220,12 @@
             self._broadcaster.broadcast_speeds(speeds)
             self.on_speeds(speeds)
 
+    def broadcast_notices(self, notices: Notices) -> None:
+        """Send all hosts what servers stated, and apply it here."""
+        if self._broadcaster.leads and notices:
+            self._broadcaster.broadcast_notices(notices)
+            self.on_notices(notices)
+
     def broadcast_events(self, after_revision: int, events: Events) -> None:
         """Send all hosts the changes of the store."""
         self._broadcaster.broadcast_events(after_revision, events)
@@ -228,13 +240,14 @@
         self._broadcaster.tick(now_s)
 
     def _send_report(self, now_s: float) -> None:
-        requests, loads = self.observed.collect()
+        requests, loads, notices = self.observed.collect()
         report = Report(
             self.identity.host,
             self.identity.address,
             requests,
             loads,
             self.missing_after(),
+            notices,
         )
         if self._broadcaster.leads:
             self._process_report(report)
@@ -259,6 +272,7 @@
                 type=Report
                 | LeaderUpdate
                 | SpeedUpdate
+                | NoticeUpdate
                 | StoreSnapshot
                 | RemainingGrantsRequest
                 | RemainingGrantsResponse,
@@ -274,6 +288,9 @@
             self._on_update(message)
         elif isinstance(message, SpeedUpdate):
             self._on_speed_update(message)
+        elif isinstance(message, NoticeUpdate):
+            if self._is_from_leader(message):
+                self.on_notices(message.notices)
         elif isinstance(message, StoreSnapshot):
             self._on_snapshot(message)
         elif isinstance(message, RemainingGrantsRequest):
@@ -282,6 +299,8 @@
             self.on_grants_response(message)
 
     def _process_report(self, report: Report) -> None:
+        if report.notices:
+            self.on_reported_notices(report.notices)
         for service, counts in report.requests.items():
             self.on_requests(service, counts)
         for service, loads in report.loads.items():
@@ -333,17 +352,13 @@
                 {name: percent / 100 for name, percent in update.percent.items()}
             )
 
-    def _is_from_leader(
-        self, update: LeaderUpdate | SpeedUpdate | StoreSnapshot
-    ) -> bool:
+    def _is_from_leader(self, update: FromLeader) -> bool:
         """Whether a message comes from the newest leader."""
         if update.term > self.followed_revision:
             self._follow_sender(update)
         return update.term == self.followed_revision and update.leader == self._leader
 
-    def _follow_sender(
-        self, update: LeaderUpdate | SpeedUpdate | StoreSnapshot
-    ) -> None:
+    def _follow_sender(self, update: FromLeader) -> None:
         """Follow a newer leader that the store has not reported to this host."""
         log.info(
             "following the leader that sent an update",
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -243,12 +243,22 @@
             server_id, waiting=waiting, slots=slots, report=report, now_s=now_s
         )
 
-    def set_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
+    def set_limit(
+        self, server_id: str, max_requests_per_s: float | None, now_s: float
+    ) -> bool:
         """Set how many requests per second a server accepts from all daemons together.
 
         None ends its limit. Return whether the limit differs from the one before.
         """
-        return self._registry.notices.set_limit(server_id, max_requests_per_s)
+        notices = self._registry.notices
+        return notices.set_limit(server_id, max_requests_per_s, now_s)
+
+    def set_reported_limit(
+        self, server_id: str, max_requests_per_s: float | None, now_s: float
+    ) -> bool:
+        """Set a limit that another daemon has learnt, unless an own answer is newer."""
+        notices = self._registry.notices
+        return notices.set_reported_limit(server_id, max_requests_per_s, now_s)
 
     @property
     def limited_servers(self) -> int:
--- a/src/gentianwharf/load/_server_notices.py
+++ b/src/gentianwharf/load/_server_notices.py
@@ -28,6 +28,9 @@
 
 DROP_INTERVAL_S = 5.0
 
+REPORT_LAG_S = 1.0
+"""Time that a report takes from one host by way of the leader to another."""
+
 
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -41,6 +44,8 @@
     cold_gap_s: float = 0.0
     """The same while the server is cold."""
     last_sent_s: float = -inf
+    limit_answered_s: float = -inf
+    """When the server last named its limit in an answer to this host."""
     unlisted_s: float | None = None
 
     def limit_wait_s(self, now_s: float) -> float:
@@ -104,8 +109,27 @@
         notices = self.of(server_id)
         notices.cold_until_s = max(notices.cold_until_s, until_s)
 
-    def set_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
-        """Set a server's limit for all hosts together; return whether it is new."""
+    def set_limit(
+        self, server_id: str, max_requests_per_s: float | None, now_s: float
+    ) -> bool:
+        """Set the limit that an answer named; return whether it is new."""
+        if max_requests_per_s is not None:
+            self.of(server_id).limit_answered_s = now_s
+        return self._change_limit(server_id, max_requests_per_s)
+
+    def set_reported_limit(
+        self, server_id: str, max_requests_per_s: float | None, now_s: float
+    ) -> bool:
+        """Set the limit that another host reported; return whether it is new.
+
+        Reports take a moment: a server's recent answer to this host is newer.
+        """
+        notices = self._notices.get(server_id)
+        if notices is not None and now_s < notices.limit_answered_s + REPORT_LAG_S:
+            return False
+        return self._change_limit(server_id, max_requests_per_s)
+
+    def _change_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
         notices = self._notices.get(server_id)
         known = notices.max_requests_per_s if notices is not None else None
         if max_requests_per_s == known:
--- a/tests/builders_notices.py
+++ b/tests/builders_notices.py
@@ -202,7 +202,7 @@
         limit_per_s = server.limit_at(now_s)
         if limit_per_s is not None:
             self._told_s.setdefault((number, start.server), now_s)
-        gate.set_limit(start.server, limit_per_s)
+        gate.set_limit(start.server, limit_per_s, now_s)
         self.answered += 1
         outcome = Outcome(kind=OutcomeKind.OK, elapsed_s=WORK_S)
         self._apply(
