--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -159,6 +159,7 @@
         self.leadership.on_gained = self._start_leading
         self.leadership.on_lost = self._stop_leading
         self._grant_manager.on_granted = self._note_granted
+        self._planner.limits_per_s = self._fleet_notices.limits_per_s
         self._planner.on_table = self.keys.set_table
         self._planner.on_isolated = self._resign_isolated
         self._planner.on_previous_leader = self._grants_exchange.request_grants
--- a/src/gentianwharf/keyspace/_capacity.py
+++ b/src/gentianwharf/keyspace/_capacity.py
@@ -1,6 +1,6 @@
 """The spare capacity of servers for shards that move without a handover."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
 from ._demand import Demand
@@ -21,6 +21,14 @@
 server's share of sixteen; the upper one keeps at least half of the load warm."""
 
 
+LIMIT_FILL = 0.6
+"""Part of a server's limit that the requests for its shards should use: they arrive at
+random times, and at hosts with a share of the limit each."""
+
+MIN_LIMITED_SHARE = 0.001
+"""Share of all load that remains for a server whose limit allows next to nothing."""
+
+
 def movable_cold_load(demand: Demand, candidates: Sequence[Candidate]) -> float:
     """Return the share of all load that may be cold, given the number of free slots.
 
@@ -52,6 +60,54 @@
     return max(used / slots, MIN_UTILIZATION) if slots else DEFAULT_UTILIZATION
 
 
+def within_limits(
+    candidates: Sequence[Candidate],
+    limits_per_s: Mapping[str, float],
+    *,
+    requests_per_s: float,
+) -> list[Candidate]:
+    """Return the candidates, with less capacity where a server names a limit.
+
+    Shards are divided in proportion to the capacities. That of a limited server is such
+    that its part of ``requests_per_s`` fits into its limit. If no server is left that
+    can take more, the capacities remain as they are.
+
+    >>> from ._table import Holder
+    >>> candidates = [
+    ...     Candidate(
+    ...         holder=Holder(server_id=name, born_ms=1, address="10.0.0.1:80"),
+    ...         capacity=3.0)
+    ...     for name in ("s1", "s2", "s3")]
+    >>> [round(candidate.capacity, 2) for candidate in within_limits(
+    ...     candidates, {"s1": 5.0}, requests_per_s=35.0)]
+    [0.56, 3.0, 3.0]
+    """
+    total = sum(candidate.capacity for candidate in candidates)
+    shares: dict[str, float] = {}
+    for candidate in candidates:
+        name = candidate.holder.server_id
+        limit_per_s = limits_per_s.get(name)
+        if limit_per_s is None or not requests_per_s:
+            continue
+        share = max(MIN_LIMITED_SHARE, limit_per_s * LIMIT_FILL / requests_per_s)
+        if share < candidate.capacity / total:
+            shares[name] = share
+    others = sum(
+        candidate.capacity
+        for candidate in candidates
+        if candidate.holder.server_id not in shares
+    )
+    if not shares or not others:
+        return list(candidates)
+    scale = others / (1 - sum(shares.values()))
+    return [
+        replace(candidate, capacity=shares[candidate.holder.server_id] * scale)
+        if candidate.holder.server_id in shares
+        else candidate
+        for candidate in candidates
+    ]
+
+
 def scale_by_speed(candidate: Candidate, demand: Demand) -> Candidate:
     """Return a candidate with its capacity scaled by its measured speed."""
     speed = demand.speed(candidate.holder.server_id)
--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -139,6 +139,12 @@
         wanted_s = REQUESTS_PER_SERVER * self._server_count / rate_per_s
         return min(MAX_DECAY_S, max(MIN_DECAY_S, wanted_s))
 
+    @property
+    def requests_per_s(self) -> float:
+        """The recent rate of requests for the service."""
+        self._decay()
+        return self._recent / MIN_DECAY_S
+
     def note_requests(self, counts: Mapping[int, float]) -> None:
         """Count requests by shard."""
         self._decay()
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -17,7 +17,12 @@
 from gentianwharf.logs import log
 from gentianwharf.store import Change, Item, Put, Store
 
-from ._capacity import movable_cold_load, scale_by_speed, utilization
+from ._capacity import (
+    movable_cold_load,
+    scale_by_speed,
+    utilization,
+    within_limits,
+)
 from ._demand import Demand
 from ._grant_manager import GrantManager
 from ._leadership import Leadership, Term
@@ -93,6 +98,8 @@
         self.on_previous_leader: Callable[[PreviousLeader], None] = lambda previous: (
             None
         )
+        self.limits_per_s: Callable[[], Mapping[str, float]] = dict
+        """Returns the limits that servers name for all hosts together."""
         self._store = store
         self._leadership = leadership
         self._leader_key = leader_key
@@ -265,7 +272,7 @@
             service.demand.update_speeds()
         planned = plan(
             service.table,
-            [scale_by_speed(candidate, service.demand) for candidate in reachable],
+            self._scaled(service, reachable),
             load,
             shards=self._shards,
             rebalance=is_rebalance_due,
@@ -285,6 +292,17 @@
         service.moves_finished_s = None
         self._write(service, cleaned or planned.table)
 
+    def _scaled(
+        self, service: _Service, reachable: Sequence[Candidate]
+    ) -> list[Candidate]:
+        """Return the candidates with the capacities that they have at the moment."""
+        demand = service.demand
+        return within_limits(
+            [scale_by_speed(candidate, demand) for candidate in reachable],
+            self.limits_per_s(),
+            requests_per_s=demand.requests_per_s,
+        )
+
     def _lost_holders(
         self, service: _Service, reachable: Sequence[Candidate], now_s: float
     ) -> LostHolders:
--- a/tests/test_keyspace_plan.py
+++ b/tests/test_keyspace_plan.py
@@ -2,10 +2,12 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
 from gentianwharf.keyspace import Candidate, KeyTable, LostHolders, ShardLoad, plan
+from gentianwharf.keyspace._capacity import within_limits
 from tests.builders_keyspace import SHARDS, candidate, span, table
 
 EVEN = ShardLoad(counts={}, shards=SHARDS)
@@ -266,3 +268,32 @@
     moved = [piece for piece in after.spans if piece.former_holders]
     assert sum(piece.shards for piece in moved) <= 200
     check_coverage(after)
+
+
+@pytest.mark.parametrize("limit_per_s", [2.2, 6.0])
+def test_shards_leave_a_server_that_names_a_limit(limit_per_s: float) -> None:
+    """Guards against callers refused at a server in need while others have room."""
+    requests_per_s = 40.0
+    load = ShardLoad(counts=dict.fromkeys(range(0, SHARDS, 2), 0.4), shards=SHARDS)
+    servers = [candidate(number) for number in range(1, 5)]
+    limited = within_limits(servers, {"s1": limit_per_s}, requests_per_s=requests_per_s)
+    tables = [table(*(span(250 * n, 250 * n + 249, n + 1) for n in range(4)))]
+    for _ in range(8):
+        after = planned(
+            _moved(tables[-1]), *limited, load=load, rebalance=True, utilization=0.4
+        )
+        tables.append(after)
+    check_coverage(tables[-1])
+    at_limited = sum(
+        load.share(piece.first, piece.last)
+        for piece in tables[-1].spans
+        if piece.holder.server_id == "s1"
+    )
+    assert at_limited * requests_per_s <= limit_per_s
+    assert _moved(tables[-1]) == _moved(tables[-2]), "the moves have ended"
+
+
+def _moved(before: KeyTable) -> KeyTable:
+    """Return the table after all its moves have finished."""
+    spans = tuple(replace(piece, former_holders=()) for piece in before.spans)
+    return replace(before, spans=spans)
