Leave a server that names a limit a third of it

Each host may send to such a server every few seconds only: at 0.6 of the limit about every third request comes too early.

--- a/src/gentianwharf/keyspace/_capacity.py
+++ b/src/gentianwharf/keyspace/_capacity.py
@@ -21,7 +21,7 @@
 server's share of sixteen; the upper one keeps at least half of the load warm."""
 
 
-LIMIT_FILL = 0.6
+LIMIT_FILL = 0.3
 """Part of a server's limit that the requests for its shards should use: they arrive at
 random times, and at hosts with a share of the limit each."""
 
@@ -80,7 +80,7 @@
     ...     for name in ("s1", "s2", "s3")]
     >>> [round(candidate.capacity, 2) for candidate in within_limits(
     ...     candidates, {"s1": 5.0}, requests_per_s=35.0)]
-    [0.56, 3.0, 3.0]
+    [0.27, 3.0, 3.0]
     """
     total = sum(candidate.capacity for candidate in candidates)
     shares: dict[str, float] = {}
