Read that a server leaves from its answers, and show it

The leaving of a server was known from the store alone; hosts could not tell whether an answer said so and it was unread, or the keys could not move. It is now read from every answer and from queries for the load, logged, and shown as leaving_servers. Nothing is decided by it yet. The stand-in server states it (--announces-leaving).

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -208,8 +208,13 @@
         if queried.cold_remaining_s:
             until_s = now_s + queried.cold_remaining_s
             self._gate.set_cold(server.id, until_s=until_s)
-        if queried.notice.max_requests_per_s is not None:
-            self.note_notice(server, queried.notice)
+        notice = queried.notice
+        # Without a limit in it, the answer ends none: servers may name their limits in
+        # answers to requests only.
+        if notice.max_requests_per_s is not None:
+            self.note_notice(server, notice)
+        elif notice.is_leaving:
+            self._note_leaving(server.id)
         if queried.load is None:
             self._gate.note_unreachable(server.id, now_s)
             return
@@ -238,6 +243,8 @@
         is_new = self._gate.set_limit(server.id, limit_per_s, self._now_s())
         if is_new:
             _log_limit(server.id, limit_per_s)
+        if notice.is_leaving:
+            self._note_leaving(server.id)
         if is_new or limit_per_s is not None:
             self.on_notice(server, notice)
 
@@ -247,6 +254,10 @@
         if self._gate.set_reported_limit(server_id, limit_per_s, self._now_s()):
             _log_limit(server_id, limit_per_s)
 
+    def _note_leaving(self, server_id: str) -> None:
+        if self._gate.set_leaving(server_id, self._now_s()):
+            log.info("server states that it leaves", extra={"server": server_id})
+
     def discard(self, ticket: Ticket) -> None:
         """Discard the hedge callback of a request that has had its answer."""
         self._hedges.pop(ticket.id, None)
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -60,6 +60,11 @@
         "Backend servers that name a limit of requests per second",
         lambda: gate.limited_servers,
     )
+    add(
+        "leaving_servers",
+        "Backend servers that stated in answers that they leave",
+        lambda: gate.leaving_servers,
+    )
     add(
         "limited_requests",
         "Requests sent to servers that named a limit since the start",
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -260,6 +260,15 @@
         notices = self._registry.notices
         return notices.set_reported_limit(server_id, max_requests_per_s, now_s)
 
+    def set_leaving(self, server_id: str, now_s: float) -> bool:
+        """Record that a server stated that it leaves; return whether it is new."""
+        return self._registry.notices.set_leaving(server_id, now_s)
+
+    @property
+    def leaving_servers(self) -> int:
+        """The number of servers that stated in answers that they leave."""
+        return self._registry.notices.leaving
+
     @property
     def limited_servers(self) -> int:
         """The number of servers that name a limit."""
--- a/src/gentianwharf/load/_server_notices.py
+++ b/src/gentianwharf/load/_server_notices.py
@@ -44,6 +44,8 @@
     cold_gap_s: float = 0.0
     """The same while the server is cold."""
     last_sent_s: float = -inf
+    leaving_since_s: float | None = None
+    """When the server first stated that it leaves."""
     limit_answered_s: float = -inf
     """When the server last named its limit in an answer to this host."""
     unlisted_s: float | None = None
@@ -81,6 +83,13 @@
             notices.max_requests_per_s is not None for notices in self._notices.values()
         )
 
+    @property
+    def leaving(self) -> int:
+        """The number of servers that stated that they leave."""
+        return sum(
+            notices.leaving_since_s is not None for notices in self._notices.values()
+        )
+
     def of(self, server_id: str) -> ServerNotices:
         """Return a server's notices, which are shared with all users of the table."""
         return self._notices.setdefault(server_id, ServerNotices())
@@ -139,6 +148,14 @@
         self._update_gaps(server_id, notices)
         return True
 
+    def set_leaving(self, server_id: str, now_s: float) -> bool:
+        """Record that a server stated that it leaves; return whether it is new."""
+        notices = self.of(server_id)
+        if notices.leaving_since_s is not None:
+            return False
+        notices.leaving_since_s = now_s
+        return True
+
     def drop_outdated(self, now_s: float, *, listed: Collection[str]) -> None:
         """Drop the notices of servers that have not been listed for long."""
         if now_s < self._dropped_s + DROP_INTERVAL_S:
--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -25,6 +25,7 @@
 RETRY_AFTER = b"Retry-After"
 SERVER_LOAD = b"Server-Load"
 SERVER_LIMIT = b"Server-Limit"
+SERVER_LEAVING = b"Server-Leaving"
 INSTANCE_ID = b"Instance-Id"
 COLD_REMAINING_MS = b"Cold-Remaining-Ms"
 
@@ -105,11 +106,15 @@
         )
 
     def notice(self, response: Response) -> ServerNotice:
-        """Return the limit that the server names for all hosts together."""
-        max_requests_per_s = _positive(response.headers, SERVER_LIMIT)
-        if max_requests_per_s is None:
+        """Return the limit that the server names, and whether it states to leave."""
+        headers = response.headers
+        max_requests_per_s = _positive(headers, SERVER_LIMIT)
+        is_leaving = headers.getRawHeaders(SERVER_LEAVING) == [b"1"]
+        if max_requests_per_s is None and not is_leaving:
             return NO_NOTICE
-        return ServerNotice(max_requests_per_s=max_requests_per_s)
+        return ServerNotice(
+            max_requests_per_s=max_requests_per_s, is_leaving=is_leaving
+        )
 
     def instance_id(self, headers: Headers) -> str | None:
         """Return the id of the server that answered a health check."""
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -95,6 +95,7 @@
     reports_slowdown: bool = False,
     cold_ms: float = 0.0,
     limit_per_s: float | None = None,
+    announces_leaving: bool = False,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -122,6 +123,8 @@
         How long it is cold after its start.
     limit_per_s
         The requests per second that its answers name as its limit.
+    announces_leaving
+        Whether its answers state that it leaves.
 
     """
     use_monotonic_time(reactor)
@@ -139,6 +142,7 @@
     server = _serve_backend(spec, store, seed=spec.born_ms)
     server.listed_as = listed_as or address
     server.max_requests_per_s = limit_per_s
+    server.announces_leaving = announces_leaving
     server.on_run = _print_run
     print("ready", flush=True)
     reactor.run()
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -99,6 +99,8 @@
         self.state = ServerState.READY
         self.max_requests_per_s: float | None = None
         """The limit for all hosts together that each answer names, None for none."""
+        self.announces_leaving = False
+        """Whether each answer states that the server leaves; its entry may not yet."""
         self._reactor = reactor
         self._rng = rng
         self._held_shards = HeldShards()
@@ -312,6 +314,8 @@
         return work.request
 
     def _add_notice(self, request: Request) -> None:
+        if self.announces_leaving:
+            request.setHeader(b"Server-Leaving", b"1")
         if self.max_requests_per_s is not None:
             request.setHeader(b"Server-Limit", f"{self.max_requests_per_s}".encode())
 
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -77,9 +77,11 @@
     """What a server states in an answer about the requests that it accepts.
 
     ``max_requests_per_s`` is its limit for all hosts together, None if it has none.
+    ``is_leaving`` means that it will end, and should get no more requests.
     """
 
     max_requests_per_s: float | None = None
+    is_leaving: bool = False
 
 
 NO_NOTICE = ServerNotice()
--- a/tests/test_users_platform_decoding.py
+++ b/tests/test_users_platform_decoding.py
@@ -244,6 +244,16 @@
         assert notice.max_requests_per_s == expected
 
 
+@pytest.mark.parametrize(
+    ("header", "expected"),
+    [(b"1", True), (b"0", False), (b"yes", False)],
+)
+def test_leaving_is_read_from_any_answer(header: bytes, expected: bool) -> None:
+    for code in (200, 421, 503):
+        response = response_with({b"Server-Leaving": [header]}, code=code)
+        assert PlatformHeaderCodec().notice(response).is_leaving is expected
+
+
 def test_answer_without_notices_states_none() -> None:
     assert PlatformHeaderCodec().notice(response_with({}, code=200)) == NO_NOTICE
 
