--- a/tests/builders_notices.py
+++ b/tests/builders_notices.py
@@ -38,6 +38,7 @@
 
     server: BackendServer
     max_requests_per_s: float | None = None
+    leaves: bool = False
     running: int = 0
 
     def limit_at(self, now_s: float) -> float | None:
@@ -46,9 +47,14 @@
 
 @dataclass
 class Sent:
-    """A request that reached a server, and whether its host was bound by then."""
+    """A request that reached a server, and whether its host was bound by then.
+
+    ``late_s`` is how long after the first notice of the server to this host the caller
+    sent it, minus infinity without a notice.
+    """
 
     at_s: float
+    late_s: float
     host: int
     server: str
     bound: bool
@@ -190,8 +196,15 @@
         now_s, server = self.clock.now_s, self.by_id[start.server]
         told_s = self._told_s.get((number, start.server), float("inf"))
         bound = now_s >= told_s + TOLD_S
+        begun_s, _ = self._begun[start.ticket_id]
         self.sent.append(
-            Sent(at_s=now_s, host=number, server=start.server, bound=bound)
+            Sent(
+                at_s=now_s,
+                late_s=begun_s - told_s,
+                host=number,
+                server=start.server,
+                bound=bound,
+            )
         )
         server.running += 1
         self.clock.call_later(WORK_S, self._answer, number, start, server)
@@ -200,9 +213,12 @@
         now_s, gate = self.clock.now_s, self.gates[number]
         server.running -= 1
         limit_per_s = server.limit_at(now_s)
-        if limit_per_s is not None:
+        leaves = server.leaves and now_s >= NOTICE_S
+        if limit_per_s is not None or leaves:
             self._told_s.setdefault((number, start.server), now_s)
         gate.set_limit(start.server, limit_per_s, now_s)
+        if leaves:
+            gate.set_leaving(start.server, now_s)
         self.answered += 1
         outcome = Outcome(kind=OutcomeKind.OK, elapsed_s=WORK_S)
         self._apply(
@@ -211,7 +227,7 @@
 
 
 def notice_server(
-    number: int, *, max_requests_per_s: float | None = None
+    number: int, *, max_requests_per_s: float | None = None, leaves: bool = False
 ) -> NoticeServer:
     """Return a server of three slots."""
     server = BackendServer(
@@ -222,4 +238,6 @@
         slots=3,
         connections=560,
     )
-    return NoticeServer(server=server, max_requests_per_s=max_requests_per_s)
+    return NoticeServer(
+        server=server, max_requests_per_s=max_requests_per_s, leaves=leaves
+    )
