Divide saved retries exactly among the hosts that save them

208 retries for 208 hosts came out below one each by rounding, and nobody could make any. The number of hosts is divided by now, in place of a multiplication with its inverse.

--- a/src/gentianwharf/load/_host_shares.py
+++ b/src/gentianwharf/load/_host_shares.py
@@ -43,14 +43,14 @@
         """Whether this host knows the other hosts."""
         return self._name in self._hosts
 
-    def share(self, subject: str, *, burst: int) -> float:
-        """Return this host's share, 0 if it does not take part.
+    def senders(self, subject: str, *, burst: int) -> int:
+        """Return among how many hosts the sum is divided, 0 if this is none of them.
 
         At most ``burst`` hosts take part, one at least. A host that does not know the
-        others has no share: several such hosts would add up.
+        others does not take part: several such hosts would add up.
         """
         senders = rendezvous_rank(subject, self._hosts)[: max(1, burst)]
-        return 1 / len(senders) if self._name in senders else 0.0
+        return len(senders) if self._name in senders else 0
 
     def gap_s(self, subject: str, *, requests_per_s: float, burst: int) -> float:
         """Return the minimum time between two requests of this host.
@@ -58,5 +58,5 @@
         It is infinite without a share. At any moment, all hosts together may send
         ``burst`` requests at once, and ``requests_per_s`` in the long run.
         """
-        share = self.share(subject, burst=burst)
-        return 1 / (requests_per_s * share) if share else inf
+        senders = self.senders(subject, burst=burst)
+        return senders / requests_per_s if senders else inf
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -130,11 +130,11 @@
         """Return how many retries this daemon may save for a service."""
         if self._saved_retries == inf:
             return MAX_SAVED_RETRIES
-        share = 1 / self._daemons
+        savers = self._daemons
         if self.notices.shares.are_known:
             burst = int(self._saved_retries)
-            share = self.notices.shares.share(f"retries/{service}", burst=burst)
-        return min(MAX_SAVED_RETRIES, self._saved_retries * share)
+            savers = self.notices.shares.senders(f"retries/{service}", burst=burst)
+        return min(MAX_SAVED_RETRIES, self._saved_retries / savers) if savers else 0.0
 
     def drop_if_unlisted(self, state: ServerState) -> None:
         """Drop a server that is not listed and has no requests in flight."""
