--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -35,9 +35,10 @@
         self._max_tokens = max_tokens
 
     def resize(self, max_tokens: float) -> None:
-        """Set how many tokens may be saved; surplus tokens are lost."""
+        """Set how many tokens may be saved; the same part of them remains saved."""
+        saved = self._tokens / self._max_tokens if self._max_tokens else 0.0
         self._max_tokens = max_tokens
-        self._tokens = min(self._tokens, max_tokens)
+        self._tokens = min(1.0, saved) * max_tokens
 
     @property
     def tokens(self) -> float:
