Stop sending to a server that states in its answers that it leaves

What callers saw: nothing; a server of calendrier went on getting 4 to 21 requests a second for 12 s after it had told the hosts that it leaves, and would have cut them off at its end.

Now the first answer that says so counts as a draining entry does: other requests stop at once, owners get requests for three quarters of the drain timeout, so that callers are served until the keys have moved, and are refused at once after that. The host tells the leader, which gives such a server no shards, and by it all others. It holds when the server is listed again: ids are not reused. On the entry alone, the table still decides where keys are: without a store they stay, and their requests are refused.

Weighed: to take the server from the list at once, as for a draining entry; then requests for its keys wait 0.4 s and are refused until the table is written, up to 1 s later.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -10,6 +10,7 @@
 from gentianwharf.logs import log
 from gentianwharf.placement import rendezvous_rank
 from gentianwharf.relay import (
+    NO_NOTICE,
     HedgeCallback,
     Outcome,
     Problem,
@@ -41,7 +42,7 @@
 The time is in seconds, and None if the server refused the request.
 """
 NoticeListener = Callable[[BackendServer, ServerNotice], None]
-"""Called with what a server stated in an answer, if it is new or limits requests."""
+"""Called with what a server stated in an answer, if it is new or not empty."""
 ServerOutcomeListener = Callable[[str, bool, float | None], None]
 """Called with a server's id, whether it answered, and the time that a run took.
 
@@ -215,6 +216,7 @@
             self.note_notice(server, notice)
         elif notice.is_leaving:
             self._note_leaving(server.id)
+            self.on_notice(server, notice)
         if queried.load is None:
             self._gate.note_unreachable(server.id, now_s)
             return
@@ -245,7 +247,7 @@
             _log_limit(server.id, limit_per_s)
         if notice.is_leaving:
             self._note_leaving(server.id)
-        if is_new or limit_per_s is not None:
+        if is_new or notice != NO_NOTICE:
             self.on_notice(server, notice)
 
     def note_reported_notice(self, server_id: str, notice: ServerNotice) -> None:
@@ -253,6 +255,8 @@
         limit_per_s = notice.max_requests_per_s
         if self._gate.set_reported_limit(server_id, limit_per_s, self._now_s()):
             _log_limit(server_id, limit_per_s)
+        if notice.is_leaving:
+            self._note_leaving(server_id)
 
     def _note_leaving(self, server_id: str) -> None:
         if self._gate.set_leaving(server_id, self._now_s()):
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -91,6 +91,7 @@
     ) -> None:
         self.on_host_count: Callable[[int], None] = lambda host_count: None
         self.on_hosts: Callable[[Sequence[str]], None] = lambda names: None
+        self.on_notices: Callable[[Notices], None] = lambda notices: None
         self.host_count = INITIAL_HOST_COUNT
         self.keyed: set[str] = set()
         self._servers_changed = False
@@ -169,6 +170,7 @@
         peers.on_requests = self._add_requests
         peers.on_load = self._add_load
         peers.on_reported_notices = self._add_notices
+        peers.on_notices = self._apply_notices
         peers.on_granted = self._note_broadcast_grant
         peers.on_events = self._note_events
         peers.on_host_count = self._set_host_count
@@ -261,8 +263,10 @@
             self.peers.observed.note_load(server, load, elapsed_s)
 
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
-        """Add what a server stated in an answer to the next report."""
+        """Apply what a server stated in an answer, and add it to the next report."""
         self.peers.observed.note_notice(server, notice)
+        if notice.is_leaving:
+            self.directory.set_leaving(server.id)
 
     def note_unanswered(self, server: BackendServer) -> None:
         """Add to the next report that a server did not answer a request."""
@@ -344,6 +348,12 @@
         else:
             self._server_speeds.note_load(service, server_id, load)
 
+    def _apply_notices(self, notices: Notices) -> None:
+        for server_id, report in notices.items():
+            if report.is_leaving:
+                self.directory.set_leaving(server_id)
+        self.on_notices(notices)
+
     def _add_notices(self, notices: Notices) -> None:
         for server_id, report in notices.items():
             self._fleet_notices.note(server_id, report)
--- a/src/gentianwharf/entryhost/_directory.py
+++ b/src/gentianwharf/entryhost/_directory.py
@@ -25,6 +25,9 @@
 """Time for which servers count as cold after an evacuation, until their next entries
 state whether they are."""
 
+LEAVING_KEPT_S = 600.0
+"""Time for which it is remembered that a server leaves, also if it is listed again."""
+
 
 @final
 class Directory:
@@ -38,6 +41,8 @@
         self._evacuated: set[str] = set()
         self._cold_until_s: dict[str, float] = {}
         self._starting: set[str] = set()
+        self._leaving_since_s: dict[str, float] = {}
+        """Servers that stated in answers that they leave."""
         self._mirror = mirror
         self._reactor = reactor
         self._pending_removals: dict[str, Any] = {}
@@ -54,9 +59,10 @@
 
         Servers whose entries have lapsed are excluded, unless fewer than half of the
         servers would remain: a lapse of most entries at once indicates a fault of the
-        store.
+        store. Servers that stated only in answers that they leave are included: they
+        get requests for their keys until these have moved.
         """
-        ready = self.candidates(service)
+        ready = self._ready(service)
         confirmed = [entry for entry in ready if entry.id not in self._pending_removals]
         return confirmed if len(confirmed) * 2 >= len(ready) else ready
 
@@ -64,8 +70,16 @@
         """Return the servers of a service that may hold keys.
 
         They include servers whose entries have lapsed: these keep their keys until the
-        lapse is confirmed.
+        lapse is confirmed. A server that stated in an answer that it leaves is not
+        included: its entry may follow much later, when the store is down.
         """
+        return [
+            entry
+            for entry in self._ready(service)
+            if entry.id not in self._leaving_since_s
+        ]
+
+    def _ready(self, service: str) -> list[ServerEntry]:
         return [entry for entry in self.entries(service) if self._accepts_work(entry)]
 
     def without_starting(self, entries: list[ServerEntry]) -> list[ServerEntry]:
@@ -81,6 +95,19 @@
         until_s = self._cold_until_s.get(server_id, 0.0)
         return max(0.0, until_s - float(self._reactor.seconds()))
 
+    def set_leaving(self, server_id: str) -> None:
+        """Record that a server stated in an answer that it leaves."""
+        if server_id in self._leaving_since_s:
+            return
+        now_s = self._reactor.seconds()
+        for former_id, since_s in list(self._leaving_since_s.items()):
+            if now_s > since_s + LEAVING_KEPT_S:
+                del self._leaving_since_s[former_id]
+        self._leaving_since_s[server_id] = now_s
+        entry = self._entries.get(server_id)
+        if entry is not None:
+            self._coalescer.note(entry.service)
+
     def set_evacuated(self, domain: str, evacuated: bool) -> None:
         """Set whether the servers of a failure domain are excluded from all work."""
         if evacuated is (domain in self._evacuated):
--- a/src/gentianwharf/entryhost/_fleet_notices.py
+++ b/src/gentianwharf/entryhost/_fleet_notices.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import final
 
+import msgspec
+
 from ._peer_messages import ServerNoticeReport
 
 VALID_S = 20.0
@@ -47,6 +49,9 @@
     def note(self, server_id: str, report: ServerNoticeReport) -> None:
         """Record what a host reported; the newest report of a server counts."""
         former = self._reported.get(server_id)
+        if former is not None and former.report.is_leaving:
+            # A server that leaves does not come back under its id.
+            report = msgspec.structs.replace(report, is_leaving=True)
         if former is None or former.report != report:
             self._changed.add(server_id)
         self._reported[server_id] = _Reported(report=report, at_s=self._now_s())
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -48,6 +48,9 @@
 NOTICE_S = 2.5
 """The balancer checks once per second and removes a host after two failed checks."""
 
+LEAVING_GRACE_SHARE = 0.75
+"""Part of the drain timeout for which owners that leave get requests for their keys."""
+
 STOP_MARGIN_S = 0.3
 """Time between the last answers and the forced end by the platform."""
 
@@ -87,7 +90,7 @@
         self._coordinator.on_host_count = self._set_host_count
         self._coordinator.on_hosts = self._gate.set_hosts
         self._coordinator.peers.on_speeds = self._gate.set_speeds
-        self._coordinator.peers.on_notices = self._apply_notices
+        self._coordinator.on_notices = self._apply_notices
         self._coordinator.directory.on_change = self._update_servers
         self._coordinator.directory.on_cold = self._note_cold
         self._coordinator.rules.on_change = self._apply_configuration
@@ -110,6 +113,8 @@
             daemons=self._coordinator.host_count,
             name=self.settings.name,
             saved_retries=self.settings.agreements.retry_budget_extra,
+            leaving_grace_s=self.settings.agreements.drain_timeout_s
+            * LEAVING_GRACE_SHARE,
         )
         self._admission = GateAdmission(
             gate=self._gate,
@@ -308,7 +313,10 @@
 
     def _apply_notices(self, notices: Notices) -> None:
         for server_id, report in notices.items():
-            notice = ServerNotice(max_requests_per_s=report.max_requests_per_s)
+            notice = ServerNotice(
+                max_requests_per_s=report.max_requests_per_s,
+                is_leaving=report.is_leaving,
+            )
             self._admission.note_reported_notice(server_id, notice)
 
     def _note_cold(self, server_id: str) -> None:
--- a/src/gentianwharf/entryhost/_load_accumulator.py
+++ b/src/gentianwharf/entryhost/_load_accumulator.py
@@ -34,7 +34,9 @@
 
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Add what a server stated to the next report, in place of earlier notices."""
-        self._notices[server.id] = ServerNoticeReport(notice.max_requests_per_s)
+        self._notices[server.id] = ServerNoticeReport(
+            notice.max_requests_per_s, notice.is_leaving
+        )
 
     def note_request(self, service: str, shard: int) -> None:
         """Count a request for the next report."""
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -24,7 +24,8 @@
     ``max_requests_per_s`` is its limit for all hosts together, None if it has ended.
     """
 
-    max_requests_per_s: float | None
+    max_requests_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class Report(msgspec.Struct, array_like=True, tag="report"):
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -42,7 +42,7 @@
     Ticket,
     Wait,
 )
-from ._server_state import LoadReport
+from ._server_state import LEAVING_GRACE_S, LoadReport
 from ._snapshot import GateSnapshot, gate_snapshot
 
 
@@ -52,7 +52,8 @@
 
     The decisions in a returned list are about requests that waited, or are hedges.
     ``name`` is this daemon's among the names of ``set_hosts``. ``saved_retries`` bounds
-    the burst of retries for one service that all daemons together may start.
+    the burst of retries for one service that all daemons together may start. An owner
+    that leaves gets requests for its shards for ``leaving_grace_s``.
 
     >>> server = BackendServer(id="ledger-1", service="ledger", domain="hall-a",
     ...                        address="127.0.0.1:9200", slots=3, connections=120)
@@ -80,6 +81,7 @@
         daemons: int,
         name: str = "",
         saved_retries: float = inf,
+        leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
         self._rng = rng
         self._registry = Registry(
@@ -90,6 +92,7 @@
             daemons=daemons,
             name=name,
             saved_retries=saved_retries,
+            leaving_grace_s=leaving_grace_s,
         )
         self._pause_detector = PauseDetector()
         self._flights = Flights()
@@ -262,7 +265,7 @@
 
     def set_leaving(self, server_id: str, now_s: float) -> bool:
         """Record that a server stated that it leaves; return whether it is new."""
-        return self._registry.notices.set_leaving(server_id, now_s)
+        return self._registry.set_leaving(server_id, now_s)
 
     @property
     def leaving_servers(self) -> int:
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -12,7 +12,7 @@
 from ._pool import Pool
 from ._requests import RequestClass, Ticket
 from ._server_notices import NoticeTable, ServerNotices
-from ._server_state import LoadReport, ServerState
+from ._server_state import LEAVING_GRACE_S, LoadReport, ServerState
 
 PoolKey = tuple[str, str | None]
 
@@ -34,8 +34,10 @@
         daemons: int,
         name: str = "",
         saved_retries: float = inf,
+        leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
         self._saved_retries = saved_retries
+        self._leaving_grace_s = leaving_grace_s
         self._name = name
         self.notices = NoticeTable(name=name)
         self._domain = domain
@@ -173,7 +175,10 @@
             max_connections=self._share_of_connections(server),
             preference=rendezvous_score(self._name, server.id),
             notices=self._notices_of(server),
+            leaving_grace_s=self._leaving_grace_s,
         )
+        if state.notices.leaving_since_s is not None:
+            state.update_leaving(state.notices.leaving_since_s)
         self.servers[server.id] = state
         self._index(state)
         return state
@@ -223,6 +228,14 @@
         self.notices.set_hosts(names)
         self._resize_budgets()
 
+    def set_leaving(self, server_id: str, now_s: float) -> bool:
+        """Record that a server stated that it leaves; return whether it is new."""
+        is_new = self.notices.set_leaving(server_id, now_s)
+        state = self.servers.get(server_id)
+        if is_new and state is not None:
+            state.update_leaving(now_s)
+        return is_new
+
     def _notices_of(self, server: BackendServer) -> ServerNotices:
         return self.notices.set_listed(
             server.id, cold_requests_per_s=server.cold_requests_per_s
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -138,6 +138,8 @@
     last_answer_s: float = 0.0
     last_report_s: float = 0.0
     leaving_since_s: float = 0.0
+    leaving_grace_s: float = LEAVING_GRACE_S
+    """Time for which an owner that leaves still gets requests for its shards."""
     listed: bool = True
     draining: bool = False
     shed_until_s: float = 0.0
@@ -205,7 +207,7 @@
     def accepts_pinned(self, now_s: float) -> bool:
         """Whether a request that no other server may run may be sent."""
         if self.health is HealthStatus.LEAVING:
-            return now_s < self.leaving_since_s + LEAVING_GRACE_S
+            return now_s < self.leaving_since_s + self.leaving_grace_s
         return self.health is HealthStatus.ACTIVE
 
     def accepts_probe(self, now_s: float, *, repeatable: bool) -> bool:
@@ -291,7 +293,7 @@
     def set_listed(self, listed: bool, now_s: float) -> None:
         """Set whether the list of the service's servers contains this one."""
         self.listed = listed
-        self._update_leaving(now_s)
+        self.update_leaving(now_s)
 
     def set_draining(self, draining: bool, now_s: float) -> None:
         """Set whether the server reports that it is draining.
@@ -300,10 +302,13 @@
         time; that must not make it active again.
         """
         self.draining = draining
-        self._update_leaving(now_s)
+        self.update_leaving(now_s)
 
-    def _update_leaving(self, now_s: float) -> None:
+    def update_leaving(self, now_s: float) -> None:
+        """Update whether the server leaves, by its entry, reports and notices."""
         leaving = self.draining or not self.listed
+        if self.notices.leaving_since_s is not None:
+            leaving, now_s = True, self.notices.leaving_since_s
         if leaving and self.health is not HealthStatus.LEAVING:
             self.health = HealthStatus.LEAVING
             self.leaving_since_s = now_s
--- a/tests/builders_notices.py
+++ b/tests/builders_notices.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from gentianwharf.entryhost._host import LEAVING_GRACE_SHARE
 from gentianwharf.load import (
     Decision,
     Gate,
@@ -28,6 +29,7 @@
 FIRST_COUNTED_S = NOTICE_S + 3.0
 """Hosts have this time to learn of a notice: ``contact`` on the users' pages."""
 
+DRAIN_TIMEOUT_S = 2.0
 TOLD_S = 0.5
 """A host is bound by an answer from this time after it."""
 
@@ -104,6 +106,7 @@
                 rng=Random(f"{self.seed}/{number}"),
                 daemons=self.hosts,
                 name=name,
+                leaving_grace_s=DRAIN_TIMEOUT_S * LEAVING_GRACE_SHARE,
             )
             for number, name in enumerate(names)
         ]
--- a/tests/test_entryhost_notices.py
+++ b/tests/test_entryhost_notices.py
@@ -1,5 +1,7 @@
 """Notices of servers reach all hosts by way of the leader."""
 
+from dataclasses import replace
+
 import pytest
 
 from gentianwharf.entryhost._fleet_notices import REPEAT_INTERVAL_S, FleetNotices
@@ -10,6 +12,7 @@
 from tests.builders_load import server
 
 LIMITED = ServerNotice(max_requests_per_s=2.2)
+LEAVING = ServerNotice(is_leaving=True)
 
 
 @pytest.fixture
@@ -46,6 +49,39 @@
     assert tables == [{"inscription-0": ServerNoticeReport(None)}] * 3
 
 
+@pytest.mark.parametrize("store_is_down", [False, True])
+def test_server_that_states_to_leave_may_hold_no_shards(
+    fleet: Fleet, store_is_down: bool
+) -> None:
+    """Guards against a leader that waits for the store to say that a server leaves."""
+    for name in ("s1", "s2"):
+        fleet.list_server(name)
+    fleet.run(1.0)
+    for host in fleet.hosts:
+        host.store.is_silent = store_is_down
+    follower = fleet.follower()
+    follower.coordinator.note_notice(replace(server(0), id="s1"), LEAVING)
+    fleet.run(0.5)
+    for host in fleet.hosts:
+        directory = host.coordinator.directory
+        assert [entry.id for entry in directory.candidates("calendar")] == ["s2"]
+        assert len(directory.usable("calendar")) == 2
+
+
+def test_server_that_left_stays_so_when_it_is_listed_again(fleet: Fleet) -> None:
+    """Guards against a notice that is forgotten when an entry is written again."""
+    fleet.list_server("s1")
+    fleet.run(1.0)
+    fleet.follower().coordinator.note_notice(replace(server(0), id="s1"), LEAVING)
+    fleet.run(0.5)
+    fleet.remove_server("s1")
+    fleet.run(0.5)
+    fleet.list_server("s1")
+    fleet.run(0.5)
+    for host in fleet.hosts:
+        assert not host.coordinator.directory.candidates("calendar")
+
+
 def test_notices_are_repeated() -> None:
     """Guards against a host that misses the only message about a limit."""
     now_s = 10.0
--- a/tests/test_load_leaving.py
+++ b/tests/test_load_leaving.py
@@ -2,10 +2,9 @@
 
 import pytest
 
-from tests.builders_notices import NoticeFleet, notice_server
-
-DRAIN_TIMEOUT_S = 2.0
-"""Requests that callers send later than this after the notice may not reach it."""
+from gentianwharf.load import Start
+from tests.builders_load import OWNER, gate, ok, owned, server, service
+from tests.builders_notices import DRAIN_TIMEOUT_S, NoticeFleet, notice_server
 
 
 @pytest.mark.parametrize("hosts", [1, 10])
@@ -36,3 +35,20 @@
         if sent.server == leaving.server.id and sent.late_s > DRAIN_TIMEOUT_S
     ]
     assert not late
+
+
+def test_leaving_outlasts_a_new_entry_of_the_server() -> None:
+    """Guards against a notice that is forgotten when an entry is written again."""
+    leaving = gate(service(name="calendrier", servers=1, keyed=True))
+    leaving.set_leaving(OWNER, 10.0)
+    leaving.set_servers("calendrier", [], 11.0)
+    leaving.set_servers("calendrier", [server(0, service="calendrier")], 12.0)
+    assert not isinstance(leaving.submit(owned("1"), 14.0), Start)
+
+
+def test_owner_that_leaves_is_used_until_its_shards_have_moved() -> None:
+    """Guards against refused callers in the moment that a move takes."""
+    leaving = gate(service(name="calendrier", servers=1, keyed=True))
+    leaving.set_leaving(OWNER, 10.0)
+    assert isinstance(leaving.submit(owned("1"), 10.5), Start)
+    leaving.finished("1", ok(), 10.6)
