Keep a server's limit when a query's answer names none

A query's answer that said that the server leaves, and named no limit, was reported to the leader as the end of its limit, and by it to all hosts. Only answers to requests end a limit. test_query_without_a_limit_does_not_end_the_server_s_limit fails on the code before: the report said None in place of 2.2 (by reading; its last line was added after the fix). Tests of admission and limits passed.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -1,6 +1,7 @@
 """Adapter from the gate's decisions to the relay's admission interface."""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from typing import Any, Protocol, final
 
 from twisted.internet.defer import CancelledError, Deferred, FirstError, gatherResults
@@ -209,14 +210,8 @@
         if queried.cold_remaining_s:
             until_s = now_s + queried.cold_remaining_s
             self._gate.set_cold(server.id, until_s=until_s)
-        notice = queried.notice
-        # Without a limit in it, the answer ends none: servers may name their limits in
-        # answers to requests only.
-        if notice.max_requests_per_s is not None:
-            self.note_notice(server, notice)
-        elif notice.is_leaving:
-            self._note_leaving(server.id)
-            self.on_notice(server, notice)
+        if queried.notice != NO_NOTICE:
+            self._note_queried_notice(server, queried.notice)
         if queried.load is None:
             self._gate.note_unreachable(server.id, now_s)
             return
@@ -250,6 +245,14 @@
         if is_new or notice != NO_NOTICE:
             self.on_notice(server, notice)
 
+    def _note_queried_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        # A query's answer without a limit ends none: servers may name their limits in
+        # answers to requests only.
+        if notice.max_requests_per_s is None:
+            limit_per_s = self._gate.limit_of(server.id)
+            notice = replace(notice, max_requests_per_s=limit_per_s)
+        self.note_notice(server, notice)
+
     def note_reported_notice(self, server_id: str, notice: ServerNotice) -> None:
         """Record what a server stated in an answer to another host."""
         limit_per_s = notice.max_requests_per_s
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -256,6 +256,10 @@
         notices = self._registry.notices
         return notices.set_limit(server_id, max_requests_per_s, now_s)
 
+    def limit_of(self, server_id: str) -> float | None:
+        """Return the limit that a server names, None if it has none."""
+        return self._registry.notices.limit_of(server_id)
+
     def set_reported_limit(
         self, server_id: str, max_requests_per_s: float | None, now_s: float
     ) -> bool:
--- a/src/gentianwharf/load/_server_notices.py
+++ b/src/gentianwharf/load/_server_notices.py
@@ -138,10 +138,13 @@
             return False
         return self._change_limit(server_id, max_requests_per_s)
 
-    def _change_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
+    def limit_of(self, server_id: str) -> float | None:
+        """Return the limit that a server names, None if it has none."""
         notices = self._notices.get(server_id)
-        known = notices.max_requests_per_s if notices is not None else None
-        if max_requests_per_s == known:
+        return notices.max_requests_per_s if notices is not None else None
+
+    def _change_limit(self, server_id: str, max_requests_per_s: float | None) -> bool:
+        if max_requests_per_s == self.limit_of(server_id):
             return False
         notices = self.of(server_id)
         notices.max_requests_per_s = max_requests_per_s
--- a/tests/test_admission_queries.py
+++ b/tests/test_admission_queries.py
@@ -7,7 +7,7 @@
 
 from gentianwharf.admission import GateAdmission
 from gentianwharf.load import Gate
-from gentianwharf.relay import QueriedLoad, ServerLoad, Ticket
+from gentianwharf.relay import QueriedLoad, ServerLoad, ServerNotice, Ticket
 from gentianwharf.topology import BackendServer
 from tests import builders_load as build
 
@@ -78,3 +78,18 @@
         assert not placed
         pending.callback(QueriedLoad(load=LOAD, cold_remaining_s=0.0))
     assert len(placed) == 1
+
+
+def test_query_without_a_limit_does_not_end_the_server_s_limit() -> None:
+    """Guards against a limit that is lifted where servers name it to requests only."""
+    admission, gate, queries = make_admission()
+    limited = build.server(0)
+    noted: list[ServerNotice] = []
+    admission.on_notice = lambda server, notice: noted.append(notice)
+    admission.note_notice(limited, ServerNotice(max_requests_per_s=2.2))
+    admission.explore(limited)
+    notice = ServerNotice(is_leaving=True)
+    answer = QueriedLoad(load=LOAD, cold_remaining_s=0.0, notice=notice)
+    queries.pending[-1].callback(answer)
+    assert gate.limit_of(limited.id) == 2.2
+    assert noted[-1] == ServerNotice(max_requests_per_s=2.2, is_leaving=True)
