Read the rest that a server asks for where it turns a request away, and show it

It is now read from every 503 with Retry-After, whether it says that nothing ran or not, logged when a rest begins, and shown as resting_servers. What is decided remains as it was. The stand-in server asks for rest (--rest-s). A time that is no number above zero counts as none.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -242,6 +242,8 @@
             _log_limit(server.id, limit_per_s)
         if notice.is_leaving:
             self._note_leaving(server.id)
+        if notice.rest_s is not None:
+            self._note_rest(server.id, notice.rest_s)
         if is_new or notice != NO_NOTICE:
             self.on_notice(server, notice)
 
@@ -261,6 +263,12 @@
         if notice.is_leaving:
             self._note_leaving(server_id)
 
+    def _note_rest(self, server_id: str, rest_s: float) -> None:
+        if self._gate.set_rest(server_id, rest_s, self._now_s()):
+            log.info(
+                "server asks for rest", extra={"server": server_id, "rest_s": rest_s}
+            )
+
     def _note_leaving(self, server_id: str) -> None:
         if self._gate.set_leaving(server_id, self._now_s()):
             log.info("server states that it leaves", extra={"server": server_id})
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -1,6 +1,6 @@
 """Gauges of an entry host's state."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from gentianwharf.load import Gate
 from gentianwharf.relay import CallerSite, LoadClient, RelayApp
@@ -19,6 +19,7 @@
     servers: Mapping[str, BackendServer],
     load_client: LoadClient,
     gate: Gate,
+    now_s: Callable[[], float],
 ) -> None:
     """Add gauges of the state, which are read whenever metrics are requested."""
     add = metrics.add_gauge
@@ -65,6 +66,11 @@
         "Backend servers that stated in answers that they leave",
         lambda: gate.leaving_servers,
     )
+    add(
+        "resting_servers",
+        "Backend servers that asked this host for rest, which has not ended",
+        lambda: gate.resting_servers(now_s()),
+    )
     add(
         "limited_requests",
         "Requests sent to servers that named a limit since the start",
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -165,6 +165,7 @@
             servers=self._servers,
             load_client=self._load_client,
             gate=self._gate,
+            now_s=self._reactor.seconds,
         )
 
     # Start and stop.
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -267,6 +267,17 @@
         notices = self._registry.notices
         return notices.set_reported_limit(server_id, max_requests_per_s, now_s)
 
+    def set_rest(self, server_id: str, rest_s: float, now_s: float) -> bool:
+        """Record that a server wants no requests for a time.
+
+        Return whether it wanted some until now.
+        """
+        return self._registry.notices.set_rest(server_id, rest_s, now_s)
+
+    def resting_servers(self, now_s: float) -> int:
+        """Return the number of servers that want no requests at the moment."""
+        return self._registry.notices.resting(now_s)
+
     def set_leaving(self, server_id: str, now_s: float) -> bool:
         """Record that a server stated that it leaves; return whether it is new."""
         return self._registry.set_leaving(server_id, now_s)
--- a/src/gentianwharf/load/_server_notices.py
+++ b/src/gentianwharf/load/_server_notices.py
@@ -46,6 +46,8 @@
     last_sent_s: float = -inf
     leaving_since_s: float | None = None
     """When the server first stated that it leaves."""
+    rest_until_s: float = 0.0
+    """Until when the server wants no requests from this host, 0 if it never did."""
     limit_answered_s: float = -inf
     """When the server last named its limit in an answer to this host."""
     unlisted_s: float | None = None
@@ -151,6 +153,20 @@
         self._update_gaps(server_id, notices)
         return True
 
+    def set_rest(self, server_id: str, rest_s: float, now_s: float) -> bool:
+        """Record that a server wants no requests for a time; return whether it is new.
+
+        A shorter time in a later answer does not end the rest sooner.
+        """
+        notices = self.of(server_id)
+        is_new = now_s >= notices.rest_until_s
+        notices.rest_until_s = max(notices.rest_until_s, now_s + rest_s)
+        return is_new
+
+    def resting(self, now_s: float) -> int:
+        """Return the number of servers that want no requests from this host."""
+        return sum(now_s < notices.rest_until_s for notices in self._notices.values())
+
     def set_leaving(self, server_id: str, now_s: float) -> bool:
         """Record that a server stated that it leaves; return whether it is new."""
         notices = self.of(server_id)
--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -30,6 +30,7 @@
 COLD_REMAINING_MS = b"Cold-Remaining-Ms"
 
 STATUS_NOT_OWNER = 421
+STATUS_UNAVAILABLE = 503
 
 
 @final
@@ -84,7 +85,7 @@
             return None
         return ServerRefusal(
             not_owner=response.code == STATUS_NOT_OWNER,
-            retry_after_s=_retry_after_s(headers),
+            retry_after_s=_positive(headers, RETRY_AFTER),
         )
 
     def load(self, headers: Headers) -> ServerLoad | None:
@@ -106,14 +107,19 @@
         )
 
     def notice(self, response: Response) -> ServerNotice:
-        """Return the limit that the server names, and whether it states to leave."""
+        """Return the server's limit, whether it leaves and the rest it asks for."""
         headers = response.headers
         max_requests_per_s = _positive(headers, SERVER_LIMIT)
         is_leaving = headers.getRawHeaders(SERVER_LEAVING) == [b"1"]
-        if max_requests_per_s is None and not is_leaving:
+        rest_s = None
+        if response.code == STATUS_UNAVAILABLE:
+            rest_s = _positive(headers, RETRY_AFTER)
+        if max_requests_per_s is None and not is_leaving and rest_s is None:
             return NO_NOTICE
         return ServerNotice(
-            max_requests_per_s=max_requests_per_s, is_leaving=is_leaving
+            max_requests_per_s=max_requests_per_s,
+            is_leaving=is_leaving,
+            rest_s=rest_s,
         )
 
     def instance_id(self, headers: Headers) -> str | None:
@@ -141,11 +147,3 @@
     except ValueError:
         return None
     return number if 0.0 < number < inf else None
-
-
-def _retry_after_s(headers: Headers) -> float | None:
-    values = headers.getRawHeaders(RETRY_AFTER)
-    try:
-        return float(values[0]) if values else None
-    except ValueError:
-        return None
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -96,6 +96,7 @@
     cold_ms: float = 0.0,
     limit_per_s: float | None = None,
     announces_leaving: bool = False,
+    rest_s: float | None = None,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -125,6 +126,8 @@
         The requests per second that its answers name as its limit.
     announces_leaving
         Whether its answers state that it leaves.
+    rest_s
+        The seconds for which it refuses every request and asks for rest.
 
     """
     use_monotonic_time(reactor)
@@ -143,6 +146,7 @@
     server.listed_as = listed_as or address
     server.max_requests_per_s = limit_per_s
     server.announces_leaving = announces_leaving
+    server.rest_s = rest_s
     server.on_run = _print_run
     print("ready", flush=True)
     reactor.run()
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -101,6 +101,8 @@
         """The limit for all hosts together that each answer names, None for none."""
         self.announces_leaving = False
         """Whether each answer states that the server leaves; its entry may not yet."""
+        self.rest_s: float | None = None
+        """While it is set, each request is refused, and rest asked for this time."""
         self._reactor = reactor
         self._rng = rng
         self._held_shards = HeldShards()
@@ -232,6 +234,9 @@
             self._refuse(work, STATUS_BAD_REQUEST)
         elif self._expects_other_server(request) or not self._may_run(work):
             self._refuse(work, STATUS_OTHER_SERVER)
+        elif self.rest_s is not None:
+            request.setHeader(b"Retry-After", f"{self.rest_s}".encode())
+            self._refuse(work, STATUS_UNAVAILABLE)
         elif len(self._running) < self.spec.slots:
             self._run(work)
         elif len(self._waiting) < self.spec.slots * QUEUE_PER_SLOT:
--- a/src/gentianwharf/relay/_header_codec.py
+++ b/src/gentianwharf/relay/_header_codec.py
@@ -131,8 +131,11 @@
         return None
 
     def notice(self, response: Response) -> ServerNotice:
-        """Return an empty notice: servers name no limits."""
-        return NO_NOTICE
+        """Return the rest that a server asks for which refuses a request."""
+        refusal = self.refusal(response)
+        if refusal is None or refusal.retry_after_s is None:
+            return NO_NOTICE
+        return ServerNotice(rest_s=refusal.retry_after_s)
 
     def retry_after(self, delay_s: float) -> bytes:
         """Round up to whole seconds, the unit of RFC 9110."""
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -77,11 +77,13 @@
     """What a server states in an answer about the requests that it accepts.
 
     ``max_requests_per_s`` is its limit for all hosts together, None if it has none.
-    ``is_leaving`` means that it will end, and should get no more requests.
+    ``is_leaving`` means that it will end, and should get no more requests. ``rest_s``
+    is the time for which it wants none from this host, None if it refused nothing.
     """
 
     max_requests_per_s: float | None = None
     is_leaving: bool = False
+    rest_s: float | None = None
 
 
 NO_NOTICE = ServerNotice()
--- a/tests/test_users_platform_decoding.py
+++ b/tests/test_users_platform_decoding.py
@@ -254,6 +254,23 @@
         assert PlatformHeaderCodec().notice(response).is_leaving is expected
 
 
+@pytest.mark.parametrize(
+    ("code", "header", "expected"),
+    [
+        pytest.param(503, b"3", 3.0, id="turned-away"),
+        pytest.param(503, b"0.5", 0.5, id="fraction"),
+        pytest.param(503, b"soon", None, id="no-number"),
+        pytest.param(200, b"3", None, id="success"),
+        pytest.param(421, b"3", None, id="not-owner"),
+    ],
+)
+def test_rest_is_read_where_a_server_turns_away(
+    code: int, header: bytes, expected: float | None
+) -> None:
+    response = response_with({b"Retry-After": [header]}, code=code)
+    assert PlatformHeaderCodec().notice(response).rest_s == expected
+
+
 def test_answer_without_notices_states_none() -> None:
     assert PlatformHeaderCodec().notice(response_with({}, code=200)) == NO_NOTICE
 
