--- a/tests/builders_notices.py
+++ b/tests/builders_notices.py
@@ -20,6 +20,7 @@
 
 SERVICE = "clubdesk"
 WORK_S = 0.12
+REFUSAL_S = 0.003
 QUERY_S = 0.003
 TICK_S = 0.02
 DEADLINE_S = 2.5
@@ -41,6 +42,8 @@
     server: BackendServer
     max_requests_per_s: float | None = None
     leaves: bool = False
+    rest_s: float | None = None
+    """While notice is given, every request is turned away for this time."""
     running: int = 0
 
     def limit_at(self, now_s: float) -> float | None:
@@ -62,6 +65,15 @@
     bound: bool
 
 
+@dataclass
+class TurnedAway:
+    """A request that a server turned away, asking the host for rest."""
+
+    at_s: float
+    host: int
+    server: str
+
+
 @dataclass
 class Refused:
     """A request that a host refused, and how long it was held."""
@@ -82,6 +94,7 @@
     answers_queries: bool = False
     sent: list[Sent] = field(default_factory=list)
     refused: list[Refused] = field(default_factory=list)
+    turned_away: list[TurnedAway] = field(default_factory=list)
     answered: int = 0
     submitted: int = 0
 
@@ -209,9 +222,36 @@
                 bound=bound,
             )
         )
+        if server.rest_s is not None and now_s >= NOTICE_S:
+            self.clock.call_later(REFUSAL_S, self._turn_away, number, start, server)
+            return
         server.running += 1
         self.clock.call_later(WORK_S, self._answer, number, start, server)
 
+    def _turn_away(self, number: int, start: Start, server: NoticeServer) -> None:
+        now_s, gate = self.clock.now_s, self.gates[number]
+        assert server.rest_s is not None
+        self.turned_away.append(
+            TurnedAway(at_s=now_s, host=number, server=start.server)
+        )
+        gate.set_rest(start.server, server.rest_s, now_s)
+        outcome = Outcome(
+            kind=OutcomeKind.SHED, elapsed_s=REFUSAL_S, retry_after_s=server.rest_s
+        )
+        self._apply(
+            number, gate.finished(start.ticket_id, outcome, now_s, start.server)
+        )
+        begun_s, owner = self._begun[start.ticket_id]
+        request = ticket(
+            start.ticket_id,
+            service=SERVICE,
+            caller=start.ticket_id,
+            deadline_s=begun_s + DEADLINE_S,
+            server=owner,
+        )
+        decision = gate.retry(request, OutcomeKind.SHED, now_s, start.server)
+        self._apply(number, [decision])
+
     def _answer(self, number: int, start: Start, server: NoticeServer) -> None:
         now_s, gate = self.clock.now_s, self.gates[number]
         server.running -= 1
@@ -230,7 +270,11 @@
 
 
 def notice_server(
-    number: int, *, max_requests_per_s: float | None = None, leaves: bool = False
+    number: int,
+    *,
+    max_requests_per_s: float | None = None,
+    leaves: bool = False,
+    rest_s: float | None = None,
 ) -> NoticeServer:
     """Return a server of three slots."""
     server = BackendServer(
@@ -242,5 +286,8 @@
         connections=560,
     )
     return NoticeServer(
-        server=server, max_requests_per_s=max_requests_per_s, leaves=leaves
+        server=server,
+        max_requests_per_s=max_requests_per_s,
+        leaves=leaves,
+        rest_s=rest_s,
     )
