Give servers the whole rest that they ask for

What callers saw: a server that asked a host for 3 s of rest got three and more requests from it in that time. Four of twelve servers of a service turned everything away for 8 s, and each host asked each of them again about every 1.2 s.

A server's Retry-After was read and cut to one second (MAX_SHED_S); what a host's refusals in the log are apart, 1.05 to 1.45 s, is that second and the next request.

Now the time is a notice of the server like its limit: kept beyond its entry, never shortened, from any 503, for every way to the server. What can't wait so long is refused at once. A refusal without a time, or a reset, is a pause of 0.05 and 0.1 s as before.

--- a/src/gentianwharf/load/_choose.py
+++ b/src/gentianwharf/load/_choose.py
@@ -120,6 +120,6 @@
         return state
     if not state.accepts_pinned(now_s) or now_s < state.shed_until_s:
         return None
-    if state.notices.limit_wait_s(now_s):
+    if state.notices.accepted_in_s(now_s):
         return None
     return state if len(state.flights) < state.max_connections else None
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -361,9 +361,11 @@
     ) -> Decision:
         share = pool.class_share(class_state)
         rate_per_s = pool.service_rate_per_s(class_state, share)
-        wait_s = pool.limit_wait_s(now_s) + len(class_state.queue) / rate_per_s
+        accepted_in_s = pool.accepted_in_s(now_s)
+        wait_s = accepted_in_s + len(class_state.queue) / rate_per_s
         can_enqueue = not pool.pinned or may_queue(pool, class_state, now_s)
-        if pool.accepted_per_s() < inf and wait_s > class_state.max_wait_s:
+        is_limited = accepted_in_s > 0 or pool.accepted_per_s() < inf
+        if is_limited and wait_s > class_state.max_wait_s:
             can_enqueue = False
         if can_enqueue:
             maximum = max_queue_capacity(class_state.max_wait_s, rate_per_s)
@@ -431,7 +433,7 @@
         if not pool.waiting:
             return decisions
         unavailable = pool.is_unavailable(now_s)
-        start_s = now_s + pool.limit_wait_s(now_s)
+        start_s = now_s + pool.accepted_in_s(now_s)
         for class_state in pool.classes.values():
             for ticket in class_state.queue.waiting():
                 if unavailable or start_s + class_state.mean_s > ticket.deadline_s:
--- a/src/gentianwharf/load/_health.py
+++ b/src/gentianwharf/load/_health.py
@@ -78,7 +78,9 @@
         return
     if kind is OutcomeKind.SHED:
         pool.limit.record_shed()
-        state.record_shed(now_s, outcome.retry_after_s or DEFAULT_SHED_S)
+        state.record_shed(now_s, DEFAULT_SHED_S)
+        if outcome.retry_after_s is not None:
+            state.notices.set_rest(outcome.retry_after_s, now_s)
         if flight.work_ratio is not None:
             state.record_false_report(now_s)
     elif kind is OutcomeKind.TIMEOUT and outcome.elapsed_s < RESET_S:
--- a/src/gentianwharf/load/_pool.py
+++ b/src/gentianwharf/load/_pool.py
@@ -272,11 +272,11 @@
             accepted_per_s += 1 / gap_s
         return accepted_per_s
 
-    def limit_wait_s(self, now_s: float) -> float:
-        """Return the time until some server's limit allows a request."""
+    def accepted_in_s(self, now_s: float) -> float:
+        """Return the time until some server accepts a request."""
         wait_s = inf
         for server in self.states:
-            wait_s = min(wait_s, server.notices.limit_wait_s(now_s))
+            wait_s = min(wait_s, server.notices.accepted_in_s(now_s))
             if not wait_s:
                 return 0.0
         return wait_s if self.states else 0.0
--- a/src/gentianwharf/load/_server_notices.py
+++ b/src/gentianwharf/load/_server_notices.py
@@ -52,16 +52,26 @@
     """When the server last named its limit in an answer to this host."""
     unlisted_s: float | None = None
 
-    def limit_wait_s(self, now_s: float) -> float:
-        """Return the time until the server's limit allows a request, 0 if it does."""
-        return self._wait_s(self.limit_gap_s, now_s)
+    def set_rest(self, rest_s: float, now_s: float) -> bool:
+        """Send nothing for a time; return whether the server did not rest before.
+
+        A shorter time in a later answer does not end the rest sooner.
+        """
+        is_new = now_s >= self.rest_until_s
+        self.rest_until_s = max(self.rest_until_s, now_s + rest_s)
+        return is_new
+
+    def accepted_in_s(self, now_s: float) -> float:
+        """Return the time until the server accepts a request, by its limit and rest."""
+        rest_s = max(0.0, self.rest_until_s - now_s)
+        return max(rest_s, self._wait_s(self.limit_gap_s, now_s))
 
     def may_send(self, now_s: float) -> bool:
-        """Whether the limit allows a request, and the server is warm enough for it."""
-        gap_s = self.limit_gap_s
-        if now_s < self.cold_until_s:
-            gap_s = max(gap_s, self.cold_gap_s)
-        return not self._wait_s(gap_s, now_s)
+        """Whether the server accepts a request, and is warm enough for it."""
+        if self.accepted_in_s(now_s):
+            return False
+        is_cold = now_s < self.cold_until_s
+        return not is_cold or not self._wait_s(self.cold_gap_s, now_s)
 
     def _wait_s(self, gap_s: float, now_s: float) -> float:
         # Without a share, a host never sends, also not a first request.
@@ -154,14 +164,8 @@
         return True
 
     def set_rest(self, server_id: str, rest_s: float, now_s: float) -> bool:
-        """Record that a server wants no requests for a time; return whether it is new.
-
-        A shorter time in a later answer does not end the rest sooner.
-        """
-        notices = self.of(server_id)
-        is_new = now_s >= notices.rest_until_s
-        notices.rest_until_s = max(notices.rest_until_s, now_s + rest_s)
-        return is_new
+        """Record that a server wants rest; return whether it did not rest before."""
+        return self.of(server_id).set_rest(rest_s, now_s)
 
     def resting(self, now_s: float) -> int:
         """Return the number of servers that want no requests from this host."""
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -66,7 +66,6 @@
 MIN_RAMP_SHARE = 0.35
 # The shards of a leaving server take this long to move; other work stops at once.
 LEAVING_GRACE_S = 3.0
-MAX_SHED_S = 1.0
 UNREACHABLE_S = 2.0
 """Time for which a server that left a query for its load unanswered is not queried."""
 MAX_AVOID_S = 8.0
@@ -287,8 +286,8 @@
         return self.reported_queue * weight if weight > 0 else 0.0
 
     def record_shed(self, now_s: float, wait_s: float) -> None:
-        """Stop sending to a server that sheds, for ``wait_s`` but a bounded time."""
-        self.shed_until_s = now_s + min(wait_s, MAX_SHED_S)
+        """Stop sending to a server that sheds, for ``wait_s``."""
+        self.shed_until_s = max(self.shed_until_s, now_s + wait_s)
 
     def set_listed(self, listed: bool, now_s: float) -> None:
         """Set whether the list of the service's servers contains this one."""
--- a/tests/test_load_rest.py
+++ b/tests/test_load_rest.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from gentianwharf.load import Gate, Outcome, OutcomeKind, Refuse, Start
+from tests.builders_load import OWNER, gate, owned, server, service
 from tests.builders_notices import TOLD_S, NoticeFleet, notice_server
 
 ALLOWED = 2
@@ -41,3 +43,34 @@
             and begins_s <= sent.at_s < ends_s
         ]
         assert len(within) <= ALLOWED
+
+
+def resting_gate() -> Gate:
+    """Return a gate whose only owner asked for 3 s of rest at 10 s."""
+    resting = gate(service(name="calendrier", servers=1, keyed=True))
+    resting.submit(owned("1"), 9.9)
+    outcome = Outcome(kind=OutcomeKind.SHED, elapsed_s=0.1, retry_after_s=3.0)
+    resting.finished("1", outcome, 10.0)
+    return resting
+
+
+def test_request_for_a_resting_owner_is_refused_at_once() -> None:
+    """Guards against callers who wait for an owner that refuses them later."""
+    resting = resting_gate()
+    assert isinstance(resting.submit(owned("2"), 10.1), Refuse)
+    assert isinstance(resting.submit(owned("3"), 13.1), Start)
+
+
+def test_shorter_time_does_not_end_a_rest() -> None:
+    """Guards against a time that a later answer or reset overwrites."""
+    resting = resting_gate()
+    resting.set_rest(OWNER, 0.1, 10.2)
+    assert isinstance(resting.submit(owned("2"), 12.0), Refuse)
+
+
+def test_rest_outlasts_a_new_entry_of_the_server() -> None:
+    """Guards against a rest that is forgotten when an entry is written again."""
+    resting = resting_gate()
+    resting.set_servers("calendrier", [], 10.5)
+    resting.set_servers("calendrier", [server(0, service="calendrier")], 11.0)
+    assert isinstance(resting.submit(owned("2"), 12.0), Refuse)
