Leave shards at servers with limits where the others have no room

By reading: if most servers of a service name limits, the few others got the whole rest of its load, and would have refused more than those in need take. Shards now leave limited servers as far as the others stay below 0.8 of their slots; up to the whole limit stays.

test_shards_stay_at_limited_servers_if_the_others_are_full fails before: the server without a limit got 0.887 of the load (by the formula; the signature is new).

--- a/src/gentianwharf/keyspace/_capacity.py
+++ b/src/gentianwharf/keyspace/_capacity.py
@@ -25,6 +25,10 @@
 """Part of a server's limit that the requests for its shards should use: they arrive at
 random times, and at hosts with a share of the limit each."""
 
+MAX_SHIFTED_UTILIZATION = 0.8
+"""Share of the slots of the other servers that may be in use after shards moved to
+them; up to its whole limit, a limited server keeps what is beyond."""
+
 MIN_LIMITED_SHARE = 0.001
 """Share of all load that remains for a server whose limit allows next to nothing."""
 
@@ -65,12 +69,14 @@
     limits_per_s: Mapping[str, float],
     *,
     requests_per_s: float,
+    utilization: float,
 ) -> list[Candidate]:
     """Return the candidates, with less capacity where a server names a limit.
 
     Shards are divided in proportion to the capacities. That of a limited server is such
-    that its part of ``requests_per_s`` fits into its limit. If no server is left that
-    can take more, the capacities remain as they are.
+    that its part of ``requests_per_s`` fits into its limit, and as small as the other
+    servers have slots for, by the ``utilization`` of all slots. If no server is left
+    that can take more, the capacities remain as they are.
 
     >>> from ._table import Holder
     >>> candidates = [
@@ -79,26 +85,30 @@
     ...         capacity=3.0)
     ...     for name in ("s1", "s2", "s3")]
     >>> [round(candidate.capacity, 2) for candidate in within_limits(
-    ...     candidates, {"s1": 5.0}, requests_per_s=35.0)]
+    ...     candidates, {"s1": 5.0}, requests_per_s=35.0, utilization=0.5)]
     [0.27, 3.0, 3.0]
     """
     total = sum(candidate.capacity for candidate in candidates)
-    shares: dict[str, float] = {}
+    max_shares: dict[str, float] = {}
     for candidate in candidates:
         name = candidate.holder.server_id
         limit_per_s = limits_per_s.get(name)
         if limit_per_s is None or not requests_per_s:
             continue
-        share = max(MIN_LIMITED_SHARE, limit_per_s * LIMIT_FILL / requests_per_s)
-        if share < candidate.capacity / total:
-            shares[name] = share
+        max_share = max(MIN_LIMITED_SHARE, limit_per_s / requests_per_s)
+        if max_share * LIMIT_FILL < candidate.capacity / total:
+            max_shares[name] = max_share
     others = sum(
         candidate.capacity
         for candidate in candidates
-        if candidate.holder.server_id not in shares
+        if candidate.holder.server_id not in max_shares
     )
-    if not shares or not others:
+    if not max_shares or not others:
         return list(candidates)
+    movable = MAX_SHIFTED_UTILIZATION * others / (utilization * total)
+    wanted_fill = (1 - movable) / sum(max_shares.values())
+    fill = min(1.0, max(LIMIT_FILL, wanted_fill))
+    shares = {name: max_share * fill for name, max_share in max_shares.items()}
     scale = others / (1 - sum(shares.values()))
     return [
         replace(candidate, capacity=shares[candidate.holder.server_id] * scale)
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -270,13 +270,14 @@
         if is_rebalance_due:
             service.rebalanced_s = now_s
             service.demand.update_speeds()
+        used = utilization(service.demand, reachable)
         planned = plan(
             service.table,
-            self._scaled(service, reachable),
+            self._scaled(service, reachable, utilization=used),
             load,
             shards=self._shards,
             rebalance=is_rebalance_due,
-            utilization=utilization(service.demand, reachable),
+            utilization=used,
             lost_holders=self._lost_holders(service, reachable, now_s),
         )
         service.planned_for = reachable
@@ -293,7 +294,11 @@
         self._write(service, cleaned or planned.table)
 
     def _scaled(
-        self, service: _Service, reachable: Sequence[Candidate]
+        self,
+        service: _Service,
+        reachable: Sequence[Candidate],
+        *,
+        utilization: float,
     ) -> list[Candidate]:
         """Return the candidates with the capacities that they have at the moment."""
         demand = service.demand
@@ -301,6 +306,7 @@
             [scale_by_speed(candidate, demand) for candidate in reachable],
             self.limits_per_s(),
             requests_per_s=demand.requests_per_s,
+            utilization=utilization,
         )
 
     def _lost_holders(
--- a/tests/test_keyspace_plan.py
+++ b/tests/test_keyspace_plan.py
@@ -276,7 +276,9 @@
     requests_per_s = 40.0
     load = ShardLoad(counts=dict.fromkeys(range(0, SHARDS, 2), 0.4), shards=SHARDS)
     servers = [candidate(number) for number in range(1, 5)]
-    limited = within_limits(servers, {"s1": limit_per_s}, requests_per_s=requests_per_s)
+    limited = within_limits(
+        servers, {"s1": limit_per_s}, requests_per_s=requests_per_s, utilization=0.4
+    )
     tables = [table(*(span(250 * n, 250 * n + 249, n + 1) for n in range(4)))]
     for _ in range(8):
         after = planned(
@@ -293,6 +295,16 @@
     assert _moved(tables[-1]) == _moved(tables[-2]), "the moves have ended"
 
 
+def test_shards_stay_at_limited_servers_if_the_others_are_full() -> None:
+    """Guards against one server without a limit that gets the load of all others."""
+    servers = [candidate(number) for number in range(1, 5)]
+    limits = {"s1": 5.0, "s2": 5.0, "s3": 5.0}
+    limited = within_limits(servers, limits, requests_per_s=40.0, utilization=0.6)
+    total = sum(server.capacity for server in limited)
+    for server in limited[:3]:
+        assert server.capacity / total == pytest.approx(5.0 / 40.0)
+
+
 def _moved(before: KeyTable) -> KeyTable:
     """Return the table after all its moves have finished."""
     spans = tuple(replace(piece, former_holders=()) for piece in before.spans)
