Move shards off servers that reject every request

A server that has rejected five requests of all hosts, and executed none for a second and for four times its service time, gets no shards but a rest of idle ones until it executes a request, for 15 s at most. A full server executes as many as it has slots for meanwhile: test_full_server_does_not_count_as_one_that_rejects_all.

Weighed: to go by the rest that hosts report, which a full server may ask for as well; and the share of executed requests in the decayed counts, which needs 8 s to fall.

test_server_that_rejects_every_request_is_recognised_and_recovers has nothing to call before.

--- a/src/gentianwharf/keyspace/_demand.py
+++ b/src/gentianwharf/keyspace/_demand.py
@@ -41,6 +41,16 @@
 MIN_UNANSWERED = 3.0
 """Requests that reached their deadline unanswered; fewer may be due to lost packets."""
 
+MIN_REJECTIONS = 5.0
+MIN_REJECTING_S, REJECTING_SERVICE_TIMES = 1.0, 4.0
+"""A server that has rejected so many requests rejects all if it executed none for this
+time and for so many service times. A full server still executes as many requests as it
+has slots for."""
+
+REJECTS_FOR_S = 15.0
+"""Time for which a server counts as rejecting all requests unless it executes one:
+without shards it gets none that could show it."""
+
 STUCK_RATIO = 0.3
 """Ratio of unanswered to executed requests above which a server counts as stuck; a
 server that occasionally loses an answer stays below it."""
@@ -91,6 +101,25 @@
     unanswered: float = 0.0
     speed: float = 1.0
     is_measured: bool = False
+    rejections: float = 0.0
+    """Rejected requests since one was executed."""
+    executed_s: float = 0.0
+    rejects_until_s: float = 0.0
+
+    def update_rejects(self, observed: ObservedLoad, now_s: float) -> None:
+        """Update whether the server rejects every request."""
+        if observed.executed or not self.executed_s:
+            self.executed_s = now_s
+            self.rejections = self.rejects_until_s = 0.0
+            return
+        self.rejections += observed.answers
+        rejecting_s = MIN_REJECTING_S
+        if self.unqueued:
+            service_time_s = self.unqueued_s / self.unqueued
+            rejecting_s = max(rejecting_s, service_time_s * REJECTING_SERVICE_TIMES)
+        is_long = now_s >= self.executed_s + rejecting_s
+        if is_long and self.rejections >= MIN_REJECTIONS:
+            self.rejects_until_s = now_s + REJECTS_FOR_S
 
     def is_stuck(self) -> bool:
         """Whether a large share of the requests to the server went unanswered."""
@@ -157,6 +186,7 @@
         """Add the load that a server reported."""
         self._decay()
         server = self._servers.setdefault(server_id, _ServerLoad())
+        server.update_rejects(observed, self._now_s())
         server.running += observed.running
         server.waiting += observed.waiting
         server.answers += observed.answers
@@ -207,6 +237,11 @@
         server = self._servers.get(server_id)
         return server.speed if server is not None else 1.0
 
+    def rejects_all(self, server_id: str) -> bool:
+        """Whether a server rejects every request, by its answers to all hosts."""
+        server = self._servers.get(server_id)
+        return server is not None and self._now_s() < server.rejects_until_s
+
     def running(self, server_id: str) -> float | None:
         """Return a server's mean number of running requests, None if unknown."""
         server = self._servers.get(server_id)
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -302,9 +302,14 @@
     ) -> list[Candidate]:
         """Return the candidates with the capacities that they have at the moment."""
         demand = service.demand
+        limits_per_s = dict(self.limits_per_s())
+        for candidate in reachable:
+            name = candidate.holder.server_id
+            if demand.rejects_all(name):
+                limits_per_s[name] = 0.0
         return within_limits(
             [scale_by_speed(candidate, demand) for candidate in reachable],
-            self.limits_per_s(),
+            limits_per_s,
             requests_per_s=demand.requests_per_s,
             utilization=utilization,
         )
--- a/tests/test_keyspace_demand.py
+++ b/tests/test_keyspace_demand.py
@@ -165,3 +165,33 @@
         clock.advance(0.25)
         demand.update_speeds()
     assert demand.speed("once-stuck") > 0.9
+
+
+def rejected(count: int) -> ObservedLoad:
+    return ObservedLoad(running=0, waiting=0, answers=count)
+
+
+def test_server_that_rejects_every_request_is_recognised_and_recovers() -> None:
+    """Guards against shards that stay at a server that turns all their callers away."""
+    clock = Clock()
+    clock.advance(100)
+    demand = Demand(now_s=clock.seconds)
+    demand.note_load("s1", unqueued(20, 0.1))
+    for _ in range(6):
+        clock.advance(0.25)
+        demand.note_load("s1", rejected(2))
+    assert demand.rejects_all("s1")
+    demand.note_load("s1", unqueued(1, 0.1))
+    assert not demand.rejects_all("s1")
+
+
+def test_full_server_does_not_count_as_one_that_rejects_all() -> None:
+    """Guards against moves off every full server in an overload."""
+    clock = Clock()
+    clock.advance(100)
+    demand = Demand(now_s=clock.seconds)
+    for _ in range(40):
+        clock.advance(0.25)
+        demand.note_load("s1", rejected(10))
+        demand.note_load("s1", unqueued(1, 0.1))
+        assert not demand.rejects_all("s1")
