Give a limited server no more than its share; name the notices where messages are defined

From reading the change: where the other servers are full, the fill of a limit could raise a server above its share of the slots; it is bounded by it now (test_limit_above_a_server_s_share_gives_it_no_more_shards; by the formula it got 0.36 of the load where a third is its share). The table of notices is defined beside its message.

--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -16,7 +16,6 @@
 from gentianwharf.store import Events, Page
 
 from ._deltas import DeltaEncoder, encode_whole, first_batch
-from ._load_accumulator import Notices
 from ._membership import Dial, Membership, Peer
 from ._peer_messages import (
     NO_REVISION,
@@ -24,6 +23,7 @@
     HostAddress,
     HostIdentity,
     LeaderUpdate,
+    Notices,
     NoticeUpdate,
     Report,
     SpeedUpdate,
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -43,8 +43,7 @@
 from ._fleet_notices import FleetNotices
 from ._host_list import HostList
 from ._keys import KeyHolders, ServerLookup
-from ._load_accumulator import Notices
-from ._peer_messages import NO_REVISION
+from ._peer_messages import NO_REVISION, Notices
 from ._peers import Peers
 from ._previous_leader import RemainingGrantsExchange
 from ._rules import RulesInForce
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -31,8 +31,8 @@
 from ._conversions import limits_of, server_of
 from ._coordinator import Coordinator
 from ._gauges import add_gauges
-from ._load_accumulator import Notices
 from ._metrics import METRICS_PORT, HostMetrics, metrics_site
+from ._peer_messages import Notices
 from ._readiness import readiness_site
 from ._request_classes import request_class_of
 
--- a/src/gentianwharf/entryhost/_load_accumulator.py
+++ b/src/gentianwharf/entryhost/_load_accumulator.py
@@ -5,7 +5,7 @@
 from gentianwharf.relay import ServerLoad, ServerNotice
 from gentianwharf.topology import BackendServer
 
-from ._peer_messages import LoadReport, ServerNoticeReport
+from ._peer_messages import LoadReport, Notices, ServerNoticeReport
 
 Requests = dict[str, dict[int, int]]
 """Number of requests by service and shard."""
@@ -13,9 +13,6 @@
 Loads = dict[str, dict[str, LoadReport]]
 """Load reported in answers, by service and server."""
 
-Notices = dict[str, ServerNoticeReport]
-"""What servers stated in their last answers, by server."""
-
 
 @final
 class LoadAccumulator:
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -28,6 +28,10 @@
     is_leaving: bool = False
 
 
+Notices = dict[str, ServerNoticeReport]
+"""What servers stated in their last answers, by server."""
+
+
 class Report(msgspec.Struct, array_like=True, tag="report"):
     """The observations of one host since its last report.
 
@@ -41,7 +45,7 @@
     requests: dict[str, dict[int, int]]
     loads: dict[str, dict[str, LoadReport]]
     missing_after: int | None = None
-    notices: dict[str, ServerNoticeReport] = {}
+    notices: Notices = {}
 
 
 class GrantNotice(msgspec.Struct, array_like=True):
@@ -117,7 +121,7 @@
 
     leader: HostIdentity
     term: int
-    notices: dict[str, ServerNoticeReport]
+    notices: Notices
 
 
 class StoreSnapshot(msgspec.Struct, array_like=True, tag="everything"):
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -19,10 +19,11 @@
 
 from ._broadcaster import MAX_MESSAGE_BYTES, Broadcaster, StorePosition
 from ._deltas import UnknownBaseError, decode_change
-from ._load_accumulator import LoadAccumulator, Notices
+from ._load_accumulator import LoadAccumulator
 from ._peer_messages import (
     HostIdentity,
     LeaderUpdate,
+    Notices,
     NoticeUpdate,
     RemainingGrantsRequest,
     RemainingGrantsResponse,
@@ -54,6 +55,7 @@
 
 
 FromLeader = LeaderUpdate | SpeedUpdate | NoticeUpdate | StoreSnapshot
+"""Messages that only the leader sends."""
 
 
 @final
--- a/src/gentianwharf/keyspace/_capacity.py
+++ b/src/gentianwharf/keyspace/_capacity.py
@@ -1,4 +1,4 @@
-"""The spare capacity of servers for shards that move without a handover."""
+"""The capacity of servers for shards, with and without a handover."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
@@ -108,7 +108,13 @@
     movable = MAX_SHIFTED_UTILIZATION * others / (utilization * total)
     wanted_fill = (1 - movable) / sum(max_shares.values())
     fill = min(1.0, max(LIMIT_FILL, wanted_fill))
-    shares = {name: max_share * fill for name, max_share in max_shares.items()}
+    shares = {
+        candidate.holder.server_id: min(
+            max_shares[candidate.holder.server_id] * fill, candidate.capacity / total
+        )
+        for candidate in candidates
+        if candidate.holder.server_id in max_shares
+    }
     scale = others / (1 - sum(shares.values()))
     return [
         replace(candidate, capacity=shares[candidate.holder.server_id] * scale)
--- a/tests/test_entryhost_notices.py
+++ b/tests/test_entryhost_notices.py
@@ -5,8 +5,7 @@
 import pytest
 
 from gentianwharf.entryhost._fleet_notices import REPEAT_INTERVAL_S, FleetNotices
-from gentianwharf.entryhost._load_accumulator import Notices
-from gentianwharf.entryhost._peer_messages import ServerNoticeReport
+from gentianwharf.entryhost._peer_messages import Notices, ServerNoticeReport
 from gentianwharf.relay import NO_NOTICE, ServerNotice
 from tests.builders_entryhost import Fleet
 from tests.builders_load import server
--- a/tests/test_keyspace_plan.py
+++ b/tests/test_keyspace_plan.py
@@ -305,6 +305,16 @@
         assert server.capacity / total == pytest.approx(5.0 / 40.0)
 
 
+def test_limit_above_a_server_s_share_gives_it_no_more_shards() -> None:
+    """Guards against a server in need that gets the load of full ones."""
+    servers = [candidate(number) for number in range(1, 4)]
+    limited = within_limits(
+        servers, {"s1": 20.0, "s2": 20.0}, requests_per_s=40.0, utilization=0.95
+    )
+    total = sum(server.capacity for server in limited)
+    assert all(server.capacity <= total / 3 + 1e-9 for server in limited[:2])
+
+
 def _moved(before: KeyTable) -> KeyTable:
     """Return the table after all its moves have finished."""
     spans = tuple(replace(piece, former_holders=()) for piece in before.spans)
--- a/tests/test_load_limits.py
+++ b/tests/test_load_limits.py
@@ -133,3 +133,14 @@
     limited.finished("1", ok(), 10.1)
     limited.set_reported_limit(name, None, 10.2)
     assert not isinstance(limited.submit(owned("2"), 10.3), Start)
+
+
+def test_hosts_whose_lists_differ_keep_to_the_limit() -> None:
+    """Guards against hosts that choose other senders while a host joins or leaves."""
+    limited = notice_server(0, max_requests_per_s=LIMIT_PER_S)
+    fleet = NoticeFleet(hosts=40, servers=[limited], keyed=True)
+    names = [f"host-{number}" for number in range(40)]
+    for number, fleet_gate in enumerate(fleet.gates):
+        fleet_gate.set_hosts(names if number % 2 else names[:-1])
+    fleet.run(30.0, requests_per_s=60.0)
+    assert fleet.most_in(WINDOW_S, limited) <= allowed(LIMIT_PER_S)
