Check a server without notices in one step

A host asks each of up to 16 servers for each request whether it accepts one. For a server that has stated nothing this took 680 ns, now 106 ns (two runs each, one loop on a machine with other work). Tests of limits, rest and cold servers passed.

--- a/src/gentianwharf/load/_server_notices.py
+++ b/src/gentianwharf/load/_server_notices.py
@@ -68,9 +68,12 @@
 
     def may_send(self, now_s: float) -> bool:
         """Whether the server accepts a request, and is warm enough for it."""
+        is_cold = now_s < self.cold_until_s
+        if not (is_cold or self.limit_gap_s or self.rest_until_s):
+            # Asked for each server of each request, and nearly always true.
+            return True
         if self.accepted_in_s(now_s):
             return False
-        is_cold = now_s < self.cold_until_s
         return not is_cold or not self._wait_s(self.cold_gap_s, now_s)
 
     def _wait_s(self, gap_s: float, now_s: float) -> float:
