--- a/tests/test_entryhost_servers.py
+++ b/tests/test_entryhost_servers.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from gentianwharf.entryhost import EntryHost
+from gentianwharf.entryhost._peer_messages import ServerNoticeReport
 from gentianwharf.errors import PeerUnavailableError
 from gentianwharf.load._registry import Registry
 from gentianwharf.platform import (
@@ -19,7 +20,7 @@
     ServerEntry,
     decode_host_settings,
 )
-from gentianwharf.relay import ServerConnectionPool
+from gentianwharf.relay import ServerConnectionPool, ServerNotice
 from gentianwharf.store import Item
 from gentianwharf.topology import BackendServer
 from tests.builders_load import server, service
@@ -202,3 +203,33 @@
     assert former is not None
     assert former.states == []
     assert registry.servers[after.id].listed
+
+
+def test_answer_of_a_server_reaches_the_gate_and_the_leader(host: EntryHost) -> None:
+    """Guards against what a server states being known to its own host only."""
+    notice = ServerNotice(max_requests_per_s=2.2, is_leaving=True)
+    host._admission.note_notice(host._servers[SERVER_ID], notice)
+    assert host._gate.limit_of(SERVER_ID) == 2.2
+    assert host._gate.leaving_servers == 1
+    assert not host._coordinator.directory.candidates("seats")
+    _, _, reported = host._coordinator.peers.observed.collect()
+    assert reported == {SERVER_ID: ServerNoticeReport(2.2, True)}
+
+
+def test_what_the_leader_tells_of_a_server_reaches_the_gate(host: EntryHost) -> None:
+    """Guards against hosts that learn what servers state by their own answers only."""
+    host._coordinator.peers.on_notices({SERVER_ID: ServerNoticeReport(2.2, True)})
+    assert host._gate.limit_of(SERVER_ID) == 2.2
+    assert host._gate.leaving_servers == 1
+    assert not host._coordinator.directory.candidates("seats")
+    host._coordinator.peers.on_notices({SERVER_ID: ServerNoticeReport(None, True)})
+    assert host._gate.limit_of(SERVER_ID) is None
+
+
+def test_leaving_owner_is_used_for_less_than_the_drain_timeout(host: EntryHost) -> None:
+    """Guards against a time of the gate's own that exceeds what operators allow."""
+    host._admission.note_notice(host._servers[SERVER_ID], ServerNotice(is_leaving=True))
+    state = host._gate._registry.servers[SERVER_ID]
+    drain_timeout_s = host.settings.agreements.drain_timeout_s
+    assert state.accepts_pinned(drain_timeout_s / 2)
+    assert not state.accepts_pinned(drain_timeout_s * 0.8)
