Send nothing into a rest that began while a connection was opened

By reading, the last of the ways past what a server states: a request is started, waits for its connection, a millisecond or, where packets are lost, a second, and is sent although the server has asked for rest or left meanwhile. The gate is asked once more when the connection is open; a request that may not be sent has not run, and is tried elsewhere or refused.

test_request_is_not_sent_to_a_server_that_has_asked_for_rest_meanwhile failed before (200, one request at the server).

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -234,6 +234,10 @@
         self._note_load(server, load)
         self.on_load(server, load, elapsed_s)
 
+    def may_still_send(self, server: BackendServer) -> bool:
+        """Return whether the server has not asked for rest, or left, meanwhile."""
+        return self._gate.may_still_send(server.id, self._now_s())
+
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Record what a server stated about the requests that it accepts."""
         limit_per_s = notice.max_requests_per_s
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -274,6 +274,14 @@
         """
         return self._registry.notices.set_rest(server_id, rest_s, now_s)
 
+    def may_still_send(self, server_id: str, now_s: float) -> bool:
+        """Return whether a request that was started may be sent to its server now.
+
+        The server may have asked for rest, or left, while a connection was opened.
+        """
+        state = self._registry.servers.get(server_id)
+        return state is None or state.may_still_send(now_s)
+
     def resting_servers(self, now_s: float) -> int:
         """Return the number of servers that want no requests at the moment."""
         return self._registry.notices.resting(now_s)
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -209,6 +209,12 @@
             return now_s < self.leaving_since_s + self.leaving_grace_s
         return self.health is HealthStatus.ACTIVE
 
+    def may_still_send(self, now_s: float) -> bool:
+        """Whether a request that was started may be sent now."""
+        if now_s < self.notices.rest_until_s:
+            return False
+        return self.health is not HealthStatus.LEAVING or self.accepts_pinned(now_s)
+
     def accepts_probe(self, now_s: float, *, repeatable: bool) -> bool:
         """Whether the next request should probe if a suspect server has recovered."""
         if self.health is not HealthStatus.SUSPECT or now_s < self.next_probe_s:
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -142,6 +142,12 @@
             ) from error
 
     async def _send(self, connection: ServerConnection) -> Response:
+        if not self._admission.may_still_send(self.server):
+            self._connections.release(connection)
+            raise NotRunError(
+                outcome=Outcome.SHED,
+                problem=self._not_run("the server accepts no more requests"),
+            )
         remaining = remaining_time(self._deadline_s(), now_s=self._reactor.seconds)
         if remaining.duration_s <= 0:
             self._connections.release(connection)
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -176,6 +176,9 @@
         ``elapsed_s`` is the response time, None for a refusal.
         """
 
+    def may_still_send(self, server: BackendServer) -> bool:
+        """Return whether an admitted request may be sent, once a connection is open."""
+
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Record what a server stated in a response, whatever its status."""
 
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -132,6 +132,7 @@
         self.outcomes: list[Outcome] = []
         self.retry_after_s: list[float] = []
         self.notices: list[tuple[str, ServerNotice]] = []
+        self.accepts = True
         self.hedge_after_s: float | None = None
         self.outcome_events: dict[Outcome, threading.Event] = {}
 
@@ -179,6 +180,10 @@
     ) -> None:
         """Ignore the load."""
 
+    def may_still_send(self, server: BackendServer) -> bool:
+        """Return what the test has set."""
+        return self.accepts
+
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Record the notice."""
         self.notices.append((server.id, notice))
--- a/tests/test_load_rest.py
+++ b/tests/test_load_rest.py
@@ -74,3 +74,10 @@
     resting.set_servers("calendrier", [], 10.5)
     resting.set_servers("calendrier", [server(0, service="calendrier")], 11.0)
     assert isinstance(resting.submit(owned("2"), 12.0), Refuse)
+
+
+def test_request_that_waited_for_a_connection_is_not_sent_into_a_rest() -> None:
+    """Guards against a rest that holds for requests yet to be started only."""
+    resting = resting_gate()
+    assert not resting.may_still_send(OWNER, 10.1)
+    assert resting.may_still_send(OWNER, 13.1)
--- a/tests/test_relay_notices.py
+++ b/tests/test_relay_notices.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gentianwharf.platform import PlatformHeaderCodec
-from gentianwharf.relay import NO_NOTICE, ServerNotice
+from gentianwharf.relay import NO_NOTICE, Outcome, ServerNotice
 from tests.builders_relay import Script, request, response, running_relay
 
 LIMITED = ServerNotice(max_requests_per_s=2.2)
@@ -49,3 +49,13 @@
     with running_relay([answer()], codec=PlatformHeaderCodec()) as relay:
         relay.send(request(headers=ATTEMPT))
         assert relay.admission.notices == [("s0", NO_NOTICE)]
+
+
+def test_request_is_not_sent_to_a_server_that_has_asked_for_rest_meanwhile() -> None:
+    """Guards against requests that wait for a connection when the rest begins."""
+    with running_relay([answer()], codec=PlatformHeaderCodec()) as relay:
+        relay.admission.accepts = False
+        received = relay.send(request(headers=ATTEMPT))
+        assert received.startswith(b"HTTP/1.1 503")
+        assert relay.servers[0].heads == []
+        assert set(relay.admission.outcomes) == {Outcome.SHED}
