Rank hosts for cold and limited servers only

From reading the change: since notices outlast entries, a host ranked all hosts for each listed server of a service with a cold limit, warm or not.

--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -284,7 +284,7 @@
 
     def resting_servers(self, now_s: float) -> int:
         """Return the number of servers that want no requests at the moment."""
-        return self._registry.notices.resting(now_s)
+        return self._registry.notices.resting_count(now_s)
 
     def set_leaving(self, server_id: str, now_s: float) -> bool:
         """Record that a server stated that it leaves; return whether it is new."""
@@ -293,12 +293,12 @@
     @property
     def leaving_servers(self) -> int:
         """The number of servers that stated in answers that they leave."""
-        return self._registry.notices.leaving
+        return self._registry.notices.leaving_count
 
     @property
     def limited_servers(self) -> int:
         """The number of servers that name a limit."""
-        return self._registry.notices.limited
+        return self._registry.notices.limited_count
 
     @property
     def limited_requests(self) -> int:
--- a/src/gentianwharf/load/_server_notices.py
+++ b/src/gentianwharf/load/_server_notices.py
@@ -92,14 +92,14 @@
         self._cold_requests_per_s: dict[str, float] = {}
 
     @property
-    def limited(self) -> int:
+    def limited_count(self) -> int:
         """The number of servers that name a limit."""
         return sum(
             notices.max_requests_per_s is not None for notices in self._notices.values()
         )
 
     @property
-    def leaving(self) -> int:
+    def leaving_count(self) -> int:
         """The number of servers that stated that they leave."""
         return sum(
             notices.leaving_since_s is not None for notices in self._notices.values()
@@ -132,6 +132,7 @@
         """Record until when a server is cold."""
         notices = self.of(server_id)
         notices.cold_until_s = max(notices.cold_until_s, until_s)
+        self._update_gaps(server_id, notices)
 
     def set_limit(
         self, server_id: str, max_requests_per_s: float | None, now_s: float
@@ -170,7 +171,7 @@
         """Record that a server wants rest; return whether it did not rest before."""
         return self.of(server_id).set_rest(rest_s, now_s)
 
-    def resting(self, now_s: float) -> int:
+    def resting_count(self, now_s: float) -> int:
         """Return the number of servers that want no requests from this host."""
         return sum(now_s < notices.rest_until_s for notices in self._notices.values())
 
@@ -199,7 +200,8 @@
     def _update_gaps(self, server_id: str, notices: ServerNotices) -> None:
         cold_per_s = self._cold_requests_per_s.get(server_id)
         notices.cold_gap_s = 0.0
-        if cold_per_s is not None:
+        # Ranking all hosts for each server would hold up a host that starts.
+        if cold_per_s is not None and notices.cold_until_s:
             notices.cold_gap_s = self.shares.gap_s(
                 server_id, requests_per_s=cold_per_s, burst=COLD_BURST
             )
--- a/tests/test_load_cold_servers.py
+++ b/tests/test_load_cold_servers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gentianwharf.load import Decision, Gate, Start
+from gentianwharf.load import Decision, Gate, Start, _host_shares
 from gentianwharf.topology import BackendServer, Service
 from tests.builders_load import CLASSES, DOMAINS, ok, ticket
 
@@ -123,3 +123,22 @@
     gate.set_servers("inscription", [server(0)], 50.0)
     gate.set_cold("inscription-0", until_s=99.0)
     assert len(run([gate], ["inscription-0"], requests_per_s=20)) > 20
+
+
+def test_hosts_are_not_ranked_for_servers_that_are_warm(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against starts that take hosts times servers, most of them warm."""
+    ranked: list[str] = []
+
+    def count(subject: str, names: Sequence[str]) -> tuple[str, ...]:
+        ranked.append(subject)
+        return tuple(names)
+
+    monkeypatch.setattr(_host_shares, "rendezvous_rank", count)
+    (gate,) = make_gates([["host-0"]])
+    gate.set_servers("inscription", [server(number) for number in range(50)], 1.0)
+    gate.set_hosts(["host-0", "host-1"])
+    assert not ranked
+    gate.set_cold("inscription-7", until_s=5.0)
+    assert ranked == ["inscription-7"]
