--- a/src/gentianwharf/entryhost/_fleet_notices.py
+++ b/src/gentianwharf/entryhost/_fleet_notices.py
@@ -2,8 +2,8 @@
 
 Load pattern: only a few hosts send to a server that names a limit. The others get no
 answers of it, and would neither learn of the limit in time nor that it has ended. A
-server that leaves says so to the hosts that still send to it, and its entry in the store
-may follow much later.
+server that leaves says so to the hosts that still send to it, and its entry in the
+store may follow much later.
 """
 
 from collections.abc import Callable
