Give what servers state a part of the gate of its own; one list of ways in its tests

No change of behaviour: the calls for limits, rests and leaving stand in GateNotices, the capacities of the moment in _capacity. Three test files named the same four ways to a server; their ids and checks are as they were.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -236,12 +236,12 @@
 
     def may_still_send(self, server: BackendServer) -> bool:
         """Return whether the server has not asked for rest, or left, meanwhile."""
-        return self._gate.may_still_send(server.id, self._now_s())
+        return self._gate.notices.may_still_send(server.id, self._now_s())
 
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Record what a server stated about the requests that it accepts."""
         limit_per_s = notice.max_requests_per_s
-        is_new = self._gate.set_limit(server.id, limit_per_s, self._now_s())
+        is_new = self._gate.notices.set_limit(server.id, limit_per_s, self._now_s())
         if is_new:
             _log_limit(server.id, limit_per_s)
         if notice.is_leaving:
@@ -255,26 +255,26 @@
         # A query's answer without a limit ends none: servers may name their limits in
         # answers to requests only.
         if notice.max_requests_per_s is None:
-            limit_per_s = self._gate.limit_of(server.id)
+            limit_per_s = self._gate.notices.limit_of(server.id)
             notice = replace(notice, max_requests_per_s=limit_per_s)
         self.note_notice(server, notice)
 
     def note_reported_notice(self, server_id: str, notice: ServerNotice) -> None:
         """Record what a server stated in an answer to another host."""
         limit_per_s = notice.max_requests_per_s
-        if self._gate.set_reported_limit(server_id, limit_per_s, self._now_s()):
+        if self._gate.notices.set_reported_limit(server_id, limit_per_s, self._now_s()):
             _log_limit(server_id, limit_per_s)
         if notice.is_leaving:
             self._note_leaving(server_id)
 
     def _note_rest(self, server_id: str, rest_s: float) -> None:
-        if self._gate.set_rest(server_id, rest_s, self._now_s()):
+        if self._gate.notices.set_rest(server_id, rest_s, self._now_s()):
             log.info(
                 "server asks for rest", extra={"server": server_id, "rest_s": rest_s}
             )
 
     def _note_leaving(self, server_id: str) -> None:
-        if self._gate.set_leaving(server_id, self._now_s()):
+        if self._gate.notices.set_leaving(server_id, self._now_s()):
             log.info("server states that it leaves", extra={"server": server_id})
 
     def discard(self, ticket: Ticket) -> None:
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -59,22 +59,22 @@
     add(
         "limited_servers",
         "Backend servers that name a limit of requests per second",
-        lambda: gate.limited_servers,
+        lambda: gate.notices.limited_servers,
     )
     add(
         "leaving_servers",
         "Backend servers that stated in answers that they leave",
-        lambda: gate.leaving_servers,
+        lambda: gate.notices.leaving_servers,
     )
     add(
         "resting_servers",
         "Backend servers that asked this host for rest, which has not ended",
-        lambda: gate.resting_servers(now_s()),
+        lambda: gate.notices.resting_servers(now_s()),
     )
     add(
         "limited_requests",
         "Requests sent to servers that named a limit since the start",
-        lambda: gate.limited_requests,
+        lambda: gate.notices.limited_requests,
     )
     add(
         "load_queries",
--- a/src/gentianwharf/keyspace/_capacity.py
+++ b/src/gentianwharf/keyspace/_capacity.py
@@ -64,6 +64,27 @@
     return max(used / slots, MIN_UTILIZATION) if slots else DEFAULT_UTILIZATION
 
 
+def current_capacities(
+    candidates: Sequence[Candidate],
+    demand: Demand,
+    limits_per_s: Mapping[str, float],
+    *,
+    utilization: float,
+) -> list[Candidate]:
+    """Return the candidates with the capacities that they have at the moment.
+
+    A server that rejects every request counts as one whose limit is 0.
+    """
+    names = [candidate.holder.server_id for candidate in candidates]
+    rejecting = dict.fromkeys(filter(demand.rejects_all, names), 0.0)
+    return within_limits(
+        [scale_by_speed(candidate, demand) for candidate in candidates],
+        {**limits_per_s, **rejecting},
+        requests_per_s=demand.requests_per_s,
+        utilization=utilization,
+    )
+
+
 def within_limits(
     candidates: Sequence[Candidate],
     limits_per_s: Mapping[str, float],
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -18,10 +18,9 @@
 from gentianwharf.store import Change, Item, Put, Store
 
 from ._capacity import (
+    current_capacities,
     movable_cold_load,
-    scale_by_speed,
     utilization,
-    within_limits,
 )
 from ._demand import Demand
 from ._grant_manager import GrantManager
@@ -273,7 +272,9 @@
         used = utilization(service.demand, reachable)
         planned = plan(
             service.table,
-            self._scaled(service, reachable, utilization=used),
+            current_capacities(
+                reachable, service.demand, self.limits_per_s(), utilization=used
+            ),
             load,
             shards=self._shards,
             rebalance=is_rebalance_due,
@@ -293,27 +294,6 @@
         service.moves_finished_s = None
         self._write(service, cleaned or planned.table)
 
-    def _scaled(
-        self,
-        service: _Service,
-        reachable: Sequence[Candidate],
-        *,
-        utilization: float,
-    ) -> list[Candidate]:
-        """Return the candidates with the capacities that they have at the moment."""
-        demand = service.demand
-        limits_per_s = dict(self.limits_per_s())
-        for candidate in reachable:
-            name = candidate.holder.server_id
-            if demand.rejects_all(name):
-                limits_per_s[name] = 0.0
-        return within_limits(
-            [scale_by_speed(candidate, demand) for candidate in reachable],
-            limits_per_s,
-            requests_per_s=demand.requests_per_s,
-            utilization=utilization,
-        )
-
     def _lost_holders(
         self, service: _Service, reachable: Sequence[Candidate], now_s: float
     ) -> LostHolders:
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -23,6 +23,7 @@
 from ._choose import choose_server, select_server
 from ._class_state import ClassState
 from ._flights import Flights
+from ._gate_notices import GateNotices
 from ._health import evaluate_servers, record_outcome
 from ._owner import may_queue
 from ._pool import Pool
@@ -53,7 +54,8 @@
     The decisions in a returned list are about requests that waited, or are hedges.
     ``name`` is this daemon's among the names of ``set_hosts``. ``saved_retries`` bounds
     the burst of retries for one service that all daemons together may start. An owner
-    that leaves gets requests for its shards for ``leaving_grace_s``.
+    that leaves gets requests for its shards for ``leaving_grace_s``. ``notices`` takes
+    what servers state about the requests that they accept.
 
     >>> server = BackendServer(id="ledger-1", service="ledger", domain="hall-a",
     ...                        address="127.0.0.1:9200", slots=3, connections=120)
@@ -105,6 +107,7 @@
             rng=rng,
             admit=self._admit,
         )
+        self.notices = GateNotices(registry=self._registry, flights=self._flights)
         self._retried = 0
 
     # Calls of the relay.
@@ -246,65 +249,6 @@
             server_id, waiting=waiting, slots=slots, report=report, now_s=now_s
         )
 
-    def set_limit(
-        self, server_id: str, max_requests_per_s: float | None, now_s: float
-    ) -> bool:
-        """Set how many requests per second a server accepts from all daemons together.
-
-        None ends its limit. Return whether the limit differs from the one before.
-        """
-        notices = self._registry.notices
-        return notices.set_limit(server_id, max_requests_per_s, now_s)
-
-    def limit_of(self, server_id: str) -> float | None:
-        """Return the limit that a server names, None if it has none."""
-        return self._registry.notices.limit_of(server_id)
-
-    def set_reported_limit(
-        self, server_id: str, max_requests_per_s: float | None, now_s: float
-    ) -> bool:
-        """Set a limit that another daemon has learnt, unless an own answer is newer."""
-        notices = self._registry.notices
-        return notices.set_reported_limit(server_id, max_requests_per_s, now_s)
-
-    def set_rest(self, server_id: str, rest_s: float, now_s: float) -> bool:
-        """Record that a server wants no requests for a time.
-
-        Return whether it wanted some until now.
-        """
-        return self._registry.notices.set_rest(server_id, rest_s, now_s)
-
-    def may_still_send(self, server_id: str, now_s: float) -> bool:
-        """Return whether a request that was started may be sent to its server now.
-
-        The server may have asked for rest, or left, while a connection was opened.
-        """
-        state = self._registry.servers.get(server_id)
-        return state is None or state.may_still_send(now_s)
-
-    def resting_servers(self, now_s: float) -> int:
-        """Return the number of servers that want no requests at the moment."""
-        return self._registry.notices.resting_count(now_s)
-
-    def set_leaving(self, server_id: str, now_s: float) -> bool:
-        """Record that a server stated that it leaves; return whether it is new."""
-        return self._registry.set_leaving(server_id, now_s)
-
-    @property
-    def leaving_servers(self) -> int:
-        """The number of servers that stated in answers that they leave."""
-        return self._registry.notices.leaving_count
-
-    @property
-    def limited_servers(self) -> int:
-        """The number of servers that name a limit."""
-        return self._registry.notices.limited_count
-
-    @property
-    def limited_requests(self) -> int:
-        """The number of requests sent so far to servers that named a limit."""
-        return self._flights.limited
-
     def set_speeds(self, speeds: Mapping[str, float]) -> None:
         """Set the speeds of servers by id, relative to the mean of their service."""
         self._registry.set_speeds(speeds)
--- a/tests/builders_notices.py
+++ b/tests/builders_notices.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import pytest
+
 from gentianwharf.entryhost._host import LEAVING_GRACE_SHARE
 from gentianwharf.load import (
     Decision,
@@ -19,6 +21,14 @@
 from tests.builders_shared_machines import Clock
 
 SERVICE = "clubdesk"
+WAYS_TO_SERVERS = [
+    pytest.param(True, False, id="owners"),
+    pytest.param(False, False, id="any-server"),
+    pytest.param(True, True, id="queried-owners"),
+    pytest.param(False, True, id="queried-servers"),
+]
+"""Whether requests are keyed, and whether servers answer queries for their load."""
+
 WORK_S = 0.12
 REFUSAL_S = 0.003
 QUERY_S = 0.003
@@ -234,7 +244,7 @@
         self.turned_away.append(
             TurnedAway(at_s=now_s, host=number, server=start.server)
         )
-        gate.set_rest(start.server, server.rest_s, now_s)
+        gate.notices.set_rest(start.server, server.rest_s, now_s)
         outcome = Outcome(
             kind=OutcomeKind.SHED, elapsed_s=REFUSAL_S, retry_after_s=server.rest_s
         )
@@ -259,9 +269,9 @@
         leaves = server.leaves and now_s >= NOTICE_S
         if limit_per_s is not None or leaves:
             self._told_s.setdefault((number, start.server), now_s)
-        gate.set_limit(start.server, limit_per_s, now_s)
+        gate.notices.set_limit(start.server, limit_per_s, now_s)
         if leaves:
-            gate.set_leaving(start.server, now_s)
+            gate.notices.set_leaving(start.server, now_s)
         self.answered += 1
         outcome = Outcome(kind=OutcomeKind.OK, elapsed_s=WORK_S)
         self._apply(
--- a/tests/test_admission_queries.py
+++ b/tests/test_admission_queries.py
@@ -91,5 +91,5 @@
     notice = ServerNotice(is_leaving=True)
     answer = QueriedLoad(load=LOAD, cold_remaining_s=0.0, notice=notice)
     queries.pending[-1].callback(answer)
-    assert gate.limit_of(limited.id) == 2.2
+    assert gate.notices.limit_of(limited.id) == 2.2
     assert noted[-1] == ServerNotice(max_requests_per_s=2.2, is_leaving=True)
--- a/tests/test_entryhost_servers.py
+++ b/tests/test_entryhost_servers.py
@@ -209,8 +209,8 @@
     """Guards against what a server states being known to its own host only."""
     notice = ServerNotice(max_requests_per_s=2.2, is_leaving=True)
     host._admission.note_notice(host._servers[SERVER_ID], notice)
-    assert host._gate.limit_of(SERVER_ID) == 2.2
-    assert host._gate.leaving_servers == 1
+    assert host._gate.notices.limit_of(SERVER_ID) == 2.2
+    assert host._gate.notices.leaving_servers == 1
     assert not host._coordinator.directory.candidates("seats")
     _, _, reported = host._coordinator.peers.observed.collect()
     assert reported == {SERVER_ID: ServerNoticeReport(2.2, True)}
@@ -219,11 +219,11 @@
 def test_what_the_leader_tells_of_a_server_reaches_the_gate(host: EntryHost) -> None:
     """Guards against hosts that learn what servers state by their own answers only."""
     host._coordinator.peers.on_notices({SERVER_ID: ServerNoticeReport(2.2, True)})
-    assert host._gate.limit_of(SERVER_ID) == 2.2
-    assert host._gate.leaving_servers == 1
+    assert host._gate.notices.limit_of(SERVER_ID) == 2.2
+    assert host._gate.notices.leaving_servers == 1
     assert not host._coordinator.directory.candidates("seats")
     host._coordinator.peers.on_notices({SERVER_ID: ServerNoticeReport(None, True)})
-    assert host._gate.limit_of(SERVER_ID) is None
+    assert host._gate.notices.limit_of(SERVER_ID) is None
 
 
 def test_leaving_owner_is_used_for_less_than_the_drain_timeout(host: EntryHost) -> None:
--- a/tests/test_load_leaving.py
+++ b/tests/test_load_leaving.py
@@ -4,19 +4,16 @@
 
 from gentianwharf.load import Start
 from tests.builders_load import OWNER, gate, ok, owned, server, service
-from tests.builders_notices import DRAIN_TIMEOUT_S, NoticeFleet, notice_server
+from tests.builders_notices import (
+    DRAIN_TIMEOUT_S,
+    WAYS_TO_SERVERS,
+    NoticeFleet,
+    notice_server,
+)
 
 
 @pytest.mark.parametrize("hosts", [1, 10])
-@pytest.mark.parametrize(
-    ("keyed", "answers_queries"),
-    [
-        pytest.param(True, False, id="owners"),
-        pytest.param(False, False, id="any-server"),
-        pytest.param(True, True, id="queried-owners"),
-        pytest.param(False, True, id="queried-servers"),
-    ],
-)
+@pytest.mark.parametrize(("keyed", "answers_queries"), WAYS_TO_SERVERS)
 def test_server_that_states_to_leave_gets_no_later_requests(
     hosts: int, keyed: bool, answers_queries: bool
 ) -> None:
@@ -40,7 +37,7 @@
 def test_leaving_outlasts_a_new_entry_of_the_server() -> None:
     """Guards against a notice that is forgotten when an entry is written again."""
     leaving = gate(service(name="calendrier", servers=1, keyed=True))
-    leaving.set_leaving(OWNER, 10.0)
+    leaving.notices.set_leaving(OWNER, 10.0)
     leaving.set_servers("calendrier", [], 11.0)
     leaving.set_servers("calendrier", [server(0, service="calendrier")], 12.0)
     assert not isinstance(leaving.submit(owned("1"), 14.0), Start)
@@ -49,6 +46,6 @@
 def test_owner_that_leaves_is_used_until_its_shards_have_moved() -> None:
     """Guards against refused callers in the moment that a move takes."""
     leaving = gate(service(name="calendrier", servers=1, keyed=True))
-    leaving.set_leaving(OWNER, 10.0)
+    leaving.notices.set_leaving(OWNER, 10.0)
     assert isinstance(leaving.submit(owned("1"), 10.5), Start)
     leaving.finished("1", ok(), 10.6)
--- a/tests/test_load_limits.py
+++ b/tests/test_load_limits.py
@@ -6,7 +6,7 @@
 
 from gentianwharf.load import Gate, OutcomeKind, Refuse, Start, Ticket
 from tests.builders_load import OWNER, gate, ok, owned, server, service, ticket
-from tests.builders_notices import NoticeFleet, notice_server
+from tests.builders_notices import WAYS_TO_SERVERS, NoticeFleet, notice_server
 
 LIMIT_PER_S = 2.2
 WINDOW_S = 4.0
@@ -19,15 +19,7 @@
 
 
 @pytest.mark.parametrize("hosts", [1, 10, 84, 300])
-@pytest.mark.parametrize(
-    ("keyed", "answers_queries"),
-    [
-        pytest.param(True, False, id="owners"),
-        pytest.param(False, False, id="any-server"),
-        pytest.param(True, True, id="queried-owners"),
-        pytest.param(False, True, id="queried-servers"),
-    ],
-)
+@pytest.mark.parametrize(("keyed", "answers_queries"), WAYS_TO_SERVERS)
 def test_hosts_together_keep_to_the_limit_of_a_server(
     hosts: int, keyed: bool, answers_queries: bool
 ) -> None:
@@ -48,7 +40,7 @@
     name = "calendrier" if keyed else "inscription"
     limited = gate(service(name=name, servers=1, keyed=keyed))
     limited.set_hosts([""])
-    limited.set_limit(f"{name}-0", 0.5, 9.0)
+    limited.notices.set_limit(f"{name}-0", 0.5, 9.0)
     return limited, f"{name}-0"
 
 
@@ -79,10 +71,10 @@
 def test_waiting_request_waits_for_the_limit(keyed: bool) -> None:
     """Guards against a queue that is sent as soon as a slot is free."""
     limited, name = limited_gate(keyed=keyed)
-    limited.set_limit(name, None, 9.5)
+    limited.notices.set_limit(name, None, 9.5)
     sent = [limited.submit(_request(str(n), keyed), 10.0) for n in range(12)]
     assert not all(isinstance(item, Start) for item in sent)
-    limited.set_limit(name, 0.5, 10.0)
+    limited.notices.set_limit(name, 0.5, 10.0)
     later = limited.finished("0", ok(), 10.01) + limited.tick(10.02)
     assert not [item for item in later if isinstance(item, Start)]
 
@@ -112,7 +104,7 @@
     limited, name = limited_gate(keyed=True)
     assert isinstance(limited.submit(owned("1"), 10.0), Start)
     limited.finished("1", ok(), 10.1)
-    limited.set_limit(name, None, 10.1)
+    limited.notices.set_limit(name, None, 10.1)
     assert isinstance(limited.submit(owned("2"), 10.2), Start)
 
 
@@ -121,7 +113,7 @@
     limited, name = limited_gate(keyed=True)
     limited.set_hosts(["another"])
     assert not isinstance(limited.submit(owned("1"), 20.0), Start)
-    limited.set_reported_limit(name, None, 20.1)
+    limited.notices.set_reported_limit(name, None, 20.1)
     assert isinstance(limited.submit(owned("2"), 20.2), Start)
 
 
@@ -129,9 +121,9 @@
     """Guards against an old report that lifts a limit just named."""
     limited, name = limited_gate(keyed=True)
     limited.submit(owned("1"), 10.0)
-    limited.set_limit(name, 0.5, 10.1)
+    limited.notices.set_limit(name, 0.5, 10.1)
     limited.finished("1", ok(), 10.1)
-    limited.set_reported_limit(name, None, 10.2)
+    limited.notices.set_reported_limit(name, None, 10.2)
     assert not isinstance(limited.submit(owned("2"), 10.3), Start)
 
 
--- a/tests/test_load_rest.py
+++ b/tests/test_load_rest.py
@@ -4,7 +4,7 @@
 
 from gentianwharf.load import Gate, Outcome, OutcomeKind, Refuse, Start
 from tests.builders_load import OWNER, gate, owned, server, service
-from tests.builders_notices import TOLD_S, NoticeFleet, notice_server
+from tests.builders_notices import TOLD_S, WAYS_TO_SERVERS, NoticeFleet, notice_server
 
 ALLOWED = 2
 """Requests of a host that may reach the server within its rest."""
@@ -12,15 +12,7 @@
 
 @pytest.mark.parametrize("rest_s", [3.0, 8.0])
 @pytest.mark.parametrize("hosts", [1, 10])
-@pytest.mark.parametrize(
-    ("keyed", "answers_queries"),
-    [
-        pytest.param(True, False, id="owners"),
-        pytest.param(False, False, id="any-server"),
-        pytest.param(True, True, id="queried-owners"),
-        pytest.param(False, True, id="queried-servers"),
-    ],
-)
+@pytest.mark.parametrize(("keyed", "answers_queries"), WAYS_TO_SERVERS)
 def test_server_that_asks_for_rest_gets_it(
     rest_s: float, hosts: int, keyed: bool, answers_queries: bool
 ) -> None:
@@ -64,7 +56,7 @@
 def test_shorter_time_does_not_end_a_rest() -> None:
     """Guards against a time that a later answer or reset overwrites."""
     resting = resting_gate()
-    resting.set_rest(OWNER, 0.1, 10.2)
+    resting.notices.set_rest(OWNER, 0.1, 10.2)
     assert isinstance(resting.submit(owned("2"), 12.0), Refuse)
 
 
@@ -79,5 +71,5 @@
 def test_request_that_waited_for_a_connection_is_not_sent_into_a_rest() -> None:
     """Guards against a rest that holds for requests yet to be started only."""
     resting = resting_gate()
-    assert not resting.may_still_send(OWNER, 10.1)
-    assert resting.may_still_send(OWNER, 13.1)
+    assert not resting.notices.may_still_send(OWNER, 10.1)
+    assert resting.notices.may_still_send(OWNER, 13.1)
