Check the log fields of the admission package too, and rates by their own unit

Both are faults of the check. It now reads that package as well, and a field that ends with _per_s has to be described as 'per s': no field is checked less than before.

--- a/tests/test_logs_fields.py
+++ b/tests/test_logs_fields.py
@@ -8,10 +8,20 @@
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
-PACKAGES = ("entryhost", "keyspace", "lifecycle", "logs", "platform", "relay", "store")
+PACKAGES = (
+    "admission",
+    "entryhost",
+    "keyspace",
+    "lifecycle",
+    "logs",
+    "platform",
+    "relay",
+    "store",
+)
 """The packages that run in an entry host."""
 
-UNITS = {"_ms": "ms", "_s": "s", "_bytes": "bytes"}
+UNITS = {"_per_s": "per s", "_ms": "ms", "_s": "s", "_bytes": "bytes"}
+"""The unit of each suffix; of two that match, the first one counts."""
 
 
 def page_fields() -> dict[str, str]:
