Count connections to servers, and log when a host can reach none

Whether a host without answers has lost its links or avoids servers that it could reach could not be told from logs or metrics: each refused request had a line, but nothing counted connections that were opened, refused or timed out, and nothing said when a server was last heard.

Two servers or more that can't be connected to, with no connection opened between, now make one log line when it begins and one when it ends, and gauges tell the state, how connections failed, and since when no server was heard. Nothing decides by it yet.

--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -1,10 +1,17 @@
 """Gauges of an entry host's state."""
 
 from collections.abc import Callable, Mapping
+from functools import partial
 
 from gentianwharf.keyspace import PlacementSnapshot
 from gentianwharf.load import Gate
-from gentianwharf.relay import CallerSite, LoadClient, RelayApp
+from gentianwharf.relay import (
+    CallerSite,
+    ConnectFailure,
+    LoadClient,
+    Reachability,
+    RelayApp,
+)
 from gentianwharf.topology import BackendServer
 
 from ._coordinator import Coordinator
@@ -20,6 +27,7 @@
     servers: Mapping[str, BackendServer],
     load_client: LoadClient,
     gate: Gate,
+    reachability: Reachability,
     held_slots: Callable[[], int],
     now_s: Callable[[], float],
 ) -> None:
@@ -83,6 +91,7 @@
         "Requests sent to servers that named a limit since the start",
         lambda: gate.notices.limited_requests,
     )
+    _add_reachability(add, reachability)
     add("slots_held", "Slots that requests of this host hold", held_slots)
     add(
         "hot_shards",
@@ -99,3 +108,35 @@
         "Queries to servers for their load since the start",
         lambda: load_client.queries,
     )
+
+
+def _add_reachability(
+    add: Callable[[str, str, Callable[[], float]], None], reachability: Reachability
+) -> None:
+    add(
+        "servers_unheard_seconds",
+        "Since any backend server was heard",
+        reachability.unheard_s,
+    )
+    add(
+        "cut_off",
+        "Whether no new connection to a backend server can be opened from this host",
+        lambda: float(reachability.is_cut_off),
+    )
+    add(
+        "cut_offs",
+        "How often this host could reach no backend server, since the start",
+        lambda: reachability.cut_offs,
+    )
+    add(
+        "server_connections_opened",
+        "Connections to backend servers that were opened since the start",
+        lambda: reachability.opened,
+    )
+    for failure in ConnectFailure:
+        add(
+            f"server_connections_{failure.replace('-', '_')}",
+            f"Connections to backend servers since the start that were not opened:"
+            f" {failure}",
+            partial(reachability.failures.__getitem__, failure),
+        )
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -21,6 +21,7 @@
     CallerSite,
     ConnectionLimits,
     LoadClient,
+    Reachability,
     RelayApp,
     ServerConnectionPool,
     ServerNotice,
@@ -112,6 +113,7 @@
     def _build_relay(self) -> None:
         reactor = self._reactor
         self.metrics = HostMetrics()
+        self.reachability = Reachability(now_s=reactor.seconds)
         self._gate = Gate(
             services=(),
             classes=(),
@@ -179,6 +181,7 @@
             servers=self._servers,
             load_client=self._load_client,
             gate=self._gate,
+            reachability=self.reachability,
             held_slots=lambda: self._dispatch.held_slots,
             now_s=self._reactor.seconds,
         )
@@ -363,7 +366,11 @@
             self._servers[server.id] = server
             pool = self.relay.connections.get(server.id)
             if pool is None:
-                pool = ServerConnectionPool(server=server, reactor=self._reactor)
+                pool = ServerConnectionPool(
+                    server=server,
+                    reactor=self._reactor,
+                    reachability=self.reachability,
+                )
                 self.relay.connections[server.id] = pool
             else:
                 pool.update_server(server)
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -25,6 +25,7 @@
     Ticket,
 )
 from ._problem import Problem
+from ._reachability import ConnectFailure, Reachability
 
 __all__ = [
     "NO_NOTICE",
@@ -33,6 +34,7 @@
     "Admission",
     "CallerRequest",
     "CallerSite",
+    "ConnectFailure",
     "ConnectionLimits",
     "DefaultHeaderCodec",
     "HeaderCodec",
@@ -45,6 +47,7 @@
     "Ownership",
     "Problem",
     "QueriedLoad",
+    "Reachability",
     "RelayApp",
     "RemainingTime",
     "Rules",
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import Any, cast
 
+from twisted.internet import error as twisted_errors
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectingCancelledError
@@ -24,6 +25,7 @@
 from gentianwharf.topology import BackendServer
 
 from ._headers import connection_options
+from ._reachability import ConnectFailure, Reachability
 from ._transport import JoinedLines, send_now
 
 __all__ = ["ServerConnection", "ServerConnectionPool"]
@@ -94,6 +96,7 @@
         informational responses. A faulty server could otherwise exhaust the memory and
         keep the loop busy until the request's deadline.
         """
+        self.pool.reachability.note_heard()
         super().dataReceived(data)
         pending = self._pending
         if pending is None or pending.called:
@@ -186,10 +189,20 @@
 
 
 class ServerConnectionPool:
-    """The connections of a daemon to one backend server."""
+    """The connections of a daemon to one backend server.
 
-    def __init__(self, *, server: BackendServer, reactor: Any) -> None:
+    ``reachability`` is that of all servers together.
+    """
+
+    def __init__(
+        self,
+        *,
+        server: BackendServer,
+        reactor: Any,
+        reachability: Reachability | None = None,
+    ) -> None:
         self.server = server
+        self.reachability = reachability or Reachability(now_s=reactor.seconds)
         self.max_connections = server.connections
         self.opened = 0
         self._reactor = reactor
@@ -263,10 +276,12 @@
             # would count as a failure of the server.
             raise CancelledError from error
         except (ConnectError, OSError) as error:
+            self.reachability.note_failed(self.server.id, _failure_of(error))
             raise self._unavailable(f"can't connect: {error}") from error
         finally:
             self._connecting -= 1
         self.opened += 1
+        self.reachability.note_opened(self.server.id)
         self._open.add(connection)
         if address != self.server.address:
             # The server moved while connecting; another one may be using the address.
@@ -310,3 +325,11 @@
         """Close all connections."""
         for connection in list(self._open):
             connection.abort_now()
+
+
+def _failure_of(error: Exception) -> ConnectFailure:
+    if isinstance(error, twisted_errors.ConnectionRefusedError):
+        return ConnectFailure.REFUSED
+    if isinstance(error, twisted_errors.TimeoutError):
+        return ConnectFailure.TIMED_OUT
+    return ConnectFailure.OTHER
