--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import Any, cast, final
 
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.internet.interfaces import ITCPTransport
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
@@ -100,8 +101,20 @@
         self.fault = LinkFault.NONE
         self.target = target
         self.sides: set[_Side] = set()
-        ip, _, port = listens_on.rpartition(":")
-        self._port = reactor.listenTCP(int(port), self, interface=ip)
+        self._listens_on = listens_on
+        self._port: Any = None
+        self.listen()
+
+    def listen(self) -> None:
+        """Accept connections, unless it does already."""
+        if self._port is None:
+            ip, _, port = self._listens_on.rpartition(":")
+            self._port = self.reactor.listenTCP(int(port), self, interface=ip)
+
+    def stop_listening(self) -> "Deferred[None]":
+        """Accept no more connections; the result fires once new ones are refused."""
+        port, self._port = self._port, None
+        return maybeDeferred(port.stopListening) if port is not None else succeed(None)
 
     def buildProtocol(self, addr: Any) -> Protocol | None:  # noqa: N802
         """Accept a connection, and connect to the target."""
@@ -132,7 +145,7 @@
 
     def stop(self) -> None:
         """Stop listening, and reset all open connections."""
-        self._port.stopListening()
+        self.stop_listening()
         self._reset_all()
 
     def _reset_all(self) -> None:
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -1,5 +1,7 @@
 """What connections to servers tell a host about its own links."""
 
+from unittest.mock import Mock
+
 import pytest
 from twisted.internet import error as twisted_errors
 from twisted.internet.defer import Deferred
@@ -23,7 +25,7 @@
         server=make_server(server, 9200), reactor=reactor, reachability=reachability
     )
     done = Deferred.fromCoroutine(pool.acquire())
-    reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(error()))
+    reactor.tcpClients[-1][2].clientConnectionFailed(Mock(), Failure(error()))
     with pytest.raises(PeerUnavailableError):
         result_of(done)
 
