--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -161,6 +161,10 @@
         self.servers.update({server.id: server for server in servers})
         self._apply(self._gate.set_servers(service, servers, self._now_s()))
 
+    def forget_failures(self) -> None:
+        """Stop avoiding servers because of requests over lost links."""
+        self._gate.forget_failures(self._now_s())
+
     def set_load_queries(self, queries: LoadQueries, *, reactor: Any) -> None:
         """Query servers for their load before requests are sent to them."""
         self._load_queries = queries
--- a/src/gentianwharf/entryhost/_conversions.py
+++ b/src/gentianwharf/entryhost/_conversions.py
@@ -3,10 +3,10 @@
 from gentianwharf.dispatch import DispatchHost
 from gentianwharf.keyspace import Candidate, Holder
 from gentianwharf.platform import CallerLimits, ConfiguredService, ServerEntry
-from gentianwharf.relay import ConnectionLimits
+from gentianwharf.relay import ConnectionLimits, ServerNotice
 from gentianwharf.topology import BackendServer
 
-from ._peer_messages import HostAddress
+from ._peer_messages import HostAddress, ServerNoticeReport
 
 MIN_HEADER_BYTES = len(b"a:\r\n")
 
@@ -41,6 +41,13 @@
     )
 
 
+def notice_of(report: ServerNoticeReport) -> ServerNotice:
+    """Return what a server stated to another host as the type that the gate uses."""
+    return ServerNotice(
+        max_requests_per_s=report.max_requests_per_s, is_leaving=report.is_leaving
+    )
+
+
 def limits_of(limits: CallerLimits) -> ConnectionLimits:
     """Return the operators' limits for a caller's connection.
 
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -39,23 +39,35 @@
 from gentianwharf.topology import BackendServer
 
 from ._broadcaster import StorePosition
-from ._conversions import candidate_of, dispatch_host_of, holder_of
+from ._conversions import dispatch_host_of
 from ._directory import Directory
 from ._fleet_notices import FleetNotices
 from ._host_list import HostList
 from ._keys import KeyHolders, ServerLookup
-from ._peer_messages import NO_REVISION, Notices
+from ._peer_messages import NO_REVISION, HostAddress, Notices
 from ._peers import Peers
 from ._previous_leader import RemainingGrantsExchange
 from ._rules import RulesInForce
 from ._server_speeds import ServerSpeeds
-from ._store_keys import HOSTS_KEY, LEADER_KEY, PREVIOUS_LEADER_KEY, TABLE_PREFIX
+from ._shard_candidates import ShardCandidates
+from ._store_keys import (
+    HOSTS_KEY,
+    LEADER_KEY,
+    PREVIOUS_LEADER_KEY,
+    TABLE_PREFIX,
+    TUNNEL_SECRET_KEY,
+)
 from ._table_announcements import TableAnnouncements
+from ._tunnel_secret import TunnelSecret
 
 ISOLATED_CAMPAIGN_PAUSE_S = 4.0
 """How long a host that reached too few servers leaves leadership to others: about the
 time that other hosts need to find out whether they reach more."""
 
+CUT_OFF_CAMPAIGN_DELAY_S = 1.0
+"""Additional delay before a host without links to servers tries to lead. It could grant
+nothing; but one that tells the others of changes is better than none."""
+
 SMALL_HOST_CAMPAIGN_DELAY_S = 0.2
 """Additional delay before a host with little processor time tries to lead.
 
@@ -92,10 +104,12 @@
         self.on_dispatch_hosts: Callable[[Sequence[DispatchHost]], None] = (
             lambda hosts: None
         )
+        self.on_tunnel_hosts: Callable[[Sequence[HostAddress]], None] = lambda hosts: (
+            None
+        )
         self.on_notices: Callable[[Notices], None] = lambda notices: None
+        self.is_cut_off: Callable[[], bool] = lambda: False
         self.host_count = INITIAL_HOST_COUNT
-        self.keyed: set[str] = set()
-        self._servers_changed = False
         now_s = self._now_s = reactor.seconds
         store = PlatformStore(reactor=reactor, address=settings.store.address)
         self.mirror = Mirror(store=store, prefix="", reactor=reactor, rng=rng)
@@ -147,18 +161,34 @@
             now_s=now_s,
         )
         self.placement_of = self._planner.snapshot
+        self._candidates = ShardCandidates(
+            directory=self.directory,
+            planner=self._planner,
+            grant_manager=self._grant_manager,
+            configuration=lambda: self.rules.configuration,
+        )
+        self.keyed = self._candidates.keyed
         self._host_list = HostList(
             store=store,
             leadership=self.leadership,
             membership=self.peers.membership,
             now_s=now_s,
         )
+        self.tunnel_secret = TunnelSecret(
+            store=store,
+            leadership=self.leadership,
+            is_copy_complete=lambda: self.mirror.is_current,
+            now_s=now_s,
+        )
         self._server_speeds = ServerSpeeds(now_s=now_s)
         self._fleet_notices = FleetNotices(now_s=now_s)
         self._connect_store()
         self._connect_peers()
 
     def _connect_store(self) -> None:
+        self.leadership.handicap_s = lambda: (
+            CUT_OFF_CAMPAIGN_DELAY_S if self.is_cut_off() else 0.0
+        )
         self.mirror.add_listener(self._note_item)
         self.mirror.on_read = self._on_store_read
         self.mirror.on_events = self._announcements.forward
@@ -179,7 +209,10 @@
         peers.on_load = self._add_load
         peers.on_reported_notices = self._add_notices
         peers.on_notices = self._apply_notices
-        peers.on_granted = self._note_broadcast_grant
+        # The first shard and the token identify a span.
+        peers.on_granted = lambda service, first, last, token: self.keys.note_granted(
+            service, first, token
+        )
         peers.on_events = self._note_events
         peers.on_host_count = self._set_host_count
         peers.store_position = self._store_position
@@ -209,15 +242,15 @@
 
     def tick(self) -> None:
         """Run all periodic work."""
-        self._update_listed_servers()
+        self._candidates.tick()
         self.leadership.tick()
         self._planner.tick()
         self._grant_manager.tick()
         self._grants_exchange.tick()
         self.peers.tick()
         self._host_list.tick()
-        self._broadcast_speeds()
-        self._broadcast_notices()
+        self.tunnel_secret.tick()
+        self._broadcast()
 
     def resign(self, campaign_pause_s: float) -> None:
         """Give up leadership, and do not try to regain it for ``campaign_pause_s``."""
@@ -228,39 +261,14 @@
 
     def set_keyed_services(self, warm_ups_s: Mapping[str, float]) -> None:
         """Set the services divided by key, and the warm-up time of their shards."""
-        self.keyed.update(warm_ups_s)
-        self._planner.set_services(warm_ups_s)
+        self._candidates.set_keyed_services(warm_ups_s)
 
     def note_servers(self, service: str) -> None:
         """Apply a change of a service's servers."""
-        self._servers_changed = True
+        self._candidates.note_servers(service)
         if service in self.keyed:
-            candidates = self.directory.candidates(service)
-            if self._has_cold_limit(service):
-                candidates = self.directory.without_starting(candidates)
-            self._planner.set_candidates(
-                service, [candidate_of(entry) for entry in candidates]
-            )
             self.keys.wake(service)
 
-    def _has_cold_limit(self, service: str) -> bool:
-        """Whether a cold server of the service fails under the requests of its keys."""
-        configuration = self.rules.configuration
-        configured = configuration.services.get(service) if configuration else None
-        return configured is not None and configured.cold_requests_per_s is not None
-
-    def _update_listed_servers(self) -> None:
-        """Pass all servers to the grant manager, once per tick with changes.
-
-        With one call per change and service, a configuration of 1,219 services with one
-        server each blocked a host for 4.3 s.
-        """
-        if self._servers_changed:
-            self._servers_changed = False
-            self._grant_manager.note_listed(
-                holder_of(entry) for entry in self.directory.all()
-            )
-
     # Observations of servers by this host.
 
     def note_server_load(
@@ -298,6 +306,9 @@
             self._host_list.note_item(item)
             self.on_hosts(self._host_list.names())
             self.on_dispatch_hosts([*map(dispatch_host_of, self._host_list.listed())])
+            self.on_tunnel_hosts(self._host_list.listed())
+        elif key == TUNNEL_SECRET_KEY:
+            self.tunnel_secret.note_item(item)
         elif key == PREVIOUS_LEADER_KEY:
             self.leadership.note_previous_leader(item)
         elif key.startswith(TABLE_PREFIX) and item is not None:
@@ -335,12 +346,6 @@
     def _note_events(self, after_revision: int, events: Events) -> None:
         self.mirror.apply_forwarded(events, after_revision=after_revision)
 
-    def _note_broadcast_grant(
-        self, service: str, first: int, last: int, token: int
-    ) -> None:
-        # The first shard and the token identify a span.
-        self.keys.note_granted(service, first, token)
-
     def _set_host_count(self, host_count: int) -> None:
         if host_count != self.host_count:
             self.host_count = host_count
@@ -370,13 +375,10 @@
 
     # Work of the leader.
 
-    def _broadcast_notices(self) -> None:
-        if self.leadership.leads:
-            self.peers.broadcast_notices(self._fleet_notices.due())
-
-    def _broadcast_speeds(self) -> None:
+    def _broadcast(self) -> None:
         if self.leadership.leads:
             self.peers.broadcast_speeds(self._server_speeds.due())
+            self.peers.broadcast_notices(self._fleet_notices.due())
 
     def _start_leading(self, previous: PreviousLeader | None) -> None:
         term = self.leadership.term
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -21,25 +21,25 @@
     CallerSite,
     ConnectionLimits,
     LoadClient,
-    Reachability,
     RelayApp,
     ServerConnectionPool,
-    ServerNotice,
 )
-from gentianwharf.topology import BackendServer, Service
+from gentianwharf.topology import Service
 
 from ._answer_log import AnswerLog
 from ._callers_port import CallersPort
-from ._conversions import limits_of, server_of
+from ._conversions import limits_of, notice_of, server_of
 from ._coordinator import Coordinator
 from ._dispatch_state import DispatchState
 from ._gauges import add_gauges
+from ._listed_servers import ListedServers
 from ._metrics import METRICS_PORT, HostMetrics, metrics_site
 from ._peer_messages import Notices
 from ._readiness import readiness_site
 from ._request_classes import request_class_of
 from ._slot_log import SlotLog
 from ._slots import HostSlots
+from ._tunnels import HostTunnels
 
 COORDINATOR_TICK_S = 0.05
 SLOT_TICK_S = 0.04
@@ -76,12 +76,13 @@
         self.on_end: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._rng = Random(SystemRandom().getrandbits(64))
-        self._servers: dict[str, BackendServer] = {}
+        self._pools: dict[str, ServerConnectionPool] = {}
+        self._listed = ListedServers(pools=self._pools, reactor=reactor)
         self._explored: set[str] = set()
         """Services of which one server was queried for its load."""
         self._coordinator = Coordinator(
             settings=settings,
-            server_by_id=self._servers.get,
+            server_by_id=self._listed.by_id.get,
             reactor=reactor,
             rng=self._rng,
         )
@@ -96,24 +97,24 @@
         )
         self._coordinator.on_host_count = self._set_host_count
         self._coordinator.on_hosts = self._gate.set_hosts
+        self._coordinator.on_tunnel_hosts = self._tunnels.set_hosts
+        self._coordinator.is_cut_off = lambda: self._tunnels.monitor.is_cut_off
         self._coordinator.peers.on_speeds = self._gate.set_speeds
         self._coordinator.on_notices = self._apply_notices
         self._coordinator.directory.on_change = self._update_servers
         self._coordinator.directory.on_cold = self._note_cold
         self._coordinator.rules.on_change = self._apply_configuration
         self._ticks = PeriodicCalls(reactor=reactor)
-        agreements = settings.agreements
         self.shutdown = Shutdown(
             target=self,
             clock=reactor,
             notice_s=NOTICE_S,
-            limit_s=agreements.grace_period_s - STOP_MARGIN_S,
+            limit_s=settings.agreements.grace_period_s - STOP_MARGIN_S,
         )
 
     def _build_relay(self) -> None:
         reactor = self._reactor
         self.metrics = HostMetrics()
-        self.reachability = Reachability(now_s=reactor.seconds)
         self._gate = Gate(
             services=(),
             classes=(),
@@ -146,7 +147,7 @@
             rules=self._coordinator.rules,
             ownership=self._coordinator.keys,
             admission=self._admission,
-            connections={},
+            connections=self._pools,
             observer=AnswerLog(
                 metrics=self.metrics,
                 rules_version=lambda: self._coordinator.rules.version,
@@ -159,6 +160,16 @@
             rng=self._rng,
             codec=codec,
         )
+        self._tunnels = HostTunnels(
+            settings=self.settings,
+            servers=self._listed.by_id,
+            pools=self._listed.pools,
+            secret=lambda: self._coordinator.tunnel_secret.value,
+            reactor=reactor,
+            rng=self._rng,
+        )
+        self._tunnels.on_change = self._admission.forget_failures
+        self._tunnels.add_gauges(self.metrics)
         self._load_paths: dict[str, str] = {}
         self._load_client = LoadClient(
             connections=self.relay.connections,
@@ -178,10 +189,10 @@
             coordinator=self._coordinator,
             relay=self.relay,
             site=self._site,
-            servers=self._servers,
+            servers=self._listed.by_id,
             load_client=self._load_client,
             gate=self._gate,
-            reachability=self.reachability,
+            reachability=self._tunnels.reachability,
             held_slots=lambda: self._dispatch.held_slots,
             now_s=self._reactor.seconds,
         )
@@ -228,16 +239,21 @@
         )
         metrics = metrics_site(metrics=self.metrics, reactor=self._reactor)
         self._listen(f"{self.settings.ip}:{METRICS_PORT}", metrics)
+        self._tunnels.start()
         self._coordinator.start()
         self._callers_port.start()
         self._ticks.every(COORDINATOR_TICK_S, self._coordinator.tick)
         self._ticks.every(SLOT_TICK_S, self._slot_node.tick)
-        gate = self._ticks.every_dynamic(self._gate_interval_s, self._admission.tick)
-        self.relay.on_first_in_flight = gate.reschedule
+        requests = self._ticks.every_dynamic(self._tick_interval_s, self._tick_requests)
+        self.relay.on_first_in_flight = requests.reschedule
         self._ticks.every(SLOW_HEAD_CHECK_INTERVAL_S, self._site.refuse_slow_heads)
         log.info("started", extra={"host": self.settings.name})
 
-    def _gate_interval_s(self) -> float:
+    def _tick_requests(self) -> None:
+        self._tunnels.monitor.tick()
+        self._admission.tick()
+
+    def _tick_interval_s(self) -> float:
         return GATE_TICK_S if self.relay.in_flight else IDLE_GATE_TICK_S
 
     def _listen(self, address: str, site: Any) -> None:
@@ -276,6 +292,7 @@
         self._site.disable_keep_alive()
         self._coordinator.resign(self.settings.agreements.grace_period_s)
         self._slot_node.stop()
+        self._tunnels.server.stop_accepting()
 
     def stop_accepting(self) -> None:
         """Close the callers' port and idle connections, and refuse new requests."""
@@ -288,8 +305,8 @@
         return [exchange.ticket.request_id for exchange in self.relay.in_flight]
 
     def open_connections(self) -> int:
-        """Return the number of open connections of callers."""
-        return len(self._site.channels)
+        """Return the number of connections of callers, and of tunnels for others."""
+        return len(self._site.channels) + self._tunnels.server.open_tunnels
 
     def answer_in_flight(self) -> None:
         """Send a final answer to each request in flight, and refuse new ones."""
@@ -303,6 +320,7 @@
         """Stop all components, and call ``on_end``."""
         self._ticks.stop()
         self._slot_node.close()
+        self._tunnels.stop()
         self._coordinator.stop()
         self.on_end()
 
@@ -358,23 +376,12 @@
         configured = configuration.services[service]
         usable = self._coordinator.directory.usable(service)
         servers = [server_of(entry, configured) for entry in usable]
-        usable_ids = {server.id for server in servers}
-        for current in list(self._servers.values()):
-            if current.service == service and current.id not in usable_ids:
-                del self._servers[current.id]
-        for server in servers:
-            self._servers[server.id] = server
-            pool = self.relay.connections.get(server.id)
-            if pool is None:
-                pool = ServerConnectionPool(
-                    server=server,
-                    reactor=self._reactor,
-                    reachability=self.reachability,
-                )
-                self.relay.connections[server.id] = pool
-            else:
-                pool.update_server(server)
-            pool.set_daemon_count(self._coordinator.host_count)
+        self._listed.update(
+            service,
+            servers,
+            links=self._tunnels.links,
+            host_count=self._coordinator.host_count,
+        )
         self._admission.set_servers(service, servers)
         self._slot_node.set_servers(service, servers)
         if servers and service not in self._explored:
@@ -384,11 +391,7 @@
 
     def _apply_notices(self, notices: Notices) -> None:
         for server_id, report in notices.items():
-            notice = ServerNotice(
-                max_requests_per_s=report.max_requests_per_s,
-                is_leaving=report.is_leaving,
-            )
-            self._admission.note_reported_notice(server_id, notice)
+            self._admission.note_reported_notice(server_id, notice_of(report))
 
     def _note_cold(self, server_id: str) -> None:
         remaining_s = self._coordinator.directory.cold_remaining_s(server_id)
--- a/src/gentianwharf/entryhost/_store_keys.py
+++ b/src/gentianwharf/entryhost/_store_keys.py
@@ -13,3 +13,6 @@
 
 TABLE_PREFIX = OWN_PREFIX + "keys/"
 """Prefix of the table of each keyed service, followed by the service's name."""
+
+TUNNEL_SECRET_KEY = OWN_PREFIX + "tunnel-secret"
+"""What hosts show each other when they open tunnels, written once."""
--- /dev/null
+++ b/src/gentianwharf/entryhost/_tunnels.py
@@ -0,0 +1,147 @@
+"""Tunnels of one host: those that it opens, and those that it accepts."""
+
+from collections.abc import Callable, Iterable, Mapping
+from random import Random
+from typing import Any, final
+
+from gentianwharf.platform import HostSettings
+from gentianwharf.relay import (
+    LinkMonitor,
+    Reachability,
+    ServerConnectionPool,
+    ServerLinks,
+)
+from gentianwharf.topology import BackendServer
+from gentianwharf.tunnels import (
+    TUNNEL_PORT_OFFSET,
+    TunnelClient,
+    TunnelHost,
+    TunnelServer,
+    tunnel_address,
+)
+
+from ._metrics import HostMetrics
+from ._peer_messages import HostAddress
+
+
+@final
+class HostTunnels:
+    """Opens tunnels while this host is cut off from the servers, and accepts others'.
+
+    ``pools`` returns the connections to all listed servers. ``on_change`` is called
+    when this host is cut off, and when its links are restored.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: HostSettings,
+        servers: Mapping[str, BackendServer],
+        pools: Callable[[], Iterable[ServerConnectionPool]],
+        secret: Callable[[], str],
+        reactor: Any,
+        rng: Random,
+    ) -> None:
+        self.on_change: Callable[[], None] = lambda: None
+        self._settings = settings
+        self._reactor = reactor
+        self._port: Any = None
+        self.reachability = Reachability(now_s=reactor.seconds)
+        self.monitor = LinkMonitor(
+            reachability=self.reachability, pools=pools, reactor=reactor, rng=rng
+        )
+        self.monitor.on_cut_off = self._note_cut_off
+        self.monitor.on_restored = self._note_restored
+        self.client = TunnelClient(
+            name=settings.name,
+            domain=settings.domain,
+            secret=secret,
+            reactor=reactor,
+            rng=rng,
+        )
+        self.server = TunnelServer(
+            server_by_id=servers.get,
+            secret=secret,
+            is_cut_off=lambda: self.reachability.is_cut_off,
+            reactor=reactor,
+        )
+        self.links = ServerLinks(monitor=self.monitor, tunnels=self.client)
+
+    def start(self) -> None:
+        """Accept tunnels."""
+        self._port = self._reactor.listenTCP(
+            self._settings.first_internal_port + TUNNEL_PORT_OFFSET,
+            self.server,
+            interface=self._settings.ip,
+        )
+
+    def set_hosts(self, hosts: Iterable[HostAddress]) -> None:
+        """Set the listed hosts."""
+        self.client.set_hosts(
+            [
+                TunnelHost(
+                    name=host.host,
+                    address=tunnel_address(host.address),
+                    domain=host.domain,
+                )
+                for host in hosts
+            ]
+        )
+
+    def stop(self) -> None:
+        """Close all tunnels."""
+        self.monitor.stop()
+        self.client.stop()
+        self.server.close()
+        if self._port is not None:
+            self._port.stopListening()
+
+    def _note_cut_off(self) -> None:
+        self.client.start()
+        self.server.note_cut_off()
+        self.on_change()
+
+    def _note_restored(self) -> None:
+        self.client.stop()
+        self.on_change()
+
+    def add_gauges(self, metrics: HostMetrics) -> None:
+        """Add gauges of the tunnels in both directions."""
+        for name, help_text, value in (
+            (
+                "tunnels_used",
+                "Connections to backend servers through other hosts",
+                lambda: self.client.open_tunnels,
+            ),
+            (
+                "tunnel_hosts",
+                "Hosts that accept tunnels of this host, while it is cut off",
+                lambda: self.client.usable_peers,
+            ),
+            (
+                "tunnels_opened",
+                "Tunnels that this host has opened since the start",
+                lambda: self.client.opened,
+            ),
+            (
+                "tunnels_failed",
+                "Tunnels that other hosts did not open, since the start",
+                lambda: self.client.failed,
+            ),
+            (
+                "tunnels_carried",
+                "Tunnels that this host carries for others",
+                lambda: self.server.open_tunnels,
+            ),
+            (
+                "tunnels_accepted",
+                "Tunnels that this host has accepted since the start",
+                lambda: self.server.opened,
+            ),
+            (
+                "tunnels_refused",
+                "Tunnels that this host has refused since the start",
+                lambda: self.server.refused.total(),
+            ),
+        ):
+            metrics.add_gauge(name, help_text, value)
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -64,6 +64,8 @@
         self.lease_renewed_s = float("-inf")
         self.on_gained: Callable[[PreviousLeader | None], None] = lambda previous: None
         self.on_lost: Callable[[], None] = lambda: None
+        self.handicap_s: Callable[[], float] = lambda: 0.0
+        """Returns how much later than otherwise this host campaigns at the moment."""
         self._campaign_pause_until_s = float("-inf")
         self._store = store
         self._key = key
@@ -249,7 +251,8 @@
 
     def _next_campaign_s(self) -> float:
         within_s = self._rng.random() * CAMPAIGN_WITHIN_S
-        return self._now_s() + self._campaign_delay_s + within_s
+        delay_s = self._campaign_delay_s + self.handicap_s()
+        return self._now_s() + delay_s + within_s
 
     def _lose(self, reason: str) -> None:
         self.term = None
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -289,6 +289,19 @@
         if state is not None:
             state.note_unreachable(now_s)
 
+    def forget_failures(self, now_s: float) -> None:
+        """Stop avoiding servers because of requests that were sent over lost links.
+
+        The requests in flight are no evidence about their servers either.
+        """
+        for state in self._registry.servers.values():
+            for flight in state.flights.values():
+                pool = self._registry.pool_of(flight.ticket)
+                pool.record_end(pool.classes[flight.ticket.request_class], flight)
+            state.forget_failures(now_s)
+        for pool in self._registry.pools.values():
+            pool.update_suspects()
+
     def apply_server_report(
         self, server_id: str, report: "ServerReport", now_s: float
     ) -> None:
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -330,6 +330,17 @@
         self.latency_ratio = USUAL_RATIO
         self.ramp_started_s = now_s
 
+    def forget_failures(self, now_s: float) -> None:
+        """Make a suspect server active, and disregard the requests in flight."""
+        for flight in self.flights.values():
+            flight.paused = flight.evaluated = True
+            flight.overdue = False
+        self.overdue = 0
+        self.unreachable_until_s = now_s
+        if self.health is HealthStatus.SUSPECT:
+            self.health = HealthStatus.ACTIVE
+        self.latency_ratio = USUAL_RATIO
+
     def _record_probe_answer(self, ratio: float, now_s: float) -> None:
         if ratio > HEALTHY_RATIO:
             self.good_probes = 0
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -6,9 +6,10 @@
 from ._caller_limits import SLOW_HEAD_CHECK_INTERVAL_S, ConnectionLimits
 from ._caller_request import CallerRequest
 from ._caller_site import CallerSite
-from ._connections import ServerConnectionPool
+from ._connections import ServerConnectionPool, ServerLinks
 from ._deadline import RemainingTime
 from ._header_codec import DefaultHeaderCodec, HeaderCodec, ServerRefusal
+from ._link_monitor import LinkMonitor
 from ._load_client import LoadClient, LoadQueryCodec, QueriedLoad
 from ._ports import (
     NO_NOTICE,
@@ -26,6 +27,7 @@
 )
 from ._problem import Problem
 from ._reachability import ConnectFailure, Reachability
+from ._tunnels import NoTunnels
 
 __all__ = [
     "NO_NOTICE",
@@ -39,8 +41,10 @@
     "DefaultHeaderCodec",
     "HeaderCodec",
     "HedgeCallback",
+    "LinkMonitor",
     "LoadClient",
     "LoadQueryCodec",
+    "NoTunnels",
     "Observer",
     "Outcome",
     "Owner",
@@ -53,6 +57,7 @@
     "Rules",
     "RunStatus",
     "ServerConnectionPool",
+    "ServerLinks",
     "ServerLoad",
     "ServerNotice",
     "ServerRefusal",
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -197,6 +197,7 @@
                 uri=self._request.uri,
                 headers=headers,
                 body=self._request.body,
+                repeatable=self._ticket.repeatable,
             )
         except ValueError as error:
             self.is_sent = False
--- /dev/null
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -0,0 +1,237 @@
+"""A persistent connection to one backend server.
+
+A connection carries one request at a time and is reused only after a complete response.
+After a timeout, a cancellation or an incomplete response it is aborted, so that a late
+response can't be read as the response to another request.
+"""
+
+import socket
+from typing import TYPE_CHECKING, Any, cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import ITCPTransport
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol, RequestNotSent, Response
+from twisted.web._newclient import Request as ServerRequest
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+
+from gentianwharf.errors import PeerMismatchError
+from gentianwharf.sockets import unacknowledged_bytes
+
+from ._headers import connection_options
+from ._link_monitor import LinkMonitor
+from ._transport import JoinedLines, send_now
+from ._tunnels import Tunnel
+
+if TYPE_CHECKING:
+    from ._connections import ServerConnectionPool
+
+# Keep-alive probes start after 4 s without data, 2 s apart. The kernel closes the
+# connection after two unanswered probes, that is within 8 s and thus within MAX_IDLE_S.
+KEEPALIVE = {
+    socket.TCP_KEEPIDLE: 4,
+    socket.TCP_KEEPINTVL: 2,
+    socket.TCP_KEEPCNT: 2,
+}
+
+HTTP_1_0 = (1, 0)
+# Response heads have some hundred bytes, or a few thousand with early hints.
+MAX_RESPONSE_HEAD_BYTES = 65_536
+
+
+class _OneWriteRequest(ServerRequest):
+    """A request whose head is written to the transport in one call."""
+
+    def _writeHeaders(self, transport: Any, length: bytes | None) -> None:  # noqa: N802
+        super()._writeHeaders(JoinedLines(transport=transport), length)
+
+
+class ServerConnection(HTTP11ClientProtocol):
+    """One connection to a backend server, direct unless it has a ``tunnel``."""
+
+    def __init__(
+        self, *, pool: "ServerConnectionPool", tunnel: Tunnel | None = None
+    ) -> None:
+        super().__init__(pool.release)
+        self.pool = pool
+        self.tunnel = tunnel
+        self.sent_s = 0.0
+        self.repeatable = False
+        self._monitor = pool.links.monitor if pool.links and not tunnel else None
+        self._is_aborted = False
+        self.idle_since_s = 0.0
+        self.requests = 0
+        self.retired = False
+        self._pending: Deferred[Response] | None = None
+        self._head_bytes = 0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Enable TCP keep-alive probes.
+
+        If a middlebox has dropped the state of the connection, the probes fail and the
+        connection is closed while it is idle, before a request is sent on it.
+        """
+        super().connectionMade()
+        handle = cast(Any, self.transport).getHandle()
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in KEEPALIVE.items():
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Remove the connection from the pool."""
+        self.pool.discard(self)
+        if self.tunnel is not None:
+            self.tunnel.closed()
+        elif (
+            self._monitor is not None
+            and not self._is_aborted
+            and not reason.check(ConnectionDone)
+        ):
+            self._monitor.note_reset(self.server_id())
+        super().connectionLost(reason)
+
+    def server_id(self) -> str:
+        """Return the id of the server."""
+        return self.pool.server.id
+
+    def unacknowledged_bytes(self) -> int:
+        """Return how many bytes were sent to the server and not acknowledged."""
+        return unacknowledged_bytes(self.transport)
+
+    @property
+    def awaits_response(self) -> bool:
+        """Whether a request was sent, and the head of its response has not arrived."""
+        return self._pending is not None and not self._pending.called
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse data, and fail the request if the head of the response is too large.
+
+        Twisted limits the length of a line, but not the number of lines or of
+        informational responses. A faulty server could otherwise exhaust the memory and
+        keep the loop busy until the request's deadline.
+        """
+        if self._monitor is not None:
+            self._monitor.reachability.note_heard()
+        super().dataReceived(data)
+        pending = self._pending
+        if pending is None or pending.called:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            pending.errback(self._oversized_head_error())
+            self.abort_now()
+
+    def _oversized_head_error(self) -> PeerMismatchError:
+        return PeerMismatchError(
+            f"expected an answer's head within {MAX_RESPONSE_HEAD_BYTES} bytes, got"
+            f" {self._head_bytes} without its end",
+            step="read-answer",
+            peer=self.pool.server.address,
+        )
+
+    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        # Data after the end of the response would be read as the response to the next
+        # request. Twisted drops only the part that has already arrived.
+        if rest or self._server_closes():
+            self.retired = True
+        super()._finishResponse(rest)
+
+    def _server_closes(self) -> bool:
+        """Return whether the server closes the connection after this response.
+
+        Twisted recognizes ``close`` only in lower case and as the only option. A
+        request sent on such a connection would be lost and its outcome unknown.
+        """
+        parser = self._parser
+        if parser is None:
+            return False
+        options = connection_options(parser.connHeaders)
+        if parser.response.version[1:] == HTTP_1_0:
+            return b"keep-alive" not in options
+        return b"close" in options
+
+    def send_request(
+        self,
+        *,
+        method: bytes,
+        uri: bytes,
+        headers: Headers,
+        body: IBodyProducer | None,
+        repeatable: bool = True,
+    ) -> Deferred[Response]:
+        """Send a request; the result fires once the head of the response has arrived.
+
+        A server may respond before it has read the whole body. Twisted's client reports
+        such a response only after the upload, which the server may never read, so the
+        response is taken from the parser as soon as its head is complete.
+
+        The result fails with ``RequestNotSent`` if no byte was sent. Raises
+        ``ValueError`` if the method or target can't be sent. A ``repeatable`` request
+        is given up, to be sent again, once this host has lost its links to the servers.
+        """
+        request = _OneWriteRequest._construct(method, uri, headers, body, True)
+        self.requests += 1
+        pending: Deferred[Response] = Deferred(lambda _: self.abort_now())
+        self._pending, self._head_bytes = pending, 0
+        self._watch_response(pending, repeatable=repeatable)
+        sent = cast("Deferred[Response]", self.request(request))
+        early = getattr(self, "_responseDeferred", None)
+        if early is not None:
+            early.addCallback(_copy_response, pending)
+        sent.addCallbacks(
+            lambda response: _deliver(pending, response),
+            lambda failure: _deliver_failure(pending, failure),
+        )
+        if isinstance(send_now(self.transport), Exception) and not pending.called:
+            # The server reset the connection while it was idle, and the event loop has
+            # not noticed yet. The kernel refused the first byte.
+            pending.errback(RequestNotSent())
+            self.abort_now()
+        return pending
+
+    def _watch_response(
+        self, pending: "Deferred[Response]", *, repeatable: bool
+    ) -> None:
+        self.sent_s = self.pool.clock.seconds()
+        self.repeatable = repeatable
+        if self._monitor is None:
+            return
+        self._monitor.in_flight[self] = None
+        pending.addBoth(self._stop_watching, self._monitor)
+
+    def _stop_watching(self, result: Any, monitor: LinkMonitor) -> Any:
+        monitor.in_flight.pop(self, None)
+        return result
+
+    def retire(self) -> None:
+        """Close now if the connection is idle, otherwise after the response."""
+        self.retired = True
+        if self in self.pool.idle():
+            self.abort_now()
+
+    def abort_now(self) -> None:
+        """Close the connection immediately, without reading a pending response."""
+        self.retired = True
+        self._is_aborted = True
+        if self.transport is not None:
+            cast(ITCPTransport, self.transport).abortConnection()
+
+
+def _copy_response(response: Response, pending: "Deferred[Response]") -> Response:
+    _deliver(pending, response)
+    return response
+
+
+def _deliver(pending: "Deferred[Response]", response: Response) -> None:
+    if not pending.called:
+        pending.callback(response)
+
+
+def _deliver_failure(pending: "Deferred[Response]", failure: Any) -> None:
+    if not pending.called:
+        pending.errback(failure)
--- /dev/null
+++ b/src/gentianwharf/sockets.py
@@ -0,0 +1,35 @@
+"""What the kernel knows about a TCP connection."""
+
+import fcntl
+import socket
+import struct
+import termios
+from typing import Any
+
+__all__ = ["unacknowledged_bytes"]
+
+_UNACKNOWLEDGED_SEGMENTS = struct.Struct("=24xI")
+"""The field ``tcpi_unacked`` of Linux's ``struct tcp_info``."""
+
+_QUEUED_BYTES = struct.Struct("=i")
+
+
+def unacknowledged_bytes(transport: Any) -> int:
+    """Return how many bytes wait to be acknowledged, some of which are on their way.
+
+    It is 0 if all bytes that were sent are acknowledged, also while the peer's window
+    is closed and more bytes wait to be sent: then the peer is alive, and only slow.
+    """
+    try:
+        handle = transport.getHandle()
+        info = handle.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _UNACKNOWLEDGED_SEGMENTS.size
+        )
+        (segments,) = _UNACKNOWLEDGED_SEGMENTS.unpack(info)
+        if not segments:
+            return 0
+        queued = fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(_QUEUED_BYTES.size))
+    except (OSError, AttributeError, struct.error):
+        return 0
+    (queued_bytes,) = _QUEUED_BYTES.unpack(queued)
+    return int(queued_bytes)
--- /dev/null
+++ b/src/gentianwharf/tunnels/_client.py
@@ -0,0 +1,349 @@
+"""Opens tunnels through other hosts while this host has no links to servers."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any, Protocol, cast, final
+
+import msgspec
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectError
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+
+from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.logs import log
+from gentianwharf.topology import BackendServer
+
+from ._messages import (
+    FramedProtocol,
+    OpenTunnel,
+    RefusalReason,
+    Subscribe,
+    TunnelOpened,
+    TunnelRefused,
+    decode_reply,
+)
+from ._peer import Peer, TunnelHost
+from ._server import close_end, set_tunnel_options
+
+MAX_PEERS = 4
+"""Hosts through which one host opens tunnels: its load is spread over several, and few
+of them have to be watched."""
+
+MAX_LOCAL_PEERS = 2
+"""Those of them in the own failure domain, as long as there are others. If most of the
+domain is cut off, its last hosts must not carry all of it."""
+
+MAX_ATTEMPTS = 2
+"""Hosts that are asked in turn for one tunnel."""
+
+FIRST_PEER_TIMEOUT_S = 0.3
+"""Time after the start for which tunnels wait until the first host accepts them."""
+
+OPEN_TIMEOUT_S = 0.25
+RETRY_INTERVAL_S = 0.5
+"""Interval at which hosts are looked for while there are too few."""
+
+
+class TunnelUser(Protocol):
+    """The protocol that uses a tunnel as its connection."""
+
+    def makeConnection(self, transport: Any) -> None:  # noqa: N802
+        """Start to use the connection."""
+
+    def retire(self) -> None:
+        """Close the connection once the response to the current request is complete."""
+
+    def abort_now(self) -> None:
+        """Close the connection immediately."""
+
+
+@final
+class Tunnel:
+    """An open tunnel; call ``closed`` when its connection is lost."""
+
+    def __init__(
+        self, *, peer: Peer, transport: Any, on_closed: Callable[["Tunnel"], None]
+    ) -> None:
+        self.peer = peer
+        self.user: TunnelUser | None = None
+        self._transport = transport
+        self._on_closed = on_closed
+
+    @property
+    def host(self) -> str:
+        """The name of the host that carries the tunnel."""
+        return self.peer.host.name
+
+    def attach(self, user: TunnelUser) -> None:
+        """Let ``user`` use the connection from now on."""
+        self.user = user
+        self._transport.protocol = user
+        user.makeConnection(self._transport)
+
+    def closed(self) -> None:
+        """Record that the connection is lost."""
+        self._on_closed(self)
+
+
+@final
+class TunnelClient:
+    """Finds hosts with links while it is started, and opens tunnels through them."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        domain: str,
+        secret: Callable[[], str],
+        reactor: Any,
+        rng: Random,
+    ) -> None:
+        self.opened = 0
+        self.failed = 0
+        self._name = name
+        self._domain = domain
+        self._secret = secret
+        self._reactor = reactor
+        self._rng = rng
+        self._hosts: tuple[TunnelHost, ...] = ()
+        self._untried: list[TunnelHost] = []
+        self._peers: dict[str, Peer] = {}
+        self._tunnels: set[Tunnel] = set()
+        self._waiting: list[Deferred[None]] = []
+        self._timer: Any = None
+        self._is_started = False
+        self._started_s = 0.0
+
+    @property
+    def open_tunnels(self) -> int:
+        """The number of open tunnels."""
+        return len(self._tunnels)
+
+    @property
+    def usable_peers(self) -> int:
+        """The number of hosts that accept tunnels of this host."""
+        return sum(peer.accepts for peer in self._peers.values())
+
+    def set_hosts(self, hosts: Sequence[TunnelHost]) -> None:
+        """Set the listed hosts, with or without this one."""
+        self._hosts = tuple(host for host in hosts if host.name != self._name)
+        for name, peer in list(self._peers.items()):
+            if peer.host not in self._hosts:
+                self._peers.pop(name, None)
+                peer.end()
+
+    def start(self) -> None:
+        """Look for hosts with links."""
+        if not self._is_started:
+            self._is_started = True
+            self._started_s = self._reactor.seconds()
+            self._untried = self._in_order()
+            self._look_for_peers()
+
+    def stop(self) -> None:
+        """Open no more tunnels; open ones are left to their users."""
+        self._is_started = False
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        for peer in list(self._peers.values()):
+            peer.end()
+        self._wake()
+
+    def _in_order(self) -> list[TunnelHost]:
+        """Return the hosts in the order in which they are tried, the last one first."""
+        hosts = list(self._hosts)
+        self._rng.shuffle(hosts)
+        local = [host for host in hosts if host.domain == self._domain]
+        others = [host for host in hosts if host.domain != self._domain]
+        first = local[:MAX_LOCAL_PEERS] + others
+        return (first + local[MAX_LOCAL_PEERS:])[::-1]
+
+    def _look_for_peers(self) -> None:
+        """Subscribe to more hosts, and start over later if all have been tried."""
+        while self._untried and len(self._peers) < MAX_PEERS:
+            host = self._untried.pop()
+            peer = self._peers[host.name] = Peer(
+                host=host,
+                on_state=self._note_state,
+                on_end=self._note_end,
+                reactor=self._reactor,
+            )
+            peer.start(Subscribe(secret=self._secret(), host=self._name))
+        if len(self._peers) < MAX_PEERS and not self._has_timer():
+            self._timer = self._reactor.callLater(RETRY_INTERVAL_S, self._start_over)
+
+    def _has_timer(self) -> bool:
+        return self._timer is not None and bool(self._timer.active())
+
+    def _start_over(self) -> None:
+        self._untried = [
+            host for host in self._in_order() if host.name not in self._peers
+        ]
+        self._look_for_peers()
+
+    def _note_state(self, peer: Peer) -> None:
+        if peer.accepts:
+            log.info("host accepts tunnels", extra={"host": peer.host.name})
+            self._wake()
+            return
+        log.info("host accepts no more tunnels", extra={"host": peer.host.name})
+        for tunnel in self._tunnels_of(peer):
+            if tunnel.user is not None:
+                tunnel.user.retire()
+
+    def _note_end(self, peer: Peer) -> None:
+        if self._peers.get(peer.host.name) is peer:
+            del self._peers[peer.host.name]
+        if peer.is_silent:
+            for tunnel in self._tunnels_of(peer):
+                if tunnel.user is not None:
+                    tunnel.user.abort_now()
+        if self._is_started:
+            self._look_for_peers()
+        if not self._peers:
+            # Nobody is left to wait for.
+            self._wake()
+
+    def _tunnels_of(self, peer: Peer) -> list[Tunnel]:
+        return [tunnel for tunnel in self._tunnels if tunnel.peer is peer]
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            if not each.called:
+                each.callback(None)
+
+    async def open(self, server: BackendServer, *, timeout_s: float) -> Tunnel | None:
+        """Open a tunnel to a server; return None if no host accepts tunnels.
+
+        Raises ``PeerUnavailableError`` if the server can't be reached by tunnel either.
+        No byte is sent to the server before a tunnel is returned.
+        """
+        end_s = self._reactor.seconds() + timeout_s
+        tried: set[str] = set()
+        results: set[str] = set()
+        for _ in range(MAX_ATTEMPTS):
+            peer = await self._choose_peer(tried, end_s)
+            left_s = end_s - self._reactor.seconds()
+            if peer is None or left_s <= 0:
+                break
+            tried.add(peer.host.name)
+            result = await self._open(peer, server, min(left_s, OPEN_TIMEOUT_S))
+            if isinstance(result, Tunnel):
+                self.opened += 1
+                return result
+            self.failed += 1
+            results.add(result)
+        if RefusalReason.UNREACHABLE in results:
+            raise PeerUnavailableError(
+                f"can't connect through {', '.join(sorted(tried))}",
+                step="tunnel",
+                peer=server.address,
+            )
+        return None
+
+    async def _choose_peer(self, tried: set[str], end_s: float) -> Peer | None:
+        """Return the host with the fewest tunnels, after the start waiting for one."""
+        end_s = min(end_s, self._started_s + FIRST_PEER_TIMEOUT_S)
+        wait_s = end_s - self._reactor.seconds()
+        if self._is_started and not self.usable_peers and not tried and wait_s > 0:
+            await self._wait_for_peer(wait_s)
+        usable = [
+            peer
+            for name, peer in self._peers.items()
+            if peer.accepts and name not in tried
+        ]
+        self._rng.shuffle(usable)
+        return min(usable, key=lambda peer: len(self._tunnels_of(peer)), default=None)
+
+    async def _wait_for_peer(self, wait_s: float) -> None:
+        waiting: Deferred[None] = Deferred()
+        self._waiting.append(waiting)
+        timer = self._reactor.callLater(wait_s, _fire, waiting)
+        try:
+            await waiting
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    async def _open(
+        self, peer: Peer, server: BackendServer, timeout_s: float
+    ) -> "Tunnel | str":
+        """Return a tunnel, or why the host opened none."""
+        ip, _, port = peer.host.address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(self._reactor, ip, int(port), timeout=timeout_s)
+        request = OpenTunnel(
+            secret=self._secret(), host=self._name, server_id=server.id
+        )
+        factory = Factory.forProtocol(lambda: _Handshake(request=request))
+        factory.noisy = False
+        try:
+            handshake = cast(_Handshake, await endpoint.connect(factory))
+        except ConnectError:
+            peer.end()
+            return RefusalReason.STOPPING
+        timer = self._reactor.callLater(timeout_s, handshake.abort)
+        try:
+            reason = await handshake.done
+        except CancelledError:
+            handshake.abort()
+            raise
+        finally:
+            if timer.active():
+                timer.cancel()
+        if reason is not None:
+            return str(reason)
+        tunnel = Tunnel(
+            peer=peer, transport=handshake.transport, on_closed=self._tunnels.discard
+        )
+        self._tunnels.add(tunnel)
+        return tunnel
+
+
+def _fire(waiting: "Deferred[None]") -> None:
+    if not waiting.called:
+        waiting.callback(None)
+
+
+@final
+class _Handshake(FramedProtocol):
+    """Asks a host for a tunnel; ``done`` fires with None or the reason of a refusal."""
+
+    def __init__(self, *, request: OpenTunnel) -> None:
+        self.done: Deferred[str | None] = Deferred()
+        self._request = request
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send the request."""
+        set_tunnel_options(self.transport)
+        self.send(self._request)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handle the reply; bytes of a server that follow it belong to no request."""
+        super().dataReceived(data)
+        if self.done.called and self._unprocessed:
+            self.abort()
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Handle the reply."""
+        try:
+            reply = decode_reply(string)
+        except msgspec.DecodeError:
+            self.abort()
+            return
+        if self.done.called:
+            self.abort()
+        elif isinstance(reply, TunnelOpened):
+            self.done.callback(None)
+        elif isinstance(reply, TunnelRefused):
+            self.done.callback(reply.reason)
+            close_end(self.transport, clean=True)
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Count a lost connection as a refusal."""
+        if not self.done.called:
+            self.done.callback(RefusalReason.STOPPING)
--- /dev/null
+++ b/src/gentianwharf/tunnels/_peer.py
@@ -0,0 +1,126 @@
+"""Another host through which this host may reach the servers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, final
+
+import msgspec
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+
+from ._messages import FramedProtocol, HostState, Subscribe, decode_reply
+
+STATE_TIMEOUT_S = 0.8
+"""A host from which no state arrives for this long is frozen, or can't be reached."""
+
+CONNECT_TIMEOUT_S = 0.3
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TunnelHost:
+    """A listed host; ``address`` is where it accepts tunnels."""
+
+    name: str
+    address: str
+    domain: str
+
+
+@final
+class Peer:
+    """The subscription to one host's state.
+
+    ``on_state`` is called when the host starts or stops accepting tunnels, ``on_end``
+    when it accepts none, or can't be reached any more.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: TunnelHost,
+        on_state: Callable[["Peer"], None],
+        on_end: Callable[["Peer"], None],
+        reactor: Any,
+    ) -> None:
+        self.host = host
+        self.accepts = False
+        self.is_silent = False
+        """Whether it ended because the host was not heard in time."""
+        self._on_state = on_state
+        self._on_end = on_end
+        self._reactor = reactor
+        self._timer: Any = None
+        self._protocol: _Subscription | None = None
+        self._connecting: Any = None
+        self._ended = False
+
+    def start(self, request: Subscribe) -> None:
+        """Connect, and subscribe to the host's state."""
+        ip, _, port = self.host.address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, ip, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        factory = Factory.forProtocol(lambda: _Subscription(peer=self))
+        factory.noisy = False
+        self._connecting = endpoint.connect(factory)
+        self._connecting.addCallbacks(
+            self._subscribe, lambda _: self.end(), callbackArgs=(request,)
+        )
+        self._timer = self._reactor.callLater(STATE_TIMEOUT_S, self._end_silent)
+
+    def _subscribe(self, protocol: "_Subscription", request: Subscribe) -> None:
+        self._connecting = None
+        self._protocol = protocol
+        protocol.send(request)
+
+    def _end_silent(self) -> None:
+        self.is_silent = True
+        self.end()
+
+    def note_state(self, *, accepts: bool) -> None:
+        """Record the host's state."""
+        if self._ended:
+            return
+        self._timer.reset(STATE_TIMEOUT_S)
+        if accepts != self.accepts:
+            self.accepts = accepts
+            self._on_state(self)
+        elif not accepts:
+            self.end()
+
+    def end(self) -> None:
+        """End the subscription."""
+        if self._ended:
+            return
+        self._ended = True
+        self.accepts = False
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self._protocol is not None:
+            self._protocol.abort()
+        self._on_end(self)
+
+
+@final
+class _Subscription(FramedProtocol):
+    def __init__(self, *, peer: Peer) -> None:
+        self._peer = peer
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Handle the host's state."""
+        try:
+            reply = decode_reply(string)
+        except msgspec.DecodeError:
+            self.abort()
+            return
+        if isinstance(reply, HostState):
+            self._peer.note_state(accepts=reply.accepts)
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """End the subscription."""
+        self._peer.end()
--- /dev/null
+++ b/src/gentianwharf/tunnels/_server.py
@@ -0,0 +1,305 @@
+"""Accepts tunnels of hosts that have lost their links to the servers."""
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, cast, final
+
+import msgspec
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from gentianwharf.logs import log
+from gentianwharf.sockets import unacknowledged_bytes
+from gentianwharf.topology import BackendServer
+
+from ._messages import (
+    FramedProtocol,
+    HostState,
+    OpenTunnel,
+    RefusalReason,
+    Subscribe,
+    TunnelOpened,
+    TunnelRefused,
+    decode_request,
+    is_same_secret,
+)
+
+MAX_TUNNELS = 256
+MAX_SUBSCRIBERS = 256
+BUFFER_BYTES = 16_384
+"""Bytes of each direction of a tunnel that are read at a time, and buffered at most
+beyond that while the receiver is slower than the sender."""
+
+CONNECT_TIMEOUT_S = 0.3
+HANDSHAKE_TIMEOUT_S = 2.0
+STATE_INTERVAL_S = 0.25
+"""Interval of ``HostState`` messages; hosts drop one from which none arrives."""
+
+
+@final
+class TunnelServer(Factory):
+    """Accepts tunnels while this host has links to servers and is not stopping.
+
+    ``server_by_id`` returns the listed server with an id, so that tunnels lead nowhere
+    else. ``secret`` returns what all hosts of the system know, empty if it is unknown.
+    A tunnel's connection to its server is always a direct one: there are no loops.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        *,
+        server_by_id: Callable[[str], BackendServer | None],
+        secret: Callable[[], str],
+        is_cut_off: Callable[[], bool],
+        reactor: Any,
+    ) -> None:
+        self.server_by_id = server_by_id
+        self.secret = secret
+        self.is_stopping = False
+        self.reactor = reactor
+        self.opened = 0
+        self.refused: Counter[str] = Counter()
+        self._is_cut_off = is_cut_off
+        self._connections: set[_Entry] = set()
+
+    def buildProtocol(self, addr: Any) -> Protocol:  # noqa: N802
+        """Accept a connection of a host."""
+        return _Entry(server=self)
+
+    @property
+    def open_tunnels(self) -> int:
+        """The number of tunnels that are open or being opened."""
+        return sum(entry.carries_tunnel for entry in self._connections)
+
+    def refusal(self) -> str | None:
+        """Return why this host accepts no tunnel, None if it does."""
+        if self.is_stopping:
+            return RefusalReason.STOPPING
+        if self._is_cut_off():
+            return RefusalReason.CUT_OFF
+        if self.open_tunnels >= MAX_TUNNELS:
+            return RefusalReason.FULL
+        return None
+
+    def stop_accepting(self) -> None:
+        """Refuse new tunnels; hosts close theirs once their requests are answered."""
+        self.is_stopping = True
+        self.send_state()
+
+    def note_cut_off(self) -> None:
+        """Refuse new tunnels, and reset those whose servers acknowledge nothing."""
+        self.send_state()
+        for entry in list(self._connections):
+            if entry.is_unacknowledged():
+                entry.abort()
+
+    def send_state(self) -> None:
+        """Send this host's state to all subscribers."""
+        for entry in list(self._connections):
+            if entry.is_subscriber:
+                entry.send_state()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for entry in list(self._connections):
+            entry.abort()
+
+    def add(self, entry: "_Entry") -> bool:
+        """Register a connection; return False if there are too many."""
+        if len(self._connections) >= MAX_TUNNELS + MAX_SUBSCRIBERS:
+            return False
+        self._connections.add(entry)
+        return True
+
+    def discard(self, entry: "_Entry") -> None:
+        """Remove a closed connection."""
+        self._connections.discard(entry)
+
+
+@final
+class _Entry(FramedProtocol):
+    """The end of a tunnel at which another host's bytes arrive, or a subscriber."""
+
+    def __init__(self, *, server: TunnelServer) -> None:
+        self._server = server
+        self._exit: _Exit | None = None
+        self._connecting: Any = None
+        self._timer: Any = None
+        self.is_subscriber = False
+
+    @property
+    def carries_tunnel(self) -> bool:
+        """Whether a tunnel is open or being opened."""
+        return self._exit is not None or self._connecting is not None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Wait for a request for a limited time."""
+        if not self._server.add(self):
+            self.abort()
+            return
+        set_tunnel_options(self.transport)
+        self._timer = self._server.reactor.callLater(HANDSHAKE_TIMEOUT_S, self.abort)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Copy bytes to the server once the tunnel is open."""
+        if self._exit is not None:
+            self._exit.write(data)
+        elif self._connecting is not None or self.is_subscriber:
+            # A host sends nothing before the tunnel is open.
+            self.abort()
+        else:
+            super().dataReceived(data)
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Handle the request of a host."""
+        self._timer.cancel()
+        try:
+            request = decode_request(string)
+        except msgspec.DecodeError as error:
+            self._reject(f"cannot decode a request for a tunnel: {error}")
+            return
+        if not is_same_secret(request.secret, self._server.secret()):
+            self._reject("request for a tunnel without the secret of this system")
+        elif isinstance(request, Subscribe):
+            self.is_subscriber = True
+            self._send_state_periodically()
+        else:
+            self._open(request)
+
+    def _reject(self, message: str) -> None:
+        log.warning(message, extra={"step": "tunnel", "peer": self._peer_ip()})
+        self.abort()
+
+    def _peer_ip(self) -> str:
+        return str(cast(Any, self.transport).getPeer().host)
+
+    def _send_state_periodically(self) -> None:
+        self.send_state()
+        self._timer = self._server.reactor.callLater(
+            STATE_INTERVAL_S, self._send_state_periodically
+        )
+
+    def send_state(self) -> None:
+        """Send this host's state."""
+        self.send(HostState(accepts=self._server.refusal() is None))
+
+    def _open(self, request: OpenTunnel) -> None:
+        reason = self._server.refusal()
+        server = self._server.server_by_id(request.server_id)
+        if reason is None and server is None:
+            reason = RefusalReason.UNKNOWN_SERVER
+        if reason is not None or server is None:
+            self._refuse(reason or RefusalReason.UNKNOWN_SERVER)
+            return
+        ip, _, port = server.address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(
+            self._server.reactor, ip, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        factory = Factory.forProtocol(lambda: _Exit(entry=self))
+        factory.noisy = False
+        self._connecting = endpoint.connect(factory)
+        self._connecting.addCallbacks(self._join, self._fail)
+
+    def _join(self, exit_end: "_Exit") -> None:
+        self._connecting = None
+        self._server.opened += 1
+        self._exit = exit_end
+        cast(Any, self.transport).registerProducer(exit_end.transport, True)
+        cast(Any, exit_end.transport).registerProducer(self.transport, True)
+        self.send(TunnelOpened())
+
+    def _fail(self, failure: Failure) -> None:
+        self._connecting = None
+        if self.connected:
+            self._refuse(RefusalReason.UNREACHABLE)
+
+    def _refuse(self, reason: str) -> None:
+        self._server.refused[reason] += 1
+        self.send(TunnelRefused(reason=reason))
+        cast(Any, self.transport).loseConnection()
+
+    def is_unacknowledged(self) -> bool:
+        """Whether bytes on their way to the server wait to be acknowledged."""
+        exit_end = self._exit
+        return exit_end is not None and unacknowledged_bytes(exit_end.transport) > 0
+
+    def write(self, data: bytes) -> None:
+        """Write bytes of the server."""
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def close(self, *, clean: bool) -> None:
+        """Close this end as the other end was closed: a reset stays a reset."""
+        close_end(self.transport, clean=clean)
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Close the connection to the server, so that it drops the request."""
+        self._server.discard(self)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        connecting, self._connecting = self._connecting, None
+        if connecting is not None:
+            connecting.cancel()
+        exit_end, self._exit = self._exit, None
+        if exit_end is not None:
+            exit_end.close(clean=bool(reason.check(ConnectionDone)))
+
+
+@final
+class _Exit(Protocol):
+    """The end of a tunnel at its server."""
+
+    def __init__(self, *, entry: _Entry) -> None:
+        self._entry = entry
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set the buffer's size."""
+        set_tunnel_options(self.transport)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Copy bytes to the host."""
+        self._entry.write(data)
+
+    def write(self, data: bytes) -> None:
+        """Write bytes of the host."""
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def close(self, *, clean: bool) -> None:
+        """Close this end as the other end was closed."""
+        close_end(self.transport, clean=clean)
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Close the connection to the host."""
+        self._entry.close(clean=bool(reason.check(ConnectionDone)))
+
+
+def set_tunnel_options(transport: Any) -> None:
+    """Bound the buffers of a connection, and detect a peer that is gone."""
+    transport.bufferSize = BUFFER_BYTES
+    transport.setTcpNoDelay(True)
+    transport.setTcpKeepAlive(True)
+    handle = transport.getHandle()
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
+def close_end(transport: Any, *, clean: bool) -> None:
+    """Close after all buffered bytes are written, or reset the connection."""
+    if transport is None:
+        return
+    if not clean:
+        transport.abortConnection()
+        return
+    transport.unregisterProducer()
+    transport.loseConnection()
--- a/tests/test_entryhost_servers.py
+++ b/tests/test_entryhost_servers.py
@@ -208,7 +208,7 @@
 def test_answer_of_a_server_reaches_the_gate_and_the_leader(host: EntryHost) -> None:
     """Guards against what a server states being known to its own host only."""
     notice = ServerNotice(max_requests_per_s=2.2, is_leaving=True)
-    host._admission.note_notice(host._servers[SERVER_ID], notice)
+    host._admission.note_notice(host._listed.by_id[SERVER_ID], notice)
     assert host._gate.notices.limit_of(SERVER_ID) == 2.2
     assert host._gate.notices.leaving_servers == 1
     assert not host._coordinator.directory.candidates("seats")
@@ -228,7 +228,9 @@
 
 def test_leaving_owner_is_used_for_less_than_the_drain_timeout(host: EntryHost) -> None:
     """Guards against a time of the gate's own that exceeds what operators allow."""
-    host._admission.note_notice(host._servers[SERVER_ID], ServerNotice(is_leaving=True))
+    host._admission.note_notice(
+        host._listed.by_id[SERVER_ID], ServerNotice(is_leaving=True)
+    )
     state = host._gate._registry.servers[SERVER_ID]
     drain_timeout_s = host.settings.agreements.drain_timeout_s
     assert state.accepts_pinned(drain_timeout_s / 2)
