Cut hosts' links to all servers in the soak, from outside

Each host gets a link of its own to each server, which the soak cuts while hosts, callers, the store and the other hosts go on: the links hang, are reset, or live on while new connections are refused. It does so beside restarts, rule changes and all other faults, with a generator of its own.

A new check compares first tries at such hosts with those at the others, from 1 s after the cut, by the users' bounds.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 
 from ._callers import Callers
 from ._checks import check_recovery, find_violations
+from ._cuts import Cuts, find_unserved_cuts
 from ._deployment import Deployment
 from ._faults import Faults
 from ._operators import Operators
@@ -51,10 +52,12 @@
     """One run of the soak.
 
     ``rules_grow`` lets the list of rules grow, and restarts all hosts at once.
+    ``cut_links`` cuts the links of hosts to all servers.
     """
 
     seed: int
     rules_grow: bool = True
+    cut_links: bool = False
 
 
 UNRESOLVED = (
@@ -76,7 +79,9 @@
     logs.mkdir(parents=True)
     seed = seed_run.seed
     schedule = Schedule(reactor=reactor)
-    deployment = Deployment(reactor=reactor, net=net, logs=logs)
+    deployment = Deployment(
+        reactor=reactor, net=net, logs=logs, own_links=seed_run.cut_links
+    )
     operators = Operators(
         reactor=reactor,
         store=PlatformStore(reactor=reactor, address=deployment.operators_address),
@@ -95,6 +100,7 @@
         deployment=deployment, operators=operators, schedule=schedule, rng=Random(seed)
     )
     restarts = Restarts(deployment=deployment, schedule=schedule, rng=Random(seed + 3))
+    cuts = Cuts(deployment=deployment, schedule=schedule, rng=Random(seed + 4))
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
         "before", "shutdown", deployment.stop
@@ -107,8 +113,11 @@
         if seed_run.rules_grow:
             operators.start()
             restarts.start()
+        if seed_run.cut_links:
+            cuts.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
+        cuts.restore()
         deployment.restore()
         await deferLater(reactor, RECOVER_S)
         recovered_s = reactor.seconds()
@@ -128,6 +137,9 @@
     bound = requests_with_known_outcome(callers.requests, deployment.disruptions)
     violations += find_stale_versions(callers.requests, deployment.disruptions)
     violations += find_version_regressions(callers.requests)
+    violations += find_unserved_cuts(
+        callers.requests, cuts.cuts, deployment.disruptions
+    )
     judged = [
         request
         for request in callers.requests
@@ -164,6 +176,7 @@
     seeds: int = 1,
     failed: bool = False,
     rules_grow: bool = True,
+    cut_links: bool = True,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -179,6 +192,8 @@
         Play the seeds that broke something once instead.
     rules_grow
         Let the list of rules grow to thousands, and restart all hosts at once.
+    cut_links
+        Cut the links of hosts to all servers.
     faults_s
         For how long faults are injected.
     net
@@ -189,7 +204,7 @@
     _stop_on_hangup()
     first = first or int(time.time()) % 1_000_000
     seed_runs = [
-        SeedRun(seed=seed, rules_grow=rules_grow)
+        SeedRun(seed=seed, rules_grow=rules_grow, cut_links=cut_links)
         for seed in range(first, first + seeds)
     ]
     if failed:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -31,6 +31,11 @@
     is_complete: bool = False
     error: str = ""
 
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller got a whole answer of a server."""
+        return self.status == 200 and self.is_complete
+
     def is_allowed(self) -> bool:
         """Whether every version of the rules that may be in force has its rule."""
         if self.rule is None:
@@ -92,7 +97,7 @@
         for request in requests
         if request.sent_s >= from_s and request.is_allowed()
     ]
-    served = sum(request.status == 200 and request.is_complete for request in late)
+    served = sum(request.is_served for request in late)
     if late and served >= len(late) * MIN_SERVED_SHARE:
         return []
     failures = sorted(
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -1,7 +1,9 @@
 """A small deployment: a store, servers, hosts, and a proxy on each link."""
 
+import json
 import signal
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, final
 
@@ -16,20 +18,28 @@
 from ._disruptions import Disruptions, link_of
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
+from ._server_link import LinkCut, ServerLink
+from .entry_host import LINKS_VARIABLE
 
 HOST_COUNT = 4
 KEYED_SERVER_COUNT, UNKEYED_SERVER_COUNT = 5, 3
 STANDIN = ("-m", "gentianwharf.platform.standin")
 RESTART_DELAY_S = 0.3
 SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
+FIRST_LINK_PORT = 8500
 DISRUPTIVE_SIGNALS = (signal.SIGSTOP, signal.SIGTERM, signal.SIGKILL)
 
 
 @final
 class Deployment:
-    """Processes by name; all listen on IP addresses of the network ``127.NET``."""
+    """Processes by name; all listen on IP addresses of the network ``127.NET``.
 
-    def __init__(self, *, reactor: Any, net: int, logs: Path) -> None:
+    With ``own_links``, each host reaches the servers over links that can be cut.
+    """
+
+    def __init__(
+        self, *, reactor: Any, net: int, logs: Path, own_links: bool = False
+    ) -> None:
         self.reactor = reactor
         self.logs = logs
         self.net = net
@@ -43,6 +53,8 @@
             for number in range(KEYED_SERVER_COUNT + UNKEYED_SERVER_COUNT)
         ]
         self.disruptions = Disruptions(now_s=reactor.seconds)
+        self._has_own_links = own_links
+        self._server_links: dict[str, list[ServerLink]] = {}
         self.operators_address = f"127.{net}.0.1:{OPERATORS_PORT}"
         self._is_stopped = False
         self._settings = Path(tempfile.mkdtemp(prefix="soak-"))
@@ -63,6 +75,15 @@
             self.reactor.callLater(1.0, self.start_program, name)
         for name in self.hosts:
             self._add_proxy(name, target=f"{store}:{STORE_PORT}")
+            if self._has_own_links:
+                self._server_links[name] = [
+                    ServerLink(
+                        reactor=self.reactor,
+                        listens_on=f"{self._ip(server)}:{self._link_port(name)}",
+                        target=self._proxy_address(server),
+                    )
+                    for server in self.servers
+                ]
             self.reactor.callLater(1.5, self.start_program, name)
 
     def start_program(self, name: str) -> None:
@@ -101,7 +122,14 @@
             SETTINGS_PATH_VARIABLE: str(path),
             "GENTIANWHARF_LISTEN": f"{self._ip(name)}:{CALLERS_PORT}",
         }
-        self._start_process(name, ["-OO", "-m", "gentianwharf.entry"], env)
+        module = "gentianwharf.entry"
+        if self._has_own_links:
+            module = "soak.entry_host"
+            port = self._link_port(name)
+            env[LINKS_VARIABLE] = json.dumps(
+                {self._proxy_address(server): port for server in self.servers}
+            )
+        self._start_process(name, ["-OO", "-m", module], env)
 
     def _start_server(self, name: str) -> None:
         number = self.servers.index(name)
@@ -136,6 +164,9 @@
     def _proxy_address(self, name: str) -> str:
         return f"{self._ip(name)}:{PROXY_PORT}"
 
+    def _link_port(self, host: str) -> int:
+        return FIRST_LINK_PORT + self.hosts.index(host)
+
     def _ip(self, name: str) -> str:
         kind, _, number = name.partition("-")
         return f"127.{self.net}.{1 if kind == 'host' else 2}.{int(number) + 1}"
@@ -162,6 +193,18 @@
         self.proxies[name].end()
         self.disruptions.end(link_of(name))
 
+    def cut_server_links(self, hosts: Sequence[str], form: LinkCut) -> None:
+        """Cut the links of hosts to all servers."""
+        for host in hosts:
+            for link in self._server_links[host]:
+                link.cut(form)
+
+    def restore_server_links(self) -> None:
+        """Restore the links of all hosts to all servers."""
+        for links in self._server_links.values():
+            for link in links:
+                link.restore()
+
     def restore(self) -> None:
         """Clear all faults, resume paused programs and start those that have ended."""
         for name in self.proxies:
@@ -187,6 +230,9 @@
             program.send(signal.SIGKILL)
         for proxy in self.proxies.values():
             proxy.stop()
+        for links in self._server_links.values():
+            for link in links:
+                link.stop()
 
 
 def _ignore_line(line: Line) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,13 +21,22 @@
 
     Seed 1 also lets the list of rules grow to thousands, and restarts all hosts.
     """
+    play(seed, faults_s, growth, "--no-cut-links")
+
+
+def test_no_promise_is_broken_while_hosts_lose_their_links() -> None:
+    """Hosts lose their links to all servers, also beside restarts and changes."""
+    play(9601, 12, "--rules-grow", "--cut-links")
+
+
+def play(seed: int, faults_s: int, *options: str) -> None:
     result = subprocess.run(
         [
             *(sys.executable, "-m", "soak", "--first", str(seed), "--seeds", "1"),
             *(
                 "--faults-s",
                 str(faults_s),
-                growth,
+                *options,
                 "--net",
                 str(120 + os.getpid() % 100),
             ),
