--- a/bench/_modules.py
+++ b/bench/_modules.py
@@ -15,6 +15,7 @@
     "bench.capacity_store",
     "bench.capacity_relay",
     "bench.path",
+    "bench.tunnels",
     "bench.decision",
     "bench.dispatch",
 )
--- a/bench/path_load.py
+++ b/bench/path_load.py
@@ -8,15 +8,22 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
+from functools import partial
 
 BUFFER_BYTES = 65_536
 
 
-def run(port: int, seconds: float, path: str, latencies_s: list[float]) -> None:
+def run(
+    connect: Callable[[], socket.socket],
+    seconds: float,
+    path: str,
+    latencies_s: list[float],
+) -> None:
     """Send one request after another on one connection until the time is up."""
     request = f"GET {path} HTTP/1.1\r\nHost: gateway\r\n\r\n".encode()
     end_s = time.monotonic() + seconds
-    with socket.create_connection(("127.0.0.1", port)) as connection:
+    with connect() as connection:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         while (start_s := time.monotonic()) < end_s:
             connection.sendall(request)
@@ -41,10 +48,9 @@
     """Run the load and print the number of responses and their latencies."""
     port, connections, seconds, path = sys.argv[1:]
     latencies_s: list[float] = []
+    connect = partial(socket.create_connection, ("127.0.0.1", int(port)))
     threads = [
-        threading.Thread(
-            target=run, args=(int(port), float(seconds), path, latencies_s)
-        )
+        threading.Thread(target=run, args=(connect, float(seconds), path, latencies_s))
         for _ in range(int(connections))
     ]
     for thread in threads:
