Choose hosts for tunnels by the domain of the server, and probe in several domains

A tunnel through a host beside the caller's host to a server in a third failure domain crosses between domains as often as a direct connection only if one of its ends is in the server's domain: prefer a host there. Six hosts are subscribed to, of each domain in turn.

A host that connects to a server for another takes 0.2 s at most, the other waits 0.3 s: a dark server was taken for a host that is gone, and asked for once more directly.

Lines of answers name the host through which a request went.

--- a/src/gentianwharf/entryhost/_answer_log.py
+++ b/src/gentianwharf/entryhost/_answer_log.py
@@ -63,6 +63,7 @@
                 "elapsed_ms": round(record.elapsed_s * 1000),
                 "step": record.step,
                 "peer": record.peer,
+                "through": record.through,
                 "view_age_ms": self._view_age_ms(),
             },
         )
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -168,7 +168,7 @@
             reactor=reactor,
             rng=self._rng,
         )
-        self._tunnels.on_change = self._admission.forget_failures
+        self._tunnels.on_cut_off = self._admission.forget_failures
         self._tunnels.add_gauges(self.metrics)
         self._load_paths: dict[str, str] = {}
         self._load_client = LoadClient(
--- a/src/gentianwharf/entryhost/_tunnels.py
+++ b/src/gentianwharf/entryhost/_tunnels.py
@@ -28,8 +28,8 @@
 class HostTunnels:
     """Opens tunnels while this host is cut off from the servers, and accepts others'.
 
-    ``pools`` returns the connections to all listed servers. ``on_change`` is called
-    when this host is cut off, and when its links are restored.
+    ``pools`` returns the connections to all listed servers. ``on_cut_off`` is called
+    when this host has lost its links to them.
     """
 
     def __init__(
@@ -42,16 +42,19 @@
         reactor: Any,
         rng: Random,
     ) -> None:
-        self.on_change: Callable[[], None] = lambda: None
+        self.on_cut_off: Callable[[], None] = lambda: None
         self._settings = settings
         self._reactor = reactor
         self._port: Any = None
         self.reachability = Reachability(now_s=reactor.seconds)
         self.monitor = LinkMonitor(
-            reachability=self.reachability, pools=pools, reactor=reactor, rng=rng
+            reachability=self.reachability,
+            pools=pools,
+            domain=settings.domain,
+            reactor=reactor,
+            rng=rng,
         )
         self.monitor.on_cut_off = self._note_cut_off
-        self.monitor.on_restored = self._note_restored
         self.client = TunnelClient(
             name=settings.name,
             domain=settings.domain,
@@ -59,6 +62,7 @@
             reactor=reactor,
             rng=rng,
         )
+        self.monitor.on_restored = self.client.stop
         self.server = TunnelServer(
             server_by_id=servers.get,
             secret=secret,
@@ -99,11 +103,7 @@
     def _note_cut_off(self) -> None:
         self.client.start()
         self.server.note_cut_off()
-        self.on_change()
-
-    def _note_restored(self) -> None:
-        self.client.stop()
-        self.on_change()
+        self.on_cut_off()
 
     def add_gauges(self, metrics: HostMetrics) -> None:
         """Add gauges of the tunnels in both directions."""
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -98,6 +98,12 @@
         """Whether the connection had carried an earlier request."""
         return self.connection is not None and self.connection.requests > 1
 
+    @property
+    def through(self) -> str:
+        """The host whose tunnel is used, empty without one."""
+        tunnel = self.connection.tunnel if self.connection is not None else None
+        return tunnel.host if tunnel is not None else ""
+
     async def run(self) -> Response:
         """Return the response once its head has arrived; raises ``AttemptError``."""
         connection = await self._connect()
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -77,6 +77,7 @@
         self._begun_s = reactor.seconds()
         self._waited_s = 0.0
         self._server: BackendServer | None = None
+        self._attempt: Attempt | None = None
         self._owner: Owner | None = None
         self._race: Race | None = None
         self._tries = 0
@@ -274,7 +275,7 @@
         return await race.winner()
 
     def _new_attempt(self, server: BackendServer, *, fresh: bool = False) -> Attempt:
-        return Attempt(
+        self._attempt = Attempt(
             request=self.request,
             ticket=self.ticket,
             server=server,
@@ -285,6 +286,7 @@
             reactor=self._reactor,
             fresh=fresh,
         )
+        return self._attempt
 
     def _record_failure(self, error: AttemptError) -> None:
         lost_attempts = self._race.lost_attempts if self._race is not None else 0
@@ -308,7 +310,7 @@
         return isinstance(error, NotRunError) or self.ticket.repeatable
 
     async def _forward_response(self, attempt: Attempt, response: Response) -> None:
-        self._server = attempt.server
+        self._server, self._attempt = attempt.server, attempt
         outcome = Outcome.CANCELLED
         try:
             if await self._write_response(attempt, response):
@@ -371,6 +373,7 @@
                 step=step,
                 peer=peer,
                 tries=self._tries,
+                through=self._attempt.through if self._attempt is not None else "",
             )
         )
 
--- a/src/gentianwharf/relay/_link_monitor.py
+++ b/src/gentianwharf/relay/_link_monitor.py
@@ -6,6 +6,7 @@
 opened.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any, Protocol, final
@@ -84,7 +85,7 @@
 class LinkMonitor:
     """Confirms suspicions, and probes for the end of a cut.
 
-    ``pools`` returns those of all listed servers.
+    ``pools`` returns those of all listed servers; ``domain`` is this host's.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         *,
         reachability: Reachability,
         pools: Callable[[], Iterable[LinkPool]],
+        domain: str,
         reactor: Any,
         rng: Random,
     ) -> None:
@@ -102,6 +104,7 @@
         """Direct connections that wait for a response, the oldest request first."""
         self._connecting: set[Callable[[], None]] = set()
         self._pools = pools
+        self._domain = domain
         self._reactor = reactor
         self._rng = rng
         self._waiting: list[Deferred[bool]] = []
@@ -225,12 +228,28 @@
         return verdict
 
     def _choose_pools(self) -> list[LinkPool]:
-        """Choose servers at random, first those to which no connection has failed."""
+        """Choose servers at random to which no connection has failed, if there are any.
+
+        They are in different failure domains, one of them in the own: a host whose
+        domain is cut off from the others still reaches the servers beside it.
+        """
         pools = [pool for pool in self._pools() if pool.has_room()]
         self._rng.shuffle(pools)
         unreachable = self.reachability.unreachable
-        pools.sort(key=lambda pool: pool.server.id in unreachable)
-        return pools[:PROBES]
+        pools.sort(
+            key=lambda pool: (
+                pool.server.id in unreachable,
+                pool.server.domain != self._domain,
+            )
+        )
+        seen: Counter[tuple[bool, str]] = Counter()
+        ranks: list[tuple[bool, int, LinkPool]] = []
+        for pool in pools:
+            failed, domain = pool.server.id in unreachable, pool.server.domain
+            ranks.append((failed, seen[failed, domain], pool))
+            seen[failed, domain] += 1
+        ranks.sort(key=lambda rank: rank[:2])
+        return [pool for _, _, pool in ranks[:PROBES]]
 
     def _end_probe(self, opened: bool) -> None:
         self._open_probes -= 1
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -213,6 +213,8 @@
     step: str
     peer: str
     tries: int = 1
+    through: str = ""
+    """The host whose tunnel the last attempt used, empty for a direct connection."""
 
 
 class Observer(Protocol):
--- a/src/gentianwharf/relay/_tunnels.py
+++ b/src/gentianwharf/relay/_tunnels.py
@@ -8,6 +8,10 @@
 class Tunnel(Protocol):
     """A connection to a server through another host."""
 
+    @property
+    def host(self) -> str:
+        """The name of the other host."""
+
     def attach(self, user: Any) -> None:
         """Let a protocol use the connection from now on."""
 
--- a/src/gentianwharf/tunnels/_client.py
+++ b/src/gentianwharf/tunnels/_client.py
@@ -1,5 +1,6 @@
 """Opens tunnels through other hosts while this host has no links to servers."""
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any, Protocol, cast, final
@@ -27,21 +28,19 @@
 from ._peer import Peer, TunnelHost
 from ._server import close_end, set_tunnel_options
 
-MAX_PEERS = 4
+MAX_PEERS = 6
 """Hosts through which one host opens tunnels: its load is spread over several, and few
 of them have to be watched."""
 
-MAX_LOCAL_PEERS = 2
-"""Those of them in the own failure domain, as long as there are others. If most of the
-domain is cut off, its last hosts must not carry all of it."""
-
 MAX_ATTEMPTS = 2
 """Hosts that are asked in turn for one tunnel."""
 
 FIRST_PEER_TIMEOUT_S = 0.3
 """Time after the start for which tunnels wait until the first host accepts them."""
 
-OPEN_TIMEOUT_S = 0.25
+OPEN_TIMEOUT_S = 0.3
+"""Longer than the other host may take to connect to the server."""
+
 RETRY_INTERVAL_S = 0.5
 """Interval at which hosts are looked for while there are too few."""
 
@@ -152,13 +151,21 @@
         self._wake()
 
     def _in_order(self) -> list[TunnelHost]:
-        """Return the hosts in the order in which they are tried, the last one first."""
+        """Return the hosts in the order in which they are tried, the last one first.
+
+        Each failure domain has its turn, beginning with the own, so that there is a
+        host beside most servers.
+        """
         hosts = list(self._hosts)
         self._rng.shuffle(hosts)
-        local = [host for host in hosts if host.domain == self._domain]
-        others = [host for host in hosts if host.domain != self._domain]
-        first = local[:MAX_LOCAL_PEERS] + others
-        return (first + local[MAX_LOCAL_PEERS:])[::-1]
+        hosts.sort(key=lambda host: host.domain != self._domain)
+        seen: Counter[str] = Counter()
+        turns: list[tuple[int, TunnelHost]] = []
+        for host in hosts:
+            turns.append((seen[host.domain], host))
+            seen[host.domain] += 1
+        turns.sort(key=lambda turn: turn[0])
+        return [host for _, host in reversed(turns)]
 
     def _look_for_peers(self) -> None:
         """Subscribe to more hosts, and start over later if all have been tried."""
@@ -225,7 +232,7 @@
         tried: set[str] = set()
         results: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
-            peer = await self._choose_peer(tried, end_s)
+            peer = await self._choose_peer(server.domain, tried, end_s)
             left_s = end_s - self._reactor.seconds()
             if peer is None or left_s <= 0:
                 break
@@ -244,8 +251,14 @@
             )
         return None
 
-    async def _choose_peer(self, tried: set[str], end_s: float) -> Peer | None:
-        """Return the host with the fewest tunnels, after the start waiting for one."""
+    async def _choose_peer(
+        self, domain: str, tried: set[str], end_s: float
+    ) -> Peer | None:
+        """Return a host in ``domain`` if there is one, and the least used of them.
+
+        Bytes then cross between failure domains as often as on a direct connection.
+        Just after the start, this waits for the first host.
+        """
         end_s = min(end_s, self._started_s + FIRST_PEER_TIMEOUT_S)
         wait_s = end_s - self._reactor.seconds()
         if self._is_started and not self.usable_peers and not tried and wait_s > 0:
@@ -256,7 +269,14 @@
             if peer.accepts and name not in tried
         ]
         self._rng.shuffle(usable)
-        return min(usable, key=lambda peer: len(self._tunnels_of(peer)), default=None)
+        return min(
+            usable,
+            key=lambda peer: (
+                peer.host.domain != domain,
+                len(self._tunnels_of(peer)),
+            ),
+            default=None,
+        )
 
     async def _wait_for_peer(self, wait_s: float) -> None:
         waiting: Deferred[None] = Deferred()
--- a/src/gentianwharf/tunnels/_server.py
+++ b/src/gentianwharf/tunnels/_server.py
@@ -33,7 +33,7 @@
 """Bytes of each direction of a tunnel that are read at a time, and buffered at most
 beyond that while the receiver is slower than the sender."""
 
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.2
 HANDSHAKE_TIMEOUT_S = 2.0
 STATE_INTERVAL_S = 0.25
 """Interval of ``HostState`` messages; hosts drop one from which none arrives."""
--- a/tests/builders_links.py
+++ b/tests/builders_links.py
@@ -73,7 +73,7 @@
 class Links:
     """A host's links to ``servers`` servers; ``failures`` names those that fail."""
 
-    def __init__(self, *, servers: int = 6, seed: int = 1) -> None:
+    def __init__(self, *, servers: int = 6, seed: int = 1, domain: str = "lac") -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         self.probed: list[str] = []
@@ -86,6 +86,7 @@
         self.monitor = LinkMonitor(
             reachability=self.reachability,
             pools=lambda: self.pools,
+            domain=domain,
             reactor=self.clock,
             rng=Random(seed),
         )
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -2,7 +2,7 @@
 
 import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager, suppress
 from random import Random
 from typing import Any, cast, final
@@ -87,7 +87,13 @@
 class Tunneling:
     """One host that opens tunnels through ``carriers`` others."""
 
-    def __init__(self, *, carriers: int = 1, secret: str = SECRET) -> None:
+    def __init__(
+        self,
+        *,
+        carriers: int = 1,
+        secret: str = SECRET,
+        domains: Sequence[str] = (),
+    ) -> None:
         self.reactor = running_reactor()
         self.backend = Backend()
         self.servers: dict[str, BackendServer] = {
@@ -115,7 +121,7 @@
             TunnelHost(
                 name=f"host-{number}",
                 address=f"127.0.0.1:{port.getHost().port}",
-                domain="lac",
+                domain=domains[number] if domains else "lac",
             )
             for number, port in enumerate(self._ports)
         ]
@@ -157,9 +163,11 @@
 
 
 @contextmanager
-def tunneling(*, carriers: int = 1, secret: str = SECRET) -> Iterator[Tunneling]:
+def tunneling(
+    *, carriers: int = 1, secret: str = SECRET, domains: Sequence[str] = ()
+) -> Iterator[Tunneling]:
     """Yield hosts, and close everything at the end."""
-    hosts = Tunneling(carriers=carriers, secret=secret)
+    hosts = Tunneling(carriers=carriers, secret=secret, domains=domains)
     try:
         yield hosts
     finally:
--- a/tests/test_relay_link_monitor.py
+++ b/tests/test_relay_link_monitor.py
@@ -1,5 +1,7 @@
 """A host finds out that it has lost its links to all servers, and when they return."""
 
+from dataclasses import replace
+
 import pytest
 
 from gentianwharf.relay import ConnectFailure
@@ -60,6 +62,23 @@
         assert set(links.probed) == {"s0", "s1", "s2"}
 
 
+def test_host_that_reaches_the_servers_beside_it_is_not_cut_off() -> None:
+    """Guards against tunnels on hosts whose failure domain is cut off from the others.
+
+    The hosts beside them reach no other servers either.
+    """
+    for seed in range(50):
+        links = Links(servers=9, seed=seed, domain="ariana")
+        for number, pool in enumerate(links.pools):
+            domain = ("lac", "charguia", "ariana")[number % 3]
+            pool.server = replace(pool.server, domain=domain)
+            if domain != "ariana":
+                links.failures[pool.server.id] = ConnectFailure.TIMED_OUT
+        verdict = links.confirm()
+        links.run(PROBE_TIMEOUT_S + 0.02)
+        assert result_of(verdict) is False
+
+
 def test_one_server_alone_is_no_evidence() -> None:
     links = Links(servers=1)
     links.fail(ConnectFailure.REFUSED)
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -44,7 +44,11 @@
     reachability = Reachability(now_s=reactor.seconds)
     pools: list[ServerConnectionPool] = []
     monitor = LinkMonitor(
-        reachability=reachability, pools=lambda: pools, reactor=reactor, rng=Random(1)
+        reachability=reachability,
+        pools=lambda: pools,
+        domain="lac",
+        reactor=reactor,
+        rng=Random(1),
     )
     links = ServerLinks(monitor=monitor, tunnels=NoTunnels())
     pools += [
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,6 +1,7 @@
 """Connections to servers through another host, on real sockets."""
 
 import socket
+from dataclasses import replace
 from typing import Any, cast
 
 import pytest
@@ -214,6 +215,19 @@
         assert [carrier.open_tunnels for carrier in hosts.carriers] == [3, 3, 3]
 
 
+def test_host_in_the_failure_domain_of_the_server_is_used_first() -> None:
+    """Guards against bytes that cross between failure domains twice."""
+    with tunneling(carriers=3, domains=("a", "b", "c")) as hosts:
+        wait_until(
+            lambda: in_reactor(lambda: hosts.client.usable_peers) == 3,
+            description="three hosts",
+        )
+        server = replace(hosts.servers["s0"], domain="b")
+        for _ in range(3):
+            hosts.open(server)
+        assert [carrier.open_tunnels for carrier in hosts.carriers] == [0, 3, 0]
+
+
 def test_bytes_of_a_server_before_the_request_are_not_used() -> None:
     """Guards against answers to nobody's request that are given to a caller."""
 
