Let no request use a tunnel that is being closed, and judge no link by a late timer

Cause: a connection that is aborted stays in the pool's idle list until the next iteration of the loop, and retiring one left it there.

By reading: timers fire before sockets are read after a pause of this host, so that probes and other hosts' states counted as missing. A round of probes that ends late is no evidence now, and states are awaited with the pause in mind. An address in the list that is no ip:port costs its own host alone, and a range of one internal port leaves tunnels out.

Tests: limits, rests, rules in force, planned stops, uploads, links that return in part.

--- a/src/gentianwharf/entryhost/_tunnels.py
+++ b/src/gentianwharf/entryhost/_tunnels.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any, final
 
+from gentianwharf.logs import log
 from gentianwharf.platform import HostSettings
 from gentianwharf.relay import (
     LinkMonitor,
@@ -72,23 +73,26 @@
         self.links = ServerLinks(monitor=self.monitor, tunnels=self.client)
 
     def start(self) -> None:
-        """Accept tunnels."""
+        """Accept tunnels, if the platform has left a port for them."""
+        port = self._settings.first_internal_port + TUNNEL_PORT_OFFSET
+        if port > self._settings.last_internal_port:
+            log.warning(
+                "no port for tunnels: expected two internal ports or more",
+                extra={"step": "listen", "peer": f"{self._settings.ip}:{port}"},
+            )
+            return
         self._port = self._reactor.listenTCP(
-            self._settings.first_internal_port + TUNNEL_PORT_OFFSET,
-            self.server,
-            interface=self._settings.ip,
+            port, self.server, interface=self._settings.ip
         )
 
     def set_hosts(self, hosts: Iterable[HostAddress]) -> None:
         """Set the listed hosts."""
+        addresses = ((host, tunnel_address(host.address)) for host in hosts)
         self.client.set_hosts(
             [
-                TunnelHost(
-                    name=host.host,
-                    address=tunnel_address(host.address),
-                    domain=host.domain,
-                )
-                for host in hosts
+                TunnelHost(name=host.host, address=address, domain=host.domain)
+                for host, address in addresses
+                if address is not None
             ]
         )
 
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -87,7 +87,10 @@
 
 @final
 class StandInServer(Resource):
-    """One instance of a backend server; calls ``on_run`` for each request it ran."""
+    """One instance of a backend server.
+
+    It calls ``on_run`` for each request that it ran, ``on_refused`` for each other one.
+    """
 
     isLeaf = True  # noqa: N815
 
@@ -96,6 +99,7 @@
         self.spec = spec
         self.listed_as = spec.address
         self.on_run: Callable[[RequestRun], None] = lambda run: None
+        self.on_refused: Callable[[str], None] = lambda request_id: None
         self.state = ServerState.READY
         self.max_requests_per_s: float | None = None
         """The limit for all hosts together that each answer names, None for none."""
@@ -306,6 +310,7 @@
             self._finish_run(work, is_whole=False)
 
     def _refuse(self, work: _Work, status: int) -> None:
+        self.on_refused(work.request_id)
         request = self._with_headers(work)
         request.setResponseCode(status)
         request.setHeader(b"Not-Executed", b"1")
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -222,11 +222,20 @@
         connection.idle_since_s = self.clock.seconds()
         self._idle.append(connection)
 
+    def withdraw_idle(self, connection: ServerConnection) -> bool:
+        """Let no request use a connection; return whether it was idle.
+
+        A connection that is aborted is lost only in the next iteration of the loop.
+        """
+        if connection not in self._idle:
+            return False
+        self._idle.remove(connection)
+        return True
+
     def discard(self, connection: ServerConnection) -> None:
         """Remove a closed connection."""
         self._open.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        self.withdraw_idle(connection)
 
     def idle(self) -> tuple[ServerConnection, ...]:
         """Return the idle connections."""
--- a/src/gentianwharf/relay/_link_monitor.py
+++ b/src/gentianwharf/relay/_link_monitor.py
@@ -26,6 +26,10 @@
 MIN_PROBES = 2
 """A single server that can't be reached may be down."""
 
+MAX_LATE_S = 0.08
+"""A round of probes that takes longer than their timeout by this much is no evidence:
+this host was busy or paused, and connections may have been opened meanwhile."""
+
 SLOW_CONNECT_S = 0.08
 """Time after which a connection that is not open raises a suspicion."""
 
@@ -256,7 +260,8 @@
         if opened:
             self._conclude(cut_off=False)
         elif not self._open_probes and self._waiting:
-            self._conclude(cut_off=True)
+            took_s = self._reactor.seconds() - self._begun_s
+            self._conclude(cut_off=took_s <= PROBE_TIMEOUT_S + MAX_LATE_S)
 
     def _conclude(self, *, cut_off: bool) -> None:
         waiting, self._waiting = self._waiting, []
--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -211,7 +211,7 @@
     def retire(self) -> None:
         """Close now if the connection is idle, otherwise after the response."""
         self.retired = True
-        if self in self.pool.idle():
+        if self.pool.withdraw_idle(self):
             self.abort_now()
 
     def abort_now(self) -> None:
--- a/src/gentianwharf/tunnels/_client.py
+++ b/src/gentianwharf/tunnels/_client.py
@@ -132,6 +132,8 @@
             if peer.host not in self._hosts:
                 self._peers.pop(name, None)
                 peer.end()
+        if self._is_started:
+            self._start_over()
 
     def start(self) -> None:
         """Look for hosts with links."""
--- a/src/gentianwharf/tunnels/_messages.py
+++ b/src/gentianwharf/tunnels/_messages.py
@@ -12,13 +12,17 @@
 """The port for tunnels, relative to the one on which hosts send each other messages."""
 
 
-def tunnel_address(address: str) -> str:
+def tunnel_address(address: str) -> str | None:
     """Return where a host accepts tunnels, from its address for other hosts.
 
-    >>> tunnel_address("10.1.0.18:7200")
-    '10.1.0.18:7201'
+    None if that is no ``ip:port``.
+
+    >>> tunnel_address("10.1.0.18:7200"), tunnel_address("somewhere")
+    ('10.1.0.18:7201', None)
     """
     ip, _, port = address.rpartition(":")
+    if not ip or not port.isdecimal():
+        return None
     return f"{ip}:{int(port) + TUNNEL_PORT_OFFSET}"
 
 
--- a/src/gentianwharf/tunnels/_peer.py
+++ b/src/gentianwharf/tunnels/_peer.py
@@ -9,6 +9,8 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 
+from gentianwharf.pauses import Timeout
+
 from ._messages import FramedProtocol, HostState, Subscribe, decode_reply
 
 STATE_TIMEOUT_S = 0.8
@@ -50,7 +52,7 @@
         self._on_state = on_state
         self._on_end = on_end
         self._reactor = reactor
-        self._timer: Any = None
+        self._timeout: Timeout | None = None
         self._protocol: _Subscription | None = None
         self._connecting: Any = None
         self._ended = False
@@ -67,13 +69,20 @@
         self._connecting.addCallbacks(
             self._subscribe, lambda _: self.end(), callbackArgs=(request,)
         )
-        self._timer = self._reactor.callLater(STATE_TIMEOUT_S, self._end_silent)
+        self._await_state()
 
     def _subscribe(self, protocol: "_Subscription", request: Subscribe) -> None:
         self._connecting = None
         self._protocol = protocol
         protocol.send(request)
 
+    def _await_state(self) -> None:
+        if self._timeout is not None:
+            self._timeout.stop()
+        self._timeout = Timeout(
+            clock=self._reactor, delay_s=STATE_TIMEOUT_S, expire=self._end_silent
+        )
+
     def _end_silent(self) -> None:
         self.is_silent = True
         self.end()
@@ -82,7 +91,7 @@
         """Record the host's state."""
         if self._ended:
             return
-        self._timer.reset(STATE_TIMEOUT_S)
+        self._await_state()
         if accepts != self.accepts:
             self.accepts = accepts
             self._on_state(self)
@@ -95,8 +104,8 @@
             return
         self._ended = True
         self.accepts = False
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        if self._timeout is not None:
+            self._timeout.stop()
         if self._connecting is not None:
             self._connecting.cancel()
         if self._protocol is not None:
--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -1,7 +1,7 @@
 """Entry hosts, servers and a store on loopback, with links that a test can cut."""
 
 import os
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any, final
@@ -16,6 +16,7 @@
 from gentianwharf.http_agent import BytesBody
 from gentianwharf.platform import PlatformStore, decode_host_settings
 from gentianwharf.platform.standin import (
+    ADDED,
     CALLERS_PORT,
     KEYED,
     LOOK_UPS,
@@ -88,6 +89,11 @@
     host: str
     status: int
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the request may be repeated."""
+        return not self.id.startswith("post")
+
     @property
     def is_served(self) -> bool:
         """Whether a server answered it with success."""
@@ -103,11 +109,14 @@
         self.names = [f"host-{number}" for number in range(len(domains))]
         self.networks: dict[str, HostNetwork] = {}
         self.hosts: dict[str, EntryHost] = {}
+        self.servers: dict[str, StandInServer] = {}
+        self.items = Items(now_s=self.reactor.seconds)
         self.runs: list[RequestRun] = []
         self._net = 20 + os.getpid() % 200
         self._ports: list[Any] = []
         self._entries: list[Deferred[Any]] = []
         self._sent = 0
+        self.answers: list[Answer] = []
         pool = HTTPConnectionPool(self.reactor, persistent=True)
         pool.retryAutomatically = False
         self._callers = pool
@@ -120,15 +129,14 @@
         return in_reactor(lambda: Deferred.fromCoroutine(coroutine))
 
     def _start(self, domains: str, servers_per_service: int) -> None:
-        items = Items(now_s=self.reactor.seconds)
         store = f"127.{self._net}.0.1:8384"
         operators = f"127.{self._net}.0.1:8385"
         for address, allow_reserved in ((store, False), (operators, True)):
             stand_in = StandInStore(
-                items=items, reactor=self.reactor, allow_reserved=allow_reserved
+                items=self.items, reactor=self.reactor, allow_reserved=allow_reserved
             )
             self._listen(address, stand_in.site())
-        items.change(Change(puts=(configuration(1),)))
+        self.items.change(Change(puts=(configuration(1),)))
         addresses = []
         for number in range(2 * servers_per_service):
             addresses.append(f"127.{self._net}.2.{number + 1}:{SERVER_PORT}")
@@ -156,6 +164,7 @@
         )
         server = StandInServer(spec=spec, reactor=self.reactor, rng=Random(number))
         server.on_run = self.runs.append
+        self.servers[spec.id] = server
         self._listen(address, server.site())
         client = PlatformStore(reactor=self.reactor, address=operators)
         entry = Deferred.fromCoroutine(server.maintain_entry(client))
@@ -177,15 +186,28 @@
                 for name in self.names
                 for read in (True, False)
             ]
-            if all(answer.is_served for answer in answers):
+            if all(answer.is_served for answer in answers) and self._all_listed():
                 return
             await self.wait(POLL_INTERVAL_S)
         raise AssertionError(f"not served within {READY_TIMEOUT_S} s: {answers}")
 
+    def _all_listed(self) -> bool:
+        """Whether all hosts know each other, and what they show each other."""
+        return all(
+            len(host._coordinator.peers.membership.listed) == len(self.hosts)
+            and host._coordinator.tunnel_secret.value
+            for host in self.hosts.values()
+        )
+
     async def wait(self, duration_s: float) -> None:
         """Wait."""
         await deferLater(self.reactor, duration_s)
 
+    def restore_some(self, name: str, servers: Iterable[str]) -> None:
+        """Restore the links of a host to some servers."""
+        for server in servers:
+            self.networks[name].links[self.servers[server].spec.address].restore()
+
     def cut(self, names: Iterable[str], form: LinkCut) -> None:
         """Cut all links of hosts to servers."""
         for name in names:
@@ -200,37 +222,61 @@
 
     async def send(self, name: str, *, read: bool, body_bytes: int = 20) -> Answer:
         """Send a read of a key, or a request that must not run twice; try it once."""
+        body = None if read else BytesBody(body=b"x" * body_bytes)
+        return await self._send(
+            name,
+            kind="read" if read else "post",
+            host_name=LOOK_UPS if read else POSTINGS,
+            body=body,
+        )
+
+    async def send_added(self, name: str, path: str) -> Answer:
+        """Send a request that only an added rule matches."""
+        return await self._send(name, kind="rule", host_name=ADDED, path=path)
+
+    async def _send(
+        self,
+        name: str,
+        *,
+        kind: str,
+        host_name: str,
+        path: str = "/",
+        body: BytesBody | None = None,
+    ) -> Answer:
         self._sent += 1
-        request_id = f"{'read' if read else 'post'}-{self._sent}"
+        request_id = f"{kind}-{self._sent}"
         headers = Headers(
             {
-                "Host": [LOOK_UPS if read else POSTINGS],
+                "Host": [host_name],
                 "Attempt-Id": [request_id],
                 "Deadline-Ms": [str(DEADLINE_MS)],
             }
         )
-        if read:
+        if kind == "read":
             headers.setRawHeaders("Shard-Key", [str(self._sent * 4001 % 65_536)])
-        url = f"http://{self._ip(name)}:{CALLERS_PORT}/".encode()
-        body = None if read else BytesBody(body=b"x" * body_bytes)
+        url = f"http://{self._ip(name)}:{CALLERS_PORT}{path}".encode()
         try:
             response = await self._agent.request(
-                b"GET" if read else b"POST", url, headers, body
+                b"GET" if body is None else b"POST", url, headers, body
             )
             await readBody(response)
         except Exception:
             return Answer(id=request_id, host=name, status=0)
         return Answer(id=request_id, host=name, status=response.code)
 
-    async def send_all(self, *, duration_s: float, per_s: float) -> list[Answer]:
-        """Send requests to every host at ``per_s`` each, half of them reads."""
+    async def send_all(
+        self, *, duration_s: float, per_s: float, names: Sequence[str] = ()
+    ) -> list[Answer]:
+        """Send requests to hosts at ``per_s`` each, half of them reads."""
         pending = []
         for number in range(round(duration_s * per_s)):
-            for name in self.names:
+            for name in names or self.names:
                 coroutine = self.send(name, read=number % 2 == 0)
                 pending.append(Deferred.fromCoroutine(coroutine))
             await self.wait(1 / per_s)
-        return list(await gatherResults(pending))
+        answers = list(await gatherResults(pending))
+        self.answers += answers
+        return answers
 
     def stop(self) -> None:
         """Stop everything."""
--- a/tests/test_entryhost_cut_off.py
+++ b/tests/test_entryhost_cut_off.py
@@ -6,6 +6,8 @@
 import pytest
 from soak._server_link import LinkCut
 
+from gentianwharf.platform.standin import configuration
+from gentianwharf.store import Change
 from tests.builders_cut_off import Answer, CutOffDeployment
 
 DETECTION_S = 1.0
@@ -14,6 +16,14 @@
 MIN_SERVED_RATIO = 0.95
 """How often first tries at hosts without links are served, relative to the others."""
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+UNKEYED_SERVERS = ("s1", "s3", "s5")
+ADDED_PATH = "/added/"
+LIMIT_PER_S = 4.0
+REST_S = 30.0
+RULES_IN_FORCE_S = 2.0
+STOP_S = 4.0
+UPLOAD_BYTES = 900_000
 PER_S = 20.0
 MEASURED_S = 2.0
 LINKED_S = 1.5
@@ -69,3 +79,147 @@
 
     for shares in deployment.run(play()):
         assert min(shares.values()) >= MIN_SERVED_RATIO, shares
+    assert_promises_kept(deployment)
+
+
+def assert_promises_kept(deployment: CutOffDeployment) -> None:
+    """Assert that nothing ran twice that must not, and that "not run" is true."""
+    runs = Counter(run.request_id for run in deployment.runs)
+    posts = [answer for answer in deployment.answers if not answer.is_read]
+    assert {answer.id: runs[answer.id] for answer in posts if runs[answer.id] > 1} == {}
+    not_run = [answer for answer in posts if answer.status in NOT_RUN_STATUSES]
+    assert [answer.id for answer in not_run if runs[answer.id]] == []
+
+
+def test_limit_of_a_server_holds_over_all_hosts(deployment: CutOffDeployment) -> None:
+    """Guards against requests through other hosts that escape a server's limit."""
+
+    async def play() -> float:
+        for server in UNKEYED_SERVERS:
+            deployment.servers[server].max_requests_per_s = LIMIT_PER_S
+        await deployment.send_all(duration_s=LINKED_S, per_s=PER_S)
+        deployment.cut(["host-0", "host-1"], LinkCut.RESET)
+        await deployment.send_all(duration_s=DETECTION_S, per_s=PER_S)
+        begun = len(deployment.runs)
+        begun_s = deployment.reactor.seconds()
+        await deployment.send_all(duration_s=2 * MEASURED_S, per_s=PER_S)
+        took_s = deployment.reactor.seconds() - begun_s
+        most = max(
+            Counter(run.server for run in deployment.runs[begun:] if not run.shard)[
+                server
+            ]
+            for server in UNKEYED_SERVERS
+        )
+        return most / took_s
+
+    rate_per_s = deployment.run(play())
+    assert 0 < rate_per_s <= LIMIT_PER_S + 1.0
+    assert_promises_kept(deployment)
+
+
+def test_rest_of_a_server_holds_on_hosts_without_links(
+    deployment: CutOffDeployment,
+) -> None:
+    """Guards against a server that has to refuse the same host again by tunnel."""
+    resting = UNKEYED_SERVERS[0]
+
+    async def play() -> int:
+        deployment.cut(["host-0"], LinkCut.RESET)
+        await deployment.send_all(duration_s=DETECTION_S, per_s=PER_S)
+        refused: list[str] = []
+        server = deployment.servers[resting]
+        server.on_refused = refused.append
+        server.rest_s = REST_S
+        await deployment.send_all(duration_s=MEASURED_S, per_s=PER_S)
+        return len(refused)
+
+    # Requests that were on their way when the first of them was refused may follow.
+    assert 1 <= deployment.run(play()) <= 2 * len(deployment.names)
+
+
+def test_rules_in_force_decide_on_hosts_without_links(
+    deployment: CutOffDeployment,
+) -> None:
+    """Guards against requests that are served by the rules of another time or host."""
+
+    async def play() -> list[int]:
+        deployment.cut(["host-0"], LinkCut.HANG)
+        await deployment.send_all(duration_s=DETECTION_S, per_s=PER_S)
+        before = await deployment.send_added("host-0", ADDED_PATH)
+        deployment.items.change(
+            Change(puts=(configuration(2, added_paths=[ADDED_PATH]),))
+        )
+        await deployment.wait(RULES_IN_FORCE_S)
+        added = await deployment.send_added("host-0", ADDED_PATH)
+        deployment.items.change(Change(puts=(configuration(3),)))
+        await deployment.wait(RULES_IN_FORCE_S)
+        removed = await deployment.send_added("host-0", ADDED_PATH)
+        return [before.status, added.status, removed.status]
+
+    assert deployment.run(play()) == [404, 200, 404]
+
+
+def test_planned_stop_of_a_host_that_carries_tunnels(
+    deployment: CutOffDeployment,
+) -> None:
+    """Guards against answers that are cut off when another host stops as planned."""
+
+    async def play() -> list[Answer]:
+        deployment.cut(["host-0", "host-1"], LinkCut.RESET)
+        await deployment.send_all(duration_s=DETECTION_S, per_s=PER_S)
+        carrying = [
+            name
+            for name, host in deployment.hosts.items()
+            if host._tunnels.server.open_tunnels
+        ]
+        assert carrying
+        deployment.hosts[carrying[0]].shutdown.request_stop()
+        return await deployment.send_all(
+            duration_s=STOP_S, per_s=PER_S, names=["host-0", "host-1"]
+        )
+
+    answers = deployment.run(play())
+    assert [answer for answer in answers if not answer.is_served] == []
+    assert_promises_kept(deployment)
+
+
+@pytest.mark.parametrize("form", LinkCut)
+def test_host_that_reaches_some_servers_again_serves_on(
+    deployment: CutOffDeployment, form: LinkCut
+) -> None:
+    """Guards against hosts that give up their tunnels for links to few servers."""
+
+    async def play() -> dict[str, float]:
+        deployment.cut(["host-0"], form)
+        await deployment.send_all(duration_s=DETECTION_S, per_s=PER_S)
+        deployment.restore_some("host-0", ["s0"])
+        answers = await deployment.send_all(duration_s=2 * MEASURED_S, per_s=PER_S)
+        return served_shares(answers, ["host-0"])
+
+    shares = deployment.run(play())
+    assert min(shares.values()) >= MIN_SERVED_RATIO, shares
+    assert_promises_kept(deployment)
+
+
+def test_large_upload_passes_through_another_host(
+    deployment: CutOffDeployment,
+) -> None:
+    async def play() -> list[Answer]:
+        deployment.cut(["host-0"], LinkCut.HANG)
+        await deployment.send_all(duration_s=DETECTION_S, per_s=PER_S)
+        return [
+            await deployment.send("host-0", read=False, body_bytes=UPLOAD_BYTES)
+            for _ in range(3)
+        ]
+
+    assert [answer.status for answer in deployment.run(play())] == [200] * 3
+    assert_promises_kept(deployment)
+
+
+def test_no_tunnels_are_used_while_links_work(deployment: CutOffDeployment) -> None:
+    """Guards against a price that hosts with all their links pay."""
+    deployment.run(deployment.send_all(duration_s=MEASURED_S, per_s=PER_S))
+    for host in deployment.hosts.values():
+        tunnels = host._tunnels
+        assert tunnels.reachability.cut_offs == tunnels.client.opened == 0
+        assert tunnels.server.opened == 0
--- a/tests/test_relay_link_monitor.py
+++ b/tests/test_relay_link_monitor.py
@@ -6,6 +6,7 @@
 
 from gentianwharf.relay import ConnectFailure
 from gentianwharf.relay._link_monitor import (
+    MAX_LATE_S,
     OVERDUE_S,
     PROBE_TIMEOUT_S,
     PROBES,
@@ -79,6 +80,19 @@
         assert result_of(verdict) is False
 
 
+def test_probes_of_a_host_that_was_busy_are_no_evidence() -> None:
+    """Guards against timeouts that fire before open connections are noticed."""
+    links = Links()
+    links.fail(ConnectFailure.TIMED_OUT)
+    verdict = links.confirm()
+    links.clock.advance(PROBE_TIMEOUT_S + 2 * MAX_LATE_S)
+    assert result_of(verdict) is False
+    assert not links.monitor.is_cut_off
+    links.confirm()
+    links.run(PROBE_TIMEOUT_S + 0.02)
+    assert links.monitor.is_cut_off
+
+
 def test_one_server_alone_is_no_evidence() -> None:
     links = Links(servers=1)
     links.fail(ConnectFailure.REFUSED)
