Judge each round of probes by all of its servers

By reading, before callers saw it: a suspicion that came while the last probes of a round were still open joined that round, and was confirmed by them alone, although an earlier probe had been opened. A tunnel that was not opened in the time left led to a direct connection with a timeout of none, an error inside the host; it is 'not run' now. Resets are remembered for the time for which they count.

--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -135,9 +135,11 @@
             connection = await self._connect_by_tunnel(links, end_s)
             if connection is not None:
                 return connection
+        # Also tried by a host that is cut off while no other host accepts tunnels.
+        left_s = end_s - self.clock.seconds()
+        if left_s <= 0:
+            raise self._unavailable("no time was left to connect")
         try:
-            # Also tried by a host that is cut off while no other host accepts tunnels.
-            left_s = end_s - self.clock.seconds()
             return await self._connect_directly(min(left_s, CONNECT_TIMEOUT_S), links)
         except PeerUnavailableError:
             if was_cut_off or not await links.monitor.confirm():
--- a/src/gentianwharf/relay/_link_monitor.py
+++ b/src/gentianwharf/relay/_link_monitor.py
@@ -113,6 +113,8 @@
         self._rng = rng
         self._waiting: list[Deferred[bool]] = []
         self._open_probes = 0
+        self._has_opened = False
+        """Whether a probe of the round that began at ``_begun_s`` was opened."""
         self._begun_s = 0.0
         self._sampled_s = 0.0
         self._samples: dict[LinkConnection, int] = {}
@@ -178,12 +180,12 @@
         """Record that a direct connection was reset or lost."""
         now_s = self._reactor.seconds()
         self._resets[server_id] = now_s
-        recent = [
-            other
+        self._resets = {
+            other: reset_s
             for other, reset_s in self._resets.items()
             if now_s - reset_s <= RESET_WINDOW_S
-        ]
-        if len(recent) > 1 and not self.is_cut_off:
+        }
+        if len(self._resets) > 1 and not self.is_cut_off:
             self._resets.clear()
             self.verify()
 
@@ -219,12 +221,15 @@
         verdict: Deferred[bool] = Deferred()
         self._waiting.append(verdict)
         if self._open_probes:
+            if self._has_opened:
+                self._conclude(cut_off=False)
             return verdict
         pools = self._choose_pools()
         if len(pools) < MIN_PROBES:
             self._conclude(cut_off=False)
             return verdict
         self._begun_s = self._reactor.seconds()
+        self._has_opened = False
         self._open_probes = len(pools)
         for pool in pools:
             probe = Deferred.fromCoroutine(pool.warm_up(PROBE_TIMEOUT_S))
@@ -258,6 +263,7 @@
     def _end_probe(self, opened: bool) -> None:
         self._open_probes -= 1
         if opened:
+            self._has_opened = True
             self._conclude(cut_off=False)
         elif not self._open_probes and self._waiting:
             took_s = self._reactor.seconds() - self._begun_s
--- a/tests/test_relay_link_monitor.py
+++ b/tests/test_relay_link_monitor.py
@@ -93,6 +93,19 @@
     assert links.monitor.is_cut_off
 
 
+def test_rest_of_a_round_with_a_reached_server_is_no_evidence() -> None:
+    """Guards against a verdict from the probes that failed after one was opened."""
+    links = Links(servers=3)
+    links.fail(ConnectFailure.TIMED_OUT, except_for=1)
+    first = links.confirm()
+    links.run(0.02)
+    assert result_of(first) is False
+    second = links.monitor.verify()
+    links.run(PROBE_TIMEOUT_S + 0.02)
+    assert result_of(second) is False
+    assert not links.monitor.is_cut_off
+
+
 def test_one_server_alone_is_no_evidence() -> None:
     links = Links(servers=1)
     links.fail(ConnectFailure.REFUSED)
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -6,6 +6,7 @@
 import pytest
 from twisted.internet import error as twisted_errors
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
@@ -18,6 +19,7 @@
     ServerConnectionPool,
     ServerLinks,
 )
+from gentianwharf.topology import BackendServer
 from tests.builders_platform import result_of
 from tests.builders_relay import make_server
 
@@ -80,3 +82,31 @@
     assert (reachability.is_cut_off, reachability.unheard_s()) == (True, 0.0)
     reachability.note_opened("s2")
     assert not reachability.is_cut_off
+
+
+def test_connection_by_tunnel_that_takes_all_the_time_left_is_not_opened() -> None:
+    """Guards against a direct connection with a timeout of no time at all."""
+    reactor = MemoryReactorClock()
+    reachability = Reachability(now_s=reactor.seconds)
+    monitor = LinkMonitor(
+        reachability=reachability,
+        pools=list,
+        domain="lac",
+        reactor=reactor,
+        rng=Random(1),
+    )
+
+    class SlowTunnels:
+        async def open(self, server: BackendServer, *, timeout_s: float) -> None:
+            await deferLater(reactor, timeout_s)
+
+    pool = ServerConnectionPool(
+        server=make_server(0, 9200),
+        reactor=reactor,
+        links=ServerLinks(monitor=monitor, tunnels=SlowTunnels()),
+    )
+    reachability.note_all_failed()
+    done = Deferred.fromCoroutine(pool.acquire(timeout_s=0.2))
+    reactor.advance(0.2)
+    with pytest.raises(PeerUnavailableError, match="no time"):
+        result_of(done)
