--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -200,7 +200,7 @@
         self._grant_manager.on_granted = self._note_granted
         self._planner.limits_per_s = self._fleet_notices.limits_per_s
         self._planner.on_table = self.keys.set_table
-        self._planner.on_isolated = self._resign_isolated
+        self._planner.on_isolated = self.resign_isolated
         self._planner.on_previous_leader = self._grants_exchange.request_grants
 
     def _connect_peers(self) -> None:
@@ -394,7 +394,8 @@
         self.keys.note_granted(service, span.first, span.token)
         self.peers.broadcast_grant(service, span)
 
-    def _resign_isolated(self) -> None:
+    def resign_isolated(self) -> None:
+        """Give up leadership, because this host reaches too few servers to lead."""
         if self.host_count > 1 and self.leadership.term is not None:
             log.warning(
                 "most servers are unreachable from this host: no longer leading"
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -98,6 +98,7 @@
         self._coordinator.on_host_count = self._set_host_count
         self._coordinator.on_hosts = self._gate.set_hosts
         self._coordinator.on_tunnel_hosts = self._tunnels.set_hosts
+        self._tunnels.on_cut_off = self._coordinator.resign_isolated
         self._coordinator.is_cut_off = lambda: self._tunnels.monitor.is_cut_off
         self._coordinator.peers.on_speeds = self._gate.set_speeds
         self._coordinator.on_notices = self._apply_notices
--- a/src/gentianwharf/entryhost/_tunnels.py
+++ b/src/gentianwharf/entryhost/_tunnels.py
@@ -32,7 +32,8 @@
 class HostTunnels:
     """Opens tunnels while this host is cut off from the servers, and accepts others'.
 
-    ``pools`` returns the connections to all listed servers.
+    ``pools`` returns the connections to all listed servers. ``on_cut_off`` is called
+    when this host has lost its links to them.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         reactor: Any,
         rng: Random,
     ) -> None:
+        self.on_cut_off: Callable[[], None] = lambda: None
         self._settings = settings
         self._admission = admission
         self._reactor = reactor
@@ -129,6 +131,7 @@
         self.client.start()
         self.server.note_cut_off()
         self._admission.forget_failures()
+        self.on_cut_off()
 
     def add_gauges(self, metrics: HostMetrics) -> None:
         """Add gauges of the tunnels in both directions."""
--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -203,6 +203,10 @@
         """Wait."""
         await deferLater(self.reactor, duration_s)
 
+    def leads(self, name: str) -> bool:
+        """Whether a host leads."""
+        return self.hosts[name]._coordinator.leadership.leads
+
     def restore_some(self, name: str, servers: Iterable[str]) -> None:
         """Restore the links of a host to some servers."""
         for server in servers:
