--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -30,7 +30,6 @@
 from gentianwharf.relay import ServerLoad, ServerNotice
 from gentianwharf.store import (
     FORWARDING_PACE,
-    Events,
     Item,
     Mirror,
     WatchPace,
@@ -213,7 +212,9 @@
         peers.on_granted = lambda service, first, last, token: self.keys.note_granted(
             service, first, token
         )
-        peers.on_events = self._note_events
+        peers.on_events = lambda after_revision, events: mirror.apply_forwarded(
+            events, after_revision=after_revision
+        )
         peers.on_host_count = self._set_host_count
         peers.store_position = self._store_position
         peers.stored_item = mirror.items.get
@@ -343,9 +344,6 @@
 
     # Messages of other hosts.
 
-    def _note_events(self, after_revision: int, events: Events) -> None:
-        self.mirror.apply_forwarded(events, after_revision=after_revision)
-
     def _set_host_count(self, host_count: int) -> None:
         if host_count != self.host_count:
             self.host_count = host_count
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -98,8 +98,8 @@
         self._coordinator.on_host_count = self._set_host_count
         self._coordinator.on_hosts = self._gate.set_hosts
         self._coordinator.on_tunnel_hosts = self._tunnels.set_hosts
+        self._coordinator.is_cut_off = self._tunnels.is_cut_off
         self._tunnels.on_cut_off = self._coordinator.resign_isolated
-        self._coordinator.is_cut_off = lambda: self._tunnels.monitor.is_cut_off
         self._coordinator.peers.on_speeds = self._gate.set_speeds
         self._coordinator.on_notices = self._apply_notices
         self._coordinator.directory.on_change = self._update_servers
@@ -170,7 +170,6 @@
             reactor=reactor,
             rng=self._rng,
         )
-        self._tunnels.add_gauges(self.metrics)
         self._load_paths: dict[str, str] = {}
         self._load_client = LoadClient(
             connections=self.relay.connections,
@@ -185,6 +184,7 @@
         self._add_gauges()
 
     def _add_gauges(self) -> None:
+        self._tunnels.add_gauges(self.metrics)
         add_gauges(
             self.metrics,
             coordinator=self._coordinator,
--- a/src/gentianwharf/entryhost/_tunnels.py
+++ b/src/gentianwharf/entryhost/_tunnels.py
@@ -70,7 +70,7 @@
         self.server = TunnelServer(
             server_by_id=servers.get,
             secret=secret,
-            is_cut_off=lambda: self.reachability.is_cut_off,
+            is_cut_off=self.is_cut_off,
             may_send=admission.may_send,
             reactor=reactor,
         )
@@ -80,6 +80,10 @@
         admission.on_notice_to_sender = self._share_notice
         self.links = ServerLinks(monitor=self.monitor, tunnels=self.client)
 
+    def is_cut_off(self) -> bool:
+        """Whether this host has lost its links to the servers."""
+        return self.reachability.is_cut_off
+
     def start(self) -> None:
         """Accept tunnels, if the platform has left a port for them."""
         port = self._settings.first_internal_port + TUNNEL_PORT_OFFSET
