--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -103,9 +103,7 @@
         self.on_dispatch_hosts: Callable[[Sequence[DispatchHost]], None] = (
             lambda hosts: None
         )
-        self.on_tunnel_hosts: Callable[[Sequence[HostAddress]], None] = lambda hosts: (
-            None
-        )
+        self.on_listed: Callable[[Sequence[HostAddress]], None] = lambda hosts: None
         self.on_notices: Callable[[Notices], None] = lambda notices: None
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.host_count = INITIAL_HOST_COUNT
@@ -307,7 +305,7 @@
             self._host_list.note_item(item)
             self.on_hosts(self._host_list.names())
             self.on_dispatch_hosts([*map(dispatch_host_of, self._host_list.listed())])
-            self.on_tunnel_hosts(self._host_list.listed())
+            self.on_listed(self._host_list.listed())
         elif key == TUNNEL_SECRET_KEY:
             self.tunnel_secret.note_item(item)
         elif key == PREVIOUS_LEADER_KEY:
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -97,7 +97,7 @@
         )
         self._coordinator.on_host_count = self._set_host_count
         self._coordinator.on_hosts = self._gate.set_hosts
-        self._coordinator.on_tunnel_hosts = self._tunnels.set_hosts
+        self._coordinator.on_listed = self._tunnels.set_hosts
         self._coordinator.is_cut_off = self._tunnels.is_cut_off
         self._tunnels.on_cut_off = self._coordinator.resign_isolated
         self._coordinator.peers.on_speeds = self._gate.set_speeds
@@ -234,10 +234,8 @@
 
     def start(self) -> None:
         """Listen, and start to follow the store."""
-        self._listen(
-            self.settings.readiness_address,
-            readiness_site(is_ready=self.is_ready, reactor=self._reactor),
-        )
+        readiness = readiness_site(is_ready=self.is_ready, reactor=self._reactor)
+        self._listen(self.settings.readiness_address, readiness)
         metrics = metrics_site(metrics=self.metrics, reactor=self._reactor)
         self._listen(f"{self.settings.ip}:{METRICS_PORT}", metrics)
         self._tunnels.start()
@@ -372,11 +370,11 @@
 
     def _update_servers(self, service: str) -> None:
         configuration = self._coordinator.rules.configuration
-        if configuration is None or service not in configuration.services:
+        configured = configuration.services.get(service) if configuration else None
+        if configured is None:
             return
-        configured = configuration.services[service]
-        usable = self._coordinator.directory.usable(service)
-        servers = [server_of(entry, configured) for entry in usable]
+        entries = self._coordinator.directory.usable(service)
+        servers = [server_of(entry, configured) for entry in entries]
         self._listed.update(
             service,
             servers,
