Say how many first tries the soak's hosts without links served, and test its check

The check had no test of its own: it reports a host that refuses all, or serves a third as often as the others, and leaves out the first second, disrupted hosts and restored links.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,7 +19,7 @@
 
 from ._callers import Callers
 from ._checks import check_recovery, find_violations
-from ._cuts import Cuts, find_unserved_cuts
+from ._cuts import Cuts, describe_cuts, find_unserved_cuts
 from ._deployment import Deployment
 from ._faults import Faults
 from ._operators import Operators
@@ -151,7 +151,8 @@
         f"seed {seed}: {len(schedule.records)} faults and changes,"
         f" {len(operators.rules)} rules, {len(bound)} requests bound to a version,"
         f" {served} of {len(callers.requests)} served,"
-        f" {len(deployment.runs)} runs, {len(violations)} broken",
+        f" {len(deployment.runs)} runs, {len(violations)} broken;"
+        f" {describe_cuts(callers.requests, cuts.cuts, deployment.disruptions)}",
         flush=True,
     )
     return violations
--- a/soak/_cuts.py
+++ b/soak/_cuts.py
@@ -73,32 +73,55 @@
             cut.ended_s = min(cut.ended_s, self._deployment.reactor.seconds())
 
 
+def requests_during(
+    cut: Cut, requests: Sequence[SentRequest], disruptions: Disruptions
+) -> tuple[list[SentRequest], list[SentRequest]]:
+    """Return first tries at hosts without links, and those at the others.
+
+    They were sent once hosts have to know of the cut, through hosts that nothing else
+    disrupted.
+    """
+    counted = [
+        request
+        for request in requests
+        if cut.begun_s + DETECTION_S <= request.sent_s < cut.ended_s
+        and request.is_allowed()
+        and disruptions.is_undisrupted(request.host, request.sent_s, request.ended_s)
+    ]
+    return (
+        [request for request in counted if request.host in cut.hosts],
+        [request for request in counted if request.host not in cut.hosts],
+    )
+
+
+def describe_cuts(
+    requests: Sequence[SentRequest], cuts: Sequence[Cut], disruptions: Disruptions
+) -> str:
+    """Return how many first tries were served during all cuts, by where they went."""
+    pairs = [requests_during(cut, requests, disruptions) for cut in cuts]
+    cut_off = [request for pair in pairs for request in pair[0]]
+    others = [request for pair in pairs for request in pair[1]]
+    return (
+        f"without links {sum(each.is_served for each in cut_off)} of {len(cut_off)}"
+        f" served, meanwhile {sum(each.is_served for each in others)} of"
+        f" {len(others)} at the others"
+    )
+
+
 def find_unserved_cuts(
     requests: Sequence[SentRequest],
     cuts: Sequence[Cut],
     disruptions: Disruptions,
 ) -> list[str]:
-    """Return a line for each cut during which the hosts without links served less.
-
-    Only requests through hosts that nothing else disrupted are counted.
-    """
+    """Return a line for each cut during which the hosts without links served less."""
     lines = []
     for cut in cuts:
-        counted = [
-            request
-            for request in requests
-            if cut.begun_s + DETECTION_S <= request.sent_s < cut.ended_s
-            and request.is_allowed()
-            and disruptions.is_undisrupted(
-                request.host, request.sent_s, request.ended_s
-            )
-        ]
-        cut_off = [request for request in counted if request.host in cut.hosts]
-        others = [request for request in counted if request.host not in cut.hosts]
+        cut_off, others = requests_during(cut, requests, disruptions)
         if min(len(cut_off), len(others)) < MIN_REQUESTS:
             continue
         failures = [request for request in cut_off if not request.is_served]
-        allowed = MAX_FAILURES + MAX_FAILED_SHARE * len(counted)
+        sent = len(cut_off) + len(others)
+        allowed = MAX_FAILURES + MAX_FAILED_SHARE * sent
         ratio = _served_share(cut_off) / max(_served_share(others), 1 / len(others))
         if ratio < MIN_SERVED_RATIO and len(failures) > allowed:
             outcomes = sorted({f"{each.status} {each.error}" for each in failures})
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,6 +5,7 @@
 import pytest
 from soak._added_rules import AddedRule, RulesVersion
 from soak._checks import SentRequest, check_recovery
+from soak._cuts import Cut, find_unserved_cuts
 from soak._disruptions import STORE, Disruptions, link_of
 from soak._operators import MOST_RULES
 from soak._rule_checks import find_stale_versions, find_version_regressions
@@ -173,3 +174,42 @@
     value = configuration(1000, added_paths=paths).value
     assert len(value) <= MAX_VALUE_BYTES
     assert len(decode_configuration(value).document.rules) == MOST_RULES + 3
+
+
+CUT = Cut(hosts=("host-0",), begun_s=10.0, ended_s=20.0)
+
+
+def tries(*, host: str, served: int, failed: int, at_s: float) -> list[SentRequest]:
+    statuses = [200] * served + [503] * failed
+    return [
+        sent_request(at_s=at_s, status=status, rule=added_rule(), host=host)
+        for status in statuses
+    ]
+
+
+@pytest.mark.parametrize(
+    ("served", "failed", "at_s", "reported"),
+    [
+        pytest.param(0, 30, 15.0, True, id="refuses-all"),
+        pytest.param(30, 0, 15.0, False, id="serves-all"),
+        pytest.param(10, 20, 15.0, True, id="served-a-third-as-often"),
+        pytest.param(21, 9, 15.0, False, id="few-failures"),
+        pytest.param(0, 30, 10.5, False, id="not-known-yet"),
+        pytest.param(0, 30, 20.5, False, id="links-restored"),
+    ],
+)
+def test_host_without_links_has_to_serve_like_the_others(
+    served: int, failed: int, at_s: float, reported: bool
+) -> None:
+    """Guards against a soak that passes while hosts without links refuse requests."""
+    requests = tries(host="host-0", served=served, failed=failed, at_s=at_s)
+    requests += tries(host="host-1", served=30, failed=0, at_s=at_s)
+    lines = find_unserved_cuts(requests, [CUT], NO_DISRUPTIONS)
+    assert bool(lines) is reported
+
+
+def test_disrupted_hosts_are_not_counted_during_a_cut() -> None:
+    requests = tries(host="host-0", served=0, failed=30, at_s=15.0)
+    requests += tries(host="host-1", served=30, failed=0, at_s=15.0)
+    site = DisruptionSite(**{"host-0": (14.0, 16.0)})
+    assert find_unserved_cuts(requests, [CUT], site.disruptions) == []
