--- a/soak/_cuts.py
+++ b/soak/_cuts.py
@@ -79,14 +79,20 @@
     """Return first tries at hosts without links, and those at the others.
 
     They were sent once hosts have to know of the cut, through hosts that nothing else
-    disrupted.
+    disrupted, and while some host with links was undisrupted, too: without one there is
+    no way to the servers.
     """
+    linked = {request.host for request in requests} - set(cut.hosts)
     counted = [
         request
         for request in requests
         if cut.begun_s + DETECTION_S <= request.sent_s < cut.ended_s
         and request.is_allowed()
         and disruptions.is_undisrupted(request.host, request.sent_s, request.ended_s)
+        and any(
+            disruptions.is_undisrupted(host, request.sent_s, request.ended_s)
+            for host in linked
+        )
     ]
     return (
         [request for request in counted if request.host in cut.hosts],
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -213,3 +213,12 @@
     requests += tries(host="host-1", served=30, failed=0, at_s=15.0)
     site = DisruptionSite(**{"host-0": (14.0, 16.0)})
     assert find_unserved_cuts(requests, [CUT], site.disruptions) == []
+
+
+def test_tries_are_not_counted_while_no_other_host_runs() -> None:
+    """A host without links reaches the servers through others that run."""
+    requests = tries(host="host-0", served=0, failed=30, at_s=15.0)
+    requests += tries(host="host-1", served=30, failed=0, at_s=19.5)
+    site = DisruptionSite(**{"host-1": (14.0, 16.0)})
+    assert find_unserved_cuts(requests, [CUT], site.disruptions) == []
+    assert find_unserved_cuts(requests, [CUT], NO_DISRUPTIONS) != []
