--- a/src/gentianwharf/relay/_link_monitor.py
+++ b/src/gentianwharf/relay/_link_monitor.py
@@ -244,21 +244,15 @@
         """
         pools = [pool for pool in self._pools() if pool.has_room()]
         self._rng.shuffle(pools)
-        unreachable = self.reachability.unreachable
-        pools.sort(
-            key=lambda pool: (
-                pool.server.id in unreachable,
-                pool.server.domain != self._domain,
-            )
-        )
-        seen: Counter[tuple[bool, str]] = Counter()
-        ranks: list[tuple[bool, int, LinkPool]] = []
-        for pool in pools:
-            failed, domain = pool.server.id in unreachable, pool.server.domain
-            ranks.append((failed, seen[failed, domain], pool))
-            seen[failed, domain] += 1
-        ranks.sort(key=lambda rank: rank[:2])
-        return [pool for _, _, pool in ranks[:PROBES]]
+        pools.sort(key=lambda pool: pool.server.domain != self._domain)
+        drawn: Counter[tuple[bool, str]] = Counter()
+
+        def rank(pool: LinkPool) -> tuple[bool, int]:
+            failed = pool.server.id in self.reachability.unreachable
+            drawn[failed, pool.server.domain] += 1
+            return failed, drawn[failed, pool.server.domain]
+
+        return sorted(pools, key=rank)[:PROBES]
 
     def _end_probe(self, opened: bool) -> None:
         self._open_probes -= 1
--- a/src/gentianwharf/tunnels/_messages.py
+++ b/src/gentianwharf/tunnels/_messages.py
@@ -1,7 +1,7 @@
 """Messages at the start of a connection between hosts, each in a frame of its own."""
 
 import hmac
-from typing import final
+from enum import StrEnum
 
 import msgspec
 from twisted.protocols.basic import Int16StringReceiver
@@ -115,8 +115,7 @@
             self.transport.abortConnection()  # type: ignore[attr-defined]
 
 
-@final
-class RefusalReason:
+class RefusalReason(StrEnum):
     """Why a host refuses a tunnel."""
 
     CUT_OFF = "cut-off"
--- a/src/gentianwharf/tunnels/_server.py
+++ b/src/gentianwharf/tunnels/_server.py
@@ -135,8 +135,21 @@
         self._connections.discard(entry)
 
 
+class _End(Protocol):
+    """One end of a tunnel, as the other end uses it."""
+
+    def write(self, data: bytes) -> None:
+        """Write bytes that arrived at the other end."""
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def close(self, *, clean: bool) -> None:
+        """Close this end as the other end was closed: a reset stays a reset."""
+        close_end(self.transport, clean=clean)
+
+
 @final
-class _Entry(FramedProtocol):
+class _Entry(_End, FramedProtocol):
     """The end of a tunnel at which another host's bytes arrive, or a subscriber."""
 
     def __init__(self, *, server: TunnelServer) -> None:
@@ -254,15 +267,6 @@
         exit_end = self._exit
         return exit_end is not None and unacknowledged_bytes(exit_end.transport) > 0
 
-    def write(self, data: bytes) -> None:
-        """Write bytes of the server."""
-        if self.transport is not None:
-            self.transport.write(data)
-
-    def close(self, *, clean: bool) -> None:
-        """Close this end as the other end was closed: a reset stays a reset."""
-        close_end(self.transport, clean=clean)
-
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
     ) -> None:
@@ -279,7 +283,7 @@
 
 
 @final
-class _Exit(Protocol):
+class _Exit(_End):
     """The end of a tunnel at its server."""
 
     def __init__(self, *, entry: _Entry) -> None:
@@ -293,15 +297,6 @@
         """Copy bytes to the host."""
         self._entry.write(data)
 
-    def write(self, data: bytes) -> None:
-        """Write bytes of the host."""
-        if self.transport is not None:
-            self.transport.write(data)
-
-    def close(self, *, clean: bool) -> None:
-        """Close this end as the other end was closed."""
-        close_end(self.transport, clean=clean)
-
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
     ) -> None:
