Count what is written to servers, by cause, and show the budgets of retries

Every write of a request goes through one place now, which counts it: retries, hedges, tries after 421, on new connections, through tunnels and with slots. The stand-in servers report each request that reaches them, and can lose answers. No decision is changed.

--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -16,6 +16,7 @@
     Outcome,
     Problem,
     QueriedLoad,
+    SendCause,
     ServerLoad,
     ServerNotice,
     Ticket,
@@ -263,6 +264,10 @@
             self._slots.note_load(ticket, load, elapsed_s)
         self.on_load(server, load, elapsed_s)
 
+    def note_send(self, ticket: Ticket, cause: SendCause) -> None:
+        """Count a request that is written to a server."""
+        self._gate.retries.record_send(ticket.service, cause)
+
     def may_still_send(self, server: BackendServer) -> bool:
         """Return whether the server has not asked for rest, or left, meanwhile."""
         return self.may_send(server.id)
--- a/src/gentianwharf/entryhost/_answer_log.py
+++ b/src/gentianwharf/entryhost/_answer_log.py
@@ -59,6 +59,7 @@
                 "shard": ticket.shard,
                 "server": record.server,
                 "tries": record.tries,
+                "sends": record.sends,
                 "waited_ms": round(record.waited_s * 1000),
                 "elapsed_ms": round(record.elapsed_s * 1000),
                 "step": record.step,
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -16,6 +16,7 @@
 
 from ._coordinator import Coordinator
 from ._metrics import HostMetrics
+from ._retry_metrics import RetryMetrics
 
 
 def add_gauges(
@@ -32,6 +33,7 @@
     now_s: Callable[[], float],
 ) -> None:
     """Add gauges of the state, which are read whenever metrics are requested."""
+    metrics.sample_sources.append(RetryMetrics(gate=gate).samples)
     add = metrics.add_gauge
     leadership, mirror, rules = (
         coordinator.leadership,
--- a/src/gentianwharf/entryhost/_metrics.py
+++ b/src/gentianwharf/entryhost/_metrics.py
@@ -1,9 +1,9 @@
 """Counters and timings of an entry host in the format of Prometheus."""
 
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
-from typing import Any, final
+from typing import TYPE_CHECKING, Any, final
 
 from hdrh.histogram import HdrHistogram
 
@@ -12,6 +12,9 @@
 from ._page_site import PageResponse, PageSite
 from ._slot_metrics import SlotMetrics
 
+if TYPE_CHECKING:
+    from gentianwharf.metrics import Sample
+
 METRICS_PORT = 9464
 """A port that Prometheus exporters commonly use; also set in `deploy/system.toml`."""
 
@@ -29,6 +32,9 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 Gauge = Callable[[], float]
+SampleSource = Callable[[str], "Iterable[Sample]"]
+"""Returns samples whose names begin with the given prefix."""
+
 SeriesKey = tuple[str, str, int, str]
 
 
@@ -42,6 +48,7 @@
         self._waited: dict[tuple[str, str], HdrHistogram] = {}
         self._gauges: dict[str, tuple[str, Gauge]] = {}
         self.slots = SlotMetrics()
+        self.sample_sources: list[SampleSource] = [self.slots.samples]
         self.add_gauge("resident_bytes", "Resident memory", _resident_bytes)
         self.add_gauge("descriptors", "Open file descriptors", _descriptors)
 
@@ -107,7 +114,8 @@
             )
             for (service, request_class), histogram in table.items()
         ]
-        samples += self.slots.samples(PREFIX)
+        for source in self.sample_sources:
+            samples += source(PREFIX)
         histograms += self.slots.histograms(PREFIX)
         return prometheus_text(samples, histograms)
 
--- a/src/gentianwharf/load/__init__.py
+++ b/src/gentianwharf/load/__init__.py
@@ -23,7 +23,13 @@
     Wait,
 )
 from ._server_state import HealthStatus
-from ._snapshot import ClassSnapshot, GateSnapshot, PoolSnapshot, ServerSnapshot
+from ._snapshot import (
+    ClassSnapshot,
+    GateSnapshot,
+    PoolSnapshot,
+    RetryBudgetSnapshot,
+    ServerSnapshot,
+)
 
 __all__ = [
     "PROVES_NOT_RUN",
@@ -44,6 +50,7 @@
     "Refuse",
     "RefuseReason",
     "RequestClass",
+    "RetryBudgetSnapshot",
     "ServerSnapshot",
     "Start",
     "Ticket",
--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -19,6 +19,8 @@
 class RetryBudget:
     """A token bucket that is filled by new requests and emptied by retries.
 
+    ``requests``, ``taken`` and ``refused`` are totals since the start.
+
     >>> budget = RetryBudget(tokens=0.0)
     >>> for _ in range(10):
     ...     budget.record_request()
@@ -26,11 +28,14 @@
     (True, False)
     """
 
-    __slots__ = ("_max_tokens", "_tokens")
+    __slots__ = ("_max_tokens", "_tokens", "refused", "requests", "taken")
 
     def __init__(
         self, *, tokens: float | None = None, max_tokens: float = MAX_SAVED_RETRIES
     ) -> None:
+        self.requests = 0
+        self.taken = 0
+        self.refused = 0
         self._tokens = max_tokens if tokens is None else tokens
         self._max_tokens = max_tokens
 
@@ -40,6 +45,11 @@
         self._max_tokens = max_tokens
         self._tokens = min(1.0, saved) * max_tokens
 
+    @property
+    def max_tokens(self) -> float:
+        """The number of retries that may be saved."""
+        return self._max_tokens
+
     @property
     def tokens(self) -> float:
         """The number of retries that are available now."""
@@ -47,6 +57,7 @@
 
     def record_request(self) -> None:
         """Add a fraction of a token for a new request."""
+        self.requests += 1
         # Rounded so that ten additions of 0.1 make exactly 1.
         tokens = round(self._tokens + RETRIES_PER_REQUEST, 9)
         # A share below one would never allow a retry.
@@ -55,6 +66,8 @@
     def take(self) -> bool:
         """Take a token for a retry; return whether there was one."""
         if self._tokens < 1.0:
+            self.refused += 1
             return False
+        self.taken += 1
         self._tokens -= 1.0
         return True
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -27,6 +27,7 @@
 from ._dispatched_placement import DispatchedPlacement
 from ._flights import Flights
 from ._gate_notices import GateNotices
+from ._gate_retries import GateRetries
 from ._health import evaluate_servers, record_outcome
 from ._pool import Pool
 from ._queried_placement import QueriedPlacement
@@ -116,6 +117,7 @@
             rng=rng,
             admit=self._admit,
         )
+        self.retries = GateRetries(registry=self._registry)
         self.notices = GateNotices(registry=self._registry, flights=self._flights)
         self._retried = 0
 
--- /dev/null
+++ b/src/gentianwharf/load/_gate_retries.py
@@ -0,0 +1,29 @@
+"""The part of the gate that concerns requests which are sent more than once."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import final
+
+from ._registry import Registry
+from ._snapshot import RetryBudgetSnapshot, retry_budget_snapshots
+
+
+@final
+class GateRetries:
+    """Counts what is written to servers, and states what the budgets allow."""
+
+    def __init__(self, *, registry: Registry) -> None:
+        self._registry = registry
+        self._sends: Counter[tuple[str, str]] = Counter()
+
+    def record_send(self, service: str, cause: str) -> None:
+        """Record that a request is written to a server of ``service``."""
+        self._sends[service, cause] += 1
+
+    def sends(self) -> Mapping[tuple[str, str], int]:
+        """Return the writes since the start, by service and cause."""
+        return self._sends
+
+    def budgets(self) -> list[RetryBudgetSnapshot]:
+        """Return the retry budget of each service."""
+        return retry_budget_snapshots(self._registry)
--- a/src/gentianwharf/load/_snapshot.py
+++ b/src/gentianwharf/load/_snapshot.py
@@ -50,6 +50,23 @@
     ramping: bool
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RetryBudgetSnapshot:
+    """The retry budget of a service at this host; totals since the start.
+
+    ``available`` is the number of retries that may be made now, ``share`` how many of
+    them this host may save, ``refused`` the number of retries that were not made.
+    """
+
+    service: str
+    requests: int
+    taken: int
+    refused: int
+    available: float
+    share: float
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GateSnapshot:
@@ -89,6 +106,21 @@
     return len(state.queue) / pool.service_rate_per_s(state, pool.class_share(state))
 
 
+def retry_budget_snapshots(registry: Registry) -> list[RetryBudgetSnapshot]:
+    """Return the retry budget of each service."""
+    return [
+        RetryBudgetSnapshot(
+            service=service,
+            requests=budget.requests,
+            taken=budget.taken,
+            refused=budget.refused,
+            available=budget.tokens,
+            share=budget.max_tokens,
+        )
+        for service, budget in registry.budgets.items()
+    ]
+
+
 def server_snapshot(state: ServerState) -> ServerSnapshot:
     """Return the snapshot of a server."""
     return ServerSnapshot(
--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -6,8 +6,8 @@
 
 from ._items import Items
 from ._rules import ADDED, KEYED, LOOK_UPS, POSTINGS, UNKEYED, UPLOADS, configuration
-from ._server import RequestRun, ServerSpec, StandInServer
-from ._settings import CALLERS_PORT, settings_text
+from ._server import Arrival, RequestRun, ServerSpec, StandInServer
+from ._settings import CALLERS_PORT, READINESS_PORT, settings_text
 from ._store import MAX_VALUE_BYTES, StandInStore
 
 __all__ = [
@@ -17,8 +17,10 @@
     "LOOK_UPS",
     "MAX_VALUE_BYTES",
     "POSTINGS",
+    "READINESS_PORT",
     "UNKEYED",
     "UPLOADS",
+    "Arrival",
     "Items",
     "RequestRun",
     "ServerSpec",
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -2,6 +2,7 @@
 
 import sys
 import time
+from collections.abc import Iterable
 from random import Random
 from typing import Any
 
@@ -21,6 +22,7 @@
     KEYED,
     LOOK_UPS,
     UNKEYED,
+    Arrival,
     Items,
     RequestRun,
     ServerSpec,
@@ -44,7 +46,9 @@
     reactor.listenTCP(int(port), site, interface=ip)
 
 
-def _serve_store(address: str, operators: str) -> None:
+def _serve_store(
+    address: str, operators: str, *, added_paths: Iterable[str] = ()
+) -> None:
     items = Items(now_s=reactor.seconds)
     for listen_address, allow_reserved in ((address, False), (operators, True)):
         store = StandInStore(
@@ -57,7 +61,7 @@
         reactor.callLater(EXPIRY_INTERVAL_S, expire)
 
     expire()
-    items.change(Change(puts=(configuration(1),)))
+    items.change(Change(puts=(configuration(1, added_paths=added_paths),)))
 
 
 def _serve_backend(spec: ServerSpec, store: str, seed: int) -> StandInServer:
@@ -68,15 +72,26 @@
     return server
 
 
-def _print_run(run: RequestRun) -> None:
-    print(msgspec.json.encode(run).decode(), flush=True)
+def _print_line(event: RequestRun | Arrival) -> None:
+    print(msgspec.json.encode(event).decode(), flush=True)
 
 
 @app.command
-def store(address: str, operators: str) -> None:
-    """Serve the store to hosts on ADDRESS, to operators and servers on OPERATORS."""
+def store(address: str, operators: str, *, added_paths: tuple[str, ...] = ()) -> None:
+    """Serve the store to hosts on ADDRESS, to operators and servers on OPERATORS.
+
+    Parameters
+    ----------
+    address
+        Where hosts reach it.
+    operators
+        Where operators and servers reach it.
+    added_paths
+        Paths of repeatable requests that the first configuration serves as well.
+
+    """
     use_monotonic_time(reactor)
-    _serve_store(address, operators)
+    _serve_store(address, operators, added_paths=added_paths)
     print("ready", flush=True)
     reactor.run()
 
@@ -97,6 +112,8 @@
     limit_per_s: float | None = None,
     announces_leaving: bool = False,
     rest_s: float | None = None,
+    lost_share: float = 0.0,
+    reports_arrivals: bool = False,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -128,6 +145,10 @@
         Whether its answers state that it leaves.
     rest_s
         The seconds for which it refuses every request and asks for rest.
+    lost_share
+        The probability that the answer of a request that it ran is lost.
+    reports_arrivals
+        Whether it prints a line for each request that reaches it as well.
 
     """
     use_monotonic_time(reactor)
@@ -141,13 +162,16 @@
         born_ms=int(time.time() * 1000),
         reports_slowdown=reports_slowdown,
         cold_s=cold_ms / 1000,
+        lost_share=lost_share,
     )
     server = _serve_backend(spec, store, seed=spec.born_ms)
     server.listed_as = listed_as or address
     server.max_requests_per_s = limit_per_s
     server.announces_leaving = announces_leaving
     server.rest_s = rest_s
-    server.on_run = _print_run
+    server.on_run = _print_line
+    if reports_arrivals:
+        server.on_arrival = _print_line
     print("ready", flush=True)
     reactor.run()
 
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -47,6 +47,20 @@
     is_whole: bool
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A request that reached a server, whether it runs it or refuses it.
+
+    ``arrived_s`` is a reading of the reactor's clock in seconds.
+    """
+
+    server: str
+    service: str
+    request_id: str
+    arrived_s: float
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerSpec:
@@ -54,6 +68,8 @@
 
     With ``reports_slowdown``, its load header has the fourth figure, and it states its
     load in answers to health checks. ``cold_s`` is how long it is cold after its start.
+    ``lost_share`` is the probability that the answer of a run is lost: the connection
+    is closed in its place.
     """
 
     id: str
@@ -65,6 +81,7 @@
     born_ms: int
     reports_slowdown: bool = False
     cold_s: float = 0.0
+    lost_share: float = 0.0
 
 
 @final
@@ -89,7 +106,8 @@
 class StandInServer(Resource):
     """One instance of a backend server.
 
-    It calls ``on_run`` for each request that it ran, ``on_refused`` for each other one.
+    It calls ``on_arrival`` for each request, then ``on_run`` for each that it ran, and
+    ``on_refused`` for each other one.
     """
 
     isLeaf = True  # noqa: N815
@@ -98,6 +116,7 @@
         super().__init__()
         self.spec = spec
         self.listed_as = spec.address
+        self.on_arrival: Callable[[Arrival], None] = lambda arrival: None
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.on_refused: Callable[[str], None] = lambda request_id: None
         self.state = ServerState.READY
@@ -234,6 +253,14 @@
             shard=int(shard) if shard is not None else None,
         )
         request.notifyFinish().addErrback(lambda _: self._cancel(work))
+        self.on_arrival(
+            Arrival(
+                server=self.spec.id,
+                service=self.spec.service,
+                request_id=request_id,
+                arrived_s=self._reactor.seconds(),
+            )
+        )
         if not request_id:
             self._refuse(work, STATUS_BAD_REQUEST)
         elif self._expects_other_server(request) or not self._may_run(work):
@@ -263,6 +290,9 @@
     def _complete(self, work: _Work) -> None:
         is_whole = self._may_run(work)
         self._finish_run(work, is_whole=is_whole)
+        if self._rng.random() < self.spec.lost_share:
+            work.request.loseConnection()
+            return
         body = work.request_id.encode() + b" " + _content(work.request)[:64]
         request = self._with_headers(work)
         if is_whole:
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -17,9 +17,10 @@
 from ._final_problems import UNKNOWN_DETAIL
 from ._header_codec import HeaderCodec, ServerRefusal
 from ._headers import forwarded_headers, set_fields
-from ._ports import Admission, Outcome, Owner, ServerNotice, Ticket
+from ._ports import Admission, Outcome, Owner, SendCause, ServerNotice, Ticket
 from ._problem import Problem
 from ._response import check_request_id, has_detectable_end
+from ._sends import Sends
 
 DEFAULT_RETRY_AFTER_S = 1.0
 
@@ -73,6 +74,8 @@
         admission: Admission,
         codec: HeaderCodec,
         reactor: Any,
+        sends: Sends,
+        cause: SendCause,
         fresh: bool = False,
     ) -> None:
         self.server = server
@@ -86,6 +89,8 @@
         self._admission = admission
         self._codec = codec
         self._reactor = reactor
+        self._sends = sends
+        self._cause = cause
         self._fresh = fresh
 
     @property
@@ -204,6 +209,7 @@
     ) -> "Deferred[Response]":
         headers = self._headers(remaining)
         self.is_sent = True
+        self._sends.record(self._cause)
         try:
             return connection.send_request(
                 method=self._request.method,
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -23,12 +23,27 @@
     STOPPING_UNKNOWN,
 )
 from ._header_codec import HeaderCodec
-from ._headers import response_headers
-from ._idempotency import IdempotencyKey, IdempotentRequests, StoredResponse
-from ._ports import AccessRecord, Admission, Observer, Outcome, Owner, Ownership, Ticket
+from ._idempotency import (
+    IdempotencyKey,
+    IdempotentRequests,
+    StoredResponse,
+    stored_response,
+    write_stored_response,
+)
+from ._ports import (
+    AccessRecord,
+    Admission,
+    Observer,
+    Outcome,
+    Owner,
+    Ownership,
+    SendCause,
+    Ticket,
+)
 from ._problem import Problem, write_problem
 from ._race import Race
 from ._response import ResponseBody, write_response_head
+from ._sends import Sends, cause_after
 
 # Attempts of a repeatable request that may have run, if its rule sets no limit. Three
 # attempts reach a working server after two failures.
@@ -81,6 +96,7 @@
         self._owner: Owner | None = None
         self._race: Race | None = None
         self._tries = 0
+        self._sends = Sends(ticket=ticket, admission=admission)
         self._runs = 0
         self._misdirected = 0
         self._max_runs = match.rule.then.most_tries or DEFAULT_MAX_RUNS
@@ -169,16 +185,9 @@
         self._idempotent_requests.complete(key, self._stored)
 
     def _replay(self, stored: StoredResponse) -> None:
-        request = self.request
-        request.setResponseCode(stored.status, stored.phrase)
-        for name, values in stored.headers:
-            request.responseHeaders.setRawHeaders(name, values)
-        request.setHeader(
-            self._codec.request_id_header, self.ticket.request_id.encode("latin-1")
+        write_stored_response(
+            self.request, stored, request_id=self.ticket.request_id, codec=self._codec
         )
-        request.setHeader(b"Content-Length", str(len(stored.body)).encode())
-        request.write(stored.body)
-        request.finish()
         self._record(
             status=stored.status, run=RunStatus.RUN, reason="answer-given-again"
         )
@@ -195,7 +204,11 @@
         ):
             self._admission.finished(self.ticket, server, Outcome.CANCELLED, 0.0)
             return
-        race.start(self._new_attempt(server, fresh=server == self._server))
+        race.start(
+            self._new_attempt(
+                server, cause=SendCause.HEDGE, fresh=server == self._server
+            )
+        )
 
     def refuse(self, problem: Problem) -> None:
         """Respond with a problem document."""
@@ -223,7 +236,9 @@
         while True:
             server = await self._admit(error)
             try:
-                attempt, response = await self._run(server)
+                attempt, response = await self._run(
+                    server, cause=cause_after(error.outcome if error else None)
+                )
             except FinalError as failed:
                 self._record_failure(failed)
                 raise failed.problem from failed
@@ -268,13 +283,17 @@
         except Problem as refusal:
             raise error.problem from refusal
 
-    async def _run(self, server: BackendServer) -> tuple[Attempt, Response]:
+    async def _run(
+        self, server: BackendServer, *, cause: SendCause
+    ) -> tuple[Attempt, Response]:
         race = Race(ticket=self.ticket, admission=self._admission)
         self._race = race
-        race.start(self._new_attempt(server))
+        race.start(self._new_attempt(server, cause=cause))
         return await race.winner()
 
-    def _new_attempt(self, server: BackendServer, *, fresh: bool = False) -> Attempt:
+    def _new_attempt(
+        self, server: BackendServer, *, cause: SendCause, fresh: bool = False
+    ) -> Attempt:
         self._attempt = Attempt(
             request=self.request,
             ticket=self.ticket,
@@ -284,6 +303,8 @@
             admission=self._admission,
             codec=self._codec,
             reactor=self._reactor,
+            sends=self._sends,
+            cause=cause,
             fresh=fresh,
         )
         return self._attempt
@@ -343,7 +364,7 @@
             self._record(status=response.code, run=RunStatus.RUN, reason="answer-cut")
             return False
         if body.stored is not None:
-            self._stored = _to_stored(response, bytes(body.stored), self._codec)
+            self._stored = stored_response(response, bytes(body.stored), self._codec)
         if not request._disconnected:
             request.send_now()
             request.finish()
@@ -373,20 +394,7 @@
                 step=step,
                 peer=peer,
                 tries=self._tries,
+                sends=self._sends.count,
                 through=self._attempt.through if self._attempt is not None else "",
             )
         )
-
-
-def _to_stored(response: Response, body: bytes, codec: HeaderCodec) -> StoredResponse:
-    return StoredResponse(
-        status=response.code,
-        phrase=response.phrase,
-        headers=tuple(
-            (name, tuple(values))
-            for name, values in response_headers(
-                response.headers, codec.is_forwarded
-            ).items()
-        ),
-        body=body,
-    )
--- a/src/gentianwharf/relay/_idempotency.py
+++ b/src/gentianwharf/relay/_idempotency.py
@@ -5,10 +5,14 @@
 from typing import final
 
 from twisted.internet.defer import Deferred
+from twisted.web._newclient import Response
 
 from gentianwharf.load import Claim, IdempotencyCache
 from gentianwharf.runs import RunStatus
 
+from ._caller_request import CallerRequest
+from ._header_codec import HeaderCodec
+from ._headers import response_headers
 from ._problem import Problem
 
 # Immediate retries mostly arrive while the first request is still running.
@@ -144,3 +148,37 @@
     Claim.MISMATCH: _MISMATCH,
     Claim.FULL: _FULL,
 }
+
+
+def stored_response(
+    response: Response, body: bytes, codec: HeaderCodec
+) -> StoredResponse:
+    """Return a response to be given again, without headers of its connection."""
+    return StoredResponse(
+        status=response.code,
+        phrase=response.phrase,
+        headers=tuple(
+            (name, tuple(values))
+            for name, values in response_headers(
+                response.headers, codec.is_forwarded
+            ).items()
+        ),
+        body=body,
+    )
+
+
+def write_stored_response(
+    request: CallerRequest,
+    stored: StoredResponse,
+    *,
+    request_id: str,
+    codec: HeaderCodec,
+) -> None:
+    """Answer a request with the response to another one that it repeats."""
+    request.setResponseCode(stored.status, stored.phrase)
+    for name, values in stored.headers:
+        request.responseHeaders.setRawHeaders(name, values)
+    request.setHeader(codec.request_id_header, request_id.encode("latin-1"))
+    request.setHeader(b"Content-Length", str(len(stored.body)).encode())
+    request.write(stored.body)
+    request.finish()
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -112,6 +112,19 @@
     CANCELLED = "cancelled"
 
 
+class SendCause(StrEnum):
+    """Why a request is written to a server: the first time, or after which outcome."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    AFTER_NOT_OWNER = "after-not-owner"
+    AFTER_SHED = "after-shed"
+    AFTER_CONNECT_FAILED = "after-connect-failed"
+    AFTER_LOST = "after-lost"
+    AFTER_TIMED_OUT = "after-timed-out"
+    AFTER_CANCELLED = "after-cancelled"
+
+
 class Rules(Protocol):
     """The rules in force."""
 
@@ -194,6 +207,9 @@
     def may_still_send(self, server: BackendServer) -> bool:
         """Return whether an admitted request may be sent, once a connection is open."""
 
+    def note_send(self, ticket: Ticket, cause: SendCause) -> None:
+        """Record that a request is written to a server."""
+
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Record what a server stated in a response, whatever its status."""
 
@@ -218,6 +234,8 @@
     step: str
     peer: str
     tries: int = 1
+    sends: int = 0
+    """How often the request was written to a server."""
     through: str = ""
     """The host whose tunnel the last attempt used, empty for a direct connection."""
 
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -28,6 +28,7 @@
     Problem,
     RelayApp,
     RunStatus,
+    SendCause,
     ServerConnectionPool,
     ServerLoad,
     ServerNotice,
@@ -131,6 +132,7 @@
     def __init__(self, *, servers: list[BackendServer]) -> None:
         self.servers = servers
         self.outcomes: list[Outcome] = []
+        self.sends: list[tuple[str, SendCause]] = []
         self.retry_after_s: list[float] = []
         self.notices: list[tuple[str, ServerNotice]] = []
         self.accepts = True
@@ -189,6 +191,10 @@
         """Return what the test has set."""
         return self.accepts
 
+    def note_send(self, ticket: Ticket, cause: SendCause) -> None:
+        """Record the send."""
+        self.sends.append((ticket.request_id, cause))
+
     def note_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Record the notice."""
         self.notices.append((server.id, notice))
--- a/tests/test_entryhost_metrics.py
+++ b/tests/test_entryhost_metrics.py
@@ -4,7 +4,9 @@
 
 from gentianwharf.entryhost._answer_log import AnswerLog
 from gentianwharf.entryhost._metrics import MAX_SERIES, HostMetrics
+from gentianwharf.entryhost._retry_metrics import RetryMetrics
 from gentianwharf.relay import AccessRecord, RunStatus, Ticket
+from tests import builders_load as build
 
 
 def answered(
@@ -81,3 +83,20 @@
     lines = [line for line in metrics.text().splitlines() if "answers_total{" in line]
     assert len(lines) <= MAX_SERIES + 1
     assert any('class="other"' in line for line in lines)
+
+
+def test_sends_and_retry_budgets_are_shown_by_service() -> None:
+    gate = build.gate()
+    gate.submit(build.ticket("1"), 0.0)
+    gate.retries.record_send("inscription", "first")
+    gate.retries.record_send("inscription", "after-lost")
+    metrics = HostMetrics()
+    metrics.sample_sources.append(RetryMetrics(gate=gate).samples)
+    text = metrics.text()
+    prefix, labels = "gentianwharf_", 'service="inscription"'
+    assert f'{prefix}requests_sent_total{{cause="after-lost",{labels}}} 1.0' in text
+    assert f"{prefix}retry_budget_requests_total{{{labels}}} 1.0" in text
+    assert f"{prefix}retry_budget_taken_total{{{labels}}} 0.0" in text
+    assert f"{prefix}retry_budget_refused_total{{{labels}}} 0.0" in text
+    assert f"{prefix}retry_budget_available{{{labels}}}" in text
+    assert f"{prefix}retry_budget_share{{{labels}}}" in text
