Keep the retries of all hosts within one sum across starts and unknown hosts

What callers and operators saw: servers got more repeats than the retry budget allows, over all hosts.

Cause: two, of one class: a bound over all hosts that each process counts from nothing, as if it were the only one. (A) Each start of a host had its whole share of the extra retries at once, whatever the process before it had sent in the same window. (B) A host that knew no others assumed ten and took a tenth of the sum. Besides, by reading: (C) a share that grew scaled up what was saved, a share of 0 still saved a whole retry, and hosts cut off for longer than they stay listed kept a share that others had by then.

Why this works: a budget starts empty, is filled by requests at the agreed ratio up to the share, and has the whole share again only after a window in which it was not used; a new process takes it for used. What hosts have saved when a window begins is at most the sum, and what they add in it is at most the ratio of its requests, however often they start. A host that does not know the others, or has not heard of them for a window, saves nothing and retries for half the ratio of the requests of the last 8 s.

--- a/src/gentianwharf/entryhost/_conversions.py
+++ b/src/gentianwharf/entryhost/_conversions.py
@@ -2,7 +2,13 @@
 
 from gentianwharf.dispatch import DispatchHost
 from gentianwharf.keyspace import Candidate, Holder
-from gentianwharf.platform import CallerLimits, ConfiguredService, ServerEntry
+from gentianwharf.load import RetryAgreement
+from gentianwharf.platform import (
+    Agreements,
+    CallerLimits,
+    ConfiguredService,
+    ServerEntry,
+)
 from gentianwharf.relay import ConnectionLimits, ServerNotice
 from gentianwharf.topology import BackendServer
 
@@ -24,6 +30,15 @@
     )
 
 
+def retry_agreement_of(agreements: Agreements) -> RetryAgreement:
+    """Return the retries that operators allow all hosts together."""
+    return RetryAgreement(
+        ratio=agreements.retry_budget_ratio,
+        extra=agreements.retry_budget_extra,
+        window_s=agreements.retry_window_s,
+    )
+
+
 def holder_of(entry: ServerEntry) -> Holder:
     """Return the holder of grants for the server process that wrote an entry."""
     return Holder(server_id=entry.id, born_ms=entry.born_ms, address=entry.address)
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -33,7 +33,7 @@
     now_s: Callable[[], float],
 ) -> None:
     """Add gauges of the state, which are read whenever metrics are requested."""
-    metrics.sample_sources.append(RetryMetrics(gate=gate).samples)
+    metrics.sample_sources.append(RetryMetrics(gate=gate, now_s=now_s).samples)
     add = metrics.add_gauge
     leadership, mirror, rules = (
         coordinator.leadership,
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -28,7 +28,7 @@
 
 from ._answer_log import AnswerLog
 from ._callers_port import CallersPort
-from ._conversions import limits_of, notice_of, server_of
+from ._conversions import limits_of, notice_of, retry_agreement_of, server_of
 from ._coordinator import Coordinator
 from ._dispatch_state import DispatchState
 from ._gauges import add_gauges
@@ -123,7 +123,7 @@
             rng=self._rng,
             daemons=self._coordinator.host_count,
             name=self.settings.name,
-            saved_retries=self.settings.agreements.retry_budget_extra,
+            retry_agreement=retry_agreement_of(self.settings.agreements),
             leaving_grace_s=self.settings.agreements.drain_timeout_s
             * LEAVING_GRACE_SHARE,
         )
@@ -250,6 +250,7 @@
 
     def _tick_requests(self) -> None:
         self._tunnels.monitor.tick()
+        self._gate.retries.set_view_age_s(self._coordinator.mirror.age_s())
         self._admission.tick()
 
     def _tick_interval_s(self) -> float:
--- a/src/gentianwharf/entryhost/_retry_metrics.py
+++ b/src/gentianwharf/entryhost/_retry_metrics.py
@@ -49,8 +49,9 @@
 class RetryMetrics:
     """Reads the counters and budgets of a gate whenever metrics are requested."""
 
-    def __init__(self, *, gate: Gate) -> None:
+    def __init__(self, *, gate: Gate, now_s: Callable[[], float]) -> None:
         self._gate = gate
+        self._now_s = now_s
 
     def samples(self, prefix: str) -> "Iterator[Sample]":
         """Yield the samples of all services."""
@@ -64,7 +65,7 @@
                 value=count,
                 counter=True,
             )
-        budgets = self._gate.retries.budgets()[:MAX_SERVICES]
+        budgets = self._gate.retries.budgets(self._now_s())[:MAX_SERVICES]
         for table, is_counter in ((_COUNTERS, True), (_GAUGES, False)):
             for name, text, read in table:
                 for budget in budgets:
--- a/src/gentianwharf/load/__init__.py
+++ b/src/gentianwharf/load/__init__.py
@@ -5,6 +5,7 @@
 ``docs/design/load.md``.
 """
 
+from ._budget import RetryAgreement
 from ._gate import Gate
 from ._idempotency import Claim, ClaimResult, IdempotencyCache
 from ._requests import (
@@ -50,6 +51,7 @@
     "Refuse",
     "RefuseReason",
     "RequestClass",
+    "RetryAgreement",
     "RetryBudgetSnapshot",
     "ServerSnapshot",
     "Start",
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from math import inf
 from random import Random
 from typing import TYPE_CHECKING, final
 
@@ -22,6 +21,7 @@
     # third of a second to load.
     from gentianwharf.infra import ServerReport
 
+from ._budget import RetryAgreement
 from ._choose import choose_server, select_server
 from ._class_state import ClassState
 from ._dispatched_placement import DispatchedPlacement
@@ -54,10 +54,10 @@
     """Admits, queues, refuses and places the requests of one daemon.
 
     The decisions in a returned list are about requests that waited, or are hedges.
-    ``name`` is this daemon's among the names of ``set_hosts``. ``saved_retries`` bounds
-    the burst of retries for one service that all daemons together may start. An owner
-    that leaves gets requests for its shards for ``leaving_grace_s``. ``notices`` takes
-    what servers state about the requests that they accept.
+    ``name`` is this daemon's among the names of ``set_hosts``. ``retry_agreement``
+    states the retries that all daemons together may send. An owner that leaves gets
+    requests for its shards for ``leaving_grace_s``. ``notices`` takes what servers
+    state about the requests that they accept.
 
     >>> server = BackendServer(id="ledger-1", service="ledger", domain="hall-a",
     ...                        address="127.0.0.1:9200", slots=3, connections=120)
@@ -84,7 +84,7 @@
         rng: Random,
         daemons: int,
         name: str = "",
-        saved_retries: float = inf,
+        retry_agreement: RetryAgreement | None = None,
         leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
         self._rng = rng
@@ -95,7 +95,7 @@
             rng=rng,
             daemons=daemons,
             name=name,
-            saved_retries=saved_retries,
+            retry_agreement=retry_agreement,
             leaving_grace_s=leaving_grace_s,
         )
         self._pause_detector = PauseDetector()
@@ -148,9 +148,7 @@
 
     def submit(self, ticket: Ticket, now_s: float) -> Decision:
         """Decide on a new request."""
-        budget = self._registry.budgets.get(ticket.service)
-        if budget is not None:
-            budget.record_request()
+        self._registry.budgets.record_request(ticket.service, now_s)
         return self._begin(ticket, now_s, avoid=None)
 
     def place(self, ticket_id: str, now_s: float) -> Decision:
@@ -229,8 +227,7 @@
             # request. When such requests were resent after a wait, the owner shed them
             # again and the refusal came 700 ms late.
             return self._refuse(ticket, RefuseReason.OVERLOAD, now_s)
-        budget = self._registry.budgets.get(ticket.service)
-        if budget is None or not budget.take():
+        if not self._registry.budgets.take(ticket.service, now_s):
             return self._refuse(ticket, RefuseReason.RETRY_BUDGET, now_s)
         self._retried += 1
         return self._begin(ticket, now_s, avoid=avoid)
@@ -386,7 +383,7 @@
             # A hedge would take a second slot, which other requests wait for.
             return decisions
         for flight in self._flights.hedge_candidates(pool, now_s):
-            if not self._registry.budgets[pool.service].take():
+            if not self._registry.budgets.take(pool.service, now_s):
                 break
             state = choose_server(
                 pool.short_states, now_s=now_s, rng=self._rng, avoid=flight.server
--- a/src/gentianwharf/load/_gate_retries.py
+++ b/src/gentianwharf/load/_gate_retries.py
@@ -24,6 +24,10 @@
         """Return the writes since the start, by service and cause."""
         return self._sends
 
-    def budgets(self) -> list[RetryBudgetSnapshot]:
+    def set_view_age_s(self, age_s: float) -> None:
+        """Set how old this host's list of the hosts may be."""
+        self._registry.budgets.set_view_age_s(age_s)
+
+    def budgets(self, now_s: float) -> list[RetryBudgetSnapshot]:
         """Return the retry budget of each service."""
-        return retry_budget_snapshots(self._registry)
+        return retry_budget_snapshots(self._registry, now_s)
--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -1,16 +1,16 @@
 """The tables of servers, pools and retry budgets of one daemon."""
 
 from collections.abc import Iterable, Mapping, Sequence
-from math import inf
 from random import Random
 from typing import final
 
 from gentianwharf.placement import rendezvous_score
 from gentianwharf.topology import BackendServer, Service
 
-from ._budget import MAX_SAVED_RETRIES, RetryBudget
+from ._budget import RetryAgreement
 from ._pool import Pool
 from ._requests import RequestClass, Ticket
+from ._retry_budgets import RetryBudgets
 from ._server_notices import NoticeTable, ServerNotices
 from ._server_state import LEAVING_GRACE_S, LoadReport, ServerState
 
@@ -33,10 +33,9 @@
         rng: Random,
         daemons: int,
         name: str = "",
-        saved_retries: float = inf,
+        retry_agreement: RetryAgreement | None = None,
         leaving_grace_s: float = LEAVING_GRACE_S,
     ) -> None:
-        self._saved_retries = saved_retries
         self._leaving_grace_s = leaving_grace_s
         self._name = name
         self.notices = NoticeTable(name=name)
@@ -51,7 +50,9 @@
         # all servers, that blocked the event loop for 0.4 s with 1,219 services.
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self.pools: dict[PoolKey, Pool] = {}
-        self.budgets: dict[str, RetryBudget] = {}
+        self.budgets = RetryBudgets(
+            agreement=retry_agreement or RetryAgreement(), shares=self.notices.shares
+        )
         self._answering: set[str] = set()
         """Services whose servers answer queries for their load at once."""
         for service in services:
@@ -117,27 +118,12 @@
             state.max_connections = self._share_of_connections(state.server)
         for pool in self.pools.values():
             pool.set_daemons(self._daemons)
-        self._resize_budgets()
 
     def _share_of_connections(self, server: BackendServer) -> int:
         # All daemons together must not open more connections than the server accepts.
         # Each stays within its own share without coordination.
         return max(1, server.connections // self._daemons)
 
-    def _resize_budgets(self) -> None:
-        for service, budget in self.budgets.items():
-            budget.resize(self._share_of_retries(service))
-
-    def _share_of_retries(self, service: str) -> float:
-        """Return how many retries this daemon may save for a service."""
-        if self._saved_retries == inf:
-            return MAX_SAVED_RETRIES
-        savers = self._daemons
-        if self.notices.shares.are_known:
-            burst = int(self._saved_retries)
-            savers = self.notices.shares.senders(f"retries/{service}", burst=burst)
-        return min(MAX_SAVED_RETRIES, self._saved_retries / savers) if savers else 0.0
-
     def drop_if_unlisted(self, state: ServerState) -> None:
         """Drop a server that is not listed and has no requests in flight."""
         if state.listed or state.flights or state.server.id not in self.servers:
@@ -161,9 +147,7 @@
             del self.pools[key]
 
     def _add_service(self, service: Service) -> None:
-        self.budgets[service.name] = RetryBudget(
-            max_tokens=self._share_of_retries(service.name)
-        )
+        self.budgets.add(service.name)
         states = [self._add_server(server) for server in service.servers]
         if not service.keyed:
             self.pools[service.name, None] = self._make_pool(service.name, states)
@@ -226,7 +210,7 @@
     def set_hosts(self, names: Sequence[str]) -> None:
         """Set the names of all hosts, which share what servers accept."""
         self.notices.set_hosts(names)
-        self._resize_budgets()
+        self.budgets.update_hosts()
 
     def set_leaving(self, server_id: str, now_s: float) -> bool:
         """Record that a server stated that it leaves; return whether it is new."""
--- /dev/null
+++ b/src/gentianwharf/load/_retry_budgets.py
@@ -0,0 +1,67 @@
+"""The retry budgets of all services of one host."""
+
+from collections.abc import Iterator
+from math import inf
+from typing import final
+
+from ._budget import MAX_SAVED_RETRIES, RetryAgreement, RetryBudget
+from ._host_shares import HostShares
+
+
+@final
+class RetryBudgets:
+    """Divides the retries that all hosts may save among the hosts in ``shares``.
+
+    A host that does not know the others, or has not heard of them for a window, has no
+    share: several such hosts would add up.
+    """
+
+    def __init__(self, *, agreement: RetryAgreement, shares: HostShares) -> None:
+        self._agreement = agreement
+        self._shares = shares
+        self._is_outdated = False
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def __contains__(self, service: str) -> bool:
+        return service in self._budgets
+
+    def __iter__(self) -> Iterator[tuple[str, RetryBudget]]:
+        return iter(self._budgets.items())
+
+    def add(self, service: str) -> None:
+        """Add the budget of a service."""
+        self._budgets[service] = RetryBudget(
+            agreement=self._agreement, share=self._share(service)
+        )
+
+    def record_request(self, service: str, now_s: float) -> None:
+        """Add to the budget of a service for a new request."""
+        budget = self._budgets.get(service)
+        if budget is not None:
+            budget.record_request(now_s)
+
+    def take(self, service: str, now_s: float) -> bool:
+        """Take a retry from the budget of a service; return whether there was one."""
+        budget = self._budgets.get(service)
+        return budget is not None and budget.take(now_s)
+
+    def update_hosts(self) -> None:
+        """Apply a change of the hosts among which the saved retries are divided."""
+        for service, budget in self._budgets.items():
+            budget.set_share(self._share(service))
+
+    def set_view_age_s(self, age_s: float) -> None:
+        """Set how old this host's list of the hosts may be."""
+        is_outdated = age_s > self._agreement.window_s
+        if is_outdated != self._is_outdated:
+            self._is_outdated = is_outdated
+            self.update_hosts()
+
+    def _share(self, service: str) -> float:
+        extra = self._agreement.extra
+        if extra == inf:
+            return MAX_SAVED_RETRIES
+        if self._is_outdated or not self._shares.are_known:
+            return 0.0
+        savers = self._shares.senders(f"retries/{service}", burst=int(extra))
+        return min(MAX_SAVED_RETRIES, extra / savers) if savers else 0.0
--- a/src/gentianwharf/load/_snapshot.py
+++ b/src/gentianwharf/load/_snapshot.py
@@ -78,7 +78,6 @@
     started: int
     retried: int
     hedged: int
-    retry_budgets: dict[str, float]
 
 
 def pool_snapshot(key: tuple[str, str | None], pool: Pool) -> PoolSnapshot:
@@ -106,7 +105,9 @@
     return len(state.queue) / pool.service_rate_per_s(state, pool.class_share(state))
 
 
-def retry_budget_snapshots(registry: Registry) -> list[RetryBudgetSnapshot]:
+def retry_budget_snapshots(
+    registry: Registry, now_s: float
+) -> list[RetryBudgetSnapshot]:
     """Return the retry budget of each service."""
     return [
         RetryBudgetSnapshot(
@@ -114,10 +115,10 @@
             requests=budget.requests,
             taken=budget.taken,
             refused=budget.refused,
-            available=budget.tokens,
-            share=budget.max_tokens,
+            available=budget.available(now_s),
+            share=budget.share,
         )
-        for service, budget in registry.budgets.items()
+        for service, budget in registry.budgets
     ]
 
 
@@ -144,7 +145,4 @@
         started=flights.started,
         retried=retried,
         hedged=flights.hedged,
-        retry_budgets={
-            name: budget.tokens for name, budget in registry.budgets.items()
-        },
     )
