Take retries from the budget where requests are written

A retry was taken when it was decided: for a hedge before a server was looked for, for a request that could only not connect, and before a wait for a slot, a server's turn or a connection, after which it arrived whenever it arrived. Nothing but convention made each further way to send take one.

Every write to a server now asks one object of the request for permission: the first is free, each further one takes a retry at that moment, or is not written, and the caller gets the failure of the try before. The decision to retry only looks whether there is one. A request of which no byte was sent counts as not written.

Ways weighed: taking at the decision and giving back what was not sent needs an account of each way in which a request ends, and retries given back have lost their age; the way chosen may make a request wait for a slot in vain where several compete for the last retry.

Limits of the tries move from the exchange to a module of their own, which shortens it; the simulated hosts of the benchmarks and of the servers' notices take retries when they send.

tests/test_relay_sends.py: without a retry, no second write after a refusal, on a new connection or as a hedge, each of which failed before.

--- a/bench/load_fakes.py
+++ b/bench/load_fakes.py
@@ -34,6 +34,12 @@
 COLD_S = 5.0
 
 
+WITHDRAWN_RETRY_AFTER_S = 1.0
+
+TakeRetry = Callable[[str, float], bool]
+"""Takes a retry from the budget of a service at a time in seconds, if there is one."""
+
+
 class Router(Protocol):
     """The methods of ``gentianwharf.load.Gate`` that hosts call, also in baselines."""
 
@@ -96,6 +102,7 @@
     ended_s: float = 0.0
     result: str = ""
     runs: int = 0
+    sends: int = 0
     jobs: "dict[str, Job]" = field(default_factory=dict)
 
 
@@ -213,6 +220,7 @@
         self.domain = domain
         self.router = router
         self.lost = False
+        self.take_retry: TakeRetry = lambda service, now_s: True
         self._clock = clock
         self._servers = servers
         self._on_end = on_end
@@ -274,8 +282,23 @@
         else:
             server.connections += 1
             arrival_s += CONNECT_S
+        if request.sends and not self.take_retry(request.ticket.service, now_s):
+            self._withdraw(server, job)
+            return
+        request.sends += 1
         self._clock.call_at(arrival_s, server.receive, job)
 
+    def _withdraw(self, server: FakeServer, job: Job) -> None:
+        """Leave a request unsent that the retry budget does not allow any more."""
+        request, server_id, now_s = job.request, server.server.id, self._clock.now_s
+        job.closed = True
+        del request.jobs[server_id]
+        self._idle[server_id] = self._idle.get(server_id, 0) + 1
+        outcome = Outcome(kind=OutcomeKind.CANCELLED, elapsed_s=0.0)
+        self.apply(self.router.finished(request.ticket.id, outcome, now_s, server_id))
+        if not request.jobs:
+            self._end(request, "refused", WITHDRAWN_RETRY_AFTER_S)
+
     def _answer(self, server: FakeServer, job: Job, kind: OutcomeKind) -> None:
         if job.closed or self.lost:
             return
--- a/bench/load_trial.py
+++ b/bench/load_trial.py
@@ -138,13 +138,17 @@
         domains = self.scenario.size.domains
         domain = domains[number % len(domains)]
         rng = make_rng(self._seed, f"host-{number}")
-        return FakeHost(
+        router = make_router(self._service, domain, rng)
+        host = FakeHost(
             clock=self._clock,
             domain=domain,
-            router=make_router(self._service, domain, rng),
+            router=router,
             servers=self._servers,
             on_end=self._on_end,
         )
+        if isinstance(router, Gate):
+            host.take_retry = router.retries.take
+        return host
 
     def _arrive(self, source: "_Source") -> None:
         now_s = self._clock.now_s
--- a/src/gentianwharf/admission/_gate_admission.py
+++ b/src/gentianwharf/admission/_gate_admission.py
@@ -108,6 +108,7 @@
         *,
         after: Outcome,
         avoid: BackendServer,
+        is_repeat: bool,
     ) -> BackendServer:
         """Return the server for another try, if the retry budget allows one."""
         decision = self._gate.retry(
@@ -115,6 +116,7 @@
             _OUTCOME_KINDS[after],
             self._now_s(),
             avoid.id,
+            is_repeat=is_repeat,
         )
         return await self._await_decision(ticket, hedge, decision)
 
@@ -264,6 +266,10 @@
             self._slots.note_load(ticket, load, elapsed_s)
         self.on_load(server, load, elapsed_s)
 
+    def take_retry(self, ticket: Ticket) -> bool:
+        """Take a retry from the budget, just before a request is written once more."""
+        return self._gate.retries.take(ticket.service, self._now_s())
+
     def note_send(self, ticket: Ticket, cause: SendCause) -> None:
         """Count a request that is written to a server."""
         self._gate.retries.record_send(ticket.service, cause)
--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -124,11 +124,15 @@
         self._recent.append((now_s, added))
         self._tokens = _sum(self._tokens, added)
 
+    def allow(self, now_s: float) -> bool:
+        """Return whether a retry may be sent, and count it if it may not."""
+        is_allowed = self.available(now_s) >= 1.0
+        self.refused += not is_allowed
+        return is_allowed
+
     def take(self, now_s: float) -> bool:
         """Take a retry; return whether there was one."""
-        self._advance(now_s)
-        if self._tokens < 1.0:
-            self.refused += 1
+        if not self.allow(now_s):
             return False
         self.taken += 1
         self._tokens = _sum(self._tokens, -1.0)
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -212,13 +212,19 @@
         return decisions
 
     def retry(
-        self, ticket: Ticket, after: OutcomeKind, now_s: float, avoid: str | None = None
+        self,
+        ticket: Ticket,
+        after: OutcomeKind,
+        now_s: float,
+        avoid: str | None = None,
+        *,
+        is_repeat: bool = True,
     ) -> Decision:
         """Decide whether to resend a request that ended with ``after``.
 
         Call this when none of its sends is in flight. ``avoid`` is the server that
         failed it. A request is resent only if it is proved not to have run or may run
-        twice, and only within the retry budget.
+        twice, and only within the retry budget unless no server has received it.
         """
         if after not in PROVES_NOT_RUN and not ticket.repeatable:
             return self._refuse(ticket, RefuseReason.NOT_REPEATABLE, now_s)
@@ -227,7 +233,7 @@
             # request. When such requests were resent after a wait, the owner shed them
             # again and the refusal came 700 ms late.
             return self._refuse(ticket, RefuseReason.OVERLOAD, now_s)
-        if not self._registry.budgets.take(ticket.service, now_s):
+        if is_repeat and not self._registry.budgets.allow(ticket.service, now_s):
             return self._refuse(ticket, RefuseReason.RETRY_BUDGET, now_s)
         self._retried += 1
         return self._begin(ticket, now_s, avoid=avoid)
@@ -382,8 +388,9 @@
         if self._dispatched.is_dispatched(pool.service):
             # A hedge would take a second slot, which other requests wait for.
             return decisions
+        allowed = self._registry.budgets.available(pool.service, now_s)
         for flight in self._flights.hedge_candidates(pool, now_s):
-            if not self._registry.budgets.take(pool.service, now_s):
+            if len(decisions) + 1 > allowed:
                 break
             state = choose_server(
                 pool.short_states, now_s=now_s, rng=self._rng, avoid=flight.server
--- a/src/gentianwharf/load/_gate_retries.py
+++ b/src/gentianwharf/load/_gate_retries.py
@@ -16,6 +16,10 @@
         self._registry = registry
         self._sends: Counter[tuple[str, str]] = Counter()
 
+    def take(self, service: str, now_s: float) -> bool:
+        """Take a retry for a repeat that is about to be written; False without one."""
+        return self._registry.budgets.take(service, now_s)
+
     def record_send(self, service: str, cause: str) -> None:
         """Record that a request is written to a server of ``service``."""
         self._sends[service, cause] += 1
--- a/src/gentianwharf/load/_retry_budgets.py
+++ b/src/gentianwharf/load/_retry_budgets.py
@@ -40,6 +40,16 @@
         if budget is not None:
             budget.record_request(now_s)
 
+    def available(self, service: str, now_s: float) -> float:
+        """Return the number of retries of a service that may be sent now."""
+        budget = self._budgets.get(service)
+        return budget.available(now_s) if budget is not None else 0.0
+
+    def allow(self, service: str, now_s: float) -> bool:
+        """Return whether a retry of a service may be sent now, without taking it."""
+        budget = self._budgets.get(service)
+        return budget is not None and budget.allow(now_s)
+
     def take(self, service: str, now_s: float) -> bool:
         """Take a retry from the budget of a service; return whether there was one."""
         budget = self._budgets.get(service)
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -55,6 +55,11 @@
     """The request may have run; another attempt may follow if it is repeatable."""
 
 
+@final
+class NotPermittedError(AttemptError):
+    """The request was not written, since the retry budget was used up meanwhile."""
+
+
 @final
 class FinalError(AttemptError):
     """The request must not be sent again, since the outcome would be the same."""
@@ -180,6 +185,12 @@
         if remaining.duration_s <= 0:
             self._connections.release(connection)
             raise self._no_time_error()
+        if not self._sends.permit(self._cause):
+            self._connections.release(connection)
+            raise NotPermittedError(
+                outcome=Outcome.CANCELLED,
+                problem=self._not_run("refused: retry-budget"),
+            )
         response = self._write(connection, remaining)
         timeout = Timeout(
             clock=self._reactor, delay_s=remaining.duration_s, expire=response.cancel
@@ -187,6 +198,7 @@
         try:
             return await response
         except RequestNotSent as error:
+            self._sends.withdraw()
             raise NotRunError(
                 outcome=Outcome.CONNECT_FAILED,
                 problem=self._not_run("the connection was closed"),
@@ -209,7 +221,6 @@
     ) -> "Deferred[Response]":
         headers = self._headers(remaining)
         self.is_sent = True
-        self._sends.record(self._cause)
         try:
             return connection.send_request(
                 method=self._request.method,
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -11,7 +11,12 @@
 from gentianwharf.runs import RunStatus
 from gentianwharf.topology import BackendServer
 
-from ._attempt import Attempt, AttemptError, FinalError, NotRunError
+from ._attempt import (
+    Attempt,
+    AttemptError,
+    FinalError,
+    NotPermittedError,
+)
 from ._caller_request import CallerRequest
 from ._connections import ServerConnectionPool
 from ._final_problems import (
@@ -44,16 +49,8 @@
 from ._race import Race
 from ._response import ResponseBody, write_response_head
 from ._sends import Sends, cause_after
+from ._tries import Tries
 
-# Attempts of a repeatable request that may have run, if its rule sets no limit. Three
-# attempts reach a working server after two failures.
-DEFAULT_MAX_RUNS = 3
-# A retry requires proof that the previous try did not run, or a repeatable request.
-# Three tries reach a working server if one is down and one sheds the request.
-MAX_TRIES = 3
-# Not counted in MAX_TRIES: while a key moves, its former owner refuses the request, and
-# so does the new owner until it has its grant.
-MAX_MISDIRECTED = 4
 # Recorded in logs and metrics if the caller disconnects before the response.
 STATUS_CALLER_GONE = 499
 
@@ -95,11 +92,8 @@
         self._attempt: Attempt | None = None
         self._owner: Owner | None = None
         self._race: Race | None = None
-        self._tries = 0
+        self._tries = Tries(max_runs=match.rule.then.most_tries)
         self._sends = Sends(ticket=ticket, admission=admission)
-        self._runs = 0
-        self._misdirected = 0
-        self._max_runs = match.rule.then.most_tries or DEFAULT_MAX_RUNS
         self._may_have_run = False
         self._awaits_duplicate = False
         self._shutdown_problem: Problem | None = None
@@ -195,12 +189,11 @@
     def hedge(self, server: BackendServer) -> None:
         """Send the request a second time, concurrently with the first attempt."""
         race = self._race
-        may_run_twice = self._runs + 2 <= self._max_runs
         if (
             race is None
             or race.decided
             or self.request.body is not None
-            or not may_run_twice
+            or not self._tries.may_hedge()
         ):
             self._admission.finished(self.ticket, server, Outcome.CANCELLED, 0.0)
             return
@@ -242,6 +235,9 @@
             except FinalError as failed:
                 self._record_failure(failed)
                 raise failed.problem from failed
+            except NotPermittedError as failed:
+                self._record_failure(failed)
+                raise (error or failed).problem from failed
             except AttemptError as failed:
                 self._record_failure(failed)
                 if not self._may_retry(failed):
@@ -252,7 +248,7 @@
                 return
 
     async def _admit(self, error: AttemptError | None) -> BackendServer:
-        self._tries += 1
+        self._tries.count += 1
         self._owner = None
         if self.ticket.shard is not None:
             self._owner = await self._ownership.owner(self.ticket)
@@ -278,7 +274,12 @@
     ) -> BackendServer:
         try:
             return await self._admission.admit_retry(
-                self.ticket, owner, self.hedge, after=error.outcome, avoid=avoid
+                self.ticket,
+                owner,
+                self.hedge,
+                after=error.outcome,
+                avoid=avoid,
+                is_repeat=self._sends.count > 0,
             )
         except Problem as refusal:
             raise error.problem from refusal
@@ -311,24 +312,21 @@
 
     def _record_failure(self, error: AttemptError) -> None:
         lost_attempts = self._race.lost_attempts if self._race is not None else 0
-        if lost_attempts:
-            self._may_have_run = True
-            self._runs += lost_attempts
-        if error.outcome is Outcome.NOT_OWNER and self._owner is not None:
-            self._misdirected += 1
-            self._ownership.report_not_owner(self.ticket, self._owner)
+        self._may_have_run = self._may_have_run or lost_attempts > 0
+        owner = self._owner if error.outcome is Outcome.NOT_OWNER else None
+        self._tries.record_failure(
+            lost_attempts=lost_attempts, is_misdirected=owner is not None
+        )
+        if owner is not None:
+            self._ownership.report_not_owner(self.ticket, owner)
 
     def _may_retry(self, error: AttemptError) -> bool:
-        if self._misdirected > MAX_MISDIRECTED or self._runs >= self._max_runs:
-            return False
-        if self._tries - self._misdirected >= MAX_TRIES:
-            return False
         if self._reactor.seconds() >= self.ticket.deadline_s:
             return False
         body = self.request.body
         if body is not None and not body.can_restart:
             return False
-        return isinstance(error, NotRunError) or self.ticket.repeatable
+        return self._tries.may_retry(error, repeatable=self.ticket.repeatable)
 
     async def _forward_response(self, attempt: Attempt, response: Response) -> None:
         self._server, self._attempt = attempt.server, attempt
@@ -393,7 +391,7 @@
                 reason=reason,
                 step=step,
                 peer=peer,
-                tries=self._tries,
+                tries=self._tries.count,
                 sends=self._sends.count,
                 through=self._attempt.through if self._attempt is not None else "",
             )
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -169,8 +169,12 @@
         *,
         after: Outcome,
         avoid: BackendServer,
+        is_repeat: bool,
     ) -> BackendServer:
-        """Return the server for a retry, if the retry budget allows one."""
+        """Return the server for a retry, if the retry budget allows one.
+
+        A request that was not written to a server yet is no repeat, and needs none.
+        """
 
     def server_for_key(self, service: str, key: str) -> BackendServer | None:
         """Return the server that every daemon selects for an idempotency key.
@@ -207,6 +211,9 @@
     def may_still_send(self, server: BackendServer) -> bool:
         """Return whether an admitted request may be sent, once a connection is open."""
 
+    def take_retry(self, ticket: Ticket) -> bool:
+        """Take a retry from the budget, just before a request is written once more."""
+
     def note_send(self, ticket: Ticket, cause: SendCause) -> None:
         """Record that a request is written to a server."""
 
--- a/src/gentianwharf/relay/_sends.py
+++ b/src/gentianwharf/relay/_sends.py
@@ -7,10 +7,11 @@
 
 @final
 class Sends:
-    """Counts how often a request was written to a server, by any of its attempts.
+    """Permits the writes of a request to servers, and counts them.
 
-    Retries, hedges, and requests on new connections and through tunnels are all written
-    by an attempt, which reports here.
+    Retries, hedges, and requests on new connections, through tunnels and with granted
+    slots are all written by an attempt, which asks here just before. The first write is
+    free; each further one takes a retry from the budget of the service.
     """
 
     def __init__(self, *, ticket: Ticket, admission: Admission) -> None:
@@ -18,12 +19,19 @@
         self._ticket = ticket
         self._admission = admission
 
-    def record(self, cause: SendCause) -> None:
-        """Record a write; the first one is no repeat, whatever happened before."""
-        self._admission.note_send(
-            self._ticket, cause if self.count else SendCause.FIRST
-        )
+    def permit(self, cause: SendCause) -> bool:
+        """Return whether the request may be written now, and count it if it may."""
+        if not self.count:
+            cause = SendCause.FIRST
+        elif not self._admission.take_retry(self._ticket):
+            return False
+        self._admission.note_send(self._ticket, cause)
         self.count += 1
+        return True
+
+    def withdraw(self) -> None:
+        """Record that no byte of the last write was sent; a retry stays taken."""
+        self.count -= 1
 
 
 def cause_after(outcome: Outcome | None) -> SendCause:
--- a/tests/builders_notices.py
+++ b/tests/builders_notices.py
@@ -260,6 +260,8 @@
             server=owner,
         )
         decision = gate.retry(request, OutcomeKind.SHED, now_s, start.server)
+        if isinstance(decision, Start):
+            gate.retries.take(SERVICE, now_s)
         self._apply(number, [decision])
 
     def _answer(self, number: int, start: Start, server: NoticeServer) -> None:
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -136,6 +136,7 @@
         self.retry_after_s: list[float] = []
         self.notices: list[tuple[str, ServerNotice]] = []
         self.accepts = True
+        self.retries_allowed = 1_000
         self.hedge_after_s: float | None = None
         self.outcome_events: dict[Outcome, threading.Event] = {}
 
@@ -155,6 +156,7 @@
         *,
         after: Outcome,
         avoid: BackendServer,
+        is_repeat: bool,
     ) -> BackendServer:
         """Admit every retry."""
         return owner or self.servers[len(self.outcomes) % len(self.servers)]
@@ -191,6 +193,11 @@
         """Return what the test has set."""
         return self.accepts
 
+    def take_retry(self, ticket: Ticket) -> bool:
+        """Return whether the test allows further retries."""
+        self.retries_allowed -= 1
+        return self.retries_allowed >= 0
+
     def note_send(self, ticket: Ticket, cause: SendCause) -> None:
         """Record the send."""
         self.sends.append((ticket.request_id, cause))
--- a/tests/builders_repeats.py
+++ b/tests/builders_repeats.py
@@ -203,13 +203,17 @@
 
     def worst_window(self) -> Repeats:
         """Return the window with the most repeats above those allowed."""
+        return worst_window(sorted(self.sent_s), self.repeated_s())
+
+    def repeated_s(self) -> list[float]:
+        """Return when repeats reached servers."""
         arrivals = [
             (line["request_id"], line["arrived_s"])
             for number in range(SERVERS)
             for line in map(json.loads, self._json_lines(f"server-{number}"))
             if "arrived_s" in line
         ]
-        return worst_window(sorted(self.sent_s), repeats_of(arrivals))
+        return repeats_of(arrivals)
 
     def stop(self) -> None:
         """Kill every process that is still running."""
--- a/tests/test_admission_slots.py
+++ b/tests/test_admission_slots.py
@@ -307,6 +307,7 @@
                 lambda server: None,
                 after=Outcome.CONNECT_FAILED,
                 avoid=admitted.server,
+                is_repeat=True,
             )
         )
     )
--- a/tests/test_load_retry_budgets.py
+++ b/tests/test_load_retry_budgets.py
@@ -186,6 +186,8 @@
         decision = gate.retry(ticket, OutcomeKind.SHED, now_s)
         gate.finished("1", build.ok(), now_s)
         kinds.append(type(decision))
+        is_sent = isinstance(decision, Start)
+        assert not is_sent or gate.retries.take(ticket.service, now_s)
     assert kinds == [Start] * 10 + [Refuse] * 10
 
 
@@ -212,7 +214,8 @@
     for number in range(20):
         for gate in gates:
             decision = gate.retry(build.ticket("1"), OutcomeKind.SHED, float(number))
-            retried += isinstance(decision, Start)
+            is_sent = isinstance(decision, Start)
+            retried += is_sent and gate.retries.take("inscription", float(number))
             gate.finished("1", build.ok(), float(number))
     assert retried <= EXTRA
 
@@ -228,7 +231,8 @@
         gate.finished("0", build.ok(), 0.0)
         for _ in range(3):
             decision = gate.retry(build.ticket("1"), OutcomeKind.SHED, UNUSED_S)
-            retried += isinstance(decision, Start)
+            is_sent = isinstance(decision, Start)
+            retried += is_sent and gate.retries.take("inscription", UNUSED_S)
             gate.finished("1", build.ok(), UNUSED_S)
     assert EXTRA * 0.9 <= retried <= EXTRA
 
@@ -240,3 +244,12 @@
         gate.submit(build.ticket(f"new-{number}"), 0.0)
         gate.finished(f"new-{number}", build.ok(), 0.0)
     assert isinstance(gate.retry(build.ticket("1"), OutcomeKind.SHED, 0.0), Start)
+
+
+def test_request_that_reached_no_server_is_retried_without_a_budget() -> None:
+    """Guards against failed connections that use up the budget of repeats."""
+    gate = new_gate(1, hosts=3)
+    ticket = build.ticket("1")
+    failed = OutcomeKind.CONNECT_FAILED
+    assert isinstance(gate.retry(ticket, failed, 0.0), Refuse)
+    assert isinstance(gate.retry(ticket, failed, 0.0, is_repeat=False), Start)
--- a/tests/test_relay_sends.py
+++ b/tests/test_relay_sends.py
@@ -1,12 +1,17 @@
 """What the relay counts when it writes requests to servers."""
 
+import socket
+import threading
+
 import pytest
 
-from gentianwharf.relay import SendCause
+from gentianwharf.relay import Outcome, SendCause
 from tests.builders_answers import hanging, ok, shedding
 from tests.builders_relay import Script, request, running_relay
 from tests.test_relay_repeats import closing
 
+HANG_S = 5.0
+
 
 @pytest.mark.parametrize(
     ("script", "cause"),
@@ -38,3 +43,36 @@
         assert relay.send(request()).endswith(b"ok")
         causes = [cause for _, cause in relay.admission.sends]
     assert causes == [SendCause.FIRST]
+
+
+@pytest.mark.parametrize(
+    ("script", "status"),
+    [
+        pytest.param(shedding, b"503", id="after-a-refusal"),
+        pytest.param(closing, b"502", id="on-a-new-connection"),
+    ],
+)
+def test_repeat_is_not_written_without_a_retry(script: Script, status: bytes) -> None:
+    """Guards against a budget that is used up between its check and the send."""
+    with running_relay([script], [ok]) as relay:
+        relay.admission.retries_allowed = 0
+        received = relay.send(request())
+        assert [len(server.heads) for server in relay.servers] == [1, 0]
+    assert received.startswith(b"HTTP/1.1 " + status)
+
+
+def test_hedge_without_a_retry_leaves_the_first_send_alone() -> None:
+    """Guards against a second send that is not counted, and one that ends the first."""
+
+    def slow(connection: socket.socket, head: bytes) -> None:
+        refused.wait(HANG_S)
+        ok(connection, head)
+
+    refused = threading.Event()
+    with running_relay([slow], [ok]) as relay:
+        relay.admission.retries_allowed = 0
+        relay.admission.hedge_after_s = 0.02
+        relay.admission.outcome_events = {Outcome.CANCELLED: refused}
+        assert relay.send(request()).endswith(b"ok")
+        assert [len(server.heads) for server in relay.servers] == [1, 0]
+        assert sorted(relay.admission.outcomes) == ["answered", "cancelled"]
