--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,12 +18,13 @@
 from gentianwharf.platform import PlatformStore
 
 from ._callers import Callers
-from ._checks import check_recovery, find_violations
+from ._checks import check_recovery, find_violations, sent_by_service
 from ._cuts import Cuts, describe_cuts, find_unserved_cuts
 from ._deployment import Deployment
 from ._faults import Faults
 from ._operators import Operators
 from ._restarts import Restarts
+from ._retry_checks import STANDIN_AGREEMENT, find_excess_retries
 from ._rule_checks import (
     find_stale_versions,
     find_version_regressions,
@@ -141,6 +142,10 @@
     violations += find_unserved_cuts(
         callers.requests, cuts.cuts, deployment.disruptions
     )
+    sent_s = sent_by_service(callers.requests)
+    violations += find_excess_retries(
+        sent_s, deployment.arrivals, agreement=STANDIN_AGREEMENT
+    )
     judged = [
         request
         for request in callers.requests
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -8,7 +8,14 @@
 from twisted.web.http_headers import Headers
 
 from gentianwharf.http_agent import BytesBody
-from gentianwharf.platform.standin import ADDED, LOOK_UPS, POSTINGS, UPLOADS
+from gentianwharf.platform.standin import (
+    ADDED,
+    KEYED,
+    LOOK_UPS,
+    POSTINGS,
+    UNKEYED,
+    UPLOADS,
+)
 
 from ._checks import SentRequest
 from ._operators import Operators
@@ -70,6 +77,7 @@
         self._count += 1
         request = SentRequest(
             id=f"{kind}-{self._count}",
+            service=KEYED if kind == "look-up" else UNKEYED,
             host=host,
             may_repeat=kind in ("look-up", "rule"),
             sent_s=self._reactor.seconds(),
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -20,6 +20,7 @@
     """One request as its caller sees it; ``status`` is 0 without a response."""
 
     id: str
+    service: str
     host: str
     may_repeat: bool
     sent_s: float
@@ -61,6 +62,14 @@
     ]
 
 
+def sent_by_service(requests: Iterable[SentRequest]) -> dict[str, list[float]]:
+    """Return the times at which callers sent requests to each service, in order."""
+    sent_s: dict[str, list[float]] = defaultdict(list)
+    for request in requests:
+        sent_s[request.service].append(request.sent_s)
+    return {service: sorted(times_s) for service, times_s in sent_s.items()}
+
+
 def _check_request(request: SentRequest, runs: Sequence[Any]) -> Iterable[str]:
     where = f"{request.id} through {request.host} at {request.sent_s:.3f}"
     if not request.may_repeat and len(runs) > 1:
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -44,6 +44,7 @@
         self.logs = logs
         self.net = net
         self.runs: list[Line] = []
+        self.arrivals: list[Line] = []
         self.programs: dict[str, Program] = {}
         self.ended: list[Program] = []
         self.proxies: dict[str, Proxy] = {}
@@ -138,7 +139,7 @@
             *(*STANDIN, "backend", name, service, f"{self._ip(name)}:{SERVER_PORT}"),
             *("--domain", "abc"[number % 3], "--slots", "4", "--work-ms", "30"),
             *("--store", self.operators_address),
-            *("--listed-as", self._proxy_address(name)),
+            *("--listed-as", self._proxy_address(name), "--reports-arrivals"),
         ]
         self._start_process(name, arguments)
 
@@ -148,7 +149,7 @@
         previous = self.programs.get(name)
         if previous is not None:
             self.ended.append(previous)
-        on_line = self.runs.append if name in self.servers else _ignore_line
+        on_line = self._note_line if name in self.servers else _ignore_line
         program = Program(name=name, log=self.logs / f"{name}.log", on_line=on_line)
         self.programs[name] = program
         program.start(self.reactor, arguments, env or {})
@@ -156,6 +157,9 @@
         self.disruptions.begin(name)
         self.disruptions.end(name)
 
+    def _note_line(self, line: Line) -> None:
+        (self.arrivals if "arrived_s" in line else self.runs).append(line)
+
     def _add_proxy(self, name: str, *, target: str) -> None:
         self.proxies[name] = Proxy(
             reactor=self.reactor, listens_on=self._proxy_address(name), target=target
--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -7,17 +7,27 @@
 from ._items import Items
 from ._rules import ADDED, KEYED, LOOK_UPS, POSTINGS, UNKEYED, UPLOADS, configuration
 from ._server import Arrival, RequestRun, ServerSpec, StandInServer
-from ._settings import CALLERS_PORT, READINESS_PORT, settings_text
+from ._settings import (
+    CALLERS_PORT,
+    EXTRA_RETRIES,
+    READINESS_PORT,
+    RETRY_BUDGET_RATIO,
+    RETRY_WINDOW_S,
+    settings_text,
+)
 from ._store import MAX_VALUE_BYTES, StandInStore
 
 __all__ = [
     "ADDED",
     "CALLERS_PORT",
+    "EXTRA_RETRIES",
     "KEYED",
     "LOOK_UPS",
     "MAX_VALUE_BYTES",
     "POSTINGS",
     "READINESS_PORT",
+    "RETRY_BUDGET_RATIO",
+    "RETRY_WINDOW_S",
     "UNKEYED",
     "UPLOADS",
     "Arrival",
--- a/src/gentianwharf/platform/standin/_settings.py
+++ b/src/gentianwharf/platform/standin/_settings.py
@@ -5,6 +5,11 @@
 INTERNAL_PORT = 7200
 
 
+RETRY_BUDGET_RATIO = 0.2
+EXTRA_RETRIES = 64
+RETRY_WINDOW_S = 10
+
+
 def settings_text(*, name: str, ip: str, domain: str, store: str) -> str:
     """Return the settings of a host that has its own IP address."""
     return f"""\
@@ -16,7 +21,8 @@
 bootstrap = false
 heartbeat-interval = "800ms"
 bounds = ["drain-timeout=2000ms", "grace-period=6s", "config-apply=2000ms",
-  "retry-budget-ratio=0.2", "budget-window=10s", "budget-extra-retries=64",
+  "retry-budget-ratio={RETRY_BUDGET_RATIO}", "budget-window={RETRY_WINDOW_S}s",
+  "budget-extra-retries={EXTRA_RETRIES}",
   "max-hold=10000ms"]
 [zones]
 {domain} = "here"
--- a/tests/builders_repeats.py
+++ b/tests/builders_repeats.py
@@ -12,19 +12,22 @@
 import sys
 import time
 import urllib.request
-from bisect import bisect_left
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from itertools import count as count_from
 from pathlib import Path
+from typing import Any
+
+from soak._retry_checks import STANDIN_AGREEMENT, find_excess_retries, repeats_of
 
 from gentianwharf.platform import SETTINGS_PATH_VARIABLE
 from gentianwharf.platform.standin import (
     ADDED,
     CALLERS_PORT,
     KEYED,
+    LOOK_UPS,
     READINESS_PORT,
     UNKEYED,
     settings_text,
@@ -41,71 +44,6 @@
 CALLERS = 48
 METRICS_PORT = 9464
 
-RETRY_RATIO, EXTRA_RETRIES, WINDOW_S = 0.2, 64, 10.0
-"""What ``settings_text`` allows."""
-
-SHORT_S = 1e-6
-
-
-@dataclass(frozen=True, kw_only=True)
-class Repeats:
-    """The most repeats in one window, and those allowed in it."""
-
-    sent: int
-    allowed: float
-
-
-def repeats_of(arrivals_s: Iterable[tuple[str, float]]) -> list[float]:
-    """Return the times of all arrivals beyond the first of each request, in order."""
-    seen: set[str] = set()
-    repeated_s: list[float] = []
-    for request_id, arrived_s in sorted(arrivals_s, key=lambda arrival: arrival[1]):
-        if request_id in seen:
-            repeated_s.append(arrived_s)
-        seen.add(request_id)
-    return repeated_s
-
-
-def worst_window(
-    sent_s: Sequence[float],
-    repeated_s: Sequence[float],
-    *,
-    extra_retries: float = EXTRA_RETRIES,
-) -> Repeats:
-    """Return the window with the most repeats above those allowed.
-
-    ``sent_s`` has the times at which callers sent requests, ``repeated_s`` those at
-    which repeats reached a server; both in order.
-    """
-    # The allowed number changes with the window: those that begin with a repeat and
-    # those that end just after one are looked at.
-    starts_s = [*repeated_s, *(at_s - WINDOW_S + SHORT_S for at_s in repeated_s)]
-    windows = [
-        _window(start_s, sent_s, repeated_s, extra_retries) for start_s in starts_s
-    ]
-    nothing = Repeats(sent=0, allowed=extra_retries)
-    return max(
-        windows, key=lambda window: window.sent - window.allowed, default=nothing
-    )
-
-
-def _window(
-    start_s: float,
-    sent_s: Sequence[float],
-    repeated_s: Sequence[float],
-    extra_retries: float,
-) -> Repeats:
-    def within(times_s: Sequence[float], from_s: float) -> int:
-        return bisect_left(times_s, from_s + WINDOW_S) - bisect_left(times_s, from_s)
-
-    requests = max(
-        within(sent_s, start_s - shift_s) for shift_s in (0, WINDOW_S / 2, WINDOW_S)
-    )
-    return Repeats(
-        sent=within(repeated_s, start_s),
-        allowed=RETRY_RATIO * requests + extra_retries,
-    )
-
 
 @dataclass
 class RepeatsDeployment:
@@ -115,7 +53,8 @@
     net: int
     lost_share: float
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
-    sent_s: list[float] = field(default_factory=list)
+    sent_s: dict[str, list[float]] = field(default_factory=dict)
+    """When callers sent requests, by service."""
     _ids: Iterator[int] = field(default_factory=lambda: count_from(1))
 
     def start(self) -> None:
@@ -158,6 +97,10 @@
             },
         )
 
+    def send_signal(self, number: int, signal_number: signal.Signals) -> None:
+        """Send a signal to a host."""
+        self.processes[f"host-{number}"].send_signal(signal_number)
+
     def kill_host(self, number: int) -> None:
         """Kill a host, and wait until it has ended."""
         process = self.processes[f"host-{number}"]
@@ -181,18 +124,33 @@
                 lambda host=host: self._is_ready(host), description=f"host {host}"
             )
 
-    def send(self, host: int) -> int:
-        """Send a repeatable request; return its status, 0 without an answer."""
+    def wait_until_listed(self, hosts: Sequence[int]) -> None:
+        """Wait until each host knows the others and has its share of the retries."""
+        share = f'retry_budget_share{{service="{UNKEYED}"}}'
+        for host in hosts:
+            wait_until(
+                lambda host=host: self._metric(host, share),
+                description=f"host {host} to be listed",
+            )
+
+    def send(self, host: int, *, shard: int | None = None) -> int:
+        """Send a repeatable request; return its status, 0 without an answer.
+
+        With a ``shard``, it is sent to the service divided by key.
+        """
         request_id = f"request-{next(self._ids)}"
-        self.sent_s.append(time.monotonic())
+        service = UNKEYED if shard is None else KEYED
+        self.sent_s.setdefault(service, []).append(time.monotonic())
         connection = http.client.HTTPConnection(
             self._ip(host), CALLERS_PORT, timeout=CALLER_TIMEOUT_S
         )
         headers = {
-            "Host": ADDED,
+            "Host": ADDED if shard is None else LOOK_UPS,
             "Attempt-Id": request_id,
             "Deadline-Ms": str(DEADLINE_MS),
         }
+        if shard is not None:
+            headers["Shard-Key"] = str(shard)
         try:
             connection.request("GET", SAFE_PATH, headers=headers)
             return connection.getresponse().status
@@ -201,19 +159,30 @@
         finally:
             connection.close()
 
-    def worst_window(self) -> Repeats:
-        """Return the window with the most repeats above those allowed."""
-        return worst_window(sorted(self.sent_s), self.repeated_s())
+    def excess_retries(self) -> list[str]:
+        """Return a line for each service that got more repeats than agreed."""
+        sent_s = {service: sorted(times_s) for service, times_s in self.sent_s.items()}
+        return find_excess_retries(
+            sent_s, self._arrivals(), agreement=STANDIN_AGREEMENT
+        )
 
-    def repeated_s(self) -> list[float]:
-        """Return when repeats reached servers."""
-        arrivals = [
-            (line["request_id"], line["arrived_s"])
+    def repeat_count(self) -> int:
+        """Return how many repeats servers got in the whole run, for all services."""
+        return len(
+            repeats_of(
+                (arrival["request_id"], arrival["arrived_s"])
+                for arrival in self._arrivals()
+            )
+        )
+
+    def _arrivals(self) -> list[dict[str, Any]]:
+        lines = [
+            json.loads(line)
             for number in range(SERVERS)
-            for line in map(json.loads, self._json_lines(f"server-{number}"))
-            if "arrived_s" in line
+            for line in self.log(f"server-{number}").splitlines()
+            if line.startswith("{")
         ]
-        return repeats_of(arrivals)
+        return [line for line in lines if "arrived_s" in line]
 
     def stop(self) -> None:
         """Kill every process that is still running."""
@@ -257,9 +226,6 @@
         except OSError:
             return False
 
-    def _json_lines(self, name: str) -> list[str]:
-        return [line for line in self.log(name).splitlines() if line.startswith("{")]
-
     def _ip(self, host: int) -> str:
         return f"127.{self.net}.1.{host + 1}"
 
--- a/tests/test_load_retry_budgets.py
+++ b/tests/test_load_retry_budgets.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from soak._retry_checks import worst_window
 
 from gentianwharf.load import Gate, OutcomeKind, Refuse, RetryAgreement, Start
 from gentianwharf.load._budget import MAX_SAVED_RETRIES, RetryBudget
@@ -11,9 +12,8 @@
 from gentianwharf.load._retry_budgets import RetryBudgets
 from tests import builders_load as build
 
-from .builders_repeats import RETRY_RATIO, WINDOW_S, worst_window
-
 EXTRA = 208
+RETRY_RATIO, WINDOW_S = 0.2, 10.0
 AGREEMENT = RetryAgreement(ratio=RETRY_RATIO, extra=EXTRA, window_s=WINDOW_S)
 UNUSED_S = 13.0
 """A time after which a host's share is available."""
@@ -64,9 +64,7 @@
         return taken
 
     def assert_within_the_agreement(self) -> None:
-        worst = worst_window(
-            self.sent_s, self.retried_s, extra_retries=self.agreement.extra
-        )
+        worst = worst_window(self.sent_s, self.retried_s, agreement=self.agreement)
         assert worst.sent <= worst.allowed
 
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -22,6 +22,7 @@
 ) -> SentRequest:
     return SentRequest(
         id="rule-1",
+        service="seats",
         host=host,
         may_repeat=True,
         sent_s=at_s,
