--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Coroutine, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any, final
 
@@ -22,6 +22,7 @@
     LOOK_UPS,
     POSTINGS,
     UNKEYED,
+    Arrival,
     Items,
     RequestRun,
     ServerSpec,
@@ -112,6 +113,7 @@
         self.servers: dict[str, StandInServer] = {}
         self.items = Items(now_s=self.reactor.seconds)
         self.runs: list[RequestRun] = []
+        self.arrivals: list[Arrival] = []
         self._net = 20 + os.getpid() % 200
         self._ports: list[Any] = []
         self._entries: list[Deferred[Any]] = []
@@ -164,6 +166,7 @@
         )
         server = StandInServer(spec=spec, reactor=self.reactor, rng=Random(number))
         server.on_run = self.runs.append
+        server.on_arrival = self.arrivals.append
         self.servers[spec.id] = server
         self._listen(address, server.site())
         client = PlatformStore(reactor=self.reactor, address=operators)
@@ -207,6 +210,11 @@
         """Whether a host leads."""
         return self.hosts[name]._coordinator.leadership.leads
 
+    def lose_answers(self, share: float) -> None:
+        """Let servers lose this share of their answers from now on."""
+        for server in self.servers.values():
+            server.spec = replace(server.spec, lost_share=share)
+
     def restore_some(self, name: str, servers: Iterable[str]) -> None:
         """Restore the links of a host to some servers."""
         for server in servers:
--- a/tests/test_relay_sends.py
+++ b/tests/test_relay_sends.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gentianwharf.relay import Outcome, SendCause
-from tests.builders_answers import hanging, ok, shedding
+from tests.builders_answers import hanging, not_owner, ok, shedding
 from tests.builders_relay import Script, request, running_relay
 from tests.test_relay_repeats import closing
 
@@ -17,6 +17,7 @@
     ("script", "cause"),
     [
         pytest.param(shedding, SendCause.AFTER_SHED, id="after-a-refusal"),
+        pytest.param(not_owner, SendCause.AFTER_NOT_OWNER, id="after-421"),
         pytest.param(closing, SendCause.AFTER_LOST, id="on-a-new-connection"),
     ],
 )
@@ -49,6 +50,7 @@
     ("script", "status"),
     [
         pytest.param(shedding, b"503", id="after-a-refusal"),
+        pytest.param(not_owner, b"503", id="after-421"),
         pytest.param(closing, b"502", id="on-a-new-connection"),
     ],
 )
--- a/tests/test_relay_slots.py
+++ b/tests/test_relay_slots.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from random import Random
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from twisted.internet.defer import Deferred
@@ -15,6 +15,7 @@
 from gentianwharf.load import Gate, RequestClass
 from gentianwharf.platform import PlatformHeaderCodec
 from gentianwharf.topology import Service
+from tests.builders_load import RUN_S
 from tests.builders_relay import (
     RunningRelay,
     Script,
@@ -133,6 +134,17 @@
         assert source.outcomes()[0] is outcome
 
 
+def test_repeats_with_slots_take_retries() -> None:
+    """Guards against repeats that are not counted since a dispatcher grants them."""
+    with dispatched_relay(closing) as (relay, _, _):
+        retries = cast(GateAdmission, relay.app._admission)._gate.retries
+        retries.budgets(relay.app._reactor.seconds() - RUN_S)
+        relay.send(request())
+        (budget,) = retries.budgets(relay.app._reactor.seconds())
+        assert len(relay.servers[0].heads) == 1 + budget.taken
+        assert budget.taken == 2
+
+
 def test_slot_is_returned_with_the_reported_load() -> None:
     """Guards against a report that doesn't reach the dispatcher."""
     with dispatched_relay(ok) as (relay, source, _):
