Count the time without retries from a start also where no requests come

By reading: a budget learnt the time from requests, so that the share of a service that seldom gets one counted from its first request, and not from the start of the host. Every tick notes the time for shares that are new now, and looks at no others.

test_service_without_requests_has_its_share_in_time failed before.

--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -50,7 +50,8 @@
     New requests add retries, up to the host's share of the extra ones that all hosts
     may send. The whole share is available again after a window without a retry, and not
     earlier after a start or after the share has grown: until then, this host's previous
-    process or another host may have used it.
+    process or another host may have used it. ``note_time`` has to be called soon after
+    either, or the time counts from the next call.
 
     A host without a share saves nothing: its retries are due to requests of the last
     window. ``requests``, ``taken`` and ``refused`` are totals since the start.
@@ -85,7 +86,7 @@
         self._recent: deque[tuple[float, float]] = deque()
         """Times of requests and what they added, while this host has no share."""
         self._unused_since_s: float | None = None
-        """From when on the share is known to be unused, None until the next call."""
+        """From when on the share is known to be unused, None until ``note_time``."""
 
     @property
     def share(self) -> float:
@@ -107,6 +108,11 @@
         self._share = share
         self._tokens = min(share, self._tokens)
 
+    def note_time(self, now_s: float) -> None:
+        """Note from when on a new share is known to be unused."""
+        if self._unused_since_s is None:
+            self._unused_since_s = now_s
+
     def available(self, now_s: float) -> float:
         """Return the number of retries that may be sent now."""
         self._advance(now_s)
@@ -141,9 +147,9 @@
         return True
 
     def _advance(self, now_s: float) -> None:
+        self.note_time(now_s)
+        assert self._unused_since_s is not None, "set by note_time"
         window_s = self._agreement.window_s
-        if self._unused_since_s is None:
-            self._unused_since_s = now_s
         if self._share and now_s >= self._unused_since_s + window_s + DELIVERY_S:
             self._tokens = self._share
         while self._recent and self._recent[0][0] <= now_s - (window_s - DELIVERY_S):
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -230,8 +230,7 @@
             return self._refuse(ticket, RefuseReason.NOT_REPEATABLE, now_s)
         if after is OutcomeKind.SHED and ticket.server is not None:
             # The owner reported that it is full, and no other server may run the
-            # request. When such requests were resent after a wait, the owner shed them
-            # again and the refusal came 700 ms late.
+            # request.
             return self._refuse(ticket, RefuseReason.OVERLOAD, now_s)
         if is_repeat and not self._registry.budgets.allow(ticket.service, now_s):
             return self._refuse(ticket, RefuseReason.RETRY_BUDGET, now_s)
@@ -241,6 +240,7 @@
     def tick(self, now_s: float) -> list[Decision]:
         """Refuse expired requests, detect unresponsive servers and send hedges."""
         decisions: list[Decision] = []
+        self._registry.budgets.tick(now_s)
         paused_s = self._pause_detector.record_tick(now_s)
         evaluate_servers(
             self._registry.servers.values(), self._registry.pool_of, paused_s, now_s
@@ -388,9 +388,9 @@
         if self._dispatched.is_dispatched(pool.service):
             # A hedge would take a second slot, which other requests wait for.
             return decisions
-        allowed = self._registry.budgets.available(pool.service, now_s)
+        allowed = int(self._registry.budgets.available(pool.service, now_s))
         for flight in self._flights.hedge_candidates(pool, now_s):
-            if len(decisions) + 1 > allowed:
+            if len(decisions) >= allowed:
                 break
             state = choose_server(
                 pool.short_states, now_s=now_s, rng=self._rng, avoid=flight.server
--- a/src/gentianwharf/load/_retry_budgets.py
+++ b/src/gentianwharf/load/_retry_budgets.py
@@ -21,6 +21,8 @@
         self._shares = shares
         self._is_outdated = False
         self._budgets: dict[str, RetryBudget] = {}
+        self._changed: list[RetryBudget] = []
+        """Budgets whose shares are new since the last tick."""
 
     def __contains__(self, service: str) -> bool:
         return service in self._budgets
@@ -30,9 +32,15 @@
 
     def add(self, service: str) -> None:
         """Add the budget of a service."""
-        self._budgets[service] = RetryBudget(
-            agreement=self._agreement, share=self._share(service)
-        )
+        budget = RetryBudget(agreement=self._agreement, share=self._share(service))
+        self._budgets[service] = budget
+        self._changed.append(budget)
+
+    def tick(self, now_s: float) -> None:
+        """Note the time for new shares, also of services without requests."""
+        for budget in self._changed:
+            budget.note_time(now_s)
+        self._changed.clear()
 
     def record_request(self, service: str, now_s: float) -> None:
         """Add to the budget of a service for a new request."""
@@ -59,6 +67,7 @@
         """Apply a change of the hosts among which the saved retries are divided."""
         for service, budget in self._budgets.items():
             budget.set_share(self._share(service))
+        self._changed = list(self._budgets.values())
 
     def set_view_age_s(self, age_s: float) -> None:
         """Set how old this host's list of the hosts may be."""
--- a/tests/test_load_retry_budgets.py
+++ b/tests/test_load_retry_budgets.py
@@ -151,6 +151,14 @@
     assert hosts.send(name, 2 * UNUSED_S, retries=20) == MAX_SAVED_RETRIES
 
 
+def test_service_without_requests_has_its_share_in_time() -> None:
+    """Guards against a share that counts from the first request of a quiet service."""
+    gate = new_gate(1, hosts=3, name="host-1", keyed=True)
+    gate.set_hosts(["host-1", "host-2"])
+    gate.tick(0.0)
+    assert gate.retries.take("inscription", UNUSED_S)
+
+
 def test_host_with_an_outdated_list_has_no_share() -> None:
     """Guards against a host that was cut off for long, and whose share others have."""
     hosts = Hosts()
@@ -189,9 +197,9 @@
     assert kinds == [Start] * 10 + [Refuse] * 10
 
 
-def new_gate(number: int, *, hosts: int, name: str = "") -> Gate:
+def new_gate(number: int, *, hosts: int, name: str = "", keyed: bool = False) -> Gate:
     return Gate(
-        services=[build.service(servers=2)],
+        services=[build.service(servers=2, keyed=keyed)],
         classes=build.CLASSES,
         domain="lac",
         rng=Random(number),
