--- a/tests/test_relay_sends.py
+++ b/tests/test_relay_sends.py
@@ -6,9 +6,8 @@
 import pytest
 
 from gentianwharf.relay import Outcome, SendCause
-from tests.builders_answers import hanging, not_owner, ok, shedding
+from tests.builders_answers import closing, hanging, not_owner, ok, shedding
 from tests.builders_relay import Script, request, running_relay
-from tests.test_relay_repeats import closing
 
 HANG_S = 5.0
 
