Stop a stand-in server's entry with its test, and keep the networks of tests apart

It was of a test that had ended in the same worker: the loop that renews an entry took its cancellation for an error of the store, and went on; and both tests had chosen the network 127.136. The loop ends with the server now, and each kind of test has networks of its own.

A constant of the retry budget says by its name that it is a factor.

--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -21,8 +21,8 @@
 # of a server.
 MAX_SAVED_RETRIES = 10.0
 
-AGED_SHARE = 0.5
-"""Part of the ratio that a host without a share uses. Its retries are due to requests
+NO_SHARE_FACTOR = 0.5
+"""Factor on the ratio for a host without a share. Its retries are due to requests
 of the present window or of the one before it, which both may be full."""
 
 
@@ -126,7 +126,7 @@
         if self._share:
             self._tokens = min(self._share, _sum(self._tokens, added))
             return
-        added *= AGED_SHARE
+        added *= NO_SHARE_FACTOR
         self._recent.append((now_s, added))
         self._tokens = _sum(self._tokens, added)
 
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -133,6 +133,7 @@
         self._waiting: deque[_Work] = deque()
         self._releases: list[tuple[_Order, Request]] = []
         self._sequence = 0
+        self._is_withdrawn = False
         self._started_s = reactor.seconds()
 
     def site(self) -> Site:
@@ -144,9 +145,13 @@
     # The server's entry in the store.
 
     async def maintain_entry(self, store: Store) -> None:
-        """Renew the server's entry in the store for ever, also after errors."""
+        """Renew the server's entry in the store until ``withdraw``, also after errors.
+
+        A store's client may turn a cancellation into an error, so that cancelling the
+        result is not enough.
+        """
         lease_id = 0
-        while True:
+        while not self._is_withdrawn:
             try:
                 if not lease_id:
                     lease_id = await store.open_lease(HEARTBEAT_S * LEASE_HEARTBEATS)
@@ -158,6 +163,10 @@
                 lease_id = 0
             await deferLater(self._reactor, HEARTBEAT_S)
 
+    def withdraw(self) -> None:
+        """Let the server's entry in the store expire."""
+        self._is_withdrawn = True
+
     def _entry(self, lease_id: int) -> Put:
         spec = self.spec
         self._sequence += 1
--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -114,7 +114,8 @@
         self.items = Items(now_s=self.reactor.seconds)
         self.runs: list[RequestRun] = []
         self.arrivals: list[Arrival] = []
-        self._net = 20 + os.getpid() % 200
+        # Tests of the soak and of repeats use other networks.
+        self._net = 20 + os.getpid() % 100
         self._ports: list[Any] = []
         self._entries: list[Deferred[Any]] = []
         self._sent = 0
@@ -302,6 +303,8 @@
                 pool.close()
         for network in self.networks.values():
             network.stop()
+        for server in self.servers.values():
+            server.withdraw()
         for entry in self._entries:
             entry.cancel()
         for port in self._ports:
--- a/tests/builders_repeats.py
+++ b/tests/builders_repeats.py
@@ -247,7 +247,7 @@
 ) -> Iterator[RepeatsDeployment]:
     """Run a deployment without hosts; the test starts these."""
     deployment = RepeatsDeployment(
-        directory=directory, net=20 + os.getpid() % 80, lost_share=lost_share
+        directory=directory, net=220 + os.getpid() % 30, lost_share=lost_share
     )
     try:
         deployment.start()
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -1,10 +1,12 @@
 """The client of the platform's store over HTTP against the stand-in store."""
 
 from collections.abc import Awaitable, Callable, Iterator
-from typing import Any
+from random import Random
+from typing import Any, cast
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from gentianwharf.errors import (
     ConflictError,
@@ -13,7 +15,15 @@
     RefusedError,
 )
 from gentianwharf.platform import PlatformStore
-from gentianwharf.platform.standin import MAX_VALUE_BYTES, Items, StandInStore, _store
+from gentianwharf.platform.standin import (
+    MAX_VALUE_BYTES,
+    Items,
+    ServerSpec,
+    StandInServer,
+    StandInStore,
+    _store,
+)
+from gentianwharf.platform.standin._server import HEARTBEAT_S
 from gentianwharf.store import (
     Change,
     HistoryGoneError,
@@ -210,3 +220,46 @@
         lambda: store.hosts.watch("own/", after_revision=page.revision - 2, wait_s=1)
     )
     assert [item.value for item in events.changes] == [b"1", b""]
+
+
+def test_withdrawn_server_stops_renewing_its_entry() -> None:
+    """Guards against servers of an ended test that appear in the store of another."""
+    clock = Clock()
+    store = _CountingStore()
+    spec = ServerSpec(
+        id="s1",
+        service="seats",
+        address="127.0.0.1:1",
+        domain="a",
+        slots=1,
+        work_s=0.1,
+        born_ms=1,
+    )
+    server = StandInServer(spec=spec, reactor=clock, rng=Random(1))
+    Deferred.fromCoroutine(server.maintain_entry(cast(Store, store)))
+    clock.advance(HEARTBEAT_S)
+    assert store.changes == 2
+    server.withdraw()
+    clock.advance(HEARTBEAT_S)
+    clock.advance(HEARTBEAT_S)
+    assert store.changes == 2
+
+
+class _CountingStore:
+    """Counts changes, and accepts each."""
+
+    def __init__(self) -> None:
+        self.changes = 0
+
+    async def change(self, change: Change) -> int:
+        """Count the change."""
+        self.changes += 1
+        return self.changes
+
+    async def open_lease(self, duration_s: float) -> int:
+        """Return a lease."""
+        return 1
+
+    async def renew_lease(self, lease_id: int) -> float:
+        """Renew it."""
+        return 1.0
