--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -273,3 +273,58 @@
             link.writer.write(last)
             self.note("late-copy", of=last.split(b"\r\n")[0].decode(), before=start,
                       id=link.request.get("attempt-id"), copies=self.copies, answers=self.answers)
+
+
+class StreamingBackend(Backend):
+    """Begins an answer when it begins the work, and ends it when the work ends.
+
+    While it is dark it reads, sends and closes nothing.
+    """
+
+    dark = False
+
+    def go_dark(self):
+        self.dark = True
+        self.beats.cancel()
+        self.note("dark", at_work=len(self.running))
+
+    async def end(self):
+        """End the time without power: whoever still asks the old process gets a reset."""
+        self.store.remove("servers/" + self.id)
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.note("ended")
+
+    async def answer(self, link):
+        await self.while_dark()
+        data = await super().answer(link)
+        await self.while_dark()
+        return data
+
+    async def while_dark(self):
+        while self.dark:
+            await asyncio.sleep(3600)
+
+    async def run(self, link):
+        request = link.request
+        attempt = request.get("attempt-id")
+        self.note("arrives", id=attempt, key=None)
+        if len(self.running) >= self.slots:
+            return self.reject(request, "503 Service Unavailable")
+        number = next(self.numbers)
+        self.running[number] = (attempt, None)
+        self.note("runs", id=attempt, key=None, body=request.body.decode("latin-1")[:40])
+        text = f"{self.id} {attempt}".encode()
+        data = encode("HTTP/1.1 200 OK", [
+            ("Attempt-Id", attempt), ("Response-Signature", f"{self.id}.{attempt}"),
+            ("Server-Load", self.load())], text)
+        link.writer.write(data[: -len(text) // 2])
+        work = asyncio.create_task(asyncio.sleep(self.work_s(request)))
+        await asyncio.wait({work, link.ahead()}, return_when=asyncio.FIRST_COMPLETED)
+        await self.while_dark()
+        self.ended(number)
+        whole = work.done()
+        work.cancel()
+        self.note("ends", id=attempt, key=None, whole=whole)
+        return data[-len(text) // 2 :] if whole else None
