--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -239,6 +239,8 @@
             world.end()
 
     code, broken = 2, []
+    # Ended from outside, it ends its hosts all the same.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(run())
         code = 1 if broken else 0
