Log the connections on which a request was sent

A request that must not repeat and ran at two servers leaves no line of its own: successes are sampled one in fifty, and a failed one names its last server only. Nothing told on which connection each send was written, so that an answer that was read for the wrong send could not be told from a server that refused and ran the request, or from two sends at once.

The line of an answer has each attempt with its server, the local port of its connection, the number of the send on that connection, and how it ended. Successes of requests that must not repeat are all logged if they were sent more than once.

--- a/src/gentianwharf/entryhost/_answer_log.py
+++ b/src/gentianwharf/entryhost/_answer_log.py
@@ -19,6 +19,9 @@
 class AnswerLog:
     """Logs every failure and refusal, and a sample of successes.
 
+    Successes of requests that must not repeat are all logged if they were sent more
+    than once: the log then shows on which connections.
+
     ``rules_version`` returns the version of the rules in force: a request that no rule
     matches may match a version that this host does not have yet. ``view_age_s`` returns
     the maximum age of the data that the decision was based on: a host that receives no
@@ -45,9 +48,10 @@
         is_success = record.run is RunStatus.RUN and record.status < 500
         if is_success and record.tries == 1 and not record.reason:
             self._on_served(record.ticket, record.elapsed_s - record.waited_s)
-        if is_success and not _is_sampled(record.ticket.request_id):
-            return
         ticket = record.ticket
+        is_resent = record.sends > 1 and not ticket.repeatable
+        if is_success and not is_resent and not _is_sampled(ticket.request_id):
+            return
         log.info(
             record.reason or "answered",
             extra={
@@ -65,6 +69,7 @@
                 "step": record.step,
                 "peer": record.peer,
                 "through": record.through,
+                "attempts": [str(attempt) for attempt in record.attempts],
                 "view_age_ms": self._view_age_ms(),
             },
         )
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -17,7 +17,15 @@
 from ._final_problems import UNKNOWN_DETAIL
 from ._header_codec import HeaderCodec, ServerRefusal
 from ._headers import forwarded_headers, set_fields
-from ._ports import Admission, Outcome, Owner, SendCause, ServerNotice, Ticket
+from ._ports import (
+    Admission,
+    AttemptRecord,
+    Outcome,
+    Owner,
+    SendCause,
+    ServerNotice,
+    Ticket,
+)
 from ._problem import Problem
 from ._response import check_request_id, has_detectable_end
 from ._sends import Sends
@@ -87,6 +95,9 @@
         self.connection: ServerConnection | None = None
         self.begun_s = reactor.seconds()
         self.is_sent = False
+        self.outcome = Outcome.CANCELLED
+        """``CANCELLED`` while it runs, ``ANSWERED`` once a response has begun."""
+        self._connection_sends = 0
         self._request = request
         self._ticket = ticket
         self._owner = owner
@@ -114,6 +125,17 @@
         tunnel = self.connection.tunnel if self.connection is not None else None
         return tunnel.host if tunnel is not None else ""
 
+    def record(self) -> AttemptRecord:
+        """Return the attempt for the record of decisions."""
+        if not self.is_sent or self.connection is None:
+            return AttemptRecord(server=self.server.id, outcome=self.outcome)
+        return AttemptRecord(
+            server=self.server.id,
+            outcome=self.outcome,
+            local_port=self.connection.local_port,
+            connection_sends=self._connection_sends,
+        )
+
     async def run(self) -> Response:
         """Return the response once its head has arrived; raises ``AttemptError``."""
         connection = await self._connect()
@@ -221,6 +243,7 @@
     ) -> "Deferred[Response]":
         headers = self._headers(remaining)
         self.is_sent = True
+        self._connection_sends = connection.requests + 1
         try:
             return connection.send_request(
                 method=self._request.method,
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -90,6 +90,7 @@
         self._waited_s = 0.0
         self._server: BackendServer | None = None
         self._attempt: Attempt | None = None
+        self._attempts: list[Attempt] = []
         self._owner: Owner | None = None
         self._race: Race | None = None
         self._tries = Tries(max_runs=match.rule.then.most_tries)
@@ -308,6 +309,7 @@
             cause=cause,
             fresh=fresh,
         )
+        self._attempts.append(self._attempt)
         return self._attempt
 
     def _record_failure(self, error: AttemptError) -> None:
@@ -394,5 +396,6 @@
                 tries=self._tries.count,
                 sends=self._sends.count,
                 through=self._attempt.through if self._attempt is not None else "",
+                attempts=tuple(attempt.record() for attempt in self._attempts),
             )
         )
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -112,6 +112,24 @@
     CANCELLED = "cancelled"
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptRecord:
+    """An attempt at a server, and the connection on which it was sent.
+
+    ``local_port`` identifies the connection, and ``connection_sends`` counts the sends
+    on it up to this one; both are 0 if the request was not written.
+    """
+
+    server: str
+    outcome: Outcome
+    local_port: int = 0
+    connection_sends: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.server} {self.local_port}#{self.connection_sends} {self.outcome}"
+
+
 class SendCause(StrEnum):
     """Why a request is written to a server: the first time, or after which outcome."""
 
@@ -245,6 +263,8 @@
     """How often the request was written to a server."""
     through: str = ""
     """The host whose tunnel the last attempt used, empty for a direct connection."""
+    attempts: tuple[AttemptRecord, ...] = ()
+    """All attempts in the order in which they began, hedges included."""
 
 
 class Observer(Protocol):
--- a/src/gentianwharf/relay/_race.py
+++ b/src/gentianwharf/relay/_race.py
@@ -74,6 +74,7 @@
             self._report_finished(attempt, Outcome.CANCELLED)
             return
         self.decided = True
+        attempt.outcome = Outcome.ANSWERED
         for other in list(self._running):
             if other.server == attempt.server and other.is_reused:
                 # A new connection works while an older one to the same server does
@@ -106,6 +107,7 @@
     def _report_finished(
         self, attempt: Attempt, outcome: Outcome, retry_after_s: float | None = None
     ) -> None:
+        attempt.outcome = outcome
         self._admission.finished(
             self._ticket, attempt.server, outcome, attempt.elapsed_s, retry_after_s
         )
--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -64,6 +64,7 @@
         self._is_aborted = False
         self.idle_since_s = 0.0
         self.requests = 0
+        self.local_port = 0
         self.retired = False
         self._pending: Deferred[Response] | None = None
         self._head_bytes = 0
@@ -76,6 +77,7 @@
         """
         super().connectionMade()
         handle = cast(Any, self.transport).getHandle()
+        self.local_port = int(cast(Any, self.transport).getHost().port)
         handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option, value in KEEPALIVE.items():
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/tests/test_entryhost_metrics.py
+++ b/tests/test_entryhost_metrics.py
@@ -1,11 +1,20 @@
-"""Metrics of an entry host, and their limit."""
+"""Metrics of an entry host, and their limit, and the log of its answers."""
 
+from dataclasses import replace
+
+import logbook
 import pytest
 
 from gentianwharf.entryhost._answer_log import AnswerLog
 from gentianwharf.entryhost._metrics import MAX_SERIES, HostMetrics
 from gentianwharf.entryhost._retry_metrics import RetryMetrics
-from gentianwharf.relay import AccessRecord, RunStatus, Ticket
+from gentianwharf.relay import (
+    AccessRecord,
+    AttemptRecord,
+    Outcome,
+    RunStatus,
+    Ticket,
+)
 from tests import builders_load as build
 
 
@@ -100,3 +109,33 @@
     assert f"{prefix}retry_budget_refused_total{{{labels}}} 0.0" in text
     assert f"{prefix}retry_budget_available{{{labels}}}" in text
     assert f"{prefix}retry_budget_share{{{labels}}}" in text
+
+
+def test_success_of_a_request_that_was_sent_twice_is_logged_with_its_connections() -> (
+    None
+):
+    """Guards against a doubled run that leaves no trace of its sends."""
+    observer = AnswerLog(
+        metrics=HostMetrics(), rules_version=lambda: 8, view_age_s=lambda: 0.0
+    )
+    sent_twice = replace(
+        answered(tries=2),
+        sends=2,
+        attempts=(
+            AttemptRecord(
+                server="s1", outcome=Outcome.SHED, local_port=4711, connection_sends=3
+            ),
+            AttemptRecord(
+                server="s2",
+                outcome=Outcome.ANSWERED,
+                local_port=4712,
+                connection_sends=1,
+            ),
+        ),
+    )
+    unsafe = replace(sent_twice, ticket=replace(sent_twice.ticket, repeatable=False))
+    with logbook.TestHandler(level="INFO") as handler:
+        observer.record_response(sent_twice)
+        observer.record_response(unsafe)
+    attempts = [record.extra["attempts"] for record in handler.records]
+    assert attempts == [["s1 4711#3 shed", "s2 4712#1 answered"]]
