Send a request id on each connection only once

Cause: a server identifies its answer by the request's id alone, and the id is the same each time the request is sent. After a refusal the request may go to the same server again, on the same connection. A copy of the refusal that arrives late is then read as the answer to the second send, which the server runs; the host sends the request to the next server.

Why this works: a connection remembers the ids that it has carried, as digests, and a request goes on one that hasn't carried its id. On one connection an id then stands for one send, whatever arrives late or twice there: a copy has another id than the request that waits. A pool that is full of idle connections that have all carried the id replaces the oldest of them. A connection is closed after 256 requests, which bounds the memory.

The tests of this commit failed before in all six cases of the refusals (the request ran twice), for the hedge and for the id that a caller uses twice.

Closing the connection of each refusal keeps the rule as well, and opens most connections where all servers are full and refuse, where a new one may hold a slot and servers limit them.

A request whose answer is displaced by a copy of another one is still told as unknown, as before.

--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -177,7 +177,11 @@
         if left_s <= 0:
             raise self._no_time_error()
         try:
-            return await self._connections.acquire(fresh=self._fresh, timeout_s=left_s)
+            return await self._connections.acquire(
+                request_id=self._ticket.request_id,
+                fresh=self._fresh,
+                timeout_s=left_s,
+            )
         except PeerUnavailableError as error:
             if left_s < MIN_CONNECT_S and self._is_late():
                 raise self._no_time_error() from error
@@ -250,6 +254,7 @@
                 uri=self._request.uri,
                 headers=headers,
                 body=self._request.body,
+                request_id=self._ticket.request_id,
                 repeatable=self._ticket.repeatable,
             )
         except ValueError as error:
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -86,19 +86,27 @@
         return len(self._open) + self._connecting
 
     async def acquire(
-        self, *, fresh: bool = False, timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        *,
+        request_id: str | None = None,
+        fresh: bool = False,
+        timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> ServerConnection:
         """Return an unused connection; ``fresh`` requests a new one.
 
+        It is one that has not carried ``request_id``, which is None for requests whose
+        responses contain no id. If all connections are idle ones that have, one of them
+        is replaced.
+
         Opening one takes ``timeout_s`` at most. A direct connection never takes more
         than the usual timeout, after which another host may be asked for a tunnel.
         Raises ``PeerUnavailableError``, before any byte of a request is sent.
         """
         if not fresh:
-            connection = self._acquire_idle()
+            connection = self._acquire_idle(request_id)
             if connection is not None:
                 return connection
-        if len(self) >= self.max_connections:
+        if len(self) >= self.max_connections and (fresh or not self._close_oldest()):
             raise self._unavailable(
                 f"all {self.max_connections} connections are in use"
             )
@@ -117,15 +125,30 @@
         self.release(connection)
         return True
 
-    def _acquire_idle(self) -> ServerConnection | None:
+    def _acquire_idle(self, request_id: str | None) -> ServerConnection | None:
+        """Return the connection that was used last and may carry the request."""
         oldest_s = self.clock.seconds() - MAX_IDLE_S
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.idle_since_s >= oldest_s:
+        while self._idle and self._idle[0].idle_since_s < oldest_s:
+            self._close_oldest()
+        for connection in reversed(self._idle):
+            if connection.may_carry(request_id):
+                self._idle.remove(connection)
                 return connection
-            connection.abort_now()
         return None
 
+    def _close_oldest(self) -> bool:
+        """Close the connection that was idle for longest; return whether there is one.
+
+        The pool may open another one at once, although the event loop reports the end
+        of this one later: the reset reaches the server before the new connection.
+        """
+        if not self._idle:
+            return False
+        connection = self._idle.popleft()
+        connection.abort_now()
+        self._open.discard(connection)
+        return True
+
     async def _connect(self, timeout_s: float) -> ServerConnection:
         links, end_s = self.links, self.clock.seconds() + timeout_s
         if links is None:
--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -3,6 +3,10 @@
 A connection carries one request at a time and is reused only after a complete response.
 After a timeout, a cancellation or an incomplete response it is aborted, so that a late
 response can't be read as the response to another request.
+
+A server may send a response again, where the next one is expected. Responses contain
+the id of their request, which is the same each time a request is sent. A connection
+therefore carries an id only once: on one connection, an id identifies one send.
 """
 
 import socket
@@ -17,6 +21,7 @@
 from twisted.web._newclient import Request as ServerRequest
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
+from xxhash import xxh3_64_intdigest
 
 from gentianwharf.errors import PeerMismatchError
 from gentianwharf.sockets import unacknowledged_bytes
@@ -38,6 +43,9 @@
 }
 
 HTTP_1_0 = (1, 0)
+MAX_SENDS = 256
+"""Requests after which a connection is closed; bounds the memory for their ids."""
+
 # Response heads have some hundred bytes, or a few thousand with early hints.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
@@ -66,6 +74,8 @@
         self.requests = 0
         self.local_port = 0
         self.retired = False
+        self._carried_ids: set[int] = set()
+        """Digests of the ids of the requests that were sent."""
         self._pending: Deferred[Response] | None = None
         self._head_bytes = 0
 
@@ -105,6 +115,13 @@
         """Return how many bytes were sent to the server and not acknowledged."""
         return unacknowledged_bytes(self.transport)
 
+    def may_carry(self, request_id: str | None) -> bool:
+        """Whether no request with this id was sent on this connection.
+
+        Two ids may have the same digest; then another connection is used.
+        """
+        return request_id is None or _digest(request_id) not in self._carried_ids
+
     @property
     def awaits_response(self) -> bool:
         """Whether a request was sent, and the head of its response has not arrived."""
@@ -164,10 +181,14 @@
         uri: bytes,
         headers: Headers,
         body: IBodyProducer | None,
+        request_id: str | None = None,
         repeatable: bool = True,
     ) -> Deferred[Response]:
         """Send a request; the result fires once the head of the response has arrived.
 
+        ``request_id`` is the id that the response will contain, None if it contains
+        none; ``may_carry`` has to be true for it.
+
         A server may respond before it has read the whole body. Twisted's client reports
         such a response only after the upload, which the server may never read, so the
         response is taken from the parser as soon as its head is complete.
@@ -178,6 +199,10 @@
         """
         request = _OneWriteRequest._construct(method, uri, headers, body, True)
         self.requests += 1
+        if self.requests >= MAX_SENDS:
+            self.retired = True
+        if request_id is not None:
+            self._carried_ids.add(_digest(request_id))
         pending: Deferred[Response] = Deferred(lambda _: self.abort_now())
         self._pending, self._head_bytes = pending, 0
         self._watch_response(pending, repeatable=repeatable)
@@ -224,6 +249,10 @@
             cast(ITCPTransport, self.transport).abortConnection()
 
 
+def _digest(request_id: str) -> int:
+    return int(xxh3_64_intdigest(request_id.encode()))
+
+
 def _copy_response(response: Response, pending: "Deferred[Response]") -> Response:
     _deliver(pending, response)
     return response
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -14,6 +14,7 @@
 from typing import Any, cast
 
 from twisted.internet import reactor as default_reactor
+from twisted.internet.task import deferLater
 from twisted.internet.threads import blockingCallFromThread
 
 from gentianwharf.relay import (
@@ -137,6 +138,7 @@
         self.notices: list[tuple[str, ServerNotice]] = []
         self.accepts = True
         self.retries_allowed = 1_000
+        self.retry_delay_s = 0.0
         self.hedge_after_s: float | None = None
         self.outcome_events: dict[Outcome, threading.Event] = {}
 
@@ -158,7 +160,9 @@
         avoid: BackendServer,
         is_repeat: bool,
     ) -> BackendServer:
-        """Admit every retry."""
+        """Admit every retry, after a delay if the test has set one."""
+        if self.retry_delay_s:
+            await deferLater(REACTOR, self.retry_delay_s)
         return owner or self.servers[len(self.outcomes) % len(self.servers)]
 
     def finished(
@@ -216,6 +220,7 @@
     def __init__(self, *, servers: list[BackendServer]) -> None:
         self.servers = servers
         self.refused = 0
+        self.keeps_owner = False
 
     async def owner(self, ticket: Ticket) -> Owner:
         """Return the first server."""
@@ -228,9 +233,10 @@
         )
 
     def report_not_owner(self, ticket: Ticket, owner: Owner) -> None:
-        """Assign the shard to the next server."""
+        """Assign the shard to the next server, unless its owner keeps it."""
         self.refused += 1
-        self.servers = self.servers[1:]
+        if not self.keeps_owner:
+            self.servers = self.servers[1:]
 
 
 @dataclass
