Take an answer without an id for no answer where servers echo it

It was the late copy of the answer to a query for the server's load, which goes over the same connections as requests.

Cause: the same as with a refusal that comes twice, an answer that counts for another send. The id of an answer was compared only if there was one, and answers to queries have none. Beside that, the load and the notices of an answer (its server leaves, wants rest, limits its requests) were taken before its id was compared.

Why this works: on the users' platform servers echo the id in every answer, so that an answer without one belongs to no request: the outcome is unknown, as for an answer with another's id, and the connection is closed. In the router's own dialect an answer without an id is handed on, since a library may refuse a request before the server's own code sees it; its connection is closed afterwards, so that no copy of it can follow there. The id is compared before anything of an answer is used.

Stand-ins of four tests answered without the id that the servers they stand for echo; they echo it now, their checks are as before.

--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -38,6 +38,7 @@
     """Encodes and decodes the relay's metadata in the platform's headers."""
 
     request_id_header = ATTEMPT_ID
+    always_echoes_id = True
 
     def request_id(self, headers: Headers) -> str | None:
         """Return the client's id of this attempt; it differs for each attempt."""
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -141,9 +141,10 @@
         connection = await self._connect()
         self.connection = connection
         response = await self._send(connection)
+        self._check_request_id(connection, response)
         self._record_load(response)
         self._note_notice(connection, self._codec.notice(response))
-        self._check(connection, response)
+        self._check_usable(connection, response)
         return response
 
     def _record_load(self, response: Response) -> None:
@@ -307,9 +308,11 @@
         set_fields(headers, fields)
         return headers
 
-    def _check(self, connection: ServerConnection, response: Response) -> None:
+    def _check_request_id(
+        self, connection: ServerConnection, response: Response
+    ) -> None:
         try:
-            check_request_id(
+            has_id = check_request_id(
                 response,
                 self._ticket.request_id,
                 codec=self._codec,
@@ -321,6 +324,11 @@
                 outcome=Outcome.LOST,
                 problem=self._unknown(502, "an answer to another request came", error),
             ) from error
+        if not has_id:
+            # A late copy of this response could not be told from the next one.
+            connection.retired = True
+
+    def _check_usable(self, connection: ServerConnection, response: Response) -> None:
         refusal = self._codec.refusal(response)
         if refusal is not None:
             if cast(Any, response.length) != 0:
--- a/src/gentianwharf/relay/_header_codec.py
+++ b/src/gentianwharf/relay/_header_codec.py
@@ -39,6 +39,9 @@
     request_id_header: bytes
     """The header with a request's id in responses to callers, in Twisted's case."""
 
+    always_echoes_id: bool
+    """Whether a response without an id answers no request."""
+
     def request_id(self, headers: Headers) -> str | None:
         """Return the id that the caller gave its request, None to generate one."""
 
@@ -78,6 +81,8 @@
     """The headers of the router's own interface; see docs/design/relay.md."""
 
     request_id_header = names.REQUEST_ID
+    # An HTTP library may refuse a request before the server's own code sees it.
+    always_echoes_id = False
 
     def request_id(self, headers: Headers) -> str | None:
         """Have the router generate the id, since a caller could reuse another's."""
--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -95,19 +95,23 @@
 
 def check_request_id(
     response: Response, request_id: str, *, codec: HeaderCodec, peer: str
-) -> None:
-    """Raise ``PeerMismatchError`` if the response carries another request's id.
+) -> bool:
+    """Return whether the response carries the request's id; False if it carries none.
 
-    Forwarding it would send one caller's data to another.
+    Raises ``PeerMismatchError`` if it carries another request's id, or none although
+    servers always echo it. Forwarding it would send one caller's data to another.
     """
     echoed = codec.echoed_request_id(response.headers)
-    if echoed is not None and echoed != request_id.encode("latin-1"):
-        raise PeerMismatchError(
-            f"expected the answer to request {request_id}, got"
-            f" {echoed.decode('latin-1')}",
-            step="match-answer",
-            peer=peer,
-        )
+    if echoed == request_id.encode("latin-1"):
+        return True
+    if echoed is None and not codec.always_echoes_id:
+        return False
+    raise PeerMismatchError(
+        f"expected the answer to request {request_id}, got"
+        f" {'one without an id' if echoed is None else echoed.decode('latin-1')}",
+        step="match-answer",
+        peer=peer,
+    )
 
 
 def has_detectable_end(connection: HTTP11ClientProtocol, response: Response) -> bool:
--- a/tests/builders_late_answers.py
+++ b/tests/builders_late_answers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from tests.builders_relay import response
+from tests.builders_relay import request_id_header, response
 
 Answer = Callable[[bytes], bytes]
 """Returns the answer to the request with the given head."""
@@ -37,7 +37,7 @@
             answer = self.answers[min(self._arrived, len(self.answers) - 1)](head)
             self._arrived += 1
             if answer.startswith(RUN_STATUS):
-                self.runs.append(request_id(head))
+                self.runs.append(request_id_header(head).partition(":")[2].strip())
             late = self._last.get(connection, b"") * self.copies
             self.copies_sent += self.copies if late else 0
             self._last[connection] = answer
@@ -45,18 +45,14 @@
         connection.sendall(answer)
 
 
-def request_id(head: bytes) -> str:
-    """Return the id of a request, in the router's or in the platform's header."""
-    for line in head.decode("latin-1").split("\r\n"):
-        name, _, value = line.partition(":")
-        if name.lower() in ("gentianwharf-request-id", "attempt-id"):
-            return value.strip()
-    return ""
-
-
 def accepted(head: bytes) -> bytes:
     """Return the answer of a server that runs a request."""
-    return response(b"done", extra=_echo(head))
+    return response(b"done", extra=request_id_header(head))
+
+
+def accepted_without_id(head: bytes) -> bytes:
+    """Return an answer that states no request, as to a query for the load."""
+    return response(b"else's", extra="Instance-Id: i-1\r\nServer-Load: 1,2,2\r\n")
 
 
 def refused(head: bytes) -> bytes:
@@ -75,10 +71,5 @@
 
 
 def _refusal(head: bytes, status: str) -> bytes:
-    extra = "Gentianwharf-Run: not-run\r\nNot-Executed: 1\r\n" + _echo(head)
-    return response(b"", status=status, extra=extra)
-
-
-def _echo(head: bytes) -> str:
-    sent = request_id(head)
-    return f"Gentianwharf-Request-Id: {sent}\r\nAttempt-Id: {sent}\r\n"
+    not_run = "Gentianwharf-Run: not-run\r\nNot-Executed: 1\r\n"
+    return response(b"", status=status, extra=not_run + request_id_header(head))
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -79,9 +79,9 @@
 
 
 def request_id_header(head: bytes) -> str:
-    """Return the header that echoes the request id in ``head``."""
+    """Return the header that echoes the request id in ``head``, in either dialect."""
     for line in head.decode("latin-1").split("\r\n"):
-        if line.lower().startswith("gentianwharf-request-id:"):
+        if line.lower().startswith(("gentianwharf-request-id:", "attempt-id:")):
             return line + "\r\n"
     return ""
 
--- a/tests/test_relay_edges.py
+++ b/tests/test_relay_edges.py
@@ -96,13 +96,12 @@
 
 
 def test_trailers_keep_the_response_complete_and_the_connection_usable() -> None:
-    trailed = (
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        b"2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n"
-    )
-
     def trailing(connection: socket.socket, head: bytes) -> None:
-        connection.sendall(trailed)
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            + request_id_header(head).encode()
+            + b"\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n"
+        )
 
     with long_deadline_relay([trailing]) as relay:
         for _ in range(2):
--- a/tests/test_relay_late_answers.py
+++ b/tests/test_relay_late_answers.py
@@ -11,11 +11,17 @@
     Answer,
     LateCopies,
     accepted,
+    accepted_without_id,
     misdirected,
     refused,
     too_many,
 )
-from tests.builders_relay import RunningRelay, request, running_relay
+from tests.builders_relay import (
+    RunningRelay,
+    request,
+    response,
+    running_relay,
+)
 
 RETRY_DELAY_S = 0.02
 """Longer than it takes to return a connection to its pool."""
@@ -128,3 +134,41 @@
         for number in range(7):
             assert status_of(post(relay, number)) == 200
         assert relay.servers[0].connections == 3
+
+
+def test_answer_without_an_id_does_not_answer_a_request() -> None:
+    """Guards against a success that belongs to a query for the server's load.
+
+    The request was sent and may have run, so that its outcome is unknown.
+    """
+    server = LateCopies(answers=[accepted_without_id], copies=0)
+    with running_relay([server], codec=PlatformHeaderCodec()) as relay:
+        received = post(relay, 1)
+        assert status_of(received) == 502
+        assert b"else's" not in received
+        assert relay.admission.notices == []
+
+
+def test_load_of_another_answer_is_not_recorded() -> None:
+    """Guards against decisions on the load in an answer that belongs to no request."""
+
+    def leaving(head: bytes) -> bytes:
+        return response(extra="Attempt-Id: other\r\nServer-Leaving: 1\r\n")
+
+    server = LateCopies(answers=[leaving], copies=0)
+    with running_relay([server], codec=PlatformHeaderCodec()) as relay:
+        assert status_of(post(relay, 1)) == 502
+        assert relay.admission.notices == []
+
+
+def test_connection_is_not_reused_after_an_answer_without_an_id() -> None:
+    """Guards against a late copy that nothing tells from the next answer.
+
+    Servers of the router's own dialect may answer some requests without an id.
+    """
+    server = LateCopies(answers=[accepted_without_id])
+    with running_relay([server]) as relay:
+        for _ in range(3):
+            assert status_of(relay.send(request("POST", body=b"x"))) == 200
+        assert relay.servers[0].connections == 3
+    assert server.copies_sent == 0
--- a/tests/test_relay_slots.py
+++ b/tests/test_relay_slots.py
@@ -22,6 +22,7 @@
     in_reactor,
     read_to_end,
     request,
+    request_id_header,
     response,
     running_relay,
 )
@@ -34,11 +35,11 @@
 
 def ok(connection: socket.socket, head: bytes) -> None:
     extra = "Server-Load: 3,2,4\r\n"
-    connection.sendall(response(extra=extra))
+    connection.sendall(response(extra=request_id_header(head) + extra))
 
 
 def shedding(connection: socket.socket, head: bytes) -> None:
-    extra = "Not-Executed: 1\r\nRetry-After: 0.1\r\n"
+    extra = "Not-Executed: 1\r\nRetry-After: 0.1\r\n" + request_id_header(head)
     connection.sendall(response(b"", status="503 Full", extra=extra))
 
 
--- a/tests/test_relay_unsent.py
+++ b/tests/test_relay_unsent.py
@@ -21,6 +21,7 @@
     make_server,
     read_to_end,
     request,
+    request_id_header,
     response,
     running_relay,
 )
@@ -122,7 +123,7 @@
     reset = threading.Event()
 
     def answer_and_reset(connection: socket.socket, head: bytes) -> None:
-        connection.sendall(response())
+        connection.sendall(response(extra=request_id_header(head)))
         reset.wait(HANG_S)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         connection.close()
