Close a connection on which a query's place was taken by another answer

What callers saw: 502 for a request whose server was well. The late copy of an answer arrived in place of the answer to a load query. The query was given up, since the copy is no answer to a query, and its connection went back to the pool; the answer to the query was then read as that to the next request.

Cause: the connection of a query was reused whatever answer came. A connection may be reused only if the answer was the one that was asked for.

Why this works: an answer that states another server, or a request's id, closes the connection. A copy of a query's answer that is read as the answer to the next query is accepted, since queries have no id: it is a figure that is older by one query, and can displace no request's answer.

The test failed before: 502 in place of 200.

--- a/src/gentianwharf/relay/_load_client.py
+++ b/src/gentianwharf/relay/_load_client.py
@@ -37,6 +37,9 @@
     def instance_id(self, headers: Headers) -> str | None:
         """Return the id of the server that responded, None if it is not stated."""
 
+    def echoed_request_id(self, headers: Headers) -> bytes | None:
+        """Return the id of the request that a response answers, None for a query."""
+
     def load(self, headers: Headers) -> ServerLoad | None:
         """Return the server's load, None if it is not stated."""
 
@@ -51,6 +54,10 @@
 class LoadClient:
     """Queries servers over the connections that requests use too.
 
+    Responses to queries contain no id, so that a copy of one that arrives late is read
+    as the response to the next query, if there is none in between. It misplaces a
+    request at most: a response without an id answers no request.
+
     ``paths`` contains the path of the query by service.
     """
 
@@ -108,10 +115,15 @@
         except BaseException:
             connection.abort_now()
             raise
-        response.deliverBody(_DiscardedBody())
         headers = response.headers
-        if self._codec.instance_id(headers) != server.id:
+        if (
+            self._codec.instance_id(headers) != server.id
+            or self._codec.echoed_request_id(headers) is not None
+        ):
+            # It answers another exchange, and the answer to this query may follow.
+            connection.abort_now()
             return None
+        response.deliverBody(_DiscardedBody())
         load, notice = self._codec.load(headers), self._codec.notice(response)
         if load is None and notice == NO_NOTICE:
             return None
--- a/tests/test_relay_load_client.py
+++ b/tests/test_relay_load_client.py
@@ -14,13 +14,16 @@
     ServerNotice,
 )
 from gentianwharf.topology import BackendServer
+from tests.builders_late_answers import LateCopies, accepted
 from tests.builders_relay import (
     REACTOR,
     Script,
     ScriptedServer,
     in_reactor,
+    request,
     response,
     running_reactor,
+    running_relay,
 )
 
 SERVER_ID = "i-1"
@@ -131,3 +134,31 @@
     results, connections = ask(late, times=2)
     assert results == [None, QueriedLoad(load=LOAD, cold_remaining_s=0.0)]
     assert connections == 2
+
+
+def test_answer_to_a_request_does_not_answer_a_query() -> None:
+    """Guards against a connection whose answers belong to the exchange before.
+
+    The copy of an answer arrives in place of the answer to the query, which follows it.
+    The next request on that connection would get the latter.
+    """
+    copies = LateCopies(answers=[accepted, health_answer, accepted])
+    with running_relay([copies], codec=PlatformHeaderCodec()) as relay:
+        pools = relay.app.connections
+        client = LoadClient(
+            connections=pools,
+            paths={"plain": "/health"},
+            codec=PlatformHeaderCodec(),
+            reactor=REACTOR,
+        )
+        first = relay.send(request(headers="Attempt-Id: first\r\n"))
+        queried = in_reactor(lambda: _start(client, pools["s0"].server))
+        second = relay.send(request("POST", headers="Attempt-Id: second\r\n"))
+        assert queried is None
+        assert first.startswith(b"HTTP/1.1 200 ")
+        assert second.startswith(b"HTTP/1.1 200 ")
+        assert relay.servers[0].connections == 2
+
+
+def health_answer(head: bytes) -> bytes:
+    return response(b"", extra="Instance-Id: s0\r\nServer-Load: 1,2,2\r\n")
