Send nothing on a connection that received bytes while it was idle

What callers saw: 502 for a request that was sent on a connection which the host was about to close. Bytes that arrive on an idle connection answer no request. Twisted closes such a connection, but the pool learns of it only in a later iteration of the loop, and could hand it out until then.

Why this works: the connection leaves its pool when the bytes are read.

The test failed before: the connection was still in the pool.

--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -136,6 +136,12 @@
         """
         if self._monitor is not None:
             self._monitor.reachability.note_heard()
+        if self._parser is None:
+            # The bytes answer no request. The event loop closes the connection later,
+            # and no request may be sent on it until then.
+            self.pool.withdraw_idle(self)
+            self.abort_now()
+            return
         super().dataReceived(data)
         pending = self._pending
         if pending is None or pending.called:
--- a/tests/test_relay_late_answers.py
+++ b/tests/test_relay_late_answers.py
@@ -18,6 +18,7 @@
 )
 from tests.builders_relay import (
     RunningRelay,
+    in_reactor,
     request,
     response,
     running_relay,
@@ -172,3 +173,20 @@
             assert status_of(relay.send(request("POST", body=b"x"))) == 200
         assert relay.servers[0].connections == 3
     assert server.copies_sent == 0
+
+
+def test_connection_that_received_bytes_while_idle_is_not_used() -> None:
+    """Guards against a request on a connection that the loop has yet to close."""
+    server = LateCopies(answers=[accepted], copies=0)
+    with running_relay([server], codec=PlatformHeaderCodec()) as relay:
+        assert status_of(post(relay, 1)) == 200
+        pool = relay.app.connections["s0"]
+
+        def receive_early() -> int:
+            (connection,) = pool.idle()
+            connection.dataReceived(response(extra="Attempt-Id: attempt-1\r\n"))
+            return len(pool.idle())
+
+        assert in_reactor(receive_early) == 0
+        assert status_of(post(relay, 2)) == 200
+        assert relay.servers[0].connections == 2
