Test that a request id is sent once through a tunnel and with granted slots

The same cause on two related paths: a tunnel is one connection to its server, and a request that was refused with one slot may be granted another at the same server.

--- a/tests/test_relay_slots.py
+++ b/tests/test_relay_slots.py
@@ -9,12 +9,14 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from gentianwharf.admission import GateAdmission, SlotAdmission
 from gentianwharf.dispatch import SlotOutcome
 from gentianwharf.load import Gate, RequestClass
 from gentianwharf.platform import PlatformHeaderCodec
 from gentianwharf.topology import Service
+from tests.builders_late_answers import LateCopies, accepted, refused
 from tests.builders_load import RUN_S
 from tests.builders_relay import (
     RunningRelay,
@@ -53,9 +55,9 @@
 
 @contextmanager
 def dispatched_relay(
-    script: Script, *, grants: bool = True, **options: Any
+    script: Script, *, grants: bool = True, grant_delay_s: float = 0.0, **options: Any
 ) -> Iterator[tuple[RunningRelay, FakeSlotSource, threading.Event]]:
-    """Run a relay whose service is dispatched, with slots granted at once.
+    """Run a relay whose service is dispatched, with slots granted after a delay.
 
     The event is set when a slot has been asked for.
     """
@@ -92,6 +94,8 @@
             async def acquire_and_grant(demand: Any) -> Any:
                 acquired = Deferred.fromCoroutine(acquire(demand))
                 asked.set()
+                if grant_delay_s:
+                    await deferLater(reactor, grant_delay_s)
                 if grants:
                     source.grant(SERVER)
                 return await acquired
@@ -146,6 +150,17 @@
         assert budget.taken == 2
 
 
+def test_late_copy_of_a_refusal_does_not_answer_a_send_with_another_slot() -> None:
+    """Guards against a second run after a refusal of the first send came again."""
+    server = LateCopies(answers=[refused, accepted])
+    with dispatched_relay(server, grant_delay_s=0.02) as (relay, _, _):
+        retries = cast(GateAdmission, relay.app._admission)._gate.retries
+        retries.budgets(relay.app._reactor.seconds() - RUN_S)
+        received = relay.send(request("POST", headers="Content-Length: 0\r\n"))
+        assert received.startswith(b"HTTP/1.1 200 ")
+    assert len(server.runs) == 1
+
+
 def test_slot_is_returned_with_the_reported_load() -> None:
     """Guards against a report that doesn't reach the dispatcher."""
     with dispatched_relay(ok) as (relay, source, _):
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -6,12 +6,18 @@
 
 import msgspec
 import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.web.http_headers import Headers
 
 from gentianwharf.errors import PeerUnavailableError
+from gentianwharf.relay import ServerConnectionPool
+from gentianwharf.relay._connections import ServerConnection
 from gentianwharf.tunnels import SharedNotice, _server
 from gentianwharf.tunnels._messages import FramedProtocol, OpenTunnel
+from tests.builders_late_answers import LateCopies, accepted, refused
 from tests.builders_processes import wait_until
-from tests.builders_relay import in_reactor, make_server
+from tests.builders_relay import REACTOR, ScriptedServer, in_reactor, make_server
 from tests.builders_tunnels import SECRET, Tunneling, User, tunneling
 
 LARGE_BYTES = 3_000_000
@@ -297,3 +303,42 @@
             assert is_reset(connection)
     finally:
         hosts.stop()
+
+
+def test_tunnel_carries_a_request_once() -> None:
+    """Guards against a late copy that is read as the next answer through a tunnel."""
+    copies = LateCopies(answers=[refused, accepted])
+    scripted = ScriptedServer(scripts=[copies])
+    server = make_server(1, scripted.start())
+    pool = ServerConnectionPool(server=server, reactor=REACTOR)
+
+    async def open_tunnel(hosts: Tunneling) -> ServerConnection:
+        tunnel = await hosts.client.open(server, timeout_s=1.0)
+        assert tunnel is not None
+        connection = ServerConnection(pool=pool, tunnel=tunnel)
+        tunnel.attach(connection)
+        pool.release(connection)
+        return connection
+
+    async def send(request_id: str) -> tuple[ServerConnection, int]:
+        connection = await pool.acquire(request_id=request_id)
+        answer = await connection.send_request(
+            method=b"POST",
+            uri=b"/",
+            headers=Headers({b"Host": [b"a"], b"Attempt-Id": [request_id.encode()]}),
+            body=None,
+            request_id=request_id,
+        )
+        await deferLater(REACTOR, 0.0)
+        return connection, int(answer.code)
+
+    with tunneling() as hosts:
+        hosts.servers["s1"] = server
+        through = in_reactor(lambda: Deferred.fromCoroutine(open_tunnel(hosts)))
+        assert in_reactor(lambda: Deferred.fromCoroutine(send("a"))) == (through, 503)
+        other, status = in_reactor(lambda: Deferred.fromCoroutine(send("a")))
+        assert other is not through
+        assert status == 200
+        in_reactor(pool.close)
+    scripted.stop()
+    assert copies.copies_sent == 0
