Give calls in the router's own format an id that their answers repeat

What operators of the router's own format could see: an order that a server refused counted as carried out, or the value of one key as that of another.

Why this works: a call has an id, unique in its process, that the answer repeats. An answer with another id is an unknown outcome and closes the connection. A connection is used again only after an answer that repeats the id, so that an answer without one, from a server that doesn't know the header, is the first on its connection.

The stand-ins repeat the id.

--- a/src/gentianwharf/infra/_http.py
+++ b/src/gentianwharf/infra/_http.py
@@ -1,15 +1,21 @@
 """JSON calls over HTTP to the platform.
 
 Errors distinguish calls that had no effect from calls whose outcome is unknown.
+
+A peer may send an answer again, where the next one is expected. Each call has an id,
+which its answer repeats, and a connection is kept only after an answer that does: an
+answer without an id is then the first one on its connection.
 """
 
 from dataclasses import dataclass
-from typing import Any, TypeVar, final
+from itertools import count
+from typing import Any, TypeVar, cast, final
 
 import treq
 from pydantic import BaseModel, TypeAdapter, ValidationError
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.web._newclient import HTTP11ClientProtocol
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IResponse
@@ -24,10 +30,11 @@
 )
 from gentianwharf.http_agent import BytesBody, ip_agent
 
-from .wire import ErrorName, Problem, encode
+from .wire import CALL_ID, ErrorName, Problem, encode
 
 Answer = TypeVar("Answer")
 
+
 Reactor = Any
 """An ``IReactorTCP`` and ``IReactorTime``; zope interfaces can't be intersected."""
 
@@ -75,7 +82,8 @@
 
     def __init__(self, *, reactor: Reactor, connect_timeout_s: float) -> None:
         self._reactor = reactor
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._call_numbers = count(1)
+        self._pool = _IdentifiedCalls(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_ADDRESS
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         # A repeated call may take effect twice, and only the callers can decide which
@@ -121,16 +129,27 @@
             raise _mismatch_error(call, error) from error
 
     async def _post(self, call: Call) -> tuple[int, bytes]:
+        call_id = b"%d" % next(self._call_numbers)
         # treq.request would parse the URL with support for internationalized names,
         # handle cookies and decode the body. This takes 0.3 ms per call, and grants
         # are renewed many times a second.
         response = await self._agent.request(
             b"POST",
             f"http://{call.peer}{call.path}".encode(),
-            Headers({b"Content-Type": [b"application/json"]}),
+            Headers({b"Content-Type": [b"application/json"], CALL_ID: [call_id]}),
             BytesBody(body=call.body),
         )
-        return response.code, await _read_body(response)
+        body = await _read_body(response)
+        answered = response.headers.getRawHeaders(CALL_ID, [call_id])
+        if answered != [call_id]:
+            raise OutcomeUnknownError(
+                f"expected the answer to call {call_id.decode()}, got that to"
+                f" {b', '.join(answered).decode('latin-1')}: it may have taken effect,"
+                " read it back",
+                step=call.step,
+                peer=call.peer,
+            )
+        return response.code, body
 
 
 class HttpAdapter:
@@ -184,6 +203,23 @@
     return b"".join(chunks)
 
 
+@final
+class _IdentifiedCalls(HTTPConnectionPool):
+    """Keeps a connection only after an answer that repeats the id of its call."""
+
+    def _putConnection(  # noqa: N802
+        self, key: Any, connection: HTTP11ClientProtocol
+    ) -> None:
+        # Twisted clears both only after this call.
+        request, parser = connection._currentRequest, cast(Any, connection._parser)
+        if request is not None and parser is not None:
+            sent = request.headers.getRawHeaders(CALL_ID)
+            if parser.response.headers.getRawHeaders(CALL_ID) == sent:
+                super()._putConnection(key, connection)
+                return
+        cast(Any, connection.transport).loseConnection()
+
+
 def _problem_error(call: Call, status: int, body: bytes) -> GentianwharfError:
     try:
         problem = Problem.model_validate_json(body)
--- a/src/gentianwharf/infra/wire.py
+++ b/src/gentianwharf/infra/wire.py
@@ -13,6 +13,9 @@
 from ._servers import GrantOutcome
 from ._store import VersionedValue
 
+CALL_ID = b"Gentianwharf-Call-Id"
+"""The header with the id of a call, which its answer repeats."""
+
 
 class WireModel(BaseModel):
     """Base of the messages; unknown fields are ignored, so newer peers may add some."""
--- a/src/gentianwharf/standin/_backend.py
+++ b/src/gentianwharf/standin/_backend.py
@@ -3,6 +3,8 @@
 import json
 import time
 from collections import Counter, deque
+from collections.abc import Awaitable, Callable
+from functools import wraps
 from typing import Any, cast, final
 
 from klein import Klein
@@ -20,6 +22,7 @@
 from gentianwharf.relay import CallerRequest, CallerSite
 from gentianwharf.topology import BackendServer
 
+from ._call_id import repeat_call_id
 from ._grants import GrantTable
 
 # A server sheds requests beyond this number of waiting ones per slot.
@@ -28,6 +31,8 @@
 MAX_ORDER_BYTES = 2_000_000
 CHUNK_BYTES = 65_536
 
+_OrderHandler = Callable[[IRequest], Awaitable[bytes]]
+
 _GRANT = TypeAdapter(Grant)
 _REPORT = TypeAdapter(ServerReport)
 
@@ -164,7 +169,7 @@
         route = self.klein.route
         for name in ("grant", "release", "report", "drain"):
             handler = getattr(self, f"_{name}")
-            route(f"/_gentianwharf/{name}", methods=["POST"])(handler)
+            route(f"/_gentianwharf/{name}", methods=["POST"])(_with_call_id(handler))
         route("/", branch=True)(self._serve)
 
     # Orders: grant, release, report and drain.
@@ -294,6 +299,15 @@
         self._releasing = pending
 
 
+def _with_call_id(handler: _OrderHandler) -> _OrderHandler:
+    @wraps(handler)
+    async def handle(request: IRequest) -> bytes:
+        repeat_call_id(request)
+        return await handler(request)
+
+    return handle
+
+
 def _json(request: Any, body: bytes) -> bytes:
     request.setHeader(b"Content-Type", b"application/json")
     request.setHeader(b"Content-Length", str(len(body)).encode())
--- a/src/gentianwharf/standin/_store.py
+++ b/src/gentianwharf/standin/_store.py
@@ -22,6 +22,8 @@
 from gentianwharf.infra import HostList, KeyValueStore, VersionedValue, wire
 from gentianwharf.infra.wire import ErrorName
 
+from ._call_id import repeat_call_id
+
 STATUSES = {
     ErrorName.CONFLICT: 409,
     ErrorName.REFUSED: 422,
@@ -70,6 +72,7 @@
     async def answer(self, request: Request, path: str) -> bytes:
         """Handle any call; klein cancels a waiting watch if its client disconnects."""
         request.setHeader("Content-Type", "application/json")
+        repeat_call_id(request)
         route = self._routes.get(path)
         if route is None:
             return _refuse(request, ErrorName.REFUSED, f"no such call: {path}")
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -41,6 +41,7 @@
 Script = Callable[[socket.socket, bytes], None]
 REACTOR = cast(Any, default_reactor)
 SOCKET_TIMEOUT_S = 10.0
+ID_HEADERS = ("gentianwharf-request-id:", "attempt-id:", "gentianwharf-call-id:")
 TARGET_LATENCY_MS = 250
 DEADLINE_MS = 400
 
@@ -79,9 +80,9 @@
 
 
 def request_id_header(head: bytes) -> str:
-    """Return the header that echoes the request id in ``head``, in either dialect."""
+    """Return the header that echoes the id of a request or a call in ``head``."""
     for line in head.decode("latin-1").split("\r\n"):
-        if line.lower().startswith(("gentianwharf-request-id:", "attempt-id:")):
+        if line.lower().startswith(ID_HEADERS):
             return line + "\r\n"
     return ""
 
