Take a release as answered only by a handover that is new on its connection

Orders have no id and shared kept connections, so that the copy of the answer to a grant was read as the answer to a release. A copy of 409 or 421 could likewise make an accepted grant look refused, and its keys free.

Why this works: answers to releases alone have a handover, a new one each time. On a connection that was used before, a release is answered only by a handover that did not come there yet, and a grant only by an answer without one; otherwise the outcome is unknown, and the order is sent again on another connection. An answer after which keys count as free (409, 421) closes its connection. What is left, a copy of an accepted grant's answer read as that to the next grant, can make keys unserved until the next renewal, never held by two servers.

Most answers that are neither are 400, from servers of another service at the addresses of servers that ended: closing after them cost the connections.

--- a/src/gentianwharf/http_agent.py
+++ b/src/gentianwharf/http_agent.py
@@ -13,7 +13,7 @@
 
 from gentianwharf.errors import InputError
 
-__all__ = ["BytesBody", "ip_agent"]
+__all__ = ["BytesBody", "ip_agent", "ip_endpoint"]
 
 Reactor = Any
 """An ``IReactorTCP`` and ``IReactorTime``; zope interfaces have no intersection
@@ -44,21 +44,37 @@
 
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
         """Return the endpoint for an address."""
-        host = uri.host.decode("ascii").strip("[]")
-        try:
-            address = ip_address(host)
-        except ValueError:
-            raise InputError(
-                f"expected an IP number, got {host!r}: host names are not looked up",
-                step="connect",
-                peer=host,
-            ) from None
-        version_6 = isinstance(address, IPv6Address)
-        kind = TCP6ClientEndpoint if version_6 else TCP4ClientEndpoint
-        endpoint = kind(self._reactor, host, uri.port, timeout=self._connect_timeout_s)
+        endpoint = ip_endpoint(
+            reactor=self._reactor,
+            host=uri.host.decode("ascii"),
+            port=uri.port,
+            connect_timeout_s=self._connect_timeout_s,
+        )
         return self._wrap_endpoint(endpoint)
 
 
+def ip_endpoint(
+    *, reactor: Reactor, host: str, port: int, connect_timeout_s: float
+) -> IStreamClientEndpoint:
+    """Return the endpoint for an IP address, in brackets or not.
+
+    Raises ``InputError`` if ``host`` is a name.
+    """
+    host = host.strip("[]")
+    try:
+        address = ip_address(host)
+    except ValueError:
+        raise InputError(
+            f"expected an IP number, got {host!r}: host names are not looked up",
+            step="connect",
+            peer=host,
+        ) from None
+    kind = (
+        TCP6ClientEndpoint if isinstance(address, IPv6Address) else TCP4ClientEndpoint
+    )
+    return kind(reactor, host, port, timeout=connect_timeout_s)
+
+
 def ip_agent(
     *,
     reactor: Reactor,
--- a/src/gentianwharf/platform/_orders.py
+++ b/src/gentianwharf/platform/_orders.py
@@ -5,8 +5,6 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
-from twisted.web.client import HTTPConnectionPool, readBody
-from twisted.web.http_headers import Headers
 
 from gentianwharf.errors import (
     OutcomeUnknownError,
@@ -14,28 +12,17 @@
     PeerUnavailableError,
     RefusedError,
 )
-from gentianwharf.http_agent import BytesBody, ip_agent
 from gentianwharf.keyspace import Grant, Holder, HolderEndedError, Release
 
 from ._header_codec import EXPECTED_INSTANCE
+from ._order_connections import (
+    STATUS_OK,
+    STATUS_OTHER_SERVER,
+    STATUS_STALE_TOKEN,
+    OrderConnections,
+)
 from ._units import encode_time
 
-CONNECT_TIMEOUT_S = 0.5
-IDLE_TIMEOUT_S = 8.0
-"""Less than the 10 s after which servers close an idle connection."""
-
-MAX_IDLE_CONNECTIONS = 2
-"""One connection for grants, which are sent one at a time, and one for a release."""
-
-STATUS_OK = 200
-STATUS_STALE_TOKEN = 409
-"""The server has seen a higher fencing token on one of the keys."""
-
-STATUS_OTHER_SERVER = 421
-"""The address belongs to a server other than the expected one."""
-
-HANDOVER = "handover"
-
 
 @final
 class ServerOrders:
@@ -50,13 +37,7 @@
 
     def __init__(self, *, reactor: Any) -> None:
         self._reactor = reactor
-        pool = HTTPConnectionPool(reactor, persistent=True)
-        pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
-        pool.cachedConnectionTimeout = IDLE_TIMEOUT_S  # type: ignore[assignment]
-        pool.retryAutomatically = False
-        self._agent = ip_agent(
-            reactor=reactor, pool=pool, connect_timeout_s=CONNECT_TIMEOUT_S
-        )
+        self._connections = OrderConnections(reactor=reactor)
 
     async def grant(self, holder: Holder, grant: Grant, *, timeout_s: float) -> None:
         """Grant keys to a server, or renew its grant."""
@@ -84,20 +65,18 @@
             "target": release.last,
             "fence": release.token,
         }
-        headers = await self._send_order(holder, "release", body, timeout_s)
-        values = headers.getRawHeaders(HANDOVER)
-        return values[0] if values else None
+        return await self._send_order(holder, "release", body, timeout_s)
 
     async def _send_order(
         self, holder: Holder, step: str, body: dict[str, Any], timeout_s: float
-    ) -> Headers:
+    ) -> str | None:
         address = holder.address
         pending = Deferred.fromCoroutine(self._post(holder, step, body))
         # Cancellation resets the connection, so the server discards an order that is
         # still in transit.
         pending.addTimeout(timeout_s, self._reactor)
         try:
-            status, headers = await pending
+            status, handover = await pending
         except (ConnectError, ConnectingCancelledError) as error:
             raise PeerUnavailableError(
                 f"can't connect: {type(error).__name__}", step=step, peer=address
@@ -124,23 +103,17 @@
                 step=step,
                 peer=address,
             )
-        return headers
+        return handover
 
     async def _post(
         self, holder: Holder, step: str, body: dict[str, Any]
-    ) -> tuple[int, Headers]:
-        response = await self._agent.request(
-            b"POST",
-            f"http://{holder.address}/v1/{step}".encode(),
-            Headers(
-                {
-                    b"Content-Type": [b"application/json"],
-                    # The address may have been reassigned to another server of the
-                    # service, which must not receive its predecessor's keys.
-                    EXPECTED_INSTANCE: [holder.server_id.encode()],
-                }
-            ),
-            BytesBody(body=msgspec.json.encode(body)),
+    ) -> tuple[int, str | None]:
+        headers = {
+            b"Content-Type": b"application/json",
+            # The address may have been reassigned to another server of the service,
+            # which must not receive its predecessor's keys.
+            EXPECTED_INSTANCE: holder.server_id.encode(),
+        }
+        return await self._connections.post(
+            holder.address, f"/v1/{step}", headers, msgspec.json.encode(body)
         )
-        await readBody(response)
-        return response.code, response.headers
--- a/tests/test_users_platform_orders.py
+++ b/tests/test_users_platform_orders.py
@@ -3,8 +3,8 @@
 import json
 import socket
 import threading
-from collections.abc import Iterator
-from contextlib import suppress
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import pytest
@@ -20,7 +20,9 @@
 )
 from gentianwharf.keyspace import Grant, Holder, HolderEndedError, Release
 from gentianwharf.platform import ServerOrders
-from tests.builders_relay import read_head, running_reactor
+from tests.builders_late_answers import Answer, LateCopies
+from tests.builders_relay import ScriptedServer as KeepingServer
+from tests.builders_relay import read_head, response, running_reactor
 
 
 class ScriptedServer:
@@ -71,6 +73,31 @@
     blockingCallFromThread(reactor, send)
 
 
+def answer(status: str, extra: str = "") -> Answer:
+    """Return an answer to an order; it contains no id."""
+    return lambda head: response(b"", status=status, extra=extra)
+
+
+def send_orders(address: str, orders: Sequence[Grant | Release]) -> list[Any]:
+    """Return the results of orders that are sent in turn, errors included."""
+    reactor = running_reactor()
+    client = ServerOrders(reactor=reactor)
+
+    def send(order: Grant | Release) -> Any:
+        holder = holder_at(address)
+        sent: Deferred[Any]
+        if isinstance(order, Grant):
+            sent = Deferred.fromCoroutine(client.grant(holder, order, timeout_s=2.0))
+        else:
+            sent = Deferred.fromCoroutine(client.release(holder, order, timeout_s=2.0))
+        return sent.addErrback(lambda failure: failure.value)
+
+    return [
+        blockingCallFromThread(reactor, lambda order=order: send(order))
+        for order in orders
+    ]
+
+
 @pytest.fixture
 def server(request: pytest.FixtureRequest) -> Iterator[ScriptedServer]:
     server = ScriptedServer(*request.param)
@@ -132,3 +159,97 @@
 
     assert blockingCallFromThread(reactor, send) == "77"
     assert b"Expected-Instance: i-1" in server.requests[0]
+
+
+KEPT_RELEASE = Release(first=3, last=9, token=13)
+
+
+@contextmanager
+def late_copies(*answers: Answer) -> Iterator[tuple[str, LateCopies]]:
+    """Run a server that sends each answer again where the next one is expected."""
+    copies = LateCopies(answers=answers)
+    scripted = KeepingServer(scripts=[copies])
+    port = scripted.start()
+    yield f"127.0.0.1:{port}", copies
+    scripted.stop()
+
+
+def test_late_copy_of_a_grants_answer_does_not_answer_a_release() -> None:
+    """Guards against keys that move while their former holder still works on them.
+
+    The outcome of the release is unknown, and it is sent again on a new connection.
+    """
+    granted, released = answer("200 OK"), answer("200 OK", "Handover: 77\r\n")
+    with late_copies(granted, released) as (address, copies):
+        results = send_orders(address, [GRANT, KEPT_RELEASE, KEPT_RELEASE])
+    assert isinstance(results[1], OutcomeUnknownError)
+    assert results[2] == "77"
+    assert copies.copies_sent == 1
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        pytest.param("409 Conflict", id="higher-token"),
+        pytest.param("421 Misdirected Request", id="another-server"),
+    ],
+)
+def test_late_copy_of_a_refused_grant_does_not_answer_the_next(refusal: str) -> None:
+    """Guards against keys that count as free although their grant was accepted."""
+    with late_copies(answer(refusal), answer("200 OK")) as (address, _):
+        refused, accepted = send_orders(address, [GRANT, GRANT])
+    assert isinstance(refused, (RefusedError, HolderEndedError))
+    assert accepted is None
+
+
+def test_late_copy_of_a_release_does_not_answer_the_next() -> None:
+    """Guards against a handover that belongs to other keys."""
+    first, second = (answer("200 OK", f"Handover: {each}\r\n") for each in (77, 78))
+    with late_copies(first, second) as (address, _):
+        results = send_orders(address, [KEPT_RELEASE, KEPT_RELEASE, KEPT_RELEASE])
+    assert results[0] == "77"
+    assert isinstance(results[1], OutcomeUnknownError)
+    assert results[2] == "78"
+
+
+def test_late_copy_of_a_release_does_not_answer_a_grant() -> None:
+    """Guards against a grant that looks accepted before it has arrived."""
+    released, granted = answer("200 OK", "Handover: 77\r\n"), answer("200 OK")
+    with late_copies(released, granted) as (address, _):
+        results = send_orders(address, [KEPT_RELEASE, GRANT])
+    assert results[0] == "77"
+    assert isinstance(results[1], OutcomeUnknownError)
+
+
+def test_orders_share_a_connection_until_keys_count_as_free() -> None:
+    """Guards against a new connection for each order; full servers reset them."""
+    granted, refused = answer("200 OK"), answer("409 Conflict")
+    not_understood = answer("400 Bad Request")
+    first, second = (answer("200 OK", f"Handover: {each}\r\n") for each in (77, 78))
+    answers = [granted, first, not_understood, second, granted, refused, granted]
+    scripted = KeepingServer(scripts=[LateCopies(answers=answers, copies=0)])
+    address = f"127.0.0.1:{scripted.start()}"
+    orders: list[Grant | Release]
+    orders = [GRANT, KEPT_RELEASE, GRANT, KEPT_RELEASE, GRANT, GRANT, GRANT]
+    results = send_orders(address, orders)
+    scripted.stop()
+    assert results[:2] == [None, "77"]
+    assert isinstance(results[2], PeerMismatchError)
+    assert results[3:5] == ["78", None]
+    assert isinstance(results[5], RefusedError)
+    assert results[6] is None
+    assert scripted.connections == 2
+
+
+def test_connection_that_received_bytes_while_idle_gets_no_order() -> None:
+    """Guards against an order on a connection that is about to be closed."""
+
+    def answer_twice(connection: socket.socket, head: bytes) -> None:
+        connection.sendall(response(b""))
+        connection.sendall(response(b""))
+
+    scripted = KeepingServer(scripts=[answer_twice])
+    address = f"127.0.0.1:{scripted.start()}"
+    results = send_orders(address, [GRANT, GRANT])
+    scripted.stop()
+    assert results == [None, None]
