Bound the memory of a connection for orders, and name its errors

An order whose response may be a copy was reported as one without a response in time; the error says now what came. The test of the bound failed before with one connection.

--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -23,7 +23,7 @@
 from twisted.web.client import readBody
 from twisted.web.http_headers import Headers
 
-from gentianwharf.errors import PeerMismatchError
+from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.http_agent import BytesBody, ip_endpoint
 
 CONNECT_TIMEOUT_S = 0.5
@@ -42,8 +42,12 @@
 
 FREEING_STATUSES = frozenset({STATUS_STALE_TOKEN, STATUS_OTHER_SERVER})
 
+RELEASE = "release"
 HANDOVER = "handover"
 
+MAX_HANDOVERS = 64
+"""Releases after which a connection is closed; bounds the memory it takes."""
+
 
 @final
 class OrderConnections:
@@ -54,23 +58,24 @@
         self._idle: dict[str, list[_OrderConnection]] = defaultdict(list)
 
     async def post(
-        self, address: str, path: str, headers: dict[bytes, bytes], body: bytes
+        self, address: str, order: str, headers: dict[bytes, bytes], body: bytes
     ) -> tuple[int, str | None]:
-        """Send an order; return the status of the response and its handover.
+        """Send a grant or a release; return the response's status and handover.
 
         Raises ``ConnectError`` if the server can't be reached, and
-        ``PeerMismatchError`` if the response is that to an earlier order.
+        ``OutcomeUnknownError`` if the response may be that to an earlier order.
         """
         connection = await self._acquire(address)
         try:
-            response = await connection.send(path, headers, body)
+            response = await connection.send(order, headers, body)
             await readBody(response)
             values = response.headers.getRawHeaders(HANDOVER)
             handover = values[0] if values else None
-            if not connection.is_next_response(path, response.code, handover):
-                raise PeerMismatchError(
-                    "expected the response to this order, got one to an earlier order",
-                    step=path,
+            if not connection.accept_response(order, response.code, handover):
+                raise OutcomeUnknownError(
+                    f"expected the response to this {order}, got one that may be a"
+                    " copy of an earlier response; it may have been carried out",
+                    step=order,
                     peer=address,
                 )
         except BaseException:
@@ -134,28 +139,36 @@
     @property
     def is_usable(self) -> bool:
         """Whether an order may be sent; bytes that arrive while it is idle close it."""
-        return self.state == "QUIESCENT" and not cast(Any, self.transport).disconnecting
+        return (
+            self.state == "QUIESCENT"
+            and not cast(Any, self.transport).disconnecting
+            and len(self._handovers) < MAX_HANDOVERS
+        )
 
-    async def send(self, path: str, headers: dict[bytes, bytes], body: bytes) -> Any:
+    async def send(self, order: str, headers: dict[bytes, bytes], body: bytes) -> Any:
         """Send an order and return the response once its head has arrived."""
         self._orders += 1
         sent_headers = Headers({name: [value] for name, value in headers.items()})
         sent_headers.setRawHeaders(b"Host", [self.address.encode()])
         return await self.request(
             OrderRequest._construct(
-                b"POST", path.encode(), sent_headers, BytesBody(body=body), True
+                b"POST",
+                f"/v1/{order}".encode(),
+                sent_headers,
+                BytesBody(body=body),
+                True,
             )
         )
 
-    def is_next_response(self, path: str, status: int, handover: str | None) -> bool:
-        """Whether a response can't be a copy of one that arrived here before."""
+    def accept_response(self, order: str, status: int, handover: str | None) -> bool:
+        """Record a response; return False if it may be a copy of an earlier one."""
         is_first = self._orders == 1
         is_new = handover is not None and handover not in self._handovers
         if handover is not None:
             self._handovers.add(handover)
         if is_first or status != STATUS_OK:
             return True
-        return is_new if path.endswith("/release") else handover is None
+        return is_new if order == RELEASE else handover is None
 
     def start_idle_timer(self, reactor: Any) -> None:
         """Close the connection if it stays idle."""
--- a/src/gentianwharf/platform/_orders.py
+++ b/src/gentianwharf/platform/_orders.py
@@ -16,6 +16,7 @@
 
 from ._header_codec import EXPECTED_INSTANCE
 from ._order_connections import (
+    RELEASE,
     STATUS_OK,
     STATUS_OTHER_SERVER,
     STATUS_STALE_TOKEN,
@@ -65,7 +66,7 @@
             "target": release.last,
             "fence": release.token,
         }
-        return await self._send_order(holder, "release", body, timeout_s)
+        return await self._send_order(holder, RELEASE, body, timeout_s)
 
     async def _send_order(
         self, holder: Holder, step: str, body: dict[str, Any], timeout_s: float
@@ -81,6 +82,8 @@
             raise PeerUnavailableError(
                 f"can't connect: {type(error).__name__}", step=step, peer=address
             ) from error
+        except OutcomeUnknownError:
+            raise
         except Exception as error:
             raise OutcomeUnknownError(
                 f"expected a response within {timeout_s} s, got {type(error).__name__}",
@@ -115,5 +118,5 @@
             EXPECTED_INSTANCE: holder.server_id.encode(),
         }
         return await self._connections.post(
-            holder.address, f"/v1/{step}", headers, msgspec.json.encode(body)
+            holder.address, step, headers, msgspec.json.encode(body)
         )
--- a/tests/test_users_platform_orders.py
+++ b/tests/test_users_platform_orders.py
@@ -19,7 +19,7 @@
     RefusedError,
 )
 from gentianwharf.keyspace import Grant, Holder, HolderEndedError, Release
-from gentianwharf.platform import ServerOrders
+from gentianwharf.platform import ServerOrders, _order_connections
 from tests.builders_late_answers import Answer, LateCopies
 from tests.builders_relay import ScriptedServer as KeepingServer
 from tests.builders_relay import read_head, response, running_reactor
@@ -253,3 +253,17 @@
     results = send_orders(address, [GRANT, GRANT])
     scripted.stop()
     assert results == [None, None]
+
+
+def test_connection_for_orders_is_closed_after_many_releases(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against handovers that fill the memory on a connection that lasts."""
+    monkeypatch.setattr(_order_connections, "MAX_HANDOVERS", 2)
+    answers = [answer("200 OK", f"Handover: {each}\r\n") for each in range(5)]
+    scripted = KeepingServer(scripts=[LateCopies(answers=answers, copies=0)])
+    address = f"127.0.0.1:{scripted.start()}"
+    results = send_orders(address, [KEPT_RELEASE] * 5)
+    scripted.stop()
+    assert results == ["0", "1", "2", "3", "4"]
+    assert scripted.connections == 3
