End an answer whose server is silent once the request's deadline has passed

Cause: the deadline bounded the wait for the head of an answer only.

Why this works: once the deadline has passed, the earlier of the route's timeout and the caller's own, an answer is broken off when its server has sent nothing for 0.25 s, and the caller's connection is reset, so that the answer can't look complete. One that makes progress goes on. While a caller reads slowly its server is not read, and doesn't count as silent. The server counts as one that did not answer in time, as before the head.

--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -11,12 +11,7 @@
 from gentianwharf.runs import RunStatus
 from gentianwharf.topology import BackendServer
 
-from ._attempt import (
-    Attempt,
-    AttemptError,
-    FinalError,
-    NotPermittedError,
-)
+from ._attempt import Attempt, AttemptError, FinalError, NotPermittedError
 from ._caller_request import CallerRequest
 from ._connections import ServerConnectionPool
 from ._final_problems import (
@@ -334,26 +329,28 @@
         self._server, self._attempt = attempt.server, attempt
         outcome = Outcome.CANCELLED
         try:
-            if await self._write_response(attempt, response):
-                outcome = Outcome.ANSWERED
+            outcome = await self._write_response(attempt, response)
         finally:
             self._admission.finished(
                 self.ticket, attempt.server, outcome, attempt.elapsed_s
             )
 
-    async def _write_response(self, attempt: Attempt, response: Response) -> bool:
+    async def _write_response(self, attempt: Attempt, response: Response) -> Outcome:
         request = self.request
         if request._disconnected:
             attempt.abort()
-            return False
+            return Outcome.CANCELLED
         write_response_head(
             request, response, request_id=self.ticket.request_id, codec=self._codec
         )
         body = ResponseBody(
-            request=request, clock=self._reactor, keep=self._idempotency_key is not None
+            request=request,
+            clock=self._reactor,
+            deadline_s=self.ticket.deadline_s,
+            keep=self._idempotency_key is not None,
         )
         response.deliverBody(body)
-        body.start_stall_timer()
+        body.start_timers()
         try:
             complete = await body.done
         except CancelledError:
@@ -361,15 +358,16 @@
             raise
         if not complete:
             attempt.abort()
-            self._record(status=response.code, run=RunStatus.RUN, reason="answer-cut")
-            return False
+            reason = "answer-timed-out" if body.timed_out else "answer-cut"
+            self._record(status=response.code, run=RunStatus.RUN, reason=reason)
+            return Outcome.TIMED_OUT if body.timed_out else Outcome.CANCELLED
         if body.stored is not None:
             self._stored = stored_response(response, bytes(body.stored), self._codec)
         if not request._disconnected:
             request.send_now()
             request.finish()
         self._record(status=response.code, run=RunStatus.RUN)
-        return True
+        return Outcome.ANSWERED
 
     def _record(
         self,
--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -11,6 +11,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from gentianwharf.errors import PeerMismatchError
+from gentianwharf.pauses import Timeout
 
 from ._caller_request import CallerRequest
 from ._header_codec import HeaderCodec
@@ -20,6 +21,10 @@
 # Confirmations of reservations and postings are a few hundred bytes.
 MAX_STORED_BYTES = 64 * 1024
 
+MAX_SILENCE_S = 0.25
+"""Time without a byte after which a server is taken for lost, once the request's
+deadline has passed. A response that makes progress may last longer."""
+
 
 class ResponseBody(Protocol):
     """Forwards the body of a response, with back-pressure from caller to server.
@@ -27,34 +32,81 @@
     ``done`` fires with True once the complete body was forwarded, and with False if
     it was truncated. The caller's connection is then aborted as well, so that a
     truncated response does not look complete.
+
+    After ``deadline_s``, on the loop's clock, a response counts as truncated as soon as
+    the server sends nothing for ``MAX_SILENCE_S``. While the caller is too slow to take
+    what the server sends, the server is not silent.
     """
 
     def __init__(
-        self, *, request: CallerRequest, clock: IReactorTime, keep: bool = False
+        self,
+        *,
+        request: CallerRequest,
+        clock: IReactorTime,
+        deadline_s: float,
+        keep: bool = False,
     ) -> None:
+        self.timed_out = False
+        """Whether the response was ended because the server was silent."""
         self.stored: bytearray | None = bytearray() if keep else None
         self.done: Deferred[bool] = Deferred(lambda _: self.abort())
         self._request = request
         self._clock = clock
         self._stall_timeout_s = cast(Any, request.site).limits.stall_timeout_s
         self._stall_timer: IDelayedCall | None = None
+        self._deadline_s = deadline_s
+        self._silence_timeout: Timeout | None = None
+        self._received_s = clock.seconds()
+        self._is_paused = False
         self._finished = False
 
-    def start_stall_timer(self) -> None:
+    def start_timers(self) -> None:
         """Abort the response if it stalls, unless it is complete already."""
-        if not self._finished:
-            self._stall_timer = self._clock.callLater(
-                self._stall_timeout_s, self._handle_stall
-            )
+        if self._finished:
+            return
+        self._stall_timer = self._clock.callLater(
+            self._stall_timeout_s, self._handle_stall
+        )
+        self._start_silence_timeout(self._deadline_s - self._clock.seconds())
+
+    def _start_silence_timeout(self, delay_s: float) -> None:
+        self._silence_timeout = Timeout(
+            clock=self._clock, delay_s=max(0.0, delay_s), expire=self._check_silence
+        )
+
+    def _check_silence(self) -> None:
+        silent_s = self._clock.seconds() - self._received_s
+        if self._is_paused or silent_s < MAX_SILENCE_S:
+            rest_s = MAX_SILENCE_S if self._is_paused else MAX_SILENCE_S - silent_s
+            self._start_silence_timeout(rest_s)
+            return
+        self.timed_out = True
+        self._finish(complete=False)
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Register the server's transport as a producer with the caller's."""
-        self._request.registerProducer(self.transport, True)
+        """Register as a producer with the caller's transport."""
+        self._request.registerProducer(self, True)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading from the server until the caller has taken what was sent."""
+        self._is_paused = True
+        cast(Any, self.transport).pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read from the server again."""
+        self._is_paused = False
+        self._received_s = self._clock.seconds()
+        cast(Any, self.transport).resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Stop reading: the caller has disconnected."""
+        cast(Any, self.transport).stopProducing()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Forward a chunk of the body."""
         if self._finished:
             return
+        self._received_s = self._clock.seconds()
         if self._stall_timer is not None:
             self._stall_timer.reset(self._stall_timeout_s)
         self._store(data)
@@ -85,6 +137,8 @@
         self._finished = True
         if self._stall_timer is not None and self._stall_timer.active():
             self._stall_timer.cancel()
+        if self._silence_timeout is not None:
+            self._silence_timeout.stop()
         if not self._request._disconnected:
             self._request.unregisterProducer()
             if not complete:
