Send nothing to an address where another server has answered

What operators saw: BUDGET, a service gets more arrivals beyond the first of their requests than allowed.

Cause: a server of a service divided by key ended, and its address went to a server of another service. That one refuses with 421, as a server does that doesn't own the key yet, so that hosts waited a little and sent the request there again, up to five times, until the keys had moved. Nobody looked at who had answered, though the answer states it, and the arrivals count at a service to which no host counts them.

Why this works: a refusal that states another server's id ends all use of the address for that server: its connections are closed, none is opened, and the host lists it no more, for requests and as a candidate for keys, until its entry has another address. Requests for its keys wait for the next holder as for those of a lost server. A refusal with the server's own id, or with none, changes nothing.

Ways weighed: no further try after a 421 at all would refuse the requests of every key that moves; telling the leader, so that keys move sooner, is left.

--- a/src/gentianwharf/entryhost/_directory.py
+++ b/src/gentianwharf/entryhost/_directory.py
@@ -28,6 +28,9 @@
 LEAVING_KEPT_S = 600.0
 """Time for which it is remembered that a server leaves, also if it is listed again."""
 
+MAX_REASSIGNED = 1_000
+"""Servers of which it is remembered that others have their addresses."""
+
 
 @final
 class Directory:
@@ -43,6 +46,8 @@
         self._starting: set[str] = set()
         self._leaving_since_s: dict[str, float] = {}
         """Servers that stated in answers that they leave."""
+        self._reassigned: dict[str, str] = {}
+        """Addresses of servers by id, where other servers have answered."""
         self._mirror = mirror
         self._reactor = reactor
         self._pending_removals: dict[str, Any] = {}
@@ -108,6 +113,24 @@
         if entry is not None:
             self._coalescer.note(entry.service)
 
+    def set_reassigned(self, server_id: str, address: str) -> None:
+        """Record that another server has answered at a server's address.
+
+        The server gets no work until its entry has another address.
+        """
+        if self._reassigned.get(server_id) == address:
+            return
+        if len(self._reassigned) >= MAX_REASSIGNED:
+            del self._reassigned[next(iter(self._reassigned))]
+        self._reassigned[server_id] = address
+        log.info(
+            "another server has the address of a server",
+            extra={"server": server_id, "peer": address},
+        )
+        entry = self._entries.get(server_id)
+        if entry is not None:
+            self._coalescer.note(entry.service)
+
     def set_evacuated(self, domain: str, evacuated: bool) -> None:
         """Set whether the servers of a failure domain are excluded from all work."""
         if evacuated is (domain in self._evacuated):
@@ -129,7 +152,11 @@
             self._coalescer.note(service)
 
     def _accepts_work(self, entry: ServerEntry) -> bool:
-        return entry.state is ServerState.READY and entry.domain not in self._evacuated
+        return (
+            entry.state is ServerState.READY
+            and entry.domain not in self._evacuated
+            and self._reassigned.get(entry.id) != entry.address
+        )
 
     def all(self) -> list[ServerEntry]:
         """Return every listed server."""
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -11,11 +11,7 @@
 from gentianwharf.lifecycle import PeriodicCalls, Phase, Shutdown
 from gentianwharf.load import Gate
 from gentianwharf.logs import log
-from gentianwharf.platform import (
-    Configuration,
-    HostSettings,
-    PlatformHeaderCodec,
-)
+from gentianwharf.platform import Configuration, HostSettings, PlatformHeaderCodec
 from gentianwharf.relay import (
     SLOW_HEAD_CHECK_INTERVAL_S,
     CallerSite,
@@ -102,8 +98,10 @@
         self._tunnels.on_cut_off = self._coordinator.resign_isolated
         self._coordinator.peers.on_speeds = self._gate.set_speeds
         self._coordinator.on_notices = self._apply_notices
-        self._coordinator.directory.on_change = self._update_servers
-        self._coordinator.directory.on_cold = self._note_cold
+        directory = self._coordinator.directory
+        directory.on_change = self._update_servers
+        directory.on_cold = self._note_cold
+        self._listed.on_reassigned = directory.set_reassigned
         self._coordinator.rules.on_change = self._apply_configuration
         self._ticks = PeriodicCalls(reactor=reactor)
         self.shutdown = Shutdown(
--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -87,6 +87,7 @@
         return ServerRefusal(
             not_owner=response.code == STATUS_NOT_OWNER,
             retry_after_s=_positive(headers, RETRY_AFTER),
+            answered_by=self.instance_id(headers),
         )
 
     def load(self, headers: Headers) -> ServerLoad | None:
@@ -124,7 +125,7 @@
         )
 
     def instance_id(self, headers: Headers) -> str | None:
-        """Return the id of the server that answered a health check."""
+        """Return the id of the server that responded, None if it is not stated."""
         values = headers.getRawHeaders(INSTANCE_ID)
         return values[0].decode("latin-1") if values else None
 
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -333,6 +333,8 @@
         if refusal is not None:
             if cast(Any, response.length) != 0:
                 connection.abort_now()
+            if refusal.answered_by not in (None, self.server.id):
+                self._connections.note_reassigned(self.server.address)
             raise self._refusal_error(refusal)
         if not has_detectable_end(connection, response):
             connection.abort_now()
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -1,6 +1,7 @@
 """Persistent connections to one backend server, direct or through another host."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast, final
 
@@ -54,6 +55,9 @@
     ) -> None:
         self.server = server
         self.links = links
+        self.on_reassigned: Callable[[BackendServer], None] = lambda server: None
+        self.is_reassigned = False
+        """Whether another server has answered at the server's address."""
         self.max_connections = server.connections
         self.opened = 0
         self._reactor = reactor
@@ -71,8 +75,21 @@
         moved = server.address != self.server.address
         self.server = server
         if moved:
+            self.is_reassigned = False
             self.retire_all()
 
+    def note_reassigned(self, address: str) -> None:
+        """Record that another server has answered at ``address``.
+
+        The server has ended, or is to be listed at another address. Until then nothing
+        is sent to this one, which may belong to another service.
+        """
+        if address != self.server.address or self.is_reassigned:
+            return
+        self.is_reassigned = True
+        self.retire_all()
+        self.on_reassigned(self.server)
+
     def set_daemon_count(self, daemons: int) -> None:
         """Limit this pool to an equal share of the server's connections.
 
@@ -102,6 +119,8 @@
         than the usual timeout, after which another host may be asked for a tunnel.
         Raises ``PeerUnavailableError``, before any byte of a request is sent.
         """
+        if self.is_reassigned:
+            raise self._unavailable("another server has its address")
         if not fresh:
             connection = self._acquire_idle(request_id)
             if connection is not None:
--- a/src/gentianwharf/relay/_header_codec.py
+++ b/src/gentianwharf/relay/_header_codec.py
@@ -27,10 +27,12 @@
     """A response by which a server states that it did not run the request.
 
     ``retry_after_s`` is the delay that it asks for, None if it names no delay.
+    ``answered_by`` is the id of the server that refused, None if it is not stated.
     """
 
     not_owner: bool
     retry_after_s: float | None = None
+    answered_by: str | None = None
 
 
 class HeaderCodec(Protocol):
--- a/tests/test_entryhost_directory.py
+++ b/tests/test_entryhost_directory.py
@@ -7,7 +7,11 @@
 import logbook
 from twisted.internet.task import Clock
 
-from gentianwharf.entryhost._directory import COLD_AFTER_EVACUATION_S, Directory
+from gentianwharf.entryhost._directory import (
+    COLD_AFTER_EVACUATION_S,
+    MAX_REASSIGNED,
+    Directory,
+)
 from gentianwharf.store import Item, Mirror
 from tests.builders_keyspace_hosts import SimpleStore
 from tests.builders_users_platform import server_entry
@@ -258,3 +262,23 @@
     directory.on_change = notified.append
     directory.note_item(*entry(1, state="draining"))
     assert notified == ["calendar"]
+
+
+def test_server_whose_address_another_has_receives_no_work_until_it_moves() -> None:
+    """Guards against requests that reach a server of another service."""
+    directory, _ = make_directory(Clock(), 3)
+    directory.set_reassigned("i-1", "10.0.0.2:80")
+    assert usable(directory) == holders(directory) == ["i-0", "i-2"]
+    directory.note_item(*entry(1, slots=5))
+    assert usable(directory) == ["i-0", "i-2"]
+    moved = server_entry(address="10.0.0.77:80")
+    directory.note_item("servers/i-1", Item(key="servers/i-1", value=moved, revision=2))
+    assert usable(directory) == ["i-0", "i-1", "i-2"]
+
+
+def test_reassigned_addresses_are_bounded() -> None:
+    """Guards against memory that grows with every server that ever ended."""
+    directory, _ = make_directory(Clock(), 1)
+    for number in range(2 * MAX_REASSIGNED):
+        directory.set_reassigned(f"former-{number}", "10.0.0.9:80")
+    assert len(directory._reassigned) == MAX_REASSIGNED
