Don't send a request whose caller left while its body waited

What operators saw: GONE, requests with bodies that reached a server up to 1.66 s after their caller had closed its connection.

Cause: while a body waited for a server, the caller's connection was not read, so that the body couldn't fill the memory, and its end was not seen.

Why this works: up to 16 KiB of a waiting body are read, which are kept for a second send anyway, so that the end of the connection is seen. Beyond that reading stops as before; just before such a request is written, the kernel is asked whether the caller has closed the connection, which it knows also while data waits unread.

--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -202,6 +202,11 @@
             ) from error
 
     async def _send(self, connection: ServerConnection) -> Response:
+        if self._request.has_caller_left():
+            self._connections.release(connection)
+            # The loss of the connection cancels the request.
+            self._request.abort()
+            raise CancelledError
         if not self._admission.may_still_send(self.server):
             self._connections.release(connection)
             raise NotRunError(
--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -36,9 +36,11 @@
 class CallerBody:
     """Produces the body of a caller's request for the connection to a server.
 
-    The body is not read ahead. Reading from the caller's connection is paused until a
-    server consumes the body, and while that server is slower than the caller. At most
-    one read of the transport (64 KiB) is buffered.
+    Until a server consumes the body, only ``MAX_REPLAY_BYTES`` are read ahead, which
+    are kept to be sent again anyway: that a caller has left shows only on a connection
+    that is read. Beyond that, and while a server is slower than the caller, reading
+    from the caller's connection is paused, and at most one read of the transport
+    (64 KiB) is buffered.
     """
 
     def __init__(self, *, length: int | None, channel: BodySource) -> None:
@@ -99,6 +101,11 @@
         self._consumer = None
         self._done = None
         self.pauseProducing()
+        if self._may_read_ahead():
+            self._channel.resume_reading()
+
+    def _may_read_ahead(self) -> bool:
+        return self._consumer is None and self._replay is not None
 
     def received(self, data: bytes) -> int:
         """Add data received from the caller; return the bytes received so far."""
@@ -106,7 +113,8 @@
         self._store_for_replay(data)
         if self._paused or self._consumer is None:
             self._pending.append(data)
-            self._channel.pause_reading()
+            if not self._may_read_ahead():
+                self._channel.pause_reading()
         else:
             self._consumer.write(data)
         return self.received_bytes
--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -12,6 +12,7 @@
 from twisted.web.resource import Resource
 
 from gentianwharf.logs import log
+from gentianwharf.sockets import is_closed_by_peer
 
 from ._caller_body import BodySource, CallerBody
 from ._pipeline import BufferedResponse
@@ -53,6 +54,12 @@
     responded_early = False
     site: Any = None
 
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed the connection, also if it isn't read now."""
+        # Without a body the connection is read, and reports its end itself.
+        channel = cast(Any, self.channel)
+        return self.body is not None and is_closed_by_peer(channel.transport)
+
     def flush_response(self) -> None:
         """Write the buffered response, since all earlier responses are written."""
         if not isinstance(self.channel, BufferedResponse):
--- a/src/gentianwharf/sockets.py
+++ b/src/gentianwharf/sockets.py
@@ -6,7 +6,13 @@
 import termios
 from typing import Any
 
-__all__ = ["unacknowledged_bytes"]
+__all__ = ["is_closed_by_peer", "unacknowledged_bytes"]
+
+_STATE = struct.Struct("=B")
+"""The field ``tcpi_state`` of Linux's ``struct tcp_info``."""
+
+_CLOSED_BY_PEER = frozenset({7, 8})
+"""The states ``TCP_CLOSE``, after a reset, and ``TCP_CLOSE_WAIT``."""
 
 _UNACKNOWLEDGED_SEGMENTS = struct.Struct("=24xI")
 """The field ``tcpi_unacked`` of Linux's ``struct tcp_info``."""
@@ -14,6 +20,21 @@
 _QUEUED_BYTES = struct.Struct("=i")
 
 
+def is_closed_by_peer(transport: Any) -> bool:
+    """Return whether the peer has closed or reset the connection.
+
+    This is known also while received data waits to be read.
+    """
+    try:
+        info = transport.getHandle().getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _STATE.size
+        )
+        (state,) = _STATE.unpack(info)
+    except (OSError, AttributeError, struct.error):
+        return False
+    return state in _CLOSED_BY_PEER
+
+
 def unacknowledged_bytes(transport: Any) -> int:
     """Return how many bytes wait to be acknowledged, some of which are on their way.
 
