Give Idempotency-Key no meaning on the users' platform

What callers could see: a second POST with another body and another Attempt-Id got the stored answer of the first, and was not run, if both had the same Idempotency-Key and came from one address.

Cause: the relay read the header in any dialect; the users' pages don't name it. Whether it has a meaning is now part of a dialect, and on the platform it is only forwarded.

The test failed before: the second request got the answer to the first.

--- a/src/gentianwharf/platform/_header_codec.py
+++ b/src/gentianwharf/platform/_header_codec.py
@@ -39,6 +39,7 @@
 
     request_id_header = ATTEMPT_ID
     always_echoes_id = True
+    has_idempotency_keys = False
 
     def request_id(self, headers: Headers) -> str | None:
         """Return the client's id of this attempt; it differs for each attempt."""
--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -181,7 +181,7 @@
             observer=self._observer,
             codec=self._codec,
             idempotent_requests=self._idempotent_requests,
-            idempotency_key=_idempotency_key(request, match),
+            idempotency_key=self._idempotency_key(request, match),
             reactor=self._reactor,
         )
 
@@ -210,6 +210,23 @@
             repeatable=match.repeatable,
         )
 
+    def _idempotency_key(
+        self, request: CallerRequest, match: RuleMatch
+    ) -> IdempotencyKey | None:
+        values = request.requestHeaders.getRawHeaders(b"idempotency-key")
+        if (
+            not values
+            or not self._codec.has_idempotency_keys
+            or request.method in SAFE_METHODS
+        ):
+            return None
+        target = request.method + b" " + request.uri
+        return IdempotencyKey(
+            scope=f"{match.service}/{_caller_address(request)}",
+            key=values[0].decode("latin-1"),
+            fingerprint=target.decode("latin-1"),
+        )
+
 
 def _has_length_and_coding(request: CallerRequest) -> bool:
     # Twisted accepts "Transfer-Encoding: identity" together with a length. A server
@@ -275,18 +292,6 @@
     return str(request.getClientAddress().host)
 
 
-def _idempotency_key(request: CallerRequest, match: RuleMatch) -> IdempotencyKey | None:
-    values = request.requestHeaders.getRawHeaders(b"idempotency-key")
-    if not values or request.method in SAFE_METHODS:
-        return None
-    target = request.method + b" " + request.uri
-    return IdempotencyKey(
-        scope=f"{match.service}/{_caller_address(request)}",
-        key=values[0].decode("latin-1"),
-        fingerprint=target.decode("latin-1"),
-    )
-
-
 def _bad_request(detail: str) -> Problem:
     return Problem(
         status=400, title="bad request", run=RunStatus.NOT_RUN, detail=detail
--- a/src/gentianwharf/relay/_header_codec.py
+++ b/src/gentianwharf/relay/_header_codec.py
@@ -44,6 +44,9 @@
     always_echoes_id: bool
     """Whether a response without an id answers no request."""
 
+    has_idempotency_keys: bool
+    """Whether ``Idempotency-Key`` has a meaning; otherwise it is only forwarded."""
+
     def request_id(self, headers: Headers) -> str | None:
         """Return the id that the caller gave its request, None to generate one."""
 
@@ -85,6 +88,7 @@
     request_id_header = names.REQUEST_ID
     # An HTTP library may refuse a request before the server's own code sees it.
     always_echoes_id = False
+    has_idempotency_keys = True
 
     def request_id(self, headers: Headers) -> str | None:
         """Have the router generate the id, since a caller could reuse another's."""
--- a/tests/test_relay_repeats.py
+++ b/tests/test_relay_repeats.py
@@ -5,9 +5,17 @@
 
 import pytest
 
-from tests.builders_relay import Script, request, response, running_relay
+from gentianwharf.platform import PlatformHeaderCodec
+from tests.builders_relay import (
+    Script,
+    request,
+    request_id_header,
+    response,
+    running_relay,
+)
 
 KEY = "Idempotency-Key: dues-7\r\n"
+BODY_BYTES = 4
 
 
 def numbered() -> Script:
@@ -104,3 +112,30 @@
     with running_relay([shedding, shedding, shedding, numbered()]) as relay:
         assert b'"not-run"' in relay.send(post())
         assert relay.send(post()).endswith(b"run 1")
+
+
+def test_idempotency_key_has_no_meaning_on_the_users_platform() -> None:
+    """Guards against a request that gets the stored answer of another one.
+
+    Clients that the host sees under one address may use the same key.
+    """
+    keys = list[bool]()
+
+    def echo(connection: socket.socket, head: bytes) -> None:
+        fields, _, body = head.partition(b"\r\n\r\n")
+        while len(body) < BODY_BYTES:
+            body += connection.recv(BODY_BYTES)
+        keys.append(b"idempotency-key: dues-7" in fields.lower())
+        connection.sendall(response(body, extra=request_id_header(head)))
+
+    with running_relay([echo], codec=PlatformHeaderCodec()) as relay:
+        answers = [
+            relay.send(
+                request(
+                    "POST", headers=f"{KEY}Attempt-Id: {each}\r\n", body=each.encode()
+                )
+            )
+            for each in ("dues", "fees")
+        ]
+    assert [each[-BODY_BYTES:] for each in answers] == [b"dues", b"fees"]
+    assert keys == [True, True]
