--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -1,21 +1,23 @@
 """Persistent connections to backend servers for orders, which have no id.
 
-A server may send a response again, where the next one is expected. No such response may
-make keys look free that a server holds:
-
-- A response after which keys count as free, one of ``FREEING_STATUSES``, closes its
-  connection, so that no copy of it can follow.
-- Only responses to releases contain a handover, and each a different one. The response
-  to a release on a connection that was used before has to contain one that did not
-  arrive there yet, and the response to a grant none.
-- A copy of a response to a grant can therefore pass for the response to another grant
-  only. A grant that is lost or refused then looks accepted until the next renewal, and
-  its keys are not served.
+A server may send a response again, where the next one is expected. The response that
+follows is then read as that to the next order. Nothing of this may make keys look free
+that a server holds:
+
+- On a connection that was used before, a response after which keys count as free is not
+  believed: one of ``FREEING_STATUSES``, and the response to a release, unless it
+  contains a handover that did not arrive there yet, and no earlier release is without
+  its own. Only responses to releases contain a handover, and each a different one. The
+  order is sent once more, on a new connection.
+- Any other response may be that to an earlier order. A grant that is lost or refused
+  then looks accepted until the next renewal, and its keys are not served.
 """
 
 from collections import defaultdict
+from dataclasses import dataclass
 from typing import Any, cast, final
 
+from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
@@ -49,6 +51,15 @@
 """Releases after which a connection is closed; bounds the memory it takes."""
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OrderResponse:
+    """A response to an order; ``handover`` is None if it contains none."""
+
+    status: int
+    handover: str | None
+
+
 @final
 class OrderConnections:
     """The connections to all servers, by their addresses."""
@@ -59,33 +70,33 @@
 
     async def post(
         self, address: str, order: str, headers: dict[bytes, bytes], body: bytes
-    ) -> tuple[int, str | None]:
-        """Send a grant or a release; return the response's status and handover.
+    ) -> "OrderResponse":
+        """Send a grant or a release, both of which may be repeated.
 
         Raises ``ConnectError`` if the server can't be reached, and
-        ``OutcomeUnknownError`` if the response may be that to an earlier order.
+        ``OutcomeUnknownError`` if it can't be reached a second time.
         """
         connection = await self._acquire(address)
-        try:
-            response = await connection.send(order, headers, body)
-            await readBody(response)
-            values = response.headers.getRawHeaders(HANDOVER)
-            handover = values[0] if values else None
-            if not connection.accept_response(order, response.code, handover):
+        response = await connection.send(order, headers, body)
+        if not connection.accept(order, response):
+            connection.abort_now()
+            try:
+                connection = await self._connect(address)
+            except (ConnectError, ConnectingCancelledError) as error:
                 raise OutcomeUnknownError(
-                    f"expected the response to this {order}, got one that may be a"
-                    " copy of an earlier response; it may have been carried out",
+                    f"expected the response to this {order}, got one that may be a copy"
+                    " of an earlier response, and can't connect again; it may have been"
+                    " carried out",
                     step=order,
                     peer=address,
-                )
-        except BaseException:
-            connection.abort_now()
-            raise
-        if response.code in FREEING_STATUSES:
+                ) from error
+            response = await connection.send(order, headers, body)
+            connection.accept(order, response)
+        if response.status in FREEING_STATUSES:
             connection.abort_now()
         else:
             self._keep(connection)
-        return response.code, handover
+        return response
 
     async def _acquire(self, address: str) -> "_OrderConnection":
         idle = self._idle[address]
@@ -94,6 +105,9 @@
             connection.stop_idle_timer()
             if connection.is_usable:
                 return connection
+        return await self._connect(address)
+
+    async def _connect(self, address: str) -> "_OrderConnection":
         host, _, port = address.rpartition(":")
         endpoint = ip_endpoint(
             reactor=self._reactor,
@@ -134,6 +148,8 @@
         self._connections = connections
         self._orders = 0
         self._handovers: set[str] = set()
+        self._awaits_handover = False
+        """Whether the response to a release may still arrive, after another one."""
         self._timer: Any = None
 
     @property
@@ -145,30 +161,45 @@
             and len(self._handovers) < MAX_HANDOVERS
         )
 
-    async def send(self, order: str, headers: dict[bytes, bytes], body: bytes) -> Any:
-        """Send an order and return the response once its head has arrived."""
+    async def send(
+        self, order: str, headers: dict[bytes, bytes], body: bytes
+    ) -> OrderResponse:
+        """Send an order; the connection is closed if no complete response arrives."""
         self._orders += 1
         sent_headers = Headers({name: [value] for name, value in headers.items()})
         sent_headers.setRawHeaders(b"Host", [self.address.encode()])
-        return await self.request(
-            OrderRequest._construct(
-                b"POST",
-                f"/v1/{order}".encode(),
-                sent_headers,
-                BytesBody(body=body),
-                True,
-            )
+        request = OrderRequest._construct(
+            b"POST",
+            f"/v1/{order}".encode(),
+            sent_headers,
+            BytesBody(body=body),
+            True,
+        )
+        try:
+            response = cast(Any, await self.request(request))
+            await readBody(response)
+        except BaseException:
+            self.abort_now()
+            raise
+        values = response.headers.getRawHeaders(HANDOVER)
+        return OrderResponse(
+            status=response.code, handover=values[0] if values else None
         )
 
-    def accept_response(self, order: str, status: int, handover: str | None) -> bool:
-        """Record a response; return False if it may be a copy of an earlier one."""
-        is_first = self._orders == 1
+    def accept(self, order: str, response: OrderResponse) -> bool:
+        """Record a response; return False if it may be that to an earlier order."""
+        handover = response.handover
         is_new = handover is not None and handover not in self._handovers
         if handover is not None:
             self._handovers.add(handover)
-        if is_first or status != STATUS_OK:
+        if self._orders == 1:
             return True
-        return is_new if order == RELEASE else handover is None
+        if response.status in FREEING_STATUSES:
+            return False
+        if response.status == STATUS_OK and order == RELEASE:
+            return is_new and not self._awaits_handover
+        self._awaits_handover |= order == RELEASE
+        return handover is None
 
     def start_idle_timer(self, reactor: Any) -> None:
         """Close the connection if it stays idle."""
--- a/src/gentianwharf/platform/_orders.py
+++ b/src/gentianwharf/platform/_orders.py
@@ -21,6 +21,7 @@
     STATUS_OTHER_SERVER,
     STATUS_STALE_TOKEN,
     OrderConnections,
+    OrderResponse,
 )
 from ._units import encode_time
 
@@ -77,7 +78,7 @@
         # still in transit.
         pending.addTimeout(timeout_s, self._reactor)
         try:
-            status, handover = await pending
+            response = await pending
         except (ConnectError, ConnectingCancelledError) as error:
             raise PeerUnavailableError(
                 f"can't connect: {type(error).__name__}", step=step, peer=address
@@ -90,6 +91,7 @@
                 step=step,
                 peer=address,
             ) from error
+        status = response.status
         if status == STATUS_OTHER_SERVER:
             raise HolderEndedError(
                 f"the address of {holder.server_id} belongs to another server",
@@ -106,11 +108,11 @@
                 step=step,
                 peer=address,
             )
-        return handover
+        return response.handover
 
     async def _post(
         self, holder: Holder, step: str, body: dict[str, Any]
-    ) -> tuple[int, str | None]:
+    ) -> OrderResponse:
         headers = {
             b"Content-Type": b"application/json",
             # The address may have been reassigned to another server of the service,
