--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 from gentianwharf.lifecycle import use_monotonic_time
 from gentianwharf.platform import PlatformStore
 
+from ._answer_faults import AnswerFaults
 from ._callers import Callers
 from ._checks import check_recovery, find_violations, sent_by_service
 from ._cuts import Cuts, describe_cuts, find_unserved_cuts
@@ -53,12 +54,14 @@
     """One run of the soak.
 
     ``rules_grow`` lets the list of rules grow, and restarts all hosts at once.
-    ``cut_links`` cuts the links of hosts to all servers.
+    ``cut_links`` cuts the links of hosts to all servers. ``answer_faults`` sends
+    answers of servers late, twice or in part.
     """
 
     seed: int
     rules_grow: bool = True
     cut_links: bool = False
+    answer_faults: bool = False
 
 
 UNRESOLVED = (
@@ -83,8 +86,15 @@
     logs.mkdir(parents=True)
     seed = seed_run.seed
     schedule = Schedule(reactor=reactor)
+    answer_faults = AnswerFaults(
+        rng=Random(seed + 5), is_active=lambda: not schedule.is_over
+    )
     deployment = Deployment(
-        reactor=reactor, net=net, logs=logs, own_links=seed_run.cut_links
+        reactor=reactor,
+        net=net,
+        logs=logs,
+        own_links=seed_run.cut_links,
+        answer_faults=answer_faults if seed_run.answer_faults else None,
     )
     operators = Operators(
         reactor=reactor,
@@ -159,7 +169,8 @@
         f"seed {seed}: {len(schedule.records)} faults and changes,"
         f" {len(operators.rules)} rules, {len(bound)} requests bound to a version,"
         f" {served} of {len(callers.requests)} served,"
-        f" {len(deployment.runs)} runs, {len(violations)} broken;"
+        f" {len(deployment.runs)} runs, {answer_faults.count} answers disturbed,"
+        f" {len(violations)} broken;"
         f" {describe_cuts(callers.requests, cuts.cuts, deployment.disruptions)}",
         flush=True,
     )
@@ -186,6 +197,7 @@
     failed: bool = False,
     rules_grow: bool = True,
     cut_links: bool = True,
+    answer_faults: bool = False,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -203,6 +215,8 @@
         Let the list of rules grow to thousands, and restart all hosts at once.
     cut_links
         Cut the links of hosts to all servers.
+    answer_faults
+        Send answers of servers late, twice or in part.
     faults_s
         For how long faults are injected.
     net
@@ -213,7 +227,12 @@
     _stop_on_hangup()
     first = first or int(time.time()) % 1_000_000
     seed_runs = [
-        SeedRun(seed=seed, rules_grow=rules_grow, cut_links=cut_links)
+        SeedRun(
+            seed=seed,
+            rules_grow=rules_grow,
+            cut_links=cut_links,
+            answer_faults=answer_faults,
+        )
         for seed in range(first, first + seeds)
     ]
     if failed:
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -15,6 +15,7 @@
     settings_text,
 )
 
+from ._answer_faults import AnswerFaults
 from ._disruptions import Disruptions, link_of
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
@@ -35,12 +36,20 @@
     """Processes by name; all listen on IP addresses of the network ``127.NET``.
 
     With ``own_links``, each host reaches the servers over links that can be cut.
+    ``answer_faults`` disturb the answers of servers.
     """
 
     def __init__(
-        self, *, reactor: Any, net: int, logs: Path, own_links: bool = False
+        self,
+        *,
+        reactor: Any,
+        net: int,
+        logs: Path,
+        own_links: bool = False,
+        answer_faults: AnswerFaults | None = None,
     ) -> None:
         self.reactor = reactor
+        self._answer_faults = answer_faults
         self.logs = logs
         self.net = net
         self.runs: list[Line] = []
@@ -162,7 +171,10 @@
 
     def _add_proxy(self, name: str, *, target: str) -> None:
         self.proxies[name] = Proxy(
-            reactor=self.reactor, listens_on=self._proxy_address(name), target=target
+            reactor=self.reactor,
+            listens_on=self._proxy_address(name),
+            target=target,
+            answer_faults=self._answer_faults if name in self.servers else None,
         )
 
     def _proxy_address(self, name: str) -> str:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -7,6 +7,8 @@
 from twisted.internet.interfaces import ITCPTransport
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
+from ._answer_faults import AnswerFaults
+
 
 class LinkFault(StrEnum):
     """The effect of a fault on the connections of a proxy while it lasts."""
@@ -31,6 +33,7 @@
         self._proxy = proxy
         self._carries_responses = carries_responses
         self._early_data: list[bytes] = []
+        self._last_answer = b""
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register this end with the proxy, which resets it on some faults."""
@@ -44,8 +47,19 @@
         if fault is LinkFault.SILENT_ANSWERS and self._carries_responses:
             return
         delay_s = DELAY_S if fault is LinkFault.DELAY else 0.0
+        closes = False
+        answer_faults = self._proxy.answer_faults
+        if answer_faults is not None and self._carries_responses:
+            last, self._last_answer = self._last_answer, data
+            data, closes = answer_faults.disturb(last, data)
         # Always by a timer: later data must not overtake data that was delayed.
         self._proxy.reactor.callLater(delay_s, self._forward, data)
+        if closes:
+            self._proxy.reactor.callLater(delay_s, self._close)
+
+    def _close(self) -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
 
     def _forward(self, data: bytes) -> None:
         if self.other is None:
@@ -96,8 +110,16 @@
 
     noisy = False
 
-    def __init__(self, *, reactor: Any, listens_on: str, target: str) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        listens_on: str,
+        target: str,
+        answer_faults: AnswerFaults | None = None,
+    ) -> None:
         self.reactor = reactor
+        self.answer_faults = answer_faults
         self.fault = LinkFault.NONE
         self.target = target
         self.sides: set[_Side] = set()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,11 @@
     play(9601, 12, "--rules-grow", "--cut-links")
 
 
+def test_no_promise_is_broken_while_answers_come_late_or_twice() -> None:
+    """Guards against answers that count for other sends, beside all other faults."""
+    play(20001, 10, "--no-rules-grow", "--no-cut-links", "--answer-faults")
+
+
 def play(seed: int, faults_s: int, *options: str) -> None:
     result = subprocess.run(
         [
