Let a stream with pauses last beyond its deadline

Since answers of silent servers end, a stream whose usual pauses are longer than 0.25 s was broken off in its next pause after the deadline, although it makes progress. A server is now silent after twice the longest pause between two pieces of the body, and 0.25 s at least.

The question whether a caller has left takes a caller without a connection.

--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -57,8 +57,8 @@
     def has_caller_left(self) -> bool:
         """Whether the caller has closed the connection, also if it isn't read now."""
         # Without a body the connection is read, and reports its end itself.
-        channel = cast(Any, self.channel)
-        return self.body is not None and is_closed_by_peer(channel.transport)
+        transport = getattr(self.channel, "transport", None)
+        return self.body is not None and is_closed_by_peer(transport)
 
     def flush_response(self) -> None:
         """Write the buffered response, since all earlier responses are written."""
--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -21,10 +21,13 @@
 # Confirmations of reservations and postings are a few hundred bytes.
 MAX_STORED_BYTES = 64 * 1024
 
-MAX_SILENCE_S = 0.25
-"""Time without a byte after which a server is taken for lost, once the request's
+MIN_SILENCE_S = 0.25
+"""Time without a byte after which a server may be taken for lost, once the request's
 deadline has passed. A response that makes progress may last longer."""
 
+SILENCE_RATIO = 2.0
+"""A stream that has had pauses is silent for this many times its longest one."""
+
 
 class ResponseBody(Protocol):
     """Forwards the body of a response, with back-pressure from caller to server.
@@ -34,8 +37,9 @@
     truncated response does not look complete.
 
     After ``deadline_s``, on the loop's clock, a response counts as truncated as soon as
-    the server sends nothing for ``MAX_SILENCE_S``. While the caller is too slow to take
-    what the server sends, the server is not silent.
+    the server is silent: it has sent nothing for ``MIN_SILENCE_S``, and for clearly
+    longer than in any pause before. While the caller is too slow to take what the
+    server sends, the server is not silent.
     """
 
     def __init__(
@@ -57,6 +61,9 @@
         self._deadline_s = deadline_s
         self._silence_timeout: Timeout | None = None
         self._received_s = clock.seconds()
+        self._has_data = False
+        self._longest_pause_s = 0.0
+        """Between two pieces of the body; the wait for the first one is not counted."""
         self._is_paused = False
         self._finished = False
 
@@ -75,10 +82,10 @@
         )
 
     def _check_silence(self) -> None:
-        silent_s = self._clock.seconds() - self._received_s
-        if self._is_paused or silent_s < MAX_SILENCE_S:
-            rest_s = MAX_SILENCE_S if self._is_paused else MAX_SILENCE_S - silent_s
-            self._start_silence_timeout(rest_s)
+        silence_s = max(MIN_SILENCE_S, SILENCE_RATIO * self._longest_pause_s)
+        silent_s = 0.0 if self._is_paused else self._clock.seconds() - self._received_s
+        if silent_s < silence_s:
+            self._start_silence_timeout(silence_s - silent_s)
             return
         self.timed_out = True
         self._finish(complete=False)
@@ -106,7 +113,12 @@
         """Forward a chunk of the body."""
         if self._finished:
             return
-        self._received_s = self._clock.seconds()
+        now_s = self._clock.seconds()
+        if self._has_data:
+            pause_s = now_s - self._received_s
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._has_data = True
+        self._received_s = now_s
         if self._stall_timer is not None:
             self._stall_timer.reset(self._stall_timeout_s)
         self._store(data)
--- a/tests/test_relay_answer_end.py
+++ b/tests/test_relay_answer_end.py
@@ -11,7 +11,7 @@
 from twisted.web._newclient import ResponseDone
 
 from gentianwharf.relay import ConnectionLimits, Outcome
-from gentianwharf.relay._response import MAX_SILENCE_S, ResponseBody
+from gentianwharf.relay._response import MIN_SILENCE_S, ResponseBody
 from tests.builders_relay import (
     read_head,
     request,
@@ -21,6 +21,7 @@
 
 WAIT_S = 5.0
 DEADLINE_S = 1.5
+PAUSE_S = 0.6
 MAX_LATE_S = 0.5
 """A response has to end within this time after the route's timeout."""
 
@@ -100,13 +101,24 @@
     response = Response()
     for _ in range(100):
         response.body.dataReceived(b"x" * 100)
-        response.pass_time(MAX_SILENCE_S / 2)
+        response.pass_time(MIN_SILENCE_S / 2)
     response.body.connectionLost(Failure(ResponseDone()))
     assert len(response.request.written) == 10_000
     assert not response.request.is_aborted
     assert not response.clock.getDelayedCalls()
 
 
+def test_stream_with_pauses_lasts_beyond_the_deadline() -> None:
+    """Guards against breaking off a stream in one of its usual pauses."""
+    response = Response()
+    for _ in range(10):
+        response.pass_time(PAUSE_S)
+        response.body.dataReceived(b"event")
+    assert not response.request.is_aborted
+    response.pass_time(3 * PAUSE_S)
+    assert response.request.is_aborted
+
+
 def test_slow_caller_is_not_a_silent_server() -> None:
     """Guards against breaking off a response that waits for its caller."""
     response = Response()
@@ -115,7 +127,7 @@
     response.pass_time(3 * DEADLINE_S)
     assert not response.request.is_aborted
     response.request.producer.resumeProducing()
-    response.pass_time(MAX_SILENCE_S - 0.02)
+    response.pass_time(MIN_SILENCE_S - 0.02)
     assert not response.request.is_aborted
     response.pass_time(MAX_LATE_S)
     assert response.request.is_aborted
