--- a/tests/builders_faulty_answers.py
+++ b/tests/builders_faulty_answers.py
@@ -82,7 +82,11 @@
 
 
 def _read_body(connection: socket.socket, received: bytes) -> tuple[bytes, bytes]:
-    """Return head and body of a request of which ``received`` was read."""
+    """Return head and body of a request of which ``received`` was read.
+
+    Raises ``ConnectionError``, which closes the connection, if the body is cut off, or
+    if the next request follows: a late answer was taken for that to this request.
+    """
     head, _, body = received.partition(b"\r\n\r\n")
     length = 0
     for line in head.split(b"\r\n"):
@@ -94,4 +98,6 @@
         if not piece:
             raise ConnectionError("the body is incomplete")
         body += piece
+    if len(body) > length:
+        raise ConnectionError("a request came before the answer to the last one")
     return head + b"\r\n\r\n", body
--- a/tests/test_entryhost_metrics.py
+++ b/tests/test_entryhost_metrics.py
@@ -111,9 +111,7 @@
     assert f"{prefix}retry_budget_share{{{labels}}}" in text
 
 
-def test_success_of_a_request_that_was_sent_twice_is_logged_with_its_connections() -> (
-    None
-):
+def test_success_after_two_sends_is_logged_with_its_connections() -> None:
     """Guards against a doubled run that leaves no trace of its sends."""
     observer = AnswerLog(
         metrics=HostMetrics(), rules_version=lambda: 8, view_age_s=lambda: 0.0
--- a/tests/test_users_platform_orders.py
+++ b/tests/test_users_platform_orders.py
@@ -161,7 +161,7 @@
     assert b"Expected-Instance: i-1" in server.requests[0]
 
 
-KEPT_RELEASE = Release(first=3, last=9, token=13)
+RELEASE = Release(first=3, last=9, token=13)
 
 
 @contextmanager
@@ -181,7 +181,7 @@
     """
     granted, released = answer("200 OK"), answer("200 OK", "Handover: 77\r\n")
     with late_copies(granted, released) as (address, copies):
-        results = send_orders(address, [GRANT, KEPT_RELEASE])
+        results = send_orders(address, [GRANT, RELEASE])
     assert results == [None, "77"]
     assert copies.copies_sent == 1
 
@@ -205,7 +205,7 @@
     """Guards against a handover that belongs to other keys."""
     first, second = (answer("200 OK", f"Handover: {each}\r\n") for each in (77, 78))
     with late_copies(first, second) as (address, _):
-        results = send_orders(address, [KEPT_RELEASE, KEPT_RELEASE])
+        results = send_orders(address, [RELEASE, RELEASE])
     assert results == ["77", "78"]
 
 
@@ -213,7 +213,7 @@
     """Guards against a grant that looks accepted although it is refused."""
     released, refused = answer("200 OK", "Handover: 77\r\n"), answer("409 Conflict")
     with late_copies(released, refused) as (address, _):
-        results = send_orders(address, [KEPT_RELEASE, GRANT])
+        results = send_orders(address, [RELEASE, GRANT])
     assert results[0] == "77"
     assert isinstance(results[1], RefusedError)
 
@@ -255,7 +255,7 @@
 
     scripted = KeepingServer(scripts=[closing])
     address = f"127.0.0.1:{scripted.start()}"
-    results = send_orders(address, [GRANT, KEPT_RELEASE])
+    results = send_orders(address, [GRANT, RELEASE])
     assert results[0] is None
     assert isinstance(results[1], OutcomeUnknownError)
 
@@ -271,7 +271,7 @@
     scripted = KeepingServer(scripts=[LateCopies(answers=answers, copies=0)])
     address = f"127.0.0.1:{scripted.start()}"
     orders: list[Grant | Release]
-    orders = [GRANT, KEPT_RELEASE, GRANT, KEPT_RELEASE, GRANT, GRANT, GRANT]
+    orders = [GRANT, RELEASE, GRANT, RELEASE, GRANT, GRANT, GRANT]
     results = send_orders(address, orders)
     scripted.stop()
     assert results[:2] == [None, "77"]
@@ -304,7 +304,7 @@
     answers = [answer("200 OK", f"Handover: {each}\r\n") for each in range(5)]
     scripted = KeepingServer(scripts=[LateCopies(answers=answers, copies=0)])
     address = f"127.0.0.1:{scripted.start()}"
-    results = send_orders(address, [KEPT_RELEASE] * 5)
+    results = send_orders(address, [RELEASE] * 5)
     scripted.stop()
     assert results == ["0", "1", "2", "3", "4"]
     assert scripted.connections == 3
