--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -26,7 +26,7 @@
 deadline has passed. A response that makes progress may last longer."""
 
 SILENCE_RATIO = 2.0
-"""A stream that has had pauses is silent for this many times its longest one."""
+"""A server that paused before is silent after this many times its longest pause."""
 
 
 class ResponseBody(Protocol):
