Play a large fleet as processes, and compare what servers get with what hosts state

Nothing that the project plays had the size and rates at which the users saw BUDGET broken: the tests start 24 hosts at most, the soak four. bench.fleet starts 84 hosts, 242 servers and callers at the deployment's rates, loses answers, passes addresses on, moves a rule, lets hosts and servers stand still and kills hosts. Requests are counted at callers, repeats at servers, and both are compared with what hosts state. The other forms of BUDGET (max-attempts, the time that servers are given) are judged in the same runs; for this the stand-in states the deadline that its servers get.

--- /dev/null
+++ b/bench/fleet/__main__.py
@@ -0,0 +1,113 @@
+"""Play a fleet: ``python -m bench.fleet --disruption lost-answers``."""
+
+import sys
+import time
+from pathlib import Path
+from random import Random
+from tempfile import mkdtemp
+
+from cyclopts import App
+
+import gentianwharf
+
+from ._disruptions import DISRUPTIONS
+from ._fleet import POLL_INTERVAL_S, Fleet
+from ._judge import summary, violations
+
+CALLER_PROCESSES = 3
+
+app = App(name="fleet", help="A large fleet as processes on this machine.")
+
+
+@app.default
+def run(
+    *,
+    disruption: str = "lost-answers",
+    hosts: int = 84,
+    duration_s: float = 44.0,
+    rate: float = 1.0,
+    impatient_share: float = 0.3,
+    wait_s: float | None = None,
+    seed: int = 1,
+    net: int = 90,
+    host_sources: Path | None = None,
+) -> None:
+    """Play one run, and exit with 1 if more was repeated than operators allow.
+
+    Parameters
+    ----------
+    disruption
+        One of the names in ``DISRUPTIONS``.
+    hosts
+        How many hosts.
+    duration_s
+        For how long callers send.
+    rate
+        Multiple of the rates in the sheet.
+    impatient_share
+        Share of the callers that repeat at once.
+    wait_s
+        Callers begin this long after the start of the hosts; by default, once all
+        hosts are ready.
+    seed
+        Seed of the random choices.
+    net
+        Programs listen below 127.NET, so that several runs don't meet.
+    host_sources
+        Folder with the sources of the hosts, by default those of this checkout.
+
+    """
+    rng = Random(seed)
+    directory = Path(mkdtemp(prefix="fleet-"))
+    sources = host_sources or Path(gentianwharf.__file__).parents[1]
+    fleet = Fleet(directory=directory, net=net, hosts=hosts, host_sources=sources)
+    outputs = [directory / f"callers-{part}.jsonl" for part in range(CALLER_PROCESSES)]
+    try:
+        fleet.start_platform()
+        started_s = time.monotonic()
+        for number in range(hosts):
+            fleet.start_host(number)
+        _wait_for_hosts(fleet, wait_s)
+        ready = fleet.ready_hosts()
+        waited_s = time.monotonic() - started_s
+        begun_s = time.monotonic()
+        for part, output in enumerate(outputs):
+            fleet.start_callers(
+                f"callers-{part}",
+                output,
+                *("--net", str(net), "--hosts", str(hosts), "--part", str(part)),
+                *("--parts", str(len(outputs)), "--duration-s", str(duration_s)),
+                *("--rate", str(rate), "--impatient-share", str(impatient_share)),
+                *("--seed", str(seed)),
+            )
+        for step in sorted(DISRUPTIONS[disruption], key=lambda step: step.at_s):
+            _sleep_until(begun_s + step.at_s)
+            step.act(fleet, rng)
+        for part in range(CALLER_PROCESSES):
+            fleet.wait_for(f"callers-{part}")
+        record = fleet.record(outputs)
+    finally:
+        fleet.stop()
+    found = violations(record)
+    print(
+        f"{disruption}, {hosts} hosts, seed {seed}, rate {rate}: {ready} ready after"
+        f" {waited_s:.1f} s; {len(found)} broken; logs in {directory}"
+    )
+    print("\n".join(f"  {line}" for line in [*summary(record), *found]), flush=True)
+    sys.exit(1 if found else 0)
+
+
+def _wait_for_hosts(fleet: Fleet, wait_s: float | None) -> None:
+    if wait_s is not None:
+        _sleep_until(time.monotonic() + wait_s)
+        return
+    while fleet.ready_hosts() < fleet.host_count:
+        time.sleep(POLL_INTERVAL_S)
+
+
+def _sleep_until(end_s: float) -> None:
+    time.sleep(max(0.0, end_s - time.monotonic()))
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/bench/fleet/_callers.py
@@ -0,0 +1,201 @@
+"""Callers of all hosts: ``python -m bench.fleet._callers``.
+
+They repeat as the platform's callers do: a few times within their deadline, each time
+with a new id and on a new connection.
+"""
+
+import sys
+from pathlib import Path
+from random import Random
+from typing import Any, final
+
+import msgspec
+from cyclopts import App
+from twisted.internet import reactor as installed_reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+
+from gentianwharf.http_agent import BytesBody
+from gentianwharf.lifecycle import use_monotonic_time
+from gentianwharf.platform.standin import CALLERS_PORT
+
+from ._sheet import REQUESTS, SERVICES, RequestSpec, host_ip
+
+SHARDS = 65_536
+RETRIES = 2
+CONNECT_TIMEOUT_S = 1.0
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+RETRY_DELAY_S = 0.1
+AT_ONCE_DELAY_S = 0.005
+MAX_WAIT_SHARE = 1 / 3
+"""Part of the time left for which callers wait when they are told to."""
+
+app = App(name="callers", help="Callers of a fleet.")
+reactor: Any = installed_reactor
+KEYED = frozenset(service.name for service in SERVICES if service.keyed)
+
+
+class SentRequest(msgspec.Struct):
+    """One request as its caller sees it; ``status`` is 0 without an answer."""
+
+    id: str
+    kind: str
+    service: str
+    sent_s: float
+    deadline_ms: int
+    is_first: bool
+    status: int = 0
+    elapsed_s: float = 0.0
+    retry_after_s: float = RETRY_DELAY_S
+
+
+@final
+class Callers:
+    """Callers of hosts that are chosen at random for each request."""
+
+    def __init__(
+        self, *, net: int, hosts: int, seed: int, impatient_share: float, prefix: str
+    ) -> None:
+        self.requests: list[SentRequest] = []
+        self.is_sending = True
+        self._net = net
+        self._hosts = hosts
+        self._rng = Random(seed)
+        self._impatient_share = impatient_share
+        self._prefix = prefix
+        self._count = 0
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        pool.retryAutomatically = False
+        self._kept = Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
+        self._new = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+
+    def start(self, spec: RequestSpec, per_s: float) -> None:
+        """Send requests of a kind from now on."""
+        if self.is_sending:
+            Deferred.fromCoroutine(self._call(spec))
+            reactor.callLater(self._rng.expovariate(per_s), self.start, spec, per_s)
+
+    async def _call(self, spec: RequestSpec) -> None:
+        end_s = reactor.seconds() + spec.deadline_ms / 1000
+        is_impatient = self._rng.random() < self._impatient_share
+        for number in range(1 + RETRIES):
+            left_s = end_s - reactor.seconds()
+            if left_s <= 0:
+                return
+            agent = self._new if number else self._kept
+            request = await self._send(agent, spec, left_s, is_first=not number)
+            is_repeatable = spec.repeatable or request.status in NOT_RUN_STATUSES
+            if request.status in (200, 400, 404) or not is_repeatable:
+                return
+            left_s = end_s - reactor.seconds()
+            delay_s = min(request.retry_after_s, max(0.0, left_s) * MAX_WAIT_SHARE)
+            await deferLater(reactor, AT_ONCE_DELAY_S if is_impatient else delay_s)
+
+    async def _send(
+        self, agent: Agent, spec: RequestSpec, left_s: float, *, is_first: bool
+    ) -> SentRequest:
+        self._count += 1
+        request = SentRequest(
+            id=f"{self._prefix}-{self._count}",
+            kind=spec.name,
+            service=spec.service,
+            sent_s=reactor.seconds(),
+            deadline_ms=int(left_s * 1000),
+            is_first=is_first,
+        )
+        self.requests.append(request)
+        answer = Deferred.fromCoroutine(self._exchange(agent, spec, request))
+        answer.addTimeout(left_s, reactor)
+        try:
+            await answer
+        except Exception:
+            # Counted by its status of 0.
+            request.status = 0
+        request.elapsed_s = reactor.seconds() - request.sent_s
+        return request
+
+    async def _exchange(
+        self, agent: Agent, spec: RequestSpec, request: SentRequest
+    ) -> None:
+        headers = Headers({"Host": [spec.host], "Attempt-Id": [request.id]})
+        headers.setRawHeaders("Deadline-Ms", [str(request.deadline_ms)])
+        if spec.service in KEYED:
+            headers.setRawHeaders("Shard-Key", [str(self._rng.randrange(SHARDS))])
+        ip = host_ip(self._net, self._rng.randrange(self._hosts))
+        method = b"GET" if spec.repeatable else b"POST"
+        body = None if spec.repeatable else BytesBody(body=b"x" * 300)
+        url = f"http://{ip}:{CALLERS_PORT}/".encode()
+        response = await agent.request(method, url, headers, body)
+        for value in response.headers.getRawHeaders("retry-after", []):
+            request.retry_after_s = float(value)
+        await readBody(response)
+        request.status = response.code
+
+
+@app.default
+def run(
+    output: Path,
+    *,
+    net: int,
+    hosts: int,
+    part: int,
+    parts: int,
+    duration_s: float,
+    rate: float = 1.0,
+    impatient_share: float = 0.0,
+    seed: int = 1,
+) -> None:
+    """Send a part of the requests of the sheet, and write a line for each to OUTPUT.
+
+    Parameters
+    ----------
+    output
+        File of JSON lines.
+    net
+        Hosts listen below 127.NET.
+    hosts
+        How many hosts there are.
+    part
+        Number of this process, from 0.
+    parts
+        How many processes send requests.
+    duration_s
+        For how long.
+    rate
+        Multiple of the rates in the sheet.
+    impatient_share
+        Share of the callers that repeat at once.
+    seed
+        Seed of the random choices.
+
+    """
+    use_monotonic_time(reactor)
+    callers = Callers(
+        net=net,
+        hosts=hosts,
+        seed=seed * parts + part,
+        impatient_share=impatient_share,
+        prefix=f"{seed}-{part}",
+    )
+    for spec in REQUESTS:
+        callers.start(spec, spec.per_s * rate / parts)
+
+    def stop_sending() -> None:
+        callers.is_sending = False
+        reactor.callLater(max(spec.timeout_ms for spec in REQUESTS) / 1000, end)
+
+    def end() -> None:
+        with output.open("wb") as file:
+            file.writelines(
+                msgspec.json.encode(request) + b"\n" for request in callers.requests
+            )
+        reactor.stop()
+
+    reactor.callLater(duration_s, stop_sending)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/bench/fleet/_disruptions.py
@@ -0,0 +1,121 @@
+"""What happens to a fleet while callers send."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+from ._fleet import SERVER_PROCESSES, Fleet
+from ._servers import Order
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Step:
+    """Something that happens ``at_s`` after callers began to send."""
+
+    at_s: float
+    act: Callable[[Fleet, Random], None]
+
+
+def _order(**fields: float | str | bool) -> Callable[[Fleet, Random], None]:
+    order = Order(**fields)  # type: ignore[arg-type]
+    return lambda fleet, rng: fleet.order_servers(order)
+
+
+def _pause_hosts(share: float) -> Callable[[Fleet, Random], None]:
+    def act(fleet: Fleet, rng: Random) -> None:
+        fleet.pause(f"host-{number}" for number in _some_hosts(fleet, rng, share))
+
+    return act
+
+
+def _pause_servers(parts: int) -> Callable[[Fleet, Random], None]:
+    def act(fleet: Fleet, rng: Random) -> None:
+        chosen = rng.sample(range(SERVER_PROCESSES), parts)
+        fleet.pause(f"servers-{part}" for part in chosen)
+
+    return act
+
+
+def _pause_all(fleet: Fleet, rng: Random) -> None:
+    _pause_hosts(1.0)(fleet, rng)
+    _pause_servers(SERVER_PROCESSES)(fleet, rng)
+
+
+def _resume(fleet: Fleet, rng: Random) -> None:
+    fleet.resume()
+
+
+def _restart_hosts(share: float) -> Callable[[Fleet, Random], None]:
+    return lambda fleet, rng: fleet.restart_hosts(_some_hosts(fleet, rng, share))
+
+
+def _some_hosts(fleet: Fleet, rng: Random, share: float) -> list[int]:
+    return rng.sample(range(fleet.host_count), round(share * fleet.host_count))
+
+
+def _lost(from_s: float, to_s: float, share: float = 0.9) -> Iterator[Step]:
+    yield Step(at_s=from_s, act=_order(lost_share=share))
+    yield Step(at_s=to_s, act=_order(lost_share=0.0))
+
+
+def _pauses(
+    act: Callable[[Fleet, Random], None], *starts_s: float, for_s: float
+) -> Iterator[Step]:
+    for start_s in starts_s:
+        yield Step(at_s=start_s, act=act)
+        yield Step(at_s=start_s + for_s, act=_resume)
+
+
+DISRUPTIONS: Mapping[str, tuple[Step, ...]] = {
+    "none": (),
+    "lost-answers": tuple(_lost(14, 40)),
+    "server-pauses": (
+        *_lost(14, 40, 0.6),
+        *_pauses(_pause_servers(4), 16, for_s=3.0),
+        *_pauses(_pause_servers(2), 24, 32, for_s=3.0),
+    ),
+    "host-pauses": (
+        *_lost(14, 40),
+        *_pauses(_pause_hosts(0.3), 15, 21, 27, 33, for_s=3.0),
+    ),
+    "host-stalls": (
+        *_lost(14, 40),
+        *_pauses(_pause_hosts(1.0), 14.5, 20.5, 26.5, 32.5, for_s=3.0),
+    ),
+    "all-stalls": (
+        *_lost(14, 40),
+        *_pauses(_pause_all, 15, 21, 27, 33, for_s=3.0),
+    ),
+    "reassigned-addresses": (
+        *_lost(14, 40, 0.6),
+        *(
+            Step(at_s=at_s, act=_order(reassigned_share=0.15))
+            for at_s in (16, 22, 28, 34)
+        ),
+    ),
+    "rules": (
+        *_lost(14, 40, 0.8),
+        *(
+            Step(at_s=at_s, act=_order(moves_rule=number % 2 == 0))
+            for number, at_s in enumerate((16, 20, 24, 28, 32, 36))
+        ),
+    ),
+    "restarts": (
+        *_lost(14, 40),
+        *(Step(at_s=at_s, act=_restart_hosts(0.55)) for at_s in (15, 20, 25, 33)),
+    ),
+    "rests": (
+        Step(at_s=14, act=_order(rest_s=3.0)),
+        Step(at_s=30, act=_order(rest_s=0.0)),
+    ),
+    "all": (
+        *_lost(14, 40, 0.8),
+        *(Step(at_s=at_s, act=_order(reassigned_share=0.1)) for at_s in (16, 30)),
+        *_pauses(_pause_hosts(0.3), 18, 34, for_s=3.0),
+        *_pauses(_pause_servers(2), 22, for_s=3.0),
+        *(Step(at_s=at_s, act=_restart_hosts(0.3)) for at_s in (26, 31)),
+    ),
+}
+"""Disruptions by name. Callers send for some time before, so that budgets are full."""
--- /dev/null
+++ b/bench/fleet/_fleet.py
@@ -0,0 +1,203 @@
+"""The processes of a fleet: a store, servers, hosts and callers."""
+
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from pathlib import Path
+from typing import final
+
+import msgspec
+
+from gentianwharf.platform import SETTINGS_PATH_VARIABLE
+from gentianwharf.platform.standin import (
+    CALLERS_PORT,
+    READINESS_PORT,
+    settings_text,
+)
+
+from ._callers import SentRequest
+from ._judge import Record, read_server_lines
+from ._servers import Order
+from ._sheet import AGREEMENT, host_ip, operators_address, store_address
+
+METRICS_PORT = 9464
+SERVER_PROCESSES = 4
+POLL_INTERVAL_S = 0.2
+START_TIMEOUT_S = 180.0
+METRICS_TIMEOUT_S = 10.0
+SENT_METRIC = re.compile(
+    r"gentianwharf_requests_sent_total\{(?P<labels>[^}]*)\} (?P<count>\S+)"
+)
+LABEL = re.compile(r'(\w+)="([^"]*)"')
+
+
+@final
+class Fleet:
+    """Starts, disrupts and ends the processes; each logs to a file in ``directory``.
+
+    ``host_sources`` is the folder of the sources that the hosts run.
+    """
+
+    def __init__(
+        self, *, directory: Path, net: int, hosts: int, host_sources: Path
+    ) -> None:
+        self.host_count = hosts
+        self.net = net
+        self._directory = directory
+        self._host_sources = host_sources
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._paused: set[str] = set()
+
+    def start_platform(self) -> None:
+        """Start the store and the servers, and wait until these are listed."""
+        self._start(
+            "store",
+            *("-m", "gentianwharf.platform.standin", "store"),
+            *(store_address(self.net), operators_address(self.net)),
+        )
+        self._wait_for_lines(["store"])
+        names = [f"servers-{part}" for part in range(SERVER_PROCESSES)]
+        for part, name in enumerate(names):
+            arguments = (str(self.net), str(part), str(SERVER_PROCESSES))
+            self._start(name, "-m", "bench.fleet._servers", *arguments, has_input=True)
+        self._wait_for_lines(names)
+
+    def _wait_for_lines(self, names: Iterable[str]) -> None:
+        for name in names:
+            end_s = time.monotonic() + START_TIMEOUT_S
+            while b"ready" not in (self._directory / f"{name}.log").read_bytes():
+                if time.monotonic() > end_s:
+                    raise TimeoutError(f"{name} did not start; see its log")
+                time.sleep(POLL_INTERVAL_S)
+
+    def start_host(self, number: int) -> None:
+        """Start a host, which may have run before."""
+        name, ip = f"host-{number}", host_ip(self.net, number)
+        path = self._directory / f"{name}.toml"
+        path.write_text(
+            settings_text(
+                name=name,
+                ip=ip,
+                domain="abc"[number % 3],
+                store=store_address(self.net),
+                extra_retries=int(AGREEMENT.extra),
+            )
+        )
+        self._start(
+            name,
+            *("-OO", "-m", "gentianwharf.entry"),
+            env={
+                SETTINGS_PATH_VARIABLE: str(path),
+                "GENTIANWHARF_LISTEN": f"{ip}:{CALLERS_PORT}",
+                "PYTHONPATH": str(self._host_sources),
+            },
+        )
+
+    def ready_hosts(self) -> int:
+        """Return how many hosts state that they are ready."""
+        with ThreadPoolExecutor(16) as pool:
+            return sum(pool.map(self._is_ready, range(self.host_count)))
+
+    def _is_ready(self, number: int) -> bool:
+        address = f"http://{host_ip(self.net, number)}:{READINESS_PORT}/v1/readiness"
+        try:
+            with urllib.request.urlopen(address, timeout=METRICS_TIMEOUT_S):
+                return True
+        except OSError:
+            return False
+
+    def order_servers(self, order: Order) -> None:
+        """Let every process of servers carry out an order."""
+        line = msgspec.json.encode(order) + b"\n"
+        for part in range(SERVER_PROCESSES):
+            stdin = self._processes[f"servers-{part}"].stdin
+            assert stdin is not None
+            stdin.write(line)
+            stdin.flush()
+
+    def pause(self, names: Iterable[str]) -> None:
+        """Let processes stand still."""
+        for name in names:
+            self._processes[name].send_signal(signal.SIGSTOP)
+            self._paused.add(name)
+
+    def resume(self) -> None:
+        """Let all processes run on that stand still."""
+        for name in sorted(self._paused):
+            self._processes[name].send_signal(signal.SIGCONT)
+        self._paused.clear()
+
+    def restart_hosts(self, numbers: Iterable[int]) -> None:
+        """Kill hosts at once, and start them again."""
+        numbers = list(numbers)
+        for number in numbers:
+            self._processes[f"host-{number}"].kill()
+        for number in numbers:
+            self._processes[f"host-{number}"].wait()
+            self._paused.discard(f"host-{number}")
+            self.start_host(number)
+
+    def start_callers(self, name: str, output: Path, *options: str) -> None:
+        """Start a process of callers, which writes its requests to ``output``."""
+        self._start(name, "-m", "bench.fleet._callers", str(output), *options)
+
+    def wait_for(self, name: str) -> None:
+        """Wait until a process ends by itself."""
+        self._processes[name].wait()
+
+    def record(self, outputs: Iterable[Path]) -> Record:
+        """Return all that was counted."""
+        record = Record()
+        for output in outputs:
+            lines = output.read_bytes().splitlines()
+            record.sent += [
+                msgspec.json.decode(line, type=SentRequest) for line in lines
+            ]
+        for part in range(SERVER_PROCESSES):
+            log = self._directory / f"servers-{part}.log"
+            read_server_lines(log.read_bytes().splitlines(), record)
+        with ThreadPoolExecutor(16) as pool:
+            for text in pool.map(self._metrics, range(self.host_count)):
+                for found in SENT_METRIC.finditer(text):
+                    labels = dict(LABEL.findall(found["labels"]))
+                    key = (labels["service"], labels["cause"])
+                    record.stated[key] += int(float(found["count"]))
+        return record
+
+    def _metrics(self, number: int) -> str:
+        address = f"http://{host_ip(self.net, number)}:{METRICS_PORT}/metrics"
+        try:
+            with urllib.request.urlopen(address, timeout=METRICS_TIMEOUT_S) as page:
+                return str(page.read().decode())
+        except OSError:
+            return ""
+
+    def stop(self) -> None:
+        """Kill every process that is still running."""
+        for process in self._processes.values():
+            with suppress(ProcessLookupError):
+                process.kill()
+            process.wait()
+
+    def _start(
+        self,
+        name: str,
+        *arguments: str,
+        env: dict[str, str] | None = None,
+        has_input: bool = False,
+    ) -> None:
+        with (self._directory / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.PIPE if has_input else subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **(env or {})},
+            )
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -52,13 +52,15 @@
 class Arrival:
     """A request that reached a server, whether it runs it or refuses it.
 
-    ``arrived_s`` is a reading of the reactor's clock in seconds.
+    ``arrived_s`` is a reading of the reactor's clock in seconds, ``deadline_ms`` the
+    time that the server was given, None if it was given none.
     """
 
     server: str
     service: str
     request_id: str
     arrived_s: float
+    deadline_ms: int | None
 
 
 @final
@@ -116,6 +118,7 @@
         super().__init__()
         self.spec = spec
         self.listed_as = spec.address
+        self.lost_share = spec.lost_share
         self.on_arrival: Callable[[Arrival], None] = lambda arrival: None
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.on_refused: Callable[[str], None] = lambda request_id: None
@@ -157,7 +160,7 @@
                     lease_id = await store.open_lease(HEARTBEAT_S * LEASE_HEARTBEATS)
                 else:
                     await store.renew_lease(lease_id)
-                await store.change(Change(puts=(self._entry(lease_id),)))
+                await store.change(Change(puts=(self.entry(lease_id),)))
             except Exception as error:
                 log.info("can't renew the server entry: {}", error)
                 lease_id = 0
@@ -167,7 +170,8 @@
         """Let the server's entry in the store expire."""
         self._is_withdrawn = True
 
-    def _entry(self, lease_id: int) -> Put:
+    def entry(self, lease_id: int) -> Put:
+        """Return a put of the server's entry, which expires with the lease."""
         spec = self.spec
         self._sequence += 1
         entry = {
@@ -268,6 +272,7 @@
                 service=self.spec.service,
                 request_id=request_id,
                 arrived_s=self._reactor.seconds(),
+                deadline_ms=_deadline_ms(request),
             )
         )
         if not request_id:
@@ -299,7 +304,7 @@
     def _complete(self, work: _Work) -> None:
         is_whole = self._may_run(work)
         self._finish_run(work, is_whole=is_whole)
-        if self._rng.random() < self.spec.lost_share:
+        if self._rng.random() < self.lost_share:
             work.request.loseConnection()
             return
         body = work.request_id.encode() + b" " + _content(work.request)[:64]
@@ -379,5 +384,10 @@
         return max(0.0, self.spec.cold_s - started_s)
 
 
+def _deadline_ms(request: Request) -> int | None:
+    deadline = request.getHeader("deadline-ms")
+    return int(deadline) if deadline is not None else None
+
+
 def _content(request: Request) -> bytes:
     return request.content.read() if request.content is not None else b""
--- a/src/gentianwharf/platform/standin/_settings.py
+++ b/src/gentianwharf/platform/standin/_settings.py
@@ -10,7 +10,14 @@
 RETRY_WINDOW_S = 10
 
 
-def settings_text(*, name: str, ip: str, domain: str, store: str) -> str:
+def settings_text(
+    *,
+    name: str,
+    ip: str,
+    domain: str,
+    store: str,
+    extra_retries: int = EXTRA_RETRIES,
+) -> str:
     """Return the settings of a host that has its own IP address."""
     return f"""\
 node-name = "{name}"
@@ -22,7 +29,7 @@
 heartbeat-interval = "800ms"
 bounds = ["drain-timeout=2000ms", "grace-period=6s", "config-apply=2000ms",
   "retry-budget-ratio={RETRY_BUDGET_RATIO}", "budget-window={RETRY_WINDOW_S}s",
-  "budget-extra-retries={EXTRA_RETRIES}",
+  "budget-extra-retries={extra_retries}",
   "max-hold=10000ms"]
 [zones]
 {domain} = "here"
--- /dev/null
+++ b/tests/builders_fleet.py
@@ -0,0 +1,60 @@
+"""Records of what servers of a fleet got, for tests of how they are judged."""
+
+from bench.fleet._callers import SentRequest
+from bench.fleet._judge import Record
+
+from gentianwharf.platform.standin import Arrival, RequestRun
+
+SERVICE, OTHER_SERVICE = "calendar", "seats"
+DEADLINE_MS = 4_000
+
+
+def sent(number: int, *, at_s: float, service: str = SERVICE) -> SentRequest:
+    """Return a request that a caller sent."""
+    return SentRequest(
+        id=f"request-{number}",
+        kind="consult",
+        service=service,
+        sent_s=at_s,
+        deadline_ms=DEADLINE_MS,
+        is_first=True,
+    )
+
+
+def arrival(
+    number: int,
+    *,
+    at_s: float,
+    service: str = SERVICE,
+    deadline_ms: int | None = DEADLINE_MS,
+) -> Arrival:
+    """Return the arrival of a request at a server."""
+    return Arrival(
+        server=f"{service}-1",
+        service=service,
+        request_id=f"request-{number}",
+        arrived_s=at_s,
+        deadline_ms=deadline_ms,
+    )
+
+
+def run_at(number: int, server: str) -> RequestRun:
+    """Return a run of a request at a server."""
+    return RequestRun(
+        server=server,
+        request_id=f"request-{number}",
+        shard=None,
+        begun_s=0.0,
+        ended_s=1.0,
+        is_whole=True,
+    )
+
+
+def repeated(count: int, *, at_s: float, service: str = SERVICE) -> Record:
+    """Return a record of requests that each arrived twice."""
+    record = Record()
+    for number in range(count):
+        record.sent.append(sent(number, at_s=at_s))
+        record.arrivals.append(arrival(number, at_s=at_s))
+        record.arrivals.append(arrival(number, at_s=at_s + 0.1, service=service))
+    return record
