Leave room in the retry budgets for requests and retries that come late

What callers saw: nothing themselves; servers may get more repeats in a window than operators allow (BUDGET). Cause: operators count a request when it is sent and a retry when it arrives; a host adds the agreed ratio when it reads a request and takes a retry when it writes it. The budget assumes that up to 2 s (DELIVERY_S) may lie between the two: a share is available again after a window and 2 s. The ratio assumed none: what hosts read late comes together with what is sent then, and adds the ratio of 12 s of requests to a window of ten. Why it works: requests of a window and the 2 s before it add at most the ratio of a window. Hosts without a share are unchanged: their retries are due within a window less 2 s.

--- a/src/gentianwharf/load/_budget.py
+++ b/src/gentianwharf/load/_budget.py
@@ -15,7 +15,8 @@
 
 DELIVERY_S = 2.0
 """Longest usual time from a request's sending by its caller to the arrival of its retry
-at a server. Retries count in the window in which they arrive."""
+at a server. Requests count in the window in which they are sent, retries in the one in
+which they arrive."""
 
 # Allows a service with little traffic a short burst of retries, such as after the loss
 # of a server.
@@ -48,10 +49,12 @@
     """The retries of one service that this host may send.
 
     New requests add retries, up to the host's share of the extra ones that all hosts
-    may send. The whole share is available again after a window without a retry, and not
-    earlier after a start or after the share has grown: until then, this host's previous
-    process or another host may have used it. ``note_time`` has to be called soon after
-    either, or the time counts from the next call.
+    may send. They add fewer than agreed, so that those for the requests of a window and
+    of ``DELIVERY_S`` before it may arrive within one window. The whole share is
+    available again after a window without a retry, and not earlier after a start or
+    after the share has grown: until then, this host's previous process or another host
+    may have used it. ``note_time`` has to be called soon after either, or the time
+    counts from the next call.
 
     A host without a share saves nothing: its retries are due to requests of the last
     window. ``requests``, ``taken`` and ``refused`` are totals since the start.
@@ -59,7 +62,7 @@
     >>> budget = RetryBudget(agreement=RetryAgreement(ratio=0.2), share=2.0)
     >>> [budget.take(0.0), budget.take(13.0), budget.take(13.0), budget.take(13.0)]
     [False, True, True, False]
-    >>> for _ in range(5):
+    >>> for _ in range(6):
     ...     budget.record_request(13.0)
     >>> budget.take(13.0), budget.take(13.0)
     (True, False)
@@ -69,6 +72,7 @@
         "_agreement",
         "_recent",
         "_share",
+        "_shared_ratio",
         "_tokens",
         "_unused_since_s",
         "refused",
@@ -81,6 +85,9 @@
         self.taken = 0
         self.refused = 0
         self._agreement = agreement
+        window_s = agreement.window_s
+        self._shared_ratio = agreement.ratio * window_s / (window_s + DELIVERY_S)
+        """What a request adds while this host has a share."""
         self._share = share
         self._tokens = 0.0
         self._recent: deque[tuple[float, float]] = deque()
@@ -122,11 +129,10 @@
         """Add a fraction of a retry for a new request."""
         self._advance(now_s)
         self.requests += 1
-        added = self._agreement.ratio
         if self._share:
-            self._tokens = min(self._share, _sum(self._tokens, added))
+            self._tokens = min(self._share, _sum(self._tokens, self._shared_ratio))
             return
-        added *= NO_SHARE_FACTOR
+        added = self._agreement.ratio * NO_SHARE_FACTOR
         self._recent.append((now_s, added))
         self._tokens = _sum(self._tokens, added)
 
--- a/tests/test_load_retry_budgets.py
+++ b/tests/test_load_retry_budgets.py
@@ -7,7 +7,7 @@
 from soak._retry_checks import worst_window
 
 from gentianwharf.load import Gate, OutcomeKind, Refuse, RetryAgreement, Start
-from gentianwharf.load._budget import MAX_SAVED_RETRIES, RetryBudget
+from gentianwharf.load._budget import DELIVERY_S, MAX_SAVED_RETRIES, RetryBudget
 from gentianwharf.load._host_shares import HostShares
 from gentianwharf.load._retry_budgets import RetryBudgets
 from tests import builders_load as build
@@ -63,7 +63,14 @@
         self.retried_s += [now_s] * taken
         return taken
 
+    def read(self, name: str, sent_s: float, read_s: float, *, retries: int) -> None:
+        """Read a request later than its caller sent it."""
+        self.send(name, read_s, retries=retries)
+        self.sent_s[-1] = sent_s
+
     def assert_within_the_agreement(self) -> None:
+        self.sent_s.sort()
+        self.retried_s.sort()
         worst = worst_window(self.sent_s, self.retried_s, agreement=self.agreement)
         assert worst.sent <= worst.allowed
 
@@ -136,6 +143,38 @@
     hosts.assert_within_the_agreement()
 
 
+@pytest.mark.parametrize("fails_from_s", [UNUSED_S, UNUSED_S + DELIVERY_S])
+@pytest.mark.parametrize(
+    ("count", "extra", "per_s"),
+    [
+        pytest.param(HOSTS, EXTRA, 124, id="few-requests"),
+        pytest.param(HOSTS, EXTRA, 673, id="busy"),
+        pytest.param(12, 64, 201, id="few-hosts"),
+        pytest.param(12, 64, 535, id="few-busy-hosts"),
+        pytest.param(3, 64, 100, id="three-hosts"),
+    ],
+)
+def test_requests_that_were_read_late_add_no_more_than_agreed(
+    count: int, extra: int, per_s: int, fails_from_s: float
+) -> None:
+    """Guards against retries of more requests than were sent in their window.
+
+    Requests that hosts read late come together with those that are sent then.
+    """
+    hosts = Hosts(agreement=RetryAgreement(ratio=RETRY_RATIO, extra=extra), count=count)
+    for name in hosts.names:
+        hosts.list_hosts(name, hosts.names)
+        hosts.send(name, 0.0)
+    rng = Random(count)
+    on_time_from_s = UNUSED_S + DELIVERY_S
+    for number in range(int(2 * WINDOW_S * per_s)):
+        sent_s = UNUSED_S + number / per_s
+        read_s = min(sent_s + DELIVERY_S, max(sent_s, on_time_from_s))
+        retries = 2 if read_s >= fails_from_s else 0
+        hosts.read(rng.choice(hosts.names), sent_s, read_s, retries=retries)
+    hosts.assert_within_the_agreement()
+
+
 def test_share_that_grows_is_not_available_at_once() -> None:
     """Guards against retries of hosts that left, which may have used them just before.
 
