Send a late request to a second server only once, and count its runs at once

What callers saw: nothing; servers ran a request on more servers than its rule allows (max-attempts, BUDGET). Cause: a hedge that is lost is forgotten by the gate, which sends another one in the next tick while the first server owes its answer; and the attempts of a try were counted against max-attempts only when all of them had ended. Nothing but the retry budget bounded it. Each with a test that failed before: test_hedges_after_lost_ones_keep_to_the_number_of_runs got 533 runs of two more, test_look_up_whose_second_send_was_lost_is_not_sent_a_third_time a third send. Class: a bound that is checked against what has ended, not against what is under way. The rule needs four such requests; that the users met this is not shown. Why it works: a flight is hedged once, and what is in flight or lost in the present try counts before a hedge is sent.

--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -82,6 +82,7 @@
         )
         self._record_sent(state, flight)
         self._second[ticket.id] = flight
+        first.was_hedged = True
         pool.record_start(pool.classes[ticket.request_class], flight, now_s)
         self.hedged += 1
         return Start(ticket_id=ticket.id, server=state.server.id, hedge=True)
@@ -115,7 +116,7 @@
     def _needs_hedge(self, pool: Pool, flight: Flight, now_s: float) -> bool:
         ticket = flight.ticket
         class_state = pool.classes[ticket.request_class]
-        if flight.hedge or not ticket.repeatable or ticket.id in self._second:
+        if flight.hedge or flight.was_hedged or not ticket.repeatable:
             return False
         if not class_state.request_class.hedged or not class_state.median_s:
             return False
--- a/src/gentianwharf/load/_server_state.py
+++ b/src/gentianwharf/load/_server_state.py
@@ -90,6 +90,7 @@
     ``paused`` is set when this host was paused while the request was in flight: the
     time to the answer is then not evidence about the server. ``work_ratio`` is that of
     the server at the start, None if it is unknown or if the request had to wait there.
+    ``was_hedged`` is set once the request was sent to a second server as well.
     """
 
     ticket: Ticket
@@ -97,6 +98,7 @@
     started_s: float
     long: bool
     hedge: bool = False
+    was_hedged: bool = False
     counted: bool = True
     probe: bool = False
     evaluated: bool = False
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -189,7 +189,7 @@
             race is None
             or race.decided
             or self.request.body is not None
-            or not self._tries.may_hedge()
+            or not self._tries.may_hedge(race.possible_runs)
         ):
             self._admission.finished(self.ticket, server, Outcome.CANCELLED, 0.0)
             return
--- a/src/gentianwharf/relay/_race.py
+++ b/src/gentianwharf/relay/_race.py
@@ -38,6 +38,11 @@
         """Whether a server may have received the request and has not refused it."""
         return self._was_sent or any(attempt.is_sent for attempt in self._running)
 
+    @property
+    def possible_runs(self) -> int:
+        """How many attempts are in flight or may have run."""
+        return len(self._running) + self.lost_attempts
+
     def start(self, attempt: Attempt) -> None:
         """Start an attempt alongside those that are running."""
         if self.decided:
--- a/src/gentianwharf/relay/_tries.py
+++ b/src/gentianwharf/relay/_tries.py
@@ -43,6 +43,9 @@
         is_lost = isinstance(error, LostError)
         return isinstance(error, NotRunError) or (is_lost and repeatable)
 
-    def may_hedge(self) -> bool:
-        """Return whether a request in flight may be sent a second time."""
-        return self.runs + 2 <= self.max_runs
+    def may_hedge(self, runs_of_try: int) -> bool:
+        """Return whether a request in flight may be sent once more.
+
+        ``runs_of_try`` attempts of the present try are in flight or may have run.
+        """
+        return self.runs + runs_of_try < self.max_runs
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -141,12 +141,16 @@
         self.retries_allowed = 1_000
         self.retry_delay_s = 0.0
         self.hedge_after_s: float | None = None
+        self.hedges_after_loss = False
+        """Whether each lost attempt of a request is followed by a hedge."""
+        self._hedge: HedgeCallback | None = None
         self.outcome_events: dict[Outcome, threading.Event] = {}
 
     async def admit(
         self, ticket: Ticket, owner: BackendServer | None, hedge: HedgeCallback
     ) -> BackendServer:
         """Return the owner or the next server in turn."""
+        self._hedge = hedge
         if self.hedge_after_s is not None:
             REACTOR.callLater(self.hedge_after_s, hedge, self.servers[-1])
         return owner or self.servers[len(self.outcomes) % len(self.servers)]
@@ -176,6 +180,9 @@
     ) -> None:
         """Record the outcome."""
         self.outcomes.append(outcome)
+        is_lost = outcome is Outcome.LOST
+        if self.hedges_after_loss and is_lost and self._hedge is not None:
+            REACTOR.callLater(0, self._hedge, self.servers[-1])
         if outcome in self.outcome_events:
             self.outcome_events[outcome].set()
         if retry_after_s is not None:
--- a/tests/test_load_health.py
+++ b/tests/test_load_health.py
@@ -171,8 +171,8 @@
     assert isinstance(submit("posting-2", 3.2), Start)
 
 
-def test_late_look_up_at_a_suspect_is_sent_to_a_second_server() -> None:
-    gate = build.gate(build.service(servers=4))
+def hedged(gate: Gate) -> tuple[list[str], list[Start]]:
+    """Let requests wait at a slow server; return them and their hedges at 1.3 s."""
     serve(gate, 60, now_s=0.0)
     slow = {f"inscription-{number}": 20 * USUAL_S for number in (0,)}
     started = [
@@ -188,11 +188,25 @@
             gate.finished(start.ticket_id, build.ok(USUAL_S), 1.02)
     assert stuck
     serve(gate, 12, now_s=1.05, took_s=slow, at_once=12)
-    hedges = [start for start in gate.tick(1.3) if isinstance(start, Start)]
+    return stuck, [start for start in gate.tick(1.3) if isinstance(start, Start)]
+
+
+def test_late_look_up_at_a_suspect_is_sent_to_a_second_server() -> None:
+    stuck, hedges = hedged(build.gate(build.service(servers=4)))
     assert {hedge.ticket_id for hedge in hedges} == set(stuck)
     assert all(hedge.hedge and hedge.server != "inscription-0" for hedge in hedges)
 
 
+def test_look_up_whose_second_send_was_lost_is_not_sent_a_third_time() -> None:
+    """Guards against a hedge in each tick while the first server doesn't answer."""
+    gate = build.gate(build.service(servers=4))
+    _, hedges = hedged(gate)
+    lost = Outcome(kind=OutcomeKind.TIMEOUT, elapsed_s=0.01)
+    for hedge in hedges:
+        gate.finished(hedge.ticket_id, lost, 1.31, hedge.server)
+    assert not [start for start in gate.tick(1.32) if isinstance(start, Start)]
+
+
 def test_draining_server_gets_no_work_while_it_is_still_listed() -> None:
     """Guards against sending work to a draining server because it is still listed.
 
--- a/tests/test_relay_hedging.py
+++ b/tests/test_relay_hedging.py
@@ -5,7 +5,8 @@
 import threading
 
 from gentianwharf.relay import Outcome
-from tests.builders_answers import hanging, ok, shedding
+from gentianwharf.relay._tries import DEFAULT_MAX_RUNS
+from tests.builders_answers import closing, hanging, ok, shedding
 from tests.builders_relay import request, running_relay
 
 HANG_S = 5.0
@@ -49,3 +50,18 @@
         relay.admission.hedge_after_s = 0.0
         relay.send(request())
         assert relay.admission.outcomes.count(Outcome.ANSWERED) == 1
+
+
+def test_hedges_after_lost_ones_keep_to_the_number_of_runs() -> None:
+    """Guards against a request that runs on a server more for each hedge that is lost.
+
+    A lost hedge was counted only after all attempts of the same try had ended.
+    """
+    with running_relay([hanging], [closing], deadline_ms=600) as relay:
+        relay.admission.hedge_after_s = 0.02
+        relay.admission.hedges_after_loss = True
+        assert relay.send(request()).startswith(b"HTTP/1.1 504 ")
+        assert [len(server.heads) for server in relay.servers] == [
+            1,
+            DEFAULT_MAX_RUNS - 1,
+        ]
