--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -87,6 +87,12 @@
         self.hedged += 1
         return Start(ticket_id=ticket.id, server=state.server.id, hedge=True)
 
+    def note_hedge_unsent(self, ticket_id: str) -> None:
+        """Record that a hedge reached no server, so that another one may be sent."""
+        first = self._first.get(ticket_id)
+        if first is not None:
+            first.was_hedged = False
+
     def _record_sent(self, state: ServerState, flight: Flight) -> None:
         state.record_sent(flight)
         self.limited += state.notices.max_requests_per_s is not None
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -187,6 +187,8 @@
         flight = self._flights.pop(ticket_id, server)
         if flight is None:
             return []
+        if flight.hedge and outcome.kind is OutcomeKind.CONNECT_FAILED:
+            self._flights.note_hedge_unsent(ticket_id)
         state = self._registry.servers[flight.server]
         pool = self._registry.pool_of(flight.ticket)
         class_state = pool.classes[flight.ticket.request_class]
--- a/tests/test_load_health.py
+++ b/tests/test_load_health.py
@@ -197,14 +197,25 @@
     assert all(hedge.hedge and hedge.server != "inscription-0" for hedge in hedges)
 
 
-def test_look_up_whose_second_send_was_lost_is_not_sent_a_third_time() -> None:
+@pytest.mark.parametrize(
+    ("kind", "is_hedged_again"),
+    [
+        pytest.param(OutcomeKind.TIMEOUT, False, id="lost"),
+        pytest.param(OutcomeKind.SHED, False, id="refused"),
+        pytest.param(OutcomeKind.CONNECT_FAILED, True, id="not-connected"),
+    ],
+)
+def test_look_up_is_sent_to_a_second_server_once(
+    kind: OutcomeKind, is_hedged_again: bool
+) -> None:
     """Guards against a hedge in each tick while the first server doesn't answer."""
     gate = build.gate(build.service(servers=4))
     _, hedges = hedged(gate)
-    lost = Outcome(kind=OutcomeKind.TIMEOUT, elapsed_s=0.01)
     for hedge in hedges:
-        gate.finished(hedge.ticket_id, lost, 1.31, hedge.server)
-    assert not [start for start in gate.tick(1.32) if isinstance(start, Start)]
+        ended = Outcome(kind=kind, elapsed_s=0.01)
+        gate.finished(hedge.ticket_id, ended, 1.31, hedge.server)
+    again = [start for start in gate.tick(1.32) if isinstance(start, Start)]
+    assert bool(again) is is_hedged_again
 
 
 def test_draining_server_gets_no_work_while_it_is_still_listed() -> None:
