Let the pauses of tests with processes last

builders_processes.sleep() read from one end of a socket pair whose other end was closed at once, so that it returned at once.

--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -59,17 +59,10 @@
         if result:
             return result
         # The interval is for polling another process only; no test depends on it.
-        sleep(POLL_INTERVAL_S)
+        time.sleep(POLL_INTERVAL_S)
     raise AssertionError(f"timed out after {timeout_s} s waiting for {description}")
 
 
-def sleep(seconds: float) -> None:
-    """Wait without using the CPU."""
-    with suppress(TimeoutError), socket.socketpair()[0] as quiet:
-        quiet.settimeout(seconds)
-        quiet.recv(1)
-
-
 @dataclass
 class Reply:
     """The response that a caller received."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import threading
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,7 +15,6 @@
     THREE_DOMAINS,
     Deployment,
     deployment,
-    sleep,
     wait_until,
 )
 
@@ -214,7 +214,7 @@
             description=f"{host} to read the list",
         )
     # Longer than a right to send lasts: from now on requests need a renewed right.
-    sleep(1.0)
+    time.sleep(1.0)
     for key in KEYS:
         wait_until(
             lambda key=key: one_domain.get_if_served(leaving, f"/calendrier/{key}"),
