--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -2,6 +2,7 @@
 
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from tempfile import mkdtemp
@@ -13,6 +14,7 @@
 from ._disruptions import DISRUPTIONS
 from ._fleet import POLL_INTERVAL_S, Fleet
 from ._judge import summary, violations
+from ._sheet import AGREEMENT, EXTRA_RETRIES
 
 CALLER_PROCESSES = 3
 
@@ -29,6 +31,7 @@
     impatient_share: float = 0.3,
     wait_s: float | None = None,
     seed: int = 1,
+    extra_retries: int = EXTRA_RETRIES,
     net: int = 90,
     host_sources: Path | None = None,
 ) -> None:
@@ -51,6 +54,8 @@
         hosts are ready.
     seed
         Seed of the random choices.
+    extra_retries
+        Repeats that operators allow in a window beyond those for each request.
     net
         Programs listen below 127.NET, so that several runs don't meet.
     host_sources
@@ -60,7 +65,13 @@
     rng = Random(seed)
     directory = Path(mkdtemp(prefix="fleet-"))
     sources = host_sources or Path(gentianwharf.__file__).parents[1]
-    fleet = Fleet(directory=directory, net=net, hosts=hosts, host_sources=sources)
+    fleet = Fleet(
+        directory=directory,
+        net=net,
+        hosts=hosts,
+        host_sources=sources,
+        agreement=replace(AGREEMENT, extra=extra_retries),
+    )
     outputs = [directory / f"callers-{part}.jsonl" for part in range(CALLER_PROCESSES)]
     try:
         fleet.start_platform()
--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -77,6 +77,10 @@
         *_pauses(_pause_servers(4), 16, for_s=3.0),
         *_pauses(_pause_servers(2), 24, 32, for_s=3.0),
     ),
+    "hedges": (
+        *_lost(14, 40, 0.8),
+        *_pauses(_pause_servers(1), 15, 21, 27, 33, for_s=4.0),
+    ),
     "host-pauses": (
         *_lost(14, 40),
         *_pauses(_pause_hosts(0.3), 15, 21, 27, 33, for_s=3.0),
@@ -89,6 +93,10 @@
         *_lost(14, 40, 0.6),
         *_pauses(_pause_hosts(1.0), 14, for_s=6.0),
     ),
+    "short-host-stalls": (
+        *_lost(14, 40, 0.6),
+        *_pauses(_pause_hosts(1.0), 12, 26, for_s=2.0),
+    ),
     "all-stalls": (
         *_lost(14, 40),
         *_pauses(_pause_all, 15, 21, 27, 33, for_s=3.0),
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from gentianwharf.load import RetryAgreement
 from gentianwharf.platform import SETTINGS_PATH_VARIABLE
 from gentianwharf.platform.standin import (
     CALLERS_PORT,
@@ -25,7 +26,7 @@
 from ._callers import SentRequest
 from ._judge import Record, read_server_lines
 from ._servers import Order
-from ._sheet import AGREEMENT, host_ip, operators_address, store_address
+from ._sheet import host_ip, operators_address, store_address
 
 METRICS_PORT = 9464
 SERVER_PROCESSES = 4
@@ -46,12 +47,19 @@
     """
 
     def __init__(
-        self, *, directory: Path, net: int, hosts: int, host_sources: Path
+        self,
+        *,
+        directory: Path,
+        net: int,
+        hosts: int,
+        host_sources: Path,
+        agreement: RetryAgreement,
     ) -> None:
         self.host_count = hosts
         self.net = net
         self._directory = directory
         self._host_sources = host_sources
+        self._agreement = agreement
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._paused: set[str] = set()
 
@@ -87,7 +95,7 @@
                 ip=ip,
                 domain="abc"[number % 3],
                 store=store_address(self.net),
-                extra_retries=int(AGREEMENT.extra),
+                extra_retries=int(self._agreement.extra),
             )
         )
         self._start(
@@ -154,7 +162,7 @@
 
     def record(self, outputs: Iterable[Path]) -> Record:
         """Return all that was counted."""
-        record = Record()
+        record = Record(agreement=self._agreement)
         for output in outputs:
             lines = output.read_bytes().splitlines()
             record.sent += [
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -6,20 +6,25 @@
 from typing import final
 
 import msgspec
-from soak._retry_checks import Repeats, worst_window
-
+from soak._retry_checks import (
+    Repeats,
+    count_excess_runs,
+    find_excess_runs,
+    worst_window,
+)
+
+from gentianwharf.load import RetryAgreement
 from gentianwharf.platform.standin import Arrival, RequestRun
 
 from ._callers import SentRequest
 from ._servers import RuleMove
-from ._sheet import AGREEMENT, MAX_ATTEMPTS, MOVED_SERVICE, MOVING_RULE, SERVICES
+from ._sheet import MAX_ATTEMPTS, MOVED_SERVICE, MOVING_RULE, SERVICES
 
 LATE_S = 0.5
 """Beyond this, a send is a late one, and a deadline is a longer one."""
 
 MAX_LONG_DEADLINES = 20
 MAX_LONG_SHARE = 0.2
-MAX_OVERRUN = 3
 
 
 @final
@@ -27,6 +32,7 @@
 class Record:
     """Everything that was counted in one run."""
 
+    agreement: RetryAgreement
     sent: list[SentRequest] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     runs: list[RequestRun] = field(default_factory=list)
@@ -121,7 +127,7 @@
             if service_of(request, record.moves) == service.name
         )
         worst[service.name] = worst_window(
-            sent_s, repeated_s.get(service.name, []), agreement=AGREEMENT
+            sent_s, repeated_s.get(service.name, []), agreement=record.agreement
         )
     return worst
 
@@ -136,12 +142,10 @@
     return most
 
 
-def count_overruns(record: Record) -> int:
+def excess_runs(record: Record) -> int:
     """Return how many requests ran on more servers than their route allows."""
-    servers: dict[str, set[str]] = defaultdict(set)
-    for run in record.runs:
-        servers[run.request_id].add(run.server)
-    return sum(len(ran) > MAX_ATTEMPTS for ran in servers.values())
+    runs = [(run.request_id, run.server) for run in record.runs]
+    return count_excess_runs(runs, max_attempts=MAX_ATTEMPTS)
 
 
 @final
@@ -190,17 +194,15 @@
 
 def violations(record: Record) -> list[str]:
     """Return a line for each way in which BUDGET was broken."""
+    window_s = record.agreement.window_s
     lines = [
-        f"BUDGET: {service} got {worst.sent} repeats within {AGREEMENT.window_s} s,"
+        f"BUDGET: {service} got {worst.sent} repeats within {window_s} s,"
         f" {worst.allowed:.1f} are allowed"
         for service, worst in worst_windows(record).items()
         if worst.sent > worst.allowed
     ]
-    overruns = count_overruns(record)
-    if overruns > MAX_OVERRUN:
-        lines.append(
-            f"BUDGET: {overruns} requests ran on more than {MAX_ATTEMPTS} servers"
-        )
+    runs = [(run.request_id, run.server) for run in record.runs]
+    lines += find_excess_runs(runs, max_attempts=MAX_ATTEMPTS)
     long = long_deadlines(record)
     if long.is_excess:
         lines.append(
@@ -223,7 +225,7 @@
         again = sum(stated.values()) - stated["first"]
         lines.append(
             f"{service}: worst window {worst.sent} of {worst.allowed:.1f}, most in a"
-            f" window {most_in_window(repeated_s[service], AGREEMENT.window_s)},"
+            f" window {most_in_window(repeated_s[service], record.agreement.window_s)},"
             f" {len(repeated_s[service])} repeats of {arrived[service]} arrivals; hosts"
             f" state {again} of {sum(stated.values())}: {dict(sorted(stated.items()))}"
         )
@@ -234,7 +236,7 @@
     lines.append(
         f"{len(first)} calls in {len(record.sent)} requests, {served} served"
         f" ({served / max(1, len(first)):.3f}); statuses"
-        f" {dict(sorted(statuses.items()))}; {count_overruns(record)} ran on too many"
+        f" {dict(sorted(statuses.items()))}; {excess_runs(record)} ran on too many"
         f" servers; {long.count} of {long.late_sends} late sends with too much time"
     )
     return lines
--- a/bench/fleet/_sheet.py
+++ b/bench/fleet/_sheet.py
@@ -15,7 +15,8 @@
 MAX_ATTEMPTS = 2
 SLOTS = 2
 
-AGREEMENT = RetryAgreement(ratio=0.2, extra=208, window_s=10)
+EXTRA_RETRIES = 208
+AGREEMENT = RetryAgreement(ratio=0.2, extra=EXTRA_RETRIES, window_s=10)
 """What the operators allow all hosts together to repeat at a service."""
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 
 from gentianwharf.lifecycle import use_monotonic_time
 from gentianwharf.platform import PlatformStore
+from gentianwharf.platform.standin import MAX_ATTEMPTS
 
 from ._answer_faults import AnswerFaults
 from ._callers import Callers
@@ -25,7 +26,11 @@
 from ._faults import Faults
 from ._operators import Operators
 from ._restarts import Restarts
-from ._retry_checks import STANDIN_AGREEMENT, find_excess_retries
+from ._retry_checks import (
+    STANDIN_AGREEMENT,
+    find_excess_retries,
+    find_excess_runs,
+)
 from ._rule_checks import (
     find_stale_versions,
     find_version_regressions,
@@ -161,6 +166,10 @@
     violations += find_excess_retries(
         sent_s, deployment.arrivals, agreement=STANDIN_AGREEMENT
     )
+    violations += find_excess_runs(
+        ((run["request_id"], run["server"]) for run in deployment.runs),
+        max_attempts=MAX_ATTEMPTS,
+    )
     judged = [
         request
         for request in callers.requests
--- a/soak/_retry_checks.py
+++ b/soak/_retry_checks.py
@@ -1,4 +1,4 @@
-"""Checks of the repeats that backend servers receive from all hosts together.
+"""Checks of the repeats that backend servers receive and run.
 
 Requests are counted where callers send them, and repeats where servers receive them,
 never by what hosts state about themselves.
@@ -22,6 +22,9 @@
 )
 """What the settings of hosts on the stand-in platform allow."""
 
+MAX_EXCESS_RUNS = 3
+"""Requests that may run on more servers than their route states."""
+
 SHORT_S = 1e-6
 
 
@@ -90,6 +93,27 @@
     )
 
 
+def count_excess_runs(runs: Iterable[tuple[str, str]], *, max_attempts: int) -> int:
+    """Return how many requests ran on more than ``max_attempts`` servers.
+
+    ``runs`` has a request's id and a server for each run.
+    """
+    servers: dict[str, set[str]] = defaultdict(set)
+    for request_id, server in runs:
+        servers[request_id].add(server)
+    return sum(len(ran_on) > max_attempts for ran_on in servers.values())
+
+
+def find_excess_runs(
+    runs: Iterable[tuple[str, str]], *, max_attempts: int
+) -> list[str]:
+    """Return a line if more requests than tolerated ran on too many servers."""
+    count = count_excess_runs(runs, max_attempts=max_attempts)
+    if count <= MAX_EXCESS_RUNS:
+        return []
+    return [f"BUDGET: {count} requests ran on more than {max_attempts} servers"]
+
+
 def find_excess_retries(
     sent_s: Mapping[str, Sequence[float]],
     arrivals: Iterable[Mapping[str, Any]],
--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -5,7 +5,16 @@
 """
 
 from ._items import Items
-from ._rules import ADDED, KEYED, LOOK_UPS, POSTINGS, UNKEYED, UPLOADS, configuration
+from ._rules import (
+    ADDED,
+    KEYED,
+    LOOK_UPS,
+    MAX_ATTEMPTS,
+    POSTINGS,
+    UNKEYED,
+    UPLOADS,
+    configuration,
+)
 from ._server import Arrival, RequestRun, ServerSpec, StandInServer
 from ._settings import (
     CALLERS_PORT,
@@ -23,6 +32,7 @@
     "EXTRA_RETRIES",
     "KEYED",
     "LOOK_UPS",
+    "MAX_ATTEMPTS",
     "MAX_VALUE_BYTES",
     "POSTINGS",
     "READINESS_PORT",
--- a/src/gentianwharf/platform/standin/_rules.py
+++ b/src/gentianwharf/platform/standin/_rules.py
@@ -17,6 +17,9 @@
 
 KEYED, UNKEYED = "calendar", "seats"
 
+MAX_ATTEMPTS = 2
+"""Servers on which a request may run, as its route states."""
+
 
 def configuration(version: int, *, added_paths: Iterable[str] = ()) -> Put:
     """Return a put of a configuration with a sharded and an unsharded service.
@@ -57,7 +60,7 @@
         "target-latency": "400ms",
         "priority": 1,
         "service": service,
-        "max-attempts": 2,
+        "max-attempts": MAX_ATTEMPTS,
     }
 
 
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -2,6 +2,7 @@
 
 from bench.fleet._callers import SentRequest
 from bench.fleet._judge import Record
+from bench.fleet._sheet import AGREEMENT
 
 from gentianwharf.platform.standin import Arrival, RequestRun
 
@@ -52,7 +53,7 @@
 
 def repeated(count: int, *, at_s: float, service: str = SERVICE) -> Record:
     """Return a record of requests that each arrived twice."""
-    record = Record()
+    record = Record(agreement=AGREEMENT)
     for number in range(count):
         record.sent.append(sent(number, at_s=at_s))
         record.arrivals.append(arrival(number, at_s=at_s))
--- a/tests/builders_repeats.py
+++ b/tests/builders_repeats.py
@@ -20,7 +20,12 @@
 from pathlib import Path
 from typing import Any
 
-from soak._retry_checks import STANDIN_AGREEMENT, find_excess_retries, repeats_of
+from soak._retry_checks import (
+    STANDIN_AGREEMENT,
+    find_excess_retries,
+    find_excess_runs,
+    repeats_of,
+)
 
 from gentianwharf.platform import SETTINGS_PATH_VARIABLE
 from gentianwharf.platform.standin import (
@@ -28,6 +33,7 @@
     CALLERS_PORT,
     KEYED,
     LOOK_UPS,
+    MAX_ATTEMPTS,
     READINESS_PORT,
     UNKEYED,
     settings_text,
@@ -101,6 +107,12 @@
         """Send a signal to a host."""
         self.processes[f"host-{number}"].send_signal(signal_number)
 
+    def pause_server(self, number: int, for_s: float) -> None:
+        """Let a server stand still."""
+        self.processes[f"server-{number}"].send_signal(signal.SIGSTOP)
+        time.sleep(for_s)
+        self.processes[f"server-{number}"].send_signal(signal.SIGCONT)
+
     def kill_host(self, number: int) -> None:
         """Kill a host, and wait until it has ended."""
         process = self.processes[f"host-{number}"]
@@ -175,14 +187,24 @@
             )
         )
 
+    def excess_runs(self) -> list[str]:
+        """Return a line if requests ran on more servers than their route allows."""
+        runs = [line for line in self._server_lines() if "begun_s" in line]
+        return find_excess_runs(
+            ((run["request_id"], run["server"]) for run in runs),
+            max_attempts=MAX_ATTEMPTS,
+        )
+
     def _arrivals(self) -> list[dict[str, Any]]:
-        lines = [
+        return [line for line in self._server_lines() if "arrived_s" in line]
+
+    def _server_lines(self) -> list[dict[str, Any]]:
+        return [
             json.loads(line)
             for number in range(SERVERS)
             for line in self.log(f"server-{number}").splitlines()
             if line.startswith("{")
         ]
-        return [line for line in lines if "arrived_s" in line]
 
     def stop(self) -> None:
         """Kill every process that is still running."""
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 from bench.fleet._judge import Record, long_deadlines, read_server_lines, violations
-from bench.fleet._sheet import MAX_ATTEMPTS
+from bench.fleet._sheet import AGREEMENT, MAX_ATTEMPTS
 
 from .builders_fleet import (
     DEADLINE_MS,
@@ -30,7 +30,7 @@
 
 
 def test_requests_that_run_on_too_many_servers_are_found() -> None:
-    record = Record()
+    record = Record(agreement=AGREEMENT)
     for number in range(4):
         record.runs += [run_at(number, f"s-{run}") for run in range(MAX_ATTEMPTS + 1)]
     (line,) = violations(record)
@@ -48,13 +48,15 @@
 def test_late_sends_with_more_time_than_is_left_are_found(
     deadline_ms: int | None, count: int
 ) -> None:
-    record = Record(sent=[sent(1, at_s=0.0)], arrivals=[arrival(1, at_s=0.0)])
+    record = Record(
+        agreement=AGREEMENT, sent=[sent(1, at_s=0.0)], arrivals=[arrival(1, at_s=0.0)]
+    )
     record.arrivals.append(arrival(1, at_s=1.0, deadline_ms=deadline_ms))
     assert long_deadlines(record).count == count
 
 
 def test_partial_last_line_of_a_server_is_passed_over() -> None:
-    record = Record()
+    record = Record(agreement=AGREEMENT)
     lines = [
         b"ready",
         b'{"server":"s","service":"seats","request_id":"r","arrived_s":1.0,'
--- a/tests/test_repeats_processes.py
+++ b/tests/test_repeats_processes.py
@@ -2,12 +2,12 @@
 
 import signal
 import threading
+import time
 from pathlib import Path
 from random import Random
 
 import pytest
 
-from .builders_processes import sleep
 from .builders_repeats import RepeatsDeployment, repeats_deployment
 
 HOSTS = range(6)
@@ -15,6 +15,8 @@
 MANY_HOSTS = range(24)
 DISRUPTIONS = 24
 DISRUPTION_GAP_S = 0.5
+PAUSED_SERVERS = (1, 2, 3, 4)
+SERVER_PAUSE_S = 1.5
 SHARDS = 65_536
 CALLERS = 60
 CALL_GAP_S = 0.05
@@ -69,11 +71,36 @@
     assert not violations
 
 
+def test_hedges_that_are_lost_keep_to_the_servers_that_a_route_allows(
+    tmp_path: Path,
+) -> None:
+    """Guards against one more run for each hedge that is lost beside a slow server."""
+    with repeats_deployment(tmp_path, lost_share=0.8) as deployment:
+        for host in HOSTS:
+            deployment.start_host(host)
+        deployment.wait_until_listed(HOSTS)
+        ended = threading.Event()
+        callers = [
+            threading.Thread(target=_call, args=(deployment, Random(number), ended))
+            for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        for server in PAUSED_SERVERS:
+            deployment.pause_server(server, SERVER_PAUSE_S)
+            time.sleep(SERVER_PAUSE_S)
+        ended.set()
+        for caller in callers:
+            caller.join()
+        violations = deployment.excess_runs()
+    assert not violations
+
+
 def _call(deployment: RepeatsDeployment, rng: Random, ended: threading.Event) -> None:
     while not ended.is_set():
         shard = rng.choice([None, rng.randrange(SHARDS)])
         deployment.send(rng.choice(HOSTS), shard=shard)
-        sleep(CALL_GAP_S)
+        time.sleep(CALL_GAP_S)
 
 
 def _disrupt(deployment: RepeatsDeployment, rng: Random) -> None:
@@ -89,6 +116,6 @@
         else:
             deployment.kill_host(host)
             deployment.start_host(host)
-        sleep(DISRUPTION_GAP_S)
+        time.sleep(DISRUPTION_GAP_S)
     for host in paused:
         deployment.send_signal(host, signal.SIGCONT)
