--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -1,5 +1,6 @@
 """Play a fleet: ``python -m bench.fleet --disruption lost-answers``."""
 
+import signal
 import sys
 import time
 from dataclasses import replace
@@ -62,6 +63,11 @@
         Folder with the sources of the hosts, by default those of this checkout.
 
     """
+    if disruption not in DISRUPTIONS:
+        expected = ", ".join(sorted(DISRUPTIONS))
+        sys.exit(f"--disruption: expected one of {expected}; got {disruption!r}")
+    # The processes also end when this one is asked to.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("ended by SIGTERM"))
     rng = Random(seed)
     directory = Path(mkdtemp(prefix="fleet-"))
     sources = host_sources or Path(gentianwharf.__file__).parents[1]
