--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Coroutine, Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 from typing import Any, final
 
@@ -214,7 +214,7 @@
     def lose_answers(self, share: float) -> None:
         """Let servers lose this share of their answers from now on."""
         for server in self.servers.values():
-            server.spec = replace(server.spec, lost_share=share)
+            server.lost_share = share
 
     def restore_some(self, name: str, servers: Iterable[str]) -> None:
         """Restore the links of a host to some servers."""
