--- a/src/gentianwharf/load/_flights.py
+++ b/src/gentianwharf/load/_flights.py
@@ -14,7 +14,7 @@
 
 from ._class_state import ClassState
 from ._pool import Pool
-from ._requests import Start, Ticket
+from ._requests import Outcome, OutcomeKind, Start, Ticket
 from ._server_state import Flight, HealthStatus, ServerState
 
 # A request at a suspect server is hedged after this many medians, by which about nine
@@ -87,24 +87,27 @@
         self.hedged += 1
         return Start(ticket_id=ticket.id, server=state.server.id, hedge=True)
 
-    def note_hedge_unsent(self, ticket_id: str) -> None:
-        """Record that a hedge reached no server, so that another one may be sent."""
-        first = self._first.get(ticket_id)
-        if first is not None:
-            first.was_hedged = False
-
     def _record_sent(self, state: ServerState, flight: Flight) -> None:
         state.record_sent(flight)
         self.limited += state.notices.max_requests_per_s is not None
 
-    def pop(self, ticket_id: str, server: str | None) -> Flight | None:
+    def end(
+        self, ticket_id: str, server: str | None, outcome: Outcome
+    ) -> Flight | None:
         """Remove and return the request's send to ``server``, or any if None."""
         for table in (self._first, self._second):
             flight = table.get(ticket_id)
             if flight is not None and server in (None, flight.server):
+                self._note_unsent_hedge(flight, outcome)
                 return table.pop(ticket_id)
         return None
 
+    def _note_unsent_hedge(self, flight: Flight, outcome: Outcome) -> None:
+        """Let a request be hedged again if its hedge reached no server."""
+        first = self._first.get(flight.ticket.id)
+        if flight.hedge and first and outcome.kind is OutcomeKind.CONNECT_FAILED:
+            first.was_hedged = False
+
     def of_request(self, ticket_id: str) -> list[Flight]:
         """Return a request's sends that are in flight."""
         flights = (self._first.get(ticket_id), self._second.get(ticket_id))
--- a/src/gentianwharf/load/_gate.py
+++ b/src/gentianwharf/load/_gate.py
@@ -184,11 +184,9 @@
         ``server`` distinguishes the two sends of a hedged request. An outcome of a
         request that is not in flight is ignored.
         """
-        flight = self._flights.pop(ticket_id, server)
+        flight = self._flights.end(ticket_id, server, outcome)
         if flight is None:
             return []
-        if flight.hedge and outcome.kind is OutcomeKind.CONNECT_FAILED:
-            self._flights.note_hedge_unsent(ticket_id)
         state = self._registry.servers[flight.server]
         pool = self._registry.pool_of(flight.ticket)
         class_state = pool.classes[flight.ticket.request_class]
