Share what the fleet, the soak and the tests of repeats wrote twice

The line of a broken BUDGET and the callers' limits of the stand-in's configuration have one place each; the fleet's record decodes arrivals and runs as what they are, counts requests in one pass, and takes orders typed; the callers of two tests with processes start in one place.

--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -18,8 +18,7 @@
     act: Callable[[Fleet, Random], None]
 
 
-def _order(**fields: float | str | bool) -> Callable[[Fleet, Random], None]:
-    order = Order(**fields)  # type: ignore[arg-type]
+def _order(order: Order) -> Callable[[Fleet, Random], None]:
     return lambda fleet, rng: fleet.order_servers(order)
 
 
@@ -56,8 +55,8 @@
 
 
 def _lost(from_s: float, to_s: float, share: float = 0.9) -> Iterator[Step]:
-    yield Step(at_s=from_s, act=_order(lost_share=share))
-    yield Step(at_s=to_s, act=_order(lost_share=0.0))
+    yield Step(at_s=from_s, act=_order(Order(lost_share=share)))
+    yield Step(at_s=to_s, act=_order(Order(lost_share=0.0)))
 
 
 def _pauses(
@@ -104,14 +103,14 @@
     "reassigned-addresses": (
         *_lost(14, 40, 0.6),
         *(
-            Step(at_s=at_s, act=_order(reassigned_share=0.15))
+            Step(at_s=at_s, act=_order(Order(reassigned_share=0.15)))
             for at_s in (16, 22, 28, 34)
         ),
     ),
     "rules": (
         *_lost(14, 40, 0.8),
         *(
-            Step(at_s=at_s, act=_order(moves_rule=number % 2 == 0))
+            Step(at_s=at_s, act=_order(Order(moves_rule=number % 2 == 0)))
             for number, at_s in enumerate((16, 20, 24, 28, 32, 36))
         ),
     ),
@@ -120,12 +119,15 @@
         *(Step(at_s=at_s, act=_restart_hosts(0.55)) for at_s in (15, 20, 25, 33)),
     ),
     "rests": (
-        Step(at_s=14, act=_order(rest_s=3.0)),
-        Step(at_s=30, act=_order(rest_s=0.0)),
+        Step(at_s=14, act=_order(Order(rest_s=3.0))),
+        Step(at_s=30, act=_order(Order(rest_s=0.0))),
     ),
     "all": (
         *_lost(14, 40, 0.8),
-        *(Step(at_s=at_s, act=_order(reassigned_share=0.1)) for at_s in (16, 30)),
+        *(
+            Step(at_s=at_s, act=_order(Order(reassigned_share=0.1)))
+            for at_s in (16, 30)
+        ),
         *_pauses(_pause_hosts(0.3), 18, 34, for_s=3.0),
         *_pauses(_pause_servers(2), 22, for_s=3.0),
         *(Step(at_s=at_s, act=_restart_hosts(0.3)) for at_s in (26, 31)),
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -9,6 +9,7 @@
 from soak._retry_checks import (
     Repeats,
     count_excess_runs,
+    describe_excess,
     find_excess_runs,
     worst_window,
 )
@@ -41,61 +42,22 @@
     """Writes by service and cause, as the hosts that run at the end state them."""
 
 
-@final
-class _Line(msgspec.Struct):
-    """A line of a server.
-
-    It is a run if it has ``begun_s``, a ``RuleMove`` if it has ``moved_at_s``, and
-    otherwise an arrival.
-    """
-
-    server: str = ""
-    request_id: str = ""
-    service: str = ""
-    arrived_s: float = 0.0
-    deadline_ms: int | None = None
-    shard: int | None = None
-    begun_s: float | None = None
-    ended_s: float = 0.0
-    is_whole: bool = False
-    moved: bool = False
-    moved_at_s: float | None = None
-
-
 def read_server_lines(lines: Iterable[bytes], record: Record) -> None:
     """Add the output of servers to the record."""
     for text in lines:
         if not text.startswith(b"{"):
             continue
         try:
-            line = msgspec.json.decode(text, type=_Line)
+            fields = msgspec.json.decode(text)
         except msgspec.DecodeError:
             # The last line of a process that was ended while it wrote.
             continue
-        if line.moved_at_s is not None:
-            move = RuleMove(moved=line.moved, moved_at_s=line.moved_at_s)
-            record.moves.append(move)
-        elif line.begun_s is None:
-            record.arrivals.append(
-                Arrival(
-                    server=line.server,
-                    service=line.service,
-                    request_id=line.request_id,
-                    arrived_s=line.arrived_s,
-                    deadline_ms=line.deadline_ms,
-                )
-            )
+        if "moved_at_s" in fields:
+            record.moves.append(msgspec.convert(fields, RuleMove))
+        elif "arrived_s" in fields:
+            record.arrivals.append(msgspec.convert(fields, Arrival))
         else:
-            record.runs.append(
-                RequestRun(
-                    server=line.server,
-                    request_id=line.request_id,
-                    shard=line.shard,
-                    begun_s=line.begun_s,
-                    ended_s=line.ended_s,
-                    is_whole=line.is_whole,
-                )
-            )
+            record.runs.append(msgspec.convert(fields, RequestRun))
 
 
 def repeats_by_service(arrivals: Sequence[Arrival]) -> dict[str, list[float]]:
@@ -119,17 +81,17 @@
 def worst_windows(record: Record) -> dict[str, Repeats]:
     """Return the worst window of each service."""
     repeated_s = repeats_by_service(record.arrivals)
-    worst = {}
-    for service in SERVICES:
-        sent_s = sorted(
-            request.sent_s
-            for request in record.sent
-            if service_of(request, record.moves) == service.name
-        )
-        worst[service.name] = worst_window(
-            sent_s, repeated_s.get(service.name, []), agreement=record.agreement
+    sent_s: dict[str, list[float]] = defaultdict(list)
+    for request in record.sent:
+        sent_s[service_of(request, record.moves)].append(request.sent_s)
+    return {
+        service.name: worst_window(
+            sorted(sent_s[service.name]),
+            repeated_s.get(service.name, []),
+            agreement=record.agreement,
         )
-    return worst
+        for service in SERVICES
+    }
 
 
 def most_in_window(times_s: Sequence[float], window_s: float) -> int:
@@ -142,10 +104,9 @@
     return most
 
 
-def excess_runs(record: Record) -> int:
-    """Return how many requests ran on more servers than their route allows."""
-    runs = [(run.request_id, run.server) for run in record.runs]
-    return count_excess_runs(runs, max_attempts=MAX_ATTEMPTS)
+def _run_places(record: Record) -> list[tuple[str, str]]:
+    """Return a request's id and a server for each run."""
+    return [(run.request_id, run.server) for run in record.runs]
 
 
 @final
@@ -194,15 +155,12 @@
 
 def violations(record: Record) -> list[str]:
     """Return a line for each way in which BUDGET was broken."""
-    window_s = record.agreement.window_s
     lines = [
-        f"BUDGET: {service} got {worst.sent} repeats within {window_s} s,"
-        f" {worst.allowed:.1f} are allowed"
+        line
         for service, worst in worst_windows(record).items()
-        if worst.sent > worst.allowed
+        for line in describe_excess(service, worst, agreement=record.agreement)
     ]
-    runs = [(run.request_id, run.server) for run in record.runs]
-    lines += find_excess_runs(runs, max_attempts=MAX_ATTEMPTS)
+    lines += find_excess_runs(_run_places(record), max_attempts=MAX_ATTEMPTS)
     long = long_deadlines(record)
     if long.is_excess:
         lines.append(
@@ -233,10 +191,11 @@
     served = sum(request.status == 200 for request in record.sent)
     statuses = Counter(request.status for request in record.sent)
     long = long_deadlines(record)
+    excess = count_excess_runs(_run_places(record), max_attempts=MAX_ATTEMPTS)
     lines.append(
         f"{len(first)} calls in {len(record.sent)} requests, {served} served"
         f" ({served / max(1, len(first)):.3f}); statuses"
-        f" {dict(sorted(statuses.items()))}; {excess_runs(record)} ran on too many"
+        f" {dict(sorted(statuses.items()))}; {excess} ran on too many"
         f" servers; {long.count} of {long.late_sends} late sends with too much time"
     )
     return lines
--- a/bench/fleet/_sheet.py
+++ b/bench/fleet/_sheet.py
@@ -7,6 +7,7 @@
 
 from gentianwharf.load import RetryAgreement
 from gentianwharf.platform import CONFIG_KEY
+from gentianwharf.platform.standin import CALLER_LIMITS
 from gentianwharf.store import Put
 
 SERVER_PORT = 8400
@@ -139,12 +140,7 @@
             }
             for service in SERVICES
         },
-        "limits": {
-            "max-header-bytes": 16_384,
-            "max-body-bytes": 1_000_000,
-            "header-timeout": "3000ms",
-            "idle-timeout": "15000ms",
-        },
+        "limits": CALLER_LIMITS,
     }
     return Put(key=CONFIG_KEY, value=msgspec.json.encode(value))
 
--- a/soak/_retry_checks.py
+++ b/soak/_retry_checks.py
@@ -134,9 +134,17 @@
         worst = worst_window(
             sent_s.get(service, ()), repeats_of(arrivals_s), agreement=agreement
         )
-        if worst.sent > worst.allowed:
-            violations.append(
-                f"BUDGET: {service} got {worst.sent} repeats within"
-                f" {agreement.window_s} s, {worst.allowed:.1f} are allowed"
-            )
+        violations += describe_excess(service, worst, agreement=agreement)
     return violations
+
+
+def describe_excess(
+    service: str, worst: Repeats, *, agreement: RetryAgreement
+) -> list[str]:
+    """Return a line if a service got more repeats in its worst window than allowed."""
+    if worst.sent <= worst.allowed:
+        return []
+    return [
+        f"BUDGET: {service} got {worst.sent} repeats within {agreement.window_s} s,"
+        f" {worst.allowed:.1f} are allowed"
+    ]
--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -7,6 +7,7 @@
 from ._items import Items
 from ._rules import (
     ADDED,
+    CALLER_LIMITS,
     KEYED,
     LOOK_UPS,
     MAX_ATTEMPTS,
@@ -29,6 +30,7 @@
 __all__ = [
     "ADDED",
     "CALLERS_PORT",
+    "CALLER_LIMITS",
     "EXTRA_RETRIES",
     "KEYED",
     "LOOK_UPS",
--- a/src/gentianwharf/platform/standin/_rules.py
+++ b/src/gentianwharf/platform/standin/_rules.py
@@ -21,6 +21,14 @@
 """Servers on which a request may run, as its route states."""
 
 
+CALLER_LIMITS = {
+    "max-header-bytes": 16_384,
+    "max-body-bytes": 1_000_000,
+    "header-timeout": "3000ms",
+    "idle-timeout": "15000ms",
+}
+
+
 def configuration(version: int, *, added_paths: Iterable[str] = ()) -> Put:
     """Return a put of a configuration with a sharded and an unsharded service.
 
@@ -41,12 +49,7 @@
             KEYED: _service(sharded=True),
             UNKEYED: _service(sharded=False),
         },
-        "limits": {
-            "max-header-bytes": 16_384,
-            "max-body-bytes": 1_000_000,
-            "header-timeout": "3000ms",
-            "idle-timeout": "15000ms",
-        },
+        "limits": CALLER_LIMITS,
     }
     return Put(key=CONFIG_KEY, value=msgspec.json.encode(value))
 
--- a/tests/test_repeats_processes.py
+++ b/tests/test_repeats_processes.py
@@ -3,6 +3,8 @@
 import signal
 import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 
@@ -55,17 +57,8 @@
         for host in HOSTS:
             deployment.start_host(host)
         deployment.wait_until_listed(HOSTS)
-        ended = threading.Event()
-        callers = [
-            threading.Thread(target=_call, args=(deployment, Random(number), ended))
-            for number in range(CALLERS)
-        ]
-        for caller in callers:
-            caller.start()
-        _disrupt(deployment, Random(seed))
-        ended.set()
-        for caller in callers:
-            caller.join()
+        with _callers(deployment):
+            _disrupt(deployment, Random(seed))
         violations = deployment.excess_retries()
         assert deployment.repeat_count()
     assert not violations
@@ -79,21 +72,30 @@
         for host in HOSTS:
             deployment.start_host(host)
         deployment.wait_until_listed(HOSTS)
-        ended = threading.Event()
-        callers = [
-            threading.Thread(target=_call, args=(deployment, Random(number), ended))
-            for number in range(CALLERS)
-        ]
-        for caller in callers:
-            caller.start()
-        for server in PAUSED_SERVERS:
-            deployment.pause_server(server, SERVER_PAUSE_S)
-            time.sleep(SERVER_PAUSE_S)
+        with _callers(deployment):
+            for server in PAUSED_SERVERS:
+                deployment.pause_server(server, SERVER_PAUSE_S)
+                time.sleep(SERVER_PAUSE_S)
+        violations = deployment.excess_runs()
+    assert not violations
+
+
+@contextmanager
+def _callers(deployment: RepeatsDeployment) -> Iterator[None]:
+    """Let callers send requests to all hosts meanwhile."""
+    ended = threading.Event()
+    callers = [
+        threading.Thread(target=_call, args=(deployment, Random(number), ended))
+        for number in range(CALLERS)
+    ]
+    for caller in callers:
+        caller.start()
+    try:
+        yield
+    finally:
         ended.set()
         for caller in callers:
             caller.join()
-        violations = deployment.excess_runs()
-    assert not violations
 
 
 def _call(deployment: RepeatsDeployment, rng: Random, ended: threading.Event) -> None:
