Let the fleet's servers end, and add a request that ends them

No connection was ended, no address passed on, no entry was removed, and the run printed "0 broken".

Cause: Twisted's site returns a wrapper whose inner channel has the transport. Nobody looked at the failures of the coroutines that carry out orders.

Now the transports are recorded as they connect. A process of servers whose work fails ends with an error, a process of the fleet that fails or logs a traceback ends the run, a disruption without effect is an error, and the summary counts the servers that ended and the addresses that passed on.

Also new: `--crash KIND` sends a request that ends each server which begins to run it (0.1 s later; back after 4 s under its id and address, with a later birth), `--crash-copies`, `--crash-interval-s`, `--crash-steady`; the disruptions `leader-kills`, `store-down`, `host-pauses-alone`, `release`, `mass-crashes` and `crash-all`; and the check of BUDGET for such requests. Each call has a path of its own, which its retries share.

--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -14,8 +14,8 @@
 
 from ._disruptions import DISRUPTIONS
 from ._fleet import POLL_INTERVAL_S, Fleet
-from ._judge import summary, violations
-from ._sheet import AGREEMENT, EXTRA_RETRIES
+from ._judge import missing_effects, summary, violations
+from ._sheet import AGREEMENT, EXTRA_RETRIES, REQUESTS
 
 CALLER_PROCESSES = 3
 
@@ -35,8 +35,13 @@
     extra_retries: int = EXTRA_RETRIES,
     net: int = 90,
     host_sources: Path | None = None,
+    crash: str = "",
+    crash_copies: int = 1,
+    crash_interval_s: float = 0.1,
+    crash_at_s: float = 15.0,
+    crash_steady: bool = False,
 ) -> None:
-    """Play one run, and exit with 1 if more was repeated than operators allow.
+    """Play one run, and exit with 1 if it breaks what operators allow.
 
     Parameters
     ----------
@@ -61,8 +66,22 @@
         Programs listen below 127.NET, so that several runs don't meet.
     host_sources
         Folder with the sources of the hosts, by default those of this checkout.
+    crash
+        Kind of a request that ends each server that begins to run it, sent beside the
+        others; empty for none.
+    crash_copies
+        How many of them a caller sends at once, to hosts at random.
+    crash_interval_s
+        From an answer to such a request to the next one.
+    crash_at_s
+        When the first one is sent.
+    crash_steady
+        Count the interval from each send, and wait for no answer.
 
     """
+    kinds = [spec.name for spec in REQUESTS]
+    if crash and crash not in kinds:
+        sys.exit(f"--crash: expected one of {', '.join(kinds)}; got {crash!r}")
     if disruption not in DISRUPTIONS:
         expected = ", ".join(sorted(DISRUPTIONS))
         sys.exit(f"--disruption: expected one of {expected}; got {disruption!r}")
@@ -78,6 +97,12 @@
         host_sources=sources,
         agreement=replace(AGREEMENT, extra=extra_retries),
     )
+    crashing = (
+        *("--crash", crash, "--crash-copies", str(crash_copies)),
+        *("--crash-interval-s", str(crash_interval_s)),
+        *("--crash-at-s", str(crash_at_s)),
+        "--crash-steady" if crash_steady else "--no-crash-steady",
+    )
     outputs = [directory / f"callers-{part}.jsonl" for part in range(CALLER_PROCESSES)]
     try:
         fleet.start_platform()
@@ -96,15 +121,20 @@
                 *("--parts", str(len(outputs)), "--duration-s", str(duration_s)),
                 *("--rate", str(rate), "--impatient-share", str(impatient_share)),
                 *("--seed", str(seed)),
+                *(crashing if crash and not part else ()),
             )
         for step in sorted(DISRUPTIONS[disruption], key=lambda step: step.at_s):
             _sleep_until(begun_s + step.at_s)
             step.act(fleet, rng)
         for part in range(CALLER_PROCESSES):
             fleet.wait_for(f"callers-{part}")
+        fleet.check()
         record = fleet.record(outputs)
     finally:
         fleet.stop()
+    missing = missing_effects(record)
+    if missing:
+        sys.exit(f"{disruption}: {'; '.join(missing)}; logs in {directory}")
     found = violations(record)
     print(
         f"{disruption}, {hosts} hosts, seed {seed}, rate {rate}: {ready} ready after"
--- a/bench/fleet/_callers.py
+++ b/bench/fleet/_callers.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from typing import Any, final
@@ -21,13 +22,14 @@
 from gentianwharf.lifecycle import use_monotonic_time
 from gentianwharf.platform.standin import CALLERS_PORT
 
-from ._sheet import REQUESTS, SERVICES, RequestSpec, host_ip
+from ._sheet import CRASH_PATH, REQUESTS, SERVICES, RequestSpec, host_ip
 
 SHARDS = 65_536
 RETRIES = 2
 CONNECT_TIMEOUT_S = 1.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 RETRY_DELAY_S = 0.1
+PROBLEM_TYPE = "application/problem+json"
 AT_ONCE_DELAY_S = 0.005
 MAX_WAIT_SHARE = 1 / 3
 """Part of the time left for which callers wait when they are told to."""
@@ -49,6 +51,36 @@
     status: int = 0
     elapsed_s: float = 0.0
     retry_after_s: float = RETRY_DELAY_S
+    is_crashing: bool = False
+    reason: str = ""
+    """What a host stated where it answered in place of a server."""
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Call:
+    """What all requests of one call have in common."""
+
+    spec: RequestSpec
+    path: str
+    shard: int
+    is_crashing: bool = False
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashPlan:
+    """How a caller sends the request that ends its servers.
+
+    It sends ``copies`` at once from ``at_s`` on, and again ``interval_s`` after the
+    last answer, or after the last send where ``is_steady``.
+    """
+
+    spec: RequestSpec
+    copies: int
+    interval_s: float
+    at_s: float
+    is_steady: bool = False
 
 
 @final
@@ -66,6 +98,7 @@
         self._impatient_share = impatient_share
         self._prefix = prefix
         self._count = 0
+        self._calls = 0
         pool = HTTPConnectionPool(reactor, persistent=True)
         pool.retryAutomatically = False
         self._kept = Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
@@ -78,6 +111,12 @@
             reactor.callLater(self._rng.expovariate(per_s), self.start, spec, per_s)
 
     async def _call(self, spec: RequestSpec) -> None:
+        self._calls += 1
+        call = _Call(
+            spec=spec,
+            path=f"/{self._prefix}/{self._calls}",
+            shard=self._rng.randrange(SHARDS),
+        )
         end_s = reactor.seconds() + spec.deadline_ms / 1000
         is_impatient = self._rng.random() < self._impatient_share
         for number in range(1 + RETRIES):
@@ -85,7 +124,7 @@
             if left_s <= 0:
                 return
             agent = self._new if number else self._kept
-            request = await self._send(agent, spec, left_s, is_first=not number)
+            request = await self._send(agent, call, left_s, is_first=not number)
             is_repeatable = spec.repeatable or request.status in NOT_RUN_STATUSES
             if request.status in (200, 400, 404) or not is_repeatable:
                 return
@@ -93,9 +132,34 @@
             delay_s = min(request.retry_after_s, max(0.0, left_s) * MAX_WAIT_SHARE)
             await deferLater(reactor, AT_ONCE_DELAY_S if is_impatient else delay_s)
 
+    def start_crashing(self, plan: CrashPlan) -> None:
+        """Send the request that ends its servers, as planned."""
+        call = _Call(
+            spec=plan.spec,
+            path=f"{CRASH_PATH}/{self._prefix}",
+            shard=self._rng.randrange(SHARDS),
+            is_crashing=True,
+        )
+        for _ in range(plan.copies):
+            reactor.callLater(plan.at_s, self._crash, plan, call)
+
+    def _crash(self, plan: CrashPlan, call: _Call) -> None:
+        if not self.is_sending:
+            return
+        sending = Deferred.fromCoroutine(
+            self._send(self._kept, call, call.spec.deadline_ms / 1000, is_first=True)
+        )
+        if plan.is_steady:
+            reactor.callLater(plan.interval_s, self._crash, plan, call)
+        else:
+            sending.addCallback(
+                lambda _: reactor.callLater(plan.interval_s, self._crash, plan, call)
+            )
+
     async def _send(
-        self, agent: Agent, spec: RequestSpec, left_s: float, *, is_first: bool
+        self, agent: Agent, call: _Call, left_s: float, *, is_first: bool
     ) -> SentRequest:
+        spec = call.spec
         self._count += 1
         request = SentRequest(
             id=f"{self._prefix}-{self._count}",
@@ -104,9 +168,10 @@
             sent_s=reactor.seconds(),
             deadline_ms=int(left_s * 1000),
             is_first=is_first,
+            is_crashing=call.is_crashing,
         )
         self.requests.append(request)
-        answer = Deferred.fromCoroutine(self._exchange(agent, spec, request))
+        answer = Deferred.fromCoroutine(self._exchange(agent, call, request))
         answer.addTimeout(left_s, reactor)
         try:
             await answer
@@ -116,22 +181,23 @@
         request.elapsed_s = reactor.seconds() - request.sent_s
         return request
 
-    async def _exchange(
-        self, agent: Agent, spec: RequestSpec, request: SentRequest
-    ) -> None:
+    async def _exchange(self, agent: Agent, call: _Call, request: SentRequest) -> None:
+        spec = call.spec
         headers = Headers({"Host": [spec.host], "Attempt-Id": [request.id]})
         headers.setRawHeaders("Deadline-Ms", [str(request.deadline_ms)])
         if spec.service in KEYED:
-            headers.setRawHeaders("Shard-Key", [str(self._rng.randrange(SHARDS))])
+            headers.setRawHeaders("Shard-Key", [str(call.shard)])
         ip = host_ip(self._net, self._rng.randrange(self._hosts))
         method = b"GET" if spec.repeatable else b"POST"
         body = None if spec.repeatable else BytesBody(body=b"x" * 300)
-        url = f"http://{ip}:{CALLERS_PORT}/".encode()
+        url = f"http://{ip}:{CALLERS_PORT}{call.path}".encode()
         response = await agent.request(method, url, headers, body)
         for value in response.headers.getRawHeaders("retry-after", []):
             request.retry_after_s = float(value)
-        await readBody(response)
+        text: bytes = await readBody(response)
         request.status = response.code
+        if response.headers.getRawHeaders("content-type") == [PROBLEM_TYPE]:
+            request.reason = str(msgspec.json.decode(text)["title"])
 
 
 @app.default
@@ -146,6 +212,11 @@
     rate: float = 1.0,
     impatient_share: float = 0.0,
     seed: int = 1,
+    crash: str = "",
+    crash_copies: int = 1,
+    crash_interval_s: float = 0.1,
+    crash_at_s: float = 15.0,
+    crash_steady: bool = False,
 ) -> None:
     """Send a part of the requests of the sheet, and write a line for each to OUTPUT.
 
@@ -169,6 +240,16 @@
         Share of the callers that repeat at once.
     seed
         Seed of the random choices.
+    crash
+        Kind of the request that ends its servers, empty for none.
+    crash_copies
+        How many of them are sent at once.
+    crash_interval_s
+        From an answer to such a request to the next one.
+    crash_at_s
+        When the first one is sent.
+    crash_steady
+        Count the interval from each send, and wait for no answer.
 
     """
     use_monotonic_time(reactor)
@@ -182,6 +263,18 @@
     for spec in REQUESTS:
         callers.start(spec, spec.per_s * rate / parts)
 
+    for spec in REQUESTS:
+        if spec.name == crash:
+            callers.start_crashing(
+                CrashPlan(
+                    spec=spec,
+                    copies=crash_copies,
+                    interval_s=crash_interval_s,
+                    at_s=crash_at_s,
+                    is_steady=crash_steady,
+                )
+            )
+
     def stop_sending() -> None:
         callers.is_sending = False
         reactor.callLater(max(spec.timeout_ms for spec in REQUESTS) / 1000, end)
--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -50,6 +50,16 @@
     return lambda fleet, rng: fleet.restart_hosts(_some_hosts(fleet, rng, share))
 
 
+def _kill_leader(fleet: Fleet, rng: Random) -> None:
+    leader = fleet.leader()
+    if leader is not None:
+        fleet.restart_hosts([leader])
+
+
+def _pause_store(fleet: Fleet, rng: Random) -> None:
+    fleet.pause(["store"])
+
+
 def _some_hosts(fleet: Fleet, rng: Random, share: float) -> list[int]:
     return rng.sample(range(fleet.host_count), round(share * fleet.host_count))
 
@@ -118,6 +128,27 @@
         *_lost(14, 40),
         *(Step(at_s=at_s, act=_restart_hosts(0.55)) for at_s in (15, 20, 25, 33)),
     ),
+    "leader-kills": tuple(
+        Step(at_s=at_s, act=_kill_leader) for at_s in (15.15, 16.5, 22.0)
+    ),
+    "store-down": tuple(_pauses(_pause_store, 14.0, for_s=20.0)),
+    "host-pauses-alone": tuple(_pauses(_pause_hosts(0.3), 14.8, 19, 24, 29, for_s=3.0)),
+    "release": (Step(at_s=14.0, act=_order(Order(ended_share=0.5, is_rolling=True))),),
+    "mass-crashes": tuple(
+        Step(at_s=at_s, act=_order(Order(ended_share=1 / 7)))
+        for at_s in (14.5, 15.5, 17.0, 18.5, 24.0, 30.0)
+    ),
+    "crash-all": (
+        *_lost(14, 40, 0.3),
+        *(
+            Step(at_s=at_s, act=_order(Order(ended_share=1 / 7)))
+            for at_s in (15.5, 18.5, 30.0)
+        ),
+        Step(at_s=16.5, act=_kill_leader),
+        Step(at_s=20.0, act=_order(Order(reassigned_share=0.05))),
+        *_pauses(_pause_hosts(0.3), 22.0, for_s=3.0),
+        *_pauses(_pause_store, 27.0, for_s=5.0),
+    ),
     "rests": (
         Step(at_s=14, act=_order(Order(rest_s=3.0))),
         Step(at_s=30, act=_order(Order(rest_s=0.0))),
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -36,6 +36,7 @@
 SENT_METRIC = re.compile(
     r"gentianwharf_requests_sent_total\{(?P<labels>[^}]*)\} (?P<count>\S+)"
 )
+LEADS_METRIC = re.compile(r"gentianwharf_leads 1(\.0)?$", re.MULTILINE)
 LABEL = re.compile(r'(\w+)="([^"]*)"')
 
 
@@ -62,6 +63,7 @@
         self._agreement = agreement
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._paused: set[str] = set()
+        self._orders: list[Order] = []
 
     def start_platform(self) -> None:
         """Start the store and the servers, and wait until these are listed."""
@@ -123,6 +125,7 @@
 
     def order_servers(self, order: Order) -> None:
         """Let every process of servers carry out an order."""
+        self._orders.append(order)
         line = msgspec.json.encode(order) + b"\n"
         for part in range(SERVER_PROCESSES):
             stdin = self._processes[f"servers-{part}"].stdin
@@ -142,6 +145,28 @@
             self._processes[name].send_signal(signal.SIGCONT)
         self._paused.clear()
 
+    def leader(self) -> int | None:
+        """Return the number of the host that leads, None if no host states so."""
+        with ThreadPoolExecutor(16) as pool:
+            texts = list(pool.map(self._metrics, range(self.host_count)))
+        leaders = [
+            number for number, text in enumerate(texts) if LEADS_METRIC.search(text)
+        ]
+        return leaders[0] if leaders else None
+
+    def check(self) -> None:
+        """Raise ``RuntimeError`` if a process has failed, or logged an error.
+
+        What such a run counts says nothing about its disruptions.
+        """
+        for name, process in self._processes.items():
+            code = process.poll()
+            if code and not name.startswith("host-"):
+                raise RuntimeError(f"{name} ended with {code}; see its log")
+            log = (self._directory / f"{name}.log").read_bytes()
+            if b"Traceback (most recent call last)" in log:
+                raise RuntimeError(f"{name} logged an error; see its log")
+
     def restart_hosts(self, numbers: Iterable[int]) -> None:
         """Kill hosts at once, and start them again."""
         numbers = list(numbers)
@@ -162,7 +187,7 @@
 
     def record(self, outputs: Iterable[Path]) -> Record:
         """Return all that was counted."""
-        record = Record(agreement=self._agreement)
+        record = Record(agreement=self._agreement, orders=self._orders)
         for output in outputs:
             lines = output.read_bytes().splitlines()
             record.sent += [
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -18,8 +18,16 @@
 from gentianwharf.platform.standin import Arrival, RequestRun
 
 from ._callers import SentRequest
-from ._servers import RuleMove
-from ._sheet import MAX_ATTEMPTS, MOVED_SERVICE, MOVING_RULE, SERVICES
+from ._servers import AddressReassigned, Order, RuleMove, ServerEnd
+from ._sheet import (
+    CONTACT_S,
+    MAX_ATTEMPTS,
+    MAX_CRASHES,
+    MAX_LATE_SENDS,
+    MOVED_SERVICE,
+    MOVING_RULE,
+    SERVICES,
+)
 
 LATE_S = 0.5
 """Beyond this, a send is a late one, and a deadline is a longer one."""
@@ -27,6 +35,9 @@
 MAX_LONG_DEADLINES = 20
 MAX_LONG_SHARE = 0.2
 
+QUARANTINE_REASON = "refused: the request has ended servers"
+"""Begin of the title of a host's answer to such a request."""
+
 
 @final
 @dataclass(kw_only=True)
@@ -38,6 +49,10 @@
     arrivals: list[Arrival] = field(default_factory=list)
     runs: list[RequestRun] = field(default_factory=list)
     moves: list[RuleMove] = field(default_factory=list)
+    ends: list[ServerEnd] = field(default_factory=list)
+    reassigned: list[AddressReassigned] = field(default_factory=list)
+    orders: list[Order] = field(default_factory=list)
+    """What servers were ordered to do."""
     stated: Counter[tuple[str, str]] = field(default_factory=Counter)
     """Writes by service and cause, as the hosts that run at the end state them."""
 
@@ -54,6 +69,10 @@
             continue
         if "moved_at_s" in fields:
             record.moves.append(msgspec.convert(fields, RuleMove))
+        elif "ended_at_s" in fields:
+            record.ends.append(msgspec.convert(fields, ServerEnd))
+        elif "reassigned_at_s" in fields:
+            record.reassigned.append(msgspec.convert(fields, AddressReassigned))
         elif "arrived_s" in fields:
             record.arrivals.append(msgspec.convert(fields, Arrival))
         else:
@@ -153,6 +172,73 @@
     return arrival.arrived_s + (arrival.deadline_ms or 0) / 1000
 
 
+@final
+@dataclass(frozen=True, kw_only=True)
+class Crashes:
+    """What became of the request that ends its servers, and of others beside it.
+
+    ``late_sends`` came to servers later than ``CONTACT_S`` after the third of them had
+    ended. ``innocents`` are other requests that a host refused as if they were it.
+    """
+
+    sent: int
+    arrived: int
+    ended: int
+    late_sends: int
+    innocents: int
+
+
+def crashes(record: Record) -> Crashes | None:
+    """Return what became of the request that ends its servers, None without one."""
+    ids = {request.id for request in record.sent if request.is_crashing}
+    if not ids:
+        return None
+    ends_s = sorted(end.ended_at_s for end in record.ends if end.by_request)
+    arrivals_s = [
+        arrival.arrived_s for arrival in record.arrivals if arrival.request_id in ids
+    ]
+    late_sends = 0
+    if len(ends_s) >= MAX_CRASHES:
+        end_s = ends_s[MAX_CRASHES - 1] + CONTACT_S
+        late_sends = sum(at_s > end_s for at_s in arrivals_s)
+    return Crashes(
+        sent=len(ids),
+        arrived=len(arrivals_s),
+        ended=len(ends_s),
+        late_sends=late_sends,
+        innocents=sum(
+            request.reason.startswith(QUARANTINE_REASON) and not request.is_crashing
+            for request in record.sent
+        ),
+    )
+
+
+def describe_crashes(crashes: Crashes) -> list[str]:
+    """Return a line for each way in which hosts dealt wrongly with such a request."""
+    lines = []
+    if crashes.late_sends > MAX_LATE_SENDS:
+        lines.append(
+            f"BUDGET: {crashes.late_sends} sends of a request that ends its servers,"
+            f" later than {CONTACT_S} s after the third end, expected"
+            f" {MAX_LATE_SENDS} at most"
+        )
+    if crashes.innocents:
+        lines.append(
+            f"DENIED: {crashes.innocents} requests refused as if they ended servers"
+        )
+    return lines
+
+
+def missing_effects(record: Record) -> list[str]:
+    """Return a line for each order to servers that has had no effect."""
+    lines = []
+    if any(order.reassigned_share for order in record.orders) and not record.reassigned:
+        lines.append("expected addresses that pass on, got none")
+    if any(order.ended_share for order in record.orders) and not record.ends:
+        lines.append("expected servers that end, got none")
+    return lines
+
+
 def violations(record: Record) -> list[str]:
     """Return a line for each way in which BUDGET was broken."""
     lines = [
@@ -161,6 +247,9 @@
         for line in describe_excess(service, worst, agreement=record.agreement)
     ]
     lines += find_excess_runs(_run_places(record), max_attempts=MAX_ATTEMPTS)
+    crashed = crashes(record)
+    if crashed is not None:
+        lines += describe_crashes(crashed)
     long = long_deadlines(record)
     if long.is_excess:
         lines.append(
@@ -187,15 +276,34 @@
             f" {len(repeated_s[service])} repeats of {arrived[service]} arrivals; hosts"
             f" state {again} of {sum(stated.values())}: {dict(sorted(stated.items()))}"
         )
-    first = [request for request in record.sent if request.is_first]
-    served = sum(request.status == 200 for request in record.sent)
-    statuses = Counter(request.status for request in record.sent)
+    sent = [request for request in record.sent if not request.is_crashing]
+    first = [request for request in sent if request.is_first]
+    served = sum(request.status == 200 for request in sent)
+    statuses = Counter(request.status for request in sent)
     long = long_deadlines(record)
     excess = count_excess_runs(_run_places(record), max_attempts=MAX_ATTEMPTS)
     lines.append(
-        f"{len(first)} calls in {len(record.sent)} requests, {served} served"
+        f"{len(first)} calls in {len(sent)} requests, {served} served"
         f" ({served / max(1, len(first)):.3f}); statuses"
         f" {dict(sorted(statuses.items()))}; {excess} ran on too many"
         f" servers; {long.count} of {long.late_sends} late sends with too much time"
     )
+    lines.append(
+        f"{len(record.ends)} servers ended, {len(record.reassigned)} addresses passed"
+        " on"
+    )
+    crashed = crashes(record)
+    if crashed is not None:
+        answers = Counter(
+            f"{request.status} {request.reason}".strip()
+            for request in record.sent
+            if request.is_crashing
+        )
+        lines.append(
+            f"the request that ends its servers: {crashed.sent} sends,"
+            f" {crashed.arrived} arrivals, {crashed.ended} servers ended,"
+            f" {crashed.late_sends} arrivals later than {CONTACT_S} s after the third;"
+            f" {dict(sorted(answers.items()))}; {crashed.innocents} other requests"
+            " refused like it"
+        )
     return lines
--- a/bench/fleet/_servers.py
+++ b/bench/fleet/_servers.py
@@ -6,6 +6,7 @@
 
 import sys
 import time
+from collections.abc import Coroutine
 from random import Random
 from typing import Any, final
 from weakref import WeakSet
@@ -16,19 +17,37 @@
 from twisted.internet.stdio import StandardIO
 from twisted.internet.task import deferLater
 from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure
+from twisted.web.server import Request
 
 from gentianwharf.lifecycle import use_monotonic_time
 from gentianwharf.platform import PlatformStore
 from gentianwharf.platform.standin import Arrival, RequestRun, ServerSpec, StandInServer
 from gentianwharf.store import Change, Store
 
-from ._sheet import SERVICES, SLOTS, ServiceSpec, configuration, operators_address
+from ._sheet import (
+    CRASH_PATH,
+    SERVICES,
+    SLOTS,
+    ServiceSpec,
+    configuration,
+    operators_address,
+)
 
 LEASE_S = 600.0
 ADDRESS_REUSE_S = 2.0
 EXPIRY_S = 0.4
 """From the new server at an address to the end of the former one's entry."""
 
+CRASH_DELAY_S = 0.1
+"""From the begin of a run that ends its server to the end."""
+
+RESTART_S = 4.0
+ENTRY_LAPSE_S = 2.4
+"""From the end of a server to the end of its entry, unless it is back by then."""
+
+ROLLING_GAP_S = 0.3
+
 OUTPUT_BUFFER_BYTES = 65_536
 FLUSH_INTERVAL_S = 0.5
 
@@ -42,6 +61,21 @@
     moved_at_s: float
 
 
+class ServerEnd(msgspec.Struct):
+    """That a server ended, and whether a request ended it."""
+
+    server: str
+    ended_at_s: float
+    by_request: bool
+
+
+class AddressReassigned(msgspec.Struct):
+    """That another server got the address of one that had ended."""
+
+    address: str
+    reassigned_at_s: float
+
+
 class Order(msgspec.Struct, omit_defaults=True):
     """What the servers of a process are to do from now on.
 
@@ -49,7 +83,8 @@
     for which servers refuse and ask for rest, 0 for none. ``reassigned_share`` of the
     servers end now, and others of another service get their addresses. ``service``
     limits the first two to one service. ``moves_rule`` writes a configuration in which
-    a rule has another service, or its first one again.
+    a rule has another service, or its first one again. ``ended_share`` of the servers
+    end now and start again, one after the other where ``is_rolling``.
     """
 
     lost_share: float | None = None
@@ -57,6 +92,8 @@
     reassigned_share: float | None = None
     service: str | None = None
     moves_rule: bool | None = None
+    ended_share: float | None = None
+    is_rolling: bool = False
 
 
 @final
@@ -65,8 +102,9 @@
 
     def __init__(self, server: StandInServer) -> None:
         self.server = server
+        self.has_ended = False
         ip, _, port = server.spec.address.rpartition(":")
-        self._channels: WeakSet[Any] = WeakSet()
+        self._transports: WeakSet[Any] = WeakSet()
         site = server.site()
         self._build_protocol = site.buildProtocol
         site.buildProtocol = self._track  # type: ignore[method-assign]
@@ -74,14 +112,20 @@
 
     def _track(self, address: Any) -> Any:
         channel = self._build_protocol(address)
-        self._channels.add(channel)
+        connect = channel.makeConnection
+
+        def make_connection(transport: Any) -> None:
+            self._transports.add(transport)
+            connect(transport)
+
+        channel.makeConnection = make_connection
         return channel
 
     def crash(self) -> None:
+        self.has_ended = True
         self._port.stopListening()
-        for channel in list(self._channels):
-            if channel.transport is not None:
-                channel.transport.abortConnection()
+        for transport in list(self._transports):
+            transport.abortConnection()
 
 
 @final
@@ -100,6 +144,7 @@
         self._servers: list[_ListeningServer] = []
         self._ended = 0
         self._version = 1
+        self.has_failed = False
         self._output = open(  # noqa: SIM115
             sys.stdout.fileno(), "wb", buffering=OUTPUT_BUFFER_BYTES, closefd=False
         )
@@ -108,8 +153,11 @@
                 if number % parts == part:
                     self._add(service, f"{service.name}-{number}", address)
 
-    async def list_all(self) -> None:
+    def start(self) -> None:
         """Write the entries of all servers to the store."""
+        self._start(self._list_all())
+
+    async def _list_all(self) -> None:
         if self._writes_rules:
             await self._write_rules(moved=False)
         self._lease_id = await self._store.open_lease(LEASE_S)
@@ -144,15 +192,70 @@
             if order.rest_s is not None:
                 server.rest_s = order.rest_s or None
         if order.moves_rule is not None and self._writes_rules:
-            Deferred.fromCoroutine(self._write_rules(moved=order.moves_rule))
+            self._start(self._write_rules(moved=order.moves_rule))
         if order.reassigned_share:
-            for listening in list(self._servers):
-                if self._rng.random() < order.reassigned_share:
-                    Deferred.fromCoroutine(self._reassign(listening))
+            for listening in self._some_servers(order.reassigned_share):
+                self._start(self._reassign(listening))
+        if order.ended_share:
+            ended = self._some_servers(order.ended_share)
+            for number, listening in enumerate(ended):
+                delay_s = number * ROLLING_GAP_S if order.is_rolling else 0.0
+                self._start(self._restart(listening, delay_s=delay_s))
+
+    def _some_servers(self, share: float) -> list[_ListeningServer]:
+        return [server for server in self._servers if self._rng.random() < share]
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Start work whose failure ends the process with an error."""
+        Deferred.fromCoroutine(work).addErrback(self._fail)
+
+    def _fail(self, failure: Failure) -> None:
+        print(failure.getTraceback(), file=sys.stderr, flush=True)
+        self.has_failed = True
+        self._output.flush()
+        reactor.stop()
+
+    def _end(self, listening: _ListeningServer, *, by_request: bool) -> None:
+        self._servers.remove(listening)
+        listening.crash()
+        self._write(
+            ServerEnd(
+                server=listening.server.spec.id,
+                ended_at_s=reactor.seconds(),
+                by_request=by_request,
+            )
+        )
+
+    async def _restart(
+        self,
+        former: _ListeningServer,
+        *,
+        delay_s: float,
+        by_request: bool = False,
+    ) -> None:
+        """End a server, and start it again under its id and address."""
+        await deferLater(reactor, delay_s)
+        if former.has_ended:
+            return
+        self._end(former, by_request=by_request)
+        await deferLater(reactor, ENTRY_LAPSE_S)
+        entry = former.server.entry(self._lease_id)
+        await self._store.change(Change(removals=(entry.key,)))
+        await deferLater(reactor, RESTART_S - ENTRY_LAPSE_S)
+        spec = former.server.spec
+        service = next(known for known in SERVICES if known.name == spec.service)
+        server = self._add(service, spec.id, spec.address)
+        server.lost_share = former.server.lost_share
+        await self._list(server)
+
+    def _end_if_crashing(self, listening: _ListeningServer, request: Request) -> None:
+        if request.path.startswith(CRASH_PATH.encode()):
+            self._start(
+                self._restart(listening, delay_s=CRASH_DELAY_S, by_request=True)
+            )
 
     async def _reassign(self, former: _ListeningServer) -> None:
-        self._servers.remove(former)
-        former.crash()
+        self._end(former, by_request=False)
         await deferLater(reactor, ADDRESS_REUSE_S)
         spec = former.server.spec
         others = [service for service in SERVICES if service.name != spec.service]
@@ -160,6 +263,9 @@
         server_id = f"again-{self._part}-{self._ended}"
         server = self._add(self._rng.choice(others), server_id, spec.address)
         server.lost_share = former.server.lost_share
+        self._write(
+            AddressReassigned(address=spec.address, reassigned_at_s=reactor.seconds())
+        )
         await self._list(server)
         await deferLater(reactor, EXPIRY_S)
         entry = former.server.entry(self._lease_id)
@@ -181,10 +287,15 @@
         )
         server = StandInServer(spec=spec, reactor=reactor, rng=self._rng)
         server.on_arrival = server.on_run = self._write
-        self._servers.append(_ListeningServer(server))
+        listening = _ListeningServer(server)
+        server.on_begin = lambda request: self._end_if_crashing(listening, request)
+        self._servers.append(listening)
         return server
 
-    def _write(self, event: Arrival | RequestRun | RuleMove) -> None:
+    def _write(
+        self,
+        event: Arrival | RequestRun | RuleMove | ServerEnd | AddressReassigned,
+    ) -> None:
         self._output.write(msgspec.json.encode(event) + b"\n")
 
 
@@ -194,9 +305,9 @@
     net, part, parts = (int(argument) for argument in sys.argv[1:])
     group = ServerGroup(net=net, part=part, parts=parts)
     StandardIO(group, reactor=reactor)
-    listing = Deferred.fromCoroutine(group.list_all())
-    listing.addErrback(lambda failure: print(failure.getTraceback(), file=sys.stderr))
+    group.start()
     reactor.run()
+    sys.exit(group.has_failed)
 
 
 if __name__ == "__main__":
--- a/bench/fleet/_sheet.py
+++ b/bench/fleet/_sheet.py
@@ -16,6 +16,18 @@
 MAX_ATTEMPTS = 2
 SLOTS = 2
 
+CRASH_PATH = "/ends-its-server"
+"""Servers end when they begin to run a request whose path begins with this."""
+
+CONTACT_S = 4.0
+"""Time for which a host has been undisturbed when it counts as in touch."""
+
+MAX_CRASHES = 3
+"""Servers that a request may end before hosts have to know it."""
+
+MAX_LATE_SENDS = 3
+"""Sends of such a request later than ``CONTACT_S`` after the last of these ends."""
+
 EXTRA_RETRIES = 208
 AGREEMENT = RetryAgreement(ratio=0.2, extra=EXTRA_RETRIES, window_s=10)
 """What the operators allow all hosts together to repeat at a service."""
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -108,8 +108,8 @@
 class StandInServer(Resource):
     """One instance of a backend server.
 
-    It calls ``on_arrival`` for each request, then ``on_run`` for each that it ran, and
-    ``on_refused`` for each other one.
+    It calls ``on_arrival`` for each request, ``on_begin`` once it begins to run one,
+    then ``on_run`` for each that it ran, and ``on_refused`` for each other one.
     """
 
     isLeaf = True  # noqa: N815
@@ -120,6 +120,7 @@
         self.listed_as = spec.address
         self.lost_share = spec.lost_share
         self.on_arrival: Callable[[Arrival], None] = lambda arrival: None
+        self.on_begin: Callable[[Request], None] = lambda request: None
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.on_refused: Callable[[str], None] = lambda request_id: None
         self.state = ServerState.READY
@@ -300,6 +301,7 @@
         self._running[f"{work.request_id}/{work.begun_s}"] = work
         delay_s = self.spec.work_s * self._rng.uniform(0.5, 1.5)
         work.timer = self._reactor.callLater(delay_s, self._complete, work)
+        self.on_begin(work.request)
 
     def _complete(self, work: _Work) -> None:
         is_whole = self._may_run(work)
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -2,7 +2,8 @@
 
 from bench.fleet._callers import SentRequest
 from bench.fleet._judge import Record
-from bench.fleet._sheet import AGREEMENT
+from bench.fleet._servers import ServerEnd
+from bench.fleet._sheet import AGREEMENT, MAX_CRASHES
 
 from gentianwharf.platform.standin import Arrival, RequestRun
 
@@ -10,7 +11,14 @@
 DEADLINE_MS = 4_000
 
 
-def sent(number: int, *, at_s: float, service: str = SERVICE) -> SentRequest:
+def sent(
+    number: int,
+    *,
+    at_s: float,
+    service: str = SERVICE,
+    is_crashing: bool = False,
+    reason: str = "",
+) -> SentRequest:
     """Return a request that a caller sent."""
     return SentRequest(
         id=f"request-{number}",
@@ -19,9 +27,27 @@
         sent_s=at_s,
         deadline_ms=DEADLINE_MS,
         is_first=True,
+        is_crashing=is_crashing,
+        reason=reason,
     )
 
 
+def crashed(*arrivals_s: float) -> Record:
+    """Return a record of a request that ended a server each 0.1 s after it arrived.
+
+    After three ends it no longer ends any.
+    """
+    record = Record(agreement=AGREEMENT)
+    for number, at_s in enumerate(arrivals_s):
+        record.sent.append(sent(number, at_s=at_s, is_crashing=True))
+        record.arrivals.append(arrival(number, at_s=at_s))
+        if number < MAX_CRASHES:
+            record.ends.append(
+                ServerEnd(server="s", ended_at_s=at_s + 0.1, by_request=True)
+            )
+    return record
+
+
 def arrival(
     number: int,
     *,
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -1,18 +1,37 @@
 """How the runs of a fleet are judged."""
 
+import subprocess
+import sys
+
+import msgspec
 import pytest
-from bench.fleet._judge import Record, long_deadlines, read_server_lines, violations
-from bench.fleet._sheet import AGREEMENT, MAX_ATTEMPTS
+from bench.fleet._judge import (
+    QUARANTINE_REASON,
+    Record,
+    crashes,
+    long_deadlines,
+    missing_effects,
+    read_server_lines,
+    violations,
+)
+from bench.fleet._servers import AddressReassigned, Order, ServerEnd
+from bench.fleet._sheet import AGREEMENT, CONTACT_S, MAX_ATTEMPTS, MAX_LATE_SENDS
 
 from .builders_fleet import (
     DEADLINE_MS,
     OTHER_SERVICE,
     arrival,
+    crashed,
     repeated,
     run_at,
     sent,
 )
 
+UNUSED_NET = 89
+"""No store listens there."""
+
+START_TIMEOUT_S = 30.0
+
 
 @pytest.mark.parametrize(
     ("count", "is_broken"), [(260, False), (261, True)], ids=["allowed", "one-more"]
@@ -67,3 +86,64 @@
     ]
     read_server_lines(lines, record)
     assert (len(record.arrivals), len(record.runs)) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    ("late_sends", "is_broken"),
+    [(MAX_LATE_SENDS, False), (MAX_LATE_SENDS + 1, True)],
+    ids=["allowed", "one-more"],
+)
+def test_late_sends_of_a_request_that_ends_its_servers_are_bounded(
+    late_sends: int, is_broken: bool
+) -> None:
+    ends_s = (1.0, 2.0, 3.0)
+    late_s = [3.2 + CONTACT_S + number for number in range(late_sends)]
+    record = crashed(*ends_s, 3.1 + CONTACT_S, *late_s)
+    found = crashes(record)
+    assert found is not None
+    assert (found.ended, found.late_sends) == (len(ends_s), late_sends)
+    assert bool(violations(record)) is is_broken
+
+
+def test_other_requests_that_are_refused_like_it_are_found() -> None:
+    record = crashed(1.0)
+    record.sent.append(sent(9, at_s=1.0, reason=f"{QUARANTINE_REASON} (suspected)"))
+    assert violations(record) == ["DENIED: 1 requests refused as if they ended servers"]
+
+
+@pytest.mark.parametrize(
+    ("order", "event"),
+    [
+        pytest.param(
+            Order(reassigned_share=0.1),
+            AddressReassigned(address="127.90.10.1:8400", reassigned_at_s=1.0),
+            id="reassigned",
+        ),
+        pytest.param(
+            Order(ended_share=0.1),
+            ServerEnd(server="s", ended_at_s=1.0, by_request=False),
+            id="ended",
+        ),
+    ],
+)
+def test_orders_without_an_effect_are_found(
+    order: Order, event: AddressReassigned | ServerEnd
+) -> None:
+    """Guards against a disruption that does nothing and passes for a borne one."""
+    record = Record(agreement=AGREEMENT, orders=[order])
+    assert missing_effects(record)
+    read_server_lines([msgspec.json.encode(event)], record)
+    assert not missing_effects(record)
+
+
+def test_server_process_that_fails_ends_with_an_error() -> None:
+    """Guards against runs whose servers have carried out no order."""
+    servers = subprocess.run(
+        [sys.executable, "-m", "bench.fleet._servers", str(UNUSED_NET), "0", "1"],
+        input=b"",
+        capture_output=True,
+        timeout=START_TIMEOUT_S,
+        check=False,
+    )
+    assert servers.returncode == 1
+    assert b"Traceback" in servers.stderr
