Bound answers without an end on connections for orders, queries and the store

What may be seen: a server, or the store, sends bytes that are no answer and never end, in a head or a body, until its client closes.

Cause: heads and bodies were bounded on the connections of callers' requests alone. The body of a load query's answer was discarded without a bound in bytes or time, so that its connection never became free.

Requests of callers were bounded already; a body that is well-formed waits for its caller.

Weighed: one bound for all in Twisted's parser would need its private parts in four places; a time limit alone doesn't bound the memory.

--- a/src/gentianwharf/http_agent.py
+++ b/src/gentianwharf/http_agent.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.interfaces import IConsumer, IStreamClientEndpoint
+from twisted.web._newclient import HEADER, STATUS
 from twisted.web.client import URI, Agent, HTTPConnectionPool
 from twisted.web.iweb import IAgent, IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
@@ -15,6 +16,8 @@
 
 __all__ = ["BytesBody", "ip_agent", "ip_endpoint"]
 
+MAX_RESPONSE_HEAD_BYTES = 65_536
+
 Reactor = Any
 """An ``IReactorTCP`` and ``IReactorTime``; zope interfaces have no intersection
 type."""
@@ -50,7 +53,7 @@
             port=uri.port,
             connect_timeout_s=self._connect_timeout_s,
         )
-        return self._wrap_endpoint(endpoint)
+        return _BoundedHeads(endpoint=self._wrap_endpoint(endpoint))
 
 
 def ip_endpoint(
@@ -94,6 +97,42 @@
     return cast(IAgent, Agent.usingEndpointFactory(reactor, endpoints, pool))
 
 
+@final
+@implementer(IStreamClientEndpoint)
+class _BoundedHeads:
+    """An endpoint whose connections are closed once a response's head is too large.
+
+    Twisted limits the length of a line, but not the number of lines or of informational
+    responses.
+    """
+
+    def __init__(self, *, endpoint: IStreamClientEndpoint) -> None:
+        self._endpoint = endpoint
+
+    def connect(self, factory: Any) -> Deferred[Any]:
+        """Connect, and bound the heads of the responses."""
+        return self._endpoint.connect(factory).addCallback(_bound_heads)
+
+
+def _bound_heads(protocol: Any) -> Any:
+    receive = protocol.dataReceived
+    head_bytes = 0
+
+    def data_received(data: bytes) -> None:
+        nonlocal head_bytes
+        receive(data)
+        parser = getattr(protocol, "_parser", None)
+        if parser is None or parser.state not in (STATUS, HEADER):
+            head_bytes = 0
+            return
+        head_bytes += len(data)
+        if head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            protocol.transport.abortConnection()
+
+    protocol.dataReceived = data_received
+    return protocol
+
+
 @final
 @implementer(IBodyProducer)
 class BytesBody:
--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -47,6 +47,9 @@
 RELEASE = "release"
 HANDOVER = "handover"
 
+MAX_RESPONSE_BYTES = 65_536
+"""Head and body of the response to an order, which have some hundred bytes."""
+
 MAX_HANDOVERS = 64
 """Releases after which a connection is closed; bounds the memory it takes."""
 
@@ -151,6 +154,15 @@
         self._awaits_handover = False
         """Whether the response to a release may still arrive, after another one."""
         self._timer: Any = None
+        self._response_bytes = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse data, and close the connection if the response is too large."""
+        self._response_bytes += len(data)
+        if self._response_bytes > MAX_RESPONSE_BYTES:
+            self.abort_now()
+            return
+        super().dataReceived(data)
 
     @property
     def is_usable(self) -> bool:
@@ -166,6 +178,7 @@
     ) -> OrderResponse:
         """Send an order; the connection is closed if no complete response arrives."""
         self._orders += 1
+        self._response_bytes = 0
         sent_headers = Headers({name: [value] for name, value in headers.items()})
         sent_headers.setRawHeaders(b"Host", [self.address.encode()])
         request = OrderRequest._construct(
--- a/src/gentianwharf/platform/_store_response.py
+++ b/src/gentianwharf/platform/_store_response.py
@@ -9,6 +9,8 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
 
+from gentianwharf.errors import PeerMismatchError
+
 CALL_TIMEOUT_S = 2.0
 """A slow store takes some tenths of a second. If it doesn't respond, the call is
 retried on a new connection while most of what depends on it is still valid."""
@@ -18,6 +20,11 @@
 encoded) at half a megabit per second."""
 
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Far more than a page or the changes of an outage; bounds the memory that an answer
+without an end takes."""
+
+
 @final
 class TimeLimit:
     """Cancels a call that receives no data for too long.
@@ -75,9 +82,25 @@
         self.done: Deferred[bytes] = Deferred(self._close)
         self._on_chunk = on_chunk
         self._chunks: list[bytes] = []
+        self._received_bytes = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Store a chunk."""
+        """Store a chunk; fail if the body has too many."""
+        if self.done.called:
+            return
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_BODY_BYTES:
+            self._chunks.clear()
+            self._close(None)
+            self.done.errback(
+                PeerMismatchError(
+                    f"expected a body of {MAX_BODY_BYTES} bytes at most, got"
+                    f" {self._received_bytes} without its end",
+                    step="read-answer",
+                    peer="store",
+                )
+            )
+            return
         self._chunks.append(data)
         self._on_chunk()
 
--- a/src/gentianwharf/relay/_load_client.py
+++ b/src/gentianwharf/relay/_load_client.py
@@ -6,6 +6,8 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.protocol import Protocol as StreamProtocol
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
 from twisted.web._newclient import Response
 from twisted.web.http_headers import Headers
 
@@ -13,13 +15,16 @@
 from gentianwharf.pauses import Timeout
 from gentianwharf.topology import BackendServer
 
-from ._connections import ServerConnectionPool
+from ._connections import ServerConnection, ServerConnectionPool
 from ._ports import NO_NOTICE, ServerLoad, ServerNotice
 
 QUERY_TIMEOUT_S = 0.06
 """Several round trips between failure domains. A server that doesn't answer within this
 time is left out."""
 
+MAX_DISCARDED_BYTES = 65_536
+DISCARD_TIMEOUT_S = 1.0
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,7 +128,7 @@
             # It answers another exchange, and the answer to this query may follow.
             connection.abort_now()
             return None
-        response.deliverBody(_DiscardedBody())
+        response.deliverBody(_DiscardedBody(connection=connection, clock=self._reactor))
         load, notice = self._codec.load(headers), self._codec.notice(response)
         if load is None and notice == NO_NOTICE:
             return None
@@ -134,5 +139,28 @@
         )
 
 
+@final
 class _DiscardedBody(StreamProtocol):
-    """Discards the body of a response; its connection is reused after the end."""
+    """Discards the body of a response; its connection is reused after the end.
+
+    The connection is closed if the end doesn't come.
+    """
+
+    def __init__(self, *, connection: ServerConnection, clock: Any) -> None:
+        self._connection = connection
+        self._missing_bytes = MAX_DISCARDED_BYTES
+        self._timeout = Timeout(
+            clock=clock, delay_s=DISCARD_TIMEOUT_S, expire=connection.abort_now
+        )
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Discard data."""
+        self._missing_bytes -= len(data)
+        if self._missing_bytes < 0:
+            self._connection.abort_now()
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Stop waiting for the end."""
+        self._timeout.stop()
