--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 from ._answer_faults import AnswerFaults
 from ._callers import Callers
 from ._checks import check_recovery, find_violations, sent_by_service
+from ._crashing import CrashingCaller, find_late_sends
 from ._cuts import Cuts, describe_cuts, find_unserved_cuts
 from ._deployment import Deployment
 from ._faults import Faults
@@ -60,13 +61,15 @@
 
     ``rules_grow`` lets the list of rules grow, and restarts all hosts at once.
     ``cut_links`` cuts the links of hosts to all servers. ``answer_faults`` sends
-    answers of servers late, twice or in part.
+    answers of servers late, twice or in part. ``crashes`` sends a request that
+    ends each server which runs it.
     """
 
     seed: int
     rules_grow: bool = True
     cut_links: bool = False
     answer_faults: bool = False
+    crashes: bool = False
 
 
 UNRESOLVED = (
@@ -123,6 +126,9 @@
         deployment=deployment, operators=operators, schedule=schedule, rng=Random(seed)
     )
     restarts = Restarts(deployment=deployment, schedule=schedule, rng=Random(seed + 3))
+    crashing = CrashingCaller(
+        reactor=reactor, rng=Random(seed + 6), addresses=deployment.addresses()
+    )
     cuts = Cuts(deployment=deployment, schedule=schedule, rng=Random(seed + 4))
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
@@ -138,8 +144,11 @@
             restarts.start()
         if seed_run.cut_links:
             cuts.start()
+        if seed_run.crashes:
+            crashing.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
+        crashing.is_sending = False
         cuts.restore()
         deployment.restore()
         await deferLater(reactor, RECOVER_S)
@@ -167,6 +176,12 @@
     violations += find_excess_retries(
         sent_s, deployment.arrivals, agreement=STANDIN_AGREEMENT
     )
+    violations += find_late_sends(
+        crashing.requests,
+        deployment.arrivals,
+        deployment.crashes_s,
+        deployment.disruptions,
+    )
     violations += find_excess_runs(
         ((run["request_id"], run["server"]) for run in deployment.runs),
         max_attempts=MAX_ATTEMPTS,
@@ -183,6 +198,8 @@
         f" {len(operators.rules)} rules, {len(bound)} requests bound to a version,"
         f" {served} of {len(callers.requests)} served,"
         f" {len(deployment.runs)} runs, {answer_faults.count} answers disturbed,"
+        f" {len(deployment.crashes_s)} servers ended by"
+        f" {len(crashing.requests)} sends,"
         f" {len(violations)} broken;"
         f" {describe_cuts(callers.requests, cuts.cuts, deployment.disruptions)}",
         flush=True,
@@ -211,6 +228,7 @@
     rules_grow: bool = True,
     cut_links: bool = True,
     answer_faults: bool = False,
+    crashes: bool = False,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -230,6 +248,8 @@
         Cut the links of hosts to all servers.
     answer_faults
         Send answers of servers late, twice or in part.
+    crashes
+        Send a request that ends each server which runs it.
     faults_s
         For how long faults are injected.
     net
@@ -245,6 +265,7 @@
             rules_grow=rules_grow,
             cut_links=cut_links,
             answer_faults=answer_faults,
+            crashes=crashes,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -10,12 +10,14 @@
 from gentianwharf.platform import SETTINGS_PATH_VARIABLE
 from gentianwharf.platform.standin import (
     CALLERS_PORT,
+    EXIT_CRASHED,
     KEYED,
     UNKEYED,
     settings_text,
 )
 
 from ._answer_faults import AnswerFaults
+from ._crashing import ENDS
 from ._disruptions import Disruptions, link_of
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
@@ -26,6 +28,10 @@
 KEYED_SERVER_COUNT, UNKEYED_SERVER_COUNT = 5, 3
 STANDIN = ("-m", "gentianwharf.platform.standin")
 RESTART_DELAY_S = 0.3
+CRASH_RESTART_S = 2.0
+CRASHED = f"code {EXIT_CRASHED}"
+"""How a server ends when a request has ended it."""
+
 SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
 FIRST_LINK_PORT = 8500
 DISRUPTIVE_SIGNALS = (signal.SIGSTOP, signal.SIGTERM, signal.SIGKILL)
@@ -54,6 +60,8 @@
         self.net = net
         self.runs: list[Line] = []
         self.arrivals: list[Line] = []
+        self.crashes_s: list[float] = []
+        """When requests ended servers, on the reactor's clock."""
         self.programs: dict[str, Program] = {}
         self.ended: list[Program] = []
         self.proxies: dict[str, Proxy] = {}
@@ -149,6 +157,7 @@
             *("--domain", "abc"[number % 3], "--slots", "4", "--work-ms", "30"),
             *("--store", self.operators_address),
             *("--listed-as", self._proxy_address(name), "--reports-arrivals"),
+            *("--ends-on", ENDS),
         ]
         self._start_process(name, arguments)
 
@@ -159,13 +168,25 @@
         if previous is not None:
             self.ended.append(previous)
         on_line = self._note_line if name in self.servers else _ignore_line
-        program = Program(name=name, log=self.logs / f"{name}.log", on_line=on_line)
+        program = Program(
+            name=name,
+            log=self.logs / f"{name}.log",
+            on_line=on_line,
+            on_end=self._note_end,
+        )
         self.programs[name] = program
         program.start(self.reactor, arguments, env or {})
         # A program that has just started counts as disrupted until now.
         self.disruptions.begin(name)
         self.disruptions.end(name)
 
+    def _note_end(self, program: Program) -> None:
+        """Start a server again that a request has ended."""
+        if program.exit_status != CRASHED or self._is_stopped:
+            return
+        self.crashes_s.append(self.reactor.seconds())
+        self.reactor.callLater(CRASH_RESTART_S, self.start_program, program.name)
+
     def _note_line(self, line: Line) -> None:
         (self.arrivals if "arrived_s" in line else self.runs).append(line)
 
@@ -235,7 +256,8 @@
         return [
             f"EXIT: {program.name} ended by itself with {program.exit_status}"
             for program in [*self.ended, *self.programs.values()]
-            if program.exit_status is not None and not program.is_end_requested
+            if program.exit_status not in (None, CRASHED)
+            and not program.is_end_requested
         ]
 
     def stop(self) -> None:
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -18,7 +18,12 @@
     """One process; ``on_line`` is called with each JSON line that it writes."""
 
     def __init__(
-        self, *, name: str, log: Path, on_line: Callable[[Line], None]
+        self,
+        *,
+        name: str,
+        log: Path,
+        on_line: Callable[[Line], None],
+        on_end: Callable[["Program"], None],
     ) -> None:
         self.name = name
         self.is_running = False
@@ -26,6 +31,7 @@
         self.is_end_requested = False
         self._log = log.open("ab")
         self._on_line = on_line
+        self._on_end = on_end
         self._partial_line = b""
 
     def start(
@@ -64,3 +70,4 @@
             f"signal {error.signal}" if error.signal else f"code {error.exitCode}"
         )
         self._log.close()
+        self._on_end(self)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,11 @@
     play(20001, 10, "--no-rules-grow", "--no-cut-links", "--answer-faults")
 
 
+def test_no_promise_is_broken_while_a_request_ends_servers() -> None:
+    """Guards against one request that takes servers away, beside other faults."""
+    play(30001, 10, "--no-rules-grow", "--no-cut-links", "--crashes")
+
+
 def play(seed: int, faults_s: int, *options: str) -> None:
     result = subprocess.run(
         [
