Answer a host that starts over a new link

What was seen: tests/test_quarantine_processes.py::…loss_of_the_leader ended four servers in 3 of 21 runs. The host that was killed and started again asked three others what they know, had no answer within 0.3 s, served, and learned of the third end 31 ms later.

Cause: the hosts that were asked still had links to its former process. nng opens such a link again after up to 1 s.

Evidence: the new log line `asked other hosts about requests that end servers` says `answered: false, took_s: 0.3` at that host, and 0.002 to 0.02 s at hosts that others had no link to.

Weighed: a longer wait for the answer delays each start; a shorter backoff of all links costs connections to hosts that are gone.

--- a/src/gentianwharf/entryhost/_book_exchange.py
+++ b/src/gentianwharf/entryhost/_book_exchange.py
@@ -11,6 +11,8 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from gentianwharf.logs import log
+
 from ._host_links import HostLinks
 from ._peer_messages import BookReply, BookRequest, HostAddress, HostIdentity
 
@@ -44,6 +46,7 @@
         self._rng = rng
         self._ticked_s = reactor.seconds()
         self._timer: Any = None
+        self._asked_s = 0.0
         self._waiting: list[Deferred[None]] = []
 
     def tick(self, *, knows_hosts: bool) -> None:
@@ -81,13 +84,16 @@
             self.is_current = True
             return
         self.count += 1
+        self._asked_s = self._reactor.seconds()
         self._timer = self._reactor.callLater(ANSWER_TIMEOUT_S, self._end)
         data = msgspec.msgpack.encode(BookRequest(self._identity.address))
         for entry in self._rng.sample(others, min(MAX_ASKED, len(others))):
             self._links.send(entry.address, data)
 
     def answer(self, request: BookRequest, reply: BookReply) -> None:
-        """Send this host's book to another host."""
+        """Send this host's book to another host, which may have just started."""
+        # A link to its former process would be opened again only after a delay.
+        self._links.renew(request.address)
         self._links.send(request.address, msgspec.msgpack.encode(reply))
 
     def note_answer(self) -> None:
@@ -101,6 +107,11 @@
         self.note_answer()
 
     def _end(self) -> None:
+        took_s = self._reactor.seconds() - self._asked_s
+        log.info(
+            "asked other hosts about requests that end servers",
+            extra={"answered": took_s < ANSWER_TIMEOUT_S, "took_s": round(took_s, 3)},
+        )
         self._timer = None
         self.is_current = True
         waiting, self._waiting = self._waiting, []
--- a/src/gentianwharf/entryhost/_host_links.py
+++ b/src/gentianwharf/entryhost/_host_links.py
@@ -44,6 +44,12 @@
         used.used_s = now_s
         return used.link.send(data)
 
+    def renew(self, address: str) -> None:
+        """Open the link to an address again with the next message."""
+        used = self._open.pop(address, None)
+        if used is not None:
+            used.link.close()
+
     def tick(self) -> None:
         """Close idle links."""
         now_s = self._now_s()
