Keep the news of mass losses off the leader's uplink, and split the host's quarantine

The leader passes on news of others for an eighth of its bandwidth, a second's worth at once; each host sends what was not passed on itself. What is cleared is told once a tick. By reading: 200 lost requests of a mass loss take 2.5 MB on the uplink of a leader of 84 hosts, two seconds at 10 Mbit/s, while it has to grant the keys of the servers that ended.

--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -234,6 +234,10 @@
         """Send all hosts what servers stated in their answers."""
         self._send_to_all(NoticeUpdate(self._identity, self._term, notices))
 
+    def send_time_s(self, data: bytes) -> float:
+        """Return how long a message to all hosts takes on this host's uplink."""
+        return len(data) * len(self.membership.active()) / self._link_bytes_per_s
+
     def broadcast_news(self, news: QuarantineNews) -> None:
         """Send all hosts what one of them found out about requests."""
         self._send_to_all(news)
--- a/src/gentianwharf/entryhost/_guarded_run.py
+++ b/src/gentianwharf/entryhost/_guarded_run.py
@@ -93,6 +93,9 @@
                 crash.waiting.append(waiting)
                 await waiting
         self.give_back_turn()
+        if self._quarantine.is_free(self):
+            return False
+        await self._quarantine.wait_for_other_ends()
         return self._quarantine.is_retry_unwise(self)
 
     def note_answered(self) -> None:
@@ -103,7 +106,7 @@
     def finish(self) -> None:
         """Give back the turn, if the request has it."""
         self.give_back_turn()
-        self._quarantine.runs.discard(self)
+        self._quarantine.suspicions.runs.discard(self)
 
     def give_back_turn(self) -> None:
         """Let another copy of the request run."""
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -250,6 +250,10 @@
         """Whether this host sends updates to all others."""
         return self._broadcaster.leads
 
+    def send_time_s(self, news: QuarantineNews) -> float:
+        """Return how long news for all hosts takes on the leader's uplink."""
+        return self._broadcaster.send_time_s(msgspec.msgpack.encode(news))
+
     def send_news(self, news: QuarantineNews) -> bool:
         """Send news to all hosts, or to the leader, which does so.
 
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -12,9 +12,7 @@
 from gentianwharf.platform import ServerEntry
 from gentianwharf.quarantine import (
     MAX_CRASHES,
-    MAX_RECORDS,
     Book,
-    Record,
     RequestName,
     ServerCrash,
     Standing,
@@ -48,12 +46,16 @@
 )
 from ._peers import Peers
 from ._quarantine_news import NewsSender
+from ._suspicions import Suspicions
 from ._turns import Turn, Turns
 
 MAX_WAIT_S = 2.0
 """How long a suspected request waits for another copy of it to end."""
 
 TURN_POLL_S = 0.1
+OTHER_ENDS_S = 0.05
+"""After the end of a server, before the request is sent to another one."""
+
 BUSY_RETRY_AFTER_S = 0.5
 TURN_MARGIN_S = 0.5
 """A turn outlasts the deadline of its request by this, for the news of its end."""
@@ -93,7 +95,7 @@
         rng: Random,
     ) -> None:
         self.book = Book(now_s=reactor.seconds)
-        self.runs: set[HostGuardedRun] = set()
+        self.suspicions = Suspicions(book=self.book)
         self.refusals = 0
         self.waits = 0
         self.detector = CrashDetector(
@@ -123,18 +125,22 @@
         self._knows_hosts = knows_hosts
         self._whole_runs = WholeRuns()
         self._repeated_s = 0.0
-        self._logged: set[bytes] = set()
+        self._cleared: list[ClearReport] = []
+        """Requests that other hosts are told of with the next tick."""
 
     def watch(self, exchange: RecallableExchange) -> GuardedRun:
         """Return the guard of a request that is served from now on."""
         run = HostGuardedRun(quarantine=self, exchange=exchange)
-        self.runs.add(run)
+        self.suspicions.runs.add(run)
         return run
 
     def tick(self) -> None:
         """Close idle links, and repeat recent news as the leader."""
         self._links.tick()
         self.exchange.tick(knows_hosts=self._knows_hosts())
+        if self._cleared:
+            cleared, self._cleared = self._cleared, []
+            self._send(cleared=cleared[:MAX_REPLY])
         now_s = self._reactor.seconds()
         if self.book.is_empty or now_s < self._repeated_s + REPEAT_INTERVAL_S:
             return
@@ -203,6 +209,10 @@
             return True
         return self.book.verdict(name.digest).standing is Standing.FREE
 
+    async def wait_for_other_ends(self) -> None:
+        """Wait for news of copies that were sent at the same time elsewhere."""
+        await deferLater(self._reactor, OTHER_ENDS_S)
+
     def is_retry_unwise(self, run: HostGuardedRun) -> bool:
         """Whether a request was on enough servers that ended for one caller's try."""
         name = run.name
@@ -267,8 +277,8 @@
                     "servers": lives,
                 },
             )
-            self._logged.discard(name.digest)
-            self._send(cleared=[ClearReport(name.digest, lives)])
+            self.suspicions.forget(name.digest)
+            self._cleared.append(ClearReport(name.digest, lives))
 
     def _note_crash(self, crash: SuspectedCrash) -> "Deferred[None]":
         evidence = crash.evidence
@@ -299,7 +309,7 @@
                         "lost_requests": len(crash.lost),
                     },
                 )
-        self.apply_suspicions(crash.lost)
+        self.suspicions.apply(crash.lost)
         return self._send(crashes=reports)
 
     # What other hosts find out.
@@ -337,11 +347,10 @@
     ) -> None:
         now_s = self._reactor.seconds()
         names = []
-        cleared_here: list[ClearReport] = []
         for report in crashes:
             name = RequestName(head=report.head, digest=report.digest)
             if self._whole_runs.is_recent(name.digest, now_s):
-                cleared_here.append(ClearReport(name.digest, [report.life]))
+                self._cleared.append(ClearReport(name.digest, [report.life]))
                 self.book.note_cleared(name.digest, [report.life])
             elif self.book.note_crash(name, crash_of(report, now_s=now_s)):
                 names.append(name)
@@ -349,8 +358,7 @@
             self.book.note_cleared(cleared.digest, cleared.lives)
         for trial in trials:
             self.book.note_trials(trial.digest, trial.trials)
-        self._send(cleared=cleared_here)
-        self.apply_suspicions(names)
+        self.suspicions.apply(names)
 
     def _send(
         self,
@@ -374,47 +382,6 @@
         if reports:
             self._send(crashes=reports[-MAX_REPEATED:])
 
-    def apply_suspicions(self, names: Iterable[RequestName]) -> None:
-        """Act on news: recall copies in flight, log the requests that are refused."""
-        digests = {name.digest for name in names}
-        if not digests:
-            return
-        self._recall_copies(digests)
-        for digest in digests:
-            record = self.book.record(digest)
-            if record is not None and len(record.crashes) >= MAX_CRASHES:
-                self._log_refused(record)
-
-    def _recall_copies(self, digests: set[bytes]) -> None:
-        for run in list(self.runs):
-            if run.turn is not None or not self.book.has_head(run.head):
-                continue
-            name = run.name
-            if name is None or name.digest not in digests:
-                continue
-            record = self.book.record(name.digest)
-            is_refused = record is not None and len(record.crashes) >= MAX_CRASHES
-            if run.exchange.ticket.repeatable or is_refused:
-                run.exchange.recall()
-
-    def _log_refused(self, record: Record) -> None:
-        self.book.verdict(record.digest)
-        if record.digest in self._logged:
-            return
-        if len(self._logged) >= MAX_RECORDS:
-            self._logged.clear()
-        self._logged.add(record.digest)
-        crashes = record.in_order()
-        log.warning(
-            "request refused from now on: servers end under it",
-            extra={
-                "name": record.digest.hex(),
-                "servers": [crash.life for crash in crashes],
-                "request_ids": [crash.request_id for crash in crashes],
-                "beside_other_ends": all(crash.has_company for crash in crashes),
-            },
-        )
-
     # Names of servers and times.
 
     def _life_of(self, server: BackendServer) -> str:
--- a/src/gentianwharf/entryhost/_quarantine_news.py
+++ b/src/gentianwharf/entryhost/_quarantine_news.py
@@ -18,8 +18,11 @@
 ECHO_S = 0.15
 """If the leader has not sent news to all hosts after this time, their host does."""
 
-MAX_REPORTS = 200
-"""Reports in one message."""
+RELAY_SHARE = 1 / 8
+"""Share of the leader's bandwidth for the news of other hosts."""
+
+RELAY_BURST_S = 1.0
+"""Unused part of that share that may accumulate."""
 
 
 @final
@@ -44,6 +47,7 @@
         self._listed = listed
         self._reactor = reactor
         self._serial = 0
+        self._relay_until_s = 0.0
         self._unconfirmed: dict[int, tuple[Deferred[None], Any]] = {}
 
     def send(self, news: QuarantineNews) -> "Deferred[None]":
@@ -73,8 +77,17 @@
             done.callback(None)
 
     def relay(self, news: QuarantineNews) -> None:
-        """Send the news of another host to all hosts, as the leader."""
+        """Send the news of another host to all hosts, as the leader.
+
+        Once many hosts have news at the same time, some of them have to send theirs
+        themselves, so that the leader's uplink stays free for grants.
+        """
+        now_s = self._reactor.seconds()
+        self._relay_until_s = max(self._relay_until_s, now_s - RELAY_BURST_S)
+        if self._relay_until_s > now_s:
+            return
         news.is_relayed = True
+        self._relay_until_s += self._peers.send_time_s(news) / RELAY_SHARE
         self._peers.send_news(news)
 
     def stop(self) -> None:
--- a/src/gentianwharf/entryhost/_quarantine_setup.py
+++ b/src/gentianwharf/entryhost/_quarantine_setup.py
@@ -48,7 +48,7 @@
     )
 
     def note_item(key: str, item: Item | None) -> None:
-        quarantine.apply_suspicions(items.note_item(key, item))
+        quarantine.suspicions.apply(items.note_item(key, item))
 
     def tick() -> None:
         items.tick()
--- a/tests/builders_quarantine_hosts.py
+++ b/tests/builders_quarantine_hosts.py
@@ -179,7 +179,7 @@
                 host.peers.tick()
             for number, quarantine in enumerate(self.quarantines):
                 if number not in self.paused:
-                    quarantine.exchange.tick(knows_hosts=True)
+                    quarantine.tick()
             self.clock.advance(STEP_S)
 
     def standings(self, *, path: str = "/culprit") -> list[str]:
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -211,6 +211,18 @@
     assert hosts.standings() == FREE
 
 
+def test_leader_passes_on_no_more_news_than_its_link_bears(
+    hosts: QuarantineHosts,
+) -> None:
+    """Guards against a mass loss whose news keeps grants off the leader's uplink."""
+    calls = [hosts.call(FOLLOWER, path=f"/{number}") for number in range(400)]
+    for number, call in enumerate(calls):
+        call.run.note_lost(hosts.server(f"s{number}"))
+    hosts.advance(0.4)
+    assert hosts.quarantines[FOLLOWER].news.sent_directly > 200
+    assert hosts.standings(path="/399") == SUSPECTED
+
+
 def test_leader_repeats_news_for_hosts_that_stood_still(
     hosts: QuarantineHosts,
 ) -> None:
@@ -220,8 +232,7 @@
     hosts.crash(FOLLOWER, "s1")
     hosts.net.cut.remove(address)
     assert hosts.standings() == ["one-at-a-time", "one-at-a-time", "free"]
-    for quarantine in hosts.quarantines:
-        quarantine.tick()
+    hosts.advance(2.1)
     assert hosts.standings() == SUSPECTED
 
 
@@ -259,5 +270,5 @@
     assert call.run.may_send()
     call.run.note_answered()
     call.run.finish()
-    assert not hosts.quarantines[FOLLOWER].runs
+    assert not hosts.quarantines[FOLLOWER].suspicions.runs
     assert not hosts.quarantines[FOLLOWER].detector.probes
