--- a/bench/_modules.py
+++ b/bench/_modules.py
@@ -14,6 +14,7 @@
     "bench.capacity_placement",
     "bench.capacity_store",
     "bench.capacity_relay",
+    "bench.quarantine",
     "bench.path",
     "bench.tunnels",
     "bench.decision",
