Take no server for ended that refuses a host without links

By reading: on a host whose links are cut so that connections are refused, each lost request looked like one whose server ended, and an unsafe one that came to three such hosts would have been refused everywhere. Now a refusal counts only if other servers are reached, by the monitor that finds out about lost links. The test's case cut-off failed before. An error while probing no longer leaves the lost requests waiting.

--- a/src/gentianwharf/entryhost/_crashes.py
+++ b/src/gentianwharf/entryhost/_crashes.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from gentianwharf.logs import log
 from gentianwharf.quarantine import CrashEvidence, RequestName
@@ -116,7 +117,7 @@
         crash = SuspectedCrash(server=server, life=life, lost_s=now_s)
         self._suspected[life] = crash
         probing = Deferred.fromCoroutine(self._probe(crash))
-        probing.addErrback(lambda failure: log.error(failure.getTraceback()))
+        probing.addErrback(_give_up, crash)
         return crash
 
     def _drop_old(self, now_s: float) -> None:
@@ -170,3 +171,8 @@
 
     def _report(self, crash: SuspectedCrash) -> None:
         self._on_crash(crash).addBoth(lambda _: crash.settle())
+
+
+def _give_up(failure: Failure, crash: SuspectedCrash) -> None:
+    log.error("error while probing a server: {}", failure.getTraceback())
+    crash.settle()
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -160,13 +160,18 @@
         return len(self) < self.max_connections
 
     async def probe(self, timeout_s: float) -> ConnectProbe:
-        """Connect directly, to find out whether the server has ended."""
+        """Connect directly, to find out whether the server has ended.
+
+        On a host that has lost its links, a refusal says nothing about the server.
+        """
         try:
             connection = await self._connect_directly(timeout_s)
         except PeerUnavailableError as error:
-            if isinstance(error.__cause__, twisted_errors.ConnectionRefusedError):
-                return ConnectProbe(result=ProbeResult.REFUSED)
-            return ConnectProbe(result=ProbeResult.UNKNOWN)
+            if not isinstance(error.__cause__, twisted_errors.ConnectionRefusedError):
+                return ConnectProbe(result=ProbeResult.UNKNOWN)
+            if self.links is not None and await self.links.monitor.confirm():
+                return ConnectProbe(result=ProbeResult.UNKNOWN)
+            return ConnectProbe(result=ProbeResult.REFUSED)
         self.release(connection)
         return ConnectProbe(
             result=ProbeResult.OPENED, was_closed=lambda: connection.is_lost
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -15,6 +15,7 @@
     ConnectFailure,
     LinkMonitor,
     NoTunnels,
+    ProbeResult,
     Reachability,
     ServerConnectionPool,
     ServerLinks,
@@ -110,3 +111,50 @@
     reactor.advance(0.2)
     with pytest.raises(PeerUnavailableError, match="no time"):
         result_of(done)
+
+
+@pytest.mark.parametrize(
+    ("error", "others_open", "result"),
+    [
+        pytest.param(
+            twisted_errors.ConnectionRefusedError, True, ProbeResult.REFUSED, id="ended"
+        ),
+        pytest.param(
+            twisted_errors.ConnectionRefusedError,
+            False,
+            ProbeResult.UNKNOWN,
+            id="cut-off",
+        ),
+        pytest.param(
+            twisted_errors.TimeoutError, True, ProbeResult.UNKNOWN, id="silent"
+        ),
+    ],
+)
+def test_refused_connection_proves_an_end_only_where_links_work(
+    error: type[Exception], others_open: bool, result: ProbeResult
+) -> None:
+    """Guards against hosts without links that take living servers for ended ones."""
+    reactor = MemoryReactorClock()
+    reachability = Reachability(now_s=reactor.seconds)
+    pools: list[ServerConnectionPool] = []
+    monitor = LinkMonitor(
+        reachability=reachability,
+        pools=lambda: pools,
+        domain="lac",
+        reactor=reactor,
+        rng=Random(1),
+    )
+    links = ServerLinks(monitor=monitor, tunnels=NoTunnels())
+    pools += [
+        ServerConnectionPool(
+            server=make_server(number, 9200), reactor=reactor, links=links
+        )
+        for number in range(4)
+    ]
+    reactor.advance(1.0)
+    done = Deferred.fromCoroutine(pools[0].probe(0.15))
+    if others_open:
+        reachability.note_opened("s1")
+    while reactor.tcpClients:
+        reactor.tcpClients.pop()[2].clientConnectionFailed(Mock(), Failure(error()))
+    assert result_of(done).result is result
