--- a/tests/builders_links.py
+++ b/tests/builders_links.py
@@ -6,8 +6,16 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock, deferLater
-
-from gentianwharf.relay import ConnectFailure, LinkMonitor, Reachability
+from twisted.internet.testing import MemoryReactorClock
+
+from gentianwharf.relay import (
+    ConnectFailure,
+    LinkMonitor,
+    NoTunnels,
+    Reachability,
+    ServerConnectionPool,
+    ServerLinks,
+)
 from gentianwharf.topology import BackendServer
 from tests.builders_relay import make_server
 
@@ -119,3 +127,27 @@
     def confirm(self) -> "Deferred[bool]":
         """Report that a connection failed."""
         return Deferred.fromCoroutine(self.monitor.confirm())
+
+
+def linked_pools(
+    reactor: MemoryReactorClock,
+) -> tuple[Reachability, list[ServerConnectionPool]]:
+    """Return connections to four servers, of a host that started a second ago."""
+    reachability = Reachability(now_s=reactor.seconds)
+    pools: list[ServerConnectionPool] = []
+    monitor = LinkMonitor(
+        reachability=reachability,
+        pools=lambda: pools,
+        domain="lac",
+        reactor=reactor,
+        rng=Random(1),
+    )
+    links = ServerLinks(monitor=monitor, tunnels=NoTunnels())
+    pools += [
+        ServerConnectionPool(
+            server=make_server(number, 9200), reactor=reactor, links=links
+        )
+        for number in range(4)
+    ]
+    reactor.advance(1.0)
+    return reachability, pools
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -14,13 +14,13 @@
 from gentianwharf.relay import (
     ConnectFailure,
     LinkMonitor,
-    NoTunnels,
     ProbeResult,
     Reachability,
     ServerConnectionPool,
     ServerLinks,
 )
 from gentianwharf.topology import BackendServer
+from tests.builders_links import linked_pools
 from tests.builders_platform import result_of
 from tests.builders_relay import make_server
 
@@ -44,23 +44,7 @@
 ) -> None:
     """Guards against a host without links that looks like one with slow servers."""
     reactor = MemoryReactorClock()
-    reachability = Reachability(now_s=reactor.seconds)
-    pools: list[ServerConnectionPool] = []
-    monitor = LinkMonitor(
-        reachability=reachability,
-        pools=lambda: pools,
-        domain="lac",
-        reactor=reactor,
-        rng=Random(1),
-    )
-    links = ServerLinks(monitor=monitor, tunnels=NoTunnels())
-    pools += [
-        ServerConnectionPool(
-            server=make_server(number, 9200), reactor=reactor, links=links
-        )
-        for number in range(4)
-    ]
-    reactor.advance(1.0)
+    reachability, pools = linked_pools(reactor)
     done = Deferred.fromCoroutine(pools[0].acquire())
     while reactor.tcpClients:
         reactor.tcpClients.pop()[2].clientConnectionFailed(Mock(), Failure(error()))
@@ -135,23 +119,7 @@
 ) -> None:
     """Guards against hosts without links that take living servers for ended ones."""
     reactor = MemoryReactorClock()
-    reachability = Reachability(now_s=reactor.seconds)
-    pools: list[ServerConnectionPool] = []
-    monitor = LinkMonitor(
-        reachability=reachability,
-        pools=lambda: pools,
-        domain="lac",
-        reactor=reactor,
-        rng=Random(1),
-    )
-    links = ServerLinks(monitor=monitor, tunnels=NoTunnels())
-    pools += [
-        ServerConnectionPool(
-            server=make_server(number, 9200), reactor=reactor, links=links
-        )
-        for number in range(4)
-    ]
-    reactor.advance(1.0)
+    reachability, pools = linked_pools(reactor)
     done = Deferred.fromCoroutine(pools[0].probe(0.15))
     if others_open:
         reachability.note_opened("s1")
