--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -57,7 +57,7 @@
             body_length=0,
         )
         crash = ServerCrash(
-            life=f"s{number}/1",
+            incarnation=f"s{number}/1",
             ended_s=0.0,
             ended_unix_ms=0,
             evidence=CrashEvidence.REFUSED,
@@ -65,7 +65,7 @@
             request_id="r1",
             service="ledger",
         )
-        quarantine.book.note_crash(BodyPrefix().name(head), crash)
+        quarantine.records.note_crash(BodyPrefix().name(head), crash)
     return quarantine
 
 
--- a/src/gentianwharf/cli/_quarantine.py
+++ b/src/gentianwharf/cli/_quarantine.py
@@ -77,7 +77,7 @@
             [
                 [
                     f"  {_time(crash.ended_unix_ms)}",
-                    crash.life,
+                    crash.incarnation,
                     crash.service,
                     str(crash.evidence),
                     crash.host,
--- a/src/gentianwharf/entryhost/_crash_reports.py
+++ b/src/gentianwharf/entryhost/_crash_reports.py
@@ -12,14 +12,14 @@
     return CrashReport(
         name.digest,
         name.head,
-        crash.life,
+        crash.incarnation,
         round((now_s - crash.ended_s) * 1000),
         crash.ended_unix_ms,
         str(crash.evidence),
         crash.host,
         crash.request_id,
         crash.service,
-        crash.has_company,
+        crash.is_correlated,
     )
 
 
@@ -31,14 +31,14 @@
         # A host of a later release knows further kinds of evidence.
         evidence = CrashEvidence.REFUSED
     return ServerCrash(
-        life=report.life,
+        incarnation=report.incarnation,
         ended_s=now_s - report.age_ms / 1000,
         ended_unix_ms=report.ended_unix_ms,
         evidence=evidence,
         host=report.host,
         request_id=report.request_id,
         service=report.service,
-        has_company=report.has_company,
+        is_correlated=report.is_correlated,
     )
 
 
--- a/src/gentianwharf/entryhost/_crashes.py
+++ b/src/gentianwharf/entryhost/_crashes.py
@@ -44,7 +44,7 @@
     """A server whose connections ended, and the requests that were lost with them."""
 
     server: BackendServer
-    life: str
+    incarnation: str
     lost_s: float
     lost: dict[RequestName, LostRequest] = field(default_factory=dict)
     waiting: "list[Deferred[None]]" = field(default_factory=list)
@@ -69,19 +69,19 @@
 class CrashDetector:
     """Proves ends of servers, by a connection that is refused or by their entries.
 
-    ``life_of`` returns what identifies a server from its start to its end.
+    ``incarnation_of`` returns what identifies a server from its start to its end.
     """
 
     def __init__(
         self,
         *,
-        life_of: Callable[[BackendServer], str],
+        incarnation_of: Callable[[BackendServer], str],
         pool_of: Callable[[str], ServerConnectionPool | None],
         on_crash: CrashListener,
         reactor: Any,
     ) -> None:
         self.probes = 0
-        self._life_of = life_of
+        self._incarnation_of = incarnation_of
         self._pool_of = pool_of
         self._on_crash = on_crash
         self._reactor = reactor
@@ -91,39 +91,42 @@
         self, server: BackendServer, name: RequestName, request_id: str
     ) -> SuspectedCrash:
         """Record that a request was lost with its connection."""
-        life = self._life_of(server)
+        incarnation = self._incarnation_of(server)
         now_s = self._reactor.seconds()
         lost = LostRequest(request_id=request_id, lost_s=now_s)
-        crash = self._suspected.get(life)
+        crash = self._suspected.get(incarnation)
         if crash is not None and crash.evidence is not None:
             # Proved before; this request was lost a little later.
             late = SuspectedCrash(
-                server=server, life=life, lost_s=crash.lost_s, evidence=crash.evidence
+                server=server,
+                incarnation=incarnation,
+                lost_s=crash.lost_s,
+                evidence=crash.evidence,
             )
             late.lost[name] = lost
             self._report(late)
             return late
         if crash is None or crash.is_settled:
             former = crash
-            crash = self._suspect(server, life)
+            crash = self._suspect(server, incarnation)
             if former is not None:
                 crash.lost.update(former.lost)
         crash.lost[name] = lost
         return crash
 
-    def _suspect(self, server: BackendServer, life: str) -> SuspectedCrash:
+    def _suspect(self, server: BackendServer, incarnation: str) -> SuspectedCrash:
         now_s = self._reactor.seconds()
         self._drop_old(now_s)
-        crash = SuspectedCrash(server=server, life=life, lost_s=now_s)
-        self._suspected[life] = crash
+        crash = SuspectedCrash(server=server, incarnation=incarnation, lost_s=now_s)
+        self._suspected[incarnation] = crash
         probing = Deferred.fromCoroutine(self._probe(crash))
         probing.addErrback(_give_up, crash)
         return crash
 
     def _drop_old(self, now_s: float) -> None:
-        for life, crash in list(self._suspected.items()):
+        for incarnation, crash in list(self._suspected.items()):
             if now_s > crash.lost_s + PENDING_S or len(self._suspected) > MAX_PENDING:
-                del self._suspected[life]
+                del self._suspected[incarnation]
             else:
                 break
 
@@ -144,14 +147,14 @@
         if probe.result is ProbeResult.OPENED:
             await deferLater(self._reactor, PROBE_KEPT_S)
             is_alive = not probe.was_closed()
-            if is_alive and self._suspected.get(crash.life) is crash:
-                del self._suspected[crash.life]
+            if is_alive and self._suspected.get(crash.incarnation) is crash:
+                del self._suspected[crash.incarnation]
 
     def note_entry_ended(
-        self, server_id: str, life: str, *, has_restarted: bool
+        self, server_id: str, incarnation: str, *, has_restarted: bool
     ) -> None:
         """Record that a server started again, or is no longer listed."""
-        crash = self._suspected.get(life)
+        crash = self._suspected.get(incarnation)
         if crash is None or crash.evidence is not None:
             return
         if self._reactor.seconds() > crash.lost_s + PENDING_S:
--- a/src/gentianwharf/entryhost/_guarded_run.py
+++ b/src/gentianwharf/entryhost/_guarded_run.py
@@ -9,7 +9,7 @@
 from gentianwharf.topology import BackendServer
 
 from ._crashes import SuspectedCrash
-from ._turns import Turn
+from ._run_permits import RunPermit
 
 if TYPE_CHECKING:
     from ._quarantine import HostQuarantine
@@ -25,7 +25,7 @@
         self, *, quarantine: "HostQuarantine", exchange: RecallableExchange
     ) -> None:
         self.exchange = exchange
-        self.turn: Turn | None = None
+        self.permit: RunPermit | None = None
         self._quarantine = quarantine
         self._head: bytes | None = None
         self._name: RequestName | None = None
@@ -62,8 +62,12 @@
         """Wait until the request may run; raises ``Problem`` if it is refused."""
         if self._quarantine.exchange.needs_answer():
             await self._quarantine.exchange.wait()
-        book = self._quarantine.book
-        if book.is_empty or self.turn is not None or not book.has_head(self.head):
+        records = self._quarantine.records
+        if (
+            records.is_empty
+            or self.permit is not None
+            or not records.has_head(self.head)
+        ):
             return
         body = self.exchange.request.body
         if body is not None and not body.is_prefix_known:
@@ -72,8 +76,12 @@
 
     def may_send(self) -> bool:
         """Whether nothing that became known since forbids to write the request."""
-        book = self._quarantine.book
-        if book.is_empty or self.turn is not None or not book.has_head(self.head):
+        records = self._quarantine.records
+        if (
+            records.is_empty
+            or self.permit is not None
+            or not records.has_head(self.head)
+        ):
             return True
         return self._quarantine.is_free(self)
 
@@ -92,7 +100,7 @@
                 waiting: Deferred[None] = Deferred()
                 crash.waiting.append(waiting)
                 await waiting
-        self.give_back_turn()
+        self.return_permit()
         if self._quarantine.is_free(self):
             return False
         await self._quarantine.wait_for_other_ends()
@@ -104,12 +112,12 @@
             self._quarantine.note_answered(self, self.name)
 
     def finish(self) -> None:
-        """Give back the turn, if the request has it."""
-        self.give_back_turn()
+        """Give back the permit, if the request has it."""
+        self.return_permit()
         self._quarantine.suspicions.runs.discard(self)
 
-    def give_back_turn(self) -> None:
+    def return_permit(self) -> None:
         """Let another copy of the request run."""
-        if self.turn is not None:
-            turn, self.turn = self.turn, None
-            self._quarantine.give_back(turn)
+        if self.permit is not None:
+            permit, self.permit = self.permit, None
+            self._quarantine.return_permit(permit)
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -136,21 +136,21 @@
 
     digest: bytes
     head: bytes
-    life: str
+    incarnation: str
     age_ms: int
     ended_unix_ms: int
     evidence: str
     host: str
     request_id: str
     service: str
-    has_company: bool
+    is_correlated: bool
 
 
 class ClearReport(msgspec.Struct, array_like=True):
     """That a whole run of a request clears it of the ends of these servers."""
 
     digest: bytes
-    lives: list[str]
+    incarnations: list[str]
 
 
 class TrialCount(msgspec.Struct, array_like=True):
@@ -175,7 +175,7 @@
     is_relayed: bool = False
 
 
-class TurnRequest(msgspec.Struct, array_like=True, tag="turn"):
+class PermitRequest(msgspec.Struct, array_like=True, tag="permit"):
     """Request to run a suspected request before any other host does.
 
     ``address`` is where the host receives the answer, ``duration_ms`` how long the run
@@ -189,14 +189,14 @@
     duration_ms: int
 
 
-class TurnAnswer(msgspec.Struct, array_like=True, tag="turn-answer"):
-    """Whether the turn was free; ``serial`` is that of the request."""
+class PermitAnswer(msgspec.Struct, array_like=True, tag="permit-answer"):
+    """Whether the permit was free; ``serial`` is that of the request."""
 
     serial: int
     granted: bool
 
 
-class TurnEnd(msgspec.Struct, array_like=True, tag="turn-end"):
+class PermitEnd(msgspec.Struct, array_like=True, tag="permit-end"):
     """That a run is over, or did not take place."""
 
     digest: bytes
@@ -204,13 +204,13 @@
     serial: int
 
 
-class BookRequest(msgspec.Struct, array_like=True, tag="book"):
+class RecordsRequest(msgspec.Struct, array_like=True, tag="records"):
     """Request of a host that may have missed news; ``address`` gets the answer."""
 
     address: str
 
 
-class BookReply(msgspec.Struct, array_like=True, tag="book-reply"):
+class RecordsReply(msgspec.Struct, array_like=True, tag="records-reply"):
     """All that a host knows of requests under which servers end."""
 
     crashes: list[CrashReport] = []
@@ -218,7 +218,12 @@
 
 
 QuarantineMessage = (
-    QuarantineNews | TurnRequest | TurnAnswer | TurnEnd | BookRequest | BookReply
+    QuarantineNews
+    | PermitRequest
+    | PermitAnswer
+    | PermitEnd
+    | RecordsRequest
+    | RecordsReply
 )
 
 
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -12,7 +12,7 @@
 from gentianwharf.platform import ServerEntry
 from gentianwharf.quarantine import (
     MAX_CRASHES,
-    Book,
+    CrashRecords,
     RequestName,
     ServerCrash,
     Standing,
@@ -28,37 +28,37 @@
 )
 from gentianwharf.topology import BackendServer
 
-from ._book_exchange import BookExchange
 from ._crash_reports import crash_of, recent_reports, report_of
 from ._crashes import CrashDetector, SuspectedCrash
 from ._guarded_run import HostGuardedRun
 from ._host_links import HostLinks
 from ._membership import Dial
 from ._peer_messages import (
-    BookReply,
-    BookRequest,
     ClearReport,
     CrashReport,
     HostAddress,
     QuarantineMessage,
     QuarantineNews,
+    RecordsReply,
+    RecordsRequest,
     TrialCount,
 )
 from ._peers import Peers
 from ._quarantine_news import NewsSender
+from ._records_exchange import RecordsExchange
+from ._run_permits import RunPermit, RunPermits
 from ._suspicions import Suspicions
-from ._turns import Turn, Turns
 
 MAX_WAIT_S = 2.0
 """How long a suspected request waits for another copy of it to end."""
 
-TURN_POLL_S = 0.1
+PERMIT_POLL_S = 0.1
 OTHER_ENDS_S = 0.05
 """After the end of a server, before the request is sent to another one."""
 
 BUSY_RETRY_AFTER_S = 0.5
-TURN_MARGIN_S = 0.5
-"""A turn outlasts the deadline of its request by this, for the news of its end."""
+PERMIT_MARGIN_S = 0.5
+"""A permit outlasts the deadline of its request by this, for the news of its end."""
 
 REPEAT_INTERVAL_S = 2.0
 REPEATED_S = 10.0
@@ -94,12 +94,12 @@
         reactor: Any,
         rng: Random,
     ) -> None:
-        self.book = Book(now_s=reactor.seconds)
-        self.suspicions = Suspicions(book=self.book)
+        self.records = CrashRecords(now_s=reactor.seconds)
+        self.suspicions = Suspicions(records=self.records)
         self.refusals = 0
         self.waits = 0
         self.detector = CrashDetector(
-            life_of=self._life_of,
+            incarnation_of=self._incarnation_of,
             pool_of=pool_of,
             on_crash=self._note_crash,
             reactor=reactor,
@@ -112,10 +112,10 @@
         self.news = NewsSender(
             peers=peers, links=self._links, listed=listed, reactor=reactor
         )
-        self._turns = Turns(
+        self._permits = RunPermits(
             identity=peers.identity, links=self._links, listed=listed, reactor=reactor
         )
-        self.exchange = BookExchange(
+        self.exchange = RecordsExchange(
             identity=peers.identity,
             links=self._links,
             listed=listed,
@@ -142,7 +142,7 @@
             cleared, self._cleared = self._cleared, []
             self._send(cleared=cleared[:MAX_REPLY])
         now_s = self._reactor.seconds()
-        if self.book.is_empty or now_s < self._repeated_s + REPEAT_INTERVAL_S:
+        if self.records.is_empty or now_s < self._repeated_s + REPEAT_INTERVAL_S:
             return
         self._repeated_s = now_s
         if self._peers.leads:
@@ -157,45 +157,47 @@
     # Admission.
 
     async def admit(self, run: HostGuardedRun) -> None:
-        """Wait for the turn of a request, if it is suspected; it may be refused."""
+        """Wait for the permit of a request, if it is suspected; it may be refused."""
         name = run.name
         assert name is not None, "the begin of the body has arrived"
         end_s = self._reactor.seconds() + MAX_WAIT_S
         end_s = min(end_s, run.exchange.ticket.deadline_s)
         has_waited = False
         while True:
-            verdict = self.book.verdict(name.digest)
+            verdict = self.records.verdict(name.digest)
             if verdict.standing is Standing.FREE:
                 return
             if verdict.standing is Standing.REFUSED:
                 raise self._refusal(run, name, verdict)
-            if await self._take_turn(run, name):
+            if await self._take_permit(run, name):
                 return
             self.waits += not has_waited
             has_waited = True
-            if self._reactor.seconds() + TURN_POLL_S >= end_s:
+            if self._reactor.seconds() + PERMIT_POLL_S >= end_s:
                 raise self._busy()
-            await deferLater(self._reactor, TURN_POLL_S)
+            await deferLater(self._reactor, PERMIT_POLL_S)
 
-    async def _take_turn(self, run: HostGuardedRun, name: RequestName) -> bool:
+    async def _take_permit(self, run: HostGuardedRun, name: RequestName) -> bool:
         """Return whether the request may run; the verdict may change meanwhile."""
         left_s = max(0.0, run.exchange.ticket.deadline_s - self._reactor.seconds())
-        turn = await self._turns.take(name.digest, duration_s=left_s + TURN_MARGIN_S)
-        if turn is None:
+        permit = await self._permits.take(
+            name.digest, duration_s=left_s + PERMIT_MARGIN_S
+        )
+        if permit is None:
             return False
-        verdict = self.book.verdict(name.digest)
+        verdict = self.records.verdict(name.digest)
         if verdict.standing is Standing.REFUSED:
-            self._turns.give_back(turn)
+            self._permits.return_permit(permit)
             return False
-        run.turn = turn
+        run.permit = permit
         if verdict.is_trial:
             self._note_trial(name)
         return True
 
     def _note_trial(self, name: RequestName) -> None:
-        record = self.book.record(name.digest)
+        record = self.records.record(name.digest)
         if record is not None:
-            self.book.note_trials(name.digest, record.trials + 1)
+            self.records.note_trials(name.digest, record.trials + 1)
             self._send(trials=[TrialCount(name.digest, record.trials)])
             log.info(
                 "refused request runs once more",
@@ -203,11 +205,11 @@
             )
 
     def is_free(self, run: HostGuardedRun) -> bool:
-        """Whether a request needs no turn."""
+        """Whether a request needs no permit."""
         name = run.name
         if name is None:
             return True
-        return self.book.verdict(name.digest).standing is Standing.FREE
+        return self.records.verdict(name.digest).standing is Standing.FREE
 
     async def wait_for_other_ends(self) -> None:
         """Wait for news of copies that were sent at the same time elsewhere."""
@@ -216,12 +218,12 @@
     def is_retry_unwise(self, run: HostGuardedRun) -> bool:
         """Whether a request was on enough servers that ended for one caller's try."""
         name = run.name
-        record = self.book.record(name.digest) if name is not None else None
+        record = self.records.record(name.digest) if name is not None else None
         return record is not None and len(record.crashes) >= MAX_CRASHES - 1
 
-    def give_back(self, turn: Turn) -> None:
-        """End a turn."""
-        self._turns.give_back(turn)
+    def return_permit(self, permit: RunPermit) -> None:
+        """End a permit."""
+        self._permits.return_permit(permit)
 
     def _refusal(
         self, run: HostGuardedRun, name: RequestName, verdict: Verdict
@@ -257,28 +259,30 @@
 
     def note_entry_ended(self, entry: ServerEntry, has_restarted: bool) -> None:
         """Record what the directory says about the end of a server."""
-        life = _life(entry.id, entry.born_ms)
-        self.detector.note_entry_ended(entry.id, life, has_restarted=has_restarted)
-        self.book.note_end(life, self._reactor.seconds())
+        incarnation = _incarnation(entry.id, entry.born_ms)
+        self.detector.note_entry_ended(
+            entry.id, incarnation, has_restarted=has_restarted
+        )
+        self.records.note_end(incarnation, self._reactor.seconds())
 
     def note_answered(self, run: HostGuardedRun, name: RequestName) -> None:
         """Clear a request that a server has run wholly."""
         self._whole_runs.note(name.digest, self._reactor.seconds())
-        record = self.book.record(name.digest)
+        record = self.records.record(name.digest)
         if record is None:
             return
-        lives = list(record.crashes)
-        if self.book.note_cleared(name.digest, lives):
+        incarnations = list(record.crashes)
+        if self.records.note_cleared(name.digest, incarnations):
             log.info(
                 "request cleared by a whole run",
                 extra={
                     "name": str(name),
                     "request_id": run.exchange.ticket.request_id,
-                    "servers": lives,
+                    "servers": incarnations,
                 },
             )
             self.suspicions.forget(name.digest)
-            self._cleared.append(ClearReport(name.digest, lives))
+            self._cleared.append(ClearReport(name.digest, incarnations))
 
     def _note_crash(self, crash: SuspectedCrash) -> "Deferred[None]":
         evidence = crash.evidence
@@ -288,7 +292,7 @@
             if self._whole_runs.is_recent(name.digest, crash.lost_s):
                 continue
             found = ServerCrash(
-                life=crash.life,
+                incarnation=crash.incarnation,
                 ended_s=crash.lost_s,
                 ended_unix_ms=self._unix_ms(crash.lost_s),
                 evidence=evidence,
@@ -296,7 +300,7 @@
                 request_id=lost.request_id,
                 service=crash.server.service,
             )
-            if self.book.note_crash(name, found):
+            if self.records.note_crash(name, found):
                 reports.append(report_of(name, found, now_s=self._reactor.seconds()))
                 log.warning(
                     "server ended under a request",
@@ -321,23 +325,23 @@
             if not message.is_relayed and self._peers.leads:
                 self.news.relay(message)
             self._apply(message.crashes, message.cleared, message.trials)
-        elif isinstance(message, BookRequest):
-            self.exchange.answer(message, self._book_reply())
-        elif isinstance(message, BookReply):
+        elif isinstance(message, RecordsRequest):
+            self.exchange.answer(message, self._records_reply())
+        elif isinstance(message, RecordsReply):
             self._apply(message.crashes, (), message.trials)
             self.exchange.note_answer()
         else:
-            self._turns.handle(message)
+            self._permits.handle(message)
 
-    def _book_reply(self) -> BookReply:
+    def _records_reply(self) -> RecordsReply:
         now_s = self._reactor.seconds()
-        reports = list(recent_reports(self.book, since_s=float("-inf"), now_s=now_s))
+        reports = list(recent_reports(self.records, since_s=float("-inf"), now_s=now_s))
         trials = [
             TrialCount(record.digest, record.trials)
-            for record in self.book
+            for record in self.records
             if record.trials
         ]
-        return BookReply(reports[-MAX_REPLY:], trials)
+        return RecordsReply(reports[-MAX_REPLY:], trials)
 
     def _apply(
         self,
@@ -350,14 +354,14 @@
         for report in crashes:
             name = RequestName(head=report.head, digest=report.digest)
             if self._whole_runs.is_recent(name.digest, now_s):
-                self._cleared.append(ClearReport(name.digest, [report.life]))
-                self.book.note_cleared(name.digest, [report.life])
-            elif self.book.note_crash(name, crash_of(report, now_s=now_s)):
+                self._cleared.append(ClearReport(name.digest, [report.incarnation]))
+                self.records.note_cleared(name.digest, [report.incarnation])
+            elif self.records.note_crash(name, crash_of(report, now_s=now_s)):
                 names.append(name)
         for cleared in cleared_reports:
-            self.book.note_cleared(cleared.digest, cleared.lives)
+            self.records.note_cleared(cleared.digest, cleared.incarnations)
         for trial in trials:
-            self.book.note_trials(trial.digest, trial.trials)
+            self.records.note_trials(trial.digest, trial.trials)
         self.suspicions.apply(names)
 
     def _send(
@@ -377,21 +381,21 @@
     def _repeat(self, now_s: float) -> None:
         """Send recent news to all hosts again."""
         reports = list(
-            recent_reports(self.book, since_s=now_s - REPEATED_S, now_s=now_s)
+            recent_reports(self.records, since_s=now_s - REPEATED_S, now_s=now_s)
         )
         if reports:
             self._send(crashes=reports[-MAX_REPEATED:])
 
     # Names of servers and times.
 
-    def _life_of(self, server: BackendServer) -> str:
+    def _incarnation_of(self, server: BackendServer) -> str:
         entry = self._entry_of(server.id)
-        life = _life(server.id, entry.born_ms if entry is not None else 0)
-        return self.book.ends.life_at(life, self._reactor.seconds())
+        incarnation = _incarnation(server.id, entry.born_ms if entry is not None else 0)
+        return self.records.ends.incarnation_at(incarnation, self._reactor.seconds())
 
     def _unix_ms(self, at_s: float) -> int:
         return round((time.time() - (self._reactor.seconds() - at_s)) * 1000)
 
 
-def _life(server_id: str, born_ms: int) -> str:
+def _incarnation(server_id: str, born_ms: int) -> str:
     return f"{server_id}/{born_ms}"
--- a/src/gentianwharf/entryhost/_quarantine_items.py
+++ b/src/gentianwharf/entryhost/_quarantine_items.py
@@ -16,7 +16,7 @@
 from gentianwharf.logs import log
 from gentianwharf.quarantine import (
     QUARANTINE_PREFIX,
-    Book,
+    CrashRecords,
     RequestName,
     decode_record,
     encode_record,
@@ -35,17 +35,17 @@
 
 @final
 class QuarantineItems:
-    """Merges stored requests into the book; ``tick`` is called often."""
+    """Merges stored requests into the records; ``tick`` is called often."""
 
     def __init__(
         self,
         *,
-        book: Book,
+        records: CrashRecords,
         store: Store,
         leadership: Leadership,
         now_s: Callable[[], float],
     ) -> None:
-        self._book = book
+        self._records = records
         self._store = store
         self._leadership = leadership
         self._now_s = now_s
@@ -74,10 +74,12 @@
         )
         now_s, now_unix_s = self._now_s(), time.time()
         is_news = [
-            self._book.note_crash(name, crash.crash(now_s=now_s, now_unix_s=now_unix_s))
+            self._records.note_crash(
+                name, crash.crash(now_s=now_s, now_unix_s=now_unix_s)
+            )
             for crash in stored.crashes
         ]
-        self._book.note_trials(name.digest, stored.trials)
+        self._records.note_trials(name.digest, stored.trials)
         return [name] if any(is_news) else []
 
     def _note_removed(self, key: str) -> None:
@@ -85,13 +87,13 @@
             digest = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
         except ValueError:
             return
-        if self._stored.pop(digest, None) is not None and self._book.release(digest):
+        if self._stored.pop(digest, None) is not None and self._records.release(digest):
             log.info("request let through", extra={"name": digest.hex()})
 
     def tick(self) -> None:
         """Write what the store lacks, and remove what was cleared, as the leader."""
         now_s = self._now_s()
-        if now_s < self._next_write_s or (self._book.is_empty and not self._stored):
+        if now_s < self._next_write_s or (self._records.is_empty and not self._stored):
             return
         self._next_write_s = now_s + WRITE_INTERVAL_S
         term = self._leadership.term
@@ -105,13 +107,13 @@
 
     def _missing_puts(self, expected: dict[str, int]) -> list[Put]:
         puts: list[Put] = []
-        for record in self._book:
+        for record in self._records:
             if len(record.crashes) < MIN_STORED_CRASHES or len(puts) == MAX_WRITES:
                 continue
             revision, weight = self._stored.get(record.digest, (0, 0))
             if weight >= _weight(len(record.crashes), record.trials):
                 continue
-            self._book.verdict(record.digest)
+            self._records.verdict(record.digest)
             key = QUARANTINE_PREFIX + record.digest.hex()
             expected[key] = revision
             puts.append(Put(key=key, value=encode_record(record)))
@@ -120,7 +122,7 @@
     def _outdated(self, expected: dict[str, int]) -> list[str]:
         """Return the keys of cleared requests, and of the oldest beyond the bound."""
         cleared = [
-            digest for digest in self._stored if self._book.record(digest) is None
+            digest for digest in self._stored if self._records.record(digest) is None
         ]
         excess = max(0, len(self._stored) - MAX_STORED)
         digests = [*cleared, *list(self._stored)[:excess]][:MAX_WRITES]
--- a/src/gentianwharf/entryhost/_quarantine_setup.py
+++ b/src/gentianwharf/entryhost/_quarantine_setup.py
@@ -41,7 +41,7 @@
         rng=rng,
     )
     items = QuarantineItems(
-        book=quarantine.book,
+        records=quarantine.records,
         store=coordinator.store,
         leadership=coordinator.leadership,
         now_s=reactor.seconds,
@@ -63,22 +63,22 @@
 
 def add_quarantine_gauges(metrics: HostMetrics, quarantine: HostQuarantine) -> None:
     """Add the gauges of the quarantine."""
-    book = quarantine.book
+    records = quarantine.records
     add = metrics.add_gauge
     add(
         "quarantine_refused_requests",
         "Requests that are refused since servers end under them",
-        lambda: len(book.refused()),
+        lambda: len(records.refused()),
     )
     add(
         "quarantine_suspected_requests",
         "Requests under which a server ended, and none was answered wholly since",
-        lambda: len(book),
+        lambda: len(records),
     )
     add(
         "quarantine_server_ends",
         "Ends of servers that this host knows of, since the start",
-        lambda: book.ends.count,
+        lambda: records.ends.count,
     )
     add(
         "quarantine_refusals",
@@ -96,7 +96,7 @@
         lambda: quarantine.detector.probes,
     )
     add(
-        "quarantine_book_requests",
+        "quarantine_record_requests",
         "Requests to other hosts for what they know, after a start or a pause",
         lambda: quarantine.exchange.count,
     )
@@ -109,7 +109,7 @@
 
 def quarantine_page(quarantine: HostQuarantine) -> PageResponse:
     """Return the page that lists the requests that are refused or suspected."""
-    book = quarantine.book
+    records = quarantine.records
     requests = [
         {
             "name": record.digest.hex(),
@@ -118,19 +118,19 @@
             "trials": record.trials,
             "crashes": [
                 {
-                    "server": crash.life,
+                    "server": crash.incarnation,
                     "ended_unix_ms": crash.ended_unix_ms,
                     "evidence": str(crash.evidence),
                     "host": crash.host,
                     "request_id": crash.request_id,
                     "service": crash.service,
-                    "beside_other_ends": crash.has_company,
+                    "correlated": crash.is_correlated,
                 }
                 for crash in record.in_order()
             ],
         }
-        for record in book
-        if (verdict := book.verdict(record.digest)).standing is not Standing.FREE
+        for record in records
+        if (verdict := records.verdict(record.digest)).standing is not Standing.FREE
     ]
     body = msgspec.json.encode({"requests": requests})
     return PageResponse(body=body, content_type=JSON)
--- a/src/gentianwharf/entryhost/_book_exchange.py
+++ b/src/gentianwharf/entryhost/_records_exchange.py
@@ -14,7 +14,7 @@
 from gentianwharf.logs import log
 
 from ._host_links import HostLinks
-from ._peer_messages import BookReply, BookRequest, HostAddress, HostIdentity
+from ._peer_messages import HostAddress, HostIdentity, RecordsReply, RecordsRequest
 
 MAX_ASKED = 3
 ANSWER_TIMEOUT_S = 0.3
@@ -23,8 +23,8 @@
 
 
 @final
-class BookExchange:
-    """Asks some hosts for their books; requests wait for the first answer."""
+class RecordsExchange:
+    """Asks some hosts for their records; requests wait for the first answer."""
 
     def __init__(
         self,
@@ -86,18 +86,18 @@
         self.count += 1
         self._asked_s = self._reactor.seconds()
         self._timer = self._reactor.callLater(ANSWER_TIMEOUT_S, self._end)
-        data = msgspec.msgpack.encode(BookRequest(self._identity.address))
+        data = msgspec.msgpack.encode(RecordsRequest(self._identity.address))
         for entry in self._rng.sample(others, min(MAX_ASKED, len(others))):
             self._links.send(entry.address, data)
 
-    def answer(self, request: BookRequest, reply: BookReply) -> None:
-        """Send this host's book to another host, which may have just started."""
+    def answer(self, request: RecordsRequest, reply: RecordsReply) -> None:
+        """Send this host's records to another host, which may have just started."""
         # A link to its former process would be opened again only after a delay.
         self._links.renew(request.address)
         self._links.send(request.address, msgspec.msgpack.encode(reply))
 
     def note_answer(self) -> None:
-        """Record that another host's book has been applied."""
+        """Record that another host's records were applied."""
         if self._timer is not None:
             self._timer.cancel()
             self._end()
--- a/src/gentianwharf/entryhost/_turns.py
+++ b/src/gentianwharf/entryhost/_run_permits.py
@@ -1,7 +1,7 @@
-"""Turns of suspected requests: over all hosts, one of them runs at a time.
+"""Permits to run suspected requests: over all hosts, one copy runs at a time.
 
-Each request has a host that gives its turns, chosen by rendezvous hashing from the list
-of hosts, so that neither the leader nor the store is needed.
+Each request has a host that gives its permits, chosen by rendezvous hashing from the
+list of hosts, so that neither the leader nor the store is needed.
 """
 
 from collections.abc import Callable, Sequence
@@ -12,35 +12,37 @@
 
 from gentianwharf.pauses import Timeout
 from gentianwharf.placement import rendezvous_rank
-from gentianwharf.quarantine import TrialDesk
+from gentianwharf.quarantine import PermitTable
 
 from ._host_links import HostLinks
 from ._peer_messages import (
     HostAddress,
     HostIdentity,
-    TurnAnswer,
-    TurnEnd,
-    TurnRequest,
+    PermitAnswer,
+    PermitEnd,
+    PermitRequest,
 )
 
 ANSWER_TIMEOUT_S = 0.25
-MAX_DESKS = 3
-"""Hosts that are asked in turn. A host that reaches none of them decides by itself."""
+MAX_GRANTERS = 3
+"""Hosts that are asked in turn. A host that reaches none decides by itself."""
 
 
 @final
-class Turn:
-    """A turn that this host has, until it is given back."""
+class RunPermit:
+    """A permit that this host has, until it is given back."""
 
-    def __init__(self, *, digest: bytes, desk: HostAddress | None, serial: int) -> None:
+    def __init__(
+        self, *, digest: bytes, granter: HostAddress | None, serial: int
+    ) -> None:
         self.digest = digest
-        self.desk = desk
+        self.granter = granter
         self.serial = serial
 
 
 @final
-class Turns:
-    """Takes turns of other hosts, and gives those of this one."""
+class RunPermits:
+    """Takes permits of other hosts, and gives those of this one."""
 
     def __init__(
         self,
@@ -54,33 +56,33 @@
         self._links = links
         self._listed = listed
         self._reactor = reactor
-        self._desk = TrialDesk()
+        self._granted = PermitTable()
         self._serial = 0
         self._asked: dict[int, Deferred[bool]] = {}
 
-    async def take(self, digest: bytes, *, duration_s: float) -> Turn | None:
-        """Return the turn of a request, None if another run has it."""
-        for desk in self._desks(digest):
+    async def take(self, digest: bytes, *, duration_s: float) -> RunPermit | None:
+        """Return the permit of a request, None if another run has it."""
+        for granter in self._granters(digest):
             self._serial += 1
             serial = self._serial
-            if desk is None or desk.host == self._identity.host:
+            if granter is None or granter.host == self._identity.host:
                 granted: bool | None = self._take_here(digest, serial, duration_s)
             else:
-                granted = await self._ask(desk, digest, serial, duration_s)
+                granted = await self._ask(granter, digest, serial, duration_s)
             if granted is not None:
-                turn = Turn(digest=digest, desk=desk, serial=serial)
-                return turn if granted else None
+                permit = RunPermit(digest=digest, granter=granter, serial=serial)
+                return permit if granted else None
         return None
 
-    def _desks(self, digest: bytes) -> list[HostAddress | None]:
+    def _granters(self, digest: bytes) -> list[HostAddress | None]:
         """Return the hosts to ask in order; None stands for this host."""
         listed = {entry.host: entry for entry in self._listed()}
-        ranked = rendezvous_rank(digest.hex(), listed)[:MAX_DESKS]
+        ranked = rendezvous_rank(digest.hex(), listed)[:MAX_GRANTERS]
         return [*(listed[name] for name in ranked), None]
 
     def _take_here(self, digest: bytes, serial: int, duration_s: float) -> bool:
         now_s = self._reactor.seconds()
-        return self._desk.take(
+        return self._granted.take(
             digest,
             holder=_holder(self._identity.host, serial),
             until_s=now_s + duration_s,
@@ -88,27 +90,27 @@
         )
 
     async def _ask(
-        self, desk: HostAddress, digest: bytes, serial: int, duration_s: float
+        self, granter: HostAddress, digest: bytes, serial: int, duration_s: float
     ) -> bool | None:
-        """Return whether the turn was free, None without an answer."""
+        """Return whether the permit was free, None without an answer."""
         answer: Deferred[bool] = Deferred()
         self._asked[serial] = answer
-        request = TurnRequest(
+        request = PermitRequest(
             digest,
             self._identity.host,
             self._identity.address,
             serial,
             int(duration_s * 1000),
         )
-        self._links.send(desk.address, msgspec.msgpack.encode(request))
+        self._links.send(granter.address, msgspec.msgpack.encode(request))
         timeout = Timeout(
             clock=self._reactor, delay_s=ANSWER_TIMEOUT_S, expire=answer.cancel
         )
         try:
             return await answer
         except CancelledError:
-            # The host may have given the turn, or may still do so.
-            self._end(desk, digest, serial)
+            # The host may have given the permit, or may still do so.
+            self._end(granter, digest, serial)
             if timeout.expired:
                 return None
             raise
@@ -116,37 +118,37 @@
             timeout.stop()
             self._asked.pop(serial, None)
 
-    def give_back(self, turn: Turn) -> None:
-        """End a turn."""
-        self._end(turn.desk, turn.digest, turn.serial)
+    def return_permit(self, permit: RunPermit) -> None:
+        """End a permit."""
+        self._end(permit.granter, permit.digest, permit.serial)
 
-    def _end(self, desk: HostAddress | None, digest: bytes, serial: int) -> None:
+    def _end(self, granter: HostAddress | None, digest: bytes, serial: int) -> None:
         host = self._identity.host
-        if desk is None or desk.host == host:
-            self._desk.give_back(digest, holder=_holder(host, serial))
+        if granter is None or granter.host == host:
+            self._granted.return_permit(digest, holder=_holder(host, serial))
         else:
-            end = TurnEnd(digest, host, serial)
-            self._links.send(desk.address, msgspec.msgpack.encode(end))
+            end = PermitEnd(digest, host, serial)
+            self._links.send(granter.address, msgspec.msgpack.encode(end))
 
-    def handle(self, message: TurnRequest | TurnAnswer | TurnEnd) -> None:
+    def handle(self, message: PermitRequest | PermitAnswer | PermitEnd) -> None:
         """Handle a message of another host."""
-        if isinstance(message, TurnAnswer):
+        if isinstance(message, PermitAnswer):
             answer = self._asked.get(message.serial)
             if answer is not None and not answer.called:
                 answer.callback(message.granted)
-        elif isinstance(message, TurnEnd):
-            self._desk.give_back(
+        elif isinstance(message, PermitEnd):
+            self._granted.return_permit(
                 message.digest, holder=_holder(message.host, message.serial)
             )
         else:
             now_s = self._reactor.seconds()
-            granted = self._desk.take(
+            granted = self._granted.take(
                 message.digest,
                 holder=_holder(message.host, message.serial),
                 until_s=now_s + message.duration_ms / 1000,
                 now_s=now_s,
             )
-            data = msgspec.msgpack.encode(TurnAnswer(message.serial, granted))
+            data = msgspec.msgpack.encode(PermitAnswer(message.serial, granted))
             self._links.send(message.address, data)
 
 
--- a/src/gentianwharf/entryhost/_suspicions.py
+++ b/src/gentianwharf/entryhost/_suspicions.py
@@ -7,7 +7,7 @@
 from gentianwharf.quarantine import (
     MAX_CRASHES,
     MAX_RECORDS,
-    Book,
+    CrashRecords,
     Record,
     RequestName,
 )
@@ -19,10 +19,10 @@
 class Suspicions:
     """Recalls copies in flight, and logs each request that is refused from now on."""
 
-    def __init__(self, *, book: Book) -> None:
+    def __init__(self, *, records: CrashRecords) -> None:
         self.runs: set[HostGuardedRun] = set()
         """The requests that this host serves."""
-        self._book = book
+        self._records = records
         self._logged: set[bytes] = set()
 
     def apply(self, names: Iterable[RequestName]) -> None:
@@ -32,18 +32,18 @@
             return
         self._recall_copies(digests)
         for digest in digests:
-            record = self._book.record(digest)
+            record = self._records.record(digest)
             if record is not None and len(record.crashes) >= MAX_CRASHES:
                 self._log_refused(record)
 
     def _recall_copies(self, digests: set[bytes]) -> None:
         for run in list(self.runs):
-            if run.turn is not None or not self._book.has_head(run.head):
+            if run.permit is not None or not self._records.has_head(run.head):
                 continue
             name = run.name
             if name is None or name.digest not in digests:
                 continue
-            record = self._book.record(name.digest)
+            record = self._records.record(name.digest)
             is_refused = record is not None and len(record.crashes) >= MAX_CRASHES
             if run.exchange.ticket.repeatable or is_refused:
                 run.exchange.recall()
@@ -53,7 +53,7 @@
         self._logged.discard(digest)
 
     def _log_refused(self, record: Record) -> None:
-        self._book.verdict(record.digest)
+        self._records.verdict(record.digest)
         if record.digest in self._logged:
             return
         if len(self._logged) >= MAX_RECORDS:
@@ -64,8 +64,8 @@
             "request refused from now on: servers end under it",
             extra={
                 "name": record.digest.hex(),
-                "servers": [crash.life for crash in crashes],
+                "servers": [crash.incarnation for crash in crashes],
                 "request_ids": [crash.request_id for crash in crashes],
-                "beside_other_ends": all(crash.has_company for crash in crashes),
+                "correlated": all(crash.is_correlated for crash in crashes),
             },
         )
--- a/src/gentianwharf/quarantine/__init__.py
+++ b/src/gentianwharf/quarantine/__init__.py
@@ -1,13 +1,13 @@
 """Requests under which backend servers end, and which of them are refused.
 
-This package performs no I/O. ``Book`` keeps the ends of servers by the name of the
-request that each of them was running, ``TrialDesk`` lets suspected requests run one at
-a time. See ``docs/design/quarantine.md``.
+This package performs no I/O. ``CrashRecords`` keeps the ends of servers by the name of
+the request that each of them was running, ``PermitTable`` lets suspected requests run
+one at a time. See ``docs/design/quarantine.md``.
 """
 
-from ._book import MAX_RECORDS, Book
-from ._company import COMPANY_S, ServerEnds
+from ._crash_records import MAX_RECORDS, CrashRecords
 from ._name import MAX_PREFIX_BYTES, BodyPrefix, RequestName, head_digest
+from ._permits import PermitTable
 from ._record import (
     MAX_CRASHES,
     MAX_TRIALS,
@@ -18,6 +18,7 @@
     Standing,
     Verdict,
 )
+from ._server_ends import CORRELATION_S, ServerEnds
 from ._stored import (
     QUARANTINE_PREFIX,
     StoredCrash,
@@ -25,11 +26,10 @@
     decode_record,
     encode_record,
 )
-from ._trials import TrialDesk
 from ._whole_runs import WholeRuns
 
 __all__ = [
-    "COMPANY_S",
+    "CORRELATION_S",
     "MAX_CRASHES",
     "MAX_PREFIX_BYTES",
     "MAX_RECORDS",
@@ -37,7 +37,7 @@
     "QUARANTINE_PREFIX",
     "TRIAL_DELAYS_S",
     "BodyPrefix",
-    "Book",
+    "CrashRecords",
     "CrashEvidence",
     "Record",
     "RequestName",
@@ -46,7 +46,7 @@
     "Standing",
     "StoredCrash",
     "StoredRequest",
-    "TrialDesk",
+    "PermitTable",
     "Verdict",
     "WholeRuns",
     "decode_record",
--- a/src/gentianwharf/quarantine/_book.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -4,16 +4,16 @@
 from dataclasses import replace
 from typing import final
 
-from ._company import ServerEnds
 from ._name import RequestName
 from ._record import MAX_CRASHES, Record, ServerCrash, Standing, Verdict
+from ._server_ends import ServerEnds
 
 MAX_RECORDS = 1_000
 """Bounds the memory, also if callers send endless different bodies."""
 
 MAX_CLEARED = 2_000
 
-MAX_LIVES = 12
+MAX_INCARNATIONS = 12
 """Ends of servers that are kept for one request; further ones change nothing."""
 
 FREE = Verdict(standing=Standing.FREE)
@@ -22,11 +22,11 @@
 
 
 @final
-class Book:
+class CrashRecords:
     """Records by name.
 
-    >>> book = Book(now_s=lambda: 10.0)
-    >>> book.is_empty
+    >>> records = CrashRecords(now_s=lambda: 10.0)
+    >>> records.is_empty
     True
     """
 
@@ -58,38 +58,38 @@
         """Return a request's record, None if no server has ended under it."""
         return self._records.get(digest)
 
-    def note_end(self, life: str, ended_s: float) -> None:
+    def note_end(self, incarnation: str, ended_s: float) -> None:
         """Record the end of a server under whatever it was running."""
-        self.ends.note(life, ended_s)
+        self.ends.note(incarnation, ended_s)
 
     def note_crash(self, name: RequestName, crash: ServerCrash) -> bool:
         """Record the end of a server under a request; return whether it is news."""
-        self.ends.note(crash.life, crash.ended_s)
-        if (name.digest, crash.life) in self._cleared:
+        self.ends.note(crash.incarnation, crash.ended_s)
+        if (name.digest, crash.incarnation) in self._cleared:
             return False
         record = self._records.get(name.digest)
         if record is None:
             record = self._add(name)
-        known = record.crashes.get(crash.life)
+        known = record.crashes.get(crash.incarnation)
         if known is not None:
-            if crash.has_company and not known.has_company:
-                record.crashes[crash.life] = replace(known, has_company=True)
+            if crash.is_correlated and not known.is_correlated:
+                record.crashes[crash.incarnation] = replace(known, is_correlated=True)
             return False
-        if len(record.crashes) >= MAX_LIVES:
+        if len(record.crashes) >= MAX_INCARNATIONS:
             return False
-        record.crashes[crash.life] = crash
+        record.crashes[crash.incarnation] = crash
         self._touch(record)
         return True
 
-    def note_cleared(self, digest: bytes, lives: Collection[str]) -> bool:
+    def note_cleared(self, digest: bytes, incarnations: Collection[str]) -> bool:
         """Record that a whole run clears these ends; return whether that is news."""
         is_news = False
-        for life in lives:
-            is_news |= self._add_cleared(digest, life)
+        for incarnation in incarnations:
+            is_news |= self._add_cleared(digest, incarnation)
         record = self._records.get(digest)
         if record is not None:
-            for life in lives:
-                record.crashes.pop(life, None)
+            for incarnation in incarnations:
+                record.crashes.pop(incarnation, None)
             if not record.crashes:
                 self._remove(digest)
         return is_news
@@ -99,13 +99,13 @@
         record = self._records.get(digest)
         return record is not None and self.note_cleared(digest, list(record.crashes))
 
-    def _add_cleared(self, digest: bytes, life: str) -> bool:
+    def _add_cleared(self, digest: bytes, incarnation: str) -> bool:
         """Let later news of this end count for nothing."""
-        if (digest, life) in self._cleared:
+        if (digest, incarnation) in self._cleared:
             return False
         if len(self._cleared) >= MAX_CLEARED:
             del self._cleared[next(iter(self._cleared))]
-        self._cleared[digest, life] = None
+        self._cleared[digest, incarnation] = None
         return True
 
     def note_trials(self, digest: bytes, trials: int) -> bool:
@@ -122,15 +122,15 @@
         if record is None:
             return FREE
         if len(record.crashes) >= MAX_CRASHES:
-            self._note_company(record)
+            self._note_correlated(record)
         return record.verdict(self._now_s())
 
-    def _note_company(self, record: Record) -> None:
-        for life, crash in record.crashes.items():
-            if not crash.has_company and self.ends.others_near(
-                crash.ended_s, lives=record.crashes.keys()
+    def _note_correlated(self, record: Record) -> None:
+        for incarnation, crash in record.crashes.items():
+            if not crash.is_correlated and self.ends.others_near(
+                crash.ended_s, incarnations=record.crashes.keys()
             ):
-                record.crashes[life] = replace(crash, has_company=True)
+                record.crashes[incarnation] = replace(crash, is_correlated=True)
 
     def _remove(self, digest: bytes) -> None:
         record = self._records.pop(digest)
--- a/src/gentianwharf/quarantine/_record.py
+++ b/src/gentianwharf/quarantine/_record.py
@@ -7,11 +7,12 @@
 MAX_CRASHES = 3
 """Servers that end under a request before it is refused."""
 
-MIN_ACCOMPANIED = 2
+MIN_CORRELATED = 2
 """Of the first ``MAX_CRASHES`` ends, how many had company where it may be innocent."""
 
 MAX_TRIALS = 2
-"""Runs of a refused request, in its whole life, to find out whether it is innocent."""
+"""Runs of a refused request, in its whole life, to find out whether it is
+innocent."""
 
 TRIAL_DELAYS_S = (0.0, 60.0)
 """From the last end of a server to each of these runs."""
@@ -54,25 +55,26 @@
 class ServerCrash:
     """The end of a server while a request was there.
 
-    ``life`` identifies the server from its start to its end. ``ended_s`` is on the
-    clock of this host, ``ended_unix_ms`` on that of ``host``, which noticed the end.
-    ``has_company`` is whether a server where the request was not ended beside it.
+    ``incarnation`` identifies the server from its start to its end. ``ended_s`` is on
+    the clock of this host, ``ended_unix_ms`` on that of ``host``, which noticed the
+    end. ``is_correlated`` is whether a server where the request was not ended at about
+    the same time.
     """
 
-    life: str
+    incarnation: str
     ended_s: float
     ended_unix_ms: int
     evidence: CrashEvidence
     host: str
     request_id: str
     service: str
-    has_company: bool = False
+    is_correlated: bool = False
 
 
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class Record:
-    """The servers that ended under a request, by their lives."""
+    """The servers that ended under a request, by their incarnations."""
 
     head: bytes
     digest: bytes
@@ -90,13 +92,13 @@
             return Verdict(standing=Standing.FREE)
         if len(crashes) < MAX_CRASHES:
             return Verdict(standing=Standing.ONE_AT_A_TIME)
-        if self.trials >= MAX_TRIALS or not self._was_beside_others(crashes):
+        if self.trials >= MAX_TRIALS or not self._has_correlated_crashes(crashes):
             return Verdict(standing=Standing.REFUSED, retry_after_s=RETRY_AFTER_S)
         due_s = crashes[-1].ended_s + TRIAL_DELAYS_S[self.trials]
         if now_s < due_s:
             return Verdict(standing=Standing.REFUSED, retry_after_s=due_s - now_s)
         return Verdict(standing=Standing.ONE_AT_A_TIME, is_trial=True)
 
-    def _was_beside_others(self, crashes: list[ServerCrash]) -> bool:
-        accompanied = sum(crash.has_company for crash in crashes[:MAX_CRASHES])
-        return accompanied >= MIN_ACCOMPANIED
+    def _has_correlated_crashes(self, crashes: list[ServerCrash]) -> bool:
+        correlated = sum(crash.is_correlated for crash in crashes[:MAX_CRASHES])
+        return correlated >= MIN_CORRELATED
--- a/src/gentianwharf/quarantine/_stored.py
+++ b/src/gentianwharf/quarantine/_stored.py
@@ -12,26 +12,26 @@
 class StoredCrash(msgspec.Struct):
     """The end of a server under a request; the fields are those of ``ServerCrash``."""
 
-    life: str
+    incarnation: str
     ended_unix_ms: int
     evidence: CrashEvidence
     host: str
     request_id: str
     service: str
-    has_company: bool
+    is_correlated: bool
 
     def crash(self, *, now_s: float, now_unix_s: float) -> ServerCrash:
         """Return the end on the clock of this host."""
         age_s = max(0.0, now_unix_s - self.ended_unix_ms / 1000)
         return ServerCrash(
-            life=self.life,
+            incarnation=self.incarnation,
             ended_s=now_s - age_s,
             ended_unix_ms=self.ended_unix_ms,
             evidence=self.evidence,
             host=self.host,
             request_id=self.request_id,
             service=self.service,
-            has_company=self.has_company,
+            is_correlated=self.is_correlated,
         )
 
 
@@ -51,13 +51,13 @@
             trials=record.trials,
             crashes=[
                 StoredCrash(
-                    life=crash.life,
+                    incarnation=crash.incarnation,
                     ended_unix_ms=crash.ended_unix_ms,
                     evidence=crash.evidence,
                     host=crash.host,
                     request_id=crash.request_id,
                     service=crash.service,
-                    has_company=crash.has_company,
+                    is_correlated=crash.is_correlated,
                 )
                 for crash in record.in_order()
             ],
--- a/tests/builders_quarantine.py
+++ b/tests/builders_quarantine.py
@@ -1,7 +1,8 @@
 """Names, ends of servers, and a model of a fleet whose servers end, for tests.
 
-The model has a book for each host. News of an end reaches each other host after a delay
-of its own; there are no queues, and nothing is lost but what runs on an ended server.
+The model has records for each host. News of an end reaches each other host after a
+delay of its own; there are no queues, and nothing is lost but what runs on a server
+that ends.
 """
 
 from collections.abc import Iterator, Sequence
@@ -10,12 +11,12 @@
 
 from gentianwharf.quarantine import (
     BodyPrefix,
-    Book,
     CrashEvidence,
+    CrashRecords,
+    PermitTable,
     RequestName,
     ServerCrash,
     Standing,
-    TrialDesk,
     head_digest,
 )
 
@@ -50,18 +51,18 @@
 
 
 def crash_of(
-    life: str, *, at_s: float = 10.0, has_company: bool = False
+    incarnation: str, *, at_s: float = 10.0, is_correlated: bool = False
 ) -> ServerCrash:
     """Return the end of a server."""
     return ServerCrash(
-        life=life,
+        incarnation=incarnation,
         ended_s=at_s,
         ended_unix_ms=int(at_s * 1000),
         evidence=CrashEvidence.REFUSED,
         host="h1",
-        request_id=f"request-at-{life}",
+        request_id=f"request-at-{incarnation}",
         service="ledger",
-        has_company=has_company,
+        is_correlated=is_correlated,
     )
 
 
@@ -100,25 +101,25 @@
 
 @dataclass
 class Fleet:
-    """Hosts with a book each, and what they have told each other."""
+    """Hosts with a records each, and what they have told each other."""
 
     hosts: int
     rng: Random
     losses: Losses
     leaderless_s: tuple[float, float] = (0.0, 0.0)
     now_s: float = 0.0
-    desk: TrialDesk = field(default_factory=TrialDesk)
-    _books: dict[int, Book] = field(default_factory=dict)
+    granter: PermitTable = field(default_factory=PermitTable)
+    _records_of: dict[int, CrashRecords] = field(default_factory=dict)
     _news: list[tuple[float, int, RequestName | None, ServerCrash | list[str]]] = field(
         default_factory=list
     )
     _known: dict[int, set[int]] = field(default_factory=dict)
 
-    def book(self, host: int) -> Book:
-        """Return a host's book, with the news that has reached it."""
-        book = self._books.get(host)
-        if book is None:
-            book = self._books[host] = Book(now_s=lambda: self.now_s)
+    def records(self, host: int) -> CrashRecords:
+        """Return a host's records, with the news that has reached it."""
+        records = self._records_of.get(host)
+        if records is None:
+            records = self._records_of[host] = CrashRecords(now_s=lambda: self.now_s)
             self._known[host] = set()
         for number, (sent_s, origin, name, news) in enumerate(self._news):
             if number in self._known[host]:
@@ -128,12 +129,12 @@
             self._known[host].add(number)
             if isinstance(news, ServerCrash):
                 if name is None:
-                    book.note_end(news.life, news.ended_s)
+                    records.note_end(news.incarnation, news.ended_s)
                 else:
-                    book.note_crash(name, news)
+                    records.note_crash(name, news)
             elif name is not None:
-                book.note_cleared(name.digest, news)
-        return book
+                records.note_cleared(name.digest, news)
+        return records
 
     def _delay_s(self, sent_s: float) -> float:
         is_leaderless = self.leaderless_s[0] <= sent_s < self.leaderless_s[1]
@@ -145,7 +146,7 @@
 
     def tell_cleared(self, host: int, name: RequestName) -> None:
         """Let a host find out that a request ran wholly."""
-        record = self.book(host).record(name.digest)
+        record = self.records(host).record(name.digest)
         if record is not None:
             self._news.append((self.now_s, host, name, list(record.crashes)))
 
@@ -172,14 +173,14 @@
     fleet.now_s = from_s
     while fleet.now_s < from_s + for_s:
         host = fleet.rng.randrange(fleet.hosts)
-        verdict = fleet.book(host).verdict(name.digest)
+        verdict = fleet.records(host).verdict(name.digest)
         if verdict.standing is not Standing.REFUSED:
             if verdict.is_trial:
                 for number in range(fleet.hosts):
-                    book = fleet.book(number)
-                    record = book.record(name.digest)
+                    records = fleet.records(number)
+                    record = records.record(name.digest)
                     if record is not None:
-                        book.note_trials(name.digest, record.trials + 1)
+                        records.note_trials(name.digest, record.trials + 1)
             living = fleet.losses.living(fleet.now_s) or [0]
             server = fleet.rng.choice(living)
             fleet.now_s += CRASH_S
@@ -224,7 +225,7 @@
             continue
         host, name = fleet.rng.randrange(fleet.hosts), name_of(path)
         fleet.now_s = at_s
-        if fleet.book(host).verdict(name.digest).standing is Standing.REFUSED:
+        if fleet.records(host).verdict(name.digest).standing is Standing.REFUSED:
             refused += 1
             continue
         if lost_s is None:
--- a/tests/builders_quarantine_hosts.py
+++ b/tests/builders_quarantine_hosts.py
@@ -189,7 +189,7 @@
         for call in calls:
             call.run.finish()
         return [
-            str(quarantine.book.verdict(digest).standing)
+            str(quarantine.records.verdict(digest).standing)
             for quarantine, digest in zip(self.quarantines, digests, strict=True)
         ]
 
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -1,4 +1,4 @@
-"""How hosts find out that servers ended, tell each other, and take turns."""
+"""How hosts find out that servers ended, tell each other, and take permits."""
 
 import pytest
 
@@ -126,7 +126,7 @@
 
 
 def test_turn_ends_with_the_deadline_of_its_request(hosts: QuarantineHosts) -> None:
-    """Guards against a host that dies with the turn of a request."""
+    """Guards against a host that dies with the permit of a request."""
     hosts.crash(FOLLOWER, "s1")
     hosts.call(FOLLOWER).admit()
     hosts.advance(7.0)
--- a/tests/test_quarantine_items.py
+++ b/tests/test_quarantine_items.py
@@ -16,7 +16,12 @@
 from gentianwharf.entryhost._store_keys import LEADER_KEY
 from gentianwharf.errors import InputError
 from gentianwharf.platform.standin import Items
-from gentianwharf.quarantine import QUARANTINE_PREFIX, Book, Standing, encode_record
+from gentianwharf.quarantine import (
+    QUARANTINE_PREFIX,
+    CrashRecords,
+    Standing,
+    encode_record,
+)
 from gentianwharf.store import Change, Put
 
 from .builders_entryhost import FakeStore
@@ -26,8 +31,8 @@
 KEY = QUARANTINE_PREFIX + NAME.digest.hex()
 
 
-class StoredBook:
-    """A host's book and its part of the store; the host leads."""
+class StoredRecords:
+    """A host's records and its part of the store; the host leads."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -35,21 +40,21 @@
         self.backend = Items(now_s=self.clock.seconds)
         self.backend.change(Change(puts=(Put(key=LEADER_KEY, value=b"h1"),)))
         self.store = FakeStore(backend=self.backend, clock=self.clock)
-        self.book = Book(now_s=self.clock.seconds)
+        self.records = CrashRecords(now_s=self.clock.seconds)
         leadership = SimpleNamespace(
             term=SimpleNamespace(revision=self.backend.revision),
             holds_lease=lambda: True,
         )
         self.items = QuarantineItems(
-            book=self.book,
+            records=self.records,
             store=cast(Any, self.store),
             leadership=cast(Any, leadership),
             now_s=self.clock.seconds,
         )
 
-    def crash(self, *lives: str) -> None:
-        for life in lives:
-            self.book.note_crash(NAME, crash_of(life, at_s=100.0))
+    def crash(self, *incarnations: str) -> None:
+        for incarnation in incarnations:
+            self.records.note_crash(NAME, crash_of(incarnation, at_s=100.0))
 
     def sync(self) -> None:
         """Write what is due, and read the store again."""
@@ -66,7 +71,7 @@
         return [item.key for item in self.backend.with_prefix(QUARANTINE_PREFIX)]
 
     def standing(self) -> Standing:
-        return self.book.verdict(NAME.digest).standing
+        return self.records.verdict(NAME.digest).standing
 
 
 def result_of(work: Any) -> Any:
@@ -86,20 +91,22 @@
 
 
 @pytest.mark.parametrize(
-    ("lives", "is_stored"), [(("s1",), False), (("s1", "s2"), True)], ids=["one", "two"]
+    ("incarnations", "is_stored"),
+    [(("s1",), False), (("s1", "s2"), True)],
+    ids=["one", "two"],
 )
 def test_requests_that_ended_two_servers_are_stored(
-    lives: tuple[str, ...], is_stored: bool
+    incarnations: tuple[str, ...], is_stored: bool
 ) -> None:
-    host = StoredBook()
-    host.crash(*lives)
+    host = StoredRecords()
+    host.crash(*incarnations)
     host.sync()
     assert host.stored() == [KEY] * is_stored
 
 
 def test_host_that_starts_takes_what_is_stored() -> None:
     """Guards against a request whose life begins anew with each host."""
-    former, started = StoredBook(), StoredBook()
+    former, started = StoredRecords(), StoredRecords()
     former.crash("s1", "s2", "s3")
     former.sync()
     (item,) = former.backend.with_prefix(QUARANTINE_PREFIX)
@@ -108,16 +115,16 @@
 
 
 def test_request_that_is_cleared_leaves_the_store() -> None:
-    host = StoredBook()
+    host = StoredRecords()
     host.crash("s1", "s2")
     host.sync()
-    host.book.note_cleared(NAME.digest, ["s1", "s2"])
+    host.records.note_cleared(NAME.digest, ["s1", "s2"])
     host.sync()
     assert not host.stored()
 
 
 def test_stored_request_that_is_no_record_is_passed_over() -> None:
-    host = StoredBook()
+    host = StoredRecords()
     host.backend.change(Change(puts=(Put(key=KEY, value=b"{}"),)))
     (item,) = host.backend.with_prefix(QUARANTINE_PREFIX)
     assert host.items.note_item(KEY, item) == []
@@ -125,14 +132,14 @@
 
 
 def test_operators_list_requests_and_let_them_through() -> None:
-    host = StoredBook()
+    host = StoredRecords()
     host.crash("s1", "s2", "s3")
     host.sync()
     listed, printed = terminal(as_json=True), terminal()
     store = cast(Any, host.store)
     assert result_of(list_requests(store, listed)) is ExitCode.DONE
     (stored,) = json.loads(text_of(listed)).values()
-    assert [crash["life"] for crash in stored["crashes"]] == ["s1", "s2", "s3"]
+    assert [crash["incarnation"] for crash in stored["crashes"]] == ["s1", "s2", "s3"]
     assert result_of(list_requests(store, printed)) is ExitCode.DONE
     assert f"{NAME}  refused" in text_of(printed)
     released = release(store, terminal(), name=str(NAME))
@@ -144,15 +151,15 @@
 
 
 def test_unknown_name_is_refused_with_what_to_do() -> None:
-    host = StoredBook()
+    host = StoredRecords()
     failure = result_of(release(cast(Any, host.store), terminal(), name="00"))
     assert isinstance(failure.value, InputError)
     assert "quarantine list" in failure.value.message
 
 
 def test_records_are_stored_as_they_are_read() -> None:
-    host = StoredBook()
+    host = StoredRecords()
     host.crash("s1")
-    record = host.book.record(NAME.digest)
+    record = host.records.record(NAME.digest)
     assert record is not None
     assert b'"evidence":"connections-refused"' in encode_record(record)
--- a/tests/test_quarantine_book.py
+++ b/tests/test_quarantine_records.py
@@ -10,7 +10,7 @@
     MAX_RECORDS,
     MAX_TRIALS,
     TRIAL_DELAYS_S,
-    Book,
+    CrashRecords,
     Standing,
 )
 
@@ -29,12 +29,14 @@
         return self.now_s
 
 
-def book_with(crashes: int, *, has_company: bool = False) -> tuple[Book, Clock]:
+def records_with(
+    crashes: int, *, is_correlated: bool = False
+) -> tuple[CrashRecords, Clock]:
     clock = Clock()
-    book = Book(now_s=clock)
+    records = CrashRecords(now_s=clock)
     for number in range(crashes):
-        book.note_crash(NAME, crash_of(f"s{number}", has_company=has_company))
-    return book, clock
+        records.note_crash(NAME, crash_of(f"s{number}", is_correlated=is_correlated))
+    return records, clock
 
 
 @pytest.mark.parametrize(
@@ -50,67 +52,67 @@
 def test_standing_follows_the_servers_that_ended(
     crashes: int, standing: Standing
 ) -> None:
-    book, _ = book_with(crashes)
-    assert book.verdict(NAME.digest).standing is standing
+    records, _ = records_with(crashes)
+    assert records.verdict(NAME.digest).standing is standing
 
 
 def test_end_that_several_hosts_notice_counts_once() -> None:
-    book, _ = book_with(0)
+    records, _ = records_with(0)
     for _ in range(MAX_CRASHES):
-        book.note_crash(NAME, crash_of("s1"))
-    assert book.verdict(NAME.digest).standing is Standing.ONE_AT_A_TIME
+        records.note_crash(NAME, crash_of("s1"))
+    assert records.verdict(NAME.digest).standing is Standing.ONE_AT_A_TIME
 
 
 def test_refusal_of_a_request_that_ended_servers_alone_has_no_end() -> None:
     """Guards against a window after which three more servers end."""
-    book, clock = book_with(MAX_CRASHES)
+    records, clock = records_with(MAX_CRASHES)
     clock.now_s += 1e6
-    verdict = book.verdict(NAME.digest)
+    verdict = records.verdict(NAME.digest)
     assert verdict.standing is Standing.REFUSED
     assert verdict.retry_after_s > 0
 
 
 def test_request_lost_beside_others_has_two_more_runs_in_its_life() -> None:
     """Guards against innocents refused for good, and culprits that never are."""
-    book, clock = book_with(MAX_CRASHES, has_company=True)
+    records, clock = records_with(MAX_CRASHES, is_correlated=True)
     for trial in range(MAX_TRIALS):
         clock.now_s += TRIAL_DELAYS_S[trial]
-        verdict = book.verdict(NAME.digest)
+        verdict = records.verdict(NAME.digest)
         assert (verdict.standing, verdict.is_trial) == (Standing.ONE_AT_A_TIME, True)
-        book.note_trials(NAME.digest, trial + 1)
-        book.note_crash(NAME, crash_of(f"trial-{trial}", at_s=clock.now_s))
+        records.note_trials(NAME.digest, trial + 1)
+        records.note_crash(NAME, crash_of(f"trial-{trial}", at_s=clock.now_s))
     clock.now_s += 1e6
-    assert book.verdict(NAME.digest).standing is Standing.REFUSED
+    assert records.verdict(NAME.digest).standing is Standing.REFUSED
 
 
 def test_ends_of_other_servers_are_company_also_if_they_are_known_later() -> None:
-    book, _ = book_with(MAX_CRASHES)
-    assert not book.verdict(NAME.digest).is_trial
-    book.note_end("other", 10.4)
-    assert book.verdict(NAME.digest).is_trial
+    records, _ = records_with(MAX_CRASHES)
+    assert not records.verdict(NAME.digest).is_trial
+    records.note_end("other", 10.4)
+    assert records.verdict(NAME.digest).is_trial
 
 
 def test_servers_where_the_request_was_are_no_company() -> None:
-    book, _ = book_with(MAX_CRASHES)
-    book.note_end("s0", 10.0)
-    assert not book.verdict(NAME.digest).is_trial
+    records, _ = records_with(MAX_CRASHES)
+    records.note_end("s0", 10.0)
+    assert not records.verdict(NAME.digest).is_trial
 
 
 def test_whole_run_clears_a_request_also_of_news_that_comes_later() -> None:
     """Guards against innocents that old news condemns."""
-    book, _ = book_with(2)
-    assert book.note_cleared(NAME.digest, ["s0", "s1", "s2"])
-    assert book.is_empty
-    assert not book.note_crash(NAME, crash_of("s2"))
-    assert not book.has_head(NAME.head)
-    assert book.note_crash(NAME, crash_of("s3"))
+    records, _ = records_with(2)
+    assert records.note_cleared(NAME.digest, ["s0", "s1", "s2"])
+    assert records.is_empty
+    assert not records.note_crash(NAME, crash_of("s2"))
+    assert not records.has_head(NAME.head)
+    assert records.note_crash(NAME, crash_of("s3"))
 
 
 def test_request_that_operators_let_through_is_as_any_other() -> None:
-    book, _ = book_with(MAX_CRASHES)
-    assert book.release(NAME.digest)
-    assert book.verdict(NAME.digest).standing is Standing.FREE
-    assert not book.release(NAME.digest)
+    records, _ = records_with(MAX_CRASHES)
+    assert records.release(NAME.digest)
+    assert records.verdict(NAME.digest).standing is Standing.FREE
+    assert not records.release(NAME.digest)
 
 
 @pytest.mark.parametrize(
@@ -124,9 +126,9 @@
 )
 def test_another_request_is_not_refused(other: object) -> None:
     """Guards against innocents that share a part of their name with a culprit."""
-    book, _ = book_with(MAX_CRASHES)
+    records, _ = records_with(MAX_CRASHES)
     assert other != NAME
-    assert book.verdict(other.digest).standing is Standing.FREE  # type: ignore[attr-defined]
+    assert records.verdict(other.digest).standing is Standing.FREE  # type: ignore[attr-defined]
 
 
 def test_bodies_are_told_apart_by_their_begin_and_length() -> None:
@@ -141,17 +143,17 @@
     tracemalloc.start()
     try:
         before = tracemalloc.get_traced_memory()[0]
-        book = Book(now_s=clock)
+        records = CrashRecords(now_s=clock)
         for number in range(MAX_CRASHES):
-            book.note_crash(NAME, crash_of(f"s{number}"))
+            records.note_crash(NAME, crash_of(f"s{number}"))
         for number in range(5 * MAX_RECORDS):
             body = b"%d" % number
-            book.note_crash(
-                name_of("/a", body=body), crash_of(f"life-{number}", at_s=50.0)
+            records.note_crash(
+                name_of("/a", body=body), crash_of(f"incarnation-{number}", at_s=50.0)
             )
         taken = tracemalloc.get_traced_memory()[0] - before
     finally:
         tracemalloc.stop()
-    assert len(book) <= MAX_RECORDS
+    assert len(records) <= MAX_RECORDS
     assert taken < MAX_BYTES
-    assert book.verdict(NAME.digest).standing is Standing.REFUSED
+    assert records.verdict(NAME.digest).standing is Standing.REFUSED
