Keep the quarantine's memory below 1 MB

Now 300, 500 and 1,024, less than 1 MB in all; a refused request stays when others push out suspects.

--- a/src/gentianwharf/quarantine/_crash_records.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -8,10 +8,10 @@
 from ._record import MAX_CRASHES, Record, ServerCrash, Standing, Verdict
 from ._server_ends import ServerEnds
 
-MAX_RECORDS = 1_000
+MAX_RECORDS = 300
 """Bounds the memory, also if callers send endless different bodies."""
 
-MAX_CLEARED = 2_000
+MAX_CLEARED = 500
 
 MAX_INCARNATIONS = 12
 """Ends of servers that are kept for one request; further ones change nothing."""
--- a/src/gentianwharf/quarantine/_server_ends.py
+++ b/src/gentianwharf/quarantine/_server_ends.py
@@ -10,7 +10,7 @@
 NUMBER_MARK = "+"
 
 KEPT_S = 120.0
-MAX_ENDS = 2_000
+MAX_ENDS = 1_000
 
 
 @final
--- a/src/gentianwharf/quarantine/_whole_runs.py
+++ b/src/gentianwharf/quarantine/_whole_runs.py
@@ -3,7 +3,7 @@
 from typing import final
 
 VALID_S = 10.0
-MAX_NAMES = 2_048
+MAX_NAMES = 1_024
 
 
 @final
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -12,6 +12,7 @@
     TRIAL_DELAYS_S,
     CrashRecords,
     Standing,
+    WholeRuns,
 )
 
 from .builders_quarantine import crash_of, name_of
@@ -140,20 +141,35 @@
 def test_endless_different_bodies_take_bounded_memory() -> None:
     """Guards against callers who fill the memory with requests that end servers."""
     clock = Clock()
+    names = [name_of("/a", body=b"%d" % number) for number in range(10 * MAX_RECORDS)]
     tracemalloc.start()
     try:
         before = tracemalloc.get_traced_memory()[0]
-        records = CrashRecords(now_s=clock)
-        for number in range(MAX_CRASHES):
-            records.note_crash(NAME, crash_of(f"s{number}"))
-        for number in range(5 * MAX_RECORDS):
-            body = b"%d" % number
-            records.note_crash(
-                name_of("/a", body=body), crash_of(f"incarnation-{number}", at_s=50.0)
-            )
+        records, whole_runs = CrashRecords(now_s=clock), WholeRuns()
+        for end in range(MAX_CRASHES):
+            records.note_crash(NAME, crash_of(f"s{end}"))
+        for number in range(len(names)):
+            for end in range(MAX_CRASHES):
+                ended = crash_of(f"server-{number}-{end}/1796384482878", at_s=50.0)
+                records.note_crash(name_of("/a", body=b"%d" % number), ended)
+            whole_runs.note(name_of("/b", body=b"%d" % number).digest, 50.0)
+        for number, name in enumerate(names):
+            records.note_cleared(name.digest, [f"cleared-{number}/1796384482878"])
         taken = tracemalloc.get_traced_memory()[0] - before
     finally:
         tracemalloc.stop()
     assert len(records) <= MAX_RECORDS
     assert taken < MAX_BYTES
+
+
+def test_endless_suspects_push_out_no_refused_request() -> None:
+    """Guards against callers who send others so that one is forgotten."""
+    clock = Clock()
+    records = CrashRecords(now_s=clock)
+    for end in range(MAX_CRASHES):
+        records.note_crash(NAME, crash_of(f"s{end}"))
+    for number in range(10 * MAX_RECORDS):
+        name = name_of("/a", body=b"%d" % number)
+        records.note_crash(name, crash_of(f"server-{number}", at_s=50.0))
+    assert len(records) <= MAX_RECORDS
     assert records.verdict(NAME.digest).standing is Standing.REFUSED
