--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -1,5 +1,6 @@
 """Entry hosts, servers and a store on loopback, with links that a test can cut."""
 
+import json
 import os
 from collections.abc import Coroutine, Iterable, Sequence
 from dataclasses import dataclass
@@ -35,6 +36,7 @@
 from tests.builders_relay import in_reactor, running_reactor
 
 SERVER_PORT, FIRST_LINK_PORT = 8400, 8500
+PROBLEM_TYPE = "application/problem+json"
 DEADLINE_MS = 1500
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
@@ -89,6 +91,8 @@
     id: str
     host: str
     status: int
+    title: str = ""
+    """What the host stated where it answered in place of a server."""
 
     @property
     def is_read(self) -> bool:
@@ -272,10 +276,15 @@
             response = await self._agent.request(
                 b"GET" if body is None else b"POST", url, headers, body
             )
-            await readBody(response)
-        except Exception:
-            return Answer(id=request_id, host=name, status=0)
-        return Answer(id=request_id, host=name, status=response.code)
+            content = await readBody(response)
+        except Exception as error:
+            return Answer(
+                id=request_id, host=name, status=0, title=type(error).__name__
+            )
+        title = ""
+        if response.headers.getRawHeaders("content-type") == [PROBLEM_TYPE]:
+            title = str(json.loads(content)["title"])
+        return Answer(id=request_id, host=name, status=response.code, title=title)
 
     async def send_all(
         self, *, duration_s: float, per_s: float, names: Sequence[str] = ()
--- a/tests/test_entryhost_cut_off.py
+++ b/tests/test_entryhost_cut_off.py
@@ -53,6 +53,15 @@
     }
 
 
+def unserved(answers: Sequence[Answer]) -> list[str]:
+    """Return what became of the requests that no server answered with success."""
+    return [
+        f"{answer.id} at {answer.host}: {answer.status} {answer.title}"
+        for answer in answers
+        if not answer.is_served
+    ]
+
+
 @pytest.mark.parametrize("form", LinkCut)
 @pytest.mark.parametrize(
     "cut_off",
@@ -66,19 +75,20 @@
 ) -> None:
     """Guards against hosts that refuse all requests although others reach servers."""
 
-    async def play() -> list[dict[str, float]]:
-        shares = []
+    async def play() -> list[list[Answer]]:
+        rounds = []
         for _ in range(2):
             deployment.cut(cut_off, form)
             await deployment.send_all(duration_s=DETECTION_S, per_s=PER_S)
             answers = await deployment.send_all(duration_s=MEASURED_S, per_s=PER_S)
-            shares.append(served_shares(answers, cut_off))
+            rounds.append(answers)
             deployment.restore(cut_off)
             await deployment.send_all(duration_s=LINKED_S, per_s=PER_S)
-        return shares
+        return rounds
 
-    for shares in deployment.run(play()):
-        assert min(shares.values()) >= MIN_SERVED_RATIO, shares
+    for answers in deployment.run(play()):
+        shares = served_shares(answers, cut_off)
+        assert min(shares.values()) >= MIN_SERVED_RATIO, (shares, unserved(answers))
     assert_promises_kept(deployment)
 
 
