Let a fleet's servers write to the store again while it is down

The plays of `store-down` on and with the quarantine ended with an error: a server that had ended could not write to the store that stood still, and its process failed, as it now should for any other error.

--- a/bench/fleet/_servers.py
+++ b/bench/fleet/_servers.py
@@ -20,6 +20,7 @@
 from twisted.python.failure import Failure
 from twisted.web.server import Request
 
+from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
 from gentianwharf.lifecycle import use_monotonic_time
 from gentianwharf.platform import PlatformStore
 from gentianwharf.platform.standin import Arrival, RequestRun, ServerSpec, StandInServer
@@ -47,6 +48,7 @@
 """From the end of a server to the end of its entry, unless it is back by then."""
 
 ROLLING_GAP_S = 0.3
+STORE_RETRY_S = 0.5
 
 OUTPUT_BUFFER_BYTES = 65_536
 FLUSH_INTERVAL_S = 0.5
@@ -158,9 +160,9 @@
         self._start(self._list_all())
 
     async def _list_all(self) -> None:
+        self._lease_id = await self._store.open_lease(LEASE_S)
         if self._writes_rules:
             await self._write_rules(moved=False)
-        self._lease_id = await self._store.open_lease(LEASE_S)
         for listening in self._servers:
             await self._list(listening.server)
         self._output.write(b"ready\n")
@@ -173,9 +175,19 @@
     async def _write_rules(self, *, moved: bool) -> None:
         self._version += 1
         put = configuration(self._version, moved=moved)
-        await self._store.change(Change(puts=(put,)))
+        await self._change(Change(puts=(put,)))
         self._write(RuleMove(moved=moved, moved_at_s=reactor.seconds()))
 
+    async def _change(self, change: Change) -> None:
+        """Make a change of the store, again and again while it is down."""
+        while True:
+            try:
+                await self._store.change(change)
+            except (OutcomeUnknownError, PeerUnavailableError):
+                await deferLater(reactor, STORE_RETRY_S)
+            else:
+                return
+
     def _flush(self) -> None:
         self._output.flush()
         reactor.callLater(FLUSH_INTERVAL_S, self._flush)
@@ -240,7 +252,7 @@
         self._end(former, by_request=by_request)
         await deferLater(reactor, ENTRY_LAPSE_S)
         entry = former.server.entry(self._lease_id)
-        await self._store.change(Change(removals=(entry.key,)))
+        await self._change(Change(removals=(entry.key,)))
         await deferLater(reactor, RESTART_S - ENTRY_LAPSE_S)
         spec = former.server.spec
         service = next(known for known in SERVICES if known.name == spec.service)
@@ -269,10 +281,10 @@
         await self._list(server)
         await deferLater(reactor, EXPIRY_S)
         entry = former.server.entry(self._lease_id)
-        await self._store.change(Change(removals=(entry.key,)))
+        await self._change(Change(removals=(entry.key,)))
 
     async def _list(self, server: StandInServer) -> None:
-        await self._store.change(Change(puts=(server.entry(self._lease_id),)))
+        await self._change(Change(puts=(server.entry(self._lease_id),)))
 
     def _add(self, service: ServiceSpec, server_id: str, address: str) -> StandInServer:
         spec = ServerSpec(
