Decide on a refusal once other servers had time to end as well

Cause: an innocent whose third server ends first of the next ones in a rolling loss looked alone for the moment, and was refused for 300 s. Where most servers are down, ends lie more than 1 s apart.

Now a request waits for up to 1 s after its third end before it is refused, and ends within 2 s are correlated.

--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -169,7 +169,9 @@
                 return
             if verdict.standing is Standing.REFUSED:
                 raise self._refusal(run, name, verdict)
-            if await self._take_permit(run, name):
+            if verdict.standing is not Standing.UNDECIDED and await self._take_permit(
+                run, name
+            ):
                 return
             self.waits += not has_waited
             has_waited = True
@@ -186,7 +188,7 @@
         if permit is None:
             return False
         verdict = self.records.verdict(name.digest)
-        if verdict.standing is Standing.REFUSED:
+        if verdict.standing in (Standing.REFUSED, Standing.UNDECIDED):
             self._permits.return_permit(permit)
             return False
         run.permit = permit
--- a/src/gentianwharf/quarantine/_record.py
+++ b/src/gentianwharf/quarantine/_record.py
@@ -7,6 +7,9 @@
 MAX_CRASHES = 3
 """Servers that end under a request before it is refused."""
 
+UNDECIDED_S = 1.0
+"""From the last of these ends to the refusal, unless ends of others are correlated."""
+
 MIN_CORRELATED = 2
 """Of the first ``MAX_CRASHES`` ends, how many had company where it may be innocent."""
 
@@ -34,6 +37,9 @@
 
     FREE = "free"
     ONE_AT_A_TIME = "one-at-a-time"
+    UNDECIDED = "undecided"
+    """Refused soon, unless other servers end at about the same time."""
+
     REFUSED = "refused"
 
 
@@ -92,7 +98,11 @@
             return Verdict(standing=Standing.FREE)
         if len(crashes) < MAX_CRASHES:
             return Verdict(standing=Standing.ONE_AT_A_TIME)
-        if self.trials >= MAX_TRIALS or not self._has_correlated_crashes(crashes):
+        is_correlated = self._has_correlated_crashes(crashes)
+        undecided_s = crashes[-1].ended_s + UNDECIDED_S - now_s
+        if not is_correlated and undecided_s > 0:
+            return Verdict(standing=Standing.UNDECIDED, retry_after_s=undecided_s)
+        if self.trials >= MAX_TRIALS or not is_correlated:
             return Verdict(standing=Standing.REFUSED, retry_after_s=RETRY_AFTER_S)
         due_s = crashes[-1].ended_s + TRIAL_DELAYS_S[self.trials]
         if now_s < due_s:
--- a/src/gentianwharf/quarantine/_server_ends.py
+++ b/src/gentianwharf/quarantine/_server_ends.py
@@ -4,9 +4,12 @@
 from collections.abc import Container
 from typing import final
 
-CORRELATION_S = 1.0
+CORRELATION_S = 2.0
 """Ends of servers are correlated if no more time lies between them."""
 
+SAME_END_S = 1.0
+"""Connections of a server that ends are lost within this time."""
+
 NUMBER_MARK = "+"
 
 KEPT_S = 120.0
@@ -62,7 +65,7 @@
         number, found = 0, incarnation
         while (
             found in self._incarnations
-            and lost_s > self._incarnations[found] + CORRELATION_S
+            and lost_s > self._incarnations[found] + SAME_END_S
         ):
             number += 1
             found = f"{incarnation}{NUMBER_MARK}{number}"
