Refuse no request for ends of its copies that ran beside each other

Cause: callers of the soak send the same look-up and the same posting again and again. Copies of them were on each server that was killed, three within a short time and without a whole run in between that a host remembered, and no other server ended, since they were on all of them.

Now two of the three ends have to be of runs with a permit, which no other copy has beside it: a whole run clears an innocent, a culprit ends that server. The bound of three sends after the third end holds: runs that were needed as a proof and those that may show an innocent are three together.

--- a/src/gentianwharf/cli/_quarantine.py
+++ b/src/gentianwharf/cli/_quarantine.py
@@ -14,7 +14,6 @@
 from gentianwharf.errors import ConflictError, GentianwharfError, InputError
 from gentianwharf.platform import PlatformStore
 from gentianwharf.quarantine import (
-    MAX_CRASHES,
     QUARANTINE_PREFIX,
     StoredRequest,
     decode_record,
@@ -70,7 +69,7 @@
     if not found:
         terminal.line("no request is refused")
     for name, stored in found.items():
-        is_refused = len(stored.crashes) >= MAX_CRASHES
+        is_refused = stored.is_convicted
         terminal.line(f"{name}  {'refused' if is_refused else 'one at a time'}")
         terminal.table(
             ["  ended (UTC)", "server", "service", "evidence", "host", "request"],
--- a/src/gentianwharf/entryhost/_crash_reports.py
+++ b/src/gentianwharf/entryhost/_crash_reports.py
@@ -20,6 +20,7 @@
         crash.request_id,
         crash.service,
         crash.is_correlated,
+        crash.is_permitted,
     )
 
 
@@ -39,6 +40,7 @@
         request_id=report.request_id,
         service=report.service,
         is_correlated=report.is_correlated,
+        is_permitted=report.is_permitted,
     )
 
 
--- a/src/gentianwharf/entryhost/_crashes.py
+++ b/src/gentianwharf/entryhost/_crashes.py
@@ -36,6 +36,7 @@
 
     request_id: str
     lost_s: float
+    is_permitted: bool
 
 
 @final
@@ -88,12 +89,19 @@
         self._suspected: dict[str, SuspectedCrash] = {}
 
     def note_lost(
-        self, server: BackendServer, name: RequestName, request_id: str
+        self,
+        server: BackendServer,
+        name: RequestName,
+        request_id: str,
+        *,
+        is_permitted: bool,
     ) -> SuspectedCrash:
         """Record that a request was lost with its connection."""
         incarnation = self._incarnation_of(server)
         now_s = self._reactor.seconds()
-        lost = LostRequest(request_id=request_id, lost_s=now_s)
+        lost = LostRequest(
+            request_id=request_id, lost_s=now_s, is_permitted=is_permitted
+        )
         crash = self._suspected.get(incarnation)
         if crash is not None and crash.evidence is not None:
             # Proved before; this request was lost a little later.
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -144,6 +144,7 @@
     request_id: str
     service: str
     is_correlated: bool
+    is_permitted: bool = False
 
 
 class ClearReport(msgspec.Struct, array_like=True):
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -257,7 +257,9 @@
         """Find out whether a server ended while it had a request."""
         assert run.name is not None, "only requests with a name are recorded"
         request_id = run.exchange.ticket.request_id
-        return self.detector.note_lost(server, run.name, request_id)
+        return self.detector.note_lost(
+            server, run.name, request_id, is_permitted=run.permit is not None
+        )
 
     def note_entry_ended(self, entry: ServerEntry, has_restarted: bool) -> None:
         """Record what the directory says about the end of a server."""
@@ -301,6 +303,7 @@
                 host=self._host,
                 request_id=lost.request_id,
                 service=crash.server.service,
+                is_permitted=lost.is_permitted,
             )
             if self.records.note_crash(name, found):
                 reports.append(report_of(name, found, now_s=self._reactor.seconds()))
--- a/src/gentianwharf/entryhost/_quarantine_setup.py
+++ b/src/gentianwharf/entryhost/_quarantine_setup.py
@@ -125,6 +125,7 @@
                     "request_id": crash.request_id,
                     "service": crash.service,
                     "correlated": crash.is_correlated,
+                    "alone": crash.is_permitted,
                 }
                 for crash in record.in_order()
             ],
--- a/src/gentianwharf/entryhost/_suspicions.py
+++ b/src/gentianwharf/entryhost/_suspicions.py
@@ -5,7 +5,6 @@
 
 from gentianwharf.logs import log
 from gentianwharf.quarantine import (
-    MAX_CRASHES,
     MAX_RECORDS,
     CrashRecords,
     Record,
@@ -33,7 +32,7 @@
         self._recall_copies(digests)
         for digest in digests:
             record = self._records.record(digest)
-            if record is not None and len(record.crashes) >= MAX_CRASHES:
+            if record is not None and record.is_convicted:
                 self._log_refused(record)
 
     def _recall_copies(self, digests: set[bytes]) -> None:
@@ -44,7 +43,7 @@
             if name is None or name.digest not in digests:
                 continue
             record = self._records.record(name.digest)
-            is_refused = record is not None and len(record.crashes) >= MAX_CRASHES
+            is_refused = record is not None and record.is_convicted
             if run.exchange.ticket.repeatable or is_refused:
                 run.exchange.recall()
 
--- a/src/gentianwharf/quarantine/__init__.py
+++ b/src/gentianwharf/quarantine/__init__.py
@@ -11,7 +11,6 @@
 from ._record import (
     MAX_CRASHES,
     MAX_TRIALS,
-    TRIAL_DELAYS_S,
     UNDECIDED_S,
     CrashEvidence,
     Record,
@@ -36,7 +35,6 @@
     "MAX_RECORDS",
     "MAX_TRIALS",
     "QUARANTINE_PREFIX",
-    "TRIAL_DELAYS_S",
     "UNDECIDED_S",
     "BodyPrefix",
     "CrashRecords",
--- a/src/gentianwharf/quarantine/_crash_records.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -75,7 +75,7 @@
             if crash.is_correlated and not known.is_correlated:
                 record.crashes[crash.incarnation] = replace(known, is_correlated=True)
             return False
-        if len(record.crashes) >= MAX_INCARNATIONS:
+        if len(record.crashes) >= MAX_INCARNATIONS and not _make_room(record, crash):
             return False
         record.crashes[crash.incarnation] = crash
         self._touch(record)
@@ -140,11 +140,7 @@
 
     def refused(self) -> list[Record]:
         """Return the requests under which enough servers ended, the latest last."""
-        return [
-            record
-            for record in self._records.values()
-            if len(record.crashes) >= MAX_CRASHES
-        ]
+        return [record for record in self._records.values() if record.is_convicted]
 
     def _add(self, name: RequestName) -> Record:
         if len(self._records) >= MAX_RECORDS:
@@ -161,3 +157,12 @@
     def _touch(self, record: Record) -> None:
         """Let a record be the latest one."""
         self._records[record.digest] = self._records.pop(record.digest)
+
+
+def _make_room(record: Record, crash: ServerCrash) -> bool:
+    """Drop an end beside other copies for one that says more."""
+    for incarnation, known in record.crashes.items():
+        if crash.is_permitted and not known.is_permitted:
+            del record.crashes[incarnation]
+            return True
+    return False
--- a/src/gentianwharf/quarantine/_record.py
+++ b/src/gentianwharf/quarantine/_record.py
@@ -10,16 +10,17 @@
 UNDECIDED_S = 1.0
 """From the last of these ends to the refusal, unless ends of others are correlated."""
 
+MIN_PERMITTED = 2
+"""How many of them end while no other copy of the request runs. Copies of an innocent
+may be on every server of a mass loss."""
+
 MIN_CORRELATED = 2
 """Of the first ``MAX_CRASHES`` ends, how many had company where it may be innocent."""
 
-MAX_TRIALS = 2
+MAX_TRIALS = 3
 """Runs of a refused request, in its whole life, to find out whether it is
 innocent."""
 
-TRIAL_DELAYS_S = (0.0, 60.0)
-"""From the last end of a server to each of these runs."""
-
 RETRY_AFTER_S = 300.0
 """Told to callers of a request that only operators can let through."""
 
@@ -64,7 +65,7 @@
     ``incarnation`` identifies the server from its start to its end. ``ended_s`` is on
     the clock of this host, ``ended_unix_ms`` on that of ``host``, which noticed the
     end. ``is_correlated`` is whether a server where the request was not ended at about
-    the same time.
+    the same time. ``is_permitted`` is whether no other copy of the request ran then.
     """
 
     incarnation: str
@@ -75,6 +76,7 @@
     request_id: str
     service: str
     is_correlated: bool = False
+    is_permitted: bool = False
 
 
 @final
@@ -96,19 +98,30 @@
         crashes = self.in_order()
         if not crashes:
             return Verdict(standing=Standing.FREE)
-        if len(crashes) < MAX_CRASHES:
+        if not self.is_convicted:
             return Verdict(standing=Standing.ONE_AT_A_TIME)
         is_correlated = self._has_correlated_crashes(crashes)
         undecided_s = crashes[-1].ended_s + UNDECIDED_S - now_s
         if not is_correlated and undecided_s > 0:
             return Verdict(standing=Standing.UNDECIDED, retry_after_s=undecided_s)
-        if self.trials >= MAX_TRIALS or not is_correlated:
+        trials = self._permitted() - MIN_PERMITTED
+        if trials >= self._max_trials() or not is_correlated:
             return Verdict(standing=Standing.REFUSED, retry_after_s=RETRY_AFTER_S)
-        due_s = crashes[-1].ended_s + TRIAL_DELAYS_S[self.trials]
-        if now_s < due_s:
-            return Verdict(standing=Standing.REFUSED, retry_after_s=due_s - now_s)
         return Verdict(standing=Standing.ONE_AT_A_TIME, is_trial=True)
 
+    @property
+    def is_convicted(self) -> bool:
+        """Whether enough servers ended, some of them under this request alone."""
+        return len(self.crashes) >= MAX_CRASHES and self._permitted() >= MIN_PERMITTED
+
+    def _permitted(self) -> int:
+        return sum(crash.is_permitted for crash in self.crashes.values())
+
+    def _max_trials(self) -> int:
+        # Ends after the third one that were needed as a proof count as well.
+        copies = len(self.crashes) - self._permitted()
+        return MAX_TRIALS - min(MIN_PERMITTED, max(0, copies - 1))
+
     def _has_correlated_crashes(self, crashes: list[ServerCrash]) -> bool:
         correlated = sum(crash.is_correlated for crash in crashes[:MAX_CRASHES])
         return correlated >= MIN_CORRELATED
--- a/src/gentianwharf/quarantine/_stored.py
+++ b/src/gentianwharf/quarantine/_stored.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from ._name import RequestName
-from ._record import CrashEvidence, Record, ServerCrash
+from ._record import (
+    MAX_CRASHES,
+    MIN_PERMITTED,
+    CrashEvidence,
+    Record,
+    ServerCrash,
+)
 
 QUARANTINE_PREFIX = "gentianwharf/quarantine/"
 """Prefix of the items' keys, followed by the hexadecimal names of the requests."""
@@ -19,6 +25,7 @@
     request_id: str
     service: str
     is_correlated: bool
+    is_permitted: bool = False
 
     def crash(self, *, now_s: float, now_unix_s: float) -> ServerCrash:
         """Return the end on the clock of this host."""
@@ -32,6 +39,7 @@
             request_id=self.request_id,
             service=self.service,
             is_correlated=self.is_correlated,
+            is_permitted=self.is_permitted,
         )
 
 
@@ -42,6 +50,12 @@
     trials: int
     crashes: list[StoredCrash]
 
+    @property
+    def is_convicted(self) -> bool:
+        """Whether it is refused, but for runs that may show that it is innocent."""
+        permitted = sum(crash.is_permitted for crash in self.crashes)
+        return len(self.crashes) >= MAX_CRASHES and permitted >= MIN_PERMITTED
+
 
 def encode_record(record: Record) -> bytes:
     """Return a record as it is stored."""
@@ -58,6 +72,7 @@
                     request_id=crash.request_id,
                     service=crash.service,
                     is_correlated=crash.is_correlated,
+                    is_permitted=crash.is_permitted,
                 )
                 for crash in record.in_order()
             ],
--- a/tests/builders_quarantine_hosts.py
+++ b/tests/builders_quarantine_hosts.py
@@ -28,6 +28,9 @@
 SERVICE = "ledger"
 DEADLINE_S = 6.0
 SETTLED_S = 0.4
+ADMITTED_S = 0.6
+"""Also if two hosts that give permits don't answer."""
+
 STEP_S = 0.01
 
 
@@ -169,7 +172,11 @@
     def crash(self, host: int, name: str, *, path: str = "/culprit") -> Call:
         """Let a server end under a request at a host."""
         call = self.call(host, path=path)
+        admitted = call.admit()
+        self.advance(ADMITTED_S)
+        assert admitted.called
         self.lose(call, self.server(name))
+        call.run.finish()
         return call
 
     def advance(self, duration_s: float) -> None:
