--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -132,7 +132,7 @@
     """Run hosts and servers until all hosts know each other."""
     deployment = CrashDeployment(
         directory=directory,
-        net=130 + os.getpid() % 60,
+        net=220 + os.getpid() % 30,
         lost_share=lost_share,
         servers=SERVERS,
         keyed_servers=KEYED_SERVERS,
