Derive the runs of a refused request from the ends of its servers

The count of these runs was kept, sent between hosts and stored, though the decision has gone by the ends of servers in runs with a permit since.

Whether a request is refused was written twice, for a record and for a stored one: both ask one function. A parameter that nobody read is gone.

--- a/src/gentianwharf/entryhost/_crashes.py
+++ b/src/gentianwharf/entryhost/_crashes.py
@@ -158,9 +158,7 @@
             if is_alive and self._suspected.get(crash.incarnation) is crash:
                 del self._suspected[crash.incarnation]
 
-    def note_entry_ended(
-        self, server_id: str, incarnation: str, *, has_restarted: bool
-    ) -> None:
+    def note_entry_ended(self, incarnation: str, *, has_restarted: bool) -> None:
         """Record that a server started again, or is no longer listed."""
         crash = self._suspected.get(incarnation)
         if crash is None or crash.evidence is not None:
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -154,13 +154,6 @@
     incarnations: list[str]
 
 
-class TrialCount(msgspec.Struct, array_like=True):
-    """How often a request has run after it was refused."""
-
-    digest: bytes
-    trials: int
-
-
 class QuarantineNews(msgspec.Struct, array_like=True, tag="quarantine"):
     """What a host found out about requests under which servers end.
 
@@ -172,7 +165,6 @@
     serial: int
     crashes: list[CrashReport] = []
     cleared: list[ClearReport] = []
-    trials: list[TrialCount] = []
     is_relayed: bool = False
 
 
@@ -215,7 +207,6 @@
     """All that a host knows of requests under which servers end."""
 
     crashes: list[CrashReport] = []
-    trials: list[TrialCount] = []
 
 
 QuarantineMessage = (
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any, final
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import deferLater
 
 from gentianwharf.logs import log
@@ -41,7 +41,6 @@
     QuarantineNews,
     RecordsReply,
     RecordsRequest,
-    TrialCount,
 )
 from ._peers import Peers
 from ._quarantine_news import NewsSender
@@ -193,18 +192,15 @@
             return False
         run.permit = permit
         if verdict.is_trial:
-            self._note_trial(name)
-        return True
-
-    def _note_trial(self, name: RequestName) -> None:
-        record = self.records.record(name.digest)
-        if record is not None:
-            self.records.note_trials(name.digest, record.trials + 1)
-            self._send(trials=[TrialCount(name.digest, record.trials)])
+            record = self.records.record(name.digest)
             log.info(
                 "refused request runs once more",
-                extra={"name": str(name), "trials": record.trials},
+                extra={
+                    "name": str(name),
+                    "trials": record.trials + 1 if record is not None else 1,
+                },
             )
+        return True
 
     def is_free(self, run: HostGuardedRun) -> bool:
         """Whether a request needs no permit."""
@@ -264,9 +260,7 @@
     def note_entry_ended(self, entry: ServerEntry, has_restarted: bool) -> None:
         """Record what the directory says about the end of a server."""
         incarnation = _incarnation(entry.id, entry.born_ms)
-        self.detector.note_entry_ended(
-            entry.id, incarnation, has_restarted=has_restarted
-        )
+        self.detector.note_entry_ended(incarnation, has_restarted=has_restarted)
         self.records.note_end(incarnation, self._reactor.seconds())
 
     def note_answered(self, run: HostGuardedRun, name: RequestName) -> None:
@@ -329,11 +323,11 @@
             self.news.note_echo(message)
             if not message.is_relayed and self._peers.leads:
                 self.news.relay(message)
-            self._apply(message.crashes, message.cleared, message.trials)
+            self._apply(message.crashes, message.cleared)
         elif isinstance(message, RecordsRequest):
             self.exchange.answer(message, self._records_reply())
         elif isinstance(message, RecordsReply):
-            self._apply(message.crashes, (), message.trials)
+            self._apply(message.crashes)
             self.exchange.note_answer()
         else:
             self._permits.handle(message)
@@ -341,18 +335,12 @@
     def _records_reply(self) -> RecordsReply:
         now_s = self._reactor.seconds()
         reports = list(recent_reports(self.records, since_s=float("-inf"), now_s=now_s))
-        trials = [
-            TrialCount(record.digest, record.trials)
-            for record in self.records
-            if record.trials
-        ]
-        return RecordsReply(reports[-MAX_REPLY:], trials)
+        return RecordsReply(reports[-MAX_REPLY:])
 
     def _apply(
         self,
         crashes: Iterable[CrashReport],
-        cleared_reports: Iterable[ClearReport],
-        trials: Iterable[TrialCount],
+        cleared_reports: Iterable[ClearReport] = (),
     ) -> None:
         now_s = self._reactor.seconds()
         names = []
@@ -365,8 +353,6 @@
                 names.append(name)
         for cleared in cleared_reports:
             self.records.note_cleared(cleared.digest, cleared.incarnations)
-        for trial in trials:
-            self.records.note_trials(trial.digest, trial.trials)
         self.suspicions.apply(names)
 
     def _send(
@@ -374,13 +360,10 @@
         *,
         crashes: Sequence[CrashReport] = (),
         cleared: Sequence[ClearReport] = (),
-        trials: Sequence[TrialCount] = (),
     ) -> "Deferred[None]":
-        if not (crashes or cleared or trials):
-            done: Deferred[None] = Deferred()
-            done.callback(None)
-            return done
-        news = QuarantineNews(self._host, 0, list(crashes), list(cleared), list(trials))
+        if not (crashes or cleared):
+            return succeed(None)
+        news = QuarantineNews(self._host, 0, list(crashes), list(cleared))
         return self.news.send(news)
 
     def _repeat(self, now_s: float) -> None:
--- a/src/gentianwharf/entryhost/_quarantine_items.py
+++ b/src/gentianwharf/entryhost/_quarantine_items.py
@@ -51,7 +51,7 @@
         self._now_s = now_s
         self._next_write_s = float("-inf")
         self._stored: dict[bytes, tuple[int, int]] = {}
-        """The revision of each item, and how much its value says."""
+        """The revision of each item, and the number of ends in it."""
 
     def note_item(self, key: str, item: Item | None) -> list[RequestName]:
         """Apply a stored request or its removal; return the names that are news."""
@@ -70,7 +70,7 @@
             return []
         self._stored[name.digest] = (
             item.revision,
-            _weight(len(stored.crashes), stored.trials),
+            len(stored.crashes),
         )
         now_s, now_unix_s = self._now_s(), time.time()
         is_news = [
@@ -79,7 +79,6 @@
             )
             for crash in stored.crashes
         ]
-        self._records.note_trials(name.digest, stored.trials)
         return [name] if any(is_news) else []
 
     def _note_removed(self, key: str) -> None:
@@ -110,8 +109,8 @@
         for record in self._records:
             if len(record.crashes) < MIN_STORED_CRASHES or len(puts) == MAX_WRITES:
                 continue
-            revision, weight = self._stored.get(record.digest, (0, 0))
-            if weight >= _weight(len(record.crashes), record.trials):
+            revision, stored_crashes = self._stored.get(record.digest, (0, 0))
+            if stored_crashes >= len(record.crashes):
                 continue
             self._records.verdict(record.digest)
             key = QUARANTINE_PREFIX + record.digest.hex()
@@ -140,9 +139,5 @@
             )
 
 
-def _weight(crashes: int, trials: int) -> int:
-    return crashes + trials
-
-
 def _log_fault(failure: Failure) -> None:
     log.error("error while storing requests: {}", failure.getTraceback())
--- a/src/gentianwharf/quarantine/_crash_records.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -108,14 +108,6 @@
         self._cleared[digest, incarnation] = None
         return True
 
-    def note_trials(self, digest: bytes, trials: int) -> bool:
-        """Record how often a refused request has run; return whether that is news."""
-        record = self._records.get(digest)
-        if record is None or record.trials >= trials:
-            return False
-        record.trials = trials
-        return True
-
     def verdict(self, digest: bytes) -> Verdict:
         """Return how a request is dealt with now."""
         record = self._records.get(digest)
--- a/src/gentianwharf/quarantine/_record.py
+++ b/src/gentianwharf/quarantine/_record.py
@@ -1,8 +1,9 @@
 """What is known about one request under which servers have ended."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import final
+from typing import Protocol, final
 
 MAX_CRASHES = 3
 """Servers that end under a request before it is refused."""
@@ -79,6 +80,24 @@
     is_permitted: bool = False
 
 
+class PermittedEnd(Protocol):
+    """The end of a server under a request, here or in a store."""
+
+    @property
+    def is_permitted(self) -> bool:
+        """Whether no other copy of the request ran then."""
+
+
+def is_convicted(ends: Iterable[PermittedEnd]) -> bool:
+    """Whether enough servers ended, some of them under one copy of a request alone."""
+    ends = list(ends)
+    return len(ends) >= MAX_CRASHES and _permitted(ends) >= MIN_PERMITTED
+
+
+def _permitted(ends: Iterable[PermittedEnd]) -> int:
+    return sum(end.is_permitted for end in ends)
+
+
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class Record:
@@ -87,7 +106,6 @@
     head: bytes
     digest: bytes
     crashes: dict[str, ServerCrash] = field(default_factory=dict)
-    trials: int = 0
 
     def in_order(self) -> list[ServerCrash]:
         """Return the ends of servers, the earliest first."""
@@ -104,22 +122,23 @@
         undecided_s = crashes[-1].ended_s + UNDECIDED_S - now_s
         if not is_correlated and undecided_s > 0:
             return Verdict(standing=Standing.UNDECIDED, retry_after_s=undecided_s)
-        trials = self._permitted() - MIN_PERMITTED
-        if trials >= self._max_trials() or not is_correlated:
+        if self.trials >= self._max_trials() or not is_correlated:
             return Verdict(standing=Standing.REFUSED, retry_after_s=RETRY_AFTER_S)
         return Verdict(standing=Standing.ONE_AT_A_TIME, is_trial=True)
 
     @property
     def is_convicted(self) -> bool:
-        """Whether enough servers ended, some of them under this request alone."""
-        return len(self.crashes) >= MAX_CRASHES and self._permitted() >= MIN_PERMITTED
+        """Whether the request is refused, but for trials."""
+        return is_convicted(self.crashes.values())
 
-    def _permitted(self) -> int:
-        return sum(crash.is_permitted for crash in self.crashes.values())
+    @property
+    def trials(self) -> int:
+        """How many runs of the request have ended servers since it was refused."""
+        return max(0, _permitted(self.crashes.values()) - MIN_PERMITTED)
 
     def _max_trials(self) -> int:
         # Ends after the third one that were needed as a proof count as well.
-        copies = len(self.crashes) - self._permitted()
+        copies = len(self.crashes) - _permitted(self.crashes.values())
         return MAX_TRIALS - min(MIN_PERMITTED, max(0, copies - 1))
 
     def _has_correlated_crashes(self, crashes: list[ServerCrash]) -> bool:
--- a/src/gentianwharf/quarantine/_stored.py
+++ b/src/gentianwharf/quarantine/_stored.py
@@ -3,13 +3,7 @@
 import msgspec
 
 from ._name import RequestName
-from ._record import (
-    MAX_CRASHES,
-    MIN_PERMITTED,
-    CrashEvidence,
-    Record,
-    ServerCrash,
-)
+from ._record import CrashEvidence, Record, ServerCrash, is_convicted
 
 QUARANTINE_PREFIX = "gentianwharf/quarantine/"
 """Prefix of the items' keys, followed by the hexadecimal names of the requests."""
@@ -47,14 +41,12 @@
     """A request as it is stored under its name; ``head`` is in hexadecimal."""
 
     head: str
-    trials: int
     crashes: list[StoredCrash]
 
     @property
     def is_convicted(self) -> bool:
-        """Whether it is refused, but for runs that may show that it is innocent."""
-        permitted = sum(crash.is_permitted for crash in self.crashes)
-        return len(self.crashes) >= MAX_CRASHES and permitted >= MIN_PERMITTED
+        """Whether the request is refused, but for trials."""
+        return is_convicted(self.crashes)
 
 
 def encode_record(record: Record) -> bytes:
@@ -62,7 +54,6 @@
     return msgspec.json.encode(
         StoredRequest(
             head=record.head.hex(),
-            trials=record.trials,
             crashes=[
                 StoredCrash(
                     incarnation=crash.incarnation,
--- a/tests/builders_quarantine.py
+++ b/tests/builders_quarantine.py
@@ -184,12 +184,6 @@
             fleet.now_s += verdict.retry_after_s
             continue
         if verdict.standing is not Standing.REFUSED:
-            if verdict.is_trial:
-                for number in range(fleet.hosts):
-                    records = fleet.records(number)
-                    record = records.record(name.digest)
-                    if record is not None:
-                        records.note_trials(name.digest, record.trials + 1)
             living = fleet.losses.living(fleet.now_s) or [0]
             server = fleet.rng.choice(living)
             fleet.now_s += CRASH_S
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -111,7 +111,6 @@
         clock.now_s += 1.0
         verdict = records.verdict(NAME.digest)
         assert (verdict.standing, verdict.is_trial) == (Standing.ONE_AT_A_TIME, True)
-        records.note_trials(NAME.digest, trial + 1)
         records.note_crash(NAME, crash_of(f"trial-{trial}", at_s=clock.now_s))
     clock.now_s += 1e6
     assert records.verdict(NAME.digest).standing is Standing.REFUSED
