Let the quarantine follow the store, the list of hosts and the metrics by itself

The coordinator passed on items, ticks and the list of hosts for it, beside a listener, a ticker and a list that were there already; the host named its gauges and its page. What a host needs to serve stands with its readiness, what hosts decode with their messages.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -27,7 +27,6 @@
     ServerOrders,
     evacuated_domain,
 )
-from gentianwharf.quarantine import QUARANTINE_PREFIX
 from gentianwharf.relay import ServerLoad, ServerNotice
 from gentianwharf.store import (
     FORWARDING_PACE,
@@ -106,8 +105,6 @@
         )
         self.on_listed: Callable[[Sequence[HostAddress]], None] = lambda hosts: None
         self.on_notices: Callable[[Notices], None] = lambda notices: None
-        self.on_quarantine_item: Callable[[str, Item | None], None]
-        self.tick_quarantine: Callable[[], None] = lambda: None
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.host_count = INITIAL_HOST_COUNT
         now_s = self._now_s = reactor.seconds
@@ -253,7 +250,6 @@
         self.peers.tick()
         self._host_list.tick()
         self.tunnel_secret.tick()
-        self.tick_quarantine()
         self._broadcast()
 
     def resign(self, campaign_pause_s: float) -> None:
@@ -273,10 +269,6 @@
         if service in self.keyed:
             self.keys.wake(service)
 
-    def listed_hosts(self) -> Sequence[HostAddress]:
-        """Return the hosts in the list from the store."""
-        return self._host_list.listed()
-
     # Observations of servers by this host.
 
     def note_server_load(
@@ -319,8 +311,6 @@
             self.tunnel_secret.note_item(item)
         elif key == PREVIOUS_LEADER_KEY:
             self.leadership.note_previous_leader(item)
-        elif key.startswith(QUARANTINE_PREFIX):
-            self.on_quarantine_item(key, item)
         elif key.startswith(TABLE_PREFIX) and item is not None:
             self._planner.note_table(item)
 
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -31,13 +31,8 @@
 from ._listed_servers import ListedServers
 from ._metrics import METRICS_PORT, HostMetrics, metrics_site
 from ._peer_messages import Notices
-from ._quarantine_setup import (
-    PAGE_PATH,
-    add_quarantine_gauges,
-    quarantine_of,
-    quarantine_page,
-)
-from ._readiness import readiness_site
+from ._quarantine_setup import quarantine_of
+from ._readiness import can_serve, readiness_site
 from ._request_classes import request_class_of
 from ._slot_log import SlotLog
 from ._slots import HostSlots
@@ -150,6 +145,7 @@
         self._quarantine = quarantine_of(
             coordinator=self._coordinator,
             pools=self._pools,
+            metrics=self.metrics,
             reactor=reactor,
             rng=self._rng,
         )
@@ -196,7 +192,6 @@
 
     def _add_gauges(self) -> None:
         self._tunnels.add_gauges(self.metrics)
-        add_quarantine_gauges(self.metrics, self._quarantine)
         add_gauges(
             self.metrics,
             coordinator=self._coordinator,
@@ -248,16 +243,13 @@
         """Listen, and start to follow the store."""
         readiness = readiness_site(is_ready=self.is_ready, reactor=self._reactor)
         self._listen(self.settings.readiness_address, readiness)
-        metrics = metrics_site(
-            metrics=self.metrics,
-            pages={PAGE_PATH: lambda: quarantine_page(self._quarantine)},
-            reactor=self._reactor,
-        )
+        metrics = metrics_site(metrics=self.metrics, reactor=self._reactor)
         self._listen(f"{self.settings.ip}:{METRICS_PORT}", metrics)
         self._tunnels.start()
         self._coordinator.start()
         self._callers_port.start()
         self._ticks.every(COORDINATOR_TICK_S, self._coordinator.tick)
+        self._ticks.every(COORDINATOR_TICK_S, self._quarantine.tick)
         self._ticks.every(SLOT_TICK_S, self._slot_node.tick)
         requests = self._ticks.every_dynamic(self._tick_interval_s, self._tick_requests)
         self.relay.on_first_in_flight = requests.reschedule
@@ -294,14 +286,7 @@
         """Whether this host can serve a request to each service."""
         if self.shutdown.phase is not Phase.SERVING:
             return False
-        configuration = self._coordinator.rules.configuration
-        if configuration is None or not self._quarantine.exchange.is_current:
-            return False
-        return all(
-            self._coordinator.keys.has_table(name)
-            for name, service in configuration.services.items()
-            if service.keyed
-        )
+        return self._quarantine.exchange.is_current and can_serve(self._coordinator)
 
     def mark_unready(self) -> None:
         """Make clients reconnect to other hosts, and resign from leadership."""
--- a/src/gentianwharf/entryhost/_metrics.py
+++ b/src/gentianwharf/entryhost/_metrics.py
@@ -1,7 +1,7 @@
 """Counters and timings of an entry host in the format of Prometheus."""
 
 import os
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, final
 
@@ -47,6 +47,8 @@
         self._elapsed: dict[tuple[str, str], HdrHistogram] = {}
         self._waited: dict[tuple[str, str], HdrHistogram] = {}
         self._gauges: dict[str, tuple[str, Gauge]] = {}
+        self.pages: dict[bytes, Callable[[], PageResponse]] = {}
+        """Further pages beside the metrics, by path."""
         self.slots = SlotMetrics()
         self.sample_sources: list[SampleSource] = [self.slots.samples]
         self.add_gauge("resident_bytes", "Resident memory", _resident_bytes)
@@ -140,19 +142,11 @@
     return float(len(os.listdir("/proc/self/fd")))
 
 
-def metrics_site(
-    *,
-    metrics: HostMetrics,
-    reactor: Any,
-    pages: Mapping[bytes, Callable[[], PageResponse]] | None = None,
-) -> PageSite:
-    """Return a site that answers every GET with the metrics, or with one of ``pages``.
-
-    ``pages`` are by path.
-    """
+def metrics_site(*, metrics: HostMetrics, reactor: Any) -> PageSite:
+    """Return a site that answers every GET with the metrics, or one of their pages."""
 
     def render() -> PageResponse:
         body = metrics.text().encode()
         return PageResponse(body=body, content_type=METRICS_CONTENT_TYPE)
 
-    return PageSite(render=render, reactor=reactor, pages=pages)
+    return PageSite(render=render, reactor=reactor, pages=metrics.pages)
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -279,3 +279,20 @@
     ended_s: float | None
     others_s: float = 0.0
     held: list[RemainingGrant] = []
+
+
+FromLeader = LeaderUpdate | SpeedUpdate | NoticeUpdate | StoreSnapshot
+"""Messages that only the leader sends."""
+
+Message = (
+    Report
+    | FromLeader
+    | RemainingGrantsRequest
+    | RemainingGrantsResponse
+    | QuarantineMessage
+)
+
+
+def decode_message(data: bytes) -> Message:
+    """Decode a message of another host; raises ``msgspec.DecodeError``."""
+    return msgspec.msgpack.decode(data, type=Message)
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -21,6 +21,7 @@
 from ._leader_changes import LeaderChanges
 from ._load_accumulator import LoadAccumulator
 from ._peer_messages import (
+    FromLeader,
     HostAddress,
     HostIdentity,
     LeaderUpdate,
@@ -33,6 +34,7 @@
     Report,
     SpeedUpdate,
     StoreSnapshot,
+    decode_message,
 )
 
 REPORT_INTERVAL_S = 0.25
@@ -57,10 +59,6 @@
 """The link to the leader is opened again after this time without an update."""
 
 
-FromLeader = LeaderUpdate | SpeedUpdate | NoticeUpdate | StoreSnapshot
-"""Messages that only the leader sends."""
-
-
 @final
 class Peers:
     """A host's link to the leader and, while it leads, to all other hosts."""
@@ -324,17 +322,7 @@
             self.on_slot_message(data)
             return
         try:
-            message = msgspec.msgpack.decode(
-                data,
-                type=Report
-                | LeaderUpdate
-                | SpeedUpdate
-                | NoticeUpdate
-                | StoreSnapshot
-                | RemainingGrantsRequest
-                | RemainingGrantsResponse
-                | QuarantineMessage,
-            )
+            message = decode_message(data)
         except msgspec.DecodeError as error:
             log.warning("cannot decode a message from a host: {}", error)
             return
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -95,6 +95,7 @@
     ) -> None:
         self.records = CrashRecords(now_s=reactor.seconds)
         self.suspicions = Suspicions(records=self.records)
+        self.on_tick: Callable[[], None] = lambda: None
         self.refusals = 0
         self.waits = 0
         self.detector = CrashDetector(
@@ -135,6 +136,7 @@
 
     def tick(self) -> None:
         """Close idle links, and repeat recent news as the leader."""
+        self.on_tick()
         self._links.tick()
         self.exchange.tick(knows_hosts=self._knows_hosts())
         if self._cleared:
--- a/src/gentianwharf/entryhost/_quarantine_setup.py
+++ b/src/gentianwharf/entryhost/_quarantine_setup.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from gentianwharf.links import dial
-from gentianwharf.quarantine import Standing
+from gentianwharf.quarantine import QUARANTINE_PREFIX, Standing
 from gentianwharf.relay import ServerConnectionPool
 from gentianwharf.store import Item
 
@@ -25,16 +25,20 @@
     *,
     coordinator: Coordinator,
     pools: Mapping[str, ServerConnectionPool],
+    metrics: HostMetrics,
     reactor: Any,
     rng: Random,
 ) -> HostQuarantine:
-    """Return a host's quarantine, which follows its coordinator."""
+    """Return a host's quarantine, which follows its coordinator.
+
+    ``metrics`` gets its gauges, and the page at ``PAGE_PATH``.
+    """
     directory = coordinator.directory
     quarantine = HostQuarantine(
         peers=coordinator.peers,
         entry_of=directory.entry,
         pool_of=pools.get,
-        listed=coordinator.listed_hosts,
+        listed=lambda: coordinator.peers.membership.listed,
         knows_hosts=lambda: coordinator.mirror.is_current,
         dial=dial,
         reactor=reactor,
@@ -48,20 +52,19 @@
     )
 
     def note_item(key: str, item: Item | None) -> None:
-        quarantine.suspicions.apply(items.note_item(key, item))
-
-    def tick() -> None:
-        items.tick()
-        quarantine.tick()
+        if key.startswith(QUARANTINE_PREFIX):
+            quarantine.suspicions.apply(items.note_item(key, item))
 
     directory.on_ended = quarantine.note_entry_ended
     coordinator.peers.on_quarantine_message = quarantine.handle
-    coordinator.on_quarantine_item = note_item
-    coordinator.tick_quarantine = tick
+    coordinator.mirror.add_listener(note_item)
+    quarantine.on_tick = items.tick
+    _add_gauges(metrics, quarantine)
+    metrics.pages[PAGE_PATH] = lambda: _page(quarantine)
     return quarantine
 
 
-def add_quarantine_gauges(metrics: HostMetrics, quarantine: HostQuarantine) -> None:
+def _add_gauges(metrics: HostMetrics, quarantine: HostQuarantine) -> None:
     """Add the gauges of the quarantine."""
     records = quarantine.records
     add = metrics.add_gauge
@@ -107,7 +110,7 @@
     )
 
 
-def quarantine_page(quarantine: HostQuarantine) -> PageResponse:
+def _page(quarantine: HostQuarantine) -> PageResponse:
     """Return the page that lists the requests that are refused or suspected."""
     records = quarantine.records
     requests = [
--- a/src/gentianwharf/entryhost/_readiness.py
+++ b/src/gentianwharf/entryhost/_readiness.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ._coordinator import Coordinator
 from ._page_site import PageResponse, PageSite
 
 READY = PageResponse(body=b"ready\n")
@@ -12,3 +13,15 @@
 def readiness_site(*, is_ready: Callable[[], bool], reactor: Any) -> PageSite:
     """Return a site that answers every GET with 200 or 503."""
     return PageSite(render=lambda: READY if is_ready() else NOT_READY, reactor=reactor)
+
+
+def can_serve(coordinator: Coordinator) -> bool:
+    """Whether a host has its rules, and the holders of the keys of each service."""
+    configuration = coordinator.rules.configuration
+    if configuration is None:
+        return False
+    return all(
+        coordinator.keys.has_table(name)
+        for name, service in configuration.services.items()
+        if service.keyed
+    )
