Encode news for all hosts once, and let its sender ask the broadcaster

The sender of news asked the peers how long a message takes, which encoded it, and had it encoded again to be sent. The broadcaster states what it has sent, and the peers only pass messages to the leader.

--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -234,18 +234,20 @@
         """Send all hosts what servers stated in their answers."""
         self._send_to_all(NoticeUpdate(self._identity, self._term, notices))
 
-    def send_time_s(self, data: bytes) -> float:
-        """Return how long a message to all hosts takes on this host's uplink."""
-        return len(data) * len(self.membership.active()) / self._link_bytes_per_s
+    def broadcast_news(self, news: QuarantineNews) -> float:
+        """Send all hosts what one of them found out about requests.
 
-    def broadcast_news(self, news: QuarantineNews) -> None:
-        """Send all hosts what one of them found out about requests."""
-        self._send_to_all(news)
+        Return for how many seconds that takes this host's uplink.
+        """
+        return self._send_to_all(news) / self._link_bytes_per_s
 
-    def _send_to_all(self, update: SpeedUpdate | NoticeUpdate | QuarantineNews) -> None:
+    def _send_to_all(self, update: SpeedUpdate | NoticeUpdate | QuarantineNews) -> int:
+        """Send an update to all hosts; return how many bytes that takes."""
         data = msgspec.msgpack.encode(update)
-        for peer in self.membership.active():
+        active = self.membership.active()
+        for peer in active:
             peer.link.send(data)
+        return len(data) * len(active)
 
     def _send_update(self, *, granted: Sequence[GrantNotice] = ()) -> None:
         update = self._empty_update()
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -28,7 +28,6 @@
     Notices,
     NoticeUpdate,
     QuarantineMessage,
-    QuarantineNews,
     RemainingGrantsRequest,
     RemainingGrantsResponse,
     Report,
@@ -120,7 +119,7 @@
         self._changes = LeaderChanges()
         self._reported_s = 0.0
         self._host_count = 1
-        self._broadcaster = Broadcaster(
+        self.broadcaster = Broadcaster(
             identity=self.identity,
             own=self._own,
             reactor=reactor,
@@ -132,7 +131,7 @@
             on_host_count=self._set_host_count,
             granted_moves=lambda: self.granted_moves(),
         )
-        self.membership = self._broadcaster.membership
+        self.membership = self.broadcaster.membership
         self.observed = LoadAccumulator()
 
     def start(self) -> None:
@@ -149,27 +148,27 @@
         if self._listener is not None:
             self._listener.close()
         self._close_leader_link()
-        self._broadcaster.close()
+        self.broadcaster.close()
 
     def receives_updates(self) -> bool:
         """Whether the leader's updates arrive.
 
         If they do, a move without a notice is not finished.
         """
-        if self._broadcaster.leads:
+        if self.broadcaster.leads:
             return True
         return self._leader is not None and self._update_age_s() < UPDATE_VALID_S
 
     def receives_changes(self) -> bool:
         """Whether the leader sends all changes of the store to this host."""
         return (
-            not self._broadcaster.leads
+            not self.broadcaster.leads
             and self._reactor.seconds() < self._changes_valid_until_s
         )
 
     def leader_silent_s(self) -> float:
         """Return the age of the leader's last update, 0 while this host leads."""
-        if self._broadcaster.leads:
+        if self.broadcaster.leads:
             return 0.0
         return float(self._reactor.seconds() - max(self._updated_s, self._started_s))
 
@@ -217,59 +216,42 @@
         ``revision`` is the revision of this host's item in the store.
         """
         self._set_leader(self.identity, revision)
-        self._broadcaster.start(revision)
+        self.broadcaster.start(revision)
 
     def stop_leading(self) -> None:
         """Stop sending updates."""
-        self._broadcaster.stop()
+        self.broadcaster.stop()
 
     def broadcast_grant(self, service: str, span: Span) -> None:
         """Notify all hosts that a move is finished."""
-        self._broadcaster.note_granted(service, span)
+        self.broadcaster.note_granted(service, span)
 
     def reset_deltas(self) -> None:
         """Send complete values again: this host may have missed changes."""
-        self._broadcaster.reset_deltas()
+        self.broadcaster.reset_deltas()
 
     def broadcast_speeds(self, speeds: Mapping[str, float]) -> None:
         """Send all hosts the speeds of servers, and apply them here."""
-        if self._broadcaster.leads:
-            self._broadcaster.broadcast_speeds(speeds)
+        if self.broadcaster.leads:
+            self.broadcaster.broadcast_speeds(speeds)
             self.on_speeds(speeds)
 
     def broadcast_notices(self, notices: Notices) -> None:
         """Send all hosts what servers stated, and apply it here."""
-        if self._broadcaster.leads and notices:
-            self._broadcaster.broadcast_notices(notices)
+        if self.broadcaster.leads and notices:
+            self.broadcaster.broadcast_notices(notices)
             self.on_notices(notices)
 
-    @property
-    def leads(self) -> bool:
-        """Whether this host sends updates to all others."""
-        return self._broadcaster.leads
-
-    def send_time_s(self, news: QuarantineNews) -> float:
-        """Return how long news for all hosts takes on the leader's uplink."""
-        return self._broadcaster.send_time_s(msgspec.msgpack.encode(news))
-
-    def send_news(self, news: QuarantineNews) -> bool:
-        """Send news to all hosts, or to the leader, which does so.
-
-        Return False if it was not sent.
-        """
-        if self._broadcaster.leads:
-            self._broadcaster.broadcast_news(news)
-            return True
-        if self._leader_link is None:
-            return False
-        return self._leader_link.send(msgspec.msgpack.encode(news))
+    def send_to_leader(self, data: bytes) -> bool:
+        """Send a message to the leader; return False if there is no link to it."""
+        return self._leader_link is not None and self._leader_link.send(data)
 
     def broadcast_events(self, after_revision: int, events: Events) -> float | None:
         """Send all hosts the changes of the store.
 
         Return in how many seconds they have been sent, None if they are not sent.
         """
-        return self._broadcaster.broadcast_events(after_revision, events)
+        return self.broadcaster.broadcast_events(after_revision, events)
 
     def tick(self) -> None:
         """Send the reports and updates that are due."""
@@ -278,7 +260,7 @@
         if now_s >= self._reported_s + report_interval_s:
             self._reported_s = now_s
             self._send_report(now_s)
-        self._broadcaster.tick(now_s)
+        self.broadcaster.tick(now_s)
 
     def _send_report(self, now_s: float) -> None:
         requests, loads, notices = self.observed.collect()
@@ -292,7 +274,7 @@
             self._own.domain,
             self._own.cores,
         )
-        if self._broadcaster.leads:
+        if self.broadcaster.leads:
             self._process_report(report)
             return
         if self._leader is None or self._leader == self.identity:
@@ -327,9 +309,9 @@
             log.warning("cannot decode a message from a host: {}", error)
             return
         if isinstance(message, Report):
-            if self._broadcaster.leads:
+            if self.broadcaster.leads:
                 self._process_report(message)
-                self._broadcaster.note_report(message)
+                self.broadcaster.note_report(message)
         elif isinstance(message, LeaderUpdate):
             self._on_update(message)
         elif isinstance(message, SpeedUpdate):
@@ -406,6 +388,6 @@
             "following the leader that sent an update",
             extra={"host": update.leader.host, "revision": update.term},
         )
-        if self._broadcaster.leads:
+        if self.broadcaster.leads:
             self.on_superseded()
         self._set_leader(update.leader, update.term)
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -146,7 +146,7 @@
         if self.records.is_empty or now_s < self._repeated_s + REPEAT_INTERVAL_S:
             return
         self._repeated_s = now_s
-        if self._peers.leads:
+        if self._peers.broadcaster.leads:
             self._repeat(now_s)
 
     def stop(self) -> None:
@@ -323,7 +323,7 @@
         """Handle a message of another host."""
         if isinstance(message, QuarantineNews):
             self.news.note_echo(message)
-            if not message.is_relayed and self._peers.leads:
+            if not message.is_relayed and self._peers.broadcaster.leads:
                 self.news.relay(message)
             self._apply(message.crashes, message.cleared)
         elif isinstance(message, RecordsRequest):
--- a/src/gentianwharf/entryhost/_quarantine_news.py
+++ b/src/gentianwharf/entryhost/_quarantine_news.py
@@ -9,7 +9,7 @@
 from typing import Any, final
 
 import msgspec
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from ._host_links import HostLinks
 from ._peer_messages import HostAddress, QuarantineNews
@@ -54,16 +54,16 @@
         """Send news; the result fires once the leader or this host has sent it."""
         self._serial += 1
         news.host, news.serial = self._peers.identity.host, self._serial
-        done: Deferred[None] = Deferred()
-        news.is_relayed = self._peers.leads
-        if not self._peers.send_news(news):
+        if self._peers.broadcaster.leads:
+            news.is_relayed = True
+            self._peers.broadcaster.broadcast_news(news)
+            return succeed(None)
+        if not self._peers.send_to_leader(msgspec.msgpack.encode(news)):
             self._send_directly(news)
-            done.callback(None)
-        elif self._peers.leads:
-            done.callback(None)
-        else:
-            timer = self._reactor.callLater(ECHO_S, self._end_wait, news)
-            self._unconfirmed[news.serial] = (done, timer)
+            return succeed(None)
+        done: Deferred[None] = Deferred()
+        timer = self._reactor.callLater(ECHO_S, self._end_wait, news)
+        self._unconfirmed[news.serial] = (done, timer)
         return done
 
     def note_echo(self, news: QuarantineNews) -> None:
@@ -87,8 +87,8 @@
         if self._relay_until_s > now_s:
             return
         news.is_relayed = True
-        self._relay_until_s += self._peers.send_time_s(news) / RELAY_SHARE
-        self._peers.send_news(news)
+        taken_s = self._peers.broadcaster.broadcast_news(news)
+        self._relay_until_s += taken_s / RELAY_SHARE
 
     def stop(self) -> None:
         """Stop waiting for the leader."""
