Split attempts, connections and exchanges of the relay by job

How an attempt may end, what a probe tells of a server and which server a try goes to have modules of their own.

--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -6,12 +6,8 @@
 from ._caller_limits import SLOW_HEAD_CHECK_INTERVAL_S, ConnectionLimits
 from ._caller_request import CallerRequest
 from ._caller_site import CallerSite
-from ._connections import (
-    ConnectProbe,
-    ProbeResult,
-    ServerConnectionPool,
-    ServerLinks,
-)
+from ._connect_probe import ConnectProbe, ProbeResult
+from ._connections import ServerConnectionPool, ServerLinks
 from ._deadline import RemainingTime
 from ._header_codec import DefaultHeaderCodec, HeaderCodec, ServerRefusal
 from ._link_monitor import LinkMonitor
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt to send a request to a server, up to the head of the response."""
 
-from typing import Any, cast, final
+from typing import Any, cast
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.web._newclient import RequestNotSent, Response
@@ -11,6 +11,12 @@
 from gentianwharf.runs import RunStatus
 from gentianwharf.topology import BackendServer
 
+from ._attempt_errors import (
+    FinalError,
+    LostError,
+    NotPermittedError,
+    NotRunError,
+)
 from ._caller_request import CallerRequest
 from ._connections import ServerConnection, ServerConnectionPool
 from ._deadline import RemainingTime, remaining_time
@@ -38,42 +44,6 @@
 Connecting takes 1 ms, but a request may have hardly any time left."""
 
 
-class AttemptError(Exception):
-    """An attempt that brought no response; ``problem`` is sent to the caller.
-
-    ``retry_after_s`` is the delay that a server that shed the request asked for, None
-    if it named no delay.
-    """
-
-    def __init__(
-        self, *, outcome: Outcome, problem: Problem, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(problem.title)
-        self.outcome = outcome
-        self.problem = problem
-        self.retry_after_s = retry_after_s
-
-
-@final
-class NotRunError(AttemptError):
-    """The request provably did not run; another attempt may follow."""
-
-
-@final
-class LostError(AttemptError):
-    """The request may have run; another attempt may follow if it is repeatable."""
-
-
-@final
-class NotPermittedError(AttemptError):
-    """The request was not written, since the retry budget was used up meanwhile."""
-
-
-@final
-class FinalError(AttemptError):
-    """The request must not be sent again, since the outcome would be the same."""
-
-
 class Attempt:
     """Sends the request on one connection and checks the head of the response."""
 
--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -3,7 +3,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import Any, cast, final
 
 from twisted.internet import error as twisted_errors
@@ -16,18 +15,13 @@
 from gentianwharf.errors import PeerUnavailableError
 from gentianwharf.topology import BackendServer
 
+from ._connect_probe import ConnectProbe, ProbeResult
 from ._link_monitor import SLOW_CONNECT_S, LinkMonitor
 from ._reachability import ConnectFailure
 from ._server_connection import ServerConnection
 from ._tunnels import Tunnels
 
-__all__ = [
-    "ConnectProbe",
-    "ProbeResult",
-    "ServerConnection",
-    "ServerConnectionPool",
-    "ServerLinks",
-]
+__all__ = ["ServerConnection", "ServerConnectionPool", "ServerLinks"]
 
 # Round trips on loopback and within a rack take well under 1 ms, and connecting takes
 # 1 ms. A lost SYN is retransmitted after 1 s, so a longer timeout only waits for hosts
@@ -38,23 +32,6 @@
 MAX_IDLE_S = 15.0
 
 
-class ProbeResult(StrEnum):
-    """What became of a connection that was opened to find out about a server."""
-
-    OPENED = "opened"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConnectProbe:
-    """The result; ``was_closed`` returns whether the other end closed it since."""
-
-    result: ProbeResult
-    was_closed: Callable[[], bool] = lambda: False
-
-
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerLinks:
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -11,7 +11,8 @@
 from gentianwharf.runs import RunStatus
 from gentianwharf.topology import BackendServer
 
-from ._attempt import Attempt, AttemptError, FinalError, NotPermittedError
+from ._attempt import Attempt
+from ._attempt_errors import AttemptError, FinalError, NotPermittedError
 from ._caller_request import CallerRequest
 from ._connections import ServerConnectionPool
 from ._final_problems import (
@@ -35,7 +36,6 @@
     Admission,
     Observer,
     Outcome,
-    Owner,
     Ownership,
     SendCause,
     Ticket,
@@ -45,6 +45,7 @@
 from ._response import ResponseBody, write_response_head
 from ._run_guard import RunGuard
 from ._sends import Sends, cause_after
+from ._server_selection import ServerSelection
 from ._tries import Tries
 
 # Recorded in logs and metrics if the caller disconnects before the response.
@@ -75,6 +76,12 @@
         self.match = match
         self.ticket = ticket
         self._ownership = ownership
+        self._selection = ServerSelection(
+            ticket=ticket,
+            ownership=ownership,
+            admission=admission,
+            idempotency_key=idempotency_key,
+        )
         self._admission = admission
         self._connections = connections
         self._observer = observer
@@ -88,7 +95,6 @@
         self._server: BackendServer | None = None
         self._attempt: Attempt | None = None
         self._attempts: list[Attempt] = []
-        self._owner: Owner | None = None
         self._race: Race | None = None
         self._tries = Tries(max_runs=match.rule.then.most_tries)
         self._sends = Sends(ticket=ticket, admission=admission)
@@ -259,40 +265,17 @@
 
     async def _admit(self, error: AttemptError | None) -> BackendServer:
         self._tries.count += 1
-        self._owner = None
-        if self.ticket.shard is not None:
-            self._owner = await self._ownership.owner(self.ticket)
-        owner = self._owner.server if self._owner else self._server_for_key()
         if error is None or self._server is None:
-            server = await self._admission.admit(self.ticket, owner, self.hedge)
+            self._server = await self._selection.select(self.hedge)
             self._waited_s = self._reactor.seconds() - self._begun_s
         else:
-            server = await self._admit_retry(error, owner, self._server)
-        self._server = server
-        return server
-
-    def _server_for_key(self) -> BackendServer | None:
-        """Return the server for the idempotency key, None without a key."""
-        if self._idempotency_key is None:
-            return None
-        return self._admission.server_for_key(
-            self.ticket.service, self._idempotency_key.key
-        )
-
-    async def _admit_retry(
-        self, error: AttemptError, owner: BackendServer | None, avoid: BackendServer
-    ) -> BackendServer:
-        try:
-            return await self._admission.admit_retry(
-                self.ticket,
-                owner,
+            self._server = await self._selection.select_again(
                 self.hedge,
-                after=error.outcome,
-                avoid=avoid,
+                after=error,
+                avoid=self._server,
                 is_repeat=self._sends.count > 0,
             )
-        except Problem as refusal:
-            raise error.problem from refusal
+        return self._server
 
     async def _run(
         self, server: BackendServer, *, cause: SendCause
@@ -309,7 +292,7 @@
             request=self.request,
             ticket=self.ticket,
             server=server,
-            owner=self._owner,
+            owner=self._selection.owner,
             connections=self._connections[server.id],
             admission=self._admission,
             codec=self._codec,
@@ -325,7 +308,7 @@
     def _record_failure(self, error: AttemptError) -> None:
         lost_attempts = self._race.lost_attempts if self._race is not None else 0
         self._may_have_run = self._may_have_run or lost_attempts > 0
-        owner = self._owner if error.outcome is Outcome.NOT_OWNER else None
+        owner = self._selection.owner if error.outcome is Outcome.NOT_OWNER else None
         self._tries.record_failure(
             lost_attempts=lost_attempts, is_misdirected=owner is not None
         )
--- a/src/gentianwharf/relay/_race.py
+++ b/src/gentianwharf/relay/_race.py
@@ -14,7 +14,8 @@
 
 from gentianwharf.runs import RunStatus
 
-from ._attempt import Attempt, AttemptError, LostError, run_attempt
+from ._attempt import Attempt, run_attempt
+from ._attempt_errors import AttemptError, LostError
 from ._ports import Admission, Outcome, Ticket
 
 
--- a/src/gentianwharf/relay/_tries.py
+++ b/src/gentianwharf/relay/_tries.py
@@ -2,7 +2,7 @@
 
 from typing import final
 
-from ._attempt import AttemptError, LostError, NotRunError
+from ._attempt_errors import AttemptError, LostError, NotRunError
 
 # Attempts of a repeatable request that may have run, if its rule sets no limit. Three
 # attempts reach a working server after two failures.
