Pass on until when a server is cold instead of computing it twice

The directory knew it when it called the host, which asked for the time left and added it to the clock again. The same for any positive time, and it is called for no other.

--- a/src/gentianwharf/entryhost/_directory.py
+++ b/src/gentianwharf/entryhost/_directory.py
@@ -38,7 +38,8 @@
 
     def __init__(self, *, mirror: Mirror, reactor: Any) -> None:
         self.on_change: Callable[[str], None] = lambda service: None
-        self.on_cold: Callable[[str], None] = lambda server_id: None
+        self.on_cold: Callable[[str, float], None] = lambda server_id, until_s: None
+        """Called with a server's id and until when it is cold."""
         self.on_ended: Callable[[ServerEntry, bool], None] = (
             lambda entry, has_restarted: None
         )
@@ -251,7 +252,7 @@
             return
         self._cold_until_s[entry.id] = until_s
         self._reactor.callLater(remaining_s, self._end_cold, entry.id)
-        self.on_cold(entry.id)
+        self.on_cold(entry.id, until_s)
 
     def _end_cold(self, server_id: str) -> None:
         if self.cold_remaining_s(server_id) > 0:
--- a/src/gentianwharf/entryhost/_host.py
+++ b/src/gentianwharf/entryhost/_host.py
@@ -101,7 +101,9 @@
         self._coordinator.on_notices = self._apply_notices
         directory = self._coordinator.directory
         directory.on_change = self._update_servers
-        directory.on_cold = self._note_cold
+        directory.on_cold = lambda server_id, until_s: self._gate.set_cold(
+            server_id, until_s=until_s
+        )
         self._listed.on_reassigned = directory.set_reassigned
         self._coordinator.rules.on_change = self._apply_configuration
         self._ticks = PeriodicCalls(reactor=reactor)
@@ -394,9 +396,3 @@
     def _apply_notices(self, notices: Notices) -> None:
         for server_id, report in notices.items():
             self._admission.note_reported_notice(server_id, notice_of(report))
-
-    def _note_cold(self, server_id: str) -> None:
-        remaining_s = self._coordinator.directory.cold_remaining_s(server_id)
-        if remaining_s > 0:
-            until_s = self._reactor.seconds() + remaining_s
-            self._gate.set_cold(server_id, until_s=until_s)
