Log how much of a body each attempt sent, and count bodies that were cut

What callers and servers saw: a server got a body without its beginning, or other bytes after an early answer, and no line of the hosts named the request.

Three of the hypotheses in the postmortem differ in how many bytes of a body each attempt had sent when it ended, of how many, and whether the end was sent. The attempts of a log line state that now; answers after which a body was cut are all logged, and a metric counts them by service. The daemon's decisions state them among their reasons. Behaviour is unchanged.

--- a/src/gentianwharf/daemon/_observer.py
+++ b/src/gentianwharf/daemon/_observer.py
@@ -86,5 +86,11 @@
             run=record.run,
             waited_s=record.waited_s,
             refused=refused,
-            reasons=(record.reason,) if record.reason else (),
+            reasons=_reasons(record),
         )
+
+
+def _reasons(record: AccessRecord) -> tuple[str, ...]:
+    reasons = [record.reason] if record.reason else []
+    cut = [str(attempt) for attempt in record.attempts if attempt.has_cut_body]
+    return (*reasons, *cut)
--- a/src/gentianwharf/entryhost/_answer_log.py
+++ b/src/gentianwharf/entryhost/_answer_log.py
@@ -20,7 +20,8 @@
     """Logs every failure and refusal, and a sample of successes.
 
     Successes of requests that must not repeat are all logged if they were sent more
-    than once: the log then shows on which connections.
+    than once: the log then shows on which connections. So are successes of requests of
+    which a server got only a part of the body.
 
     ``rules_version`` returns the version of the rules in force: a request that no rule
     matches may match a version that this host does not have yet. ``view_age_s`` returns
@@ -50,7 +51,8 @@
             self._on_served(record.ticket, record.elapsed_s - record.waited_s)
         ticket = record.ticket
         is_resent = record.sends > 1 and not ticket.repeatable
-        if is_success and not is_resent and not _is_sampled(ticket.request_id):
+        is_notable = is_resent or any(each.has_cut_body for each in record.attempts)
+        if is_success and not is_notable and not _is_sampled(ticket.request_id):
             return
         log.info(
             record.reason or "answered",
--- a/src/gentianwharf/entryhost/_metrics.py
+++ b/src/gentianwharf/entryhost/_metrics.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self._answers: dict[SeriesKey, int] = {}
+        self._cut_bodies: dict[str, int] = {}
         self._elapsed: dict[tuple[str, str], HdrHistogram] = {}
         self._waited: dict[tuple[str, str], HdrHistogram] = {}
         self._gauges: dict[str, tuple[str, Gauge]] = {}
@@ -64,6 +65,9 @@
         group = (ticket.service, ticket.request_class)
         self.count(*group, record.status, record.reason)
         _record(self._elapsed, group, record.elapsed_s)
+        for attempt in record.attempts:
+            if attempt.has_cut_body:
+                self._count_cut_body(ticket.service)
         if record.waited_s > 0:
             _record(self._waited, group, record.waited_s)
 
@@ -74,6 +78,11 @@
             key = ("other", "other", status, "other")
         self._answers[key] = self._answers.get(key, 0) + 1
 
+    def _count_cut_body(self, service: str) -> None:
+        if service not in self._cut_bodies and len(self._cut_bodies) >= MAX_SERIES:
+            service = "other"
+        self._cut_bodies[service] = self._cut_bodies.get(service, 0) + 1
+
     def text(self) -> str:
         """Return all metrics as Prometheus text."""
         # Importing the client library takes 40 ms and 2 MB, and most hosts are never
@@ -95,6 +104,16 @@
             )
             for (service, request_class, status, reason), count in self._answers.items()
         ]
+        samples += [
+            Sample(
+                name=PREFIX + "request_bodies_cut",
+                help="Requests of which a server got only a part of the body",
+                labels={"service": service},
+                value=count,
+                counter=True,
+            )
+            for service, count in self._cut_bodies.items()
+        ]
         samples += [
             Sample(name=name, help=text, labels={}, value=gauge(), counter=False)
             for name, (text, gauge) in self._gauges.items()
--- a/src/gentianwharf/relay/__init__.py
+++ b/src/gentianwharf/relay/__init__.py
@@ -3,6 +3,7 @@
 from gentianwharf.runs import RunStatus
 
 from ._app import RelayApp
+from ._body_upload import BodyRecord
 from ._caller_limits import SLOW_HEAD_CHECK_INTERVAL_S, ConnectionLimits
 from ._caller_request import CallerRequest
 from ._caller_site import CallerSite
@@ -39,6 +40,7 @@
     "AccessRecord",
     "Admission",
     "AttemptRecord",
+    "BodyRecord",
     "CallerRequest",
     "CallerSite",
     "ConnectFailure",
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -17,6 +17,7 @@
     NotPermittedError,
     NotRunError,
 )
+from ._body_upload import BodyUpload
 from ._caller_request import CallerRequest
 from ._connections import ServerConnection, ServerConnectionPool
 from ._deadline import RemainingTime, remaining_time
@@ -81,6 +82,7 @@
         self._cause = cause
         self._guarded_run = guarded_run
         self._fresh = fresh
+        self._upload: BodyUpload | None = None
 
     @property
     def elapsed_s(self) -> float:
@@ -107,6 +109,7 @@
             outcome=self.outcome,
             local_port=self.connection.local_port,
             connection_sends=self._connection_sends,
+            body=self._upload.record() if self._upload is not None else None,
         )
 
     async def run(self) -> Response:
@@ -239,12 +242,14 @@
         headers = self._headers(remaining)
         self.is_sent = True
         self._connection_sends = connection.requests + 1
+        if self._request.body is not None:
+            self._upload = BodyUpload(body=self._request.body)
         try:
             return connection.send_request(
                 method=self._request.method,
                 uri=self._request.uri,
                 headers=headers,
-                body=self._request.body,
+                body=self._upload,
                 request_id=self._ticket.request_id,
                 repeatable=self._ticket.repeatable,
             )
--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -4,9 +4,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IConsumer
-from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
-from zope.interface import implementer
+from twisted.web.iweb import UNKNOWN_LENGTH
 
 from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.quarantine import BodyPrefix
@@ -33,7 +31,13 @@
         """Return the caller's address."""
 
 
-@implementer(IBodyProducer)
+class BodyConsumer(Protocol):
+    """What a body is written to."""
+
+    def write(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+
 class CallerBody:
     """Produces the body of a caller's request for the connection to a server.
 
@@ -51,7 +55,7 @@
         self.received_bytes = 0
         self._channel = channel
         self._pending: deque[bytes] = deque()
-        self._consumer: IConsumer | None = None
+        self._consumer: BodyConsumer | None = None
         self._done: Deferred[None] | None = None
         self._paused = True
         self._continue_pending = False
@@ -94,7 +98,7 @@
         """Whether the body can be produced from its beginning."""
         return not self.started or self._replay is not None
 
-    def startProducing(self, consumer: IConsumer) -> Deferred[None]:  # noqa: N802
+    def startProducing(self, consumer: BodyConsumer) -> Deferred[None]:  # noqa: N802
         """Start to write the body to ``consumer``, from its beginning."""
         if self.started:
             self._pending = deque(self._replay or ())
--- a/src/gentianwharf/relay/_ports.py
+++ b/src/gentianwharf/relay/_ports.py
@@ -9,6 +9,7 @@
 from gentianwharf.runs import RunStatus
 from gentianwharf.topology import BackendServer
 
+from ._body_upload import BodyRecord
 from ._problem import Problem
 
 
@@ -125,9 +126,17 @@
     outcome: Outcome
     local_port: int = 0
     connection_sends: int = 0
+    body: BodyRecord | None = None
+    """What was sent of the request's body, None if it has none."""
+
+    @property
+    def has_cut_body(self) -> bool:
+        """Whether the server got only a part of the request's body."""
+        return self.body is not None and not self.body.ended
 
     def __str__(self) -> str:
-        return f"{self.server} {self.local_port}#{self.connection_sends} {self.outcome}"
+        sent = f"{self.server} {self.local_port}#{self.connection_sends} {self.outcome}"
+        return sent if self.body is None else f"{sent} {self.body}"
 
 
 class SendCause(StrEnum):
--- a/tests/builders_uploads.py
+++ b/tests/builders_uploads.py
@@ -4,6 +4,7 @@
 other requests. The number of a request is the last part of its path.
 """
 
+import re
 import socket
 import threading
 import time
@@ -27,6 +28,7 @@
 LINGER_S = 2.0
 """How long a server that has answered early reads on."""
 
+REQUEST_LINE = re.compile(rb"POST /plain/(\d+) HTTP/1.1\r\n")
 NOT_RUN = "Gentianwharf-Run: not-run\r\nNot-Executed: 1\r\n"
 FULL = "503 Service Unavailable"
 
@@ -145,12 +147,16 @@
             self._ended.add(upload.number)
 
     def arrive(self, head: bytes, *, server: int, behaviour: Behaviour) -> Arrival:
-        """Record a request that has reached a server."""
-        number = int(head.split(b" ", 2)[1].rpartition(b"/")[2])
+        """Record a request that has reached a server.
+
+        Raises ``OSError`` if its connection ended within the head.
+        """
+        if b"\r\n\r\n" not in head:
+            raise OSError("the connection ended within a head")
+        match = REQUEST_LINE.match(head)
         with self._lock:
-            arrival = Arrival(
-                upload=self._sent.get(number), server=server, behaviour=behaviour
-            )
+            upload = self._sent.get(int(match[1])) if match else None
+            arrival = Arrival(upload=upload, server=server, behaviour=behaviour)
             self.arrivals.append(arrival)
         return arrival
 
--- /dev/null
+++ b/tests/test_relay_uploads.py
@@ -0,0 +1,55 @@
+"""A server gets a body as its caller sent it, from its first byte, or sees a break."""
+
+import socket
+
+from gentianwharf.relay import AttemptRecord, BodyRecord, Outcome
+from tests.builders_answers import ok
+from tests.builders_processes import wait_until
+from tests.builders_relay import RunningRelay, request, response, running_relay
+
+NOT_RUN = "Gentianwharf-Run: not-run\r\n"
+LARGE_BYTES = 60_000
+
+
+def read_body(connection: socket.socket, head: bytes, size: int) -> bytes:
+    body = head.partition(b"\r\n\r\n")[2]
+    while len(body) < size:
+        body += connection.recv(65_536)
+    return body
+
+
+def refuse(connection: socket.socket, head: bytes) -> None:
+    connection.sendall(response(b"", status="503 Full", extra=NOT_RUN))
+
+
+def only_record(relay: RunningRelay) -> tuple[AttemptRecord, ...]:
+    wait_until(lambda: bool(relay.records.responses), description="a record")
+    return tuple(relay.records.responses[0].attempts)
+
+
+def test_record_states_how_much_of_a_body_each_attempt_sent() -> None:
+    """Guards against bodies that are cut without a trace in the log."""
+
+    def refuse_after_the_head(connection: socket.socket, head: bytes) -> None:
+        read_body(connection, head, 4)
+        refuse(connection, head)
+
+    def run(connection: socket.socket, head: bytes) -> None:
+        read_body(connection, head, 10)
+        ok(connection, head)
+
+    with (
+        running_relay([refuse_after_the_head, run]) as relay,
+        relay.connect() as caller,
+    ):
+        relay.admission.retry_delay_s = 0.01
+        caller.sendall(request("POST", headers="Content-Length: 10\r\n") + b"0123")
+        wait_until(lambda: len(relay.servers[0].heads) == 2, description="a retry")
+        caller.sendall(b"456789")
+        assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        first, second = only_record(relay)
+    assert first.outcome is Outcome.SHED
+    assert first.body == BodyRecord(sent_bytes=4, received_bytes=10, ended=False)
+    assert first.has_cut_body
+    assert second.body == BodyRecord(sent_bytes=10, received_bytes=10, ended=True)
+    assert str(second).endswith(" answered body 10/10 ended")
