Give each attempt its own upload of a request's body

Symptoms: servers received bodies without their beginning, which they ran, or other bytes after an early response; callers got no response, and neither did the next request on their connections.

Cause: one object, the caller's body, was the producer for every attempt's connection. - The copy kept for a retry was dropped if the body grew beyond 16 KiB between the decision to retry and the retry, which then began with the data received later. - The connection of a finished attempt paused, resumed or stopped the body one reactor iteration later, while the next attempt was sending it. - After an early response that connection kept the caller's connection paused, and nothing resumed reading from it.

A body is now sent by a BodyUpload, one for each attempt. It sends from the first byte without a gap, and the end only if the caller has sent it. Once it has ended or was aborted, it sends nothing and no longer affects the body. Aborting an upload closes its connection. Only the body decides whether the caller's connection is read, and it releases that connection when the request has ended. Unsent data is no longer dropped between attempts; reading pauses at the same bound instead. A server that responds early gets the rest of a complete body for 5 s, then its connection is closed; before, it was kept without a bound.

Alternatives considered: only checking the copy again before the retry, and only ignoring the previous connection: each leaves the other cause, and the next code path to violate the invariant. Reading the complete body before the first attempt: hosts are small and have no disks.

--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -116,13 +116,21 @@
         """Return the response once its head has arrived; raises ``AttemptError``."""
         connection = await self._connect()
         self.connection = connection
-        response = await self._send(connection)
-        self._check_request_id(connection, response)
-        self._record_load(response)
-        self._note_notice(connection, self._codec.notice(response))
-        self._check_usable(connection, response)
+        try:
+            response = await self._send(connection)
+            self._check_request_id(connection, response)
+            self._record_load(response)
+            self._note_notice(connection, self._codec.notice(response))
+            self._check_usable(connection, response)
+        except BaseException:
+            self._abort_upload()
+            raise
         return response
 
+    def _abort_upload(self) -> None:
+        if self._upload is not None:
+            self._upload.abort()
+
     def _record_load(self, response: Response) -> None:
         load = self._codec.load(response.headers)
         if load is not None:
@@ -142,6 +150,7 @@
 
         This signals the cancellation to the server and discards a late response.
         """
+        self._abort_upload()
         if self.connection is not None:
             self.connection.abort_now()
 
@@ -243,7 +252,7 @@
         self.is_sent = True
         self._connection_sends = connection.requests + 1
         if self._request.body is not None:
-            self._upload = BodyUpload(body=self._request.body)
+            self._upload = self._request.body.open_upload(on_abort=connection.abort_now)
         try:
             return connection.send_request(
                 method=self._request.method,
--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -1,14 +1,15 @@
-"""Streams a request's body from the caller to a backend server."""
+"""Buffers a request's body for the uploads to backend servers."""
 
-from collections import deque
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Any, Protocol, final
 
 from twisted.internet.defer import Deferred
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.quarantine import BodyPrefix
 
+from ._body_upload import BodyUpload
+
 # Bodies up to this size can be sent to another server after a refusal that proves "not
 # run". Reservations and postings have a few hundred bytes. With 1,000 requests in
 # flight, the copies take at most 16 MiB.
@@ -27,43 +28,133 @@
     def send_continue(self) -> None:
         """Send ``100 Continue``, so that the caller sends the body."""
 
-    def getPeer(self) -> Any:  # noqa: N802
-        """Return the caller's address."""
-
-
-class BodyConsumer(Protocol):
-    """What a body is written to."""
-
-    def write(self, data: bytes) -> None:
-        """Take a part of the body."""
-
 
+@final
 class CallerBody:
-    """Produces the body of a caller's request for the connection to a server.
-
-    Until a server consumes the body, only ``MAX_REPLAY_BYTES`` are read ahead, which
-    are kept to be sent again anyway: that a caller has left shows only on a connection
-    that is read. Beyond that, and while a server is slower than the caller, reading
-    from the caller's connection is paused, and at most one read of the transport
-    (64 KiB) is buffered.
+    """Buffers the body of a caller's request until it is sent to a server.
+
+    Each attempt sends the body with its own upload; only one is active at a time. While
+    none is active, up to ``MAX_REPLAY_BYTES`` are read ahead, since a disconnected
+    caller is detected only by reading. Bodies up to the same size are kept after
+    sending, to be sent again to another server. Beyond that, and while a server is
+    slower than the caller, reading from the caller's connection is paused, and at most
+    one read of the transport (64 KiB) is buffered.
     """
 
     def __init__(self, *, length: int | None, channel: BodySource) -> None:
         self.length: Any = UNKNOWN_LENGTH if length is None else length
         self.complete = False
-        self.started = False
         self.received_bytes = 0
-        self._channel = channel
-        self._pending: deque[bytes] = deque()
-        self._consumer: BodyConsumer | None = None
-        self._done: Deferred[None] | None = None
-        self._paused = True
-        self._continue_pending = False
-        self._replay: list[bytes] | None = []
-        self._replay_bytes = 0
         self.prefix = BodyPrefix()
+        self._channel: BodySource | None = channel
+        self._held = bytearray()
+        self._held_offset_bytes = 0
+        self._upload: BodyUpload | None = None
+        self._is_reading = True
+        self._is_lost = False
+        self._continue_pending = False
         self._prefix_known: list[Deferred[None]] = []
 
+    @property
+    def can_restart(self) -> bool:
+        """Whether the body can be sent from its beginning."""
+        return self._held_offset_bytes == 0 and not self._is_lost
+
+    @property
+    def held_bytes(self) -> int:
+        """The size of the buffered data."""
+        return len(self._held)
+
+    def open_upload(self, *, on_abort: Callable[[], None]) -> BodyUpload:
+        """Return a new upload of the body; aborts the previous one.
+
+        ``on_abort`` must close the upload's connection. Raises ``ValueError`` unless
+        ``can_restart``.
+        """
+        if not self.can_restart:
+            raise ValueError(
+                "expected a body that is held from its beginning, got one from byte"
+                f" {self._held_offset_bytes} on; check can_restart before sending again"
+            )
+        if self._upload is not None:
+            self._upload.abort()
+        self._send_pending_continue()
+        self._upload = BodyUpload(source=self, length=self.length, on_abort=on_abort)
+        return self._upload
+
+    def read(self, offset_bytes: int) -> bytes:
+        """Return the buffered data from ``offset_bytes`` on."""
+        start = offset_bytes - self._held_offset_bytes
+        if start < 0:
+            raise ValueError(
+                f"expected an offset of {self._held_offset_bytes} bytes or more, got"
+                f" {offset_bytes}"
+            )
+        return bytes(self._held[start:])
+
+    def note_progress(self) -> None:
+        """Discard sent data of a body too large to replay; pause or resume reading."""
+        upload = self._upload
+        is_kept = self.received_bytes <= MAX_REPLAY_BYTES
+        if upload is not None and not upload.is_aborted and not is_kept:
+            del self._held[: upload.sent_bytes - self._held_offset_bytes]
+            self._held_offset_bytes = upload.sent_bytes
+        self._set_reading(self._should_read())
+
+    def _should_read(self) -> bool:
+        if self.complete or self._is_lost:
+            return True
+        if self._upload is not None and self._upload.is_active:
+            return self._upload.wants_data
+        return self.can_restart and self.received_bytes <= MAX_REPLAY_BYTES
+
+    def _set_reading(self, is_reading: bool) -> None:
+        if self._channel is None or is_reading == self._is_reading:
+            return
+        self._is_reading = is_reading
+        if is_reading:
+            self._channel.resume_reading()
+        else:
+            self._channel.pause_reading()
+
+    def received(self, data: bytes) -> int:
+        """Add data received from the caller; return the bytes received so far."""
+        self.received_bytes += len(data)
+        self._held += data
+        self.prefix.update(data)
+        self._note_prefix()
+        self._send_received()
+        return self.received_bytes
+
+    def end(self) -> None:
+        """Record that the caller has sent the complete body."""
+        self.complete = True
+        self._note_prefix()
+        self._send_received()
+
+    def _send_received(self) -> None:
+        if self._upload is not None and self._upload.wants_data:
+            self._upload.send()
+        else:
+            self.note_progress()
+
+    def lost(self) -> None:
+        """Abort the upload, since the caller disconnected before the body's end."""
+        self._is_lost = True
+        if self._upload is not None:
+            self._upload.abort()
+
+    def close(self) -> None:
+        """Release the caller's connection for its next request.
+
+        If the caller has sent the complete body, a server that responded early still
+        gets the rest.
+        """
+        if not self.complete:
+            self.lost()
+        self._set_reading(True)
+        self._channel = None
+
     @property
     def is_prefix_known(self) -> bool:
         """Whether ``prefix`` won't change."""
@@ -77,10 +168,7 @@
         """
         known: Deferred[None] = Deferred(self._prefix_known.remove)
         self._prefix_known.append(known)
-        if self._continue_pending:
-            self._continue_pending = False
-            self._channel.send_continue()
-        self._channel.resume_reading()
+        self._send_pending_continue()
         return known
 
     def _note_prefix(self) -> None:
@@ -93,96 +181,7 @@
         """Record that the caller waits for ``100 Continue`` before sending the body."""
         self._continue_pending = True
 
-    @property
-    def can_restart(self) -> bool:
-        """Whether the body can be produced from its beginning."""
-        return not self.started or self._replay is not None
-
-    def startProducing(self, consumer: BodyConsumer) -> Deferred[None]:  # noqa: N802
-        """Start to write the body to ``consumer``, from its beginning."""
-        if self.started:
-            self._pending = deque(self._replay or ())
-        self.started = True
-        self._consumer = consumer
-        self._done = Deferred()
-        done = self._done
-        if self._continue_pending:
+    def _send_pending_continue(self) -> None:
+        if self._continue_pending and self._channel is not None:
             self._continue_pending = False
             self._channel.send_continue()
-        self.resumeProducing()
-        return done
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Stop reading from the caller."""
-        self._paused = True
-        self._channel.pause_reading()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Write pending data and resume reading from the caller."""
-        self._paused = False
-        while self._pending and not self._paused and self._consumer is not None:
-            self._consumer.write(self._pending.popleft())
-        if self._paused:
-            return
-        self._channel.resume_reading()
-        if self.complete and not self._pending:
-            self._finish()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Stop writing to this consumer; its server is down or has responded."""
-        self._consumer = None
-        self._done = None
-        self.pauseProducing()
-        if self._may_read_ahead():
-            self._channel.resume_reading()
-
-    def _may_read_ahead(self) -> bool:
-        return self._consumer is None and self._replay is not None
-
-    def received(self, data: bytes) -> int:
-        """Add data received from the caller; return the bytes received so far."""
-        self.received_bytes += len(data)
-        self._store_for_replay(data)
-        self.prefix.update(data)
-        self._note_prefix()
-        if self._paused or self._consumer is None:
-            self._pending.append(data)
-            if not self._may_read_ahead():
-                self._channel.pause_reading()
-        else:
-            self._consumer.write(data)
-        return self.received_bytes
-
-    def _store_for_replay(self, data: bytes) -> None:
-        if self._replay is None:
-            return
-        self._replay_bytes += len(data)
-        if self._replay_bytes > MAX_REPLAY_BYTES:
-            self._replay = None
-            return
-        self._replay.append(data)
-
-    def end(self) -> None:
-        """Record that the caller has sent the complete body."""
-        self.complete = True
-        self._note_prefix()
-        if not self._pending and not self._paused:
-            self._finish()
-
-    def lost(self) -> None:
-        """Fail the body, since the caller disconnected before its end."""
-        done, self._done = self._done, None
-        self._consumer = None
-        if done is not None:
-            done.errback(
-                OutcomeUnknownError(
-                    "the caller closed the connection before the end of the body",
-                    step="read-body",
-                    peer=str(self._channel.getPeer()),
-                )
-            )
-
-    def _finish(self) -> None:
-        done, self._done = self._done, None
-        if done is not None:
-            done.callback(None)
--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -164,6 +164,8 @@
         if self._is_body_unread():
             self.responded_early = True
             cast(RequestChannel, self.channel).close_after_response()
+        if self.body is not None:
+            self.body.close()
         super().finish()
 
     def send_now(self) -> None:
--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -24,6 +24,7 @@
 from xxhash import xxh3_64_intdigest
 
 from gentianwharf.errors import PeerMismatchError
+from gentianwharf.pauses import Timeout
 from gentianwharf.sockets import unacknowledged_bytes
 
 from ._headers import connection_options
@@ -46,6 +47,9 @@
 MAX_SENDS = 256
 """Requests after which a connection is closed; bounds the memory for their ids."""
 
+DRAIN_TIMEOUT_S = 5.0
+"""Time for a server that responded early to read the rest of the request's body."""
+
 # Response heads have some hundred bytes, or a few thousand with early hints.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
@@ -80,6 +84,7 @@
         """Digests of the ids of the requests that were sent."""
         self._pending: Deferred[Response] | None = None
         self._head_bytes = 0
+        self._drain_timeout: Timeout | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Enable TCP keep-alive probes.
@@ -101,6 +106,8 @@
         closes = bool(getattr(self.transport, "disconnecting", False))
         self.is_lost = not self._is_aborted and not closes
         self.pool.discard(self)
+        if self._drain_timeout is not None:
+            self._drain_timeout.stop()
         if self.tunnel is not None:
             self.tunnel.closed()
         elif (
@@ -169,6 +176,10 @@
         if rest or self._server_closes():
             self.retired = True
         super()._finishResponse(rest)
+        if self._state == "TRANSMITTING_AFTER_RECEIVING_RESPONSE":
+            self._drain_timeout = Timeout(
+                clock=self.pool.clock, delay_s=DRAIN_TIMEOUT_S, expire=self.abort_now
+            )
 
     def _server_closes(self) -> bool:
         """Return whether the server closes the connection after this response.
--- a/tests/builders_uploads.py
+++ b/tests/builders_uploads.py
@@ -197,7 +197,8 @@
 
     def _read(self, size: int) -> bytes:
         if not self._rest:
-            self._rest = self._connection.recv(PIECE_BYTES)
+            # Reading beyond the body would consume the next request's head.
+            self._rest = self._connection.recv(min(size, PIECE_BYTES))
             if not self._rest:
                 raise CutBodyError
         piece, self._rest = self._rest[:size], self._rest[size:]
