--- a/tests/builders_upload_servers.py
+++ b/tests/builders_upload_servers.py
@@ -268,12 +268,12 @@
         with self._lock:
             if self._scripted is None or self._return is not None:
                 return
+            self._scripted.stop()
+            for connection in list(self._connections):
+                interrupt(connection)
+            self._connections.clear()
             self._return = threading.Timer(outage_s, self._come_back)
-        self._scripted.stop()
-        for connection in list(self._connections):
-            interrupt(connection)
-        self._connections.clear()
-        self._return.start()
+            self._return.start()
 
     def _come_back(self) -> None:
         scripted = self._scripted
@@ -286,7 +286,8 @@
 
     def wait_until_back(self) -> None:
         """Wait for the end of an outage."""
-        timer = self._return
+        with self._lock:
+            timer = self._return
         if timer is not None:
             timer.join(SOCKET_TIMEOUT_S)
 
