Don't count an answer's bytes as the head of the next one

What callers saw: a request sent at the very end of a large answer on the same connection was given up with 502 (outcome unknown) when its own head came in pieces, since the connection's limit for heads had been used up already.

Cause: the end of a response may start the next request before the connection's dataReceived returns, and the bytes of the call were then added to the head of the new request.

Evidence: the test failed before with "expected an answer's head within 65536 bytes, got 65700", and passes now.

Ways weighed: counting the bytes before parsing counts the answer's own body; the request whose bytes came is now taken before they are parsed.

--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -146,8 +146,9 @@
             self.pool.withdraw_idle(self)
             self.abort_now()
             return
-        super().dataReceived(data)
+        # The end of a response may start the next request before this call returns.
         pending = self._pending
+        super().dataReceived(data)
         if pending is None or pending.called:
             return
         self._head_bytes += len(data)
