Take a connection out of its pool before it is closed

What callers saw: a request sent right after an empty answer that was not accepted (another request's id) got 502, outcome unknown, although it was never sent; and a connection was used again after an empty answer without an id, where a late copy of that answer can't be told from the next one.

Cause: an answer without a body is complete, and its connection back in the pool, before the attempt has checked the head. The attempt then aborted or retired a connection that the pool already offered to others, until the event loop reported its end.

Ways weighed: checking in the pool whether a connection is closing when it is taken leaves two owners; now whoever closes a connection withdraws it first.

--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -321,7 +321,7 @@
             ) from error
         if not has_id:
             # A late copy of this response could not be told from the next one.
-            connection.retired = True
+            connection.retire()
 
     def _check_usable(self, connection: ServerConnection, response: Response) -> None:
         refusal = self._codec.refusal(response)
--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -141,9 +141,7 @@
         if self._monitor is not None:
             self._monitor.reachability.note_heard()
         if self._parser is None:
-            # The bytes answer no request. The event loop closes the connection later,
-            # and no request may be sent on it until then.
-            self.pool.withdraw_idle(self)
+            # The bytes answer no request.
             self.abort_now()
             return
         # The end of a response may start the next request before this call returns.
@@ -253,8 +251,13 @@
             self.abort_now()
 
     def abort_now(self) -> None:
-        """Close the connection immediately, without reading a pending response."""
+        """Close the connection immediately, without reading a pending response.
+
+        A response without a body is complete before it is checked, so that the
+        connection may be idle; the event loop reports its end later.
+        """
         self.retired = True
+        self.pool.withdraw_idle(self)
         self._is_aborted = True
         if self.transport is not None:
             cast(ITCPTransport, self.transport).abortConnection()
--- a/tests/test_relay_given_back.py
+++ b/tests/test_relay_given_back.py
@@ -1,5 +1,7 @@
 """A connection given back to its pool is told nothing by the request it carried."""
 
+import socket
+
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import StringTransport
@@ -14,7 +16,10 @@
 from tests.builders_relay import (
     REACTOR,
     make_server,
+    request,
+    request_id_header,
     response,
+    running_relay,
 )
 
 
@@ -29,6 +34,39 @@
         """Ignore an option."""
 
 
+EMPTY_WITHOUT_ID = response(b"")
+EMPTY_OF_ANOTHER = response(b"", extra="Gentianwharf-Request-Id: other\r\n")
+
+
+def answered_in_turn(*answers: bytes):  # type: ignore[no-untyped-def]
+    """Return scripts; an empty answer stands for one that repeats the request's id."""
+
+    def script(answer: bytes):  # type: ignore[no-untyped-def]
+        def serve(connection: socket.socket, head: bytes) -> None:
+            connection.sendall(answer or response(extra=request_id_header(head)))
+
+        return serve
+
+    return [script(answer) for answer in answers]
+
+
+def test_connection_is_not_reused_after_an_empty_answer_without_an_id() -> None:
+    """Guards against a connection that is idle before its answer has been checked."""
+    with running_relay(answered_in_turn(EMPTY_WITHOUT_ID, b"")) as relay:
+        relay.send(request())
+        relay.send(request())
+        assert relay.servers[0].connections == 2
+
+
+def test_request_after_an_empty_answer_to_another_one_is_served() -> None:
+    """Guards against a request that is sent on a connection that is being aborted."""
+    with running_relay(answered_in_turn(EMPTY_OF_ANOTHER, b"")) as relay:
+        first = request("POST", close=False)
+        received = relay.send(first + request("POST"))
+        assert received.startswith(b"HTTP/1.1 502 ")
+        assert received.endswith(b"\r\n\r\nok")
+
+
 def test_bytes_of_an_answer_do_not_count_as_the_next_ones_head() -> None:
     """Guards against a request that is given up for the size of an earlier answer."""
     pool = ServerConnectionPool(server=make_server(0, 9), reactor=REACTOR)
