Pass a reset through a tunnel whose server reads nothing

What callers and servers saw: a host that gave up an upload through a tunnel (its caller had left, or the deadline had passed) reset its connection, but the server was not told and the tunnel stayed open for as long as the server did not read; 256 of them fill a host.

Cause: the end at the host is paused while the server is slower, and the event loop reports nothing of a connection that is neither read nor written.

Ways weighed: reading on into a larger buffer only moves the bound; a paused end now asks the kernel every 0.25 s whether its peer has reset, and an end that is not paused costs nothing.

--- a/src/gentianwharf/sockets.py
+++ b/src/gentianwharf/sockets.py
@@ -6,11 +6,14 @@
 import termios
 from typing import Any
 
-__all__ = ["is_closed_by_peer", "unacknowledged_bytes"]
+__all__ = ["is_closed_by_peer", "is_reset", "unacknowledged_bytes"]
 
 _STATE = struct.Struct("=B")
 """The field ``tcpi_state`` of Linux's ``struct tcp_info``."""
 
+_RESET = frozenset({7})
+"""The state ``TCP_CLOSE`` of a socket that is open here."""
+
 _CLOSED_BY_PEER = frozenset({7, 8})
 """The states ``TCP_CLOSE``, after a reset, and ``TCP_CLOSE_WAIT``."""
 
@@ -25,14 +28,26 @@
 
     This is known also while received data waits to be read.
     """
+    return _state(transport) in _CLOSED_BY_PEER
+
+
+def is_reset(transport: Any) -> bool:
+    """Return whether the peer has reset the connection, or has vanished.
+
+    This is known also while received data waits to be read.
+    """
+    return _state(transport) in _RESET
+
+
+def _state(transport: Any) -> int | None:
     try:
         info = transport.getHandle().getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _STATE.size
         )
         (state,) = _STATE.unpack(info)
     except (OSError, AttributeError, struct.error):
-        return False
-    return state in _CLOSED_BY_PEER
+        return None
+    return int(state)
 
 
 def unacknowledged_bytes(transport: Any) -> int:
--- a/src/gentianwharf/tunnels/_server.py
+++ b/src/gentianwharf/tunnels/_server.py
@@ -8,11 +8,13 @@
 import msgspec
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from gentianwharf.logs import log
-from gentianwharf.sockets import unacknowledged_bytes
+from gentianwharf.sockets import is_reset, unacknowledged_bytes
 from gentianwharf.topology import BackendServer
 
 from ._messages import (
@@ -40,6 +42,10 @@
 STATE_INTERVAL_S = 0.25
 """Interval of ``HostState`` messages; hosts drop one from which none arrives."""
 
+RESET_CHECK_INTERVAL_S = 0.25
+"""Interval at which an end that is not read is checked for a reset: the event loop
+reports none while reading is paused."""
+
 
 @final
 class TunnelServer(Factory):
@@ -135,9 +141,21 @@
         self._connections.discard(entry)
 
 
+@implementer(IPushProducer)
 class _End(Protocol):
     """One end of a tunnel, as the other end uses it."""
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading until the other end has written what was read."""
+        cast(Any, self.transport).pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read again."""
+        cast(Any, self.transport).resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the other end is lost, and tells next how this one is closed."""
+
     def write(self, data: bytes) -> None:
         """Write bytes that arrived at the other end."""
         if self.transport is not None:
@@ -157,6 +175,8 @@
         self._exit: _Exit | None = None
         self._connecting: Any = None
         self._timer: Any = None
+        self._reset_check: Any = None
+        self._is_paused = False
         self.is_subscriber = False
 
     @property
@@ -248,10 +268,36 @@
         self._connecting = None
         self._server.opened += 1
         self._exit = exit_end
-        cast(Any, self.transport).registerProducer(exit_end.transport, True)
-        cast(Any, exit_end.transport).registerProducer(self.transport, True)
+        cast(Any, self.transport).registerProducer(exit_end, True)
+        cast(Any, exit_end.transport).registerProducer(self, True)
         self.send(TunnelOpened())
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading, and check whether the host resets the tunnel meanwhile."""
+        super().pauseProducing()
+        self._is_paused = True
+        if self._reset_check is None:
+            self._check_reset_later()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read again."""
+        self._is_paused = False
+        super().resumeProducing()
+
+    def _check_reset_later(self) -> None:
+        self._reset_check = self._server.reactor.callLater(
+            RESET_CHECK_INTERVAL_S, self._check_reset
+        )
+
+    def _check_reset(self) -> None:
+        self._reset_check = None
+        if not self._is_paused:
+            return
+        if is_reset(self.transport):
+            self.abort()
+            return
+        self._check_reset_later()
+
     def _fail(self, failure: Failure) -> None:
         self._connecting = None
         if self.connected:
@@ -272,8 +318,9 @@
     ) -> None:
         """Close the connection to the server, so that it drops the request."""
         self._server.discard(self)
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._reset_check):
+            if timer is not None and timer.active():
+                timer.cancel()
         connecting, self._connecting = self._connecting, None
         if connecting is not None:
             connecting.cancel()
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -48,6 +48,14 @@
         """Record the call."""
         self.retired = True
 
+    def pause(self) -> None:
+        """Stop reading."""
+        in_reactor(cast(Any, self.transport).pauseProducing)
+
+    def resume(self) -> None:
+        """Read again."""
+        in_reactor(cast(Any, self.transport).resumeProducing)
+
     def abort_now(self) -> None:
         """Reset the connection."""
         cast(Any, self.transport).abortConnection()
