Deliver an answer through a tunnel before the upload's rest is dropped

What callers saw: through a tunnel, a server that answered within an upload, ended its side and read on was lost, with none of its 200 kB delivered to the host; directly the same answer arrives whole.

Cause: the end at the host was closed while part of the upload lay unread in its socket. The kernel then resets the connection and discards what is on its way.

Ways weighed: waiting until the kernel's queue is empty before the close needs polling; ending only the written side and dropping what still comes needs none. It is bounded by the time for a stalled response.

--- a/src/gentianwharf/tunnels/_server.py
+++ b/src/gentianwharf/tunnels/_server.py
@@ -46,6 +46,9 @@
 """Interval at which an end that is not read is checked for a reset: the event loop
 reports none while reading is paused."""
 
+LINGER_TIMEOUT_S = 30.0
+"""Time for a host to read the rest of an answer, as long as for a stalled response."""
+
 
 @final
 class TunnelServer(Factory):
@@ -308,6 +311,21 @@
         self.send(TunnelRefused(reason=reason))
         cast(Any, self.transport).loseConnection()
 
+    def close(self, *, clean: bool) -> None:
+        """End the answer as the server did: a reset stays a reset.
+
+        After a clean end the rest of an upload is read and dropped: to close with bytes
+        unread would discard the part of the answer that is on its way.
+        """
+        transport = cast(Any, self.transport)
+        if not clean or not transport.connected:
+            super().close(clean=clean)
+            return
+        transport.unregisterProducer()
+        transport.loseWriteConnection()
+        self.resumeProducing()
+        self._timer = self._server.reactor.callLater(LINGER_TIMEOUT_S, self.abort)
+
     def is_unacknowledged(self) -> bool:
         """Whether bytes on their way to the server wait to be acknowledged."""
         exit_end = self._exit
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -56,6 +56,10 @@
         """Read again."""
         in_reactor(cast(Any, self.transport).resumeProducing)
 
+    def close(self) -> None:
+        """Close the connection once all bytes are sent."""
+        cast(Any, self.transport).loseConnection()
+
     def abort_now(self) -> None:
         """Reset the connection."""
         cast(Any, self.transport).abortConnection()
