Pass on a body's data without copying it

An upload copied each piece of a body twice, into the buffer and out of it. What arrives while nothing is buffered is now passed on as it came.

--- a/src/gentianwharf/relay/_body_upload.py
+++ b/src/gentianwharf/relay/_body_upload.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
-from typing import Any, Protocol, final
+from typing import Any, Protocol, cast, final
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IConsumer
@@ -120,12 +120,10 @@
 
     def send(self) -> None:
         """Write the received data that is not yet sent, until writing is paused."""
-        while self._state is _State.WRITING and self._consumer is not None:
+        while self.wants_data and self.sent_bytes < self._source.received_bytes:
             data = self._source.read(self.sent_bytes)
-            if not data:
-                break
             self.sent_bytes += len(data)
-            self._consumer.write(data)
+            cast(IConsumer, self._consumer).write(data)
         self._finish_if_complete()
         self._source.note_progress()
 
--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -47,7 +47,7 @@
         self.received_bytes = 0
         self.prefix = BodyPrefix()
         self._channel: BodySource | None = channel
-        self._held = bytearray()
+        self._held = b""
         self._held_offset_bytes = 0
         self._upload: BodyUpload | None = None
         self._is_reading = True
@@ -90,14 +90,14 @@
                 f"expected an offset of {self._held_offset_bytes} bytes or more, got"
                 f" {offset_bytes}"
             )
-        return bytes(self._held[start:])
+        return self._held[start:]
 
     def note_progress(self) -> None:
         """Discard sent data of a body too large to replay; pause or resume reading."""
         upload = self._upload
         is_kept = self.received_bytes <= MAX_REPLAY_BYTES
         if upload is not None and not upload.is_aborted and not is_kept:
-            del self._held[: upload.sent_bytes - self._held_offset_bytes]
+            self._held = self._held[upload.sent_bytes - self._held_offset_bytes :]
             self._held_offset_bytes = upload.sent_bytes
         self._set_reading(self._should_read())
 
@@ -120,7 +120,7 @@
     def received(self, data: bytes) -> int:
         """Add data received from the caller; return the bytes received so far."""
         self.received_bytes += len(data)
-        self._held += data
+        self._held = self._held + data if self._held else data
         self.prefix.update(data)
         self._note_prefix()
         self._send_received()
