Answer a request that waits for a duplicate by its own deadline

What callers saw: a second request with the same idempotency key waited for as long as the first one's response lasted, with no bound of its own: 4.0 s at a deadline of 0.5 s.

Cause: the wait for the other request had no timeout, and that request's response may go on beyond its deadline while it makes progress.

Ways weighed: 409, as for an outcome that is not kept, would say that no answer will come; it may still, and the same key gets it.

--- a/src/gentianwharf/relay/_app.py
+++ b/src/gentianwharf/relay/_app.py
@@ -94,7 +94,7 @@
         self._codec = codec or DefaultHeaderCodec()
         self._run_guard = run_guard or Unguarded()
         self.splitter = Splitter()
-        self._idempotent_requests = IdempotentRequests(now_s=reactor.seconds)
+        self._idempotent_requests = IdempotentRequests(clock=reactor)
 
     def resource(self) -> CatchAllResource:
         """Return the root resource of the callers' site."""
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -162,7 +162,7 @@
 
     async def _serve_idempotent(self, key: IdempotencyKey) -> None:
         self._awaits_duplicate = True
-        stored = await self._idempotent_requests.claim(key, self.ticket.request_id)
+        stored = await self._idempotent_requests.claim(key, self.ticket)
         self._awaits_duplicate = False
         if stored is not None:
             self._replay(stored)
--- a/src/gentianwharf/relay/_idempotency.py
+++ b/src/gentianwharf/relay/_idempotency.py
@@ -1,18 +1,20 @@
 """Requests with an ``Idempotency-Key``: the first runs, duplicates get its response."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import final
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IReactorTime
 from twisted.web._newclient import Response
 
 from gentianwharf.load import Claim, IdempotencyCache
+from gentianwharf.pauses import Timeout
 from gentianwharf.runs import RunStatus
 
 from ._caller_request import CallerRequest
 from ._header_codec import HeaderCodec
 from ._headers import response_headers
+from ._ports import Ticket
 from ._problem import Problem
 
 # Immediate retries mostly arrive while the first request is still running.
@@ -61,6 +63,13 @@
     ),
     step="join",
 )
+_STILL_RUNNING = Problem(
+    status=504,
+    title="the request with this idempotency key has not ended by the deadline",
+    run=RunStatus.UNKNOWN,
+    detail="It was sent once. Send it again with the same key for its answer.",
+    step="join",
+)
 _MISMATCH = Problem(
     status=422,
     title="the idempotency key was used for another request",
@@ -84,32 +93,31 @@
     The others wait for its response.
     """
 
-    def __init__(self, *, now_s: Callable[[], float]) -> None:
-        self._now_s = now_s
+    def __init__(self, *, clock: IReactorTime) -> None:
+        self._clock = clock
         self._cache: IdempotencyCache[StoredResponse] = IdempotencyCache()
         self._waiting: dict[tuple[str, str], list[Deferred[None]]] = {}
 
-    async def claim(
-        self, key: IdempotencyKey, request_id: str
-    ) -> StoredResponse | None:
+    async def claim(self, key: IdempotencyKey, ticket: Ticket) -> StoredResponse | None:
         """Return the stored response, or None if the request is to be run.
 
-        Waits for the first request while that is in flight. Raises ``Problem``.
+        Waits for the first request while that is in flight, until the ticket's
+        deadline. Raises ``Problem``.
         """
         while True:
             result = self._cache.claim(
                 scope=key.scope,
                 key=key.key,
-                request_id=request_id,
+                request_id=ticket.request_id,
                 fingerprint=key.fingerprint,
-                now_s=self._now_s(),
+                now_s=self._clock.seconds(),
             )
             if result.claim is Claim.RUN:
                 return None
             if result.claim is Claim.REPLAY:
                 return result.answer
             if result.claim is Claim.JOIN:
-                await self._wait(key)
+                await self._wait(key, ticket.deadline_s)
                 continue
             raise replace(_PROBLEMS[result.claim])
 
@@ -118,7 +126,7 @@
         self._cache.complete(
             scope=key.scope,
             key=key.key,
-            now_s=self._now_s(),
+            now_s=self._clock.seconds(),
             answer=response,
             answer_bytes=len(response.body) if response is not None else 0,
         )
@@ -129,11 +137,23 @@
         self._cache.discard(scope=key.scope, key=key.key)
         self._resume_waiting(key, _NOT_RUN)
 
-    def _wait(self, key: IdempotencyKey) -> Deferred[None]:
+    async def _wait(self, key: IdempotencyKey, deadline_s: float) -> None:
         waiting = self._waiting.setdefault((key.scope, key.key), [])
         done: Deferred[None] = Deferred(waiting.remove)
         waiting.append(done)
-        return done
+        timeout = Timeout(
+            clock=self._clock,
+            delay_s=max(0.0, deadline_s - self._clock.seconds()),
+            expire=done.cancel,
+        )
+        try:
+            await done
+        except CancelledError:
+            if timeout.expired:
+                raise replace(_STILL_RUNNING) from None
+            raise
+        finally:
+            timeout.stop()
 
     def _resume_waiting(self, key: IdempotencyKey, problem: Problem | None) -> None:
         for done in self._waiting.pop((key.scope, key.key), []):
