Close the connection of a platform call that times out within its answer

What was seen: after a call to the platform or an order had timed out within the answer's body, its connection stayed open and was read on, into memory, for as long as the peer sent (32 MB at most a call), though the call says that cancelling closes it.

Cause: the Deferred that collects a body has no canceller, so that only the wait ended. The platform's store was right, the other calls were not.

Ways weighed: readBody closes the connection, but bounds no size.

--- a/src/gentianwharf/infra/_http.py
+++ b/src/gentianwharf/infra/_http.py
@@ -11,14 +11,15 @@
 from itertools import count
 from typing import Any, TypeVar, cast, final
 
-import treq
 from pydantic import BaseModel, TypeAdapter, ValidationError
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
-from twisted.web.client import HTTPConnectionPool
+from twisted.web.client import HTTPConnectionPool, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IResponse
 
 from gentianwharf.errors import (
     ConflictError,
@@ -139,7 +140,9 @@
             Headers({b"Content-Type": [b"application/json"], CALL_ID: [call_id]}),
             BytesBody(body=call.body),
         )
-        body = await _read_body(response)
+        reader = _AnswerReader()
+        response.deliverBody(reader)
+        body = await reader.done
         answered = response.headers.getRawHeaders(CALL_ID, [call_id])
         if answered != [call_id]:
             raise OutcomeUnknownError(
@@ -188,19 +191,40 @@
         return await self._client.post(call, answer)
 
 
-async def _read_body(response: IResponse) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-
-    def add_chunk(chunk: bytes) -> None:
-        nonlocal size
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise ValueError(f"answer is larger than {MAX_ANSWER_BYTES} bytes")
-        chunks.append(chunk)
-
-    await treq.collect(response, add_chunk)
-    return b"".join(chunks)
+@final
+class _AnswerReader(Protocol):
+    """Collects an answer; cancelling ``done`` closes the connection."""
+
+    def __init__(self) -> None:
+        self.done: Deferred[bytes] = Deferred(lambda _: self._close())
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Store a chunk; fail if the answer is too large."""
+        if self.done.called:
+            return
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self._close()
+            error = ValueError(f"answer is larger than {MAX_ANSWER_BYTES} bytes")
+            self.done.errback(error)
+            return
+        self._chunks.append(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Fire ``done`` with the answer, or with the failure that ended it."""
+        if self.done.called:
+            return
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.done.callback(b"".join(self._chunks))
+        else:
+            self.done.errback(reason)
+
+    def _close(self) -> None:
+        self._chunks.clear()
+        if self.transport is not None:
+            self.transport.loseConnection()
 
 
 @final
