Send no order on a connection that is being closed

What was seen: an order sent when the idle time of the server's connection had just ended was lost, with an unknown outcome, although no server had got it.

Cause: the connection stayed among the idle ones until the event loop reported its end, an iteration after it was aborted.

Evidence: the test failed before (OutcomeUnknownError, no response) and passes now, with a second connection.

Ways weighed: as for the relay's pool, whoever closes a connection withdraws it first, instead of a check when it is taken.

--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -224,7 +224,11 @@
             self._timer.cancel()
 
     def abort_now(self) -> None:
-        """Close the connection, so that the server discards an order in transit."""
+        """Close the connection, so that the server discards an order in transit.
+
+        The event loop reports the end later; no order is sent on it until then.
+        """
+        self._connections.discard(self)
         if self.transport is not None:
             cast(Any, self.transport).abortConnection()
 
--- a/tests/test_users_platform_orders.py
+++ b/tests/test_users_platform_orders.py
@@ -3,12 +3,14 @@
 import json
 import socket
 import threading
+import time
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager, suppress
 from typing import Any
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 from twisted.internet.threads import blockingCallFromThread
 
 from gentianwharf.errors import (
@@ -59,6 +61,7 @@
     return Holder(server_id="i-1", born_ms=1, address=address)
 
 
+IDLE_S = 0.1
 GRANT = Grant(first=3, last=9, token=12, duration_s=2.5, handover="5c0e")
 
 
@@ -308,3 +311,26 @@
     scripted.stop()
     assert results == ["0", "1", "2", "3", "4"]
     assert scripted.connections == 3
+
+
+def test_order_is_not_sent_on_a_connection_whose_idle_time_just_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an order lost on a connection that is being closed."""
+    monkeypatch.setattr(_order_connections, "IDLE_TIMEOUT_S", IDLE_S)
+    reactor = running_reactor()
+    client = ServerOrders(reactor=reactor)
+    scripted = KeepingServer(scripts=[LateCopies(answers=[answer("200 OK")], copies=0)])
+    holder = holder_at(f"127.0.0.1:{scripted.start()}")
+
+    async def send_twice() -> None:
+        await client.grant(holder, GRANT, timeout_s=2.0)
+        idle_ended = deferLater(reactor, IDLE_S)
+        # Both timers are due when the loop runs again.
+        time.sleep(2 * IDLE_S)
+        await idle_ended
+        await client.grant(holder, GRANT, timeout_s=2.0)
+
+    blockingCallFromThread(reactor, lambda: Deferred.fromCoroutine(send_twice()))
+    scripted.stop()
+    assert (len(scripted.heads), scripted.connections) == (2, 2)
