Check uploads byte by byte in the stand-in server, and answer some early

The stand-in read a body once all of it had come, compared nothing, and never answered before the end. An upload now consists of cells with the request's id and their index, and a header states its length, so that a server which shares nothing with its callers can tell each byte. These draws have a generator of their own. Requests without the header are handled as before.

--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ._items import Items
+from ._records import Arrival, BodyReport, RequestRun, ServerSpec
 from ._rules import (
     ADDED,
     CALLER_LIMITS,
@@ -16,7 +17,7 @@
     UPLOADS,
     configuration,
 )
-from ._server import EXIT_CRASHED, Arrival, RequestRun, ServerSpec, StandInServer
+from ._server import EXIT_CRASHED, StandInServer
 from ._settings import (
     CALLERS_PORT,
     EXTRA_RETRIES,
@@ -26,6 +27,7 @@
     settings_text,
 )
 from ._store import MAX_VALUE_BYTES, StandInStore
+from ._uploads import UPLOAD_HEADER, EarlyAnswer, upload_body
 
 __all__ = [
     "ADDED",
@@ -43,7 +45,10 @@
     "RETRY_WINDOW_S",
     "UNKEYED",
     "UPLOADS",
+    "UPLOAD_HEADER",
     "Arrival",
+    "BodyReport",
+    "EarlyAnswer",
     "Items",
     "RequestRun",
     "ServerSpec",
@@ -51,4 +56,5 @@
     "StandInStore",
     "configuration",
     "settings_text",
+    "upload_body",
 ]
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -27,6 +27,7 @@
     LOOK_UPS,
     UNKEYED,
     Arrival,
+    BodyReport,
     Items,
     RequestRun,
     ServerSpec,
@@ -83,7 +84,7 @@
         reactor.callLater(END_DELAY_S, os._exit, EXIT_CRASHED)
 
 
-def _print_line(event: RequestRun | Arrival) -> None:
+def _print_line(event: RequestRun | Arrival | BodyReport) -> None:
     print(msgspec.json.encode(event).decode(), flush=True)
 
 
@@ -124,6 +125,7 @@
     announces_leaving: bool = False,
     rest_s: float | None = None,
     lost_share: float = 0.0,
+    early_share: float = 0.0,
     reports_arrivals: bool = False,
     ends_on: str = "",
 ) -> None:
@@ -159,8 +161,11 @@
         The seconds for which it refuses every request and asks for rest.
     lost_share
         The probability that the answer of a request that it ran is lost.
+    early_share
+        The probability that it answers an upload before its end, mostly by a refusal.
     reports_arrivals
-        Whether it prints a line for each request that reaches it as well.
+        Whether it prints a line for each request that reaches it as well, and one for
+        each body of an upload.
     ends_on
         Part of a target; the process ends soon after it begins to run a request with
         it. Empty for none.
@@ -178,6 +183,7 @@
         reports_slowdown=reports_slowdown,
         cold_s=cold_ms / 1000,
         lost_share=lost_share,
+        early_share=early_share,
     )
     server = _serve_backend(spec, store, seed=spec.born_ms)
     server.listed_as = listed_as or address
@@ -186,7 +192,7 @@
     server.rest_s = rest_s
     server.on_run = _print_line
     if reports_arrivals:
-        server.on_arrival = _print_line
+        server.on_arrival = server.on_body = _print_line
     if ends_on:
         server.on_begin = partial(_end_on, ends_on.encode())
     print("ready", flush=True)
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -18,6 +18,8 @@
 from .._servers import SERVERS_PREFIX, ServerState
 from .._units import decode_time_s, encode_time
 from ._held_shards import HeldShards
+from ._records import Arrival, BodyReport, RequestRun, ServerSpec
+from ._uploads import BodyCheck, EarlyAnswer, StandInRequest, draw_early_answer
 
 HEARTBEAT_S = 0.8
 LEASE_HEARTBEATS = 3
@@ -37,58 +39,6 @@
 STATUS_SERVER_ERROR = 500
 
 
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RequestRun:
-    """A request that a server ran, with its start and end times."""
-
-    server: str
-    request_id: str
-    shard: int | None
-    begun_s: float
-    ended_s: float
-    is_whole: bool
-
-
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Arrival:
-    """A request that reached a server, whether it runs it or refuses it.
-
-    ``arrived_s`` is a reading of the reactor's clock in seconds, ``deadline_ms`` the
-    time that the server was given, None if it was given none.
-    """
-
-    server: str
-    service: str
-    request_id: str
-    arrived_s: float
-    deadline_ms: int | None
-
-
-@final
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ServerSpec:
-    """The properties of a stand-in server.
-
-    With ``reports_slowdown``, its load header has the fourth figure, and it states its
-    load in answers to health checks. ``cold_s`` is how long it is cold after its start.
-    ``lost_share`` is the probability that the answer of a run is lost: the connection
-    is closed in its place.
-    """
-
-    id: str
-    service: str
-    address: str
-    domain: str
-    slots: int
-    work_s: float
-    born_ms: int
-    reports_slowdown: bool = False
-    cold_s: float = 0.0
-    lost_share: float = 0.0
-
-
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class _Work:
@@ -112,7 +62,8 @@
     """One instance of a backend server.
 
     It calls ``on_arrival`` for each request, ``on_begin`` once it begins to run one,
-    then ``on_run`` for each that it ran, and ``on_refused`` for each other one.
+    then ``on_run`` for each that it ran, and ``on_refused`` for each other one. It
+    calls ``on_body`` for each upload, once its body has ended or its connection has.
     """
 
     isLeaf = True  # noqa: N815
@@ -126,6 +77,7 @@
         self.on_begin: Callable[[Request], None] = lambda request: None
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.on_refused: Callable[[str], None] = lambda request_id: None
+        self.on_body: Callable[[BodyReport], None] = lambda report: None
         self.state = ServerState.READY
         self.max_requests_per_s: float | None = None
         """The limit for all hosts together that each answer names, None for none."""
@@ -135,6 +87,8 @@
         """While it is set, each request is refused, and rest asked for this time."""
         self._reactor = reactor
         self._rng = rng
+        # Uploads don't change the other draws of a seed.
+        self._uploads_rng = Random(f"{spec.id} {spec.born_ms}")
         self._held_shards = HeldShards()
         self._running: dict[str, _Work] = {}
         self._waiting: deque[_Work] = deque()
@@ -145,7 +99,7 @@
 
     def site(self) -> Site:
         """Return the HTTP site of the server."""
-        site = Site(self, reactor=self._reactor)
+        site = Site(self, requestFactory=StandInRequest, reactor=self._reactor)
         site.noisy = False
         return site
 
@@ -194,7 +148,7 @@
 
     # Grants and releases.
 
-    def render(self, request: Request) -> Any:
+    def render(self, request: StandInRequest) -> Any:
         """Handle a grant, a release or a health check, or run a request."""
         path = request.path
         if path == b"/v1/grant":
@@ -261,7 +215,7 @@
 
     # Requests.
 
-    def _accept(self, request: Request) -> None:
+    def _accept(self, request: StandInRequest) -> None:
         request_id = request.getHeader("attempt-id") or ""
         shard = request.getHeader(SHARD_HEADER)
         work = _Work(
@@ -270,15 +224,8 @@
             shard=int(shard) if shard is not None else None,
         )
         request.notifyFinish().addErrback(lambda _: self._cancel(work))
-        self.on_arrival(
-            Arrival(
-                server=self.spec.id,
-                service=self.spec.service,
-                request_id=request_id,
-                arrived_s=self._reactor.seconds(),
-                deadline_ms=_deadline_ms(request),
-            )
-        )
+        if request.check is None:
+            self._note_arrival(request, request_id)
         if not request_id:
             self._refuse(work, STATUS_BAD_REQUEST)
         elif self._expects_other_server(request) or not self._may_run(work):
@@ -293,11 +240,62 @@
         else:
             self._refuse(work, STATUS_UNAVAILABLE)
 
+    def _note_arrival(self, request: Request, request_id: str) -> None:
+        self.on_arrival(
+            Arrival(
+                server=self.spec.id,
+                service=self.spec.service,
+                request_id=request_id,
+                arrived_s=self._reactor.seconds(),
+                deadline_ms=_deadline_ms(request),
+            )
+        )
+
     def _may_run(self, work: _Work) -> bool:
         return work.shard is None or self._held_shards.is_held(
             work.shard, self._reactor.seconds()
         )
 
+    # Uploads, whose bodies are checked as they come.
+
+    def begin_upload(self, request: StandInRequest, check: BodyCheck) -> None:
+        """Decide whether to answer an upload before its end."""
+        self._note_arrival(request, check.request_id)
+        if self.rest_s is None and not self._expects_other_server(request):
+            request.early_answer = draw_early_answer(
+                self._uploads_rng,
+                share=self.spec.early_share,
+                body_bytes=check.body_bytes,
+            )
+
+    def end_upload(self, check: BodyCheck, *, has_ended: bool) -> None:
+        """Report how much of an upload came."""
+        self.on_body(
+            BodyReport(
+                server=self.spec.id,
+                request_id=check.request_id,
+                body_bytes=check.body_bytes,
+                received_bytes=check.received_bytes,
+                has_ended=has_ended,
+                changed_at_byte=check.changed_at_byte,
+            )
+        )
+
+    def answer_upload(
+        self, request: StandInRequest, check: BodyCheck, kind: EarlyAnswer
+    ) -> None:
+        """Answer an upload before its end."""
+        work = _Work(request=request, request_id=check.request_id, shard=None)
+        self._with_headers(work)
+        if kind is EarlyAnswer.REFUSE:
+            self.on_refused(check.request_id)
+            request.setHeader(b"Not-Executed", b"1")
+            request.answer_early(b"503 Service Unavailable", b"")
+            return
+        self._report_run(work, is_whole=True)
+        request.setHeader(b"Response-Signature", self.spec.id.encode())
+        request.answer_early(b"200 OK", check.request_id.encode() + b" early")
+
     def _run(self, work: _Work) -> None:
         work.begun_s = self._reactor.seconds()
         # An attempt that reaches the server twice is run and reported twice.
@@ -323,6 +321,11 @@
 
     def _finish_run(self, work: _Work, *, is_whole: bool) -> None:
         del self._running[f"{work.request_id}/{work.begun_s}"]
+        self._report_run(work, is_whole=is_whole)
+        self._finish_releases()
+        self._run_next()
+
+    def _report_run(self, work: _Work, *, is_whole: bool) -> None:
         self.on_run(
             RequestRun(
                 server=self.spec.id,
@@ -333,8 +336,6 @@
                 is_whole=is_whole,
             )
         )
-        self._finish_releases()
-        self._run_next()
 
     def _run_next(self) -> None:
         while self._waiting and len(self._running) < self.spec.slots:
