Upload bodies in the soak, and check that servers got what was sent

Bodies that reached servers without a part, or with other bytes, broke no check: all uploads of the soak were the same 40,000 bytes at once, and nobody looked at what servers got.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,8 @@
     requests_with_known_outcome,
 )
 from ._schedule import Schedule
+from ._uploading import UploadingCallers, describe_uploads
+from ._uploads import find_unasked
 
 START_S = 5.0
 """Importing takes about 1 s and starting up another, more on a busy machine."""
@@ -48,6 +50,9 @@
 QUIET_S = 3.0
 PROCESS_EXIT_S = 1.0
 REQUESTS_PER_S = 60.0
+EARLY_SHARE = 0.4
+"""Share of the uploads that servers answer, or refuse, before their end."""
+
 FIRST_NET = 100
 
 app = App(name="soak", help="Run the real programs under random faults.")
@@ -62,7 +67,7 @@
     ``rules_grow`` lets the list of rules grow, and restarts all hosts at once.
     ``cut_links`` cuts the links of hosts to all servers. ``answer_faults`` sends
     answers of servers late, twice or in part. ``crashes`` sends a request that
-    ends each server which runs it.
+    ends each server which runs it. ``uploads`` adds callers whose bodies servers check.
     """
 
     seed: int
@@ -70,6 +75,7 @@
     cut_links: bool = False
     answer_faults: bool = False
     crashes: bool = False
+    uploads: bool = False
 
 
 UNRESOLVED = (
@@ -112,6 +118,7 @@
         logs=logs,
         own_links=seed_run.cut_links,
         answer_faults=answer_faults if seed_run.answer_faults else None,
+        early_share=EARLY_SHARE if seed_run.uploads else 0.0,
     )
     operators = Operators(
         reactor=reactor,
@@ -134,6 +141,9 @@
     crashing = CrashingCaller(
         reactor=reactor, rng=Random(seed + 6), addresses=deployment.addresses()
     )
+    uploading = UploadingCallers(
+        reactor=reactor, rng=Random(seed + 7), addresses=deployment.addresses()
+    )
     cuts = Cuts(deployment=deployment, schedule=schedule, rng=Random(seed + 4))
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
@@ -151,6 +161,8 @@
             cuts.start()
         if seed_run.crashes:
             crashing.start()
+        if seed_run.uploads:
+            uploading.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
         crashing.is_sending = False
@@ -159,7 +171,7 @@
         await deferLater(reactor, RECOVER_S)
         recovered_s = reactor.seconds()
         await deferLater(reactor, QUIET_S)
-        callers.is_sending = operators.is_active = False
+        callers.is_sending = operators.is_active = uploading.is_sending = False
         await deferLater(reactor, QUIET_S)
     finally:
         deployment.stop()
@@ -168,7 +180,7 @@
         await deferLater(reactor, PROCESS_EXIT_S)
     (logs / "faults.txt").write_text("\n".join(schedule.records) + "\n")
     violations = (
-        find_violations(callers.requests, deployment.runs)
+        find_violations(callers.requests + uploading.requests, deployment.runs)
         + deployment.unexpected_exits()
     )
     bound = requests_with_known_outcome(callers.requests, deployment.disruptions)
@@ -177,7 +189,9 @@
     violations += find_unserved_cuts(
         callers.requests, cuts.cuts, deployment.disruptions
     )
-    sent_s = sent_by_service(callers.requests)
+    run_places = [(run["request_id"], run["server"]) for run in deployment.runs]
+    violations += find_unasked(uploading.has_ended, deployment.bodies, run_places)
+    sent_s = sent_by_service(callers.requests + uploading.requests)
     violations += find_excess_retries(
         sent_s, deployment.arrivals, agreement=STANDIN_AGREEMENT
     )
@@ -187,10 +201,7 @@
         deployment.crashes_s,
         deployment.disruptions,
     )
-    violations += find_excess_runs(
-        ((run["request_id"], run["server"]) for run in deployment.runs),
-        max_attempts=MAX_ATTEMPTS,
-    )
+    violations += find_excess_runs(run_places, max_attempts=MAX_ATTEMPTS)
     judged = [
         request
         for request in callers.requests
@@ -205,6 +216,7 @@
         f" {len(deployment.runs)} runs, {answer_faults.count} answers disturbed,"
         f" {len(deployment.crashes_s)} servers ended by"
         f" {len(crashing.requests)} sends,"
+        f" {describe_uploads(uploading.requests, deployment.bodies)},"
         f" {len(violations)} broken;"
         f" {describe_cuts(callers.requests, cuts.cuts, deployment.disruptions)}",
         flush=True,
@@ -234,6 +246,7 @@
     cut_links: bool = True,
     answer_faults: bool = False,
     crashes: bool = False,
+    uploads: bool = True,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -255,6 +268,9 @@
         Send answers of servers late, twice or in part.
     crashes
         Send a request that ends each server which runs it.
+    uploads
+        Send bodies that servers check byte by byte, and let servers answer some of them
+        before their end.
     faults_s
         For how long faults are injected.
     net
@@ -271,6 +287,7 @@
             cut_links=cut_links,
             answer_faults=answer_faults,
             crashes=crashes,
+            uploads=uploads,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -7,12 +7,15 @@
 from pathlib import Path
 from typing import Any, final
 
+import msgspec
+
 from gentianwharf.platform import SETTINGS_PATH_VARIABLE
 from gentianwharf.platform.standin import (
     CALLERS_PORT,
     EXIT_CRASHED,
     KEYED,
     UNKEYED,
+    BodyReport,
     settings_text,
 )
 
@@ -42,7 +45,8 @@
     """Processes by name; all listen on IP addresses of the network ``127.NET``.
 
     With ``own_links``, each host reaches the servers over links that can be cut.
-    ``answer_faults`` disturb the answers of servers.
+    ``answer_faults`` disturb the answers of servers. Servers answer ``early_share`` of
+    the uploads before their end.
     """
 
     def __init__(
@@ -53,13 +57,16 @@
         logs: Path,
         own_links: bool = False,
         answer_faults: AnswerFaults | None = None,
+        early_share: float = 0.0,
     ) -> None:
+        self._early_share = early_share
         self.reactor = reactor
         self._answer_faults = answer_faults
         self.logs = logs
         self.net = net
         self.runs: list[Line] = []
         self.arrivals: list[Line] = []
+        self.bodies: list[BodyReport] = []
         self.crashes_s: list[float] = []
         """When requests ended servers, on the reactor's clock."""
         self.programs: dict[str, Program] = {}
@@ -157,7 +164,7 @@
             *("--domain", "abc"[number % 3], "--slots", "4", "--work-ms", "30"),
             *("--store", self.operators_address),
             *("--listed-as", self._proxy_address(name), "--reports-arrivals"),
-            *("--ends-on", ENDS),
+            *("--ends-on", ENDS, "--early-share", str(self._early_share)),
         ]
         self._start_process(name, arguments)
 
@@ -188,7 +195,10 @@
         self.reactor.callLater(CRASH_RESTART_S, self.start_program, program.name)
 
     def _note_line(self, line: Line) -> None:
-        (self.arrivals if "arrived_s" in line else self.runs).append(line)
+        if "received_bytes" in line:
+            self.bodies.append(msgspec.convert(line, BodyReport))
+        else:
+            (self.arrivals if "arrived_s" in line else self.runs).append(line)
 
     def _add_proxy(self, name: str, *, target: str) -> None:
         self.proxies[name] = Proxy(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,8 @@
 TIMEOUT_S = 150.0
 """A limit for hangs; a seed takes 35 s."""
 
+PLAIN = ("--no-rules-grow", "--no-cut-links")
+
 
 @pytest.mark.parametrize(
     ("seed", "faults_s", "growth"),
@@ -21,22 +23,27 @@
 
     Seed 1 also lets the list of rules grow to thousands, and restarts all hosts.
     """
-    play(seed, faults_s, growth, "--no-cut-links")
+    play(seed, faults_s, growth, "--no-cut-links", "--no-uploads")
 
 
 def test_no_promise_is_broken_while_hosts_lose_their_links() -> None:
     """Hosts lose their links to all servers, also beside restarts and changes."""
-    play(9601, 12, "--rules-grow", "--cut-links")
+    play(9601, 12, "--rules-grow", "--cut-links", "--no-uploads")
 
 
 def test_no_promise_is_broken_while_answers_come_late_or_twice() -> None:
     """Guards against answers that count for other sends, beside all other faults."""
-    play(20001, 10, "--no-rules-grow", "--no-cut-links", "--answer-faults")
+    play(20001, 10, *PLAIN, "--no-uploads", "--answer-faults")
 
 
 def test_no_promise_is_broken_while_a_request_ends_servers() -> None:
     """Guards against one request that takes servers away, beside other faults."""
-    play(30001, 10, "--no-rules-grow", "--no-cut-links", "--crashes")
+    play(30001, 10, *PLAIN, "--no-uploads", "--crashes")
+
+
+def test_no_byte_of_an_upload_changes_under_random_faults() -> None:
+    """Guards against bodies that servers run without a part, or without their end."""
+    play(71001, 10, *PLAIN, "--uploads")
 
 
 def play(seed: int, faults_s: int, *options: str) -> None:
