Upload bodies in the fleet, and check that servers got what was sent

All bodies of the fleet's callers were the same 300 bytes, which no server read. One in ten of the requests with a body is an upload now, 0 to 200 kB in pieces; servers check each byte, answer a fifth of the uploads before their end, and the judge prints UNASKED like the soak.

--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -35,6 +35,7 @@
     extra_retries: int = EXTRA_RETRIES,
     net: int = 90,
     host_sources: Path | None = None,
+    upload_share: float = 0.1,
     crash: str = "",
     crash_copies: int = 1,
     crash_interval_s: float = 0.1,
@@ -66,6 +67,10 @@
         Programs listen below 127.NET, so that several runs don't meet.
     host_sources
         Folder with the sources of the hosts, by default those of this checkout.
+    upload_share
+        Share of the requests with a body that are uploads: 0 to 200 kB in pieces, each
+        byte of which servers check, and some of which they answer before their end.
+        With 0, a seed plays as it did before there were uploads.
     crash
         Kind of a request that ends each server that begins to run it, sent beside the
         others; empty for none.
@@ -120,7 +125,7 @@
                 *("--net", str(net), "--hosts", str(hosts), "--part", str(part)),
                 *("--parts", str(len(outputs)), "--duration-s", str(duration_s)),
                 *("--rate", str(rate), "--impatient-share", str(impatient_share)),
-                *("--seed", str(seed)),
+                *("--seed", str(seed), "--upload-share", str(upload_share)),
                 *(crashing if crash and not part else ()),
             )
         for step in sorted(DISRUPTIONS[disruption], key=lambda step: step.at_s):
--- a/bench/fleet/_callers.py
+++ b/bench/fleet/_callers.py
@@ -12,6 +12,7 @@
 
 import msgspec
 from cyclopts import App
+from soak._uploads import UploadProducer, draw_upload
 from twisted.internet import reactor as installed_reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
@@ -20,7 +21,7 @@
 
 from gentianwharf.http_agent import BytesBody
 from gentianwharf.lifecycle import use_monotonic_time
-from gentianwharf.platform.standin import CALLERS_PORT
+from gentianwharf.platform.standin import CALLERS_PORT, UPLOAD_HEADER
 
 from ._sheet import CRASH_PATH, REQUESTS, SERVICES, RequestSpec, host_ip
 
@@ -55,6 +56,10 @@
     reason: str = ""
     """What a host stated where it answered in place of a server."""
 
+    is_upload: bool = False
+    has_ended_body: bool = False
+    """Whether the caller of an upload has sent its end."""
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,13 +93,23 @@
     """Callers of hosts that are chosen at random for each request."""
 
     def __init__(
-        self, *, net: int, hosts: int, seed: int, impatient_share: float, prefix: str
+        self,
+        *,
+        net: int,
+        hosts: int,
+        seed: int,
+        impatient_share: float,
+        prefix: str,
+        upload_share: float = 0.0,
     ) -> None:
         self.requests: list[SentRequest] = []
         self.is_sending = True
         self._net = net
         self._hosts = hosts
         self._rng = Random(seed)
+        # Uploads don't change the other draws of a seed.
+        self._uploads_rng = Random(f"uploads {seed}")
+        self._upload_share = upload_share
         self._impatient_share = impatient_share
         self._prefix = prefix
         self._count = 0
@@ -189,16 +204,37 @@
             headers.setRawHeaders("Shard-Key", [str(call.shard)])
         ip = host_ip(self._net, self._rng.randrange(self._hosts))
         method = b"GET" if spec.repeatable else b"POST"
-        body = None if spec.repeatable else BytesBody(body=b"x" * 300)
+        body = None if spec.repeatable else self._body(call, request, headers)
         url = f"http://{ip}:{CALLERS_PORT}{call.path}".encode()
         response = await agent.request(method, url, headers, body)
         for value in response.headers.getRawHeaders("retry-after", []):
             request.retry_after_s = float(value)
-        text: bytes = await readBody(response)
         request.status = response.code
+        text: bytes = await readBody(response)
         if response.headers.getRawHeaders("content-type") == [PROBLEM_TYPE]:
             request.reason = str(msgspec.json.decode(text)["title"])
 
+    def _body(
+        self, call: _Call, request: SentRequest, headers: Headers
+    ) -> BytesBody | UploadProducer:
+        """Return the body of a request that has one, and state what it is."""
+        if call.is_crashing or self._uploads_rng.random() >= self._upload_share:
+            return BytesBody(body=b"x" * 300)
+        plan = draw_upload(self._uploads_rng)
+        headers.setRawHeaders(UPLOAD_HEADER, [str(plan.body_bytes)])
+        request.is_upload = True
+
+        def note_end() -> None:
+            request.has_ended_body = True
+
+        return UploadProducer(
+            reactor=reactor,
+            request_id=request.id,
+            plan=plan,
+            on_end=note_end,
+            is_answered=lambda: bool(request.status),
+        )
+
 
 @app.default
 def run(
@@ -212,6 +248,7 @@
     rate: float = 1.0,
     impatient_share: float = 0.0,
     seed: int = 1,
+    upload_share: float = 0.0,
     crash: str = "",
     crash_copies: int = 1,
     crash_interval_s: float = 0.1,
@@ -240,6 +277,8 @@
         Share of the callers that repeat at once.
     seed
         Seed of the random choices.
+    upload_share
+        Share of the requests with a body that are uploads, which servers check.
     crash
         Kind of the request that ends its servers, empty for none.
     crash_copies
@@ -259,6 +298,7 @@
         seed=seed * parts + part,
         impatient_share=impatient_share,
         prefix=f"{seed}-{part}",
+        upload_share=upload_share,
     )
     for spec in REQUESTS:
         callers.start(spec, spec.per_s * rate / parts)
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -13,9 +13,10 @@
     find_excess_runs,
     worst_window,
 )
+from soak._uploads import find_unasked
 
 from gentianwharf.load import RetryAgreement
-from gentianwharf.platform.standin import Arrival, RequestRun
+from gentianwharf.platform.standin import Arrival, BodyReport, RequestRun
 
 from ._callers import SentRequest
 from ._servers import AddressReassigned, Order, RuleMove, ServerEnd
@@ -48,6 +49,7 @@
     sent: list[SentRequest] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     runs: list[RequestRun] = field(default_factory=list)
+    bodies: list[BodyReport] = field(default_factory=list)
     moves: list[RuleMove] = field(default_factory=list)
     ends: list[ServerEnd] = field(default_factory=list)
     reassigned: list[AddressReassigned] = field(default_factory=list)
@@ -73,6 +75,8 @@
             record.ends.append(msgspec.convert(fields, ServerEnd))
         elif "reassigned_at_s" in fields:
             record.reassigned.append(msgspec.convert(fields, AddressReassigned))
+        elif "received_bytes" in fields:
+            record.bodies.append(msgspec.convert(fields, BodyReport))
         elif "arrived_s" in fields:
             record.arrivals.append(msgspec.convert(fields, Arrival))
         else:
@@ -240,13 +244,19 @@
 
 
 def violations(record: Record) -> list[str]:
-    """Return a line for each way in which BUDGET was broken."""
+    """Return a line for each way in which a promise was broken."""
     lines = [
         line
         for service, worst in worst_windows(record).items()
         for line in describe_excess(service, worst, agreement=record.agreement)
     ]
     lines += find_excess_runs(_run_places(record), max_attempts=MAX_ATTEMPTS)
+    has_ended = {
+        request.id: request.has_ended_body
+        for request in record.sent
+        if request.is_upload
+    }
+    lines += find_unasked(has_ended, record.bodies, _run_places(record))
     crashed = crashes(record)
     if crashed is not None:
         lines += describe_crashes(crashed)
@@ -292,6 +302,7 @@
         f"{len(record.ends)} servers ended, {len(record.reassigned)} addresses passed"
         " on"
     )
+    lines.append(_describe_uploads(record))
     crashed = crashes(record)
     if crashed is not None:
         answers = Counter(
@@ -307,3 +318,15 @@
             " refused like it"
         )
     return lines
+
+
+def _describe_uploads(record: Record) -> str:
+    uploads = [request for request in record.sent if request.is_upload]
+    answers = Counter(request.status for request in uploads)
+    left = sum(not request.has_ended_body for request in uploads)
+    ended = sum(body.has_ended for body in record.bodies)
+    return (
+        f"{len(uploads)} uploads, {left} not ended by their callers, answers"
+        f" {dict(sorted(answers.items()))}; {ended} of {len(record.bodies)} bodies at"
+        " servers whole"
+    )
--- a/bench/fleet/_servers.py
+++ b/bench/fleet/_servers.py
@@ -23,11 +23,18 @@
 from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
 from gentianwharf.lifecycle import use_monotonic_time
 from gentianwharf.platform import PlatformStore
-from gentianwharf.platform.standin import Arrival, RequestRun, ServerSpec, StandInServer
+from gentianwharf.platform.standin import (
+    Arrival,
+    BodyReport,
+    RequestRun,
+    ServerSpec,
+    StandInServer,
+)
 from gentianwharf.store import Change, Store
 
 from ._sheet import (
     CRASH_PATH,
+    EARLY_SHARE,
     SERVICES,
     SLOTS,
     ServiceSpec,
@@ -296,9 +303,10 @@
             work_s=service.work_s,
             born_ms=int(time.time() * 1000),
             reports_slowdown=True,
+            early_share=EARLY_SHARE,
         )
         server = StandInServer(spec=spec, reactor=reactor, rng=self._rng)
-        server.on_arrival = server.on_run = self._write
+        server.on_arrival = server.on_run = server.on_body = self._write
         listening = _ListeningServer(server)
         server.on_begin = lambda request: self._end_if_crashing(listening, request)
         self._servers.append(listening)
@@ -306,7 +314,9 @@
 
     def _write(
         self,
-        event: Arrival | RequestRun | RuleMove | ServerEnd | AddressReassigned,
+        event: (
+            Arrival | RequestRun | BodyReport | RuleMove | ServerEnd | AddressReassigned
+        ),
     ) -> None:
         self._output.write(msgspec.json.encode(event) + b"\n")
 
--- a/bench/fleet/_sheet.py
+++ b/bench/fleet/_sheet.py
@@ -28,6 +28,9 @@
 MAX_LATE_SENDS = 3
 """Sends of such a request later than ``CONTACT_S`` after the last of these ends."""
 
+EARLY_SHARE = 0.2
+"""Share of the uploads that servers answer, or refuse, before their end."""
+
 EXTRA_RETRIES = 208
 AGREEMENT = RetryAgreement(ratio=0.2, extra=EXTRA_RETRIES, window_s=10)
 """What the operators allow all hosts together to repeat at a service."""
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -5,7 +5,7 @@
 from bench.fleet._servers import ServerEnd
 from bench.fleet._sheet import AGREEMENT, MAX_CRASHES
 
-from gentianwharf.platform.standin import Arrival, RequestRun
+from gentianwharf.platform.standin import Arrival, BodyReport, RequestRun
 
 SERVICE, OTHER_SERVICE = "calendar", "seats"
 DEADLINE_MS = 4_000
@@ -32,6 +32,21 @@
     )
 
 
+def uploaded(*, received_bytes: int, has_ended_body: bool = True) -> Record:
+    """Return a record of an upload of 500 bytes, whose end came to a server."""
+    request = sent(1, at_s=0.0)
+    request.is_upload, request.has_ended_body = True, has_ended_body
+    report = BodyReport(
+        server="s",
+        request_id=request.id,
+        body_bytes=500,
+        received_bytes=received_bytes,
+        has_ended=True,
+        changed_at_byte=None,
+    )
+    return Record(agreement=AGREEMENT, sent=[request], bodies=[report])
+
+
 def crashed(*arrivals_s: float) -> Record:
     """Return a record of a request that ended a server each 0.1 s after it arrived.
 
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -12,6 +12,7 @@
     long_deadlines,
     missing_effects,
     read_server_lines,
+    summary,
     violations,
 )
 from bench.fleet._servers import AddressReassigned, Order, ServerEnd
@@ -25,6 +26,7 @@
     repeated,
     run_at,
     sent,
+    uploaded,
 )
 
 UNUSED_NET = 89
@@ -82,10 +84,13 @@
         b'"deadline_ms":5}',
         b'{"server":"s","request_id":"r","shard":null,"begun_s":1.0,"ended_s":2.0,'
         b'"is_whole":true}',
+        b'{"server":"s","request_id":"r","body_bytes":5,"received_bytes":5,'
+        b'"has_ended":true,"changed_at_byte":null}',
         b'{"server":"s","requ',
     ]
     read_server_lines(lines, record)
     assert (len(record.arrivals), len(record.runs)) == (1, 1)
+    assert len(record.bodies) == 1
 
 
 @pytest.mark.parametrize(
@@ -111,6 +116,29 @@
     assert violations(record) == ["DENIED: 1 requests refused as if they ended servers"]
 
 
+def test_upload_of_which_a_part_is_missing_is_found() -> None:
+    """Guards against bodies that end whole at a server and are shorter than sent."""
+    record = uploaded(received_bytes=300)
+    record.runs.append(run_at(1, "s"))
+    assert violations(record) == [
+        "UNASKED: request-1 at s got a body of 300 bytes for 500, and ran"
+    ]
+
+
+def test_end_of_an_upload_that_its_caller_left_is_found() -> None:
+    (line,) = violations(uploaded(received_bytes=500, has_ended_body=False))
+    assert line == (
+        "UNASKED: request-1 at s got the end of a body of 500 bytes that its caller"
+        " left"
+    )
+
+
+def test_whole_upload_is_allowed() -> None:
+    record = uploaded(received_bytes=500)
+    assert not violations(record)
+    assert any(line.startswith("1 uploads, 0 not ended") for line in summary(record))
+
+
 @pytest.mark.parametrize(
     ("order", "event"),
     [
