--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -256,8 +256,6 @@
             work.shard, self._reactor.seconds()
         )
 
-    # Uploads, whose bodies are checked as they come.
-
     def begin_upload(self, request: StandInRequest, check: BodyCheck) -> None:
         """Decide whether to answer an upload before its end."""
         self._note_arrival(request, check.request_id)
@@ -286,6 +284,7 @@
     ) -> None:
         """Answer an upload before its end."""
         work = _Work(request=request, request_id=check.request_id, shard=None)
+        work.begun_s = self._reactor.seconds()
         self._with_headers(work)
         if kind is EarlyAnswer.REFUSE:
             self.on_refused(check.request_id)
