Keep the bytes of a connection in order in the soak's proxies

Data that came after a delay had ended overtook data that was still delayed, and a fault that began within a silence let a connection go on from which data had been dropped. Both change an upload without any doing of a host. Bytes are passed on in their order now, and connections that lost some are reset, as at the end of a silence. Found by reading; no run was traced to it.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -1,5 +1,6 @@
 """A loopback proxy that delays, resets, refuses or silences its connections."""
 
+from collections import deque
 from enum import StrEnum
 from typing import Any, cast, final
 
@@ -21,6 +22,7 @@
     SILENT_ANSWERS = "silent-answers"
 
 
+SILENT_FAULTS = (LinkFault.SILENCE, LinkFault.SILENT_ANSWERS)
 DELAY_S = 0.15
 
 
@@ -33,6 +35,7 @@
         self._proxy = proxy
         self._carries_responses = carries_responses
         self._early_data: list[bytes] = []
+        self._waiting: deque[bytes] = deque()
         self._last_answer = b""
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -52,8 +55,9 @@
         if answer_faults is not None and self._carries_responses:
             last, self._last_answer = self._last_answer, data
             data, closes = answer_faults.disturb(last, data)
-        # Always by a timer: later data must not overtake data that was delayed.
-        self._proxy.reactor.callLater(delay_s, self._forward, data)
+        # Later data must not overtake data that was delayed.
+        self._waiting.append(data)
+        self._proxy.reactor.callLater(delay_s, self._forward_next)
         if closes:
             self._proxy.reactor.callLater(delay_s, self._close)
 
@@ -61,6 +65,9 @@
         if self.transport is not None:
             self.transport.loseConnection()
 
+    def _forward_next(self) -> None:
+        self._forward(self._waiting.popleft())
+
     def _forward(self, data: bytes) -> None:
         if self.other is None:
             self._early_data.append(data)
@@ -148,7 +155,9 @@
         return incoming
 
     def begin(self, fault: LinkFault) -> None:
-        """Begin a fault, which also affects open connections."""
+        """Begin a fault, which also affects open connections, in place of another."""
+        if fault is not self.fault:
+            self.end()
         self.fault = fault
         if fault in (LinkFault.RESET, LinkFault.REFUSE):
             self._reset_all()
@@ -162,7 +171,7 @@
         Silenced connections are reset, since the data that was dropped stays missing.
         """
         ended, self.fault = self.fault, LinkFault.NONE
-        if ended in (LinkFault.SILENCE, LinkFault.SILENT_ANSWERS):
+        if ended in SILENT_FAULTS:
             self._reset_all()
 
     def stop(self) -> None:
