--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -165,13 +165,14 @@
             uploading.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
-        crashing.is_sending = False
+        # Servers that refuse uploads are no part of a deployment that has recovered.
+        crashing.is_sending = uploading.is_sending = False
         cuts.restore()
         deployment.restore()
         await deferLater(reactor, RECOVER_S)
         recovered_s = reactor.seconds()
         await deferLater(reactor, QUIET_S)
-        callers.is_sending = operators.is_active = uploading.is_sending = False
+        callers.is_sending = operators.is_active = False
         await deferLater(reactor, QUIET_S)
     finally:
         deployment.stop()
