Let the stand-in server open an upload for the body that it reads

The stand-in servers of the router's own dialect called a method of the body that each attempt's own upload has replaced: every request with a body failed there.

--- a/src/gentianwharf/standin/_backend.py
+++ b/src/gentianwharf/standin/_backend.py
@@ -329,7 +329,8 @@
 async def _receive(request: Any) -> _BodyConsumer:
     body = _BodyConsumer()
     if isinstance(request, CallerRequest) and request.body is not None:
-        await request.body.startProducing(body)
+        upload = request.body.open_upload(on_abort=request.abort)
+        await upload.startProducing(body)
     return body
 
 
--- a/tests/test_users_platform_orders.py
+++ b/tests/test_users_platform_orders.py
@@ -24,7 +24,7 @@
 from gentianwharf.platform import ServerOrders, _order_connections
 from tests.builders_late_answers import Answer, LateCopies
 from tests.builders_relay import ScriptedServer as KeepingServer
-from tests.builders_relay import read_head, response, running_reactor
+from tests.builders_relay import in_reactor, read_head, response, running_reactor
 
 
 class ScriptedServer:
@@ -325,12 +325,12 @@
 
     async def send_twice() -> None:
         await client.grant(holder, GRANT, timeout_s=2.0)
-        idle_ended = deferLater(reactor, IDLE_S)
+        idle_ended: Deferred[None] = deferLater(reactor, IDLE_S)
         # Both timers are due when the loop runs again.
         time.sleep(2 * IDLE_S)
         await idle_ended
         await client.grant(holder, GRANT, timeout_s=2.0)
 
-    blockingCallFromThread(reactor, lambda: Deferred.fromCoroutine(send_twice()))
+    in_reactor(lambda: Deferred.fromCoroutine(send_twice()))
     scripted.stop()
     assert (len(scripted.heads), scripted.connections) == (2, 2)
