--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -48,6 +48,18 @@
         """Record the call."""
         self.retired = True
 
+    def pause(self) -> None:
+        """Stop reading."""
+        in_reactor(cast(Any, self.transport).pauseProducing)
+
+    def resume(self) -> None:
+        """Read again."""
+        in_reactor(cast(Any, self.transport).resumeProducing)
+
+    def close(self) -> None:
+        """Close the connection once all bytes are sent."""
+        cast(Any, self.transport).loseConnection()
+
     def abort_now(self) -> None:
         """Reset the connection."""
         cast(Any, self.transport).abortConnection()
