Let only the upload's backpressure pause reading while a body is received

A caller that read only after its upload deadlocked: with 30 MB each way, it was still blocked after 8 s.

Cause: both Twisted and the body controlled reading from the caller. Twisted pauses and resumes reading with the response, and thereby overrode what the body had set. While a body is being received, the body's setting is now restored after each such change.

Evidence: two tests in test_relay_upload_edges.py failed before and pass now.

--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -22,6 +22,7 @@
     requestFactory = CallerRequest  # noqa: N815
     site: "CallerSite"
     _closing = False
+    _is_body_paused = False
     _deferred_refusal = b""
     _head_started_s: float | None = None
 
@@ -72,13 +73,39 @@
 
     def pause_reading(self) -> None:
         """Stop reading from the caller."""
+        self._is_body_paused = True
         self._networkProducer.pauseProducing()
 
     def resume_reading(self) -> None:
         """Resume reading from the caller."""
+        self._is_body_paused = False
         if not self._closing:
             self._networkProducer.resumeProducing()
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Pause the response until the caller has read more of it."""
+        super().pauseProducing()
+        self._restore_body_backpressure()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Resume the response."""
+        super().resumeProducing()
+        self._restore_body_backpressure()
+
+    def _restore_body_backpressure(self) -> None:
+        # Twisted also pauses and resumes reading with the response. While a body is
+        # being received, only the upload's backpressure controls reading.
+        if self._closing or not self._is_receiving_body():
+            return
+        if self._is_body_paused:
+            self._networkProducer.pauseProducing()
+        else:
+            self._networkProducer.resumeProducing()
+
+    def _is_receiving_body(self) -> bool:
+        body = self.requests[-1].body if self.requests else None
+        return body is not None and not body.complete
+
     def send_now(self) -> None:
         """Send written data without waiting for the next loop iteration."""
         send_now(self.transport)
--- /dev/null
+++ b/tests/test_relay_upload_edges.py
@@ -0,0 +1,106 @@
+"""Uploads that fail, get a response or are malformed before the end of the body."""
+
+import socket
+import threading
+import time
+from typing import Any
+
+import pytest
+from twisted.internet.task import deferLater
+
+from gentianwharf.logs import log
+from gentianwharf.relay import ConnectionLimits, Outcome
+from gentianwharf.relay._caller_body import MAX_REPLAY_BYTES
+from tests.builders_answers import ok
+from tests.builders_early_answers import (
+    CHUNKED,
+    block_reactor,
+    bodies_in_flight,
+    body_in_flight,
+    reset,
+    use_small_receive_buffer,
+)
+from tests.builders_processes import wait_until
+from tests.builders_relay import (
+    REACTOR,
+    read_head,
+    read_to_end,
+    request,
+    request_id_header,
+    response,
+    running_relay,
+)
+from tests.builders_uploads import body_of
+
+LARGE_BYTES = 400_000
+READ_BYTES = 65_536
+DEADLINE_MS = 3_000
+NOT_RUN = "Gentianwharf-Run: not-run\r\n"
+
+
+def test_body_stays_bounded_when_an_early_response_is_read_slowly() -> None:
+    """Guards against buffering a body without limit for a slow server."""
+    may_end = threading.Event()
+    response_bytes = 8_000_000
+
+    def stream_and_read_nothing(connection: socket.socket, head: bytes) -> None:
+        echo = request_id_header(head)
+        whole = response(b"x" * response_bytes, extra=echo)
+        connection.settimeout(10.0)
+        connection.sendall(whole[:-100])
+        may_end.wait(10.0)
+
+    with running_relay([stream_and_read_nothing], deadline_ms=12_000) as relay:
+        use_small_receive_buffer(relay)
+        with relay.connect() as caller:
+            caller.sendall(request("POST", headers="Content-Length: 60000000\r\n"))
+            caller.settimeout(8.0)
+            is_sending = threading.Event()
+
+            def upload() -> None:
+                is_sending.set()
+                try:
+                    while not may_end.is_set():
+                        caller.sendall(b"x" * READ_BYTES)
+                except OSError:
+                    return
+
+            sender = threading.Thread(target=upload, daemon=True)
+            sender.start()
+            time.sleep(1.0)
+            body = body_in_flight(relay)
+            held_before_bytes = body.held_bytes
+            received = 0
+            try:
+                while received < response_bytes - 100:
+                    received += len(caller.recv(READ_BYTES))
+            except OSError:
+                pass
+            time.sleep(1.5)
+            held_after_bytes = body.held_bytes
+        may_end.set()
+    assert max(held_before_bytes, held_after_bytes) <= 2 * READ_BYTES
+
+
+def test_caller_that_reads_only_after_its_upload_gets_a_large_early_response() -> None:
+    """Guards against a deadlock of an upload and an unread response."""
+    size = 30_000_000
+
+    def stream_both_ways(connection: socket.socket, head: bytes) -> None:
+        whole = response(b"x" * size, extra=request_id_header(head))
+        responding = threading.Thread(target=connection.sendall, args=(whole,))
+        responding.start()
+        received = len(head.partition(b"\r\n\r\n")[2])
+        while received < size:
+            received += len(connection.recv(READ_BYTES))
+        responding.join()
+
+    with (
+        running_relay([stream_both_ways], deadline_ms=5_000) as relay,
+        relay.connect() as caller,
+    ):
+        caller.settimeout(8.0)
+        caller.sendall(request("POST", body=b"y" * size))
+        received_response = read_to_end(caller)
+    assert received_response.startswith(b"HTTP/1.1 200 ")
+    assert len(received_response) > size
