Truncate a response whose server disconnects while the request is being sent

Symptom: when a response was cut off before the end of the upload, it was not cut off for the caller, who waited for the whole deadline (5.0 s in the test).

Cause: in this state, Twisted does not notify the response that its connection is lost. The connection now does so once the head of the response has arrived.

Evidence: test_truncated_early_response_is_truncated_for_the_caller failed before.

--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -116,7 +116,12 @@
             and not reason.check(ConnectionDone)
         ):
             self._monitor.note_reset(self.server_id())
+        pending = self._pending
+        has_head = pending is not None and pending.called
         super().connectionLost(reason)
+        if has_head:
+            # Twisted does not fail the response while the request is still being sent.
+            self._disconnectParser(reason)
 
     def server_id(self) -> str:
         """Return the id of the server."""
--- a/tests/test_relay_upload_edges.py
+++ b/tests/test_relay_upload_edges.py
@@ -38,6 +38,29 @@
 NOT_RUN = "Gentianwharf-Run: not-run\r\n"
 
 
+def test_truncated_early_response_is_truncated_for_the_caller() -> None:
+    """Guards against a caller that waits although its server disconnected."""
+
+    def begin_and_reset(connection: socket.socket, head: bytes) -> None:
+        echo = request_id_header(head)
+        whole = response(b"x" * 1_000, extra=echo)
+        connection.sendall(whole[:-900])
+        time.sleep(0.2)
+        reset(connection)
+        raise OSError("reset")
+
+    with (
+        running_relay([begin_and_reset], deadline_ms=5_000) as relay,
+        relay.connect() as caller,
+    ):
+        caller.sendall(request("POST", headers="Content-Length: 10\r\n") + b"0123")
+        started_s = time.monotonic()
+        received_response = read_to_end(caller)
+        elapsed_s = time.monotonic() - started_s
+    assert received_response.startswith(b"HTTP/1.1 200 ")
+    assert elapsed_s < 2.0
+
+
 def test_body_stays_bounded_when_an_early_response_is_read_slowly() -> None:
     """Guards against buffering a body without limit for a slow server."""
     may_end = threading.Event()
