Don't reuse a connection while its server has not received the whole body

Symptoms: a server that responded early left part of the body unsent. The next request on that connection was queued behind it (no response within 2 s), or got 502, response lost, when the server closed. A connection that was not to be reused was reset instead: the server got 24,385 of 400,000 bytes of a body after a success, and the log said "ended". A connection whose remaining data was already written had no time limit.

Cause: a connection counted as free once the response was complete, even if part of the request was still in its write buffer or the kernel's send buffer. It is now closed once the rest is sent, within 5 s.

Alternative considered: delaying the next request until the rest is sent. Rejected, since it is unknown whether the server will read it.

--- a/src/gentianwharf/relay/_connections.py
+++ b/src/gentianwharf/relay/_connections.py
@@ -278,9 +278,13 @@
         return PeerUnavailableError(message, step="connect", peer=self.server.address)
 
     def release(self, connection: ServerConnection) -> None:
-        """Return a connection to the pool after a complete response."""
-        if connection.retired:
-            connection.abort_now()
+        """Return a connection to the pool after a complete response.
+
+        A server that responded early may never read the rest of the request's body. The
+        connection is not reused then, since the next request would be queued behind it.
+        """
+        if connection.retired or connection.has_unsent_body:
+            connection.close_after_sending()
             return
         connection.idle_since_s = self.clock.seconds()
         self._idle.append(connection)
--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -25,11 +25,11 @@
 
 from gentianwharf.errors import PeerMismatchError
 from gentianwharf.pauses import Timeout
-from gentianwharf.sockets import unacknowledged_bytes
+from gentianwharf.sockets import queued_bytes, unacknowledged_bytes
 
 from ._headers import connection_options
 from ._link_monitor import LinkMonitor
-from ._transport import JoinedLines, send_now
+from ._transport import JoinedLines, buffered_bytes, send_now
 from ._tunnels import Tunnel
 
 if TYPE_CHECKING:
@@ -84,6 +84,7 @@
         """Digests of the ids of the requests that were sent."""
         self._pending: Deferred[Response] | None = None
         self._head_bytes = 0
+        self._has_body = False
         self._drain_timeout: Timeout | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -180,10 +181,8 @@
         if rest or self._server_closes():
             self.retired = True
         super()._finishResponse(rest)
-        if self._state == "TRANSMITTING_AFTER_RECEIVING_RESPONSE":
-            self._drain_timeout = Timeout(
-                clock=self.pool.clock, delay_s=DRAIN_TIMEOUT_S, expire=self.abort_now
-            )
+        if getattr(self.transport, "disconnecting", False):
+            self._start_drain_timeout()
 
     def _server_closes(self) -> bool:
         """Return whether the server closes the connection after this response.
@@ -230,6 +229,7 @@
             self._carried_ids.add(_digest(request_id))
         pending: Deferred[Response] = Deferred(lambda _: self.abort_now())
         self._pending, self._head_bytes = pending, 0
+        self._has_body = body is not None
         self._watch_response(pending, repeatable=repeatable)
         sent = cast("Deferred[Response]", self.request(request))
         early = getattr(self, "_responseDeferred", None)
@@ -260,6 +260,28 @@
         monitor.in_flight.pop(self, None)
         return result
 
+    @property
+    def has_unsent_body(self) -> bool:
+        """Whether part of the last request's body is not yet acknowledged."""
+        if not self._has_body:
+            return False
+        return (buffered_bytes(self.transport) + queued_bytes(self.transport)) > 0
+
+    def close_after_sending(self) -> None:
+        """Close the connection once the rest of the last request's body is sent."""
+        if not self.has_unsent_body:
+            self.abort_now()
+            return
+        self.retired = True
+        cast(ITCPTransport, self.transport).loseConnection()
+        self._start_drain_timeout()
+
+    def _start_drain_timeout(self) -> None:
+        if self._drain_timeout is None:
+            self._drain_timeout = Timeout(
+                clock=self.pool.clock, delay_s=DRAIN_TIMEOUT_S, expire=self.abort_now
+            )
+
     def retire(self) -> None:
         """Close now if the connection is idle, otherwise after the response."""
         self.retired = True
--- a/src/gentianwharf/relay/_transport.py
+++ b/src/gentianwharf/relay/_transport.py
@@ -21,6 +21,13 @@
     return None
 
 
+def buffered_bytes(transport: Any) -> int:
+    """Return how many written bytes have not been passed to the kernel."""
+    size = len(getattr(transport, "dataBuffer", b""))
+    size += getattr(transport, "_tempDataLen", 0)
+    return size - getattr(transport, "offset", 0)
+
+
 @final
 class JoinedLines:
     """Joins the lines of a head, since each write to the transport has a cost."""
--- a/src/gentianwharf/sockets.py
+++ b/src/gentianwharf/sockets.py
@@ -6,7 +6,7 @@
 import termios
 from typing import Any
 
-__all__ = ["is_closed_by_peer", "is_reset", "unacknowledged_bytes"]
+__all__ = ["is_closed_by_peer", "is_reset", "queued_bytes", "unacknowledged_bytes"]
 
 _STATE = struct.Struct("=B")
 """The field ``tcpi_state`` of Linux's ``struct tcp_info``."""
@@ -62,10 +62,20 @@
             socket.IPPROTO_TCP, socket.TCP_INFO, _UNACKNOWLEDGED_SEGMENTS.size
         )
         (segments,) = _UNACKNOWLEDGED_SEGMENTS.unpack(info)
-        if not segments:
-            return 0
-        queued = fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(_QUEUED_BYTES.size))
     except (OSError, AttributeError, struct.error):
         return 0
-    (queued_bytes,) = _QUEUED_BYTES.unpack(queued)
-    return int(queued_bytes)
+    return queued_bytes(transport) if segments else 0
+
+
+def queued_bytes(transport: Any) -> int:
+    """Return how many bytes in the send buffer the peer has not acknowledged.
+
+    A peer that does not read acknowledges at most what fits in its receive buffer.
+    """
+    try:
+        handle = transport.getHandle()
+        queued = fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(_QUEUED_BYTES.size))
+        (size,) = _QUEUED_BYTES.unpack(queued)
+    except (OSError, AttributeError, TypeError, struct.error):
+        return 0
+    return int(size)
