Don't report a request with a malformed body as not run once it was sent

Symptoms: a malformed chunk within a body got 400 with "not-run", though a server may run a request before its end. If the response had started, the refusal was written into it. One small request over the size limit wrote 4,990 log lines.

Cause: a malformed body was handled like a malformed head, and an aborted body was still parsed.

Evidence: three tests in test_relay_upload_edges.py failed before.

--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -51,14 +51,15 @@
         self._held_offset_bytes = 0
         self._upload: BodyUpload | None = None
         self._is_reading = True
-        self._is_lost = False
+        self.is_lost = False
+        """Whether the caller's connection was lost before the end of the body."""
         self._continue_pending = False
         self._prefix_known: list[Deferred[None]] = []
 
     @property
     def can_restart(self) -> bool:
         """Whether the body can be sent from its beginning."""
-        return self._held_offset_bytes == 0 and not self._is_lost
+        return self._held_offset_bytes == 0 and not self.is_lost
 
     @property
     def held_bytes(self) -> int:
@@ -102,7 +103,7 @@
         self._set_reading(self._should_read())
 
     def _should_read(self) -> bool:
-        if self.complete or self._is_lost:
+        if self.complete or self.is_lost:
             return True
         if self._upload is not None and self._upload.is_active:
             return self._upload.wants_data
@@ -140,7 +141,7 @@
 
     def lost(self) -> None:
         """Abort the upload, since the caller disconnected before the body's end."""
-        self._is_lost = True
+        self.is_lost = True
         if self._upload is not None:
             self._upload.abort()
 
--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -106,7 +106,7 @@
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Forward a chunk of the body."""
-        if self.body is None:
+        if self.body is None or self.body.is_lost:
             return
         most_bytes = cast(Any, self.channel).site.limits.most_body_bytes
         if self.body.received(data) > (most_bytes or inf):
@@ -175,5 +175,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the caller detects the truncated response."""
+        if self.body is not None and not self.body.complete:
+            self.body.lost()
         if self.channel is not None:
             cast(RequestChannel, self.channel).abort()
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -208,8 +208,19 @@
         )
         if self._closing or self.transport is None:
             return
+        if self._is_receiving_body():
+            self._refuse_malformed_body()
+            return
         self._refuse(_TOO_LARGE if too_large else _MALFORMED)
 
+    def _refuse_malformed_body(self) -> None:
+        request = self.requests[-1]
+        if request.startedWriting:
+            request.abort()
+            return
+        request.body.lost()
+        self._refuse(_MALFORMED_BODY)
+
     def _refuse(self, refusal: bytes) -> None:
         self._closing = True
         if len(self.requests) > 1:
@@ -222,8 +233,8 @@
             self.loseConnection()
 
 
-def _refusal(status: bytes, title: str) -> bytes:
-    problem = {"title": title, "status": int(status[:3]), "run": "not-run"}
+def _refusal(status: bytes, title: str, *, run: str = "not-run") -> bytes:
+    problem = {"title": title, "status": int(status[:3]), "run": run}
     body = json.dumps(problem).encode()
     return b"\r\n".join(
         [
@@ -241,6 +252,8 @@
     b"431 Request Header Fields Too Large", "the request's head is too large"
 )
 _MALFORMED = _refusal(b"400 Bad Request", "malformed request")
+# The server may have run the request before receiving the end of its body.
+_MALFORMED_BODY = _refusal(b"400 Bad Request", "malformed body", run="unknown")
 _SLOW_HEAD = _refusal(b"408 Request Timeout", "the request's head came too slowly")
 
 
--- a/tests/test_relay_upload_edges.py
+++ b/tests/test_relay_upload_edges.py
@@ -105,6 +105,47 @@
     assert max(held_before_bytes, held_after_bytes) <= 2 * READ_BYTES
 
 
+def test_malformed_body_does_not_add_a_refusal_to_a_started_response() -> None:
+    """Guards against a refusal that is read as part of the server's response."""
+
+    def begin(connection: socket.socket, head: bytes) -> None:
+        whole = response(b"x" * 1_000, extra=request_id_header(head))
+        connection.sendall(whole[:-900])
+        time.sleep(1.0)
+
+    with (
+        running_relay([begin], deadline_ms=DEADLINE_MS) as relay,
+        relay.connect() as caller,
+    ):
+        caller.sendall(request("POST", headers=CHUNKED) + b"4\r\n0123\r\n")
+        received_response = caller.recv(READ_BYTES)
+        while b"x" not in received_response:
+            received_response += caller.recv(READ_BYTES)
+        caller.sendall(b"zz\r\n")
+        received_response += read_to_end(caller)
+    assert b"HTTP/1.1 400 " not in received_response
+
+
+def test_malformed_body_is_not_reported_as_not_run_once_it_was_sent() -> None:
+    """Guards against a caller that repeats a request that may have run."""
+    has_run = threading.Event()
+
+    def run_before_the_end(connection: socket.socket, head: bytes) -> None:
+        has_run.set()
+        connection.recv(READ_BYTES)
+
+    with (
+        running_relay([run_before_the_end], deadline_ms=DEADLINE_MS) as relay,
+        relay.connect() as caller,
+    ):
+        caller.sendall(request("POST", headers=CHUNKED) + b"4\r\n0123\r\n")
+        assert has_run.wait(5.0)
+        caller.sendall(b"zz\r\n")
+        received_response = read_to_end(caller)
+    assert received_response.startswith(b"HTTP/1.1 400 ")
+    assert b"not-run" not in received_response
+
+
 def test_caller_that_reads_only_after_its_upload_gets_a_large_early_response() -> None:
     """Guards against a deadlock of an upload and an unread response."""
     size = 30_000_000
@@ -127,3 +168,22 @@
         received_response = read_to_end(caller)
     assert received_response.startswith(b"HTTP/1.1 200 ")
     assert len(received_response) > size
+
+
+def test_body_over_the_limit_is_logged_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one small request that fills the log."""
+    logged: list[str] = []
+    monkeypatch.setattr(log, "info", lambda message, **_: logged.append(message))
+    limits = ConnectionLimits(most_body_bytes=10)
+
+    def read_all(connection: socket.socket, head: bytes) -> None:
+        while connection.recv(READ_BYTES):
+            pass
+
+    with (
+        running_relay([read_all], limits=limits, deadline_ms=DEADLINE_MS) as relay,
+        relay.connect() as caller,
+    ):
+        caller.sendall(request("POST", headers=CHUNKED) + b"1\r\nx\r\n" * 5_000)
+        assert read_to_end(caller) == b""
+    assert logged.count("request aborted: body too large") == 1
