Keep the beginning of a body until the kernel has accepted it

Symptom: 503 for a request of which no byte was sent. An idle connection had been reset unnoticed, and more than 16 KiB of the body had been read ahead.

Cause: the beginning was dropped when it was passed to the connection. It is now dropped once the kernel has accepted the beginning of the request.

Evidence: test_body_that_no_server_has_received_is_sent_on_another_connection failed before.

--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -254,7 +254,7 @@
         if self._request.body is not None:
             self._upload = self._request.body.open_upload(on_abort=connection.abort_now)
         try:
-            return connection.send_request(
+            response = connection.send_request(
                 method=self._request.method,
                 uri=self._request.uri,
                 headers=headers,
@@ -275,6 +275,9 @@
                     step="send",
                 ),
             ) from error
+        if self._upload is not None and not response.called:
+            self._upload.confirm()
+        return response
 
     def _is_late(self) -> bool:
         return bool(self._reactor.seconds() >= self._deadline_s())
--- a/src/gentianwharf/relay/_body_upload.py
+++ b/src/gentianwharf/relay/_body_upload.py
@@ -71,6 +71,8 @@
     ) -> None:
         self.length = length
         self.sent_bytes = 0
+        self.is_confirmed = False
+        """Whether the kernel has accepted the beginning of the request."""
         self._source = source
         self._on_abort = on_abort
         self._consumer: IConsumer | None = None
@@ -136,6 +138,11 @@
             self._state = _State.ENDED
             done.callback(None)
 
+    def confirm(self) -> None:
+        """Record that the kernel has accepted the beginning of the request."""
+        self.is_confirmed = True
+        self._source.note_progress()
+
     def pauseProducing(self) -> None:  # noqa: N802
         """Stop writing until the connection's write buffer has drained."""
         if self._state is _State.WRITING:
--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -97,7 +97,12 @@
         """Discard sent data of a body too large to replay; pause or resume reading."""
         upload = self._upload
         is_kept = self.received_bytes <= MAX_REPLAY_BYTES
-        if upload is not None and not upload.is_aborted and not is_kept:
+        if (
+            upload is not None
+            and upload.is_confirmed
+            and not upload.is_aborted
+            and not is_kept
+        ):
             self._held = self._held[upload.sent_bytes - self._held_offset_bytes :]
             self._held_offset_bytes = upload.sent_bytes
         self._set_reading(self._should_read())
--- a/tests/test_relay_upload_edges.py
+++ b/tests/test_relay_upload_edges.py
@@ -146,6 +146,58 @@
     assert b"not-run" not in received_response
 
 
+def test_body_that_no_server_has_received_is_sent_on_another_connection() -> None:
+    """Guards against refusing a request that can still be sent completely."""
+    may_reset, is_reset, may_resume = (threading.Event() for _ in range(3))
+
+    def respond_and_reset_later(connection: socket.socket, head: bytes) -> None:
+        connection.sendall(response(b"ok", extra=request_id_header(head)))
+        may_reset.wait(10.0)
+        reset(connection)
+        is_reset.set()
+        raise OSError("reset")
+
+    def run(connection: socket.socket, head: bytes) -> None:
+        size = len(head.partition(b"\r\n\r\n")[2])
+        while size < READ_BYTES:
+            size += len(connection.recv(READ_BYTES))
+        ok(connection, head)
+
+    with (
+        running_relay([respond_and_reset_later, run], deadline_ms=DEADLINE_MS) as relay,
+        relay.connect() as first,
+        relay.connect() as second,
+    ):
+        first.sendall(request(close=False))
+        assert read_head(first).startswith(b"HTTP/1.1 200 ")
+        (pool,) = relay.app.connections.values()
+        wait_until(lambda: len(pool.idle()) == 1, description="an idle connection")
+        admit = relay.admission.admit
+
+        async def admit_later(*args: Any) -> Any:
+            await deferLater(REACTOR, 0.3)
+            return await admit(*args)
+
+        relay.admission.admit = admit_later
+        second.sendall(request("POST", body=body_of(1, READ_BYTES)))
+        wait_until(
+            lambda: any(
+                body.held_bytes > MAX_REPLAY_BYTES for body in bodies_in_flight(relay)
+            ),
+            description="the beginning of the body at the host",
+        )
+        blocking = block_reactor(may_resume)
+        may_reset.set()
+        assert is_reset.wait(5.0)
+        time.sleep(0.4)
+        may_resume.set()
+        blocking.join()
+        received_response = read_to_end(second)
+    outcomes = [each.outcome for each in relay.records.responses[-1].attempts]
+    assert outcomes[0] is Outcome.CONNECT_FAILED
+    assert received_response.startswith(b"HTTP/1.1 200 ")
+
+
 def test_caller_that_reads_only_after_its_upload_gets_a_large_early_response() -> None:
     """Guards against a deadlock of an upload and an unread response."""
     size = 30_000_000
