--- /dev/null
+++ b/tests/builders_answers_fuzz.py
@@ -0,0 +1,384 @@
+"""Servers whose answers differ in each byte, and callers that read them in many ways.
+
+The number of a request is the last part of its path. Each time a server gets a request
+it answers with the number of that arrival, and a body that only this arrival has.
+"""
+
+import re
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+from itertools import count
+from random import Random
+from typing import final
+
+from tests.builders_relay import request_id_header, response
+from tests.builders_uploads import body_of
+
+MOST_ANSWER_BYTES = 1_500_000
+PIECE_BYTES = 65_536
+SERVER_TIMEOUT_S = 15.0
+SMALL_BUFFER_BYTES = 16_384
+LATE_HEAD_S = 0.3
+
+REQUEST_LINE = re.compile(rb"(GET|POST) /plain/(\d+) HTTP/1.1\r\n")
+ARRIVAL = "X-Arrival"
+NUMBER = "X-Number"
+NOT_RUN = "Gentianwharf-Run: not-run\r\n"
+FULL = "503 Service Unavailable"
+
+
+class Framing(StrEnum):
+    """How a server states where its answer ends."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+
+
+class Behaviour(StrEnum):
+    """What a server does with a request."""
+
+    ANSWER = "answer"
+    ANSWER_LATE = "answer-late"
+    ANSWER_AND_CLOSE = "answer-and-close"
+    CLOSE_WITHIN = "close-within"
+    RESET_WITHIN = "reset-within"
+    RESET_AT_ONCE = "reset-at-once"
+    REFUSE = "refuse"
+
+
+WEIGHTS = {
+    Behaviour.ANSWER: 10,
+    Behaviour.ANSWER_LATE: 3,
+    Behaviour.ANSWER_AND_CLOSE: 1,
+    Behaviour.CLOSE_WITHIN: 1,
+    Behaviour.RESET_WITHIN: 1,
+    Behaviour.RESET_AT_ONCE: 1,
+    Behaviour.REFUSE: 2,
+}
+
+CUTS = frozenset({Behaviour.CLOSE_WITHIN, Behaviour.RESET_WITHIN})
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A request at a server, and the answer that it gets."""
+
+    number: int
+    request: int
+    length: int
+    framing: Framing
+    behaviour: Behaviour
+    pieces: int
+    pause_s: float
+    share: float
+    """The part of the answer after which a server cuts it."""
+
+    @property
+    def body(self) -> bytes:
+        """The body of the answer."""
+        return body_of(self.number, self.length)
+
+
+@final
+class Arrivals:
+    """All requests that have reached servers."""
+
+    def __init__(self, *, rng: Random) -> None:
+        self._rng = rng
+        self._numbers = count(1)
+        self._by_number: dict[int, Arrival] = {}
+        self._cut_requests: set[int] = set()
+        self._lock = threading.Lock()
+
+    def add(self, head: bytes) -> Arrival:
+        """Draw the answer to a request; raises ``OSError`` if its head was cut."""
+        match = REQUEST_LINE.match(head)
+        if match is None or b"\r\n\r\n" not in head:
+            raise OSError("the connection ended within a head")
+        with self._lock:
+            rng = self._rng
+            arrival = Arrival(
+                number=next(self._numbers),
+                request=int(match[2]),
+                length=draw_length(rng),
+                framing=rng.choice(list(Framing)),
+                behaviour=rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0],
+                pieces=rng.choice([1, 1, 2, 7]),
+                pause_s=rng.choice([0.0, 0.0, 0.02, 0.1]),
+                share=rng.random(),
+            )
+            self._by_number[arrival.number] = arrival
+            if arrival.behaviour in CUTS:
+                self._cut_requests.add(arrival.request)
+        return arrival
+
+    def get(self, number: int) -> Arrival:
+        """Return the arrival with a number."""
+        with self._lock:
+            return self._by_number[number]
+
+    def is_cut(self, request: int) -> bool:
+        """Whether a server has cut an answer to a request."""
+        with self._lock:
+            return request in self._cut_requests
+
+
+def draw_length(rng: Random) -> int:
+    """Return the length of an answer."""
+    return rng.choice(
+        [
+            0,
+            1,
+            rng.randrange(1, 16_384),
+            rng.randrange(16_384, 70_000),
+            rng.randrange(70_000, 400_000),
+            rng.randrange(400_000, MOST_ANSWER_BYTES),
+        ]
+    )
+
+
+@final
+class AnsweringServer:
+    """A script that answers each request as drawn."""
+
+    def __init__(self, arrivals: Arrivals) -> None:
+        self._arrivals = arrivals
+
+    def __call__(self, connection: socket.socket, head: bytes) -> None:
+        """Answer one request."""
+        connection.settimeout(SERVER_TIMEOUT_S)
+        arrival = self._arrivals.add(head)
+        behaviour, echo = arrival.behaviour, request_id_header(head)
+        if behaviour is Behaviour.RESET_AT_ONCE:
+            _reset(connection)
+            raise OSError("reset")
+        if behaviour is Behaviour.REFUSE:
+            connection.sendall(response(b"", status=FULL, extra=NOT_RUN + echo))
+            return
+        if behaviour is Behaviour.ANSWER_LATE:
+            time.sleep(LATE_HEAD_S)
+        connection.sendall(_answer_head(arrival, echo))
+        for piece in _pieces(arrival):
+            connection.sendall(piece)
+            time.sleep(arrival.pause_s)
+        if behaviour is Behaviour.RESET_WITHIN:
+            _reset(connection)
+        if behaviour in CUTS or behaviour is Behaviour.ANSWER_AND_CLOSE:
+            raise OSError("ended")
+
+
+def _answer_head(arrival: Arrival, echo: str) -> bytes:
+    fields = f"{ARRIVAL}: {arrival.number}\r\n{NUMBER}: {arrival.request}\r\n{echo}"
+    if arrival.framing is Framing.CHUNKED:
+        fields += "Transfer-Encoding: chunked\r\n"
+    else:
+        fields += f"Content-Length: {arrival.length}\r\n"
+    if arrival.behaviour is Behaviour.ANSWER_AND_CLOSE:
+        fields += "Connection: close\r\n"
+    return f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode()
+
+
+def _pieces(arrival: Arrival) -> Iterator[bytes]:
+    body = arrival.body
+    is_cut = arrival.behaviour in CUTS
+    end = int(arrival.share * arrival.length) if is_cut else arrival.length
+    size = max(1, -(-end // arrival.pieces))
+    for start in range(0, end, size):
+        piece = body[start : min(start + size, end)]
+        if arrival.framing is Framing.CHUNKED:
+            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+        yield piece
+    if arrival.framing is Framing.CHUNKED and not is_cut:
+        yield b"0\r\n\r\n"
+
+
+def _reset(connection: socket.socket) -> None:
+    with suppress(OSError):
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Batch:
+    """Requests that a caller sends at once, and how it reads their answers."""
+
+    numbers: Sequence[int]
+    method: str
+    piece_bytes: int = PIECE_BYTES
+    pause_s: float = 0.0
+    """The caller's pause after each piece that it reads."""
+    leaves_after_bytes: int | None = None
+
+    def data(self) -> bytes:
+        """Return the requests' bytes."""
+        return b"".join(
+            f"{self.method} /plain/{number} HTTP/1.1\r\nHost: gateway\r\n\r\n".encode()
+            for number in self.numbers
+        )
+
+
+def draw_batch(rng: Random, numbers: Iterator[int]) -> Batch:
+    """Return requests on one connection, and how they are sent and read."""
+    size = rng.choice([1, 1, 1, 2, 5])
+    piece_bytes, pause_s = rng.choice(
+        [(PIECE_BYTES, 0.0), (PIECE_BYTES, 0.0), (16_384, 0.005), (300_000, 0.2)]
+    )
+    leaves = rng.random() < 0.08
+    return Batch(
+        numbers=tuple(next(numbers) for _ in range(size)),
+        method=rng.choice(["GET", "GET", "POST"]),
+        piece_bytes=piece_bytes,
+        pause_s=pause_s,
+        leaves_after_bytes=rng.randrange(300_000) if leaves else None,
+    )
+
+
+class EndedError(Exception):
+    """The connection ended."""
+
+
+class LeftError(Exception):
+    """The caller left on purpose."""
+
+
+@final
+@dataclass(kw_only=True)
+class Findings:
+    """What the callers of a test saw."""
+
+    statuses: Counter[str] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+
+
+@final
+class Caller:
+    """Sends batches, on a connection that stays open while it can.
+
+    An answer has to begin ``answer_within_s`` after the one before it has ended.
+    """
+
+    def __init__(
+        self, *, port: int, arrivals: Arrivals, found: Findings, answer_within_s: float
+    ) -> None:
+        self._port = port
+        self._arrivals = arrivals
+        self._found = found
+        self._answer_within_s = answer_within_s
+        self._connection: socket.socket | None = None
+        self._data = b""
+        self._read_bytes = 0
+
+    def send(self, batch: Batch) -> None:
+        """Send one batch, and check all its answers."""
+        if self._connection is None:
+            self._connection = self._connect(slow=batch.pause_s > 0)
+        self._read_bytes = 0
+        number = batch.numbers[0]
+        try:
+            self._connection.sendall(batch.data())
+            for number in batch.numbers:
+                if not self._read_answer(batch, number):
+                    self.close()
+                    return
+        except LeftError:
+            self._note("left")
+            self.close()
+        except TimeoutError:
+            self._fault(f"request {number}: no answer in time", batch)
+            self.close()
+        except (EndedError, OSError):
+            self._note("ended")
+            if not any(self._arrivals.is_cut(each) for each in batch.numbers):
+                self._fault(f"request {number}: ended without a cut", batch)
+            self.close()
+
+    def _connect(self, *, slow: bool) -> socket.socket:
+        connection = socket.socket()
+        if slow:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+            )
+        connection.connect(("127.0.0.1", self._port))
+        return connection
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+        self._connection, self._data = None, b""
+
+    def _note(self, status: str) -> None:
+        self._found.statuses[status] += 1
+
+    def _fault(self, text: str, batch: Batch) -> None:
+        self._found.faults.append(f"{text} ({batch})")
+
+    def _receive(self, batch: Batch) -> None:
+        connection = self._connection
+        if connection is None:
+            raise EndedError
+        leaves_after = batch.leaves_after_bytes
+        if leaves_after is not None and self._read_bytes >= leaves_after:
+            raise LeftError
+        connection.settimeout(self._answer_within_s)
+        piece = connection.recv(batch.piece_bytes)
+        if not piece:
+            raise EndedError
+        self._read_bytes += len(piece)
+        self._data += piece
+        time.sleep(batch.pause_s)
+
+    def _take_line_end(self, batch: Batch, end: bytes) -> bytes:
+        while end not in self._data:
+            self._receive(batch)
+        taken, _, self._data = self._data.partition(end)
+        return taken
+
+    def _take(self, batch: Batch, size: int) -> bytes:
+        while len(self._data) < size:
+            self._receive(batch)
+        taken, self._data = self._data[:size], self._data[size:]
+        return taken
+
+    def _read_answer(self, batch: Batch, number: int) -> bool:
+        """Check an answer; return whether the connection stays open."""
+        head = self._take_line_end(batch, b"\r\n\r\n").decode("latin-1")
+        lines = [line.partition(": ") for line in head.split("\r\n")[1:]]
+        fields = {name.lower(): value for name, _, value in lines}
+        if fields.get("transfer-encoding") == "chunked":
+            body = b"".join(self._chunks(batch))
+        else:
+            body = self._take(batch, int(fields["content-length"]))
+        status = head.split(" ")[1]
+        self._note(status)
+        if status == "200":
+            self._check(batch, number, fields, body)
+        elif ARRIVAL.lower() in fields or b'"run"' not in body:
+            self._fault(f"request {number}: {head!r} is no problem document", batch)
+        return fields.get("connection", "").lower() != "close"
+
+    def _chunks(self, batch: Batch) -> Iterator[bytes]:
+        while size := int(self._take_line_end(batch, b"\r\n"), 16):
+            yield self._take(batch, size)
+            self._take_line_end(batch, b"\r\n")
+        self._take_line_end(batch, b"\r\n")
+
+    def _check(
+        self, batch: Batch, number: int, fields: dict[str, str], body: bytes
+    ) -> None:
+        arrival = self._arrivals.get(int(fields[ARRIVAL.lower()]))
+        if arrival.request != number or fields[NUMBER.lower()] != str(number):
+            self._fault(f"request {number}: got the answer to {arrival}", batch)
+        elif body != arrival.body:
+            self._fault(
+                f"request {number}: {len(body)} other bytes than {arrival}", batch
+            )
