--- a/tests/test_users_platform_orders.py
+++ b/tests/test_users_platform_orders.py
@@ -325,12 +325,15 @@
 
     async def send_twice() -> None:
         await client.grant(holder, GRANT, timeout_s=2.0)
-        idle_ended = deferLater(reactor, IDLE_S)
+        idle_ended: Deferred[None] = deferLater(reactor, IDLE_S)
         # Both timers are due when the loop runs again.
         time.sleep(2 * IDLE_S)
         await idle_ended
         await client.grant(holder, GRANT, timeout_s=2.0)
 
-    blockingCallFromThread(reactor, lambda: Deferred.fromCoroutine(send_twice()))
+    def send() -> Any:
+        return Deferred.fromCoroutine(send_twice())
+
+    blockingCallFromThread(reactor, send)
     scripted.stop()
     assert (len(scripted.heads), scripted.connections) == (2, 2)
