Let a caller read an answer that came before the end of its upload

What callers saw: an answer of 1 MB given within an upload ended after 24 kB for a caller who read slowly.

Cause: the caller's connection was closed with part of the upload unread, upon which the kernel resets it and discards the part of the answer on its way.

Evidence: the test failed before (24,425 of 1,000,000 bytes, with 1.5 MB sent) and passes now; with 0 and 300 kB sent it passed before, too.

Ways weighed: not reading on, and only ending this side, leaves a caller who sends its whole body first waiting; reading on without a bound serves callers who never stop. RFC 9112, section 9.6, describes what is done now: 30 s and 16 MiB at most.

--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -15,6 +15,12 @@
 from ._pipeline import MAX_PIPELINED, safe_head_length
 from ._transport import send_now
 
+LINGER_TIMEOUT_S = 30.0
+"""Time for a caller to read an answer that was sent before the end of its request."""
+
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+"""Bytes of such a request that are read and dropped until then."""
+
 
 class CallerChannel(HTTPChannel):
     """A caller's connection, with problem documents for malformed requests."""
@@ -24,6 +30,8 @@
     _closing = False
     _deferred_refusal = b""
     _head_started_s: float | None = None
+    _is_body_unread = False
+    _discarded_bytes = 0
 
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
@@ -99,10 +107,26 @@
         self.persistent = 0
 
     def close_after_response(self) -> None:
-        """Close once the response is written, without reading further."""
-        self._closing = True
+        """Close once the response is written, and drop the rest of the request."""
+        self._closing = self._is_body_unread = True
         self.disable_keep_alive()
 
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close once all data is written.
+
+        While a body is not read, only this side is closed (RFC 9112, section 9.6): to
+        close with bytes unread would discard the part of the answer on its way.
+        """
+        if not self._is_body_unread:
+            super().loseConnection()
+            return
+        self._is_body_unread = False
+        transport = cast(Any, self.transport)
+        transport.unregisterProducer()
+        transport.loseWriteConnection()
+        transport.resumeProducing()
+        self.setTimeout(LINGER_TIMEOUT_S)
+
     def abort(self) -> None:
         """Close immediately and discard unsent data."""
         self._closing = True
@@ -113,6 +137,10 @@
         """Process data, unless the connection is closing."""
         if not self._closing:
             super().dataReceived(data)
+            return
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self.abort()
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process a part of a body, unless the connection is closing."""
