Don't take an answer that waits for an earlier one for a stalled one

What callers saw: the second of two pipelined reads was cut, since the first one's answer lasted longer than the time after which a response has stalled (30 s by default).

Cause: an answer whose buffer is full is paused until the earlier ones are written, and its stall timer ran meanwhile.

Evidence: the test failed before (the second answer missing, at 1.8 s and a limit of 0.6 s) and passes now.

Ways weighed: a timer that starts with the first byte to the caller would miss a server that stalls before.

--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -71,10 +71,13 @@
         """Abort the response if it stalls, unless it is complete already."""
         if self._finished:
             return
+        self._start_stall_timer()
+        self._start_silence_timeout(self._deadline_s - self._clock.seconds())
+
+    def _start_stall_timer(self) -> None:
         self._stall_timer = self._clock.callLater(
             self._stall_timeout_s, self._handle_stall
         )
-        self._start_silence_timeout(self._deadline_s - self._clock.seconds())
 
     def _start_silence_timeout(self, delay_s: float) -> None:
         self._silence_timeout = Timeout(
@@ -141,6 +144,10 @@
         self._finish(complete=False)
 
     def _handle_stall(self) -> None:
+        if self._is_paused and self._request.queued:
+            # It waits for earlier responses, which have timers of their own.
+            self._start_stall_timer()
+            return
         self._finish(complete=False)
 
     def _finish(self, *, complete: bool) -> None:
--- a/tests/test_relay_pipelining.py
+++ b/tests/test_relay_pipelining.py
@@ -1,16 +1,19 @@
 """Pipelining: several requests on a connection before the first response."""
 
 import threading
+import time
 from dataclasses import dataclass, field
 
 import pytest
 
-from gentianwharf.relay._pipeline import BufferedResponse
+from gentianwharf.relay import ConnectionLimits
+from gentianwharf.relay._pipeline import MAX_BUFFERED_BYTES, BufferedResponse
 from tests.builders_relay import request, response, running_relay
 
 ABSENCE_S = 0.2
 """Time to wait for an event that must not occur."""
 
+STALL_S = 0.6
 HANG_S = 5.0
 """Timeout for requests that wait for each other in a server; reached only by a hang."""
 
@@ -217,3 +220,24 @@
         received = relay.send(b"".join(requests) + request(path=paths[-1]))
     assert received.count(b"HTTP/1.1 200") == count
     assert are_in_order(received, *(path.encode() for path in paths))
+
+
+def test_answer_that_waits_for_the_one_before_it_has_not_stalled() -> None:
+    """Guards against an answer cut because an earlier one lasts long."""
+    large = b"x" * (40 * MAX_BUFFERED_BYTES)
+
+    def serve(connection, head):  # type: ignore[no-untyped-def]
+        if path_of(head) == b"/plain/large":
+            connection.sendall(response(large))
+            return
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n")
+        for _ in range(6):
+            time.sleep(STALL_S / 2)
+            connection.sendall(b"s")
+
+    limits = ConnectionLimits(stall_timeout_s=STALL_S)
+    with running_relay([serve], deadline_ms=10_000, limits=limits) as relay:
+        received = relay.send(
+            request(path="/plain/slow", close=False) + request(path="/plain/large")
+        )
+    assert received.endswith(b"\r\n\r\n" + large)
