--- a/bench/fleet/_callers.py
+++ b/bench/fleet/_callers.py
@@ -12,11 +12,12 @@
 
 import msgspec
 from cyclopts import App
+from soak._answers import read_answer
 from soak._uploads import UploadProducer, draw_upload
 from twisted.internet import reactor as installed_reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from gentianwharf.http_agent import BytesBody
@@ -210,7 +211,7 @@
         for value in response.headers.getRawHeaders("retry-after", []):
             request.retry_after_s = float(value)
         request.status = response.code
-        text: bytes = await readBody(response)
+        text = await read_answer(response)
         if response.headers.getRawHeaders("content-type") == [PROBLEM_TYPE]:
             request.reason = str(msgspec.json.decode(text)["title"])
 
--- a/soak/_uploading.py
+++ b/soak/_uploading.py
@@ -6,11 +6,12 @@
 from typing import Any, final
 
 from twisted.internet.defer import Deferred
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from gentianwharf.platform.standin import UNKEYED, UPLOAD_HEADER, UPLOADS, BodyReport
 
+from ._answers import read_answer
 from ._checks import SentRequest
 from ._uploads import UploadPlan, UploadProducer, draw_upload
 
@@ -79,7 +80,7 @@
         request.status = response.code
         signatures = response.headers.getRawHeaders("response-signature")
         request.signature = signatures[0] if signatures else None
-        request.body = await readBody(response)
+        request.body = await read_answer(response)
         request.is_complete = True
 
 
--- a/tests/test_soak_uploads.py
+++ b/tests/test_soak_uploads.py
@@ -4,8 +4,11 @@
 from typing import Any
 
 import pytest
+from soak._answers import read_answer
 from soak._uploads import UploadPlan, UploadProducer, draw_upload, find_unasked
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
 
 from gentianwharf.platform.standin import BodyReport, upload_body
 
@@ -150,3 +153,20 @@
     sent.producer.stopProducing()
     sent.clock.advance(1.0)
     assert len(sent.data) == 40
+
+
+@pytest.mark.parametrize("is_cancelled", [False, True], ids=["read", "cancelled"])
+def test_answer_whose_end_is_told_twice_is_read_once(*, is_cancelled: bool) -> None:
+    """Guards against fleets given up because a caller logged an error of Twisted's."""
+    readers: list[Any] = []
+    response: Any = type("Response", (), {"deliverBody": readers.append})()
+    results: list[Any] = []
+    body = read_answer(response).addBoth(results.append)
+    (reader,) = readers
+    reader.dataReceived(b"whole")
+    if is_cancelled:
+        body.cancel()
+    reader.connectionLost(Failure(ResponseDone()))
+    reader.connectionLost(Failure(ResponseDone()))
+    assert len(results) == 1
+    assert (results == [b"whole"]) is not is_cancelled
