Let a new leader count requests before it rebalances keys

Callers saw "no server holds the key at the moment" at all hosts for some 100 ms to 400 ms after a change of leadership.

Cause: a host that has just become the leader has counted no requests, and a load of which nothing is known counts as exactly even, without any noise. Its first plan, beside the renewal of all grants and the moves that the former leader left behind, moved keys off servers that hold more shards than others because their shards are less busy; once the counts came, other keys moved back. Now a leader rebalances from 2 s after it took over. Keys of servers that left or are lost move at once as before.

Evidence: test_next_leader_moves_no_shards_before_it_has_counted_requests fails before: shards 0 to 90 move from s3 to s1 and back.

Ways weighed: hosts could report to the next leader what they reported before, or the leader could hand over its counts; both are news to keep in order for two seconds of rebalancing. No counts as unlimited noise would also keep a server that joins an idle service from getting shards.

--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -42,6 +42,10 @@
 """As long as most moves take. Requests are counted by shard, so a move in between does
 not invalidate the counts."""
 
+MIN_COUNTED_S = 2.0
+"""How long a new leader counts requests before it rebalances. The counts of the former
+leader are gone, and without any the load of all shards looks even."""
+
 CLEAN_UP_AFTER_S = 3.0
 """Finished moves are removed from the stored table together, since each write causes a
 paid call by every host. Until then a new leader would only repeat releases that have
@@ -241,7 +245,9 @@
         )
 
     def _plan(self, service: KeyedService, now_s: float) -> None:
-        is_rebalance_due = now_s >= service.rebalanced_s + REBALANCE_EVERY_S
+        is_rebalance_due = now_s >= max(
+            service.rebalanced_s + REBALANCE_EVERY_S, self._gained_s + MIN_COUNTED_S
+        )
         if not is_rebalance_due and not self._is_changed(service):
             return
         reachable = self._reachable(service)
--- a/tests/test_keyspace_leadership.py
+++ b/tests/test_keyspace_leadership.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from gentianwharf.keyspace import decode_table
+from gentianwharf.keyspace import ObservedLoad, decode_table
 from gentianwharf.keyspace._previous_leader import decode_previous_leader
 from tests.builders_keyspace import (
     LEADER_KEY,
@@ -18,6 +18,10 @@
 from tests.builders_keyspace_hosts import LeadingHost, SimpleStore, run_hosts
 
 ALL = dict.fromkeys(range(0, SHARDS, 7))
+BUSY_SHARDS = range(300)
+REPORT_INTERVAL_S = 0.25
+REQUESTS_PER_REPORT = 1.0
+BUSY_LOAD = ObservedLoad(running=5.0, waiting=0.0, answers=5.0, executed=5.0)
 
 
 def make_hosts(
@@ -71,6 +75,38 @@
     assert served(servers)
 
 
+def _run_with_load(
+    clock: Clock, duration_s: float, leader: LeadingHost, *others: LeadingHost
+) -> None:
+    """Let hosts report to the leader that three in ten shards get all requests."""
+    demand = leader.planner.demand(SERVICE)
+    assert demand is not None
+    for _ in range(round(duration_s / REPORT_INTERVAL_S)):
+        run_hosts(clock, REPORT_INTERVAL_S, leader, *others)
+        demand.note_requests(dict.fromkeys(BUSY_SHARDS, REQUESTS_PER_REPORT))
+        for server_id in ("s1", "s2", "s3"):
+            demand.note_load(server_id, BUSY_LOAD)
+
+
+def test_next_leader_moves_no_shards_before_it_has_counted_requests() -> None:
+    """Guards against keys without a holder since no request counts as even load."""
+    clock = Clock()
+    store, _, (first, second) = make_hosts(clock, "a", "b")
+    run_hosts(clock, 1.5, first, second)
+    leader, other = (first, second) if first.leads else (second, first)
+    _run_with_load(clock, 10.0, leader, other)
+    before = decode_table(store.items_by_key[TABLE_KEY].value, peer="test")
+    assert not any(span.former_holders for span in before.spans)
+    Deferred.fromCoroutine(
+        leader.leadership.resign(leader.manager.holders.held_s(), campaign_pause_s=60.0)
+    )
+    run_hosts(clock, 0.25, leader, other)
+    assert other.leads
+    _run_with_load(clock, 5.0, other, leader)
+    after = decode_table(store.items_by_key[TABLE_KEY].value, peer="test")
+    assert after.spans == before.spans
+
+
 def test_suspended_leader_sends_no_order_after_its_lease() -> None:
     """The leader's machine is suspended, and resumes after another host has taken over.
 
