Divide the first table evenly while few requests are counted

Callers saw "no server holds the key at the moment", and answers some 100 ms late, in the first seconds after a system had started, and beside them whatever else happened in these seconds: a leader that lost its links left these moves unfinished.

Cause: the first table follows the requests that are counted by then, however few. Two of them, as hosts get them from whoever waits for the system, are three quarters of all load. Now the first table is even unless 12 requests for each server are counted, as many as counts are meant to cover.

Evidence: test_first_requests_do_not_decide_about_the_first_table fails before, with 41, 80 and 879 shards of 1,000 for three servers.

Ways weighed: an even part in every load that shrinks with the number of counted requests; it would slow down all later moves of busy keys too, for which the deviation by chance is allowed for already.

--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -20,7 +20,7 @@
     movable_cold_load,
     utilization,
 )
-from ._demand import Demand
+from ._demand import REQUESTS_PER_SERVER, Demand
 from ._grant_manager import GrantManager
 from ._leadership import Leadership, Term
 from ._moves import without_finished_moves
@@ -28,6 +28,7 @@
 from ._plan_types import Candidate, LostHolders
 from ._previous_leader import PreviousLeader
 from ._service import WARM_UP_S, KeyedService
+from ._shard_load import ShardLoad
 from ._snapshot import PlacementSnapshot
 from ._table import KeyTable, decode_table, encode_table
 
@@ -253,6 +254,9 @@
         reachable = self._reachable(service)
         service.demand.set_server_count(len(reachable))
         load = service.demand.load(self._shards)
+        is_counted = load.total >= REQUESTS_PER_SERVER * len(reachable)
+        if not service.table.spans and not is_counted:
+            load = ShardLoad(counts={}, shards=self._shards)
         if is_rebalance_due:
             service.rebalanced_s = now_s
             service.demand.update_speeds()
--- a/tests/test_keyspace_leadership.py
+++ b/tests/test_keyspace_leadership.py
@@ -55,6 +55,20 @@
     assert len(decode_table(item.value, peer="test").spans) == 3
 
 
+def test_first_requests_do_not_decide_about_the_first_table() -> None:
+    """Guards against moves of most keys right after a system has started."""
+    clock = Clock()
+    store, _, hosts = make_hosts(clock, "a", "b")
+    run_hosts(clock, 0.5, *hosts)
+    leader = next(host for host in hosts if host.leads)
+    demand = leader.planner.demand(SERVICE)
+    assert demand is not None
+    demand.note_requests({40: 1.0, 120: 1.0})
+    run_hosts(clock, 1.5, *hosts)
+    spans = decode_table(store.items_by_key[TABLE_KEY].value, peer="test").spans
+    assert [span.shards for span in spans] == [334, 334, 332]
+
+
 def test_next_leader_keeps_every_holder_and_every_grant() -> None:
     """The leader's process is killed; its keys must stay served.
 
