Let the stand-in server's work end whole when its keys are released

Cause: the stand-in compared the grant when the work ended. A release takes the grant away at once and is answered when the work on its keys has ended; that work was then reported as failed, which makes the wait for it pointless. Now the work is compared with the grant as it was when the work began. So a renewal no longer saves work either, which is stricter than before.

Evidence: test_release_waits_for_the_work_and_does_not_end_it fails before with 500, and test_work_that_outlasts_its_grant_fails[renewed] with 200. The type of an order moves beside the shards that it changes.

Ways weighed: hosts could send no request for a key whose move they don't know yet, for which each request would have to ask the leader; or repeat a 500, which may have run.

--- a/src/gentianwharf/platform/standin/_held_shards.py
+++ b/src/gentianwharf/platform/standin/_held_shards.py
@@ -3,9 +3,22 @@
 from array import array
 from typing import final
 
+import msgspec
+
 from .._config import SHARDS
 
 
+@final
+class Order(msgspec.Struct, rename={"first": "from", "last": "target"}):
+    """A grant or a release of a range of shards."""
+
+    first: int
+    last: int
+    fence: int
+    hold_time: str = "0ms"
+    handover: str | None = None
+
+
 @final
 class HeldShards:
     """Stores the highest fencing token of each shard, and until when it is held.
@@ -42,6 +55,10 @@
             self._tokens[shard] = max(self._tokens[shard], token)
             self._until_s[shard] = 0.0
 
+    def held_until_s(self, shard: int) -> float:
+        """Return when the grant of a shard expires."""
+        return self._until_s[shard]
+
     def is_held(self, shard: int, now_s: float) -> bool:
         """Return whether a request for a shard may run."""
         return now_s < self._until_s[shard]
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from random import Random
 from typing import Any, final
 
@@ -17,7 +18,7 @@
 from .._config import SHARD_HEADER
 from .._servers import SERVERS_PREFIX, ServerState
 from .._units import decode_time_s, encode_time
-from ._held_shards import HeldShards
+from ._held_shards import HeldShards, Order
 
 HEARTBEAT_S = 0.8
 LEASE_HEARTBEATS = 3
@@ -96,17 +97,11 @@
     request_id: str
     shard: int | None
     begun_s: float = 0.0
+    held_until_s: float = inf
+    """When the grant of its shard, as it was when the work began, expires."""
     timer: Any = None
 
 
-class _Order(msgspec.Struct, rename={"first": "from", "last": "target"}):
-    first: int
-    last: int
-    fence: int
-    hold_time: str = "0ms"
-    handover: str | None = None
-
-
 @final
 class StandInServer(Resource):
     """One instance of a backend server.
@@ -138,7 +133,7 @@
         self._held_shards = HeldShards()
         self._running: dict[str, _Work] = {}
         self._waiting: deque[_Work] = deque()
-        self._releases: list[tuple[_Order, Request]] = []
+        self._releases: list[tuple[Order, Request]] = []
         self._sequence = 0
         self._is_withdrawn = False
         self._started_s = reactor.seconds()
@@ -212,12 +207,12 @@
         self._accept(request)
         return NOT_DONE_YET
 
-    def _decode_order(self, request: Request) -> _Order | None:
+    def _decode_order(self, request: Request) -> Order | None:
         if self._expects_other_server(request):
             request.setResponseCode(STATUS_OTHER_SERVER)
             return None
         try:
-            return msgspec.json.decode(_content(request), type=_Order)
+            return msgspec.json.decode(_content(request), type=Order)
         except msgspec.DecodeError:
             request.setResponseCode(STATUS_BAD_REQUEST)
             return None
@@ -249,7 +244,7 @@
             release for release in self._releases if release[1] is not request
         ]
 
-    def _is_running(self, order: _Order) -> bool:
+    def _is_running(self, order: Order) -> bool:
         return any(
             work.shard is not None and order.first <= work.shard <= order.last
             for work in self._running.values()
@@ -300,6 +295,8 @@
 
     def _run(self, work: _Work) -> None:
         work.begun_s = self._reactor.seconds()
+        if work.shard is not None:
+            work.held_until_s = self._held_shards.held_until_s(work.shard)
         # An attempt that reaches the server twice is run and reported twice.
         self._running[f"{work.request_id}/{work.begun_s}"] = work
         delay_s = self.spec.work_s * self._rng.uniform(0.5, 1.5)
@@ -307,7 +304,8 @@
         self.on_begin(work.request)
 
     def _complete(self, work: _Work) -> None:
-        is_whole = self._may_run(work)
+        # A release waits for the work, and a renewal does not extend its time.
+        is_whole = self._reactor.seconds() < work.held_until_s
         self._finish_run(work, is_whole=is_whole)
         if self._rng.random() < self.lost_share:
             work.request.loseConnection()
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -4,9 +4,11 @@
 from random import Random
 from typing import Any, cast
 
+import msgspec
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
 from gentianwharf.errors import (
     ConflictError,
@@ -245,6 +247,77 @@
     assert store.changes == 2
 
 
+WORK_S, HELD_S, SHARD = 0.1, 2.5, 7
+
+
+class _ServerOnBytes:
+    """A stand-in server on a clock, which gets raw requests."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        spec = ServerSpec(
+            id="s1",
+            service="calendar",
+            address="127.0.0.1:1",
+            domain="a",
+            slots=1,
+            work_s=WORK_S,
+            born_ms=1,
+        )
+        self.site = StandInServer(spec=spec, reactor=self.clock, rng=Random(1)).site()
+
+    def order(self, order: str, token: int) -> StringTransport:
+        """Send a grant or a release of the shard."""
+        content = msgspec.json.encode(
+            {"from": SHARD, "target": SHARD, "fence": token, "hold_time": "2500ms"}
+        )
+        return self._send(f"POST /v1/{order}", "", content)
+
+    def request(self) -> StringTransport:
+        """Send a request for the shard."""
+        return self._send("GET /", f"Attempt-Id: r1\r\nShard-Key: {SHARD}\r\n", b"")
+
+    def _send(self, line: str, headers: str, content: bytes) -> StringTransport:
+        transport = StringTransport()
+        protocol = self.site.buildProtocol(None)
+        protocol.makeConnection(transport)
+        head = f"{line} HTTP/1.1\r\nHost: s1\r\n{headers}"
+        length = f"Content-Length: {len(content)}\r\n\r\n"
+        protocol.dataReceived((head + length).encode() + content)
+        return transport
+
+
+def status_of(transport: StringTransport) -> int | None:
+    """Return the status of the response, None if there is none yet."""
+    head = transport.value()
+    return int(head.split(b" ", 2)[1]) if head else None
+
+
+def test_release_waits_for_the_work_and_does_not_end_it() -> None:
+    """Guards against requests that fail since their keys move while they run."""
+    server = _ServerOnBytes()
+    assert status_of(server.order("grant", 1)) == 200
+    request = server.request()
+    release = server.order("release", 2)
+    assert (status_of(request), status_of(release)) == (None, None)
+    assert status_of(server.request()) == 421
+    server.clock.advance(2 * WORK_S)
+    assert (status_of(request), status_of(release)) == (200, 200)
+
+
+@pytest.mark.parametrize("renewed", [False, True], ids=["alone", "renewed"])
+def test_work_that_outlasts_its_grant_fails(renewed: bool) -> None:
+    """Guards against a stand-in that lets work end beside that of the next holder."""
+    server = _ServerOnBytes()
+    server.order("grant", 1)
+    server.clock.advance(HELD_S - WORK_S / 4)
+    request = server.request()
+    if renewed:
+        server.order("grant", 1)
+    server.clock.advance(2 * WORK_S)
+    assert status_of(request) == 500
+
+
 class _CountingStore:
     """Counts changes, and accepts each."""
 
