Keep open connections of a quiet host whose new ones are refused

Callers saw 502 "the answer was lost" for reads at a host to which servers refused new connections while those from before lived on. The host had given the reads up itself, some milliseconds after it had sent them, and had no retry left for them.

Cause: a host that finds that it can open no connection closes its open ones too if no byte has come for 0.1 s before the suspicion. A host with twenty requests a second, or one that stood still for a moment, often hears nothing for so long. Whether a request was waiting did not matter. Now a refusal of new connections is no evidence against open ones; they are closed once requests on them stay unacknowledged or unanswered, as it was for connections that were heard. Where new ones hang, open ones are closed as before.

Evidence: test_connections_of_a_quiet_host_are_closed_only_if_new_ones_hang[refused] fails before; [hanging] passes before and after.

Ways weighed: close only connections with a request that is overdue; where new ones hang, the next requests on idle ones would then be lost one by one.

--- a/src/gentianwharf/relay/_link_monitor.py
+++ b/src/gentianwharf/relay/_link_monitor.py
@@ -280,12 +280,21 @@
             self.on_restored()
             return
         self.on_cut_off()
-        if self.reachability.heard_s < self._begun_s - RECENTLY_HEARD_S:
+        if self._are_open_ones_lost():
             self._retire_direct()
         for give_up in list(self._connecting):
             give_up()
         self._probe_later()
 
+    def _are_open_ones_lost(self) -> bool:
+        """Whether open connections are probably lost, as far as is known by now.
+
+        If new ones are refused, a quiet host may have heard nothing for a while on
+        connections that work; the requests on them show it soon.
+        """
+        is_silent = self.reachability.heard_s < self._begun_s - RECENTLY_HEARD_S
+        return is_silent and not self.reachability.was_refused
+
     def _retire_direct(self) -> None:
         for pool in list(self._pools()):
             pool.retire_direct()
--- a/src/gentianwharf/relay/_reachability.py
+++ b/src/gentianwharf/relay/_reachability.py
@@ -86,6 +86,11 @@
         self.unreachable.add(server_id)
         self._reached.clear()
 
+    @property
+    def was_refused(self) -> bool:
+        """Whether the last connection that was not opened was refused."""
+        return self._last_failure == ConnectFailure.REFUSED
+
     def note_all_failed(self) -> None:
         """Record that no server that was tried for this purpose could be reached."""
         if self.is_cut_off:
--- a/tests/test_relay_link_monitor.py
+++ b/tests/test_relay_link_monitor.py
@@ -201,6 +201,28 @@
     assert all("direct" in pool.retired for pool in links.pools)
 
 
+@pytest.mark.parametrize(
+    ("failure", "are_retired"),
+    [
+        pytest.param(ConnectFailure.REFUSED, False, id="refused"),
+        pytest.param(ConnectFailure.TIMED_OUT, True, id="hanging"),
+    ],
+)
+def test_connections_of_a_quiet_host_are_closed_only_if_new_ones_hang(
+    failure: ConnectFailure, are_retired: bool
+) -> None:
+    """Guards against requests that are given up on connections that live on."""
+    links = Links()
+    links.fail(failure)
+    links.run(1.0)
+    links.confirm()
+    links.run(PROBE_TIMEOUT_S - 0.02)
+    links.send(0)
+    links.run(0.04)
+    assert links.monitor.is_cut_off
+    assert [bool(pool.retired) for pool in links.pools] == [are_retired] * 6
+
+
 def test_links_are_restored_once_two_servers_are_reached() -> None:
     links = cut_off()
     links.fail(ConnectFailure.TIMED_OUT, except_for=1)
