Give the hosts of two test runs side by side other addresses

What was seen: CannotListenError, address already in use, in the setup of test_leader_whose_connections_live_on_keeps_all_keys_served beside other runs of tests on the machine, once in eight plays at loads of 19 to 27.

Cause: the network is the process id modulo 100, so that one pair of processes in a hundred shares it. The third part of the address holds two more digits of the id now.

--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -4,6 +4,7 @@
 import os
 from collections.abc import Coroutine, Iterable, Sequence
 from dataclasses import dataclass
+from enum import IntEnum
 from random import Random
 from typing import Any, final
 
@@ -35,6 +36,7 @@
 from gentianwharf.store import Change
 from tests.builders_relay import in_reactor, running_reactor
 
+FIRST_NETWORK, NETWORKS, SUBNETS = 20, 100, 80
 SERVER_PORT, FIRST_LINK_PORT = 8400, 8500
 PROBLEM_TYPE = "application/problem+json"
 DEADLINE_MS = 1500
@@ -43,6 +45,24 @@
 WORK_S = 0.02
 
 
+class AddressGroup(IntEnum):
+    """What the IP addresses of a group belong to."""
+
+    STORE = 0
+    HOSTS = 1
+    SERVERS = 2
+
+
+def loopback_ip(group: AddressGroup, number: int) -> str:
+    """Return an address that differs between processes with ids near each other.
+
+    Tests of the soak and of repeats use other networks.
+    """
+    pid = os.getpid()
+    third = pid // NETWORKS % SUBNETS * len(AddressGroup) + group
+    return f"127.{FIRST_NETWORK + pid % NETWORKS}.{third}.{number}"
+
+
 @final
 class HostNetwork:
     """The reactor of one host, whose connections to servers use links of its own."""
@@ -118,8 +138,6 @@
         self.items = Items(now_s=self.reactor.seconds)
         self.runs: list[RequestRun] = []
         self.arrivals: list[Arrival] = []
-        # Tests of the soak and of repeats use other networks.
-        self._net = 20 + os.getpid() % 100
         self._ports: list[Any] = []
         self._entries: list[Deferred[Any]] = []
         self._sent = 0
@@ -136,8 +154,8 @@
         return in_reactor(lambda: Deferred.fromCoroutine(coroutine))
 
     def _start(self, domains: str, servers_per_service: int) -> None:
-        store = f"127.{self._net}.0.1:8384"
-        operators = f"127.{self._net}.0.1:8385"
+        store = f"{loopback_ip(AddressGroup.STORE, 1)}:8384"
+        operators = f"{loopback_ip(AddressGroup.STORE, 1)}:8385"
         for address, allow_reserved in ((store, False), (operators, True)):
             stand_in = StandInStore(
                 items=self.items, reactor=self.reactor, allow_reserved=allow_reserved
@@ -146,7 +164,8 @@
         self.items.change(Change(puts=(configuration(1),)))
         addresses = []
         for number in range(2 * servers_per_service):
-            addresses.append(f"127.{self._net}.2.{number + 1}:{SERVER_PORT}")
+            ip = loopback_ip(AddressGroup.SERVERS, number + 1)
+            addresses.append(f"{ip}:{SERVER_PORT}")
             self._start_server(number, addresses[-1], operators)
         for index, (name, domain) in enumerate(zip(self.names, domains, strict=True)):
             network = self.networks[name] = HostNetwork(reactor=self.reactor)
@@ -184,7 +203,7 @@
         self._ports.append(self.reactor.listenTCP(int(port), site, interface=ip))
 
     def _ip(self, name: str) -> str:
-        return f"127.{self._net}.1.{self.names.index(name) + 1}"
+        return loopback_ip(AddressGroup.HOSTS, self.names.index(name) + 1)
 
     async def _wait_until_served(self) -> None:
         end_s = self.reactor.seconds() + READY_TIMEOUT_S
