Say when unserved requests of hosts without links were sent, and how long they took

A failing play told the id, host, status and title of each unserved request, and nothing of their order or of the time from the cut: whether they fell into a change of leadership could not be told. test_leader_whose_connections_live_on_keeps_all_keys_served and the planned stop compare the same lists as before, in this form.

--- a/tests/builders_cut_off.py
+++ b/tests/builders_cut_off.py
@@ -113,6 +113,9 @@
     status: int
     title: str = ""
     """What the host stated where it answered in place of a server."""
+    sent_s: float = 0.0
+    """When it was sent, by the reactor's clock."""
+    took_s: float = 0.0
 
     @property
     def is_read(self) -> bool:
@@ -291,19 +294,22 @@
         if kind == "read":
             headers.setRawHeaders("Shard-Key", [str(self._sent * 4001 % 65_536)])
         url = f"http://{self._ip(name)}:{CALLERS_PORT}{path}".encode()
+        answer = Answer(
+            id=request_id, host=name, status=0, sent_s=self.reactor.seconds()
+        )
         try:
             response = await self._agent.request(
                 b"GET" if body is None else b"POST", url, headers, body
             )
             content = await readBody(response)
         except Exception as error:
-            return Answer(
-                id=request_id, host=name, status=0, title=type(error).__name__
-            )
-        title = ""
-        if response.headers.getRawHeaders("content-type") == [PROBLEM_TYPE]:
-            title = str(json.loads(content)["title"])
-        return Answer(id=request_id, host=name, status=response.code, title=title)
+            answer.title = type(error).__name__
+        else:
+            answer.status = response.code
+            if response.headers.getRawHeaders("content-type") == [PROBLEM_TYPE]:
+                answer.title = str(json.loads(content)["title"])
+        answer.took_s = self.reactor.seconds() - answer.sent_s
+        return answer
 
     async def send_all(
         self, *, duration_s: float, per_s: float, names: Sequence[str] = ()
--- a/tests/test_entryhost_cut_off.py
+++ b/tests/test_entryhost_cut_off.py
@@ -54,9 +54,14 @@
 
 
 def unserved(answers: Sequence[Answer]) -> list[str]:
-    """Return what became of the requests that no server answered with success."""
+    """Return what became of the requests that no server answered with success.
+
+    Times are in seconds, those of sending from the first of all requests.
+    """
+    begun_s = min((answer.sent_s for answer in answers), default=0.0)
     return [
-        f"{answer.id} at {answer.host}: {answer.status} {answer.title}"
+        f"{answer.id} at {answer.host}: {answer.status} {answer.title}, sent at"
+        f" {answer.sent_s - begun_s:.3f}, took {answer.took_s:.3f}"
         for answer in answers
         if not answer.is_served
     ]
@@ -188,7 +193,7 @@
         return await deployment.send_all(duration_s=STOP_S, per_s=PER_S, names=cut_off)
 
     answers = deployment.run(play())
-    assert [answer for answer in answers if not answer.is_served] == []
+    assert unserved(answers) == []
     assert_promises_kept(deployment)
 
 
@@ -224,7 +229,7 @@
         cut_off_leader(deployment, LinkCut.REFUSE_NEW)
     )
     assert len(before) == len(after) == 1
-    assert [answer for answer in answers if not answer.is_served] == []
+    assert unserved(answers) == [], (before, after)
 
 
 @pytest.mark.parametrize("form", LinkCut)
