--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -20,7 +20,7 @@
     movable_cold_load,
     utilization,
 )
-from ._demand import Demand
+from ._demand import REQUESTS_PER_SERVER, Demand
 from ._grant_manager import GrantManager
 from ._leadership import Leadership, Term
 from ._moves import without_finished_moves
@@ -28,6 +28,7 @@
 from ._plan_types import Candidate, LostHolders
 from ._previous_leader import PreviousLeader
 from ._service import WARM_UP_S, KeyedService
+from ._shard_load import ShardLoad
 from ._snapshot import PlacementSnapshot
 from ._table import KeyTable, decode_table, encode_table
 
@@ -42,6 +43,10 @@
 """As long as most moves take. Requests are counted by shard, so a move in between does
 not invalidate the counts."""
 
+MIN_COUNTED_S = 2.0
+"""How long a new leader counts requests before it rebalances. The counts of the former
+leader are gone, and without any the load of all shards looks even."""
+
 CLEAN_UP_AFTER_S = 3.0
 """Finished moves are removed from the stored table together, since each write causes a
 paid call by every host. Until then a new leader would only repeat releases that have
@@ -241,12 +246,17 @@
         )
 
     def _plan(self, service: KeyedService, now_s: float) -> None:
-        is_rebalance_due = now_s >= service.rebalanced_s + REBALANCE_EVERY_S
+        is_rebalance_due = now_s >= max(
+            service.rebalanced_s + REBALANCE_EVERY_S, self._gained_s + MIN_COUNTED_S
+        )
         if not is_rebalance_due and not self._is_changed(service):
             return
         reachable = self._reachable(service)
         service.demand.set_server_count(len(reachable))
         load = service.demand.load(self._shards)
+        is_counted = load.total >= REQUESTS_PER_SERVER * len(reachable)
+        if not service.table.spans and not is_counted:
+            load = ShardLoad(counts={}, shards=self._shards)
         if is_rebalance_due:
             service.rebalanced_s = now_s
             service.demand.update_speeds()
