--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -15,6 +15,12 @@
 from ._pipeline import MAX_PIPELINED, safe_head_length
 from ._transport import send_now
 
+LINGER_TIMEOUT_S = 30.0
+"""Time for a caller to read an answer that was sent before the end of its request."""
+
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+"""Bytes of such a request that are read and dropped until then."""
+
 
 class CallerChannel(HTTPChannel):
     """A caller's connection, with problem documents for malformed requests."""
@@ -22,8 +28,11 @@
     requestFactory = CallerRequest  # noqa: N815
     site: "CallerSite"
     _closing = False
+    _is_body_paused = False
     _deferred_refusal = b""
     _head_started_s: float | None = None
+    _is_body_unread = False
+    _discarded_bytes = 0
 
     def connectionLost(  # noqa: N802
         self, reason: Failure = connectionDone
@@ -72,13 +81,39 @@
 
     def pause_reading(self) -> None:
         """Stop reading from the caller."""
+        self._is_body_paused = True
         self._networkProducer.pauseProducing()
 
     def resume_reading(self) -> None:
         """Resume reading from the caller."""
+        self._is_body_paused = False
         if not self._closing:
             self._networkProducer.resumeProducing()
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Pause the response until the caller has read more of it."""
+        super().pauseProducing()
+        self._restore_body_backpressure()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Resume the response."""
+        super().resumeProducing()
+        self._restore_body_backpressure()
+
+    def _restore_body_backpressure(self) -> None:
+        # Twisted also pauses and resumes reading with the response. While a body is
+        # being received, only the upload's backpressure controls reading.
+        if self._closing or not self._is_receiving_body():
+            return
+        if self._is_body_paused:
+            self._networkProducer.pauseProducing()
+        else:
+            self._networkProducer.resumeProducing()
+
+    def _is_receiving_body(self) -> bool:
+        body = self.requests[-1].body if self.requests else None
+        return body is not None and not body.complete
+
     def send_now(self) -> None:
         """Send written data without waiting for the next loop iteration."""
         send_now(self.transport)
@@ -99,10 +134,26 @@
         self.persistent = 0
 
     def close_after_response(self) -> None:
-        """Close once the response is written, without reading further."""
-        self._closing = True
+        """Close once the response is written, and drop the rest of the request."""
+        self._closing = self._is_body_unread = True
         self.disable_keep_alive()
 
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close once all data is written.
+
+        While a body is not read, only this side is closed (RFC 9112, section 9.6): to
+        close with bytes unread would discard the part of the answer on its way.
+        """
+        if not self._is_body_unread:
+            super().loseConnection()
+            return
+        self._is_body_unread = False
+        transport = cast(Any, self.transport)
+        transport.unregisterProducer()
+        transport.loseWriteConnection()
+        transport.resumeProducing()
+        self.setTimeout(LINGER_TIMEOUT_S)
+
     def abort(self) -> None:
         """Close immediately and discard unsent data."""
         self._closing = True
@@ -113,6 +164,10 @@
         """Process data, unless the connection is closing."""
         if not self._closing:
             super().dataReceived(data)
+            return
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self.abort()
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process a part of a body, unless the connection is closing."""
@@ -181,8 +236,19 @@
         )
         if self._closing or self.transport is None:
             return
+        if self._is_receiving_body():
+            self._refuse_malformed_body()
+            return
         self._refuse(_TOO_LARGE if too_large else _MALFORMED)
 
+    def _refuse_malformed_body(self) -> None:
+        request = self.requests[-1]
+        if request.startedWriting:
+            request.abort()
+            return
+        request.body.lost()
+        self._refuse(_MALFORMED_BODY)
+
     def _refuse(self, refusal: bytes) -> None:
         self._closing = True
         if len(self.requests) > 1:
@@ -195,8 +261,8 @@
             self.loseConnection()
 
 
-def _refusal(status: bytes, title: str) -> bytes:
-    problem = {"title": title, "status": int(status[:3]), "run": "not-run"}
+def _refusal(status: bytes, title: str, *, run: str = "not-run") -> bytes:
+    problem = {"title": title, "status": int(status[:3]), "run": run}
     body = json.dumps(problem).encode()
     return b"\r\n".join(
         [
@@ -214,6 +280,8 @@
     b"431 Request Header Fields Too Large", "the request's head is too large"
 )
 _MALFORMED = _refusal(b"400 Bad Request", "malformed request")
+# The server may have run the request before receiving the end of its body.
+_MALFORMED_BODY = _refusal(b"400 Bad Request", "malformed body", run="unknown")
 _SLOW_HEAD = _refusal(b"408 Request Timeout", "the request's head came too slowly")
 
 
