--- a/tests/test_answers_fuzz.py
+++ b/tests/test_answers_fuzz.py
@@ -8,14 +8,8 @@
 
 import pytest
 
-from tests.builders_answers_fuzz import (
-    AnsweringServer,
-    Arrivals,
-    Caller,
-    Findings,
-    draw_batch,
-    lead_through_tunnels,
-)
+from tests.builders_answers_callers import Caller, Findings, draw_batch
+from tests.builders_answers_fuzz import AnsweringServer, Arrivals, lead_through_tunnels
 from tests.builders_processes import wait_until
 from tests.builders_relay import REACTOR, RunningRelay, in_reactor, running_relay
 from tests.builders_tunnels import tunneling
