--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -68,9 +68,9 @@
     host_sources
         Folder with the sources of the hosts, by default those of this checkout.
     upload_share
-        Share of the requests with a body that are uploads: 0 to 200 kB in pieces, each
-        byte of which servers check, and some of which they answer before their end.
-        With 0, a seed plays as it did before there were uploads.
+        Share of the requests with a body that are uploads: 0 to 200 kB, sent in pieces.
+        Servers verify every byte, and answer some uploads before their end. With 0, a
+        seed gives the same requests as without support for uploads.
     crash
         Kind of a request that ends each server that begins to run it, sent beside the
         others; empty for none.
--- a/bench/fleet/_callers.py
+++ b/bench/fleet/_callers.py
@@ -59,7 +59,7 @@
 
     is_upload: bool = False
     has_ended_body: bool = False
-    """Whether the caller of an upload has sent its end."""
+    """Whether the caller has sent the end of an upload's body."""
 
 
 @final
@@ -108,7 +108,7 @@
         self._net = net
         self._hosts = hosts
         self._rng = Random(seed)
-        # Uploads don't change the other draws of a seed.
+        # Uploads must not change the other random choices of a seed.
         self._uploads_rng = Random(f"uploads {seed}")
         self._upload_share = upload_share
         self._impatient_share = impatient_share
@@ -218,7 +218,7 @@
     def _body(
         self, call: _Call, request: SentRequest, headers: Headers
     ) -> BytesBody | UploadProducer:
-        """Return the body of a request that has one, and state what it is."""
+        """Return the request body; for an upload, also set the length header."""
         if call.is_crashing or self._uploads_rng.random() >= self._upload_share:
             return BytesBody(body=b"x" * 300)
         plan = draw_upload(self._uploads_rng)
@@ -279,7 +279,7 @@
     seed
         Seed of the random choices.
     upload_share
-        Share of the requests with a body that are uploads, which servers check.
+        Share of the requests with a body that are uploads, which servers verify.
     crash
         Kind of the request that ends its servers, empty for none.
     crash_copies
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -244,7 +244,7 @@
 
 
 def violations(record: Record) -> list[str]:
-    """Return a line for each way in which a promise was broken."""
+    """Return a line for each violated guarantee."""
     lines = [
         line
         for service, worst in worst_windows(record).items()
@@ -323,10 +323,10 @@
 def _describe_uploads(record: Record) -> str:
     uploads = [request for request in record.sent if request.is_upload]
     answers = Counter(request.status for request in uploads)
-    left = sum(not request.has_ended_body for request in uploads)
+    unfinished = sum(not request.has_ended_body for request in uploads)
     ended = sum(body.has_ended for body in record.bodies)
     return (
-        f"{len(uploads)} uploads, {left} not ended by their callers, answers"
+        f"{len(uploads)} uploads, {unfinished} not ended by their callers, answers"
         f" {dict(sorted(answers.items()))}; {ended} of {len(record.bodies)} bodies at"
         " servers whole"
     )
--- a/bench/fleet/_sheet.py
+++ b/bench/fleet/_sheet.py
@@ -29,7 +29,7 @@
 """Sends of such a request later than ``CONTACT_S`` after the last of these ends."""
 
 EARLY_SHARE = 0.2
-"""Share of the uploads that servers answer, or refuse, before their end."""
+"""Share of the uploads that servers answer or refuse before the end of the body."""
 
 EXTRA_RETRIES = 208
 AGREEMENT = RetryAgreement(ratio=0.2, extra=EXTRA_RETRIES, window_s=10)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,7 +51,7 @@
 PROCESS_EXIT_S = 1.0
 REQUESTS_PER_S = 60.0
 EARLY_SHARE = 0.4
-"""Share of the uploads that servers answer, or refuse, before their end."""
+"""Share of the uploads that servers answer or refuse before the end of the body."""
 
 FIRST_NET = 100
 
@@ -67,7 +67,7 @@
     ``rules_grow`` lets the list of rules grow, and restarts all hosts at once.
     ``cut_links`` cuts the links of hosts to all servers. ``answer_faults`` sends
     answers of servers late, twice or in part. ``crashes`` sends a request that
-    ends each server which runs it. ``uploads`` adds callers whose bodies servers check.
+    ends each server which runs it. ``uploads`` adds callers that send uploads.
     """
 
     seed: int
@@ -166,7 +166,7 @@
             uploading.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
-        # Servers that refuse uploads are no part of a deployment that has recovered.
+        # Recovery is judged without crashing requests and refused uploads.
         crashing.is_sending = uploading.is_sending = False
         cuts.restore()
         deployment.restore()
@@ -271,8 +271,8 @@
     crashes
         Send a request that ends each server which runs it.
     uploads
-        Send bodies that servers check byte by byte, and let servers answer some of them
-        before their end.
+        Send uploads whose every byte servers verify, and let servers answer some of
+        them before their end.
     faults_s
         For how long faults are injected.
     net
--- a/soak/_answers.py
+++ b/soak/_answers.py
@@ -1,4 +1,4 @@
-"""Reads answers that may come before the end of a request's body."""
+"""Reads answers that may arrive before the request body has been sent."""
 
 from typing import Any, final
 
@@ -14,7 +14,7 @@
         self._pieces: list[bytes] = []
 
     def _abort(self) -> None:
-        # An answer before the end of the request's body has no transport any more.
+        # Twisted detaches the transport if the answer precedes the end of the request.
         abort = getattr(self.transport, "abortConnection", None)
         if abort is not None:
             abort()
@@ -24,7 +24,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         if self.body.called:
-            # Twisted tells the end of such an answer twice.
+            # Twisted calls this twice if the answer precedes the end of the request.
             return
         if reason.check(ResponseDone):
             self.body.callback(b"".join(self._pieces))
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -45,8 +45,8 @@
     """Processes by name; all listen on IP addresses of the network ``127.NET``.
 
     With ``own_links``, each host reaches the servers over links that can be cut.
-    ``answer_faults`` disturb the answers of servers. Servers answer ``early_share`` of
-    the uploads before their end.
+    ``answer_faults`` disturb the answers of servers. ``early_share`` is the share of
+    the uploads that servers answer before their end.
     """
 
     def __init__(
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -35,7 +35,7 @@
         self._proxy = proxy
         self._carries_responses = carries_responses
         self._early_data: list[bytes] = []
-        self._waiting: deque[bytes] = deque()
+        self._delayed: deque[bytes] = deque()
         self._last_answer = b""
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -55,8 +55,8 @@
         if answer_faults is not None and self._carries_responses:
             last, self._last_answer = self._last_answer, data
             data, closes = answer_faults.disturb(last, data)
-        # Later data must not overtake data that was delayed.
-        self._waiting.append(data)
+        # Timers may fire out of order; the queue keeps the data in order.
+        self._delayed.append(data)
         self._proxy.reactor.callLater(delay_s, self._forward_next)
         if closes:
             self._proxy.reactor.callLater(delay_s, self._close)
@@ -66,7 +66,7 @@
             self.transport.loseConnection()
 
     def _forward_next(self) -> None:
-        self._forward(self._waiting.popleft())
+        self._forward(self._delayed.popleft())
 
     def _forward(self, data: bytes) -> None:
         if self.other is None:
@@ -155,7 +155,7 @@
         return incoming
 
     def begin(self, fault: LinkFault) -> None:
-        """Begin a fault, which also affects open connections, in place of another."""
+        """Replace the current fault; this also affects open connections."""
         if fault is not self.fault:
             self.end()
         self.fault = fault
--- a/soak/_uploading.py
+++ b/soak/_uploading.py
@@ -1,4 +1,4 @@
-"""Callers that upload bodies whose every byte servers check."""
+"""Callers that send uploads, whose every byte servers verify."""
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
@@ -30,7 +30,7 @@
     ) -> None:
         self.requests: list[SentRequest] = []
         self.has_ended: dict[str, bool] = {}
-        """Whether the caller has sent the end of its body, by the request's id."""
+        """Whether the caller has sent the end of the body, by request id."""
         self.is_sending = True
         self._reactor = reactor
         self._rng = rng
@@ -41,7 +41,7 @@
         self._agent = Agent(reactor, pool=pool, connectTimeout=1)
 
     def start(self) -> None:
-        """Send an upload now, and others after random pauses."""
+        """Send an upload now, and more at random intervals."""
         if not self.is_sending:
             return
         request = SentRequest(
@@ -87,7 +87,7 @@
 def describe_uploads(
     requests: Sequence[SentRequest], reports: Sequence[BodyReport]
 ) -> str:
-    """Return how many uploads were sent, and what became of them."""
+    """Return a summary of the uploads, their answers and the received bodies."""
     answers = Counter(request.status for request in requests)
     ended = sum(report.has_ended for report in reports)
     return (
--- a/soak/_uploads.py
+++ b/soak/_uploads.py
@@ -1,4 +1,4 @@
-"""Uploads in pieces, and the check of what servers got of them."""
+"""Sends uploads in pieces, and checks the bodies that servers received."""
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -18,11 +18,11 @@
 MAX_PIECES = 24
 MAX_PAUSE_S = 0.04
 PAUSED_SHARE = 0.6
-"""Share of the pieces before which a caller pauses."""
+"""Share of the pieces that are sent after a pause."""
 
 CHUNKED_SHARE = 0.5
-LEAVING_SHARE = 0.08
-"""Share of the callers that leave before they have ended their body."""
+DISCONNECT_SHARE = 0.08
+"""Share of the callers that disconnect before the end of the body."""
 
 
 @final
@@ -30,9 +30,9 @@
 class UploadPlan:
     """How a caller sends a body.
 
-    ``pieces`` has the end of each piece in bytes and the pause before it. The caller
-    leaves once it has sent ``leaves_after_bytes``, unless that is None; in chunks, it
-    may leave after the last byte and before the end.
+    ``pieces`` lists the end offset of each piece and the pause before it, in seconds.
+    The caller disconnects once it has sent ``leaves_after_bytes``, unless that is None.
+    With chunked encoding, that may be after the last byte and before the final chunk.
     """
 
     body_bytes: int
@@ -42,7 +42,7 @@
 
 
 def draw_upload(rng: Random) -> UploadPlan:
-    """Return how to send a body of a random size."""
+    """Return a random plan for an upload of a random size."""
     body_bytes = rng.choice(
         [
             0,
@@ -54,7 +54,7 @@
     )
     is_chunked = rng.random() < CHUNKED_SHARE
     leaves_after_bytes = None
-    if rng.random() < LEAVING_SHARE and (is_chunked or body_bytes):
+    if rng.random() < DISCONNECT_SHARE and (is_chunked or body_bytes):
         leaves_after_bytes = rng.randrange(body_bytes + is_chunked)
     ends = [rng.randrange(body_bytes + 1) for _ in range(rng.randrange(MAX_PIECES))]
     return UploadPlan(
@@ -68,8 +68,8 @@
     )
 
 
-class CallerLeftError(Exception):
-    """The caller has left within its body."""
+class CallerDisconnectedError(Exception):
+    """The caller disconnected before the end of the body."""
 
 
 @final
@@ -77,8 +77,8 @@
 class UploadProducer:
     """Sends a body as planned.
 
-    Calls ``on_end`` before it sends the end of the body, maybe twice. The caller stays
-    until the end if it ``is_answered`` by then: Twisted can't break off such a request.
+    Calls ``on_end`` once or twice before it sends the end of the body. If the request
+    ``is_answered`` already, the caller does not disconnect: Twisted can't abort it.
     """
 
     def __init__(
@@ -101,30 +101,30 @@
         self._timer: Any = None
         self._is_paused = False
         self._is_due = False
-        self._is_over = False
+        self._is_stopped = False
         self._finished: Deferred[None] = Deferred(lambda _: self.stopProducing())
 
     def startProducing(self, consumer: IConsumer) -> Deferred[None]:  # noqa: N802
-        """Send the first piece after its pause."""
+        """Schedule the first piece."""
         self._consumer = consumer
         if self._is_stated_end(0):
             self._on_end()
-        self._wait()
+        self._schedule_piece()
         return self._finished
 
-    def _wait(self) -> None:
-        self._timer = self._reactor.callLater(self._pieces[0][1], self._note_due)
+    def _schedule_piece(self) -> None:
+        self._timer = self._reactor.callLater(self._pieces[0][1], self._handle_timer)
 
     def _is_stated_end(self, byte: int) -> bool:
-        """Whether the head has told that the body ends here."""
+        """Whether ``byte`` is the end of the body according to ``Content-Length``."""
         return not self._plan.is_chunked and byte == self._plan.body_bytes
 
-    def _note_due(self) -> None:
+    def _handle_timer(self) -> None:
         self._is_due = True
         self._send_if_due()
 
     def _send_if_due(self) -> None:
-        if self._is_paused or self._is_over or not self._is_due:
+        if self._is_paused or self._is_stopped or not self._is_due:
             return
         self._is_due = False
         end, _ = self._pieces.pop(0)
@@ -145,26 +145,26 @@
             self._sent_bytes = end
             self._consumer.write(piece)
         if is_leaving:
-            self._is_over = True
-            self._finished.errback(CallerLeftError())
+            self._is_stopped = True
+            self._finished.errback(CallerDisconnectedError())
         elif is_last:
-            self._is_over = True
+            self._is_stopped = True
             self._finished.callback(None)
         else:
-            self._wait()
+            self._schedule_piece()
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Send nothing for now."""
+        """Pause sending."""
         self._is_paused = True
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Send what has become due, and the rest."""
+        """Resume sending, at once if a piece is due."""
         self._is_paused = False
         self._send_if_due()
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Send nothing any more."""
-        self._is_over = True
+        """Stop sending for good."""
+        self._is_stopped = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
@@ -174,21 +174,23 @@
     reports: Iterable[BodyReport],
     runs: Iterable[tuple[str, str]],
 ) -> list[str]:
-    """Return a line for each body of which a server got what its caller did not send.
+    """Return a line for each received body with data or an end that was never sent.
 
-    ``has_ended`` tells of each upload whether its caller has sent the end of the body;
-    ``runs`` has a request's id and a server for each run.
+    ``has_ended`` maps the id of each upload to whether its caller has sent the end of
+    the body; ``runs`` has the request id and the server of each run.
     """
     ran = set(runs)
     return [
-        f"UNASKED: {report.request_id} at {report.server} got {wrong}"
+        f"UNASKED: {report.request_id} at {report.server} got {difference}"
         + (", and ran" if (report.request_id, report.server) in ran else "")
         for report in reports
-        if (wrong := _describe_wrong(report, has_ended.get(report.request_id)))
+        if (
+            difference := _describe_difference(report, has_ended.get(report.request_id))
+        )
     ]
 
 
-def _describe_wrong(report: BodyReport, has_caller_ended: bool | None) -> str:
+def _describe_difference(report: BodyReport, has_caller_ended: bool | None) -> str:
     if has_caller_ended is None:
         return "a body that no caller sent"
     if report.changed_at_byte is not None:
--- a/src/gentianwharf/infra/_http.py
+++ b/src/gentianwharf/infra/_http.py
@@ -193,7 +193,7 @@
 
 @final
 class _AnswerReader(Protocol):
-    """Collects an answer; cancelling ``done`` closes the connection."""
+    """Collects the body of an answer; cancelling ``done`` closes the connection."""
 
     def __init__(self) -> None:
         self.done: Deferred[bytes] = Deferred(lambda _: self._close())
@@ -213,7 +213,7 @@
         self._chunks.append(data)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Fire ``done`` with the answer, or with the failure that ended it."""
+        """Fire ``done`` with the body, or with the failure that cut it short."""
         if self.done.called:
             return
         if reason.check(ResponseDone, PotentialDataLoss):
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -44,8 +44,8 @@
 not invalidate the counts."""
 
 MIN_COUNTED_S = 2.0
-"""How long a new leader counts requests before it rebalances. The counts of the former
-leader are gone, and without any the load of all shards looks even."""
+"""How long a new leader counts requests before it rebalances. It does not have the
+counts of the former leader, and without counts the load of all shards appears even."""
 
 CLEAN_UP_AFTER_S = 3.0
 """Finished moves are removed from the stored table together, since each write causes a
@@ -254,8 +254,8 @@
         reachable = self._reachable(service)
         service.demand.set_server_count(len(reachable))
         load = service.demand.load(self._shards)
-        is_counted = load.total >= REQUESTS_PER_SERVER * len(reachable)
-        if not service.table.spans and not is_counted:
+        has_enough_counts = load.total >= REQUESTS_PER_SERVER * len(reachable)
+        if not service.table.spans and not has_enough_counts:
             load = ShardLoad(counts={}, shards=self._shards)
         if is_rebalance_due:
             service.rebalanced_s = now_s
--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -226,7 +226,8 @@
     def abort_now(self) -> None:
         """Close the connection, so that the server discards an order in transit.
 
-        The event loop reports the end later; no order is sent on it until then.
+        The event loop reports the closure later; no order may use the connection until
+        then.
         """
         self._connections.discard(self)
         if self.transport is not None:
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -162,10 +162,11 @@
     lost_share
         The probability that the answer of a request that it ran is lost.
     early_share
-        The probability that it answers an upload before its end, mostly by a refusal.
+        The probability that it answers an upload before its end, in most cases with
+        a refusal.
     reports_arrivals
-        Whether it prints a line for each request that reaches it as well, and one for
-        each body of an upload.
+        Whether it also prints a line for each request that reaches it, and one for the
+        body of each upload.
     ends_on
         Part of a target; the process ends soon after it begins to run a request with
         it. Empty for none.
--- a/src/gentianwharf/platform/standin/_held_shards.py
+++ b/src/gentianwharf/platform/standin/_held_shards.py
@@ -56,7 +56,7 @@
             self._until_s[shard] = 0.0
 
     def held_until_s(self, shard: int) -> float:
-        """Return when the grant of a shard expires."""
+        """Return the time at which the grant of a shard expires."""
         return self._until_s[shard]
 
     def is_held(self, shard: int, now_s: float) -> bool:
--- a/src/gentianwharf/platform/standin/_records.py
+++ b/src/gentianwharf/platform/standin/_records.py
@@ -1,4 +1,4 @@
-"""What a stand-in server is, and what it reports."""
+"""The properties of a stand-in server, and the events that it reports."""
 
 from dataclasses import dataclass
 from typing import final
@@ -39,8 +39,8 @@
     """The body of an upload, as far as it reached a server.
 
     ``body_bytes`` is the length that the caller stated in a header, ``has_ended``
-    whether the end of the body came, and ``changed_at_byte`` the place of the first
-    byte that the caller did not send there, None without one.
+    whether the end of the body was received, and ``changed_at_byte`` the offset of the
+    first byte that differs from what the caller sent, None if there is none.
     """
 
     server: str
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -48,7 +48,7 @@
     shard: int | None
     begun_s: float = 0.0
     held_until_s: float = inf
-    """When the grant of its shard, as it was when the work began, expires."""
+    """Expiry of the grant of its shard, as of the start of the work."""
     timer: Any = None
 
 
@@ -58,7 +58,7 @@
 
     It calls ``on_arrival`` for each request, ``on_begin`` once it begins to run one,
     then ``on_run`` for each that it ran, and ``on_refused`` for each other one. It
-    calls ``on_body`` for each upload, once its body has ended or its connection has.
+    calls ``on_body`` for each upload, at the end of its body or of its connection.
     """
 
     isLeaf = True  # noqa: N815
@@ -82,7 +82,7 @@
         """While it is set, each request is refused, and rest asked for this time."""
         self._reactor = reactor
         self._rng = rng
-        # Uploads don't change the other draws of a seed.
+        # Uploads must not change the other random choices of a seed.
         self._uploads_rng = Random(f"{spec.id} {spec.born_ms}")
         self._held_shards = HeldShards()
         self._running: dict[str, _Work] = {}
@@ -262,7 +262,7 @@
             )
 
     def end_upload(self, check: BodyCheck, *, has_ended: bool) -> None:
-        """Report how much of an upload came."""
+        """Report how much of an upload was received."""
         self.on_body(
             BodyReport(
                 server=self.spec.id,
@@ -301,7 +301,7 @@
         self.on_begin(work.request)
 
     def _complete(self, work: _Work) -> None:
-        # A release waits for the work, and a renewal does not extend its time.
+        # A release waits for running work; a renewal does not extend its expiry.
         is_whole = self._reactor.seconds() < work.held_until_s
         self._finish_run(work, is_whole=is_whole)
         if self._rng.random() < self.lost_share:
--- a/src/gentianwharf/platform/standin/_uploads.py
+++ b/src/gentianwharf/platform/standin/_uploads.py
@@ -1,7 +1,7 @@
-"""Uploads whose every byte a server can check by itself.
+"""Uploads whose every byte a server can verify.
 
-A body consists of cells with the request's id and their index, and a header states its
-length. A server needs nothing else to tell whether it got what the caller sent.
+A body consists of fixed-size cells, each with the request's id and its index, and a
+header states its length. So a server can compute the expected body from the head.
 """
 
 from enum import StrEnum
@@ -11,17 +11,17 @@
 from twisted.web.server import Request
 
 UPLOAD_HEADER = "Upload-Bytes"
-"""States the length of an upload, in whichever framing it is sent."""
+"""Header with the length of an upload, also sent with chunked encoding."""
 
 CELL_BYTES = 32
 INDEX_FORMAT = ":%05x"
 MAX_ID_BYTES = CELL_BYTES - len(INDEX_FORMAT % 0) - 1
 
 REFUSED_SHARE = 0.7
-"""Share of the early answers that refuse."""
+"""Share of the early answers that are refusals."""
 
-AT_ONCE_SHARE = 0.5
-"""Share of the early answers that don't wait for a byte of the body."""
+IMMEDIATE_SHARE = 0.5
+"""Share of the early answers that are sent before any byte of the body arrives."""
 
 
 def upload_body(request_id: str, first: int, last: int) -> bytes:
@@ -38,18 +38,18 @@
         raise ValueError(
             f"expected an id of {MAX_ID_BYTES} bytes at most, got {request_id!r}"
         )
-    skipped, end = first // CELL_BYTES, -(-last // CELL_BYTES)
+    first_cell, end = first // CELL_BYTES, -(-last // CELL_BYTES)
     cells = [
         (request_id + INDEX_FORMAT % index).ljust(CELL_BYTES, ".")
-        for index in range(skipped, end)
+        for index in range(first_cell, end)
     ]
-    start = skipped * CELL_BYTES
+    start = first_cell * CELL_BYTES
     return "".join(cells).encode()[first - start : last - start]
 
 
 @final
 class BodyCheck:
-    """Compares the body of a request with what its caller sent, piece by piece."""
+    """Compares the body of a request with the expected body as it arrives."""
 
     def __init__(self, *, request_id: str, body_bytes: int) -> None:
         self.request_id = request_id
@@ -85,19 +85,19 @@
 def draw_early_answer(
     rng: Random, *, share: float, body_bytes: int
 ) -> tuple[EarlyAnswer, int] | None:
-    """Return how to answer an upload before its end, and after which byte.
+    """Return the kind of an early answer, and after how many bytes it is sent.
 
-    None for most uploads, which are answered after their end.
+    Returns None if the upload is to be answered after its end.
     """
     if rng.random() >= share:
         return None
     kind = EarlyAnswer.REFUSE if rng.random() < REFUSED_SHARE else EarlyAnswer.RUN
-    at_byte = 0 if rng.random() < AT_ONCE_SHARE else rng.randrange(body_bytes + 1)
-    return kind, at_byte
+    after_bytes = 0 if rng.random() < IMMEDIATE_SHARE else rng.randrange(body_bytes + 1)
+    return kind, after_bytes
 
 
 class UploadReceiver(Protocol):
-    """What a server does with uploads as they come."""
+    """Handles the events of uploads."""
 
     def begin_upload(self, request: "StandInRequest", check: BodyCheck) -> None:
         """Handle the head of an upload; may set its ``early_answer``."""
@@ -108,14 +108,14 @@
         """Answer an upload before its end."""
 
     def end_upload(self, check: BodyCheck, *, has_ended: bool) -> None:
-        """Handle the end of the body, or of its connection within it."""
+        """Handle the end of the body, or the loss of the connection before it."""
 
 
 @final
 class StandInRequest(Request):
-    """A request whose body is checked as it comes, where it is an upload.
+    """A request; the body of an upload is checked as it arrives.
 
-    It may be answered before the end of its body; the rest is read and checked.
+    An upload may be answered before its end; the rest is still read and checked.
     """
 
     check: BodyCheck | None = None
@@ -147,8 +147,8 @@
     def _answer_if_due(self, check: BodyCheck) -> None:
         if self.early_answer is None:
             return
-        kind, at_byte = self.early_answer
-        if check.received_bytes >= at_byte:
+        kind, after_bytes = self.early_answer
+        if check.received_bytes >= after_bytes:
             self.early_answer = None
             self._receiver().answer_upload(self, check, kind)
 
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -19,7 +19,7 @@
 """Time for a caller to read an answer that was sent before the end of its request."""
 
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
-"""Bytes of such a request that are read and dropped until then."""
+"""Maximum number of bytes of such a request that are read and dropped."""
 
 
 class CallerChannel(HTTPChannel):
@@ -141,8 +141,9 @@
     def loseConnection(self) -> None:  # noqa: N802
         """Close once all data is written.
 
-        While a body is not read, only this side is closed (RFC 9112, section 9.6): to
-        close with bytes unread would discard the part of the answer on its way.
+        If the body has not been read, only the sending side is closed (RFC 9112,
+        section 9.6): closing with unread data resets the connection, and the caller
+        may lose the end of the answer.
         """
         if not self._is_body_unread:
             super().loseConnection()
--- a/src/gentianwharf/relay/_link_monitor.py
+++ b/src/gentianwharf/relay/_link_monitor.py
@@ -280,17 +280,17 @@
             self.on_restored()
             return
         self.on_cut_off()
-        if self._are_open_ones_lost():
+        if self._are_open_connections_lost():
             self._retire_direct()
         for give_up in list(self._connecting):
             give_up()
         self._probe_later()
 
-    def _are_open_ones_lost(self) -> bool:
-        """Whether open connections are probably lost, as far as is known by now.
+    def _are_open_connections_lost(self) -> bool:
+        """Whether the open connections are probably lost.
 
-        If new ones are refused, a quiet host may have heard nothing for a while on
-        connections that work; the requests on them show it soon.
+        If new connections are refused, the open ones may still work, though an idle
+        host has received nothing on them recently; their requests will show it.
         """
         is_silent = self.reachability.heard_s < self._begun_s - RECENTLY_HEARD_S
         return is_silent and not self.reachability.was_refused
--- a/src/gentianwharf/relay/_reachability.py
+++ b/src/gentianwharf/relay/_reachability.py
@@ -88,7 +88,7 @@
 
     @property
     def was_refused(self) -> bool:
-        """Whether the last connection that was not opened was refused."""
+        """Whether the last failed connection attempt was refused."""
         return self._last_failure == ConnectFailure.REFUSED
 
     def note_all_failed(self) -> None:
--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -145,7 +145,7 @@
 
     def _handle_stall(self) -> None:
         if self._is_paused and self._request.queued:
-            # It waits for earlier responses, which have timers of their own.
+            # It waits for earlier pipelined responses, which have their own timers.
             self._start_stall_timer()
             return
         self._finish(complete=False)
--- a/src/gentianwharf/sockets.py
+++ b/src/gentianwharf/sockets.py
@@ -12,7 +12,7 @@
 """The field ``tcpi_state`` of Linux's ``struct tcp_info``."""
 
 _RESET = frozenset({7})
-"""The state ``TCP_CLOSE`` of a socket that is open here."""
+"""The state ``TCP_CLOSE``, after a reset or a timeout if not closed locally."""
 
 _CLOSED_BY_PEER = frozenset({7, 8})
 """The states ``TCP_CLOSE``, after a reset, and ``TCP_CLOSE_WAIT``."""
@@ -32,7 +32,7 @@
 
 
 def is_reset(transport: Any) -> bool:
-    """Return whether the peer has reset the connection, or has vanished.
+    """Return whether the connection was reset by the peer or has timed out.
 
     This is known also while received data waits to be read.
     """
--- a/src/gentianwharf/tunnels/_server.py
+++ b/src/gentianwharf/tunnels/_server.py
@@ -43,8 +43,8 @@
 """Interval of ``HostState`` messages; hosts drop one from which none arrives."""
 
 RESET_CHECK_INTERVAL_S = 0.25
-"""Interval at which an end that is not read is checked for a reset: the event loop
-reports none while reading is paused."""
+"""Interval of the checks for a reset while reading is paused: the event loop doesn't
+report resets then."""
 
 LINGER_TIMEOUT_S = 30.0
 """Time for a host to read the rest of an answer, as long as for a stalled response."""
@@ -153,11 +153,11 @@
         cast(Any, self.transport).pauseProducing()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Read again."""
+        """Resume reading."""
         cast(Any, self.transport).resumeProducing()
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Do nothing: the other end is lost, and tells next how this one is closed."""
+        """Do nothing: the other end is lost, and will close this one."""
 
     def write(self, data: bytes) -> None:
         """Write bytes that arrived at the other end."""
@@ -283,7 +283,7 @@
             self._check_reset_later()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Read again."""
+        """Resume reading."""
         self._is_paused = False
         super().resumeProducing()
 
@@ -314,8 +314,8 @@
     def close(self, *, clean: bool) -> None:
         """End the answer as the server did: a reset stays a reset.
 
-        After a clean end the rest of an upload is read and dropped: to close with bytes
-        unread would discard the part of the answer that is on its way.
+        After a clean end, the rest of an upload is read and dropped: closing with
+        unread data resets the connection, and the host may lose the end of the answer.
         """
         transport = cast(Any, self.transport)
         if not clean or not transport.connected:
