Don't log an error for each request that is cancelled during its upload

Cause: the response's parser was told of the end also if the request had been cancelled before a head arrived; its failure then has no reader. It is told only once the head has arrived.

--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -117,8 +117,8 @@
             and not reason.check(ConnectionDone)
         ):
             self._monitor.note_reset(self.server_id())
-        pending = self._pending
-        has_head = pending is not None and pending.called
+        response = getattr(self, "_responseDeferred", None)
+        has_head = response is not None and response.called
         super().connectionLost(reason)
         if has_head:
             # Twisted does not fail the response while the request is still being sent.
--- a/tests/test_relay_unsent_bodies.py
+++ b/tests/test_relay_unsent_bodies.py
@@ -1,12 +1,17 @@
 """Connections to servers that respond before they have received the whole body."""
 
+import gc
 import socket
 import threading
 import time
+from typing import Any, cast
 
 import pytest
 from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.task import Clock
+from twisted.logger import LogEvent, LogLevel, globalLogPublisher
+from twisted.python.failure import Failure
 from twisted.web.http_headers import Headers
 
 from gentianwharf.relay import ServerConnectionPool
@@ -139,6 +144,38 @@
     assert transport.is_aborted
 
 
+def test_request_cancelled_during_its_upload_logs_no_error() -> None:
+    """Guards against an error in the log for each caller that disconnects."""
+    errors: list[LogEvent] = []
+
+    def note_error(event: LogEvent) -> None:
+        if event["log_level"] >= LogLevel.error:
+            errors.append(event)
+
+    pool = ServerConnectionPool(server=make_server(0, 1), reactor=Clock())
+    connection = ServerConnection(pool=pool)
+    connection.makeConnection(
+        StalledTransport(peerAddress=IPv4Address("TCP", "127.0.0.1", 1))
+    )
+    body = CallerBody(length=PIECE_BYTES, channel=FakeChannel())
+    pending = connection.send_request(
+        method=b"POST",
+        uri=b"/",
+        headers=Headers({b"host": [b"gateway"]}),
+        body=body.open_upload(on_abort=connection.abort_now),
+    )
+    pending.addErrback(lambda failure: None)
+    globalLogPublisher.addObserver(cast(Any, note_error))
+    try:
+        pending.cancel()
+        connection.connectionLost(Failure(ConnectionAborted()))
+        del connection, pending, body
+        gc.collect()
+    finally:
+        globalLogPublisher.removeObserver(cast(Any, note_error))
+    assert errors == []
+
+
 @pytest.mark.parametrize("status", ["200 OK", "503 Full"], ids=["answered", "refused"])
 def test_connection_with_an_unsent_body_is_not_used_again(status: str) -> None:
     """Guards against a request that is queued behind an unread body."""
