Confirm uploads at once unless an attempt asks to wait

Cause: a body's beginning is kept until its upload is confirmed, which only attempts do; the stand-in buffered the whole body. Now uploads are confirmed from the start, and an attempt asks for one that isn't.

--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -252,7 +252,9 @@
         self.is_sent = True
         self._connection_sends = connection.requests + 1
         if self._request.body is not None:
-            self._upload = self._request.body.open_upload(on_abort=connection.abort_now)
+            self._upload = self._request.body.open_upload(
+                on_abort=connection.abort_now, is_confirmed=False
+            )
         try:
             response = connection.send_request(
                 method=self._request.method,
--- a/src/gentianwharf/relay/_body_upload.py
+++ b/src/gentianwharf/relay/_body_upload.py
@@ -67,11 +67,16 @@
     """
 
     def __init__(
-        self, *, source: UploadSource, length: Any, on_abort: Callable[[], None]
+        self,
+        *,
+        source: UploadSource,
+        length: Any,
+        on_abort: Callable[[], None],
+        is_confirmed: bool = True,
     ) -> None:
         self.length = length
         self.sent_bytes = 0
-        self.is_confirmed = False
+        self.is_confirmed = is_confirmed
         """Whether the kernel has accepted the beginning of the request."""
         self._source = source
         self._on_abort = on_abort
--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -66,11 +66,14 @@
         """The size of the buffered data."""
         return len(self._held)
 
-    def open_upload(self, *, on_abort: Callable[[], None]) -> BodyUpload:
+    def open_upload(
+        self, *, on_abort: Callable[[], None], is_confirmed: bool = True
+    ) -> BodyUpload:
         """Return a new upload of the body; aborts the previous one.
 
-        ``on_abort`` must close the upload's connection. Raises ``ValueError`` unless
-        ``can_restart``.
+        ``on_abort`` must close the upload's connection. An upload that is not yet
+        ``is_confirmed`` keeps the body from its beginning until it is. Raises
+        ``ValueError`` unless ``can_restart``.
         """
         if not self.can_restart:
             raise ValueError(
@@ -80,7 +83,12 @@
         if self._upload is not None:
             self._upload.abort()
         self._send_pending_continue()
-        self._upload = BodyUpload(source=self, length=self.length, on_abort=on_abort)
+        self._upload = BodyUpload(
+            source=self,
+            length=self.length,
+            on_abort=on_abort,
+            is_confirmed=is_confirmed,
+        )
         return self._upload
 
     def read(self, offset_bytes: int) -> bytes:
--- a/tests/builders_bodies.py
+++ b/tests/builders_bodies.py
@@ -41,7 +41,6 @@
         self._capacity_bytes = capacity_bytes
         self.upload: BodyUpload = body.open_upload(on_abort=self._close)
         self.upload.startProducing(self).addCallback(self._end)  # type: ignore[arg-type]
-        self.upload.confirm()
 
     def write(self, data: bytes) -> None:
         """Record data; pause the upload once the capacity is reached."""
--- a/tests/test_relay_body_upload.py
+++ b/tests/test_relay_body_upload.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+from twisted.internet.testing import StringTransport
 
 from gentianwharf.relay._caller_body import MAX_REPLAY_BYTES, CallerBody
 from tests.builders_bodies import FakeChannel, FakeServerConnection
@@ -88,6 +89,19 @@
     assert not body.can_restart
 
 
+def test_body_is_kept_only_until_its_upload_is_confirmed() -> None:
+    """Guards against an upload whose body is buffered without limit."""
+    body, _ = new_body()
+    upload = body.open_upload(on_abort=lambda: None, is_confirmed=False)
+    upload.startProducing(StringTransport())
+    body.received(b"x" * READ_BYTES)
+    assert body.can_restart
+    assert body.held_bytes == READ_BYTES
+    upload.confirm()
+    assert not body.can_restart
+    assert body.held_bytes == 0
+
+
 def test_body_without_its_beginning_in_memory_is_not_sent_again() -> None:
     """Guards against a retry without the body's beginning."""
     body, _ = new_body()
