Read response bodies of the platform by one class

The calls of the router's own dialect had got a reader of their own, line by line that of the platform's store. Both use http_agent.BodyReader now, each with its own limit and its own error. A test builds its reader by the function that the store uses; its assertions are unchanged. No behaviour changes.

--- a/src/gentianwharf/http_agent.py
+++ b/src/gentianwharf/http_agent.py
@@ -7,14 +7,17 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.interfaces import IConsumer, IStreamClientEndpoint
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
 from twisted.web._newclient import HEADER, STATUS
-from twisted.web.client import URI, Agent, HTTPConnectionPool
+from twisted.web.client import URI, Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IAgent, IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from gentianwharf.errors import InputError
 
-__all__ = ["BytesBody", "ip_agent", "ip_endpoint"]
+__all__ = ["BodyReader", "BytesBody", "ip_agent", "ip_endpoint"]
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
@@ -158,3 +161,59 @@
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: the body has already been written."""
+
+
+@final
+class BodyReader(Protocol):
+    """Collects a response body; cancelling ``done`` closes the connection.
+
+    Once there are more than ``max_bytes``, ``done`` fails with the result of
+    ``size_error``, which gets the number of received bytes. ``on_chunk`` is called for
+    each chunk.
+
+    A body without a Content-Length ends when its connection closes. A truncated one is
+    detected when decoding it fails.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_bytes: int,
+        size_error: Callable[[int], Exception],
+        on_chunk: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.done: Deferred[bytes] = Deferred(lambda _: self._close())
+        self._max_bytes = max_bytes
+        self._size_error = size_error
+        self._on_chunk = on_chunk
+        self._chunks: list[bytes] = []
+        self._received_bytes = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Store a chunk; fail if the body is too large."""
+        if self.done.called:
+            return
+        self._received_bytes += len(data)
+        if self._received_bytes > self._max_bytes:
+            self._close()
+            self.done.errback(self._size_error(self._received_bytes))
+            return
+        self._chunks.append(data)
+        self._on_chunk()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Fire ``done`` with the body, or with the failure that ended it."""
+        if self.done.called:
+            return
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.done.callback(b"".join(self._chunks))
+        else:
+            self.done.errback(reason)
+
+    def _close(self) -> None:
+        # The rest of a cancelled response would compete with the next one for the link.
+        # The body's transport has no method to abort the connection.
+        self._chunks.clear()
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
--- a/src/gentianwharf/infra/_http.py
+++ b/src/gentianwharf/infra/_http.py
@@ -14,11 +14,8 @@
 from pydantic import BaseModel, TypeAdapter, ValidationError
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
-from twisted.internet.protocol import Protocol, connectionDone
-from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
-from twisted.web.client import HTTPConnectionPool, ResponseDone
-from twisted.web.http import PotentialDataLoss
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from gentianwharf.errors import (
@@ -29,7 +26,7 @@
     PeerUnavailableError,
     RefusedError,
 )
-from gentianwharf.http_agent import BytesBody, ip_agent
+from gentianwharf.http_agent import BodyReader, BytesBody, ip_agent
 
 from .wire import CALL_ID, ErrorName, Problem, encode
 
@@ -140,7 +137,7 @@
             Headers({b"Content-Type": [b"application/json"], CALL_ID: [call_id]}),
             BytesBody(body=call.body),
         )
-        reader = _AnswerReader()
+        reader = BodyReader(max_bytes=MAX_ANSWER_BYTES, size_error=_size_error)
         response.deliverBody(reader)
         body = await reader.done
         answered = response.headers.getRawHeaders(CALL_ID, [call_id])
@@ -191,42 +188,6 @@
         return await self._client.post(call, answer)
 
 
-@final
-class _AnswerReader(Protocol):
-    """Collects the body of an answer; cancelling ``done`` closes the connection."""
-
-    def __init__(self) -> None:
-        self.done: Deferred[bytes] = Deferred(lambda _: self._close())
-        self._chunks: list[bytes] = []
-        self._size = 0
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Store a chunk; fail if the answer is too large."""
-        if self.done.called:
-            return
-        self._size += len(data)
-        if self._size > MAX_ANSWER_BYTES:
-            self._close()
-            error = ValueError(f"answer is larger than {MAX_ANSWER_BYTES} bytes")
-            self.done.errback(error)
-            return
-        self._chunks.append(data)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Fire ``done`` with the body, or with the failure that cut it short."""
-        if self.done.called:
-            return
-        if reason.check(ResponseDone, PotentialDataLoss):
-            self.done.callback(b"".join(self._chunks))
-        else:
-            self.done.errback(reason)
-
-    def _close(self) -> None:
-        self._chunks.clear()
-        if self.transport is not None:
-            self.transport.loseConnection()
-
-
 @final
 class _IdentifiedCalls(HTTPConnectionPool):
     """Keeps a connection only after an answer that repeats the id of its call."""
@@ -244,6 +205,10 @@
         cast(Any, connection.transport).loseConnection()
 
 
+def _size_error(received_bytes: int) -> ValueError:
+    return ValueError(f"answer is larger than {MAX_ANSWER_BYTES} bytes")
+
+
 def _problem_error(call: Call, status: int, body: bytes) -> GentianwharfError:
     try:
         problem = Problem.model_validate_json(body)
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -32,7 +32,7 @@
     Removal,
 )
 
-from ._store_response import CALL_TIMEOUT_S, MAX_BODY_S, BodyReader, TimeLimit
+from ._store_response import CALL_TIMEOUT_S, MAX_BODY_S, TimeLimit, body_reader
 from ._units import decode_time_s, decode_value, encode_time, encode_value
 
 Body = TypeVar("Body")
@@ -280,7 +280,7 @@
         response: IResponse = await self._agent.request(
             method.encode(), target.encode(), headers, producer
         )
-        reader = BodyReader(on_chunk=limit.extend)
+        reader = body_reader(on_chunk=limit.extend)
         response.deliverBody(reader)
         return response.code, await reader.done
 
--- a/src/gentianwharf/platform/_store_response.py
+++ b/src/gentianwharf/platform/_store_response.py
@@ -4,12 +4,10 @@
 from typing import Any, final
 
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import ResponseDone
-from twisted.web.http import PotentialDataLoss
 
 from gentianwharf.errors import PeerMismatchError
+from gentianwharf.http_agent import BodyReader
 
 CALL_TIMEOUT_S = 2.0
 """A slow store takes some tenths of a second. If it doesn't respond, the call is
@@ -70,52 +68,17 @@
         return result
 
 
-@final
-class BodyReader(Protocol):
-    """Collects a response body and calls ``on_chunk`` for each chunk.
-
-    A body without a Content-Length ends when its connection closes. A truncated one is
-    detected when decoding it fails.
-    """
+def body_reader(*, on_chunk: Callable[[], None]) -> BodyReader:
+    """Return a reader of a response body, which calls ``on_chunk`` for each chunk."""
+    return BodyReader(
+        max_bytes=MAX_BODY_BYTES, size_error=_size_error, on_chunk=on_chunk
+    )
 
-    def __init__(self, *, on_chunk: Callable[[], None]) -> None:
-        self.done: Deferred[bytes] = Deferred(self._close)
-        self._on_chunk = on_chunk
-        self._chunks: list[bytes] = []
-        self._received_bytes = 0
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Store a chunk; fail if the body has too many."""
-        if self.done.called:
-            return
-        self._received_bytes += len(data)
-        if self._received_bytes > MAX_BODY_BYTES:
-            self._chunks.clear()
-            self._close(None)
-            self.done.errback(
-                PeerMismatchError(
-                    f"expected a body of {MAX_BODY_BYTES} bytes at most, got"
-                    f" {self._received_bytes} without its end",
-                    step="read-answer",
-                    peer="store",
-                )
-            )
-            return
-        self._chunks.append(data)
-        self._on_chunk()
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Fire ``done`` with the body, or with the failure that ended it."""
-        if self.done.called:
-            return
-        if reason.check(ResponseDone, PotentialDataLoss):
-            self.done.callback(b"".join(self._chunks))
-        else:
-            self.done.errback(reason)
-
-    def _close(self, _: object) -> None:
-        # The rest of a cancelled response would compete with the next one for the link.
-        # The body's transport has no method to abort the connection.
-        transport: Any = self.transport
-        if transport is not None:
-            transport.loseConnection()
+def _size_error(received_bytes: int) -> PeerMismatchError:
+    return PeerMismatchError(
+        f"expected a body of {MAX_BODY_BYTES} bytes at most, got {received_bytes}"
+        " without its end",
+        step="read-answer",
+        peer="store",
+    )
--- a/tests/test_users_platform_store.py
+++ b/tests/test_users_platform_store.py
@@ -12,7 +12,7 @@
 from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.platform import PlatformStore
 from gentianwharf.platform._store import RENEW_TIMEOUT_S
-from gentianwharf.platform._store_response import CALL_TIMEOUT_S, BodyReader
+from gentianwharf.platform._store_response import CALL_TIMEOUT_S, body_reader
 from gentianwharf.store import FORWARDING_PACE, Events, Page
 from tests.builders_transport import ProbedTransport
 
@@ -142,7 +142,7 @@
 
 def test_response_without_a_length_ends_with_its_connection() -> None:
     """No host gets any rules if a proxy at the store removes Content-Length."""
-    reader = BodyReader(on_chunk=lambda: None)
+    reader = body_reader(on_chunk=lambda: None)
     bodies: list[bytes] = []
     reader.done.addCallback(bodies.append)
     reader.dataReceived(b"{}")
