Ask in one place whether a body is complete before it is lost

Three callers asked before each call of CallerBody.lost, which now does nothing once the body is complete; and the caller's connection asked again what its request already knows. No behaviour changes.

--- a/src/gentianwharf/relay/_caller_body.py
+++ b/src/gentianwharf/relay/_caller_body.py
@@ -153,7 +153,9 @@
             self.note_progress()
 
     def lost(self) -> None:
-        """Abort the upload, since the caller disconnected before the body's end."""
+        """Abort the upload, unless the caller has sent the complete body."""
+        if self.complete:
+            return
         self.is_lost = True
         if self._upload is not None:
             self._upload.abort()
@@ -164,8 +166,7 @@
         If the caller has sent the complete body, a server that responded early still
         gets the rest.
         """
-        if not self.complete:
-            self.lost()
+        self.lost()
         self._set_reading(True)
         self._channel = None
 
--- a/src/gentianwharf/relay/_caller_request.py
+++ b/src/gentianwharf/relay/_caller_request.py
@@ -137,7 +137,7 @@
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Fail the body if it is incomplete."""
-        if self.body is not None and not self.body.complete:
+        if self.body is not None:
             self.body.lost()
         super().connectionLost(reason)
 
@@ -148,12 +148,14 @@
         since the connection is closed after it. Otherwise the caller would send its
         next request there and get no response.
         """
-        if not self.startedWriting and self._is_body_unread():
+        if not self.startedWriting and self.is_receiving_body:
             self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
             cast(RequestChannel, self.channel).disable_keep_alive()
         super().write(data)
 
-    def _is_body_unread(self) -> bool:
+    @property
+    def is_receiving_body(self) -> bool:
+        """Whether the caller has not sent the complete body."""
         return self.body is not None and not self.body.complete
 
     def finish(self) -> None:
@@ -161,7 +163,7 @@
 
         The rest of the body would otherwise be parsed as the caller's next request.
         """
-        if self._is_body_unread():
+        if self.is_receiving_body:
             self.responded_early = True
             cast(RequestChannel, self.channel).close_after_response()
         if self.body is not None:
@@ -175,7 +177,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the caller detects the truncated response."""
-        if self.body is not None and not self.body.complete:
+        if self.body is not None:
             self.body.lost()
         if self.channel is not None:
             cast(RequestChannel, self.channel).abort()
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -111,8 +111,7 @@
             self._networkProducer.resumeProducing()
 
     def _is_receiving_body(self) -> bool:
-        body = self.requests[-1].body if self.requests else None
-        return body is not None and not body.complete
+        return bool(self.requests) and self.requests[-1].is_receiving_body
 
     def send_now(self) -> None:
         """Send written data without waiting for the next loop iteration."""
