End an upload where its data has been written

After its loop, an upload that is still writing has sent all that was received: whether it has ended depends on the body alone. Pausing or stopping within the loop has noted the progress already, so that it isn't noted twice.

--- a/src/gentianwharf/relay/_body_upload.py
+++ b/src/gentianwharf/relay/_body_upload.py
@@ -127,21 +127,18 @@
 
     def send(self) -> None:
         """Write the received data that is not yet sent, until writing is paused."""
-        while self.wants_data and self.sent_bytes < self._source.received_bytes:
-            data = self._source.read(self.sent_bytes)
+        source = self._source
+        while self.wants_data and self.sent_bytes < source.received_bytes:
+            data = source.read(self.sent_bytes)
             self.sent_bytes += len(data)
             cast(IConsumer, self._consumer).write(data)
-        self._finish_if_complete()
-        self._source.note_progress()
-
-    def _finish_if_complete(self) -> None:
-        is_complete = self._source.complete and (
-            self.sent_bytes == self._source.received_bytes
-        )
-        done = self._done
-        if self._state is _State.WRITING and is_complete and done is not None:
+        if not self.wants_data:
+            # Pausing or stopping has noted the progress.
+            return
+        if source.complete:
             self._state = _State.ENDED
-            done.callback(None)
+            cast("Deferred[None]", self._done).callback(None)
+        source.note_progress()
 
     def confirm(self) -> None:
         """Record that the kernel has accepted the beginning of the request."""
