Play requests that end servers behind proxies, silently and refused

A server that a request ends can now be proxied or silent, servers can refuse a share of these requests without a run, and their caller can leave early. steady-crashes ends a twelfth of the servers each 1.5 s beside it, also with lost answers, hosts that stand still and hosts that are killed.

--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -15,6 +15,7 @@
 from ._disruptions import DISRUPTIONS
 from ._fleet import POLL_INTERVAL_S, Fleet
 from ._judge import missing_effects, summary, violations
+from ._servers import EndManner, Order
 from ._sheet import AGREEMENT, EXTRA_RETRIES, REQUESTS
 
 CALLER_PROCESSES = 3
@@ -41,6 +42,10 @@
     crash_interval_s: float = 0.1,
     crash_at_s: float = 15.0,
     crash_steady: bool = False,
+    crash_patience_s: float | None = None,
+    end_manner: EndManner = EndManner.REFUSING,
+    end_manner_share: float = 1.0,
+    crash_refused_share: float = 0.0,
 ) -> None:
     """Play one run, and exit with 1 if it breaks what operators allow.
 
@@ -82,6 +87,14 @@
         When the first one is sent.
     crash_steady
         Count the interval from each send, and wait for no answer.
+    crash_patience_s
+        After which the caller of such a request leaves, by default at its deadline.
+    end_manner
+        What is seen of a server that such a request has ended.
+    end_manner_share
+        Share of these servers that end in that manner; the others refuse connections.
+    crash_refused_share
+        Share of the arrivals of such a request that servers refuse without a run.
 
     """
     kinds = [spec.name for spec in REQUESTS]
@@ -108,9 +121,18 @@
         *("--crash-at-s", str(crash_at_s)),
         "--crash-steady" if crash_steady else "--no-crash-steady",
     )
+    if crash_patience_s is not None:
+        crashing += ("--crash-patience-s", str(crash_patience_s))
     outputs = [directory / f"callers-{part}.jsonl" for part in range(CALLER_PROCESSES)]
     try:
         fleet.start_platform()
+        fleet.order_servers(
+            Order(
+                end_manner=end_manner,
+                end_manner_share=end_manner_share,
+                refused_share=crash_refused_share,
+            )
+        )
         started_s = time.monotonic()
         for number in range(hosts):
             fleet.start_host(number)
--- a/bench/fleet/_callers.py
+++ b/bench/fleet/_callers.py
@@ -79,7 +79,8 @@
     """How a caller sends the request that ends its servers.
 
     It sends ``copies`` at once from ``at_s`` on, and again ``interval_s`` after the
-    last answer, or after the last send where ``is_steady``.
+    last answer, or after the last send where ``is_steady``. It leaves after
+    ``patience_s``.
     """
 
     spec: RequestSpec
@@ -87,6 +88,7 @@
     interval_s: float
     at_s: float
     is_steady: bool = False
+    patience_s: float = float("inf")
 
 
 @final
@@ -162,8 +164,15 @@
     def _crash(self, plan: CrashPlan, call: _Call) -> None:
         if not self.is_sending:
             return
+        deadline_s = call.spec.deadline_ms / 1000
         sending = Deferred.fromCoroutine(
-            self._send(self._kept, call, call.spec.deadline_ms / 1000, is_first=True)
+            self._send(
+                self._kept,
+                call,
+                deadline_s,
+                is_first=True,
+                patience_s=plan.patience_s,
+            )
         )
         if plan.is_steady:
             reactor.callLater(plan.interval_s, self._crash, plan, call)
@@ -173,7 +182,13 @@
             )
 
     async def _send(
-        self, agent: Agent, call: _Call, left_s: float, *, is_first: bool
+        self,
+        agent: Agent,
+        call: _Call,
+        left_s: float,
+        *,
+        is_first: bool,
+        patience_s: float = float("inf"),
     ) -> SentRequest:
         spec = call.spec
         self._count += 1
@@ -188,7 +203,7 @@
         )
         self.requests.append(request)
         answer = Deferred.fromCoroutine(self._exchange(agent, call, request))
-        answer.addTimeout(left_s, reactor)
+        answer.addTimeout(min(left_s, patience_s), reactor)
         try:
             await answer
         except Exception:
@@ -255,6 +270,7 @@
     crash_interval_s: float = 0.1,
     crash_at_s: float = 15.0,
     crash_steady: bool = False,
+    crash_patience_s: float = float("inf"),
 ) -> None:
     """Send a part of the requests of the sheet, and write a line for each to OUTPUT.
 
@@ -290,6 +306,8 @@
         When the first one is sent.
     crash_steady
         Count the interval from each send, and wait for no answer.
+    crash_patience_s
+        After which the caller of such a request leaves.
 
     """
     use_monotonic_time(reactor)
@@ -313,6 +331,7 @@
                     interval_s=crash_interval_s,
                     at_s=crash_at_s,
                     is_steady=crash_steady,
+                    patience_s=crash_patience_s,
                 )
             )
 
--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -8,6 +8,8 @@
 from ._fleet import SERVER_PROCESSES, Fleet
 from ._servers import Order
 
+CRASH_GAP_S = 1.5
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -77,6 +79,13 @@
         yield Step(at_s=start_s + for_s, act=_resume)
 
 
+def _crashes(from_s: int, to_s: int) -> Iterator[Step]:
+    """Yield ends of a twelfth of the servers, each 1.5 s."""
+    for number in range(round((to_s - from_s) / CRASH_GAP_S)):
+        at_s = from_s + number * CRASH_GAP_S
+        yield Step(at_s=at_s, act=_order(Order(ended_share=1 / 12)))
+
+
 DISRUPTIONS: Mapping[str, tuple[Step, ...]] = {
     "none": (),
     "lost-answers": tuple(_lost(14, 40)),
@@ -138,6 +147,16 @@
         Step(at_s=at_s, act=_order(Order(ended_share=1 / 7)))
         for at_s in (14.5, 15.5, 17.0, 18.5, 24.0, 30.0)
     ),
+    "steady-crashes": tuple(_crashes(14, 46)),
+    "steady-crashes-lost": (*_lost(14, 44, 0.5), *_crashes(14, 46)),
+    "steady-crashes-stalls": (
+        *_crashes(14, 46),
+        *_pauses(_pause_hosts(0.4), *range(15, 45, 3), for_s=2.0),
+    ),
+    "steady-crashes-restarts": (
+        *_crashes(14, 46),
+        *(Step(at_s=at_s, act=_restart_hosts(0.25)) for at_s in range(15, 44, 4)),
+    ),
     "crash-all": (
         *_lost(14, 40, 0.3),
         *(
--- a/bench/fleet/_servers.py
+++ b/bench/fleet/_servers.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Coroutine
+from enum import StrEnum
 from random import Random
 from typing import Any, final
 from weakref import WeakSet
@@ -14,6 +15,7 @@
 import msgspec
 from twisted.internet import reactor as installed_reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.stdio import StandardIO
 from twisted.internet.task import deferLater
 from twisted.protocols.basic import LineOnlyReceiver
@@ -54,6 +56,9 @@
 ENTRY_LAPSE_S = 2.4
 """From the end of a server to the end of its entry, unless it is back by then."""
 
+PROXY_CLOSE_DELAY_S = 0.3
+"""For which a proxy keeps the connections of a server that has ended."""
+
 ROLLING_GAP_S = 0.3
 STORE_RETRY_S = 0.5
 
@@ -63,6 +68,19 @@
 reactor: Any = installed_reactor
 
 
+class EndManner(StrEnum):
+    """What is seen of a server that a request has ended."""
+
+    REFUSING = "refusing"
+    """Its connections end, and new ones are refused."""
+
+    PROXIED = "proxied"
+    """Its connections end; a proxy accepts new ones, and closes them."""
+
+    SILENT = "silent"
+    """Its connections stay open without an answer, and new ones are refused."""
+
+
 class RuleMove(msgspec.Struct):
     """That the store acknowledged which service the rule that moves has."""
 
@@ -93,7 +111,9 @@
     servers end now, and others of another service get their addresses. ``service``
     limits the first two to one service. ``moves_rule`` writes a configuration in which
     a rule has another service, or its first one again. ``ended_share`` of the servers
-    end now and start again, one after the other where ``is_rolling``.
+    end now and start again, one after the other where ``is_rolling``. Servers that a
+    request ends do so in ``end_manner`` with the probability ``end_manner_share``, else
+    as ``REFUSING``; ``refused_share`` of these requests is refused and not run.
     """
 
     lost_share: float | None = None
@@ -103,6 +123,20 @@
     moves_rule: bool | None = None
     ended_share: float | None = None
     is_rolling: bool = False
+    end_manner: EndManner | None = None
+    end_manner_share: float = 1.0
+    refused_share: float | None = None
+
+
+class _ClosingProtocol(Protocol):
+    """Accepts a connection for a server that has ended, and closes it."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        reactor.callLater(PROXY_CLOSE_DELAY_S, self.transport.abortConnection)
+
+
+def _discard(*data: object) -> None:
+    """Write nothing, as a process does that is gone behind a silent link."""
 
 
 @final
@@ -130,11 +164,22 @@
         channel.makeConnection = make_connection
         return channel
 
-    def crash(self) -> None:
+    def crash(self, manner: EndManner = EndManner.REFUSING) -> None:
         self.has_ended = True
         self._port.stopListening()
+        if manner is EndManner.SILENT:
+            for transport in list(self._transports):
+                transport.write = transport.writeSequence = _discard
+                transport.loseConnection = _discard
+                reactor.callLater(RESTART_S, transport.abortConnection)
+            return
         for transport in list(self._transports):
             transport.abortConnection()
+        if manner is EndManner.PROXIED:
+            ip, _, port = self.server.spec.address.rpartition(":")
+            factory = Factory.forProtocol(_ClosingProtocol)
+            proxy = reactor.listenTCP(int(port), factory, interface=ip)
+            reactor.callLater(RESTART_S - PROXY_CLOSE_DELAY_S, proxy.stopListening)
 
 
 @final
@@ -153,6 +198,9 @@
         self._servers: list[_ListeningServer] = []
         self._ended = 0
         self._version = 1
+        self._end_manner = EndManner.REFUSING
+        self._end_manner_share = 1.0
+        self._refused_share = 0.0
         self.has_failed = False
         self._output = open(  # noqa: SIM115
             sys.stdout.fileno(), "wb", buffering=OUTPUT_BUFFER_BYTES, closefd=False
@@ -202,6 +250,11 @@
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Carry out an order."""
         order = msgspec.json.decode(line, type=Order)
+        if order.end_manner is not None:
+            self._end_manner = order.end_manner
+            self._end_manner_share = order.end_manner_share
+        if order.refused_share is not None:
+            self._refused_share = order.refused_share
         for listening in self._servers:
             server = listening.server
             if order.service not in (None, server.spec.service):
@@ -236,7 +289,8 @@
 
     def _end(self, listening: _ListeningServer, *, by_request: bool) -> None:
         self._servers.remove(listening)
-        listening.crash()
+        is_other = by_request and self._rng.random() < self._end_manner_share
+        listening.crash(self._end_manner if is_other else EndManner.REFUSING)
         self._write(
             ServerEnd(
                 server=listening.server.spec.id,
@@ -267,6 +321,10 @@
         server.lost_share = former.server.lost_share
         await self._list(server)
 
+    def _refuses(self, request: Request) -> bool:
+        is_crashing = request.path.startswith(CRASH_PATH.encode())
+        return is_crashing and self._rng.random() < self._refused_share
+
     def _end_if_crashing(self, listening: _ListeningServer, request: Request) -> None:
         if request.path.startswith(CRASH_PATH.encode()):
             self._start(
@@ -308,6 +366,7 @@
         server = StandInServer(spec=spec, reactor=reactor, rng=self._rng)
         server.on_arrival = server.on_run = server.on_body = self._write
         listening = _ListeningServer(server)
+        server.refuses = self._refuses
         server.on_begin = lambda request: self._end_if_crashing(listening, request)
         self._servers.append(listening)
         return server
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -73,6 +73,8 @@
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.on_refused: Callable[[str], None] = lambda request_id: None
         self.on_body: Callable[[BodyReport], None] = lambda report: None
+        self.refuses: Callable[[Request], bool] = lambda request: False
+        """Whether the server refuses a request as if it were full."""
         self.state = ServerState.READY
         self.max_requests_per_s: float | None = None
         """The limit for all hosts together that each answer names, None for none."""
@@ -228,6 +230,8 @@
         elif self.rest_s is not None:
             request.setHeader(b"Retry-After", f"{self.rest_s}".encode())
             self._refuse(work, STATUS_UNAVAILABLE)
+        elif self.refuses(request):
+            self._refuse(work, STATUS_UNAVAILABLE)
         elif len(self._running) < self.spec.slots:
             self._run(work)
         elif len(self._waiting) < self.spec.slots * QUEUE_PER_SLOT:
