--- a/bench/fleet/_servers.py
+++ b/bench/fleet/_servers.py
@@ -166,7 +166,11 @@
 
     def crash(self, manner: EndManner = EndManner.REFUSING) -> None:
         self.has_ended = True
-        self._port.stopListening()
+        if manner is EndManner.PROXIED:
+            self._port.factory = Factory.forProtocol(_ClosingProtocol)
+            reactor.callLater(RESTART_S - PROXY_CLOSE_DELAY_S, self._port.stopListening)
+        else:
+            self._port.stopListening()
         if manner is EndManner.SILENT:
             for transport in list(self._transports):
                 transport.write = transport.writeSequence = _discard
@@ -175,11 +179,6 @@
             return
         for transport in list(self._transports):
             transport.abortConnection()
-        if manner is EndManner.PROXIED:
-            ip, _, port = self.server.spec.address.rpartition(":")
-            factory = Factory.forProtocol(_ClosingProtocol)
-            proxy = reactor.listenTCP(int(port), factory, interface=ip)
-            reactor.callLater(RESTART_S - PROXY_CLOSE_DELAY_S, proxy.stopListening)
 
 
 @final
