--- a/soak/_crashing.py
+++ b/soak/_crashing.py
@@ -17,6 +17,7 @@
 ENDS = "ends-its-server"
 """Part of the target that lets a server end; it is passed to the stand-ins."""
 
+ID_PREFIX = "crashing-"
 MAX_CRASHES = 3
 MAX_LATE_SENDS = 3
 CONTACT_S = 4.0
@@ -25,6 +26,11 @@
 MEAN_PAUSE_S = 0.4
 
 
+def is_crashing(request_id: str) -> bool:
+    """Whether a request may end its server."""
+    return request_id.startswith(ID_PREFIX)
+
+
 @final
 class CrashingCaller:
     """Sends the same request again and again, each time to a random host."""
@@ -45,7 +51,7 @@
             return
         host = self._rng.choice(sorted(self._addresses))
         request = SentRequest(
-            id=f"crashing-{len(self.requests)}",
+            id=f"{ID_PREFIX}{len(self.requests)}",
             service=UNKEYED,
             host=host,
             may_repeat=False,
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -20,7 +20,7 @@
 )
 
 from ._answer_faults import AnswerFaults
-from ._crashing import ENDS
+from ._crashing import ENDS, is_crashing
 from ._disruptions import Disruptions, link_of
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
@@ -35,6 +35,13 @@
 CRASHED = f"code {EXIT_CRASHED}"
 """How a server ends when a request has ended it."""
 
+END_MANNERS = PROXIED, SILENT, FULL = range(3)
+"""Each server, by its number: its proxy closes its connections once a request has ended
+it, or leaves them open; or it refuses a part of these requests, and is proxied."""
+
+HIDDEN_S = 1.0
+REFUSED_SHARE = 0.4
+
 SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
 FIRST_LINK_PORT = 8500
 DISRUPTIVE_SIGNALS = (signal.SIGSTOP, signal.SIGTERM, signal.SIGKILL)
@@ -159,12 +166,14 @@
     def _start_server(self, name: str) -> None:
         number = self.servers.index(name)
         service = KEYED if number < KEYED_SERVER_COUNT else UNKEYED
+        is_full = number % len(END_MANNERS) == FULL
         arguments = [
             *(*STANDIN, "backend", name, service, f"{self._ip(name)}:{SERVER_PORT}"),
             *("--domain", "abc"[number % 3], "--slots", "4", "--work-ms", "30"),
             *("--store", self.operators_address),
             *("--listed-as", self._proxy_address(name), "--reports-arrivals"),
             *("--ends-on", ENDS, "--early-share", str(self._early_share)),
+            *("--refused-share", str(REFUSED_SHARE if is_full else 0.0)),
         ]
         self._start_process(name, arguments)
 
@@ -192,6 +201,7 @@
         if program.exit_status != CRASHED or self._is_stopped:
             return
         self.crashes_s.append(self.reactor.seconds())
+        self.reactor.callLater(CRASH_RESTART_S, self.proxies[program.name].reset)
         self.reactor.callLater(CRASH_RESTART_S, self.start_program, program.name)
 
     def _note_line(self, line: Line) -> None:
@@ -199,6 +209,16 @@
             self.bodies.append(msgspec.convert(line, BodyReport))
         else:
             (self.arrivals if "arrived_s" in line else self.runs).append(line)
+            if "arrived_s" in line and is_crashing(line["request_id"]):
+                self._hide_end(line["server"])
+
+    def _hide_end(self, name: str) -> None:
+        """Let some servers go silent where a request ends them now."""
+        if self.servers.index(name) % len(END_MANNERS) != SILENT:
+            return
+        proxy = self.proxies[name]
+        proxy.hides_ends = True
+        self.reactor.callLater(HIDDEN_S, setattr, proxy, "hides_ends", False)
 
     def _add_proxy(self, name: str, *, target: str) -> None:
         self.proxies[name] = Proxy(
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -84,6 +84,8 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Close the other end as well."""
         self._proxy.sides.discard(self)
+        if self._carries_responses and self._proxy.hides_ends:
+            return
         if self.other is not None and self.other.transport is not None:
             self.other.transport.loseConnection()
 
@@ -128,6 +130,8 @@
         self.reactor = reactor
         self.answer_faults = answer_faults
         self.fault = LinkFault.NONE
+        self.hides_ends = False
+        """Whether connections stay open without answers once the target ends them."""
         self.target = target
         self.sides: set[_Side] = set()
         self._listens_on = listens_on
@@ -160,7 +164,7 @@
             self.end()
         self.fault = fault
         if fault in (LinkFault.RESET, LinkFault.REFUSE):
-            self._reset_all()
+            self.reset()
             self.fault = (
                 LinkFault.REFUSE if fault is LinkFault.REFUSE else LinkFault.NONE
             )
@@ -172,13 +176,14 @@
         """
         ended, self.fault = self.fault, LinkFault.NONE
         if ended in SILENT_FAULTS:
-            self._reset_all()
+            self.reset()
 
     def stop(self) -> None:
         """Stop listening, and reset all open connections."""
         self.stop_listening()
-        self._reset_all()
+        self.reset()
 
-    def _reset_all(self) -> None:
+    def reset(self) -> None:
+        """Reset all open connections."""
         for side in list(self.sides):
             side.reset()
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -128,6 +128,7 @@
     early_share: float = 0.0,
     reports_arrivals: bool = False,
     ends_on: str = "",
+    refused_share: float = 0.0,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -170,6 +171,8 @@
     ends_on
         Part of a target; the process ends soon after it begins to run a request with
         it. Empty for none.
+    refused_share
+        The probability that it refuses such a request without running it.
 
     """
     use_monotonic_time(reactor)
@@ -195,7 +198,11 @@
     if reports_arrivals:
         server.on_arrival = server.on_body = _print_line
     if ends_on:
-        server.on_begin = partial(_end_on, ends_on.encode())
+        part, rng = ends_on.encode(), Random(spec.born_ms)
+        server.on_begin = partial(_end_on, part)
+        server.refuses = lambda request: (
+            part in request.uri and rng.random() < refused_share
+        )
     print("ready", flush=True)
     reactor.run()
 
