--- a/src/gentianwharf/quarantine/_record.py
+++ b/src/gentianwharf/quarantine/_record.py
@@ -226,6 +226,13 @@
         """How many servers may have ended under the request."""
         return len(self._possible_ends())
 
+    @property
+    def written_tries(self) -> int:
+        """How many tries may have been written."""
+        return sum(
+            known.state is not TryState.WITHDRAWN for known in self.tries.values()
+        )
+
     def late_tries(self) -> list[PermittedTry]:
         """Return the tries whose number is bounded, in order."""
         return self.tries_after(EARLY_ENDS)
