--- a/tests/builders_quarantine.py
+++ b/tests/builders_quarantine.py
@@ -5,7 +5,7 @@
 that ends.
 """
 
-from bisect import insort
+from bisect import bisect_right, insort
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -98,9 +98,9 @@
 
     def is_up(self, server: int, at_s: float) -> bool:
         """Whether a server runs."""
-        return not any(
-            end_s <= at_s < end_s + BACK_AFTER_S for end_s in self.ends_s[server]
-        )
+        ends_s = self.ends_s[server]
+        ended = bisect_right(ends_s, at_s)
+        return not ended or at_s >= ends_s[ended - 1] + BACK_AFTER_S
 
     def end_within(self, server: int, from_s: float, to_s: float) -> float | None:
         """Return when a server ends in a time, None if it doesn't."""
@@ -157,10 +157,13 @@
         self._read[host] = len(self._news)
         self._pending[host] = []
         for sent_s, origin, name, news in pending:
-            if origin != host and self.now_s < sent_s + self._delay_s(sent_s):
+            has_reached = self.now_s >= sent_s and (
+                origin == host or self.now_s >= sent_s + self._delay_s(sent_s)
+            )
+            if not has_reached:
                 self._pending[host].append((sent_s, origin, name, news))
-            else:
-                _apply(records, name, news)
+                continue
+            _apply(records, name, news)
         return records
 
     def _delay_s(self, sent_s: float) -> float:
@@ -275,55 +278,82 @@
     troubles: Troubles | None = None,
 ) -> CulpritPlay:
     """Let a caller send a request that ends servers, each time to a random host."""
-    troubles = troubles or Troubles()
-    play, caller = CulpritPlay(), _Caller(fleet=fleet, name=name_of("/culprit"))
+    culprit = _Culprit(fleet=fleet, troubles=troubles or Troubles())
     _tell_losses(fleet)
-    late_proofs: list[tuple[float, int, str, PermittedTry | None, float]] = []
     fleet.now_s = from_s
     while fleet.now_s < from_s + for_s:
-        for proof in [proof for proof in late_proofs if proof[0] <= fleet.now_s]:
-            late_proofs.remove(proof)
-            caller.crash(*proof[1:4], at_s=proof[4])
+        culprit.prove()
         host = fleet.rng.randrange(fleet.hosts)
-        standing, wait_s, tried = caller.admit(host)
+        standing, wait_s, tried = culprit.caller.admit(host)
         if standing is Standing.UNDECIDED:
             fleet.now_s += min(wait_s, gap_s + POLL_S)
             continue
         if standing is not Standing.REFUSED:
-            _run_culprit(fleet, caller, play, host, tried, troubles, late_proofs)
+            culprit.run(host, tried)
         fleet.now_s += gap_s
-    return play
+    return culprit.play
 
 
-def _run_culprit(
-    fleet: Fleet,
-    caller: _Caller,
-    play: CulpritPlay,
-    host: int,
-    tried: PermittedTry | None,
-    troubles: Troubles,
-    late_proofs: list[tuple[float, int, str, PermittedTry | None, float]],
-) -> None:
-    play.arrivals_s.append(fleet.now_s)
-    if fleet.rng.random() < troubles.shed:
-        if tried is not None:
-            caller.refuse(host, tried)
-        return
-    server = fleet.rng.choice(fleet.losses.living(fleet.now_s) or [0])
-    fleet.now_s += CRASH_S
-    play.ends_s.append(fleet.now_s)
-    incarnation = f"{server}/by-request-{len(play.ends_s)}"
-    may_be_lost = tried is not None or play.unseen_ends < MAX_UNSEEN_ENDS
-    if may_be_lost and fleet.rng.random() < troubles.lost:
-        play.unseen_ends += tried is None
-        return
-    if fleet.rng.random() < troubles.late:
-        proved_s = fleet.now_s + ENTRY_LAPSE_S
-        late_proofs.append((proved_s, host, incarnation, tried, fleet.now_s))
-        return
-    ended_s = fleet.now_s
-    fleet.now_s += PROBE_S
-    caller.crash(host, incarnation, tried, at_s=ended_s)
+@dataclass(frozen=True, kw_only=True)
+class _LateProof:
+    """What a host finds out once the entry of a server lapses."""
+
+    proved_s: float
+    host: int
+    incarnation: str
+    tried: PermittedTry | None
+    ended_s: float
+
+
+class _Culprit:
+    """A request that ends each server that begins to run it."""
+
+    def __init__(self, *, fleet: Fleet, troubles: Troubles) -> None:
+        self.play = CulpritPlay()
+        self.caller = _Caller(fleet=fleet, name=name_of("/culprit"))
+        self._fleet = fleet
+        self._troubles = troubles
+        self._late_proofs: list[_LateProof] = []
+
+    def prove(self) -> None:
+        """Let hosts find out which entries have lapsed."""
+        now_s = self._fleet.now_s
+        due = [proof for proof in self._late_proofs if proof.proved_s <= now_s]
+        for proof in due:
+            self._late_proofs.remove(proof)
+            self.caller.crash(
+                proof.host, proof.incarnation, proof.tried, at_s=proof.ended_s
+            )
+
+    def run(self, host: int, tried: PermittedTry | None) -> None:
+        """Let a host send the request to a server."""
+        fleet, play = self._fleet, self.play
+        play.arrivals_s.append(fleet.now_s)
+        if fleet.rng.random() < self._troubles.shed:
+            if tried is not None:
+                self.caller.refuse(host, tried)
+            return
+        server = fleet.rng.choice(fleet.losses.living(fleet.now_s) or [0])
+        fleet.now_s += CRASH_S
+        ended_s = fleet.now_s
+        play.ends_s.append(ended_s)
+        incarnation = f"{server}/by-request-{len(play.ends_s)}"
+        may_be_lost = tried is not None or play.unseen_ends < MAX_UNSEEN_ENDS
+        if may_be_lost and fleet.rng.random() < self._troubles.lost:
+            play.unseen_ends += tried is None
+        elif fleet.rng.random() < self._troubles.late:
+            self._late_proofs.append(
+                _LateProof(
+                    proved_s=ended_s + ENTRY_LAPSE_S,
+                    host=host,
+                    incarnation=incarnation,
+                    tried=tried,
+                    ended_s=ended_s,
+                )
+            )
+        else:
+            fleet.now_s += PROBE_S
+            self.caller.crash(host, incarnation, tried, at_s=ended_s)
 
 
 def _tell_losses(fleet: Fleet) -> None:
