--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -299,7 +299,9 @@
                 },
             )
             self.suspicions.forget(name.digest)
-            self._cleared.append(ClearReport(name.digest, evidence_ids))
+            # The next copy may come to another host at once, and a try that is not
+            # known to have run wholly counts as an end.
+            self._send(cleared=[ClearReport(name.digest, evidence_ids)])
 
     def _note_crash(self, crash: SuspectedCrash) -> "Deferred[bool]":
         evidence = crash.evidence
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -241,6 +241,19 @@
     assert hosts.standings() == FREE
 
 
+def test_whole_run_is_known_elsewhere_before_the_next_tick(
+    hosts: QuarantineHosts,
+) -> None:
+    """Guards against an innocent whose caller is faster than the news of its run."""
+    hosts.crash(LEADER, "s1")
+    call, server = hosts.call(LEADER), hosts.server("s2")
+    call.admit()
+    hosts.advance(ADMITTED_S)
+    call.run.note_written(server)
+    call.run.note_answered(server)
+    assert hosts.standings() == FREE
+
+
 @pytest.mark.parametrize("host", [FOLLOWER, OTHER], ids=["there", "elsewhere"])
 def test_request_that_has_just_run_wholly_is_not_suspected(
     hosts: QuarantineHosts, host: int
