Bound the memory of suspected requests with their tries

300 records of requests that servers refused again and again took 1.8 MB with 12 tries each, where 1 MB is stated. A try that counts for nothing is now dropped but for the latest, and what is told of it later counts for nothing; 240 records are kept.

--- a/src/gentianwharf/quarantine/_crash_records.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -16,7 +16,7 @@
 )
 from ._server_ends import ServerEnds
 
-MAX_RECORDS = 300
+MAX_RECORDS = 240
 """Bounds the memory, also if callers send endless different bodies."""
 
 MAX_CLEARED = 500
@@ -24,9 +24,9 @@
 MAX_INCARNATIONS = 12
 """Ends of servers that are kept for one request; further ones change nothing."""
 
-MAX_TRIES = 12
-"""Tries that are kept for one request. Those that are dropped were refused or withdrawn
-before tries were bounded."""
+MAX_UNCOUNTED_TRIES = 1
+"""Tries of one request that are kept although they were refused or withdrawn before
+tries were bounded."""
 
 FREE = Verdict(standing=Standing.FREE)
 
@@ -107,10 +107,24 @@
                 return False
             tried = replace(known, state=tried.state)
         record.tries[tried.try_id] = tried
-        if len(record.tries) > MAX_TRIES:
-            _drop_try(record)
+        self._drop_uncounted(record)
         return True
 
+    def _drop_uncounted(self, record: Record) -> None:
+        """Drop old tries that count for nothing, also if they are told again."""
+        late_tries = record.late_tries()
+        uncounted = sorted(
+            (
+                known
+                for known in record.tries.values()
+                if known.state is not TryState.COUNTED and known not in late_tries
+            ),
+            key=lambda known: known.begun_s,
+        )
+        for known in uncounted[:-MAX_UNCOUNTED_TRIES]:
+            del record.tries[known.try_id]
+            self._add_cleared(record.digest, known.try_id)
+
     def may_write(self, digest: bytes, try_id: str) -> bool:
         """Whether a try that was counted may still take place."""
         record = self._records.get(digest)
@@ -192,12 +206,19 @@
         if len(self._records) >= MAX_RECORDS:
             evicted = self._records[self._least_important()]
             self._remove(evicted.digest)
+            self._forget_cleared(evicted.digest)
             self.on_evicted(evicted)
         record = Record(head=name.head, digest=name.digest)
         self._records[name.digest] = record
         self._heads[name.head] = self._heads.get(name.head, 0) + 1
         return record
 
+    def _forget_cleared(self, digest: bytes) -> None:
+        """Let a record that was evicted not be taken for one that was cleared."""
+        of_digest = [key for key in self._cleared if key[0] == digest]
+        for key in of_digest:
+            del self._cleared[key]
+
     def _least_important(self) -> bytes:
         """Return the record that counted least, the oldest of several."""
 
@@ -222,15 +243,6 @@
     )
 
 
-def _drop_try(record: Record) -> None:
-    """Drop the oldest try that counts for nothing."""
-    for known in sorted(record.tries.values(), key=lambda known: known.begun_s):
-        is_counted = known.state is TryState.COUNTED
-        if not is_counted and known not in record.late_tries():
-            del record.tries[known.try_id]
-            return
-
-
 def _make_room(record: Record, crash: ServerCrash) -> bool:
     """Drop an end beside other copies for one that says more."""
     for incarnation, known in record.crashes.items():
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -14,7 +14,7 @@
     TryState,
     WholeRuns,
 )
-from gentianwharf.quarantine._crash_records import MAX_TRIES
+from gentianwharf.quarantine._crash_records import MAX_UNCOUNTED_TRIES
 from gentianwharf.quarantine._record import CALM_S
 
 from .builders_quarantine import crash_of, name_of, try_of
@@ -169,7 +169,8 @@
     record = records.record(NAME.digest)
     assert record is not None
     assert record.possible_ends == 1
-    assert len(record.tries) <= MAX_TRIES
+    assert len(record.tries) <= MAX_UNCOUNTED_TRIES
+    assert not records.note_try(NAME, try_of("r0"))
     assert records.verdict(NAME.digest).standing is Standing.ONE_AT_A_TIME
 
 
@@ -259,6 +260,13 @@
             for end in range(MAX_CRASHES):
                 ended = crash_of(f"server-{number}-{end}/1796384482878", at_s=50.0)
                 records.note_crash(name_of("/a", body=b"%d" % number), ended)
+            for tried in range(4 * MAX_UNCOUNTED_TRIES):
+                refused = try_of(
+                    f"front-1/8237482374982374/{number}-{tried}",
+                    at_s=50.0,
+                    state=TryState.REFUSED,
+                )
+                records.note_try(names[number], refused)
             whole_runs.note(name_of("/b", body=b"%d" % number).digest, 50.0)
         for number, name in enumerate(names):
             records.note_cleared(name.digest, [f"cleared-{number}/1796384482878"])
@@ -269,6 +277,18 @@
     assert taken < MAX_BYTES
 
 
+def test_record_that_was_evicted_is_not_one_that_was_cleared() -> None:
+    """Guards against a leader that lets a request through for want of room."""
+    records, _ = records_with(1)
+    records.note_cleared(NAME.digest, ["another"])
+    for number in range(MAX_RECORDS):
+        name = name_of("/a", body=b"%d" % number)
+        for end in range(2):
+            records.note_crash(name, crash_of(f"{number}-{end}"))
+    assert records.record(NAME.digest) is None
+    assert NAME.digest not in records.cleared()
+
+
 def test_endless_suspects_push_out_no_refused_request() -> None:
     """Guards against callers who send others so that one is forgotten."""
     clock = Clock()
