--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -94,7 +94,10 @@
     *(SeedRun(seed=seed, rules_grow=False) for seed in (4, 5, 9, 22, 27)),
     *(SeedRun(seed=seed) for seed in (1, 3, *UNRESOLVED)),
     *(SeedRun(seed=seed, cut_links=True) for seed in CUT_LINKS_SEEDS),
-    *(SeedRun(seed=seed, cut_links=True, crashes=True) for seed in (610_003, 620_014)),
+    *(
+        SeedRun(seed=seed, cut_links=True, crashes=True)
+        for seed in (610_003, 620_014, 690_022)
+    ),
     *(
         SeedRun(seed=seed, cut_links=True, answer_faults=True, crashes=True)
         for seed in (630_009, 630_010, 630_011)
