--- a/src/gentianwharf/quarantine/_crash_records.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -16,7 +16,7 @@
 )
 from ._server_ends import ServerEnds
 
-MAX_RECORDS = 240
+MAX_RECORDS = 200
 """Bounds the memory, also if callers send endless different bodies."""
 
 MAX_CLEARED = 500
@@ -24,10 +24,6 @@
 MAX_INCARNATIONS = 12
 """Ends of servers that are kept for one request; further ones change nothing."""
 
-MAX_UNCOUNTED_TRIES = 1
-"""Tries of one request that are kept although they were refused or withdrawn before
-tries were bounded."""
-
 FREE = Verdict(standing=Standing.FREE)
 
 Clock = Callable[[], float]
@@ -111,19 +107,12 @@
         return True
 
     def _drop_uncounted(self, record: Record) -> None:
-        """Drop old tries that count for nothing, also if they are told again."""
+        """Drop the tries that count for nothing, also if they are told again."""
         late_tries = record.late_tries()
-        uncounted = sorted(
-            (
-                known
-                for known in record.tries.values()
-                if known.state is not TryState.COUNTED and known not in late_tries
-            ),
-            key=lambda known: known.begun_s,
-        )
-        for known in uncounted[:-MAX_UNCOUNTED_TRIES]:
-            del record.tries[known.try_id]
-            self._add_cleared(record.digest, known.try_id)
+        for known in list(record.tries.values()):
+            if known.state is not TryState.COUNTED and known not in late_tries:
+                del record.tries[known.try_id]
+                self._add_cleared(record.digest, known.try_id)
 
     def may_write(self, digest: bytes, try_id: str) -> bool:
         """Whether a try that was counted may still take place."""
