Explain the ends of the soak's servers, and a refusal's title

"the request may end its server" was also said where a host stood still and has to ask others first; the title now says that the request is admitted again.

--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -35,11 +35,14 @@
 CRASHED = f"code {EXIT_CRASHED}"
 """How a server ends when a request has ended it."""
 
-END_MANNERS = PROXIED, SILENT, FULL = range(3)
-"""Each server, by its number: its proxy closes its connections once a request has ended
-it, or leaves them open; or it refuses a part of these requests, and is proxied."""
+PROXIED, SILENT, FULL = END_MANNERS = range(3)
+"""What is seen of a server that a request ends, by the remainder of its number: its
+proxy closes its connections, or leaves them open without answers; or the server refuses
+``REFUSED_SHARE`` of such requests before, and its proxy closes its connections."""
 
 HIDDEN_S = 1.0
+"""For which a proxy hides the end of a server after such a request has come."""
+
 REFUSED_SHARE = 0.4
 
 SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -202,7 +202,7 @@
             self._connections.release(connection)
             raise NotRunError(
                 outcome=Outcome.CANCELLED,
-                problem=self._not_run("the request may end its server"),
+                problem=self._not_run("the request has to be admitted again"),
             )
         remaining = remaining_time(self._deadline_s(), now_s=self._reactor.seconds)
         if remaining.duration_s <= 0:
