Ask in one place whether a suspected request is refused

Two callers joined the same two conditions, and the count of written tries was that of all tries since those that count for nothing are dropped.

--- a/src/gentianwharf/entryhost/_counted_tries.py
+++ b/src/gentianwharf/entryhost/_counted_tries.py
@@ -132,6 +132,6 @@
                 "ended": len(record.crashes),
                 "may_have_ended": record.possible_ends,
                 "late_tries": len(record.late_tries()),
-                "tries": record.written_tries,
+                "tries": len(record.tries),
             },
         )
--- a/src/gentianwharf/entryhost/_suspicions.py
+++ b/src/gentianwharf/entryhost/_suspicions.py
@@ -32,7 +32,7 @@
         self._recall_copies(digests)
         for digest in digests:
             record = self._records.record(digest)
-            if record is not None and (record.is_convicted or record.is_refused):
+            if record is not None and record.is_refused:
                 self._log_refused(record)
 
     def _recall_copies(self, digests: set[bytes]) -> None:
--- a/src/gentianwharf/quarantine/_crash_records.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -185,11 +185,7 @@
 
     def refused(self) -> list[Record]:
         """Return the requests that don't run, or hardly any more, the latest last."""
-        return [
-            record
-            for record in self._records.values()
-            if record.is_convicted or record.is_refused
-        ]
+        return [record for record in self._records.values() if record.is_refused]
 
     def _add(self, name: RequestName) -> Record:
         if len(self._records) >= MAX_RECORDS:
--- a/src/gentianwharf/quarantine/_record.py
+++ b/src/gentianwharf/quarantine/_record.py
@@ -210,8 +210,8 @@
 
     @property
     def is_refused(self) -> bool:
-        """Whether it does not run any more, whatever becomes known of other servers."""
-        return self.is_proved_alone or self.has_used_up_tries
+        """Whether it does not run any more, or only in its last tries."""
+        return self.is_convicted or self.has_used_up_tries
 
     @property
     def has_used_up_tries(self) -> bool:
@@ -226,13 +226,6 @@
         """How many servers may have ended under the request."""
         return len(self._possible_ends())
 
-    @property
-    def written_tries(self) -> int:
-        """How many tries may have been written."""
-        return sum(
-            known.state is not TryState.WITHDRAWN for known in self.tries.values()
-        )
-
     def late_tries(self) -> list[PermittedTry]:
         """Return the tries whose number is bounded, in order."""
         return self.tries_after(EARLY_ENDS)
