--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -367,11 +367,16 @@
             self._permits.handle(message)
 
     def _records_reply(self) -> RecordsReply:
+        crashes, tries = self._known_since(float("-inf"))
+        return RecordsReply(crashes[-MAX_REPLY:], tries[-MAX_REPLY:])
+
+    def _known_since(self, since_s: float) -> tuple[list[CrashReport], list[TryReport]]:
+        """Return what this host knows that became known after ``since_s``."""
         now_s = self._reactor.seconds()
-        always_s = float("-inf")
-        reports = list(recent_reports(self.records, since_s=always_s, now_s=now_s))
-        tries = list(recent_tries(self.records, since_s=always_s, now_s=now_s))
-        return RecordsReply(reports[-MAX_REPLY:], tries[-MAX_REPLY:])
+        return (
+            list(recent_reports(self.records, since_s=since_s, now_s=now_s)),
+            list(recent_tries(self.records, since_s=since_s, now_s=now_s)),
+        )
 
     def _apply(
         self,
@@ -411,13 +416,8 @@
 
     def _repeat(self, now_s: float) -> None:
         """Send recent news to all hosts again."""
-        reports = list(
-            recent_reports(self.records, since_s=now_s - REPEATED_S, now_s=now_s)
-        )
-        tries = list(
-            recent_tries(self.records, since_s=now_s - REPEATED_S, now_s=now_s)
-        )
-        self._send(crashes=reports[-MAX_REPEATED:], tries=tries[-MAX_REPEATED:])
+        crashes, tries = self._known_since(now_s - REPEATED_S)
+        self._send(crashes=crashes[-MAX_REPEATED:], tries=tries[-MAX_REPEATED:])
 
     # Names of servers and times.
 
