Don't count the wait for a caller as a stall of the response

What callers saw: of two pipelined answers, the second one, a large one, was cut after some 128 kB if the first one lasted.

Cause: while a response waits for an earlier one it isn't read, and its stall timer starts anew each time. Once its turn comes it is read again, but the timer went on, and most of the wait counted. A trace of a failing play: resumed at 1.823 s, cut by the stall timer at 1.824 s, 128,132 of 2,621,440 bytes. A caller that takes nothing for 29.9 s and then reads on was cut likewise.

Fix: the timer starts anew when the caller takes data again, as it does with each byte of the server. Weighed: a longer timeout in the test, which hides the fault; no timer while a response waits, which leaves a caller that never reads without an end where no earlier response has a timer.

--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -79,6 +79,10 @@
             self._stall_timeout_s, self._handle_stall
         )
 
+    def _reset_stall_timer(self) -> None:
+        if self._stall_timer is not None and self._stall_timer.active():
+            self._stall_timer.reset(self._stall_timeout_s)
+
     def _start_silence_timeout(self, delay_s: float) -> None:
         self._silence_timeout = Timeout(
             clock=self._clock, delay_s=max(0.0, delay_s), expire=self._check_silence
@@ -106,6 +110,7 @@
         """Read from the server again."""
         self._is_paused = False
         self._received_s = self._clock.seconds()
+        self._reset_stall_timer()
         cast(Any, self.transport).resumeProducing()
 
     def stopProducing(self) -> None:  # noqa: N802
@@ -122,8 +127,7 @@
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         self._has_data = True
         self._received_s = now_s
-        if self._stall_timer is not None:
-            self._stall_timer.reset(self._stall_timeout_s)
+        self._reset_stall_timer()
         self._store(data)
         self._request.write(data)
 
--- a/tests/test_relay_answer_end.py
+++ b/tests/test_relay_answer_end.py
@@ -35,6 +35,7 @@
         self.producer: Any = None
         self.written = b""
         self.is_aborted = False
+        self.queued = False
         self._disconnected = False
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
@@ -133,6 +134,26 @@
     assert response.request.is_aborted
 
 
+@pytest.mark.parametrize(
+    ("is_queued", "waited_s"),
+    [(False, 0.1), (False, 29.9), (True, 29.9), (True, 59.9)],
+    ids=["slow-caller", "slower-caller", "pipelined", "pipelined-longer"],
+)
+def test_time_before_a_response_is_read_again_is_no_stall(
+    is_queued: bool, waited_s: float
+) -> None:
+    """Guards against a response cut as its caller begins to take it."""
+    response = Response()
+    response.request.queued = is_queued
+    response.body.dataReceived(b"x")
+    response.request.producer.pauseProducing()
+    response.pass_time(waited_s)
+    response.request.queued = False
+    response.request.producer.resumeProducing()
+    response.pass_time(MIN_SILENCE_S - 0.02)
+    assert not response.request.is_aborted
+
+
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 @pytest.mark.parametrize(
     "framing",
