Keep tries that cross the clearing of their request

A whole run clears the ends and tries that its host knows. A try that another host counted meanwhile was dropped with the record there, and stayed elsewhere where its news came after the clearing: its own end or whole run then found no record at its host, so that it counted as a possible end for good at some hosts and not at others.

Fix: a record goes once neither an end nor a try is left in it; without ends its request is free. News that clears an end clears the try there as well.

--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -389,8 +389,11 @@
         for report in crashes:
             name = RequestName(head=report.head, digest=report.digest)
             if self._whole_runs.is_recent(name.digest, now_s):
-                self._cleared.append(ClearReport(name.digest, [report.incarnation]))
-                self.records.note_cleared(name.digest, [report.incarnation])
+                evidence_ids = [report.incarnation]
+                if report.try_id:
+                    evidence_ids.append(report.try_id)
+                self._cleared.append(ClearReport(name.digest, evidence_ids))
+                self.records.note_cleared(name.digest, evidence_ids)
             elif self.records.note_crash(name, crash_of(report, now_s=now_s)):
                 names.append(name)
         for tried in tries:
--- a/src/gentianwharf/quarantine/_crash_records.py
+++ b/src/gentianwharf/quarantine/_crash_records.py
@@ -105,6 +105,7 @@
             tried = replace(known, state=tried.state)
         record.tries[tried.try_id] = tried
         self._drop_uncounted(record)
+        self._remove_if_empty(record)
         return True
 
     def _drop_uncounted(self, record: Record) -> None:
@@ -136,13 +137,13 @@
             for evidence_id in evidence_ids:
                 record.crashes.pop(evidence_id, None)
                 record.tries.pop(evidence_id, None)
-            if not record.crashes:
-                self._remove(digest)
+            self._remove_if_empty(record)
         return is_news
 
     def cleared(self) -> set[bytes]:
         """Return the requests that were cleared and are not suspected again."""
-        return {digest for digest, _ in self._cleared} - self._records.keys()
+        suspected = {record.digest for record in self if record.crashes}
+        return {digest for digest, _ in self._cleared} - suspected
 
     def release(self, digest: bytes) -> bool:
         """Let a request run as any other; return whether it was suspected."""
@@ -180,6 +181,11 @@
             ):
                 record.crashes[incarnation] = replace(crash, is_correlated=True)
 
+    def _remove_if_empty(self, record: Record) -> None:
+        """Remove a record unless an end or a try is known, which may still count."""
+        if not record.crashes and not record.tries:
+            self._remove(record.digest)
+
     def _remove(self, digest: bytes) -> None:
         record = self._records.pop(digest)
         self._heads[record.head] -= 1
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -217,6 +217,32 @@
     assert records.note_crash(NAME, crash_of("s3"))
 
 
+@pytest.mark.parametrize(
+    "is_late", [False, True], ids=["before-the-clearing", "after-it"]
+)
+@pytest.mark.parametrize("state", [None, TryState.REFUSED], ids=["whole", "refused"])
+def test_try_that_crosses_a_clearing_counts_for_nothing_once_it_has_ended(
+    is_late: bool, state: TryState | None
+) -> None:
+    """Guards against innocents that wait for tries which ran wholly."""
+    records, _ = records_with(1)
+    records.note_try(NAME, try_of("first"))
+    if not is_late:
+        records.note_try(NAME, try_of("second"))
+    records.note_cleared(NAME.digest, ["s0", "first"])
+    if is_late:
+        records.note_try(NAME, try_of("second"))
+    assert records.verdict(NAME.digest).standing is Standing.FREE
+    record = records.record(NAME.digest)
+    assert record is not None, "its host has to find what it clears"
+    if state is None:
+        records.note_cleared(NAME.digest, record.evidence_ids())
+    else:
+        records.note_try(NAME, try_of("second", state=state))
+    assert records.is_empty
+    assert not records.note_try(NAME, try_of("second"))
+
+
 def test_request_that_operators_let_through_is_as_any_other() -> None:
     records, _ = records_with(MAX_CRASHES)
     assert records.release(NAME.digest)
