Use each proof of a server's end for all requests that were lost there

What callers saw: a request ended five servers in calm times, one of them 30 s after the third: test_others_are_served_beside_a_request_that_ends_servers, once in 16 plays at a load of 16.

Cause, from the logs of that play: the culprit's connection to server-10 was lost at .27; the host's only probe, 10 ms later, still found the port open, so that nothing was proved. At .295 another host's probe was refused there, and it reported the end, for its own request only. The culprit's host used neither: it learnt of the end 1.7 s later, by the server's entry. Meanwhile two more servers ended, and the end of server-10 counted as one beside the culprit's, so that it was taken for a possible innocent and had last tries.

Fix: an end that any host reports proves the end of that incarnation for all that was lost or abandoned there. The port is probed once more, 0.1 s later; no request waits for that. Weighed: a longer wait before the only probe, which each reset connection pays; asking the leader, which may be gone.

--- a/src/gentianwharf/entryhost/_crashes.py
+++ b/src/gentianwharf/entryhost/_crashes.py
@@ -14,8 +14,9 @@
 from gentianwharf.relay import ProbeResult, ServerConnectionPool
 from gentianwharf.topology import BackendServer
 
-PROBE_DELAY_S = 0.01
-"""A process that ends closes its connections and its port one after the other."""
+PROBE_DELAYS_S = (0.01, 0.1)
+"""From a loss, or the first probe, to the next one. A process that ends closes its
+connections and its port one after the other, with a pause between where it is late."""
 
 PROBE_TIMEOUT_S = 0.15
 
@@ -186,28 +187,28 @@
                 break
 
     async def _probe(self, crash: SuspectedCrash) -> None:
-        await deferLater(self._reactor, PROBE_DELAY_S)
-        pool = self._pool_of(crash.server.id)
-        if pool is None or crash.evidence is not None:
+        """Look for the end of a server; requests wait for the first probe only."""
+        for delay_s in PROBE_DELAYS_S:
+            await deferLater(self._reactor, delay_s)
+            pool = self._pool_of(crash.server.id)
+            is_open = self._suspected.get(crash.incarnation) is crash
+            if pool is None or crash.evidence is not None or not is_open:
+                break
+            self.probes += 1
+            probe = await pool.probe(PROBE_TIMEOUT_S)
+            if crash.evidence is not None:
+                return
+            if probe.result is ProbeResult.REFUSED:
+                self._prove(crash, CrashEvidence.REFUSED)
+                return
+            if self._has_ended(crash.incarnation):
+                self._prove(crash, CrashEvidence.NOT_LISTED)
+                return
             crash.settle()
-            return
-        self.probes += 1
-        probe = await pool.probe(PROBE_TIMEOUT_S)
-        if crash.evidence is not None:
-            return
-        if probe.result is ProbeResult.REFUSED:
-            self._prove(crash, CrashEvidence.REFUSED)
-            return
-        if self._has_ended(crash.incarnation):
-            self._prove(crash, CrashEvidence.NOT_LISTED)
-            return
         crash.settle()
 
-    def note_entry_ended(self, incarnation: str, *, has_restarted: bool) -> None:
-        """Record that a server started again, or is no longer listed."""
-        evidence = CrashEvidence.NOT_LISTED
-        if has_restarted:
-            evidence = CrashEvidence.STARTED_AGAIN
+    def note_ended(self, incarnation: str, evidence: CrashEvidence) -> None:
+        """Record the end of a server that its entry, or another host, has proved."""
         crash = self._suspected.get(incarnation)
         if crash is None:
             self._prove_abandoned(incarnation, evidence)
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -12,6 +12,7 @@
 from gentianwharf.platform import ServerEntry
 from gentianwharf.quarantine import (
     MAX_CRASHES,
+    CrashEvidence,
     CrashRecords,
     Record,
     RequestName,
@@ -280,7 +281,10 @@
         """Record what the directory says about the end of a server."""
         incarnation = _incarnation(entry.id, entry.born_ms)
         self.records.note_end(incarnation, self._reactor.seconds())
-        self.detector.note_entry_ended(incarnation, has_restarted=has_restarted)
+        evidence = CrashEvidence.NOT_LISTED
+        if has_restarted:
+            evidence = CrashEvidence.STARTED_AGAIN
+        self.detector.note_ended(incarnation, evidence)
 
     def note_answered(self, run: HostGuardedRun, name: RequestName) -> None:
         """Clear a request that a server has run wholly."""
@@ -387,6 +391,8 @@
         now_s = self._reactor.seconds()
         names = []
         for report in crashes:
+            crash = crash_of(report, now_s=now_s)
+            self.detector.note_ended(crash.incarnation, crash.evidence)
             name = RequestName(head=report.head, digest=report.digest)
             if self._whole_runs.is_recent(name.digest, now_s):
                 evidence_ids = [report.incarnation]
@@ -394,7 +400,7 @@
                     evidence_ids.append(report.try_id)
                 self._cleared.append(ClearReport(name.digest, evidence_ids))
                 self.records.note_cleared(name.digest, evidence_ids)
-            elif self.records.note_crash(name, crash_of(report, now_s=now_s)):
+            elif self.records.note_crash(name, crash):
                 names.append(name)
         for tried in tries:
             name = RequestName(head=tried.head, digest=tried.digest)
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -2,6 +2,7 @@
 
 import logbook
 import pytest
+from twisted.internet.defer import Deferred
 
 from gentianwharf.entryhost._crashes import PENDING_S
 from gentianwharf.quarantine import MAX_CRASHES, UNDECIDED_S
@@ -84,6 +85,39 @@
     assert hosts.standings() == standings
 
 
+@pytest.mark.parametrize("is_abandoned", [False, True], ids=["lost", "abandoned"])
+def test_end_that_another_host_proves_counts_for_all_that_were_lost_there(
+    hosts: QuarantineHosts, is_abandoned: bool
+) -> None:
+    """Guards against ends that count only for requests of the host that proved them."""
+    call = hosts.call(FOLLOWER)
+    server = hosts.server("s1", ProbeResult.OPENED)
+    call.run.note_written(server)
+    if is_abandoned:
+        call.run.note_abandoned(server)
+    else:
+        hosts.lose(call, server)
+    assert hosts.standings() == FREE
+    hosts.lose(hosts.call(OTHER, path="/other"), hosts.server("s1"))
+    hosts.advance(NEWS_S)
+    assert hosts.standings() == SUSPECTED
+
+
+def test_port_that_outlives_its_connections_is_probed_again(
+    hosts: QuarantineHosts,
+) -> None:
+    """Guards against ends that stay unknown since a process takes long to exit."""
+    call = hosts.call(FOLLOWER)
+    call.run.note_lost(hosts.server("s1", ProbeResult.OPENED))
+    settled = Deferred.fromCoroutine(call.run.settle())
+    hosts.advance(0.05)
+    assert settled.called, "the caller does not wait for the second probe"
+    hosts.server("s1", ProbeResult.REFUSED)
+    hosts.advance(NEWS_S)
+    assert hosts.standings() == SUSPECTED
+    assert hosts.pools["s1"].probes == 2
+
+
 def test_server_that_answers_after_a_loss_has_not_ended(
     hosts: QuarantineHosts,
 ) -> None:
