Don't take a failed answer for a whole run of its request

Cause: any whole answer but 502, 503 and 504 cleared a request at all hosts, and for 10 s no end of a server counted against it. A faulty server answers with 500 before it runs a request, so that each such answer began the life of a culprit anew. The class: proof of innocence drawn from an answer that does not show that the request was run. 502 and others left no trace at all, so that a server which ended behind a proxy that answers for it was never noticed.

Fix: only an answer below 500 other than 408, 421 and 429 shows a run. After the others the request is remembered as abandoned at its server: a suspected one keeps its try counted, and where the server turns out to have ended it is suspected. Weighed: to count them as refused, which costs no end and leaves a proxy that answers 500 in place of its server without a bound.

The stand-in servers answer with 500 without a run in the soak, too.

--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -46,6 +46,7 @@
     end_manner: EndManner = EndManner.REFUSING,
     end_manner_share: float = 1.0,
     crash_refused_share: float = 0.0,
+    crash_failed_share: float = 0.0,
 ) -> None:
     """Play one run, and exit with 1 if it breaks what operators allow.
 
@@ -95,6 +96,8 @@
         Share of these servers that end in that manner; the others refuse connections.
     crash_refused_share
         Share of the arrivals of such a request that servers refuse without a run.
+    crash_failed_share
+        Share of these arrivals that servers answer with 500 without a run.
 
     """
     kinds = [spec.name for spec in REQUESTS]
@@ -131,6 +134,7 @@
                 end_manner=end_manner,
                 end_manner_share=end_manner_share,
                 refused_share=crash_refused_share,
+                failed_share=crash_failed_share,
             )
         )
         started_s = time.monotonic()
--- a/bench/fleet/_servers.py
+++ b/bench/fleet/_servers.py
@@ -28,6 +28,7 @@
 from gentianwharf.platform.standin import (
     Arrival,
     BodyReport,
+    Rejections,
     RequestRun,
     ServerSpec,
     StandInServer,
@@ -113,7 +114,8 @@
     a rule has another service, or its first one again. ``ended_share`` of the servers
     end now and start again, one after the other where ``is_rolling``. Servers that a
     request ends do so in ``end_manner`` with the probability ``end_manner_share``, else
-    as ``REFUSING``; ``refused_share`` of these requests is refused and not run.
+    as ``REFUSING``; ``refused_share`` of these requests is refused and not run, and
+    ``failed_share`` answered with 500 and not run either.
     """
 
     lost_share: float | None = None
@@ -126,6 +128,7 @@
     end_manner: EndManner | None = None
     end_manner_share: float = 1.0
     refused_share: float | None = None
+    failed_share: float | None = None
 
 
 class _ClosingProtocol(Protocol):
@@ -200,7 +203,7 @@
         self._version = 1
         self._end_manner = EndManner.REFUSING
         self._end_manner_share = 1.0
-        self._refused_share = 0.0
+        self._rejections = Rejections(part=CRASH_PATH.encode(), rng=self._rng)
         self.has_failed = False
         self._output = open(  # noqa: SIM115
             sys.stdout.fileno(), "wb", buffering=OUTPUT_BUFFER_BYTES, closefd=False
@@ -254,7 +257,9 @@
             self._end_manner = order.end_manner
             self._end_manner_share = order.end_manner_share
         if order.refused_share is not None:
-            self._refused_share = order.refused_share
+            self._rejections.refused_share = order.refused_share
+        if order.failed_share is not None:
+            self._rejections.failed_share = order.failed_share
         for listening in self._servers:
             server = listening.server
             if order.service not in (None, server.spec.service):
@@ -321,10 +326,6 @@
         server.lost_share = former.server.lost_share
         await self._list(server)
 
-    def _refuses(self, request: Request) -> bool:
-        is_crashing = request.path.startswith(CRASH_PATH.encode())
-        return is_crashing and self._rng.random() < self._refused_share
-
     def _end_if_crashing(self, listening: _ListeningServer, request: Request) -> None:
         if request.path.startswith(CRASH_PATH.encode()):
             self._start(
@@ -366,7 +367,7 @@
         server = StandInServer(spec=spec, reactor=reactor, rng=self._rng)
         server.on_arrival = server.on_run = server.on_body = self._write
         listening = _ListeningServer(server)
-        server.refuses = self._refuses
+        server.rejection = self._rejections.status
         server.on_begin = lambda request: self._end_if_crashing(listening, request)
         self._servers.append(listening)
         return server
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -44,6 +44,8 @@
 """For which a proxy hides the end of a server after such a request has come."""
 
 REFUSED_SHARE = 0.4
+FAILED_SHARE = 0.1
+"""Share of such requests that each server answers with 500 and does not run."""
 
 SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
 FIRST_LINK_PORT = 8500
@@ -177,6 +179,7 @@
             *("--listed-as", self._proxy_address(name), "--reports-arrivals"),
             *("--ends-on", ENDS, "--early-share", str(self._early_share)),
             *("--refused-share", str(REFUSED_SHARE if is_full else 0.0)),
+            *("--failed-share", str(FAILED_SHARE)),
         ]
         self._start_process(name, arguments)
 
--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -6,6 +6,7 @@
 
 from ._items import Items
 from ._records import Arrival, BodyReport, RequestRun, ServerSpec
+from ._rejections import Rejections
 from ._rules import (
     ADDED,
     CALLER_LIMITS,
@@ -50,6 +51,7 @@
     "BodyReport",
     "EarlyAnswer",
     "Items",
+    "Rejections",
     "RequestRun",
     "ServerSpec",
     "StandInServer",
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -29,6 +29,7 @@
     Arrival,
     BodyReport,
     Items,
+    Rejections,
     RequestRun,
     ServerSpec,
     StandInServer,
@@ -129,6 +130,7 @@
     reports_arrivals: bool = False,
     ends_on: str = "",
     refused_share: float = 0.0,
+    failed_share: float = 0.0,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -173,6 +175,8 @@
         it. Empty for none.
     refused_share
         The probability that it refuses such a request without running it.
+    failed_share
+        The probability that it answers such a request with 500 without running it.
 
     """
     use_monotonic_time(reactor)
@@ -200,9 +204,9 @@
     if ends_on:
         part, rng = ends_on.encode(), Random(spec.born_ms)
         server.on_begin = partial(_end_on, part)
-        server.refuses = lambda request: (
-            part in request.uri and rng.random() < refused_share
-        )
+        server.rejection = Rejections(
+            part=part, rng=rng, refused_share=refused_share, failed_share=failed_share
+        ).status
     print("ready", flush=True)
     reactor.run()
 
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -20,6 +20,7 @@
 from .._units import decode_time_s, encode_time
 from ._held_shards import HeldShards, Order
 from ._records import Arrival, BodyReport, RequestRun, ServerSpec
+from ._rejections import STATUS_SERVER_ERROR, STATUS_UNAVAILABLE
 from ._uploads import BodyCheck, EarlyAnswer, StandInRequest, draw_early_answer
 
 HEARTBEAT_S = 0.8
@@ -36,8 +37,6 @@
 STATUS_BAD_REQUEST = 400
 STATUS_STALE_TOKEN = 409
 STATUS_OTHER_SERVER = 421
-STATUS_UNAVAILABLE = 503
-STATUS_SERVER_ERROR = 500
 
 
 @final
@@ -73,8 +72,8 @@
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.on_refused: Callable[[str], None] = lambda request_id: None
         self.on_body: Callable[[BodyReport], None] = lambda report: None
-        self.refuses: Callable[[Request], bool] = lambda request: False
-        """Whether the server refuses a request as if it were full."""
+        self.rejection: Callable[[Request], int] = lambda request: 0
+        """The status of a request that it does not run, 0 if it runs it."""
         self.state = ServerState.READY
         self.max_requests_per_s: float | None = None
         """The limit for all hosts together that each answer names, None for none."""
@@ -230,8 +229,8 @@
         elif self.rest_s is not None:
             request.setHeader(b"Retry-After", f"{self.rest_s}".encode())
             self._refuse(work, STATUS_UNAVAILABLE)
-        elif self.refuses(request):
-            self._refuse(work, STATUS_UNAVAILABLE)
+        elif status := self.rejection(request):
+            self._refuse(work, status)
         elif len(self._running) < self.spec.slots:
             self._run(work)
         elif len(self._waiting) < self.spec.slots * QUEUE_PER_SLOT:
@@ -364,7 +363,8 @@
         self.on_refused(work.request_id)
         request = self._with_headers(work)
         request.setResponseCode(status)
-        request.setHeader(b"Not-Executed", b"1")
+        if status != STATUS_SERVER_ERROR:
+            request.setHeader(b"Not-Executed", b"1")
         request.setHeader(b"Content-Length", b"0")
         request.finish()
 
--- a/src/gentianwharf/relay/_exchange.py
+++ b/src/gentianwharf/relay/_exchange.py
@@ -43,7 +43,7 @@
 from ._problem import Problem, write_problem
 from ._race import Race
 from ._response import ResponseBody, write_response_head
-from ._run_guard import RunGuard
+from ._run_guard import RunGuard, is_whole_run
 from ._sends import Sends, cause_after
 from ._server_selection import ServerSelection
 from ._tries import Tries
@@ -51,9 +51,6 @@
 # Recorded in logs and metrics if the caller disconnects before the response.
 STATUS_CALLER_GONE = 499
 
-# A proxy before a server answers with these in its place.
-GATEWAY_STATUSES = (502, 503, 504)
-
 
 @final
 class Exchange:
@@ -365,8 +362,10 @@
             reason = "answer-timed-out" if body.timed_out else "answer-cut"
             self._record(status=response.code, run=RunStatus.RUN, reason=reason)
             return Outcome.TIMED_OUT if body.timed_out else Outcome.CANCELLED
-        if response.code not in GATEWAY_STATUSES:
+        if is_whole_run(response.code):
             self._guarded_run.note_answered(attempt.server)
+        else:
+            self._guarded_run.note_abandoned(attempt.server)
         if body.stored is not None:
             self._stored = stored_response(response, bytes(body.stored), self._codec)
         if not request._disconnected:
--- a/src/gentianwharf/relay/_run_guard.py
+++ b/src/gentianwharf/relay/_run_guard.py
@@ -7,6 +7,20 @@
 from ._caller_request import CallerRequest
 from ._ports import Ticket
 
+MIN_ERROR_STATUS = 500
+UNRUN_STATUSES = (408, 421, 429)
+
+
+def is_whole_run(status: int) -> bool:
+    """Whether an answer with this status shows that its server bears the request.
+
+    Servers that fail, and proxies in their place, answer requests that were not run.
+
+    >>> [is_whole_run(status) for status in (200, 404, 429, 500, 502)]
+    [True, True, False, False, False]
+    """
+    return status < MIN_ERROR_STATUS and status not in UNRUN_STATUSES
+
 
 class RecallableExchange(Protocol):
     """A request that is being served."""
--- a/tests/test_relay_run_guard.py
+++ b/tests/test_relay_run_guard.py
@@ -238,14 +238,38 @@
         )
 
 
-@pytest.mark.parametrize("status", ["502 Bad Gateway", "504 Gateway Timeout"])
-def test_answer_of_a_gateway_clears_no_request(status: str) -> None:
-    """Guards against a proxy that answers in place of a server that has ended."""
+@pytest.mark.parametrize(
+    "status",
+    [
+        "500 Internal Server Error",
+        "502 Bad Gateway",
+        "503 Service Unavailable",
+        "504 Gateway Timeout",
+        "408 Request Timeout",
+        "421 Misdirected Request",
+        "429 Too Many Requests",
+    ],
+)
+def test_answer_without_a_run_clears_no_request(status: str) -> None:
+    """Guards against proxies and faulty servers that answer and let a culprit go."""
 
-    def answer_as_gateway(connection: socket.socket, head: bytes) -> None:
+    def fail(connection: socket.socket, head: bytes) -> None:
         connection.sendall(response(status=status, extra=request_id_header(head)))
 
     guard = FakeGuard()
-    with long_deadline_relay([answer_as_gateway], run_guard=guard) as relay:
-        relay.send(request())
+    with long_deadline_relay([fail], run_guard=guard) as relay:
+        assert status_of(relay.send(request())) == int(status.split()[0])
     assert "answered" not in guard.told
+    assert guard.sends == ["written to s0", "abandoned at s0"]
+
+
+@pytest.mark.parametrize("status", ["200 OK", "304 Not Modified", "404 Not Found"])
+def test_answer_after_a_run_clears_a_request(status: str) -> None:
+    def run(connection: socket.socket, head: bytes) -> None:
+        connection.sendall(response(status=status, extra=request_id_header(head)))
+
+    guard = FakeGuard()
+    with long_deadline_relay([run], run_guard=guard) as relay:
+        assert status_of(relay.send(request())) == int(status.split()[0])
+    assert guard.told == ["admit", "answered", "finish"]
+    assert guard.sends == ["written to s0"]
