Wait for news of a whole run before a suspected request is told to come back

Cause, from the logs of a play: the innocent was lost with two servers that the culprit ended, by its first send and its own retry. Its next try ran wholly and cleared it at .137; its caller's next request was refused at another host at .140, 3 ms later, before the news had passed the leader.

Fix: a request that has to wait for longer than it has is refused 0.1 s later, unless news clears it by then. Weighed: to hold the end of the answer until all hosts know, for which the answer would have to be buffered.

test_try_that_is_not_written_counts_for_nothing now ends the admission of a caller that leaves, as the relay does: its calls went on waiting after their end, and one took a try. The check is unchanged.

--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -59,6 +59,9 @@
 OTHER_ENDS_S = 0.05
 """After the end of a server, before the request is sent to another one."""
 
+CLEARING_S = 0.1
+"""How long news of a whole run may be on its way to this host."""
+
 BUSY_RETRY_AFTER_S = 0.5
 PERMIT_MARGIN_S = 0.5
 """A permit outlasts the deadline of its request by this, for the news of its end."""
@@ -174,8 +177,8 @@
         """Wait for the permit of a request, if it is suspected; it may be refused."""
         name = run.name
         assert name is not None, "the begin of the body has arrived"
-        end_s = self._reactor.seconds() + MAX_WAIT_S
-        end_s = min(end_s, run.exchange.ticket.deadline_s)
+        begun_s = self._reactor.seconds()
+        end_s = min(begun_s + MAX_WAIT_S, run.exchange.ticket.deadline_s)
         has_waited = False
         while True:
             verdict = self.records.verdict(name.digest)
@@ -184,7 +187,9 @@
             if verdict.standing is Standing.REFUSED:
                 raise self._refusal(run, name, verdict)
             if verdict.standing is Standing.UNDECIDED:
-                if self._reactor.seconds() + verdict.retry_after_s > end_s:
+                now_s = self._reactor.seconds()
+                is_too_long = now_s + verdict.retry_after_s > end_s
+                if is_too_long and now_s >= begun_s + CLEARING_S:
                     raise self._busy(verdict.retry_after_s)
             elif await self._take_permit(run, name):
                 return
--- a/tests/builders_quarantine_hosts.py
+++ b/tests/builders_quarantine_hosts.py
@@ -195,7 +195,12 @@
         self.advance(0.1)
 
     def call(
-        self, host: int, *, path: str = "/culprit", repeatable: bool = True
+        self,
+        host: int,
+        *,
+        path: str = "/culprit",
+        repeatable: bool = True,
+        deadline_s: float = DEADLINE_S,
     ) -> Call:
         """Return a request that has come to a host."""
         self.requests += 1
@@ -206,7 +211,7 @@
             caller="10.1.0.1",
             key=None,
             shard=None,
-            deadline_s=self.clock.seconds() + DEADLINE_S,
+            deadline_s=self.clock.seconds() + deadline_s,
             repeatable=repeatable,
         )
         request = SimpleNamespace(
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -288,6 +288,35 @@
     assert hosts.standings() == FREE
 
 
+@pytest.mark.parametrize(
+    ("news_after_s", "statuses"),
+    [(0.05, []), (0.5, [503])],
+    ids=["soon", "late"],
+)
+def test_request_waits_for_news_of_a_whole_run(
+    hosts: QuarantineHosts, news_after_s: float, statuses: list[int]
+) -> None:
+    """Guards against an innocent refused since its caller is faster than the news."""
+    hosts.crash_beside_others(2)
+    ran, server = hosts.call(FOLLOWER), hosts.server("s9")
+    ran.admit()
+    hosts.advance(ADMITTED_S)
+    ran.run.note_written(server)
+    address = hosts.trio.hosts[OTHER].peers.identity.address
+    hosts.net.cut.add(address)
+    ran.run.note_answered(server)
+    ran.run.finish()
+    again = hosts.call(OTHER, deadline_s=1.0)
+    admitted = again.admit()
+    hosts.advance(news_after_s)
+    assert admitted.called is bool(statuses)
+    (record,) = hosts.quarantines[OTHER].records
+    hosts.quarantines[OTHER].records.note_cleared(record.digest, record.evidence_ids())
+    hosts.advance(NEWS_S)
+    assert admitted.called
+    assert [problem.status for problem in again.problems] == statuses
+
+
 @pytest.mark.parametrize("host", [FOLLOWER, OTHER], ids=["there", "elsewhere"])
 def test_request_that_has_just_run_wholly_is_not_suspected(
     hosts: QuarantineHosts, host: int
@@ -417,8 +446,9 @@
     hosts.crash_beside_others(3)
     for _ in range(10):
         call = hosts.call(FOLLOWER)
-        call.admit()
+        admitting = call.admit()
         hosts.advance(ADMITTED_S)
+        admitting.cancel()
         call.run.finish()
         hosts.advance(0.1)
     for quarantine in hosts.quarantines:
