--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -116,6 +116,18 @@
             time.sleep(CALL_GAP_S)
         return bodies
 
+    def call_for(
+        self, duration_s: float, kind: Kind, *, hosts: range, seed: int
+    ) -> list[int]:
+        """Send a request that ends servers all the time; return the statuses."""
+        rng = Random(seed)
+        end_s = time.monotonic() + duration_s
+        statuses: list[int] = []
+        while time.monotonic() < end_s:
+            statuses.append(self.call(rng.choice(hosts), kind, name=ENDS)[0])
+            time.sleep(CALL_GAP_S)
+        return statuses
+
     def kill_leader(self, hosts: range) -> None:
         """Kill the host that leads, and start it again."""
         for host in hosts:
@@ -127,9 +139,12 @@
 
 @contextmanager
 def crash_deployment(
-    directory: Path, *, hosts: range, lost_share: float = 0.0
+    directory: Path, *, hosts: range, lost_share: float = 0.0, failed_share: float = 0.0
 ) -> Iterator[CrashDeployment]:
-    """Run hosts and servers until all hosts know each other."""
+    """Run hosts and servers until all hosts know each other.
+
+    Servers answer ``failed_share`` of the requests that end them with 500.
+    """
     deployment = CrashDeployment(
         directory=directory,
         net=220 + os.getpid() % 30,
@@ -137,7 +152,7 @@
         servers=SERVERS,
         keyed_servers=KEYED_SERVERS,
         work_ms="200",
-        server_options=("--ends-on", ENDS),
+        server_options=("--ends-on", ENDS, "--failed-share", str(failed_share)),
     )
     stopped = threading.Event()
     try:
--- a/tests/test_quarantine_processes.py
+++ b/tests/test_quarantine_processes.py
@@ -75,6 +75,14 @@
     assert REFUSED in body
 
 
+def test_servers_that_fail_let_no_request_go_that_ends_them(tmp_path: Path) -> None:
+    """Guards against an answer of a faulty server that clears a culprit."""
+    with crash_deployment(tmp_path, hosts=HOSTS, failed_share=0.5) as deployment:
+        statuses = deployment.call_for(10.0, KINDS["safe"], hosts=HOSTS, seed=7)
+        assert deployment.ends <= MAX_CRASHES
+    assert 503 in statuses
+
+
 def test_others_are_served_beside_a_request_that_ends_servers(tmp_path: Path) -> None:
     """Guards against callers who are turned away for what another one sent."""
     with crash_deployment(tmp_path, hosts=HOSTS) as deployment:
