Convict a request whose first send was hedged with its third server

Cause, from its logs: its first send was hedged, and both servers ended; the third one ended under a permit. Two of three ends have to be of runs with a permit, since copies of an innocent that is sent often are on each server of a mass loss; so a fourth server was tried. But both first ends were of one caller's request, which is no request that is sent often.

Fix: if the ends beside other copies are all of one caller's request, one end under a permit is proof. An innocent falls under it where exactly its two servers are lost, no other one within 2 s, and then a third.

Evidence: the case `hedged` failed before; `sent-often` keeps the former rule.

--- a/src/gentianwharf/quarantine/_record.py
+++ b/src/gentianwharf/quarantine/_record.py
@@ -13,7 +13,10 @@
 
 MIN_PERMITTED = 2
 """How many of them end while no other copy of the request runs. Copies of an innocent
-may be on every server of a mass loss."""
+that is sent often may be on every server of a mass loss."""
+
+MIN_PERMITTED_AFTER_HEDGE = 1
+"""The same if the others ended under both copies of one caller's request."""
 
 MIN_CORRELATED = 2
 """Of the first ``MAX_CRASHES`` ends, how many had company where it may be innocent."""
@@ -133,15 +136,19 @@
     def is_permitted(self) -> bool:
         """Whether no other copy of the request ran then."""
 
+    @property
+    def request_id(self) -> str:
+        """The caller's request; its copies share it."""
+
 
 def is_convicted(ends: Iterable[PermittedEnd]) -> bool:
     """Whether enough servers ended, some of them under one copy of a request alone."""
     ends = list(ends)
-    return len(ends) >= MAX_CRASHES and _permitted(ends) >= MIN_PERMITTED
-
-
-def _permitted(ends: Iterable[PermittedEnd]) -> int:
-    return sum(end.is_permitted for end in ends)
+    beside_others = {end.request_id for end in ends if not end.is_permitted}
+    permitted = sum(end.is_permitted for end in ends)
+    is_of_one_request = len(beside_others) <= 1
+    needed = MIN_PERMITTED_AFTER_HEDGE if is_of_one_request else MIN_PERMITTED
+    return len(ends) >= MAX_CRASHES and permitted >= needed
 
 
 @final
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -1,6 +1,7 @@
 """Which requests are refused, after which ends of servers."""
 
 import tracemalloc
+from dataclasses import replace
 
 import pytest
 
@@ -107,6 +108,26 @@
     assert records.verdict(NAME.digest).standing is Standing.REFUSED
 
 
+@pytest.mark.parametrize(
+    ("first_ids", "standing"),
+    [
+        pytest.param(["r1", "r1"], Standing.REFUSED, id="hedged"),
+        pytest.param(["r1", "r2"], Standing.ONE_AT_A_TIME, id="sent-often"),
+    ],
+)
+def test_both_copies_of_one_request_are_proof_and_those_of_several_are_not(
+    first_ids: list[str], standing: Standing
+) -> None:
+    """Guards against a fourth server for a request whose first send was hedged."""
+    records, clock = records_with(0)
+    for number, request_id in enumerate(first_ids):
+        crash = crash_of(f"s{number}", is_permitted=False)
+        records.note_crash(NAME, replace(crash, request_id=request_id))
+    records.note_crash(NAME, crash_of("s2"))
+    clock.now_s += 1e6
+    assert records.verdict(NAME.digest).standing is standing
+
+
 def test_refusal_of_a_request_that_ended_servers_alone_has_no_end() -> None:
     """Guards against a window after which three more servers end."""
     records, clock = records_with(MAX_CRASHES)
