--- a/src/gentianwharf/entryhost/_guarded_run.py
+++ b/src/gentianwharf/entryhost/_guarded_run.py
@@ -75,7 +75,7 @@
         body = self.exchange.request.body
         if body is not None and not body.is_prefix_known:
             await body.wait_for_prefix()
-        await self._quarantine.admit(self)
+        await self._quarantine.admission.admit(self)
 
     def may_send(self) -> bool:
         """Whether the request may be written now: one copy of it with each permit.
@@ -85,11 +85,13 @@
         if self._quarantine.exchange.needs_answer():
             return False
         if self.permit is not None:
-            return not self.permit.is_used and self._quarantine.may_use(self.permit)
+            return not self.permit.is_used and self._quarantine.admission.may_use(
+                self.permit
+            )
         records = self._quarantine.records
         if records.is_empty or not records.has_head(self.head):
             return True
-        return self._quarantine.is_free(self)
+        return self._quarantine.admission.is_free(self)
 
     def note_written(self, server: BackendServer) -> None:
         """Remember what the server was when it got the request; use up the permit."""
@@ -156,10 +158,10 @@
                 crash.waiting.append(waiting)
                 await waiting
         self.return_permit()
-        if self._quarantine.is_free(self):
+        if self._quarantine.admission.is_free(self):
             return False
-        await self._quarantine.wait_for_other_ends()
-        return self._quarantine.is_retry_unwise(self)
+        await self._quarantine.admission.wait_for_other_ends()
+        return self._quarantine.admission.is_retry_unwise(self)
 
     def note_answered(self, server: BackendServer) -> None:
         """Clear the request of the ends of servers."""
@@ -178,4 +180,4 @@
         """Let another copy of the request run."""
         if self.permit is not None:
             permit, self.permit = self.permit, None
-            self._quarantine.return_permit(permit, self.name)
+            self._quarantine.admission.return_permit(permit, self.name)
--- a/src/gentianwharf/entryhost/_quarantine_setup.py
+++ b/src/gentianwharf/entryhost/_quarantine_setup.py
@@ -86,12 +86,12 @@
     add(
         "quarantine_refusals",
         "Answers to requests that are refused, since the start",
-        lambda: quarantine.refusals,
+        lambda: quarantine.admission.refusals,
     )
     add(
         "quarantine_waits",
         "Requests that waited for another copy to end, since the start",
-        lambda: quarantine.waits,
+        lambda: quarantine.admission.waits,
     )
     add(
         "quarantine_tries",
