--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -20,6 +20,7 @@
 from gentianwharf.platform.standin import (
     MAX_VALUE_BYTES,
     Items,
+    Rejections,
     ServerSpec,
     StandInServer,
     StandInStore,
@@ -264,7 +265,8 @@
             work_s=WORK_S,
             born_ms=1,
         )
-        self.site = StandInServer(spec=spec, reactor=self.clock, rng=Random(1)).site()
+        self.server = StandInServer(spec=spec, reactor=self.clock, rng=Random(1))
+        self.site = self.server.site()
 
     def order(self, order: str, token: int) -> StringTransport:
         """Send a grant or a release of the shard."""
@@ -318,6 +320,29 @@
     assert status_of(request) == 500
 
 
+@pytest.mark.parametrize(
+    ("shares", "expected"),
+    [((0.0, 0.0), 200), ((1.0, 0.0), 503), ((0.0, 1.0), 500)],
+    ids=["run", "refused", "failed"],
+)
+def test_rejected_request_is_not_run_and_only_a_refusal_says_so(
+    shares: tuple[float, float], expected: int
+) -> None:
+    """Guards against a faulty server that states more than real ones do."""
+    server = _ServerOnBytes()
+    begun: list[object] = []
+    server.server.on_begin = begun.append
+    server.server.rejection = Rejections(
+        part=b"/", rng=Random(1), refused_share=shares[0], failed_share=shares[1]
+    ).status
+    server.order("grant", 1)
+    request = server.request()
+    server.clock.advance(2 * WORK_S)
+    assert status_of(request) == expected
+    assert bool(begun) is (expected == 200)
+    assert (b"not-executed" in request.value().lower()) is (expected == 503)
+
+
 class _CountingStore:
     """Counts changes, and accepts each."""
 
