Tell callers with short deadlines how long a suspected request has to wait

A request with less than 0.1 s left was told to come back in 0.5 s where the next try is known to be up to 30 s away. It is told the wait that is known now. Evidence: the case `short` failed before.

--- a/src/gentianwharf/entryhost/_run_admission.py
+++ b/src/gentianwharf/entryhost/_run_admission.py
@@ -81,7 +81,7 @@
             self.waits += not has_waited
             has_waited = True
             if self._reactor.seconds() + PERMIT_POLL_S >= end_s:
-                raise self._busy(BUSY_RETRY_AFTER_S)
+                raise self._busy(verdict.retry_after_s or BUSY_RETRY_AFTER_S)
             await deferLater(self._reactor, PERMIT_POLL_S)
 
     async def _take_permit(self, run: "HostGuardedRun", name: RequestName) -> bool:
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -318,6 +318,20 @@
     assert [problem.status for problem in again.problems] == statuses
 
 
+@pytest.mark.parametrize("deadline_s", [0.05, 1.0], ids=["short", "long"])
+def test_request_that_has_to_wait_is_told_for_how_long(
+    hosts: QuarantineHosts, deadline_s: float
+) -> None:
+    """Guards against callers with short deadlines who come back too soon."""
+    hosts.crash_beside_others(MAX_CRASHES)
+    call = hosts.call(FOLLOWER, deadline_s=deadline_s)
+    call.admit()
+    hosts.advance(NEWS_S)
+    (problem,) = call.problems
+    assert problem.retry_after_s is not None
+    assert problem.retry_after_s > 1.0
+
+
 @pytest.mark.parametrize("host", [FOLLOWER, OTHER], ids=["there", "elsewhere"])
 def test_request_that_has_just_run_wholly_is_not_suspected(
     hosts: QuarantineHosts, host: int
