Give up reads of the store that it lost during an outage

Cause: a class of fault, waits that are each short enough and add up to more than the promise. A host that had sent a watch or read a page shortly before the store came back waited for its timeout (1.8 s, 1.2 s), then up to 0.7 s for the next try.

Change: while a read is overdue by 0.3 s, a cheap probe is sent on a new connection each 0.25 s. An answer to it, or to any call sent after the read was overdue, cancels the read, which is repeated at once. Watches wait for 0.1 s while the store may be away.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -26,6 +26,7 @@
     PlatformStore,
     ServerOrders,
     evacuated_domain,
+    probe_interval_s,
 )
 from gentianwharf.relay import ServerLoad, ServerNotice
 from gentianwharf.store import (
@@ -346,6 +347,7 @@
     def _set_host_count(self, host_count: int) -> None:
         if host_count != self.host_count:
             self.host_count = host_count
+            self.store.set_probe_interval_s(probe_interval_s(host_count))
             self.on_host_count(host_count)
 
     def _add_requests(self, service: str, counts: Mapping[int, float]) -> None:
--- a/src/gentianwharf/platform/__init__.py
+++ b/src/gentianwharf/platform/__init__.py
@@ -16,6 +16,7 @@
 from ._evacuations import evacuated_domain
 from ._header_codec import PlatformHeaderCodec
 from ._orders import ServerOrders
+from ._overdue_calls import probe_interval_s
 from ._servers import (
     SERVERS_PREFIX,
     ServerEntry,
@@ -54,5 +55,6 @@
     "decode_host_settings",
     "decode_server_entry",
     "evacuated_domain",
+    "probe_interval_s",
     "read_host_settings",
 ]
--- /dev/null
+++ b/src/gentianwharf/platform/_overdue_calls.py
@@ -0,0 +1,102 @@
+"""Gives up calls that the store has lost, as soon as it answers later ones."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, final
+
+from twisted.internet.defer import Deferred
+
+ANSWER_S = 0.3
+"""Time within which an answer usually begins; a slow store takes 0.2 s."""
+
+MAX_ANSWER_S = 2.4
+"""Limit of the time allowed for an answer to begin, after calls were given up."""
+
+PROBE_INTERVAL_S = 0.25
+PROBE_TIMEOUT_S = 0.5
+
+PROBES_PER_S = 1_200.0
+"""Limit for all hosts together, each of which probes less often as their number
+grows."""
+
+
+def probe_interval_s(hosts: int) -> float:
+    """Return the interval of a host's probes while a call is overdue.
+
+    >>> probe_interval_s(12), probe_interval_s(300), probe_interval_s(12_000)
+    (0.25, 0.25, 10.0)
+    """
+    return max(PROBE_INTERVAL_S, hosts / PROBES_PER_S)
+
+
+@final
+@dataclass(kw_only=True, slots=True, eq=False)
+class PendingCall:
+    """A call whose answer has not begun, and when it should have."""
+
+    step: str
+    sent_s: float
+    due_s: float
+    pending: Deferred[Any]
+    is_overtaken: bool = False
+
+
+@final
+class OverdueCalls:
+    """The pending reads of a host, and the probes that are sent while some are overdue.
+
+    A store that was unavailable never answers what it received meanwhile. Its return
+    shows in answers to calls that were sent after a read had become overdue: such a
+    read is cancelled, so that it can be repeated at once instead of after its timeout.
+
+    Calls of a step that was given up get twice the time the next time: a store may take
+    longer for some calls than for others.
+    """
+
+    def __init__(self, *, reactor: Any, send_probe: Callable[[], None]) -> None:
+        self.probe_interval_s = PROBE_INTERVAL_S
+        self._reactor = reactor
+        self._send_probe = send_probe
+        self._calls: dict[PendingCall, Any] = {}
+        """Pending calls, each with the timer of its due time."""
+        self._answer_s: dict[str, float] = {}
+        self._next_probe: Any = None
+
+    def add(self, step: str, pending: Deferred[Any], *, wait_s: float) -> PendingCall:
+        """Add a call whose answer begins after ``wait_s`` at the earliest."""
+        now_s = self._reactor.seconds()
+        due_in_s = wait_s + self._answer_s.get(step, ANSWER_S)
+        call = PendingCall(
+            step=step, sent_s=now_s, due_s=now_s + due_in_s, pending=pending
+        )
+        if not pending.called:
+            self._calls[call] = self._reactor.callLater(due_in_s, self._probe)
+        return call
+
+    def remove(self, call: PendingCall) -> None:
+        """Remove a call: its answer has begun, or it has ended."""
+        timer = self._calls.pop(call, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def note_answer(self, step: str, *, sent_s: float) -> None:
+        """Record that the store has answered a call that was sent at ``sent_s``."""
+        answer_s = self._answer_s.get(step, ANSWER_S)
+        self._answer_s[step] = max(ANSWER_S, answer_s / 2)
+        for call in [call for call in self._calls if call.due_s <= sent_s]:
+            self.remove(call)
+            call.is_overtaken = True
+            answer_s = self._answer_s.get(call.step, ANSWER_S)
+            self._answer_s[call.step] = min(MAX_ANSWER_S, 2 * answer_s)
+            call.pending.cancel()
+
+    def _probe(self) -> None:
+        """Send a probe, and further ones until no call is overdue."""
+        if self._next_probe is not None and self._next_probe.active():
+            return
+        now_s = self._reactor.seconds()
+        if any(call.due_s <= now_s for call in self._calls):
+            self._next_probe = self._reactor.callLater(
+                self.probe_interval_s, self._probe
+            )
+            self._send_probe()
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -11,7 +11,7 @@
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IResponse
+from twisted.web.iweb import IAgent, IResponse
 
 from gentianwharf.errors import (
     ConflictError,
@@ -23,6 +23,7 @@
 from gentianwharf.http_agent import BytesBody, ip_agent
 from gentianwharf.logs import log
 from gentianwharf.store import (
+    CallOvertakenError,
     Change,
     Events,
     HistoryGoneError,
@@ -32,6 +33,7 @@
     Removal,
 )
 
+from ._overdue_calls import PROBE_TIMEOUT_S, OverdueCalls, PendingCall
 from ._store_response import CALL_TIMEOUT_S, MAX_BODY_S, TimeLimit, body_reader
 from ._units import decode_time_s, decode_value, encode_time, encode_value
 
@@ -46,12 +48,14 @@
 only after about a second; a new connection attempt is made sooner."""
 
 PAGE_TIMEOUT_S = 1.2
-"""Time until a page of items begins to arrive. After an outage a host reads all items,
-which must be complete within three seconds of the outage's end."""
+"""Time until a page of items begins to arrive while the store answers nothing else."""
 
 WATCH_GRACE_S = 1.0
-"""Time that a response may take beyond the watch's own wait; a slow store takes half a
-second."""
+"""Time that a response may take beyond the watch's own wait while the store answers
+nothing else."""
+
+PROBE_KEY = "gentianwharf/probe"
+"""Key without an item. Reading it shows that the store answers."""
 
 IDLE_TIMEOUT_S = 10.0
 MAX_IDLE_CONNECTIONS = 4
@@ -71,6 +75,7 @@
 STATUS_CONDITION_FAILED = 412
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
+UNAVAILABLE_STATUSES = frozenset({STATUS_TOO_MANY_REQUESTS, STATUS_UNAVAILABLE})
 
 
 class _Item(msgspec.Struct):
@@ -110,7 +115,7 @@
 
     The methods raise ``PeerUnavailableError`` if the call had no effect, and
     ``OutcomeUnknownError`` if it may have taken effect or may still do so seconds
-    later.
+    later. Reads raise ``CallOvertakenError`` if the store has answered later calls.
     """
 
     def __init__(self, *, reactor: Any, address: str) -> None:
@@ -127,6 +132,17 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             wrap_endpoint=_KeepaliveEndpoint,
         )
+        # Connections that were opened before an outage may never deliver an answer.
+        self._probe_agent = ip_agent(
+            reactor=reactor,
+            pool=HTTPConnectionPool(reactor, persistent=False),
+            connect_timeout_s=PROBE_TIMEOUT_S,
+        )
+        self._overdue = OverdueCalls(reactor=reactor, send_probe=self._send_probe)
+
+    def set_probe_interval_s(self, interval_s: float) -> None:
+        """Set how often a probe is sent while a read is overdue."""
+        self._overdue.probe_interval_s = interval_s
 
     async def items(self, prefix: str) -> Page:
         """Return all items below ``prefix`` and the revision of the first page.
@@ -173,6 +189,7 @@
                 "wait-ms": str(round(wait_s * 1000)),
             },
             timeout_s=wait_s + WATCH_GRACE_S,
+            wait_s=wait_s,
         )
         watched = self._decode("watch", body, _WatchResult)
         changes = tuple(
@@ -234,18 +251,26 @@
         query: Mapping[str, str] | None = None,
         body: Mapping[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        wait_s: float = 0.0,
     ) -> bytes:
+        """Make a call; a watch is answered after ``wait_s`` if nothing changes."""
         step = path.removeprefix("/v1/").partition("/")[0]
+        is_read = method == "GET"
         limit = TimeLimit(
             reactor=self._reactor,
             timeout_s=timeout_s,
             # Reads may return large values; other responses have a few bytes.
-            max_body_s=MAX_BODY_S if method == "GET" else 0.0,
+            max_body_s=MAX_BODY_S if is_read else 0.0,
         )
+        sent_s = self._reactor.seconds()
         pending = Deferred.fromCoroutine(
-            self._request(method, path, query, body, limit)
+            self._request(self._agent, method, path, query, body, limit)
         )
         limit.start(pending)
+        call: PendingCall | None = None
+        if is_read:
+            call = self._overdue.add(step, pending, wait_s=wait_s)
+            limit.on_begun = lambda: self._overdue.remove(call)
         try:
             status, content = await pending
         except (ConnectError, ConnectingCancelledError) as error:
@@ -253,17 +278,49 @@
                 f"can't connect: {type(error).__name__}", step=step, peer=self.address
             ) from error
         except Exception as error:
+            if call is not None and call.is_overtaken:
+                raise CallOvertakenError(
+                    "expected a response, got one to a later call",
+                    step=step,
+                    peer=self.address,
+                ) from error
             raise OutcomeUnknownError(
                 f"expected a response within {timeout_s} s, got {type(error).__name__}",
                 step=step,
                 peer=self.address,
             ) from error
+        finally:
+            if call is not None:
+                self._overdue.remove(call)
+        if status not in UNAVAILABLE_STATUSES:
+            self._overdue.note_answer(step, sent_s=sent_s)
         if status != STATUS_OK:
             raise self._error(step, status, content)
         return content
 
+    def _send_probe(self) -> None:
+        """Send a call whose answer shows that the store is available."""
+        sent_s = self._reactor.seconds()
+        limit = TimeLimit(
+            reactor=self._reactor, timeout_s=PROBE_TIMEOUT_S, max_body_s=0.0
+        )
+        # Such reads are not counted toward the store's rate limit.
+        query = {"key": PROBE_KEY, "stale-ok": "1"}
+        pending = Deferred.fromCoroutine(
+            self._request(self._probe_agent, "GET", "/v1/kv-key", query, None, limit)
+        )
+        limit.start(pending)
+
+        def note_answer(response: tuple[int, bytes]) -> None:
+            if response[0] not in UNAVAILABLE_STATUSES:
+                self._overdue.note_answer("probe", sent_s=sent_s)
+
+        # A probe without an answer says nothing new.
+        pending.addCallbacks(note_answer, lambda failure: None)
+
     async def _request(
         self,
+        agent: IAgent,
         method: str,
         path: str,
         query: Mapping[str, str] | None,
@@ -277,9 +334,10 @@
         producer = None
         if body is not None:
             producer = BytesBody(body=msgspec.json.encode(body))
-        response: IResponse = await self._agent.request(
+        response: IResponse = await agent.request(
             method.encode(), target.encode(), headers, producer
         )
+        limit.on_begun()
         reader = body_reader(on_chunk=limit.extend)
         response.deliverBody(reader)
         return response.code, await reader.done
--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -10,6 +10,7 @@
 )
 from ._pace import FORWARDING_PACE, WatchPace, default_pace
 from ._types import (
+    CallOvertakenError,
     Change,
     Events,
     HistoryGoneError,
@@ -27,6 +28,7 @@
     "MAX_REMOVALS",
     "FULL_READ_AFTER_S",
     "FORWARDING_PACE",
+    "CallOvertakenError",
     "Change",
     "Events",
     "EventsListener",
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -19,7 +19,15 @@
 from gentianwharf.logs import log
 
 from ._pace import WatchPace, default_pace
-from ._types import Events, HistoryGoneError, Item, Page, Removal, Store
+from ._types import (
+    CallOvertakenError,
+    Events,
+    HistoryGoneError,
+    Item,
+    Page,
+    Removal,
+    Store,
+)
 
 IDLE_CHECK_S = 0.1
 """Interval at which a host that receives changes checks whether it still does."""
@@ -33,6 +41,14 @@
 instead: a watch returns every version of each value since then, and no change is usable
 before the last byte has arrived over the host's link."""
 
+OVERDUE_S = 0.3
+"""Added to the wait of a watch. Without contact for this time, the store may be
+unavailable."""
+
+OVERDUE_WATCH_S = 0.1
+"""Wait of a watch while the store may be unavailable. If it is lost, it has to be
+repeated soon after the store's return."""
+
 MAX_REMOVALS = 1_000
 """Removals kept for hosts that lack them; a host that lacks more is sent all items."""
 
@@ -193,6 +209,9 @@
             except HistoryGoneError:
                 log.warning("store history is gone, reading all items again")
                 self.is_current = False
+            except CallOvertakenError as error:
+                # The store answers again.
+                self._note_failure(error)
             except GentianwharfError as error:
                 self._note_failure(error)
                 await deferLater(self._reactor, self._retry_delay_s())
@@ -208,6 +227,12 @@
     def _is_long_silent(self) -> bool:
         return self.age_s() > self.pace().wait_s + FULL_READ_AFTER_S
 
+    def _watch_s(self, pace: WatchPace) -> float:
+        """Return for how long the next watch waits for a change."""
+        if self.lost_s is not None or self.age_s() > pace.wait_s + OVERDUE_S:
+            return min(OVERDUE_WATCH_S, pace.wait_s)
+        return pace.wait_s
+
     async def _read(self) -> None:
         silent_s, requested_s = self.silent_s(), self._reactor.seconds()
         page = await self._store.items(self._prefix)
@@ -282,10 +307,11 @@
     async def _request(self, after_revision: int, pace: WatchPace) -> Events | None:
         """Return the answer to a watch, None if it was cancelled to be issued again."""
         waits_in_full = not self._is_behind()
+        wait_s = self._watch_s(pace)
         call = self._store.watch(
             self._prefix,
             after_revision=after_revision,
-            wait_s=pace.wait_s if waits_in_full else min(REISSUE_AFTER_S, pace.wait_s),
+            wait_s=wait_s if waits_in_full else min(REISSUE_AFTER_S, wait_s),
         )
         watching = self._pending_watch = Deferred.fromCoroutine(call)
         self._full_wait_watch = watching if waits_in_full else None
--- a/src/gentianwharf/store/_types.py
+++ b/src/gentianwharf/store/_types.py
@@ -11,6 +11,13 @@
     """The store no longer has the changes after the requested revision."""
 
 
+class CallOvertakenError(GentianwharfError):
+    """A read was given up since the store had answered later calls.
+
+    It can be repeated at once.
+    """
+
+
 class LeaseEndedError(GentianwharfError):
     """The store has no such lease, or no longer has it."""
 
@@ -81,7 +88,7 @@
 
     All of them raise ``PeerUnavailableError`` if the store did nothing, and
     ``OutcomeUnknownError`` if the call may have taken effect or may still take effect
-    seconds later.
+    seconds later. Reads may raise ``CallOvertakenError``.
     """
 
     async def items(self, prefix: str) -> Page:
--- a/tests/builders_entryhost.py
+++ b/tests/builders_entryhost.py
@@ -46,6 +46,9 @@
     bytes_per_s: float = float("inf")
     calls: list[str] = field(default_factory=list)
 
+    def set_probe_interval_s(self, interval_s: float) -> None:
+        """Do nothing: calls are never overdue here."""
+
     async def items(self, prefix: str) -> Page:
         """Return all items below a prefix."""
         await self._begin_call("items")
