Refuse requests while newer rules are known and missing

Callers of routes that had just been added got 404, and requests on a moved route ran at the former service (DENIED, CONFIG), from hosts that knew that they were behind.

Cause: a host learns of a new revision from the leader's next update, within 0.4 s, and went on to route by its old list until the new one had arrived, however long that took.

Change: updates of the leader and reports of hosts state the revision of the newest rules, the leader also before it sends a list.

--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -119,6 +119,7 @@
         page: Callable[[], Page | None],
         on_host_count: Callable[[int], None],
         granted_moves: Callable[[], Sequence[tuple[str, Span]]],
+        rules_revision: Callable[[], int] = lambda: 0,
     ) -> None:
         self.leads = False
         self.membership = Membership(own=own, dial=dial, now_s=reactor.seconds)
@@ -132,6 +133,7 @@
         self._page = page
         self._on_host_count = on_host_count
         self._granted_moves = granted_moves
+        self._rules_revision = rules_revision
         self._repeated = 0
         self._term = 0
         self._delta_encoder = DeltaEncoder()
@@ -215,6 +217,11 @@
             for service, span in moves[begin:end]
         ]
 
+    def announce_rules(self) -> None:
+        """Tell all hosts that new rules exist, before a long list takes the link."""
+        if self.leads:
+            self._send_update()
+
     def broadcast_events(self, after_revision: int, events: Events) -> float | None:
         """Send all hosts the changes of the store after a revision.
 
@@ -305,6 +312,7 @@
             revision,
             revision,
             [],
+            self._rules_revision(),
         )
 
     def _broadcast(self, update: LeaderUpdate) -> int:
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -31,6 +31,7 @@
 from gentianwharf.relay import ServerLoad, ServerNotice
 from gentianwharf.store import (
     FORWARDING_PACE,
+    Events,
     Item,
     Mirror,
     WatchPace,
@@ -80,6 +81,10 @@
 """How long changes may be missing before a host requests them from the leader. Within
 this time its own watch has been repeated and should have returned them."""
 
+MAX_LACKING_SHARE = 0.5
+"""Share of the time within which accepted rules must be in force. A host that has known
+of newer rules for this long, and lacks them, refuses requests."""
+
 INCARNATION_BITS = 53
 """Size of the random number that distinguishes successive processes of a host."""
 
@@ -112,7 +117,10 @@
         store = PlatformStore(reactor=reactor, address=settings.store.address)
         self.store = store
         self.mirror = Mirror(store=store, prefix="", reactor=reactor, rng=rng)
-        self.rules = RulesInForce(now_s=now_s)
+        self.rules = RulesInForce(
+            now_s=now_s,
+            max_lacking_s=settings.agreements.rules_delay_s * MAX_LACKING_SHARE,
+        )
         self.directory = Directory(mirror=self.mirror, reactor=reactor)
         self.keys = KeyHolders(server_by_id=server_by_id, reactor=reactor, rng=rng)
         self.peers = Peers(
@@ -190,7 +198,7 @@
         )
         self.mirror.add_listener(self._note_item)
         self.mirror.on_read = self._on_store_read
-        self.mirror.on_events = self._announcements.forward
+        self.mirror.on_events = self._forward
         self.mirror.receives_changes = self.peers.receives_changes
         self.mirror.forwards_changes = lambda: self.leadership.leads
         self.mirror.pace = self._pace
@@ -223,6 +231,9 @@
         peers.changes_after = mirror.changes_after
         peers.page = mirror.page
         peers.granted_moves = self._grant_manager.granted_moves
+        peers.rules_revision = lambda: self.rules.newest.revision
+        peers.received_rules = lambda: self.rules.newest.received_revision
+        peers.on_rules_stated = self.rules.newest.note_stated
         peers.on_page = mirror.apply_forwarded_page
         peers.on_superseded = self.leadership.step_down
         peers.on_grants_request = self._grants_exchange.handle_request
@@ -315,6 +326,14 @@
         elif key.startswith(TABLE_PREFIX) and item is not None:
             self._planner.note_table(item)
 
+    def _forward(self, after_revision: int, events: Events) -> None:
+        """Send changes of the store to all hosts; does nothing on other hosts."""
+        for change in events.changes:
+            if change.key == CONFIG_KEY and isinstance(change, Item):
+                self.rules.newest.note_stated(change.revision)
+                self.peers.announce_rules()
+        self._announcements.forward(after_revision, events)
+
     def _on_store_read(self) -> None:
         self.peers.reset_deltas()
         if LEADER_KEY not in self.mirror.items:
--- a/src/gentianwharf/entryhost/_gauges.py
+++ b/src/gentianwharf/entryhost/_gauges.py
@@ -69,6 +69,11 @@
         "Since a newer configuration is known and not in force, 0 if none is",
         rules.refused_s,
     )
+    add(
+        "rules_lacking_seconds",
+        "Since newer rules have been known to exist and are missing here, 0 if none",
+        rules.newest.lacking_s,
+    )
     add("rules_unread", "Parts of the configuration that can't be read", rules.unread)
     add("in_flight", "Requests being served", lambda: len(relay.in_flight))
     add("callers", "Callers' connections", lambda: len(site.channels))
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -55,6 +55,7 @@
     the revision after which they are missing. ``domain`` and ``cores`` are those of
     ``HostAddress``. ``incarnation`` is that of ``HostIdentity``, ``unconfirmed`` counts
     by service the repeats that may be unconfirmed at the next report.
+    ``rules_revision`` is that of the newest rules that the host has received.
     """
 
     host: str
@@ -67,6 +68,7 @@
     cores: float = 0.0
     incarnation: int = 0
     unconfirmed: dict[str, RepeatCount] = {}
+    rules_revision: int = 0
 
 
 class GrantNotice(msgspec.Struct, array_like=True):
@@ -120,7 +122,8 @@
     ``changes`` are all changes between two revisions, and there were no others until
     ``age_s`` ago, when the store last answered the leader; None if that is uncertain.
     ``term`` is the revision at which the leader's item was written: a host that cannot
-    read the store follows the leader with the highest term.
+    read the store follows the leader with the highest term. ``rules_revision`` is that
+    of the newest rules that are known to exist, also if the leader lacks them.
     """
 
     leader: HostIdentity
@@ -131,6 +134,7 @@
     after_revision: int
     revision: int
     changes: list[EncodedChange]
+    rules_revision: int = 0
 
 
 class SpeedUpdate(msgspec.Struct, array_like=True, tag="speeds"):
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -100,6 +100,11 @@
         self.on_page: Callable[[Page], None] = lambda page: None
         self.stored_revision: Callable[[], int | None] = lambda: None
         """Returns the revision of this host's copy, None without a complete copy."""
+        self.rules_revision: Callable[[], int] = lambda: 0
+        """Returns the revision of the newest rules that are known to exist."""
+        self.received_rules: Callable[[], int] = lambda: 0
+        """Returns the revision of the newest rules that this host has received."""
+        self.on_rules_stated: Callable[[int], None] = lambda revision: None
         self.granted_moves: Callable[[], Sequence[tuple[str, Span]]] = tuple
         self.on_superseded: Callable[[], None] = lambda: None
         self.on_grants_request: Callable[[RemainingGrantsRequest], None] = (
@@ -146,6 +151,7 @@
             page=lambda: self.page(),
             on_host_count=self._set_host_count,
             granted_moves=lambda: self.granted_moves(),
+            rules_revision=lambda: self.rules_revision(),
         )
         self.membership = self.broadcaster.membership
         self.inherited = InheritedExchange(
@@ -268,6 +274,10 @@
         """Send a message to the leader; return False if there is no link to it."""
         return self._leader_link is not None and self._leader_link.send(data)
 
+    def announce_rules(self) -> None:
+        """Tell all hosts that new rules exist."""
+        self.broadcaster.announce_rules()
+
     def broadcast_events(self, after_revision: int, events: Events) -> float | None:
         """Send all hosts the changes of the store.
 
@@ -298,6 +308,7 @@
             self._own.cores,
             self.identity.incarnation,
             self.unconfirmed(),
+            self.received_rules(),
         )
         if self.broadcaster.leads:
             self._process_report(report)
@@ -372,6 +383,7 @@
             self._is_from_leader(record)
 
     def _process_report(self, report: Report) -> None:
+        self.on_rules_stated(report.rules_revision)
         self.inherited.note_report(report)
         if report.notices:
             self.on_reported_notices(report.notices)
@@ -388,6 +400,7 @@
         now_s = self._contacted_s = self._updated_s = self._reactor.seconds()
         self._changes_valid_until_s = float("-inf")
         self._set_host_count(update.host_count)
+        self.on_rules_stated(update.rules_revision)
         if update.age_s is not None:
             self._changes_valid_until_s = now_s - update.age_s + CHANGES_VALID_S
             self._apply_changes(update)
--- a/src/gentianwharf/entryhost/_readiness.py
+++ b/src/gentianwharf/entryhost/_readiness.py
@@ -16,9 +16,9 @@
 
 
 def can_serve(coordinator: Coordinator) -> bool:
-    """Whether a host has its rules, and the holders of the keys of each service."""
+    """Whether a host has the newest rules, and the holders of each service's keys."""
     configuration = coordinator.rules.configuration
-    if configuration is None:
+    if configuration is None or coordinator.rules.is_outdated():
         return False
     return all(
         coordinator.keys.has_table(name)
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -12,6 +12,8 @@
 from gentianwharf.runs import RunStatus
 from gentianwharf.store import Item
 
+from ._newest_rules import NewestRules
+
 NO_RULES = Problem(
     status=503,
     title="this host has just started and knows no rules yet",
@@ -31,6 +33,15 @@
 """Another host with a later release may be able to serve the request. If none can,
 retries are useless, but callers do not conclude that their request is invalid."""
 
+RULES_LACKING = Problem(
+    status=503,
+    title="this host has not yet received the newest rules",
+    run=RunStatus.NOT_RUN,
+    detail="Other hosts have them.",
+    retry_after_s=0.2,
+    step="match",
+)
+
 MAX_LOGGED_PARTS = 5
 """Maximum number of unreadable parts in a log line; the metric counts all of them."""
 
@@ -39,16 +50,22 @@
 class RulesInForce:
     """Matches requests with the newest configuration that could be applied.
 
-    An older version never replaces a newer one.
+    An older version never replaces a newer one. Once newer rules have been known to
+    exist for ``max_lacking_s`` and have not been received, no request is matched.
     """
 
-    def __init__(self, *, now_s: Callable[[], float]) -> None:
+    def __init__(
+        self, *, now_s: Callable[[], float], max_lacking_s: float = float("inf")
+    ) -> None:
+        self.newest = NewestRules(now_s=now_s)
         self.configuration: Configuration | None = None
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
         self._rules: RuleSet | None = None
         self._unread_rules: frozenset[str] = frozenset()
         self._now_s = now_s
         self._refused_since_s: float | None = None
+        self._max_lacking_s = max_lacking_s
+        self._was_outdated = False
 
     @property
     def version(self) -> int:
@@ -65,6 +82,24 @@
             return 0.0
         return self._now_s() - self._refused_since_s
 
+    def is_outdated(self) -> bool:
+        """Whether newer rules have been known, and missing here, for too long."""
+        lacking_s = self.newest.lacking_s()
+        is_outdated = lacking_s > self._max_lacking_s
+        if is_outdated is not self._was_outdated:
+            self._was_outdated = is_outdated
+            log.warning(
+                "newer rules are missing, requests are refused"
+                if is_outdated
+                else "the newest rules have been received, requests are served",
+                extra={
+                    "lacking_s": round(lacking_s, 3),
+                    "version": self.version,
+                    "revision": self.newest.revision,
+                },
+            )
+        return is_outdated
+
     def unread(self) -> int:
         """Return the number of unreadable parts of the configuration in force."""
         return len(self.configuration.unread) if self.configuration else 0
@@ -73,6 +108,7 @@
         """Apply the configuration in the store; an invalid one changes nothing."""
         if item is None:
             return
+        self.newest.note_received(item.revision)
         if self._refused_since_s is None:
             # Set until the configuration is in force, whether it is refused or an error
             # occurs.
@@ -131,11 +167,14 @@
     def match(self, facts: RequestFacts) -> RuleMatch | None:
         """Return the match of the first matching rule, or None if no rule matches.
 
-        Raises ``Problem`` if the host has no rules yet or cannot read the rule: callers
-        should retry in both cases, unlike after a request that no rule matches.
+        Raises ``Problem`` if the host has no rules yet, lacks the newest ones or cannot
+        read the rule: callers should retry in all of these cases, unlike after a
+        request that no rule matches.
         """
         if self._rules is None:
             raise replace(NO_RULES)
+        if self.is_outdated():
+            raise replace(RULES_LACKING)
         match = self._rules.match(facts)
         if match is not None and match.rule.name in self._unread_rules:
             raise replace(UNREADABLE_RULE)
