Let a watch end whose answer is arriving

A long list of rules came a second late to hosts on thin links.

Cause: a host that heard of a revision from the leader while its own watch was pending cancelled that watch 1 s later, also while its answer was arriving, and fetched the whole value again.

Change: the client of the store tells when an answer has begun; such a watch is not cancelled. The test (300 kB over 1 Mbit/s, 3.2 s) failed before and passes.

--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -1,7 +1,7 @@
 """HTTP client of the platform's store: items, conditions, leases and watches."""
 
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar, final
 from urllib.parse import urlencode
 
@@ -174,7 +174,14 @@
             return None
         return _item(self._decode("item", body, _Item))
 
-    async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        on_begun: Callable[[], None] = lambda: None,
+    ) -> Events:
         """Return the changes below ``prefix``, waiting up to ``wait_s`` for one.
 
         Raises ``HistoryGoneError`` if the store no longer has the changes since
@@ -190,6 +197,7 @@
             },
             timeout_s=wait_s + WATCH_GRACE_S,
             wait_s=wait_s,
+            on_begun=on_begun,
         )
         watched = self._decode("watch", body, _WatchResult)
         changes = tuple(
@@ -252,6 +260,7 @@
         body: Mapping[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         wait_s: float = 0.0,
+        on_begun: Callable[[], None] = lambda: None,
     ) -> bytes:
         """Make a call; a watch is answered after ``wait_s`` if nothing changes."""
         step = path.removeprefix("/v1/").partition("/")[0]
@@ -270,7 +279,12 @@
         call: PendingCall | None = None
         if is_read:
             call = self._overdue.add(step, pending, wait_s=wait_s)
-            limit.on_begun = lambda: self._overdue.remove(call)
+
+            def note_begun() -> None:
+                self._overdue.remove(call)
+                on_begun()
+
+            limit.on_begun = note_begun
         try:
             status, content = await pending
         except (ConnectError, ConnectingCancelledError) as error:
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -103,6 +103,7 @@
         self._pending_watch: Deferred[Events] | None = None
         self._full_wait_watch: Deferred[Events] | None = None
         """The pending watch, while it may still wait for as long as requested."""
+        self._answer_has_begun = False
 
     def add_listener(self, listener: Listener) -> None:
         """Call ``listener`` for every change from now on."""
@@ -172,8 +173,13 @@
     def _is_behind(self) -> bool:
         return self._forwarded_revision > self.revision
 
+    def _note_begun(self) -> None:
+        """Let the pending watch end: its answer arrives, over a slow link maybe."""
+        self._answer_has_begun = True
+
     def _cancel_watch(self, watching: "Deferred[Events]") -> None:
-        if self._is_behind() and watching is self._pending_watch:
+        is_pending = watching is self._pending_watch and not self._answer_has_begun
+        if self._is_behind() and is_pending:
             self._pending_watch = None
             watching.cancel()
 
@@ -308,10 +314,12 @@
         """Return the answer to a watch, None if it was cancelled to be issued again."""
         waits_in_full = not self._is_behind()
         wait_s = self._watch_s(pace)
+        self._answer_has_begun = False
         call = self._store.watch(
             self._prefix,
             after_revision=after_revision,
             wait_s=wait_s if waits_in_full else min(REISSUE_AFTER_S, wait_s),
+            on_begun=self._note_begun,
         )
         watching = self._pending_watch = Deferred.fromCoroutine(call)
         self._full_wait_watch = watching if waits_in_full else None
--- a/src/gentianwharf/store/_types.py
+++ b/src/gentianwharf/store/_types.py
@@ -1,6 +1,6 @@
 """The interface of a store with revisions, conditional writes, leases and watches."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol, final
 
@@ -97,10 +97,18 @@
     async def item(self, key: str) -> Item | None:
         """Return an item, None if it does not exist."""
 
-    async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        on_begun: Callable[[], None] = lambda: None,
+    ) -> Events:
         """Return the changes below a prefix, waiting up to ``wait_s`` for the first.
 
-        Raises ``HistoryGoneError`` if all items have to be read again.
+        ``on_begun`` is called once the answer has begun to arrive. Raises
+        ``HistoryGoneError`` if all items have to be read again.
         """
 
     async def change(self, change: Change) -> int:
--- a/tests/builders_entryhost.py
+++ b/tests/builders_entryhost.py
@@ -1,6 +1,6 @@
 """Coordinators of entry hosts on a store in memory and simulated links."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -64,7 +64,14 @@
         await self._begin_call("item")
         return self.backend.get(key)
 
-    async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        on_begun: Callable[[], None] = lambda: None,
+    ) -> Events:
         """Wait for a change; a lost watch fails a second after its wait."""
         await self._begin_call("watch", wait_s=wait_s)
         if self.history_is_gone:
--- a/tests/builders_keyspace_hosts.py
+++ b/tests/builders_keyspace_hosts.py
@@ -65,7 +65,14 @@
         await self._on_call("item")
         return self.items_by_key.get(key)
 
-    async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        on_begun: Callable[[], None] = lambda: None,
+    ) -> Events:
         """Return no changes; tests use ``listeners`` instead."""
         await self._on_call("watch")
         return Events(changes=(), revision=after_revision)
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -39,7 +39,14 @@
             raise PeerUnavailableError("down", step="items", peer="store")
         return self.page
 
-    async def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> Events:
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        on_begun: Callable[[], None] = lambda: None,
+    ) -> Events:
         """Wait for the test."""
         waiting: Deferred[Events] = Deferred()
         self.waits_s.append(wait_s)
--- a/tests/test_platform_outages.py
+++ b/tests/test_platform_outages.py
@@ -6,7 +6,7 @@
 
 from gentianwharf.platform import probe_interval_s
 from gentianwharf.platform._overdue_calls import ANSWER_S
-from gentianwharf.store import FORWARDING_PACE, MAX_RETRY_DELAY_S
+from gentianwharf.store import FORWARDING_PACE, MAX_RETRY_DELAY_S, Events
 from gentianwharf.store._mirror import OVERDUE_WATCH_S
 from tests.builders_outages import Client, make_client, outage_durations_s
 
@@ -130,6 +130,20 @@
     assert value in client.seen_s
 
 
+def test_answer_that_is_arriving_is_not_requested_again() -> None:
+    """Guards against a list that is fetched twice since the leader has announced it."""
+    client = make_client(seed=1, leads=False)
+    client.reactor.bytes_per_s = 125_000.0
+    value = bytes(300_000)
+    client.write(value)
+    client.run(0.2)
+    revision = client.reactor.items.revision
+    announced = Events(changes=(), revision=revision)
+    client.mirror.apply_forwarded(announced, after_revision=revision)
+    client.run(len(value) * 4 / 3 / client.reactor.bytes_per_s + 0.2)
+    assert value in client.seen_s
+
+
 def test_slow_answers_are_waited_for() -> None:
     """Guards against a host that gives up each call shortly before its answer."""
     client = make_client(seed=1, leads=False, answer_s=0.9)
