Let hosts with wide links try to lead before those with thin ones

A leader with a thin link sends no long list of rules, so that each host fetches the whole value over its own link. Who leads was chosen by processor time alone.

Change: the delay before a host tries to lead follows from its cores or its link, whichever is scarcer, 0.2 s at most as before.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -70,13 +70,18 @@
 nothing; but one that tells the others of changes is better than none."""
 
 SMALL_HOST_CAMPAIGN_DELAY_S = 0.2
-"""Additional delay before a host with little processor time tries to lead.
+"""Additional delay before a host with little processor time, or a thin link, tries to
+lead.
 
 The leader's work grows with the deployment: a host with 0.4 cores that led 85 servers
-could not renew their grants in time. The delay is short compared to the lease, so that
-one of the hosts leads even if all of them are small.
+could not renew their grants in time, and one with 5 Mbit/s cannot send long lists to
+many hosts. The delay is short compared to the lease, so that one of the hosts leads
+even if all of them are small.
 """
 
+WIDE_LINK_BYTES_PER_S = 12_500_000.0
+"""A link on which a long list reaches a hundred hosts within half a second."""
+
 MISSING_CHANGES_S = 1.5
 """How long changes may be missing before a host requests them from the leader. Within
 this time its own watch has been repeated and should have returned them."""
@@ -92,6 +97,20 @@
 """Assumed number of hosts until the leader sends it."""
 
 
+def campaign_delay_s(*, cores: float, link_bytes_per_s: float) -> float:
+    """Return how much later than the most capable hosts a host tries to lead.
+
+    >>> campaign_delay_s(cores=2.0, link_bytes_per_s=25_000_000)
+    0.0
+    >>> campaign_delay_s(cores=2.0, link_bytes_per_s=625_000)
+    0.19
+    """
+    lacking_share = max(
+        0.0, 1.0 - cores, 1.0 - link_bytes_per_s / WIDE_LINK_BYTES_PER_S
+    )
+    return SMALL_HOST_CAMPAIGN_DELAY_S * lacking_share
+
+
 @final
 class Coordinator:
     """The state that hosts share; ``tick`` is called about every 50 ms."""
@@ -139,8 +158,9 @@
             value=msgspec.json.encode(self.peers.identity),
             now_s=now_s,
             rng=rng,
-            campaign_delay_s=SMALL_HOST_CAMPAIGN_DELAY_S
-            * max(0.0, 1.0 - settings.cores),
+            campaign_delay_s=campaign_delay_s(
+                cores=settings.cores, link_bytes_per_s=settings.link_bytes_per_s
+            ),
         )
         timing = GrantTiming(
             longest_grant_s=settings.agreements.longest_grant_s, cores=settings.cores
