--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -21,7 +21,6 @@
     RefusedError,
 )
 from gentianwharf.http_agent import BytesBody, ip_agent
-from gentianwharf.logs import log
 from gentianwharf.store import (
     CallOvertakenError,
     Change,
@@ -34,8 +33,16 @@
 )
 
 from ._overdue_calls import PROBE_TIMEOUT_S, OverdueCalls, PendingCall
+from ._store_messages import (
+    ChangeResult,
+    ItemRow,
+    LeaseResult,
+    RangeResult,
+    WatchResult,
+    decode_item,
+)
 from ._store_response import CALL_TIMEOUT_S, MAX_BODY_S, TimeLimit, body_reader
-from ._units import decode_time_s, decode_value, encode_time, encode_value
+from ._units import decode_time_s, encode_time, encode_value
 
 Body = TypeVar("Body")
 
@@ -78,37 +85,6 @@
 UNAVAILABLE_STATUSES = frozenset({STATUS_TOO_MANY_REQUESTS, STATUS_UNAVAILABLE})
 
 
-class _Item(msgspec.Struct):
-    key: str
-    revision: int
-    # Absent from removal events.
-    value: str | None = None
-    lease: int = 0
-    deleted: bool = False
-
-
-class _RangeResult(msgspec.Struct, rename="kebab"):
-    items: tuple[_Item, ...]
-    has_more: bool
-    # The store's revision at the time of the response.
-    as_of: int
-
-
-class _WatchResult(msgspec.Struct, rename="kebab"):
-    events: tuple[_Item, ...]
-    as_of: int
-
-
-class _ChangeResult(msgspec.Struct):
-    revision: int
-
-
-class _LeaseResult(msgspec.Struct):
-    # The duration of the lease, as a string with a unit.
-    ttl_time: str
-    lease: int = 0
-
-
 @final
 class PlatformStore:
     """Makes calls to the store, each with a timeout.
@@ -158,8 +134,8 @@
             body = await self._call(
                 "GET", "/v1/kv-range", query=query, timeout_s=PAGE_TIMEOUT_S
             )
-            page = self._decode("range", body, _RangeResult)
-            found += [_item(item) for item in page.items]
+            page = self._decode("range", body, RangeResult)
+            found += [decode_item(item) for item in page.items]
             revision = page.as_of if revision is None else revision
             if not page.has_more or not page.items:
                 return Page(items=tuple(found), revision=revision)
@@ -172,7 +148,7 @@
         except LeaseEndedError:
             # 404 stands for a missing item as well as for a missing lease.
             return None
-        return _item(self._decode("item", body, _Item))
+        return decode_item(self._decode("item", body, ItemRow))
 
     async def watch(
         self,
@@ -199,11 +175,11 @@
             wait_s=wait_s,
             on_begun=on_begun,
         )
-        watched = self._decode("watch", body, _WatchResult)
+        watched = self._decode("watch", body, WatchResult)
         changes = tuple(
             Removal(key=event.key, revision=event.revision)
             if event.deleted
-            else _item(event)
+            else decode_item(event)
             for event in watched.events
         )
         return Events(changes=changes, revision=watched.as_of)
@@ -229,7 +205,7 @@
             "remove": list(change.removals),
         }
         content = await self._call("POST", "/v1/kv-txn", body=body)
-        return self._decode("change", content, _ChangeResult).revision
+        return self._decode("change", content, ChangeResult).revision
 
     async def open_lease(self, duration_s: float) -> int:
         """Open a lease and return its id.
@@ -238,14 +214,14 @@
         """
         body = {"ttl_time": encode_time(duration_s)}
         content = await self._call("POST", "/v1/kv-lease", body=body)
-        return self._decode("lease", content, _LeaseResult).lease
+        return self._decode("lease", content, LeaseResult).lease
 
     async def renew_lease(self, lease_id: int) -> float:
         """Renew a lease for its full duration and return that in seconds."""
         content = await self._call(
             "POST", f"/v1/kv-keep/{lease_id}", body={}, timeout_s=RENEW_TIMEOUT_S
         )
-        return decode_time_s(self._decode("renew", content, _LeaseResult).ttl_time)
+        return decode_time_s(self._decode("renew", content, LeaseResult).ttl_time)
 
     async def end_lease(self, lease_id: int) -> None:
         """End a lease, which removes its items at once."""
@@ -381,30 +357,6 @@
             ) from error
 
 
-def _item(item: _Item) -> Item:
-    return Item(
-        key=item.key,
-        value=_value(item),
-        revision=item.revision,
-        lease_id=item.lease,
-    )
-
-
-def _value(item: _Item) -> bytes:
-    try:
-        return decode_value(item.value or "")
-    except ValueError as error:
-        # Raising here would discard the other items of the response on every attempt.
-        # An empty value is rejected by the readers of this key, which then don't use
-        # an older value either.
-        log.error(
-            "value can't be decoded: {}",
-            error,
-            extra={"step": "read-value", "peer": item.key, "revision": item.revision},
-        )
-        return b""
-
-
 @final
 class _KeepaliveEndpoint:
     """Enables TCP keep-alive on each connection that an endpoint opens."""
