Drop a cut answer that waits its turn, instead of sending its part

What callers saw: a client of HTTP/1.0 whose request came behind another one on its connection got a 200 whose body ended early, and a connection that closed without an error. That is how a whole answer ends for such a client, if the server sent it in chunks.

Cause: the answer behind another one is held. When its server cut it, the connection was to close, not to be reset, so that the answer before it isn't lost; the part that was held was written all the same. A length or the missing last chunk shows the cut to clients of HTTP/1.1 only.

Change: nothing of a held answer that was cut is written. The connection closes where the answer would begin, whichever the framing.

--- a/src/gentianwharf/relay/_pipeline.py
+++ b/src/gentianwharf/relay/_pipeline.py
@@ -95,24 +95,25 @@
         """Do nothing: earlier responses have not been written."""
 
     def abort(self) -> None:
-        """Close the connection after this response is flushed.
+        """Drop this response, and close the connection where it would begin.
 
         The earlier responses are complete and must still be delivered.
         """
         self._aborted = True
+        self._chunks.clear()
 
     def flush(self) -> None:
         """Write the buffered response to the channel."""
         channel = self._channel
+        if self._aborted:
+            # A reset would also discard unsent data of earlier responses, and without
+            # one the truncated response would look complete to clients of HTTP/1.0.
+            channel.loseConnection()
+            return
         if self._head is not None:
             channel.writeHeaders(*self._head)
         if self._chunks:
             channel.write(b"".join(self._chunks))
-        if self._aborted:
-            # Aborting would also discard unsent data of earlier responses. The missing
-            # bytes or the missing last chunk show that this response is truncated.
-            channel.loseConnection()
-            return
         if self._producer is not None:
             channel.registerProducer(self._producer, self._streaming)
             if self._paused:
