Reset a caller's connection that idles out within its answer

What callers saw: a client of HTTP/1.0 that had stopped within its request's body got a 200 with the part of a chunked answer that had come by the idle timeout, and a connection that closed without an error: a whole answer, for such a client.

Cause: Twisted closes a connection that it has read nothing from for the idle timeout, also while an answer is being written; only the wait for the body of a request counts, so this needs an answer that begins within an upload.

Change: with an answer in progress the connection is reset, as for each other cut.

test_cut_at_the_idle_timeout_of_an_upload_is_seen failed before for HTTP/1.0 (the body "" without its end, closed), and passes now.

--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -137,6 +137,16 @@
         self._closing = self._is_body_unread = True
         self.disable_keep_alive()
 
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close an idle connection; reset it if a response is in progress.
+
+        A client of HTTP/1.0 takes a response for complete where its connection closes.
+        """
+        if any(each.startedWriting and not each.finished for each in self.requests):
+            self.abort()
+        else:
+            super().timeoutConnection()
+
     def loseConnection(self) -> None:  # noqa: N802
         """Close once all data is written.
 
--- a/tests/test_relay_cut_heads.py
+++ b/tests/test_relay_cut_heads.py
@@ -1,5 +1,6 @@
 """An answer that is cut within its head or its body never looks whole to a caller."""
 
+import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from itertools import count
@@ -7,6 +8,7 @@
 import pytest
 
 from gentianwharf.platform import PlatformHeaderCodec
+from gentianwharf.relay import ConnectionLimits
 from tests.builders_answers import ok
 from tests.builders_answers_fuzz import lead_through_tunnels
 from tests.builders_cut_heads import (
@@ -24,12 +26,14 @@
 from tests.builders_relay import (
     RunningRelay,
     Script,
+    read_to_end,
     request,
     running_relay,
 )
 from tests.builders_tunnels import tunneling
 
 DEADLINE_MS = 10_000
+IDLE_TIMEOUT_S = 0.3
 HEDGE_AFTER_S = 0.002
 UPLOAD_BYTES = 100
 BEGUN_BYTES = 3
@@ -234,3 +238,21 @@
     with running_relay([serve], deadline_ms=DEADLINE_MS) as relay:
         relay.admission.retries_allowed = 0
         assert_cuts_are_seen(server, relay, send)
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_cut_at_the_idle_timeout_of_an_upload_is_seen(version: str) -> None:
+    """Guards against an answer that ends where its caller has stopped sending."""
+
+    def begin(connection: socket.socket, head: bytes) -> None:
+        connection.sendall(FORMS["chunked"].answer(head)[:-5])
+        read_to_end(connection)
+
+    upload = request("POST", body=b"x" * UPLOAD_BYTES)[:-1]
+    limits = ConnectionLimits(idle_timeout_s=IDLE_TIMEOUT_S)
+    with running_relay([begin], deadline_ms=DEADLINE_MS, limits=limits) as relay:
+        received = exchange(
+            relay, upload.replace(b"HTTP/1.1", f"HTTP/{version}".encode())
+        )
+    assert received.data.startswith(f"HTTP/{version} 200 ".encode())
+    assert not received.looks_whole("POST")
