Let the stand-in store hang, refuse, drop its history and answer over thin links

Changes came late after outages of the users' store, and no trial of ours had such an outage: the stand-in could only be stopped, after which it answers all that came meanwhile, or be cut off by a proxy.

StoreFaults has an outage that hangs (calls have no effect and are never answered, also those that wait when it begins), one that refuses with 503, slow answers (a multiple of 4 ms), and dropped history: the calls that wait are closed, and a watch from before gets 410, also one that has seen all changes. AnswerLink limits the bodies that leave by one address; hosts get addresses of their own for that. A process takes orders on its standard input and prints a line when it has carried one out.

--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -28,6 +28,7 @@
     settings_text,
 )
 from ._store import MAX_VALUE_BYTES, StandInStore
+from ._store_faults import Outage, StoreFaults, StoreOrder, StoreOrderReport
 from ._uploads import UPLOAD_HEADER, EarlyAnswer, upload_body
 
 __all__ = [
@@ -51,11 +52,15 @@
     "BodyReport",
     "EarlyAnswer",
     "Items",
+    "Outage",
     "Rejections",
     "RequestRun",
     "ServerSpec",
     "StandInServer",
     "StandInStore",
+    "StoreFaults",
+    "StoreOrder",
+    "StoreOrderReport",
     "configuration",
     "settings_text",
     "upload_body",
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -12,6 +12,7 @@
 from cyclopts import App
 from twisted.internet import reactor as installed_reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.stdio import StandardIO
 from twisted.web.server import Request
 
 from gentianwharf import logs
@@ -34,10 +35,14 @@
     ServerSpec,
     StandInServer,
     StandInStore,
+    StoreFaults,
+    StoreOrder,
+    StoreOrderReport,
     configuration,
 )
 from ._settings import CALLERS_PORT, settings_text
 from ._store import EXPIRY_INTERVAL_S
+from ._store_orders import OrderReader, carry_out
 
 DEMO_STORE, DEMO_OPERATORS = "127.0.0.1:8384", "127.0.0.1:8385"
 DEMO_SERVERS = 6
@@ -55,14 +60,31 @@
 
 
 def _serve_store(
-    address: str, operators: str, *, added_paths: Iterable[str] = ()
+    *addresses: str,
+    operators: str,
+    added_paths: Iterable[str] = (),
+    takes_orders: bool = False,
 ) -> None:
     items = Items(now_s=reactor.seconds)
-    for listen_address, allow_reserved in ((address, False), (operators, True)):
+    faults = StoreFaults(items=items)
+    links = {}
+    for address in (*addresses, operators):
         store = StandInStore(
-            items=items, reactor=reactor, allow_reserved=allow_reserved
+            items=items,
+            reactor=reactor,
+            allow_reserved=address == operators,
+            faults=faults,
         )
-        _listen(listen_address, store.site())
+        _listen(address, store.site())
+        if address != operators:
+            links[address] = store.link
+
+    def carry_out_and_report(order: StoreOrder) -> None:
+        carry_out(order, faults=faults, links=links)
+        _print_line(StoreOrderReport(order=order, carried_out_s=reactor.seconds()))
+
+    if takes_orders:
+        StandardIO(OrderReader(on_order=carry_out_and_report), reactor=reactor)
 
     def expire() -> None:
         items.expire()
@@ -85,12 +107,19 @@
         reactor.callLater(END_DELAY_S, os._exit, EXIT_CRASHED)
 
 
-def _print_line(event: RequestRun | Arrival | BodyReport) -> None:
+def _print_line(event: RequestRun | Arrival | BodyReport | StoreOrderReport) -> None:
     print(msgspec.json.encode(event).decode(), flush=True)
 
 
 @app.command
-def store(address: str, operators: str, *, added_paths: tuple[str, ...] = ()) -> None:
+def store(
+    address: str,
+    operators: str,
+    *,
+    added_paths: tuple[str, ...] = (),
+    host_addresses: tuple[str, ...] = (),
+    takes_orders: bool = False,
+) -> None:
     """Serve the store to hosts on ADDRESS, to operators and servers on OPERATORS.
 
     Parameters
@@ -101,10 +130,20 @@
         Where operators and servers reach it.
     added_paths
         Paths of repeatable requests that the first configuration serves as well.
+    host_addresses
+        Where single hosts reach it as well, each by a link of its own.
+    takes_orders
+        Begin and end faults by orders on standard input, and print a line for each.
 
     """
     use_monotonic_time(reactor)
-    _serve_store(address, operators, added_paths=added_paths)
+    _serve_store(
+        address,
+        *host_addresses,
+        operators=operators,
+        added_paths=added_paths,
+        takes_orders=takes_orders,
+    )
     print("ready", flush=True)
     reactor.run()
 
@@ -216,7 +255,7 @@
     """Serve a store, some servers and some entry hosts in one process."""
     use_monotonic_time(reactor)
     logs.configure(stream=sys.stderr, level="WARNING")
-    _serve_store(DEMO_STORE, DEMO_OPERATORS)
+    _serve_store(DEMO_STORE, operators=DEMO_OPERATORS)
     for number in range(DEMO_SERVERS):
         spec = ServerSpec(
             id=f"s{number}",
--- a/src/gentianwharf/platform/standin/_items.py
+++ b/src/gentianwharf/platform/standin/_items.py
@@ -49,6 +49,8 @@
         self._items: dict[str, Item] = {}
         self._leases: dict[int, _Lease] = {}
         self._history: list[Item | Removal] = []
+        self._history_from = 0
+        """Revision after which all changes are known."""
         self._last_lease_id = 0
 
     def get(self, key: str) -> Item | None:
@@ -62,10 +64,7 @@
 
     def changes_after(self, prefix: str, revision: int) -> list[Item | Removal] | None:
         """Return the changes below a prefix, or None if the history is too short."""
-        if (
-            len(self._history) == MAX_HISTORY
-            and revision < self._history[0].revision - 1
-        ):
+        if revision < self._history_from:
             return None
         return [
             change
@@ -135,6 +134,15 @@
         for lease_id in expired:
             self.end_lease(lease_id)
 
+    def drop_history(self) -> None:
+        """Discard all changes; who watches from before must read the items again.
+
+        The revision increases, so that this also holds for who has seen them all.
+        """
+        self.revision += 1
+        self._history_from = self.revision
+        self._history.clear()
+
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
             listener()
@@ -160,4 +168,6 @@
 
     def _append_to_history(self, change: Item | Removal) -> None:
         self._history.append(change)
-        del self._history[:-MAX_HISTORY]
+        if len(self._history) > MAX_HISTORY:
+            del self._history[:-MAX_HISTORY]
+            self._history_from = max(self._history_from, self._history[0].revision - 1)
--- a/src/gentianwharf/platform/standin/_store.py
+++ b/src/gentianwharf/platform/standin/_store.py
@@ -1,5 +1,6 @@
 """A stand-in for the platform's store, which serves ``Items`` over HTTP."""
 
+from functools import partial
 from typing import Any, final
 
 import msgspec
@@ -14,6 +15,7 @@
 from .._servers import SERVERS_PREFIX
 from .._units import decode_time_s, decode_value, encode_time, encode_value
 from ._items import ConditionError, Items, UnknownLeaseError
+from ._store_faults import AnswerLink, StoreFaults, StoreRequest
 
 EXPIRY_INTERVAL_S = 0.05
 MAX_WAIT_MS = 30_000
@@ -64,12 +66,22 @@
     """Serves ``Items`` over the HTTP interface of the platform's store.
 
     With ``allow_reserved`` calls may write every key; it is meant for operators and
-    backend servers.
+    backend servers. ``faults`` may be shared with stores of other addresses; ``link``
+    is this one's own.
     """
 
     klein = Klein()
 
-    def __init__(self, *, items: Items, reactor: Any, allow_reserved: bool) -> None:
+    def __init__(
+        self,
+        *,
+        items: Items,
+        reactor: Any,
+        allow_reserved: bool,
+        faults: StoreFaults | None = None,
+    ) -> None:
+        self.faults = faults if faults is not None else StoreFaults(items=items)
+        self.link = AnswerLink(reactor=reactor, faults=self.faults)
         self._items = items
         self._reactor = reactor
         self._allow_reserved = allow_reserved
@@ -78,7 +90,11 @@
 
     def site(self) -> Site:
         """Return the HTTP site of the store."""
-        site = Site(self.klein.resource(), reactor=self._reactor)
+        site = Site(
+            self.klein.resource(),
+            requestFactory=partial(StoreRequest, link=self.link),
+            reactor=self._reactor,
+        )
         site.noisy = False
         return site
 
--- /dev/null
+++ b/src/gentianwharf/platform/standin/_store_faults.py
@@ -0,0 +1,178 @@
+"""Outages, slow answers and thin links of a stand-in for the platform's store."""
+
+from enum import StrEnum
+from math import inf
+from typing import Any, final
+
+import msgspec
+from twisted.web.server import Request
+
+from ._items import Items
+
+ANSWER_S = 0.004
+"""Time that an answer takes, of which a slow store takes a multiple."""
+
+PIECE_BYTES = 4096
+"""How much of an answer a thin link carries at a time; answers take turns."""
+
+STATUS_UNAVAILABLE = 503
+
+
+class Outage(StrEnum):
+    """How the store treats calls during an outage, operators' calls included."""
+
+    NONE = "none"
+    HANG = "hang"
+    """Calls are accepted, have no effect, and are never answered, also not later; nor
+    are those that wait when the outage begins."""
+
+    REFUSE = "refuse"
+    """Calls are answered with 503; connections of those that wait are closed."""
+
+
+class StoreOrder(msgspec.Struct, omit_defaults=True):
+    """What the store is to do from now on; fields that are None change nothing.
+
+    ``rate_bytes_per_s`` limits each link by itself, 0 for no limit; ``addresses`` has
+    the addresses of these links, empty for those of all hosts.
+    """
+
+    outage: Outage | None = None
+    slowdown: float | None = None
+    drops_history: bool = False
+    rate_bytes_per_s: float | None = None
+    addresses: tuple[str, ...] = ()
+
+
+class StoreOrderReport(msgspec.Struct):
+    """That an order is carried out, and when."""
+
+    order: StoreOrder
+    carried_out_s: float
+
+
+@final
+class StoreFaults:
+    """The present faults of a store, for all addresses on which it listens."""
+
+    def __init__(self, *, items: Items) -> None:
+        self.outage = Outage.NONE
+        self.slowdown = 1.0
+        """Multiple of ``ANSWER_S`` that each answer takes; 1 for no delay at all."""
+        self.pending: set[StoreRequest] = set()
+        self._items = items
+
+    def begin(self, outage: Outage) -> None:
+        """Begin an outage, or end it with ``Outage.NONE``."""
+        self.outage = outage
+        if outage is Outage.HANG:
+            for request in self.pending:
+                request.is_lost = True
+            self.pending.clear()
+        elif outage is Outage.REFUSE:
+            self._close_pending()
+
+    def drop_history(self) -> None:
+        """Discard the history, and close the connections of the calls that wait."""
+        self._items.drop_history()
+        self._close_pending()
+
+    def _close_pending(self) -> None:
+        for request in list(self.pending):
+            request.close()
+
+    def answer_delay_s(self) -> float:
+        """Return the time by which each answer is delayed."""
+        return (self.slowdown - 1.0) * ANSWER_S
+
+
+@final
+class AnswerLink:
+    """The link by which answers leave one address of the store.
+
+    ``rate_bytes_per_s`` limits the bodies of all answers together.
+    """
+
+    def __init__(self, *, reactor: Any, faults: StoreFaults) -> None:
+        self.rate_bytes_per_s = inf
+        self.reactor = reactor
+        self.faults = faults
+        self._free_s = 0.0
+
+    def carry(self, request: "StoreRequest", body: bytes) -> None:
+        """Send an answer in pieces, each when the link has carried it."""
+        if self.rate_bytes_per_s == inf:
+            request.send(body, is_last=True)
+            return
+        piece, rest = body[:PIECE_BYTES], body[PIECE_BYTES:]
+        now_s = self.reactor.seconds()
+        begun_s = max(now_s, self._free_s)
+        self._free_s = begun_s + len(piece) / self.rate_bytes_per_s
+        self.reactor.callLater(self._free_s - now_s, self._send, request, piece, rest)
+
+    def _send(self, request: "StoreRequest", piece: bytes, rest: bytes) -> None:
+        if request.is_lost:
+            return
+        request.send(piece, is_last=not rest)
+        if rest:
+            self.carry(request, rest)
+
+
+@final
+class StoreRequest(Request):
+    """A call of the store, whose answer is subject to the faults of the store."""
+
+    def __init__(self, *args: Any, link: AnswerLink, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.is_lost = False
+        """Whether nothing more is sent."""
+        self._link = link
+        self._body = b""
+
+    def process(self) -> None:
+        """Handle the call, unless there is an outage."""
+        faults = self._link.faults
+        if faults.outage is Outage.HANG:
+            self.is_lost = True
+            return
+        faults.pending.add(self)
+        if faults.outage is Outage.REFUSE:
+            self.setResponseCode(STATUS_UNAVAILABLE)
+            self.write(b"{}")
+            self.finish()
+            return
+        super().process()
+
+    def write(self, data: bytes) -> None:
+        """Add to the body, which is sent once it is complete."""
+        self._body += data
+
+    def finish(self) -> None:
+        """Send the answer, late if the store is slow."""
+        delay_s = self._link.faults.answer_delay_s()
+        if delay_s:
+            self._link.reactor.callLater(delay_s, self._begin_answer)
+        else:
+            self._begin_answer()
+
+    def _begin_answer(self) -> None:
+        if not self.is_lost:
+            self._link.carry(self, self._body)
+
+    def send(self, piece: bytes, *, is_last: bool) -> None:
+        """Write a piece of the answer to the connection."""
+        super().write(piece)
+        if is_last:
+            self._link.faults.pending.discard(self)
+            super().finish()
+
+    def close(self) -> None:
+        """Close the connection, whatever has been sent."""
+        transport: Any = self.channel.transport
+        transport.abortConnection()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Send no more to a client that has gone."""
+        self.is_lost = True
+        self._link.faults.pending.discard(self)
+        super().connectionLost(reason)
--- /dev/null
+++ b/tests/test_platform_standin_faults.py
@@ -0,0 +1,220 @@
+"""Faults of the stand-in store, as the client of the platform's store sees them."""
+
+from collections.abc import Callable, Iterator
+from math import inf
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
+from gentianwharf.platform import PlatformStore
+from gentianwharf.platform.standin import Items, Outage, StandInStore, StoreOrder
+from gentianwharf.platform.standin._store_faults import ANSWER_S
+from gentianwharf.platform.standin._store_orders import OrderReader, carry_out
+from gentianwharf.store import Change, HistoryGoneError, Put
+from tests.builders_relay import in_reactor, running_reactor
+
+HOST, OTHER_HOST = "host", "other-host"
+LONG_WAIT_S = 20.0
+
+
+class FaultyStore:
+    """A stand-in store that hosts reach by links of their own."""
+
+    def __init__(self) -> None:
+        self.items = Items(now_s=lambda: 0.0)
+        self.reactor = running_reactor()
+        self._ports: list[Any] = []
+        self._clients: dict[str, PlatformStore] = {}
+        first = self._listen(HOST, None)
+        self.faults = first.faults
+        other = self._listen(OTHER_HOST, first)
+        self.links = {HOST: first.link, OTHER_HOST: other.link}
+        self.items.change(Change(puts=(Put(key="a", value=b"1"),)))
+
+    def _listen(self, name: str, first: StandInStore | None) -> StandInStore:
+        store = StandInStore(
+            items=self.items,
+            reactor=self.reactor,
+            allow_reserved=False,
+            faults=first.faults if first is not None else None,
+        )
+        port = in_reactor(
+            lambda: self.reactor.listenTCP(0, store.site(), interface="127.0.0.1")
+        )
+        self._ports.append(port)
+        address = f"127.0.0.1:{port.getHost().port}"
+        self._clients[name] = PlatformStore(reactor=self.reactor, address=address)
+        return store
+
+    def client(self, name: str = HOST) -> PlatformStore:
+        """Return the client of a host."""
+        return self._clients[name]
+
+    def order(self, **fields: Any) -> None:
+        """Carry out an order."""
+        in_reactor(
+            lambda: carry_out(
+                StoreOrder(**fields), faults=self.faults, links=self.links
+            )
+        )
+
+    def begin(self, call: Callable[[], Any]) -> list[Any]:
+        """Begin a call; its result or failure is appended to the returned list."""
+        results: list[Any] = []
+        in_reactor(
+            lambda: Deferred.fromCoroutine(call()).addBoth(results.append) and None
+        )
+        return results
+
+    def call(self, call: Callable[[], Any]) -> Any:
+        """Make a call and return its result."""
+        return in_reactor(lambda: Deferred.fromCoroutine(call()))
+
+    def wait(self, duration_s: float) -> None:
+        """Let the reactor run."""
+        in_reactor(lambda: deferLater(self.reactor, duration_s))
+
+    def read_time_s(self, name: str = HOST) -> float:
+        """Return how long a host takes to read the item."""
+
+        async def read() -> float:
+            begun_s = self.reactor.seconds()
+            await self.client(name).item("a")
+            return float(self.reactor.seconds() - begun_s)
+
+        return float(self.call(read))
+
+    def watch(self, after: int) -> list[Any]:
+        """Begin a watch that waits."""
+        client = self.client()
+        return self.begin(
+            lambda: client.watch("", after_revision=after, wait_s=LONG_WAIT_S)
+        )
+
+    def stop(self) -> None:
+        """Stop listening."""
+        for port in self._ports:
+            in_reactor(port.stopListening)
+
+
+@pytest.fixture
+def store() -> Iterator[FaultyStore]:
+    store = FaultyStore()
+    yield store
+    store.stop()
+
+
+def test_store_that_hangs_answers_only_what_arrives_afterwards(
+    store: FaultyStore,
+) -> None:
+    """Guards against outages that end with an answer to all that came meanwhile."""
+    before = store.watch(store.items.revision)
+    store.wait(0.05)
+    store.order(outage=Outage.HANG)
+    change = Change(puts=(Put(key="b", value=b"2"),))
+    during = store.begin(lambda: store.client().change(change))
+    store.wait(0.1)
+    assert not during
+    store.order(outage=Outage.NONE)
+    store.wait(0.1)
+    assert store.items.get("b") is None
+    store.call(lambda: store.client().change(change))
+    store.wait(0.05)
+    assert not [event for event in before if hasattr(event, "changes")]
+    store.wait(2.0)
+    (failure,) = during
+    assert failure.check(OutcomeUnknownError)
+
+
+def test_store_that_refuses_answers_at_once_and_closes_watches(
+    store: FaultyStore,
+) -> None:
+    waiting = store.watch(store.items.revision)
+    store.wait(0.05)
+    store.order(outage=Outage.REFUSE)
+    with pytest.raises(PeerUnavailableError, match="503"):
+        store.call(lambda: store.client().item("a"))
+    (failure,) = waiting
+    assert failure.check(OutcomeUnknownError)
+    store.order(outage=Outage.NONE)
+    assert store.call(lambda: store.client().item("a")).value == b"1"
+
+
+def test_slow_store_takes_a_multiple_of_the_time(store: FaultyStore) -> None:
+    store.order(slowdown=50.0)
+    assert store.read_time_s() >= 49 * ANSWER_S
+    store.order(slowdown=1.0)
+    assert store.faults.answer_delay_s() == 0.0
+
+
+@pytest.mark.parametrize("missed", [0, 1], ids=["none-missed", "one-missed"])
+def test_dropped_history_ends_watches_from_before(
+    store: FaultyStore, missed: int
+) -> None:
+    revision = store.items.revision
+    waiting = store.watch(revision)
+    store.wait(0.05)
+    store.order(drops_history=True)
+    store.wait(0.05)
+    (failure,) = waiting
+    assert failure.check(OutcomeUnknownError)
+    with pytest.raises(HistoryGoneError):
+        store.call(
+            lambda: store.client().watch("", after_revision=revision - missed, wait_s=0)
+        )
+
+
+def test_items_can_be_watched_once_they_are_read_again(store: FaultyStore) -> None:
+    """Guards against a dropped history that ends each watch from then on."""
+    store.order(drops_history=True)
+    page = store.call(lambda: store.client().items(""))
+    assert [item.key for item in page.items] == ["a"]
+    events = store.call(
+        lambda: store.client().watch("", after_revision=page.revision, wait_s=0)
+    )
+    assert events.changes == ()
+    store.items.change(Change(puts=(Put(key="b", value=b"2"),)))
+    events = store.call(
+        lambda: store.client().watch("", after_revision=page.revision, wait_s=0)
+    )
+    assert [change.key for change in events.changes] == ["b"]
+
+
+def test_thin_link_limits_the_answers_to_its_host_alone(store: FaultyStore) -> None:
+    store.items.change(Change(puts=(Put(key="a", value=b"x" * 60_000),)))
+    store.order(rate_bytes_per_s=200_000.0, addresses=(HOST,))
+    assert store.read_time_s(HOST) >= 0.4
+    assert store.links[OTHER_HOST].rate_bytes_per_s == inf
+    store.order(rate_bytes_per_s=0.0)
+    assert store.links[HOST].rate_bytes_per_s == inf
+
+
+def test_answers_share_a_thin_link(store: FaultyStore) -> None:
+    """Guards against a limit that each connection has for itself."""
+    store.items.change(Change(puts=(Put(key="a", value=b"x" * 30_000),)))
+    store.order(rate_bytes_per_s=200_000.0)
+    begun_s = store.reactor.seconds()
+    together = [store.begin(lambda: store.client().item("a")) for _ in range(3)]
+    while not all(together):
+        store.wait(0.01)
+    assert store.reactor.seconds() - begun_s >= 0.6
+
+
+def test_outage_ends_an_answer_that_is_under_way(store: FaultyStore) -> None:
+    store.items.change(Change(puts=(Put(key="a", value=b"x" * 60_000),)))
+    store.order(rate_bytes_per_s=200_000.0)
+    results = store.begin(lambda: store.client().item("a"))
+    store.wait(0.1)
+    store.order(outage=Outage.REFUSE)
+    store.wait(0.05)
+    (failure,) = results
+    assert failure.check(OutcomeUnknownError)
+
+
+def test_orders_are_lines_of_json() -> None:
+    orders: list[StoreOrder] = []
+    OrderReader(on_order=orders.append).lineReceived(b'{"outage": "hang"}')
+    assert orders == [StoreOrder(outage=Outage.HANG)]
