Let the store hang, refuse and drop its history in the soak, and rules move

The soak had no outage of the store but a stop, after which everything is answered, and no rule whose service changes. An added rule that was still 404 on a host in touch, 2 s after its acknowledgement, was found; a host that went on by the former service was not.

Servers are told by the signatures of their answers: by the former service after the bound is CONFIG, before a move is sent CONFIG as well, after a newer version OLDER. Outages count as a disruption until the store has carried out their end, dropped history does not.

The tests of kept seeds say --no-store-outages, so that their faults stay as they were.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,6 +39,7 @@
     requests_with_known_outcome,
 )
 from ._schedule import Schedule
+from ._store_outages import StoreOutages
 from ._uploading import UploadingCallers, describe_uploads
 from ._uploads import find_unasked
 
@@ -70,6 +71,8 @@
     answers of servers late, twice or in part. ``crashes`` sends a request that
     ends each server which runs it. ``uploads`` adds callers that send uploads.
     ``hold_links`` lets links to servers hold what is sent, and deliver it later.
+    ``store_outages`` lets the store hang, refuse or drop its history, and moves rules
+    to another service.
     """
 
     seed: int
@@ -79,6 +82,7 @@
     crashes: bool = False
     uploads: bool = False
     hold_links: bool = False
+    store_outages: bool = False
 
 
 UNRESOLVED = (
@@ -126,12 +130,14 @@
         own_links=seed_run.cut_links,
         answer_faults=answer_faults if seed_run.answer_faults else None,
         early_share=EARLY_SHARE if seed_run.uploads else 0.0,
+        moves_rules=seed_run.store_outages,
     )
     operators = Operators(
         reactor=reactor,
         store=PlatformStore(reactor=reactor, address=deployment.operators_address),
         schedule=schedule,
         rng=Random(seed + 2),
+        moves_rules=seed_run.store_outages,
     )
     callers = Callers(
         reactor=reactor,
@@ -153,6 +159,12 @@
     )
     cuts = Cuts(deployment=deployment, schedule=schedule, rng=Random(seed + 4))
     holds = Holds(deployment=deployment, schedule=schedule, rng=Random(seed + 8))
+    store_outages = StoreOutages(
+        deployment=deployment,
+        operators=operators,
+        schedule=schedule,
+        rng=Random(seed + 9),
+    )
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
         "before", "shutdown", deployment.stop
@@ -173,6 +185,8 @@
             uploading.start()
         if seed_run.hold_links:
             holds.start()
+        if seed_run.store_outages:
+            store_outages.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
         # Recovery is judged without crashing requests and refused uploads.
@@ -260,6 +274,7 @@
     crashes: bool = False,
     uploads: bool = True,
     hold_links: bool = False,
+    store_outages: bool = True,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -286,6 +301,9 @@
         them before their end.
     hold_links
         Let links to servers hold what hosts send for up to 9 s, and deliver it then.
+    store_outages
+        Let the store hang, refuse or drop its history, and let rules move to another
+        service.
     faults_s
         For how long faults are injected.
     net
@@ -304,6 +322,7 @@
             crashes=crashes,
             uploads=uploads,
             hold_links=hold_links,
+            store_outages=store_outages,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_added_rules.py
+++ b/soak/_added_rules.py
@@ -4,6 +4,8 @@
 from math import inf
 from typing import final
 
+from gentianwharf.platform.standin import MOVED, UNKEYED
+
 CONFIG_APPLY_S = 2.0
 """Time from the acknowledgement of a version until undisrupted hosts must apply it."""
 
@@ -28,11 +30,15 @@
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class AddedRule:
-    """A path that is served from version ``added`` on, and until ``removed``."""
+    """A path that is served from version ``added`` on, and until ``removed``.
+
+    From version ``moved`` on, another service serves it.
+    """
 
     path: str
     added: RulesVersion
     removed: RulesVersion | None = None
+    moved: RulesVersion | None = None
 
     def must_be_served(self, sent_s: float, ended_s: float) -> bool:
         """Whether every version that may be in force in this interval has the rule."""
@@ -43,3 +49,12 @@
     def must_be_absent(self, sent_s: float) -> bool:
         """Whether no version that may be in force has the rule."""
         return self.removed is not None and self.removed.must_be_in_force(sent_s)
+
+    def services(self, sent_s: float, ended_s: float) -> set[str]:
+        """Return the services that versions which may be in force have for the path."""
+        found = {UNKEYED, MOVED}
+        if self.moved is None or self.moved.sent_s > ended_s:
+            found.discard(MOVED)
+        elif self.moved.must_be_in_force(sent_s):
+            found.discard(UNKEYED)
+        return found
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -12,6 +12,7 @@
     ADDED,
     KEYED,
     LOOK_UPS,
+    MOVED,
     POSTINGS,
     UNKEYED,
     UPLOADS,
@@ -83,6 +84,8 @@
             sent_s=self._reactor.seconds(),
             rule=rule,
         )
+        if rule is not None and MOVED in rule.services(request.sent_s, request.sent_s):
+            request.service = MOVED
         self.requests.append(request)
         response = Deferred.fromCoroutine(self._send(request, kind))
         response.addTimeout(CALLER_TIMEOUT_S, self._reactor)
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -14,21 +14,29 @@
     CALLERS_PORT,
     EXIT_CRASHED,
     KEYED,
+    MOVED,
     UNKEYED,
     BodyReport,
+    Outage,
+    StoreOrder,
     settings_text,
 )
 
 from ._answer_faults import AnswerFaults
 from ._crashing import ENDS, is_crashing
-from ._disruptions import Disruptions, link_of
+from ._disruptions import STORE_ANSWERS, Disruptions, link_of
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
 from ._server_link import LinkCut, ServerLink
 from .entry_host import LINKS_VARIABLE
 
 HOST_COUNT = 4
-KEYED_SERVER_COUNT, UNKEYED_SERVER_COUNT = 5, 3
+SERVICES = (*(KEYED,) * 5, *(UNKEYED,) * 3)
+"""The service of each server, by number."""
+
+MOVED_SERVICES = (MOVED,) * 2
+"""Servers of rules that move, in addition."""
+
 STANDIN = ("-m", "gentianwharf.platform.standin")
 RESTART_DELAY_S = 0.3
 CRASH_RESTART_S = 2.0
@@ -58,7 +66,8 @@
 
     With ``own_links``, each host reaches the servers over links that can be cut.
     ``answer_faults`` disturb the answers of servers. ``early_share`` is the share of
-    the uploads that servers answer before their end.
+    the uploads that servers answer before their end. With ``moves_rules`` there are
+    servers of a further service.
     """
 
     def __init__(
@@ -70,7 +79,9 @@
         own_links: bool = False,
         answer_faults: AnswerFaults | None = None,
         early_share: float = 0.0,
+        moves_rules: bool = False,
     ) -> None:
+        self._services = SERVICES + (MOVED_SERVICES if moves_rules else ())
         self._early_share = early_share
         self.reactor = reactor
         self._answer_faults = answer_faults
@@ -85,10 +96,7 @@
         self.ended: list[Program] = []
         self.proxies: dict[str, Proxy] = {}
         self.hosts = [f"host-{number}" for number in range(HOST_COUNT)]
-        self.servers = [
-            f"server-{number}"
-            for number in range(KEYED_SERVER_COUNT + UNKEYED_SERVER_COUNT)
-        ]
+        self.servers = [f"server-{number}" for number in range(len(self._services))]
         self.disruptions = Disruptions(now_s=reactor.seconds)
         self._has_own_links = own_links
         self._server_links: dict[str, list[ServerLink]] = {}
@@ -105,7 +113,10 @@
         store = f"127.{self.net}.0.1"
         self._start_process(
             "store",
-            [*STANDIN, "store", f"{store}:{STORE_PORT}", self.operators_address],
+            [
+                *(*STANDIN, "store", f"{store}:{STORE_PORT}", self.operators_address),
+                "--takes-orders",
+            ],
         )
         for name in self.servers:
             self._add_proxy(name, target=f"{self._ip(name)}:{SERVER_PORT}")
@@ -170,10 +181,15 @@
 
     def _start_server(self, name: str) -> None:
         number = self.servers.index(name)
-        service = KEYED if number < KEYED_SERVER_COUNT else UNKEYED
         is_full = number % len(END_MANNERS) == FULL
         arguments = [
-            *(*STANDIN, "backend", name, service, f"{self._ip(name)}:{SERVER_PORT}"),
+            *(
+                *STANDIN,
+                "backend",
+                name,
+                self._services[number],
+                f"{self._ip(name)}:{SERVER_PORT}",
+            ),
             *("--domain", "abc"[number % 3], "--slots", "4", "--work-ms", "30"),
             *("--store", self.operators_address),
             *("--listed-as", self._proxy_address(name), "--reports-arrivals"),
@@ -190,6 +206,8 @@
         if previous is not None:
             self.ended.append(previous)
         on_line = self._note_line if name in self.servers else _ignore_line
+        if name == "store":
+            on_line = self._note_store_line
         program = Program(
             name=name,
             log=self.logs / f"{name}.log",
@@ -218,6 +236,19 @@
             if "arrived_s" in line and is_crashing(line["request_id"]):
                 self._hide_end(line["server"])
 
+    def order_store(self, order: StoreOrder) -> None:
+        """Let the store begin or end a fault, which lasts until it states the end."""
+        if order.outage not in (None, Outage.NONE):
+            self.disruptions.begin(STORE_ANSWERS)
+        self.programs["store"].write_line(msgspec.json.encode(order))
+
+    def _note_store_line(self, line: Line) -> None:
+        outage = line["order"].get("outage")
+        if outage == Outage.NONE:
+            self.disruptions.end(STORE_ANSWERS)
+        elif outage is not None:
+            self.disruptions.begin(STORE_ANSWERS)
+
     def _hide_end(self, name: str) -> None:
         """Let some servers go silent where a request ends them now."""
         if self.servers.index(name) % len(END_MANNERS) != SILENT:
@@ -280,6 +311,7 @@
 
     def restore(self) -> None:
         """Clear all faults, resume paused programs and start those that have ended."""
+        self.order_store(StoreOrder(outage=Outage.NONE))
         for name in self.proxies:
             self.clear_link_fault(name)
         for name in ["store", *self.servers, *self.hosts]:
@@ -309,5 +341,10 @@
                 link.stop()
 
 
+def service_of(server: str) -> str:
+    """Return the service of a server."""
+    return (SERVICES + MOVED_SERVICES)[int(server.partition("-")[2])]
+
+
 def _ignore_line(line: Line) -> None:
     """Ignore a line, which the log file already holds."""
--- a/soak/_disruptions.py
+++ b/soak/_disruptions.py
@@ -9,6 +9,7 @@
 """Time in which hosts must catch up after a disruption, as the platform requires."""
 
 STORE = "store"
+STORE_ANSWERS = "answers of the store"
 ALL_SERVER_LINKS = "links to all servers"
 
 
@@ -51,7 +52,7 @@
         """
         return not any(
             self.overlaps(subject, from_s - CATCH_UP_S, until_s)
-            for subject in (host, link_of(host), STORE)
+            for subject in (host, link_of(host), STORE, STORE_ANSWERS)
         )
 
     def overlaps(self, subject: str, from_s: float, until_s: float) -> bool:
--- a/soak/_operators.py
+++ b/soak/_operators.py
@@ -30,11 +30,18 @@
     """Writes versions of the rules in order, each retried until the store has it."""
 
     def __init__(
-        self, *, reactor: Any, store: Store, schedule: Schedule, rng: Random
+        self,
+        *,
+        reactor: Any,
+        store: Store,
+        schedule: Schedule,
+        rng: Random,
+        moves_rules: bool = False,
     ) -> None:
         self.rules: list[AddedRule] = []
         self.newest: list[AddedRule] = []
         self.removed: list[AddedRule] = []
+        self.moved: list[AddedRule] = []
         self.is_active = True
         self._reactor = reactor
         self._schedule = schedule
@@ -42,6 +49,7 @@
         self._version_number = 1
         self._lock = DeferredLock()
         self._store = store
+        self._moves_rules = moves_rules
 
     def start(self) -> None:
         """Change the rules once, and schedule the next change."""
@@ -60,13 +68,14 @@
         """Add one rule and remove another."""
         self.add(1, 1)
 
-    def add(self, count: int, removed: int) -> None:
-        """Add and remove rules once all earlier changes are acknowledged."""
-        self._schedule.record(f"{count} rules added, {removed} removed")
-        changed = Deferred.fromCoroutine(self._change(count, removed))
+    def add(self, count: int, removed: int, moved: int = 0) -> None:
+        """Add, remove and move rules once all earlier changes are acknowledged."""
+        moves = f", {moved} moved" if moved else ""
+        self._schedule.record(f"{count} rules added, {removed} removed{moves}")
+        changed = Deferred.fromCoroutine(self._change(count, removed, moved))
         changed.addErrback(lambda failure: log.error(failure.getTraceback()))
 
-    async def _change(self, count: int, removed: int) -> None:
+    async def _change(self, count: int, removed: int, moved: int) -> None:
         await self._lock.acquire()
         try:
             self._version_number += self._rng.randint(1, 3)
@@ -74,6 +83,7 @@
                 number=self._version_number, sent_s=self._reactor.seconds()
             )
             self._remove(version, max(removed, len(self.rules) + count - MOST_RULES))
+            self._move(version, moved)
             self.newest = [
                 AddedRule(path=f"/added-{version.number}-{number}/", added=version)
                 for number in range(count)
@@ -90,9 +100,18 @@
             self.removed.append(rule)
         del self.rules[:count]
 
+    def _move(self, version: RulesVersion, count: int) -> None:
+        moved = [rule for rule in self.rules if rule.moved is None][:count]
+        for rule in moved:
+            rule.moved = version
+        self.moved += moved
+
     async def _write(self, version: RulesVersion) -> None:
+        moved = {rule.path for rule in self.rules if rule.moved is not None}
         item = configuration(
-            version.number, added_paths=[rule.path for rule in self.rules]
+            version.number,
+            added_paths=[rule.path for rule in self.rules],
+            moved_paths=moved if self._moves_rules else None,
         )
         while self.is_active:
             try:
@@ -112,7 +131,9 @@
                 return
 
     def choose_rule(self, rng: Random) -> AddedRule | None:
-        """Return a recently added, an older or a recently removed rule, if any."""
-        kinds = (self.newest, self.rules, self.removed[-MAX_REMOVED:])
-        chosen = rng.choices(kinds, (2, 2, 1))[0]
+        """Return a recently added, an older, a removed or a moved rule, if any."""
+        kinds = [self.newest, self.rules, self.removed[-MAX_REMOVED:]]
+        if self.moved:
+            kinds.append(self.moved[-MAX_REMOVED:])
+        chosen = rng.choices(kinds, (2, 2, 1, 2)[: len(kinds)])[0]
         return rng.choice(chosen) if chosen else None
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -50,6 +50,11 @@
             self.is_end_requested = True
         os.kill(self.transport.pid, number)
 
+    def write_line(self, line: bytes) -> None:
+        """Write a line to the standard input of the program."""
+        if self.is_running and self.transport is not None:
+            self.transport.write(line + b"\n")
+
     def outReceived(self, data: bytes) -> None:  # noqa: N802
         """Write the output to the log file, and parse its JSON lines."""
         self._log.write(data)
--- a/soak/_rule_checks.py
+++ b/soak/_rule_checks.py
@@ -3,8 +3,11 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
+from gentianwharf.platform.standin import MOVED, UNKEYED
+
 from ._added_rules import AddedRule
 from ._checks import SentRequest
+from ._deployment import service_of
 from ._disruptions import Disruptions
 
 SERVED_STATUS = 200
@@ -36,9 +39,14 @@
     return [
         f"CONFIG: {request.id} through {request.host} at {request.sent_s:.3f}"
         f" got {request.status}"
+        f"{_service_text(request)}"
         f" for {request.rule.path}, {_rule_history(request.rule)}"
         for request in requests_with_known_outcome(requests, disruptions)
-        if request.rule is not None and request.status != _expected_status(request)
+        if request.rule is not None
+        and (
+            request.status != _expected_status(request)
+            or not _may_be_served_by(request.rule, request)
+        )
     ]
 
 
@@ -46,6 +54,23 @@
     return SERVED_STATUS if request.is_allowed() else NO_RULE_STATUS
 
 
+def _service(request: SentRequest) -> str | None:
+    """Return the service of the server that answered, None if no server did."""
+    if request.status != SERVED_STATUS or request.signature is None:
+        return None
+    return service_of(request.signature)
+
+
+def _may_be_served_by(rule: AddedRule, request: SentRequest) -> bool:
+    service = _service(request)
+    return service is None or service in rule.services(request.sent_s, request.ended_s)
+
+
+def _service_text(request: SentRequest) -> str:
+    service = _service(request)
+    return f" of {service}" if service is not None else ""
+
+
 def find_version_regressions(requests: Sequence[SentRequest]) -> list[str]:
     """Return a line for each request handled by an older version than one before it."""
     by_host: dict[str, list[SentRequest]] = defaultdict(list)
@@ -84,9 +109,12 @@
 
 def _min_version(request: SentRequest) -> int:
     """Return the lowest version with which a host can have responded so."""
-    if request.rule is None or request.status != SERVED_STATUS:
+    rule = request.rule
+    if rule is None or request.status != SERVED_STATUS:
         return 0
-    return request.rule.added.number
+    if rule.moved is not None and _service(request) == MOVED:
+        return rule.moved.number
+    return rule.added.number
 
 
 def _version_above(request: SentRequest) -> int | None:
@@ -95,6 +123,8 @@
     if rule is None:
         return None
     if request.status == SERVED_STATUS:
+        if rule.moved is not None and _service(request) == UNKEYED:
+            return rule.moved.number
         return rule.removed.number if rule.removed is not None else None
     # The host did not have the rule: its version was older than the rule, unless the
     # rule's removal may have been in force already.
@@ -107,4 +137,6 @@
     if rule.removed is not None:
         removed = rule.removed
         history += f", removed by {removed.number} at {removed.acknowledged_s:.3f}"
+    if rule.moved is not None:
+        history += f", moved by {rule.moved.number} at {rule.moved.acknowledged_s:.3f}"
     return history
--- a/src/gentianwharf/platform/standin/_rules.py
+++ b/src/gentianwharf/platform/standin/_rules.py
@@ -1,6 +1,6 @@
 """Configurations in the operators' format, for trials."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 import msgspec
@@ -16,6 +16,8 @@
 """Host that has rules only for the added paths."""
 
 KEYED, UNKEYED = "calendar", "seats"
+MOVED = "shelves"
+"""Service of the paths that have moved."""
 
 MAX_ATTEMPTS = 2
 """Servers on which a request may run, as its route states."""
@@ -29,10 +31,16 @@
 }
 
 
-def configuration(version: int, *, added_paths: Iterable[str] = ()) -> Put:
+def configuration(
+    version: int,
+    *,
+    added_paths: Iterable[str] = (),
+    moved_paths: Collection[str] | None = None,
+) -> Put:
     """Return a put of a configuration with a sharded and an unsharded service.
 
-    ``added_paths`` are served on the host ``ADDED``.
+    ``added_paths`` are served on the host ``ADDED``, by the service ``MOVED`` where
+    they are also in ``moved_paths``. With None, there is no such service.
     """
     routes = {
         "look-ups": _route(LOOK_UPS, "safe", service=KEYED),
@@ -41,14 +49,18 @@
     }
     for path in added_paths:
         name = path.strip("/")
-        routes[name] = _route(ADDED, "safe", service=UNKEYED, prefix=path)
+        service = MOVED if path in (moved_paths or ()) else UNKEYED
+        routes[name] = _route(ADDED, "safe", service=service, prefix=path)
+    services = {
+        KEYED: _service(sharded=True),
+        UNKEYED: _service(sharded=False),
+    }
+    if moved_paths is not None:
+        services[MOVED] = _service(sharded=False)
     value = {
         "version": f"r{version}",
         "routes": routes,
-        "services": {
-            KEYED: _service(sharded=True),
-            UNKEYED: _service(sharded=False),
-        },
+        "services": services,
         "limits": CALLER_LIMITS,
     }
     return Put(key=CONFIG_KEY, value=msgspec.json.encode(value))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 TIMEOUT_S = 150.0
 """A limit for hangs; a seed takes 35 s."""
 
-PLAIN = ("--no-rules-grow", "--no-cut-links")
+PLAIN = ("--no-rules-grow", "--no-cut-links", "--no-store-outages")
 
 
 @pytest.mark.parametrize(
@@ -23,12 +23,13 @@
 
     Seed 1 also lets the list of rules grow to thousands, and restarts all hosts.
     """
-    play(seed, faults_s, growth, "--no-cut-links", "--no-uploads")
+    play(seed, faults_s, growth, *PLAIN[1:], "--no-uploads")
 
 
 def test_no_promise_is_broken_while_hosts_lose_their_links() -> None:
     """Hosts lose their links to all servers, also beside restarts and changes."""
-    play(9601, 12, "--rules-grow", "--cut-links", "--no-uploads")
+    options = ("--rules-grow", "--cut-links", "--no-uploads", "--no-store-outages")
+    play(9601, 12, *options)
 
 
 def test_no_promise_is_broken_while_answers_come_late_or_twice() -> None:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,19 +6,33 @@
 from soak._added_rules import AddedRule, RulesVersion
 from soak._checks import SentRequest, check_recovery
 from soak._cuts import Cut, find_unserved_cuts
-from soak._disruptions import ALL_SERVER_LINKS, STORE, Disruptions, link_of
+from soak._deployment import MOVED_SERVICES, SERVICES
+from soak._disruptions import (
+    ALL_SERVER_LINKS,
+    STORE,
+    STORE_ANSWERS,
+    Disruptions,
+    link_of,
+)
 from soak._operators import MOST_RULES
 from soak._rule_checks import find_stale_versions, find_version_regressions
 
 from gentianwharf.platform import decode_configuration
-from gentianwharf.platform.standin import MAX_VALUE_BYTES, configuration
+from gentianwharf.platform.standin import MAX_VALUE_BYTES, MOVED, configuration
 
 ADDED = RulesVersion(number=5, sent_s=9.0, acknowledged_s=10.0)
 REMOVED = RulesVersion(number=8, sent_s=19.0, acknowledged_s=20.0)
+FORMER_SERVER, MOVED_SERVER = len(SERVICES) - 1, len(SERVICES)
 
 
 def sent_request(
-    *, at_s: float, status: int, rule: AddedRule, took_s: float = 0.1, host: str = "h"
+    *,
+    at_s: float,
+    status: int,
+    rule: AddedRule,
+    took_s: float = 0.1,
+    host: str = "h",
+    server: int | None = None,
 ) -> SentRequest:
     return SentRequest(
         id="rule-1",
@@ -29,6 +43,7 @@
         rule=rule,
         ended_s=at_s + took_s,
         status=status,
+        signature=f"server-{server}" if server is not None else None,
         is_complete=True,
     )
 
@@ -41,6 +56,10 @@
     return AddedRule(path="/dropped/", added=ADDED, removed=REMOVED)
 
 
+def moved_rule() -> AddedRule:
+    return AddedRule(path="/moved/", added=ADDED, moved=REMOVED)
+
+
 class DisruptionSite:
     """Disruptions with the given spans of time, on a clock that a test can set."""
 
@@ -102,7 +121,64 @@
     )
 
 
-@pytest.mark.parametrize("subject", ["h", link_of("h"), STORE])
+@pytest.mark.parametrize(
+    ("at_s", "server", "is_late"),
+    [
+        pytest.param(18.8, FORMER_SERVER, False, id="former-before"),
+        pytest.param(18.8, MOVED_SERVER, True, id="new-before"),
+        pytest.param(21.9, FORMER_SERVER, False, id="former-until-its-bound"),
+        pytest.param(21.9, MOVED_SERVER, False, id="new-at-once"),
+        pytest.param(22.1, FORMER_SERVER, True, id="former-after-its-bound"),
+        pytest.param(22.1, MOVED_SERVER, False, id="new-after-its-bound"),
+    ],
+)
+def test_a_moved_rule_is_served_by_the_new_service_after_its_bound(
+    at_s: float, server: int, is_late: bool
+) -> None:
+    """Guards against a soak that passes while hosts go on by the former service."""
+    request = sent_request(at_s=at_s, status=200, rule=moved_rule(), server=server)
+    assert bool(find_stale_versions([request], NO_DISRUPTIONS)) is is_late
+
+
+@pytest.mark.parametrize(
+    ("status", "rule"),
+    [(404, added_rule()), (200, moved_rule())],
+    ids=["added-rule-unknown", "former-service"],
+)
+def test_a_host_late_after_an_outage_of_the_store_is_found(
+    status: int, rule: AddedRule
+) -> None:
+    """Guards against an outage that excuses hosts for longer than 3 s."""
+    answered = rule.moved or rule.added
+    ended_s = answered.acknowledged_s - 0.2
+    site = DisruptionSite(**{STORE_ANSWERS: (ended_s - 4.0, ended_s)})
+    late, excused = (
+        sent_request(
+            at_s=ended_s + after_s, status=status, rule=rule, server=FORMER_SERVER
+        )
+        for after_s in (3.1, 2.9)
+    )
+    (line,) = find_stale_versions([late], site.disruptions)
+    assert line.startswith("CONFIG: rule-1 through h at")
+    assert not find_stale_versions([excused], site.disruptions)
+
+
+def test_the_former_service_is_older_than_the_new_one() -> None:
+    rule = moved_rule()
+    new = sent_request(at_s=19.5, status=200, rule=rule, server=MOVED_SERVER)
+    former = sent_request(at_s=19.7, status=200, rule=rule, server=FORMER_SERVER)
+    (line,) = find_version_regressions([former, new])
+    assert line.startswith("OLDER: rule-1 through h at 19.700")
+    assert not find_version_regressions([new, former][:1])
+
+
+def test_servers_of_moved_rules_are_the_last_ones() -> None:
+    """Guards against seeds whose faults meet other servers than before."""
+    assert set(MOVED_SERVICES) == {MOVED}
+    assert MOVED not in SERVICES
+
+
+@pytest.mark.parametrize("subject", ["h", link_of("h"), STORE, STORE_ANSWERS])
 def test_a_host_has_time_to_catch_up_after_a_disruption(subject: str) -> None:
     disruptions = DisruptionSite(**{subject: (11.0, 12.0)}).disruptions
     assert not find_stale_versions(
