--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -182,6 +182,7 @@
         fleet.check()
         watch.stop()
         record = fleet.record(outputs)
+        record.begun_s = begun_s
     finally:
         watch.stop()
         fleet.stop()
--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -3,12 +3,19 @@
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from random import Random
-from typing import final
+from typing import Any, final
+
+from gentianwharf.platform.standin import Outage, StoreOrder
 
 from ._fleet import SERVER_PROCESSES, Fleet
 from ._servers import Order
 
 CRASH_GAP_S = 1.5
+LONG_LIST = 1_600
+"""Rules of a long list."""
+
+THIN_LINK_BYTES_PER_S = 5e6 / 8
+SLOW = 50.0
 
 
 @final
@@ -62,6 +69,10 @@
     fleet.pause(["store"])
 
 
+def _order_store(**fields: Any) -> Callable[[Fleet, Random], None]:
+    return lambda fleet, rng: fleet.order_store(StoreOrder(**fields))
+
+
 def _some_hosts(fleet: Fleet, rng: Random, share: float) -> list[int]:
     return rng.sample(range(fleet.host_count), round(share * fleet.host_count))
 
@@ -85,6 +96,40 @@
         yield Step(at_s=start_s + for_s, act=_order(Order(held_share=0.0)))
 
 
+def _store_troubles() -> Iterator[Step]:
+    """Yield outages and thin links of the store, with changes of the rules in each."""
+    hang, end = _order_store(outage=Outage.HANG), _order_store(outage=Outage.NONE)
+    drop = _order_store(drops_history=True)
+    end_and_drop = _order_store(outage=Outage.NONE, drops_history=True)
+    thin = _order_store(rate_bytes_per_s=THIN_LINK_BYTES_PER_S)
+    wide = _order_store(rate_bytes_per_s=0.0)
+    slow, fast = _order_store(slowdown=SLOW), _order_store(slowdown=1.0)
+    write_list = _order(Order(added_rules=LONG_LIST))
+    move, move_back = (_order(Order(moves_rule=moved)) for moved in (True, False))
+    for at_s, act in (
+        (6.0, write_list),
+        (9.0, hang),
+        (10.0, move),
+        (15.0, end),
+        (15.6, move_back),
+        (21.0, drop),
+        (21.0, write_list),
+        (24.0, slow),
+        (24.5, write_list),
+        (27.5, fast),
+        (28.0, thin),
+        (28.5, write_list),
+        (31.5, drop),
+        (31.5, move),
+        (34.0, hang),
+        (35.0, write_list),
+        (38.0, end_and_drop),
+        (38.3, move_back),
+        (43.5, wide),
+    ):
+        yield Step(at_s=at_s, act=act)
+
+
 def _crashes(from_s: int, to_s: int) -> Iterator[Step]:
     """Yield ends of a twelfth of the servers, each 1.5 s."""
     for number in range(round((to_s - from_s) / CRASH_GAP_S)):
@@ -155,6 +200,7 @@
     "leader-kills": tuple(
         Step(at_s=at_s, act=_kill_leader) for at_s in (15.15, 16.5, 22.0)
     ),
+    "store-troubles": tuple(_store_troubles()),
     "store-down": tuple(_pauses(_pause_store, 14.0, for_s=20.0)),
     "host-pauses-alone": tuple(_pauses(_pause_hosts(0.3), 14.8, 19, 24, 29, for_s=3.0)),
     "release": (Step(at_s=14.0, act=_order(Order(ended_share=0.5, is_rolling=True))),),
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -21,13 +21,22 @@
 from gentianwharf.platform.standin import (
     CALLERS_PORT,
     READINESS_PORT,
+    StoreOrder,
+    StoreOrderReport,
     settings_text,
 )
 
 from ._callers import SentRequest
 from ._judge import Record, read_server_lines
+from ._rules_in_force import HostRules, read_host_lines
 from ._servers import Order
-from ._sheet import Sheet, host_ip, operators_address, store_address
+from ._sheet import (
+    Sheet,
+    host_ip,
+    host_store_address,
+    operators_address,
+    store_address,
+)
 
 METRICS_PORT = 9464
 SERVER_PROCESSES = 4
@@ -68,8 +77,11 @@
         self._sheet = sheet
         self._agreement = agreement
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._paused: set[str] = set()
+        self._killed_s: dict[str, list[float]] = defaultdict(list)
         self._orders: list[Order] = []
+        self._store_orders: list[StoreOrder] = []
+        self._paused_s: dict[str, float] = {}
+        self._troubles_s: dict[str, list[tuple[float, float]]] = defaultdict(list)
 
     def start_platform(self) -> None:
         """Start the store and the servers, and wait until these are listed."""
@@ -77,6 +89,12 @@
             "store",
             *("-m", "gentianwharf.platform.standin", "store"),
             *(store_address(self.net), operators_address(self.net)),
+            "--takes-orders",
+            *(
+                f"--host-addresses={host_store_address(self.net, number)}"
+                for number in range(self.host_count)
+            ),
+            has_input=True,
         )
         self._wait_for_lines(["store"])
         names = [f"servers-{part}" for part in range(SERVER_PROCESSES)]
@@ -105,7 +123,7 @@
                 name=name,
                 ip=ip,
                 domain="abc"[number % 3],
-                store=store_address(self.net),
+                store=host_store_address(self.net, number),
                 extra_retries=int(self._agreement.extra),
             )
         )
@@ -135,24 +153,32 @@
     def order_servers(self, order: Order) -> None:
         """Let every process of servers carry out an order."""
         self._orders.append(order)
-        line = msgspec.json.encode(order) + b"\n"
         for part in range(SERVER_PROCESSES):
-            stdin = self._processes[f"servers-{part}"].stdin
-            assert stdin is not None
-            stdin.write(line)
-            stdin.flush()
+            self._write_order(f"servers-{part}", order)
+
+    def order_store(self, order: StoreOrder) -> None:
+        """Let the store carry out an order."""
+        self._store_orders.append(order)
+        self._write_order("store", order)
+
+    def _write_order(self, name: str, order: Order | StoreOrder) -> None:
+        stdin = self._processes[name].stdin
+        assert stdin is not None
+        stdin.write(msgspec.json.encode(order) + b"\n")
+        stdin.flush()
 
     def pause(self, names: Iterable[str]) -> None:
         """Let processes stand still."""
         for name in names:
             self._processes[name].send_signal(signal.SIGSTOP)
-            self._paused.add(name)
+            self._paused_s.setdefault(name, time.monotonic())
 
     def resume(self) -> None:
         """Let all processes run on that stand still."""
-        for name in sorted(self._paused):
+        for name in sorted(self._paused_s):
             self._processes[name].send_signal(signal.SIGCONT)
-        self._paused.clear()
+            self._troubles_s[name].append((self._paused_s[name], time.monotonic()))
+        self._paused_s.clear()
 
     def leader(self) -> int | None:
         """Return the number of the host that leads, None if no host states so."""
@@ -180,10 +206,12 @@
         """Kill hosts at once, and start them again."""
         numbers = list(numbers)
         for number in numbers:
-            self._processes[f"host-{number}"].kill()
+            name = f"host-{number}"
+            self._processes[name].kill()
+            self._killed_s[name].append(time.monotonic())
         for number in numbers:
             self._processes[f"host-{number}"].wait()
-            self._paused.discard(f"host-{number}")
+            self._paused_s.pop(f"host-{number}", None)
             self.start_host(number)
 
     def start_callers(self, name: str, output: Path, *options: str) -> None:
@@ -197,7 +225,10 @@
     def record(self, outputs: Iterable[Path]) -> Record:
         """Return all that was counted."""
         record = Record(
-            sheet=self._sheet, agreement=self._agreement, orders=self._orders
+            sheet=self._sheet,
+            agreement=self._agreement,
+            orders=self._orders,
+            store_orders=self._store_orders,
         )
         for output in outputs:
             lines = output.read_bytes().splitlines()
@@ -207,6 +238,13 @@
         for part in range(SERVER_PROCESSES):
             log = self._directory / f"servers-{part}.log"
             read_server_lines(log.read_bytes().splitlines(), record)
+        log = self._directory / "store.log"
+        for line in log.read_bytes().splitlines():
+            if line.startswith(b"{"):
+                report = msgspec.json.decode(line, type=StoreOrderReport)
+                record.store_reports.append(report)
+        record.store_pauses_s = self._troubles_s["store"]
+        record.hosts = [self._host_rules(number) for number in range(self.host_count)]
         with ThreadPoolExecutor(16) as pool:
             for text in pool.map(self._metrics, range(self.host_count)):
                 for found in SENT_METRIC.finditer(text):
@@ -215,6 +253,18 @@
                     record.stated[key] += int(float(found["count"]))
         return record
 
+    def _host_rules(self, number: int) -> HostRules:
+        name = f"host-{number}"
+        rules = read_host_lines(
+            name,
+            (self._directory / f"{name}.log").read_bytes().splitlines(),
+            clock_offset_s=time.time() - time.monotonic(),
+        )
+        rules.troubles_s += self._troubles_s[name]
+        for killed_s in self._killed_s[name]:
+            rules.add_restart(killed_s)
+        return rules
+
     def retry_shares(self) -> dict[str, float]:
         """Return the sum of all hosts' shares in the saved retries of each service."""
         shares: dict[str, float] = defaultdict(float)
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -16,9 +16,24 @@
 from soak._uploads import find_unasked
 
 from gentianwharf.load import RetryAgreement
-from gentianwharf.platform.standin import Arrival, BodyReport, RequestRun
+from gentianwharf.platform.standin import (
+    Arrival,
+    BodyReport,
+    RequestRun,
+    StoreOrder,
+    StoreOrderReport,
+)
 
 from ._callers import SentRequest
+from ._rules_in_force import (
+    Delays,
+    HostRules,
+    Span,
+    delays,
+    describe_delays,
+    find_late,
+    store_outages_s,
+)
 from ._servers import AddressReassigned, HeldBytes, Order, RuleMove, ServerEnd
 from ._sheet import (
     CONTACT_S,
@@ -56,6 +71,12 @@
     held: list[HeldBytes] = field(default_factory=list)
     orders: list[Order] = field(default_factory=list)
     """What servers were ordered to do."""
+    store_orders: list[StoreOrder] = field(default_factory=list)
+    store_reports: list[StoreOrderReport] = field(default_factory=list)
+    store_pauses_s: list[Span] = field(default_factory=list)
+    hosts: list[HostRules] = field(default_factory=list)
+    begun_s: float = 0.0
+    """When callers began to send; versions of the rules are judged from then on."""
     stated: Counter[tuple[str, str]] = field(default_factory=Counter)
     """Writes by service and cause, as the hosts that run at the end state them."""
 
@@ -249,6 +270,21 @@
     return lines
 
 
+def rule_delays(record: Record) -> list[Delays]:
+    """Return how long each version of the rules took until hosts had it in force."""
+    return list(
+        delays(
+            [
+                (move.version, move.moved_at_s)
+                for move in record.moves
+                if move.moved_at_s >= record.begun_s
+            ],
+            record.hosts,
+            outages_s=store_outages_s(record.store_reports) + record.store_pauses_s,
+        )
+    )
+
+
 def missing_effects(record: Record) -> list[str]:
     """Return a line for each order to servers that has had no effect."""
     lines = []
@@ -258,6 +294,17 @@
         lines.append("expected servers that end, got none")
     if any(order.held_share for order in record.orders) and not record.held:
         lines.append("expected links that hold bytes, got none")
+    reported = [report.order for report in record.store_reports]
+    if reported != record.store_orders:
+        lines.append(
+            f"expected the store to carry out {len(record.store_orders)} orders, got"
+            f" {len(reported)}"
+        )
+    if any(
+        order.moves_rule is not None or order.added_rules is not None
+        for order in record.orders
+    ) and not rule_delays(record):
+        lines.append("expected acknowledged versions of the rules, got none")
     return lines
 
 
@@ -284,7 +331,7 @@
             f"BUDGET: {long.count} sends gave servers more time than was left, of"
             f" {long.late_sends} that came late"
         )
-    return lines
+    return lines + find_late(rule_delays(record), begun_s=record.begun_s)
 
 
 def summary(record: Record) -> list[str]:
@@ -336,7 +383,7 @@
             f" {dict(sorted(answers.items()))}; {crashed.innocents} other requests"
             " refused like it"
         )
-    return lines
+    return lines + describe_delays(rule_delays(record), begun_s=record.begun_s)
 
 
 def _describe_uploads(record: Record) -> str:
--- a/bench/fleet/_servers.py
+++ b/bench/fleet/_servers.py
@@ -16,7 +16,7 @@
 import msgspec
 from soak._link_buffer import LinkBuffer
 from twisted.internet import reactor as installed_reactor
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredLock
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.stdio import StandardIO
 from twisted.internet.task import deferLater
@@ -85,10 +85,14 @@
 
 
 class RuleMove(msgspec.Struct):
-    """That the store acknowledged which service the rule that moves has."""
+    """That the store acknowledged which service the rule that moves has.
+
+    This was the given version of the rules.
+    """
 
     moved: bool
     moved_at_s: float
+    version: int = 0
 
 
 class ServerEnd(msgspec.Struct):
@@ -113,12 +117,14 @@
     for which servers refuse and ask for rest, 0 for none. ``reassigned_share`` of the
     servers end now, and others of another service get their addresses. ``service``
     limits the first two to one service. ``moves_rule`` writes a configuration in which
-    a rule has another service, or its first one again. ``ended_share`` of the servers
-    end now and start again, one after the other where ``is_rolling``. Servers that a
-    request ends do so in ``end_manner`` with the probability ``end_manner_share``, else
-    as ``REFUSING``; ``refused_share`` of these requests is refused and not run, and
-    ``failed_share`` answered with 500 and not run either. The links to ``held_share``
-    of the servers hold what hosts send from now on, until an order with 0 delivers it.
+    a rule has another service, or its first one again; ``added_rules`` writes one with
+    so many further rules, which replace those added before. ``ended_share`` of the
+    servers end now and start again, one after the other where ``is_rolling``. Servers
+    that a request ends do so in ``end_manner`` with the probability
+    ``end_manner_share``, else as ``REFUSING``; ``refused_share`` of these requests is
+    refused and not run, and ``failed_share`` answered with 500 and not run either. The
+    links to ``held_share`` of the servers hold what hosts send from now on, until an
+    order with 0 delivers it.
     """
 
     lost_share: float | None = None
@@ -126,6 +132,7 @@
     reassigned_share: float | None = None
     service: str | None = None
     moves_rule: bool | None = None
+    added_rules: int | None = None
     ended_share: float | None = None
     is_rolling: bool = False
     end_manner: EndManner | None = None
@@ -225,6 +232,9 @@
         self._servers: list[_ListeningServer] = []
         self._ended = 0
         self._version = 1
+        self._is_moved = False
+        self._added_paths: list[str] = []
+        self._rules_lock = DeferredLock()
         self._end_manner = EndManner.REFUSING
         self._end_manner_share = 1.0
         self._rejections = Rejections(part=CRASH_PATH.encode(), rng=self._rng)
@@ -244,7 +254,7 @@
     async def _list_all(self) -> None:
         self._lease_id = await self._store.open_lease(LEASE_S)
         if self._writes_rules:
-            await self._write_rules(moved=False)
+            await self._write_rules()
         for listening in self._servers:
             await self._list(listening.server)
         self._output.write(b"ready\n")
@@ -254,11 +264,30 @@
     def _writes_rules(self) -> bool:
         return self._part == 0
 
-    async def _write_rules(self, *, moved: bool) -> None:
-        self._version += 1
-        put = configuration(self._sheet, self._version, moved=moved)
-        await self._change(Change(puts=(put,)))
-        self._write(RuleMove(moved=moved, moved_at_s=reactor.seconds()))
+    async def _write_rules(
+        self, *, moved: bool | None = None, added: int | None = None
+    ) -> None:
+        """Write a version of the rules once all earlier ones are acknowledged."""
+        await self._rules_lock.acquire()
+        try:
+            self._version += 1
+            version = self._version
+            self._is_moved = self._is_moved if moved is None else moved
+            if added is not None:
+                self._added_paths = [f"/{version}-{number}/" for number in range(added)]
+            put = configuration(
+                self._sheet,
+                version,
+                moved=self._is_moved,
+                added_paths=self._added_paths,
+            )
+            await self._change(Change(puts=(put,)))
+            move = RuleMove(
+                moved=self._is_moved, moved_at_s=reactor.seconds(), version=version
+            )
+            self._write(move)
+        finally:
+            self._rules_lock.release()
 
     async def _change(self, change: Change) -> None:
         """Make a change of the store, again and again while it is down."""
@@ -296,6 +325,8 @@
             self._hold_links(order.held_share, order.service)
         if order.moves_rule is not None and self._writes_rules:
             self._start(self._write_rules(moved=order.moves_rule))
+        if order.added_rules is not None and self._writes_rules:
+            self._start(self._write_rules(added=order.added_rules))
         if order.reassigned_share:
             for listening in self._some_servers(order.reassigned_share):
                 self._start(self._reassign(listening))
--- a/bench/fleet/_sheet.py
+++ b/bench/fleet/_sheet.py
@@ -1,6 +1,6 @@
 """The deployments that are played: services, requests, and what may be repeated."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, final
 
@@ -8,7 +8,7 @@
 
 from gentianwharf.load import RetryAgreement
 from gentianwharf.platform import CONFIG_KEY
-from gentianwharf.platform.standin import CALLER_LIMITS
+from gentianwharf.platform.standin import ADDED, CALLER_LIMITS
 from gentianwharf.store import Put
 
 SERVER_PORT = 8400
@@ -257,6 +257,11 @@
     return f"127.{net}.0.1:{STORE_PORT}"
 
 
+def host_store_address(net: int, number: int) -> str:
+    """Return where one host reaches the store, by a link of its own."""
+    return f"127.{net}.3.{number + 1}:{STORE_PORT}"
+
+
 def operators_address(net: int) -> str:
     """Return where operators and servers reach the store."""
     return f"127.{net}.0.1:{OPERATORS_PORT}"
@@ -267,14 +272,24 @@
     return f"127.{net}.1.{number + 1}"
 
 
-def configuration(sheet: Sheet, version: int, *, moved: bool = False) -> Put:
+def configuration(
+    sheet: Sheet,
+    version: int,
+    *,
+    moved: bool = False,
+    added_paths: Iterable[str] = (),
+) -> Put:
     """Return a put of the operators' configuration.
 
-    Where ``moved``, the moving requests have another service.
+    Where ``moved``, the moving requests have another service. ``added_paths`` have
+    rules of their own on a host without requests.
     """
     routes = {spec.name: _route(spec) for spec in sheet.requests}
     if moved:
         routes[sheet.moving.name]["service"] = sheet.moved_service
+    for path in added_paths:
+        added = {"host": ADDED, "prefix": path}
+        routes[f"added{path.rstrip('/')}"] = {**_route(sheet.moving), **added}
     value = {
         "version": f"r{version}",
         "routes": routes,
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -15,9 +15,17 @@
     summary,
     violations,
 )
-from bench.fleet._servers import AddressReassigned, HeldBytes, Order, ServerEnd
+from bench.fleet._servers import (
+    AddressReassigned,
+    HeldBytes,
+    Order,
+    RuleMove,
+    ServerEnd,
+)
 from bench.fleet._sheet import CONTACT_S, MAX_ATTEMPTS, MAX_LATE_SENDS
 
+from gentianwharf.platform.standin import Outage, StoreOrder, StoreOrderReport
+
 from .builders_fleet import (
     AGREEMENT,
     DEADLINE_MS,
@@ -187,6 +195,27 @@
     assert not missing_effects(record)
 
 
+@pytest.mark.parametrize(
+    "order", [Order(moves_rule=True), Order(added_rules=9)], ids=["moved", "added"]
+)
+def test_rules_that_are_never_acknowledged_are_found(order: Order) -> None:
+    """Guards against versions of the rules whose delay nobody has judged."""
+    record = Record(agreement=AGREEMENT, orders=[order], begun_s=5.0)
+    record.moves.append(RuleMove(moved=False, moved_at_s=4.0, version=2))
+    assert missing_effects(record)
+    record.moves.append(RuleMove(moved=True, moved_at_s=6.0, version=3))
+    assert not missing_effects(record)
+
+
+def test_orders_that_the_store_does_not_carry_out_are_found() -> None:
+    """Guards against an outage that never began and passes for a borne one."""
+    order = StoreOrder(outage=Outage.HANG)
+    record = Record(agreement=AGREEMENT, store_orders=[order])
+    assert missing_effects(record)
+    record.store_reports.append(StoreOrderReport(order=order, carried_out_s=1.0))
+    assert not missing_effects(record)
+
+
 def test_server_process_that_fails_ends_with_an_error() -> None:
     """Guards against runs whose servers have carried out no order."""
     servers = subprocess.run(
