--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -13,6 +13,7 @@
     KEYED,
     LOOK_UPS,
     MAX_ATTEMPTS,
+    MOVED,
     POSTINGS,
     UNKEYED,
     UPLOADS,
@@ -28,6 +29,7 @@
     settings_text,
 )
 from ._store import MAX_VALUE_BYTES, StandInStore
+from ._store_faults import Outage, StoreFaults, StoreOrder, StoreOrderReport
 from ._uploads import UPLOAD_HEADER, EarlyAnswer, upload_body
 
 __all__ = [
@@ -40,6 +42,7 @@
     "LOOK_UPS",
     "MAX_ATTEMPTS",
     "MAX_VALUE_BYTES",
+    "MOVED",
     "POSTINGS",
     "READINESS_PORT",
     "RETRY_BUDGET_RATIO",
@@ -51,11 +54,15 @@
     "BodyReport",
     "EarlyAnswer",
     "Items",
+    "Outage",
     "Rejections",
     "RequestRun",
     "ServerSpec",
     "StandInServer",
     "StandInStore",
+    "StoreFaults",
+    "StoreOrder",
+    "StoreOrderReport",
     "configuration",
     "settings_text",
     "upload_body",
