Leave leadership to hosts with faster links

What callers saw: 5,000 rules reached the last host 3.4 s after the store's answer if the leader's link had 5 Mbit/s, whoever passed them on.

Cause: every host waits for the leader to read the whole value from the store, 2.2 s at 5 Mbit/s, and the leader is chosen by its cores alone.

Change: a host whose link is slower than 25 Mbit/s and than others in the list of hosts tries to lead up to 0.2 s later. Fleets with equal links lose no time. The delays of campaigns move to a module of their own.

Open: at the first start no host knows the others' links, and a leader that has a thin link does not step down for one with a faster link.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -39,6 +39,7 @@
 from gentianwharf.topology import BackendServer
 
 from ._broadcaster import StorePosition
+from ._campaign_delay import small_host_delay_s, thin_link_delay_s
 from ._conversions import dispatch_host_of
 from ._directory import Directory
 from ._fleet_notices import FleetNotices
@@ -68,14 +69,6 @@
 """Additional delay before a host without links to servers tries to lead. It could grant
 nothing; but one that tells the others of changes is better than none."""
 
-SMALL_HOST_CAMPAIGN_DELAY_S = 0.2
-"""Additional delay before a host with little processor time tries to lead.
-
-The leader's work grows with the deployment: a host with 0.4 cores that led 85 servers
-could not renew their grants in time. The delay is short compared to the lease, so that
-one of the hosts leads even if all of them are small.
-"""
-
 MISSING_CHANGES_S = 1.5
 """How long changes may be missing before a host requests them from the leader. Within
 this time its own watch has been repeated and should have returned them."""
@@ -108,6 +101,7 @@
         self.on_notices: Callable[[Notices], None] = lambda notices: None
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.host_count = INITIAL_HOST_COUNT
+        self._link_bytes_per_s = settings.link_bytes_per_s
         now_s = self._now_s = reactor.seconds
         store = PlatformStore(reactor=reactor, address=settings.store.address)
         self.store = store
@@ -131,8 +125,7 @@
             value=msgspec.json.encode(self.peers.identity),
             now_s=now_s,
             rng=rng,
-            campaign_delay_s=SMALL_HOST_CAMPAIGN_DELAY_S
-            * max(0.0, 1.0 - settings.cores),
+            campaign_delay_s=small_host_delay_s(settings.cores),
         )
         timing = GrantTiming(
             longest_grant_s=settings.agreements.longest_grant_s, cores=settings.cores
@@ -185,9 +178,7 @@
         self._connect_peers()
 
     def _connect_store(self) -> None:
-        self.leadership.handicap_s = lambda: (
-            CUT_OFF_CAMPAIGN_DELAY_S if self.is_cut_off() else 0.0
-        )
+        self.leadership.handicap_s = self._campaign_handicap_s
         self.mirror.add_listener(self._note_item)
         self.mirror.on_read = self._on_store_read
         self.mirror.on_events = self._announcements.forward
@@ -230,6 +221,11 @@
         self.keys.on_request = peers.observed.note_request
         self.keys.receives_updates = peers.receives_updates
 
+    def _campaign_handicap_s(self) -> float:
+        cut_off_s = CUT_OFF_CAMPAIGN_DELAY_S if self.is_cut_off() else 0.0
+        membership = self.peers.membership
+        return cut_off_s + thin_link_delay_s(self._link_bytes_per_s, membership.listed)
+
     def start(self) -> None:
         """Start to follow the store, and to listen for other hosts."""
         self.peers.start()
--- a/tests/builders_thin_links.py
+++ b/tests/builders_thin_links.py
@@ -118,8 +118,10 @@
 
 @final
 class ThinFleet(Fleet):
-    """A fleet with a link for each host; the first one leads.
+    """A fleet with a link for each host.
 
+    The first host leads at first, unless ``first_leads`` is False. Random numbers
+    differ by ``seed``.
     ``free_share`` is the share of each link that is not used by callers' requests.
     """
 
@@ -129,10 +131,14 @@
         *,
         links_mbps: Sequence[float],
         free_share: float = 1.0,
+        first_leads: bool = True,
+        seed: int = 0,
     ) -> None:
         self._monkeypatch = monkeypatch
         self._links_mbps = links_mbps
         self._free_share = free_share
+        self._first_leads = first_leads
+        self._seed = seed
         self.thin_net = ThinNet()
         super().__init__(monkeypatch, hosts=len(links_mbps), net=self.thin_net)
         self.thin_net.clock = self.clock
@@ -151,11 +157,11 @@
         return f"{SETTINGS}[limits]\nlink-mbps = {link_mbps}\n"
 
     def _host(self, number: int, *, seed: int) -> Host:
-        host = super()._host(number, seed=seed)
+        host = super()._host(number, seed=seed + 1_000 * self._seed)
         store = host.store
         assert isinstance(store, _ThinStore)
         store.down = self.thin_net.links[host.address].down
-        if number > 0:
+        if number > 0 and self._first_leads:
             host.coordinator.leadership.handicap_s = lambda: CAMPAIGN_DELAY_S
         return host
 
