--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -40,6 +40,7 @@
 from gentianwharf.topology import BackendServer
 
 from ._broadcaster import StorePosition
+from ._campaign_delay import small_host_delay_s, thin_link_delay_s
 from ._conversions import dispatch_host_of
 from ._directory import Directory
 from ._fleet_notices import FleetNotices
@@ -69,19 +70,6 @@
 """Additional delay before a host without links to servers tries to lead. It could grant
 nothing; but one that tells the others of changes is better than none."""
 
-SMALL_HOST_CAMPAIGN_DELAY_S = 0.2
-"""Additional delay before a host with little processor time, or a thin link, tries to
-lead.
-
-The leader's work grows with the deployment: a host with 0.4 cores that led 85 servers
-could not renew their grants in time, and one with 5 Mbit/s cannot send long lists to
-many hosts. The delay is short compared to the lease, so that one of the hosts leads
-even if all of them are small.
-"""
-
-WIDE_LINK_BYTES_PER_S = 12_500_000.0
-"""A link on which a long list reaches a hundred hosts within half a second."""
-
 MISSING_CHANGES_S = 1.5
 """How long changes may be missing before a host requests them from the leader. Within
 this time its own watch has been repeated and should have returned them."""
@@ -97,20 +85,6 @@
 """Assumed number of hosts until the leader sends it."""
 
 
-def campaign_delay_s(*, cores: float, link_bytes_per_s: float) -> float:
-    """Return how much later than the most capable hosts a host tries to lead.
-
-    >>> campaign_delay_s(cores=2.0, link_bytes_per_s=25_000_000)
-    0.0
-    >>> campaign_delay_s(cores=2.0, link_bytes_per_s=625_000)
-    0.19
-    """
-    lacking_share = max(
-        0.0, 1.0 - cores, 1.0 - link_bytes_per_s / WIDE_LINK_BYTES_PER_S
-    )
-    return SMALL_HOST_CAMPAIGN_DELAY_S * lacking_share
-
-
 @final
 class Coordinator:
     """The state that hosts share; ``tick`` is called about every 50 ms."""
@@ -132,6 +106,7 @@
         self.on_notices: Callable[[Notices], None] = lambda notices: None
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.host_count = INITIAL_HOST_COUNT
+        self._link_bytes_per_s = settings.link_bytes_per_s
         now_s = self._now_s = reactor.seconds
         store = PlatformStore(reactor=reactor, address=settings.store.address)
         self.store = store
@@ -158,9 +133,7 @@
             value=msgspec.json.encode(self.peers.identity),
             now_s=now_s,
             rng=rng,
-            campaign_delay_s=campaign_delay_s(
-                cores=settings.cores, link_bytes_per_s=settings.link_bytes_per_s
-            ),
+            campaign_delay_s=small_host_delay_s(settings.cores),
         )
         timing = GrantTiming(
             longest_grant_s=settings.agreements.longest_grant_s, cores=settings.cores
@@ -213,9 +186,7 @@
         self._connect_peers()
 
     def _connect_store(self) -> None:
-        self.leadership.handicap_s = lambda: (
-            CUT_OFF_CAMPAIGN_DELAY_S if self.is_cut_off() else 0.0
-        )
+        self.leadership.handicap_s = self._campaign_handicap_s
         self.mirror.add_listener(self._note_item)
         self.mirror.on_read = self._on_store_read
         self.mirror.on_events = self._forward
@@ -261,6 +232,11 @@
         self.keys.on_request = peers.observed.note_request
         self.keys.receives_updates = peers.receives_updates
 
+    def _campaign_handicap_s(self) -> float:
+        cut_off_s = CUT_OFF_CAMPAIGN_DELAY_S if self.is_cut_off() else 0.0
+        membership = self.peers.membership
+        return cut_off_s + thin_link_delay_s(self._link_bytes_per_s, membership.listed)
+
     def start(self) -> None:
         """Start to follow the store, and to listen for other hosts."""
         self.peers.start()
