Repeat a read at once that was overtaken while it was connecting

Callers were served by replaced rules for longer than necessary after an outage in which connections to the store were not answered.

Cause: a read that was given up while its connection was still being opened fails with ConnectingCancelledError, which was taken for an unreachable store before it was taken for an overtaken read. So it was repeated after up to 0.7 s instead of at once. The test of unreachable stores did not show it: the simulated connector did not state its destination and was never passed to the endpoint, so that cancelling an attempt raised AttributeError (logged as an unhandled error of the probe), and the read went on.

Change: whether a read was overtaken is asked first. The simulated connector calls startedConnecting and has a destination.

The test failed before: expected CallOvertakenError, got PeerUnavailableError.

--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -273,10 +273,6 @@
             limit.on_begun = lambda: self._overdue.remove(call)
         try:
             status, content = await pending
-        except (ConnectError, ConnectingCancelledError) as error:
-            raise PeerUnavailableError(
-                f"can't connect: {type(error).__name__}", step=step, peer=self.address
-            ) from error
         except Exception as error:
             if call is not None and call.is_overtaken:
                 raise CallOvertakenError(
@@ -284,6 +280,12 @@
                     step=step,
                     peer=self.address,
                 ) from error
+            if isinstance(error, ConnectError | ConnectingCancelledError):
+                raise PeerUnavailableError(
+                    f"can't connect: {type(error).__name__}",
+                    step=step,
+                    peer=self.address,
+                ) from error
             raise OutcomeUnknownError(
                 f"expected a response within {timeout_s} s, got {type(error).__name__}",
                 step=step,
--- a/tests/builders_outages.py
+++ b/tests/builders_outages.py
@@ -47,6 +47,7 @@
     ) -> "_Connector":
         """Connect, or let the attempt time out while the store is unreachable."""
         connector = _Connector(reactor=self, factory=factory)
+        factory.startedConnecting(connector)
         self._connectors.append(connector)
         if self.is_unreachable:
             self.callLater(timeout, connector.fail)
@@ -143,6 +144,9 @@
             self._is_ended = True
             self._factory.clientConnectionFailed(self, Failure(TimeoutError()))
 
+    def getDestination(self) -> str:  # noqa: N802
+        return "the store"
+
     def stopConnecting(self) -> None:  # noqa: N802
         self.fail()
 
--- a/tests/test_platform_outages.py
+++ b/tests/test_platform_outages.py
@@ -3,12 +3,24 @@
 from random import Random
 
 import pytest
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
-from gentianwharf.platform import probe_interval_s
+from gentianwharf.platform import PlatformStore, probe_interval_s
 from gentianwharf.platform._overdue_calls import ANSWER_S
-from gentianwharf.store import FORWARDING_PACE, MAX_RETRY_DELAY_S
+from gentianwharf.store import (
+    FORWARDING_PACE,
+    MAX_RETRY_DELAY_S,
+    CallOvertakenError,
+)
 from gentianwharf.store._mirror import OVERDUE_WATCH_S
-from tests.builders_outages import Client, make_client, outage_durations_s
+from tests.builders_outages import (
+    STEP_S,
+    Client,
+    StoreReactor,
+    make_client,
+    outage_durations_s,
+)
 
 RULES_DELAY_S = 2.0
 """Time within which accepted rules must be in force on every host."""
@@ -134,3 +146,17 @@
     """Guards against a host that gives up each call shortly before its answer."""
     client = make_client(seed=1, leads=False, answer_s=0.9)
     assert lag_s(client) <= 2 * 0.9 + MAX_FETCH_S
+
+
+def test_read_that_is_overtaken_while_connecting_fails_as_overtaken() -> None:
+    """Guards against a pause before the repetition although the store answers again."""
+    reactor = StoreReactor()
+    store = PlatformStore(reactor=reactor, address="10.0.0.1:80")
+    reactor.is_unreachable = True
+    reading = Deferred.fromCoroutine(store.items(""))
+    reactor.advance(ANSWER_S - STEP_S)
+    reactor.is_unreachable = False
+    reactor.pump([STEP_S] * 4)
+    failures: list[Failure] = []
+    reading.addErrback(failures.append)
+    assert [failure.type for failure in failures] == [CallOvertakenError]
