Give up no pages of a store that is busy, only of one that was silent

Cause: a page that had not begun after 0.3 s was given up as soon as a probe was answered, and read again, also if the store had answered all along and was only busy.

Change: pages are given up only if the store was silent when they were sent or later: an earlier call or a probe had got no answer. Watches, which are cheap and may wait on dead connections, are given up as before.

--- a/src/gentianwharf/platform/_overdue_calls.py
+++ b/src/gentianwharf/platform/_overdue_calls.py
@@ -15,6 +15,11 @@
 PROBE_INTERVAL_S = 0.25
 PROBE_TIMEOUT_S = 0.5
 
+PROBE_STEP = "probe"
+
+PROBE_LATE_S = 0.2
+"""A probe has been lost if one that was sent later by this is answered before it."""
+
 PROBES_PER_S = 1_200.0
 """Limit for all hosts together, each of which probes less often as their number
 grows."""
@@ -32,12 +37,18 @@
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class PendingCall:
-    """A call whose answer has not begun, and when it should have."""
+    """A call whose answer has not begun, and when it should have.
+
+    ``may_be_slow`` is set for calls that take a busy store longer than others;
+    ``sent_in_silence`` if the store had not answered before for some time.
+    """
 
     step: str
     sent_s: float
     due_s: float
     pending: Deferred[Any]
+    may_be_slow: bool
+    sent_in_silence: bool
     is_overtaken: bool = False
 
 
@@ -50,7 +61,9 @@
     read is cancelled, so that it can be repeated at once instead of after its timeout.
 
     Calls of a step that was given up get twice the time the next time: a store may take
-    longer for some calls than for others.
+    longer for some calls than for others. Those that may be slow are given up only if
+    the store was silent when they were sent, or later: repeated, they would add to the
+    load of a store that is busy with them.
     """
 
     def __init__(self, *, reactor: Any, send_probe: Callable[[], None]) -> None:
@@ -61,13 +74,32 @@
         """Pending calls, each with the timer of its due time."""
         self._answer_s: dict[str, float] = {}
         self._next_probe: Any = None
-
-    def add(self, step: str, pending: Deferred[Any], *, wait_s: float) -> PendingCall:
+        self._pending_probes_s: set[float] = set()
+        """When the probes were sent that have neither been answered nor timed out."""
+        self._answered_sent_s = float("-inf")
+        """When the last call was sent that the store has answered."""
+        self._silent_s = float("-inf")
+        """When the store was last known to answer nothing."""
+        self._is_silent = False
+
+    def add(
+        self,
+        step: str,
+        pending: Deferred[Any],
+        *,
+        wait_s: float,
+        may_be_slow: bool = False,
+    ) -> PendingCall:
         """Add a call whose answer begins after ``wait_s`` at the earliest."""
         now_s = self._reactor.seconds()
         due_in_s = wait_s + self._answer_s.get(step, ANSWER_S)
         call = PendingCall(
-            step=step, sent_s=now_s, due_s=now_s + due_in_s, pending=pending
+            step=step,
+            sent_s=now_s,
+            due_s=now_s + due_in_s,
+            pending=pending,
+            may_be_slow=may_be_slow,
+            sent_in_silence=self._is_silent,
         )
         if not pending.called:
             self._calls[call] = self._reactor.callLater(due_in_s, self._probe)
@@ -83,13 +115,37 @@
         """Record that the store has answered a call that was sent at ``sent_s``."""
         answer_s = self._answer_s.get(step, ANSWER_S)
         self._answer_s[step] = max(ANSWER_S, answer_s / 2)
-        for call in [call for call in self._calls if call.due_s <= sent_s]:
+        self._answered_sent_s = max(self._answered_sent_s, sent_s)
+        self._is_silent = False
+        for probe_s in self._pending_probes_s:
+            if probe_s <= sent_s - PROBE_LATE_S:
+                self._silent_s = max(self._silent_s, probe_s)
+        overdue = [call for call in self._calls if call.due_s <= sent_s]
+        for call in overdue:
+            if call.may_be_slow and not (
+                call.sent_in_silence or self._silent_s >= call.sent_s
+            ):
+                continue
             self.remove(call)
             call.is_overtaken = True
             answer_s = self._answer_s.get(call.step, ANSWER_S)
             self._answer_s[call.step] = min(MAX_ANSWER_S, 2 * answer_s)
             call.pending.cancel()
 
+    def note_failure(self, *, sent_s: float) -> None:
+        """Record that a call that was sent at ``sent_s`` got no answer."""
+        if sent_s > self._answered_sent_s:
+            self._is_silent = True
+            self._silent_s = self._reactor.seconds()
+
+    def note_probe(self, *, sent_s: float, is_answered: bool) -> None:
+        """Record how a probe that was sent at ``sent_s`` has ended."""
+        self._pending_probes_s.discard(sent_s)
+        if is_answered:
+            self.note_answer(PROBE_STEP, sent_s=sent_s)
+        else:
+            self.note_failure(sent_s=sent_s)
+
     def _probe(self) -> None:
         """Send a probe, and further ones until no call is overdue."""
         if self._next_probe is not None and self._next_probe.active():
@@ -99,4 +155,5 @@
             self._next_probe = self._reactor.callLater(
                 self.probe_interval_s, self._probe
             )
+            self._pending_probes_s.add(now_s)
             self._send_probe()
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -21,6 +21,7 @@
     RefusedError,
 )
 from gentianwharf.http_agent import BytesBody, ip_agent
+from gentianwharf.logs import log
 from gentianwharf.store import (
     CallOvertakenError,
     Change,
@@ -76,6 +77,8 @@
     socket.TCP_KEEPCNT: 2,
 }
 
+RANGE_STEP = "kv-range"
+
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_GONE = 410
@@ -254,7 +257,9 @@
         limit.start(pending)
         call: PendingCall | None = None
         if is_read:
-            call = self._overdue.add(step, pending, wait_s=wait_s)
+            call = self._overdue.add(
+                step, pending, wait_s=wait_s, may_be_slow=step == RANGE_STEP
+            )
 
             def note_begun() -> None:
                 self._overdue.remove(call)
@@ -264,6 +269,8 @@
         try:
             status, content = await pending
         except Exception as error:
+            if call is None or not call.is_overtaken:
+                self._overdue.note_failure(sent_s=sent_s)
             if call is not None and call.is_overtaken:
                 raise CallOvertakenError(
                     "expected a response, got one to a later call",
@@ -303,12 +310,16 @@
         )
         limit.start(pending)
 
-        def note_answer(response: tuple[int, bytes]) -> None:
-            if response[0] not in UNAVAILABLE_STATUSES:
-                self._overdue.note_answer("probe", sent_s=sent_s)
+        def note_end(is_answered: bool) -> None:
+            self._overdue.note_probe(sent_s=sent_s, is_answered=is_answered)
 
-        # A probe without an answer says nothing new.
-        pending.addCallbacks(note_answer, lambda failure: None)
+        pending.addCallbacks(
+            lambda response: note_end(response[0] not in UNAVAILABLE_STATUSES),
+            lambda failure: note_end(False),
+        )
+        pending.addErrback(
+            lambda failure: log.error("probing failed: {}", failure.getTraceback())
+        )
 
     async def _request(
         self,
