--- a/tests/test_entryhost_late_changes.py
+++ b/tests/test_entryhost_late_changes.py
@@ -176,3 +176,27 @@
     fleet = LateFleet(monkeypatch, hosts=HOSTS, seed=seed)
     Play(fleet, Random(seed)).run()
     assert not fleet.late, "\n".join([*fleet.log, str(fleet.late[-1])])
+
+
+def test_late_updates_do_not_extend_the_time_without_a_watch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a host that takes late updates for recent ones.
+
+    Its link to the leader is 0.8 s late, then loses everything: the host starts to
+    watch the store only after the delay and the time for which updates are valid.
+    """
+    fleet = LateFleet(monkeypatch, hosts=3, seed=1)
+    fleet.run(4.0)
+    leader = fleet.leader()
+    assert leader is not None
+    other = next(host for host in fleet.hosts if host is not leader)
+    pair = frozenset({leader.address, other.address})
+    fleet.net.delays_s[pair] = 0.8
+    fleet.run(4.0)
+    fleet.write(SMALL_KEY)
+    fleet.run(0.1)
+    fleet.net.losses[pair] = 1.0
+    fleet.write(SMALL_KEY)
+    fleet.run(4.0)
+    assert fleet.worst_s <= 2.0
