--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -298,6 +298,7 @@
             revision,
             [],
             self._rules_revision(),
+            float(self._reactor.seconds()),
         )
 
     def _broadcast(self, update: LeaderUpdate) -> float:
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -48,6 +48,7 @@
 MAX_REPEATS = 2**31
 RepeatCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_REPEATS)]
 Bandwidth = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+ClockTime = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
 RepeatShare = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_REPEATS)]
 
 
@@ -130,6 +131,7 @@
     ``term`` is the revision at which the leader's item was written: a host that cannot
     read the store follows the leader with the highest term. ``rules_revision`` is that
     of the newest rules that are known to exist, also if the leader lacks them.
+    ``sent_s`` is the leader's clock when it sent the update.
     """
 
     leader: HostIdentity
@@ -141,6 +143,7 @@
     revision: int
     changes: list[EncodedChange]
     rules_revision: int = 0
+    sent_s: ClockTime | None = None
 
 
 class Receiver(msgspec.Struct, array_like=True):
