Pass on no changes while the leader may have missed some

Hosts use no changes of an update without an age. The leader planned a tree for them all the same, and stated an older revision until its time was over. A new test shows that a change which can't be passed on reaches all hosts while another one is on its way; it passed before as well.

--- a/src/gentianwharf/entryhost/_fan_out.py
+++ b/src/gentianwharf/entryhost/_fan_out.py
@@ -171,7 +171,8 @@
         them itself, or not at all.
         """
         message_bytes = update_bytes + len(peers) * RECEIVER_BYTES
-        if message_bytes > MAX_MESSAGE_BYTES or not peers:
+        if message_bytes > MAX_MESSAGE_BYTES or not peers or update.age_s is None:
+            # Hosts use no changes of a leader that may have missed some.
             return None
         now_s = self._reactor.seconds()
         direct_s = update_bytes * len(peers) / self._link_bytes_per_s
--- a/tests/test_entryhost_fan_out.py
+++ b/tests/test_entryhost_fan_out.py
@@ -151,6 +151,24 @@
     assert [host.store.calls for host in fleet.hosts[1:]] == [[]] * 71
 
 
+def test_change_that_can_not_be_passed_on_after_another_is_fetched(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against hosts that are not told of a change while another is under way."""
+    fleet = ThinFleet(monkeypatch, links_mbps=mixed_links(leader_mbps=50.0, hosts=72))
+    fleet.start_with(FEW)
+    value = many(5_000)
+    fleet.write(KEY, value)
+    leader = fleet.leader()
+    while leader in fleet.lacking(value):
+        fleet.run(0.05)
+    assert len(fleet.lacking(value)) > 10
+    too_large = Random(1).randbytes(1_040_000)
+    fleet.write(KEY, too_large)
+    fleet.run(5.0)
+    assert fleet.lacking(too_large) == []
+
+
 def relayed(leader: HostIdentity, term: int, *addresses: str) -> RelayedUpdate:
     change = EncodedChange("x", 90, b"new", 0, None)
     update = LeaderUpdate(leader, term, 3, [], 0.0, 0, 90, [change])
