Log changes that are passed on from host to host

The leader logs their size, the number of hosts and the planned time, so that a record tells a late host below a lost one from a leader that read the store late.

--- a/src/gentianwharf/entryhost/_fan_out.py
+++ b/src/gentianwharf/entryhost/_fan_out.py
@@ -10,6 +10,8 @@
 from heapq import heappush, heapreplace
 from typing import Any, final
 
+from gentianwharf.logs import log
+
 from ._membership import Peer
 from ._peer_messages import MAX_MESSAGE_BYTES, LeaderUpdate, Receiver
 from ._update_relay import UpdateRelay
@@ -196,6 +198,15 @@
         self._until_s = now_s + duration_s
         self._settled_s = self._until_s + spare_s
         self._relay.pass_on(update, self._receivers)
+        log.info(
+            "changes are passed on from host to host",
+            extra={
+                "revision": update.revision,
+                "update_bytes": update_bytes,
+                "hosts": len(self._receivers),
+                "planned_s": round(duration_s, 3),
+            },
+        )
         return duration_s
 
 
