--- a/src/gentianwharf/entryhost/_fan_out.py
+++ b/src/gentianwharf/entryhost/_fan_out.py
@@ -10,6 +10,8 @@
 from heapq import heappush, heapreplace
 from typing import Any, final
 
+from gentianwharf.logs import log
+
 from ._membership import Peer
 from ._peer_messages import MAX_MESSAGE_BYTES, LeaderUpdate, Receiver
 from ._update_relay import UpdateRelay
@@ -173,7 +175,8 @@
         them itself, or not at all.
         """
         message_bytes = update_bytes + len(peers) * RECEIVER_BYTES
-        if message_bytes > MAX_MESSAGE_BYTES or not peers:
+        if message_bytes > MAX_MESSAGE_BYTES or not peers or update.age_s is None:
+            # Hosts use no changes of a leader that may have missed some.
             return None
         now_s = self._reactor.seconds()
         direct_s = update_bytes * len(peers) / self._link_bytes_per_s
@@ -200,6 +203,15 @@
         self._until_s = now_s + duration_s
         self._settled_s = self._until_s + spare_s
         self._relay.pass_on(update, self._receivers)
+        log.info(
+            "changes are passed on from host to host",
+            extra={
+                "revision": update.revision,
+                "update_bytes": update_bytes,
+                "hosts": len(self._receivers),
+                "planned_s": round(duration_s, 3),
+            },
+        )
         return duration_s
 
 
