Cut heads in the fuzzer of answers, and check ends of bodies without a length

Servers of test_answers_fuzz.py close or reset within an answer's head, beside the cuts within bodies. Callers must then get the router's own error, with its own framing; a connection that ends counts as a fault still.

`has_detectable_end` returns True where the parser is gone. A body without a length does not get there: the response is handed over before a byte of its body is parsed, and checked in the same call. Should a body have ended before the check, its end is still no whole one, which a test shows.

--- a/tests/builders_answers_fuzz.py
+++ b/tests/builders_answers_fuzz.py
@@ -52,6 +52,8 @@
     ANSWER_AND_CLOSE = "answer-and-close"
     CLOSE_WITHIN = "close-within"
     RESET_WITHIN = "reset-within"
+    CLOSE_IN_HEAD = "close-in-head"
+    RESET_IN_HEAD = "reset-in-head"
     RESET_AT_ONCE = "reset-at-once"
     REFUSE = "refuse"
 
@@ -62,11 +64,15 @@
     Behaviour.ANSWER_AND_CLOSE: 1,
     Behaviour.CLOSE_WITHIN: 1,
     Behaviour.RESET_WITHIN: 1,
+    Behaviour.CLOSE_IN_HEAD: 1,
+    Behaviour.RESET_IN_HEAD: 1,
     Behaviour.RESET_AT_ONCE: 1,
     Behaviour.REFUSE: 2,
 }
 
 CUTS = frozenset({Behaviour.CLOSE_WITHIN, Behaviour.RESET_WITHIN})
+HEAD_CUTS = frozenset({Behaviour.CLOSE_IN_HEAD, Behaviour.RESET_IN_HEAD})
+RESETS = frozenset({Behaviour.RESET_WITHIN, Behaviour.RESET_IN_HEAD})
 
 
 @final
@@ -82,7 +88,7 @@
     pieces: int
     pause_s: float
     share: float
-    """The part of the answer after which a server cuts it."""
+    """The part of the answer's head or body after which a server cuts it."""
 
     @property
     def body(self) -> bytes:
@@ -168,13 +174,18 @@
             return
         if behaviour is Behaviour.ANSWER_LATE:
             time.sleep(LATE_HEAD_S)
-        connection.sendall(_answer_head(arrival, echo))
-        for piece in _pieces(arrival):
-            connection.sendall(piece)
+        answer_head = _answer_head(arrival, echo)
+        if behaviour in HEAD_CUTS:
+            connection.sendall(answer_head[: int(arrival.share * len(answer_head))])
             time.sleep(arrival.pause_s)
-        if behaviour is Behaviour.RESET_WITHIN:
+        else:
+            connection.sendall(answer_head)
+            for piece in _pieces(arrival):
+                connection.sendall(piece)
+                time.sleep(arrival.pause_s)
+        if behaviour in RESETS:
             _reset(connection)
-        if behaviour in CUTS or behaviour is Behaviour.ANSWER_AND_CLOSE:
+        if behaviour in CUTS | HEAD_CUTS or behaviour is Behaviour.ANSWER_AND_CLOSE:
             raise OSError("ended")
 
 
--- a/tests/test_relay_cut_heads.py
+++ b/tests/test_relay_cut_heads.py
@@ -6,9 +6,17 @@
 from itertools import count
 
 import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from twisted.web._newclient import Response, ResponseDone
+from twisted.web.http_headers import Headers
 
 from gentianwharf.platform import PlatformHeaderCodec
-from gentianwharf.relay import ConnectionLimits
+from gentianwharf.relay import ConnectionLimits, ServerConnectionPool
+from gentianwharf.relay._connections import ServerConnection
 from tests.builders_answers import ok
 from tests.builders_answers_fuzz import lead_through_tunnels
 from tests.builders_cut_heads import (
@@ -22,10 +30,12 @@
     receive,
     unseen_cuts,
 )
+from tests.builders_early_answers import StalledTransport
 from tests.builders_processes import wait_until
 from tests.builders_relay import (
     RunningRelay,
     Script,
+    make_server,
     read_to_end,
     request,
     running_relay,
@@ -256,3 +266,31 @@
         )
     assert received.data.startswith(f"HTTP/{version} 200 ".encode())
     assert not received.looks_whole("POST")
+
+
+class Ending(Protocol):
+    """Records how a body has ended."""
+
+    was_whole: bool | None = None
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Record the end."""
+        self.was_whole = reason.check(ResponseDone) is not None
+
+
+@pytest.mark.parametrize("name", ["until-closed", "until-closed-1.0"])
+def test_body_without_a_length_that_has_ended_is_not_whole(name: str) -> None:
+    """Guards against a body that is checked for an end only after its connection's."""
+    pool = ServerConnectionPool(server=make_server(0, 1), reactor=Clock())
+    connection = ServerConnection(pool=pool)
+    connection.makeConnection(StalledTransport())
+    pending: Deferred[Response] = connection.send_request(
+        method=b"GET", uri=b"/", headers=Headers({b"Host": [b"a"]}), body=None
+    )
+    responses: list[Response] = []
+    pending.addCallback(responses.append)
+    connection.dataReceived(FORMS[name].answer())
+    connection.connectionLost(Failure(ConnectionDone()))
+    ending = Ending()
+    responses[0].deliverBody(ending)
+    assert ending.was_whole is False
