Report an unknown outcome after a platform's answer that may be cut

What callers saw: a call of the daemon whose answer has neither a length nor chunks, and is cut within its body, raised PeerMismatchError ("does not fit the call; compare the versions of both sides"). The call may have taken effect.

Cause: such a body ends with its connection and counted as complete; that decoding it fails was taken for another version of the peer.

Change: BodyReader states whether the end of a body was known. Without a known end, an answer that can't be read has an unknown outcome. A complete answer of the wrong type stays a mismatch.

--- a/src/gentianwharf/http_agent.py
+++ b/src/gentianwharf/http_agent.py
@@ -171,10 +171,13 @@
     ``size_error``, which gets the number of received bytes. ``on_chunk`` is called for
     each chunk.
 
-    A body without a Content-Length ends when its connection closes. A truncated one is
+    A body without a stated end ends when its connection closes. A truncated one is
     detected when decoding it fails.
     """
 
+    has_stated_end = True
+    """Whether a complete body can be told from a truncated one."""
+
     def __init__(
         self,
         *,
@@ -206,6 +209,7 @@
         if self.done.called:
             return
         if reason.check(ResponseDone, PotentialDataLoss):
+            self.has_stated_end = reason.check(ResponseDone) is not None
             self.done.callback(b"".join(self._chunks))
         else:
             self.done.errback(reason)
--- a/src/gentianwharf/infra/_http.py
+++ b/src/gentianwharf/infra/_http.py
@@ -102,7 +102,7 @@
         # the answer to a later call.
         posted.addTimeout(call.timeout_s, self._reactor)
         try:
-            status, body = await posted
+            status, body, has_stated_end = await posted
         except (ConnectError, ConnectingCancelledError) as error:
             raise PeerUnavailableError(
                 f"can't connect ({type(error).__name__}): the call had no effect;"
@@ -124,9 +124,12 @@
         try:
             return answer.validate_json(body)
         except ValidationError as error:
+            if not has_stated_end:
+                raise _truncated_error(call) from error
             raise _mismatch_error(call, error) from error
 
-    async def _post(self, call: Call) -> tuple[int, bytes]:
+    async def _post(self, call: Call) -> tuple[int, bytes, bool]:
+        """Return status and body, and whether the body is known to be complete."""
         call_id = b"%d" % next(self._call_numbers)
         # treq.request would parse the URL with support for internationalized names,
         # handle cookies and decode the body. This takes 0.3 ms per call, and grants
@@ -149,7 +152,7 @@
                 step=call.step,
                 peer=call.peer,
             )
-        return response.code, body
+        return response.code, body, reader.has_stated_end
 
 
 class HttpAdapter:
@@ -224,6 +227,15 @@
     return error(problem.message, step=call.step, peer=call.peer)
 
 
+def _truncated_error(call: Call) -> OutcomeUnknownError:
+    return OutcomeUnknownError(
+        "expected a complete answer, got one without a stated end that can't be read:"
+        " it may have taken effect, read it back",
+        step=call.step,
+        peer=call.peer,
+    )
+
+
 def _mismatch_error(call: Call, error: ValidationError) -> PeerMismatchError:
     detail = error.errors()[0]
     field = ".".join(str(part) for part in detail["loc"]) or "body"
--- a/tests/builders_cut_calls.py
+++ b/tests/builders_cut_calls.py
@@ -35,15 +35,18 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostCall:
-    """A call, the headers of its answer and the answer's body."""
+    """A call, and the status, headers and body of its answer."""
 
     start: Start
+    status: bytes = b"200 OK"
     fields: bytes = b""
     body: bytes = b"{}"
     reads_body: bool = True
     """Whether the result follows from the body."""
     needs_end: bool = False
     """Whether a body without a stated end is not accepted."""
+    keeps_connection: bool = True
+    """Whether the next call uses the same connection."""
 
     def forms(self) -> dict[str, Form]:
         """Return the forms that the answer may have."""
@@ -51,7 +54,7 @@
         length = b"Content-Length: %d" % size
         lines = (fields + length).replace(b"\r\n", b"\n")
         chunked = b"%x\r\n%b\r\n0\r\n\r\n" % (size, self.body) if size else b"0\r\n\r\n"
-        ok = b"HTTP/1.1 200 OK\r\nID"
+        ok = b"HTTP/1.1 %b\r\nID" % self.status
         return {
             "length": Form(head=ok + fields + length + b"\r\n\r\n", body=self.body),
             "length-first": Form(
@@ -64,7 +67,7 @@
                 head=ok + fields + b"X-A: 1\r\n\r\n", body=self.body, has_end=False
             ),
             "bare-newlines": Form(
-                head=b"HTTP/1.1 200 OK\nID" + lines + b"\n\n", body=self.body
+                head=ok.replace(b"\r\n", b"\n") + lines + b"\n\n", body=self.body
             ),
             "folded": Form(
                 head=ok + fields + b"Content-Length:\r\n %d\r\n\r\n" % size,
@@ -81,6 +84,18 @@
         }
 
 
+def _change(store: PlatformStore) -> Any:
+    return store.change(Change(removals=["a"]))
+
+
+def _grant(orders: ServerOrders) -> Any:
+    return orders.grant(HOLDER, GRANT, timeout_s=TIMEOUT_S)
+
+
+def _swap(store: HttpStore) -> Any:
+    return store.compare_and_swap("a", b"1", expected_revision=7)
+
+
 def _platform(call: Callable[[PlatformStore], Any]) -> Start:
     def start(reactor: Any) -> Callable[[], Any]:
         store = PlatformStore(reactor=reactor, address=ADDRESS)
@@ -137,6 +152,11 @@
         start=_platform(lambda store: store.item("op/config")),
         body=b'{"key":"op/config","revision":7,"value":"QUJD","lease":0}',
     ),
+    "store-item-absent": HostCall(
+        start=_platform(lambda store: store.item("op/config")),
+        status=b"404 Not Found",
+        reads_body=False,
+    ),
     "store-items": HostCall(
         start=_platform(lambda store: store.items("")),
         body=b'{"items":[{"key":"a","revision":7}],"has-more":false,"as-of":9}',
@@ -146,9 +166,15 @@
         body=b'{"events":[],"as-of":12}',
     ),
     "store-change": HostCall(
-        start=_platform(lambda store: store.change(Change(removals=["a"]))),
+        start=_platform(_change),
         body=b'{"revision":12}',
     ),
+    "store-conflict": HostCall(
+        start=_platform(_change), status=b"412 Precondition Failed", reads_body=False
+    ),
+    "store-busy": HostCall(
+        start=_platform(_change), status=b"503 Busy", reads_body=False
+    ),
     "store-renewal": HostCall(
         start=_platform(lambda store: store.renew_lease(7)),
         body=b'{"ttl_time":"1500ms","lease":12}',
@@ -157,10 +183,22 @@
         start=_platform(lambda store: store.end_lease(7)), reads_body=False
     ),
     "order-grant": HostCall(
-        start=_order(lambda orders: orders.grant(HOLDER, GRANT, timeout_s=TIMEOUT_S)),
+        start=_order(_grant),
         body=b"ok",
         needs_end=True,
     ),
+    "order-refused": HostCall(
+        start=_order(_grant),
+        status=b"409 Conflict",
+        needs_end=True,
+        keeps_connection=False,
+    ),
+    "order-other-server": HostCall(
+        start=_order(_grant),
+        status=b"421 Misdirected Request",
+        needs_end=True,
+        keeps_connection=False,
+    ),
     "order-release": HostCall(
         start=_order(
             lambda orders: orders.release(HOLDER, RELEASE, timeout_s=TIMEOUT_S)
@@ -178,12 +216,19 @@
         start=_store(lambda store: store.get("a")),
         body=b'{"values":[{"key":"a","value":"QUJD","revision":7}]}',
     ),
+    "daemon-store-conflict": HostCall(
+        start=_store(_swap),
+        status=b"409 Conflict",
+        body=b'{"error":"conflict","message":"newer"}',
+    ),
     "daemon-store-renewal": HostCall(
         start=_store(lambda store: store.lease_renew("a"))
     ),
     "daemon-hosts": HostCall(start=_read_hosts, body=b'{"hosts":[]}'),
     "daemon-release": HostCall(start=_release_shards, body=b'{"outcome":"accepted"}'),
-    "command-line": HostCall(start=_read_status, body=b'{"state":"up"}'),
+    "command-line": HostCall(
+        start=_read_status, body=b'{"state":"up"}', keeps_connection=False
+    ),
 }
 
 
--- a/tests/test_platform_cut_heads.py
+++ b/tests/test_platform_cut_heads.py
@@ -1,10 +1,10 @@
-"""An answer to a host's own call that is cut gives an error instead of a value."""
+"""An answer to a host's own call that is cut tells nothing."""
 
 import pytest
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
-from gentianwharf.errors import GentianwharfError
+from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
 from tests.builders_cut_calls import CALLS, CutCall, HostCall
 from tests.builders_cut_heads import Form
 
@@ -19,15 +19,21 @@
 ]
 
 
-def has_value(call: HostCall, result: object) -> bool:
-    """Whether a call has returned something; a query without a result returns None."""
+def is_known(call: HostCall, result: object) -> bool:
+    """Whether a call has returned a value, or an error that states what happened."""
     if call is CALLS["load-query"]:
         return result is not None
-    return not (isinstance(result, Failure) and result.check(GentianwharfError))
+    if not isinstance(result, Failure):
+        return True
+    # A read of the command line has no effect that could be unknown.
+    unknown = (
+        PeerUnavailableError if call is CALLS["command-line"] else OutcomeUnknownError
+    )
+    return result.check(unknown) is None
 
 
-def lengths_without_a_value(call: HostCall, form: Form, answer: bytes) -> range:
-    """Return the numbers of bytes of an answer that contain no value."""
+def unknown_lengths(call: HostCall, form: Form, answer: bytes) -> range:
+    """Return the numbers of bytes of an answer that tell nothing."""
     if call is CALLS["load-query"] or not (call.reads_body or form.has_end):
         return range(len(answer) - len(form.body))
     return range(len(answer))
@@ -36,26 +42,26 @@
 @pytest.mark.parametrize("end", ENDS)
 @pytest.mark.parametrize("is_used", [False, True], ids=["new", "used"])
 @pytest.mark.parametrize(("call", "form"), CASES)
-def test_call_whose_answer_is_cut_has_no_value(
+def test_outcome_is_unknown_after_a_cut_answer(
     call: HostCall, form: Form, is_used: bool, end: type[Exception]
 ) -> None:
-    """Guards against a value that was read from a part of an answer."""
+    """Guards against a value or a refusal that was read from a part of an answer."""
     after = call.forms()["length"] if is_used else None
-    lengths = lengths_without_a_value(call, form, CutCall(call).answer(form))
+    lengths = unknown_lengths(call, form, CutCall(call).answer(form))
     found = []
     for length in lengths:
         cut = CutCall(call, after=after)
         result = cut.deliver(cut.answer(form)[:length], end)
-        if has_value(call, result):
+        if is_known(call, result):
             found.append((length, result))
     assert found == []
 
 
 @pytest.mark.parametrize(("call", "form"), CASES)
-def test_call_whose_answer_is_whole_has_a_value(call: HostCall, form: Form) -> None:
+def test_outcome_is_known_after_a_whole_answer(call: HostCall, form: Form) -> None:
     whole = CutCall(call)
     result = whole.deliver(whole.answer(form), ConnectionDone)
-    assert has_value(call, result) is (form.has_end or not call.needs_end)
+    assert is_known(call, result) is (form.has_end or not call.needs_end)
 
 
 @pytest.mark.parametrize(
@@ -63,4 +69,4 @@
 )
 def test_second_call_uses_the_connection_of_the_first(call: HostCall) -> None:
     cut = CutCall(call, after=call.forms()["length"])
-    assert cut.connections == (2 if call is CALLS["command-line"] else 1)
+    assert cut.connections == (1 if call.keeps_connection else 2)
