--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -15,7 +15,7 @@
 from ._disruptions import DISRUPTIONS
 from ._fleet import POLL_INTERVAL_S, Fleet
 from ._judge import missing_effects, summary, violations
-from ._servers import EndManner, Order
+from ._orders import EndManner, Order
 from ._shares import ShareWatch
 from ._sheet import LARGE, SHEETS
 
--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -8,7 +8,7 @@
 from gentianwharf.platform.standin import Outage, StoreOrder
 
 from ._fleet import SERVER_PROCESSES, Fleet
-from ._servers import Order
+from ._orders import Order
 
 CRASH_GAP_S = 1.5
 LONG_LIST = 1_600
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -28,8 +28,8 @@
 
 from ._callers import SentRequest
 from ._judge import Record, read_server_lines
+from ._orders import Order
 from ._rules_in_force import HostRules, read_host_lines
-from ._servers import Order
 from ._sheet import (
     Sheet,
     host_ip,
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -25,6 +25,7 @@
 )
 
 from ._callers import SentRequest
+from ._orders import AddressReassigned, HeldBytes, Order, RuleMove, ServerEnd
 from ._rules_in_force import (
     Delays,
     HostRules,
@@ -34,7 +35,6 @@
     find_late,
     store_outages_s,
 )
-from ._servers import AddressReassigned, HeldBytes, Order, RuleMove, ServerEnd
 from ._sheet import (
     CONTACT_S,
     LARGE,
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -2,7 +2,7 @@
 
 from bench.fleet._callers import SentRequest
 from bench.fleet._judge import Record
-from bench.fleet._servers import ServerEnd
+from bench.fleet._orders import ServerEnd
 from bench.fleet._sheet import LARGE, MAX_CRASHES
 
 from gentianwharf.platform.standin import Arrival, BodyReport, RequestRun
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -15,7 +15,7 @@
     summary,
     violations,
 )
-from bench.fleet._servers import (
+from bench.fleet._orders import (
     AddressReassigned,
     HeldBytes,
     Order,
--- a/tests/test_bench_fleet_rules.py
+++ b/tests/test_bench_fleet_rules.py
@@ -4,6 +4,7 @@
 
 import pytest
 from bench.fleet._judge import Record, summary, violations
+from bench.fleet._orders import RuleMove
 from bench.fleet._rules_in_force import (
     HostRules,
     Span,
@@ -11,7 +12,6 @@
     read_host_lines,
     store_outages_s,
 )
-from bench.fleet._servers import RuleMove
 
 from gentianwharf.platform.standin import Outage, StoreOrder, StoreOrderReport
 
