--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,11 @@
     play(740001, 12, *PLAIN, "--no-uploads", "--hold-links")
 
 
+def test_no_promise_is_broken_while_the_store_hangs_or_drops_its_history() -> None:
+    """Guards against rules that come late after outages, or are read no more."""
+    play(760001, 12, "--rules-grow", "--no-cut-links", "--no-uploads")
+
+
 def play(seed: int, faults_s: int, *options: str) -> None:
     result = subprocess.run(
         [
