Take no pause of a leader for the silence of its servers

What callers saw: keys without a served holder after a leader had handed over, where the machine is busy (KNOWN-RED, ...connections_live_on: no leader 1 s after the cut).

Cause: a holder counts as unreachable 1.2 s after the first order that was not answered, on the clock of a loop that may have stood still for most of it. A new leader that is paused twice or three times within that time finds most servers unreachable, "most servers are unreachable from this host: no longer leading", with all its links in order, and the next election begins.

Change: pauses (PauseDetector, as in the gate and the dispatch node) are not counted against holders; one that is silent after a pause is found in the same 1.2 s.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -243,6 +243,7 @@
 
     def tick(self) -> None:
         """Run all periodic work."""
+        self._grant_manager.holders.note_tick()
         self._candidates.tick()
         self.leadership.tick()
         self._planner.tick()
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -1,9 +1,11 @@
 """Which grants each server instance may hold, as recorded by the leading host."""
 
 from collections.abc import Callable, Iterator
+from math import inf
 from typing import final
 
 from gentianwharf.logs import log
+from gentianwharf.pauses import PauseDetector
 
 from ._orders import HolderEndedError
 from ._previous_leader import RemainingGrants
@@ -23,6 +25,9 @@
         self._now_s = now_s
         self._states: dict[Holder, HolderState] = {}
         self._earlier_grants_until_s = 0.0
+        self._pauses = PauseDetector()
+        self._resumed_s = -inf
+        """When the last pause of this host ended."""
 
     def __iter__(self) -> Iterator[HolderState]:
         return iter(list(self._states.values()))
@@ -86,7 +91,21 @@
         """Record an order that was not answered; others may have been since."""
         state = self.state_of(holder)
         if state.failing_since_s is None:
-            state.failing_since_s = max(sent_s, state.answered_s)
+            state.failing_since_s = max(sent_s, state.answered_s, self._resumed_s)
+
+    def note_tick(self) -> None:
+        """Detect a pause of this host; to be called before holders are judged.
+
+        Answers may be waiting unread, so a pause is no time without an answer.
+        """
+        now_s = self._now_s()
+        paused_s = self._pauses.record_tick(now_s)
+        if not paused_s:
+            return
+        self._resumed_s = now_s
+        for state in self._states.values():
+            if state.failing_since_s is not None:
+                state.failing_since_s += paused_s
 
     def note_answered(self, holder: Holder) -> None:
         """Record the answer to an order."""
