--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -18,6 +18,7 @@
 from gentianwharf.errors import GentianwharfError
 from gentianwharf.logs import log
 
+from ._changes import call_guarded, newest_changes
 from ._pace import WatchPace, default_pace
 from ._types import (
     CallOvertakenError,
@@ -270,7 +271,7 @@
         self._removals.clear()
         self._removals_after = page.revision
         self.is_current = True
-        _call_guarded(self.on_read, peer=self._prefix, revision=page.revision)
+        call_guarded(self.on_read, peer=self._prefix, revision=page.revision)
 
     async def _watch(self) -> None:
         after_revision, pace = self.revision, self.pace()
@@ -279,14 +280,14 @@
         if events is None:
             return
         self._note_contact()
-        newest = _newest(events)
+        newest = newest_changes(events)
         if silent_s > 0:
             superseded = len(events.changes) - len(newest.changes)
             self._log_caught_up(events, requested_s=requested_s, superseded=superseded)
         if newest.changes:
             # Changes are forwarded before they are applied on this host: a long list of
             # rules takes tenths of a second, which would delay all other hosts.
-            _call_guarded(
+            call_guarded(
                 lambda: self.on_events(after_revision, newest),
                 peer=self._prefix,
                 revision=events.revision,
@@ -362,7 +363,7 @@
         else:
             self.items[key] = item
         for listener in self._listeners:
-            _call_guarded(
+            call_guarded(
                 partial(listener, key, item),
                 peer=key,
                 revision=item.revision if item is not None else None,
@@ -395,38 +396,6 @@
         return max_delay_s * (0.5 + self._rng.random() / 2)
 
 
-def _newest(events: Events) -> Events:
-    """Return only the last change of each key.
-
-    Operators may write many versions within one watch. Processing one version with a
-    thousand rules blocks a host for 0.3 s; ten versions kept a host from answering
-    callers and from renewing its lease for 3.6 s.
-    """
-    latest: dict[str, Item | Removal] = {}
-    for change in events.changes:
-        known = latest.get(change.key)
-        # The order of changes within an answer is not guaranteed.
-        if known is None or known.revision < change.revision:
-            latest[change.key] = change
-    changes = sorted(latest.values(), key=lambda change: change.revision)
-    return Events(changes=tuple(changes), revision=events.revision)
-
-
-def _call_guarded(call: Callable[[], None], *, peer: str, revision: int | None) -> None:
-    """Call a listener; an error in it affects only this call.
-
-    If the error were raised here, the other changes of the same answer would be
-    skipped, which no later watch returns again, and the copy could end for every key.
-    """
-    try:
-        call()
-    except Exception:
-        log.exception(
-            "listener failed on a change in the store",
-            extra={"step": "note-change", "peer": peer, "revision": revision},
-        )
-
-
 def _log_end(failure: Any) -> None:
     if not failure.check(CancelledError):
         log.error("mirror of the store stopped: {}", failure.getTraceback())
