--- a/src/gentianwharf/entryhost/_update_delay.py
+++ b/src/gentianwharf/entryhost/_update_delay.py
@@ -16,13 +16,12 @@
     """
 
     def __init__(self) -> None:
-        self._least_s = float("inf")
-        self._former_least_s = float("inf")
-        self._window_began_s = float("-inf")
+        self.reset()
 
     def reset(self) -> None:
         """Forget the clock of the former leader."""
-        self._least_s = self._former_least_s = self._window_began_s = float("inf")
+        self._least_s = float("inf")
+        self._former_least_s = float("inf")
         self._window_began_s = float("-inf")
 
     def note(self, *, sent_s: float, received_s: float) -> float:
