Take no pause of a host without links for the silence of others

Cause: a host from which no state came for 0.8 s counts as silent, also if this host's loop stood still for most of that time. All its tunnels are reset then, their requests are lost, and the next ones go to the links that are lost until hosts are found again.

Change: pauses of this host are not counted as silence (PauseDetector). A host that is silent after a pause is given up as before, at most 0.1 s later.

--- a/src/gentianwharf/tunnels/_peer.py
+++ b/src/gentianwharf/tunnels/_peer.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 
-from gentianwharf.pauses import Timeout
+from gentianwharf.pauses import PauseDetector
 
 from ._messages import (
     FramedProtocol,
@@ -22,6 +22,8 @@
 STATE_TIMEOUT_S = 0.8
 """A host from which no state arrives for this long is frozen, or can't be reached."""
 
+SILENCE_CHECK_INTERVAL_S = 0.1
+
 CONNECT_TIMEOUT_S = 0.3
 
 
@@ -61,7 +63,9 @@
         self._on_end = on_end
         self.on_notice = on_notice
         self._reactor = reactor
-        self._timeout: Timeout | None = None
+        self._pauses = PauseDetector()
+        self._heard_s = 0.0
+        self._timer: Any = None
         self._protocol: _Subscription | None = None
         self._connecting: Any = None
         self._ended = False
@@ -78,29 +82,31 @@
         self._connecting.addCallbacks(
             self._subscribe, lambda _: self.end(), callbackArgs=(request,)
         )
-        self._await_state()
+        self._heard_s = self._reactor.seconds()
+        self._check_silence()
 
     def _subscribe(self, protocol: "_Subscription", request: Subscribe) -> None:
         self._connecting = None
         self._protocol = protocol
         protocol.send(request)
 
-    def _await_state(self) -> None:
-        if self._timeout is not None:
-            self._timeout.stop()
-        self._timeout = Timeout(
-            clock=self._reactor, delay_s=STATE_TIMEOUT_S, expire=self._end_silent
+    def _check_silence(self) -> None:
+        """End a subscription without a state; pauses of this host are no silence."""
+        now_s = self._reactor.seconds()
+        self._heard_s += self._pauses.record_tick(now_s)
+        if now_s - self._heard_s >= STATE_TIMEOUT_S:
+            self.is_silent = True
+            self.end()
+            return
+        self._timer = self._reactor.callLater(
+            SILENCE_CHECK_INTERVAL_S, self._check_silence
         )
 
-    def _end_silent(self) -> None:
-        self.is_silent = True
-        self.end()
-
     def note_state(self, *, accepts: bool) -> None:
         """Record the host's state."""
         if self._ended:
             return
-        self._await_state()
+        self._heard_s = self._reactor.seconds()
         if accepts != self.accepts:
             self.accepts = accepts
             self._on_state(self)
@@ -118,8 +124,8 @@
             return
         self._ended = True
         self.accepts = False
-        if self._timeout is not None:
-            self._timeout.stop()
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         if self._connecting is not None:
             self._connecting.cancel()
         if self._protocol is not None:
