--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -12,10 +12,10 @@
 
 CRASH_GAP_S = 1.5
 LONG_LIST, VERY_LONG_LIST = 1_600, 3_200
-"""Rules of a long list, and of one that fills most of what the store takes."""
+"""Numbers of rules in a long list, and in one that uses most of the store's limit."""
 
-THIN_LINK_BYTES_PER_S = 5e6 / 8
-SLOW = 50.0
+SLOW_LINK_BYTES_PER_S = 5e6 / 8
+SLOWDOWN = 50.0
 
 
 @final
@@ -96,14 +96,14 @@
         yield Step(at_s=start_s + for_s, act=_order(Order(held_share=0.0)))
 
 
-def _store_troubles(rules: int) -> Iterator[Step]:
-    """Yield outages and thin links of the store, with lists of ``rules`` in each."""
+def _store_faults(rules: int) -> Iterator[Step]:
+    """Yield outages and slow links of the store, each with a list of ``rules``."""
     hang, end = _order_store(outage=Outage.HANG), _order_store(outage=Outage.NONE)
     drop = _order_store(drops_history=True)
     end_and_drop = _order_store(outage=Outage.NONE, drops_history=True)
-    thin = _order_store(rate_bytes_per_s=THIN_LINK_BYTES_PER_S)
-    wide = _order_store(rate_bytes_per_s=0.0)
-    slow, fast = _order_store(slowdown=SLOW), _order_store(slowdown=1.0)
+    limit_links = _order_store(rate_bytes_per_s=SLOW_LINK_BYTES_PER_S)
+    restore_links = _order_store(rate_bytes_per_s=0.0)
+    slow, fast = _order_store(slowdown=SLOWDOWN), _order_store(slowdown=1.0)
     write_list = _order(Order(added_rules=rules))
     move, move_back = (_order(Order(moves_rule=moved)) for moved in (True, False))
     for at_s, act in (
@@ -117,7 +117,7 @@
         (24.0, slow),
         (24.5, write_list),
         (27.5, fast),
-        (28.0, thin),
+        (28.0, limit_links),
         (28.5, write_list),
         (31.5, drop),
         (31.5, move),
@@ -125,7 +125,7 @@
         (35.0, write_list),
         (38.0, end_and_drop),
         (38.3, move_back),
-        (43.5, wide),
+        (43.5, restore_links),
     ):
         yield Step(at_s=at_s, act=act)
 
@@ -200,8 +200,8 @@
     "leader-kills": tuple(
         Step(at_s=at_s, act=_kill_leader) for at_s in (15.15, 16.5, 22.0)
     ),
-    "store-troubles": tuple(_store_troubles(LONG_LIST)),
-    "store-troubles-very-long": tuple(_store_troubles(VERY_LONG_LIST)),
+    "store-troubles": tuple(_store_faults(LONG_LIST)),
+    "store-troubles-very-long": tuple(_store_faults(VERY_LONG_LIST)),
     "store-down": tuple(_pauses(_pause_store, 14.0, for_s=20.0)),
     "host-pauses-alone": tuple(_pauses(_pause_hosts(0.3), 14.8, 19, 24, 29, for_s=3.0)),
     "release": (Step(at_s=14.0, act=_order(Order(ended_share=0.5, is_rolling=True))),),
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -81,7 +81,7 @@
         self._orders: list[Order] = []
         self._store_orders: list[StoreOrder] = []
         self._paused_s: dict[str, float] = {}
-        self._troubles_s: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self._downtimes_s: dict[str, list[tuple[float, float]]] = defaultdict(list)
 
     def start_platform(self) -> None:
         """Start the store and the servers, and wait until these are listed."""
@@ -177,7 +177,7 @@
         """Let all processes run on that stand still."""
         for name in sorted(self._paused_s):
             self._processes[name].send_signal(signal.SIGCONT)
-            self._troubles_s[name].append((self._paused_s[name], time.monotonic()))
+            self._downtimes_s[name].append((self._paused_s[name], time.monotonic()))
         self._paused_s.clear()
 
     def leader(self) -> int | None:
@@ -243,7 +243,7 @@
             if line.startswith(b"{"):
                 report = msgspec.json.decode(line, type=StoreOrderReport)
                 record.store_reports.append(report)
-        record.store_pauses_s = self._troubles_s["store"]
+        record.store_pauses_s = self._downtimes_s["store"]
         record.hosts = [self._host_rules(number) for number in range(self.host_count)]
         with ThreadPoolExecutor(16) as pool:
             for text in pool.map(self._metrics, range(self.host_count)):
@@ -260,7 +260,7 @@
             (self._directory / f"{name}.log").read_bytes().splitlines(),
             clock_offset_s=time.time() - time.monotonic(),
         )
-        rules.troubles_s += self._troubles_s[name]
+        rules.downtimes_s += self._downtimes_s[name]
         for killed_s in self._killed_s[name]:
             rules.add_restart(killed_s)
         return rules
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -76,7 +76,7 @@
     store_pauses_s: list[Span] = field(default_factory=list)
     hosts: list[HostRules] = field(default_factory=list)
     begun_s: float = 0.0
-    """When callers began to send; versions of the rules are judged from then on."""
+    """When callers began to send; only later versions of the rules are checked."""
     stated: Counter[tuple[str, str]] = field(default_factory=Counter)
     """Writes by service and cause, as the hosts that run at the end state them."""
 
--- a/bench/fleet/_rules_in_force.py
+++ b/bench/fleet/_rules_in_force.py
@@ -1,4 +1,4 @@
-"""When hosts had versions of the rules in force, against what is promised."""
+"""Checks how soon hosts have versions of the rules in force."""
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -22,24 +22,24 @@
 @final
 @dataclass(kw_only=True)
 class HostRules:
-    """The versions that a host put in force, and when it could not.
+    """The versions that a host put in force, and its downtimes.
 
-    ``in_force`` has the times and versions in order; ``troubles_s`` the spans in which
-    the host did not run.
+    ``in_force`` has times and versions in order, ``downtimes_s`` the spans in which the
+    host did not run.
     """
 
     name: str
     in_force: list[tuple[float, int]] = field(default_factory=list)
     started_s: list[float] = field(default_factory=list)
-    troubles_s: list[Span] = field(default_factory=list)
+    downtimes_s: list[Span] = field(default_factory=list)
 
     def add_restart(self, killed_s: float) -> None:
-        """Add the span from the end of its process to the start of the next one."""
+        """Add the downtime from the end of a process to the start of the next one."""
         started_s = [at_s for at_s in self.started_s if at_s > killed_s]
-        self.troubles_s.append((killed_s, started_s[0] if started_s else inf))
+        self.downtimes_s.append((killed_s, started_s[0] if started_s else inf))
 
     def in_force_s(self, version: int, *, from_s: float) -> float:
-        """Return the time since ``from_s`` at which it had a version or a newer one."""
+        """Return when it had a version or a newer one, ``from_s`` at the earliest."""
         known = [(at_s, number) for at_s, number in self.in_force if number >= version]
         return max(from_s, known[0][0]) if known else inf
 
@@ -49,8 +49,8 @@
 class Delays:
     """How long hosts took to put a version in force after its acknowledgement.
 
-    ``late`` has the hosts that were in touch without it, and by how much they exceeded
-    the promised time.
+    ``late`` has the hosts that exceeded the allowed time, and by how much. Outages and
+    downtimes extend that time.
     """
 
     version: int
@@ -62,7 +62,7 @@
 def read_host_lines(
     name: str, lines: Iterable[bytes], *, clock_offset_s: float
 ) -> HostRules:
-    """Read a host's log; ``clock_offset_s`` is taken from the times in it."""
+    """Read a host's log; ``clock_offset_s`` is subtracted from its times."""
     rules = HostRules(name=name)
     for line in lines:
         try:
@@ -96,14 +96,14 @@
     return spans_s + ([(begun_s, inf)] if begun_s is not None else [])
 
 
-def due_s(acknowledged_s: float, troubles_s: Iterable[Span]) -> float:
+def due_s(acknowledged_s: float, downtimes_s: Iterable[Span]) -> float:
     """Return when a version must be in force on a host.
 
     >>> due_s(10.0, []), due_s(10.0, [(5.0, 10.5)]), due_s(10.0, [(12.5, 14.0)])
     (12.0, 13.5, 12.0)
     """
     at_s = acknowledged_s + CONFIG_APPLY_S
-    for begun_s, ended_s in sorted(troubles_s):
+    for begun_s, ended_s in sorted(downtimes_s):
         if begun_s <= at_s <= ended_s + CATCH_UP_S:
             at_s = ended_s + CATCH_UP_S
     return at_s
@@ -123,7 +123,7 @@
             in_force_s = host.in_force_s(version, from_s=acknowledged_s)
             delays_s.append(in_force_s - acknowledged_s)
             excess_s = in_force_s - due_s(
-                acknowledged_s, [*outages_s, *host.troubles_s]
+                acknowledged_s, [*outages_s, *host.downtimes_s]
             )
             if excess_s > 0:
                 late[host.name] = excess_s
--- a/bench/fleet/_sheet.py
+++ b/bench/fleet/_sheet.py
@@ -258,7 +258,7 @@
 
 
 def host_store_address(net: int, number: int) -> str:
-    """Return where one host reaches the store, by a link of its own."""
+    """Return the address at which one host reaches the store by its own link."""
     return f"127.{net}.3.{number + 1}:{STORE_PORT}"
 
 
--- a/soak/_added_rules.py
+++ b/soak/_added_rules.py
@@ -51,7 +51,7 @@
         return self.removed is not None and self.removed.must_be_in_force(sent_s)
 
     def services(self, sent_s: float, ended_s: float) -> set[str]:
-        """Return the services that versions which may be in force have for the path."""
+        """Return the services of the path in all versions that may be in force."""
         found = {UNKEYED, MOVED}
         if self.moved is None or self.moved.sent_s > ended_s:
             found.discard(MOVED)
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -35,7 +35,7 @@
 """The service of each server, by number."""
 
 MOVED_SERVICES = (MOVED,) * 2
-"""Servers of rules that move, in addition."""
+"""Services of the additional servers for moved rules."""
 
 STANDIN = ("-m", "gentianwharf.platform.standin")
 RESTART_DELAY_S = 0.3
@@ -237,7 +237,7 @@
                 self._hide_end(line["server"])
 
     def order_store(self, order: StoreOrder) -> None:
-        """Let the store begin or end a fault, which lasts until it states the end."""
+        """Let the store begin or end a fault, which lasts until it reports the end."""
         if order.outage not in (None, Outage.NONE):
             self.disruptions.begin(STORE_ANSWERS)
         self.programs["store"].write_line(msgspec.json.encode(order))
--- a/soak/_store_outages.py
+++ b/soak/_store_outages.py
@@ -18,7 +18,7 @@
 
 @final
 class StoreOutages:
-    """Disturbs the store at random times, in addition to the other faults."""
+    """Schedules faults of the store at random times, in addition to other faults."""
 
     def __init__(
         self,
--- a/src/gentianwharf/entryhost/_broadcaster.py
+++ b/src/gentianwharf/entryhost/_broadcaster.py
@@ -159,8 +159,8 @@
         if not self.leads:
             return
         self._send_missing()
-        has_settled = self._fan_out.take_settled()
-        if has_settled or now_s >= self._updated_s + HEARTBEAT_INTERVAL_S:
+        has_finished = self._fan_out.take_finished()
+        if has_finished or now_s >= self._updated_s + HEARTBEAT_INTERVAL_S:
             self._updated_s = now_s
             self._send_update(granted=self._next_repeated())
             self._reconnect_inactive()
@@ -201,7 +201,7 @@
         ]
 
     def announce_rules(self) -> None:
-        """Tell all hosts that new rules exist, before a long list takes the link."""
+        """Tell all hosts that new rules exist, before a large update delays this."""
         if self.leads:
             self._send_update()
 
@@ -302,7 +302,7 @@
         )
 
     def _broadcast(self, update: LeaderUpdate) -> float:
-        """Send an update to all hosts; return in how many seconds they receive it."""
+        """Send an update to all hosts; return the expected transfer time in seconds."""
         self._on_host_count(update.host_count)
         active = self.membership.active()
         data = msgspec.msgpack.encode(update)
@@ -313,7 +313,7 @@
             sent_in_s = self._fan_out.send(update, active, update_bytes=len(data))
             if sent_in_s is not None:
                 return sent_in_s
-            # These changes can't be applied before those that are on their way.
+            # Hosts can't apply these changes before those of the relay in progress.
             self._fan_out.reset()
         if update.changes and len(data) > max_bytes:
             # Later updates would queue behind this message, and hosts would take them
--- a/src/gentianwharf/entryhost/_campaign_delay.py
+++ b/src/gentianwharf/entryhost/_campaign_delay.py
@@ -1,4 +1,4 @@
-"""How long a host leaves leadership to hosts that are better suited."""
+"""Delays after which less suitable hosts stand for election as leader."""
 
 from collections.abc import Sequence
 
@@ -12,19 +12,19 @@
 one of the hosts leads even if all of them are small.
 """
 
-THIN_LINK_CAMPAIGN_DELAY_S = 0.2
+SLOW_LINK_CAMPAIGN_DELAY_S = 0.2
 """Additional delay before a host tries to lead while others have faster links.
 
 All hosts wait for the leader to read a change from the store: a list of 5,000 rules
 takes two seconds at 5 Mbit/s.
 """
 
-WIDE_LINK_BYTES_PER_S = 3_125_000
-"""A leader needs no faster link than this."""
+SUFFICIENT_LINK_BYTES_PER_S = 3_125_000
+"""Bandwidth from which on a faster link gives a candidate no further advantage."""
 
 
 def small_host_delay_s(cores: float) -> float:
-    """Return the delay of a host with a number of cores.
+    """Return the campaign delay of a host with ``cores`` processor cores.
 
     >>> small_host_delay_s(0.5), small_host_delay_s(2.0)
     (0.1, 0.0)
@@ -32,15 +32,15 @@
     return SMALL_HOST_CAMPAIGN_DELAY_S * max(0.0, 1.0 - cores)
 
 
-def thin_link_delay_s(link_bytes_per_s: float, listed: Sequence[HostAddress]) -> float:
-    """Return the delay of a host, given the links of the listed hosts.
+def slow_link_delay_s(link_bytes_per_s: float, listed: Sequence[HostAddress]) -> float:
+    """Return the campaign delay of a host, given the bandwidths of all listed hosts.
 
     >>> listed = [HostAddress("h1", "10.0.0.1:90", link_bytes_per_s=1_250_000)]
-    >>> thin_link_delay_s(625_000, listed), thin_link_delay_s(1_250_000, listed)
+    >>> slow_link_delay_s(625_000, listed), slow_link_delay_s(1_250_000, listed)
     (0.1, 0.0)
     """
     fastest = max((host.link_bytes_per_s for host in listed), default=0.0)
-    wanted = min(WIDE_LINK_BYTES_PER_S, fastest)
+    wanted = min(SUFFICIENT_LINK_BYTES_PER_S, fastest)
     if link_bytes_per_s >= wanted:
         return 0.0
-    return THIN_LINK_CAMPAIGN_DELAY_S * (1.0 - link_bytes_per_s / wanted)
+    return SLOW_LINK_CAMPAIGN_DELAY_S * (1.0 - link_bytes_per_s / wanted)
--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -40,7 +40,7 @@
 from gentianwharf.topology import BackendServer
 
 from ._broadcaster import StorePosition
-from ._campaign_delay import small_host_delay_s, thin_link_delay_s
+from ._campaign_delay import slow_link_delay_s, small_host_delay_s
 from ._conversions import dispatch_host_of
 from ._directory import Directory
 from ._fleet_notices import FleetNotices
@@ -74,9 +74,9 @@
 """How long changes may be missing before a host requests them from the leader. Within
 this time its own watch has been repeated and should have returned them."""
 
-MAX_LACKING_SHARE = 0.5
-"""Share of the time within which accepted rules must be in force. A host that has known
-of newer rules for this long, and lacks them, refuses requests."""
+MAX_OUTDATED_SHARE = 0.5
+"""Share of the agreed rules delay. A host that has known of newer rules for this long
+without receiving them refuses requests."""
 
 INCARNATION_BITS = 53
 """Size of the random number that distinguishes successive processes of a host."""
@@ -113,7 +113,7 @@
         self.mirror = Mirror(store=store, prefix="", reactor=reactor, rng=rng)
         self.rules = RulesInForce(
             now_s=now_s,
-            max_lacking_s=settings.agreements.rules_delay_s * MAX_LACKING_SHARE,
+            max_lacking_s=settings.agreements.rules_delay_s * MAX_OUTDATED_SHARE,
         )
         self.directory = Directory(mirror=self.mirror, reactor=reactor)
         self.keys = KeyHolders(server_by_id=server_by_id, reactor=reactor, rng=rng)
@@ -235,7 +235,7 @@
     def _campaign_handicap_s(self) -> float:
         cut_off_s = CUT_OFF_CAMPAIGN_DELAY_S if self.is_cut_off() else 0.0
         membership = self.peers.membership
-        return cut_off_s + thin_link_delay_s(self._link_bytes_per_s, membership.listed)
+        return cut_off_s + slow_link_delay_s(self._link_bytes_per_s, membership.listed)
 
     def start(self) -> None:
         """Start to follow the store, and to listen for other hosts."""
@@ -324,7 +324,7 @@
             self._planner.note_table(item)
 
     def _forward(self, after_revision: int, events: Events) -> None:
-        """Send changes of the store to all hosts; does nothing on other hosts."""
+        """Send changes of the store to all hosts if this host is the leader."""
         for change in events.changes:
             if change.key == CONFIG_KEY and isinstance(change, Item):
                 self.rules.newest.note_stated(change.revision)
--- a/src/gentianwharf/entryhost/_membership.py
+++ b/src/gentianwharf/entryhost/_membership.py
@@ -15,7 +15,7 @@
 """A host that has not reported for this long is removed, and no longer contacted."""
 
 OVERDUE_REPORTS = 2
-"""A host whose report is late by this many intervals may have ended."""
+"""Number of its report intervals after which a silent host may have stopped."""
 
 MIN_OVERDUE_S = 0.6
 
@@ -55,14 +55,15 @@
         """Whether the host has not reported for ``INACTIVE_AFTER_S``."""
         return now_s > self.last_seen_s + INACTIVE_AFTER_S
 
-    def is_overdue(self, heard_s: float) -> bool:
-        """Whether the host's next report is late: it may have ended.
+    def is_overdue(self, latest_report_s: float) -> bool:
+        """Whether the host's next report is late, so that it may have stopped.
 
-        ``heard_s`` is when any host was heard last: reports of all hosts are late while
-        this host reads a large value over its own link.
+        ``latest_report_s`` is the time of the latest report of any host. It is used
+        instead of the current time because all reports are late while this host reads a
+        large value over its own link.
         """
         wait_s = max(MIN_OVERDUE_S, OVERDUE_REPORTS * self.report_interval_s)
-        return heard_s > self.last_seen_s + wait_s
+        return latest_report_s > self.last_seen_s + wait_s
 
 
 @final
--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -147,20 +147,20 @@
 
 
 class Receiver(msgspec.Struct, array_like=True):
-    """A host in a list in which it is followed by the hosts that it sends to.
+    """A host of a relay tree whose hosts are listed in pre-order.
 
-    ``below`` is the number of hosts after it that receive the message from it, or from
-    those that it sends to.
+    ``descendants`` is the number of hosts after it that receive the message from it,
+    directly or through other hosts.
     """
 
     address: Name
-    below: Annotated[int, msgspec.Meta(ge=0)]
+    descendants: Annotated[int, msgspec.Meta(ge=0)]
 
 
 class RelayedUpdate(msgspec.Struct, array_like=True, tag="relayed"):
-    """An update of the leader that its receiver passes on to other hosts first.
+    """An update of the leader that its receiver relays to ``receivers``.
 
-    Its age is the one at the time when the leader sent it.
+    ``update.age_s`` is the age at the time when the leader sent it.
     """
 
     update: LeaderUpdate
@@ -355,7 +355,7 @@
 
     A host of an earlier release does not state its failure domain and its cores: it
     cannot grant slots to others. One that does not state the bandwidth of its link
-    passes on no updates.
+    relays no updates.
     """
 
     host: Name
--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -431,15 +431,15 @@
             self.on_granted(grant.service, grant.first, grant.last, grant.token)
 
     def _on_relayed(self, relayed: RelayedUpdate) -> None:
-        """Pass an update on, and apply its changes.
+        """Relay an update, and apply its changes.
 
-        It says nothing about the time until which there were no others: it may have
-        been queued at other hosts.
+        It does not extend the validity of this host's state, since other hosts may have
+        queued it for an unknown time.
         """
         update = relayed.update
         if self.broadcaster.leads or not self._is_from_leader(update):
             return
-        self._relay.pass_on(update, relayed.receivers)
+        self._relay.forward(update, relayed.receivers)
         self.on_rules_stated(update.rules_revision)
         if update.age_s is not None and update.revision > (self.stored_revision() or 0):
             self._apply_changes(update)
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -38,7 +38,7 @@
 """Another host with a later release may be able to serve the request. If none can,
 retries are useless, but callers do not conclude that their request is invalid."""
 
-RULES_LACKING = Problem(
+RULES_OUTDATED = Problem(
     status=503,
     title="this host has not yet received the newest rules",
     run=RunStatus.NOT_RUN,
@@ -89,7 +89,7 @@
         return self._now_s() - self._refused_since_s
 
     def is_outdated(self) -> bool:
-        """Whether newer rules have been known, and missing here, for too long."""
+        """Whether newer rules have been missing here for longer than allowed."""
         lacking_s = self.newest.lacking_s()
         is_outdated = lacking_s > self._max_lacking_s
         if is_outdated is not self._was_outdated:
@@ -180,7 +180,7 @@
         if self._rules is None:
             raise replace(NO_RULES)
         if self.is_outdated():
-            raise replace(RULES_LACKING)
+            raise replace(RULES_OUTDATED)
         match = self._rules.match(facts)
         if match is not None and match.rule.name in self._unread_rules:
             raise replace(UNREADABLE_RULE)
--- a/src/gentianwharf/entryhost/_update_relay.py
+++ b/src/gentianwharf/entryhost/_update_relay.py
@@ -1,4 +1,4 @@
-"""Passes on updates of the leader to the hosts that receive them from this one."""
+"""Forwards updates of the leader to the next hosts of a relay tree."""
 
 from collections import deque
 from collections.abc import Sequence
@@ -13,14 +13,14 @@
 from ._peer_messages import LeaderUpdate, Receiver, RelayedUpdate
 
 MAX_QUEUED_S = 2.0
-"""Hosts have fetched a change from the store before it has been queued for so long."""
+"""Older messages are dropped: hosts have fetched their changes from the store."""
 
 
 @final
 class UpdateRelay:
-    """Sends to one host after another, so that the first ones can pass it on early.
+    """Sends updates to one host at a time, so that the first can forward them early.
 
-    Messages that this host sends in the meantime do not queue behind all of them.
+    Other messages of this host do not queue behind the transfers to all receivers.
     """
 
     def __init__(
@@ -32,13 +32,13 @@
         self._queue: deque[tuple[float, str, RelayedUpdate]] = deque()
         self._sending: Any = None
 
-    def pass_on(self, update: LeaderUpdate, receivers: Sequence[Receiver]) -> None:
-        """Send an update to the first hosts of a tree, which pass it on to the rest."""
+    def forward(self, update: LeaderUpdate, receivers: Sequence[Receiver]) -> None:
+        """Send an update to the first level of a relay tree, which forwards it."""
         now_s = self._reactor.seconds()
         index = 0
         while index < len(receivers):
             receiver = receivers[index]
-            end = index + 1 + receiver.below
+            end = index + 1 + receiver.descendants
             relayed = RelayedUpdate(update, list(receivers[index + 1 : end]))
             self._queue.append((now_s, receiver.address, relayed))
             index = end
@@ -61,7 +61,7 @@
         try:
             split_port(address)
         except ValueError as error:
-            log.warning("cannot pass on an update: {}", error, extra={"peer": address})
+            log.warning("cannot forward an update: {}", error, extra={"peer": address})
             return False
         return self._links.send(address, data)
 
@@ -70,7 +70,7 @@
         self._links.tick()
 
     def close(self) -> None:
-        """Send nothing more, and close all links."""
+        """Drop all queued messages, and close all links."""
         self._queue.clear()
         if self._sending is not None:
             self._sending.cancel()
--- a/src/gentianwharf/http_agent.py
+++ b/src/gentianwharf/http_agent.py
@@ -171,12 +171,12 @@
     ``size_error``, which gets the number of received bytes. ``on_chunk`` is called for
     each chunk.
 
-    A body without a stated end ends when its connection closes. A truncated one is
-    detected when decoding it fails.
+    A body without a stated length or final chunk ends when its connection closes. Its
+    truncation is detected only when decoding it fails.
     """
 
     has_stated_end = True
-    """Whether a complete body can be told from a truncated one."""
+    """Whether the end of the body was marked, so that it is known to be complete."""
 
     def __init__(
         self,
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -94,9 +94,10 @@
             state.failing_since_s = max(sent_s, state.answered_s, self._resumed_s)
 
     def note_tick(self) -> None:
-        """Detect a pause of this host; to be called before holders are judged.
+        """Detect a pause of this host; call this before the states are evaluated.
 
-        Answers may be waiting unread, so a pause is no time without an answer.
+        Answers may have arrived unread during a pause, so it does not count as time
+        without an answer.
         """
         now_s = self._now_s()
         paused_s = self._pauses.record_tick(now_s)
--- a/src/gentianwharf/platform/_config.py
+++ b/src/gentianwharf/platform/_config.py
@@ -168,10 +168,10 @@
     """Return the configuration in an item's value.
 
     The store has already acknowledged the configuration to the operators, so a part
-    that can't be decoded doesn't keep the others from being applied. ``targets`` are
-    those of the version that was decoded before, and then those of this one. Raises
-    ``InputError`` where that isn't safe: if the version is missing or malformed, or
-    if a route has no valid host and path prefix.
+    that can't be decoded doesn't keep the others from being applied. ``targets``
+    caches the targets of the previously decoded version, and is updated to this one.
+    Raises ``InputError`` where that isn't safe: if the version is missing or malformed,
+    or if a route has no valid host and path prefix.
     """
     try:
         config = msgspec.json.decode(value, type=_Config)
--- a/src/gentianwharf/platform/_decoded_targets.py
+++ b/src/gentianwharf/platform/_decoded_targets.py
@@ -1,4 +1,4 @@
-"""Decoded targets of routes, reused in later versions of the configuration."""
+"""Cache of decoded route targets between versions of the configuration."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -20,30 +20,30 @@
 
 @final
 class DecodedTargets:
-    """The targets of one version by their encoded routes.
+    """The targets of one version, by encoded route.
 
-    Most routes of a long list are the same in the next version. A target depends on the
-    services as well, so that none is reused after a change of these.
+    Most routes of a long list are unchanged in the next version. Targets also depend on
+    the services, so none is reused after the services change.
     """
 
     def __init__(self) -> None:
         self._services: Mapping[str, object] = {}
-        self._former: dict[bytes, TargetAndKind] = {}
+        self._previous: dict[bytes, TargetAndKind] = {}
         self._current: dict[bytes, TargetAndKind] = {}
 
     def begin(self, services: Mapping[str, object]) -> None:
-        """Begin another version, and discard what only older ones have used."""
-        self._former = self._current if services == self._services else {}
+        """Start a new version, and discard targets that the last one did not use."""
+        self._previous = self._current if services == self._services else {}
         self._services = services
         self._current = {}
 
     def find(self, route: bytes) -> TargetAndKind | None:
-        """Return the target of a route in the version before, None if unknown."""
-        found = self._former.get(route)
+        """Return a route's target in the previous version, None if it has none."""
+        found = self._previous.get(route)
         if found is not None:
             self._current[route] = found
         return found
 
     def add(self, route: bytes, decoded: TargetAndKind) -> None:
-        """Keep a target for the next version."""
+        """Add a target of the current version."""
         self._current[route] = decoded
--- a/src/gentianwharf/platform/_overdue_calls.py
+++ b/src/gentianwharf/platform/_overdue_calls.py
@@ -1,4 +1,4 @@
-"""Gives up calls that the store has lost, as soon as it answers later ones."""
+"""Cancels reads that the store has lost, as soon as it answers later calls."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -6,23 +6,22 @@
 
 from twisted.internet.defer import Deferred
 
-ANSWER_S = 0.3
-"""Time within which an answer usually begins; a slow store takes 0.2 s."""
+ANSWER_TIMEOUT_S = 0.3
+"""Initial time allowed for an answer to begin; a slow store takes 0.2 s."""
 
-MAX_ANSWER_S = 2.4
-"""Limit of the time allowed for an answer to begin, after calls were given up."""
+MAX_ANSWER_TIMEOUT_S = 2.4
+"""Maximum time allowed for an answer to begin, after repeated cancellations."""
 
 PROBE_INTERVAL_S = 0.25
 PROBE_TIMEOUT_S = 0.5
 
 PROBE_STEP = "probe"
 
-PROBE_LATE_S = 0.2
-"""A probe has been lost if one that was sent later by this is answered before it."""
+PROBE_LOST_AFTER_S = 0.2
+"""A probe is considered lost if a call sent this much later is answered before it."""
 
 PROBES_PER_S = 1_200.0
-"""Limit for all hosts together, each of which probes less often as their number
-grows."""
+"""Limit for all hosts together: each probes less often as their number grows."""
 
 
 def probe_interval_s(hosts: int) -> float:
@@ -37,10 +36,10 @@
 @final
 @dataclass(kw_only=True, slots=True, eq=False)
 class PendingCall:
-    """A call whose answer has not begun, and when it should have.
+    """A call whose answer has not begun; it is overdue from ``due_s`` on.
 
-    ``may_be_slow`` is set for calls that take a busy store longer than others;
-    ``sent_in_silence`` if the store had not answered before for some time.
+    ``may_be_slow`` is set for calls that take a busy store longer than others,
+    ``sent_while_silent`` if the store was known not to answer when the call was sent.
     """
 
     step: str
@@ -48,22 +47,23 @@
     due_s: float
     pending: Deferred[Any]
     may_be_slow: bool
-    sent_in_silence: bool
-    is_overtaken: bool = False
+    sent_while_silent: bool
+    is_abandoned: bool = False
 
 
 @final
 class OverdueCalls:
     """The pending reads of a host, and the probes that are sent while some are overdue.
 
-    A store that was unavailable never answers what it received meanwhile. Its return
-    shows in answers to calls that were sent after a read had become overdue: such a
-    read is cancelled, so that it can be repeated at once instead of after its timeout.
+    After an outage, the store never answers calls that it received during the outage.
+    An answer to a call that was sent after a read had become overdue shows that the
+    store is available again: the read is cancelled, so that it can be repeated at once
+    instead of after its timeout.
 
-    Calls of a step that was given up get twice the time the next time: a store may take
-    longer for some calls than for others. Those that may be slow are given up only if
-    the store was silent when they were sent, or later: repeated, they would add to the
-    load of a store that is busy with them.
+    The allowed time of a step is doubled after each cancellation, since a store may
+    take longer for some calls than for others. Calls that may be slow are cancelled
+    only if the store was silent when they were sent, or later: repeating them would
+    add to the load of a store that is busy with them.
     """
 
     def __init__(self, *, reactor: Any, send_probe: Callable[[], None]) -> None:
@@ -72,13 +72,13 @@
         self._send_probe = send_probe
         self._calls: dict[PendingCall, Any] = {}
         """Pending calls, each with the timer of its due time."""
-        self._answer_s: dict[str, float] = {}
+        self._answer_timeout_s: dict[str, float] = {}
         self._next_probe: Any = None
-        self._pending_probes_s: set[float] = set()
-        """When the probes were sent that have neither been answered nor timed out."""
-        self._answered_sent_s = float("-inf")
-        """When the last call was sent that the store has answered."""
-        self._silent_s = float("-inf")
+        self._pending_probe_times_s: set[float] = set()
+        """Send times of the probes that have neither been answered nor timed out."""
+        self._last_answered_sent_s = float("-inf")
+        """Latest send time of a call that the store has answered."""
+        self._last_silent_s = float("-inf")
         """When the store was last known to answer nothing."""
         self._is_silent = False
 
@@ -90,16 +90,16 @@
         wait_s: float,
         may_be_slow: bool = False,
     ) -> PendingCall:
-        """Add a call whose answer begins after ``wait_s`` at the earliest."""
+        """Add a call whose answer may begin ``wait_s`` later than usual."""
         now_s = self._reactor.seconds()
-        due_in_s = wait_s + self._answer_s.get(step, ANSWER_S)
+        due_in_s = wait_s + self._answer_timeout_s.get(step, ANSWER_TIMEOUT_S)
         call = PendingCall(
             step=step,
             sent_s=now_s,
             due_s=now_s + due_in_s,
             pending=pending,
             may_be_slow=may_be_slow,
-            sent_in_silence=self._is_silent,
+            sent_while_silent=self._is_silent,
         )
         if not pending.called:
             self._calls[call] = self._reactor.callLater(due_in_s, self._probe)
@@ -113,34 +113,34 @@
 
     def note_answer(self, step: str, *, sent_s: float) -> None:
         """Record that the store has answered a call that was sent at ``sent_s``."""
-        answer_s = self._answer_s.get(step, ANSWER_S)
-        self._answer_s[step] = max(ANSWER_S, answer_s / 2)
-        self._answered_sent_s = max(self._answered_sent_s, sent_s)
+        timeout_s = self._answer_timeout_s.get(step, ANSWER_TIMEOUT_S)
+        self._answer_timeout_s[step] = max(ANSWER_TIMEOUT_S, timeout_s / 2)
+        self._last_answered_sent_s = max(self._last_answered_sent_s, sent_s)
         self._is_silent = False
-        for probe_s in self._pending_probes_s:
-            if probe_s <= sent_s - PROBE_LATE_S:
-                self._silent_s = max(self._silent_s, probe_s)
+        for probe_s in self._pending_probe_times_s:
+            if probe_s <= sent_s - PROBE_LOST_AFTER_S:
+                self._last_silent_s = max(self._last_silent_s, probe_s)
         overdue = [call for call in self._calls if call.due_s <= sent_s]
         for call in overdue:
             if call.may_be_slow and not (
-                call.sent_in_silence or self._silent_s >= call.sent_s
+                call.sent_while_silent or self._last_silent_s >= call.sent_s
             ):
                 continue
             self.remove(call)
-            call.is_overtaken = True
-            answer_s = self._answer_s.get(call.step, ANSWER_S)
-            self._answer_s[call.step] = min(MAX_ANSWER_S, 2 * answer_s)
+            call.is_abandoned = True
+            timeout_s = self._answer_timeout_s.get(call.step, ANSWER_TIMEOUT_S)
+            self._answer_timeout_s[call.step] = min(MAX_ANSWER_TIMEOUT_S, 2 * timeout_s)
             call.pending.cancel()
 
     def note_failure(self, *, sent_s: float) -> None:
         """Record that a call that was sent at ``sent_s`` got no answer."""
-        if sent_s > self._answered_sent_s:
+        if sent_s > self._last_answered_sent_s:
             self._is_silent = True
-            self._silent_s = self._reactor.seconds()
+            self._last_silent_s = self._reactor.seconds()
 
     def note_probe(self, *, sent_s: float, is_answered: bool) -> None:
-        """Record how a probe that was sent at ``sent_s`` has ended."""
-        self._pending_probes_s.discard(sent_s)
+        """Record the outcome of a probe that was sent at ``sent_s``."""
+        self._pending_probe_times_s.discard(sent_s)
         if is_answered:
             self.note_answer(PROBE_STEP, sent_s=sent_s)
         else:
@@ -155,5 +155,5 @@
             self._next_probe = self._reactor.callLater(
                 self.probe_interval_s, self._probe
             )
-            self._pending_probes_s.add(now_s)
+            self._pending_probe_times_s.add(now_s)
             self._send_probe()
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -23,7 +23,7 @@
 from gentianwharf.http_agent import BytesBody, ip_agent
 from gentianwharf.logs import log
 from gentianwharf.store import (
-    CallOvertakenError,
+    CallAbandonedError,
     Change,
     Events,
     HistoryGoneError,
@@ -63,7 +63,7 @@
 nothing else."""
 
 PROBE_KEY = "gentianwharf/probe"
-"""Key without an item. Reading it shows that the store answers."""
+"""Key that has no item, read to check whether the store answers."""
 
 IDLE_TIMEOUT_S = 10.0
 MAX_IDLE_CONNECTIONS = 4
@@ -94,7 +94,7 @@
 
     The methods raise ``PeerUnavailableError`` if the call had no effect, and
     ``OutcomeUnknownError`` if it may have taken effect or may still do so seconds
-    later. Reads raise ``CallOvertakenError`` if the store has answered later calls.
+    later. Reads raise ``CallAbandonedError`` if the store answers later calls first.
     """
 
     def __init__(self, *, reactor: Any, address: str) -> None:
@@ -159,7 +159,7 @@
         *,
         after_revision: int,
         wait_s: float,
-        on_begun: Callable[[], None] = lambda: None,
+        on_response_start: Callable[[], None] = lambda: None,
     ) -> Events:
         """Return the changes below ``prefix``, waiting up to ``wait_s`` for one.
 
@@ -176,7 +176,7 @@
             },
             timeout_s=wait_s + WATCH_GRACE_S,
             wait_s=wait_s,
-            on_begun=on_begun,
+            on_response_start=on_response_start,
         )
         watched = self._decode("watch", body, WatchResult)
         changes = tuple(
@@ -239,7 +239,7 @@
         body: Mapping[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         wait_s: float = 0.0,
-        on_begun: Callable[[], None] = lambda: None,
+        on_response_start: Callable[[], None] = lambda: None,
     ) -> bytes:
         """Make a call; a watch is answered after ``wait_s`` if nothing changes."""
         step = path.removeprefix("/v1/").partition("/")[0]
@@ -261,18 +261,18 @@
                 step, pending, wait_s=wait_s, may_be_slow=step == RANGE_STEP
             )
 
-            def note_begun() -> None:
+            def note_response_start() -> None:
                 self._overdue.remove(call)
-                on_begun()
+                on_response_start()
 
-            limit.on_begun = note_begun
+            limit.on_response_start = note_response_start
         try:
             status, content = await pending
         except Exception as error:
-            if call is None or not call.is_overtaken:
+            if call is None or not call.is_abandoned:
                 self._overdue.note_failure(sent_s=sent_s)
-            if call is not None and call.is_overtaken:
-                raise CallOvertakenError(
+            if call is not None and call.is_abandoned:
+                raise CallAbandonedError(
                     "expected a response, got one to a later call",
                     step=step,
                     peer=self.address,
@@ -298,7 +298,7 @@
         return content
 
     def _send_probe(self) -> None:
-        """Send a call whose answer shows that the store is available."""
+        """Send a read over a new connection to check whether the store is available."""
         sent_s = self._reactor.seconds()
         limit = TimeLimit(
             reactor=self._reactor, timeout_s=PROBE_TIMEOUT_S, max_body_s=0.0
@@ -340,7 +340,7 @@
         response: IResponse = await agent.request(
             method.encode(), target.encode(), headers, producer
         )
-        limit.on_begun()
+        limit.on_response_start()
         reader = body_reader(on_chunk=limit.extend)
         response.deliverBody(reader)
         return response.code, await reader.done
--- a/src/gentianwharf/platform/_store_messages.py
+++ b/src/gentianwharf/platform/_store_messages.py
@@ -9,7 +9,7 @@
 
 
 class ItemRow(msgspec.Struct):
-    """An item as it was written, or that it was removed."""
+    """An item, or the removal of one."""
 
     key: str
     revision: int
--- a/src/gentianwharf/platform/_store_response.py
+++ b/src/gentianwharf/platform/_store_response.py
@@ -32,7 +32,7 @@
     """
 
     def __init__(self, *, reactor: Any, timeout_s: float, max_body_s: float) -> None:
-        self.on_begun: Callable[[], None] = lambda: None
+        self.on_response_start: Callable[[], None] = lambda: None
         """Called when the head of the response has arrived."""
         self._reactor = reactor
         self._timeout_s = timeout_s
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -131,7 +131,7 @@
     added_paths
         Paths of repeatable requests that the first configuration serves as well.
     host_addresses
-        Where single hosts reach it as well, each by a link of its own.
+        Further addresses, each for one host that reaches the store by its own link.
     takes_orders
         Begin and end faults by orders on standard input, and print a line for each.
 
--- a/src/gentianwharf/platform/standin/_items.py
+++ b/src/gentianwharf/platform/standin/_items.py
@@ -135,9 +135,9 @@
             self.end_lease(lease_id)
 
     def drop_history(self) -> None:
-        """Discard all changes; who watches from before must read the items again.
+        """Discard all changes, so that clients with a watch must read the items again.
 
-        The revision increases, so that this also holds for who has seen them all.
+        The revision increases, so that this includes clients that are up to date.
         """
         self.revision += 1
         self._history_from = self.revision
--- a/src/gentianwharf/platform/standin/_store.py
+++ b/src/gentianwharf/platform/standin/_store.py
@@ -66,8 +66,8 @@
     """Serves ``Items`` over the HTTP interface of the platform's store.
 
     With ``allow_reserved`` calls may write every key; it is meant for operators and
-    backend servers. ``faults`` may be shared with stores of other addresses; ``link``
-    is this one's own.
+    backend servers. ``faults`` may be shared with stores at other addresses; ``link``
+    belongs to this address only.
     """
 
     klein = Klein()
--- a/src/gentianwharf/platform/standin/_store_faults.py
+++ b/src/gentianwharf/platform/standin/_store_faults.py
@@ -1,4 +1,4 @@
-"""Outages, slow answers and thin links of a stand-in for the platform's store."""
+"""Outages, slow answers and slow links of a stand-in for the platform's store."""
 
 from enum import StrEnum
 from math import inf
@@ -10,10 +10,10 @@
 from ._items import Items
 
 ANSWER_S = 0.004
-"""Time that an answer takes, of which a slow store takes a multiple."""
+"""Base time of an answer, which ``StoreFaults.slowdown`` multiplies."""
 
 PIECE_BYTES = 4096
-"""How much of an answer a thin link carries at a time; answers take turns."""
+"""Size of the pieces in which a link of limited rate interleaves answers."""
 
 STATUS_UNAVAILABLE = 503
 
@@ -23,18 +23,18 @@
 
     NONE = "none"
     HANG = "hang"
-    """Calls are accepted, have no effect, and are never answered, also not later; nor
-    are those that wait when the outage begins."""
+    """Calls are accepted, have no effect, and are not answered, even after the outage.
+    Calls that are pending when it begins are not answered either."""
 
     REFUSE = "refuse"
-    """Calls are answered with 503; connections of those that wait are closed."""
+    """Calls are answered with 503; connections of pending calls are closed."""
 
 
 class StoreOrder(msgspec.Struct, omit_defaults=True):
-    """What the store is to do from now on; fields that are None change nothing.
+    """A change of the store's faults; fields that are None change nothing.
 
-    ``rate_bytes_per_s`` limits each link by itself, 0 for no limit; ``addresses`` has
-    the addresses of these links, empty for those of all hosts.
+    ``rate_bytes_per_s`` limits each link separately, 0 for no limit; ``addresses`` has
+    the addresses of these links, and is empty for the links of all hosts.
     """
 
     outage: Outage | None = None
@@ -45,7 +45,7 @@
 
 
 class StoreOrderReport(msgspec.Struct):
-    """That an order is carried out, and when."""
+    """The completion of an order, and its time."""
 
     order: StoreOrder
     carried_out_s: float
@@ -53,7 +53,7 @@
 
 @final
 class StoreFaults:
-    """The present faults of a store, for all addresses on which it listens."""
+    """The current faults of a store, for all addresses on which it listens."""
 
     def __init__(self, *, items: Items) -> None:
         self.outage = Outage.NONE
@@ -73,7 +73,7 @@
             self._close_pending()
 
     def drop_history(self) -> None:
-        """Discard the history, and close the connections of the calls that wait."""
+        """Discard the history, and close the connections of pending calls."""
         self._items.drop_history()
         self._close_pending()
 
@@ -88,7 +88,7 @@
 
 @final
 class AnswerLink:
-    """The link by which answers leave one address of the store.
+    """The outgoing link of one address of the store.
 
     ``rate_bytes_per_s`` limits the bodies of all answers together.
     """
@@ -100,7 +100,7 @@
         self._free_s = 0.0
 
     def carry(self, request: "StoreRequest", body: bytes) -> None:
-        """Send an answer in pieces, each when the link has carried it."""
+        """Send an answer, in pieces at the rate of the link if it is limited."""
         if self.rate_bytes_per_s == inf:
             request.send(body, is_last=True)
             return
@@ -125,7 +125,7 @@
     def __init__(self, *args: Any, link: AnswerLink, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.is_lost = False
-        """Whether nothing more is sent."""
+        """Whether the rest of the answer is discarded."""
         self._link = link
         self._body = b""
 
@@ -167,12 +167,12 @@
             super().finish()
 
     def close(self) -> None:
-        """Close the connection, whatever has been sent."""
+        """Abort the connection, even in the middle of an answer."""
         transport: Any = self.channel.transport
         transport.abortConnection()
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        """Send no more to a client that has gone."""
+        """Discard the answer when the client has disconnected."""
         self.is_lost = True
         self._link.faults.pending.discard(self)
         super().connectionLost(reason)
--- a/src/gentianwharf/platform/standin/_store_orders.py
+++ b/src/gentianwharf/platform/standin/_store_orders.py
@@ -38,5 +38,5 @@
         self._on_order = on_order
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        """Pass on an order."""
+        """Decode a line, and call ``on_order``."""
         self._on_order(msgspec.json.decode(line, type=StoreOrder))
--- a/src/gentianwharf/relay/_caller_site.py
+++ b/src/gentianwharf/relay/_caller_site.py
@@ -140,7 +140,7 @@
     def timeoutConnection(self) -> None:  # noqa: N802
         """Close an idle connection; reset it if a response is in progress.
 
-        A client of HTTP/1.0 takes a response for complete where its connection closes.
+        HTTP/1.0 clients consider a response complete when its connection closes.
         """
         if any(each.startedWriting and not each.finished for each in self.requests):
             self.abort()
--- a/src/gentianwharf/relay/_pipeline.py
+++ b/src/gentianwharf/relay/_pipeline.py
@@ -95,7 +95,7 @@
         """Do nothing: earlier responses have not been written."""
 
     def abort(self) -> None:
-        """Drop this response, and close the connection where it would begin.
+        """Drop this response, and close the connection instead of sending it.
 
         The earlier responses are complete and must still be delivered.
         """
@@ -106,8 +106,8 @@
         """Write the buffered response to the channel."""
         channel = self._channel
         if self._aborted:
-            # A reset would also discard unsent data of earlier responses, and without
-            # one the truncated response would look complete to clients of HTTP/1.0.
+            # A reset would also discard unsent data of earlier responses. No part
+            # of this one is sent, since HTTP/1.0 clients would consider it complete.
             channel.loseConnection()
             return
         if self._head is not None:
--- a/src/gentianwharf/store/__init__.py
+++ b/src/gentianwharf/store/__init__.py
@@ -10,7 +10,7 @@
 )
 from ._pace import FORWARDING_PACE, WatchPace, default_pace
 from ._types import (
-    CallOvertakenError,
+    CallAbandonedError,
     Change,
     Events,
     HistoryGoneError,
@@ -28,7 +28,7 @@
     "MAX_REMOVALS",
     "FULL_READ_AFTER_S",
     "FORWARDING_PACE",
-    "CallOvertakenError",
+    "CallAbandonedError",
     "Change",
     "Events",
     "EventsListener",
--- a/src/gentianwharf/store/_changes.py
+++ b/src/gentianwharf/store/_changes.py
@@ -1,4 +1,4 @@
-"""Processing of the changes that an answer of the store contains."""
+"""Helpers that process the changes in an answer of the store."""
 
 from collections.abc import Callable
 
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -21,7 +21,7 @@
 from ._changes import call_guarded, newest_changes
 from ._pace import WatchPace, default_pace
 from ._types import (
-    CallOvertakenError,
+    CallAbandonedError,
     Events,
     HistoryGoneError,
     Item,
@@ -42,13 +42,13 @@
 instead: a watch returns every version of each value since then, and no change is usable
 before the last byte has arrived over the host's link."""
 
-OVERDUE_S = 0.3
-"""Added to the wait of a watch. Without contact for this time, the store may be
+CONTACT_OVERDUE_S = 0.3
+"""Time beyond the wait of a watch after which a store without contact is considered
 unavailable."""
 
-OVERDUE_WATCH_S = 0.1
-"""Wait of a watch while the store may be unavailable. If it is lost, it has to be
-repeated soon after the store's return."""
+OUTAGE_WATCH_WAIT_S = 0.1
+"""Wait of a watch while the store may be unavailable. It is short so that a lost watch
+is repeated soon after the store is available again."""
 
 MAX_REMOVALS = 1_000
 """Removals kept for hosts that lack them; a host that lacks more is sent all items."""
@@ -104,7 +104,7 @@
         self._pending_watch: Deferred[Events] | None = None
         self._full_wait_watch: Deferred[Events] | None = None
         """The pending watch, while it may still wait for as long as requested."""
-        self._answer_has_begun = False
+        self._response_has_started = False
 
     def add_listener(self, listener: Listener) -> None:
         """Call ``listener`` for every change from now on."""
@@ -174,12 +174,12 @@
     def _is_behind(self) -> bool:
         return self._forwarded_revision > self.revision
 
-    def _note_begun(self) -> None:
-        """Let the pending watch end: its answer arrives, over a slow link maybe."""
-        self._answer_has_begun = True
+    def _note_response_start(self) -> None:
+        """Keep the pending watch from being cancelled while its answer is arriving."""
+        self._response_has_started = True
 
     def _cancel_watch(self, watching: "Deferred[Events]") -> None:
-        is_pending = watching is self._pending_watch and not self._answer_has_begun
+        is_pending = watching is self._pending_watch and not self._response_has_started
         if self._is_behind() and is_pending:
             self._pending_watch = None
             watching.cancel()
@@ -216,8 +216,8 @@
             except HistoryGoneError:
                 log.warning("store history is gone, reading all items again")
                 self.is_current = False
-            except CallOvertakenError as error:
-                # The store answers again.
+            except CallAbandonedError as error:
+                # No delay before the retry, since the store is available again.
                 self._note_failure(error)
             except GentianwharfError as error:
                 self._note_failure(error)
@@ -234,10 +234,10 @@
     def _is_long_silent(self) -> bool:
         return self.age_s() > self.pace().wait_s + FULL_READ_AFTER_S
 
-    def _watch_s(self, pace: WatchPace) -> float:
+    def _watch_wait_s(self, pace: WatchPace) -> float:
         """Return for how long the next watch waits for a change."""
-        if self.lost_s is not None or self.age_s() > pace.wait_s + OVERDUE_S:
-            return min(OVERDUE_WATCH_S, pace.wait_s)
+        if self.lost_s is not None or self.age_s() > pace.wait_s + CONTACT_OVERDUE_S:
+            return min(OUTAGE_WATCH_WAIT_S, pace.wait_s)
         return pace.wait_s
 
     async def _read(self) -> None:
@@ -314,13 +314,13 @@
     async def _request(self, after_revision: int, pace: WatchPace) -> Events | None:
         """Return the answer to a watch, None if it was cancelled to be issued again."""
         waits_in_full = not self._is_behind()
-        wait_s = self._watch_s(pace)
-        self._answer_has_begun = False
+        wait_s = self._watch_wait_s(pace)
+        self._response_has_started = False
         call = self._store.watch(
             self._prefix,
             after_revision=after_revision,
             wait_s=wait_s if waits_in_full else min(REISSUE_AFTER_S, wait_s),
-            on_begun=self._note_begun,
+            on_response_start=self._note_response_start,
         )
         watching = self._pending_watch = Deferred.fromCoroutine(call)
         self._full_wait_watch = watching if waits_in_full else None
--- a/src/gentianwharf/store/_types.py
+++ b/src/gentianwharf/store/_types.py
@@ -11,8 +11,8 @@
     """The store no longer has the changes after the requested revision."""
 
 
-class CallOvertakenError(GentianwharfError):
-    """A read was given up since the store had answered later calls.
+class CallAbandonedError(GentianwharfError):
+    """A read was cancelled because the store had answered later calls.
 
     It can be repeated at once.
     """
@@ -88,7 +88,7 @@
 
     All of them raise ``PeerUnavailableError`` if the store did nothing, and
     ``OutcomeUnknownError`` if the call may have taken effect or may still take effect
-    seconds later. Reads may raise ``CallOvertakenError``.
+    seconds later. Reads may raise ``CallAbandonedError``.
     """
 
     async def items(self, prefix: str) -> Page:
@@ -103,11 +103,11 @@
         *,
         after_revision: int,
         wait_s: float,
-        on_begun: Callable[[], None] = lambda: None,
+        on_response_start: Callable[[], None] = lambda: None,
     ) -> Events:
         """Return the changes below a prefix, waiting up to ``wait_s`` for the first.
 
-        ``on_begun`` is called once the answer has begun to arrive. Raises
+        ``on_response_start`` is called once the answer has begun to arrive. Raises
         ``HistoryGoneError`` if all items have to be read again.
         """
 
--- a/tests/builders_entryhost.py
+++ b/tests/builders_entryhost.py
@@ -70,7 +70,7 @@
         *,
         after_revision: int,
         wait_s: float,
-        on_begun: Callable[[], None] = lambda: None,
+        on_response_start: Callable[[], None] = lambda: None,
     ) -> Events:
         """Wait for a change; a lost watch fails a second after its wait."""
         await self._begin_call("watch", wait_s=wait_s)
--- a/tests/builders_keyspace_hosts.py
+++ b/tests/builders_keyspace_hosts.py
@@ -71,7 +71,7 @@
         *,
         after_revision: int,
         wait_s: float,
-        on_begun: Callable[[], None] = lambda: None,
+        on_response_start: Callable[[], None] = lambda: None,
     ) -> Events:
         """Return no changes; tests use ``listeners`` instead."""
         await self._on_call("watch")
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -45,7 +45,7 @@
         *,
         after_revision: int,
         wait_s: float,
-        on_begun: Callable[[], None] = lambda: None,
+        on_response_start: Callable[[], None] = lambda: None,
     ) -> Events:
         """Wait for the test."""
         waiting: Deferred[Events] = Deferred()
--- a/tests/test_bench_fleet_rules.py
+++ b/tests/test_bench_fleet_rules.py
@@ -95,7 +95,7 @@
     host.started_s += [0.5, 15.2]
     assert violations(record_of(host))
     host.add_restart(11.0)
-    assert host.troubles_s == [(11.0, 15.2)]
+    assert host.downtimes_s == [(11.0, 15.2)]
     assert not violations(record_of(host))
 
 
--- a/tests/test_entryhost_campaign_delay.py
+++ b/tests/test_entryhost_campaign_delay.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gentianwharf.entryhost._campaign_delay import thin_link_delay_s
+from gentianwharf.entryhost._campaign_delay import slow_link_delay_s
 from gentianwharf.entryhost._peer_messages import HostAddress
 from tests.builders_thin_links import BYTES_PER_MEGABIT, ThinFleet, mixed_links
 
@@ -52,5 +52,5 @@
         )
         for number, mbps in enumerate(listed_mbps)
     ]
-    delay_s = thin_link_delay_s(own_mbps * BYTES_PER_MEGABIT, listed)
+    delay_s = slow_link_delay_s(own_mbps * BYTES_PER_MEGABIT, listed)
     assert delay_s == pytest.approx(expected_s)
--- a/tests/test_entryhost_fan_out.py
+++ b/tests/test_entryhost_fan_out.py
@@ -10,8 +10,8 @@
 from gentianwharf.entryhost._fan_out import (
     MAX_FAN_OUT_S,
     UNKNOWN_LINK_BYTES_PER_S,
-    Target,
-    plan_tree,
+    RelayTarget,
+    plan_relay_tree,
 )
 from gentianwharf.entryhost._peer_messages import (
     EncodedChange,
@@ -254,10 +254,10 @@
     assert "x" in other.coordinator.mirror.items
 
 
-def targets(count: int, *, seed: int) -> list[Target]:
+def targets(count: int, *, seed: int) -> list[RelayTarget]:
     rng = Random(seed)
     return [
-        Target(
+        RelayTarget(
             address=f"10.0.{number // 250}.{number % 250}:90",
             link_bytes_per_s=rng.choice([0, 5, 10, 50, 100]) * BYTES_PER_MEGABIT,
             may_relay=rng.random() < 0.9,
@@ -272,8 +272,8 @@
     index = 0
     while index < len(receivers):
         receiver = receivers[index]
-        end = index + 1 + receiver.below
-        reached.append((receiver.address, receiver.below > 0))
+        end = index + 1 + receiver.descendants
+        reached.append((receiver.address, receiver.descendants > 0))
         reached += deliver(receivers[index + 1 : end])
         index = end
     return reached
@@ -283,7 +283,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_tree_reaches_each_host_once(count: int, seed: int) -> None:
     hosts = targets(count, seed=seed)
-    tree = plan_tree(hosts, message_bytes=44_000, link_bytes_per_s=625_000)
+    tree = plan_relay_tree(hosts, message_bytes=44_000, link_bytes_per_s=625_000)
     reached = deliver(tree.receivers)
     assert sorted(address for address, _ in reached) == sorted(
         target.address for target in hosts
@@ -296,14 +296,14 @@
 def test_tree_of_thin_links_is_fast_enough(hosts: int) -> None:
     """Guards against a tree whose hosts wait for each other one by one."""
     thin = [
-        Target(
+        RelayTarget(
             address=f"10.0.0.{number}:90",
             link_bytes_per_s=UNKNOWN_LINK_BYTES_PER_S,
             may_relay=True,
         )
         for number in range(hosts - 1)
     ]
-    tree = plan_tree(
+    tree = plan_relay_tree(
         thin, message_bytes=50_000, link_bytes_per_s=UNKNOWN_LINK_BYTES_PER_S
     )
     assert tree.duration_s < MAX_FAN_OUT_S
--- a/tests/test_entryhost_lacking_rules.py
+++ b/tests/test_entryhost_lacking_rules.py
@@ -167,4 +167,4 @@
 
 
 def test_refusals_begin_well_before_the_rules_delay_has_passed() -> None:
-    assert _coordinator.MAX_LACKING_SHARE <= 0.5
+    assert _coordinator.MAX_OUTDATED_SHARE <= 0.5
--- a/tests/test_platform_outages.py
+++ b/tests/test_platform_outages.py
@@ -7,14 +7,14 @@
 from twisted.python.failure import Failure
 
 from gentianwharf.platform import PlatformStore, probe_interval_s
-from gentianwharf.platform._overdue_calls import ANSWER_S
+from gentianwharf.platform._overdue_calls import ANSWER_TIMEOUT_S
 from gentianwharf.store import (
     FORWARDING_PACE,
     MAX_RETRY_DELAY_S,
-    CallOvertakenError,
+    CallAbandonedError,
     Events,
 )
-from gentianwharf.store._mirror import OVERDUE_WATCH_S
+from gentianwharf.store._mirror import OUTAGE_WATCH_WAIT_S
 from tests.builders_outages import (
     STEP_S,
     Client,
@@ -107,10 +107,10 @@
 
 def test_waits_after_an_outage_add_up_to_less_than_the_rules_delay() -> None:
     """Guards against a wait that is set without regard to the others."""
-    watch_s = FORWARDING_PACE.wait_s + ANSWER_S
+    watch_s = FORWARDING_PACE.wait_s + ANSWER_TIMEOUT_S
     probe_s = probe_interval_s(300) + SLOW_ANSWER_S
     assert watch_s + probe_s + SLOW_ANSWER_S <= RULES_DELAY_S
-    overdue_s = OVERDUE_WATCH_S + ANSWER_S
+    overdue_s = OUTAGE_WATCH_WAIT_S + ANSWER_TIMEOUT_S
     assert max(overdue_s, MAX_RETRY_DELAY_S) + probe_s + SLOW_ANSWER_S <= MAX_FETCH_S
 
 
@@ -163,18 +163,18 @@
     assert lag_s(client) <= 2 * 0.9 + MAX_FETCH_S
 
 
-def test_read_that_is_overtaken_while_connecting_fails_as_overtaken() -> None:
+def test_read_that_is_overtaken_while_connecting_fails_as_abandoned() -> None:
     """Guards against a pause before the repetition although the store answers again."""
     reactor = StoreReactor()
     store = PlatformStore(reactor=reactor, address="10.0.0.1:80")
     reactor.is_unreachable = True
     reading = Deferred.fromCoroutine(store.watch("", after_revision=1, wait_s=0.0))
-    reactor.advance(ANSWER_S - STEP_S)
+    reactor.advance(ANSWER_TIMEOUT_S - STEP_S)
     reactor.is_unreachable = False
     reactor.pump([STEP_S] * 4)
     failures: list[Failure] = []
     reading.addErrback(failures.append)
-    assert [failure.type for failure in failures] == [CallOvertakenError]
+    assert [failure.type for failure in failures] == [CallAbandonedError]
 
 
 def test_pages_of_a_busy_store_are_not_given_up() -> None:
