Let one simulated connection to the store serve both builders

builders_outages and builders_store_link each had the transport that collects a request and the encoding of a change; the former uses those of the latter now. In the client of the store a failure is noted once the abandoned reads are out of the way, instead of asking twice for them. No behaviour, check or bound has changed.

--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -269,14 +269,13 @@
         try:
             status, content = await pending
         except Exception as error:
-            if call is None or not call.is_abandoned:
-                self._overdue.note_failure(sent_s=sent_s)
             if call is not None and call.is_abandoned:
                 raise CallAbandonedError(
                     "expected a response, got one to a later call",
                     step=step,
                     peer=self.address,
                 ) from error
+            self._overdue.note_failure(sent_s=sent_s)
             if isinstance(error, ConnectError | ConnectingCancelledError):
                 raise PeerUnavailableError(
                     f"can't connect: {type(error).__name__}",
--- a/tests/builders_outages.py
+++ b/tests/builders_outages.py
@@ -8,13 +8,12 @@
 
 import msgspec
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
 from gentianwharf.platform import PlatformStore
-from gentianwharf.platform._units import encode_value
 from gentianwharf.platform.standin import Items
-from gentianwharf.store import Change, Item, Mirror, Put, Removal, Store
+from gentianwharf.store import Change, Mirror, Put, Store
+from tests.builders_store_link import StoreTransport, change_row
 
 STEP_S = 0.01
 CONFIG = "op/config"
@@ -74,7 +73,9 @@
             for name, values in parse_qs(url.query, keep_blank_values=True).items()
         }
         if url.path == "/v1/kv-range":
-            rows = [_row(item) for item in self.items.with_prefix(query["prefix"])]
+            rows = [
+                change_row(item) for item in self.items.with_prefix(query["prefix"])
+            ]
             body = {"items": rows, "has-more": False, "as-of": self.items.revision}
             self._reply_later(reply, 200, body, delay_s=self.page_delay_s)
         elif url.path == "/v1/kv-watch":
@@ -95,7 +96,10 @@
         if not changes and self.seconds() < end_s:
             self.callLater(STEP_S, self._watch, after_revision, end_s, reply)
             return
-        body = {"events": [_row(c) for c in changes], "as-of": self.items.revision}
+        body = {
+            "events": [change_row(c) for c in changes],
+            "as-of": self.items.revision,
+        }
         self._reply_later(reply, 200, body)
 
     def _reply_later(
@@ -115,13 +119,6 @@
             reply(status, body)
 
 
-def _row(change: Item | Removal) -> dict[str, object]:
-    row: dict[str, object] = {"key": change.key, "revision": change.revision}
-    if isinstance(change, Item):
-        return {**row, "value": encode_value(change.value), "lease": change.lease_id}
-    return {**row, "deleted": True}
-
-
 @final
 class _Connector:
     """One connection to the store, or an attempt to open one."""
@@ -136,7 +133,7 @@
 
     def succeed(self) -> None:
         self._protocol = self._factory.buildProtocol(None)
-        self._transport = _StoreTransport(connector=self)
+        self._transport = StoreTransport(connector=self)
         self._protocol.makeConnection(self._transport)
 
     def fail(self) -> None:
@@ -150,7 +147,7 @@
     def stopConnecting(self) -> None:  # noqa: N802
         self.fail()
 
-    def receive(self, head: bytes) -> None:
+    def receive(self, head: bytes, content: bytes) -> None:
         if self.is_mute:
             return
         target = head.split(b" ")[1].decode()
@@ -177,39 +174,6 @@
             )
 
 
-@final
-class _StoreTransport(StringTransport):
-    """Passes each request on to the store."""
-
-    def __init__(self, *, connector: _Connector) -> None:
-        super().__init__()
-        self._connector = connector
-
-    def getHandle(self) -> "_StoreTransport":  # noqa: N802
-        return self
-
-    def setsockopt(self, *option: int) -> None:
-        """Ignore an option."""
-
-    def write(self, data: bytes) -> None:
-        super().write(data)
-        if self.value().endswith(b"\r\n\r\n"):
-            request = self.value()
-            self.clear()
-            self._connector.receive(request)
-
-    def writeSequence(self, data: Any) -> None:  # noqa: N802
-        self.write(b"".join(data))
-
-    def loseConnection(self) -> None:  # noqa: N802
-        super().loseConnection()
-        self._connector.end()
-
-    def abortConnection(self) -> None:  # noqa: N802
-        super().abortConnection()
-        self._connector.end()
-
-
 @final
 @dataclass(kw_only=True)
 class Client:
--- a/tests/builders_store_link.py
+++ b/tests/builders_store_link.py
@@ -1,7 +1,7 @@
 """One host's link to a store on a virtual clock, for the store's real client."""
 
 from collections.abc import Callable
-from typing import Any, final
+from typing import Any, Protocol, final
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -80,11 +80,11 @@
     ) -> tuple[int, object]:
         items = self._items
         if step == "kv-range":
-            rows = [_row(item) for item in items.with_prefix(query["prefix"])]
+            rows = [change_row(item) for item in items.with_prefix(query["prefix"])]
             return 200, {"items": rows, "has-more": False, "as-of": items.revision}
         if step == "kv-key":
             item = items.get(query["key"])
-            return (200, _row(item)) if item is not None else (404, {})
+            return (200, change_row(item)) if item is not None else (404, {})
         try:
             if step == "kv-txn":
                 return 200, {"revision": items.change(_decode_change(content))}
@@ -111,7 +111,7 @@
         if not changes and self.seconds() < end_s:
             self.callLater(STEP_S, self._watch, after_revision, end_s, reply)
             return
-        rows = [_row(change) for change in changes]
+        rows = [change_row(change) for change in changes]
         self._reply_later(reply, 200, {"events": rows, "as-of": self._items.revision})
 
     def _reply_later(self, reply: Reply, status: int, body: object) -> None:
@@ -129,7 +129,18 @@
         return self._busy_until_s - now_s
 
 
-def _row(change: Item | Removal) -> dict[str, object]:
+class StoreConnection(Protocol):
+    """The simulated store's side of one connection."""
+
+    def receive(self, head: bytes, content: bytes) -> None:
+        """Handle a whole request; ``head`` is without its blank line."""
+
+    def end(self) -> None:
+        """Close the connection."""
+
+
+def change_row(change: Item | Removal) -> dict[str, object]:
+    """Return a change as the store sends it."""
     row: dict[str, object] = {"key": change.key, "revision": change.revision}
     if isinstance(change, Item):
         return {**row, "value": encode_value(change.value), "lease": change.lease_id}
@@ -164,7 +175,7 @@
 
     def succeed(self) -> None:
         self._protocol = self._factory.buildProtocol(None)
-        self._protocol.makeConnection(_Transport(connector=self))
+        self._protocol.makeConnection(StoreTransport(connector=self))
 
     def fail(self) -> None:
         if not self._is_ended:
@@ -202,14 +213,14 @@
 
 
 @final
-class _Transport(StringTransport):
+class StoreTransport(StringTransport):
     """Passes each whole request on to the store."""
 
-    def __init__(self, *, connector: _Connector) -> None:
+    def __init__(self, *, connector: StoreConnection) -> None:
         super().__init__()
         self._connector = connector
 
-    def getHandle(self) -> "_Transport":  # noqa: N802
+    def getHandle(self) -> "StoreTransport":  # noqa: N802
         return self
 
     def setsockopt(self, *option: int) -> None:
