Log what a new leader assumes of earlier grants, and when they count as expired

A log could not tell how keys had become free: by the release of their former holder or since its grants counted as expired, and for how long a new leader had waited. `took over` states the time that the leader assumes, `grants of the former holder have expired` each holder that it stopped waiting for.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -172,6 +172,7 @@
     def _advance(self, row: Row, now_s: float) -> None:
         for former in list(row.former_holders):
             if now_s >= self.holders.held_until_s(former):
+                row.log(former, "grants of the former holder have expired")
                 self._drop_former_holder(row, former)
         if row.former_holders:
             holder = row.former_holders[0]
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -56,6 +56,10 @@
         )
         return max(0.0, latest_s - self._now_s())
 
+    def earlier_grants_s(self) -> float:
+        """Return for how long any grant of earlier leaders may remain valid."""
+        return max(0.0, self._earlier_grants_until_s - self._now_s())
+
     def earlier_grants_expired(self) -> bool:
         """Whether all grants of earlier leaders have expired."""
         return self._now_s() >= self._earlier_grants_until_s
@@ -63,7 +67,7 @@
     def remaining_grants(self) -> RemainingGrants:
         """Return for how long each grant may remain valid if no more are sent."""
         now_s = self._now_s()
-        others_s = max(0.0, self._earlier_grants_until_s - now_s)
+        others_s = self.earlier_grants_s()
         held_s = {
             holder: state.expire_by_s() - now_s
             for holder, state in self._states.items()
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -140,6 +140,15 @@
                 self._grant_manager.holders.note_remaining_grants(own)
             else:
                 self.on_previous_leader(previous)
+        log.info(
+            "took over",
+            extra={
+                "revision": self._term.revision if self._term is not None else None,
+                "earlier_grants_s": round(
+                    self._grant_manager.holders.earlier_grants_s(), 3
+                ),
+            },
+        )
         for service in self._services.values():
             service.due_s = 0.0
             service.planned_for = None
