Let only who took over in a term state its grants

Callers saw keys that two servers held at the same time (OWNER): a leader moved keys from a server that answered no orders while that server still held them by an earlier leader's grant.

Cause: a new leader asks the leader that the store's record names for how long its grants may last. The record is written with the claim, so it may name a host that never noticed its claim (the answer was lost, its news were late) and that never took over. That host's memory is empty, or that of an older term, and was read as "nothing is granted". The same at one host: a leader whose record named itself used what it remembered, of whichever term.

Now the record names the lease of its term, a leader keeps the lease with the grants that it knows, and a question on another term is answered with "not known": the new leader then waits for the longest grant of all earlier leaders, as after a leader that is lost. Records and messages without the lease count as not known too.

--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -369,12 +369,13 @@
     """Request from a new leader to the previous one for its remaining grants.
 
     ``revision`` is the new leader's term; ``address`` is where it receives the
-    response.
+    response. ``lease_id`` identifies the previous leader's term.
     """
 
     address: str
     incarnation: int
     revision: int
+    lease_id: int = 0
 
 
 class RemainingGrant(msgspec.Struct, array_like=True):
@@ -391,7 +392,7 @@
 
     ``ended_s`` is the minimum time since the end of that process if another one has
     replaced it; None if the process itself responds. ``revision`` is copied from the
-    request.
+    request. ``others_s`` is infinite if the process did not take over in that term.
     """
 
     incarnation: int
--- a/src/gentianwharf/entryhost/_previous_leader.py
+++ b/src/gentianwharf/entryhost/_previous_leader.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 from typing import Any, final
 
 import msgspec
@@ -69,6 +70,7 @@
         self._reactor = reactor
         self._started_s = float(reactor.seconds())
         self._target: HostIdentity | None = None
+        self._target_lease_id = 0
         self._earlier_grants_expired = False
         self._next_request_s = 0.0
         self._links: dict[str, _Link] = {}
@@ -86,6 +88,7 @@
         except InputError as error:
             log.warning("cannot decode the previous leader's identity: {}", error)
             return
+        self._target_lease_id = previous.lease_id
         self._earlier_grants_expired = previous.earlier_grants_expired
         self._next_request_s = self._reactor.seconds()
         self.tick()
@@ -103,7 +106,10 @@
         if now_s >= self._next_request_s:
             self._next_request_s = now_s + REQUEST_INTERVAL_S
             request = RemainingGrantsRequest(
-                self._identity.address, self._target.incarnation, term.revision
+                self._identity.address,
+                self._target.incarnation,
+                term.revision,
+                self._target_lease_id,
             )
             self._send(self._target.address, request)
 
@@ -123,7 +129,7 @@
             return
         self._leadership.step_down()
         self._grant_manager.stop()
-        remaining = self._grant_manager.holders.remaining_grants()
+        remaining = self._grant_manager.holders.remaining_grants(request.lease_id)
         held = [
             RemainingGrant(holder.server_id, holder.born_ms, holder.address, held_s)
             for holder, held_s in remaining.by_holder_s.items()
@@ -146,7 +152,8 @@
             return
         remaining = self._remaining_grants(response)
         self._target = None
-        if remaining is None:
+        if remaining is None or remaining.others_s == inf:
+            log.info("former leader does not know the grants of its term")
             return
         log.info(
             "former leader has answered",
--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -77,12 +77,19 @@
         self._probes = Probes(orders=orders, holders=self.holders, now_s=now_s)
         self.on_granted: Callable[[str, Span], None] = lambda service, span: None
 
-    def take_over(self, store_contact_s: float, *, held_s: float | None = None) -> None:
+    def take_over(
+        self,
+        store_contact_s: float,
+        *,
+        held_s: float | None = None,
+        lease_id: int | None = None,
+    ) -> None:
         """Begin to lead; earlier leaders may have issued grants until now.
 
         ``store_contact_s`` is the time of the last contact with the store. ``held_s``
         is for how long the grants of a leader that resigned remain valid; None after
-        the loss of a leader, whose grants are unknown.
+        the loss of a leader, whose grants are unknown. ``lease_id`` is that of the
+        term; without it, this host states its grants to no later leader.
         """
         self._leading = True
         self._store_contact_s = store_contact_s
@@ -92,7 +99,9 @@
             )
         else:
             earlier_grants_until_s = self._now_s() + held_s
-        self.holders.reset(earlier_grants_until_s=earlier_grants_until_s)
+        self.holders.reset(
+            earlier_grants_until_s=earlier_grants_until_s, lease_id=lease_id
+        )
 
     def stop(self) -> None:
         """Send no more orders."""
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -8,7 +8,7 @@
 from gentianwharf.pauses import PauseDetector
 
 from ._orders import HolderEndedError
-from ._previous_leader import RemainingGrants
+from ._previous_leader import UNKNOWN_GRANTS, RemainingGrants
 from ._states import HolderState
 from ._table import Holder
 from ._timing import UNREACHABLE_S, GrantTiming
@@ -25,6 +25,8 @@
         self._now_s = now_s
         self._states: dict[Holder, HolderState] = {}
         self._earlier_grants_until_s = 0.0
+        self._lease_id: int | None = None
+        """The lease of the term whose grants are recorded."""
         self._pauses = PauseDetector()
         self._resumed_s = -inf
         """When the last pause of this host ended."""
@@ -36,10 +38,11 @@
         """Return the state of a holder; it is created if there is none."""
         return self._states.setdefault(holder, HolderState(held_until_s=0.0))
 
-    def reset(self, *, earlier_grants_until_s: float) -> None:
+    def reset(self, *, earlier_grants_until_s: float, lease_id: int | None) -> None:
         """Discard all states; grants of earlier leaders expire by the given time."""
         self._states.clear()
         self._earlier_grants_until_s = earlier_grants_until_s
+        self._lease_id = lease_id
 
     def held_until_s(self, holder: Holder) -> float:
         """Return the time by which all grants of a holder have expired."""
@@ -64,8 +67,15 @@
         """Whether all grants of earlier leaders have expired."""
         return self._now_s() >= self._earlier_grants_until_s
 
-    def remaining_grants(self) -> RemainingGrants:
-        """Return for how long each grant may remain valid if no more are sent."""
+    def remaining_grants(self, lease_id: int) -> RemainingGrants:
+        """Return for how long each grant may remain valid if no more are sent.
+
+        Only who took over in the term of the given lease knows the grants of that term
+        and of those before it. A claim may be stored without its host noticing, and a
+        host that led before has forgotten, or never knew, the terms in between.
+        """
+        if lease_id != self._lease_id:
+            return UNKNOWN_GRANTS
         now_s = self._now_s()
         others_s = self.earlier_grants_s()
         held_s = {
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -138,7 +138,11 @@
             await self._store.change(
                 Change(
                     expected={self._key: term.revision},
-                    puts=(self._record(earlier_grants_expired=True, held_s=held_s),),
+                    puts=(
+                        self._record(
+                            term.lease_id, earlier_grants_expired=True, held_s=held_s
+                        ),
+                    ),
                     removals=(self._key,),
                 )
             )
@@ -155,7 +159,7 @@
         term = self.term
         if term is None:
             return False
-        record = self._record(earlier_grants_expired=True)
+        record = self._record(term.lease_id, earlier_grants_expired=True)
         try:
             await self._store.change(
                 Change(expected={self._key: term.revision}, puts=(record,))
@@ -170,12 +174,17 @@
         self._previous_leader_item = item
 
     def _record(
-        self, *, earlier_grants_expired: bool, held_s: float | None = None
+        self,
+        lease_id: int,
+        *,
+        earlier_grants_expired: bool,
+        held_s: float | None = None,
     ) -> Put:
         previous = PreviousLeader(
             value=self.value,
             earlier_grants_expired=earlier_grants_expired,
             held_s=held_s,
+            lease_id=lease_id,
         )
         return Put(
             key=self._previous_leader_key, value=encode_previous_leader(previous)
@@ -202,7 +211,7 @@
                         self._key: 0,
                         self._previous_leader_key: previous.revision if previous else 0,
                     },
-                    puts=(put, self._record(earlier_grants_expired=False)),
+                    puts=(put, self._record(lease_id, earlier_grants_expired=False)),
                 )
             )
         except ConflictError:
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -125,16 +125,20 @@
         self._term = term
         for item in page.items:
             self.note_table(item)
-        self._take_over()
+        self._take_over(term)
 
-    def _take_over(self) -> None:
+    def _take_over(self, term: Term) -> None:
         previous = self._previous_leader
         held_s = previous.held_s if previous is not None else None
         if not any(service.table.spans for service in self._services.values()):
             # Without a stored table there are no grants.
             held_s = 0.0
-        own = self._grant_manager.holders.remaining_grants()
-        self._grant_manager.take_over(self._leadership.lease_renewed_s, held_s=held_s)
+        own = self._grant_manager.holders.remaining_grants(
+            previous.lease_id if previous is not None else 0
+        )
+        self._grant_manager.take_over(
+            self._leadership.lease_renewed_s, held_s=held_s, lease_id=term.lease_id
+        )
         if previous is not None and held_s is None:
             if previous.value == self._leadership.value:
                 self._grant_manager.holders.note_remaining_grants(own)
@@ -143,7 +147,7 @@
         log.info(
             "took over",
             extra={
-                "revision": self._term.revision if self._term is not None else None,
+                "revision": term.revision,
                 "earlier_grants_s": round(
                     self._grant_manager.holders.earlier_grants_s(), 3
                 ),
--- a/tests/builders_peer_messages.py
+++ b/tests/builders_peer_messages.py
@@ -88,7 +88,7 @@
             leader, term, [StatedHost("h1", 5, {"seats": 3}, {"seats": 1}, 40)]
         ),
         StoreSnapshot(leader, term, 11, [change]),
-        RemainingGrantsRequest("10.0.0.1:90", 5, 11),
+        RemainingGrantsRequest("10.0.0.1:90", 5, 11, 7),
         RemainingGrantsResponse(
             5, 11, None, 0.0, [RemainingGrant("seats-1", 7, "10.0.0.9:80", 3.0)]
         ),
--- a/tests/builders_placement_planned.py
+++ b/tests/builders_placement_planned.py
@@ -194,7 +194,9 @@
 
     # Stands in for the grant manager.
 
-    def take_over(self, store_contact_s: float, *, held_s: float | None) -> None:
+    def take_over(
+        self, store_contact_s: float, *, held_s: float | None, lease_id: int
+    ) -> None:
         """Nothing was granted before."""
 
     def note_store_contact(self, store_contact_s: float) -> None:
--- a/tests/test_entryhost_former_leader.py
+++ b/tests/test_entryhost_former_leader.py
@@ -1,7 +1,7 @@
 """A new leader requests the previous leader's remaining grants."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -44,12 +44,16 @@
     grant_manager: GrantManager
     leadership: Leadership
     exchange: RemainingGrantsExchange
+    lease_id: int = 0
 
     def stored_previous(self, *, is_settled: bool = True) -> PreviousLeader:
         """Return the information that this leader leaves in the store."""
         value = msgspec.json.encode(self.identity)
         return PreviousLeader(
-            value=value, earlier_grants_expired=is_settled, held_s=None
+            value=value,
+            earlier_grants_expired=is_settled,
+            held_s=None,
+            lease_id=self.lease_id,
         )
 
 
@@ -104,8 +108,9 @@
 
     def lead(self, host: Leader, *, revision: int) -> None:
         """Make a host the leader; its table gives all shards to the lost server."""
-        host.leadership.term = Term(lease_id=1, revision=revision)
-        host.grant_manager.take_over(self.clock.seconds())
+        host.lease_id = revision
+        host.leadership.term = Term(lease_id=host.lease_id, revision=revision)
+        host.grant_manager.take_over(self.clock.seconds(), lease_id=host.lease_id)
         host.grant_manager.follow(self._table(self.lost, 1))
 
     def move(self, host: Leader) -> None:
@@ -240,3 +245,19 @@
         RemainingGrantsResponse(previous.identity.incarnation, 9, None)
     )
     assert leader.grant_manager.holders.held_s() > TIMING.longest_grant_s
+
+
+def test_response_on_a_term_that_its_sender_never_led_shortens_no_wait(
+    network: Network,
+) -> None:
+    """Guards against two servers that run one key.
+
+    The previous leader's claim was stored after its last term, and it did not notice.
+    """
+    previous, leader = previous_and_next_leader(network)
+    network.lead(leader, revision=9)
+    record = previous.stored_previous()
+    leader.exchange.request_grants(replace(record, lease_id=record.lease_id + 1))
+    network.move(leader)
+    longest_s = TIMING.renew_without_store_s + TIMING.longest_grant_s
+    assert network.served_after_s(leader, previous) > longest_s
--- a/tests/test_keyspace_model.py
+++ b/tests/test_keyspace_model.py
@@ -50,6 +50,7 @@
 
     number: int
     host: Host
+    lease_id: int = 1
     earlier_grants_expired: bool = False
     held_s: float | None = None
 
@@ -79,7 +80,7 @@
                 {entry.server_id: entry for entry in self.addresses.entries}
             )
             host.manager.note_listed(host.listed.values())
-        self.hosts[0].manager.take_over(self.clock.seconds(), held_s=0.0)
+        self.hosts[0].manager.take_over(self.clock.seconds(), held_s=0.0, lease_id=1)
         self.hosts[0].manager.follow(self.table)
         self.record = LeaderRecord(number=0, host=self.hosts[0])
 
@@ -238,7 +239,7 @@
         if queried is record.host:
             queried.manager.stop()
             manager.holders.note_remaining_grants(
-                queried.manager.holders.remaining_grants()
+                queried.manager.holders.remaining_grants(record.lease_id)
             )
         elif record.earlier_grants_expired:
             ended_s = self.clock.seconds() - queried.started_s
@@ -251,13 +252,18 @@
     def _take_over(self, number: int) -> None:
         self.leader = number
         host = self.hosts[number]
-        self.previous, self.record = self.record, LeaderRecord(number=number, host=host)
-        assert self.previous is not None
+        assert self.record is not None
+        self.previous = self.record
+        self.record = LeaderRecord(
+            number=number, host=host, lease_id=self.previous.lease_id + 1
+        )
         held_s = self.previous.held_s
         host.manager.stop()
-        own = host.manager.holders.remaining_grants()
+        own = host.manager.holders.remaining_grants(self.previous.lease_id)
         host.lease_renewed_s = self.clock.seconds()
-        host.manager.take_over(host.lease_renewed_s, held_s=held_s)
+        host.manager.take_over(
+            host.lease_renewed_s, held_s=held_s, lease_id=self.record.lease_id
+        )
         if self.previous.host is host and held_s is None:
             host.manager.holders.note_remaining_grants(own)
             self.previous = None
