Let a leader that has not taken over resign without stating grants

Callers saw keys that two servers held at the same time (OWNER), after a leader was stopped right after its election.

Cause: a host that resigns stores for how long grants may last, as its grant manager knows it. Between its claim and the reading of the tables, which takes as long as the store does and is repeated while it fails, the grant manager has not taken over: it knows of no grants and states 0 s. The next leader believes that and moves the keys of every server that doesn't answer at once, however long the leader before them had granted.

Now a host states its grants only if it took over in the term that it gives up. Otherwise it puts the record back that its claim replaced: it has granted nothing, so the leader before it is the one to ask.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -263,7 +263,7 @@
 
     def resign(self, campaign_pause_s: float) -> None:
         """Give up leadership, and do not try to regain it for ``campaign_pause_s``."""
-        held_s = self._grant_manager.holders.held_s()
+        held_s = self._grant_manager.holders.held_s
         resigning = self.leadership.resign(held_s, campaign_pause_s=campaign_pause_s)
         done = Deferred.fromCoroutine(resigning)
         done.addErrback(lambda failure: log.error(failure.getTraceback()))
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -50,8 +50,13 @@
         known_s = state.expire_by_s() if state is not None else 0.0
         return max(known_s, self._earlier_grants_until_s)
 
-    def held_s(self) -> float:
-        """Return for how long any grant may remain valid if no more are sent."""
+    def held_s(self, lease_id: int) -> float | None:
+        """Return for how long any grant may remain valid if no more are sent.
+
+        None if this host did not take over in the term of the given lease.
+        """
+        if lease_id != self._lease_id:
+            return None
         latest_s = max(
             # A grant of an earlier leader may be valid for longer than this host's.
             [self._earlier_grants_until_s]
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -72,6 +72,8 @@
         self._previous_leader_key = previous_leader_key
         self._previous_leader_item: Item | None = None
         self._previous_leader: PreviousLeader | None = None
+        self._replaced_record: Item | None = None
+        """The record that this host's last claim replaced."""
         self.value = value
         self._now_s = now_s
         self._rng = rng
@@ -121,10 +123,13 @@
         else:
             self._due_s = None
 
-    async def resign(self, held_s: float, *, campaign_pause_s: float) -> None:
+    async def resign(
+        self, held_s: Callable[[int], float | None], *, campaign_pause_s: float
+    ) -> None:
         """Give up the leadership, so that another host can take it over at once.
 
-        ``held_s`` is for how long this host's grants may remain valid. It is stored in
+        ``held_s`` returns for how long grants may remain valid after the term with the
+        given lease, None if this host did not take over in it. The time is stored in
         the record of the previous leader, which the next leader replaces by its own
         when it takes over; so the record is never attributed to a leader in between
         that was lost. For ``campaign_pause_s`` this host does not campaign.
@@ -133,22 +138,30 @@
         term = self.term
         if term is None:
             return
+        record = self._resignation(term, held_s(term.lease_id))
         self._lose("resigned")
         try:
             await self._store.change(
                 Change(
                     expected={self._key: term.revision},
-                    puts=(
-                        self._record(
-                            term.lease_id, earlier_grants_expired=True, held_s=held_s
-                        ),
-                    ),
+                    puts=(record,),
                     removals=(self._key,),
                 )
             )
         except GentianwharfError as error:
             log.info("resignation not stored, the lease will expire: {}", error.message)
 
+    def _resignation(self, term: Term, held_s: float | None) -> Put:
+        if held_s is not None:
+            return self._record(
+                term.lease_id, earlier_grants_expired=True, held_s=held_s
+            )
+        if self._replaced_record is None:
+            return self._record(term.lease_id, earlier_grants_expired=False)
+        # This host has granted nothing in its term, so the leader before it remains the
+        # one to ask.
+        return Put(key=self._previous_leader_key, value=self._replaced_record.value)
+
     def step_down(self) -> None:
         """End this host's term because another host has stated that it leads."""
         if self.term is not None:
@@ -199,7 +212,7 @@
             self._campaign_lease_id = 0
             lease_id = await self._store.open_lease(LEADER_LEASE_S)
             self._campaign_lease_id, self._campaign_began_s = lease_id, now_s
-            previous = self._previous_leader_item
+            previous = self._replaced_record = self._previous_leader_item
             self._previous_leader = decode_previous_leader(previous)
             put = Put(key=self._key, value=self.value, lease_id=lease_id)
             revision = await self._store.change(
--- a/tests/builders_keyspace_hosts.py
+++ b/tests/builders_keyspace_hosts.py
@@ -267,6 +267,13 @@
         self.planner.tick()
         self.manager.tick()
 
+    def held_s(self) -> float:
+        """Return for how long grants may be valid as far as this leader knows."""
+        assert self.leadership.term is not None
+        held_s = self.manager.holders.held_s(self.leadership.term.lease_id)
+        assert held_s is not None
+        return held_s
+
     @property
     def leads(self) -> bool:
         """Whether this host considers itself the leader."""
--- a/tests/builders_terms.py
+++ b/tests/builders_terms.py
@@ -15,9 +15,11 @@
 from gentianwharf.entryhost._previous_leader import RemainingGrantsExchange
 from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
 from gentianwharf.keyspace import Holder
+from gentianwharf.keyspace._previous_leader import decode_previous_leader
 from gentianwharf.store import Change, Item, Page
 from tests.builders_keyspace import (
     LEADER_KEY,
+    PREVIOUS_LEADER_KEY,
     SERVICE,
     SHARDS,
     TIMING,
@@ -90,7 +92,7 @@
     def resign(self) -> None:
         """Resign as a host does that is stopped."""
         Deferred.fromCoroutine(
-            self.leadership.resign(self.manager.holders.held_s(), campaign_pause_s=60.0)
+            self.leadership.resign(self.manager.holders.held_s, campaign_pause_s=60.0)
         )
 
     def tick(self) -> None:
@@ -152,6 +154,13 @@
         """Return the stored item of the leader."""
         return self.store.items_by_key.get(LEADER_KEY)
 
+    def recorded_value(self) -> bytes:
+        """Return what identifies the previous leader in its stored record."""
+        item = self.store.items_by_key[PREVIOUS_LEADER_KEY]
+        record = decode_previous_leader(item)
+        assert record is not None
+        return record.value
+
     def claim_unnoticed(self, host: TermHost) -> None:
         """Let a host claim the leadership and not hear of it until its lease ends."""
         host.faults.loses_answers_to_changes = True
--- a/tests/test_entryhost_former_leader.py
+++ b/tests/test_entryhost_former_leader.py
@@ -46,6 +46,12 @@
     exchange: RemainingGrantsExchange
     lease_id: int = 0
 
+    def held_s(self) -> float:
+        """Return for how long grants may be valid as far as this leader knows."""
+        held_s = self.grant_manager.holders.held_s(self.lease_id)
+        assert held_s is not None
+        return held_s
+
     def stored_previous(self, *, is_settled: bool = True) -> PreviousLeader:
         """Return the information that this leader leaves in the store."""
         value = msgspec.json.encode(self.identity)
@@ -217,7 +223,7 @@
     leader.exchange.request_grants(previous.stored_previous())
     assert previous.leadership.leads
     run_manager(previous.grant_manager, network.clock, 0.1)
-    assert leader.grant_manager.holders.held_s() > TIMING.longest_grant_s
+    assert leader.held_s() > TIMING.longest_grant_s
 
 
 def test_response_of_another_process_is_ignored(
@@ -228,7 +234,7 @@
     network.net.cut.add(previous.identity.address)
     leader.exchange.request_grants(previous.stored_previous())
     leader.exchange.handle_response(RemainingGrantsResponse(7, 9, None))
-    assert leader.grant_manager.holders.held_s() > TIMING.longest_grant_s
+    assert leader.held_s() > TIMING.longest_grant_s
 
 
 def test_late_response_to_an_earlier_request_is_ignored(network: Network) -> None:
@@ -244,7 +250,7 @@
     leader.exchange.handle_response(
         RemainingGrantsResponse(previous.identity.incarnation, 9, None)
     )
-    assert leader.grant_manager.holders.held_s() > TIMING.longest_grant_s
+    assert leader.held_s() > TIMING.longest_grant_s
 
 
 def test_response_on_a_term_that_its_sender_never_led_shortens_no_wait(
--- a/tests/test_keyspace_interleavings.py
+++ b/tests/test_keyspace_interleavings.py
@@ -103,7 +103,7 @@
     def _resign(self) -> None:
         host = self.rng.choice(self.hosts)
         if self.paused.get(host.name, 0.0) <= self.clock.seconds():
-            held_s = host.manager.holders.held_s()
+            held_s = host.manager.holders.held_s
             Deferred.fromCoroutine(host.leadership.resign(held_s, campaign_pause_s=2.0))
 
     def _change_server(self) -> None:
--- a/tests/test_keyspace_leadership.py
+++ b/tests/test_keyspace_leadership.py
@@ -112,7 +112,7 @@
     before = decode_table(store.items_by_key[TABLE_KEY].value, peer="test")
     assert not any(span.former_holders for span in before.spans)
     Deferred.fromCoroutine(
-        leader.leadership.resign(leader.manager.holders.held_s(), campaign_pause_s=60.0)
+        leader.leadership.resign(leader.manager.holders.held_s, campaign_pause_s=60.0)
     )
     run_hosts(clock, 0.25, leader, other)
     assert other.leads
@@ -173,10 +173,12 @@
     store, servers, (first, second) = make_hosts(clock, "a", "b")
     run_hosts(clock, 3.0, first, second)
     leader, other = (first, second) if first.leads else (second, first)
-    held_s = leader.manager.holders.held_s()
+    held_s = leader.held_s()
     # The last renewal is at most 0.5 s old, and may be in flight.
     assert TIMING.grant_s * 0.75 < held_s < TIMING.grant_s * 1.02 + 0.6
-    Deferred.fromCoroutine(leader.leadership.resign(held_s, campaign_pause_s=10.0))
+    Deferred.fromCoroutine(
+        leader.leadership.resign(leader.manager.holders.held_s, campaign_pause_s=10.0)
+    )
     run_hosts(clock, 0.3, first, second, check=lambda: check_one_holder(servers))
     assert other.leads
 
@@ -194,7 +196,7 @@
     leader, other = (first, second) if first.leads else (second, first)
     servers[1].is_silent = True
     Deferred.fromCoroutine(
-        leader.leadership.resign(leader.manager.holders.held_s(), campaign_pause_s=60.0)
+        leader.leadership.resign(leader.manager.holders.held_s, campaign_pause_s=60.0)
     )
     other.planner.set_candidates(SERVICE, [candidate(2), candidate(3)])
     run_hosts(clock, 5.0, other, check=lambda: check_one_holder(servers))
@@ -220,7 +222,7 @@
     lost.receives_changes = False
     run_hosts(clock, 3.0, other)
     assert other.leads
-    assert other.manager.holders.held_s() > TIMING.longest_grant_s
+    assert other.held_s() > TIMING.longest_grant_s
 
 
 def test_record_of_a_leader_before_the_last_one_is_not_used() -> None:
@@ -235,7 +237,7 @@
     hosts = [first, second, third]
     leader = next(host for host in hosts if host.leads)
     Deferred.fromCoroutine(
-        leader.leadership.resign(leader.manager.holders.held_s(), campaign_pause_s=60.0)
+        leader.leadership.resign(leader.manager.holders.held_s, campaign_pause_s=60.0)
     )
     others = [host for host in hosts if host is not leader]
     run_hosts(clock, 3.0, *others)
--- a/tests/test_keyspace_model.py
+++ b/tests/test_keyspace_model.py
@@ -209,7 +209,7 @@
             manager = self.hosts[self.leader].manager
             assert self.record is not None
             self.record.held_s, self.record.earlier_grants_expired = (
-                manager.holders.held_s(),
+                manager.holders.held_s(self.record.lease_id),
                 True,
             )
             manager.stop()
--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -43,6 +43,22 @@
     assert a.leads
 
 
+def test_leader_that_has_not_taken_over_resigns_without_stating_grants(
+    terms: Terms,
+) -> None:
+    """Guards against a leader that is stopped before it has read the tables."""
+    lead_and_lose_the_store(terms)
+    a, b, c = terms.hosts
+    b.faults.serves_no_tables = True
+    b.heal()
+    terms.run_until(lambda: b.leads, b)
+    b.resign()
+    assert terms.recorded_value() == a.leadership.value, "host a is the one to ask"
+    terms.silence(holder(1))
+    terms.run(CHECKED_S, b, c)
+    assert c.leads
+
+
 def test_leader_does_not_take_its_memory_of_an_older_term_for_the_last(
     terms: Terms,
 ) -> None:
