Count a grant in flight from now until its call has ended

Two servers could hold a key after a leader had stood still for longer than a grant lasts: it resumed with a grant to the former holder unwritten, took that grant for expired, since its timeout and its duration had passed since it was sent, and granted the key elsewhere.

Cause: a grant in flight was taken to arrive within its timeout. The timeout is a timer of the same loop, so it is as late as the loop.

Now a grant whose call has not ended counts as arriving now.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -108,11 +108,7 @@
         self._leading = False
         self._rows.clear()
         self._unconfirmed.clear()
-        for state in self.holders:
-            # A cancelled order may already have been sent.
-            state.held_until_s = state.expire_by_s()
-            for order in list(state.orders):
-                order.cancel()
+        self.holders.end_orders()
 
     def note_store_contact(self, store_contact_s: float) -> None:
         """Record a contact with the store, which shows that this host still leads."""
@@ -343,9 +339,7 @@
         self._grants_sent += 1
         number = self._grants_sent
         # The grant may arrive at any time until the call has ended.
-        state.in_flight_until_s[number] = self._timing.grant_expiry_s(
-            ended_s=sent_s + GRANT_TIMEOUT_S, duration_s=duration_s
-        )
+        state.in_flight_duration_s[number] = duration_s
         try:
             await self._orders.grant(holder, grant, timeout_s=GRANT_TIMEOUT_S)
         except HolderEndedError as error:
@@ -377,7 +371,7 @@
             )
             self._note_granted(row)
         finally:
-            state.in_flight_until_s.pop(number, None)
+            state.in_flight_duration_s.pop(number, None)
             self._grant_next(state)
 
     def _note_granted(self, row: Row) -> None:
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -47,9 +47,19 @@
     def held_until_s(self, holder: Holder) -> float:
         """Return the time by which all grants of a holder have expired."""
         state = self._states.get(holder)
-        known_s = state.expire_by_s() if state is not None else 0.0
+        known_s = self._expire_by_s(state) if state is not None else 0.0
         return max(known_s, self._earlier_grants_until_s)
 
+    def end_orders(self) -> None:
+        """Cancel all orders; those that were sent may have arrived until now."""
+        for state in self:
+            state.held_until_s = self._expire_by_s(state)
+            for order in list(state.orders):
+                order.cancel()
+
+    def _expire_by_s(self, state: HolderState) -> float:
+        return state.expire_by_s(self._now_s(), self._timing)
+
     def held_s(self, lease_id: int) -> float | None:
         """Return for how long any grant may remain valid if no more are sent.
 
@@ -60,7 +70,7 @@
         latest_s = max(
             # A grant of an earlier leader may be valid for longer than this host's.
             [self._earlier_grants_until_s]
-            + [state.expire_by_s() for state in self._states.values()]
+            + [self._expire_by_s(state) for state in self._states.values()]
         )
         return max(0.0, latest_s - self._now_s())
 
@@ -84,7 +94,7 @@
         now_s = self._now_s()
         others_s = self.earlier_grants_s()
         held_s = {
-            holder: state.expire_by_s() - now_s
+            holder: self._expire_by_s(state) - now_s
             for holder, state in self._states.items()
         }
         longer_s = {holder: held for holder, held in held_s.items() if held > others_s}
--- a/src/gentianwharf/keyspace/_states.py
+++ b/src/gentianwharf/keyspace/_states.py
@@ -13,6 +13,7 @@
 
 from ._orders import Release
 from ._table import Holder, Span
+from ._timing import GrantTiming
 
 
 @final
@@ -79,7 +80,8 @@
     """Which grants one server instance may hold."""
 
     held_until_s: float
-    in_flight_until_s: dict[int, float] = field(default_factory=dict)
+    in_flight_duration_s: dict[int, float] = field(default_factory=dict)
+    """The durations of the grants whose calls have not ended, by their numbers."""
     orders: dict["Deferred[None]", float] = field(default_factory=dict)
     """The orders in flight, each with the time until which it counts as one."""
     granting: bool = False
@@ -92,9 +94,18 @@
     probe: Release | None = None
     probe_due_s: float = 0.0
 
-    def expire_by_s(self) -> float:
-        """Return the time by which every grant that was sent has expired."""
-        return max([self.held_until_s, *self.in_flight_until_s.values()])
+    def expire_by_s(self, now_s: float, timing: GrantTiming) -> float:
+        """Return the time by which every grant that was sent has expired.
+
+        A grant in flight may arrive as late as now: after a pause of this host, it may
+        be written before its timeout is handled.
+        """
+        if not self.in_flight_duration_s:
+            return self.held_until_s
+        in_flight_until_s = timing.grant_expiry_s(
+            ended_s=now_s, duration_s=max(self.in_flight_duration_s.values())
+        )
+        return max(self.held_until_s, in_flight_until_s)
 
     def track(self, order: "Deferred[None]", *, counts_until_s: float) -> None:
         """Keep an order as in flight until it ends."""
--- a/tests/builders_keyspace.py
+++ b/tests/builders_keyspace.py
@@ -123,6 +123,7 @@
         self.is_sender_paused = False
         """Whether grants are neither written nor time out until ``resume_sender``."""
         self._unwritten: list[tuple[GrantingServer, Grant]] = []
+        self._unanswered: list[Deferred[None]] = []
 
     def __getitem__(self, number: int) -> GrantingServer:
         """Return server ``number``."""
@@ -180,9 +181,17 @@
             server.apply_grant(grant)
         self._unwritten.clear()
 
+    def time_out_calls(self) -> None:
+        """End the calls of a sender that was paused, as its timers do."""
+        calls, self._unanswered = self._unanswered, []
+        for call in calls:
+            call.cancel()
+
     async def _wait_for_cancellation(self) -> None:
+        call: Deferred[None] = Deferred()
+        self._unanswered.append(call)
         try:
-            await Deferred()
+            await call
         except CancelledError as error:
             raise OutcomeUnknownError("cancelled", step="order", peer="server") from (
                 error
--- a/tests/test_keyspace_replaced_leader.py
+++ b/tests/test_keyspace_replaced_leader.py
@@ -3,7 +3,7 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.keyspace import GrantManager, Release, Span
-from gentianwharf.keyspace._timing import RENEW_WITHOUT_STORE_S
+from gentianwharf.keyspace._timing import RENEW_EVERY_S, RENEW_WITHOUT_STORE_S
 from tests.builders_keyspace import (
     TIMING,
     Servers,
@@ -14,6 +14,9 @@
 )
 from tests.builders_lives import Addresses, OrderSender
 
+PAUSE_S = 4.0
+"""Longer than a grant lasts."""
+
 
 def test_no_grant_follows_a_release_that_ends_too_late_without_the_store() -> None:
     """Guards against a grant that the next leader does not wait for.
@@ -77,3 +80,35 @@
     assert servers[2].orders == []
     run_manager(manager, clock, 0.1)
     assert servers[2].holds(5)
+
+
+def test_grant_that_a_pause_delays_holds_until_its_call_has_ended() -> None:
+    """Guards against a grant that is written after its time to arrive has passed.
+
+    A paused leader resumes with the grant unwritten and its timer not yet handled.
+    """
+    clock = Clock()
+    servers = Servers(clock, 1, 2)
+    manager = manager_of(servers)
+    manager.take_over(clock.seconds(), held_s=0.0)
+    manager.follow(table(span(0, 9, 1)))
+    run_manager(manager, clock, 1.0)
+    servers.is_sender_paused = True
+    run_manager(manager, clock, RENEW_EVERY_S)
+    clock.advance(PAUSE_S)
+    servers.is_sender_paused = False
+    servers[1].is_unreachable = True
+    manager.note_store_contact(clock.seconds())
+    manager.follow(table(span(0, 9, 2, token=2, former_holders=(1,))))
+    manager.tick()
+    servers.resume_sender()
+    assert not servers[2].holds(5)
+    servers.time_out_calls()
+    manager.tick()
+    assert not servers[2].holds(5)
+    run_manager(manager, clock, 5.0, check=lambda: check_one_holder(servers))
+    assert servers[2].holds(5)
+
+
+def check_one_holder(servers: Servers) -> None:
+    assert len(servers.holders(5)) <= 1
