Wait for earlier grants from the claim and not from the campaign

It campaigns when it has seen no leader, but pages of the store are read at different times, and with a slow store its claim is stored a second or two later. A leader that it took for lost may have renewed its lease until then, and grants for RENEW_WITHOUT_STORE_S from that renewal on.

Now it counts from when it knows that its claim is stored: all earlier leases had ended.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -81,12 +81,15 @@
         self,
         store_contact_s: float,
         *,
+        leading_since_s: float | None = None,
         held_s: float | None = None,
         lease_id: int | None = None,
     ) -> None:
-        """Begin to lead; earlier leaders may have issued grants until now.
+        """Begin to lead; earlier leaders may have been in contact until then.
 
-        ``store_contact_s`` is the time of the last contact with the store. ``held_s``
+        ``store_contact_s`` is the time of the last contact with the store, and
+        ``leading_since_s`` when this host knew that its claim was stored, which is also
+        when the leases of earlier leaders had ended; the same time if None. ``held_s``
         is for how long the grants of a leader that resigned remain valid; None after
         the loss of a leader, whose grants are unknown. ``lease_id`` is that of the
         term; without it, this host states its grants to no later leader.
@@ -95,7 +98,9 @@
         self._store_contact_s = store_contact_s
         if held_s is None:
             earlier_grants_until_s = self._timing.earlier_grants_expiry_s(
-                took_over_s=store_contact_s
+                took_over_s=(
+                    store_contact_s if leading_since_s is None else leading_since_s
+                )
             )
         else:
             earlier_grants_until_s = self._now_s() + held_s
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -137,7 +137,10 @@
             previous.lease_id if previous is not None else 0
         )
         self._grant_manager.take_over(
-            self._leadership.lease_renewed_s, held_s=held_s, lease_id=term.lease_id
+            self._leadership.lease_renewed_s,
+            leading_since_s=self._gained_s,
+            held_s=held_s,
+            lease_id=term.lease_id,
         )
         if previous is not None and held_s is None:
             if previous.value == self._leadership.value:
--- a/tests/builders_placement_planned.py
+++ b/tests/builders_placement_planned.py
@@ -195,7 +195,12 @@
     # Stands in for the grant manager.
 
     def take_over(
-        self, store_contact_s: float, *, held_s: float | None, lease_id: int
+        self,
+        store_contact_s: float,
+        *,
+        leading_since_s: float,
+        held_s: float | None,
+        lease_id: int,
     ) -> None:
         """Nothing was granted before."""
 
--- a/tests/builders_terms.py
+++ b/tests/builders_terms.py
@@ -40,9 +40,23 @@
         super().__init__(store)
         self.loses_answers_to_changes = False
         self.serves_no_tables = False
+        self.lease_delay_s = 0.0
+        self.change_delay_s = 0.0
+
+    async def open_lease(self, duration_s: float) -> int:
+        """Open a lease, which may take a while to arrive."""
+        await self._delay(self.lease_delay_s)
+        return cast(int, await cast(Any, self).__getattr__("open_lease")(duration_s))
+
+    async def _delay(self, delay_s: float) -> None:
+        if delay_s:
+            arrival: Deferred[None] = Deferred()
+            self.store.clock.callLater(delay_s, arrival.callback, None)
+            await arrival
 
     async def change(self, change: Change) -> int:
-        """Make a change, whose answer may be lost."""
+        """Make a change, which may arrive late, and whose answer may be lost."""
+        await self._delay(self.change_delay_s)
         revision = await cast(Any, self).__getattr__("change")(change)
         if self.loses_answers_to_changes:
             raise OutcomeUnknownError("no answer", step="change", peer="store")
@@ -171,6 +185,10 @@
         assert not host.leads
         host.faults.loses_answers_to_changes = False
 
+    def cut_links(self) -> None:
+        """Lose every message between hosts."""
+        self.net.cut.update(self.net.listeners)
+
     def silence(self, holder: Holder) -> None:
         """Let a server answer no order; it goes on serving what it holds."""
         self.servers.by_address[holder.address].is_silent = True
--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -9,7 +9,7 @@
 
 from gentianwharf.entryhost import _previous_leader
 from gentianwharf.keyspace._timing import RENEW_EVERY_S
-from tests.builders_keyspace import holder
+from tests.builders_keyspace import TIMING, holder
 from tests.builders_terms import STEP_S, Terms
 
 WITHOUT_STORE_S = 2.5
@@ -101,3 +101,22 @@
     b.heal()
     terms.run(CHECKED_S, b)
     assert b.leads
+
+
+def test_wait_for_earlier_grants_counts_from_the_claim_and_not_from_the_campaign(
+    terms: Terms,
+) -> None:
+    """Guards against a leader that renewed its lease while a slow campaign went on.
+
+    Host b takes it for lost by pages of the store that were read at different times.
+    """
+    a, b, _ = terms.hosts
+    terms.run_until(lambda: terms.servers.holders(0), a)
+    terms.cut_links()
+    b.faults.lease_delay_s, b.faults.change_delay_s = 0.7, 1.1
+    b.leadership.note_item(None)
+    terms.run(0.6, a, b)
+    a.cut()
+    terms.run_until(lambda: b.leads, a, b)
+    longest_s = TIMING.earlier_grants_expiry_s(took_over_s=0.0)
+    assert b.manager.holders.earlier_grants_s() >= longest_s - STEP_S
