Decline the leadership that a campaign gains after the resignation

Now a claim that is stored after the resignation is taken back at once, with the record that it replaced.

Evidence: the new test failed before (the host led), and passes now.

--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -140,12 +140,15 @@
             return
         self._lose("resigned")
         # The orders that were in flight have ended now, and count from their ends.
-        record = self._resignation(term, held_s(term.lease_id))
+        await self._remove_item(term, held_s(term.lease_id))
+
+    async def _remove_item(self, term: Term, held_s: float | None) -> None:
+        """Remove this host's item, so that others campaign at once."""
         try:
             await self._store.change(
                 Change(
                     expected={self._key: term.revision},
-                    puts=(record,),
+                    puts=(self._resignation(term, held_s),),
                     removals=(self._key,),
                 )
             )
@@ -262,8 +265,14 @@
             self.lease_renewed_s = max(self.lease_renewed_s, now_s)
 
     def _gain(self, revision: int) -> None:
-        self.term = Term(lease_id=self._campaign_lease_id, revision=revision)
+        term = Term(lease_id=self._campaign_lease_id, revision=revision)
         self._campaign_lease_id = 0
+        if self._now_s() < self._campaign_pause_until_s:
+            # The campaign was in flight as this host resigned.
+            log.info("leadership declined", extra={"revision": revision})
+            _start(self._remove_item(term, None))
+            return
+        self.term = term
         self.lease_renewed_s = self._campaign_began_s
         self._due_s = self._now_s() + RENEW_LEASE_EVERY_S
         held_s = (
--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -120,3 +120,24 @@
     terms.run_until(lambda: b.leads, a, b)
     longest_s = TIMING.earlier_grants_expiry_s(took_over_s=0.0)
     assert b.manager.holders.earlier_grants_s() >= longest_s - STEP_S
+
+
+def test_host_that_is_stopped_does_not_lead_by_a_campaign_in_flight(
+    terms: Terms,
+) -> None:
+    """Guards against keys without a leader until the lease of a stopped host ends."""
+    lead_and_lose_the_store(terms)
+    a, b, c = terms.hosts
+    b.heal()
+    b.faults.change_delay_s = 0.5
+    terms.run(0.3, b)
+    b.resign()
+    b.faults.change_delay_s = 0.0
+    before_the_claim = terms.store.revision
+    terms.run(0.5, b)
+    assert terms.store.revision > before_the_claim
+    assert not b.leads
+    assert terms.leader_item() is None
+    assert terms.recorded_value() == a.leadership.value, "host a is the one to ask"
+    terms.run(CHECKED_S, b, c)
+    assert c.leads
