Apply a change in the tests' store before its listeners hear of it

The simple store told its listeners of each item of a change before it stored the next one. A listener that changed the store in turn, as a host does that declines the leadership, was overwritten by the rest of the change that it answered, which the platform's store excludes, and other hosts heard of both in the wrong order.

--- a/tests/builders_keyspace_hosts.py
+++ b/tests/builders_keyspace_hosts.py
@@ -1,6 +1,7 @@
 """An in-memory store and hosts that elect a leader by it, for tests of ``keyspace``."""
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import cast
 
@@ -51,6 +52,8 @@
         self.calls: list[str] = []
         self.listeners: list[Callable[[str, Item | None], None]] = []
         self._last_lease_id = 100
+        self._news: deque[tuple[str, Item | None]] = deque()
+        self._is_notifying = False
 
     async def items(self, prefix: str) -> Page:
         """Return all items below a prefix."""
@@ -85,18 +88,15 @@
             known = self.items_by_key.get(key)
             if (known.revision if known else 0) != revision:
                 raise ConflictError("condition", step="change", peer="store")
-        self.revision += 1
-        for put in change.puts:
-            item = Item(
-                key=put.key,
-                value=put.value,
-                revision=self.revision,
-                lease_id=put.lease_id,
+        revision = self.revision = self.revision + 1
+        changed: dict[str, Item | None] = {
+            put.key: Item(
+                key=put.key, value=put.value, revision=revision, lease_id=put.lease_id
             )
-            self._set(put.key, item)
-        for key in change.removals:
-            self._set(key, None)
-        revision = self.revision
+            for put in change.puts
+        }
+        changed.update(dict.fromkeys(change.removals))
+        self._set(changed)
         await self._on_answer("change")
         return revision
 
@@ -146,15 +146,24 @@
         for key, item in list(self.items_by_key.items()):
             if item.lease_id and item.lease_id not in self.leases:
                 self.revision += 1
-                self._set(key, None)
-
-    def _set(self, key: str, item: Item | None) -> None:
-        if item is None:
-            self.items_by_key.pop(key, None)
-        else:
-            self.items_by_key[key] = item
-        for listener in self.listeners:
-            listener(key, item)
+                self._set({key: None})
+
+    def _set(self, changed: Mapping[str, Item | None]) -> None:
+        """Change items, and notify listeners in order, also of what they change."""
+        for key, item in changed.items():
+            if item is None:
+                self.items_by_key.pop(key, None)
+            else:
+                self.items_by_key[key] = item
+        self._news.extend(changed.items())
+        if self._is_notifying:
+            return
+        self._is_notifying = True
+        while self._news:
+            news = self._news.popleft()
+            for listener in self.listeners:
+                listener(*news)
+        self._is_notifying = False
 
     async def _on_call(self, call: str) -> None:
         self.calls.append(call)
