Do not read a table that can't be decoded as no grants

A table that it can't decode, for instance one of a newer version, counted as none, and its successor was told that no grant is left.

Now such a table leaves the longest wait in place. The table itself is rejected and never written over, as before.

--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -123,14 +123,14 @@
         if term is None or self._leadership.term is not term or self._term is term:
             return
         self._term = term
-        for item in page.items:
-            self.note_table(item)
-        self._take_over(term)
+        rejected = [item for item in page.items if not self.note_table(item)]
+        has_spans = any(service.table.spans for service in self._services.values())
+        self._take_over(term, may_have_grants=has_spans or bool(rejected))
 
-    def _take_over(self, term: Term) -> None:
+    def _take_over(self, term: Term, *, may_have_grants: bool) -> None:
         previous = self._previous_leader
         held_s = previous.held_s if previous is not None else None
-        if not any(service.table.spans for service in self._services.values()):
+        if not may_have_grants:
             # Without a stored table there are no grants.
             held_s = 0.0
         own = self._grant_manager.holders.remaining_grants(
@@ -209,8 +209,8 @@
         keyed = self._services.get(service)
         return keyed.snapshot(self._shards) if keyed is not None else None
 
-    def note_table(self, item: Item) -> None:
-        """Follow a stored table; one that can't be decoded changes nothing."""
+    def note_table(self, item: Item) -> bool:
+        """Follow a stored table; return False for one that can't be decoded."""
         try:
             table = decode_table(item.value, peer=item.key)
         except InputError as error:
@@ -223,12 +223,13 @@
                     "revision": item.revision,
                 },
             )
-            return
+            return False
         if table.service not in self._services:
             self.set_services({table.service: WARM_UP_S})
         service = self._services[table.service]
         if item.revision > service.revision:
             self._accept(service, table, item.revision)
+        return True
 
     def tick(self) -> None:
         """Plan the services that are due; to be called about every 50 ms."""
--- a/tests/builders_terms.py
+++ b/tests/builders_terms.py
@@ -16,12 +16,13 @@
 from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
 from gentianwharf.keyspace import Holder
 from gentianwharf.keyspace._previous_leader import decode_previous_leader
-from gentianwharf.store import Change, Item, Page
+from gentianwharf.store import Change, Item, Page, Put
 from tests.builders_keyspace import (
     LEADER_KEY,
     PREVIOUS_LEADER_KEY,
     SERVICE,
     SHARDS,
+    TABLE_KEY,
     TIMING,
     Servers,
     candidate,
@@ -164,6 +165,11 @@
             holders = self.servers.holders(shard)
             assert len(holders) <= 1, f"shard {shard} is held by {holders}"
 
+    def store_table(self, value: bytes) -> None:
+        """Store the table of the service."""
+        change = Change(expected={}, puts=(Put(key=TABLE_KEY, value=value),))
+        Deferred.fromCoroutine(self.store.change(change))
+
     def leader_item(self) -> Item | None:
         """Return the stored item of the leader."""
         return self.store.items_by_key.get(LEADER_KEY)
--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -141,3 +141,12 @@
     assert terms.recorded_value() == a.leadership.value, "host a is the one to ask"
     terms.run(CHECKED_S, b, c)
     assert c.leads
+
+
+def test_leader_that_cannot_decode_a_table_waits_for_its_grants(terms: Terms) -> None:
+    """Guards against a table of a newer version that is read as no grants."""
+    a = terms.hosts[0]
+    terms.store_table(b"a table of another version")
+    terms.run_until(lambda: a.leads, a)
+    terms.run(STEP_S, a)
+    assert a.held_s() > TIMING.longest_grant_s
