Write what a server sent before its reset through a tunnel

Cause: a carrier that reads the answer and then the reset in one turn of a busy loop resets the tunnel before the answer is written to it, which drops it. A direct connection delivers what came before a reset.

Now the carrier writes what it has read, then resets; a host that doesn't read is reset after 30 s, as after a clean end. Towards the server a reset goes on at once, so that it drops the request of a caller that left.

--- a/src/gentianwharf/tunnels/_server.py
+++ b/src/gentianwharf/tunnels/_server.py
@@ -8,7 +8,7 @@
 import msgspec
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.interfaces import IPullProducer, IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -314,16 +314,20 @@
     def close(self, *, clean: bool) -> None:
         """End the answer as the server did: a reset stays a reset.
 
-        After a clean end, the rest of an upload is read and dropped: closing with
-        unread data resets the connection, and the host may lose the end of the answer.
+        What the server sent before is written first. After a clean end, the rest of an
+        upload is read and dropped: closing with unread data resets the connection, and
+        the host may lose the end of the answer.
         """
         transport = cast(Any, self.transport)
-        if not clean or not transport.connected:
+        if not transport.connected:
             super().close(clean=clean)
             return
         transport.unregisterProducer()
-        transport.loseWriteConnection()
-        self.resumeProducing()
+        if clean:
+            transport.loseWriteConnection()
+            self.resumeProducing()
+        else:
+            transport.registerProducer(_ResetOnceWritten(transport), False)
         self._timer = self._server.reactor.callLater(LINGER_TIMEOUT_S, self.abort)
 
     def is_unacknowledged(self) -> bool:
@@ -369,6 +373,32 @@
         self._entry.close(clean=bool(reason.check(ConnectionDone)))
 
 
+@final
+@implementer(IPullProducer)
+class _ResetOnceWritten:
+    """Resets a connection once it has nothing left to write.
+
+    The connection calls ``resumeProducing`` as the producer is registered, and then
+    each time that its buffer is empty.
+    """
+
+    def __init__(self, transport: Any) -> None:
+        self._transport = transport
+        self._is_registered = False
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Reset the connection, unless it may still have something to write."""
+        if self._is_registered:
+            self._transport.abortConnection()
+            return
+        self._is_registered = True
+        # A connection that has nothing to write calls again as well.
+        self._transport.startWriting()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the connection is lost."""
+
+
 def set_tunnel_options(transport: Any) -> None:
     """Bound the buffers of a connection, and detect a peer that is gone."""
     transport.bufferSize = BUFFER_BYTES
--- a/tests/test_tunnels_ends.py
+++ b/tests/test_tunnels_ends.py
@@ -1,6 +1,7 @@
 """What one end of a tunnel does to the other, while bytes wait in between."""
 
 import socket
+import struct
 import threading
 import time
 
@@ -19,6 +20,10 @@
 
 EARLY_ANSWER_BYTES = 200_000
 
+RESETS = 20
+BLOCKED_S = 0.03
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
 UPLOAD_S = 0.5
 """Time for an upload to fill these buffers."""
 
@@ -114,3 +119,26 @@
         wait_until(
             lambda: not hosts.carriers[0].open_tunnels, description="a free tunnel"
         )
+
+
+@pytest.mark.parametrize("answer_bytes", [10, 100_000])
+def test_answer_before_a_reset_arrives_whole(answer_bytes: int) -> None:
+    """Guards against answers dropped as the carrier hears of both at the same time."""
+    answer = ANSWER[:answer_bytes]
+    with tunneling() as hosts:
+        for number in range(RESETS):
+            user = hosts.opened()
+            server = hosts.backend.connection(number)
+            blocked = threading.Thread(target=in_reactor, args=(block_loop,))
+            blocked.start()
+            server.sendall(answer)
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            server.close()
+            blocked.join()
+            wait_until(lambda user=user: user.ended, description="the tunnel's end")
+            assert user.ended == "reset"
+            assert user.received == answer
+
+
+def block_loop() -> None:
+    time.sleep(BLOCKED_S)
