Carry out no tables that the next leader may have written

Cause: taking over asked only whether the term was the same, not whether the lease holds; and the first table of a service was carried out even by a host that may be replaced.

Now the tables count only if the lease certainly holds when they have been read, so that nobody else can have written since the claim; otherwise they are read again after a renewal. No table that comes while another host may lead is carried out before the next contact with the store, the first of a service no more than any other.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -126,7 +126,7 @@
         """Carry out a table that is stored."""
         if not self._leading:
             return
-        if self._is_replaced() and self._rows.has_service(table.service):
+        if self._is_replaced():
             # The table may be that of the next leader, whose grants to the former
             # holders this host does not know.
             self._unconfirmed[table.service] = table
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -122,6 +122,11 @@
             return
         if term is None or self._leadership.term is not term or self._term is term:
             return
+        if not self._leadership.holds_lease():
+            # These may be the tables of the next leader, whose grants to the former
+            # holders this host does not know. They are read again after a renewal.
+            log.info("tables read too late: the lease may have ended")
+            return
         self._term = term
         rejected = [item for item in page.items if not self.note_table(item)]
         has_spans = any(service.table.spans for service in self._services.values())
