Take nothing from records that name no lease

Now a record without a lease counts as one that can't be read: the longest grants of all earlier leaders are waited for.

Evidence: test_record_without_a_lease_shortens_no_wait failed before, with a leader that was lost and with one that resigned (shard 0 held by two servers), and passes now.

--- a/src/gentianwharf/keyspace/_previous_leader.py
+++ b/src/gentianwharf/keyspace/_previous_leader.py
@@ -20,13 +20,13 @@
     ``value`` identifies it to other hosts. ``earlier_grants_expired`` is true once no
     grant of any leader before it is still valid. ``held_s`` is for how long its own
     grants may remain valid, counted from its resignation; None if it did not resign.
-    ``lease_id`` is that of its term's lease, 0 in records that do not name it.
+    ``lease_id`` is that of its term's lease.
     """
 
     value: bytes
     earlier_grants_expired: bool
     held_s: float | None
-    lease_id: int = 0
+    lease_id: int
 
 
 @final
@@ -66,7 +66,11 @@
 
 
 def decode_previous_leader(item: Item | None) -> PreviousLeader | None:
-    """Return the previous leader; None if there was none or it can't be decoded."""
+    """Return the previous leader; None if there was none or it can't be decoded.
+
+    A record that names no lease was written by a version whose hosts state grants of
+    terms that they do not know.
+    """
     if item is None:
         return None
     try:
@@ -78,6 +82,12 @@
             extra={"peer": item.key, "revision": item.revision},
         )
         return None
+    if not stored.lease_id:
+        log.info(
+            "record of the previous leader names no lease",
+            extra={"peer": item.key, "revision": item.revision},
+        )
+        return None
     return PreviousLeader(
         value=stored.value,
         earlier_grants_expired=stored.earlier_grants_expired,
--- a/tests/builders_terms.py
+++ b/tests/builders_terms.py
@@ -14,8 +14,11 @@
 )
 from gentianwharf.entryhost._previous_leader import RemainingGrantsExchange
 from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
-from gentianwharf.keyspace import Holder
-from gentianwharf.keyspace._previous_leader import decode_previous_leader
+from gentianwharf.keyspace import Holder, PreviousLeader, RemainingGrants
+from gentianwharf.keyspace._previous_leader import (
+    decode_previous_leader,
+    encode_previous_leader,
+)
 from gentianwharf.store import Change, Item, Page, Put
 from tests.builders_keyspace import (
     LEADER_KEY,
@@ -136,6 +139,11 @@
             self.leadership.resign(self.manager.holders.held_s, campaign_pause_s=60.0)
         )
 
+    def states_no_grants(self) -> None:
+        """State that nothing is granted, whichever term a leader asks about."""
+        holders = cast(Any, self.manager.holders)
+        holders.remaining_grants = lambda lease_id: RemainingGrants(others_s=0.0)
+
     def tick(self) -> None:
         """Do the work that is due."""
         super().tick()
@@ -195,6 +203,17 @@
             holders = self.servers.holders(shard)
             assert len(holders) <= 1, f"shard {shard} is held by {holders}"
 
+    def store_record(self, host: TermHost, *, held_s: float | None) -> None:
+        """Store the record of a leader of a version that names no lease."""
+        record = PreviousLeader(
+            value=host.leadership.value,
+            earlier_grants_expired=True,
+            held_s=held_s,
+            lease_id=0,
+        )
+        put = Put(key=PREVIOUS_LEADER_KEY, value=encode_previous_leader(record))
+        Deferred.fromCoroutine(self.store.change(Change(expected={}, puts=(put,))))
+
     def store_table(self, value: bytes) -> None:
         """Store the table of the service."""
         change = Change(expected={}, puts=(Put(key=TABLE_KEY, value=value),))
--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -151,3 +151,19 @@
     terms.run_until(lambda: a.leads, a)
     terms.run(STEP_S, a)
     assert a.held_s() > TIMING.longest_grant_s
+
+
+@pytest.mark.parametrize("held_s", [None, 0.0], ids=["lost", "resigned"])
+def test_record_without_a_lease_shortens_no_wait(
+    terms: Terms, held_s: float | None
+) -> None:
+    """Guards against hosts of an older version that state grants they do not know."""
+    lead_and_lose_the_store(terms)
+    _, b, c = terms.hosts
+    terms.store_record(b, held_s=held_s)
+    b.states_no_grants()
+    b.receives_changes = False
+    c.heal()
+    terms.silence(holder(1))
+    terms.run(CHECKED_S, c)
+    assert c.leads
