Name permits of a process differently from those of the one before

Found by the review of the two holders, as the same class of fault: who asks is known by its host's name and a number that began at 1 in each process. A host that was killed while it had the permit of a request that ends servers, and started again, got the same permit with its first question: two copies of the request could run.

Now the numbers of a process begin at its incarnation.

Evidence: the new test failed before (the permit was given twice), and passes now; 224 tests of the quarantine pass.

--- a/src/gentianwharf/entryhost/_run_permits.py
+++ b/src/gentianwharf/entryhost/_run_permits.py
@@ -65,7 +65,9 @@
         self._listed = listed
         self._reactor = reactor
         self._granted = PermitTable()
-        self._serial = 0
+        # Hosts name a permit by its holder's name and this number, so a process that
+        # follows another must not begin where that one began.
+        self._serial = identity.incarnation
         self._asked: dict[int, Deferred[bool]] = {}
 
     async def take(self, digest: bytes, *, duration_s: float) -> RunPermit | None:
