Keep a server's state while a request waits for it

Cause: a server that leaves the list is dropped as its last request ends. A request that waits in the server's own queue starts right then, at the dropped state, and its end looks the server up in vain. The answer is lost with it.

Now a server stays until nobody waits for it either; the tick drops it afterwards.

Evidence: the new test failed before with KeyError, and passes now.

--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -125,10 +125,14 @@
         return max(1, server.connections // self._daemons)
 
     def drop_if_unlisted(self, state: ServerState) -> None:
-        """Drop a server that is not listed and has no requests in flight."""
+        """Drop a server that is not listed, once no request is or may be sent to it."""
         if state.listed or state.flights or state.server.id not in self.servers:
             return
         service = state.server.service
+        own_pool = self.pools.get((service, state.server.id))
+        if own_pool is not None and own_pool.waiting:
+            # A request that waits may be sent until the server's grace has passed.
+            return
         del self.servers[state.server.id]
         del self._by_service[service][state.server.id]
         pool = self.pools.get((service, None))
@@ -136,7 +140,9 @@
             pool.set_states([other for other in pool.states if other is not state])
 
     def drop_outdated(self, now_s: float) -> None:
-        """Drop the pools and the notices of removed servers, to bound the tables."""
+        """Drop removed servers, their pools and their notices, to bound the tables."""
+        for state in [state for state in self.servers.values() if not state.listed]:
+            self.drop_if_unlisted(state)
         self.notices.drop_outdated(now_s, listed=self.servers.keys())
         idle = [
             key
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -141,6 +141,18 @@
     assert refused.reason is RefuseReason.OVERLOAD
 
 
+def test_answer_of_a_server_that_left_the_list_while_a_request_waited_counts() -> None:
+    """Guards against a fault of the router in place of an answer that is there."""
+    gate = build.gate(build.service(name="calendrier", keyed=True, slots=1))
+    assert isinstance(gate.submit(build.owned("1"), 0.0), Start)
+    assert isinstance(gate.submit(build.owned("2"), 0.0), Wait)
+    gate.set_servers("calendrier", [], 0.01)
+    started = gate.finished("1", build.ok(), 0.02)
+    assert started == [Start(ticket_id="2", server=build.OWNER)]
+    assert gate.finished("2", build.ok(), 0.03) == []
+    assert gate.snapshot().servers == ()
+
+
 @pytest.mark.parametrize(
     ("since_s", "expected"),
     [pytest.param(0.05, Wait, id="busy"), pytest.param(0.2, Refuse, id="stuck")],
