Believe no records of a host that may have missed news itself

A host that has just started itself answers at once that it knows of none, so that the wait ends and a suspected request runs as any other, on a fourth server.

Now an answer says whether its sender is current: it has asked since its start, and has not stood still.

--- a/src/gentianwharf/entryhost/_peer_messages.py
+++ b/src/gentianwharf/entryhost/_peer_messages.py
@@ -321,10 +321,14 @@
 
 
 class RecordsReply(msgspec.Struct, array_like=True, tag="records-reply"):
-    """All that a host knows of requests under which servers end."""
+    """All that a host knows of requests under which servers end.
+
+    ``is_current`` is False if it may itself have missed news.
+    """
 
     crashes: list[CrashReport] = []
     tries: list[TryReport] = []
+    is_current: bool = True
 
 
 QuarantineMessage = (
--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -245,7 +245,7 @@
             self.exchange.answer(message, self._records_reply())
         elif isinstance(message, RecordsReply):
             self._apply(message.crashes, message.tries)
-            self.exchange.note_answer()
+            self.exchange.note_answer(message)
         else:
             self._permits.handle(message)
 
--- a/src/gentianwharf/entryhost/_records_exchange.py
+++ b/src/gentianwharf/entryhost/_records_exchange.py
@@ -24,7 +24,7 @@
 
 @final
 class RecordsExchange:
-    """Asks some hosts for their records; requests wait for the first answer."""
+    """Asks some hosts for their records; requests wait for the first current one."""
 
     def __init__(
         self,
@@ -63,7 +63,10 @@
         return bool(self._reactor.seconds() - self._ticked_s > PAUSE_S)
 
     def wait(self) -> "Deferred[None]":
-        """Return a Deferred that fires with the first answer, or when none came."""
+        """Return a Deferred that fires with an answer of a host that knows, or without.
+
+        It fires after ``ANSWER_TIMEOUT_S`` if no such answer came.
+        """
         if self._timer is None:
             self._ask()
             self._ticked_s = self._reactor.seconds()
@@ -92,19 +95,28 @@
 
     def answer(self, request: RecordsRequest, reply: RecordsReply) -> None:
         """Send this host's records to another host, which may have just started."""
+        reply.is_current = self.is_current and not self.needs_answer()
         # A link to its former process would be opened again only after a delay.
         self._links.renew(request.address)
         self._links.send(request.address, msgspec.msgpack.encode(reply))
 
-    def note_answer(self) -> None:
-        """Record that another host's records were applied."""
+    def note_answer(self, reply: RecordsReply) -> None:
+        """Record that another host's records were applied.
+
+        Hosts that start together know nothing; one of them must not be believed before
+        a host that knows.
+        """
+        if reply.is_current:
+            self._end_wait()
+
+    def _end_wait(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._end()
 
     def stop(self) -> None:
         """Wait for no answer any more."""
-        self.note_answer()
+        self._end_wait()
 
     def _end(self) -> None:
         took_s = self._reactor.seconds() - self._asked_s
