--- a/tests/builders_terms.py
+++ b/tests/builders_terms.py
@@ -14,14 +14,18 @@
 )
 from gentianwharf.entryhost._previous_leader import RemainingGrantsExchange
 from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
-from gentianwharf.keyspace import Holder
-from gentianwharf.keyspace._previous_leader import decode_previous_leader
-from gentianwharf.store import Change, Item, Page
+from gentianwharf.keyspace import Holder, PreviousLeader, RemainingGrants
+from gentianwharf.keyspace._previous_leader import (
+    decode_previous_leader,
+    encode_previous_leader,
+)
+from gentianwharf.store import Change, Item, Page, Put
 from tests.builders_keyspace import (
     LEADER_KEY,
     PREVIOUS_LEADER_KEY,
     SERVICE,
     SHARDS,
+    TABLE_KEY,
     TIMING,
     Servers,
     candidate,
@@ -33,8 +37,28 @@
 CHECKED_SHARDS = range(0, SHARDS, 37)
 
 
+class Gate:
+    """Holds calls back until it is opened."""
+
+    def __init__(self) -> None:
+        self._calls: list[Deferred[None]] | None = []
+
+    async def passed(self) -> None:
+        """Wait until the gate is open."""
+        if self._calls is not None:
+            call: Deferred[None] = Deferred()
+            self._calls.append(call)
+            await call
+
+    def open(self) -> None:
+        """Let all calls pass."""
+        calls, self._calls = self._calls or [], None
+        for call in calls:
+            call.callback(None)
+
+
 class FaultyHostStore(HostStore):
-    """One host's connection to the store, which may lose answers or serve no tables."""
+    """One host's connection to the store, which may be late or lose answers."""
 
     def __init__(self, store: SimpleStore) -> None:
         super().__init__(store)
@@ -42,6 +66,10 @@
         self.serves_no_tables = False
         self.lease_delay_s = 0.0
         self.change_delay_s = 0.0
+        self.answers_to_changes = Gate()
+        self.answers_to_changes.open()
+        self.reads = Gate()
+        self.reads.open()
 
     async def open_lease(self, duration_s: float) -> int:
         """Open a lease, which may take a while to arrive."""
@@ -58,6 +86,7 @@
         """Make a change, which may arrive late, and whose answer may be lost."""
         await self._delay(self.change_delay_s)
         revision = await cast(Any, self).__getattr__("change")(change)
+        await self.answers_to_changes.passed()
         if self.loses_answers_to_changes:
             raise OutcomeUnknownError("no answer", step="change", peer="store")
         return cast(int, revision)
@@ -66,6 +95,7 @@
         """Return all items below a prefix, unless the connection serves none."""
         if self.serves_no_tables:
             raise PeerUnavailableError("too slow", step="items", peer="store")
+        await self.reads.passed()
         return cast(Page, await cast(Any, self).__getattr__("items")(prefix))
 
 
@@ -109,6 +139,11 @@
             self.leadership.resign(self.manager.holders.held_s, campaign_pause_s=60.0)
         )
 
+    def states_no_grants(self) -> None:
+        """State that nothing is granted, whichever term a leader asks about."""
+        holders = cast(Any, self.manager.holders)
+        holders.remaining_grants = lambda lease_id: RemainingGrants(others_s=0.0)
+
     def tick(self) -> None:
         """Do the work that is due."""
         super().tick()
@@ -158,12 +193,32 @@
             assert self.clock.seconds() < latest_s, f"not reached in {within_s} s"
             self.run(STEP_S, *hosts)
 
+    def table_revision(self) -> int:
+        """Return the revision of the stored table."""
+        return self.store.items_by_key[TABLE_KEY].revision
+
     def check(self) -> None:
         """Check that no shard has two holders."""
         for shard in CHECKED_SHARDS:
             holders = self.servers.holders(shard)
             assert len(holders) <= 1, f"shard {shard} is held by {holders}"
 
+    def store_record(self, host: TermHost, *, held_s: float | None) -> None:
+        """Store the record of a leader of a version that names no lease."""
+        record = PreviousLeader(
+            value=host.leadership.value,
+            earlier_grants_expired=True,
+            held_s=held_s,
+            lease_id=0,
+        )
+        put = Put(key=PREVIOUS_LEADER_KEY, value=encode_previous_leader(record))
+        Deferred.fromCoroutine(self.store.change(Change(expected={}, puts=(put,))))
+
+    def store_table(self, value: bytes) -> None:
+        """Store the table of the service."""
+        change = Change(expected={}, puts=(Put(key=TABLE_KEY, value=value),))
+        Deferred.fromCoroutine(self.store.change(change))
+
     def leader_item(self) -> Item | None:
         """Return the stored item of the leader."""
         return self.store.items_by_key.get(LEADER_KEY)
@@ -175,6 +230,12 @@
         assert record is not None
         return record.value
 
+    def renew_lease(self, host: TermHost) -> None:
+        """Renew a leader's lease in the store without its noticing."""
+        assert host.leadership.term is not None
+        lease_id = host.leadership.term.lease_id
+        Deferred.fromCoroutine(self.store.renew_lease(lease_id))
+
     def claim_unnoticed(self, host: TermHost) -> None:
         """Let a host claim the leadership and not hear of it until its lease ends."""
         host.faults.loses_answers_to_changes = True
