Refuse an answer without a valid status

Cause: Twisted's client takes for a status what int() takes, and the relay looked at no range. Callers of GET got `HTTP/1.1 0 OK` for `000`, `1` for `001`, `99`, `-200`, `600`, `1000` as they were, and 200 for `+200`, `0200` and `2_00`. While an upload was being sent, an answer that can't be parsed failed nothing: the caller waited for its deadline and got 504.

Change: one parser for all clients (gentianwharf/statuses.py) takes three digits from 100 to 599 only, in informational responses too; the relay's connections use it. Such an answer counts as a lost one: 502 at once, outcome unknown, the connection is closed and the server isn't taken for ended. A request that can't be parsed fails at once, also within its upload. A log line states what was expected.

--- a/src/gentianwharf/relay/_attempt.py
+++ b/src/gentianwharf/relay/_attempt.py
@@ -7,8 +7,10 @@
 from twisted.web.http_headers import Headers
 
 from gentianwharf.errors import PeerMismatchError, PeerUnavailableError
+from gentianwharf.logs import log
 from gentianwharf.pauses import Timeout
 from gentianwharf.runs import RunStatus
+from gentianwharf.statuses import InvalidStatusError
 from gentianwharf.topology import BackendServer
 
 from ._attempt_errors import (
@@ -240,7 +242,7 @@
             connection.abort_now()
             raise LostError(
                 outcome=Outcome.LOST,
-                problem=self._unknown(502, "the answer was lost", error),
+                problem=self._unknown(502, self._title_of_loss(error), error),
             ) from error
         finally:
             timeout.stop()
@@ -248,6 +250,21 @@
         self._admission.note_arrived(self._ticket, connection.path, until_s=written_s)
         return answer
 
+    def _title_of_loss(self, error: Exception) -> str:
+        if not isinstance(error, InvalidStatusError):
+            return "the answer was lost"
+        log.warning(
+            "invalid status in an answer: {}",
+            error,
+            extra={
+                "request_id": self._ticket.request_id,
+                "server": self.server.id,
+                "step": "answer",
+                "peer": self.server.address,
+            },
+        )
+        return "the server's answer has no valid status"
+
     def note_end_of_connection(self, connection: ServerConnection) -> None:
         """Record that a connection ended without the whole answer.
 
--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -26,6 +26,7 @@
 from gentianwharf.errors import PeerMismatchError
 from gentianwharf.pauses import Timeout
 from gentianwharf.sockets import queued_bytes, unacknowledged_bytes
+from gentianwharf.statuses import check_statuses
 
 from ._headers import connection_options
 from ._link_monitor import LinkMonitor
@@ -186,6 +187,13 @@
             pending.errback(self._oversized_head_error())
             self.abort_now()
 
+    def _giveUp(self, reason: Failure) -> None:  # noqa: N802
+        # While the request is still being sent, Twisted does not fail it.
+        pending = self._pending
+        if pending is not None and not reason.check(ConnectionDone):
+            _deliver_failure(pending, reason)
+        super()._giveUp(reason)
+
     def _oversized_head_error(self) -> PeerMismatchError:
         return PeerMismatchError(
             f"expected an answer's head within {MAX_RESPONSE_HEAD_BYTES} bytes, got"
@@ -251,6 +259,7 @@
         self._has_body = body is not None
         self._watch_response(pending, repeatable=repeatable)
         sent = cast("Deferred[Response]", self.request(request))
+        check_statuses(self)
         self._bound_informational_responses()
         early = getattr(self, "_responseDeferred", None)
         if early is not None:
--- a/tests/test_relay_run_guard.py
+++ b/tests/test_relay_run_guard.py
@@ -10,6 +10,7 @@
 
 from gentianwharf.relay import GuardedRun, Problem, RecallableExchange, RunStatus
 from gentianwharf.topology import BackendServer
+from tests.builders_odd_statuses import OddServer
 from tests.builders_processes import wait_until
 from tests.builders_relay import (
     REACTOR,
@@ -104,6 +105,17 @@
     return int(answered.split()[1])
 
 
+@pytest.mark.parametrize("status", ["000 OK", "+200 OK", "2xx OK"])
+def test_odd_status_is_no_end_of_a_server(status: str) -> None:
+    """Guards against a quarantine of requests whose servers live on."""
+    guard = FakeGuard()
+    with long_deadline_relay([OddServer(status)], run_guard=guard) as relay:
+        relay.send(request("POST"))
+    assert guard.sends == ["written to s0", "abandoned at s0"]
+    assert "lost at s0" not in guard.told
+    assert "answered" not in guard.told
+
+
 def test_request_is_admitted_again_before_its_retry() -> None:
     """Guards against a second server for a request that ended the first one."""
     guard = FakeGuard()
