Check the status in the answers to a host's own calls

Cause: orders, load queries, the store's clients and the command line read statuses as Twisted does. An order answered `0421` or `4_21` counted as refused by another server (HolderEndedError), and one answered `+409` as refused for a higher token: both free keys. Calls answered `2_00` returned values.

Change: all of them use the parser of gentianwharf/statuses.py: orders after each request, every agent of http_agent before each piece of data, load queries and the load tool through the relay's connections. An odd status leaves the outcome unknown, and the error states what was expected.

--- a/src/gentianwharf/cli/_client.py
+++ b/src/gentianwharf/cli/_client.py
@@ -17,6 +17,7 @@
     PeerUnavailableError,
 )
 from gentianwharf.http_agent import ip_agent
+from gentianwharf.statuses import invalid_status
 
 CONNECT_TIMEOUT_S = 5.0
 READ_TIMEOUT_S = 10.0
@@ -133,7 +134,7 @@
             raise self._unreachable_error(path, str(error)) from error
         except Exception as error:
             # Whatever broke the connection, the change may already have taken effect.
-            text = str(error) or type(error).__name__
+            text = str(invalid_status(error) or error) or type(error).__name__
             if method == "GET":
                 raise self._unreachable_error(path, text) from error
             raise OutcomeUnknownError(
--- a/src/gentianwharf/http_agent.py
+++ b/src/gentianwharf/http_agent.py
@@ -16,6 +16,7 @@
 from zope.interface import implementer
 
 from gentianwharf.errors import InputError
+from gentianwharf.statuses import check_statuses
 
 __all__ = ["BodyReader", "BytesBody", "ip_agent", "ip_endpoint"]
 
@@ -56,7 +57,7 @@
             port=uri.port,
             connect_timeout_s=self._connect_timeout_s,
         )
-        return _BoundedHeads(endpoint=self._wrap_endpoint(endpoint))
+        return _CheckedHeads(endpoint=self._wrap_endpoint(endpoint))
 
 
 def ip_endpoint(
@@ -102,27 +103,29 @@
 
 @final
 @implementer(IStreamClientEndpoint)
-class _BoundedHeads:
-    """An endpoint whose connections are closed once a response's head is too large.
+class _CheckedHeads:
+    """An endpoint whose connections accept only valid heads of a limited size.
 
-    Twisted limits the length of a line, but not the number of lines or of informational
-    responses.
+    A connection is closed after a response with an invalid status, or once the head is
+    too large: Twisted limits the length of a line, but not the number of lines or of
+    informational responses.
     """
 
     def __init__(self, *, endpoint: IStreamClientEndpoint) -> None:
         self._endpoint = endpoint
 
     def connect(self, factory: Any) -> Deferred[Any]:
-        """Connect, and bound the heads of the responses."""
-        return self._endpoint.connect(factory).addCallback(_bound_heads)
+        """Connect, and check the heads of the responses."""
+        return self._endpoint.connect(factory).addCallback(_check_heads)
 
 
-def _bound_heads(protocol: Any) -> Any:
+def _check_heads(protocol: Any) -> Any:
     receive = protocol.dataReceived
     head_bytes = 0
 
     def data_received(data: bytes) -> None:
         nonlocal head_bytes
+        check_statuses(protocol)
         receive(data)
         parser = getattr(protocol, "_parser", None)
         if parser is None or parser.state not in (STATUS, HEADER):
--- a/src/gentianwharf/infra/_http.py
+++ b/src/gentianwharf/infra/_http.py
@@ -27,6 +27,7 @@
     RefusedError,
 )
 from gentianwharf.http_agent import BodyReader, BytesBody, ip_agent
+from gentianwharf.statuses import error_text
 
 from .wire import CALL_ID, ErrorName, Problem, encode
 
@@ -115,7 +116,7 @@
         except Exception as error:
             raise OutcomeUnknownError(
                 f"expected an answer within {call.timeout_s} s, got"
-                f" {type(error).__name__}: it may have taken effect, read it back",
+                f" {error_text(error)}: it may have taken effect, read it back",
                 step=call.step,
                 peer=call.peer,
             ) from error
--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -27,6 +27,7 @@
 
 from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.http_agent import BytesBody, ip_endpoint
+from gentianwharf.statuses import check_statuses
 
 CONNECT_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 8.0
@@ -189,7 +190,9 @@
             True,
         )
         try:
-            response = cast(Any, await self.request(request))
+            pending = self.request(request)
+            check_statuses(self)
+            response = cast(Any, await pending)
             await readBody(response)
         except BaseException:
             self.abort_now()
--- a/src/gentianwharf/platform/_orders.py
+++ b/src/gentianwharf/platform/_orders.py
@@ -13,6 +13,7 @@
     RefusedError,
 )
 from gentianwharf.keyspace import Grant, Holder, HolderEndedError, Release
+from gentianwharf.statuses import error_text
 
 from ._header_codec import EXPECTED_INSTANCE
 from ._order_connections import (
@@ -87,7 +88,7 @@
             raise
         except Exception as error:
             raise OutcomeUnknownError(
-                f"expected a response within {timeout_s} s, got {type(error).__name__}",
+                f"expected a response within {timeout_s} s, got {error_text(error)}",
                 step=step,
                 peer=address,
             ) from error
--- a/src/gentianwharf/platform/_store.py
+++ b/src/gentianwharf/platform/_store.py
@@ -22,6 +22,7 @@
 )
 from gentianwharf.http_agent import BytesBody, ip_agent
 from gentianwharf.logs import log
+from gentianwharf.statuses import error_text
 from gentianwharf.store import (
     CallAbandonedError,
     Change,
@@ -283,7 +284,7 @@
                     peer=self.address,
                 ) from error
             raise OutcomeUnknownError(
-                f"expected a response within {timeout_s} s, got {type(error).__name__}",
+                f"expected a response within {timeout_s} s, got {error_text(error)}",
                 step=step,
                 peer=self.address,
             ) from error
--- a/src/gentianwharf/statuses.py
+++ b/src/gentianwharf/statuses.py
@@ -41,7 +41,7 @@
 def check_statuses(protocol: HTTP11ClientProtocol) -> None:
     """Fail the current request of ``protocol`` if its response has no valid status.
 
-    To be called after each request, before data arrives.
+    To be called after each request, before data is parsed.
     """
     parser: Any = protocol._parser
     if parser is not None:
--- a/tests/builders_cut_calls.py
+++ b/tests/builders_cut_calls.py
@@ -268,6 +268,21 @@
         """Return the whole answer to the call."""
         return form.answer(self._transport.value())
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is being closed."""
+        return self._transport.disconnecting
+
+    def feed(self, data: bytes) -> None:
+        """Deliver part of an answer."""
+        self._protocol.dataReceived(data)
+
+    def receive(self, data: bytes) -> Any:
+        """Deliver the rest of an answer; returns the result, or a ``Failure``."""
+        self.feed(data)
+        assert len(self.results) == 1, "expected a result at the end of the answer"
+        return self.results[0]
+
     def deliver(self, data: bytes, end: type[Exception]) -> Any:
         """Deliver part of an answer and the end of the connection.
 
