End a body without a length when its upload's connection is lost

Cause: Twisted leaves a response alone whose connection is lost while its request is being sent, so the connection ends the parser itself, after the protocol's end. A body without a length then finished the response in the state CONNECTION_LOST, which has no way to: a traceback "has no finishResponse method in state CONNECTION_LOST" for each such upload, and the body ended neither whole nor cut.

Change: nothing is finished on a connection that has no parser any more; the body ends as cut.

--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -203,6 +203,10 @@
         )
 
     def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        if self._parser is None:
+            # A body without a length has ended with the connection, which has no state
+            # any more in which Twisted could finish the response.
+            return
         # Data after the end of the response would be read as the response to the next
         # request. Twisted drops only the part that has already arrived.
         if rest or self._server_closes():
