Let a connection end after an answer that can't be parsed in an upload

Cause: while a request is still being sent, Twisted drops the parser of an answer that it can't parse, and keeps the state TRANSMITTING, in which the connection's end and that of the upload need the parser: `'NoneType' object has no attribute 'errback'` ("Unhandled Error"), and connectionLost stopped there. The error of the answer itself was unhandled, too.

Change: the state is that of a response that has ended before its request; the error goes to the request that waits for it.

Evidence: before, test_early_answer_that_cannot_be_parsed_logs_no_trace failed for all 5 answers (odd status, length, chunk, coding, no answer) and test_connection_ends_after_an_answer_that_cannot_be_parsed in all 10 cases. With the change all pass.

--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -131,6 +131,10 @@
     def _disconnectParser(self, reason: Any) -> None:  # noqa: N802
         parser = self._parser
         super()._disconnectParser(reason)
+        if self._state == "TRANSMITTING":
+            # The response can't be parsed. Twisted expects a parser in this state when
+            # the request has been sent, or the connection is lost.
+            self._state = "TRANSMITTING_AFTER_RECEIVING_RESPONSE"
         if parser is not None:
             # The parser, its callbacks and the errors that they raised refer to each
             # other: what they hold would stay in memory until the next collection.
@@ -267,7 +271,12 @@
         self._bound_informational_responses()
         early = getattr(self, "_responseDeferred", None)
         if early is not None:
-            early.addCallback(_copy_response, pending)
+            early.addCallbacks(
+                _copy_response,
+                _copy_failure,
+                callbackArgs=(pending,),
+                errbackArgs=(pending,),
+            )
         sent.addCallbacks(
             lambda response: _deliver(pending, response),
             lambda failure: _deliver_failure(pending, failure),
@@ -369,6 +378,11 @@
     return response
 
 
+def _copy_failure(failure: Any, pending: "Deferred[Response]") -> None:
+    # Nothing else handles it while the request is still being sent.
+    _deliver_failure(pending, failure)
+
+
 def _deliver(pending: "Deferred[Response]", response: Response) -> None:
     if not pending.called:
         pending.callback(response)
--- a/tests/test_relay_early_cuts.py
+++ b/tests/test_relay_early_cuts.py
@@ -1,5 +1,6 @@
 """An early answer without a length, cut within an upload, never looks whole."""
 
+import gc
 import json
 import socket
 import time
@@ -38,6 +39,7 @@
     RunningRelay,
     in_reactor,
     make_server,
+    read_to_end,
     request,
     running_relay,
 )
@@ -48,6 +50,19 @@
 SMALL_BUFFER_BYTES = 4_096
 HEDGE_AFTER_S = 0.001
 
+GARBLED = [
+    pytest.param(b"HTTP/1.1 2xx OK\r\n\r\n", id="odd-status"),
+    pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", id="odd-length"),
+    pytest.param(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+        id="odd-chunk",
+    ),
+    pytest.param(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: br\r\n\r\nx\r\n", id="odd-coding"
+    ),
+    pytest.param(b"\x00\r\n\r\n", id="no-answer"),
+]
+
 every_form = pytest.mark.parametrize(
     "form", [pytest.param(form, id=name) for name, form in FORMS.items()]
 )
@@ -174,6 +189,26 @@
     assert errors == []
 
 
+@pytest.mark.parametrize("data", GARBLED)
+def test_early_answer_that_cannot_be_parsed_logs_no_trace(data: bytes) -> None:
+    """Guards against a connection whose end Twisted can't handle within an upload."""
+
+    def garble(connection: socket.socket, head: bytes) -> None:
+        connection.sendall(data)
+        read_to_end(connection)
+
+    with (
+        logged_errors() as errors,
+        running_relay([garble], deadline_ms=DEADLINE_MS) as relay,
+    ):
+        with relay.connect() as caller:
+            received = upload(caller, upload_head())
+        (pool,) = relay.app.connections.values()
+        wait_until(lambda: not len(pool), description="the end of the connections")
+    assert not received.looks_whole("POST") or received.is_own_error("POST")
+    assert errors == []
+
+
 class Ending(Protocol):
     """Records how a body has ended."""
 
@@ -223,3 +258,21 @@
         started.lose(reason)
     assert ending.was_whole is False
     assert errors == []
+
+
+@pytest.mark.parametrize("data", GARBLED)
+@pytest.mark.parametrize("ends", [False, True], ids=["going-on", "ended"])
+def test_connection_ends_after_an_answer_that_cannot_be_parsed(
+    data: bytes, ends: bool
+) -> None:
+    """Guards against an end that leaves a connection's state as it was."""
+    started = StartedUpload()
+    with logged_errors() as errors:
+        started.connection.dataReceived(data)
+        if ends:
+            started.body.received(b"x" * 99)
+            started.body.end()
+        started.lose(ConnectionLost)
+        gc.collect()
+    assert len(started.results) == 1
+    assert errors == []
