Take a body whose parser is gone for one without an end

Cause: has_detectable_end held a body of unknown length for whole where the parser is gone. Within the relay it is called when the head arrives, with the parser in place, so that no caller got such a body; the default was wrong for any later call: a body without a length has lost its parser by its end as well.

Change: without a parser the answer is no.

Evidence: test_body_without_a_length_has_no_end_where_its_parser_is_gone failed before (GET, POST) and passes now.

--- a/src/gentianwharf/relay/_response.py
+++ b/src/gentianwharf/relay/_response.py
@@ -194,15 +194,16 @@
 def has_detectable_end(connection: HTTP11ClientProtocol, response: Response) -> bool:
     """Return whether the response carries a length or is chunked.
 
-    A body that ends with the connection looks complete wherever it is truncated.
+    A body that ends with the connection looks complete wherever it is truncated. So
+    does one of which the parser, which knows how the body is framed, is gone: call this
+    when the head arrives.
     """
     if response.length is not UNKNOWN_LENGTH:
         return True
     parser = connection._parser
-    if parser is None:
-        # The parser has reached the end of the body.
-        return True
-    return bool(parser.connHeaders.hasHeader(b"transfer-encoding"))
+    return parser is not None and bool(
+        parser.connHeaders.hasHeader(b"transfer-encoding")
+    )
 
 
 def write_response_head(
--- a/tests/test_relay_early_cuts.py
+++ b/tests/test_relay_early_cuts.py
@@ -14,12 +14,13 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
-from twisted.web._newclient import ResponseDone
+from twisted.web._newclient import Response, ResponseDone
 from twisted.web.http_headers import Headers
 
 from gentianwharf.platform import PlatformHeaderCodec
 from gentianwharf.relay import RunStatus, ServerConnectionPool
 from gentianwharf.relay._caller_body import CallerBody
+from gentianwharf.relay._response import has_detectable_end
 from gentianwharf.relay._server_connection import ServerConnection
 from tests.builders_answers import ok
 from tests.builders_answers_fuzz import lead_through_tunnels
@@ -276,3 +277,21 @@
         gc.collect()
     assert len(started.results) == 1
     assert errors == []
+
+
+@pytest.mark.parametrize("method", [b"GET", b"POST"])
+def test_body_without_a_length_has_no_end_where_its_parser_is_gone(
+    method: bytes,
+) -> None:
+    """Guards against a default that takes every cut body for a whole one."""
+    pool = ServerConnectionPool(server=make_server(0, 1), reactor=Clock())
+    connection = ServerConnection(pool=pool)
+    connection.makeConnection(StalledTransport())
+    responses: list[Response] = []
+    connection.send_request(
+        method=method, uri=b"/", headers=Headers({b"Host": [b"a"]}), body=None
+    ).addCallback(responses.append)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nab")
+    assert not has_detectable_end(connection, responses[0])
+    connection.connectionLost(Failure(ConnectionDone()))
+    assert not has_detectable_end(connection, responses[0])
