--- a/tests/builders_early_cuts.py
+++ b/tests/builders_early_cuts.py
@@ -11,7 +11,7 @@
 from twisted.logger import LogEvent, LogLevel, globalLogPublisher
 
 from tests.builders_cut_heads import ENDS, Received, receive
-from tests.builders_relay import request, request_id_header
+from tests.builders_relay import body_length, request, request_id_header
 
 PART_BYTES = 70_000
 """More than one read of the transport."""
@@ -63,21 +63,23 @@
 }
 
 
-def upload_head(headers: str = "", *, version: str = "1.1") -> bytes:
+def upload_head(
+    headers: str = "", *, version: str = "1.1", body_bytes: int = UPLOAD_BYTES
+) -> bytes:
     """Return the head of an upload."""
-    length = f"Content-Length: {UPLOAD_BYTES}\r\n"
+    length = f"Content-Length: {body_bytes}\r\n"
     head = request("POST", headers=headers + length, close=False)
     return head.replace(b"HTTP/1.1", f"HTTP/{version}".encode(), 1)
 
 
 @contextmanager
-def uploading(caller: socket.socket) -> Iterator[None]:
+def uploading(caller: socket.socket, body_bytes: int) -> Iterator[None]:
     """Write the body of an upload meanwhile, until the connection takes no more."""
     has_ended = threading.Event()
 
     def write() -> None:
         with suppress(OSError):
-            for _ in range(UPLOAD_BYTES // len(PIECE)):
+            for _ in range(body_bytes // len(PIECE)):
                 if has_ended.is_set():
                     return
                 caller.sendall(PIECE)
@@ -99,7 +101,7 @@
 ) -> Received:
     """Send an upload, and return what came until the connection's end."""
     caller.sendall(head)
-    with uploading(caller):
+    with uploading(caller, body_length(head)):
         time.sleep(read_after_s)
         return receive(caller)
 
--- a/tests/builders_repeats.py
+++ b/tests/builders_repeats.py
@@ -275,11 +275,14 @@
 
 @contextmanager
 def repeats_deployment(
-    directory: Path, *, lost_share: float = 1.0
+    directory: Path, *, lost_share: float = 1.0, servers: int = SERVERS
 ) -> Iterator[RepeatsDeployment]:
     """Run a deployment without hosts; the test starts these."""
     deployment = RepeatsDeployment(
-        directory=directory, net=220 + os.getpid() % 30, lost_share=lost_share
+        directory=directory,
+        net=220 + os.getpid() % 30,
+        lost_share=lost_share,
+        servers=servers,
     )
     try:
         deployment.start()
--- a/tests/test_relay_early_cuts.py
+++ b/tests/test_relay_early_cuts.py
@@ -147,7 +147,8 @@
         relay.connect() as caller,
     ):
         first = request(path="/plain/slow", close=False)
-        received = upload(caller, first + upload_head())
+        caller.sendall(first)
+        received = upload(caller, upload_head())
     answer, _, rest = received.data.partition(b"\r\n\r\nok")
     assert answer.startswith(b"HTTP/1.1 200 ")
     assert_own_error(Received(data=rest, was_reset=received.was_reset))
