--- a/src/gentianwharf/relay/_server_connection.py
+++ b/src/gentianwharf/relay/_server_connection.py
@@ -26,6 +26,7 @@
 from gentianwharf.errors import PeerMismatchError
 from gentianwharf.pauses import Timeout
 from gentianwharf.sockets import queued_bytes, unacknowledged_bytes
+from gentianwharf.statuses import check_statuses
 
 from ._headers import connection_options
 from ._link_monitor import LinkMonitor
@@ -130,6 +131,10 @@
     def _disconnectParser(self, reason: Any) -> None:  # noqa: N802
         parser = self._parser
         super()._disconnectParser(reason)
+        if self._state == "TRANSMITTING":
+            # The response can't be parsed. Twisted expects a parser in this state when
+            # the request has been sent, or the connection is lost.
+            self._state = "TRANSMITTING_AFTER_RECEIVING_RESPONSE"
         if parser is not None:
             # The parser, its callbacks and the errors that they raised refer to each
             # other: what they hold would stay in memory until the next collection.
@@ -186,6 +191,13 @@
             pending.errback(self._oversized_head_error())
             self.abort_now()
 
+    def _giveUp(self, reason: Failure) -> None:  # noqa: N802
+        # While the request is still being sent, Twisted does not fail it.
+        pending = self._pending
+        if pending is not None and not reason.check(ConnectionDone):
+            _deliver_failure(pending, reason)
+        super()._giveUp(reason)
+
     def _oversized_head_error(self) -> PeerMismatchError:
         return PeerMismatchError(
             f"expected an answer's head within {MAX_RESPONSE_HEAD_BYTES} bytes, got"
@@ -195,6 +207,10 @@
         )
 
     def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        if self._parser is None:
+            # A body without a length has ended with the connection, which has no state
+            # any more in which Twisted could finish the response.
+            return
         # Data after the end of the response would be read as the response to the next
         # request. Twisted drops only the part that has already arrived.
         if rest or self._server_closes():
@@ -251,10 +267,16 @@
         self._has_body = body is not None
         self._watch_response(pending, repeatable=repeatable)
         sent = cast("Deferred[Response]", self.request(request))
+        check_statuses(self)
         self._bound_informational_responses()
         early = getattr(self, "_responseDeferred", None)
         if early is not None:
-            early.addCallback(_copy_response, pending)
+            early.addCallbacks(
+                _copy_response,
+                _copy_failure,
+                callbackArgs=(pending,),
+                errbackArgs=(pending,),
+            )
         sent.addCallbacks(
             lambda response: _deliver(pending, response),
             lambda failure: _deliver_failure(pending, failure),
@@ -356,6 +378,11 @@
     return response
 
 
+def _copy_failure(failure: Any, pending: "Deferred[Response]") -> None:
+    # Nothing else handles it while the request is still being sent.
+    _deliver_failure(pending, failure)
+
+
 def _deliver(pending: "Deferred[Response]", response: Response) -> None:
     if not pending.called:
         pending.callback(response)
