Let the stand-ins lose writes, and carry out writes and orders late

Our stand-ins did neither, so that no soak of real processes could show it. A server records each change of what it holds.

--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -5,7 +5,9 @@
 """
 
 from ._items import Items
-from ._records import Arrival, BodyReport, RequestRun, ServerSpec
+from ._late_orders import LateKind, ServerOrder
+from ._orders import InvalidOrderError, OrderReader
+from ._records import Arrival, BodyReport, HoldChange, RequestRun, ServerSpec
 from ._rejections import Rejections
 from ._rules import (
     ADDED,
@@ -53,10 +55,15 @@
     "Arrival",
     "BodyReport",
     "EarlyAnswer",
+    "HoldChange",
+    "InvalidOrderError",
     "Items",
+    "LateKind",
+    "OrderReader",
     "Outage",
     "Rejections",
     "RequestRun",
+    "ServerOrder",
     "ServerSpec",
     "StandInServer",
     "StandInStore",
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -3,7 +3,7 @@
 import os
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 from typing import Any
@@ -29,9 +29,12 @@
     UNKEYED,
     Arrival,
     BodyReport,
+    HoldChange,
     Items,
+    OrderReader,
     Rejections,
     RequestRun,
+    ServerOrder,
     ServerSpec,
     StandInServer,
     StandInStore,
@@ -42,7 +45,7 @@
 )
 from ._settings import CALLERS_PORT, settings_text
 from ._store import EXPIRY_INTERVAL_S
-from ._store_orders import OrderReader, carry_out
+from ._store_orders import carry_out
 
 DEMO_STORE, DEMO_OPERATORS = "127.0.0.1:8384", "127.0.0.1:8385"
 DEMO_SERVERS = 6
@@ -59,6 +62,11 @@
     reactor.listenTCP(int(port), site, interface=ip)
 
 
+def _read_orders(order_type: type[Any], on_order: Callable[[Any], None]) -> None:
+    reader = OrderReader(order_type=order_type, on_order=on_order)
+    StandardIO(reader, reactor=reactor)
+
+
 def _serve_store(
     *addresses: str,
     operators: str,
@@ -84,7 +92,7 @@
         _print_line(StoreOrderReport(order=order, carried_out_s=reactor.seconds()))
 
     if takes_orders:
-        StandardIO(OrderReader(on_order=carry_out_and_report), reactor=reactor)
+        _read_orders(StoreOrder, carry_out_and_report)
 
     def expire() -> None:
         items.expire()
@@ -107,7 +115,9 @@
         reactor.callLater(END_DELAY_S, os._exit, EXIT_CRASHED)
 
 
-def _print_line(event: RequestRun | Arrival | BodyReport | StoreOrderReport) -> None:
+def _print_line(
+    event: RequestRun | Arrival | BodyReport | HoldChange | StoreOrderReport,
+) -> None:
     print(msgspec.json.encode(event).decode(), flush=True)
 
 
@@ -170,6 +180,8 @@
     ends_on: str = "",
     refused_share: float = 0.0,
     failed_share: float = 0.0,
+    reports_holds: bool = False,
+    takes_orders: bool = False,
 ) -> None:
     """Serve one backend server, and print a line for each request that it ran.
 
@@ -216,6 +228,10 @@
         The probability that it refuses such a request without running it.
     failed_share
         The probability that it answers such a request with 500 without running it.
+    reports_holds
+        Whether it also prints a line for each grant and release that it carries out.
+    takes_orders
+        Begin and end faults by orders on standard input.
 
     """
     use_monotonic_time(reactor)
@@ -240,6 +256,10 @@
     server.on_run = _print_line
     if reports_arrivals:
         server.on_arrival = server.on_body = _print_line
+    if reports_holds:
+        server.on_hold_change = _print_line
+    if takes_orders:
+        _read_orders(ServerOrder, server.late_orders.change)
     if ends_on:
         part, rng = ends_on.encode(), Random(spec.born_ms)
         server.on_begin = partial(_end_on, part)
--- a/src/gentianwharf/platform/standin/_held_shards.py
+++ b/src/gentianwharf/platform/standin/_held_shards.py
@@ -40,13 +40,17 @@
     def grant(self, first: int, last: int, *, token: int, until_s: float) -> bool:
         """Hold a range of shards until a time.
 
-        Return False and change nothing if a higher token was seen for one of them.
+        Return False and change nothing if a higher token was seen for one of them. A
+        grant that is carried out late does not shorten a later one of the same token.
         """
         if max(self._tokens[first : last + 1]) > token:
             return False
-        count = last - first + 1
-        self._tokens[first : last + 1] = array("q", [token]) * count
-        self._until_s[first : last + 1] = array("d", [until_s]) * count
+        for shard in range(first, last + 1):
+            if self._tokens[shard] == token:
+                self._until_s[shard] = max(self._until_s[shard], until_s)
+            else:
+                self._tokens[shard] = token
+                self._until_s[shard] = until_s
         return True
 
     def release(self, first: int, last: int, *, token: int) -> None:
--- a/src/gentianwharf/platform/standin/_records.py
+++ b/src/gentianwharf/platform/standin/_records.py
@@ -51,6 +51,27 @@
     changed_at_byte: int | None
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HoldChange:
+    """A grant or a release that changed until when a server holds shards.
+
+    ``token`` is the order's, ``until_s`` the end of the grant, 0 for a release. It
+    arrived at ``arrived_s`` and was carried out at ``carried_out_s``, all on the
+    reactor's clock in seconds. ``born_ms`` tells lives of one server apart.
+    """
+
+    server: str
+    service: str
+    born_ms: int
+    first: int
+    last: int
+    token: int
+    arrived_s: float
+    carried_out_s: float
+    until_s: float
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerSpec:
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from math import inf
 from random import Random
 from typing import Any, final
@@ -19,7 +20,8 @@
 from .._servers import SERVERS_PREFIX, ServerState
 from .._units import decode_time_s, encode_time
 from ._held_shards import HeldShards, Order
-from ._records import Arrival, BodyReport, RequestRun, ServerSpec
+from ._late_orders import LateKind, LateOrders
+from ._records import Arrival, BodyReport, HoldChange, RequestRun, ServerSpec
 from ._rejections import STATUS_SERVER_ERROR, STATUS_UNAVAILABLE
 from ._uploads import BodyCheck, EarlyAnswer, StandInRequest, draw_early_answer
 
@@ -57,7 +59,8 @@
 
     It calls ``on_arrival`` for each request, ``on_begin`` once it begins to run one,
     then ``on_run`` for each that it ran, and ``on_refused`` for each other one. It
-    calls ``on_body`` for each upload, at the end of its body or of its connection.
+    calls ``on_body`` for each upload, at the end of its body or of its connection, and
+    ``on_hold_change`` for each grant and release that is carried out.
     """
 
     isLeaf = True  # noqa: N815
@@ -72,6 +75,7 @@
         self.on_run: Callable[[RequestRun], None] = lambda run: None
         self.on_refused: Callable[[str], None] = lambda request_id: None
         self.on_body: Callable[[BodyReport], None] = lambda report: None
+        self.on_hold_change: Callable[[HoldChange], None] = lambda change: None
         self.rejection: Callable[[Request], int] = lambda request: 0
         """The status of a request that it does not run, 0 if it runs it."""
         self.state = ServerState.READY
@@ -85,6 +89,8 @@
         self._rng = rng
         # Uploads must not change the other random choices of a seed.
         self._uploads_rng = Random(f"{spec.id} {spec.born_ms}")
+        late_rng = Random(f"{spec.id} {spec.born_ms} late")
+        self.late_orders = LateOrders(reactor=reactor, rng=late_rng)
         self._held_shards = HeldShards()
         self._running: dict[str, _Work] = {}
         self._waiting: deque[_Work] = deque()
@@ -172,21 +178,57 @@
             request.setResponseCode(STATUS_BAD_REQUEST)
             return None
 
-    def _grant(self, request: Request) -> bytes:
+    def _grant(self, request: Request) -> Any:
         order = self._decode_order(request)
-        if order is not None:
-            until_s = self._reactor.seconds() + decode_time_s(order.hold_time)
-            if not self._held_shards.grant(
-                order.first, order.last, token=order.fence, until_s=until_s
-            ):
-                request.setResponseCode(STATUS_STALE_TOKEN)
+        if order is None:
+            return b""
+        grant = partial(self._hold, order, self._reactor.seconds())
+        if self.late_orders.delays(LateKind.GRANTS, grant):
+            return NOT_DONE_YET
+        if not grant():
+            request.setResponseCode(STATUS_STALE_TOKEN)
         return b""
 
+    def _hold(self, order: Order, arrived_s: float) -> bool:
+        """Carry out a grant, whose time counts from its arrival."""
+        until_s = arrived_s + decode_time_s(order.hold_time)
+        if not self._held_shards.grant(
+            order.first, order.last, token=order.fence, until_s=until_s
+        ):
+            return False
+        self._report_hold_change(order, arrived_s, until_s)
+        return True
+
+    def _stop_holding(self, order: Order, arrived_s: float) -> None:
+        """Carry out a release, which ends no running work."""
+        self._held_shards.release(order.first, order.last, token=order.fence)
+        self._report_hold_change(order, arrived_s, 0.0)
+
+    def _report_hold_change(
+        self, order: Order, arrived_s: float, until_s: float
+    ) -> None:
+        self.on_hold_change(
+            HoldChange(
+                server=self.spec.id,
+                service=self.spec.service,
+                born_ms=self.spec.born_ms,
+                first=order.first,
+                last=order.last,
+                token=order.fence,
+                arrived_s=arrived_s,
+                carried_out_s=self._reactor.seconds(),
+                until_s=until_s,
+            )
+        )
+
     def _release(self, request: Request) -> Any:
         order = self._decode_order(request)
         if order is None:
             return b""
-        self._held_shards.release(order.first, order.last, token=order.fence)
+        release = partial(self._stop_holding, order, self._reactor.seconds())
+        if self.late_orders.delays(LateKind.RELEASES, release):
+            return NOT_DONE_YET
+        release()
         request.setHeader(b"Handover", f"{self.spec.id}-{order.fence}".encode())
         if not self._is_running(order):
             return b""
--- a/src/gentianwharf/platform/standin/_store.py
+++ b/src/gentianwharf/platform/standin/_store.py
@@ -1,5 +1,6 @@
 """A stand-in for the platform's store, which serves ``Items`` over HTTP."""
 
+from contextlib import suppress
 from functools import partial
 from typing import Any, final
 
@@ -15,7 +16,7 @@
 from .._servers import SERVERS_PREFIX
 from .._units import decode_time_s, decode_value, encode_time, encode_value
 from ._items import ConditionError, Items, UnknownLeaseError
-from ._store_faults import AnswerLink, StoreFaults, StoreRequest
+from ._store_faults import AnswerLink, StoreFaults, StoreRequest, WriteFate
 
 EXPIRY_INTERVAL_S = 0.05
 MAX_WAIT_MS = 30_000
@@ -133,7 +134,7 @@
         return self._response_body(events=changes)
 
     @klein.route("/v1/kv-txn", methods=["POST"])
-    def _txn(self, request: Request) -> bytes:
+    def _txn(self, request: StoreRequest) -> bytes:
         body = _body(request, _Change)
         keys = [put.key for put in body.puts] + list(body.remove)
         if not self._allow_reserved and any(
@@ -150,6 +151,11 @@
         )
         if any(len(put.value) > MAX_VALUE_BYTES for put in change.puts):
             raise _Rejection(STATUS_BAD_REQUEST)
+        fate = self._draw_fate(request)
+        if fate is WriteFate.LATE:
+            delay_s = self.faults.draw_late_s()
+            self._reactor.callLater(delay_s, self._change_late, change)
+            return b""
         try:
             return self._response_body(revision=self._items.change(change))
         except ConditionError:
@@ -162,13 +168,15 @@
             raise _Rejection(STATUS_NOT_FOUND) from error
 
     @klein.route("/v1/kv-lease", methods=["POST"])
-    def _lease(self, request: Request) -> bytes:
+    def _lease(self, request: StoreRequest) -> bytes:
+        self._draw_fate(request)
         duration_s = decode_time_s(_body(request, _LeaseRequest).ttl_time)
         lease_id = self._items.open_lease(duration_s)
         return self._response_body(lease=lease_id, ttl_time=encode_time(duration_s))
 
     @klein.route("/v1/kv-keep/<int:lease_id>", methods=["POST"])
-    def _keep(self, request: Request, lease_id: int) -> bytes:
+    def _keep(self, request: StoreRequest, lease_id: int) -> bytes:
+        self._draw_fate(request)
         try:
             duration_s = self._items.renew_lease(lease_id)
         except UnknownLeaseError as error:
@@ -176,13 +184,27 @@
         return self._response_body(lease=lease_id, ttl_time=encode_time(duration_s))
 
     @klein.route("/v1/kv-lease-end/<int:lease_id>", methods=["DELETE"])
-    def _end(self, request: Request, lease_id: int) -> bytes:
+    def _end(self, request: StoreRequest, lease_id: int) -> bytes:
+        self._draw_fate(request)
         try:
             self._items.end_lease(lease_id)
         except UnknownLeaseError as error:
             raise _Rejection(STATUS_NOT_FOUND) from error
         return self._response_body()
 
+    def _draw_fate(self, request: StoreRequest) -> WriteFate:
+        """Draw what becomes of a write, and discard its answer if it gets none."""
+        if self._allow_reserved:
+            return WriteFate.ANSWERED
+        fate = self.faults.draw_fate()
+        if fate is not WriteFate.ANSWERED:
+            request.lose_answer()
+        return fate
+
+    def _change_late(self, change: Change) -> None:
+        with suppress(ConditionError, UnknownLeaseError):
+            self._items.change(change)
+
     def _changes(self, prefix: str, after: int) -> list[Item | Removal]:
         changes = self._items.changes_after(prefix, after)
         if changes is None:
--- a/src/gentianwharf/platform/standin/_store_faults.py
+++ b/src/gentianwharf/platform/standin/_store_faults.py
@@ -1,13 +1,15 @@
-"""Outages, slow answers and slow links of a stand-in for the platform's store."""
+"""Outages, slow or lost answers and slow links of a stand-in for the store."""
 
 from enum import StrEnum
 from math import inf
+from random import Random
 from typing import Any, final
 
 import msgspec
 from twisted.web.server import Request
 
 from ._items import Items
+from ._orders import Share
 
 ANSWER_S = 0.004
 """Base time of an answer, which ``StoreFaults.slowdown`` multiplies."""
@@ -15,9 +17,23 @@
 PIECE_BYTES = 4096
 """Size of the pieces in which a link of limited rate interleaves answers."""
 
+LATE_S = (1.0, 6.0)
+"""The time from the arrival of a late write to when it is done."""
+
 STATUS_UNAVAILABLE = 503
 
 
+class WriteFate(StrEnum):
+    """What becomes of a write of a host."""
+
+    ANSWERED = "answered"
+    UNANSWERED = "unanswered"
+    """It is done at once, and its answer is lost."""
+
+    LATE = "late"
+    """It is not answered, and done later if its conditions and lease hold by then."""
+
+
 class Outage(StrEnum):
     """How the store treats calls during an outage, operators' calls included."""
 
@@ -30,11 +46,13 @@
     """Calls are answered with 503; connections of pending calls are closed."""
 
 
-class StoreOrder(msgspec.Struct, omit_defaults=True):
+class StoreOrder(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """A change of the store's faults; fields that are None change nothing.
 
     ``rate_bytes_per_s`` limits each link separately, 0 for no limit; ``addresses`` has
     the addresses of these links, and is empty for the links of all hosts.
+    ``unanswered_share`` and ``late_share`` are the probabilities of these fates of a
+    host's write; lease renewals and ends are never late.
     """
 
     outage: Outage | None = None
@@ -42,6 +60,8 @@
     drops_history: bool = False
     rate_bytes_per_s: float | None = None
     addresses: tuple[str, ...] = ()
+    unanswered_share: Share | None = None
+    late_share: Share | None = None
 
 
 class StoreOrderReport(msgspec.Struct):
@@ -59,8 +79,11 @@
         self.outage = Outage.NONE
         self.slowdown = 1.0
         """Multiple of ``ANSWER_S`` that each answer takes; 1 for no delay at all."""
+        self.unanswered_share = 0.0
+        self.late_share = 0.0
         self.pending: set[StoreRequest] = set()
         self._items = items
+        self._rng = Random(0)
 
     def begin(self, outage: Outage) -> None:
         """Begin an outage, or end it with ``Outage.NONE``."""
@@ -81,6 +104,19 @@
         for request in list(self.pending):
             request.close()
 
+    def draw_fate(self) -> WriteFate:
+        """Return what becomes of the next write."""
+        drawn = self._rng.random()
+        if drawn < self.unanswered_share:
+            return WriteFate.UNANSWERED
+        if drawn < self.unanswered_share + self.late_share:
+            return WriteFate.LATE
+        return WriteFate.ANSWERED
+
+    def draw_late_s(self) -> float:
+        """Return the time after which a late write is done."""
+        return self._rng.uniform(*LATE_S)
+
     def answer_delay_s(self) -> float:
         """Return the time by which each answer is delayed."""
         return (self.slowdown - 1.0) * ANSWER_S
@@ -166,6 +202,11 @@
             self._link.faults.pending.discard(self)
             super().finish()
 
+    def lose_answer(self) -> None:
+        """Let the call have its effect, and send nothing."""
+        self.is_lost = True
+        self._link.faults.pending.discard(self)
+
     def close(self) -> None:
         """Abort the connection, even in the middle of an answer."""
         transport: Any = self.channel.transport
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -19,11 +19,15 @@
 from gentianwharf.platform import PlatformStore
 from gentianwharf.platform.standin import (
     MAX_VALUE_BYTES,
+    HoldChange,
     Items,
+    LateKind,
     Rejections,
+    ServerOrder,
     ServerSpec,
     StandInServer,
     StandInStore,
+    _late_orders,
     _store,
 )
 from gentianwharf.platform.standin._server import HEARTBEAT_S
@@ -266,10 +270,20 @@
             born_ms=1,
         )
         self.server = StandInServer(spec=spec, reactor=self.clock, rng=Random(1))
+        self.changes: list[HoldChange] = []
+        self.server.on_hold_change = self.changes.append
         self.site = self.server.site()
 
+    def order_late(self, order: str, token: int) -> StringTransport:
+        """Send a grant or a release that is carried out late."""
+        kind = LateKind(f"{order}s")
+        self.server.late_orders.change(ServerOrder(late_share=1.0, late_kind=kind))
+        sent = self.order(order, token)
+        self.server.late_orders.change(ServerOrder())
+        return sent
+
     def order(self, order: str, token: int) -> StringTransport:
-        """Send a grant or a release of the shard."""
+        """Send a grant for ``HELD_S`` or a release of the shard."""
         content = msgspec.json.encode(
             {"from": SHARD, "target": SHARD, "fence": token, "hold_time": "2500ms"}
         )
@@ -361,3 +375,82 @@
     async def renew_lease(self, lease_id: int) -> float:
         """Renew it."""
         return 1.0
+
+
+@pytest.fixture
+def late_s(monkeypatch: pytest.MonkeyPatch) -> float:
+    """Set the time after which late orders are carried out, within ``HELD_S``."""
+    monkeypatch.setattr(_late_orders, "LATE_S", (2.0, 2.0))
+    return 2.0
+
+
+def test_late_grant_is_not_answered_and_counts_from_its_arrival(late_s: float) -> None:
+    """Guards against a stand-in that holds keys for longer than their grant allows."""
+    server = _ServerOnBytes()
+    grant = server.order_late("grant", 1)
+    assert status_of(server.request()) == 421
+    server.clock.advance(late_s)
+    request = server.request()
+    server.clock.advance(2 * WORK_S)
+    assert (status_of(grant), status_of(request)) == (None, 200)
+    server.clock.advance(HELD_S - late_s)
+    assert status_of(server.request()) == 421
+    (change,) = server.changes
+    assert (change.arrived_s, change.carried_out_s, change.until_s) == (
+        (0.0, late_s, HELD_S)
+    )
+
+
+def test_higher_token_refuses_a_late_grant(late_s: float) -> None:
+    """Guards against late grants that take back keys from a later holder."""
+    server = _ServerOnBytes()
+    server.order_late("grant", 1)
+    server.order("release", 2)
+    server.clock.advance(late_s)
+    assert status_of(server.request()) == 421
+    assert [change.token for change in server.changes] == [2]
+
+
+def test_late_grant_takes_keys_again_after_their_release(late_s: float) -> None:
+    """Guards against a stand-in where a release is the end of its token."""
+    server = _ServerOnBytes()
+    server.order_late("grant", 1)
+    server.order("release", 1)
+    server.clock.advance(late_s)
+    request = server.request()
+    server.clock.advance(2 * WORK_S)
+    assert status_of(request) == 200
+
+
+def test_late_grant_does_not_shorten_a_renewal(late_s: float) -> None:
+    """Guards against holders that lose keys by an older copy of their grant."""
+    server = _ServerOnBytes()
+    server.order_late("grant", 1)
+    server.clock.advance(late_s / 2)
+    server.order("grant", 1)
+    server.clock.advance(late_s / 2)
+    server.clock.advance(HELD_S - late_s)
+    request = server.request()
+    server.clock.advance(2 * WORK_S)
+    assert status_of(request) == 200
+
+
+def test_late_release_takes_keys_from_their_holder(late_s: float) -> None:
+    """Guards against a stand-in that refuses a release, which is never refused."""
+    server = _ServerOnBytes()
+    release = server.order_late("release", 1)
+    server.order("grant", 2)
+    server.clock.advance(late_s)
+    assert (status_of(release), status_of(server.request())) == (None, 421)
+    assert [change.until_s for change in server.changes] == [HELD_S, 0.0]
+
+
+def test_pending_late_orders_are_carried_out_as_the_trouble_ends() -> None:
+    """Guards against orders that disturb a deployment that has to recover."""
+    server = _ServerOnBytes()
+    server.order_late("grant", 1)
+    server.server.late_orders.change(ServerOrder(carries_out_pending=True))
+    server.clock.advance(0.0)
+    request = server.request()
+    server.clock.advance(2 * WORK_S)
+    assert status_of(request) == 200
--- a/tests/test_platform_standin_faults.py
+++ b/tests/test_platform_standin_faults.py
@@ -10,9 +10,19 @@
 
 from gentianwharf.errors import OutcomeUnknownError, PeerUnavailableError
 from gentianwharf.platform import PlatformStore
-from gentianwharf.platform.standin import Items, Outage, StandInStore, StoreOrder
+from gentianwharf.platform.standin import (
+    InvalidOrderError,
+    Items,
+    OrderReader,
+    Outage,
+    ServerOrder,
+    StandInStore,
+    StoreFaults,
+    StoreOrder,
+    _store_faults,
+)
 from gentianwharf.platform.standin._store_faults import ANSWER_S
-from gentianwharf.platform.standin._store_orders import OrderReader, carry_out
+from gentianwharf.platform.standin._store_orders import carry_out
 from gentianwharf.store import Change, HistoryGoneError, Put
 from tests.builders_relay import in_reactor, running_reactor
 
@@ -216,5 +226,95 @@
 
 def test_orders_are_lines_of_json() -> None:
     orders: list[StoreOrder] = []
-    OrderReader(on_order=orders.append).lineReceived(b'{"outage": "hang"}')
+    reader = OrderReader(order_type=StoreOrder, on_order=orders.append)
+    reader.lineReceived(b'{"outage": "hang"}')
     assert orders == [StoreOrder(outage=Outage.HANG)]
+
+
+@pytest.mark.parametrize(
+    ("order_type", "line"),
+    [
+        (StoreOrder, b'{"outage": "sometimes"}'),
+        (StoreOrder, b'{"outages": "hang"}'),
+        (StoreOrder, b'{"late_share": -0.1}'),
+        (ServerOrder, b'{"late_share": 1.5}'),
+        (ServerOrder, b'{"late_kind": "some"}'),
+        (ServerOrder, b'{"share": 0.5}'),
+        (ServerOrder, b"late"),
+    ],
+    ids=[
+        "unknown outage",
+        "unknown field of the store",
+        "negative share",
+        "share above 1",
+        "unknown kind",
+        "unknown field of a server",
+        "no JSON",
+    ],
+)
+def test_unknown_orders_are_refused(
+    order_type: type[StoreOrder | ServerOrder], line: bytes
+) -> None:
+    """Guards against runs whose faults were never injected."""
+    orders: list[StoreOrder | ServerOrder] = []
+    reader = OrderReader(order_type=order_type, on_order=orders.append)
+    with pytest.raises(InvalidOrderError, match=f"expected a {order_type.__name__}"):
+        reader.lineReceived(line)
+    assert not orders
+
+
+def change_of(key: str, **fields: Any) -> Change:
+    return Change(puts=(Put(key=key, value=b"2", **fields),))
+
+
+def test_unanswered_writes_are_done(store: FaultyStore) -> None:
+    """Guards against a stand-in whose lost answers mean that nothing was done."""
+    store.order(unanswered_share=1.0)
+    results = store.begin(lambda: store.client().change(change_of("b")))
+    store.wait(0.1)
+    assert not results
+    assert store.items.get("b") is not None
+
+
+@pytest.mark.parametrize(
+    ("overtaken", "lease_ended", "expected"),
+    [(False, False, b"2"), (True, False, b"3"), (False, True, None)],
+    ids=["conditions hold", "condition fails", "lease has ended"],
+)
+def test_late_writes_are_done_if_they_may_be(
+    store: FaultyStore,
+    monkeypatch: pytest.MonkeyPatch,
+    overtaken: bool,
+    lease_ended: bool,
+    expected: bytes | None,
+) -> None:
+    """Guards against late writes that break their conditions."""
+    monkeypatch.setattr(_store_faults, "LATE_S", (0.2, 0.3))
+    lease_id = store.items.open_lease(10.0)
+    change = Change(
+        expected={"b": 0}, puts=(Put(key="b", value=b"2", lease_id=lease_id),)
+    )
+    store.order(late_share=1.0)
+    results = store.begin(lambda: store.client().change(change))
+    store.wait(0.1)
+    assert store.items.get("b") is None
+    if overtaken:
+        store.items.change(Change(puts=(Put(key="b", value=b"3"),)))
+    if lease_ended:
+        store.items.end_lease(lease_id)
+    store.wait(0.4)
+    item = store.items.get("b")
+    assert not results
+    assert (item.value if item is not None else None) == expected
+
+
+def test_leases_lapse_while_the_store_hangs() -> None:
+    """Guards against outages that no leader and no entry of a host is lost by."""
+    now_s = 0.0
+    items = Items(now_s=lambda: now_s)
+    lease_id = items.open_lease(1.0)
+    items.change(change_of("a", lease_id=lease_id))
+    StoreFaults(items=items).begin(Outage.HANG)
+    now_s = 1.1
+    items.expire()
+    assert items.get("a") is None
