--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,7 +26,9 @@
 from ._deployment import Deployment
 from ._faults import Faults
 from ._holds import Holds
+from ._late_orders import LateOrders
 from ._operators import Operators
+from ._owner_checks import find_shared_keys
 from ._restarts import Restarts
 from ._retry_checks import (
     STANDIN_AGREEMENT,
@@ -72,7 +74,8 @@
     ends each server which runs it. ``uploads`` adds callers that send uploads.
     ``hold_links`` lets links to servers hold what is sent, and deliver it later.
     ``store_outages`` lets the store hang, refuse or drop its history, and moves rules
-    to another service.
+    to another service. ``late_orders`` lets servers carry orders out late, lets the
+    store lose and delay writes, and ends and freezes leaders.
     """
 
     seed: int
@@ -83,6 +86,7 @@
     uploads: bool = False
     hold_links: bool = False
     store_outages: bool = False
+    late_orders: bool = False
 
 
 UNRESOLVED = (
@@ -165,6 +169,9 @@
         schedule=schedule,
         rng=Random(seed + 9),
     )
+    late_orders = LateOrders(
+        deployment=deployment, schedule=schedule, rng=Random(seed + 10)
+    )
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
         "before", "shutdown", deployment.stop
@@ -187,12 +194,16 @@
             holds.start()
         if seed_run.store_outages:
             store_outages.start()
+        if seed_run.late_orders:
+            late_orders.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
         # Recovery is judged without crashing requests and refused uploads.
         crashing.is_sending = uploading.is_sending = False
         cuts.restore()
         holds.release()
+        if seed_run.late_orders:
+            late_orders.restore()
         deployment.restore()
         await deferLater(reactor, RECOVER_S)
         recovered_s = reactor.seconds()
@@ -209,6 +220,13 @@
         find_violations(callers.requests + uploading.requests, deployment.runs)
         + deployment.unexpected_exits()
     )
+    violations += find_shared_keys(
+        deployment.hold_changes,
+        deployment.runs,
+        deployment.server_ends_s,
+        deployment.hosts,
+        deployment.disruptions,
+    )
     bound = requests_with_known_outcome(callers.requests, deployment.disruptions)
     violations += find_stale_versions(callers.requests, deployment.disruptions)
     violations += find_version_regressions(callers.requests)
@@ -242,6 +260,8 @@
         f" {len(deployment.runs)} runs, {answer_faults.count} answers disturbed,"
         f" {len(deployment.crashes_s)} servers ended by"
         f" {len(crashing.requests)} sends, {holds.pieces} pieces held by links,"
+        f" {sum(change.is_late for change in deployment.hold_changes)}"
+        f" of {len(deployment.hold_changes)} orders late,"
         f" {describe_uploads(uploading.requests, deployment.bodies)},"
         f" {len(violations)} broken;"
         f" {describe_cuts(callers.requests, cuts.cuts, deployment.disruptions)}",
@@ -275,6 +295,7 @@
     uploads: bool = True,
     hold_links: bool = False,
     store_outages: bool = True,
+    late_orders: bool = False,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -304,6 +325,9 @@
     store_outages
         Let the store hang, refuse or drop its history, and let rules move to another
         service.
+    late_orders
+        Let servers carry orders out late, let the store lose and delay writes, and end
+        and freeze leaders.
     faults_s
         For how long faults are injected.
     net
@@ -323,6 +347,7 @@
             uploads=uploads,
             hold_links=hold_links,
             store_outages=store_outages,
+            late_orders=late_orders,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -3,7 +3,9 @@
 import json
 import signal
 import tempfile
+from collections import defaultdict
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from typing import Any, final
 
@@ -17,14 +19,16 @@
     MOVED,
     UNKEYED,
     BodyReport,
+    HoldChange,
     Outage,
+    ServerOrder,
     StoreOrder,
     settings_text,
 )
 
 from ._answer_faults import AnswerFaults
 from ._crashing import ENDS, is_crashing
-from ._disruptions import STORE_ANSWERS, Disruptions, link_of
+from ._disruptions import STORE_ANSWERS, Disruptions, link_of, server_links_of
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
 from ._server_link import LinkCut, ServerLink
@@ -90,6 +94,12 @@
         self.runs: list[Line] = []
         self.arrivals: list[Line] = []
         self.bodies: list[BodyReport] = []
+        self.hold_changes: list[HoldChange] = []
+        self.server_ends_s: dict[str, list[float]] = defaultdict(list)
+        """When each server was killed or ended, on the reactor's clock."""
+        self._leaders: list[str] = []
+        """Hosts that lead by their logs, the latest one last."""
+        self._server_orders: dict[str, ServerOrder] = {}
         self.crashes_s: list[float] = []
         """When requests ended servers, on the reactor's clock."""
         self.programs: dict[str, Program] = {}
@@ -196,8 +206,11 @@
             *("--ends-on", ENDS, "--early-share", str(self._early_share)),
             *("--refused-share", str(REFUSED_SHARE if is_full else 0.0)),
             *("--failed-share", str(FAILED_SHARE)),
+            *("--reports-holds", "--takes-orders"),
         ]
         self._start_process(name, arguments)
+        if name in self._server_orders:
+            self.order_server(name, self._server_orders[name])
 
     def _start_process(
         self, name: str, arguments: list[str], env: dict[str, str] | None = None
@@ -205,9 +218,11 @@
         previous = self.programs.get(name)
         if previous is not None:
             self.ended.append(previous)
-        on_line = self._note_line if name in self.servers else _ignore_line
+        on_line = self._note_line
         if name == "store":
             on_line = self._note_store_line
+        elif name in self.hosts:
+            on_line = partial(self._note_host_line, name)
         program = Program(
             name=name,
             log=self.logs / f"{name}.log",
@@ -222,6 +237,9 @@
 
     def _note_end(self, program: Program) -> None:
         """Start a server again that a request has ended."""
+        if program.name in self.servers:
+            self.server_ends_s[program.name].append(self.reactor.seconds())
+        self._note_not_leading(program.name)
         if program.exit_status != CRASHED or self._is_stopped:
             return
         self.crashes_s.append(self.reactor.seconds())
@@ -231,11 +249,40 @@
     def _note_line(self, line: Line) -> None:
         if "received_bytes" in line:
             self.bodies.append(msgspec.convert(line, BodyReport))
+        elif "until_s" in line:
+            self.hold_changes.append(msgspec.convert(line, HoldChange))
         else:
             (self.arrivals if "arrived_s" in line else self.runs).append(line)
             if "arrived_s" in line and is_crashing(line["request_id"]):
                 self._hide_end(line["server"])
 
+    def _note_host_line(self, name: str, line: Line) -> None:
+        if line["message"] == "leading":
+            self._note_not_leading(name)
+            self._leaders.append(name)
+        elif line["message"].startswith("no longer leading"):
+            self._note_not_leading(name)
+
+    def _note_not_leading(self, name: str) -> None:
+        if name in self._leaders:
+            self._leaders.remove(name)
+
+    def leader(self) -> str | None:
+        """Return the host that began to lead last and was not told to end, if any."""
+        leading = [
+            name for name in self._leaders if not self.programs[name].is_end_requested
+        ]
+        return leading[-1] if leading else None
+
+    def keyed_servers(self) -> list[str]:
+        """Return the servers that hold keys."""
+        return [name for name in self.servers if service_of(name) == KEYED]
+
+    def order_server(self, name: str, order: ServerOrder) -> None:
+        """Let a server begin or end a fault, also after it was started again."""
+        self._server_orders[name] = order
+        self.programs[name].write_line(msgspec.json.encode(order))
+
     def order_store(self, order: StoreOrder) -> None:
         """Let the store begin or end a fault, which lasts until it reports the end."""
         if order.outage not in (None, Outage.NONE):
@@ -278,6 +325,8 @@
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that this deployment started."""
         program = self.programs[name]
+        if number is signal.SIGKILL and name in self.servers and program.is_running:
+            self.server_ends_s[name].append(self.reactor.seconds())
         program.send(number)
         if number in DISRUPTIVE_SIGNALS:
             self.disruptions.begin(name)
@@ -300,12 +349,14 @@
     def cut_server_links(self, hosts: Sequence[str], form: LinkCut) -> None:
         """Cut the links of hosts to all servers."""
         for host in hosts:
+            self.disruptions.begin(server_links_of(host))
             for link in self._server_links[host]:
                 link.cut(form)
 
     def restore_server_links(self) -> None:
         """Restore the links of all hosts to all servers."""
-        for links in self._server_links.values():
+        for host, links in self._server_links.items():
+            self.disruptions.end(server_links_of(host))
             for link in links:
                 link.restore()
 
@@ -344,7 +395,3 @@
 def service_of(server: str) -> str:
     """Return the service of a server."""
     return (SERVICES + MOVED_SERVICES)[int(server.partition("-")[2])]
-
-
-def _ignore_line(line: Line) -> None:
-    """Ignore a line, which the log file already holds."""
--- a/soak/_disruptions.py
+++ b/soak/_disruptions.py
@@ -10,6 +10,7 @@
 
 STORE = "store"
 STORE_ANSWERS = "answers of the store"
+STORE_WRITES = "writes to the store"
 ALL_SERVER_LINKS = "links to all servers"
 
 
@@ -52,7 +53,7 @@
         """
         return not any(
             self.overlaps(subject, from_s - CATCH_UP_S, until_s)
-            for subject in (host, link_of(host), STORE, STORE_ANSWERS)
+            for subject in (host, link_of(host), STORE, STORE_ANSWERS, STORE_WRITES)
         )
 
     def overlaps(self, subject: str, from_s: float, until_s: float) -> bool:
@@ -62,6 +63,18 @@
             for begun_s, ended_s in self._spans_s.get(subject, ())
         )
 
+    def ended_within(self, subject: str, at_s: float, slack_s: float) -> bool:
+        """Whether a disruption ended less than ``slack_s`` before ``at_s``."""
+        return any(
+            ended_s <= at_s < ended_s + slack_s
+            for _, ended_s in self._spans_s.get(subject, ())
+        )
+
+
+def server_links_of(name: str) -> str:
+    """Return the name of a host's links to all servers, or a server's to all hosts."""
+    return f"server links of {name}"
+
 
 def link_of(name: str) -> str:
     """Return the name of the link through the proxy of a program."""
--- a/soak/_holds.py
+++ b/soak/_holds.py
@@ -5,7 +5,7 @@
 from typing import final
 
 from ._deployment import Deployment
-from ._disruptions import ALL_SERVER_LINKS
+from ._disruptions import ALL_SERVER_LINKS, server_links_of
 from ._schedule import Schedule
 
 PAUSE_S = (0.5, 3.0)
@@ -42,6 +42,7 @@
         )
         for name in self._held:
             self._deployment.proxies[name].buffer.hold()
+            self._deployment.disruptions.begin(server_links_of(name))
         self._schedule.call_later(duration_s, self._end)
 
     def _end(self) -> None:
@@ -52,5 +53,6 @@
         """Deliver all that is held."""
         for name in self._held:
             self.pieces += self._deployment.proxies[name].buffer.release()
+            self._deployment.disruptions.end(server_links_of(name))
         self._deployment.disruptions.end(ALL_SERVER_LINKS)
         self._held = ()
--- a/src/gentianwharf/platform/standin/_records.py
+++ b/src/gentianwharf/platform/standin/_records.py
@@ -58,7 +58,8 @@
 
     ``token`` is the order's, ``until_s`` the end of the grant, 0 for a release. It
     arrived at ``arrived_s`` and was carried out at ``carried_out_s``, all on the
-    reactor's clock in seconds. ``born_ms`` tells lives of one server apart.
+    reactor's clock in seconds; ``is_late`` if the server put it off. ``born_ms`` tells
+    lives of one server apart.
     """
 
     server: str
@@ -70,6 +71,7 @@
     arrived_s: float
     carried_out_s: float
     until_s: float
+    is_late: bool = False
 
 
 @final
--- a/src/gentianwharf/platform/standin/_server.py
+++ b/src/gentianwharf/platform/standin/_server.py
@@ -183,29 +183,31 @@
         if order is None:
             return b""
         grant = partial(self._hold, order, self._reactor.seconds())
-        if self.late_orders.delays(LateKind.GRANTS, grant):
+        if self.late_orders.delays(LateKind.GRANTS, partial(grant, is_late=True)):
             return NOT_DONE_YET
         if not grant():
             request.setResponseCode(STATUS_STALE_TOKEN)
         return b""
 
-    def _hold(self, order: Order, arrived_s: float) -> bool:
+    def _hold(self, order: Order, arrived_s: float, *, is_late: bool = False) -> bool:
         """Carry out a grant, whose time counts from its arrival."""
         until_s = arrived_s + decode_time_s(order.hold_time)
         if not self._held_shards.grant(
             order.first, order.last, token=order.fence, until_s=until_s
         ):
             return False
-        self._report_hold_change(order, arrived_s, until_s)
+        self._report_hold_change(order, arrived_s, until_s, is_late)
         return True
 
-    def _stop_holding(self, order: Order, arrived_s: float) -> None:
+    def _stop_holding(
+        self, order: Order, arrived_s: float, *, is_late: bool = False
+    ) -> None:
         """Carry out a release, which ends no running work."""
         self._held_shards.release(order.first, order.last, token=order.fence)
-        self._report_hold_change(order, arrived_s, 0.0)
+        self._report_hold_change(order, arrived_s, 0.0, is_late)
 
     def _report_hold_change(
-        self, order: Order, arrived_s: float, until_s: float
+        self, order: Order, arrived_s: float, until_s: float, is_late: bool
     ) -> None:
         self.on_hold_change(
             HoldChange(
@@ -218,6 +220,7 @@
                 arrived_s=arrived_s,
                 carried_out_s=self._reactor.seconds(),
                 until_s=until_s,
+                is_late=is_late,
             )
         )
 
@@ -226,7 +229,7 @@
         if order is None:
             return b""
         release = partial(self._stop_holding, order, self._reactor.seconds())
-        if self.late_orders.delays(LateKind.RELEASES, release):
+        if self.late_orders.delays(LateKind.RELEASES, partial(release, is_late=True)):
             return NOT_DONE_YET
         release()
         request.setHeader(b"Handover", f"{self.spec.id}-{order.fence}".encode())
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -396,6 +396,7 @@
     server.clock.advance(HELD_S - late_s)
     assert status_of(server.request()) == 421
     (change,) = server.changes
+    assert change.is_late
     assert (change.arrived_s, change.carried_out_s, change.until_s) == (
         (0.0, late_s, HELD_S)
     )
--- /dev/null
+++ b/tests/test_soak_owner_checks.py
@@ -0,0 +1,160 @@
+"""The soak's check that no two servers hold the same keys."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import pytest
+from soak._disruptions import ALL_SERVER_LINKS, link_of, server_links_of
+
+from gentianwharf.platform.standin import HoldChange
+
+from .builders_soak_holds import FIRST, LAST, Held, hold, run
+
+THAWED = ("server-1", "host-1", link_of("server-1"), server_links_of("host-0"))
+
+
+def in_turn() -> list[HoldChange]:
+    """Return the grants of keys that move once they are free."""
+    return [
+        hold("server-0", token=1, at_s=0.0, until_s=4.0),
+        hold("server-0", token=1, at_s=2.0, until_s=6.0),
+        hold("server-1", token=2, at_s=6.0, until_s=10.0),
+    ]
+
+
+def shared(at_s: float = 3.0, arrived_s: float | None = None) -> list[HoldChange]:
+    """Return the grants of keys that two servers hold until 4 s."""
+    return [
+        hold("server-0", token=1, at_s=0.0, until_s=4.0),
+        hold("server-1", token=2, at_s=at_s, until_s=8.0, arrived_s=arrived_s),
+    ]
+
+
+def both_ran(at_s: float = 3.8) -> list[Mapping[str, Any]]:
+    """Return a request at each of them."""
+    return [run("server-0", at_s=at_s), run("server-1", at_s=at_s, shard=LAST)]
+
+
+def test_keys_that_move_once_they_are_free_are_in_order() -> None:
+    assert not Held().broken(in_turn(), [run("server-0", at_s=1.0)])
+
+
+def test_keys_that_move_after_their_release_are_in_order() -> None:
+    release = hold("server-0", token=1, at_s=1.0, until_s=0.0)
+    (grant, other) = shared(at_s=1.1)
+    assert not Held().broken([grant, release, other])
+
+
+def test_part_of_the_keys_may_move_after_its_release() -> None:
+    """Guards against releases that count for shards which they don't name."""
+    grant, _ = shared()
+    release = hold("server-0", token=1, at_s=1.0, until_s=0.0, shards=(FIRST, 149))
+    free = hold("server-1", token=2, at_s=1.1, until_s=5.0, shards=(FIRST, 149))
+    held = hold("server-1", token=2, at_s=1.1, until_s=5.0, shards=(149, LAST))
+    assert not Held().broken([grant, release, free])
+    (line,) = Held().broken([grant, release, held])
+    assert "shards 150 to 199 at server-0 and server-1 from 1.100 to 4.000" in line
+
+
+def test_keys_held_by_two_servers_for_long_are_found() -> None:
+    (line,) = Held().broken(shared())
+    assert line.startswith("OWNER: shards 100 to 199 at server-0 and server-1")
+    assert line.endswith("from 3.000 to 4.000, 1.000 s")
+
+
+def test_keys_that_renewals_share_for_long_are_found() -> None:
+    """Guards against spans that are short since each renewal begins one."""
+    renewals = [
+        hold("server-1", token=2, at_s=3.0 + 0.4 * number, until_s=3.4 + 0.4 * number)
+        for number in range(3)
+    ]
+    (line,) = Held().broken([*shared()[:1], *renewals])
+    assert "1.000 s" in line
+
+
+def test_keys_held_by_two_servers_for_short_need_requests_at_both() -> None:
+    held = Held()
+    grants = shared(at_s=3.6)
+    assert not held.broken(grants)
+    assert not held.broken(grants, [run("server-0", at_s=3.8)])
+    assert not held.broken(grants, both_ran(at_s=3.5))
+    (line,) = held.broken(grants, both_ran())
+    assert line.endswith("which began 1 and 1 requests")
+
+
+def test_services_have_keys_of_their_own() -> None:
+    other = hold("server-1", token=2, at_s=1.0, until_s=5.0, service="seats")
+    assert not Held().broken([*shared()[:1], other])
+
+
+def test_server_that_was_killed_holds_nothing() -> None:
+    assert not Held(ends_s={"server-0": [2.9]}).broken(shared())
+    assert Held(ends_s={"server-0": [4.1]}).broken(shared())
+
+
+@pytest.mark.parametrize("subject", [*THAWED, ALL_SERVER_LINKS])
+def test_grants_held_up_on_their_way_do_not_count_for_the_time(subject: str) -> None:
+    held = Held()
+    held.disrupt(subject, 1.0, 2.8)
+    assert not held.broken(shared())
+
+
+@pytest.mark.parametrize("subject", [*THAWED, ALL_SERVER_LINKS, "server-0", "store"])
+def test_only_grants_soon_after_a_thaw_are_excused(subject: str) -> None:
+    """Guards against disruptions that excuse what came before or long after them."""
+    held = Held()
+    held.disrupt(subject, 1.0, 2.6)
+    held.disrupt(subject, 3.1, 3.2)
+    assert len(held.broken(shared())) == 1
+
+
+def test_late_grants_do_not_count_for_the_time() -> None:
+    assert not Held().broken(shared(arrived_s=0.5))
+
+
+def test_late_grants_count_for_requests() -> None:
+    """Guards against excuses of the one rule that serve for the other."""
+    (line,) = Held().broken(shared(arrived_s=0.5), both_ran())
+    assert line.endswith("which began 1 and 1 requests")
+
+
+def test_grants_of_a_thawed_host_do_not_count_for_requests() -> None:
+    held = Held()
+    held.disrupt("host-0", 1.0, 2.8)
+    assert not held.broken(shared(), both_ran())
+
+
+def test_grants_that_a_thawed_server_takes_count_for_requests() -> None:
+    held = Held()
+    held.disrupt("server-1", 1.0, 2.8)
+    assert len(held.broken(shared(), both_ran())) == 1
+
+
+@pytest.mark.parametrize("token", [1, 2], ids=["lower", "equal"])
+def test_token_that_is_not_above_all_others_is_found(token: int) -> None:
+    grants = [
+        hold("server-0", token=2, at_s=0.0, until_s=4.0),
+        hold("server-1", token=token, at_s=5.0, until_s=9.0),
+    ]
+    (line,) = Held().broken(grants)
+    assert f"went to server-1 with fence {token} at 5.000, server-0 had had" in line
+
+
+def test_same_grant_again_may_have_a_lower_token() -> None:
+    again = hold("server-0", token=1, at_s=11.0, until_s=15.0)
+    assert not Held().broken([*in_turn(), again])
+    reborn = hold("server-0", token=1, at_s=11.0, until_s=15.0, born_ms=2)
+    assert not Held().broken([*in_turn(), reborn])
+
+
+def test_grant_whose_time_has_passed_takes_no_key() -> None:
+    late = hold("server-2", token=1, at_s=11.0, until_s=10.0, arrived_s=6.0)
+    assert not Held().broken([*in_turn(), late])
+
+
+def test_new_life_with_a_token_below_that_of_the_former_one_is_found() -> None:
+    grants = [
+        hold("server-0", token=2, at_s=0.0, until_s=4.0),
+        hold("server-0", token=1, at_s=5.0, until_s=9.0, born_ms=2),
+    ]
+    assert len(Held(ends_s={"server-0": [4.5]}).broken(grants)) == 1
