--- a/soak/_owner_checks.py
+++ b/soak/_owner_checks.py
@@ -25,16 +25,24 @@
 @final
 @dataclass(kw_only=True, slots=True)
 class _SharedSpan:
-    """The same shards were held by two lives; ``longest_s`` for the longest."""
+    """Two lives held the same shards, at the times in ``parts``, which touch.
+
+    A part has the first and the last shard, and when it began and ended.
+    """
 
     lives: tuple[Life, Life]
-    shards: list[tuple[int, int]]
+    parts: list[tuple[int, int, float, float]]
     begun_s: float
     ended_s: float
-    longest_s: float
+
+    @property
+    def longest_s(self) -> float:
+        """For how long a shard was held by both."""
+        return max(ended_s - begun_s for *_, begun_s, ended_s in self.parts)
 
     def describe(self) -> str:
-        first, last = self.shards[0][0], max(last for _, last in self.shards)
+        first = min(part[0] for part in self.parts)
+        last = max(part[1] for part in self.parts)
         names = " and ".join(server for server, _ in self.lives)
         return (
             f"shards {first} to {last} at {names} from {self.begun_s:.3f} to"
@@ -46,8 +54,10 @@
         return sum(
             run["server"] == life[0]
             and run["shard"] is not None
-            and self.begun_s <= run["begun_s"] < self.ended_s
-            and any(first <= run["shard"] <= last for first, last in self.shards)
+            and any(
+                first <= run["shard"] <= last and begun_s <= run["begun_s"] < ended_s
+                for first, last, begun_s, ended_s in self.parts
+            )
             for run in runs
         )
 
@@ -154,10 +164,9 @@
                     if begun_s < ended_s:
                         shared = _SharedSpan(
                             lives=lives,
-                            shards=[(first, last)],
+                            parts=[(first, last, begun_s, ended_s)],
                             begun_s=begun_s,
                             ended_s=ended_s,
-                            longest_s=ended_s - begun_s,
                         )
                         found[lives].append(shared)
     return [span for spans in found.values() for span in _joined(spans)]
@@ -168,9 +177,8 @@
     for span in sorted(spans, key=lambda span: span.begun_s):
         if joined and span.begun_s <= joined[-1].ended_s:
             last = joined[-1]
-            last.shards = sorted({*last.shards, *span.shards})
+            last.parts += span.parts
             last.ended_s = max(last.ended_s, span.ended_s)
-            last.longest_s = max(last.longest_s, span.longest_s)
         else:
             joined.append(span)
     return joined
--- a/tests/test_soak_owner_checks.py
+++ b/tests/test_soak_owner_checks.py
@@ -82,6 +82,18 @@
     assert line.endswith("which began 1 and 1 requests")
 
 
+def test_requests_on_keys_that_are_shared_no_more_do_not_count() -> None:
+    """Guards against requests that count for keys which were shared just before."""
+    grants = [
+        hold("server-0", token=1, at_s=0.0, until_s=4.0, shards=(FIRST, 149)),
+        hold("server-0", token=1, at_s=0.0, until_s=4.3, shards=(150, LAST)),
+        hold("server-1", token=2, at_s=3.9, until_s=8.0),
+    ]
+    ran = run("server-0", at_s=4.2, shard=LAST)
+    assert not Held().broken(grants, [ran, run("server-1", at_s=4.2, shard=FIRST)])
+    assert Held().broken(grants, [ran, run("server-1", at_s=4.2, shard=LAST)])
+
+
 def test_services_have_keys_of_their_own() -> None:
     other = hold("server-1", token=2, at_s=1.0, until_s=5.0, service="seats")
     assert not Held().broken([*shared()[:1], other])
