--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,6 +51,10 @@
 RECOVER_S = 12.0
 """Time to recover after the last fault; the platform's operators allow 15 s."""
 
+MAX_HOLD_WAIT_S = 20.0
+"""Longer than a new leader waits for grants of others that it doesn't know."""
+
+LOOK_EVERY_S = 0.1
 QUIET_S = 3.0
 PROCESS_EXIT_S = 1.0
 REQUESTS_PER_S = 60.0
@@ -179,6 +183,8 @@
     try:
         deployment.start()
         await deferLater(reactor, START_S)
+        if seed_run.late_orders:
+            await _wait_until_held(deployment)
         callers.start(REQUESTS_PER_S)
         faults.start()
         if seed_run.rules_grow:
@@ -270,6 +276,13 @@
     return violations
 
 
+async def _wait_until_held(deployment: Deployment) -> None:
+    """Wait until servers hold keys, which may be lost or shared only then."""
+    until_s = reactor.seconds() + MAX_HOLD_WAIT_S
+    while not deployment.is_holding() and reactor.seconds() < until_s:
+        await deferLater(reactor, LOOK_EVERY_S)
+
+
 async def _run_seeds(seed_runs: list[SeedRun], net: int, faults_s: float) -> int:
     logs = Path(mkdtemp(prefix="soak-logs-"))
     failed: list[int] = []
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -278,6 +278,10 @@
         """Return the servers that hold keys."""
         return [name for name in self.servers if service_of(name) == KEYED]
 
+    def is_holding(self) -> bool:
+        """Whether each server that holds keys has held some."""
+        return {*self.keyed_servers()} <= {each.server for each in self.hold_changes}
+
     def order_server(self, name: str, order: ServerOrder) -> None:
         """Let a server begin or end a fault, also after it was started again."""
         self._server_orders[name] = order
--- a/soak/_late_orders.py
+++ b/soak/_late_orders.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import final
 
-from gentianwharf.platform.standin import LateKind, ServerOrder, StoreOrder
+from gentianwharf.platform.standin import LateKind, Outage, ServerOrder, StoreOrder
 
 from ._deployment import Deployment
 from ._disruptions import STORE_WRITES
@@ -13,6 +13,9 @@
 
 PAUSE_S = (0.2, 4.0)
 DURATION_S = (2.0, 8.0)
+OUTAGE_PROBABILITY = 0.5
+OUTAGE_S = (2.5, 6.0)
+AFTER_OUTAGE_S = 0.5
 SERVER_SHARES = (0.2, 0.5, 0.9)
 WRITE_SHARES = (0.0, 0.1, 0.3)
 SLOWDOWNS = (1.0, 1.0, 10.0, 50.0)
@@ -29,7 +32,8 @@
 class LateOrders:
     """Draws spans with late orders and writes, in addition to the other faults.
 
-    In each span some leaders in a row are ended, or frozen for a time.
+    In each span some leaders in a row are ended, or frozen for a time, in half of them
+    after the store has hung for so long that leases lapse.
     """
 
     def __init__(
@@ -39,6 +43,8 @@
         self._schedule = schedule
         self._rng = rng
         self._frozen: set[str] = set()
+        self._leaders_left = 0
+        """How many leaders are yet to be disturbed; the next one is looked for."""
 
     def start(self) -> None:
         """Schedule the next span."""
@@ -56,24 +62,36 @@
             late_share=rng.choice(WRITE_SHARES),
             slowdown=rng.choice(SLOWDOWNS),
         )
-        duration_s = rng.uniform(*DURATION_S)
+        outage_s = rng.uniform(*OUTAGE_S)
+        if rng.random() >= OUTAGE_PROBABILITY:
+            outage_s = 0.0
+        duration_s = outage_s + rng.uniform(*DURATION_S)
         self._schedule.record(
             f"{order.late_share} of {order.late_kind} late at {', '.join(names)}; of"
             f" writes {writes.unanswered_share} unanswered, {writes.late_share} late,"
-            f" answers {writes.slowdown} times slower, for {duration_s:.2f} s"
+            f" answers {writes.slowdown} times slower, for {duration_s:.2f} s;"
+            f" the store hangs for {outage_s:.2f} s"
         )
         for name in names:
             deployment.order_server(name, order)
         deployment.disruptions.begin(STORE_WRITES)
         deployment.order_store(writes)
-        self._disturb_leaders(rng.randint(*LEADERS_IN_A_ROW))
+        if outage_s:
+            deployment.order_store(StoreOrder(outage=Outage.HANG))
+            self._schedule.call_later(
+                outage_s, deployment.order_store, StoreOrder(outage=Outage.NONE)
+            )
+        begins_s = outage_s + rng.uniform(0.0, AFTER_OUTAGE_S)
+        if not self._leaders_left:
+            self._schedule.call_later(begins_s, self._disturb_leaders)
+        self._leaders_left = rng.randint(*LEADERS_IN_A_ROW)
         self._schedule.call_later(duration_s, self._end)
 
-    def _disturb_leaders(self, count: int) -> None:
+    def _disturb_leaders(self) -> None:
         """End or freeze whoever leads now, and soon after whoever leads then."""
         leader = self._deployment.leader()
         if leader is None or leader in self._frozen:
-            self._schedule.call_later(LOOK_EVERY_S, self._disturb_leaders, count)
+            self._schedule.call_later(LOOK_EVERY_S, self._disturb_leaders)
             return
         rng = self._rng
         stopped_s, frozen_s = rng.uniform(*STOPPED_S), rng.uniform(*FROZEN_S)
@@ -86,9 +104,10 @@
             self._schedule.record(f"end leader {leader}, back after {stopped_s:.2f} s")
             self._deployment.send(leader, signal.SIGTERM)
             self._schedule.call_later(stopped_s, self._deployment.restart, leader)
-        if count > 1:
+        self._leaders_left -= 1
+        if self._leaders_left:
             pause_s = rng.uniform(*rng.choice(BETWEEN_LEADERS_S))
-            self._schedule.call_later(pause_s, self._disturb_leaders, count - 1)
+            self._schedule.call_later(pause_s, self._disturb_leaders)
 
     def _thaw(self, name: str) -> None:
         self._frozen.discard(name)
