--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -8,7 +8,7 @@
 from gentianwharf.pauses import PauseDetector
 
 from ._orders import HolderEndedError
-from ._previous_leader import RemainingGrants
+from ._previous_leader import UNKNOWN_GRANTS, RemainingGrants
 from ._states import HolderState
 from ._table import Holder
 from ._timing import UNREACHABLE_S, GrantTiming
@@ -25,6 +25,8 @@
         self._now_s = now_s
         self._states: dict[Holder, HolderState] = {}
         self._earlier_grants_until_s = 0.0
+        self._lease_id: int | None = None
+        """The lease of the term whose grants are recorded."""
         self._pauses = PauseDetector()
         self._resumed_s = -inf
         """When the last pause of this host ended."""
@@ -36,36 +38,63 @@
         """Return the state of a holder; it is created if there is none."""
         return self._states.setdefault(holder, HolderState(held_until_s=0.0))
 
-    def reset(self, *, earlier_grants_until_s: float) -> None:
+    def reset(self, *, earlier_grants_until_s: float, lease_id: int | None) -> None:
         """Discard all states; grants of earlier leaders expire by the given time."""
         self._states.clear()
         self._earlier_grants_until_s = earlier_grants_until_s
+        self._lease_id = lease_id
 
     def held_until_s(self, holder: Holder) -> float:
         """Return the time by which all grants of a holder have expired."""
         state = self._states.get(holder)
-        known_s = state.expire_by_s() if state is not None else 0.0
+        known_s = self._expire_by_s(state) if state is not None else 0.0
         return max(known_s, self._earlier_grants_until_s)
 
-    def held_s(self) -> float:
-        """Return for how long any grant may remain valid if no more are sent."""
+    def end_orders(self) -> None:
+        """Cancel all orders; those that were sent may have arrived until now."""
+        for state in self:
+            state.held_until_s = self._expire_by_s(state)
+            for order in list(state.orders):
+                order.cancel()
+
+    def _expire_by_s(self, state: HolderState) -> float:
+        return state.expire_by_s(self._now_s(), self._timing)
+
+    def held_s(self, lease_id: int) -> float | None:
+        """Return for how long any grant may remain valid if no more are sent.
+
+        None if this host did not take over in the term of the given lease.
+        """
+        if lease_id != self._lease_id:
+            return None
         latest_s = max(
             # A grant of an earlier leader may be valid for longer than this host's.
             [self._earlier_grants_until_s]
-            + [state.expire_by_s() for state in self._states.values()]
+            + [self._expire_by_s(state) for state in self._states.values()]
         )
         return max(0.0, latest_s - self._now_s())
 
+    def earlier_grants_s(self) -> float:
+        """Return for how long any grant of earlier leaders may remain valid."""
+        return max(0.0, self._earlier_grants_until_s - self._now_s())
+
     def earlier_grants_expired(self) -> bool:
         """Whether all grants of earlier leaders have expired."""
         return self._now_s() >= self._earlier_grants_until_s
 
-    def remaining_grants(self) -> RemainingGrants:
-        """Return for how long each grant may remain valid if no more are sent."""
+    def remaining_grants(self, lease_id: int) -> RemainingGrants:
+        """Return for how long each grant may remain valid if no more are sent.
+
+        Only who took over in the term of the given lease knows the grants of that term
+        and of those before it. A claim may be stored without its host noticing, and a
+        host that led before has forgotten, or never knew, the terms in between.
+        """
+        if lease_id != self._lease_id:
+            return UNKNOWN_GRANTS
         now_s = self._now_s()
-        others_s = max(0.0, self._earlier_grants_until_s - now_s)
+        others_s = self.earlier_grants_s()
         held_s = {
-            holder: state.expire_by_s() - now_s
+            holder: self._expire_by_s(state) - now_s
             for holder, state in self._states.items()
         }
         longer_s = {holder: held for holder, held in held_s.items() if held > others_s}
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -72,6 +72,8 @@
         self._previous_leader_key = previous_leader_key
         self._previous_leader_item: Item | None = None
         self._previous_leader: PreviousLeader | None = None
+        self._replaced_record: Item | None = None
+        """The record that this host's last claim replaced."""
         self.value = value
         self._now_s = now_s
         self._rng = rng
@@ -121,10 +123,13 @@
         else:
             self._due_s = None
 
-    async def resign(self, held_s: float, *, campaign_pause_s: float) -> None:
+    async def resign(
+        self, held_s: Callable[[int], float | None], *, campaign_pause_s: float
+    ) -> None:
         """Give up the leadership, so that another host can take it over at once.
 
-        ``held_s`` is for how long this host's grants may remain valid. It is stored in
+        ``held_s`` returns for how long grants may remain valid after the term with the
+        given lease, None if this host did not take over in it. The time is stored in
         the record of the previous leader, which the next leader replaces by its own
         when it takes over; so the record is never attributed to a leader in between
         that was lost. For ``campaign_pause_s`` this host does not campaign.
@@ -134,17 +139,33 @@
         if term is None:
             return
         self._lose("resigned")
+        # The orders that were in flight have ended now, and count from their ends.
+        await self._remove_item(term, held_s(term.lease_id))
+
+    async def _remove_item(self, term: Term, held_s: float | None) -> None:
+        """Remove this host's item, so that others campaign at once."""
         try:
             await self._store.change(
                 Change(
                     expected={self._key: term.revision},
-                    puts=(self._record(earlier_grants_expired=True, held_s=held_s),),
+                    puts=(self._resignation(term, held_s),),
                     removals=(self._key,),
                 )
             )
         except GentianwharfError as error:
             log.info("resignation not stored, the lease will expire: {}", error.message)
 
+    def _resignation(self, term: Term, held_s: float | None) -> Put:
+        if held_s is not None:
+            return self._record(
+                term.lease_id, earlier_grants_expired=True, held_s=held_s
+            )
+        if self._replaced_record is None:
+            return self._record(term.lease_id, earlier_grants_expired=False)
+        # This host has granted nothing in its term, so the leader before it remains the
+        # one to ask.
+        return Put(key=self._previous_leader_key, value=self._replaced_record.value)
+
     def step_down(self) -> None:
         """End this host's term because another host has stated that it leads."""
         if self.term is not None:
@@ -155,7 +176,7 @@
         term = self.term
         if term is None:
             return False
-        record = self._record(earlier_grants_expired=True)
+        record = self._record(term.lease_id, earlier_grants_expired=True)
         try:
             await self._store.change(
                 Change(expected={self._key: term.revision}, puts=(record,))
@@ -170,12 +191,17 @@
         self._previous_leader_item = item
 
     def _record(
-        self, *, earlier_grants_expired: bool, held_s: float | None = None
+        self,
+        lease_id: int,
+        *,
+        earlier_grants_expired: bool,
+        held_s: float | None = None,
     ) -> Put:
         previous = PreviousLeader(
             value=self.value,
             earlier_grants_expired=earlier_grants_expired,
             held_s=held_s,
+            lease_id=lease_id,
         )
         return Put(
             key=self._previous_leader_key, value=encode_previous_leader(previous)
@@ -190,7 +216,7 @@
             self._campaign_lease_id = 0
             lease_id = await self._store.open_lease(LEADER_LEASE_S)
             self._campaign_lease_id, self._campaign_began_s = lease_id, now_s
-            previous = self._previous_leader_item
+            previous = self._replaced_record = self._previous_leader_item
             self._previous_leader = decode_previous_leader(previous)
             put = Put(key=self._key, value=self.value, lease_id=lease_id)
             revision = await self._store.change(
@@ -202,7 +228,7 @@
                         self._key: 0,
                         self._previous_leader_key: previous.revision if previous else 0,
                     },
-                    puts=(put, self._record(earlier_grants_expired=False)),
+                    puts=(put, self._record(lease_id, earlier_grants_expired=False)),
                 )
             )
         except ConflictError:
@@ -239,8 +265,14 @@
             self.lease_renewed_s = max(self.lease_renewed_s, now_s)
 
     def _gain(self, revision: int) -> None:
-        self.term = Term(lease_id=self._campaign_lease_id, revision=revision)
+        term = Term(lease_id=self._campaign_lease_id, revision=revision)
         self._campaign_lease_id = 0
+        if self._now_s() < self._campaign_pause_until_s:
+            # The campaign was in flight as this host resigned.
+            log.info("leadership declined", extra={"revision": revision})
+            _start(self._remove_item(term, None))
+            return
+        self.term = term
         self.lease_renewed_s = self._campaign_began_s
         self._due_s = self._now_s() + RENEW_LEASE_EVERY_S
         held_s = (
