--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -113,11 +113,12 @@
     a, b, _ = terms.hosts
     terms.run_until(lambda: terms.servers.holders(0), a)
     terms.cut_links()
-    b.faults.lease_delay_s, b.faults.change_delay_s = 0.7, 1.1
-    b.leadership.note_item(None)
-    terms.run(0.6, a, b)
     a.cut()
+    terms.run(0.6, a)
+    b.faults.lease_delay_s, b.faults.change_delay_s = 0.35, 0.35
+    b.leadership.note_item(None)
     terms.run_until(lambda: b.leads, a, b)
+    assert b.leadership.holds_lease()
     longest_s = TIMING.earlier_grants_expiry_s(took_over_s=0.0)
     assert b.manager.holders.earlier_grants_s() >= longest_s - STEP_S
 
@@ -150,3 +151,19 @@
     terms.run_until(lambda: a.leads, a)
     terms.run(STEP_S, a)
     assert a.held_s() > TIMING.longest_grant_s
+
+
+@pytest.mark.parametrize("held_s", [None, 0.0], ids=["lost", "resigned"])
+def test_record_without_a_lease_shortens_no_wait(
+    terms: Terms, held_s: float | None
+) -> None:
+    """Guards against hosts of an older version that state grants they do not know."""
+    lead_and_lose_the_store(terms)
+    _, b, c = terms.hosts
+    terms.store_record(b, held_s=held_s)
+    b.states_no_grants()
+    b.receives_changes = False
+    c.heal()
+    terms.silence(holder(1))
+    terms.run(CHECKED_S, c)
+    assert c.leads
