--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,7 @@
     requests_with_known_outcome,
 )
 from ._schedule import Schedule
+from ._statement_checks import find_wrong_statements
 from ._store_outages import StoreOutages
 from ._uploading import UploadingCallers, describe_uploads
 from ._uploads import find_unasked
@@ -233,6 +234,12 @@
         deployment.hosts,
         deployment.disruptions,
     )
+    violations += find_wrong_statements(
+        deployment.statements,
+        deployment.hold_changes,
+        deployment.hosts,
+        deployment.disruptions,
+    )
     bound = requests_with_known_outcome(callers.requests, deployment.disruptions)
     violations += find_stale_versions(callers.requests, deployment.disruptions)
     violations += find_version_regressions(callers.requests)
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import tempfile
+import time
 from collections import defaultdict
 from collections.abc import Sequence
 from functools import partial
@@ -32,6 +33,7 @@
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
 from ._server_link import LinkCut, ServerLink
+from ._statement_checks import Statement, statement_of
 from .entry_host import LINKS_VARIABLE
 
 HOST_COUNT = 4
@@ -97,6 +99,9 @@
         self.hold_changes: list[HoldChange] = []
         self.server_ends_s: dict[str, list[float]] = defaultdict(list)
         """When each server was killed or ended, on the reactor's clock."""
+        self.statements: list[Statement] = []
+        self._clock_offset_s = time.time() - reactor.seconds()
+        """What the time of day in logs is ahead of the reactor's clock."""
         self._leaders: list[str] = []
         """Hosts that lead by their logs, the latest one last."""
         self._server_orders: dict[str, ServerOrder] = {}
@@ -257,6 +262,9 @@
                 self._hide_end(line["server"])
 
     def _note_host_line(self, name: str, line: Line) -> None:
+        statement = statement_of(name, line, clock_offset_s=self._clock_offset_s)
+        if statement is not None:
+            self.statements.append(statement)
         if line["message"] == "leading":
             self._note_not_leading(name)
             self._leaders.append(name)
--- a/soak/_owner_checks.py
+++ b/soak/_owner_checks.py
@@ -91,10 +91,10 @@
         )
 
         def counts_for_requests(change: HoldChange) -> bool:
-            return not _is_after_thaw(change, hosts, disruptions)
+            return not is_after_thaw(change, hosts, disruptions)
 
         def counts_for_time(change: HoldChange) -> bool:
-            return counts_for_requests(change) and not _is_taken_late(
+            return counts_for_requests(change) and not is_taken_late(
                 change, disruptions
             )
 
@@ -114,9 +114,10 @@
     return lines
 
 
-def _is_after_thaw(
+def is_after_thaw(
     change: HoldChange, hosts: Sequence[str], disruptions: Disruptions
 ) -> bool:
+    """Whether a grant arrived soon after a host was thawed or a link healed."""
     subjects = [*hosts, *(server_links_of(host) for host in hosts)]
     subjects += [link_of(change.server), server_links_of(change.server)]
     return any(
@@ -125,7 +126,8 @@
     )
 
 
-def _is_taken_late(change: HoldChange, disruptions: Disruptions) -> bool:
+def is_taken_late(change: HoldChange, disruptions: Disruptions) -> bool:
+    """Whether a server put a grant off, or took it soon after it was thawed."""
     return change.is_late or disruptions.ended_within(
         change.server, change.arrived_s, THAW_SLACK_S
     )
