--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -262,7 +262,12 @@
                 self._hide_end(line["server"])
 
     def _note_host_line(self, name: str, line: Line) -> None:
-        statement = statement_of(name, line, clock_offset_s=self._clock_offset_s)
+        statement = statement_of(
+            name,
+            line,
+            clock_offset_s=self._clock_offset_s,
+            former=self.statements,
+        )
         if statement is not None:
             self.statements.append(statement)
         if line["message"] == "leading":
--- a/soak/_statement_checks.py
+++ b/soak/_statement_checks.py
@@ -23,26 +23,38 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Statement:
-    """A host that leads was told at ``at_s`` that no grant is valid for ``held_s``."""
+    """A host was told how long grants last of those who led before ``led_s``.
+
+    ``held_s`` counts from ``at_s``, and is None if it wasn't told of all servers.
+    """
 
     host: str
+    led_s: float
     at_s: float
-    held_s: float
+    held_s: float | None
 
 
 def statement_of(
-    host: str, line: Mapping[str, Any], *, clock_offset_s: float
+    host: str,
+    line: Mapping[str, Any],
+    *,
+    clock_offset_s: float,
+    former: Sequence[Statement] = (),
 ) -> Statement | None:
-    """Return the statement in a line of a host's log, if there is one for all servers.
+    """Return the statement in a line of a host's log, if there is one.
 
     ``clock_offset_s`` is what its time of day is ahead of the clock of records.
     """
-    message, held_s = line.get("message"), line.get("held_s")
-    is_for_all = message == LEADING or (message == ANSWERED and not line["servers"])
-    if held_s is None or not is_for_all:
+    message = line.get("message")
+    if message not in (LEADING, ANSWERED):
         return None
-    at_s = datetime.fromisoformat(line["at"]).timestamp() - clock_offset_s
-    return Statement(host=host, at_s=at_s, held_s=held_s)
+    at_s = led_s = datetime.fromisoformat(line["at"]).timestamp() - clock_offset_s
+    held_s = line.get("held_s")
+    if message == ANSWERED:
+        # A leader renews grants before it is answered.
+        led_s = max((each.led_s for each in former if each.host == host), default=at_s)
+        held_s = held_s if not line["servers"] else None
+    return Statement(host=host, led_s=led_s, at_s=at_s, held_s=held_s)
 
 
 def find_wrong_statements(
@@ -59,11 +71,13 @@
     """
     lines = []
     for statement in statements:
+        if statement.held_s is None:
+            continue
         end_s = statement.at_s + statement.held_s + STATEMENT_SLACK_S
         left_out = [
             change
             for change in changes
-            if change.arrived_s < statement.at_s - IN_TRANSIT_S
+            if change.arrived_s < statement.led_s - IN_TRANSIT_S
             and change.until_s > end_s
             and not is_after_thaw(change, hosts, disruptions)
             and (change.is_late or not is_taken_late(change, disruptions))
@@ -71,8 +85,9 @@
         if left_out:
             last = max(left_out, key=lambda change: change.until_s)
             lines.append(
-                f"STATED: {statement.host} leads from {statement.at_s:.3f} and was told"
-                f" that grants last for {statement.held_s:.3f} s, {last.server} holds"
+                f"STATED: {statement.host} leads from {statement.led_s:.3f}, and was"
+                f" told at {statement.at_s:.3f} that grants last for"
+                f" {statement.held_s:.3f} s, but {last.server} holds"
                 f" {last.first} to {last.last} with fence {last.token} for"
                 f" {last.until_s - statement.at_s:.3f} s"
             )
