--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -169,7 +169,14 @@
         program = self.programs.get(name)
         if program is not None and program.is_running and program.is_end_requested:
             program.send(signal.SIGKILL)
-        self.reactor.callLater(RESTART_DELAY_S, self.start_program, name)
+        self.reactor.callLater(RESTART_DELAY_S, self._start_once_ended, name)
+
+    def _start_once_ended(self, name: str) -> None:
+        program = self.programs.get(name)
+        if program is not None and program.is_running and program.is_end_requested:
+            self.reactor.callLater(RESTART_DELAY_S, self._start_once_ended, name)
+        else:
+            self.start_program(name)
 
     def _start_host(self, name: str) -> None:
         path = self._settings / f"{name}.toml"
--- a/tests/test_soak_late_orders.py
+++ b/tests/test_soak_late_orders.py
@@ -8,7 +8,7 @@
 
 import msgspec
 import pytest
-from soak._deployment import Deployment
+from soak._deployment import RESTART_DELAY_S, Deployment
 from soak._disruptions import STORE_WRITES
 from soak._late_orders import LateOrders
 from soak._schedule import Schedule
@@ -124,3 +124,20 @@
     drawn.clock.advance(2.0)
     drawn.deployment.send("server-0", signal.SIGKILL)
     assert drawn.deployment.server_ends_s == {"server-0": [2.0]}
+
+
+def test_host_that_ends_slowly_is_started_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against hosts that stay away since they still ran as they were started."""
+    drawn = Drawn(tmp_path, seed=1)
+    started: list[str] = []
+    monkeypatch.setattr(drawn.deployment, "_start_host", started.append)
+    drawn.deployment.send("host-1", signal.SIGTERM)
+    drawn.deployment.restart("host-1")
+    drawn.clock.pump([RESTART_DELAY_S] * 4)
+    assert drawn.programs["host-1"].signals == [signal.SIGTERM, signal.SIGKILL]
+    assert not started
+    drawn.programs["host-1"].is_running = False
+    drawn.clock.pump([RESTART_DELAY_S] * 4)
+    assert started == ["host-1"]
