--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,11 @@
     play(760001, 12, "--rules-grow", "--no-cut-links", "--no-uploads")
 
 
+def test_no_keys_have_two_holders_while_orders_are_late_and_leaders_end() -> None:
+    """Guards against leaders that count too few of the grants before theirs."""
+    play(790002, 20, *PLAIN, "--no-uploads", "--late-orders")
+
+
 def play(seed: int, faults_s: int, *options: str) -> None:
     result = subprocess.run(
         [
