--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,7 +26,9 @@
 from ._deployment import Deployment
 from ._faults import Faults
 from ._holds import Holds
+from ._late_orders import LateOrders
 from ._operators import Operators
+from ._owner_checks import find_shared_keys
 from ._restarts import Restarts
 from ._retry_checks import (
     STANDIN_AGREEMENT,
@@ -39,6 +41,7 @@
     requests_with_known_outcome,
 )
 from ._schedule import Schedule
+from ._statement_checks import find_wrong_statements
 from ._store_outages import StoreOutages
 from ._uploading import UploadingCallers, describe_uploads
 from ._uploads import find_unasked
@@ -49,6 +52,10 @@
 RECOVER_S = 12.0
 """Time to recover after the last fault; the platform's operators allow 15 s."""
 
+MAX_HOLD_WAIT_S = 20.0
+"""Longer than a new leader waits for grants of others that it doesn't know."""
+
+LOOK_EVERY_S = 0.1
 QUIET_S = 3.0
 PROCESS_EXIT_S = 1.0
 REQUESTS_PER_S = 60.0
@@ -72,7 +79,8 @@
     ends each server which runs it. ``uploads`` adds callers that send uploads.
     ``hold_links`` lets links to servers hold what is sent, and deliver it later.
     ``store_outages`` lets the store hang, refuse or drop its history, and moves rules
-    to another service.
+    to another service. ``late_orders`` lets servers carry orders out late, lets the
+    store lose and delay writes, and ends and freezes leaders.
     """
 
     seed: int
@@ -83,6 +91,7 @@
     uploads: bool = False
     hold_links: bool = False
     store_outages: bool = False
+    late_orders: bool = False
 
 
 UNRESOLVED = (
@@ -165,6 +174,9 @@
         schedule=schedule,
         rng=Random(seed + 9),
     )
+    late_orders = LateOrders(
+        deployment=deployment, schedule=schedule, rng=Random(seed + 10)
+    )
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
         "before", "shutdown", deployment.stop
@@ -172,6 +184,8 @@
     try:
         deployment.start()
         await deferLater(reactor, START_S)
+        if seed_run.late_orders:
+            await _wait_until_held(deployment)
         callers.start(REQUESTS_PER_S)
         faults.start()
         if seed_run.rules_grow:
@@ -187,12 +201,16 @@
             holds.start()
         if seed_run.store_outages:
             store_outages.start()
+        if seed_run.late_orders:
+            late_orders.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
         # Recovery is judged without crashing requests and refused uploads.
         crashing.is_sending = uploading.is_sending = False
         cuts.restore()
         holds.release()
+        if seed_run.late_orders:
+            late_orders.restore()
         deployment.restore()
         await deferLater(reactor, RECOVER_S)
         recovered_s = reactor.seconds()
@@ -209,6 +227,19 @@
         find_violations(callers.requests + uploading.requests, deployment.runs)
         + deployment.unexpected_exits()
     )
+    violations += find_shared_keys(
+        deployment.hold_changes,
+        deployment.runs,
+        deployment.server_ends_s,
+        deployment.hosts,
+        deployment.disruptions,
+    )
+    violations += find_wrong_statements(
+        deployment.statements,
+        deployment.hold_changes,
+        deployment.hosts,
+        deployment.disruptions,
+    )
     bound = requests_with_known_outcome(callers.requests, deployment.disruptions)
     violations += find_stale_versions(callers.requests, deployment.disruptions)
     violations += find_version_regressions(callers.requests)
@@ -242,6 +273,8 @@
         f" {len(deployment.runs)} runs, {answer_faults.count} answers disturbed,"
         f" {len(deployment.crashes_s)} servers ended by"
         f" {len(crashing.requests)} sends, {holds.pieces} pieces held by links,"
+        f" {sum(change.is_late for change in deployment.hold_changes)}"
+        f" of {len(deployment.hold_changes)} orders late,"
         f" {describe_uploads(uploading.requests, deployment.bodies)},"
         f" {len(violations)} broken;"
         f" {describe_cuts(callers.requests, cuts.cuts, deployment.disruptions)}",
@@ -250,6 +283,13 @@
     return violations
 
 
+async def _wait_until_held(deployment: Deployment) -> None:
+    """Wait until servers hold keys, which may be lost or shared only then."""
+    until_s = reactor.seconds() + MAX_HOLD_WAIT_S
+    while not deployment.is_holding() and reactor.seconds() < until_s:
+        await deferLater(reactor, LOOK_EVERY_S)
+
+
 async def _run_seeds(seed_runs: list[SeedRun], net: int, faults_s: float) -> int:
     logs = Path(mkdtemp(prefix="soak-logs-"))
     failed: list[int] = []
@@ -275,6 +315,7 @@
     uploads: bool = True,
     hold_links: bool = False,
     store_outages: bool = True,
+    late_orders: bool = False,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -304,6 +345,9 @@
     store_outages
         Let the store hang, refuse or drop its history, and let rules move to another
         service.
+    late_orders
+        Let servers carry orders out late, let the store lose and delay writes, and end
+        and freeze leaders.
     faults_s
         For how long faults are injected.
     net
@@ -323,6 +367,7 @@
             uploads=uploads,
             hold_links=hold_links,
             store_outages=store_outages,
+            late_orders=late_orders,
         )
         for seed in range(first, first + seeds)
     ]
