--- a/tests/test_entryhost_former_leader.py
+++ b/tests/test_entryhost_former_leader.py
@@ -1,7 +1,7 @@
 """A new leader requests the previous leader's remaining grants."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -44,12 +44,22 @@
     grant_manager: GrantManager
     leadership: Leadership
     exchange: RemainingGrantsExchange
+    lease_id: int = 0
+
+    def held_s(self) -> float:
+        """Return for how long grants may be valid as far as this leader knows."""
+        held_s = self.grant_manager.holders.held_s(self.lease_id)
+        assert held_s is not None
+        return held_s
 
     def stored_previous(self, *, is_settled: bool = True) -> PreviousLeader:
         """Return the information that this leader leaves in the store."""
         value = msgspec.json.encode(self.identity)
         return PreviousLeader(
-            value=value, earlier_grants_expired=is_settled, held_s=None
+            value=value,
+            earlier_grants_expired=is_settled,
+            held_s=None,
+            lease_id=self.lease_id,
         )
 
 
@@ -104,8 +114,9 @@
 
     def lead(self, host: Leader, *, revision: int) -> None:
         """Make a host the leader; its table gives all shards to the lost server."""
-        host.leadership.term = Term(lease_id=1, revision=revision)
-        host.grant_manager.take_over(self.clock.seconds())
+        host.lease_id = revision
+        host.leadership.term = Term(lease_id=host.lease_id, revision=revision)
+        host.grant_manager.take_over(self.clock.seconds(), lease_id=host.lease_id)
         host.grant_manager.follow(self._table(self.lost, 1))
 
     def move(self, host: Leader) -> None:
@@ -212,7 +223,7 @@
     leader.exchange.request_grants(previous.stored_previous())
     assert previous.leadership.leads
     run_manager(previous.grant_manager, network.clock, 0.1)
-    assert leader.grant_manager.holders.held_s() > TIMING.longest_grant_s
+    assert leader.held_s() > TIMING.longest_grant_s
 
 
 def test_response_of_another_process_is_ignored(
@@ -223,7 +234,7 @@
     network.net.cut.add(previous.identity.address)
     leader.exchange.request_grants(previous.stored_previous())
     leader.exchange.handle_response(RemainingGrantsResponse(7, 9, None))
-    assert leader.grant_manager.holders.held_s() > TIMING.longest_grant_s
+    assert leader.held_s() > TIMING.longest_grant_s
 
 
 def test_late_response_to_an_earlier_request_is_ignored(network: Network) -> None:
@@ -239,4 +250,20 @@
     leader.exchange.handle_response(
         RemainingGrantsResponse(previous.identity.incarnation, 9, None)
     )
-    assert leader.grant_manager.holders.held_s() > TIMING.longest_grant_s
+    assert leader.held_s() > TIMING.longest_grant_s
+
+
+def test_response_on_a_term_that_its_sender_never_led_shortens_no_wait(
+    network: Network,
+) -> None:
+    """Guards against two servers that run one key.
+
+    The previous leader's claim was stored after its last term, and it did not notice.
+    """
+    previous, leader = previous_and_next_leader(network)
+    network.lead(leader, revision=9)
+    record = previous.stored_previous()
+    leader.exchange.request_grants(replace(record, lease_id=record.lease_id + 1))
+    network.move(leader)
+    longest_s = TIMING.renew_without_store_s + TIMING.longest_grant_s
+    assert network.served_after_s(leader, previous) > longest_s
