--- a/tests/builders_keyspace_search.py
+++ b/tests/builders_keyspace_search.py
@@ -3,7 +3,7 @@
 Each seed draws which kinds of faults occur and how often. Several may last at a time.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import TypeVar
 from unittest import mock
@@ -18,6 +18,7 @@
     SHARDS,
     Network,
     SearchHost,
+    Wire,
     encode_holder,
 )
 from tests.builders_keyspace_search_loop import advance_to
@@ -25,11 +26,14 @@
 from tests.builders_keyspace_search_store import StoredState, StoreFaults
 
 HOSTS = "abc"
+LONG_S = 28.0
+"""More than the longest grant and the time for which a leader goes on alone."""
+
 ADDRESSES = tuple(f"10.0.0.{number}:80" for number in range(1, 6))
 FIRST_SERVERS = 4
 MIN_SERVERS = 3
 START_S = 3.0
-FAULTY_S = 45.0
+FAULTY_S = 50.0
 CALM_S = 32.0
 MIN_REUSE_S = 2.0
 """Time after which an address is given to another server."""
@@ -42,7 +46,7 @@
 
 
 class SearchWorld:
-    """Hosts a, b and c, up to five servers and a store."""
+    """Two or three hosts, up to five servers and a store."""
 
     def __init__(self, seed: int) -> None:
         rng = self.rng = Random(seed)
@@ -66,7 +70,7 @@
         self.store.on_change = self._spread_news
         for address in ADDRESSES[:FIRST_SERVERS]:
             self._start_server(address)
-        for name in HOSTS:
+        for name in HOSTS[: rng.choice([2, 3, 3])]:
             self._start_host(name)
         self._kinds = self._draw_kinds()
         self._pace_s = rng.choice([0.6, 1.0, 1.0, 2.0])
@@ -168,16 +172,15 @@
             self.clock.callLater(delay_s, self._pause, host)
 
     def _lose_news(self, host: SearchHost) -> None:
-        late_s = self.rng.uniform(0.5, 2.0)
+        """Let a host not hear of its claim, perhaps until the lease has ended."""
         own = host.store.own
-        if own.news_late_s:
-            return
-        own.news_late_s = late_s
+        own.gets_no_news = True
 
         def heal() -> None:
-            own.news_late_s = 0.0
+            own.gets_no_news = False
+            host.news.wake()
 
-        self._for(late_s, heal)
+        self._for(self.rng.uniform(0.3, 3.0), heal)
 
     def _leader(self) -> SearchHost | None:
         leaders = [host for host in self.hosts.values() if host.leads]
@@ -289,10 +292,13 @@
             self._replace_server,
             self._replace_server,
             self._change_demand,
+            self._lose_leader_and_server,
+            self._lose_leader_and_server,
+            self._split_leader,
         ]
         share = self.rng.choice([0.3, 0.5, 0.8, 1.0])
         chosen = [kind for kind in kinds if self.rng.random() < share]
-        return [*chosen, self._cut_host_off, self._harm_server_links]
+        return [*chosen, self._cut_host_off, self._lose_leader_and_server]
 
     def _draw_next(self) -> None:
         if not self.is_calm:
@@ -342,15 +348,21 @@
 
     def _lose_claims(self) -> None:
         faults = self.rng.choice([self.store_faults, self._host(leader=0.0).store.own])
+        self._lose_claims_of(faults, self.rng.uniform(2.0, 10.0))
+
+    def _lose_claims_of(self, faults: StoreFaults, duration_s: float) -> None:
         faults.loses_claims = self.rng.choice([0.5, 1.0])
 
         def heal() -> None:
             faults.loses_claims = 0.0
 
-        self._for(self.rng.uniform(2.0, 10.0), heal)
+        self._for(duration_s, heal)
 
     def _cut_host_off(self) -> None:
-        host = self._host(leader=0.7)
+        longest_s = self.rng.choice([3.0, 12.0])
+        self._cut_store(self._host(leader=0.7), self.rng.uniform(0.5, longest_s))
+
+    def _cut_store(self, host: SearchHost, duration_s: float) -> None:
         own = host.store.own
         is_one_way = self.rng.random() < 0.3
         own.is_cut, own.loses_all_answers = not is_one_way, is_one_way
@@ -359,7 +371,7 @@
             own.is_cut = own.loses_all_answers = False
             self._spread_news()
 
-        self._for(self.rng.uniform(0.5, self.rng.choice([3.0, 12.0])), heal)
+        self._for(duration_s, heal)
 
     def _turn_host_away(self) -> None:
         own = self._host().store.own
@@ -413,9 +425,10 @@
         host = self._host()
         network, rng = self.network, self.rng
         others = [other for other in self.hosts.values() if other is not host]
+        rng.shuffle(others)
         directions = rng.choice(["both", "from", "to"])
         wires = []
-        for other in rng.sample(others, rng.choice([1, 2])):
+        for other in others[: rng.choice([1, 2])]:
             if directions != "to":
                 wires.append(network.wire(host.address, other.address))
             if directions != "from":
@@ -434,7 +447,17 @@
     def _harm_server_links(self) -> None:
         rng = self.rng
         hosts = rng.choice([[self._host(leader=0.8).name], list(HOSTS), list(HOSTS)])
-        addresses = rng.choice([[self._server().holder.address]] * 3 + [[*ADDRESSES]])
+        server = self._server()
+        addresses = rng.choice([[server.holder.address]] * 3 + [[*ADDRESSES]])
+        duration_s = rng.uniform(0.3, rng.choice([2.0, 18.0]))
+        self._cut_servers_off(hosts, addresses, duration_s)
+        if len(addresses) == 1 and rng.random() < 0.3:
+            self._lapse_entry(server, duration_s)
+
+    def _cut_servers_off(
+        self, hosts: Sequence[str], addresses: Sequence[str], duration_s: float
+    ) -> None:
+        rng = self.rng
         kind = rng.choice(["both", "both", "to", "from", "late"])
         links = [
             self.fleet.link(name, address) for name in hosts for address in addresses
@@ -453,7 +476,66 @@
                 link.late_s = 0.0
                 self.fleet.heal(link)
 
-        self._for(rng.uniform(0.3, rng.choice([2.0, 18.0])), heal)
+        self._for(duration_s, heal)
+
+    def _lapse_entry(self, server: SearchServer, duration_s: float) -> None:
+        """Remove the entry of a server that lives, as if it had not renewed it."""
+        self._unlist(server)
+        self._for(duration_s, lambda: self._list(server))
+
+    def _lose_leader_and_server(self) -> None:
+        """Cut the leader off from the store, and soon a server off from all hosts.
+
+        Another host may claim the leadership without noticing.
+        """
+        rng, leader, server = self.rng, self._host(leader=1.0), self._server()
+        self._cut_store(leader, rng.uniform(1.5, 8.0))
+        if rng.random() < 0.5:
+            others = [host for host in self.hosts.values() if host is not leader]
+            self._lose_claims_of(rng.choice(others).store.own, rng.uniform(2.0, 5.0))
+        address, cut_s = server.holder.address, rng.uniform(4.0, 16.0)
+        self.clock.callLater(
+            rng.uniform(0.0, 4.0), self._cut_calmly, [*HOSTS], [address], cut_s
+        )
+
+    def _cut_calmly(
+        self, hosts: Sequence[str], addresses: Sequence[str], duration_s: float
+    ) -> None:
+        if not self.is_calm:
+            self._cut_servers_off(hosts, addresses, duration_s)
+
+    def _split_leader(self) -> None:
+        """Cut the leader and a server off from all others, for long.
+
+        The leader may be paused for a part of the time.
+        """
+        rng, leader, server = self.rng, self._host(leader=1.0), self._server()
+        duration_s = rng.uniform(8.0, LONG_S)
+        self._cut_store(leader, duration_s)
+        others = [host for host in self.hosts.values() if host is not leader]
+        wires = [
+            self.network.wire(*ends)
+            for other in others
+            for ends in (
+                (leader.address, other.address),
+                (other.address, leader.address),
+            )
+        ]
+        self._cut_wires(wires, duration_s)
+        names = [other.name for other in others]
+        self._cut_servers_off(names, [server.holder.address], duration_s)
+        if rng.random() < 0.4:
+            self.clock.callLater(rng.uniform(0.0, 1.0), self._pause, leader)
+
+    def _cut_wires(self, wires: Sequence[Wire], duration_s: float) -> None:
+        for wire in wires:
+            wire.is_cut = True
+
+        def heal() -> None:
+            for wire in wires:
+                self.network.heal(wire)
+
+        self._for(duration_s, heal)
 
     def _delay_orders(self) -> None:
         server = self._server()
@@ -512,11 +594,8 @@
         self._hot_shard = self.rng.randrange(SHARDS)
 
 
-def run_seed(
-    seed: int, *, checks_instance: bool = True, trace: list[str] | None = None
-) -> None:
+def run_seed(seed: int, *, trace: list[str] | None = None) -> None:
     """Run the world of a seed; raises ``AssertionError`` if something does not hold."""
     world = SearchWorld(seed)
-    world.fleet.checks_instance = checks_instance
     world.trace = trace
     world.run()
--- /dev/null
+++ b/tests/builders_keyspace_search_faults.py
@@ -0,0 +1,221 @@
+"""Known faults of leaders and grants, put back by patches to show that they are found."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import pytest
+
+from gentianwharf.entryhost._previous_leader import RemainingGrantsExchange
+from gentianwharf.keyspace import GrantManager, Holder, Planner
+from gentianwharf.keyspace import _timing
+from gentianwharf.keyspace._holder_states import HolderStates
+from gentianwharf.keyspace._states import HolderState
+from gentianwharf.keyspace._timing import GrantTiming
+from tests.builders_keyspace_search_hosts import SenderLoop
+from tests.builders_keyspace_search_servers import Fleet
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+SHORT_WAIT_S = 5.0
+
+
+def answer_for_a_term_not_taken_over(patch: pytest.MonkeyPatch) -> None:
+    """Answer for any term with what is known of the last term that was taken over."""
+    handle = RemainingGrantsExchange.handle_request
+
+    def handle_any(exchange: Any, request: Any) -> None:
+        lease_id = exchange._grant_manager.holders._lease_id
+        handle(exchange, msgspec.structs.replace(request, lease_id=lease_id))
+
+    patch.setattr(RemainingGrantsExchange, "handle_request", handle_any)
+
+
+def resign_before_the_tables_are_read(patch: pytest.MonkeyPatch) -> None:
+    """State the grants of an older term on resignation, none if there is none."""
+    held_s = HolderStates.held_s
+    patch.setattr(
+        HolderStates,
+        "held_s",
+        lambda states, lease_id: held_s(states, states._lease_id),
+    )
+
+
+def take_own_memory_of_an_older_term(patch: pytest.MonkeyPatch) -> None:
+    """Take what is known of an older term for that of the last one."""
+    take_over: Any = Planner._take_over
+
+    def take_over_any(planner: Any, term: Any) -> None:
+        lease_id = planner._grant_manager.holders._lease_id
+        if planner._previous_leader is not None and lease_id is not None:
+            previous = replace(planner._previous_leader, lease_id=lease_id)
+            planner._previous_leader = previous
+        take_over(planner, term)
+
+    patch.setattr(Planner, "_take_over", take_over_any)
+
+
+def leave_out_the_drift_of_clocks(patch: pytest.MonkeyPatch) -> None:
+    """Take the clocks of servers for exact."""
+    patch.setattr(_timing, "CLOCK_DRIFT", 1.0)
+
+
+def grant_without_the_store(patch: pytest.MonkeyPatch) -> None:
+    """Grant for longer without the store than the next leader assumes."""
+    patch.setattr(GrantManager, "_is_silenced", lambda manager: False)
+
+
+def act_on_tables_while_replaced(patch: pytest.MonkeyPatch) -> None:
+    """Follow tables, and order from failing servers, when another may lead."""
+    patch.setattr(GrantManager, "_is_replaced", lambda manager: False)
+
+
+def go_on_while_replaced(patch: pytest.MonkeyPatch) -> None:
+    """Go on granting after the loss of the term."""
+    patch.setattr(GrantManager, "_is_silenced", lambda manager: False)
+    patch.setattr(GrantManager, "_is_replaced", lambda manager: False)
+    patch.setattr(GrantManager, "stop", lambda manager: None)
+
+
+def take_grants_of_a_lost_leader_for_expired(patch: pytest.MonkeyPatch) -> None:
+    """Assume that a lost leader has left no grants."""
+    patch.setattr(
+        GrantTiming,
+        "earlier_grants_expiry_s",
+        lambda timing, *, took_over_s: took_over_s,
+    )
+
+
+def wait_too_short_for_a_lost_leader(patch: pytest.MonkeyPatch) -> None:
+    """Assume that the grants of a lost leader expire within 5 s."""
+    patch.setattr(
+        GrantTiming,
+        "earlier_grants_expiry_s",
+        lambda timing, *, took_over_s: took_over_s + SHORT_WAIT_S,
+    )
+
+
+def count_half_of_a_hold(patch: pytest.MonkeyPatch) -> None:
+    """Assume that grants last half as long as they do."""
+    patch.setattr(
+        GrantTiming,
+        "grant_expiry_s",
+        lambda timing, *, ended_s, duration_s: ended_s + duration_s / 2,
+    )
+
+
+def forget_grants_in_flight(patch: pytest.MonkeyPatch) -> None:
+    """Leave out grants that are still on their way."""
+    patch.setattr(HolderState, "expire_by_s", lambda state: state.held_until_s)
+
+
+def forget_unanswered_grants(patch: pytest.MonkeyPatch) -> None:
+    """Take grants without an answer for not executed."""
+    note_grant = HolderStates.note_grant
+
+    def note_answered_grant(
+        states: Any, holder: Holder, *, ended_s: float, duration_s: float
+    ) -> None:
+        if states.state_of(holder).answered_s == states._now_s():
+            note_grant(states, holder, ended_s=ended_s, duration_s=duration_s)
+
+    patch.setattr(HolderStates, "note_grant", note_answered_grant)
+
+
+def take_unlisted_servers_for_ended(patch: pytest.MonkeyPatch) -> None:
+    """Assume that a server has ended whose address another has in the list."""
+    note_listed, held_until_s = GrantManager.note_listed, HolderStates.held_until_s
+
+    def note(manager: Any, listed: Any) -> None:
+        listed = list(listed)
+        manager.holders.listed = listed
+        note_listed(manager, listed)
+
+    def known_until_s(states: Any, holder: Holder) -> float:
+        listed = getattr(states, "listed", None)
+        if listed and holder not in listed:
+            return 0.0
+        return held_until_s(states, holder)
+
+    patch.setattr(GrantManager, "note_listed", note)
+    patch.setattr(HolderStates, "held_until_s", known_until_s)
+
+
+def order_from_any_server_at_an_address(patch: pytest.MonkeyPatch) -> None:
+    """Let the next server at an address take the orders to its predecessor."""
+    patch.setattr(Fleet, "checks_instance", False)
+
+
+def act_on_an_expired_lease_after_a_pause(patch: pytest.MonkeyPatch) -> None:
+    """Measure the lease by a clock that stops while the host is paused."""
+    patch.setattr(SenderLoop, "stops_with_host", True)
+
+
+def believe_a_late_answer(patch: pytest.MonkeyPatch) -> None:
+    """Apply the answer to a request of an earlier term."""
+    handle = RemainingGrantsExchange.handle_response
+
+    def handle_any(exchange: Any, response: Any) -> None:
+        term = exchange._leadership.term
+        if term is not None:
+            response = msgspec.structs.replace(response, revision=term.revision)
+        handle(exchange, response)
+
+    patch.setattr(RemainingGrantsExchange, "handle_response", handle_any)
+
+
+def believe_a_restarted_process(patch: pytest.MonkeyPatch) -> None:
+    """Believe a process that has no information about earlier leaders."""
+    request_grants = RemainingGrantsExchange.request_grants
+
+    def request(exchange: Any, previous: Any) -> None:
+        request_grants(exchange, replace(previous, earlier_grants_expired=True))
+
+    patch.setattr(RemainingGrantsExchange, "request_grants", request)
+
+
+def lead_by_old_tables(patch: pytest.MonkeyPatch) -> None:
+    """Begin a term by the tables that the host happens to have."""
+
+    async def begin(planner: Any, term: Any) -> None:
+        if term is not None and planner._term is not term:
+            planner._term = term
+            planner._take_over(term)
+
+    patch.setattr(Planner, "_begin", begin)
+
+
+def take_a_refusal_for_the_end(patch: pytest.MonkeyPatch) -> None:
+    """Take a holder that answers nothing for ended."""
+    note_unanswered = HolderStates.note_unanswered
+
+    def note(states: Any, holder: Holder, sent_s: float) -> None:
+        note_unanswered(states, holder, sent_s)
+        if holder in states.unreachable():
+            states.state_of(holder).held_until_s = 0.0
+
+    patch.setattr(HolderStates, "note_unanswered", note)
+
+
+FAULTS: dict[str, Patch] = {
+    "answer-for-a-term-not-taken-over": answer_for_a_term_not_taken_over,
+    "resignation-before-the-tables": resign_before_the_tables_are_read,
+    "memory-of-an-older-term": take_own_memory_of_an_older_term,
+    "no-clock-drift": leave_out_the_drift_of_clocks,
+    "grants-without-the-store": grant_without_the_store,
+    "tables-while-replaced": act_on_tables_while_replaced,
+    "goes-on-while-replaced": go_on_while_replaced,
+    "lost-leader-expired-at-once": take_grants_of_a_lost_leader_for_expired,
+    "lost-leader-expired-in-5-s": wait_too_short_for_a_lost_leader,
+    "half-of-a-hold": count_half_of_a_hold,
+    "in-flight-forgotten": forget_grants_in_flight,
+    "unanswered-forgotten": forget_unanswered_grants,
+    "unlisted-taken-for-ended": take_unlisted_servers_for_ended,
+    "address-reused": order_from_any_server_at_an_address,
+    "lease-outlives-a-pause": act_on_an_expired_lease_after_a_pause,
+    "late-answer-believed": believe_a_late_answer,
+    "restarted-process-believed": believe_a_restarted_process,
+    "old-tables": lead_by_old_tables,
+    "silent-taken-for-ended": take_a_refusal_for_the_end,
+}
--- a/tests/builders_keyspace_search_hosts.py
+++ b/tests/builders_keyspace_search_hosts.py
@@ -272,10 +272,8 @@
 
     def resign(self, campaign_pause_s: float) -> None:
         """Give up leadership, as ``Coordinator.resign`` does."""
-        if self.leadership.term is None:
-            self.log(f"{self.name} pauses campaigns")
-        held_s = self.manager.holders.held_s()
-        self.log(f"{self.name} resigns {self.leads} {held_s:.3f}")
+        held_s = self.manager.holders.held_s
+        self.log(f"{self.name} resigns {self.leads}")
         resigning = self.leadership.resign(held_s, campaign_pause_s=campaign_pause_s)
         Deferred.fromCoroutine(resigning)
 
--- a/tests/builders_keyspace_search_servers.py
+++ b/tests/builders_keyspace_search_servers.py
@@ -91,12 +91,14 @@
 class Fleet:
     """All servers by their addresses, and the check of the rules."""
 
+    checks_instance = True
+    """Whether servers refuse orders to an instance other than themselves."""
+
     def __init__(self, *, clock: Clock, rng: Random) -> None:
         self.clock = clock
         self.rng = rng
         self.running: dict[str, SearchServer] = {}
         self.links: dict[tuple[str, str], Link] = {}
-        self.checks_instance = True
         self.log: Callable[[str], None] = lambda text: None
         self._had: dict[int, dict[SearchServer, int]] = {}
 
@@ -322,7 +324,7 @@
         is_reset = call.done.called
         if not self._loop.is_alive:
             # The host's kernel goes on sending what an ended process has written.
-            is_reset = self._fleet.rng.random() < 0.5
+            is_reset = is_reset or self._fleet.rng.random() < 0.5
         if not is_reset:
             self._arrive(call, link)
 
--- a/tests/builders_keyspace_search_store.py
+++ b/tests/builders_keyspace_search_store.py
@@ -149,6 +149,7 @@
     is_cut: bool = False
     loses_all_answers: bool = False
     news_late_s: float = 0.0
+    gets_no_news: bool = False
 
 
 class StoreConnection:
@@ -228,7 +229,7 @@
         """Whether the host receives the store's changes."""
         own = self.own
         is_reached = not (own.is_cut or own.turns_away or own.loses_all_answers)
-        return is_reached and not self._state.is_down
+        return is_reached and not own.gets_no_news and not self._state.is_down
 
     async def _call(
         self,
