--- a/tests/builders_keyspace_search.py
+++ b/tests/builders_keyspace_search.py
@@ -65,6 +65,7 @@
         self._heals: list[Callable[[], None]] = []
         self._free_from_s: dict[str, float] = {}
         self._resigns_on_gain = 0
+        self._is_killing_on_gain = False
         self._is_pausing_on_renewal = False
         self.hosts: dict[str, SearchHost] = {}
         self.store.on_change = self._spread_news
@@ -73,7 +74,7 @@
         for name in HOSTS[: rng.choice([2, 3, 3])]:
             self._start_host(name)
         self._kinds = self._draw_kinds()
-        self._pace_s = rng.choice([0.6, 1.0, 1.0, 2.0])
+        self._pace_s = rng.choice([0.8, 1.5, 3.0, 5.0])
         self._expire()
         self._feed_demand()
 
@@ -159,6 +160,9 @@
             host.news.wake()
 
     def _note_gained(self, host: SearchHost) -> None:
+        if self._is_killing_on_gain and not self.is_calm:
+            self._is_killing_on_gain = False
+            self.clock.callLater(self.rng.uniform(0.0, 1.0), self._end_host, host)
         if self._resigns_on_gain > 0 and not self.is_calm:
             self._resigns_on_gain -= 1
             delay_s = self.rng.choice([0.0, 0.01, 0.1, 0.4]) * self.rng.random()
@@ -191,18 +195,20 @@
         chosen = self._leader() if self.rng.random() < leader else None
         return chosen or self.rng.choice(list(self.hosts.values()))
 
-    def _pause(self, host: SearchHost) -> None:
-        if host.loop.is_paused or not host.loop.is_alive:
+    def _pause(self, host: SearchHost, duration_s: float | None = None) -> None:
+        if host.loop.is_paused or not host.loop.is_alive or self.is_calm:
             return
         self.log(f"{host.name} is paused")
         host.loop.pause()
-        longest_s = self.rng.choice([0.6, 1.6, 5.0, 9.0, 16.0])
+        if duration_s is None:
+            longest_s = self.rng.choice([0.6, 1.6, 5.0, 9.0, 16.0])
+            duration_s = self.rng.uniform(0.1, longest_s)
 
         def heal() -> None:
             self.log(f"{host.name} goes on")
             host.loop.resume()
 
-        self._for(self.rng.uniform(0.1, longest_s), heal)
+        self._for(duration_s, heal)
 
     def _stop_host(self, host: SearchHost) -> None:
         """Send SIGTERM to a host; it resigns and ends within the grace period."""
@@ -295,10 +301,13 @@
             self._lose_leader_and_server,
             self._lose_leader_and_server,
             self._split_leader,
+            self._split_leader,
+            self._lose_server_after_outage,
+            self._lose_server_after_outage,
+            self._swap_leaders,
         ]
-        share = self.rng.choice([0.3, 0.5, 0.8, 1.0])
-        chosen = [kind for kind in kinds if self.rng.random() < share]
-        return [*chosen, self._cut_host_off, self._lose_leader_and_server]
+        few = self.rng.choice([2, 3, 4, 6, 10, len(kinds)])
+        return self.rng.sample(kinds, few)
 
     def _draw_next(self) -> None:
         if not self.is_calm:
@@ -455,10 +464,16 @@
             self._lapse_entry(server, duration_s)
 
     def _cut_servers_off(
-        self, hosts: Sequence[str], addresses: Sequence[str], duration_s: float
+        self,
+        hosts: Sequence[str],
+        addresses: Sequence[str],
+        duration_s: float,
+        *,
+        is_late: bool = True,
     ) -> None:
         rng = self.rng
-        kind = rng.choice(["both", "both", "to", "from", "late"])
+        kinds = ["both", "both", "to", "from"]
+        kind = rng.choice([*kinds, "late"] if is_late else kinds)
         links = [
             self.fleet.link(name, address) for name in hosts for address in addresses
         ]
@@ -502,7 +517,7 @@
         self, hosts: Sequence[str], addresses: Sequence[str], duration_s: float
     ) -> None:
         if not self.is_calm:
-            self._cut_servers_off(hosts, addresses, duration_s)
+            self._cut_servers_off(hosts, addresses, duration_s, is_late=False)
 
     def _split_leader(self) -> None:
         """Cut the leader and a server off from all others, for long.
@@ -510,7 +525,7 @@
         The leader may be paused for a part of the time.
         """
         rng, leader, server = self.rng, self._host(leader=1.0), self._server()
-        duration_s = rng.uniform(8.0, LONG_S)
+        duration_s = rng.uniform(rng.choice([8.0, 18.0]), LONG_S)
         self._cut_store(leader, duration_s)
         others = [host for host in self.hosts.values() if host is not leader]
         wires = [
@@ -523,9 +538,62 @@
         ]
         self._cut_wires(wires, duration_s)
         names = [other.name for other in others]
-        self._cut_servers_off(names, [server.holder.address], duration_s)
-        if rng.random() < 0.4:
-            self.clock.callLater(rng.uniform(0.0, 1.0), self._pause, leader)
+        self._cut_servers_off(names, [server.holder.address], duration_s, is_late=False)
+        drawn = rng.random()
+        if drawn < 0.35:
+            paused_s = rng.uniform(0.5, duration_s)
+            self.clock.callLater(rng.uniform(0.0, 1.0), self._pause, leader, paused_s)
+        elif drawn < 0.65:
+            self._is_killing_on_gain = True
+
+    def _lose_server_after_outage(self) -> None:
+        """Lose a server as the store returns; the leader may resign as well.
+
+        Grants last longest in the outage.
+        """
+        rng, server, leader = self.rng, self._server(), self._host(leader=1.0)
+        if self.store.is_down:
+            return
+        outage_s = rng.uniform(0.9, rng.choice([1.6, 5.0]))
+        self.store.stop()
+        self._for(outage_s, self._start_store_with_leases)
+        self.clock.callLater(
+            max(0.0, outage_s + rng.uniform(-0.8, 0.5)),
+            self._cut_calmly,
+            [*HOSTS],
+            [server.holder.address],
+            rng.uniform(6.0, 18.0),
+        )
+        if rng.random() < 0.5:
+            delay_s = outage_s + rng.uniform(0.0, 0.4)
+            self.clock.callLater(delay_s, self._stop_host, leader)
+
+    def _start_store_with_leases(self) -> None:
+        self.store.start(pauses_leases=True)
+        self._spread_news()
+
+    def _swap_leaders(self) -> None:
+        """Let the leader change several times, with late messages between hosts."""
+        rng = self.rng
+        wires = [
+            self.network.wire(one.address, other.address)
+            for one in self.hosts.values()
+            for other in self.hosts.values()
+            if one is not other and rng.random() < 0.5
+        ]
+        self._cut_wires(wires, rng.uniform(2.0, 9.0))
+        time_s = 0.0
+        for _ in range(rng.choice([2, 3, 4])):
+            self.clock.callLater(time_s, self._cut_leader_briefly)
+            time_s += rng.uniform(1.0, 3.5)
+        address, cut_s = self._server().holder.address, rng.uniform(4.0, 16.0)
+        self.clock.callLater(
+            rng.uniform(0.0, time_s), self._cut_calmly, [*HOSTS], [address], cut_s
+        )
+
+    def _cut_leader_briefly(self) -> None:
+        if not self.is_calm:
+            self._cut_store(self._host(leader=1.0), self.rng.uniform(1.3, 2.6))
 
     def _cut_wires(self, wires: Sequence[Wire], duration_s: float) -> None:
         for wire in wires:
--- a/tests/builders_keyspace_search_hosts.py
+++ b/tests/builders_keyspace_search_hosts.py
@@ -182,7 +182,7 @@
         """Apply a newer state of the store, each changed item once."""
         if revision <= self.position:
             return
-        is_first_read, self.position = self.position == 0, revision
+        former_position, self.position = self.position, revision
         removed = [key for key in self.copy if key not in items]
         for key in removed:
             del self.copy[key]
@@ -191,7 +191,10 @@
         for item in sorted(changed, key=lambda item: item.revision):
             self.copy[item.key] = item
             self._host.note_item(item.key, item)
-        if is_first_read and LEADER_KEY not in items:
+        # A watch returns the removal of an item that was also written in between.
+        if LEADER_KEY not in items and (
+            former_position == 0 or self._state.leader_changed > former_position
+        ):
             self._host.leadership.note_item(None)
 
 
--- a/tests/builders_keyspace_search_store.py
+++ b/tests/builders_keyspace_search_store.py
@@ -36,7 +36,8 @@
     is_down: bool = False
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     """The duration and the end of each lease."""
-    changes: list[tuple[int, str, Item | None]] = field(default_factory=list)
+    leader_changed: int = 0
+    """The revision of the last change of the leader's item."""
     on_change: Callable[[], None] = lambda: None
     _last_lease_id: int = 100
     _down_since_s: float = 0.0
@@ -130,7 +131,8 @@
             self.items_by_key.pop(key, None)
         else:
             self.items_by_key[key] = item
-        self.changes.append((self.revision, key, item))
+        if key == LEADER_KEY:
+            self.leader_changed = self.revision
 
 
 @dataclass(kw_only=True)
