--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -81,12 +81,15 @@
         self,
         store_contact_s: float,
         *,
+        leading_since_s: float | None = None,
         held_s: float | None = None,
         lease_id: int | None = None,
     ) -> None:
-        """Begin to lead; earlier leaders may have issued grants until now.
+        """Begin to lead; earlier leaders may have been in contact until then.
 
-        ``store_contact_s`` is the time of the last contact with the store. ``held_s``
+        ``store_contact_s`` is the time of the last contact with the store, and
+        ``leading_since_s`` when this host knew that its claim was stored, which is also
+        when the leases of earlier leaders had ended; the same time if None. ``held_s``
         is for how long the grants of a leader that resigned remain valid; None after
         the loss of a leader, whose grants are unknown. ``lease_id`` is that of the
         term; without it, this host states its grants to no later leader.
@@ -95,7 +98,9 @@
         self._store_contact_s = store_contact_s
         if held_s is None:
             earlier_grants_until_s = self._timing.earlier_grants_expiry_s(
-                took_over_s=store_contact_s
+                took_over_s=(
+                    store_contact_s if leading_since_s is None else leading_since_s
+                )
             )
         else:
             earlier_grants_until_s = self._now_s() + held_s
@@ -108,11 +113,7 @@
         self._leading = False
         self._rows.clear()
         self._unconfirmed.clear()
-        for state in self.holders:
-            # A cancelled order may already have been sent.
-            state.held_until_s = state.expire_by_s()
-            for order in list(state.orders):
-                order.cancel()
+        self.holders.end_orders()
 
     def note_store_contact(self, store_contact_s: float) -> None:
         """Record a contact with the store, which shows that this host still leads."""
@@ -125,7 +126,7 @@
         """Carry out a table that is stored."""
         if not self._leading:
             return
-        if self._is_replaced() and self._rows.has_service(table.service):
+        if self._is_replaced():
             # The table may be that of the next leader, whose grants to the former
             # holders this host does not know.
             self._unconfirmed[table.service] = table
@@ -343,9 +344,7 @@
         self._grants_sent += 1
         number = self._grants_sent
         # The grant may arrive at any time until the call has ended.
-        state.in_flight_until_s[number] = self._timing.grant_expiry_s(
-            ended_s=sent_s + GRANT_TIMEOUT_S, duration_s=duration_s
-        )
+        state.in_flight_duration_s[number] = duration_s
         try:
             await self._orders.grant(holder, grant, timeout_s=GRANT_TIMEOUT_S)
         except HolderEndedError as error:
@@ -377,7 +376,7 @@
             )
             self._note_granted(row)
         finally:
-            state.in_flight_until_s.pop(number, None)
+            state.in_flight_duration_s.pop(number, None)
             self._grant_next(state)
 
     def _note_granted(self, row: Row) -> None:
--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -8,12 +8,16 @@
 import pytest
 
 from gentianwharf.entryhost import _previous_leader
-from tests.builders_keyspace import holder
-from tests.builders_terms import Terms
+from gentianwharf.keyspace._timing import RENEW_EVERY_S
+from tests.builders_keyspace import TIMING, holder
+from tests.builders_terms import STEP_S, Terms
 
 WITHOUT_STORE_S = 2.5
 """A leader grants for the longest duration after a second without the store."""
 
+PAUSE_S = 0.8
+"""Shorter than the rest of the leader's lease."""
+
 CHECKED_S = 20.0
 
 
@@ -59,6 +63,22 @@
     assert c.leads
 
 
+def test_resignation_after_a_pause_counts_grants_from_the_end_of_their_calls(
+    terms: Terms,
+) -> None:
+    """Guards against a grant that a resumed leader writes just before it resigns."""
+    a, b, _ = terms.hosts
+    terms.run_until(lambda: terms.servers.holders(0), a)
+    terms.servers.is_sender_paused = True
+    terms.run(RENEW_EVERY_S + STEP_S, a)
+    terms.clock.advance(PAUSE_S)
+    terms.servers.resume_sender()
+    a.resign()
+    terms.servers[1].is_unreachable = True
+    terms.run(CHECKED_S, b)
+    assert b.leads
+
+
 def test_leader_does_not_take_its_memory_of_an_older_term_for_the_last(
     terms: Terms,
 ) -> None:
@@ -81,3 +101,69 @@
     b.heal()
     terms.run(CHECKED_S, b)
     assert b.leads
+
+
+def test_wait_for_earlier_grants_counts_from_the_claim_and_not_from_the_campaign(
+    terms: Terms,
+) -> None:
+    """Guards against a leader that renewed its lease while a slow campaign went on.
+
+    Host b takes it for lost by pages of the store that were read at different times.
+    """
+    a, b, _ = terms.hosts
+    terms.run_until(lambda: terms.servers.holders(0), a)
+    terms.cut_links()
+    a.cut()
+    terms.run(0.6, a)
+    b.faults.lease_delay_s, b.faults.change_delay_s = 0.35, 0.35
+    b.leadership.note_item(None)
+    terms.run_until(lambda: b.leads, a, b)
+    assert b.leadership.holds_lease()
+    longest_s = TIMING.earlier_grants_expiry_s(took_over_s=0.0)
+    assert b.manager.holders.earlier_grants_s() >= longest_s - STEP_S
+
+
+def test_host_that_is_stopped_does_not_lead_by_a_campaign_in_flight(
+    terms: Terms,
+) -> None:
+    """Guards against keys without a leader until the lease of a stopped host ends."""
+    lead_and_lose_the_store(terms)
+    a, b, c = terms.hosts
+    b.heal()
+    b.faults.change_delay_s = 0.5
+    terms.run(0.3, b)
+    b.resign()
+    b.faults.change_delay_s = 0.0
+    before_the_claim = terms.store.revision
+    terms.run(0.5, b)
+    assert terms.store.revision > before_the_claim
+    assert not b.leads
+    assert terms.leader_item() is None
+    assert terms.recorded_value() == a.leadership.value, "host a is the one to ask"
+    terms.run(CHECKED_S, b, c)
+    assert c.leads
+
+
+def test_leader_that_cannot_decode_a_table_waits_for_its_grants(terms: Terms) -> None:
+    """Guards against a table of a newer version that is read as no grants."""
+    a = terms.hosts[0]
+    terms.store_table(b"a table of another version")
+    terms.run_until(lambda: a.leads, a)
+    terms.run(STEP_S, a)
+    assert a.held_s() > TIMING.longest_grant_s
+
+
+@pytest.mark.parametrize("held_s", [None, 0.0], ids=["lost", "resigned"])
+def test_record_without_a_lease_shortens_no_wait(
+    terms: Terms, held_s: float | None
+) -> None:
+    """Guards against hosts of an older version that state grants they do not know."""
+    lead_and_lose_the_store(terms)
+    _, b, c = terms.hosts
+    terms.store_record(b, held_s=held_s)
+    b.states_no_grants()
+    b.receives_changes = False
+    c.heal()
+    terms.silence(holder(1))
+    terms.run(CHECKED_S, c)
+    assert c.leads
