--- a/tests/test_keyspace_search.py
+++ b/tests/test_keyspace_search.py
@@ -1,8 +1,9 @@
 """No shard has two holders, in worlds where all kinds of faults are drawn from a seed.
 
 Each seed simulates two or three hosts, up to five servers and the store on a virtual
-clock, with faults for 50 s and none afterwards. Hosts have the product's ``Leadership``,
-``Planner``, ``GrantManager`` and ``RemainingGrantsExchange``. Drawn are:
+clock, with faults for 50 s and none afterwards. Hosts have the product's
+``Leadership``, ``Planner``, ``GrantManager`` and ``RemainingGrantsExchange``. Drawn
+are:
 
 - the store: down (leases pause or expire), slow, answers lost, writes executed late;
 - one host's calls: cut off in both directions or one, turned away, no tables read, late
