End the wait for records once all hosts that were asked have answered

Now the wait ends as well when every host that was asked has answered. A host that has just started still doesn't end it before one that knows, or before all.

--- a/src/gentianwharf/entryhost/_records_exchange.py
+++ b/src/gentianwharf/entryhost/_records_exchange.py
@@ -47,6 +47,7 @@
         self._ticked_s = reactor.seconds()
         self._timer: Any = None
         self._asked_s = 0.0
+        self._unanswered = 0
         self._waiting: list[Deferred[None]] = []
 
     def tick(self, *, knows_hosts: bool) -> None:
@@ -63,9 +64,9 @@
         return bool(self._reactor.seconds() - self._ticked_s > PAUSE_S)
 
     def wait(self) -> "Deferred[None]":
-        """Return a Deferred that fires with an answer of a host that knows, or without.
+        """Return a Deferred that fires with the first current answer.
 
-        It fires after ``ANSWER_TIMEOUT_S`` if no such answer came.
+        It fires without one when all hosts have answered, or too few in time.
         """
         if self._timer is None:
             self._ask()
@@ -90,7 +91,8 @@
         self._asked_s = self._reactor.seconds()
         self._timer = self._reactor.callLater(ANSWER_TIMEOUT_S, self._end)
         data = msgspec.msgpack.encode(RecordsRequest(self._identity.address))
-        for entry in self._rng.sample(others, min(MAX_ASKED, len(others))):
+        self._unanswered = min(MAX_ASKED, len(others))
+        for entry in self._rng.sample(others, self._unanswered):
             self._links.send(entry.address, data)
 
     def answer(self, request: RecordsRequest, reply: RecordsReply) -> None:
@@ -104,9 +106,10 @@
         """Record that another host's records were applied.
 
         Hosts that start together know nothing; one of them must not be believed before
-        a host that knows.
+        a host that knows has answered, or all that were asked.
         """
-        if reply.is_current:
+        self._unanswered -= 1
+        if reply.is_current or self._unanswered <= 0:
             self._end_wait()
 
     def _end_wait(self) -> None:
--- a/tests/test_entryhost_records_exchange.py
+++ b/tests/test_entryhost_records_exchange.py
@@ -62,6 +62,7 @@
 def test_host_that_knows_nothing_yet_does_not_end_the_wait() -> None:
     """Guards against requests that end a fourth server after several hosts started."""
     hosts = Hosts()
+    hosts.net.cut.add(HOSTS[2].address)
     starting = hosts.exchanges[0]
     starting.tick(knows_hosts=True)
     assert starting.needs_answer()
@@ -70,9 +71,17 @@
     assert not starting.needs_answer()
 
 
+def test_hosts_that_all_start_together_do_not_wait() -> None:
+    hosts = Hosts()
+    starting = hosts.exchanges[0]
+    starting.tick(knows_hosts=True)
+    assert not starting.needs_answer()
+
+
 def test_host_that_knows_ends_the_wait() -> None:
     hosts = Hosts()
-    hosts.let_know(2)
+    hosts.let_know(1)
+    hosts.net.cut.add(HOSTS[2].address)
     starting = hosts.exchanges[0]
     starting.tick(knows_hosts=True)
     assert not starting.needs_answer()
@@ -81,8 +90,9 @@
 def test_host_that_has_stood_still_does_not_end_the_wait() -> None:
     """Guards against a resumed host that answers before it has caught up."""
     hosts = Hosts()
-    hosts.let_know(2)
+    hosts.let_know(1)
     hosts.clock.advance(PAUSE_S + 0.1)
+    hosts.net.cut.add(HOSTS[2].address)
     starting = hosts.exchanges[0]
     starting.tick(knows_hosts=True)
     assert starting.needs_answer()
