Drop removed servers in the pass that drops their pools

The tick scanned all servers for those that left the list while a request waited for them. Only servers with a queue of their own can, and the pass over the pools meets each of them.

--- a/src/gentianwharf/load/_registry.py
+++ b/src/gentianwharf/load/_registry.py
@@ -141,16 +141,16 @@
 
     def drop_outdated(self, now_s: float) -> None:
         """Drop removed servers, their pools and their notices, to bound the tables."""
-        for state in [state for state in self.servers.values() if not state.listed]:
-            self.drop_if_unlisted(state)
         self.notices.drop_outdated(now_s, listed=self.servers.keys())
-        idle = [
-            key
-            for key, pool in self.pools.items()
-            if key[1] is not None and key[1] not in self.servers and not pool.waiting
-        ]
-        for key in idle:
-            del self.pools[key]
+        for key, pool in list(self.pools.items()):
+            _, server_id = key
+            if server_id is None or pool.waiting:
+                continue
+            state = self.servers.get(server_id)
+            if state is not None:
+                self.drop_if_unlisted(state)
+            if server_id not in self.servers:
+                del self.pools[key]
 
     def _add_service(self, service: Service) -> None:
         self.budgets.add(service.name)
