Have one form of grants that are not known

The answer of a process that was started anew counted as not known by None, that of a host that did not take over by infinite time. Both are UNKNOWN_GRANTS now. No behaviour has changed; the tests of the exchange, of terms and the search of the keyspace pass.

--- a/src/gentianwharf/entryhost/_previous_leader.py
+++ b/src/gentianwharf/entryhost/_previous_leader.py
@@ -15,6 +15,7 @@
 
 from gentianwharf.errors import InputError
 from gentianwharf.keyspace import (
+    UNKNOWN_GRANTS,
     GrantManager,
     GrantTiming,
     Holder,
@@ -152,7 +153,7 @@
             return
         remaining = self._remaining_grants(response)
         self._target = None
-        if remaining is None or remaining.others_s == inf:
+        if remaining.others_s == inf:
             log.info("former leader does not know the grants of its term")
             return
         log.info(
@@ -164,9 +165,7 @@
         )
         self._grant_manager.holders.note_remaining_grants(remaining)
 
-    def _remaining_grants(
-        self, response: RemainingGrantsResponse
-    ) -> RemainingGrants | None:
+    def _remaining_grants(self, response: RemainingGrantsResponse) -> RemainingGrants:
         if response.ended_s is None:
             held = {
                 Holder(
@@ -179,7 +178,7 @@
             return RemainingGrants(others_s=response.others_s, by_holder_s=held)
         if not self._earlier_grants_expired:
             # The restarted process has lost its information about earlier leaders.
-            return None
+            return UNKNOWN_GRANTS
         remaining_s = (
             self._timing.latest_grant_expiry_s(stopped_s=0.0) - response.ended_s
         )
--- a/src/gentianwharf/keyspace/__init__.py
+++ b/src/gentianwharf/keyspace/__init__.py
@@ -7,13 +7,14 @@
 from ._plan import plan
 from ._plan_types import Candidate, LostHolders, MoveCause, Plan
 from ._planner import Planner
-from ._previous_leader import PreviousLeader, RemainingGrants
+from ._previous_leader import UNKNOWN_GRANTS, PreviousLeader, RemainingGrants
 from ._shard_load import ShardLoad
 from ._snapshot import PlacementSnapshot
 from ._table import Holder, KeyTable, Span, decode_table, encode_table
 from ._timing import GrantTiming
 
 __all__ = [
+    "UNKNOWN_GRANTS",
     "Candidate",
     "Demand",
     "PreviousLeader",
