Send no order of a row that became obsolete while its connection was opened

What callers would see: two servers with the same keys (OWNER), within one term of one leader.

Cause: whether an order is sent was decided as its call began, up to 0.4 s before it is written. While it waits for its connection, a newer table may move the span, and the release of the move may be answered on another connection. If the server's process ends then and starts again under its id, the waiting grant reaches a process without tokens, which accepts it beside the next holder.

Change: `may_send` of an order also asks whether its row is still in a table.

Evidence: test_grant_that_waits_for_its_connection_is_not_sent_after_the_release fails without the change (two holders), and passes with it.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -24,6 +24,7 @@
 from ._orders import (
     Grant,
     HolderEndedError,
+    MaySend,
     Orders,
     OrderWithheldError,
     Release,
@@ -278,6 +279,19 @@
             return False
         return not (on_new_connection and self._is_replaced())
 
+    def _may_send_for(self, row: Row) -> MaySend:
+        """Return ``_may_send`` for an order of a row, which may become obsolete.
+
+        While the order waits for its connection, a newer table may move the span.
+        """
+
+        def may_send(*, on_new_connection: bool) -> bool:
+            return not row.is_obsolete and self._may_send(
+                on_new_connection=on_new_connection
+            )
+
+        return may_send
+
     def _start(
         self, row: Row, holder: Holder, order: Deferred[None], counts_until_s: float
     ) -> None:
@@ -306,7 +320,7 @@
                 holder,
                 release,
                 timeout_s=timeout_s,
-                may_send=self._may_send,
+                may_send=self._may_send_for(row),
             )
         except HolderEndedError as error:
             # Another server answers there, so this holder and its grants have ended.
@@ -379,7 +393,7 @@
                 holder,
                 grant,
                 timeout_s=GRANT_TIMEOUT_S,
-                may_send=self._may_send,
+                may_send=self._may_send_for(row),
             )
         except OrderWithheldError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
--- a/tests/test_keyspace_restarted_servers.py
+++ b/tests/test_keyspace_restarted_servers.py
@@ -109,6 +109,24 @@
     assert fleet.addresses.holders(SHARD) == [fleet.second]
 
 
+def test_grant_that_waits_for_its_connection_is_not_sent_after_the_release() -> None:
+    """Guards against a restarted server that accepts a grant for released shards.
+
+    The process that answered the release has ended by then.
+    """
+    fleet = Fleet()
+    fleet.sender.connect_duration_s = 0.2
+    fleet.follow(fleet.first, token=1)
+    fleet.run(0.1)
+    fleet.sender.connect_duration_s = 0.0
+    fleet.follow(fleet.second, token=2, former=fleet.first)
+    fleet.run(0.05)
+    assert fleet.addresses.holders(SHARD) == [fleet.second]
+    fleet.restart(fleet.first)
+    fleet.run(1.0)
+    assert fleet.addresses.holders(SHARD) == [fleet.second]
+
+
 def test_leader_without_the_store_renews_on_open_connections() -> None:
     """Guards against grants that expire while the store is unavailable."""
     fleet = Fleet()
