Limit for how long the kernel may deliver an order

What callers would see: two servers with the same keys (OWNER).

Cause: a host ends its orders after 0.4 s by closing the connection. A host that is stopped doesn't, and a host that is killed leaves its connections to the kernel, which goes on sending for minutes. If the link to the server is cut for longer than the grants of the former leader are waited for, the grant arrives after the keys were granted to another server. The kernel repeats it seconds after the cut has healed, as its pauses grow with the time without an answer.

Change: connections for orders have a TCP user timeout of 1 s, and a linger time of 0 s: what is not acknowledged within 1 s is discarded by the kernel, also while the process is stopped, and what is not sent as the process ends, too. The time is shorter than a leader's lease, from whose end the next leader counts.

--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -28,12 +28,18 @@
 from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.http_agent import BytesBody, ip_endpoint
 from gentianwharf.keyspace import MaySend, OrderWithheldError
+from gentianwharf.sockets import limit_delivery_time
 from gentianwharf.statuses import check_statuses
 
 CONNECT_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 8.0
 """Less than the 10 s after which servers close an idle connection."""
 
+DELIVERY_TIMEOUT_S = 1.0
+"""Time after which the kernel discards an order that the server has not received. It is
+shorter than a leader's lease: the next leader counts the longest grant from the end of
+the lease on."""
+
 MAX_IDLE_CONNECTIONS = 2
 """To one server: for grants, which are sent one at a time, and for a release."""
 
@@ -194,6 +200,15 @@
         self._timer: Any = None
         self._response_bytes = 0
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Limit for how long an order may be on its way.
+
+        A link that was cut may heal after the grants of a stopped or killed leader have
+        been waited for.
+        """
+        super().connectionMade()
+        limit_delivery_time(self.transport, timeout_s=DELIVERY_TIMEOUT_S)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse data, and close the connection if the response is too large."""
         self._response_bytes += len(data)
--- a/src/gentianwharf/sockets.py
+++ b/src/gentianwharf/sockets.py
@@ -1,4 +1,4 @@
-"""What the kernel knows about a TCP connection."""
+"""What the kernel knows about a TCP connection, and does without its process."""
 
 import fcntl
 import socket
@@ -6,7 +6,13 @@
 import termios
 from typing import Any
 
-__all__ = ["is_closed_by_peer", "is_reset", "queued_bytes", "unacknowledged_bytes"]
+__all__ = [
+    "is_closed_by_peer",
+    "is_reset",
+    "limit_delivery_time",
+    "queued_bytes",
+    "unacknowledged_bytes",
+]
 
 _STATE = struct.Struct("=B")
 """The field ``tcpi_state`` of Linux's ``struct tcp_info``."""
@@ -22,6 +28,9 @@
 
 _QUEUED_BYTES = struct.Struct("=i")
 
+_LINGER = struct.Struct("=ii")
+"""Linux's ``struct linger``: whether it is set, and the time in seconds."""
+
 
 def is_closed_by_peer(transport: Any) -> bool:
     """Return whether the peer has closed or reset the connection.
@@ -79,3 +88,19 @@
     except (OSError, AttributeError, TypeError, struct.error):
         return 0
     return int(size)
+
+
+def limit_delivery_time(transport: Any, *, timeout_s: float) -> None:
+    """Let the kernel discard bytes that the peer does not acknowledge within a time.
+
+    The kernel then closes the connection, also while this process is stopped. When
+    the process ends or closes the connection, bytes that were not sent yet are
+    discarded. By default the kernel goes on sending them for minutes in both cases.
+
+    Raises ``OSError`` if the connection is closed.
+    """
+    handle = transport.getHandle()
+    handle.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(timeout_s * 1000)
+    )
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(1, 0))
