Renew all grants as the store falls silent, before the lease may end

What callers would see: keys without a holder some 3 s into an outage of the store, at servers whose connections are reset in it. A leader whose lease may have ended sends nothing on new connections.

Cause: renewals get the longest duration only 1.0 s after the last contact, and each span is renewed when it is due, up to 0.5 s later. The lease may end 1.2 s after the contact. If the connection to a server closes in between, its spans keep a grant of 2.5 s.

Change: once the store has been silent for 1.0 s, all granted spans are due, and are renewed for the longest duration.

Evidence: test_keys_stay_held_if_connections_close_while_the_store_is_away fails without the change in two of five cases (1.3 and 1.4 s), and passes with it.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -33,7 +33,7 @@
 from ._rows import Rows
 from ._states import HolderState, Row
 from ._table import Holder, KeyTable, Span
-from ._timing import LEADER_LEASE_S, GrantTiming
+from ._timing import LEADER_LEASE_S, STORE_SILENT_S, GrantTiming
 
 GRANT_TIMEOUT_S = 0.4
 """A server answers a grant within milliseconds; a lost grant is sent again."""
@@ -78,6 +78,7 @@
         """Tables that arrived while another host may have led."""
         self.holders = HolderStates(timing=timing, now_s=now_s)
         self._store_contact_s = 0.0
+        self._is_store_silent = False
         self._grants_sent = 0
         self._orders_in_flight = 0
         self._leading = False
@@ -177,9 +178,22 @@
         """Send every order that is due; to be called about every 50 ms."""
         if not self._leading:
             return
+        self._note_store_silence()
         if self._send_orders(self._rows.due(self._now_s())):
             self._probes.tick()
 
+    def _note_store_silence(self) -> None:
+        """Renew all grants for the longest duration as the store falls silent.
+
+        Soon this host may have been replaced; then it can't renew at servers whose
+        connections have closed.
+        """
+        was_silent = self._is_store_silent
+        silent_s = self._now_s() - self._store_contact_s
+        self._is_store_silent = silent_s > STORE_SILENT_S
+        if self._is_store_silent and not was_silent:
+            self._rows.hasten_renewals()
+
     def _send_orders(self, rows: Iterable[Row]) -> bool:
         """Send the orders of due rows; return whether this host may send any."""
         now_s = self._now_s()
--- a/src/gentianwharf/keyspace/_rows.py
+++ b/src/gentianwharf/keyspace/_rows.py
@@ -87,6 +87,12 @@
                 row.due_s = -inf
                 return
 
+    def hasten_renewals(self) -> None:
+        """Make the renewals of all granted spans due."""
+        for row in self._rows.values():
+            if row.granted and not row.order_in_flight and not row.waiting:
+                row.due_s = -inf
+
     def finished_moves(self, service: str) -> frozenset[SpanKey]:
         """Return the spans that are granted and have no former holders left."""
         return frozenset(
--- a/tests/builders_lives.py
+++ b/tests/builders_lives.py
@@ -90,6 +90,10 @@
     """Time that it takes to open a connection."""
     _connected: dict[str, Server] = field(default_factory=dict)
 
+    def close_connections(self) -> None:
+        """Close the connections to all servers."""
+        self._connected.clear()
+
     async def grant(
         self, holder: Holder, grant: Grant, *, timeout_s: float, may_send: MaySend
     ) -> None:
--- a/tests/test_keyspace_restarted_servers.py
+++ b/tests/test_keyspace_restarted_servers.py
@@ -136,6 +136,23 @@
     assert fleet.addresses.holders(SHARD) == [fleet.first]
 
 
+@pytest.mark.parametrize("granted_s", [1.0, 1.1, 1.2, 1.3, 1.4])
+def test_keys_stay_held_if_connections_close_while_the_store_is_away(
+    granted_s: float,
+) -> None:
+    """Guards against keys that lose their holder soon after a reset.
+
+    The leader sends nothing on new connections once another host may lead.
+    """
+    fleet = Fleet()
+    fleet.follow(fleet.first, token=1)
+    fleet.run(granted_s)
+    fleet.run(LEADER_LEASE_S + 0.05, store_contact=False)
+    fleet.sender.close_connections()
+    fleet.run(LONG_GRANT_S - LEADER_LEASE_S, store_contact=False)
+    assert fleet.addresses.holders(SHARD) == [fleet.first]
+
+
 def test_withheld_renewals_do_not_count_as_silence_of_the_server() -> None:
     """Guards against moving keys from a server that was sent no orders."""
     fleet = Fleet()
