Count no silence of a server while orders to it are withheld

What callers would see: after an outage of the store, the keys of a server that left a single order unanswered in it are moved at once; if most servers did, the leader resigns as isolated.

Cause: a server counts as unreachable 1.2 s after its first unanswered order, also while the leader sends it none: orders on new connections are withheld once the lease may have ended, and all orders 5 s after the last contact. The first plan after the store's return comes before the first order. The rule that orders to failing servers are not sent by a leader that may have been replaced had the same effect before.

Change: the time between the first order that was withheld and the next one that is sent doesn't count as silence. What had counted before stays, so that a server that was lost before the outage is still lost after it.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -181,6 +181,8 @@
         self._note_store_silence()
         if self._send_orders(self._rows.due(self._now_s())):
             self._probes.tick()
+        else:
+            self.holders.note_all_withheld()
 
     def _note_store_silence(self) -> None:
         """Renew all grants for the longest duration as the store falls silent.
@@ -345,6 +347,7 @@
             return
         except OrderWithheldError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
+            self.holders.note_withheld(holder)
             row.note_withheld(holder, error)
             return
         except GentianwharfError as error:
@@ -411,6 +414,7 @@
             )
         except OrderWithheldError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
+            self.holders.note_withheld(holder)
             row.note_withheld(holder, error)
         except HolderEndedError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -119,9 +119,29 @@
     def note_unanswered(self, holder: Holder, sent_s: float) -> None:
         """Record an order that was not answered; others may have been since."""
         state = self.state_of(holder)
+        state.withheld_s = None
         if state.failing_since_s is None:
             state.failing_since_s = max(sent_s, state.answered_s, self._resumed_s)
 
+    def note_withheld(self, holder: Holder) -> None:
+        """Record that no order may be sent to a holder.
+
+        The time until the next order does not count as time without an answer.
+        """
+        self._note_withheld(self.state_of(holder))
+
+    def note_all_withheld(self) -> None:
+        """Record that no order may be sent to any holder."""
+        for state in self:
+            self._note_withheld(state)
+
+    def _note_withheld(self, state: HolderState) -> None:
+        now_s = self._now_s()
+        if state.withheld_s is not None and state.failing_since_s is not None:
+            shifted_s = state.failing_since_s + now_s - state.withheld_s
+            state.failing_since_s = min(shifted_s, now_s)
+        state.withheld_s = now_s
+
     def note_tick(self) -> None:
         """Detect a pause of this host; call this before the states are evaluated.
 
@@ -140,7 +160,7 @@
     def note_answered(self, holder: Holder) -> None:
         """Record the answer to an order."""
         state = self.state_of(holder)
-        state.failing_since_s = None
+        state.failing_since_s = state.withheld_s = None
         state.answered_s = self._now_s()
 
     def note_ended(self, holder: Holder, error: HolderEndedError) -> None:
--- a/src/gentianwharf/keyspace/_states.py
+++ b/src/gentianwharf/keyspace/_states.py
@@ -95,6 +95,8 @@
     """Spans that move and wait for their first grant; ``waiting`` are all others."""
     waiting: deque[Row] = field(default_factory=deque)
     failing_since_s: float | None = None
+    withheld_s: float | None = None
+    """When the last order was withheld, None if one was sent since."""
     answered_s: float = -inf
     has_ended: bool = False
     probe: Release | None = None
