--- a/tests/test_users_platform_withheld_orders.py
+++ b/tests/test_users_platform_withheld_orders.py
@@ -1,5 +1,6 @@
 """Orders over HTTP that may no longer be sent when they are about to be written."""
 
+import socket
 from collections.abc import Sequence
 from functools import partial
 from typing import Any
@@ -74,6 +75,27 @@
     assert server.connections <= max_connections
 
 
+def test_connection_on_which_an_order_is_withheld_is_closed() -> None:
+    """Guards against connections that stay open without being in the pool."""
+    orders = ServerOrders(reactor=running_reactor())
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        holder = Holder(server_id="i-1", born_ms=1, address=address)
+        may_send = NewConnectionLimit(max_checks=1)
+
+        def send() -> Any:
+            grant = orders.grant(holder, GRANT, timeout_s=TIMEOUT_S, may_send=may_send)
+            sent: Deferred[Any] = Deferred.fromCoroutine(grant)
+            return sent.addErrback(lambda failure: failure.value)
+
+        assert isinstance(in_reactor(send), OrderWithheldError)
+        connection, _ = listener.accept()
+        with connection:
+            connection.settimeout(TIMEOUT_S)
+            with pytest.raises(ConnectionResetError):
+                connection.recv(1)
+
+
 def test_order_is_sent_on_an_existing_connection() -> None:
     """Guards against keys that are not renewed while the store is unavailable."""
     copies = LateCopies(answers=[answer("200 OK")] * 2, copies=0)
