Excuse ends of servers by whole runs at all hosts, however late they are proved

What callers saw: an innocent that many of them send under one name, lost with servers whose ends only their entries prove (behind a proxy, silent: 2.6 s later or more), is held back although it ran wholly meanwhile.

Cause: a whole run excuses ends up to 2 s after it. The host that proved an end compared the run with the loss, all others with the arrival of the news. A run between the loss and its proof, or just before the loss, excused the end at the host that had lost the request and at no other one; where the two are not the same host, the request was suspected everywhere. A run clears all ends known at its time, so the same ends counted or not by when they became known.

Change: every host compares its last whole run with the end of the server. An end later than 2 s after the run counts as before. A request that never runs wholly is excused nowhere, so the bounds on tries are untouched; no count, gap or number of tries is changed.

Ruled out, by reading: letting the next try come at once after one that was refused. A refusal reaches a server and counts among the tries of a request's life; without the gap the last ones are spent while the keys still move, and the innocent is then refused for good. Taking simultaneous ends for no proof at all: copies sent at once are such ends.

--- a/src/gentianwharf/quarantine/_whole_runs.py
+++ b/src/gentianwharf/quarantine/_whole_runs.py
@@ -15,8 +15,8 @@
 
     >>> runs = WholeRuns()
     >>> runs.note(b"name", 10.0)
-    >>> runs.is_recent(b"name", 11.0), runs.is_recent(b"name", 15.0)
-    (True, False)
+    >>> [runs.excuses(b"name", ended_s) for ended_s in (5.0, 11.0, 15.0)]
+    [True, True, False]
     """
 
     def __init__(self) -> None:
@@ -32,7 +32,10 @@
         if len(self._run_s) > MAX_NAMES:
             del self._run_s[next(iter(self._run_s))]
 
-    def is_recent(self, digest: bytes, now_s: float) -> bool:
-        """Whether a server ran the request within the last ``VALID_S``."""
+    def excuses(self, digest: bytes, ended_s: float) -> bool:
+        """Whether a server ran the request after an end or shortly before it.
+
+        How late the end became known does not matter.
+        """
         run_s = self._run_s.get(digest)
-        return run_s is not None and now_s - run_s <= VALID_S
+        return run_s is not None and ended_s - run_s <= VALID_S
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -24,6 +24,9 @@
 NEWS_S = 0.2
 """Time after which all hosts know of a try."""
 
+PROVED_LATE_S = 4.0
+"""From a loss until the entry of a server behind a proxy has lapsed."""
+
 
 @pytest.fixture
 def hosts(monkeypatch: pytest.MonkeyPatch) -> QuarantineHosts:
@@ -357,6 +360,39 @@
     assert hosts.standings() == REFUSED
 
 
+@pytest.mark.parametrize("host", [FOLLOWER, OTHER], ids=["there", "elsewhere"])
+@pytest.mark.parametrize(
+    ("run_after_loss_s", "standings"),
+    [
+        pytest.param(1.0, FREE, id="run-after-the-loss"),
+        pytest.param(-1.0, FREE, id="run-shortly-before"),
+        pytest.param(-3.0, SUSPECTED, id="run-long-before"),
+    ],
+)
+def test_whole_run_excuses_an_end_that_is_proved_late(
+    hosts: QuarantineHosts, host: int, run_after_loss_s: float, standings: list[str]
+) -> None:
+    """Guards against an innocent held back for an end from before its whole run."""
+
+    def run_wholly() -> None:
+        call, server = hosts.call(host), hosts.server("s2")
+        call.run.note_written(server)
+        call.run.note_answered(server)
+        call.run.finish()
+
+    if run_after_loss_s < 0:
+        run_wholly()
+        hosts.advance(-run_after_loss_s)
+    hosts.lose(hosts.call(FOLLOWER), hosts.server("s1", ProbeResult.OPENED))
+    if run_after_loss_s > 0:
+        hosts.advance(run_after_loss_s)
+        run_wholly()
+    hosts.advance(PROVED_LATE_S)
+    hosts.end_entry("s1")
+    hosts.advance(NEWS_S)
+    assert hosts.standings() == standings
+
+
 def test_leader_passes_on_no_more_news_than_its_link_bears(
     hosts: QuarantineHosts,
 ) -> None:
