Count no pause of a host without links against the hosts it asks for tunnels

Cause: time limits that run on while this host stands still, and timers that fire before its sockets are read. A request waits 0.3 s from the cut for the first host that accepts tunnels; connecting to these hosts has 0.3 s, too. A loop that stood still for 0.41 s found all of them over: it gave up all hosts whose connections had opened meanwhile, which ended the wait, and the request used up its three tries in 20 ms.

Change: ActiveTimeout counts only the time in which the loop ran, found by ticks as in PauseDetector. It bounds the wait for the first host, connections to hosts, and their replies. What a request waited longer for that is added to its time for a tunnel; its own deadline is checked before it is written.

--- a/src/gentianwharf/pauses.py
+++ b/src/gentianwharf/pauses.py
@@ -69,3 +69,50 @@
     def _finish(self) -> None:
         self.expired = True
         self._expire()
+
+
+ACTIVE_TICK_S = 0.05
+
+
+@final
+class ActiveTimeout:
+    """A timeout that counts only the time in which this host was not paused.
+
+    For exchanges of several messages: after a pause, those that are left still need
+    their time. ``clock`` is the event loop's.
+    """
+
+    def __init__(
+        self, *, clock: Any, delay_s: float, expire: Callable[[], object]
+    ) -> None:
+        self.expired = False
+        self.paused_s = 0.0
+        """How long this host was paused since the start."""
+        self._clock = clock
+        self._expire = expire
+        self._left_s = delay_s
+        self._pauses = PauseDetector()
+        self._ticked_s = clock.seconds()
+        self._pauses.record_tick(self._ticked_s)
+        self._wait()
+
+    def stop(self) -> None:
+        """Cancel the timeout."""
+        if self._call.active():
+            self._call.cancel()
+
+    def _wait(self) -> None:
+        delay_s = min(ACTIVE_TICK_S, max(0.0, self._left_s))
+        self._call = self._clock.callLater(delay_s, self._tick)
+
+    def _tick(self) -> None:
+        now_s = self._clock.seconds()
+        paused_s = self._pauses.record_tick(now_s)
+        self.paused_s += paused_s
+        self._left_s -= now_s - self._ticked_s - paused_s
+        self._ticked_s = now_s
+        if self._left_s > 0 or paused_s:
+            self._wait()
+            return
+        self.expired = True
+        self._expire()
--- a/src/gentianwharf/tunnels/_client.py
+++ b/src/gentianwharf/tunnels/_client.py
@@ -8,12 +8,13 @@
 import msgspec
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 
 from gentianwharf.errors import PeerUnavailableError
 from gentianwharf.logs import log
+from gentianwharf.pauses import ActiveTimeout, Timeout
 from gentianwharf.topology import BackendServer
 
 from ._messages import (
@@ -130,6 +131,8 @@
         self._timer: Any = None
         self._is_started = False
         self._started_s = 0.0
+        self._first_peer: ActiveTimeout | None = None
+        """Ends the wait for the first host, None before the first start."""
 
     @property
     def open_tunnels(self) -> int:
@@ -156,6 +159,9 @@
         if not self._is_started:
             self._is_started = True
             self._started_s = self._reactor.seconds()
+            self._first_peer = ActiveTimeout(
+                clock=self._reactor, delay_s=FIRST_PEER_TIMEOUT_S, expire=self._wake
+            )
             self._untried = self._in_order()
             self._look_for_peers()
 
@@ -164,6 +170,8 @@
         self._is_started = False
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        if self._first_peer is not None:
+            self._first_peer.stop()
         for peer in list(self._peers.values()):
             peer.end()
         self._wake()
@@ -248,10 +256,11 @@
         No byte is sent to the server before a tunnel is returned.
         """
         end_s = self._reactor.seconds() + timeout_s
+        end_s += await self._wait_for_first_peer(end_s)
         tried: set[str] = set()
         results: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
-            peer = await self._choose_peer(server.domain, tried, end_s)
+            peer = self._choose_peer(server.domain, tried)
             left_s = end_s - self._reactor.seconds()
             if peer is None or left_s <= 0:
                 break
@@ -270,18 +279,11 @@
             )
         return None
 
-    async def _choose_peer(
-        self, domain: str, tried: set[str], end_s: float
-    ) -> Peer | None:
+    def _choose_peer(self, domain: str, tried: set[str]) -> Peer | None:
         """Return a host in ``domain`` if there is one, and the least used of them.
 
         Bytes then cross between failure domains as often as on a direct connection.
-        Just after the start, this waits for the first host.
         """
-        end_s = min(end_s, self._started_s + FIRST_PEER_TIMEOUT_S)
-        wait_s = end_s - self._reactor.seconds()
-        if self._is_started and not self.usable_peers and not tried and wait_s > 0:
-            await self._wait_for_peer(wait_s)
         usable = [
             peer
             for name, peer in self._peers.items()
@@ -297,41 +299,67 @@
             default=None,
         )
 
-    async def _wait_for_peer(self, wait_s: float) -> None:
+    async def _wait_for_first_peer(self, end_s: float) -> float:
+        """Wait just after the start; return how much longer that took than it may.
+
+        States of hosts that arrived during a pause of this host are read first.
+        """
+        if self._first_peer is None or self._first_peer.expired:
+            return 0.0
+        if not self._is_started or self.usable_peers:
+            return 0.0
+        begun_s = self._reactor.seconds()
+        wait_s = min(end_s, self._started_s + FIRST_PEER_TIMEOUT_S) - begun_s
         waiting: Deferred[None] = Deferred()
         self._waiting.append(waiting)
-        timer = self._reactor.callLater(wait_s, _fire, waiting)
+        timeout = Timeout(
+            clock=self._reactor,
+            delay_s=end_s - begun_s,
+            expire=lambda: _fire(waiting),
+        )
         try:
             await waiting
         finally:
-            if timer.active():
-                timer.cancel()
+            timeout.stop()
+        waited_s = float(self._reactor.seconds()) - begun_s
+        return max(0.0, waited_s - max(0.0, wait_s))
 
     async def _open(
         self, peer: Peer, server: BackendServer, timeout_s: float
     ) -> "Tunnel | str":
         """Return a tunnel, or why the host opened none."""
         ip, _, port = peer.host.address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(self._reactor, ip, int(port), timeout=timeout_s)
         request = OpenTunnel(
             secret=self._secret(), host=self._name, server_id=server.id
         )
         factory = Factory.forProtocol(lambda: _Handshake(request=request))
         factory.noisy = False
+        connecting = TCP4ClientEndpoint(self._reactor, ip, int(port)).connect(factory)
+        timeout = ActiveTimeout(
+            clock=self._reactor, delay_s=timeout_s, expire=connecting.cancel
+        )
         try:
-            handshake = cast(_Handshake, await endpoint.connect(factory))
+            handshake = cast(_Handshake, await connecting)
         except ConnectError:
             peer.end()
             return RefusalReason.STOPPING
-        timer = self._reactor.callLater(timeout_s, handshake.abort)
+        except ConnectingCancelledError:
+            if not timeout.expired:
+                raise
+            peer.end()
+            return RefusalReason.STOPPING
+        finally:
+            timeout.stop()
+        timeout = ActiveTimeout(
+            clock=self._reactor, delay_s=timeout_s, expire=handshake.abort
+        )
         try:
             reason = await handshake.done
         except CancelledError:
             handshake.abort()
             raise
         finally:
-            if timer.active():
-                timer.cancel()
+            timeout.stop()
         if reason is not None:
             return str(reason)
         tunnel = Tunnel(
--- a/src/gentianwharf/tunnels/_peer.py
+++ b/src/gentianwharf/tunnels/_peer.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 
-from gentianwharf.pauses import PauseDetector
+from gentianwharf.pauses import ActiveTimeout, PauseDetector
 
 from ._messages import (
     FramedProtocol,
@@ -68,17 +68,19 @@
         self._timer: Any = None
         self._protocol: _Subscription | None = None
         self._connecting: Any = None
+        self._connect_timeout: ActiveTimeout | None = None
         self._ended = False
 
     def start(self, request: Subscribe) -> None:
         """Connect, and subscribe to the host's state."""
         ip, _, port = self.host.address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, ip, int(port), timeout=CONNECT_TIMEOUT_S
-        )
+        endpoint = TCP4ClientEndpoint(self._reactor, ip, int(port))
         factory = Factory.forProtocol(lambda: _Subscription(peer=self))
         factory.noisy = False
         self._connecting = endpoint.connect(factory)
+        self._connect_timeout = ActiveTimeout(
+            clock=self._reactor, delay_s=CONNECT_TIMEOUT_S, expire=self.end
+        )
         self._connecting.addCallbacks(
             self._subscribe, lambda _: self.end(), callbackArgs=(request,)
         )
@@ -87,9 +89,14 @@
 
     def _subscribe(self, protocol: "_Subscription", request: Subscribe) -> None:
         self._connecting = None
+        self._stop_connect_timeout()
         self._protocol = protocol
         protocol.send(request)
 
+    def _stop_connect_timeout(self) -> None:
+        if self._connect_timeout is not None:
+            self._connect_timeout.stop()
+
     def _check_silence(self) -> None:
         """End a subscription without a state; pauses of this host are no silence."""
         now_s = self._reactor.seconds()
@@ -126,6 +133,7 @@
         self.accepts = False
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self._stop_connect_timeout()
         if self._connecting is not None:
             self._connecting.cancel()
         if self._protocol is not None:
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -6,10 +6,13 @@
 from contextlib import contextmanager, suppress
 from random import Random
 from typing import Any, cast, final
+from unittest.mock import Mock
 
+from twisted.internet import error as twisted_errors
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from gentianwharf.topology import BackendServer
@@ -65,6 +68,57 @@
         cast(Any, self.transport).abortConnection()
 
 
+@final
+class TimingReactor(MemoryReactorClock):
+    """Lets connections fail that are not open in time, as a real reactor does."""
+
+    def connectTCP(  # noqa: N802
+        self,
+        host: str,
+        port: int,
+        factory: Any,
+        timeout: float = 30,
+        bindAddress: Any = None,  # noqa: N803
+    ) -> Any:
+        """Begin to connect; ``connect_last`` opens the connection."""
+        connector = super().connectTCP(host, port, factory, timeout, bindAddress)
+        failure = Failure(twisted_errors.TimeoutError())
+        self.last_timeout = self.callLater(
+            timeout, factory.clientConnectionFailed, connector, failure
+        )
+        return connector
+
+    def connect_last(self) -> Any:
+        """Let the last connection open; return its protocol."""
+        if self.last_timeout.active():
+            self.last_timeout.cancel()
+        factory: Any = self.tcpClients[-1][2]
+        protocol = factory.buildProtocol(None)
+        protocol.makeConnection(TunnelTransport())
+        return protocol
+
+
+@final
+class TunnelTransport(StringTransport):
+    """A connection between hosts that keeps what is sent, on no socket."""
+
+    is_aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def getHandle(self) -> Any:  # noqa: N802
+        """Return an object that takes every option of a socket."""
+        return Mock()
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Record the call."""
+        self.is_aborted = True
+
+
 @final
 class Backend:
     """A listening server whose connections a test reads and writes itself."""
--- a/tests/test_tunnels_late_loop.py
+++ b/tests/test_tunnels_late_loop.py
@@ -6,15 +6,22 @@
 
 import msgspec
 import pytest
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.defer import Deferred
 
 from gentianwharf.pauses import PAUSE_THRESHOLD_S
-from gentianwharf.tunnels import TunnelClient, TunnelHost
-from gentianwharf.tunnels._messages import HostState
+from gentianwharf.tunnels import Tunnel, TunnelClient, TunnelHost
+from gentianwharf.tunnels._client import FIRST_PEER_TIMEOUT_S
+from gentianwharf.tunnels._messages import HostState, TunnelOpened
 from gentianwharf.tunnels._peer import SILENCE_CHECK_INTERVAL_S, STATE_TIMEOUT_S
 
+from .builders_relay import make_server
+from .builders_tunnels import TimingReactor
 
-def client_with_a_host(reactor: MemoryReactorClock) -> TunnelClient:
+LATE_S = (FIRST_PEER_TIMEOUT_S + 0.1, 2.0)
+"""Pauses that outlast the wait for the first host."""
+
+
+def started_client(reactor: TimingReactor) -> TunnelClient:
     client = TunnelClient(
         name="host-x",
         domain="lac",
@@ -24,16 +31,27 @@
     )
     client.set_hosts([TunnelHost(name="h", address="10.0.0.1:7201", domain="lac")])
     client.start()
-    factory: Any = reactor.tcpClients[-1][2]
-    protocol = factory.buildProtocol(None)
-    protocol.makeConnection(StringTransport())
-    frame = msgspec.msgpack.encode(HostState(accepts=True))
-    protocol.dataReceived(struct.pack("!H", len(frame)) + frame)
+    return client
+
+
+def client_with_a_host(reactor: TimingReactor) -> TunnelClient:
+    client = started_client(reactor)
+    receive(reactor.connect_last(), HostState(accepts=True))
     assert client.usable_peers == 1
     return client
 
 
-def run(reactor: MemoryReactorClock, duration_s: float) -> None:
+def receive(protocol: Any, message: HostState | TunnelOpened) -> None:
+    frame = msgspec.msgpack.encode(message)
+    protocol.dataReceived(struct.pack("!H", len(frame)) + frame)
+
+
+def opening(client: TunnelClient) -> "Deferred[Any]":
+    """Begin to open a tunnel."""
+    return Deferred.fromCoroutine(client.open(make_server(0, 7301), timeout_s=0.5))
+
+
+def run(reactor: TimingReactor, duration_s: float) -> None:
     for _ in range(round(duration_s / SILENCE_CHECK_INTERVAL_S)):
         reactor.advance(SILENCE_CHECK_INTERVAL_S)
 
@@ -43,7 +61,7 @@
     pause_s: float,
 ) -> None:
     """Guards against a late loop that resets tunnels and leaves no host for others."""
-    reactor = MemoryReactorClock()
+    reactor = TimingReactor()
     client = client_with_a_host(reactor)
     for _ in range(3):
         run(reactor, 2 * SILENCE_CHECK_INTERVAL_S)
@@ -53,8 +71,67 @@
 
 def test_host_that_is_silent_after_a_pause_is_given_up_in_time() -> None:
     """Guards against requests that go on through a host that is frozen."""
-    reactor = MemoryReactorClock()
+    reactor = TimingReactor()
     client = client_with_a_host(reactor)
     reactor.advance(2.0)
     run(reactor, STATE_TIMEOUT_S + 2 * SILENCE_CHECK_INTERVAL_S)
     assert client.usable_peers == 0
+
+
+@pytest.mark.parametrize("pause_s", LATE_S)
+@pytest.mark.parametrize("is_asked_before", [True, False], ids=["before", "after"])
+def test_request_waits_for_the_first_host_after_a_pause(
+    is_asked_before: bool, pause_s: float
+) -> None:
+    """Guards against requests refused while the states of hosts wait unread."""
+    reactor = TimingReactor()
+    client = started_client(reactor)
+    subscription = reactor.connect_last()
+    if is_asked_before:
+        tunnel = opening(client)
+        reactor.advance(pause_s)
+    else:
+        reactor.advance(pause_s)
+        tunnel = opening(client)
+    receive(subscription, HostState(accepts=True))
+    assert not tunnel.called
+    receive(reactor.connect_last(), TunnelOpened())
+    assert isinstance(tunnel.result, Tunnel)
+
+
+@pytest.mark.parametrize("pause_s", LATE_S)
+def test_reply_that_waits_unread_during_a_pause_opens_the_tunnel(
+    pause_s: float,
+) -> None:
+    """Guards against tunnels that are given up although the other host opened them."""
+    reactor = TimingReactor()
+    client = client_with_a_host(reactor)
+    tunnel = opening(client)
+    handshake = reactor.connect_last()
+    reactor.advance(pause_s)
+    assert not handshake.transport.is_aborted
+    receive(handshake, TunnelOpened())
+    assert isinstance(tunnel.result, Tunnel)
+
+
+def test_request_waits_for_no_host_that_stays_silent() -> None:
+    """Guards against requests that wait for ever, also after a pause."""
+    reactor = TimingReactor()
+    tunnel = opening(started_client(reactor))
+    reactor.advance(LATE_S[-1])
+    run(reactor, FIRST_PEER_TIMEOUT_S + 2 * SILENCE_CHECK_INTERVAL_S)
+    assert tunnel.result is None
+
+
+@pytest.mark.parametrize("pause_s", LATE_S)
+def test_connection_that_opened_during_a_pause_is_used(pause_s: float) -> None:
+    """Guards against hosts given up, and requests refused, after a pause."""
+    reactor = TimingReactor()
+    client = started_client(reactor)
+    tunnel = opening(client)
+    reactor.advance(pause_s)
+    receive(reactor.connect_last(), HostState(accepts=True))
+    assert not tunnel.called
+    reactor.advance(pause_s)
+    receive(reactor.connect_last(), TunnelOpened())
+    assert isinstance(tunnel.result, Tunnel)
