--- a/src/gentianwharf/entryhost/_quarantine.py
+++ b/src/gentianwharf/entryhost/_quarantine.py
@@ -191,7 +191,7 @@
         assert evidence is not None, "only proved crashes are reported"
         reports = []
         for name, lost in crash.lost.items():
-            if self._whole_runs.excuses(name.digest, crash.lost_s):
+            if self._whole_runs.clears(name.digest, crash.lost_s):
                 continue
             found = ServerCrash(
                 incarnation=crash.incarnation,
@@ -273,7 +273,7 @@
             crash = crash_of(report, now_s=now_s)
             self.detector.note_ended(crash.incarnation, crash.evidence)
             name = RequestName(head=report.head, digest=report.digest)
-            if self._whole_runs.excuses(name.digest, crash.ended_s):
+            if self._whole_runs.clears(name.digest, crash.ended_s):
                 evidence_ids = [report.incarnation]
                 if report.try_id:
                     evidence_ids.append(report.try_id)
--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -178,16 +178,17 @@
         """Send every order that is due; to be called about every 50 ms."""
         if not self._leading:
             return
-        self._note_store_silence()
+        self._check_store_silence()
         if self._send_orders(self._rows.due(self._now_s())):
             self._probes.tick()
         else:
             self.holders.note_all_withheld()
 
-    def _note_store_silence(self) -> None:
-        """Renew all grants for the longest duration as the store falls silent.
+    def _check_store_silence(self) -> None:
+        """Renew all grants when the store stops answering.
 
-        Soon this host may have been replaced; then it can't renew at servers whose
+        They are then granted for the longest duration. Once another host may lead, no
+        order is sent on a new connection, so grants can't be renewed at servers whose
         connections have closed.
         """
         was_silent = self._is_store_silent
@@ -296,9 +297,9 @@
         return not (on_new_connection and self._is_replaced())
 
     def _may_send_for(self, row: Row) -> MaySend:
-        """Return ``_may_send`` for an order of a row, which may become obsolete.
+        """Return a check that also withholds the order once its row is obsolete.
 
-        While the order waits for its connection, a newer table may move the span.
+        A newer table may move the span while the order waits for a connection.
         """
 
         def may_send(*, on_new_connection: bool) -> bool:
--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -124,14 +124,14 @@
             state.failing_since_s = max(sent_s, state.answered_s, self._resumed_s)
 
     def note_withheld(self, holder: Holder) -> None:
-        """Record that no order may be sent to a holder.
+        """Record that an order to a holder was withheld.
 
-        The time until the next order does not count as time without an answer.
+        The time between withheld orders does not count as time without an answer.
         """
         self._note_withheld(self.state_of(holder))
 
     def note_all_withheld(self) -> None:
-        """Record that no order may be sent to any holder."""
+        """Record that orders to all holders were withheld."""
         for state in self:
             self._note_withheld(state)
 
--- a/src/gentianwharf/keyspace/_states.py
+++ b/src/gentianwharf/keyspace/_states.py
@@ -96,7 +96,7 @@
     waiting: deque[Row] = field(default_factory=deque)
     failing_since_s: float | None = None
     withheld_s: float | None = None
-    """When the last order was withheld, None if one was sent since."""
+    """When an order was last withheld; None if one was sent since."""
     answered_s: float = -inf
     has_ended: bool = False
     probe: Release | None = None
--- a/src/gentianwharf/pauses.py
+++ b/src/gentianwharf/pauses.py
@@ -71,15 +71,15 @@
         self._expire()
 
 
-ACTIVE_TICK_S = 0.05
+TICK_INTERVAL_S = 0.05
 
 
 @final
-class ActiveTimeout:
-    """A timeout that counts only the time in which this host was not paused.
+class UnpausedTimeout:
+    """A timeout that excludes the time in which this host was paused.
 
-    For exchanges of several messages: after a pause, those that are left still need
-    their time. ``clock`` is the event loop's.
+    For exchanges of several messages: after a pause, the remaining messages still have
+    the rest of the time. ``clock`` is the event loop's.
     """
 
     def __init__(
@@ -87,7 +87,7 @@
     ) -> None:
         self.expired = False
         self.paused_s = 0.0
-        """How long this host was paused since the start."""
+        """Total duration of this host's pauses since the start."""
         self._clock = clock
         self._expire = expire
         self._left_s = delay_s
@@ -102,7 +102,7 @@
             self._call.cancel()
 
     def _wait(self) -> None:
-        delay_s = min(ACTIVE_TICK_S, max(0.0, self._left_s))
+        delay_s = min(TICK_INTERVAL_S, max(0.0, self._left_s))
         self._call = self._clock.callLater(delay_s, self._tick)
 
     def _tick(self) -> None:
--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -36,9 +36,9 @@
 """Less than the 10 s after which servers close an idle connection."""
 
 DELIVERY_TIMEOUT_S = 1.0
-"""Time after which the kernel discards an order that the server has not received. It is
-shorter than a leader's lease: the next leader counts the longest grant from the end of
-the lease on."""
+"""Time after which the kernel discards an order that the server has not acknowledged.
+It is shorter than a leader's lease: the next leader waits for the longest grant from
+the end of the lease."""
 
 MAX_IDLE_CONNECTIONS = 2
 """To one server: for grants, which are sent one at a time, and for a release."""
@@ -201,10 +201,10 @@
         self._response_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Limit for how long an order may be on its way.
+        """Limit the time in which an order may be delivered.
 
-        A link that was cut may heal after the grants of a stopped or killed leader have
-        been waited for.
+        Otherwise the kernel may deliver an order of a stopped or killed leader after a
+        network partition, when the next leader assumes that its grants have expired.
         """
         super().connectionMade()
         limit_delivery_time(self.transport, timeout_s=DELIVERY_TIMEOUT_S)
--- a/src/gentianwharf/quarantine/_whole_runs.py
+++ b/src/gentianwharf/quarantine/_whole_runs.py
@@ -15,7 +15,7 @@
 
     >>> runs = WholeRuns()
     >>> runs.note(b"name", 10.0)
-    >>> [runs.excuses(b"name", ended_s) for ended_s in (5.0, 11.0, 15.0)]
+    >>> [runs.clears(b"name", ended_s) for ended_s in (5.0, 11.0, 15.0)]
     [True, True, False]
     """
 
@@ -32,10 +32,11 @@
         if len(self._run_s) > MAX_NAMES:
             del self._run_s[next(iter(self._run_s))]
 
-    def excuses(self, digest: bytes, ended_s: float) -> bool:
-        """Whether a server ran the request after an end or shortly before it.
+    def clears(self, digest: bytes, ended_s: float) -> bool:
+        """Whether a whole run clears the request of a server's end at ``ended_s``.
 
-        How late the end became known does not matter.
+        The run was after the end or at most ``VALID_S`` before it. The time at which
+        the end was reported does not matter.
         """
         run_s = self._run_s.get(digest)
         return run_s is not None and ended_s - run_s <= VALID_S
--- a/src/gentianwharf/sockets.py
+++ b/src/gentianwharf/sockets.py
@@ -1,4 +1,4 @@
-"""What the kernel knows about a TCP connection, and does without its process."""
+"""The kernel's state of a TCP connection, and limits that the kernel enforces."""
 
 import fcntl
 import socket
@@ -29,7 +29,7 @@
 _QUEUED_BYTES = struct.Struct("=i")
 
 _LINGER = struct.Struct("=ii")
-"""Linux's ``struct linger``: whether it is set, and the time in seconds."""
+"""Linux's ``struct linger``: whether lingering is enabled, and the time in seconds."""
 
 
 def is_closed_by_peer(transport: Any) -> bool:
@@ -91,11 +91,11 @@
 
 
 def limit_delivery_time(transport: Any, *, timeout_s: float) -> None:
-    """Let the kernel discard bytes that the peer does not acknowledge within a time.
+    """Let the kernel discard bytes that the peer does not acknowledge in time.
 
-    The kernel then closes the connection, also while this process is stopped. When
-    the process ends or closes the connection, bytes that were not sent yet are
-    discarded. By default the kernel goes on sending them for minutes in both cases.
+    After ``timeout_s``, the kernel closes the connection, even while this process is
+    stopped. When the process exits or closes the connection, unsent bytes are
+    discarded. By default the kernel retries for minutes in both cases.
 
     Raises ``OSError`` if the connection is closed.
     """
--- a/src/gentianwharf/tunnels/_client.py
+++ b/src/gentianwharf/tunnels/_client.py
@@ -14,7 +14,7 @@
 
 from gentianwharf.errors import PeerUnavailableError
 from gentianwharf.logs import log
-from gentianwharf.pauses import ActiveTimeout, Timeout
+from gentianwharf.pauses import Timeout, UnpausedTimeout
 from gentianwharf.topology import BackendServer
 
 from ._messages import (
@@ -131,8 +131,8 @@
         self._timer: Any = None
         self._is_started = False
         self._started_s = 0.0
-        self._first_peer: ActiveTimeout | None = None
-        """Ends the wait for the first host, None before the first start."""
+        self._first_peer_timeout: UnpausedTimeout | None = None
+        """Ends the wait for the first host; None before the first start."""
 
     @property
     def open_tunnels(self) -> int:
@@ -159,7 +159,7 @@
         if not self._is_started:
             self._is_started = True
             self._started_s = self._reactor.seconds()
-            self._first_peer = ActiveTimeout(
+            self._first_peer_timeout = UnpausedTimeout(
                 clock=self._reactor, delay_s=FIRST_PEER_TIMEOUT_S, expire=self._wake
             )
             self._untried = self._in_order()
@@ -170,8 +170,8 @@
         self._is_started = False
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        if self._first_peer is not None:
-            self._first_peer.stop()
+        if self._first_peer_timeout is not None:
+            self._first_peer_timeout.stop()
         for peer in list(self._peers.values()):
             peer.end()
         self._wake()
@@ -300,11 +300,12 @@
         )
 
     async def _wait_for_first_peer(self, end_s: float) -> float:
-        """Wait just after the start; return how much longer that took than it may.
+        """Wait for the first host just after the start; return by how much it was late.
 
-        States of hosts that arrived during a pause of this host are read first.
+        If this host was paused, the wait goes on until the states of hosts that arrived
+        meanwhile have been read. The caller extends its deadline by the returned time.
         """
-        if self._first_peer is None or self._first_peer.expired:
+        if self._first_peer_timeout is None or self._first_peer_timeout.expired:
             return 0.0
         if not self._is_started or self.usable_peers:
             return 0.0
@@ -335,7 +336,7 @@
         factory = Factory.forProtocol(lambda: _Handshake(request=request))
         factory.noisy = False
         connecting = TCP4ClientEndpoint(self._reactor, ip, int(port)).connect(factory)
-        timeout = ActiveTimeout(
+        timeout = UnpausedTimeout(
             clock=self._reactor, delay_s=timeout_s, expire=connecting.cancel
         )
         try:
@@ -350,7 +351,7 @@
             return RefusalReason.STOPPING
         finally:
             timeout.stop()
-        timeout = ActiveTimeout(
+        timeout = UnpausedTimeout(
             clock=self._reactor, delay_s=timeout_s, expire=handshake.abort
         )
         try:
--- a/src/gentianwharf/tunnels/_peer.py
+++ b/src/gentianwharf/tunnels/_peer.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 
-from gentianwharf.pauses import ActiveTimeout, PauseDetector
+from gentianwharf.pauses import PauseDetector, UnpausedTimeout
 
 from ._messages import (
     FramedProtocol,
@@ -68,7 +68,7 @@
         self._timer: Any = None
         self._protocol: _Subscription | None = None
         self._connecting: Any = None
-        self._connect_timeout: ActiveTimeout | None = None
+        self._connect_timeout: UnpausedTimeout | None = None
         self._ended = False
 
     def start(self, request: Subscribe) -> None:
@@ -78,7 +78,7 @@
         factory = Factory.forProtocol(lambda: _Subscription(peer=self))
         factory.noisy = False
         self._connecting = endpoint.connect(factory)
-        self._connect_timeout = ActiveTimeout(
+        self._connect_timeout = UnpausedTimeout(
             clock=self._reactor, delay_s=CONNECT_TIMEOUT_S, expire=self.end
         )
         self._connecting.addCallbacks(
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -69,8 +69,8 @@
 
 
 @final
-class TimingReactor(MemoryReactorClock):
-    """Lets connections fail that are not open in time, as a real reactor does."""
+class ConnectTimeoutReactor(MemoryReactorClock):
+    """An in-memory reactor whose connection attempts time out."""
 
     def connectTCP(  # noqa: N802
         self,
@@ -80,27 +80,27 @@
         timeout: float = 30,
         bindAddress: Any = None,  # noqa: N803
     ) -> Any:
-        """Begin to connect; ``connect_last`` opens the connection."""
+        """Begin to connect; ``open_last_connection`` opens the connection."""
         connector = super().connectTCP(host, port, factory, timeout, bindAddress)
         failure = Failure(twisted_errors.TimeoutError())
-        self.last_timeout = self.callLater(
+        self.last_connect_timeout = self.callLater(
             timeout, factory.clientConnectionFailed, connector, failure
         )
         return connector
 
-    def connect_last(self) -> Any:
-        """Let the last connection open; return its protocol."""
-        if self.last_timeout.active():
-            self.last_timeout.cancel()
+    def open_last_connection(self) -> Any:
+        """Open the connection that was last begun; return its protocol."""
+        if self.last_connect_timeout.active():
+            self.last_connect_timeout.cancel()
         factory: Any = self.tcpClients[-1][2]
         protocol = factory.buildProtocol(None)
-        protocol.makeConnection(TunnelTransport())
+        protocol.makeConnection(InMemoryTunnelTransport())
         return protocol
 
 
 @final
-class TunnelTransport(StringTransport):
-    """A connection between hosts that keeps what is sent, on no socket."""
+class InMemoryTunnelTransport(StringTransport):
+    """A connection between hosts that records sent bytes, without a socket."""
 
     is_aborted = False
 
@@ -111,7 +111,7 @@
         """Do nothing."""
 
     def getHandle(self) -> Any:  # noqa: N802
-        """Return an object that takes every option of a socket."""
+        """Return a mock that accepts every socket option."""
         return Mock()
 
     def abortConnection(self) -> None:  # noqa: N802
--- a/tests/test_keyspace_outdated_orders.py
+++ b/tests/test_keyspace_outdated_orders.py
@@ -1,4 +1,4 @@
-"""Orders of outdated tables that still wait for a connection."""
+"""Orders of outdated tables that wait for a connection."""
 
 from typing import final
 
@@ -15,7 +15,7 @@
 
 @final
 class Fleet:
-    """Two servers, and the grant manager of a leader whose lease holds."""
+    """Two servers, and the grant manager of a leader with a valid lease."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -32,7 +32,7 @@
         self.manager.take_over(self.clock.seconds(), held_s=0.0)
 
     def follow(self, *spans: Span) -> None:
-        """Let the leader follow a table."""
+        """Let the leader apply a table."""
         highest_token = max(span.token for span in spans)
         self.manager.follow(table(*spans, highest_token=highest_token))
 
@@ -53,21 +53,21 @@
         )
 
 
-@pytest.mark.parametrize("moved", [(0, 9), (5, 5)], ids=["whole", "a-part"])
+@pytest.mark.parametrize("moved_keys", [(0, 9), (5, 5)], ids=["whole-span", "part"])
 def test_renewal_that_waits_for_a_connection_is_not_sent_after_a_move(
-    moved: tuple[int, int],
+    moved_keys: tuple[int, int],
 ) -> None:
-    """Guards against a renewal by an older table at a server that lost its tokens."""
+    """Guards against a renewal from an older table at a restarted server."""
     fleet = Fleet()
     fleet.follow(Span(first=0, last=9, holder=fleet.first, token=1))
     fleet.run(0.4)
-    # The renewal needs a connection, which takes longer than that of the release.
+    # The connection for the renewal opens later than the one for the release.
     fleet.restart(fleet.first)
     fleet.sender.connect_duration_s = CONNECT_S
     fleet.run(0.2)
     fleet.sender.connect_duration_s = 0.0
-    first, last = moved
-    rest = [
+    first, last = moved_keys
+    remaining = [
         Span(first=start, last=end, holder=fleet.first, token=1)
         for start, end in ((0, first - 1), (last + 1, 9))
         if start <= end
@@ -79,7 +79,7 @@
         token=2,
         former_holders=(fleet.first,),
     )
-    fleet.follow(*sorted([*rest, move], key=lambda span: span.first))
+    fleet.follow(*sorted([*remaining, move], key=lambda span: span.first))
     assert fleet.addresses.holders(SHARD) == [fleet.second]
     fleet.restart(fleet.first)
     fleet.run(1.0)
@@ -87,7 +87,7 @@
 
 
 def test_release_that_waits_for_a_connection_is_not_sent_after_a_move_back() -> None:
-    """Guards against a release by an older table that withdraws granted keys."""
+    """Guards against a release from an older table that withdraws granted keys."""
     fleet = Fleet()
     fleet.follow(Span(first=0, last=9, holder=fleet.first, token=1))
     fleet.run(0.4)
--- a/tests/test_keyspace_restarted_servers.py
+++ b/tests/test_keyspace_restarted_servers.py
@@ -112,7 +112,7 @@
 def test_grant_that_waits_for_its_connection_is_not_sent_after_the_release() -> None:
     """Guards against a restarted server that accepts a grant for released shards.
 
-    The process that answered the release has ended by then.
+    The release was answered by the previous process.
     """
     fleet = Fleet()
     fleet.sender.connect_duration_s = 0.2
@@ -136,17 +136,17 @@
     assert fleet.addresses.holders(SHARD) == [fleet.first]
 
 
-@pytest.mark.parametrize("granted_s", [1.0, 1.1, 1.2, 1.3, 1.4])
+@pytest.mark.parametrize("outage_after_s", [1.0, 1.1, 1.2, 1.3, 1.4])
 def test_keys_stay_held_if_connections_close_while_the_store_is_away(
-    granted_s: float,
+    outage_after_s: float,
 ) -> None:
-    """Guards against keys that lose their holder soon after a reset.
+    """Guards against grants that expire early because connections were closed.
 
-    The leader sends nothing on new connections once another host may lead.
+    The leader sends no order on a new connection once another host may lead.
     """
     fleet = Fleet()
     fleet.follow(fleet.first, token=1)
-    fleet.run(granted_s)
+    fleet.run(outage_after_s)
     fleet.run(LEADER_LEASE_S + 0.05, store_contact=False)
     fleet.sender.close_connections()
     fleet.run(LONG_GRANT_S - LEADER_LEASE_S, store_contact=False)
--- a/tests/test_keyspace_withheld_silence.py
+++ b/tests/test_keyspace_withheld_silence.py
@@ -1,4 +1,4 @@
-"""Servers that fail once while the leader may send them no more orders."""
+"""Servers that do not answer while the leader may send no further orders."""
 
 from twisted.internet.task import Clock
 
@@ -9,7 +9,7 @@
 
 
 class _Fleet:
-    """One server, and a leader that has lost the store."""
+    """One server, and a leader that has lost contact with the store."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -30,8 +30,8 @@
         run_manager(self.manager, self.clock, duration_s, store_contact=store_contact)
 
 
-def _fail_one_order(fleet: _Fleet) -> None:
-    """Let one order go unanswered, which costs the leader its connection."""
+def _leave_one_order_unanswered(fleet: _Fleet) -> None:
+    """Let one order time out, so that the leader's connection is closed."""
     server = fleet.addresses.running[fleet.holder.address]
     server.is_silent = True
     fleet.run(1.0, store_contact=False)
@@ -41,24 +41,24 @@
 def test_time_without_orders_is_no_silence_of_a_server_that_failed_once() -> None:
     """Guards against moving the keys of a server that could not be sent an order."""
     fleet = _Fleet()
-    _fail_one_order(fleet)
+    _leave_one_order_unanswered(fleet)
     fleet.run(UNREACHABLE_S, store_contact=False)
-    # The store answers again, and the next plan comes before the next order.
+    # The store answers again, and holders are evaluated before the next order is sent.
     fleet.manager.note_store_contact(fleet.clock.seconds())
     assert fleet.manager.holders.unreachable() == frozenset()
 
 
 def test_time_without_any_order_is_no_silence_of_a_server_that_failed_once() -> None:
-    """Guards against the same after a longer loss of the store."""
+    """Guards against moving the keys of a server after a longer outage of the store."""
     fleet = _Fleet()
-    _fail_one_order(fleet)
+    _leave_one_order_unanswered(fleet)
     fleet.run(TIMING.renew_without_store_s, store_contact=False)
     fleet.manager.note_store_contact(fleet.clock.seconds())
     assert fleet.manager.holders.unreachable() == frozenset()
 
 
 def test_server_that_stays_silent_is_lost_once_orders_may_be_sent_again() -> None:
-    """Guards against a server whose loss is never noticed after an outage."""
+    """Guards against a lost server that goes undetected after an outage."""
     fleet = _Fleet()
     fleet.addresses.running[fleet.holder.address].is_silent = True
     fleet.run(2.0, store_contact=False)
@@ -67,7 +67,7 @@
 
 
 def test_withheld_releases_are_no_silence_of_a_former_holder() -> None:
-    """Guards against a former holder that counts as lost since it was sent nothing."""
+    """Guards against a former holder counted as lost although no order was sent."""
     fleet = _Fleet()
     second = fleet.addresses.start("s2", "10.0.0.2:80", born_ms=1)
     fleet.manager.note_store_contact(fleet.clock.seconds())
--- a/tests/test_quarantine_hosts.py
+++ b/tests/test_quarantine_hosts.py
@@ -24,8 +24,8 @@
 NEWS_S = 0.2
 """Time after which all hosts know of a try."""
 
-PROVED_LATE_S = 4.0
-"""From a loss until the entry of a server behind a proxy has lapsed."""
+PROOF_DELAY_S = 4.0
+"""Time from a loss until the entry of a server behind a proxy has expired."""
 
 
 @pytest.fixture
@@ -372,22 +372,22 @@
 def test_whole_run_excuses_an_end_that_is_proved_late(
     hosts: QuarantineHosts, host: int, run_after_loss_s: float, standings: list[str]
 ) -> None:
-    """Guards against an innocent held back for an end from before its whole run."""
+    """Guards against suspecting a request of an end that preceded its whole run."""
 
-    def run_wholly() -> None:
+    def complete_call() -> None:
         call, server = hosts.call(host), hosts.server("s2")
         call.run.note_written(server)
         call.run.note_answered(server)
         call.run.finish()
 
     if run_after_loss_s < 0:
-        run_wholly()
+        complete_call()
         hosts.advance(-run_after_loss_s)
     hosts.lose(hosts.call(FOLLOWER), hosts.server("s1", ProbeResult.OPENED))
     if run_after_loss_s > 0:
         hosts.advance(run_after_loss_s)
-        run_wholly()
-    hosts.advance(PROVED_LATE_S)
+        complete_call()
+    hosts.advance(PROOF_DELAY_S)
     hosts.end_entry("s1")
     hosts.advance(NEWS_S)
     assert hosts.standings() == standings
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,4 +1,4 @@
-"""What the kernel does with the bytes of a connection without its process."""
+"""How long the kernel delivers the bytes of a stopped or killed process."""
 
 import select
 import socket
@@ -22,8 +22,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Transport:
-    """The part of a transport that the functions under test use."""
+class SocketTransport:
+    """The part of a transport that the function under test uses."""
 
     handle: socket.socket
 
@@ -56,9 +56,9 @@
 def test_kernel_discards_what_is_not_acknowledged_in_time(
     connection: tuple[socket.socket, socket.socket],
 ) -> None:
-    """Guards against bytes of a stopped process that arrive after a cut has healed."""
+    """Guards against bytes of a stopped process that arrive after a partition."""
     sender, receiver = connection
-    limit_delivery_time(Transport(handle=sender), timeout_s=TIMEOUT_S)
+    limit_delivery_time(SocketTransport(handle=sender), timeout_s=TIMEOUT_S)
     sent_bytes = sender.send(bytes(SENT_BYTES))
     poll = select.poll()
     poll.register(sender, 0)
@@ -69,9 +69,9 @@
 def test_kernel_discards_what_a_closed_connection_has_not_sent(
     connection: tuple[socket.socket, socket.socket],
 ) -> None:
-    """Guards against bytes of a killed process that arrive after a cut has healed."""
+    """Guards against bytes of a killed process that arrive after a partition."""
     sender, receiver = connection
-    limit_delivery_time(Transport(handle=sender), timeout_s=MAX_WAIT_MS / 1000)
+    limit_delivery_time(SocketTransport(handle=sender), timeout_s=MAX_WAIT_MS / 1000)
     sent_bytes = sender.send(bytes(SENT_BYTES))
     sender.close()
     assert received_bytes(receiver) < sent_bytes
--- a/tests/test_users_platform_withheld_orders.py
+++ b/tests/test_users_platform_withheld_orders.py
@@ -76,7 +76,7 @@
 
 
 def test_connection_on_which_an_order_is_withheld_is_closed() -> None:
-    """Guards against connections that stay open without being in the pool."""
+    """Guards against leaking connections that are not in the pool."""
     orders = ServerOrders(reactor=running_reactor())
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = f"127.0.0.1:{listener.getsockname()[1]}"
