Let the soak's proxies reach no server for connections that have ended

Cause: a proxy that was still connecting when whoever had connected to it left went on, and wrote what had come so far to whatever listened by then: in a run that starts servers again, a life that was not meant. What came before the server had accepted was lost otherwise, since it was written before there was a transport.

Change: a proxy whose incoming side has ended drops the outgoing one, and joins the two sides once both have a transport.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -32,10 +32,10 @@
 class _Side(Protocol):
     """One end of a proxied connection; data that it receives goes to the other end."""
 
-    def __init__(self, proxy: "Proxy", *, carries_responses: bool) -> None:
-        self.other: _Side | None = None
+    def __init__(self, proxy: "Proxy", *, answers_to: "_Side | None" = None) -> None:
+        self.other = answers_to
         self._proxy = proxy
-        self._carries_responses = carries_responses
+        self._carries_responses = answers_to is not None
         self._early_data: list[bytes] = []
         self._delayed: deque[bytes] = deque()
         self._last_answer = b""
@@ -43,6 +43,8 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Register this end with the proxy, which resets it on some faults."""
         self._proxy.sides.add(self)
+        if self.other is not None:
+            self.other.join(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Forward data, delay it or drop it, depending on the fault."""
@@ -95,7 +97,8 @@
             self._proxy.buffer.carry(self.other._close)
 
     def reset(self) -> None:
-        """Abort the connection of this end."""
+        """Abort the connection of this end, which counts as ended from now on."""
+        self._proxy.sides.discard(self)
         if self.transport is not None:
             cast(ITCPTransport, self.transport).abortConnection()
 
@@ -108,11 +111,11 @@
         self._proxy = proxy
         self._incoming = incoming
 
-    def buildProtocol(self, addr: Any) -> _Side:  # noqa: N802
-        side = _Side(self._proxy, carries_responses=True)
-        side.join(self._incoming)
-        self._incoming.join(side)
-        return side
+    def buildProtocol(self, addr: Any) -> _Side | None:  # noqa: N802
+        if self._incoming not in self._proxy.sides:
+            # Whoever connected has gone, and may have meant another process.
+            return None
+        return _Side(self._proxy, answers_to=self._incoming)
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
         self._incoming.reset()
@@ -159,7 +162,7 @@
         """Accept a connection, and connect to the target."""
         if self.fault is LinkFault.REFUSE:
             return None
-        incoming = _Side(self, carries_responses=False)
+        incoming = _Side(self)
         ip, _, port = self.target.rpartition(":")
         self.reactor.connectTCP(ip, int(port), _Outgoing(self, incoming), timeout=2)
         return incoming
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -8,9 +8,9 @@
 
 
 class Link:
-    """A proxied connection from a host to a server."""
+    """A proxied connection from a host to a server, which ``connect`` completes."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, connects: bool = True) -> None:
         reactor: Any = MemoryReactorClock()
         self.reactor = reactor
         self.proxy = Proxy(
@@ -19,10 +19,18 @@
         self.host, self.server = StringTransport(), StringTransport()
         incoming: Any = self.proxy.buildProtocol(None)
         incoming.makeConnection(self.host)
-        outgoing = reactor.tcpClients[0][2].buildProtocol(None)
-        outgoing.makeConnection(self.server)
         self.send = incoming.dataReceived
         self.close = incoming.connectionLost
+        if connects:
+            self.connect()
+
+    def connect(self) -> bool:
+        """Let the server accept; return whether the proxy still wants to connect."""
+        outgoing = self.reactor.tcpClients[0][2].buildProtocol(None)
+        if outgoing is not None:
+            outgoing.makeConnection(self.server)
+            self.end_server = outgoing.connectionLost
+        return outgoing is not None
 
 
 def test_later_data_does_not_overtake_delayed_data() -> None:
@@ -70,3 +78,36 @@
     assert link.proxy.buffer.release() == 3
     assert link.server.value() == b"first second"
     assert link.server.disconnecting
+
+
+def test_data_that_came_before_the_server_accepted_is_delivered() -> None:
+    """Guards against requests that only the proxy has lost."""
+    link = Link(connects=False)
+    link.send(b"early")
+    link.reactor.advance(0)
+    assert link.connect()
+    assert link.server.value() == b"early"
+
+
+@pytest.mark.parametrize("end", ["closed", "reset"])
+def test_server_is_not_reached_for_a_connection_that_has_ended(end: str) -> None:
+    """Guards against orders that reach the life of a server after the one meant."""
+    link = Link(connects=False)
+    link.send(b"early")
+    link.reactor.advance(0)
+    if end == "reset":
+        link.proxy.reset()
+        assert link.host.disconnecting or link.host.disconnected
+    else:
+        link.close()
+    assert not link.connect()
+    assert not link.server.value()
+
+
+@pytest.mark.parametrize("fault", [LinkFault.NONE, LinkFault.SILENCE, LinkFault.DELAY])
+def test_connection_ends_with_the_process_of_its_server(fault: LinkFault) -> None:
+    """Guards against connections that outlive a life of a server."""
+    link = Link()
+    link.proxy.begin(fault)
+    link.end_server()
+    assert link.host.disconnecting
