--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -235,7 +235,7 @@
         deployment.disruptions,
     )
     violations += find_wrong_statements(
-        deployment.statements,
+        deployment.leaders.statements,
         deployment.hold_changes,
         deployment.hosts,
         deployment.disruptions,
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -17,8 +17,6 @@
     CALLERS_PORT,
     EXIT_CRASHED,
     KEYED,
-    MOVED,
-    UNKEYED,
     BodyReport,
     HoldChange,
     Outage,
@@ -28,39 +26,33 @@
 )
 
 from ._answer_faults import AnswerFaults
-from ._crashing import ENDS, is_crashing
+from ._crashing import is_crashing
 from ._disruptions import STORE_ANSWERS, Disruptions, link_of, server_links_of
+from ._leaders import Leaders
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
+from ._server_arguments import (
+    DOMAINS,
+    END_MANNERS,
+    MOVED_SERVICES,
+    SERVICES,
+    SILENT,
+    server_arguments,
+    service_of,
+)
 from ._server_link import LinkCut, ServerLink
-from ._statement_checks import Statement, statement_of
 from .entry_host import LINKS_VARIABLE
 
 HOST_COUNT = 4
-SERVICES = (*(KEYED,) * 5, *(UNKEYED,) * 3)
-"""The service of each server, by number."""
-
-MOVED_SERVICES = (MOVED,) * 2
-"""Services of the additional servers for moved rules."""
-
 STANDIN = ("-m", "gentianwharf.platform.standin")
 RESTART_DELAY_S = 0.3
 CRASH_RESTART_S = 2.0
 CRASHED = f"code {EXIT_CRASHED}"
 """How a server ends when a request has ended it."""
 
-PROXIED, SILENT, FULL = END_MANNERS = range(3)
-"""What is seen of a server that a request ends, by the remainder of its number: its
-proxy closes its connections, or leaves them open without answers; or the server refuses
-``REFUSED_SHARE`` of such requests before, and its proxy closes its connections."""
-
 HIDDEN_S = 1.0
 """For which a proxy hides the end of a server after such a request has come."""
 
-REFUSED_SHARE = 0.4
-FAILED_SHARE = 0.1
-"""Share of such requests that each server answers with 500 and does not run."""
-
 SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
 FIRST_LINK_PORT = 8500
 DISRUPTIVE_SIGNALS = (signal.SIGSTOP, signal.SIGTERM, signal.SIGKILL)
@@ -87,7 +79,6 @@
         early_share: float = 0.0,
         moves_rules: bool = False,
     ) -> None:
-        self._services = SERVICES + (MOVED_SERVICES if moves_rules else ())
         self._early_share = early_share
         self.reactor = reactor
         self._answer_faults = answer_faults
@@ -99,11 +90,11 @@
         self.hold_changes: list[HoldChange] = []
         self.server_ends_s: dict[str, list[float]] = defaultdict(list)
         """When each server was killed or ended, on the reactor's clock."""
-        self.statements: list[Statement] = []
-        self._clock_offset_s = time.time() - reactor.seconds()
-        """What the time of day in logs is ahead of the reactor's clock."""
-        self._leaders: list[str] = []
-        """Hosts that lead by their logs, the latest one last."""
+        self.leaders = Leaders(
+            # The time of day in logs is ahead of the reactor's clock.
+            clock_offset_s=time.time() - reactor.seconds(),
+            is_ending=lambda name: self.programs[name].is_end_requested,
+        )
         self._server_orders: dict[str, ServerOrder] = {}
         self.crashes_s: list[float] = []
         """When requests ended servers, on the reactor's clock."""
@@ -111,7 +102,8 @@
         self.ended: list[Program] = []
         self.proxies: dict[str, Proxy] = {}
         self.hosts = [f"host-{number}" for number in range(HOST_COUNT)]
-        self.servers = [f"server-{number}" for number in range(len(self._services))]
+        server_count = len(SERVICES + (MOVED_SERVICES if moves_rules else ()))
+        self.servers = [f"server-{number}" for number in range(server_count)]
         self.disruptions = Disruptions(now_s=reactor.seconds)
         self._has_own_links = own_links
         self._server_links: dict[str, list[ServerLink]] = {}
@@ -184,7 +176,7 @@
             settings_text(
                 name=name,
                 ip=self._ip(name),
-                domain="abc"[self.hosts.index(name) % 3],
+                domain=DOMAINS[self.hosts.index(name) % 3],
                 store=self._proxy_address(name),
             )
         )
@@ -202,25 +194,14 @@
         self._start_process(name, ["-OO", "-m", module], env)
 
     def _start_server(self, name: str) -> None:
-        number = self.servers.index(name)
-        is_full = number % len(END_MANNERS) == FULL
-        arguments = [
-            *(
-                *STANDIN,
-                "backend",
-                name,
-                self._services[number],
-                f"{self._ip(name)}:{SERVER_PORT}",
-            ),
-            *("--domain", "abc"[number % 3], "--slots", "4", "--work-ms", "30"),
-            *("--store", self.operators_address),
-            *("--listed-as", self._proxy_address(name), "--reports-arrivals"),
-            *("--ends-on", ENDS, "--early-share", str(self._early_share)),
-            *("--refused-share", str(REFUSED_SHARE if is_full else 0.0)),
-            *("--failed-share", str(FAILED_SHARE)),
-            *("--reports-holds", "--takes-orders"),
-        ]
-        self._start_process(name, arguments)
+        arguments = server_arguments(
+            name,
+            address=f"{self._ip(name)}:{SERVER_PORT}",
+            listed_as=self._proxy_address(name),
+            store=self.operators_address,
+            early_share=self._early_share,
+        )
+        self._start_process(name, [*STANDIN, *arguments])
         if name in self._server_orders:
             self.order_server(name, self._server_orders[name])
 
@@ -234,7 +215,7 @@
         if name == "store":
             on_line = self._note_store_line
         elif name in self.hosts:
-            on_line = partial(self._note_host_line, name)
+            on_line = partial(self.leaders.note_line, name)
         program = Program(
             name=name,
             log=self.logs / f"{name}.log",
@@ -251,7 +232,7 @@
         """Start a server again that a request has ended."""
         if program.name in self.servers:
             self.server_ends_s[program.name].append(self.reactor.seconds())
-        self._note_not_leading(program.name)
+        self.leaders.note_not_leading(program.name)
         if program.exit_status != CRASHED or self._is_stopped:
             return
         self.crashes_s.append(self.reactor.seconds())
@@ -268,31 +249,9 @@
             if "arrived_s" in line and is_crashing(line["request_id"]):
                 self._hide_end(line["server"])
 
-    def _note_host_line(self, name: str, line: Line) -> None:
-        statement = statement_of(
-            name,
-            line,
-            clock_offset_s=self._clock_offset_s,
-            former=self.statements,
-        )
-        if statement is not None:
-            self.statements.append(statement)
-        if line["message"] == "leading":
-            self._note_not_leading(name)
-            self._leaders.append(name)
-        elif line["message"].startswith("no longer leading"):
-            self._note_not_leading(name)
-
-    def _note_not_leading(self, name: str) -> None:
-        if name in self._leaders:
-            self._leaders.remove(name)
-
     def leader(self) -> str | None:
         """Return the host that began to lead last and was not told to end, if any."""
-        leading = [
-            name for name in self._leaders if not self.programs[name].is_end_requested
-        ]
-        return leading[-1] if leading else None
+        return self.leaders.latest()
 
     def keyed_servers(self) -> list[str]:
         """Return the servers that hold keys."""
@@ -414,8 +373,3 @@
         for links in self._server_links.values():
             for link in links:
                 link.stop()
-
-
-def service_of(server: str) -> str:
-    """Return the service of a server."""
-    return (SERVICES + MOVED_SERVICES)[int(server.partition("-")[2])]
--- a/soak/_rule_checks.py
+++ b/soak/_rule_checks.py
@@ -7,8 +7,8 @@
 
 from ._added_rules import AddedRule
 from ._checks import SentRequest
-from ._deployment import service_of
 from ._disruptions import Disruptions
+from ._server_arguments import service_of
 
 SERVED_STATUS = 200
 NO_RULE_STATUS = 404
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,7 +6,6 @@
 from soak._added_rules import AddedRule, RulesVersion
 from soak._checks import SentRequest, check_recovery
 from soak._cuts import Cut, find_unserved_cuts
-from soak._deployment import MOVED_SERVICES, SERVICES
 from soak._disruptions import (
     ALL_SERVER_LINKS,
     STORE,
@@ -16,6 +15,7 @@
 )
 from soak._operators import MOST_RULES
 from soak._rule_checks import find_stale_versions, find_version_regressions
+from soak._server_arguments import MOVED_SERVICES, SERVICES
 
 from gentianwharf.platform import decode_configuration
 from gentianwharf.platform.standin import MAX_VALUE_BYTES, MOVED, configuration
--- a/tests/test_soak_late_orders.py
+++ b/tests/test_soak_late_orders.py
@@ -53,7 +53,7 @@
     def log(self, host: str, message: str) -> None:
         """Let a host write a line to its log."""
         line = {"at": "2030-01-01T00:00:00.000+00:00", "message": message}
-        self.deployment._note_host_line(host, line)
+        self.deployment.leaders.note_line(host, line)
 
     def disturbed(self) -> list[str]:
         """Return the hosts that were ended or frozen."""
