Excuse grants after a standstill alone in the soak's check of two holders

Cause: grants don't count for the time that two servers share keys if they arrive within 0.3 s after their server or a host was thawed, since they may have waited in a kernel. The check took any end of a disruption for a thaw, also a start: the first 0.3 s of each life of a server were excused, in which nothing from before can arrive.

Change: what stands still, from SIGSTOP to SIGCONT, is recorded by itself, and only its end excuses grants, also for the check of statements. A kill of what stands still ends it without a thaw.

Tests: a start excuses nothing; a new life holds nothing of the one before, holds until its own end, and is compared with other servers and with the lives of its own id; the same token again is no taking, another one has to be the highest. Tests that named a program's disruption for its thaw name the standstill.

--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -27,7 +27,13 @@
 
 from ._answer_faults import AnswerFaults
 from ._crashing import is_crashing
-from ._disruptions import STORE_ANSWERS, Disruptions, link_of, server_links_of
+from ._disruptions import (
+    STORE_ANSWERS,
+    Disruptions,
+    link_of,
+    server_links_of,
+    standstill_of,
+)
 from ._leaders import Leaders
 from ._processes import Line, Program
 from ._proxy import LinkFault, Proxy
@@ -227,6 +233,7 @@
         # A program that has just started counts as disrupted until now.
         self.disruptions.begin(name)
         self.disruptions.end(name)
+        self.disruptions.drop(standstill_of(name))
 
     def _note_end(self, program: Program) -> None:
         """Start a server again that a request has ended."""
@@ -313,9 +320,12 @@
         program.send(number)
         if number in DISRUPTIVE_SIGNALS:
             self.disruptions.begin(name)
+            if number is signal.SIGSTOP and program.is_running:
+                self.disruptions.begin(standstill_of(name))
         elif number is signal.SIGCONT and not program.is_end_requested:
             # A program that is shutting down recovers only when it is started again.
             self.disruptions.end(name)
+            self.disruptions.end(standstill_of(name))
 
     def inject_link_fault(self, name: str, fault: LinkFault) -> None:
         """Inject a fault into the link through a program's proxy."""
--- a/soak/_disruptions.py
+++ b/soak/_disruptions.py
@@ -45,6 +45,12 @@
         if spans_s and spans_s[-1][1] == inf:
             spans_s[-1] = (spans_s[-1][0], self._now_s())
 
+    def drop(self, subject: str) -> None:
+        """Drop the disruption in progress, if any, as if it had never been."""
+        spans_s = self._spans_s[subject]
+        if spans_s and spans_s[-1][1] == inf:
+            spans_s.pop()
+
     def is_undisrupted(self, host: str, from_s: float, until_s: float) -> bool:
         """Whether a host, its link to the store and the store were all undisrupted.
 
@@ -76,6 +82,11 @@
     return f"server links of {name}"
 
 
+def standstill_of(name: str) -> str:
+    """Return the name of a program's standstill, which only a continuation ends."""
+    return f"standstill of {name}"
+
+
 def link_of(name: str) -> str:
     """Return the name of the link through the proxy of a program."""
     return f"link of {name}"
--- a/soak/_owner_checks.py
+++ b/soak/_owner_checks.py
@@ -9,7 +9,13 @@
 
 from gentianwharf.platform.standin import HoldChange
 
-from ._disruptions import ALL_SERVER_LINKS, Disruptions, link_of, server_links_of
+from ._disruptions import (
+    ALL_SERVER_LINKS,
+    Disruptions,
+    link_of,
+    server_links_of,
+    standstill_of,
+)
 
 THAW_SLACK_S = 0.3
 """The platform's ``thaw-slack``."""
@@ -118,7 +124,9 @@
     change: HoldChange, hosts: Sequence[str], disruptions: Disruptions
 ) -> bool:
     """Whether a grant arrived soon after a host was thawed or a link healed."""
-    subjects = [*hosts, *(server_links_of(host) for host in hosts)]
+    subjects = [
+        named(host) for named in (standstill_of, server_links_of) for host in hosts
+    ]
     subjects += [link_of(change.server), server_links_of(change.server)]
     return any(
         disruptions.ended_within(subject, change.arrived_s, THAW_SLACK_S)
@@ -127,9 +135,12 @@
 
 
 def is_taken_late(change: HoldChange, disruptions: Disruptions) -> bool:
-    """Whether a server put a grant off, or took it soon after it was thawed."""
+    """Whether a server put a grant off, or took it soon after it was thawed.
+
+    A server that has just started takes nothing that came before.
+    """
     return change.is_late or disruptions.ended_within(
-        change.server, change.arrived_s, THAW_SLACK_S
+        standstill_of(change.server), change.arrived_s, THAW_SLACK_S
     )
 
 
--- a/tests/test_soak_owner_checks.py
+++ b/tests/test_soak_owner_checks.py
@@ -4,13 +4,21 @@
 from typing import Any
 
 import pytest
-from soak._disruptions import ALL_SERVER_LINKS, link_of, server_links_of
+from soak._disruptions import (
+    ALL_SERVER_LINKS,
+    link_of,
+    server_links_of,
+    standstill_of,
+)
 
 from gentianwharf.platform.standin import HoldChange
 
 from .builders_soak_holds import FIRST, LAST, Held, hold, run
 
-THAWED = ("server-1", "host-1", link_of("server-1"), server_links_of("host-0"))
+THAWED = (
+    *(standstill_of("server-1"), standstill_of("host-1")),
+    *(link_of("server-1"), server_links_of("host-0")),
+)
 
 
 def in_turn() -> list[HoldChange]:
@@ -111,7 +119,9 @@
     assert not held.broken(shared())
 
 
-@pytest.mark.parametrize("subject", [*THAWED, ALL_SERVER_LINKS, "server-0", "store"])
+@pytest.mark.parametrize(
+    "subject", [*THAWED, ALL_SERVER_LINKS, standstill_of("server-0"), "store"]
+)
 def test_only_grants_soon_after_a_thaw_are_excused(subject: str) -> None:
     """Guards against disruptions that excuse what came before or long after them."""
     held = Held()
@@ -132,13 +142,13 @@
 
 def test_grants_of_a_thawed_host_do_not_count_for_requests() -> None:
     held = Held()
-    held.disrupt("host-0", 1.0, 2.8)
+    held.disrupt(standstill_of("host-0"), 1.0, 2.8)
     assert not held.broken(shared(), both_ran())
 
 
 def test_grants_that_a_thawed_server_takes_count_for_requests() -> None:
     held = Held()
-    held.disrupt("server-1", 1.0, 2.8)
+    held.disrupt(standstill_of("server-1"), 1.0, 2.8)
     assert len(held.broken(shared(), both_ran())) == 1
 
 
@@ -164,6 +174,75 @@
     assert not Held().broken([*in_turn(), late])
 
 
+@pytest.mark.parametrize("subject", ["server-1", "host-0"])
+def test_start_of_a_program_excuses_nothing(subject: str) -> None:
+    """Guards against old renewals that don't count since their server just started."""
+    held = Held()
+    held.disrupt(subject, 1.0, 2.9)
+    (line,) = held.broken(shared())
+    assert line.endswith("1.000 s")
+
+
+def reborn(*, token: int = 1) -> list[HoldChange]:
+    """Return how a life of server-0 takes a key that server-1 has got since."""
+    return [
+        hold("server-0", token=1, at_s=0.0, until_s=4.0),
+        hold("server-0", token=2, at_s=1.0, until_s=0.0),
+        hold("server-1", token=2, at_s=1.1, until_s=9.0),
+        hold("server-0", token=token, at_s=2.2, until_s=12.2, born_ms=2),
+    ]
+
+
+def test_next_life_that_takes_released_keys_is_found() -> None:
+    """Guards against a server whose new life may hold what its former one released."""
+    (line,) = Held(ends_s={"server-0": [2.0]}).broken(reborn())
+    assert "at server-0 and server-1 from 2.200 to 9.000, 6.800 s" in line
+
+
+def test_next_life_holds_until_its_own_end() -> None:
+    """Guards against ends of a server that count for one of its lives alone."""
+    held = Held(ends_s={"server-0": [2.0, 2.05, 2.5]})
+    assert not held.broken(reborn())
+    both = [run("server-0", at_s=2.3), run("server-1", at_s=2.3, shard=LAST)]
+    (line,) = held.broken(reborn(), both)
+    assert "from 2.200 to 2.500, which began 1 and 1 requests" in line
+
+
+def test_next_life_holds_nothing_of_the_former_one() -> None:
+    """Guards against renewals that count from the beginning of another life."""
+    grants = [
+        hold("server-0", token=1, at_s=0.0, until_s=4.0),
+        hold("server-1", token=2, at_s=2.1, until_s=3.0),
+        hold("server-0", token=3, at_s=3.1, until_s=5.0, born_ms=2),
+    ]
+    assert not Held(ends_s={"server-0": [2.0]}).broken(grants)
+    assert Held(ends_s={"server-0": [2.8]}).broken(grants)
+
+
+def test_lives_of_one_server_are_compared() -> None:
+    """Guards against two processes of one id that hold the same keys."""
+    grants = [
+        hold("server-0", token=1, at_s=0.0, until_s=4.0),
+        hold("server-0", token=2, at_s=3.0, until_s=5.0, born_ms=2),
+    ]
+    (line,) = Held().broken(grants)
+    assert "at server-0 and server-0 from 3.000 to 4.000" in line
+    assert not Held(ends_s={"server-0": [2.0]}).broken(grants)
+
+
+def test_next_life_with_another_token_has_to_have_the_highest() -> None:
+    """Guards against lower tokens that count as the same grant again."""
+    grants = [
+        *reborn()[:2],
+        hold("server-1", token=3, at_s=1.1, until_s=2.1),
+        hold("server-0", token=2, at_s=2.2, until_s=12.2, born_ms=2),
+    ]
+    (line,) = Held(ends_s={"server-0": [2.0]}).broken(grants)
+    assert (
+        "went to server-0 with fence 2 at 2.200, server-1 had had them with 3" in line
+    )
+
+
 def test_new_life_with_a_token_below_that_of_the_former_one_is_found() -> None:
     grants = [
         hold("server-0", token=2, at_s=0.0, until_s=4.0),
--- a/tests/test_soak_statement_checks.py
+++ b/tests/test_soak_statement_checks.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import pytest
+from soak._disruptions import standstill_of
 from soak._statement_checks import (
     ANSWERED,
     LEADING,
@@ -58,7 +59,7 @@
 @pytest.mark.parametrize("subject", ["host-1", "server-0"])
 def test_grants_soon_after_a_thaw_are_excused(subject: str) -> None:
     held = Held()
-    held.disrupt(subject, 8.0, 8.9)
+    held.disrupt(standstill_of(subject), 8.0, 8.9)
     assert not wrong(0.0, long_grant(), held=held)
 
 
