Let servers of the soak start again beside leaders that are replaced

Cause: no play by processes had servers that come back under their id and address within a moment, beside a leader that doesn't learn of its replacement.

Leaders are cut off from the store and the other hosts, or stopped, or both; a domain is evacuated, so that the next leader moves keys of servers that live; servers that have just released keys, or were drawn, are killed up to three times in a row and are back after 0 to 2 s. The next life is a process that waits for a line with its modules loaded. Connections of one life reach no other: from the kill to the start the proxy of a server accepts none, and what it has accepted is reset. The links of a deployment have a module of their own. --no-random-faults leaves out the faults that every seed had. The stand-ins' package exports INTERNAL_PORT.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
 from ._crashing import CrashingCaller, find_late_sends
 from ._cuts import Cuts, describe_cuts, find_unserved_cuts
 from ._deployment import Deployment
+from ._evacuations import Evacuations
 from ._faults import Faults
 from ._holds import Holds
 from ._late_orders import LateOrders
@@ -41,6 +42,7 @@
     requests_with_known_outcome,
 )
 from ._schedule import Schedule
+from ._server_restarts import ServerRestarts
 from ._statement_checks import find_wrong_statements
 from ._store_outages import StoreOutages
 from ._uploading import UploadingCallers, describe_uploads
@@ -80,7 +82,9 @@
     ``hold_links`` lets links to servers hold what is sent, and deliver it later.
     ``store_outages`` lets the store hang, refuse or drop its history, and moves rules
     to another service. ``late_orders`` lets servers carry orders out late, lets the
-    store lose and delay writes, and ends and freezes leaders.
+    store lose and delay writes, and ends and freezes leaders. ``servers_restart``
+    lets servers start again under their ids while leaders are cut off or frozen.
+    Without ``random_faults``, only the faults are injected that options name.
     """
 
     seed: int
@@ -92,6 +96,8 @@
     hold_links: bool = False
     store_outages: bool = False
     late_orders: bool = False
+    servers_restart: bool = False
+    random_faults: bool = True
 
 
 UNRESOLVED = (
@@ -140,10 +146,12 @@
         answer_faults=answer_faults if seed_run.answer_faults else None,
         early_share=EARLY_SHARE if seed_run.uploads else 0.0,
         moves_rules=seed_run.store_outages,
+        servers_restart=seed_run.servers_restart,
     )
+    store = PlatformStore(reactor=reactor, address=deployment.operators_address)
     operators = Operators(
         reactor=reactor,
-        store=PlatformStore(reactor=reactor, address=deployment.operators_address),
+        store=store,
         schedule=schedule,
         rng=Random(seed + 2),
         moves_rules=seed_run.store_outages,
@@ -177,6 +185,13 @@
     late_orders = LateOrders(
         deployment=deployment, schedule=schedule, rng=Random(seed + 10)
     )
+    evacuations = Evacuations(reactor=reactor, store=store)
+    server_restarts = ServerRestarts(
+        deployment=deployment,
+        evacuations=evacuations,
+        schedule=schedule,
+        rng=Random(seed + 11),
+    )
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
         "before", "shutdown", deployment.stop
@@ -184,10 +199,11 @@
     try:
         deployment.start()
         await deferLater(reactor, START_S)
-        if seed_run.late_orders:
+        if seed_run.late_orders or seed_run.servers_restart:
             await _wait_until_held(deployment)
         callers.start(REQUESTS_PER_S)
-        faults.start()
+        if seed_run.random_faults:
+            faults.start()
         if seed_run.rules_grow:
             operators.start()
             restarts.start()
@@ -203,6 +219,8 @@
             store_outages.start()
         if seed_run.late_orders:
             late_orders.start()
+        if seed_run.servers_restart:
+            server_restarts.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
         # Recovery is judged without crashing requests and refused uploads.
@@ -211,11 +229,13 @@
         holds.release()
         if seed_run.late_orders:
             late_orders.restore()
+        if seed_run.servers_restart:
+            server_restarts.restore()
         deployment.restore()
         await deferLater(reactor, RECOVER_S)
         recovered_s = reactor.seconds()
         await deferLater(reactor, QUIET_S)
-        callers.is_sending = operators.is_active = False
+        callers.is_sending = operators.is_active = evacuations.is_active = False
         await deferLater(reactor, QUIET_S)
     finally:
         deployment.stop()
@@ -316,6 +336,8 @@
     hold_links: bool = False,
     store_outages: bool = True,
     late_orders: bool = False,
+    servers_restart: bool = False,
+    random_faults: bool = True,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -348,6 +370,10 @@
     late_orders
         Let servers carry orders out late, let the store lose and delay writes, and end
         and freeze leaders.
+    servers_restart
+        Let servers start again under their ids while leaders are cut off or frozen.
+    random_faults
+        Inject the faults of all programs and links that every seed had at first.
     faults_s
         For how long faults are injected.
     net
@@ -368,6 +394,8 @@
             hold_links=hold_links,
             store_outages=store_outages,
             late_orders=late_orders,
+            servers_restart=servers_restart,
+            random_faults=random_faults,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_cuts.py
+++ b/soak/_cuts.py
@@ -59,7 +59,7 @@
             f"links of {', '.join(names)} to all servers: {form} for {duration_s:.2f} s"
         )
         self.cuts.append(Cut(hosts=names, begun_s=self._deployment.reactor.seconds()))
-        self._deployment.cut_server_links(names, form)
+        self._deployment.links.cut_from_servers(names, form)
         self._schedule.call_later(duration_s, self._end)
 
     def _end(self) -> None:
@@ -68,7 +68,7 @@
 
     def restore(self) -> None:
         """Restore all links."""
-        self._deployment.restore_server_links()
+        self._deployment.links.restore_to_servers()
         for cut in self.cuts:
             cut.ended_s = min(cut.ended_s, self._deployment.reactor.seconds())
 
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -5,7 +5,6 @@
 import tempfile
 import time
 from collections import defaultdict
-from collections.abc import Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any, final
@@ -30,13 +29,11 @@
 from ._disruptions import (
     STORE_ANSWERS,
     Disruptions,
-    link_of,
-    server_links_of,
     standstill_of,
 )
 from ._leaders import Leaders
+from ._links import SERVER_PORT, STORE_PORT, Links
 from ._processes import Line, Program
-from ._proxy import LinkFault, Proxy
 from ._server_arguments import (
     DOMAINS,
     END_MANNERS,
@@ -46,12 +43,17 @@
     server_arguments,
     service_of,
 )
-from ._server_link import LinkCut, ServerLink
+from ._standbys import Standbys
 from .entry_host import LINKS_VARIABLE
 
 HOST_COUNT = 4
 STANDIN = ("-m", "gentianwharf.platform.standin")
+STANDBY = ("-m", "soak.standby_server")
 RESTART_DELAY_S = 0.3
+MIN_DOWN_S = 0.01
+"""Longer than the reactor's next turn, in which a proxy connects or gives up for what
+it has accepted before."""
+
 CRASH_RESTART_S = 2.0
 CRASHED = f"code {EXIT_CRASHED}"
 """How a server ends when a request has ended it."""
@@ -59,8 +61,7 @@
 HIDDEN_S = 1.0
 """For which a proxy hides the end of a server after such a request has come."""
 
-SERVER_PORT, PROXY_PORT, STORE_PORT, OPERATORS_PORT = 8400, 8300, 8384, 8385
-FIRST_LINK_PORT = 8500
+OPERATORS_PORT = 8385
 DISRUPTIVE_SIGNALS = (signal.SIGSTOP, signal.SIGTERM, signal.SIGKILL)
 
 
@@ -71,7 +72,8 @@
     With ``own_links``, each host reaches the servers over links that can be cut.
     ``answer_faults`` disturb the answers of servers. ``early_share`` is the share of
     the uploads that servers answer before their end. With ``moves_rules`` there are
-    servers of a further service.
+    servers of a further service. With ``servers_restart``, servers start again at once,
+    and hosts can be cut off.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         answer_faults: AnswerFaults | None = None,
         early_share: float = 0.0,
         moves_rules: bool = False,
+        servers_restart: bool = False,
     ) -> None:
         self._early_share = early_share
         self.reactor = reactor
@@ -106,45 +109,44 @@
         """When requests ended servers, on the reactor's clock."""
         self.programs: dict[str, Program] = {}
         self.ended: list[Program] = []
-        self.proxies: dict[str, Proxy] = {}
+        self.standbys = Standbys(spawn=self._spawn_standby)
+        self._restarts_s: dict[str, float] = {}
+        """Servers that were killed, and how long after their end they start again."""
         self.hosts = [f"host-{number}" for number in range(HOST_COUNT)]
         server_count = len(SERVICES + (MOVED_SERVICES if moves_rules else ()))
         self.servers = [f"server-{number}" for number in range(server_count)]
         self.disruptions = Disruptions(now_s=reactor.seconds)
         self._has_own_links = own_links
-        self._server_links: dict[str, list[ServerLink]] = {}
+        self._servers_restart = servers_restart
+        self.links = Links(reactor=reactor, net=net, disruptions=self.disruptions)
         self.operators_address = f"127.{net}.0.1:{OPERATORS_PORT}"
         self._is_stopped = False
         self._settings = Path(tempfile.mkdtemp(prefix="soak-"))
 
     def addresses(self) -> dict[str, str]:
         """Return the address on which each host accepts callers, by its name."""
-        return {name: f"{self._ip(name)}:{CALLERS_PORT}" for name in self.hosts}
+        return {name: f"{self.links.ip(name)}:{CALLERS_PORT}" for name in self.hosts}
 
     def start(self) -> None:
         """Start the store and the proxies, and soon after the servers and hosts."""
-        store = f"127.{self.net}.0.1"
+        store = f"{self.links.store_ip}:{STORE_PORT}"
         self._start_process(
             "store",
             [
-                *(*STANDIN, "store", f"{store}:{STORE_PORT}", self.operators_address),
+                *(*STANDIN, "store", store, self.operators_address),
                 "--takes-orders",
             ],
         )
+        self.links.open(
+            hosts=self.hosts,
+            servers=self.servers,
+            answer_faults=self._answer_faults,
+            to_servers=self._has_own_links,
+            to_hosts=self._servers_restart,
+        )
         for name in self.servers:
-            self._add_proxy(name, target=f"{self._ip(name)}:{SERVER_PORT}")
             self.reactor.callLater(1.0, self.start_program, name)
         for name in self.hosts:
-            self._add_proxy(name, target=f"{store}:{STORE_PORT}")
-            if self._has_own_links:
-                self._server_links[name] = [
-                    ServerLink(
-                        reactor=self.reactor,
-                        listens_on=f"{self._ip(server)}:{self._link_port(name)}",
-                        target=self._proxy_address(server),
-                    )
-                    for server in self.servers
-                ]
             self.reactor.callLater(1.5, self.start_program, name)
 
     def start_program(self, name: str) -> None:
@@ -176,74 +178,116 @@
         else:
             self.start_program(name)
 
+    def restart_server(self, name: str, down_s: float) -> None:
+        """Kill a server that runs, and start it again ``down_s`` after its end."""
+        if self.programs[name].is_running:
+            self.standbys.prepare(name)
+            self._restarts_s[name] = max(down_s, MIN_DOWN_S)
+            self.send(name, signal.SIGKILL)
+
+    def _end_server(self, server: Program) -> None:
+        """Let no connection that was opened by now reach the next life of a server.
+
+        Its proxy has accepted none since it was killed, and does so from its start.
+        What a request has ended is away for long, and keeps some connections open.
+        """
+        name = server.name
+        self.server_ends_s[name].append(self.reactor.seconds())
+        if self._servers_restart and server.exit_status != CRASHED:
+            self.links.reset(name)
+        if name in self._restarts_s:
+            down_s = self._restarts_s.pop(name)
+            self.reactor.callLater(down_s, self.start_program, name)
+
     def _start_host(self, name: str) -> None:
         path = self._settings / f"{name}.toml"
         path.write_text(
             settings_text(
                 name=name,
-                ip=self._ip(name),
+                ip=self.links.ip(name),
                 domain=DOMAINS[self.hosts.index(name) % 3],
-                store=self._proxy_address(name),
+                store=self.links.proxy_address(name),
             )
         )
         env = {
             SETTINGS_PATH_VARIABLE: str(path),
-            "GENTIANWHARF_LISTEN": f"{self._ip(name)}:{CALLERS_PORT}",
+            "GENTIANWHARF_LISTEN": f"{self.links.ip(name)}:{CALLERS_PORT}",
         }
         module = "gentianwharf.entry"
-        if self._has_own_links:
+        ports = self.links.own_ports(name)
+        if ports:
             module = "soak.entry_host"
-            port = self._link_port(name)
-            env[LINKS_VARIABLE] = json.dumps(
-                {self._proxy_address(server): port for server in self.servers}
-            )
+            env[LINKS_VARIABLE] = json.dumps(ports)
         self._start_process(name, ["-OO", "-m", module], env)
 
     def _start_server(self, name: str) -> None:
-        arguments = server_arguments(
+        self.links.proxies[name].listen()
+        standby = self.standbys.take(name)
+        arguments = [*STANDIN, *self._server_arguments(name)]
+        self._start_process(name, arguments, standby=standby)
+        if name in self._server_orders:
+            self.order_server(name, self._server_orders[name])
+
+    def _spawn_standby(self, name: str) -> Program:
+        program = self._program(name)
+        arguments = [*STANDBY, *self._server_arguments(name)]
+        program.start(self.reactor, arguments, {})
+        return program
+
+    def _server_arguments(self, name: str) -> list[str]:
+        return server_arguments(
             name,
-            address=f"{self._ip(name)}:{SERVER_PORT}",
-            listed_as=self._proxy_address(name),
+            address=f"{self.links.ip(name)}:{SERVER_PORT}",
+            listed_as=self.links.proxy_address(name),
             store=self.operators_address,
             early_share=self._early_share,
         )
-        self._start_process(name, [*STANDIN, *arguments])
-        if name in self._server_orders:
-            self.order_server(name, self._server_orders[name])
 
-    def _start_process(
-        self, name: str, arguments: list[str], env: dict[str, str] | None = None
-    ) -> None:
-        previous = self.programs.get(name)
-        if previous is not None:
-            self.ended.append(previous)
+    def _program(self, name: str) -> Program:
         on_line = self._note_line
         if name == "store":
             on_line = self._note_store_line
         elif name in self.hosts:
             on_line = partial(self.leaders.note_line, name)
-        program = Program(
+        return Program(
             name=name,
             log=self.logs / f"{name}.log",
             on_line=on_line,
             on_end=self._note_end,
         )
-        self.programs[name] = program
-        program.start(self.reactor, arguments, env or {})
+
+    def _start_process(
+        self,
+        name: str,
+        arguments: list[str],
+        env: dict[str, str] | None = None,
+        *,
+        standby: Program | None = None,
+    ) -> None:
+        """Start a program, unless ``standby`` has been started for it."""
+        previous = self.programs.get(name)
+        if previous is not None:
+            self.ended.append(previous)
+        self.programs[name] = standby or self._program(name)
+        if standby is None:
+            self.programs[name].start(self.reactor, arguments, env or {})
         # A program that has just started counts as disrupted until now.
         self.disruptions.begin(name)
         self.disruptions.end(name)
         self.disruptions.drop(standstill_of(name))
 
     def _note_end(self, program: Program) -> None:
-        """Start a server again that a request has ended."""
+        """Start a server again that a request or ``restart_server`` has ended."""
+        if program is not self.programs.get(program.name):
+            # It only waited to become a server.
+            return
         if program.name in self.servers:
-            self.server_ends_s[program.name].append(self.reactor.seconds())
+            self._end_server(program)
         self.leaders.note_not_leading(program.name)
         if program.exit_status != CRASHED or self._is_stopped:
             return
         self.crashes_s.append(self.reactor.seconds())
-        self.reactor.callLater(CRASH_RESTART_S, self.proxies[program.name].reset)
+        self.reactor.callLater(CRASH_RESTART_S, self.links.proxies[program.name].reset)
         self.reactor.callLater(CRASH_RESTART_S, self.start_program, program.name)
 
     def _note_line(self, line: Line) -> None:
@@ -290,33 +334,17 @@
         """Let some servers go silent where a request ends them now."""
         if self.servers.index(name) % len(END_MANNERS) != SILENT:
             return
-        proxy = self.proxies[name]
+        proxy = self.links.proxies[name]
         proxy.hides_ends = True
         self.reactor.callLater(HIDDEN_S, setattr, proxy, "hides_ends", False)
 
-    def _add_proxy(self, name: str, *, target: str) -> None:
-        self.proxies[name] = Proxy(
-            reactor=self.reactor,
-            listens_on=self._proxy_address(name),
-            target=target,
-            answer_faults=self._answer_faults if name in self.servers else None,
-        )
-
-    def _proxy_address(self, name: str) -> str:
-        return f"{self._ip(name)}:{PROXY_PORT}"
-
-    def _link_port(self, host: str) -> int:
-        return FIRST_LINK_PORT + self.hosts.index(host)
-
-    def _ip(self, name: str) -> str:
-        kind, _, number = name.partition("-")
-        return f"127.{self.net}.{1 if kind == 'host' else 2}.{int(number) + 1}"
-
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that this deployment started."""
         program = self.programs[name]
         if number is signal.SIGKILL and name in self.servers and program.is_running:
             self.server_ends_s[name].append(self.reactor.seconds())
+            if self._servers_restart:
+                self.links.proxies[name].stop_listening()
         program.send(number)
         if number in DISRUPTIVE_SIGNALS:
             self.disruptions.begin(name)
@@ -327,37 +355,11 @@
             self.disruptions.end(name)
             self.disruptions.end(standstill_of(name))
 
-    def inject_link_fault(self, name: str, fault: LinkFault) -> None:
-        """Inject a fault into the link through a program's proxy."""
-        self.disruptions.begin(link_of(name))
-        self.proxies[name].begin(fault)
-        if fault is LinkFault.RESET:
-            self.disruptions.end(link_of(name))
-
-    def clear_link_fault(self, name: str) -> None:
-        """Clear the fault of the link through a program's proxy."""
-        self.proxies[name].end()
-        self.disruptions.end(link_of(name))
-
-    def cut_server_links(self, hosts: Sequence[str], form: LinkCut) -> None:
-        """Cut the links of hosts to all servers."""
-        for host in hosts:
-            self.disruptions.begin(server_links_of(host))
-            for link in self._server_links[host]:
-                link.cut(form)
-
-    def restore_server_links(self) -> None:
-        """Restore the links of all hosts to all servers."""
-        for host, links in self._server_links.items():
-            self.disruptions.end(server_links_of(host))
-            for link in links:
-                link.restore()
-
     def restore(self) -> None:
         """Clear all faults, resume paused programs and start those that have ended."""
         self.order_store(StoreOrder(outage=Outage.NONE))
-        for name in self.proxies:
-            self.clear_link_fault(name)
+        for name in self.links.proxies:
+            self.links.clear(name)
         for name in ["store", *self.servers, *self.hosts]:
             self.send(name, signal.SIGCONT)
         for name in [*self.servers, *self.hosts]:
@@ -375,11 +377,8 @@
     def stop(self) -> None:
         """Kill every running process, and prevent further starts."""
         self._is_stopped = True
+        self.standbys.stop()
         for program in self.programs.values():
             program.send(signal.SIGCONT)
             program.send(signal.SIGKILL)
-        for proxy in self.proxies.values():
-            proxy.stop()
-        for links in self._server_links.values():
-            for link in links:
-                link.stop()
+        self.links.stop()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -84,7 +84,7 @@
         self._deployment.restart(name)
 
     def _inject_link_fault(self) -> None:
-        names = sorted(self._deployment.proxies)
+        names = sorted(self._deployment.links.proxies)
         chosen = self._rng.sample(names, self._rng.choice((1, 1, 2, 4)))
         fault = self._rng.choice(LINK_FAULTS)
         duration_s = self._fault_duration_s()
@@ -92,10 +92,8 @@
             f"{fault} on the links of {', '.join(chosen)} for {duration_s:.2f} s"
         )
         for name in chosen:
-            self._deployment.inject_link_fault(name, fault)
-            self._schedule.call_later(
-                duration_s, self._deployment.clear_link_fault, name
-            )
+            self._deployment.links.inject(name, fault)
+            self._schedule.call_later(duration_s, self._deployment.links.clear, name)
 
     def _reload(self) -> None:
         name = self._rng.choice(self._deployment.hosts)
--- a/soak/_holds.py
+++ b/soak/_holds.py
@@ -41,7 +41,7 @@
             f"links to {', '.join(self._held)} hold for {duration_s:.2f} s"
         )
         for name in self._held:
-            self._deployment.proxies[name].buffer.hold()
+            self._deployment.links.proxies[name].buffer.hold()
             self._deployment.disruptions.begin(server_links_of(name))
         self._schedule.call_later(duration_s, self._end)
 
@@ -52,7 +52,7 @@
     def release(self) -> None:
         """Deliver all that is held."""
         for name in self._held:
-            self.pieces += self._deployment.proxies[name].buffer.release()
+            self.pieces += self._deployment.links.proxies[name].buffer.release()
             self._deployment.disruptions.end(server_links_of(name))
         self._deployment.disruptions.end(ALL_SERVER_LINKS)
         self._held = ()
--- a/soak/_server_link.py
+++ b/soak/_server_link.py
@@ -1,4 +1,4 @@
-"""The link from one host to one server, which is cut without either of them failing."""
+"""A link from one host, to a server or a host, which is cut without either failing."""
 
 import socket
 from enum import StrEnum
@@ -78,6 +78,10 @@
         self._proxy.end()
         self._proxy.listen()
 
+    def reset(self) -> None:
+        """Reset all open connections."""
+        self._proxy.reset()
+
     def stop(self) -> None:
         """Close everything."""
         if self._full_listener is not None:
--- a/soak/entry_host.py
+++ b/soak/entry_host.py
@@ -1,7 +1,7 @@
-"""Runs an entry host whose connections to servers use links of its own.
+"""Runs an entry host whose connections to servers and hosts use links of its own.
 
-``SOAK_LINKS`` is a JSON object: the addresses at which servers are listed, and the port
-of this host's link to each, on the same IP address.
+``SOAK_LINKS`` is a JSON object: the addresses at which servers are listed, and those of
+other hosts, and the port of this host's link to each, on the same IP address.
 """
 
 import json
@@ -17,6 +17,8 @@
 
 from twisted.internet import reactor as installed_reactor  # noqa: E402
 
+from gentianwharf import links  # noqa: E402
+
 LINKS_VARIABLE = "SOAK_LINKS"
 
 
@@ -28,6 +30,14 @@
         return connect(host, link_ports.get(f"{host}:{port}", port), *args, **kwargs)
 
     reactor.connectTCP = connect_by_link
+    dial = links.dial
+
+    def dial_by_link(address: str) -> links.NngLink:
+        ip, _, port = address.rpartition(":")
+        return dial(f"{ip}:{link_ports.get(address, port)}")
+
+    # The modules that use it are imported later.
+    links.dial = dial_by_link
 
 
 def main() -> None:
--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -25,6 +25,7 @@
 from ._settings import (
     CALLERS_PORT,
     EXTRA_RETRIES,
+    INTERNAL_PORT,
     READINESS_PORT,
     RETRY_BUDGET_RATIO,
     RETRY_WINDOW_S,
@@ -40,6 +41,7 @@
     "CALLER_LIMITS",
     "EXIT_CRASHED",
     "EXTRA_RETRIES",
+    "INTERNAL_PORT",
     "KEYED",
     "LOOK_UPS",
     "MAX_ATTEMPTS",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -62,6 +62,11 @@
     play(790002, 20, *PLAIN, "--no-uploads", "--late-orders")
 
 
+def test_no_keys_have_two_holders_while_servers_start_again() -> None:
+    """Guards against former leaders that renew at servers which forgot a release."""
+    play(810004, 6, *PLAIN, "--no-uploads", "--no-random-faults", "--servers-restart")
+
+
 def play(seed: int, faults_s: int, *options: str) -> None:
     result = subprocess.run(
         [
--- a/tests/test_soak_late_orders.py
+++ b/tests/test_soak_late_orders.py
@@ -4,69 +4,21 @@
 import signal
 from pathlib import Path
 from random import Random
-from typing import Any, cast
 
-import msgspec
 import pytest
-from soak._deployment import RESTART_DELAY_S, Deployment
+from soak._deployment import RESTART_DELAY_S
 from soak._disruptions import STORE_WRITES
 from soak._late_orders import LateOrders
-from soak._schedule import Schedule
-from twisted.internet.task import Clock
 
 from gentianwharf.platform.standin import ServerOrder, StoreOrder
 
-NET = 90
+from .builders_soak_drawn import Drawn
 
 
-class FakeProgram:
-    """A program that is never started."""
-
-    def __init__(self) -> None:
-        self.is_running = True
-        self.is_end_requested = False
-        self.signals: list[signal.Signals] = []
-        self.lines: list[bytes] = []
-
-    def send(self, number: signal.Signals) -> None:
-        self.signals.append(number)
-        self.is_end_requested |= number is signal.SIGTERM
-
-    def write_line(self, line: bytes) -> None:
-        self.lines.append(line)
-
-
-class Drawn:
-    """A deployment without processes, in which each host leads once it may."""
-
-    def __init__(self, tmp_path: Path, *, seed: int) -> None:
-        self.clock = Clock()
-        self.deployment = Deployment(reactor=self.clock, net=NET, logs=tmp_path)
-        names = ["store", *self.deployment.servers, *self.deployment.hosts]
-        self.programs = {name: FakeProgram() for name in names}
-        self.deployment.programs = cast(Any, self.programs)
-        self.schedule = Schedule(reactor=self.clock)
-        self.late_orders = LateOrders(
-            deployment=self.deployment, schedule=self.schedule, rng=Random(seed)
-        )
-
-    def log(self, host: str, message: str) -> None:
-        """Let a host write a line to its log."""
-        line = {"at": "2030-01-01T00:00:00.000+00:00", "message": message}
-        self.deployment.leaders.note_line(host, line)
-
-    def disturbed(self) -> list[str]:
-        """Return the hosts that were ended or frozen."""
-        return [
-            name
-            for name in self.deployment.hosts
-            if {signal.SIGTERM, signal.SIGSTOP} & {*self.programs[name].signals}
-        ]
-
-    def orders(self, name: str, order_type: type[Any]) -> list[Any]:
-        """Return the orders to a stand-in."""
-        lines = self.programs[name].lines
-        return [msgspec.json.decode(line, type=order_type) for line in lines]
+def late_orders_of(drawn: Drawn, *, seed: int) -> LateOrders:
+    return LateOrders(
+        deployment=drawn.deployment, schedule=drawn.schedule, rng=Random(seed)
+    )
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -74,8 +26,8 @@
     tmp_path: Path, seed: int
 ) -> None:
     """Guards against faults that miss the leader, or hit one that stands still."""
-    drawn = Drawn(tmp_path, seed=seed)
-    drawn.late_orders.start()
+    drawn = Drawn(tmp_path)
+    late_orders_of(drawn, seed=seed).start()
     drawn.clock.pump([0.01] * 1100)
     assert not drawn.disturbed()
     drawn.log("host-1", "leading")
@@ -89,8 +41,9 @@
 
 def test_servers_and_store_are_told_and_all_of_it_ends(tmp_path: Path) -> None:
     """Guards against runs without late orders, and with some while they recover."""
-    drawn = Drawn(tmp_path, seed=1)
-    drawn.late_orders.start()
+    drawn = Drawn(tmp_path)
+    late_orders = late_orders_of(drawn, seed=1)
+    late_orders.start()
     drawn.clock.pump([0.1] * 101)
     told = [
         name
@@ -100,7 +53,7 @@
     assert told
     assert drawn.deployment.disruptions.overlaps(STORE_WRITES, 0.0, 10.0)
     drawn.schedule.stop()
-    drawn.late_orders.restore()
+    late_orders.restore()
     for name in told:
         assert drawn.orders(name, ServerOrder)[-1] == ServerOrder(
             carries_out_pending=True
@@ -113,7 +66,7 @@
 
 def test_records_of_servers_are_kept(tmp_path: Path) -> None:
     """Guards against a check of two holders that sees nothing."""
-    drawn = Drawn(tmp_path, seed=1)
+    drawn = Drawn(tmp_path)
     line = (
         b'{"server":"server-0","service":"calendar","born_ms":1,"first":0,"last":9,'
         b'"token":3,"arrived_s":1.0,"carried_out_s":1.0,"until_s":0.0,"is_late":false}'
@@ -130,7 +83,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against hosts that stay away since they still ran as they were started."""
-    drawn = Drawn(tmp_path, seed=1)
+    drawn = Drawn(tmp_path)
     started: list[str] = []
     monkeypatch.setattr(drawn.deployment, "_start_host", started.append)
     drawn.deployment.send("host-1", signal.SIGTERM)
