Note when the soak itself stands still, and excuse what its links held

Cause: on with servers that start again, in a trial at a load of 27, said STATED: a grant of 10 s reached a server at 1535.38 s, though its host had given the call up at 1532.14 s. No request of any caller had reached any server for the 4.1 s before: the soak's own process, which forwards all links, stood still.

Change: the soak looks every 0.05 s whether it is late. More than 0.4 s, for which a host waits for the answer to a grant, is recorded as a disruption; grants that arrive within 0.3 s after it don't count in the checks of OWNER and STATED, as after any link that heals. The longest lateness is printed for each seed.

What held the soak up isn't known.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,6 +43,7 @@
 )
 from ._schedule import Schedule
 from ._server_restarts import ServerRestarts
+from ._stalls import Stalls
 from ._statement_checks import find_wrong_statements
 from ._store_outages import StoreOutages
 from ._uploading import UploadingCallers, describe_uploads
@@ -192,12 +193,16 @@
         schedule=schedule,
         rng=Random(seed + 11),
     )
+    stalls = Stalls(
+        reactor=reactor, disruptions=deployment.disruptions, schedule=schedule
+    )
     # The processes must also end when the soak is interrupted.
     shutdown_trigger = reactor.addSystemEventTrigger(
         "before", "shutdown", deployment.stop
     )
     try:
         deployment.start()
+        stalls.start()
         await deferLater(reactor, START_S)
         if seed_run.late_orders or seed_run.servers_restart:
             await _wait_until_held(deployment)
@@ -238,6 +243,7 @@
         callers.is_sending = operators.is_active = evacuations.is_active = False
         await deferLater(reactor, QUIET_S)
     finally:
+        stalls.stop()
         deployment.stop()
         reactor.removeSystemEventTrigger(shutdown_trigger)
         # The next run listens on the same addresses, which must be free by then.
@@ -295,6 +301,7 @@
         f" {len(crashing.requests)} sends, {holds.pieces} pieces held by links,"
         f" {sum(change.is_late for change in deployment.hold_changes)}"
         f" of {len(deployment.hold_changes)} orders late,"
+        f" the soak late by {stalls.longest_s:.2f} s at most,"
         f" {describe_uploads(uploading.requests, deployment.bodies)},"
         f" {len(violations)} broken;"
         f" {describe_cuts(callers.requests, cuts.cuts, deployment.disruptions)}",
--- a/soak/_disruptions.py
+++ b/soak/_disruptions.py
@@ -12,6 +12,8 @@
 STORE_ANSWERS = "answers of the store"
 STORE_WRITES = "writes to the store"
 ALL_SERVER_LINKS = "links to all servers"
+SOAK = "soak"
+"""The soak's own process, which forwards what all links carry."""
 
 
 @final
@@ -45,6 +47,10 @@
         if spans_s and spans_s[-1][1] == inf:
             spans_s[-1] = (spans_s[-1][0], self._now_s())
 
+    def add(self, subject: str, begun_s: float, ended_s: float) -> None:
+        """Record a disruption that has ended; none may be in progress."""
+        self._spans_s[subject].append((begun_s, ended_s))
+
     def drop(self, subject: str) -> None:
         """Drop the disruption in progress, if any, as if it had never been."""
         spans_s = self._spans_s[subject]
--- a/soak/_owner_checks.py
+++ b/soak/_owner_checks.py
@@ -11,6 +11,7 @@
 
 from ._disruptions import (
     ALL_SERVER_LINKS,
+    SOAK,
     Disruptions,
     link_of,
     server_links_of,
@@ -123,14 +124,17 @@
 def is_after_thaw(
     change: HoldChange, hosts: Sequence[str], disruptions: Disruptions
 ) -> bool:
-    """Whether a grant arrived soon after a host was thawed or a link healed."""
+    """Whether a grant arrived soon after a host was thawed or a link healed.
+
+    The links heal, too, when the soak goes on after it stood still.
+    """
     subjects = [
         named(host) for named in (standstill_of, server_links_of) for host in hosts
     ]
     subjects += [link_of(change.server), server_links_of(change.server)]
     return any(
         disruptions.ended_within(subject, change.arrived_s, THAW_SLACK_S)
-        for subject in (*subjects, ALL_SERVER_LINKS)
+        for subject in (*subjects, ALL_SERVER_LINKS, SOAK)
     )
 
 
--- a/tests/test_soak_owner_checks.py
+++ b/tests/test_soak_owner_checks.py
@@ -6,6 +6,7 @@
 import pytest
 from soak._disruptions import (
     ALL_SERVER_LINKS,
+    SOAK,
     link_of,
     server_links_of,
     standstill_of,
@@ -17,7 +18,7 @@
 
 THAWED = (
     *(standstill_of("server-1"), standstill_of("host-1")),
-    *(link_of("server-1"), server_links_of("host-0")),
+    *(link_of("server-1"), server_links_of("host-0"), SOAK),
 )
 
 
