Let the soak's proxies listen again only once they have closed

Change: a proxy that is to listen while it closes does so once it has.

Figures: the new test fails without the change.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -145,18 +145,30 @@
         self.sides: set[_Side] = set()
         self._listens_on = listens_on
         self._port: Any = None
+        self._is_closing = False
+        self._listens = False
         self.listen()
 
     def listen(self) -> None:
-        """Accept connections, unless it does already."""
-        if self._port is None:
+        """Accept connections, unless it does already; at once or once it has closed."""
+        self._listens = True
+        if self._port is None and not self._is_closing:
             ip, _, port = self._listens_on.rpartition(":")
             self._port = self.reactor.listenTCP(int(port), self, interface=ip)
 
     def stop_listening(self) -> "Deferred[None]":
         """Accept no more connections; the result fires once new ones are refused."""
+        self._listens = False
         port, self._port = self._port, None
-        return maybeDeferred(port.stopListening) if port is not None else succeed(None)
+        if port is None:
+            return succeed(None)
+        self._is_closing = True
+        return maybeDeferred(port.stopListening).addCallback(self._note_closed)
+
+    def _note_closed(self, _: object) -> None:
+        self._is_closing = False
+        if self._listens:
+            self.listen()
 
     def buildProtocol(self, addr: Any) -> Protocol | None:  # noqa: N802
         """Accept a connection, and connect to the target."""
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -4,6 +4,7 @@
 
 import pytest
 from soak._proxy import DELAY_S, LinkFault, Proxy
+from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 
@@ -111,3 +112,17 @@
     link.proxy.begin(fault)
     link.end_server()
     assert link.host.disconnecting
+
+
+def test_proxy_that_still_closes_listens_once_it_has(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against runs that end since an address is not free yet."""
+    link = Link()
+    closed: Deferred[None] = Deferred()
+    monkeypatch.setattr(link.proxy._port, "stopListening", lambda: closed)
+    link.proxy.stop_listening()
+    link.proxy.listen()
+    assert len(link.reactor.tcpServers) == 1
+    closed.callback(None)
+    assert len(link.reactor.tcpServers) == 2
