--- a/soak/_disruptions.py
+++ b/soak/_disruptions.py
@@ -12,6 +12,8 @@
 STORE_ANSWERS = "answers of the store"
 STORE_WRITES = "writes to the store"
 ALL_SERVER_LINKS = "links to all servers"
+SOAK = "soak"
+"""The soak's own process, which forwards what all links carry."""
 
 
 @final
@@ -45,6 +47,16 @@
         if spans_s and spans_s[-1][1] == inf:
             spans_s[-1] = (spans_s[-1][0], self._now_s())
 
+    def add(self, subject: str, begun_s: float, ended_s: float) -> None:
+        """Record a disruption that has ended; none may be in progress."""
+        self._spans_s[subject].append((begun_s, ended_s))
+
+    def drop(self, subject: str) -> None:
+        """Drop the disruption in progress, if any, as if it had never been."""
+        spans_s = self._spans_s[subject]
+        if spans_s and spans_s[-1][1] == inf:
+            spans_s.pop()
+
     def is_undisrupted(self, host: str, from_s: float, until_s: float) -> bool:
         """Whether a host, its link to the store and the store were all undisrupted.
 
@@ -76,6 +88,11 @@
     return f"server links of {name}"
 
 
+def standstill_of(name: str) -> str:
+    """Return the name of a program's standstill, which only a continuation ends."""
+    return f"standstill of {name}"
+
+
 def link_of(name: str) -> str:
     """Return the name of the link through the proxy of a program."""
     return f"link of {name}"
