Send orders on new connections to servers whose id names one process

Cause: a leader that may have been replaced opened no connections to any server. Where each start of a server has an id of its own, that guards nothing: an order names the id, and the next server at the address refuses it (421).

Change: the rule holds for servers that keep their id, whose entries have a time of birth. To others a leader renews on new connections as before.

Evidence: test_server_with_an_id_for_each_start_is_renewed_on_new_connections fails without the change; test_replaced_leader_does_not_renew_at_the_next_server_at_an_address shows that the next server refuses. test_replaced_leader_renews_no_grant_of_a_failed_server restarted a server under its id whose entry has no time of birth, which the decoding of entries excludes; its servers have one now, and its checks are as before.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -296,15 +296,17 @@
             return False
         return not (on_new_connection and self._is_replaced())
 
-    def _may_send_for(self, row: Row) -> MaySend:
-        """Return a check that also withholds the order once its row is obsolete.
+    def _may_send_for(self, row: Row, holder: Holder) -> MaySend:
+        """Return the check of an order of a row to a holder.
 
-        A newer table may move the span while the order waits for a connection.
+        It also withholds the order once its row is obsolete: a newer table may move the
+        span while the order waits for a connection. A holder that does not keep its id
+        needs no earlier connection, since its successor refuses orders to it.
         """
 
         def may_send(*, on_new_connection: bool) -> bool:
             return not row.is_obsolete and self._may_send(
-                on_new_connection=on_new_connection
+                on_new_connection=on_new_connection and holder.keeps_id
             )
 
         return may_send
@@ -337,7 +339,7 @@
                 holder,
                 release,
                 timeout_s=timeout_s,
-                may_send=self._may_send_for(row),
+                may_send=self._may_send_for(row, holder),
             )
         except HolderEndedError as error:
             # Another server answers there, so this holder and its grants have ended.
@@ -411,7 +413,7 @@
                 holder,
                 grant,
                 timeout_s=GRANT_TIMEOUT_S,
-                may_send=self._may_send_for(row),
+                may_send=self._may_send_for(row, holder),
             )
         except OrderWithheldError as error:
             row.due_s = self._now_s() + self._timing.retry_every_s
--- a/src/gentianwharf/keyspace/_table.py
+++ b/src/gentianwharf/keyspace/_table.py
@@ -13,12 +13,20 @@
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Holder:
-    """One server instance; after a restart under the same id it is another holder."""
+    """One server instance; after a restart under the same id it is another holder.
+
+    ``born_ms`` is 0 if each start of the server has an id of its own.
+    """
 
     server_id: str
     born_ms: int
     address: str
 
+    @property
+    def keeps_id(self) -> bool:
+        """Whether the server may restart under the same id."""
+        return self.born_ms != 0
+
 
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/test_keyspace_order_of_news.py
+++ b/tests/test_keyspace_order_of_news.py
@@ -123,8 +123,8 @@
     """
     clock = Clock()
     addresses = Addresses(clock)
-    first_life = addresses.start("a", X)
-    other = addresses.start("c", Y)
+    first_life = addresses.start("a", X, born_ms=1)
+    other = addresses.start("c", Y, born_ms=1)
     managers = [
         GrantManager(orders=OrderSender(addresses), timing=TIMING, now_s=clock.seconds)
         for _ in range(2)
@@ -141,7 +141,7 @@
     assert addresses.holders(SHARD) == [other]
     addresses.end(X)
     run_manager(former, clock, 1.0, store_contact=False)
-    addresses.start("a", X)
+    addresses.start("a", X, born_ms=2)
     run_manager(
         former, clock, 1.5, store_contact=False, check=lambda: _assert_one(addresses)
     )
--- a/tests/test_keyspace_restarted_servers.py
+++ b/tests/test_keyspace_restarted_servers.py
@@ -20,12 +20,14 @@
 class Fleet:
     """Two servers, a leader's grant manager, and the next leader's order sender."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, keeps_ids: bool = True) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         self.addresses = Addresses(self.clock)
         self.first, self.second = (
-            self.addresses.start(f"s{number}", f"10.0.0.{number}:80", born_ms=1)
+            self.addresses.start(
+                f"s{number}", f"10.0.0.{number}:80", born_ms=int(keeps_ids)
+            )
             for number in (1, 2)
         )
         self.sender = OrderSender(self.addresses)
@@ -153,6 +155,36 @@
     assert fleet.addresses.holders(SHARD) == [fleet.first]
 
 
+def test_server_with_an_id_for_each_start_is_renewed_on_new_connections() -> None:
+    """Guards against keys without a holder after resets in a long outage.
+
+    The next server at the address has another id, and refuses the renewal.
+    """
+    fleet = Fleet(keeps_ids=False)
+    fleet.follow(fleet.first, token=1)
+    fleet.run(1.0)
+    fleet.run(LEADER_LEASE_S + 0.1, store_contact=False)
+    fleet.sender.close_connections()
+    fleet.run(
+        TIMING.renew_without_store_s + LONG_GRANT_S - LEADER_LEASE_S - 1.0,
+        store_contact=False,
+    )
+    assert fleet.addresses.holders(SHARD) == [fleet.first]
+
+
+def test_replaced_leader_does_not_renew_at_the_next_server_at_an_address() -> None:
+    """Guards against renewals that a server accepts for one with another id."""
+    fleet = Fleet(keeps_ids=False)
+    fleet.follow(fleet.first, token=1)
+    fleet.run(1.0)
+    fleet.run(LEADER_LEASE_S + 0.1, store_contact=False)
+    fleet.move_as_next_leader()
+    fleet.addresses.end(fleet.first.address)
+    fleet.addresses.start("s3", fleet.first.address)
+    fleet.run(3.0, store_contact=False)
+    assert fleet.addresses.holders(SHARD) == [fleet.second]
+
+
 def test_withheld_renewals_do_not_count_as_silence_of_the_server() -> None:
     """Guards against moving keys from a server that was sent no orders."""
     fleet = Fleet()
