Search with the product's order connections, and more kinds of faults

Cause: the search replaced the connections of orders by a model of its own, and its world was kinder than the platform may be. Five faults that were put back were not found, and what a kernel holds up was lost 0.25 s after a cut.

Change: hosts use `ServerOrders` and `OrderConnections`; only what carries bytes is simulated: two idle connections to a server, copies of answers, second sends, and orders that are sent again after a cut as late as TCP backs off, within the bound that the product sets. A host that has resigned may not lead in its grace period.

The list of faults has one known seed each, instead of two; the seeds after it are still searched.

--- a/tests/builders_keyspace_search_faults.py
+++ b/tests/builders_keyspace_search_faults.py
@@ -8,16 +8,34 @@
 import pytest
 
 from gentianwharf.entryhost._previous_leader import RemainingGrantsExchange
-from gentianwharf.keyspace import GrantManager, Holder, Planner, _timing
+from gentianwharf.errors import GentianwharfError
+from gentianwharf.keyspace import (
+    GrantManager,
+    Holder,
+    KeyTable,
+    Leadership,
+    MaySend,
+    Planner,
+    _timing,
+)
 from gentianwharf.keyspace._holder_states import HolderStates
 from gentianwharf.keyspace._states import HolderState
 from gentianwharf.keyspace._timing import GrantTiming
+from gentianwharf.platform import _order_connections
+from gentianwharf.platform._order_connections import (
+    RELEASE,
+    STATUS_OK,
+    OrderConnections,
+    _OrderConnection,
+)
 from tests.builders_keyspace_search_hosts import SenderLoop
+from tests.builders_keyspace_search_orders import SearchConnection
 from tests.builders_keyspace_search_servers import Fleet
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
 SHORT_WAIT_S = 5.0
+UNBOUNDED_S = 900.0
 
 
 def answer_for_a_term_not_taken_over(patch: pytest.MonkeyPatch) -> None:
@@ -182,6 +200,111 @@
     )
 
 
+def follow_tables_while_replaced(patch: pytest.MonkeyPatch) -> None:
+    """Carry out tables when another host may lead, also those of a first read."""
+
+    async def begin(planner: Any, term: Any) -> None:
+        try:
+            page = await planner._store.items(planner._prefix)
+        except GentianwharfError:
+            return
+        if term is None or planner._leadership.term is not term:
+            return
+        if planner._term is not term:
+            planner._term = term
+            rejected = [item for item in page.items if not planner.note_table(item)]
+            planner._take_over(
+                term, may_have_grants=_has_spans(planner) or bool(rejected)
+            )
+
+    def follow(manager: Any, table: KeyTable) -> None:
+        if manager._leading:
+            due_s = manager._now_s() + manager.announce_wait_s
+            manager._send_orders(manager._rows.follow(table, release_due_s=due_s))
+
+    patch.setattr(Planner, "_begin", begin)
+    patch.setattr(GrantManager, "follow", follow)
+
+
+def begin_by_own_tables(patch: pytest.MonkeyPatch) -> None:
+    """Begin to lead by the tables that this host has, without a read."""
+
+    async def begin(planner: Any, term: Any) -> None:
+        if term is not None and planner._term is not term:
+            planner._term = term
+            planner._take_over(term, may_have_grants=_has_spans(planner))
+
+    patch.setattr(Planner, "_begin", begin)
+
+
+def _has_spans(planner: Any) -> bool:
+    return any(service.table.spans for service in planner._services.values())
+
+
+def believe_an_answer_to_an_earlier_term(patch: pytest.MonkeyPatch) -> None:
+    """Take any answer of the previous leader for one to the latest question."""
+    handle = RemainingGrantsExchange.handle_response
+
+    def handle_any(exchange: Any, response: Any) -> None:
+        term = exchange._leadership.term
+        if term is not None:
+            response = msgspec.structs.replace(response, revision=term.revision)
+        handle(exchange, response)
+
+    patch.setattr(RemainingGrantsExchange, "handle_response", handle_any)
+
+
+def lead_after_a_resignation(patch: pytest.MonkeyPatch) -> None:
+    """Lead by a claim that was on its way when the host resigned."""
+    gain: Any = Leadership._gain
+
+    def gain_always(leadership: Any, revision: int) -> None:
+        paused_until_s = leadership._campaign_pause_until_s
+        leadership._campaign_pause_until_s = float("-inf")
+        gain(leadership, revision)
+        leadership._campaign_pause_until_s = paused_until_s
+
+    patch.setattr(Leadership, "_gain", gain_always)
+
+
+def send_orders_of_obsolete_rows(patch: pytest.MonkeyPatch) -> None:
+    """Send an order that was waiting for its connection after a newer table."""
+    patch.setattr(GrantManager, "_may_send_for", lambda manager, row: manager._may_send)
+
+
+def believe_refusals_of_copies(patch: pytest.MonkeyPatch) -> None:
+    """Believe refusals on connections that were used before."""
+    patch.setattr(_order_connections, "FREEING_STATUSES", frozenset())
+
+
+def believe_releases_answered_by_copies(patch: pytest.MonkeyPatch) -> None:
+    """Believe any response to a release."""
+    accept: Any = _OrderConnection.accept
+
+    def accept_release(connection: Any, order: str, response: Any) -> bool:
+        is_accepted = accept(connection, order, response)
+        return is_accepted or (order == RELEASE and response.status == STATUS_OK)
+
+    patch.setattr(_OrderConnection, "accept", accept_release)
+
+
+def send_again_without_asking(patch: pytest.MonkeyPatch) -> None:
+    """Send on a new connection whatever ``may_send`` returns."""
+
+    async def connect(
+        connections: Any, address: str, order: str, may_send: MaySend
+    ) -> Any:
+        return await connections._connect(address)
+
+    patch.setattr(OrderConnections, "_connect_if_allowed", connect)
+
+
+def deliver_without_a_bound(patch: pytest.MonkeyPatch) -> None:
+    """Let kernels hold up orders for as long as they do by default."""
+    patch.setattr(SearchConnection, "delivery_timeout_s", UNBOUNDED_S)
+    patch.setattr(SearchConnection, "discards_at_end", False)
+
+
 FAULTS: dict[str, Patch] = {
     "answer-for-a-term-not-taken-over": answer_for_a_term_not_taken_over,
     "resignation-before-the-tables": resign_before_the_tables_are_read,
@@ -200,4 +323,13 @@
     "restarted-process-believed": believe_a_restarted_process,
     "silent-taken-for-ended": take_silence_for_the_end,
     "restarted-server-renewed": send_on_new_connections_while_replaced,
+    "tables-while-replaced": follow_tables_while_replaced,
+    "own-old-tables": begin_by_own_tables,
+    "answer-to-an-earlier-term": believe_an_answer_to_an_earlier_term,
+    "leads-after-a-resignation": lead_after_a_resignation,
+    "obsolete-order-sent": send_orders_of_obsolete_rows,
+    "refusals-of-copies": believe_refusals_of_copies,
+    "releases-of-copies": believe_releases_answered_by_copies,
+    "sent-without-asking": send_again_without_asking,
+    "kernel-without-a-bound": deliver_without_a_bound,
 }
--- a/tests/builders_keyspace_search_store.py
+++ b/tests/builders_keyspace_search_store.py
@@ -146,6 +146,10 @@
     loses_answers: float = 0.0
     writes_late: float = 0.0
     loses_claims: float = 0.0
+    answers_claims_late: float = 0.0
+    drops_history: float = 0.0
+    pages_apart_s: float = 0.0
+    """For how long at least a full read lasts."""
     serves_no_tables: bool = False
     turns_away: bool = False
     is_cut: bool = False
@@ -288,6 +292,11 @@
         ):
             is_lost = True
             self.on_claim_lost()
+        if step == "claim" and not is_lost and rng.random() < own.answers_claims_late:
+            self.on_claim_lost()
+            answer_s = rng.uniform(0.9, CALL_TIMEOUT_S)
+            self._perform(done, perform, step, is_lost, answer_s=answer_s)
+            return
         if is_write and rng.random() < self._general.writes_late:
             is_lost = True
             delay_s += rng.uniform(1.0, 6.0)
--- a/tests/test_keyspace_search.py
+++ b/tests/test_keyspace_search.py
@@ -1,31 +1,35 @@
 """No shard has two holders, in worlds where all kinds of faults are drawn from a seed.
 
-Each seed simulates two or three hosts, up to five servers and the store on a virtual
-clock, with faults for 50 s and none afterwards. Hosts have the product's
-``Leadership``, ``Planner``, ``GrantManager`` and ``RemainingGrantsExchange``. Drawn
+Each seed simulates two to five hosts, up to seven servers of one or two services, and
+the store on a virtual clock, with faults for 50 s and none afterwards. Hosts have the
+product's ``Leadership``, ``Planner``, ``GrantManager``, ``RemainingGrantsExchange``,
+``ServerOrders`` and ``OrderConnections``; only what carries bytes is simulated. Drawn
 are:
 
-- the store: down (leases pause or expire), slow, answers lost, writes executed late;
+- the store: down (leases pause or expire), slow, answers lost, writes executed late,
+  history dropped, so that hosts read all items on pages which are not a snapshot;
 - one host's calls: cut off in both directions or one, turned away, no tables read, late
-  news, a claim to lead that is stored without the host noticing;
+  news, a claim to lead that is stored without the host noticing, or noticing late;
 - hosts: paused with what they have queued, also at the renewal of the lease, killed and
   started anew, stopped by SIGTERM at any moment, also right after a claim;
 - links between hosts, and from hosts to servers: late, or cut in one direction or both;
-- servers: orders executed late, answers lost, busy after a release, a slow clock,
-  ended, replaced at their address, restarted under their id, unlisted; shards that
-  become hot.
-
-The rules, and what is not counted, are in ``builders_keyspace_search_servers``.
-
-That the search finds faults is shown by faults that are put back. It does not find:
-
-- a host that begins to lead by the tables that it has: a claim requires the newest
-  record, which a host receives after the tables before it;
-- a leader that acts on tables when another may lead: a host receives the newer
-  leader's item before its tables;
-- the answer to a request of an earlier term, taken for one of this term.
-
-Not drawn: servers that are paused, copies of answers, and history that the store drops.
+  connections that open late, and orders that a kernel sends again after a cut has
+  healed, as late as TCP backs off, within the bounds that the product sets;
+- servers: orders executed late, answers lost, or repeated in front of the next one,
+  connections closed, busy after a release, paused, a slow clock, ended, replaced at
+  their address, restarted under their id, unlisted; shards that become hot.
+
+The rules, and what is not counted, are in ``builders_keyspace_search_servers``. A host
+that has resigned may not lead within its grace period either.
+
+That the search finds faults is shown by faults that are put back. It does not find a
+wait for earlier grants that counts from the campaign instead of the claim: a host takes
+over only while its lease holds, so its campaign began less than a lease before it took
+over, and after the last contact of the leader before it.
+
+Not drawn: a server that counts the time of a grant from when it reads it and not from
+its arrival, clocks of hosts that run at different speeds, and messages between hosts
+that arrive twice.
 """
 
 import pytest
@@ -38,26 +42,35 @@
 """Seeds without a fault put back."""
 
 MOST_SEEDS = 400
-"""Seeds within which a fault is found, if not by the seeds that are known to."""
+"""Seeds within which a fault is searched for if the known seed does not show it."""
 
 KNOWN_SEEDS = {
-    "answer-for-a-term-not-taken-over": [273, 300],
-    "resignation-before-the-tables": [147, 166],
-    "memory-of-an-older-term": [1512, 1760],
-    "no-clock-drift": [70, 100],
-    "grants-without-the-store": [33, 66],
-    "goes-on-while-replaced": [3, 4],
-    "lost-leader-expired-at-once": [6, 7],
-    "lost-leader-expired-in-5-s": [7, 33],
-    "half-of-a-hold": [3, 6],
-    "in-flight-forgotten": [119, 20209],
-    "unanswered-forgotten": [57, 62],
-    "unlisted-taken-for-ended": [0, 1],
-    "address-reused": [3, 6],
-    "lease-outlives-a-pause": [33, 97],
-    "restarted-process-believed": [298, 20099],
-    "silent-taken-for-ended": [7, 13],
-    "restarted-server-renewed": [1, 3],
+    "answer-for-a-term-not-taken-over": 242,
+    "resignation-before-the-tables": 295,
+    "memory-of-an-older-term": 1080,
+    "no-clock-drift": 273,
+    "grants-without-the-store": 174,
+    "goes-on-while-replaced": 2,
+    "lost-leader-expired-at-once": 0,
+    "lost-leader-expired-in-5-s": 21,
+    "half-of-a-hold": 2,
+    "in-flight-forgotten": 304,
+    "unanswered-forgotten": 8,
+    "unlisted-taken-for-ended": 1,
+    "address-reused": 12,
+    "lease-outlives-a-pause": 37,
+    "restarted-process-believed": 50,
+    "silent-taken-for-ended": 0,
+    "restarted-server-renewed": 9,
+    "tables-while-replaced": 103,
+    "own-old-tables": 255,
+    "answer-to-an-earlier-term": 63,
+    "leads-after-a-resignation": 740,
+    "obsolete-order-sent": 2157,
+    "refusals-of-copies": 52,
+    "releases-of-copies": 12,
+    "sent-without-asking": 9,
+    "kernel-without-a-bound": 2502,
 }
 
 
@@ -88,5 +101,5 @@
 ) -> None:
     """Guards against a search that finds nothing because it draws too little."""
     FAULTS[fault](monkeypatch)
-    seeds = [*KNOWN_SEEDS[fault], *range(MOST_SEEDS)]
+    seeds = [KNOWN_SEEDS[fault], *range(MOST_SEEDS)]
     assert any(breaks_a_rule(seed) for seed in seeds)
