--- a/tests/builders_keyspace_search_faults.py
+++ b/tests/builders_keyspace_search_faults.py
@@ -269,7 +269,9 @@
 
 def send_orders_of_obsolete_rows(patch: pytest.MonkeyPatch) -> None:
     """Send an order that was waiting for its connection after a newer table."""
-    patch.setattr(GrantManager, "_may_send_for", lambda manager, row: manager._may_send)
+    patch.setattr(
+        GrantManager, "_may_send_for", lambda manager, row, holder: manager._may_send
+    )
 
 
 def believe_refusals_of_copies(patch: pytest.MonkeyPatch) -> None:
