--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -32,8 +32,9 @@
 from ._probes import Probes
 from ._rows import Rows
 from ._states import HolderState, Row
+from ._store_contact import StoreContact
 from ._table import Holder, KeyTable, Span
-from ._timing import LEADER_LEASE_S, STORE_SILENT_S, GrantTiming
+from ._timing import GrantTiming
 
 GRANT_TIMEOUT_S = 0.4
 """A server answers a grant within milliseconds; a lost grant is sent again."""
@@ -77,7 +78,7 @@
         self._unconfirmed: dict[str, KeyTable] = {}
         """Tables that arrived while another host may have led."""
         self.holders = HolderStates(timing=timing, now_s=now_s)
-        self._store_contact_s = 0.0
+        self._contact = StoreContact(timing=timing, now_s=now_s)
         self._is_store_silent = False
         self._grants_sent = 0
         self._orders_in_flight = 0
@@ -108,7 +109,7 @@
         term; without it, this host states its grants to no later leader.
         """
         self._leading = True
-        self._store_contact_s = store_contact_s
+        self._contact.begin(store_contact_s)
         if held_s is None:
             earlier_grants_until_s = self._timing.earlier_grants_expiry_s(
                 took_over_s=(
@@ -130,8 +131,8 @@
 
     def note_store_contact(self, store_contact_s: float) -> None:
         """Record a contact with the store, which shows that this host still leads."""
-        self._store_contact_s = max(self._store_contact_s, store_contact_s)
-        if self._unconfirmed and not self._is_replaced():
+        self._contact.note(store_contact_s)
+        if self._unconfirmed and not self._contact.is_replaced():
             for table in list(self._unconfirmed.values()):
                 self.follow(table)
 
@@ -139,7 +140,7 @@
         """Carry out a table that is stored."""
         if not self._leading:
             return
-        if self._is_replaced():
+        if self._contact.is_replaced():
             # The table may be that of the next leader, whose grants to the former
             # holders this host does not know.
             self._unconfirmed[table.service] = table
@@ -192,15 +193,14 @@
         connections have closed.
         """
         was_silent = self._is_store_silent
-        silent_s = self._now_s() - self._store_contact_s
-        self._is_store_silent = silent_s > STORE_SILENT_S
+        self._is_store_silent = self._contact.is_store_silent()
         if self._is_store_silent and not was_silent:
             self._rows.hasten_renewals()
 
     def _send_orders(self, rows: Iterable[Row]) -> bool:
         """Send the orders of due rows; return whether this host may send any."""
         now_s = self._now_s()
-        if self._is_silenced():
+        if self._contact.is_silenced():
             return False
         self._orders_in_flight = self.holders.orders_in_flight()
         for row in rows:
@@ -259,7 +259,7 @@
         )
 
     def _may_order(self, holder: Holder, *, is_first_grant: bool = False) -> bool:
-        if self._is_silenced():
+        if self._contact.is_silenced():
             # An order may become possible after the tick that began it: when a release
             # is answered, or when the grant before it in a queue is.
             return False
@@ -275,26 +275,11 @@
         self._orders_in_flight += 1
         return True
 
-    def _is_silenced(self) -> bool:
-        """Whether the next leader may assume that this host sends no more grants."""
-        latest_s = self._store_contact_s + self._timing.renew_without_store_s
-        return self._now_s() > latest_s
-
-    def _is_replaced(self) -> bool:
-        """Whether another host may lead by now."""
-        return self._now_s() >= self._store_contact_s + LEADER_LEASE_S
-
     def _may_send(self, *, on_new_connection: bool) -> bool:
-        """Whether an order may be sent; called immediately before it is written.
-
-        A host that may have been replaced sends no order on a new connection. The next
-        leader may have released shards at a server that was then restarted under its id
-        and lost the token of the release. That server would accept a renewal for shards
-        that another server holds.
-        """
-        if not self._leading or self._is_silenced():
-            return False
-        return not (on_new_connection and self._is_replaced())
+        """Whether this host may send an order, called just before it is written."""
+        return self._leading and self._contact.allows_order(
+            on_new_connection=on_new_connection
+        )
 
     def _may_send_for(self, row: Row, holder: Holder) -> MaySend:
         """Return the check of an order of a row to a holder.
@@ -393,7 +378,7 @@
         sent_s = self._now_s()
         spans = len(self._rows)
         duration_s = self._timing.duration_s(
-            store_silent_s=sent_s - self._store_contact_s, spans=spans
+            store_silent_s=self._contact.silent_s(), spans=spans
         )
         grant = Grant(
             first=span.first,
--- a/tests/builders_keyspace_search_faults.py
+++ b/tests/builders_keyspace_search_faults.py
@@ -20,6 +20,7 @@
 )
 from gentianwharf.keyspace._holder_states import HolderStates
 from gentianwharf.keyspace._states import HolderState
+from gentianwharf.keyspace._store_contact import StoreContact
 from gentianwharf.keyspace._timing import GrantTiming
 from gentianwharf.platform import _order_connections
 from gentianwharf.platform._order_connections import (
@@ -80,13 +81,13 @@
 
 def grant_without_the_store(patch: pytest.MonkeyPatch) -> None:
     """Grant for longer without the store than the next leader assumes."""
-    patch.setattr(GrantManager, "_is_silenced", lambda manager: False)
+    patch.setattr(StoreContact, "is_silenced", lambda contact: False)
 
 
 def go_on_while_replaced(patch: pytest.MonkeyPatch) -> None:
     """Go on granting after the loss of the term."""
-    patch.setattr(GrantManager, "_is_silenced", lambda manager: False)
-    patch.setattr(GrantManager, "_is_replaced", lambda manager: False)
+    patch.setattr(StoreContact, "is_silenced", lambda contact: False)
+    patch.setattr(StoreContact, "is_replaced", lambda contact: False)
     patch.setattr(GrantManager, "stop", lambda manager: None)
 
 
