--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -204,7 +204,7 @@
             return False
         self._orders_in_flight = self.holders.orders_in_flight()
         for row in rows:
-            if not row.order_in_flight and not row.waiting:
+            if row.is_idle:
                 self._advance(row, now_s)
         return True
 
--- a/src/gentianwharf/keyspace/_rows.py
+++ b/src/gentianwharf/keyspace/_rows.py
@@ -82,15 +82,14 @@
     def hasten_renewal(self, holder: Holder) -> None:
         """Make a renewal of a holder's grants due: it shows whether it answers."""
         for row in self._rows.values():
-            is_idle = not row.order_in_flight and not row.waiting
-            if row.span.holder == holder and row.granted and is_idle:
+            if row.span.holder == holder and row.granted and row.is_idle:
                 row.due_s = -inf
                 return
 
     def hasten_renewals(self) -> None:
         """Make the renewals of all granted spans due."""
         for row in self._rows.values():
-            if row.granted and not row.order_in_flight and not row.waiting:
+            if row.granted and row.is_idle:
                 row.due_s = -inf
 
     def finished_moves(self, service: str) -> frozenset[SpanKey]:
--- a/src/gentianwharf/keyspace/_states.py
+++ b/src/gentianwharf/keyspace/_states.py
@@ -40,6 +40,11 @@
         """Whether an order of the span is in flight."""
         return self.order is not None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no order of the span is in flight or waits for another one."""
+        return not self.order_in_flight and not self.waiting
+
     def note_ended(self, order: "Deferred[None]") -> None:
         """Record that an order has ended, which may already have led to the next."""
         if self.order is order:
