End the term of a leader that sees a table of a later leader

What callers would see: two servers with the same keys (OWNER).

Cause: whose tables a leader may carry out was decided by time. It took each table that it read or heard of for its own or an earlier leader's, as long as its lease had not run out by its own clock. A store may end a lease early. Then the next leader claims, grants, and stores a move within that time, and the older one takes the move over without knowing the grants that the next one has sent to the former holder. It waits for none of them.

Change: each table states the revision of the leader's item under which it was stored. Only the leader can store a table, so a table that is newer than a leader's claim and states another revision is that of a later leader, whatever the store did with the lease: the older leader ends its term. It does not take over if the tables that it reads first contain one.

Evidence: test_tables_read_after_an_early_end_begin_no_moves_of_the_next_leader and test_table_of_the_next_leader_is_not_carried_out_before_its_item fail without the change (shard 0 held by 10.0.0.1 and 10.0.0.3), and pass with it.

--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -1,6 +1,7 @@
 """Plans the table of each keyed service on the leading host, and stores it."""
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 from typing import final
 
 from twisted.internet.defer import Deferred
@@ -127,8 +128,10 @@
             # holders this host does not know. They are read again after a renewal.
             log.info("tables read too late: the lease may have ended")
             return
-        self._term = term
         rejected = [item for item in page.items if not self.note_table(item)]
+        if self._leadership.term is not term:
+            return
+        self._term = term
         has_spans = any(service.table.spans for service in self._services.values())
         self._take_over(term, may_have_grants=has_spans or bool(rejected))
 
@@ -233,9 +236,25 @@
             self.set_services({table.service: WARM_UP_S})
         service = self._services[table.service]
         if item.revision > service.revision:
+            self._check_term(table, item.revision)
             self._accept(service, table, item.revision)
         return True
 
+    def _check_term(self, table: KeyTable, revision: int) -> None:
+        """End this host's term if a later leader has stored a table.
+
+        Only the leader can store a table. The lease of a leader may have ended early,
+        and the table may arrive before the item of the leader that stored it, whose
+        grants to the former holders this host does not know.
+        """
+        term = self._leadership.term
+        if (
+            term is not None
+            and revision > term.revision
+            and table.leader_revision != term.revision
+        ):
+            self._leadership.step_down()
+
     def tick(self) -> None:
         """Plan the services that are due; to be called about every 50 ms."""
         if not self._leadership.holds_lease():
@@ -361,6 +380,7 @@
         term = self._leadership.term
         if term is None:
             return
+        table = replace(table, leader_revision=term.revision)
         value = encode_table(table)
         change = Change(
             expected={self._leader_key: term.revision, service.key: service.revision},
--- a/src/gentianwharf/keyspace/_table.py
+++ b/src/gentianwharf/keyspace/_table.py
@@ -56,6 +56,9 @@
 class KeyTable:
     """The spans of one service in order, and the highest token that was ever used.
 
+    ``leader_revision`` is that of the leader's item when the leader stored the table; 0
+    if its version stated none.
+
     >>> holder = Holder(server_id="s1", born_ms=1, address="10.0.0.1:80")
     >>> table = KeyTable(service="roster", highest_token=3, spans=(
     ...     Span(first=4, last=9, holder=holder, token=3),))
@@ -68,6 +71,7 @@
     service: str
     highest_token: int = 0
     spans: tuple[Span, ...] = ()
+    leader_revision: int = 0
     _firsts: tuple[int, ...] = field(default=(), repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -126,6 +130,7 @@
     highest_token: int
     holders: tuple[_StoredHolder, ...]
     spans: tuple[_StoredSpan, ...]
+    leader_revision: int = 0
 
 
 def encode_table(table: KeyTable) -> bytes:
@@ -148,6 +153,7 @@
             )
             for span in table.spans
         ),
+        leader_revision=table.leader_revision,
     )
     return msgspec.json.encode(stored)
 
@@ -179,7 +185,10 @@
             f"the key table can't be decoded: {error}", step="read-table", peer=peer
         ) from error
     return KeyTable(
-        service=stored.service, highest_token=stored.highest_token, spans=spans
+        service=stored.service,
+        highest_token=stored.highest_token,
+        spans=spans,
+        leader_revision=stored.leader_revision,
     )
 
 
--- a/tests/builders_keyspace_hosts.py
+++ b/tests/builders_keyspace_hosts.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import cast
 
 from twisted.internet.defer import Deferred
@@ -14,9 +14,13 @@
     PeerUnavailableError,
 )
 from gentianwharf.keyspace import (
+    Grant,
     GrantManager,
+    Holder,
     Leadership,
+    MaySend,
     Planner,
+    Release,
 )
 from gentianwharf.store import (
     Change,
@@ -128,6 +132,16 @@
         self.leases.pop(lease_id, None)
         self._drop_unleased()
 
+    def end_leases(self) -> None:
+        """End all leases before their time."""
+        self.leases.clear()
+        self._drop_unleased()
+
+    def remove_leader_item(self) -> None:
+        """Remove the leader's item, whose lease goes on."""
+        self.revision += 1
+        self._set({LEADER_KEY: None})
+
     def expire(self) -> None:
         """End expired leases; hosts are notified once the store is up."""
         self._expire()
@@ -206,6 +220,34 @@
         raise PeerUnavailableError("cut off", step="call", peer="store")
 
 
+@dataclass
+class HostOrders:
+    """One host's orders to the servers; some servers may be out of its reach."""
+
+    servers: Servers
+    cut: set[str] = field(default_factory=set)
+
+    async def grant(
+        self, holder: Holder, grant: Grant, *, timeout_s: float, may_send: MaySend
+    ) -> None:
+        """Send a grant."""
+        self._check_reach(holder)
+        await self.servers.grant(holder, grant, timeout_s=timeout_s, may_send=may_send)
+
+    async def release(
+        self, holder: Holder, release: Release, *, timeout_s: float, may_send: MaySend
+    ) -> str | None:
+        """Send a release."""
+        self._check_reach(holder)
+        return await self.servers.release(
+            holder, release, timeout_s=timeout_s, may_send=may_send
+        )
+
+    def _check_reach(self, holder: Holder) -> None:
+        if holder.address in self.cut:
+            raise PeerUnavailableError("cut off", step="order", peer=holder.address)
+
+
 @dataclass
 class LeadingHost:
     """One host's leadership, planner and grant manager, wired as in an entry host."""
@@ -227,8 +269,9 @@
             now_s=clock.seconds,
             rng=FixedRandom(),  # type: ignore[arg-type]
         )
+        self.orders = HostOrders(self.servers)
         self.manager = GrantManager(
-            orders=self.servers, timing=TIMING, now_s=clock.seconds
+            orders=self.orders, timing=TIMING, now_s=clock.seconds
         )
         self.planner = Planner(
             store=store,
--- a/tests/builders_terms.py
+++ b/tests/builders_terms.py
@@ -91,6 +91,11 @@
             raise OutcomeUnknownError("no answer", step="change", peer="store")
         return cast(int, revision)
 
+    async def item(self, key: str) -> Item | None:
+        """Return an item."""
+        await self.reads.passed()
+        return cast("Item | None", await cast(Any, self).__getattr__("item")(key))
+
     async def items(self, prefix: str) -> Page:
         """Return all items below a prefix, unless the connection serves none."""
         if self.serves_no_tables:
@@ -246,10 +251,24 @@
         assert not host.leads
         host.faults.loses_answers_to_changes = False
 
+    def let_grants_of_a_expire(self) -> None:
+        """Let host a lead and stand still, so that it knows of an older term."""
+        a = self.hosts[0]
+        self.run_until(lambda: self.servers.holders(0), a)
+        self.run(1.0, a)
+        self.run(4.0)
+        assert self.leader_item() is None
+        assert not a.leads
+        assert not self.servers.holders(0)
+
     def cut_links(self) -> None:
         """Lose every message between hosts."""
         self.net.cut.update(self.net.listeners)
 
+    def cut_server(self, host: TermHost, holder: Holder) -> None:
+        """Cut a host off from a server that the other hosts reach."""
+        host.orders.cut.add(holder.address)
+
     def silence(self, holder: Holder) -> None:
         """Let a server answer no order; it goes on serving what it holds."""
         self.servers.by_address[holder.address].is_silent = True
--- /dev/null
+++ b/tests/test_keyspace_early_leases.py
@@ -0,0 +1,65 @@
+"""Leases that the store ends before their time, and items that go while leases live.
+
+Until its lease runs out by its own clock, a leader can't tell that another host leads.
+"""
+
+import pytest
+
+from gentianwharf.entryhost import _previous_leader
+from tests.builders_keyspace import SERVICE, TABLE_KEY, candidate, holder
+from tests.builders_terms import Gate, TermHost, Terms
+
+CHECKED_S = 20.0
+
+REMAINING = [candidate(2), candidate(3)]
+
+
+@pytest.fixture
+def terms(monkeypatch: pytest.MonkeyPatch) -> Terms:
+    return Terms(lambda dial: monkeypatch.setattr(_previous_leader, "dial", dial))
+
+
+def let_b_begin_a_move(terms: Terms, *others: TermHost) -> None:
+    """Let host b lead, grant, and store the move of a server that falls silent."""
+    b = terms.hosts[1]
+    terms.run_until(lambda: b.leads, b, *others)
+    terms.run_until(lambda: terms.servers.holders(0), b, *others)
+    before = terms.table_revision()
+    terms.silence(holder(1))
+    b.planner.set_candidates(SERVICE, REMAINING)
+    terms.run_until(lambda: terms.table_revision() > before, b, *others)
+    assert terms.servers.holders(0) == [holder(1).address]
+
+
+def test_tables_read_after_an_early_end_begin_no_moves_of_the_next_leader(
+    terms: Terms,
+) -> None:
+    """Guards against a leader that takes its successor's tables for its own."""
+    terms.cut_links()
+    terms.let_grants_of_a_expire()
+    a = terms.hosts[0]
+    reads = a.faults.reads = Gate()
+    terms.run_until(lambda: a.leads, a)
+    a.receives_changes = False
+    terms.store.end_leases()
+    let_b_begin_a_move(terms)
+    assert a.leadership.holds_lease()
+    reads.open()
+    terms.run(CHECKED_S, a, terms.hosts[1])
+
+
+def test_table_of_the_next_leader_is_not_carried_out_before_its_item(
+    terms: Terms,
+) -> None:
+    """Guards against a table that arrives before the item of its leader."""
+    a, b, _ = terms.hosts
+    a.planner.set_candidates(SERVICE, [])
+    terms.run_until(lambda: a.leads, a)
+    terms.run(0.5, a)
+    terms.cut_links()
+    a.cut()
+    terms.store.end_leases()
+    let_b_begin_a_move(terms, a)
+    assert a.leadership.holds_lease()
+    a.planner.note_table(terms.store.items_by_key[TABLE_KEY])
+    terms.run(CHECKED_S, a, b)
--- a/tests/test_keyspace_late_terms.py
+++ b/tests/test_keyspace_late_terms.py
@@ -27,17 +27,6 @@
     return Terms(lambda dial: monkeypatch.setattr(_previous_leader, "dial", dial))
 
 
-def let_grants_of_a_expire(terms: Terms) -> None:
-    """Let host a lead and stand still, so that it knows of an older term."""
-    a = terms.hosts[0]
-    terms.run_until(lambda: terms.servers.holders(0), a)
-    terms.run(1.0, a)
-    terms.run(4.0)
-    assert terms.leader_item() is None
-    assert not a.leads
-    assert not terms.servers.holders(0)
-
-
 def let_b_begin_a_move(terms: Terms) -> None:
     """Let host b lead, grant, and store the move of a server that doesn't answer."""
     b = terms.hosts[1]
@@ -57,7 +46,7 @@
 
     Its copy of the store names the successor, whose item came together with its own.
     """
-    let_grants_of_a_expire(terms)
+    terms.let_grants_of_a_expire()
     a, b, _ = terms.hosts
     answers = a.faults.answers_to_changes = Gate()
     a.receives_changes = False
@@ -72,7 +61,7 @@
     terms: Terms,
 ) -> None:
     """Guards against a host that leads by late news, after it was asked."""
-    let_grants_of_a_expire(terms)
+    terms.let_grants_of_a_expire()
     a, b, _ = terms.hosts
     a.faults.loses_answers_to_changes = True
     a.receives_changes = False
@@ -89,7 +78,7 @@
 ) -> None:
     """Guards against a leader that reads its successor's tables as its own."""
     terms.cut_links()
-    let_grants_of_a_expire(terms)
+    terms.let_grants_of_a_expire()
     a, b, _ = terms.hosts
     reads = a.faults.reads = Gate()
     terms.run_until(lambda: a.leads, a)
