Count a leader's contact from reads of its item, not from lease renewals

What callers would see: two servers with the same keys (OWNER).

Cause: each answered renewal of the lease counted as a contact that shows that the host still leads. The leader's item can go while its lease lives. If its watch is not answered either, the former leader goes on renewing grants for as long as the lease is renewed, while the next leader waits for 5 s and the longest grant, counted from its own begin. A server that answers the former leader alone is still granted then, beside the next holder.

Change: a leader reads its item each 0.6 s. Only a read that returns the item at the revision of the claim counts as contact; the next leader's claim is certainly later, since a claim needs the item to be gone. An answered renewal still shows that the store answers, which decides the duration of grants. A leader whose item is another host's or gone ends its term. One that can't read its item for 2.4 s lets its lease run out.

Evidence: test_leader_that_lost_its_item_and_keeps_its_lease_sends_no_more_orders fails in both forms without the change (shard 0 held by 10.0.0.1 and 10.0.0.3), and passes with it. Cost: 1.7 reads of the store a second, by the leader alone.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -129,15 +129,19 @@
         self._unconfirmed.clear()
         self.holders.end_orders()
 
+    def note_store_answer(self, answered_s: float) -> None:
+        """Record an answer of the store that does not show that this host leads."""
+        self._contact.note_answer(answered_s)
+
     def note_store_contact(self, store_contact_s: float) -> None:
-        """Record a contact with the store, which shows that this host still leads."""
+        """Record a contact with the store, which shows that this host still led."""
         self._contact.note(store_contact_s)
         if self._unconfirmed and not self._contact.is_replaced():
             for table in list(self._unconfirmed.values()):
                 self.follow(table)
 
     def follow(self, table: KeyTable) -> None:
-        """Carry out a table that is stored."""
+        """Carry out a stored table of this host's term or of an earlier one."""
         if not self._leading:
             return
         if self._contact.is_replaced():
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -17,7 +17,12 @@
     decode_previous_leader,
     encode_previous_leader,
 )
-from ._timing import LEADER_LEASE_S, RENEW_LEASE_EVERY_S
+from ._timing import (
+    CONFIRM_EVERY_S,
+    CONFIRM_WITHIN_S,
+    LEADER_LEASE_S,
+    RENEW_LEASE_EVERY_S,
+)
 
 CAMPAIGN_WITHIN_S = 0.15
 """Hosts that see the leader's item removed campaign after a random delay within this
@@ -62,6 +67,8 @@
     ) -> None:
         self.term: Term | None = None
         self.lease_renewed_s = float("-inf")
+        self.confirmed_s = float("-inf")
+        """The last time at which the item was certainly this host's."""
         self.on_gained: Callable[[PreviousLeader | None], None] = lambda previous: None
         self.on_lost: Callable[[], None] = lambda: None
         self.handicap_s: Callable[[], float] = lambda: 0.0
@@ -83,6 +90,7 @@
         self._campaign_began_s = 0.0
         self._campaigning = False
         self._due_s: float | None = None
+        self._confirm_due_s = 0.0
 
     @property
     def leads(self) -> bool:
@@ -90,7 +98,10 @@
         return self.term is not None
 
     def holds_lease(self) -> bool:
-        """Whether the lease certainly holds, so that no other host leads."""
+        """Whether the lease has not run out by this host's clock.
+
+        The store may have ended it early, so another host may lead nevertheless.
+        """
         return (
             self.term is not None
             and self._now_s() < self.lease_renewed_s + LEADER_LEASE_S
@@ -111,10 +122,13 @@
     def tick(self) -> None:
         """Renew the lease or campaign for it when that is due."""
         now_s = self._now_s()
+        if self.term is not None and now_s >= self._confirm_due_s:
+            _start(self._confirm(self.term, now_s))
         if self._due_s is None or now_s < self._due_s:
             return
         if self.term is not None:
-            _start(self._renew(self.term, now_s))
+            if now_s < self.confirmed_s + CONFIRM_WITHIN_S:
+                _start(self._renew(self.term, now_s))
         elif self._campaigning or now_s < self._campaign_pause_until_s:
             return
         elif self._item is None:
@@ -264,6 +278,25 @@
             # The lease runs from the arrival of the call, which is never before now_s.
             self.lease_renewed_s = max(self.lease_renewed_s, now_s)
 
+    async def _confirm(self, term: Term, now_s: float) -> None:
+        """Check in the store that the item is still that of a term."""
+        self._confirm_due_s = now_s + CONFIRM_EVERY_S
+        try:
+            item = await self._store.item(self._key)
+        except GentianwharfError as error:
+            log.info(
+                "leader's item not read: {}",
+                error.message,
+                extra={"step": error.step, "peer": error.peer},
+            )
+            return
+        if self.term is not term:
+            return
+        if item is None or item.revision != term.revision:
+            self._lose("the leader's item no longer belongs to this host")
+        else:
+            self.confirmed_s = max(self.confirmed_s, now_s)
+
     def _gain(self, revision: int) -> None:
         term = Term(lease_id=self._campaign_lease_id, revision=revision)
         self._campaign_lease_id = 0
@@ -273,8 +306,9 @@
             _start(self._remove_item(term, None))
             return
         self.term = term
-        self.lease_renewed_s = self._campaign_began_s
+        self.lease_renewed_s = self.confirmed_s = self._campaign_began_s
         self._due_s = self._now_s() + RENEW_LEASE_EVERY_S
+        self._confirm_due_s = self._now_s() + CONFIRM_EVERY_S
         held_s = (
             self._previous_leader.held_s if self._previous_leader is not None else None
         )
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -145,7 +145,7 @@
             previous.lease_id if previous is not None else 0
         )
         self._grant_manager.take_over(
-            self._leadership.lease_renewed_s,
+            self._leadership.confirmed_s,
             leading_since_s=self._gained_s,
             held_s=held_s,
             lease_id=term.lease_id,
@@ -264,7 +264,8 @@
             if now_s >= self._read_due_s:
                 self._read_tables()
             return
-        self._grant_manager.note_store_contact(self._leadership.lease_renewed_s)
+        self._grant_manager.note_store_answer(self._leadership.lease_renewed_s)
+        self._grant_manager.note_store_contact(self._leadership.confirmed_s)
         if (
             not self._has_marked_expired
             and self._grant_manager.holders.earlier_grants_expired()
--- a/src/gentianwharf/keyspace/_store_contact.py
+++ b/src/gentianwharf/keyspace/_store_contact.py
@@ -10,24 +10,29 @@
 
 @final
 class StoreContact:
-    """The last contact with the store that showed that this host led."""
+    """The last contact with the store, and the last that showed that this host led."""
 
     def __init__(self, *, timing: GrantTiming, now_s: Clock) -> None:
         self._timing = timing
         self._now_s = now_s
         self._last_s = 0.0
+        self._answered_s = 0.0
 
     def begin(self, contact_s: float) -> None:
         """Begin a term with the contact by which this host took over."""
-        self._last_s = contact_s
+        self._last_s = self._answered_s = contact_s
 
     def note(self, contact_s: float) -> None:
-        """Record a contact."""
+        """Record a contact that showed that this host led."""
         self._last_s = max(self._last_s, contact_s)
 
+    def note_answer(self, answered_s: float) -> None:
+        """Record that the store answered, for example to a renewal of the lease."""
+        self._answered_s = max(self._answered_s, answered_s)
+
     def silent_s(self) -> float:
-        """Return for how long there has been no contact."""
-        return self._now_s() - self._last_s
+        """Return for how long the store has not answered."""
+        return self._now_s() - max(self._last_s, self._answered_s)
 
     def is_store_silent(self) -> bool:
         """Whether grants get the longest duration, since the store may be lost."""
--- a/src/gentianwharf/keyspace/_timing.py
+++ b/src/gentianwharf/keyspace/_timing.py
@@ -44,6 +44,13 @@
 """A renewal does not wait for the answer to the one before, so that three answers in a
 row may be lost."""
 
+CONFIRM_EVERY_S = 0.6
+"""Interval at which a leader reads its item. A renewed lease does not show that the
+item is still there."""
+
+CONFIRM_WITHIN_S = 2.4
+"""A leader that could not read its item for this time lets its lease run out."""
+
 STORE_SILENT_S = 1.0
 """If the store does not answer for this time, grants get the longest duration that the
 servers accept."""
--- a/tests/builders_placement_planned.py
+++ b/tests/builders_placement_planned.py
@@ -86,7 +86,7 @@
 
 class _Leadership:
     term = Term(lease_id=1, revision=1)
-    lease_renewed_s = 0.0
+    lease_renewed_s = confirmed_s = 0.0
     value = b""
 
     def holds_lease(self) -> bool:
@@ -204,6 +204,9 @@
     ) -> None:
         """Nothing was granted before."""
 
+    def note_store_answer(self, answered_s: float) -> None:
+        pass
+
     def note_store_contact(self, store_contact_s: float) -> None:
         """Do nothing: the store is always reachable."""
 
--- a/tests/test_keyspace_early_leases.py
+++ b/tests/test_keyspace_early_leases.py
@@ -63,3 +63,22 @@
     assert a.leadership.holds_lease()
     a.planner.note_table(terms.store.items_by_key[TABLE_KEY])
     terms.run(CHECKED_S, a, b)
+
+
+@pytest.mark.parametrize("answers_reads", [True, False], ids=["reads", "no-reads"])
+def test_leader_that_lost_its_item_and_keeps_its_lease_sends_no_more_orders(
+    terms: Terms, answers_reads: bool
+) -> None:
+    """Guards against a renewed lease that counts as contact without the item."""
+    terms.cut_links()
+    a, b, _ = terms.hosts
+    terms.run_until(lambda: terms.servers.holders(0), a)
+    a.receives_changes = False
+    if not answers_reads:
+        a.faults.reads = Gate()
+    terms.store.remove_leader_item()
+    terms.cut_server(b, holder(1))
+    b.planner.set_candidates(SERVICE, REMAINING)
+    terms.run_until(lambda: b.leads, a, b)
+    terms.run(CHECKED_S, a, b)
+    assert terms.servers.holders(0) not in ([], [holder(1).address])
