Begin releases at servers that keep their id once no earlier leader connects

Cause: orders on new connections are sent for 1.2 s after a leader's last contact, on the assumption that no other host leads by then. If the store ends the lease early, the next leader releases shards at a server within this time. The server restarts under its id and accepts a renewal of the former leader, for shards that another server holds.

Change: for 1.2 s after its claim, a leader sends no release to a server that keeps its id, unless all grants of earlier leaders have expired. The last contact of each earlier leader is before the claim, so that none of them opens a connection after the first release; on an older connection, it reaches no restarted process. Servers with an id for each start are released at once, as before.

Tests: test_next_leader_does_not_release_where_a_former_one_may_still_connect fails without the change and passes with it. Tests whose leader is not meant to be a new one state that it has led for 1.2 s (manager_of, led_for_s). test_new_leader_releases_at_once has a server with an id for each start now: for others it is no longer meant to hold.

Cost: keys that move as the leader is lost stay with their former holders for up to 1.2 s longer, at servers that keep their id.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -109,12 +109,12 @@
         term; without it, this host states its grants to no later leader.
         """
         self._leading = True
-        self._contact.begin(store_contact_s)
+        if leading_since_s is None:
+            leading_since_s = store_contact_s
+        self._contact.begin(store_contact_s, leading_since_s=leading_since_s)
         if held_s is None:
             earlier_grants_until_s = self._timing.earlier_grants_expiry_s(
-                took_over_s=(
-                    store_contact_s if leading_since_s is None else leading_since_s
-                )
+                took_over_s=leading_since_s
             )
         else:
             earlier_grants_until_s = self._now_s() + held_s
@@ -219,7 +219,8 @@
                 self._drop_former_holder(row, former)
         if row.former_holders:
             holder = row.former_holders[0]
-            if now_s >= row.release_due_s and self._may_order(holder):
+            is_due = now_s >= row.release_due_s and self._may_release(holder)
+            if is_due and self._may_order(holder):
                 counts_until_s = now_s + RELEASE_COUNTS_S
                 self._start(row, holder, self._release(row, holder), counts_until_s)
         else:
@@ -262,6 +263,18 @@
             first=span.first, last=span.last, token=span.token
         )
 
+    def _may_release(self, holder: Holder) -> bool:
+        """Whether a release has a lasting effect at a holder.
+
+        A server that restarts under its id after the release would accept a grant of an
+        earlier leader that connects anew.
+        """
+        return (
+            not holder.keeps_id
+            or not self._contact.may_earlier_leader_connect()
+            or self.holders.earlier_grants_expired()
+        )
+
     def _may_order(self, holder: Holder, *, is_first_grant: bool = False) -> bool:
         if self._contact.is_silenced():
             # An order may become possible after the tick that began it: when a release
--- a/src/gentianwharf/keyspace/_store_contact.py
+++ b/src/gentianwharf/keyspace/_store_contact.py
@@ -17,10 +17,16 @@
         self._now_s = now_s
         self._last_s = 0.0
         self._answered_s = 0.0
+        self._others_connect_until_s = 0.0
 
-    def begin(self, contact_s: float) -> None:
-        """Begin a term with the contact by which this host took over."""
+    def begin(self, contact_s: float, *, leading_since_s: float) -> None:
+        """Begin a term with the contact by which this host took over.
+
+        ``leading_since_s`` is when this host knew that its claim was stored, which was
+        after the last contact of each earlier leader.
+        """
         self._last_s = self._answered_s = contact_s
+        self._others_connect_until_s = leading_since_s + LEADER_LEASE_S
 
     def note(self, contact_s: float) -> None:
         """Record a contact that showed that this host led."""
@@ -46,13 +52,18 @@
         """Whether another host may lead by now."""
         return self._now_s() >= self._last_s + LEADER_LEASE_S
 
+    def may_earlier_leader_connect(self) -> bool:
+        """Whether an earlier leader may still send orders on new connections."""
+        return self._now_s() < self._others_connect_until_s
+
     def allows_order(self, *, on_new_connection: bool) -> bool:
         """Whether an order may be sent; to be called immediately before it is written.
 
-        A host that may have been replaced sends no order on a new connection. The next
+        A host without recent contact sends no order on a new connection. The next
         leader may have released shards at a server that was then restarted under its id
         and lost the token of the release. That server would accept a renewal for shards
-        that another server holds.
+        that another server holds. The next leader begins its releases there only once
+        ``may_earlier_leader_connect`` is false, since the store may end a lease early.
         """
         if self.is_silenced():
             return False
--- a/tests/builders_keyspace.py
+++ b/tests/builders_keyspace.py
@@ -25,6 +25,7 @@
     Release,
     Span,
 )
+from gentianwharf.keyspace._timing import LEADER_LEASE_S
 
 SHARDS = 1000
 SERVICE = "roster"
@@ -234,14 +235,18 @@
 
 
 def manager_of(
-    servers: Servers, *, granted: Callable[[str, Span], None] | None = None
+    servers: Servers,
+    *,
+    led_for_s: float = LEADER_LEASE_S,
+    granted: Callable[[str, Span], None] | None = None,
 ) -> GrantManager:
-    """Return a grant manager that leads from now on."""
+    """Return a grant manager of a host that has led for a time and grants from now."""
     clock = servers.clock
     manager = GrantManager(orders=servers, timing=TIMING, now_s=clock.seconds)
     if granted is not None:
         manager.on_granted = granted
-    manager.take_over(clock.seconds())
+    now_s = clock.seconds()
+    manager.take_over(now_s, leading_since_s=now_s - led_for_s)
     return manager
 
 
--- a/tests/builders_restarts.py
+++ b/tests/builders_restarts.py
@@ -10,6 +10,7 @@
 from tests.builders_lives import Addresses, OrderSender
 
 LONG_GRANT_S = 10.0
+STEP_S = 0.05
 SHARD = 5
 
 
@@ -67,6 +68,29 @@
             holder.server_id, holder.address, born_ms=holder.born_ms + 1
         )
 
+    def run_with_next_leader(self, duration_s: float) -> None:
+        """Let another host lead, which moves the shards to the second server.
+
+        The connections of both leaders are closed at each step, and the first server
+        restarts as soon as it has answered the release.
+        """
+        manager = GrantManager(
+            orders=self._next_leader, timing=TIMING, now_s=self.clock.seconds
+        )
+        manager.take_over(self.clock.seconds())
+        moved = whole_span(self.second, token=2, former=self.first)
+        manager.follow(table(moved, highest_token=2))
+        first = self.addresses.running[self.first.address]
+        for _ in range(round(duration_s / STEP_S)):
+            for sender in (self.sender, self._next_leader):
+                sender.close_connections()
+            manager.note_store_contact(self.clock.seconds())
+            manager.tick()
+            if first.grants.tokens.get(SHARD) == 2:
+                self.restart(self.first)
+                first = self.addresses.running[self.first.address]
+            self.run(STEP_S, store_contact=False)
+
     def move_as_next_leader(self) -> None:
         """Release the shards at the first server and grant them to the second one."""
         release = Release(first=0, last=9, token=2)
--- a/tests/test_keyspace_early_leases.py
+++ b/tests/test_keyspace_early_leases.py
@@ -7,6 +7,7 @@
 
 from gentianwharf.entryhost import _previous_leader
 from tests.builders_keyspace import SERVICE, TABLE_KEY, candidate, holder
+from tests.builders_restarts import SHARD, RestartingServers, whole_span
 from tests.builders_terms import Gate, TermHost, Terms
 
 CHECKED_S = 20.0
@@ -82,3 +83,12 @@
     terms.run_until(lambda: b.leads, a, b)
     terms.run(CHECKED_S, a, b)
     assert terms.servers.holders(0) not in ([], [holder(1).address])
+
+
+def test_next_leader_does_not_release_where_a_former_one_may_still_connect() -> None:
+    """Guards against a renewal at a restarted server right after its release."""
+    fleet = RestartingServers()
+    fleet.follow(whole_span(fleet.first, token=1))
+    fleet.run(1.0)
+    fleet.run_with_next_leader(3.0)
+    assert fleet.addresses.holders(SHARD) == [fleet.second]
--- a/tests/test_keyspace_move_times.py
+++ b/tests/test_keyspace_move_times.py
@@ -1,5 +1,7 @@
 """How long a move keeps its keys unserved, apart from the work that is running."""
 
+from dataclasses import replace
+
 import pytest
 from twisted.internet.task import Clock
 
@@ -9,6 +11,7 @@
     SERVICE,
     TIMING,
     Servers,
+    holder,
     manager_of,
     run_manager,
     span,
@@ -93,7 +96,9 @@
     manager = GrantManager(orders=servers, timing=TIMING, now_s=clock.seconds)
     manager.announce_wait_s = 0.3
     manager.take_over(clock.seconds())
-    manager.follow(table(span(0, 9, 2, token=2, former_holders=(1,)), highest_token=2))
+    former = replace(holder(1), born_ms=0)
+    moved = replace(span(0, 9, 2, token=2), former_holders=(former,))
+    manager.follow(table(moved, highest_token=2))
     assert servers.holders(5) == [span(0, 9, 2).holder.address]
 
 
--- a/tests/test_keyspace_order_of_news.py
+++ b/tests/test_keyspace_order_of_news.py
@@ -6,6 +6,7 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.keyspace import GrantManager, Holder, KeyTable, Span
+from gentianwharf.keyspace._timing import LEADER_LEASE_S
 from tests.builders_keyspace import SERVICE, TIMING, run_manager
 from tests.builders_lives import Addresses, OrderSender
 
@@ -134,7 +135,8 @@
     former.follow(_table(first_life, 1))
     run_manager(former, clock, 20.0)
     run_manager(former, clock, 2.0, store_contact=False)
-    leader.take_over(clock.seconds())
+    now_s = clock.seconds()
+    leader.take_over(now_s, leading_since_s=now_s - LEADER_LEASE_S)
     leader.follow(_table(first_life, 1))
     leader.follow(_table(other, 2, former_holders=(first_life,)))
     run_manager(leader, clock, 0.2)
