Log how a leader learns that its term has ended

Leases that run out, leases that the store ends early, and items that go while their lease lives looked alike in the log of the host that led. The reason is named now: by news, by its own read of the item, by a table of a later leader, or by another host's word.

--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -180,10 +180,10 @@
         # one to ask.
         return Put(key=self._previous_leader_key, value=self._replaced_record.value)
 
-    def step_down(self) -> None:
-        """End this host's term because another host has stated that it leads."""
+    def step_down(self, reason: str = "another host has stated that it leads") -> None:
+        """End this host's term because another host leads."""
         if self.term is not None:
-            self._lose("another host leads")
+            self._lose(reason)
 
     async def mark_earlier_grants_expired(self) -> bool:
         """Store that only this leader's grants may be valid; return whether it did."""
@@ -293,7 +293,7 @@
         if self.term is not term:
             return
         if item is None or item.revision != term.revision:
-            self._lose("the leader's item no longer belongs to this host")
+            self._lose("the store returned no item of this host's term")
         else:
             self.confirmed_s = max(self.confirmed_s, now_s)
 
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -253,7 +253,7 @@
             and revision > term.revision
             and table.leader_revision != term.revision
         ):
-            self._leadership.step_down()
+            self._leadership.step_down("a later leader has stored a table")
 
     def tick(self) -> None:
         """Plan the services that are due; to be called about every 50 ms."""
