Check all known tables against the term before taking over

What callers would see: two servers with the same keys (OWNER).

Cause: a table was compared with the term when it arrived. A host that has no term yet, since the answer to its claim is late, receives the next leader's table without a comparison. Once the claim is answered, the read of the tables brings nothing newer, and the host takes over by its successor's table.

Change: all known tables are compared with the term once the tables have been read, before the host takes over.

Evidence: test_claim_that_is_answered_after_the_next_leaders_table_is_not_acted_on fails in both forms without the change (shard 0 held by 10.0.0.1 and 10.0.0.3) and passes with it.

--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -129,6 +129,9 @@
             log.info("tables read too late: the lease may have ended")
             return
         rejected = [item for item in page.items if not self.note_table(item)]
+        for service in self._services.values():
+            # The claim may be answered after a table of a later leader was received.
+            self._check_term(service.table, service.revision)
         if self._leadership.term is not term:
             return
         self._term = term
--- a/tests/test_keyspace_early_leases.py
+++ b/tests/test_keyspace_early_leases.py
@@ -6,7 +6,13 @@
 import pytest
 
 from gentianwharf.entryhost import _previous_leader
-from tests.builders_keyspace import SERVICE, TABLE_KEY, candidate, holder
+from tests.builders_keyspace import (
+    LEADER_KEY,
+    SERVICE,
+    TABLE_KEY,
+    candidate,
+    holder,
+)
 from tests.builders_restarts import SHARD, RestartingServers, whole_span
 from tests.builders_terms import Gate, TermHost, Terms
 
@@ -66,6 +72,26 @@
     terms.run(CHECKED_S, a, b)
 
 
+@pytest.mark.parametrize("hears_of_leader", [True, False], ids=["leader", "table"])
+def test_claim_that_is_answered_after_the_next_leaders_table_is_not_acted_on(
+    terms: Terms, hears_of_leader: bool
+) -> None:
+    """Guards against a leader whose tables are already those of a later one."""
+    terms.cut_links()
+    terms.let_grants_of_a_expire()
+    a, b, _ = terms.hosts
+    answers = a.faults.answers_to_changes = Gate()
+    a.receives_changes = False
+    terms.run_until(terms.leader_item, a)
+    terms.store.end_leases()
+    let_b_begin_a_move(terms)
+    a.planner.note_table(terms.store.items_by_key[TABLE_KEY])
+    if hears_of_leader:
+        a.leadership.note_item(terms.store.items_by_key[LEADER_KEY])
+    answers.open()
+    terms.run(CHECKED_S, a, b)
+
+
 @pytest.mark.parametrize("answers_reads", [True, False], ids=["reads", "no-reads"])
 def test_leader_that_lost_its_item_and_keeps_its_lease_sends_no_more_orders(
     terms: Terms, answers_reads: bool
