Wait for orders of earlier leaders that are still on their way

What callers would see: two servers with the same keys (OWNER). Found by the review; shown by a test of the product's parts.

Cause: a kernel may deliver an order up to 1 s after it was written. The wait for earlier leaders' grants, 5 s and the longest grant, left this time out: it was covered by the lease of 1.2 s, which lies between the last contact of a leader and the claim of the next one. If the store ends the lease early, nothing lies between them.

Change: the wait includes this time, 16.3 s in place of 15.3 s. Orders and the wait share one constant now, MAX_DELIVERY_S. Ending a leader's orders earlier would have cost a second of each outage of the store instead.

--- a/src/gentianwharf/keyspace/__init__.py
+++ b/src/gentianwharf/keyspace/__init__.py
@@ -18,9 +18,10 @@
 from ._shard_load import ShardLoad
 from ._snapshot import PlacementSnapshot
 from ._table import Holder, KeyTable, Span, decode_table, encode_table
-from ._timing import GrantTiming
+from ._timing import MAX_DELIVERY_S, GrantTiming
 
 __all__ = [
+    "MAX_DELIVERY_S",
     "UNKNOWN_GRANTS",
     "Candidate",
     "Demand",
--- a/src/gentianwharf/keyspace/_timing.py
+++ b/src/gentianwharf/keyspace/_timing.py
@@ -61,6 +61,11 @@
 15 s. The next leader waits for this time before it assumes that an unreachable server
 has no grant."""
 
+MAX_DELIVERY_S = 1.0
+"""Time after which an order that was written no longer arrives. A new leader waits for
+it as well: the lease of the leader before it may have ended right after its last
+contact."""
+
 CLOCK_DRIFT = 1.02
 """A server's clock may run 2 % slow while it measures a grant."""
 
@@ -125,5 +130,5 @@
     def earlier_grants_expiry_s(self, *, took_over_s: float) -> float:
         """Return when all grants of earlier leaders have certainly expired."""
         return self.latest_grant_expiry_s(
-            stopped_s=took_over_s + self.renew_without_store_s
+            stopped_s=took_over_s + self.renew_without_store_s + MAX_DELIVERY_S
         )
--- a/src/gentianwharf/platform/_order_connections.py
+++ b/src/gentianwharf/platform/_order_connections.py
@@ -27,7 +27,7 @@
 
 from gentianwharf.errors import OutcomeUnknownError
 from gentianwharf.http_agent import BytesBody, ip_endpoint
-from gentianwharf.keyspace import MaySend, OrderWithheldError
+from gentianwharf.keyspace import MAX_DELIVERY_S, MaySend, OrderWithheldError
 from gentianwharf.sockets import limit_delivery_time
 from gentianwharf.statuses import check_statuses
 
@@ -35,10 +35,8 @@
 IDLE_TIMEOUT_S = 8.0
 """Less than the 10 s after which servers close an idle connection."""
 
-DELIVERY_TIMEOUT_S = 1.0
-"""Time after which the kernel discards an order that the server has not acknowledged.
-It is shorter than a leader's lease: the next leader waits for the longest grant from
-the end of the lease."""
+DELIVERY_TIMEOUT_S = MAX_DELIVERY_S
+"""Time after which the kernel discards an order that has not been acknowledged."""
 
 MAX_IDLE_CONNECTIONS = 2
 """To one server: for grants, which are sent one at a time, and for a release."""
--- a/tests/test_keyspace_early_leases.py
+++ b/tests/test_keyspace_early_leases.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gentianwharf.entryhost import _previous_leader
+from gentianwharf.keyspace import MAX_DELIVERY_S
 from tests.builders_keyspace import (
     LEADER_KEY,
     SERVICE,
@@ -111,6 +112,32 @@
     assert terms.servers.holders(0) not in ([], [holder(1).address])
 
 
+@pytest.mark.parametrize("delayed_from_s", [4.0 + 0.05 * step for step in range(10)])
+def test_order_that_arrives_late_is_covered_by_the_wait_for_earlier_leaders(
+    terms: Terms, delayed_from_s: float
+) -> None:
+    """Guards against a grant that outlasts the wait since it was held up on its way.
+
+    The claim of the next leader follows the last contact of the former one at once.
+    """
+    terms.cut_links()
+    a, b, _ = terms.hosts
+    for server in terms.servers.by_address.values():
+        server.drift = 1.02
+    terms.run_until(lambda: terms.servers.holders(0), a)
+    confirmed_s = a.leadership.confirmed_s
+    terms.run_until(lambda: a.leadership.confirmed_s > confirmed_s, a)
+    a.cut()
+    terms.store.end_leases()
+    terms.cut_server(b, holder(1))
+    b.planner.set_candidates(SERVICE, REMAINING)
+    terms.run_until(lambda: b.leads, a, b)
+    terms.run(delayed_from_s, a, b)
+    a.orders.delay_s = 0.95 * MAX_DELIVERY_S
+    terms.run(CHECKED_S, a, b)
+    assert terms.servers.holders(0) not in ([], [holder(1).address])
+
+
 def test_next_leader_does_not_release_where_a_former_one_may_still_connect() -> None:
     """Guards against a renewal at a restarted server right after its release."""
     fleet = RestartingServers()
