Leave ended servers out when a leader counts whom it reaches

Cause: a server whose address is answered by another one counted as out of reach. If most of the listed servers had ended, because many restarted with new ids and their entries stayed, each new leader resigned as isolated as soon as it had the first answers.

Change: a server that has certainly ended is no candidate, and no sign of isolation: the answer of its successor shows that this host reaches its address.

--- a/src/gentianwharf/keyspace/_holder_states.py
+++ b/src/gentianwharf/keyspace/_holder_states.py
@@ -184,6 +184,12 @@
             for counts_until_s in state.orders.values()
         )
 
+    def ended(self) -> frozenset[Holder]:
+        """Return the holders at whose addresses another server has answered."""
+        return frozenset(
+            holder for holder, state in self._states.items() if state.has_ended
+        )
+
     def unreachable(self) -> frozenset[Holder]:
         """Return the holders that have answered no order for ``UNREACHABLE_S``.
 
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -352,19 +352,22 @@
         """Return the candidates except those that this host can't reach.
 
         If it can't reach most of them, this host is the one that is cut off. It then
-        moves nothing, and another host should lead.
+        moves nothing, and another host should lead. Servers that have ended are left
+        out: another one answered at their addresses, so this host reaches these.
         """
-        lost = self._grant_manager.holders.unreachable()
-        reachable = [
+        holders = self._grant_manager.holders
+        ended, lost = holders.ended(), holders.unreachable()
+        living = [
             candidate
             for candidate in service.candidates
-            if candidate.holder not in lost
+            if candidate.holder not in ended
         ]
-        if len(reachable) * 2 > len(service.candidates):
+        reachable = [candidate for candidate in living if candidate.holder not in lost]
+        if len(reachable) * 2 > len(living):
             return reachable
-        if service.candidates:
+        if living:
             self.on_isolated()
-        return list(service.candidates)
+        return living
 
     def _is_clean_up_due(self, service: KeyedService, now_s: float) -> bool:
         if service.moves_finished_s is None:
--- a/tests/builders_placement_planned.py
+++ b/tests/builders_placement_planned.py
@@ -77,6 +77,9 @@
     def unreachable(self) -> frozenset[Holder]:
         return frozenset()
 
+    def ended(self) -> frozenset[Holder]:
+        return frozenset()
+
     def remaining_grants(self) -> Mapping[str, float]:
         return {}
 
