Assign all shards of ended servers at once

Cause: the shards of every holder that answers no orders move only as fast as the remaining servers have spare capacity for cold shards, 0.06 to 0.5 of the load for each warm-up of 5 s. The bound is for holders that are cut off, whose shards may be served meanwhile. Nobody serves the shards of a holder that has ended.

Change: the bound applies to holders that are out of reach, and not to those at whose addresses another server has answered.

Evidence: test_shards_of_ended_servers_are_served_again_within_a_second fails in both forms without the change. The test of a cut-off failure domain is unchanged and passes.

--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -339,8 +339,9 @@
             service.cold_loads.popleft()
         cold = sum(load for _, load in service.cold_loads)
         movable_load = movable_cold_load(service.demand, reachable) - cold
+        holders = self._grant_manager.holders
         return LostHolders(
-            holders=self._grant_manager.holders.unreachable(), movable_load=movable_load
+            holders=holders.unreachable() - holders.ended(), movable_load=movable_load
         )
 
     def _is_changed(self, service: KeyedService) -> bool:
--- a/tests/test_keyspace_ended_servers.py
+++ b/tests/test_keyspace_ended_servers.py
@@ -1,5 +1,6 @@
 """Servers that have ended, as another server at their address shows, while listed."""
 
+import pytest
 from twisted.internet.task import Clock
 
 from tests.builders_keyspace import (
@@ -12,6 +13,7 @@
 )
 from tests.builders_keyspace_hosts import LeadingHost, SimpleStore, run_hosts
 
+SERVED_AGAIN_S = 1.0
 CHECKED_SHARDS = range(0, SHARDS, 7)
 
 
@@ -57,3 +59,13 @@
         leader.servers[number].is_unreachable = True
     run_hosts(leader.store.clock, 4.0, leader)
     assert isolations
+
+
+@pytest.mark.parametrize("ended", [4, 7], ids=["less-than-half", "most"])
+def test_shards_of_ended_servers_are_served_again_within_a_second(ended: int) -> None:
+    """Guards against shards without a holder until other shards have warmed up."""
+    leader = leader_of(9)
+    end_servers(leader, *range(1, ended + 1))
+    run_hosts(leader.store.clock, SERVED_AGAIN_S, leader)
+    unserved = [shard for shard in CHECKED_SHARDS if not leader.servers.holders(shard)]
+    assert not unserved
