Count the wait for a former holder from the first election after its move

Cause: each leader that could not ask the one before waited for the longest grant of all earlier leaders, counted from its own election, also for moves that had been stored under an earlier leader.

Change: each host notes when it learns of an election after a table. A leader takes over by the tables that were stored before its claim, so it grants nothing to the former holders of their moves, and the last contact of each earlier leader was before that claim. Their grants expire 15.3 s after it, whoever leads since. A host that has just started notes an election when it learns of it. No call of the store is added.

What a leader has learned of its moves is still lost with it unless it could write a table.

--- a/src/gentianwharf/keyspace/_grant_manager.py
+++ b/src/gentianwharf/keyspace/_grant_manager.py
@@ -20,6 +20,7 @@
 )
 
 from ._holder_states import HolderStates
+from ._move_bounds import MoveBounds
 from ._moves import SpanKey
 from ._orders import (
     Grant,
@@ -78,6 +79,7 @@
         self._unconfirmed: dict[str, KeyTable] = {}
         """Tables that arrived while another host may have led."""
         self.holders = HolderStates(timing=timing, now_s=now_s)
+        self.move_bounds = MoveBounds(timing=timing, now_s=now_s)
         self._contact = StoreContact(timing=timing, now_s=now_s)
         self._is_store_silent = False
         self._grants_sent = 0
@@ -214,7 +216,7 @@
 
     def _advance(self, row: Row, now_s: float) -> None:
         for former in list(row.former_holders):
-            if now_s >= self.holders.held_until_s(former):
+            if now_s >= self._expire_by_s(row, former):
                 row.log(former, "grants of the former holder have expired")
                 self._drop_former_holder(row, former)
         if row.former_holders:
@@ -263,6 +265,13 @@
             first=span.first, last=span.last, token=span.token
         )
 
+    def _expire_by_s(self, row: Row, former_holder: Holder) -> float:
+        """Return by when a former holder's grants of a row have expired."""
+        return min(
+            self.holders.held_until_s(former_holder),
+            self.move_bounds.expire_by_s(row.service, row.span.token),
+        )
+
     def _may_release(self, holder: Holder) -> bool:
         """Whether a release has a lasting effect at a holder.
 
@@ -332,7 +341,7 @@
             MAX_RELEASE_TIMEOUT_S,
             FIRST_RELEASE_TIMEOUT_S * (1 + row.release_tries),
             # There is nothing to wait for once the holder's grant has expired.
-            self.holders.held_until_s(holder) - self._now_s(),
+            self._expire_by_s(row, holder) - self._now_s(),
         )
         row.release_tries += 1
         sent_s = self._now_s()
--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -69,6 +69,8 @@
         self.lease_renewed_s = float("-inf")
         self.confirmed_s = float("-inf")
         """The last time at which the item was certainly this host's."""
+        self.newest_revision = 0
+        """The revision of the newest leader's item that this host has seen."""
         self.on_gained: Callable[[PreviousLeader | None], None] = lambda previous: None
         self.on_lost: Callable[[], None] = lambda: None
         self.handicap_s: Callable[[], float] = lambda: 0.0
@@ -110,6 +112,8 @@
     def note_item(self, item: Item | None) -> None:
         """Follow the leader's item in the store."""
         self._item = item
+        if item is not None:
+            self.newest_revision = max(self.newest_revision, item.revision)
         if self.term is not None:
             if item is None or item.revision != self.term.revision:
                 self._lose("the leader's item no longer belongs to this host")
@@ -306,6 +310,7 @@
             _start(self._remove_item(term, None))
             return
         self.term = term
+        self.newest_revision = max(self.newest_revision, revision)
         self.lease_renewed_s = self.confirmed_s = self._campaign_began_s
         self._due_s = self._now_s() + RENEW_LEASE_EVERY_S
         self._confirm_due_s = self._now_s() + CONFIRM_EVERY_S
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -257,6 +257,8 @@
 
     def tick(self) -> None:
         """Plan the services that are due; to be called about every 50 ms."""
+        for service in self._services.values():
+            self._note_election(service)
         if not self._leadership.holds_lease():
             return
         now_s = self._now_s()
@@ -424,9 +426,17 @@
         if item is not None:
             self.note_table(item)
 
+    def _note_election(self, service: KeyedService) -> None:
+        """Record it if a leader was elected after the service's table was stored."""
+        if self._leadership.newest_revision > service.revision > 0:
+            self._grant_manager.move_bounds.note_election(
+                service.name, service.table.highest_token
+            )
+
     def _accept(self, service: KeyedService, table: KeyTable, revision: int) -> None:
         if revision <= service.revision:
             return
+        self._note_election(service)
         service.table, service.revision = table, revision
         self._grant_manager.follow(table)
         self.on_table(table)
--- a/tests/builders_placement_planned.py
+++ b/tests/builders_placement_planned.py
@@ -90,6 +90,7 @@
 class _Leadership:
     term = Term(lease_id=1, revision=1)
     lease_renewed_s = confirmed_s = 0.0
+    newest_revision = 0
     value = b""
 
     def holds_lease(self) -> bool:
