--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -260,6 +260,8 @@
 
     def tick(self) -> None:
         """Plan the services that are due; to be called about every 50 ms."""
+        for service in self._services.values():
+            self._note_election(service)
         if not self._leadership.holds_lease():
             return
         now_s = self._now_s()
@@ -342,8 +344,9 @@
             service.cold_loads.popleft()
         cold = sum(load for _, load in service.cold_loads)
         movable_load = movable_cold_load(service.demand, reachable) - cold
+        holders = self._grant_manager.holders
         return LostHolders(
-            holders=self._grant_manager.holders.unreachable(), movable_load=movable_load
+            holders=holders.unreachable() - holders.ended(), movable_load=movable_load
         )
 
     def _is_changed(self, service: KeyedService) -> bool:
@@ -355,19 +358,22 @@
         """Return the candidates except those that this host can't reach.
 
         If it can't reach most of them, this host is the one that is cut off. It then
-        moves nothing, and another host should lead.
+        moves nothing, and another host should lead. Servers that have ended are left
+        out: another one answered at their addresses, so this host reaches these.
         """
-        lost = self._grant_manager.holders.unreachable()
-        reachable = [
+        holders = self._grant_manager.holders
+        ended, lost = holders.ended(), holders.unreachable()
+        living = [
             candidate
             for candidate in service.candidates
-            if candidate.holder not in lost
+            if candidate.holder not in ended
         ]
-        if len(reachable) * 2 > len(service.candidates):
+        reachable = [candidate for candidate in living if candidate.holder not in lost]
+        if len(reachable) * 2 > len(living):
             return reachable
-        if service.candidates:
+        if living:
             self.on_isolated()
-        return list(service.candidates)
+        return living
 
     def _is_clean_up_due(self, service: KeyedService, now_s: float) -> bool:
         if service.moves_finished_s is None:
@@ -423,9 +429,17 @@
         if item is not None:
             self.note_table(item)
 
+    def _note_election(self, service: KeyedService) -> None:
+        """Record it if a leader was elected after the service's table was stored."""
+        if self._leadership.newest_revision > service.revision > 0:
+            self._grant_manager.move_bounds.note_election(
+                service.name, service.table.highest_token
+            )
+
     def _accept(self, service: KeyedService, table: KeyTable, revision: int) -> None:
         if revision <= service.revision:
             return
+        self._note_election(service)
         service.table, service.revision = table, revision
         self._grant_manager.follow(table)
         self.on_table(table)
