Carry out no older table where the stored one can't be decoded

What callers would see: two servers with the same keys (OWNER), while hosts of two versions run. By reading; shown by a test of the orders that are sent.

Cause: a leader that can't decode a stored table renewed by the last table that it knew. The stored one may move shards from their former holders, and others count on it that no leader since grants to these.

Change: a leader sends no orders for a service whose stored table it can't decode, until it receives one that it can.

Evidence: test_leader_that_cannot_decode_a_table_carries_out_no_older_one fails without the change and passes with it.

--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -1,6 +1,6 @@
 """Plans the table of each keyed service on the leading host, and stores it."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import replace
 from typing import final
 
@@ -128,7 +128,7 @@
             # holders this host does not know. They are read again after a renewal.
             log.info("tables read too late: the lease may have ended")
             return
-        rejected = [item for item in page.items if not self.note_table(item)]
+        rejected = {item.key for item in page.items if not self.note_table(item)}
         for service in self._services.values():
             # The claim may be answered after a table of a later leader was received.
             self._check_term(service.table, service.revision)
@@ -136,9 +136,13 @@
             return
         self._term = term
         has_spans = any(service.table.spans for service in self._services.values())
-        self._take_over(term, may_have_grants=has_spans or bool(rejected))
+        self._take_over(
+            term, may_have_grants=has_spans or bool(rejected), rejected=rejected
+        )
 
-    def _take_over(self, term: Term, *, may_have_grants: bool) -> None:
+    def _take_over(
+        self, term: Term, *, may_have_grants: bool, rejected: Set[str]
+    ) -> None:
         previous = self._previous_leader
         held_s = previous.held_s if previous is not None else None
         if not may_have_grants:
@@ -170,7 +174,9 @@
         for service in self._services.values():
             service.due_s = 0.0
             service.planned_for = None
-            self._grant_manager.follow(service.table)
+            if service.key not in rejected:
+                # By an older table, shards could be granted to former holders.
+                self._grant_manager.follow(service.table)
 
     def _mark_earlier_grants_expired(self, now_s: float) -> None:
         """Store that the next leader can ignore the leaders before this one."""
--- a/tests/test_keyspace_terms.py
+++ b/tests/test_keyspace_terms.py
@@ -153,6 +153,21 @@
     assert a.held_s() > TIMING.longest_grant_s
 
 
+def test_leader_that_cannot_decode_a_table_carries_out_no_older_one(
+    terms: Terms,
+) -> None:
+    """Guards against grants to holders from which a newer table moves the shards."""
+    a, b, _ = terms.hosts
+    terms.run_until(lambda: terms.servers.holders(0), a)
+    a.cut()
+    terms.store_table(b"a table of another version")
+    terms.run_until(lambda: b.leads, b)
+    for server in terms.servers.by_address.values():
+        server.orders.clear()
+    terms.run(1.0, b)
+    assert not any(server.orders for server in terms.servers.by_address.values())
+
+
 @pytest.mark.parametrize("held_s", [None, 0.0], ids=["lost", "resigned"])
 def test_record_without_a_lease_shortens_no_wait(
     terms: Terms, held_s: float | None
