Confirm a leader by a conditional change where the store refuses reads

What callers would see: keys without a holder after some 13 s in which the store refuses reads but renews leases and makes changes.

Cause: a leader that can't read its item let its lease run out, and the next one could not read the tables.

Change: if a read is refused and the lease was renewed lately, the leader stores its record again on the condition of its item, which shows the same. Each stored table counts as a contact, too.

Evidence: test_refused_reads_leave_no_shard_without_a_holder[40.0] fails without the change (nobody holds shard 0) and passes with it; [10.0] passes in both.

--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -8,7 +8,11 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from gentianwharf.errors import ConflictError, GentianwharfError
+from gentianwharf.errors import (
+    ConflictError,
+    GentianwharfError,
+    PeerUnavailableError,
+)
 from gentianwharf.logs import log
 from gentianwharf.store import Change, Item, LeaseEndedError, Put, Store
 
@@ -93,6 +97,8 @@
         self._campaigning = False
         self._due_s: float | None = None
         self._confirm_due_s = 0.0
+        self._earlier_grants_expired = False
+        """Whether the stored record of this term says so."""
 
     @property
     def leads(self) -> bool:
@@ -202,6 +208,8 @@
         except GentianwharfError as error:
             log.info("record for the next leader not stored: {}", error.message)
             return False
+        if self.term is term:
+            self._earlier_grants_expired = True
         return True
 
     def note_previous_leader(self, item: Item | None) -> None:
@@ -286,7 +294,7 @@
         """Check in the store that the item is still that of a term."""
         self._confirm_due_s = now_s + CONFIRM_EVERY_S
         try:
-            item = await self._store.item(self._key)
+            is_current = await self._is_current(term)
         except GentianwharfError as error:
             log.info(
                 "leader's item not read: {}",
@@ -294,12 +302,42 @@
                 extra={"step": error.step, "peer": error.peer},
             )
             return
-        if self.term is not term:
-            return
-        if item is None or item.revision != term.revision:
+        if is_current:
+            self.note_confirmed(term, now_s)
+        elif self.term is term:
             self._lose("the store returned no item of this host's term")
+
+    async def _is_current(self, term: Term) -> bool:
+        """Whether the leader's item is that of a term, as the store has it now.
+
+        A store whose limit of reads is used up may renew leases and make changes, so a
+        refused read is replaced by a change on the condition of the item.
+        """
+        try:
+            item = await self._store.item(self._key)
+        except PeerUnavailableError:
+            if self._now_s() > self.lease_renewed_s + 2 * RENEW_LEASE_EVERY_S:
+                raise
         else:
-            self.confirmed_s = max(self.confirmed_s, now_s)
+            return item is not None and item.revision == term.revision
+        record = self._record(
+            term.lease_id, earlier_grants_expired=self._earlier_grants_expired
+        )
+        try:
+            await self._store.change(
+                Change(expected={self._key: term.revision}, puts=(record,))
+            )
+        except ConflictError:
+            return False
+        return True
+
+    def note_confirmed(self, term: Term, sent_s: float) -> None:
+        """Record that the item was that of a term when a call was executed.
+
+        ``sent_s`` is when the call was sent.
+        """
+        if self.term is term:
+            self.confirmed_s = max(self.confirmed_s, sent_s)
 
     def _gain(self, revision: int) -> None:
         term = Term(lease_id=self._campaign_lease_id, revision=revision)
@@ -314,6 +352,7 @@
         self.lease_renewed_s = self.confirmed_s = self._campaign_began_s
         self._due_s = self._now_s() + RENEW_LEASE_EVERY_S
         self._confirm_due_s = self._now_s() + CONFIRM_EVERY_S
+        self._earlier_grants_expired = False
         held_s = (
             self._previous_leader.held_s if self._previous_leader is not None else None
         )
--- a/src/gentianwharf/keyspace/_planner.py
+++ b/src/gentianwharf/keyspace/_planner.py
@@ -402,6 +402,7 @@
             expected={self._leader_key: term.revision, service.key: service.revision},
             puts=(Put(key=service.key, value=value),),
         )
+        sent_s = self._now_s()
         try:
             revision = await self._store.change(change)
         except PeerUnavailableError as error:
@@ -410,6 +411,7 @@
             self._note_failed(service, error)
             await self._read_back(service)
         else:
+            self._leadership.note_confirmed(term, sent_s)
             self._accept(service, table, revision)
 
     def _note_failed(self, service: KeyedService, error: GentianwharfError) -> None:
--- a/tests/builders_placement_planned.py
+++ b/tests/builders_placement_planned.py
@@ -96,6 +96,9 @@
     def holds_lease(self) -> bool:
         return True
 
+    def note_confirmed(self, term: Term, sent_s: float) -> None:
+        pass
+
 
 class _Store:
     def __init__(self) -> None:
--- a/tests/builders_terms.py
+++ b/tests/builders_terms.py
@@ -64,6 +64,7 @@
         super().__init__(store)
         self.loses_answers_to_changes = False
         self.serves_no_tables = False
+        self.refuses_reads = False
         self.lease_delay_s = 0.0
         self.change_delay_s = 0.0
         self.answers_to_changes = Gate()
@@ -91,16 +92,21 @@
             raise OutcomeUnknownError("no answer", step="change", peer="store")
         return cast(int, revision)
 
+    async def _pass_read(self, step: str) -> None:
+        if self.refuses_reads:
+            raise PeerUnavailableError("refused", step=step, peer="store")
+        await self.reads.passed()
+
     async def item(self, key: str) -> Item | None:
         """Return an item."""
-        await self.reads.passed()
+        await self._pass_read("item")
         return cast("Item | None", await cast(Any, self).__getattr__("item")(key))
 
     async def items(self, prefix: str) -> Page:
         """Return all items below a prefix, unless the connection serves none."""
         if self.serves_no_tables:
             raise PeerUnavailableError("too slow", step="items", peer="store")
-        await self.reads.passed()
+        await self._pass_read("items")
         return cast(Page, await cast(Any, self).__getattr__("items")(prefix))
 
 
--- a/tests/test_keyspace_early_leases.py
+++ b/tests/test_keyspace_early_leases.py
@@ -112,6 +112,22 @@
     assert terms.servers.holders(0) not in ([], [holder(1).address])
 
 
+@pytest.mark.parametrize("refused_s", [10.0, 40.0])
+def test_refused_reads_leave_no_shard_without_a_holder(
+    terms: Terms, refused_s: float
+) -> None:
+    """Guards against a leader that gives up while the store refuses reads alone."""
+    a = terms.hosts[0]
+    terms.run_until(lambda: terms.servers.holders(0), a)
+    terms.run(3.0, *terms.hosts)
+    for host in terms.hosts:
+        host.faults.refuses_reads = True
+    for _ in range(round(refused_s)):
+        terms.run(1.0, *terms.hosts)
+        assert terms.servers.holders(0)
+    assert a.leads
+
+
 @pytest.mark.parametrize("delayed_from_s", [4.0 + 0.05 * step for step in range(10)])
 def test_order_that_arrives_late_is_covered_by_the_wait_for_earlier_leaders(
     terms: Terms, delayed_from_s: float
