--- a/src/gentianwharf/keyspace/_store_contact.py
+++ b/src/gentianwharf/keyspace/_store_contact.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import final
 
-from ._timing import LEADER_LEASE_S, STORE_SILENT_S, GrantTiming
+from ._timing import LEADER_LEASE_S, MARGIN_S, STORE_SILENT_S, GrantTiming
 
 Clock = Callable[[], float]
 
@@ -26,7 +26,8 @@
         after the last contact of each earlier leader.
         """
         self._last_s = self._answered_s = contact_s
-        self._others_connect_until_s = leading_since_s + LEADER_LEASE_S
+        # The clocks of hosts may run at slightly different rates.
+        self._others_connect_until_s = leading_since_s + LEADER_LEASE_S + MARGIN_S
 
     def note(self, contact_s: float) -> None:
         """Record a contact that showed that this host led."""
--- a/tests/builders_keyspace.py
+++ b/tests/builders_keyspace.py
@@ -25,7 +25,7 @@
     Release,
     Span,
 )
-from gentianwharf.keyspace._timing import LEADER_LEASE_S
+from gentianwharf.keyspace._timing import LEADER_LEASE_S, MARGIN_S
 
 SHARDS = 1000
 SERVICE = "roster"
@@ -34,6 +34,8 @@
 TABLE_PREFIX = "keys/"
 TABLE_KEY = TABLE_PREFIX + SERVICE
 TIMING = GrantTiming(longest_grant_s=10.0)
+ESTABLISHED_S = LEADER_LEASE_S + MARGIN_S
+"""Time after its claim from which a leader releases shards at any server."""
 
 
 def holder(number: int, *, born_ms: int = 1) -> Holder:
@@ -237,7 +239,7 @@
 def manager_of(
     servers: Servers,
     *,
-    led_for_s: float = LEADER_LEASE_S,
+    led_for_s: float = ESTABLISHED_S,
     granted: Callable[[str, Span], None] | None = None,
 ) -> GrantManager:
     """Return a grant manager of a host that has led for a time and grants from now."""
--- a/tests/test_keyspace_order_of_news.py
+++ b/tests/test_keyspace_order_of_news.py
@@ -6,8 +6,7 @@
 from twisted.internet.task import Clock
 
 from gentianwharf.keyspace import GrantManager, Holder, KeyTable, Span
-from gentianwharf.keyspace._timing import LEADER_LEASE_S
-from tests.builders_keyspace import SERVICE, TIMING, run_manager
+from tests.builders_keyspace import ESTABLISHED_S, SERVICE, TIMING, run_manager
 from tests.builders_lives import Addresses, OrderSender
 
 X, Y, Z = "10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"
@@ -136,7 +135,7 @@
     run_manager(former, clock, 20.0)
     run_manager(former, clock, 2.0, store_contact=False)
     now_s = clock.seconds()
-    leader.take_over(now_s, leading_since_s=now_s - LEADER_LEASE_S)
+    leader.take_over(now_s, leading_since_s=now_s - ESTABLISHED_S)
     leader.follow(_table(first_life, 1))
     leader.follow(_table(other, 2, former_holders=(first_life,)))
     run_manager(leader, clock, 0.2)
