Let the stand-in of the store end leases early, and turn single hosts away

Cause: the users' platform's store may end a lease, or remove an item whose lease lives, before its time, also while a host is cut off. The stand-in ended leases by time alone, and its outages were for all callers.

Change: an order to the store has revokes: "leases" ends the leases that hosts opened over their own addresses, "items" removes their items while they can still be renewed. An outage with addresses is for these hosts alone. The report of an order states how many items were revoked. An order with an unknown form or address is refused, and changes nothing.

Tests: tests/test_platform_standin_faults.py.

--- a/src/gentianwharf/platform/standin/__init__.py
+++ b/src/gentianwharf/platform/standin/__init__.py
@@ -32,7 +32,7 @@
     settings_text,
 )
 from ._store import MAX_VALUE_BYTES, StandInStore
-from ._store_faults import Outage, StoreFaults, StoreOrder, StoreOrderReport
+from ._store_faults import Outage, Revoked, StoreFaults, StoreOrder, StoreOrderReport
 from ._uploads import UPLOAD_HEADER, EarlyAnswer, upload_body
 
 __all__ = [
@@ -65,6 +65,7 @@
     "Outage",
     "Rejections",
     "RequestRun",
+    "Revoked",
     "ServerOrder",
     "ServerSpec",
     "StandInServer",
--- a/src/gentianwharf/platform/standin/__main__.py
+++ b/src/gentianwharf/platform/standin/__main__.py
@@ -88,8 +88,14 @@
             links[address] = store.link
 
     def carry_out_and_report(order: StoreOrder) -> None:
-        carry_out(order, faults=faults, links=links)
-        _print_line(StoreOrderReport(order=order, carried_out_s=reactor.seconds()))
+        revoked_items = carry_out(order, faults=faults, links=links)
+        _print_line(
+            StoreOrderReport(
+                order=order,
+                carried_out_s=reactor.seconds(),
+                revoked_items=revoked_items,
+            )
+        )
 
     if takes_orders:
         _read_orders(StoreOrder, carry_out_and_report)
--- a/src/gentianwharf/platform/standin/_items.py
+++ b/src/gentianwharf/platform/standin/_items.py
@@ -123,6 +123,32 @@
             self._remove(sorted(lease.keys))
             self._notify_listeners()
 
+    def revoke_leases(self, lease_ids: Iterable[int]) -> int:
+        """End leases early that have items, and count these items."""
+        keys = self._leased_keys(lease_ids)
+        for lease_id in keys:
+            self.end_lease(lease_id)
+        return sum(map(len, keys.values()))
+
+    def revoke_items(self, lease_ids: Iterable[int]) -> int:
+        """Remove the items of leases, and count them; the leases live on."""
+        keys = sorted(
+            key for each in self._leased_keys(lease_ids).values() for key in each
+        )
+        if keys:
+            self.revision += 1
+            self._remove(keys)
+            self._notify_listeners()
+        return len(keys)
+
+    def _leased_keys(self, lease_ids: Iterable[int]) -> dict[int, set[str]]:
+        """Return the keys of each lease that has any."""
+        return {
+            lease_id: set(self._leases[lease_id].keys)
+            for lease_id in lease_ids
+            if lease_id in self._leases and self._leases[lease_id].keys
+        }
+
     def expire(self) -> None:
         """End the expired leases; to be called a few times per second."""
         now_s = self._now_s()
--- a/src/gentianwharf/platform/standin/_store.py
+++ b/src/gentianwharf/platform/standin/_store.py
@@ -172,6 +172,7 @@
         self._draw_fate(request)
         duration_s = decode_time_s(_body(request, _LeaseRequest).ttl_time)
         lease_id = self._items.open_lease(duration_s)
+        self.link.lease_ids.add(lease_id)
         return self._response_body(lease=lease_id, ttl_time=encode_time(duration_s))
 
     @klein.route("/v1/kv-keep/<int:lease_id>", methods=["POST"])
--- a/src/gentianwharf/platform/standin/_store_faults.py
+++ b/src/gentianwharf/platform/standin/_store_faults.py
@@ -1,5 +1,6 @@
 """Outages, slow or lost answers and slow links of a stand-in for the store."""
 
+from collections.abc import Iterable
 from enum import StrEnum
 from math import inf
 from random import Random
@@ -46,11 +47,23 @@
     """Calls are answered with 503; connections of pending calls are closed."""
 
 
+class Revoked(StrEnum):
+    """What is taken away from hosts before their leases have run out."""
+
+    LEASES = "leases"
+    """Leases that have items end."""
+
+    ITEMS = "items"
+    """Items are removed, and their leases can still be renewed."""
+
+
 class StoreOrder(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """A change of the store's faults; fields that are None change nothing.
 
-    ``rate_bytes_per_s`` limits each link separately, 0 for no limit; ``addresses`` has
-    the addresses of these links, and is empty for the links of all hosts.
+    ``addresses`` names the hosts whose links are meant, and is empty for all hosts. An
+    outage is for these links alone, or for all calls if there are no ``addresses``.
+    ``rate_bytes_per_s`` limits each link separately, 0 for no limit. ``revokes`` is
+    done once, to leases that were opened over these links.
     ``unanswered_share`` and ``late_share`` are the probabilities of these fates of a
     host's write; lease renewals and ends are never late.
     """
@@ -62,13 +75,15 @@
     addresses: tuple[str, ...] = ()
     unanswered_share: Share | None = None
     late_share: Share | None = None
+    revokes: Revoked | None = None
 
 
 class StoreOrderReport(msgspec.Struct):
-    """The completion of an order, and its time."""
+    """The completion of an order, its time, and how many items were revoked."""
 
     order: StoreOrder
     carried_out_s: float
+    revoked_items: int = 0
 
 
 @final
@@ -85,25 +100,33 @@
         self._items = items
         self._rng = Random(0)
 
-    def begin(self, outage: Outage) -> None:
-        """Begin an outage, or end it with ``Outage.NONE``."""
-        self.outage = outage
+    def begin(self, outage: Outage, link: "AnswerLink | None" = None) -> None:
+        """Begin an outage, or end it with ``Outage.NONE``, of one link or for all."""
+        if link is None:
+            self.outage = outage
+        else:
+            link.outage = outage
+        affected = {request for request in self.pending if link in (None, request.link)}
         if outage is Outage.HANG:
-            for request in self.pending:
-                request.is_lost = True
-            self.pending.clear()
+            for request in affected:
+                request.lose_answer()
         elif outage is Outage.REFUSE:
-            self._close_pending()
+            for request in affected:
+                request.close()
 
     def drop_history(self) -> None:
         """Discard the history, and close the connections of pending calls."""
         self._items.drop_history()
-        self._close_pending()
-
-    def _close_pending(self) -> None:
         for request in list(self.pending):
             request.close()
 
+    def revoke(self, revoked: Revoked, links: Iterable["AnswerLink"]) -> int:
+        """Take away what was leased over some links, and return how many items."""
+        lease_ids = sorted({lease_id for link in links for lease_id in link.lease_ids})
+        if revoked is Revoked.LEASES:
+            return self._items.revoke_leases(lease_ids)
+        return self._items.revoke_items(lease_ids)
+
     def draw_fate(self) -> WriteFate:
         """Return what becomes of the next write."""
         drawn = self._rng.random()
@@ -131,6 +154,10 @@
 
     def __init__(self, *, reactor: Any, faults: StoreFaults) -> None:
         self.rate_bytes_per_s = inf
+        self.outage = Outage.NONE
+        """The outage of this link, beside that of the store."""
+        self.lease_ids: set[int] = set()
+        """All leases that were opened over this link."""
         self.reactor = reactor
         self.faults = faults
         self._free_s = 0.0
@@ -162,17 +189,18 @@
         super().__init__(*args, **kwargs)
         self.is_lost = False
         """Whether the rest of the answer is discarded."""
-        self._link = link
+        self.link = link
         self._body = b""
 
     def process(self) -> None:
         """Handle the call, unless there is an outage."""
-        faults = self._link.faults
-        if faults.outage is Outage.HANG:
+        faults = self.link.faults
+        outages = (faults.outage, self.link.outage)
+        if Outage.HANG in outages:
             self.is_lost = True
             return
         faults.pending.add(self)
-        if faults.outage is Outage.REFUSE:
+        if Outage.REFUSE in outages:
             self.setResponseCode(STATUS_UNAVAILABLE)
             self.write(b"{}")
             self.finish()
@@ -185,27 +213,27 @@
 
     def finish(self) -> None:
         """Send the answer, late if the store is slow."""
-        delay_s = self._link.faults.answer_delay_s()
+        delay_s = self.link.faults.answer_delay_s()
         if delay_s:
-            self._link.reactor.callLater(delay_s, self._begin_answer)
+            self.link.reactor.callLater(delay_s, self._begin_answer)
         else:
             self._begin_answer()
 
     def _begin_answer(self) -> None:
         if not self.is_lost:
-            self._link.carry(self, self._body)
+            self.link.carry(self, self._body)
 
     def send(self, piece: bytes, *, is_last: bool) -> None:
         """Write a piece of the answer to the connection."""
         super().write(piece)
         if is_last:
-            self._link.faults.pending.discard(self)
+            self.link.faults.pending.discard(self)
             super().finish()
 
     def lose_answer(self) -> None:
         """Let the call have its effect, and send nothing."""
         self.is_lost = True
-        self._link.faults.pending.discard(self)
+        self.link.faults.pending.discard(self)
 
     def close(self) -> None:
         """Abort the connection, even in the middle of an answer."""
@@ -215,5 +243,5 @@
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Discard the answer when the client has disconnected."""
         self.is_lost = True
-        self._link.faults.pending.discard(self)
+        self.link.faults.pending.discard(self)
         super().connectionLost(reason)
--- a/tests/test_platform_standin_faults.py
+++ b/tests/test_platform_standin_faults.py
@@ -15,6 +15,7 @@
     Items,
     OrderReader,
     Outage,
+    Revoked,
     ServerOrder,
     StandInStore,
     StoreFaults,
@@ -23,7 +24,7 @@
 )
 from gentianwharf.platform.standin._store_faults import ANSWER_S
 from gentianwharf.platform.standin._store_orders import carry_out
-from gentianwharf.store import Change, HistoryGoneError, Put
+from gentianwharf.store import Change, HistoryGoneError, LeaseEndedError, Put, Removal
 from tests.builders_relay import in_reactor, running_reactor
 
 HOST, OTHER_HOST = "host", "other-host"
@@ -63,14 +64,27 @@
         """Return the client of a host."""
         return self._clients[name]
 
-    def order(self, **fields: Any) -> None:
-        """Carry out an order."""
-        in_reactor(
-            lambda: carry_out(
-                StoreOrder(**fields), faults=self.faults, links=self.links
+    def order(self, **fields: Any) -> int:
+        """Carry out an order, and return how many items were revoked."""
+        return int(
+            in_reactor(
+                lambda: carry_out(
+                    StoreOrder(**fields), faults=self.faults, links=self.links
+                )
             )
         )
 
+    def lease(self, *keys: str, name: str = HOST) -> int:
+        """Let a host open a lease with items."""
+        lease_id = int(self.call(lambda: self.client(name).open_lease(10.0)))
+        for key in keys:
+            self.items.change(change_of(key, lease_id=lease_id))
+        return lease_id
+
+    def keys(self) -> list[str]:
+        """Return the keys of all items."""
+        return [item.key for item in self.items.with_prefix("")]
+
     def begin(self, call: Callable[[], Any]) -> list[Any]:
         """Begin a call; its result or failure is appended to the returned list."""
         results: list[Any] = []
@@ -237,6 +251,7 @@
         (StoreOrder, b'{"outage": "sometimes"}'),
         (StoreOrder, b'{"outages": "hang"}'),
         (StoreOrder, b'{"late_share": -0.1}'),
+        (StoreOrder, b'{"revokes": "hosts"}'),
         (ServerOrder, b'{"late_share": 1.5}'),
         (ServerOrder, b'{"late_kind": "some"}'),
         (ServerOrder, b'{"share": 0.5}'),
@@ -246,6 +261,7 @@
         "unknown outage",
         "unknown field of the store",
         "negative share",
+        "unknown form of a revocation",
         "share above 1",
         "unknown kind",
         "unknown field of a server",
@@ -318,3 +334,79 @@
     now_s = 1.1
     items.expire()
     assert items.get("a") is None
+
+
+def test_lease_of_one_host_ends_early(store: FaultyStore) -> None:
+    """Guards against leases that end by time alone, and those of others with them."""
+    lease_id = store.lease("hosts/1", "leader")
+    store.lease("hosts/2", name=OTHER_HOST)
+    assert store.order(revokes=Revoked.LEASES, addresses=(HOST,)) == 2
+    assert store.keys() == ["a", "hosts/2"]
+    with pytest.raises(LeaseEndedError):
+        store.call(lambda: store.client().renew_lease(lease_id))
+
+
+def test_items_go_while_their_lease_is_renewed(store: FaultyStore) -> None:
+    """Guards against a store in which a renewal proves that the items are there."""
+    lease_id = store.lease("hosts/1", "leader")
+    store.lease("hosts/2", name=OTHER_HOST)
+    assert store.order(revokes=Revoked.ITEMS, addresses=(HOST,)) == 2
+    assert store.keys() == ["a", "hosts/2"]
+    store.call(lambda: store.client().renew_lease(lease_id))
+    change = change_of("leader", lease_id=lease_id)
+    store.call(lambda: store.client().change(change))
+    assert store.keys() == ["a", "hosts/2", "leader"]
+
+
+@pytest.mark.parametrize("revoked", Revoked)
+def test_leases_of_all_hosts_are_revoked_without_addresses(
+    store: FaultyStore, revoked: Revoked
+) -> None:
+    store.lease("leader")
+    store.lease("hosts/2", name=OTHER_HOST)
+    assert store.order(revokes=revoked) == 2
+    assert store.keys() == ["a"]
+    assert store.order(revokes=revoked) == 0
+
+
+@pytest.mark.parametrize("revoked", Revoked)
+def test_watches_show_what_is_revoked(store: FaultyStore, revoked: Revoked) -> None:
+    store.lease("leader", name=OTHER_HOST)
+    waiting = store.watch(store.items.revision)
+    store.wait(0.05)
+    store.order(revokes=revoked, addresses=(OTHER_HOST,))
+    store.wait(0.05)
+    (events,) = waiting
+    assert [(change.key, type(change)) for change in events.changes] == [
+        ("leader", Removal)
+    ]
+
+
+@pytest.mark.parametrize("revoked", Revoked)
+@pytest.mark.parametrize("outage", [Outage.HANG, Outage.REFUSE])
+def test_items_are_revoked_while_their_host_is_turned_away(
+    store: FaultyStore, outage: Outage, revoked: Revoked
+) -> None:
+    """Guards against outages that other hosts see, or that save what is leased."""
+    store.lease("leader")
+    waiting = store.watch(store.items.revision)
+    store.wait(0.05)
+    store.order(outage=outage, addresses=(HOST,))
+    assert store.order(revokes=revoked, addresses=(HOST,)) == 1
+    read = store.begin(lambda: store.client().item("leader"))
+    other = store.client(OTHER_HOST)
+    assert store.call(lambda: other.item("leader")) is None
+    store.wait(0.05)
+    assert not [result for result in waiting + read if not hasattr(result, "check")]
+    assert bool(read) is (outage is Outage.REFUSE)
+    store.order(outage=Outage.NONE, addresses=(HOST,))
+    store.wait(2.0)
+    assert store.call(lambda: store.client().item("leader")) is None
+
+
+def test_order_for_an_unknown_address_changes_nothing(store: FaultyStore) -> None:
+    """Guards against runs whose host was never touched."""
+    store.lease("leader")
+    with pytest.raises(InvalidOrderError, match="among host, other-host, got third"):
+        store.order(revokes=Revoked.LEASES, addresses=(HOST, "third"))
+    assert store.keys() == ["a", "leader"]
