Let the soak end leaders' leases early

Cause: no stand-in took a leader's lease or item away before the lease had run out, so that no run had two hosts that lead within it.

Each host reaches the store at an address of its own now, by which the store tells leases apart. --no-recovers ends a run with its faults, for short runs.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,10 +24,12 @@
 from ._crashing import CrashingCaller, find_late_sends
 from ._cuts import Cuts, describe_cuts, find_unserved_cuts
 from ._deployment import Deployment
+from ._early_leases import EarlyLeases
 from ._evacuations import Evacuations
 from ._faults import Faults
 from ._holds import Holds
 from ._late_orders import LateOrders
+from ._leader_troubles import SilencedLeaders
 from ._operators import Operators
 from ._owner_checks import find_shared_keys
 from ._restarts import Restarts
@@ -42,7 +44,7 @@
     requests_with_known_outcome,
 )
 from ._schedule import Schedule
-from ._server_restarts import ServerRestarts
+from ._server_restarts import SOON_AFTER_RELEASE_S, ServerRestarts
 from ._stalls import Stalls
 from ._statement_checks import find_wrong_statements
 from ._store_outages import StoreOutages
@@ -85,7 +87,9 @@
     to another service. ``late_orders`` lets servers carry orders out late, lets the
     store lose and delay writes, and ends and freezes leaders. ``servers_restart``
     lets servers start again under their ids while leaders are cut off or frozen.
-    Without ``random_faults``, only the faults are injected that options name.
+    ``leases_end_early`` ends leaders' leases before their time, or removes their items.
+    Without ``random_faults``, only the faults are injected that options name. Without
+    ``recovers``, the run ends with the faults, and its recovery is not judged.
     """
 
     seed: int
@@ -98,7 +102,9 @@
     store_outages: bool = False
     late_orders: bool = False
     servers_restart: bool = False
+    leases_end_early: bool = False
     random_faults: bool = True
+    recovers: bool = True
 
 
 UNRESOLVED = (
@@ -147,7 +153,7 @@
         answer_faults=answer_faults if seed_run.answer_faults else None,
         early_share=EARLY_SHARE if seed_run.uploads else 0.0,
         moves_rules=seed_run.store_outages,
-        servers_restart=seed_run.servers_restart,
+        servers_restart=seed_run.servers_restart or seed_run.leases_end_early,
     )
     store = PlatformStore(reactor=reactor, address=deployment.operators_address)
     operators = Operators(
@@ -187,11 +193,24 @@
         deployment=deployment, schedule=schedule, rng=Random(seed + 10)
     )
     evacuations = Evacuations(reactor=reactor, store=store)
+    restarts_rng, early_rng = Random(seed + 11), Random(seed + 12)
     server_restarts = ServerRestarts(
         deployment=deployment,
+        troubles=SilencedLeaders(
+            deployment=deployment, schedule=schedule, rng=restarts_rng
+        ),
         evacuations=evacuations,
         schedule=schedule,
-        rng=Random(seed + 11),
+        rng=restarts_rng,
+    )
+    early_leases = ServerRestarts(
+        deployment=deployment,
+        troubles=EarlyLeases(deployment=deployment, schedule=schedule, rng=early_rng),
+        evacuations=evacuations,
+        schedule=schedule,
+        rng=early_rng,
+        kill_probability=0.5,
+        after_release_s=SOON_AFTER_RELEASE_S,
     )
     stalls = Stalls(
         reactor=reactor, disruptions=deployment.disruptions, schedule=schedule
@@ -204,7 +223,11 @@
         deployment.start()
         stalls.start()
         await deferLater(reactor, START_S)
-        if seed_run.late_orders or seed_run.servers_restart:
+        if (
+            seed_run.late_orders
+            or seed_run.servers_restart
+            or seed_run.leases_end_early
+        ):
             await _wait_until_held(deployment)
         callers.start(REQUESTS_PER_S)
         if seed_run.random_faults:
@@ -226,6 +249,8 @@
             late_orders.start()
         if seed_run.servers_restart:
             server_restarts.start()
+        if seed_run.leases_end_early:
+            early_leases.start()
         await deferLater(reactor, faults_s)
         schedule.stop()
         # Recovery is judged without crashing requests and refused uploads.
@@ -236,10 +261,12 @@
             late_orders.restore()
         if seed_run.servers_restart:
             server_restarts.restore()
+        if seed_run.leases_end_early:
+            early_leases.restore()
         deployment.restore()
-        await deferLater(reactor, RECOVER_S)
-        recovered_s = reactor.seconds()
-        await deferLater(reactor, QUIET_S)
+        if seed_run.recovers:
+            await deferLater(reactor, RECOVER_S + QUIET_S)
+        recovered_s = reactor.seconds() - QUIET_S
         callers.is_sending = operators.is_active = evacuations.is_active = False
         await deferLater(reactor, QUIET_S)
     finally:
@@ -290,7 +317,8 @@
         for request in callers.requests
         if request.sent_s < recovered_s + QUIET_S
     ]
-    violations += check_recovery(judged, from_s=recovered_s)
+    if seed_run.recovers:
+        violations += check_recovery(judged, from_s=recovered_s)
     served = sum(request.status == 200 for request in callers.requests)
     print(
         f"seed {seed}: {len(schedule.records)} faults and changes,"
@@ -301,6 +329,7 @@
         f" {len(crashing.requests)} sends, {holds.pieces} pieces held by links,"
         f" {sum(change.is_late for change in deployment.hold_changes)}"
         f" of {len(deployment.hold_changes)} orders late,"
+        f" {deployment.revoked_items} items revoked,"
         f" the soak late by {stalls.longest_s:.2f} s at most,"
         f" {describe_uploads(uploading.requests, deployment.bodies)},"
         f" {len(violations)} broken;"
@@ -344,7 +373,9 @@
     store_outages: bool = True,
     late_orders: bool = False,
     servers_restart: bool = False,
+    leases_end_early: bool = False,
     random_faults: bool = True,
+    recovers: bool = True,
     faults_s: float = 15.0,
     net: int = FIRST_NET,
 ) -> None:
@@ -379,8 +410,13 @@
         and freeze leaders.
     servers_restart
         Let servers start again under their ids while leaders are cut off or frozen.
+    leases_end_early
+        Let the store end leaders' leases before their time, or remove their items,
+        while they are in touch with it or not.
     random_faults
         Inject the faults of all programs and links that every seed had at first.
+    recovers
+        Wait for the recovery from the faults, and judge it.
     faults_s
         For how long faults are injected.
     net
@@ -402,7 +438,9 @@
             store_outages=store_outages,
             late_orders=late_orders,
             servers_restart=servers_restart,
+            leases_end_early=leases_end_early,
             random_faults=random_faults,
+            recovers=recovers,
         )
         for seed in range(first, first + seeds)
     ]
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -5,6 +5,7 @@
 import tempfile
 import time
 from collections import defaultdict
+from collections.abc import Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any, final
@@ -29,6 +30,7 @@
 from ._disruptions import (
     STORE_ANSWERS,
     Disruptions,
+    refusals_of,
     standstill_of,
 )
 from ._leaders import Leaders
@@ -105,6 +107,8 @@
             is_ending=lambda name: self.programs[name].is_end_requested,
         )
         self._server_orders: dict[str, ServerOrder] = {}
+        self.revoked_items = 0
+        """How many items the store has taken away before their time."""
         self.crashes_s: list[float] = []
         """When requests ended servers, on the reactor's clock."""
         self.programs: dict[str, Program] = {}
@@ -135,6 +139,10 @@
             [
                 *(*STANDIN, "store", store, self.operators_address),
                 "--takes-orders",
+                *(
+                    f"--host-addresses={self.links.store_address(name)}"
+                    for name in self.hosts
+                ),
             ],
         )
         self.links.open(
@@ -320,15 +328,38 @@
     def order_store(self, order: StoreOrder) -> None:
         """Let the store begin or end a fault, which lasts until it reports the end."""
         if order.outage not in (None, Outage.NONE):
-            self.disruptions.begin(STORE_ANSWERS)
+            for subject in self._subjects(order.addresses):
+                self.disruptions.begin(subject)
         self.programs["store"].write_line(msgspec.json.encode(order))
 
     def _note_store_line(self, line: Line) -> None:
+        self.revoked_items += line["revoked_items"]
         outage = line["order"].get("outage")
-        if outage == Outage.NONE:
-            self.disruptions.end(STORE_ANSWERS)
-        elif outage is not None:
-            self.disruptions.begin(STORE_ANSWERS)
+        for subject in self._subjects(line["order"].get("addresses", ())):
+            if outage == Outage.NONE:
+                self.disruptions.end(subject)
+            elif outage is not None:
+                self.disruptions.begin(subject)
+
+    def _subjects(self, addresses: Sequence[str]) -> list[str]:
+        """Return what an outage of the store disrupts."""
+        if not addresses:
+            return [STORE_ANSWERS]
+        return [
+            refusals_of(name)
+            for name in self.hosts
+            if self.links.store_address(name) in addresses
+        ]
+
+    def turn_away(self, host: str) -> None:
+        """Let the store refuse what a host asks, and serve all others."""
+        addresses = (self.links.store_address(host),)
+        self.order_store(StoreOrder(outage=Outage.REFUSE, addresses=addresses))
+
+    def end_turning_away(self) -> None:
+        """Let the store serve all hosts, unless it refuses or hangs for all."""
+        addresses = tuple(self.links.store_address(name) for name in self.hosts)
+        self.order_store(StoreOrder(outage=Outage.NONE, addresses=addresses))
 
     def _hide_end(self, name: str) -> None:
         """Let some servers go silent where a request ends them now."""
--- a/soak/_disruptions.py
+++ b/soak/_disruptions.py
@@ -65,7 +65,10 @@
         """
         return not any(
             self.overlaps(subject, from_s - CATCH_UP_S, until_s)
-            for subject in (host, link_of(host), STORE, STORE_ANSWERS, STORE_WRITES)
+            for subject in (
+                *(host, link_of(host), refusals_of(host)),
+                *(STORE, STORE_ANSWERS, STORE_WRITES),
+            )
         )
 
     def overlaps(self, subject: str, from_s: float, until_s: float) -> bool:
@@ -93,6 +96,11 @@
     return f"standstill of {name}"
 
 
+def refusals_of(host: str) -> str:
+    """Return the name of the store's refusals to serve a host."""
+    return f"refusals of {host}"
+
+
 def link_of(name: str) -> str:
     """Return the name of the link through the proxy of a program."""
     return f"link of {name}"
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -44,7 +44,7 @@
             target = f"{self.ip(name)}:{SERVER_PORT}"
             self._add_proxy(name, target, answer_faults)
         for name in hosts:
-            self._add_proxy(name, f"{self.store_ip}:{STORE_PORT}")
+            self._add_proxy(name, self.store_address(name))
         if to_servers:
             self._to_servers = OwnLinks(
                 reactor=self._reactor,
@@ -73,6 +73,10 @@
         """The IP address of the store."""
         return f"127.{self._net}.0.1"
 
+    def store_address(self, host: str) -> str:
+        """Return where the store serves one host alone."""
+        return f"{self.ip(host)}:{STORE_PORT}"
+
     def ip(self, name: str) -> str:
         """Return the IP address of a host or a server."""
         kind, _, number = name.partition("-")
@@ -115,11 +119,22 @@
         for host in self._hosts:
             self._disruptions.end(server_links_of(host))
 
-    def cut_off(self, host: str) -> None:
-        """Cut a host off from the store and all other hosts, but not from servers."""
-        self._cut_off.add(host)
-        self.inject(host, LinkFault.SILENCE)
-        self._to_hosts.cut(host, LinkCut.HANG)
+    def cut_off(
+        self,
+        host: str,
+        fault: LinkFault | None = LinkFault.SILENCE,
+        *,
+        from_hosts: bool = True,
+    ) -> None:
+        """Cut a host off from the store and all other hosts, but not from servers.
+
+        Without a ``fault`` it reaches the store, with ``from_hosts=False`` the hosts.
+        """
+        if fault is not None:
+            self._cut_off.add(host)
+            self.inject(host, fault)
+        if from_hosts:
+            self._to_hosts.cut(host, LinkCut.HANG)
 
     def end_cuts_off(self) -> None:
         """Restore the ways of such hosts to the store and to each other."""
--- a/soak/_server_restarts.py
+++ b/soak/_server_restarts.py
@@ -1,21 +1,17 @@
 """Lets servers start again under their ids, beside leaders that are replaced."""
 
-import signal
-from enum import StrEnum
 from random import Random
 from typing import final
 
 from ._deployment import Deployment
 from ._evacuations import Evacuations
+from ._leader_troubles import LeaderTroubles
 from ._schedule import Schedule
 from ._server_arguments import DOMAINS
 
 PAUSE_S = (0.2, 2.0)
 LOOK_EVERY_S = 0.05
 
-CUT_S = (4.0, 8.0)
-FROZEN_S = (2.0, 4.5)
-FREEZE_AFTER_S = (0.0, 0.5)
 EVACUATE_AFTER_S = (0.1, 0.8)
 EVACUATION_PROBABILITY = 0.8
 
@@ -26,40 +22,36 @@
 BETWEEN_S = (0.1, 1.2)
 DOWN_S = ((0.0, 0.0), (0.0, 0.0), (0.1, 0.4), (0.1, 2.0))
 AFTER_RELEASE_S = (0.0, 2.0)
+SOON_AFTER_RELEASE_S = (0.0, 0.3)
 MAX_RESTARTED = 2
 """More would leave the next leader with too few servers, so that it resigns."""
 
 
-class LeaderTrouble(StrEnum):
-    """Why a leader doesn't learn of its replacement."""
-
-    CUT_OFF = "cut off"
-    FROZEN = "frozen"
-    BOTH = "cut off and frozen"
-
-
-TROUBLE_WEIGHTS = (3, 1, 1)
-"""A leader that was frozen alone hears of its replacement with the next message."""
-
-
 @final
 class ServerRestarts:
     """Draws spans with such leaders and servers, in addition to the other faults.
 
     In most spans a failure domain is evacuated, so that the next leader moves keys.
     Servers that were drawn are killed in it, and some that have just released keys;
-    most are back at once, and killed again.
+    most are back at once, and killed again. ``kill_probability`` is the share of the
+    spans with such servers, ``after_release_s`` the bounds of the time until then.
     """
 
     def __init__(
         self,
         *,
         deployment: Deployment,
+        troubles: LeaderTroubles,
         evacuations: Evacuations,
         schedule: Schedule,
         rng: Random,
+        kill_probability: float = 1.0,
+        after_release_s: tuple[float, float] = AFTER_RELEASE_S,
     ) -> None:
         self._deployment = deployment
+        self._troubles = troubles
+        self._kill_probability = kill_probability
+        self._after_release_s = after_release_s
         self._evacuations = evacuations
         self._schedule = schedule
         self._rng = rng
@@ -84,24 +76,16 @@
         if leader is None:
             call_later(LOOK_EVERY_S, self._begin)
             return
-        trouble = rng.choices(list(LeaderTrouble), TROUBLE_WEIGHTS)[0]
-        cut_s, frozen_s = rng.uniform(*CUT_S), rng.uniform(*FROZEN_S)
-        freeze_after_s = rng.uniform(*FREEZE_AFTER_S)
+        span_s = self._troubles.begin(leader)
         domain = rng.choice(DOMAINS)
         if rng.random() >= EVACUATION_PROBABILITY:
             domain = ""
-        self._schedule.record(
-            f"leader {leader} is {trouble}: cut for {cut_s:.2f} s, frozen after"
-            f" {freeze_after_s:.2f} s for {frozen_s:.2f} s; evacuated: {domain or '-'}"
-        )
-        if trouble is not LeaderTrouble.FROZEN:
-            deployment.links.cut_off(leader)
-        if trouble is not LeaderTrouble.CUT_OFF:
-            call_later(freeze_after_s, deployment.send, leader, signal.SIGSTOP)
-            thaw_after_s = freeze_after_s + frozen_s
-            call_later(thaw_after_s, deployment.send, leader, signal.SIGCONT)
+        self._schedule.record(f"evacuated: {domain or '-'}")
         if domain:
             call_later(rng.uniform(*EVACUATE_AFTER_S), self._evacuations.change, domain)
+        call_later(span_s, self._end)
+        if self._kill_probability < 1.0 and rng.random() >= self._kill_probability:
+            return
         drawn = rng.sample(deployment.keyed_servers(), rng.choice((0, 0, 1, 2)))
         self._drawn = {*drawn}
         self._is_following = True
@@ -110,7 +94,6 @@
             call_later(rng.uniform(*RESTART_AFTER_S), self._restart, name, in_a_row)
         self._changes_seen = len(deployment.hold_changes)
         self._follow_releases()
-        call_later(cut_s, self._end, leader)
 
     def _follow_releases(self) -> None:
         """Kill servers soon after they have released keys."""
@@ -122,7 +105,7 @@
                 continue
             if len(self._drawn) < MAX_RESTARTED:
                 self._drawn.add(change.server)
-                after_s = rng.uniform(*AFTER_RELEASE_S)
+                after_s = rng.uniform(*self._after_release_s)
                 in_a_row = rng.randint(1, MAX_IN_A_ROW)
                 self._schedule.call_later(
                     after_s, self._restart, change.server, in_a_row
@@ -140,13 +123,13 @@
             pause_s = down_s + rng.uniform(*BETWEEN_S)
             self._schedule.call_later(pause_s, self._restart, name, in_a_row - 1)
 
-    def _end(self, leader: str) -> None:
-        self._schedule.record(f"{leader} is no longer cut off")
+    def _end(self) -> None:
+        self._schedule.record("the leader's trouble ends")
         self.restore()
         self.start()
 
     def restore(self) -> None:
-        """Restore the links of hosts, and end the evacuation."""
+        """End the troubles of leaders, and the evacuation."""
         self._is_following = False
-        self._deployment.links.end_cuts_off()
+        self._troubles.end()
         self._evacuations.change(None)
