Add a disruption of leases that end early to bench.fleet

Cause: no disruption of the fleet took a leader's lease or item away early.

Change: leases-end-early revokes them at whoever leads, in touch, in silence and turned away, beside servers that end and rules that move. An outage of single hosts counts as theirs where the delay of rules is judged. A run in which nothing was revoked ends with an error; the summary states how many items were.

--- a/bench/fleet/_disruptions.py
+++ b/bench/fleet/_disruptions.py
@@ -5,10 +5,11 @@
 from random import Random
 from typing import Any, final
 
-from gentianwharf.platform.standin import Outage, StoreOrder
+from gentianwharf.platform.standin import Outage, Revoked, StoreOrder
 
 from ._fleet import SERVER_PROCESSES, Fleet
 from ._orders import Order
+from ._sheet import host_store_address
 
 CRASH_GAP_S = 1.5
 LONG_LIST, VERY_LONG_LIST = 1_600, 3_200
@@ -73,6 +74,30 @@
     return lambda fleet, rng: fleet.order_store(StoreOrder(**fields))
 
 
+def _revoke(
+    revoked: Revoked, *, outage: Outage | None = None
+) -> Callable[[Fleet, Random], None]:
+    """Take leases or items away from hosts that lead, in an outage for them alone."""
+
+    def act(fleet: Fleet, rng: Random) -> None:
+        addresses = tuple(
+            host_store_address(fleet.net, leader) for leader in fleet.leaders()
+        )
+        if addresses:
+            order = StoreOrder(revokes=revoked, outage=outage, addresses=addresses)
+            fleet.order_store(order)
+
+    return act
+
+
+def _serve_hosts(fleet: Fleet, rng: Random) -> None:
+    """End the outages for single hosts."""
+    addresses = tuple(
+        host_store_address(fleet.net, number) for number in range(fleet.host_count)
+    )
+    fleet.order_store(StoreOrder(outage=Outage.NONE, addresses=addresses))
+
+
 def _some_hosts(fleet: Fleet, rng: Random, share: float) -> list[int]:
     return rng.sample(range(fleet.host_count), round(share * fleet.host_count))
 
@@ -130,6 +155,30 @@
         yield Step(at_s=at_s, act=act)
 
 
+def _early_leases() -> Iterator[Step]:
+    """Yield early ends of the leader's lease, with servers that end and rules."""
+    move, move_back = (_order(Order(moves_rule=moved)) for moved in (True, False))
+    end_servers = _order(Order(ended_share=1 / 12))
+    for at_s, act in (
+        (14.0, _revoke(Revoked.LEASES)),
+        (16.0, _revoke(Revoked.ITEMS)),
+        (17.0, move),
+        (20.0, _revoke(Revoked.LEASES, outage=Outage.HANG)),
+        (21.0, end_servers),
+        (22.0, _revoke(Revoked.LEASES, outage=Outage.REFUSE)),
+        (22.5, move_back),
+        (25.0, _serve_hosts),
+        (28.0, _revoke(Revoked.ITEMS, outage=Outage.HANG)),
+        (28.7, end_servers),
+        (33.0, _serve_hosts),
+        (35.0, _revoke(Revoked.ITEMS, outage=Outage.REFUSE)),
+        (35.5, move),
+        (36.0, end_servers),
+        (39.0, _serve_hosts),
+    ):
+        yield Step(at_s=at_s, act=act)
+
+
 def _crashes(from_s: int, to_s: int) -> Iterator[Step]:
     """Yield ends of a twelfth of the servers, each 1.5 s."""
     for number in range(round((to_s - from_s) / CRASH_GAP_S)):
@@ -200,6 +249,7 @@
     "leader-kills": tuple(
         Step(at_s=at_s, act=_kill_leader) for at_s in (15.15, 16.5, 22.0)
     ),
+    "leases-end-early": tuple(_early_leases()),
     "store-troubles": tuple(_store_faults(LONG_LIST)),
     "store-troubles-very-long": tuple(_store_faults(VERY_LONG_LIST)),
     "store-down": tuple(_pauses(_pause_store, 14.0, for_s=20.0)),
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -29,7 +29,7 @@
 from ._callers import SentRequest
 from ._judge import Record, read_server_lines
 from ._orders import Order
-from ._rules_in_force import HostRules, read_host_lines
+from ._rules_in_force import HostRules, read_host_lines, store_outages_s
 from ._sheet import (
     Sheet,
     host_ip,
@@ -180,14 +180,17 @@
             self._downtimes_s[name].append((self._paused_s[name], time.monotonic()))
         self._paused_s.clear()
 
-    def leader(self) -> int | None:
-        """Return the number of the host that leads, None if no host states so."""
+    def leaders(self) -> list[int]:
+        """Return the numbers of the hosts that state that they lead."""
         with ThreadPoolExecutor(16) as pool:
             texts = list(pool.map(self._metrics, range(self.host_count)))
-        leaders = [
+        return [
             number for number, text in enumerate(texts) if LEADS_METRIC.search(text)
         ]
-        return leaders[0] if leaders else None
+
+    def leader(self) -> int | None:
+        """Return the number of the host that leads, None if no host states so."""
+        return next(iter(self.leaders()), None)
 
     def check(self) -> None:
         """Raise ``RuntimeError`` if a process has failed, or logged an error.
@@ -245,6 +248,9 @@
                 record.store_reports.append(report)
         record.store_pauses_s = self._downtimes_s["store"]
         record.hosts = [self._host_rules(number) for number in range(self.host_count)]
+        for number, host in enumerate(record.hosts):
+            address = host_store_address(self.net, number)
+            host.downtimes_s += store_outages_s(record.store_reports, address)
         with ThreadPoolExecutor(16) as pool:
             for text in pool.map(self._metrics, range(self.host_count)):
                 for found in SENT_METRIC.finditer(text):
--- a/bench/fleet/_judge.py
+++ b/bench/fleet/_judge.py
@@ -285,6 +285,11 @@
     )
 
 
+def revoked_items(record: Record) -> int:
+    """Return how many items the store has taken away before their time."""
+    return sum(report.revoked_items for report in record.store_reports)
+
+
 def missing_effects(record: Record) -> list[str]:
     """Return a line for each order to servers that has had no effect."""
     lines = []
@@ -300,6 +305,8 @@
             f"expected the store to carry out {len(record.store_orders)} orders, got"
             f" {len(reported)}"
         )
+    if any(order.revokes for order in reported) and not revoked_items(record):
+        lines.append("expected leases or items that the store revokes, got none")
     if any(
         order.moves_rule is not None or order.added_rules is not None
         for order in record.orders
@@ -366,7 +373,8 @@
     held = {delivered.server for delivered in record.held}
     lines.append(
         f"{len(record.ends)} servers ended, {len(record.reassigned)} addresses passed"
-        f" on, links held bytes for {len(held)} servers"
+        f" on, links held bytes for {len(held)} servers, {revoked_items(record)} items"
+        " revoked"
     )
     lines.append(_describe_uploads(record))
     crashed = crashes(record)
--- a/bench/fleet/_rules_in_force.py
+++ b/bench/fleet/_rules_in_force.py
@@ -82,12 +82,16 @@
     return rules
 
 
-def store_outages_s(reports: Iterable[StoreOrderReport]) -> list[Span]:
-    """Return the spans in which the store hung or refused."""
+def store_outages_s(
+    reports: Iterable[StoreOrderReport], address: str | None = None
+) -> list[Span]:
+    """Return the spans in which the store hung or refused, for an address alone."""
     spans_s: list[Span] = []
     begun_s: float | None = None
     for report in reports:
-        if report.order.outage is None:
+        addresses = report.order.addresses
+        is_meant = address in addresses if address else not addresses
+        if report.order.outage is None or not is_meant:
             continue
         if begun_s is not None:
             spans_s.append((begun_s, report.carried_out_s))
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -24,7 +24,7 @@
 )
 from bench.fleet._sheet import CONTACT_S, MAX_ATTEMPTS, MAX_LATE_SENDS
 
-from gentianwharf.platform.standin import Outage, StoreOrder, StoreOrderReport
+from gentianwharf.platform.standin import Outage, Revoked, StoreOrder, StoreOrderReport
 
 from .builders_fleet import (
     AGREEMENT,
@@ -216,6 +216,16 @@
     assert not missing_effects(record)
 
 
+def test_revocations_without_an_effect_are_found() -> None:
+    """Guards against leases that end early at no host that leads."""
+    order = StoreOrder(revokes=Revoked.LEASES)
+    record = Record(agreement=AGREEMENT, store_orders=[order])
+    record.store_reports.append(StoreOrderReport(order=order, carried_out_s=1.0))
+    assert missing_effects(record)
+    record.store_reports[0].revoked_items = 1
+    assert not missing_effects(record)
+
+
 def test_server_process_that_fails_ends_with_an_error() -> None:
     """Guards against runs whose servers have carried out no order."""
     servers = subprocess.run(
--- a/tests/test_bench_fleet_rules.py
+++ b/tests/test_bench_fleet_rules.py
@@ -129,3 +129,19 @@
         StoreOrderReport(order=order, carried_out_s=at_s) for at_s, order in orders
     ]
     assert store_outages_s(reports) == [(1.0, 3.0), (5.0, inf)]
+
+
+def test_outages_of_single_hosts_are_theirs() -> None:
+    """Guards against rules that may be late on all hosts since one is turned away."""
+    orders = [
+        (1.0, StoreOrder(outage=Outage.REFUSE, addresses=("a",))),
+        (2.0, StoreOrder(outage=Outage.HANG)),
+        (3.0, StoreOrder(outage=Outage.NONE, addresses=("a", "b"))),
+        (4.0, StoreOrder(outage=Outage.NONE)),
+    ]
+    reports = [
+        StoreOrderReport(order=order, carried_out_s=at_s) for at_s, order in orders
+    ]
+    assert store_outages_s(reports) == [(2.0, 4.0)]
+    assert store_outages_s(reports, "a") == [(1.0, 3.0)]
+    assert not store_outages_s(reports, "b")
