Draw leases that end early in the search of keyspace

Cause: the search's store ended leases by time only, or when their owner asked. Two leaders within one lease were not drawn.

Change: odd seeds also draw leases of leaders, or of all hosts, that end at once, and items of leaders that go while their lease is renewed, beside calls that fail or are late, cuts, and servers that end, restart or are cut off. In half of these worlds each start of a server has an id of its own. Even seeds draw what they did before (seed n is now 2n). The regular reads of the leader's item fail as other calls do; they draw from a generator of their own, so that they change no other draws.

A server that has just answered a release is no longer restarted if it is the only one that runs: the search ended with an IndexError there.

--- a/tests/builders_keyspace_search.py
+++ b/tests/builders_keyspace_search.py
@@ -1,6 +1,8 @@
 """One simulated world of hosts, servers and a store, with faults drawn from a seed.
 
 Each seed draws which kinds of faults occur and how often. Several may last at a time.
+Odd seeds draw leases that end early beside the other kinds; in half of these worlds,
+each start of a server has an id of its own.
 """
 
 from random import Random
@@ -10,6 +12,7 @@
 from tests.builders_keyspace_search_draws import Kind
 from tests.builders_keyspace_search_draws_hosts import HostDraws
 from tests.builders_keyspace_search_draws_leaders import LeaderDraws
+from tests.builders_keyspace_search_draws_leases import LeaseDraws
 from tests.builders_keyspace_search_draws_links import LinkDraws
 from tests.builders_keyspace_search_draws_servers import ServerDraws
 from tests.builders_keyspace_search_draws_store import StoreDraws
@@ -24,10 +27,13 @@
     """The faults of a seed in their world."""
 
     def __init__(self, seed: int) -> None:
-        self.rng = Random(seed)
-        self.world = SearchWorld(self.rng)
-        self._kinds = self._draw_kinds()
-        self._pace_s = self.rng.choice([0.8, 1.5, 3.0, 5.0, 16.0])
+        ends_leases = seed % 2 == 1
+        self.rng = Random(f"leases {seed}" if ends_leases else seed // 2)
+        keeps_ids = not ends_leases or self.rng.random() < 0.5
+        self.world = SearchWorld(self.rng, keeps_ids=keeps_ids)
+        self._kinds = self._draw_kinds(ends_leases=ends_leases)
+        longest_s = [] if ends_leases else [16.0]
+        self._pace_s = self.rng.choice([0.8, 1.5, 3.0, 5.0, *longest_s])
 
     def run(self) -> None:
         """Run without faults, with faults, and without; check what has to hold."""
@@ -47,7 +53,7 @@
             ]
             assert not unserved, f"no server holds the shards {unserved}"
 
-    def _draw_kinds(self) -> list[Kind]:
+    def _draw_kinds(self, *, ends_leases: bool) -> list[Kind]:
         """Draw which kinds occur: in some worlds few, in some all."""
         store = StoreDraws(self.world)
         links = LinkDraws(self.world)
@@ -58,7 +64,13 @@
         parts = [store, HostDraws(self.world), links, servers, leaders]
         kinds = [kind for part in parts for kind in part.kinds()]
         few = self.rng.choice([1, 2, 3, 4, 6, 10, len(kinds)])
-        return self.rng.sample(kinds, few)
+        drawn = self.rng.sample(kinds, few)
+        if ends_leases:
+            leases = LeaseDraws(
+                self.world, store_draws=store, links=links, servers=servers
+            ).kinds()
+            drawn += leases * max(1, few // len(leases))
+        return drawn
 
     def _draw_next(self) -> None:
         world = self.world
--- a/tests/builders_keyspace_search_draws_servers.py
+++ b/tests/builders_keyspace_search_draws_servers.py
@@ -25,8 +25,8 @@
             self._delay_orders,
             self._lose_order_answers,
             self._keep_servers_busy,
-            self._replace_server,
-            self._replace_server,
+            self.replace_server,
+            self.replace_server,
             self._pause_servers,
             self._pause_servers,
             self._copy_answers,
@@ -69,7 +69,7 @@
 
         self.world.last(self.rng.uniform(2.0, 15.0), heal)
 
-    def _replace_server(self) -> None:
+    def replace_server(self) -> None:
         """End a server, start one at a free address, or both at one address."""
         rng, now_s = self.rng, self.clock.seconds()
         free = [
@@ -140,7 +140,7 @@
             self.fleet.copies.pop(address, None)
 
         self.world.last(rng.uniform(1.0, 15.0), heal)
-        beside = rng.choice([None, self._keep_servers_busy, self._replace_server])
+        beside = rng.choice([None, self._keep_servers_busy, self.replace_server])
         if beside is not None:
             beside()
             self._move_often(5.0)
@@ -179,18 +179,20 @@
 
         self.fleet.on_released = restart
         duration_s = rng.uniform(1.0, 8.0)
-        self.world.last(duration_s, self._restart_no_more)
+        self.world.last(duration_s, self.restart_no_more)
         self._move_often(duration_s)
         if rng.random() < 0.6:
             # Grants wait for connections while releases are answered.
             self._let_close(self._servers(), 1.0, duration_s)
             self._links.delay_connects_to(ADDRESSES, 0.45, duration_s)
 
-    def _restart_no_more(self) -> None:
+    def restart_no_more(self) -> None:
+        """Restart no more servers after their releases."""
         self.fleet.on_released = lambda server: None
 
     def restart_if_alive(self, server: SearchServer) -> None:
         """Restart a server that has not ended, unless all faults have ended."""
-        is_alive = self.fleet.running.get(server.holder.address) is server
-        if is_alive and not self.world.is_calm:
+        running = self.fleet.running
+        is_alive = running.get(server.holder.address) is server
+        if is_alive and len(running) > 1 and not self.world.is_calm:
             self.world.restart_server(server, self.rng.uniform(0.0, 0.2))
--- a/tests/builders_keyspace_search_draws_store.py
+++ b/tests/builders_keyspace_search_draws_store.py
@@ -96,14 +96,17 @@
         self.world.last(duration_s, heal)
 
     def _turn_host_away(self) -> None:
-        own = self.world.draw_host().store.own
+        self.turn_away(self.world.draw_host(), self.rng.uniform(0.5, 6.0))
+
+    def turn_away(self, host: SearchHost, duration_s: float) -> None:
+        own = host.store.own
         own.turns_away = True
 
         def heal() -> None:
             own.turns_away = False
             self.world.spread_news()
 
-        self.world.last(self.rng.uniform(0.5, 6.0), heal)
+        self.world.last(duration_s, heal)
 
     def _delay_news(self) -> None:
         own = self.world.draw_host(leader=0.2).store.own
--- a/tests/builders_keyspace_search_store.py
+++ b/tests/builders_keyspace_search_store.py
@@ -1,6 +1,7 @@
 """A store with leases, late writes and outages, for the search of ``keyspace``."""
 
 from collections.abc import Callable
+from copy import copy
 from dataclasses import dataclass, field
 from random import Random
 from typing import TypeVar
@@ -94,6 +95,24 @@
         self.leases.pop(lease_id, None)
         self._drop_unleased()
 
+    def end_leader_lease(self) -> None:
+        """End the lease of the leader's item before its time."""
+        item = self.items_by_key.get(LEADER_KEY)
+        if item is not None:
+            self.end_lease(item.lease_id)
+
+    def end_leases(self) -> None:
+        """End all leases before their time, also those of hosts that campaign."""
+        self.leases.clear()
+        self._drop_unleased()
+
+    def remove_leader_item(self) -> None:
+        """Remove the leader's item; its lease can still be renewed."""
+        if LEADER_KEY in self.items_by_key:
+            self.revision += 1
+            self._set(LEADER_KEY, None)
+            self.on_change()
+
     def stop(self) -> None:
         """Serve nothing from now on."""
         self.is_down = True
@@ -151,6 +170,10 @@
     pages_apart_s: float = 0.0
     """For how long at least a full read lasts."""
     serves_no_tables: bool = False
+    tables_late_s: float = 0.0
+    """How late at most reads of the tables are executed or answered."""
+    serves_no_leader: bool = False
+    """Whether reads of the leader's item fail."""
     turns_away: bool = False
     is_cut: bool = False
     loses_all_answers: bool = False
@@ -178,6 +201,9 @@
         self._clock = clock
         self._loop = loop
         self._rng = rng
+        self._leader_rng = copy(rng)
+        """For the regular reads of the leader's item, so that they change no other
+        draws of a seed."""
 
     async def items(self, prefix: str) -> Page:
         """Return all items below a prefix."""
@@ -189,7 +215,13 @@
 
     async def item(self, key: str) -> Item | None:
         """Return an item."""
-        return await self._call(lambda: self._state.items_by_key.get(key), step="item")
+        is_leader = key == LEADER_KEY
+        fails = is_leader and self.own.serves_no_leader
+        return await self._call(
+            None if fails else lambda: self._state.items_by_key.get(key),
+            step="item",
+            rng=self._leader_rng if is_leader else self._rng,
+        )
 
     async def watch(
         self,
@@ -244,12 +276,15 @@
         step: str,
         timeout_s: float = CALL_TIMEOUT_S,
         is_write: bool = False,
+        rng: Random | None = None,
     ) -> Result:
         done: Deferred[Result] = Deferred()
         timeout = self._loop.callLater(
             timeout_s, self._fail, done, OutcomeUnknownError, step
         )
-        self._loop.write(lambda: self._send(done, perform, step, is_write))
+        self._loop.write(
+            lambda: self._send(done, perform, step, is_write, rng or self._rng)
+        )
         try:
             return await done
         finally:
@@ -262,8 +297,9 @@
         perform: Callable[[], Result] | None,
         step: str,
         is_write: bool,
+        rng: Random,
     ) -> None:
-        own, rng = self.own, self._rng
+        own = self.own
         if done.called:
             return
         if own.is_cut or (self._state.is_down and rng.random() < 0.5):
@@ -284,6 +320,8 @@
         delay_s = rng.uniform(0.001, 0.01)
         if self._general.is_slow:
             delay_s += rng.uniform(0.2, 0.5)
+        if step == "items" and own.tables_late_s:
+            delay_s += rng.uniform(0.0, own.tables_late_s)
         is_lost = own.loses_all_answers or rng.random() < max(
             own.loses_answers, self._general.loses_answers
         )
--- a/tests/builders_keyspace_search_world.py
+++ b/tests/builders_keyspace_search_world.py
@@ -38,8 +38,10 @@
 class SearchWorld:
     """Two to five hosts, up to seven servers of one or two services, and a store."""
 
-    def __init__(self, rng: Random) -> None:
+    def __init__(self, rng: Random, *, keeps_ids: bool = True) -> None:
         self.rng = rng
+        self.keeps_ids = keeps_ids
+        """Whether servers keep their id when they restart."""
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.is_calm = True
@@ -171,6 +173,10 @@
 
     def _lose_news(self, host: SearchHost) -> None:
         """Let a host not hear of its claim, perhaps until the lease has ended."""
+        self.stop_news(host, self.rng.uniform(0.3, 3.0))
+
+    def stop_news(self, host: SearchHost, duration_s: float) -> None:
+        """Let a host receive no changes of the store for a time."""
         own = host.store.own
         own.gets_no_news = True
 
@@ -178,7 +184,7 @@
             own.gets_no_news = False
             host.news.wake()
 
-        self.last(self.rng.uniform(0.3, 3.0), heal)
+        self.last(duration_s, heal)
 
     def draw_leader(self) -> SearchHost | None:
         """Return one of the hosts that lead, or consider themselves to."""
@@ -222,7 +228,11 @@
             service = min(self.services, key=running.count)
         if holder is None:
             self._starts += 1
-            holder = Holder(server_id=f"s{self._starts}", born_ms=1, address=address)
+            holder = Holder(
+                server_id=f"s{self._starts}",
+                born_ms=1 if self.keeps_ids else 0,
+                address=address,
+            )
         server = SearchServer(
             holder=holder,
             service=service,
@@ -252,18 +262,22 @@
         return f"{SERVERS_PREFIX}{server.service}/{server.holder.server_id}"
 
     def restart_server(self, server: SearchServer, downtime_s: float) -> None:
-        """End a server, and restart it under its id and address."""
+        """End a server, and restart it at its address, under its id or a new one."""
         holder = server.holder
         self.log(f"{holder.server_id} restarts after {downtime_s:.3f} s")
         del self.fleet.running[holder.address]
         self.free_from_s[holder.address] = float("inf")
         if self.rng.random() < 0.3:
             self.unlist_server(server)
+        elif not self.keeps_ids:
+            self.clock.callLater(self.rng.uniform(0.0, 5.0), self.unlist_server, server)
 
         def start() -> None:
             self.free_from_s.pop(holder.address, None)
             if holder.address in self.fleet.running:
                 self.unlist_server(server)
+            elif not self.keeps_ids:
+                self.start_server(holder.address, service=server.service)
             else:
                 self.start_server(
                     holder.address,
