Check in the search what two hosts do that lead at a time

The search saw two leaders only by two holders of a shard. From the claim of the next leader, an older one may take its lease for held for 3.6 s (CONFIRM_WITHIN_S and LEADER_LEASE_S) and send orders for 5 s, since its last read of its item was before the claim. The store may accept no table and no record of it, and it may state no position that includes the claim. A host without a term sends no order.

Servers take or renew no shard with a token below one that a process under their id has seen, or in time with one below that of another holder.

--- a/tests/builders_keyspace_search_hosts.py
+++ b/tests/builders_keyspace_search_hosts.py
@@ -77,6 +77,8 @@
         self.address = f"10.1.0.{ord(name)}:90"
         self.incarnation = incarnation
         self.on_gained: Callable[[], None] = lambda: None
+        self.on_position: Callable[[int, int], None] = lambda term, position: None
+        """Called with the revision of the term and the position that are stated."""
         self.log = fleet.log
         self._clock = clock
         self._network = network
@@ -229,6 +231,7 @@
             return
         self._next_forward_s = now_s + FORWARD_S
         items, revision = dict(self.news.copy), self.news.position
+        self.on_position(term.revision, revision)
         for address in self._network.hosts:
             if address == self.address:
                 continue
--- a/tests/builders_keyspace_search_orders.py
+++ b/tests/builders_keyspace_search_orders.py
@@ -186,6 +186,7 @@
         self, order: str, headers: dict[bytes, bytes], body: bytes
     ) -> OrderResponse:
         """Send an order; the connection is closed if no response arrives."""
+        self._fleet.on_order(self._host)
         self._rules._orders += 1
         pending = self._pending = Deferred()
         server_id = headers[EXPECTED_INSTANCE].decode()
--- a/tests/builders_keyspace_search_servers.py
+++ b/tests/builders_keyspace_search_servers.py
@@ -1,10 +1,12 @@
-"""Servers that enforce grants, the links to them, and the three rules of their owners.
+"""Servers that enforce grants, the links to them, and the four rules of their owners.
 
 The rules are checked whenever a server takes a shard or a grant is renewed:
 
 - No shard has two live holders, by the clocks of the servers.
 - A server takes a shard only with a token above all with which others had it. The same
   grant again is no taking, and a grant whose time has passed takes nothing.
+- No process of a server takes or renews a shard with a token below one that a process
+  under its id has seen, or, in time, below one with which another had the shard.
 - No server gets a shard on which another still works after a release, within the time
   of that one's grant.
 
@@ -12,7 +14,8 @@
 
 - for the first rule a grant that arrived within ``THAW_SLACK_S`` after the pause of its
   sender, or a cut of the link that it took;
-- for the third rule also a grant that was held up on its way or carried out late.
+- for the fourth rule also a grant that was held up on its way or carried out late,
+  which is the time that the third rule leaves out.
 """
 
 from collections.abc import Callable
@@ -127,6 +130,10 @@
         self.copies: dict[str | None, float] = {}
         """How probably a server repeats a response in front of the next one, by its
         address; None for all."""
+        self.on_order: Callable[[str], None] = lambda host: None
+        """Called with the host that sends an order."""
+        self._seen: dict[tuple[str, int, str], int] = {}
+        """The highest token of each shard that the processes of a server have seen."""
         self._had: dict[tuple[str, int], dict[str, int]] = {}
         """The latest token of each shard by server id; restarts keep the id."""
 
@@ -180,6 +187,7 @@
             hold = server.held.get(shard)
             if until_s <= now_s:
                 continue
+            self._check_seen(server, shard, grant.token)
             self._check(server, shard, grant.token, is_excused, is_held_up)
             is_renewal = hold is not None and hold.token == grant.token
             if hold is None or not is_renewal:
@@ -205,6 +213,7 @@
         done_s = now_s
         for shard in range(release.first, release.last + 1):
             server.tokens[shard] = max(release.token, server.tokens.get(shard, 0))
+            self._note_seen(server, shard, release.token)
             hold = server.held.pop(shard, None)
             if hold is not None and hold.counted_until_s > now_s:
                 server.work_limit_s[shard] = hold.counted_until_s
@@ -214,6 +223,20 @@
             done_s = max(done_s, server.working_until_s.get(shard, 0.0))
         return done_s
 
+    def _note_seen(self, server: SearchServer, shard: int, token: int) -> int:
+        """Note a token; return the highest one that was seen under this id."""
+        key = (server.service, shard, server.holder.server_id)
+        highest = self._seen[key] = max(token, self._seen.get(key, 0))
+        return highest
+
+    def _check_seen(self, server: SearchServer, shard: int, token: int) -> None:
+        highest = self._note_seen(server, shard, token)
+        if token < highest:
+            self._break(
+                f"lost token: {server.holder.server_id} takes shard {shard} with "
+                f"{token}, a process under its id has seen {highest}"
+            )
+
     def _check(
         self,
         server: SearchServer,
@@ -241,12 +264,17 @@
                     f"{other.working_until_s[shard] - now_s:.3f} s"
                 )
         had = self._had.setdefault((server.service, shard), {})
-        if had.get(name) == token:
-            return
         highest = max(
             (other_token for other, other_token in had.items() if other != name),
             default=0,
         )
+        if had.get(name) == token:
+            if token < highest and not (is_excused or is_held_up):
+                self._break(
+                    f"replaced grant: {name} renews shard {shard} with {token}, "
+                    f"another had it with {highest}"
+                )
+            return
         if token <= highest:
             self._break(
                 f"low token: {name} takes shard {shard} with {token}, another had it "
--- a/tests/builders_keyspace_search_store.py
+++ b/tests/builders_keyspace_search_store.py
@@ -40,6 +40,11 @@
     leader_changed: int = 0
     """The revision of the last change of the leader's item."""
     on_change: Callable[[], None] = lambda: None
+    on_write: Callable[[Change, int], None] = lambda change, leader_revision: None
+    """Called with each change that is made, and with the revision of the leader's item
+    before it, 0 if there was none."""
+    claims: list[tuple[int, float]] = field(default_factory=list)
+    """The revision and the time of each claim to lead that was stored."""
     _last_lease_id: int = 100
     _down_since_s: float = 0.0
 
@@ -60,6 +65,8 @@
                 raise ConflictError("condition", step="change", peer="store")
         if any(put.lease_id and put.lease_id not in self.leases for put in change.puts):
             raise LeaseEndedError("no such lease", step="change", peer="store")
+        leader = self.items_by_key.get(LEADER_KEY)
+        self.on_write(change, leader.revision if leader else 0)
         self.revision += 1
         for put in change.puts:
             item = Item(
@@ -150,6 +157,8 @@
             self.items_by_key.pop(key, None)
         else:
             self.items_by_key[key] = item
+            if key == LEADER_KEY:
+                self.claims.append((item.revision, self.clock.seconds()))
         if key == LEADER_KEY:
             self.leader_changed = self.revision
 
--- a/tests/builders_keyspace_search_world.py
+++ b/tests/builders_keyspace_search_world.py
@@ -10,6 +10,7 @@
 from gentianwharf.store import Change, Put
 from tests.builders_keyspace import SERVICE
 from tests.builders_keyspace_search_hosts import SearchHost, encode_holder
+from tests.builders_keyspace_search_leaders import LeaderRules
 from tests.builders_keyspace_search_loop import advance_to
 from tests.builders_keyspace_search_network import SERVERS_PREFIX, Network
 from tests.builders_keyspace_search_servers import (
@@ -64,6 +65,9 @@
         self._heals: list[Callable[[], None]] = []
         self.hosts: dict[str, SearchHost] = {}
         self.store.on_change = self.spread_news
+        self.leader_rules = LeaderRules(store=self.store, hosts=self.hosts)
+        self.store.on_write = self.leader_rules.check_write
+        self.fleet.on_order = self.leader_rules.check_order
         for address in ADDRESSES[:FIRST_SERVERS]:
             self.start_server(address)
         for name in HOSTS[: rng.choice([2, 3, 3, 3, 5])]:
@@ -126,6 +130,7 @@
         if former is not None:
             host.store.own = former.store.own
         host.on_gained = lambda: self._note_gained(host)
+        host.on_position = self.leader_rules.check_position
         host.store.on_renewal = lambda: self._note_renewal(host)
         host.store.on_claim_lost = lambda: self._lose_news(host)
         self.hosts[name] = host
@@ -306,6 +311,7 @@
 
     def _expire(self) -> None:
         self.store.expire()
+        self.leader_rules.check_leases()
         self.clock.callLater(EXPIRE_EVERY_S, self._expire)
 
     def _feed_demand(self) -> None:
