Begin no term by a claim that is older than a leader that was seen

What callers would see: a host that states its copy of the store as that of the leader, beside the next leader, for up to 0.6 s. No two holders were seen.

Cause: a host whose claim is answered late begins its term, although the store ended the lease early and the host has received the item of a later leader since.

Change: a claim with a lower revision than an item of a leader that was seen begins no term.

--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -86,6 +86,8 @@
         self._rng = rng
         self._campaign_delay_s = campaign_delay_s
         self._item: Item | None = None
+        self._seen_revision = 0
+        """The highest revision of the leader's item that this host has seen."""
         self._campaign_lease_id = 0
         self._campaign_began_s = 0.0
         self._campaigning = False
@@ -110,6 +112,8 @@
     def note_item(self, item: Item | None) -> None:
         """Follow the leader's item in the store."""
         self._item = item
+        if item is not None:
+            self._seen_revision = max(self._seen_revision, item.revision)
         if self.term is not None:
             if item is None or item.revision != self.term.revision:
                 self._lose("the leader's item no longer belongs to this host")
@@ -305,6 +309,10 @@
             log.info("leadership declined", extra={"revision": revision})
             _start(self._remove_item(term, None))
             return
+        if revision < self._seen_revision:
+            # The lease ended early, and the claim was answered late.
+            log.info("another host has led since", extra={"revision": revision})
+            return
         self.term = term
         self.lease_renewed_s = self.confirmed_s = self._campaign_began_s
         self._due_s = self._now_s() + RENEW_LEASE_EVERY_S
--- a/tests/test_keyspace_early_leases.py
+++ b/tests/test_keyspace_early_leases.py
@@ -92,3 +92,18 @@
     fleet.run(1.0)
     fleet.run_with_next_leader(3.0)
     assert fleet.addresses.holders(SHARD) == [fleet.second]
+
+
+def test_claim_that_is_answered_late_begins_no_term_after_a_later_claim(
+    terms: Terms,
+) -> None:
+    """Guards against a host that leads although it has seen the next leader's item."""
+    a, b, _ = terms.hosts
+    answers = a.faults.answers_to_changes = Gate()
+    a.receives_changes = False
+    terms.run_until(terms.leader_item, a)
+    terms.store.remove_leader_item()
+    terms.run_until(lambda: b.leads, b)
+    a.leadership.note_item(terms.leader_item())
+    answers.open()
+    assert not a.leads
