--- a/src/gentianwharf/keyspace/_leadership.py
+++ b/src/gentianwharf/keyspace/_leadership.py
@@ -347,6 +347,10 @@
             log.info("leadership declined", extra={"revision": revision})
             _start(self._remove_item(term, None))
             return
+        if revision < self.newest_revision:
+            # The lease ended early, and the claim was answered late.
+            log.info("another host has led since", extra={"revision": revision})
+            return
         self.term = term
         self.newest_revision = max(self.newest_revision, revision)
         self.lease_renewed_s = self.confirmed_s = self._campaign_began_s
--- a/tests/builders_keyspace_search_world.py
+++ b/tests/builders_keyspace_search_world.py
@@ -10,6 +10,7 @@
 from gentianwharf.store import Change, Put
 from tests.builders_keyspace import SERVICE
 from tests.builders_keyspace_search_hosts import SearchHost, encode_holder
+from tests.builders_keyspace_search_leaders import LeaderRules
 from tests.builders_keyspace_search_loop import advance_to
 from tests.builders_keyspace_search_network import SERVERS_PREFIX, Network
 from tests.builders_keyspace_search_servers import (
@@ -38,8 +39,10 @@
 class SearchWorld:
     """Two to five hosts, up to seven servers of one or two services, and a store."""
 
-    def __init__(self, rng: Random) -> None:
+    def __init__(self, rng: Random, *, keeps_ids: bool = True) -> None:
         self.rng = rng
+        self.keeps_ids = keeps_ids
+        """Whether servers keep their id when they restart."""
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.is_calm = True
@@ -62,6 +65,9 @@
         self._heals: list[Callable[[], None]] = []
         self.hosts: dict[str, SearchHost] = {}
         self.store.on_change = self.spread_news
+        self.leader_rules = LeaderRules(store=self.store, hosts=self.hosts)
+        self.store.on_write = self.leader_rules.check_write
+        self.fleet.on_order = self.leader_rules.check_order
         for address in ADDRESSES[:FIRST_SERVERS]:
             self.start_server(address)
         for name in HOSTS[: rng.choice([2, 3, 3, 3, 5])]:
@@ -124,6 +130,7 @@
         if former is not None:
             host.store.own = former.store.own
         host.on_gained = lambda: self._note_gained(host)
+        host.on_position = self.leader_rules.check_position
         host.store.on_renewal = lambda: self._note_renewal(host)
         host.store.on_claim_lost = lambda: self._lose_news(host)
         self.hosts[name] = host
@@ -171,6 +178,10 @@
 
     def _lose_news(self, host: SearchHost) -> None:
         """Let a host not hear of its claim, perhaps until the lease has ended."""
+        self.stop_news(host, self.rng.uniform(0.3, 3.0))
+
+    def stop_news(self, host: SearchHost, duration_s: float) -> None:
+        """Let a host receive no changes of the store for a time."""
         own = host.store.own
         own.gets_no_news = True
 
@@ -178,7 +189,7 @@
             own.gets_no_news = False
             host.news.wake()
 
-        self.last(self.rng.uniform(0.3, 3.0), heal)
+        self.last(duration_s, heal)
 
     def draw_leader(self) -> SearchHost | None:
         """Return one of the hosts that lead, or consider themselves to."""
@@ -222,7 +233,11 @@
             service = min(self.services, key=running.count)
         if holder is None:
             self._starts += 1
-            holder = Holder(server_id=f"s{self._starts}", born_ms=1, address=address)
+            holder = Holder(
+                server_id=f"s{self._starts}",
+                born_ms=1 if self.keeps_ids else 0,
+                address=address,
+            )
         server = SearchServer(
             holder=holder,
             service=service,
@@ -252,18 +267,22 @@
         return f"{SERVERS_PREFIX}{server.service}/{server.holder.server_id}"
 
     def restart_server(self, server: SearchServer, downtime_s: float) -> None:
-        """End a server, and restart it under its id and address."""
+        """End a server, and restart it at its address, under its id or a new one."""
         holder = server.holder
         self.log(f"{holder.server_id} restarts after {downtime_s:.3f} s")
         del self.fleet.running[holder.address]
         self.free_from_s[holder.address] = float("inf")
         if self.rng.random() < 0.3:
             self.unlist_server(server)
+        elif not self.keeps_ids:
+            self.clock.callLater(self.rng.uniform(0.0, 5.0), self.unlist_server, server)
 
         def start() -> None:
             self.free_from_s.pop(holder.address, None)
             if holder.address in self.fleet.running:
                 self.unlist_server(server)
+            elif not self.keeps_ids:
+                self.start_server(holder.address, service=server.service)
             else:
                 self.start_server(
                     holder.address,
@@ -292,6 +311,7 @@
 
     def _expire(self) -> None:
         self.store.expire()
+        self.leader_rules.check_leases()
         self.clock.callLater(EXPIRE_EVERY_S, self._expire)
 
     def _feed_demand(self) -> None:
