State how old a leader's copy is by requests, not by the arrival of answers

What callers would see: a request handled by rules that were replaced more than config-apply before (CONFIG), at a host that is in touch with the store.

Cause: a leader states its position in the store with an age, and the hosts that follow it leave the watch to it until that age is 1.4 s. The age counted from the last answer's arrival, or from changes that an earlier leader had forwarded. An answer may arrive a second after the store has made it. If the leader is replaced then, or cut off from the others, they start to watch 1.4 s after the arrival.

Change: the mirror keeps until when its copy is certainly complete: the request of an answer with changes, the end of the wait of one without, and nothing that another host has forwarded. Positions are stated with that age. They are facts of the store then, whoever leads. A host that forwards changes waits less after a change or a late answer, so that followers don't watch because of the new count.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -342,7 +342,7 @@
         is_complete = mirror.is_current and mirror.silent_s() == 0
         if not is_complete or not self.leadership.holds_lease():
             return None
-        age_s = self._now_s() - mirror.last_contact_s
+        age_s = self._now_s() - mirror.complete_until_s
         return StorePosition(revision=mirror.revision, age_s=age_s)
 
     def _missing_after(self) -> int | None:
--- a/src/gentianwharf/store/_mirror.py
+++ b/src/gentianwharf/store/_mirror.py
@@ -50,6 +50,10 @@
 """Wait of a watch while the store may be unavailable. It is short so that a lost watch
 is repeated soon after the store is available again."""
 
+MAX_FORWARDED_AGE_S = 1.3
+"""Maximum age of the copy of a host that forwards changes, while the store is slow: the
+hosts that receive them start to watch the store themselves soon after that."""
+
 MAX_REMOVALS = 1_000
 """Removals kept for hosts that lack them; a host that lacks more is sent all items."""
 
@@ -86,6 +90,9 @@
         self.items: dict[str, Item] = {}
         self.is_current = False
         self.last_contact_s = float("-inf")
+        self.complete_until_s = float("-inf")
+        """The store has certainly answered this host with all changes until then. An
+        answer may arrive long after the store has made it."""
         self._created_s = float(reactor.seconds())
         self.lost_s: float | None = reactor.seconds()
         self.regained_s = float("-inf")
@@ -236,14 +243,21 @@
 
     def _watch_wait_s(self, pace: WatchPace) -> float:
         """Return for how long the next watch waits for a change."""
+        min_wait_s = min(OUTAGE_WATCH_WAIT_S, pace.wait_s)
         if self.lost_s is not None or self.age_s() > pace.wait_s + CONTACT_OVERDUE_S:
-            return min(OUTAGE_WATCH_WAIT_S, pace.wait_s)
+            return min_wait_s
+        if self.forwards_changes():
+            # The next answer may take as long as the last one did.
+            answer_s = float(self._reactor.seconds()) - self.complete_until_s
+            wait_s = MAX_FORWARDED_AGE_S - 2 * answer_s
+            return max(min_wait_s, min(pace.wait_s, wait_s))
         return pace.wait_s
 
     async def _read(self) -> None:
         silent_s, requested_s = self.silent_s(), self._reactor.seconds()
         page = await self._store.items(self._prefix)
         self._note_contact()
+        self._note_complete(requested_s)
         if silent_s > 0:
             events = Events(changes=page.items, revision=page.revision)
             self._log_caught_up(events, requested_s=requested_s, superseded=0)
@@ -276,10 +290,15 @@
     async def _watch(self) -> None:
         after_revision, pace = self.revision, self.pace()
         silent_s, requested_s = self.silent_s(), self._reactor.seconds()
-        events = await self._request(after_revision, pace)
+        wait_s = self._watch_wait_s(pace)
+        if self._is_behind():
+            wait_s = min(REISSUE_AFTER_S, wait_s)
+        events = await self._request(after_revision, wait_s)
         if events is None:
             return
         self._note_contact()
+        # Without a change, the store has answered at the end of the wait.
+        self._note_complete(requested_s + (0.0 if events.changes else wait_s))
         newest = newest_changes(events)
         if silent_s > 0:
             superseded = len(events.changes) - len(newest.changes)
@@ -311,15 +330,14 @@
             },
         )
 
-    async def _request(self, after_revision: int, pace: WatchPace) -> Events | None:
+    async def _request(self, after_revision: int, wait_s: float) -> Events | None:
         """Return the answer to a watch, None if it was cancelled to be issued again."""
         waits_in_full = not self._is_behind()
-        wait_s = self._watch_wait_s(pace)
         self._response_has_started = False
         call = self._store.watch(
             self._prefix,
             after_revision=after_revision,
-            wait_s=wait_s if waits_in_full else min(REISSUE_AFTER_S, wait_s),
+            wait_s=wait_s,
             on_response_start=self._note_response_start,
         )
         watching = self._pending_watch = Deferred.fromCoroutine(call)
@@ -379,6 +397,10 @@
         self.regained_s = self.last_contact_s
         log.info("store regained", extra={"silent_s": round(silent_s, 3)})
 
+    def _note_complete(self, until_s: float) -> None:
+        until_s = min(until_s, float(self._reactor.seconds()))
+        self.complete_until_s = max(self.complete_until_s, until_s)
+
     def _note_failure(self, error: GentianwharfError) -> None:
         self._failures += 1
         if self.lost_s is None:
--- a/tests/builders_late_changes.py
+++ b/tests/builders_late_changes.py
@@ -183,6 +183,7 @@
         restarted = self.hosts[number] = self._host(number)
         for name in (
             "answer_s",
+            "watch_delay_s",
             "is_silent",
             "is_unreachable",
             "refuses_calls",
--- a/tests/builders_store_link.py
+++ b/tests/builders_store_link.py
@@ -27,6 +27,8 @@
         self.seconds = clock.seconds
         self.callLater = clock.callLater
         self.answer_s = 0.004
+        self.watch_delay_s = 0.0
+        """Additional delay of answers to watches, which are as of before it."""
         self.is_silent = False
         self.is_unreachable = False
         self.refuses_calls = False
@@ -112,10 +114,13 @@
             self.callLater(STEP_S, self._watch, after_revision, end_s, reply)
             return
         rows = [change_row(change) for change in changes]
-        self._reply_later(reply, 200, {"events": rows, "as-of": self._items.revision})
+        body = {"events": rows, "as-of": self._items.revision}
+        self._reply_later(reply, 200, body, delay_s=self.watch_delay_s)
 
-    def _reply_later(self, reply: Reply, status: int, body: object) -> None:
-        self.callLater(self.answer_s, self._reply, reply, status, body)
+    def _reply_later(
+        self, reply: Reply, status: int, body: object, *, delay_s: float = 0.0
+    ) -> None:
+        self.callLater(self.answer_s + delay_s, self._reply, reply, status, body)
 
     def _reply(self, reply: Reply, status: int, body: object) -> None:
         if not self.is_silent:
--- /dev/null
+++ b/tests/test_entryhost_two_leaders.py
@@ -0,0 +1,66 @@
+"""Hosts that follow a replaced leader use no rules for longer than agreed."""
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from tests.builders_late_changes import SMALL_KEY, LateFleet
+from tests.builders_store_link import STEP_S
+from tests.builders_two_leaders import HOSTS, TwoLeaders, end_lease, remove_item
+
+IN_FORCE_S = 2.0
+"""A change is in force at every host in touch this long after it was accepted."""
+
+FOUND_SEEDS = (10, 27, 31, 62, 103)
+"""Seeds in which hosts were late by the time of an answer."""
+
+
+@pytest.mark.parametrize("replace", [end_lease, remove_item])
+def test_late_answer_to_a_leader_makes_no_other_host_late(
+    monkeypatch: pytest.MonkeyPatch, replace: Callable[[LateFleet], None]
+) -> None:
+    """Guards against a leader that takes its copy to be as recent as an answer's end.
+
+    The answer to its watch takes a second. It is replaced as it arrives, by a host
+    whose messages are lost, like its own later ones.
+    """
+    fleet = LateFleet(monkeypatch, hosts=3, seed=1)
+    fleet.run(4.0)
+    leader = fleet.leader()
+    assert leader is not None
+    mirror = leader.coordinator.mirror
+    contact_s = mirror.last_contact_s
+    while mirror.last_contact_s == contact_s:
+        fleet.run(STEP_S)
+    leader.link.watch_delay_s, leader.is_in_trouble = 1.0, True
+    fleet.write(SMALL_KEY)
+    fleet.run(0.05)
+    fleet.write(SMALL_KEY)
+    fleet.run(1.0)
+    replace(fleet)
+    for host in fleet.hosts:
+        for other in fleet.hosts:
+            fleet.net.losses[frozenset({host.address, other.address})] = 1.0
+    fleet.run(4.0)
+    assert fleet.worst_s <= IN_FORCE_S
+
+
+@pytest.mark.parametrize("seed", [*range(4), *FOUND_SEEDS])
+def test_no_host_in_touch_is_late_while_two_hosts_lead(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against hosts that use replaced rules since a replaced leader has them."""
+    fleet = LateFleet(monkeypatch, hosts=HOSTS, seed=seed)
+    TwoLeaders(fleet, Random(seed)).run()
+    assert not fleet.late, "\n".join([*fleet.log, str(fleet.late[-1])])
+
+
+def test_plays_have_two_leaders(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against plays that no longer show what they are meant to."""
+    both_led = 0
+    for seed in range(4):
+        play = TwoLeaders(LateFleet(monkeypatch, hosts=HOSTS, seed=seed), Random(seed))
+        play.run()
+        both_led += play.both_led_s > 0.5
+    assert both_led > 0
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -16,6 +16,7 @@
     Removal,
     default_pace,
 )
+from gentianwharf.store._mirror import MAX_FORWARDED_AGE_S
 from tests.builders_store import (
     WatchedStore,
     advance,
@@ -389,3 +390,46 @@
             "value_bytes": 4,
         },
     )
+
+
+def test_copy_is_complete_up_to_the_request_of_an_answer_with_changes(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """Guards against a copy that counts as recent because its answer was late."""
+    begin_s = clock.seconds()
+    clock.advance(0.5)
+    store.answer_watch(events(11, item("b", 11)))
+    assert mirror.last_contact_s == begin_s + 0.5
+    assert mirror.complete_until_s == begin_s
+
+
+def test_copy_is_complete_up_to_the_wait_of_an_answer_without_changes(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    begin_s = clock.seconds()
+    clock.advance(store.waits_s[-1] + 0.4)
+    store.answer_watch(events(10))
+    assert mirror.complete_until_s == begin_s + store.waits_s[0]
+
+
+def test_forwarded_changes_complete_no_copy(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """Guards against a leader that states what it has heard from the one before."""
+    begin_s = clock.seconds()
+    clock.advance(0.5)
+    mirror.apply_forwarded(events(11, item("b", 11)), after_revision=10)
+    assert mirror.complete_until_s == begin_s
+
+
+def test_forwarding_host_waits_less_after_a_late_answer(
+    store: WatchedStore, mirror: Mirror, clock: Clock
+) -> None:
+    """Guards against hosts that all watch because the leader's copy gets too old."""
+    mirror.forwards_changes = lambda: True
+    clock.advance(0.8 + 0.4)
+    store.answer_watch(events(10))
+    answered_s = clock.seconds()
+    assert store.waits_s == [0.8, pytest.approx(MAX_FORWARDED_AGE_S - 2 * 0.4)]
+    next_age_s = answered_s + store.waits_s[-1] + 0.4 - mirror.complete_until_s
+    assert next_age_s <= MAX_FORWARDED_AGE_S + 1e-9
