Keep the delay of each leader's updates when another host leads in between

What callers would see: a request handled by rules that were replaced more than config-apply before (CONFIG), where the same hosts lead in turn and a link has become slow in the meantime. Shown by a test of the product's parts.

Cause: the delay of an update is its excess over the fastest recent one of its leader. At each change of the leader all samples were discarded, so that the first update of a host that leads again counted as fast, however late it was.

A restarted process has another clock and starts without samples, as before.

A link that is late from the first update of a process that has never led remains unknown.

--- a/src/gentianwharf/entryhost/_peers.py
+++ b/src/gentianwharf/entryhost/_peers.py
@@ -43,7 +43,7 @@
     decode_identity,
     decode_message,
 )
-from ._update_delay import UpdateDelay
+from ._update_delay import UpdateDelays
 from ._update_relay import UpdateRelay
 
 REPORT_INTERVAL_S = 0.25
@@ -144,7 +144,7 @@
         self._updated_s = float("-inf")
         self._changes_valid_until_s = float("-inf")
         self._changes = LeaderChanges()
-        self._update_delay = UpdateDelay()
+        self._update_delays = UpdateDelays()
         self._reported_s = 0.0
         self._host_count = 1
         self._relay = UpdateRelay(
@@ -247,7 +247,6 @@
             return
         self._close_leader_link()
         self._changes.start()
-        self._update_delay.reset()
         self._leader = leader
         self._updated_s = float("-inf")
         self._changes_valid_until_s = float("-inf")
@@ -422,7 +421,9 @@
         self.on_rules_stated(update.rules_revision)
         delay_s = 0.0
         if update.sent_s is not None:
-            delay_s = self._update_delay.note(sent_s=update.sent_s, received_s=now_s)
+            delay_s = self._update_delays.of(update.leader).note(
+                sent_s=update.sent_s, received_s=now_s
+            )
         if update.age_s is not None:
             age_s = update.age_s + delay_s
             self._changes_valid_until_s = now_s - age_s + CHANGES_VALID_S
--- a/tests/test_entryhost_two_leaders.py
+++ b/tests/test_entryhost_two_leaders.py
@@ -64,3 +64,28 @@
         play.run()
         both_led += play.both_led_s > 0.5
     assert both_led > 0
+
+
+@pytest.mark.parametrize("phase_s", [0.0, 0.2, 0.4, 0.6, 0.7])
+def test_leader_that_leads_again_over_a_late_link_makes_no_host_late(
+    monkeypatch: pytest.MonkeyPatch, phase_s: float
+) -> None:
+    """Guards against late updates that count as recent since another host led."""
+    fleet = LateFleet(monkeypatch, hosts=3, seed=1)
+    fleet.run(4.0)
+    first = fleet.leader()
+    assert first is not None
+    second, other = [host for host in fleet.hosts if host is not first]
+    other.coordinator.leadership.handicap_s = lambda: 5.0
+    first.coordinator.resign(1.0)
+    fleet.run(3.0)
+    assert fleet.leader() is second
+    pair = frozenset({first.address, other.address})
+    fleet.net.delays_s[pair] = 0.9
+    second.coordinator.resign(60.0)
+    fleet.run(4.0 + phase_s)
+    assert fleet.leader() is first
+    fleet.net.losses[pair] = 1.0
+    fleet.write(SMALL_KEY)
+    fleet.run(4.0)
+    assert fleet.worst_s <= IN_FORCE_S
--- a/tests/test_entryhost_update_delay.py
+++ b/tests/test_entryhost_update_delay.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from gentianwharf.entryhost._update_delay import WINDOW_S, UpdateDelay
+from gentianwharf.entryhost._peer_messages import HostIdentity
+from gentianwharf.entryhost._update_delay import (
+    MAX_LEADERS,
+    WINDOW_S,
+    UpdateDelay,
+    UpdateDelays,
+)
 
 
 @pytest.mark.parametrize("difference_s", [0.0, -5_000.0, 70_000.0])
@@ -26,8 +32,28 @@
     assert late_s[-1] == 0.0
 
 
-def test_another_leader_has_another_clock() -> None:
-    delay = UpdateDelay()
-    delay.note(sent_s=100.0, received_s=0.0)
-    delay.reset()
-    assert delay.note(sent_s=0.0, received_s=0.0) == 0.0
+def leader(number: int, *, incarnation: int = 1) -> HostIdentity:
+    return HostIdentity(f"h{number}", f"10.0.0.{number}:90", incarnation)
+
+
+@pytest.mark.parametrize("other", [leader(2), leader(1, incarnation=2)])
+def test_another_leader_has_another_clock(other: HostIdentity) -> None:
+    delays = UpdateDelays()
+    delays.of(leader(1)).note(sent_s=100.0, received_s=0.0)
+    assert delays.of(other).note(sent_s=0.0, received_s=0.0) == 0.0
+
+
+def test_leader_that_leads_again_is_compared_with_its_earlier_updates() -> None:
+    """Guards against a late link that counts as fast since another host led."""
+    delays = UpdateDelays()
+    delays.of(leader(1)).note(sent_s=100.0, received_s=0.0)
+    delays.of(leader(2)).note(sent_s=0.0, received_s=5.0)
+    assert delays.of(leader(1)).note(sent_s=160.0, received_s=60.5) == 0.5
+
+
+def test_number_of_known_leaders_is_bounded() -> None:
+    delays = UpdateDelays()
+    for number in range(MAX_LEADERS + 1):
+        delays.of(leader(number)).note(sent_s=100.0, received_s=0.0)
+    assert delays.of(leader(MAX_LEADERS)).note(sent_s=0.0, received_s=0.0) == 100.0
+    assert delays.of(leader(0)).note(sent_s=0.0, received_s=0.0) == 0.0
