Test that a replaced leader's writes to shared items are refused

The list of hosts, the secret for tunnels and the stored requests that end servers are written on condition of the leader's item at the revision of the term, so that a late write of a former leader changes nothing. Nothing was found to mend.

--- a/tests/test_entryhost_two_leaders.py
+++ b/tests/test_entryhost_two_leaders.py
@@ -4,7 +4,17 @@
 from random import Random
 
 import pytest
+from twisted.internet.defer import Deferred
 
+from gentianwharf.entryhost._host_list import HostList
+from gentianwharf.entryhost._store_keys import (
+    HOSTS_KEY,
+    LEADER_KEY,
+    TUNNEL_SECRET_KEY,
+)
+from gentianwharf.entryhost._tunnel_secret import TunnelSecret
+from gentianwharf.store import Change
+from tests.builders_entryhost import Fleet
 from tests.builders_late_changes import SMALL_KEY, LateFleet
 from tests.builders_store_link import STEP_S
 from tests.builders_two_leaders import HOSTS, TwoLeaders, end_lease, remove_item
@@ -89,3 +99,24 @@
     fleet.write(SMALL_KEY)
     fleet.run(4.0)
     assert fleet.worst_s <= IN_FORCE_S
+
+
+@pytest.mark.parametrize("key", [HOSTS_KEY, TUNNEL_SECRET_KEY])
+def test_replaced_leader_writes_no_shared_item(
+    monkeypatch: pytest.MonkeyPatch, key: str
+) -> None:
+    """Guards against a late write that replaces what the next leader has written."""
+    fleet = Fleet(monkeypatch, hosts=2)
+    fleet.run(6.0)
+    coordinator = fleet.leader().coordinator
+    writers: dict[str, HostList | TunnelSecret] = {
+        HOSTS_KEY: coordinator._host_list,
+        TUNNEL_SECRET_KEY: coordinator.tunnel_secret,
+    }
+    fleet.items.change(Change(removals=(key,)))
+    leader_item = fleet.items.get(LEADER_KEY)
+    assert leader_item is not None
+    fleet.items.end_lease(leader_item.lease_id)
+    assert coordinator.leadership.holds_lease(), "the host does not know yet"
+    Deferred.fromCoroutine(writers[key]._write())
+    assert fleet.items.get(key) is None
--- a/tests/test_quarantine_items.py
+++ b/tests/test_quarantine_items.py
@@ -109,6 +109,15 @@
     assert host.stored() == [KEY] * is_stored
 
 
+def test_replaced_leader_stores_no_requests() -> None:
+    """Guards against a late write that replaces what the next leader has written."""
+    host = StoredRecords()
+    host.crash("s1", "s2")
+    host.backend.change(Change(puts=(Put(key=LEADER_KEY, value=b"h2"),)))
+    host.sync()
+    assert host.stored() == []
+
+
 def test_host_that_starts_takes_what_is_stored() -> None:
     """Guards against a request whose life begins anew with each host."""
     former, started = StoredRecords(), StoredRecords()
