Log whom a host follows as rules come in force

What callers would see: nothing. With two hosts that lead, a record could not tell which of them the hosts with older rules followed.

Change: the line "configuration in force" names the revision of the leader's item, as the gauge _leader_revision does at any time.

Evidence: test_log_says_whom_a_host_followed_as_rules_came_in_force.

--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -225,6 +225,7 @@
         peers.rules_revision = lambda: self.rules.newest.revision
         peers.received_rules = lambda: self.rules.newest.received_revision
         peers.on_rules_stated = self.rules.newest.note_stated
+        self.rules.leader_revision = lambda: peers.followed_revision
         peers.on_page = mirror.apply_forwarded_page
         peers.on_superseded = self.leadership.step_down
         peers.on_grants_request = self._grants_exchange.handle_request
--- a/src/gentianwharf/entryhost/_rules.py
+++ b/src/gentianwharf/entryhost/_rules.py
@@ -65,6 +65,8 @@
         self.newest = NewestRules(now_s=now_s)
         self.configuration: Configuration | None = None
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
+        self.leader_revision: Callable[[], int] = lambda: 0
+        """Returns the revision of the item of the leader that this host follows."""
         self._rules: RuleSet | None = None
         self._targets = DecodedTargets()
         self._unread_rules: frozenset[str] = frozenset()
@@ -139,7 +141,11 @@
         self.configuration = configuration
         log.info(
             "configuration in force",
-            extra={"version": configuration.version, "revision": item.revision},
+            extra={
+                "version": configuration.version,
+                "revision": item.revision,
+                "leader_revision": self.leader_revision(),
+            },
         )
         self._log_unread(configuration)
         self.on_change(configuration)
--- a/tests/test_entryhost_two_leaders.py
+++ b/tests/test_entryhost_two_leaders.py
@@ -13,11 +13,14 @@
     TUNNEL_SECRET_KEY,
 )
 from gentianwharf.entryhost._tunnel_secret import TunnelSecret
+from gentianwharf.logs import log
+from gentianwharf.platform import CONFIG_KEY
 from gentianwharf.store import Change
 from tests.builders_entryhost import Fleet
 from tests.builders_late_changes import SMALL_KEY, LateFleet
 from tests.builders_store_link import STEP_S
 from tests.builders_two_leaders import HOSTS, TwoLeaders, end_lease, remove_item
+from tests.builders_users_platform import configuration
 
 IN_FORCE_S = 2.0
 """A change is in force at every host in touch this long after it was accepted."""
@@ -101,6 +104,26 @@
     assert fleet.worst_s <= IN_FORCE_S
 
 
+def test_log_says_whom_a_host_followed_as_rules_came_in_force(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against records that can't tell from which leader rules came."""
+    fleet = Fleet(monkeypatch, hosts=3)
+    fleet.run(4.0)
+    leader_item = fleet.items.get(LEADER_KEY)
+    assert leader_item is not None
+    logged: list[int] = []
+
+    def note(line: str, *_: object, extra: dict[str, int]) -> None:
+        if line == "configuration in force":
+            logged.append(extra["leader_revision"])
+
+    monkeypatch.setattr(log, "info", note)
+    fleet.write(CONFIG_KEY, configuration())
+    fleet.run(1.0)
+    assert logged == [leader_item.revision] * 3
+
+
 @pytest.mark.parametrize("key", [HOSTS_KEY, TUNNEL_SECRET_KEY])
 def test_replaced_leader_writes_no_shared_item(
     monkeypatch: pytest.MonkeyPatch, key: str
