--- a/src/gentianwharf/entryhost/_coordinator.py
+++ b/src/gentianwharf/entryhost/_coordinator.py
@@ -225,6 +225,7 @@
         peers.rules_revision = lambda: self.rules.newest.revision
         peers.received_rules = lambda: self.rules.newest.received_revision
         peers.on_rules_stated = self.rules.newest.note_stated
+        self.rules.leader_revision = lambda: peers.followed_revision
         peers.on_page = mirror.apply_forwarded_page
         peers.on_superseded = self.leadership.step_down
         peers.on_grants_request = self._grants_exchange.handle_request
@@ -342,7 +343,7 @@
         is_complete = mirror.is_current and mirror.silent_s() == 0
         if not is_complete or not self.leadership.holds_lease():
             return None
-        age_s = self._now_s() - mirror.last_contact_s
+        age_s = self._now_s() - mirror.complete_until_s
         return StorePosition(revision=mirror.revision, age_s=age_s)
 
     def _missing_after(self) -> int | None:
