--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -67,7 +67,14 @@
     play(810004, 6, *PLAIN, "--no-uploads", "--no-random-faults", "--servers-restart")
 
 
-def play(seed: int, faults_s: int, *options: str) -> None:
+def test_no_keys_have_two_holders_while_leases_end_early() -> None:
+    """Guards against leaders that count on a lease until it has run out by time."""
+    options = ("--no-random-faults", "--leases-end-early", "--no-recovers")
+    assert " 0 items revoked" not in play(850038, 4, *PLAIN, "--no-uploads", *options)
+
+
+def play(seed: int, faults_s: int, *options: str) -> str:
+    """Play a seed, and return what the soak prints."""
     result = subprocess.run(
         [
             *(sys.executable, "-m", "soak", "--first", str(seed), "--seeds", "1"),
@@ -85,3 +92,4 @@
         check=False,
     )
     assert result.returncode == 0, result.stdout + result.stderr
+    return result.stdout
