--- a/tests/builders_keyspace_search_faults.py
+++ b/tests/builders_keyspace_search_faults.py
@@ -215,7 +215,9 @@
             planner._term = term
             rejected = [item for item in page.items if not planner.note_table(item)]
             planner._take_over(
-                term, may_have_grants=_has_spans(planner) or bool(rejected)
+                term,
+                may_have_grants=_has_spans(planner) or bool(rejected),
+                rejected=frozenset(),
             )
 
     def follow(manager: Any, table: KeyTable) -> None:
@@ -258,7 +260,7 @@
     gain: Any = Leadership._gain
 
     def gain_always(leadership: Any, revision: int) -> None:
-        leadership._seen_revision = 0
+        leadership.newest_revision = 0
         gain(leadership, revision)
 
     patch.setattr(Leadership, "_gain", gain_always)
@@ -270,7 +272,9 @@
     async def begin(planner: Any, term: Any) -> None:
         if term is not None and planner._term is not term:
             planner._term = term
-            planner._take_over(term, may_have_grants=_has_spans(planner))
+            planner._take_over(
+                term, may_have_grants=_has_spans(planner), rejected=frozenset()
+            )
 
     patch.setattr(Planner, "_begin", begin)
 
