--- a/src/gentianwharf/keyspace/_move_bounds.py
+++ b/src/gentianwharf/keyspace/_move_bounds.py
@@ -35,8 +35,10 @@
         elections = self._elections.setdefault(service, [])
         if elections and highest_token <= elections[-1][0]:
             return
-        elections.append((highest_token, self._now_s()))
-        while len(elections) > 1 and self._expire_by_s(elections[1]) <= self._now_s():
+        now_s = self._now_s()
+        elections.append((highest_token, now_s))
+        # An election whose bound has passed covers all earlier ones.
+        while len(elections) > 1 and self._bound_s(elections[1][1]) <= now_s:
             del elections[0]
 
     def expire_by_s(self, service: str, token: int) -> float:
@@ -45,10 +47,10 @@
         ``token`` is that of the span, with which it was moved. Infinite if this host
         knows of no election since.
         """
-        for election in self._elections.get(service, ()):
-            if election[0] >= token:
-                return self._expire_by_s(election)
+        for highest_token, noticed_s in self._elections.get(service, ()):
+            if highest_token >= token:
+                return self._bound_s(noticed_s)
         return inf
 
-    def _expire_by_s(self, election: tuple[int, float]) -> float:
-        return self._timing.earlier_grants_expiry_s(took_over_s=election[1])
+    def _bound_s(self, noticed_s: float) -> float:
+        return self._timing.earlier_grants_expiry_s(took_over_s=noticed_s)
